Workspace, shared types and the interfaces between the libraries

Cause: the parts are to be built side by side, so the interfaces between them come first. Types that several parts share stand in pkg/api; each library states what it needs of the others as a narrow interface.

--- /dev/null
+++ b/pkg/keeper/types.go
@@ -0,0 +1,66 @@
+// Package keeper makes a request that is unsafe to repeat run at most once:
+// the keepers of a cell, three nodes in different zones, remember the keys of
+// such requests, and a node sends a request on only when a majority of them
+// has granted its claim.
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"martenwheel.dev/pkg/api"
+)
+
+// Key identifies a request that is unsafe to repeat.
+type Key struct {
+	Cell   api.CellName
+	Caller string
+	Value  string // of the caller's idempotency key header
+}
+
+// Claim asks for the right to run a request once.
+type Claim struct {
+	Key       Key
+	Digest    [32]byte // of the request's body
+	Attempt   string   // unique per claim
+	Retention time.Duration
+}
+
+// Verdict is the result of a claim.
+type Verdict uint8
+
+// The verdicts on a claim.
+const (
+	VerdictGranted  Verdict = iota + 1 // run it now, once
+	VerdictAnswered                    // ran before; Answer holds the kept answer
+	VerdictInDoubt                     // claimed before; whether it ran is not known here
+	VerdictRunning                     // claimed by an attempt that is still under way
+	VerdictMismatch                    // the key was used with another body
+	VerdictNoQuorum                    // too few keepers answered: not run, try again
+)
+
+// Answer is a kept answer.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte // at most MaxKeptAnswer bytes; nil if larger
+}
+
+// Decision is a verdict with its details.
+type Decision struct {
+	Verdict    Verdict
+	Answer     *Answer
+	RetryAfter time.Duration
+}
+
+// Claims is the router's side. Safe for concurrent use.
+type Claims interface {
+	// Claim returns within the context's deadline. A claim whose context
+	// ends first counts as not granted.
+	Claim(ctx context.Context, claim Claim) Decision
+	// Complete records the answer of a granted claim.
+	Complete(ctx context.Context, claim Claim, answer Answer)
+	// Release gives a granted claim back. Only for a request that surely did
+	// not run.
+	Release(ctx context.Context, claim Claim)
+}
--- /dev/null
+++ b/pkg/policy/history.go
@@ -0,0 +1,4 @@
+package policy
+
+// History is what is remembered of a model's arrivals.
+type History struct{}
