--- /dev/null
+++ b/pkg/tree/fits.go
@@ -0,0 +1,43 @@
+package tree
+
+import (
+	"martenwheel.dev/pkg/findings"
+	"martenwheel.dev/pkg/settings/units"
+)
+
+// ServerMemory is the accelerator memory of one server, as the platform lists it.
+type ServerMemory struct {
+	Service string
+	Bytes   uint64
+}
+
+// CheckFits reports each model that fits no server of its service, alone or
+// with the largest of its adapters. A service without listed servers is skipped:
+// nothing is known about it.
+func (t *Tree) CheckFits(servers []ServerMemory) error {
+	largest := make(map[string]uint64)
+	for _, server := range servers {
+		largest[server.Service] = max(largest[server.Service], server.Bytes)
+	}
+	var found findings.List
+	for _, model := range t.models {
+		capacity, listed := largest[model.Service]
+		if !listed {
+			continue
+		}
+		if need := t.neededBytes(model); need > capacity {
+			found.Addf(place(model.Path, "memory"), "needs %s with its KV cache and base model, but the largest server of %s has %s",
+				units.FormatBytes(need), model.Service, units.FormatBytes(capacity))
+		}
+	}
+	return found.Err()
+}
+
+// neededBytes is the memory that one replica needs, for an adapter with its base.
+func (t *Tree) neededBytes(model Model) uint64 {
+	need := model.Settings.MemoryBytes + model.Settings.KVBytes
+	if base, found := t.Model(model.Base); found {
+		need += t.neededBytes(base)
+	}
+	return need
+}
--- a/pkg/tree/types.go
+++ b/pkg/tree/types.go
@@ -67,6 +67,11 @@
 	WeightFullSpeed  int           // root only: loads at once at full speed
 	MaxBodyBytes     int           // root only: of a caller's request
 	OperatorsMayEdit bool          // false freezes a branch against edits
+
+	// Defaults of the adapters below, which don't inherit MemoryBytes and
+	// LoadTime from their base model.
+	AdapterMemoryBytes uint64
+	AdapterLoadTime    time.Duration
 }
 
 // Model is a model or adapter of the tree with its effective settings.
@@ -79,9 +84,10 @@
 	Settings Settings
 }
 
-// Edit changes one key of one node of the tree. Exactly one of the three forms
-// holds: set Key to Value; Unset Key (inherit again); Remove the node with all
-// below it. Setting a key of a node that does not exist creates the node.
+// Edit changes one node of the tree. Exactly one of four forms holds: set Key
+// to Value; Unset Key (inherit again); Remove the node with all below it; a Path
+// alone creates the node with nothing overridden. Setting a key of a node that
+// does not exist creates the node, too, with its ancestors.
 type Edit struct {
 	Path   Path   `json:"path" yaml:"path"`
 	Key    string `json:"key,omitempty" yaml:"key,omitempty"`
