Process settings, operators' HTTP API and command line, first whole shape

Settings of a process and flags come from one table, Fields; the operators' API reads everything and writes only the tree. A commit of the tree whose answer was lost stays in doubt until the change's own ID has been read back: before, a table service that went down right after the lost answer made it say that nothing was written.

--- /dev/null
+++ b/pkg/cli/check.go
@@ -0,0 +1,71 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"gopkg.in/yaml.v3"
+
+	"martenwheel.dev/pkg/settings"
+	"martenwheel.dev/pkg/tree"
+)
+
+func newCheckCommand() command {
+	var file string
+	parser := newSubcommand("check", "check a settings file or a tree and report all findings; changes nothing",
+		"martenwheel check node.yaml",
+		"martenwheel check tree.yaml")
+	parser.AddPositionalValue(&file, "file", 1, true, "settings of a process, or a tree, as YAML")
+	run := func(streams Streams) int {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			fmt.Fprintln(streams.Err, err)
+			return ExitUsage
+		}
+		kind, err := "tree", error(nil)
+		if isSettings(data) {
+			kind = "settings file"
+			_, err = settings.Load(file, nil)
+		} else {
+			_, err = tree.ParseNamed(file, data)
+		}
+		if code := report(streams, err); code != ExitOK {
+			return code
+		}
+		fmt.Fprintf(streams.Out, "%s: a valid %s\n", file, kind)
+		return ExitOK
+	}
+	return command{parser: parser, run: run}
+}
+
+// isSettings tells whether a file has an entry that only settings of a process
+// have. All other files are taken for trees.
+func isSettings(data []byte) bool {
+	var document yaml.Node
+	if yaml.Unmarshal(data, &document) != nil || len(document.Content) == 0 {
+		return false
+	}
+	entries := document.Content[0].Content
+	for index := 0; index+1 < len(entries); index += 2 {
+		if onlyInSettings(entries[index].Value) {
+			return true
+		}
+	}
+	return false
+}
+
+// onlyInSettings tells whether name begins a setting of a process and none of
+// the tree.
+func onlyInSettings(name string) bool {
+	if _, inTree := tree.FindKey(name); inTree {
+		return false
+	}
+	for _, field := range settings.Fields {
+		group, _, _ := strings.Cut(field.Name, ".")
+		if group == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/operator/server.go
@@ -0,0 +1,152 @@
+package operator
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/gofiber/fiber/v2/middleware/adaptor"
+	"github.com/gofiber/fiber/v2/utils"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Bounds of the API, of which those of Config are defaults.
+const (
+	maxBodyBytes     = 4 << 20
+	commitTimeout    = 20 * time.Second
+	readTimeout      = 10 * time.Second
+	defaultTimeout   = 30 * time.Second
+	defaultHeader    = 16 << 10
+	defaultSockets   = 1000
+	maxHistory       = 1000
+	defaultHistory   = 20
+	retryAfterOutage = 5 * time.Second
+)
+
+// Config holds what a Server needs. All but the limits, Authorizer and TLS are
+// required.
+type Config struct {
+	Trees      Trees
+	Status     StatusSource
+	Authorizer Authorizer // nil: everyone is let in, as "anonymous"
+	Metrics    prometheus.Gatherer
+	Logger     hclog.Logger
+	Now        func() time.Time
+	TLS        *tls.Config // nil: plain HTTP
+
+	HeaderBytes  int
+	Connections  int
+	ReadTimeout  time.Duration
+	WriteTimeout time.Duration
+	IdleTimeout  time.Duration
+}
+
+// Server answers operators.
+type Server struct {
+	config Config
+	app    *fiber.App
+}
+
+// New returns a server that does not listen yet.
+func New(config Config) *Server {
+	server := &Server{config: config}
+	server.app = fiber.New(fiber.Config{
+		AppName:               "martenwheel operators",
+		DisableStartupMessage: true,
+		BodyLimit:             maxBodyBytes,
+		ReadBufferSize:        orDefault(config.HeaderBytes, defaultHeader),
+		Concurrency:           orDefault(config.Connections, defaultSockets),
+		ReadTimeout:           orDefault(config.ReadTimeout, defaultTimeout),
+		WriteTimeout:          orDefault(config.WriteTimeout, defaultTimeout),
+		IdleTimeout:           orDefault(config.IdleTimeout, defaultTimeout),
+		ErrorHandler:          answerError,
+	})
+	server.addRoutes()
+	return server
+}
+
+// orDefault returns value, or initial if value is zero.
+func orDefault[T comparable](value, initial T) T {
+	var zero T
+	if value == zero {
+		return initial
+	}
+	return value
+}
+
+// addRoutes binds the paths to their handlers.
+func (s *Server) addRoutes() {
+	s.app.Get(PathHealth, s.getHealth)
+	s.app.Get(PathReady, s.getReady)
+	s.app.Use(s.authorize)
+	s.app.Get(PathTree, s.getTree)
+	s.app.Get(PathEffective, s.getEffective)
+	s.app.Get(PathExplain, s.getExplain)
+	s.app.Get(PathHistory, s.getHistory)
+	s.app.Get(PathDiff, s.getDiff)
+	s.app.Post(PathEdits, s.postEdits)
+	s.app.Get(PathStatus, s.getStatus)
+	s.app.Get(PathMetrics, adaptor.HTTPHandler(promhttp.HandlerFor(s.config.Metrics, promhttp.HandlerOpts{})))
+}
+
+// Serve answers on listener until Shutdown.
+func (s *Server) Serve(listener net.Listener) error {
+	if s.config.TLS != nil {
+		listener = tls.NewListener(listener, s.config.TLS)
+	}
+	return errors.Wrap(s.app.Listener(listener), "serve operators")
+}
+
+// Shutdown stops listening and waits for running answers until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return errors.Wrap(s.app.ShutdownWithContext(ctx), "stop serving operators")
+}
+
+// operatorLocal is the name under which a request carries its operator.
+const operatorLocal = "operator"
+
+// authorize lets requests with a valid API key pass.
+func (s *Server) authorize(c *fiber.Ctx) error {
+	if s.config.Authorizer == nil {
+		c.Locals(operatorLocal, "anonymous")
+		return c.Next()
+	}
+	key, isBearer := strings.CutPrefix(utils.CopyString(c.Get(fiber.HeaderAuthorization)), "Bearer ")
+	operator, known := "", false
+	if isBearer {
+		operator, known = s.config.Authorizer.Authorize(key)
+	}
+	if !known {
+		c.Set(fiber.HeaderWWWAuthenticate, "Bearer")
+		return &statusError{fiber.StatusUnauthorized, ErrorDetail{
+			Code:    CodeUnauthorized,
+			Message: "an operator's API key is needed: Authorization: Bearer KEY",
+		}}
+	}
+	c.Locals(operatorLocal, operator)
+	return c.Next()
+}
+
+// getHealth answers as long as the process does.
+func (s *Server) getHealth(c *fiber.Ctx) error {
+	return c.SendString("ok\n")
+}
+
+// getReady tells whether the node serves callers.
+func (s *Server) getReady(c *fiber.Ctx) error {
+	if err := s.config.Status.Ready(); err != nil {
+		return c.Status(fiber.StatusServiceUnavailable).SendString("not ready: " + err.Error() + "\n")
+	}
+	return c.SendString("ok\n")
+}
+
+// getStatus answers with the state of the system.
+func (s *Server) getStatus(c *fiber.Ctx) error {
+	return c.JSON(s.config.Status.Status())
+}
--- /dev/null
+++ b/pkg/settings/load.go
@@ -0,0 +1,250 @@
+package settings
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"sort"
+	"strings"
+
+	"github.com/pkg/errors"
+	"gopkg.in/yaml.v3"
+
+	"martenwheel.dev/pkg/findings"
+)
+
+// Load reads the settings file at path, if path is not empty, and overrides it
+// by the texts of overrides, by field name. The error carries all findings, each
+// with file, line and name or with its flag.
+func Load(path string, overrides map[string]string) (Settings, error) {
+	var data []byte
+	if path != "" {
+		read, err := readFile(path)
+		if err != nil {
+			var found findings.List
+			found.Addf(path, "%v", err)
+			return Settings{}, found.Err()
+		}
+		data = read
+	}
+	return Parse(path, data, overrides)
+}
+
+// readFile reads a file of bounded size.
+func readFile(path string) ([]byte, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "open settings")
+	}
+	defer file.Close()
+	data, err := io.ReadAll(io.LimitReader(file, maxFileBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	if len(data) > maxFileBytes {
+		return nil, errors.Errorf("is larger than %d bytes", maxFileBytes)
+	}
+	return data, nil
+}
+
+// Parse is Load for a file's content; name is the file's name for findings.
+func Parse(name string, data []byte, overrides map[string]string) (Settings, error) {
+	loader := loader{file: name, settings: Default(), places: make(map[string]string)}
+	var document yaml.Node
+	if err := yaml.Unmarshal(data, &document); err != nil {
+		loader.found.Addf(name, "%v", err)
+		return Settings{}, loader.found.Err()
+	}
+	if len(document.Content) > 0 {
+		loader.readMapping("", document.Content[0])
+	}
+	loader.override(overrides)
+	loader.complete()
+	if err := loader.found.Err(); err != nil {
+		return Settings{}, err
+	}
+	return loader.settings, nil
+}
+
+// loader collects settings and findings.
+type loader struct {
+	file     string
+	settings Settings
+	places   map[string]string // of the fields that were given, faulty or not
+	found    findings.List
+}
+
+// place formats a line of the file with the name of what stands there.
+func (l *loader) place(line int, name string) string {
+	return fmt.Sprintf("%s:%d %s", l.file, line, name)
+}
+
+// readMapping reads the mapping under a dotted name, "" for the whole file.
+func (l *loader) readMapping(name string, node *yaml.Node) {
+	if node.Kind != yaml.MappingNode {
+		l.found.Addf(l.place(node.Line, name), "must be a mapping, without aliases")
+		return
+	}
+	for index := 0; index+1 < len(node.Content); index += 2 {
+		key, value := node.Content[index], node.Content[index+1]
+		l.readEntry(strings.TrimPrefix(name+"."+key.Value, "."), key, value)
+	}
+}
+
+// readEntry reads the field or mapping of a dotted name.
+func (l *loader) readEntry(name string, key, value *yaml.Node) {
+	here := l.place(key.Line, name)
+	if _, twice := l.places[name]; twice {
+		l.found.Addf(here, "stands twice")
+		return
+	}
+	l.places[name] = here
+	field, known := fieldsByName[name]
+	if !known && !isGroup(name) {
+		l.found.Addf(here, "unknown key")
+		return
+	}
+	if !known {
+		l.readMapping(name, value)
+		return
+	}
+	text, err := textOf(value)
+	if err == nil {
+		err = field.parse(&l.settings, text)
+	}
+	if err != nil {
+		l.found.Addf(here, "%v", err)
+	}
+}
+
+// isGroup tells whether fields stand under the dotted name.
+func isGroup(name string) bool {
+	for _, field := range Fields {
+		if strings.HasPrefix(field.Name, name+".") {
+			return true
+		}
+	}
+	return false
+}
+
+// textOf returns the text of a single value or of a list of them.
+func textOf(node *yaml.Node) (string, error) {
+	switch {
+	case node.Kind == yaml.ScalarNode && node.Tag != "!!null":
+		return node.Value, nil
+	case node.Kind != yaml.SequenceNode:
+		return "", errors.New("must be a single value or a list")
+	}
+	texts := make([]string, 0, len(node.Content))
+	for _, item := range node.Content {
+		if item.Kind != yaml.ScalarNode {
+			return "", errors.New("must be a list of single values")
+		}
+		texts = append(texts, item.Value)
+	}
+	return strings.Join(texts, ","), nil
+}
+
+// override sets fields from flags.
+func (l *loader) override(overrides map[string]string) {
+	names := make([]string, 0, len(overrides))
+	for name := range overrides {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		field, known := fieldsByName[name]
+		if !known {
+			l.found.Addf("flag for "+name, "there is no such setting")
+			continue
+		}
+		l.places[name] = "--" + field.Flag()
+		if err := field.parse(&l.settings, overrides[name]); err != nil {
+			l.found.Addf(l.places[name], "%v", err)
+		}
+	}
+}
+
+// complete checks what concerns several fields and reads secrets.
+func (l *loader) complete() {
+	for _, field := range Fields {
+		if _, given := l.places[field.Name]; field.Required && !given {
+			l.found.Addf(l.whereMissing(field), "is required (flag --%s)", field.Flag())
+		}
+	}
+	l.checkAdvertised()
+	l.checkTLS()
+	l.readSecret("platform.table.secret_key_file", l.settings.Platform.Table.SecretKeyFile, &l.settings.Platform.Table.SecretKey)
+	l.readSecret("platform.objects.secret_key_file", l.settings.Platform.Objects.SecretKeyFile, &l.settings.Platform.Objects.SecretKey)
+}
+
+// whereMissing is the place of a finding about a field that is not given.
+func (l *loader) whereMissing(field Field) string {
+	if l.file == "" {
+		return field.Name
+	}
+	return l.file + " " + field.Name
+}
+
+// checkAdvertised makes sure that other nodes get an address to call.
+func (l *loader) checkAdvertised() {
+	if l.settings.Listen.AdvertisePeers == "" {
+		l.settings.Listen.AdvertisePeers = l.settings.Listen.Peers
+	}
+	address, err := netip.ParseAddrPort(l.settings.Listen.AdvertisePeers)
+	if err != nil || !address.Addr().IsUnspecified() {
+		return
+	}
+	at := l.places["listen.advertise_peers"]
+	if at == "" {
+		at = l.places["listen.peers"]
+	}
+	l.found.Addf(at, "other nodes can't call %s; set listen.advertise_peers to an address of this machine", address)
+}
+
+// checkTLS makes sure that all or none of the TLS files are given, and that
+// they can be used.
+func (l *loader) checkTLS() {
+	files := map[string]string{
+		"tls.certificate_file": l.settings.TLS.CertificateFile,
+		"tls.key_file":         l.settings.TLS.KeyFile,
+		"tls.ca_file":          l.settings.TLS.CAFile,
+	}
+	missing, given := make([]string, 0), ""
+	for _, name := range []string{"tls.certificate_file", "tls.key_file", "tls.ca_file"} {
+		switch {
+		case l.places[name] == "":
+			missing = append(missing, name)
+		case files[name] == "":
+			return // reported with its field
+		default:
+			given = name
+		}
+	}
+	switch {
+	case given == "":
+	case len(missing) > 0:
+		l.found.Addf(l.places[given], "needs also %s", strings.Join(missing, " and "))
+	default:
+		if _, err := l.settings.TLS.Config(); err != nil {
+			l.found.Addf(l.places["tls.certificate_file"], "%v", err)
+		}
+	}
+}
+
+// readSecret reads the secret in a file without its line end.
+func (l *loader) readSecret(name, file string, secret *string) {
+	if file == "" {
+		return
+	}
+	data, err := readFile(file)
+	if err != nil {
+		l.found.Addf(l.places[name], "%v", err)
+		return
+	}
+	*secret = strings.TrimSpace(string(data))
+	if *secret == "" {
+		l.found.Addf(l.places[name], "%s is empty", file)
+	}
+}
--- a/pkg/tree/store.go
+++ b/pkg/tree/store.go
@@ -85,28 +85,35 @@
 	if err := checkChange(change); err != nil {
 		return 0, err
 	}
+	inDoubt := false // an earlier try may yet have taken effect
 	var err error
 	for attempt := range maxAttempts {
 		if attempt > 0 {
 			if pauseErr := s.pause(ctx, backoff(attempt)); pauseErr != nil {
-				return 0, errors.WithMessage(err, pauseErr.Error())
+				break
 			}
 		}
 		var revision Revision
 		revision, err = s.try(ctx, change)
-		if !isTransient(err) {
+		inDoubt = inDoubt || errors.Is(err, platform.ErrUnknownOutcome)
+		if !isTransient(err, inDoubt) {
 			return revision, err
 		}
 	}
-	return 0, errors.WithMessagef(err, "change %s: given up after %d tries", change.ID, maxAttempts)
+	if inDoubt {
+		return 0, errors.WithMessagef(platform.ErrUnknownOutcome, "change %s: %v", change.ID, err)
+	}
+	return 0, errors.WithMessagef(err, "change %s: given up", change.ID)
 }
 
 // isTransient tells whether another try of a commit may end otherwise. After an
-// unknown outcome the next try reads back the change's own ID.
-func isTransient(err error) bool {
+// unknown outcome the next try reads back the change's own ID, and only an answer
+// to that settles it.
+func isTransient(err error, inDoubt bool) bool {
 	return errors.Is(err, platform.ErrConflict) ||
 		errors.Is(err, platform.ErrThrottled) ||
-		errors.Is(err, platform.ErrUnknownOutcome)
+		errors.Is(err, platform.ErrUnknownOutcome) ||
+		inDoubt && errors.Is(err, platform.ErrUnavailable)
 }
 
 // try is one attempt of Commit.
@@ -136,13 +143,24 @@
 		return 0, err
 	}
 	if err := s.table.Commit(ctx, transaction); err != nil {
-		return 0, errors.WithMessagef(err, "commit change %s", change.ID)
+		return 0, errors.WithMessagef(settled(err), "commit change %s", change.ID)
 	}
 	s.keep(next)
 	s.saveSnapshot(ctx, next)
 	return next.Revision(), nil
 }
 
+// settled makes an unknown outcome of every failed write of which it is not
+// known that nothing was written.
+func settled(err error) error {
+	switch {
+	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrThrottled), errors.Is(err, platform.ErrUnavailable):
+		return err
+	default:
+		return errors.WithMessage(platform.ErrUnknownOutcome, err.Error())
+	}
+}
+
 // committed looks for the change's own ID, as after a lost answer.
 func (s *Store) committed(ctx context.Context, change Change) (Revision, bool, error) {
 	record, err := s.table.Get(ctx, idPrefix+change.ID, true)
@@ -204,18 +222,23 @@
 	}
 	err = errors.WithMessage(platform.ErrNotFound, "no snapshot")
 	for index := len(names) - 1; index >= 0; index-- {
-		var packed []byte
-		packed, err = s.objects.Get(ctx, names[index])
-		if err != nil {
-			continue
-		}
 		var tree *Tree
-		tree, err = Unpack(packed)
+		tree, err = s.readSnapshot(ctx, names[index])
 		if err == nil {
 			return tree, nil
 		}
 	}
-	return nil, errors.WithMessage(err, "read snapshot")
+	return nil, err
+}
+
+// readSnapshot reads one snapshot.
+func (s *Store) readSnapshot(ctx context.Context, name string) (*Tree, error) {
+	packed, err := s.objects.Get(ctx, name)
+	if err != nil {
+		return nil, errors.WithMessage(err, "read "+name)
+	}
+	tree, err := Unpack(packed)
+	return tree, errors.WithMessage(err, "read "+name)
 }
 
 // History returns the last n accepted changes, the newest first.
@@ -238,6 +261,44 @@
 	return changes, nil
 }
 
+// At returns the tree as it was at a revision.
+func (s *Store) At(ctx context.Context, revision Revision) (*Tree, error) {
+	names, err := s.objects.List(ctx, snapshotPrefix)
+	if err != nil {
+		names = nil // the changes alone lead there, too
+	}
+	tree := Empty()
+	for index := len(names) - 1; index >= 0 && tree.Revision() == 0; index-- {
+		if names[index] > snapshotName(revision) {
+			continue
+		}
+		if snapshot, err := s.readSnapshot(ctx, names[index]); err == nil {
+			tree = snapshot
+		}
+	}
+	changes, err := s.changes(ctx, tree.Revision(), revision)
+	if err != nil {
+		return nil, err
+	}
+	return replay(tree, changes)
+}
+
+// Fetch answers like a peer that has the newest accepted tree.
+func (s *Store) Fetch(ctx context.Context, request FetchRequest) (FetchAnswer, error) {
+	tree, err := s.Load(ctx)
+	if err != nil {
+		return FetchAnswer{}, err
+	}
+	var changes []Change
+	if !request.Whole && request.After < tree.Revision() && tree.Revision()-request.After <= SnapshotEvery {
+		changes, err = s.changes(ctx, request.After, tree.Revision())
+		if err != nil {
+			return FetchAnswer{}, err
+		}
+	}
+	return Answer(tree, changes, request), nil
+}
+
 // readHead reads the newest revision, consistently.
 func (s *Store) readHead(ctx context.Context) (head, error) {
 	record, err := s.table.Get(ctx, headKey, true)
