--- a/pkg/cli/connection.go
+++ b/pkg/cli/connection.go
@@ -86,7 +86,7 @@
 	var refused *operator.RequestError
 	if !errors.As(err, &refused) {
 		fmt.Fprintln(streams.Err, err)
-		if errors.Is(err, operator.ErrUnreachable) {
+		if errors.Is(err, operator.ErrUnreachable) || errors.Is(err, operator.ErrNoAnswer) {
 			return ExitUnreachable
 		}
 		return ExitRefused
--- a/pkg/cli/tree.go
+++ b/pkg/cli/tree.go
@@ -159,7 +159,7 @@
 	if errors.As(err, &refused) {
 		return refused.Detail.Code == operator.CodeOutcomeUnknown
 	}
-	return errors.Is(err, operator.ErrUnreachable)
+	return errors.Is(err, operator.ErrNoAnswer)
 }
 
 func newTreeSet() command {
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -16,8 +17,14 @@
 	"martenwheel.dev/pkg/tree"
 )
 
-// ErrUnreachable means that a node did not answer an operator's request.
-var ErrUnreachable = errors.New("operator: node unreachable")
+// Errors of requests that were not answered.
+var (
+	// ErrUnreachable means that the request did not leave.
+	ErrUnreachable = errors.New("operator: node unreachable")
+	// ErrNoAnswer means that the request left but no whole answer came: a
+	// change may or may not be accepted.
+	ErrNoAnswer = errors.New("operator: no answer from the node")
+)
 
 // RequestError is an answer of the API that is no success.
 type RequestError struct {
@@ -85,7 +92,7 @@
 	return get[Status](ctx, c, PathStatus, nil)
 }
 
-// Edit asks to change the tree. After ErrUnreachable or CodeOutcomeUnknown the
+// Edit asks to change the tree. After ErrNoAnswer or CodeOutcomeUnknown the
 // caller may repeat the request unchanged; it applies once.
 func (c *Client) Edit(ctx context.Context, request EditRequest) (EditAnswer, error) {
 	body, err := json.Marshal(request)
@@ -131,12 +138,12 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, errors.WithMessage(ErrUnreachable, err.Error())
+		return nil, unanswered(err)
 	}
 	defer response.Body.Close()
 	answer, err := io.ReadAll(io.LimitReader(response.Body, tree.MaxTreeBytes))
 	if err != nil {
-		return nil, errors.WithMessage(ErrUnreachable, err.Error())
+		return nil, unanswered(err)
 	}
 	if response.StatusCode != http.StatusOK {
 		return nil, requestError(response.StatusCode, answer)
@@ -144,6 +151,15 @@
 	return answer, nil
 }
 
+// unanswered tells a request that did not leave from one that may have.
+func unanswered(err error) error {
+	var network *net.OpError
+	if errors.As(err, &network) && network.Op == "dial" {
+		return errors.WithMessage(ErrUnreachable, err.Error())
+	}
+	return errors.WithMessage(ErrNoAnswer, err.Error())
+}
+
 // requestError reads an answer that is no success.
 func requestError(status int, body []byte) error {
 	var answer ErrorAnswer
--- a/pkg/tree/tree_test.go
+++ b/pkg/tree/tree_test.go
@@ -169,3 +169,89 @@
 		t.Error("a refused change changed the tree")
 	}
 }
+
+func TestFrozenBranchesRefuseEdits(t *testing.T) {
+	frozen, err := parseSample(t).Apply(Change{Edits: []Edit{{Path: "/assistant/llama", Key: "operators_may_edit", Value: "false"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	thaw := Edit{Path: "/assistant/llama", Key: "operators_may_edit", Unset: true}
+	edit := Edit{Path: "/assistant/llama/kiln-7b", Key: "keep_alive", Value: "1m"}
+	cases := []struct {
+		name  string
+		edits []Edit
+		want  string // empty: accepted
+	}{
+		{"below", []Edit{edit}, "/assistant/llama/kiln-7b keep_alive: is frozen by operators_may_edit at /assistant/llama"},
+		{"itself", []Edit{{Path: "/assistant/llama", Key: "memory", Value: "8GiB"}}, "/assistant/llama memory: is frozen"},
+		{"removal from above", []Edit{{Path: "/assistant", Remove: true}}, "/assistant: is frozen by operators_may_edit at /assistant/llama"},
+		{"beside", []Edit{{Path: "/booking", Key: "keep_alive", Value: "1m"}}, ""},
+		{"made editable first", []Edit{thaw, edit}, ""},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := frozen.Apply(Change{Edits: test.edits})
+			if test.want == "" {
+				if err != nil {
+					t.Fatal(err)
+				}
+				return
+			}
+			wantFindings(t, err, test.want)
+		})
+	}
+}
+
+func TestMalformedEditsAreRefused(t *testing.T) {
+	cases := map[string]Edit{
+		"/a: an edit with a value needs a key":                             {Path: "/a", Value: "1"},
+		"/booking keep_alive: an edit that unsets a key has no value":      {Path: "/booking", Key: "keep_alive", Value: "1m", Unset: true},
+		"/booking keep_alive: an edit that removes a node has neither":     {Path: "/booking", Key: "keep_alive", Remove: true},
+		"/booking keep_alive: is not set here":                             {Path: "/booking", Key: "keep_alive", Unset: true},
+		"/nowhere keep_alive: there is no such node":                       {Path: "/nowhere", Key: "keep_alive", Unset: true},
+		"/nowhere: there is no such node":                                  {Path: "/nowhere", Remove: true},
+		"/: the root can't be removed":                                     {Path: "/", Remove: true},
+		"/a/b/c/d/e memory: path \"/a/b/c/d/e\" is deeper":                 {Path: "/a/b/c/d/e", Key: "memory", Value: "1GiB"},
+		"/a//b memory: path \"/a//b\": name \"\" must be":                  {Path: "/a//b", Key: "memory", Value: "1GiB"},
+		"/booking policy: \"a b\" has characters other than":               {Path: "/booking", Key: "policy", Value: "a b"},
+		"/booking version: may not be set at a service, only at: model, a": {Path: "/booking", Key: "version", Value: "1"},
+	}
+	for want, edit := range cases {
+		_, err := parseSample(t).Apply(Change{Edits: []Edit{edit}})
+		wantFindings(t, err, want)
+	}
+	_, err := parseSample(t).Apply(Change{})
+	wantFindings(t, err, "change: has no edits")
+}
+
+func TestRefusedValuesCauseNoFurtherFindings(t *testing.T) {
+	_, err := Parse([]byte("max_replicas: many\nservices: {a: {families: {b: {models: {c: {memory: 5, min_replicas: 4}}}}}}"))
+	wantFindings(t, err,
+		`line 1 / max_replicas: "many" is no whole number`,
+		`line 2 /a/b/c memory: "5" has no unit`)
+}
+
+func TestModelsThatFitNoServerAreFound(t *testing.T) {
+	tree := parseSample(t)
+	servers := func(bytes uint64) []ServerMemory {
+		return []ServerMemory{{Service: "assistant", Bytes: 1 << 30}, {Service: "assistant", Bytes: bytes}}
+	}
+	if err := tree.CheckFits(servers(17<<30 + 100<<20)); err != nil {
+		t.Errorf("all fit: %v", err)
+	}
+	wantFindings(t, tree.CheckFits(servers(17<<30)),
+		"/assistant/llama/glaze-7b/studio-3 memory: needs 17508MiB with its KV cache and base model, but the largest server of assistant has 17GiB",
+		"/assistant/llama/glaze-7b/studio-4 memory: needs 17472MiB")
+}
+
+func TestEveryDefaultIsCanonicalAndInRange(t *testing.T) {
+	defaults := Defaults()
+	for _, key := range Keys {
+		if got, err := key.Parse(key.Default); err != nil || got != key.Default {
+			t.Errorf("%s: default %q is read as %q, %v", key.Name, key.Default, got, err)
+		}
+		if got := key.format(defaults); got != key.Default {
+			t.Errorf("%s: default %q is held as %q; do two keys share a field?", key.Name, key.Default, got)
+		}
+	}
+}
