--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -52,6 +52,7 @@
 	parser.Description = "serves many rarely used models on few accelerators, steered by a tree of settings"
 	parser.AdditionalHelpAppend = exitCodesHelp
 	parser.Version = Version()
+	parser.ShowVersionWithVersionFlag = false // the command "version" prints it
 	parser.ShowHelpOnUnexpected = true
 
 	commands := newCommands()
--- /dev/null
+++ b/pkg/cli/document_test.go
@@ -0,0 +1,106 @@
+package cli
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"martenwheel.dev/pkg/settings"
+	"martenwheel.dev/pkg/tree"
+)
+
+// settingsPage is the page with the tables of all settings.
+const settingsPage = "../../docs/operations/settings.md"
+
+// update rewrites the tables: go test -run Page -update
+var update = flag.Bool("update", false, "rewrite the tables of "+settingsPage)
+
+// processTable is the table of the settings of a process.
+func processTable() string {
+	var table strings.Builder
+	table.WriteString("| Setting | Flag | Unit | Default | Range | Meaning |\n|---|---|---|---|---|---|\n")
+	for _, field := range settings.Fields {
+		initial := cell(field.Default)
+		if field.Required {
+			initial = "required"
+		}
+		fmt.Fprintf(&table, "| `%s` | `--%s` | %s | %s | %s | %s |\n",
+			field.Name, field.Flag(), field.Unit, initial, field.Range, field.Description)
+	}
+	return table.String()
+}
+
+// treeTable is the table of the settings of the tree.
+func treeTable() string {
+	var table strings.Builder
+	table.WriteString("| Setting | Unit | Default | Range | Where | Meaning |\n|---|---|---|---|---|---|\n")
+	for _, key := range tree.Keys {
+		levels := make([]string, 0, len(key.Levels))
+		for _, level := range key.Levels {
+			levels = append(levels, level.String())
+		}
+		fmt.Fprintf(&table, "| `%s` | %s | %s | %s | %s | %s |\n",
+			key.Name, key.Unit, cell(key.Default), key.Range, strings.Join(levels, ", "), key.Description)
+	}
+	return table.String()
+}
+
+// cell marks a default as code.
+func cell(text string) string {
+	if text == "" {
+		return "empty"
+	}
+	return "`" + text + "`"
+}
+
+// replaceSection puts content between the markers of a section of a page.
+func replaceSection(t *testing.T, page, name, content string) string {
+	t.Helper()
+	begin, end := "<!-- begin "+name+" -->\n", "<!-- end "+name+" -->"
+	before, rest, found := strings.Cut(page, begin)
+	_, after, closed := strings.Cut(rest, end)
+	if !found || !closed {
+		t.Fatalf("%s has no section %s", settingsPage, name)
+	}
+	return before + begin + content + end + after
+}
+
+func TestSettingsPageAgreesWithTheCode(t *testing.T) {
+	data, err := os.ReadFile(settingsPage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := replaceSection(t, string(data), "process", processTable())
+	want = replaceSection(t, want, "tree", treeTable())
+	if *update {
+		if err := os.WriteFile(settingsPage, []byte(want), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	if want != string(data) {
+		t.Errorf("the tables of %s are not those of the code; run: go test -run Page -update ./pkg/cli", settingsPage)
+	}
+}
+
+func TestExamplesOfTheSettingsPageAreValid(t *testing.T) {
+	data, err := os.ReadFile(settingsPage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	blocks := strings.Split(string(data), "```yaml\n")[1:]
+	if len(blocks) != 2 {
+		t.Fatalf("got %d examples, want one of a process and one of the tree", len(blocks))
+	}
+	for index, check := range []func(example []byte) error{
+		func(example []byte) error { _, err := settings.Parse("example", example, nil); return err },
+		func(example []byte) error { _, err := tree.Parse(example); return err },
+	} {
+		example, _, _ := strings.Cut(blocks[index], "```")
+		if err := check([]byte(example)); err != nil {
+			t.Errorf("example %d: %v", index+1, err)
+		}
+	}
+}
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -234,7 +234,7 @@
 }
 
 // readSecret reads the secret in a file without its line end.
-func (l *loader) readSecret(name, file string, secret *string) {
+func (l *loader) readSecret(name, file string, secret *Secret) {
 	if file == "" {
 		return
 	}
@@ -243,7 +243,7 @@
 		l.found.Addf(l.places[name], "%v", err)
 		return
 	}
-	*secret = strings.TrimSpace(string(data))
+	*secret = Secret(strings.TrimSpace(string(data)))
 	if *secret == "" {
 		l.found.Addf(l.places[name], "%s is empty", file)
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -53,7 +53,7 @@
 	Region        string
 	AccessKey     string
 	SecretKeyFile string
-	SecretKey     string // read from SecretKeyFile; never printed
+	SecretKey     Secret // read from SecretKeyFile
 }
 
 // Objects is the object store, by the S3 protocol.
@@ -62,7 +62,7 @@
 	Bucket        string
 	AccessKey     string
 	SecretKeyFile string
-	SecretKey     string // read from SecretKeyFile; never printed
+	SecretKey     Secret // read from SecretKeyFile
 }
 
 // Machines is the platform's list of machines.
@@ -70,6 +70,27 @@
 	Endpoint string // URL
 }
 
+// Secret is a text that is never printed.
+type Secret string
+
+// String hides the secret.
+func (s Secret) String() string {
+	if s == "" {
+		return ""
+	}
+	return "(hidden)"
+}
+
+// GoString hides the secret.
+func (s Secret) GoString() string {
+	return s.String()
+}
+
+// MarshalText hides the secret.
+func (s Secret) MarshalText() ([]byte, error) {
+	return []byte(s.String()), nil
+}
+
 // TLS holds PEM files. With them, every listener speaks TLS, and nodes check
 // each other's certificates.
 type TLS struct {
