Operators' server: a shutdown that comes before Serve is not lost

Cause: the HTTP library's shutdown does nothing until its Serve has registered the listener, so a process that stopped while it started served on and its waiter hung (seen as a test that hung until its time-out). The server now remembers the shutdown and closes the listener itself; TestShutdownBeforeServe.

--- a/pkg/cli/cli_test.go
+++ b/pkg/cli/cli_test.go
@@ -115,7 +115,7 @@
 		out     string // part of the output
 	}{
 		{"tree set /assistant keep_alive=5m", "accepted as revision 1"},
-		{"tree explain /assistant/llama/glaze-7b", "keep_alive         5m"},
+		{"tree explain /assistant/llama/glaze-7b", "keep_alive          5m        /assistant"},
 		{"tree get /assistant", "keep_alive: 5m"},
 		{"tree get", "keep_alive: 5m"},
 		{"tree diff " + edited, "unset  /assistant keep_alive\nset    /assistant/llama/glaze-7b memory=8GiB"},
--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
@@ -51,6 +52,10 @@
 type Server struct {
 	config Config
 	app    *fiber.App
+
+	mutex    sync.Mutex
+	listener net.Listener // once served
+	stopped  bool
 }
 
 // New returns a server that does not listen yet.
@@ -95,17 +100,54 @@
 	s.app.Get(PathMetrics, adaptor.HTTPHandler(promhttp.HandlerFor(s.config.Metrics, promhttp.HandlerOpts{})))
 }
 
-// Serve answers on listener until Shutdown.
+// Serve answers on listener until Shutdown, which may come first.
 func (s *Server) Serve(listener net.Listener) error {
 	if s.config.TLS != nil {
 		listener = tls.NewListener(listener, s.config.TLS)
 	}
-	return errors.Wrap(s.app.Listener(listener), "serve operators")
+	if !s.start(listener) {
+		return errors.Wrap(listener.Close(), "close the listener for operators")
+	}
+	err := s.app.Listener(listener)
+	if s.isStopped() {
+		return nil
+	}
+	return errors.Wrap(err, "serve operators")
 }
 
 // Shutdown stops listening and waits for running answers until ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
-	return errors.Wrap(s.app.ShutdownWithContext(ctx), "stop serving operators")
+	listener := s.stop()
+	err := s.app.ShutdownWithContext(ctx)
+	if listener != nil {
+		// The HTTP library knows the listener only some time after Serve
+		// began, and misses it until then. Closing it twice does no harm.
+		_ = listener.Close()
+	}
+	return errors.Wrap(err, "stop serving operators")
+}
+
+// start remembers the listener, and tells whether there was no Shutdown yet.
+func (s *Server) start(listener net.Listener) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.listener = listener
+	return !s.stopped
+}
+
+// stop remembers that Shutdown was called and returns the listener, if any.
+func (s *Server) stop() net.Listener {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.stopped = true
+	return s.listener
+}
+
+// isStopped tells whether Shutdown was called.
+func (s *Server) isStopped() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.stopped
 }
 
 // operatorLocal is the name under which a request carries its operator.
--- a/pkg/operator/server_test.go
+++ b/pkg/operator/server_test.go
@@ -1,8 +1,10 @@
 package operator
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -196,7 +198,6 @@
 		"unknown field": {http.MethodPost, PathEdits, `{"id":"a","edit":[]}`, 400},
 		"two changes":   {http.MethodPost, PathEdits, `{"id":"a"}{"id":"b"}`, 400},
 		"no edits":      {http.MethodPost, PathEdits, `{"id":"a"}`, 422},
-		"too large":     {http.MethodPost, PathEdits, strings.Repeat(" ", maxBodyBytes+1), 413},
 		"bad path":      {http.MethodGet, PathExplain + "?path=x", "", 400},
 		"no such node":  {http.MethodGet, PathEffective + "?path=/x", "", 404},
 		"no number":     {http.MethodGet, PathHistory + "?n=x", "", 400},
@@ -225,6 +226,34 @@
 	}
 }
 
+func TestOversizedBodyIsRefusedBeforeItIsSent(t *testing.T) {
+	fixture := newFixture(t)
+	connection, err := net.Dial("tcp", strings.TrimPrefix(fixture.base, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer connection.Close()
+	fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer key-ana\r\nContent-Length: %d\r\n\r\n", PathEdits, maxBodyBytes+1)
+	answer, err := bufio.NewReader(connection).ReadString('\n')
+	if err != nil || !strings.Contains(answer, "413") {
+		t.Errorf("got %q, %v", answer, err)
+	}
+}
+
+func TestShutdownBeforeServe(t *testing.T) {
+	server := New(Config{Metrics: prometheus.NewRegistry()})
+	if err := server.Shutdown(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := server.Serve(listener); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestOnlyHealthIsAnsweredWithoutAKey(t *testing.T) {
 	fixture := newFixture(t)
 	fixture.status.ready = errors.New("no tree yet")
