--- /dev/null
+++ b/pkg/engine/client.go
@@ -0,0 +1,221 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Bounds of the HTTP client.
+const (
+	DefaultTimeout          = 10 * time.Second // of a call whose context has no deadline
+	DefaultDialTimeout      = time.Second
+	DefaultMaxResponseBytes = 64 << 20 // an exported KV cache is the largest answer
+	maxIdleConnection       = 5 * time.Second
+	maxErrorDetailBytes     = 512
+)
+
+// StatusError is an answer of an engine with another status than 200 OK. It is
+// wrapped by ErrUnknownOutcome when the status is 500 or above.
+type StatusError struct {
+	Code   int
+	Detail string // the beginning of the body
+}
+
+// Error describes the answer.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("engine: status %d: %s", e.Code, e.Detail)
+}
+
+// HTTPClientConfig configures an HTTPClient. Zero values take the defaults.
+type HTTPClientConfig struct {
+	DialTimeout      time.Duration
+	MaxResponseBytes int
+	Dial             func(address string) (net.Conn, error) // nil: TCP
+}
+
+// HTTPClient is a Client over HTTP and JSON. It never repeats a request.
+type HTTPClient struct {
+	http fasthttp.Client
+}
+
+var _ Client = (*HTTPClient)(nil)
+
+// dialError marks an error from before the connection stood.
+type dialError struct{ cause error }
+
+func (e *dialError) Error() string { return "dial: " + e.cause.Error() }
+func (e *dialError) Unwrap() error { return e.cause }
+
+// NewHTTPClient returns a client with config.
+func NewHTTPClient(config HTTPClientConfig) *HTTPClient {
+	if config.DialTimeout == 0 {
+		config.DialTimeout = DefaultDialTimeout
+	}
+	if config.MaxResponseBytes == 0 {
+		config.MaxResponseBytes = DefaultMaxResponseBytes
+	}
+	dial := config.Dial
+	if dial == nil {
+		dial = func(address string) (net.Conn, error) {
+			return fasthttp.DialTimeout(address, config.DialTimeout)
+		}
+	}
+	return &HTTPClient{http: fasthttp.Client{
+		NoDefaultUserAgentHeader:      true,
+		MaxIdemponentCallAttempts:     1,
+		RetryIfErr:                    neverRetry,
+		MaxResponseBodySize:           config.MaxResponseBytes,
+		MaxIdleConnDuration:           maxIdleConnection,
+		DisablePathNormalizing:        true,
+		DisableHeaderNamesNormalizing: false,
+		Dial: func(address string) (net.Conn, error) {
+			connection, err := dial(address)
+			if err != nil {
+				return nil, &dialError{cause: err}
+			}
+			return connection, nil
+		},
+	}}
+}
+
+func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) {
+	return false, false
+}
+
+// Order gives an order. The error is ErrUnreachable, ErrUnknownOutcome or a
+// *StatusError below 500, which means that the engine refused it.
+func (c *HTTPClient) Order(ctx context.Context, address string, order Order) (OrderResult, error) {
+	var result OrderResult
+	err := c.call(ctx, http.MethodPost, address, PathOrders, order, &result)
+	return result, err
+}
+
+// Inventory returns the engine's inventory after its fence is raised to the
+// request's. Errors as of Order.
+func (c *HTTPClient) Inventory(ctx context.Context, address string, request InventoryRequest) (Inventory, error) {
+	var inventory Inventory
+	err := c.call(ctx, http.MethodPost, address, PathInventory, request, &inventory)
+	return inventory, err
+}
+
+// Load returns the engine's load report. Errors as of Order.
+func (c *HTTPClient) Load(ctx context.Context, address string) (LoadReport, error) {
+	var report LoadReport
+	err := c.call(ctx, http.MethodGet, address, PathLoad, nil, &report)
+	return report, err
+}
+
+// CacheEvents returns the events with a sequence greater than after. Errors as
+// of Order.
+func (c *HTTPClient) CacheEvents(ctx context.Context, address string, after uint64) (CacheEvents, error) {
+	var events CacheEvents
+	path := PathCacheEvents + "?after=" + strconv.FormatUint(after, 10)
+	err := c.call(ctx, http.MethodGet, address, path, nil, &events)
+	return events, err
+}
+
+// Cancel stops a running request. Errors as of Order.
+func (c *HTTPClient) Cancel(ctx context.Context, address string, request CancelRequest) error {
+	return c.call(ctx, http.MethodPost, address, PathCancel, request, nil)
+}
+
+// ExportKV returns the KV cache of a request. Errors as of Order.
+func (c *HTTPClient) ExportKV(ctx context.Context, address string, request KVExportRequest) (KVExport, error) {
+	var export KVExport
+	err := c.call(ctx, http.MethodPost, address, PathKVExport, request, &export)
+	return export, err
+}
+
+// ImportKV hands an exported KV cache to the engine. Errors as of Order.
+func (c *HTTPClient) ImportKV(ctx context.Context, address string, export KVExport) error {
+	return c.call(ctx, http.MethodPost, address, PathKVImport, export, nil)
+}
+
+// call sends one request and decodes the answer into answer unless it is nil.
+// It returns when ctx ends, also if the exchange is still under way.
+func (c *HTTPClient) call(ctx context.Context, method, address, path string, body, answer any) error {
+	if err := ctx.Err(); err != nil {
+		return errors.Wrap(ErrUnreachable, err.Error())
+	}
+	request, err := newRequest(method, address, path, body)
+	if err != nil {
+		return err
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(DefaultTimeout)
+	}
+	// The request and response are not pooled: after an early return the
+	// exchange still uses them.
+	response := &fasthttp.Response{}
+	done := make(chan error, 1)
+	go func() { done <- c.http.DoDeadline(request, response, deadline) }()
+	select {
+	case err = <-done:
+	case <-ctx.Done():
+		return errors.Wrapf(ErrUnknownOutcome, "%s %s%s: %v", method, address, path, ctx.Err())
+	}
+	if err != nil {
+		return errors.Wrapf(classify(err), "%s %s%s: %v", method, address, path, err)
+	}
+	return decode(response, answer)
+}
+
+func newRequest(method, address, path string, body any) (*fasthttp.Request, error) {
+	request := &fasthttp.Request{}
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + address + path)
+	if body == nil {
+		return request, nil
+	}
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return nil, errors.Wrap(err, "engine: encode request")
+	}
+	request.Header.SetContentType("application/json")
+	request.SetBodyRaw(encoded)
+	return request, nil
+}
+
+// classify tells whether a failed exchange surely did not send its request.
+func classify(err error) error {
+	var dial *dialError
+	if errors.As(err, &dial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return ErrUnreachable
+	}
+	return ErrUnknownOutcome
+}
+
+func decode(response *fasthttp.Response, answer any) error {
+	body := response.Body()
+	if code := response.StatusCode(); code != http.StatusOK {
+		status := &StatusError{Code: code, Detail: string(body[:min(len(body), maxErrorDetailBytes)])}
+		if code >= http.StatusInternalServerError {
+			return &unknownOutcomeError{cause: status}
+		}
+		return status
+	}
+	if answer == nil {
+		return nil
+	}
+	if err := json.Unmarshal(body, answer); err != nil {
+		return errors.Wrapf(ErrUnknownOutcome, "decode answer: %v", err)
+	}
+	return nil
+}
+
+// unknownOutcomeError is ErrUnknownOutcome with the answer that caused it.
+type unknownOutcomeError struct{ cause *StatusError }
+
+func (e *unknownOutcomeError) Error() string { return ErrUnknownOutcome.Error() + ": " + e.cause.Error() }
+
+// Unwrap returns both, for errors.Is and errors.As.
+func (e *unknownOutcomeError) Unwrap() []error { return []error{ErrUnknownOutcome, e.cause} }
