--- /dev/null
+++ b/pkg/platform/dynamotable/table.go
@@ -0,0 +1,270 @@
+// Package dynamotable is a platform.Table on a table service that speaks the
+// DynamoDB protocol. All records are in one partition of one table, whose key
+// attributes are "partition" and "key" (strings).
+package dynamotable
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/aws/aws-sdk-go-v2/aws"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/platform"
+)
+
+// Limits of the protocol.
+const (
+	maxTokenLength = 36
+	maxActions     = 100
+)
+
+// Attributes of the items.
+const (
+	attributePartition = "partition"
+	attributeKey       = "key"
+	attributeValue     = "value"
+	attributeVersion   = "version"
+)
+
+// Expressions are constants: nothing of a record becomes part of one.
+const (
+	expressionMissing   = "attribute_not_exists(#version)"
+	expressionVersion   = "#version = :version"
+	expressionPartition = "#partition = :partition"
+	expressionPrefix    = "#partition = :partition AND begins_with(#key, :prefix)"
+)
+
+// Config says where the table is.
+type Config struct {
+	Endpoint  string // URL
+	Region    string
+	Table     string // name of the table
+	Partition string // value of the partition key of all records
+	AccessKey string
+	SecretKey string
+	Transport http.RoundTripper // nil: http.DefaultTransport
+}
+
+// Table is a table in the service. Safe for concurrent use.
+type Table struct {
+	client    *dynamodb.Client
+	name      string
+	partition string
+}
+
+var _ platform.Table = (*Table)(nil)
+
+// New returns the table of config. It sends nothing.
+func New(config Config) *Table {
+	credentials := aws.Credentials{AccessKeyID: config.AccessKey, SecretAccessKey: config.SecretKey}
+	client := dynamodb.New(dynamodb.Options{
+		BaseEndpoint: aws.String(config.Endpoint),
+		Region:       config.Region,
+		Credentials: aws.CredentialsProviderFunc(func(context.Context) (aws.Credentials, error) {
+			return credentials, nil
+		}),
+		Retryer:                    aws.NopRetryer{}, // the caller decides on each repeat
+		HTTPClient:                 &http.Client{Transport: config.Transport, CheckRedirect: noRedirect},
+		DisableClockSkewCorrection: true,
+	})
+	return &Table{client: client, name: config.Table, partition: config.Partition}
+}
+
+func noRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
+// Get returns the record, or platform.ErrNotFound. A read that fails is
+// platform.ErrUnavailable or platform.ErrThrottled.
+func (t *Table) Get(ctx context.Context, key string, consistent bool) (platform.Record, error) {
+	output, err := t.client.GetItem(ctx, &dynamodb.GetItemInput{
+		TableName:      aws.String(t.name),
+		Key:            t.key(key),
+		ConsistentRead: aws.Bool(consistent),
+	})
+	if err != nil {
+		return platform.Record{}, errors.Wrapf(classifyRead(err), "get %q: %v", key, err)
+	}
+	if len(output.Item) == 0 {
+		return platform.Record{}, errors.Wrapf(platform.ErrNotFound, "get %q", key)
+	}
+	return parseRecord(output.Item)
+}
+
+// List returns the records whose keys begin with prefix, in key order, by
+// consistent reads. Records that change meanwhile may be of different times.
+func (t *Table) List(ctx context.Context, prefix string) ([]platform.Record, error) {
+	var records []platform.Record
+	pages := dynamodb.NewQueryPaginator(t.client, t.listInput(prefix))
+	for pages.HasMorePages() {
+		page, err := pages.NextPage(ctx)
+		if err != nil {
+			return nil, errors.Wrapf(classifyRead(err), "list %q: %v", prefix, err)
+		}
+		for _, item := range page.Items {
+			record, err := parseRecord(item)
+			if err != nil {
+				return nil, err
+			}
+			records = append(records, record)
+		}
+	}
+	return records, nil
+}
+
+func (t *Table) listInput(prefix string) *dynamodb.QueryInput {
+	input := &dynamodb.QueryInput{
+		TableName:                 aws.String(t.name),
+		ConsistentRead:            aws.Bool(true),
+		KeyConditionExpression:    aws.String(expressionPartition),
+		ExpressionAttributeNames:  map[string]string{"#partition": attributePartition},
+		ExpressionAttributeValues: map[string]types.AttributeValue{":partition": stringValue(t.partition)},
+	}
+	if prefix != "" { // the protocol has no empty prefix
+		input.KeyConditionExpression = aws.String(expressionPrefix)
+		input.ExpressionAttributeNames["#key"] = attributeKey
+		input.ExpressionAttributeValues[":prefix"] = stringValue(prefix)
+	}
+	return input
+}
+
+// Commit applies the transaction whole or not at all. The error tells whether
+// it may have taken effect: only platform.ErrUnknownOutcome leaves that open.
+func (t *Table) Commit(ctx context.Context, transaction platform.Transaction) error {
+	actions, err := t.actions(transaction)
+	if err != nil {
+		return err
+	}
+	var sent atomic.Bool
+	_, err = t.client.TransactWriteItems(traceSent(ctx, &sent), &dynamodb.TransactWriteItemsInput{
+		ClientRequestToken: aws.String(transaction.Token),
+		TransactItems:      actions,
+	})
+	if err != nil {
+		return errors.Wrapf(classifyCommit(err, sent.Load()), "commit %q: %v", transaction.Token, err)
+	}
+	return nil
+}
+
+// traceSent sets sent as soon as a connection was there to write to.
+func traceSent(ctx context.Context, sent *atomic.Bool) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:          func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+}
+
+// actions translates a transaction. Each written key needs a condition.
+func (t *Table) actions(transaction platform.Transaction) ([]types.TransactWriteItem, error) {
+	if length := len(transaction.Token); length == 0 || length > maxTokenLength {
+		return nil, errors.Errorf("commit: token of %d characters, want 1 to %d", length, maxTokenLength)
+	}
+	if count := len(transaction.Conditions); count == 0 || count > maxActions {
+		return nil, errors.Errorf("commit: %d conditions, want 1 to %d", count, maxActions)
+	}
+	writes := make(map[string]platform.Write, len(transaction.Writes))
+	for _, write := range transaction.Writes {
+		writes[write.Key] = write
+	}
+	if len(writes) != len(transaction.Writes) {
+		return nil, errors.New("commit: two writes of one key")
+	}
+	actions := make([]types.TransactWriteItem, 0, len(transaction.Conditions))
+	for _, condition := range transaction.Conditions {
+		write, ok := writes[condition.Key]
+		delete(writes, condition.Key)
+		switch {
+		case !ok:
+			actions = append(actions, types.TransactWriteItem{ConditionCheck: t.check(condition)})
+		case write.Delete:
+			actions = append(actions, types.TransactWriteItem{Delete: t.remove(condition)})
+		default:
+			actions = append(actions, types.TransactWriteItem{Put: t.put(condition, write)})
+		}
+	}
+	for key := range writes {
+		return nil, errors.Errorf("commit: no condition on the written key %q", key)
+	}
+	return actions, nil
+}
+
+func (t *Table) check(condition platform.Condition) *types.ConditionCheck {
+	expression, values := versionCondition(condition)
+	return &types.ConditionCheck{
+		TableName:                 aws.String(t.name),
+		Key:                       t.key(condition.Key),
+		ConditionExpression:       expression,
+		ExpressionAttributeNames:  versionName(),
+		ExpressionAttributeValues: values,
+	}
+}
+
+func (t *Table) remove(condition platform.Condition) *types.Delete {
+	expression, values := versionCondition(condition)
+	return &types.Delete{
+		TableName:                 aws.String(t.name),
+		Key:                       t.key(condition.Key),
+		ConditionExpression:       expression,
+		ExpressionAttributeNames:  versionName(),
+		ExpressionAttributeValues: values,
+	}
+}
+
+func (t *Table) put(condition platform.Condition, write platform.Write) *types.Put {
+	expression, values := versionCondition(condition)
+	item := t.key(condition.Key)
+	item[attributeValue] = &types.AttributeValueMemberB{Value: write.Value}
+	item[attributeVersion] = versionValue(condition.Version + 1)
+	return &types.Put{
+		TableName:                 aws.String(t.name),
+		Item:                      item,
+		ConditionExpression:       expression,
+		ExpressionAttributeNames:  versionName(),
+		ExpressionAttributeValues: values,
+	}
+}
+
+func (t *Table) key(key string) map[string]types.AttributeValue {
+	return map[string]types.AttributeValue{
+		attributePartition: stringValue(t.partition),
+		attributeKey:       stringValue(key),
+	}
+}
+
+func versionCondition(condition platform.Condition) (*string, map[string]types.AttributeValue) {
+	if condition.Version == 0 {
+		return aws.String(expressionMissing), nil
+	}
+	return aws.String(expressionVersion), map[string]types.AttributeValue{":version": versionValue(condition.Version)}
+}
+
+func versionName() map[string]string {
+	return map[string]string{"#version": attributeVersion}
+}
+
+func versionValue(version uint64) types.AttributeValue {
+	return &types.AttributeValueMemberN{Value: strconv.FormatUint(version, 10)}
+}
+
+func stringValue(value string) types.AttributeValue {
+	return &types.AttributeValueMemberS{Value: value}
+}
+
+func parseRecord(item map[string]types.AttributeValue) (platform.Record, error) {
+	key, keyOK := item[attributeKey].(*types.AttributeValueMemberS)
+	value, valueOK := item[attributeValue].(*types.AttributeValueMemberB)
+	version, versionOK := item[attributeVersion].(*types.AttributeValueMemberN)
+	if !keyOK || !valueOK || !versionOK {
+		return platform.Record{}, errors.New("table: item without key, value or version")
+	}
+	number, err := strconv.ParseUint(version.Value, 10, 64)
+	if err != nil {
+		return platform.Record{}, errors.Wrapf(err, "table: version of %q", key.Value)
+	}
+	return platform.Record{Key: key.Value, Value: value.Value, Version: number}, nil
+}
--- /dev/null
+++ b/pkg/platform/s3objects/objects.go
@@ -0,0 +1,159 @@
+// Package s3objects is a platform.Objects in one bucket of an object store
+// that speaks the S3 protocol, addressed by path.
+package s3objects
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"sort"
+
+	"github.com/minio/minio-go/v7"
+	"github.com/minio/minio-go/v7/pkg/credentials"
+	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/platform"
+)
+
+// DefaultMaxObjectBytes bounds the objects that Get returns.
+const DefaultMaxObjectBytes = 256 << 20
+
+// Codes of the rate limit.
+const (
+	codeSlowDown      = "SlowDown"
+	codeSlowDownRead  = "SlowDownRead"
+	codeSlowDownWrite = "SlowDownWrite"
+)
+
+// Config says where the bucket is.
+type Config struct {
+	Endpoint       string // URL without a path
+	Region         string
+	Bucket         string
+	AccessKey      string
+	SecretKey      string
+	MaxObjectBytes int64             // zero: DefaultMaxObjectBytes
+	Transport      http.RoundTripper // nil: the library's default
+}
+
+// Objects is a bucket. Safe for concurrent use.
+type Objects struct {
+	client   *minio.Core
+	bucket   string
+	maxBytes int64
+}
+
+var _ platform.Objects = (*Objects)(nil)
+
+// New returns the bucket of config. It sends nothing.
+func New(config Config) (*Objects, error) {
+	endpoint, err := url.Parse(config.Endpoint)
+	if err != nil {
+		return nil, errors.Wrap(err, "object store: endpoint")
+	}
+	client, err := minio.NewCore(endpoint.Host, &minio.Options{
+		Creds:        credentials.NewStaticV4(config.AccessKey, config.SecretKey, ""),
+		Secure:       endpoint.Scheme == "https",
+		Transport:    config.Transport,
+		Region:       config.Region, // without it the library asks for it
+		BucketLookup: minio.BucketLookupPath,
+		MaxRetries:   1, // attempts: the caller decides on each repeat
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "object store")
+	}
+	if config.MaxObjectBytes == 0 {
+		config.MaxObjectBytes = DefaultMaxObjectBytes
+	}
+	return &Objects{client: client, bucket: config.Bucket, maxBytes: config.MaxObjectBytes}, nil
+}
+
+// Put writes an object. On platform.ErrUnknownOutcome it may be written; the
+// same Put may be repeated.
+func (o *Objects) Put(ctx context.Context, name string, data []byte) error {
+	_, err := o.client.Client.PutObject(ctx, o.bucket, name, bytes.NewReader(data), int64(len(data)), minio.PutObjectOptions{
+		ContentType:      "application/octet-stream",
+		DisableMultipart: true,
+	})
+	return wrap(classifyWrite(err), err, "put", name)
+}
+
+// Get returns an object, or platform.ErrNotFound.
+func (o *Objects) Get(ctx context.Context, name string) ([]byte, error) {
+	body, _, _, err := o.client.GetObject(ctx, o.bucket, name, minio.GetObjectOptions{})
+	if err != nil {
+		return nil, wrap(classifyRead(err), err, "get", name)
+	}
+	defer body.Close()
+	data, err := io.ReadAll(io.LimitReader(body, o.maxBytes+1))
+	if err != nil {
+		return nil, wrap(platform.ErrUnavailable, err, "get", name)
+	}
+	if int64(len(data)) > o.maxBytes {
+		return nil, errors.Errorf("object store: %q is larger than %d bytes", name, o.maxBytes)
+	}
+	return data, nil
+}
+
+// List returns the names that begin with prefix, in order.
+func (o *Objects) List(ctx context.Context, prefix string) ([]string, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends the library's goroutine
+	var names []string
+	for object := range o.client.Client.ListObjects(ctx, o.bucket, minio.ListObjectsOptions{Prefix: prefix, Recursive: true}) {
+		if object.Err != nil {
+			return nil, wrap(classifyRead(object.Err), object.Err, "list", prefix)
+		}
+		names = append(names, object.Key)
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, wrap(platform.ErrUnavailable, err, "list", prefix)
+	}
+	sort.Strings(names)
+	return names, nil
+}
+
+// Delete removes an object; a missing one is no error.
+func (o *Objects) Delete(ctx context.Context, name string) error {
+	err := o.client.RemoveObject(ctx, o.bucket, name, minio.RemoveObjectOptions{})
+	return wrap(classifyWrite(err), err, "delete", name)
+}
+
+func wrap(class, cause error, operation, name string) error {
+	if class == nil {
+		return nil
+	}
+	return errors.Wrapf(class, "%s object %q: %v", operation, name, cause)
+}
+
+// classifyRead returns the platform's error for a read that failed.
+func classifyRead(err error) error {
+	switch response := minio.ToErrorResponse(err); response.Code {
+	case minio.NoSuchKey:
+		return platform.ErrNotFound
+	case codeSlowDown, codeSlowDownRead, codeSlowDownWrite:
+		return platform.ErrThrottled
+	default:
+		return platform.ErrUnavailable
+	}
+}
+
+// classifyWrite returns the platform's error for a write that failed.
+func classifyWrite(err error) error {
+	if err == nil {
+		return nil
+	}
+	response := minio.ToErrorResponse(err)
+	switch {
+	case classifyRead(err) == platform.ErrThrottled:
+		return platform.ErrThrottled
+	case response.StatusCode >= http.StatusBadRequest && response.StatusCode < http.StatusInternalServerError:
+		return platform.ErrUnavailable
+	case isDialError(err):
+		return platform.ErrUnavailable
+	default:
+		return platform.ErrUnknownOutcome
+	}
+}
--- /dev/null
+++ b/pkg/standin/engine_config.go
@@ -0,0 +1,79 @@
+package standin
+
+import "time"
+
+const (
+	kibibyte = 1 << 10
+	mebibyte = 1 << 20
+	gibibyte = 1 << 30
+)
+
+// EngineConfig describes an engine. Zero values take the defaults of
+// DefaultEngineConfig, but for the names and the capacities of the caches.
+type EngineConfig struct {
+	ID          string // of the machine
+	Service     string
+	Zone        string
+	Region      string
+	Accelerator string
+	Platform    string  // IP:port of the platform, empty for none
+	Speed       float64 // simulated seconds per second
+
+	// MemoryBytes is the capacity for weights, adapters and the KV cache
+	// beyond KVReserveBytes, which come on top and hold KV cache only.
+	MemoryBytes      uint64
+	KVReserveBytes   uint64
+	KVBytesPerToken  uint64
+	PrefixCacheBytes uint64 // the most that the prefix cache takes
+
+	TokensPerSecond        float64 // of a request that runs alone
+	BatchSlowdown          float64 // a batch of n runs 1+BatchSlowdown*(n-1) times slower
+	MaxBatch               int
+	PrefillTokensPerSecond float64 // shared by the requests in prefill
+	DefaultMaxTokens       int     // of a request that sets no limit
+	MaxTokens              int     // the most that a request may set
+	ResumeWindow           time.Duration
+
+	ParallelLoads        int
+	UnloadTime           time.Duration
+	HostCacheBytes       uint64 // checkpoints in the host's memory
+	HostBytesPerSecond   float64
+	DiskCacheBytes       uint64 // checkpoints on the local disk
+	DiskBytesPerSecond   float64
+	RemoteBytesPerSecond float64 // without a platform
+
+	LoadReportLag time.Duration
+	CacheEventLag time.Duration
+	CacheEventGap float64 // share of the cache events that get lost
+	Seed          uint64  // of the lost cache events
+}
+
+// DefaultEngineConfig returns an engine with 80 GiB.
+func DefaultEngineConfig() EngineConfig {
+	return EngineConfig{
+		Speed:                  1,
+		Accelerator:            "standin-80g",
+		MemoryBytes:            80 * gibibyte,
+		KVReserveBytes:         8 * gibibyte,
+		KVBytesPerToken:        128 * kibibyte,
+		PrefixCacheBytes:       2 * gibibyte,
+		TokensPerSecond:        60,
+		BatchSlowdown:          0.03,
+		MaxBatch:               64,
+		PrefillTokensPerSecond: 20000,
+		DefaultMaxTokens:       32,
+		MaxTokens:              8192,
+		ResumeWindow:           30 * time.Second,
+		ParallelLoads:          2,
+		UnloadTime:             300 * time.Millisecond,
+		HostCacheBytes:         64 * gibibyte,
+		HostBytesPerSecond:     20 * gibibyte,
+		DiskCacheBytes:         512 * gibibyte,
+		DiskBytesPerSecond:     5 * gibibyte,
+		RemoteBytesPerSecond:   2 * gibibyte,
+		LoadReportLag:          500 * time.Millisecond,
+		CacheEventLag:          time.Second,
+		CacheEventGap:          0.05,
+		Seed:                   1,
+	}
+}
--- /dev/null
+++ b/pkg/standin/engine_loads.go
@@ -0,0 +1,120 @@
+package standin
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	loadPollInterval = 50 * time.Millisecond
+	loadRetryWait    = 200 * time.Millisecond // after a refused start
+	loadTimeout      = 15 * time.Minute
+)
+
+// Errors of a WeightSource.
+var (
+	// ErrStartRefused means that the rate of starts is used up for now.
+	ErrStartRefused = errors.New("standin: weight store refuses the start")
+	// ErrUnknownTransfer means that the weight store has dropped the transfer.
+	ErrUnknownTransfer = errors.New("standin: unknown transfer")
+)
+
+// WeightSource is the weight store as an engine sees it. Safe for concurrent use.
+type WeightSource interface {
+	// Start starts the transfer of a checkpoint and returns its ID.
+	Start(ctx context.Context, checkpoint string, bytes uint64) (string, error)
+	// Fetched returns how many bytes were transferred so far.
+	Fetched(ctx context.Context, transfer string) (uint64, error)
+	// Stop ends a transfer.
+	Stop(ctx context.Context, transfer string) error
+}
+
+// fetch brings an item's checkpoint into memory and makes the item ready.
+func (e *Engine) fetch(ctx context.Context, loaded *item) {
+	ctx, cancel := context.WithTimeout(ctx, e.clock.Wall(loadTimeout))
+	defer cancel()
+	fails := e.faults.take(PartOrders, func(faults *Faults) *int { return &faults.FailLoads })
+	succeeded := false
+	if rate, local := e.localRate(loaded); local {
+		succeeded = e.fetchLocal(ctx, loaded, rate, fails)
+	} else {
+		succeeded = e.fetchRemote(ctx, loaded, fails)
+	}
+	e.update(func(state *engineState) { state.finishLoad(loaded, succeeded && !fails) })
+}
+
+// localRate returns the bytes a second at which the checkpoint is read, and
+// false if it must come from the weight store.
+func (e *Engine) localRate(loaded *item) (float64, bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	switch {
+	case e.state.hostCache.has(loaded.checkpoint):
+		return e.config.HostBytesPerSecond, true
+	case e.state.diskCache.has(loaded.checkpoint):
+		return e.config.DiskBytesPerSecond, true
+	default:
+		return e.config.RemoteBytesPerSecond, e.weights == nil
+	}
+}
+
+func (e *Engine) fetchLocal(ctx context.Context, loaded *item, rate float64, fails bool) bool {
+	started := e.clock.Now()
+	total := float64(loaded.MemoryBytes)
+	for {
+		left := total - e.clock.Now().Sub(started).Seconds()*rate
+		if left <= 0 {
+			return true
+		}
+		if !e.report(loaded, 1-left/total, fails) {
+			return false
+		}
+		if !e.clock.Sleep(ctx, min(duration(left/rate), loadPollInterval)) {
+			return false
+		}
+	}
+}
+
+func (e *Engine) fetchRemote(ctx context.Context, loaded *item, fails bool) bool {
+	transfer := ""
+	for {
+		fetched, err := e.pollTransfer(ctx, &transfer, loaded)
+		if err == nil && fetched >= loaded.MemoryBytes {
+			return true
+		}
+		wait := loadPollInterval
+		if err != nil {
+			wait = loadRetryWait
+		} else if !e.report(loaded, float64(fetched)/float64(loaded.MemoryBytes), fails) {
+			_ = e.weights.Stop(ctx, transfer) // it ends by itself when nobody asks
+			return false
+		}
+		if !e.report(loaded, -1, fails) || !e.clock.Sleep(ctx, wait) {
+			return false
+		}
+	}
+}
+
+// pollTransfer starts the transfer, or asks how far it is.
+func (e *Engine) pollTransfer(ctx context.Context, transfer *string, loaded *item) (fetched uint64, err error) {
+	if *transfer == "" {
+		*transfer, err = e.weights.Start(ctx, loaded.checkpoint, loaded.MemoryBytes)
+		return 0, err
+	}
+	fetched, err = e.weights.Fetched(ctx, *transfer)
+	if errors.Is(err, ErrUnknownTransfer) {
+		*transfer = ""
+	}
+	return fetched, err
+}
+
+// report records the progress unless it is negative. It returns false when the
+// load is to stop: by an unload, or half-way by a fault.
+func (e *Engine) report(loaded *item, progress float64, fails bool) (goOn bool) {
+	e.update(func(state *engineState) {
+		goOn = state.setProgress(loaded, max(progress, loaded.Progress))
+	})
+	return goOn && (!fails || progress < 0.5)
+}
--- /dev/null
+++ b/pkg/standin/engine_state.go
@@ -0,0 +1,232 @@
+package standin
+
+import (
+	"sort"
+	"time"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/engine"
+)
+
+// item is a model or adapter in the engine's memory.
+type item struct {
+	engine.Item
+	checkpoint string
+	urgent     bool
+	fetching   bool
+	unloadedAt time.Time // when unloading: not free before
+}
+
+// engineState is the state of an engine without its connections. Its methods
+// take the simulated time and are not safe for concurrent use.
+type engineState struct {
+	config   EngineConfig
+	instance string
+	now      time.Time
+
+	fence      api.Fence
+	lastOrder  engine.Order
+	lastResult engine.OrderResult
+
+	items   map[api.ModelName]*item
+	role    string
+	leaving bool
+
+	unloadDelay time.Duration // on top of the config's, by a fault
+
+	hostCache *checkpointCache
+	diskCache *checkpointCache
+	prefixes  *prefixCache
+	batch     batch
+	executed  map[string]int      // starts by idempotency key or request ID
+	reports   []engine.LoadReport // older than the lag, but for the first
+}
+
+func newEngineState(config EngineConfig, instance string, now time.Time) *engineState {
+	return &engineState{
+		config:    config,
+		instance:  instance,
+		now:       now,
+		items:     map[api.ModelName]*item{},
+		hostCache: newCheckpointCache(config.HostCacheBytes),
+		diskCache: newCheckpointCache(config.DiskCacheBytes),
+		prefixes:  newPrefixCache(config),
+		executed:  map[string]int{},
+		batch:     batch{generations: map[string]*generation{}},
+	}
+}
+
+// itemBytes returns the memory that weights and adapters hold.
+func (s *engineState) itemBytes() uint64 {
+	var total uint64
+	for _, held := range s.items {
+		if held.State != engine.ItemFailed {
+			total += held.MemoryBytes
+		}
+	}
+	return total
+}
+
+// kvBytes returns the KV cache beyond its reserve, as it would be with extra
+// bytes more.
+func (s *engineState) kvBytes(extra uint64) uint64 {
+	total := s.batch.kvBytes() + s.prefixes.bytes + extra
+	if total <= s.config.KVReserveBytes {
+		return 0
+	}
+	return total - s.config.KVReserveBytes
+}
+
+// fits tells whether the memory holds that many bytes more.
+func (s *engineState) fits(itemBytes, kvBytes uint64) bool {
+	used := s.itemBytes() + s.kvBytes(kvBytes)
+	return used <= s.config.MemoryBytes && itemBytes <= s.config.MemoryBytes-used
+}
+
+// makeRoomForItem shrinks the KV cache, first the cached prefixes, then the
+// least urgent running requests, until bytes fit.
+func (s *engineState) makeRoomForItem(bytes uint64) bool {
+	if held := s.itemBytes(); held > s.config.MemoryBytes || bytes > s.config.MemoryBytes-held {
+		return false
+	}
+	for !s.fits(bytes, 0) {
+		if !s.prefixes.evictOldest() && !s.batch.preemptLeastUrgent() {
+			return false
+		}
+	}
+	return true
+}
+
+// makeRoomForKV drops cached prefixes until bytes fit.
+func (s *engineState) makeRoomForKV(bytes uint64) bool {
+	for !s.fits(0, bytes) {
+		if !s.prefixes.evictOldest() {
+			return false
+		}
+	}
+	return true
+}
+
+// advance brings the state to now: tokens, finished unloads, expired requests.
+func (s *engineState) advance(now time.Time) {
+	for s.now.Before(now) {
+		s.admit()
+		step := min(s.stepLimit(), now.Sub(s.now))
+		s.now = s.now.Add(step)
+		s.batch.run(s.config, step, s.now)
+		s.storePrefixes()
+		s.finishUnloads()
+		s.batch.expire(s.now, s.config.ResumeWindow)
+	}
+	s.admit()
+	s.recordLoad()
+}
+
+// stepLimit returns how long the rates stay as they are.
+func (s *engineState) stepLimit() time.Duration {
+	limit := s.batch.nextChange(s.config)
+	for _, held := range s.items {
+		if wait := held.unloadedAt.Sub(s.now); held.State == engine.ItemUnloading && wait > 0 {
+			limit = min(limit, wait)
+		}
+	}
+	return limit
+}
+
+// nextEvent returns how long nothing will be heard of the state, and false if
+// nothing is going on.
+func (s *engineState) nextEvent() (time.Duration, bool) {
+	limit, busy := s.batch.nextToken(s.config)
+	for _, held := range s.items {
+		if held.State == engine.ItemUnloading {
+			limit, busy = min(limit, max(held.unloadedAt.Sub(s.now), time.Millisecond)), true
+		}
+	}
+	return limit, busy
+}
+
+func (s *engineState) finishUnloads() {
+	for name, held := range s.items {
+		if held.State != engine.ItemUnloading || held.unloadedAt.After(s.now) || s.batch.runs(name) {
+			continue
+		}
+		if held.Base == "" && s.hasAdapters(name) {
+			continue
+		}
+		delete(s.items, name)
+		s.prefixes.dropModel(name)
+	}
+}
+
+func (s *engineState) hasAdapters(base api.ModelName) bool {
+	for _, held := range s.items {
+		if held.Base == base {
+			return true
+		}
+	}
+	return false
+}
+
+// serves tells whether requests for the model may run.
+func (s *engineState) serves(model api.ModelName) bool {
+	held, ok := s.items[model]
+	return ok && held.State == engine.ItemReady
+}
+
+// inventory raises the fence and returns the engine's own state.
+func (s *engineState) inventory(request engine.InventoryRequest) engine.Inventory {
+	s.fence = max(s.fence, request.Fence)
+	kv := s.kvBytes(0)
+	inventory := engine.Inventory{
+		Instance:      s.instance,
+		Fence:         s.fence,
+		CapacityBytes: s.config.MemoryBytes,
+		UsedBytes:     s.itemBytes() + kv,
+		KVBytes:       kv,
+		Leaving:       s.leaving,
+		Role:          s.role,
+	}
+	for _, held := range s.items {
+		inventory.Items = append(inventory.Items, held.Item)
+	}
+	sort.Slice(inventory.Items, func(i, j int) bool {
+		return inventory.Items[i].Model < inventory.Items[j].Model
+	})
+	for _, name := range s.hostCache.names() {
+		inventory.Cached = append(inventory.Cached, engine.CachedCheckpoint{Checkpoint: name, Tier: engine.TierMemory})
+	}
+	for _, name := range s.diskCache.names() {
+		if !s.hostCache.has(name) {
+			inventory.Cached = append(inventory.Cached, engine.CachedCheckpoint{Checkpoint: name, Tier: engine.TierDisk})
+		}
+	}
+	return inventory
+}
+
+// recordLoad keeps the load as it is now for later reports.
+func (s *engineState) recordLoad() {
+	report := engine.LoadReport{Instance: s.instance, AsOf: s.now, Leaving: s.leaving}
+	for name, held := range s.items {
+		if held.State == engine.ItemReady {
+			report.Models = append(report.Models, s.batch.load(name, s.config))
+		}
+	}
+	sort.Slice(report.Models, func(i, j int) bool { return report.Models[i].Model < report.Models[j].Model })
+	last := len(s.reports) - 1
+	if last > 0 && s.now.Sub(s.reports[last-1].AsOf) < s.config.LoadReportLag/8 {
+		s.reports[last] = report
+	} else {
+		s.reports = append(s.reports, report)
+	}
+	for len(s.reports) > 1 && s.now.Sub(s.reports[1].AsOf) >= s.config.LoadReportLag {
+		s.reports = s.reports[1:]
+	}
+}
+
+// load returns the newest report that is at least as old as the lag.
+func (s *engineState) load() engine.LoadReport {
+	if len(s.reports) == 0 || s.now.Sub(s.reports[0].AsOf) < s.config.LoadReportLag {
+		return engine.LoadReport{Instance: s.instance, AsOf: s.now.Add(-s.config.LoadReportLag)}
+	}
+	return s.reports[0]
+}
--- /dev/null
+++ b/pkg/standin/table.go
@@ -0,0 +1,181 @@
+package standin
+
+import (
+	"maps"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	tokenMemory          = 10 * time.Minute // as long as the service knows a token
+	maxTransactionWrites = 100
+	maxQueryPage         = 1 << 20 // bytes of a page of a query
+)
+
+// attribute is a value in the DynamoDB protocol; one of its fields is set.
+type attribute struct {
+	S *string `json:"S,omitempty"`
+	N *string `json:"N,omitempty"`
+	B []byte  `json:"B,omitempty"`
+}
+
+// record is a stored item. It is never changed.
+type record map[string]attribute
+
+func (r record) size() int {
+	size := 0
+	for name, value := range r {
+		size += len(name) + len(value.B)
+		if value.S != nil {
+			size += len(*value.S)
+		}
+	}
+	return size
+}
+
+// recordKey names a record by its two key attributes.
+type recordKey struct {
+	partition string
+	key       string
+}
+
+// knownToken is a transaction that took effect.
+type knownToken struct {
+	fingerprint uint64
+	at          time.Time
+}
+
+// table is the transactional table service; all tables of all names are one.
+// Safe for concurrent use.
+type table struct {
+	clock   *Clock
+	limiter *rate.Limiter
+
+	mutex   sync.Mutex
+	records map[recordKey]record
+	replica map[recordKey]record // what reads see that are not consistent; nil for records
+	tokens  map[string]knownToken
+}
+
+func newTable(clock *Clock, limiter *rate.Limiter) *table {
+	return &table{clock: clock, limiter: limiter, records: map[recordKey]record{}, tokens: map[string]knownToken{}}
+}
+
+// setStaleReads keeps the present state for reads that are not consistent, or
+// lets them see the newest state again.
+func (t *table) setStaleReads(stale bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.replica = nil
+	if stale {
+		t.replica = maps.Clone(t.records)
+	}
+}
+
+func (t *table) visible(consistent bool) map[recordKey]record {
+	if consistent || t.replica == nil {
+		return t.records
+	}
+	return t.replica
+}
+
+func (t *table) get(key recordKey, consistent bool) (record, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	found, ok := t.visible(consistent)[key]
+	return found, ok
+}
+
+// query returns the records of a partition whose keys begin with prefix and
+// are greater than after, in order, up to a page, and whether there are more.
+func (t *table) query(partition, prefix, after string, consistent bool) (page []record, more bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	records := t.visible(consistent)
+	var keys []recordKey
+	for key := range records {
+		if key.partition == partition && strings.HasPrefix(key.key, prefix) && key.key > after {
+			keys = append(keys, key)
+		}
+	}
+	sort.Slice(keys, func(i, j int) bool { return keys[i].key < keys[j].key })
+	size := 0
+	for i, key := range keys {
+		page = append(page, records[key])
+		size += records[key].size()
+		if size > maxQueryPage {
+			return page, i+1 < len(keys)
+		}
+	}
+	return page, false
+}
+
+// action is one action of a transaction.
+type action struct {
+	key       recordKey
+	condition condition
+	put       record // nil for none
+	remove    bool
+}
+
+// condition is on the version attribute of a record: it is missing, or has a
+// value.
+type condition struct {
+	missing bool
+	version string
+}
+
+func (c condition) holds(found record, exists bool) bool {
+	if c.missing {
+		return !exists
+	}
+	return exists && found[attributeVersion].N != nil && *found[attributeVersion].N == c.version
+}
+
+// verdict is the outcome of a transaction.
+type verdict struct {
+	mismatch bool   // the token was used for another transaction
+	failed   []bool // by action, when a condition did not hold
+}
+
+// transact applies all actions if all conditions hold. A token that took
+// effect before has no effect again.
+func (t *table) transact(token string, fingerprint uint64, actions []action) verdict {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := t.clock.Now()
+	maps.DeleteFunc(t.tokens, func(_ string, known knownToken) bool { return now.Sub(known.at) > tokenMemory })
+	if known, ok := t.tokens[token]; ok && token != "" {
+		return verdict{mismatch: known.fingerprint != fingerprint}
+	}
+	if failed := t.check(actions); failed != nil {
+		return verdict{failed: failed}
+	}
+	for _, action := range actions {
+		if action.remove {
+			delete(t.records, action.key)
+		} else if action.put != nil {
+			t.records[action.key] = action.put
+		}
+	}
+	t.tokens[token] = knownToken{fingerprint: fingerprint, at: now}
+	return verdict{}
+}
+
+func (t *table) check(actions []action) []bool {
+	failed := make([]bool, len(actions))
+	anyFailed := false
+	for i, action := range actions {
+		found, exists := t.records[action.key]
+		failed[i] = !action.condition.holds(found, exists)
+		anyFailed = anyFailed || failed[i]
+	}
+	if !anyFailed {
+		return nil
+	}
+	return failed
+}
