--- a/pkg/platform/dynamotable/table.go
+++ b/pkg/platform/dynamotable/table.go
@@ -6,9 +6,7 @@
 import (
 	"context"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
@@ -16,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"martenwheel.dev/pkg/platform"
+	"martenwheel.dev/pkg/platform/internal/sent"
 )
 
 // Limits of the protocol.
@@ -141,24 +140,17 @@
 	if err != nil {
 		return err
 	}
-	var sent atomic.Bool
-	_, err = t.client.TransactWriteItems(traceSent(ctx, &sent), &dynamodb.TransactWriteItemsInput{
+	ctx, wasSent := sent.Trace(ctx)
+	_, err = t.client.TransactWriteItems(ctx, &dynamodb.TransactWriteItemsInput{
 		ClientRequestToken: aws.String(transaction.Token),
 		TransactItems:      actions,
 	})
 	if err != nil {
-		return errors.Wrapf(classifyCommit(err, sent.Load()), "commit %q: %v", transaction.Token, err)
+		return errors.Wrapf(classifyCommit(err, wasSent()), "commit %q: %v", transaction.Token, err)
 	}
 	return nil
 }
 
-// traceSent sets sent as soon as a connection was there to write to.
-func traceSent(ctx context.Context, sent *atomic.Bool) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:          func(httptrace.GotConnInfo) { sent.Store(true) },
-	})
-}
-
 // actions translates a transaction. Each written key needs a condition.
 func (t *Table) actions(transaction platform.Transaction) ([]types.TransactWriteItem, error) {
 	if length := len(transaction.Token); length == 0 || length > maxTokenLength {
--- a/pkg/platform/s3objects/objects.go
+++ b/pkg/platform/s3objects/objects.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"martenwheel.dev/pkg/platform"
+	"martenwheel.dev/pkg/platform/internal/sent"
 )
 
 // DefaultMaxObjectBytes bounds the objects that Get returns.
@@ -38,7 +39,8 @@
 	Transport      http.RoundTripper // nil: the library's default
 }
 
-// Objects is a bucket. Safe for concurrent use.
+// Objects is a bucket. The library waits up to 0.2 s before it returns a
+// server's error, although it makes no second attempt. Safe for concurrent use.
 type Objects struct {
 	client   *minio.Core
 	bucket   string
@@ -73,11 +75,12 @@
 // Put writes an object. On platform.ErrUnknownOutcome it may be written; the
 // same Put may be repeated.
 func (o *Objects) Put(ctx context.Context, name string, data []byte) error {
+	ctx, wasSent := sent.Trace(ctx)
 	_, err := o.client.Client.PutObject(ctx, o.bucket, name, bytes.NewReader(data), int64(len(data)), minio.PutObjectOptions{
 		ContentType:      "application/octet-stream",
 		DisableMultipart: true,
 	})
-	return wrap(classifyWrite(err), err, "put", name)
+	return wrap(classifyWrite(err, wasSent()), err, "put", name)
 }
 
 // Get returns an object, or platform.ErrNotFound.
@@ -117,8 +120,9 @@
 
 // Delete removes an object; a missing one is no error.
 func (o *Objects) Delete(ctx context.Context, name string) error {
+	ctx, wasSent := sent.Trace(ctx)
 	err := o.client.RemoveObject(ctx, o.bucket, name, minio.RemoveObjectOptions{})
-	return wrap(classifyWrite(err), err, "delete", name)
+	return wrap(classifyWrite(err, wasSent()), err, "delete", name)
 }
 
 func wrap(class, cause error, operation, name string) error {
@@ -141,18 +145,19 @@
 }
 
 // classifyWrite returns the platform's error for a write that failed.
-func classifyWrite(err error) error {
+func classifyWrite(err error, sent bool) error {
 	if err == nil {
 		return nil
 	}
+	if !sent {
+		return platform.ErrUnavailable
+	}
 	response := minio.ToErrorResponse(err)
 	switch {
 	case classifyRead(err) == platform.ErrThrottled:
 		return platform.ErrThrottled
 	case response.StatusCode >= http.StatusBadRequest && response.StatusCode < http.StatusInternalServerError:
 		return platform.ErrUnavailable
-	case isDialError(err):
-		return platform.ErrUnavailable
 	default:
 		return platform.ErrUnknownOutcome
 	}
--- a/pkg/standin/faults.go
+++ b/pkg/standin/faults.go
@@ -27,10 +27,11 @@
 // Faults of one part. The zero value has none. Times are wall-clock
 // milliseconds.
 type Faults struct {
-	SlowMilliseconds int  `json:"slow_ms,omitempty"` // before each request
-	Refuse           bool `json:"refuse,omitempty"`  // answer 503 with no effect
-	Hang             bool `json:"hang,omitempty"`    // never answer, with no effect
-	Freeze           bool `json:"freeze,omitempty"`  // go on when it is cleared
+	SlowMilliseconds int  `json:"slow_ms,omitempty"`  // before each request
+	Refuse           bool `json:"refuse,omitempty"`   // answer 503 with no effect
+	Hang             bool `json:"hang,omitempty"`     // never answer, with no effect
+	Freeze           bool `json:"freeze,omitempty"`   // go on when it is cleared
+	Throttle         bool `json:"throttle,omitempty"` // refuse by the rate limit
 	LoseAnswers      int  `json:"lose_answers,omitempty"`
 	LoseRequests     int  `json:"lose_requests,omitempty"`
 
@@ -124,6 +125,8 @@
 		switch {
 		case faults.Refuse:
 			http.Error(writer, "down", http.StatusServiceUnavailable)
+		case faults.Throttle:
+			writeThrottled(writer, part)
 		case faults.Hang:
 			f.hang(request.Context(), part)
 			panic(http.ErrAbortHandler)
@@ -138,6 +141,18 @@
 	})
 }
 
+// writeThrottled refuses in the protocol of the part.
+func writeThrottled(writer http.ResponseWriter, part string) {
+	switch part {
+	case PartTable:
+		writeTableError(writer, codeThrottled, "rate exceeded")
+	case PartObjects:
+		writeS3Error(writer, http.StatusServiceUnavailable, "SlowDown")
+	default:
+		http.Error(writer, "rate exceeded", http.StatusTooManyRequests)
+	}
+}
+
 // hang waits until the fault is cleared or the caller leaves.
 func (f *faultSet) hang(ctx context.Context, part string) {
 	for {
--- a/pkg/standin/table.go
+++ b/pkg/standin/table.go
@@ -20,7 +20,7 @@
 type attribute struct {
 	S *string `json:"S,omitempty"`
 	N *string `json:"N,omitempty"`
-	B []byte  `json:"B,omitempty"`
+	B *[]byte `json:"B,omitempty"`
 }
 
 // record is a stored item. It is never changed.
@@ -29,7 +29,10 @@
 func (r record) size() int {
 	size := 0
 	for name, value := range r {
-		size += len(name) + len(value.B)
+		size += len(name)
+		if value.B != nil {
+			size += len(*value.B)
+		}
 		if value.S != nil {
 			size += len(*value.S)
 		}
--- a/pkg/standin/table_protocol.go
+++ b/pkg/standin/table_protocol.go
@@ -183,7 +183,7 @@
 		writeTableError(writer, codeValidation, err.Error())
 		return
 	}
-	verdict := t.transact(input.ClientRequestToken, xxhash.Sum64(body), actions)
+	verdict := t.transact(input.ClientRequestToken, fingerprint(input), actions)
 	switch {
 	case verdict.mismatch:
 		writeTableError(writer, codeMismatch, "token used with other parameters")
@@ -194,6 +194,15 @@
 	}
 }
 
+// fingerprint identifies a transaction, in whatever order its attributes came.
+func fingerprint(input transactInput) uint64 {
+	canonical, err := json.Marshal(input)
+	if err != nil {
+		panic(err) // decoded from JSON before
+	}
+	return xxhash.Sum64(canonical)
+}
+
 func parseActions(items []transactItem) ([]action, error) {
 	if len(items) == 0 || len(items) > maxTransactionWrites {
 		return nil, errors.Errorf("%d items", len(items))
