--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -215,7 +215,9 @@
 // unknownOutcomeError is ErrUnknownOutcome with the answer that caused it.
 type unknownOutcomeError struct{ cause *StatusError }
 
-func (e *unknownOutcomeError) Error() string { return ErrUnknownOutcome.Error() + ": " + e.cause.Error() }
+func (e *unknownOutcomeError) Error() string {
+	return ErrUnknownOutcome.Error() + ": " + e.cause.Error()
+}
 
 // Unwrap returns both, for errors.Is and errors.As.
 func (e *unknownOutcomeError) Unwrap() []error { return []error{ErrUnknownOutcome, e.cause} }
--- /dev/null
+++ b/pkg/standin/engine_http_test.go
@@ -0,0 +1,272 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/engine"
+)
+
+// startLoaded starts an engine with the model "a" ready.
+func startLoaded(t *testing.T, config EngineConfig) *EngineServer {
+	t.Helper()
+	server := startEngine(t, config)
+	if result := server.Order(loadOrder(1, "a", gibibyte)); result.Status != engine.OrderAccepted {
+		t.Fatalf("load: %+v", result)
+	}
+	waitReady(t, server.Engine, "a")
+	return server
+}
+
+const streamBody = `{"model":"a","prompt":"p","max_tokens":200,"stream":true}`
+
+func requestID(id string) map[string]string {
+	return map[string]string{engine.HeaderRequestID: id}
+}
+
+// waitFor polls until done holds; the test's time-out bounds it.
+func waitFor(done func() bool) {
+	for !done() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestCallerThatLeavesStopsItsRequest(t *testing.T) {
+	server := startLoaded(t, testConfig())
+	ctx, cancel := context.WithCancel(t.Context())
+	response := post(t, ctx, server.Address(), "/v1/completions", strings.Replace(streamBody, "200", "8000", 1), requestID("r"))
+	if _, err := response.Body.Read(make([]byte, 10)); err != nil {
+		t.Fatal(err)
+	}
+	if server.Idle() {
+		t.Fatal("nothing runs")
+	}
+	cancel()
+	waitFor(server.Idle)
+}
+
+func TestResumedStreamIsTheSameRest(t *testing.T) {
+	for _, received := range []int{0, 1, 57, 200, 201} {
+		t.Run(fmt.Sprint(received), func(t *testing.T) {
+			server := startLoaded(t, testConfig())
+			ctx, cancel := context.WithCancel(t.Context())
+			first := post(t, ctx, server.Address(), "/v1/completions", streamBody, requestID("r"))
+			if _, err := first.Body.Read(make([]byte, 1)); err != nil {
+				t.Fatal(err)
+			}
+			cancel()
+			waitFor(server.Idle)
+			headers := requestID("r")
+			headers[engine.HeaderResumeFrom] = fmt.Sprint(received)
+			events, done := readEvents(t, post(t, t.Context(), server.Address(), "/v1/completions", streamBody, headers).Body)
+			want := strings.SplitAfter(AnswerText("a", "p", "r", 200), " ")
+			want = want[:200] // without the empty rest
+			rest := strings.Join(want[min(received, 200):], "")
+			if got := textOf(t, events); got != rest || !done || len(events) != 201-received {
+				t.Errorf("%d events, done %t, text %.60q, want %.60q", len(events), done, got, rest)
+			}
+			if executed := server.Executed(); executed["r"] != 1 {
+				t.Errorf("executed %v", executed)
+			}
+		})
+	}
+}
+
+func TestResumeTakesTheStreamOverFromAnOlderConnection(t *testing.T) {
+	server := startLoaded(t, testConfig())
+	long := strings.Replace(streamBody, "200", "2000", 1)
+	older := post(t, t.Context(), server.Address(), "/v1/completions", long, requestID("r"))
+	headers := requestID("r")
+	headers[engine.HeaderResumeFrom] = "0"
+	newer := post(t, t.Context(), server.Address(), "/v1/completions", long, headers)
+	events, done := readEvents(t, newer.Body)
+	if !done || textOf(t, events) != AnswerText("a", "p", "r", 2000) {
+		t.Errorf("%d events, done %t", len(events), done)
+	}
+	if _, done := readEvents(t, older.Body); done {
+		t.Error("the older connection got the end mark too")
+	}
+}
+
+func TestRequestMovesBetweenEnginesWithItsKVCache(t *testing.T) {
+	from, to := startLoaded(t, testConfig()), startLoaded(t, testConfig())
+	client := engine.NewHTTPClient(engine.HTTPClientConfig{})
+	long := strings.Replace(streamBody, "200", "4000", 1)
+	first := post(t, t.Context(), from.Address(), "/v1/completions", long, requestID("r"))
+	if _, err := first.Body.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	export, err := client.ExportKV(t.Context(), from.Address(), engine.KVExportRequest{RequestID: "r", Cancel: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := client.ImportKV(t.Context(), to.Address(), export); err != nil {
+		t.Fatal(err)
+	}
+	headers := requestID("r")
+	headers[engine.HeaderResumeFrom] = "0"
+	events, done := readEvents(t, post(t, t.Context(), to.Address(), "/v1/completions", long, headers).Body)
+	if !done || textOf(t, events) != AnswerText("a", "p", "r", 4000) {
+		t.Errorf("%d events, done %t", len(events), done)
+	}
+	if len(to.Executed()) != 0 || from.Executed()["r"] != 1 || !from.Idle() {
+		t.Errorf("executed %v and %v", from.Executed(), to.Executed())
+	}
+}
+
+func TestLeavingEngineRefusesNewWorkAndFinishesItsStreams(t *testing.T) {
+	server := startLoaded(t, testConfig())
+	running := post(t, t.Context(), server.Address(), "/v1/completions", streamBody, requestID("r"))
+	post(t, t.Context(), server.Address(), PathLeave, "", nil)
+	refused := post(t, t.Context(), server.Address(), "/v1/completions", streamBody, requestID("s"))
+	if refused.StatusCode != http.StatusServiceUnavailable || refused.Header.Get(engine.HeaderLeaving) != "true" || refused.Header.Get(engine.HeaderNotRun) != "true" {
+		t.Errorf("status %d, headers %v", refused.StatusCode, refused.Header)
+	}
+	if result := server.Order(loadOrder(2, "b", gibibyte)); result.Status != engine.OrderLeaving {
+		t.Errorf("load: %+v", result)
+	}
+	if !server.Inventory(engine.InventoryRequest{}).Leaving {
+		t.Error("inventory does not tell")
+	}
+	stopped := make(chan struct{})
+	go func() {
+		server.Stop(t.Context())
+		close(stopped)
+	}()
+	if events, done := readEvents(t, running.Body); !done || textOf(t, events) != AnswerText("a", "p", "r", 200) {
+		t.Errorf("%d events, done %t", len(events), done)
+	}
+	<-stopped
+	if server.Executed()["s"] != 0 {
+		t.Error("the refused request ran")
+	}
+}
+
+func TestAnswerFaultsShow(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults Faults
+		check  func(text string, done bool) bool // of the stream
+	}{
+		{"none", Faults{}, func(text string, done bool) bool { return done && text == AnswerText("a", "p", "r", 200) }},
+		{"cut", Faults{CutAnswers: 1}, func(text string, done bool) bool { return !done }},
+		{"truncated", Faults{TruncateAnswers: 1}, func(text string, done bool) bool {
+			return !done && text == AnswerText("a", "p", "r", 100)
+		}},
+		{"mixed", Faults{MixAnswers: 1}, func(text string, done bool) bool {
+			return done && strings.HasPrefix(text, AnswerText("a", "p", "r", 100)) && strings.Contains(text, Mark("a", "other p"))
+		}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			server := startLoaded(t, testConfig())
+			server.SetFaults(PartRequests, test.faults)
+			events, done := readEvents(t, post(t, t.Context(), server.Address(), "/v1/completions", streamBody, requestID("r")).Body)
+			if text := textOf(t, events); !test.check(text, done) {
+				t.Errorf("done %t, text %.80q", done, text)
+			}
+			server.SetFaults(PartRequests, test.faults)
+			whole := post(t, t.Context(), server.Address(), "/v1/completions", strings.Replace(streamBody, "true", "false", 1), requestID("r"))
+			body, err := io.ReadAll(whole.Body)
+			sound := err == nil && json.Valid(body) && strings.Contains(string(body), AnswerText("a", "p", "r", 200))
+			if sound != (test.name == "none") {
+				t.Errorf("whole answer %.80q, error %v", body, err)
+			}
+		})
+	}
+}
+
+func TestLostAnswerOfAnOrderIsSettledByRepeatingIt(t *testing.T) {
+	server := startEngine(t, testConfig())
+	client := engine.NewHTTPClient(engine.HTTPClientConfig{})
+	server.SetFaults(PartOrders, Faults{LoseAnswers: 1})
+	order := loadOrder(1, "a", gibibyte)
+	if _, err := client.Order(t.Context(), server.Address(), order); !errors.Is(err, engine.ErrUnknownOutcome) {
+		t.Fatalf("error %v", err)
+	}
+	result, err := client.Order(t.Context(), server.Address(), order)
+	if err != nil || result.Status != engine.OrderAccepted {
+		t.Errorf("repeated: %+v, %v", result, err)
+	}
+	if items := server.Inventory(engine.InventoryRequest{}).Items; len(items) != 1 {
+		t.Errorf("items %+v", items)
+	}
+}
+
+func TestFrozenEngineExecutesItsBufferWhenThawedAndJudgesByFence(t *testing.T) {
+	server := startLoaded(t, testConfig())
+	client := engine.NewHTTPClient(engine.HTTPClientConfig{})
+	server.SetFaults(PartEngine, Faults{Freeze: true})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := client.Order(ctx, server.Address(), loadOrder(5, "old", gibibyte)); !errors.Is(err, engine.ErrUnknownOutcome) {
+		t.Fatalf("order to a frozen engine: %v", err)
+	}
+	server.SetFaults(PartEngine, Faults{})
+	waitFor(func() bool { return server.Inventory(engine.InventoryRequest{}).Fence == 5 })
+
+	server.SetFaults(PartOrders, Faults{Freeze: true})
+	results := make(chan engine.OrderResult, 1)
+	go func() {
+		result, _ := client.Order(t.Context(), server.Address(), loadOrder(6, "stale", gibibyte))
+		results <- result
+	}()
+	server.Inventory(engine.InventoryRequest{Fence: 7}) // a new owner, past the frozen part
+	server.SetFaults(PartOrders, Faults{})
+	if result := <-results; result.Status != engine.OrderStaleFence {
+		t.Errorf("order of the old owner: %+v", result)
+	}
+}
+
+func TestMalformedRequestsAreRefused(t *testing.T) {
+	server := startLoaded(t, testConfig())
+	cases := []struct {
+		name, path, body string
+		headers          map[string]string
+		status           int
+	}{
+		{"no JSON", "/v1/chat/completions", "{", nil, http.StatusBadRequest},
+		{"bad priority", "/v1/completions", streamBody, map[string]string{engine.HeaderPriority: "high"}, http.StatusBadRequest},
+		{"bad deadline", "/v1/completions", streamBody, map[string]string{engine.HeaderDeadline: "soon"}, http.StatusBadRequest},
+		{"bad resume", "/v1/completions", streamBody, map[string]string{engine.HeaderResumeFrom: "-1"}, http.StatusBadRequest},
+		{"unknown resume", "/v1/completions", streamBody, map[string]string{engine.HeaderRequestID: "x", engine.HeaderResumeFrom: "1"}, http.StatusNotFound},
+		{"unknown model", "/v1/completions", `{"model":"b","prompt":"p"}`, nil, http.StatusNotFound},
+		{"too long", "/v1/completions", `{"model":"a","prompt":"` + strings.Repeat("x", 400_000) + `"}`, nil, http.StatusBadRequest},
+		{"bad order", engine.PathOrders, `[]`, nil, http.StatusBadRequest},
+		{"unknown cancel", engine.PathCancel, `{"request_id":"x"}`, nil, http.StatusNotFound},
+	}
+	for _, test := range cases {
+		response := post(t, t.Context(), server.Address(), test.path, test.body, test.headers)
+		if response.StatusCode != test.status {
+			t.Errorf("%s: status %d, want %d", test.name, response.StatusCode, test.status)
+		}
+	}
+	if executed := server.Executed(); len(executed) != 0 {
+		t.Errorf("executed %v", executed)
+	}
+}
+
+func TestFailedLoadHoldsNoMemory(t *testing.T) {
+	server := startEngine(t, testConfig())
+	server.SetFaults(PartOrders, Faults{FailLoads: 1})
+	server.Order(loadOrder(1, "a", 8*gibibyte))
+	waitFor(func() bool {
+		return server.Inventory(engine.InventoryRequest{}).Items[0].State == engine.ItemFailed
+	})
+	if used := server.Inventory(engine.InventoryRequest{}).UsedBytes; used != 0 {
+		t.Errorf("%d bytes used", used)
+	}
+	if result := server.Order(loadOrder(api.Fence(2), "a", 8*gibibyte)); result.Status != engine.OrderAccepted {
+		t.Errorf("load again: %+v", result)
+	}
+	waitReady(t, server.Engine, "a")
+}
--- a/pkg/standin/engine_state.go
+++ b/pkg/standin/engine_state.go
@@ -223,10 +223,13 @@
 	}
 }
 
-// load returns the newest report that is at least as old as the lag.
+// load returns the load as it was before the lag.
 func (s *engineState) load() engine.LoadReport {
-	if len(s.reports) == 0 || s.now.Sub(s.reports[0].AsOf) < s.config.LoadReportLag {
-		return engine.LoadReport{Instance: s.instance, AsOf: s.now.Add(-s.config.LoadReportLag)}
+	seen := s.now.Add(-s.config.LoadReportLag)
+	if len(s.reports) == 0 || s.reports[0].AsOf.After(seen) {
+		return engine.LoadReport{Instance: s.instance, AsOf: seen}
 	}
-	return s.reports[0]
+	report := s.reports[0]
+	report.AsOf = seen
+	return report
 }
