--- a/pkg/standin/batch.go
+++ b/pkg/standin/batch.go
@@ -73,14 +73,6 @@
 	}
 }
 
-// end takes the generation out of the batch.
-func (g *generation) end(phase phase, now time.Time) {
-	g.phase = phase
-	g.kvBytes = 0
-	g.endedAt = now
-	g.signal()
-}
-
 // before tells whether g goes into the batch before other.
 func (g *generation) before(other *generation) bool {
 	if g.priority != other.priority {
@@ -94,9 +86,16 @@
 type batch struct {
 	generations map[string]*generation // by request ID
 	active      []*generation          // queued or running
+	retired     []retirement           // oldest first
 	arrivals    uint64
 }
 
+// retirement is the end of a generation, which may have been resumed since.
+type retirement struct {
+	generation *generation
+	at         time.Time
+}
+
 func (b *batch) add(g *generation) {
 	b.arrivals++
 	g.arrival = b.arrivals
@@ -105,6 +104,20 @@
 	b.active = append(b.active, g)
 }
 
+// end takes the generation out of the batch; compact must follow.
+func (b *batch) end(g *generation, phase phase, now time.Time) {
+	g.phase = phase
+	g.kvBytes = 0
+	g.endedAt = now
+	b.retired = append(b.retired, retirement{generation: g, at: now})
+	g.signal()
+}
+
+func (b *batch) refuse(g *generation, reason string, now time.Time) {
+	g.refusal = reason
+	b.end(g, phaseRefused, now)
+}
+
 // compact forgets the active generations that have ended.
 func (b *batch) compact() {
 	kept := b.active[:0]
@@ -178,17 +191,12 @@
 func (b *batch) refuseQueued(model api.ModelName, now time.Time) {
 	for _, g := range b.active {
 		if g.model == model && g.phase == phaseQueued && !g.started {
-			g.refuse("the model is being unloaded", now)
+			b.refuse(g, "the model is being unloaded", now)
 		}
 	}
 	b.compact()
 }
 
-func (g *generation) refuse(reason string, now time.Time) {
-	g.refusal = reason
-	g.end(phaseRefused, now)
-}
-
 // decodeRate returns the tokens a second of each decoding request.
 func (b *batch) decodeRate(config EngineConfig) float64 {
 	size := b.count(phasePrefill) + b.count(phaseDecoding)
@@ -254,7 +262,7 @@
 			before := g.tokens()
 			g.produced += decode * step.Seconds()
 			if g.tokens() == g.target {
-				g.end(phaseFinished, now)
+				b.end(g, phaseFinished, now)
 				ended = true
 			} else if g.tokens() > before {
 				g.signal()
@@ -271,14 +279,21 @@
 func (b *batch) expire(now time.Time, resumeWindow time.Duration) {
 	for _, g := range b.active {
 		if g.phase == phaseQueued && !g.started && !g.deadline.IsZero() && now.After(g.deadline) {
-			g.refuse("the deadline passed in the queue", now)
+			b.refuse(g, "the deadline passed in the queue", now)
 		}
 	}
 	b.compact()
-	for id, g := range b.generations {
-		if g.ended() && now.Sub(g.endedAt) > resumeWindow {
-			delete(b.generations, id)
-		}
+	for len(b.retired) > 0 && now.Sub(b.retired[0].at) > resumeWindow {
+		b.forget(b.retired[0])
+		b.retired = b.retired[1:]
+	}
+}
+
+// forget drops a generation that was not resumed nor replaced since it ended.
+func (b *batch) forget(old retirement) {
+	g := old.generation
+	if g.ended() && g.endedAt.Equal(old.at) && b.generations[g.id] == g {
+		delete(b.generations, g.id)
 	}
 }
 
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -37,6 +37,7 @@
 
 	mutex     sync.Mutex
 	state     *engineState
+	stepped   chan struct{} // closed on the next change
 	wasFrozen bool          // its time stood still since the last step
 	left      chan struct{} // closed when leaving starts
 }
@@ -52,6 +53,7 @@
 		faults:  newFaultSet(),
 		wake:    make(chan struct{}, 1),
 		state:   newEngineState(config, uuid.NewString(), clock.Now()),
+		stepped: make(chan struct{}),
 		left:    make(chan struct{}),
 	}
 	e.faults.onSet = e.noteFreeze
@@ -82,6 +84,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.advance()
+	e.notify()
 	for next := e.state.nextLoad(); next != nil; next = e.state.nextLoad() {
 		next.fetching = true
 		loads.Go(func() { e.fetch(ctx, next) })
@@ -103,6 +106,54 @@
 	e.state.advance(e.clock.Now())
 }
 
+// notify wakes those that wait for a change of the state.
+func (e *Engine) notify() {
+	close(e.stepped)
+	e.stepped = make(chan struct{})
+}
+
+// waitUntil waits until holds is true of the state. It returns false when ctx
+// ended earlier.
+func (e *Engine) waitUntil(ctx context.Context, holds func(*engineState) bool) bool {
+	for {
+		e.mutex.Lock()
+		held, stepped := holds(e.state), e.stepped
+		e.mutex.Unlock()
+		if held {
+			return true
+		}
+		select {
+		case <-stepped:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// WaitState waits until the model or adapter is in the state. It returns false
+// when ctx ended earlier.
+func (e *Engine) WaitState(ctx context.Context, model api.ModelName, state engine.ItemState) bool {
+	return e.waitUntil(ctx, func(now *engineState) bool {
+		held, ok := now.items[model]
+		return ok && held.State == state
+	})
+}
+
+// WaitGone waits until the model or adapter holds no memory. It returns false
+// when ctx ended earlier.
+func (e *Engine) WaitGone(ctx context.Context, model api.ModelName) bool {
+	return e.waitUntil(ctx, func(now *engineState) bool {
+		held, ok := now.items[model]
+		return !ok || held.State == engine.ItemFailed
+	})
+}
+
+// WaitIdle waits until no request is queued or running. It returns false when
+// ctx ended earlier.
+func (e *Engine) WaitIdle(ctx context.Context) bool {
+	return e.waitUntil(ctx, func(now *engineState) bool { return len(now.batch.active) == 0 })
+}
+
 func (e *Engine) noteFreeze(part string, faults Faults) {
 	if part != PartEngine || !faults.Freeze {
 		return
@@ -117,6 +168,7 @@
 	e.mutex.Lock()
 	e.advance()
 	change(e.state)
+	e.notify()
 	e.mutex.Unlock()
 	select {
 	case e.wake <- struct{}{}:
@@ -170,12 +222,6 @@
 	})
 }
 
-// Idle tells whether no request is queued or running.
-func (e *Engine) Idle() (idle bool) {
-	e.update(func(state *engineState) { idle = len(state.batch.active) == 0 })
-	return idle
-}
-
 // Executed returns how often each request was started, by its idempotency key,
 // or by its request ID if it has none. Resumed requests don't count again.
 func (e *Engine) Executed() map[string]int {
--- a/pkg/standin/engine_http_test.go
+++ b/pkg/standin/engine_http_test.go
@@ -5,10 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -33,11 +33,11 @@
 	return map[string]string{engine.HeaderRequestID: id}
 }
 
-// waitFor polls until done holds; the test's time-out bounds it.
-func waitFor(done func() bool) {
-	for !done() {
-		time.Sleep(time.Millisecond)
-	}
+// idle tells whether the engine has no request at present.
+func idle(e *Engine) bool {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	return e.WaitIdle(ended)
 }
 
 func TestCallerThatLeavesStopsItsRequest(t *testing.T) {
@@ -47,11 +47,11 @@
 	if _, err := response.Body.Read(make([]byte, 10)); err != nil {
 		t.Fatal(err)
 	}
-	if server.Idle() {
+	if idle(server.Engine) {
 		t.Fatal("nothing runs")
 	}
 	cancel()
-	waitFor(server.Idle)
+	server.WaitIdle(t.Context())
 }
 
 func TestResumedStreamIsTheSameRest(t *testing.T) {
@@ -64,7 +64,7 @@
 				t.Fatal(err)
 			}
 			cancel()
-			waitFor(server.Idle)
+			server.WaitIdle(t.Context())
 			headers := requestID("r")
 			headers[engine.HeaderResumeFrom] = fmt.Sprint(received)
 			events, done := readEvents(t, post(t, t.Context(), server.Address(), "/v1/completions", streamBody, headers).Body)
@@ -118,7 +118,7 @@
 	if !done || textOf(t, events) != AnswerText("a", "p", "r", 4000) {
 		t.Errorf("%d events, done %t", len(events), done)
 	}
-	if len(to.Executed()) != 0 || from.Executed()["r"] != 1 || !from.Idle() {
+	if len(to.Executed()) != 0 || from.Executed()["r"] != 1 || !idle(from.Engine) {
 		t.Errorf("executed %v and %v", from.Executed(), to.Executed())
 	}
 }
@@ -202,18 +202,32 @@
 	}
 }
 
+// cancelOnWrite is a connection that ends a context once a request is sent.
+type cancelOnWrite struct {
+	net.Conn
+	cancel context.CancelFunc
+}
+
+func (c cancelOnWrite) Write(data []byte) (int, error) {
+	defer c.cancel()
+	return c.Conn.Write(data)
+}
+
 func TestFrozenEngineExecutesItsBufferWhenThawedAndJudgesByFence(t *testing.T) {
 	server := startLoaded(t, testConfig())
-	client := engine.NewHTTPClient(engine.HTTPClientConfig{})
+	ctx, cancel := context.WithCancel(t.Context())
+	client := engine.NewHTTPClient(engine.HTTPClientConfig{Dial: func(address string) (net.Conn, error) {
+		connection, err := net.Dial("tcp", address)
+		return cancelOnWrite{connection, cancel}, err
+	}})
 	server.SetFaults(PartEngine, Faults{Freeze: true})
-	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
-	defer cancel()
 	if _, err := client.Order(ctx, server.Address(), loadOrder(5, "old", gibibyte)); !errors.Is(err, engine.ErrUnknownOutcome) {
 		t.Fatalf("order to a frozen engine: %v", err)
 	}
 	server.SetFaults(PartEngine, Faults{})
-	waitFor(func() bool { return server.Inventory(engine.InventoryRequest{}).Fence == 5 })
+	waitReady(t, server.Engine, "old")
 
+	client = engine.NewHTTPClient(engine.HTTPClientConfig{})
 	server.SetFaults(PartOrders, Faults{Freeze: true})
 	results := make(chan engine.OrderResult, 1)
 	go func() {
@@ -259,9 +273,7 @@
 	server := startEngine(t, testConfig())
 	server.SetFaults(PartOrders, Faults{FailLoads: 1})
 	server.Order(loadOrder(1, "a", 8*gibibyte))
-	waitFor(func() bool {
-		return server.Inventory(engine.InventoryRequest{}).Items[0].State == engine.ItemFailed
-	})
+	server.WaitState(t.Context(), "a", engine.ItemFailed)
 	if used := server.Inventory(engine.InventoryRequest{}).UsedBytes; used != 0 {
 		t.Errorf("%d bytes used", used)
 	}
--- a/pkg/standin/engine_openai.go
+++ b/pkg/standin/engine_openai.go
@@ -301,9 +301,11 @@
 		}
 		for events.tokens < now.tokens {
 			if events.tokens == cutAt {
+				events.flush()
 				panic(http.ErrAbortHandler)
 			}
 			if events.tokens == truncateAt {
+				events.flush()
 				return
 			}
 			events.token()
--- a/pkg/standin/engine_requests.go
+++ b/pkg/standin/engine_requests.go
@@ -63,7 +63,7 @@
 	if g.ended() {
 		return
 	}
-	g.end(phaseCancelled, s.now)
+	s.batch.end(g, phaseCancelled, s.now)
 	s.batch.compact()
 }
 
@@ -155,7 +155,7 @@
 	g.cachedTokens = data.Cached
 	g.started = data.Started
 	g.prefillLeft = data.PrefillLeft
-	g.end(phaseCancelled, s.now)
+	s.batch.end(g, phaseCancelled, s.now)
 	s.batch.generations[g.id] = g
 	return nil
 }
--- a/pkg/standin/engine_state.go
+++ b/pkg/standin/engine_state.go
@@ -39,7 +39,8 @@
 	prefixes  *prefixCache
 	batch     batch
 	executed  map[string]int      // starts by idempotency key or request ID
-	reports   []engine.LoadReport // older than the lag, but for the first
+	reports   []engine.LoadReport // none older than the lag but the first
+	reportDue bool                // the state may have changed since the last one
 }
 
 func newEngineState(config EngineConfig, instance string, now time.Time) *engineState {
@@ -137,6 +138,9 @@
 // nothing is going on.
 func (s *engineState) nextEvent() (time.Duration, bool) {
 	limit, busy := s.batch.nextToken(s.config)
+	if s.reportDue {
+		limit, busy = min(limit, s.reportInterval()), true
+	}
 	for _, held := range s.items {
 		if held.State == engine.ItemUnloading {
 			limit, busy = min(limit, max(held.unloadedAt.Sub(s.now), time.Millisecond)), true
@@ -203,8 +207,14 @@
 	return inventory
 }
 
-// recordLoad keeps the load as it is now for later reports.
+// recordLoad keeps the load as it is now for later reports, unless the last
+// record is fresh.
 func (s *engineState) recordLoad() {
+	last := len(s.reports) - 1
+	s.reportDue = last >= 0 && s.now.Sub(s.reports[last].AsOf) < s.reportInterval()
+	if s.reportDue {
+		return
+	}
 	report := engine.LoadReport{Instance: s.instance, AsOf: s.now, Leaving: s.leaving}
 	for name, held := range s.items {
 		if held.State == engine.ItemReady {
@@ -212,17 +222,17 @@
 		}
 	}
 	sort.Slice(report.Models, func(i, j int) bool { return report.Models[i].Model < report.Models[j].Model })
-	last := len(s.reports) - 1
-	if last > 0 && s.now.Sub(s.reports[last-1].AsOf) < s.config.LoadReportLag/8 {
-		s.reports[last] = report
-	} else {
-		s.reports = append(s.reports, report)
-	}
+	s.reports = append(s.reports, report)
 	for len(s.reports) > 1 && s.now.Sub(s.reports[1].AsOf) >= s.config.LoadReportLag {
 		s.reports = s.reports[1:]
 	}
 }
 
+// reportInterval is how often the load is recorded.
+func (s *engineState) reportInterval() time.Duration {
+	return s.config.LoadReportLag / 8
+}
+
 // load returns the load as it was before the lag.
 func (s *engineState) load() engine.LoadReport {
 	seen := s.now.Add(-s.config.LoadReportLag)
--- a/pkg/standin/engine_test.go
+++ b/pkg/standin/engine_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/engine"
@@ -19,7 +18,7 @@
 	config.ID = "a1"
 	config.MemoryBytes = 10 * gibibyte
 	config.KVReserveBytes = gibibyte
-	config.Speed = 20
+	config.Speed = 100
 	return config
 }
 
@@ -40,19 +39,10 @@
 	}
 }
 
-// waitReady polls until the model is ready.
 func waitReady(t *testing.T, e *Engine, model api.ModelName) {
 	t.Helper()
-	for {
-		for _, item := range e.Inventory(engine.InventoryRequest{}).Items {
-			if item.Model == model && item.State == engine.ItemReady {
-				return
-			}
-		}
-		if t.Context().Err() != nil {
-			t.Fatal("model never ready")
-		}
-		time.Sleep(time.Millisecond)
+	if !e.WaitState(t.Context(), model, engine.ItemReady) {
+		t.Fatal("model never ready")
 	}
 }
 
@@ -150,9 +140,7 @@
 	if result, err = client.Order(t.Context(), server.Address(), unload); err != nil || result.Status != engine.OrderAccepted {
 		t.Fatalf("unload: %+v, %v", result, err)
 	}
-	for len(server.Inventory(engine.InventoryRequest{}).Items) > 0 {
-		time.Sleep(time.Millisecond)
-	}
+	server.WaitGone(t.Context(), "glaze-7b")
 	refused := post(t, t.Context(), server.Address(), "/v1/completions", `{"model":"glaze-7b","prompt":"x"}`, nil)
 	if refused.StatusCode != http.StatusNotFound || refused.Header.Get(engine.HeaderNotRun) != "true" {
 		t.Errorf("status %d, headers %v", refused.StatusCode, refused.Header)
--- /dev/null
+++ b/pkg/standin/platform_test.go
@@ -0,0 +1,235 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/engine"
+	"martenwheel.dev/pkg/platform"
+)
+
+func TestWeightStoreLimitsStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		weights := NewPlatform(DefaultPlatformConfig()).Weights()
+		started := 0
+		for range 100 { // ten seconds
+			if _, err := weights.Start(t.Context(), "c", gibibyte); err == nil {
+				started++
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if started < 20 || started > 22 { // two a second and a burst of two
+			t.Errorf("%d starts in 10 s at 2 a second", started)
+		}
+	})
+}
+
+func TestWeightStoreSlowsDownBeyondItsSlots(t *testing.T) {
+	cases := []struct {
+		transfers int
+		faults    Faults
+		slower    float64
+	}{
+		{1, Faults{}, 1},
+		{8, Faults{}, 1},
+		{16, Faults{}, 2},
+		{1, Faults{SlowFactor: 10}, 10},
+	}
+	for _, test := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			config := DefaultPlatformConfig()
+			config.LoadStartsPerSecond = 100
+			p := NewPlatform(config)
+			p.SetFaults(PartWeights, test.faults)
+			last := ""
+			for range test.transfers {
+				var err error
+				if last, err = p.Weights().Start(t.Context(), "c", 100*gibibyte); err != nil {
+					t.Fatal(err)
+				}
+			}
+			time.Sleep(10 * time.Second)
+			fetched, err := p.Weights().Fetched(t.Context(), last)
+			want := config.LoadBytesPerSecond * 10 / test.slower
+			if err != nil || math.Abs(float64(fetched)-want) > want/1000 {
+				t.Errorf("%d transfers: %d bytes in 10 s, want %.0f, error %v", test.transfers, fetched, want, err)
+			}
+		})
+	}
+}
+
+func TestWeightStoreDropsATransferThatNobodyAsksAbout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		weights := NewPlatform(DefaultPlatformConfig()).Weights()
+		id, err := weights.Start(t.Context(), "c", 1000*gibibyte)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(transferLease + time.Second)
+		if _, err := weights.Fetched(t.Context(), id); err != ErrUnknownTransfer {
+			t.Errorf("error %v", err)
+		}
+	})
+}
+
+// runEngine runs an engine on the platform's weight store while test runs, in
+// virtual time.
+func runEngine(t *testing.T, config EngineConfig, test func(t *testing.T, e *Engine, p *Platform)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPlatform(DefaultPlatformConfig())
+		e := NewEngine(config, p.Weights())
+		ctx, cancel := context.WithCancel(t.Context())
+		var group conc.WaitGroup
+		group.Go(func() { e.Run(ctx) })
+		test(t, e, p)
+		cancel()
+		group.Wait()
+	})
+}
+
+// timeLoad loads the model and returns how long that took.
+func timeLoad(t *testing.T, e *Engine, order engine.Order) time.Duration {
+	t.Helper()
+	started := time.Now()
+	if result := e.Order(order); result.Status != engine.OrderAccepted {
+		t.Fatalf("load: %+v", result)
+	}
+	waitReady(t, e, order.Model)
+	return time.Since(started)
+}
+
+func unloadNow(t *testing.T, e *Engine, fence api.Fence, model api.ModelName) {
+	t.Helper()
+	e.Order(engine.Order{ID: "u", Fence: fence, Kind: engine.OrderUnload, Model: model})
+	e.WaitGone(t.Context(), model)
+}
+
+func TestLoadIsFasterFromDiskAndMemory(t *testing.T) {
+	config := testConfig()
+	config.Speed = 1
+	config.HostCacheBytes = 4 * gibibyte
+	config.DiskCacheBytes = 8 * gibibyte
+	runEngine(t, config, func(t *testing.T, e *Engine, _ *Platform) {
+		remote := timeLoad(t, e, loadOrder(1, "a", 4*gibibyte))
+		unloadNow(t, e, 2, "a")
+		memory := timeLoad(t, e, loadOrder(3, "a", 4*gibibyte))
+		unloadNow(t, e, 4, "a")
+		timeLoad(t, e, loadOrder(5, "b", 4*gibibyte)) // takes the place in memory
+		unloadNow(t, e, 6, "b")
+		disk := timeLoad(t, e, loadOrder(7, "a", 4*gibibyte))
+		if memory > 300*time.Millisecond || disk < 700*time.Millisecond || disk > time.Second || remote < 2*time.Second || remote > 3*time.Second {
+			t.Errorf("memory %v, disk %v, remote %v", memory, disk, remote)
+		}
+		cached := e.Inventory(engine.InventoryRequest{}).Cached
+		want := []engine.CachedCheckpoint{{Checkpoint: "c-a", Tier: engine.TierMemory}, {Checkpoint: "c-b", Tier: engine.TierDisk}}
+		if fmt.Sprint(cached) != fmt.Sprint(want) {
+			t.Errorf("cached %v, want %v", cached, want)
+		}
+	})
+}
+
+func TestUrgentLoadGoesFirst(t *testing.T) {
+	config := testConfig()
+	config.Speed = 1
+	config.ParallelLoads = 1
+	runEngine(t, config, func(t *testing.T, e *Engine, _ *Platform) {
+		for i := range 3 {
+			order := loadOrder(api.Fence(i+1), api.ModelName(fmt.Sprint("m", i)), 2*gibibyte)
+			order.Urgent = i == 2
+			e.Order(order)
+		}
+		waitReady(t, e, "m2")
+		ready := 0
+		for _, item := range e.Inventory(engine.InventoryRequest{}).Items {
+			if item.State == engine.ItemReady {
+				ready++
+			}
+		}
+		if ready > 2 { // the first one may have been under way
+			t.Errorf("%d models ready when the urgent one was", ready)
+		}
+	})
+}
+
+func TestUnloadStopsALoad(t *testing.T) {
+	config := testConfig()
+	config.Speed = 1
+	runEngine(t, config, func(t *testing.T, e *Engine, p *Platform) {
+		e.Order(loadOrder(1, "a", 8*gibibyte))
+		time.Sleep(time.Second)
+		unloadNow(t, e, 2, "a")
+		if used := e.Inventory(engine.InventoryRequest{}).UsedBytes; used != 0 {
+			t.Errorf("%d bytes used", used)
+		}
+		time.Sleep(time.Second)
+		p.weights.mutex.Lock()
+		defer p.weights.mutex.Unlock()
+		if len(p.weights.transfers) != 0 {
+			t.Errorf("%d transfers go on", len(p.weights.transfers))
+		}
+	})
+}
+
+func TestMachineListLagsAndKeepsGoneMachines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		config := DefaultPlatformConfig()
+		p := NewPlatform(config)
+		state := func() platform.MachineState {
+			list := p.machines.list("r")
+			if len(list.Machines) == 0 {
+				return ""
+			}
+			return list.Machines[0].State
+		}
+		previous := platform.MachineState("")
+		for _, next := range []platform.MachineState{platform.MachineLive, platform.MachineLeaving, platform.MachineGone} {
+			p.PutMachine(platform.Machine{ID: "a1", Region: "r", State: next})
+			time.Sleep(config.MachineListLag - time.Millisecond)
+			if got := state(); got != previous {
+				t.Errorf("state %q before the lag, want %q", got, previous)
+			}
+			time.Sleep(time.Millisecond)
+			if got := state(); got != next {
+				t.Errorf("state %q after the lag, want %q", got, next)
+			}
+			previous = next
+		}
+	})
+}
+
+func TestTableServiceForgetsTokensAndLimitsItsRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := NewPlatform(DefaultPlatformConfig()).table
+		key := recordKey{partition: "p", key: "k"}
+		put := []action{{key: key, condition: condition{missing: true}, put: record{}}}
+		if got := table.transact("t", 1, put); got.failed != nil || got.mismatch {
+			t.Fatalf("first: %+v", got)
+		}
+		time.Sleep(tokenMemory)
+		if got := table.transact("t", 1, put); got.failed != nil {
+			t.Errorf("repeat within the memory: %+v", got)
+		}
+		time.Sleep(time.Second)
+		if got := table.transact("t", 1, put); got.failed == nil {
+			t.Errorf("repeat after the memory had an effect: %+v", got)
+		}
+		allowed := 0
+		for range 10_000 { // ten seconds at a thousand a second
+			if table.limiter.AllowN(table.clock.Now(), 1) {
+				allowed++
+			}
+			time.Sleep(time.Millisecond)
+		}
+		if allowed < 2000 || allowed > 2210 {
+			t.Errorf("%d requests in 10 s at 200 a second", allowed)
+		}
+	})
+}
--- a/pkg/standin/server.go
+++ b/pkg/standin/server.go
@@ -12,7 +12,8 @@
 	"martenwheel.dev/pkg/platform"
 )
 
-const leavePollInterval = 20 * time.Millisecond
+// tellPlatformInterval is the wait before the platform is told again.
+const tellPlatformInterval = 200 * time.Millisecond
 
 // server serves a handler on an address.
 type server struct {
@@ -74,7 +75,7 @@
 }
 
 // ListenEngine starts an engine on address (IP:port, port 0 for any) and
-// enters it into the list of the config's platform.
+// enters it into the list of the config's platform, as soon as that answers.
 func ListenEngine(address string, config EngineConfig) (*EngineServer, error) {
 	var weights WeightSource
 	if config.Platform != "" {
@@ -87,9 +88,8 @@
 	}
 	s.group.Go(func() { e.Run(ctx) })
 	engineServer := &EngineServer{Engine: e, server: s}
-	if err := engineServer.tellPlatform(ctx, platform.MachineLive); err != nil {
-		s.Close()
-		return nil, err
+	if engineServer.tellPlatform(ctx, platform.MachineLive) != nil {
+		s.group.Go(func() { engineServer.keepTelling(ctx) })
 	}
 	s.group.Go(func() { engineServer.tellWhenLeaving(ctx) })
 	return engineServer, nil
@@ -117,6 +117,19 @@
 	return errors.Wrap(tellPlatform(ctx, s.config.Platform, s.Machine(state)), "tell the platform")
 }
 
+// keepTelling enters the engine into the list once the platform answers.
+func (s *EngineServer) keepTelling(ctx context.Context) {
+	for s.tellPlatform(ctx, platform.MachineLive) != nil {
+		select {
+		case <-time.After(tellPlatformInterval):
+		case <-s.left:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (s *EngineServer) tellWhenLeaving(ctx context.Context) {
 	select {
 	case <-s.left:
@@ -129,9 +142,7 @@
 // and closes it.
 func (s *EngineServer) Stop(ctx context.Context) {
 	s.Leave()
-	for !s.Idle() && ctx.Err() == nil {
-		time.Sleep(leavePollInterval)
-	}
+	s.WaitIdle(ctx)
 	_ = s.tellPlatform(ctx, platform.MachineGone) // it is seen to be gone otherwise
 	_ = s.http.Shutdown(ctx)                      // Close ends what is left
 	s.Close()
