--- /dev/null
+++ b/pkg/membership/probing.go
@@ -0,0 +1,327 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"martenwheel.dev/pkg/api"
+)
+
+// Limits of probing.
+const (
+	indirectProbers  = 3  // members asked to probe one that does not answer
+	verifyPerTick    = 2  // members probed because views of them differ
+	maxRelays        = 64 // probes under way on behalf of others
+	joinSeedsPerTime = 3  // seeds asked at once while no member is known
+)
+
+// probe is a probe under way.
+type probe struct {
+	target   api.NodeRef
+	sent     time.Time
+	indirect bool // others were asked to probe too
+	harmless bool // silence means nothing: the target may be dead
+}
+
+// relay is a probe under way on behalf of another node.
+type relay struct {
+	target   api.NodeID
+	origin   api.NodeRef
+	sequence uint64 // of the ProbeRequest
+	sent     time.Time
+}
+
+// timeouts returns the direct and the whole timeout of a probe of ref.
+func (m *Machine) timeouts(ref api.NodeRef) (direct, whole time.Duration) {
+	direct, whole = DirectTimeout, DirectTimeout+IndirectTimeout
+	if ref.Region != m.self.update.Ref.Region {
+		direct, whole = direct*RemoteFactor, whole*RemoteFactor
+	}
+	return direct, whole
+}
+
+// checkProbes acts on the probes that were not answered in time.
+func (m *Machine) checkProbes(now time.Time, packets []Packet) []Packet {
+	sequences := make([]uint64, 0, len(m.probes))
+	for sequence := range m.probes {
+		sequences = append(sequences, sequence)
+	}
+	slices.Sort(sequences)
+	for _, sequence := range sequences {
+		waiting := m.probes[sequence]
+		direct, whole := m.timeouts(waiting.target)
+		age := now.Sub(waiting.sent)
+		switch {
+		case age >= whole:
+			delete(m.probes, sequence)
+			m.missAnswer(now, waiting)
+		case age >= direct && !waiting.indirect && !waiting.harmless:
+			waiting.indirect = true
+			packets = m.askOthers(sequence, waiting.target, packets)
+		}
+	}
+	for sequence, relayed := range m.relays {
+		if now.Sub(relayed.sent) > ProbeInterval*RemoteFactor {
+			delete(m.relays, sequence)
+		}
+	}
+	return packets
+}
+
+// missAnswer suspects a member whose probe failed, unless it was replaced or
+// is no neighbour any more.
+func (m *Machine) missAnswer(now time.Time, missed *probe) {
+	known, exists := m.table[missed.target.ID]
+	if missed.harmless || !exists || known.update.Ref.Incarnation != missed.target.Incarnation {
+		return
+	}
+	m.suspect(now, missed.target.ID)
+}
+
+// askOthers asks random live members to probe target, of its region first.
+func (m *Machine) askOthers(sequence uint64, target api.NodeRef, packets []Packet) []Packet {
+	var near, far []api.NodeRef
+	for _, id := range sortedKeys(m.table) {
+		known := m.table[id]
+		if known == m.self || id == target.ID || known.update.State != StateAlive {
+			continue
+		}
+		if known.update.Ref.Region == target.Region {
+			near = append(near, known.update.Ref)
+		} else {
+			far = append(far, known.update.Ref)
+		}
+	}
+	m.shuffle(near)
+	m.shuffle(far)
+	helpers := append(near, far...)
+	for _, helper := range helpers[:min(indirectProbers, len(helpers))] {
+		request := ProbeRequest{Header: m.header(helper.ID), Sequence: sequence, Target: target}
+		packets = append(packets, Packet{To: helper, Message: request})
+	}
+	return packets
+}
+
+func (m *Machine) shuffle(refs []api.NodeRef) {
+	m.random.Shuffle(len(refs), func(i, j int) { refs[i], refs[j] = refs[j], refs[i] })
+}
+
+// sendProbes probes the subjects that are due.
+func (m *Machine) sendProbes(now time.Time, packets []Packet) []Packet {
+	for _, id := range m.around.subjects {
+		known, exists := m.table[id]
+		if !exists || now.Before(m.schedule[id]) {
+			continue
+		}
+		m.schedule[id] = now.Add(ProbeInterval)
+		packets = append(packets, m.probe(now, known.update.Ref, false))
+	}
+	return packets
+}
+
+// probe starts a probe of a node that may be known by its address only.
+func (m *Machine) probe(now time.Time, target api.NodeRef, harmless bool) Packet {
+	m.sequence++
+	m.probes[m.sequence] = &probe{target: target, sent: now, harmless: harmless}
+	return Packet{To: target, Message: m.probeMessage(target, m.sequence)}
+}
+
+func (m *Machine) probeMessage(target api.NodeRef, sequence uint64) Probe {
+	message := Probe{Sequence: sequence}
+	known, exists := m.table[target.ID]
+	if !exists {
+		message.Header = m.header(target.ID)
+		return message
+	}
+	message.Header = m.header(target.ID, accusation(known)...)
+	message.KnownDigest = known.digestSerial
+	message.Digest = m.newsFor(known)
+	return message
+}
+
+// accusation returns the row of a member that is not seen as alive, which the
+// member is to refute.
+func accusation(known *member) []Update {
+	if known.update.State == StateAlive {
+		return nil
+	}
+	return []Update{known.update}
+}
+
+func (m *Machine) newsFor(known *member) *DigestNews {
+	sameRegion := known.update.Ref.Region == m.self.update.Ref.Region
+	return m.digest.newsSince(known.knowsDigest, sameRegion)
+}
+
+// answerProbe answers a probe.
+func (m *Machine) answerProbe(from api.NodeRef, received Probe, packets []Packet) []Packet {
+	known := m.table[from.ID]
+	known.knowsDigest = received.KnownDigest
+	known.takeDigest(received.Digest)
+	ack := Ack{
+		Header:      m.header(from.ID, accusation(known)...),
+		Sequence:    received.Sequence,
+		KnownDigest: known.digestSerial,
+		Digest:      m.newsFor(known),
+	}
+	return append(packets, Packet{To: from, Message: ack})
+}
+
+// takeAck ends a probe that was answered, or hands the answer on to the node
+// on whose behalf the probe was sent.
+func (m *Machine) takeAck(now time.Time, from api.NodeRef, received Ack, packets []Packet) []Packet {
+	known := m.table[from.ID]
+	known.knowsDigest = received.KnownDigest
+	known.takeDigest(received.Digest)
+	if waiting, exists := m.probes[received.Sequence]; exists && waiting.answeredBy(from) {
+		delete(m.probes, received.Sequence)
+	}
+	relayed, exists := m.relays[received.Sequence]
+	if !exists || relayed.target != from.ID {
+		return packets
+	}
+	delete(m.relays, received.Sequence)
+	answer := RelayedAck{Header: m.header(relayed.origin.ID), Sequence: relayed.sequence, Target: from.ID}
+	return append(packets, Packet{To: relayed.origin, Message: answer})
+}
+
+// answeredBy tells whether an answer from a node ends the probe. A target that
+// was known by its address only is answered by whoever is there.
+func (p *probe) answeredBy(from api.NodeRef) bool {
+	return p.target.ID == "" || p.target.ID == from.ID
+}
+
+// relayProbe probes a node on behalf of another one.
+func (m *Machine) relayProbe(now time.Time, from api.NodeRef, received ProbeRequest, packets []Packet) []Packet {
+	if len(m.relays) >= maxRelays || received.Target.PeerAddress == "" {
+		return packets
+	}
+	m.sequence++
+	m.relays[m.sequence] = relay{
+		target:   received.Target.ID,
+		origin:   from,
+		sequence: received.Sequence,
+		sent:     now,
+	}
+	message := m.probeMessage(received.Target, m.sequence)
+	return append(packets, Packet{To: received.Target, Message: message})
+}
+
+func (m *Machine) takeRelayedAck(received RelayedAck) {
+	waiting, exists := m.probes[received.Sequence]
+	if exists && waiting.target.ID == received.Target {
+		delete(m.probes, received.Sequence)
+	}
+}
+
+// takeDigest takes over a change of the member's digest. A change that does
+// not fit what is known is ignored; the next message tells the member so.
+func (r *member) takeDigest(news *DigestNews) {
+	if news == nil || news.Base != 0 && news.Base != r.digestSerial {
+		return
+	}
+	cells := news.Cells
+	if news.Base != 0 {
+		cells = mergeCells(r.digest.Cells, news.Cells)
+	}
+	r.digest = Digest{TreeRevision: news.TreeRevision, Cells: cells}
+	r.digestSerial = news.Serial
+}
+
+func mergeCells(cells, changed []CellVersion) []CellVersion {
+	latest := cellsByName(changed)
+	merged := make([]CellVersion, 0, len(cells)+len(changed))
+	for _, cell := range cells {
+		if newer, exists := latest[cell.Cell]; exists {
+			cell = newer
+			delete(latest, cell.Cell)
+		}
+		merged = append(merged, cell)
+	}
+	for _, cell := range changed {
+		if _, added := latest[cell.Cell]; added {
+			merged = append(merged, cell)
+		}
+	}
+	return merged
+}
+
+// addVerify has a member probed soon because views of it differ.
+func (m *Machine) addVerify(id api.NodeID) {
+	if !slices.Contains(m.verify, id) {
+		m.verify = append(m.verify, id)
+	}
+}
+
+// verifyMembers probes some of the members that others see differently, or
+// that talk although they are seen as dead. The probe carries the accusation.
+func (m *Machine) verifyMembers(now time.Time, packets []Packet) []Packet {
+	for range verifyPerTick {
+		if len(m.verify) == 0 {
+			break
+		}
+		choice := m.random.IntN(len(m.verify))
+		id := m.verify[choice]
+		m.verify = slices.Delete(m.verify, choice, choice+1)
+		if known, exists := m.table[id]; exists && known.update.State != StateLeft {
+			packets = append(packets, m.probe(now, known.update.Ref, true))
+		}
+	}
+	return packets
+}
+
+// rejoin asks seeds for their tables while no other member is known. Later it
+// probes a dead member or an unknown seed now and then, so that the halves of
+// a healed cut find each other.
+func (m *Machine) rejoin(now time.Time, packets []Packet) []Packet {
+	if now.Before(m.nextRejoin) {
+		return packets
+	}
+	if len(m.around.all) == 0 {
+		m.nextRejoin = now.Add(SyncInterval)
+		return m.join(packets)
+	}
+	m.nextRejoin = now.Add(RejoinInterval)
+	addresses := make(map[string]bool, len(m.table))
+	var lost []api.NodeRef
+	for _, id := range sortedKeys(m.table) {
+		known := m.table[id]
+		addresses[known.update.Ref.PeerAddress] = true
+		if known.update.State == StateDead {
+			lost = append(lost, known.update.Ref)
+		}
+	}
+	for _, seed := range m.seeds {
+		if !addresses[seed] {
+			lost = append(lost, api.NodeRef{PeerAddress: seed})
+		}
+	}
+	if len(lost) == 0 {
+		return packets
+	}
+	return append(packets, m.probe(now, lost[m.random.IntN(len(lost))], true))
+}
+
+// join asks some seeds, and the dead members if all seem dead, for the table.
+func (m *Machine) join(packets []Packet) []Packet {
+	var targets []api.NodeRef
+	for _, seed := range m.seeds {
+		targets = append(targets, api.NodeRef{PeerAddress: seed})
+	}
+	m.shuffle(targets)
+	targets = targets[:min(joinSeedsPerTime, len(targets))]
+	for _, target := range targets {
+		packets = append(packets, Packet{To: target, Message: SyncRequest{Header: m.header(target.ID)}})
+	}
+	var lost []api.NodeRef
+	for _, id := range sortedKeys(m.table) {
+		if known := m.table[id]; known.update.State == StateDead {
+			lost = append(lost, known.update.Ref)
+		}
+	}
+	m.shuffle(lost)
+	for _, target := range lost[:min(joinSeedsPerTime, len(lost))] {
+		packets = append(packets, Packet{To: target, Message: Probe{Header: m.header(target.ID, m.table[target.ID].update)}})
+	}
+	return packets
+}
--- /dev/null
+++ b/pkg/membership/table.go
@@ -0,0 +1,202 @@
+package membership
+
+import (
+	"encoding/binary"
+	"math"
+	"math/bits"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"martenwheel.dev/pkg/api"
+)
+
+// member is a row of the table.
+type member struct {
+	update    Update
+	since     time.Time
+	positions [ringCount]uint64
+
+	digest       Digest // received from the member
+	digestSerial uint64 // of digest; zero if none
+	knowsDigest  uint64 // serial of the own digest that the member has
+}
+
+func newMember(update Update, now time.Time) *member {
+	return &member{update: update, since: now, positions: ringPositions(update.Ref.ID)}
+}
+
+func (r *member) public() Member {
+	return Member{Ref: r.update.Ref, State: r.update.State, Since: r.since}
+}
+
+// hash returns the row's share of the table's hash: zero unless it is live.
+// Suspicion is left out, because it settles by itself.
+func (r *member) hash() uint32 {
+	if !r.update.State.live() {
+		return 0
+	}
+	data := make([]byte, 0, 64)
+	data = append(data, r.update.Ref.ID...)
+	data = binary.BigEndian.AppendUint64(data, r.update.Ref.Incarnation)
+	data = binary.BigEndian.AppendUint32(data, r.update.Refutation)
+	return uint32(xxhash.Sum64(data))
+}
+
+// applyAll takes over updates that were heard from a node.
+func (m *Machine) applyAll(now time.Time, from api.NodeID, updates []Update) {
+	for _, update := range updates {
+		m.apply(now, from, update)
+	}
+}
+
+// apply takes over an update if it supersedes what is known, and spreads it.
+// It tells whether it did.
+func (m *Machine) apply(now time.Time, from api.NodeID, update Update) bool {
+	if update.Ref.ID == "" || update.State > StateLeft {
+		return false
+	}
+	if update.Ref.ID == m.self.update.Ref.ID {
+		m.hearOfSelf(update)
+		return false
+	}
+	known, exists := m.table[update.Ref.ID]
+	if exists && !update.supersedes(known.update) {
+		return false
+	}
+	if !exists && !update.State.live() {
+		return false // nothing to take back
+	}
+	m.store(now, known, update)
+	m.addRumour(update.Ref.ID, from)
+	return true
+}
+
+// store writes an update into the table.
+func (m *Machine) store(now time.Time, known *member, update Update) {
+	id := update.Ref.ID
+	newLife := known == nil || known.update.Ref.Incarnation != update.Ref.Incarnation
+	wasLive := known != nil && known.update.State.live()
+	if known != nil {
+		m.tableHash ^= known.hash()
+	}
+	if newLife {
+		known = newMember(update, now)
+		m.table[id] = known
+	}
+	if known.update.State != update.State {
+		known.since = now
+	}
+	known.update = update
+	m.tableHash ^= known.hash()
+	m.version++
+	m.stale = m.stale || newLife || wasLive != update.State.live()
+	if !update.State.live() {
+		known.digest, known.digestSerial, known.knowsDigest = Digest{}, 0, 0
+	}
+	if update.State == StateSuspect {
+		m.suspects[id] = now.Add(m.suspicionTimeout())
+	} else {
+		delete(m.suspects, id)
+	}
+}
+
+// hearOfSelf refutes what others wrongly say of this node.
+func (m *Machine) hearOfSelf(update Update) {
+	self := &m.self.update
+	if update.Ref.Incarnation > self.Ref.Incarnation {
+		m.superseded = true
+		return
+	}
+	if update.Ref.Incarnation < self.Ref.Incarnation || self.State == StateLeft {
+		return
+	}
+	outdated := update.Refutation > self.Refutation ||
+		update.Refutation == self.Refutation && update.State != StateAlive
+	if !outdated || update.Refutation == math.MaxUint32 {
+		return
+	}
+	m.tableHash ^= m.self.hash()
+	self.Refutation = update.Refutation + 1
+	m.tableHash ^= m.self.hash()
+	m.version++
+	m.addRumour(self.Ref.ID, "")
+}
+
+// meet records that a message came from a node. It returns a request for the
+// node's table if the node was not known to be alive.
+func (m *Machine) meet(now time.Time, from api.NodeRef, header Header) []Packet {
+	known, exists := m.table[from.ID]
+	wasLive := exists && known.update.State.live() && known.update.Ref.Incarnation == from.Incarnation
+	m.apply(now, from.ID, Update{Ref: from, Refutation: header.Refutation})
+	known = m.table[from.ID]
+	if known.update.State == StateSuspect || known.update.State == StateDead {
+		m.addVerify(from.ID)
+	}
+	if wasLive {
+		return nil
+	}
+	return m.requestSync(now, known.update.Ref)
+}
+
+// tellReplaced answers a node whose ID has a later life.
+func (m *Machine) tellReplaced(from api.NodeRef, known *member) []Packet {
+	return []Packet{{To: from, Message: Gossip{Header: m.header(from.ID, known.update)}}}
+}
+
+// declareDead declares the suspects dead that did not refute in time.
+func (m *Machine) declareDead(now time.Time) {
+	for _, id := range sortedKeys(m.suspects) {
+		if now.Before(m.suspects[id]) {
+			continue
+		}
+		update := m.table[id].update
+		update.State = StateDead
+		m.apply(now, "", update)
+	}
+}
+
+// suspect starts the suspicion of a member.
+func (m *Machine) suspect(now time.Time, id api.NodeID) {
+	known, exists := m.table[id]
+	if !exists || known.update.State != StateAlive {
+		return
+	}
+	update := known.update
+	update.State = StateSuspect
+	m.apply(now, "", update)
+}
+
+// suspicionTimeout returns how long a suspect has in a cluster of this size.
+func (m *Machine) suspicionTimeout() time.Duration {
+	base := bits.Len(uint(SuspicionScaleNodes))
+	size := max(base, bits.Len(uint(len(m.table))))
+	return SuspicionTimeout * time.Duration(size) / time.Duration(base)
+}
+
+// forgetOld drops members that died or left long ago.
+func (m *Machine) forgetOld(now time.Time) {
+	if now.Before(m.nextForget) {
+		return
+	}
+	m.nextForget = now.Add(ForgetLeftAfter / 10)
+	for id, known := range m.table {
+		age := now.Sub(known.since)
+		expired := known.update.State == StateDead && age > ForgetDeadAfter ||
+			known.update.State == StateLeft && age > ForgetLeftAfter
+		if expired {
+			delete(m.table, id)
+			m.version++
+		}
+	}
+}
+
+func sortedKeys[K ~string, V any](table map[K]V) []K {
+	keys := make([]K, 0, len(table))
+	for key := range table {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
