policy: shared placement, load order and eviction with three baselines

The owner of a cell needs a decider to call. Deciders share filter-and-score placement, the order of loads and eviction; they differ only in how long an idle model stays and what it is worth.

--- /dev/null
+++ b/pkg/policy/decide.go
@@ -0,0 +1,253 @@
+package policy
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"martenwheel.dev/pkg/api"
+)
+
+// Names of the deciders, the values of the setting "policy".
+const (
+	NameAdaptive       = "adaptive" // the default
+	NameFixedKeepAlive = "fixed-keepalive"
+	NameNeverUnload    = "never-unload"
+	NameUnloadAtOnce   = "unload-at-once"
+)
+
+// Names returns the names of all deciders, the default first.
+func Names() []string {
+	return []string{NameAdaptive, NameFixedKeepAlive, NameNeverUnload, NameUnloadAtOnce}
+}
+
+// ByName returns the decider with the name, false if there is none.
+func ByName(name string) (Decider, bool) {
+	switch name {
+	case NameAdaptive:
+		return decider{NameAdaptive, adaptive{}}, true
+	case NameFixedKeepAlive:
+		return decider{NameFixedKeepAlive, fixedKeepAlive{}}, true
+	case NameNeverUnload:
+		return decider{NameNeverUnload, neverUnload{}}, true
+	case NameUnloadAtOnce:
+		return decider{NameUnloadAtOnce, unloadAtOnce{}}, true
+	default:
+		return nil, false
+	}
+}
+
+// retention is what deciders differ in: which models stay loaded while idle.
+type retention interface {
+	// keepUntil returns when a model that was last used at lastUse is to be
+	// unloaded if no request comes; zero if never.
+	keepUntil(model *Model, lastUse time.Time) time.Time
+	// prewarm tells whether a model that is not loaded is to be loaded
+	// before a request comes.
+	prewarm(now time.Time, model *Model) bool
+	// value ranks idle models when memory is short: the lowest goes first.
+	value(now time.Time, model *Model, lastUse time.Time) float64
+}
+
+// decider is a Decider with shared placement and load order.
+type decider struct {
+	name      string
+	retention retention
+}
+
+// Name implements Decider.
+func (d decider) Name() string { return d.name }
+
+// Decide implements Decider.
+func (d decider) Decide(now time.Time, input Input) []Action {
+	p := newPlan(now, &input)
+	for _, want := range p.wanted() {
+		d.loadWanted(p, want)
+	}
+	d.unloadIdle(p)
+	d.prewarmIdle(p)
+	return p.actions
+}
+
+// wantedLoad is a load that demand or the settings ask for.
+type wantedLoad struct {
+	model      *Model
+	extraBytes uint64 // for the adapter that the base is loaded for
+	waiting    int
+	priority   int
+	deadline   time.Time // zero if no request waits
+	late       bool      // cannot be ready by the deadline
+	reason     string
+}
+
+// wanted returns the loads that are missing, the most urgent first.
+func (p *plan) wanted() []wantedLoad {
+	var loads []wantedLoad
+	for i := range p.input.Models {
+		model := &p.input.Models[i]
+		missing := wantedReplicas(model) - p.present[i]
+		if missing <= 0 {
+			continue
+		}
+		if model.Base != "" && !p.hasUsableBase(model) {
+			if base := p.model(model.Base); base != nil && p.present[p.index[base.Name]] < maxReplicas(base) {
+				loads = append(loads, p.baseLoad(base, model))
+			}
+			continue
+		}
+		for range missing {
+			loads = append(loads, p.wantedLoad(model))
+		}
+	}
+	slices.SortStableFunc(loads, compareUrgency)
+	return loads
+}
+
+// wantedLoad describes the load of one replica of model.
+func (p *plan) wantedLoad(model *Model) wantedLoad {
+	demand := &model.Demand
+	load := wantedLoad{
+		model:    model,
+		waiting:  demand.Waiting,
+		priority: demand.HighestPriority,
+		deadline: demand.EarliestDeadline,
+		reason:   fmt.Sprintf("%d waiting", demand.Waiting),
+	}
+	if demand.Waiting == 0 {
+		load.priority = model.Settings.Priority
+		load.reason = "fewer than decided"
+	}
+	load.late = !load.deadline.IsZero() && p.now.Add(p.fastestLoad(model)).After(load.deadline)
+	return load
+}
+
+// baseLoad describes the load of a base that adapter waits for.
+func (p *plan) baseLoad(base, adapter *Model) wantedLoad {
+	load := p.wantedLoad(adapter)
+	load.model = base
+	load.extraBytes = ReplicaBytes(adapter)
+	load.reason = fmt.Sprintf("base of %s: %s", adapter.Name, load.reason)
+	return load
+}
+
+// compareUrgency orders loads: those that requests wait for and that can be
+// in time come first, then by priority and deadline.
+func compareUrgency(a, b wantedLoad) int {
+	return cmp.Or(
+		cmp.Compare(urgencyClass(a), urgencyClass(b)),
+		cmp.Compare(b.priority, a.priority),
+		a.deadline.Compare(b.deadline),
+		cmp.Compare(b.waiting, a.waiting),
+	)
+}
+
+// urgencyClass returns 0 for loads in time, 1 for late ones and 2 for those
+// that no request waits for.
+func urgencyClass(load wantedLoad) int {
+	switch {
+	case load.waiting == 0:
+		return 2
+	case load.late:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// fastestLoad returns the expected load time on the best server.
+func (p *plan) fastestLoad(model *Model) time.Duration {
+	best := tierRemote
+	for i := range p.servers {
+		if p.eligible(model, &p.servers[i]) {
+			best = max(best, p.tier(model, p.servers[i].ID))
+		}
+	}
+	return time.Duration(float64(model.Settings.LoadTime) * best.loadShare())
+}
+
+// maxReplicas returns the bound on a model's replicas.
+func maxReplicas(model *Model) int {
+	return max(model.Settings.MaxReplicas, 0)
+}
+
+// wantedReplicas returns how many replicas the demand and the settings ask for.
+func wantedReplicas(model *Model) int {
+	want := model.Settings.MinReplicas
+	if requests := model.Demand.Waiting + model.Demand.InFlight; requests > 0 {
+		concurrency := max(model.Settings.MaxConcurrency, 1)
+		want = max(want, (requests+concurrency-1)/concurrency)
+	}
+	return min(want, maxReplicas(model))
+}
+
+// hasUsableBase tells whether the adapter's base is present, ready or not, on
+// a server without the adapter.
+func (p *plan) hasUsableBase(adapter *Model) bool {
+	base := p.model(adapter.Base)
+	if base == nil {
+		return false
+	}
+	for i := range base.Replicas {
+		replica := &base.Replicas[i]
+		if replica.State != api.ReplicaReady && replica.State != api.ReplicaLoading {
+			continue
+		}
+		if !p.holds(adapter, replica.Server) {
+			return true
+		}
+	}
+	for i := range p.actions {
+		if p.actions[i].Kind == ActionLoad && p.actions[i].Model == base.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// loadWanted starts a wanted load, or makes room for it.
+func (d decider) loadWanted(p *plan, want wantedLoad) {
+	model := want.model
+	if p.present[p.index[model.Name]] >= maxReplicas(model) {
+		return
+	}
+	if server := p.place(model, want.extraBytes); server != nil {
+		p.load(model, server, want.waiting > 0, want.reason)
+		return
+	}
+	d.makeRoom(p, model, want.extraBytes)
+}
+
+// unloadIdle unloads the replicas whose keep-alive has passed.
+func (d decider) unloadIdle(p *plan) {
+	for i := range p.input.Models {
+		model := &p.input.Models[i]
+		for j := range model.Replicas {
+			replica := &model.Replicas[j]
+			if !p.mayUnload(model, replica) {
+				continue
+			}
+			lastUse := p.lastUse(model, replica)
+			until := d.retention.keepUntil(model, lastUse)
+			if !until.IsZero() && !p.now.Before(until) {
+				p.drop(model, replica, fmt.Sprintf("idle %s", p.now.Sub(lastUse).Round(time.Second)))
+			}
+		}
+	}
+}
+
+// prewarmIdle loads models that are expected soon, if nothing has to go.
+func (d decider) prewarmIdle(p *plan) {
+	for i := range p.input.Models {
+		model := &p.input.Models[i]
+		if p.present[i] > 0 || maxReplicas(model) == 0 || !model.Settings.Prewarm {
+			continue
+		}
+		if !d.retention.prewarm(p.now, model) {
+			continue
+		}
+		if server := p.place(model, 0); server != nil {
+			p.load(model, server, false, "expected soon")
+		}
+	}
+}
--- /dev/null
+++ b/pkg/policy/evict.go
@@ -0,0 +1,155 @@
+package policy
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"martenwheel.dev/pkg/api"
+)
+
+// mayUnload tells whether a replica is idle and neither needed by the settings
+// nor by adapters on it.
+func (p *plan) mayUnload(model *Model, replica *Replica) bool {
+	if replica.State != api.ReplicaReady || replica.InFlight > 0 {
+		return false
+	}
+	if p.unload[replicaKey{model.Name, replica.Server}] {
+		return false
+	}
+	if model.Demand.Waiting > 0 || model.Demand.InFlight > 0 && len(model.Replicas) == 1 {
+		return false
+	}
+	if p.staying(model) <= model.Settings.MinReplicas {
+		return false
+	}
+	return model.Base != "" || !p.carriesAdapter(model, replica.Server)
+}
+
+// staying returns the ready replicas of the model that no action unloads.
+func (p *plan) staying(model *Model) int {
+	count := 0
+	for i := range model.Replicas {
+		replica := &model.Replicas[i]
+		if replica.State == api.ReplicaReady && !p.unload[replicaKey{model.Name, replica.Server}] {
+			count++
+		}
+	}
+	return count
+}
+
+// carriesAdapter tells whether an adapter of base holds memory on the server
+// or waits for the base.
+func (p *plan) carriesAdapter(base *Model, server api.ServerID) bool {
+	for i := range p.input.Models {
+		adapter := &p.input.Models[i]
+		if adapter.Base != base.Name {
+			continue
+		}
+		if adapter.Demand.Waiting > 0 || p.holds(adapter, server) {
+			return true
+		}
+	}
+	return false
+}
+
+// lastUse returns when the replica was last needed: by a request, or by having
+// become ready.
+func (p *plan) lastUse(model *Model, replica *Replica) time.Time {
+	last := latest(replica.LastUse, replica.Since)
+	if model.Base != "" {
+		return last
+	}
+	for i := range p.input.Models {
+		adapter := &p.input.Models[i]
+		if adapter.Base == model.Name {
+			last = latest(last, adapter.Demand.LastArrival)
+		}
+	}
+	return last
+}
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// victim is an idle replica that may go when memory is short.
+type victim struct {
+	model   *Model
+	replica *Replica
+	value   float64
+}
+
+// makeRoom unloads the least valuable idle replicas of one server so that
+// model fits there once they are gone. It does nothing if a server has room
+// enough on its way, or if no server can be made to fit.
+func (d decider) makeRoom(p *plan, model *Model, extraBytes uint64) {
+	need := ReplicaBytes(model) + extraBytes
+	var chosen []victim
+	chosenValue := 0.0
+	for i := range p.servers {
+		server := &p.servers[i]
+		if !p.eligible(model, server) {
+			continue
+		}
+		if server.free+server.freeSoon >= need {
+			p.claim(server, need)
+			return
+		}
+		victims, value := d.victims(p, server, model, need-server.free-server.freeSoon)
+		if victims == nil || chosen != nil && value >= chosenValue {
+			continue
+		}
+		chosen, chosenValue = victims, value
+	}
+	if chosen == nil {
+		return
+	}
+	for _, v := range chosen {
+		p.drop(v.model, v.replica, "room for "+string(model.Name))
+	}
+	p.claim(p.server(chosen[0].replica.Server), need)
+}
+
+// claim takes memory that is free or will be, so that no other load of this
+// decision counts on it.
+func (p *plan) claim(server *serverPlan, bytes uint64) {
+	fromFree := min(server.free, bytes)
+	server.free -= fromFree
+	server.freeSoon -= min(server.freeSoon, bytes-fromFree)
+}
+
+// victims returns the cheapest idle replicas of the server that free missing
+// bytes, and their value; nil if there are not enough.
+func (d decider) victims(p *plan, server *serverPlan, incoming *Model, missing uint64) ([]victim, float64) {
+	var candidates []victim
+	for i := range p.input.Models {
+		model := &p.input.Models[i]
+		if model == incoming || model.Name == incoming.Base {
+			continue
+		}
+		for j := range model.Replicas {
+			replica := &model.Replicas[j]
+			if replica.Server != server.ID || !p.mayUnload(model, replica) {
+				continue
+			}
+			value := d.retention.value(p.now, model, p.lastUse(model, replica))
+			candidates = append(candidates, victim{model, replica, value})
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b victim) int { return cmp.Compare(a.value, b.value) })
+	value := 0.0
+	freed := uint64(0)
+	for i := range candidates {
+		freed += ReplicaBytes(candidates[i].model)
+		value += candidates[i].value
+		if freed >= missing {
+			return candidates[:i+1], value
+		}
+	}
+	return nil, 0
+}
