--- /dev/null
+++ b/pkg/peer/counters.go
@@ -0,0 +1,87 @@
+package peer
+
+import (
+	"maps"
+	"sync"
+)
+
+// maxCountedPeers bounds the peers that are counted one by one. Further ones
+// are counted under OtherPeers.
+const maxCountedPeers = 2000
+
+// OtherPeers is the address under which peers beyond the bound are counted.
+const OtherPeers = "other"
+
+// Traffic counts messages and their bytes: whole frames, without the overhead
+// of TLS and TCP.
+type Traffic struct {
+	MessagesSent     uint64
+	MessagesReceived uint64
+	BytesSent        uint64
+	BytesReceived    uint64
+}
+
+// Counters count the traffic of a node. Safe for concurrent use.
+type Counters struct {
+	mutex  sync.Mutex
+	total  Traffic
+	byType map[string]Traffic
+	byPeer map[string]Traffic
+}
+
+// NewCounters returns counters at zero.
+func NewCounters() *Counters {
+	return &Counters{byType: make(map[string]Traffic), byPeer: make(map[string]Traffic)}
+}
+
+// Total returns the whole traffic.
+func (c *Counters) Total() Traffic {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.total
+}
+
+// ByType returns the traffic by name of the message type; frames without a
+// message are under "control".
+func (c *Counters) ByType() map[string]Traffic {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return maps.Clone(c.byType)
+}
+
+// ByPeer returns the traffic by the peer's address.
+func (c *Counters) ByPeer() map[string]Traffic {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return maps.Clone(c.byPeer)
+}
+
+func (c *Counters) sent(peerAddress, typeName string, bytes int) {
+	c.add(peerAddress, typeName, Traffic{MessagesSent: 1, BytesSent: uint64(bytes)})
+}
+
+func (c *Counters) received(peerAddress, typeName string, bytes int) {
+	c.add(peerAddress, typeName, Traffic{MessagesReceived: 1, BytesReceived: uint64(bytes)})
+}
+
+func (c *Counters) add(peerAddress, typeName string, more Traffic) {
+	if typeName == "" {
+		typeName = "control"
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if _, counted := c.byPeer[peerAddress]; !counted && len(c.byPeer) >= maxCountedPeers {
+		peerAddress = OtherPeers
+	}
+	c.total = c.total.plus(more)
+	c.byType[typeName] = c.byType[typeName].plus(more)
+	c.byPeer[peerAddress] = c.byPeer[peerAddress].plus(more)
+}
+
+func (t Traffic) plus(more Traffic) Traffic {
+	t.MessagesSent += more.MessagesSent
+	t.MessagesReceived += more.MessagesReceived
+	t.BytesSent += more.BytesSent
+	t.BytesReceived += more.BytesReceived
+	return t
+}
--- /dev/null
+++ b/pkg/peer/server.go
@@ -0,0 +1,242 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
+
+	"martenwheel.dev/pkg/api"
+)
+
+// Server accepts connections of other nodes and answers their messages.
+type Server struct {
+	config   Config
+	listener net.Listener
+	handler  Handler
+	workers  conc.WaitGroup
+	ctx      context.Context
+	cancel   context.CancelFunc
+
+	mutex sync.Mutex
+	open  map[net.Conn]struct{}
+}
+
+// Listen opens the listener. Connections wait until Serve.
+func Listen(config Config) (*Server, error) {
+	config = config.withDefaults()
+	config.TLS = serverTLS(config.TLS)
+	listener, err := net.Listen("tcp", config.Address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "peer: listen on %s", config.Address)
+	}
+	if config.Self.PeerAddress == "" {
+		config.Self.PeerAddress = listener.Addr().String()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{
+		config:   config,
+		listener: listener,
+		ctx:      ctx,
+		cancel:   cancel,
+		open:     make(map[net.Conn]struct{}),
+	}, nil
+}
+
+// Self returns the node's reference as told to peers. Its PeerAddress is that
+// of the listener if the configuration left it empty.
+func (s *Server) Self() api.NodeRef {
+	return s.config.Self
+}
+
+// Serve starts to accept connections. It returns at once and is called once.
+func (s *Server) Serve(handler Handler) {
+	s.handler = handler
+	s.workers.Go(s.accept)
+}
+
+// Close ends all connections and waits for the handlers to return.
+func (s *Server) Close() error {
+	s.cancel()
+	err := s.listener.Close()
+	s.mutex.Lock()
+	for conn := range s.open {
+		conn.Close()
+	}
+	s.mutex.Unlock()
+	s.workers.Wait()
+	return errors.WithStack(err)
+}
+
+// acceptPause is the wait after a failed accept, as when no file descriptor is
+// free.
+const acceptPause = 50 * time.Millisecond
+
+func (s *Server) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if s.ctx.Err() != nil {
+			if err == nil {
+				conn.Close()
+			}
+			return
+		}
+		if err != nil {
+			s.config.Logger.Warn("accept failed", "error", err)
+			s.pause()
+			continue
+		}
+		if !s.admit(conn) {
+			s.config.Logger.Warn("too many connections", "peer", conn.RemoteAddr().String())
+			conn.Close()
+			continue
+		}
+		s.workers.Go(func() { s.serveConnection(conn) })
+	}
+}
+
+func (s *Server) pause() {
+	select {
+	case <-time.After(acceptPause):
+	case <-s.ctx.Done():
+	}
+}
+
+// admit records a connection unless there are too many or the server closes.
+func (s *Server) admit(conn net.Conn) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.ctx.Err() != nil || len(s.open) >= s.config.Limits.Connections {
+		return false
+	}
+	s.open[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) release(conn net.Conn) {
+	conn.Close()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.open, conn)
+}
+
+func (s *Server) serveConnection(raw net.Conn) {
+	defer s.release(raw)
+	started, err := startServer(s.ctx, raw, s.config)
+	if err != nil {
+		s.config.Logger.Warn("connection refused", "peer", raw.RemoteAddr().String(), "error", err)
+		return
+	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	session := &session{
+		connection: started,
+		server:     s,
+		slots:      make(chan struct{}, maxCallsPerConnection),
+	}
+	err = session.read(ctx)
+	raw.Close() // ends the writes of calls that are still answered
+	cancel()
+	session.calls.Wait()
+	if err != nil && !errors.Is(err, io.EOF) && s.ctx.Err() == nil {
+		s.config.Logger.Debug("connection ended", "peer", started.peer.ID, "error", err)
+	}
+}
+
+// session is the server's end of a connection.
+type session struct {
+	*connection
+	server *Server
+	calls  conc.WaitGroup
+	slots  chan struct{}
+
+	mutex   sync.Mutex // of what follows
+	encoder encoder
+}
+
+// read handles frames until the connection ends. Messages without an answer
+// are handled in order, calls at the same time.
+func (s *session) read(ctx context.Context) error {
+	var decoder decoder
+	idle := s.server.config.Timeouts.Idle * SilenceFactor
+	for {
+		if err := s.SetReadDeadline(time.Now().Add(idle)); err != nil {
+			return errors.WithStack(err)
+		}
+		data, err := readFrame(s.reader, MaxMessageBytes)
+		if err != nil {
+			return err
+		}
+		received, err := decoder.decode(data)
+		if err != nil {
+			return err
+		}
+		s.server.config.Counters.received(s.peer.PeerAddress, received.typeName, len(data))
+		switch received.kind {
+		case frameSend:
+			s.handle(ctx, received.message)
+		case frameCall:
+			s.slots <- struct{}{}
+			s.calls.Go(func() { s.answer(ctx, received) })
+		case framePing:
+			s.write(frame{kind: framePong})
+		default:
+			return errors.Errorf("peer: frame kind %d from a client", received.kind)
+		}
+	}
+}
+
+// answer handles a call and writes its answer.
+func (s *session) answer(ctx context.Context, received frame) {
+	defer func() { <-s.slots }()
+	answer, err := s.handle(ctx, received.message)
+	reply := frame{kind: frameAnswer, call: received.call, message: answer}
+	if err == nil && answer != nil {
+		reply.typeName, err = nameOf(answer)
+	}
+	if err == nil {
+		err = s.write(reply)
+	}
+	if err != nil {
+		s.write(frame{kind: frameError, call: received.call, text: err.Error()})
+	}
+}
+
+// handle calls the handler. A panic of it is logged and becomes an error, so
+// that one message cannot end the node.
+func (s *session) handle(ctx context.Context, message Message) (answer Message, err error) {
+	recovered := panics.Try(func() {
+		answer, err = s.server.handler.HandleMessage(ctx, s.peer, message)
+	})
+	if recovered != nil {
+		s.server.config.Logger.Error("handler panicked", "panic", recovered.String())
+		return nil, errors.New("peer: handler failed")
+	}
+	return answer, err
+}
+
+// write sends a frame. An error before the first byte is returned; after it
+// the connection is closed.
+func (s *session) write(reply frame) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	data, err := s.encoder.encode(reply)
+	if err != nil {
+		return err
+	}
+	s.server.config.Counters.sent(s.peer.PeerAddress, reply.typeName, len(data))
+	deadline := time.Now().Add(s.server.config.Timeouts.Write)
+	if err := s.SetWriteDeadline(deadline); err != nil {
+		s.Close()
+		return nil
+	}
+	if _, err := s.Conn.Write(data); err != nil {
+		s.Close()
+	}
+	return nil
+}
