--- a/pkg/membership/network_test.go
+++ b/pkg/membership/network_test.go
@@ -33,6 +33,7 @@
 	machine     *Machine
 	frozenUntil time.Time
 	held        []delivery // arrived while frozen
+	deafToSelf  bool       // does not hear what others say of it
 	bytes       int        // sent, as gob without type descriptors
 	messages    int
 	encoder     *gob.Encoder
@@ -76,6 +77,7 @@
 	flying    deliveries
 	sent      int
 	cut       func(from, to api.NodeRef) bool // drops packets; nil: none
+	drop      func(message any) bool          // drops packets by content; nil: none
 	watch     func(node *testNode)            // called after each step of a node
 }
 
@@ -165,7 +167,7 @@
 		return
 	}
 	for _, held := range node.held {
-		n.send(node, node.machine.Receive(n.now, held.from, held.message))
+		n.receive(node, held)
 	}
 	node.held = nil
 	n.send(node, node.machine.Tick(n.now))
@@ -182,12 +184,43 @@
 		case arrived.at.Before(node.frozenUntil):
 			node.held = append(node.held, arrived)
 		default:
-			n.send(node, node.machine.Receive(arrived.at, arrived.from, arrived.message))
-			n.observe(node)
+			n.receive(node, arrived)
 		}
 	}
 }
 
+func (n *network) receive(node *testNode, arrived delivery) {
+	message := arrived.message
+	if node.deafToSelf {
+		message = withoutUpdatesAbout(node.ref.ID, message)
+	}
+	n.send(node, node.machine.Receive(n.now, arrived.from, message))
+	n.observe(node)
+}
+
+// withoutUpdatesAbout takes the updates about a node out of a message.
+func withoutUpdatesAbout(id api.NodeID, message any) any {
+	keep := func(updates []Update) []Update {
+		return slices.DeleteFunc(slices.Clone(updates), func(u Update) bool { return u.Ref.ID == id })
+	}
+	switch m := message.(type) {
+	case Probe:
+		m.Header.Updates = keep(m.Header.Updates)
+		return m
+	case Ack:
+		m.Header.Updates = keep(m.Header.Updates)
+		return m
+	case Gossip:
+		m.Header.Updates = keep(m.Header.Updates)
+		return m
+	case SyncPage:
+		m.Header.Updates, m.Members = keep(m.Header.Updates), keep(m.Members)
+		return m
+	default:
+		return message
+	}
+}
+
 func (n *network) observe(node *testNode) {
 	if n.watch != nil {
 		n.watch(node)
@@ -228,7 +261,7 @@
 	if receiver == nil || n.random.Float64() < n.config.loss {
 		return
 	}
-	if n.cut != nil && n.cut(from, receiver.ref) {
+	if n.cut != nil && n.cut(from, receiver.ref) || n.drop != nil && n.drop(packet.Message) {
 		return
 	}
 	n.sent++
