--- /dev/null
+++ b/pkg/traffic/fairqueue/class.go
@@ -0,0 +1,183 @@
+package fairqueue
+
+import "container/heap"
+
+// maxIdleFlows bounds the flows of a class that are remembered though nothing
+// of theirs waits.
+const maxIdleFlows = 1024
+
+// class shares the places of a model between its flows.
+type class[T any] struct {
+	tags
+	name    string
+	blocked bool
+	flows   map[string]*flow[T]
+	backlog backlog[T] // the flows with waiting items
+	clock   clock
+	length  int
+	cost    float64
+}
+
+// priority is that of the flow which is served next.
+func (c *class[T]) priority() int { return c.backlog[0].priority() }
+
+func (c *class[T]) key(headStart float64) float64 {
+	return c.keyAt(c.priority(), headStart)
+}
+
+func (c *class[T]) push(item *Item[T], name string, headStart float64) {
+	target := c.flows[name]
+	if target == nil {
+		c.forgetIdle()
+		target = &flow[T]{name: name, class: c}
+		target.weight = 1
+		c.flows[name] = target
+	}
+	item.flow = target
+	if len(target.items) == 0 {
+		c.clock.begin(&target.tags)
+		heap.Push(&target.items, item)
+		target.key = target.keyAt(target.priority(), headStart)
+		heap.Push(&c.backlog, target)
+	} else {
+		heap.Push(&target.items, item)
+		c.reorder(target, headStart)
+	}
+	target.cost += item.Cost
+	c.length++
+	c.cost += item.Cost
+}
+
+func (c *class[T]) remove(item *Item[T], headStart float64) {
+	from := item.flow
+	heap.Remove(&from.items, item.position)
+	item.flow = nil
+	from.cost -= item.Cost
+	c.length--
+	c.cost -= item.Cost
+	if len(from.items) == 0 {
+		heap.Remove(&c.backlog, from.position)
+		return
+	}
+	c.reorder(from, headStart)
+}
+
+// reorder restores the order of the backlog after a flow's head or tags changed.
+func (c *class[T]) reorder(changed *flow[T], headStart float64) {
+	changed.key = changed.keyAt(changed.priority(), headStart)
+	heap.Fix(&c.backlog, changed.position)
+}
+
+// forgetIdle drops idle flows once there are many: first those whose tags have
+// passed, and, if that is not enough, all idle ones.
+func (c *class[T]) forgetIdle() {
+	if len(c.flows)-len(c.backlog) < maxIdleFlows {
+		return
+	}
+	for name, idle := range c.flows {
+		if len(idle.items) == 0 && idle.finish <= c.clock.now {
+			delete(c.flows, name)
+		}
+	}
+	if len(c.flows)-len(c.backlog) < maxIdleFlows {
+		return
+	}
+	for name, idle := range c.flows {
+		if len(idle.items) == 0 {
+			delete(c.flows, name)
+		}
+	}
+}
+
+// ahead estimates how many items of the class are served before item: those of
+// its own flow that precede it, and as many rounds of each flow that is not
+// less urgent.
+func (c *class[T]) ahead(item *Item[T]) int {
+	own := 0
+	for _, other := range item.flow.items {
+		if other != item && other.before(item) {
+			own++
+		}
+	}
+	total := own
+	for _, other := range c.backlog {
+		switch {
+		case other == item.flow || other.priority() < item.Priority:
+		case other.priority() > item.Priority:
+			total += len(other.items)
+		default:
+			total += min(len(other.items), own+1)
+		}
+	}
+	return total
+}
+
+// flow holds the waiting items of one caller.
+type flow[T any] struct {
+	tags
+	name     string
+	class    *class[T]
+	items    items[T]
+	cost     float64
+	key      float64 // in the class's backlog
+	position int
+}
+
+func (f *flow[T]) priority() int { return f.items[0].Priority }
+
+// items is a heap in the order of Item.before.
+type items[T any] []*Item[T]
+
+func (h items[T]) Len() int           { return len(h) }
+func (h items[T]) Less(i, j int) bool { return h[i].before(h[j]) }
+func (h items[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].position, h[j].position = i, j
+}
+
+// Push appends an item; for package heap.
+func (h *items[T]) Push(added any) {
+	item := added.(*Item[T])
+	item.position = len(*h)
+	*h = append(*h, item)
+}
+
+// Pop removes the last item; for package heap.
+func (h *items[T]) Pop() any {
+	last := len(*h) - 1
+	item := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return item
+}
+
+// backlog is a heap of flows in the order of their keys.
+type backlog[T any] []*flow[T]
+
+func (h backlog[T]) Len() int { return len(h) }
+func (h backlog[T]) Less(i, j int) bool {
+	if h[i].key != h[j].key {
+		return h[i].key < h[j].key
+	}
+	return h[i].items[0].sequence < h[j].items[0].sequence
+}
+func (h backlog[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].position, h[j].position = i, j
+}
+
+// Push appends a flow; for package heap.
+func (h *backlog[T]) Push(added any) {
+	flow := added.(*flow[T])
+	flow.position = len(*h)
+	*h = append(*h, flow)
+}
+
+// Pop removes the last flow; for package heap.
+func (h *backlog[T]) Pop() any {
+	last := len(*h) - 1
+	flow := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return flow
+}
--- /dev/null
+++ b/pkg/traffic/routing/filter_leaving.go
@@ -0,0 +1,12 @@
+package routing
+
+// LeavingFilter drops the servers that are leaving.
+type LeavingFilter struct{}
+
+// Name returns "leaving".
+func (LeavingFilter) Name() string { return "leaving" }
+
+// Keep tells whether the server stays.
+func (LeavingFilter) Keep(_ *Request, candidate *Candidate) bool {
+	return !candidate.Leaving
+}
