--- /dev/null
+++ b/pkg/lab/clock.go
@@ -0,0 +1,93 @@
+package lab
+
+import (
+	"container/heap"
+	"time"
+)
+
+// epoch is the virtual time at which each run begins: midnight of a Monday.
+var epoch = time.Date(2026, 1, 5, 0, 0, 0, 0, time.UTC)
+
+// clock is the virtual time of a run and what happens at which moment. Events
+// of the same moment happen in the order in which they were added.
+type clock struct {
+	elapsed  time.Duration
+	sequence uint64
+	queue    eventQueue
+}
+
+// event is something that happens at one moment.
+type event struct {
+	at       time.Duration
+	sequence uint64
+	run      func()
+	index    int // in the queue; -1 when it is not there
+}
+
+// now returns the virtual time.
+func (c *clock) now() time.Time { return epoch.Add(c.elapsed) }
+
+// after adds an event that happens after delay.
+func (c *clock) after(delay time.Duration, run func()) *event {
+	return c.at(c.elapsed+max(delay, 0), run)
+}
+
+// at adds an event that happens at the moment at, at once if that has passed.
+func (c *clock) at(at time.Duration, run func()) *event {
+	c.sequence++
+	e := &event{at: max(at, c.elapsed), sequence: c.sequence, run: run}
+	heap.Push(&c.queue, e)
+	return e
+}
+
+// cancel removes an event that has not happened yet; nil is allowed.
+func (c *clock) cancel(e *event) {
+	if e != nil && e.index >= 0 {
+		heap.Remove(&c.queue, e.index)
+	}
+}
+
+// step lets the next event happen if it is due before end. It tells whether
+// there was one.
+func (c *clock) step(end time.Duration) bool {
+	if len(c.queue) == 0 || c.queue[0].at > end {
+		c.elapsed = max(c.elapsed, end)
+		return false
+	}
+	next := heap.Pop(&c.queue).(*event)
+	c.elapsed = next.at
+	next.run()
+	return true
+}
+
+// eventQueue implements heap.Interface.
+type eventQueue []*event
+
+func (q eventQueue) Len() int { return len(q) }
+
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].sequence < q[j].sequence
+}
+
+func (q eventQueue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].index, q[j].index = i, j
+}
+
+func (q *eventQueue) Push(x any) {
+	e := x.(*event)
+	e.index = len(*q)
+	*q = append(*q, e)
+}
+
+func (q *eventQueue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	(*q)[last] = nil
+	*q = (*q)[:last]
+	e.index = -1
+	return e
+}
--- /dev/null
+++ b/pkg/lab/meter.go
@@ -0,0 +1,47 @@
+package lab
+
+import "time"
+
+// meter counts accelerator hours. A model that holds a share of an
+// accelerator's memory holds that share of an accelerator, so that models side
+// by side on one accelerator together count as one.
+type meter struct {
+	acceleratorBytes []float64 // by service
+	loaded           float64   // accelerator seconds
+	idle             float64
+	idleByHour       []float64
+	loadedByHour     []float64
+}
+
+// newMeter returns a meter at zero.
+func newMeter(scenario *Scenario) *meter {
+	m := &meter{}
+	for _, service := range scenario.Services {
+		m.acceleratorBytes = append(m.acceleratorBytes, service.AcceleratorGigabytes*gigabyte)
+	}
+	hours := int((scenario.Duration + time.Hour - 1) / time.Hour)
+	m.idleByHour = make([]float64, hours)
+	m.loadedByHour = make([]float64, hours)
+	return m
+}
+
+// hold counts a model that was held from one moment to another, idle or not.
+// Idle is all time without a running request, also while loading or unloading.
+func (m *meter) hold(held *model, service int, from, to time.Duration, idle bool) {
+	share := float64(held.holdBytes) / m.acceleratorBytes[service]
+	for from < to {
+		hour := int(from / time.Hour)
+		until := min(to, time.Duration(hour+1)*time.Hour)
+		seconds := share * (until - from).Seconds()
+		from = until
+		if hour >= len(m.idleByHour) {
+			return
+		}
+		m.loaded += seconds
+		m.loadedByHour[hour] += seconds
+		if idle {
+			m.idle += seconds
+			m.idleByHour[hour] += seconds
+		}
+	}
+}
--- /dev/null
+++ b/pkg/lab/scenario.go
@@ -0,0 +1,312 @@
+package lab
+
+import (
+	"bytes"
+	"embed"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"gopkg.in/yaml.v3"
+
+	"martenwheel.dev/pkg/findings"
+)
+
+// Scenario is a deployment and a span of its work, as a YAML file describes it.
+type Scenario struct {
+	Name          string        `yaml:"name"`
+	Region        string        `yaml:"region"`
+	Duration      time.Duration `yaml:"duration"`
+	Zones         []string      `yaml:"zones"`
+	Nodes         int           `yaml:"nodes"` // spread over the zones, each with callers
+	Delays        Delays        `yaml:"delays"`
+	WeightStore   WeightStore   `yaml:"weight_store"`
+	FirstRequests FirstRequests `yaml:"first_requests"`
+	Surges        Surges        `yaml:"surges"`
+	Services      []Service     `yaml:"services"`
+}
+
+// Delays are one-way delays of the network, and the lag of the machine list.
+type Delays struct {
+	WithinZone     time.Duration `yaml:"within_zone"`
+	BetweenZones   time.Duration `yaml:"between_zones"`
+	ToClients      time.Duration `yaml:"to_clients"`
+	MachineListLag time.Duration `yaml:"machine_list_lag"`
+}
+
+// WeightStore describes the store that checkpoints are fetched from.
+type WeightStore struct {
+	LoadsPerSecond     float64       `yaml:"loads_per_second"`
+	FullSpeed          int           `yaml:"full_speed"`           // transfers at once at full speed
+	GigabytesPerSecond float64       `yaml:"gigabytes_per_second"` // of one transfer at full speed
+	Startup            time.Duration `yaml:"startup"`              // of an engine process, after the transfer
+}
+
+// FirstRequests says which requests the cold-start time is measured on: those
+// that arrive within Window after a model had no request for Idle.
+type FirstRequests struct {
+	Idle   time.Duration `yaml:"idle"`
+	Window time.Duration `yaml:"window"`
+}
+
+// Surges are moments at which many idle models are wanted at once.
+type Surges struct {
+	PerDay   float64       `yaml:"per_day"`
+	Models   int           `yaml:"models"`
+	Requests int           `yaml:"requests"` // for each of the models
+	Window   time.Duration `yaml:"window"`   // within which a burst arrives
+}
+
+// Service is a set of servers with the models on them: one cell.
+type Service struct {
+	Name                 string    `yaml:"name"`
+	Servers              int       `yaml:"servers"`
+	Accelerators         int       `yaml:"accelerators"` // per server
+	AcceleratorGigabytes float64   `yaml:"accelerator_gigabytes"`
+	Caches               Caches    `yaml:"caches"`
+	Models               int       `yaml:"models"`
+	Adapters             int       `yaml:"adapters"`
+	AdapterGigabytes     float64   `yaml:"adapter_gigabytes"`
+	Sizes                []Size    `yaml:"sizes"`
+	RequestsPerSecond    float64   `yaml:"requests_per_second"` // mean over the day
+	PopularityExponent   float64   `yaml:"popularity_exponent"` // of Zipf's law
+	Arrivals             []Arrival `yaml:"arrivals"`
+	Day                  []float64 `yaml:"day"` // weight of each hour
+	PromptTokens         int       `yaml:"prompt_tokens"`
+	OutputTokens         int       `yaml:"output_tokens"`
+	UnsafeShare          float64   `yaml:"unsafe_share"` // of the models
+	Settings             Settings  `yaml:"settings"`
+}
+
+// Caches are the checkpoint caches of each server of a service.
+type Caches struct {
+	MemoryGigabytes          float64 `yaml:"memory_gigabytes"`
+	DiskGigabytes            float64 `yaml:"disk_gigabytes"`
+	MemoryGigabytesPerSecond float64 `yaml:"memory_gigabytes_per_second"`
+	DiskGigabytesPerSecond   float64 `yaml:"disk_gigabytes_per_second"`
+	InitiallyInMemory        float64 `yaml:"initially_in_memory"` // share of the checkpoints
+	InitiallyOnDisk          float64 `yaml:"initially_on_disk"`
+}
+
+// Size is a kind of model by its memory, and the share of models of the kind.
+type Size struct {
+	WeightsGigabytes float64 `yaml:"weights_gigabytes"`
+	KVGigabytes      float64 `yaml:"kv_gigabytes"`
+	Share            float64 `yaml:"share"`
+}
+
+// ArrivalKind is a shape of a model's arrivals.
+type ArrivalKind string
+
+// The shapes of arrivals.
+const (
+	ArrivalSteady   ArrivalKind = "steady"   // Poisson with the day's curve
+	ArrivalPeriodic ArrivalKind = "periodic" // a burst by a timer
+	ArrivalSessions ArrivalKind = "sessions" // people who ask several times
+)
+
+// Arrival is a shape and the share of models that have it.
+type Arrival struct {
+	Kind           ArrivalKind   `yaml:"kind"`
+	Share          float64       `yaml:"share"`
+	ShortestPeriod time.Duration `yaml:"shortest_period"` // periodic
+	LongestPeriod  time.Duration `yaml:"longest_period"`  // periodic
+	Jitter         float64       `yaml:"jitter"`          // periodic: of the period
+	Burst          int           `yaml:"burst"`           // periodic, sessions: requests at once
+	Requests       int           `yaml:"requests"`        // sessions: mean number of requests
+	Pause          time.Duration `yaml:"pause"`           // sessions: median between requests
+}
+
+// Settings are the settings of the tree that a scenario gives its models.
+type Settings struct {
+	MinReplicas     int           `yaml:"minReplicas"`
+	MaxReplicas     int           `yaml:"maxReplicas"`
+	KeepAlive       time.Duration `yaml:"keepAlive"`
+	ColdStartWeight float64       `yaml:"coldStartWeight"`
+	Prewarm         *bool         `yaml:"prewarm"` // true if absent
+	Priority        int           `yaml:"priority"`
+	Deadline        time.Duration `yaml:"deadline"`
+	MaxConcurrency  int           `yaml:"maxConcurrency"`
+}
+
+//go:embed scenarios/*.yaml
+var builtIn embed.FS
+
+// ScenarioNames returns the names of the built-in scenarios.
+func ScenarioNames() []string {
+	entries, err := builtIn.ReadDir("scenarios")
+	if err != nil {
+		panic(err) // embedded at build time
+	}
+	var names []string
+	for _, entry := range entries {
+		names = append(names, strings.TrimSuffix(entry.Name(), ".yaml"))
+	}
+	return names
+}
+
+// LoadScenario reads a built-in scenario by its name or a file by its path and
+// applies the assignments, each "path=value" such as
+// "services.assistant.settings.coldStartWeight=0.5". It returns a
+// *findings.Error that lists all faults.
+func LoadScenario(nameOrPath string, assignments []string) (*Scenario, error) {
+	data, err := builtIn.ReadFile("scenarios/" + nameOrPath + ".yaml")
+	if err != nil {
+		data, err = os.ReadFile(nameOrPath)
+	}
+	if err != nil {
+		return nil, errors.Wrapf(err, "scenario %q is neither a file nor one of %s",
+			nameOrPath, strings.Join(ScenarioNames(), ", "))
+	}
+	return ParseScenario(nameOrPath, data, assignments)
+}
+
+// ParseScenario is LoadScenario for the bytes of a file; place is its name in
+// findings.
+func ParseScenario(place string, data []byte, assignments []string) (*Scenario, error) {
+	var document yaml.Node
+	if err := yaml.Unmarshal(data, &document); err != nil {
+		return nil, errors.Wrap(err, place)
+	}
+	var found findings.List
+	for _, assignment := range assignments {
+		if err := assign(&document, assignment); err != nil {
+			found.Addf("--set "+assignment, "%v", err)
+		}
+	}
+	if err := found.Err(); err != nil {
+		return nil, err
+	}
+	changed, err := yaml.Marshal(&document)
+	if err != nil {
+		return nil, errors.Wrap(err, place)
+	}
+	decoder := yaml.NewDecoder(bytes.NewReader(changed))
+	decoder.KnownFields(true)
+	var scenario Scenario
+	if err := decoder.Decode(&scenario); err != nil {
+		return nil, errors.Wrap(err, place)
+	}
+	scenario.check(place, &found)
+	if err := found.Err(); err != nil {
+		return nil, err
+	}
+	return &scenario, nil
+}
+
+// assign sets one value of the document. The steps of the path are keys of
+// mappings, and names or indexes of sequences.
+func assign(document *yaml.Node, assignment string) error {
+	path, value, ok := strings.Cut(assignment, "=")
+	if !ok {
+		return errors.New("is not of the form path=value")
+	}
+	node := document.Content[0]
+	for step := range strings.SplitSeq(path, ".") {
+		next := child(node, step)
+		if next == nil {
+			return errors.Errorf("there is no %q in the scenario", step)
+		}
+		node = next
+	}
+	if node.Kind != yaml.ScalarNode {
+		return errors.New("the path does not lead to a single value")
+	}
+	node.Value, node.Tag, node.Style = value, "", 0
+	return nil
+}
+
+// child returns the node that step leads to, nil if there is none. A key that
+// a mapping lacks is added: the decoder refuses it if it is unknown.
+func child(node *yaml.Node, step string) *yaml.Node {
+	switch node.Kind {
+	case yaml.MappingNode:
+		for i := 0; i+1 < len(node.Content); i += 2 {
+			if node.Content[i].Value == step {
+				return node.Content[i+1]
+			}
+		}
+		key := &yaml.Node{Kind: yaml.ScalarNode, Value: step}
+		value := &yaml.Node{Kind: yaml.ScalarNode}
+		node.Content = append(node.Content, key, value)
+		return value
+	case yaml.SequenceNode:
+		for i, item := range node.Content {
+			if step == fmt.Sprint(i) || nameOf(item) == step {
+				return item
+			}
+		}
+	}
+	return nil
+}
+
+// nameOf returns the value of the key "name" or "kind" of a mapping.
+func nameOf(node *yaml.Node) string {
+	for i := 0; node.Kind == yaml.MappingNode && i+1 < len(node.Content); i += 2 {
+		if key := node.Content[i].Value; key == "name" || key == "kind" {
+			return node.Content[i+1].Value
+		}
+	}
+	return ""
+}
+
+// check records what makes the scenario impossible to run.
+func (s *Scenario) check(place string, found *findings.List) {
+	positive := func(key string, value float64) {
+		if !(value > 0) {
+			found.Addf(place+" "+key, "%v is not above zero", value)
+		}
+	}
+	positive("duration", s.Duration.Seconds())
+	positive("zones", float64(len(s.Zones)))
+	positive("nodes", float64(s.Nodes))
+	positive("weight_store.loads_per_second", s.WeightStore.LoadsPerSecond)
+	positive("weight_store.full_speed", float64(s.WeightStore.FullSpeed))
+	positive("weight_store.gigabytes_per_second", s.WeightStore.GigabytesPerSecond)
+	positive("services", float64(len(s.Services)))
+	for i := range s.Services {
+		service := &s.Services[i]
+		key := fmt.Sprintf("services.%s.", service.Name)
+		positive(key+"servers", float64(service.Servers))
+		positive(key+"accelerators", float64(service.Accelerators))
+		positive(key+"accelerator_gigabytes", service.AcceleratorGigabytes)
+		positive(key+"models", float64(service.Models))
+		positive(key+"requests_per_second", service.RequestsPerSecond)
+		positive(key+"sizes", float64(len(service.Sizes)))
+		positive(key+"arrivals", float64(len(service.Arrivals)))
+		positive(key+"settings.deadline", service.Settings.Deadline.Seconds())
+		positive(key+"settings.maxReplicas", float64(service.Settings.MaxReplicas))
+		positive(key+"settings.maxConcurrency", float64(service.Settings.MaxConcurrency))
+		positive(key+"caches.memory_gigabytes_per_second", service.Caches.MemoryGigabytesPerSecond)
+		positive(key+"caches.disk_gigabytes_per_second", service.Caches.DiskGigabytesPerSecond)
+		if len(service.Day) != hoursPerDay {
+			found.Addf(place+" "+key+"day", "has %d hours, not %d", len(service.Day), hoursPerDay)
+		}
+		for _, arrival := range service.Arrivals {
+			arrival.check(place+" "+key+"arrivals."+string(arrival.Kind), found)
+		}
+	}
+}
+
+// hoursPerDay is the length of a day's curve.
+const hoursPerDay = 24
+
+// check records what is wrong with the arrival.
+func (a Arrival) check(place string, found *findings.List) {
+	kinds := []ArrivalKind{ArrivalSteady, ArrivalPeriodic, ArrivalSessions}
+	if !slices.Contains(kinds, a.Kind) {
+		found.Addf(place, "unknown kind; known are %v", kinds)
+	}
+	if a.Kind == ArrivalPeriodic && (a.ShortestPeriod <= 0 || a.LongestPeriod < a.ShortestPeriod) {
+		found.Addf(place, "needs 0 < shortest_period <= longest_period")
+	}
+	if a.Kind == ArrivalSessions && (a.Requests < 1 || a.Pause <= 0) {
+		found.Addf(place, "needs requests and pause above zero")
+	}
+	if a.Kind != ArrivalSteady && a.Burst < 1 {
+		found.Addf(place, "needs a burst of at least one request")
+	}
+}
--- /dev/null
+++ b/pkg/lab/sharing.go
@@ -0,0 +1,121 @@
+package lab
+
+import (
+	"container/heap"
+	"time"
+)
+
+// sharedRate serves jobs at the same time (processor sharing): each advances
+// with the same rate, which depends on how many there are. It models a batch
+// of an engine and the transfers of the weight store.
+type sharedRate struct {
+	clock    *clock
+	rate     func(jobs int) float64 // units a second for each job
+	progress float64                // units that a job has got which was there from the start
+	updated  time.Duration
+	jobs     jobQueue
+	next     *event
+}
+
+// job is a piece of work on a sharedRate.
+type job struct {
+	finish float64 // progress at which it is done
+	number uint64  // breaks ties
+	done   func()
+	index  int
+}
+
+// add starts a job of units; done is called when it is finished.
+func (s *sharedRate) add(units float64, done func()) *job {
+	s.advance()
+	s.clock.sequence++
+	j := &job{finish: s.progress + units, number: s.clock.sequence, done: done}
+	heap.Push(&s.jobs, j)
+	s.schedule()
+	return j
+}
+
+// remove ends a job before it is done.
+func (s *sharedRate) remove(j *job) {
+	if j == nil || j.index < 0 {
+		return
+	}
+	s.advance()
+	heap.Remove(&s.jobs, j.index)
+	s.schedule()
+}
+
+// clear ends all jobs.
+func (s *sharedRate) clear() {
+	for _, j := range s.jobs {
+		j.index = -1
+	}
+	s.jobs = nil
+	s.schedule()
+}
+
+// refresh takes note that the rate function has changed its answers. It is
+// called with the old answers in force by the caller's use of advance.
+func (s *sharedRate) refresh() { s.schedule() }
+
+// advance brings progress up to the present.
+func (s *sharedRate) advance() {
+	if len(s.jobs) > 0 {
+		s.progress += s.rate(len(s.jobs)) * (s.clock.elapsed - s.updated).Seconds()
+	}
+	s.updated = s.clock.elapsed
+}
+
+// schedule sets the event of the next job to finish.
+func (s *sharedRate) schedule() {
+	s.clock.cancel(s.next)
+	s.next = nil
+	if len(s.jobs) == 0 {
+		return
+	}
+	left := max(s.jobs[0].finish-s.progress, 0)
+	wait := time.Duration(left/s.rate(len(s.jobs))*float64(time.Second)) + 1
+	s.next = s.clock.after(wait, s.finish)
+}
+
+// finish ends the job that is done.
+func (s *sharedRate) finish() {
+	s.next = nil
+	s.advance()
+	j := heap.Pop(&s.jobs).(*job)
+	s.progress = max(s.progress, j.finish)
+	s.schedule()
+	j.done()
+}
+
+// jobQueue implements heap.Interface.
+type jobQueue []*job
+
+func (q jobQueue) Len() int { return len(q) }
+
+func (q jobQueue) Less(i, j int) bool {
+	if q[i].finish != q[j].finish {
+		return q[i].finish < q[j].finish
+	}
+	return q[i].number < q[j].number
+}
+
+func (q jobQueue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].index, q[j].index = i, j
+}
+
+func (q *jobQueue) Push(x any) {
+	j := x.(*job)
+	j.index = len(*q)
+	*q = append(*q, j)
+}
+
+func (q *jobQueue) Pop() any {
+	last := len(*q) - 1
+	j := (*q)[last]
+	(*q)[last] = nil
+	*q = (*q)[:last]
+	j.index = -1
+	return j
+}
