Control machine: quorum group per cell, owner with committed intents, one node serves its cell

A node forms the group of a cell by a conditional write of the cell's record, commits the intent of each load before it orders it, and takes an intent back only after an inventory read at its own fence shows the model gone.

Orders name the engine's instance: a restarted engine has seen no fence, so an order under way during the restart would otherwise take effect on it.

--- /dev/null
+++ b/pkg/control/cell/demand.go
@@ -0,0 +1,153 @@
+package cell
+
+import (
+	"time"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/policy"
+)
+
+// estimateTolerance is how far an estimate may move before it is sent again.
+const estimateTolerance = 500 * time.Millisecond
+
+// demand is what the nodes reported of one model.
+type demand struct {
+	reports map[api.NodeID]*report
+	history *policy.History
+}
+
+// report is the last word of one node.
+type report struct {
+	node      api.NodeRef
+	demand    api.ModelDemand
+	at        time.Time
+	estimated *api.LoadEstimate // last sent
+}
+
+// Reported takes over a node's demand.
+func (o *Owner) Reported(now time.Time, node api.NodeRef, models []api.ModelDemand) {
+	for _, seen := range models {
+		if _, known := o.models[seen.Model]; !known {
+			continue
+		}
+		d := o.demand[seen.Model]
+		if d == nil {
+			d = &demand{reports: make(map[api.NodeID]*report), history: &policy.History{}}
+			o.demand[seen.Model] = d
+		}
+		if seen.Arrivals > 0 {
+			observe(d.history, seen.LastArrival)
+		}
+		o.reportedBy(now, d, node, seen)
+	}
+}
+
+func (o *Owner) reportedBy(now time.Time, d *demand, node api.NodeRef, seen api.ModelDemand) {
+	previous := d.reports[node.ID]
+	next := &report{node: node, demand: seen, at: now}
+	if previous != nil && previous.demand.Waiting > 0 && now.Sub(previous.at) < o.config.Timing.DemandExpiry {
+		next.estimated = previous.estimated
+	}
+	if seen.Waiting > 0 && (previous == nil || previous.demand.Waiting == 0) {
+		o.decideAt = time.Time{}
+	}
+	d.reports[node.ID] = next
+	if seen.Arrivals == 0 && seen.InFlight == 0 {
+		return
+	}
+	for _, r := range o.replicasOf(seen.Model) {
+		r.lastUse = now
+		r.prewarmed = false
+	}
+}
+
+// summary adds up the reports on a model that still count, and forgets others.
+func (o *Owner) summary(now time.Time, model api.ModelName) policy.Demand {
+	var sum policy.Demand
+	d := o.demand[model]
+	if d == nil {
+		return sum
+	}
+	for _, r := range d.reports {
+		seen := r.demand
+		if seen.LastArrival.After(sum.LastArrival) {
+			sum.LastArrival = seen.LastArrival
+		}
+		if now.Sub(r.at) >= o.config.Timing.DemandExpiry {
+			continue
+		}
+		sum.InFlight += int(seen.InFlight)
+		if seen.Waiting == 0 {
+			continue
+		}
+		if sum.Waiting == 0 || seen.HighestPriority > sum.HighestPriority {
+			sum.HighestPriority = seen.HighestPriority
+		}
+		sum.Waiting += int(seen.Waiting)
+		if sum.EarliestDeadline.IsZero() || seen.EarliestDeadline.Before(sum.EarliestDeadline) {
+			sum.EarliestDeadline = seen.EarliestDeadline
+		}
+	}
+	return sum
+}
+
+func (o *Owner) inFlight(now time.Time, model api.ModelName) int {
+	return o.summary(now, model).InFlight
+}
+
+// history returns what is remembered of a model's arrivals.
+func (o *Owner) history(model api.ModelName) *policy.History {
+	if d := o.demand[model]; d != nil {
+		return d.history
+	}
+	return &policy.History{}
+}
+
+// answerDemand tells the nodes with waiting requests when a model that is not
+// ready will be, if they have not been told so.
+func (o *Owner) answerDemand(now time.Time, sink Sink) {
+	for _, name := range o.modelOrder {
+		d := o.demand[name]
+		if d == nil || o.hasReady(name) {
+			continue
+		}
+		o.answerModel(now, name, d, sink)
+	}
+}
+
+func (o *Owner) hasReady(model api.ModelName) bool {
+	if o.counts[model] == 0 {
+		return false
+	}
+	for _, r := range o.replicasOf(model) {
+		if r.state() == api.ReplicaReady {
+			return true
+		}
+	}
+	return false
+}
+
+func (o *Owner) answerModel(now time.Time, model api.ModelName, d *demand, sink Sink) {
+	var estimate *api.LoadEstimate
+	for _, id := range sortedNodes(d.reports) {
+		r := d.reports[id]
+		if r.demand.Waiting == 0 || now.Sub(r.at) >= o.config.Timing.DemandExpiry {
+			continue
+		}
+		if estimate == nil {
+			made := o.estimate(now, model)
+			estimate = &made
+		}
+		if r.estimated == nil || differs(*r.estimated, *estimate) {
+			r.estimated = estimate
+			sink.Estimate(r.node, *estimate)
+		}
+	}
+}
+
+func differs(a, b api.LoadEstimate) bool {
+	if a.Accepted != b.Accepted || a.Reason != b.Reason {
+		return true
+	}
+	return a.ReadyBy.Sub(b.ReadyBy).Abs() > estimateTolerance
+}
--- /dev/null
+++ b/pkg/control/cell/orders.go
@@ -0,0 +1,243 @@
+package cell
+
+import (
+	"fmt"
+	"time"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/control/quorum"
+	"martenwheel.dev/pkg/engine"
+	"martenwheel.dev/pkg/tree"
+)
+
+// intend begins a load: it counts from now on and is ordered once its intent
+// is committed. The caller has checked the limits.
+func (o *Owner) intend(now time.Time, model tree.Model, s *server, urgent bool) *replica {
+	o.orders++
+	r := &replica{
+		intent: quorum.Intent{
+			OrderID:  fmt.Sprintf("%s/%d/%d", o.config.Cell, o.start.Term, o.orders),
+			Server:   s.ID,
+			Model:    model.Name,
+			Base:     model.Base,
+			Bytes:    replicaBytes(model),
+			Version:  model.Settings.Version,
+			Instance: s.instance,
+			Urgent:   urgent,
+		},
+		phase:     phaseIntended,
+		since:     now,
+		lastUse:   now,
+		prewarmed: !urgent,
+		readyBy:   now.Add(o.loadTime(model)),
+	}
+	o.addReplica(r)
+	return r
+}
+
+// orderLoads orders the loads whose intents are committed.
+func (o *Owner) orderLoads(now time.Time, sink Sink) {
+	for _, r := range o.selectReplicas((*replica).awaitsOrder) {
+		if !r.committed && !o.config.Unsafe.NoIntents {
+			continue
+		}
+		s, known := o.servers[r.intent.Server]
+		if !known {
+			continue
+		}
+		if !o.mayStillLoad(r, s) {
+			sink.Log("info", "load cancelled before it was ordered", "model", r.intent.Model, "server", s.ID)
+			o.drop(now, r)
+			continue
+		}
+		if s.operation == nil {
+			o.orderLoad(now, r, s, sink)
+		}
+	}
+}
+
+func (r *replica) awaitsOrder() bool {
+	return r.phase == phaseIntended
+}
+
+// mayStillLoad checks again what may have changed while the intent was being
+// committed.
+func (o *Owner) mayStillLoad(r *replica, s *server) bool {
+	if o.config.Unsafe.NoRecheck {
+		return true
+	}
+	model, known := o.models[r.intent.Model]
+	if !known || o.counted(model.Name) > model.Settings.MaxReplicas {
+		return false
+	}
+	if r.intent.Base != "" && !o.baseReady(r.intent.Base, s.ID) {
+		return false
+	}
+	return s.takesLoads() && s.instance == r.intent.Instance && o.reserved[s.ID] <= s.capacityBytes()
+}
+
+// baseReady tells whether a server has a base model on which an adapter can be
+// loaded.
+func (o *Owner) baseReady(base api.ModelName, id api.ServerID) bool {
+	r := o.replicas[key{server: id, model: base}]
+	return r != nil && r.phase == phaseReady
+}
+
+func (o *Owner) orderLoad(now time.Time, r *replica, s *server, sink Sink) {
+	model := o.models[r.intent.Model]
+	order := engine.Order{
+		ID:          r.intent.OrderID,
+		Kind:        engine.OrderLoad,
+		Model:       r.intent.Model,
+		Base:        r.intent.Base,
+		Version:     r.intent.Version,
+		Checkpoint:  model.Settings.Checkpoint,
+		MemoryBytes: model.Settings.MemoryBytes,
+		Urgent:      r.intent.Urgent,
+	}
+	if r.intent.Base != "" {
+		order.Kind = engine.OrderLoadAdapter
+	}
+	o.give(now, s, order, sink)
+	r.enter(now, phaseOrdered)
+	r.orderedAt = now
+	r.readyBy = now.Add(o.loadTime(model))
+	sink.Log("info", "load ordered", "model", r.intent.Model, "server", s.ID, "order", order.ID)
+}
+
+// give sends an order with the next fence.
+func (o *Owner) give(now time.Time, s *server, order engine.Order, sink Sink) {
+	order.Fence = o.nextFence(s)
+	order.Instance = s.instance
+	if o.config.Unsafe.NoInstance {
+		order.Instance = ""
+	}
+	s.operation = &operation{fence: order.Fence, sentAt: now, order: &order}
+	sink.OrderEngine(s.ID, s.Address, order)
+}
+
+// OrderAnswered takes over the answer to an order. Only acceptance is believed;
+// any other answer, or none, leaves the order in doubt until the next
+// inventory: the engine may have carried out the order and answered a copy.
+func (o *Owner) OrderAnswered(now time.Time, id api.ServerID, order engine.Order, result engine.OrderResult, err error) {
+	s, known := o.servers[id]
+	if !known || s.operation == nil || s.operation.fence != order.Fence {
+		return
+	}
+	s.operation = nil
+	s.pollBy(now)
+	if err == nil && result.Status == engine.OrderAccepted {
+		o.orderAccepted(now, s, order)
+		return
+	}
+	if result.Fence.Term() > o.start.Term {
+		o.deposedBy = result.Fence.Term()
+		return
+	}
+	if err == nil && result.Status == engine.OrderLeaving {
+		s.engineLeaving = true
+		o.news()
+	}
+	o.orderInDoubt(now, s, order)
+}
+
+func (o *Owner) orderAccepted(now time.Time, s *server, order engine.Order) {
+	r := o.replicas[key{server: s.ID, model: order.Model}]
+	if r == nil {
+		return
+	}
+	unload := order.Kind == engine.OrderUnload || order.Kind == engine.OrderUnloadAdapter
+	if unload && o.config.Unsafe.FreeOnUnload {
+		o.drop(now, r)
+	}
+	if !unload && r.phase == phaseOrdered {
+		r.enter(now, phaseLoading)
+		o.changed = true
+	}
+}
+
+// orderInDoubt notes that an order may or may not have taken effect. The next
+// inventory raises the fence above it and tells.
+func (o *Owner) orderInDoubt(now time.Time, s *server, order engine.Order) {
+	s.pollAt = now
+	r := o.replicas[key{server: s.ID, model: order.Model}]
+	if r == nil || r.intent.OrderID != order.ID {
+		return
+	}
+	if o.config.Unsafe.DoubtIsRefused {
+		o.drop(now, r)
+		return
+	}
+	if r.loading() && !r.doubt {
+		r.doubt = true
+		o.changed = true
+	}
+}
+
+// startDrain tells the routers to stop using a replica. Its unload follows. A
+// load that is not ordered yet is cancelled.
+func (o *Owner) startDrain(now time.Time, r *replica, reason string, sink Sink) {
+	if r.leavingMemory() || r.phase == phaseInherited {
+		return
+	}
+	sink.Log("info", "replica drained", "model", r.intent.Model, "server", r.intent.Server, "reason", reason)
+	if r.phase == phaseIntended {
+		o.drop(now, r)
+		return
+	}
+	r.reason = reason
+	r.enter(now, phaseDraining)
+	o.news()
+	for _, adapter := range o.adaptersOn(r) {
+		o.startDrain(now, adapter, "base "+reason, sink)
+	}
+}
+
+// adaptersOn returns the adapters that are loaded on a base model's replica.
+func (o *Owner) adaptersOn(base *replica) []*replica {
+	return o.selectReplicas(func(r *replica) bool {
+		return r.intent.Base == base.intent.Model && r.intent.Server == base.intent.Server
+	})
+}
+
+// orderUnloads orders the unloads that are due.
+func (o *Owner) orderUnloads(now time.Time, sink Sink) {
+	for _, r := range o.selectReplicas((*replica).leavingMemory) {
+		s, known := o.servers[r.intent.Server]
+		if !known || !s.fenced || s.failures > 0 || s.operation != nil || !o.unloadDue(now, r) {
+			continue
+		}
+		o.orderUnload(now, r, s, sink)
+	}
+}
+
+func (o *Owner) orderUnload(now time.Time, r *replica, s *server, sink Sink) {
+	order := engine.Order{ID: r.intent.OrderID + "/unload", Kind: engine.OrderUnload, Model: r.intent.Model}
+	if r.intent.Base != "" {
+		order.Kind = engine.OrderUnloadAdapter
+		order.Base = r.intent.Base
+	}
+	o.give(now, s, order, sink)
+	if r.phase != phaseUnloading {
+		o.changed = true
+	}
+	r.enter(now, phaseUnloading)
+	r.retryAt = now.Add(o.config.Timing.UnloadRetry)
+	sink.Log("info", "unload ordered", "model", r.intent.Model, "server", s.ID, "reason", r.reason)
+}
+
+// unloadDue tells whether the routers have stopped using a draining replica
+// and its requests are done, or have had their time.
+func (o *Owner) unloadDue(now time.Time, r *replica) bool {
+	if r.phase == phaseUnloading {
+		return !now.Before(r.retryAt)
+	}
+	if len(o.adaptersOn(r)) > 0 {
+		return false
+	}
+	drained := now.Sub(r.since)
+	if drained < o.config.Timing.DrainGrace {
+		return false
+	}
+	return o.inFlight(now, r.intent.Model) == 0 || drained >= o.models[r.intent.Model].Settings.DrainTime
+}
--- /dev/null
+++ b/pkg/control/cell/replica.go
@@ -0,0 +1,309 @@
+package cell
+
+import (
+	"sort"
+	"time"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/control/quorum"
+	"martenwheel.dev/pkg/engine"
+)
+
+// phase is how far a replica has come, as the owner knows.
+type phase uint8
+
+const (
+	phaseInherited phase = iota // of an earlier owner; the inventory will tell
+	phaseIntended               // its intent is being committed
+	phaseOrdered                // the load is ordered, with or without an answer
+	phaseLoading                // the engine shows that it loads
+	phaseReady                  // the engine shows that it serves
+	phaseDraining               // routers are told to stop using it
+	phaseUnloading              // its unload is ordered
+)
+
+// key identifies a replica: a server holds a model at most once.
+type key struct {
+	server api.ServerID
+	model  api.ModelName
+}
+
+// replica is one intent with what the owner knows besides. It counts for the
+// replica limit and the memory in every phase.
+type replica struct {
+	intent    quorum.Intent
+	committed bool
+	phase     phase
+	since     time.Time // of the phase
+	doubt     bool      // the order or its answer may be lost
+	serving   bool      // inherited, and ready in the last view
+
+	orderedAt time.Time
+	readyBy   time.Time // estimate while loading
+	lastUse   time.Time
+	prewarmed bool
+	retryAt   time.Time // of the unload
+	reason    string    // why it drains
+}
+
+func (r *replica) key() key {
+	return key{server: r.intent.Server, model: r.intent.Model}
+}
+
+func (r *replica) enter(now time.Time, next phase) {
+	if r.phase != next {
+		r.phase, r.since = next, now
+	}
+}
+
+// leavingMemory tells whether the replica is on its way out.
+func (r *replica) leavingMemory() bool {
+	return r.phase == phaseDraining || r.phase == phaseUnloading
+}
+
+// loading tells whether the replica takes a slot of the weight store.
+func (r *replica) loading() bool {
+	return r.phase == phaseIntended || r.phase == phaseOrdered || r.phase == phaseLoading
+}
+
+// state translates the phase for routers and policies.
+func (r *replica) state() api.ReplicaState {
+	switch {
+	case r.phase == phaseDraining:
+		return api.ReplicaDraining
+	case r.phase == phaseUnloading:
+		return api.ReplicaUnloading
+	case r.phase == phaseReady || r.serving:
+		return api.ReplicaReady
+	case r.doubt || r.phase == phaseInherited:
+		return api.ReplicaInDoubt
+	default:
+		return api.ReplicaLoading
+	}
+}
+
+// addReplica takes a replica into the count.
+func (o *Owner) addReplica(r *replica) {
+	o.replicas[r.key()] = r
+	o.reserved[r.intent.Server] += r.intent.Bytes
+	o.counts[r.intent.Model]++
+	o.dirty = true
+	o.news()
+}
+
+// drop takes a replica out of the count: it is surely not loaded, and will not
+// be by any order given so far.
+func (o *Owner) drop(_ time.Time, r *replica) {
+	if o.replicas[r.key()] != r {
+		return
+	}
+	delete(o.replicas, r.key())
+	o.reserved[r.intent.Server] -= r.intent.Bytes
+	o.counts[r.intent.Model]--
+	o.dirty = true
+	o.news()
+}
+
+// grow raises the memory that a replica counts for to what its engine reports.
+func (o *Owner) grow(r *replica, bytes uint64) {
+	if bytes <= r.intent.Bytes {
+		return
+	}
+	o.reserved[r.intent.Server] += bytes - r.intent.Bytes
+	r.intent.Bytes = bytes
+	o.dirty = true
+}
+
+// counted returns the number of replicas of a model that may be loaded: those
+// known, and one for each server that may hold any model.
+func (o *Owner) counted(model api.ModelName) int {
+	count := o.counts[model]
+	if o.config.Unsafe.UnknownIsEmpty {
+		return count
+	}
+	for id, s := range o.servers {
+		if s.Unknown && o.replicas[key{server: id, model: model}] == nil {
+			count++
+		}
+	}
+	return count
+}
+
+// replicasOn returns the replicas on a server in order of model.
+func (o *Owner) replicasOn(id api.ServerID) []*replica {
+	return o.selectReplicas(func(r *replica) bool { return r.intent.Server == id })
+}
+
+// replicasOf returns the replicas of a model in order of server.
+func (o *Owner) replicasOf(model api.ModelName) []*replica {
+	return o.selectReplicas(func(r *replica) bool { return r.intent.Model == model })
+}
+
+func (o *Owner) selectReplicas(wanted func(*replica) bool) []*replica {
+	var selected []*replica
+	for _, r := range o.replicas {
+		if wanted(r) {
+			selected = append(selected, r)
+		}
+	}
+	sort.Slice(selected, func(i, j int) bool {
+		a, b := selected[i].intent, selected[j].intent
+		if a.Server != b.Server {
+			return a.Server < b.Server
+		}
+		return a.Model < b.Model
+	})
+	return selected
+}
+
+// InventoryAnswered takes over an engine's inventory. Answers other than to the
+// inventory under way are too late to be used.
+func (o *Owner) InventoryAnswered(now time.Time, id api.ServerID, request engine.InventoryRequest, inventory engine.Inventory, err error) {
+	s, known := o.servers[id]
+	if !known || s.operation == nil || s.operation.order != nil || s.operation.fence != request.Fence {
+		return
+	}
+	sentAt := s.operation.sentAt
+	s.operation = nil
+	if err != nil || inventory.Fence < request.Fence {
+		o.inventoryFailed(now, s)
+		return
+	}
+	if inventory.Fence.Term() > o.start.Term {
+		o.deposedBy = inventory.Fence.Term()
+		return
+	}
+	o.takeInventory(now, s, inventory, sentAt)
+}
+
+// takeInventory brings the owner's knowledge in line with an inventory that was
+// read at its own fence: no order given before can take effect any more.
+func (o *Owner) takeInventory(now time.Time, s *server, inventory engine.Inventory, sentAt time.Time) {
+	first := !s.fenced
+	if first || !s.reachable || s.engineLeaving != inventory.Leaving || s.capacity != inventory.CapacityBytes {
+		o.news()
+	}
+	s.fenced, s.reachable, s.failures = true, true, 0
+	s.lastContact = sentAt
+	s.instance, s.capacity, s.engineLeaving = inventory.Instance, inventory.CapacityBytes, inventory.Leaving
+	s.cached = cachedCheckpoints(inventory.Cached)
+	o.settleReplicas(now, s, inventory)
+	if s.Unknown {
+		s.Unknown = false
+		o.dirty = true
+	}
+	s.pollAt = now.Add(o.pollInterval(s.ID))
+}
+
+func cachedCheckpoints(cached []engine.CachedCheckpoint) map[string]engine.CacheTier {
+	tiers := make(map[string]engine.CacheTier, len(cached))
+	for _, checkpoint := range cached {
+		tiers[checkpoint.Checkpoint] = checkpoint.Tier
+	}
+	return tiers
+}
+
+func (o *Owner) pollInterval(id api.ServerID) time.Duration {
+	for _, r := range o.replicas {
+		settled := r.phase == phaseReady || r.phase == phaseDraining
+		if r.intent.Server == id && !settled {
+			return o.config.Timing.BusyInterval
+		}
+	}
+	return o.config.Timing.InventoryInterval
+}
+
+// settleReplicas matches the items of an inventory with the replicas.
+func (o *Owner) settleReplicas(now time.Time, s *server, inventory engine.Inventory) {
+	items := make(map[api.ModelName]engine.Item, len(inventory.Items))
+	for _, item := range inventory.Items {
+		items[item.Model] = item
+	}
+	for _, r := range o.replicasOn(s.ID) {
+		item, present := items[r.intent.Model]
+		switch {
+		case present && item.State != engine.ItemFailed:
+			o.showItem(now, r, item)
+		case r.phase == phaseIntended && r.intent.Instance == inventory.Instance:
+			// Not ordered yet.
+		default:
+			o.gone(now, s, r, present)
+		}
+		delete(items, r.intent.Model)
+	}
+	for _, item := range inventory.Items {
+		if _, unexpected := items[item.Model]; unexpected && item.State != engine.ItemFailed {
+			o.adopt(now, s, item)
+		}
+	}
+}
+
+// showItem takes over the state that the engine shows for a replica.
+func (o *Owner) showItem(now time.Time, r *replica, item engine.Item) {
+	o.grow(r, item.MemoryBytes)
+	before := r.state()
+	r.doubt, r.serving = false, false
+	if r.intent.OrderID != item.OrderID && item.OrderID != "" {
+		r.intent.OrderID = item.OrderID
+		r.committed = true // it is loaded: nothing is left to order
+		o.dirty = true
+	}
+	switch item.State {
+	case engine.ItemLoading:
+		if !r.leavingMemory() {
+			r.enter(now, phaseLoading)
+			o.estimateReady(now, r, item.Progress)
+		}
+	case engine.ItemReady:
+		if !r.leavingMemory() {
+			o.becomeReady(now, r)
+		}
+	case engine.ItemUnloading:
+		r.enter(now, phaseUnloading)
+		r.retryAt = now.Add(o.config.Timing.UnloadRetry)
+	}
+	if r.state() != before {
+		o.news()
+	}
+}
+
+// becomeReady ends a load.
+func (o *Owner) becomeReady(now time.Time, r *replica) {
+	if r.phase == phaseReady {
+		return
+	}
+	if !r.orderedAt.IsZero() {
+		o.measureLoad(r.intent.Model, now.Sub(r.orderedAt))
+	}
+	delete(o.failures, r.intent.Model)
+	r.enter(now, phaseReady)
+	r.lastUse = now
+	o.news()
+}
+
+// gone drops a replica that its engine does not hold, and tells a failed load
+// from a finished unload.
+func (o *Owner) gone(now time.Time, s *server, r *replica, failed bool) {
+	if failed || r.phase == phaseOrdered || r.phase == phaseLoading {
+		o.loadFailed(now, s, r, failed)
+	}
+	o.drop(now, r)
+}
+
+// adopt counts a model that nobody of this group is known to have ordered.
+func (o *Owner) adopt(now time.Time, s *server, item engine.Item) {
+	r := &replica{
+		intent: quorum.Intent{
+			OrderID: item.OrderID, Server: s.ID, Model: item.Model, Base: item.Base,
+			Bytes: item.MemoryBytes, Instance: s.instance, Version: o.models[item.Model].Settings.Version,
+		},
+		committed: true,
+		phase:     phaseLoading,
+		since:     now,
+	}
+	if model, known := o.models[item.Model]; known {
+		r.intent.Bytes = max(item.MemoryBytes, replicaBytes(model))
+	}
+	o.addReplica(r)
+	o.showItem(now, r, item)
+}
--- /dev/null
+++ b/pkg/control/cell/view.go
@@ -0,0 +1,53 @@
+package cell
+
+import (
+	"sort"
+
+	"martenwheel.dev/pkg/api"
+)
+
+// TakeView returns the view for routers, and false if nothing has changed since
+// it was last taken. Leader and Members are left to the caller.
+func (o *Owner) TakeView() (api.CellView, bool) {
+	if !o.changed {
+		return api.CellView{}, false
+	}
+	o.changed = false
+	o.version++
+	view := api.CellView{Cell: o.config.Cell, Term: o.start.Term, Version: o.version, Leader: o.config.Self}
+	for _, s := range o.sortedServers() {
+		if s.admitted || s.listLeaving {
+			view.Servers = append(view.Servers, o.serverView(s))
+		}
+	}
+	for _, r := range o.selectReplicas(func(*replica) bool { return true }) {
+		view.Replicas = append(view.Replicas, r.view())
+	}
+	return view, true
+}
+
+func (o *Owner) serverView(s *server) api.ServerView {
+	return api.ServerView{
+		ID: s.ID, Address: s.Address, Zone: s.Zone,
+		CapacityBytes: s.capacityBytes(), ReservedBytes: o.reserved[s.ID],
+		Leaving: s.leaving(), Reachable: s.reachable,
+	}
+}
+
+func (r *replica) view() api.Replica {
+	shown := api.Replica{Model: r.intent.Model, Base: r.intent.Base, Server: r.intent.Server, State: r.state()}
+	if shown.State == api.ReplicaLoading {
+		shown.ReadyBy = r.readyBy
+	}
+	return shown
+}
+
+// sortedNodes returns the nodes of some reports in order.
+func sortedNodes(reports map[api.NodeID]*report) []api.NodeID {
+	nodes := make([]api.NodeID, 0, len(reports))
+	for id := range reports {
+		nodes = append(nodes, id)
+	}
+	sort.Slice(nodes, func(i, j int) bool { return nodes[i] < nodes[j] })
+	return nodes
+}
--- /dev/null
+++ b/pkg/control/explore/world_test.go
@@ -0,0 +1,336 @@
+package explore
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/control"
+	"martenwheel.dev/pkg/control/internal/switches"
+	"martenwheel.dev/pkg/engine"
+	"martenwheel.dev/pkg/platform"
+	"martenwheel.dev/pkg/policy"
+	"martenwheel.dev/pkg/tree"
+)
+
+const (
+	region      = "uy-south"
+	serviceName = "assistant"
+	cellName    = api.CellName("assistant@uy-south")
+	callTimeout = 2 * time.Second // until the runtime reports an unknown outcome
+)
+
+// odds are the probabilities of single faults.
+type odds struct {
+	lost       float64 // a message or a call
+	answerLost float64 // the answer of a call whose effect took place
+	duplicated float64 // a message or an order
+	late       float64 // much delayed
+	loadFails  float64
+	falseDeath float64 // a live node looks dead for a while, per check
+}
+
+// world is everything outside the machines, under virtual time.
+type world struct {
+	start    time.Time
+	now      time.Time
+	random   *rand.Rand
+	odds     odds
+	unsafe   switches.Set
+	queue    eventQueue
+	sequence int
+
+	nodes    []*node
+	servers  []*modelEngine
+	table    *modelTable
+	listing  []platform.MachineList // history, newest last
+	listDown bool
+	listLag  time.Duration
+	cuts     map[string]bool
+	trees    []*settings // accepted revisions
+	treeDown bool
+	models   []api.ModelName
+	decider  func(name string) policy.Decider
+
+	failure string
+	trace   []string
+	steps   int
+}
+
+type scheduled struct {
+	at       time.Time
+	sequence int
+	run      func()
+}
+
+type eventQueue []scheduled
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].sequence < q[j].sequence
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(scheduled)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// newWorld returns a world without nodes and servers.
+func newWorld(seed uint64) *world {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	w := &world{
+		start: start, now: start,
+		random: rand.New(rand.NewPCG(seed, 1)),
+		table:  &modelTable{records: make(map[string]platform.Record), tokens: make(map[string]bool)},
+		cuts:   make(map[string]bool),
+	}
+	w.decider = func(string) policy.Decider { return waitingDecider{} }
+	return w
+}
+
+func (w *world) note(format string, arguments ...any) {
+	if len(w.trace) < 20000 {
+		line := fmt.Sprintf(format, arguments...)
+		w.trace = append(w.trace, fmt.Sprintf("%8.3fs %s", w.now.Sub(w.start).Seconds(), line))
+	}
+}
+
+func (w *world) fail(format string, arguments ...any) {
+	if w.failure == "" {
+		w.failure = fmt.Sprintf(format, arguments...)
+		w.note("VIOLATION: %s", w.failure)
+	}
+}
+
+func (w *world) chance(probability float64) bool {
+	return probability > 0 && w.random.Float64() < probability
+}
+
+func (w *world) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(w.random.Int64N(int64(high-low)+1))
+}
+
+func (w *world) after(delay time.Duration, run func()) {
+	w.sequence++
+	heap.Push(&w.queue, scheduled{at: w.now.Add(delay), sequence: w.sequence, run: run})
+}
+
+// run lets virtual time pass until the end or a violation.
+func (w *world) run(duration time.Duration) {
+	end := w.now.Add(duration)
+	for len(w.queue) > 0 && w.failure == "" && !w.queue[0].at.After(end) {
+		next := heap.Pop(&w.queue).(scheduled)
+		w.now = next.at
+		w.steps++
+		next.run()
+	}
+	if w.failure == "" {
+		w.now = end
+	}
+}
+
+// runUntil runs until the condition holds, at most for limit.
+func (w *world) runUntil(limit time.Duration, condition func() bool) bool {
+	end := w.now.Add(limit)
+	for w.now.Before(end) && w.failure == "" {
+		if condition() {
+			return true
+		}
+		w.run(50 * time.Millisecond)
+	}
+	return condition()
+}
+
+// addServer adds a live machine with an engine.
+func (w *world) addServer(id string, capacity uint64) *modelEngine {
+	e := &modelEngine{
+		world: w, id: api.ServerID(id), address: "engine/" + id, capacity: capacity,
+		items: make(map[api.ModelName]*modelItem), machine: platform.MachineLive, life: 1,
+	}
+	w.servers = append(w.servers, e)
+	w.listMachines()
+	return e
+}
+
+// listMachines adds the present truth to the history of the list of machines.
+func (w *world) listMachines() {
+	list := platform.MachineList{Version: uint64(len(w.listing) + 1), AsOf: w.now}
+	for _, e := range w.servers {
+		list.Machines = append(list.Machines, platform.Machine{
+			ID: string(e.id), Address: e.address, Service: serviceName, Zone: "z1", Region: region,
+			State: e.machine, MemoryBytes: e.capacity, Instance: fmt.Sprint("machine", e.life),
+		})
+	}
+	w.listing = append(w.listing, list)
+}
+
+// laggingList is the list as it was listLag ago.
+func (w *world) laggingList() platform.MachineList {
+	seen := platform.MachineList{}
+	for _, list := range w.listing {
+		if !list.AsOf.After(w.now.Add(-w.listLag)) {
+			seen = list
+		}
+	}
+	if len(seen.Machines) > 0 {
+		seen.AsOf = w.now.Add(-w.listLag)
+	}
+	return seen
+}
+
+func (w *world) server(id api.ServerID) *modelEngine {
+	for _, e := range w.servers {
+		if e.id == id {
+			return e
+		}
+	}
+	return nil
+}
+
+func (w *world) cut(a, b string) bool {
+	return w.cuts[a+"|"+b]
+}
+
+func (w *world) setCut(a, b string, cut bool) {
+	w.cuts[a+"|"+b] = cut
+	w.cuts[b+"|"+a] = cut
+}
+
+// check verifies the promises on the engines' true state.
+func (w *world) check() {
+	for _, e := range w.servers {
+		var held uint64
+		for _, item := range e.items {
+			if item.State != engine.ItemFailed {
+				held += item.held
+			}
+		}
+		if held > e.capacity {
+			w.fail("memory of %s overcommitted: %d of %d", e.id, held, e.capacity)
+		}
+	}
+	for _, model := range w.models {
+		w.checkReplicas(model)
+	}
+}
+
+// checkReplicas compares the replicas of a model with the largest limit that
+// was in force where one of them was ordered.
+func (w *world) checkReplicas(model api.ModelName) {
+	count, limit := 0, 0
+	var where []string
+	for _, e := range w.servers {
+		if e.holds(model) {
+			count++
+			limit = max(limit, e.items[model].limit)
+			where = append(where, fmt.Sprintf("%s (term %x)", e.id, e.items[model].term))
+		}
+	}
+	if count > limit {
+		w.fail("%d replicas of %s, at most %d decided: %s", count, model, limit, strings.Join(where, ", "))
+	}
+}
+
+// settings is a revision of a small tree.
+type settings struct {
+	revision tree.Revision
+	models   []tree.Model
+}
+
+func (s *settings) Revision() tree.Revision { return s.revision }
+func (s *settings) Models() []tree.Model    { return s.models }
+func (s *settings) Services() []string      { return []string{serviceName} }
+func (s *settings) Root() tree.Settings {
+	return tree.Settings{WeightFullSpeed: 8, WeightLoadRate: 4}
+}
+
+func (s *settings) model(name api.ModelName) tree.Model {
+	for _, model := range s.models {
+		if model.Name == name {
+			return model
+		}
+	}
+	return tree.Model{}
+}
+
+// addModel adds a model to the first revision.
+func (w *world) addModel(name, base string, gigabytes uint64, maxReplicas int) {
+	if len(w.trees) == 0 {
+		w.trees = append(w.trees, &settings{revision: 1})
+	}
+	w.models = append(w.models, api.ModelName(name))
+	w.trees[0].models = append(w.trees[0].models, tree.Model{
+		Name: api.ModelName(name), Base: api.ModelName(base), Service: serviceName,
+		Settings: tree.Settings{
+			MemoryBytes: gigabytes, KVBytes: 1, LoadTime: time.Second, MaxReplicas: maxReplicas,
+			KeepAlive: 5 * time.Second, DrainTime: 5 * time.Second,
+		},
+	})
+}
+
+func (w *world) newest() *settings {
+	return w.trees[len(w.trees)-1]
+}
+
+// kvBytes is the KV cache of each replica, whatever the revision.
+func (w *world) kvBytes(model api.ModelName) uint64 {
+	return w.trees[0].model(model).Settings.KVBytes
+}
+
+// edit accepts a change of max_replicas on top of the newest revision.
+func (w *world) edit(name api.ModelName, maxReplicas int) {
+	base := w.newest()
+	next := &settings{revision: base.revision + 1, models: append([]tree.Model(nil), base.models...)}
+	for index := range next.models {
+		if next.models[index].Name == name {
+			next.models[index].Settings.MaxReplicas = maxReplicas
+		}
+	}
+	w.trees = append(w.trees, next)
+	w.note("tree revision %d: at most %d of %s", next.revision, maxReplicas, name)
+}
+
+// addNode starts a node.
+func (w *world) addNode(id, zone string) *node {
+	n := &node{world: w, id: api.NodeID(id), zone: zone}
+	w.nodes = append(w.nodes, n)
+	n.boot()
+	return n
+}
+
+// owner returns the node that owns the cell in the highest term, if any.
+func (w *world) owner() *node {
+	var owner *node
+	var term uint64
+	for _, n := range w.nodes {
+		if n.machine == nil {
+			continue
+		}
+		for _, c := range n.machine.Status().Cells {
+			if c.Role == control.RoleOwner && c.Term >= term {
+				owner, term = n, c.Term
+			}
+		}
+	}
+	return owner
+}
+
+// ready returns the number of ready replicas of a model.
+func (w *world) ready(model api.ModelName) int {
+	count := 0
+	for _, e := range w.servers {
+		if item := e.items[model]; item != nil && item.State == engine.ItemReady {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/pkg/control/formation.go
@@ -0,0 +1,278 @@
+package control
+
+import (
+	"hash/fnv"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/control/quorum"
+	"martenwheel.dev/pkg/platform"
+)
+
+// formationStage is how far this node is in forming a group for a cell.
+type formationStage uint8
+
+const (
+	formationIdle    formationStage = iota // the cell has a group, as far as known
+	formationWaiting                       // it has none; nodes of a better rank go first
+	formationReading                       // reads the record
+	formationListing                       // reads the list of machines
+	formationWriting                       // writes the record of a new epoch
+)
+
+// formation forms the group of a cell that has none or has lost its majority.
+// The conditional write of the cell's record, with the next epoch, makes one
+// founder win. That the old group may still be at work is no harm: the new
+// owner counts each server of the record as holding any model until it has
+// fenced it.
+type formation struct {
+	stage    formationStage
+	startAt  time.Time // of the next stage, when waiting
+	aliveAt  time.Time // since when the recorded members look alive but silent
+	founded  uint64    // last epoch that this node led as the founder
+	wanted   cellRecord
+	unknowns map[api.ServerID]bool // servers of the record before the write of epoch wanted
+}
+
+func (f *formation) needsMachines() bool {
+	return f.stage == formationListing
+}
+
+// tickFormation begins, goes on with, or calls off the forming of a group.
+func (c *cellControl) tickFormation() {
+	now := c.machine.now
+	f := &c.formation
+	if f.stage == formationWriting {
+		return // the epoch may be won already: it must not be left without a group
+	}
+	if !c.needsGroup(now) {
+		f.stage = formationIdle
+		f.aliveAt = time.Time{}
+		return
+	}
+	if f.stage == formationIdle {
+		f.stage = formationWaiting
+		timing := c.machine.timing
+		wait := timing.FormationDelay + time.Duration(c.rank())*timing.FormationStep
+		f.startAt = now.Add(wait + c.machine.jitter(timing.FormationStep/4))
+	}
+	if f.stage == formationWaiting && !now.Before(f.startAt) && !c.calls.busy() {
+		f.stage = formationReading
+		c.readRecord()
+	}
+}
+
+// needsGroup tells whether the cell has no group that could still agree.
+func (c *cellControl) needsGroup(now time.Time) bool {
+	m := c.machine
+	if len(c.models) == 0 || m.stopping || c.owner != nil {
+		return false
+	}
+	if _, led := c.group.Leader(now); led {
+		return false
+	}
+	if c.group.Superseded() && c.group.Floor() > c.epoch() {
+		return true
+	}
+	if c.view.Term > 0 && c.mostAlive(c.view.Members) {
+		return false
+	}
+	return !c.group.Member() || !c.mostAlive(c.group.Accepted().Members)
+}
+
+// mostAlive tells whether a majority of the members is alive in the same life.
+func (c *cellControl) mostAlive(members []api.NodeRef) bool {
+	live := c.machine.liveNodes()
+	count := 0
+	for _, member := range members {
+		if isAmong(member, live) {
+			count++
+		}
+	}
+	return 2*count > len(members)
+}
+
+// rank is this node's place among the live nodes in an order that differs from
+// cell to cell.
+func (c *cellControl) rank() int {
+	for index, node := range c.ranked(c.machine.liveNodes()) {
+		if c.machine.isSelf(node) {
+			return index
+		}
+	}
+	return 0
+}
+
+// ranked sorts nodes by a hash of the cell and the node's life.
+func (c *cellControl) ranked(nodes []api.NodeRef) []api.NodeRef {
+	sorted := append([]api.NodeRef(nil), nodes...)
+	sort.Slice(sorted, func(i, j int) bool {
+		a, b := c.hash(sorted[i]), c.hash(sorted[j])
+		if a != b {
+			return a < b
+		}
+		return sorted[i].ID < sorted[j].ID
+	})
+	return sorted
+}
+
+func (c *cellControl) hash(node api.NodeRef) uint64 {
+	sum := fnv.New64a()
+	sum.Write([]byte(string(c.name) + "/" + string(node.ID) + "/" + strconv.FormatUint(node.Incarnation, 10)))
+	return sum.Sum64()
+}
+
+// chooseMembers returns up to quorum.Size of the nodes: those of first, then
+// others in zones that are not taken yet, then any.
+func (c *cellControl) chooseMembers(first, nodes []api.NodeRef) []api.NodeRef {
+	chosen := append([]api.NodeRef(nil), first...)
+	zones := make(map[string]bool)
+	for _, node := range chosen {
+		zones[node.Zone] = true
+	}
+	ranked := c.ranked(nodes)
+	for _, otherZonesOnly := range []bool{true, false} {
+		for _, node := range ranked {
+			if len(chosen) >= quorum.Size {
+				return chosen
+			}
+			if isAmong(node, chosen) || otherZonesOnly && zones[node.Zone] {
+				continue
+			}
+			chosen = append(chosen, node)
+			zones[node.Zone] = true
+		}
+	}
+	return chosen
+}
+
+// formationRecord goes on after the record was read or written.
+func (c *cellControl) formationRecord(err error) {
+	f := &c.formation
+	if f.stage != formationReading && f.stage != formationWriting {
+		return
+	}
+	if err != nil {
+		c.retryFormation("cell record not reached", err)
+		return
+	}
+	known := c.calls.known
+	if known != nil && sameNode(known.Founder, c.machine.config.Self) && known.Epoch > f.founded {
+		c.found(*known)
+		return
+	}
+	if known != nil && c.waitForMembers(known.Members) {
+		return
+	}
+	f.stage = formationListing
+	c.machine.machinesAt = c.machine.now
+}
+
+// waitForMembers gives recorded members that live some time to come up. They
+// may never: a founder may have died before it told them.
+func (c *cellControl) waitForMembers(members []api.NodeRef) bool {
+	f := &c.formation
+	now := c.machine.now
+	if !c.mostAlive(members) {
+		return false
+	}
+	if f.aliveAt.IsZero() {
+		f.aliveAt = now
+	}
+	if now.Sub(f.aliveAt) >= c.machine.timing.FormationPatience {
+		return false
+	}
+	f.stage = formationWaiting
+	f.startAt = now.Add(c.machine.timing.FormationRetry)
+	return true
+}
+
+func (c *cellControl) retryFormation(message string, err error) {
+	c.formation.stage = formationWaiting
+	pause := c.machine.timing.FormationRetry
+	c.formation.startAt = c.machine.now.Add(pause + c.machine.jitter(pause))
+	c.Log("warn", message, "error", err.Error())
+}
+
+// errNoMachines means that a cell has neither machines nor a record.
+var errNoMachines = errors.New("no machines of the service in the region")
+
+// formationListed goes on after the list of machines was read. The list is
+// needed only for a cell that was never recorded.
+func (c *cellControl) formationListed(list platform.MachineList, err error) {
+	if c.formation.stage != formationListing {
+		return
+	}
+	if err != nil && c.calls.known == nil {
+		c.retryFormation("list of machines not reached", err)
+		return
+	}
+	if len(list.Machines) == 0 && c.calls.known == nil {
+		c.retryFormation("no group formed", errNoMachines)
+		return
+	}
+	c.writeEpoch(list)
+}
+
+// writeEpoch writes the record of the next epoch.
+func (c *cellControl) writeEpoch(list platform.MachineList) {
+	m := c.machine
+	f := &c.formation
+	previous := cellRecord{}
+	if c.calls.known != nil {
+		previous = *c.calls.known
+	}
+	epoch := max(previous.Epoch, c.group.Floor(), c.epoch()) + 1
+	f.wanted = cellRecord{
+		Epoch:   epoch,
+		Term:    quorum.MakeTerm(epoch, 1),
+		Founder: m.config.Self,
+		Members: c.chooseMembers([]api.NodeRef{m.config.Self}, m.liveNodes()),
+		Servers: addListed(previous.Servers, list),
+	}
+	f.unknowns = make(map[api.ServerID]bool)
+	for _, server := range previous.Servers {
+		f.unknowns[server.ID] = true
+	}
+	f.stage = formationWriting
+	c.writeRecord(f.wanted)
+}
+
+// addListed adds the live machines of a list to the recorded servers. Recorded
+// ones stay: a list may be older than the record.
+func addListed(recorded []quorum.Server, list platform.MachineList) []quorum.Server {
+	servers := append([]quorum.Server(nil), recorded...)
+	named := make(map[api.ServerID]bool)
+	for _, server := range recorded {
+		named[server.ID] = true
+	}
+	for _, machine := range list.Machines {
+		if machine.State != platform.MachineLive || named[api.ServerID(machine.ID)] {
+			continue
+		}
+		servers = append(servers, quorum.Server{
+			ID: api.ServerID(machine.ID), Address: machine.Address, Zone: machine.Zone,
+			MemoryBytes: machine.MemoryBytes, ListVersion: list.Version,
+		})
+	}
+	sort.Slice(servers, func(i, j int) bool { return servers[i].ID < servers[j].ID })
+	return servers
+}
+
+// found begins the epoch that this node has won.
+func (c *cellControl) found(record cellRecord) {
+	f := &c.formation
+	servers := append([]quorum.Server(nil), record.Servers...)
+	for index := range servers {
+		servers[index].Unknown = f.unknowns == nil || f.unknowns[servers[index].ID]
+	}
+	f.founded = record.Epoch
+	f.stage = formationIdle
+	f.aliveAt = time.Time{}
+	c.Log("warn", "quorum group formed", "epoch", record.Epoch, "members", len(record.Members), "servers", len(servers))
+	c.sendGroup(c.group.Found(c.machine.now, record.Epoch, record.Members, quorum.Data{Servers: servers}))
+}
--- /dev/null
+++ b/pkg/control/members.go
@@ -0,0 +1,175 @@
+package control
+
+import (
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/control/quorum"
+)
+
+// tickMembers lets the leader of a group replace members that are dead or about
+// to stop, add missing ones and spread them over the zones.
+func (c *cellControl) tickMembers() {
+	m := c.machine
+	if c.owner == nil || m.now.Before(c.reconfigureAt) {
+		return
+	}
+	c.reconfigureAt = m.now.Add(m.timing.ReconfigureInterval)
+	current := c.group.Committed().Members
+	wanted := c.wantedMembers(current)
+	if sameMembers(current, wanted) {
+		return
+	}
+	c.Log("info", "members change", "from", names(current), "to", names(wanted))
+	c.sendGroup(c.group.Reconfigure(m.now, wanted))
+}
+
+// wantedMembers keeps the members that live and stay, and fills up. A dead
+// member without a replacement stays, since a smaller group is no safer; one
+// that stops is let go if another member remains.
+func (c *cellControl) wantedMembers(current []api.NodeRef) []api.NodeRef {
+	m := c.machine
+	live := c.withoutLeaving(m.liveNodes())
+	var staying, dead []api.NodeRef
+	for _, member := range current {
+		switch {
+		case isAmong(member, live):
+			staying = append(staying, member)
+		case !isAmong(member, c.leaving) && !(m.stopping && m.isSelf(member)):
+			dead = append(dead, member)
+		}
+	}
+	wanted := c.chooseMembers(c.oneForEachZone(staying, live), live)
+	for _, member := range dead {
+		if len(wanted) < quorum.Size && len(wanted) < len(current) {
+			wanted = append(wanted, member)
+		}
+	}
+	if len(wanted) == 0 {
+		return current
+	}
+	return wanted
+}
+
+// oneForEachZone leaves out a member that shares its zone with another one if a
+// node in a free zone could take its place. The leader stays.
+func (c *cellControl) oneForEachZone(staying, live []api.NodeRef) []api.NodeRef {
+	if len(staying) < quorum.Size {
+		return staying
+	}
+	taken := make(map[string]int)
+	for _, member := range staying {
+		taken[member.Zone]++
+	}
+	free := false
+	for _, node := range live {
+		free = free || taken[node.Zone] == 0
+	}
+	for index, member := range staying {
+		if free && taken[member.Zone] > 1 && !c.machine.isSelf(member) {
+			return append(append([]api.NodeRef(nil), staying[:index]...), staying[index+1:]...)
+		}
+	}
+	return staying
+}
+
+func (c *cellControl) withoutLeaving(nodes []api.NodeRef) []api.NodeRef {
+	var left []api.NodeRef
+	for _, node := range nodes {
+		if !isAmong(node, c.leaving) {
+			left = append(left, node)
+		}
+	}
+	return left
+}
+
+// memberLeaving notes that a member asks to be replaced.
+func (c *cellControl) memberLeaving(node api.NodeRef) {
+	if c.owner == nil || isAmong(node, c.leaving) {
+		return
+	}
+	c.leaving = append(c.leaving, node)
+	c.reconfigureAt = c.machine.now
+}
+
+func sameMembers(a, b []api.NodeRef) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for _, node := range a {
+		if !isAmong(node, b) {
+			return false
+		}
+	}
+	return true
+}
+
+func names(nodes []api.NodeRef) []api.NodeID {
+	ids := make([]api.NodeID, len(nodes))
+	for index, node := range nodes {
+		ids[index] = node.ID
+	}
+	return ids
+}
+
+// beginStop begins a planned stop: this node hands over what it leads and asks
+// to be replaced where it is a member.
+func (m *Machine) beginStop() {
+	if m.stopping {
+		return
+	}
+	m.stopping = true
+	m.stopBy = m.now.Add(m.timing.StopTimeout)
+	for _, name := range m.cellOrder {
+		m.cells[name].reconfigureAt = m.now
+	}
+	m.tickStop()
+}
+
+// tickStop repeats the wish to be replaced until it is fulfilled.
+func (m *Machine) tickStop() {
+	if !m.stopping || m.announced {
+		return
+	}
+	for _, name := range m.cellOrder {
+		m.cells[name].askToLeave()
+	}
+	if m.handedOver() || !m.now.Before(m.stopBy) {
+		m.announced = true
+		m.sendPackets(m.membership.Leave(m.now))
+	}
+}
+
+func (c *cellControl) askToLeave() {
+	leader, led := c.group.Leader(c.machine.now)
+	if c.isMember() && led && !c.machine.isSelf(leader) {
+		c.machine.send(leader, quorum.Leaving{Cell: c.name})
+	}
+}
+
+// isMember tells whether this node is a member of the cell's group.
+func (c *cellControl) isMember() bool {
+	if !c.group.Member() {
+		return false
+	}
+	replaced := c.view.Term >= c.group.Accepted().Term && !isAmong(c.machine.config.Self, c.view.Members)
+	return !replaced
+}
+
+// handedOver tells whether no group counts on this node, or nobody else is
+// there to take over.
+func (m *Machine) handedOver() bool {
+	if len(m.liveNodes()) == 0 {
+		return true
+	}
+	for _, name := range m.cellOrder {
+		if m.cells[name].isMember() {
+			return false
+		}
+	}
+	return true
+}
+
+// Stopped tells that a planned stop has done what it can: the process may exit
+// after the effects returned so far.
+func (m *Machine) Stopped() bool {
+	return m.announced
+}
--- /dev/null
+++ b/pkg/control/status.go
@@ -0,0 +1,112 @@
+package control
+
+import (
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/control/quorum"
+	"martenwheel.dev/pkg/tree"
+)
+
+// Status is what operators see of a node's control side.
+type Status struct {
+	Node         api.NodeRef   `json:"node"`
+	TreeRevision tree.Revision `json:"tree_revision"` // in force here; zero if none
+	TreeSeen     tree.Revision `json:"tree_seen"`     // highest that a node in reach has told of
+	Members      []Member      `json:"members"`
+	Cells        []CellStatus  `json:"cells"`
+	Stopping     bool          `json:"stopping"`
+}
+
+// CellStatus is this node's part in a cell and what it knows of the cell.
+type CellStatus struct {
+	Cell          api.CellName  `json:"cell"`
+	Role          string        `json:"role"` // "owner", "member" or "none"
+	Epoch         uint64        `json:"epoch"`
+	Term          uint64        `json:"term"`
+	Version       uint64        `json:"version"`
+	Leader        api.NodeRef   `json:"leader"`
+	Members       []api.NodeRef `json:"members"`
+	Servers       int           `json:"servers"`
+	Unreachable   int           `json:"unreachable"`    // servers, as seen by the owner
+	Ready         int           `json:"ready"`          // replicas
+	Loading       int           `json:"loading"`        // replicas
+	InDoubt       int           `json:"in_doubt"`       // replicas
+	Reconfiguring bool          `json:"reconfiguring"`  // as seen by a member
+	RecordEpoch   uint64        `json:"record_epoch"`   // of the table service, as last read here
+	RecordFailed  int           `json:"record_failed"`  // calls of the owner in a row
+	UnknownServer int           `json:"unknown_server"` // servers that may hold anything, at the owner
+}
+
+// Roles of a node in a cell.
+const (
+	RoleOwner  = "owner"
+	RoleMember = "member"
+	RoleNone   = "none"
+)
+
+// Status returns a copy of what operators may want to know.
+func (m *Machine) Status() Status {
+	status := Status{
+		Node:     m.config.Self,
+		TreeSeen: m.treeSeen,
+		Members:  m.membership.Members(),
+		Stopping: m.stopping,
+	}
+	if m.settings != nil {
+		status.TreeRevision = m.settings.Revision()
+	}
+	for _, name := range m.cellOrder {
+		status.Cells = append(status.Cells, m.cells[name].status())
+	}
+	return status
+}
+
+func (c *cellControl) status() CellStatus {
+	status := CellStatus{
+		Cell: c.name, Role: c.roleName(), Epoch: c.epoch(), Term: c.view.Term, Version: c.view.Version,
+		Leader: c.view.Leader, Members: c.view.Members, Servers: len(c.view.Servers),
+		Reconfiguring: c.group.Reconfiguring(), RecordFailed: c.record.failures,
+	}
+	if c.calls.known != nil {
+		status.RecordEpoch = c.calls.known.Epoch
+	}
+	for _, server := range c.view.Servers {
+		if !server.Reachable {
+			status.Unreachable++
+		}
+	}
+	for _, replica := range c.view.Replicas {
+		switch replica.State {
+		case api.ReplicaReady:
+			status.Ready++
+		case api.ReplicaLoading:
+			status.Loading++
+		case api.ReplicaInDoubt:
+			status.InDoubt++
+		}
+	}
+	if c.owner != nil {
+		status.UnknownServer = countUnknown(c.group.Committed().Data.Servers)
+	}
+	return status
+}
+
+func (c *cellControl) roleName() string {
+	switch {
+	case c.owner != nil:
+		return RoleOwner
+	case c.isMember():
+		return RoleMember
+	default:
+		return RoleNone
+	}
+}
+
+func countUnknown(servers []quorum.Server) int {
+	count := 0
+	for _, server := range servers {
+		if server.Unknown {
+			count++
+		}
+	}
+	return count
+}
--- a/pkg/engine/types.go
+++ b/pkg/engine/types.go
@@ -56,6 +56,7 @@
 type Order struct {
 	ID          string        `json:"id"`
 	Fence       api.Fence     `json:"fence"`
+	Instance    string        `json:"instance,omitempty"` // of the engine that it is for; empty: any
 	Kind        OrderKind     `json:"kind"`
 	Model       api.ModelName `json:"model"`
 	Base        api.ModelName `json:"base,omitempty"`
@@ -77,6 +78,10 @@
 	OrderUnknownModel OrderStatus = "unknown_model" // nothing to unload, or no base for the adapter
 	OrderLeaving      OrderStatus = "leaving"       // the engine takes no new work
 	OrderInvalid      OrderStatus = "invalid"
+	// OrderWrongInstance means that the order is for an earlier life of the
+	// engine. A restarted engine has seen no fence, so this alone keeps an
+	// order that was under way during the restart from taking effect.
+	OrderWrongInstance OrderStatus = "wrong_instance"
 )
 
 // OrderResult answers an Order.
