--- a/pkg/control/cell/demand.go
+++ b/pkg/control/cell/demand.go
@@ -36,7 +36,7 @@
 			o.demand[seen.Model] = d
 		}
 		if seen.Arrivals > 0 {
-			observe(d.history, seen.LastArrival)
+			d.history.Observe(seen.LastArrival)
 		}
 		o.reportedBy(now, d, node, seen)
 	}
--- a/pkg/control/config.go
+++ b/pkg/control/config.go
@@ -71,6 +71,8 @@
 	}
 }
 
+var _ Settings = (*tree.Tree)(nil)
+
 // Settings is the part of a tree of settings that the control side needs.
 // *tree.Tree provides it.
 type Settings interface {
--- a/pkg/control/explore/engine_test.go
+++ b/pkg/control/explore/engine_test.go
@@ -114,6 +114,7 @@
 		}
 	})
 	e.world.check()
+	e.world.checkLoad(item)
 }
 
 func (e *modelEngine) unload(item *modelItem) {
--- a/pkg/control/explore/node_test.go
+++ b/pkg/control/explore/node_test.go
@@ -8,6 +8,7 @@
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/control"
 	"martenwheel.dev/pkg/engine"
+	"martenwheel.dev/pkg/membership"
 	"martenwheel.dev/pkg/platform"
 	"martenwheel.dev/pkg/tree"
 )
@@ -21,7 +22,7 @@
 	machine  *control.Machine // nil while the process is down
 	frozen   bool
 	inbox    []control.Event // while frozen
-	digest   control.Digest
+	digest   membership.Digest
 	downAt   time.Time
 	presumed time.Time // looks dead to others until then
 	tree     *settings // in force in this life
@@ -44,7 +45,7 @@
 	n.frozen = false
 	n.inbox = nil
 	n.tree = nil
-	n.digest = control.Digest{}
+	n.digest = membership.Digest{}
 	n.view = api.CellView{}
 	n.estimate = make(map[api.ModelName]api.LoadEstimate)
 	n.machine = control.New(control.Config{
@@ -408,36 +409,36 @@
 
 const deathDelay = 2 * time.Second
 
-func (o *oracle) Tick(time.Time) []control.Packet                      { return nil }
-func (o *oracle) Receive(time.Time, api.NodeRef, any) []control.Packet { return nil }
-func (o *oracle) Leave(time.Time) []control.Packet                     { return nil }
-func (o *oracle) SetDigest(digest control.Digest)                      { o.node.digest = digest }
+func (o *oracle) Tick(time.Time) []membership.Packet                      { return nil }
+func (o *oracle) Receive(time.Time, api.NodeRef, any) []membership.Packet { return nil }
+func (o *oracle) Leave(time.Time) []membership.Packet                     { return nil }
+func (o *oracle) SetDigest(digest membership.Digest)                      { o.node.digest = digest }
 
-func (o *oracle) Members() []control.Member {
-	var members []control.Member
+func (o *oracle) Members() []membership.Member {
+	var members []membership.Member
 	for _, n := range o.world.nodes {
 		if n.life == 0 {
 			continue
 		}
-		state := control.StateAlive
+		state := membership.StateAlive
 		if n.machine == nil && o.world.now.Sub(n.downAt) > deathDelay {
-			state = control.StateDead
+			state = membership.StateDead
 		}
 		if n != o.node && (o.world.now.Before(n.presumed) || o.world.cut(o.node.address(), n.address())) {
-			state = control.StateDead
+			state = membership.StateDead
 		}
-		members = append(members, control.Member{Ref: n.ref(), State: state})
+		members = append(members, membership.Member{Ref: n.ref(), State: state})
 	}
 	return members
 }
 
-func (o *oracle) Digest(id api.NodeID) (control.Digest, bool) {
+func (o *oracle) Digest(id api.NodeID) (membership.Digest, bool) {
 	for _, n := range o.world.nodes {
 		if n.id == id && n.machine != nil && !o.world.cut(o.node.address(), n.address()) {
 			return n.digest, true
 		}
 	}
-	return control.Digest{}, false
+	return membership.Digest{}, false
 }
 
 var _ tree.Revision
--- a/pkg/control/explore/world_test.go
+++ b/pkg/control/explore/world_test.go
@@ -56,6 +56,7 @@
 	decider  func(name string) policy.Decider
 
 	failure string
+	tracing bool
 	trace   []string
 	steps   int
 }
@@ -88,7 +89,7 @@
 func newWorld(seed uint64) *world {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	w := &world{
-		start: start, now: start,
+		start: start, now: start, tracing: true,
 		random: rand.New(rand.NewPCG(seed, 1)),
 		table:  &modelTable{records: make(map[string]platform.Record), tokens: make(map[string]bool)},
 		cuts:   make(map[string]bool),
@@ -98,7 +99,7 @@
 }
 
 func (w *world) note(format string, arguments ...any) {
-	if len(w.trace) < 20000 {
+	if w.tracing {
 		line := fmt.Sprintf(format, arguments...)
 		w.trace = append(w.trace, fmt.Sprintf("%8.3fs %s", w.now.Sub(w.start).Seconds(), line))
 	}
@@ -223,6 +224,24 @@
 	}
 }
 
+// checkLoad verifies that an owner that ordered all replicas of a model itself
+// did not go beyond the limit that it knew. It covers lowered limits.
+func (w *world) checkLoad(ordered *modelItem) {
+	count := 0
+	for _, e := range w.servers {
+		if !e.holds(ordered.Model) {
+			continue
+		}
+		if e.items[ordered.Model].term != ordered.term {
+			return
+		}
+		count++
+	}
+	if count > ordered.limit {
+		w.fail("%d replicas of %s after a load, at most %d decided (term %x)", count, ordered.Model, ordered.limit, ordered.term)
+	}
+}
+
 // checkReplicas compares the replicas of a model with the largest limit that
 // was in force where one of them was ordered.
 func (w *world) checkReplicas(model api.ModelName) {
--- a/pkg/control/machine.go
+++ b/pkg/control/machine.go
@@ -8,6 +8,7 @@
 
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/control/quorum"
+	"martenwheel.dev/pkg/membership"
 	"martenwheel.dev/pkg/platform"
 	"martenwheel.dev/pkg/tree"
 )
@@ -163,7 +164,7 @@
 	m.emit(SendPeer{To: to, Message: message})
 }
 
-func (m *Machine) sendPackets(packets []Packet) {
+func (m *Machine) sendPackets(packets []membership.Packet) {
 	for _, packet := range packets {
 		m.send(packet.To, packet.Message)
 	}
@@ -195,7 +196,7 @@
 func (m *Machine) liveNodes() []api.NodeRef {
 	var live []api.NodeRef
 	for _, member := range m.membership.Members() {
-		if member.Ref.Region != m.config.Self.Region || member.State > StateSuspect {
+		if member.Ref.Region != m.config.Self.Region || member.State > membership.StateSuspect {
 			continue
 		}
 		if m.stopping && m.isSelf(member.Ref) {
--- a/pkg/control/status.go
+++ b/pkg/control/status.go
@@ -3,17 +3,18 @@
 import (
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/control/quorum"
+	"martenwheel.dev/pkg/membership"
 	"martenwheel.dev/pkg/tree"
 )
 
 // Status is what operators see of a node's control side.
 type Status struct {
-	Node         api.NodeRef   `json:"node"`
-	TreeRevision tree.Revision `json:"tree_revision"` // in force here; zero if none
-	TreeSeen     tree.Revision `json:"tree_seen"`     // highest that a node in reach has told of
-	Members      []Member      `json:"members"`
-	Cells        []CellStatus  `json:"cells"`
-	Stopping     bool          `json:"stopping"`
+	Node         api.NodeRef         `json:"node"`
+	TreeRevision tree.Revision       `json:"tree_revision"` // in force here; zero if none
+	TreeSeen     tree.Revision       `json:"tree_seen"`     // highest that a node in reach has told of
+	Members      []membership.Member `json:"members"`
+	Cells        []CellStatus        `json:"cells"`
+	Stopping     bool                `json:"stopping"`
 }
 
 // CellStatus is this node's part in a cell and what it knows of the cell.
--- a/pkg/control/sync.go
+++ b/pkg/control/sync.go
@@ -6,6 +6,7 @@
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/control/quorum"
 	"martenwheel.dev/pkg/control/weights"
+	"martenwheel.dev/pkg/membership"
 	"martenwheel.dev/pkg/tree"
 )
 
@@ -69,7 +70,7 @@
 func (m *Machine) spreadRevision() {
 	var others []api.NodeRef
 	for _, member := range m.membership.Members() {
-		if member.State <= StateSuspect && !m.isSelf(member.Ref) {
+		if member.State <= membership.StateSuspect && !m.isSelf(member.Ref) {
 			others = append(others, member.Ref)
 		}
 	}
@@ -114,7 +115,7 @@
 	}
 	m.antiEntropyAt = m.now.Add(m.timing.AntiEntropyInterval)
 	for _, member := range m.membership.Members() {
-		if m.isSelf(member.Ref) || member.State > StateSuspect {
+		if m.isSelf(member.Ref) || member.State > membership.StateSuspect {
 			continue
 		}
 		digest, known := m.membership.Digest(member.Ref.ID)
@@ -129,7 +130,7 @@
 	m.updateDigest()
 }
 
-func (m *Machine) compareCells(from api.NodeRef, cells []CellVersion) {
+func (m *Machine) compareCells(from api.NodeRef, cells []membership.CellVersion) {
 	for _, theirs := range cells {
 		c := m.ensureCell(theirs.Cell)
 		if (api.CellView{Term: theirs.Term, Version: theirs.Version}).NewerThan(c.view) {
@@ -140,7 +141,7 @@
 }
 
 // hearClaim takes over a newer claim of another owner.
-func (c *cellControl) hearClaim(now time.Time, theirs CellVersion) {
+func (c *cellControl) hearClaim(now time.Time, theirs membership.CellVersion) {
 	if c.owner != nil {
 		return
 	}
@@ -183,7 +184,7 @@
 
 // updateDigest renews what the neighbours are told.
 func (m *Machine) updateDigest() {
-	digest := Digest{}
+	digest := membership.Digest{}
 	if m.settings != nil {
 		digest.TreeRevision = uint64(m.settings.Revision())
 	}
@@ -192,7 +193,7 @@
 		if c.view.Term == 0 {
 			continue
 		}
-		version := CellVersion{Cell: name, Term: c.view.Term, Version: c.view.Version}
+		version := membership.CellVersion{Cell: name, Term: c.view.Term, Version: c.view.Version}
 		if c.loads.term == c.view.Term {
 			version.LoadsVersion = c.loads.version
 			version.ActiveLoads = c.loads.claim.Active
