Control: a stale word that a machine is gone no longer frees what it was loaded with after its return

An owner now loads on a new engine instance only after one more read of the cell's record, and a list counts only if it is younger than the last sight of the instance or, for an unknown server, than the epoch.

--- a/pkg/control/cell/orders.go
+++ b/pkg/control/cell/orders.go
@@ -23,6 +23,7 @@
 			Bytes:    replicaBytes(model),
 			Version:  model.Settings.Version,
 			Instance: s.instance,
+			SeenAt:   s.lastContact,
 			Urgent:   urgent,
 		},
 		phase:     phaseIntended,
--- a/pkg/control/cell/owner.go
+++ b/pkg/control/cell/owner.go
@@ -145,7 +145,7 @@
 		return quorum.Data{}, false
 	}
 	o.dirty = false
-	var data quorum.Data
+	data := quorum.Data{FormedAt: o.start.Data.FormedAt}
 	for _, s := range o.sortedServers() {
 		if s.admitted {
 			data.Servers = append(data.Servers, s.Server)
--- a/pkg/control/cell/replica.go
+++ b/pkg/control/cell/replica.go
@@ -185,7 +185,10 @@
 	}
 	s.fenced, s.reachable, s.failures = true, true, 0
 	s.lastContact = sentAt
-	s.instance, s.capacity, s.engineLeaving = inventory.Instance, inventory.CapacityBytes, inventory.Leaving
+	if s.instance != inventory.Instance {
+		s.instance, s.instanceAt = inventory.Instance, now
+	}
+	s.capacity, s.engineLeaving = inventory.CapacityBytes, inventory.Leaving
 	s.cached = cachedCheckpoints(inventory.Cached)
 	o.settleReplicas(now, s, inventory)
 	if s.Unknown {
@@ -295,7 +298,7 @@
 	r := &replica{
 		intent: quorum.Intent{
 			OrderID: item.OrderID, Server: s.ID, Model: item.Model, Base: item.Base,
-			Bytes: item.MemoryBytes, Instance: s.instance, Version: o.models[item.Model].Settings.Version,
+			Bytes: item.MemoryBytes, Instance: s.instance, SeenAt: s.lastContact, Version: o.models[item.Model].Settings.Version,
 		},
 		committed: true,
 		phase:     phaseLoading,
--- a/pkg/control/cell/server.go
+++ b/pkg/control/cell/server.go
@@ -26,9 +26,10 @@
 	listLeaving     bool
 	engineLeaving   bool
 
-	fenced      bool   // its inventory was read at this owner's fence
-	instance    string // of the engine, when fenced
-	capacity    uint64 // as the engine says
+	fenced      bool      // its inventory was read at this owner's fence
+	instance    string    // of the engine, when fenced
+	instanceAt  time.Time // when the instance was first seen
+	capacity    uint64    // as the engine says
 	reachable   bool
 	failures    int       // inventories failed in a row
 	lastContact time.Time // when the last answered request was sent
@@ -65,7 +66,8 @@
 
 // takesLoads tells whether a load may be ordered from the server.
 func (s *server) takesLoads() bool {
-	return s.admitted && s.committed && s.fenced && s.failures == 0 && !s.leaving()
+	usable := s.admitted && s.committed && s.fenced && s.Instance == s.instance
+	return usable && s.failures == 0 && !s.leaving()
 }
 
 // pollBy moves the next inventory forward to at, if it is later.
@@ -134,14 +136,57 @@
 	s.listLeaving = machine.State == platform.MachineLeaving
 }
 
-// machineGone drops a server with all that it held. A machine that answered
-// after the list was made has come back since, so the list's word is too old.
+// goneFor tells whether a list of the time asOf proves that whatever the server
+// may hold is gone. A machine may have come back since the list was made, and
+// been loaded on again:
+//
+//   - by this owner or one before it in the epoch: then an instance was seen
+//     later than asOf;
+//   - by an owner of an earlier epoch, if the server is unknown: then an
+//     instance was seen, and the record read, before this epoch was formed.
+func (o *Owner) goneFor(s *server, asOf time.Time) bool {
+	latest := s.lastContact
+	if s.Unknown && o.start.Data.FormedAt.After(latest) {
+		latest = o.start.Data.FormedAt
+	}
+	for _, r := range o.replicasOn(s.ID) {
+		if r.intent.SeenAt.After(latest) {
+			latest = r.intent.SeenAt
+		}
+	}
+	return asOf.After(latest.Add(o.config.Timing.ClockSkew))
+}
+
+// Unverified tells whether there is an engine instance that the owner may not
+// load on before it has read the cell's record once more.
+func (o *Owner) Unverified() bool {
+	for _, s := range o.servers {
+		if s.committed && s.fenced && s.Instance != s.instance {
+			return true
+		}
+	}
+	return false
+}
+
+// Verified tells that the record, read or written by a call that began at the
+// time since, was still of this owner's epoch.
+func (o *Owner) Verified(since time.Time) {
+	for _, s := range o.servers {
+		if s.committed && s.fenced && s.Instance != s.instance && !s.instanceAt.After(since) {
+			s.Instance = s.instance
+			o.dirty = true
+			o.news()
+		}
+	}
+}
+
+// machineGone drops a server with all that it held, if the list proves it.
 func (o *Owner) machineGone(now time.Time, id api.ServerID, asOf time.Time) {
 	s, known := o.servers[id]
 	if !known {
 		return
 	}
-	if s.lastContact.Add(o.config.Timing.ClockSkew).After(asOf) {
+	if !o.goneFor(s, asOf) {
 		s.listLeaving = true
 		s.pollBy(now)
 		return
--- a/pkg/control/explore/node_test.go
+++ b/pkg/control/explore/node_test.go
@@ -21,6 +21,7 @@
 	life     uint64
 	machine  *control.Machine // nil while the process is down
 	frozen   bool
+	skew     time.Duration   // of its clock
 	inbox    []control.Event // while frozen
 	digest   membership.Digest
 	downAt   time.Time
@@ -31,6 +32,11 @@
 	view     api.CellView
 }
 
+// clock is the time as the node sees it.
+func (n *node) clock() time.Time {
+	return n.world.now.Add(n.skew)
+}
+
 func (n *node) address() string {
 	return "node/" + string(n.id)
 }
@@ -112,7 +118,7 @@
 	if n.machine == nil {
 		return
 	}
-	n.execute(n.machine.Step(n.world.now, event))
+	n.execute(n.machine.Step(n.clock(), event))
 	n.checkRevision()
 }
 
@@ -121,7 +127,7 @@
 	if n.machine == nil || n.life != life || n.frozen || next == nil {
 		return
 	}
-	n.execute(n.machine.SetTree(n.world.now, next))
+	n.execute(n.machine.SetTree(n.clock(), next))
 	n.checkRevision()
 }
 
--- a/pkg/control/explore/schedule_test.go
+++ b/pkg/control/explore/schedule_test.go
@@ -53,7 +53,8 @@
 		s.addServer(fmt.Sprint("s", index), uint64(14+s.random.IntN(12)))
 	}
 	for index := range 3 + s.random.IntN(3) {
-		s.addNode(fmt.Sprint("n", index), s.zones[index%len(s.zones)])
+		n := s.addNode(fmt.Sprint("n", index), s.zones[index%len(s.zones)])
+		n.skew = s.between(0, time.Second)
 	}
 	s.odds = odds{
 		lost:       s.oneOf(0, 0, 0.01, 0.1),
--- a/pkg/control/formation.go
+++ b/pkg/control/formation.go
@@ -274,5 +274,5 @@
 	f.stage = formationIdle
 	f.aliveAt = time.Time{}
 	c.Log("warn", "quorum group formed", "epoch", record.Epoch, "members", len(record.Members), "servers", len(servers))
-	c.sendGroup(c.group.Found(c.machine.now, record.Epoch, record.Members, quorum.Data{Servers: servers}))
+	c.sendGroup(c.group.Found(c.machine.now, record.Epoch, record.Members, quorum.Data{FormedAt: c.machine.now, Servers: servers}))
 }
--- a/pkg/control/quorum/types.go
+++ b/pkg/control/quorum/types.go
@@ -50,6 +50,11 @@
 	// Unknown means that the server was used in an earlier epoch and may hold
 	// any model until the owner of this epoch has fenced it.
 	Unknown bool `json:"-"`
+
+	// Instance is the life of the engine that may be loaded on. After the
+	// owner first saw it, a read of the cell's record still showed the
+	// owner's epoch.
+	Instance string `json:"-"`
 }
 
 // Intent is a model or adapter that a server holds or may hold. It is
@@ -61,16 +66,18 @@
 	Model    api.ModelName
 	Base     api.ModelName
 	Bytes    uint64
-	Version  string // of the checkpoint
-	Instance string // of the engine that it was ordered from
+	Version  string    // of the checkpoint
+	Instance string    // of the engine that it was ordered from
+	SeenAt   time.Time // when that instance last answered before
 	Urgent   bool
 }
 
 // Data is what the owner of the cell keeps in the register. Its slices are
 // never changed once proposed.
 type Data struct {
-	Servers []Server // sorted by ID
-	Intents []Intent // sorted by server and model
+	FormedAt time.Time // when the epoch's record was surely written
+	Servers  []Server  // sorted by ID
+	Intents  []Intent  // sorted by server and model
 }
 
 // State is the value of the register with its place in the order of values.
--- a/pkg/control/record.go
+++ b/pkg/control/record.go
@@ -170,6 +170,10 @@
 	}
 	if wanted, differs := c.wantedRecord(); differs {
 		c.writeRecord(wanted)
+		return
+	}
+	if c.owner.Unverified() {
+		c.readRecord()
 	}
 }
 
@@ -246,4 +250,7 @@
 	if known.Term == c.owner.Term() {
 		c.owner.Recorded(now, known.Servers)
 	}
+	if known.Epoch == quorum.Epoch(c.owner.Term()) {
+		c.owner.Verified(c.calls.since)
+	}
 }
--- a/pkg/control/types.go
+++ b/pkg/control/types.go
@@ -107,7 +107,7 @@
 	Region string
 }
 
-// ReadRecord reads a record of the table service.
+// ReadRecord reads a record of the table service, with a consistent read.
 type ReadRecord struct {
 	Key string
 }
