--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -34,6 +34,7 @@
 	request  traffic.Request
 	claim    *keeper.Claim // a granted claim
 
+	current    *attempt        // the last one
 	caller     context.Context // ends when the caller left or the node stops
 	leave      context.CancelCauseFunc
 	watch      *hangup.Watch
@@ -76,6 +77,7 @@
 		Deadline:     c.options.Deadline,
 		PromptTokens: c.parsed.PromptTokens,
 		MaxTokens:    c.parsed.MaxTokens,
+		Prefixes:     engine.PrefixHashes(c.parsed.PromptStart, engine.PrefixBlockBytes),
 		Unsafe:       settings.UnsafeToRepeat,
 	}
 	if c.options.Priority != nil {
@@ -114,6 +116,11 @@
 	}
 }
 
+// hasLeft tells whether the caller hung up.
+func (c *call) hasLeft() bool {
+	return context.Cause(c.caller) == errCallerLeft
+}
+
 // dispatch gets a replica for the request and sends it, again if an attempt
 // fails and the dispatcher allows. It returns the answer of the attempt that
 // succeeded, which owns the grant.
@@ -125,18 +132,18 @@
 		if err != nil {
 			return nil, c.refused(err)
 		}
-		current := c.newAttempt(grant)
-		failure := current.run()
+		c.current = c.newAttempt(grant)
+		failure := c.current.run()
 		if failure == nil {
-			return current, nil
+			return c.current, nil
 		}
 		c.uncertain = c.uncertain || !failure.apiError.NotRun
 		if failure.final {
-			grant.Done(traffic.Outcome{Kind: failure.outcome})
+			c.current.done(traffic.Outcome{Kind: failure.outcome})
 			return nil, c.refused(failure.apiError)
 		}
 		waitFrom = c.gateway.config.Now()
-		grant, err = grant.Retry(c.caller, traffic.Outcome{Kind: failure.outcome})
+		grant, err = c.current.retry(traffic.Outcome{Kind: failure.outcome})
 	}
 }
 
@@ -161,6 +168,7 @@
 	engineID string // the request ID towards the engine, unique per attempt
 	context  context.Context
 	cancel   context.CancelFunc
+	ended    bool // the grant was given back
 
 	whole  *wholeAnswer // one of the two is set when run succeeds
 	stream *eventStream
@@ -242,6 +250,9 @@
 	if resumeFrom > 0 {
 		request.Header.Set(engine.HeaderResumeFrom, strconv.Itoa(resumeFrom))
 	}
+	if a.call.request.Unsafe {
+		request.Header.Set(HeaderIdempotencyKey, a.call.options.IdempotencyKey)
+	}
 	request.SetBodyRaw(a.call.body)
 	return a.call.gateway.engines.Send(a.context, a.target.Address, request, firstByteBy)
 }
@@ -252,7 +263,7 @@
 		return &attemptFailure{outcome: traffic.OutcomeNotRun, apiError: engineFailed(true, err)}
 	}
 	a.abandon()
-	if a.call.caller.Err() != nil && !a.call.request.Unsafe {
+	if a.call.hasLeft() && !a.call.request.Unsafe {
 		return &attemptFailure{
 			outcome:  traffic.OutcomeCancelled,
 			apiError: callerLeft(false),
@@ -262,6 +273,22 @@
 	return &attemptFailure{outcome: traffic.OutcomeUnknown, apiError: engineFailed(false, err)}
 }
 
+// done gives the grant back, once.
+func (a *attempt) done(outcome traffic.Outcome) {
+	a.cancel()
+	if !a.ended {
+		a.ended = true
+		a.grant.Done(outcome)
+	}
+}
+
+// retry gives the grant back for one on another replica.
+func (a *attempt) retry(outcome traffic.Outcome) (traffic.Grant, error) {
+	a.cancel()
+	a.ended = true
+	return a.grant.Retry(a.call.caller, outcome)
+}
+
 // abandon makes the engine stop a request whose answer nobody waits for.
 func (a *attempt) abandon() {
 	a.cancel()
--- a/pkg/gateway/engine_answer.go
+++ b/pkg/gateway/engine_answer.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"strings"
 	"time"
 
@@ -17,12 +16,6 @@
 	"martenwheel.dev/pkg/traffic"
 )
 
-// Headers of an engine's refusal.
-const (
-	headerEngineLeaving = "X-Engine-Leaving" // the engine takes no new work
-	headerEngineNotRun  = "X-Engine-Not-Run" // no part of the request was run
-)
-
 // mimeEventStream is the content type of a streamed answer.
 const mimeEventStream = "text/event-stream"
 
@@ -33,7 +26,6 @@
 var (
 	errCrossedAnswer = errors.New("the engine sent the answer to another request")
 	errNotJSON       = errors.New("the engine's answer is cut off or no JSON")
-	errTooLarge      = errors.New("the engine's answer is too large")
 	errWrongType     = errors.New("the engine's answer has an unexpected content type")
 )
 
@@ -72,13 +64,14 @@
 // checkHeader checks that the answer is this request's, and a success.
 func (a *attempt) checkHeader(answer *upstream.Answer) *attemptFailure {
 	header := &answer.Response.Header
-	if string(header.Peek(engine.HeaderRequestID)) != a.engineID {
+	succeeded := answer.Response.StatusCode() == fasthttp.StatusOK
+	if !a.isAnswered(header.Peek(engine.HeaderRequestID), succeeded) {
 		return &attemptFailure{
 			outcome:  traffic.OutcomeUnknown,
 			apiError: engineFailed(false, errCrossedAnswer),
 		}
 	}
-	if answer.Response.StatusCode() != fasthttp.StatusOK {
+	if !succeeded {
 		return a.refusedByEngine(answer)
 	}
 	want := fiber.MIMEApplicationJSON
@@ -94,12 +87,21 @@
 	return nil
 }
 
+// isAnswered tells whether an answer with the given request ID is this
+// request's. An engine may leave the ID out of an error.
+func (a *attempt) isAnswered(id []byte, succeeded bool) bool {
+	if len(id) == 0 {
+		return !succeeded
+	}
+	return string(id) == a.engineID
+}
+
 // refusedByEngine classifies an answer that is an error. Only the engine's
 // own word makes it "not run".
 func (a *attempt) refusedByEngine(answer *upstream.Answer) *attemptFailure {
 	status := answer.Response.StatusCode()
 	header := &answer.Response.Header
-	notRun := string(header.Peek(headerEngineLeaving)) == "true" || string(header.Peek(headerEngineNotRun)) == "true"
+	notRun := isTrue(header.Peek(engine.HeaderLeaving)) || isTrue(header.Peek(engine.HeaderNotRun))
 	failure := &attemptFailure{
 		outcome:  traffic.OutcomeUnknown,
 		apiError: engineFailed(notRun, errors.Errorf("status %d", status)),
@@ -118,6 +120,11 @@
 	return failure
 }
 
+// isTrue tells whether a header says so.
+func isTrue(value []byte) bool {
+	return string(value) == "true"
+}
+
 // isCallersFault tells whether every engine would refuse the request alike.
 func isCallersFault(status int) bool {
 	switch status {
@@ -130,7 +137,7 @@
 
 // errorText returns the message of an engine's error.
 func errorText(answer *upstream.Answer) string {
-	text, err := io.ReadAll(io.LimitReader(answer, maxErrorBytes))
+	text, err := answer.ReadAll(maxErrorBytes)
 	if err != nil {
 		return "(no text)"
 	}
@@ -144,14 +151,10 @@
 // readWhole reads an answer that is not streamed and checks that it is
 // complete and this request's.
 func (a *attempt) readWhole(answer *upstream.Answer) (*wholeAnswer, error) {
-	limit := a.call.gateway.config.Limits.AnswerBytes
-	body, err := io.ReadAll(io.LimitReader(answer, int64(limit)+1))
+	body, err := answer.ReadAll(a.call.gateway.config.Limits.AnswerBytes)
 	if err != nil {
 		return nil, err
 	}
-	if len(body) > limit {
-		return nil, errTooLarge
-	}
 	var fields answerFields
 	if json.Unmarshal(body, &fields) != nil {
 		return nil, errNotJSON
@@ -191,7 +194,7 @@
 			g.config.Logger.Debug("cancellation not confirmed", "engine", address, "request", engineID, "error", err)
 			return
 		}
-		_, err = io.Copy(io.Discard, io.LimitReader(answer, maxErrorBytes))
+		_, err = answer.ReadAll(maxErrorBytes)
 		answer.Close(err == nil)
 	})
 }
--- a/pkg/gateway/errors.go
+++ b/pkg/gateway/errors.go
@@ -32,6 +32,7 @@
 	codeTooManyConns   = "too_many_connections"
 	codeStreamBroken   = "stream_broken"
 	codeKeyMissing     = "idempotency_key_missing"
+	codeInternal       = "internal_error"
 	codeAnswerNotKept  = "answer_not_kept"
 )
 
@@ -142,7 +143,7 @@
 			Status:  fiber.StatusInternalServerError,
 			Message: "the request failed within the gateway",
 			Type:    typeServer,
-			Code:    string(traffic.ReasonUnavailable),
+			Code:    codeInternal,
 		}
 	}
 	status, known := refusalStatus[refusal.Reason]
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -3,12 +3,13 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"net/url"
+	"runtime/debug"
 	"strconv"
 	"strings"
 
 	"github.com/gofiber/fiber/v2"
-	"github.com/valyala/fasthttp"
 
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/findings"
@@ -21,8 +22,13 @@
 
 // handleCompletion returns the handler of an endpoint that runs a model.
 func (g *Gateway) handleCompletion(endpoint endpoint) fiber.Handler {
-	return func(c *fiber.Ctx) error {
+	return func(c *fiber.Ctx) (err error) {
 		call := g.newCall(endpoint, c.Context().Conn())
+		defer func() {
+			if fault := recover(); fault != nil {
+				err = call.refuse(c, call.crashed(fault))
+			}
+		}()
 		caller, apiError := call.accept(c)
 		if apiError == nil {
 			apiError = call.resolve(caller)
@@ -122,6 +128,23 @@
 	return apiError.send(ctx)
 }
 
+// crashed ends the attempt of a call whose handler panicked. The other calls
+// of the node go on.
+func (c *call) crashed(fault any) *APIError {
+	c.gateway.config.Logger.Error("panic in a request", "request", c.record.requestID, "panic", fmt.Sprint(fault), "stack", string(debug.Stack()))
+	if c.current != nil {
+		c.current.abandon()
+		c.current.done(traffic.Outcome{Kind: traffic.OutcomeUnknown})
+	}
+	return &APIError{
+		Status:  fiber.StatusInternalServerError,
+		Message: "the request failed within the gateway",
+		Type:    typeServer,
+		Code:    codeInternal,
+		NotRun:  c.attempts == 0,
+	}
+}
+
 // handleError answers a request that did not reach a handler or whose handler
 // failed. Nothing of it was run.
 func (g *Gateway) handleError(c *fiber.Ctx, err error) error {
@@ -132,14 +155,11 @@
 		Code:    codeInvalidBody,
 		NotRun:  true,
 	}
-	var small *fasthttp.ErrSmallBuffer
 	var fiberError *fiber.Error
-	switch {
-	case errors.As(err, &small):
-		apiError.Status, apiError.Code = fiber.StatusRequestHeaderFieldsTooLarge, codeHeaderTooLarge
-		apiError.Message = "the request's header is too large"
-	case errors.As(err, &fiberError):
-		apiError.Status, apiError.Code, apiError.Message = fiberError.Code, statusCode(fiberError.Code), fiberError.Message
+	if errors.As(err, &fiberError) {
+		apiError.Status = fiberError.Code
+		apiError.Code = statusCode(fiberError.Code)
+		apiError.Message = fiberError.Message
 	}
 	g.metrics.requests.WithLabelValues("", outcomeInvalid).Inc()
 	return apiError.send(c)
--- a/pkg/gateway/internal/upstream/answer.go
+++ b/pkg/gateway/internal/upstream/answer.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -62,6 +63,32 @@
 	return n, err
 }
 
+// ErrTooLarge means that an answer exceeds the limit given.
+var ErrTooLarge = errors.New("upstream: answer too large")
+
+// firstReadBytes is the room for an answer of unknown length, in bytes.
+const firstReadBytes = 4 << 10
+
+// ReadAll returns the whole body, which may have limit bytes.
+func (a *Answer) ReadAll(limit int) ([]byte, error) {
+	length := a.Response.Header.ContentLength()
+	if length > limit {
+		return nil, ErrTooLarge
+	}
+	if length < 0 {
+		length = firstReadBytes
+	}
+	// With room to spare, the end shows without a larger buffer.
+	body := bytes.NewBuffer(make([]byte, 0, length+bytes.MinRead))
+	if _, err := body.ReadFrom(io.LimitReader(a, int64(limit)+1)); err != nil {
+		return nil, err
+	}
+	if body.Len() > limit {
+		return nil, ErrTooLarge
+	}
+	return body.Bytes(), nil
+}
+
 // ReadBy sets the time by which reads must succeed. The zero time brings back
 // the stall time per read.
 func (a *Answer) ReadBy(deadline time.Time) {
@@ -78,6 +105,12 @@
 	return bytes.HasSuffix(buffered, []byte("\r\n"))
 }
 
+// EndBuffered tells whether the rest of the answer's bytes, up to its end,
+// has come.
+func (a *Answer) EndBuffered() bool {
+	return a.ended || a.ChunkBuffered()
+}
+
 // Close gives the connection back if the body was read to its end and reuse
 // is true; else the connection closes, so that nothing of this answer can
 // reach another request.
--- a/pkg/gateway/internal/upstream/client.go
+++ b/pkg/gateway/internal/upstream/client.go
@@ -21,6 +21,8 @@
 	StallTimeout      time.Duration // between two reads of an answer's body
 	IdleTimeout       time.Duration // after which an unused connection closes
 	MaxConnsPerEngine int
+	// Dial opens a connection; by TCP if nil.
+	Dial func(address string) (net.Conn, error)
 }
 
 // Stage tells how far a request came.
@@ -76,6 +78,11 @@
 
 // NewClient returns a client without connections.
 func NewClient(config Config) *Client {
+	if config.Dial == nil {
+		config.Dial = func(address string) (net.Conn, error) {
+			return net.DialTimeout("tcp", address, config.ConnectTimeout)
+		}
+	}
 	return &Client{config: config, hosts: make(map[string]*fasthttp.HostClient)}
 }
 
@@ -127,7 +134,7 @@
 
 // dial opens a connection that counts what is written.
 func (c *Client) dial(address string) (net.Conn, error) {
-	raw, err := net.DialTimeout("tcp", address, c.config.ConnectTimeout)
+	raw, err := c.config.Dial(address)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/gateway/listener.go
+++ b/pkg/gateway/listener.go
@@ -23,7 +23,9 @@
 		open:         make(map[string]int),
 	}
 	if g.config.TLS != nil {
-		result = tls.NewListener(result, g.config.TLS)
+		config := g.config.TLS.Clone()
+		config.NextProtos = []string{"http/1.1"}
+		result = tls.NewListener(result, config)
 	}
 	return result
 }
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/engine"
 	"martenwheel.dev/pkg/findings"
 )
 
@@ -169,8 +170,9 @@
 type requestBody struct {
 	Model        api.ModelName
 	Stream       bool
-	MaxTokens    int // zero: not given
-	PromptTokens int // estimate
+	MaxTokens    int    // zero: not given
+	PromptTokens int    // estimate
+	PromptStart  string // leading text of the prompt as engines cache it
 }
 
 // decodeBody reads body, which must be one JSON object. Field names count as
@@ -229,7 +231,7 @@
 	case "max_tokens", "max_completion_tokens":
 		target = &f.MaxTokens
 	case f.promptField:
-		f.PromptTokens = len(value)/bytesPerToken + 1
+		f.setPrompt(value)
 	default:
 		return nil
 	}
@@ -243,6 +245,61 @@
 	return nil
 }
 
+// maxPromptStart bounds the part of a prompt by which a replica that has it
+// cached is found, in bytes.
+const maxPromptStart = 32 << 10
+
+// setPrompt reads the prompt: a text, or the messages of a chat. Any other
+// form is for the engine to judge and has no text here.
+func (f *bodyFields) setPrompt(value json.RawMessage) {
+	f.PromptTokens = len(value)/bytesPerToken + 1
+	var text string
+	if f.promptField == chatCompletions.promptField {
+		text = chatText(value)
+	} else if json.Unmarshal(value, &text) != nil {
+		return
+	}
+	f.PromptStart = text[:min(len(text), maxPromptStart)]
+}
+
+// chatMessage is a message as far as its text counts.
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"` // a text or parts
+}
+
+// chatText returns the text of a chat as engines cache it, or an empty one if
+// it has another form.
+func chatText(value json.RawMessage) string {
+	var messages []chatMessage
+	if json.Unmarshal(value, &messages) != nil {
+		return ""
+	}
+	texts := make([]engine.ChatMessage, len(messages))
+	for i, message := range messages {
+		texts[i] = engine.ChatMessage{Role: message.Role, Content: message.text()}
+	}
+	return engine.ChatPrompt(texts)
+}
+
+// text returns the text of a message's content.
+func (m chatMessage) text() string {
+	var text string
+	if json.Unmarshal(m.Content, &text) == nil {
+		return text
+	}
+	var parts []struct {
+		Text string `json:"text"`
+	}
+	if json.Unmarshal(m.Content, &parts) != nil {
+		return ""
+	}
+	for _, part := range parts {
+		text += part.Text
+	}
+	return text
+}
+
 // checkMissing adds what every request must have.
 func (f *bodyFields) checkMissing(found *findings.List) {
 	if f.Model == "" {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -22,6 +22,9 @@
 // errStreamOver follows the last event of a complete stream.
 var errStreamOver = io.EOF
 
+// endTimeout bounds the wait for the end of an answer after its last event.
+const endTimeout = time.Second
+
 // usageMark is found in an event that counts tokens.
 var usageMark = []byte(`"usage":{`)
 
@@ -184,10 +187,21 @@
 // close ends the reading. A stream that came to its end gives its connection
 // back.
 func (s *eventStream) close() {
-	reuse := false
-	if s.over {
-		_, err := s.answer.Read(make([]byte, 1))
-		reuse = err == io.EOF
+	if !s.over {
+		s.answer.Close(false)
+		return
+	}
+	if s.answer.EndBuffered() {
+		s.readEnd()
+		return
 	}
-	s.answer.Close(reuse)
+	s.attempt.call.gateway.background.Go(s.readEnd)
+}
+
+// readEnd reads the end of the answer, which follows the stream's last event.
+func (s *eventStream) readEnd() {
+	var rest [1]byte
+	s.answer.ReadBy(time.Now().Add(endTimeout))
+	_, err := s.answer.Read(rest[:])
+	s.answer.Close(err == io.EOF)
 }
--- a/pkg/gateway/stream_body.go
+++ b/pkg/gateway/stream_body.go
@@ -124,7 +124,6 @@
 func (b *streamBody) finish() {
 	a := b.attempt
 	a.stream.close()
-	defer a.cancel()
 	outcome := traffic.Outcome{
 		Kind:         traffic.OutcomeServed,
 		FirstToken:   a.call.firstEvent.Sub(a.call.record.sentAt),
@@ -133,7 +132,7 @@
 	}
 	var apiError *APIError
 	switch {
-	case !b.over || a.call.caller.Err() != nil && b.failure != nil && !a.call.request.Unsafe:
+	case !b.over || b.failure != nil && a.call.hasLeft():
 		outcome.Kind = traffic.OutcomeCancelled
 		apiError = callerLeft(false)
 		a.abandon()
@@ -148,15 +147,14 @@
 			Body:        b.kept,
 		})
 	}
-	a.grant.Done(outcome)
+	a.done(outcome)
 	a.call.record.tokens = a.stream.events
 	a.call.end(outcome.Kind, apiError)
 }
 
 // finishWhole reports the end of an attempt whose answer was not streamed.
 func (a *attempt) finishWhole() {
-	a.cancel()
-	a.grant.Done(traffic.Outcome{
+	a.done(traffic.Outcome{
 		Kind:         traffic.OutcomeServed,
 		Tokens:       a.whole.usage.CompletionTokens,
 		CachedTokens: a.whole.usage.PromptTokensDetails.CachedTokens,
