--- a/pkg/gateway/internal/sse/reader.go
+++ b/pkg/gateway/internal/sse/reader.go
@@ -49,6 +49,9 @@
 func (r *Reader) Next() ([]byte, error) {
 	for {
 		if event := r.buffered(); event != nil {
+			if len(event) > r.maxEvent {
+				return nil, ErrEventTooLarge
+			}
 			r.start += len(event)
 			r.scanned = r.start
 			return event, nil
