The thin path whole: node runtime, demo, one request wakes an idle model

Cause: the libraries existed side by side, nothing ran them together. pkg/node runs the control machine on one goroutine, carries out its effects and gives routers an immutable view; the demo starts a site of three nodes and stand-ins in one process.

Found on the first run: no quorum group was ever formed. The control side's commit tokens have 49 characters, the DynamoDB protocol takes 36, and the client refused them. Ruled out: the machine list (it came 2 s late, as the stand-in lags, and formation retried) and the conditions. A longer token is now replaced by a name-based UUID; the table contract has a case for it.

Before: the demo's first request was refused after 20 s.

--- /dev/null
+++ b/cmd/martenwheel/main.go
@@ -0,0 +1,13 @@
+// Command martenwheel is the node of martenwheel and the operators' way in.
+package main
+
+import (
+	"os"
+
+	"martenwheel.dev/pkg/cli"
+)
+
+func main() {
+	streams := cli.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}
+	os.Exit(cli.Run(os.Args[1:], streams, newNodeCommand(), newDemoCommand()))
+}
--- /dev/null
+++ b/cmd/martenwheel/node.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	"martenwheel.dev/pkg/cli"
+	"martenwheel.dev/pkg/node"
+	"martenwheel.dev/pkg/settings"
+)
+
+// newNodeCommand returns the command that runs a node in this process.
+func newNodeCommand() cli.Extra {
+	command := flaggy.NewSubcommand("node")
+	command.Description = "run a node; SIGTERM or an interrupt begins a planned stop"
+	command.AdditionalHelpAppend = "Example:\n  martenwheel node --settings node-a.yaml --node-zone zone-a"
+	path := ""
+	command.String(&path, "s", "settings", "settings file (YAML); every setting of it is also a flag")
+	flags := settings.Bind(command)
+	run := func(streams cli.Streams) int { return runNode(streams, path, flags.Overrides()) }
+	return cli.Extra{Command: command, Run: run}
+}
+
+// runNode prints the node's addresses as one JSON line on stdout when it
+// listens, and logs to stderr.
+func runNode(streams cli.Streams, path string, overrides map[string]string) int {
+	loaded, err := settings.Load(path, overrides)
+	if err != nil {
+		fmt.Fprintln(streams.Err, err)
+		return cli.ExitRefused
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	started, err := node.New(node.Options{Settings: loaded, Version: cli.Version(), Logs: streams.Err})
+	if err != nil {
+		fmt.Fprintln(streams.Err, err)
+		return cli.ExitRefused
+	}
+	if err := json.NewEncoder(streams.Out).Encode(started.Addresses()); err != nil {
+		fmt.Fprintln(streams.Err, "cannot print the addresses:", err)
+	}
+	if err := started.Run(ctx); err != nil {
+		fmt.Fprintln(streams.Err, err)
+		return cli.ExitRefused
+	}
+	return cli.ExitOK
+}
--- /dev/null
+++ b/pkg/demo/site.go
@@ -0,0 +1,170 @@
+package demo
+
+import (
+	"context"
+	_ "embed"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/node"
+	"martenwheel.dev/pkg/platform/dynamotable"
+	"martenwheel.dev/pkg/platform/s3objects"
+	"martenwheel.dev/pkg/settings"
+	"martenwheel.dev/pkg/standin"
+	"martenwheel.dev/pkg/tree"
+)
+
+// The place and size of the demonstration's site.
+const (
+	region        = "local"
+	service       = "assistant"
+	anyPort       = "127.0.0.1:0"
+	engineMemory  = 24 << 30
+	engineSpeed   = 1.0
+	drainTime     = 5 * time.Second
+	firstEditID   = "demo-site"
+	tablePassword = "standin"
+)
+
+// zones of the site; each has a node and a server.
+var zones = []string{"zone-a", "zone-b", "zone-c"}
+
+//go:embed site.yaml
+var siteTree []byte
+
+// site is a small site in this process: the platform, one engine and one node
+// in each zone.
+type site struct {
+	platform *standin.PlatformServer
+	engines  []*standin.EngineServer
+	nodes    []*node.Node
+	running  conc.WaitGroup
+	stop     context.CancelFunc
+}
+
+// startSite starts all parts. The nodes' logs go to logs as JSON lines.
+func startSite(ctx context.Context, version string, logs io.Writer) (*site, error) {
+	s := &site{}
+	nodesContext, stop := context.WithCancel(ctx)
+	s.stop = stop
+	steps := []func() error{
+		s.startPlatform,
+		s.startEngines,
+		func() error { return s.writeTree(ctx) },
+		func() error { return s.startNodes(nodesContext, version, logs) },
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			s.close()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// close stops the nodes as planned and then the stand-ins.
+func (s *site) close() {
+	s.stop()
+	s.running.Wait()
+	for _, engine := range s.engines {
+		engine.Close()
+	}
+	if s.platform != nil {
+		s.platform.Close()
+	}
+}
+
+func (s *site) startPlatform() error {
+	platform, err := standin.ListenPlatform(anyPort, standin.DefaultPlatformConfig())
+	s.platform = platform
+	return errors.Wrap(err, "start the platform's stand-in")
+}
+
+func (s *site) startEngines() error {
+	for _, zone := range zones {
+		config := standin.DefaultEngineConfig()
+		config.ID = "server-" + zone
+		config.Service = service
+		config.Zone = zone
+		config.Region = region
+		config.Platform = s.platform.Address()
+		config.Speed = engineSpeed
+		config.MemoryBytes = engineMemory
+		engine, err := standin.ListenEngine(anyPort, config)
+		if err != nil {
+			return errors.Wrap(err, "start an engine's stand-in")
+		}
+		s.engines = append(s.engines, engine)
+	}
+	return nil
+}
+
+// writeTree commits the site's tree, as an operator would.
+func (s *site) writeTree(ctx context.Context) error {
+	endpoints := s.endpoints()
+	objects, err := s3objects.New(s3objects.Config{
+		Endpoint:  endpoints.Objects.Endpoint,
+		Region:    endpoints.Table.Region,
+		Bucket:    endpoints.Objects.Bucket,
+		AccessKey: endpoints.Objects.AccessKey,
+		SecretKey: string(endpoints.Objects.SecretKey),
+	})
+	if err != nil {
+		return err
+	}
+	table := dynamotable.New(dynamotable.Config{
+		Endpoint:  endpoints.Table.Endpoint,
+		Region:    endpoints.Table.Region,
+		Table:     endpoints.Table.Name,
+		Partition: node.TablePartition,
+		AccessKey: endpoints.Table.AccessKey,
+		SecretKey: string(endpoints.Table.SecretKey),
+	})
+	wanted, err := tree.ParseNamed("site.yaml", siteTree)
+	if err != nil {
+		return err
+	}
+	change := tree.Change{ID: firstEditID, Author: "demo", At: time.Now(), Edits: tree.Diff(tree.Empty(), wanted)}
+	_, err = tree.NewStore(table, objects).Commit(ctx, change)
+	return errors.Wrap(err, "commit the first tree")
+}
+
+// endpoints returns the settings by which nodes reach the platform.
+func (s *site) endpoints() settings.Platform {
+	base := "http://" + s.platform.Address()
+	platform := settings.Default().Platform
+	platform.Table.Endpoint = base
+	platform.Table.SecretKey = tablePassword
+	platform.Objects.Endpoint = base
+	platform.Objects.SecretKey = tablePassword
+	platform.Machines.Endpoint = base
+	return platform
+}
+
+func (s *site) startNodes(ctx context.Context, version string, logs io.Writer) error {
+	var seeds []string
+	for _, zone := range zones {
+		started, err := node.New(node.Options{Settings: s.nodeSettings(zone, seeds), Version: version, Logs: logs})
+		if err != nil {
+			return errors.Wrap(err, "start a node")
+		}
+		s.nodes = append(s.nodes, started)
+		seeds = append(seeds, started.Addresses().Peers)
+		s.running.Go(func() { _ = started.Run(ctx) }) // its error is in the node's log
+	}
+	return nil
+}
+
+func (s *site) nodeSettings(zone string, seeds []string) settings.Settings {
+	config := settings.Default()
+	config.Node = settings.Node{ID: api.NodeID("node-" + zone), Zone: zone, Region: region}
+	config.Listen = settings.Listen{Callers: anyPort, Operators: anyPort, Peers: anyPort}
+	config.Seeds = append([]string(nil), seeds...)
+	config.Platform = s.endpoints()
+	config.DrainTime = drainTime
+	return config
+}
--- /dev/null
+++ b/pkg/node/loop.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"martenwheel.dev/pkg/control"
+	"martenwheel.dev/pkg/tree"
+)
+
+// eventBacklog is the number of events that may wait for the control loop.
+const eventBacklog = 1024
+
+// loop owns the control machine. Only its goroutine touches the machine.
+type loop struct {
+	machine  *control.Machine
+	view     *view
+	trees    *tree.Holder
+	events   chan control.Event
+	inspects chan func(*control.Machine)
+	carryOut func(control.Effect)
+	done     chan struct{} // closed when run returns
+}
+
+func newLoop(machine *control.Machine, view *view, trees *tree.Holder) *loop {
+	return &loop{
+		machine:  machine,
+		view:     view,
+		trees:    trees,
+		events:   make(chan control.Event, eventBacklog),
+		inspects: make(chan func(*control.Machine)),
+		done:     make(chan struct{}),
+	}
+}
+
+// run steps the machine until ctx ends. carryOut must not block.
+func (l *loop) run(ctx context.Context) {
+	defer close(l.done)
+	ticker := time.NewTicker(control.TickInterval)
+	defer ticker.Stop()
+	for {
+		treeChanged := l.trees.Changed()
+		l.apply(l.machine.SetTree(time.Now(), l.trees.Current()))
+		if !l.serve(ctx, ticker.C, treeChanged) {
+			return
+		}
+	}
+}
+
+// serve handles events until the tree changes. It returns false when ctx ended.
+func (l *loop) serve(ctx context.Context, ticks <-chan time.Time, treeChanged <-chan struct{}) bool {
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-treeChanged:
+			return true
+		case <-ticks:
+			l.step(control.Tick{})
+		case event := <-l.events:
+			l.step(event)
+		case <-l.view.demandReady:
+			l.stepDemand()
+		case inspect := <-l.inspects:
+			inspect(l.machine)
+		}
+	}
+}
+
+func (l *loop) step(event control.Event) {
+	l.apply(l.machine.Step(time.Now(), event))
+}
+
+func (l *loop) stepDemand() {
+	for _, demand := range l.view.takeDemand() {
+		l.step(control.DemandReported{Demand: demand})
+	}
+}
+
+func (l *loop) apply(effects []control.Effect) {
+	for _, effect := range effects {
+		l.carryOut(effect)
+	}
+}
+
+// deliver queues an event. It gives up when ctx ends or the loop has stopped.
+func (l *loop) deliver(ctx context.Context, event control.Event) {
+	select {
+	case l.events <- event:
+	case <-ctx.Done():
+	case <-l.done:
+	}
+}
+
+// inspect runs read on the loop's goroutine and waits for it. It returns false
+// when ctx ended or the loop has stopped first.
+func (l *loop) inspect(ctx context.Context, read func(*control.Machine)) bool {
+	finished := make(chan struct{})
+	inspect := func(machine *control.Machine) {
+		defer close(finished)
+		read(machine)
+	}
+	select {
+	case l.inspects <- inspect:
+	case <-ctx.Done():
+		return false
+	case <-l.done:
+		return false
+	}
+	<-finished
+	return true
+}
--- /dev/null
+++ b/pkg/node/peers.go
@@ -0,0 +1,48 @@
+package node
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/control"
+	"martenwheel.dev/pkg/membership"
+	"martenwheel.dev/pkg/peer"
+	"martenwheel.dev/pkg/tree"
+)
+
+// errUnexpectedAnswer means that a peer answered with a message of another type
+// than the request asks for.
+var errUnexpectedAnswer = errors.New("node: peer answered with an unexpected message")
+
+// registerMessages makes all messages between nodes known to the transport.
+func registerMessages() {
+	for _, message := range control.Messages() {
+		peer.Register(message)
+	}
+	for _, message := range membership.Messages() {
+		peer.Register(message)
+	}
+	peer.Register(tree.FetchRequest{}, tree.FetchAnswer{})
+}
+
+// peerHandler answers the messages of other nodes. Requests that only read are
+// answered here; all others are events of the control loop, whose answers are
+// messages of their own.
+type peerHandler struct {
+	loop  *loop
+	trees *tree.Holder
+}
+
+// HandleMessage implements peer.Handler. It blocks while the loop is behind,
+// which slows the sender down.
+func (h *peerHandler) HandleMessage(ctx context.Context, from api.NodeRef, message peer.Message) (peer.Message, error) {
+	switch message := message.(type) {
+	case tree.FetchRequest:
+		return h.trees.Answer(message), nil
+	default:
+		h.loop.deliver(ctx, control.PeerReceived{From: from, Message: message})
+		return nil, nil
+	}
+}
--- a/pkg/platform/dynamotable/table.go
+++ b/pkg/platform/dynamotable/table.go
@@ -11,6 +11,7 @@
 	"github.com/aws/aws-sdk-go-v2/aws"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"martenwheel.dev/pkg/platform"
@@ -142,7 +143,7 @@
 	}
 	ctx, wasSent := sent.Trace(ctx)
 	_, err = t.client.TransactWriteItems(ctx, &dynamodb.TransactWriteItemsInput{
-		ClientRequestToken: aws.String(transaction.Token),
+		ClientRequestToken: aws.String(requestToken(transaction.Token)),
 		TransactItems:      actions,
 	})
 	if err != nil {
@@ -153,8 +154,8 @@
 
 // actions translates a transaction. Each written key needs a condition.
 func (t *Table) actions(transaction platform.Transaction) ([]types.TransactWriteItem, error) {
-	if length := len(transaction.Token); length == 0 || length > maxTokenLength {
-		return nil, errors.Errorf("commit: token of %d characters, want 1 to %d", length, maxTokenLength)
+	if transaction.Token == "" {
+		return nil, errors.New("commit: no token")
 	}
 	if count := len(transaction.Conditions); count == 0 || count > maxActions {
 		return nil, errors.Errorf("commit: %d conditions, want 1 to %d", count, maxActions)
@@ -260,3 +261,12 @@
 	}
 	return platform.Record{Key: key.Value, Value: value.Value, Version: number}, nil
 }
+
+// requestToken returns the token as the protocol takes it: one that is too long
+// is replaced by a name-based UUID of it.
+func requestToken(token string) string {
+	if len(token) <= maxTokenLength {
+		return token
+	}
+	return uuid.NewSHA1(uuid.NameSpaceOID, []byte(token)).String()
+}
--- a/pkg/platform/platformtest/table.go
+++ b/pkg/platform/platformtest/table.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -158,6 +159,11 @@
 	wantRecord(t, table, "a", "one", 1)
 	wantError(t, table.Commit(t.Context(), Put("once", "b", "other", 0)), platform.ErrConflict)
 	wantMissing(t, table, "b")
+
+	long := strings.Repeat("t", 100)
+	mustCommit(t, table, Put(long, "c", "one", 0))
+	mustCommit(t, table, Put(long, "c", "one", 0))
+	wantError(t, table.Commit(t.Context(), Put(long, "d", "other", 0)), platform.ErrConflict)
 }
 
 func testBadTransactions(t *testing.T, table platform.Table) {
