--- a/pkg/engine/client_test.go
+++ b/pkg/engine/client_test.go
@@ -110,6 +110,17 @@
 	}
 }
 
+func TestClientDoesNotRepeatReads(t *testing.T) {
+	server := newRawServer(t, func(connection net.Conn) { connection.Close() })
+	client := engine.NewHTTPClient(engine.HTTPClientConfig{})
+	if _, err := client.Load(t.Context(), server.address); !errors.Is(err, engine.ErrUnknownOutcome) {
+		t.Errorf("error %v", err)
+	}
+	if count := server.requests.Load(); count != 1 {
+		t.Errorf("%d requests sent, want 1", count)
+	}
+}
+
 func TestClientSaysUnreachableOnlyIfNothingWasSent(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
