--- a/pkg/platform/machinelist/list_test.go
+++ b/pkg/platform/machinelist/list_test.go
@@ -22,10 +22,12 @@
 			writer.Header().Set("Content-Length", "1000")
 			fmt.Fprint(writer, whole)
 		},
-		"cut text":  func(writer http.ResponseWriter, _ *http.Request) { fmt.Fprint(writer, whole[:len(whole)-1]) },
-		"no JSON":   func(writer http.ResponseWriter, _ *http.Request) { fmt.Fprint(writer, "<html>") },
-		"empty":     func(http.ResponseWriter, *http.Request) {},
-		"oversized": func(writer http.ResponseWriter, _ *http.Request) { fmt.Fprint(writer, whole+strings.Repeat(" ", 17<<20)) },
+		"cut text": func(writer http.ResponseWriter, _ *http.Request) { fmt.Fprint(writer, whole[:len(whole)-1]) },
+		"no JSON":  func(writer http.ResponseWriter, _ *http.Request) { fmt.Fprint(writer, "<html>") },
+		"empty":    func(http.ResponseWriter, *http.Request) {},
+		"oversized": func(writer http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(writer, whole+strings.Repeat(" ", 17<<20))
+		},
 	}
 	for name, handler := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/standin/clock.go
+++ b/pkg/standin/clock.go
@@ -22,8 +22,17 @@
 
 // Now returns the simulated time.
 func (c *Clock) Now() time.Time {
-	elapsed := time.Since(c.start)
-	return c.start.Add(time.Duration(float64(elapsed) * c.speed))
+	return c.Simulated(time.Now())
+}
+
+// Simulated returns the simulated time of a time on the wall clock.
+func (c *Clock) Simulated(wall time.Time) time.Time {
+	return c.start.Add(time.Duration(float64(wall.Sub(c.start)) * c.speed))
+}
+
+// WallTime returns the time on the wall clock of a simulated time.
+func (c *Clock) WallTime(simulated time.Time) time.Time {
+	return c.start.Add(c.Wall(simulated.Sub(c.start)))
 }
 
 // Wall returns how long the simulated duration takes on the wall clock.
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -200,6 +200,7 @@
 // Load returns the load report.
 func (e *Engine) Load() (report engine.LoadReport) {
 	e.update(func(state *engineState) { report = state.load() })
+	report.AsOf = e.clock.WallTime(report.AsOf)
 	return report
 }
 
@@ -238,7 +239,7 @@
 	prompt    string
 	maxTokens int // zero for the default
 	priority  int
-	deadline  time.Time
+	deadline  time.Time // simulated; not started after it
 }
 
 // submit queues a new request.
--- a/pkg/standin/engine_http_test.go
+++ b/pkg/standin/engine_http_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -245,6 +246,33 @@
 	}
 }
 
+func TestDeadlineIsByTheWallClock(t *testing.T) {
+	config := testConfig()
+	config.MaxBatch = 1
+	server := startLoaded(t, config)
+	running := post(t, t.Context(), server.Address(), "/v1/completions", strings.Replace(streamBody, "200", "8000", 1), nil)
+	if _, err := running.Body.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	send := func(id string, deadline time.Time) *http.Response {
+		headers := requestID(id)
+		headers[engine.HeaderDeadline] = deadline.Format(time.RFC3339Nano)
+		return post(t, t.Context(), server.Address(), "/v1/completions", `{"model":"a","prompt":"p","max_tokens":1}`, headers)
+	}
+	if refused := send("late", time.Now()); refused.StatusCode != http.StatusServiceUnavailable || refused.Header.Get(engine.HeaderNotRun) != "true" {
+		t.Errorf("status %d, headers %v", refused.StatusCode, refused.Header)
+	}
+	if served := send("in time", time.Now().Add(time.Hour)); served.StatusCode != http.StatusOK {
+		t.Errorf("status %d", served.StatusCode)
+	}
+	if executed := server.Executed(); executed["late"] != 0 || executed["in time"] != 1 {
+		t.Errorf("executed %v", executed)
+	}
+	if asOf := server.Load().AsOf; asOf.After(time.Now()) {
+		t.Errorf("load report as of %v, now %v", asOf, time.Now())
+	}
+}
+
 func TestMalformedRequestsAreRefused(t *testing.T) {
 	server := startLoaded(t, testConfig())
 	cases := []struct {
--- a/pkg/standin/engine_openai.go
+++ b/pkg/standin/engine_openai.go
@@ -59,8 +59,9 @@
 	chat       bool
 	id         string
 	submission submission
-	resumeFrom int // events to skip; negative if the request is new
-	holder     int // of the generation
+	deadline   time.Time // by the wall clock
+	resumeFrom int       // events to skip; negative if the request is new
+	holder     int       // of the generation
 	created    int64
 }
 
@@ -90,7 +91,7 @@
 }
 
 func (e *Engine) serveExchange(writer http.ResponseWriter, request *http.Request, chat bool) {
-	x, err := parseExchange(request, chat)
+	x, err := e.parseExchange(request, chat)
 	if err != nil {
 		writeRefusal(writer, err)
 		return
@@ -115,7 +116,7 @@
 	}
 }
 
-func parseExchange(request *http.Request, chat bool) (exchange, error) {
+func (e *Engine) parseExchange(request *http.Request, chat bool) (exchange, error) {
 	x := exchange{chat: chat, id: request.Header.Get(engine.HeaderRequestID), resumeFrom: -1, created: time.Now().Unix()}
 	if err := readJSON(request.Body, &x.completionRequest); err != nil {
 		return x, err
@@ -130,7 +131,13 @@
 		prompt:    x.promptText(),
 		maxTokens: max(x.MaxTokens, x.MaxCompletionTokens),
 	}
-	return x, x.parseHeaders(request.Header)
+	if err := x.parseHeaders(request.Header); err != nil {
+		return x, err
+	}
+	if !x.deadline.IsZero() {
+		x.submission.deadline = e.clock.Simulated(x.deadline)
+	}
+	return x, nil
 }
 
 func (x *exchange) parseHeaders(header http.Header) (err error) {
@@ -140,7 +147,7 @@
 		}
 	}
 	if value := header.Get(engine.HeaderDeadline); value != "" {
-		if x.submission.deadline, err = time.Parse(time.RFC3339Nano, value); err != nil {
+		if x.deadline, err = time.Parse(time.RFC3339Nano, value); err != nil {
 			return errors.Wrap(err, engine.HeaderDeadline)
 		}
 	}
--- a/pkg/standin/machines.go
+++ b/pkg/standin/machines.go
@@ -61,7 +61,7 @@
 		m.versions = m.versions[1:]
 	}
 	list := m.versions[0]
-	list.AsOf = seen
+	list.AsOf = m.clock.WallTime(seen)
 	list.Machines = []platform.Machine{}
 	for _, machine := range m.versions[0].Machines {
 		if region == "" || machine.Region == region {
