--- a/pkg/engine/client_test.go
+++ b/pkg/engine/client_test.go
@@ -209,6 +209,25 @@
 	}
 }
 
+func TestParseChat(t *testing.T) {
+	cases := map[string]string{
+		`[{"role":"user","content":"a"},{"role":"assistant","content":"b"}]`:                                   "user\na\nassistant\nb\n",
+		`[{"role":"user","content":[{"type":"text","text":"a"},{"type":"image"},{"type":"text","text":"b"}]}]`: "user\nab\n",
+		`[{"role":"user","content":{"x":1}}]`:                                                                  "user\n\n",
+		`[]`:                                                                                                   "",
+	}
+	for messages, want := range cases {
+		if got, ok := engine.ParseChat([]byte(messages)); !ok || got != want {
+			t.Errorf("%s: %q, %t, want %q", messages, got, ok, want)
+		}
+	}
+	for _, broken := range []string{`{}`, `"x"`, `[1]`, `[`, ``} {
+		if got, ok := engine.ParseChat([]byte(broken)); ok {
+			t.Errorf("%s: %q", broken, got)
+		}
+	}
+}
+
 func BenchmarkPrefixHashes(b *testing.B) {
 	text := strings.Repeat("glaze ", 4000/6)
 	b.ReportAllocs()
--- a/pkg/engine/prefix.go
+++ b/pkg/engine/prefix.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"encoding/json"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -35,6 +36,44 @@
 	return prompt.String()
 }
 
+// chatMessage is a message of a chat completion request on the wire.
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"` // a text, or parts of which some are texts
+}
+
+// ParseChat returns ChatPrompt of the JSON array of a chat's messages, and
+// false if it is none.
+func ParseChat(messages []byte) (prompt string, ok bool) {
+	var parsed []chatMessage
+	if json.Unmarshal(messages, &parsed) != nil {
+		return "", false
+	}
+	texts := make([]ChatMessage, len(parsed))
+	for i, message := range parsed {
+		texts[i] = ChatMessage{Role: message.Role, Content: message.text()}
+	}
+	return ChatPrompt(texts), true
+}
+
+// text returns the text of the content, empty if it has another form.
+func (m chatMessage) text() string {
+	var text string
+	if json.Unmarshal(m.Content, &text) == nil {
+		return text
+	}
+	var parts []struct {
+		Text string `json:"text"`
+	}
+	if json.Unmarshal(m.Content, &parts) != nil {
+		return ""
+	}
+	for _, part := range parts {
+		text += part.Text
+	}
+	return text
+}
+
 // PrefixHashes returns the hashes of the prefixes of text that are whole
 // blocks of blockBytes long, shortest first. A rest shorter than a block has
 // no hash.
--- a/pkg/standin/engine_openai_request.go
+++ b/pkg/standin/engine_openai_request.go
@@ -19,39 +19,17 @@
 // completionRequest is the part that the stand-in reads of a request to either
 // completion API.
 type completionRequest struct {
-	Model               string        `json:"model"`
-	Messages            []chatMessage `json:"messages"`
-	Prompt              string        `json:"prompt"`
-	MaxTokens           int           `json:"max_tokens"`
-	MaxCompletionTokens int           `json:"max_completion_tokens"`
-	Stream              bool          `json:"stream"`
+	Model               string          `json:"model"`
+	Messages            json.RawMessage `json:"messages"`
+	Prompt              string          `json:"prompt"`
+	MaxTokens           int             `json:"max_tokens"`
+	MaxCompletionTokens int             `json:"max_completion_tokens"`
+	Stream              bool            `json:"stream"`
 	StreamOptions       struct {
 		IncludeUsage bool `json:"include_usage"`
 	} `json:"stream_options"`
 }
 
-type chatMessage struct {
-	Role    string          `json:"role"`
-	Content json.RawMessage `json:"content"` // a string or text parts
-}
-
-func (m chatMessage) text() string {
-	var text string
-	if json.Unmarshal(m.Content, &text) == nil {
-		return text
-	}
-	var parts []struct {
-		Text string `json:"text"`
-	}
-	if json.Unmarshal(m.Content, &parts) != nil {
-		return string(m.Content)
-	}
-	for _, part := range parts {
-		text += part.Text
-	}
-	return text
-}
-
 // exchange is one request to a completion API with its answer under way.
 type exchange struct {
 	completionRequest
@@ -72,11 +50,15 @@
 	if x.id == "" {
 		x.id = uuid.NewString()
 	}
+	prompt, err := x.promptText()
+	if err != nil {
+		return x, err
+	}
 	x.submission = submission{
 		id:        x.id,
 		key:       request.Header.Get(headerIdempotencyKey),
 		model:     api.ModelName(x.Model),
-		prompt:    x.promptText(),
+		prompt:    prompt,
 		maxTokens: max(x.MaxTokens, x.MaxCompletionTokens),
 	}
 	if err := x.parseHeaders(request.Header); err != nil {
@@ -107,13 +89,14 @@
 	return nil
 }
 
-func (x *exchange) promptText() string {
+// promptText returns the text whose prefixes are cached.
+func (x *exchange) promptText() (string, error) {
 	if !x.chat {
-		return x.Prompt
+		return x.Prompt, nil
 	}
-	messages := make([]engine.ChatMessage, len(x.Messages))
-	for i, message := range x.Messages {
-		messages[i] = engine.ChatMessage{Role: message.Role, Content: message.text()}
+	text, ok := engine.ParseChat(x.Messages)
+	if !ok {
+		return "", errors.New("messages: not a list of messages")
 	}
-	return engine.ChatPrompt(messages)
+	return text, nil
 }
