End-to-end test of the path as separate processes; advertised port

Cause: a node that listens on port 0 advertised port 0, since the settings fill in listen.advertise_peers from listen.peers; the three nodes never met. The node now advertises the port that the kernel gave it.

Ruled out: the transport (the demo's nodes met, with the default empty advertised address).

Also found by it and not yet mended: nodes that cannot reach each other but all reach the table service form the cell's group anew every 1.3 s in turn; safe, but no one keeps the cell.

Before: 503 after 20 s.

--- /dev/null
+++ b/e2e/cluster_test.go
@@ -0,0 +1,232 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/operator"
+	"martenwheel.dev/pkg/standin"
+)
+
+const (
+	region      = "uy-south"
+	service     = "assistant"
+	anyPort     = "127.0.0.1:0"
+	speed       = "10" // simulated seconds a second, of the stand-ins
+	engineBytes = 16 << 30
+	waitBound   = 30 * time.Second
+	waitPoll    = 20 * time.Millisecond
+)
+
+// zones of the cluster; each has one node and one engine.
+var zones = []string{"zone-a", "zone-b", "zone-c"}
+
+// siteTree is the tree that the cluster starts with.
+const siteTree = `keep_alive: 1h
+load_time: 1s
+services:
+  assistant:
+    deadline: 20s
+    families:
+      llama:
+        models:
+          glaze-7b:
+            memory: 4GiB
+            adapters:
+              studio-3: {memory: 128MiB}
+          firing-13b: {memory: 8GiB}
+`
+
+// standinAddress is what a stand-in prints when it is ready.
+type standinAddress struct {
+	Address string `json:"address"`
+}
+
+// nodeAddresses is what a node prints when it listens.
+type nodeAddresses struct {
+	Callers   string `json:"callers"`
+	Operators string `json:"operators"`
+	Peers     string `json:"peers"`
+}
+
+// engineProcess is a stand-in for an engine.
+type engineProcess struct {
+	*process
+	standinAddress
+	id api.ServerID
+}
+
+// nodeProcess is a node.
+type nodeProcess struct {
+	*process
+	nodeAddresses
+	id api.NodeID
+}
+
+// cluster is a platform, three engines and three nodes.
+type cluster struct {
+	platform        *process
+	platformAddress string
+	engines         []*engineProcess
+	nodes           []*nodeProcess
+}
+
+// startCluster starts all processes, commits the tree and waits until every
+// node is ready.
+func startCluster(t *testing.T) *cluster {
+	t.Helper()
+	c := &cluster{}
+	var announced standinAddress
+	c.platform = start(t, &announced, "martenwheel-standin", "platform", "--speed", speed, "--machine-lag", "500ms")
+	c.platformAddress = announced.Address
+	for _, zone := range zones {
+		c.engines = append(c.engines, c.startEngine(t, zone, anyPort))
+	}
+	for _, zone := range zones {
+		c.nodes = append(c.nodes, c.startNode(t, zone))
+	}
+	c.waitReady(t)
+	c.applyTree(t, siteTree)
+	return c
+}
+
+func (c *cluster) startEngine(t *testing.T, zone, listen string) *engineProcess {
+	t.Helper()
+	e := &engineProcess{id: api.ServerID("server-" + zone)}
+	e.process = start(t, &e.standinAddress, "martenwheel-standin", "engine", "--listen", listen,
+		"--id", string(e.id), "--service", service, "--zone", zone, "--region", region,
+		"--platform", c.platformAddress, "--speed", speed, "--memory", strconv.Itoa(engineBytes))
+	return e
+}
+
+// startNode starts a node whose settings come from a file and from flags.
+func (c *cluster) startNode(t *testing.T, zone string) *nodeProcess {
+	t.Helper()
+	base := "http://" + c.platformAddress
+	file := filepath.Join(t.TempDir(), "node.yaml")
+	content := fmt.Sprintf(`node: {region: %s, zone: %s}
+platform:
+  table: {endpoint: %q}
+  objects: {endpoint: %q}
+  machines: {endpoint: %q}
+drain_time: 10s
+`, region, zone, base, base, base)
+	if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	n := &nodeProcess{id: api.NodeID("node-" + zone)}
+	arguments := []string{"node", "--settings", file, "--node-id", string(n.id),
+		"--listen-callers", anyPort, "--listen-operators", anyPort, "--listen-peers", anyPort}
+	for _, other := range c.nodes {
+		arguments = append(arguments, "--seeds", other.Peers)
+		break
+	}
+	n.process = start(t, &n.nodeAddresses, "martenwheel", arguments...)
+	return n
+}
+
+// waitReady waits until all nodes say that they are ready.
+func (c *cluster) waitReady(t *testing.T) {
+	t.Helper()
+	for _, node := range c.nodes {
+		waitFor(t, string(node.id)+" is ready", func() bool {
+			response, err := http.Get("http://" + node.Operators + "/readyz")
+			if err != nil {
+				return false
+			}
+			response.Body.Close()
+			return response.StatusCode == http.StatusOK
+		})
+	}
+}
+
+// command runs a command of martenwheel against a node and returns its output.
+func (c *cluster) command(t *testing.T, node *nodeProcess, arguments ...string) (string, error) {
+	t.Helper()
+	arguments = append(arguments, "--address", "http://"+node.Operators)
+	output, err := exec.Command(filepath.Join(programs, "martenwheel"), arguments...).CombinedOutput()
+	return string(output), err
+}
+
+// applyTree commits a tree as an operator does.
+func (c *cluster) applyTree(t *testing.T, text string) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "tree.yaml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if output, err := c.command(t, c.nodes[0], "tree", "apply", file); err != nil {
+		t.Fatalf("tree apply: %v\n%s", err, output)
+	}
+}
+
+// setTree changes one setting as an operator does.
+func (c *cluster) setTree(t *testing.T, path, setting string) {
+	t.Helper()
+	if output, err := c.command(t, c.nodes[0], "tree", "set", path, setting); err != nil {
+		t.Fatalf("tree set: %v\n%s", err, output)
+	}
+}
+
+// status returns what a node knows of the system.
+func (c *cluster) status(t *testing.T, node *nodeProcess) operator.Status {
+	t.Helper()
+	response, err := http.Get("http://" + node.Operators + operator.PathStatus)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var status operator.Status
+	if err := json.NewDecoder(response.Body).Decode(&status); err != nil {
+		t.Fatal(err)
+	}
+	return status
+}
+
+// replicas counts the replicas of a model that a node knows of, in any state.
+func (c *cluster) replicas(t *testing.T, node *nodeProcess, model api.ModelName) int {
+	t.Helper()
+	count := 0
+	for _, replica := range c.status(t, node).Replicas {
+		if replica.Model == model {
+			count++
+		}
+	}
+	return count
+}
+
+// setFaults sets the faults of one part of a stand-in.
+func setFaults(t *testing.T, address, part string, faults standin.Faults) {
+	t.Helper()
+	body, err := json.Marshal(map[string]standin.Faults{part: faults})
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.Post("http://"+address+standin.PathFaults, "application/json", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		t.Fatalf("set faults: %s", response.Status)
+	}
+}
+
+// waitFor polls until condition holds; the test fails after waitBound.
+func waitFor(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(waitBound); !condition(); time.Sleep(waitPoll) {
+		if time.Now().After(deadline) {
+			t.Fatalf("waited %s in vain: %s", waitBound, what)
+		}
+	}
+}
--- /dev/null
+++ b/e2e/path_test.go
@@ -0,0 +1,127 @@
+package e2e
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+)
+
+// requestBound is the longest that one request of a test may take.
+const requestBound = 30 * time.Second
+
+// newClient returns the published client library for the API, without retries
+// of its own.
+func newClient(node *nodeProcess) openai.Client {
+	return openai.NewClient(
+		option.WithBaseURL("http://"+node.Callers+"/v1/"),
+		option.WithAPIKey("none"),
+		option.WithMaxRetries(0),
+	)
+}
+
+func parameters(model string) openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model:     model,
+		MaxTokens: openai.Int(12),
+		Messages:  []openai.ChatCompletionMessageParamUnion{openai.UserMessage("When may I glaze?")},
+	}
+}
+
+// askWhole sends a request that is not streamed and returns its text.
+func askWhole(t *testing.T, node *nodeProcess, model, requestID string) string {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), requestBound)
+	defer cancel()
+	client := newClient(node)
+	completion, err := client.Chat.Completions.New(ctx, parameters(model), option.WithHeader("X-Request-Id", requestID))
+	if err != nil {
+		t.Fatalf("%s: %v", model, err)
+	}
+	if len(completion.Choices) != 1 || completion.Choices[0].FinishReason == "" {
+		t.Fatalf("%s: incomplete answer %s", model, completion.RawJSON())
+	}
+	return completion.Choices[0].Message.Content
+}
+
+// askStreamed sends a streamed request and returns its text.
+func askStreamed(t *testing.T, node *nodeProcess, model, requestID string) string {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), requestBound)
+	defer cancel()
+	client := newClient(node)
+	stream := client.Chat.Completions.NewStreaming(ctx, parameters(model), option.WithHeader("X-Request-Id", requestID))
+	defer stream.Close()
+	text, finished := "", false
+	for stream.Next() {
+		for _, choice := range stream.Current().Choices {
+			text += choice.Delta.Content
+			finished = finished || choice.FinishReason != ""
+		}
+	}
+	if stream.Err() != nil || !finished {
+		t.Fatalf("%s: stream ended (%v), finished: %t, text %q", model, stream.Err(), finished, text)
+	}
+	return text
+}
+
+// TestWholePath sends requests through three nodes as separate processes: to an
+// idle and to a loaded model, streamed and not, and to an adapter; then an edit
+// of the keep-alive unloads the replicas, and the same request is found in the
+// logs of the node and of the owner.
+func TestWholePath(t *testing.T) {
+	c := startCluster(t)
+
+	if text := askStreamed(t, c.nodes[0], "glaze-7b", "idle-streamed"); text == "" {
+		t.Error("idle model, streamed: no text")
+	}
+	if text := askWhole(t, c.nodes[1], "glaze-7b", "loaded-whole"); text == "" {
+		t.Error("loaded model, whole: no text")
+	}
+	if text := askStreamed(t, c.nodes[2], "glaze-7b:studio-3", "adapter-streamed"); text == "" {
+		t.Error("idle adapter on a loaded base, streamed: no text")
+	}
+	if text := askWhole(t, c.nodes[2], "firing-13b", "idle-whole"); text == "" {
+		t.Error("idle model, whole: no text")
+	}
+	if count := c.replicas(t, c.nodes[0], "glaze-7b"); count != 1 {
+		t.Errorf("glaze-7b has %d replicas, want 1", count)
+	}
+
+	c.setTree(t, "/", "keep_alive=1s")
+	for _, node := range c.nodes {
+		waitFor(t, "all replicas are unloaded in the view of "+string(node.id), func() bool {
+			return len(c.status(t, node).Replicas) == 0
+		})
+	}
+	wantRequestLogged(t, c, "idle-streamed")
+}
+
+// wantRequestLogged checks that a request can be followed over processes, and
+// that all logs are JSON lines.
+func wantRequestLogged(t *testing.T, c *cluster, requestID string) {
+	t.Helper()
+	served := 0
+	for _, node := range c.nodes {
+		for _, line := range node.lines(t) {
+			if line["request_id"] == requestID && line["outcome"] == "served" {
+				served++
+				wantFields(t, line, "node", "model", "revision", "server")
+			}
+		}
+	}
+	if served != 1 {
+		t.Errorf("request %s is served in %d log lines, want 1", requestID, served)
+	}
+}
+
+func wantFields(t *testing.T, line logLine, names ...string) {
+	t.Helper()
+	for _, name := range names {
+		if value, present := line[name]; !present || value == "" {
+			t.Errorf("log line lacks %s: %v", name, line)
+		}
+	}
+}
--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -142,8 +142,8 @@
 	fmt.Fprintf(d.options.Out, `
   curl -N http://%s/v1/chat/completions -H 'Content-Type: application/json' \
     -d '%s'
-  martenwheel status --node http://%s
-  martenwheel tree explain /assistant/llama/glaze-7b --node http://%s
+  martenwheel status --address http://%s
+  martenwheel tree explain /assistant/llama/glaze-7b --address http://%s
 
 `, addresses.Callers, body("firing-13b", true), addresses.Operators, addresses.Operators)
 }
--- a/pkg/gateway/record.go
+++ b/pkg/gateway/record.go
@@ -8,6 +8,7 @@
 	"github.com/gofiber/fiber/v2"
 
 	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/telemetry"
 	"martenwheel.dev/pkg/traffic"
 	"martenwheel.dev/pkg/tree"
 )
@@ -79,7 +80,7 @@
 		return
 	}
 	fields := []any{
-		"request", c.record.requestID,
+		telemetry.FieldRequestID, c.record.requestID,
 		"engine_request", c.request.ID,
 		"caller", c.record.caller,
 		"model", c.parsed.Model,
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -128,7 +128,7 @@
 		Self: api.NodeRef{
 			ID:          n.settings.Node.ID,
 			Incarnation: uint64(time.Now().UnixNano()),
-			PeerAddress: n.settings.Listen.AdvertisePeers,
+			PeerAddress: n.advertisedAddress(),
 			Zone:        n.settings.Node.Zone,
 			Region:      n.settings.Node.Region,
 		},
@@ -146,6 +146,15 @@
 	return nil
 }
 
+// advertisedAddress returns where other nodes reach this one, or "" if that is
+// the address of the listener, whose port may be the kernel's choice.
+func (n *Node) advertisedAddress() string {
+	if n.settings.Listen.AdvertisePeers == n.settings.Listen.Peers {
+		return ""
+	}
+	return n.settings.Listen.AdvertisePeers
+}
+
 // wireControl makes the control machine, its loop and its executor.
 func (n *Node) wireControl() error {
 	clients, err := newPlatformClients(n.settings.Platform)
