--- a/pkg/standin/engine_http_test.go
+++ b/pkg/standin/engine_http_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -33,11 +34,11 @@
 	return map[string]string{engine.HeaderRequestID: id}
 }
 
-// waitFor polls until done holds; the test's time-out bounds it.
-func waitFor(done func() bool) {
-	for !done() {
-		time.Sleep(time.Millisecond)
-	}
+// idle tells whether the engine has no request at present.
+func idle(e *Engine) bool {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	return e.WaitIdle(ended)
 }
 
 func TestCallerThatLeavesStopsItsRequest(t *testing.T) {
@@ -47,11 +48,15 @@
 	if _, err := response.Body.Read(make([]byte, 10)); err != nil {
 		t.Fatal(err)
 	}
-	if server.Idle() {
+	if idle(server.Engine) {
 		t.Fatal("nothing runs")
 	}
 	cancel()
-	waitFor(server.Idle)
+	server.WaitIdle(t.Context())
+	now := server.progress(server.state.batch.generations["r"])
+	if now.phase != phaseCancelled || now.tokens >= 8000 {
+		t.Errorf("phase %d with %d tokens", now.phase, now.tokens)
+	}
 }
 
 func TestResumedStreamIsTheSameRest(t *testing.T) {
@@ -64,7 +69,7 @@
 				t.Fatal(err)
 			}
 			cancel()
-			waitFor(server.Idle)
+			server.WaitIdle(t.Context())
 			headers := requestID("r")
 			headers[engine.HeaderResumeFrom] = fmt.Sprint(received)
 			events, done := readEvents(t, post(t, t.Context(), server.Address(), "/v1/completions", streamBody, headers).Body)
@@ -118,7 +123,7 @@
 	if !done || textOf(t, events) != AnswerText("a", "p", "r", 4000) {
 		t.Errorf("%d events, done %t", len(events), done)
 	}
-	if len(to.Executed()) != 0 || from.Executed()["r"] != 1 || !from.Idle() {
+	if len(to.Executed()) != 0 || from.Executed()["r"] != 1 || !idle(from.Engine) {
 		t.Errorf("executed %v and %v", from.Executed(), to.Executed())
 	}
 }
@@ -202,18 +207,32 @@
 	}
 }
 
+// cancelOnWrite is a connection that ends a context once a request is sent.
+type cancelOnWrite struct {
+	net.Conn
+	cancel context.CancelFunc
+}
+
+func (c cancelOnWrite) Write(data []byte) (int, error) {
+	defer c.cancel()
+	return c.Conn.Write(data)
+}
+
 func TestFrozenEngineExecutesItsBufferWhenThawedAndJudgesByFence(t *testing.T) {
 	server := startLoaded(t, testConfig())
-	client := engine.NewHTTPClient(engine.HTTPClientConfig{})
+	ctx, cancel := context.WithCancel(t.Context())
+	client := engine.NewHTTPClient(engine.HTTPClientConfig{Dial: func(address string) (net.Conn, error) {
+		connection, err := net.Dial("tcp", address)
+		return cancelOnWrite{connection, cancel}, err
+	}})
 	server.SetFaults(PartEngine, Faults{Freeze: true})
-	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
-	defer cancel()
 	if _, err := client.Order(ctx, server.Address(), loadOrder(5, "old", gibibyte)); !errors.Is(err, engine.ErrUnknownOutcome) {
 		t.Fatalf("order to a frozen engine: %v", err)
 	}
 	server.SetFaults(PartEngine, Faults{})
-	waitFor(func() bool { return server.Inventory(engine.InventoryRequest{}).Fence == 5 })
+	waitReady(t, server.Engine, "old")
 
+	client = engine.NewHTTPClient(engine.HTTPClientConfig{})
 	server.SetFaults(PartOrders, Faults{Freeze: true})
 	results := make(chan engine.OrderResult, 1)
 	go func() {
@@ -227,6 +246,33 @@
 	}
 }
 
+func TestDeadlineIsByTheWallClock(t *testing.T) {
+	config := testConfig()
+	config.MaxBatch = 1
+	server := startLoaded(t, config)
+	running := post(t, t.Context(), server.Address(), "/v1/completions", strings.Replace(streamBody, "200", "8000", 1), nil)
+	if _, err := running.Body.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	send := func(id string, deadline time.Time) *http.Response {
+		headers := requestID(id)
+		headers[engine.HeaderDeadline] = deadline.Format(time.RFC3339Nano)
+		return post(t, t.Context(), server.Address(), "/v1/completions", `{"model":"a","prompt":"p","max_tokens":1}`, headers)
+	}
+	if refused := send("late", time.Now()); refused.StatusCode != http.StatusServiceUnavailable || refused.Header.Get(engine.HeaderNotRun) != "true" {
+		t.Errorf("status %d, headers %v", refused.StatusCode, refused.Header)
+	}
+	if served := send("in time", time.Now().Add(time.Hour)); served.StatusCode != http.StatusOK {
+		t.Errorf("status %d", served.StatusCode)
+	}
+	if executed := server.Executed(); executed["late"] != 0 || executed["in time"] != 1 {
+		t.Errorf("executed %v", executed)
+	}
+	if asOf := server.Load().AsOf; asOf.After(time.Now()) {
+		t.Errorf("load report as of %v, now %v", asOf, time.Now())
+	}
+}
+
 func TestMalformedRequestsAreRefused(t *testing.T) {
 	server := startLoaded(t, testConfig())
 	cases := []struct {
@@ -259,9 +305,7 @@
 	server := startEngine(t, testConfig())
 	server.SetFaults(PartOrders, Faults{FailLoads: 1})
 	server.Order(loadOrder(1, "a", 8*gibibyte))
-	waitFor(func() bool {
-		return server.Inventory(engine.InventoryRequest{}).Items[0].State == engine.ItemFailed
-	})
+	server.WaitState(t.Context(), "a", engine.ItemFailed)
 	if used := server.Inventory(engine.InventoryRequest{}).UsedBytes; used != 0 {
 		t.Errorf("%d bytes used", used)
 	}
