--- a/pkg/control/cells.go
+++ b/pkg/control/cells.go
@@ -32,6 +32,7 @@
 	loads     claimEntry // newest claim on the weight store heard
 
 	formation     formation
+	leaderlessAt  time.Time // since when this member has heard of no leader
 	record        recordKeeper
 	calls         recordCalls
 	leaving       []api.NodeRef // members that asked to be replaced
--- a/pkg/control/config.go
+++ b/pkg/control/config.go
@@ -35,6 +35,7 @@
 
 	FormationDelay      time.Duration // that a cell is without a group until the first node forms one
 	FormationStep       time.Duration // longer for each further node
+	GroupPatience       time.Duration // that a member is without a leader until it helps to form a new group
 	FormationPatience   time.Duration // how long recorded members that live have to come up
 	FormationRetry      time.Duration // pause after a failed try
 	RecordRetry         time.Duration // first pause after a failed write of a cell's record; doubles
@@ -56,6 +57,7 @@
 		Cell:                cell.DefaultTiming(),
 		FormationDelay:      time.Second,
 		FormationStep:       500 * time.Millisecond,
+		GroupPatience:       20 * time.Second,
 		FormationPatience:   10 * time.Second,
 		FormationRetry:      2 * time.Second,
 		RecordRetry:         time.Second,
--- a/pkg/control/formation.go
+++ b/pkg/control/formation.go
@@ -73,8 +73,12 @@
 		return false
 	}
 	if _, led := c.group.Leader(now); led {
+		c.leaderlessAt = time.Time{}
 		return false
 	}
+	if c.leaderlessFor(now) >= c.machine.timing.GroupPatience {
+		return true
+	}
 	if c.group.Superseded() && c.group.Floor() > c.epoch() {
 		return true
 	}
@@ -84,6 +88,18 @@
 	return !c.group.Member() || !c.mostAlive(c.group.Accepted().Members)
 }
 
+// leaderlessFor returns how long this member has not heard of any leader.
+func (c *cellControl) leaderlessFor(now time.Time) time.Duration {
+	if !c.group.Member() {
+		c.leaderlessAt = time.Time{}
+		return 0
+	}
+	if c.leaderlessAt.IsZero() {
+		c.leaderlessAt = now
+	}
+	return now.Sub(c.leaderlessAt)
+}
+
 // mostAlive tells whether a majority of the members is alive in the same life.
 func (c *cellControl) mostAlive(members []api.NodeRef) bool {
 	live := c.machine.liveNodes()
--- a/pkg/control/quorum/group.go
+++ b/pkg/control/quorum/group.go
@@ -259,11 +259,13 @@
 }
 
 // receivePrepare promises to follow the candidate unless this member follows a
-// higher term, has heard a live leader lately, or has no state to tell. The
-// epoch must be that of the state: a later epoch begins by a write in the
-// table service only.
+// higher term or has heard a live leader lately. The epoch must be that of the
+// state, if there is one: a later epoch begins by a write in the table service
+// only. A member that was never reached has no state, and may say so: as it is
+// one life of a process, it has not forgotten any.
 func (g *Group) receivePrepare(now time.Time, from api.NodeRef, m Prepare) {
-	if g.accepted.Term == 0 || Epoch(m.Term) > Epoch(g.promised) || Epoch(m.Term) < g.epochFloor {
+	fresh := g.accepted.Term == 0
+	if Epoch(m.Term) < g.epochFloor || !fresh && Epoch(m.Term) > Epoch(g.accepted.Term) {
 		return
 	}
 	repeated := m.Term == g.promised && MemberOf(from) == g.promisedTo
@@ -295,7 +297,7 @@
 		g.noticeTerm(now, m.Promised)
 		return
 	}
-	if g.role != roleCandidate || m.Term != g.promised || Epoch(m.State.Term) != Epoch(g.promised) {
+	if g.role != roleCandidate || m.Term != g.promised {
 		return
 	}
 	g.promises[MemberOf(from)] = m.State
