--- a/pkg/peer/codec.go
+++ b/pkg/peer/codec.go
@@ -142,22 +142,50 @@
 	io.ByteReader
 }
 
-// readFrame reads the bytes of a frame without its length. It allocates no
-// more than limit, and not before the bytes arrive.
-func readFrame(from byteReader, limit int) ([]byte, error) {
-	size, err := binary.ReadUvarint(from)
+// scratchBytes is the size up to which frames are read into one buffer.
+const scratchBytes = 4096
+
+// frameReader reads the bytes of frames.
+type frameReader struct {
+	from    byteReader
+	limit   int // of a frame's bytes
+	scratch []byte
+}
+
+func newFrameReader(from byteReader, limit int) *frameReader {
+	return &frameReader{from: from, limit: limit}
+}
+
+// next reads the bytes of a frame without its length. They are valid until the
+// next call. It allocates no more than the limit, and for a large frame not
+// before the bytes arrive.
+func (r *frameReader) next() ([]byte, error) {
+	size, err := binary.ReadUvarint(r.from)
 	if err != nil {
 		return nil, err
 	}
-	if size == 0 || size > uint64(limit) {
-		return nil, errors.Wrapf(ErrTooLarge, "frame of %d bytes, allowed are 1 to %d", size, limit)
+	if size == 0 || size > uint64(r.limit) {
+		return nil, errors.Wrapf(ErrTooLarge, "frame of %d bytes, allowed are 1 to %d", size, r.limit)
 	}
-	var body bytes.Buffer
-	read, err := io.CopyN(&body, from, int64(size))
-	if err != nil && read < int64(size) {
-		return nil, errors.Wrap(io.ErrUnexpectedEOF, "peer: frame cut off")
+	if size > scratchBytes {
+		var body bytes.Buffer
+		_, err := io.CopyN(&body, r.from, int64(size))
+		return body.Bytes(), cutOff(err)
+	}
+	if r.scratch == nil {
+		r.scratch = make([]byte, scratchBytes)
+	}
+	_, err = io.ReadFull(r.from, r.scratch[:size])
+	return r.scratch[:size], cutOff(err)
+}
+
+// cutOff turns the end of a connection within a frame into an error that
+// cannot be taken for its regular end.
+func cutOff(err error) error {
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
 	}
-	return body.Bytes(), nil
+	return errors.Wrap(err, "peer: frame cut off")
 }
 
 // decode decodes a frame's bytes. After an error the stream is of no use.
--- a/pkg/peer/hello.go
+++ b/pkg/peer/hello.go
@@ -190,7 +190,7 @@
 	if version := binary.BigEndian.Uint16(opening[len(magic):]); version != Version {
 		return api.NodeRef{}, errors.Wrapf(ErrVersion, "peer has %d, this node %d", version, Version)
 	}
-	body, err := readFrame(from, maxHelloBytes)
+	body, err := newFrameReader(from, maxHelloBytes).next()
 	if err != nil {
 		return api.NodeRef{}, errors.Wrap(err, "peer: hello")
 	}
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -366,8 +366,9 @@
 func (e *exchange) read() {
 	defer close(e.ended)
 	var decoder decoder
+	frames := newFrameReader(e.connection.reader, MaxMessageBytes)
 	for {
-		data, err := readFrame(e.connection.reader, MaxMessageBytes)
+		data, err := frames.next()
 		if err != nil {
 			return
 		}
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -163,12 +163,13 @@
 // are handled in order, calls at the same time.
 func (s *session) read(ctx context.Context) error {
 	var decoder decoder
+	frames := newFrameReader(s.reader, MaxMessageBytes)
 	idle := s.server.config.Timeouts.Idle * SilenceFactor
 	for {
 		if err := s.SetReadDeadline(time.Now().Add(idle)); err != nil {
 			return errors.WithStack(err)
 		}
-		data, err := readFrame(s.reader, MaxMessageBytes)
+		data, err := frames.next()
 		if err != nil {
 			return err
 		}
