gateway: planned stops end background work in time and force slow callers out last

The watcher for hang-ups has its own group, so that a drain can wait for unsafe requests that go on without their callers and still be bounded.

--- a/pkg/gateway/engine_answer.go
+++ b/pkg/gateway/engine_answer.go
@@ -171,7 +171,7 @@
 }
 
 // cancelTimeout bounds a cancellation at an engine.
-const cancelTimeout = 5 * time.Second
+const cancelTimeout = 2 * time.Second
 
 // cancelAtEngine tells an engine, in the background, to stop a request.
 func (g *Gateway) cancelAtEngine(address, engineID string) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,11 @@
 	metrics    *metrics
 	background conc.WaitGroup // completions of claims, cancellations, unfinished unsafe requests
 
+	watching conc.WaitGroup // the hang-up watcher
+
+	mutex     sync.Mutex
+	listeners []*limitedListener
+
 	stopping context.Context // ends when requests in flight must end
 	stop     context.CancelCauseFunc
 	serial   atomic.Uint64 // of requests
@@ -61,6 +67,7 @@
 	}
 	g.stopping, g.stop = context.WithCancelCause(context.Background())
 	g.app = g.newApp()
+	g.watching.Go(func() { g.hangups.Run(g.stopping) })
 	return g, nil
 }
 
@@ -88,8 +95,11 @@
 
 // Serve serves callers on listener until Drain. It returns nil after Drain.
 func (g *Gateway) Serve(listener net.Listener) error {
-	g.background.Go(func() { g.hangups.Run(g.stopping) })
-	if err := g.app.Listener(g.limited(listener)); err != nil {
+	limited := newLimitedListener(listener, g.config)
+	g.mutex.Lock()
+	g.listeners = append(g.listeners, limited)
+	g.mutex.Unlock()
+	if err := g.app.Listener(limited.secured(g.config.TLS)); err != nil {
 		return errors.Wrap(err, "gateway: serve callers")
 	}
 	return nil
@@ -99,17 +109,51 @@
 const drainGrace = 2 * time.Second
 
 // Drain stops taking requests and waits until those in flight have ended.
-// When ctx ends first, they end with an error each, which Drain returns.
+// When ctx ends first, they end with an error each, and Drain returns one.
 func (g *Gateway) Drain(ctx context.Context) error {
 	err := g.app.ShutdownWithContext(ctx)
+	if err == nil {
+		err = g.waitBackground(ctx)
+	}
 	g.stop(errDrainTimeout)
 	if err != nil {
-		graceful, cancel := context.WithTimeout(context.Background(), drainGrace)
-		defer cancel()
-		_ = g.app.ShutdownWithContext(graceful) // the first error is the one to report
 		err = errors.Wrap(err, "gateway: requests in flight were ended")
+		g.closeCallers()
 	}
 	g.background.Wait()
+	g.watching.Wait()
 	g.engines.Close()
 	return err
 }
+
+// waitBackground waits for the work that goes on without a caller.
+func (g *Gateway) waitBackground(ctx context.Context) error {
+	ended := make(chan struct{})
+	var group conc.WaitGroup
+	group.Go(func() {
+		g.background.Wait()
+		close(ended)
+	})
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// closeCallers gives the requests that were told to end some time for their
+// last words and then closes the connections of all callers.
+func (g *Gateway) closeCallers() {
+	graceful, cancel := context.WithTimeout(context.Background(), drainGrace)
+	defer cancel()
+	if g.app.ShutdownWithContext(graceful) == nil {
+		return
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for _, listener := range g.listeners {
+		listener.closeConnections()
+	}
+	_ = g.app.Shutdown() // returns when the handlers have seen it
+}
--- a/pkg/gateway/internal/hangup/watcher.go
+++ b/pkg/gateway/internal/hangup/watcher.go
@@ -42,7 +42,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			w.look()
+			w.Look()
 		}
 	}
 }
@@ -72,8 +72,8 @@
 	w.watcher.mutex.Unlock()
 }
 
-// look reports and forgets the connections whose peer has left.
-func (w *Watcher) look() {
+// Look reports and forgets the connections whose peer has left.
+func (w *Watcher) Look() {
 	w.mutex.Lock()
 	watches := make([]*Watch, 0, len(w.watched))
 	for watch := range w.watched {
--- a/pkg/gateway/listener.go
+++ b/pkg/gateway/listener.go
@@ -10,26 +10,6 @@
 	"github.com/gofiber/fiber/v2"
 )
 
-// limited returns listener with the limits on connections, and TLS if there
-// is a configuration for it.
-func (g *Gateway) limited(listener net.Listener) net.Listener {
-	limits := g.config.Limits
-	var result net.Listener = &limitedListener{
-		Listener:     listener,
-		total:        limits.Connections,
-		perIP:        limits.ConnectionsPerIP,
-		writeTimeout: g.config.Timeouts.Write,
-		plain:        g.config.TLS == nil,
-		open:         make(map[string]int),
-	}
-	if g.config.TLS != nil {
-		config := g.config.TLS.Clone()
-		config.NextProtos = []string{"http/1.1"}
-		result = tls.NewListener(result, config)
-	}
-	return result
-}
-
 // limitedListener refuses connections above its limits.
 type limitedListener struct {
 	net.Listener
@@ -39,8 +19,31 @@
 	plain        bool // a refusal can be written as plain HTTP
 
 	mutex sync.Mutex
-	count int
-	open  map[string]int // connections by IP
+	open  map[*callerConn]struct{}
+	byIP  map[string]int // number of open connections
+}
+
+// newLimitedListener returns listener with the limits of config.
+func newLimitedListener(listener net.Listener, config Config) *limitedListener {
+	return &limitedListener{
+		Listener:     listener,
+		total:        config.Limits.Connections,
+		perIP:        config.Limits.ConnectionsPerIP,
+		writeTimeout: config.Timeouts.Write,
+		plain:        config.TLS == nil,
+		open:         make(map[*callerConn]struct{}),
+		byIP:         make(map[string]int),
+	}
+}
+
+// secured returns the listener with TLS if there is a configuration for it.
+func (l *limitedListener) secured(config *tls.Config) net.Listener {
+	if config == nil {
+		return l
+	}
+	config = config.Clone()
+	config.NextProtos = []string{"http/1.1"}
+	return tls.NewListener(l, config)
 }
 
 // Accept returns the next connection within the limits.
@@ -50,9 +53,9 @@
 		if err != nil {
 			return nil, err
 		}
-		ip := ipOf(accepted)
-		if l.admit(ip) {
-			return &callerConn{Conn: accepted, listener: l, ip: ip}, nil
+		connection := &callerConn{Conn: accepted, listener: l, ip: ipOf(accepted)}
+		if l.admit(connection) {
+			return connection, nil
 		}
 		l.turnAway(accepted)
 	}
@@ -67,26 +70,38 @@
 	return host
 }
 
-// admit counts a connection from ip unless it exceeds a limit.
-func (l *limitedListener) admit(ip string) bool {
+// admit counts a connection unless it exceeds a limit.
+func (l *limitedListener) admit(connection *callerConn) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.count >= l.total || l.open[ip] >= l.perIP {
+	if len(l.open) >= l.total || l.byIP[connection.ip] >= l.perIP {
 		return false
 	}
-	l.count++
-	l.open[ip]++
+	l.open[connection] = struct{}{}
+	l.byIP[connection.ip]++
 	return true
 }
 
-// leave gives back the place of a connection from ip.
-func (l *limitedListener) leave(ip string) {
+// leave gives back the place of a connection, once.
+func (l *limitedListener) leave(connection *callerConn) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if _, isOpen := l.open[connection]; !isOpen {
+		return
+	}
+	delete(l.open, connection)
+	l.byIP[connection.ip]--
+	if l.byIP[connection.ip] == 0 {
+		delete(l.byIP, connection.ip)
+	}
+}
+
+// closeConnections closes the connections of all callers.
+func (l *limitedListener) closeConnections() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.count--
-	l.open[ip]--
-	if l.open[ip] == 0 {
-		delete(l.open, ip)
+	for connection := range l.open {
+		_ = connection.Conn.Close() // its user sees the error
 	}
 }
 
@@ -118,7 +133,6 @@
 	net.Conn
 	listener *limitedListener
 	ip       string
-	once     sync.Once
 }
 
 // NetConn returns the connection below.
@@ -136,6 +150,6 @@
 
 // Close closes the connection and gives its place back.
 func (c *callerConn) Close() error {
-	c.once.Do(func() { c.listener.leave(c.ip) })
+	c.listener.leave(c)
 	return c.Conn.Close()
 }
--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -228,7 +228,7 @@
 			if err != nil {
 				return
 			}
-			_, _ = io.ReadFull(connection, make([]byte, 1000))
+			_, _ = connection.Read(make([]byte, 1000))
 			_ = connection.(*net.TCPConn).SetLinger(0)
 			_ = connection.Close()
 		}
