--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -27,7 +27,6 @@
 	engines    *upstream.Client
 	hangups    *hangup.Watcher
 	metrics    *metrics
-	accessLog  *accessLog
 	background conc.WaitGroup // completions of claims, cancellations, unfinished unsafe requests
 
 	watching conc.WaitGroup // the hang-up watcher
@@ -68,7 +67,6 @@
 	}
 	g.stopping, g.stop = context.WithCancelCause(context.Background())
 	g.app = g.newApp()
-	g.accessLog = newAccessLog(config.Logger)
 	g.watching.Go(func() { g.hangups.Run(g.stopping) })
 	return g, nil
 }
@@ -125,7 +123,6 @@
 	g.background.Wait()
 	g.watching.Wait()
 	g.engines.Close()
-	g.accessLog.close()
 	return err
 }
 
--- a/pkg/gateway/record.go
+++ b/pkg/gateway/record.go
@@ -102,7 +102,7 @@
 	if apiError != nil {
 		fields = append(fields, "status", apiError.Status, "code", apiError.Code, "not_run", apiError.NotRun, "error", apiError.Message)
 	}
-	c.gateway.accessLog.write(fields)
+	logger.Info("request", fields...)
 }
 
 // epochBytes is the length of the random part of request IDs.
