security: API keys from a digest file and reloaded TLS identities

Keys are compared in constant time and never put into a finding; a faulty file keeps what was in force. TLS configurations look up the identity in force for each handshake, so that a reload needs no new listener.

--- /dev/null
+++ b/pkg/security/certificates.go
@@ -0,0 +1,234 @@
+package security
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/findings"
+)
+
+// PeerName is the DNS name that the certificate of each node must carry for
+// the connections between nodes. It keeps a certificate that the same
+// authority issued for something else from speaking as a node. The IP numbers
+// of nodes are not checked: machines are replaced under new ones at any time.
+const PeerName = "peer.martenwheel.internal"
+
+// Files names the PEM files of one TLS identity.
+type Files struct {
+	Certificate string // the certificate and the ones between it and its authority
+	Key         string // its private key
+	Authorities string // who may issue peers' certificates; needed for PeerConfig
+}
+
+// Certificates is a TLS identity read from files. Safe for concurrent use.
+type Certificates struct {
+	files Files
+	clock func() time.Time
+	mutex sync.Mutex // serialises reloads
+	seen  fileStamp
+	state atomic.Pointer[identity]
+}
+
+type identity struct {
+	certificate tls.Certificate
+	authorities *x509.CertPool // nil without Files.Authorities
+}
+
+// OpenCertificates reads the files. The error of missing, expired or
+// mismatched files is a *findings.Error with all faults.
+func OpenCertificates(files Files, clock func() time.Time) (*Certificates, error) {
+	certificates := &Certificates{files: files, clock: clock}
+	if err := certificates.Reload(); err != nil {
+		return nil, err
+	}
+	return certificates, nil
+}
+
+// Reload reads the files again. After an error the identity is as before.
+// Connections that stand are not cut.
+func (c *Certificates) Reload() error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.reload()
+}
+
+// ReloadIfChanged reads the files again if one changed since the last time.
+func (c *Certificates) ReloadIfChanged() (changed bool, err error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.stamp() == c.seen {
+		return false, nil
+	}
+	return true, c.reload()
+}
+
+func (c *Certificates) stamp() fileStamp {
+	return stampFiles(c.files.Certificate, c.files.Key, c.files.Authorities)
+}
+
+func (c *Certificates) reload() error {
+	c.seen = c.stamp()
+	loaded, err := loadIdentity(c.files, c.clock())
+	if err != nil {
+		return err
+	}
+	c.state.Store(loaded)
+	return nil
+}
+
+// ExpiresAt returns when the certificate in force ends.
+func (c *Certificates) ExpiresAt() time.Time {
+	return c.state.Load().certificate.Leaf.NotAfter
+}
+
+// ServerConfig returns the configuration of a listener for callers or
+// operators. It always uses the certificate in force.
+func (c *Certificates) ServerConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		Time:       c.clock,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return &c.state.Load().certificate, nil
+		},
+	}
+}
+
+// PeerConfig returns the configuration of both sides of the connections
+// between nodes: each side must present a certificate for PeerName from one of
+// the authorities in force. It fails without Files.Authorities.
+func (c *Certificates) PeerConfig() (*tls.Config, error) {
+	if c.state.Load().authorities == nil {
+		return nil, errors.New("mutual TLS between nodes needs a file of authorities")
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		Time:       c.clock,
+		ServerName: PeerName,
+		ClientAuth: tls.RequireAnyClientCert,
+		// The standard check would use the authorities of the time when the
+		// configuration was made. verifyPeer does the same check, on both
+		// sides, with the ones in force.
+		InsecureSkipVerify: true,
+		VerifyConnection:   c.verifyPeer,
+		// A resumed session would prove an old certificate.
+		SessionTicketsDisabled: true,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return &c.state.Load().certificate, nil
+		},
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return &c.state.Load().certificate, nil
+		},
+	}, nil
+}
+
+func (c *Certificates) verifyPeer(connection tls.ConnectionState) error {
+	presented := connection.PeerCertificates
+	if len(presented) == 0 {
+		return errors.New("the peer presented no certificate")
+	}
+	authorities := c.state.Load().authorities
+	if authorities == nil {
+		return errors.New("no authorities to check the peer with")
+	}
+	intermediates := x509.NewCertPool()
+	for _, certificate := range presented[1:] {
+		intermediates.AddCert(certificate)
+	}
+	_, err := presented[0].Verify(x509.VerifyOptions{
+		DNSName:       PeerName,
+		Roots:         authorities,
+		Intermediates: intermediates,
+		CurrentTime:   c.clock(),
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	})
+	return errors.Wrap(err, "peer's certificate")
+}
+
+func loadIdentity(files Files, now time.Time) (*identity, error) {
+	var faults findings.List
+	loaded := &identity{}
+	certificatePEM := readPEM(&faults, files.Certificate, "certificate")
+	keyPEM := readPEM(&faults, files.Key, "private key")
+	if certificatePEM != nil && keyPEM != nil {
+		loaded.certificate = parsePair(&faults, files, certificatePEM, keyPEM, now)
+	}
+	if files.Authorities != "" {
+		loaded.authorities = loadAuthorities(&faults, files.Authorities, now)
+	}
+	if err := faults.Err(); err != nil {
+		return nil, err
+	}
+	return loaded, nil
+}
+
+func readPEM(faults *findings.List, path, role string) []byte {
+	if path == "" {
+		faults.Addf(role, "no file is named")
+		return nil
+	}
+	content, err := os.ReadFile(path)
+	if err != nil {
+		faults.Addf(path, "%s cannot be read: %v", role, errors.Cause(err))
+		return nil
+	}
+	if block, _ := pem.Decode(content); block == nil {
+		faults.Addf(path, "%s is not in PEM form", role)
+		return nil
+	}
+	return content
+}
+
+func parsePair(faults *findings.List, files Files, certificatePEM, keyPEM []byte, now time.Time) tls.Certificate {
+	pair, err := tls.X509KeyPair(certificatePEM, keyPEM)
+	if err != nil {
+		faults.Addf(files.Certificate, "does not go with %s: %v", files.Key, err)
+		return pair
+	}
+	checkValidity(faults, files.Certificate, pair.Leaf, now)
+	return pair
+}
+
+func checkValidity(faults *findings.List, path string, certificate *x509.Certificate, now time.Time) {
+	if now.Before(certificate.NotBefore) {
+		faults.Addf(path, "certificate of %q is not valid before %s", certificate.Subject.CommonName, certificate.NotBefore.Format(time.RFC3339))
+	}
+	if now.After(certificate.NotAfter) {
+		faults.Addf(path, "certificate of %q expired at %s", certificate.Subject.CommonName, certificate.NotAfter.Format(time.RFC3339))
+	}
+}
+
+// loadAuthorities accepts an expired authority beside a valid one, since it is
+// replaced by adding the next one to the file.
+func loadAuthorities(faults *findings.List, path string, now time.Time) *x509.CertPool {
+	content := readPEM(faults, path, "file of authorities")
+	if content == nil {
+		return nil
+	}
+	pool := x509.NewCertPool()
+	var expired findings.List
+	valid := 0
+	for block, rest := pem.Decode(content); block != nil; block, rest = pem.Decode(rest) {
+		authority, err := x509.ParseCertificate(block.Bytes)
+		if err != nil {
+			faults.Addf(path, "holds a block that is no certificate: %v", err)
+			continue
+		}
+		before := expired.Len()
+		checkValidity(&expired, path, authority, now)
+		if expired.Len() == before {
+			valid++
+		}
+		pool.AddCert(authority)
+	}
+	if valid == 0 {
+		faults.Merge(path, expired.Err())
+	}
+	return pool
+}
--- /dev/null
+++ b/pkg/security/keys.go
@@ -0,0 +1,209 @@
+package security
+
+import (
+	"bytes"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/findings"
+)
+
+const (
+	// MaxKeys bounds the number of keys in a file: each authentication
+	// compares with all of them.
+	MaxKeys = 1024
+	// MaxKeyBytes bounds a key that is presented; a longer one is refused
+	// without being hashed.
+	MaxKeyBytes = 512
+
+	maxKeyFileBytes    = 1 << 20
+	maxKeyNameBytes    = 128
+	generatedKeyBytes  = 32
+	generatedKeyPrefix = "mw_"
+)
+
+// Keys authenticates callers or operators by the API keys of one file. Safe
+// for concurrent use.
+type Keys struct {
+	path    string
+	mutex   sync.Mutex // serialises reloads
+	seen    fileStamp
+	entries atomic.Pointer[[]keyEntry]
+}
+
+type keyEntry struct {
+	name   string
+	digest [sha256.Size]byte
+}
+
+// OpenKeys reads the key file at path: one "name: digest" a line, where digest
+// is the SHA-256 of the key in hexadecimal; empty lines and lines that begin
+// with "#" are skipped. The error of a faulty file is a *findings.Error with
+// all its faults.
+func OpenKeys(path string) (*Keys, error) {
+	keys := &Keys{path: path}
+	if err := keys.Reload(); err != nil {
+		return nil, err
+	}
+	return keys, nil
+}
+
+// Reload reads the file again. After an error the keys are as before.
+func (k *Keys) Reload() error {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.reload()
+}
+
+// ReloadIfChanged reads the file again if it changed since it was last read.
+func (k *Keys) ReloadIfChanged() (changed bool, err error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if stampFiles(k.path) == k.seen {
+		return false, nil
+	}
+	return true, k.reload()
+}
+
+func (k *Keys) reload() error {
+	k.seen = stampFiles(k.path)
+	content, err := os.ReadFile(k.path)
+	if err != nil {
+		return keyFileError(k.path, err)
+	}
+	entries, err := parseKeys(k.path, content)
+	if err != nil {
+		return err
+	}
+	k.entries.Store(&entries)
+	return nil
+}
+
+func keyFileError(path string, err error) error {
+	var faults findings.List
+	faults.Addf(path, "cannot be read: %v", errors.Cause(err))
+	return faults.Err()
+}
+
+// Authenticate returns the name of the presented key. Its time does not depend
+// on which key matches, or how much of one. It keeps no reference to key.
+func (k *Keys) Authenticate(key []byte) (name string, ok bool) {
+	if len(key) == 0 || len(key) > MaxKeyBytes {
+		return "", false
+	}
+	digest := sha256.Sum256(key)
+	entries := *k.entries.Load()
+	found := -1
+	for i := range entries {
+		equal := subtle.ConstantTimeCompare(digest[:], entries[i].digest[:])
+		found = subtle.ConstantTimeSelect(equal, i, found)
+	}
+	if found < 0 {
+		return "", false
+	}
+	return entries[found].name, true
+}
+
+// Len returns the number of keys in force.
+func (k *Keys) Len() int {
+	return len(*k.entries.Load())
+}
+
+// GenerateKey returns a new random key, for its holder alone, and the line
+// that lets it in under name, for the key file.
+func GenerateKey(name string) (key, line string, err error) {
+	if fault := checkKeyName(name); fault != "" {
+		return "", "", errors.New(fault)
+	}
+	random := make([]byte, generatedKeyBytes)
+	if _, err := rand.Read(random); err != nil {
+		return "", "", errors.Wrap(err, "generate key")
+	}
+	key = generatedKeyPrefix + base64.RawURLEncoding.EncodeToString(random)
+	digest := sha256.Sum256([]byte(key))
+	return key, name + ": " + hex.EncodeToString(digest[:]), nil
+}
+
+// parseKeys never puts the content of a line into a finding: an operator may
+// have pasted the key itself.
+func parseKeys(path string, content []byte) ([]keyEntry, error) {
+	var faults findings.List
+	if len(content) > maxKeyFileBytes {
+		faults.Addf(path, "is larger than %d bytes", maxKeyFileBytes)
+		return nil, faults.Err()
+	}
+	var entries []keyEntry
+	names := map[string]int{}
+	digests := map[[sha256.Size]byte]int{}
+	for i, line := range strings.Split(string(bytes.TrimPrefix(content, []byte("\ufeff"))), "\n") {
+		line = strings.TrimSpace(line)
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		number := i + 1
+		place := fmt.Sprintf("%s:%d", path, number)
+		entry, fault := parseKeyLine(line)
+		if fault != "" {
+			faults.Addf(place, "%s", fault)
+			continue
+		}
+		if first, exists := names[entry.name]; exists {
+			faults.Addf(place, "name %q already stands in line %d", entry.name, first)
+		}
+		if first, exists := digests[entry.digest]; exists {
+			faults.Addf(place, "the same digest already stands in line %d", first)
+		}
+		names[entry.name] = number
+		digests[entry.digest] = number
+		entries = append(entries, entry)
+	}
+	if len(entries) > MaxKeys {
+		faults.Addf(path, "holds %d keys, at most %d are allowed", len(entries), MaxKeys)
+	}
+	if len(entries) == 0 && faults.Len() == 0 {
+		faults.Addf(path, "holds no key, so that nobody could get in")
+	}
+	if err := faults.Err(); err != nil {
+		return nil, err
+	}
+	return entries, nil
+}
+
+func parseKeyLine(line string) (keyEntry, string) {
+	name, digestText, separated := strings.Cut(line, ":")
+	if !separated {
+		return keyEntry{}, `is not of the form "name: digest"`
+	}
+	name = strings.TrimSpace(name)
+	if fault := checkKeyName(name); fault != "" {
+		return keyEntry{}, fault
+	}
+	digest, err := hex.DecodeString(strings.TrimSpace(digestText))
+	if err != nil || len(digest) != sha256.Size {
+		return keyEntry{}, fmt.Sprintf("the digest is not %d hexadecimal digits (the SHA-256 of the key, not the key)", hex.EncodedLen(sha256.Size))
+	}
+	return keyEntry{name: name, digest: [sha256.Size]byte(digest)}, ""
+}
+
+func checkKeyName(name string) string {
+	if name == "" {
+		return "the name is empty"
+	}
+	if len(name) > maxKeyNameBytes {
+		return fmt.Sprintf("the name is longer than %d bytes", maxKeyNameBytes)
+	}
+	if strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r == ':' || r == '#' || r == 0x7f }) {
+		return "the name holds a space, a control character, ':' or '#'"
+	}
+	return ""
+}
