--- /dev/null
+++ b/pkg/lab/plots.go
@@ -0,0 +1,142 @@
+package lab
+
+import (
+	"bytes"
+	"html/template"
+	"image/color"
+	"strings"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+// Size of a plot.
+const (
+	plotWidth  = 7 * vg.Inch
+	plotHeight = 3.2 * vg.Inch
+)
+
+// measuredRun is a run as the plots show it.
+type measuredRun struct {
+	Label  string
+	Result *Result
+	Series *Series
+}
+
+// coldStartPlot shows the share of wakes that waited at least so long; the
+// logarithmic axis shows the tail.
+func coldStartPlot(runs []measuredRun) (template.HTML, error) {
+	p := plot.New()
+	p.Title.Text = "Cold-start time"
+	p.X.Label.Text = "percentile of the wakes"
+	p.Y.Label.Text = "seconds"
+	for i, run := range runs {
+		points := make(plotter.XYs, 0, len(run.Series.ColdStarts))
+		for _, quantile := range run.Series.ColdStarts {
+			points = append(points, plotter.XY{X: quantile.Share, Y: quantile.Seconds})
+		}
+		if err := addLine(p, i, run.Label, points); err != nil {
+			return "", err
+		}
+	}
+	bound := runs[0].Result.Bounds.ColdStartP99LoadOnly
+	if err := addBound(p, "p99 load only", plotter.XYs{{X: 0, Y: bound}, {X: 100, Y: bound}}); err != nil {
+		return "", err
+	}
+	return render(p)
+}
+
+// idlePlot shows the idle accelerator hours of each hour of the run.
+func idlePlot(runs []measuredRun) (template.HTML, error) {
+	p := plot.New()
+	p.Title.Text = "Idle accelerator hours over the day"
+	p.X.Label.Text = "hour"
+	p.Y.Label.Text = "accelerator hours"
+	for i, run := range runs {
+		points := make(plotter.XYs, 0, len(run.Series.IdleByHour))
+		for hour, idle := range run.Series.IdleByHour {
+			points = append(points, plotter.XY{X: float64(hour), Y: idle})
+		}
+		if err := addLine(p, i, run.Label, points); err != nil {
+			return "", err
+		}
+	}
+	p.Y.Min = 0
+	return render(p)
+}
+
+// frontierPlot shows the two measures of each run against each other.
+func frontierPlot(runs []measuredRun) (template.HTML, error) {
+	p := plot.New()
+	p.Title.Text = "Frontier: lower left is better"
+	p.X.Label.Text = "idle accelerator hours"
+	p.Y.Label.Text = "cold-start p99, seconds"
+	for i, run := range runs {
+		point := plotter.XYs{{X: run.Result.IdleHours, Y: run.Result.ColdStartSeconds.P99}}
+		scatter, err := plotter.NewScatter(point)
+		if err != nil {
+			return "", errors.Wrap(err, "frontier")
+		}
+		scatter.Color = plotutil.Color(i)
+		scatter.Shape = draw.CircleGlyph{}
+		scatter.Radius = vg.Points(4)
+		p.Add(scatter)
+		p.Legend.Add(run.Label, scatter)
+	}
+	bounds := runs[0].Result.Bounds
+	corner := plotter.XYs{
+		{X: bounds.IdleHoursClairvoyant, Y: 0},
+		{X: bounds.IdleHoursClairvoyant, Y: bounds.ColdStartP99LoadOnly},
+		{X: 0, Y: bounds.ColdStartP99LoadOnly},
+	}
+	if err := addBound(p, "bounds", corner); err != nil {
+		return "", err
+	}
+	p.X.Min, p.Y.Min = 0, 0
+	return render(p)
+}
+
+// addLine adds a labelled line.
+func addLine(p *plot.Plot, number int, label string, points plotter.XYs) error {
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return errors.Wrap(err, label)
+	}
+	line.Color = plotutil.Color(number)
+	line.Width = vg.Points(1.5)
+	p.Add(line)
+	p.Legend.Add(label, line)
+	p.Legend.Top, p.Legend.Left = true, true
+	return nil
+}
+
+// addBound adds a dashed grey line.
+func addBound(p *plot.Plot, label string, points plotter.XYs) error {
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return errors.Wrap(err, label)
+	}
+	line.Color = color.Gray{Y: 120}
+	line.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
+	p.Add(line)
+	p.Legend.Add(label, line)
+	p.Legend.Top = true
+	return nil
+}
+
+// render draws a plot as an SVG element that needs nothing from a network.
+func render(p *plot.Plot) (template.HTML, error) {
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	var buffer bytes.Buffer
+	if _, err := canvas.WriteTo(&buffer); err != nil {
+		return "", errors.Wrap(err, "draw")
+	}
+	_, element, _ := strings.Cut(buffer.String(), "?>")
+	return template.HTML(element), nil
+}
--- a/pkg/lab/result.go
+++ b/pkg/lab/result.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"math"
 	"os"
 	"path/filepath"
@@ -218,6 +219,11 @@
 	Median, Lowest, Highest float64
 }
 
+// String formats the summary as "median (lowest to highest)".
+func (s Summary) String() string {
+	return fmt.Sprintf("%.2f (%.2f to %.2f)", s.Median, s.Lowest, s.Highest)
+}
+
 // Summarize returns the summary of a field over several results.
 func Summarize(results []*Result, field func(*Result) float64) Summary {
 	values := make([]float64, 0, len(results))
--- a/pkg/policy/baselines.go
+++ b/pkg/policy/baselines.go
@@ -2,11 +2,15 @@
 
 import "time"
 
-// fixedKeepAlive unloads a model that was idle for its setting keepAlive.
+// fixedKeepAliveTime is how long the decider fixed-keepalive keeps an idle
+// model, unless the setting keepAlive is shorter.
+const fixedKeepAliveTime = 10 * time.Minute
+
+// fixedKeepAlive unloads a model that was idle for a fixed time.
 type fixedKeepAlive struct{}
 
 func (fixedKeepAlive) keepUntil(model *Model, lastUse time.Time) time.Time {
-	return lastUse.Add(model.Settings.KeepAlive)
+	return lastUse.Add(min(model.Settings.KeepAlive, fixedKeepAliveTime))
 }
 
 func (fixedKeepAlive) prewarm(time.Time, *Model) bool { return false }
--- a/pkg/policy/decide.go
+++ b/pkg/policy/decide.go
@@ -91,7 +91,7 @@
 			continue
 		}
 		if model.Base != "" && !p.hasUsableBase(model) {
-			if base := p.model(model.Base); base != nil && p.present[p.index[base.Name]] < maxReplicas(base) {
+			if base := p.base(model); base != nil && p.present[p.indexOf(base.Name)] < maxReplicas(base) {
 				loads = append(loads, p.baseLoad(base, model))
 			}
 			continue
@@ -184,7 +184,7 @@
 // hasUsableBase tells whether the adapter's base is present, ready or not, on
 // a server without the adapter.
 func (p *plan) hasUsableBase(adapter *Model) bool {
-	base := p.model(adapter.Base)
+	base := p.base(adapter)
 	if base == nil {
 		return false
 	}
@@ -208,7 +208,7 @@
 // loadWanted starts a wanted load, or makes room for it.
 func (d decider) loadWanted(p *plan, want wantedLoad) {
 	model := want.model
-	if p.present[p.index[model.Name]] >= maxReplicas(model) {
+	if p.present[p.indexOf(model.Name)] >= maxReplicas(model) {
 		return
 	}
 	if server := p.place(model, want.extraBytes); server != nil {
@@ -220,7 +220,7 @@
 
 // unloadIdle unloads the replicas whose keep-alive has passed.
 func (d decider) unloadIdle(p *plan) {
-	for i := range p.input.Models {
+	for _, i := range p.loaded {
 		model := &p.input.Models[i]
 		for j := range model.Replicas {
 			replica := &model.Replicas[j]
--- a/pkg/policy/evict.go
+++ b/pkg/policy/evict.go
@@ -41,11 +41,7 @@
 // carriesAdapter tells whether an adapter of base holds memory on the server
 // or waits for the base.
 func (p *plan) carriesAdapter(base *Model, server api.ServerID) bool {
-	for i := range p.input.Models {
-		adapter := &p.input.Models[i]
-		if adapter.Base != base.Name {
-			continue
-		}
+	for adapter := range p.adapters(base) {
 		if adapter.Demand.Waiting > 0 || p.holds(adapter, server) {
 			return true
 		}
@@ -60,11 +56,8 @@
 	if model.Base != "" {
 		return last
 	}
-	for i := range p.input.Models {
-		adapter := &p.input.Models[i]
-		if adapter.Base == model.Name {
-			last = latest(last, adapter.Demand.LastArrival)
-		}
+	for adapter := range p.adapters(model) {
+		last = latest(last, adapter.Demand.LastArrival)
 	}
 	return last
 }
@@ -127,7 +120,7 @@
 // bytes, and their value; nil if there are not enough.
 func (d decider) victims(p *plan, server *serverPlan, incoming *Model, missing uint64) ([]victim, float64) {
 	var candidates []victim
-	for i := range p.input.Models {
+	for _, i := range p.loaded {
 		model := &p.input.Models[i]
 		if model == incoming || model.Name == incoming.Base {
 			continue
--- a/pkg/policy/placement.go
+++ b/pkg/policy/placement.go
@@ -57,7 +57,7 @@
 	if model.Base == "" {
 		return true
 	}
-	base := p.model(model.Base)
+	base := p.base(model)
 	return base != nil && p.readyOn(base, server.ID)
 }
 
--- a/pkg/policy/plan.go
+++ b/pkg/policy/plan.go
@@ -1,7 +1,9 @@
 package policy
 
 import (
+	"iter"
 	"math"
+	"sort"
 	"time"
 
 	"martenwheel.dev/pkg/api"
@@ -30,14 +32,22 @@
 type plan struct {
 	now     time.Time
 	input   *Input
-	index   map[api.ModelName]int
 	servers []serverPlan
-	present []int               // replicas of each model that are not going away
+	loaded  []int               // models with replicas
+	present []int               // replicas of each model, whatever their state, with planned loads
+	kin     []kin               // of each model
 	unload  map[replicaKey]bool // replicas that an action unloads
 	slots   int                 // loads from the weight store that may still start
 	actions []Action
 }
 
+// kin links a model with its adapters: -1 where there is none.
+type kin struct {
+	base         int
+	firstAdapter int
+	nextAdapter  int // of the same base
+}
+
 // serverPlan is a server with what the plan changes on it.
 type serverPlan struct {
 	*Server
@@ -56,21 +66,48 @@
 	p := &plan{
 		now:     now,
 		input:   input,
-		index:   make(map[api.ModelName]int, len(input.Models)),
 		servers: make([]serverPlan, len(input.Servers)),
 		present: make([]int, len(input.Models)),
-		unload:  make(map[replicaKey]bool),
+		kin:     make([]kin, len(input.Models)),
 	}
 	for i := range input.Servers {
 		p.servers[i] = serverPlan{Server: &input.Servers[i], free: input.Servers[i].FreeBytes}
 	}
-	for i := range input.Models {
-		p.index[input.Models[i].Name] = i
+	p.linkAdapters()
+	p.countReplicas()
+	return p
+}
+
+// linkAdapters links the bases with their adapters.
+func (p *plan) linkAdapters() {
+	for i := range p.kin {
+		p.kin[i] = kin{-1, -1, -1}
 	}
+	for i := range p.input.Models {
+		if p.input.Models[i].Base == "" {
+			continue
+		}
+		base := p.indexOf(p.input.Models[i].Base)
+		if base < 0 {
+			continue
+		}
+		p.kin[i].base = base
+		p.kin[i].nextAdapter = p.kin[base].firstAdapter
+		p.kin[base].firstAdapter = i
+	}
+}
+
+// countReplicas notes what the replicas hold, and the slots of the weight
+// store that loads under way leave.
+func (p *plan) countReplicas() {
+	input, now := p.input, p.now
 	fetching, started := 0, 0
 	window := startWindow(input.LoadRate)
 	for i := range input.Models {
 		model := &input.Models[i]
+		if len(model.Replicas) > 0 {
+			p.loaded = append(p.loaded, i)
+		}
 		for j := range model.Replicas {
 			replica := &model.Replicas[j]
 			if replica.State == api.ReplicaUnloading {
@@ -89,7 +126,17 @@
 		}
 	}
 	p.slots = max(min(input.LoadSlots-fetching, startsPerWindow(input.LoadRate)-started), 0)
-	return p
+}
+
+// adapters yields the adapters of a base.
+func (p *plan) adapters(base *Model) iter.Seq[*Model] {
+	return func(yield func(*Model) bool) {
+		for i := p.kin[p.indexOf(base.Name)].firstAdapter; i >= 0; i = p.kin[i].nextAdapter {
+			if !yield(&p.input.Models[i]) {
+				return
+			}
+		}
+	}
 }
 
 // startWindow returns the time over which loads that were started count
@@ -111,21 +158,31 @@
 
 // server returns the server with the ID, nil if the cell has none.
 func (p *plan) server(id api.ServerID) *serverPlan {
-	for i := range p.servers {
-		if p.servers[i].ID == id {
-			return &p.servers[i]
-		}
+	i := sort.Search(len(p.servers), func(i int) bool { return p.servers[i].ID >= id })
+	if i == len(p.servers) || p.servers[i].ID != id {
+		return nil
+	}
+	return &p.servers[i]
+}
+
+// indexOf returns the number of the model with the name, -1 if the cell has
+// none.
+func (p *plan) indexOf(name api.ModelName) int {
+	models := p.input.Models
+	i := sort.Search(len(models), func(i int) bool { return models[i].Name >= name })
+	if i == len(models) || models[i].Name != name {
+		return -1
 	}
-	return nil
+	return i
 }
 
-// model returns the model with the name, nil if the cell has none.
-func (p *plan) model(name api.ModelName) *Model {
-	i, ok := p.index[name]
-	if !ok {
+// base returns the base of an adapter, nil if the cell has none.
+func (p *plan) base(adapter *Model) *Model {
+	base := p.kin[p.indexOf(adapter.Name)].base
+	if base < 0 {
 		return nil
 	}
-	return &p.input.Models[i]
+	return &p.input.Models[base]
 }
 
 // holds tells whether a replica of the model is on the server in any state,
@@ -162,7 +219,7 @@
 		p.slots--
 	}
 	server.free -= ReplicaBytes(model)
-	p.present[p.index[model.Name]]++
+	p.present[p.indexOf(model.Name)]++
 	p.actions = append(p.actions, Action{
 		Kind: ActionLoad, Model: model.Name, Server: server.ID, Urgent: urgent, Reason: reason,
 	})
@@ -171,6 +228,9 @@
 // drop adds an unload to the plan. The memory is free only once the engine
 // has confirmed it.
 func (p *plan) drop(model *Model, replica *Replica, reason string) {
+	if p.unload == nil {
+		p.unload = make(map[replicaKey]bool)
+	}
 	p.unload[replicaKey{model.Name, replica.Server}] = true
 	if server := p.server(replica.Server); server != nil {
 		server.freeSoon += ReplicaBytes(model)
