--- a/pkg/policy/baselines.go
+++ b/pkg/policy/baselines.go
@@ -7,41 +7,28 @@
 const fixedKeepAliveTime = 10 * time.Minute
 
 // fixedKeepAlive unloads a model that was idle for a fixed time.
-type fixedKeepAlive struct{}
+type fixedKeepAlive struct{ leastRecentlyUsed }
 
-func (fixedKeepAlive) keepUntil(model *Model, lastUse time.Time) time.Time {
-	return lastUse.Add(min(model.Settings.KeepAlive, fixedKeepAliveTime))
-}
-
-func (fixedKeepAlive) prewarm(time.Time, *Model) bool { return false }
-
-func (fixedKeepAlive) value(now time.Time, _ *Model, lastUse time.Time) float64 {
-	return leastRecentlyUsed(now, lastUse)
+func (fixedKeepAlive) unload(p *plan, model *Model, _ *Replica, lastUse time.Time) bool {
+	return p.now.Sub(lastUse) >= min(model.Settings.KeepAlive, fixedKeepAliveTime)
 }
 
 // neverUnload unloads a model only when its memory is needed.
-type neverUnload struct{}
-
-func (neverUnload) keepUntil(*Model, time.Time) time.Time { return time.Time{} }
+type neverUnload struct{ leastRecentlyUsed }
 
-func (neverUnload) prewarm(time.Time, *Model) bool { return false }
-
-func (neverUnload) value(now time.Time, _ *Model, lastUse time.Time) float64 {
-	return leastRecentlyUsed(now, lastUse)
-}
+func (neverUnload) unload(*plan, *Model, *Replica, time.Time) bool { return false }
 
 // unloadAtOnce unloads a model as soon as it is idle.
-type unloadAtOnce struct{}
+type unloadAtOnce struct{ leastRecentlyUsed }
 
-func (unloadAtOnce) keepUntil(_ *Model, lastUse time.Time) time.Time { return lastUse }
+func (unloadAtOnce) unload(*plan, *Model, *Replica, time.Time) bool { return true }
 
-func (unloadAtOnce) prewarm(time.Time, *Model) bool { return false }
+// leastRecentlyUsed loads nothing ahead, and values a replica by how lately it
+// was used.
+type leastRecentlyUsed struct{}
 
-func (unloadAtOnce) value(now time.Time, _ *Model, lastUse time.Time) float64 {
-	return leastRecentlyUsed(now, lastUse)
-}
+func (leastRecentlyUsed) prewarm(*plan, *Model) bool { return false }
 
-// leastRecentlyUsed values a model by how lately it was used.
-func leastRecentlyUsed(now, lastUse time.Time) float64 {
-	return -now.Sub(lastUse).Seconds()
+func (leastRecentlyUsed) value(p *plan, _ *Model, _ *Replica, lastUse time.Time) float64 {
+	return -p.now.Sub(lastUse).Seconds()
 }
--- a/pkg/policy/decide.go
+++ b/pkg/policy/decide.go
@@ -40,14 +40,14 @@
 
 // retention is what deciders differ in: which models stay loaded while idle.
 type retention interface {
-	// keepUntil returns when a model that was last used at lastUse is to be
-	// unloaded if no request comes; zero if never.
-	keepUntil(model *Model, lastUse time.Time) time.Time
+	// unload tells whether a replica that was last used at lastUse is not
+	// worth its memory any more.
+	unload(p *plan, model *Model, replica *Replica, lastUse time.Time) bool
 	// prewarm tells whether a model that is not loaded is to be loaded
 	// before a request comes.
-	prewarm(now time.Time, model *Model) bool
-	// value ranks idle models when memory is short: the lowest goes first.
-	value(now time.Time, model *Model, lastUse time.Time) float64
+	prewarm(p *plan, model *Model) bool
+	// value ranks idle replicas when memory is short: the lowest goes first.
+	value(p *plan, model *Model, replica *Replica, lastUse time.Time) float64
 }
 
 // decider is a Decider with shared placement and load order.
@@ -228,8 +228,7 @@
 				continue
 			}
 			lastUse := p.lastUse(model, replica)
-			until := d.retention.keepUntil(model, lastUse)
-			if !until.IsZero() && !p.now.Before(until) {
+			if d.retention.unload(p, model, replica, lastUse) {
 				p.drop(model, replica, fmt.Sprintf("idle %s", p.now.Sub(lastUse).Round(time.Second)))
 			}
 		}
@@ -243,7 +242,7 @@
 		if p.present[i] > 0 || maxReplicas(model) == 0 || !model.Settings.Prewarm {
 			continue
 		}
-		if !d.retention.prewarm(p.now, model) {
+		if !d.retention.prewarm(p, model) {
 			continue
 		}
 		if server := p.place(model, 0); server != nil {
--- a/pkg/policy/evict.go
+++ b/pkg/policy/evict.go
@@ -130,7 +130,7 @@
 			if replica.Server != server.ID || !p.mayUnload(model, replica) {
 				continue
 			}
-			value := d.retention.value(p.now, model, p.lastUse(model, replica))
+			value := d.retention.value(p, model, replica, p.lastUse(model, replica))
 			candidates = append(candidates, victim{model, replica, value})
 		}
 	}
--- a/pkg/policy/history.go
+++ b/pkg/policy/history.go
@@ -8,14 +8,14 @@
 // Resolution of a History. Bucket i holds the gaps from gapUnit*2^(i/4) to
 // gapUnit*2^((i+1)/4); the last one also holds all longer gaps.
 const (
-	gapUnit          = time.Second
+	gapUnit          = 10 * time.Second
 	bucketsPerOctave = 4
-	gapBuckets       = 72 // reaches 2^18 s, about three days
+	gapBuckets       = 64 // reaches about a week
 )
 
 // gapDecay is what each new gap leaves of the weight of the older ones, so
-// that about the last 50 gaps count.
-const gapDecay = 0.98
+// that about the last 100 gaps count.
+const gapDecay = 0.99
 
 // History is what is remembered of a model's arrivals: a histogram of the gaps
 // between them with logarithmic buckets, in which old gaps fade. Its size is
@@ -24,11 +24,14 @@
 type History struct {
 	Last time.Time // the last arrival; zero if there was none
 	Gaps [gapBuckets]float32
+
+	tails  [gapBuckets]float32 // tails[i] is the sum of Gaps[i:] with the prior
+	summed bool                // tails is up to date
 }
 
 // Observe records arrivals at the time at. Times may repeat and go back a
-// little, as reports of several nodes do; gaps below one second, those within
-// a burst, are not recorded.
+// little, as reports of several nodes do. Gaps below gapUnit, those within a
+// burst, are not recorded.
 func (h *History) Observe(at time.Time) {
 	if h.Last.IsZero() {
 		h.Last = at
@@ -46,6 +49,7 @@
 		h.Gaps[i] *= gapDecay
 	}
 	h.Gaps[bucketOf(gap)]++
+	h.sum()
 }
 
 // Merge adds what other remembers. Other is not changed.
@@ -56,6 +60,49 @@
 	if other.Last.After(h.Last) {
 		h.Last = other.Last
 	}
+	h.sum()
+}
+
+// priorWeight is the weight of the prior: before any gap was seen, one of each
+// order of magnitude is as likely as of any other.
+const priorWeight = 1.0
+
+// sum brings tails up to date.
+func (h *History) sum() {
+	h.tails, h.summed = h.tailSums(), true
+}
+
+// tailSums returns for each bucket the weight of all gaps from it on.
+func (h *History) tailSums() [gapBuckets]float32 {
+	var tails [gapBuckets]float32
+	sum := float32(0)
+	for i := gapBuckets - 1; i >= 0; i-- {
+		sum += h.Gaps[i] + priorWeight/gapBuckets
+		tails[i] = sum
+	}
+	return tails
+}
+
+// survival returns a function that tells how probable a gap of at least a
+// length is, up to a constant factor. It does not change h.
+func (h *History) survival() func(gap time.Duration) float64 {
+	tails := &h.tails
+	if !h.summed {
+		fresh := h.tailSums()
+		tails = &fresh
+	}
+	return func(gap time.Duration) float64 {
+		position := math.Log2(float64(gap)/float64(gapUnit)) * bucketsPerOctave
+		if position <= 0 {
+			return float64(tails[0])
+		}
+		bucket := int(position)
+		if bucket >= gapBuckets-1 {
+			return float64(tails[gapBuckets-1])
+		}
+		part := position - float64(bucket)
+		return float64(tails[bucket])*(1-part) + float64(tails[bucket+1])*part
+	}
 }
 
 // Weight returns the number of gaps remembered, the faded ones counting less.
@@ -72,8 +119,3 @@
 	bucket := int(math.Log2(float64(gap)/float64(gapUnit)) * bucketsPerOctave)
 	return min(max(bucket, 0), gapBuckets-1)
 }
-
-// bucketStart returns the shortest gap of a bucket.
-func bucketStart(bucket int) time.Duration {
-	return time.Duration(float64(gapUnit) * math.Exp2(float64(bucket)/bucketsPerOctave))
-}
