--- a/pkg/lab/central.go
+++ b/pkg/lab/central.go
@@ -207,13 +207,13 @@
 func (o *owner) input() policy.Input {
 	if o.buffer.Models == nil {
 		o.buffer = policy.Input{
-			Models:    make([]policy.Model, len(o.states)),
-			Servers:   make([]policy.Server, len(o.engines)),
-			LoadSlots: o.share(o.world.scenario.WeightStore.FullSpeed),
-			LoadRate:  o.world.scenario.WeightStore.LoadsPerSecond,
+			Models:   make([]policy.Model, len(o.states)),
+			Servers:  make([]policy.Server, len(o.engines)),
+			LoadRate: o.world.scenario.WeightStore.LoadsPerSecond,
 		}
 	}
 	input := o.buffer
+	input.LoadSlots = o.slots()
 	reserved := make(map[api.ServerID]uint64)
 	for i, state := range o.states {
 		m := state.model
@@ -234,10 +234,21 @@
 	return input
 }
 
-// share returns the owner's part of the store's slots. Slots that another
-// owner does not need are not lent here.
-func (o *owner) share(slots int) int {
-	return max(slots/len(o.world.scenario.Services), 1)
+// slots returns how many loads the owner may have under way: all that the store
+// serves at full speed, less the loads of other owners that come from it.
+func (o *owner) slots() int {
+	slots := o.world.scenario.WeightStore.FullSpeed
+	for _, e := range o.world.engines {
+		if e.service == o.service {
+			continue
+		}
+		for _, it := range e.items {
+			if it != nil && it.fetch != nil {
+				slots--
+			}
+		}
+	}
+	return max(slots, 1)
 }
 
 // describe describes a server to the decider.
