--- a/pkg/policy/baselines.go
+++ b/pkg/policy/baselines.go
@@ -32,3 +32,9 @@
 func (leastRecentlyUsed) value(p *plan, _ *Model, _ *Replica, lastUse time.Time) float64 {
 	return -p.now.Sub(lastUse).Seconds()
 }
+
+// lastResort is more than any load costs.
+const lastResort = 1e12
+
+// evictionCost makes an eviction the last resort.
+func (leastRecentlyUsed) evictionCost(value float64) float64 { return lastResort + value }
--- a/pkg/policy/decide.go
+++ b/pkg/policy/decide.go
@@ -48,6 +48,9 @@
 	prewarm(p *plan, model *Model) bool
 	// value ranks idle replicas when memory is short: the lowest goes first.
 	value(p *plan, model *Model, replica *Replica, lastUse time.Time) float64
+	// evictionCost turns the summed value of the replicas that have to go for
+	// a load into accelerator seconds.
+	evictionCost(value float64) float64
 }
 
 // decider is a Decider with shared placement and load order.
@@ -211,11 +214,14 @@
 	if p.present[p.indexOf(model.Name)] >= maxReplicas(model) {
 		return
 	}
-	if server := p.place(model, want.extraBytes); server != nil {
-		p.load(model, server, want.waiting > 0, want.reason)
-		return
+	placed := d.place(p, model, want.extraBytes)
+	switch {
+	case placed.server == nil:
+	case placed.waits:
+		p.makeRoom(placed, model, ReplicaBytes(model)+want.extraBytes)
+	default:
+		p.load(model, placed.server, want.waiting > 0, want.reason)
 	}
-	d.makeRoom(p, model, want.extraBytes)
 }
 
 // unloadIdle unloads the replicas whose keep-alive has passed.
@@ -245,8 +251,8 @@
 		if !d.retention.prewarm(p, model) {
 			continue
 		}
-		if server := p.place(model, 0); server != nil {
-			p.load(model, server, false, "expected soon")
+		if placed := d.place(p, model, 0); placed.server != nil && !placed.waits {
+			p.load(model, placed.server, false, "expected soon")
 		}
 	}
 }
--- a/pkg/policy/evict.go
+++ b/pkg/policy/evict.go
@@ -77,35 +77,12 @@
 	value   float64
 }
 
-// makeRoom unloads the least valuable idle replicas of one server so that
-// model fits there once they are gone. It does nothing if a server has room
-// enough on its way, or if no server can be made to fit.
-func (d decider) makeRoom(p *plan, model *Model, extraBytes uint64) {
-	need := ReplicaBytes(model) + extraBytes
-	var chosen []victim
-	chosenValue := 0.0
-	for i := range p.servers {
-		server := &p.servers[i]
-		if !p.eligible(model, server) {
-			continue
-		}
-		if server.free+server.freeSoon >= need {
-			p.claim(server, need)
-			return
-		}
-		victims, value := d.victims(p, server, model, need-server.free-server.freeSoon)
-		if victims == nil || chosen != nil && value >= chosenValue {
-			continue
-		}
-		chosen, chosenValue = victims, value
-	}
-	if chosen == nil {
-		return
-	}
-	for _, v := range chosen {
+// makeRoom unloads the victims of a placement and keeps the memory for it.
+func (p *plan) makeRoom(placed placement, model *Model, need uint64) {
+	for _, v := range placed.victims {
 		p.drop(v.model, v.replica, "room for "+string(model.Name))
 	}
-	p.claim(p.server(chosen[0].replica.Server), need)
+	p.claim(placed.server, need)
 }
 
 // claim takes memory that is free or will be, so that no other load of this
--- a/pkg/policy/placement.go
+++ b/pkg/policy/placement.go
@@ -16,8 +16,8 @@
 
 // Expected load times from a cache as shares of the time from the weight store.
 const (
-	diskLoadShare   = 0.4
-	memoryLoadShare = 0.1
+	diskLoadShare   = 0.62
+	memoryLoadShare = 0.22
 )
 
 // tier returns where server would load model's checkpoint from.
@@ -61,51 +61,99 @@
 	return base != nil && p.readyOn(base, server.ID)
 }
 
-// place picks the server for a load that fits now. Servers near a cached
-// checkpoint come first, then those in a zone without a replica of the model,
-// then the one that the load fills most, so that large gaps stay whole. It
-// returns nil if no server fits or the checkpoint has to come from the weight
-// store and that has no slot.
-func (p *plan) place(model *Model, extraBytes uint64) *serverPlan {
-	var best *serverPlan
-	var bestScore placementScore
+// evictionSeconds is about how long it takes to drain and unload a replica.
+const evictionSeconds = 0.8
+
+// placement is a server that a model may be loaded on and what that costs.
+type placement struct {
+	server  *serverPlan
+	victims []victim // to be unloaded first
+	waits   bool     // for memory that is being freed, or for the victims
+	// cost is in accelerator seconds: the time to load, weighed by the worth
+	// of a cold start, and the worth of the victims.
+	cost        float64
+	cachedBytes uint64 // in the server's memory
+	newZone     bool
+}
+
+// betterThan tells whether a placement is preferred over another one. Of those
+// that cost the same, the server whose memory caches the least comes first, so
+// that checkpoints spread over the servers and stay cached; then a zone
+// without a replica of the model; then the fullest server, so that large gaps
+// stay whole.
+func (a placement) betterThan(b placement) bool {
+	if a.cost != b.cost {
+		return a.cost < b.cost
+	}
+	if a.cachedBytes != b.cachedBytes {
+		return a.cachedBytes < b.cachedBytes
+	}
+	if a.newZone != b.newZone {
+		return a.newZone
+	}
+	return a.server.free < b.server.free
+}
+
+// place picks the server for a load. Its server is nil if none can take the
+// model, or if the checkpoint would have to come from the weight store and that
+// has no slot.
+func (d decider) place(p *plan, model *Model, extraBytes uint64) placement {
+	var best placement
 	for i := range p.servers {
 		server := &p.servers[i]
-		if !p.eligible(model, server) || server.free < ReplicaBytes(model)+extraBytes {
+		if !p.eligible(model, server) {
 			continue
 		}
-		tier := p.tier(model, server.ID)
-		if tier == tierRemote && p.slots <= 0 {
+		if p.tier(model, server.ID) == tierRemote && p.slots <= 0 {
 			continue
 		}
-		score := placementScore{
-			tier:    tier,
-			newZone: !p.inZone(model, server.Zone),
-			free:    server.free,
-		}
-		if best == nil || score.betterThan(bestScore) {
-			best, bestScore = server, score
+		candidate, ok := d.placeOn(p, model, server, ReplicaBytes(model)+extraBytes)
+		if ok && (best.server == nil || candidate.betterThan(best)) {
+			best = candidate
 		}
 	}
 	return best
 }
 
-// placementScore ranks the servers that a model fits on.
-type placementScore struct {
-	tier    checkpointTier
-	newZone bool
-	free    uint64
+// placeOn works out what a load on one server costs; false if it has not
+// enough memory that may be freed.
+func (d decider) placeOn(p *plan, model *Model, server *serverPlan, need uint64) (placement, bool) {
+	seconds := model.Settings.LoadTime.Seconds() * p.tier(model, server.ID).loadShare()
+	placed := placement{
+		server:      server,
+		cachedBytes: p.cachedBytes(server),
+		newZone:     !p.inZone(model, server.Zone),
+	}
+	evicted := 0.0
+	if server.free < need {
+		placed.waits = true
+		seconds += evictionSeconds
+	}
+	if available := server.free + server.freeSoon; available < need {
+		placed.victims, evicted = d.victims(p, server, model, need-available)
+		if placed.victims == nil {
+			return placement{}, false
+		}
+		evicted = d.retention.evictionCost(evicted)
+	}
+	placed.cost = seconds*coldStartWorth(model) + evicted
+	return placed, true
 }
 
-// betterThan tells whether s is preferred over other.
-func (s placementScore) betterThan(other placementScore) bool {
-	if s.tier != other.tier {
-		return s.tier > other.tier
+// cachedBytes returns how much the checkpoints take that are cached in the
+// server's memory.
+func (p *plan) cachedBytes(server *serverPlan) uint64 {
+	if server.cachedKnown {
+		return server.cachedBytes
 	}
-	if s.newZone != other.newZone {
-		return s.newZone
+	server.cachedKnown = true
+	for i := range p.input.Models {
+		model := &p.input.Models[i]
+		if server.Cached[CheckpointName(model)] == engine.TierMemory {
+			server.cachedBytes += model.Settings.MemoryBytes
+		}
 	}
-	return s.free < other.free
+	return server.cachedBytes
 }
 
 // inZone tells whether the zone has a replica of the model.
--- a/pkg/policy/plan.go
+++ b/pkg/policy/plan.go
@@ -53,6 +53,9 @@
 	*Server
 	free     uint64 // bytes that a load may take now
 	freeSoon uint64 // bytes of replicas that are being unloaded
+
+	cachedKnown bool // cachedBytes was worked out
+	cachedBytes uint64
 }
 
 // replicaKey names a replica: a server holds a model at most once.
