--- a/pkg/policy/decide.go
+++ b/pkg/policy/decide.go
@@ -40,14 +40,17 @@
 
 // retention is what deciders differ in: which models stay loaded while idle.
 type retention interface {
-	// keepUntil returns when a model that was last used at lastUse is to be
-	// unloaded if no request comes; zero if never.
-	keepUntil(model *Model, lastUse time.Time) time.Time
+	// unload tells whether a replica that was last used at lastUse is not
+	// worth its memory any more.
+	unload(p *plan, model *Model, replica *Replica, lastUse time.Time) bool
 	// prewarm tells whether a model that is not loaded is to be loaded
 	// before a request comes.
-	prewarm(now time.Time, model *Model) bool
-	// value ranks idle models when memory is short: the lowest goes first.
-	value(now time.Time, model *Model, lastUse time.Time) float64
+	prewarm(p *plan, model *Model) bool
+	// value ranks idle replicas when memory is short: the lowest goes first.
+	value(p *plan, model *Model, replica *Replica, lastUse time.Time) float64
+	// evictionCost turns the summed value of the replicas that have to go for
+	// a load into accelerator seconds.
+	evictionCost(value float64) float64
 }
 
 // decider is a Decider with shared placement and load order.
@@ -91,7 +94,7 @@
 			continue
 		}
 		if model.Base != "" && !p.hasUsableBase(model) {
-			if base := p.model(model.Base); base != nil && p.present[p.index[base.Name]] < maxReplicas(base) {
+			if base := p.base(model); base != nil && p.present[p.indexOf(base.Name)] < maxReplicas(base) {
 				loads = append(loads, p.baseLoad(base, model))
 			}
 			continue
@@ -184,7 +187,7 @@
 // hasUsableBase tells whether the adapter's base is present, ready or not, on
 // a server without the adapter.
 func (p *plan) hasUsableBase(adapter *Model) bool {
-	base := p.model(adapter.Base)
+	base := p.base(adapter)
 	if base == nil {
 		return false
 	}
@@ -208,19 +211,22 @@
 // loadWanted starts a wanted load, or makes room for it.
 func (d decider) loadWanted(p *plan, want wantedLoad) {
 	model := want.model
-	if p.present[p.index[model.Name]] >= maxReplicas(model) {
+	if p.present[p.indexOf(model.Name)] >= maxReplicas(model) {
 		return
 	}
-	if server := p.place(model, want.extraBytes); server != nil {
-		p.load(model, server, want.waiting > 0, want.reason)
-		return
+	placed := d.place(p, model, want.extraBytes)
+	switch {
+	case placed.server == nil:
+	case placed.waits:
+		p.makeRoom(placed, model, ReplicaBytes(model)+want.extraBytes)
+	default:
+		p.load(model, placed.server, want.waiting > 0, want.reason)
 	}
-	d.makeRoom(p, model, want.extraBytes)
 }
 
 // unloadIdle unloads the replicas whose keep-alive has passed.
 func (d decider) unloadIdle(p *plan) {
-	for i := range p.input.Models {
+	for _, i := range p.loaded {
 		model := &p.input.Models[i]
 		for j := range model.Replicas {
 			replica := &model.Replicas[j]
@@ -228,8 +234,7 @@
 				continue
 			}
 			lastUse := p.lastUse(model, replica)
-			until := d.retention.keepUntil(model, lastUse)
-			if !until.IsZero() && !p.now.Before(until) {
+			if d.retention.unload(p, model, replica, lastUse) {
 				p.drop(model, replica, fmt.Sprintf("idle %s", p.now.Sub(lastUse).Round(time.Second)))
 			}
 		}
@@ -243,11 +248,11 @@
 		if p.present[i] > 0 || maxReplicas(model) == 0 || !model.Settings.Prewarm {
 			continue
 		}
-		if !d.retention.prewarm(p.now, model) {
+		if !d.retention.prewarm(p, model) {
 			continue
 		}
-		if server := p.place(model, 0); server != nil {
-			p.load(model, server, false, "expected soon")
+		if placed := d.place(p, model, 0); placed.server != nil && !placed.waits {
+			p.load(model, placed.server, false, "expected soon")
 		}
 	}
 }
