--- a/pkg/engine/client_test.go
+++ b/pkg/engine/client_test.go
@@ -23,7 +23,7 @@
 	requests atomic.Int32
 }
 
-func newRawServer(t *testing.T, answer func(net.Conn)) *rawServer {
+func newRawServer(t testing.TB, answer func(net.Conn)) *rawServer {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
