standin: a frozen engine loads nothing

Its time stood still but its loads went on: after a minute frozen the model was ready (TestFrozenEngineLoadsNothing failed). Loads wait for the thaw now. The loop of a load is one for starts, polls and refusals.

--- a/pkg/standin/engine_loads.go
+++ b/pkg/standin/engine_loads.go
@@ -36,13 +36,14 @@
 	ctx, cancel := context.WithTimeout(ctx, e.clock.Wall(loadTimeout))
 	defer cancel()
 	fails := e.faults.take(PartOrders, func(faults *Faults) *int { return &faults.FailLoads })
-	succeeded := false
+	fetched := false
 	if rate, local := e.localRate(loaded); local {
-		succeeded = e.fetchLocal(ctx, loaded, rate, fails)
+		fetched = e.fetchLocal(ctx, loaded, rate)
 	} else {
-		succeeded = e.fetchRemote(ctx, loaded, fails)
+		fetched = e.fetchRemote(ctx, loaded)
 	}
-	e.update(func(state *engineState) { state.finishLoad(loaded, succeeded && !fails) })
+	e.faults.waitThawed(ctx, PartEngine)
+	e.update(func(state *engineState) { state.finishLoad(loaded, fetched && !fails) })
 }
 
 // localRate returns the bytes a second at which the checkpoint is read, and
@@ -60,7 +61,9 @@
 	}
 }
 
-func (e *Engine) fetchLocal(ctx context.Context, loaded *item, rate float64, fails bool) bool {
+// fetchLocal reads the checkpoint at rate. It returns false if the item was
+// unloaded meanwhile or ctx ended.
+func (e *Engine) fetchLocal(ctx context.Context, loaded *item, rate float64) bool {
 	started := e.clock.Now()
 	total := float64(loaded.MemoryBytes)
 	for {
@@ -68,7 +71,7 @@
 		if left <= 0 {
 			return true
 		}
-		if !e.report(loaded, 1-left/total, fails) {
+		if !e.report(ctx, loaded, 1-left/total) {
 			return false
 		}
 		if !e.clock.Sleep(ctx, min(duration(left/rate), loadPollInterval)) {
@@ -77,24 +80,29 @@
 	}
 }
 
-func (e *Engine) fetchRemote(ctx context.Context, loaded *item, fails bool) bool {
-	transfer := ""
-	for {
-		fetched, err := e.pollTransfer(ctx, &transfer, loaded)
-		if err == nil && fetched >= loaded.MemoryBytes {
-			return true
+// fetchRemote takes the checkpoint from the weight store and asks again as
+// long as that refuses or doesn't answer. It returns false if the item was
+// unloaded meanwhile or ctx ended.
+func (e *Engine) fetchRemote(ctx context.Context, loaded *item) bool {
+	var transfer string
+	var fetched uint64
+	for e.report(ctx, loaded, float64(fetched)/float64(loaded.MemoryBytes)) {
+		now, err := e.pollTransfer(ctx, &transfer, loaded)
+		wait := loadRetryWait
+		if err == nil {
+			fetched, wait = now, loadPollInterval
 		}
-		wait := loadPollInterval
-		if err != nil {
-			wait = loadRetryWait
-		} else if !e.report(loaded, float64(fetched)/float64(loaded.MemoryBytes), fails) {
-			_ = e.weights.Stop(ctx, transfer) // it ends by itself when nobody asks
-			return false
+		if fetched >= loaded.MemoryBytes {
+			return true
 		}
-		if !e.report(loaded, -1, fails) || !e.clock.Sleep(ctx, wait) {
+		if !e.clock.Sleep(ctx, wait) {
 			return false
 		}
 	}
+	if transfer != "" {
+		_ = e.weights.Stop(ctx, transfer) // it ends by itself when nobody asks
+	}
+	return false
 }
 
 // pollTransfer starts the transfer, or asks how far it is.
@@ -110,11 +118,10 @@
 	return fetched, err
 }
 
-// report records the progress unless it is negative. It returns false when the
-// load is to stop: by an unload, or half-way by a fault.
-func (e *Engine) report(loaded *item, progress float64, fails bool) (goOn bool) {
-	e.update(func(state *engineState) {
-		goOn = state.setProgress(loaded, max(progress, loaded.Progress))
-	})
-	return goOn && (!fails || progress < 0.5)
+// report records the progress of a load, as soon as the engine isn't frozen.
+// It returns false when the item was unloaded.
+func (e *Engine) report(ctx context.Context, loaded *item, progress float64) (loading bool) {
+	e.faults.waitThawed(ctx, PartEngine)
+	e.update(func(state *engineState) { loading = state.setProgress(loaded, progress) })
+	return loading
 }
--- a/pkg/standin/platform_test.go
+++ b/pkg/standin/platform_test.go
@@ -178,6 +178,22 @@
 	})
 }
 
+func TestFrozenEngineLoadsNothing(t *testing.T) {
+	config := testConfig()
+	config.Speed = 1
+	runEngine(t, config, func(t *testing.T, e *Engine, _ *Platform) {
+		e.Order(loadOrder(1, "a", 4*gibibyte))
+		time.Sleep(time.Second)
+		e.SetFaults(PartEngine, Faults{Freeze: true})
+		time.Sleep(time.Minute)
+		if item := e.Inventory(engine.InventoryRequest{}).Items[0]; item.State != engine.ItemLoading || item.Progress > 0.6 {
+			t.Errorf("frozen: %+v", item)
+		}
+		e.SetFaults(PartEngine, Faults{})
+		waitReady(t, e, "a")
+	})
+}
+
 func TestMachineListLagsAndKeepsGoneMachines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		config := DefaultPlatformConfig()
