--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -65,7 +65,7 @@
 	dial := config.Dial
 	if dial == nil {
 		dial = func(address string) (net.Conn, error) {
-			return fasthttp.DialTimeout(address, config.DialTimeout)
+			return fasthttp.DialDualStackTimeout(address, config.DialTimeout)
 		}
 	}
 	return &HTTPClient{http: fasthttp.Client{
@@ -145,6 +145,9 @@
 	if err := ctx.Err(); err != nil {
 		return errors.Wrap(ErrUnreachable, err.Error())
 	}
+	if _, _, err := net.SplitHostPort(address); err != nil {
+		return errors.Wrap(ErrUnreachable, err.Error())
+	}
 	request, err := newRequest(method, address, path, body)
 	if err != nil {
 		return err
--- a/pkg/engine/client_test.go
+++ b/pkg/engine/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -132,6 +133,11 @@
 	if _, err := client.Order(t.Context(), address, testOrder()); !errors.Is(err, engine.ErrUnreachable) {
 		t.Errorf("refused connection: %v", err)
 	}
+	for _, wrong := range []string{"", "127.0.0.1", "127.0.0.1:1:2"} {
+		if _, err := client.Order(t.Context(), wrong, testOrder()); !errors.Is(err, engine.ErrUnreachable) {
+			t.Errorf("address %q: %v", wrong, err)
+		}
+	}
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
 	server := newRawServer(t, writeAnswer("200 OK", accepted))
@@ -228,6 +234,18 @@
 	}
 }
 
+func FuzzParseChat(f *testing.F) {
+	f.Add([]byte(`[{"role":"user","content":"a"}]`))
+	f.Add([]byte(`[{"role":"user","content":[{"text":"a"},{}]}]`))
+	f.Add([]byte(`[null,{"content":null}]`))
+	f.Fuzz(func(t *testing.T, messages []byte) {
+		prompt, ok := engine.ParseChat(messages)
+		if prompt != "" && !ok || ok && !json.Valid(messages) {
+			t.Errorf("%q: %q, %t", messages, prompt, ok)
+		}
+	})
+}
+
 func BenchmarkPrefixHashes(b *testing.B) {
 	text := strings.Repeat("glaze ", 4000/6)
 	b.ReportAllocs()
--- a/pkg/standin/engine_state_test.go
+++ b/pkg/standin/engine_state_test.go
@@ -194,6 +194,28 @@
 	}
 }
 
+func TestLoadPushesLeastUrgentRequestsBackIntoTheQueue(t *testing.T) {
+	config := testConfig()
+	config.KVReserveBytes = 0
+	config.MaxTokens = int(4 * gibibyte / config.KVBytesPerToken) // two such requests nearly fill the memory
+	state := newTestState(config)
+	state.loadNow(t, loadOrder(1, "a", gibibyte))
+	low := state.mustSubmit(t, submission{id: "low", model: "a", maxTokens: config.MaxTokens})
+	high := state.mustSubmit(t, submission{id: "high", model: "a", maxTokens: config.MaxTokens, priority: 1})
+	state.after(time.Second)
+	before := low.tokens()
+	if result := state.order(loadOrder(2, "b", 4*gibibyte)); result.Status != engine.OrderAccepted || before == 0 {
+		t.Fatalf("load: %+v, %d tokens", result, before)
+	}
+	if low.phase != phaseQueued || !high.running() {
+		t.Errorf("low in phase %d, high in phase %d", low.phase, high.phase)
+	}
+	state.after(time.Hour)
+	if low.phase != phaseFinished || high.phase != phaseFinished || state.executed["low"] != 1 {
+		t.Errorf("low in phase %d, high in phase %d, executed %v", low.phase, high.phase, state.executed)
+	}
+}
+
 func TestCancelStopsWorkAndResumeContinues(t *testing.T) {
 	state := newTestState(testConfig())
 	state.loadNow(t, loadOrder(1, "a", gibibyte))
