standin: names in events are quoted as JSON

Go's quoting is not JSON's for control characters and broken UTF-8 (TestOddNamesStayValidJSON fails with it).

--- a/pkg/standin/engine_bench_test.go
+++ b/pkg/standin/engine_bench_test.go
@@ -63,6 +63,27 @@
 	b.ReportMetric(float64(b.N*tokens)/time.Since(started).Seconds(), "tokens/s")
 }
 
+// BenchmarkEngineParallel measures what the stand-in itself can serve.
+func BenchmarkEngineParallel(b *testing.B) {
+	server := startBenchEngine(b)
+	url := "http://" + server.Address() + "/v1/completions"
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	b.Cleanup(client.CloseIdleConnections)
+	b.SetParallelism(5)
+	b.RunParallel(func(next *testing.PB) {
+		for next.Next() {
+			response, err := client.Post(url, "application/json", strings.NewReader(`{"model":"a","prompt":"p","max_tokens":16,"stream":true}`))
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			_, _ = io.Copy(io.Discard, response.Body)
+			response.Body.Close()
+		}
+	})
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+}
+
 // BenchmarkEngineState measures the steps of a full batch of 64.
 func BenchmarkEngineState(b *testing.B) {
 	state := newTestState(DefaultEngineConfig())
--- a/pkg/standin/engine_config.go
+++ b/pkg/standin/engine_config.go
@@ -8,8 +8,8 @@
 	gibibyte = 1 << 30
 )
 
-// EngineConfig describes an engine. Zero values take the defaults of
-// DefaultEngineConfig, but for the names and the capacities of the caches.
+// EngineConfig describes an engine. Start from DefaultEngineConfig: zeros are
+// taken as they are, but for a Speed of zero, which counts as one.
 type EngineConfig struct {
 	ID          string // of the machine
 	Service     string
--- a/pkg/standin/engine_http_test.go
+++ b/pkg/standin/engine_http_test.go
@@ -246,6 +246,25 @@
 	}
 }
 
+func TestOddNamesStayValidJSON(t *testing.T) {
+	server := startEngine(t, testConfig())
+	model := "ä\u0001\u200b\""
+	server.Order(loadOrder(1, api.ModelName(model), gibibyte))
+	waitReady(t, server.Engine, api.ModelName(model))
+	for _, path := range []string{"/v1/completions", "/v1/chat/completions"} {
+		body := `{"model":` + quote(model) + `,"prompt":"p","messages":[],"max_tokens":2,"stream":true}`
+		events, done := readEvents(t, post(t, t.Context(), server.Address(), path, body, requestID("\xff\"")).Body)
+		if !done || len(events) != 3 {
+			t.Fatalf("events %q", events)
+		}
+		for _, event := range events {
+			if !json.Valid([]byte(event)) {
+				t.Errorf("event %s", event)
+			}
+		}
+	}
+}
+
 func TestDeadlineIsByTheWallClock(t *testing.T) {
 	config := testConfig()
 	config.MaxBatch = 1
--- a/pkg/standin/engine_openai_stream.go
+++ b/pkg/standin/engine_openai_stream.go
@@ -69,16 +69,19 @@
 	writer http.ResponseWriter
 	x      exchange
 	g      *generation
-	prefix string
-	tokens int // written or skipped
-	events int // written or skipped
-	mixAt  int // tokens after which another request's answer follows; 0 for never
+	head   string // of each event
+	prefix string // of each token
+	tokens int    // written or skipped
+	events int    // written or skipped
+	mixAt  int    // tokens after which another request's answer follows; 0 for never
 	begun  bool
 	buffer []byte
 }
 
 func newEventWriter(writer http.ResponseWriter, x exchange, g *generation) *eventWriter {
-	return &eventWriter{writer: writer, x: x, g: g, prefix: tokenPrefix(string(g.model), g.prompt, g.id)}
+	w := &eventWriter{writer: writer, x: x}
+	w.setSource(g)
+	return w
 }
 
 // write sends the event with the JSON of its choices and usage, unless the
@@ -89,12 +92,29 @@
 	if w.events <= w.x.resumeFrom {
 		return
 	}
+	w.buffer = append(w.buffer, w.head...)
+	w.buffer = append(w.buffer, choices...)
+	w.buffer = append(w.buffer, ']')
+	w.buffer = append(w.buffer, usage...)
+	w.buffer = append(w.buffer, "}\n\n"...)
+}
+
+// setSource makes the events that follow part of the answer to g.
+func (w *eventWriter) setSource(g *generation) {
+	w.g = g
+	w.prefix = tokenPrefix(string(g.model), g.prompt, g.id)
 	object := "text_completion"
 	if w.x.chat {
 		object = "chat.completion.chunk"
 	}
-	w.buffer = fmt.Appendf(w.buffer, `data: {"id":%q,"object":%q,"created":%d,"model":%q,"choices":[%s]%s}`+"\n\n",
-		w.x.answerID(w.g), object, w.x.created, w.g.model, choices, usage)
+	w.head = fmt.Sprintf(`data: {"id":%s,"object":%q,"created":%d,"model":%s,"choices":[`,
+		quote(w.x.answerID(g)), object, w.x.created, quote(string(g.model)))
+}
+
+// quote returns text as a JSON string.
+func quote(text string) string {
+	quoted, _ := json.Marshal(text) // can't fail
+	return string(quoted)
 }
 
 func (w *eventWriter) begin() {
@@ -109,8 +129,7 @@
 
 func (w *eventWriter) token() {
 	if w.mixAt > 0 && w.tokens == w.mixAt {
-		w.g = mixed(w.g)
-		w.prefix = tokenPrefix(string(w.g.model), w.g.prompt, w.g.id)
+		w.setSource(mixed(w.g))
 	}
 	text := w.prefix + strconv.Itoa(w.tokens) + " "
 	choice := fmt.Sprintf(`{"index":0,"text":%q,"finish_reason":null}`, text)
--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -9,7 +9,8 @@
 	"martenwheel.dev/pkg/platform"
 )
 
-// PlatformConfig describes a platform.
+// PlatformConfig describes a platform. Start from DefaultPlatformConfig: zeros
+// are taken as they are, but for a Speed of zero, which counts as one.
 type PlatformConfig struct {
 	Speed float64 // simulated seconds per second
 
