--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -49,6 +49,7 @@
 	settings settings.Settings
 	logger   hclog.Logger
 	registry *prometheus.Registry
+	secrets  *credentials
 
 	server    *peer.Server
 	transport *peer.Client
@@ -71,9 +72,14 @@
 	if err != nil {
 		return nil, err
 	}
+	secrets, err := openCredentials(options.Settings)
+	if err != nil {
+		return nil, err
+	}
 	n := &Node{
 		settings: options.Settings,
 		logger:   logger,
+		secrets:  secrets,
 		registry: newRegistry(options),
 		trees:    tree.NewHolder(tree.Empty()),
 	}
@@ -133,6 +139,7 @@
 			Region:      n.settings.Node.Region,
 		},
 		Address:  n.settings.Listen.Peers,
+		TLS:      n.secrets.peers,
 		Counters: counters,
 		Logger:   n.logger.Named("peer"),
 	}
@@ -203,14 +210,21 @@
 		Lookup:  (*tree.Tree).Model,
 		Zone:    n.settings.Node.Zone,
 	})
-	callers, err := gateway.New(gateway.Config{
+	config := gateway.Config{
 		Node:       string(n.settings.Node.ID),
 		Region:     n.settings.Node.Region,
 		Dispatcher: dispatcher,
 		Catalog:    n.catalog,
 		Logger:     n.logger.Named("gateway"),
 		Metrics:    n.registry,
-	})
+		TLS:        n.secrets.listeners,
+		Limits:     callerLimits(n.settings.Limits),
+		Timeouts:   callerTimeouts(n.settings.Limits),
+	}
+	if n.secrets.callers != nil {
+		config.Authenticator = callerAuthenticator{n.secrets.callers}
+	}
+	callers, err := gateway.New(config)
 	if err != nil {
 		return err
 	}
@@ -219,9 +233,25 @@
 	return errors.Wrap(err, "node: listen for callers")
 }
 
+func callerLimits(limits settings.Limits) gateway.Limits {
+	return gateway.Limits{
+		BodyBytes:   limits.BodyBytes,
+		HeaderBytes: limits.HeaderBytes,
+		Connections: limits.Connections,
+	}
+}
+
+func callerTimeouts(limits settings.Limits) gateway.Timeouts {
+	return gateway.Timeouts{
+		Read:  limits.ReadTimeout,
+		Write: limits.WriteTimeout,
+		Idle:  limits.IdleTimeout,
+	}
+}
+
 // openOperators makes the operators' API and opens its listener.
 func (n *Node) openOperators() error {
-	n.operators = operator.New(operator.Config{
+	config := operator.Config{
 		Trees:        tree.NewEditor(n.executor.store, n.trees),
 		Status:       n,
 		Metrics:      n.registry,
@@ -231,7 +261,12 @@
 		Connections:  n.settings.Limits.Connections,
 		ReadTimeout:  n.settings.Limits.ReadTimeout,
 		WriteTimeout: n.settings.Limits.WriteTimeout,
-	})
+		TLS:          n.secrets.listeners,
+	}
+	if n.secrets.operators != nil {
+		config.Authorizer = operatorAuthorizer{n.secrets.operators}
+	}
+	n.operators = operator.New(config)
 	var err error
 	n.operating, err = net.Listen("tcp", n.settings.Listen.Operators)
 	return errors.Wrap(err, "node: listen for operators")
@@ -267,6 +302,7 @@
 	n.server.Serve(&peerHandler{loop: n.loop, trees: n.trees})
 	group.Go(func() { n.loop.run(loopContext) })
 	group.Go(func() { n.start(ctx) })
+	group.Go(func() { n.secrets.watch(loopContext, n.logger) })
 	failed := make(chan error, listeners)
 	group.Go(func() { failed <- n.gateway.Serve(n.callers) })
 	group.Go(func() { failed <- n.operators.Serve(n.operating) })
