End-to-end fault tests: owner killed and frozen, table service down, burst, leaving and vanished engines, planned stop

Each starts a platform, three engines and three nodes as processes and watches the engines' inventories for a second replica while the fault lasts.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -14,6 +14,7 @@
 
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/operator"
+	"martenwheel.dev/pkg/platform"
 	"martenwheel.dev/pkg/standin"
 )
 
@@ -230,3 +231,23 @@
 		}
 	}
 }
+
+// tellPlatform changes the platform's entry of an engine's machine.
+func (c *cluster) tellPlatform(t *testing.T, e *engineProcess, state platform.MachineState) {
+	t.Helper()
+	body, err := json.Marshal(platform.Machine{
+		ID: string(e.id), Address: e.Address, Service: service, Region: region,
+		State: state, MemoryBytes: engineBytes,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.Post("http://"+c.platformAddress+standin.PathMachineChanges, "application/json", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		t.Fatalf("tell the platform: %s", response.Status)
+	}
+}
--- /dev/null
+++ b/e2e/faults_test.go
@@ -0,0 +1,323 @@
+package e2e
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc/pool"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/engine"
+	"martenwheel.dev/pkg/platform"
+	"martenwheel.dev/pkg/standin"
+)
+
+// owner returns the node that owns the cell, as a node in reach sees it, and
+// another node.
+func (c *cluster) owner(t *testing.T) (owner, other *nodeProcess) {
+	t.Helper()
+	var ownerID api.NodeID
+	waitFor(t, "the cell has an owner that all nodes know", func() bool {
+		ownerID = c.agreedOwner(t)
+		return ownerID != ""
+	})
+	for _, node := range c.nodes {
+		if node.id == ownerID {
+			owner = node
+		} else {
+			other = node
+		}
+	}
+	return owner, other
+}
+
+// agreedOwner returns the owner that all nodes see, or "".
+func (c *cluster) agreedOwner(t *testing.T) api.NodeID {
+	t.Helper()
+	var agreed api.NodeID
+	for i, node := range c.nodes {
+		cells := c.status(t, node).Cells
+		if len(cells) != 1 || cells[0].Owner == "" || i > 0 && cells[0].Owner != agreed {
+			return ""
+		}
+		agreed = cells[0].Owner
+	}
+	return agreed
+}
+
+// inventories returns what the engines in reach hold, by engine.
+func (c *cluster) inventories(t *testing.T) []engine.Inventory {
+	t.Helper()
+	client := engine.NewHTTPClient(engine.HTTPClientConfig{})
+	var all []engine.Inventory
+	for _, e := range c.engines {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		inventory, err := client.Inventory(ctx, e.Address, engine.InventoryRequest{})
+		cancel()
+		if err == nil {
+			all = append(all, inventory)
+		}
+	}
+	return all
+}
+
+// loaded counts the replicas of a model on the engines.
+func (c *cluster) loaded(t *testing.T, model api.ModelName) int {
+	t.Helper()
+	count := 0
+	for _, inventory := range c.inventories(t) {
+		for _, item := range inventory.Items {
+			if item.Model == model && item.State != engine.ItemFailed {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// wantAtMostOneReplica watches the engines until stop is closed.
+func (c *cluster) wantAtMostOneReplica(t *testing.T, model api.ModelName, stop <-chan struct{}) {
+	t.Helper()
+	for {
+		if count := c.loaded(t, model); count > 1 {
+			t.Errorf("%d replicas of %s are loaded, want at most 1", count, model)
+			return
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(waitPoll):
+		}
+	}
+}
+
+// tryWhole sends a request that is not streamed and returns the error.
+func tryWhole(ctx context.Context, node *nodeProcess, model string, options ...option.RequestOption) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, requestBound)
+	defer cancel()
+	client := newClient(node)
+	completion, err := client.Chat.Completions.New(ctx, parameters(model), options...)
+	if err != nil {
+		return "", err
+	}
+	return completion.Choices[0].Message.Content, nil
+}
+
+// status of an API error, or 0.
+func statusOf(err error) int {
+	var apiError *openai.Error
+	if errors.As(err, &apiError) {
+		return apiError.StatusCode
+	}
+	return 0
+}
+
+// askUntilServed repeats a safe request that is refused until it is served.
+func askUntilServed(t *testing.T, node *nodeProcess, model string) {
+	t.Helper()
+	waitFor(t, model+" is served by "+string(node.id), func() bool {
+		_, err := tryWhole(t.Context(), node, model)
+		if err != nil && statusOf(err) != http.StatusServiceUnavailable {
+			t.Fatalf("%s: %v", model, err)
+		}
+		return err == nil
+	})
+}
+
+// TestOwnerDiesDuringLoad kills the owner while a load runs. The waiting
+// request at another node is served, and no second replica is loaded.
+func TestOwnerDiesDuringLoad(t *testing.T) {
+	c := startCluster(t)
+	owner, other := c.owner(t)
+	setFaults(t, c.platformAddress, standin.PartWeights, standin.Faults{SlowFactor: 5})
+
+	stop := make(chan struct{})
+	tasks := pool.New()
+	tasks.Go(func() { c.wantAtMostOneReplica(t, "glaze-7b", stop) })
+	tasks.Go(func() {
+		defer close(stop)
+		askUntilServed(t, other, "glaze-7b")
+	})
+	waitFor(t, "the load has begun", func() bool { return c.loaded(t, "glaze-7b") == 1 })
+	owner.kill()
+	tasks.Wait()
+}
+
+// TestFrozenOwnerWakesUp freezes the owner past its lease while a request needs
+// it. Another node takes over and serves; the frozen one then goes on with what
+// it had in its buffers, and still no second replica is loaded.
+func TestFrozenOwnerWakesUp(t *testing.T) {
+	c := startCluster(t)
+	owner, other := c.owner(t)
+	stop := make(chan struct{})
+	tasks := pool.New()
+	tasks.Go(func() { c.wantAtMostOneReplica(t, "glaze-7b", stop) })
+
+	requests := pool.New()
+	requests.Go(func() { _, _ = tryWhole(t.Context(), owner, "glaze-7b") }) // its node freezes
+	requests.Go(func() { askUntilServed(t, other, "glaze-7b") })
+	owner.signal(syscall.SIGSTOP)
+	waitFor(t, "another node owns the cell", func() bool {
+		cells := c.status(t, other).Cells
+		return len(cells) == 1 && cells[0].Owner != owner.id && cells[0].Owner != ""
+	})
+	owner.signal(syscall.SIGCONT)
+	requests.Wait()
+	askUntilServed(t, owner, "glaze-7b")
+	close(stop)
+	tasks.Wait()
+}
+
+// TestTableServiceDown takes the table service away and then kills the owner.
+// Loaded models are served, idle ones are woken, an edit is refused as such, and
+// the settings in force stay.
+func TestTableServiceDown(t *testing.T) {
+	c := startCluster(t)
+	askUntilServed(t, c.nodes[0], "glaze-7b")
+	owner, other := c.owner(t)
+	setFaults(t, c.platformAddress, standin.PartTable, standin.Faults{Refuse: true})
+
+	output, err := c.command(t, other, "tree", "set", "/", "keep_alive=5m")
+	if err == nil || !strings.Contains(output, "table service") {
+		t.Errorf("edit with the table service down: %v, %s", err, output)
+	}
+	owner.kill()
+	askUntilServed(t, other, "glaze-7b")
+	askUntilServed(t, other, "firing-13b")
+	if count := c.loaded(t, "firing-13b"); count != 1 {
+		t.Errorf("%d replicas of firing-13b, want 1", count)
+	}
+
+	setFaults(t, c.platformAddress, standin.PartTable, standin.Faults{})
+	if output, err := c.command(t, other, "tree", "set", "/", "keep_alive=5m"); err != nil {
+		t.Errorf("edit with the table service up again: %v, %s", err, output)
+	}
+}
+
+// TestBurstCausesOneLoad sends many requests to all nodes at once for one idle
+// model. All are served, and the model is loaded once.
+func TestBurstCausesOneLoad(t *testing.T) {
+	const requests = 300
+	c := startCluster(t)
+	c.owner(t)
+	stop := make(chan struct{})
+	watch := pool.New()
+	watch.Go(func() { c.wantAtMostOneReplica(t, "glaze-7b", stop) })
+
+	var served atomic.Int64
+	burst := pool.New()
+	for i := range requests {
+		node := c.nodes[i%len(c.nodes)]
+		burst.Go(func() {
+			if _, err := tryWhole(t.Context(), node, "glaze-7b"); err != nil {
+				t.Errorf("request at %s: %v", node.id, err)
+				return
+			}
+			served.Add(1)
+		})
+	}
+	burst.Wait()
+	close(stop)
+	watch.Wait()
+	if served.Load() != requests {
+		t.Errorf("%d of %d requests are served", served.Load(), requests)
+	}
+}
+
+// TestLeavingEngine stops the engine that holds the only replica while a stream
+// runs on it. The stream ends whole, and the next request is served elsewhere.
+func TestLeavingEngine(t *testing.T) {
+	c := startCluster(t)
+	askUntilServed(t, c.nodes[0], "glaze-7b")
+	holder := c.holder(t, "glaze-7b")
+
+	streams := pool.New()
+	started := make(chan struct{})
+	streams.Go(func() { longStream(t, c.nodes[0], "glaze-7b", started) })
+	<-started
+	holder.signal(syscall.SIGTERM)
+	streams.Wait()
+	<-holder.exited
+
+	askUntilServed(t, c.nodes[1], "glaze-7b")
+	if c.holder(t, "glaze-7b") == holder {
+		t.Error("the replica is still on the engine that left")
+	}
+}
+
+// TestStoppingNode stops a node while a stream runs through it. The stream ends
+// whole, and the other nodes go on.
+func TestStoppingNode(t *testing.T) {
+	c := startCluster(t)
+	askUntilServed(t, c.nodes[0], "glaze-7b")
+	streams := pool.New()
+	started := make(chan struct{})
+	streams.Go(func() { longStream(t, c.nodes[0], "glaze-7b", started) })
+	<-started
+	c.nodes[0].stop(t)
+	streams.Wait()
+	askUntilServed(t, c.nodes[1], "firing-13b")
+}
+
+// TestVanishedEngine kills the engine that holds the only replica, with no
+// notice. Once the platform lists the machine as gone, the model is served
+// elsewhere.
+func TestVanishedEngine(t *testing.T) {
+	c := startCluster(t)
+	askUntilServed(t, c.nodes[0], "glaze-7b")
+	holder := c.holder(t, "glaze-7b")
+	holder.kill()
+	c.tellPlatform(t, holder, platform.MachineGone)
+	askUntilServed(t, c.nodes[1], "glaze-7b")
+}
+
+// holder returns the engine that holds a model.
+func (c *cluster) holder(t *testing.T, model api.ModelName) *engineProcess {
+	t.Helper()
+	for _, replica := range c.status(t, c.nodes[1]).Replicas {
+		for _, e := range c.engines {
+			if replica.Model == model && replica.Server == e.id {
+				return e
+			}
+		}
+	}
+	t.Fatalf("no engine holds %s", model)
+	return nil
+}
+
+// longStream runs a stream of some seconds and checks that it ends whole.
+// started is closed with the first token.
+func longStream(t *testing.T, node *nodeProcess, model string, started chan<- struct{}) {
+	const tokens = 1000
+	ctx, cancel := context.WithTimeout(t.Context(), requestBound)
+	defer cancel()
+	client := newClient(node)
+	request := parameters(model)
+	request.MaxTokens = openai.Int(tokens)
+	stream := client.Chat.Completions.NewStreaming(ctx, request)
+	defer stream.Close()
+	events, finished := 0, false
+	for stream.Next() {
+		if events == 0 {
+			close(started)
+		}
+		events++
+		for _, choice := range stream.Current().Choices {
+			finished = finished || choice.FinishReason != ""
+		}
+	}
+	if events == 0 {
+		close(started)
+	}
+	if stream.Err() != nil || !finished || events < tokens {
+		t.Errorf("stream ended after %d events (%v), finished: %t", events, stream.Err(), finished)
+	}
+}
