standin: the test of odd names quotes by itself

It used the function under test for its request, so that it failed at the request in place of the events. Now it fails at the events, as it should.

--- a/pkg/standin/engine_http_test.go
+++ b/pkg/standin/engine_http_test.go
@@ -251,8 +251,12 @@
 	model := "ä\u0001\u200b\""
 	server.Order(loadOrder(1, api.ModelName(model), gibibyte))
 	waitReady(t, server.Engine, api.ModelName(model))
+	quoted, err := json.Marshal(model)
+	if err != nil {
+		t.Fatal(err)
+	}
 	for _, path := range []string{"/v1/completions", "/v1/chat/completions"} {
-		body := `{"model":` + quote(model) + `,"prompt":"p","messages":[],"max_tokens":2,"stream":true}`
+		body := `{"model":` + string(quoted) + `,"prompt":"p","messages":[],"max_tokens":2,"stream":true}`
 		events, done := readEvents(t, post(t, t.Context(), server.Address(), path, body, requestID("\xff\"")).Body)
 		if !done || len(events) != 3 {
 			t.Fatalf("events %q", events)
