dynamotable: tokens of any length

Tokens longer than the protocol's 36 characters were refused before they were sent, so that no ownership record could be written: its tokens carry the names of cell and node.

--- a/pkg/platform/platformtest/table.go
+++ b/pkg/platform/platformtest/table.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"strings"
 	"testing"
 	"time"
 
@@ -62,6 +63,7 @@
 	t.Run("conditions", func(t *testing.T) { testConditions(t, factory(t).Table) })
 	t.Run("transaction is whole or not at all", func(t *testing.T) { testAtomicity(t, factory(t).Table) })
 	t.Run("token applies once", func(t *testing.T) { testToken(t, factory(t).Table) })
+	t.Run("long token", func(t *testing.T) { testLongToken(t, factory(t).Table) })
 	t.Run("bad transactions", func(t *testing.T) { testBadTransactions(t, factory(t).Table) })
 	t.Run("list", func(t *testing.T) { testList(t, factory(t).Table) })
 	t.Run("stale replica", func(t *testing.T) { testStaleReplica(t, factory(t)) })
@@ -166,6 +168,15 @@
 	wantError(t, table.Commit(t.Context(), Put(long, "d", "other", 0)), platform.ErrConflict)
 }
 
+// testLongToken tests that tokens may have any length.
+func testLongToken(t *testing.T, table platform.Table) {
+	long := strings.Repeat("cell/node/", 20)
+	mustCommit(t, table, Put(long+"1", "a", "one", 0))
+	mustCommit(t, table, Put(long+"1", "a", "one", 0))
+	mustCommit(t, table, Put(long+"2", "a", "two", 1))
+	wantRecord(t, table, "a", "two", 2)
+}
+
 func testBadTransactions(t *testing.T, table platform.Table) {
 	unconditional := Put("1", "a", "x", 0)
 	unconditional.Conditions = []platform.Condition{{Key: "other"}}
--- a/pkg/standin/table.go
+++ b/pkg/standin/table.go
@@ -13,6 +13,7 @@
 const (
 	tokenMemory          = 10 * time.Minute // as long as the service knows a token
 	maxTransactionWrites = 100
+	maxTokenLength       = 36
 	maxQueryPage         = 1 << 20 // bytes of a page of a query
 )
 
--- a/pkg/standin/table_protocol.go
+++ b/pkg/standin/table_protocol.go
@@ -178,6 +178,10 @@
 		writeTableError(writer, codeValidation, err.Error())
 		return
 	}
+	if len(input.ClientRequestToken) > maxTokenLength {
+		writeTableError(writer, codeValidation, "token too long")
+		return
+	}
 	actions, err := parseActions(input.TransactItems)
 	if err != nil {
 		writeTableError(writer, codeValidation, err.Error())
