--- a/pkg/platform/dynamotable/table.go
+++ b/pkg/platform/dynamotable/table.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"net/http"
 	"strconv"
 
@@ -154,16 +152,6 @@
 	return nil
 }
 
-// requestToken returns the token as the protocol takes it: a longer one is
-// replaced by its hash.
-func requestToken(token string) string {
-	if len(token) <= maxTokenLength {
-		return token
-	}
-	sum := sha256.Sum256([]byte(token))
-	return hex.EncodeToString(sum[:maxTokenLength/2])
-}
-
 // actions translates a transaction. Each written key needs a condition.
 func (t *Table) actions(transaction platform.Transaction) ([]types.TransactWriteItem, error) {
 	if transaction.Token == "" {
--- a/pkg/platform/platformtest/table.go
+++ b/pkg/platform/platformtest/table.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"strings"
-	"strings"
 	"testing"
 	"time"
 
