traffic: admission, fair queues, routing and retries wired into the Router

Cause: the thin dispatcher held hopeless requests until their deadline and woke the owner once per request. Waiting requests are now judged at arrival and at each change by the owner's estimate, the queue and the measured pace. Ruled out: one queue per model (adapters share the places of their base).

--- a/pkg/traffic/config.go
+++ b/pkg/traffic/config.go
@@ -3,26 +3,62 @@
 import (
 	"time"
 
-	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/traffic/limit"
+	"martenwheel.dev/pkg/traffic/outlier"
 	"martenwheel.dev/pkg/tree"
 )
 
-// ModelLookup finds a model in a revision of the settings tree.
-type ModelLookup func(*tree.Tree, api.ModelName) (tree.Model, bool)
-
-// Config is what a dispatcher needs from its node. Control and Lookup must be
-// set; the zero values of the other fields select defaults.
+// Config is what a Router needs from its node. Control must be set; the zero
+// values of the other fields select defaults.
 type Config struct {
-	Control Control
-	Lookup  ModelLookup
-	Zone    string           // of this node
-	Now     func() time.Time // time.Now if nil
+	Control    Control
+	Zone       string           // of this node
+	Now        func() time.Time // time.Now if nil
+	Seed       uint64           // of the random choices; the same seed gives the same choices
+	MaxWaiting int              // requests that wait on this node, of all models
+	MaxCallers int              // callers whose rates are remembered
+	HeadStart  float64          // tokens that one step of priority is worth in a queue
+	Outlier    outlier.Config
+
+	// SharedRates returns the limits on all callers of a model's service and
+	// of the model itself on this node. Nil: no limits.
+	SharedRates func(tree.Model) (service, model limit.Rates)
+
+	off mechanisms
+}
+
+// mechanisms are switched off by tests, to show what each is needed for.
+type mechanisms struct {
+	fairness     bool // between callers
+	earlyRefusal bool // of what can't be ready by its deadline
+	wakeOnce     bool // one report per idle model
+	retryChecks  bool // whether a repeat is safe
+	displacement bool // from a full queue, by callers with less in it
+	leaving      bool // exclusion of servers that said that they leave
+	callerCheck  bool // whether the caller of a queued request is still there
 }
 
+// Defaults of Config.
+const (
+	defaultMaxWaiting = 100_000
+	defaultMaxCallers = 16_384
+	defaultHeadStart  = 20_000
+)
+
 // withDefaults returns the config with every optional field set.
 func (c Config) withDefaults() Config {
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.MaxWaiting == 0 {
+		c.MaxWaiting = defaultMaxWaiting
+	}
+	if c.MaxCallers == 0 {
+		c.MaxCallers = defaultMaxCallers
+	}
+	if c.HeadStart == 0 {
+		c.HeadStart = defaultHeadStart
+	}
+	c.Outlier = c.Outlier.WithDefaults()
 	return c
 }
--- a/pkg/traffic/fairqueue/queue.go
+++ b/pkg/traffic/fairqueue/queue.go
@@ -48,7 +48,7 @@
 }
 
 // maxPriority bounds the head start that a priority gives, above and below 0.
-const maxPriority = 10
+const maxPriority = 100
 
 // New returns an empty queue. Each step of priority gives a head start of as
 // much cost as headStart.
@@ -177,9 +177,9 @@
 	if class == nil || class.length == 0 {
 		return nil
 	}
-	largest := class.flows[preferred]
+	largest := class.backlog[0]
 	for _, flow := range class.backlog {
-		if largest == nil || flow.cost > largest.cost {
+		if flow.cost > largest.cost || flow.cost == largest.cost && flow.name == preferred {
 			largest = flow
 		}
 	}
@@ -192,17 +192,23 @@
 	return last
 }
 
-// Ahead estimates how many items are served before item, which is waiting.
+// Ahead estimates how many items of its class are served before item, which is
+// waiting.
 func (q *Queue[T]) Ahead(item *Item[T]) int {
-	class := item.flow.class
-	ahead := class.ahead(item)
-	rounds := float64(ahead+1) / class.weight
-	for _, other := range q.classes {
-		if other != class && other.length > 0 {
-			ahead += min(other.length, int(rounds*other.weight))
+	return item.flow.class.ahead(item)
+}
+
+// Each calls visit for each item of a class, in no particular order.
+func (q *Queue[T]) Each(name string, visit func(*Item[T])) {
+	class := q.find(name)
+	if class == nil {
+		return
+	}
+	for _, flow := range class.backlog {
+		for _, item := range flow.items {
+			visit(item)
 		}
 	}
-	return ahead
 }
 
 // Ordered returns all items in the order in which they would be served if
--- /dev/null
+++ b/pkg/traffic/grant.go
@@ -0,0 +1,122 @@
+package traffic
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"martenwheel.dev/pkg/traffic/outlier"
+)
+
+// grant is a place on a replica.
+type grant struct {
+	pool      *pool
+	state     *modelState
+	request   Request
+	earlier   attempts
+	tokens    int
+	since     time.Time
+	target    Target
+	server    *server
+	usage     *usage
+	baseUsage *usage
+	ended     atomic.Bool
+}
+
+// Target returns the replica.
+func (g *grant) Target() Target { return g.target }
+
+// Done gives the place back. A second call has no effect.
+func (g *grant) Done(outcome Outcome) {
+	if g.ended.CompareAndSwap(false, true) {
+		g.pool.end(g.pool.router.config.Now(), g, outcome)
+	}
+}
+
+// Retry gives the place back and asks for one on another server.
+func (g *grant) Retry(ctx context.Context, outcome Outcome) (Grant, error) {
+	g.Done(outcome)
+	earlier := g.earlier.after(g.target.Server, outcome)
+	pause, refusal := g.pool.allowRetry(g.pool.router.config.Now(), g, outcome, len(earlier.tried))
+	if refusal != nil {
+		return nil, earlier.refuse(refusal)
+	}
+	if !sleep(ctx, pause) {
+		return nil, earlier.refuse(callerLeft())
+	}
+	return g.pool.router.again(ctx, &g.request, earlier)
+}
+
+// sleep waits for a time and returns false if ctx ends before.
+func sleep(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// allowRetry decides on a retry after count attempts. It returns the pause
+// before it, or the refusal.
+func (p *pool) allowRetry(now time.Time, g *grant, outcome Outcome, count int) (time.Duration, *Refusal) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	counters := &g.state.counters
+	if refusal := checkRepeat(&g.request, outcome); refusal != nil && !p.router.config.off.retryChecks {
+		counters.refuse(refusal.Reason)
+		return 0, refusal
+	}
+	pause := backOff(p.random, count)
+	if !now.Add(pause).Before(g.request.Deadline) {
+		counters.refuse(ReasonDeadline)
+		return 0, &Refusal{Reason: ReasonDeadline, Message: "no time is left for another attempt",
+			RetryAfter: defaultRetryAfter}
+	}
+	if !g.state.budget.spend() {
+		counters.refuse(ReasonEngineFailed)
+		return 0, &Refusal{Reason: ReasonEngineFailed,
+			Message: "the engine failed and the retry budget is spent", RetryAfter: defaultRetryAfter}
+	}
+	counters.retries++
+	return pause, nil
+}
+
+// end takes back the place of a grant and gives it to one that waits.
+func (p *pool) end(now time.Time, g *grant, outcome Outcome) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	g.usage.remove(g.tokens)
+	if g.baseUsage != nil {
+		g.baseUsage.remove(g.tokens)
+	}
+	g.server.inFlight.Add(-1)
+	g.state.pace.end(now, now.Sub(g.since), outcome)
+	p.router.running.Add(-1)
+	p.recordOutcome(now, g, outcome)
+	if p.queue.Len() > 0 || len(p.retries) > 0 {
+		p.release(now)
+	}
+}
+
+// recordOutcome tells outlier detection of the end of an attempt.
+func (p *pool) recordOutcome(now time.Time, g *grant, outcome Outcome) {
+	if outcome.Kind == OutcomeCancelled {
+		return
+	}
+	if g.server.outliers.Record(now, outcome.Kind == OutcomeServed) {
+		g.state.counters.ejections++
+	}
+	config := p.router.config.Outlier
+	if now.Sub(g.state.comparedAt) < config.Interval {
+		return
+	}
+	g.state.comparedAt = now
+	trackers := make([]*outlier.Tracker, 0, len(g.state.replicas))
+	for index := range g.state.replicas {
+		trackers = append(trackers, g.state.replicas[index].server.outliers)
+	}
+	g.state.counters.ejections += uint64(outlier.Compare(now, config, trackers))
+}
--- a/pkg/traffic/limit/table.go
+++ b/pkg/traffic/limit/table.go
@@ -31,11 +31,22 @@
 // Key names a bucket. Buckets with different rates are different ones, so that
 // models which set their own rate don't share one with those that inherit.
 type Key struct {
-	Scope string // such as "caller/assistant"
-	Name  string // such as the caller
-	Rates Rates
+	Scope   Scope
+	Service string
+	Name    string // of the caller or model; empty for a service
+	Rates   Rates
 }
 
+// Scope is what a bucket limits.
+type Scope uint8
+
+// The scopes.
+const (
+	ScopeCaller  Scope = iota + 1 // one caller within one service
+	ScopeModel                    // all callers of one model
+	ScopeService                  // all callers of one service
+)
+
 // shardCount spreads the buckets over locks.
 const shardCount = 16
 
--- a/pkg/traffic/prefixcache/index.go
+++ b/pkg/traffic/prefixcache/index.go
@@ -48,7 +48,7 @@
 	newer    map[uint64]entry
 	older    map[uint64]entry
 	instance string
-	last     uint64 // sequence of the last event
+	last     uint64    // sequence of the last event
 	gapAt    time.Time // when the last gap showed; zero if there was none
 }
 
