--- /dev/null
+++ b/pkg/traffic/fairness_test.go
@@ -0,0 +1,126 @@
+package traffic
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"martenwheel.dev/pkg/api"
+)
+
+// Beside a flood of 400 requests, one caller asks once. Each place is held for
+// 100 ms on one replica with two places.
+const (
+	floodSize = 400
+	floodHold = 100 * time.Millisecond
+)
+
+// floodWait returns how long a single request waits beside the flood.
+func floodWait(t testing.TB, off mechanisms, priority int) time.Duration {
+	t.Helper()
+	control := newStubControl(t, "max_concurrency", "2")
+	var waited time.Duration
+	test, isTest := t.(*testing.T)
+	if !isTest {
+		return 0
+	}
+	virtually(test, Config{Control: control, off: off}, func(t *testing.T, router *Router) {
+		control.publish(readyOn("m", 1))
+		flood := make([]<-chan result, floodSize)
+		for index := range flood {
+			request := ask(time.Hour)
+			request.Caller = "flooder"
+			flood[index] = serveLater(router, request, floodHold)
+		}
+		synctest.Wait()
+		single := ask(time.Hour)
+		single.Caller = "single"
+		single.Priority = priority
+		began := time.Now()
+		ended := <-serveLater(router, single, floodHold)
+		if ended.err != nil {
+			t.Fatal(ended.err)
+		}
+		waited = ended.at.Sub(began)
+		for _, end := range flood {
+			<-end
+		}
+	})
+	return waited
+}
+
+func TestFloodDoesNotStarveOthers(t *testing.T) {
+	const most = 2 * floodHold
+	fair := floodWait(t, mechanisms{}, 0)
+	unfair := floodWait(t, mechanisms{fairness: true}, 0)
+	t.Logf("wait beside the flood: %v with fairness, %v without", fair, unfair)
+	if fair > most {
+		t.Errorf("waited %v beside a flood, want at most %v", fair, most)
+	}
+	if unfair <= most {
+		t.Errorf("waited only %v with fairness off; the test proves nothing", unfair)
+	}
+}
+
+func TestUrgentRequestGoesFirst(t *testing.T) {
+	if waited := floodWait(t, mechanisms{fairness: true}, 10); waited > floodHold {
+		t.Errorf("an urgent request waited %v beside a flood, want at most %v", waited, floodHold)
+	}
+}
+
+// A flood that filled the queue gives way to a caller with nothing in it.
+func TestFullQueueTakesInOtherCallers(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		control := newStubControl(t, "queue_requests", "10")
+		virtually(t, Config{Control: control, off: mechanisms{displacement: off}}, func(t *testing.T, router *Router) {
+			var flood []<-chan result
+			for range 10 {
+				request := ask(time.Minute)
+				request.Caller = "flooder"
+				flood = append(flood, serveLater(router, request, time.Millisecond))
+			}
+			synctest.Wait()
+			single := serveLater(router, ask(time.Minute), time.Millisecond)
+			synctest.Wait()
+			control.publish(readyOn("m", 1))
+			if ended := <-single; (ended.err != nil) != off {
+				t.Errorf("single caller: %v with displacement off: %t", ended.err, off)
+			}
+			refused := 0
+			for _, end := range flood {
+				if ended := <-end; ended.err != nil {
+					refused++
+					refusalOf(t, ended.err, ReasonQueueFull)
+				}
+			}
+			if want := map[bool]int{false: 1, true: 0}[off]; refused != want {
+				t.Errorf("%d of the flood refused, want %d", refused, want)
+			}
+		})
+	}
+}
+
+// An adapter and its base share the places of the base.
+func TestAdapterSharesThePlacesOfItsBase(t *testing.T) {
+	control := newStubControl(t, "max_concurrency", "2")
+	virtually(t, Config{Control: control}, func(t *testing.T, router *Router) {
+		control.publish(makeDirectory(
+			api.Replica{Model: "m", Server: "s0", State: api.ReplicaReady},
+			api.Replica{Model: "m:a", Base: "m", Server: "s0", State: api.ReplicaReady},
+		))
+		adapted := ask(time.Minute)
+		adapted.Model = "m:a"
+		first := mustAcquire(t, router, adapted)
+		second := mustAcquire(t, router, ask(time.Minute))
+		later := serveLater(router, adapted, time.Millisecond)
+		synctest.Wait()
+		if waiting := router.Stats().Waiting; waiting != 1 {
+			t.Fatalf("%d wait, want the third request", waiting)
+		}
+		second.Done(served(time.Millisecond))
+		if ended := <-later; ended.err != nil {
+			t.Error(ended.err)
+		}
+		first.Done(served(time.Millisecond))
+	})
+}
--- a/pkg/traffic/outlook.go
+++ b/pkg/traffic/outlook.go
@@ -10,6 +10,7 @@
 	running    int           // places in use, if ready
 	perReplica int           // places of the replica that is being loaded
 	hold       time.Duration // of a place; zero: not measured
+	lastEnd    time.Time     // of a request that held a place
 	firstToken time.Duration // from the place to the first token
 
 	rejected   bool // the owner will not load the model
@@ -34,7 +35,10 @@
 		return time.Time{}, false
 	}
 	interval := o.hold / time.Duration(max(1, o.running))
-	start := o.now.Add(time.Duration(ahead+1) * interval)
+	start := o.lastEnd.Add(time.Duration(ahead+1) * interval)
+	if soonest := o.now.Add(time.Duration(ahead) * interval); start.Before(soonest) {
+		start = soonest
+	}
 	if !o.loadedAt.After(o.now) || !o.loadedAt.Before(start) {
 		return start, true
 	}
--- a/pkg/traffic/place.go
+++ b/pkg/traffic/place.go
@@ -255,6 +255,7 @@
 		running:    state.pace.running,
 		perReplica: state.model.Settings.MaxConcurrency,
 		hold:       state.pace.expectedHold(now),
+		lastEnd:    state.pace.lastEnd,
 		firstToken: state.pace.firstToken,
 	}
 	if view.ready {
--- /dev/null
+++ b/pkg/traffic/retry_test.go
@@ -0,0 +1,185 @@
+package traffic
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/engine"
+)
+
+// attemptFault is how the first attempt of a request ends.
+type attemptFault struct {
+	name    string
+	unsafe  bool
+	outcome Outcome
+	reason  RefusalReason // empty: retried
+	notRun  bool
+}
+
+var attemptFaults = []attemptFault{
+	{name: "not connected", outcome: Outcome{Kind: OutcomeNotRun}},
+	{name: "not connected, unsafe", unsafe: true, outcome: Outcome{Kind: OutcomeNotRun}},
+	{name: "sent, no answer", outcome: Outcome{Kind: OutcomeUnknown}},
+	{name: "sent, no answer, unsafe", unsafe: true, outcome: Outcome{Kind: OutcomeUnknown},
+		reason: ReasonOutcomeUnknown},
+	{name: "broke after the first token", outcome: Outcome{Kind: OutcomeUnknown, FirstToken: 1, Tokens: 3},
+		reason: ReasonOutcomeUnknown},
+	{name: "caller left", outcome: Outcome{Kind: OutcomeCancelled}, reason: ReasonCallerLeft},
+	{name: "served", outcome: served(time.Millisecond), reason: ReasonEngineFailed},
+}
+
+func TestRetryOnlyWhereSafe(t *testing.T) {
+	for _, fault := range attemptFaults {
+		t.Run(fault.name, func(t *testing.T) {
+			control := newStubControl(t)
+			virtually(t, Config{Control: control}, func(t *testing.T, router *Router) {
+				control.publish(readyOn("m", 3))
+				request := ask(time.Minute)
+				request.Unsafe = fault.unsafe
+				first := mustAcquire(t, router, request)
+				second, err := first.Retry(context.Background(), fault.outcome)
+				if fault.reason != "" {
+					if refusal := refusalOf(t, err, fault.reason); refusal.NotRun {
+						t.Error("claims that the request was not run")
+					}
+					return
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+				if second.Target() == first.Target() {
+					t.Errorf("retried on %s, where it failed", first.Target().Server)
+				}
+				second.Done(served(time.Millisecond))
+			})
+		})
+	}
+}
+
+func TestUnsafeRepeatsWithoutTheChecks(t *testing.T) {
+	control := newStubControl(t)
+	virtually(t, Config{Control: control, off: mechanisms{retryChecks: true}}, func(t *testing.T, router *Router) {
+		control.publish(readyOn("m", 2))
+		request := ask(time.Minute)
+		request.Unsafe = true
+		second, err := mustAcquire(t, router, request).Retry(context.Background(), Outcome{Kind: OutcomeUnknown})
+		if err != nil {
+			t.Fatal("not repeated with the checks off; TestRetryOnlyWhereSafe proves nothing")
+		}
+		second.Done(served(time.Millisecond))
+	})
+}
+
+// A refusal after a retry must remember that an earlier attempt may have run.
+func TestRefusalRemembersEarlierAttempts(t *testing.T) {
+	control := newStubControl(t)
+	virtually(t, Config{Control: control}, func(t *testing.T, router *Router) {
+		control.publish(readyOn("m", 2))
+		first := mustAcquire(t, router, ask(time.Second))
+		second, err := first.Retry(context.Background(), Outcome{Kind: OutcomeUnknown})
+		if err != nil {
+			t.Fatal(err)
+		}
+		control.publish(makeDirectory())
+		_, err = second.Retry(context.Background(), Outcome{Kind: OutcomeNotRun})
+		if refusal := refusalOf(t, err, ReasonDeadline); refusal.NotRun {
+			t.Error("claims that the request was not run, but the first attempt is unknown")
+		}
+	})
+}
+
+func TestRetryGoesToTheSameServerOnlyIfThereIsNoOther(t *testing.T) {
+	control := newStubControl(t)
+	virtually(t, Config{Control: control}, func(t *testing.T, router *Router) {
+		control.publish(readyOn("m", 1))
+		second, err := mustAcquire(t, router, ask(time.Minute)).Retry(context.Background(), Outcome{Kind: OutcomeNotRun})
+		if err != nil {
+			t.Fatal(err)
+		}
+		second.Done(served(time.Millisecond))
+	})
+}
+
+func TestRetryBudget(t *testing.T) {
+	control := newStubControl(t, "retry_budget", "0.1")
+	virtually(t, Config{Control: control}, func(t *testing.T, router *Router) {
+		control.publish(readyOn("m", 4))
+		const requests = 200
+		retried := 0
+		for range requests {
+			granted := mustAcquire(t, router, ask(time.Minute))
+			second, err := granted.Retry(context.Background(), Outcome{Kind: OutcomeNotRun})
+			if err != nil {
+				if refusal := refusalOf(t, err, ReasonEngineFailed); !refusal.NotRun {
+					t.Error("no attempt ran, but the refusal does not say so")
+				}
+				continue
+			}
+			retried++
+			second.Done(Outcome{Kind: OutcomeNotRun})
+		}
+		if most := requests/10 + initialRetries; retried < requests/10 || retried > most {
+			t.Errorf("%d retries, want %d to %d", retried, requests/10, most)
+		}
+	})
+}
+
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		control := newStubControl(t)
+		virtually(t, Config{Control: control, off: mechanisms{leaving: off}}, func(t *testing.T, router *Router) {
+			control.publish(readyOn("m", 2))
+			running := mustAcquire(t, router, ask(time.Minute))
+			other := mustAcquire(t, router, ask(time.Minute)) // else the idle server would be chosen anyway
+			leaving := running.Target().Server
+			router.ObserveLeaving(leaving, "one")
+			chosen := 0
+			for range 50 {
+				granted := mustAcquire(t, router, ask(time.Minute))
+				if granted.Target().Server == leaving {
+					chosen++
+				}
+				granted.Done(served(time.Millisecond))
+			}
+			if (chosen > 0) != off {
+				t.Errorf("leaving server chosen %d times with the mechanism off: %t", chosen, off)
+			}
+			late := engine.LoadReport{Instance: "one", AsOf: time.Now()}
+			router.ObserveLoad(time.Now(), leaving, late)
+			if router.servers.get(leaving).leaving.Load() == nil {
+				t.Error("a late report of the leaving instance took the server in again")
+			}
+			router.ObserveLoad(time.Now(), leaving, engine.LoadReport{Instance: "two", AsOf: time.Now()})
+			if router.servers.get(leaving).leaving.Load() != nil {
+				t.Error("the engine's next instance is still excluded")
+			}
+			running.Done(served(time.Second))
+			other.Done(served(time.Second))
+		})
+	}
+}
+
+func TestFailingServerIsEjectedButTheLastIsKept(t *testing.T) {
+	control := newStubControl(t, "retry_budget", "0")
+	virtually(t, Config{Control: control}, func(t *testing.T, router *Router) {
+		control.publish(readyOn("m", 3))
+		bad := api.ServerID("s0")
+		onBad := 0
+		for range 300 {
+			granted := mustAcquire(t, router, ask(time.Minute))
+			if granted.Target().Server == bad {
+				onBad++
+				granted.Done(Outcome{Kind: OutcomeNotRun})
+				continue
+			}
+			granted.Done(served(time.Millisecond))
+		}
+		if onBad != 5 {
+			t.Errorf("%d requests on the failing server, want 5", onBad)
+		}
+		control.publish(readyOn("m", 1))
+		mustAcquire(t, router, ask(time.Minute)).Done(served(time.Millisecond))
+	})
+}
