--- a/pkg/traffic/fairqueue/queue.go
+++ b/pkg/traffic/fairqueue/queue.go
@@ -94,6 +94,11 @@
 func (q *Queue[T]) Push(item *Item[T]) {
 	q.sequence++
 	item.sequence = q.sequence
+	q.insert(item)
+}
+
+// insert adds an item that has its sequence.
+func (q *Queue[T]) insert(item *Item[T]) {
 	class := q.findOrAdd(item.Class)
 	if class.length == 0 {
 		q.clock.begin(&class.tags)
@@ -235,8 +240,8 @@
 // copyFlow pushes copies of a flow's items, whose values count up from first.
 func copyFlow[T any](trial *Queue[int], from *flow[T], first int) {
 	for index, item := range from.items {
-		trial.Push(&Item[int]{
-			Value: first + index, Class: item.Class, Flow: from.name,
+		trial.insert(&Item[int]{
+			Value: first + index, Class: item.Class, Flow: from.name, sequence: item.sequence,
 			Cost: item.Cost, Priority: item.Priority, Deadline: item.Deadline,
 		})
 	}
--- a/pkg/traffic/limit/table.go
+++ b/pkg/traffic/limit/table.go
@@ -135,6 +135,10 @@
 	return created
 }
 
+// rounding is added to the time until there is enough, which the limiter rounds
+// down.
+const rounding = time.Microsecond
+
 func (b *bucket) take(now time.Time, tokens int) (time.Duration, bool) {
 	request := reserve(now, b.requests, 1)
 	volume := reserve(now, b.tokens, tokens)
@@ -144,7 +148,7 @@
 	}
 	giveBack(now, request)
 	giveBack(now, volume)
-	return delay, false
+	return delay + rounding, false
 }
 
 func reserve(now time.Time, limiter *rate.Limiter, count int) *rate.Reservation {
