security: TLS between nodes as pkg/peer expects it

Peers compare the certificate's name with the node's own, so that a fixed peer name was one check too many; a certificate that peers would refuse is a finding.

--- a/pkg/security/certificates.go
+++ b/pkg/security/certificates.go
@@ -14,17 +14,11 @@
 	"martenwheel.dev/pkg/findings"
 )
 
-// PeerName is the DNS name that the certificate of each node must carry for
-// the connections between nodes. It keeps a certificate that the same
-// authority issued for something else from speaking as a node. The IP numbers
-// of nodes are not checked: machines are replaced under new ones at any time.
-const PeerName = "peer.martenwheel.internal"
-
 // Files names the PEM files of one TLS identity.
 type Files struct {
 	Certificate string // the certificate and the ones between it and its authority
 	Key         string // its private key
-	Authorities string // who may issue peers' certificates; needed for PeerConfig
+	Authorities string // who may issue the certificates of nodes; needed for PeerConfig
 }
 
 // Certificates is a TLS identity read from files. Safe for concurrent use.
@@ -101,22 +95,21 @@
 }
 
 // PeerConfig returns the configuration of both sides of the connections
-// between nodes: each side must present a certificate for PeerName from one of
-// the authorities in force. It fails without Files.Authorities.
+// between nodes: each side must present a certificate from one of the
+// authorities. That it names the node is checked by pkg/peer. The certificate
+// is always the one in force, but the authorities are those of the time of
+// this call. It fails without Files.Authorities.
 func (c *Certificates) PeerConfig() (*tls.Config, error) {
-	if c.state.Load().authorities == nil {
+	authorities := c.state.Load().authorities
+	if authorities == nil {
 		return nil, errors.New("mutual TLS between nodes needs a file of authorities")
 	}
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		Time:       c.clock,
-		ServerName: PeerName,
-		ClientAuth: tls.RequireAnyClientCert,
-		// The standard check would use the authorities of the time when the
-		// configuration was made. verifyPeer does the same check, on both
-		// sides, with the ones in force.
-		InsecureSkipVerify: true,
-		VerifyConnection:   c.verifyPeer,
+		RootCAs:    authorities,
+		ClientCAs:  authorities,
+		ClientAuth: tls.RequireAndVerifyClientCert,
 		// A resumed session would prove an old certificate.
 		SessionTicketsDisabled: true,
 		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
@@ -128,29 +121,6 @@
 	}, nil
 }
 
-func (c *Certificates) verifyPeer(connection tls.ConnectionState) error {
-	presented := connection.PeerCertificates
-	if len(presented) == 0 {
-		return errors.New("the peer presented no certificate")
-	}
-	authorities := c.state.Load().authorities
-	if authorities == nil {
-		return errors.New("no authorities to check the peer with")
-	}
-	intermediates := x509.NewCertPool()
-	for _, certificate := range presented[1:] {
-		intermediates.AddCert(certificate)
-	}
-	_, err := presented[0].Verify(x509.VerifyOptions{
-		DNSName:       PeerName,
-		Roots:         authorities,
-		Intermediates: intermediates,
-		CurrentTime:   c.clock(),
-		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	})
-	return errors.Wrap(err, "peer's certificate")
-}
-
 func loadIdentity(files Files, now time.Time) (*identity, error) {
 	var faults findings.List
 	loaded := &identity{}
@@ -162,6 +132,9 @@
 	if files.Authorities != "" {
 		loaded.authorities = loadAuthorities(&faults, files.Authorities, now)
 	}
+	if faults.Len() == 0 && loaded.authorities != nil {
+		checkIssuer(&faults, files, loaded, now)
+	}
 	if err := faults.Err(); err != nil {
 		return nil, err
 	}
@@ -204,6 +177,28 @@
 	}
 }
 
+// checkIssuer tells an operator of a certificate that no peer would accept.
+func checkIssuer(faults *findings.List, files Files, loaded *identity, now time.Time) {
+	intermediates := x509.NewCertPool()
+	for _, der := range loaded.certificate.Certificate[1:] {
+		if certificate, err := x509.ParseCertificate(der); err == nil {
+			intermediates.AddCert(certificate)
+		}
+	}
+	for _, usage := range []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth} {
+		_, err := loaded.certificate.Leaf.Verify(x509.VerifyOptions{
+			Roots:         loaded.authorities,
+			Intermediates: intermediates,
+			CurrentTime:   now,
+			KeyUsages:     []x509.ExtKeyUsage{usage},
+		})
+		if err != nil {
+			faults.Addf(files.Certificate, "would be refused by peers with %s: %v", files.Authorities, err)
+			return
+		}
+	}
+}
+
 // loadAuthorities accepts an expired authority beside a valid one, since it is
 // replaced by adding the next one to the file.
 func loadAuthorities(faults *findings.List, path string, now time.Time) *x509.CertPool {
