--- a/pkg/api/types.go
+++ b/pkg/api/types.go
@@ -116,6 +116,27 @@
 	Members  []NodeRef
 	Servers  []ServerView
 	Replicas []Replica
+
+	// ConfigVersion counts the committed configurations of the quorum group;
+	// see MakeConfigVersion. Members are those of this configuration.
+	ConfigVersion uint64
+	// PreviousMembers are the members of ConfigVersion-1. They are empty in
+	// the first configuration of an epoch.
+	PreviousMembers []NodeRef
+}
+
+// FirstConfigVersion is the configuration that a cell is first formed with.
+const FirstConfigVersion = 1
+
+// configCountBits is the width of the count within an epoch in a version of a
+// configuration.
+const configCountBits = 32
+
+// MakeConfigVersion returns the version of the configuration with a count in
+// an epoch, both from 1. Versions within an epoch are consecutive; an epoch
+// follows the loss of all members, so that nobody can copy from them.
+func MakeConfigVersion(epoch, count uint64) uint64 {
+	return (epoch-1)<<configCountBits | count
 }
 
 // NewerThan tells whether the view replaces other.
--- /dev/null
+++ b/pkg/keeper/records.go
@@ -0,0 +1,135 @@
+package keeper
+
+import (
+	"container/heap"
+	"sort"
+	"time"
+)
+
+// records holds the records of a cell by key, by age for copying, and by
+// expiry. It is not safe for concurrent use.
+type records struct {
+	byKey       map[Key]*record
+	perCaller   map[string]int
+	byExpiry    expiryHeap
+	bySequence  []*record // ascending; may hold removed ones
+	sequence    uint64
+	answerBytes int
+}
+
+type record struct {
+	claim     Claim
+	round     uint32
+	answer    *Answer
+	grantedAt time.Time
+	expiresAt time.Time
+	sequence  uint64
+	heapIndex int // negative once removed
+}
+
+func newRecords() *records {
+	return &records{byKey: map[Key]*record{}, perCaller: map[string]int{}}
+}
+
+func (r *records) add(added *record) {
+	r.sequence++
+	added.sequence = r.sequence
+	r.byKey[added.claim.Key] = added
+	r.perCaller[added.claim.Key.Caller]++
+	r.bySequence = append(r.bySequence, added)
+	heap.Push(&r.byExpiry, added)
+}
+
+func (r *records) remove(removed *record) {
+	key := removed.claim.Key
+	delete(r.byKey, key)
+	if r.perCaller[key.Caller]--; r.perCaller[key.Caller] == 0 {
+		delete(r.perCaller, key.Caller)
+	}
+	r.setAnswer(removed, nil)
+	heap.Remove(&r.byExpiry, removed.heapIndex)
+	r.compact()
+}
+
+// setAnswer replaces the record's answer and counts its body.
+func (r *records) setAnswer(of *record, answer *Answer) {
+	if of.answer != nil {
+		r.answerBytes -= len(of.answer.Body)
+	}
+	if answer != nil {
+		r.answerBytes += len(answer.Body)
+	}
+	of.answer = answer
+}
+
+func (r *records) expire(now time.Time) {
+	for len(r.byExpiry) > 0 && !now.Before(r.byExpiry[0].expiresAt) {
+		r.remove(r.byExpiry[0])
+	}
+}
+
+// compact drops removed records once they are more than half of the list.
+func (r *records) compact() {
+	if len(r.bySequence) <= 2*len(r.byKey)+minCompactRecords {
+		return
+	}
+	kept := make([]*record, 0, len(r.byKey))
+	for _, each := range r.bySequence {
+		if each.heapIndex >= 0 {
+			kept = append(kept, each)
+		}
+	}
+	r.bySequence = kept
+}
+
+const minCompactRecords = 64
+
+// page returns at most the given number of records and of bytes of answers
+// that were added after a sequence number.
+func (r *records) page(after uint64, maxRecords, maxBytes int) (page []*record, done bool) {
+	start := sort.Search(len(r.bySequence), func(i int) bool {
+		return r.bySequence[i].sequence > after
+	})
+	bytes := 0
+	for _, each := range r.bySequence[start:] {
+		if each.heapIndex < 0 {
+			continue
+		}
+		if len(page) == maxRecords || bytes >= maxBytes {
+			return page, false
+		}
+		page = append(page, each)
+		if each.answer != nil {
+			bytes += len(each.answer.Body)
+		}
+	}
+	return page, true
+}
+
+// expiryHeap has the record that expires first at its root.
+type expiryHeap []*record
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].expiresAt.Before(h[j].expiresAt) }
+
+func (h expiryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].heapIndex, h[j].heapIndex = i, j
+}
+
+// Push implements heap.Interface.
+func (h *expiryHeap) Push(added any) {
+	entry := added.(*record)
+	entry.heapIndex = len(*h)
+	*h = append(*h, entry)
+}
+
+// Pop implements heap.Interface.
+func (h *expiryHeap) Pop() any {
+	last := len(*h) - 1
+	removed := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	removed.heapIndex = -1
+	return removed
+}
--- a/pkg/keeper/types.go
+++ b/pkg/keeper/types.go
@@ -51,6 +51,17 @@
 	Verdict    Verdict
 	Answer     *Answer
 	RetryAfter time.Duration
+
+	// DispatchBefore ends a grant: the request is sent on before, or released
+	// and refused as not run. It is zero without a grant.
+	DispatchBefore time.Time
+}
+
+// StillValid tells whether a granted request may be sent on. It is called last
+// before the first byte: a node that was frozen since its claim may wake when
+// the keepers have forgotten it.
+func (d Decision) StillValid(now time.Time) bool {
+	return d.Verdict == VerdictGranted && now.Before(d.DispatchBefore)
 }
 
 // Claims is the router's side. Safe for concurrent use.
