--- a/pkg/policy/adaptive.go
+++ b/pkg/policy/adaptive.go
@@ -38,10 +38,6 @@
 	return quiet.holdValue(reload*coldStartWorth(model), accelerators(model))
 }
 
-// evictionCost implements retention. Replicas that are worth nothing cost
-// nothing.
-func (adaptive) evictionCost(value float64) float64 { return max(value, 0) }
-
 // coldStartWorth returns how many accelerator seconds a second of a cold start
 // of the model is worth.
 func coldStartWorth(model *Model) float64 {
--- a/pkg/policy/baselines.go
+++ b/pkg/policy/baselines.go
@@ -29,12 +29,11 @@
 
 func (leastRecentlyUsed) prewarm(*plan, *Model) bool { return false }
 
+// value is the negative age; with the offset it is above zero, so that an
+// eviction always costs something.
 func (leastRecentlyUsed) value(p *plan, _ *Model, _ *Replica, lastUse time.Time) float64 {
-	return -p.now.Sub(lastUse).Seconds()
+	return valueOfFresh - p.now.Sub(lastUse).Seconds()
 }
 
-// lastResort is more than any load costs.
-const lastResort = 1e12
-
-// evictionCost makes an eviction the last resort.
-func (leastRecentlyUsed) evictionCost(value float64) float64 { return lastResort + value }
+// valueOfFresh is the value of a replica that is in use right now.
+const valueOfFresh = 1e9
--- a/pkg/policy/decide.go
+++ b/pkg/policy/decide.go
@@ -11,31 +11,39 @@
 
 // Names of the deciders, the values of the setting "policy".
 const (
-	NameAdaptive       = "adaptive" // the default
-	NameFixedKeepAlive = "fixed-keepalive"
-	NameNeverUnload    = "never-unload"
-	NameUnloadAtOnce   = "unload-at-once"
+	NameAdaptive           = "adaptive" // the default
+	NameFixedKeepAlive     = "fixed-keepalive"
+	NameFixedKeepAliveNear = "fixed-keepalive-near" // with adaptive's placement
+	NameNeverUnload        = "never-unload"
+	NameUnloadAtOnce       = "unload-at-once"
 )
 
+// deciders are all deciders, the default first.
+var deciders = []decider{
+	{NameAdaptive, adaptive{}, lowestCost{}},
+	{NameFixedKeepAlive, fixedKeepAlive{}, tierFirst{}},
+	{NameFixedKeepAliveNear, fixedKeepAlive{}, lowestCost{}},
+	{NameNeverUnload, neverUnload{}, tierFirst{}},
+	{NameUnloadAtOnce, unloadAtOnce{}, tierFirst{}},
+}
+
 // Names returns the names of all deciders, the default first.
 func Names() []string {
-	return []string{NameAdaptive, NameFixedKeepAlive, NameNeverUnload, NameUnloadAtOnce}
+	names := make([]string, len(deciders))
+	for i := range deciders {
+		names[i] = deciders[i].name
+	}
+	return names
 }
 
 // ByName returns the decider with the name, false if there is none.
 func ByName(name string) (Decider, bool) {
-	switch name {
-	case NameAdaptive:
-		return decider{NameAdaptive, adaptive{}}, true
-	case NameFixedKeepAlive:
-		return decider{NameFixedKeepAlive, fixedKeepAlive{}}, true
-	case NameNeverUnload:
-		return decider{NameNeverUnload, neverUnload{}}, true
-	case NameUnloadAtOnce:
-		return decider{NameUnloadAtOnce, unloadAtOnce{}}, true
-	default:
-		return nil, false
+	for i := range deciders {
+		if deciders[i].name == name {
+			return deciders[i], true
+		}
 	}
+	return nil, false
 }
 
 // retention is what deciders differ in: which models stay loaded while idle.
@@ -48,15 +56,13 @@
 	prewarm(p *plan, model *Model) bool
 	// value ranks idle replicas when memory is short: the lowest goes first.
 	value(p *plan, model *Model, replica *Replica, lastUse time.Time) float64
-	// evictionCost turns the summed value of the replicas that have to go for
-	// a load into accelerator seconds.
-	evictionCost(value float64) float64
 }
 
-// decider is a Decider with shared placement and load order.
+// decider is a Decider with a shared load order.
 type decider struct {
 	name      string
 	retention retention
+	placer    placer
 }
 
 // Name implements Decider.
--- a/pkg/policy/placement.go
+++ b/pkg/policy/placement.go
@@ -64,26 +64,60 @@
 // evictionSeconds is about how long it takes to drain and unload a replica.
 const evictionSeconds = 0.8
 
-// placement is a server that a model may be loaded on and what that costs.
+// placement is a server that a model may be loaded on and what that takes.
 type placement struct {
-	server  *serverPlan
-	victims []victim // to be unloaded first
-	waits   bool     // for memory that is being freed, or for the victims
-	// cost is in accelerator seconds: the time to load, weighed by the worth
-	// of a cold start, and the worth of the victims.
-	cost        float64
-	cachedBytes uint64 // in the server's memory
-	newZone     bool
+	server      *serverPlan
+	victims     []victim // to be unloaded first
+	evicted     float64  // summed value of the victims
+	waits       bool     // for memory that is being freed, or for the victims
+	seconds     float64  // expected until the model is ready
+	worth       float64  // of a second, in accelerator seconds
+	cachedBytes uint64   // in the server's memory
+	newZone     bool     // has no replica of the model
 }
 
-// betterThan tells whether a placement is preferred over another one. Of those
+// placer ranks placements.
+type placer interface {
+	// better tells whether a is preferred over b.
+	better(a, b placement) bool
+}
+
+// tierFirst prefers servers with room, then the nearest checkpoint, then a zone
+// without a replica, then the fullest server, so that large gaps stay whole.
+// Evictions are its last resort.
+type tierFirst struct{}
+
+// better implements placer.
+func (tierFirst) better(a, b placement) bool {
+	if a.waits != b.waits {
+		return b.waits
+	}
+	if noVictims := len(a.victims) == 0; noVictims != (len(b.victims) == 0) {
+		return noVictims
+	}
+	if a.evicted != b.evicted {
+		return a.evicted < b.evicted
+	}
+	if a.seconds != b.seconds {
+		return a.seconds < b.seconds
+	}
+	if a.newZone != b.newZone {
+		return a.newZone
+	}
+	return a.server.free < b.server.free
+}
+
+// lowestCost prefers the placement with the lowest cost: the time to load,
+// weighed by the worth of a cold start, and the worth of the victims. Of those
 // that cost the same, the server whose memory caches the least comes first, so
-// that checkpoints spread over the servers and stay cached; then a zone
-// without a replica of the model; then the fullest server, so that large gaps
-// stay whole.
-func (a placement) betterThan(b placement) bool {
-	if a.cost != b.cost {
-		return a.cost < b.cost
+// that checkpoints spread over the servers and stay cached; then a zone without
+// a replica of the model; then the fullest server.
+type lowestCost struct{}
+
+// better implements placer.
+func (lowestCost) better(a, b placement) bool {
+	if costA, costB := a.cost(), b.cost(); costA != costB {
+		return costA < costB
 	}
 	if a.cachedBytes != b.cachedBytes {
 		return a.cachedBytes < b.cachedBytes
@@ -94,6 +128,12 @@
 	return a.server.free < b.server.free
 }
 
+// cost returns the cost in accelerator seconds. Victims that are worth nothing
+// cost nothing.
+func (a placement) cost() float64 {
+	return a.seconds*a.worth + max(a.evicted, 0)
+}
+
 // place picks the server for a load. Its server is nil if none can take the
 // model, or if the checkpoint would have to come from the weight store and that
 // has no slot.
@@ -108,35 +148,34 @@
 			continue
 		}
 		candidate, ok := d.placeOn(p, model, server, ReplicaBytes(model)+extraBytes)
-		if ok && (best.server == nil || candidate.betterThan(best)) {
+		if ok && (best.server == nil || d.placer.better(candidate, best)) {
 			best = candidate
 		}
 	}
 	return best
 }
 
-// placeOn works out what a load on one server costs; false if it has not
+// placeOn works out what a load on one server takes; false if it has not
 // enough memory that may be freed.
 func (d decider) placeOn(p *plan, model *Model, server *serverPlan, need uint64) (placement, bool) {
-	seconds := model.Settings.LoadTime.Seconds() * p.tier(model, server.ID).loadShare()
 	placed := placement{
 		server:      server,
+		seconds:     model.Settings.LoadTime.Seconds() * p.tier(model, server.ID).loadShare(),
+		worth:       coldStartWorth(model),
 		cachedBytes: p.cachedBytes(server),
 		newZone:     !p.inZone(model, server.Zone),
 	}
-	evicted := 0.0
-	if server.free < need {
-		placed.waits = true
-		seconds += evictionSeconds
+	if server.free >= need {
+		return placed, true
 	}
+	placed.waits = true
+	placed.seconds += evictionSeconds
 	if available := server.free + server.freeSoon; available < need {
-		placed.victims, evicted = d.victims(p, server, model, need-available)
+		placed.victims, placed.evicted = d.victims(p, server, model, need-available)
 		if placed.victims == nil {
 			return placement{}, false
 		}
-		evicted = d.retention.evictionCost(evicted)
 	}
-	placed.cost = seconds*coldStartWorth(model) + evicted
 	return placed, true
 }
 
