--- a/pkg/policy/adaptive.go
+++ b/pkg/policy/adaptive.go
@@ -29,7 +29,12 @@
 const shortestIdle = 3 * time.Second
 
 // prewarm implements retention.
-func (adaptive) prewarm(*plan, *Model) bool { return false }
+func (adaptive) prewarm(p *plan, model *Model) string {
+	if p.worthCaching(model) {
+		return "to cache its checkpoint"
+	}
+	return ""
+}
 
 // value implements retention.
 func (adaptive) value(p *plan, model *Model, replica *Replica, _ time.Time) float64 {
--- a/pkg/policy/decide.go
+++ b/pkg/policy/decide.go
@@ -51,9 +51,9 @@
 	// unload tells whether a replica that was last used at lastUse is not
 	// worth its memory any more.
 	unload(p *plan, model *Model, replica *Replica, lastUse time.Time) bool
-	// prewarm tells whether a model that is not loaded is to be loaded
-	// before a request comes.
-	prewarm(p *plan, model *Model) bool
+	// prewarm tells why a model that is not loaded is to be loaded before a
+	// request comes; empty if it is not.
+	prewarm(p *plan, model *Model) string
 	// value ranks idle replicas when memory is short: the lowest goes first.
 	value(p *plan, model *Model, replica *Replica, lastUse time.Time) float64
 }
@@ -247,18 +247,33 @@
 	}
 }
 
-// prewarmIdle loads models that are expected soon, if nothing has to go.
+// prewarmIdle loads models ahead of their requests, if nothing has to go and
+// no load that a request waits for would be later by it.
 func (d decider) prewarmIdle(p *plan) {
+	if p.urgentLoads() {
+		return
+	}
 	for i := range p.input.Models {
 		model := &p.input.Models[i]
 		if p.present[i] > 0 || maxReplicas(model) == 0 || !model.Settings.Prewarm {
 			continue
 		}
-		if !d.retention.prewarm(p, model) {
+		reason := d.retention.prewarm(p, model)
+		if reason == "" {
 			continue
 		}
 		if placed := d.place(p, model, 0); placed.server != nil && !placed.waits {
-			p.load(model, placed.server, false, "expected soon")
+			p.load(model, placed.server, false, reason)
 		}
 	}
 }
+
+// urgentLoads tells whether a request waits for a load.
+func (p *plan) urgentLoads() bool {
+	for i := range p.input.Models {
+		if p.input.Models[i].Demand.Waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
