--- a/pkg/policy/adaptive.go
+++ b/pkg/policy/adaptive.go
@@ -29,7 +29,12 @@
 const shortestIdle = 3 * time.Second
 
 // prewarm implements retention.
-func (adaptive) prewarm(*plan, *Model) bool { return false }
+func (adaptive) prewarm(p *plan, model *Model) string {
+	if p.worthCaching(model) {
+		return "to cache its checkpoint"
+	}
+	return ""
+}
 
 // value implements retention.
 func (adaptive) value(p *plan, model *Model, replica *Replica, _ time.Time) float64 {
@@ -38,10 +43,6 @@
 	return quiet.holdValue(reload*coldStartWorth(model), accelerators(model))
 }
 
-// evictionCost implements retention. Replicas that are worth nothing cost
-// nothing.
-func (adaptive) evictionCost(value float64) float64 { return max(value, 0) }
-
 // coldStartWorth returns how many accelerator seconds a second of a cold start
 // of the model is worth.
 func coldStartWorth(model *Model) float64 {
