gateway: take broken answers up again at the same engine; exact request IDs

The ID must now be exact. Cause 2: a connection that broke before the first byte left an unsafe request in doubt although its engine had the answer. The same engine is now asked for it; a refusal of that never counts as not run. Requests at a node that stops are refused as not run with the advice to come back.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -8,12 +8,10 @@
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/pkg/errors"
-	"github.com/valyala/fasthttp"
 
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/engine"
 	"martenwheel.dev/pkg/gateway/internal/hangup"
-	"martenwheel.dev/pkg/gateway/internal/upstream"
 	"martenwheel.dev/pkg/keeper"
 	"martenwheel.dev/pkg/traffic"
 	"martenwheel.dev/pkg/tree"
@@ -154,145 +152,25 @@
 	if !errors.As(err, &apiError) {
 		apiError = fromRefusal(err)
 	}
+	if context.Cause(c.caller) == errDrainTimeout {
+		notRun := apiError.NotRun
+		apiError = stopping()
+		apiError.NotRun = notRun
+	}
 	if c.uncertain {
 		apiError.NotRun = false
 	}
 	return apiError
 }
 
-// attempt is one request to one engine.
-type attempt struct {
-	call     *call
-	grant    traffic.Grant
-	target   traffic.Target
-	engineID string // the request ID towards the engine, unique per attempt
-	context  context.Context
-	cancel   context.CancelFunc
-	ended    bool // the grant was given back
-
-	whole  *wholeAnswer // one of the two is set when run succeeds
-	stream *eventStream
-}
-
-// attemptFailure tells how an attempt failed before the caller got any byte.
-type attemptFailure struct {
-	outcome  traffic.OutcomeKind
-	apiError *APIError
-	final    bool // another replica would not do better
-}
-
-// newAttempt prepares an attempt on the granted replica.
-func (c *call) newAttempt(grant traffic.Grant) *attempt {
-	c.attempts++
-	a := &attempt{
-		call:     c,
-		grant:    grant,
-		target:   grant.Target(),
-		engineID: c.request.ID + "-" + strconv.Itoa(c.attempts),
-	}
-	c.record.server = a.target.Server
-	parent := c.caller
-	if c.request.Unsafe {
-		// The answer is kept for the caller's repeat, so the engine's work
-		// goes on when the caller has left.
-		parent = c.gateway.stopping
-	}
-	a.context, a.cancel = context.WithCancel(parent)
-	return a
-}
-
-// run sends the request and reads the answer so far that it can be vouched
-// for: all of it, or the first event of a stream.
-func (a *attempt) run() *attemptFailure {
-	a.call.record.sentAt = a.call.gateway.config.Now()
-	answer, err := a.send(0, a.call.firstByteBy())
-	if err != nil {
-		return a.failed(err)
-	}
-	if failure := a.checkHeader(answer); failure != nil {
-		answer.Close(false)
-		a.abandon()
-		return failure
-	}
-	if a.call.parsed.Stream {
-		a.stream = a.newEventStream(answer)
-		err = a.stream.readFirst(a.call.request.Deadline)
-	} else {
-		a.whole, err = a.readWhole(answer)
-	}
-	if err != nil {
-		answer.Close(false)
-		return a.failed(err)
-	}
-	return nil
-}
-
-// firstByteBy is the time by which the answer's header must come.
-func (c *call) firstByteBy() time.Time {
-	if c.parsed.Stream {
-		return c.request.Deadline
-	}
-	return c.request.Deadline.Add(c.gateway.config.Timeouts.WholeAnswer)
-}
-
-// send sends the request to the engine. With resumeFrom above zero, it asks
-// for the rest of the same request's stream.
-func (a *attempt) send(resumeFrom int, firstByteBy time.Time) (*upstream.Answer, error) {
-	request := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(request)
-	request.Header.SetMethod(fasthttp.MethodPost)
-	request.Header.SetRequestURI(a.call.endpoint.path)
-	request.Header.SetHost(a.target.Address)
-	request.Header.SetContentType(fiber.MIMEApplicationJSON)
-	request.Header.Set(engine.HeaderRequestID, a.engineID)
-	request.Header.Set(engine.HeaderPriority, strconv.Itoa(a.call.request.Priority))
-	request.Header.Set(engine.HeaderDeadline, a.call.request.Deadline.UTC().Format(time.RFC3339Nano))
-	if resumeFrom > 0 {
-		request.Header.Set(engine.HeaderResumeFrom, strconv.Itoa(resumeFrom))
-	}
-	if a.call.request.Unsafe {
-		request.Header.Set(HeaderIdempotencyKey, a.call.options.IdempotencyKey)
-	}
-	request.SetBodyRaw(a.call.body)
-	return a.call.gateway.engines.Send(a.context, a.target.Address, request, firstByteBy)
-}
-
-// failed classifies an exchange that broke before the caller got any byte.
-func (a *attempt) failed(err error) *attemptFailure {
-	if upstream.StageOf(err) == upstream.StageConnect {
-		return &attemptFailure{outcome: traffic.OutcomeNotRun, apiError: engineFailed(true, err)}
-	}
-	a.abandon()
-	if a.call.hasLeft() && !a.call.request.Unsafe {
-		return &attemptFailure{
-			outcome:  traffic.OutcomeCancelled,
-			apiError: callerLeft(false),
-			final:    true,
-		}
-	}
-	return &attemptFailure{outcome: traffic.OutcomeUnknown, apiError: engineFailed(false, err)}
-}
-
-// done gives the grant back, once.
-func (a *attempt) done(outcome traffic.Outcome) {
-	a.cancel()
-	if !a.ended {
-		a.ended = true
-		a.grant.Done(outcome)
-	}
-}
-
-// retry gives the grant back for one on another replica.
-func (a *attempt) retry(outcome traffic.Outcome) (traffic.Grant, error) {
-	a.cancel()
-	a.ended = true
-	return a.grant.Retry(a.call.caller, outcome)
-}
-
-// abandon makes the engine stop a request whose answer nobody waits for.
-func (a *attempt) abandon() {
-	a.cancel()
-	a.call.gateway.cancelAtEngine(a.target.Address, a.engineID)
+// stopping refuses a request on a node that stops.
+func stopping() *APIError {
+	return fromRefusal(&traffic.Refusal{
+		Reason:     traffic.ReasonStopping,
+		Message:    "this node is stopping",
+		NotRun:     true,
+		RetryAfter: stoppingRetry,
+	})
 }
 
 // engineFailed is the error for a request that no engine answered.
--- a/pkg/gateway/claim.go
+++ b/pkg/gateway/claim.go
@@ -16,6 +16,7 @@
 const (
 	noSettingsRetry = 2 * time.Second
 	claimRetry      = time.Second
+	stoppingRetry   = time.Second
 )
 
 // claimOnce claims the right to run an unsafe request. It returns the kept
--- a/pkg/gateway/config.go
+++ b/pkg/gateway/config.go
@@ -40,7 +40,7 @@
 	Connections      int // of all callers
 	ConnectionsPerIP int
 	ConnsPerEngine   int
-	Resumes          int // of one broken stream
+	Resumes          int // of one broken answer
 }
 
 // Timeouts bound each step of a request. A zero field selects its default.
@@ -51,6 +51,7 @@
 	Connect        time.Duration // to an engine
 	EngineWrite    time.Duration // of a request, to an engine
 	EngineStall    time.Duration // between two events of a stream
+	ResumePause    time.Duration // before the second and later resumptions of an answer
 	EngineIdle     time.Duration // of an engine's connection between requests
 	WholeAnswer    time.Duration // after the deadline, for an answer that is not streamed
 	FirstToken     time.Duration // deadline of a request for which nothing gives one
@@ -95,6 +96,7 @@
 	DefaultConnect        = 2 * time.Second
 	DefaultEngineWrite    = 10 * time.Second
 	DefaultEngineStall    = 30 * time.Second
+	DefaultResumePause    = 100 * time.Millisecond
 	DefaultEngineIdle     = 30 * time.Second
 	DefaultWholeAnswer    = 5 * time.Minute
 	DefaultFirstToken     = 30 * time.Second
@@ -150,6 +152,7 @@
 	setDefault(&t.Connect, DefaultConnect)
 	setDefault(&t.EngineWrite, DefaultEngineWrite)
 	setDefault(&t.EngineStall, DefaultEngineStall)
+	setDefault(&t.ResumePause, DefaultResumePause)
 	setDefault(&t.EngineIdle, DefaultEngineIdle)
 	setDefault(&t.WholeAnswer, DefaultWholeAnswer)
 	setDefault(&t.FirstToken, DefaultFirstToken)
--- a/pkg/gateway/edge_test.go
+++ b/pkg/gateway/edge_test.go
@@ -303,7 +303,7 @@
 		t.Fatalf("%v in %s", err, line)
 	}
 	for name, want := range map[string]any{
-		"request": "r-1", "caller": anonymous, "model": "glaze-7b", "node": "node-1", "server": "server-1",
+		"request_id": "r-1", "caller": anonymous, "model": "glaze-7b", "node": "node-1", "server": "server-1",
 		"revision": 7.0, "outcome": outcomeServed, "tokens": 4.0, "attempts": 1.0,
 	} {
 		if fields[name] != want {
--- a/pkg/gateway/engine_answer.go
+++ b/pkg/gateway/engine_answer.go
@@ -13,6 +13,7 @@
 
 	"martenwheel.dev/pkg/engine"
 	"martenwheel.dev/pkg/gateway/internal/upstream"
+	"martenwheel.dev/pkg/telemetry"
 	"martenwheel.dev/pkg/traffic"
 )
 
@@ -54,22 +55,21 @@
 	usage usage
 }
 
-// belongsTo tells whether id, as an engine put it into an answer, was made
-// from the request's ID: it is the ID itself or a prefix, "-" and the ID.
+// belongsTo tells whether id, as an engine put it into an answer, is the
+// request's ID, after the prefix of the API if there is one.
 func belongsTo(id, engineID string) bool {
 	prefix, found := strings.CutSuffix(id, engineID)
-	return found && (prefix == "" || strings.HasSuffix(prefix, "-"))
+	return found && (prefix == "" || prefix == "chatcmpl-" || prefix == "cmpl-")
 }
 
-// checkHeader checks that the answer is this request's, and a success.
+// checkHeader checks that the answer is this request's, and a success. An
+// answer that is not is closed.
 func (a *attempt) checkHeader(answer *upstream.Answer) *attemptFailure {
 	header := &answer.Response.Header
 	succeeded := answer.Response.StatusCode() == fasthttp.StatusOK
 	if !a.isAnswered(header.Peek(engine.HeaderRequestID), succeeded) {
-		return &attemptFailure{
-			outcome:  traffic.OutcomeUnknown,
-			apiError: engineFailed(false, errCrossedAnswer),
-		}
+		answer.Close(false)
+		return a.failed(errCrossedAnswer)
 	}
 	if !succeeded {
 		return a.refusedByEngine(answer)
@@ -79,10 +79,8 @@
 		want = mimeEventStream
 	}
 	if !bytes.HasPrefix(header.ContentType(), []byte(want)) {
-		return &attemptFailure{
-			outcome:  traffic.OutcomeUnknown,
-			apiError: engineFailed(false, errWrongType),
-		}
+		answer.Close(false)
+		return a.failed(errWrongType)
 	}
 	return nil
 }
@@ -96,15 +94,16 @@
 	return string(id) == a.engineID
 }
 
-// refusedByEngine classifies an answer that is an error. Only the engine's
-// own word makes it "not run".
+// refusedByEngine reads and classifies an answer that is an error. Only the
+// engine's own word makes it "not run".
 func (a *attempt) refusedByEngine(answer *upstream.Answer) *attemptFailure {
 	status := answer.Response.StatusCode()
 	header := &answer.Response.Header
 	notRun := isTrue(header.Peek(engine.HeaderLeaving)) || isTrue(header.Peek(engine.HeaderNotRun))
+	text := errorText(answer)
 	failure := &attemptFailure{
 		outcome:  traffic.OutcomeUnknown,
-		apiError: engineFailed(notRun, errors.Errorf("status %d", status)),
+		apiError: engineFailed(notRun, errors.Errorf("status %d: %s", status, text)),
 	}
 	if notRun {
 		failure.outcome = traffic.OutcomeNotRun
@@ -115,7 +114,7 @@
 		failure.apiError.Status = status
 		failure.apiError.Type = typeInvalidRequest
 		failure.apiError.Code = codeInvalidBody
-		failure.apiError.Message = "the engine refused the request: " + errorText(answer)
+		failure.apiError.Message = "the engine refused the request: " + text
 	}
 	return failure
 }
@@ -135,9 +134,10 @@
 	}
 }
 
-// errorText returns the message of an engine's error.
+// errorText reads an engine's error to its end and returns its message.
 func errorText(answer *upstream.Answer) string {
 	text, err := answer.ReadAll(maxErrorBytes)
+	answer.Close(err == nil)
 	if err != nil {
 		return "(no text)"
 	}
@@ -191,7 +191,7 @@
 		request.SetBodyRaw(body)
 		answer, err := g.engines.Send(ctx, address, request, g.config.Now().Add(cancelTimeout))
 		if err != nil {
-			g.config.Logger.Debug("cancellation not confirmed", "engine", address, "request", engineID, "error", err)
+			g.config.Logger.Debug("cancellation not confirmed", "engine", address, telemetry.FieldRequestID, engineID, telemetry.FieldError, err)
 			return
 		}
 		_, err = answer.ReadAll(maxErrorBytes)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -36,6 +36,7 @@
 
 	stopping context.Context // ends when requests in flight must end
 	stop     context.CancelCauseFunc
+	draining atomic.Bool
 	serial   atomic.Uint64 // of requests
 	epoch    string        // tells the requests of this process from others'
 }
@@ -108,9 +109,11 @@
 // drainGrace is the time for requests to end after they were told to.
 const drainGrace = 2 * time.Second
 
-// Drain stops taking requests and waits until those in flight have ended.
-// When ctx ends first, they end with an error each, and Drain returns one.
+// Drain stops taking requests and waits until those in flight have ended; they
+// include those that wait for a replica. When ctx ends first, they end with an
+// error each, and Drain returns one.
 func (g *Gateway) Drain(ctx context.Context) error {
+	g.draining.Store(true)
 	err := g.app.ShutdownWithContext(ctx)
 	if err == nil {
 		err = g.waitBackground(ctx)
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -13,6 +13,7 @@
 
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/findings"
+	"martenwheel.dev/pkg/telemetry"
 	"martenwheel.dev/pkg/traffic"
 	"martenwheel.dev/pkg/tree"
 )
@@ -29,6 +30,10 @@
 				err = call.refuse(c, call.crashed(fault))
 			}
 		}()
+		if g.draining.Load() {
+			c.Context().SetConnectionClose()
+			return call.refuse(c, stopping())
+		}
 		caller, apiError := call.accept(c)
 		if apiError == nil {
 			apiError = call.resolve(caller)
@@ -131,7 +136,7 @@
 // crashed ends the attempt of a call whose handler panicked. The other calls
 // of the node go on.
 func (c *call) crashed(fault any) *APIError {
-	c.gateway.config.Logger.Error("panic in a request", "request", c.record.requestID, "panic", fmt.Sprint(fault), "stack", string(debug.Stack()))
+	c.gateway.config.Logger.Error("panic in a request", telemetry.FieldRequestID, c.record.requestID, "panic", fmt.Sprint(fault), "stack", string(debug.Stack()))
 	if c.current != nil {
 		c.current.abandon()
 		c.current.done(traffic.Outcome{Kind: traffic.OutcomeUnknown})
--- /dev/null
+++ b/pkg/gateway/internal/hangup/watcher_test.go
@@ -0,0 +1,129 @@
+package hangup
+
+import (
+	"crypto/tls"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+// connect returns both ends of a TCP connection.
+func connect(t *testing.T) (near, far net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	var group conc.WaitGroup
+	group.Go(func() { near, _ = listener.Accept() })
+	far, err = net.Dial("tcp", listener.Addr().String())
+	group.Wait()
+	if err != nil || near == nil {
+		t.Fatal("no connection", err)
+	}
+	t.Cleanup(func() {
+		_ = near.Close()
+		_ = far.Close()
+	})
+	return near, far
+}
+
+// lookUntil looks until the watch has reported.
+func lookUntil(t *testing.T, watcher *Watcher, reported *bool) {
+	t.Helper()
+	for start := time.Now(); !*reported; {
+		watcher.Look()
+		if time.Since(start) > 20*time.Second {
+			t.Fatal("the hang-up is not seen")
+		}
+	}
+}
+
+func TestHangUpIsSeen(t *testing.T) {
+	hangUps := map[string]func(far net.Conn){
+		"closed":                  func(far net.Conn) { _ = far.Close() },
+		"reset":                   func(far net.Conn) { _ = far.(*net.TCPConn).SetLinger(0); _ = far.Close() },
+		"half closed":             func(far net.Conn) { _ = far.(*net.TCPConn).CloseWrite() },
+		"closed after more bytes": func(far net.Conn) { _, _ = far.Write([]byte("pipelined")); _ = far.Close() },
+	}
+	for name, hangUp := range hangUps {
+		t.Run(name, func(t *testing.T) {
+			near, far := connect(t)
+			watcher := NewWatcher(time.Hour)
+			reports := 0
+			reported := false
+			watcher.Add(near, func() {
+				reports++
+				reported = true
+			})
+			watcher.Look()
+			if reported {
+				t.Fatal("reported too early")
+			}
+			hangUp(far)
+			lookUntil(t, watcher, &reported)
+			watcher.Look()
+			if reports != 1 {
+				t.Errorf("reported %d times", reports)
+			}
+		})
+	}
+}
+
+// TestBytesAreNoHangUp: a pipelined request is left for the server to read.
+func TestBytesAreNoHangUp(t *testing.T) {
+	near, far := connect(t)
+	watcher := NewWatcher(time.Hour)
+	watcher.Add(near, func() { t.Error("reported") })
+	_, _ = far.Write([]byte("next"))
+	for range 100 {
+		watcher.Look()
+	}
+	buffer := make([]byte, 4)
+	if _, err := near.Read(buffer); err != nil || string(buffer) != "next" {
+		t.Errorf("read %q, error %v", buffer, err)
+	}
+}
+
+// TestPassedReadDeadline: the server's deadline for the request, long past
+// while the request waits, does not look like a hang-up.
+func TestPassedReadDeadline(t *testing.T) {
+	near, _ := connect(t)
+	_ = near.SetReadDeadline(time.Now().Add(-time.Hour))
+	watcher := NewWatcher(time.Hour)
+	watcher.Add(near, func() { t.Error("reported") })
+	watcher.Look()
+}
+
+func TestStoppedWatchIsSilent(t *testing.T) {
+	near, far := connect(t)
+	watcher := NewWatcher(time.Hour)
+	watch := watcher.Add(near, func() { t.Error("reported") })
+	watch.Stop()
+	watch.Stop()
+	_ = far.Close()
+	watcher.Look()
+}
+
+func TestSocketBelowTLS(t *testing.T) {
+	near, far := connect(t)
+	watcher := NewWatcher(time.Hour)
+	reported := false
+	watcher.Add(tls.Server(near, &tls.Config{}), func() { reported = true })
+	_ = far.Close()
+	lookUntil(t, watcher, &reported)
+}
+
+func TestConnectionWithoutSocket(t *testing.T) {
+	near, far := net.Pipe()
+	defer func() { _ = near.Close() }()
+	defer func() { _ = far.Close() }()
+	watch := NewWatcher(time.Hour).Add(near, func() {})
+	if watch != nil {
+		t.Error("watched")
+	}
+	watch.Stop()
+}
--- a/pkg/gateway/lifecycle_test.go
+++ b/pkg/gateway/lifecycle_test.go
@@ -356,3 +356,71 @@
 	_ = connection.Close()
 	engine.waitCancelled(t, 1)
 }
+
+// TestDrainRefusesWhatWaits: requests that still wait for a replica when the
+// bound of a planned stop is over were not run, and are told so.
+func TestDrainRefusesWhatWaits(t *testing.T) {
+	queued := make(chan struct{})
+	dispatcher := &fakeDispatcher{acquire: func(ctx context.Context, _ traffic.Request) error {
+		close(queued)
+		<-ctx.Done()
+		return &traffic.Refusal{Reason: traffic.ReasonCallerLeft, Message: "left", NotRun: true}
+	}}
+	g, url := startGateway(t, Config{Dispatcher: dispatcher})
+	client := newClient(t)
+	var group conc.WaitGroup
+	var got reply
+	group.Go(func() {
+		got = post(t, client, url+"/v1/chat/completions", chatBody("glaze-7b", "ash", false), nil)
+	})
+	<-queued
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = g.Drain(ended)
+	group.Wait()
+	apiError := apiErrorOf(t, got)
+	if got.status != 503 || apiError.Code != "stopping" || !apiError.NotRun || got.header.Get("Retry-After") == "" {
+		t.Errorf("status %d, error %+v", got.status, apiError)
+	}
+}
+
+// TestRequestWhileDraining: a request that arrives on an open connection
+// during a planned stop is refused as not run.
+func TestRequestWhileDraining(t *testing.T) {
+	dispatcher := &fakeDispatcher{}
+	g, url := startGateway(t, Config{Dispatcher: dispatcher})
+	g.draining.Store(true)
+	connection := dialRaw(t, url)
+	_, _ = io.WriteString(connection, rawRequest(chatBody("glaze-7b", "ash", false), ""))
+	received, err := io.ReadAll(connection) // the gateway closes it
+	if err != nil {
+		t.Fatal(err)
+	}
+	header, body, _ := strings.Cut(string(received), "\r\n\r\n")
+	apiError := apiErrorOf(t, reply{body: []byte(body)})
+	if !strings.HasPrefix(header, "HTTP/1.1 503") || apiError.Code != "stopping" || !apiError.NotRun {
+		t.Errorf("header %s, error %+v", header, apiError)
+	}
+	if len(dispatcher.requests) != 0 {
+		t.Error("dispatched")
+	}
+}
+
+// TestSlowRequestIsCut: a caller that sends its request too slowly does not
+// hold its connection for ever, before or within the header and body.
+func TestSlowRequestIsCut(t *testing.T) {
+	dispatcher := &fakeDispatcher{}
+	_, url := startGateway(t, Config{Dispatcher: dispatcher, Timeouts: Timeouts{Read: 100 * time.Millisecond, Idle: 100 * time.Millisecond}})
+	request := rawRequest(chatBody("glaze-7b", "ash", false), "")
+	for _, sent := range []int{0, 30, len(request) - 5} {
+		connection := dialRaw(t, url)
+		_, _ = io.WriteString(connection, request[:sent])
+		received, err := io.ReadAll(connection)
+		if err != nil || strings.Contains(string(received), "200 OK") {
+			t.Errorf("after %d bytes: received %q, error %v", sent, received, err)
+		}
+	}
+	if len(dispatcher.requests) != 0 {
+		t.Error("dispatched")
+	}
+}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -29,8 +29,8 @@
 			Help: "Tokens passed on to callers.",
 		}),
 		resumes: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "martenwheel_gateway_stream_resumes_total",
-			Help: "Broken streams that were resumed at their engine.",
+			Name: "martenwheel_gateway_resumes_total",
+			Help: "Resumptions of broken answers at their engines.",
 		}),
 		inFlight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "martenwheel_gateway_requests_in_flight",
--- a/pkg/gateway/record.go
+++ b/pkg/gateway/record.go
@@ -8,6 +8,7 @@
 	"github.com/gofiber/fiber/v2"
 
 	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/telemetry"
 	"martenwheel.dev/pkg/traffic"
 	"martenwheel.dev/pkg/tree"
 )
@@ -79,13 +80,13 @@
 		return
 	}
 	fields := []any{
-		"request", c.record.requestID,
-		"engine_request", c.request.ID,
+		telemetry.FieldRequestID, c.record.requestID,
+		"engine_request_id", c.request.ID,
 		"caller", c.record.caller,
-		"model", c.parsed.Model,
-		"node", c.gateway.config.Node,
-		"server", c.record.server,
-		"revision", uint64(c.record.revision),
+		telemetry.FieldModel, c.parsed.Model,
+		telemetry.FieldNode, c.gateway.config.Node,
+		telemetry.FieldServer, c.record.server,
+		telemetry.FieldRevision, uint64(c.record.revision),
 		"outcome", outcome,
 		"stream", c.parsed.Stream,
 		"attempts", c.attempts,
@@ -100,7 +101,7 @@
 		fields = append(fields, "replayed", true)
 	}
 	if apiError != nil {
-		fields = append(fields, "status", apiError.Status, "code", apiError.Code, "not_run", apiError.NotRun, "error", apiError.Message)
+		fields = append(fields, "status", apiError.Status, "code", apiError.Code, "not_run", apiError.NotRun, telemetry.FieldError, apiError.Message)
 	}
 	logger.Info("request", fields...)
 }
--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -284,6 +284,39 @@
 	}
 }
 
+// TestAnswerIsTakenUpAgain: when the connection breaks before the caller got
+// any byte, the engine is asked for the answer to the same request, also if
+// that is unsafe to repeat. A refusal of that proves nothing about the request.
+func TestAnswerIsTakenUpAgain(t *testing.T) {
+	for _, stream := range []bool{false, true} {
+		for _, refuse := range []bool{false, true} {
+			engineServer := startEngine(t, 5)
+			engineServer.intercept = func(w http.ResponseWriter, r *http.Request, body []byte) bool {
+				if r.Header.Get(engine.HeaderResumeFrom) == "" {
+					abort()
+				}
+				return refuse && answerError(404, engine.HeaderNotRun)(w, r, body)
+			}
+			claims := granted()
+			_, url := startGateway(t, Config{Dispatcher: &fakeDispatcher{targets: []traffic.Target{engineServer.target()}}, Claims: claims})
+			got := post(t, newClient(t), url+"/v1/chat/completions", chatBody("slots", "ash", stream), map[string]string{HeaderIdempotencyKey: "k"})
+			if engineServer.requests() != 1 || engineServer.resumed != 1 {
+				t.Errorf("%d requests, %d resumptions", engineServer.requests(), engineServer.resumed)
+			}
+			if !refuse {
+				if got.status != 200 || !strings.Contains(string(got.body), "ash") {
+					t.Errorf("stream %t: status %d, body %s", stream, got.status, got.body)
+				}
+				continue
+			}
+			if apiError := apiErrorOf(t, got); got.status != 502 || apiError.NotRun {
+				t.Errorf("stream %t: status %d, error %+v", stream, got.status, apiError)
+			}
+			checkReleased(t, claims, false)
+		}
+	}
+}
+
 // TestStreamFaults: a stream that breaks is resumed, or ends with an error and
 // no end mark; never with another request's events.
 func TestStreamFaults(t *testing.T) {
@@ -394,8 +427,8 @@
 			if err := checkTokens(result, "ash", tokens); err != nil {
 				t.Error(err)
 			}
-			if resumes := engineServer.requests() - 1; resumes != test.resumes {
-				t.Errorf("resumed %d times, want %d", resumes, test.resumes)
+			if engineServer.resumed != test.resumes || engineServer.requests() != 1 {
+				t.Errorf("%d requests, resumed %d times, want %d", engineServer.requests(), engineServer.resumed, test.resumes)
 			}
 		})
 	}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -158,30 +158,29 @@
 // is no repeat of the request: the engine sends what is left of it, or refuses.
 func (s *eventStream) resume(cause error) error {
 	s.answer.Close(false)
-	if errors.Is(cause, errEngineError) || s.attempt.context.Err() != nil {
-		return cause
-	}
-	if s.resumes >= s.attempt.call.gateway.config.Limits.Resumes {
-		return errors.Wrapf(cause, "resumed %d times", s.resumes)
-	}
-	s.resumes++
-	s.attempt.call.gateway.metrics.resumes.Inc()
-	deadline := s.attempt.call.gateway.config.Now().Add(s.attempt.call.gateway.config.Timeouts.EngineStall)
-	answer, err := s.attempt.send(s.events, deadline)
-	if err != nil {
-		return errors.Wrap(err, "resumption")
-	}
-	s.answer = answer
-	status := answer.Response.StatusCode()
-	if failure := s.attempt.checkHeader(answer); failure != nil {
-		answer.Close(false)
+	for !errors.Is(cause, errEngineError) && s.attempt.mayResume(s.resumes) {
+		s.resumes++
+		answer, err := s.attempt.send(s.events, s.attempt.call.gateway.stallDeadline())
+		if err != nil {
+			continue // the engine may be back for the next one
+		}
+		status := answer.Response.StatusCode()
+		if s.attempt.checkHeader(answer) == nil {
+			s.answer = answer
+			s.reader.Reset(answer)
+			return nil
+		}
 		if status != fasthttp.StatusOK {
 			return errResumeRefused
 		}
-		return errors.Wrap(failure.apiError, "resumption")
 	}
-	s.reader.Reset(answer)
-	return nil
+	return cause
+}
+
+// stallDeadline is the time by which an engine that was asked for the rest of a
+// stream must answer.
+func (g *Gateway) stallDeadline() time.Time {
+	return g.config.Now().Add(g.config.Timeouts.EngineStall)
 }
 
 // close ends the reading. A stream that came to its end gives its connection
--- a/pkg/gateway/support_test.go
+++ b/pkg/gateway/support_test.go
@@ -124,7 +124,8 @@
 	pause func(r *http.Request, token int)
 
 	mutex     sync.Mutex
-	received  int
+	received  int // requests, without resumptions
+	resumed   int
 	cancelled map[string]bool
 	changed   chan struct{} // closed and replaced at each cancellation
 }
@@ -166,15 +167,24 @@
 		e.cancel(body)
 		return
 	}
-	e.mutex.Lock()
-	e.received++
-	e.mutex.Unlock()
+	e.count(r)
 	if e.intercept != nil && e.intercept(w, r, body) {
 		return
 	}
 	e.answer(w, r, body)
 }
 
+// count counts a request or resumption.
+func (e *fakeEngine) count(r *http.Request) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if r.Header.Get(engine.HeaderResumeFrom) == "" {
+		e.received++
+	} else {
+		e.resumed++
+	}
+}
+
 func (e *fakeEngine) cancel(body []byte) {
 	var request engine.CancelRequest
 	_ = json.Unmarshal(body, &request)
@@ -265,6 +275,7 @@
 	if config.Catalog == nil {
 		config.Catalog = func() Catalog { return testCatalog }
 	}
+	config.Timeouts.ResumePause = time.Millisecond
 	config.Node = "node-1"
 	config.Region = "uy-south"
 	g, err := New(config)
