Settings: TLS and key files are checked by package security; policies are a choice

An unknown policy name is refused by the tree, and a test compares the allowed ones with those that exist. An unknown revision of another node is printed as -.

--- a/pkg/cli/document_test.go
+++ b/pkg/cli/document_test.go
@@ -4,9 +4,11 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 
+	"martenwheel.dev/pkg/policy"
 	"martenwheel.dev/pkg/settings"
 	"martenwheel.dev/pkg/tree"
 )
@@ -104,3 +106,9 @@
 		}
 	}
 }
+
+func TestPoliciesOfTheTreeAreThoseThatExist(t *testing.T) {
+	if !slices.Equal(tree.Policies, policy.Names()) {
+		t.Errorf("the tree allows %v, there are %v", tree.Policies, policy.Names())
+	}
+}
--- a/pkg/cli/status.go
+++ b/pkg/cli/status.go
@@ -60,7 +60,11 @@
 
 func printNodes(out io.Writer, status operator.Status) error {
 	return printTable(out, "NODE\tSTATE\tZONE\tREGION\tADDRESS\tTREE", status.Nodes, func(node operator.NodeStatus) string {
-		return fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%d", node.ID, node.State, node.Zone, node.Region, node.Address, node.TreeRevision)
+		revision := "-" // not known to the answering node
+		if node.TreeRevision > 0 {
+			revision = fmt.Sprint(node.TreeRevision)
+		}
+		return fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s", node.ID, node.State, node.Zone, node.Region, node.Address, revision)
 	})
 }
 
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -7,11 +7,13 @@
 	"os"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 	"gopkg.in/yaml.v3"
 
 	"martenwheel.dev/pkg/findings"
+	"martenwheel.dev/pkg/security"
 )
 
 // Load reads the settings file at path, if path is not empty, and overrides it
@@ -175,6 +177,7 @@
 	}
 	l.checkAdvertised()
 	l.checkTLS()
+	l.checkKeys()
 	l.readSecret("platform.table.secret_key_file", l.settings.Platform.Table.SecretKeyFile, &l.settings.Platform.Table.SecretKey)
 	l.readSecret("platform.objects.secret_key_file", l.settings.Platform.Objects.SecretKeyFile, &l.settings.Platform.Objects.SecretKey)
 }
@@ -227,9 +230,40 @@
 	case len(missing) > 0:
 		l.found.Addf(l.places[given], "needs also %s", strings.Join(missing, " and "))
 	default:
-		if _, err := l.settings.TLS.Config(); err != nil {
-			l.found.Addf(l.places["tls.certificate_file"], "%v", err)
+		l.checkFile("tls.certificate_file", func() error {
+			_, err := security.OpenCertificates(l.settings.TLS.Files(), time.Now)
+			return err
+		})
+	}
+}
+
+// checkKeys makes sure that the files of API keys can be used.
+func (l *loader) checkKeys() {
+	files := map[string]string{
+		"keys.callers_file":   l.settings.Keys.CallersFile,
+		"keys.operators_file": l.settings.Keys.OperatorsFile,
+	}
+	for _, name := range []string{"keys.callers_file", "keys.operators_file"} {
+		if files[name] == "" {
+			continue
 		}
+		l.checkFile(name, func() error {
+			_, err := security.OpenKeys(files[name])
+			return err
+		})
+	}
+}
+
+// checkFile reports what is wrong with the files that a field names.
+func (l *loader) checkFile(name string, open func() error) {
+	err := open()
+	var reported *findings.Error
+	if !errors.As(err, &reported) {
+		l.found.Merge(l.places[name], err)
+		return
+	}
+	for _, finding := range reported.Findings {
+		l.found.Addf(l.places[name], "%s", finding)
 	}
 }
 
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/security"
 )
 
 // Settings of one process. Fields describes each with unit, default and range.
@@ -104,6 +105,11 @@
 	return t.CertificateFile != ""
 }
 
+// Files names the files for package security.
+func (t TLS) Files() security.Files {
+	return security.Files{Certificate: t.CertificateFile, Key: t.KeyFile, Authorities: t.CAFile}
+}
+
 // Keys holds the files of API keys. Without a file, any caller or operator that
 // reaches the listener is let in.
 type Keys struct {
--- a/pkg/tree/keys.go
+++ b/pkg/tree/keys.go
@@ -4,7 +4,9 @@
 	"cmp"
 	"fmt"
 	"regexp"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -111,7 +113,7 @@
 	rangedKey("cold_start_weight", "fraction", 0.5, units.Numbers(0, 1), everyLevel,
 		"0: only idle accelerator hours matter, 1: only the wait of cold starts",
 		func(s *Settings) *float64 { return &s.ColdStartWeight }),
-	textKey("policy", "adaptive", everyLevel,
+	choiceKey("policy", Policies, everyLevel,
 		"name of the keep-alive and prewarming policy",
 		func(s *Settings) *string { return &s.Policy }),
 	boolKey("prewarm", true, everyLevel,
@@ -208,6 +210,10 @@
 	return settings
 }
 
+// Policies are the names of the keep-alive and prewarming policies that package
+// policy implements, the default first.
+var Policies = []string{"adaptive", "fixed-keepalive", "fixed-keepalive-near", "never-unload", "unload-at-once"}
+
 // textPattern allows names and versions as they appear in weight stores.
 var textPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:/@+-]*$`)
 
@@ -225,6 +231,21 @@
 	}
 }
 
+// choiceKey describes a setting that is one of choices, by default the first.
+func choiceKey(name string, choices []string, levels []Level, description string, field func(*Settings) *string) Key {
+	allowed := strings.Join(choices, ", ")
+	key := textKey(name, choices[0], levels, description, field)
+	key.Range = allowed
+	key.parse = func(settings *Settings, text string) error {
+		if !slices.Contains(choices, text) {
+			return errors.Errorf("%q is not one of %s", text, allowed)
+		}
+		*field(settings) = text
+		return nil
+	}
+	return key
+}
+
 // rangedKey describes a setting whose values lie in a range.
 func rangedKey[T cmp.Ordered](name, unit string, initial T, allowed units.Range[T], levels []Level, description string, field func(*Settings) *T) Key {
 	return Key{
