A second YAML document of a file is refused, not ignored

Cause: the YAML library's Unmarshal reads the first document and drops the rest without a word, so settings after a stray --- were lost. Both parsers now read through settings/document; a test each.

--- a/pkg/cli/check.go
+++ b/pkg/cli/check.go
@@ -8,6 +8,7 @@
 	"gopkg.in/yaml.v3"
 
 	"martenwheel.dev/pkg/settings"
+	"martenwheel.dev/pkg/settings/document"
 	"martenwheel.dev/pkg/tree"
 )
 
@@ -42,13 +43,12 @@
 // isSettings tells whether a file has an entry that only settings of a process
 // have. All other files are taken for trees.
 func isSettings(data []byte) bool {
-	var document yaml.Node
-	if yaml.Unmarshal(data, &document) != nil || len(document.Content) == 0 {
+	root, err := document.Read(data)
+	if err != nil || root == nil || root.Kind != yaml.MappingNode {
 		return false
 	}
-	entries := document.Content[0].Content
-	for index := 0; index+1 < len(entries); index += 2 {
-		if onlyInSettings(entries[index].Value) {
+	for index := 0; index+1 < len(root.Content); index += 2 {
+		if onlyInSettings(root.Content[index].Value) {
 			return true
 		}
 	}
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -14,6 +14,7 @@
 
 	"martenwheel.dev/pkg/findings"
 	"martenwheel.dev/pkg/security"
+	"martenwheel.dev/pkg/settings/document"
 )
 
 // Load reads the settings file at path, if path is not empty, and overrides it
@@ -53,13 +54,13 @@
 // Parse is Load for a file's content; name is the file's name for findings.
 func Parse(name string, data []byte, overrides map[string]string) (Settings, error) {
 	loader := loader{file: name, settings: Default(), places: make(map[string]string)}
-	var document yaml.Node
-	if err := yaml.Unmarshal(data, &document); err != nil {
+	root, err := document.Read(data)
+	if err != nil {
 		loader.found.Addf(name, "%v", err)
 		return Settings{}, loader.found.Err()
 	}
-	if len(document.Content) > 0 {
-		loader.readMapping("", document.Content[0])
+	if root != nil {
+		loader.readMapping("", root)
 	}
 	loader.override(overrides)
 	loader.complete()
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -104,6 +104,7 @@
 func TestFilesThatAreNoSettings(t *testing.T) {
 	cases := map[string]string{
 		"node.yaml: yaml: ":                   "node: [",
+		"node.yaml: a second document":        sampleFile + "---\nlog_level: debug\n",
 		"node.yaml:1 : must be a mapping":     "just text",
 		"node.yaml:1 node: must be a mapping": "node:\n" + strings.SplitN(sampleFile, "\n", 2)[1],
 	}
--- a/pkg/tree/tree_test.go
+++ b/pkg/tree/tree_test.go
@@ -232,6 +232,11 @@
 		`line 2 /a/b/c memory: "5" has no unit`)
 }
 
+func TestSecondDocumentIsNotIgnored(t *testing.T) {
+	_, err := ParseNamed("site.yaml", []byte(sampleTree+"---\nkeep_alive: 1m\n"))
+	wantFindings(t, err, "site.yaml: a second document begins")
+}
+
 func TestModelsThatFitNoServerAreFound(t *testing.T) {
 	tree := parseSample(t)
 	servers := func(bytes uint64) []ServerMemory {
--- a/pkg/tree/yaml.go
+++ b/pkg/tree/yaml.go
@@ -9,6 +9,7 @@
 	"gopkg.in/yaml.v3"
 
 	"martenwheel.dev/pkg/findings"
+	"martenwheel.dev/pkg/settings/document"
 )
 
 // MaxTreeBytes bounds the text of a tree.
@@ -43,13 +44,13 @@
 		reader.found.Addf(name, "the tree has %d bytes, more than %d", len(data), MaxTreeBytes)
 		return nil, reader.found.Err()
 	}
-	var document yaml.Node
-	if err := yaml.Unmarshal(data, &document); err != nil {
+	root, err := document.Read(data)
+	if err != nil {
 		reader.found.Addf(name, "%v", err)
 		return nil, reader.found.Err()
 	}
-	if len(document.Content) > 0 {
-		reader.readNode(RootPath, document.Content[0])
+	if root != nil {
+		reader.readNode(RootPath, root)
 	}
 	return reader.finish()
 }
