Tree store: large changes fit the table service's records

Cause: a change was kept twice as plain JSON; a site of 4,000 models in one change (12,000 edits, TestLargeChanges) made records of 580,755 bytes, over the 400 KB that table services of this protocol take. Change records are now compressed (33,365 bytes for the same change), the record by which a change finds out that it was accepted holds a digest of its edits, and what is still too large is a finding. A base more than 1,000 revisions old is refused, since each revision after it costs a read of a rate-limited service.

--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -19,7 +19,7 @@
 
 // Bounds of the API, of which those of Config are defaults.
 const (
-	maxBodyBytes     = 4 << 20
+	maxBodyBytes     = 16 << 20
 	commitTimeout    = 20 * time.Second
 	readTimeout      = 10 * time.Second
 	defaultTimeout   = 30 * time.Second
--- a/pkg/tree/change.go
+++ b/pkg/tree/change.go
@@ -8,7 +8,7 @@
 )
 
 // maxEdits bounds one change.
-const maxEdits = 10_000
+const maxEdits = 50_000
 
 // Apply returns the tree with all edits of the change at the next revision, or
 // an error that carries all findings; then nothing is changed. It does not look
--- a/pkg/tree/pack.go
+++ b/pkg/tree/pack.go
@@ -10,27 +10,39 @@
 
 // Pack returns the tree as compressed YAML, for snapshots and peers.
 func (t *Tree) Pack() ([]byte, error) {
+	packed, err := compress(t.Marshal())
+	return packed, errors.WithMessage(err, "pack tree")
+}
+
+// Unpack reads what Pack wrote. It reads no more than MaxTreeBytes, whatever
+// the packed bytes claim.
+func Unpack(packed []byte) (*Tree, error) {
+	data, err := decompress(packed)
+	if err != nil {
+		return nil, errors.WithMessage(err, "unpack tree")
+	}
+	return Parse(data)
+}
+
+// compress returns data in gzip format.
+func compress(data []byte) ([]byte, error) {
 	var buffer bytes.Buffer
 	writer := gzip.NewWriter(&buffer)
-	if _, err := writer.Write(t.Marshal()); err != nil {
-		return nil, errors.Wrap(err, "pack tree")
+	if _, err := writer.Write(data); err != nil {
+		return nil, errors.Wrap(err, "compress")
 	}
 	if err := writer.Close(); err != nil {
-		return nil, errors.Wrap(err, "pack tree")
+		return nil, errors.Wrap(err, "compress")
 	}
 	return buffer.Bytes(), nil
 }
 
-// Unpack reads what Pack wrote. It reads no more than MaxTreeBytes, whatever
-// the packed bytes claim.
-func Unpack(packed []byte) (*Tree, error) {
-	reader, err := gzip.NewReader(bytes.NewReader(packed))
+// decompress reads what compress wrote, up to MaxTreeBytes and one byte more.
+func decompress(compressed []byte) ([]byte, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(compressed))
 	if err != nil {
-		return nil, errors.Wrap(err, "unpack tree")
+		return nil, errors.Wrap(err, "decompress")
 	}
 	data, err := io.ReadAll(io.LimitReader(reader, MaxTreeBytes+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "unpack tree")
-	}
-	return Parse(data)
+	return data, errors.Wrap(err, "decompress")
 }
--- a/pkg/tree/store.go
+++ b/pkg/tree/store.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
-	"reflect"
 	"sync"
 	"time"
 
@@ -18,6 +17,11 @@
 const (
 	maxIDBytes     = 128
 	maxAuthorBytes = 128
+	// maxRecordBytes is less than what table services take as one record.
+	maxRecordBytes = 350 << 10
+	// maxBaseAge bounds the revisions between the base of a change and the
+	// newest tree, all of which have to be read.
+	maxBaseAge = 1000
 	// SnapshotEvery is the number of changes from one snapshot to the next.
 	SnapshotEvery = 100
 	// maxAttempts bounds the tries of one commit: each but the last lost
@@ -151,11 +155,11 @@
 	if err != nil {
 		return 0, false, errors.WithMessagef(err, "read back change %s", change.ID)
 	}
-	var accepted Change
+	var accepted receipt
 	if err := json.Unmarshal(record.Value, &accepted); err != nil {
 		return 0, false, errors.Wrapf(err, "record of change %s", change.ID)
 	}
-	if !reflect.DeepEqual(accepted.Edits, change.Edits) {
+	if accepted.Edits != digestEdits(change.Edits) {
 		var found findings.List
 		found.Addf("change "+change.ID, "the ID was used for other edits at revision %d", accepted.Revision)
 		return 0, true, found.Err()
@@ -173,6 +177,11 @@
 		found.Addf("change "+change.ID, "its base %d is newer than the tree, which is at %d", change.Base, newest)
 		return found.Err()
 	}
+	if newest-change.Base > maxBaseAge {
+		var found findings.List
+		found.Addf("change "+change.ID, "its base %d is more than %d revisions old; read the tree again", change.Base, maxBaseAge)
+		return found.Err()
+	}
 	later, err := s.changes(ctx, change.Base, newest)
 	if err != nil {
 		return err
--- a/pkg/tree/store_read.go
+++ b/pkg/tree/store_read.go
@@ -156,9 +156,9 @@
 		if err != nil {
 			return nil, errors.WithMessagef(err, "read change %d", revision)
 		}
-		var change Change
-		if err := json.Unmarshal(record.Value, &change); err != nil {
-			return nil, errors.Wrapf(err, "record of change %d", revision)
+		change, err := decodeChange(record.Value)
+		if err != nil {
+			return nil, errors.WithMessagef(err, "record of change %d", revision)
 		}
 		changes = append(changes, change)
 	}
--- a/pkg/tree/store_records.go
+++ b/pkg/tree/store_records.go
@@ -40,20 +40,29 @@
 	return found.Err()
 }
 
+// receipt is the record by which a change finds out that it was accepted.
+type receipt struct {
+	Revision Revision `json:"revision"`
+	Edits    string   `json:"edits"` // their digest
+}
+
 // makeTransaction returns the conditional write of a change. Its token is
 // shorter than what table services allow, and another one at another revision.
 func makeTransaction(change Change, before head) (platform.Transaction, error) {
-	record, err := json.Marshal(change)
+	record, err := encodeChange(change)
 	if err != nil {
-		return platform.Transaction{}, errors.Wrap(err, "encode change")
+		return platform.Transaction{}, err
 	}
 	newest, err := json.Marshal(head{Revision: change.Revision, ChangeID: change.ID})
 	if err != nil {
 		return platform.Transaction{}, errors.Wrap(err, "encode the tree's revision")
 	}
-	token := sha256.Sum256(record)
+	accepted, err := json.Marshal(receipt{Revision: change.Revision, Edits: digestEdits(change.Edits)})
+	if err != nil {
+		return platform.Transaction{}, errors.Wrap(err, "encode receipt")
+	}
 	return platform.Transaction{
-		Token: hex.EncodeToString(token[:16]),
+		Token: digestBytes(record),
 		Conditions: []platform.Condition{
 			{Key: headKey, Version: before.version},
 			{Key: changeKey(change.Revision)},
@@ -62,11 +71,55 @@
 		Writes: []platform.Write{
 			{Key: headKey, Value: newest},
 			{Key: changeKey(change.Revision), Value: record},
-			{Key: idPrefix + change.ID, Value: record},
+			{Key: idPrefix + change.ID, Value: accepted},
 		},
 	}, nil
 }
 
+// encodeChange returns the record of an accepted change, compressed. The error
+// has a finding if it is too large for a record.
+func encodeChange(change Change) ([]byte, error) {
+	data, err := json.Marshal(change)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode change")
+	}
+	record, err := compress(data)
+	if err != nil {
+		return nil, errors.WithMessage(err, "encode change")
+	}
+	if len(record) > maxRecordBytes {
+		var found findings.List
+		found.Addf("change "+change.ID, "has %d bytes compressed, more than %d; split it", len(record), maxRecordBytes)
+		return nil, found.Err()
+	}
+	return record, nil
+}
+
+// decodeChange reads what encodeChange wrote.
+func decodeChange(record []byte) (Change, error) {
+	data, err := decompress(record)
+	if err != nil {
+		return Change{}, err
+	}
+	var change Change
+	return change, errors.Wrap(json.Unmarshal(data, &change), "decode change")
+}
+
+// digestEdits identifies the edits of a change.
+func digestEdits(edits []Edit) string {
+	data, err := json.Marshal(edits)
+	if err != nil {
+		panic(errors.WithMessage(err, "edits are plain values"))
+	}
+	return digestBytes(data)
+}
+
+// digestBytes returns a hash of data as 32 hexadecimal digits.
+func digestBytes(data []byte) string {
+	hash := sha256.Sum256(data)
+	return hex.EncodeToString(hash[:16])
+}
+
 // changeKey is the key of the change that led to revision; keys sort by it.
 func changeKey(revision Revision) string {
 	return fmt.Sprintf("%s%020d", changePrefix, revision)
--- a/pkg/tree/store_test.go
+++ b/pkg/tree/store_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/sourcegraph/conc"
@@ -166,6 +167,40 @@
 	wantFindings(t, err, "change b: its base 9 is newer than the tree")
 }
 
+func TestLargeChanges(t *testing.T) {
+	table := newFakeTable()
+	store := newFakeStore(table, newFakeObjects())
+	edits := make([]Edit, 0, 12_000)
+	for model := range 4000 {
+		path := Path(fmt.Sprintf("/s/f/model-%d", model))
+		edits = append(edits, Edit{Path: path, Key: "memory", Value: "16GiB"}, Edit{Path: path, Key: "keep_alive", Value: "7m"}, Edit{Path: path.Child("a")})
+	}
+	mustCommit(t, store, Change{ID: "site", Edits: edits})
+	for key, record := range table.records {
+		if len(record.Value) > maxRecordBytes {
+			t.Errorf("record %s has %d bytes", key, len(record.Value))
+		}
+	}
+
+	random := rand.New(rand.NewPCG(propertySeed, 0))
+	edits = edits[:0]
+	for range 40_000 {
+		edits = append(edits, Edit{Path: Path(fmt.Sprintf("/s/f/m%d", random.Uint64())), Key: "memory", Value: fmt.Sprintf("%dB", random.Uint32())})
+	}
+	_, err := store.Commit(context.Background(), Change{ID: "huge", Edits: edits})
+	wantFindings(t, err, "change huge: has ")
+	_, err = store.Commit(context.Background(), Change{ID: "endless", Edits: make([]Edit, maxEdits+1)})
+	wantFindings(t, err, "change: has 50001 edits, more than 50000")
+}
+
+func TestChangeOnAnOldTreeIsRefused(t *testing.T) {
+	store := newFakeStore(newFakeTable(), newFakeObjects())
+	fill(t, store, maxBaseAge+2)
+	_, err := store.Commit(context.Background(), keepAlive("late", "booking", "5m", 1))
+	wantFindings(t, err, "change late: its base 1 is more than 1000 revisions old")
+	mustCommit(t, store, keepAlive("in time", "booking", "5m", 2))
+}
+
 // fill commits n changes and returns their tree.
 func fill(t *testing.T, store *Store, n int) *Tree {
 	t.Helper()
