--- a/pkg/tree/fake_test.go
+++ b/pkg/tree/fake_test.go
@@ -22,6 +22,7 @@
 	lostBefore       // ErrUnknownOutcome, no effect
 	lostAfter        // ErrUnknownOutcome after the effect
 	brokenPipe       // an error of no known kind after the effect
+	late             // ErrUnknownOutcome; it arrives after the next commit
 )
 
 var errBrokenPipe = errors.New("broken pipe")
@@ -30,7 +31,7 @@
 func (f fault) err() error {
 	return map[fault]error{
 		down: platform.ErrUnavailable, throttled: platform.ErrThrottled,
-		lostBefore: platform.ErrUnknownOutcome, lostAfter: platform.ErrUnknownOutcome, brokenPipe: errBrokenPipe,
+		lostBefore: platform.ErrUnknownOutcome, lostAfter: platform.ErrUnknownOutcome, late: platform.ErrUnknownOutcome, brokenPipe: errBrokenPipe,
 	}[f]
 }
 
@@ -52,12 +53,14 @@
 // fakeTable is a table service in memory. Reads that are not consistent see a
 // replica that never gets any write.
 type fakeTable struct {
-	mutex        sync.Mutex
-	records      map[string]platform.Record
-	gets         int
-	getFaults    faultQueue
-	commitFaults faultQueue
-	beforeCommit func() // called once, before the next commit
+	mutex         sync.Mutex
+	records       map[string]platform.Record
+	gets          int
+	getFaults     faultQueue
+	commitFaults  faultQueue
+	afterFirstGet func() // called once, after the next read
+	beforeCommit  func() // called once, before the next commit
+	delayed       []platform.Transaction
 }
 
 func newFakeTable() *fakeTable {
@@ -65,6 +68,13 @@
 }
 
 func (f *fakeTable) Get(_ context.Context, key string, consistent bool) (platform.Record, error) {
+	f.mutex.Lock()
+	hook := f.afterFirstGet
+	f.afterFirstGet = nil
+	f.mutex.Unlock()
+	if hook != nil {
+		defer hook()
+	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.gets++
@@ -93,9 +103,25 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	fault := f.commitFaults.take()
-	if fault == down || fault == throttled || fault == lostBefore {
+	switch fault {
+	case down, throttled, lostBefore:
 		return fault.err()
+	case late:
+		f.delayed = append(f.delayed, transaction)
+		return fault.err()
+	}
+	if err := f.apply(transaction); err != nil {
+		return err
 	}
+	for _, transaction := range f.delayed {
+		_ = f.apply(transaction) // nobody waits for its answer any more
+	}
+	f.delayed = nil
+	return fault.err()
+}
+
+// apply writes a transaction if its conditions hold.
+func (f *fakeTable) apply(transaction platform.Transaction) error {
 	versions := make(map[string]uint64)
 	for _, condition := range transaction.Conditions {
 		if f.records[condition.Key].Version != condition.Version {
@@ -106,7 +132,7 @@
 	for _, write := range transaction.Writes {
 		f.records[write.Key] = platform.Record{Key: write.Key, Value: write.Value, Version: versions[write.Key] + 1}
 	}
-	return fault.err()
+	return nil
 }
 
 // accepted counts the change records.
--- a/pkg/tree/store_test.go
+++ b/pkg/tree/store_test.go
@@ -47,6 +47,8 @@
 		{name: "answer lost, then down for long", commits: faultQueue{next: []fault{lostAfter}}, gets: faultQueue{next: []fault{works, works}, rest: down}, want: platform.ErrUnknownOutcome},
 		{name: "request lost, then down for long", commits: faultQueue{next: []fault{lostBefore}}, gets: faultQueue{next: []fault{works, works}, rest: down}, want: platform.ErrUnknownOutcome},
 		{name: "request lost, then commits down", commits: faultQueue{next: []fault{lostBefore}, rest: down}, want: platform.ErrUnknownOutcome},
+		{name: "request late, after its repeat", commits: faultQueue{next: []fault{late}}},
+		{name: "request late twice", commits: faultQueue{next: []fault{late, late}}},
 		{name: "connection broken after the commit", commits: faultQueue{next: []fault{brokenPipe}}},
 	}
 	for _, test := range cases {
@@ -156,6 +158,47 @@
 	}
 }
 
+func TestLateCommitDoesNotOverwriteAnotherOperator(t *testing.T) {
+	table, objects := newFakeTable(), newFakeObjects()
+	table.commitFaults.next = []fault{late}
+	table.getFaults = faultQueue{next: []fault{works, works}, rest: down}
+	slow := keepAlive("slow", "assistant", "5m", 0)
+	if _, err := newFakeStore(table, objects).Commit(context.Background(), slow); !errors.Is(err, platform.ErrUnknownOutcome) {
+		t.Fatalf("got %v, want an unknown outcome", err)
+	}
+	table.heal()
+	store := newFakeStore(table, objects)
+	mustCommit(t, store, keepAlive("fast", "assistant", "7m", 0)) // now the late one arrives
+	tree, err := newFakeStore(table, objects).Load(context.Background())
+	if err != nil || tree.Revision() != 1 {
+		t.Fatalf("got %v", err)
+	}
+	if settings, _ := tree.Resolve("/assistant"); settings.KeepAlive.Minutes() != 7 {
+		t.Errorf("keep_alive is %s", settings.KeepAlive)
+	}
+	if revision := mustCommit(t, store, slow); revision != 2 {
+		t.Errorf("the repeat of the late change is revision %d, want 2", revision)
+	}
+}
+
+func TestRepeatThatOvertakesItsFirstTryAppliesOnce(t *testing.T) {
+	for _, hookAt := range []string{"after the receipt was read", "before the commit"} {
+		t.Run(hookAt, func(t *testing.T) {
+			table, objects := newFakeTable(), newFakeObjects()
+			change := keepAlive("same", "assistant", "5m", 0)
+			repeat := func() { mustCommit(t, newFakeStore(table, objects), change) }
+			if hookAt == "before the commit" {
+				table.beforeCommit = repeat
+			} else {
+				table.afterFirstGet = repeat
+			}
+			if revision := mustCommit(t, newFakeStore(table, objects), change); revision != 1 || table.accepted() != 1 {
+				t.Errorf("accepted as %d, %d changes in all", revision, table.accepted())
+			}
+		})
+	}
+}
+
 func TestChangeIDIsNotReusedForOtherEdits(t *testing.T) {
 	store := newFakeStore(newFakeTable(), newFakeObjects())
 	mustCommit(t, store, keepAlive("a", "assistant", "5m", 0))
