--- /dev/null
+++ b/pkg/node/wiring.go
@@ -0,0 +1,195 @@
+package node
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/control"
+	"martenwheel.dev/pkg/engine"
+	"martenwheel.dev/pkg/gateway"
+	"martenwheel.dev/pkg/operator"
+	"martenwheel.dev/pkg/peer"
+	"martenwheel.dev/pkg/policy"
+	"martenwheel.dev/pkg/settings"
+	"martenwheel.dev/pkg/telemetry"
+	"martenwheel.dev/pkg/traffic"
+	"martenwheel.dev/pkg/tree"
+)
+
+func newLogger(options Options) (hclog.Logger, error) {
+	return telemetry.NewLogger(telemetry.LogOptions{
+		Name:   programName,
+		Node:   string(options.Settings.Node.ID),
+		Level:  options.Settings.LogLevel,
+		Output: options.Logs,
+	})
+}
+
+func newRegistry(options Options) *prometheus.Registry {
+	return telemetry.NewRegistry(telemetry.BuildInfo{
+		Version: options.Version,
+		Node:    string(options.Settings.Node.ID),
+		Zone:    options.Settings.Node.Zone,
+		Region:  options.Settings.Node.Region,
+	})
+}
+
+// openPeers opens the listener for other nodes and the client towards them.
+func (n *Node) openPeers() error {
+	registerMessages()
+	counters := peer.NewCounters()
+	config := peer.Config{
+		Self: api.NodeRef{
+			ID:          n.settings.Node.ID,
+			Incarnation: uint64(time.Now().UnixNano()),
+			PeerAddress: n.advertisedAddress(),
+			Zone:        n.settings.Node.Zone,
+			Region:      n.settings.Node.Region,
+		},
+		Address:  n.settings.Listen.Peers,
+		TLS:      n.secrets.peers,
+		Counters: counters,
+		Logger:   n.logger.Named("peer"),
+	}
+	server, err := peer.Listen(config)
+	if err != nil {
+		return err
+	}
+	n.server = server
+	config.Self = server.Self()
+	n.transport = peer.NewClient(config)
+	return nil
+}
+
+// advertisedAddress returns where other nodes reach this one, or "" if that is
+// the address of the listener, whose port may be the kernel's choice.
+func (n *Node) advertisedAddress() string {
+	if n.settings.Listen.AdvertisePeers == n.settings.Listen.Peers {
+		return ""
+	}
+	return n.settings.Listen.AdvertisePeers
+}
+
+// wireControl makes the control machine, its loop and its executor.
+func (n *Node) wireControl() error {
+	clients, err := newPlatformClients(n.settings.Platform)
+	if err != nil {
+		return err
+	}
+	self := n.server.Self()
+	machine := control.New(control.Config{
+		Self:    self,
+		Seeds:   n.settings.Seeds,
+		Seed:    self.Incarnation,
+		Decider: decider,
+	})
+	n.loop = newLoop(machine, n.view, n.trees)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stopControl = cancel
+	n.executor = &executor{
+		ctx:       ctx,
+		loop:      n.loop,
+		view:      n.view,
+		trees:     n.trees,
+		store:     tree.NewStore(clients.table, clients.objects),
+		engines:   engine.NewHTTPClient(engine.HTTPClientConfig{}),
+		table:     clients.table,
+		machines:  clients.machines,
+		transport: n.transport,
+		logger:    n.logger.Named("control"),
+	}
+	n.loop.carryOut = n.executor.carryOut
+	return nil
+}
+
+// decider returns the policy of a name, or nil.
+func decider(name string) policy.Decider {
+	found, ok := policy.ByName(name)
+	if !ok {
+		return nil
+	}
+	return found
+}
+
+// openCallers makes the traffic side and opens its listener.
+func (n *Node) openCallers() error {
+	n.router = traffic.New(traffic.Config{
+		Control: n.view,
+		Zone:    n.settings.Node.Zone,
+		Seed:    n.server.Self().Incarnation,
+	})
+	config := gateway.Config{
+		Node:       string(n.settings.Node.ID),
+		Region:     n.settings.Node.Region,
+		Dispatcher: n.router,
+		Catalog:    n.catalog,
+		Logger:     n.logger.Named("gateway"),
+		Metrics:    n.registry,
+		TLS:        n.secrets.listeners,
+		Limits:     callerLimits(n.settings.Limits),
+		Timeouts:   callerTimeouts(n.settings.Limits),
+	}
+	if n.secrets.callers != nil {
+		config.Authenticator = callerAuthenticator{n.secrets.callers}
+	}
+	callers, err := gateway.New(config)
+	if err != nil {
+		return err
+	}
+	n.gateway = callers
+	n.callers, err = net.Listen("tcp", n.settings.Listen.Callers)
+	return errors.Wrap(err, "node: listen for callers")
+}
+
+func callerLimits(limits settings.Limits) gateway.Limits {
+	return gateway.Limits{
+		BodyBytes:   limits.BodyBytes,
+		HeaderBytes: limits.HeaderBytes,
+		Connections: limits.Connections,
+	}
+}
+
+func callerTimeouts(limits settings.Limits) gateway.Timeouts {
+	return gateway.Timeouts{
+		Read:  limits.ReadTimeout,
+		Write: limits.WriteTimeout,
+		Idle:  limits.IdleTimeout,
+	}
+}
+
+// openOperators makes the operators' API and opens its listener.
+func (n *Node) openOperators() error {
+	config := operator.Config{
+		Trees:        tree.NewEditor(n.executor.store, n.trees),
+		Status:       n,
+		Metrics:      n.registry,
+		Logger:       n.logger.Named("operator"),
+		Now:          time.Now,
+		HeaderBytes:  n.settings.Limits.HeaderBytes,
+		Connections:  n.settings.Limits.Connections,
+		ReadTimeout:  n.settings.Limits.ReadTimeout,
+		WriteTimeout: n.settings.Limits.WriteTimeout,
+		TLS:          n.secrets.listeners,
+	}
+	if n.secrets.operators != nil {
+		config.Authorizer = operatorAuthorizer{n.secrets.operators}
+	}
+	n.operators = operator.New(config)
+	var err error
+	n.operating, err = net.Listen("tcp", n.settings.Listen.Operators)
+	return errors.Wrap(err, "node: listen for operators")
+}
+
+// catalog returns the models in force, or nil before the first tree.
+func (n *Node) catalog() gateway.Catalog {
+	if !n.ready.Load() {
+		return nil
+	}
+	return n.trees.Current()
+}
