--- a/pkg/platform/platformtest/table.go
+++ b/pkg/platform/platformtest/table.go
@@ -160,11 +160,6 @@
 	wantRecord(t, table, "a", "one", 1)
 	wantError(t, table.Commit(t.Context(), Put("once", "b", "other", 0)), platform.ErrConflict)
 	wantMissing(t, table, "b")
-
-	long := strings.Repeat("t", 100)
-	mustCommit(t, table, Put(long, "c", "one", 0))
-	mustCommit(t, table, Put(long, "c", "one", 0))
-	wantError(t, table.Commit(t.Context(), Put(long, "d", "other", 0)), platform.ErrConflict)
 }
 
 // testLongToken tests that tokens may have any length.
@@ -174,6 +169,7 @@
 	mustCommit(t, table, Put(long+"1", "a", "one", 0))
 	mustCommit(t, table, Put(long+"2", "a", "two", 1))
 	wantRecord(t, table, "a", "two", 2)
+	wantError(t, table.Commit(t.Context(), Put(long+"2", "b", "other", 0)), platform.ErrConflict)
 }
 
 func testBadTransactions(t *testing.T, table platform.Table) {
