--- a/pkg/control/cell/owner.go
+++ b/pkg/control/cell/owner.go
@@ -72,7 +72,6 @@
 			admitted:  true,
 			committed: true,
 			reachable: true, // until shown otherwise
-			fenced:    o.config.Unsafe.NoFenceOnLead,
 			pollAt:    now,
 		}
 	}
--- a/pkg/control/cell/server.go
+++ b/pkg/control/cell/server.go
@@ -145,6 +145,9 @@
 //   - by an owner of an earlier epoch, if the server is unknown: then an
 //     instance was seen, and the record read, before this epoch was formed.
 func (o *Owner) goneFor(s *server, asOf time.Time) bool {
+	if o.config.Unsafe.BelieveList {
+		return true
+	}
 	latest := s.lastContact
 	if s.Unknown && o.start.Data.FormedAt.After(latest) {
 		latest = o.start.Data.FormedAt
@@ -243,6 +246,9 @@
 
 func (o *Owner) readInventory(now time.Time, s *server, sink Sink) {
 	fence := o.nextFence(s)
+	if o.config.Unsafe.NoFence {
+		fence = 0
+	}
 	s.operation = &operation{fence: fence, sentAt: now}
 	sink.ReadInventory(s.ID, s.Address, engine.InventoryRequest{Fence: fence})
 }
--- a/pkg/control/cells.go
+++ b/pkg/control/cells.go
@@ -84,6 +84,9 @@
 		if c.machine.config.Unsafe.NoAdmission {
 			c.owner.Recorded(now, c.owner.Unrecorded())
 		}
+		if c.machine.config.Unsafe.NoVerify {
+			c.owner.Verified(now)
+		}
 		c.owner.Allocate(c.allocation(now))
 		c.owner.Advance(now, c)
 		data, changed := c.owner.TakeData()
--- a/pkg/control/explore/explore_test.go
+++ b/pkg/control/explore/explore_test.go
@@ -12,9 +12,10 @@
 )
 
 var (
-	firstSeed = flag.Uint64("explore.seed", 1, "seed of the first schedule")
-	schedules = flag.Int("explore.schedules", 300, "number of schedules, each with the next seed")
-	workers   = flag.Int("explore.workers", 4, "schedules run at once")
+	firstSeed  = flag.Uint64("explore.seed", 1, "seed of the first schedule")
+	schedules  = flag.Int("explore.schedules", 300, "number of schedules, each with the next seed")
+	safetyOnly = flag.Bool("explore.safety", false, "check the promises only, not the recovery")
+	workers    = flag.Int("explore.workers", 4, "schedules run at once")
 )
 
 // TestSchedules runs random schedules of faults. A failure prints the seed and
@@ -52,6 +53,9 @@
 			seed := first + uint64(index)
 			w := runSchedule(seed, unsafe, false)
 			steps.Add(int64(w.steps))
+			if w.failure == "" && !*safetyOnly {
+				w.failure = w.stuck
+			}
 			if w.failure != "" {
 				found[index] = &violation{seed: seed, failure: w.failure}
 				lower(&stop, int64(index))
--- a/pkg/control/explore/node_test.go
+++ b/pkg/control/explore/node_test.go
@@ -15,21 +15,23 @@
 
 // node is a process with a machine, and the runtime that carries out effects.
 type node struct {
-	world    *world
-	id       api.NodeID
-	zone     string
-	life     uint64
-	machine  *control.Machine // nil while the process is down
-	frozen   bool
-	skew     time.Duration   // of its clock
-	inbox    []control.Event // while frozen
-	digest   membership.Digest
-	downAt   time.Time
-	presumed time.Time // looks dead to others until then
-	tree     *settings // in force in this life
-	views    int
-	estimate map[api.ModelName]api.LoadEstimate
-	view     api.CellView
+	world *world
+	id    api.NodeID
+	zone  string
+	life  uint64
+
+	peerAddress string
+	machine     *control.Machine // nil while the process is down
+	frozen      bool
+	skew        time.Duration   // of its clock
+	inbox       []control.Event // while frozen
+	digest      membership.Digest
+	downAt      time.Time
+	presumed    time.Time // looks dead to others until then
+	tree        *settings // in force in this life
+	views       int
+	estimate    map[api.ModelName]api.LoadEstimate
+	view        api.CellView
 }
 
 // clock is the time as the node sees it.
@@ -38,7 +40,7 @@
 }
 
 func (n *node) address() string {
-	return "node/" + string(n.id)
+	return n.peerAddress
 }
 
 func (n *node) ref() api.NodeRef {
@@ -134,7 +136,7 @@
 
 // checkRevision verifies that the tree in force never goes back.
 func (n *node) checkRevision() {
-	revision := n.machine.Status().TreeRevision
+	revision := n.machine.TreeRevision()
 	if n.tree != nil && revision < n.tree.revision {
 		n.world.fail("tree of %s went back from revision %d to %d", n.id, n.tree.revision, revision)
 	}
@@ -174,7 +176,7 @@
 // latency is the one-way delay of a message.
 func (w *world) latency() time.Duration {
 	if w.chance(w.odds.late) {
-		return w.between(100*time.Millisecond, 6*time.Second)
+		return w.between(100*time.Millisecond, 15*time.Second)
 	}
 	return w.between(time.Millisecond, 5*time.Millisecond)
 }
--- a/pkg/control/explore/schedule_test.go
+++ b/pkg/control/explore/schedule_test.go
@@ -35,8 +35,10 @@
 	s.scheduleDemand()
 	s.run(faultyTime)
 	s.heal()
-	s.run(healedTime)
-	s.checkRecovered()
+	s.runUntil(healedTime, func() bool { return s.unrecovered() == "" })
+	if broken := s.unrecovered(); broken != "" {
+		s.stuck = fmt.Sprintf("%v after the faults ended: %s", healedTime, broken)
+	}
 	return s.world
 }
 
@@ -110,7 +112,11 @@
 	(*schedule).loseGroup,
 	(*schedule).tableDown,
 	(*schedule).listDownOrLagging,
+	(*schedule).splitRegion,
+	(*schedule).splitRegion,
+	(*schedule).restartEngine,
 	(*schedule).restartEngine,
+	(*schedule).addMachine,
 	(*schedule).engineDown,
 	(*schedule).engineLeaving,
 	(*schedule).reclaimMachine,
@@ -209,10 +215,16 @@
 }
 
 func (s *schedule) cutFor(a, b string) {
-	if a == b || s.cut(a, b) {
+	if a == b {
+		return
+	}
+	s.cutBetween(a, b, s.between(500*time.Millisecond, 12*time.Second))
+}
+
+func (s *schedule) cutBetween(a, b string, duration time.Duration) {
+	if s.cut(a, b) {
 		return
 	}
-	duration := s.between(500*time.Millisecond, 12*time.Second)
 	s.note("cut between %s and %s for %v", a, b, duration)
 	s.setCut(a, b, true)
 	s.after(duration, func() { s.setCut(a, b, false) })
@@ -232,6 +244,23 @@
 	}
 }
 
+// splitRegion cuts nodes and servers into two halves.
+func (s *schedule) splitRegion() {
+	parties := s.parties()
+	side := make(map[string]bool)
+	for _, party := range parties {
+		side[party] = s.chance(0.5)
+	}
+	duration := s.between(2*time.Second, 12*time.Second)
+	for _, n := range s.nodes {
+		for _, party := range parties {
+			if side[n.address()] != side[party] {
+				s.cutBetween(n.address(), party, duration)
+			}
+		}
+	}
+}
+
 // loseGroup kills or isolates most nodes at once, so that a group is formed
 // anew while the old owner may still be at work.
 func (s *schedule) loseGroup() {
@@ -260,6 +289,13 @@
 
 func (s *schedule) restartEngine() { s.anyServer().restart() }
 
+// addMachine adds a machine that the record of the cell does not name yet.
+func (s *schedule) addMachine() {
+	if len(s.servers) < 6 {
+		s.addServer(fmt.Sprint("s", len(s.servers)), uint64(14+s.random.IntN(12)))
+	}
+}
+
 func (s *schedule) engineDown() {
 	e := s.anyServer()
 	s.note("engine %s unreachable", e.id)
@@ -332,28 +368,31 @@
 	}
 }
 
-// checkRecovered verifies that the cell works again some time after all faults
-// have ended: one owner that all nodes know, no server unknown, one revision.
-func (s *schedule) checkRecovered() {
-	if s.failure != "" {
-		return
-	}
+// unrecovered tells what does not work again after all faults have ended: there
+// must be one owner that all nodes know, no unknown server and one revision.
+func (s *schedule) unrecovered() string {
 	owner := s.owner()
 	if owner == nil {
-		s.fail("no owner %v after the faults ended", healedTime)
-		return
+		return "no owner"
 	}
 	term := owner.machine.Status().Cells[0].Term
 	for _, n := range s.nodes {
+		if n.machine == nil {
+			return fmt.Sprintf("%s is down", n.id)
+		}
 		status := n.machine.Status()
 		if status.Stopping {
 			continue
 		}
+		if len(status.Cells) == 0 {
+			return fmt.Sprintf("%s knows no cell", n.id)
+		}
 		if cell := status.Cells[0]; cell.Term != term || cell.UnknownServer > 0 || cell.Unreachable > 0 {
-			s.fail("%s has not recovered: %+v", n.id, cell)
+			return fmt.Sprintf("%s sees %+v", n.id, cell)
 		}
 		if status.TreeRevision != s.newest().revision {
-			s.fail("%s has tree revision %d, newest is %d", n.id, status.TreeRevision, s.newest().revision)
+			return fmt.Sprintf("%s has tree revision %d of %d", n.id, status.TreeRevision, s.newest().revision)
 		}
 	}
+	return ""
 }
--- a/pkg/control/explore/world_test.go
+++ b/pkg/control/explore/world_test.go
@@ -55,7 +55,8 @@
 	models   []api.ModelName
 	decider  func(name string) policy.Decider
 
-	failure string
+	failure string // a promise that was broken
+	stuck   string // what does not work again after the faults
 	tracing bool
 	trace   []string
 	steps   int
@@ -174,18 +175,16 @@
 	w.listing = append(w.listing, list)
 }
 
-// laggingList is the list as it was listLag ago.
+// laggingList is the list as a replica that lags by up to listLag shows it.
 func (w *world) laggingList() platform.MachineList {
-	seen := platform.MachineList{}
-	for _, list := range w.listing {
-		if !list.AsOf.After(w.now.Add(-w.listLag)) {
-			seen = list
+	asOf := w.now.Add(-w.between(w.listLag/2, w.listLag))
+	for index := len(w.listing) - 1; index >= 0; index-- {
+		if list := w.listing[index]; !list.AsOf.After(asOf) {
+			list.AsOf = asOf
+			return list
 		}
 	}
-	if len(seen.Machines) > 0 {
-		seen.AsOf = w.now.Add(-w.listLag)
-	}
-	return seen
+	return platform.MachineList{}
 }
 
 func (w *world) server(id api.ServerID) *modelEngine {
@@ -326,7 +325,7 @@
 
 // addNode starts a node.
 func (w *world) addNode(id, zone string) *node {
-	n := &node{world: w, id: api.NodeID(id), zone: zone}
+	n := &node{world: w, id: api.NodeID(id), zone: zone, peerAddress: "node/" + id}
 	w.nodes = append(w.nodes, n)
 	n.boot()
 	return n
--- a/pkg/control/internal/switches/switches.go
+++ b/pkg/control/internal/switches/switches.go
@@ -8,7 +8,7 @@
 	NoMajority     bool // a leader's state counts as committed at once
 	NoPromise      bool // members accept any term
 	NoIntents      bool // orders go out before their intents are committed
-	NoFenceOnLead  bool // a new owner does not fence engines before it orders
+	NoFence        bool // inventories are read without raising the fence
 	UnknownIsEmpty bool // a new epoch counts unfenced servers as empty
 	DoubtIsRefused bool // an order without answer counts as not carried out
 	NoInstance     bool // orders do not name the engine's instance
@@ -16,6 +16,7 @@
 	NoRecheck      bool // limits are not checked again when an order goes out
 	TrustDecider   bool // wishes of the decider are not checked
 	NoAdmission    bool // servers are used before the table service records them
+	NoVerify       bool // a new engine instance is used without reading the record
+	BelieveList    bool // a list that says gone is believed whatever its age
 	NoTreeFloor    bool // an older tree replaces a newer one
-	KeepEpoch      bool // a re-formed group does not raise the epoch
 }
--- a/pkg/control/status.go
+++ b/pkg/control/status.go
@@ -44,16 +44,22 @@
 	RoleNone   = "none"
 )
 
+// TreeRevision returns the revision of the tree in force, or zero.
+func (m *Machine) TreeRevision() tree.Revision {
+	if m.settings == nil {
+		return 0
+	}
+	return m.settings.Revision()
+}
+
 // Status returns a copy of what operators may want to know.
 func (m *Machine) Status() Status {
 	status := Status{
-		Node:     m.config.Self,
-		TreeSeen: m.treeSeen,
-		Members:  m.membership.Members(),
-		Stopping: m.stopping,
-	}
-	if m.settings != nil {
-		status.TreeRevision = m.settings.Revision()
+		Node:         m.config.Self,
+		TreeRevision: m.TreeRevision(),
+		TreeSeen:     m.treeSeen,
+		Members:      m.membership.Members(),
+		Stopping:     m.stopping,
 	}
 	for _, name := range m.cellOrder {
 		status.Cells = append(status.Cells, m.cells[name].status())
