traffic: routing takes turns, trusts load reports for less time; properties

A report now counts half after 0.3 of a request's mean time, weighs 0.6, and a scorer of own recent requests makes a node take turns.

--- a/pkg/traffic/model.go
+++ b/pkg/traffic/model.go
@@ -12,11 +12,26 @@
 // usage counts what this node has running on a replica.
 type usage struct {
 	requests, tokens int
+	recent           float64 // requests sent lately, as of recentAt
+	recentAt         time.Time
 }
 
-func (u *usage) add(tokens int) {
+// recentHalfLife is the age at which a request that was sent counts half.
+const recentHalfLife = 5 * time.Second
+
+func (u *usage) add(now time.Time, tokens int) {
 	u.requests++
 	u.tokens += tokens
+	u.recent = u.recentBy(now) + 1
+	u.recentAt = now
+}
+
+// recentBy returns the requests sent lately, decayed to now.
+func (u *usage) recentBy(now time.Time) float64 {
+	if u.recent == 0 {
+		return 0
+	}
+	return decay(u.recent, now.Sub(u.recentAt), recentHalfLife)
 }
 
 func (u *usage) remove(tokens int) {
--- a/pkg/traffic/place.go
+++ b/pkg/traffic/place.go
@@ -133,9 +133,9 @@
 // take takes a place on a replica.
 func (p *pool) take(now time.Time, state *modelState, chosen *replica, request *Request, earlier attempts) *grant {
 	tokens := tokensOf(request)
-	chosen.usage.add(tokens)
+	chosen.usage.add(now, tokens)
 	if chosen.baseUsage != nil {
-		chosen.baseUsage.add(tokens)
+		chosen.baseUsage.add(now, tokens)
 	}
 	chosen.server.inFlight.Add(1)
 	chosen.server.prefixes.Hint(now, state.seed, request.Prefixes)
@@ -152,6 +152,7 @@
 // fillCandidates takes the snapshot that routing decides on.
 func (p *pool) fillCandidates(now time.Time, state *modelState, request *Request) {
 	state.candidates = state.candidates[:0]
+	halfLife := reportHalfLife(state.pace.hold)
 	for index := range state.replicas {
 		known := &state.replicas[index]
 		status := known.server.outliers.Status(now)
@@ -163,7 +164,8 @@
 			Ejected:      status.Ejected,
 			Share:        status.Share,
 			Usage:        known.usage.within(&state.model.Settings),
-			ReportedLoad: known.server.othersLoad(now),
+			Recent:       known.usage.recentBy(now),
+			ReportedLoad: known.server.othersLoad(now, halfLife),
 			AdapterSeen:  known.server.reports(state.name),
 		}
 		if p.router.config.off.leaving {
--- a/pkg/traffic/routing/plugins_test.go
+++ b/pkg/traffic/routing/plugins_test.go
@@ -60,6 +60,8 @@
 		{InFlightScorer{}, func(c *Candidate) { c.Usage.Requests = 9 }, 0},
 		{InFlightScorer{}, func(c *Candidate) { c.Usage.Requests = 0; c.BaseUsage.Requests = 2 }, 0.5},
 		{InFlightScorer{}, func(c *Candidate) { c.Usage = Usage{Requests: 8} }, 0.75},
+		{RecentScorer{}, func(*Candidate) {}, 1},
+		{RecentScorer{}, func(c *Candidate) { c.Recent = 4 }, 0.5},
 		{ReportedLoadScorer{}, func(c *Candidate) { c.ReportedLoad = 1 }, 0.75},
 		{PrefixScorer{}, func(c *Candidate) { c.MatchedBlocks = 2 }, 0.25},
 		{ZoneScorer{}, func(*Candidate) {}, 1},
--- a/pkg/traffic/routing/routing.go
+++ b/pkg/traffic/routing/routing.go
@@ -52,6 +52,7 @@
 	Share         float64 // of its normal traffic; below 1 after an ejection
 	Usage         Usage   // of the model
 	BaseUsage     Usage   // of the base model and all its adapters, if the model is an adapter
+	Recent        float64 // requests that this node sent to the replica lately, decayed by their age
 	ReportedLoad  float64 // requests that others have on the server, decayed by the report's age
 	MatchedBlocks int     // leading blocks of the prompt believed to be cached
 	AdapterSeen   bool    // the engine's last load report lists the model
@@ -108,12 +109,14 @@
 	return &Chooser{filters: filters, scorers: scorers, picker: picker}
 }
 
-// The weights of the default scorers. Own requests and the reported load weigh
-// the same; a whole cached prompt outweighs half a replica's load; zone and
-// adapter decide between replicas that are otherwise alike.
+// The weights of the default scorers. What a node did itself weighs more than
+// the reported load, which all nodes follow at once; a whole cached prompt
+// outweighs half a replica's load; zone and adapter decide between replicas
+// that are otherwise alike.
 const (
 	weightInFlight = 1.0
-	weightReported = 1.0
+	weightRecent   = 1.0
+	weightReported = 0.6
 	weightPrefix   = 1.0
 	weightZone     = 0.1
 	weightAdapter  = 0.1
@@ -125,6 +128,7 @@
 		[]Filter{ReadyFilter{}, LeavingFilter{}, EjectedFilter{}, TriedFilter{}, RoomFilter{}},
 		[]Weighted{
 			{InFlightScorer{}, weightInFlight},
+			{RecentScorer{}, weightRecent},
 			{ReportedLoadScorer{}, weightReported},
 			{PrefixScorer{}, weightPrefix},
 			{ZoneScorer{}, weightZone},
--- a/pkg/traffic/server.go
+++ b/pkg/traffic/server.go
@@ -12,8 +12,29 @@
 	"martenwheel.dev/pkg/traffic/prefixcache"
 )
 
-// loadHalfLife is the age at which a load report counts half.
-const loadHalfLife = 2 * time.Second
+// A load report counts half at the age of reportTrust times the time that a
+// request holds its place. All nodes follow the same report, so that together
+// they even out what it shows long before the requests in it have ended.
+const (
+	reportTrust       = 0.3
+	minReportHalfLife = 50 * time.Millisecond
+	maxReportHalfLife = 10 * time.Second
+	assumedHold       = 2 * time.Second // while it is not measured
+)
+
+// reportHalfLife returns the half-life of load reports for a model's hold.
+func reportHalfLife(hold time.Duration) time.Duration {
+	if hold == 0 {
+		hold = assumedHold
+	}
+	halfLife := time.Duration(reportTrust * float64(hold))
+	return max(minReportHalfLife, min(halfLife, maxReportHalfLife))
+}
+
+// decay returns what is left of a value after a time.
+func decay(value float64, age, halfLife time.Duration) float64 {
+	return value * math.Exp2(-float64(max(0, age))/float64(halfLife))
+}
 
 // server is what this node learned itself about a server that runs an engine.
 // Safe for concurrent use.
@@ -48,7 +69,7 @@
 
 // othersLoad estimates the requests that other nodes have on the server. The
 // estimate falls with the age of the report.
-func (s *server) othersLoad(now time.Time) float64 {
+func (s *server) othersLoad(now time.Time, halfLife time.Duration) float64 {
 	report := s.load.Load()
 	if report == nil {
 		return 0
@@ -58,8 +79,7 @@
 		total += model.Running + model.Queued
 	}
 	others := max(0, float64(total)-float64(s.inFlight.Load()))
-	age := max(0, now.Sub(report.AsOf))
-	return others * math.Exp2(-float64(age)/float64(loadHalfLife))
+	return decay(others, now.Sub(report.AsOf), halfLife)
 }
 
 // reports tells whether the engine's last load report lists the model.
