--- a/pkg/gateway/internal/upstream/client_test.go
+++ b/pkg/gateway/internal/upstream/client_test.go
@@ -222,3 +222,31 @@
 	}
 	<-left
 }
+
+// TestClosedIdleConnection: a connection that the engine closed while it was
+// idle is not used for a request, whose outcome would then be unknown.
+func TestClosedIdleConnection(t *testing.T) {
+	closed := make(chan struct{}, 10)
+	address, connections := serve(t, func(connection net.Conn, reader *bufio.Reader) {
+		readRequest(reader)
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		_ = connection.Close()
+		closed <- struct{}{}
+	})
+	client := NewClient(testConfig())
+	t.Cleanup(client.Close)
+	for range 3 {
+		answer, err := client.Send(t.Context(), address, newRequest(""), time.Now().Add(time.Minute))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := answer.ReadAll(100); err != nil {
+			t.Fatal(err)
+		}
+		<-closed
+		answer.Close(true)
+	}
+	if len(connections) != 3 {
+		t.Errorf("%d connections", len(connections))
+	}
+}
