--- a/pkg/policy/adaptive.go
+++ b/pkg/policy/adaptive.go
@@ -1,6 +1,10 @@
 package policy
 
-import "time"
+import (
+	"time"
+
+	"martenwheel.dev/pkg/api"
+)
 
 // exchangeRate is how many accelerator seconds of idling a second of a cold
 // start is worth if both measures weigh the same.
@@ -15,32 +19,68 @@
 // them.
 type adaptive struct{}
 
-// unload implements retention.
-func (adaptive) unload(p *plan, model *Model, replica *Replica, lastUse time.Time) bool {
+// unload implements retention. A replica is let go when holding it is not worth
+// it, or when it is better to load it again shortly before the next request.
+func (a adaptive) unload(p *plan, model *Model, replica *Replica, lastUse time.Time) bool {
 	idle := p.now.Sub(lastUse)
 	if idle < shortestIdle {
 		return false
 	}
-	return idle >= model.Settings.KeepAlive || adaptive{}.value(p, model, replica, lastUse) < 0
+	if idle >= model.Settings.KeepAlive {
+		return true
+	}
+	worth := p.outlook(model, p.reload(model, replica.Server))
+	return worth.hold < 0 || model.Settings.Prewarm && worth.hold < worth.loadLate
 }
 
 // shortestIdle is how long a replica stays at least, so that demand that was
 // not reported yet does not meet an unloading one.
 const shortestIdle = 3 * time.Second
 
+// value implements retention.
+func (adaptive) value(p *plan, model *Model, replica *Replica, _ time.Time) float64 {
+	return p.outlook(model, p.reload(model, replica.Server)).hold
+}
+
 // prewarm implements retention.
 func (adaptive) prewarm(p *plan, model *Model) string {
 	if p.worthCaching(model) {
 		return "to cache its checkpoint"
 	}
+	if !p.prewarmTurn(model) || !p.maySoonBeWanted(model) {
+		return ""
+	}
+	worth := p.outlook(model, p.fastestLoad(model))
+	if worth.loadNow > 0 && worth.loadNow >= worth.loadLate {
+		return "expected soon"
+	}
 	return ""
 }
 
-// value implements retention.
-func (adaptive) value(p *plan, model *Model, replica *Replica, _ time.Time) float64 {
+// prewarmTurns is the number of decisions, a second apart, over which the
+// models that are not loaded take turns to be looked at.
+const prewarmTurns = 5
+
+// prewarmTurn tells whether it is the model's turn.
+func (p *plan) prewarmTurn(model *Model) bool {
+	return (int(p.now.Unix())+p.indexOf(model.Name))%prewarmTurns == 0
+}
+
+// maySoonBeWanted tells whether the model can be loaded and has a history.
+func (p *plan) maySoonBeWanted(model *Model) bool {
+	return !model.History.Last.IsZero() && (model.Base == "" || p.hasUsableBase(model))
+}
+
+// reload returns how long it is expected to take to load a model again on the
+// server that holds it.
+func (p *plan) reload(model *Model, server api.ServerID) time.Duration {
+	return time.Duration(float64(model.Settings.LoadTime) * p.tier(model, server).loadShare())
+}
+
+// outlook returns what holding a model is worth whose load takes the time load.
+func (p *plan) outlook(model *Model, load time.Duration) outlook {
 	quiet := p.forecast(model)
-	reload := model.Settings.LoadTime.Seconds() * p.tier(model, replica.Server).loadShare()
-	return quiet.holdValue(reload*coldStartWorth(model), accelerators(model))
+	return quiet.outlook(load, load.Seconds()*coldStartWorth(model), accelerators(model))
 }
 
 // coldStartWorth returns how many accelerator seconds a second of a cold start
--- a/pkg/policy/forecast.go
+++ b/pkg/policy/forecast.go
@@ -48,17 +48,45 @@
 	}
 }
 
-// holdValue returns what holding the model from now on is worth at the best:
-// the cold starts that it saves, less the time that it idles, which is weighed
-// by cost per second. It is below zero if unloading at once is better.
-func (f *forecast) holdValue(coldStart, cost float64) float64 {
-	best := math.Inf(-1)
+// outlook is what holding a model is worth at the best, in accelerator seconds:
+// the cold starts that it saves less the time that it idles.
+type outlook struct {
+	hold     float64 // from now on; below zero if unloading at once is better
+	loadNow  float64 // if it is not loaded: a load that starts now
+	loadLate float64 // or a load that starts later
+}
+
+// outlook works out the worth of a model whose cold start would take load and
+// be worth coldStart, and whose idling costs cost per second.
+func (f *forecast) outlook(load time.Duration, coldStart, cost float64) outlook {
+	best := outlook{hold: math.Inf(-1), loadNow: math.Inf(-1), loadLate: math.Inf(-1)}
+	quietWhenReady := f.at(load)
+	bestStart := math.Inf(-1) // of what a later load saves by its start
 	held, last, quiet := 0.0, 0.0, 1.0
 	for i, horizon := range horizons {
 		until := horizon.Seconds()
 		held += (quiet + f[i]) / 2 * (until - last)
 		last, quiet = until, f[i]
-		best = max(best, (1-quiet)*coldStart-held*cost)
+		missed := quiet*coldStart + held*cost
+		best.hold = max(best.hold, coldStart-missed)
+		if horizon > load {
+			best.loadNow = max(best.loadNow, quietWhenReady*coldStart-missed)
+		}
+		best.loadLate = max(best.loadLate, bestStart-missed)
+		bestStart = max(bestStart, f.at(horizon+load)*coldStart+held*cost)
 	}
 	return best
 }
+
+// at returns how probable it is that no request comes until a time ahead.
+func (f *forecast) at(ahead time.Duration) float64 {
+	last, quiet := time.Duration(0), 1.0
+	for i, horizon := range horizons {
+		if ahead <= horizon {
+			part := float64(ahead-last) / float64(horizon-last)
+			return quiet + (f[i]-quiet)*part
+		}
+		last, quiet = horizon, f[i]
+	}
+	return quiet
+}
--- a/pkg/policy/history.go
+++ b/pkg/policy/history.go
@@ -5,12 +5,12 @@
 	"time"
 )
 
-// Resolution of a History. Bucket i holds the gaps from gapUnit*2^(i/4) to
-// gapUnit*2^((i+1)/4); the last one also holds all longer gaps.
+// Resolution of a History. Bucket i holds the gaps from gapUnit*2^(i/8) to
+// gapUnit*2^((i+1)/8); the last one also holds all longer gaps.
 const (
 	gapUnit          = 10 * time.Second
-	bucketsPerOctave = 4
-	gapBuckets       = 64 // reaches about a week
+	bucketsPerOctave = 8
+	gapBuckets       = 128 // reaches about a week
 )
 
 // gapDecay is what each new gap leaves of the weight of the older ones, so
@@ -19,7 +19,7 @@
 
 // History is what is remembered of a model's arrivals: a histogram of the gaps
 // between them with logarithmic buckets, in which old gaps fade. Its size is
-// constant (about 300 bytes), it can be encoded with gob and merged. The zero
+// constant (about 500 bytes), it can be encoded with gob and merged. The zero
 // value is an empty history.
 type History struct {
 	Last time.Time // the last arrival; zero if there was none
