A fresh process does not start from the empty tree of a fresh peer

Cause: any peer's answer counted, also of one that was itself still at revision 0; with the table service down, processes that started together would have served the empty tree. Found by reading; the new case fails without the check.

--- a/pkg/tree/editor.go
+++ b/pkg/tree/editor.go
@@ -16,18 +16,22 @@
 // ErrNoSource means that no source answered.
 var ErrNoSource = errors.New("tree: neither the table service nor a peer answered")
 
-// Newest asks all sources at once and returns the tree with the highest
-// revision. A fresh process starts from it. One answer is enough: the store's is
-// the newest accepted tree, a peer's is in force at that peer. With none, the
-// process must wait, since a tree from elsewhere may have been replaced.
-func Newest(ctx context.Context, sources ...Source) (*Tree, error) {
+// Newest asks the store and the peers at once and returns the tree with the
+// highest revision. A fresh process starts from it. One answer is enough: the
+// store's is the newest accepted tree, a peer's is in force at that peer. A peer
+// that is still at revision 0 is fresh itself and knows nothing. With no answer
+// the process must wait, since a tree from elsewhere may have been replaced.
+func Newest(ctx context.Context, store Source, peers ...Source) (*Tree, error) {
 	workers := pool.NewWithResults[*Tree]()
-	for _, source := range sources {
-		workers.Go(func() *Tree { return fetchWhole(ctx, source) })
+	for _, peer := range peers {
+		workers.Go(func() *Tree { return fetchWhole(ctx, peer) })
 	}
-	var newest *Tree
+	newest := fetchWhole(ctx, store)
 	for _, tree := range workers.Wait() {
-		if tree != nil && (newest == nil || tree.Revision() > newest.Revision()) {
+		if tree == nil || tree.Revision() == 0 {
+			continue
+		}
+		if newest == nil || tree.Revision() > newest.Revision() {
 			newest = tree
 		}
 	}
--- a/pkg/tree/store_test.go
+++ b/pkg/tree/store_test.go
@@ -320,21 +320,25 @@
 	want := fill(t, newFakeStore(table, objects), SnapshotEvery+7)
 	brokenTable := newFakeTable()
 	brokenTable.getFaults.rest = down
+	up, broken := newFakeStore(table, objects), newFakeStore(brokenTable, objects)
+	empty := newFakeStore(newFakeTable(), newFakeObjects())
 	cases := []struct {
-		name    string
-		sources []Source
-		want    Revision
-		err     error
+		name  string
+		store Source
+		peers []Source
+		want  Revision
+		err   error
 	}{
-		{name: "platform before peers", sources: []Source{newFakeStore(table, objects), at(5)}, want: want.Revision()},
-		{name: "platform down", sources: []Source{newFakeStore(brokenTable, objects), at(5), at(120), gone}, want: 120},
-		{name: "platform down and only a snapshot left", sources: []Source{newFakeStore(brokenTable, objects), gone}, err: ErrNoSource},
-		{name: "peers gone", sources: []Source{newFakeStore(table, objects), gone}, want: want.Revision()},
-		{name: "none", err: ErrNoSource},
+		{name: "platform before peers", store: up, peers: []Source{at(5)}, want: want.Revision()},
+		{name: "platform down", store: broken, peers: []Source{at(5), at(120), gone}, want: 120},
+		{name: "platform down and only a snapshot left", store: broken, peers: []Source{gone}, err: ErrNoSource},
+		{name: "platform down and peers just started, too", store: broken, peers: []Source{at(0), at(0)}, err: ErrNoSource},
+		{name: "peers gone", store: up, peers: []Source{gone}, want: want.Revision()},
+		{name: "nothing accepted yet", store: empty, peers: []Source{at(0)}, want: 0},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			tree, err := Newest(context.Background(), test.sources...)
+			tree, err := Newest(context.Background(), test.store, test.peers...)
 			if !errors.Is(err, test.err) {
 				t.Fatalf("got %v, want %v", err, test.err)
 			}
