dynamotable: the SDK can't close the connection under a large answer

Found as a flaky list test. Cause: smithy-go closes the request's body when the answer begins, and its closed body returns io.EOF from WriteTo; net/http, still looking for the body's end, takes that for a failed write and closes the connection (a stack trace of the close showed writeLoop, a trace of the request 'wrote: EOF'). Ruled out: the stand-in (it answers whole), idle connections being closed, the context. Each request has a body of its own now.

--- a/pkg/platform/dynamotable/table.go
+++ b/pkg/platform/dynamotable/table.go
@@ -70,7 +70,7 @@
 			return credentials, nil
 		}),
 		Retryer:                    aws.NopRetryer{}, // the caller decides on each repeat
-		HTTPClient:                 &http.Client{Transport: config.Transport, CheckRedirect: noRedirect},
+		HTTPClient:                 &http.Client{Transport: newBodyTransport(config.Transport), CheckRedirect: noRedirect},
 		DisableClockSkewCorrection: true,
 	})
 	return &Table{client: client, name: config.Table, partition: config.Partition}
