--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -30,6 +30,10 @@
 				err = call.refuse(c, call.crashed(fault))
 			}
 		}()
+		if g.draining.Load() {
+			c.Context().SetConnectionClose()
+			return call.refuse(c, stopping())
+		}
 		caller, apiError := call.accept(c)
 		if apiError == nil {
 			apiError = call.resolve(caller)
--- /dev/null
+++ b/pkg/traffic/routing/herding_test.go
@@ -0,0 +1,227 @@
+package routing
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"martenwheel.dev/pkg/api"
+)
+
+// The herd: many routers see the same load report, which is a second old when
+// the next one comes. Times are in steps of 10 ms.
+const (
+	herdRouters  = 20
+	herdServers  = 12
+	herdLimit    = 32
+	herdSteps    = 3000
+	reportSteps  = 100 // between two load reports
+	halfLife     = 15  // of a report: 0.3 of the mean hold
+	recentLife   = 500 // of an own request
+	meanHold     = 50  // steps that a request takes on average
+	meanInFlight = 8.0 // per server
+	slowFactor   = 3
+)
+
+// strategy chooses a server for a router.
+type strategy func(herd *herd, router int) int
+
+// herd is a simulation of routers before servers.
+type herd struct {
+	random   *rand.Rand
+	step     int
+	own      [herdRouters][herdServers]int
+	total    [herdServers]int
+	recent   [herdRouters][herdServers]float64
+	reported [herdServers]int
+	turns    [herdRouters]int
+	slow     int              // servers that take longer
+	ending   map[int][][2]int // by step: router and server
+	chooser  *Chooser
+}
+
+func (h *herd) candidates(router int) []Candidate {
+	list := make([]Candidate, herdServers)
+	age := float64(h.step % reportSteps)
+	for server := range list {
+		own := h.own[router][server]
+		others := math.Max(0, float64(h.reported[server]-own)) * math.Exp2(-age/halfLife)
+		list[server] = Candidate{
+			Server: api.ServerID(fmt.Sprint(server)), State: api.ReplicaReady, Share: 1,
+			Usage: Usage{Requests: own, MaxRequests: herdLimit}, ReportedLoad: others,
+			Recent: h.recent[router][server],
+		}
+	}
+	return list
+}
+
+func byScores(h *herd, router int) int {
+	index, _ := h.chooser.Choose(h.random, &Request{}, h.candidates(router))
+	return index
+}
+
+func atRandom(h *herd, _ int) int { return h.random.IntN(herdServers) }
+
+func roundRobin(h *herd, router int) int {
+	h.turns[router]++
+	return (h.turns[router] + router) % herdServers
+}
+
+func leastReported(h *herd, _ int) int {
+	least := 0
+	for server, load := range h.reported {
+		if load < h.reported[least] {
+			least = server
+		}
+	}
+	return least
+}
+
+// imbalance runs the herd and returns the mean ratio of the fullest server to
+// the average one.
+func imbalance(choose strategy, chooser *Chooser, slow int, seed uint64) float64 {
+	h := &herd{
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		ending:  make(map[int][][2]int),
+		chooser: chooser,
+		slow:    slow,
+	}
+	const perStep = meanInFlight * herdServers / meanHold
+	sum, samples, due := 0.0, 0, 0.0
+	for h.step = range herdSteps {
+		for _, place := range h.ending[h.step] {
+			h.own[place[0]][place[1]]--
+			h.total[place[1]]--
+		}
+		delete(h.ending, h.step)
+		h.ageRecent()
+		if h.step%reportSteps == 0 {
+			h.reported = h.total
+		}
+		for due += h.random.ExpFloat64() * perStep; due >= 1; due-- {
+			h.send(choose)
+		}
+		if h.step >= 2*reportSteps {
+			sum += h.ratio()
+			samples++
+		}
+	}
+	return sum / float64(samples)
+}
+
+func (h *herd) ageRecent() {
+	for router := range h.recent {
+		for server := range h.recent[router] {
+			h.recent[router][server] *= math.Exp2(-1.0 / recentLife)
+		}
+	}
+}
+
+func (h *herd) send(choose strategy) {
+	router := h.random.IntN(herdRouters)
+	server := choose(h, router)
+	h.recent[router][server]++
+	h.own[router][server]++
+	h.total[server]++
+	hold := h.random.ExpFloat64() * meanHold
+	if server < h.slow {
+		hold *= slowFactor
+	}
+	end := h.step + 1 + int(hold)
+	h.ending[end] = append(h.ending[end], [2]int{router, server})
+}
+
+func (h *herd) ratio() float64 {
+	most, sum := 0, 0
+	for _, count := range h.total {
+		most = max(most, count)
+		sum += count
+	}
+	if sum == 0 {
+		return 1
+	}
+	return float64(most) * herdServers / float64(sum)
+}
+
+// meanImbalance averages over seeds.
+func meanImbalance(choose strategy, chooser func() *Chooser, slow int) float64 {
+	const seeds = 5
+	sum := 0.0
+	for seed := range uint64(seeds) {
+		sum += imbalance(choose, chooser(), slow, seed)
+	}
+	return sum / seeds
+}
+
+// bestPicker always takes the best score, as a router would that trusts what it
+// knows.
+type bestPicker struct{}
+
+func (bestPicker) Pick(_ Random, scored []Scored) int {
+	best := 0
+	for index := range scored {
+		if scored[index].Score > scored[best].Score {
+			best = index
+		}
+	}
+	return best
+}
+
+func withBestPicker() *Chooser {
+	chooser := NewDefaultChooser()
+	chooser.picker = bestPicker{}
+	return chooser
+}
+
+// strategies are compared side by side; the first is the product's own.
+var strategies = []struct {
+	name    string
+	choose  strategy
+	chooser func() *Chooser
+}{
+	{"two choices", byScores, NewDefaultChooser},
+	{"best score", byScores, withBestPicker},
+	{"random", atRandom, NewDefaultChooser},
+	{"round robin", roundRobin, NewDefaultChooser},
+	{"least reported", leastReported, NewDefaultChooser},
+}
+
+// herdCases are servers that are all alike, and some that are slow.
+var herdCases = []struct {
+	name string
+	slow int
+}{{"alike", 0}, {"two slow", 2}}
+
+func TestTwoChoicesPreventHerding(t *testing.T) {
+	for _, herd := range herdCases {
+		t.Run(herd.name, func(t *testing.T) {
+			ratios := make(map[string]float64)
+			for _, strategy := range strategies {
+				ratios[strategy.name] = meanImbalance(strategy.choose, strategy.chooser, herd.slow)
+				t.Logf("%s: fullest server has %.2f times the average", strategy.name, ratios[strategy.name])
+			}
+			own := ratios["two choices"]
+			if own >= ratios["random"] || own >= ratios["least reported"] {
+				t.Error("two choices are not more even than random or than the least reported load")
+			}
+			if own > ratios["round robin"]*1.02 {
+				t.Error("two choices are less even than round robin")
+			}
+		})
+	}
+}
+
+func BenchmarkImbalance(b *testing.B) {
+	for _, herd := range herdCases {
+		for _, strategy := range strategies {
+			b.Run(herd.name+"/"+strategy.name, func(b *testing.B) {
+				ratio := 0.0
+				for b.Loop() {
+					ratio = meanImbalance(strategy.choose, strategy.chooser, herd.slow)
+				}
+				b.ReportMetric(ratio, "max/mean")
+			})
+		}
+	}
+}
