--- a/pkg/traffic/benchmark_test.go
+++ b/pkg/traffic/benchmark_test.go
@@ -77,3 +77,21 @@
 		})
 	}
 }
+
+// BenchmarkDecisionParallel measures Acquire and Done of one warm model from
+// all processors at once.
+func BenchmarkDecisionParallel(b *testing.B) {
+	router := benchmarkRouter(b, nil)
+	request := ask(time.Hour)
+	b.ReportAllocs()
+	b.RunParallel(func(loop *testing.PB) {
+		for loop.Next() {
+			granted, err := router.Acquire(context.Background(), request)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			granted.Done(Outcome{Kind: OutcomeServed})
+		}
+	})
+}
