traffic: queue_tokens bounds prompt tokens, as its key says

Cause: the bound counted the tokens asked for too, so that three requests with large max_tokens filled a queue meant for many (TestQueueIsBoundedInTokens).

--- a/pkg/traffic/fairness_test.go
+++ b/pkg/traffic/fairness_test.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,15 +17,11 @@
 )
 
 // floodWait returns how long a single request waits beside the flood.
-func floodWait(t testing.TB, off mechanisms, priority int) time.Duration {
+func floodWait(t *testing.T, off mechanisms, priority int) time.Duration {
 	t.Helper()
 	control := newStubControl(t, "max_concurrency", "2")
 	var waited time.Duration
-	test, isTest := t.(*testing.T)
-	if !isTest {
-		return 0
-	}
-	virtually(test, Config{Control: control, off: off}, func(t *testing.T, router *Router) {
+	virtually(t, Config{Control: control, off: off}, func(t *testing.T, router *Router) {
 		control.publish(readyOn("m", 1))
 		flood := make([]<-chan result, floodSize)
 		for index := range flood {
@@ -100,6 +97,26 @@
 	}
 }
 
+// The queue is bounded in prompt tokens as well.
+func TestQueueIsBoundedInTokens(t *testing.T) {
+	control := newStubControl(t, "queue_tokens", "35")
+	virtually(t, Config{Control: control}, func(t *testing.T, router *Router) {
+		ctx, leave := context.WithCancel(context.Background())
+		defer leave()
+		for range 5 {
+			request := ask(time.Minute)
+			request.MaxTokens = 1000 // takes no room while it waits
+			acquireLater(ctx, router, request)
+		}
+		synctest.Wait()
+		if waiting := router.Stats().Waiting; waiting != 3 {
+			t.Errorf("%d requests of 10 tokens wait in a queue of 35, want 3", waiting)
+		}
+		leave()
+		synctest.Wait()
+	})
+}
+
 // An adapter and its base share the places of the base.
 func TestAdapterSharesThePlacesOfItsBase(t *testing.T) {
 	control := newStubControl(t, "max_concurrency", "2")
--- a/pkg/traffic/fairqueue/class.go
+++ b/pkg/traffic/fairqueue/class.go
@@ -15,7 +15,7 @@
 	backlog backlog[T] // the flows with waiting items
 	clock   clock
 	length  int
-	cost    float64
+	size    int
 }
 
 // priority is that of the flow which is served next.
@@ -45,7 +45,7 @@
 	}
 	target.cost += item.Cost
 	c.length++
-	c.cost += item.Cost
+	c.size += item.Size
 }
 
 func (c *class[T]) remove(item *Item[T], headStart float64) {
@@ -54,7 +54,7 @@
 	item.flow = nil
 	from.cost -= item.Cost
 	c.length--
-	c.cost -= item.Cost
+	c.size -= item.Size
 	if len(from.items) == 0 {
 		heap.Remove(&c.backlog, from.position)
 		return
--- a/pkg/traffic/fairqueue/queue.go
+++ b/pkg/traffic/fairqueue/queue.go
@@ -18,6 +18,7 @@
 	Class    string
 	Flow     string
 	Cost     float64 // of serving it, such as its tokens; must be above zero
+	Size     int     // of the room that it takes while it waits
 	Priority int     // larger is more urgent
 	Deadline time.Time
 
@@ -73,10 +74,10 @@
 	return 0
 }
 
-// ClassCost returns the sum of the costs of a class's waiting items.
-func (q *Queue[T]) ClassCost(name string) float64 {
+// ClassSize returns the sum of the sizes of a class's waiting items.
+func (q *Queue[T]) ClassSize(name string) int {
 	if class := q.find(name); class != nil {
-		return class.cost
+		return class.size
 	}
 	return 0
 }
--- a/pkg/traffic/pool.go
+++ b/pkg/traffic/pool.go
@@ -126,7 +126,8 @@
 	}
 	waiting.item = fairqueue.Item[*waiter]{
 		Value: waiting, Class: string(state.name), Flow: request.Caller,
-		Cost: float64(tokensOf(request)), Priority: request.Priority, Deadline: request.Deadline,
+		Cost: float64(tokensOf(request)), Size: request.PromptTokens,
+		Priority: request.Priority, Deadline: request.Deadline,
 	}
 	p.queue.SetWeight(string(state.name), state.model.Settings.FairShare)
 	p.queue.Push(&waiting.item)
@@ -199,7 +200,7 @@
 	settings := &state.model.Settings
 	for !newcomer.settled && !newcomer.isRetry() {
 		withinRequests := p.queue.ClassLen(class) <= settings.QueueRequests
-		withinTokens := p.queue.ClassCost(class) <= float64(settings.QueueTokens)
+		withinTokens := p.queue.ClassSize(class) <= settings.QueueTokens
 		if withinRequests && withinTokens {
 			return
 		}
