traffic: a refusal of a leaving engine excludes it; settings never revert

Cause: a router learned that an engine leaves from load reports only, and a request that had looked up its model before an edit wrote the older settings back into the pool until the next one came.

--- a/pkg/traffic/grant.go
+++ b/pkg/traffic/grant.go
@@ -93,6 +93,9 @@
 		g.baseUsage.remove(g.tokens)
 	}
 	g.server.inFlight.Add(-1)
+	if outcome.Leaving {
+		g.server.observeRefusal()
+	}
 	g.state.pace.end(now, now.Sub(g.since), outcome)
 	p.router.running.Add(-1)
 	p.recordOutcome(now, g, outcome)
@@ -103,7 +106,7 @@
 
 // recordOutcome tells outlier detection of the end of an attempt.
 func (p *pool) recordOutcome(now time.Time, g *grant, outcome Outcome) {
-	if outcome.Kind == OutcomeCancelled {
+	if outcome.Kind == OutcomeCancelled || outcome.Leaving {
 		return
 	}
 	if g.server.outliers.Record(now, outcome.Kind == OutcomeServed) {
--- a/pkg/traffic/place.go
+++ b/pkg/traffic/place.go
@@ -9,15 +9,23 @@
 	"martenwheel.dev/pkg/tree"
 )
 
-// refresh brings a model's state up to the newest settings and directory.
+// refresh brings a model's state up to the newest settings and directory. Both
+// are read under the pool's lock, so that a slow request can't bring back the
+// older settings that it found the model in.
 func (p *pool) refresh(model tree.Model) *modelState {
+	settings, _ := p.router.config.Control.Tree()
+	if newest, found := settings.Model(model.Name); found {
+		model = newest
+	}
 	state, known := p.models[model.Name]
 	if !known {
 		state = newModelState(model)
 		p.models[model.Name] = state
 	}
 	state.model = model
-	p.refreshBase(state)
+	if base, found := settings.Model(model.Base); found {
+		state.baseSettings = base.Settings
+	}
 	directory := p.router.config.Control.Directory()
 	switch {
 	case p.directory != directory:
@@ -90,17 +98,6 @@
 	}
 }
 
-// refreshBase looks up the settings of an adapter's base.
-func (p *pool) refreshBase(state *modelState) {
-	if state.model.Base == "" {
-		return
-	}
-	settings, _ := p.router.config.Control.Tree()
-	if base, found := settings.Model(state.model.Base); found {
-		state.baseSettings = base.Settings
-	}
-}
-
 func (p *pool) usageOf(model api.ModelName, server api.ServerID) *usage {
 	key := usageKey{model, server}
 	known, found := p.usages[key]
--- a/pkg/traffic/retry_test.go
+++ b/pkg/traffic/retry_test.go
@@ -160,6 +160,33 @@
 	}
 }
 
+// An engine that refuses because it leaves is out at once, without being asked.
+func TestRefusalOfLeavingEngineExcludesIt(t *testing.T) {
+	control := newStubControl(t)
+	virtually(t, Config{Control: control}, func(t *testing.T, router *Router) {
+		control.publish(readyOn("m", 2))
+		first := mustAcquire(t, router, ask(time.Minute))
+		leaving := first.Target().Server
+		router.ObserveLoad(time.Now(), leaving, engine.LoadReport{Instance: "one"})
+		next, err := first.Retry(context.Background(), Outcome{Kind: OutcomeNotRun, Leaving: true})
+		for range 50 {
+			if err != nil {
+				t.Fatal(err)
+			}
+			if next.Target().Server == leaving {
+				t.Fatal("the leaving server was chosen again")
+			}
+			next.Done(served(time.Millisecond))
+			next, err = router.Acquire(context.Background(), ask(time.Minute))
+		}
+		next.Done(served(time.Millisecond))
+		router.ObserveLoad(time.Now(), leaving, engine.LoadReport{Instance: "two", AsOf: time.Now()})
+		if router.servers.get(leaving).leaving.Load() != nil {
+			t.Error("the engine's next instance is still excluded")
+		}
+	})
+}
+
 func TestFailingServerIsEjectedButTheLastIsKept(t *testing.T) {
 	control := newStubControl(t, "retry_budget", "0")
 	virtually(t, Config{Control: control}, func(t *testing.T, router *Router) {
--- a/pkg/traffic/server.go
+++ b/pkg/traffic/server.go
@@ -58,6 +58,16 @@
 	}
 }
 
+// observeRefusal notes that the engine refused a request because it is leaving.
+// Its instance is that of the last load report.
+func (s *server) observeRefusal() {
+	instance := ""
+	if report := s.load.Load(); report != nil {
+		instance = report.Instance
+	}
+	s.leaving.CompareAndSwap(nil, &instance)
+}
+
 // observeInstance ends the exclusion of a server on which another instance of
 // the engine runs than the one that left.
 func (s *server) observeInstance(instance string) {
--- a/pkg/traffic/types.go
+++ b/pkg/traffic/types.go
@@ -39,7 +39,8 @@
 	Kind         OutcomeKind
 	FirstToken   time.Duration // zero if there was none
 	Tokens       int
-	CachedTokens int // of the prompt, as the engine reported
+	CachedTokens int  // of the prompt, as the engine reported
+	Leaving      bool // the engine said that it takes no new work
 }
 
 // OutcomeKind classifies the end of an attempt.
