--- a/pkg/control/cells.go
+++ b/pkg/control/cells.go
@@ -32,6 +32,7 @@
 	loads     claimEntry // newest claim on the weight store heard
 
 	formation     formation
+	leaderlessAt  time.Time // since when this member has heard of no leader
 	record        recordKeeper
 	calls         recordCalls
 	leaving       []api.NodeRef // members that asked to be replaced
@@ -83,6 +84,9 @@
 		if c.machine.config.Unsafe.NoAdmission {
 			c.owner.Recorded(now, c.owner.Unrecorded())
 		}
+		if c.machine.config.Unsafe.NoVerify {
+			c.owner.Verified(now)
+		}
 		c.owner.Allocate(c.allocation(now))
 		c.owner.Advance(now, c)
 		data, changed := c.owner.TakeData()
--- a/pkg/control/explore/world_test.go
+++ b/pkg/control/explore/world_test.go
@@ -55,7 +55,8 @@
 	models   []api.ModelName
 	decider  func(name string) policy.Decider
 
-	failure string
+	failure string // a promise that was broken
+	stuck   string // what does not work again after the faults
 	tracing bool
 	trace   []string
 	steps   int
@@ -174,18 +175,16 @@
 	w.listing = append(w.listing, list)
 }
 
-// laggingList is the list as it was listLag ago.
+// laggingList is the list as a replica that lags by up to listLag shows it.
 func (w *world) laggingList() platform.MachineList {
-	seen := platform.MachineList{}
-	for _, list := range w.listing {
-		if !list.AsOf.After(w.now.Add(-w.listLag)) {
-			seen = list
+	asOf := w.now.Add(-w.between(w.listLag/2, w.listLag))
+	for index := len(w.listing) - 1; index >= 0; index-- {
+		if list := w.listing[index]; !list.AsOf.After(asOf) {
+			list.AsOf = asOf
+			return list
 		}
 	}
-	if len(seen.Machines) > 0 {
-		seen.AsOf = w.now.Add(-w.listLag)
-	}
-	return seen
+	return platform.MachineList{}
 }
 
 func (w *world) server(id api.ServerID) *modelEngine {
@@ -225,20 +224,26 @@
 }
 
 // checkLoad verifies that an owner that ordered all replicas of a model itself
-// did not go beyond the limit that it knew. It covers lowered limits.
-func (w *world) checkLoad(ordered *modelItem) {
+// did not go beyond the limit that it knew when it gave the last of the orders.
+// It covers lowered limits.
+func (w *world) checkLoad(model api.ModelName) {
 	count := 0
+	var last *modelItem
 	for _, e := range w.servers {
-		if !e.holds(ordered.Model) {
+		if !e.holds(model) {
 			continue
 		}
-		if e.items[ordered.Model].term != ordered.term {
+		item := e.items[model]
+		if last != nil && item.term != last.term {
 			return
 		}
+		if last == nil || item.issued > last.issued {
+			last = item
+		}
 		count++
 	}
-	if count > ordered.limit {
-		w.fail("%d replicas of %s after a load, at most %d decided (term %x)", count, ordered.Model, ordered.limit, ordered.term)
+	if count > last.limit {
+		w.fail("%d replicas of %s after a load, at most %d decided (term %x)", count, model, last.limit, last.term)
 	}
 }
 
@@ -320,7 +325,7 @@
 
 // addNode starts a node.
 func (w *world) addNode(id, zone string) *node {
-	n := &node{world: w, id: api.NodeID(id), zone: zone}
+	n := &node{world: w, id: api.NodeID(id), zone: zone, peerAddress: "node/" + id}
 	w.nodes = append(w.nodes, n)
 	n.boot()
 	return n
--- a/pkg/engine/client_test.go
+++ b/pkg/engine/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -23,7 +24,7 @@
 	requests atomic.Int32
 }
 
-func newRawServer(t *testing.T, answer func(net.Conn)) *rawServer {
+func newRawServer(t testing.TB, answer func(net.Conn)) *rawServer {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -110,6 +111,17 @@
 	}
 }
 
+func TestClientDoesNotRepeatReads(t *testing.T) {
+	server := newRawServer(t, func(connection net.Conn) { connection.Close() })
+	client := engine.NewHTTPClient(engine.HTTPClientConfig{})
+	if _, err := client.Load(t.Context(), server.address); !errors.Is(err, engine.ErrUnknownOutcome) {
+		t.Errorf("error %v", err)
+	}
+	if count := server.requests.Load(); count != 1 {
+		t.Errorf("%d requests sent, want 1", count)
+	}
+}
+
 func TestClientSaysUnreachableOnlyIfNothingWasSent(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -121,6 +133,11 @@
 	if _, err := client.Order(t.Context(), address, testOrder()); !errors.Is(err, engine.ErrUnreachable) {
 		t.Errorf("refused connection: %v", err)
 	}
+	for _, wrong := range []string{"", "127.0.0.1", "127.0.0.1:1:2"} {
+		if _, err := client.Order(t.Context(), wrong, testOrder()); !errors.Is(err, engine.ErrUnreachable) {
+			t.Errorf("address %q: %v", wrong, err)
+		}
+	}
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
 	server := newRawServer(t, writeAnswer("200 OK", accepted))
@@ -198,6 +215,37 @@
 	}
 }
 
+func TestParseChat(t *testing.T) {
+	cases := map[string]string{
+		`[{"role":"user","content":"a"},{"role":"assistant","content":"b"}]`:                                   "user\na\nassistant\nb\n",
+		`[{"role":"user","content":[{"type":"text","text":"a"},{"type":"image"},{"type":"text","text":"b"}]}]`: "user\nab\n",
+		`[{"role":"user","content":{"x":1}}]`:                                                                  "user\n\n",
+		`[]`:                                                                                                   "",
+	}
+	for messages, want := range cases {
+		if got, ok := engine.ParseChat([]byte(messages)); !ok || got != want {
+			t.Errorf("%s: %q, %t, want %q", messages, got, ok, want)
+		}
+	}
+	for _, broken := range []string{`{}`, `"x"`, `[1]`, `[`, ``} {
+		if got, ok := engine.ParseChat([]byte(broken)); ok {
+			t.Errorf("%s: %q", broken, got)
+		}
+	}
+}
+
+func FuzzParseChat(f *testing.F) {
+	f.Add([]byte(`[{"role":"user","content":"a"}]`))
+	f.Add([]byte(`[{"role":"user","content":[{"text":"a"},{}]}]`))
+	f.Add([]byte(`[null,{"content":null}]`))
+	f.Fuzz(func(t *testing.T, messages []byte) {
+		prompt, ok := engine.ParseChat(messages)
+		if prompt != "" && !ok || ok && !json.Valid(messages) {
+			t.Errorf("%q: %q, %t", messages, prompt, ok)
+		}
+	})
+}
+
 func BenchmarkPrefixHashes(b *testing.B) {
 	text := strings.Repeat("glaze ", 4000/6)
 	b.ReportAllocs()
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -26,6 +26,7 @@
 }
 
 func TestDeathIsKnownToAllInTime(t *testing.T) {
+	t.Parallel()
 	for _, size := range sizes {
 		t.Run(fmt.Sprintf("%d nodes", size.nodes), func(t *testing.T) {
 			n := newNetwork(t, networkConfig{seed: 1, nodes: size.nodes, regions: size.regions, zones: size.zones})
@@ -197,6 +198,7 @@
 }
 
 func TestFaults(t *testing.T) {
+	t.Parallel()
 	for _, disturbance := range []networkConfig{
 		{seed: 11},
 		{seed: 12, loss: 0.05, duplicates: 0.1, jitter: 30 * time.Millisecond},
@@ -270,6 +272,31 @@
 	}
 }
 
+// TestSlowNodeAccusesNobody lets a node run in short moments only, so that it
+// finds answers late. Without the prolonged time-outs it accuses others.
+func TestSlowNodeAccusesNobody(t *testing.T) {
+	for _, prolongs := range []bool{true, false} {
+		n := newNetwork(t, networkConfig{seed: 4, nodes: 9, regions: 1, zones: 3})
+		n.run(10 * time.Second)
+		slow := n.node("n004")
+		slow.slowBy = 390 * time.Millisecond
+		accusations := 0
+		n.watch = func(node *testNode) {
+			if !prolongs {
+				node.machine.lag = lag{}
+			}
+			if node != slow {
+				return
+			}
+			accusations += len(node.machine.suspects)
+		}
+		n.run(2 * time.Minute)
+		if prolongs != (accusations == 0) {
+			t.Errorf("prolonged time-outs %v: %d accusations", prolongs, accusations)
+		}
+	}
+}
+
 // TestRefutationPreventsFalseDeaths switches refutation off by taking the
 // updates about a node away from it.
 func TestRefutationPreventsFalseDeaths(t *testing.T) {
@@ -288,6 +315,7 @@
 }
 
 func TestFalseSuspicionsUnderLoss(t *testing.T) {
+	t.Parallel()
 	n := newNetwork(t, networkConfig{seed: 5, nodes: 30, regions: 1, zones: 4, loss: 0.05})
 	n.run(10 * time.Second)
 	suspicions, deaths := 0, 0
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -73,6 +73,15 @@
 	return true
 }
 
+// insert adds a row to the table, in place of an earlier life.
+func (m *Machine) insert(row *member) {
+	id := row.update.Ref.ID
+	m.table[id] = row
+	if place, found := slices.BinarySearch(m.ids, id); !found {
+		m.ids = slices.Insert(m.ids, place, id)
+	}
+}
+
 // store writes an update into the table.
 func (m *Machine) store(now time.Time, known *member, update Update) {
 	id := update.Ref.ID
@@ -83,18 +92,21 @@
 	}
 	if newLife {
 		known = newMember(update, now)
-		m.table[id] = known
+		m.insert(known)
 	}
 	if known.update.State != update.State {
 		known.since = now
 	}
 	known.update = update
 	m.tableHash ^= known.hash()
-	m.version++
+	m.changed()
 	m.stale = m.stale || newLife || wasLive != update.State.live()
 	if !update.State.live() {
 		known.digest, known.digestSerial, known.knowsDigest = Digest{}, 0, 0
 	}
+	if update.State == StateDead {
+		m.sweeps.recordDeath(now, update.Ref.Zone)
+	}
 	if update.State == StateSuspect {
 		m.suspects[id] = now.Add(m.suspicionTimeout())
 	} else {
@@ -120,7 +132,8 @@
 	m.tableHash ^= m.self.hash()
 	self.Refutation = update.Refutation + 1
 	m.tableHash ^= m.self.hash()
-	m.version++
+	m.changed()
+	m.lag.raise()
 	m.addRumour(self.Ref.ID, "")
 }
 
@@ -172,7 +185,7 @@
 func (m *Machine) suspicionTimeout() time.Duration {
 	base := bits.Len(uint(SuspicionScaleNodes))
 	size := max(base, bits.Len(uint(len(m.table))))
-	return SuspicionTimeout * time.Duration(size) / time.Duration(base)
+	return m.lag.prolong(SuspicionTimeout * time.Duration(size) / time.Duration(base))
 }
 
 // forgetOld drops members that died or left long ago.
@@ -181,15 +194,17 @@
 		return
 	}
 	m.nextForget = now.Add(ForgetLeftAfter / 10)
-	for id, known := range m.table {
+	m.ids = slices.DeleteFunc(m.ids, func(id api.NodeID) bool {
+		known := m.table[id]
 		age := now.Sub(known.since)
 		expired := known.update.State == StateDead && age > ForgetDeadAfter ||
 			known.update.State == StateLeft && age > ForgetLeftAfter
 		if expired {
 			delete(m.table, id)
-			m.version++
+			m.changed()
 		}
-	}
+		return expired
+	})
 }
 
 func sortedKeys[K ~string, V any](table map[K]V) []K {
--- a/pkg/policy/decide.go
+++ b/pkg/policy/decide.go
@@ -11,49 +11,58 @@
 
 // Names of the deciders, the values of the setting "policy".
 const (
-	NameAdaptive       = "adaptive" // the default
-	NameFixedKeepAlive = "fixed-keepalive"
-	NameNeverUnload    = "never-unload"
-	NameUnloadAtOnce   = "unload-at-once"
+	NameAdaptive           = "adaptive" // the default
+	NameFixedKeepAlive     = "fixed-keepalive"
+	NameFixedKeepAliveNear = "fixed-keepalive-near" // with adaptive's placement
+	NameNeverUnload        = "never-unload"
+	NameUnloadAtOnce       = "unload-at-once"
 )
 
+// deciders are all deciders, the default first.
+var deciders = []decider{
+	{NameAdaptive, adaptive{}, lowestCost{}},
+	{NameFixedKeepAlive, fixedKeepAlive{}, tierFirst{}},
+	{NameFixedKeepAliveNear, fixedKeepAlive{}, lowestCost{}},
+	{NameNeverUnload, neverUnload{}, tierFirst{}},
+	{NameUnloadAtOnce, unloadAtOnce{}, tierFirst{}},
+}
+
 // Names returns the names of all deciders, the default first.
 func Names() []string {
-	return []string{NameAdaptive, NameFixedKeepAlive, NameNeverUnload, NameUnloadAtOnce}
+	names := make([]string, len(deciders))
+	for i := range deciders {
+		names[i] = deciders[i].name
+	}
+	return names
 }
 
 // ByName returns the decider with the name, false if there is none.
 func ByName(name string) (Decider, bool) {
-	switch name {
-	case NameAdaptive:
-		return decider{NameAdaptive, adaptive{}}, true
-	case NameFixedKeepAlive:
-		return decider{NameFixedKeepAlive, fixedKeepAlive{}}, true
-	case NameNeverUnload:
-		return decider{NameNeverUnload, neverUnload{}}, true
-	case NameUnloadAtOnce:
-		return decider{NameUnloadAtOnce, unloadAtOnce{}}, true
-	default:
-		return nil, false
+	for i := range deciders {
+		if deciders[i].name == name {
+			return deciders[i], true
+		}
 	}
+	return nil, false
 }
 
 // retention is what deciders differ in: which models stay loaded while idle.
 type retention interface {
-	// keepUntil returns when a model that was last used at lastUse is to be
-	// unloaded if no request comes; zero if never.
-	keepUntil(model *Model, lastUse time.Time) time.Time
-	// prewarm tells whether a model that is not loaded is to be loaded
-	// before a request comes.
-	prewarm(now time.Time, model *Model) bool
-	// value ranks idle models when memory is short: the lowest goes first.
-	value(now time.Time, model *Model, lastUse time.Time) float64
+	// unload tells whether a replica that was last used at lastUse is not
+	// worth its memory any more.
+	unload(p *plan, model *Model, replica *Replica, lastUse time.Time) bool
+	// prewarm tells why a model that is not loaded is to be loaded before a
+	// request comes; empty if it is not.
+	prewarm(p *plan, model *Model) string
+	// value ranks idle replicas when memory is short: the lowest goes first.
+	value(p *plan, model *Model, replica *Replica, lastUse time.Time) float64
 }
 
-// decider is a Decider with shared placement and load order.
+// decider is a Decider with a shared load order.
 type decider struct {
 	name      string
 	retention retention
+	placer    placer
 }
 
 // Name implements Decider.
@@ -91,7 +100,7 @@
 			continue
 		}
 		if model.Base != "" && !p.hasUsableBase(model) {
-			if base := p.model(model.Base); base != nil && p.present[p.index[base.Name]] < maxReplicas(base) {
+			if base := p.base(model); base != nil && p.present[p.indexOf(base.Name)] < maxReplicas(base) {
 				loads = append(loads, p.baseLoad(base, model))
 			}
 			continue
@@ -184,7 +193,7 @@
 // hasUsableBase tells whether the adapter's base is present, ready or not, on
 // a server without the adapter.
 func (p *plan) hasUsableBase(adapter *Model) bool {
-	base := p.model(adapter.Base)
+	base := p.base(adapter)
 	if base == nil {
 		return false
 	}
@@ -208,19 +217,22 @@
 // loadWanted starts a wanted load, or makes room for it.
 func (d decider) loadWanted(p *plan, want wantedLoad) {
 	model := want.model
-	if p.present[p.index[model.Name]] >= maxReplicas(model) {
+	if p.present[p.indexOf(model.Name)] >= maxReplicas(model) {
 		return
 	}
-	if server := p.place(model, want.extraBytes); server != nil {
-		p.load(model, server, want.waiting > 0, want.reason)
-		return
+	placed := d.place(p, model, want.extraBytes)
+	switch {
+	case placed.server == nil:
+	case placed.waits:
+		p.makeRoom(placed, model, ReplicaBytes(model)+want.extraBytes)
+	default:
+		p.load(model, placed.server, want.waiting > 0, want.reason)
 	}
-	d.makeRoom(p, model, want.extraBytes)
 }
 
 // unloadIdle unloads the replicas whose keep-alive has passed.
 func (d decider) unloadIdle(p *plan) {
-	for i := range p.input.Models {
+	for _, i := range p.loaded {
 		model := &p.input.Models[i]
 		for j := range model.Replicas {
 			replica := &model.Replicas[j]
@@ -228,26 +240,40 @@
 				continue
 			}
 			lastUse := p.lastUse(model, replica)
-			until := d.retention.keepUntil(model, lastUse)
-			if !until.IsZero() && !p.now.Before(until) {
+			if d.retention.unload(p, model, replica, lastUse) {
 				p.drop(model, replica, fmt.Sprintf("idle %s", p.now.Sub(lastUse).Round(time.Second)))
 			}
 		}
 	}
 }
 
-// prewarmIdle loads models that are expected soon, if nothing has to go.
+// prewarmIdle loads models ahead of their requests, if nothing has to go and
+// no load that a request waits for would be later by it.
 func (d decider) prewarmIdle(p *plan) {
+	if p.urgentLoads() {
+		return
+	}
 	for i := range p.input.Models {
 		model := &p.input.Models[i]
 		if p.present[i] > 0 || maxReplicas(model) == 0 || !model.Settings.Prewarm {
 			continue
 		}
-		if !d.retention.prewarm(p.now, model) {
+		reason := d.retention.prewarm(p, model)
+		if reason == "" {
 			continue
 		}
-		if server := p.place(model, 0); server != nil {
-			p.load(model, server, false, "expected soon")
+		if placed := d.place(p, model, 0); placed.server != nil && !placed.waits {
+			p.load(model, placed.server, false, reason)
 		}
 	}
 }
+
+// urgentLoads tells whether a request waits for a load.
+func (p *plan) urgentLoads() bool {
+	for i := range p.input.Models {
+		if p.input.Models[i].Demand.Waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/policy/evict.go
+++ b/pkg/policy/evict.go
@@ -41,11 +41,7 @@
 // carriesAdapter tells whether an adapter of base holds memory on the server
 // or waits for the base.
 func (p *plan) carriesAdapter(base *Model, server api.ServerID) bool {
-	for i := range p.input.Models {
-		adapter := &p.input.Models[i]
-		if adapter.Base != base.Name {
-			continue
-		}
+	for adapter := range p.adapters(base) {
 		if adapter.Demand.Waiting > 0 || p.holds(adapter, server) {
 			return true
 		}
@@ -60,11 +56,8 @@
 	if model.Base != "" {
 		return last
 	}
-	for i := range p.input.Models {
-		adapter := &p.input.Models[i]
-		if adapter.Base == model.Name {
-			last = latest(last, adapter.Demand.LastArrival)
-		}
+	for adapter := range p.adapters(model) {
+		last = latest(last, adapter.Demand.LastArrival)
 	}
 	return last
 }
@@ -84,35 +77,12 @@
 	value   float64
 }
 
-// makeRoom unloads the least valuable idle replicas of one server so that
-// model fits there once they are gone. It does nothing if a server has room
-// enough on its way, or if no server can be made to fit.
-func (d decider) makeRoom(p *plan, model *Model, extraBytes uint64) {
-	need := ReplicaBytes(model) + extraBytes
-	var chosen []victim
-	chosenValue := 0.0
-	for i := range p.servers {
-		server := &p.servers[i]
-		if !p.eligible(model, server) {
-			continue
-		}
-		if server.free+server.freeSoon >= need {
-			p.claim(server, need)
-			return
-		}
-		victims, value := d.victims(p, server, model, need-server.free-server.freeSoon)
-		if victims == nil || chosen != nil && value >= chosenValue {
-			continue
-		}
-		chosen, chosenValue = victims, value
-	}
-	if chosen == nil {
-		return
-	}
-	for _, v := range chosen {
+// makeRoom unloads the victims of a placement and keeps the memory for it.
+func (p *plan) makeRoom(placed placement, model *Model, need uint64) {
+	for _, v := range placed.victims {
 		p.drop(v.model, v.replica, "room for "+string(model.Name))
 	}
-	p.claim(p.server(chosen[0].replica.Server), need)
+	p.claim(placed.server, need)
 }
 
 // claim takes memory that is free or will be, so that no other load of this
@@ -127,7 +97,7 @@
 // bytes, and their value; nil if there are not enough.
 func (d decider) victims(p *plan, server *serverPlan, incoming *Model, missing uint64) ([]victim, float64) {
 	var candidates []victim
-	for i := range p.input.Models {
+	for _, i := range p.loaded {
 		model := &p.input.Models[i]
 		if model == incoming || model.Name == incoming.Base {
 			continue
@@ -137,7 +107,7 @@
 			if replica.Server != server.ID || !p.mayUnload(model, replica) {
 				continue
 			}
-			value := d.retention.value(p.now, model, p.lastUse(model, replica))
+			value := d.retention.value(p, model, replica, p.lastUse(model, replica))
 			candidates = append(candidates, victim{model, replica, value})
 		}
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/security"
 )
 
 // Settings of one process. Fields describes each with unit, default and range.
@@ -53,7 +54,7 @@
 	Region        string
 	AccessKey     string
 	SecretKeyFile string
-	SecretKey     string // read from SecretKeyFile; never printed
+	SecretKey     Secret // read from SecretKeyFile
 }
 
 // Objects is the object store, by the S3 protocol.
@@ -62,7 +63,7 @@
 	Bucket        string
 	AccessKey     string
 	SecretKeyFile string
-	SecretKey     string // read from SecretKeyFile; never printed
+	SecretKey     Secret // read from SecretKeyFile
 }
 
 // Machines is the platform's list of machines.
@@ -70,6 +71,27 @@
 	Endpoint string // URL
 }
 
+// Secret is a text that is never printed.
+type Secret string
+
+// String hides the secret.
+func (s Secret) String() string {
+	if s == "" {
+		return ""
+	}
+	return "(hidden)"
+}
+
+// GoString hides the secret.
+func (s Secret) GoString() string {
+	return s.String()
+}
+
+// MarshalText hides the secret.
+func (s Secret) MarshalText() ([]byte, error) {
+	return []byte(s.String()), nil
+}
+
 // TLS holds PEM files. With them, every listener speaks TLS, and nodes check
 // each other's certificates.
 type TLS struct {
@@ -83,6 +105,11 @@
 	return t.CertificateFile != ""
 }
 
+// Files names the files for package security.
+func (t TLS) Files() security.Files {
+	return security.Files{Certificate: t.CertificateFile, Key: t.KeyFile, Authorities: t.CAFile}
+}
+
 // Keys holds the files of API keys. Without a file, any caller or operator that
 // reaches the listener is let in.
 type Keys struct {
--- a/pkg/standin/batch.go
+++ b/pkg/standin/batch.go
@@ -14,89 +14,21 @@
 // tokenTolerance makes up for rounding in the sums of tokens.
 const tokenTolerance = 1e-6
 
-// phase is where a generation stands.
-type phase uint8
-
-const (
-	phaseQueued phase = iota + 1
-	phasePrefill
-	phaseDecoding
-	phaseFinished
-	phaseCancelled // by the caller, or its caller left; can be resumed
-	phaseRefused   // nothing of it ran
-)
-
-// generation is the work for one request.
-type generation struct {
-	id           string // request ID
-	key          string // idempotency key, else the request ID
-	model        api.ModelName
-	prompt       string
-	prefixes     []uint64
-	promptTokens int
-	target       int // tokens to generate
-	finishReason string
-	priority     int
-	arrival      uint64    // order of arrival
-	deadline     time.Time // not started after it; zero for none
-
-	phase        phase
-	refusal      string // when refused
-	started      bool   // has been in the batch
-	cachedTokens int    // of the prompt, found in the prefix cache
-	prefillLeft  float64
-	stored       bool // its prefixes are in the prefix cache
-	produced     float64
-	kvBytes      uint64 // held while in the batch
-	endedAt      time.Time
-	holder       int           // counts the callers that took it up
-	changed      chan struct{} // signalled on each token and phase
-}
-
-// tokens returns how many whole tokens are there.
-func (g *generation) tokens() int {
-	return min(int(g.produced+tokenTolerance), g.target)
-}
-
-func (g *generation) running() bool {
-	return g.phase == phasePrefill || g.phase == phaseDecoding
-}
-
-func (g *generation) ended() bool {
-	return g.phase >= phaseFinished
-}
-
-func (g *generation) signal() {
-	select {
-	case g.changed <- struct{}{}:
-	default:
-	}
-}
-
-// end takes the generation out of the batch.
-func (g *generation) end(phase phase, now time.Time) {
-	g.phase = phase
-	g.kvBytes = 0
-	g.endedAt = now
-	g.signal()
-}
-
-// before tells whether g goes into the batch before other.
-func (g *generation) before(other *generation) bool {
-	if g.priority != other.priority {
-		return g.priority > other.priority
-	}
-	return g.arrival < other.arrival
-}
-
 // batch is the continuous batch with its queue, and the generations that can
 // still be resumed.
 type batch struct {
 	generations map[string]*generation // by request ID
 	active      []*generation          // queued or running
+	retired     []retirement           // oldest first
 	arrivals    uint64
 }
 
+// retirement is the end of a generation, which may have been resumed since.
+type retirement struct {
+	generation *generation
+	at         time.Time
+}
+
 func (b *batch) add(g *generation) {
 	b.arrivals++
 	g.arrival = b.arrivals
@@ -105,6 +37,20 @@
 	b.active = append(b.active, g)
 }
 
+// end takes the generation out of the batch; compact must follow.
+func (b *batch) end(g *generation, phase phase, now time.Time) {
+	g.phase = phase
+	g.kvBytes = 0
+	g.endedAt = now
+	b.retired = append(b.retired, retirement{generation: g, at: now})
+	g.signal()
+}
+
+func (b *batch) refuse(g *generation, reason string, now time.Time) {
+	g.refusal = reason
+	b.end(g, phaseRefused, now)
+}
+
 // compact forgets the active generations that have ended.
 func (b *batch) compact() {
 	kept := b.active[:0]
@@ -178,17 +124,12 @@
 func (b *batch) refuseQueued(model api.ModelName, now time.Time) {
 	for _, g := range b.active {
 		if g.model == model && g.phase == phaseQueued && !g.started {
-			g.refuse("the model is being unloaded", now)
+			b.refuse(g, "the model is being unloaded", now)
 		}
 	}
 	b.compact()
 }
 
-func (g *generation) refuse(reason string, now time.Time) {
-	g.refusal = reason
-	g.end(phaseRefused, now)
-}
-
 // decodeRate returns the tokens a second of each decoding request.
 func (b *batch) decodeRate(config EngineConfig) float64 {
 	size := b.count(phasePrefill) + b.count(phaseDecoding)
@@ -254,7 +195,7 @@
 			before := g.tokens()
 			g.produced += decode * step.Seconds()
 			if g.tokens() == g.target {
-				g.end(phaseFinished, now)
+				b.end(g, phaseFinished, now)
 				ended = true
 			} else if g.tokens() > before {
 				g.signal()
@@ -271,14 +212,21 @@
 func (b *batch) expire(now time.Time, resumeWindow time.Duration) {
 	for _, g := range b.active {
 		if g.phase == phaseQueued && !g.started && !g.deadline.IsZero() && now.After(g.deadline) {
-			g.refuse("the deadline passed in the queue", now)
+			b.refuse(g, "the deadline passed in the queue", now)
 		}
 	}
 	b.compact()
-	for id, g := range b.generations {
-		if g.ended() && now.Sub(g.endedAt) > resumeWindow {
-			delete(b.generations, id)
-		}
+	for len(b.retired) > 0 && now.Sub(b.retired[0].at) > resumeWindow {
+		b.forget(b.retired[0])
+		b.retired = b.retired[1:]
+	}
+}
+
+// forget drops a generation that was not resumed nor replaced since it ended.
+func (b *batch) forget(old retirement) {
+	g := old.generation
+	if g.ended() && g.endedAt.Equal(old.at) && b.generations[g.id] == g {
+		delete(b.generations, g.id)
 	}
 }
 
@@ -302,48 +250,3 @@
 	load.TokensPerSecond = float64(decoding) * b.decodeRate(config)
 	return load
 }
-
-// admit puts queued requests into the batch while there is room.
-func (s *engineState) admit() {
-	for s.batch.count(phasePrefill)+s.batch.count(phaseDecoding) < s.config.MaxBatch {
-		g := s.batch.first()
-		if g == nil {
-			return
-		}
-		bytes := uint64(g.promptTokens+g.target) * s.config.KVBytesPerToken
-		if !s.makeRoomForKV(bytes) {
-			return
-		}
-		g.kvBytes = bytes
-		s.startPrefill(g)
-	}
-}
-
-func (s *engineState) startPrefill(g *generation) {
-	if !g.started {
-		g.started = true
-		s.executed[g.key]++
-		cached := s.prefixes.match(g.model, g.prefixes) * engine.PrefixBlockBytes / bytesPerToken
-		g.cachedTokens = min(cached, g.promptTokens)
-		g.prefillLeft = float64(g.promptTokens - g.cachedTokens)
-	}
-	g.phase = phasePrefill
-	if g.prefillLeft <= tokenTolerance {
-		g.phase = phaseDecoding
-	}
-}
-
-// storePrefixes puts the prompts of requests that are through prefill into the
-// prefix cache.
-func (s *engineState) storePrefixes() {
-	s.prefixes.now = s.now
-	for _, g := range s.batch.active {
-		if g.phase != phaseDecoding || g.stored {
-			continue
-		}
-		g.stored = true
-		for _, prefix := range g.prefixes {
-			s.prefixes.store(g.model, prefix, func(bytes uint64) bool { return s.fits(0, bytes) })
-		}
-	}
-}
--- a/pkg/standin/engine_state_test.go
+++ b/pkg/standin/engine_state_test.go
@@ -91,14 +91,13 @@
 func TestRefusedOrderHasNoEffectWhenItComesAgain(t *testing.T) {
 	state := newTestState(testConfig())
 	state.loadNow(t, loadOrder(1, "a", 8*gibibyte))
-	refused := loadOrder(2, "b", 4*gibibyte)
-	if got := state.order(refused); got.Status != engine.OrderNoMemory {
-		t.Fatalf("got %+v", got)
-	}
-	state.order(engine.Order{ID: "u", Fence: 3, Kind: engine.OrderUnload, Model: "a"})
-	state.after(time.Minute)
-	if got := state.order(refused); got.Status != engine.OrderStaleFence || len(state.items) != 0 {
-		t.Errorf("got %+v, %d items", got, len(state.items))
+	state.order(engine.Order{ID: "u", Fence: 2, Kind: engine.OrderUnload, Model: "a"})
+	refused := loadOrder(3, "b", 4*gibibyte)
+	first := state.order(refused)
+	state.after(time.Minute) // the memory is free now
+	again := state.order(refused)
+	if first.Status != engine.OrderNoMemory || again != first || len(state.items) != 0 {
+		t.Errorf("first %+v, again %+v, %d items", first, again, len(state.items))
 	}
 }
 
@@ -195,6 +194,28 @@
 	}
 }
 
+func TestLoadPushesLeastUrgentRequestsBackIntoTheQueue(t *testing.T) {
+	config := testConfig()
+	config.KVReserveBytes = 0
+	config.MaxTokens = int(4 * gibibyte / config.KVBytesPerToken) // two such requests nearly fill the memory
+	state := newTestState(config)
+	state.loadNow(t, loadOrder(1, "a", gibibyte))
+	low := state.mustSubmit(t, submission{id: "low", model: "a", maxTokens: config.MaxTokens})
+	high := state.mustSubmit(t, submission{id: "high", model: "a", maxTokens: config.MaxTokens, priority: 1})
+	state.after(time.Second)
+	before := low.tokens()
+	if result := state.order(loadOrder(2, "b", 4*gibibyte)); result.Status != engine.OrderAccepted || before == 0 {
+		t.Fatalf("load: %+v, %d tokens", result, before)
+	}
+	if low.phase != phaseQueued || !high.running() {
+		t.Errorf("low in phase %d, high in phase %d", low.phase, high.phase)
+	}
+	state.after(time.Hour)
+	if low.phase != phaseFinished || high.phase != phaseFinished || state.executed["low"] != 1 {
+		t.Errorf("low in phase %d, high in phase %d, executed %v", low.phase, high.phase, state.executed)
+	}
+}
+
 func TestCancelStopsWorkAndResumeContinues(t *testing.T) {
 	state := newTestState(testConfig())
 	state.loadNow(t, loadOrder(1, "a", gibibyte))
