--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -39,6 +39,7 @@
 	attempts   int
 	uncertain  bool // some attempt may have been run in part
 	record     record
+	over       bool // it was logged and counted
 	firstEvent time.Time
 }
 
@@ -174,18 +175,20 @@
 }
 
 // engineFailed is the error for a request that no engine answered.
-func engineFailed(notRun bool, err error) *APIError {
-	reason := traffic.ReasonOutcomeUnknown
-	if notRun {
-		reason = traffic.ReasonEngineFailed
-	}
-	return &APIError{
+func engineFailed(notRun bool, cause error) *APIError {
+	failure := &APIError{
 		Status:  fiber.StatusBadGateway,
-		Message: "the engine did not answer: " + err.Error(),
+		Message: "the engine's answer did not arrive whole; whether the request was run is not known",
 		Type:    typeServer,
-		Code:    string(reason),
-		NotRun:  notRun,
+		Code:    string(traffic.ReasonOutcomeUnknown),
+		cause:   cause,
+	}
+	if notRun {
+		failure.Message = "the engine did not take the request"
+		failure.Code = string(traffic.ReasonEngineFailed)
+		failure.NotRun = true
 	}
+	return failure
 }
 
 // callerLeft is recorded for a caller that hung up.
--- a/pkg/gateway/claim.go
+++ b/pkg/gateway/claim.go
@@ -38,7 +38,9 @@
 	}
 	ctx, cancel := context.WithDeadline(c.caller, c.request.Deadline)
 	defer cancel()
+	waitFrom := c.gateway.config.Now()
 	decision := claims.Claim(ctx, claim)
+	c.record.waited += c.gateway.config.Now().Sub(waitFrom)
 	if decision.Verdict == keeper.VerdictGranted {
 		c.claim = &claim
 		return nil, nil
--- a/pkg/gateway/config.go
+++ b/pkg/gateway/config.go
@@ -81,7 +81,7 @@
 	DefaultHeaderBytes      = 16 << 10
 	DefaultAnswerBytes      = 16 << 20
 	DefaultEventBytes       = 1 << 20
-	DefaultKeptAnswerBytes  = 64 << 10
+	DefaultKeptAnswerBytes  = keeper.MaxKeptAnswer
 	DefaultConnections      = 16384
 	DefaultConnectionsPerIP = 4096
 	DefaultConnsPerEngine   = 4096
--- a/pkg/gateway/errors.go
+++ b/pkg/gateway/errors.go
@@ -48,11 +48,20 @@
 	Code       string        `json:"code"`
 	NotRun     bool          `json:"not_run"` // true only if no engine ran any part of the request
 	RetryAfter time.Duration `json:"-"`       // zero: no advice
+	cause      error         // for the log; callers don't learn it
 }
 
 // Error describes the error for logs.
 func (e *APIError) Error() string {
-	return e.Code + ": " + e.Message
+	if e.cause != nil {
+		return e.Message + ": " + e.cause.Error()
+	}
+	return e.Message
+}
+
+// Unwrap returns the cause.
+func (e *APIError) Unwrap() error {
+	return e.cause
 }
 
 // errorEnvelope is the body of an error answer.
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -4,18 +4,14 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"net/url"
 	"runtime/debug"
-	"strconv"
 	"strings"
 
 	"github.com/gofiber/fiber/v2"
 
-	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/findings"
 	"martenwheel.dev/pkg/telemetry"
 	"martenwheel.dev/pkg/traffic"
-	"martenwheel.dev/pkg/tree"
 )
 
 // anonymous is the caller's name when no keys are asked for.
@@ -183,89 +179,3 @@
 		return codeInvalidBody
 	}
 }
-
-// modelObject is a model in the API's shape.
-type modelObject struct {
-	ID      api.ModelName `json:"id"`
-	Object  string        `json:"object"`
-	Created int64         `json:"created"`
-	OwnedBy string        `json:"owned_by"`
-	Parent  api.ModelName `json:"parent,omitempty"` // the base model of an adapter
-}
-
-// modelList is a list of models in the API's shape.
-type modelList struct {
-	Object string        `json:"object"`
-	Data   []modelObject `json:"data"`
-}
-
-func toModelObject(model tree.Model) modelObject {
-	return modelObject{ID: model.Name, Object: "model", OwnedBy: model.Service, Parent: model.Base}
-}
-
-// handleModels lists the models and adapters of the settings.
-func (g *Gateway) handleModels(c *fiber.Ctx) error {
-	catalog, apiError := g.readableCatalog(c)
-	if apiError != nil {
-		return apiError.send(c)
-	}
-	models := catalog.Models()
-	list := modelList{Object: "list", Data: make([]modelObject, 0, len(models))}
-	for _, model := range models {
-		list.Data = append(list.Data, toModelObject(model))
-	}
-	return c.JSON(list)
-}
-
-// handleModel describes one model or adapter.
-func (g *Gateway) handleModel(c *fiber.Ctx) error {
-	catalog, apiError := g.readableCatalog(c)
-	if apiError != nil {
-		return apiError.send(c)
-	}
-	name, err := url.PathUnescape(strings.Clone(c.Params("name")))
-	if err != nil {
-		return invalidRequest(codeNotFound, "malformed model name").send(c)
-	}
-	model, known := catalog.Model(api.ModelName(name))
-	if !known {
-		return unknownModel(api.ModelName(name)).send(c)
-	}
-	return c.JSON(toModelObject(model))
-}
-
-// readableCatalog returns the models for a caller with a key.
-func (g *Gateway) readableCatalog(c *fiber.Ctx) (Catalog, *APIError) {
-	if _, apiError := g.authenticate(c); apiError != nil {
-		return nil, apiError
-	}
-	return g.catalog()
-}
-
-// catalog returns the settings in force.
-func (g *Gateway) catalog() (Catalog, *APIError) {
-	catalog := g.config.Catalog()
-	if catalog == nil {
-		return nil, &APIError{
-			Status:     fiber.StatusServiceUnavailable,
-			Message:    "this node has no settings yet",
-			Type:       typeServer,
-			Code:       string(traffic.ReasonUnavailable),
-			NotRun:     true,
-			RetryAfter: noSettingsRetry,
-		}
-	}
-	return catalog, nil
-}
-
-// uniqueID makes the request ID that engines see: the caller's with a part
-// that no other request has, so that two callers with the same ID can't reach
-// each other's streams.
-func (g *Gateway) uniqueID(requestID string) string {
-	return requestID + "." + g.newRequestID()
-}
-
-// newRequestID returns an ID that no other request has.
-func (g *Gateway) newRequestID() string {
-	return g.epoch + strconv.FormatUint(g.serial.Add(1), 36)
-}
--- a/pkg/gateway/record.go
+++ b/pkg/gateway/record.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"crypto/rand"
-	"encoding/hex"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
@@ -30,7 +28,7 @@
 	revision  tree.Revision
 	arrived   time.Time
 	sentAt    time.Time     // to the engine, the last time
-	waited    time.Duration // for replicas
+	waited    time.Duration // for replicas and keepers
 	tokens    int
 	replayed  bool
 }
@@ -65,6 +63,10 @@
 
 // end ends the call: it is logged and counted once.
 func (c *call) end(kind traffic.OutcomeKind, apiError *APIError) {
+	if c.over {
+		return
+	}
+	c.over = true
 	c.watch.Stop()
 	c.leave(nil)
 	now := c.gateway.config.Now()
@@ -101,17 +103,7 @@
 		fields = append(fields, "replayed", true)
 	}
 	if apiError != nil {
-		fields = append(fields, "status", apiError.Status, "code", apiError.Code, "not_run", apiError.NotRun, telemetry.FieldError, apiError.Message)
+		fields = append(fields, "status", apiError.Status, "code", apiError.Code, "not_run", apiError.NotRun, telemetry.FieldError, apiError.Error())
 	}
 	logger.Info("request", fields...)
 }
-
-// epochBytes is the length of the random part of request IDs.
-const epochBytes = 6
-
-// newEpoch returns a random prefix for the request IDs of this process.
-func newEpoch() string {
-	var random [epochBytes]byte
-	_, _ = rand.Read(random[:]) // never fails
-	return hex.EncodeToString(random[:])
-}
--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -163,8 +163,8 @@
 				if want := notRunValue(test.notRun); got.header.Get(HeaderNotRun) != want {
 					t.Errorf("%s: %s is %q, want %q", model, HeaderNotRun, got.header.Get(HeaderNotRun), want)
 				}
-				if strings.Contains(string(got.body), "chatcmpl-other") {
-					t.Errorf("%s: another request's answer: %s", model, got.body)
+				if strings.Contains(string(got.body), "chatcmpl-other") || strings.Contains(string(got.body), "127.0.0.1") {
+					t.Errorf("%s: another request's answer, or an address: %s", model, got.body)
 				}
 			}
 			if engine.requests() != 2 {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -183,6 +183,15 @@
 	return g.config.Now().Add(g.config.Timeouts.EngineStall)
 }
 
+// tokens returns the number of tokens that the engine counted, or that of the
+// events so far.
+func (s *eventStream) tokens() int {
+	if s.usage.CompletionTokens > 0 {
+		return s.usage.CompletionTokens
+	}
+	return s.events
+}
+
 // close ends the reading. A stream that came to its end gives its connection
 // back.
 func (s *eventStream) close() {
--- a/pkg/gateway/stream_body.go
+++ b/pkg/gateway/stream_body.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"encoding/json"
 	"io"
 
 	"github.com/gofiber/fiber/v2"
@@ -70,20 +69,17 @@
 		return
 	}
 	b.failure = err
-	b.buffer = append(b.buffer, errorEvent(err)...)
+	b.buffer = append(b.buffer, errorEvent()...)
 }
 
 // errorEvent is what a caller receives in place of the end of a stream.
-func errorEvent(err error) []byte {
-	encoded, encodeErr := json.Marshal(errorEnvelope{Error: &APIError{
-		Message: "the stream broke off: " + err.Error(),
+func errorEvent() []byte {
+	broken := &APIError{
+		Message: "the stream broke off",
 		Type:    typeServer,
 		Code:    codeStreamBroken,
-	}})
-	if encodeErr != nil {
-		encoded = []byte(`{"error":{"message":"the stream broke off","type":"server_error","not_run":false}}`)
 	}
-	return append(append([]byte("data: "), encoded...), "\n\n"...)
+	return append(append([]byte("data: "), broken.body()...), "\n\n"...)
 }
 
 // keep remembers the stream of an unsafe request while it fits.
@@ -127,7 +123,7 @@
 	outcome := traffic.Outcome{
 		Kind:         traffic.OutcomeServed,
 		FirstToken:   a.call.firstEvent.Sub(a.call.record.sentAt),
-		Tokens:       a.stream.events,
+		Tokens:       a.stream.tokens(),
 		CachedTokens: a.stream.usage.PromptTokensDetails.CachedTokens,
 	}
 	var apiError *APIError
@@ -148,7 +144,7 @@
 		})
 	}
 	a.done(outcome)
-	a.call.record.tokens = a.stream.events
+	a.call.record.tokens = outcome.Tokens
 	a.call.end(outcome.Kind, apiError)
 }
 
