--- a/pkg/keeper/copy.go
+++ b/pkg/keeper/copy.go
@@ -1,7 +1,6 @@
 package keeper
 
 import (
-	"math"
 	"time"
 
 	"martenwheel.dev/pkg/api"
@@ -106,6 +105,7 @@
 		known := s.records.byKey[each.Claim.Key]
 		if known != nil {
 			s.mergeCopy(known, each)
+			s.records.extend(known, now.Add(each.Remaining))
 			continue
 		}
 		if s.Len() >= s.limits.Records {
@@ -126,7 +126,8 @@
 }
 
 // mergeCopy keeps an answer, which tells which attempt ran. Of two attempts
-// without one either may have a majority, so that no release may make room.
+// without one either may have a majority, so that the key is granted to
+// neither and no release makes room.
 func (s *Store) mergeCopy(known *record, copied Record) {
 	switch {
 	case known.answer != nil:
@@ -134,11 +135,12 @@
 		known.claim = copied.Claim
 		s.records.setAnswer(known, s.bounded(*copied.Answer))
 	case known.claim.Attempt != copied.Claim.Attempt:
-		known.round = neverReleased
+		known.claim.Attempt = contestedAttempt
 	default:
 		known.round = max(known.round, copied.Round)
 	}
 }
 
-// neverReleased is the round of a record that no release removes.
-const neverReleased = math.MaxUint32
+// contestedAttempt is the attempt of a record that no attempt has; valid
+// claims have another one.
+const contestedAttempt = ""
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -170,10 +170,11 @@
 	now := k.clock()
 	var status []CellStatus
 	for cell, store := range k.stores {
+		store.tick(now)
 		status = append(status, CellStatus{
 			Cell:     cell,
 			Version:  store.configuration.Version,
-			Granting: store.Granting(now) && store.confirmed(now),
+			Granting: store.takesPart(now),
 			Records:  store.Len(),
 		})
 	}
--- a/pkg/keeper/records.go
+++ b/pkg/keeper/records.go
@@ -62,6 +62,14 @@
 	of.answer = answer
 }
 
+// extend keeps a record at least until a time.
+func (r *records) extend(kept *record, until time.Time) {
+	if until.After(kept.expiresAt) {
+		kept.expiresAt = until
+		heap.Fix(&r.byExpiry, kept.heapIndex)
+	}
+}
+
 func (r *records) expire(now time.Time) {
 	for len(r.byExpiry) > 0 && !now.Before(r.byExpiry[0].expiresAt) {
 		r.remove(r.byExpiry[0])
--- a/pkg/keeper/store.go
+++ b/pkg/keeper/store.go
@@ -121,6 +121,11 @@
 	return limit == 0 || s.ablation.noConfirmation || now.Sub(s.confirmedAt) < limit
 }
 
+// takesPart tells whether the store may grant a claim.
+func (s *Store) takesPart(now time.Time) bool {
+	return s.granting && s.confirmed(now)
+}
+
 // Configuration returns the configuration that the store goes by; its Version
 // is 0 before the first.
 func (s *Store) Configuration() Configuration {
@@ -132,12 +137,6 @@
 	s.limits.MaxRetention = retention
 }
 
-// Granting tells whether the store takes part fully.
-func (s *Store) Granting(now time.Time) bool {
-	s.tick(now)
-	return s.granting
-}
-
 // Len returns the number of records.
 func (s *Store) Len() int {
 	return len(s.records.byKey)
@@ -188,7 +187,7 @@
 	if known := s.records.byKey[request.Claim.Key]; known != nil {
 		return s.repeated(now, known, request)
 	}
-	if !s.granting || !s.confirmed(now) {
+	if !s.takesPart(now) {
 		return ClaimReply{Outcome: OutcomeAbstained}
 	}
 	if s.full(request.Claim.Key.Caller) {
@@ -219,6 +218,9 @@
 		reply.Answer = known.answer
 	case known.claim.Attempt != request.Claim.Attempt:
 		reply.Outcome = OutcomeHeld
+	case !s.takesPart(now):
+		// The record may be a copy of another keeper's grant to this attempt.
+		reply.Outcome = OutcomeAbstained
 	default:
 		known.round = max(known.round, request.Round)
 		reply.Outcome = OutcomeGranted
@@ -256,6 +258,9 @@
 	if known.answer != nil {
 		return Acknowledged{Done: known.claim.Attempt == request.Claim.Attempt}
 	}
+	if known.claim.Attempt != request.Claim.Attempt {
+		s.records.extend(known, now.Add(request.Claim.Retention+MaxGrantAge))
+	}
 	known.claim.Digest = request.Claim.Digest
 	known.claim.Attempt = request.Claim.Attempt
 	s.records.setAnswer(known, s.bounded(request.Answer))
