keeper: of several claims at once one is granted, also with a keeper lost

With one of three keepers down, two attempts that held one grant each took the silent keeper for the other's majority, and all callers were told to come back. Now a split claim always tries again in order, the winner of the first member keeps it, and a grant that its release overtook is given back.

--- a/pkg/keeper/attempt.go
+++ b/pkg/keeper/attempt.go
@@ -16,7 +16,7 @@
 	// an older one is in doubt.
 	RunningAge = time.Minute
 
-	maxRounds       = 4
+	maxRounds       = 6
 	contendedAge    = 5 * time.Second // a younger holder may still be claiming
 	retryNoQuorum   = time.Second
 	retryRunning    = 2 * time.Second
@@ -28,7 +28,7 @@
 // machine. The first round asks all members at once. If attempts split the
 // members so that none has a majority, each releases its grants and asks again
 // one member after the other, all in the same order: of those that reach the
-// same first member, one goes on.
+// same first member, one keeps it and goes on until the others gave up.
 type attempt struct {
 	configuration Configuration
 	claim         Claim
@@ -126,7 +126,7 @@
 const (
 	progressWaiting progress = iota
 	progressDecided          // the decision is final
-	progressSplit            // release, pause, and begin the next round
+	progressSplit            // release unless keepsGrants, pause, begin the next round
 )
 
 // result returns the attempt's progress and, once decided, its decision.
@@ -135,18 +135,15 @@
 		return progressDecided, decision
 	}
 	if a.othersWon() || a.lostFirst() {
-		return progressDecided, a.heldDecision()
+		return progressDecided, a.undecided()
 	}
 	if a.reachable() > a.answered() {
 		return progressWaiting, Decision{}
 	}
-	if a.count(OutcomeHeld) == 0 || a.round >= maxRounds {
-		return progressDecided, a.undecided()
-	}
-	if a.mayHaveWon() {
-		return progressDecided, a.heldDecision()
+	if a.contended() && a.round < maxRounds {
+		return progressSplit, Decision{}
 	}
-	return progressSplit, Decision{}
+	return progressDecided, a.undecided()
 }
 
 // knownOutcome is the decision that no further reply changes.
@@ -162,9 +159,6 @@
 		before := a.startedAt.Add(MaxGrantAge)
 		return Decision{Verdict: VerdictGranted, DispatchBefore: before}, true
 	}
-	if a.count(OutcomeMismatch) >= a.configuration.majority() {
-		return Decision{Verdict: VerdictMismatch}, true
-	}
 	return Decision{}, false
 }
 
@@ -195,42 +189,42 @@
 
 // othersWon tells whether another attempt surely has a majority.
 func (a *attempt) othersWon() bool {
-	return a.mostHeld() >= a.configuration.majority()
+	held := map[string]int{}
+	for _, reply := range a.replies {
+		if reply.ofAnother() {
+			held[reply.Holder]++
+		}
+		if held[reply.Holder] >= a.configuration.majority() {
+			return true
+		}
+	}
+	return false
 }
 
-// mayHaveWon tells whether another attempt may have a majority with the
-// members that did not answer.
-func (a *attempt) mayHaveWon() bool {
-	silent := len(a.replies) - a.answered()
-	return a.mostHeld()+silent >= a.configuration.majority()
+// contended tells whether another attempt may be claiming now.
+func (a *attempt) contended() bool {
+	return slices.ContainsFunc(a.replies, ClaimReply.contending)
 }
 
 // lostFirst tells whether an ordered round met a contender at the first member
 // that answered.
 func (a *attempt) lostFirst() bool {
-	if a.round == 1 {
-		return false
-	}
-	for _, i := range a.order {
-		if a.failed[i] {
-			continue
-		}
-		return a.replies[i].Outcome == OutcomeHeld && a.replies[i].Age < contendedAge
-	}
-	return false
+	return a.round > 1 && a.first().contending()
 }
 
-// mostHeld is the largest number of members that one other attempt holds.
-func (a *attempt) mostHeld() int {
-	held := map[string]int{}
-	most := 0
-	for _, reply := range a.replies {
-		if reply.Outcome == OutcomeHeld {
-			held[reply.Holder]++
-			most = max(most, held[reply.Holder])
+// keepsGrants tells whether a split round's grants are kept for the next one.
+func (a *attempt) keepsGrants() bool {
+	return a.round > 1 && a.first().Outcome == OutcomeGranted
+}
+
+// first is the reply of the first member in the order that did not fail.
+func (a *attempt) first() ClaimReply {
+	for _, i := range a.order {
+		if !a.failed[i] {
+			return a.replies[i]
 		}
 	}
-	return most
+	return ClaimReply{}
 }
 
 func (a *attempt) count(outcome Outcome) int {
--- a/pkg/keeper/client.go
+++ b/pkg/keeper/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -54,34 +55,50 @@
 	if !known {
 		return Decision{Verdict: VerdictNoQuorum, RetryAfter: retryNoQuorum}
 	}
-	attempt := newAttempt(c.clock(), configuration, claim)
-	decision := c.decide(ctx, attempt)
+	claiming := &claiming{client: c, attempt: newAttempt(c.clock(), configuration, claim)}
+	decision := claiming.decide(ctx)
 	if decision.Verdict == VerdictGranted && !decision.StillValid(c.clock()) {
 		decision = Decision{Verdict: VerdictNoQuorum, RetryAfter: retryNoQuorum}
 	}
 	if decision.Verdict != VerdictGranted {
-		c.tell(ctx, configuration, attempt.releaseRequest())
+		claiming.release(ctx)
 	}
 	return decision
 }
 
-func (c *Client) decide(ctx context.Context, attempt *attempt) Decision {
+// claiming is one call of Claim under way.
+type claiming struct {
+	client   *Client
+	attempt  *attempt
+	released atomic.Uint32 // the last round whose grants were given back
+}
+
+func (c *claiming) decide(ctx context.Context) Decision {
 	for {
-		state, decision := c.runRound(ctx, attempt)
+		state, decision := c.runRound(ctx)
 		switch state {
 		case progressDecided:
 			return decision
 		case progressWaiting:
-			return attempt.undecided()
+			return c.attempt.undecided()
+		}
+		if !c.attempt.keepsGrants() {
+			c.release(ctx)
 		}
-		c.tell(ctx, attempt.configuration, attempt.releaseRequest())
-		if !pause(ctx, attempt.round) {
-			return attempt.undecided()
+		if !pause(ctx, c.attempt.round) {
+			return c.attempt.undecided()
 		}
-		attempt.nextRound()
+		c.attempt.nextRound()
 	}
 }
 
+// release gives the grants so far back. A grant that arrives later is given
+// back by ask: its keeper may have seen the release before the claim.
+func (c *claiming) release(ctx context.Context) {
+	c.released.Store(c.attempt.round)
+	c.client.tell(ctx, c.attempt.configuration.Members, c.attempt.releaseRequest())
+}
+
 // memberReply is what became of one call.
 type memberReply struct {
 	index int
@@ -91,15 +108,16 @@
 
 // runRound asks members until the round is decided or split. It returns
 // progressWaiting if the context ends first.
-func (c *Client) runRound(ctx context.Context, attempt *attempt) (progress, Decision) {
+func (c *claiming) runRound(ctx context.Context) (progress, Decision) {
+	attempt := c.attempt
 	replies := make(chan memberReply, len(attempt.configuration.Members))
 	for {
-		for _, i := range attempt.next() {
-			c.ask(ctx, attempt.configuration.Members[i], i, attempt.request(), replies)
-		}
 		if state, decision := attempt.result(); state != progressWaiting {
 			return state, decision
 		}
+		for _, i := range attempt.next() {
+			c.ask(ctx, i, replies)
+		}
 		select {
 		case <-ctx.Done():
 			return progressWaiting, Decision{}
@@ -115,19 +133,30 @@
 
 // ask calls a keeper in the background. The call goes on when the claim is
 // decided, so that all keepers learn of it.
-func (c *Client) ask(ctx context.Context, member api.NodeRef, index int, request ClaimRequest, replies chan<- memberReply) {
-	c.background.Go(func() {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.callTimeout)
-		defer cancel()
-		message, err := c.caller.Call(ctx, member.PeerAddress, request)
+func (c *claiming) ask(ctx context.Context, index int, replies chan<- memberReply) {
+	member := c.attempt.configuration.Members[index]
+	request := c.attempt.request()
+	release := c.attempt.releaseRequest()
+	ctx = context.WithoutCancel(ctx)
+	c.client.background.Go(func() {
+		message, err := c.client.call(ctx, member, request)
 		reply, ok := message.(ClaimReply)
 		if err == nil && !ok {
 			err = errUnexpectedReply
 		}
 		replies <- memberReply{index: index, reply: reply, err: err}
+		if reply.Outcome == OutcomeGranted && c.released.Load() >= request.Round {
+			c.client.tell(ctx, []api.NodeRef{member}, release)
+		}
 	})
 }
 
+func (c *Client) call(ctx context.Context, member api.NodeRef, message peer.Message) (peer.Message, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.callTimeout)
+	defer cancel()
+	return c.caller.Call(ctx, member.PeerAddress, message)
+}
+
 // pause waits a random time that grows with the round, and is false if the
 // context ends first.
 func pause(ctx context.Context, round uint32) bool {
@@ -162,7 +191,7 @@
 	if !known {
 		return
 	}
-	told := c.tell(ctx, configuration, message)
+	told := c.tell(ctx, configuration.Members, message)
 	done := 0
 	for range configuration.Members {
 		select {
@@ -179,15 +208,14 @@
 	}
 }
 
-// tell sends a message to all members in the background and returns a channel
-// that gets each success or failure.
-func (c *Client) tell(ctx context.Context, configuration Configuration, message peer.Message) <-chan bool {
-	told := make(chan bool, len(configuration.Members))
-	for _, member := range configuration.Members {
+// tell sends a message to members in the background and returns a channel that
+// gets each success or failure.
+func (c *Client) tell(ctx context.Context, members []api.NodeRef, message peer.Message) <-chan bool {
+	told := make(chan bool, len(members))
+	ctx = context.WithoutCancel(ctx)
+	for _, member := range members {
 		c.background.Go(func() {
-			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.callTimeout)
-			defer cancel()
-			_, err := c.caller.Call(ctx, member.PeerAddress, message)
+			_, err := c.call(ctx, member, message)
 			told <- err == nil
 		})
 	}
--- a/pkg/keeper/explore_test.go
+++ b/pkg/keeper/explore_test.go
@@ -363,25 +363,15 @@
 	if c.done {
 		return
 	}
-	for _, i := range c.attempt.next() {
-		round := c.attempt.round
-		c.ask(c.node, c.attempt.configuration.Members[i], c.attempt.request(), func(reply any) {
-			c.attempt.take(i, reply.(ClaimReply))
-			c.step()
-		})
-		c.after(simCallTimeout, func() {
-			c.on(c.node, c.node.lives(), func() {
-				c.attempt.fail(i, round)
-				c.step()
-			})
-		})
-	}
 	state, decision := c.attempt.result()
 	switch state {
 	case progressWaiting:
+		c.askNext()
 		return
 	case progressSplit:
-		c.tell(c.attempt.releaseRequest())
+		if !c.attempt.keepsGrants() {
+			c.tell(c.attempt.releaseRequest())
+		}
 		c.attempt.nextRound()
 		lives := c.node.lives()
 		c.after(c.between(time.Millisecond, 50*time.Millisecond), func() { c.on(c.node, lives, c.step) })
@@ -398,6 +388,22 @@
 	c.dispatchLater(decision)
 }
 
+func (c *simClaim) askNext() {
+	for _, i := range c.attempt.next() {
+		round := c.attempt.round
+		c.ask(c.node, c.attempt.configuration.Members[i], c.attempt.request(), func(reply any) {
+			c.attempt.take(i, reply.(ClaimReply))
+			c.step()
+		})
+		c.after(simCallTimeout, func() {
+			c.on(c.node, c.node.lives(), func() {
+				c.attempt.fail(i, round)
+				c.step()
+			})
+		})
+	}
+}
+
 // dispatchLater sends the request on, in some cases after a freeze.
 func (c *simClaim) dispatchLater(decision Decision) {
 	delay := c.between(0, 50*time.Millisecond)
--- a/pkg/keeper/messages.go
+++ b/pkg/keeper/messages.go
@@ -36,10 +36,20 @@
 	Version uint64        // that the keeper goes by
 	Round   uint32        // of the request
 	Holder  string        // attempt of OutcomeHeld and OutcomeMismatch
-	Age     time.Duration // of the record, for OutcomeHeld
+	Age     time.Duration // of the record, for OutcomeHeld and OutcomeMismatch
 	Answer  *Answer       // for OutcomeAnswered
 }
 
+// ofAnother tells whether another attempt has the key at this keeper.
+func (r ClaimReply) ofAnother() bool {
+	return r.Outcome == OutcomeHeld || r.Outcome == OutcomeMismatch
+}
+
+// contending tells whether that attempt may be claiming right now.
+func (r ClaimReply) contending() bool {
+	return r.ofAnother() && r.Age < contendedAge
+}
+
 // CompleteRequest records the answer of a claim that was run.
 type CompleteRequest struct {
 	Claim  Claim
