--- /dev/null
+++ b/pkg/keeper/replace_test.go
@@ -0,0 +1,171 @@
+package keeper
+
+import (
+	"testing"
+	"time"
+
+	"martenwheel.dev/pkg/api"
+)
+
+// The cases of this file are schedules in which a replacement of members meets
+// claims under the configuration before. Each runs as it is and with the
+// mechanism that it needs switched off.
+
+var replacementNodes = map[string]api.NodeRef{
+	"a": testMembers[0], "b": testMembers[1], "c": testMembers[2],
+	"d": {ID: "d", Incarnation: 1}, "e": {ID: "e", Incarnation: 1},
+}
+
+func refs(ids string) []api.NodeRef {
+	var list []api.NodeRef
+	for _, id := range ids {
+		list = append(list, replacementNodes[string(id)])
+	}
+	return list
+}
+
+// replacement holds stores and the configurations before and after.
+type replacement struct {
+	t           *testing.T
+	now         time.Time
+	stores      map[string]*Store
+	first, next Configuration
+	attempts    int
+}
+
+func newReplacement(t *testing.T, members, next string, switched ablation) *replacement {
+	r := &replacement{
+		t: t, now: simStart, stores: map[string]*Store{},
+		first: Configuration{Cell: simCell, Version: 1, Members: refs(members)},
+		next:  Configuration{Cell: simCell, Version: 2, Members: refs(next), Previous: refs(members)},
+	}
+	for id, ref := range replacementNodes {
+		store := NewStore(ref, Limits{Records: 10, RecordsPerCaller: 10, MaxRetention: time.Minute, ConfirmWithin: simConfirm})
+		store.ablation = switched
+		r.stores[id] = store
+	}
+	for _, id := range members {
+		r.stores[string(id)].SetConfiguration(r.now, r.first)
+	}
+	return r
+}
+
+func (r *replacement) adopt(ids string) {
+	for _, id := range ids {
+		r.stores[string(id)].SetConfiguration(r.now, r.next)
+	}
+}
+
+func (r *replacement) copyFrom(to string, sources string) {
+	store := r.stores[to]
+	for _, id := range sources {
+		request, wanted := store.CopyRequests(r.now)[replacementNodes[string(id)]]
+		if !wanted {
+			continue
+		}
+		reply, err := r.stores[string(id)].Handle(r.now, request)
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		store.TakeCopy(r.now, replacementNodes[string(id)], request, reply.(CopyReply))
+	}
+}
+
+// runs claims the one key from some members and tells whether it was granted.
+func (r *replacement) runs(configuration Configuration, from string) bool {
+	r.attempts++
+	claim := testClaim("k", string(rune('0'+r.attempts)))
+	grants := 0
+	for _, id := range from {
+		request := ClaimRequest{Claim: claim, Round: 1, Version: configuration.Version}
+		if claimAt(r.t, r.stores[string(id)], r.now, request).Outcome == OutcomeGranted {
+			grants++
+		}
+	}
+	return grants >= configuration.majority()
+}
+
+func TestReplacementOfMembers(t *testing.T) {
+	cases := []struct {
+		name       string
+		mechanism  ablation
+		before     string
+		after      string
+		schedule   func(r *replacement) (first, second bool)
+		firstRuns  bool // with all mechanisms on
+		secondRuns bool
+	}{
+		{
+			name: "copied before the old member adopted", mechanism: ablation{noCopyBarrier: true},
+			before: "abc", after: "abd", firstRuns: true,
+			schedule: func(r *replacement) (bool, bool) {
+				r.adopt("d")
+				r.copyFrom("d", "ab")
+				first := r.runs(r.first, "bc")
+				r.adopt("a")
+				return first, r.runs(r.next, "ad")
+			},
+		},
+		{
+			name: "old majority cut off and unaware", mechanism: ablation{noConfirmation: true},
+			before: "abc", after: "bde", secondRuns: true,
+			schedule: func(r *replacement) (bool, bool) {
+				r.adopt("bde")
+				r.now = r.now.Add(r.stores["d"].limits.abstention() - time.Second)
+				first := r.runs(r.first, "ac")
+				r.now = r.now.Add(time.Second)
+				r.stores["d"].Confirm(r.now, 2)
+				r.stores["e"].Confirm(r.now, 2)
+				return first, r.runs(r.next, "de")
+			},
+		},
+		{
+			name: "new member asked before it copied", mechanism: ablation{noAbstention: true},
+			before: "abc", after: "abd", firstRuns: true,
+			schedule: func(r *replacement) (bool, bool) {
+				first := r.runs(r.first, "bc")
+				r.adopt("abd")
+				return first, r.runs(r.next, "ad")
+			},
+		},
+		{
+			name: "router and keeper with the configuration before", mechanism: ablation{noVersionCheck: true},
+			before: "abc", after: "abd", firstRuns: true,
+			schedule: func(r *replacement) (bool, bool) {
+				r.adopt("abd")
+				r.copyFrom("d", "ab")
+				first := r.runs(r.next, "bd")
+				return first, r.runs(r.first, "ac")
+			},
+		},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			first, second := test.schedule(newReplacement(t, test.before, test.after, ablation{}))
+			if first != test.firstRuns || second != test.secondRuns {
+				t.Errorf("runs: %v and %v, want %v and %v", first, second, test.firstRuns, test.secondRuns)
+			}
+			first, second = test.schedule(newReplacement(t, test.before, test.after, test.mechanism))
+			if !first || !second {
+				t.Errorf("without its mechanism the schedule runs %v and %v, want both", first, second)
+			}
+		})
+	}
+}
+
+// TestShrinkingGroupWaits lets the member that missed a key stay alone.
+func TestShrinkingGroupWaits(t *testing.T) {
+	r := newReplacement(t, "abc", "a", ablation{})
+	if !r.runs(r.first, "bc") {
+		t.Fatal("not granted")
+	}
+	r.adopt("a")
+	if r.runs(r.next, "a") {
+		t.Error("a single member that missed the key granted it")
+	}
+	r.now = r.now.Add(r.stores["a"].limits.abstention())
+	r.stores["a"].Confirm(r.now, 2)
+	if !r.runs(r.next, "a") {
+		t.Error("the member abstains for ever")
+	}
+}
--- a/pkg/keeper/store.go
+++ b/pkg/keeper/store.go
@@ -34,8 +34,8 @@
 	MaxRetention     time.Duration // a claim for longer is invalid
 
 	// ConfirmWithin is how long a keeper goes on granting without a sign of
-	// the cell's owner that its configuration is in force; 0: for ever. A
-	// keeper that is cut off with an old configuration stops then.
+	// the cell's owner that its configuration is in force, see Confirm; 0: for
+	// ever. A keeper that is cut off with an old configuration stops then.
 	ConfirmWithin time.Duration
 }
 
@@ -53,7 +53,6 @@
 		RecordsPerCaller: 25_000,
 		AnswerBytes:      24 << 20,
 		MaxRetention:     time.Hour,
-		ConfirmWithin:    10 * time.Second,
 	}
 }
 
