--- a/cmd/martenwheel-standin/main.go
+++ b/cmd/martenwheel-standin/main.go
@@ -65,6 +65,7 @@
 }
 
 func runEngine(ctx context.Context, options *options, stdout io.Writer, logger hclog.Logger) int {
+	options.engine.Logger = logger
 	server, err := standin.ListenEngine(options.listen.String(), options.engine)
 	if err != nil {
 		logger.Error("cannot start", "error", err)
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -115,6 +116,17 @@
 	if served != 1 {
 		t.Errorf("request %s is served in %d log lines, want 1", requestID, served)
 	}
+	atEngines := 0
+	for _, engine := range c.engines {
+		for _, line := range engine.lines(t) {
+			if id, _ := line["request_id"].(string); strings.HasPrefix(id, requestID) {
+				atEngines++
+			}
+		}
+	}
+	if atEngines != 1 {
+		t.Errorf("request %s is in %d log lines of engines, want 1", requestID, atEngines)
+	}
 }
 
 func wantFields(t *testing.T, line logLine, names ...string) {
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
@@ -45,6 +46,9 @@
 // NewEngine returns an engine that fetches checkpoints from weights. With nil
 // it fetches at the config's RemoteBytesPerSecond.
 func NewEngine(config EngineConfig, weights WeightSource) *Engine {
+	if config.Logger == nil {
+		config.Logger = hclog.NewNullLogger()
+	}
 	clock := NewClock(config.Speed)
 	e := &Engine{
 		config:  config,
--- a/pkg/standin/engine_config.go
+++ b/pkg/standin/engine_config.go
@@ -1,6 +1,10 @@
 package standin
 
-import "time"
+import (
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+)
 
 const (
 	kibibyte = 1 << 10
@@ -46,6 +50,8 @@
 	CacheEventLag time.Duration
 	CacheEventGap float64 // share of the cache events that get lost
 	Seed          uint64  // of the lost cache events
+
+	Logger hclog.Logger // gets one line per request; nil for none
 }
 
 // DefaultEngineConfig returns an engine with 80 GiB.
--- a/pkg/standin/engine_openai.go
+++ b/pkg/standin/engine_openai.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"martenwheel.dev/pkg/engine"
+	"martenwheel.dev/pkg/telemetry"
 )
 
 func (e *Engine) serveChat(writer http.ResponseWriter, request *http.Request) {
@@ -55,6 +56,19 @@
 	} else {
 		e.answerWhole(writer, request, x, g)
 	}
+	e.logExchange(x, g)
+}
+
+// logExchange writes one line about an exchange that ended.
+func (e *Engine) logExchange(x exchange, g *generation) {
+	end := e.progress(g)
+	e.config.Logger.Info("request",
+		telemetry.FieldRequestID, x.id,
+		telemetry.FieldModel, x.submission.model,
+		telemetry.FieldServer, e.config.ID,
+		"tokens", end.tokens,
+		"finished", end.phase == phaseFinished,
+	)
 }
 
 // wait returns when the generation has more than seen tokens or has ended, and
