traffic: four checks that could not fail are mended

Four tests passed with their mechanism off: retries to another server (by chance), draining replicas (their place was taken anyway), new requests in a planned stop (refused for another reason), the last replica (virtual time waited out the ejection). A caller that had left at arrival was not tested.

--- a/pkg/traffic/admission_test.go
+++ b/pkg/traffic/admission_test.go
@@ -226,6 +226,11 @@
 
 		_, err = router.Acquire(context.Background(), ask(0))
 		refusalOf(t, err, ReasonDeadline)
+
+		left, leave := context.WithCancel(context.Background())
+		leave()
+		_, err = router.Acquire(left, ask(time.Minute))
+		refusalOf(t, err, ReasonCallerLeft)
 	})
 }
 
--- a/pkg/traffic/demand_test.go
+++ b/pkg/traffic/demand_test.go
@@ -99,9 +99,15 @@
 		if ended.err != nil || ended.grant.Target().Server != "s1" {
 			t.Fatalf("waiting request: %+v, want a place on s1", ended)
 		}
-		ended.grant.Done(served(time.Millisecond))
 		running.Done(served(time.Millisecond))
 		running.Done(served(time.Millisecond)) // a second Done has no effect
+		next := acquireLater(context.Background(), router, ask(time.Minute))
+		synctest.Wait() // the draining replica has a free place, which is not given
+		ended.grant.Done(served(time.Millisecond))
+		if ended = <-next; ended.err != nil || ended.grant.Target().Server != "s1" {
+			t.Fatalf("next request: %+v, want a place on s1", ended)
+		}
+		ended.grant.Done(served(time.Millisecond))
 		if running := router.Stats().Running; running != 0 {
 			t.Errorf("%d running, want 0", running)
 		}
--- a/pkg/traffic/drain_test.go
+++ b/pkg/traffic/drain_test.go
@@ -57,7 +57,12 @@
 		control.publish(readyOn("m", 1))
 		stuck := mustAcquire(t, router, ask(time.Hour))
 		began := time.Now()
-		left := router.Drain(began.Add(time.Second))
+		drained := make(chan Leftover, 1)
+		go func() { drained <- router.Drain(began.Add(time.Second)) }()
+		synctest.Wait()
+		_, err := router.Acquire(context.Background(), ask(time.Hour))
+		refusalOf(t, err, ReasonStopping) // though a place is free
+		left := <-drained
 		if left.Running != 1 || time.Since(began) != time.Second {
 			t.Errorf("left %d after %v, want 1 after 1s", left.Running, time.Since(began))
 		}
--- a/pkg/traffic/retry_test.go
+++ b/pkg/traffic/retry_test.go
@@ -48,9 +48,6 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				if second.Target() == first.Target() {
-					t.Errorf("retried on %s, where it failed", first.Target().Server)
-				}
 				second.Done(served(time.Millisecond))
 			})
 		})
@@ -89,6 +86,24 @@
 	})
 }
 
+func TestRetryGoesToAnotherServer(t *testing.T) {
+	control := newStubControl(t, "retry_budget", "1")
+	virtually(t, Config{Control: control}, func(t *testing.T, router *Router) {
+		control.publish(readyOn("m", 3))
+		for range 30 {
+			first := mustAcquire(t, router, ask(time.Minute))
+			second, err := first.Retry(context.Background(), Outcome{Kind: OutcomeNotRun})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if second.Target() == first.Target() {
+				t.Fatalf("retried on %s, where it failed", first.Target().Server)
+			}
+			second.Done(served(time.Millisecond))
+		}
+	})
+}
+
 func TestRetryGoesToTheSameServerOnlyIfThereIsNoOther(t *testing.T) {
 	control := newStubControl(t)
 	virtually(t, Config{Control: control}, func(t *testing.T, router *Router) {
@@ -206,6 +221,10 @@
 			t.Errorf("%d requests on the failing server, want 5", onBad)
 		}
 		control.publish(readyOn("m", 1))
+		began := time.Now()
 		mustAcquire(t, router, ask(time.Minute)).Done(served(time.Millisecond))
+		if waited := time.Since(began); waited > 0 {
+			t.Errorf("waited %v for the last replica, which is not to be ejected", waited)
+		}
 	})
 }
