--- a/pkg/keeper/replace_test.go
+++ b/pkg/keeper/replace_test.go
@@ -169,3 +169,52 @@
 		t.Error("the member abstains for ever")
 	}
 }
+
+// TestCopiedRecords holds what the schedule explorer found in copies.
+func TestCopiedRecords(t *testing.T) {
+	page := func(attempt string, remaining time.Duration) CopyReply {
+		record := Record{Claim: testClaim("k", attempt), Round: 1, Remaining: remaining}
+		return CopyReply{Version: 2, Complete: true, Records: []Record{record}, Next: 1, Done: true}
+	}
+	outcome := func(r *replacement, attempt string) Outcome {
+		return claimAt(t, r.stores["d"], r.now, ClaimRequest{testClaim("k", attempt), 2, 2}).Outcome
+	}
+	take := func(r *replacement, source string, page CopyReply) {
+		store := r.stores["d"]
+		ref := replacementNodes[source]
+		store.TakeCopy(r.now, ref, store.CopyRequests(r.now)[ref], page)
+	}
+	t.Run("grant nothing while the store abstains", func(t *testing.T) {
+		r := newReplacement(t, "abc", "abd", ablation{})
+		r.adopt("d")
+		take(r, "a", page("1", time.Minute))
+		if got := outcome(r, "1"); got != OutcomeAbstained {
+			t.Errorf("outcome %d", got)
+		}
+	})
+	t.Run("last as long as the longest", func(t *testing.T) {
+		r := newReplacement(t, "abc", "abd", ablation{})
+		r.adopt("d")
+		take(r, "a", page("1", time.Second))
+		take(r, "b", page("1", time.Minute))
+		r.now = r.now.Add(2 * time.Second)
+		if got := outcome(r, "2"); got != OutcomeHeld {
+			t.Errorf("outcome %d", got)
+		}
+	})
+	t.Run("of two attempts give the key to neither", func(t *testing.T) {
+		r := newReplacement(t, "abc", "abd", ablation{})
+		r.adopt("d")
+		take(r, "a", page("1", time.Minute))
+		take(r, "b", page("2", time.Minute))
+		for _, attempt := range []string{"1", "2"} {
+			release := ReleaseRequest{Key: testClaim("k", "").Key, Attempt: attempt, Round: lastRound}
+			if _, err := r.stores["d"].Handle(r.now, release); err != nil {
+				t.Fatal(err)
+			}
+			if got := outcome(r, attempt); got != OutcomeHeld {
+				t.Errorf("attempt %s: outcome %d", attempt, got)
+			}
+		}
+	})
+}
