--- a/pkg/keeper/replace_test.go
+++ b/pkg/keeper/replace_test.go
@@ -179,42 +179,55 @@
 	outcome := func(r *replacement, attempt string) Outcome {
 		return claimAt(t, r.stores["d"], r.now, ClaimRequest{testClaim("k", attempt), 2, 2}).Outcome
 	}
+	release := func(r *replacement, attempt string) {
+		request := ReleaseRequest{Key: testClaim("k", attempt).Key, Attempt: attempt, Round: lastRound}
+		if _, err := r.stores["d"].Handle(r.now, request); err != nil {
+			t.Fatal(err)
+		}
+	}
 	take := func(r *replacement, source string, page CopyReply) {
 		store := r.stores["d"]
 		ref := replacementNodes[source]
 		store.TakeCopy(r.now, ref, store.CopyRequests(r.now)[ref], page)
 	}
-	t.Run("grant nothing while the store abstains", func(t *testing.T) {
-		r := newReplacement(t, "abc", "abd", ablation{})
-		r.adopt("d")
-		take(r, "a", page("1", time.Minute))
-		if got := outcome(r, "1"); got != OutcomeAbstained {
-			t.Errorf("outcome %d", got)
-		}
-	})
-	t.Run("last as long as the longest", func(t *testing.T) {
-		r := newReplacement(t, "abc", "abd", ablation{})
-		r.adopt("d")
-		take(r, "a", page("1", time.Second))
-		take(r, "b", page("1", time.Minute))
-		r.now = r.now.Add(2 * time.Second)
-		if got := outcome(r, "2"); got != OutcomeHeld {
-			t.Errorf("outcome %d", got)
-		}
-	})
-	t.Run("of two attempts give the key to neither", func(t *testing.T) {
-		r := newReplacement(t, "abc", "abd", ablation{})
-		r.adopt("d")
-		take(r, "a", page("1", time.Minute))
-		take(r, "b", page("2", time.Minute))
-		for _, attempt := range []string{"1", "2"} {
-			release := ReleaseRequest{Key: testClaim("k", "").Key, Attempt: attempt, Round: lastRound}
-			if _, err := r.stores["d"].Handle(r.now, release); err != nil {
-				t.Fatal(err)
+	cases := []struct {
+		name   string
+		copies []CopyReply // of a and b
+		after  time.Duration
+		want   map[string]Outcome // by attempt
+	}{
+		{
+			"grant nothing while the store abstains",
+			[]CopyReply{page("1", time.Minute)}, 0,
+			map[string]Outcome{"1": OutcomeAbstained},
+		},
+		{
+			"last as long as the longest",
+			[]CopyReply{page("1", time.Second), page("1", time.Minute)}, 2 * time.Second,
+			map[string]Outcome{"2": OutcomeHeld},
+		},
+		{
+			"of two attempts give the key to neither",
+			[]CopyReply{page("1", time.Minute), page("2", time.Minute)}, 0,
+			map[string]Outcome{"1": OutcomeHeld, "2": OutcomeHeld},
+		},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			r := newReplacement(t, "abc", "abd", ablation{})
+			r.adopt("d")
+			for i, reply := range test.copies {
+				take(r, []string{"a", "b"}[i], reply)
 			}
-			if got := outcome(r, attempt); got != OutcomeHeld {
-				t.Errorf("attempt %s: outcome %d", attempt, got)
+			r.now = r.now.Add(test.after)
+			for attempt, want := range test.want {
+				if want == OutcomeHeld {
+					release(r, attempt)
+				}
+				if got := outcome(r, attempt); got != want {
+					t.Errorf("attempt %s: outcome %d, want %d", attempt, got, want)
+				}
 			}
-		}
-	})
+		})
+	}
 }
