--- a/pkg/gateway/claim.go
+++ b/pkg/gateway/claim.go
@@ -16,6 +16,7 @@
 const (
 	noSettingsRetry = 2 * time.Second
 	claimRetry      = time.Second
+	stoppingRetry   = time.Second
 )
 
 // claimOnce claims the right to run an unsafe request. It returns the kept
@@ -37,7 +38,9 @@
 	}
 	ctx, cancel := context.WithDeadline(c.caller, c.request.Deadline)
 	defer cancel()
+	waitFrom := c.gateway.config.Now()
 	decision := claims.Claim(ctx, claim)
+	c.record.waited += c.gateway.config.Now().Sub(waitFrom)
 	if decision.Verdict == keeper.VerdictGranted {
 		c.claim = &claim
 		return nil, nil
--- a/pkg/policy/decide.go
+++ b/pkg/policy/decide.go
@@ -11,31 +11,39 @@
 
 // Names of the deciders, the values of the setting "policy".
 const (
-	NameAdaptive       = "adaptive" // the default
-	NameFixedKeepAlive = "fixed-keepalive"
-	NameNeverUnload    = "never-unload"
-	NameUnloadAtOnce   = "unload-at-once"
+	NameAdaptive           = "adaptive" // the default
+	NameFixedKeepAlive     = "fixed-keepalive"
+	NameFixedKeepAliveNear = "fixed-keepalive-near" // with adaptive's placement
+	NameNeverUnload        = "never-unload"
+	NameUnloadAtOnce       = "unload-at-once"
 )
 
+// deciders are all deciders, the default first.
+var deciders = []decider{
+	{NameAdaptive, adaptive{}, lowestCost{}},
+	{NameFixedKeepAlive, fixedKeepAlive{}, tierFirst{}},
+	{NameFixedKeepAliveNear, fixedKeepAlive{}, lowestCost{}},
+	{NameNeverUnload, neverUnload{}, tierFirst{}},
+	{NameUnloadAtOnce, unloadAtOnce{}, tierFirst{}},
+}
+
 // Names returns the names of all deciders, the default first.
 func Names() []string {
-	return []string{NameAdaptive, NameFixedKeepAlive, NameNeverUnload, NameUnloadAtOnce}
+	names := make([]string, len(deciders))
+	for i := range deciders {
+		names[i] = deciders[i].name
+	}
+	return names
 }
 
 // ByName returns the decider with the name, false if there is none.
 func ByName(name string) (Decider, bool) {
-	switch name {
-	case NameAdaptive:
-		return decider{NameAdaptive, adaptive{}}, true
-	case NameFixedKeepAlive:
-		return decider{NameFixedKeepAlive, fixedKeepAlive{}}, true
-	case NameNeverUnload:
-		return decider{NameNeverUnload, neverUnload{}}, true
-	case NameUnloadAtOnce:
-		return decider{NameUnloadAtOnce, unloadAtOnce{}}, true
-	default:
-		return nil, false
+	for i := range deciders {
+		if deciders[i].name == name {
+			return deciders[i], true
+		}
 	}
+	return nil, false
 }
 
 // retention is what deciders differ in: which models stay loaded while idle.
@@ -43,20 +51,18 @@
 	// unload tells whether a replica that was last used at lastUse is not
 	// worth its memory any more.
 	unload(p *plan, model *Model, replica *Replica, lastUse time.Time) bool
-	// prewarm tells whether a model that is not loaded is to be loaded
-	// before a request comes.
-	prewarm(p *plan, model *Model) bool
+	// prewarm tells why a model that is not loaded is to be loaded before a
+	// request comes; empty if it is not.
+	prewarm(p *plan, model *Model) string
 	// value ranks idle replicas when memory is short: the lowest goes first.
 	value(p *plan, model *Model, replica *Replica, lastUse time.Time) float64
-	// evictionCost turns the summed value of the replicas that have to go for
-	// a load into accelerator seconds.
-	evictionCost(value float64) float64
 }
 
-// decider is a Decider with shared placement and load order.
+// decider is a Decider with a shared load order.
 type decider struct {
 	name      string
 	retention retention
+	placer    placer
 }
 
 // Name implements Decider.
@@ -241,18 +247,33 @@
 	}
 }
 
-// prewarmIdle loads models that are expected soon, if nothing has to go.
+// prewarmIdle loads models ahead of their requests, if nothing has to go and
+// no load that a request waits for would be later by it.
 func (d decider) prewarmIdle(p *plan) {
+	if p.urgentLoads() {
+		return
+	}
 	for i := range p.input.Models {
 		model := &p.input.Models[i]
 		if p.present[i] > 0 || maxReplicas(model) == 0 || !model.Settings.Prewarm {
 			continue
 		}
-		if !d.retention.prewarm(p, model) {
+		reason := d.retention.prewarm(p, model)
+		if reason == "" {
 			continue
 		}
 		if placed := d.place(p, model, 0); placed.server != nil && !placed.waits {
-			p.load(model, placed.server, false, "expected soon")
+			p.load(model, placed.server, false, reason)
 		}
 	}
 }
+
+// urgentLoads tells whether a request waits for a load.
+func (p *plan) urgentLoads() bool {
+	for i := range p.input.Models {
+		if p.input.Models[i].Demand.Waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
