--- a/pkg/keeper/client.go
+++ b/pkg/keeper/client.go
@@ -43,7 +43,8 @@
 	return &Client{caller: caller, configurations: configurations, clock: clock, callTimeout: callTimeout}
 }
 
-// Close waits for the calls under way.
+// Close waits for the calls under way. No other method is called at the same
+// time.
 func (c *Client) Close() {
 	c.background.Wait()
 }
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/peer"
@@ -106,18 +107,22 @@
 }
 
 // CopyRecords fetches the next page from each member that a store of this node
-// has to copy from, and returns whether there was one. It is called again and
-// again, with pauses when it had nothing to do or made no progress.
+// has to copy from, all at once, and returns whether there was one. It is
+// called again and again, each time with a deadline, and with pauses when it
+// had nothing to do or made no progress.
 func (k *Keeper) CopyRecords(ctx context.Context, caller Caller) (copying bool) {
 	tasks := k.copyTasks()
+	var group conc.WaitGroup
 	for _, task := range tasks {
-		message, err := caller.Call(ctx, task.source.PeerAddress, task.request)
-		page, ok := message.(CopyReply)
-		if err != nil || !ok {
-			continue
-		}
-		k.takeCopy(task, page)
+		group.Go(func() {
+			message, err := caller.Call(ctx, task.source.PeerAddress, task.request)
+			page, ok := message.(CopyReply)
+			if err == nil && ok {
+				k.takeCopy(task, page)
+			}
+		})
 	}
+	group.Wait()
 	return len(tasks) > 0
 }
 
