--- a/pkg/policy/adaptive.go
+++ b/pkg/policy/adaptive.go
@@ -44,10 +44,13 @@
 
 // prewarm implements retention.
 func (adaptive) prewarm(p *plan, model *Model) string {
+	if !p.prewarmTurn(model) {
+		return ""
+	}
 	if p.worthCaching(model) {
 		return "to cache its checkpoint"
 	}
-	if !p.prewarmTurn(model) || !p.maySoonBeWanted(model) {
+	if !p.maySoonBeWanted(model) {
 		return ""
 	}
 	worth := p.outlook(model, p.fastestLoad(model))
@@ -80,9 +83,15 @@
 // outlook returns what holding a model is worth whose load takes the time load.
 func (p *plan) outlook(model *Model, load time.Duration) outlook {
 	quiet := p.forecast(model)
-	return quiet.outlook(load, load.Seconds()*coldStartWorth(model), accelerators(model))
+	harm := load.Seconds() * load.Seconds() / referenceLoad
+	return quiet.outlook(load, harm*coldStartWorth(model), accelerators(model))
 }
 
+// referenceLoad is the length of a cold start, in seconds, whose seconds count
+// once. The harm of a cold start grows with the square of its length, as it is
+// the tail that is measured.
+const referenceLoad = 3.0
+
 // coldStartWorth returns how many accelerator seconds a second of a cold start
 // of the model is worth.
 func coldStartWorth(model *Model) float64 {
