lab: the real control machines as a second control plane

Each emulated node runs a control.Machine with its membership, quorum groups and owners; the emulator carries out their effects against the emulated engines and platform, and the settings come from the product's own tree reader. Runs with faults use it; runs without compare policies under the ideal central owner.

--- a/cmd/martenwheel-lab/run.go
+++ b/cmd/martenwheel-lab/run.go
@@ -21,6 +21,7 @@
 	policy   string
 	set      []string
 	faults   string
+	control  string
 	out      string
 }
 
@@ -34,6 +35,8 @@
 	c.String(&flags.policy, "", "policy", "One of "+strings.Join(policy.Names(), ", "))
 	c.StringSlice(&flags.set, "", "set", "path=value in the scenario; may be repeated")
 	c.String(&flags.faults, "", "faults", fmt.Sprintf("One of %v", lab.AllFaults()))
+	c.String(&flags.control, "", "control", fmt.Sprintf("Control plane, %s or %s (default: %s without faults, %s with)",
+		lab.ControlCentral, lab.ControlDistributed, lab.DefaultControl(lab.FaultsNone), lab.DefaultControl(lab.FaultsMixed)))
 	c.String(&flags.out, "", "out", "Directory for the results")
 	return command{c, func(ctx context.Context) (int, error) { return run(ctx, flags) }}
 }
@@ -49,7 +52,7 @@
 	}
 	options := lab.Options{
 		Scenario: scenario, Seed: flags.seed, Policy: flags.policy,
-		Faults: lab.Faults(flags.faults), Progress: progress(scenario.Duration),
+		Faults: lab.Faults(flags.faults), Control: lab.Control(flags.control), Progress: progress(scenario.Duration),
 	}
 	result, series, err := lab.Run(ctx, options)
 	if err != nil {
--- a/pkg/lab/engine.go
+++ b/pkg/lab/engine.go
@@ -1,11 +1,13 @@
 package lab
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/engine"
+	"martenwheel.dev/pkg/platform"
 )
 
 // Speeds of the emulated engines. A stream in a batch of n gets
@@ -34,9 +36,11 @@
 
 	instance  string
 	lives     int
+	machines  int // machines so far, the present one among them
 	alive     bool
 	frozen    bool
 	backlog   []func()      // what came while it was frozen
+	gone      bool          // the machine was taken away
 	leavingAt time.Duration // -1 while it stays
 	fence     api.Fence
 	lastOrder string // with the last accepted fence
@@ -76,6 +80,9 @@
 
 // order carries out a fenced order.
 func (e *emulatedEngine) order(order engine.Order) engine.OrderResult {
+	if order.Instance != "" && order.Instance != e.instance {
+		return engine.OrderResult{Status: engine.OrderWrongInstance, Fence: e.fence, Instance: e.instance}
+	}
 	if order.Fence <= e.fence {
 		status := engine.OrderStaleFence
 		if order.Fence == e.fence && order.ID == e.lastOrder {
@@ -354,17 +361,30 @@
 // replaced machine has empty caches.
 func (e *emulatedEngine) restart(replaced bool) {
 	e.lives++
-	e.instance = string(e.id) + "/" + string(rune('a'+e.lives%26))
-	e.alive, e.frozen = true, false
+	e.instance = fmt.Sprintf("%s/%d", e.id, e.lives)
+	e.alive, e.frozen, e.gone = true, false, false
 	e.leavingAt = -1
 	e.fence = 0
 	e.lastOrder = ""
 	if replaced {
+		e.machines++
 		e.memory = newCheckpointCache(e.caches.MemoryGigabytes)
 		e.disk = newCheckpointCache(e.caches.DiskGigabytes)
 	}
 }
 
+// machineState returns the state of the engine's machine in truth.
+func (e *emulatedEngine) machineState() platform.MachineState {
+	switch {
+	case e.gone:
+		return platform.MachineGone
+	case e.leavingAt >= 0:
+		return platform.MachineLeaving
+	default:
+		return platform.MachineLive
+	}
+}
+
 // inventory raises the fence and tells what the engine holds.
 func (e *emulatedEngine) inventory(request engine.InventoryRequest) engine.Inventory {
 	if request.Fence > e.fence {
--- a/pkg/lab/faults.go
+++ b/pkg/lab/faults.go
@@ -1,11 +1,14 @@
 package lab
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/tree"
 )
 
 // Faults names a timetable of failures.
@@ -37,6 +40,11 @@
 	cutLasts         = 90 * time.Second
 	freezeInterval   = 30 * time.Minute
 	freezeLasts      = 20 * time.Second
+	storeInterval    = 3 * time.Hour
+	storeDownLasts   = time.Hour
+	storeLosesFor    = 10 * time.Minute // before and after it is down
+	storeLoses       = 0.2
+	editInterval     = 10 * time.Minute
 	weightsInterval  = 6 * time.Hour
 	weightsSlowLasts = time.Hour
 	weightsSlowdown  = 5.0
@@ -45,9 +53,6 @@
 // scheduleFaults adds the failures of a timetable to the run. Moments are
 // drawn around the intervals, so that failures meet any state.
 func (w *world) scheduleFaults(faults Faults, random *rand.Rand) error {
-	if faults == "" {
-		faults = FaultsNone
-	}
 	if !slices.Contains(AllFaults(), faults) {
 		return errors.Errorf("unknown faults %q; known are %v", faults, AllFaults())
 	}
@@ -64,6 +69,12 @@
 		w.repeat(random, freezeInterval, func() { w.freezeNode(random) })
 		w.repeat(random, freezeInterval, func() { w.freezeEngine(random) })
 	}
+	if has(FaultsStoreDown) {
+		w.repeat(random, storeInterval, w.storeDown)
+	}
+	if distributed, ok := w.plane.(*distributedPlane); ok {
+		w.repeat(random, editInterval, func() { distributed.edit(random) })
+	}
 	if has(FaultsWeightsSlow) {
 		w.repeat(random, weightsInterval, w.slowWeights)
 	}
@@ -113,6 +124,7 @@
 // endEngine lets an engine die and come back.
 func (w *world) endEngine(e *emulatedEngine, back time.Duration, replaced bool) {
 	e.crash()
+	e.gone = replaced
 	w.plane.engineChanged(e)
 	w.clock.after(back, func() {
 		e.restart(replaced)
@@ -186,6 +198,39 @@
 	})
 }
 
+// storeDown lets the platform's store lose answers, be down for long, and lose
+// answers again.
+func (w *world) storeDown() {
+	distributed, ok := w.plane.(*distributedPlane)
+	if !ok {
+		return
+	}
+	store := distributed.platform
+	store.loses = storeLoses
+	w.clock.after(storeLosesFor, func() { store.down = true })
+	w.clock.after(storeLosesFor+storeDownLasts, func() { store.down = false })
+	w.clock.after(2*storeLosesFor+storeDownLasts, func() { store.loses = 0 })
+}
+
+// edit lets an operator change a setting at a random node.
+func (d *distributedPlane) edit(random *rand.Rand) {
+	w := d.world
+	author := d.processes[random.IntN(len(d.processes))]
+	if d.platform.down || !author.node.alive || author.node.frozen {
+		return
+	}
+	service := w.scenario.Services[random.IntN(len(w.scenario.Services))].Name
+	value := fmt.Sprint(float64(10+random.IntN(80)) / 100)
+	settings, err := d.platform.accept(tree.Change{
+		Author: string(author.node.id), At: w.clock.now(),
+		Edits: []tree.Edit{{Path: tree.RootPath.Child(service), Key: "fair_share", Value: value}},
+	})
+	if err != nil {
+		panic(err) // the change is valid
+	}
+	author.later(d.platform.delay(), func() { author.useTree(settings) })
+}
+
 // slowWeights slows the weight store down for a while.
 func (w *world) slowWeights() {
 	w.store.setSlowdown(weightsSlowdown)
--- a/pkg/lab/run.go
+++ b/pkg/lab/run.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"martenwheel.dev/pkg/policy"
 )
 
@@ -14,23 +11,39 @@
 type Options struct {
 	Scenario *Scenario
 	Seed     uint64
-	Policy   string // name of a decider; empty: the default
-	Faults   Faults // empty: none
+	Policy   string  // name of a decider; empty: the default
+	Faults   Faults  // empty: none
+	Control  Control // empty: DefaultControl
 	// Progress is called now and then with the virtual time that has passed.
 	Progress func(time.Duration)
 }
 
+// DefaultControl returns the control plane that runs with the faults: the ideal
+// one compares policies by their decisions alone, the real one has to stand
+// failures.
+func DefaultControl(faults Faults) Control {
+	if faults == FaultsNone {
+		return ControlCentral
+	}
+	return ControlDistributed
+}
+
 // Run runs a scenario to its end. When ctx ends before, the result covers the
 // time until then and is marked as partial.
 func Run(ctx context.Context, options Options) (*Result, *Series, error) {
 	if options.Policy == "" {
 		options.Policy = policy.Names()[0]
 	}
-	decider, ok := policy.ByName(options.Policy)
-	if !ok {
-		return nil, nil, errors.Errorf("unknown policy %q; known are %s", options.Policy, strings.Join(policy.Names(), ", "))
+	if options.Faults == "" {
+		options.Faults = FaultsNone
+	}
+	if options.Control == "" {
+		options.Control = DefaultControl(options.Faults)
+	}
+	w, err := newWorld(options.Scenario, options.Seed, options.Control, options.Policy)
+	if err != nil {
+		return nil, nil, err
 	}
-	w := newWorld(options.Scenario, options.Seed, decider)
 	if err := w.scheduleFaults(options.Faults, newRandom(options.Seed, streamFaults)); err != nil {
 		return nil, nil, err
 	}
--- a/pkg/lab/world.go
+++ b/pkg/lab/world.go
@@ -4,8 +4,11 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/policy"
 )
@@ -43,7 +46,7 @@
 }
 
 // newWorld builds the emulator of a scenario.
-func newWorld(scenario *Scenario, seed uint64, decider policy.Decider) *world {
+func newWorld(scenario *Scenario, seed uint64, plane Control, policyName string) (*world, error) {
 	w := &world{scenario: scenario, clock: &clock{}, random: newRandom(seed, streamWorld)}
 	w.models = makeCatalog(scenario, newRandom(seed, streamCatalog))
 	w.byName = make(map[api.ModelName]*model, len(w.models))
@@ -59,12 +62,42 @@
 	w.addEngines()
 	w.warmCaches()
 	w.addNodes()
-	w.plane = newCentralPlane(w, decider)
+	if err := w.addPlane(plane, policyName); err != nil {
+		return nil, err
+	}
 	for _, n := range w.nodes {
 		n.restart()
 	}
 	w.scheduleArrivals(0)
-	return w
+	return w, nil
+}
+
+// Control names a control plane.
+type Control string
+
+// The control planes.
+const (
+	ControlCentral     Control = "central"     // one ideal owner per service
+	ControlDistributed Control = "distributed" // the real control machines
+)
+
+// addPlane builds the control plane.
+func (w *world) addPlane(plane Control, policyName string) error {
+	decider, ok := policy.ByName(policyName)
+	if !ok {
+		return errors.Errorf("unknown policy %q; known are %s", policyName, strings.Join(policy.Names(), ", "))
+	}
+	switch plane {
+	case ControlCentral:
+		w.plane = newCentralPlane(w, decider)
+		return nil
+	case ControlDistributed:
+		distributed, err := newDistributedPlane(w, policyName)
+		w.plane = distributed
+		return err
+	default:
+		return errors.Errorf("unknown control plane %q; known are %s, %s", plane, ControlCentral, ControlDistributed)
+	}
 }
 
 // addEngines builds the servers of all services, spread over the zones.
--- a/pkg/policy/plan.go
+++ b/pkg/policy/plan.go
@@ -10,12 +10,8 @@
 )
 
 // ReplicaBytes returns the accelerator memory that one replica of a model
-// needs: weights and, unless it is an adapter, which shares its base's, the
-// room for the KV cache.
+// needs: weights and the room for the KV cache, which adapters have none of.
 func ReplicaBytes(model *Model) uint64 {
-	if model.Base != "" {
-		return model.Settings.MemoryBytes
-	}
 	return model.Settings.MemoryBytes + model.Settings.KVBytes
 }
 
