--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -16,7 +15,9 @@
 	seeds      []string
 	random     *rand.Rand
 	table      map[api.NodeID]*member
+	ids        []api.NodeID // of table, sorted
 	version    uint64
+	listed     []Member // of Members; nil after a change
 	tableHash  uint32
 	around     neighbours
 	stale      bool // around is to be worked out again
@@ -28,10 +29,12 @@
 	probes    map[uint64]*probe
 	relays    map[uint64]relay
 	suspects  map[api.NodeID]time.Time // when each is declared dead
-	rumours   map[api.NodeID]*rumour
+	rumours   rumours
 	verify    []api.NodeID // to be probed because views of it differ
 	differing map[api.NodeID]time.Time
+	sweeps    sweeps
 
+	lag        lag
 	lastTick   time.Time
 	nextRejoin time.Time
 	nextSync   time.Time
@@ -47,8 +50,8 @@
 		probes:    make(map[uint64]*probe),
 		relays:    make(map[uint64]relay),
 		suspects:  make(map[api.NodeID]time.Time),
-		rumours:   make(map[api.NodeID]*rumour),
 		differing: make(map[api.NodeID]time.Time),
+		sweeps:    make(sweeps),
 	}
 	for _, seed := range config.Seeds {
 		if seed != config.Self.PeerAddress {
@@ -56,7 +59,7 @@
 		}
 	}
 	m.self = newMember(Update{Ref: config.Self}, time.Time{})
-	m.table[config.Self.ID] = m.self
+	m.insert(m.self)
 	m.tableHash = m.self.hash()
 	m.stale = true
 	return m
@@ -67,9 +70,10 @@
 func (m *Machine) Tick(now time.Time) []Packet {
 	if m.lastTick.IsZero() {
 		m.self.since = now
+		m.changed()
 	}
-	if !m.lastTick.IsZero() && now.Sub(m.lastTick) > StallLimit {
-		m.forgiveStall(now)
+	if !m.lastTick.IsZero() {
+		m.noteGap(now.Sub(m.lastTick))
 	}
 	m.lastTick = now
 	if m.self.update.State == StateLeft {
@@ -81,6 +85,7 @@
 	var packets []Packet
 	packets = m.checkProbes(now, packets)
 	packets = m.sendProbes(now, packets)
+	packets = m.sweep(now, packets)
 	packets = m.verifyMembers(now, packets)
 	packets = m.rejoin(now, packets)
 	return m.spreadRumours(packets)
@@ -124,19 +129,28 @@
 	left.State = StateLeft
 	m.self.update = left
 	m.self.since = now
-	m.version++
+	m.changed()
 	m.addRumour(left.Ref.ID, "")
 	return m.spreadRumours(nil)
 }
 
-// Members returns all nodes known, this one included, in order of ID.
+// Members returns all nodes known, this one included, in order of ID. The
+// slice is shared: it is not to be changed, and a later call returns another
+// one if Version has grown.
 func (m *Machine) Members() []Member {
-	members := make([]Member, 0, len(m.table))
-	for _, known := range m.table {
-		members = append(members, known.public())
+	if m.listed == nil {
+		m.listed = make([]Member, 0, len(m.ids))
+		for _, id := range m.ids {
+			m.listed = append(m.listed, m.table[id].public())
+		}
 	}
-	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Ref.ID, b.Ref.ID) })
-	return members
+	return m.listed
+}
+
+// changed records that the result of Members changed.
+func (m *Machine) changed() {
+	m.version++
+	m.listed = nil
 }
 
 // Member returns what is known of a node.
@@ -231,10 +245,17 @@
 	}
 }
 
+// noteGap records the time between two ticks.
+func (m *Machine) noteGap(gap time.Duration) {
+	m.lag.tick(gap)
+	if gap > StallLimit {
+		m.forgiveStall(gap)
+	}
+}
+
 // forgiveStall shifts all timers after this process was frozen: the others
 // could not have answered in time.
-func (m *Machine) forgiveStall(now time.Time) {
-	stalled := now.Sub(m.lastTick)
+func (m *Machine) forgiveStall(stalled time.Duration) {
 	clear(m.probes)
 	clear(m.relays)
 	for id, deadline := range m.suspects {
--- a/pkg/membership/types.go
+++ b/pkg/membership/types.go
@@ -43,12 +43,29 @@
 	// StallLimit is the time between two ticks after which this process was
 	// evidently frozen, so that silence of others means nothing.
 	StallLimit = 400 * time.Millisecond
+	// LateTick is the time between two ticks after which this process is
+	// evidently short of processor time: each late tick, and each suspicion of
+	// this node that it had to refute, lets it wait longer for others (see
+	// MaxLag).
+	LateTick = 180 * time.Millisecond
+	// MaxLag bounds by how many times its length each time-out is prolonged.
+	MaxLag = 6
+	// LagRecovery is the number of ticks in time that take one prolongation
+	// back.
+	LagRecovery = 10
 	// RejoinInterval is the time between two tries to reach a dead member or a
 	// seed that is not a member.
 	RejoinInterval = 2 * time.Second
 	// SyncInterval is the shortest time between two synchronisations of the
 	// whole table that this node starts.
 	SyncInterval = time.Second
+	// SweepWindow is the time within which a second death in a zone starts a
+	// sweep: each node then probes a random member of the zone with each tick,
+	// until no death in the zone was learned for SweepDuration.
+	SweepWindow = 5 * time.Second
+	// SweepDuration is how long a sweep goes on after the last death. It is
+	// longer than a sweep takes to find the next one.
+	SweepDuration = 5 * time.Second
 	// ForgetDeadAfter is how long a dead member is remembered. It is longer
 	// than the longest cut between regions that heals without seeds.
 	ForgetDeadAfter = 2 * time.Hour
--- a/pkg/policy/placement.go
+++ b/pkg/policy/placement.go
@@ -16,8 +16,8 @@
 
 // Expected load times from a cache as shares of the time from the weight store.
 const (
-	diskLoadShare   = 0.4
-	memoryLoadShare = 0.1
+	diskLoadShare   = 0.62
+	memoryLoadShare = 0.22
 )
 
 // tier returns where server would load model's checkpoint from.
@@ -57,55 +57,142 @@
 	if model.Base == "" {
 		return true
 	}
-	base := p.model(model.Base)
+	base := p.base(model)
 	return base != nil && p.readyOn(base, server.ID)
 }
 
-// place picks the server for a load that fits now. Servers near a cached
-// checkpoint come first, then those in a zone without a replica of the model,
-// then the one that the load fills most, so that large gaps stay whole. It
-// returns nil if no server fits or the checkpoint has to come from the weight
-// store and that has no slot.
-func (p *plan) place(model *Model, extraBytes uint64) *serverPlan {
-	var best *serverPlan
-	var bestScore placementScore
+// evictionSeconds is about how long it takes to drain and unload a replica.
+const evictionSeconds = 0.8
+
+// placement is a server that a model may be loaded on and what that takes.
+type placement struct {
+	server      *serverPlan
+	victims     []victim // to be unloaded first
+	evicted     float64  // summed value of the victims
+	waits       bool     // for memory that is being freed, or for the victims
+	seconds     float64  // expected until the model is ready
+	worth       float64  // of a second, in accelerator seconds
+	cachedBytes uint64   // in the server's memory
+	newZone     bool     // has no replica of the model
+}
+
+// placer ranks placements.
+type placer interface {
+	// better tells whether a is preferred over b.
+	better(a, b placement) bool
+}
+
+// tierFirst prefers servers with room, then the nearest checkpoint, then a zone
+// without a replica, then the fullest server, so that large gaps stay whole.
+// Evictions are its last resort.
+type tierFirst struct{}
+
+// better implements placer.
+func (tierFirst) better(a, b placement) bool {
+	if a.waits != b.waits {
+		return b.waits
+	}
+	if noVictims := len(a.victims) == 0; noVictims != (len(b.victims) == 0) {
+		return noVictims
+	}
+	if a.evicted != b.evicted {
+		return a.evicted < b.evicted
+	}
+	if a.seconds != b.seconds {
+		return a.seconds < b.seconds
+	}
+	if a.newZone != b.newZone {
+		return a.newZone
+	}
+	return a.server.free < b.server.free
+}
+
+// lowestCost prefers the placement with the lowest cost: the time to load,
+// weighed by the worth of a cold start, and the worth of the victims. Of those
+// that cost the same, the server whose memory caches the least comes first, so
+// that checkpoints spread over the servers and stay cached; then a zone without
+// a replica of the model; then the fullest server.
+type lowestCost struct{}
+
+// better implements placer.
+func (lowestCost) better(a, b placement) bool {
+	if costA, costB := a.cost(), b.cost(); costA != costB {
+		return costA < costB
+	}
+	if a.cachedBytes != b.cachedBytes {
+		return a.cachedBytes < b.cachedBytes
+	}
+	if a.newZone != b.newZone {
+		return a.newZone
+	}
+	return a.server.free < b.server.free
+}
+
+// cost returns the cost in accelerator seconds. Victims that are worth nothing
+// cost nothing.
+func (a placement) cost() float64 {
+	return a.seconds*a.worth + max(a.evicted, 0)
+}
+
+// place picks the server for a load. Its server is nil if none can take the
+// model, or if the checkpoint would have to come from the weight store and that
+// has no slot.
+func (d decider) place(p *plan, model *Model, extraBytes uint64) placement {
+	var best placement
 	for i := range p.servers {
 		server := &p.servers[i]
-		if !p.eligible(model, server) || server.free < ReplicaBytes(model)+extraBytes {
+		if !p.eligible(model, server) {
 			continue
 		}
-		tier := p.tier(model, server.ID)
-		if tier == tierRemote && p.slots <= 0 {
+		if p.tier(model, server.ID) == tierRemote && p.slots <= 0 {
 			continue
 		}
-		score := placementScore{
-			tier:    tier,
-			newZone: !p.inZone(model, server.Zone),
-			free:    server.free,
-		}
-		if best == nil || score.betterThan(bestScore) {
-			best, bestScore = server, score
+		candidate, ok := d.placeOn(p, model, server, ReplicaBytes(model)+extraBytes)
+		if ok && (best.server == nil || d.placer.better(candidate, best)) {
+			best = candidate
 		}
 	}
 	return best
 }
 
-// placementScore ranks the servers that a model fits on.
-type placementScore struct {
-	tier    checkpointTier
-	newZone bool
-	free    uint64
+// placeOn works out what a load on one server takes; false if it has not
+// enough memory that may be freed.
+func (d decider) placeOn(p *plan, model *Model, server *serverPlan, need uint64) (placement, bool) {
+	placed := placement{
+		server:      server,
+		seconds:     model.Settings.LoadTime.Seconds() * p.tier(model, server.ID).loadShare(),
+		worth:       coldStartWorth(model),
+		cachedBytes: p.cachedBytes(server),
+		newZone:     !p.inZone(model, server.Zone),
+	}
+	if server.free >= need {
+		return placed, true
+	}
+	placed.waits = true
+	placed.seconds += evictionSeconds
+	if available := server.free + server.freeSoon; available < need {
+		placed.victims, placed.evicted = d.victims(p, server, model, need-available)
+		if placed.victims == nil {
+			return placement{}, false
+		}
+	}
+	return placed, true
 }
 
-// betterThan tells whether s is preferred over other.
-func (s placementScore) betterThan(other placementScore) bool {
-	if s.tier != other.tier {
-		return s.tier > other.tier
+// cachedBytes returns how much the checkpoints take that are cached in the
+// server's memory.
+func (p *plan) cachedBytes(server *serverPlan) uint64 {
+	if server.cachedKnown {
+		return server.cachedBytes
 	}
-	if s.newZone != other.newZone {
-		return s.newZone
+	server.cachedKnown = true
+	for i := range p.input.Models {
+		model := &p.input.Models[i]
+		if server.Cached[CheckpointName(model)] == engine.TierMemory {
+			server.cachedBytes += model.Settings.MemoryBytes
+		}
 	}
-	return s.free < other.free
+	return server.cachedBytes
 }
 
 // inZone tells whether the zone has a replica of the model.
--- /dev/null
+++ b/pkg/standin/engine_openai.go
@@ -0,0 +1,87 @@
+package standin
+
+import (
+	"net/http"
+
+	"martenwheel.dev/pkg/engine"
+)
+
+func (e *Engine) serveChat(writer http.ResponseWriter, request *http.Request) {
+	e.serveExchange(writer, request, true)
+}
+
+func (e *Engine) serveCompletion(writer http.ResponseWriter, request *http.Request) {
+	e.serveExchange(writer, request, false)
+}
+
+func (e *Engine) serveModels(writer http.ResponseWriter, _ *http.Request) {
+	type model struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+	}
+	list := struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{Object: "list", Data: []model{}}
+	for _, held := range e.Inventory(engine.InventoryRequest{}).Items {
+		if held.State == engine.ItemReady {
+			list.Data = append(list.Data, model{ID: string(held.Model), Object: "model"})
+		}
+	}
+	writeJSON(writer, list)
+}
+
+func (e *Engine) serveExchange(writer http.ResponseWriter, request *http.Request, chat bool) {
+	x, err := e.parseExchange(request, chat)
+	if err != nil {
+		writeRefusal(writer, err)
+		return
+	}
+	var g *generation
+	if x.resumeFrom >= 0 {
+		g, err = e.resume(x.id)
+	} else {
+		g, err = e.submit(x.submission)
+	}
+	if err != nil {
+		writeRefusal(writer, err)
+		return
+	}
+	x.holder = e.progress(g).holder
+	// Without its caller a request gives its place in the batch back.
+	defer e.abandon(g, x.holder)
+	if x.Stream {
+		e.stream(writer, request, x, g)
+	} else {
+		e.answerWhole(writer, request, x, g)
+	}
+}
+
+// wait returns when the generation has more than seen tokens or has ended, and
+// false when the caller left or took the request up again elsewhere.
+func (e *Engine) wait(request *http.Request, x exchange, g *generation, seen int) (progress, bool) {
+	for {
+		now := e.progress(g)
+		if now.holder != x.holder {
+			return now, false
+		}
+		if now.tokens > seen || now.phase >= phaseFinished {
+			return now, true
+		}
+		select {
+		case <-now.changed:
+		case <-request.Context().Done():
+			return now, false
+		}
+	}
+}
+
+// writeEnd answers a request that ended without being finished.
+func writeEnd(writer http.ResponseWriter, end progress) {
+	if end.phase == phaseRefused {
+		writer.Header().Set(engine.HeaderNotRun, "true")
+		writeError(writer, http.StatusServiceUnavailable, "refused", end.refusal)
+		return
+	}
+	writeError(writer, http.StatusConflict, "cancelled", "the request was cancelled")
+}
