--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -36,6 +36,12 @@
 	final       bool // another replica would not do better
 	broken      bool // the request was sent; its engine may still have the answer
 	unreachable bool // no connection to the engine came about
+	leaving     bool // the engine said that it takes no new work
+}
+
+// result returns the outcome for the dispatcher.
+func (f *attemptFailure) result() traffic.Outcome {
+	return traffic.Outcome{Kind: f.outcome, Leaving: f.leaving}
 }
 
 // newAttempt prepares an attempt on the granted replica.
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -138,11 +138,11 @@
 		}
 		c.uncertain = c.uncertain || !failure.apiError.NotRun
 		if failure.final {
-			c.current.done(traffic.Outcome{Kind: failure.outcome})
+			c.current.done(failure.result())
 			return nil, c.refused(failure.apiError)
 		}
 		waitFrom = c.gateway.config.Now()
-		grant, err = c.current.retry(traffic.Outcome{Kind: failure.outcome})
+		grant, err = c.current.retry(failure.result())
 	}
 }
 
--- a/pkg/gateway/engine_answer.go
+++ b/pkg/gateway/engine_answer.go
@@ -99,9 +99,11 @@
 func (a *attempt) refusedByEngine(answer *upstream.Answer) *attemptFailure {
 	status := answer.Response.StatusCode()
 	header := &answer.Response.Header
-	notRun := isTrue(header.Peek(engine.HeaderLeaving)) || isTrue(header.Peek(engine.HeaderNotRun))
+	leaving := isTrue(header.Peek(engine.HeaderLeaving))
+	notRun := leaving || isTrue(header.Peek(engine.HeaderNotRun))
 	text := errorText(answer)
 	failure := &attemptFailure{
+		leaving:  leaving,
 		outcome:  traffic.OutcomeUnknown,
 		apiError: engineFailed(notRun, errors.Errorf("status %d: %s", status, text)),
 	}
--- a/pkg/node/wiring.go
+++ b/pkg/node/wiring.go
@@ -124,6 +124,9 @@
 		Zone:    n.settings.Node.Zone,
 		Seed:    n.server.Self().Incarnation,
 	})
+	if err := n.registry.Register(traffic.Collector{Router: n.router}); err != nil {
+		return errors.Wrap(err, "node: register metrics")
+	}
 	config := gateway.Config{
 		Node:       string(n.settings.Node.ID),
 		Region:     n.settings.Node.Region,
