--- a/pkg/node/bootstrap.go
+++ b/pkg/node/bootstrap.go
@@ -5,19 +5,30 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/sourcegraph/conc"
+
+	"martenwheel.dev/pkg/peer"
+	"martenwheel.dev/pkg/tree"
 )
 
 // bootstrapPause is the wait between two tries to get the first tree.
 const bootstrapPause = 500 * time.Millisecond
 
-// bootstrap gets the first tree of a fresh process: the newest of the platform
-// and of the seeds in reach. A snapshot alone is not enough, since it may be
-// older than a change that was accepted.
+// bootstrap gets the first tree of a fresh process: the newest that the
+// platform or a seed in reach has.
 type bootstrap struct {
-	executor *executor
-	seeds    []string
-	logger   hclog.Logger
+	trees  *tree.Holder
+	store  *tree.Store
+	peers  []tree.Source
+	logger hclog.Logger
+}
+
+// newBootstrap returns a bootstrap from the store and the seeds.
+func newBootstrap(trees *tree.Holder, store *tree.Store, transport peer.Transport, seeds []string, logger hclog.Logger) *bootstrap {
+	b := &bootstrap{trees: trees, store: store, logger: logger}
+	for _, seed := range seeds {
+		b.peers = append(b.peers, peerSource{transport: transport, address: seed})
+	}
+	return b
 }
 
 // run returns when a tree is in force, or when ctx ends.
@@ -31,28 +42,34 @@
 	}
 }
 
-// try asks the platform and all seeds at once. It succeeds when the platform
-// answered, or when a seed had a tree.
+// try asks all sources at once.
 func (b *bootstrap) try(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, fetchTreeTimeout)
 	defer cancel()
-	var group conc.WaitGroup
-	for _, seed := range b.seeds {
-		group.Go(func() { b.askSeed(ctx, seed) })
-	}
-	platformError := b.executor.fetchTreeFromPlatform(ctx)
-	if recovered := group.WaitAndRecover(); recovered != nil {
-		b.logger.Error("asking the seeds failed", "panic", recovered.String())
+	newest, err := tree.Newest(ctx, b.store, b.peers...)
+	if err != nil {
+		b.logger.Warn("no first tree yet", "error", err)
+		return false
 	}
-	if platformError == nil {
-		return true
-	}
-	b.logger.Warn("first tree not read from the platform", "error", platformError)
-	return b.executor.trees.Current().Revision() > 0
+	b.trees.Offer(newest)
+	return true
+}
+
+// peerSource fetches the tree from another node.
+type peerSource struct {
+	transport peer.Transport
+	address   string
 }
 
-func (b *bootstrap) askSeed(ctx context.Context, seed string) {
-	if err := b.executor.fetchTreeFromPeer(ctx, seed); err != nil {
-		b.logger.Debug("first tree not read from seed", "peer", seed, "error", err)
+// Fetch implements tree.Source.
+func (s peerSource) Fetch(ctx context.Context, request tree.FetchRequest) (tree.FetchAnswer, error) {
+	answer, err := s.transport.Call(ctx, s.address, request)
+	if err != nil {
+		return tree.FetchAnswer{}, err
+	}
+	fetched, ok := answer.(tree.FetchAnswer)
+	if !ok {
+		return tree.FetchAnswer{}, errUnexpectedAnswer
 	}
+	return fetched, nil
 }
--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -107,47 +107,32 @@
 // fetchTree gets a newer tree from a peer or the platform. The loop learns of
 // it from the holder, so there is no event.
 func (x *executor) fetchTree(ctx context.Context, effect control.FetchTree) control.Event {
-	var err error
-	if effect.Peer == "" {
-		err = x.fetchTreeFromPlatform(ctx)
-	} else {
-		err = x.fetchTreeFromPeer(ctx, effect.Peer)
+	var source tree.Source = x.store
+	if effect.Peer != "" {
+		source = peerSource{transport: x.transport, address: effect.Peer}
 	}
-	if err != nil {
+	if err := x.fetchTreeFrom(ctx, source); err != nil {
 		x.logger.Warn("tree not fetched", "peer", effect.Peer, "error", err)
 	}
 	return nil
 }
 
-func (x *executor) fetchTreeFromPlatform(ctx context.Context) error {
-	newest, err := x.store.Load(ctx)
-	if err != nil {
-		return err
-	}
-	x.trees.Offer(newest)
-	return nil
-}
-
-// fetchTreeFromPeer asks for the changes since the tree in force and, where
-// these do not fit, for the whole tree.
-func (x *executor) fetchTreeFromPeer(ctx context.Context, address string) error {
+// fetchTreeFrom asks for the changes since the tree in force and, where these
+// do not fit, for the whole tree.
+func (x *executor) fetchTreeFrom(ctx context.Context, source tree.Source) error {
 	request := tree.FetchRequest{After: x.trees.Current().Revision()}
-	if err := x.exchangeTree(ctx, address, request); err == nil {
+	if err := x.receiveTree(ctx, source, request); err == nil {
 		return nil
 	}
 	request.Whole = true
-	return x.exchangeTree(ctx, address, request)
+	return x.receiveTree(ctx, source, request)
 }
 
-func (x *executor) exchangeTree(ctx context.Context, address string, request tree.FetchRequest) error {
-	answer, err := x.transport.Call(ctx, address, request)
+func (x *executor) receiveTree(ctx context.Context, source tree.Source, request tree.FetchRequest) error {
+	answer, err := source.Fetch(ctx, request)
 	if err != nil {
 		return err
 	}
-	fetched, ok := answer.(tree.FetchAnswer)
-	if !ok {
-		return errUnexpectedAnswer
-	}
-	_, err = x.trees.Receive(fetched)
+	_, err = x.trees.Receive(answer)
 	return err
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -150,8 +150,7 @@
 
 // start gets the first tree; then the node is ready.
 func (n *Node) start(ctx context.Context) {
-	first := bootstrap{executor: n.executor, seeds: n.settings.Seeds, logger: n.logger}
-	first.run(ctx)
+	newBootstrap(n.trees, n.executor.store, n.transport, n.settings.Seeds, n.logger).run(ctx)
 	if ctx.Err() == nil {
 		n.ready.Store(true)
 		n.logger.Info("ready", telemetry.FieldRevision, n.trees.Current().Revision())
