Rates of services and models are settings; a model that fits no server is refused

Cause: the dispatcher could limit the rates that all callers share, but the tree had no keys for them (model_rate, model_token_rate, service_rate, service_token_rate now), and the check that a model fits a server of its service had no caller.

--- a/pkg/api/types.go
+++ b/pkg/api/types.go
@@ -22,9 +22,12 @@
 // ("assistant@uy-south"). A model belongs to one cell per region.
 type CellName string
 
+// CellSeparator stands between the service and the region in a CellName.
+const CellSeparator = "@"
+
 // MakeCellName returns the name of the cell of service in region.
 func MakeCellName(service, region string) CellName {
-	return CellName(service + "@" + region)
+	return CellName(service + CellSeparator + region)
 }
 
 // NodeRef identifies one life of a node: a process that was replaced under
--- a/pkg/node/credentials.go
+++ b/pkg/node/credentials.go
@@ -49,11 +49,7 @@
 	if !config.Enabled() {
 		return
 	}
-	certificates, err := security.OpenCertificates(security.Files{
-		Certificate: config.CertificateFile,
-		Key:         config.KeyFile,
-		Authorities: config.CAFile,
-	}, time.Now)
+	certificates, err := security.OpenCertificates(config.Files(), time.Now)
 	if err != nil {
 		found.Merge("tls", err)
 		return
--- a/pkg/node/wiring.go
+++ b/pkg/node/wiring.go
@@ -169,7 +169,7 @@
 // openOperators makes the operators' API and opens its listener.
 func (n *Node) openOperators() error {
 	config := operator.Config{
-		Trees:        tree.NewEditor(n.executor.store, n.trees),
+		Trees:        fittingEditor{Editor: tree.NewEditor(n.executor.store, n.trees), view: n.view},
 		Status:       n,
 		Metrics:      n.registry,
 		Logger:       n.logger.Named("operator"),
--- a/pkg/traffic/admission_test.go
+++ b/pkg/traffic/admission_test.go
@@ -205,6 +205,25 @@
 	})
 }
 
+func TestRatesSharedByAllCallers(t *testing.T) {
+	for _, key := range []string{"model_rate", "service_rate"} {
+		t.Run(key, func(t *testing.T) {
+			control := newStubControl(t, key, "1")
+			virtually(t, Config{Control: control}, func(t *testing.T, router *Router) {
+				control.publish(readyOn("m", 1))
+				mustAcquire(t, router, ask(time.Minute)).Done(served(time.Millisecond))
+
+				other := ask(time.Minute)
+				other.Caller = "another caller"
+				_, err := router.Acquire(context.Background(), other)
+				limited := refusalOf(t, err, ReasonRateLimited)
+				time.Sleep(limited.RetryAfter)
+				mustAcquire(t, router, other).Done(served(time.Millisecond))
+			})
+		})
+	}
+}
+
 func TestRequestsThatNeverQueue(t *testing.T) {
 	control := newStubControl(t, "caller_rate", "1", "max_tokens", "1000")
 	virtually(t, Config{Control: control}, func(t *testing.T, router *Router) {
--- a/pkg/traffic/config.go
+++ b/pkg/traffic/config.go
@@ -3,9 +3,7 @@
 import (
 	"time"
 
-	"martenwheel.dev/pkg/traffic/limit"
 	"martenwheel.dev/pkg/traffic/outlier"
-	"martenwheel.dev/pkg/tree"
 )
 
 // Config is what a Router needs from its node. Control must be set; the zero
@@ -20,10 +18,6 @@
 	HeadStart  float64          // tokens that one step of priority is worth in a queue
 	Outlier    outlier.Config
 
-	// SharedRates returns the limits on all callers of a model's service and
-	// of the model itself on this node. Nil: no limits.
-	SharedRates func(tree.Model) (service, model limit.Rates)
-
 	off mechanisms
 }
 
--- a/pkg/traffic/dispatcher.go
+++ b/pkg/traffic/dispatcher.go
@@ -110,14 +110,13 @@
 	if delay, allowed := r.callers.Take(now, callerKey, tokens); !allowed {
 		return delay, false
 	}
-	if r.config.SharedRates == nil {
-		return 0, true
-	}
-	serviceRates, modelRates := r.config.SharedRates(*model)
+	settings := &model.Settings
+	modelRates := limit.Rates{Requests: settings.ModelRate, Tokens: settings.ModelTokenRate}
 	modelKey := limit.Key{Scope: limit.ScopeModel, Service: model.Service, Name: string(model.Name), Rates: modelRates}
 	if delay, allowed := r.shared.Take(now, modelKey, tokens); !allowed {
 		return delay, false
 	}
+	serviceRates := limit.Rates{Requests: settings.ServiceRate, Tokens: settings.ServiceTokenRate}
 	serviceKey := limit.Key{Scope: limit.ScopeService, Service: model.Service, Rates: serviceRates}
 	return r.shared.Take(now, serviceKey, tokens)
 }
--- a/pkg/tree/keys.go
+++ b/pkg/tree/keys.go
@@ -57,11 +57,12 @@
 }
 
 var (
-	everyLevel    = []Level{LevelRoot, LevelService, LevelFamily, LevelModel, LevelAdapter}
-	downToModel   = []Level{LevelRoot, LevelService, LevelFamily, LevelModel}
-	familyAndDown = []Level{LevelFamily, LevelModel, LevelAdapter}
-	modelAndDown  = []Level{LevelModel, LevelAdapter}
-	rootOnly      = []Level{LevelRoot}
+	everyLevel     = []Level{LevelRoot, LevelService, LevelFamily, LevelModel, LevelAdapter}
+	downToModel    = []Level{LevelRoot, LevelService, LevelFamily, LevelModel}
+	familyAndDown  = []Level{LevelFamily, LevelModel, LevelAdapter}
+	modelAndDown   = []Level{LevelModel, LevelAdapter}
+	rootAndService = []Level{LevelRoot, LevelService}
+	rootOnly       = []Level{LevelRoot}
 )
 
 // Bounds of byte sizes and counts.
@@ -150,6 +151,18 @@
 	rangedKey("caller_token_rate", "tokens/s", 0, units.Numbers(0, maxRate), everyLevel,
 		"tokens per caller and node; 0: no limit",
 		func(s *Settings) *float64 { return &s.CallerTokenRate }),
+	rangedKey("model_rate", "requests/s", 0, units.Numbers(0, maxRate), everyLevel,
+		"requests of all callers per model and node; 0: no limit",
+		func(s *Settings) *float64 { return &s.ModelRate }),
+	rangedKey("model_token_rate", "tokens/s", 0, units.Numbers(0, maxRate), everyLevel,
+		"tokens of all callers per model and node; 0: no limit",
+		func(s *Settings) *float64 { return &s.ModelTokenRate }),
+	rangedKey("service_rate", "requests/s", 0, units.Numbers(0, maxRate), rootAndService,
+		"requests of all callers per service and node; 0: no limit",
+		func(s *Settings) *float64 { return &s.ServiceRate }),
+	rangedKey("service_token_rate", "tokens/s", 0, units.Numbers(0, maxRate), rootAndService,
+		"tokens of all callers per service and node; 0: no limit",
+		func(s *Settings) *float64 { return &s.ServiceTokenRate }),
 	rangedKey("fair_share", "weight", 1, units.Numbers(0.001, 1000), everyLevel,
 		"share of this branch when a queue is contended, against those of others",
 		func(s *Settings) *float64 { return &s.FairShare }),
--- a/pkg/tree/types.go
+++ b/pkg/tree/types.go
@@ -60,6 +60,10 @@
 	MaxTokens        int           // running tokens per replica
 	CallerRate       float64       // requests a second per caller and node; 0: no limit
 	CallerTokenRate  float64       // tokens a second per caller and node; 0: no limit
+	ModelRate        float64       // requests a second of all callers per model and node; 0: no limit
+	ModelTokenRate   float64       // tokens a second of all callers per model and node; 0: no limit
+	ServiceRate      float64       // requests a second of all callers per service and node; 0: no limit
+	ServiceTokenRate float64       // tokens a second of all callers per service and node; 0: no limit
 	FairShare        float64       // weight of this branch when a queue is contended
 	RetryBudget      float64       // retries per first attempt
 	DrainTime        time.Duration // longest planned stop
