--- a/pkg/gateway/request_body.go
+++ b/pkg/gateway/request_body.go
@@ -16,6 +16,9 @@
 // bytesPerToken estimates the tokens of a prompt from its length.
 const bytesPerToken = 4
 
+// errBrokenJSON means that a body's JSON does not end or is malformed.
+var errBrokenJSON = errors.New("the body's JSON is cut off or malformed")
+
 // requestBody is what the gateway reads of a request's body.
 type requestBody struct {
 	Model        api.ModelName
@@ -45,29 +48,28 @@
 		}
 	}
 	if _, err := decoder.Token(); err != nil {
-		return requestBody{}, errors.New("the body's JSON is cut off or malformed")
+		return requestBody{}, errBrokenJSON
 	}
 	if _, err := decoder.Token(); err != io.EOF {
 		return requestBody{}, errors.New("the body goes on after its JSON object")
 	}
 	fields.checkMissing(&found)
+	fields.PromptStart = fields.promptStart()
 	return fields.requestBody, found.Err()
 }
 
-// rawValue is the text of a value as it stands in the decoder's buffer, which
-// is valid until the decoder goes on: unlike a json.RawMessage it is no copy.
-type rawValue []byte
+// skippedValue takes the place of a value that nobody reads.
+type skippedValue struct{}
 
-// UnmarshalJSON keeps text.
-func (v *rawValue) UnmarshalJSON(text []byte) error {
-	*v = text
-	return nil
-}
+// UnmarshalJSON skips any value.
+func (*skippedValue) UnmarshalJSON([]byte) error { return nil }
 
 // bodyFields collects the fields of a body.
 type bodyFields struct {
 	requestBody
 	promptField string
+	messages    []chatMessage // of a chat
+	prompt      contentText   // of a completion
 	seen        map[string]bool
 }
 
@@ -75,32 +77,59 @@
 func (f *bodyFields) decodeNext(decoder *json.Decoder, found *findings.List) error {
 	token, err := decoder.Token()
 	if err != nil {
-		return errors.New("the body's JSON is cut off or malformed")
+		return errBrokenJSON
 	}
 	name, _ := token.(string) // the decoder lets only strings be names
-	var value rawValue
-	if err := decoder.Decode(&value); err != nil {
-		return errors.New("the body's JSON is cut off or malformed")
+	target := f.target(name)
+	if target == nil {
+		return decodeValue(decoder, &skippedValue{}, nil)
+	}
+	if f.seen[name] {
+		found.Addf(name, "given twice")
+	}
+	f.seen[name] = true
+	start := decoder.InputOffset()
+	err = decodeValue(decoder, target, func() {
+		if name != f.promptField { // any other form of prompt is for the engine to judge
+			found.Addf(name, "has the wrong type")
+		}
+	})
+	if name == f.promptField {
+		f.PromptTokens = int(decoder.InputOffset()-start)/bytesPerToken + 1
 	}
-	var target any
+	return err
+}
+
+// target returns where the field's value belongs, or nil if nobody reads it.
+func (f *bodyFields) target(name string) any {
 	switch name {
 	case "model":
-		target = &f.Model
+		return &f.Model
 	case "stream":
-		target = &f.Stream
+		return &f.Stream
 	case "max_tokens", "max_completion_tokens":
-		target = &f.MaxTokens
+		return &f.MaxTokens
 	case f.promptField:
-		f.setPrompt(value)
+		if name == chatCompletions.promptField {
+			return &f.messages
+		}
+		return &f.prompt
 	default:
 		return nil
 	}
-	if f.seen[name] {
-		found.Addf(name, "given twice")
+}
+
+// decodeValue reads one value into target. It calls wrongType for a value of
+// another type; an error means that the JSON is broken.
+func decodeValue(decoder *json.Decoder, target any, wrongType func()) error {
+	err := decoder.Decode(target)
+	var mismatch *json.UnmarshalTypeError
+	if errors.As(err, &mismatch) {
+		wrongType()
+		return nil
 	}
-	f.seen[name] = true
-	if target != nil && json.Unmarshal(value, target) != nil {
-		found.Addf(name, "has the wrong type")
+	if err != nil {
+		return errBrokenJSON
 	}
 	return nil
 }
@@ -109,17 +138,13 @@
 // cached is found, in bytes.
 const maxPromptStart = 32 << 10
 
-// setPrompt reads the prompt: a text, or the messages of a chat. Any other
-// form is for the engine to judge and has no text here.
-func (f *bodyFields) setPrompt(value rawValue) {
-	f.PromptTokens = len(value)/bytesPerToken + 1
-	var text string
+// promptStart returns the beginning of the prompt's text as engines cache it.
+func (f *bodyFields) promptStart() string {
+	text := string(f.prompt)
 	if f.promptField == chatCompletions.promptField {
-		text = chatText(value)
-	} else if json.Unmarshal(value, &text) != nil {
-		return
+		text = chatText(f.messages)
 	}
-	f.PromptStart = text[:min(len(text), maxPromptStart)]
+	return text[:min(len(text), maxPromptStart)]
 }
 
 // chatMessage is a message as far as its text counts.
@@ -128,7 +153,16 @@
 	Content contentText `json:"content"`
 }
 
-// contentText is the text of a message's content: one text, or several parts.
+// chatText returns the text of a chat as engines cache it.
+func chatText(messages []chatMessage) string {
+	texts := make([]engine.ChatMessage, len(messages))
+	for i, message := range messages {
+		texts[i] = engine.ChatMessage{Role: message.Role, Content: string(message.Content)}
+	}
+	return engine.ChatPrompt(texts)
+}
+
+// contentText is the text of a prompt or message: one text, or several parts.
 type contentText string
 
 // UnmarshalJSON reads a text or the texts of parts. Content of another form
@@ -161,20 +195,6 @@
 	return value[0] == '"' && bytes.IndexByte(value, '\\') < 0 && utf8.Valid(value)
 }
 
-// chatText returns the text of a chat as engines cache it, or an empty one if
-// it has another form.
-func chatText(value rawValue) string {
-	var messages []chatMessage
-	if json.Unmarshal(value, &messages) != nil {
-		return ""
-	}
-	texts := make([]engine.ChatMessage, len(messages))
-	for i, message := range messages {
-		texts[i] = engine.ChatMessage{Role: message.Role, Content: string(message.Content)}
-	}
-	return engine.ChatPrompt(texts)
-}
-
 // checkMissing adds what every request must have.
 func (f *bodyFields) checkMissing(found *findings.List) {
 	if f.Model == "" {
