gateway: look at every data line of an event, and wait for one before answering

Cause: an event with two data lines was checked by its last one only, and a comment counted as the first event, so that a stream could begin with status 200 before anything in it was vouched for. Found on reading; two rows of TestNotRunIsTrue fail with the former code. An event with several data lines, which no API of this kind sends, now counts as broken.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -176,7 +176,7 @@
 			unreachable: true,
 		}
 	}
-	if a.call.hasLeft() && !a.call.request.Unsafe {
+	if a.call.isForNobody() {
 		return &attemptFailure{
 			outcome:  traffic.OutcomeCancelled,
 			apiError: callerLeft(false),
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -55,7 +55,7 @@
 
 // resolve fills in the traffic request from the model's settings and the
 // caller's options.
-func (c *call) resolve(caller string) *APIError {
+func (c *call) resolve() *APIError {
 	catalog, apiError := c.gateway.catalog()
 	if apiError != nil {
 		return apiError
@@ -69,7 +69,7 @@
 	settings := model.Settings
 	c.request = traffic.Request{
 		ID:           c.gateway.uniqueID(c.record.requestID),
-		Caller:       caller,
+		Caller:       c.record.caller,
 		Model:        model.Name,
 		Priority:     settings.Priority,
 		Arrived:      c.record.arrived,
@@ -120,6 +120,12 @@
 	return context.Cause(c.caller) == errCallerLeft
 }
 
+// isForNobody tells whether the work may stop, since the caller hung up and
+// won't ask for a kept answer.
+func (c *call) isForNobody() bool {
+	return c.hasLeft() && !c.request.Unsafe
+}
+
 // dispatch gets a replica for the request and sends it, again if an attempt
 // fails and the dispatcher allows. It returns the answer of the attempt that
 // succeeded, which owns the grant.
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -30,9 +30,9 @@
 			c.Context().SetConnectionClose()
 			return call.refuse(c, stopping())
 		}
-		caller, apiError := call.accept(c)
+		apiError := call.accept(c)
 		if apiError == nil {
-			apiError = call.resolve(caller)
+			apiError = call.resolve()
 		}
 		if apiError != nil {
 			return call.refuse(c, apiError)
@@ -41,8 +41,8 @@
 	}
 }
 
-// accept copies and checks what the caller sent. It returns the caller's name.
-func (c *call) accept(ctx *fiber.Ctx) (string, *APIError) {
+// accept copies and checks what the caller sent.
+func (c *call) accept(ctx *fiber.Ctx) *APIError {
 	var found findings.List
 	c.options = parseOptions(copyHeaders(ctx, &found), c.record.arrived, &found)
 	c.record.requestID = c.options.RequestID
@@ -52,24 +52,24 @@
 	ctx.Set(HeaderRequestID, c.record.requestID)
 	caller, apiError := c.gateway.authenticate(ctx)
 	if apiError != nil {
-		return "", apiError
+		return apiError
 	}
 	c.record.caller = caller
 	if err := found.Err(); err != nil {
-		return "", invalidRequest(codeInvalidHeader, err.Error())
+		return invalidRequest(codeInvalidHeader, err.Error())
 	}
 	if len(ctx.Request().Header.ContentEncoding()) > 0 {
 		refusal := invalidRequest(codeInvalidBody, "compressed bodies are not accepted")
 		refusal.Status = fiber.StatusUnsupportedMediaType
-		return "", refusal
+		return refusal
 	}
 	c.body = bytes.Clone(ctx.Request().Body())
 	parsed, err := decodeBody(c.body, c.endpoint.promptField)
 	if err != nil {
-		return "", invalidRequest(codeInvalidBody, err.Error())
+		return invalidRequest(codeInvalidBody, err.Error())
 	}
 	c.parsed = parsed
-	return caller, nil
+	return nil
 }
 
 // bearer precedes the key in an Authorization header.
--- a/pkg/gateway/internal/sse/reader.go
+++ b/pkg/gateway/internal/sse/reader.go
@@ -130,8 +130,8 @@
 	return r.err
 }
 
-// Data returns the data of an event that has a single data line, and false if
-// it has none. For several data lines, it returns the last.
+// Data returns the data of an event, and false if it has none. For several
+// data lines, which no OpenAI-style API sends, it returns empty data.
 func Data(event []byte) ([]byte, bool) {
 	var data []byte
 	found := false
@@ -144,6 +144,9 @@
 			event = nil
 		}
 		if payload, isData := bytes.CutPrefix(line, []byte("data:")); isData {
+			if found {
+				return nil, true
+			}
 			data = bytes.TrimSpace(payload)
 			found = true
 		}
--- a/pkg/gateway/internal/sse/reader_test.go
+++ b/pkg/gateway/internal/sse/reader_test.go
@@ -77,6 +77,7 @@
 		{"data: [DONE]\n\n", "[DONE]", true},
 		{"data:x\r\n\r\n", "x", true},
 		{"event: a\ndata: x\n\n", "x", true},
+		{"data: x\ndata: y\n\n", "", true},
 		{": comment\n\n", "", false},
 		{"\n", "", false},
 	}
--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -132,6 +132,8 @@
 	{"stream cut in its first event", true, answerText("text/event-stream", `data: {"id":"chatcmpl-ID"`), 502, false},
 	{"stream of another request", true, answerText("text/event-stream", "data: {\"id\":\"chatcmpl-other\"}\n\n"), 502, false},
 	{"stream that begins with an error", true, answerText("text/event-stream", "data: {\"error\":{\"message\":\"no\"}}\n\n"), 502, false},
+	{"stream cut after a comment", true, answerText("text/event-stream", ": wait\n\n"), 502, false},
+	{"two answers in one event", true, answerText("text/event-stream", "data: {\"id\":\"chatcmpl-other\"}\ndata: {\"id\":\"chatcmpl-ID\"}\n\n"), 502, false},
 	{"JSON in place of a stream", true, answerText("application/json", `{"id":"chatcmpl-ID"}`), 502, false},
 }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -34,7 +34,7 @@
 	attempt *attempt
 	answer  *upstream.Answer
 	reader  *sse.Reader
-	first   []byte // the first event, read before the caller gets any byte
+	first   []byte // up to the first event with data, read before the caller gets any byte
 	prefix  []byte // what events of this stream start with, to check them fast
 	events  int    // received, which a resumption goes on from
 	resumes int
@@ -51,15 +51,17 @@
 	}
 }
 
-// readFirst waits for the first event until deadline.
+// readFirst waits for the first event with data until deadline.
 func (s *eventStream) readFirst(deadline time.Time) error {
 	s.answer.ReadBy(deadline)
-	event, err := s.nextUnbroken()
-	if err != nil {
-		return err
+	for s.events == 0 && !s.over {
+		event, err := s.nextUnbroken()
+		if err != nil {
+			return err
+		}
+		s.first = append(s.first, event...)
 	}
 	s.answer.ReadBy(time.Time{})
-	s.first = append(s.first, event...)
 	s.attempt.call.firstEvent = s.attempt.call.gateway.config.Now()
 	return nil
 }
--- a/pkg/gateway/stream_body.go
+++ b/pkg/gateway/stream_body.go
@@ -128,7 +128,7 @@
 	}
 	var apiError *APIError
 	switch {
-	case !b.over || b.failure != nil && a.call.hasLeft():
+	case !b.over || b.failure != nil && a.call.isForNobody():
 		outcome.Kind = traffic.OutcomeCancelled
 		apiError = callerLeft(false)
 		a.abandon()
