--- a/pkg/gateway/config.go
+++ b/pkg/gateway/config.go
@@ -17,8 +17,8 @@
 // Authenticator checks the keys of callers. Safe for concurrent use.
 type Authenticator interface {
 	// Authenticate returns the name of the caller that owns key, and false if
-	// nobody does. It compares in constant time.
-	Authenticate(key string) (caller string, known bool)
+	// nobody does. It compares in constant time and does not keep key.
+	Authenticate(key []byte) (caller string, known bool)
 }
 
 // Catalog is one revision of the models that callers may ask for. *tree.Tree
--- a/pkg/gateway/edge_test.go
+++ b/pkg/gateway/edge_test.go
@@ -18,14 +18,17 @@
 
 	"martenwheel.dev/pkg/engine"
 	"martenwheel.dev/pkg/keeper"
+	"martenwheel.dev/pkg/security"
 	"martenwheel.dev/pkg/traffic"
 )
 
+var _ Authenticator = (*security.Keys)(nil)
+
 // fakeKeys knows the keys of callers.
 type fakeKeys map[string]string
 
-func (f fakeKeys) Authenticate(key string) (string, bool) {
-	caller, known := f[key]
+func (f fakeKeys) Authenticate(key []byte) (string, bool) {
+	caller, known := f[string(key)]
 	return caller, known
 }
 
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"runtime/debug"
-	"strings"
 
 	"github.com/gofiber/fiber/v2"
 
@@ -73,16 +72,16 @@
 }
 
 // bearer precedes the key in an Authorization header.
-const bearer = "Bearer "
+var bearer = []byte("Bearer ")
 
 // authenticate returns the name of the request's caller.
 func (g *Gateway) authenticate(ctx *fiber.Ctx) (string, *APIError) {
 	if g.config.Authenticator == nil {
 		return anonymous, nil
 	}
-	key, hasKey := strings.CutPrefix(ctx.Get(fiber.HeaderAuthorization), bearer)
+	key, hasKey := bytes.CutPrefix(ctx.Request().Header.Peek(fiber.HeaderAuthorization), bearer)
 	if hasKey {
-		if caller, known := g.config.Authenticator.Authenticate(strings.Clone(key)); known {
+		if caller, known := g.config.Authenticator.Authenticate(key); known {
 			return caller, nil
 		}
 	}
