--- a/pkg/keeper/client_test.go
+++ b/pkg/keeper/client_test.go
@@ -195,3 +195,36 @@
 		})
 	}
 }
+
+// TestRunCopiesAndForgets replaces a member while one source hangs.
+func TestRunCopiesAndForgets(t *testing.T) {
+	withClient(t, func(t *testing.T, network *fakeNetwork, client *Client) {
+		if got := client.Claim(t.Context(), testClaim("k", "1")); got.Verdict != VerdictGranted {
+			t.Fatalf("verdict %d", got.Verdict)
+		}
+		client.Close()
+		fresh := api.NodeRef{ID: "d", Incarnation: 1, PeerAddress: "d"}
+		next := testConfiguration()
+		next.Version, next.Previous = 2, next.Members
+		next.Members = []api.NodeRef{testMembers[0], testMembers[1], fresh}
+		keeper := NewKeeper(fresh, DefaultLimits(), time.Now)
+		keeper.SetConfiguration(next)
+		network.hung["a"] = true
+		for _, member := range []string{"b", "c"} {
+			network.keepers[member].SetConfiguration(next)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var group conc.WaitGroup
+		group.Go(func() { keeper.Run(ctx, network) })
+		time.Sleep(3 * time.Second)
+		if status := keeper.Status(); !status[0].Granting || status[0].Records != 1 {
+			t.Errorf("after the copy: %+v", status)
+		}
+		time.Sleep(time.Minute + MaxGrantAge)
+		if status := keeper.Status(); status[0].Records != 0 {
+			t.Errorf("after the retention: %+v", status)
+		}
+		cancel()
+		group.Wait()
+	})
+}
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -106,6 +106,31 @@
 	request CopyRequest
 }
 
+// The pace of Run.
+const (
+	copyInterval = 50 * time.Millisecond // while there is something to copy
+	idleInterval = time.Second
+	copyTimeout  = 2 * time.Second // of one page
+)
+
+// Run copies records while a store has to, and forgets what is expired, until
+// the context ends.
+func (k *Keeper) Run(ctx context.Context, caller Caller) {
+	for ctx.Err() == nil {
+		k.Tick()
+		interval := idleInterval
+		pageCtx, cancel := context.WithTimeout(ctx, copyTimeout)
+		if k.CopyRecords(pageCtx, caller) {
+			interval = copyInterval
+		}
+		cancel()
+		select {
+		case <-ctx.Done():
+		case <-time.After(interval):
+		}
+	}
+}
+
 // CopyRecords fetches the next page from each member that a store of this node
 // has to copy from, all at once, and returns whether there was one. It is
 // called again and again, each time with a deadline, and with pauses when it
