--- a/pkg/keeper/store.go
+++ b/pkg/keeper/store.go
@@ -29,7 +29,7 @@
 // Limits bounds the memory and the retention of a Store.
 type Limits struct {
 	Records          int           // of all callers
-	RecordsPerCaller int           //
+	RecordsPerCaller int           // of one caller
 	AnswerBytes      int           // of all kept bodies
 	MaxRetention     time.Duration // a claim for longer is invalid
 
