--- a/pkg/control/cell/decide.go
+++ b/pkg/control/cell/decide.go
@@ -48,7 +48,7 @@
 // wait meanwhile. A policy does not wish that: it counts them as present.
 func (o *Owner) revive(now time.Time, sink Sink) {
 	draining := func(r *replica) bool { return r.phase == phaseDraining }
-	for _, r := range o.selectReplicas(draining) {
+	for _, r := range o.moving.sorted(draining) {
 		model, known := o.models[r.intent.Model]
 		if known && !o.hasReady(model.Name) && o.summary(now, model.Name).Waiting > 0 {
 			o.undrain(now, model, sink)
@@ -81,8 +81,8 @@
 	if o.counts[model] == 0 {
 		return false
 	}
-	for _, r := range o.replicas {
-		if r.intent.Model == model && (r.loading() || r.state() == api.ReplicaReady) {
+	for _, r := range o.ofModel[model] {
+		if r.loading() || r.state() == api.ReplicaReady {
 			return true
 		}
 	}
@@ -119,7 +119,7 @@
 	input := policy.Input{LoadSlots: o.allocation.Slots, LoadRate: o.allocation.Rate}
 	replicas := o.replicasByModel()
 	loading := make(map[api.ServerID]int)
-	for _, r := range o.replicas {
+	for _, r := range o.moving {
 		if r.loading() {
 			loading[r.intent.Server]++
 		}
@@ -139,7 +139,7 @@
 
 func (o *Owner) replicasByModel() map[api.ModelName][]*replica {
 	byModel := make(map[api.ModelName][]*replica)
-	for _, r := range o.selectReplicas(func(*replica) bool { return true }) {
+	for _, r := range o.replicas.sorted(anyReplica) {
 		byModel[r.intent.Model] = append(byModel[r.intent.Model], r)
 	}
 	return byModel
@@ -238,7 +238,7 @@
 			continue
 		}
 		sink.Log("info", "replica taken back into service", "model", model.Name, "server", s.ID)
-		r.enter(now, phaseReady)
+		o.enter(now, r, phaseReady)
 		r.lastUse = now
 		o.news()
 		return true
@@ -249,8 +249,8 @@
 // liveCount is the number of replicas that are not on their way out.
 func (o *Owner) liveCount(model api.ModelName) int {
 	count := 0
-	for _, r := range o.replicas {
-		if r.intent.Model == model && !r.leavingMemory() {
+	for _, r := range o.ofModel[model] {
+		if !r.leavingMemory() {
 			count++
 		}
 	}
@@ -329,8 +329,8 @@
 // leavingBytes is the memory that unloads under way will free.
 func (o *Owner) leavingBytes(id api.ServerID) uint64 {
 	var bytes uint64
-	for _, r := range o.replicas {
-		if r.intent.Server == id && r.leavingMemory() {
+	for _, r := range o.onServer[id] {
+		if r.leavingMemory() {
 			bytes += r.intent.Bytes
 		}
 	}
@@ -342,7 +342,7 @@
 func (o *Owner) drainExcess(now time.Time, sink Sink) {
 	live := make(map[api.ModelName][]*replica)
 	settled := func(r *replica) bool { return !r.leavingMemory() && r.phase != phaseInherited }
-	for _, r := range o.selectReplicas(settled) {
+	for _, r := range o.replicas.sorted(settled) {
 		if s := o.servers[r.intent.Server]; s != nil && s.leaving() {
 			o.startDrain(now, r, "server leaving", sink)
 			continue
--- a/pkg/control/cell/estimate.go
+++ b/pkg/control/cell/estimate.go
@@ -147,7 +147,7 @@
 		}
 	}
 	var ends []time.Time
-	for _, r := range o.replicas {
+	for _, r := range o.moving {
 		if r.loading() {
 			ends = append(ends, r.readyBy)
 		}
--- a/pkg/control/cell/orders.go
+++ b/pkg/control/cell/orders.go
@@ -38,7 +38,7 @@
 
 // orderLoads orders the loads whose intents are committed.
 func (o *Owner) orderLoads(now time.Time, sink Sink) {
-	for _, r := range o.selectReplicas((*replica).awaitsOrder) {
+	for _, r := range o.moving.sorted((*replica).awaitsOrder) {
 		if !r.committed && !o.config.Unsafe.NoIntents {
 			continue
 		}
@@ -100,7 +100,7 @@
 		order.Kind = engine.OrderLoadAdapter
 	}
 	o.give(now, s, order, sink)
-	r.enter(now, phaseOrdered)
+	o.enter(now, r, phaseOrdered)
 	r.orderedAt = now
 	r.readyBy = now.Add(o.loadTime(model))
 	sink.Log("info", "load ordered", "model", r.intent.Model, "server", s.ID, "order", order.ID)
@@ -152,7 +152,7 @@
 		o.drop(now, r)
 	}
 	if !unload && r.phase == phaseOrdered {
-		r.enter(now, phaseLoading)
+		o.enter(now, r, phaseLoading)
 		o.changed = true
 	}
 }
@@ -187,7 +187,7 @@
 		return
 	}
 	r.reason = reason
-	r.enter(now, phaseDraining)
+	o.enter(now, r, phaseDraining)
 	o.news()
 	for _, adapter := range o.adaptersOn(r) {
 		o.startDrain(now, adapter, "base "+reason, sink)
@@ -196,14 +196,14 @@
 
 // adaptersOn returns the adapters that are loaded on a base model's replica.
 func (o *Owner) adaptersOn(base *replica) []*replica {
-	return o.selectReplicas(func(r *replica) bool {
-		return r.intent.Base == base.intent.Model && r.intent.Server == base.intent.Server
+	return o.onServer[base.intent.Server].sorted(func(r *replica) bool {
+		return r.intent.Base == base.intent.Model
 	})
 }
 
 // orderUnloads orders the unloads that are due.
 func (o *Owner) orderUnloads(now time.Time, sink Sink) {
-	for _, r := range o.selectReplicas((*replica).leavingMemory) {
+	for _, r := range o.moving.sorted((*replica).leavingMemory) {
 		s, known := o.servers[r.intent.Server]
 		if !known || !s.fenced || s.failures > 0 || s.operation != nil || !o.unloadDue(now, r) {
 			continue
@@ -222,7 +222,7 @@
 	if r.phase != phaseUnloading {
 		o.changed = true
 	}
-	r.enter(now, phaseUnloading)
+	o.enter(now, r, phaseUnloading)
 	r.retryAt = now.Add(o.config.Timing.UnloadRetry)
 	sink.Log("info", "unload ordered", "model", r.intent.Model, "server", s.ID, "reason", r.reason)
 }
--- a/pkg/control/cell/owner.go
+++ b/pkg/control/cell/owner.go
@@ -17,15 +17,19 @@
 	config Config
 	start  Start
 
-	models     map[api.ModelName]tree.Model
-	modelOrder []api.ModelName // sorted
-	servers    map[api.ServerID]*server
-	replicas   map[key]*replica
-	reserved   map[api.ServerID]uint64   // bytes counted on each server
-	counts     map[api.ModelName]int     // replicas counted of each model
-	demand     map[api.ModelName]*demand // of the models that nodes reported
-	failures   map[api.ModelName]*failure
-	loadTimes  map[api.ModelName]time.Duration // measured
+	models      map[api.ModelName]tree.Model
+	modelOrder  []api.ModelName // sorted
+	servers     map[api.ServerID]*server
+	serverOrder []*server // sorted; nil when servers were added or removed
+	replicas    replicaSet
+	moving      replicaSet // of these, those with an order due or under way
+	onServer    replicaIndex[api.ServerID]
+	ofModel     replicaIndex[api.ModelName]
+	reserved    map[api.ServerID]uint64   // bytes counted on each server
+	counts      map[api.ModelName]int     // replicas counted of each model
+	demand      map[api.ModelName]*demand // of the models that nodes reported
+	failures    map[api.ModelName]*failure
+	loadTimes   map[api.ModelName]time.Duration // measured
 
 	listVersion uint64
 	allocation  weights.Allocation
@@ -50,7 +54,10 @@
 		start:      start,
 		models:     make(map[api.ModelName]tree.Model),
 		servers:    make(map[api.ServerID]*server),
-		replicas:   make(map[key]*replica),
+		replicas:   make(replicaSet),
+		moving:     make(replicaSet),
+		onServer:   make(replicaIndex[api.ServerID]),
+		ofModel:    make(replicaIndex[api.ModelName]),
 		reserved:   make(map[api.ServerID]uint64),
 		counts:     make(map[api.ModelName]int),
 		demand:     make(map[api.ModelName]*demand),
@@ -152,7 +159,7 @@
 			data.Servers = append(data.Servers, s.Server)
 		}
 	}
-	for _, r := range o.selectReplicas(func(*replica) bool { return true }) {
+	for _, r := range o.replicas.sorted(anyReplica) {
 		data.Intents = append(data.Intents, r.intent)
 	}
 	return data, true
@@ -196,7 +203,7 @@
 
 func (o *Owner) activeLoads() int {
 	active := 0
-	for _, r := range o.replicas {
+	for _, r := range o.moving {
 		if r.loading() {
 			active++
 		}
@@ -218,12 +225,17 @@
 	o.decideAt = time.Time{}
 }
 
+// sortedServers returns the servers in order of ID.
 func (o *Owner) sortedServers() []*server {
+	if len(o.serverOrder) == len(o.servers) {
+		return o.serverOrder
+	}
 	sorted := make([]*server, 0, len(o.servers))
 	for _, s := range o.servers {
 		sorted = append(sorted, s)
 	}
 	sort.Slice(sorted, func(i, j int) bool { return sorted[i].ID < sorted[j].ID })
+	o.serverOrder = sorted
 	return sorted
 }
 
--- a/pkg/control/cell/replica.go
+++ b/pkg/control/cell/replica.go
@@ -50,10 +50,27 @@
 	return key{server: r.intent.Server, model: r.intent.Model}
 }
 
-func (r *replica) enter(now time.Time, next phase) {
-	if r.phase != next {
-		r.phase, r.since = next, now
+// moving tells whether an order for the replica is due or under way.
+func (r *replica) moving() bool {
+	return r.phase != phaseReady && r.phase != phaseInherited
+}
+
+// enter moves a replica to its next phase.
+func (o *Owner) enter(now time.Time, r *replica, next phase) {
+	if r.phase == next {
+		return
+	}
+	r.phase, r.since = next, now
+	o.noteMoving(r)
+}
+
+// noteMoving keeps the set of moving replicas.
+func (o *Owner) noteMoving(r *replica) {
+	if r.moving() {
+		o.moving[r.key()] = r
+		return
 	}
+	delete(o.moving, r.key())
 }
 
 // leavingMemory tells whether the replica is on its way out.
@@ -85,6 +102,9 @@
 // addReplica takes a replica into the count.
 func (o *Owner) addReplica(r *replica) {
 	o.replicas[r.key()] = r
+	o.onServer.add(r.intent.Server, r)
+	o.ofModel.add(r.intent.Model, r)
+	o.noteMoving(r)
 	o.reserved[r.intent.Server] += r.intent.Bytes
 	o.counts[r.intent.Model]++
 	o.dirty = true
@@ -98,6 +118,9 @@
 		return
 	}
 	delete(o.replicas, r.key())
+	delete(o.onServer[r.intent.Server], r.key())
+	delete(o.ofModel[r.intent.Model], r.key())
+	delete(o.moving, r.key())
 	o.reserved[r.intent.Server] -= r.intent.Bytes
 	o.counts[r.intent.Model]--
 	o.dirty = true
@@ -131,17 +154,33 @@
 
 // replicasOn returns the replicas on a server in order of model.
 func (o *Owner) replicasOn(id api.ServerID) []*replica {
-	return o.selectReplicas(func(r *replica) bool { return r.intent.Server == id })
+	return o.onServer[id].sorted(anyReplica)
 }
 
 // replicasOf returns the replicas of a model in order of server.
 func (o *Owner) replicasOf(model api.ModelName) []*replica {
-	return o.selectReplicas(func(r *replica) bool { return r.intent.Model == model })
+	return o.ofModel[model].sorted(anyReplica)
 }
 
-func (o *Owner) selectReplicas(wanted func(*replica) bool) []*replica {
+// replicaSet is a set of replicas.
+type replicaSet map[key]*replica
+
+// replicaIndex finds the replicas of a server or of a model.
+type replicaIndex[K comparable] map[K]replicaSet
+
+func (i replicaIndex[K]) add(value K, r *replica) {
+	if i[value] == nil {
+		i[value] = make(replicaSet)
+	}
+	i[value][r.key()] = r
+}
+
+func anyReplica(*replica) bool { return true }
+
+// sorted returns the wanted replicas in order of server and model.
+func (s replicaSet) sorted(wanted func(*replica) bool) []*replica {
 	var selected []*replica
-	for _, r := range o.replicas {
+	for _, r := range s {
 		if wanted(r) {
 			selected = append(selected, r)
 		}
@@ -207,9 +246,8 @@
 }
 
 func (o *Owner) pollInterval(id api.ServerID) time.Duration {
-	for _, r := range o.replicas {
-		settled := r.phase == phaseReady || r.phase == phaseDraining
-		if r.intent.Server == id && !settled {
+	for _, r := range o.moving {
+		if r.intent.Server == id && r.phase != phaseDraining {
 			return o.config.Timing.BusyInterval
 		}
 	}
@@ -254,7 +292,7 @@
 	switch item.State {
 	case engine.ItemLoading:
 		if !r.leavingMemory() {
-			r.enter(now, phaseLoading)
+			o.enter(now, r, phaseLoading)
 			o.estimateReady(now, r, item.Progress)
 		}
 	case engine.ItemReady:
@@ -262,7 +300,7 @@
 			o.becomeReady(now, r)
 		}
 	case engine.ItemUnloading:
-		r.enter(now, phaseUnloading)
+		o.enter(now, r, phaseUnloading)
 		r.retryAt = now.Add(o.config.Timing.UnloadRetry)
 	}
 	if r.state() != before {
@@ -279,7 +317,7 @@
 		o.measureLoad(r.intent.Model, now.Sub(r.orderedAt))
 	}
 	delete(o.failures, r.intent.Model)
-	r.enter(now, phaseReady)
+	o.enter(now, r, phaseReady)
 	r.lastUse = now
 	o.news()
 }
--- a/pkg/control/cell/server.go
+++ b/pkg/control/cell/server.go
@@ -120,6 +120,7 @@
 		}
 		s = &server{Server: quorum.Server{ID: id, ListVersion: version}}
 		o.servers[id] = s
+		o.serverOrder = nil
 	}
 	if known && s.machineInstance != "" && s.machineInstance != machine.Instance {
 		s.pollBy(now) // replaced: the engine's instance tells what it holds
@@ -198,6 +199,7 @@
 		o.drop(now, r)
 	}
 	delete(o.servers, id)
+	o.serverOrder = nil
 	o.dirty = o.dirty || s.admitted
 	o.news()
 }
--- a/pkg/control/cell/view.go
+++ b/pkg/control/cell/view.go
@@ -20,7 +20,7 @@
 			view.Servers = append(view.Servers, o.serverView(s))
 		}
 	}
-	for _, r := range o.selectReplicas(func(*replica) bool { return true }) {
+	for _, r := range o.replicas.sorted(anyReplica) {
 		view.Replicas = append(view.Replicas, r.view())
 	}
 	return view, true
--- a/pkg/control/machine_test.go
+++ b/pkg/control/machine_test.go
@@ -216,9 +216,10 @@
 			before := heapBytes()
 			s := newStandby(size.servers, size.models)
 			s.run(3 * time.Minute)
-			b.ReportMetric(float64(heapBytes()-before), "B/cell")
+			held := heapBytes() - before
 			for b.Loop() {
 			}
+			b.ReportMetric(float64(held), "B/cell")
 			runtime.KeepAlive(s)
 		})
 	}
