--- a/pkg/node/credentials.go
+++ b/pkg/node/credentials.go
@@ -83,16 +83,6 @@
 	security.Watch(ctx, credentialInterval, report, files...)
 }
 
-// callerAuthenticator checks callers' keys for the gateway.
-type callerAuthenticator struct {
-	keys *security.Keys
-}
-
-// Authenticate implements gateway.Authenticator.
-func (a callerAuthenticator) Authenticate(key string) (string, bool) {
-	return a.keys.Authenticate([]byte(key))
-}
-
 // operatorAuthorizer checks operators' keys.
 type operatorAuthorizer struct {
 	keys *security.Keys
--- a/pkg/node/wiring.go
+++ b/pkg/node/wiring.go
@@ -139,7 +139,7 @@
 		Timeouts:   callerTimeouts(n.settings.Limits),
 	}
 	if n.secrets.callers != nil {
-		config.Authenticator = callerAuthenticator{n.secrets.callers}
+		config.Authenticator = n.secrets.callers
 	}
 	callers, err := gateway.New(config)
 	if err != nil {
