--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -47,6 +47,7 @@
 
 	server    *peer.Server
 	transport *peer.Client
+	counters  *peer.Counters
 	trees     *tree.Holder
 	view      *view
 	loop      *loop
--- a/pkg/node/wiring.go
+++ b/pkg/node/wiring.go
@@ -43,7 +43,7 @@
 // openPeers opens the listener for other nodes and the client towards them.
 func (n *Node) openPeers() error {
 	registerMessages()
-	counters := peer.NewCounters()
+	n.counters = peer.NewCounters()
 	config := peer.Config{
 		Self: api.NodeRef{
 			ID:          n.settings.Node.ID,
@@ -54,7 +54,7 @@
 		},
 		Address:  n.settings.Listen.Peers,
 		TLS:      n.secrets.peers,
-		Counters: counters,
+		Counters: n.counters,
 		Logger:   n.logger.Named("peer"),
 	}
 	server, err := peer.Listen(config)
@@ -90,6 +90,9 @@
 		Decider: decider,
 	})
 	n.loop = newLoop(machine, n.view, n.trees)
+	if err := n.registry.Register(collector{loop: n.loop, counters: n.counters}); err != nil {
+		return errors.Wrap(err, "node: register metrics")
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stopControl = cancel
 	n.executor = &executor{
