--- a/pkg/control/cells.go
+++ b/pkg/control/cells.go
@@ -167,12 +167,16 @@
 		return
 	}
 	view.Members = c.group.Committed().Members
+	var message any = ViewPush{View: view}
+	if delta, ok := makeDelta(c.view, view); ok {
+		message = delta
+	}
 	c.view = view
 	c.publishAt = c.machine.now.Add(publishPause)
 	c.machine.emit(PublishView{View: view})
 	for _, node := range c.machine.liveNodes() {
 		if !c.machine.isSelf(node) {
-			c.machine.send(node, ViewPush{View: view})
+			c.machine.send(node, message)
 		}
 	}
 }
--- a/pkg/control/explore/node_test.go
+++ b/pkg/control/explore/node_test.go
@@ -203,6 +203,9 @@
 
 func (n *node) sendPeer(e control.SendPeer) {
 	w := n.world
+	if w.onSend != nil {
+		w.onSend(n, e)
+	}
 	from := n.ref()
 	n.depart(func() {
 		copies := 1
--- /dev/null
+++ b/pkg/control/explore/traffic_test.go
@@ -0,0 +1,96 @@
+package explore
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"testing"
+	"time"
+
+	"martenwheel.dev/pkg/control"
+	"martenwheel.dev/pkg/membership"
+	"martenwheel.dev/pkg/policy"
+)
+
+// trafficMeter adds up the encoded sizes of messages, with one gob stream for
+// each pair of nodes as the transport has.
+type trafficMeter struct {
+	streams  map[string]*gobStream
+	bytes    int
+	messages int
+}
+
+type gobStream struct {
+	buffer  bytes.Buffer
+	encoder *gob.Encoder
+}
+
+func (m *trafficMeter) add(b *testing.B, from *node, e control.SendPeer) {
+	link := from.address() + "|" + e.To.PeerAddress
+	stream := m.streams[link]
+	if stream == nil {
+		stream = &gobStream{}
+		stream.encoder = gob.NewEncoder(&stream.buffer)
+		m.streams[link] = stream
+	}
+	envelope := struct{ Message any }{e.Message}
+	if err := stream.encoder.Encode(envelope); err != nil {
+		b.Fatal(err)
+	}
+	m.bytes += stream.buffer.Len()
+	m.messages++
+	stream.buffer.Reset()
+}
+
+// BenchmarkControlTraffic reports what a node sends to other nodes at about
+// today's sizes: with nothing to do, and with a wake of an idle model every
+// eight seconds and its unload after the keep-alive.
+func BenchmarkControlTraffic(b *testing.B) {
+	for _, message := range append(control.Messages(), membership.Messages()...) {
+		gob.Register(message)
+	}
+	for _, busy := range []bool{false, true} {
+		b.Run(fmt.Sprintf("busy %t", busy), func(b *testing.B) {
+			for b.Loop() {
+				measureTraffic(b, busy)
+			}
+		})
+	}
+}
+
+func measureTraffic(b *testing.B, busy bool) {
+	const nodes, seconds = 12, 60
+	w := newWorld(1)
+	w.tracing = false
+	w.ownMembership = true
+	w.decider = func(string) policy.Decider { return waitingDecider{} }
+	for index := range 50 {
+		w.addModel(fmt.Sprint("m", index), "", 10, 1)
+	}
+	for index := range 12 {
+		w.addServer(fmt.Sprint("s", index), 60)
+	}
+	w.seeds = []string{"node/n0", "node/n1"}
+	for index := range nodes {
+		w.addNode(fmt.Sprint("n", index), fmt.Sprint("z", index%3))
+	}
+	w.run(30 * time.Second)
+	if busy {
+		w.wakeInTurn(0)
+	}
+	meter := &trafficMeter{streams: make(map[string]*gobStream)}
+	w.onSend = func(from *node, e control.SendPeer) { meter.add(b, from, e) }
+	w.run(10 * time.Second) // type descriptions are sent once
+	meter.bytes, meter.messages = 0, 0
+	w.run(seconds * time.Second)
+	b.ReportMetric(float64(meter.bytes)/nodes/seconds, "B/s/node")
+	b.ReportMetric(float64(meter.messages)/nodes/seconds, "msg/s/node")
+}
+
+// wakeInTurn lets a request for one idle model after another wait. Each model
+// is unloaded after its keep-alive.
+func (w *world) wakeInTurn(index int) {
+	n := w.nodes[index%len(w.nodes)]
+	n.report(w.models[index%len(w.models)], 1, 0)
+	w.after(8*time.Second, func() { w.wakeInTurn(index + 1) })
+}
--- a/pkg/control/explore/world_test.go
+++ b/pkg/control/explore/world_test.go
@@ -55,6 +55,7 @@
 	models   []api.ModelName
 	decider  func(name string) policy.Decider
 
+	onSend        func(from *node, message control.SendPeer)
 	onOrder       func(control.OrderEngine) // sees each order as it is given
 	ownMembership bool                      // machines use package membership instead of the oracle
 	seeds         []string
--- a/pkg/control/machine.go
+++ b/pkg/control/machine.go
@@ -134,6 +134,8 @@
 		}
 	case ViewPush:
 		m.takeView(e.View)
+	case ViewDelta:
+		m.takeDelta(from, e)
 	case ViewRequest:
 		m.answerViewRequest(from, e)
 	case TreeNews:
--- a/pkg/control/messages.go
+++ b/pkg/control/messages.go
@@ -31,6 +31,6 @@
 // other machines, for registration with the transport. Those of package
 // membership come besides.
 func Messages() []any {
-	own := []any{ViewPush{}, ViewRequest{}, TreeNews{}, Estimates{}, api.DemandReport{}}
+	own := []any{ViewPush{}, ViewDelta{}, ViewRequest{}, TreeNews{}, Estimates{}, api.DemandReport{}}
 	return append(own, quorum.Messages()...)
 }
