--- a/pkg/control/cell/owner_test.go
+++ b/pkg/control/cell/owner_test.go
@@ -239,6 +239,28 @@
 	}
 }
 
+// TestLimitIsCheckedAgain: the limit is lowered while the intent of a load is
+// being committed, so that no decision has cancelled it when the commit comes.
+func TestLimitIsCheckedAgain(t *testing.T) {
+	for _, unsafe := range []bool{false, true} {
+		s := newSite(t, quorum.Server{ID: "s"})
+		s.owner.config.Unsafe.NoRecheck = unsafe
+		s.owner.servers["s"].pollAt = s.now.Add(time.Minute)
+		s.owner.servers["s"].operation = nil
+		s.wish(load("a", "s"))
+		s.owner.Advance(s.now, s)
+		data, _ := s.owner.TakeData()
+		lowered := model("a", "", 10)
+		lowered.Settings.MaxReplicas = 0
+		s.owner.Configure(s.now, []tree.Model{lowered})
+		s.owner.Committed(s.now, data)
+		s.owner.Advance(s.now, s)
+		if ordered := len(s.orders) > 0; ordered != unsafe {
+			t.Errorf("check switched off: %t, load ordered beyond the limit: %t", unsafe, ordered)
+		}
+	}
+}
+
 func TestEstimates(t *testing.T) {
 	cases := []struct {
 		name     string
--- a/pkg/control/explore/switches_test.go
+++ b/pkg/control/explore/switches_test.go
@@ -16,6 +16,7 @@
 
 // mechanisms are those that random schedules show to be needed. Others
 // have tests of their own: TestPromiseIsNeeded in package quorum,
+// TestLimitIsCheckedAgain in package cell,
 // TestAdmissionIsNeeded, TestVerifyIsNeeded and TestInstanceIsNeeded.
 var mechanisms = []mechanism{
 	{"majority before orders", switches.Set{NoMajority: true}, 74},
@@ -24,7 +25,6 @@
 	{"unknown servers count", switches.Set{UnknownIsEmpty: true}, 5},
 	{"doubt settled by inventory", switches.Set{DoubtIsRefused: true}, 14},
 	{"unload confirmed by inventory", switches.Set{FreeOnUnload: true}, 36},
-	{"limits checked again at the order", switches.Set{NoRecheck: true}, 612},
 	{"wishes checked", switches.Set{TrustDecider: true, NoRecheck: true}, 1},
 	{"old lists not believed", switches.Set{BelieveList: true}, 1071},
 	{"tree floor", switches.Set{NoTreeFloor: true}, 1},
