--- a/pkg/lab/scale/node.go
+++ b/pkg/lab/scale/node.go
@@ -253,6 +253,8 @@
 	if !ok {
 		return false
 	}
+	n.site.parsing <- struct{}{}
+	defer func() { <-n.site.parsing }()
 	_, err = n.trees.Receive(fetched)
 	return err == nil
 }
--- a/pkg/lab/scale/report.go
+++ b/pkg/lab/scale/report.go
@@ -22,12 +22,13 @@
 	Cells    int `json:"cells"`
 	Loaded   int `json:"loaded"` // replicas that stay loaded
 
-	MemoryBytes uint64 `json:"memory_bytes"` // heap and stacks per node
-	Quiet       Usage  `json:"quiet"`
-	Wakes       Usage  `json:"wakes"`
-	Edits       Usage  `json:"edits"`
-	WakeCount   int    `json:"wake_count"`
-	EditCount   int    `json:"edit_count"`
+	MemoryBytes uint64  `json:"memory_bytes"` // heap and stacks per node
+	Connections float64 `json:"connections"`  // to other nodes, per node, in the quiet phase
+	Quiet       Usage   `json:"quiet"`
+	Wakes       Usage   `json:"wakes"`
+	Edits       Usage   `json:"edits"`
+	WakeCount   int     `json:"wake_count"`
+	EditCount   int     `json:"edit_count"`
 
 	FormSeconds          float64 `json:"form_seconds"`
 	WakeSeconds          float64 `json:"wake_seconds"` // until ready, of which the load takes 0.3
@@ -94,12 +95,12 @@
 // WriteTable writes the reports as tables to read.
 func WriteTable(out io.Writer, reports []Report) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "nodes\tservers\tmodels\tcells\tCPU quiet\tCPU daily\tMB\tB/s quiet\tB/s daily\tmsg/s\tengine B/s\tB/wake\tB/edit\twake s\tedit s\tnotice s\ttakeover s\tknown s\t")
+	fmt.Fprintln(table, "nodes\tservers\tmodels\tcells\tCPU quiet\tCPU daily\tMB\tconns\tB/s quiet\tB/s daily\tmsg/s\tengine B/s\tB/wake\tB/edit\twake s\tedit s\tnotice s\ttakeover s\tknown s\t")
 	for _, r := range reports {
 		bytes, processor := r.Daily()
-		fmt.Fprintf(table, "%d\t%d\t%d\t%d\t%.2f%%\t%.2f%%\t%.1f\t%.0f\t%.0f\t%.1f\t%.0f\t%.0f\t%.0f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t\n",
+		fmt.Fprintf(table, "%d\t%d\t%d\t%d\t%.2f%%\t%.2f%%\t%.1f\t%.0f\t%.0f\t%.0f\t%.1f\t%.0f\t%.0f\t%.0f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t\n",
 			r.Nodes, r.Servers, r.Models+r.Adapters, r.Cells, 100*r.Quiet.ProcessorShare, 100*processor,
-			float64(r.MemoryBytes)/1e6, r.Quiet.BytesPerSecond, bytes, r.Quiet.MessagesPerSecond, r.Quiet.EngineBytesPerSecond,
+			float64(r.MemoryBytes)/1e6, r.Connections, r.Quiet.BytesPerSecond, bytes, r.Quiet.MessagesPerSecond, r.Quiet.EngineBytesPerSecond,
 			r.PerWake().Bytes, r.PerEdit().Bytes,
 			r.WakeSeconds, r.EditSeconds, r.NoticeSeconds, r.TakeoverSeconds, r.TakeoverKnownSeconds)
 	}
--- a/pkg/lab/scale/run.go
+++ b/pkg/lab/scale/run.go
@@ -17,8 +17,11 @@
 // pollInterval is how often the state of nodes is looked at.
 const pollInterval = 20 * time.Millisecond
 
-// wakePause is the pause between two wakes.
-const wakePause = 200 * time.Millisecond
+const (
+	wakePause = 200 * time.Millisecond // between two wakes that are measured
+	loadPause = 10 * time.Millisecond  // between two loads before the measurement
+	editPause = 5 * time.Second        // after an edit
+)
 
 // Run makes a site, measures it and ends it.
 func Run(ctx context.Context, config Config) (Report, error) {
@@ -57,7 +60,11 @@
 	}
 	for _, phase := range phases {
 		began := time.Now()
-		if err := phase.do(ctx); err != nil {
+		err := phase.do(ctx)
+		if err == nil {
+			err = r.settle(ctx)
+		}
+		if err != nil {
 			return errors.WithMessagef(err, "scale: %d nodes: %s", r.site.config.Nodes, phase.name)
 		}
 		fmt.Fprintf(r.site.config.Progress, "%d nodes: %s took %.1f s\n", r.site.config.Nodes, phase.name, time.Since(began).Seconds())
@@ -100,7 +107,7 @@
 // form starts the nodes and waits until all know each other, the tree is in
 // force and each cell has an owner.
 func (r *runner) form(ctx context.Context) error {
-	if err := r.site.addNodes(); err != nil {
+	if err := r.site.addNodes(ctx); err != nil {
 		return err
 	}
 	took, err := r.await(ctx, "agreement of all nodes", func() bool { return r.allKnow(len(r.site.nodes)) })
@@ -191,9 +198,16 @@
 	count := r.site.config.ReplicasPerServer * r.site.config.Servers
 	hot := r.site.config.Models / hotEvery * r.site.config.Regions
 	targets := r.site.targets(true, min(count, hot))
-	_, err := r.wake(ctx, targets, true, time.Millisecond)
+	_, err := r.wake(ctx, targets, true, loadPause)
 	r.report.Loaded = len(targets)
-	time.Sleep(2 * demandInterval) // until the reports have ended
+	return err
+}
+
+// settle waits until what a phase began has ended, so that the next one is
+// measured alone.
+func (r *runner) settle(ctx context.Context) error {
+	time.Sleep(2 * demandInterval) // until the reports of demand have ended
+	_, err := r.await(ctx, "agreement of all nodes", func() bool { return r.allKnow(len(r.site.nodes)) })
 	return err
 }
 
@@ -203,6 +217,9 @@
 		time.Sleep(r.site.config.Quiet)
 		return nil
 	})
+	for _, node := range r.site.nodes {
+		r.report.Connections += float64(node.transport.Connections()) / float64(len(r.site.nodes))
+	}
 	return err
 }
 
@@ -216,7 +233,6 @@
 		}
 		r.report.WakeSeconds = worst(waits)
 		_, err = r.await(ctx, "unloading", func() bool { return r.site.loaded() <= r.report.Loaded })
-		time.Sleep(demandInterval)
 		return err
 	})
 	return err
@@ -233,9 +249,6 @@
 	return count
 }
 
-// editPause is the pause after an edit.
-const editPause = 2 * time.Second
-
 // edits commits changes of the tree, each at a random node.
 func (r *runner) edits(ctx context.Context) error {
 	models := r.site.models()
--- a/pkg/lab/scale/site.go
+++ b/pkg/lab/scale/site.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc/pool"
 
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/platform"
@@ -30,6 +31,11 @@
 // coldKeepAlive is the keep-alive of cold models.
 const coldKeepAlive = 2 * time.Second
 
+const (
+	startPause    = 20 * time.Millisecond // between the starts of two nodes
+	parallelLoads = 4                     // nodes that parse a tree at the same time
+)
+
 // hotEvery makes each fourth model a hot one.
 const hotEvery = 4
 
@@ -42,6 +48,7 @@
 	machines *hollowMachines
 	engines  *hollowEngines
 	nodes    []*hollowNode // that run
+	parsing  chan struct{} // slots for nodes that parse a tree
 }
 
 // newSite makes the platform, its engines and the tree.
@@ -53,6 +60,7 @@
 		objects:  newHollowObjects(),
 		machines: &hollowMachines{byRegion: make(map[string][]platform.Machine)},
 		engines:  &hollowEngines{byAddress: make(map[string]*hollowEngine)},
+		parsing:  make(chan struct{}, parallelLoads),
 	}
 	for index := range config.Servers {
 		s.addServer(index)
@@ -143,7 +151,7 @@
 }
 
 // addNodes opens and starts the nodes, which join by the first of each region.
-func (s *site) addNodes() error {
+func (s *site) addNodes(ctx context.Context) error {
 	registerMessages()
 	var seeds []string
 	for index := range s.config.Nodes {
@@ -162,12 +170,32 @@
 			seeds = append(seeds, node.self.PeerAddress)
 		}
 	}
+	if err := s.loadTrees(ctx); err != nil {
+		return err
+	}
 	for index, node := range s.nodes {
 		node.start(seeds, s.config.Seed+uint64(index))
+		time.Sleep(startPause)
 	}
 	return nil
 }
 
+// loadTrees gives each node its first tree, as its bootstrap does. A few at a
+// time: nodes share the processors here, and each parses the tree for itself.
+func (s *site) loadTrees(ctx context.Context) error {
+	loads := pool.New().WithMaxGoroutines(parallelLoads).WithErrors()
+	for _, node := range s.nodes {
+		loads.Go(func() error {
+			first, err := node.store.Load(ctx)
+			if err == nil {
+				node.trees.Offer(first)
+			}
+			return err
+		})
+	}
+	return loads.Wait()
+}
+
 // close ends all nodes.
 func (s *site) close() {
 	for _, node := range s.nodes {
--- a/pkg/membership/sweep.go
+++ b/pkg/membership/sweep.go
@@ -39,12 +39,14 @@
 	}
 }
 
-// sweep probes a random live member of the zones that are swept.
+// sweep probes a random live member of the zones that are swept. A node that
+// is behind itself leaves that to others: its own delay may be what made
+// members look dead.
 func (m *Machine) sweep(now time.Time, packets []Packet) []Packet {
-	if len(m.sweeps) == 0 {
+	m.sweeps.forgetOld(now)
+	if len(m.sweeps) == 0 || m.lag.level > 0 {
 		return packets
 	}
-	m.sweeps.forgetOld(now)
 	probed := make(map[api.NodeID]bool, len(m.probes))
 	for _, waiting := range m.probes {
 		probed[waiting.target.ID] = true
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -105,7 +105,12 @@
 	}
 	target, exists := c.links[address]
 	if !exists {
-		c.dropForgotten()
+		if len(c.links) >= c.config.Limits.Links {
+			c.dropForgotten()
+		}
+		if len(c.links) >= c.config.Limits.Links {
+			return false
+		}
 		target = &link{client: c, address: address, wake: make(chan struct{}, 1)}
 		c.links[address] = target
 	}
@@ -116,8 +121,21 @@
 	return accepted
 }
 
-// dropForgotten drops the links that hold nothing but the memory of a back-off
-// that is over.
+// Connections returns the number of addresses to which there is a connection
+// or a try to make one.
+func (c *Client) Connections() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	count := 0
+	for _, link := range c.links {
+		if link.active() {
+			count++
+		}
+	}
+	return count
+}
+
+// dropForgotten drops the links without a connection whose back-off is over.
 func (c *Client) dropForgotten() {
 	now := c.clock()
 	for address, link := range c.links {
--- a/pkg/peer/codec_test.go
+++ b/pkg/peer/codec_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/binary"
 	"encoding/gob"
 	"math/rand/v2"
 	"reflect"
@@ -264,3 +265,14 @@
 	})
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "calls/s")
 }
+
+func TestFrameOverTheLimitIsRefusedUnread(t *testing.T) {
+	for _, size := range []uint64{0, 11, 1 << 40} {
+		stream := bytes.NewReader(append(binary.AppendUvarint(nil, size), make([]byte, 20)...))
+		before := stream.Len()
+		_, err := newFrameReader(stream, 10).next()
+		if !errors.Is(err, ErrTooLarge) || before-stream.Len() > binary.MaxVarintLen64 {
+			t.Errorf("frame of %d bytes: %v, %d bytes read", size, err, before-stream.Len())
+		}
+	}
+}
--- a/pkg/peer/config.go
+++ b/pkg/peer/config.go
@@ -18,6 +18,11 @@
 	DefaultWriteTimeout = 5 * time.Second
 	// DefaultIdleTimeout is how long an unused connection is kept.
 	DefaultIdleTimeout = time.Minute
+	// BriefIdleFactor divides the idle time-out of a connection that carried no
+	// more than briefMessages messages: probes of nodes that are no neighbours
+	// are not to pile up connections.
+	BriefIdleFactor = 10
+	briefMessages   = 4
 	// DefaultPingInterval is how long nothing may arrive on a connection before
 	// the peer is asked for a sign of life. After SilenceFactor of these
 	// without any the connection is given up.
@@ -26,6 +31,9 @@
 	SilenceFactor = 2
 	// DefaultMaxConnections bounds the connections that a server keeps.
 	DefaultMaxConnections = 2048
+	// DefaultMaxLinks bounds the connections that a client keeps. Messages for
+	// further addresses are not sent.
+	DefaultMaxLinks = 1024
 	// DefaultQueueLength bounds the messages that wait for one connection.
 	DefaultQueueLength = 256
 	// maxCallsPerConnection bounds the calls of one peer that are answered at
@@ -60,8 +68,9 @@
 
 // ServiceLimits bound what connections may use.
 type ServiceLimits struct {
-	Connections int
-	QueueLength int
+	Connections int // that a server keeps
+	Links       int // that a client keeps
+	QueueLength int // messages that wait for one connection
 }
 
 // withDefaults fills in the zero fields.
@@ -71,6 +80,7 @@
 	setDefault(&c.Timeouts.Idle, DefaultIdleTimeout)
 	setDefault(&c.Timeouts.Ping, DefaultPingInterval)
 	setDefault(&c.Limits.Connections, DefaultMaxConnections)
+	setDefault(&c.Limits.Links, DefaultMaxLinks)
 	setDefault(&c.Limits.QueueLength, DefaultQueueLength)
 	if c.Counters == nil {
 		c.Counters = NewCounters()
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -79,11 +79,17 @@
 	return nil
 }
 
-// forgotten tells whether the link holds nothing worth keeping.
+// forgotten tells whether the link holds neither a connection nor a back-off.
 func (l *link) forgotten(now time.Time) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return !l.running && now.After(l.retryAt.Add(longestBackoff))
+	return !l.running && now.After(l.retryAt)
+}
+
+func (l *link) active() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.running
 }
 
 // failQueue fails all queued messages.
@@ -233,10 +239,12 @@
 	defer ping.Stop()
 	watch := silence{limit: SilenceFactor}
 	idleSince := time.Now()
+	sent := 0
 	for {
 		item := e.link.next()
 		if item != nil {
 			idleSince = time.Now()
+			sent++
 			if err := e.writeItem(item); err != nil {
 				return err
 			}
@@ -251,7 +259,7 @@
 			return errors.New("closed by peer")
 		case <-ping.C:
 			e.forgetAbandoned()
-			if time.Since(idleSince) > timeouts.Idle && !e.awaitsAnswer() {
+			if time.Since(idleSince) > idleLimit(timeouts.Idle, sent) && !e.awaitsAnswer() {
 				return nil
 			}
 			if watch.tooLong(e.received.Load()) {
@@ -264,6 +272,14 @@
 	}
 }
 
+// idleLimit returns how long a connection that carried some messages is kept.
+func idleLimit(limit time.Duration, sent int) time.Duration {
+	if sent <= briefMessages {
+		return limit / BriefIdleFactor
+	}
+	return limit
+}
+
 // silence counts the ping intervals in which nothing was received.
 type silence struct {
 	limit    int
