--- a/pkg/control/cell/server.go
+++ b/pkg/control/cell/server.go
@@ -120,6 +120,7 @@
 		}
 		s = &server{Server: quorum.Server{ID: id, ListVersion: version}}
 		o.servers[id] = s
+		o.serverOrder = nil
 	}
 	if known && s.machineInstance != "" && s.machineInstance != machine.Instance {
 		s.pollBy(now) // replaced: the engine's instance tells what it holds
@@ -145,6 +146,9 @@
 //   - by an owner of an earlier epoch, if the server is unknown: then an
 //     instance was seen, and the record read, before this epoch was formed.
 func (o *Owner) goneFor(s *server, asOf time.Time) bool {
+	if o.config.Unsafe.BelieveList {
+		return true
+	}
 	latest := s.lastContact
 	if s.Unknown && o.start.Data.FormedAt.After(latest) {
 		latest = o.start.Data.FormedAt
@@ -195,6 +199,7 @@
 		o.drop(now, r)
 	}
 	delete(o.servers, id)
+	o.serverOrder = nil
 	o.dirty = o.dirty || s.admitted
 	o.news()
 }
@@ -243,6 +248,9 @@
 
 func (o *Owner) readInventory(now time.Time, s *server, sink Sink) {
 	fence := o.nextFence(s)
+	if o.config.Unsafe.NoFence {
+		fence = 0
+	}
 	s.operation = &operation{fence: fence, sentAt: now}
 	sink.ReadInventory(s.ID, s.Address, engine.InventoryRequest{Fence: fence})
 }
--- a/pkg/control/explore/world_test.go
+++ b/pkg/control/explore/world_test.go
@@ -55,7 +55,12 @@
 	models   []api.ModelName
 	decider  func(name string) policy.Decider
 
-	failure string
+	onOrder       func(control.OrderEngine) // sees each order as it is given
+	ownMembership bool                      // machines use package membership instead of the oracle
+	seeds         []string
+
+	failure string // a promise that was broken
+	stuck   string // what does not work again after the faults
 	tracing bool
 	trace   []string
 	steps   int
@@ -174,18 +179,16 @@
 	w.listing = append(w.listing, list)
 }
 
-// laggingList is the list as it was listLag ago.
+// laggingList is the list as a replica that lags by up to listLag shows it.
 func (w *world) laggingList() platform.MachineList {
-	seen := platform.MachineList{}
-	for _, list := range w.listing {
-		if !list.AsOf.After(w.now.Add(-w.listLag)) {
-			seen = list
+	asOf := w.now.Add(-w.between(w.listLag/2, w.listLag))
+	for index := len(w.listing) - 1; index >= 0; index-- {
+		if list := w.listing[index]; !list.AsOf.After(asOf) {
+			list.AsOf = asOf
+			return list
 		}
 	}
-	if len(seen.Machines) > 0 {
-		seen.AsOf = w.now.Add(-w.listLag)
-	}
-	return seen
+	return platform.MachineList{}
 }
 
 func (w *world) server(id api.ServerID) *modelEngine {
@@ -206,6 +209,38 @@
 	w.cuts[b+"|"+a] = cut
 }
 
+// cutFor cuts two parties off from each other for a while.
+func (w *world) cutFor(a, b string, duration time.Duration) {
+	if a == b || w.cut(a, b) {
+		return
+	}
+	w.note("cut between %s and %s for %v", a, b, duration)
+	w.setCut(a, b, true)
+	w.after(duration, func() { w.setCut(a, b, false) })
+}
+
+func (w *world) bootIfDown(n *node) {
+	if n.machine == nil {
+		n.boot()
+	}
+}
+
+// reclaim takes a machine away with all that its engine holds.
+func (w *world) reclaim(e *modelEngine) {
+	w.note("machine %s reclaimed", e.id)
+	e.machine, e.down = platform.MachineGone, true
+	e.restart()
+	w.listMachines()
+}
+
+// giveBack brings a machine back under the same name and address.
+func (w *world) giveBack(e *modelEngine) {
+	w.note("machine %s is back", e.id)
+	e.machine, e.down = platform.MachineLive, false
+	e.restart()
+	w.listMachines()
+}
+
 // check verifies the promises on the engines' true state.
 func (w *world) check() {
 	for _, e := range w.servers {
@@ -306,9 +341,14 @@
 	return w.trees[len(w.trees)-1]
 }
 
-// kvBytes is the KV cache of each replica, whatever the revision.
-func (w *world) kvBytes(model api.ModelName) uint64 {
-	return w.trees[0].model(model).Settings.KVBytes
+// kvBytes is the KV cache of each replica, whatever the revision. An adapter
+// shares its base's.
+func (w *world) kvBytes(name api.ModelName) uint64 {
+	model := w.trees[0].model(name)
+	if model.Base != "" {
+		return 0
+	}
+	return model.Settings.KVBytes
 }
 
 // edit accepts a change of max_replicas on top of the newest revision.
@@ -326,7 +366,7 @@
 
 // addNode starts a node.
 func (w *world) addNode(id, zone string) *node {
-	n := &node{world: w, id: api.NodeID(id), zone: zone}
+	n := &node{world: w, id: api.NodeID(id), zone: zone, peerAddress: "node/" + id}
 	w.nodes = append(w.nodes, n)
 	n.boot()
 	return n
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -36,6 +36,12 @@
 	final       bool // another replica would not do better
 	broken      bool // the request was sent; its engine may still have the answer
 	unreachable bool // no connection to the engine came about
+	leaving     bool // the engine said that it takes no new work
+}
+
+// result returns the outcome for the dispatcher.
+func (f *attemptFailure) result() traffic.Outcome {
+	return traffic.Outcome{Kind: f.outcome, Leaving: f.leaving}
 }
 
 // newAttempt prepares an attempt on the granted replica.
@@ -176,7 +182,7 @@
 			unreachable: true,
 		}
 	}
-	if a.call.hasLeft() && !a.call.request.Unsafe {
+	if a.call.isForNobody() {
 		return &attemptFailure{
 			outcome:  traffic.OutcomeCancelled,
 			apiError: callerLeft(false),
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -39,6 +39,7 @@
 	attempts   int
 	uncertain  bool // some attempt may have been run in part
 	record     record
+	over       bool // it was logged and counted
 	firstEvent time.Time
 }
 
@@ -54,7 +55,7 @@
 
 // resolve fills in the traffic request from the model's settings and the
 // caller's options.
-func (c *call) resolve(caller string) *APIError {
+func (c *call) resolve() *APIError {
 	catalog, apiError := c.gateway.catalog()
 	if apiError != nil {
 		return apiError
@@ -68,7 +69,7 @@
 	settings := model.Settings
 	c.request = traffic.Request{
 		ID:           c.gateway.uniqueID(c.record.requestID),
-		Caller:       caller,
+		Caller:       c.record.caller,
 		Model:        model.Name,
 		Priority:     settings.Priority,
 		Arrived:      c.record.arrived,
@@ -119,6 +120,12 @@
 	return context.Cause(c.caller) == errCallerLeft
 }
 
+// isForNobody tells whether the work may stop, since the caller hung up and
+// won't ask for a kept answer.
+func (c *call) isForNobody() bool {
+	return c.hasLeft() && !c.request.Unsafe
+}
+
 // dispatch gets a replica for the request and sends it, again if an attempt
 // fails and the dispatcher allows. It returns the answer of the attempt that
 // succeeded, which owns the grant.
@@ -137,11 +144,11 @@
 		}
 		c.uncertain = c.uncertain || !failure.apiError.NotRun
 		if failure.final {
-			c.current.done(traffic.Outcome{Kind: failure.outcome})
+			c.current.done(failure.result())
 			return nil, c.refused(failure.apiError)
 		}
 		waitFrom = c.gateway.config.Now()
-		grant, err = c.current.retry(traffic.Outcome{Kind: failure.outcome})
+		grant, err = c.current.retry(failure.result())
 	}
 }
 
@@ -174,18 +181,20 @@
 }
 
 // engineFailed is the error for a request that no engine answered.
-func engineFailed(notRun bool, err error) *APIError {
-	reason := traffic.ReasonOutcomeUnknown
-	if notRun {
-		reason = traffic.ReasonEngineFailed
-	}
-	return &APIError{
+func engineFailed(notRun bool, cause error) *APIError {
+	failure := &APIError{
 		Status:  fiber.StatusBadGateway,
-		Message: "the engine did not answer: " + err.Error(),
+		Message: "the engine's answer did not arrive whole; whether the request was run is not known",
 		Type:    typeServer,
-		Code:    string(reason),
-		NotRun:  notRun,
+		Code:    string(traffic.ReasonOutcomeUnknown),
+		cause:   cause,
+	}
+	if notRun {
+		failure.Message = "the engine did not take the request"
+		failure.Code = string(traffic.ReasonEngineFailed)
+		failure.NotRun = true
 	}
+	return failure
 }
 
 // callerLeft is recorded for a caller that hung up.
--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -132,6 +132,8 @@
 	{"stream cut in its first event", true, answerText("text/event-stream", `data: {"id":"chatcmpl-ID"`), 502, false},
 	{"stream of another request", true, answerText("text/event-stream", "data: {\"id\":\"chatcmpl-other\"}\n\n"), 502, false},
 	{"stream that begins with an error", true, answerText("text/event-stream", "data: {\"error\":{\"message\":\"no\"}}\n\n"), 502, false},
+	{"stream cut after a comment", true, answerText("text/event-stream", ": wait\n\n"), 502, false},
+	{"two answers in one event", true, answerText("text/event-stream", "data: {\"id\":\"chatcmpl-other\"}\ndata: {\"id\":\"chatcmpl-ID\"}\n\n"), 502, false},
 	{"JSON in place of a stream", true, answerText("application/json", `{"id":"chatcmpl-ID"}`), 502, false},
 }
 
@@ -163,8 +165,8 @@
 				if want := notRunValue(test.notRun); got.header.Get(HeaderNotRun) != want {
 					t.Errorf("%s: %s is %q, want %q", model, HeaderNotRun, got.header.Get(HeaderNotRun), want)
 				}
-				if strings.Contains(string(got.body), "chatcmpl-other") {
-					t.Errorf("%s: another request's answer: %s", model, got.body)
+				if strings.Contains(string(got.body), "chatcmpl-other") || strings.Contains(string(got.body), "127.0.0.1") {
+					t.Errorf("%s: another request's answer, or an address: %s", model, got.body)
 				}
 			}
 			if engine.requests() != 2 {
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/peer"
@@ -105,19 +106,48 @@
 	request CopyRequest
 }
 
+// The pace of Run.
+const (
+	copyInterval = 50 * time.Millisecond // while there is something to copy
+	idleInterval = time.Second
+	copyTimeout  = 2 * time.Second // of one page
+)
+
+// Run copies records while a store has to, and forgets what is expired, until
+// the context ends.
+func (k *Keeper) Run(ctx context.Context, caller Caller) {
+	for ctx.Err() == nil {
+		k.Tick()
+		interval := idleInterval
+		pageCtx, cancel := context.WithTimeout(ctx, copyTimeout)
+		if k.CopyRecords(pageCtx, caller) {
+			interval = copyInterval
+		}
+		cancel()
+		select {
+		case <-ctx.Done():
+		case <-time.After(interval):
+		}
+	}
+}
+
 // CopyRecords fetches the next page from each member that a store of this node
-// has to copy from, and returns whether there was one. It is called again and
-// again, with pauses when it had nothing to do or made no progress.
+// has to copy from, all at once, and returns whether there was one. It is
+// called again and again, each time with a deadline, and with pauses when it
+// had nothing to do or made no progress.
 func (k *Keeper) CopyRecords(ctx context.Context, caller Caller) (copying bool) {
 	tasks := k.copyTasks()
+	var group conc.WaitGroup
 	for _, task := range tasks {
-		message, err := caller.Call(ctx, task.source.PeerAddress, task.request)
-		page, ok := message.(CopyReply)
-		if err != nil || !ok {
-			continue
-		}
-		k.takeCopy(task, page)
+		group.Go(func() {
+			message, err := caller.Call(ctx, task.source.PeerAddress, task.request)
+			page, ok := message.(CopyReply)
+			if err == nil && ok {
+				k.takeCopy(task, page)
+			}
+		})
 	}
+	group.Wait()
 	return len(tasks) > 0
 }
 
@@ -170,10 +200,11 @@
 	now := k.clock()
 	var status []CellStatus
 	for cell, store := range k.stores {
+		store.tick(now)
 		status = append(status, CellStatus{
 			Cell:     cell,
 			Version:  store.configuration.Version,
-			Granting: store.Granting(now) && store.confirmed(now),
+			Granting: store.takesPart(now),
 			Records:  store.Len(),
 		})
 	}
--- a/pkg/traffic/place.go
+++ b/pkg/traffic/place.go
@@ -9,15 +9,23 @@
 	"martenwheel.dev/pkg/tree"
 )
 
-// refresh brings a model's state up to the newest settings and directory.
+// refresh brings a model's state up to the newest settings and directory. Both
+// are read under the pool's lock, so that a slow request can't bring back the
+// older settings that it found the model in.
 func (p *pool) refresh(model tree.Model) *modelState {
+	settings, _ := p.router.config.Control.Tree()
+	if newest, found := settings.Model(model.Name); found {
+		model = newest
+	}
 	state, known := p.models[model.Name]
 	if !known {
 		state = newModelState(model)
 		p.models[model.Name] = state
 	}
 	state.model = model
-	p.refreshBase(state)
+	if base, found := settings.Model(model.Base); found {
+		state.baseSettings = base.Settings
+	}
 	directory := p.router.config.Control.Directory()
 	switch {
 	case p.directory != directory:
@@ -90,17 +98,6 @@
 	}
 }
 
-// refreshBase looks up the settings of an adapter's base.
-func (p *pool) refreshBase(state *modelState) {
-	if state.model.Base == "" {
-		return
-	}
-	settings, _ := p.router.config.Control.Tree()
-	if base, found := settings.Model(state.model.Base); found {
-		state.baseSettings = base.Settings
-	}
-}
-
 func (p *pool) usageOf(model api.ModelName, server api.ServerID) *usage {
 	key := usageKey{model, server}
 	known, found := p.usages[key]
@@ -133,9 +130,9 @@
 // take takes a place on a replica.
 func (p *pool) take(now time.Time, state *modelState, chosen *replica, request *Request, earlier attempts) *grant {
 	tokens := tokensOf(request)
-	chosen.usage.add(tokens)
+	chosen.usage.add(now, tokens)
 	if chosen.baseUsage != nil {
-		chosen.baseUsage.add(tokens)
+		chosen.baseUsage.add(now, tokens)
 	}
 	chosen.server.inFlight.Add(1)
 	chosen.server.prefixes.Hint(now, state.seed, request.Prefixes)
@@ -152,6 +149,7 @@
 // fillCandidates takes the snapshot that routing decides on.
 func (p *pool) fillCandidates(now time.Time, state *modelState, request *Request) {
 	state.candidates = state.candidates[:0]
+	halfLife := reportHalfLife(state.pace.hold)
 	for index := range state.replicas {
 		known := &state.replicas[index]
 		status := known.server.outliers.Status(now)
@@ -163,7 +161,8 @@
 			Ejected:      status.Ejected,
 			Share:        status.Share,
 			Usage:        known.usage.within(&state.model.Settings),
-			ReportedLoad: known.server.othersLoad(now),
+			Recent:       known.usage.recentBy(now),
+			ReportedLoad: known.server.othersLoad(now, halfLife),
 			AdapterSeen:  known.server.reports(state.name),
 		}
 		if p.router.config.off.leaving {
