--- a/pkg/lab/node.go
+++ b/pkg/lab/node.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/traffic/routing"
 )
 
 // node is one process of martenwheel beside callers: its router, and the ears
@@ -23,6 +24,10 @@
 	active  []int           // models with something to report, in order
 	ticking bool
 	runs    []*run // attempts under way
+
+	chooser    *routing.Chooser
+	candidates []routing.Candidate // scratch
+	servers    []*emulatedEngine   // of the candidates
 }
 
 // replicaView is what a node knows of a replica.
@@ -134,24 +139,28 @@
 	}
 }
 
-// pick returns the ready replica with the fewest of the node's own requests,
-// one in the same zone first; nil if there is none.
+// pick lets the product's routing choose a replica among those that the node
+// knows of; nil if none can take the request.
 func (n *node) pick(model int) *emulatedEngine {
-	var best *emulatedEngine
-	var bestLoad int
+	settings := &n.world.models[model].settings
+	n.candidates, n.servers = n.candidates[:0], n.servers[:0]
 	for _, view := range n.views[model] {
-		if view.state != api.ReplicaReady || view.leaving || view.avoid > n.world.clock.elapsed {
+		if view.avoid > n.world.clock.elapsed {
 			continue
 		}
-		load := 2 * n.inFlightOn(model, view.server)
-		if view.server.zone != n.zone {
-			load++
-		}
-		if best == nil || load < bestLoad {
-			best, bestLoad = view.server, load
-		}
+		n.servers = append(n.servers, view.server)
+		n.candidates = append(n.candidates, routing.Candidate{
+			Server: view.server.id, Zone: n.world.scenario.Zones[view.server.zone],
+			State: view.state, Leaving: view.leaving, Share: 1,
+			Usage: routing.Usage{Requests: n.inFlightOn(model, view.server), MaxRequests: settings.MaxConcurrency},
+		})
+	}
+	asked := routing.Request{Zone: n.world.scenario.Zones[n.zone]}
+	index, found := n.chooser.Choose(n.world.random, &asked, n.candidates)
+	if !found {
+		return nil
 	}
-	return best
+	return n.servers[index]
 }
 
 // inFlightOn counts the node's own requests on a replica.
--- a/pkg/lab/world.go
+++ b/pkg/lab/world.go
@@ -11,6 +11,7 @@
 
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/policy"
+	"martenwheel.dev/pkg/traffic/routing"
 )
 
 // world is everything of a run.
@@ -155,7 +156,7 @@
 	for i := range w.scenario.Nodes {
 		w.nodes = append(w.nodes, &node{
 			world: w, index: i, id: api.NodeID(fmt.Sprintf("node-%02d", i)),
-			zone: i % len(w.scenario.Zones), queues: make([]*modelQueue, len(w.models)),
+			zone: i % len(w.scenario.Zones), queues: make([]*modelQueue, len(w.models)), chooser: routing.NewDefaultChooser(),
 		})
 	}
 }
