--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -75,17 +76,39 @@
 
 // cluster is a platform, three engines and three nodes.
 type cluster struct {
+	options
 	platform        *process
 	platformAddress string
 	engines         []*engineProcess
 	nodes           []*nodeProcess
 }
 
+// options change the cluster of a test. The zero value changes nothing.
+type options struct {
+	tree        string   // in place of siteTree
+	engineFlags []string // of all engines
+	// settings returns more settings of a node, as lines of YAML.
+	settings func(id api.NodeID) string
+	operator *operatorAccess // nil: plain HTTP without a key
+}
+
+// operatorAccess is what an operator needs besides the address.
+type operatorAccess struct {
+	client *http.Client
+	key    string
+	flags  []string // of commands
+}
+
 // startCluster starts all processes, commits the tree and waits until every
 // node is ready.
 func startCluster(t *testing.T) *cluster {
 	t.Helper()
-	c := &cluster{}
+	return startClusterWith(t, options{})
+}
+
+func startClusterWith(t *testing.T, with options) *cluster {
+	t.Helper()
+	c := &cluster{options: with}
 	var announced standinAddress
 	c.platform = start(t, &announced, "martenwheel-standin", "platform", "--speed", speed, "--machine-lag", "500ms")
 	c.platformAddress = announced.Address
@@ -96,16 +119,20 @@
 		c.nodes = append(c.nodes, c.startNode(t, zone))
 	}
 	c.waitReady(t)
-	c.applyTree(t, siteTree)
+	if c.tree == "" {
+		c.tree = siteTree
+	}
+	c.applyTree(t, c.tree)
 	return c
 }
 
 func (c *cluster) startEngine(t *testing.T, zone, listen string) *engineProcess {
 	t.Helper()
 	e := &engineProcess{id: api.ServerID("server-" + zone)}
-	e.process = start(t, &e.standinAddress, "martenwheel-standin", "engine", "--listen", listen,
+	arguments := []string{"engine", "--listen", listen,
 		"--id", string(e.id), "--service", service, "--zone", zone, "--region", region,
-		"--platform", c.platformAddress, "--speed", speed, "--memory", strconv.Itoa(engineBytes))
+		"--platform", c.platformAddress, "--speed", speed, "--memory", strconv.Itoa(engineBytes)}
+	e.process = start(t, &e.standinAddress, "martenwheel-standin", append(arguments, c.engineFlags...)...)
 	return e
 }
 
@@ -121,39 +148,81 @@
   machines: {endpoint: %q}
 drain_time: 10s
 `, region, zone, base, base, base)
-	if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
-		t.Fatal(err)
+	for i, other := range c.nodes {
+		if i == 0 {
+			content += "seeds:\n"
+		}
+		content += fmt.Sprintf("- %q\n", other.Peers)
 	}
 	n := &nodeProcess{id: api.NodeID("node-" + zone)}
-	arguments := []string{"node", "--settings", file, "--node-id", string(n.id),
-		"--listen-callers", anyPort, "--listen-operators", anyPort, "--listen-peers", anyPort}
-	for _, other := range c.nodes {
-		arguments = append(arguments, "--seeds", other.Peers)
-		break
+	if c.settings != nil {
+		content += c.settings(n.id)
+	}
+	if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
 	}
-	n.process = start(t, &n.nodeAddresses, "martenwheel", arguments...)
+	n.process = start(t, &n.nodeAddresses, "martenwheel", "node", "--settings", file, "--node-id", string(n.id),
+		"--listen-callers", anyPort, "--listen-operators", anyPort, "--listen-peers", anyPort)
 	return n
 }
 
+// replaceNode starts a new process in place of one that ended, and waits until
+// it is ready.
+func (c *cluster) replaceNode(t *testing.T, old *nodeProcess) *nodeProcess {
+	t.Helper()
+	index := slices.Index(c.nodes, old)
+	c.nodes = slices.Delete(slices.Clone(c.nodes), index, index+1)
+	replacement := c.startNode(t, zones[index])
+	c.nodes = slices.Insert(c.nodes, index, replacement)
+	waitFor(t, string(replacement.id)+" is ready again", func() bool { return c.ready(replacement) })
+	return replacement
+}
+
+// operatorURL returns the URL of a node's listener for operators.
+func (c *cluster) operatorURL(node *nodeProcess) string {
+	if c.operator == nil {
+		return "http://" + node.Operators
+	}
+	return "https://" + node.Operators
+}
+
+// operatorClient returns a client of a node's API for operators.
+func (c *cluster) operatorClient(node *nodeProcess) *operator.Client {
+	if c.operator == nil {
+		return operator.NewClient(c.operatorURL(node), "", http.DefaultClient)
+	}
+	return operator.NewClient(c.operatorURL(node), c.operator.key, c.operator.client)
+}
+
 // waitReady waits until all nodes say that they are ready.
 func (c *cluster) waitReady(t *testing.T) {
 	t.Helper()
 	for _, node := range c.nodes {
-		waitFor(t, string(node.id)+" is ready", func() bool {
-			response, err := http.Get("http://" + node.Operators + "/readyz")
-			if err != nil {
-				return false
-			}
-			response.Body.Close()
-			return response.StatusCode == http.StatusOK
-		})
+		waitFor(t, string(node.id)+" is ready", func() bool { return c.ready(node) })
+	}
+}
+
+// ready tells whether a node says that it is ready.
+func (c *cluster) ready(node *nodeProcess) bool {
+	client := http.DefaultClient
+	if c.operator != nil {
+		client = c.operator.client
+	}
+	response, err := client.Get(c.operatorURL(node) + operator.PathReady)
+	if err != nil {
+		return false
 	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
 }
 
 // command runs a command of martenwheel against a node and returns its output.
 func (c *cluster) command(t *testing.T, node *nodeProcess, arguments ...string) (string, error) {
 	t.Helper()
-	arguments = append(arguments, "--address", "http://"+node.Operators)
+	arguments = append(arguments, "--address", c.operatorURL(node))
+	if c.operator != nil {
+		arguments = append(arguments, c.operator.flags...)
+	}
 	output, err := exec.Command(filepath.Join(programs, "martenwheel"), arguments...).CombinedOutput()
 	return string(output), err
 }
@@ -181,15 +250,10 @@
 // status returns what a node knows of the system.
 func (c *cluster) status(t *testing.T, node *nodeProcess) operator.Status {
 	t.Helper()
-	response, err := http.Get("http://" + node.Operators + operator.PathStatus)
+	status, err := c.operatorClient(node).Status(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer response.Body.Close()
-	var status operator.Status
-	if err := json.NewDecoder(response.Body).Decode(&status); err != nil {
-		t.Fatal(err)
-	}
 	return status
 }
 
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -132,6 +132,7 @@
 // TestOwnerDiesDuringLoad kills the owner while a load runs. The waiting
 // request at another node is served, and no second replica is loaded.
 func TestOwnerDiesDuringLoad(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t)
 	owner, other := c.owner(t)
 	setFaults(t, c.platformAddress, standin.PartWeights, standin.Faults{SlowFactor: 5})
@@ -152,6 +153,7 @@
 // it. Another node takes over and serves; the frozen one then goes on with what
 // it had in its buffers, and still no second replica is loaded.
 func TestFrozenOwnerWakesUp(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t)
 	owner, other := c.owner(t)
 	stop := make(chan struct{})
@@ -177,6 +179,7 @@
 // Loaded models are served, idle ones are woken, an edit is refused as such, and
 // the settings in force stay.
 func TestTableServiceDown(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t)
 	askUntilServed(t, c.nodes[0], "glaze-7b")
 	owner, other := c.owner(t)
@@ -202,6 +205,7 @@
 // TestBurstCausesOneLoad sends many requests to all nodes at once for one idle
 // model. All are served, and the model is loaded once.
 func TestBurstCausesOneLoad(t *testing.T) {
+	t.Parallel()
 	const requests = 300
 	c := startCluster(t)
 	c.owner(t)
@@ -232,6 +236,7 @@
 // TestLeavingEngine stops the engine that holds the only replica while a stream
 // runs on it. The stream ends whole, and the next request is served elsewhere.
 func TestLeavingEngine(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t)
 	askUntilServed(t, c.nodes[0], "glaze-7b")
 	holder := c.holder(t, "glaze-7b")
@@ -253,6 +258,7 @@
 // TestStoppingNode stops a node while a stream runs through it. The stream ends
 // whole, and the other nodes go on.
 func TestStoppingNode(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t)
 	askUntilServed(t, c.nodes[0], "glaze-7b")
 	streams := pool.New()
@@ -268,6 +274,7 @@
 // notice. Once the platform lists the machine as gone, the model is served
 // elsewhere.
 func TestVanishedEngine(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t)
 	askUntilServed(t, c.nodes[0], "glaze-7b")
 	holder := c.holder(t, "glaze-7b")
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -73,6 +73,7 @@
 // of the keep-alive unloads the replicas, and the same request is found in the
 // logs of the node and of the owner.
 func TestWholePath(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t)
 
 	if text := askStreamed(t, c.nodes[0], "glaze-7b", "idle-streamed"); text == "" {
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"os"
 	"os/exec"
@@ -17,6 +18,11 @@
 // stopBound is the longest that a process may take for a planned stop.
 const stopBound = 30 * time.Second
 
+const (
+	parallelFlag   = "test.parallel"
+	clustersAtOnce = "4"
+)
+
 // programs is the directory of the programs under test.
 var programs string
 
@@ -38,9 +44,20 @@
 		return 1
 	}
 	programs = directory
+	limitParallel()
 	return m.Run()
 }
 
+// limitParallel lets a few clusters run at once, unless a flag says otherwise.
+func limitParallel() {
+	flag.Parse()
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == parallelFlag })
+	if !given {
+		_ = flag.Set(parallelFlag, clustersAtOnce) // the testing package defines it
+	}
+}
+
 // process is a running program that printed its addresses on stdout.
 type process struct {
 	command *exec.Cmd
