e2e: a load in doubt at takeover, frozen and replaced engines

The tests of a dead and of a frozen owner stay green when the new owner forgets the old one's intents, since it finds the load in the inventories. The order must sit in an engine that doesn't answer to show what the intents are for: the new tests hold it there.

--- /dev/null
+++ b/e2e/engines_test.go
@@ -0,0 +1,163 @@
+package e2e
+
+import (
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3/option"
+	"github.com/sourcegraph/conc/pool"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/standin"
+)
+
+// setOrderFaults sets the faults of the orders and inventories of engines.
+func setOrderFaults(t *testing.T, engines []*engineProcess, faults standin.Faults) {
+	t.Helper()
+	for _, e := range engines {
+		setFaults(t, e.Address, standin.PartOrders, faults)
+	}
+}
+
+// orderedServer returns the engine that a node has ordered a load of, or nil.
+func (c *cluster) orderedServer(t *testing.T, node *nodeProcess, model api.ModelName) *engineProcess {
+	t.Helper()
+	for _, line := range node.lines(t) {
+		if line["@message"] != "load ordered" || line["model"] != string(model) {
+			continue
+		}
+		for _, e := range c.engines {
+			if line["server"] == string(e.id) {
+				return e
+			}
+		}
+	}
+	return nil
+}
+
+// waitForOtherOwner waits until node sees another owner than old.
+func (c *cluster) waitForOtherOwner(t *testing.T, node *nodeProcess, old api.NodeID) {
+	t.Helper()
+	waitFor(t, "another node owns the cell", func() bool {
+		cells := c.status(t, node).Cells
+		return len(cells) == 1 && cells[0].Owner != old && cells[0].Owner != ""
+	})
+}
+
+// TestLoadOrderInDoubtAtTakeover takes the owner away while its load order sits
+// in an engine that doesn't answer. The new owner can't know whether the engine
+// will load, so it must not load elsewhere until it has reached the engine.
+func TestLoadOrderInDoubtAtTakeover(t *testing.T) {
+	t.Parallel()
+	t.Run("owner dies", func(t *testing.T) {
+		t.Parallel()
+		testLoadOrderInDoubt(t, (*nodeProcess).crash, func(*nodeProcess) {})
+	})
+	t.Run("owner freezes and wakes up", func(t *testing.T) {
+		t.Parallel()
+		testLoadOrderInDoubt(t, (*nodeProcess).freeze, (*nodeProcess).thaw)
+	})
+}
+
+func (n *nodeProcess) crash()  { n.kill() }
+func (n *nodeProcess) freeze() { n.signal(syscall.SIGSTOP) }
+func (n *nodeProcess) thaw()   { n.signal(syscall.SIGCONT) }
+
+func testLoadOrderInDoubt(t *testing.T, takeAway, bringBack func(*nodeProcess)) {
+	c := startCluster(t)
+	owner, other := c.owner(t)
+	askUntilServed(t, other, "firing-13b") // all that a load needs is in place
+	stop := make(chan struct{})
+	watch := pool.New()
+	watch.Go(func() { c.wantAtMostOneReplica(t, "glaze-7b", stop) })
+
+	setOrderFaults(t, c.engines, standin.Faults{Freeze: true})
+	wake := pool.New()
+	wake.Go(func() { _, _ = tryWhole(t.Context(), other, "glaze-7b", option.WithHeader("X-Deadline-Ms", "5000")) })
+	var ordered *engineProcess
+	waitFor(t, "the owner orders a load", func() bool {
+		ordered = c.orderedServer(t, owner, "glaze-7b")
+		return ordered != nil
+	})
+	takeAway(owner)
+	inReach := slices.DeleteFunc(slices.Clone(c.engines), func(e *engineProcess) bool { return e == ordered })
+	setOrderFaults(t, inReach, standin.Faults{})
+	c.waitForOtherOwner(t, other, owner.id)
+	wake.Wait()
+
+	if _, err := tryWhole(t.Context(), other, "glaze-7b", option.WithHeader("X-Deadline-Ms", "4000")); err == nil || !notRun(err) {
+		t.Errorf("glaze-7b while its load is in doubt: %v, want a refusal that did not run", err)
+	}
+	for _, e := range inReach {
+		if c.holds(t, e, "glaze-7b") {
+			t.Errorf("glaze-7b was loaded on %s while %s may load it", e.id, ordered.id)
+		}
+	}
+	bringBack(owner)
+	setOrderFaults(t, []*engineProcess{ordered}, standin.Faults{})
+	askUntilServed(t, other, "glaze-7b")
+	close(stop)
+	watch.Wait()
+}
+
+// TestFrozenEngine stops the engine that holds the only replica and lets it go
+// on later. Requests meanwhile end with a truthful answer, and no second
+// replica is loaded although the first can't be seen.
+func TestFrozenEngine(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t)
+	askUntilServed(t, c.nodes[0], "glaze-7b")
+	holder := c.holder(t, "glaze-7b")
+	holder.signal(syscall.SIGSTOP)
+	waitFor(t, "the owner sees that the engine is out of reach", func() bool {
+		for _, server := range c.status(t, c.nodes[1]).Servers {
+			if server.ID == holder.id {
+				return !server.Reachable
+			}
+		}
+		return false
+	})
+	began := time.Now()
+	if _, err := tryWhole(t.Context(), c.nodes[1], "glaze-7b", option.WithHeader("X-Deadline-Ms", "3000")); err == nil {
+		t.Error("served although the only replica is frozen")
+	}
+	if took := time.Since(began); took > 10*time.Second {
+		t.Errorf("an answer took %s with a deadline of 3s", took)
+	}
+	for _, e := range c.engines {
+		if e != holder && c.holds(t, e, "glaze-7b") {
+			t.Errorf("glaze-7b was loaded on %s although %s may still hold it", e.id, holder.id)
+		}
+	}
+	holder.signal(syscall.SIGCONT)
+	askUntilServed(t, c.nodes[1], "glaze-7b")
+	if count := c.loaded(t, "glaze-7b"); count != 1 {
+		t.Errorf("%d replicas of glaze-7b, want 1", count)
+	}
+}
+
+// TestMachineComesBackUnderTheSameAddress kills the engine that holds the only
+// replica and starts an empty one under its ID and address.
+func TestMachineComesBackUnderTheSameAddress(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t)
+	askUntilServed(t, c.nodes[0], "glaze-7b")
+	holder := c.holder(t, "glaze-7b")
+	index := slices.Index(c.engines, holder)
+	holder.kill()
+	c.engines[index] = c.startEngine(t, zones[index], holder.Address)
+
+	stop := make(chan struct{})
+	watch := pool.New()
+	watch.Go(func() { c.wantAtMostOneReplica(t, "glaze-7b", stop) })
+	for _, node := range c.nodes {
+		askUntilServed(t, node, "glaze-7b")
+	}
+	close(stop)
+	watch.Wait()
+	if count := c.loaded(t, "glaze-7b"); count != 1 {
+		t.Errorf("%d replicas of glaze-7b, want 1", count)
+	}
+}
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -52,31 +53,29 @@
 	return agreed
 }
 
-// inventories returns what the engines in reach hold, by engine.
-func (c *cluster) inventories(t *testing.T) []engine.Inventory {
+// holds tells whether an engine in reach holds a replica of a model, loading
+// and unloading ones included.
+func (c *cluster) holds(t *testing.T, e *engineProcess, model api.ModelName) bool {
 	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
 	client := engine.NewHTTPClient(engine.HTTPClientConfig{})
-	var all []engine.Inventory
-	for _, e := range c.engines {
-		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-		inventory, err := client.Inventory(ctx, e.Address, engine.InventoryRequest{})
-		cancel()
-		if err == nil {
-			all = append(all, inventory)
-		}
+	inventory, err := client.Inventory(ctx, e.Address, engine.InventoryRequest{})
+	if err != nil {
+		return false
 	}
-	return all
+	return slices.ContainsFunc(inventory.Items, func(item engine.Item) bool {
+		return item.Model == model && item.State != engine.ItemFailed
+	})
 }
 
-// loaded counts the replicas of a model on the engines.
+// loaded counts the replicas of a model on the engines in reach.
 func (c *cluster) loaded(t *testing.T, model api.ModelName) int {
 	t.Helper()
 	count := 0
-	for _, inventory := range c.inventories(t) {
-		for _, item := range inventory.Items {
-			if item.Model == model && item.State != engine.ItemFailed {
-				count++
-			}
+	for _, e := range c.engines {
+		if c.holds(t, e, model) {
+			count++
 		}
 	}
 	return count
@@ -163,12 +162,9 @@
 	requests := pool.New()
 	requests.Go(func() { _, _ = tryWhole(t.Context(), owner, "glaze-7b") }) // its node freezes
 	requests.Go(func() { askUntilServed(t, other, "glaze-7b") })
-	owner.signal(syscall.SIGSTOP)
-	waitFor(t, "another node owns the cell", func() bool {
-		cells := c.status(t, other).Cells
-		return len(cells) == 1 && cells[0].Owner != owner.id && cells[0].Owner != ""
-	})
-	owner.signal(syscall.SIGCONT)
+	owner.freeze()
+	c.waitForOtherOwner(t, other, owner.id)
+	owner.thaw()
 	requests.Wait()
 	askUntilServed(t, owner, "glaze-7b")
 	close(stop)
