At most once, wired: keepers follow the quorum group's configuration, claims are checked before dispatch

Cause: keepers, claims and gateway existed, but no view carried a configuration, so every unsafe request was refused as not run.

The quorum group counts its configurations; views carry the version and the members before; the node's keeper adopts them. A view goes out whole, not as a delta, when the configuration changed. The gateway checks the age of a granted claim right before the request is sent (TestLapsedClaim fails without it).

Ruled out: adopting the configuration from the group's own messages (the views reach removed members too, which the copy barrier needs).

--- a/pkg/control/cell/view.go
+++ b/pkg/control/cell/view.go
@@ -26,6 +26,11 @@
 	return view, true
 }
 
+// MarkChanged makes TakeView return a view although the cell did not change.
+func (o *Owner) MarkChanged() {
+	o.changed = true
+}
+
 func (o *Owner) serverView(s *server) api.ServerView {
 	return api.ServerView{
 		ID: s.ID, Address: s.Address, Zone: s.Zone,
--- a/pkg/control/cells.go
+++ b/pkg/control/cells.go
@@ -162,11 +162,17 @@
 	if c.machine.now.Before(c.publishAt) {
 		return
 	}
+	committed := c.group.Committed()
+	if committed.ConfigVersion() != c.view.ConfigVersion {
+		c.owner.MarkChanged()
+	}
 	view, changed := c.owner.TakeView()
 	if !changed {
 		return
 	}
-	view.Members = c.group.Committed().Members
+	view.Members = committed.Members
+	view.PreviousMembers = committed.Previous
+	view.ConfigVersion = committed.ConfigVersion()
 	var message any = ViewPush{View: view}
 	if delta, ok := makeDelta(c.view, view); ok {
 		message = delta
--- a/pkg/control/delta.go
+++ b/pkg/control/delta.go
@@ -35,9 +35,9 @@
 }
 
 // makeDelta returns the change from one view to the next, and false if it can't
-// be told as one: the term or the members differ.
+// be told as one: the term or the configuration differs.
 func makeDelta(from, to api.CellView) (ViewDelta, bool) {
-	if from.Term != to.Term || !sameMembers(from.Members, to.Members) {
+	if from.Term != to.Term || from.ConfigVersion != to.ConfigVersion {
 		return ViewDelta{}, false
 	}
 	delta := ViewDelta{Cell: to.Cell, Term: to.Term, Base: from.Version, Version: to.Version}
--- a/pkg/control/quorum/group.go
+++ b/pkg/control/quorum/group.go
@@ -77,7 +77,7 @@
 		return nil
 	}
 	g.promise(term, g.config.Self)
-	g.lead(now, State{Term: term, Members: members, Data: data})
+	g.lead(now, State{Term: term, Members: members, Configuration: 1, Data: data})
 	return g.flush()
 }
 
@@ -547,7 +547,9 @@
 	switch {
 	case len(next.Next) > 0:
 		g.departed = without(next.Members, next.Next)
+		next.Previous = next.Members
 		next.Members, next.Next = next.Next, nil
+		next.Configuration++
 	case len(g.wantNext) > 0:
 		next.Next = g.wantNext
 		g.wantNext = nil
--- a/pkg/control/quorum/types.go
+++ b/pkg/control/quorum/types.go
@@ -86,7 +86,18 @@
 	Version uint64
 	Members []api.NodeRef
 	Next    []api.NodeRef // the new members of a joint configuration, else empty
-	Data    Data
+
+	// Configuration counts the sets of members of the epoch, from 1. Previous
+	// are the members of the set before, empty in the first one.
+	Configuration uint64
+	Previous      []api.NodeRef
+
+	Data Data
+}
+
+// ConfigVersion returns the version of the set of members.
+func (s State) ConfigVersion() uint64 {
+	return api.MakeConfigVersion(Epoch(s.Term), s.Configuration)
 }
 
 // newerThan orders the states of one register.
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -68,6 +68,9 @@
 // for: all of it, or the first event of a stream. If the connection breaks, it
 // asks the same engine for the answer to the same request.
 func (a *attempt) run() *attemptFailure {
+	if !a.call.mayStillRun() {
+		return &attemptFailure{outcome: traffic.OutcomeNotRun, apiError: claimLapsed(), final: true}
+	}
 	a.call.record.sentAt = a.call.gateway.config.Now()
 	failure := a.exchange(newRequest)
 	if failure == nil {
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -31,6 +31,7 @@
 	model    tree.Model
 	request  traffic.Request
 	claim    *keeper.Claim // a granted claim
+	decision keeper.Decision
 
 	current    *attempt        // the last one
 	caller     context.Context // ends when the caller left or the node stops
--- a/pkg/gateway/claim.go
+++ b/pkg/gateway/claim.go
@@ -43,6 +43,7 @@
 	c.record.waited += c.gateway.config.Now().Sub(waitFrom)
 	if decision.Verdict == keeper.VerdictGranted {
 		c.claim = &claim
+		c.decision = decision
 		return nil, nil
 	}
 	return decideRepeat(decision)
@@ -99,6 +100,18 @@
 	return ctx.Status(kept.Status).Send(kept.Body)
 }
 
+// mayStillRun tells whether the keepers still remember the claim of an unsafe
+// request. A node that was frozen since the claim, or let the request wait too
+// long, must not send it on.
+func (c *call) mayStillRun() bool {
+	return c.claim == nil || c.decision.StillValid(c.gateway.config.Now())
+}
+
+// claimLapsed is the error for an unsafe request whose claim is too old.
+func claimLapsed() *APIError {
+	return claimRefused(traffic.ReasonUnavailable, "the claim on the key became too old before the request could be sent; it was not run", true, claimRetry)
+}
+
 // completeClaim keeps the answer of a granted claim, in the background.
 func (c *call) completeClaim(answer keeper.Answer) {
 	if c.claim == nil {
--- a/pkg/gateway/edge_test.go
+++ b/pkg/gateway/edge_test.go
@@ -217,6 +217,22 @@
 	}
 }
 
+// TestLapsedClaim: a request whose claim became too old, as on a node that was
+// frozen, is not sent on, and its key is given back.
+func TestLapsedClaim(t *testing.T) {
+	engineServer := startEngine(t, 1)
+	claims := newFakeClaims(keeper.Decision{Verdict: keeper.VerdictGranted, DispatchBefore: time.Now().Add(-time.Second)})
+	_, url := startGateway(t, Config{Dispatcher: &fakeDispatcher{targets: []traffic.Target{engineServer.target()}}, Claims: claims})
+	got := post(t, newClient(t), url+"/v1/chat/completions", chatBody("slots", "a", false), map[string]string{HeaderIdempotencyKey: "key-1"})
+	if apiError := apiErrorOf(t, got); got.status != 503 || !apiError.NotRun || got.header.Get("Retry-After") == "" {
+		t.Errorf("status %d, error %+v", got.status, apiError)
+	}
+	<-claims.told
+	if claims.released != 1 || engineServer.requests() != 0 {
+		t.Errorf("%d released, %d requests reached the engine", claims.released, engineServer.requests())
+	}
+}
+
 // TestClaimCompleted: the answer of an unsafe request is kept, unless it is
 // too large; without keepers such a request is not run.
 func TestClaimCompleted(t *testing.T) {
--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -36,6 +36,7 @@
 	table     platform.Table
 	machines  platform.Machines
 	transport peer.Transport
+	keeping   *keeping
 	logger    hclog.Logger
 }
 
@@ -57,6 +58,7 @@
 	case control.FetchTree:
 		x.start(fetchTreeTimeout, func(ctx context.Context) control.Event { return x.fetchTree(ctx, effect) })
 	case control.PublishView:
+		x.keeping.takeView(effect.View)
 		x.view.publishView(effect.View)
 	case control.PublishEstimate:
 		x.view.publishEstimate(effect.Estimate)
--- a/pkg/node/loop.go
+++ b/pkg/node/loop.go
@@ -18,15 +18,17 @@
 	trees    *tree.Holder
 	events   chan control.Event
 	inspects chan func(*control.Machine)
+	keeping  *keeping
 	carryOut func(control.Effect)
 	done     chan struct{} // closed when run returns
 }
 
-func newLoop(machine *control.Machine, view *view, trees *tree.Holder) *loop {
+func newLoop(machine *control.Machine, view *view, trees *tree.Holder, keeping *keeping) *loop {
 	return &loop{
 		machine:  machine,
 		view:     view,
 		trees:    trees,
+		keeping:  keeping,
 		events:   make(chan control.Event, eventBacklog),
 		inspects: make(chan func(*control.Machine)),
 		done:     make(chan struct{}),
@@ -40,7 +42,9 @@
 	defer ticker.Stop()
 	for {
 		treeChanged := l.trees.Changed()
-		l.apply(l.machine.SetTree(time.Now(), l.trees.Current()))
+		current := l.trees.Current()
+		l.keeping.takeTree(current)
+		l.apply(l.machine.SetTree(time.Now(), current))
 		if !l.serve(ctx, ticker.C, treeChanged) {
 			return
 		}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 
 	"martenwheel.dev/pkg/gateway"
+	"martenwheel.dev/pkg/keeper"
 	"martenwheel.dev/pkg/operator"
 	"martenwheel.dev/pkg/peer"
 	"martenwheel.dev/pkg/settings"
@@ -52,6 +53,8 @@
 	view      *view
 	loop      *loop
 	executor  *executor
+	keeping   *keeping
+	claims    *keeper.Client
 	router    *traffic.Router
 	gateway   *gateway.Gateway
 	callers   net.Listener
@@ -123,9 +126,10 @@
 	var group conc.WaitGroup
 	loopContext, stopLoop := context.WithCancel(context.Background())
 	defer stopLoop()
-	n.server.Serve(&peerHandler{loop: n.loop, trees: n.trees})
+	n.server.Serve(&peerHandler{loop: n.loop, trees: n.trees, keeper: n.keeping.keeper})
 	group.Go(func() { n.loop.run(loopContext) })
 	group.Go(func() { n.start(ctx) })
+	group.Go(func() { n.keeping.keeper.Run(loopContext, n.transport) })
 	group.Go(func() { n.secrets.watch(loopContext, n.logger) })
 	group.Go(func() { newObserver(n.executor.engines, n.router, n.view).run(loopContext) })
 	failed := make(chan error, listeners)
@@ -143,6 +147,7 @@
 	stopLoop()
 	n.stopControl()
 	n.executor.tasks.Wait()
+	n.claims.Close()
 	_ = n.transport.Close() // its queues are not needed any more
 	_ = n.server.Close()
 	group.Wait()
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -7,6 +7,7 @@
 
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/control"
+	"martenwheel.dev/pkg/keeper"
 	"martenwheel.dev/pkg/membership"
 	"martenwheel.dev/pkg/peer"
 	"martenwheel.dev/pkg/tree"
@@ -24,6 +25,9 @@
 	for _, message := range membership.Messages() {
 		peer.Register(message)
 	}
+	for _, message := range keeper.Messages() {
+		peer.Register(message)
+	}
 	peer.Register(tree.FetchRequest{}, tree.FetchAnswer{})
 }
 
@@ -31,18 +35,20 @@
 // answered here; all others are events of the control loop, whose answers are
 // messages of their own.
 type peerHandler struct {
-	loop  *loop
-	trees *tree.Holder
+	loop   *loop
+	trees  *tree.Holder
+	keeper *keeper.Keeper
 }
 
 // HandleMessage implements peer.Handler. It blocks while the loop is behind,
 // which slows the sender down.
 func (h *peerHandler) HandleMessage(ctx context.Context, from api.NodeRef, message peer.Message) (peer.Message, error) {
-	switch message := message.(type) {
-	case tree.FetchRequest:
-		return h.trees.Answer(message), nil
-	default:
-		h.loop.deliver(ctx, control.PeerReceived{From: from, Message: message})
-		return nil, nil
+	if request, ok := message.(tree.FetchRequest); ok {
+		return h.trees.Answer(request), nil
+	}
+	if reply, handled, err := h.keeper.HandleMessage(message); handled {
+		return reply, err
 	}
+	h.loop.deliver(ctx, control.PeerReceived{From: from, Message: message})
+	return nil, nil
 }
--- a/pkg/node/wiring.go
+++ b/pkg/node/wiring.go
@@ -13,6 +13,7 @@
 	"martenwheel.dev/pkg/control"
 	"martenwheel.dev/pkg/engine"
 	"martenwheel.dev/pkg/gateway"
+	"martenwheel.dev/pkg/keeper"
 	"martenwheel.dev/pkg/operator"
 	"martenwheel.dev/pkg/peer"
 	"martenwheel.dev/pkg/policy"
@@ -89,9 +90,12 @@
 		Seed:    self.Incarnation,
 		Decider: decider,
 	})
-	n.loop = newLoop(machine, n.view, n.trees)
-	if err := n.registry.Register(collector{loop: n.loop, counters: n.counters}); err != nil {
-		return errors.Wrap(err, "node: register metrics")
+	n.keeping = newKeeping(self)
+	n.loop = newLoop(machine, n.view, n.trees, n.keeping)
+	for _, metrics := range []prometheus.Collector{collector{loop: n.loop, counters: n.counters}, n.keeping.keeper} {
+		if err := n.registry.Register(metrics); err != nil {
+			return errors.Wrap(err, "node: register metrics")
+		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stopControl = cancel
@@ -105,6 +109,7 @@
 		table:     clients.table,
 		machines:  clients.machines,
 		transport: n.transport,
+		keeping:   n.keeping,
 		logger:    n.logger.Named("control"),
 	}
 	n.loop.carryOut = n.executor.carryOut
@@ -130,10 +135,12 @@
 	if err := n.registry.Register(traffic.Collector{Router: n.router}); err != nil {
 		return errors.Wrap(err, "node: register metrics")
 	}
+	n.claims = keeper.NewClient(n.transport, n.keeping.configuration, time.Now, 0)
 	config := gateway.Config{
 		Node:       string(n.settings.Node.ID),
 		Region:     n.settings.Node.Region,
 		Dispatcher: n.router,
+		Claims:     n.claims,
 		Catalog:    n.catalog,
 		Logger:     n.logger.Named("gateway"),
 		Metrics:    n.registry,
