Control: owners never decide by older settings than the one before; late results are not taken for later calls

A record read that was given up and answered later could pass for a fresh one and verify an engine instance wrongly; there is no time-out now, each effect has exactly one result. Live nodes are worked out once a step.

--- a/pkg/control/cell/decide.go
+++ b/pkg/control/cell/decide.go
@@ -261,6 +261,8 @@
 func (o *Owner) countObstacle(model tree.Model) waitCause {
 	counted := o.counted(model.Name)
 	switch {
+	case o.outdated():
+		return waitsForServers
 	case counted < model.Settings.MaxReplicas:
 		return 0
 	case counted > o.counts[model.Name]:
--- a/pkg/control/cell/estimate.go
+++ b/pkg/control/cell/estimate.go
@@ -25,7 +25,7 @@
 	waitsForRoom                         // which an unload under way will make
 	waitsForBase                         // of the adapter
 	waitsForUnload                       // of the model itself
-	waitsForServers                      // to be fenced after a takeover
+	waitsForServers                      // to be fenced, or for the newest settings, after a takeover
 	waitsForBackoff                      // after a failed load
 	waitsForMemory                       // which is in use
 )
--- a/pkg/control/cell/orders.go
+++ b/pkg/control/cell/orders.go
@@ -68,7 +68,7 @@
 		return true
 	}
 	model, known := o.models[r.intent.Model]
-	if !known || o.counted(model.Name) > model.Settings.MaxReplicas {
+	if !known || o.outdated() || o.counted(model.Name) > model.Settings.MaxReplicas {
 		return false
 	}
 	if r.intent.Base != "" && !o.baseReady(r.intent.Base, s.ID) {
--- a/pkg/control/cell/owner.go
+++ b/pkg/control/cell/owner.go
@@ -31,6 +31,7 @@
 	failures    map[api.ModelName]*failure
 	loadTimes   map[api.ModelName]time.Duration // measured
 
+	revision    uint64 // of the settings
 	listVersion uint64
 	allocation  weights.Allocation
 	loadTokens  float64
@@ -116,8 +117,13 @@
 	return o.exhausted
 }
 
-// Configure takes over the settings of the cell's models, sorted by name.
-func (o *Owner) Configure(now time.Time, models []tree.Model) {
+// Configure takes over the settings of the cell's models, sorted by name, of a
+// revision of the tree.
+func (o *Owner) Configure(revision tree.Revision, models []tree.Model) {
+	if uint64(revision) > o.revision {
+		o.revision = uint64(revision)
+		o.dirty = true
+	}
 	o.models = make(map[api.ModelName]tree.Model, len(models))
 	o.modelOrder = o.modelOrder[:0]
 	for _, model := range models {
@@ -128,6 +134,12 @@
 	o.decideAt = time.Time{}
 }
 
+// outdated tells whether the owner before this one decided by newer settings.
+// This one loads nothing until it has them too.
+func (o *Owner) outdated() bool {
+	return o.revision < o.start.Data.Revision && !o.config.Unsafe.NoRevision
+}
+
 // Committed tells that a majority has committed data.
 func (o *Owner) Committed(now time.Time, data quorum.Data) {
 	orders := make(map[string]bool, len(data.Intents))
@@ -153,7 +165,7 @@
 		return quorum.Data{}, false
 	}
 	o.dirty = false
-	data := quorum.Data{FormedAt: o.start.Data.FormedAt}
+	data := quorum.Data{FormedAt: o.start.Data.FormedAt, Revision: max(o.revision, o.start.Data.Revision)}
 	for _, s := range o.sortedServers() {
 		if s.admitted {
 			data.Servers = append(data.Servers, s.Server)
--- a/pkg/control/cells.go
+++ b/pkg/control/cells.go
@@ -60,7 +60,6 @@
 
 func (c *cellControl) tick() {
 	c.sendGroup(c.group.Tick(c.machine.now))
-	c.tickCalls()
 	c.tickFormation()
 	c.tickRecord()
 	c.tickMembers()
@@ -125,12 +124,15 @@
 		Cell: c.name, Self: c.machine.config.Self, Timing: c.machine.timing.Cell, Random: c.machine.random,
 		Decider: c.machine.config.Decider, Unsafe: c.machine.config.Unsafe,
 	}, cell.Start{Term: term, Data: state.Data, Previous: c.view})
-	c.owner.Configure(now, c.models)
+	c.owner.Configure(c.machine.TreeRevision(), c.models)
 	c.committed = state.Version
 	c.record.reset(now)
 	c.leaving = nil
 	c.reconfigureAt = now
 	c.machine.machinesAt = now
+	if state.Data.Revision > uint64(c.machine.TreeRevision()) {
+		c.machine.treePoll = now // nothing is loaded before
+	}
 	c.Log("info", "cell owned", "term", term)
 	c.machine.repeatDemand(c)
 }
--- a/pkg/control/config.go
+++ b/pkg/control/config.go
@@ -41,7 +41,7 @@
 	RecordRetry         time.Duration // first pause after a failed write of a cell's record; doubles
 	RecordRetryMax      time.Duration
 	MachinePoll         time.Duration // between reads of the list of machines by an owner
-	CallTimeout         time.Duration // until a read or write without answer counts as failed
+	ListTimeout         time.Duration // until the list of machines is asked for again
 	ReconfigureInterval time.Duration // between checks of a group's members
 	DemandInterval      time.Duration // between demand reports
 	AntiEntropyInterval time.Duration // between comparisons with the neighbours
@@ -63,7 +63,7 @@
 		RecordRetry:         time.Second,
 		RecordRetryMax:      30 * time.Second,
 		MachinePoll:         time.Second,
-		CallTimeout:         5 * time.Second,
+		ListTimeout:         5 * time.Second,
 		ReconfigureInterval: time.Second,
 		DemandInterval:      time.Second,
 		AntiEntropyInterval: time.Second,
--- a/pkg/control/internal/switches/switches.go
+++ b/pkg/control/internal/switches/switches.go
@@ -18,5 +18,6 @@
 	NoAdmission    bool // servers are used before the table service records them
 	NoVerify       bool // a new engine instance is used without reading the record
 	BelieveList    bool // a list that says gone is believed whatever its age
+	NoRevision     bool // an owner decides by older settings than the one before it
 	NoTreeFloor    bool // an older tree replaces a newer one
 }
--- a/pkg/control/machine.go
+++ b/pkg/control/machine.go
@@ -20,6 +20,7 @@
 	random     *rand.Rand
 	membership Membership
 	now        time.Time
+	live       []api.NodeRef // of liveNodes within one step; nil if not made yet
 
 	settings  Settings
 	treeSeen  tree.Revision // highest that anybody in reach has had
@@ -66,6 +67,7 @@
 // Step handles an event at the time now, which never goes back.
 func (m *Machine) Step(now time.Time, event Event) []Effect {
 	m.now = now
+	m.live = nil
 	switch e := event.(type) {
 	case Tick:
 		m.tick()
@@ -196,7 +198,10 @@
 // liveNodes returns the nodes of this region that are not known to be dead,
 // with this node among them unless it stops.
 func (m *Machine) liveNodes() []api.NodeRef {
-	var live []api.NodeRef
+	if m.live != nil {
+		return m.live
+	}
+	live := []api.NodeRef{}
 	for _, member := range m.membership.Members() {
 		if member.Ref.Region != m.config.Self.Region || member.State > membership.StateSuspect {
 			continue
@@ -206,6 +211,7 @@
 		}
 		live = append(live, member.Ref)
 	}
+	m.live = live
 	return live
 }
 
@@ -221,7 +227,7 @@
 // pollMachines reads the list of machines while this node owns a cell or is
 // about to form a group.
 func (m *Machine) pollMachines() {
-	if !m.machinesAsked.IsZero() && m.now.Sub(m.machinesAsked) < m.timing.CallTimeout {
+	if !m.machinesAsked.IsZero() && m.now.Sub(m.machinesAsked) < m.timing.ListTimeout {
 		return
 	}
 	if m.now.Before(m.machinesAt) || !m.needsMachines() {
--- a/pkg/control/members.go
+++ b/pkg/control/members.go
@@ -117,6 +117,7 @@
 		return
 	}
 	m.stopping = true
+	m.live = nil
 	m.stopBy = m.now.Add(m.timing.StopTimeout)
 	for _, name := range m.cellOrder {
 		m.cells[name].reconfigureAt = m.now
--- a/pkg/control/quorum/types.go
+++ b/pkg/control/quorum/types.go
@@ -76,6 +76,7 @@
 // never changed once proposed.
 type Data struct {
 	FormedAt time.Time // when the epoch's record was surely written
+	Revision uint64    // of the tree that the owner decided by
 	Servers  []Server  // sorted by ID
 	Intents  []Intent  // sorted by server and model
 }
--- a/pkg/control/record.go
+++ b/pkg/control/record.go
@@ -28,7 +28,9 @@
 }
 
 // recordCalls is the one read or write of the record that is under way. A
-// write whose answer is lost is settled by reading the record.
+// write whose answer is lost is settled by reading the record. There is no
+// time-out here: each call has exactly one result, and a late result taken for
+// that of a later call would seem fresher than it is.
 type recordCalls struct {
 	reading bool
 	token   string // of the write under way, else empty
@@ -81,18 +83,6 @@
 	}})
 }
 
-// tickCalls gives up waiting for an answer.
-func (c *cellControl) tickCalls() {
-	if !c.calls.busy() || c.machine.now.Sub(c.calls.since) < c.machine.timing.CallTimeout {
-		return
-	}
-	if c.calls.reading {
-		c.takeRecord(platform.Record{}, platform.ErrUnavailable)
-		return
-	}
-	c.takeCommit(platform.ErrUnknownOutcome)
-}
-
 // takeRecord takes over the answer to a read.
 func (c *cellControl) takeRecord(record platform.Record, err error) {
 	if !c.calls.reading {
--- a/pkg/control/sync.go
+++ b/pkg/control/sync.go
@@ -30,6 +30,7 @@
 // SetTree takes over a tree, unless it is older than the one in force.
 func (m *Machine) SetTree(now time.Time, settings Settings) []Effect {
 	m.now = now
+	m.live = nil
 	floor := m.settings != nil && settings.Revision() <= m.settings.Revision()
 	if floor && !m.config.Unsafe.NoTreeFloor {
 		return m.finish()
@@ -61,7 +62,7 @@
 		c := m.cells[name]
 		c.models = models[name]
 		if c.owner != nil {
-			c.owner.Configure(m.now, c.models)
+			c.owner.Configure(m.TreeRevision(), c.models)
 		}
 	}
 }
--- a/pkg/control/types.go
+++ b/pkg/control/types.go
@@ -17,7 +17,8 @@
 type Event interface{ isEvent() }
 
 // Effect is something that the node is to do. Effects are carried out in
-// order of return but finish in any order; their results come back as events.
+// order of return but finish in any order; their results come back as events,
+// exactly one for each effect that has a result.
 type Effect interface{ isEffect() }
 
 // Tick is given about every TickInterval.
