--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -52,31 +53,29 @@
 	return agreed
 }
 
-// inventories returns what the engines in reach hold, by engine.
-func (c *cluster) inventories(t *testing.T) []engine.Inventory {
+// holds tells whether an engine in reach holds a replica of a model, loading
+// and unloading ones included.
+func (c *cluster) holds(t *testing.T, e *engineProcess, model api.ModelName) bool {
 	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
 	client := engine.NewHTTPClient(engine.HTTPClientConfig{})
-	var all []engine.Inventory
-	for _, e := range c.engines {
-		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-		inventory, err := client.Inventory(ctx, e.Address, engine.InventoryRequest{})
-		cancel()
-		if err == nil {
-			all = append(all, inventory)
-		}
+	inventory, err := client.Inventory(ctx, e.Address, engine.InventoryRequest{})
+	if err != nil {
+		return false
 	}
-	return all
+	return slices.ContainsFunc(inventory.Items, func(item engine.Item) bool {
+		return item.Model == model && item.State != engine.ItemFailed
+	})
 }
 
-// loaded counts the replicas of a model on the engines.
+// loaded counts the replicas of a model on the engines in reach.
 func (c *cluster) loaded(t *testing.T, model api.ModelName) int {
 	t.Helper()
 	count := 0
-	for _, inventory := range c.inventories(t) {
-		for _, item := range inventory.Items {
-			if item.Model == model && item.State != engine.ItemFailed {
-				count++
-			}
+	for _, e := range c.engines {
+		if c.holds(t, e, model) {
+			count++
 		}
 	}
 	return count
@@ -132,6 +131,7 @@
 // TestOwnerDiesDuringLoad kills the owner while a load runs. The waiting
 // request at another node is served, and no second replica is loaded.
 func TestOwnerDiesDuringLoad(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t)
 	owner, other := c.owner(t)
 	setFaults(t, c.platformAddress, standin.PartWeights, standin.Faults{SlowFactor: 5})
@@ -152,6 +152,7 @@
 // it. Another node takes over and serves; the frozen one then goes on with what
 // it had in its buffers, and still no second replica is loaded.
 func TestFrozenOwnerWakesUp(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t)
 	owner, other := c.owner(t)
 	stop := make(chan struct{})
@@ -161,12 +162,9 @@
 	requests := pool.New()
 	requests.Go(func() { _, _ = tryWhole(t.Context(), owner, "glaze-7b") }) // its node freezes
 	requests.Go(func() { askUntilServed(t, other, "glaze-7b") })
-	owner.signal(syscall.SIGSTOP)
-	waitFor(t, "another node owns the cell", func() bool {
-		cells := c.status(t, other).Cells
-		return len(cells) == 1 && cells[0].Owner != owner.id && cells[0].Owner != ""
-	})
-	owner.signal(syscall.SIGCONT)
+	owner.freeze()
+	c.waitForOtherOwner(t, other, owner.id)
+	owner.thaw()
 	requests.Wait()
 	askUntilServed(t, owner, "glaze-7b")
 	close(stop)
@@ -177,6 +175,7 @@
 // Loaded models are served, idle ones are woken, an edit is refused as such, and
 // the settings in force stay.
 func TestTableServiceDown(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t)
 	askUntilServed(t, c.nodes[0], "glaze-7b")
 	owner, other := c.owner(t)
@@ -202,6 +201,7 @@
 // TestBurstCausesOneLoad sends many requests to all nodes at once for one idle
 // model. All are served, and the model is loaded once.
 func TestBurstCausesOneLoad(t *testing.T) {
+	t.Parallel()
 	const requests = 300
 	c := startCluster(t)
 	c.owner(t)
@@ -232,6 +232,7 @@
 // TestLeavingEngine stops the engine that holds the only replica while a stream
 // runs on it. The stream ends whole, and the next request is served elsewhere.
 func TestLeavingEngine(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t)
 	askUntilServed(t, c.nodes[0], "glaze-7b")
 	holder := c.holder(t, "glaze-7b")
@@ -253,6 +254,7 @@
 // TestStoppingNode stops a node while a stream runs through it. The stream ends
 // whole, and the other nodes go on.
 func TestStoppingNode(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t)
 	askUntilServed(t, c.nodes[0], "glaze-7b")
 	streams := pool.New()
@@ -268,6 +270,7 @@
 // notice. Once the platform lists the machine as gone, the model is served
 // elsewhere.
 func TestVanishedEngine(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t)
 	askUntilServed(t, c.nodes[0], "glaze-7b")
 	holder := c.holder(t, "glaze-7b")
--- a/pkg/node/credentials.go
+++ b/pkg/node/credentials.go
@@ -49,11 +49,7 @@
 	if !config.Enabled() {
 		return
 	}
-	certificates, err := security.OpenCertificates(security.Files{
-		Certificate: config.CertificateFile,
-		Key:         config.KeyFile,
-		Authorities: config.CAFile,
-	}, time.Now)
+	certificates, err := security.OpenCertificates(config.Files(), time.Now)
 	if err != nil {
 		found.Merge("tls", err)
 		return
@@ -87,16 +83,6 @@
 	security.Watch(ctx, credentialInterval, report, files...)
 }
 
-// callerAuthenticator checks callers' keys for the gateway.
-type callerAuthenticator struct {
-	keys *security.Keys
-}
-
-// Authenticate implements gateway.Authenticator.
-func (a callerAuthenticator) Authenticate(key string) (string, bool) {
-	return a.keys.Authenticate([]byte(key))
-}
-
 // operatorAuthorizer checks operators' keys.
 type operatorAuthorizer struct {
 	keys *security.Keys
