--- a/pkg/policy/adaptive.go
+++ b/pkg/policy/adaptive.go
@@ -43,21 +43,19 @@
 }
 
 // prewarm implements retention.
-func (adaptive) prewarm(p *plan, model *Model) string {
+func (adaptive) prewarm(p *plan, model *Model) (prewarmWish, bool) {
 	if !p.prewarmTurn(model) {
-		return ""
+		return prewarmWish{}, false
 	}
 	if p.worthCaching(model) {
-		return "to cache its checkpoint"
+		return prewarmWish{"to cache its checkpoint", leastCached{}}, true
 	}
 	if !p.maySoonBeWanted(model) {
-		return ""
+		return prewarmWish{}, false
 	}
 	worth := p.outlook(model, p.fastestLoad(model))
-	if worth.loadNow > 0 && worth.loadNow >= worth.loadLate {
-		return "expected soon"
-	}
-	return ""
+	soon := worth.loadNow > 0 && worth.loadNow >= worth.loadLate
+	return prewarmWish{"expected soon", lowestCost{}}, soon
 }
 
 // prewarmTurns is the number of decisions, a second apart, over which the
--- a/pkg/policy/baselines.go
+++ b/pkg/policy/baselines.go
@@ -27,7 +27,7 @@
 // was used.
 type leastRecentlyUsed struct{}
 
-func (leastRecentlyUsed) prewarm(*plan, *Model) string { return "" }
+func (leastRecentlyUsed) prewarm(*plan, *Model) (prewarmWish, bool) { return prewarmWish{}, false }
 
 // value is the negative age; with the offset it is above zero, so that an
 // eviction always costs something.
--- a/pkg/policy/decide.go
+++ b/pkg/policy/decide.go
@@ -51,13 +51,19 @@
 	// unload tells whether a replica that was last used at lastUse is not
 	// worth its memory any more.
 	unload(p *plan, model *Model, replica *Replica, lastUse time.Time) bool
-	// prewarm tells why a model that is not loaded is to be loaded before a
-	// request comes; empty if it is not.
-	prewarm(p *plan, model *Model) string
+	// prewarm tells whether and why a model that is not loaded is to be loaded
+	// before a request comes.
+	prewarm(p *plan, model *Model) (prewarmWish, bool)
 	// value ranks idle replicas when memory is short: the lowest goes first.
 	value(p *plan, model *Model, replica *Replica, lastUse time.Time) float64
 }
 
+// prewarmWish is the wish to load a model before a request comes.
+type prewarmWish struct {
+	reason string
+	placer placer
+}
+
 // decider is a Decider with a shared load order.
 type decider struct {
 	name      string
@@ -220,7 +226,7 @@
 	if p.present[p.indexOf(model.Name)] >= maxReplicas(model) {
 		return
 	}
-	placed := d.place(p, model, want.extraBytes)
+	placed := d.place(p, model, want.extraBytes, d.placer)
 	switch {
 	case placed.server == nil:
 	case placed.waits:
@@ -258,12 +264,12 @@
 		if p.present[i] > 0 || maxReplicas(model) == 0 || !model.Settings.Prewarm {
 			continue
 		}
-		reason := d.retention.prewarm(p, model)
-		if reason == "" {
+		wish, wished := d.retention.prewarm(p, model)
+		if !wished {
 			continue
 		}
-		if placed := d.place(p, model, 0); placed.server != nil && !placed.waits {
-			p.load(model, placed.server, false, reason)
+		if placed := d.place(p, model, 0, wish.placer); placed.server != nil && !placed.waits {
+			p.load(model, placed.server, false, wish.reason)
 		}
 	}
 }
--- a/pkg/policy/placement.go
+++ b/pkg/policy/placement.go
@@ -26,6 +26,11 @@
 	if server == nil {
 		return tierRemote
 	}
+	return p.tierOn(model, server)
+}
+
+// tierOn is tier for a server of the plan.
+func (p *plan) tierOn(model *Model, server *serverPlan) checkpointTier {
 	switch server.Cached[CheckpointName(model)] {
 	case engine.TierMemory:
 		return tierMemory
@@ -128,6 +133,21 @@
 	return a.server.free < b.server.free
 }
 
+// leastCached prefers the server whose memory caches the least, wherever the
+// checkpoint comes from.
+type leastCached struct{}
+
+// better implements placer.
+func (leastCached) better(a, b placement) bool {
+	if a.waits != b.waits {
+		return b.waits
+	}
+	if a.cachedBytes != b.cachedBytes {
+		return a.cachedBytes < b.cachedBytes
+	}
+	return lowestCost{}.better(a, b)
+}
+
 // cost returns the cost in accelerator seconds. Victims that are worth nothing
 // cost nothing.
 func (a placement) cost() float64 {
@@ -137,7 +157,7 @@
 // place picks the server for a load. Its server is nil if none can take the
 // model, or if the checkpoint would have to come from the weight store and that
 // has no slot.
-func (d decider) place(p *plan, model *Model, extraBytes uint64) placement {
+func (d decider) place(p *plan, model *Model, extraBytes uint64, by placer) placement {
 	var best placement
 	for i := range p.servers {
 		server := &p.servers[i]
@@ -148,7 +168,7 @@
 			continue
 		}
 		candidate, ok := d.placeOn(p, model, server, ReplicaBytes(model)+extraBytes)
-		if ok && (best.server == nil || d.placer.better(candidate, best)) {
+		if ok && (best.server == nil || by.better(candidate, best)) {
 			best = candidate
 		}
 	}
