--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -128,13 +128,14 @@
 	})
 }
 
-// TestOwnerDiesDuringLoad kills the owner while a load runs. The waiting
+// TestOwnerDiesDuringLoad kills the owner while a load runs that takes longer
+// than the takeover. The waiting
 // request at another node is served, and no second replica is loaded.
 func TestOwnerDiesDuringLoad(t *testing.T) {
 	t.Parallel()
 	c := startCluster(t)
 	owner, other := c.owner(t)
-	setFaults(t, c.platformAddress, standin.PartWeights, standin.Faults{SlowFactor: 5})
+	setFaults(t, c.platformAddress, standin.PartWeights, standin.Faults{SlowFactor: 20})
 
 	stop := make(chan struct{})
 	tasks := pool.New()
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -31,6 +31,13 @@
 	}
 }
 
+// streamOf returns a request for a number of tokens.
+func streamOf(tokens int64) openai.ChatCompletionNewParams {
+	request := parameters("glaze-7b")
+	request.MaxTokens = openai.Int(tokens)
+	return request
+}
+
 // askWhole sends a request that is not streamed and returns its text.
 func askWhole(t *testing.T, node *nodeProcess, model, requestID string) string {
 	t.Helper()
--- /dev/null
+++ b/e2e/rolling_test.go
@@ -0,0 +1,155 @@
+package e2e
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc/pool"
+)
+
+// nodeList is the nodes that callers know of, as a load balancer would.
+type nodeList struct {
+	mutex sync.Mutex
+	nodes []*nodeProcess
+	next  int
+}
+
+func (l *nodeList) set(nodes []*nodeProcess) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.nodes = nodes
+}
+
+// pick returns the nodes in turn.
+func (l *nodeList) pick() *nodeProcess {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.next++
+	return l.nodes[l.next%len(l.nodes)]
+}
+
+// load is the steady load of a test.
+type load struct {
+	nodes    nodeList
+	stop     chan struct{}
+	callers  *pool.Pool
+	served   atomic.Int64
+	refused  atomic.Int64
+	streamed atomic.Int64
+}
+
+// startLoad lets whole requests and streams run at all nodes until end.
+func startLoad(t *testing.T, c *cluster) *load {
+	const wholeCallers, streamCallers = 8, 4
+	l := &load{stop: make(chan struct{}), callers: pool.New()}
+	l.nodes.set(c.nodes)
+	for range wholeCallers {
+		l.callers.Go(func() { l.repeat(func() { l.whole(t) }) })
+	}
+	for range streamCallers {
+		l.callers.Go(func() { l.repeat(func() { l.stream(t) }) })
+	}
+	return l
+}
+
+func (l *load) repeat(request func()) {
+	for {
+		select {
+		case <-l.stop:
+			return
+		default:
+			request()
+		}
+	}
+}
+
+// end stops the load and waits for what runs.
+func (l *load) end() {
+	close(l.stop)
+	l.callers.Wait()
+}
+
+// whole sends one request, which must be served or surely not run.
+func (l *load) whole(t *testing.T) {
+	_, err := tryWhole(t.Context(), l.nodes.pick(), "glaze-7b")
+	switch {
+	case err == nil:
+		l.served.Add(1)
+	case surelyNotRun(err):
+		l.refused.Add(1)
+		time.Sleep(waitPoll)
+	default:
+		t.Errorf("a request ended with %v", err)
+	}
+}
+
+// surelyNotRun tells whether a request was refused as not run, or never left
+// since nobody listens.
+func surelyNotRun(err error) bool {
+	return notRun(err) || errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// stream reads one stream, which must end whole if it began.
+func (l *load) stream(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), requestBound)
+	defer cancel()
+	client := newClient(l.nodes.pick())
+	stream := client.Chat.Completions.NewStreaming(ctx, streamOf(400))
+	defer stream.Close()
+	events, finished := 0, false
+	for stream.Next() {
+		events++
+		for _, choice := range stream.Current().Choices {
+			finished = finished || choice.FinishReason != ""
+		}
+	}
+	switch {
+	case stream.Err() == nil && finished:
+		l.streamed.Add(1)
+	case events == 0 && stream.Err() != nil && surelyNotRun(stream.Err()):
+		l.refused.Add(1)
+		time.Sleep(waitPoll)
+	default:
+		t.Errorf("a stream ended after %d events, finished: %t, %v", events, finished, stream.Err())
+	}
+}
+
+// TestRollingReplacement replaces all nodes one after the other under a steady
+// load. No stream is cut, and each request is served or refused as not run.
+func TestRollingReplacement(t *testing.T) {
+	t.Parallel()
+	c := startClusterWith(t, options{tree: doubleTree})
+	askUntilServed(t, c.nodes[0], "glaze-7b")
+	l := startLoad(t, c)
+	for _, old := range c.nodes {
+		before := l.served.Load() + l.streamed.Load()
+		old.stop(t)
+		l.nodes.set(c.without(old))
+		c.replaceNode(t, old)
+		l.nodes.set(c.nodes)
+		waitFor(t, "the load goes on", func() bool { return l.served.Load()+l.streamed.Load() > before+50 })
+	}
+	l.end()
+	http.DefaultClient.CloseIdleConnections()
+	t.Logf("served %d, streams %d, refused as not run %d", l.served.Load(), l.streamed.Load(), l.refused.Load())
+	if l.streamed.Load() == 0 {
+		t.Error("no stream ran")
+	}
+}
+
+// without returns the nodes but one.
+func (c *cluster) without(out *nodeProcess) []*nodeProcess {
+	var rest []*nodeProcess
+	for _, node := range c.nodes {
+		if node != out {
+			rest = append(rest, node)
+		}
+	}
+	return rest
+}
