e2e: an order that comes late, after the count was lowered

With fences off, at the owners and at the engine, the test of a load in doubt stayed green, since the new owner loads on the same engine again. This one goes red.

--- a/e2e/engines_test.go
+++ b/e2e/engines_test.go
@@ -73,6 +73,27 @@
 	watch := pool.New()
 	watch.Go(func() { c.wantAtMostOneReplica(t, "glaze-7b", stop) })
 
+	ordered := c.holdLoadOrder(t, owner, other, takeAway)
+	if _, err := tryWhole(t.Context(), other, "glaze-7b", option.WithHeader("X-Deadline-Ms", "4000")); err == nil || !notRun(err) {
+		t.Errorf("glaze-7b while its load is in doubt: %v, want a refusal that did not run", err)
+	}
+	for _, e := range c.engines {
+		if e != ordered && c.holds(t, e, "glaze-7b") {
+			t.Errorf("glaze-7b was loaded on %s while %s may load it", e.id, ordered.id)
+		}
+	}
+	bringBack(owner)
+	setOrderFaults(t, []*engineProcess{ordered}, standin.Faults{})
+	askUntilServed(t, other, "glaze-7b")
+	close(stop)
+	watch.Wait()
+}
+
+// holdLoadOrder lets the owner order a load of glaze-7b from an engine that
+// freezes its orders, takes the owner away, and returns the engine once another
+// node owns the cell. The other engines answer.
+func (c *cluster) holdLoadOrder(t *testing.T, owner, other *nodeProcess, takeAway func(*nodeProcess)) *engineProcess {
+	t.Helper()
 	setOrderFaults(t, c.engines, standin.Faults{Freeze: true})
 	wake := pool.New()
 	wake.Go(func() { _, _ = tryWhole(t.Context(), other, "glaze-7b", option.WithHeader("X-Deadline-Ms", "5000")) })
@@ -86,20 +107,38 @@
 	setOrderFaults(t, inReach, standin.Faults{})
 	c.waitForOtherOwner(t, other, owner.id)
 	wake.Wait()
+	return ordered
+}
 
-	if _, err := tryWhole(t.Context(), other, "glaze-7b", option.WithHeader("X-Deadline-Ms", "4000")); err == nil || !notRun(err) {
-		t.Errorf("glaze-7b while its load is in doubt: %v, want a refusal that did not run", err)
+// TestLateOrderAfterLoweredCount kills the owner while its load order is on the
+// way, and then switches the model off. The order arrives after the new owner
+// has found the engine empty; it must not load anything.
+func TestLateOrderAfterLoweredCount(t *testing.T) {
+	t.Parallel()
+	const lateBy = 6 * time.Second // after the engine answers others again
+	c := startCluster(t)
+	owner, other := c.owner(t)
+	askUntilServed(t, other, "firing-13b")
+	ordered := c.holdLoadOrder(t, owner, other, (*nodeProcess).crash)
+	if output, err := c.command(t, other, "tree", "set", "/assistant/llama/glaze-7b", "max_replicas=0"); err != nil {
+		t.Fatalf("tree set: %v, %s", err, output)
 	}
-	for _, e := range inReach {
-		if c.holds(t, e, "glaze-7b") {
-			t.Errorf("glaze-7b was loaded on %s while %s may load it", e.id, ordered.id)
+
+	setOrderFaults(t, []*engineProcess{ordered}, standin.Faults{SlowMilliseconds: int(lateBy.Milliseconds())})
+	time.Sleep(lateBy / 10) // what sits in the engine takes notice of the delay
+	setOrderFaults(t, []*engineProcess{ordered}, standin.Faults{})
+	arrived := time.After(lateBy)
+	waitFor(t, "the new owner knows that nothing was loaded", func() bool { return c.replicas(t, other, "glaze-7b") == 0 })
+	for late := true; late; {
+		select {
+		case <-arrived:
+			late = false
+		case <-time.After(waitPoll):
+		}
+		if c.holds(t, ordered, "glaze-7b") {
+			t.Fatal("an order of the dead owner took effect after the new one had read the engine's inventory")
 		}
 	}
-	bringBack(owner)
-	setOrderFaults(t, []*engineProcess{ordered}, standin.Faults{})
-	askUntilServed(t, other, "glaze-7b")
-	close(stop)
-	watch.Wait()
 }
 
 // TestFrozenEngine stops the engine that holds the only replica and lets it go
