--- /dev/null
+++ b/e2e/once_test.go
@@ -0,0 +1,175 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3/option"
+	"github.com/sourcegraph/conc/pool"
+
+	"martenwheel.dev/pkg/standin"
+	"martenwheel.dev/pkg/traffic"
+)
+
+// unsafeRequest returns the options of a request that is unsafe to repeat.
+func unsafeRequest(key string) []option.RequestOption {
+	return []option.RequestOption{
+		option.WithHeader("X-Unsafe-To-Repeat", "true"),
+		option.WithHeader("Idempotency-Key", key),
+	}
+}
+
+// askOnceUntilServed repeats an unsafe request under its key until it is
+// answered. A refusal must come from the API; it may leave the outcome open,
+// since the key is there for that.
+func askOnceUntilServed(t *testing.T, node *nodeProcess, key string) {
+	deadline := time.Now().Add(waitBound)
+	for {
+		_, err := tryWhole(t.Context(), node, "glaze-7b", unsafeRequest(key)...)
+		if err == nil {
+			return
+		}
+		if refusal, _ := refusalOf(err); refusal == nil {
+			t.Errorf("key %s at %s: %v", key, node.id, err)
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Errorf("key %s at %s is not answered within %s: %v", key, node.id, waitBound, err)
+			return
+		}
+		time.Sleep(5 * waitPoll)
+	}
+}
+
+// wantKeysRunOnce sends each of some new keys through all nodes at once. All
+// callers get an answer, and each key runs once.
+func (c *cluster) wantKeysRunOnce(t *testing.T, nodes []*nodeProcess, prefix string) {
+	t.Helper()
+	const keys = 15
+	callers := pool.New()
+	for i := range keys {
+		for _, node := range nodes {
+			callers.Go(func() { askOnceUntilServed(t, node, fmt.Sprintf("%s-%d", prefix, i)) })
+		}
+	}
+	callers.Wait()
+	for i := range keys {
+		key := fmt.Sprintf("%s-%d", prefix, i)
+		if count := c.executionsOf(t, key); count != 1 {
+			t.Errorf("key %s ran %d times", key, count)
+		}
+	}
+}
+
+// executionsOf counts how often the engines began the request with a key.
+func (c *cluster) executionsOf(t *testing.T, key string) int {
+	t.Helper()
+	count := 0
+	for _, e := range c.engines {
+		count += getJSON[map[string]int](t, e.Address, standin.PathExecuted)[key]
+	}
+	return count
+}
+
+// TestUnsafeRunsOnce sends unsafe requests under the same keys through all
+// nodes at once: with all well, with the table service down, and then with a
+// keeper killed, too.
+func TestUnsafeRunsOnce(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t)
+	askUntilServed(t, c.nodes[0], "glaze-7b")
+	c.wantKeysRunOnce(t, c.nodes, "well")
+	setFaults(t, c.platformAddress, standin.PartTable, standin.Faults{Refuse: true})
+	c.wantKeysRunOnce(t, c.nodes, "no-table")
+	c.nodes[2].kill()
+	c.wantKeysRunOnce(t, c.nodes[:2], "no-table-no-keeper")
+}
+
+// TestUnsafeNodeDiesMidway kills the node that an unsafe request runs through.
+// Repeats through another node never run it again, also once the group has
+// replaced the dead keeper.
+func TestUnsafeNodeDiesMidway(t *testing.T) {
+	t.Parallel()
+	const key = "pump-7"
+	c := startClusterWith(t, options{tree: doubleTree})
+	askUntilServed(t, c.nodes[0], "glaze-7b")
+	caller := pool.New()
+	caller.Go(func() {
+		request := append(unsafeRequest(key), option.WithJSONSet("max_tokens", 4000))
+		_, _ = tryWhole(t.Context(), c.nodes[0], "glaze-7b", request...) // its node dies
+	})
+	waitFor(t, "the request runs", func() bool { return c.executionsOf(t, key) == 1 })
+	c.nodes[0].kill()
+	caller.Wait()
+	c.wantNeverServedAgain(t, c.nodes[1], key, 5)
+	c.replaceNode(t, c.nodes[0])
+	c.wantNeverServedAgain(t, c.nodes[0], key, 5)
+	c.wantNeverServedAgain(t, c.nodes[2], key, 5)
+	if count := c.executionsOf(t, key); count != 1 {
+		t.Errorf("key %s ran %d times", key, count)
+	}
+}
+
+// wantNeverServedAgain repeats a key whose outcome is unknown. No answer may
+// claim that the request ran now, or that it never ran.
+func (c *cluster) wantNeverServedAgain(t *testing.T, node *nodeProcess, key string, times int) {
+	t.Helper()
+	for range times {
+		request := append(unsafeRequest(key), option.WithJSONSet("max_tokens", 4000))
+		_, err := tryWhole(t.Context(), node, "glaze-7b", request...)
+		refusal, _ := refusalOf(err)
+		if refusal == nil {
+			t.Errorf("repeat of %s at %s: %v, want a refusal", key, node.id, err)
+			return
+		}
+		unavailable := refusal.StatusCode == http.StatusServiceUnavailable && notRun(err) // keepers abstain
+		if refusal.StatusCode != http.StatusConflict && !unavailable {
+			t.Errorf("repeat of %s at %s: %v, want a conflict", key, node.id, err)
+		}
+		time.Sleep(waitPoll)
+	}
+}
+
+// TestUnsafeNodeFreezesBeforeDispatch freezes a node after its claim on a key
+// was granted and before the request was sent, since the model is busy. Repeats
+// through another node don't run it; the frozen node goes on later and runs it
+// at most once.
+func TestUnsafeNodeFreezesBeforeDispatch(t *testing.T) {
+	t.Parallel()
+	const key = "valve-3"
+	c := startClusterWith(t, options{tree: narrowTree})
+	askUntilServed(t, c.nodes[0], "glaze-7b")
+	streaming, leave := context.WithCancel(t.Context())
+	defer leave()
+	rest := beginStream(streaming, t, c.nodes[0], 8000)
+	caller := pool.New()
+	var answered atomic.Bool
+	caller.Go(func() {
+		_, err := tryWhole(t.Context(), c.nodes[0], "glaze-7b", unsafeRequest(key)...)
+		answered.Store(err == nil)
+	})
+	waitFor(t, "the request waits", func() bool { return c.waiting(t, c.nodes[0], "glaze-7b") == 1 })
+	c.nodes[0].freeze()
+	for range 10 {
+		if _, err := tryWhole(t.Context(), c.nodes[1], "glaze-7b", unsafeRequest(key)...); err == nil {
+			t.Error("the key was answered through another node while the first holds the claim")
+		} else if refusal, _ := refusalOf(err); refusal == nil || refusal.Code != string(traffic.ReasonKeyInUse) {
+			t.Errorf("repeat: %v, want that the key is in use", refusal.RawJSON())
+		}
+	}
+	if count := c.executionsOf(t, key); count != 0 {
+		t.Errorf("key %s ran %d times while its claim waited", key, count)
+	}
+	c.nodes[0].thaw()
+	leave()
+	_ = rest() // cancelled
+	caller.Wait()
+	askOnceUntilServed(t, c.nodes[1], key)
+	if count := c.executionsOf(t, key); count != 1 {
+		t.Errorf("key %s ran %d times (answered at first: %t)", key, count, answered.Load())
+	}
+}
