--- /dev/null
+++ b/e2e/security_test.go
@@ -0,0 +1,242 @@
+package e2e
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/operator"
+	"martenwheel.dev/pkg/security"
+)
+
+// authority issues certificates for one test.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	file        string // its certificate
+}
+
+func newAuthority(t *testing.T, name string) *authority {
+	t.Helper()
+	a := &authority{key: newKey(t), file: filepath.Join(t.TempDir(), name+".pem")}
+	template := &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		Subject:               pkix.Name{CommonName: name},
+		NotBefore:             time.Now().Add(-time.Hour),
+		NotAfter:              time.Now().Add(time.Hour),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		KeyUsage:              x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a.certificate, err = x509.ParseCertificate(der); err != nil {
+		t.Fatal(err)
+	}
+	writePEM(t, a.file, "CERTIFICATE", der)
+	return a
+}
+
+func newKey(t *testing.T) *ecdsa.PrivateKey {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
+func writePEM(t *testing.T, file, kind string, der []byte) {
+	t.Helper()
+	if err := os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// issue writes a node's certificate and key and returns the settings for them.
+// trusted is who the node takes other nodes' certificates from.
+func (a *authority) issue(t *testing.T, id api.NodeID, trusted *authority) string {
+	t.Helper()
+	key := newKey(t)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()),
+		Subject:      pkix.Name{CommonName: string(id)},
+		DNSNames:     []string{string(id)},
+		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     time.Now().Add(time.Hour),
+		KeyUsage:     x509.KeyUsageDigitalSignature,
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	directory := t.TempDir()
+	certificateFile, keyFile := filepath.Join(directory, "node.pem"), filepath.Join(directory, "node.key")
+	writePEM(t, certificateFile, "CERTIFICATE", der)
+	writePEM(t, keyFile, "PRIVATE KEY", keyDER)
+	return fmt.Sprintf("tls: {certificate_file: %q, key_file: %q, ca_file: %q}\n", certificateFile, keyFile, trusted.file)
+}
+
+// client returns an HTTP client that trusts the authority.
+func (a *authority) client() *http.Client {
+	pool := x509.NewCertPool()
+	pool.AddCert(a.certificate)
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}}
+}
+
+// newKeyFile writes a key file with one key and returns both.
+func newKeyFile(t *testing.T, name string) (key, file string) {
+	t.Helper()
+	key, line, err := security.GenerateKey(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file = filepath.Join(t.TempDir(), name+".keys")
+	if err := os.WriteFile(file, []byte(line+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return key, file
+}
+
+// TestKeysAndCertificates runs a cluster with TLS on all listeners and keys for
+// callers and operators. Who has the right ones gets through; who lacks one
+// does not; a node of another authority is no peer; no key shows in any log.
+func TestKeysAndCertificates(t *testing.T) {
+	t.Parallel()
+	site, stranger := newAuthority(t, "site"), newAuthority(t, "stranger")
+	callerKey, callersFile := newKeyFile(t, "pump-7")
+	operatorKey, operatorsFile := newKeyFile(t, "ada")
+	operatorKeyFile := filepath.Join(t.TempDir(), "ada.key")
+	if err := os.WriteFile(operatorKeyFile, []byte(operatorKey+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	keys := fmt.Sprintf("keys: {callers_file: %q, operators_file: %q}\n", callersFile, operatorsFile)
+	c := startClusterWith(t, options{
+		settings: func(id api.NodeID) string { return keys + site.issue(t, id, site) },
+		operator: &operatorAccess{
+			client: site.client(),
+			key:    operatorKey,
+			flags:  []string{"--key-file", operatorKeyFile, "--ca-file", site.file},
+		},
+	})
+	c.owner(t) // the nodes talk with each other
+
+	t.Run("callers", func(t *testing.T) { testCallerAccess(t, c, site, callerKey, operatorKey) })
+	t.Run("operators", func(t *testing.T) { testOperatorAccess(t, c, site, callerKey) })
+	t.Run("plain HTTP", func(t *testing.T) {
+		for _, address := range []string{c.nodes[0].Callers, c.nodes[0].Operators} {
+			response, err := http.Get("http://" + address + operator.PathHealth)
+			if err != nil {
+				continue
+			}
+			response.Body.Close()
+			if response.StatusCode < http.StatusBadRequest {
+				t.Errorf("%s answers plain HTTP: %s", address, response.Status)
+			}
+		}
+	})
+	t.Run("strange node", func(t *testing.T) { testStrangeNode(t, c, stranger, keys) })
+	for _, node := range c.nodes {
+		for _, key := range []string{callerKey, operatorKey} {
+			if strings.Contains(node.logs.String(), key) {
+				t.Errorf("the log of %s holds a key", node.id)
+			}
+		}
+	}
+}
+
+func testCallerAccess(t *testing.T, c *cluster, site *authority, callerKey, operatorKey string) {
+	for name, access := range map[string]struct {
+		key    string
+		status int // zero: served
+	}{
+		"right key":      {callerKey, 0},
+		"wrong key":      {callerKey + "x", http.StatusUnauthorized},
+		"operator's key": {operatorKey, http.StatusUnauthorized},
+	} {
+		client := openai.NewClient(
+			option.WithBaseURL("https://"+c.nodes[1].Callers+"/v1/"),
+			option.WithAPIKey(access.key),
+			option.WithHTTPClient(site.client()),
+			option.WithMaxRetries(0),
+		)
+		_, err := client.Chat.Completions.New(t.Context(), parameters("glaze-7b"))
+		refusal, _ := refusalOf(err)
+		switch {
+		case access.status == 0 && err != nil:
+			t.Errorf("%s: %v", name, err)
+		case access.status != 0 && (refusal == nil || refusal.StatusCode != access.status || !notRun(err)):
+			t.Errorf("%s: %v, want status %d and not run", name, err, access.status)
+		}
+	}
+}
+
+func testOperatorAccess(t *testing.T, c *cluster, site *authority, callerKey string) {
+	for _, key := range []string{"", callerKey} {
+		client := operator.NewClient(c.operatorURL(c.nodes[0]), key, site.client())
+		if _, err := client.Edit(t.Context(), keepAliveEdit(0, "9m")); !isUnauthorized(err) {
+			t.Errorf("edit with the key of another: %v, want unauthorized", err)
+		}
+		if _, err := client.Status(t.Context()); !isUnauthorized(err) {
+			t.Errorf("status with the key of another: %v, want unauthorized", err)
+		}
+	}
+	c.setTree(t, "/", "keep_alive=9m")
+	c.waitInForce(t, "9m")
+	if _, err := operator.NewClient(c.operatorURL(c.nodes[0]), "", http.DefaultClient).Status(t.Context()); err == nil {
+		t.Error("a certificate of an unknown authority is trusted")
+	}
+}
+
+func isUnauthorized(err error) bool {
+	refused, ok := err.(*operator.RequestError)
+	return ok && refused.Detail.Code == operator.CodeUnauthorized
+}
+
+// testStrangeNode starts a node with a certificate of another authority, with
+// the cluster's nodes as seeds. It must not become a member, nor get the tree
+// from them.
+func testStrangeNode(t *testing.T, c *cluster, stranger *authority, keys string) {
+	outside := &cluster{platform: c.platform, platformAddress: c.platformAddress, nodes: c.nodes, options: c.options}
+	outside.settings = func(id api.NodeID) string { return keys + stranger.issue(t, id, stranger) }
+	node := outside.startNode(t, "zone-x")
+	waitFor(t, "the strange node is refused by its seeds", func() bool {
+		for _, line := range node.lines(t) {
+			text := fmt.Sprint(line)
+			if strings.Contains(text, "certificate") || strings.Contains(text, "unknown authority") {
+				return true
+			}
+		}
+		return false
+	})
+	for _, member := range c.status(t, c.nodes[0]).Nodes {
+		if member.ID == node.id {
+			t.Errorf("%s is a member: %+v", node.id, member)
+		}
+	}
+}
