--- a/pkg/policy/adaptive.go
+++ b/pkg/policy/adaptive.go
@@ -8,7 +8,7 @@
 
 // exchangeRate is how many accelerator seconds of idling a second of a cold
 // start is worth if both measures weigh the same.
-const exchangeRate = 60.0
+const exchangeRate = 30.0
 
 // largestWeight bounds the weight of cold starts, so that the worth of a cold
 // start stays finite.
