control: a server that is not usable yet is no lack of memory

Ruled out: the policy (it wished the load) and the weight store's slots.

Now such a request waits while a new server settles (5 s), and after that is refused with the true reason. TestEstimates has both cases.

--- a/pkg/control/cell/decide.go
+++ b/pkg/control/cell/decide.go
@@ -303,9 +303,12 @@
 
 // obstacle tells why a server can't take a load of the model now.
 func (o *Owner) obstacle(now time.Time, model tree.Model, s *server) waitCause {
-	if s.admitted && !s.fenced && s.reachable {
+	if s.settles(now) || s.admitted && !s.fenced && s.reachable {
 		return waitsForServers
 	}
+	if !s.admitted {
+		return waitsForRecord
+	}
 	if !s.takesLoads() || o.replicas[key{server: s.ID, model: model.Name}] != nil {
 		return waitsForMemory
 	}
--- a/pkg/control/cell/estimate.go
+++ b/pkg/control/cell/estimate.go
@@ -27,6 +27,7 @@
 	waitsForUnload                       // of the model itself
 	waitsForServers                      // to be fenced, or for the newest settings, after a takeover
 	waitsForBackoff                      // after a failed load
+	waitsForRecord                       // of the servers in the table service
 	waitsForMemory                       // which is in use
 )
 
@@ -128,6 +129,8 @@
 		return accept(queued.model, now.Add(o.loadTime(base)+load))
 	case waitsForBackoff:
 		return refusal(queued.model, max(settleTime, queued.until.Sub(now)), "the last load of the model failed")
+	case waitsForRecord:
+		return refusal(queued.model, settleTime, "no server of the cell may be used before the table service has recorded it")
 	default:
 		return refusal(queued.model, capacityRetry, "the accelerators' memory is taken by models in use")
 	}
--- a/pkg/control/cell/owner.go
+++ b/pkg/control/cell/owner.go
@@ -81,6 +81,7 @@
 			Server:    known,
 			admitted:  true,
 			committed: true,
+			knownAt:   now,
 			reachable: true, // until shown otherwise
 			pollAt:    now,
 		}
--- a/pkg/control/cell/owner_test.go
+++ b/pkg/control/cell/owner_test.go
@@ -300,6 +300,15 @@
 	}
 }
 
+// replaceServers puts a server in the place of all that is known since a time
+// and is not recorded.
+func (s *site) replaceServers(knownAt time.Time) {
+	s.owner.servers = map[api.ServerID]*server{
+		"new": {Server: quorum.Server{ID: "new", MemoryBytes: 100}, knownAt: knownAt},
+	}
+	s.owner.serverOrder = nil
+}
+
 func TestEstimates(t *testing.T) {
 	cases := []struct {
 		name     string
@@ -320,6 +329,8 @@
 			s.wish(unload("a", "s"))
 			s.run(200 * time.Millisecond)
 		}, true},
+		{"new server not recorded yet", func(s *site) { s.replaceServers(s.now) }, true},
+		{"servers never recorded", func(s *site) { s.replaceServers(s.now.Add(-time.Minute)) }, false},
 		{"no replica allowed", func(s *site) { s.owner.Configure(1, []tree.Model{{Name: "b"}}) }, false},
 	}
 	for _, c := range cases {
--- a/pkg/control/cell/server.go
+++ b/pkg/control/cell/server.go
@@ -19,8 +19,9 @@
 // server is what the owner knows of one server.
 type server struct {
 	quorum.Server
-	admitted  bool // in the owner's data
-	committed bool // in the group's committed data
+	admitted  bool      // in the owner's data
+	committed bool      // in the group's committed data
+	knownAt   time.Time // to this owner
 
 	machineInstance string // of the platform's list
 	listLeaving     bool
@@ -70,6 +71,15 @@
 	return usable && s.failures == 0 && !s.leaving()
 }
 
+// settleWindow is the time that a server which is new to the owner usually needs
+// to be recorded, committed and fenced.
+const settleWindow = 5 * time.Second
+
+// settles tells whether the server is expected to take loads shortly.
+func (s *server) settles(now time.Time) bool {
+	return !s.leaving() && !s.fenced && s.failures < unreachableAfter && now.Sub(s.knownAt) < settleWindow
+}
+
 // pollBy moves the next inventory forward to at, if it is later.
 func (s *server) pollBy(at time.Time) {
 	if s.pollAt.After(at) {
@@ -118,7 +128,7 @@
 		if machine.State == platform.MachineLeaving {
 			return
 		}
-		s = &server{Server: quorum.Server{ID: id, ListVersion: version}}
+		s = &server{Server: quorum.Server{ID: id, ListVersion: version}, knownAt: now}
 		o.servers[id] = s
 		o.serverOrder = nil
 	}
--- a/pkg/control/explore/switches_test.go
+++ b/pkg/control/explore/switches_test.go
@@ -25,7 +25,7 @@
 	{"fenced inventories", switches.Set{NoFence: true}, 51},
 	{"unknown servers count", switches.Set{UnknownIsEmpty: true}, 5},
 	{"doubt settled by inventory", switches.Set{DoubtIsRefused: true}, 14},
-	{"unload confirmed by inventory", switches.Set{FreeOnUnload: true}, 36},
+	{"unload confirmed by inventory", switches.Set{FreeOnUnload: true}, 14},
 	{"wishes checked", switches.Set{TrustDecider: true, NoRecheck: true}, 1},
 	{"tree floor", switches.Set{NoTreeFloor: true}, 1},
 }
