lab: tests of the emulator, of its judge, of the targets and the fault variants

A request without a final answer at the end of a run now counts as lost also if its first token came. A run that is broken off lets what is under way end without new arrivals. Failures can be made more frequent (fault_rate), so that the tests meet those of two hours within twelve minutes.

--- a/pkg/lab/bounds.go
+++ b/pkg/lab/bounds.go
@@ -22,6 +22,9 @@
 func (w *world) bounds() Bounds {
 	loads := make([]time.Duration, 0, len(w.trace.wakes))
 	for _, wake := range w.trace.wakes {
+		if wake.at > w.endedAt {
+			break
+		}
 		loads = append(loads, w.models[wake.model].settings.LoadTime)
 	}
 	idle := 0.0
@@ -44,7 +47,7 @@
 func (w *world) busySpans() [][]span {
 	spans := make([][]span, len(w.models))
 	for _, a := range w.trace.arrivals {
-		if a.at > w.clock.elapsed {
+		if a.at > w.endedAt {
 			break
 		}
 		alone := float64(a.prompt)/promptTokensPerSecond + float64(a.output)/tokensPerSecond
--- /dev/null
+++ b/pkg/lab/emulator_test.go
@@ -0,0 +1,139 @@
+package lab
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestWeightStore(t *testing.T) {
+	limits := WeightStore{LoadsPerSecond: 2, FullSpeed: 2, GigabytesPerSecond: 1}
+	cases := []struct {
+		name     string
+		fetches  int
+		urgent   int // number of the only urgent fetch, -1 for none
+		slowdown float64
+		want     string // when each fetch is done, in tenths of a second
+	}{
+		{"one at full speed", 1, -1, 1, "[20]"},
+		{"starts are limited", 2, -1, 1, "[20 25]"},
+		// The third starts at 1 s: three share the speed of two until the first
+		// is done at 2.5 s, with 0.5 and 1 GB left of the others.
+		{"beyond full speed all are slower", 3, -1, 1, "[25 30 35]"},
+		{"urgent ones start first", 3, 2, 1, "[25 35 30]"},
+		{"slow", 1, -1, 5, "[100]"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			c := &clock{}
+			store := newWeightStore(c, limits)
+			store.setSlowdown(test.slowdown)
+			done := make([]int, test.fetches)
+			for i := range test.fetches {
+				store.fetch(2*gigabyte, i == test.urgent, func() { done[i] = int(c.elapsed.Seconds()*10 + 0.5) })
+			}
+			for c.step(time.Minute) {
+			}
+			if got := fmt.Sprint(done); got != test.want {
+				t.Errorf("done at %s, want %s", got, test.want)
+			}
+		})
+	}
+}
+
+func TestCheckpointCacheDropsTheLeastRecentlyUsed(t *testing.T) {
+	cache := newCheckpointCache(10)
+	put := func(index int) { cache.put(&model{index: index, weightBytes: 4 * gigabyte}) }
+	put(1)
+	put(2)
+	put(1)
+	put(3)
+	if got := fmt.Sprint(cache.models()); got != "[1 3]" {
+		t.Errorf("cached %s, want [1 3]", got)
+	}
+	cache.put(&model{index: 4, weightBytes: 11 * gigabyte})
+	if cache.has(4) || cache.used != 8*gigabyte {
+		t.Error("took a checkpoint larger than the cache")
+	}
+}
+
+func TestLeastHolding(t *testing.T) {
+	load := 10 * time.Second
+	at := func(from, to int) span {
+		return span{time.Duration(from) * time.Second, time.Duration(to) * time.Second}
+	}
+	cases := []struct {
+		name  string
+		spans []span
+		want  time.Duration
+	}{
+		{"never wanted", nil, 0},
+		{"loaded once", []span{at(100, 105)}, load},
+		{"held over a short gap", []span{at(100, 105), at(109, 110)}, load + 4*time.Second},
+		{"loaded again after a long gap", []span{at(100, 105), at(900, 901)}, 2 * load},
+		{"overlapping requests", []span{at(100, 200), at(110, 120), at(203, 204)}, load + 3*time.Second},
+	}
+	for _, test := range cases {
+		if got := leastHolding(test.spans, load); got != test.want {
+			t.Errorf("%s: %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
+func TestTraceDependsOnTheSeedOnly(t *testing.T) {
+	scenario := loadScenario(t, "delta-piney", "duration=6h")
+	make := func(seed uint64) *trace {
+		return makeTrace(scenario, makeCatalog(scenario, newRandom(seed, streamCatalog)), newRandom(seed, streamTrace))
+	}
+	one, again, other := make(1), make(1), make(2)
+	if fmt.Sprint(one.arrivals) != fmt.Sprint(again.arrivals) {
+		t.Error("the same seed gave another trace")
+	}
+	if fmt.Sprint(one.arrivals) == fmt.Sprint(other.arrivals) {
+		t.Error("another seed gave the same trace")
+	}
+	if len(one.wakes) == 0 {
+		t.Error("no idle model was wanted")
+	}
+	for i := 1; i < len(one.arrivals); i++ {
+		if one.arrivals[i].at < one.arrivals[i-1].at {
+			t.Fatal("the trace is not in order")
+		}
+	}
+}
+
+func TestScenarioFindings(t *testing.T) {
+	cases := []struct {
+		name string
+		set  []string
+		want []string // in the error
+	}{
+		{"no assignment", []string{"nodes"}, []string{"--set nodes", "path=value"}},
+		{"several at once", []string{"services.nobody.servers=1", "services.booking.caches=x"},
+			[]string{`no "nobody"`, "services.booking.caches=x"}},
+		{"unknown key", []string{"nodez=3"}, []string{"nodez"}},
+		{"impossible values", []string{"nodes=0", "services.booking.servers=-1", "services.assistant.arrivals.sessions.pause=0s"},
+			[]string{"nodes: 0", "services.booking.servers: -1", "arrivals.sessions"}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := LoadScenario("hornada", test.set)
+			if err == nil {
+				t.Fatal("accepted")
+			}
+			for _, part := range test.want {
+				if !strings.Contains(err.Error(), part) {
+					t.Errorf("%q lacks %q", err, part)
+				}
+			}
+		})
+	}
+	if _, err := LoadScenario("nowhere", nil); err == nil || !strings.Contains(err.Error(), "hornada") {
+		t.Errorf("unknown scenario: %v", err)
+	}
+	scenario := loadScenario(t, "hornada", "services.booking.settings.coldStartWeight=0.9", "weight_store.loads_per_second=7")
+	if scenario.Services[1].Settings.ColdStartWeight != 0.9 || scenario.WeightStore.LoadsPerSecond != 7 {
+		t.Error("assignments had no effect")
+	}
+}
--- a/pkg/lab/engine.go
+++ b/pkg/lab/engine.go
@@ -75,7 +75,7 @@
 	item    *item
 	timer   *event
 	job     *job
-	started bool
+	output  int // number of the request that its output belongs to
 }
 
 // order carries out a fenced order.
@@ -271,7 +271,7 @@
 	it := r.item
 	e.setActive(it, 1)
 	it.running = append(it.running, r)
-	r.started = true
+	r.output = r.request.number
 	e.world.judge.started(r)
 	streams := len(it.batch.jobs) + 1
 	reading := float64(r.request.prompt) / promptTokensPerSecond * (1 + float64(streams-1)*batchSlowdown)
--- a/pkg/lab/faults.go
+++ b/pkg/lab/faults.go
@@ -83,9 +83,9 @@
 
 // repeat does something again and again, after 0.5 to 1.5 intervals.
 func (w *world) repeat(random *rand.Rand, interval time.Duration, do func()) {
-	wait := time.Duration((0.5 + random.Float64()) * float64(interval))
+	wait := time.Duration((0.5 + random.Float64()) * float64(interval) / w.scenario.FaultRate)
 	w.clock.after(wait, func() {
-		if w.clock.elapsed < w.scenario.Duration {
+		if !w.ended {
 			do()
 			w.repeat(random, interval, do)
 		}
--- a/pkg/lab/judge.go
+++ b/pkg/lab/judge.go
@@ -88,19 +88,22 @@
 }
 
 // answered takes the final answer that a caller got.
-func (j *judge) answered(req *request, kind answerKind) {
-	if req.answer != 0 {
+func (j *judge) answered(req *request, final answer) {
+	if req.answered {
 		j.requests.Duplicated++
 		return
 	}
-	req.answer = kind
-	if kind == answerServed {
+	req.answered = true
+	if final.kind == answerServed {
 		j.requests.Served++
+		if final.number != req.number {
+			j.requests.Mixed++
+		}
 		j.firstToken = append(j.firstToken, req.firstAt-req.at)
 		return
 	}
 	j.requests.Refused++
-	if kind == answerNotRun && req.ran[len(req.ran)-1] {
+	if final.kind == answerNotRun && req.ran[len(req.ran)-1] {
 		j.violations.NotRun++
 	}
 	if req.wake >= 0 && req.startedAt < 0 {
@@ -114,14 +117,16 @@
 // giveUp counts a request as lost that has no final answer long after its
 // deadline.
 func (j *judge) giveUp(req *request) {
-	if req.answer == 0 && req.firstAt < 0 {
+	if !req.answered && req.firstAt < 0 {
 		j.requests.Lost++
-		req.answer = answerUnknown
+		req.answered = true
 	}
 }
 
-// finish settles what is still open at the end of the run.
+// finish settles what is still open at the end of the run: a request that has
+// no final answer by now is lost.
 func (j *judge) finish() {
+	j.requests.Lost = j.requests.Sent - j.requests.Served - j.requests.Refused
 	for i := range j.wakes {
 		j.settleRefused(i)
 	}
--- a/pkg/lab/meter.go
+++ b/pkg/lab/meter.go
@@ -9,6 +9,7 @@
 	acceleratorBytes []float64 // by service
 	loaded           float64   // accelerator seconds
 	idle             float64
+	closed           bool // counts no more
 	idleByHour       []float64
 	loadedByHour     []float64
 }
@@ -28,6 +29,9 @@
 // hold counts a model that was held from one moment to another, idle or not.
 // Idle is all time without a running request, also while loading or unloading.
 func (m *meter) hold(held *model, service int, from, to time.Duration, idle bool) {
+	if m.closed {
+		return
+	}
 	share := float64(held.holdBytes) / m.acceleratorBytes[service]
 	for from < to {
 		hour := int(from / time.Hour)
--- a/pkg/lab/node.go
+++ b/pkg/lab/node.go
@@ -75,7 +75,7 @@
 		queue.lastArrival = n.world.clock.elapsed
 		n.activate(req.model.index)
 		if req.claimed {
-			n.world.callerGets(req, answerUnknown)
+			n.world.callerGets(req, refusalOf(req, answerUnknown))
 			return
 		}
 		queue.waiting = append(queue.waiting, req)
@@ -109,7 +109,7 @@
 	if req.maybeRan {
 		kind = answerUnknown
 	}
-	n.world.callerGets(req, kind)
+	n.world.callerGets(req, refusalOf(req, kind))
 }
 
 // leaveQueue takes a request out of its queue; false if it is not there.
@@ -242,9 +242,9 @@
 	req.maybeRan = req.maybeRan || kind == answerUnknown
 	switch {
 	case kind == answerServed:
-		n.world.callerGets(req, answerServed)
+		n.world.callerGets(req, answer{answerServed, r.output})
 	case kind == answerUnknown && req.model.unsafe:
-		n.world.callerGets(req, answerUnknown)
+		n.world.callerGets(req, refusalOf(req, answerUnknown))
 	case n.world.clock.elapsed >= req.deadline:
 		n.refuse(req)
 	default:
--- a/pkg/lab/request.go
+++ b/pkg/lab/request.go
@@ -15,7 +15,7 @@
 	maybeRan  bool          // as far as the node knows, since the last send
 	startedAt time.Duration // of its first run; -1 before
 	firstAt   time.Duration // its first token reached the caller; -1 before
-	answer    answerKind    // what the caller got; 0 before
+	answered  bool          // the caller got its final answer
 	claimed   bool          // an unsafe request that may have been given to an engine
 }
 
@@ -64,24 +64,34 @@
 			return
 		}
 	}
-	w.callerGets(req, answerNotRun)
+	w.callerGets(req, refusalOf(req, answerNotRun))
 }
 
 // brokeOff tells the caller that its node died; it sends the request again.
 func (w *world) brokeOff(req *request, n *node) {
-	if req.answer != 0 {
+	if req.answered {
 		return
 	}
 	if req.sends >= sendsAtMost {
-		w.callerGets(req, answerUnknown)
+		w.callerGets(req, refusalOf(req, answerUnknown))
 		return
 	}
 	w.clock.after(resendAfter, func() { w.send(req, w.nodes[(n.index+1)%len(w.nodes)]) })
 }
 
+// answer is what a caller gets in the end. A served answer carries the number
+// of the request that the engine ran.
+type answer struct {
+	kind   answerKind
+	number int
+}
+
+// refusalOf returns the answer to a request that is given up.
+func refusalOf(req *request, kind answerKind) answer { return answer{kind, req.number} }
+
 // callerGets brings a final answer to the caller.
-func (w *world) callerGets(req *request, kind answerKind) {
-	w.clock.after(w.scenario.Delays.ToClients, func() { w.judge.answered(req, kind) })
+func (w *world) callerGets(req *request, final answer) {
+	w.clock.after(w.scenario.Delays.ToClients, func() { w.judge.answered(req, final) })
 }
 
 // firstToken brings the first token of a run to the caller.
--- a/pkg/lab/scenario.go
+++ b/pkg/lab/scenario.go
@@ -26,6 +26,7 @@
 	WeightStore   WeightStore   `yaml:"weight_store"`
 	FirstRequests FirstRequests `yaml:"first_requests"`
 	Surges        Surges        `yaml:"surges"`
+	FaultRate     float64       `yaml:"fault_rate"` // how many times as often failures come
 	Services      []Service     `yaml:"services"`
 }
 
@@ -266,6 +267,7 @@
 	positive("weight_store.loads_per_second", s.WeightStore.LoadsPerSecond)
 	positive("weight_store.full_speed", float64(s.WeightStore.FullSpeed))
 	positive("weight_store.gigabytes_per_second", s.WeightStore.GigabytesPerSecond)
+	positive("fault_rate", s.FaultRate)
 	positive("services", float64(len(s.Services)))
 	for i := range s.Services {
 		service := &s.Services[i]
--- a/pkg/lab/world.go
+++ b/pkg/lab/world.go
@@ -30,6 +30,8 @@
 	judge     *judge
 	meter     *meter
 	openWakes [][]int // by model, wakes with refused first requests
+	ended     bool    // no more requests and failures
+	endedAt   time.Duration
 }
 
 // controlPlane is what decides where models are loaded and tells the nodes.
@@ -168,6 +170,9 @@
 		return
 	}
 	w.clock.at(w.trace.arrivals[next].at, func() {
+		if w.ended {
+			return
+		}
 		w.arrive(next)
 		w.scheduleArrivals(next + 1)
 	})
@@ -200,6 +205,8 @@
 // settle lets the requests under way end, without counting hours any more, and
 // closes the books.
 func (w *world) settle() {
+	w.ended = true
+	w.endedAt = w.clock.elapsed
 	for _, e := range w.engines {
 		for _, it := range e.items {
 			if it != nil {
@@ -207,6 +214,7 @@
 			}
 		}
 	}
+	w.meter.closed = true
 	longest := time.Duration(0)
 	for _, m := range w.models {
 		longest = max(longest, m.settings.Deadline)
