A frozen engine gets no new requests, and answers that are not streamed have a bound by their tokens

Cause: a frozen engine's kernel still accepts connections, so requests were sent to it though its owner had found it out of reach, and an answer that is not streamed was waited for up to 5 minutes. Ruled out: ejection (nothing had failed yet) and the order of the filters.

A server that its owner cannot reach is now routed to only on this node's own evidence of the last 3 s, and the bound of a whole answer is 10 s and 0.25 s a token.

TestUnreachableServerGetsNoNewWork fails with the filter off.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -145,7 +145,18 @@
 	if c.parsed.Stream {
 		return c.request.Deadline
 	}
-	return c.request.Deadline.Add(c.gateway.config.Timeouts.WholeAnswer)
+	return c.request.Deadline.Add(c.wholeAnswerTime())
+}
+
+// wholeAnswerTime is the longest that an answer which is not streamed may take
+// after the deadline. Such an answer gives no sign of life before its end, so
+// the bound follows the tokens that were asked for.
+func (c *call) wholeAnswerTime() time.Duration {
+	timeouts := c.gateway.config.Timeouts
+	if c.request.MaxTokens <= 0 {
+		return timeouts.WholeAnswer
+	}
+	return min(timeouts.WholeAnswer, timeouts.WholeStart+time.Duration(c.request.MaxTokens)*timeouts.Token)
 }
 
 // Values of send's resumeFrom besides a number of events.
--- a/pkg/gateway/config.go
+++ b/pkg/gateway/config.go
@@ -53,7 +53,9 @@
 	EngineStall    time.Duration // between two events of a stream
 	ResumePause    time.Duration // before the second and later resumptions of an answer
 	EngineIdle     time.Duration // of an engine's connection between requests
-	WholeAnswer    time.Duration // after the deadline, for an answer that is not streamed
+	WholeAnswer    time.Duration // after the deadline, longest for an answer that is not streamed
+	WholeStart     time.Duration // part of WholeAnswer that every answer gets
+	Token          time.Duration // part of WholeAnswer for each token asked for
 	FirstToken     time.Duration // deadline of a request for which nothing gives one
 	HangUpInterval time.Duration // between two looks for callers that left
 	Keepers        time.Duration // for a claim's completion or release
@@ -99,6 +101,8 @@
 	DefaultResumePause    = 100 * time.Millisecond
 	DefaultEngineIdle     = 30 * time.Second
 	DefaultWholeAnswer    = 5 * time.Minute
+	DefaultWholeStart     = 10 * time.Second
+	DefaultToken          = 250 * time.Millisecond
 	DefaultFirstToken     = 30 * time.Second
 	DefaultHangUpInterval = 100 * time.Millisecond
 	DefaultKeepers        = 2 * time.Second
@@ -155,6 +159,8 @@
 	setDefault(&t.ResumePause, DefaultResumePause)
 	setDefault(&t.EngineIdle, DefaultEngineIdle)
 	setDefault(&t.WholeAnswer, DefaultWholeAnswer)
+	setDefault(&t.WholeStart, DefaultWholeStart)
+	setDefault(&t.Token, DefaultToken)
 	setDefault(&t.FirstToken, DefaultFirstToken)
 	setDefault(&t.HangUpInterval, DefaultHangUpInterval)
 	setDefault(&t.Keepers, DefaultKeepers)
--- a/pkg/gateway/edge_test.go
+++ b/pkg/gateway/edge_test.go
@@ -260,6 +260,20 @@
 	}
 }
 
+func TestWholeAnswerTimeFollowsTheTokens(t *testing.T) {
+	c := &call{gateway: &Gateway{config: Config{}.withDefaults()}}
+	for tokens, want := range map[int]time.Duration{
+		0:       DefaultWholeAnswer,
+		12:      DefaultWholeStart + 12*DefaultToken,
+		100_000: DefaultWholeAnswer,
+	} {
+		c.request.MaxTokens = tokens
+		if got := c.wholeAnswerTime(); got != want {
+			t.Errorf("%d tokens: %s, want %s", tokens, got, want)
+		}
+	}
+}
+
 // TestDispatcherRefusal: the reason, advice and word on "not run" reach the
 // caller.
 func TestDispatcherRefusal(t *testing.T) {
--- a/pkg/traffic/config.go
+++ b/pkg/traffic/config.go
@@ -29,6 +29,7 @@
 	retryChecks  bool // whether a repeat is safe
 	displacement bool // from a full queue, by callers with less in it
 	leaving      bool // exclusion of servers that said that they leave
+	unreachable  bool // exclusion of servers that answer neither the owner nor this node
 	callerCheck  bool // whether the caller of a queued request is still there
 }
 
--- a/pkg/traffic/demand.go
+++ b/pkg/traffic/demand.go
@@ -49,7 +49,7 @@
 // wake returns the report that asks the owner for a replica, for the first
 // request that waits for a model without one, and false for all others.
 func (p *pool) wake(now time.Time, state *modelState) (api.ModelDemand, bool) {
-	if state.anyServes() {
+	if state.anyServes(now) {
 		state.demand.wokenAt = time.Time{}
 		return api.ModelDemand{}, false
 	}
--- a/pkg/traffic/dispatcher.go
+++ b/pkg/traffic/dispatcher.go
@@ -192,8 +192,10 @@
 }
 
 // ObserveLoad takes in an engine's load report.
-func (r *Router) ObserveLoad(_ time.Time, id api.ServerID, report engine.LoadReport) {
-	r.servers.get(id).observeLoad(report)
+func (r *Router) ObserveLoad(now time.Time, id api.ServerID, report engine.LoadReport) {
+	known := r.servers.get(id)
+	known.observeAnswer(now)
+	known.observeLoad(report)
 }
 
 // ObserveCacheEvents takes in a page of an engine's cache events.
--- a/pkg/traffic/grant.go
+++ b/pkg/traffic/grant.go
@@ -109,6 +109,9 @@
 	if outcome.Kind == OutcomeCancelled || outcome.Leaving {
 		return
 	}
+	if outcome.Kind == OutcomeServed {
+		g.server.observeAnswer(now)
+	}
 	if g.server.outliers.Record(now, outcome.Kind == OutcomeServed) {
 		g.state.counters.ejections++
 	}
--- a/pkg/traffic/model.go
+++ b/pkg/traffic/model.go
@@ -55,9 +55,10 @@
 	baseUsage *usage // of the base model and its adapters; nil for a base model
 }
 
-// serves tells whether the replica is ready and its server stays.
-func (r *replica) serves() bool {
-	return r.State == api.ReplicaReady && !r.view.Leaving && r.server.leaving.Load() == nil
+// serves tells whether the replica is ready and its server stays and answers.
+func (r *replica) serves(now time.Time) bool {
+	stays := !r.view.Leaving && r.server.leaving.Load() == nil
+	return r.State == api.ReplicaReady && stays && !r.server.unreachable(now, r.view)
 }
 
 // modelState is what a pool holds of one of its models.
@@ -81,9 +82,9 @@
 }
 
 // anyServes tells whether a replica serves.
-func (s *modelState) anyServes() bool {
+func (s *modelState) anyServes(now time.Time) bool {
 	for index := range s.replicas {
-		if s.replicas[index].serves() {
+		if s.replicas[index].serves(now) {
 			return true
 		}
 	}
--- a/pkg/traffic/place.go
+++ b/pkg/traffic/place.go
@@ -158,6 +158,7 @@
 			Zone:         known.view.Zone,
 			State:        known.State,
 			Leaving:      known.view.Leaving || known.server.leaving.Load() != nil,
+			Unreachable:  known.server.unreachable(now, known.view),
 			Ejected:      status.Ejected,
 			Share:        status.Share,
 			Usage:        known.usage.within(&state.model.Settings),
@@ -168,6 +169,9 @@
 		if p.router.config.off.leaving {
 			candidate.Leaving = false
 		}
+		if p.router.config.off.unreachable {
+			candidate.Unreachable = false
+		}
 		if known.baseUsage != nil {
 			candidate.BaseUsage = known.baseUsage.within(&state.baseSettings)
 		}
@@ -216,9 +220,9 @@
 	}
 }
 
-// serves tells whether the candidate's replica is ready and stays.
+// serves tells whether the candidate's replica is ready, stays and answers.
 func serves(candidate *routing.Candidate) bool {
-	return candidate.State == api.ReplicaReady && !candidate.Leaving
+	return candidate.State == api.ReplicaReady && !candidate.Leaving && !candidate.Unreachable
 }
 
 // otherServes tells whether a candidate that was not tried yet could serve,
@@ -249,7 +253,7 @@
 func (p *pool) outlook(now time.Time, state *modelState) outlook {
 	view := outlook{
 		now:        now,
-		ready:      state.anyServes(),
+		ready:      state.anyServes(now),
 		loadedAt:   state.loadedAt(),
 		running:    state.pace.running,
 		perReplica: state.model.Settings.MaxConcurrency,
--- a/pkg/traffic/retry_test.go
+++ b/pkg/traffic/retry_test.go
@@ -175,6 +175,34 @@
 	}
 }
 
+// A server that its owner can't reach gets new work only while it still answers
+// this node itself.
+func TestUnreachableServerGetsNoNewWork(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		control := newStubControl(t)
+		virtually(t, Config{Control: control, off: mechanisms{unreachable: off}}, func(t *testing.T, router *Router) {
+			directory := readyOn("m", 1)
+			lost := directory.Servers["s0"]
+			lost.Reachable = false
+			directory.Servers["s0"] = lost
+			control.publish(directory)
+
+			router.ObserveLoad(time.Now(), "s0", engine.LoadReport{Instance: "one", AsOf: time.Now()})
+			mustAcquire(t, router, ask(time.Minute)).Done(served(time.Millisecond))
+
+			time.Sleep(ownEvidence)
+			grant, err := router.Acquire(context.Background(), ask(2*time.Second))
+			if off {
+				grant.Done(served(time.Millisecond))
+				return
+			}
+			if refusal := refusalOf(t, err, ReasonDeadline); !refusal.NotRun {
+				t.Errorf("refusal %v, want not run", refusal)
+			}
+		})
+	}
+}
+
 // An engine that refuses because it leaves is out at once, without being asked.
 func TestRefusalOfLeavingEngineExcludesIt(t *testing.T) {
 	control := newStubControl(t)
--- a/pkg/traffic/routing/plugins_test.go
+++ b/pkg/traffic/routing/plugins_test.go
@@ -26,6 +26,8 @@
 		{"loading", ReadyFilter{}, func(c *Candidate) { c.State = api.ReplicaLoading }, false},
 		{"draining", ReadyFilter{}, func(c *Candidate) { c.State = api.ReplicaDraining }, false},
 		{"in doubt", ReadyFilter{}, func(c *Candidate) { c.State = api.ReplicaInDoubt }, false},
+		{"answers", ReachableFilter{}, func(*Candidate) {}, true},
+		{"out of reach", ReachableFilter{}, func(c *Candidate) { c.Unreachable = true }, false},
 		{"stays", LeavingFilter{}, func(*Candidate) {}, true},
 		{"leaving", LeavingFilter{}, func(c *Candidate) { c.Leaving = true }, false},
 		{"not ejected", EjectedFilter{}, func(*Candidate) {}, true},
--- a/pkg/traffic/routing/routing.go
+++ b/pkg/traffic/routing/routing.go
@@ -48,6 +48,7 @@
 	Zone          string
 	State         api.ReplicaState
 	Leaving       bool
+	Unreachable   bool // answers neither the owner nor this node
 	Ejected       bool
 	Share         float64 // of its normal traffic; below 1 after an ejection
 	Usage         Usage   // of the model
@@ -125,7 +126,7 @@
 // NewDefaultChooser returns a chooser with all plug-ins of this package.
 func NewDefaultChooser() *Chooser {
 	return NewChooser(
-		[]Filter{ReadyFilter{}, LeavingFilter{}, EjectedFilter{}, TriedFilter{}, RoomFilter{}},
+		[]Filter{ReadyFilter{}, LeavingFilter{}, ReachableFilter{}, EjectedFilter{}, TriedFilter{}, RoomFilter{}},
 		[]Weighted{
 			{InFlightScorer{}, weightInFlight},
 			{RecentScorer{}, weightRecent},
--- a/pkg/traffic/server.go
+++ b/pkg/traffic/server.go
@@ -44,6 +44,22 @@
 	inFlight atomic.Int64 // own requests, of all models
 	load     atomic.Pointer[engine.LoadReport]
 	leaving  atomic.Pointer[string] // instance that said that it leaves; nil: none
+	answered atomic.Int64           // Unix nanoseconds of the last answer to this node
+}
+
+// ownEvidence is how long an answer to this node outweighs the owner's word
+// that a server is out of reach.
+const ownEvidence = 3 * time.Second
+
+// observeAnswer notes that the engine answered this node.
+func (s *server) observeAnswer(now time.Time) {
+	s.answered.Store(now.UnixNano())
+}
+
+// unreachable tells whether requests to the server would hang: its owner cannot
+// reach it, and this node has had no answer of it lately either.
+func (s *server) unreachable(now time.Time, view api.ServerView) bool {
+	return !view.Reachable && now.Sub(time.Unix(0, s.answered.Load())) >= ownEvidence
 }
 
 // observeLoad takes in a load report unless a newer one is known.
