--- a/pkg/lab/scale/config.go
+++ b/pkg/lab/scale/config.go
@@ -39,6 +39,7 @@
 	Quiet             time.Duration // of the measurement with no event
 	Wakes             int           // of idle models
 	Edits             int           // of the tree
+	EditPause         time.Duration // after each edit
 	Deaths            int           // of nodes that own nothing
 	Takeovers         int           // of cells whose owner dies
 	Patience          time.Duration // for the cluster to form, and for each event
@@ -65,6 +66,7 @@
 	setDefault(&c.Quiet, 10*time.Second)
 	setDefault(&c.Wakes, 10)
 	setDefault(&c.Edits, 5)
+	setDefault(&c.EditPause, 5*time.Second)
 	setDefault(&c.Deaths, 3)
 	setDefault(&c.Takeovers, 2)
 	setDefault(&c.Patience, 90*time.Second)
