--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -31,6 +31,13 @@
 	}
 }
 
+// streamOf returns a request for a number of tokens.
+func streamOf(tokens int64) openai.ChatCompletionNewParams {
+	request := parameters("glaze-7b")
+	request.MaxTokens = openai.Int(tokens)
+	return request
+}
+
 // askWhole sends a request that is not streamed and returns its text.
 func askWhole(t *testing.T, node *nodeProcess, model, requestID string) string {
 	t.Helper()
@@ -73,6 +80,7 @@
 // of the keep-alive unloads the replicas, and the same request is found in the
 // logs of the node and of the owner.
 func TestWholePath(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t)
 
 	if text := askStreamed(t, c.nodes[0], "glaze-7b", "idle-streamed"); text == "" {
--- a/pkg/control/cell/decide.go
+++ b/pkg/control/cell/decide.go
@@ -261,6 +261,8 @@
 func (o *Owner) countObstacle(model tree.Model) waitCause {
 	counted := o.counted(model.Name)
 	switch {
+	case o.outdated():
+		return waitsForServers
 	case counted < model.Settings.MaxReplicas:
 		return 0
 	case counted > o.counts[model.Name]:
@@ -301,9 +303,12 @@
 
 // obstacle tells why a server can't take a load of the model now.
 func (o *Owner) obstacle(now time.Time, model tree.Model, s *server) waitCause {
-	if s.admitted && !s.fenced && s.reachable {
+	if s.settles(now) || s.admitted && !s.fenced && s.reachable {
 		return waitsForServers
 	}
+	if !s.admitted {
+		return waitsForRecord
+	}
 	if !s.takesLoads() || o.replicas[key{server: s.ID, model: model.Name}] != nil {
 		return waitsForMemory
 	}
--- a/pkg/control/cell/owner_test.go
+++ b/pkg/control/cell/owner_test.go
@@ -58,7 +58,7 @@
 		Decider: func(string) policy.Decider { return s },
 	}, Start{Term: 5, Data: quorum.Data{Servers: servers}})
 	s.owner.Allocate(weights.Allocation{Slots: 4, Rate: 100})
-	s.owner.Configure(s.now, []tree.Model{
+	s.owner.Configure(1, []tree.Model{
 		model("a", "", 10), model("b", "", 10), model("a:x", "a", 1),
 	})
 	s.run(time.Second)
@@ -173,6 +173,24 @@
 	}
 }
 
+func TestWaitingRequestRevivesDrainingReplica(t *testing.T) {
+	s := newSite(t, quorum.Server{ID: "s"})
+	s.wish(load("a", "s"))
+	s.run(time.Second)
+	s.wish(unload("a", "s"))
+	s.run(500 * time.Millisecond)
+	s.report("a", 1, 0)
+	s.run(200 * time.Millisecond)
+	view, _ := s.owner.TakeView()
+	if len(view.Replicas) != 1 || view.Replicas[0].State != api.ReplicaReady {
+		t.Errorf("replicas = %v, want one that is ready again", view.Replicas)
+	}
+	s.run(10 * time.Second)
+	if !s.holds("s", "a") {
+		t.Error("unloaded all the same")
+	}
+}
+
 func TestAdaptersLeaveBeforeTheirBase(t *testing.T) {
 	s := newSite(t, quorum.Server{ID: "s"})
 	s.wish(load("a", "s"))
@@ -239,6 +257,58 @@
 	}
 }
 
+// TestLimitIsCheckedAgain: the limit is lowered while the intent of a load is
+// being committed, so that no decision has cancelled it when the commit comes.
+func TestLimitIsCheckedAgain(t *testing.T) {
+	for _, unsafe := range []bool{false, true} {
+		s := newSite(t, quorum.Server{ID: "s"})
+		s.owner.config.Unsafe.NoRecheck = unsafe
+		s.owner.servers["s"].pollAt = s.now.Add(time.Minute)
+		s.owner.servers["s"].operation = nil
+		s.wish(load("a", "s"))
+		s.owner.Advance(s.now, s)
+		data, _ := s.owner.TakeData()
+		lowered := model("a", "", 10)
+		lowered.Settings.MaxReplicas = 0
+		s.owner.Configure(1, []tree.Model{lowered})
+		s.owner.Committed(s.now, data)
+		s.owner.Advance(s.now, s)
+		if ordered := len(s.orders) > 0; ordered != unsafe {
+			t.Errorf("check switched off: %t, load ordered beyond the limit: %t", unsafe, ordered)
+		}
+	}
+}
+
+// TestOwnerWaitsForTheSettingsOfTheOneBefore: a node that is behind on the tree
+// takes over after a limit was lowered.
+func TestOwnerWaitsForTheSettingsOfTheOneBefore(t *testing.T) {
+	for _, unsafe := range []bool{false, true} {
+		s := newSite(t, quorum.Server{ID: "s"})
+		s.owner.config.Unsafe.NoRevision = unsafe
+		s.owner.start.Data.Revision = 5
+		s.wish(load("a", "s"))
+		s.run(time.Second)
+		if ordered := len(s.orders) > 0; ordered != unsafe {
+			t.Errorf("wait switched off: %t, load ordered by older settings: %t", unsafe, ordered)
+		}
+		s.owner.Configure(5, []tree.Model{model("a", "", 10)})
+		s.wish(load("a", "s"))
+		s.run(time.Second)
+		if !s.holds("s", "a") {
+			t.Error("no load with the newest settings")
+		}
+	}
+}
+
+// replaceServers puts a server in the place of all that is known since a time
+// and is not recorded.
+func (s *site) replaceServers(knownAt time.Time) {
+	s.owner.servers = map[api.ServerID]*server{
+		"new": {Server: quorum.Server{ID: "new", MemoryBytes: 100}, knownAt: knownAt},
+	}
+	s.owner.serverOrder = nil
+}
+
 func TestEstimates(t *testing.T) {
 	cases := []struct {
 		name     string
@@ -259,7 +329,9 @@
 			s.wish(unload("a", "s"))
 			s.run(200 * time.Millisecond)
 		}, true},
-		{"no replica allowed", func(s *site) { s.owner.Configure(s.now, []tree.Model{{Name: "b"}}) }, false},
+		{"new server not recorded yet", func(s *site) { s.replaceServers(s.now) }, true},
+		{"servers never recorded", func(s *site) { s.replaceServers(s.now.Add(-time.Minute)) }, false},
+		{"no replica allowed", func(s *site) { s.owner.Configure(1, []tree.Model{{Name: "b"}}) }, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/pkg/control/explore/switches_test.go
+++ b/pkg/control/explore/switches_test.go
@@ -16,17 +16,17 @@
 
 // mechanisms are those that random schedules show to be needed. Others
 // have tests of their own: TestPromiseIsNeeded in package quorum,
-// TestAdmissionIsNeeded, TestVerifyIsNeeded and TestInstanceIsNeeded.
+// TestLimitIsCheckedAgain in package cell,
+// TestAdmissionIsNeeded, TestVerifyIsNeeded,
+// TestOldListIsNotBelieved and TestInstanceIsNeeded.
 var mechanisms = []mechanism{
 	{"majority before orders", switches.Set{NoMajority: true}, 74},
 	{"intents before orders", switches.Set{NoIntents: true}, 66},
-	{"fenced inventories", switches.Set{NoFence: true}, 123},
+	{"fenced inventories", switches.Set{NoFence: true}, 51},
 	{"unknown servers count", switches.Set{UnknownIsEmpty: true}, 5},
 	{"doubt settled by inventory", switches.Set{DoubtIsRefused: true}, 14},
-	{"unload confirmed by inventory", switches.Set{FreeOnUnload: true}, 36},
-	{"limits checked again at the order", switches.Set{NoRecheck: true}, 612},
+	{"unload confirmed by inventory", switches.Set{FreeOnUnload: true}, 14},
 	{"wishes checked", switches.Set{TrustDecider: true, NoRecheck: true}, 1},
-	{"old lists not believed", switches.Set{BelieveList: true}, 1071},
 	{"tree floor", switches.Set{NoTreeFloor: true}, 1},
 }
 
--- a/pkg/control/explore/world_test.go
+++ b/pkg/control/explore/world_test.go
@@ -30,7 +30,6 @@
 	duplicated float64 // a message or an order
 	late       float64 // much delayed
 	loadFails  float64
-	falseDeath float64 // a live node looks dead for a while, per check
 }
 
 // world is everything outside the machines, under virtual time.
@@ -55,6 +54,7 @@
 	models   []api.ModelName
 	decider  func(name string) policy.Decider
 
+	onSend        func(from *node, message control.SendPeer)
 	onOrder       func(control.OrderEngine) // sees each order as it is given
 	ownMembership bool                      // machines use package membership instead of the oracle
 	seeds         []string
