membership: nodes without an address are ignored; random messages do no harm

A message whose sender named no address made the receiver panic (TestInvalidMessagesAreIgnored, TestAnyMessagesAreSurvived with 30,000 messages).

--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -96,7 +96,8 @@
 // A message of a foreign type or over the bounds is ignored.
 func (m *Machine) Receive(now time.Time, from api.NodeRef, message any) []Packet {
 	header, valid := headerOf(message)
-	if !valid || from.ID == "" || from.ID == m.self.update.Ref.ID || m.self.update.State == StateLeft {
+	nameless := from.ID == "" || from.PeerAddress == ""
+	if !valid || nameless || from.ID == m.self.update.Ref.ID || m.self.update.State == StateLeft {
 		return nil
 	}
 	known := m.table[from.ID]
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -387,6 +387,7 @@
 		"too many members": {other, SyncPage{Members: make([]Update, MaxPageMembers+1)}},
 		"too many cells":   {other, Probe{Digest: &DigestNews{Serial: 1, Cells: make([]CellVersion, MaxDigestCells+1)}}},
 		"from nobody":      {api.NodeRef{}, Probe{}},
+		"no address":       {api.NodeRef{ID: "b", Incarnation: 1}, Probe{}},
 		"from itself":      {self, Probe{}},
 	} {
 		machine := New(Config{Self: self})
@@ -398,7 +399,9 @@
 		}
 	}
 	machine := New(Config{Self: self})
-	machine.Receive(time.Unix(1, 0), other, Gossip{Header: Header{Updates: []Update{{}, {Ref: other, State: 99}}}})
+	machine.Receive(time.Unix(1, 0), other, Gossip{Header: Header{Updates: []Update{
+		{}, {Ref: other, State: 99}, {Ref: api.NodeRef{ID: "c", Incarnation: 1}},
+	}}})
 	if members := machine.Members(); len(members) != 2 || members[1].State != StateAlive {
 		t.Errorf("invalid updates were taken over: %v", members)
 	}
--- a/pkg/membership/rules_test.go
+++ b/pkg/membership/rules_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -118,3 +119,66 @@
 	n.run(5 * time.Second)
 	n.requireAgreement(12)
 }
+
+// TestAnyMessagesAreSurvived feeds a machine with messages of random content
+// and checks what must hold of its table.
+func TestAnyMessagesAreSurvived(t *testing.T) {
+	const seed = 42
+	random := rand.New(rand.NewPCG(seed, 0))
+	machine := New(Config{Self: testRef("n3", 5), Seeds: []string{"x:1", "n4:7000"}})
+	now := startTime
+	for step := range 30_000 {
+		now = now.Add(time.Duration(random.IntN(50)) * time.Millisecond)
+		for _, packet := range machine.Receive(now, randomUpdate(random).Ref, randomMessage(random)) {
+			if _, valid := headerOf(packet.Message); !valid {
+				t.Fatalf("seed %d, step %d: sends %T over the bounds", seed, step, packet.Message)
+			}
+		}
+		machine.Tick(now)
+		hash := uint32(0)
+		for _, row := range machine.table {
+			hash ^= row.hash()
+		}
+		if hash != machine.tableHash || len(machine.ids) != len(machine.table) || !slices.IsSorted(machine.ids) {
+			t.Fatalf("seed %d, step %d: table and index differ", seed, step)
+		}
+		if self, _ := machine.Member("n3"); self.State != StateAlive || self.Ref.Incarnation != 5 {
+			t.Fatalf("seed %d, step %d: sees itself as %+v", seed, step, self)
+		}
+	}
+}
+
+func randomUpdate(random *rand.Rand) Update {
+	update := Update{
+		Ref:        testRef(api.NodeID([]string{"", "n1", "n2", "n3", "n4", "n5"}[random.IntN(6)]), random.Uint64N(8)),
+		Refutation: uint32(random.IntN(4)),
+		State:      State(random.IntN(6)),
+	}
+	if random.IntN(20) == 0 {
+		update.Refutation = 1<<32 - 1
+	}
+	if random.IntN(10) == 0 {
+		update.Ref.PeerAddress = ""
+	}
+	return update
+}
+
+func randomMessage(random *rand.Rand) any {
+	updates := make([]Update, random.IntN(MaxUpdates+2))
+	for index := range updates {
+		updates[index] = randomUpdate(random)
+	}
+	header := Header{TableHash: random.Uint32(), Refutation: uint32(random.IntN(3)), Updates: updates}
+	news := &DigestNews{Base: random.Uint64N(3), Serial: random.Uint64N(4), Cells: make([]CellVersion, random.IntN(4))}
+	sequence := random.Uint64N(50)
+	return []any{
+		Probe{Header: header, Sequence: sequence, Digest: news},
+		Ack{Header: header, Sequence: sequence, KnownDigest: random.Uint64N(9)},
+		ProbeRequest{Header: header, Sequence: sequence, Target: randomUpdate(random).Ref},
+		RelayedAck{Header: header, Sequence: sequence, Target: randomUpdate(random).Ref.ID},
+		Gossip{Header: header},
+		SyncRequest{Header: header, After: randomUpdate(random).Ref.ID},
+		SyncPage{Header: header, Members: updates, More: random.IntN(2) == 0},
+		nil,
+	}[random.IntN(8)]
+}
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -54,7 +54,7 @@
 // apply takes over an update if it supersedes what is known, and spreads it.
 // It tells whether it did.
 func (m *Machine) apply(now time.Time, from api.NodeID, update Update) bool {
-	if update.Ref.ID == "" || update.State > StateLeft {
+	if update.Ref.ID == "" || update.Ref.PeerAddress == "" || update.State > StateLeft {
 		return false
 	}
 	if update.Ref.ID == m.self.update.Ref.ID {
