--- a/pkg/control/explore/takeover_test.go
+++ b/pkg/control/explore/takeover_test.go
@@ -164,4 +164,3 @@
 	}
 	printTrace(t, w)
 }
-
