--- a/pkg/control/cell/owner.go
+++ b/pkg/control/cell/owner.go
@@ -35,6 +35,7 @@
 	listVersion uint64
 	allocation  weights.Allocation
 	loadTokens  float64
+	rated       bool // the first tokens were given
 	tokensAt    time.Time
 	queue       []queuedLoad // wishes that wait for a slot or for room
 
@@ -51,22 +52,21 @@
 // New returns the owner of a cell for the term in start.
 func New(now time.Time, config Config, start Start) *Owner {
 	o := &Owner{
-		config:     config,
-		start:      start,
-		models:     make(map[api.ModelName]tree.Model),
-		servers:    make(map[api.ServerID]*server),
-		replicas:   make(replicaSet),
-		moving:     make(replicaSet),
-		onServer:   make(replicaIndex[api.ServerID]),
-		ofModel:    make(replicaIndex[api.ModelName]),
-		reserved:   make(map[api.ServerID]uint64),
-		counts:     make(map[api.ModelName]int),
-		demand:     make(map[api.ModelName]*demand),
-		failures:   make(map[api.ModelName]*failure),
-		loadTimes:  make(map[api.ModelName]time.Duration),
-		loadTokens: 1,
-		tokensAt:   now,
-		decideAt:   now,
+		config:    config,
+		start:     start,
+		models:    make(map[api.ModelName]tree.Model),
+		servers:   make(map[api.ServerID]*server),
+		replicas:  make(replicaSet),
+		moving:    make(replicaSet),
+		onServer:  make(replicaIndex[api.ServerID]),
+		ofModel:   make(replicaIndex[api.ModelName]),
+		reserved:  make(map[api.ServerID]uint64),
+		counts:    make(map[api.ModelName]int),
+		demand:    make(map[api.ModelName]*demand),
+		failures:  make(map[api.ModelName]*failure),
+		loadTimes: make(map[api.ModelName]time.Duration),
+		tokensAt:  now,
+		decideAt:  now,
 	}
 	o.inheritServers(now)
 	o.inheritReplicas(now)
@@ -228,6 +228,9 @@
 	elapsed := now.Sub(o.tokensAt).Seconds()
 	o.tokensAt = now
 	limit := max(1, o.allocation.Rate)
+	if !o.rated {
+		o.rated, o.loadTokens = true, limit
+	}
 	o.loadTokens = min(limit, o.loadTokens+elapsed*o.allocation.Rate)
 }
 
--- a/pkg/control/config.go
+++ b/pkg/control/config.go
@@ -37,7 +37,8 @@
 	FormationStep       time.Duration // longer for each further node
 	GroupPatience       time.Duration // that a member is without a leader until it helps to form a new group
 	FormationPatience   time.Duration // how long recorded members that live have to come up
-	FormationRetry      time.Duration // pause after a failed try
+	FormationRetry      time.Duration // first pause after a failed try; doubles
+	FormationRetryMax   time.Duration // longest pause after failed tries
 	RecordRetry         time.Duration // first pause after a failed write of a cell's record; doubles
 	RecordRetryMax      time.Duration
 	MachinePoll         time.Duration // between reads of the list of machines by an owner
@@ -55,11 +56,12 @@
 	return Timing{
 		Quorum:              quorum.DefaultTiming(),
 		Cell:                cell.DefaultTiming(),
-		FormationDelay:      time.Second,
-		FormationStep:       500 * time.Millisecond,
+		FormationDelay:      400 * time.Millisecond,
+		FormationStep:       300 * time.Millisecond,
 		GroupPatience:       20 * time.Second,
 		FormationPatience:   10 * time.Second,
-		FormationRetry:      2 * time.Second,
+		FormationRetry:      300 * time.Millisecond,
+		FormationRetryMax:   20 * time.Second,
 		RecordRetry:         time.Second,
 		RecordRetryMax:      30 * time.Second,
 		MachinePoll:         time.Second,
--- a/pkg/control/demand.go
+++ b/pkg/control/demand.go
@@ -119,9 +119,16 @@
 	return c.view.Leader, c.view.Term > 0
 }
 
-// repeatDemand tells a new owner of the requests that wait here.
+// repeatDemand tells a new owner of the requests that wait here, whether an
+// owner before it was told or not.
 func (m *Machine) repeatDemand(c *cellControl) {
 	var waiting []api.ModelName
+	for _, model := range c.models {
+		_, sent := m.demand.sent[model.Name]
+		if pending, known := m.demand.pending[model.Name]; known && !sent && pending.Waiting > 0 {
+			waiting = append(waiting, model.Name)
+		}
+	}
 	for _, model := range slices.Sorted(maps.Keys(m.demand.sent)) {
 		last := m.demand.sent[model]
 		if m.modelCell[model] != c.name || last.demand.Waiting == 0 || m.now.Sub(last.at) >= demandMemory {
--- a/pkg/control/explore/switches_test.go
+++ b/pkg/control/explore/switches_test.go
@@ -20,14 +20,14 @@
 // TestAdmissionIsNeeded, TestVerifyIsNeeded,
 // TestOldListIsNotBelieved and TestInstanceIsNeeded.
 var mechanisms = []mechanism{
-	{"majority before orders", switches.Set{NoMajority: true}, 74},
-	{"intents before orders", switches.Set{NoIntents: true}, 66},
-	{"fenced inventories", switches.Set{NoFence: true}, 123},
-	{"unknown servers count", switches.Set{UnknownIsEmpty: true}, 5},
-	{"doubt settled by inventory", switches.Set{DoubtIsRefused: true}, 14},
-	{"unload confirmed by inventory", switches.Set{FreeOnUnload: true}, 36},
+	{"majority before orders", switches.Set{NoMajority: true}, 553},
+	{"intents before orders", switches.Set{NoIntents: true}, 220},
+	{"fenced inventories", switches.Set{NoFence: true}, 35},
+	{"unknown servers count", switches.Set{UnknownIsEmpty: true}, 9},
+	{"doubt settled by inventory", switches.Set{DoubtIsRefused: true}, 103},
+	{"unload confirmed by inventory", switches.Set{FreeOnUnload: true}, 21},
 	{"wishes checked", switches.Set{TrustDecider: true, NoRecheck: true}, 1},
-	{"tree floor", switches.Set{NoTreeFloor: true}, 1},
+	{"tree floor", switches.Set{NoTreeFloor: true}, 2},
 }
 
 // searched is the number of schedules from a mechanism's seed on in which a
--- a/pkg/control/formation.go
+++ b/pkg/control/formation.go
@@ -24,6 +24,10 @@
 	formationWriting                       // writes the record of a new epoch
 )
 
+// memberPause is the time between two looks at the record while its members may
+// come up.
+const memberPause = 2 * time.Second
+
 // formation forms the group of a cell that has none or has lost its majority.
 // The conditional write of the cell's record, with the next epoch, makes one
 // founder win. That the old group may still be at work is no harm: the new
@@ -31,6 +35,7 @@
 // fenced it.
 type formation struct {
 	stage    formationStage
+	failures int       // tries in a row that failed
 	startAt  time.Time // of the next stage, when waiting
 	aliveAt  time.Time // since when the recorded members look alive but silent
 	founded  uint64    // last epoch that this node led as the founder
@@ -52,6 +57,7 @@
 	if !c.needsGroup(now) {
 		f.stage = formationIdle
 		f.aliveAt = time.Time{}
+		f.failures = 0
 		return
 	}
 	if f.stage == formationIdle {
@@ -191,12 +197,13 @@
 	c.machine.machinesAt = c.machine.now
 }
 
-// waitForMembers gives recorded members that live some time to come up. They
-// may never: a founder may have died before it told them.
+// waitForMembers gives recorded members that live, or may live since this node
+// has not met them yet, some time to tell their view. They may never: a founder
+// may have died before it told them.
 func (c *cellControl) waitForMembers(members []api.NodeRef) bool {
 	f := &c.formation
 	now := c.machine.now
-	if !c.mostAlive(members) {
+	if !c.mostMayLive(members) {
 		return false
 	}
 	if f.aliveAt.IsZero() {
@@ -206,15 +213,37 @@
 		return false
 	}
 	f.stage = formationWaiting
-	f.startAt = now.Add(c.machine.timing.FormationRetry)
+	f.startAt = now.Add(memberPause)
 	return true
 }
 
+// mostMayLive tells whether a majority of the members is alive or unknown here.
+func (c *cellControl) mostMayLive(members []api.NodeRef) bool {
+	known := make(map[api.NodeID]bool)
+	for _, member := range c.machine.membership.Members() {
+		known[member.Ref.ID] = true
+	}
+	live := c.machine.liveNodes()
+	count := 0
+	for _, member := range members {
+		if isAmong(member, live) || !known[member.ID] {
+			count++
+		}
+	}
+	return 2*count > len(members)
+}
+
 func (c *cellControl) retryFormation(message string, err error) {
+	timing := c.machine.timing
+	pause := min(timing.FormationRetry<<min(c.formation.failures, 10), timing.FormationRetryMax)
+	c.formation.failures++
 	c.formation.stage = formationWaiting
-	pause := c.machine.timing.FormationRetry
 	c.formation.startAt = c.machine.now.Add(pause + c.machine.jitter(pause))
-	c.Log("warn", message, "error", err.Error())
+	level := "warn"
+	if errors.Is(err, errNoMachines) {
+		level = "debug" // usual for a service that does not run in this region
+	}
+	c.Log(level, message, "error", err.Error())
 }
 
 // errNoMachines means that a cell has neither machines nor a record.
