--- a/pkg/control/formation.go
+++ b/pkg/control/formation.go
@@ -64,7 +64,7 @@
 		f.stage = formationWaiting
 		timing := c.machine.timing
 		wait := timing.FormationDelay + time.Duration(c.rank())*timing.FormationStep
-		if c.group.Superseded() {
+		if c.view.Term > 0 && c.group.Floor() > c.epoch() {
 			wait += timing.GroupPatience // two halves of a region must not depose each other in turn
 		}
 		f.startAt = now.Add(wait + c.machine.jitter(timing.FormationStep/4))
@@ -88,13 +88,14 @@
 	if c.leaderlessFor(now) >= c.machine.timing.GroupPatience {
 		return true
 	}
-	if c.group.Superseded() && c.group.Floor() > c.epoch() {
-		return true
-	}
-	if c.view.Term > 0 && c.mostAlive(c.view.Members) {
-		return false
-	}
-	return !c.group.Member() || !c.mostAlive(c.group.Accepted().Members)
+	accepted := c.group.Accepted()
+	return !c.mayAgree(c.view.Term, c.view.Members) && !c.mayAgree(accepted.Term, accepted.Members)
+}
+
+// mayAgree tells whether the group that had these members in term can still
+// agree: it is of the latest epoch and has a majority.
+func (c *cellControl) mayAgree(term uint64, members []api.NodeRef) bool {
+	return term > 0 && quorum.Epoch(term) >= c.group.Floor() && c.mostAlive(members)
 }
 
 // leaderlessFor returns how long this member has not heard of any leader.
--- a/pkg/control/machine_test.go
+++ b/pkg/control/machine_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/control/quorum"
 	"martenwheel.dev/pkg/engine"
 	"martenwheel.dev/pkg/membership"
 	"martenwheel.dev/pkg/platform"
@@ -141,6 +142,23 @@
 	}
 }
 
+// TestObsoleteViewDoesNotHoldUpANewGroup: the members in the newest view that a
+// node has are alive, but their group is of an earlier epoch than one whose
+// members are gone. Found by the explorer (seed 1024062 before this test).
+func TestObsoleteViewDoesNotHoldUpANewGroup(t *testing.T) {
+	s := newStandby(1, 1)
+	self := s.machine.config.Self
+	gone := api.NodeRef{ID: "gone", Incarnation: 1, Region: "r"}
+	view := api.CellView{Cell: "assistant@r", Term: quorum.MakeTerm(1, 1), Version: 1, Leader: self, Members: []api.NodeRef{self}}
+	s.carryOut(s.machine.Step(s.now, PeerReceived{From: self, Message: ViewPush{View: view}}))
+	state := quorum.State{Term: quorum.MakeTerm(2, 1), Version: 1, Members: []api.NodeRef{gone}}
+	s.carryOut(s.machine.Step(s.now, PeerReceived{From: gone, Message: quorum.Accept{Cell: view.Cell, State: state}}))
+	s.run(time.Minute)
+	if cell := s.machine.Status().Cells[0]; cell.Role != RoleOwner || cell.Epoch != 3 {
+		t.Errorf("status = %+v, want the owner of epoch 3", cell)
+	}
+}
+
 // TestOlderTreeIsIgnored: the tree in force never goes back.
 func TestOlderTreeIsIgnored(t *testing.T) {
 	s := newStandby(1, 1)
--- a/pkg/control/quorum/group.go
+++ b/pkg/control/quorum/group.go
@@ -117,12 +117,6 @@
 	return max(g.epochFloor, Epoch(g.promised))
 }
 
-// Superseded tells whether this node was a member in an earlier epoch than the
-// highest it knows of.
-func (g *Group) Superseded() bool {
-	return g.accepted.Term != 0 && Epoch(g.accepted.Term) < g.epochFloor
-}
-
 // Promised returns the highest term that this node follows.
 func (g *Group) Promised() uint64 {
 	return g.promised
