--- a/pkg/control/cell/server.go
+++ b/pkg/control/cell/server.go
@@ -71,13 +71,18 @@
 	return usable && s.failures == 0 && !s.leaving()
 }
 
-// settleWindow is the time that a server which is new to the owner usually needs
-// to be recorded, committed and fenced.
+// settleWindow is the time that a server or an engine instance which is new to
+// the owner usually needs to be recorded, committed, fenced and verified.
 const settleWindow = 5 * time.Second
 
 // settles tells whether the server is expected to take loads shortly.
 func (s *server) settles(now time.Time) bool {
-	return !s.leaving() && !s.fenced && s.failures < unreachableAfter && now.Sub(s.knownAt) < settleWindow
+	since := s.knownAt
+	if s.instanceAt.After(since) {
+		since = s.instanceAt
+	}
+	waits := !s.fenced || s.unverified()
+	return waits && !s.leaving() && s.failures < unreachableAfter && now.Sub(since) < settleWindow
 }
 
 // pollBy moves the next inventory forward to at, if it is later.
@@ -171,11 +176,17 @@
 	return asOf.After(latest.Add(o.config.Timing.ClockSkew))
 }
 
+// unverified tells whether the record must be read once more before the present
+// instance of the engine is loaded on.
+func (s *server) unverified() bool {
+	return s.committed && s.fenced && s.Instance != s.instance
+}
+
 // Unverified tells whether there is an engine instance that the owner may not
 // load on before it has read the cell's record once more.
 func (o *Owner) Unverified() bool {
 	for _, s := range o.servers {
-		if s.committed && s.fenced && s.Instance != s.instance {
+		if s.unverified() {
 			return true
 		}
 	}
@@ -186,7 +197,7 @@
 // time since, was still of this owner's epoch.
 func (o *Owner) Verified(since time.Time) {
 	for _, s := range o.servers {
-		if s.committed && s.fenced && s.Instance != s.instance && !s.instanceAt.After(since) {
+		if s.unverified() && !s.instanceAt.After(since) {
 			s.Instance = s.instance
 			o.dirty = true
 			o.news()
--- a/pkg/control/record.go
+++ b/pkg/control/record.go
@@ -139,9 +139,10 @@
 
 // recordKeeper keeps the record of a cell that this node owns up to date.
 type recordKeeper struct {
-	read     bool // since the ownership began
-	retryAt  time.Time
-	failures int
+	read      bool // since the ownership began
+	writtenAt time.Time
+	retryAt   time.Time
+	failures  int
 }
 
 func (k *recordKeeper) reset(now time.Time) {
@@ -158,7 +159,9 @@
 		c.readRecord()
 		return
 	}
-	if wanted, differs := c.wantedRecord(); differs {
+	wanted, differs := c.wantedRecord()
+	if differs || now.Sub(c.record.writtenAt) >= c.machine.timing.RecordRefresh {
+		c.record.writtenAt = now
 		c.writeRecord(wanted)
 		return
 	}
