--- a/pkg/control/cell/decide.go
+++ b/pkg/control/cell/decide.go
@@ -306,7 +306,7 @@
 	if s.settles(now) || s.admitted && !s.fenced && s.reachable {
 		return waitsForServers
 	}
-	if !s.admitted {
+	if !s.admitted || s.unverified() {
 		return waitsForRecord
 	}
 	if !s.takesLoads() || o.replicas[key{server: s.ID, model: model.Name}] != nil {
--- a/pkg/control/cell/estimate.go
+++ b/pkg/control/cell/estimate.go
@@ -130,7 +130,7 @@
 	case waitsForBackoff:
 		return refusal(queued.model, max(settleTime, queued.until.Sub(now)), "the last load of the model failed")
 	case waitsForRecord:
-		return refusal(queued.model, settleTime, "no server of the cell may be used before the table service has recorded it")
+		return refusal(queued.model, settleTime, "no server of the cell may be used before the table service has confirmed it")
 	default:
 		return refusal(queued.model, capacityRetry, "the accelerators' memory is taken by models in use")
 	}
--- a/pkg/control/formation.go
+++ b/pkg/control/formation.go
@@ -10,6 +10,7 @@
 
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/control/quorum"
+	"martenwheel.dev/pkg/membership"
 	"martenwheel.dev/pkg/platform"
 )
 
@@ -24,6 +25,10 @@
 	formationWriting                       // writes the record of a new epoch
 )
 
+// memberPause is the time between two looks at the record while its members may
+// come up.
+const memberPause = 2 * time.Second
+
 // formation forms the group of a cell that has none or has lost its majority.
 // The conditional write of the cell's record, with the next epoch, makes one
 // founder win. That the old group may still be at work is no harm: the new
@@ -31,11 +36,15 @@
 // fenced it.
 type formation struct {
 	stage    formationStage
-	startAt  time.Time // of the next stage, when waiting
-	aliveAt  time.Time // since when the recorded members look alive but silent
-	founded  uint64    // last epoch that this node led as the founder
-	wanted   cellRecord
-	unknowns map[api.ServerID]bool // servers of the record before the write of epoch wanted
+	failures int // tries in a row that failed
+
+	seenVersion uint64    // of the record
+	seenAt      time.Time // when the record was first seen in that version
+	startAt     time.Time // of the next stage, when waiting
+	aliveAt     time.Time // since when the recorded members look alive but silent
+	founded     uint64    // last epoch that this node led as the founder
+	wanted      cellRecord
+	unknowns    map[api.ServerID]bool // servers of the record before the write of epoch wanted
 }
 
 func (f *formation) needsMachines() bool {
@@ -52,13 +61,14 @@
 	if !c.needsGroup(now) {
 		f.stage = formationIdle
 		f.aliveAt = time.Time{}
+		f.failures = 0
 		return
 	}
 	if f.stage == formationIdle {
 		f.stage = formationWaiting
 		timing := c.machine.timing
 		wait := timing.FormationDelay + time.Duration(c.rank())*timing.FormationStep
-		if c.group.Superseded() {
+		if c.view.Term > 0 && c.group.Floor() > c.epoch() {
 			wait += timing.GroupPatience // two halves of a region must not depose each other in turn
 		}
 		f.startAt = now.Add(wait + c.machine.jitter(timing.FormationStep/4))
@@ -82,13 +92,14 @@
 	if c.leaderlessFor(now) >= c.machine.timing.GroupPatience {
 		return true
 	}
-	if c.group.Superseded() && c.group.Floor() > c.epoch() {
-		return true
-	}
-	if c.view.Term > 0 && c.mostAlive(c.view.Members) {
-		return false
-	}
-	return !c.group.Member() || !c.mostAlive(c.group.Accepted().Members)
+	accepted := c.group.Accepted()
+	return !c.mayAgree(c.view.Term, c.view.Members) && !c.mayAgree(accepted.Term, accepted.Members)
+}
+
+// mayAgree tells whether the group that had these members in term can still
+// agree: it is of the latest epoch and has a majority.
+func (c *cellControl) mayAgree(term uint64, members []api.NodeRef) bool {
+	return term > 0 && quorum.Epoch(term) >= c.group.Floor() && c.mostAlive(members)
 }
 
 // leaderlessFor returns how long this member has not heard of any leader.
@@ -184,19 +195,20 @@
 		c.found(*known)
 		return
 	}
-	if known != nil && c.waitForMembers(known.Members) {
+	if known != nil && (c.waitForMembers(known.Members) || c.waitForOwner()) {
 		return
 	}
 	f.stage = formationListing
 	c.machine.machinesAt = c.machine.now
 }
 
-// waitForMembers gives recorded members that live some time to come up. They
-// may never: a founder may have died before it told them.
+// waitForMembers gives recorded members that live, or may live since this node
+// has not met them yet, some time to tell their view. They may never: a founder
+// may have died before it told them.
 func (c *cellControl) waitForMembers(members []api.NodeRef) bool {
 	f := &c.formation
 	now := c.machine.now
-	if !c.mostAlive(members) {
+	if !c.mostMayLive(members) {
 		return false
 	}
 	if f.aliveAt.IsZero() {
@@ -206,15 +218,74 @@
 		return false
 	}
 	f.stage = formationWaiting
-	f.startAt = now.Add(c.machine.timing.FormationRetry)
+	f.startAt = now.Add(memberPause)
 	return true
 }
 
+// waitForOwner makes a node that sees only a minority of the region's nodes wait
+// until the record has not changed for some time. It may be cut off from a group
+// that works, whose owner renews the record.
+func (c *cellControl) waitForOwner() bool {
+	f := &c.formation
+	now := c.machine.now
+	if !c.machine.inMinority() {
+		return false
+	}
+	if f.seenVersion != c.calls.version {
+		f.seenVersion, f.seenAt = c.calls.version, now
+	}
+	if now.Sub(f.seenAt) >= c.machine.timing.MinorityPatience {
+		return false
+	}
+	f.stage = formationWaiting
+	f.startAt = now.Add(memberPause)
+	return true
+}
+
+// deadMemory is how long a dead node counts when a node asks itself whether it
+// is the one that is cut off.
+const deadMemory = 10 * time.Minute
+
+// inMinority tells whether less than half of the region's nodes, with those that
+// died lately, are alive.
+func (m *Machine) inMinority() bool {
+	known := 0
+	for _, member := range m.membership.Members() {
+		old := member.State == membership.StateDead && m.now.Sub(member.Since) >= deadMemory
+		if member.Ref.Region == m.config.Self.Region && member.State != membership.StateLeft && !old {
+			known++
+		}
+	}
+	return 2*len(m.liveNodes()) < known
+}
+
+// mostMayLive tells whether a majority of the members is alive or unknown here.
+func (c *cellControl) mostMayLive(members []api.NodeRef) bool {
+	known := make(map[api.NodeID]bool)
+	for _, member := range c.machine.membership.Members() {
+		known[member.Ref.ID] = true
+	}
+	live := c.machine.liveNodes()
+	count := 0
+	for _, member := range members {
+		if isAmong(member, live) || !known[member.ID] {
+			count++
+		}
+	}
+	return 2*count > len(members)
+}
+
 func (c *cellControl) retryFormation(message string, err error) {
+	timing := c.machine.timing
+	pause := min(timing.FormationRetry<<min(c.formation.failures, 10), timing.FormationRetryMax)
+	c.formation.failures++
 	c.formation.stage = formationWaiting
-	pause := c.machine.timing.FormationRetry
 	c.formation.startAt = c.machine.now.Add(pause + c.machine.jitter(pause))
-	c.Log("warn", message, "error", err.Error())
+	level := "warn"
+	if errors.Is(err, errNoMachines) {
+		level = "debug" // usual for a service that does not run in this region
+	}
+	c.Log(level, message, "error", err.Error())
 }
 
 // errNoMachines means that a cell has neither machines nor a record.
