--- /dev/null
+++ b/pkg/control/candidates.go
@@ -0,0 +1,111 @@
+package control
+
+import (
+	"hash/fnv"
+	"sort"
+	"strconv"
+	"time"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/control/quorum"
+	"martenwheel.dev/pkg/membership"
+)
+
+// mostAlive tells whether a majority of the members is alive in the same life.
+func (c *cellControl) mostAlive(members []api.NodeRef) bool {
+	live := c.machine.liveNodes()
+	count := 0
+	for _, member := range members {
+		if isAmong(member, live) {
+			count++
+		}
+	}
+	return 2*count > len(members)
+}
+
+// rank is this node's place among the live nodes in an order that differs from
+// cell to cell.
+func (c *cellControl) rank() int {
+	for index, node := range c.ranked(c.machine.liveNodes()) {
+		if c.machine.isSelf(node) {
+			return index
+		}
+	}
+	return 0
+}
+
+// ranked sorts nodes by a hash of the cell and the node's life.
+func (c *cellControl) ranked(nodes []api.NodeRef) []api.NodeRef {
+	sorted := append([]api.NodeRef(nil), nodes...)
+	sort.Slice(sorted, func(i, j int) bool {
+		a, b := c.hash(sorted[i]), c.hash(sorted[j])
+		if a != b {
+			return a < b
+		}
+		return sorted[i].ID < sorted[j].ID
+	})
+	return sorted
+}
+
+func (c *cellControl) hash(node api.NodeRef) uint64 {
+	sum := fnv.New64a()
+	sum.Write([]byte(string(c.name) + "/" + string(node.ID) + "/" + strconv.FormatUint(node.Incarnation, 10)))
+	return sum.Sum64()
+}
+
+// chooseMembers returns up to quorum.Size of the nodes: those of first, then
+// others in zones that are not taken yet, then any.
+func (c *cellControl) chooseMembers(first, nodes []api.NodeRef) []api.NodeRef {
+	chosen := append([]api.NodeRef(nil), first...)
+	zones := make(map[string]bool)
+	for _, node := range chosen {
+		zones[node.Zone] = true
+	}
+	ranked := c.ranked(nodes)
+	for _, otherZonesOnly := range []bool{true, false} {
+		for _, node := range ranked {
+			if len(chosen) >= quorum.Size {
+				return chosen
+			}
+			if isAmong(node, chosen) || otherZonesOnly && zones[node.Zone] {
+				continue
+			}
+			chosen = append(chosen, node)
+			zones[node.Zone] = true
+		}
+	}
+	return chosen
+}
+
+// deadMemory is how long a dead node counts when a node asks itself whether it
+// is the one that is cut off.
+const deadMemory = 10 * time.Minute
+
+// inMinority tells whether less than half of the region's nodes, with those that
+// died lately, are alive.
+func (m *Machine) inMinority() bool {
+	known := 0
+	for _, member := range m.membership.Members() {
+		old := member.State == membership.StateDead && m.now.Sub(member.Since) >= deadMemory
+		if member.Ref.Region == m.config.Self.Region && member.State != membership.StateLeft && !old {
+			known++
+		}
+	}
+	return 2*len(m.liveNodes()) < known
+}
+
+// mostMayLive tells whether a majority of the members is alive or unknown here.
+func (c *cellControl) mostMayLive(members []api.NodeRef) bool {
+	known := make(map[api.NodeID]bool)
+	for _, member := range c.machine.membership.Members() {
+		known[member.Ref.ID] = true
+	}
+	live := c.machine.liveNodes()
+	count := 0
+	for _, member := range members {
+		if isAmong(member, live) || !known[member.ID] {
+			count++
+		}
+	}
+	return 2*count > len(members)
+}
--- a/pkg/control/cell/decide.go
+++ b/pkg/control/cell/decide.go
@@ -1,8 +1,6 @@
 package cell
 
 import (
-	"maps"
-	"slices"
 	"sort"
 	"time"
 
@@ -11,13 +9,6 @@
 	"martenwheel.dev/pkg/tree"
 )
 
-// failure is the back-off of a model whose loads failed.
-type failure struct {
-	count   int
-	until   time.Time
-	servers map[api.ServerID]time.Time // not tried again before
-}
-
 // decisionDue tells whether it is time for the next decision.
 func (o *Owner) decisionDue(now time.Time) bool {
 	return !now.Before(o.decideAt) && now.Sub(o.decidedAt) >= o.config.Timing.DecidePause
@@ -89,18 +80,6 @@
 	return false
 }
 
-// loadObstacle tells why a load of the model can't begin on any server.
-func (o *Owner) loadObstacle(now time.Time, model tree.Model) (waitCause, time.Time) {
-	if f := o.failures[model.Name]; f != nil && now.Before(f.until) {
-		return waitsForBackoff, f.until
-	}
-	if cause := o.countObstacle(model); cause != 0 {
-		return cause, time.Time{}
-	}
-	_, cause := o.place(now, model, "")
-	return cause, time.Time{}
-}
-
 // policies returns the policies that the cell's models name, in order.
 func (o *Owner) policies() []string {
 	seen := make(map[string]bool)
@@ -223,194 +202,3 @@
 	o.loadTokens--
 	o.intend(now, model, s, action.Urgent)
 }
-
-// undrain takes a replica back into service instead of loading another one.
-func (o *Owner) undrain(now time.Time, model tree.Model, sink Sink) bool {
-	if o.liveCount(model.Name) >= model.Settings.MaxReplicas {
-		return false
-	}
-	for _, r := range o.replicasOf(model.Name) {
-		s := o.servers[r.intent.Server]
-		if r.phase != phaseDraining || s == nil || s.leaving() || r.intent.Version != model.Settings.Version {
-			continue
-		}
-		if r.intent.Base != "" && !o.baseReady(r.intent.Base, s.ID) {
-			continue
-		}
-		sink.Log("info", "replica taken back into service", "model", model.Name, "server", s.ID)
-		o.enter(now, r, phaseReady)
-		r.lastUse = now
-		o.news()
-		return true
-	}
-	return false
-}
-
-// liveCount is the number of replicas that are not on their way out.
-func (o *Owner) liveCount(model api.ModelName) int {
-	count := 0
-	for _, r := range o.ofModel[model] {
-		if !r.leavingMemory() {
-			count++
-		}
-	}
-	return count
-}
-
-// countObstacle tells why the replica limit forbids another load now.
-func (o *Owner) countObstacle(model tree.Model) waitCause {
-	counted := o.counted(model.Name)
-	switch {
-	case o.outdated():
-		return waitsForServers
-	case counted < model.Settings.MaxReplicas:
-		return 0
-	case counted > o.counts[model.Name]:
-		return waitsForServers
-	case o.liveCount(model.Name) < model.Settings.MaxReplicas:
-		return waitsForUnload
-	default:
-		return waitsForMemory
-	}
-}
-
-// place returns the wished server, or another one if the wished one can't take
-// the load.
-func (o *Owner) place(now time.Time, model tree.Model, wished api.ServerID) (*server, waitCause) {
-	if s := o.servers[wished]; s != nil && o.obstacle(now, model, s) == 0 {
-		return s, 0
-	}
-	var best *server
-	cause := waitsForMemory
-	for _, s := range o.sortedServers() {
-		obstacle := o.obstacle(now, model, s)
-		if obstacle == 0 && (best == nil || o.free(s) > o.free(best)) {
-			best = s
-		}
-		if obstacle != 0 && obstacle < cause {
-			cause = obstacle
-		}
-	}
-	if best != nil {
-		return best, 0
-	}
-	return nil, cause
-}
-
-func (o *Owner) free(s *server) uint64 {
-	return s.capacityBytes() - min(s.capacityBytes(), o.reserved[s.ID])
-}
-
-// obstacle tells why a server can't take a load of the model now.
-func (o *Owner) obstacle(now time.Time, model tree.Model, s *server) waitCause {
-	if s.settles(now) || s.admitted && !s.fenced && s.reachable {
-		return waitsForServers
-	}
-	if !s.admitted || s.unverified() {
-		return waitsForRecord
-	}
-	if !s.takesLoads() || o.replicas[key{server: s.ID, model: model.Name}] != nil {
-		return waitsForMemory
-	}
-	if f := o.failures[model.Name]; f != nil && now.Before(f.servers[s.ID]) {
-		return waitsForMemory
-	}
-	if model.Base != "" && !o.baseReady(model.Base, s.ID) {
-		if base := o.replicas[key{server: s.ID, model: model.Base}]; base != nil && base.loading() {
-			return waitsForBase
-		}
-		return waitsForMemory
-	}
-	need := replicaBytes(model)
-	if o.reserved[s.ID]+need <= s.capacityBytes() {
-		return 0
-	}
-	if need <= o.free(s)+o.leavingBytes(s.ID) {
-		return waitsForRoom
-	}
-	return waitsForMemory
-}
-
-// leavingBytes is the memory that unloads under way will free.
-func (o *Owner) leavingBytes(id api.ServerID) uint64 {
-	var bytes uint64
-	for _, r := range o.onServer[id] {
-		if r.leavingMemory() {
-			bytes += r.intent.Bytes
-		}
-	}
-	return bytes
-}
-
-// drainExcess drains replicas beyond a lowered limit, of models that are no
-// longer in the settings, on leaving servers, and of outdated versions.
-func (o *Owner) drainExcess(now time.Time, sink Sink) {
-	live := make(map[api.ModelName][]*replica)
-	settled := func(r *replica) bool { return !r.leavingMemory() && r.phase != phaseInherited }
-	for _, r := range o.replicas.sorted(settled) {
-		if s := o.servers[r.intent.Server]; s != nil && s.leaving() {
-			o.startDrain(now, r, "server leaving", sink)
-			continue
-		}
-		live[r.intent.Model] = append(live[r.intent.Model], r)
-	}
-	for _, name := range slices.Sorted(maps.Keys(live)) {
-		replicas := live[name]
-		settings := o.models[name].Settings // none: no replica is allowed
-		if excess := len(replicas) - settings.MaxReplicas; excess > 0 {
-			o.drainFirst(now, replicas, excess, sink)
-			continue
-		}
-		o.drainOutdated(now, replicas, settings.Version, sink)
-	}
-}
-
-// drainFirst drains the replicas that are missed least.
-func (o *Owner) drainFirst(now time.Time, replicas []*replica, count int, sink Sink) {
-	sort.Slice(replicas, func(i, j int) bool {
-		a, b := replicas[i], replicas[j]
-		if a.phase != b.phase {
-			return a.phase < b.phase
-		}
-		if !a.lastUse.Equal(b.lastUse) {
-			return a.lastUse.Before(b.lastUse)
-		}
-		return a.intent.Server < b.intent.Server
-	})
-	for _, r := range replicas[:count] {
-		o.startDrain(now, r, "more than max_replicas", sink)
-	}
-}
-
-// drainOutdated drains one replica of another version than the settings name,
-// once all others are ready.
-func (o *Owner) drainOutdated(now time.Time, replicas []*replica, version string, sink Sink) {
-	var outdated *replica
-	for _, r := range replicas {
-		if r.phase != phaseReady {
-			return
-		}
-		if r.intent.Version != version && (outdated == nil || r.intent.Server < outdated.intent.Server) {
-			outdated = r
-		}
-	}
-	if outdated != nil {
-		o.startDrain(now, outdated, "outdated version", sink)
-	}
-}
-
-// loadFailed backs off from a model, and for longer from the server. The pause
-// doubles with each failure in a row, so retries stay few.
-func (o *Owner) loadFailed(now time.Time, s *server, r *replica, failed bool) {
-	f := o.failures[r.intent.Model]
-	if f == nil {
-		f = &failure{servers: make(map[api.ServerID]time.Time)}
-		o.failures[r.intent.Model] = f
-	}
-	f.count++
-	pause := min(o.config.Timing.FailurePause<<min(f.count-1, 10), o.config.Timing.FailurePauseMax)
-	f.until = now.Add(pause/2 + o.jitter(pause/2))
-	if failed {
-		f.servers[s.ID] = now.Add(o.config.Timing.ServerPause)
-	}
-}
--- a/pkg/control/formation.go
+++ b/pkg/control/formation.go
@@ -1,16 +1,13 @@
 package control
 
 import (
-	"hash/fnv"
 	"sort"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/control/quorum"
-	"martenwheel.dev/pkg/membership"
 	"martenwheel.dev/pkg/platform"
 )
 
@@ -38,13 +35,12 @@
 	stage    formationStage
 	failures int // tries in a row that failed
 
-	seenVersion uint64    // of the record
-	seenAt      time.Time // when the record was first seen in that version
-	startAt     time.Time // of the next stage, when waiting
-	aliveAt     time.Time // since when the recorded members look alive but silent
-	founded     uint64    // last epoch that this node led as the founder
-	wanted      cellRecord
-	unknowns    map[api.ServerID]bool // servers of the record before the write of epoch wanted
+	seenVersion uint64                // of the record
+	seenAt      time.Time             // when the record was first seen in that version
+	startAt     time.Time             // of the next stage, when waiting
+	aliveAt     time.Time             // since when the recorded members look alive but silent
+	founded     uint64                // last epoch that this node led as the founder
+	unknowns    map[api.ServerID]bool // servers of the record before the last write
 }
 
 func (f *formation) needsMachines() bool {
@@ -114,72 +110,6 @@
 	return now.Sub(c.leaderlessAt)
 }
 
-// mostAlive tells whether a majority of the members is alive in the same life.
-func (c *cellControl) mostAlive(members []api.NodeRef) bool {
-	live := c.machine.liveNodes()
-	count := 0
-	for _, member := range members {
-		if isAmong(member, live) {
-			count++
-		}
-	}
-	return 2*count > len(members)
-}
-
-// rank is this node's place among the live nodes in an order that differs from
-// cell to cell.
-func (c *cellControl) rank() int {
-	for index, node := range c.ranked(c.machine.liveNodes()) {
-		if c.machine.isSelf(node) {
-			return index
-		}
-	}
-	return 0
-}
-
-// ranked sorts nodes by a hash of the cell and the node's life.
-func (c *cellControl) ranked(nodes []api.NodeRef) []api.NodeRef {
-	sorted := append([]api.NodeRef(nil), nodes...)
-	sort.Slice(sorted, func(i, j int) bool {
-		a, b := c.hash(sorted[i]), c.hash(sorted[j])
-		if a != b {
-			return a < b
-		}
-		return sorted[i].ID < sorted[j].ID
-	})
-	return sorted
-}
-
-func (c *cellControl) hash(node api.NodeRef) uint64 {
-	sum := fnv.New64a()
-	sum.Write([]byte(string(c.name) + "/" + string(node.ID) + "/" + strconv.FormatUint(node.Incarnation, 10)))
-	return sum.Sum64()
-}
-
-// chooseMembers returns up to quorum.Size of the nodes: those of first, then
-// others in zones that are not taken yet, then any.
-func (c *cellControl) chooseMembers(first, nodes []api.NodeRef) []api.NodeRef {
-	chosen := append([]api.NodeRef(nil), first...)
-	zones := make(map[string]bool)
-	for _, node := range chosen {
-		zones[node.Zone] = true
-	}
-	ranked := c.ranked(nodes)
-	for _, otherZonesOnly := range []bool{true, false} {
-		for _, node := range ranked {
-			if len(chosen) >= quorum.Size {
-				return chosen
-			}
-			if isAmong(node, chosen) || otherZonesOnly && zones[node.Zone] {
-				continue
-			}
-			chosen = append(chosen, node)
-			zones[node.Zone] = true
-		}
-	}
-	return chosen
-}
-
 // formationRecord goes on after the record was read or written.
 func (c *cellControl) formationRecord(err error) {
 	f := &c.formation
@@ -242,39 +172,6 @@
 	return true
 }
 
-// deadMemory is how long a dead node counts when a node asks itself whether it
-// is the one that is cut off.
-const deadMemory = 10 * time.Minute
-
-// inMinority tells whether less than half of the region's nodes, with those that
-// died lately, are alive.
-func (m *Machine) inMinority() bool {
-	known := 0
-	for _, member := range m.membership.Members() {
-		old := member.State == membership.StateDead && m.now.Sub(member.Since) >= deadMemory
-		if member.Ref.Region == m.config.Self.Region && member.State != membership.StateLeft && !old {
-			known++
-		}
-	}
-	return 2*len(m.liveNodes()) < known
-}
-
-// mostMayLive tells whether a majority of the members is alive or unknown here.
-func (c *cellControl) mostMayLive(members []api.NodeRef) bool {
-	known := make(map[api.NodeID]bool)
-	for _, member := range c.machine.membership.Members() {
-		known[member.Ref.ID] = true
-	}
-	live := c.machine.liveNodes()
-	count := 0
-	for _, member := range members {
-		if isAmong(member, live) || !known[member.ID] {
-			count++
-		}
-	}
-	return 2*count > len(members)
-}
-
 func (c *cellControl) retryFormation(message string, err error) {
 	timing := c.machine.timing
 	pause := min(timing.FormationRetry<<min(c.formation.failures, 10), timing.FormationRetryMax)
@@ -317,7 +214,7 @@
 		previous = *c.calls.known
 	}
 	epoch := max(previous.Epoch, c.group.Floor(), c.epoch()) + 1
-	f.wanted = cellRecord{
+	wanted := cellRecord{
 		Epoch:   epoch,
 		Term:    quorum.MakeTerm(epoch, 1),
 		Founder: m.config.Self,
@@ -329,7 +226,7 @@
 		f.unknowns[server.ID] = true
 	}
 	f.stage = formationWriting
-	c.writeRecord(f.wanted)
+	c.writeRecord(wanted)
 }
 
 // addListed adds the live machines of a list to the recorded servers. Recorded
