Control: a server under admission stays in the cell's record

An owner recorded a new machine, then wrote the record again for its renewal before the admission was committed. The second record was made from the committed servers and those not yet admitted, so it left the machine out; the founder of the next epoch did not count it.

The log now tells how many schedules were run, not how many were asked for.

--- a/pkg/control/cell/machines.go
+++ b/pkg/control/cell/machines.go
@@ -103,16 +103,14 @@
 	o.news()
 }
 
-// Unrecorded returns the servers that the table service must record before
-// they can be used, in order of ID.
-func (o *Owner) Unrecorded() []quorum.Server {
-	var unrecorded []quorum.Server
+// Servers returns all servers that the table service must record, in order of
+// ID: those in use, and those that may be used once they are recorded.
+func (o *Owner) Servers() []quorum.Server {
+	servers := make([]quorum.Server, 0, len(o.servers))
 	for _, s := range o.sortedServers() {
-		if !s.admitted {
-			unrecorded = append(unrecorded, s.Server)
-		}
+		servers = append(servers, s.Server)
 	}
-	return unrecorded
+	return servers
 }
 
 // Recorded tells that the record of the table service names these servers.
--- a/pkg/control/cell/owner_test.go
+++ b/pkg/control/cell/owner_test.go
@@ -11,6 +11,7 @@
 	"martenwheel.dev/pkg/control/quorum"
 	"martenwheel.dev/pkg/control/weights"
 	"martenwheel.dev/pkg/engine"
+	"martenwheel.dev/pkg/platform"
 	"martenwheel.dev/pkg/policy"
 	"martenwheel.dev/pkg/tree"
 )
@@ -310,6 +311,22 @@
 	}
 }
 
+// TestServerUnderAdmissionStaysRecorded: the record is written again, for
+// another reason, after a server was recorded and before its admission is
+// committed. Found by the explorer (seed 3015782): the server was left out, and
+// the founder of the next epoch did not know of it.
+func TestServerUnderAdmissionStaysRecorded(t *testing.T) {
+	s := newSite(t, quorum.Server{ID: "s"})
+	s.owner.Listed(s.now, platform.MachineList{Version: 1, Machines: []platform.Machine{
+		{ID: "s", State: platform.MachineLive}, {ID: "new", State: platform.MachineLive},
+	}})
+	s.owner.Recorded(s.now, s.owner.Servers())
+	servers := s.owner.Servers()
+	if len(servers) != 2 || servers[0].ID != "new" {
+		t.Errorf("servers to record = %v, want both", servers)
+	}
+}
+
 // TestOwnerWaitsForTheSettingsOfTheOneBefore: a node that is behind on the tree
 // takes over after a limit was lowered.
 func TestOwnerWaitsForTheSettingsOfTheOneBefore(t *testing.T) {
--- a/pkg/control/cells.go
+++ b/pkg/control/cells.go
@@ -81,7 +81,7 @@
 			return
 		}
 		if c.machine.config.Unsafe.NoAdmission {
-			c.owner.Recorded(now, c.owner.Unrecorded())
+			c.owner.Recorded(now, c.owner.Servers())
 		}
 		if c.machine.config.Unsafe.NoVerify {
 			c.owner.Verified(now)
--- a/pkg/control/explore/explore_test.go
+++ b/pkg/control/explore/explore_test.go
@@ -7,8 +7,6 @@
 	"testing"
 
 	"github.com/sourcegraph/conc/pool"
-
-	"martenwheel.dev/pkg/control/internal/switches"
 )
 
 var (
@@ -20,16 +18,47 @@
 // TestSchedules runs random schedules of faults. A failure prints the seed and
 // the steps; -explore.seed=N -explore.schedules=1 repeats it.
 func TestSchedules(t *testing.T) {
-	failed, steps := explore(*firstSeed, *schedules, switches.Set{}, true)
-	t.Logf("%d schedules from seed %d, %d steps", *schedules, *firstSeed, steps)
+	runSchedules(t, *schedules, options{recovery: true})
+}
+
+// TestSchedulesWithMembership runs a fifth as many with package membership,
+// which costs more steps, in place of the oracle.
+func TestSchedulesWithMembership(t *testing.T) {
+	runSchedules(t, *schedules/5, options{recovery: true, ownMembership: true})
+}
+
+func runSchedules(t *testing.T, count int, o options) {
+	t.Helper()
+	failed, explored := explore(*firstSeed, count, o)
+	t.Logf("%d of %d schedules from seed %d, %d steps", explored.schedules, count, *firstSeed, explored.steps)
 	if failed == nil {
 		return
 	}
-	again := runSchedule(failed.seed, switches.Set{}, true)
+	again := runSchedule(failed.seed, o, true)
 	t.Errorf("seed %d: %s", failed.seed, failed.failure)
 	t.Log("\n" + strings.Join(again.trace, "\n"))
 }
 
+// foundSeeds are schedules that broke a promise or did not recover at some time.
+// The causes have tests of their own; see docs/proposals/0033.
+var foundSeeds = []uint64{14, 31, 1024062, 3015782}
+
+// TestFoundSchedules runs the schedules that once failed.
+func TestFoundSchedules(t *testing.T) {
+	for _, seed := range foundSeeds {
+		w := runSchedule(seed, options{}, false)
+		if w.failure != "" || w.stuck != "" {
+			t.Errorf("seed %d: %s%s", seed, w.failure, w.stuck)
+		}
+	}
+}
+
+// extent tells how much was explored.
+type extent struct {
+	schedules int64
+	steps     int64
+}
+
 // violation is a schedule in which a promise was broken.
 type violation struct {
 	seed    uint64
@@ -37,11 +66,11 @@
 }
 
 // explore runs schedules with the seeds from first and returns the violation
-// with the smallest seed, if any, and the number of steps. With recovery, a cell
-// that does not work again after the faults counts as a violation too.
-func explore(first uint64, count int, unsafe switches.Set, recovery bool) (*violation, int64) {
+// with the smallest seed, if any, and what was explored. It begins no schedule
+// after a violation.
+func explore(first uint64, count int, o options) (*violation, extent) {
 	found := make([]*violation, count)
-	var steps atomic.Int64
+	var steps, run atomic.Int64
 	var stop atomic.Int64
 	stop.Store(int64(count))
 	running := pool.New().WithMaxGoroutines(*workers)
@@ -51,9 +80,10 @@
 				return
 			}
 			seed := first + uint64(index)
-			w := runSchedule(seed, unsafe, false)
+			w := runSchedule(seed, o, false)
 			steps.Add(int64(w.steps))
-			if w.failure == "" && recovery {
+			run.Add(1)
+			if w.failure == "" && o.recovery {
 				w.failure = w.stuck
 			}
 			if w.failure != "" {
@@ -63,12 +93,13 @@
 		})
 	}
 	running.Wait()
+	explored := extent{schedules: run.Load(), steps: steps.Load()}
 	for _, failed := range found {
 		if failed != nil {
-			return failed, steps.Load()
+			return failed, explored
 		}
 	}
-	return nil, steps.Load()
+	return nil, explored
 }
 
 // lower sets limit to value if that is less.
--- a/pkg/control/explore/schedule_test.go
+++ b/pkg/control/explore/schedule_test.go
@@ -16,6 +16,13 @@
 	healedTime = 60 * time.Second
 )
 
+// options are what schedules of one run have in common.
+type options struct {
+	unsafe        switches.Set
+	recovery      bool // a cell that does not work again afterwards is a violation
+	ownMembership bool // package membership instead of the oracle
+}
+
 // schedule is one random run: sizes, odds and the times of faults all follow
 // from the seed.
 type schedule struct {
@@ -25,10 +32,12 @@
 
 // runSchedule runs the schedule of a seed and returns its world, whose failure
 // is empty if every promise held.
-func runSchedule(seed uint64, unsafe switches.Set, tracing bool) *world {
+func runSchedule(seed uint64, o options, tracing bool) *world {
 	s := &schedule{world: newWorld(seed), zones: []string{"z1", "z2", "z3"}}
 	s.tracing = tracing
-	s.unsafe = unsafe
+	s.unsafe = o.unsafe
+	s.ownMembership = o.ownMembership
+	s.seeds = []string{"node/n0", "node/n1", "node/n2"}
 	s.build()
 	s.run(3 * time.Second)
 	s.scheduleFaults()
--- a/pkg/control/explore/switches_test.go
+++ b/pkg/control/explore/switches_test.go
@@ -30,12 +30,12 @@
 func TestMechanismsAreNeeded(t *testing.T) {
 	for _, m := range mechanisms {
 		t.Run(m.name, func(t *testing.T) {
-			without, _ := explore(1, searched, m.unsafe, false)
+			without, _ := explore(1, searched, options{unsafe: m.unsafe})
 			if without == nil {
 				t.Fatalf("nothing breaks without the mechanism in %d schedules", searched)
 			}
 			t.Logf("seed %d without it: %s", without.seed, without.failure)
-			if with := runSchedule(without.seed, switches.Set{}, false); with.failure != "" {
+			if with := runSchedule(without.seed, options{}, false); with.failure != "" {
 				t.Errorf("seed %d with it: %s", without.seed, with.failure)
 			}
 		})
--- a/pkg/control/record.go
+++ b/pkg/control/record.go
@@ -171,8 +171,9 @@
 }
 
 // wantedRecord is what the record should be. It leaves a server out only after
-// the group has committed that it is gone, so that whatever a later owner of
-// the epoch may use is always in the record.
+// the group has committed that it is gone, and keeps one whose admission is not
+// committed yet, so that whatever an owner of the epoch may use is always in the
+// record.
 func (c *cellControl) wantedRecord() (cellRecord, bool) {
 	state := c.group.Committed()
 	record := cellRecord{Epoch: quorum.Epoch(c.owner.Term()), Term: c.owner.Term(), Members: state.Members}
@@ -182,7 +183,7 @@
 	}
 	record.Founder = known.Founder
 	named := make(map[api.ServerID]bool)
-	for _, group := range [][]quorum.Server{state.Data.Servers, c.owner.Unrecorded()} {
+	for _, group := range [][]quorum.Server{state.Data.Servers, c.owner.Servers()} {
 		for _, server := range group {
 			if !named[server.ID] {
 				named[server.ID] = true
