gateway: streams on engines that leave move to another replica

Cause: a stream that outlasts the bound of a leaving engine is cut off there, although another replica is ready and the engine can export the request. Tests cover 13 faults of the steps, safe and unsafe.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -19,6 +19,7 @@
 type attempt struct {
 	call     *call
 	grant    traffic.Grant
+	movable  traffic.Movable // grant, if its stream can move to another replica
 	target   traffic.Target
 	engineID string // the request ID towards the engine, unique per attempt
 	context  context.Context
@@ -53,6 +54,7 @@
 		target:   grant.Target(),
 		engineID: c.request.ID + "-" + strconv.Itoa(c.attempts),
 	}
+	a.movable, _ = grant.(traffic.Movable)
 	c.record.server = a.target.Server
 	parent := c.caller
 	if c.request.Unsafe {
--- a/pkg/gateway/config.go
+++ b/pkg/gateway/config.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/engine"
 	"martenwheel.dev/pkg/findings"
 	"martenwheel.dev/pkg/keeper"
 	"martenwheel.dev/pkg/traffic"
@@ -41,6 +42,9 @@
 	ConnectionsPerIP int
 	ConnsPerEngine   int
 	Resumes          int // of one broken answer
+	Moves            int // of streams to other replicas, at once; negative: none
+	MoveTries        int // of one stream
+	MoveBytes        int // of a stream that is moved
 }
 
 // Timeouts bound each step of a request. A zero field selects its default.
@@ -56,6 +60,8 @@
 	WholeAnswer    time.Duration // after the deadline, for an answer that is not streamed
 	FirstToken     time.Duration // deadline of a request for which nothing gives one
 	HangUpInterval time.Duration // between two looks for callers that left
+	MoveStep       time.Duration // for an export or import
+	MovePause      time.Duration // between two tries to move a stream
 	Keepers        time.Duration // for a claim's completion or release
 }
 
@@ -86,6 +92,9 @@
 	DefaultConnectionsPerIP = 4096
 	DefaultConnsPerEngine   = 4096
 	DefaultResumes          = 3
+	DefaultMoves            = 4
+	DefaultMoveTries        = 2
+	DefaultMoveBytes        = engine.DefaultMaxResponseBytes
 )
 
 // Defaults of Timeouts.
@@ -101,6 +110,8 @@
 	DefaultWholeAnswer    = 5 * time.Minute
 	DefaultFirstToken     = 30 * time.Second
 	DefaultHangUpInterval = 100 * time.Millisecond
+	DefaultMoveStep       = 5 * time.Second
+	DefaultMovePause      = time.Second
 	DefaultKeepers        = 2 * time.Second
 )
 
@@ -142,6 +153,10 @@
 	setDefault(&l.ConnectionsPerIP, DefaultConnectionsPerIP)
 	setDefault(&l.ConnsPerEngine, DefaultConnsPerEngine)
 	setDefault(&l.Resumes, DefaultResumes)
+	setDefault(&l.Moves, DefaultMoves)
+	l.Moves = max(l.Moves, 0)
+	setDefault(&l.MoveTries, DefaultMoveTries)
+	setDefault(&l.MoveBytes, DefaultMoveBytes)
 	return l
 }
 
@@ -157,6 +172,8 @@
 	setDefault(&t.WholeAnswer, DefaultWholeAnswer)
 	setDefault(&t.FirstToken, DefaultFirstToken)
 	setDefault(&t.HangUpInterval, DefaultHangUpInterval)
+	setDefault(&t.MoveStep, DefaultMoveStep)
+	setDefault(&t.MovePause, DefaultMovePause)
 	setDefault(&t.Keepers, DefaultKeepers)
 	return t
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"martenwheel.dev/pkg/engine"
 	"martenwheel.dev/pkg/gateway/internal/hangup"
 	"martenwheel.dev/pkg/gateway/internal/upstream"
 )
@@ -25,6 +26,8 @@
 	config     Config
 	app        *fiber.App
 	engines    *upstream.Client
+	orders     engine.Client // exports and imports
+	moving     chan struct{} // holds one for each stream that moves
 	hangups    *hangup.Watcher
 	metrics    *metrics
 	background conc.WaitGroup // completions of claims, cancellations, unfinished unsafe requests
@@ -62,6 +65,8 @@
 			MaxConnsPerEngine: config.Limits.ConnsPerEngine,
 		}),
 	}
+	g.orders = newOrders(config)
+	g.moving = make(chan struct{}, config.Limits.Moves)
 	var err error
 	if g.metrics, err = newMetrics(config.Metrics); err != nil {
 		return nil, err
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -12,6 +12,7 @@
 	requests   *prometheus.CounterVec // by model and outcome
 	tokens     prometheus.Counter
 	resumes    prometheus.Counter
+	moves      *prometheus.CounterVec // by outcome
 	inFlight   prometheus.Gauge
 	firstToken prometheus.Histogram // seconds since arrival
 	added      prometheus.Histogram // seconds from arrival to the engine, without waiting for a replica
@@ -32,6 +33,10 @@
 			Name: "martenwheel_gateway_resumes_total",
 			Help: "Resumptions of broken answers at their engines.",
 		}),
+		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "martenwheel_gateway_moves_total",
+			Help: "Tries to move a running stream from a leaving engine to another, by outcome.",
+		}, []string{"outcome"}),
 		inFlight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "martenwheel_gateway_requests_in_flight",
 			Help: "Requests that arrived and have not ended.",
@@ -50,7 +55,7 @@
 	if registerer == nil {
 		return m, nil
 	}
-	for _, collector := range []prometheus.Collector{m.requests, m.tokens, m.resumes, m.inFlight, m.firstToken, m.added} {
+	for _, collector := range []prometheus.Collector{m.requests, m.tokens, m.resumes, m.moves, m.inFlight, m.firstToken, m.added} {
 		if err := registerer.Register(collector); err != nil {
 			return nil, errors.Wrap(err, "gateway: register metrics")
 		}
--- /dev/null
+++ b/pkg/gateway/move_bench_test.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/engine"
+	"martenwheel.dev/pkg/standin"
+)
+
+// BenchmarkMoveStream measures what the caller of a running stream waits when
+// the stream moves to another engine: by export, import and resumption
+// ("move-ms"), with more bytes of KV cache than the stand-in's own, or as a new
+// request whose prompt has the text so far ("recompute-ms"). finish-ms is what
+// 1,000 more tokens take where the stream is.
+func BenchmarkMoveStream(b *testing.B) {
+	for _, promptTokens := range []int{500, 8000, 32000} {
+		for _, soFar := range []int{30, 240} {
+			for _, mebibytes := range []int{0, 4, 16, 45} {
+				name := fmt.Sprintf("prompt=%d/tokens=%d/transfer=%dMiB", promptTokens, soFar, mebibytes)
+				b.Run(name, func(b *testing.B) { benchmarkMove(b, promptTokens, soFar, mebibytes<<20) })
+			}
+		}
+	}
+}
+
+func benchmarkMove(b *testing.B, promptTokens, soFar, padding int) {
+	from, to, other := startRealTimeStandIn(b), startRealTimeStandIn(b), startRealTimeStandIn(b)
+	client := engine.NewHTTPClient(engine.HTTPClientConfig{})
+	var move, recompute, perToken time.Duration
+	for b.Loop() {
+		prompt := strings.Repeat("ash ", promptTokens)
+		old := openStandInStream(b, from, "moved", prompt, -1)
+		old.skip(b, soFar/2)
+		halfway := time.Now()
+		old.skip(b, soFar/2)
+		perToken += time.Since(halfway) / time.Duration(soFar/2)
+
+		start := time.Now()
+		export, err := client.ExportKV(context.Background(), from.Address(), engine.KVExportRequest{RequestID: "moved", Cancel: true})
+		if err != nil {
+			b.Fatal(err)
+		}
+		export.Data = append(export.Data, make([]byte, padding)...) // the stand-in reads over it
+		if err := client.ImportKV(context.Background(), to.Address(), export); err != nil {
+			b.Fatal(err)
+		}
+		resumed := openStandInStream(b, to, "moved", prompt, soFar)
+		resumed.skip(b, 1)
+		move += time.Since(start)
+
+		start = time.Now()
+		again := openStandInStream(b, other, "again", prompt+strings.Repeat("ash ", soFar), -1)
+		again.skip(b, 1)
+		recompute += time.Since(start)
+		for _, stream := range []*standInStream{old, resumed, again} {
+			_ = stream.response.Body.Close()
+		}
+	}
+	milliseconds := func(total time.Duration) float64 { return total.Seconds() * 1000 / float64(b.N) }
+	b.ReportMetric(milliseconds(move), "move-ms")
+	b.ReportMetric(milliseconds(recompute), "recompute-ms")
+	b.ReportMetric(1000*milliseconds(perToken), "finish-ms")
+	b.ReportMetric(0, "ns/op")
+}
+
+// startRealTimeStandIn starts an engine stand-in that runs in real time and
+// caches no prompts.
+func startRealTimeStandIn(b *testing.B) *standin.EngineServer {
+	config := standin.DefaultEngineConfig()
+	config.ID = "server"
+	config.PrefixCacheBytes = 0
+	server, err := standin.ListenEngine("127.0.0.1:0", config)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(server.Close)
+	server.Order(engine.Order{ID: "load", Fence: api.MakeFence(1, 1), Kind: engine.OrderLoad, Model: "glaze-7b", Checkpoint: "glaze-7b", MemoryBytes: 1 << 20})
+	for !allReady(server) {
+		time.Sleep(time.Millisecond)
+	}
+	return server
+}
+
+// standInStream is a stream read straight from an engine stand-in.
+type standInStream struct {
+	response *http.Response
+	lines    *bufio.Scanner
+}
+
+func openStandInStream(b *testing.B, server *standin.EngineServer, id, prompt string, resumeFrom int) *standInStream {
+	body := fmt.Sprintf(`{"model":"glaze-7b","stream":true,"max_tokens":2000,"prompt":%q}`, prompt)
+	request, err := http.NewRequest(http.MethodPost, "http://"+server.Address()+completions.path, strings.NewReader(body))
+	if err != nil {
+		b.Fatal(err)
+	}
+	request.Header.Set(engine.HeaderRequestID, id)
+	if resumeFrom >= 0 {
+		request.Header.Set(engine.HeaderResumeFrom, fmt.Sprint(resumeFrom))
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil || response.StatusCode != http.StatusOK {
+		b.Fatal(err, response)
+	}
+	return &standInStream{response: response, lines: bufio.NewScanner(response.Body)}
+}
+
+// skip reads so many events.
+func (s *standInStream) skip(b *testing.B, events int) {
+	for events > 0 {
+		if !s.lines.Scan() {
+			b.Fatal("stream ended", s.lines.Err())
+		}
+		if strings.HasPrefix(s.lines.Text(), "data: ") {
+			events--
+		}
+	}
+}
--- /dev/null
+++ b/pkg/gateway/move_test.go
@@ -0,0 +1,224 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/engine"
+	"martenwheel.dev/pkg/standin"
+	"martenwheel.dev/pkg/traffic"
+)
+
+// leavingDispatcher grants a place on an engine that leaves in the middle of
+// its stream, and places to move to on another.
+type leavingDispatcher struct {
+	from, to *standin.EngineServer
+	asks     int // of Leaving after which the engine leaves, or the one moved to dies
+	toDies   bool
+
+	mutex sync.Mutex
+	ended map[string]int // grants by server
+	taken map[string]int
+}
+
+func (d *leavingDispatcher) Acquire(context.Context, traffic.Request) (traffic.Grant, error) {
+	return d.grant("from", d.from), nil
+}
+
+func (d *leavingDispatcher) grant(name string, server *standin.EngineServer) *leavingGrant {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.taken[name]++
+	return &leavingGrant{dispatcher: d, name: name, address: server.Address()}
+}
+
+type leavingGrant struct {
+	dispatcher *leavingDispatcher
+	name       string
+	address    string
+	asked      int
+}
+
+func (g *leavingGrant) Target() traffic.Target {
+	return traffic.Target{Server: api.ServerID(g.name), Address: g.address}
+}
+
+func (g *leavingGrant) Done(traffic.Outcome) {
+	g.dispatcher.mutex.Lock()
+	defer g.dispatcher.mutex.Unlock()
+	g.dispatcher.ended[g.name]++
+}
+
+func (g *leavingGrant) Retry(context.Context, traffic.Outcome) (traffic.Grant, error) {
+	return nil, &traffic.Refusal{Reason: traffic.ReasonEngineFailed, Message: "no retry"}
+}
+
+func (g *leavingGrant) Leaving() bool {
+	g.asked++
+	if g.asked < g.dispatcher.asks {
+		return false
+	}
+	if g.name == "to" {
+		if g.dispatcher.toDies {
+			g.dispatcher.to.Close()
+		}
+		return false
+	}
+	g.dispatcher.from.Leave()
+	return true
+}
+
+func (g *leavingGrant) Move() (traffic.Movable, error) {
+	if g.dispatcher.to == nil {
+		return nil, &traffic.Refusal{Reason: traffic.ReasonNoCapacity, Message: "no other replica"}
+	}
+	return g.dispatcher.grant("to", g.dispatcher.to), nil
+}
+
+// faultyOrders stands between the gateway and the engines' exports and imports.
+type faultyOrders struct {
+	engine.Client
+	beforeExport, afterExport error // before: nothing reaches the engine
+	beforeImport, afterImport error
+	imported                  func()
+}
+
+func (f *faultyOrders) ExportKV(ctx context.Context, address string, request engine.KVExportRequest) (engine.KVExport, error) {
+	if f.beforeExport != nil {
+		return engine.KVExport{}, f.beforeExport
+	}
+	export, err := f.Client.ExportKV(ctx, address, request)
+	if f.afterExport != nil {
+		return engine.KVExport{}, f.afterExport
+	}
+	return export, err
+}
+
+func (f *faultyOrders) ImportKV(ctx context.Context, address string, export engine.KVExport) error {
+	if f.beforeImport != nil {
+		return f.beforeImport
+	}
+	err := f.Client.ImportKV(ctx, address, export)
+	if f.imported != nil {
+		f.imported()
+	}
+	if f.afterImport != nil {
+		return f.afterImport
+	}
+	return err
+}
+
+// Ways in which a step of a move fails.
+var (
+	refusedStep = &engine.StatusError{Code: 409, Detail: "no"}
+	lostAnswer  = errors.Wrap(engine.ErrUnknownOutcome, "lost")
+)
+
+// TestMoveStream: a stream on an engine that leaves goes on at another replica,
+// with each event once and in order, and is run once, whichever step fails.
+func TestMoveStream(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		orders  faultyOrders
+		faults  standin.Faults // of the new engine, after the import
+		dies    bool           // the new engine, after the import
+		later   bool           // the new engine dies, after some of its events
+		nowhere bool
+		moved   bool
+		broken  []bool // by unsafe: ends with an explicit error
+	}{
+		{name: "no fault", moved: true},
+		{name: "no other replica", nowhere: true},
+		{name: "export refused", orders: faultyOrders{beforeExport: refusedStep}},
+		{name: "old engine unreachable for the export", orders: faultyOrders{beforeExport: engine.ErrUnreachable}},
+		{name: "export lost", orders: faultyOrders{beforeExport: lostAnswer}},
+		{name: "answer to the export lost", orders: faultyOrders{afterExport: lostAnswer}},
+		{name: "import refused", orders: faultyOrders{beforeImport: refusedStep}},
+		{name: "import lost", orders: faultyOrders{beforeImport: lostAnswer}},
+		{name: "answer to the import lost", orders: faultyOrders{afterImport: lostAnswer}},
+		{name: "new engine dies after the import", dies: true},
+		{name: "new engine refuses the resumption", faults: standin.Faults{Refuse: true}, broken: []bool{false, true}},
+		{name: "new engine loses the answer", faults: standin.Faults{LoseAnswers: 1}},
+		{name: "new engine cuts the stream", faults: standin.Faults{CutAnswers: 1}, moved: true},
+		{name: "new engine dies in the stream", faults: standin.Faults{CutAnswers: 1}, later: true, moved: true, broken: []bool{true, true}},
+	} {
+		for number, unsafe := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, unsafe %t", test.name, unsafe), func(t *testing.T) {
+				d := &leavingDispatcher{from: startStandIn(t), to: startStandIn(t), asks: 20, toDies: test.later, ended: map[string]int{}, taken: map[string]int{}}
+				from, to := d.from, d.to
+				if test.nowhere {
+					d.to = nil
+				}
+				g, url := startGateway(t, Config{Dispatcher: d, Claims: granted()})
+				orders := test.orders
+				orders.Client = g.orders
+				orders.imported = func() {
+					to.SetFaults(standin.PartRequests, test.faults)
+					if test.dies {
+						to.Close()
+					}
+				}
+				g.orders = &orders
+
+				const tokens = 300
+				model, header := "glaze-7b", map[string]string{}
+				if unsafe {
+					model, header[HeaderIdempotencyKey] = "slots", "key"
+				}
+				body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"kiln 4"}]}`, model, tokens)
+				got := post(t, newClient(t), url+"/v1/chat/completions", body, header)
+
+				text, complete, err := standInText(got, true)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if broken := test.broken != nil && test.broken[number]; complete == broken {
+					t.Errorf("complete: %t", complete)
+				}
+				if said := strings.Contains(string(got.body), codeStreamBroken); said == complete {
+					t.Errorf("error event: %t, complete: %t", said, complete)
+				}
+				if err := checkStandInTokens(model, text, "kiln 4", tokens, complete); err != nil {
+					t.Error(err)
+				}
+				checkOneRun(t, from, to)
+				d.check(t, test.moved)
+			})
+		}
+	}
+}
+
+// checkOneRun checks that the engines together ran one request once.
+func checkOneRun(t *testing.T, servers ...*standin.EngineServer) {
+	t.Helper()
+	runs := 0
+	for _, server := range servers {
+		for _, count := range server.Executed() {
+			runs += count
+		}
+	}
+	if runs != 1 {
+		t.Errorf("%d runs, want 1", runs)
+	}
+}
+
+// check checks that every grant was given back once.
+func (d *leavingDispatcher) check(t *testing.T, moved bool) {
+	t.Helper()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, name := range []string{"from", "to"} {
+		if d.taken[name] != d.ended[name] {
+			t.Errorf("%d grants of %q taken, %d given back", d.taken[name], name, d.ended[name])
+		}
+	}
+	if moved && d.taken["to"] != 1 {
+		t.Errorf("%d places taken to move to, want 1", d.taken["to"])
+	}
+}
--- a/pkg/gateway/standin_test.go
+++ b/pkg/gateway/standin_test.go
@@ -123,7 +123,12 @@
 // checkStandInText checks that each token is marked as the prompt's, and that
 // a complete answer has all tokens in order.
 func checkStandInText(text, prompt string, tokens int, complete bool) error {
-	mark := standin.Mark("glaze-7b", "user\n"+prompt+"\n")
+	return checkStandInTokens("glaze-7b", text, prompt, tokens, complete)
+}
+
+// checkStandInTokens does so for the answer of any model.
+func checkStandInTokens(model, text, prompt string, tokens int, complete bool) error {
+	mark := standin.Mark(model, "user\n"+prompt+"\n")
 	received := strings.Fields(text)
 	for number, token := range received {
 		if !strings.HasPrefix(token, mark+".") || !strings.HasSuffix(token, fmt.Sprintf("-%d", number)) {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -38,6 +38,7 @@
 	prefix  []byte // what events of this stream start with, to check them fast
 	events  int    // received, which a resumption goes on from
 	resumes int
+	moves   moves
 	usage   usage
 	over    bool // the event that ends the stream came
 }
@@ -76,6 +77,11 @@
 		return event, nil
 	}
 	for {
+		if s.mustMove() {
+			if err := s.move(); err != nil {
+				return nil, err
+			}
+		}
 		event, err := s.nextUnbroken()
 		if err == nil || s.over {
 			return event, err
@@ -160,7 +166,7 @@
 // is no repeat of the request: the engine sends what is left of it, or refuses.
 func (s *eventStream) resume(cause error) error {
 	s.answer.Close(false)
-	for !errors.Is(cause, errEngineError) && s.attempt.mayResume(s.resumes) {
+	for s.mayBeResumed(cause) && s.attempt.mayResume(s.resumes) {
 		s.resumes++
 		answer, err := s.attempt.send(s.events, s.attempt.call.gateway.stallDeadline())
 		if err != nil {
@@ -179,6 +185,13 @@
 	return cause
 }
 
+// mayBeResumed tells whether the engine may send more of a stream that broke by
+// cause. A stream that the engine itself ended is over, unless it was stopped for
+// a move.
+func (s *eventStream) mayBeResumed(cause error) bool {
+	return s.moves.inDoubt || !errors.Is(cause, errEngineError)
+}
+
 // stallDeadline is the time by which an engine that was asked for the rest of a
 // stream must answer.
 func (g *Gateway) stallDeadline() time.Time {
--- a/pkg/traffic/types.go
+++ b/pkg/traffic/types.go
@@ -65,6 +65,17 @@
 	Retry(ctx context.Context, outcome Outcome) (Grant, error)
 }
 
+// Movable is a Grant whose running stream can go on at another replica.
+type Movable interface {
+	Grant
+	// Leaving tells whether the replica's server takes no new work.
+	Leaving() bool
+	// Move takes a place on another ready replica of the same model for the
+	// rest of the running request. It never waits: a *Refusal means that none
+	// has room now. The Grant itself keeps its place until its own Done.
+	Move() (Movable, error)
+}
+
 // Dispatcher gives requests their replicas. Safe for concurrent use.
 type Dispatcher interface {
 	// Acquire waits until the request has a place on a replica. It returns
