--- a/pkg/gateway/move_test.go
+++ b/pkg/gateway/move_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -13,14 +14,15 @@
 	"martenwheel.dev/pkg/engine"
 	"martenwheel.dev/pkg/standin"
 	"martenwheel.dev/pkg/traffic"
+	"martenwheel.dev/pkg/tree"
 )
 
 // leavingDispatcher grants a place on an engine that leaves in the middle of
 // its stream, and places to move to on another.
 type leavingDispatcher struct {
 	from, to *standin.EngineServer
-	asks     int // of Leaving after which the engine leaves, or the one moved to dies
-	toDies   bool
+	leaveAt  int                          // asks of Leaving after which the engine leaves
+	onAsk    func(name string, asked int) // called at each ask
 
 	mutex sync.Mutex
 	ended map[string]int // grants by server
@@ -61,13 +63,10 @@
 
 func (g *leavingGrant) Leaving() bool {
 	g.asked++
-	if g.asked < g.dispatcher.asks {
-		return false
+	if g.dispatcher.onAsk != nil {
+		g.dispatcher.onAsk(g.name, g.asked)
 	}
-	if g.name == "to" {
-		if g.dispatcher.toDies {
-			g.dispatcher.to.Close()
-		}
+	if g.name == "to" || g.asked < g.dispatcher.leaveAt {
 		return false
 	}
 	g.dispatcher.from.Leave()
@@ -150,11 +149,14 @@
 	} {
 		for number, unsafe := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, unsafe %t", test.name, unsafe), func(t *testing.T) {
-				d := &leavingDispatcher{from: startStandIn(t), to: startStandIn(t), asks: 20, toDies: test.later, ended: map[string]int{}, taken: map[string]int{}}
+				d := newLeavingDispatcher(t)
 				from, to := d.from, d.to
 				if test.nowhere {
 					d.to = nil
 				}
+				if test.later {
+					d.onAsk = closeAt("to", 10, to)
+				}
 				g, url := startGateway(t, Config{Dispatcher: d, Claims: granted()})
 				orders := test.orders
 				orders.Client = g.orders
@@ -166,13 +168,11 @@
 				}
 				g.orders = &orders
 
-				const tokens = 300
-				model, header := "glaze-7b", map[string]string{}
+				model := glaze
 				if unsafe {
-					model, header[HeaderIdempotencyKey] = "slots", "key"
+					model = slots
 				}
-				body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"kiln 4"}]}`, model, tokens)
-				got := post(t, newClient(t), url+"/v1/chat/completions", body, header)
+				got := postMoving(t, url, model)
 
 				text, complete, err := standInText(got, true)
 				if err != nil {
@@ -184,7 +184,7 @@
 				if said := strings.Contains(string(got.body), codeStreamBroken); said == complete {
 					t.Errorf("error event: %t, complete: %t", said, complete)
 				}
-				if err := checkStandInTokens(model, text, "kiln 4", tokens, complete); err != nil {
+				if err := checkStandInTokens(model, text, "kiln 4", movedTokens, complete); err != nil {
 					t.Error(err)
 				}
 				checkOneRun(t, from, to)
@@ -194,6 +194,79 @@
 	}
 }
 
+// Models of the test catalog; slots is unsafe to repeat.
+const (
+	glaze = "glaze-7b"
+	slots = "slots"
+)
+
+// movedTokens is the length of the streams that are moved.
+const movedTokens = 300
+
+func newLeavingDispatcher(t *testing.T) *leavingDispatcher {
+	return &leavingDispatcher{
+		from: startStandIn(t), to: startStandIn(t), leaveAt: 20,
+		ended: map[string]int{}, taken: map[string]int{},
+	}
+}
+
+// closeAt returns an onAsk that closes a server at an ask of the named grant.
+func closeAt(name string, at int, server *standin.EngineServer) func(string, int) {
+	return func(asking string, asked int) {
+		if asking == name && asked == at {
+			server.Close()
+		}
+	}
+}
+
+// postMoving asks for a stream of movedTokens.
+func postMoving(t *testing.T, url, model string) reply {
+	t.Helper()
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"kiln 4"}]}`, model, movedTokens)
+	return post(t, newClient(t), url+"/v1/chat/completions", body, map[string]string{HeaderIdempotencyKey: "key"})
+}
+
+// TestMoveOutlastsEngine: a stream survives the end of the engine that left,
+// unless moves are off or it was expected to end in time.
+func TestMoveOutlastsEngine(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		moves     int
+		drainTime time.Duration
+		complete  bool
+	}{
+		{"moves", 0, 0, true},
+		{"moves are off", -1, 0, false},
+		{"expected to end in time", 0, time.Hour, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := newLeavingDispatcher(t)
+			// The cut makes sure that the engine has not sent all before it ends.
+			d.from.SetFaults(standin.PartRequests, standin.Faults{CutAnswers: 1})
+			d.onAsk = func(name string, asked int) {
+				closeAt("from", 40, d.from)(name, asked)
+				closeAt("to", 20, d.from)(name, asked)
+			}
+			catalog := fakeCatalog{{Name: glaze, Settings: tree.Settings{DrainTime: test.drainTime}}}
+			_, url := startGateway(t, Config{
+				Dispatcher: d,
+				Catalog:    func() Catalog { return catalog },
+				Limits:     Limits{Moves: test.moves},
+			})
+			text, complete, err := standInText(postMoving(t, url, glaze), true)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if complete != test.complete {
+				t.Errorf("complete: %t, want %t", complete, test.complete)
+			}
+			if err := checkStandInTokens(glaze, text, "kiln 4", movedTokens, complete); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
 // checkOneRun checks that the engines together ran one request once.
 func checkOneRun(t *testing.T, servers ...*standin.EngineServer) {
 	t.Helper()
