--- a/pkg/policy/adaptive.go
+++ b/pkg/policy/adaptive.go
@@ -29,8 +29,10 @@
 	if idle >= model.Settings.KeepAlive {
 		return true
 	}
-	worth := p.outlook(model, p.reload(model, replica.Server))
-	return worth.hold < 0 || model.Settings.Prewarm && worth.hold < worth.loadLate
+	reload := p.reload(model, replica.Server)
+	worth := p.outlook(model, reload)
+	reloadCost := reload.Seconds() * accelerators(model)
+	return worth.hold < 0 || model.Settings.Prewarm && worth.hold+reloadCost < worth.loadLate
 }
 
 // shortestIdle is how long a replica stays at least, so that demand that was
