--- a/pkg/gateway/bench_test.go
+++ b/pkg/gateway/bench_test.go
@@ -322,3 +322,14 @@
 	}
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
+
+// BenchmarkDecodeBody reads the body of a short chat.
+func BenchmarkDecodeBody(b *testing.B) {
+	body := []byte(chatBody("glaze-7b", benchPrompt, true))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := decodeBody(body, chatCompletions.promptField); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/pkg/gateway/move_bench_test.go
+++ b/pkg/gateway/move_bench_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -24,15 +26,27 @@
 		for _, soFar := range []int{30, 240} {
 			for _, mebibytes := range []int{0, 4, 16, 45} {
 				name := fmt.Sprintf("prompt=%d/tokens=%d/transfer=%dMiB", promptTokens, soFar, mebibytes)
-				b.Run(name, func(b *testing.B) { benchmarkMove(b, promptTokens, soFar, mebibytes<<20) })
+				b.Run(name, func(b *testing.B) { benchmarkMove(b, promptTokens, soFar, mebibytes<<20, 0) })
 			}
 		}
 	}
+	for _, others := range []int{7, 15} {
+		b.Run(fmt.Sprintf("prompt=8000/tokens=240/transfer=45MiB/others=%d", others), func(b *testing.B) {
+			benchmarkMove(b, 8000, 240, 45<<20, others)
+		})
+	}
 }
 
-func benchmarkMove(b *testing.B, promptTokens, soFar, padding int) {
+// benchmarkMove moves a stream from an engine that has others.
+func benchmarkMove(b *testing.B, promptTokens, soFar, padding, others int) {
 	from, to, other := startRealTimeStandIn(b), startRealTimeStandIn(b), startRealTimeStandIn(b)
+	for number := range others {
+		beside := openStandInStream(b, from, fmt.Sprint("beside-", number), "ash", -1)
+		defer func() { _ = beside.response.Body.Close() }()
+		beside.skip(b, 1)
+	}
 	client := engine.NewHTTPClient(engine.HTTPClientConfig{})
+	exporter := startPaddedExporter(b, client, from.Address(), padding)
 	var move, recompute, perToken time.Duration
 	for b.Loop() {
 		prompt := strings.Repeat("ash ", promptTokens)
@@ -43,11 +57,10 @@
 		perToken += time.Since(halfway) / time.Duration(soFar/2)
 
 		start := time.Now()
-		export, err := client.ExportKV(context.Background(), from.Address(), engine.KVExportRequest{RequestID: "moved", Cancel: true})
+		export, err := client.ExportKV(context.Background(), exporter, engine.KVExportRequest{RequestID: "moved", Cancel: true})
 		if err != nil {
 			b.Fatal(err)
 		}
-		export.Data = append(export.Data, make([]byte, padding)...) // the stand-in reads over it
 		if err := client.ImportKV(context.Background(), to.Address(), export); err != nil {
 			b.Fatal(err)
 		}
@@ -70,6 +83,25 @@
 	b.ReportMetric(0, "ns/op")
 }
 
+// startPaddedExporter passes exports of an engine on with more data, over which
+// the stand-in reads, and returns its address.
+func startPaddedExporter(b *testing.B, client engine.Client, from string, padding int) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var request engine.KVExportRequest
+		if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+			return
+		}
+		export, err := client.ExportKV(r.Context(), from, request)
+		if err != nil {
+			return
+		}
+		export.Data = append(export.Data, make([]byte, padding)...)
+		_ = json.NewEncoder(w).Encode(export)
+	}))
+	b.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
 // startRealTimeStandIn starts an engine stand-in that runs in real time and
 // caches no prompts.
 func startRealTimeStandIn(b *testing.B) *standin.EngineServer {
--- a/pkg/gateway/move_test.go
+++ b/pkg/gateway/move_test.go
@@ -24,9 +24,8 @@
 	leaveAt  int                          // asks of Leaving after which the engine leaves
 	onAsk    func(name string, asked int) // called at each ask
 
-	mutex sync.Mutex
-	ended map[string]int // grants by server
-	taken map[string]int
+	mutex                sync.Mutex
+	taken, ended, served map[string]int // grants by server
 }
 
 func (d *leavingDispatcher) Acquire(context.Context, traffic.Request) (traffic.Grant, error) {
@@ -51,10 +50,13 @@
 	return traffic.Target{Server: api.ServerID(g.name), Address: g.address}
 }
 
-func (g *leavingGrant) Done(traffic.Outcome) {
+func (g *leavingGrant) Done(outcome traffic.Outcome) {
 	g.dispatcher.mutex.Lock()
 	defer g.dispatcher.mutex.Unlock()
 	g.dispatcher.ended[g.name]++
+	if outcome.Kind == traffic.OutcomeServed {
+		g.dispatcher.served[g.name]++
+	}
 }
 
 func (g *leavingGrant) Retry(context.Context, traffic.Outcome) (traffic.Grant, error) {
@@ -92,6 +94,9 @@
 	if f.beforeExport != nil {
 		return engine.KVExport{}, f.beforeExport
 	}
+	if !request.Cancel {
+		return engine.KVExport{}, errors.New("the request would go on at both engines")
+	}
 	export, err := f.Client.ExportKV(ctx, address, request)
 	if f.afterExport != nil {
 		return engine.KVExport{}, f.afterExport
@@ -157,6 +162,8 @@
 				if test.later {
 					d.onAsk = closeAt("to", 10, to)
 				}
+				complete := false
+				t.Cleanup(func() { d.check(t, test.moved, complete) }) // when the gateway has ended
 				g, url := startGateway(t, Config{Dispatcher: d, Claims: granted()})
 				orders := test.orders
 				orders.Client = g.orders
@@ -174,8 +181,9 @@
 				}
 				got := postMoving(t, url, model)
 
-				text, complete, err := standInText(got, true)
-				if err != nil {
+				var text string
+				var err error
+				if text, complete, err = standInText(got, true); err != nil {
 					t.Fatal(err)
 				}
 				if broken := test.broken != nil && test.broken[number]; complete == broken {
@@ -188,7 +196,6 @@
 					t.Error(err)
 				}
 				checkOneRun(t, from, to)
-				d.check(t, test.moved)
 			})
 		}
 	}
@@ -206,7 +213,7 @@
 func newLeavingDispatcher(t *testing.T) *leavingDispatcher {
 	return &leavingDispatcher{
 		from: startStandIn(t), to: startStandIn(t), leaveAt: 20,
-		ended: map[string]int{}, taken: map[string]int{},
+		taken: map[string]int{}, ended: map[string]int{}, served: map[string]int{},
 	}
 }
 
@@ -282,7 +289,7 @@
 }
 
 // check checks that every grant was given back once.
-func (d *leavingDispatcher) check(t *testing.T, moved bool) {
+func (d *leavingDispatcher) check(t *testing.T, moved, complete bool) {
 	t.Helper()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -294,4 +301,7 @@
 	if moved && d.taken["to"] != 1 {
 		t.Errorf("%d places taken to move to, want 1", d.taken["to"])
 	}
+	if complete && d.served["from"]+d.served["to"] != 1 || moved && d.served["from"] != 0 {
+		t.Errorf("moved: %t, complete: %t, served: %v", moved, complete, d.served)
+	}
 }
