gateway: read the text of chats with engine.ParseChat

Cause: the gateway had its own copy of what engine.ParseChat does; the two differed where a message gives its content twice as parts (the copy joined them, ParseChat and engines take the last).

--- a/pkg/gateway/request_body.go
+++ b/pkg/gateway/request_body.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"io"
-	"unicode/utf8"
 
 	"github.com/pkg/errors"
 
@@ -41,7 +40,7 @@
 		return requestBody{}, errors.New("the body is not a JSON object")
 	}
 	var found findings.List
-	fields := bodyFields{promptField: promptField, seen: make(map[string]bool)}
+	fields := bodyFields{body: body, promptField: promptField, seen: make(map[string]bool)}
 	for decoder.More() {
 		if err := fields.decodeNext(decoder, &found); err != nil {
 			return requestBody{}, err
@@ -54,7 +53,6 @@
 		return requestBody{}, errors.New("the body goes on after its JSON object")
 	}
 	fields.checkMissing(&found)
-	fields.PromptStart = fields.promptStart()
 	return fields.requestBody, found.Err()
 }
 
@@ -67,9 +65,8 @@
 // bodyFields collects the fields of a body.
 type bodyFields struct {
 	requestBody
+	body        []byte
 	promptField string
-	messages    []chatMessage // of a chat
-	prompt      contentText   // of a completion
 	seen        map[string]bool
 }
 
@@ -88,16 +85,36 @@
 		found.Addf(name, "given twice")
 	}
 	f.seen[name] = true
-	start := decoder.InputOffset()
-	err = decodeValue(decoder, target, func() {
-		if name != f.promptField { // any other form of prompt is for the engine to judge
-			found.Addf(name, "has the wrong type")
-		}
-	})
 	if name == f.promptField {
-		f.PromptTokens = int(decoder.InputOffset()-start)/bytesPerToken + 1
+		return f.decodePrompt(decoder)
+	}
+	return decodeValue(decoder, target, func() { found.Addf(name, "has the wrong type") })
+}
+
+// decodePrompt reads the prompt. One that has no text is for the engine to
+// judge.
+func (f *bodyFields) decodePrompt(decoder *json.Decoder) error {
+	start := decoder.InputOffset()
+	if err := decodeValue(decoder, &skippedValue{}, nil); err != nil {
+		return err
 	}
-	return err
+	value := bytes.TrimLeft(f.body[start:decoder.InputOffset()], ": \t\r\n")
+	f.PromptTokens = len(value)/bytesPerToken + 1
+	text := f.promptText(value)
+	f.PromptStart = text[:min(len(text), maxPromptStart)]
+	return nil
+}
+
+// promptText returns the text of the prompt as engines cache it, empty if it
+// has another form.
+func (f *bodyFields) promptText(value []byte) string {
+	if f.promptField == chatCompletions.promptField {
+		text, _ := engine.ParseChat(value)
+		return text
+	}
+	var text string
+	_ = json.Unmarshal(value, &text) // any other form has no text
+	return text
 }
 
 // target returns where the field's value belongs, or nil if nobody reads it.
@@ -110,10 +127,7 @@
 	case "max_tokens", "max_completion_tokens":
 		return &f.MaxTokens
 	case f.promptField:
-		if name == chatCompletions.promptField {
-			return &f.messages
-		}
-		return &f.prompt
+		return &skippedValue{} // see decodePrompt
 	default:
 		return nil
 	}
@@ -138,63 +152,6 @@
 // cached is found, in bytes.
 const maxPromptStart = 32 << 10
 
-// promptStart returns the beginning of the prompt's text as engines cache it.
-func (f *bodyFields) promptStart() string {
-	text := string(f.prompt)
-	if f.promptField == chatCompletions.promptField {
-		text = chatText(f.messages)
-	}
-	return text[:min(len(text), maxPromptStart)]
-}
-
-// chatMessage is a message as far as its text counts.
-type chatMessage struct {
-	Role    string      `json:"role"`
-	Content contentText `json:"content"`
-}
-
-// chatText returns the text of a chat as engines cache it.
-func chatText(messages []chatMessage) string {
-	texts := make([]engine.ChatMessage, len(messages))
-	for i, message := range messages {
-		texts[i] = engine.ChatMessage{Role: message.Role, Content: string(message.Content)}
-	}
-	return engine.ChatPrompt(texts)
-}
-
-// contentText is the text of a prompt or message: one text, or several parts.
-type contentText string
-
-// UnmarshalJSON reads a text or the texts of parts. Content of another form
-// has no text.
-func (c *contentText) UnmarshalJSON(value []byte) error {
-	if isPlainText(value) {
-		*c = contentText(value[1 : len(value)-1])
-		return nil
-	}
-	var text string
-	if json.Unmarshal(value, &text) == nil {
-		*c = contentText(text)
-		return nil
-	}
-	var parts []struct {
-		Text string `json:"text"`
-	}
-	if json.Unmarshal(value, &parts) != nil {
-		return nil
-	}
-	for _, part := range parts {
-		*c += contentText(part.Text)
-	}
-	return nil
-}
-
-// isPlainText tells whether a valid JSON value is a string that stands for
-// itself, without escapes.
-func isPlainText(value []byte) bool {
-	return value[0] == '"' && bytes.IndexByte(value, '\\') < 0 && utf8.Valid(value)
-}
-
 // checkMissing adds what every request must have.
 func (f *bodyFields) checkMissing(found *findings.List) {
 	if f.Model == "" {
