engine: ParseChat keeps plain text as it is

Cause: ParseChat decoded each content twice (raw, then text), and grew the prompt's text step by step.

--- a/pkg/engine/client_test.go
+++ b/pkg/engine/client_test.go
@@ -220,7 +220,9 @@
 		`[{"role":"user","content":"a"},{"role":"assistant","content":"b"}]`:                                   "user\na\nassistant\nb\n",
 		`[{"role":"user","content":[{"type":"text","text":"a"},{"type":"image"},{"type":"text","text":"b"}]}]`: "user\nab\n",
 		`[{"role":"user","content":{"x":1}}]`:                                                                  "user\n\n",
-		`[]`:                                                                                                   "",
+		`[{"role":"user","content":"a\u0062\n"},{"content":null},null]`:                                        "user\nab\n\n\n\n\n\n",
+		`[{"role":"user","content":[{"text":"a"}],"content":[{"text":"b"}]}]`:                                  "user\nb\n",
+		`[]`: "",
 	}
 	for messages, want := range cases {
 		if got, ok := engine.ParseChat([]byte(messages)); !ok || got != want {
--- a/pkg/engine/prefix.go
+++ b/pkg/engine/prefix.go
@@ -1,8 +1,10 @@
 package engine
 
 import (
+	"bytes"
 	"encoding/json"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -26,7 +28,12 @@
 
 // ChatPrompt returns the text whose prefixes an engine caches for a chat.
 func ChatPrompt(messages []ChatMessage) string {
+	length := 0
+	for _, message := range messages {
+		length += len(message.Role) + len(message.Content) + len("\n\n")
+	}
 	var prompt strings.Builder
+	prompt.Grow(length)
 	for _, message := range messages {
 		prompt.WriteString(message.Role)
 		prompt.WriteByte('\n')
@@ -38,8 +45,8 @@
 
 // chatMessage is a message of a chat completion request on the wire.
 type chatMessage struct {
-	Role    string          `json:"role"`
-	Content json.RawMessage `json:"content"` // a text, or parts of which some are texts
+	Role    string      `json:"role"`
+	Content contentText `json:"content"`
 }
 
 // ParseChat returns ChatPrompt of the JSON array of a chat's messages, and
@@ -51,21 +58,41 @@
 	}
 	texts := make([]ChatMessage, len(parsed))
 	for i, message := range parsed {
-		texts[i] = ChatMessage{Role: message.Role, Content: message.text()}
+		texts[i] = ChatMessage{Role: message.Role, Content: string(message.Content)}
 	}
 	return ChatPrompt(texts), true
 }
 
-// text returns the text of the content, empty if it has another form.
-func (m chatMessage) text() string {
+// contentText is the text of a message: one text, or parts of which some are
+// texts. Content of another form has no text.
+type contentText string
+
+// UnmarshalJSON reads the text of valid JSON.
+func (c *contentText) UnmarshalJSON(value []byte) error {
+	if isPlainText(value) {
+		*c = contentText(value[1 : len(value)-1])
+		return nil
+	}
+	*c = contentText(decodedText(value))
+	return nil
+}
+
+// isPlainText tells whether a valid JSON value is a string that stands for
+// itself, without escapes.
+func isPlainText(value []byte) bool {
+	return value[0] == '"' && bytes.IndexByte(value, '\\') < 0 && utf8.Valid(value)
+}
+
+// decodedText returns the text of a string with escapes or of parts.
+func decodedText(value []byte) string {
 	var text string
-	if json.Unmarshal(m.Content, &text) == nil {
+	if json.Unmarshal(value, &text) == nil {
 		return text
 	}
 	var parts []struct {
 		Text string `json:"text"`
 	}
-	if json.Unmarshal(m.Content, &parts) != nil {
+	if json.Unmarshal(value, &parts) != nil {
 		return ""
 	}
 	for _, part := range parts {
