--- a/pkg/control/formation.go
+++ b/pkg/control/formation.go
@@ -1,9 +1,7 @@
 package control
 
 import (
-	"hash/fnv"
 	"sort"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,6 +22,10 @@
 	formationWriting                       // writes the record of a new epoch
 )
 
+// memberPause is the time between two looks at the record while its members may
+// come up.
+const memberPause = 2 * time.Second
+
 // formation forms the group of a cell that has none or has lost its majority.
 // The conditional write of the cell's record, with the next epoch, makes one
 // founder win. That the old group may still be at work is no harm: the new
@@ -31,11 +33,14 @@
 // fenced it.
 type formation struct {
 	stage    formationStage
-	startAt  time.Time // of the next stage, when waiting
-	aliveAt  time.Time // since when the recorded members look alive but silent
-	founded  uint64    // last epoch that this node led as the founder
-	wanted   cellRecord
-	unknowns map[api.ServerID]bool // servers of the record before the write of epoch wanted
+	failures int // tries in a row that failed
+
+	seenVersion uint64                // of the record
+	seenAt      time.Time             // when the record was first seen in that version
+	startAt     time.Time             // of the next stage, when waiting
+	aliveAt     time.Time             // since when the recorded members look alive but silent
+	founded     uint64                // last epoch that this node led as the founder
+	unknowns    map[api.ServerID]bool // servers of the record before the last write
 }
 
 func (f *formation) needsMachines() bool {
@@ -52,13 +57,14 @@
 	if !c.needsGroup(now) {
 		f.stage = formationIdle
 		f.aliveAt = time.Time{}
+		f.failures = 0
 		return
 	}
 	if f.stage == formationIdle {
 		f.stage = formationWaiting
 		timing := c.machine.timing
 		wait := timing.FormationDelay + time.Duration(c.rank())*timing.FormationStep
-		if c.group.Superseded() {
+		if c.view.Term > 0 && c.group.Floor() > c.epoch() {
 			wait += timing.GroupPatience // two halves of a region must not depose each other in turn
 		}
 		f.startAt = now.Add(wait + c.machine.jitter(timing.FormationStep/4))
@@ -82,13 +88,14 @@
 	if c.leaderlessFor(now) >= c.machine.timing.GroupPatience {
 		return true
 	}
-	if c.group.Superseded() && c.group.Floor() > c.epoch() {
-		return true
-	}
-	if c.view.Term > 0 && c.mostAlive(c.view.Members) {
-		return false
-	}
-	return !c.group.Member() || !c.mostAlive(c.group.Accepted().Members)
+	accepted := c.group.Accepted()
+	return !c.mayAgree(c.view.Term, c.view.Members) && !c.mayAgree(accepted.Term, accepted.Members)
+}
+
+// mayAgree tells whether the group that had these members in term can still
+// agree: it is of the latest epoch and has a majority.
+func (c *cellControl) mayAgree(term uint64, members []api.NodeRef) bool {
+	return term > 0 && quorum.Epoch(term) >= c.group.Floor() && c.mostAlive(members)
 }
 
 // leaderlessFor returns how long this member has not heard of any leader.
@@ -103,72 +110,6 @@
 	return now.Sub(c.leaderlessAt)
 }
 
-// mostAlive tells whether a majority of the members is alive in the same life.
-func (c *cellControl) mostAlive(members []api.NodeRef) bool {
-	live := c.machine.liveNodes()
-	count := 0
-	for _, member := range members {
-		if isAmong(member, live) {
-			count++
-		}
-	}
-	return 2*count > len(members)
-}
-
-// rank is this node's place among the live nodes in an order that differs from
-// cell to cell.
-func (c *cellControl) rank() int {
-	for index, node := range c.ranked(c.machine.liveNodes()) {
-		if c.machine.isSelf(node) {
-			return index
-		}
-	}
-	return 0
-}
-
-// ranked sorts nodes by a hash of the cell and the node's life.
-func (c *cellControl) ranked(nodes []api.NodeRef) []api.NodeRef {
-	sorted := append([]api.NodeRef(nil), nodes...)
-	sort.Slice(sorted, func(i, j int) bool {
-		a, b := c.hash(sorted[i]), c.hash(sorted[j])
-		if a != b {
-			return a < b
-		}
-		return sorted[i].ID < sorted[j].ID
-	})
-	return sorted
-}
-
-func (c *cellControl) hash(node api.NodeRef) uint64 {
-	sum := fnv.New64a()
-	sum.Write([]byte(string(c.name) + "/" + string(node.ID) + "/" + strconv.FormatUint(node.Incarnation, 10)))
-	return sum.Sum64()
-}
-
-// chooseMembers returns up to quorum.Size of the nodes: those of first, then
-// others in zones that are not taken yet, then any.
-func (c *cellControl) chooseMembers(first, nodes []api.NodeRef) []api.NodeRef {
-	chosen := append([]api.NodeRef(nil), first...)
-	zones := make(map[string]bool)
-	for _, node := range chosen {
-		zones[node.Zone] = true
-	}
-	ranked := c.ranked(nodes)
-	for _, otherZonesOnly := range []bool{true, false} {
-		for _, node := range ranked {
-			if len(chosen) >= quorum.Size {
-				return chosen
-			}
-			if isAmong(node, chosen) || otherZonesOnly && zones[node.Zone] {
-				continue
-			}
-			chosen = append(chosen, node)
-			zones[node.Zone] = true
-		}
-	}
-	return chosen
-}
-
 // formationRecord goes on after the record was read or written.
 func (c *cellControl) formationRecord(err error) {
 	f := &c.formation
@@ -184,19 +125,20 @@
 		c.found(*known)
 		return
 	}
-	if known != nil && c.waitForMembers(known.Members) {
+	if known != nil && (c.waitForMembers(known.Members) || c.waitForOwner()) {
 		return
 	}
 	f.stage = formationListing
 	c.machine.machinesAt = c.machine.now
 }
 
-// waitForMembers gives recorded members that live some time to come up. They
-// may never: a founder may have died before it told them.
+// waitForMembers gives recorded members that live, or may live since this node
+// has not met them yet, some time to tell their view. They may never: a founder
+// may have died before it told them.
 func (c *cellControl) waitForMembers(members []api.NodeRef) bool {
 	f := &c.formation
 	now := c.machine.now
-	if !c.mostAlive(members) {
+	if !c.mostMayLive(members) {
 		return false
 	}
 	if f.aliveAt.IsZero() {
@@ -206,15 +148,41 @@
 		return false
 	}
 	f.stage = formationWaiting
-	f.startAt = now.Add(c.machine.timing.FormationRetry)
+	f.startAt = now.Add(memberPause)
+	return true
+}
+
+// waitForOwner makes a node that sees only a minority of the region's nodes wait
+// until the record has not changed for some time. It may be cut off from a group
+// that works, whose owner renews the record.
+func (c *cellControl) waitForOwner() bool {
+	f := &c.formation
+	now := c.machine.now
+	if !c.machine.inMinority() {
+		return false
+	}
+	if f.seenVersion != c.calls.version {
+		f.seenVersion, f.seenAt = c.calls.version, now
+	}
+	if now.Sub(f.seenAt) >= c.machine.timing.MinorityPatience {
+		return false
+	}
+	f.stage = formationWaiting
+	f.startAt = now.Add(memberPause)
 	return true
 }
 
 func (c *cellControl) retryFormation(message string, err error) {
+	timing := c.machine.timing
+	pause := min(timing.FormationRetry<<min(c.formation.failures, 10), timing.FormationRetryMax)
+	c.formation.failures++
 	c.formation.stage = formationWaiting
-	pause := c.machine.timing.FormationRetry
 	c.formation.startAt = c.machine.now.Add(pause + c.machine.jitter(pause))
-	c.Log("warn", message, "error", err.Error())
+	level := "warn"
+	if errors.Is(err, errNoMachines) {
+		level = "debug" // usual for a service that does not run in this region
+	}
+	c.Log(level, message, "error", err.Error())
 }
 
 // errNoMachines means that a cell has neither machines nor a record.
@@ -246,7 +214,7 @@
 		previous = *c.calls.known
 	}
 	epoch := max(previous.Epoch, c.group.Floor(), c.epoch()) + 1
-	f.wanted = cellRecord{
+	wanted := cellRecord{
 		Epoch:   epoch,
 		Term:    quorum.MakeTerm(epoch, 1),
 		Founder: m.config.Self,
@@ -258,7 +226,7 @@
 		f.unknowns[server.ID] = true
 	}
 	f.stage = formationWriting
-	c.writeRecord(f.wanted)
+	c.writeRecord(wanted)
 }
 
 // addListed adds the live machines of a list to the recorded servers. Recorded
--- a/pkg/control/record.go
+++ b/pkg/control/record.go
@@ -139,9 +139,10 @@
 
 // recordKeeper keeps the record of a cell that this node owns up to date.
 type recordKeeper struct {
-	read     bool // since the ownership began
-	retryAt  time.Time
-	failures int
+	read      bool // since the ownership began
+	writtenAt time.Time
+	retryAt   time.Time
+	failures  int
 }
 
 func (k *recordKeeper) reset(now time.Time) {
@@ -158,7 +159,9 @@
 		c.readRecord()
 		return
 	}
-	if wanted, differs := c.wantedRecord(); differs {
+	wanted, differs := c.wantedRecord()
+	if differs || now.Sub(c.record.writtenAt) >= c.machine.timing.RecordRefresh {
+		c.record.writtenAt = now
 		c.writeRecord(wanted)
 		return
 	}
@@ -168,8 +171,9 @@
 }
 
 // wantedRecord is what the record should be. It leaves a server out only after
-// the group has committed that it is gone, so that whatever a later owner of
-// the epoch may use is always in the record.
+// the group has committed that it is gone, and keeps one whose admission is not
+// committed yet, so that whatever an owner of the epoch may use is always in the
+// record.
 func (c *cellControl) wantedRecord() (cellRecord, bool) {
 	state := c.group.Committed()
 	record := cellRecord{Epoch: quorum.Epoch(c.owner.Term()), Term: c.owner.Term(), Members: state.Members}
@@ -179,7 +183,7 @@
 	}
 	record.Founder = known.Founder
 	named := make(map[api.ServerID]bool)
-	for _, group := range [][]quorum.Server{state.Data.Servers, c.owner.Unrecorded()} {
+	for _, group := range [][]quorum.Server{state.Data.Servers, c.owner.Servers()} {
 		for _, server := range group {
 			if !named[server.ID] {
 				named[server.ID] = true
