--- a/e2e/engines_test.go
+++ b/e2e/engines_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"syscall"
@@ -67,48 +68,73 @@
 func (n *nodeProcess) thaw()   { n.signal(syscall.SIGCONT) }
 
 func testLoadOrderInDoubt(t *testing.T, takeAway, bringBack func(*nodeProcess)) {
-	c := startCluster(t)
+	c := startClusterWith(t, options{tree: spareTree()})
 	owner, other := c.owner(t)
 	askUntilServed(t, other, "firing-13b") // all that a load needs is in place
+	model, ordered := c.holdLoadOrder(t, owner, other)
 	stop := make(chan struct{})
 	watch := pool.New()
-	watch.Go(func() { c.wantAtMostOneReplica(t, "glaze-7b", stop) })
+	watch.Go(func() { c.wantAtMostOneReplica(t, model, stop) })
 
-	ordered := c.holdLoadOrder(t, owner, other, takeAway)
-	if _, err := tryWhole(t.Context(), other, "glaze-7b", option.WithHeader("X-Deadline-Ms", "4000")); err == nil || !notRun(err) {
-		t.Errorf("glaze-7b while its load is in doubt: %v, want a refusal that did not run", err)
+	takeAway(owner)
+	c.answerOrdersBut(t, ordered)
+	c.waitForOtherOwner(t, other, owner.id)
+	if _, err := tryWhole(t.Context(), other, string(model), option.WithHeader("X-Deadline-Ms", "4000")); err == nil || !notRun(err) {
+		t.Errorf("%s while its load is in doubt: %v, want a refusal that did not run", model, err)
 	}
 	for _, e := range c.engines {
-		if e != ordered && e.holds(t, "glaze-7b") {
-			t.Errorf("glaze-7b was loaded on %s while %s may load it", e.id, ordered.id)
+		if e != ordered && e.holds(t, model) {
+			t.Errorf("%s was loaded on %s while %s may load it", model, e.id, ordered.id)
 		}
 	}
 	bringBack(owner)
-	setOrderFaults(t, []*engineProcess{ordered}, standin.Faults{})
-	askUntilServed(t, other, "glaze-7b")
+	setOrderFaults(t, c.engines, standin.Faults{})
+	askUntilServed(t, other, string(model))
 	close(stop)
 	watch.Wait()
 }
 
-// holdLoadOrder lets the owner order a load of glaze-7b from an engine that
-// freezes its orders, takes the owner away, and returns the engine once another
-// node owns the cell. The other engines answer.
-func (c *cluster) holdLoadOrder(t *testing.T, owner, other *nodeProcess, takeAway func(*nodeProcess)) *engineProcess {
+// spareModels is the number of models to try holdLoadOrder with.
+const spareModels = 8
+
+func spareModel(i int) api.ModelName {
+	return api.ModelName(fmt.Sprintf("spare-%d", i))
+}
+
+// spareTree is siteTree with the spare models.
+func spareTree() string {
+	tree := siteTree
+	for i := range spareModels {
+		tree += fmt.Sprintf("          %s: {memory: 1GiB}\n", spareModel(i))
+	}
+	return tree
+}
+
+// holdLoadOrder lets the owner order the load of a model from an engine that
+// freezes its orders, and returns both. It freezes all engines, since the owner
+// chooses. If that holds up an inventory the owner orders nothing there, so
+// there are several models to try.
+func (c *cluster) holdLoadOrder(t *testing.T, owner, other *nodeProcess) (api.ModelName, *engineProcess) {
 	t.Helper()
-	setOrderFaults(t, c.engines, standin.Faults{Freeze: true})
-	wake := pool.New()
-	wake.Go(func() { _, _ = tryWhole(t.Context(), other, "glaze-7b", option.WithHeader("X-Deadline-Ms", "5000")) })
-	var ordered *engineProcess
-	waitFor(t, "the owner orders a load", func() bool {
-		ordered = c.orderedServer(t, owner, "glaze-7b")
-		return ordered != nil
-	})
-	takeAway(owner)
-	inReach := slices.DeleteFunc(slices.Clone(c.engines), func(e *engineProcess) bool { return e == ordered })
-	setOrderFaults(t, inReach, standin.Faults{})
-	c.waitForOtherOwner(t, other, owner.id)
-	wake.Wait()
-	return ordered
+	for i := range spareModels {
+		model := spareModel(i)
+		setOrderFaults(t, c.engines, standin.Faults{Freeze: true})
+		_, _ = tryWhole(t.Context(), other, string(model), option.WithHeader("X-Deadline-Ms", "2500"))
+		if ordered := c.orderedServer(t, owner, model); ordered != nil {
+			return model, ordered
+		}
+		setOrderFaults(t, c.engines, standin.Faults{})
+		askUntilServed(t, other, string(model))
+	}
+	t.Fatal("the owner ordered no load while the engines were frozen")
+	return "", nil
+}
+
+// answerOrdersBut lets all engines but one answer orders and inventories again.
+func (c *cluster) answerOrdersBut(t *testing.T, frozen *engineProcess) {
+	t.Helper()
+	others := slices.DeleteFunc(slices.Clone(c.engines), func(e *engineProcess) bool { return e == frozen })
+	setOrderFaults(t, others, standin.Faults{})
 }
 
 // TestLateOrderAfterLoweredCount kills the owner while its load order is on the
@@ -117,11 +143,14 @@
 func TestLateOrderAfterLoweredCount(t *testing.T) {
 	t.Parallel()
 	const lateBy = 6 * time.Second // after the engine answers others again
-	c := startCluster(t)
+	c := startClusterWith(t, options{tree: spareTree()})
 	owner, other := c.owner(t)
 	askUntilServed(t, other, "firing-13b")
-	ordered := c.holdLoadOrder(t, owner, other, (*nodeProcess).crash)
-	if output, err := c.command(t, other, "tree", "set", "/assistant/llama/glaze-7b", "max_replicas=0"); err != nil {
+	model, ordered := c.holdLoadOrder(t, owner, other)
+	owner.kill()
+	c.answerOrdersBut(t, ordered)
+	c.waitForOtherOwner(t, other, owner.id)
+	if output, err := c.command(t, other, "tree", "set", "/assistant/llama/"+string(model), "max_replicas=0"); err != nil {
 		t.Fatalf("tree set: %v, %s", err, output)
 	}
 
@@ -129,14 +158,14 @@
 	time.Sleep(lateBy / 10) // what sits in the engine takes notice of the delay
 	setOrderFaults(t, []*engineProcess{ordered}, standin.Faults{})
 	arrived := time.After(lateBy)
-	waitFor(t, "the new owner knows that nothing was loaded", func() bool { return c.replicas(t, other, "glaze-7b") == 0 })
+	waitFor(t, "the new owner knows that nothing was loaded", func() bool { return c.replicas(t, other, model) == 0 })
 	for late := true; late; {
 		select {
 		case <-arrived:
 			late = false
 		case <-time.After(waitPoll):
 		}
-		if ordered.holds(t, "glaze-7b") {
+		if ordered.holds(t, model) {
 			t.Fatal("an order of the dead owner took effect after the new one had read the engine's inventory")
 		}
 	}
