--- a/pkg/gateway/request_body.go
+++ b/pkg/gateway/request_body.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 
 	"github.com/pkg/errors"
 
@@ -14,6 +15,9 @@
 // bytesPerToken estimates the tokens of a prompt from its length.
 const bytesPerToken = 4
 
+// errBrokenJSON means that a body's JSON does not end or is malformed.
+var errBrokenJSON = errors.New("the body's JSON is cut off or malformed")
+
 // requestBody is what the gateway reads of a request's body.
 type requestBody struct {
 	Model        api.ModelName
@@ -23,129 +27,140 @@
 	PromptStart  string // leading text of the prompt as engines cache it
 }
 
-// Errors of bodies that are not one JSON object.
-var (
-	errNotJSONBody = errors.New("the body is not JSON")
-	errNotObject   = errors.New("the body is not a JSON object")
-	errBrokenJSON  = errors.New("the body's JSON is cut off or malformed")
-	errGoesOn      = errors.New("the body goes on after its JSON object")
-)
-
 // decodeBody reads body, which must be one JSON object. Field names count as
 // they are spelt; a field that the gateway reads may be given only once, so
 // that no engine can understand the request otherwise.
 func decodeBody(body []byte, promptField string) (requestBody, error) {
-	values, err := decodeFields(body)
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	opening, err := decoder.Token()
 	if err != nil {
-		return requestBody{}, err
+		return requestBody{}, errors.New("the body is not JSON")
+	}
+	if opening != json.Delim('{') {
+		return requestBody{}, errors.New("the body is not a JSON object")
 	}
 	var found findings.List
-	fields := bodyFields{values: values, found: &found}
-	var decoded requestBody
-	fields.decode("model", &decoded.Model)
-	fields.decode("stream", &decoded.Stream)
-	decoded.MaxTokens = fields.decodeMaxTokens()
-	prompt := fields.take(promptField)
-	decoded.readPrompt(promptField, prompt)
-	if decoded.Model == "" {
-		found.Addf("model", "missing")
+	fields := bodyFields{body: body, promptField: promptField, seen: make(map[string]bool)}
+	for decoder.More() {
+		if err := fields.decodeNext(decoder, &found); err != nil {
+			return requestBody{}, err
+		}
 	}
-	if prompt == nil {
-		found.Addf(promptField, "missing")
+	if _, err := decoder.Token(); err != nil {
+		return requestBody{}, errBrokenJSON
 	}
-	return decoded, found.Err()
+	if _, err := decoder.Token(); err != io.EOF {
+		return requestBody{}, errors.New("the body goes on after its JSON object")
+	}
+	fields.checkMissing(&found)
+	return fields.requestBody, found.Err()
 }
 
-// fieldName is the name of a field of a JSON object, as it is spelt. Each
-// occurrence is another map key, so that none is lost.
-type fieldName struct {
-	name       string
-	occurrence *byte
-}
+// skippedValue takes the place of a value that nobody reads.
+type skippedValue struct{}
 
-// UnmarshalText takes the name of a field.
-func (n *fieldName) UnmarshalText(name []byte) error {
-	*n = fieldName{name: string(name), occurrence: new(byte)}
-	return nil
+// UnmarshalJSON skips any value.
+func (*skippedValue) UnmarshalJSON([]byte) error { return nil }
+
+// bodyFields collects the fields of a body.
+type bodyFields struct {
+	requestBody
+	body        []byte
+	promptField string
+	seen        map[string]bool
 }
 
-// decodeFields returns the fields of the JSON object in body.
-func decodeFields(body []byte) (map[fieldName]json.RawMessage, error) {
-	if !bytes.HasPrefix(bytes.TrimLeft(body, jsonSpace), []byte("{")) {
-		if json.Valid(body) {
-			return nil, errNotObject
-		}
-		return nil, errNotJSONBody
+// decodeNext reads one field. An error means that the JSON is broken.
+func (f *bodyFields) decodeNext(decoder *json.Decoder, found *findings.List) error {
+	token, err := decoder.Token()
+	if err != nil {
+		return errBrokenJSON
+	}
+	name, _ := token.(string) // the decoder lets only strings be names
+	target := f.target(name)
+	if target == nil {
+		return decodeValue(decoder, &skippedValue{}, nil)
 	}
-	var values map[fieldName]json.RawMessage
-	if json.Unmarshal(body, &values) == nil {
-		return values, nil
+	if f.seen[name] {
+		found.Addf(name, "given twice")
 	}
-	var first json.RawMessage
-	if json.NewDecoder(bytes.NewReader(body)).Decode(&first) == nil {
-		return nil, errGoesOn
+	f.seen[name] = true
+	if name == f.promptField {
+		return f.decodePrompt(decoder)
 	}
-	return nil, errBrokenJSON
+	return decodeValue(decoder, target, func() { found.Addf(name, "has the wrong type") })
 }
 
-// jsonSpace is the white space of JSON.
-const jsonSpace = " \t\r\n"
-
-// bodyFields are the fields of a body, with what is wrong with them.
-type bodyFields struct {
-	values map[fieldName]json.RawMessage
-	found  *findings.List
+// decodePrompt reads the prompt. One that has no text is for the engine to
+// judge.
+func (f *bodyFields) decodePrompt(decoder *json.Decoder) error {
+	start := decoder.InputOffset()
+	if err := decodeValue(decoder, &skippedValue{}, nil); err != nil {
+		return err
+	}
+	value := bytes.TrimLeft(f.body[start:decoder.InputOffset()], ": \t\r\n")
+	f.PromptTokens = len(value)/bytesPerToken + 1
+	text := f.promptText(value)
+	f.PromptStart = text[:min(len(text), maxPromptStart)]
+	return nil
 }
 
-// take returns the value of the field, or nil if it is missing.
-func (f *bodyFields) take(name string) json.RawMessage {
-	var value json.RawMessage
-	for field, given := range f.values {
-		if field.name != name {
-			continue
-		}
-		if value != nil {
-			f.found.Addf(name, "given twice")
-			return value
-		}
-		value = given
+// promptText returns the text of the prompt as engines cache it, empty if it
+// has another form.
+func (f *bodyFields) promptText(value []byte) string {
+	if f.promptField == chatCompletions.promptField {
+		text, _ := engine.ParseChat(value)
+		return text
 	}
-	return value
+	var text string
+	_ = json.Unmarshal(value, &text) // any other form has no text
+	return text
 }
 
-// decode reads the value of the field into target, if it is given.
-func (f *bodyFields) decode(name string, target any) {
-	if value := f.take(name); value != nil && json.Unmarshal(value, target) != nil {
-		f.found.Addf(name, "has the wrong type")
+// target returns where the field's value belongs, or nil if nobody reads it.
+func (f *bodyFields) target(name string) any {
+	switch name {
+	case "model":
+		return &f.Model
+	case "stream":
+		return &f.Stream
+	case "max_tokens", "max_completion_tokens":
+		return &f.MaxTokens
+	case f.promptField:
+		return &skippedValue{} // see decodePrompt
+	default:
+		return nil
 	}
 }
 
-// decodeMaxTokens returns the bound on the answer's tokens, zero for none.
-func (f *bodyFields) decodeMaxTokens() int {
-	most := 0
-	for _, name := range []string{"max_tokens", "max_completion_tokens"} {
-		tokens := 0
-		f.decode(name, &tokens)
-		if tokens < 0 {
-			f.found.Addf(name, "must not be negative")
-		}
-		most = max(most, tokens)
+// decodeValue reads one value into target. It calls wrongType for a value of
+// another type; an error means that the JSON is broken.
+func decodeValue(decoder *json.Decoder, target any, wrongType func()) error {
+	err := decoder.Decode(target)
+	var mismatch *json.UnmarshalTypeError
+	if errors.As(err, &mismatch) {
+		wrongType()
+		return nil
 	}
-	return most
+	if err != nil {
+		return errBrokenJSON
+	}
+	return nil
 }
 
 // maxPromptStart bounds the part of a prompt by which a replica that has it
 // cached is found, in bytes.
 const maxPromptStart = 32 << 10
 
-// readPrompt reads the prompt. One that has no text is for the engine to judge.
-func (b *requestBody) readPrompt(field string, value json.RawMessage) {
-	b.PromptTokens = len(value)/bytesPerToken + 1
-	var text string
-	if field == chatCompletions.promptField {
-		text, _ = engine.ParseChat(value)
-	} else {
-		_ = json.Unmarshal(value, &text)
+// checkMissing adds what every request must have.
+func (f *bodyFields) checkMissing(found *findings.List) {
+	if f.Model == "" {
+		found.Addf("model", "missing")
+	}
+	if !f.seen[f.promptField] {
+		found.Addf(f.promptField, "missing")
+	}
+	if f.MaxTokens < 0 {
+		found.Addf("max_tokens", "must not be negative")
 	}
-	b.PromptStart = text[:min(len(text), maxPromptStart)]
 }
