gateway: decode messages once, into engine.ChatMessage

Change: ChatMessage is the wire type itself, so that the gateway's decoder fills it and ChatPrompt joins it; the gateway's own types are gone.

--- a/pkg/engine/prefix.go
+++ b/pkg/engine/prefix.go
@@ -20,10 +20,25 @@
 	HeaderNotRun = "X-Engine-Not-Run"
 )
 
-// ChatMessage is one message of a chat completion request, its content as text.
+// ChatMessage is one message of a chat completion request, as far as its text
+// counts.
 type ChatMessage struct {
-	Role    string
-	Content string
+	Role    string   `json:"role"`
+	Content ChatText `json:"content"`
+}
+
+// ChatText is the text of a message: one text, or parts of which some are
+// texts. Content of another form has no text.
+type ChatText string
+
+// UnmarshalJSON reads the text of valid JSON.
+func (t *ChatText) UnmarshalJSON(value []byte) error {
+	if isPlainText(value) {
+		*t = ChatText(value[1 : len(value)-1])
+		return nil
+	}
+	*t = ChatText(decodedText(value))
+	return nil
 }
 
 // ChatPrompt returns the text whose prefixes an engine caches for a chat.
@@ -37,44 +52,20 @@
 	for _, message := range messages {
 		prompt.WriteString(message.Role)
 		prompt.WriteByte('\n')
-		prompt.WriteString(message.Content)
+		prompt.WriteString(string(message.Content))
 		prompt.WriteByte('\n')
 	}
 	return prompt.String()
 }
 
-// chatMessage is a message of a chat completion request on the wire.
-type chatMessage struct {
-	Role    string      `json:"role"`
-	Content contentText `json:"content"`
-}
-
 // ParseChat returns ChatPrompt of the JSON array of a chat's messages, and
 // false if it is none.
 func ParseChat(messages []byte) (prompt string, ok bool) {
-	var parsed []chatMessage
+	var parsed []ChatMessage
 	if json.Unmarshal(messages, &parsed) != nil {
 		return "", false
 	}
-	texts := make([]ChatMessage, len(parsed))
-	for i, message := range parsed {
-		texts[i] = ChatMessage{Role: message.Role, Content: string(message.Content)}
-	}
-	return ChatPrompt(texts), true
-}
-
-// contentText is the text of a message: one text, or parts of which some are
-// texts. Content of another form has no text.
-type contentText string
-
-// UnmarshalJSON reads the text of valid JSON.
-func (c *contentText) UnmarshalJSON(value []byte) error {
-	if isPlainText(value) {
-		*c = contentText(value[1 : len(value)-1])
-		return nil
-	}
-	*c = contentText(decodedText(value))
-	return nil
+	return ChatPrompt(parsed), true
 }
 
 // isPlainText tells whether a valid JSON value is a string that stands for
--- a/pkg/gateway/request_body.go
+++ b/pkg/gateway/request_body.go
@@ -40,7 +40,7 @@
 		return requestBody{}, errors.New("the body is not a JSON object")
 	}
 	var found findings.List
-	fields := bodyFields{body: body, promptField: promptField, seen: make(map[string]bool)}
+	fields := bodyFields{promptField: promptField, seen: make(map[string]bool)}
 	for decoder.More() {
 		if err := fields.decodeNext(decoder, &found); err != nil {
 			return requestBody{}, err
@@ -53,6 +53,7 @@
 		return requestBody{}, errors.New("the body goes on after its JSON object")
 	}
 	fields.checkMissing(&found)
+	fields.PromptStart = fields.promptStart()
 	return fields.requestBody, found.Err()
 }
 
@@ -65,8 +66,9 @@
 // bodyFields collects the fields of a body.
 type bodyFields struct {
 	requestBody
-	body        []byte
 	promptField string
+	messages    []engine.ChatMessage // of a chat
+	prompt      string               // of a completion
 	seen        map[string]bool
 }
 
@@ -85,36 +87,16 @@
 		found.Addf(name, "given twice")
 	}
 	f.seen[name] = true
-	if name == f.promptField {
-		return f.decodePrompt(decoder)
-	}
-	return decodeValue(decoder, target, func() { found.Addf(name, "has the wrong type") })
-}
-
-// decodePrompt reads the prompt. One that has no text is for the engine to
-// judge.
-func (f *bodyFields) decodePrompt(decoder *json.Decoder) error {
 	start := decoder.InputOffset()
-	if err := decodeValue(decoder, &skippedValue{}, nil); err != nil {
-		return err
-	}
-	value := bytes.TrimLeft(f.body[start:decoder.InputOffset()], ": \t\r\n")
-	f.PromptTokens = len(value)/bytesPerToken + 1
-	text := f.promptText(value)
-	f.PromptStart = text[:min(len(text), maxPromptStart)]
-	return nil
-}
-
-// promptText returns the text of the prompt as engines cache it, empty if it
-// has another form.
-func (f *bodyFields) promptText(value []byte) string {
-	if f.promptField == chatCompletions.promptField {
-		text, _ := engine.ParseChat(value)
-		return text
+	err = decodeValue(decoder, target, func() {
+		if name != f.promptField { // any other form of prompt is for the engine to judge
+			found.Addf(name, "has the wrong type")
+		}
+	})
+	if name == f.promptField {
+		f.PromptTokens = int(decoder.InputOffset()-start)/bytesPerToken + 1
 	}
-	var text string
-	_ = json.Unmarshal(value, &text) // any other form has no text
-	return text
+	return err
 }
 
 // target returns where the field's value belongs, or nil if nobody reads it.
@@ -127,7 +109,10 @@
 	case "max_tokens", "max_completion_tokens":
 		return &f.MaxTokens
 	case f.promptField:
-		return &skippedValue{} // see decodePrompt
+		if name == chatCompletions.promptField {
+			return &f.messages
+		}
+		return &f.prompt
 	default:
 		return nil
 	}
@@ -152,6 +137,15 @@
 // cached is found, in bytes.
 const maxPromptStart = 32 << 10
 
+// promptStart returns the beginning of the prompt's text as engines cache it.
+func (f *bodyFields) promptStart() string {
+	text := f.prompt
+	if f.promptField == chatCompletions.promptField {
+		text = engine.ChatPrompt(f.messages)
+	}
+	return text[:min(len(text), maxPromptStart)]
+}
+
 // checkMissing adds what every request must have.
 func (f *bodyFields) checkMissing(found *findings.List) {
 	if f.Model == "" {
