--- a/pkg/gateway/request_body.go
+++ b/pkg/gateway/request_body.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -40,7 +41,7 @@
 		return requestBody{}, errors.New("the body is not a JSON object")
 	}
 	var found findings.List
-	fields := bodyFields{promptField: promptField, seen: make(map[string]bool)}
+	fields := bodyFields{promptField: promptField, seen: make([]string, 0, 8)}
 	for decoder.More() {
 		if err := fields.decodeNext(decoder, &found); err != nil {
 			return requestBody{}, err
@@ -69,7 +70,7 @@
 	promptField string
 	messages    []engine.ChatMessage // of a chat
 	prompt      string               // of a completion
-	seen        map[string]bool
+	seen        []string             // names of the fields read so far
 }
 
 // decodeNext reads one field. An error means that the JSON is broken.
@@ -83,10 +84,11 @@
 	if target == nil {
 		return decodeValue(decoder, &skippedValue{}, nil)
 	}
-	if f.seen[name] {
+	if slices.Contains(f.seen, name) {
 		found.Addf(name, "given twice")
+	} else {
+		f.seen = append(f.seen, name)
 	}
-	f.seen[name] = true
 	start := decoder.InputOffset()
 	err = decodeValue(decoder, target, func() {
 		if name != f.promptField { // any other form of prompt is for the engine to judge
@@ -151,7 +153,7 @@
 	if f.Model == "" {
 		found.Addf("model", "missing")
 	}
-	if !f.seen[f.promptField] {
+	if !slices.Contains(f.seen, f.promptField) {
 		found.Addf(f.promptField, "missing")
 	}
 	if f.MaxTokens < 0 {
