gateway: safe requests use their caller's context towards engines

Cause: each attempt made a context below its caller's, although for a request that is safe to repeat it ends with the call, and each answer is closed where an attempt gives up. Ruled out: doing so for unsafe requests, whose work outlasts their caller.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -56,13 +56,12 @@
 	}
 	a.movable, _ = grant.(traffic.Movable)
 	c.record.server = a.target.Server
-	parent := c.caller
+	a.context, a.cancel = c.caller, func() {} // which ends with the call
 	if c.request.Unsafe {
 		// The answer is kept for the caller's repeat, so the engine's work
 		// goes on when the caller has left.
-		parent = c.gateway.stopping
+		a.context, a.cancel = context.WithCancel(c.gateway.stopping)
 	}
-	a.context, a.cancel = context.WithCancel(parent)
 	return a
 }
 
