--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -124,17 +124,30 @@
 	if served != 1 {
 		t.Errorf("request %s is served in %d log lines, want 1", requestID, served)
 	}
-	atEngines := 0
+	atEngines, loads := 0, 0
 	for _, engine := range c.engines {
-		for _, line := range engine.lines(t) {
-			if id, _ := line["request_id"].(string); strings.HasPrefix(id, requestID) {
-				atEngines++
-			}
-		}
+		atEngines += countLines(t, engine.process, "request", requestID)
+	}
+	for _, node := range c.nodes {
+		loads += countLines(t, node.process, "load ordered", requestID)
+	}
+	if atEngines != 1 || loads != 1 {
+		t.Errorf("request %s is in %d log lines of engines and in %d about loads, want 1 each", requestID, atEngines, loads)
 	}
-	if atEngines != 1 {
-		t.Errorf("request %s is in %d log lines of engines, want 1", requestID, atEngines)
+}
+
+// countLines counts the log lines with a message about a request. Other
+// processes know it by an ID that begins with the caller's.
+func countLines(t *testing.T, p *process, message, requestID string) int {
+	t.Helper()
+	count := 0
+	for _, line := range p.lines(t) {
+		id, _ := line["request_id"].(string)
+		if line["@message"] == message && strings.HasPrefix(id, requestID) {
+			count++
+		}
 	}
+	return count
 }
 
 func wantFields(t *testing.T, line logLine, names ...string) {
--- a/pkg/api/types.go
+++ b/pkg/api/types.go
@@ -159,6 +159,7 @@
 	HighestPriority  int       // of the waiting requests; larger is more urgent
 	EarliestDeadline time.Time // of the waiting requests; zero if none
 	LastArrival      time.Time
+	RequestID        string // of one of the waiting requests, for logs
 }
 
 // DemandReport goes from a node to the owner of a cell: at once when a model
--- a/pkg/control/cell/decide.go
+++ b/pkg/control/cell/decide.go
@@ -178,7 +178,7 @@
 	}
 	if o.config.Unsafe.TrustDecider {
 		if s := o.servers[action.Server]; s != nil && o.replicas[key{server: s.ID, model: model.Name}] == nil {
-			o.intend(now, model, s, action.Urgent)
+			o.intend(now, model, s, action)
 		}
 		return
 	}
@@ -200,5 +200,5 @@
 	}
 	s, _ := o.place(now, model, action.Server)
 	o.loadTokens--
-	o.intend(now, model, s, action.Urgent)
+	o.intend(now, model, s, action)
 }
--- a/pkg/control/cell/demand.go
+++ b/pkg/control/cell/demand.go
@@ -91,6 +91,22 @@
 	return sum
 }
 
+// waitingRequest returns the ID of a request that waits for the model, or "".
+// Among several nodes' it is the least, so that the choice does not vary.
+func (o *Owner) waitingRequest(model api.ModelName) string {
+	least := ""
+	d := o.demand[model]
+	if d == nil {
+		return least
+	}
+	for _, r := range d.reports {
+		if id := r.demand.RequestID; id != "" && (least == "" || id < least) {
+			least = id
+		}
+	}
+	return least
+}
+
 func (o *Owner) inFlight(now time.Time, model api.ModelName) int {
 	return o.summary(now, model).InFlight
 }
--- a/pkg/control/cell/orders.go
+++ b/pkg/control/cell/orders.go
@@ -7,12 +7,13 @@
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/control/quorum"
 	"martenwheel.dev/pkg/engine"
+	"martenwheel.dev/pkg/policy"
 	"martenwheel.dev/pkg/tree"
 )
 
 // intend begins a load: it counts from now on and is ordered once its intent
 // is committed. The caller has checked the limits.
-func (o *Owner) intend(now time.Time, model tree.Model, s *server, urgent bool) *replica {
+func (o *Owner) intend(now time.Time, model tree.Model, s *server, action policy.Action) *replica {
 	o.orders++
 	r := &replica{
 		intent: quorum.Intent{
@@ -24,12 +25,13 @@
 			Version:  model.Settings.Version,
 			Instance: s.instance,
 			SeenAt:   s.lastContact,
-			Urgent:   urgent,
+			Urgent:   action.Urgent,
 		},
+		reason:    action.Reason,
 		phase:     phaseIntended,
 		since:     now,
 		lastUse:   now,
-		prewarmed: !urgent,
+		prewarmed: !action.Urgent,
 		readyBy:   now.Add(o.loadTime(model)),
 	}
 	o.addReplica(r)
@@ -103,7 +105,8 @@
 	o.enter(now, r, phaseOrdered)
 	r.orderedAt = now
 	r.readyBy = now.Add(o.loadTime(model))
-	sink.Log("info", "load ordered", "model", r.intent.Model, "server", s.ID, "order", order.ID)
+	sink.Log("info", "load ordered", "model", r.intent.Model, "server", s.ID, "order", order.ID,
+		"reason", r.reason, "request_id", o.waitingRequest(r.intent.Model))
 }
 
 // give sends an order with the next fence.
--- a/pkg/control/cell/replica.go
+++ b/pkg/control/cell/replica.go
@@ -42,7 +42,7 @@
 	lastUse   time.Time
 	prewarmed bool
 	retryAt   time.Time // of the unload
-	reason    string    // why it drains
+	reason    string    // why it was loaded, or drains
 }
 
 func (r *replica) key() key {
--- a/pkg/traffic/demand.go
+++ b/pkg/traffic/demand.go
@@ -33,6 +33,9 @@
 	}
 	for _, waiting := range p.waitingOf(state) {
 		request := &waiting.request
+		if report.Waiting == 0 {
+			report.RequestID = request.ID
+		}
 		if report.Waiting == 0 || request.Priority > report.HighestPriority {
 			report.HighestPriority = request.Priority
 		}
