gateway: moves bounded in size and number; many streams at once

A stream that finds all places taken asks again with its next event, not a second later. Test: 48 streams that move at once. Its first form failed under the race detector, since the stand-in forgets a finished request after 30 simulated seconds, 0.3 s here; the tests' stand-in now keeps them for an hour.

--- a/pkg/gateway/config.go
+++ b/pkg/gateway/config.go
@@ -8,7 +8,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"martenwheel.dev/pkg/api"
-	"martenwheel.dev/pkg/engine"
 	"martenwheel.dev/pkg/findings"
 	"martenwheel.dev/pkg/keeper"
 	"martenwheel.dev/pkg/traffic"
@@ -94,7 +93,7 @@
 	DefaultResumes          = 3
 	DefaultMoves            = 4
 	DefaultMoveTries        = 2
-	DefaultMoveBytes        = engine.DefaultMaxResponseBytes
+	DefaultMoveBytes        = 16 << 20
 )
 
 // Defaults of Timeouts.
--- a/pkg/gateway/move.go
+++ b/pkg/gateway/move.go
@@ -70,11 +70,11 @@
 // engines run the request. If a step fails, the old engine goes on.
 func (s *eventStream) move() error {
 	g := s.attempt.call.gateway
-	s.moves.notNow = g.config.Now().Add(g.config.Timeouts.MovePause)
 	if !g.startMove() {
-		return nil
+		return nil // other streams move; the next event comes soon
 	}
 	defer g.endMove()
+	s.moves.notNow = g.config.Now().Add(g.config.Timeouts.MovePause)
 	place, err := s.attempt.movable.Move()
 	if err != nil {
 		return nil // nowhere to go yet
--- a/pkg/gateway/move_test.go
+++ b/pkg/gateway/move_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc/pool"
 
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/engine"
@@ -21,10 +22,12 @@
 // its stream, and places to move to on another.
 type leavingDispatcher struct {
 	from, to *standin.EngineServer
-	leaveAt  int                          // asks of Leaving after which the engine leaves
+	streams  int                          // that begin before the engine leaves
+	leaveAt  int                          // asks of Leaving after which it leaves
 	onAsk    func(name string, asked int) // called at each ask
 
 	mutex                sync.Mutex
+	begun                int
 	taken, ended, served map[string]int // grants by server
 }
 
@@ -68,13 +71,23 @@
 	if g.dispatcher.onAsk != nil {
 		g.dispatcher.onAsk(g.name, g.asked)
 	}
-	if g.name == "to" || g.asked < g.dispatcher.leaveAt {
+	if g.name == "to" || g.asked < g.dispatcher.leaveAt || !g.dispatcher.allBegun(g.asked) {
 		return false
 	}
 	g.dispatcher.from.Leave()
 	return true
 }
 
+// allBegun counts the streams that come to the event at which they would move.
+func (d *leavingDispatcher) allBegun(asked int) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if asked == d.leaveAt {
+		d.begun++
+	}
+	return d.begun >= d.streams
+}
+
 func (g *leavingGrant) Move() (traffic.Movable, error) {
 	if g.dispatcher.to == nil {
 		return nil, &traffic.Refusal{Reason: traffic.ReasonNoCapacity, Message: "no other replica"}
@@ -133,6 +146,7 @@
 		faults  standin.Faults // of the new engine, after the import
 		dies    bool           // the new engine, after the import
 		later   bool           // the new engine dies, after some of its events
+		bytes   int            // the most that an export may have
 		nowhere bool
 		moved   bool
 		broken  []bool // by unsafe: ends with an explicit error
@@ -143,6 +157,7 @@
 		{name: "old engine unreachable for the export", orders: faultyOrders{beforeExport: engine.ErrUnreachable}},
 		{name: "export lost", orders: faultyOrders{beforeExport: lostAnswer}},
 		{name: "answer to the export lost", orders: faultyOrders{afterExport: lostAnswer}},
+		{name: "export too large", bytes: 64},
 		{name: "import refused", orders: faultyOrders{beforeImport: refusedStep}},
 		{name: "import lost", orders: faultyOrders{beforeImport: lostAnswer}},
 		{name: "answer to the import lost", orders: faultyOrders{afterImport: lostAnswer}},
@@ -164,7 +179,7 @@
 				}
 				complete := false
 				t.Cleanup(func() { d.check(t, test.moved, complete) }) // when the gateway has ended
-				g, url := startGateway(t, Config{Dispatcher: d, Claims: granted()})
+				g, url := startGateway(t, Config{Dispatcher: d, Claims: granted(), Limits: Limits{MoveBytes: test.bytes}})
 				orders := test.orders
 				orders.Client = g.orders
 				orders.imported = func() {
@@ -274,6 +289,45 @@
 	}
 }
 
+// TestMoveManyStreams: many streams that move at once are each whole, and none
+// has a part of another's.
+func TestMoveManyStreams(t *testing.T) {
+	const streams = 48
+	d := newLeavingDispatcher(t)
+	d.streams = streams
+	t.Cleanup(func() {
+		d.mutex.Lock()
+		defer d.mutex.Unlock()
+		if d.taken["to"] != d.ended["to"] || d.served["to"] == 0 || d.served["from"]+d.served["to"] != streams {
+			t.Errorf("places taken %v, given back %v, served %v", d.taken, d.ended, d.served)
+		}
+	})
+	_, url := startGateway(t, Config{Dispatcher: d})
+	client := newClient(t)
+	group := pool.New().WithErrors()
+	for number := range streams {
+		group.Go(func() error {
+			prompt := fmt.Sprint("kiln ", number)
+			body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, glaze, movedTokens, prompt)
+			got, err := tryPost(client, url+"/v1/chat/completions", body, nil)
+			if err != nil {
+				return err
+			}
+			text, complete, err := standInText(got, true)
+			if err != nil {
+				return err
+			}
+			if !complete {
+				return errors.Errorf("stream %d broke", number)
+			}
+			return checkStandInTokens(glaze, text, prompt, movedTokens, complete)
+		})
+	}
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
 // checkOneRun checks that the engines together ran one request once.
 func checkOneRun(t *testing.T, servers ...*standin.EngineServer) {
 	t.Helper()
--- a/pkg/gateway/standin_test.go
+++ b/pkg/gateway/standin_test.go
@@ -21,6 +21,7 @@
 	config := standin.DefaultEngineConfig()
 	config.ID = "server-1"
 	config.Speed = 100
+	config.ResumeWindow = time.Hour // longer than any test, also on a slow machine
 	server, err := standin.ListenEngine("127.0.0.1:0", config)
 	if err != nil {
 		t.Fatal(err)
