--- a/pkg/traffic/benchmark_test.go
+++ b/pkg/traffic/benchmark_test.go
@@ -95,3 +95,20 @@
 		}
 	})
 }
+
+// BenchmarkLeaving is what a relayed event costs beyond the relay.
+func BenchmarkLeaving(b *testing.B) {
+	router := benchmarkRouter(b, nil)
+	granted, err := router.Acquire(context.Background(), ask(time.Hour))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer granted.Done(Outcome{Kind: OutcomeServed})
+	running := granted.(Movable)
+	b.ReportAllocs()
+	for b.Loop() {
+		if running.Leaving() {
+			b.Fatal("leaving")
+		}
+	}
+}
