--- a/pkg/policy/adaptive.go
+++ b/pkg/policy/adaptive.go
@@ -8,7 +8,7 @@
 
 // exchangeRate is how many accelerator seconds of idling a second of a cold
 // start is worth if both measures weigh the same.
-const exchangeRate = 30.0
+const exchangeRate = 15.0
 
 // largestWeight bounds the weight of cold starts, so that the worth of a cold
 // start stays finite.
@@ -83,10 +83,16 @@
 // outlook returns what holding a model is worth whose load takes the time load.
 func (p *plan) outlook(model *Model, load time.Duration) outlook {
 	quiet := p.forecast(model)
-	harm := load.Seconds() * load.Seconds() / referenceLoad
+	wait := load.Seconds() + loadOverhead
+	harm := wait * wait / referenceLoad
 	return quiet.outlook(load, harm*coldStartWorth(model), accelerators(model))
 }
 
+// loadOverhead is what a cold start takes besides its load, in seconds: the
+// decision, its commit, the order and the news of the replica. It also keeps
+// small models and adapters from being loaded for each request anew.
+const loadOverhead = 0.5
+
 // referenceLoad is the length of a cold start, in seconds, whose seconds count
 // once. The harm of a cold start grows with the square of its length, as it is
 // the tail that is measured.
