--- a/pkg/engine/prefix.go
+++ b/pkg/engine/prefix.go
@@ -1,8 +1,10 @@
 package engine
 
 import (
+	"bytes"
 	"encoding/json"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -18,54 +20,70 @@
 	HeaderNotRun = "X-Engine-Not-Run"
 )
 
-// ChatMessage is one message of a chat completion request, its content as text.
+// ChatMessage is one message of a chat completion request, as far as its text
+// counts.
 type ChatMessage struct {
-	Role    string
-	Content string
+	Role    string   `json:"role"`
+	Content ChatText `json:"content"`
+}
+
+// ChatText is the text of a message: one text, or parts of which some are
+// texts. Content of another form has no text.
+type ChatText string
+
+// UnmarshalJSON reads the text of valid JSON.
+func (t *ChatText) UnmarshalJSON(value []byte) error {
+	if isPlainText(value) {
+		*t = ChatText(value[1 : len(value)-1])
+		return nil
+	}
+	*t = ChatText(decodedText(value))
+	return nil
 }
 
 // ChatPrompt returns the text whose prefixes an engine caches for a chat.
 func ChatPrompt(messages []ChatMessage) string {
+	length := 0
+	for _, message := range messages {
+		length += len(message.Role) + len(message.Content) + len("\n\n")
+	}
 	var prompt strings.Builder
+	prompt.Grow(length)
 	for _, message := range messages {
 		prompt.WriteString(message.Role)
 		prompt.WriteByte('\n')
-		prompt.WriteString(message.Content)
+		prompt.WriteString(string(message.Content))
 		prompt.WriteByte('\n')
 	}
 	return prompt.String()
 }
 
-// chatMessage is a message of a chat completion request on the wire.
-type chatMessage struct {
-	Role    string          `json:"role"`
-	Content json.RawMessage `json:"content"` // a text, or parts of which some are texts
-}
-
 // ParseChat returns ChatPrompt of the JSON array of a chat's messages, and
 // false if it is none.
 func ParseChat(messages []byte) (prompt string, ok bool) {
-	var parsed []chatMessage
+	var parsed []ChatMessage
 	if json.Unmarshal(messages, &parsed) != nil {
 		return "", false
 	}
-	texts := make([]ChatMessage, len(parsed))
-	for i, message := range parsed {
-		texts[i] = ChatMessage{Role: message.Role, Content: message.text()}
-	}
-	return ChatPrompt(texts), true
+	return ChatPrompt(parsed), true
+}
+
+// isPlainText tells whether a valid JSON value is a string that stands for
+// itself, without escapes.
+func isPlainText(value []byte) bool {
+	return value[0] == '"' && bytes.IndexByte(value, '\\') < 0 && utf8.Valid(value)
 }
 
-// text returns the text of the content, empty if it has another form.
-func (m chatMessage) text() string {
+// decodedText returns the text of a string with escapes or of parts.
+func decodedText(value []byte) string {
 	var text string
-	if json.Unmarshal(m.Content, &text) == nil {
+	if json.Unmarshal(value, &text) == nil {
 		return text
 	}
 	var parts []struct {
 		Text string `json:"text"`
 	}
-	if json.Unmarshal(m.Content, &parts) != nil {
+	if json.Unmarshal(value, &parts) != nil {
 		return ""
 	}
 	for _, part := range parts {
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -19,6 +19,7 @@
 type attempt struct {
 	call     *call
 	grant    traffic.Grant
+	movable  traffic.Movable // grant, if its stream can move to another replica
 	target   traffic.Target
 	engineID string // the request ID towards the engine, unique per attempt
 	context  context.Context
@@ -53,14 +54,14 @@
 		target:   grant.Target(),
 		engineID: c.request.ID + "-" + strconv.Itoa(c.attempts),
 	}
+	a.movable, _ = grant.(traffic.Movable)
 	c.record.server = a.target.Server
-	parent := c.caller
+	a.context, a.cancel = c.caller, func() {} // which ends with the call
 	if c.request.Unsafe {
 		// The answer is kept for the caller's repeat, so the engine's work
 		// goes on when the caller has left.
-		parent = c.gateway.stopping
+		a.context, a.cancel = context.WithCancel(c.gateway.stopping)
 	}
-	a.context, a.cancel = context.WithCancel(parent)
 	return a
 }
 
--- a/pkg/gateway/bench_test.go
+++ b/pkg/gateway/bench_test.go
@@ -322,3 +322,26 @@
 	}
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
+
+// BenchmarkDecodeBody reads the body of a short chat.
+func BenchmarkDecodeBody(b *testing.B) {
+	body := []byte(chatBody("glaze-7b", benchPrompt, true))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := decodeBody(body, chatCompletions.promptField); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkDecodeManyFields reads a body of 4 MiB that is all field names, the
+// most that a caller can make a node hold for one.
+func BenchmarkDecodeManyFields(b *testing.B) {
+	body := []byte(`{"model":"glaze-7b","messages":[]` + strings.Repeat(`,"":0`, DefaultBodyBytes/len(`,"":0`)-10) + "}")
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := decodeBody(body, chatCompletions.promptField); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/pkg/gateway/request_body.go
+++ b/pkg/gateway/request_body.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
-	"unicode/utf8"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -41,7 +41,7 @@
 		return requestBody{}, errors.New("the body is not a JSON object")
 	}
 	var found findings.List
-	fields := bodyFields{promptField: promptField, seen: make(map[string]bool)}
+	fields := bodyFields{promptField: promptField, seen: make([]string, 0, 8)}
 	for decoder.More() {
 		if err := fields.decodeNext(decoder, &found); err != nil {
 			return requestBody{}, err
@@ -68,9 +68,9 @@
 type bodyFields struct {
 	requestBody
 	promptField string
-	messages    []chatMessage // of a chat
-	prompt      contentText   // of a completion
-	seen        map[string]bool
+	messages    []engine.ChatMessage // of a chat
+	prompt      string               // of a completion
+	seen        []string             // names of the fields read so far
 }
 
 // decodeNext reads one field. An error means that the JSON is broken.
@@ -84,10 +84,11 @@
 	if target == nil {
 		return decodeValue(decoder, &skippedValue{}, nil)
 	}
-	if f.seen[name] {
+	if slices.Contains(f.seen, name) {
 		found.Addf(name, "given twice")
+	} else {
+		f.seen = append(f.seen, name)
 	}
-	f.seen[name] = true
 	start := decoder.InputOffset()
 	err = decodeValue(decoder, target, func() {
 		if name != f.promptField { // any other form of prompt is for the engine to judge
@@ -140,67 +141,19 @@
 
 // promptStart returns the beginning of the prompt's text as engines cache it.
 func (f *bodyFields) promptStart() string {
-	text := string(f.prompt)
+	text := f.prompt
 	if f.promptField == chatCompletions.promptField {
-		text = chatText(f.messages)
+		text = engine.ChatPrompt(f.messages)
 	}
 	return text[:min(len(text), maxPromptStart)]
 }
 
-// chatMessage is a message as far as its text counts.
-type chatMessage struct {
-	Role    string      `json:"role"`
-	Content contentText `json:"content"`
-}
-
-// chatText returns the text of a chat as engines cache it.
-func chatText(messages []chatMessage) string {
-	texts := make([]engine.ChatMessage, len(messages))
-	for i, message := range messages {
-		texts[i] = engine.ChatMessage{Role: message.Role, Content: string(message.Content)}
-	}
-	return engine.ChatPrompt(texts)
-}
-
-// contentText is the text of a prompt or message: one text, or several parts.
-type contentText string
-
-// UnmarshalJSON reads a text or the texts of parts. Content of another form
-// has no text.
-func (c *contentText) UnmarshalJSON(value []byte) error {
-	if isPlainText(value) {
-		*c = contentText(value[1 : len(value)-1])
-		return nil
-	}
-	var text string
-	if json.Unmarshal(value, &text) == nil {
-		*c = contentText(text)
-		return nil
-	}
-	var parts []struct {
-		Text string `json:"text"`
-	}
-	if json.Unmarshal(value, &parts) != nil {
-		return nil
-	}
-	for _, part := range parts {
-		*c += contentText(part.Text)
-	}
-	return nil
-}
-
-// isPlainText tells whether a valid JSON value is a string that stands for
-// itself, without escapes.
-func isPlainText(value []byte) bool {
-	return value[0] == '"' && bytes.IndexByte(value, '\\') < 0 && utf8.Valid(value)
-}
-
 // checkMissing adds what every request must have.
 func (f *bodyFields) checkMissing(found *findings.List) {
 	if f.Model == "" {
 		found.Addf("model", "missing")
 	}
-	if !f.seen[f.promptField] {
+	if !slices.Contains(f.seen, f.promptField) {
 		found.Addf(f.promptField, "missing")
 	}
 	if f.MaxTokens < 0 {
