--- a/pkg/lab/sharing.go
+++ b/pkg/lab/sharing.go
@@ -54,10 +54,6 @@
 	s.schedule()
 }
 
-// refresh takes note that the rate function has changed its answers. It is
-// called with the old answers in force by the caller's use of advance.
-func (s *sharedRate) refresh() { s.schedule() }
-
 // advance brings progress up to the present.
 func (s *sharedRate) advance() {
 	if len(s.jobs) > 0 {
--- a/pkg/policy/adaptive_test.go
+++ b/pkg/policy/adaptive_test.go
@@ -76,7 +76,9 @@
 			})),
 		}, nil, nil},
 		{"never longer than keepAlive", []Model{
-			testModel("a", with(wantedEvery(20*minute, 10*minute), loadedOn("s1", 10*minute), weight(1))),
+			testModel("a", with(wantedEvery(20*minute, 10*minute), loadedOn("s1", 10*minute), weight(1), func(m *Model) {
+				m.Settings.Prewarm = false
+			})),
 		}, nil, []string{"unload a on s1"}},
 		{"prewarmed shortly before the timer", []Model{
 			testModel("a", with(wantedEvery(time.Hour, 58*minute), weight(0.9))),
