--- a/pkg/gateway/request_body.go
+++ b/pkg/gateway/request_body.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -40,7 +41,7 @@
 		return requestBody{}, errors.New("the body is not a JSON object")
 	}
 	var found findings.List
-	fields := bodyFields{body: body, promptField: promptField, seen: make(map[string]bool)}
+	fields := bodyFields{promptField: promptField, seen: make([]string, 0, 8)}
 	for decoder.More() {
 		if err := fields.decodeNext(decoder, &found); err != nil {
 			return requestBody{}, err
@@ -53,6 +54,7 @@
 		return requestBody{}, errors.New("the body goes on after its JSON object")
 	}
 	fields.checkMissing(&found)
+	fields.PromptStart = fields.promptStart()
 	return fields.requestBody, found.Err()
 }
 
@@ -65,9 +67,10 @@
 // bodyFields collects the fields of a body.
 type bodyFields struct {
 	requestBody
-	body        []byte
 	promptField string
-	seen        map[string]bool
+	messages    []engine.ChatMessage // of a chat
+	prompt      string               // of a completion
+	seen        []string             // names of the fields read so far
 }
 
 // decodeNext reads one field. An error means that the JSON is broken.
@@ -81,40 +84,21 @@
 	if target == nil {
 		return decodeValue(decoder, &skippedValue{}, nil)
 	}
-	if f.seen[name] {
+	if slices.Contains(f.seen, name) {
 		found.Addf(name, "given twice")
+	} else {
+		f.seen = append(f.seen, name)
 	}
-	f.seen[name] = true
-	if name == f.promptField {
-		return f.decodePrompt(decoder)
-	}
-	return decodeValue(decoder, target, func() { found.Addf(name, "has the wrong type") })
-}
-
-// decodePrompt reads the prompt. One that has no text is for the engine to
-// judge.
-func (f *bodyFields) decodePrompt(decoder *json.Decoder) error {
 	start := decoder.InputOffset()
-	if err := decodeValue(decoder, &skippedValue{}, nil); err != nil {
-		return err
-	}
-	value := bytes.TrimLeft(f.body[start:decoder.InputOffset()], ": \t\r\n")
-	f.PromptTokens = len(value)/bytesPerToken + 1
-	text := f.promptText(value)
-	f.PromptStart = text[:min(len(text), maxPromptStart)]
-	return nil
-}
-
-// promptText returns the text of the prompt as engines cache it, empty if it
-// has another form.
-func (f *bodyFields) promptText(value []byte) string {
-	if f.promptField == chatCompletions.promptField {
-		text, _ := engine.ParseChat(value)
-		return text
+	err = decodeValue(decoder, target, func() {
+		if name != f.promptField { // any other form of prompt is for the engine to judge
+			found.Addf(name, "has the wrong type")
+		}
+	})
+	if name == f.promptField {
+		f.PromptTokens = int(decoder.InputOffset()-start)/bytesPerToken + 1
 	}
-	var text string
-	_ = json.Unmarshal(value, &text) // any other form has no text
-	return text
+	return err
 }
 
 // target returns where the field's value belongs, or nil if nobody reads it.
@@ -127,7 +111,10 @@
 	case "max_tokens", "max_completion_tokens":
 		return &f.MaxTokens
 	case f.promptField:
-		return &skippedValue{} // see decodePrompt
+		if name == chatCompletions.promptField {
+			return &f.messages
+		}
+		return &f.prompt
 	default:
 		return nil
 	}
@@ -152,12 +139,21 @@
 // cached is found, in bytes.
 const maxPromptStart = 32 << 10
 
+// promptStart returns the beginning of the prompt's text as engines cache it.
+func (f *bodyFields) promptStart() string {
+	text := f.prompt
+	if f.promptField == chatCompletions.promptField {
+		text = engine.ChatPrompt(f.messages)
+	}
+	return text[:min(len(text), maxPromptStart)]
+}
+
 // checkMissing adds what every request must have.
 func (f *bodyFields) checkMissing(found *findings.List) {
 	if f.Model == "" {
 		found.Addf("model", "missing")
 	}
-	if !f.seen[f.promptField] {
+	if !slices.Contains(f.seen, f.promptField) {
 		found.Addf(f.promptField, "missing")
 	}
 	if f.MaxTokens < 0 {
