--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -100,8 +100,8 @@
 	flags  []string // of commands
 }
 
-// startCluster starts all processes, commits the tree and waits until every
-// node is ready.
+// startCluster starts all processes, commits the tree and waits until it is in
+// force on every node.
 func startCluster(t *testing.T) *cluster {
 	t.Helper()
 	return startClusterWith(t, options{})
@@ -124,6 +124,9 @@
 		c.tree = siteTree
 	}
 	c.applyTree(t, c.tree)
+	for _, node := range c.nodes {
+		waitFor(t, "the tree is in force on "+string(node.id), func() bool { return c.status(t, node).TreeRevision > 0 })
+	}
 	return c
 }
 
