gateway: a planned stop first answers new callers, then closes its connections

Cause: Drain closed the listener and the idle connections at once; the kernel resets connections in the listener's backlog, and a request that was just arriving on a kept connection was cut off (TestRollingReplacement, 2 requests with 'connection reset by peer' in one run under load).

Ruled out: requests in flight (none was cut; the two had no answer at all).

TestDrainTurnsNewCallersAway fails without it.

--- a/pkg/gateway/config.go
+++ b/pkg/gateway/config.go
@@ -63,6 +63,7 @@
 	HangUpInterval time.Duration // between two looks for callers that left
 	MoveStep       time.Duration // for an export or import
 	MovePause      time.Duration // between two tries to move a stream
+	TurnAway       time.Duration // of a planned stop, in which new requests get a refusal
 	Keepers        time.Duration // for a claim's completion or release
 }
 
@@ -115,6 +116,7 @@
 	DefaultHangUpInterval = 100 * time.Millisecond
 	DefaultMoveStep       = 5 * time.Second
 	DefaultMovePause      = time.Second
+	DefaultTurnAway       = 300 * time.Millisecond
 	DefaultKeepers        = 2 * time.Second
 )
 
@@ -179,6 +181,7 @@
 	setDefault(&t.HangUpInterval, DefaultHangUpInterval)
 	setDefault(&t.MoveStep, DefaultMoveStep)
 	setDefault(&t.MovePause, DefaultMovePause)
+	setDefault(&t.TurnAway, DefaultTurnAway)
 	setDefault(&t.Keepers, DefaultKeepers)
 	return t
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -119,6 +120,7 @@
 // error each, and Drain returns one.
 func (g *Gateway) Drain(ctx context.Context) error {
 	g.draining.Store(true)
+	g.turnNewCallersAway(ctx)
 	err := g.app.ShutdownWithContext(ctx)
 	if err == nil {
 		err = g.waitBackground(ctx)
@@ -134,6 +136,25 @@
 	return err
 }
 
+// turnNewCallersAway answers new requests with a refusal for a short time, so
+// that callers on kept connections and in the listener's backlog learn of the
+// stop by an answer. Connections that are closed with a request under way on
+// them look cut off to their callers.
+func (g *Gateway) turnNewCallersAway(ctx context.Context) {
+	g.mutex.Lock()
+	listeners := slices.Clone(g.listeners)
+	g.mutex.Unlock()
+	for _, listener := range listeners {
+		listener.stopBacklog()
+	}
+	pause := time.NewTimer(g.config.Timeouts.TurnAway)
+	defer pause.Stop()
+	select {
+	case <-pause.C:
+	case <-ctx.Done():
+	}
+}
+
 // waitBackground waits for the work that goes on without a caller.
 func (g *Gateway) waitBackground(ctx context.Context) error {
 	ended := make(chan struct{})
--- a/pkg/gateway/lifecycle_test.go
+++ b/pkg/gateway/lifecycle_test.go
@@ -13,6 +13,7 @@
 	"math/big"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -406,6 +407,30 @@
 	}
 }
 
+// TestDrainTurnsNewCallersAway: at the beginning of a planned stop, callers on
+// kept and on new connections get an answer, not a connection that breaks.
+func TestDrainTurnsNewCallersAway(t *testing.T) {
+	g, url := startGateway(t, Config{Dispatcher: &fakeDispatcher{}, Timeouts: Timeouts{TurnAway: time.Hour}})
+	kept := dialRaw(t, url)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var group conc.WaitGroup
+	group.Go(func() { _ = g.Drain(ctx) }) // it is broken off below
+	for !g.draining.Load() {
+		runtime.Gosched()
+	}
+	for name, connection := range map[string]net.Conn{"kept": kept, "new": dialRaw(t, url)} {
+		_, _ = io.WriteString(connection, rawRequest(chatBody("glaze-7b", "ash", false), ""))
+		received, err := io.ReadAll(connection)
+		if err != nil || !strings.Contains(string(received), `"code":"stopping"`) {
+			t.Errorf("%s connection: %v, %s", name, err, received)
+		}
+	}
+	cancel()
+	group.Wait()
+	g.config.Timeouts.TurnAway = time.Millisecond // of the stop at the test's end
+}
+
 // TestSlowRequestIsCut: a caller that sends its request too slowly does not
 // hold its connection for ever, before or within the header and body.
 func TestSlowRequestIsCut(t *testing.T) {
--- a/pkg/gateway/support_test.go
+++ b/pkg/gateway/support_test.go
@@ -276,6 +276,7 @@
 		config.Catalog = func() Catalog { return testCatalog }
 	}
 	config.Timeouts.ResumePause = time.Millisecond
+	setDefault(&config.Timeouts.TurnAway, time.Millisecond)
 	config.Node = "node-1"
 	config.Region = "uy-south"
 	g, err := New(config)
