--- /dev/null
+++ b/pkg/lab/engine_inventory.go
@@ -0,0 +1,49 @@
+package lab
+
+import "martenwheel.dev/pkg/engine"
+
+// inventory raises the fence and tells what the engine holds.
+func (e *emulatedEngine) inventory(request engine.InventoryRequest) engine.Inventory {
+	if request.Fence > e.fence {
+		e.fence, e.lastOrder = request.Fence, ""
+	}
+	inventory := engine.Inventory{
+		Instance: e.instance, Fence: e.fence, CapacityBytes: e.capacity,
+		UsedBytes: e.used, Leaving: e.leavingAt >= 0,
+	}
+	for _, it := range e.items {
+		if it != nil {
+			inventory.Items = append(inventory.Items, e.inventoryItem(it))
+		}
+	}
+	for _, index := range e.disk.models() {
+		inventory.Cached = append(inventory.Cached, e.cachedCheckpoint(index))
+	}
+	for _, index := range e.memory.models() {
+		if !e.disk.has(index) {
+			inventory.Cached = append(inventory.Cached, e.cachedCheckpoint(index))
+		}
+	}
+	return inventory
+}
+
+// inventoryItem describes an item.
+func (e *emulatedEngine) inventoryItem(it *item) engine.Item {
+	described := engine.Item{
+		Model: it.model.name, State: it.state, MemoryBytes: it.model.holdBytes,
+		OrderID: it.orderID, Fence: it.fence,
+	}
+	if it.model.base >= 0 {
+		described.Base = e.world.models[it.model.base].name
+	}
+	return described
+}
+
+// cachedCheckpoint describes a cached checkpoint by its fastest tier.
+func (e *emulatedEngine) cachedCheckpoint(index int) engine.CachedCheckpoint {
+	tier := engine.TierDisk
+	if e.memory.has(index) {
+		tier = engine.TierMemory
+	}
+	return engine.CachedCheckpoint{Checkpoint: string(e.world.models[index].name), Tier: tier}
+}
--- /dev/null
+++ b/pkg/lab/owner_orders.go
@@ -0,0 +1,187 @@
+package lab
+
+import (
+	"fmt"
+	"time"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/engine"
+	"martenwheel.dev/pkg/policy"
+)
+
+// decide asks the decider and carries out what it wishes.
+func (o *owner) decide() {
+	for _, action := range o.decider.Decide(o.world.clock.now(), o.input()) {
+		state := o.byModel[o.world.byName[action.Model].index]
+		if action.Kind == policy.ActionLoad {
+			o.load(state, action)
+		} else {
+			o.unload(state, action)
+		}
+	}
+}
+
+// load orders a load, unless it would break the decided number of replicas.
+func (o *owner) load(state *modelState, action policy.Action) {
+	m := state.model
+	if len(state.replicas) >= m.settings.MaxReplicas {
+		return
+	}
+	now := o.world.clock.now()
+	state.replicas = append(state.replicas, policy.Replica{
+		Server: action.Server, State: api.ReplicaLoading, Since: now,
+		ReadyBy: now.Add(m.settings.LoadTime), Prewarmed: !action.Urgent,
+	})
+	kind := engine.OrderLoad
+	if m.base >= 0 {
+		kind = engine.OrderLoadAdapter
+	}
+	o.order(state, action.Server, kind, action.Urgent)
+	o.publish(state)
+}
+
+// unload drains a replica and then orders its unload.
+func (o *owner) unload(state *modelState, action policy.Action) {
+	replica := state.replica(action.Server)
+	if replica == nil || replica.State != api.ReplicaReady {
+		return
+	}
+	replica.State = api.ReplicaDraining
+	replica.Since = o.world.clock.now()
+	o.publish(state)
+	instance := o.servers[action.Server].instance
+	o.world.clock.after(drainBeforeOrder, func() {
+		replica := state.replica(action.Server)
+		if replica == nil || o.servers[action.Server].instance != instance {
+			return
+		}
+		replica.State = api.ReplicaUnloading
+		kind := engine.OrderUnload
+		if state.model.base >= 0 {
+			kind = engine.OrderUnloadAdapter
+		}
+		o.order(state, action.Server, kind, false)
+	})
+}
+
+// replica returns the model's replica on a server, nil if there is none.
+func (s *modelState) replica(server api.ServerID) *policy.Replica {
+	for i := range s.replicas {
+		if s.replicas[i].Server == server {
+			return &s.replicas[i]
+		}
+	}
+	return nil
+}
+
+// order sends a fenced order. An engine that refuses it does not hold the
+// model; one that cannot be reached is asked again until it answers or is gone.
+func (o *owner) order(state *modelState, server api.ServerID, kind engine.OrderKind, urgent bool) {
+	e := o.servers[server]
+	o.orders++
+	o.fences[e]++
+	order := engine.Order{
+		ID: fmt.Sprintf("%d-%d", o.service, o.orders), Fence: api.MakeFence(1, o.fences[e]),
+		Kind: kind, Model: state.model.name, MemoryBytes: state.model.holdBytes, Urgent: urgent,
+	}
+	o.send(state, e, e.instance, order)
+}
+
+// orderRetry is how long the owner waits before it repeats an order that got
+// no answer.
+const orderRetry = time.Second
+
+// send sends an order until it is answered or the engine is another instance.
+func (o *owner) send(state *modelState, e *emulatedEngine, instance string, order engine.Order) {
+	c, network := o.world.clock, o.world.network
+	answered := false
+	network.send(o.zone, e.zone, func() {
+		e.handle(func() {
+			if e.instance != instance {
+				return
+			}
+			result := e.order(order)
+			network.send(e.zone, o.zone, func() {
+				answered = true
+				o.takeResult(state, e, order, result)
+			})
+		})
+	})
+	c.after(orderRetry, func() {
+		if !answered && e.instance == instance && state.replica(e.id) != nil {
+			o.send(state, e, instance, order)
+		}
+	})
+}
+
+// takeResult forgets a replica whose load an engine refused.
+func (o *owner) takeResult(state *modelState, e *emulatedEngine, order engine.Order, result engine.OrderResult) {
+	if result.Status == engine.OrderAccepted || order.Kind == engine.OrderUnload || order.Kind == engine.OrderUnloadAdapter {
+		return
+	}
+	o.forget(state, e.id)
+}
+
+// forget removes a replica.
+func (o *owner) forget(state *modelState, server api.ServerID) {
+	for i := range state.replicas {
+		if state.replicas[i].Server == server {
+			state.replicas = append(state.replicas[:i:i], state.replicas[i+1:]...)
+			break
+		}
+	}
+	o.publish(state)
+	o.soon()
+}
+
+// notice takes a change of an item over, once the engine can be reached.
+func (o *owner) notice(e *emulatedEngine, instance string, m *model) {
+	if e.instance != instance || !e.alive {
+		return
+	}
+	if e.frozen || !o.world.network.reaches(o.zone, e.zone) {
+		o.world.clock.after(orderRetry, func() { o.notice(e, instance, m) })
+		return
+	}
+	state := o.byModel[m.index]
+	replica := state.replica(e.id)
+	if replica == nil {
+		return
+	}
+	it := e.items[m.index]
+	if it == nil {
+		o.forget(state, e.id)
+		return
+	}
+	if it.state == engine.ItemReady && replica.State == api.ReplicaLoading {
+		replica.State = api.ReplicaReady
+		replica.Since = o.world.clock.now()
+		replica.ReadyBy = time.Time{}
+		o.publish(state)
+		o.soon()
+	}
+}
+
+// takeServer takes over the state of a live engine.
+func (o *owner) takeServer(position int, e *emulatedEngine) {
+	o.believed[position].leaving = e.leavingAt >= 0
+	if e.leavingAt < 0 {
+		o.fences[e] = 0
+		for _, state := range o.states {
+			if state.replica(e.id) != nil && e.items[state.model.index] == nil {
+				o.forget(state, e.id)
+			}
+		}
+	}
+	o.publishServer(e)
+	o.soon()
+}
+
+// publishServer tells the nodes about the models on a server.
+func (o *owner) publishServer(e *emulatedEngine) {
+	for _, state := range o.states {
+		if state.replica(e.id) != nil {
+			o.publish(state)
+		}
+	}
+}
