--- a/pkg/gateway/move.go
+++ b/pkg/gateway/move.go
@@ -51,18 +51,20 @@
 }
 
 // expectedRest is how long the rest of the stream takes at its pace so far.
-// Without a bound on the tokens it counts as endless.
+// Without a sensible bound on the tokens it counts as endless.
 func (s *eventStream) expectedRest(now time.Time) time.Duration {
 	bound := s.attempt.call.parsed.MaxTokens
-	if bound == 0 {
+	if bound == 0 || bound > maxExpectedTokens {
 		return endless
 	}
 	perEvent := now.Sub(s.attempt.call.firstEvent) / time.Duration(max(s.events-1, 1))
 	return perEvent * time.Duration(max(bound-s.events, 0))
 }
 
-// endless is longer than any drain time.
-const endless = 365 * 24 * time.Hour
+const (
+	endless           = 365 * 24 * time.Hour // longer than any drain time
+	maxExpectedTokens = 1 << 20              // callers may ask for any number
+)
 
 // move lets the stream go on at another replica: it takes a place there, has
 // the old engine stop and export the request, imports it and asks for the events
--- a/pkg/gateway/move_test.go
+++ b/pkg/gateway/move_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"strings"
 	"sync"
 	"testing"
@@ -328,6 +329,26 @@
 	}
 }
 
+// TestExpectedRest: the rest of a stream by its bound and its pace so far.
+func TestExpectedRest(t *testing.T) {
+	start := time.Unix(0, 0)
+	for _, test := range []struct {
+		maxTokens, events int
+		want              time.Duration
+	}{
+		{maxTokens: 0, events: 11, want: endless},
+		{maxTokens: math.MaxInt, events: 11, want: endless},
+		{maxTokens: 111, events: 11, want: 10 * time.Second},
+		{maxTokens: 5, events: 11, want: 0},
+	} {
+		s := &eventStream{attempt: &attempt{call: &call{firstEvent: start}}, events: test.events}
+		s.attempt.call.parsed.MaxTokens = test.maxTokens
+		if rest := s.expectedRest(start.Add(time.Second)); rest != test.want {
+			t.Errorf("max_tokens %d, %d events in a second: %v, want %v", test.maxTokens, test.events, rest, test.want)
+		}
+	}
+}
+
 // checkOneRun checks that the engines together ran one request once.
 func checkOneRun(t *testing.T, servers ...*standin.EngineServer) {
 	t.Helper()
