--- a/pkg/traffic/move_test.go
+++ b/pkg/traffic/move_test.go
@@ -48,6 +48,8 @@
 	virtually(t, Config{Control: control}, func(t *testing.T, router *Router) {
 		control.publish(readyOn("m", 1))
 		running := mustAcquire(t, router, ask(time.Minute)).(Movable)
+		_, err := running.Move()
+		refusalOf(t, err, ReasonNoCapacity) // its own server is no other replica
 		directory := readyOn("m", 2)
 		view := directory.Servers["s0"]
 		view.Leaving = true
