--- a/pkg/lab/scale/command.go
+++ b/pkg/lab/scale/command.go
@@ -21,8 +21,12 @@
 }
 
 // Command runs the steps, with progress on errorOutput, and prints a table on
-// output. After a failure or when ctx ends it prints what was measured so far.
+// output. After a failure or when ctx ends it prints what was measured so far, and
+// marks the last run as partial.
 func Command(ctx context.Context, options Options, output, errorOutput io.Writer) error {
+	if len(options.Steps) == 0 {
+		return errors.New("scale: no number of nodes")
+	}
 	var reports []Report
 	var failure error
 	for _, nodes := range options.Steps {
@@ -31,13 +35,13 @@
 			Wakes: options.Wakes, Edits: options.Edits, Seed: options.Seed, Progress: errorOutput,
 		})
 		if err != nil {
+			report.Failure = err.Error()
 			failure = err
-			break
 		}
 		reports = append(reports, report)
-	}
-	if len(reports) == 0 {
-		return failure
+		if err != nil {
+			break
+		}
 	}
 	if err := WriteTable(output, reports); err != nil {
 		return err
--- a/pkg/lab/scale/report.go
+++ b/pkg/lab/scale/report.go
@@ -22,6 +22,10 @@
 	Cells    int `json:"cells"`
 	Loaded   int `json:"loaded"` // replicas that stay loaded
 
+	// Failure says in which phase the run ended early and why; the figures of
+	// that phase and those after it are missing then.
+	Failure string `json:"failure,omitempty"`
+
 	MemoryBytes uint64  `json:"memory_bytes"` // heap and stacks per node
 	Connections float64 `json:"connections"`  // to other nodes, per node, in the quiet phase
 	Quiet       Usage   `json:"quiet"`
@@ -107,6 +111,11 @@
 	if err := table.Flush(); err != nil {
 		return errors.WithStack(err)
 	}
+	for _, r := range reports {
+		if r.Failure != "" {
+			fmt.Fprintf(out, "\npartial: %s\n", r.Failure)
+		}
+	}
 	return writeTypes(out, reports[len(reports)-1])
 }
 
