--- a/pkg/control/explore/explore_test.go
+++ b/pkg/control/explore/explore_test.go
@@ -29,8 +29,13 @@
 
 func runSchedules(t *testing.T, count int, o options) {
 	t.Helper()
-	failed, explored := explore(*firstSeed, count, o)
-	t.Logf("%d of %d schedules from seed %d, %d steps", explored.schedules, count, *firstSeed, explored.steps)
+	var failed *violation
+	for first := 0; first < count && failed == nil; first += batch {
+		var explored extent
+		seed := *firstSeed + uint64(first)
+		failed, explored = explore(seed, min(batch, count-first), o)
+		t.Logf("%d schedules from seed %d, %d steps", explored.schedules, seed, explored.steps)
+	}
 	if failed == nil {
 		return
 	}
@@ -59,6 +64,9 @@
 	steps     int64
 }
 
+// batch is the number of schedules after which a long run tells how far it is.
+const batch = 5000
+
 // violation is a schedule in which a promise was broken.
 type violation struct {
 	seed    uint64
