--- a/pkg/policy/caching.go
+++ b/pkg/policy/caching.go
@@ -17,54 +17,48 @@
 
 // worthCaching tells whether a model is to be loaded once while the weight
 // store is idle, so that its next load is faster: one that no server caches, or
-// one that only disks of servers cache whose memory is crowded, while that of
-// another server is not. One such load runs at a time.
+// one that only disks cache while the memory of a server has room for it. A
+// server's room is not known, but it can cache as much as the fullest one does.
+// One such load runs at a time.
 func (p *plan) worthCaching(model *Model) bool {
 	if model.Base != "" || p.prewarming() {
 		return false
 	}
-	from, crowd := p.nearest(model)
-	switch from {
-	case tierMemory:
+	from := p.nearest(model)
+	if from == tierMemory {
+		return false
+	}
+	least, most := p.crowds(model)
+	if from == tierDisk && least+model.Settings.MemoryBytes > most {
 		return false
-	case tierDisk:
-		if p.leastCrowd(model)+model.Settings.MemoryBytes > crowd {
-			return false
-		}
 	}
 	load := model.Settings.LoadTime.Seconds()
 	saved := load * (from.loadShare() - memoryLoadShare) * wantedAgain * coldStartWorth(model)
 	return saved > (load+cachingOverhead)*accelerators(model)
 }
 
-// nearest returns the fastest tier that caches the checkpoint, and how much the
-// memory of the least crowded server of that tier caches.
-func (p *plan) nearest(model *Model) (checkpointTier, uint64) {
-	nearest, crowd := tierRemote, uint64(0)
+// nearest returns the fastest tier that caches the checkpoint.
+func (p *plan) nearest(model *Model) checkpointTier {
+	nearest := tierRemote
 	for i := range p.servers {
-		server := &p.servers[i]
-		tier := p.tierOn(model, server)
-		if tier == tierRemote || tier < nearest {
-			continue
-		}
-		if cached := p.cachedBytes(server); tier > nearest || cached < crowd {
-			nearest, crowd = tier, cached
-		}
+		nearest = max(nearest, p.tierOn(model, &p.servers[i]))
 	}
-	return nearest, crowd
+	return nearest
 }
 
-// leastCrowd returns how much the memory caches of the least crowded server
-// that has room for the model.
-func (p *plan) leastCrowd(model *Model) uint64 {
-	least := uint64(math.MaxUint64 / 2)
+// crowds returns how much the memory caches of the least crowded server that
+// can take the model now, and of the most crowded one.
+func (p *plan) crowds(model *Model) (least, most uint64) {
+	least = math.MaxUint64 / 2
 	for i := range p.servers {
 		server := &p.servers[i]
+		cached := p.cachedBytes(server)
+		most = max(most, cached)
 		if p.eligible(model, server) && server.free >= ReplicaBytes(model) {
-			least = min(least, p.cachedBytes(server))
+			least = min(least, cached)
 		}
 	}
-	return least
+	return least, most
 }
 
 // prewarming tells whether a load that no request waits for is under way.
