--- a/pkg/gateway/config.go
+++ b/pkg/gateway/config.go
@@ -8,7 +8,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"martenwheel.dev/pkg/api"
-	"martenwheel.dev/pkg/engine"
 	"martenwheel.dev/pkg/findings"
 	"martenwheel.dev/pkg/keeper"
 	"martenwheel.dev/pkg/traffic"
@@ -64,6 +63,7 @@
 	HangUpInterval time.Duration // between two looks for callers that left
 	MoveStep       time.Duration // for an export or import
 	MovePause      time.Duration // between two tries to move a stream
+	TurnAway       time.Duration // of a planned stop, in which new requests get a refusal
 	Keepers        time.Duration // for a claim's completion or release
 }
 
@@ -96,7 +96,7 @@
 	DefaultResumes          = 3
 	DefaultMoves            = 4
 	DefaultMoveTries        = 2
-	DefaultMoveBytes        = engine.DefaultMaxResponseBytes
+	DefaultMoveBytes        = 16 << 20
 )
 
 // Defaults of Timeouts.
@@ -116,6 +116,7 @@
 	DefaultHangUpInterval = 100 * time.Millisecond
 	DefaultMoveStep       = 5 * time.Second
 	DefaultMovePause      = time.Second
+	DefaultTurnAway       = 300 * time.Millisecond
 	DefaultKeepers        = 2 * time.Second
 )
 
@@ -180,6 +181,7 @@
 	setDefault(&t.HangUpInterval, DefaultHangUpInterval)
 	setDefault(&t.MoveStep, DefaultMoveStep)
 	setDefault(&t.MovePause, DefaultMovePause)
+	setDefault(&t.TurnAway, DefaultTurnAway)
 	setDefault(&t.Keepers, DefaultKeepers)
 	return t
 }
