peer: tests pass or fail at any speed

Cause: the TLS cases had a time-out of a second for the handshake; with the race detector on a machine at load 58 three of them failed. Now only the cases that must end by a time-out have a short one; the others have times that no run reaches, and faulty clients close their half of the connection instead of letting the server wait. TestSilentClientIsDropped keeps the server's waits. Four runs with the race detector at load 55 pass.

--- a/pkg/peer/fault_test.go
+++ b/pkg/peer/fault_test.go
@@ -127,25 +127,26 @@
 	name  string
 	peer  func(peer *fakePeer, conn net.Conn)
 	want  error
-	calls int32 // that the peer gets: never more than one
+	calls int32    // that the peer gets: never more than one
+	waits Timeouts // of the client, where only they end the call
 }{
-	{"closes at once", func(*fakePeer, net.Conn) {}, ErrUnreachable, 0},
-	{"never says hello", func(_ *fakePeer, conn net.Conn) { io.Copy(io.Discard, conn) }, ErrUnreachable, 0},
-	{"speaks HTTP", writeOnce([]byte("HTTP/1.1 400 Bad Request\r\n\r\n")), ErrUnreachable, 0},
-	{"other version", writeOnce(otherVersion()), ErrUnreachable, 0},
-	{"oversized hello", writeOnce(binary.AppendUvarint(encodeHello(api.NodeRef{})[:len(magic)+2], maxHelloBytes+1)), ErrUnreachable, 0},
-	{"hello is no gob", writeOnce(append(encodeHello(api.NodeRef{})[:len(magic)+2], 3, 1, 2, 3)), ErrUnreachable, 0},
-	{"closes before the answer", answerWith(nil), ErrUnknownOutcome, 1},
-	{"closes in the answer", answerWith(validAnswer(1)[:5]), ErrUnknownOutcome, 1},
-	{"oversized answer", answerWith(binary.AppendUvarint(nil, MaxMessageBytes+1)), ErrUnknownOutcome, 1},
-	{"empty answer", answerWith([]byte{0}), ErrUnknownOutcome, 1},
-	{"garbage answer", answerWith([]byte("\x05\x83\x01\x01\x7fx")), ErrUnknownOutcome, 1},
-	{"answer with bytes left", answerWith(append([]byte{6}, "\x83\x01\x00abc"...)), ErrUnknownOutcome, 1},
-	{"unknown type", answerWith([]byte("\x06\x83\x01\x01\x02no")), ErrUnknownOutcome, 1},
-	{"second hello", answerWith(encodeHello(api.NodeRef{ID: "fake"})), ErrUnknownOutcome, 1},
-	{"answer to another call", answerWith(validAnswer(2)), ErrUnknownOutcome, 1},
-	{"half-open", func(peer *fakePeer, conn net.Conn) { peer.readCalls(greet(conn), 10) }, ErrUnknownOutcome, 1},
-	{"reads nothing", func(peer *fakePeer, conn net.Conn) { greet(conn); <-peer.done }, ErrUnknownOutcome, 0},
+	{"closes at once", func(*fakePeer, net.Conn) {}, ErrUnreachable, 0, Timeouts{}},
+	{"never says hello", func(_ *fakePeer, conn net.Conn) { io.Copy(io.Discard, conn) }, ErrUnreachable, 0, Timeouts{Dial: 100 * time.Millisecond}},
+	{"speaks HTTP", writeOnce([]byte("HTTP/1.1 400 Bad Request\r\n\r\n")), ErrUnreachable, 0, Timeouts{}},
+	{"other version", writeOnce(otherVersion()), ErrUnreachable, 0, Timeouts{}},
+	{"oversized hello", writeOnce(binary.AppendUvarint(encodeHello(api.NodeRef{})[:len(magic)+2], maxHelloBytes+1)), ErrUnreachable, 0, Timeouts{}},
+	{"hello is no gob", writeOnce(append(encodeHello(api.NodeRef{})[:len(magic)+2], 3, 1, 2, 3)), ErrUnreachable, 0, Timeouts{}},
+	{"closes before the answer", answerWith(nil), ErrUnknownOutcome, 1, Timeouts{}},
+	{"closes in the answer", answerWith(validAnswer(1)[:5]), ErrUnknownOutcome, 1, Timeouts{}},
+	{"oversized answer", answerWith(binary.AppendUvarint(nil, MaxMessageBytes+1)), ErrUnknownOutcome, 1, Timeouts{}},
+	{"empty answer", answerWith([]byte{0}), ErrUnknownOutcome, 1, Timeouts{}},
+	{"garbage answer", answerWith([]byte("\x05\x83\x01\x01\x7fx")), ErrUnknownOutcome, 1, Timeouts{}},
+	{"answer with bytes left", answerWith(append([]byte{6}, "\x83\x01\x00abc"...)), ErrUnknownOutcome, 1, Timeouts{}},
+	{"unknown type", answerWith([]byte("\x06\x83\x01\x01\x02no")), ErrUnknownOutcome, 1, Timeouts{}},
+	{"second hello", answerWith(encodeHello(api.NodeRef{ID: "fake"})), ErrUnknownOutcome, 1, Timeouts{}},
+	{"answer to another call", answerWith(validAnswer(2)), ErrUnknownOutcome, 1, Timeouts{}},
+	{"half-open", func(peer *fakePeer, conn net.Conn) { peer.readCalls(greet(conn), 10) }, ErrUnknownOutcome, 1, Timeouts{Ping: 100 * time.Millisecond}},
+	{"reads nothing", func(peer *fakePeer, conn net.Conn) { greet(conn); <-peer.done }, ErrUnknownOutcome, 0, Timeouts{Ping: 100 * time.Millisecond}},
 }
 
 func TestCallsToFaultyPeers(t *testing.T) {
@@ -154,7 +155,9 @@
 			t.Parallel()
 			peer := startFakePeer(t, fault.peer)
 			config := testConfig("client")
-			config.Timeouts = Timeouts{Dial: 200 * time.Millisecond, Ping: 100 * time.Millisecond}
+			setDefault(&fault.waits.Dial, config.Timeouts.Dial)
+			setDefault(&fault.waits.Ping, config.Timeouts.Ping)
+			config.Timeouts.Dial, config.Timeouts.Ping = fault.waits.Dial, fault.waits.Ping
 			client := startTestClient(t, config)
 			_, err := client.Call(t.Context(), peer.address(), testQuestion{Text: "x"})
 			if !errors.Is(err, fault.want) {
@@ -217,7 +220,7 @@
 func TestStalledReaderBlocksNobody(t *testing.T) {
 	peer := startFakePeer(t, func(peer *fakePeer, conn net.Conn) { greet(conn); <-peer.done })
 	config := testConfig("client")
-	config.Timeouts = Timeouts{Write: 200 * time.Millisecond}
+	config.Timeouts.Write = 200 * time.Millisecond
 	config.Limits.QueueLength = 4
 	client := startTestClient(t, config)
 	for range 100 {
@@ -312,9 +315,7 @@
 
 func TestFaultyClientsReachNoHandler(t *testing.T) {
 	handler := newRecorder()
-	config := testConfig("server")
-	config.Timeouts = Timeouts{Dial: 200 * time.Millisecond, Idle: 200 * time.Millisecond}
-	server := startTestServer(t, config, handler)
+	server := startTestServer(t, testConfig("server"), handler)
 	address := server.Self().PeerAddress
 	for _, fault := range clientFaults {
 		t.Run(fault.name, func(t *testing.T) {
@@ -324,6 +325,7 @@
 			}
 			defer conn.Close()
 			conn.Write(fault.data())
+			conn.(*net.TCPConn).CloseWrite()
 			io.Copy(io.Discard, conn) // until the server closes it
 		})
 	}
@@ -335,3 +337,22 @@
 		t.Errorf("after the faults: %v", err)
 	}
 }
+
+// TestSilentClientIsDropped checks that the server ends connections on which no
+// hello, or no frame after it, arrives in time.
+func TestSilentClientIsDropped(t *testing.T) {
+	config := testConfig("server")
+	config.Timeouts.Dial, config.Timeouts.Idle = 50*time.Millisecond, 50*time.Millisecond
+	server := startTestServer(t, config, newRecorder())
+	for name, data := range map[string][]byte{"no hello": nil, "no frame": encodeHello(api.NodeRef{ID: "x"})} {
+		conn, err := net.Dial("tcp", server.Self().PeerAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.Write(data)
+		if _, err := io.Copy(io.Discard, conn); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		conn.Close()
+	}
+}
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -64,8 +64,10 @@
 	return append([]string(nil), r.texts...)
 }
 
+// testConfig has time-outs that no test reaches, however slow the machine is.
 func testConfig(id api.NodeID) Config {
 	return Config{
+		Timeouts: Timeouts{Dial: time.Minute, Write: time.Minute, Idle: time.Hour, Ping: time.Minute},
 		Self:     api.NodeRef{ID: id, Incarnation: 7, Zone: "a", Region: "uy-south"},
 		Address:  "127.0.0.1:0",
 		SourceIP: "127.0.0.1",
--- a/pkg/peer/tls_test.go
+++ b/pkg/peer/tls_test.go
@@ -127,11 +127,9 @@
 			handler := newRecorder()
 			config := testConfig("server")
 			config.TLS = test.server
-			config.Timeouts = Timeouts{Dial: time.Second}
 			server := startTestServer(t, config, handler)
 			config = testConfig(test.clientID)
 			config.TLS = test.client
-			config.Timeouts = Timeouts{Dial: time.Second}
 			client := startTestClient(t, config)
 			_, err := client.Call(t.Context(), server.Self().PeerAddress, testQuestion{Text: "x"})
 			if test.works && err != nil {
