lab: a hollow node fetches the tree once at a time

Cause: at 330 nodes an edit was not in force within 90 s. A node that still parses an answer is told of the revision again and fetches it again, and each answer is parsed anew; with four slots for 330 nodes the queue never ended.

--- a/pkg/lab/scale/node.go
+++ b/pkg/lab/scale/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -36,6 +37,7 @@
 	machine   *control.Machine
 	events    chan control.Event
 	inspects  chan func(*control.Machine)
+	fetching  atomic.Bool // a fetch of the tree is under way
 	ctx       context.Context
 	cancel    context.CancelFunc
 	workers   conc.WaitGroup // the loop
@@ -228,8 +230,13 @@
 }
 
 // fetchTree gets the tree from a peer or the platform. A failure is repeated
-// by the machine's own polling.
+// by the machine's own polling. One fetch at a time: the machine asks again
+// while the tree is still being parsed, and each answer would be parsed anew.
 func (n *hollowNode) fetchTree(ctx context.Context, address string) {
+	if !n.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	defer n.fetching.Store(false)
 	if address == "" {
 		if newest, err := n.store.Load(ctx); err == nil {
 			n.trees.Offer(newest)
