--- a/pkg/lab/scale/scale_test.go
+++ b/pkg/lab/scale/scale_test.go
@@ -25,7 +25,7 @@
 		"processor share":    report.Quiet.ProcessorShare,
 		"bytes":              report.Quiet.BytesPerSecond,
 		"engine bytes":       report.Quiet.EngineBytesPerSecond,
-		"views of a wake":    report.Wakes.ByType["martenwheel.dev/pkg/control.ViewPush"].BytesPerSecond,
+		"views of a wake":    viewBytes(report.Wakes),
 		"changes of an edit": report.Edits.ByType["martenwheel.dev/pkg/tree.FetchAnswer"].BytesPerSecond,
 		"time of a wake":     report.WakeSeconds,
 		"time of an edit":    report.EditSeconds,
@@ -41,3 +41,9 @@
 		t.Errorf("table: %v\n%s", err, table.String())
 	}
 }
+
+// viewBytes returns the bytes a second of views, whole or as changes.
+func viewBytes(usage Usage) float64 {
+	const prefix = "martenwheel.dev/pkg/control."
+	return usage.ByType[prefix+"ViewPush"].BytesPerSecond + usage.ByType[prefix+"ViewDelta"].BytesPerSecond
+}
