--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -11,7 +11,6 @@
 	"martenwheel.dev/pkg/engine"
 	"martenwheel.dev/pkg/peer"
 	"martenwheel.dev/pkg/platform"
-	"martenwheel.dev/pkg/tree"
 )
 
 // Time limits of one effect. A result that comes later counts as unknown.
@@ -19,7 +18,6 @@
 	orderTimeout     = 2 * time.Second
 	inventoryTimeout = 2 * time.Second
 	platformTimeout  = 3 * time.Second
-	fetchTreeTimeout = 5 * time.Second
 )
 
 // executor carries out the effects of the control machine and delivers their
@@ -30,8 +28,7 @@
 	tasks     conc.WaitGroup
 	loop      *loop
 	view      *view
-	trees     *tree.Holder
-	store     *tree.Store
+	fetcher   *treeFetcher
 	engines   engine.Client
 	table     platform.Table
 	machines  platform.Machines
@@ -56,7 +53,7 @@
 	case control.CommitRecord:
 		x.start(platformTimeout, func(ctx context.Context) control.Event { return x.commitRecord(ctx, effect) })
 	case control.FetchTree:
-		x.start(fetchTreeTimeout, func(ctx context.Context) control.Event { return x.fetchTree(ctx, effect) })
+		x.fetcher.fetch(effect)
 	case control.PublishView:
 		x.keeping.takeView(effect.View)
 		x.view.publishView(effect.View)
@@ -105,36 +102,3 @@
 	err := x.table.Commit(ctx, effect.Transaction)
 	return control.RecordCommitted{Transaction: effect.Transaction, Err: err}
 }
-
-// fetchTree gets a newer tree from a peer or the platform. The loop learns of
-// it from the holder, so there is no event.
-func (x *executor) fetchTree(ctx context.Context, effect control.FetchTree) control.Event {
-	var source tree.Source = x.store
-	if effect.Peer != "" {
-		source = peerSource{transport: x.transport, address: effect.Peer}
-	}
-	if err := x.fetchTreeFrom(ctx, source); err != nil {
-		x.logger.Warn("tree not fetched", "peer", effect.Peer, "error", err)
-	}
-	return nil
-}
-
-// fetchTreeFrom asks for the changes since the tree in force and, where these
-// do not fit, for the whole tree.
-func (x *executor) fetchTreeFrom(ctx context.Context, source tree.Source) error {
-	request := tree.FetchRequest{After: x.trees.Current().Revision()}
-	if err := x.receiveTree(ctx, source, request); err == nil {
-		return nil
-	}
-	request.Whole = true
-	return x.receiveTree(ctx, source, request)
-}
-
-func (x *executor) receiveTree(ctx context.Context, source tree.Source, request tree.FetchRequest) error {
-	answer, err := source.Fetch(ctx, request)
-	if err != nil {
-		return err
-	}
-	_, err = x.trees.Receive(answer)
-	return err
-}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -50,6 +50,7 @@
 	transport *peer.Client
 	counters  *peer.Counters
 	trees     *tree.Holder
+	store     *tree.Store
 	view      *view
 	loop      *loop
 	executor  *executor
@@ -156,7 +157,7 @@
 
 // start gets the first tree; then the node is ready.
 func (n *Node) start(ctx context.Context) {
-	newBootstrap(n.trees, n.executor.store, n.transport, n.settings.Seeds, n.logger).run(ctx)
+	newBootstrap(n.trees, n.store, n.transport, n.settings.Seeds, n.logger).run(ctx)
 	if ctx.Err() == nil {
 		n.ready.Store(true)
 		n.logger.Info("ready", telemetry.FieldRevision, n.trees.Current().Revision())
--- a/pkg/node/wiring.go
+++ b/pkg/node/wiring.go
@@ -99,18 +99,26 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stopControl = cancel
+	logger := n.logger.Named("control")
 	n.executor = &executor{
 		ctx:       ctx,
 		loop:      n.loop,
 		view:      n.view,
-		trees:     n.trees,
-		store:     tree.NewStore(clients.table, clients.objects),
 		engines:   engine.NewHTTPClient(engine.HTTPClientConfig{}),
 		table:     clients.table,
 		machines:  clients.machines,
 		transport: n.transport,
 		keeping:   n.keeping,
-		logger:    n.logger.Named("control"),
+		logger:    logger,
+	}
+	n.store = tree.NewStore(clients.table, clients.objects)
+	n.executor.fetcher = &treeFetcher{
+		ctx:       ctx,
+		tasks:     &n.executor.tasks,
+		trees:     n.trees,
+		store:     n.store,
+		transport: n.transport,
+		logger:    logger,
 	}
 	n.loop.carryOut = n.executor.carryOut
 	return nil
@@ -179,7 +187,7 @@
 // openOperators makes the operators' API and opens its listener.
 func (n *Node) openOperators() error {
 	config := operator.Config{
-		Trees:        fittingEditor{Editor: tree.NewEditor(n.executor.store, n.trees), view: n.view},
+		Trees:        fittingEditor{Editor: tree.NewEditor(n.store, n.trees), view: n.view},
 		Status:       n,
 		Metrics:      n.registry,
 		Logger:       n.logger.Named("operator"),
