standin: an order for an earlier life of the engine is refused

Cause: orders carry the engine's instance, and the stand-in did not look at it, so an order sent before a restart could have taken effect after it (the restarted engine has seen no fence).

--- a/pkg/standin/engine_orders.go
+++ b/pkg/standin/engine_orders.go
@@ -6,11 +6,15 @@
 )
 
 // order judges an order by its fence and executes it. A refused order spends
-// its fence, so that a late copy of it has no effect either.
+// its fence, so that a late copy of it has no effect either. An order for an
+// earlier life of the engine spends nothing.
 func (s *engineState) order(order engine.Order) engine.OrderResult {
 	if order.Fence == 0 {
 		return s.verdict(engine.OrderInvalid, "fence missing")
 	}
+	if order.Instance != "" && order.Instance != s.instance {
+		return s.verdict(engine.OrderWrongInstance, "order for "+order.Instance)
+	}
 	if order.Fence == s.fence && s.lastOrder.Fence == order.Fence && s.lastOrder == order {
 		return s.lastResult
 	}
--- a/pkg/standin/engine_state_test.go
+++ b/pkg/standin/engine_state_test.go
@@ -46,6 +46,11 @@
 		order.ID = id
 		return order
 	}
+	forInstance := func(instance string, order engine.Order) engine.Order {
+		order.Instance = instance
+		return order
+	}
+	state := newTestState(testConfig())
 	raise := api.Fence(0)
 	steps := []struct {
 		name  string
@@ -66,11 +71,12 @@
 		{"at the raised fence", load("6", 30, "c"), 0, engine.OrderStaleFence},
 		{"last one after the raise", load("5", 21, "b"), 0, engine.OrderStaleFence},
 		{"inventory does not lower", engine.Order{}, 5, ""},
+		{"for an earlier life", forInstance("gone", load("6", 31, "c")), 0, engine.OrderWrongInstance},
 		{"above", load("7", 31, "c"), 0, engine.OrderAccepted},
+		{"for this life", forInstance(state.instance, load("7b", 32, "f")), 0, engine.OrderAccepted},
 		{"same term", load("8", api.MakeFence(0, 99), "d"), 0, engine.OrderAccepted},
 		{"higher term, lower sequence", load("9", api.MakeFence(1, 1), "e"), 0, engine.OrderAccepted},
 	}
-	state := newTestState(testConfig())
 	for _, step := range steps {
 		if step.raise > 0 {
 			raise = max(raise, step.raise)
