--- a/pkg/standin/engine_state_test.go
+++ b/pkg/standin/engine_state_test.go
@@ -89,8 +89,8 @@
 			t.Errorf("%s: %+v, want %s", step.name, got, step.want)
 		}
 	}
-	if len(state.items) != 5 {
-		t.Errorf("%d items, want 5", len(state.items))
+	if len(state.items) != 6 {
+		t.Errorf("%d items, want 6", len(state.items))
 	}
 }
 
