--- a/e2e/rolling_test.go
+++ b/e2e/rolling_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -136,7 +135,6 @@
 		waitFor(t, "the load goes on", func() bool { return l.served.Load()+l.streamed.Load() > before+50 })
 	}
 	l.end()
-	http.DefaultClient.CloseIdleConnections()
 	t.Logf("served %d, streams %d, refused as not run %d", l.served.Load(), l.streamed.Load(), l.refused.Load())
 	if l.streamed.Load() == 0 {
 		t.Error("no stream ran")
