tree: a node holds its model ready

A node now holds the Model that callers get. The only difference to the node's own settings, the checkpoint's default, is undone where those are asked for; no node inherits a checkpoint.

--- a/pkg/tree/derive.go
+++ b/pkg/tree/derive.go
@@ -50,7 +50,7 @@
 		return nil, err
 	}
 	d.next.packed = sync.OnceValues(d.next.pack)
-	d.next.models = sync.OnceValue(d.next.describeModels)
+	d.next.models = sync.OnceValue(d.next.listModels)
 	d.next.digest = sync.OnceValue(d.next.computeDigest)
 	return d.next, nil
 }
@@ -138,7 +138,8 @@
 	if _, existed := search(d.base.nodes, before.path); existed {
 		after = before.withOwn(own)
 	}
-	after.settings = after.parseOwn(inherited, &d.found)
+	after.model.Settings = after.parseOwn(inherited, &d.found)
+	after.nameCheckpoint(&after.model.Settings)
 	return after
 }
 
@@ -147,13 +148,14 @@
 func (d *derivation) inherit(n *node, inherited Settings) *node {
 	d.scratch = inherited
 	for name := range n.own {
-		keysByName[name].copy(&d.scratch, &n.settings)
+		keysByName[name].copy(&d.scratch, &n.model.Settings)
 	}
-	if d.scratch == n.settings {
+	n.nameCheckpoint(&d.scratch)
+	if d.scratch == n.model.Settings {
 		return n
 	}
 	changed := *n
-	changed.settings = d.scratch
+	changed.model.Settings = d.scratch
 	return &changed
 }
 
@@ -163,9 +165,9 @@
 	case LevelRoot:
 		return defaults
 	case LevelAdapter:
-		return forAdapter(d.parent(n).settings)
+		return forAdapter(d.parent(n).model.Settings)
 	default:
-		return d.parent(n).settings
+		return d.parent(n).model.Settings
 	}
 }
 
@@ -189,7 +191,7 @@
 		d.next.byName = d.base.byName
 	}
 	for _, model := range changedModels {
-		d.next.named[d.next.byName[model.model.name]] = model
+		d.next.named[d.next.byName[model.model.Name]] = model
 	}
 }
 
@@ -205,47 +207,11 @@
 	d.next.named = merge(d.base.named, created, d.isRemoved, compareNames)
 	d.next.byName = make(map[api.ModelName]int, len(d.next.named))
 	for place, n := range d.next.named {
-		if first, twice := d.next.byName[n.model.name]; twice {
+		if first, twice := d.next.byName[n.model.Name]; twice {
 			d.found.Addf(string(n.path), "the name %s is taken by %s; names are unique over the whole tree",
-				n.model.name, d.next.named[first].path)
+				n.model.Name, d.next.named[first].path)
 			continue
 		}
-		d.next.byName[n.model.name] = place
-	}
-}
-
-// adapterSources names the keys that an adapter does not inherit from its base
-// model, and the key of the base model that it takes instead, if any.
-var adapterSources = map[string]string{
-	"checkpoint":   "",
-	"version":      "",
-	"kv_memory":    "",
-	"min_replicas": "",
-	"memory":       "adapter_memory",
-	"load_time":    "adapter_load_time",
-}
-
-// forAdapter turns the settings of a base model into those that an adapter
-// inherits: all but what describes the base model's own checkpoint.
-func forAdapter(base Settings) Settings {
-	settings := base
-	settings.Checkpoint = ""
-	settings.Version = ""
-	settings.KVBytes = 0
-	settings.MinReplicas = 0
-	settings.MemoryBytes = base.AdapterMemoryBytes
-	settings.LoadTime = base.AdapterLoadTime
-	return settings
-}
-
-// checkNode checks the effective settings of a node against each other.
-func checkNode(n *node, refused faults, found *findings.List) {
-	settings := &n.settings
-	if settings.MinReplicas > settings.MaxReplicas && !refused.hide(n.path, "min_replicas", "max_replicas") {
-		found.Addf(place(n.path, "min_replicas"), "%d is more than max_replicas, which is %d here",
-			settings.MinReplicas, settings.MaxReplicas)
-	}
-	if n.level == LevelModel && settings.MemoryBytes == 0 && !refused.hide(n.path, "memory") {
-		found.Addf(place(n.path, "memory"), "is not set; every model needs the memory of its weights")
+		d.next.byName[n.model.Name] = place
 	}
 }
--- a/pkg/tree/derive_test.go
+++ b/pkg/tree/derive_test.go
@@ -50,7 +50,7 @@
 	read := content{
 		Revision: tree.Revision(),
 		Digest:   tree.computeDigest(),
-		Models:   tree.describeModels(),
+		Models:   tree.listModels(),
 		Services: append([]string{}, tree.Services()...),
 		Effect:   make(map[Path]Settings),
 	}
--- a/pkg/tree/keys.go
+++ b/pkg/tree/keys.go
@@ -83,7 +83,7 @@
 
 // Keys is every setting of the tree, in the order of the documentation.
 var Keys = []Key{
-	textKey("checkpoint", "", modelAndDown,
+	textKey(checkpointKey, "", modelAndDown,
 		"name of the checkpoint in the weight store; empty: the model's or adapter's name",
 		func(s *Settings) *string { return &s.Checkpoint }),
 	textKey("version", "", modelAndDown,
--- a/pkg/tree/node.go
+++ b/pkg/tree/node.go
@@ -4,7 +4,6 @@
 	"slices"
 	"strings"
 
-	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/findings"
 )
 
@@ -15,20 +14,13 @@
 // node is one immutable node of a tree. Revisions share the nodes that are the
 // same in both.
 type node struct {
-	path     Path
-	level    Level
-	own      overrides
-	text     []byte   // path and overrides, as they go into the digest
-	settings Settings // effective
-	model    identity // of a model or adapter
-}
-
-// identity is how callers know a model or adapter.
-type identity struct {
-	name    api.ModelName
-	base    api.ModelName // set for adapters
-	service string
-	family  string
+	path  Path
+	level Level
+	own   overrides
+	text  []byte // path and overrides, as they go into the digest
+	// model holds the effective settings, and for models and adapters how
+	// callers know them. A model's checkpoint is its name if none is set.
+	model Model
 }
 
 // newNode returns a node whose settings are not resolved yet.
@@ -38,9 +30,9 @@
 		return created
 	}
 	names := path.names()
-	created.model = identity{name: path.modelName(), service: names[0], family: names[1]}
+	created.model = Model{Name: path.modelName(), Path: path, Service: names[0], Family: names[1]}
 	if created.level == LevelAdapter {
-		created.model.base = path.Parent().modelName()
+		created.model.Base = path.Parent().modelName()
 	}
 	return created
 }
@@ -50,20 +42,20 @@
 	return n.level >= LevelModel
 }
 
-// describe returns the model or adapter that the node is.
-func (n *node) describe() Model {
-	model := Model{
-		Name:     n.model.name,
-		Base:     n.model.base,
-		Path:     n.path,
-		Service:  n.model.service,
-		Family:   n.model.family,
-		Settings: n.settings,
-	}
-	if model.Settings.Checkpoint == "" {
-		model.Settings.Checkpoint = string(model.Name)
+// settings returns the effective settings of the node, in which a model has a
+// checkpoint only if it is set.
+func (n *node) settings() Settings {
+	settings := n.model.Settings
+	settings.Checkpoint = n.own[checkpointKey] // never inherited
+	return settings
+}
+
+// nameCheckpoint gives the settings of the node its name as the checkpoint if
+// none is set.
+func (n *node) nameCheckpoint(settings *Settings) {
+	if n.isModel() && settings.Checkpoint == "" {
+		settings.Checkpoint = string(n.model.Name)
 	}
-	return model
 }
 
 // withOwn returns the node with other overrides, its settings not resolved yet.
@@ -124,7 +116,7 @@
 
 // compareNames orders models by name, and those of the same name by path.
 func compareNames(a, b *node) int {
-	if order := strings.Compare(string(a.model.name), string(b.model.name)); order != 0 {
+	if order := strings.Compare(string(a.model.Name), string(b.model.Name)); order != 0 {
 		return order
 	}
 	return comparePaths(a, b)
--- a/pkg/tree/tree.go
+++ b/pkg/tree/tree.go
@@ -59,7 +59,7 @@
 	if !found {
 		return Model{}, false
 	}
-	return t.named[place].describe(), true
+	return t.named[place].model, true
 }
 
 // Models returns all models and adapters sorted by name. The caller must not
@@ -76,7 +76,7 @@
 
 // Root returns the effective settings of the root.
 func (t *Tree) Root() Settings {
-	return t.nodes[0].settings
+	return t.nodes[0].settings()
 }
 
 // Paths returns the paths of all nodes, sorted.
@@ -94,7 +94,7 @@
 	if n == nil {
 		return Settings{}, errors.WithMessage(ErrNoSuchNode, string(path))
 	}
-	return n.settings, nil
+	return n.settings(), nil
 }
 
 // Explain tells for each key that may be set at path or above where its
@@ -156,11 +156,11 @@
 	return nil
 }
 
-// describeModels returns all models and adapters sorted by name.
-func (t *Tree) describeModels() []Model {
+// listModels returns a new list of all models and adapters sorted by name.
+func (t *Tree) listModels() []Model {
 	models := make([]Model, len(t.named))
 	for place, n := range t.named {
-		models[place] = n.describe()
+		models[place] = n.model
 	}
 	return models
 }
