--- a/pkg/tree/derive_test.go
+++ b/pkg/tree/derive_test.go
@@ -74,13 +74,13 @@
 			{"s", "s-b", "s.c"}, {"f", "f-g"}, {"m", "m-1", "m.2", "n"}, {"a", "a-b", "b"},
 		}[level]...))
 	}
-	switch random.IntN(12) {
+	switch random.IntN(13) {
 	case 0:
 		return Edit{Path: path, Remove: true}
 	case 1, 2:
 		return Edit{Path: path}
 	case 3, 4:
-		return Edit{Path: path, Key: pick("memory", "keep_alive", "max_replicas", "min_replicas", "operators_may_edit"), Unset: true}
+		return Edit{Path: path, Key: pick("memory", "keep_alive", "checkpoint", "max_replicas", "min_replicas", editableKey), Unset: true}
 	case 5:
 		return Edit{Path: path, Key: pick("keep_alife", "memory", "max_replicas", "version"), Value: "a b"}
 	case 6:
@@ -88,6 +88,8 @@
 	case 7, 8:
 		return Edit{Path: path, Key: pick("memory", "adapter_memory"), Value: pick("1GiB", "16GiB", "0B")}
 	case 9:
+		return Edit{Path: path, Key: pick("checkpoint", "version"), Value: pick("", "w1", "w2")}
+	case 10:
 		return Edit{Path: path, Key: pick("min_replicas", "max_replicas"), Value: pick("0", "1", "2")}
 	default:
 		return Edit{Path: path, Key: pick("keep_alive", "deadline", "load_time"), Value: pick("1m", "60s", "2m")}
--- a/pkg/tree/property_test.go
+++ b/pkg/tree/property_test.go
@@ -35,6 +35,7 @@
 	"adapter_memory":    {"10MiB", "1GiB"},
 	"unsafe_to_repeat":  {"true", "false"},
 	"version":           {"1", "true", "v2"},
+	"checkpoint":        {"", "w1"}, // empty overrides, too
 }
 
 // randomTree makes a tree of services with families, models and adapters.
