traffic, gateway: one heap in the fair queue, defaults by cmp.Or

The fair queue had the same heap twice, for items and for flows, and traffic, its outlier detection and the gateway each filled in defaults in their own way. indexedHeap now serves both; defaults use cmp.Or. Behaviour is unchanged.

--- a/pkg/gateway/config.go
+++ b/pkg/gateway/config.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"crypto/tls"
 	"time"
 
@@ -149,47 +150,39 @@
 }
 
 func (l Limits) withDefaults() Limits {
-	setDefault(&l.BodyBytes, DefaultBodyBytes)
-	setDefault(&l.HeaderBytes, DefaultHeaderBytes)
-	setDefault(&l.AnswerBytes, DefaultAnswerBytes)
-	setDefault(&l.EventBytes, DefaultEventBytes)
-	setDefault(&l.KeptAnswerBytes, DefaultKeptAnswerBytes)
-	setDefault(&l.Connections, DefaultConnections)
-	setDefault(&l.ConnectionsPerIP, DefaultConnectionsPerIP)
-	setDefault(&l.ConnsPerEngine, DefaultConnsPerEngine)
-	setDefault(&l.Resumes, DefaultResumes)
-	setDefault(&l.Moves, DefaultMoves)
+	l.BodyBytes = cmp.Or(l.BodyBytes, DefaultBodyBytes)
+	l.HeaderBytes = cmp.Or(l.HeaderBytes, DefaultHeaderBytes)
+	l.AnswerBytes = cmp.Or(l.AnswerBytes, DefaultAnswerBytes)
+	l.EventBytes = cmp.Or(l.EventBytes, DefaultEventBytes)
+	l.KeptAnswerBytes = cmp.Or(l.KeptAnswerBytes, DefaultKeptAnswerBytes)
+	l.Connections = cmp.Or(l.Connections, DefaultConnections)
+	l.ConnectionsPerIP = cmp.Or(l.ConnectionsPerIP, DefaultConnectionsPerIP)
+	l.ConnsPerEngine = cmp.Or(l.ConnsPerEngine, DefaultConnsPerEngine)
+	l.Resumes = cmp.Or(l.Resumes, DefaultResumes)
+	l.Moves = cmp.Or(l.Moves, DefaultMoves)
 	l.Moves = max(l.Moves, 0)
-	setDefault(&l.MoveTries, DefaultMoveTries)
-	setDefault(&l.MoveBytes, DefaultMoveBytes)
+	l.MoveTries = cmp.Or(l.MoveTries, DefaultMoveTries)
+	l.MoveBytes = cmp.Or(l.MoveBytes, DefaultMoveBytes)
 	return l
 }
 
 func (t Timeouts) withDefaults() Timeouts {
-	setDefault(&t.Read, DefaultRead)
-	setDefault(&t.Write, DefaultWrite)
-	setDefault(&t.Idle, DefaultIdle)
-	setDefault(&t.Connect, DefaultConnect)
-	setDefault(&t.EngineWrite, DefaultEngineWrite)
-	setDefault(&t.EngineStall, DefaultEngineStall)
-	setDefault(&t.ResumePause, DefaultResumePause)
-	setDefault(&t.EngineIdle, DefaultEngineIdle)
-	setDefault(&t.WholeAnswer, DefaultWholeAnswer)
-	setDefault(&t.WholeStart, DefaultWholeStart)
-	setDefault(&t.Token, DefaultToken)
-	setDefault(&t.FirstToken, DefaultFirstToken)
-	setDefault(&t.HangUpInterval, DefaultHangUpInterval)
-	setDefault(&t.MoveStep, DefaultMoveStep)
-	setDefault(&t.MovePause, DefaultMovePause)
-	setDefault(&t.TurnAway, DefaultTurnAway)
-	setDefault(&t.Keepers, DefaultKeepers)
+	t.Read = cmp.Or(t.Read, DefaultRead)
+	t.Write = cmp.Or(t.Write, DefaultWrite)
+	t.Idle = cmp.Or(t.Idle, DefaultIdle)
+	t.Connect = cmp.Or(t.Connect, DefaultConnect)
+	t.EngineWrite = cmp.Or(t.EngineWrite, DefaultEngineWrite)
+	t.EngineStall = cmp.Or(t.EngineStall, DefaultEngineStall)
+	t.ResumePause = cmp.Or(t.ResumePause, DefaultResumePause)
+	t.EngineIdle = cmp.Or(t.EngineIdle, DefaultEngineIdle)
+	t.WholeAnswer = cmp.Or(t.WholeAnswer, DefaultWholeAnswer)
+	t.WholeStart = cmp.Or(t.WholeStart, DefaultWholeStart)
+	t.Token = cmp.Or(t.Token, DefaultToken)
+	t.FirstToken = cmp.Or(t.FirstToken, DefaultFirstToken)
+	t.HangUpInterval = cmp.Or(t.HangUpInterval, DefaultHangUpInterval)
+	t.MoveStep = cmp.Or(t.MoveStep, DefaultMoveStep)
+	t.MovePause = cmp.Or(t.MovePause, DefaultMovePause)
+	t.TurnAway = cmp.Or(t.TurnAway, DefaultTurnAway)
+	t.Keepers = cmp.Or(t.Keepers, DefaultKeepers)
 	return t
 }
-
-// setDefault gives a zero value its default.
-func setDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
--- a/pkg/gateway/support_test.go
+++ b/pkg/gateway/support_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -276,7 +277,7 @@
 		config.Catalog = func() Catalog { return testCatalog }
 	}
 	config.Timeouts.ResumePause = time.Millisecond
-	setDefault(&config.Timeouts.TurnAway, time.Millisecond)
+	config.Timeouts.TurnAway = cmp.Or(config.Timeouts.TurnAway, time.Millisecond)
 	config.Node = "node-1"
 	config.Region = "uy-south"
 	g, err := New(config)
--- a/pkg/traffic/config.go
+++ b/pkg/traffic/config.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"cmp"
 	"time"
 
 	"martenwheel.dev/pkg/traffic/outlier"
@@ -45,15 +46,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
-	if c.MaxWaiting == 0 {
-		c.MaxWaiting = defaultMaxWaiting
-	}
-	if c.MaxCallers == 0 {
-		c.MaxCallers = defaultMaxCallers
-	}
-	if c.HeadStart == 0 {
-		c.HeadStart = defaultHeadStart
-	}
+	c.MaxWaiting = cmp.Or(c.MaxWaiting, defaultMaxWaiting)
+	c.MaxCallers = cmp.Or(c.MaxCallers, defaultMaxCallers)
+	c.HeadStart = cmp.Or(c.HeadStart, defaultHeadStart)
 	c.Outlier = c.Outlier.WithDefaults()
 	return c
 }
--- a/pkg/traffic/fairqueue/class.go
+++ b/pkg/traffic/fairqueue/class.go
@@ -12,7 +12,7 @@
 	name    string
 	blocked bool
 	flows   map[string]*flow[T]
-	backlog backlog[T] // the flows with waiting items
+	backlog indexedHeap[*flow[T]] // the flows with waiting items
 	clock   clock
 	length  int
 	size    int
@@ -117,67 +117,21 @@
 	tags
 	name     string
 	class    *class[T]
-	items    items[T]
+	items    indexedHeap[*Item[T]]
 	cost     float64
-	key      float64 // in the class's backlog
-	position int
+	key      float64 // orders the class's backlog
+	position int     // in the class's backlog
 }
 
 func (f *flow[T]) priority() int { return f.items[0].Priority }
 
-// items is a heap in the order of Item.before.
-type items[T any] []*Item[T]
-
-func (h items[T]) Len() int           { return len(h) }
-func (h items[T]) Less(i, j int) bool { return h[i].before(h[j]) }
-func (h items[T]) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].position, h[j].position = i, j
-}
-
-// Push appends an item; for package heap.
-func (h *items[T]) Push(added any) {
-	item := added.(*Item[T])
-	item.position = len(*h)
-	*h = append(*h, item)
-}
-
-// Pop removes the last item; for package heap.
-func (h *items[T]) Pop() any {
-	last := len(*h) - 1
-	item := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return item
-}
-
-// backlog is a heap of flows in the order of their keys.
-type backlog[T any] []*flow[T]
-
-func (h backlog[T]) Len() int { return len(h) }
-func (h backlog[T]) Less(i, j int) bool {
-	if h[i].key != h[j].key {
-		return h[i].key < h[j].key
+// before orders flows by their keys, and equal ones by the arrival of their
+// heads.
+func (f *flow[T]) before(other *flow[T]) bool {
+	if f.key != other.key {
+		return f.key < other.key
 	}
-	return h[i].items[0].sequence < h[j].items[0].sequence
-}
-func (h backlog[T]) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].position, h[j].position = i, j
+	return f.items[0].sequence < other.items[0].sequence
 }
 
-// Push appends a flow; for package heap.
-func (h *backlog[T]) Push(added any) {
-	flow := added.(*flow[T])
-	flow.position = len(*h)
-	*h = append(*h, flow)
-}
-
-// Pop removes the last flow; for package heap.
-func (h *backlog[T]) Pop() any {
-	last := len(*h) - 1
-	flow := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return flow
-}
+func (f *flow[T]) setPosition(position int) { f.position = position }
--- a/pkg/traffic/fairqueue/queue.go
+++ b/pkg/traffic/fairqueue/queue.go
@@ -38,6 +38,8 @@
 	return i.sequence < other.sequence
 }
 
+func (i *Item[T]) setPosition(position int) { i.position = position }
+
 // Queue holds the waiting items. Create it with New.
 type Queue[T any] struct {
 	headStart float64
--- a/pkg/traffic/outlier/tracker.go
+++ b/pkg/traffic/outlier/tracker.go
@@ -4,6 +4,7 @@
 package outlier
 
 import (
+	"cmp"
 	"math"
 	"sync"
 	"time"
@@ -43,23 +44,17 @@
 
 // WithDefaults returns the config with every field set.
 func (c Config) WithDefaults() Config {
-	setDefault(&c.ConsecutiveFailures, defaultConsecutiveFailures)
-	setDefault(&c.Interval, defaultInterval)
-	setDefault(&c.MinRequests, defaultMinRequests)
-	setDefault(&c.MinPeers, defaultMinPeers)
-	setDefault(&c.Deviations, defaultDeviations)
-	setDefault(&c.BaseEjection, defaultBaseEjection)
-	setDefault(&c.MaxEjection, defaultMaxEjection)
-	setDefault(&c.Ramp, defaultRamp)
+	c.ConsecutiveFailures = cmp.Or(c.ConsecutiveFailures, defaultConsecutiveFailures)
+	c.Interval = cmp.Or(c.Interval, defaultInterval)
+	c.MinRequests = cmp.Or(c.MinRequests, defaultMinRequests)
+	c.MinPeers = cmp.Or(c.MinPeers, defaultMinPeers)
+	c.Deviations = cmp.Or(c.Deviations, defaultDeviations)
+	c.BaseEjection = cmp.Or(c.BaseEjection, defaultBaseEjection)
+	c.MaxEjection = cmp.Or(c.MaxEjection, defaultMaxEjection)
+	c.Ramp = cmp.Or(c.Ramp, defaultRamp)
 	return c
 }
 
-func setDefault[T int | float64 | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Tracker follows one server. Safe for concurrent use. Create it with New.
 type Tracker struct {
 	config Config
