--- a/pkg/gateway/edge_test.go
+++ b/pkg/gateway/edge_test.go
@@ -66,7 +66,7 @@
 	}
 	engineServer := startEngine(t, 3)
 	claims := granted()
-	dispatcher := &fakeDispatcher{targets: []traffic.Target{engineServer.target()}}
+	dispatcher := engineServer.dispatcher()
 	_, url := startGateway(t, Config{
 		Dispatcher:    dispatcher,
 		Claims:        claims,
@@ -121,10 +121,10 @@
 		header, received = r.Header.Clone(), string(body)
 		return false
 	}
-	dispatcher := &fakeDispatcher{targets: []traffic.Target{engineServer.target()}}
+	dispatcher := engineServer.dispatcher()
 	_, url := startGateway(t, Config{Dispatcher: dispatcher, Authenticator: fakeKeys{"k1": "studio"}})
 	body := `{ "model":"glaze-7b", "unknown":[1, 2],"max_tokens":7, "messages":[{"role":"user","content":"` + strings.Repeat("kiln", 200) + `"}] }`
-	got := post(t, newClient(t), url+"/v1/chat/completions", body, map[string]string{
+	got := chat(t, url, body, map[string]string{
 		"Authorization":     "Bearer k1",
 		HeaderRequestID:     "req-1",
 		HeaderPriority:      "9",
@@ -158,10 +158,10 @@
 // TestSameRequestID: two requests with one ID are two requests to engines.
 func TestSameRequestID(t *testing.T) {
 	engineServer := startEngine(t, 1)
-	dispatcher := &fakeDispatcher{targets: []traffic.Target{engineServer.target()}}
+	dispatcher := engineServer.dispatcher()
 	_, url := startGateway(t, Config{Dispatcher: dispatcher})
 	for range 2 {
-		post(t, newClient(t), url+"/v1/chat/completions", chatBody("glaze-7b", "a", false), map[string]string{HeaderRequestID: "same"})
+		chat(t, url, chatBody("glaze-7b", "a", false), map[string]string{HeaderRequestID: "same"})
 	}
 	if dispatcher.requests[0].ID == dispatcher.requests[1].ID {
 		t.Errorf("both are %s", dispatcher.requests[0].ID)
@@ -193,7 +193,7 @@
 			dispatcher := &fakeDispatcher{}
 			claims := newFakeClaims(test.decision)
 			_, url := startGateway(t, Config{Dispatcher: dispatcher, Claims: claims})
-			got := post(t, newClient(t), url+"/v1/chat/completions", chatBody("slots", "a", false), map[string]string{HeaderIdempotencyKey: "key-1"})
+			got := chat(t, url, chatBody("slots", "a", false), map[string]string{HeaderIdempotencyKey: "key-1"})
 			if got.status != test.status || got.header.Get("Retry-After") != test.retry {
 				t.Fatalf("status %d, retry after %q, body %s", got.status, got.header.Get("Retry-After"), got.body)
 			}
@@ -222,8 +222,8 @@
 func TestLapsedClaim(t *testing.T) {
 	engineServer := startEngine(t, 1)
 	claims := newFakeClaims(keeper.Decision{Verdict: keeper.VerdictGranted, DispatchBefore: time.Now().Add(-time.Second)})
-	_, url := startGateway(t, Config{Dispatcher: &fakeDispatcher{targets: []traffic.Target{engineServer.target()}}, Claims: claims})
-	got := post(t, newClient(t), url+"/v1/chat/completions", chatBody("slots", "a", false), map[string]string{HeaderIdempotencyKey: "key-1"})
+	_, url := startGateway(t, Config{Dispatcher: engineServer.dispatcher(), Claims: claims})
+	got := chat(t, url, chatBody("slots", "a", false), map[string]string{HeaderIdempotencyKey: "key-1"})
 	if apiError := apiErrorOf(t, got); got.status != 503 || !apiError.NotRun || got.header.Get("Retry-After") == "" {
 		t.Errorf("status %d, error %+v", got.status, apiError)
 	}
@@ -240,9 +240,8 @@
 		for _, limit := range []int{0, 10} {
 			engineServer := startEngine(t, 4)
 			claims := granted()
-			dispatcher := &fakeDispatcher{targets: []traffic.Target{engineServer.target()}}
-			_, url := startGateway(t, Config{Dispatcher: dispatcher, Claims: claims, Limits: Limits{KeptAnswerBytes: limit}})
-			got := post(t, newClient(t), url+"/v1/chat/completions", chatBody("slots", "a", stream), map[string]string{HeaderIdempotencyKey: "k"})
+			_, url := startGateway(t, Config{Dispatcher: engineServer.dispatcher(), Claims: claims, Limits: Limits{KeptAnswerBytes: limit}})
+			got := chat(t, url, chatBody("slots", "a", stream), map[string]string{HeaderIdempotencyKey: "k"})
 			<-claims.told
 			want := string(got.body)
 			if limit > 0 {
@@ -254,7 +253,7 @@
 		}
 	}
 	_, url := startGateway(t, Config{Dispatcher: &fakeDispatcher{}})
-	got := post(t, newClient(t), url+"/v1/chat/completions", chatBody("slots", "a", false), map[string]string{HeaderIdempotencyKey: "k"})
+	got := chat(t, url, chatBody("slots", "a", false), map[string]string{HeaderIdempotencyKey: "k"})
 	if apiError := apiErrorOf(t, got); got.status != 503 || !apiError.NotRun {
 		t.Errorf("without keepers: status %d, error %+v", got.status, apiError)
 	}
@@ -281,7 +280,7 @@
 		return &traffic.Refusal{Reason: traffic.ReasonQueueFull, Message: "the queue is full", NotRun: true, RetryAfter: 2200 * time.Millisecond}
 	}}
 	_, url := startGateway(t, Config{Dispatcher: dispatcher})
-	got := post(t, newClient(t), url+"/v1/chat/completions", chatBody("glaze-7b", "a", true), nil)
+	got := chat(t, url, chatBody("glaze-7b", "a", true), nil)
 	apiError := apiErrorOf(t, got)
 	if got.status != 429 || got.header.Get("Retry-After") != "3" || got.header.Get(HeaderNotRun) != "true" {
 		t.Errorf("status %d, header %v", got.status, got.header)
@@ -295,7 +294,7 @@
 // its place back and leaves the others alone.
 func TestPanicEndsOneRequest(t *testing.T) {
 	engineServer := startEngine(t, 1)
-	dispatcher := &fakeDispatcher{targets: []traffic.Target{engineServer.target()}}
+	dispatcher := engineServer.dispatcher()
 	dispatcher.acquire = func(_ context.Context, request traffic.Request) error {
 		if request.MaxTokens == 13 {
 			panic("thirteen")
@@ -316,11 +315,10 @@
 // TestRecords: each request has one line in the log and counts once.
 func TestRecords(t *testing.T) {
 	engineServer := startEngine(t, 4)
-	dispatcher := &fakeDispatcher{targets: []traffic.Target{engineServer.target()}}
 	var output bytes.Buffer
 	registry := prometheus.NewRegistry()
 	g, url := startGateway(t, Config{
-		Dispatcher: dispatcher,
+		Dispatcher: engineServer.dispatcher(),
 		Metrics:    registry,
 		Logger:     hclog.New(&hclog.LoggerOptions{Output: &output, JSONFormat: true}),
 	})
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -11,10 +11,10 @@
 
 func TestChatCompletionWhole(t *testing.T) {
 	engine := startEngine(t, 3)
-	dispatcher := &fakeDispatcher{targets: []traffic.Target{engine.target()}}
+	dispatcher := engine.dispatcher()
 	_, url := startGateway(t, Config{Dispatcher: dispatcher})
 
-	got := post(t, newClient(t), url+"/v1/chat/completions", chatBody("glaze-7b", "cone-6", false),
+	got := chat(t, url, chatBody("glaze-7b", "cone-6", false),
 		map[string]string{HeaderRequestID: "req-1"})
 	if got.status != http.StatusOK || !strings.Contains(string(got.body), "cone-6 cone-6 cone-6") {
 		t.Fatalf("status %d, body %s", got.status, got.body)
@@ -32,20 +32,13 @@
 
 func TestChatCompletionStreamed(t *testing.T) {
 	engine := startEngine(t, 50)
-	dispatcher := &fakeDispatcher{targets: []traffic.Target{engine.target()}}
-	_, url := startGateway(t, Config{Dispatcher: dispatcher})
+	_, url := startGateway(t, Config{Dispatcher: engine.dispatcher()})
 
-	got := post(t, newClient(t), url+"/v1/chat/completions", chatBody("glaze-7b:studio-3", "ash", true), nil)
+	got := chat(t, url, chatBody("glaze-7b:studio-3", "ash", true), nil)
 	if got.status != http.StatusOK || got.header.Get("Content-Type") != "text/event-stream" {
 		t.Fatalf("status %d, header %v, body %s", got.status, got.header, got.body)
 	}
-	result, err := readStream(got.body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := checkTokens(result, "ash", 50); err != nil {
-		t.Error(err)
-	}
+	checkStream(t, got.body, "ash", 50)
 }
 
 func TestModels(t *testing.T) {
--- a/pkg/gateway/lifecycle_test.go
+++ b/pkg/gateway/lifecycle_test.go
@@ -40,12 +40,21 @@
 		header, len(body), body)
 }
 
+// untilDropped returns a pause that reports itself and lasts until the gateway
+// closes the connection.
+func untilDropped(paused chan<- struct{}) func(*http.Request) {
+	return func(r *http.Request) {
+		paused <- struct{}{}
+		<-r.Context().Done()
+	}
+}
+
 // TestHangUpWhileQueued: the request of a caller that left is taken out of
 // the queue and never reaches an engine.
 func TestHangUpWhileQueued(t *testing.T) {
 	engine := startEngine(t, 3)
 	queued, left := make(chan struct{}), make(chan error, 1)
-	dispatcher := &fakeDispatcher{targets: []traffic.Target{engine.target()}}
+	dispatcher := engine.dispatcher()
 	dispatcher.acquire = func(ctx context.Context, _ traffic.Request) error {
 		close(queued)
 		<-ctx.Done()
@@ -82,23 +91,15 @@
 		t.Run(test.name, func(t *testing.T) {
 			engine := startEngine(t, 5)
 			paused := make(chan struct{}, 1)
-			hold := func(r *http.Request) {
-				paused <- struct{}{}
-				<-r.Context().Done() // the gateway closes the connection
-			}
-			engine.pause = func(r *http.Request, token int) {
-				if token == test.pauseAt {
-					hold(r)
-				}
-			}
+			hold := untilDropped(paused)
+			engine.pauseAt(test.pauseAt, hold)
 			if !test.stream {
 				engine.intercept = func(_ http.ResponseWriter, r *http.Request, _ []byte) bool {
 					hold(r)
 					return true
 				}
 			}
-			dispatcher := &fakeDispatcher{targets: []traffic.Target{engine.target()}}
-			_, url := startGateway(t, Config{Dispatcher: dispatcher})
+			_, url := startGateway(t, Config{Dispatcher: engine.dispatcher()})
 			connection := dialRaw(t, url)
 			_, _ = io.WriteString(connection, rawRequest(chatBody("glaze-7b", "ash", test.stream), ""))
 			<-paused
@@ -115,24 +116,19 @@
 		t.Run(fmt.Sprintf("stream %t", stream), func(t *testing.T) {
 			engine := startEngine(t, 5)
 			paused, resume := make(chan struct{}, 1), make(chan struct{})
-			hold := func() {
+			hold := func(*http.Request) {
 				paused <- struct{}{}
 				<-resume
 			}
-			engine.pause = func(_ *http.Request, token int) {
-				if token == 2 {
-					hold()
-				}
-			}
-			engine.intercept = func(http.ResponseWriter, *http.Request, []byte) bool {
+			engine.pauseAt(2, hold)
+			engine.intercept = func(_ http.ResponseWriter, r *http.Request, _ []byte) bool {
 				if !stream {
-					hold()
+					hold(r)
 				}
 				return false
 			}
 			claims := granted()
-			dispatcher := &fakeDispatcher{targets: []traffic.Target{engine.target()}}
-			g, url := startGateway(t, Config{Dispatcher: dispatcher, Claims: claims})
+			g, url := startGateway(t, Config{Dispatcher: engine.dispatcher(), Claims: claims})
 			connection := dialRaw(t, url)
 			_, _ = io.WriteString(connection, rawRequest(chatBody("slots", "ash", stream), "Idempotency-Key: key\r\n"))
 			<-paused
@@ -144,13 +140,7 @@
 				t.Fatalf("completed %+v", claims.completed)
 			}
 			if stream {
-				result, err := readStream(claims.completed[0].Body)
-				if err != nil {
-					t.Fatal(err)
-				}
-				if err := checkTokens(result, "ash", 5); err != nil {
-					t.Error(err)
-				}
+				checkStream(t, claims.completed[0].Body, "ash", 5)
 			}
 		})
 	}
@@ -161,13 +151,11 @@
 func TestDrainEndsStreamsWhole(t *testing.T) {
 	engine := startEngine(t, 10)
 	paused, resume := make(chan struct{}, 1), make(chan struct{})
-	engine.pause = func(_ *http.Request, token int) {
-		if token == 5 {
-			paused <- struct{}{}
-			<-resume
-		}
-	}
-	g, url := startGateway(t, Config{Dispatcher: &fakeDispatcher{targets: []traffic.Target{engine.target()}}})
+	engine.pauseAt(5, func(*http.Request) {
+		paused <- struct{}{}
+		<-resume
+	})
+	g, url := startGateway(t, Config{Dispatcher: engine.dispatcher()})
 	client := newClient(t)
 	var group conc.WaitGroup
 	var got reply
@@ -189,25 +177,15 @@
 	}
 	close(resume)
 	group.Wait()
-	result, err := readStream(got.body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := checkTokens(result, "ash", 10); err != nil {
-		t.Error(err)
-	}
+	checkStream(t, got.body, "ash", 10)
 }
 
 // TestDrainBound: what outlasts the bound of a planned stop ends with an
 // explicit error.
 func TestDrainBound(t *testing.T) {
 	engine := startEngine(t, 10)
-	engine.pause = func(r *http.Request, token int) {
-		if token == 5 {
-			<-r.Context().Done()
-		}
-	}
-	g, url := startGateway(t, Config{Dispatcher: &fakeDispatcher{targets: []traffic.Target{engine.target()}}})
+	engine.pauseAt(5, func(r *http.Request) { <-r.Context().Done() })
+	g, url := startGateway(t, Config{Dispatcher: engine.dispatcher()})
 	response, err := newClient(t).Post(url+"/v1/chat/completions", "application/json",
 		strings.NewReader(chatBody("glaze-7b", "ash", true)))
 	if err != nil {
@@ -292,7 +270,7 @@
 func TestSlowCallerIsLeft(t *testing.T) {
 	engine := startEngine(t, 200_000)
 	_, url := startGateway(t, Config{
-		Dispatcher: &fakeDispatcher{targets: []traffic.Target{engine.target()}},
+		Dispatcher: engine.dispatcher(),
 		Timeouts:   Timeouts{Write: 100 * time.Millisecond},
 	})
 	connection := dialRaw(t, url)
@@ -331,14 +309,9 @@
 	certificate, trusted := testCertificate(t)
 	engine := startEngine(t, 5)
 	paused := make(chan struct{}, 1)
-	engine.pause = func(r *http.Request, token int) {
-		if token == 2 {
-			paused <- struct{}{}
-			<-r.Context().Done()
-		}
-	}
+	engine.pauseAt(2, untilDropped(paused))
 	_, url := startGateway(t, Config{
-		Dispatcher: &fakeDispatcher{targets: []traffic.Target{engine.target()}},
+		Dispatcher: engine.dispatcher(),
 		TLS:        &tls.Config{Certificates: []tls.Certificate{certificate}},
 	})
 	address := strings.TrimPrefix(url, "http://")
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -52,15 +52,20 @@
 			Buckets: prometheus.ExponentialBuckets(0.00002, 2, 15),
 		}),
 	}
+	return m, m.register(registerer)
+}
+
+// register registers the metrics, unless registerer is nil.
+func (m *metrics) register(registerer prometheus.Registerer) error {
 	if registerer == nil {
-		return m, nil
+		return nil
 	}
 	for _, collector := range []prometheus.Collector{m.requests, m.tokens, m.resumes, m.moves, m.inFlight, m.firstToken, m.added} {
 		if err := registerer.Register(collector); err != nil {
-			return nil, errors.Wrap(err, "gateway: register metrics")
+			return errors.Wrap(err, "gateway: register metrics")
 		}
 	}
-	return m, nil
+	return nil
 }
 
 // observe counts a request that ended at now. Models that the settings don't
--- a/pkg/gateway/move_test.go
+++ b/pkg/gateway/move_test.go
@@ -246,7 +246,7 @@
 func postMoving(t *testing.T, url, model string) reply {
 	t.Helper()
 	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"kiln 4"}]}`, model, movedTokens)
-	return post(t, newClient(t), url+"/v1/chat/completions", body, map[string]string{HeaderIdempotencyKey: "key"})
+	return chat(t, url, body, map[string]string{HeaderIdempotencyKey: "key"})
 }
 
 // TestMoveOutlastsEngine: a stream survives the end of the engine that left,
--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -151,8 +151,7 @@
 			engine := startEngine(t, 3)
 			engine.intercept = test.intercept
 			claims := granted()
-			dispatcher := &fakeDispatcher{targets: []traffic.Target{engine.target()}}
-			_, url := startGateway(t, Config{Dispatcher: dispatcher, Claims: claims})
+			_, url := startGateway(t, Config{Dispatcher: engine.dispatcher(), Claims: claims})
 			client := newClient(t)
 
 			for _, model := range []string{"glaze-7b", "slots"} {
@@ -209,7 +208,7 @@
 			claims := granted()
 			dispatcher := &fakeDispatcher{targets: []traffic.Target{{Server: "server-1", Address: test.address}}}
 			_, url := startGateway(t, Config{Dispatcher: dispatcher, Claims: claims})
-			got := post(t, newClient(t), url+"/v1/chat/completions", chatBody("slots", test.body, false),
+			got := chat(t, url, chatBody("slots", test.body, false),
 				map[string]string{HeaderIdempotencyKey: "key"})
 			if apiError := apiErrorOf(t, got); got.status != 502 || apiError.NotRun != test.notRun {
 				t.Errorf("status %d, error %+v", got.status, apiError)
@@ -269,7 +268,7 @@
 			}
 			_, url := startGateway(t, Config{Dispatcher: dispatcher, Claims: granted()})
 			served := healthy.requests()
-			got := post(t, newClient(t), url+"/v1/chat/completions", chatBody(test.model, "ash", false),
+			got := chat(t, url, chatBody(test.model, "ash", false),
 				map[string]string{HeaderIdempotencyKey: "key"})
 			if got.status != test.status {
 				t.Fatalf("status %d, body %s", got.status, got.body)
@@ -300,8 +299,8 @@
 				return refuse && answerError(404, engine.HeaderNotRun)(w, r, body)
 			}
 			claims := granted()
-			_, url := startGateway(t, Config{Dispatcher: &fakeDispatcher{targets: []traffic.Target{engineServer.target()}}, Claims: claims})
-			got := post(t, newClient(t), url+"/v1/chat/completions", chatBody("slots", "ash", stream), map[string]string{HeaderIdempotencyKey: "k"})
+			_, url := startGateway(t, Config{Dispatcher: engineServer.dispatcher(), Claims: claims})
+			got := chat(t, url, chatBody("slots", "ash", stream), map[string]string{HeaderIdempotencyKey: "k"})
 			if engineServer.requests() != 1 || engineServer.resumed != 1 {
 				t.Errorf("%d requests, %d resumptions", engineServer.requests(), engineServer.resumed)
 			}
@@ -410,7 +409,7 @@
 			}
 			dispatcher := &fakeDispatcher{targets: []traffic.Target{engineServer.target()}, retries: 1}
 			_, url := startGateway(t, Config{Dispatcher: dispatcher})
-			got := post(t, newClient(t), url+"/v1/chat/completions", chatBody("glaze-7b", "ash", true), nil)
+			got := chat(t, url, chatBody("glaze-7b", "ash", true), nil)
 			result, err := readStream(got.body)
 			if err != nil {
 				t.Fatal(err)
@@ -446,17 +445,11 @@
 		}
 	}
 	_, url := startGateway(t, Config{
-		Dispatcher: &fakeDispatcher{targets: []traffic.Target{engineServer.target()}},
+		Dispatcher: engineServer.dispatcher(),
 		Timeouts:   Timeouts{EngineStall: 200 * time.Millisecond},
 	})
-	got := post(t, newClient(t), url+"/v1/chat/completions", chatBody("glaze-7b", "ash", true), nil)
-	result, err := readStream(got.body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := checkTokens(result, "ash", 10); err != nil {
-		t.Error(err)
-	}
+	got := chat(t, url, chatBody("glaze-7b", "ash", true), nil)
+	checkStream(t, got.body, "ash", 10)
 }
 
 // TestMarkedContents: many callers at once on reused connections, streamed and
--- a/pkg/gateway/standin_test.go
+++ b/pkg/gateway/standin_test.go
@@ -171,7 +171,7 @@
 			}
 			dispatcher := &fakeDispatcher{targets: []traffic.Target{{Server: "server-1", Address: server.Address()}}, retries: 2}
 			_, url := startGateway(t, Config{Dispatcher: dispatcher, Claims: granted()})
-			got := post(t, newClient(t), url+"/v1/chat/completions", chatBody("slots", "kiln 4", test.stream), map[string]string{HeaderIdempotencyKey: "booking-1"})
+			got := chat(t, url, chatBody("slots", "kiln 4", test.stream), map[string]string{HeaderIdempotencyKey: "booking-1"})
 			ran := server.Executed()["booking-1"]
 			if ran > 1 {
 				t.Errorf("ran %d times", ran)
--- a/pkg/gateway/support_test.go
+++ b/pkg/gateway/support_test.go
@@ -159,6 +159,20 @@
 	return traffic.Target{Server: "server-1", Address: e.address}
 }
 
+// dispatcher returns a dispatcher whose only target is the engine.
+func (e *fakeEngine) dispatcher() *fakeDispatcher {
+	return &fakeDispatcher{targets: []traffic.Target{e.target()}}
+}
+
+// pauseAt calls hold before one token of each stream.
+func (e *fakeEngine) pauseAt(at int, hold func(*http.Request)) {
+	e.pause = func(r *http.Request, token int) {
+		if token == at {
+			hold(r)
+		}
+	}
+}
+
 func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -330,6 +344,12 @@
 	return got
 }
 
+// chat sends a chat completion on a connection of its own.
+func chat(t testing.TB, url, body string, header map[string]string) reply {
+	t.Helper()
+	return post(t, newClient(t), url+"/v1/chat/completions", body, header)
+}
+
 func tryPost(client *http.Client, url, body string, header map[string]string) (reply, error) {
 	request, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
 	if err != nil {
@@ -411,3 +431,15 @@
 	}
 	return nil
 }
+
+// checkStream checks that body is a whole stream of just mark's tokens.
+func checkStream(t testing.TB, body []byte, mark string, count int) {
+	t.Helper()
+	result, err := readStream(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := checkTokens(result, mark, count); err != nil {
+		t.Error(err)
+	}
+}
