--- a/pkg/gateway/lifecycle_test.go
+++ b/pkg/gateway/lifecycle_test.go
@@ -258,7 +258,10 @@
 func waitForRoom(t *testing.T, url string) {
 	t.Helper()
 	for range 10_000 {
-		if getModels(t, dialRaw(t, url)) == http.StatusOK {
+		connection := dialRaw(t, url)
+		status := getModels(t, connection)
+		_ = connection.Close()
+		if status == http.StatusOK {
 			return
 		}
 	}
--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -322,12 +322,16 @@
 // no end mark; never with another request's events.
 func TestStreamFaults(t *testing.T) {
 	const tokens = 20
-	whole := func(w http.ResponseWriter, id, mark string, from, to int) {
+	events := func(w http.ResponseWriter, id, mark string, from, to int) {
 		for token := from; token < to; token++ {
 			_, _ = io.WriteString(w, tokenEvent(id, mark, token))
 		}
 		w.(http.Flusher).Flush()
 	}
+	rest := func(w http.ResponseWriter, id string, from int) {
+		events(w, id, "ash", from, tokens)
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	}
 	cases := []struct {
 		name    string
 		fault   func(w http.ResponseWriter, id string, from int)
@@ -335,54 +339,49 @@
 	}{
 		{"cut once", func(w http.ResponseWriter, id string, from int) {
 			if from == 0 {
-				whole(w, id, "ash", 0, 7)
+				events(w, id, "ash", 0, 7)
 				abort()
 			}
-			whole(w, id, "ash", from, tokens)
-			_, _ = io.WriteString(w, "data: [DONE]\n\n")
+			rest(w, id, from)
 		}, 1},
 		{"cut in an event, three times", func(w http.ResponseWriter, id string, from int) {
 			if from < 9 {
-				whole(w, id, "ash", from, from+3)
+				events(w, id, "ash", from, from+3)
 				_, _ = io.WriteString(w, `data: {"id":"chatcm`)
 				w.(http.Flusher).Flush()
 				abort()
 			}
-			whole(w, id, "ash", from, tokens)
-			_, _ = io.WriteString(w, "data: [DONE]\n\n")
+			rest(w, id, from)
 		}, 3},
 		{"ends without its end mark", func(w http.ResponseWriter, id string, from int) {
 			to := min(from+10, tokens)
-			whole(w, id, "ash", from, to)
+			events(w, id, "ash", from, to)
 			if to == tokens {
 				_, _ = io.WriteString(w, "data: [DONE]\n\n")
 			}
 		}, 1},
 		{"another request's event", func(w http.ResponseWriter, id string, from int) {
 			if from == 0 {
-				whole(w, id, "ash", 0, 7)
-				whole(w, "other", "clay", 7, 9)
+				events(w, id, "ash", 0, 7)
+				events(w, "other", "clay", 7, 9)
 			}
-			whole(w, id, "ash", from, tokens)
-			_, _ = io.WriteString(w, "data: [DONE]\n\n")
+			rest(w, id, from)
 		}, 1},
 		{"events after the end", func(w http.ResponseWriter, id string, _ int) {
-			whole(w, id, "ash", 0, tokens)
-			_, _ = io.WriteString(w, "data: [DONE]\n\n")
-			whole(w, id, "ash", 0, 2)
+			rest(w, id, 0)
+			events(w, id, "ash", 0, 2)
 		}, 0},
 		{"comments between events", func(w http.ResponseWriter, id string, from int) {
 			if from == 0 {
-				whole(w, id, "ash", 0, 7)
+				events(w, id, "ash", 0, 7)
 				_, _ = io.WriteString(w, ": still here\n\n")
 				w.(http.Flusher).Flush()
 				abort()
 			}
-			whole(w, id, "ash", from, tokens)
-			_, _ = io.WriteString(w, "data: [DONE]\n\n")
+			rest(w, id, from)
 		}, 1},
 		{"cut again and again", func(w http.ResponseWriter, id string, from int) {
-			whole(w, id, "ash", from, from+1)
+			events(w, id, "ash", from, from+1)
 			abort()
 		}, -1},
 		{"resumption refused", func(w http.ResponseWriter, id string, from int) {
@@ -390,11 +389,11 @@
 				w.WriteHeader(http.StatusNotFound)
 				return
 			}
-			whole(w, id, "ash", 0, 7)
+			events(w, id, "ash", 0, 7)
 			abort()
 		}, -1},
 		{"error within the stream", func(w http.ResponseWriter, id string, _ int) {
-			whole(w, id, "ash", 0, 7)
+			events(w, id, "ash", 0, 7)
 			_, _ = io.WriteString(w, "data: {\"error\":{\"message\":\"cancelled\"}}\n\n")
 		}, -1},
 	}
