gateway, keeper: tests in files by job

Now each fake has its file, and the tests lie by what they check: not_run, stream, marked, hangup, drain, connection, claim, move. Only moved: the sorted lines without imports are the same before and after.

--- /dev/null
+++ b/pkg/gateway/drain_test.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"martenwheel.dev/pkg/traffic"
+)
+
+// TestDrainEndsStreamsWhole: a planned stop waits for the streams that run and
+// takes no new connection.
+func TestDrainEndsStreamsWhole(t *testing.T) {
+	engine := startEngine(t, 10)
+	paused, resume := make(chan struct{}, 1), make(chan struct{})
+	engine.pauseAt(5, func(*http.Request) {
+		paused <- struct{}{}
+		<-resume
+	})
+	g, url := startGateway(t, Config{Dispatcher: engine.dispatcher()})
+	client := newClient(t)
+	var group conc.WaitGroup
+	var got reply
+	group.Go(func() {
+		got = post(t, client, url+"/v1/chat/completions", chatBody("glaze-7b", "ash", true), nil)
+	})
+	<-paused
+	group.Go(func() {
+		if err := g.Drain(context.Background()); err != nil {
+			t.Errorf("Drain: %v", err)
+		}
+	})
+	for {
+		connection, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+		if err != nil {
+			break // the listener is closed
+		}
+		_ = connection.Close()
+	}
+	close(resume)
+	group.Wait()
+	checkStream(t, got.body, "ash", 10)
+}
+
+// TestDrainBound: what outlasts the bound of a planned stop ends with an
+// explicit error.
+func TestDrainBound(t *testing.T) {
+	engine := startEngine(t, 10)
+	engine.pauseAt(5, func(r *http.Request) { <-r.Context().Done() })
+	g, url := startGateway(t, Config{Dispatcher: engine.dispatcher()})
+	response, err := newClient(t).Post(url+"/v1/chat/completions", "application/json",
+		strings.NewReader(chatBody("glaze-7b", "ash", true)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	received := make([]byte, 0, 1<<16)
+	for !strings.Contains(string(received), "ash/4") {
+		n, err := response.Body.Read(received[len(received):cap(received)])
+		if err != nil {
+			t.Fatal(err)
+		}
+		received = received[:len(received)+n]
+	}
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := g.Drain(ended); err == nil {
+		t.Error("Drain reports no error")
+	}
+	rest, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	result, err := readStream(append(received, rest...))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if result.done || result.broken == nil || len(result.tokens) != 5 {
+		t.Errorf("tokens %v, done %t, error %v", result.tokens, result.done, result.broken)
+	}
+}
+
+// TestDrainRefusesWhatWaits: requests that still wait for a replica when the
+// bound of a planned stop is over were not run, and are told so.
+func TestDrainRefusesWhatWaits(t *testing.T) {
+	queued := make(chan struct{})
+	dispatcher := &fakeDispatcher{acquire: func(ctx context.Context, _ traffic.Request) error {
+		close(queued)
+		<-ctx.Done()
+		return &traffic.Refusal{Reason: traffic.ReasonCallerLeft, Message: "left", NotRun: true}
+	}}
+	g, url := startGateway(t, Config{Dispatcher: dispatcher})
+	client := newClient(t)
+	var group conc.WaitGroup
+	var got reply
+	group.Go(func() {
+		got = post(t, client, url+"/v1/chat/completions", chatBody("glaze-7b", "ash", false), nil)
+	})
+	<-queued
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = g.Drain(ended)
+	group.Wait()
+	apiError := apiErrorOf(t, got)
+	if got.status != 503 || apiError.Code != "stopping" || !apiError.NotRun || got.header.Get("Retry-After") == "" {
+		t.Errorf("status %d, error %+v", got.status, apiError)
+	}
+}
+
+// TestRequestWhileDraining: a request that arrives on an open connection
+// during a planned stop is refused as not run.
+func TestRequestWhileDraining(t *testing.T) {
+	dispatcher := &fakeDispatcher{}
+	g, url := startGateway(t, Config{Dispatcher: dispatcher})
+	g.draining.Store(true)
+	connection := dialRaw(t, url)
+	_, _ = io.WriteString(connection, rawRequest(chatBody("glaze-7b", "ash", false), ""))
+	received, err := io.ReadAll(connection) // the gateway closes it
+	if err != nil {
+		t.Fatal(err)
+	}
+	header, body, _ := strings.Cut(string(received), "\r\n\r\n")
+	apiError := apiErrorOf(t, reply{body: []byte(body)})
+	if !strings.HasPrefix(header, "HTTP/1.1 503") || apiError.Code != "stopping" || !apiError.NotRun {
+		t.Errorf("header %s, error %+v", header, apiError)
+	}
+	if len(dispatcher.requests) != 0 {
+		t.Error("dispatched")
+	}
+}
+
+// TestDrainTurnsNewCallersAway: at the beginning of a planned stop, callers on
+// kept and on new connections get an answer, not a connection that breaks.
+func TestDrainTurnsNewCallersAway(t *testing.T) {
+	g, url := startGateway(t, Config{Dispatcher: &fakeDispatcher{}, Timeouts: Timeouts{TurnAway: time.Hour}})
+	kept := dialRaw(t, url)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var group conc.WaitGroup
+	group.Go(func() { _ = g.Drain(ctx) }) // it is broken off below
+	for !g.draining.Load() {
+		runtime.Gosched()
+	}
+	for name, connection := range map[string]net.Conn{"kept": kept, "new": dialRaw(t, url)} {
+		_, _ = io.WriteString(connection, rawRequest(chatBody("glaze-7b", "ash", false), ""))
+		received, err := io.ReadAll(connection)
+		if err != nil || !strings.Contains(string(received), `"code":"stopping"`) {
+			t.Errorf("%s connection: %v, %s", name, err, received)
+		}
+	}
+	cancel()
+	group.Wait()
+	g.config.Timeouts.TurnAway = time.Millisecond // of the stop at the test's end
+}
--- a/pkg/gateway/support_test.go
+++ b/pkg/gateway/support_test.go
@@ -10,17 +10,13 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
 	"martenwheel.dev/pkg/api"
-	"martenwheel.dev/pkg/engine"
-	"martenwheel.dev/pkg/traffic"
 	"martenwheel.dev/pkg/tree"
 )
 
@@ -46,106 +42,6 @@
 	{Name: "slots", Service: "booking", Settings: tree.Settings{UnsafeToRepeat: true, RepeatRetention: time.Minute}},
 }
 
-// fakeDispatcher grants the targets in turn and records the outcomes.
-type fakeDispatcher struct {
-	targets []traffic.Target
-	retries int // allowed per request
-	acquire func(ctx context.Context, request traffic.Request) error
-
-	mutex    sync.Mutex
-	requests []traffic.Request
-	outcomes []traffic.Outcome
-}
-
-func (d *fakeDispatcher) Acquire(ctx context.Context, request traffic.Request) (traffic.Grant, error) {
-	if d.acquire != nil {
-		if err := d.acquire(ctx, request); err != nil {
-			return nil, err
-		}
-	}
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.requests = append(d.requests, request)
-	return &fakeGrant{dispatcher: d, request: request}, nil
-}
-
-func (d *fakeDispatcher) record(outcome traffic.Outcome) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.outcomes = append(d.outcomes, outcome)
-}
-
-// kinds returns the kinds of the outcomes so far.
-func (d *fakeDispatcher) kinds() []traffic.OutcomeKind {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	kinds := make([]traffic.OutcomeKind, len(d.outcomes))
-	for i, outcome := range d.outcomes {
-		kinds[i] = outcome.Kind
-	}
-	return kinds
-}
-
-type fakeGrant struct {
-	dispatcher *fakeDispatcher
-	request    traffic.Request
-	attempt    int
-}
-
-func (g *fakeGrant) Target() traffic.Target {
-	return g.dispatcher.targets[g.attempt%len(g.dispatcher.targets)]
-}
-
-func (g *fakeGrant) Done(outcome traffic.Outcome) { g.dispatcher.record(outcome) }
-
-func (g *fakeGrant) Retry(ctx context.Context, outcome traffic.Outcome) (traffic.Grant, error) {
-	g.dispatcher.record(outcome)
-	if ctx.Err() != nil {
-		return nil, &traffic.Refusal{Reason: traffic.ReasonCallerLeft, Message: "left", NotRun: true}
-	}
-	notRun := outcome.Kind == traffic.OutcomeNotRun
-	if g.attempt >= g.dispatcher.retries || g.request.Unsafe && !notRun {
-		reason := traffic.ReasonOutcomeUnknown
-		if notRun {
-			reason = traffic.ReasonEngineFailed
-		}
-		return nil, &traffic.Refusal{Reason: reason, Message: "no retry", NotRun: notRun}
-	}
-	return &fakeGrant{dispatcher: g.dispatcher, request: g.request, attempt: g.attempt + 1}, nil
-}
-
-// fakeEngine speaks the engine's completion API. Its answers repeat the mark
-// in the prompt, so that a mix-up shows.
-type fakeEngine struct {
-	address string
-	tokens  int
-	// intercept may handle a request in place of the engine.
-	intercept func(w http.ResponseWriter, r *http.Request, body []byte) bool
-	// pause is called before each token of a stream.
-	pause func(r *http.Request, token int)
-
-	mutex     sync.Mutex
-	received  int // requests, without resumptions
-	resumed   int
-	cancelled map[string]bool
-	changed   chan struct{} // closed and replaced at each cancellation
-}
-
-func startEngine(t testing.TB, tokens int) *fakeEngine {
-	t.Helper()
-	e := &fakeEngine{tokens: tokens, cancelled: make(map[string]bool), changed: make(chan struct{})}
-	listener := listen(t)
-	e.address = listener.Addr().String()
-	server := &http.Server{Handler: e}
-	var group conc.WaitGroup
-	group.Go(func() { _ = server.Serve(listener) })
-	t.Cleanup(func() {
-		_ = server.Close()
-		group.Wait()
-	})
-	return e
-}
-
 func listen(t testing.TB) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -155,135 +51,6 @@
 	return listener
 }
 
-func (e *fakeEngine) target() traffic.Target {
-	return traffic.Target{Server: "server-1", Address: e.address}
-}
-
-// dispatcher returns a dispatcher whose only target is the engine.
-func (e *fakeEngine) dispatcher() *fakeDispatcher {
-	return &fakeDispatcher{targets: []traffic.Target{e.target()}}
-}
-
-// pauseAt calls hold before one token of each stream.
-func (e *fakeEngine) pauseAt(at int, hold func(*http.Request)) {
-	e.pause = func(r *http.Request, token int) {
-		if token == at {
-			hold(r)
-		}
-	}
-}
-
-func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
-	if r.URL.Path == engine.PathCancel {
-		e.cancel(body)
-		return
-	}
-	e.count(r)
-	if e.intercept != nil && e.intercept(w, r, body) {
-		return
-	}
-	e.answer(w, r, body)
-}
-
-// count counts a request or resumption.
-func (e *fakeEngine) count(r *http.Request) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	if r.Header.Get(engine.HeaderResumeFrom) == "" {
-		e.received++
-	} else {
-		e.resumed++
-	}
-}
-
-func (e *fakeEngine) cancel(body []byte) {
-	var request engine.CancelRequest
-	_ = json.Unmarshal(body, &request)
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.cancelled[request.RequestID] = true
-	close(e.changed)
-	e.changed = make(chan struct{})
-}
-
-// waitCancelled waits until count requests were cancelled.
-func (e *fakeEngine) waitCancelled(t *testing.T, count int) {
-	t.Helper()
-	for {
-		e.mutex.Lock()
-		done, changed := len(e.cancelled) >= count, e.changed
-		e.mutex.Unlock()
-		if done {
-			return
-		}
-		select {
-		case <-changed:
-		case <-time.After(20 * time.Second):
-			t.Fatal("no cancellation at the engine")
-		}
-	}
-}
-
-func (e *fakeEngine) requests() int {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	return e.received
-}
-
-// engineRequest is what a fakeEngine reads of a body.
-type engineRequest struct {
-	Model    string
-	Stream   bool
-	Messages []struct{ Content string }
-}
-
-func markOf(body []byte) (string, bool) {
-	var request engineRequest
-	_ = json.Unmarshal(body, &request)
-	if len(request.Messages) == 0 {
-		return "", request.Stream
-	}
-	return request.Messages[0].Content, request.Stream
-}
-
-func (e *fakeEngine) answer(w http.ResponseWriter, r *http.Request, body []byte) {
-	mark, stream := markOf(body)
-	requestID := r.Header.Get(engine.HeaderRequestID)
-	w.Header().Set(engine.HeaderRequestID, requestID)
-	if !stream {
-		w.Header().Set("Content-Type", "application/json")
-		_, _ = io.WriteString(w, wholeBody(requestID, mark, e.tokens))
-		return
-	}
-	from, _ := strconv.Atoi(r.Header.Get(engine.HeaderResumeFrom))
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.WriteHeader(http.StatusOK)
-	for token := from; token < e.tokens; token++ {
-		if e.pause != nil {
-			e.pause(r, token)
-		}
-		if _, err := io.WriteString(w, tokenEvent(requestID, mark, token)); err != nil {
-			return
-		}
-		w.(http.Flusher).Flush()
-	}
-	_, _ = io.WriteString(w, "data: [DONE]\n\n")
-}
-
-func wholeBody(requestID, mark string, tokens int) string {
-	return fmt.Sprintf(`{"id":"chatcmpl-%s","object":"chat.completion","choices":[{"index":0,"message":{"role":"assistant","content":%q},"finish_reason":"stop"}],"usage":{"completion_tokens":%d,"prompt_tokens_details":{"cached_tokens":3}}}`,
-		requestID, strings.Repeat(mark+" ", tokens), tokens)
-}
-
-func tokenEvent(requestID, mark string, token int) string {
-	return fmt.Sprintf("data: {\"id\":\"chatcmpl-%s\",\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n",
-		requestID, fmt.Sprintf("%s/%d", mark, token))
-}
-
 // startGateway serves a gateway with config's gaps filled and returns its URL.
 func startGateway(t testing.TB, config Config) (*Gateway, string) {
 	t.Helper()
