--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -3,6 +3,14 @@
 // dispatcher for a replica, relays the answer and vouches for it: every
 // caller gets the whole answer to its own request, or an error that says
 // whether the request was run.
+//
+// A request's way, by file: handler.go takes it in and answers; request.go and
+// request_body.go check it; call.go finds its model and asks the dispatcher for
+// a replica; claim.go has the keepers grant it if it is unsafe to repeat;
+// attempt.go sends it to an engine and decides what a failure allows;
+// engine_answer.go and stream.go check that what comes back is its own answer;
+// stream_body.go passes a stream on; move.go takes it to another replica;
+// record.go logs and counts its end.
 package gateway
 
 import (
--- a/pkg/keeper/types.go
+++ b/pkg/keeper/types.go
@@ -2,6 +2,12 @@
 // the keepers of a cell, three nodes in different zones, remember the keys of
 // such requests, and a node sends a request on only when a majority of them
 // has granted its claim.
+//
+// A Client claims for the gateway: attempt.go decides, without network or clock,
+// whom to ask and what the answers mean, and client.go makes the calls. A Keeper
+// answers for a node: store.go is the state machine of one cell, records.go what
+// it remembers, copy.go how a new member gets that from the others, and
+// keeper.go runs the stores of all cells.
 package keeper
 
 import (
--- a/pkg/traffic/place.go
+++ b/pkg/traffic/place.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"slices"
 	"time"
 
 	"martenwheel.dev/pkg/api"
@@ -233,16 +234,7 @@
 		if !serves(candidate) || candidate.Ejected {
 			continue
 		}
-		if !contains(tried, candidate.Server) {
-			return true
-		}
-	}
-	return false
-}
-
-func contains(list []api.ServerID, wanted api.ServerID) bool {
-	for _, server := range list {
-		if server == wanted {
+		if !slices.Contains(tried, candidate.Server) {
 			return true
 		}
 	}
--- a/pkg/traffic/types.go
+++ b/pkg/traffic/types.go
@@ -1,6 +1,12 @@
 // Package traffic takes requests from their arrival at a node to a replica:
 // limits, waiting, routing, retries. It decides; package gateway carries the
 // bytes.
+//
+// A request's way, by file: dispatcher.go checks rates and finds the pool of its
+// base model; pool.go queues, serves and refuses under the pool's lock; place.go
+// chooses a replica, by the filters and scorers of package routing; outlook.go
+// tells what can't be ready by its deadline; grant.go ends or repeats an attempt;
+// run.go sweeps the pools and reports demand.
 package traffic
 
 import (
