--- a/pkg/cli/tree_edit.go
+++ b/pkg/cli/tree_edit.go
@@ -79,7 +79,7 @@
 	parser := newSubcommand("set", "set one key at a node of the tree, and create the node if needed",
 		"martenwheel tree set /assistant keep_alive=5m",
 		"martenwheel tree set /assistant/llama/glaze-7b max_replicas=3 --base 41")
-	parser.AddPositionalValue(&path, "path", 1, true, "node of the tree")
+	addPath(parser, &path)
 	parser.AddPositionalValue(&assignment, "key=value", 2, true, "setting and its new value with unit")
 	flags.bind(parser)
 	run := func(streams Streams) int {
@@ -100,7 +100,7 @@
 	)
 	parser := newSubcommand("unset", "let a node of the tree inherit one key again",
 		"martenwheel tree unset /assistant keep_alive")
-	parser.AddPositionalValue(&path, "path", 1, true, "node of the tree")
+	addPath(parser, &path)
 	parser.AddPositionalValue(&key, "key", 2, true, "setting")
 	flags.bind(parser)
 	run := func(streams Streams) int {
@@ -116,7 +116,7 @@
 	)
 	parser := newSubcommand("remove", "remove a node of the tree with all below it",
 		"martenwheel tree remove /assistant/llama/glaze-7b/studio-3")
-	parser.AddPositionalValue(&path, "path", 1, true, "node of the tree")
+	addPath(parser, &path)
 	flags.bind(parser)
 	run := func(streams Streams) int {
 		return flags.commit(streams, tree.Edit{Path: tree.Path(path), Remove: true})
