gateway, keeper: tests share the bounded request and the check of a verdict

Three tests of the gateway wrote the same request with max_tokens, and six places in the keeper's tests the same check of a verdict: boundedBody and expectVerdict. Two checks that ended their test at once now go on; each still fails it.

--- a/pkg/gateway/move_support_test.go
+++ b/pkg/gateway/move_support_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"testing"
 
@@ -155,8 +154,7 @@
 // postMoving asks for a stream of movedTokens.
 func postMoving(t *testing.T, url, model string) reply {
 	t.Helper()
-	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"kiln 4"}]}`, model, movedTokens)
-	return chat(t, url, body, map[string]string{HeaderIdempotencyKey: "key"})
+	return chat(t, url, boundedBody(model, "kiln 4", true, movedTokens), map[string]string{HeaderIdempotencyKey: "key"})
 }
 
 // check checks that every grant was given back once.
--- a/pkg/gateway/move_test.go
+++ b/pkg/gateway/move_test.go
@@ -160,8 +160,7 @@
 	for number := range streams {
 		group.Go(func() error {
 			prompt := fmt.Sprint("kiln ", number)
-			body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, glaze, movedTokens, prompt)
-			got, err := tryPost(client, url+"/v1/chat/completions", body, nil)
+			got, err := tryPost(client, url+"/v1/chat/completions", boundedBody(glaze, prompt, true, movedTokens), nil)
 			if err != nil {
 				return err
 			}
--- a/pkg/gateway/standin_test.go
+++ b/pkg/gateway/standin_test.go
@@ -100,8 +100,7 @@
 			for number := range requests {
 				prompt := fmt.Sprintf("prompt %d of %d", number, caller)
 				stream := number%2 == 0
-				body := fmt.Sprintf(`{"model":"glaze-7b","stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, stream, tokens, prompt)
-				got, err := tryPost(client, url+"/v1/chat/completions", body, nil)
+				got, err := tryPost(client, url+"/v1/chat/completions", boundedBody(glaze, prompt, stream, tokens), nil)
 				if err != nil {
 					return err
 				}
@@ -109,7 +108,7 @@
 				if err != nil {
 					return err
 				}
-				if err := checkStandInText(text, prompt, tokens, complete); err != nil {
+				if err := checkStandInTokens(glaze, text, prompt, tokens, complete); err != nil {
 					return err
 				}
 			}
@@ -121,13 +120,8 @@
 	}
 }
 
-// checkStandInText checks that each token is marked as the prompt's, and that
-// a complete answer has all tokens in order.
-func checkStandInText(text, prompt string, tokens int, complete bool) error {
-	return checkStandInTokens("glaze-7b", text, prompt, tokens, complete)
-}
-
-// checkStandInTokens does so for the answer of any model.
+// checkStandInTokens checks that each token is marked as the model's answer to
+// the prompt, and that a complete answer has all tokens in order.
 func checkStandInTokens(model, text, prompt string, tokens int, complete bool) error {
 	mark := standin.Mark(model, "user\n"+prompt+"\n")
 	received := strings.Fields(text)
--- a/pkg/gateway/support_test.go
+++ b/pkg/gateway/support_test.go
@@ -94,6 +94,11 @@
 	return fmt.Sprintf(`{"model":%q,"stream":%t,"messages":[{"role":"user","content":%q}]}`, model, stream, mark)
 }
 
+// boundedBody is chatBody with a bound on the tokens.
+func boundedBody(model, prompt string, stream bool, tokens int) string {
+	return strings.Replace(chatBody(model, prompt, stream), "{", fmt.Sprintf(`{"max_tokens":%d,`, tokens), 1)
+}
+
 // reply is an answer as a caller sees it.
 type reply struct {
 	status int
--- a/pkg/keeper/client_test.go
+++ b/pkg/keeper/client_test.go
@@ -71,17 +71,23 @@
 	})
 }
 
+// expectVerdict claims and checks the verdict.
+func expectVerdict(t testing.TB, client *Client, claim Claim, want Verdict) Decision {
+	t.Helper()
+	decision := client.Claim(t.Context(), claim)
+	if decision.Verdict != want {
+		t.Errorf("key %s, attempt %s: verdict %d, want %d", claim.Key.Value, claim.Attempt, decision.Verdict, want)
+	}
+	return decision
+}
+
 func TestClaimThroughItsLife(t *testing.T) {
 	withClient(t, func(t *testing.T, _ *fakeNetwork, client *Client) {
 		ctx := t.Context()
 		first := testClaim("k", "1")
 		expect := func(attempt string, want Verdict) Decision {
 			t.Helper()
-			decision := client.Claim(ctx, testClaim("k", attempt))
-			if decision.Verdict != want {
-				t.Errorf("attempt %s: verdict %d, want %d", attempt, decision.Verdict, want)
-			}
-			return decision
+			return expectVerdict(t, client, testClaim("k", attempt), want)
 		}
 		granted := expect("1", VerdictGranted)
 		if !granted.StillValid(time.Now()) || granted.StillValid(time.Now().Add(MaxGrantAge)) {
@@ -102,9 +108,7 @@
 		}
 		other := testClaim("k", "5")
 		other.Digest[0] = 1
-		if got := client.Claim(ctx, other); got.Verdict != VerdictMismatch {
-			t.Errorf("another body: verdict %d", got.Verdict)
-		}
+		expectVerdict(t, client, other, VerdictMismatch) // another body
 		time.Sleep(first.Retention + MaxGrantAge)
 		expect("6", VerdictGranted)
 		client.Release(ctx, testClaim("k", "6"))
@@ -145,9 +149,7 @@
 				clear(network.down)
 				clear(network.hung)
 				if test.want == VerdictNoQuorum {
-					if got := client.Claim(t.Context(), testClaim("k", "2")); got.Verdict != VerdictGranted {
-						t.Errorf("grants of a failed claim were left: verdict %d", got.Verdict)
-					}
+					expectVerdict(t, client, testClaim("k", "2"), VerdictGranted) // no grants of the failed claim are left
 				}
 			})
 		})
@@ -199,9 +201,7 @@
 // TestRunCopiesAndForgets replaces a member while one source hangs.
 func TestRunCopiesAndForgets(t *testing.T) {
 	withClient(t, func(t *testing.T, network *fakeNetwork, client *Client) {
-		if got := client.Claim(t.Context(), testClaim("k", "1")); got.Verdict != VerdictGranted {
-			t.Fatalf("verdict %d", got.Verdict)
-		}
+		expectVerdict(t, client, testClaim("k", "1"), VerdictGranted)
 		client.Close()
 		fresh := api.NodeRef{ID: "d", Incarnation: 1, PeerAddress: "d"}
 		next := testConfiguration()
--- a/pkg/keeper/peer_test.go
+++ b/pkg/keeper/peer_test.go
@@ -60,16 +60,12 @@
 	for _, keeper := range keepers {
 		keeper.SetConfiguration(first)
 	}
-	if got := client.Claim(t.Context(), testClaim("k", "1")); got.Verdict != VerdictGranted {
-		t.Fatalf("verdict %d", got.Verdict)
-	}
+	expectVerdict(t, client, testClaim("k", "1"), VerdictGranted)
 	client.Complete(t.Context(), testClaim("k", "1"), Answer{Status: 200, Body: []byte("held")})
 	for _, keeper := range keepers {
 		keeper.SetConfiguration(second)
 	}
-	if got := client.Claim(t.Context(), testClaim("other", "1")); got.Verdict != VerdictNoQuorum {
-		t.Errorf("claim with the configuration before: verdict %d", got.Verdict)
-	}
+	expectVerdict(t, client, testClaim("other", "1"), VerdictNoQuorum) // with the configuration before
 	for range 10 {
 		if !keepers[3].CopyRecords(t.Context(), transport) {
 			break
