--- a/pkg/traffic/fairqueue/queue_test.go
+++ b/pkg/traffic/fairqueue/queue_test.go
@@ -115,18 +115,24 @@
 	}
 }
 
+// serveCounting serves items and counts them by name.
+func serveCounting(queue *Queue[int], count int, name func(*Item[int]) string) map[string]int {
+	served := map[string]int{}
+	for range count {
+		item := queue.Next()
+		served[name(item)]++
+		queue.Serve(item)
+	}
+	return served
+}
+
 func TestWeightsShareBetweenClasses(t *testing.T) {
 	queue := New[int](0)
 	for index := range 400 {
 		queue.Push(&Item[int]{Class: fmt.Sprint(index % 2), Flow: "f", Cost: 10})
 	}
 	queue.SetWeight("0", 3)
-	served := map[string]int{}
-	for range 100 {
-		item := queue.Next()
-		served[item.Class]++
-		queue.Serve(item)
-	}
+	served := serveCounting(queue, 100, func(item *Item[int]) string { return item.Class })
 	if served["0"] < 73 || served["0"] > 77 {
 		t.Errorf("class of weight 3 got %d of 100 places beside one of weight 1", served["0"])
 	}
@@ -138,12 +144,7 @@
 		queue.Push(&Item[int]{Class: "c", Flow: "urgent", Priority: 1, Cost: 10})
 		queue.Push(&Item[int]{Class: "c", Flow: "normal", Cost: 10})
 	}
-	served := map[string]int{}
-	for range 100 {
-		item := queue.Next()
-		served[item.Flow]++
-		queue.Serve(item)
-	}
+	served := serveCounting(queue, 100, func(item *Item[int]) string { return item.Flow })
 	if served["urgent"] < 54 || served["urgent"] > 56 {
 		t.Errorf("the urgent flow got %d of 100 places, want half and a head start of 10", served["urgent"])
 	}
