tree: edits without effect are dropped before anything is resolved

An edit that left a node's overrides as they were was told apart only when the affected nodes were listed; below another edit such a node was parsed and made anew. Both are now one step. TestOnlyTheEditedBranchIsNew has such an edit.

--- a/pkg/tree/bench_test.go
+++ b/pkg/tree/bench_test.go
@@ -66,7 +66,8 @@
 // of a peer: it applies it, checks its digest and reads the models.
 func BenchmarkReceiveChange(b *testing.B) {
 	edits := map[string]Edit{
-		"service":    {Path: "/service3", Key: "keep_alive", Value: "9m"},
+		"service":    {Path: "/service3", Key: "keep_alive", Value: "9m"}, // overridden by its models
+		"branch":     {Path: "/service3", Key: "deadline", Value: "9s"},
 		"model":      {Path: "/service3/family3/model3", Key: "keep_alive", Value: "9m"},
 		"root":       {Path: "/", Key: "deadline", Value: "9s"},
 		"newAdapter": {Path: "/service3/family3/model3/new"},
--- a/pkg/tree/derive.go
+++ b/pkg/tree/derive.go
@@ -35,8 +35,8 @@
 	return derive(new(Tree), revision, nodes, refused)
 }
 
-// derive returns base with the touched nodes under another revision. The
-// findings are those of a tree that is built anew.
+// derive returns base with the touched nodes, which it takes over, under another
+// revision. The findings are those of a tree that is built anew.
 func derive(base *Tree, revision Revision, changed touched, refused faults) (*Tree, error) {
 	d := &derivation{base: base, touched: changed, refused: refused, next: &Tree{revision: revision}}
 	d.arrange()
@@ -56,15 +56,17 @@
 }
 
 // arrange lists the nodes of the next tree, those that are the same as before
-// and those that are yet to be resolved.
+// and those that are yet to be resolved. It forgets edits without effect.
 func (d *derivation) arrange() {
 	for _, path := range sortedKeys(d.touched) {
-		_, existed := search(d.base.nodes, path)
+		before, existed := d.base.own(path)
 		switch own := d.touched[path]; {
 		case own == nil && existed:
 			d.removed++
 		case own != nil && !existed:
 			d.created = append(d.created, newNode(path, own))
+		case maps.Equal(before, own):
+			delete(d.touched, path)
 		}
 	}
 	if d.restructured() {
@@ -93,21 +95,14 @@
 func (d *derivation) affected() []int {
 	var places []int
 	for path, own := range d.touched {
-		if own == nil || d.isUnchanged(path, own) {
-			continue
+		if own != nil {
+			visitBranch(d.next.nodes, path, func(index int) { places = append(places, index) })
 		}
-		visitBranch(d.next.nodes, path, func(index int) { places = append(places, index) })
 	}
 	slices.Sort(places)
 	return slices.Compact(places)
 }
 
-// isUnchanged tells whether the node at path had the same overrides before.
-func (d *derivation) isUnchanged(path Path, own overrides) bool {
-	before, existed := d.base.own(path)
-	return existed && maps.Equal(before, own)
-}
-
 // resolve gives the affected nodes their effective settings and checks them. It
 // returns the models among those that changed, without the created ones.
 func (d *derivation) resolve() []*node {
--- a/pkg/tree/derive_test.go
+++ b/pkg/tree/derive_test.go
@@ -156,6 +156,7 @@
 		{Edit{Path: "/assistant/llama/kiln-7b/new"}, []Path{"/assistant/llama/kiln-7b/new"}},
 		{Edit{Path: "/assistant/llama/glaze-7b/studio-4", Remove: true}, nil},
 		{Edit{Path: "/assistant", Key: "keep_alive", Value: "300s"}, nil},
+		{Edit{Path: "/booking/slots/slots-3b", Key: "memory", Value: "6144MiB"}, nil},
 		{Edit{Path: "/", Key: "keep_alive", Value: "1m"}, []Path{"/", "/booking", "/booking/slots", "/booking/slots/slots-3b"}},
 	}
 	for _, test := range cases {
