control, quorum: files by job, and an overview to begin with

Cause: machine.go, sync.go, cells.go and quorum/types.go each held several jobs, and nothing told a reader where to begin. Declarations were moved whole: machines.go, answers.go, nodes.go, trees.go, claims.go, views.go, sink.go, and in quorum messages.go, members.go, timing.go, state.go. doc.go of both packages says which file tells what.

Step and SetTree began a step with the same two lines, which are begin now. A wrapper that only named machinesOf is gone. The comment on epoch said that it is for logs and status; formation decides by it.

--- a/pkg/control/cells.go
+++ b/pkg/control/cells.go
@@ -6,9 +6,6 @@
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/control/cell"
 	"martenwheel.dev/pkg/control/quorum"
-	"martenwheel.dev/pkg/control/weights"
-	"martenwheel.dev/pkg/engine"
-	"martenwheel.dev/pkg/platform"
 	"martenwheel.dev/pkg/tree"
 )
 
@@ -16,9 +13,6 @@
 // event. More than one round is needed only while commits are immediate.
 const advanceRounds = 4
 
-// publishPause is the shortest time between two views of an owner.
-const publishPause = 50 * time.Millisecond
-
 // cellControl is this node's part in one cell: its place in the quorum group,
 // the owner while it leads, and the newest view.
 type cellControl struct {
@@ -42,12 +36,6 @@
 	outboxes      []quorum.Member // in order of first use
 }
 
-// outbox collects the estimates for one node.
-type outbox struct {
-	to        api.NodeRef
-	estimates []api.LoadEstimate
-}
-
 func newCellControl(m *Machine, name api.CellName) *cellControl {
 	return &cellControl{
 		machine: m,
@@ -158,124 +146,7 @@
 	}
 }
 
-// publishView hands a changed view to this node's routers and to all nodes of
-// the region.
-func (c *cellControl) publishView() {
-	if c.machine.now.Before(c.publishAt) {
-		return
-	}
-	committed := c.group.Committed()
-	if committed.ConfigVersion() != c.view.ConfigVersion {
-		c.owner.MarkChanged()
-	}
-	view, changed := c.owner.TakeView()
-	if !changed {
-		return
-	}
-	view.Members = committed.Members
-	view.PreviousMembers = committed.Previous
-	view.ConfigVersion = committed.ConfigVersion()
-	var message any = ViewPush{View: view}
-	if delta, ok := makeDelta(c.view, view); ok {
-		message = delta
-	}
-	c.view = view
-	c.publishAt = c.machine.now.Add(publishPause)
-	c.machine.emit(PublishView{View: view})
-	for _, node := range c.machine.liveNodes() {
-		if !c.machine.isSelf(node) {
-			c.machine.send(node, message)
-		}
-	}
-}
-
-// takeView takes over a newer view of a cell.
-func (m *Machine) takeView(view api.CellView) {
-	c := m.ensureCell(view.Cell)
-	c.group.Supersede(quorum.Epoch(view.Term))
-	if !view.NewerThan(c.view) {
-		return
-	}
-	newLeader := !sameNode(view.Leader, c.view.Leader) || view.Term != c.view.Term
-	c.view = view
-	m.emit(PublishView{View: view})
-	m.updateDigest() // for nodes that the owner does not reach
-	if newLeader {
-		m.repeatDemand(c)
-	}
-}
-
-func (m *Machine) answerViewRequest(from api.NodeRef, request ViewRequest) {
-	if c, known := m.cells[request.Cell]; known && c.view.Term > 0 {
-		m.send(from, ViewPush{View: c.view})
-	}
-}
-
-func (c *cellControl) ownMachines(list platform.MachineList) platform.MachineList {
-	return machinesOf(list, c.name)
-}
-
-// OrderEngine implements cell.Sink.
-func (c *cellControl) OrderEngine(server api.ServerID, address string, order engine.Order) {
-	c.machine.emit(OrderEngine{Server: server, Address: address, Order: order})
-}
-
-// ReadInventory implements cell.Sink.
-func (c *cellControl) ReadInventory(server api.ServerID, address string, request engine.InventoryRequest) {
-	c.machine.emit(ReadInventory{Server: server, Address: address, Request: request})
-}
-
-// Estimate implements cell.Sink.
-func (c *cellControl) Estimate(to api.NodeRef, estimate api.LoadEstimate) {
-	if c.machine.isSelf(to) {
-		c.machine.emit(PublishEstimate{Estimate: estimate})
-		return
-	}
-	if c.estimates == nil {
-		c.estimates = make(map[quorum.Member]*outbox)
-	}
-	member := quorum.MemberOf(to)
-	if c.estimates[member] == nil {
-		c.estimates[member] = &outbox{to: to}
-		c.outboxes = append(c.outboxes, member)
-	}
-	c.estimates[member].estimates = append(c.estimates[member].estimates, estimate)
-}
-
-func (c *cellControl) flushEstimates() {
-	for _, member := range c.outboxes {
-		box := c.estimates[member]
-		c.machine.send(box.to, Estimates{Cell: c.name, Estimates: box.estimates})
-	}
-	c.estimates, c.outboxes = nil, nil
-}
-
-// Log implements cell.Sink.
-func (c *cellControl) Log(level, message string, fields ...any) {
-	c.machine.emit(Log{Level: level, Message: message, Fields: append([]any{"cell", c.name}, fields...)})
-}
-
-// allocation is the cell's part of the weight store's slots.
-func (c *cellControl) allocation(now time.Time) weights.Allocation {
-	m := c.machine
-	budget := weights.Budget{Slots: 1, Rate: 1}
-	if m.settings != nil {
-		root := m.settings.Root()
-		budget = weights.Budget{Slots: root.WeightFullSpeed, Rate: root.WeightLoadRate}
-	}
-	var others []weights.Claim
-	for _, name := range m.cellOrder {
-		if name != c.name {
-			others = append(others, m.cells[name].claim(now))
-		}
-	}
-	return weights.Share(now, budget, c.owner.Claim(now), others)
-}
-
-// claim returns the cell's claim on the weight store as known here.
-func (c *cellControl) claim(now time.Time) weights.Claim {
-	if c.owner != nil {
-		return c.owner.Claim(now)
-	}
-	return c.loads.claim
+// epoch returns the epoch of the newest view of the cell, or zero without one.
+func (c *cellControl) epoch() uint64 {
+	return quorum.Epoch(c.view.Term)
 }
--- a/pkg/control/machine.go
+++ b/pkg/control/machine.go
@@ -9,7 +9,6 @@
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/control/quorum"
 	"martenwheel.dev/pkg/membership"
-	"martenwheel.dev/pkg/platform"
 	"martenwheel.dev/pkg/tree"
 )
 
@@ -64,10 +63,11 @@
 	return m
 }
 
-// Step handles an event at the time now, which never goes back.
+// Step handles an event at the time now, which never goes back, and returns what
+// the node is to do about it. Failures are events and effects too: there is no
+// error to return. It is for the goroutine that owns the machine.
 func (m *Machine) Step(now time.Time, event Event) []Effect {
-	m.now = now
-	m.live = nil
+	m.begin(now)
 	switch e := event.(type) {
 	case Tick:
 		m.tick()
@@ -91,6 +91,12 @@
 	return m.finish()
 }
 
+// begin starts a step at the time now.
+func (m *Machine) begin(now time.Time) {
+	m.now = now
+	m.live = nil
+}
+
 // finish lets the owners act on what is new and returns the effects.
 func (m *Machine) finish() []Effect {
 	for _, name := range m.cellOrder {
@@ -186,127 +192,6 @@
 	return c
 }
 
-// isSelf tells whether node is this life of this node.
-func (m *Machine) isSelf(node api.NodeRef) bool {
-	return sameNode(node, m.config.Self)
-}
-
-func sameNode(a, b api.NodeRef) bool {
-	return quorum.MemberOf(a) == quorum.MemberOf(b)
-}
-
-// liveNodes returns the nodes of this region that are not known to be dead,
-// with this node among them unless it stops.
-func (m *Machine) liveNodes() []api.NodeRef {
-	if m.live != nil {
-		return m.live
-	}
-	live := []api.NodeRef{}
-	for _, member := range m.membership.Members() {
-		if member.Ref.Region != m.config.Self.Region || member.State > membership.StateSuspect {
-			continue
-		}
-		if m.stopping && m.isSelf(member.Ref) {
-			continue
-		}
-		live = append(live, member.Ref)
-	}
-	m.live = live
-	return live
-}
-
-func isAmong(node api.NodeRef, nodes []api.NodeRef) bool {
-	for _, other := range nodes {
-		if sameNode(node, other) {
-			return true
-		}
-	}
-	return false
-}
-
-// pollMachines reads the list of machines while this node owns a cell or is
-// about to form a group.
-func (m *Machine) pollMachines() {
-	if !m.machinesAsked.IsZero() && m.now.Sub(m.machinesAsked) < m.timing.ListTimeout {
-		return
-	}
-	if m.now.Before(m.machinesAt) || !m.needsMachines() {
-		return
-	}
-	m.machinesAsked = m.now
-	m.machinesAt = m.now.Add(m.timing.MachinePoll)
-	m.emit(ListMachines{Region: m.config.Self.Region})
-}
-
-func (m *Machine) needsMachines() bool {
-	for _, name := range m.cellOrder {
-		c := m.cells[name]
-		if c.owner != nil || c.formation.needsMachines() {
-			return true
-		}
-	}
-	return false
-}
-
-func (m *Machine) takeMachines(e MachinesListed) {
-	m.machinesAsked = time.Time{}
-	if e.Err != nil {
-		m.machinesAt = m.now.Add(m.timing.MachinePoll + m.jitter(m.timing.MachinePoll))
-	}
-	for _, name := range m.cellOrder {
-		c := m.cells[name]
-		list := c.ownMachines(e.List)
-		if c.owner != nil && e.Err == nil {
-			c.owner.Listed(m.now, list)
-		}
-		c.formationListed(list, e.Err)
-	}
-}
-
 func (m *Machine) jitter(limit time.Duration) time.Duration {
 	return time.Duration(m.random.Int64N(int64(limit) + 1))
 }
-
-func (m *Machine) takeOrderAnswer(e OrderAnswered) {
-	for _, name := range m.cellOrder {
-		if owner := m.cells[name].owner; owner != nil {
-			owner.OrderAnswered(m.now, e.Server, e.Order, e.Result, e.Err)
-		}
-	}
-}
-
-func (m *Machine) takeInventory(e InventoryAnswered) {
-	for _, name := range m.cellOrder {
-		if owner := m.cells[name].owner; owner != nil {
-			owner.InventoryAnswered(m.now, e.Server, e.Request, e.Inventory, e.Err)
-		}
-	}
-}
-
-func (m *Machine) takeRecord(e RecordRead) {
-	for _, name := range m.cellOrder {
-		if c := m.cells[name]; c.recordKey() == e.Key {
-			c.takeRecord(e.Record, e.Err)
-		}
-	}
-}
-
-func (m *Machine) takeCommit(e RecordCommitted) {
-	for _, name := range m.cellOrder {
-		if c := m.cells[name]; c.calls.token == e.Transaction.Token {
-			c.takeCommit(e.Err)
-		}
-	}
-}
-
-// machinesOf returns the machines of a list that belong to a cell.
-func machinesOf(list platform.MachineList, name api.CellName) platform.MachineList {
-	var own []platform.Machine
-	for _, machine := range list.Machines {
-		if api.MakeCellName(machine.Service, machine.Region) == name {
-			own = append(own, machine)
-		}
-	}
-	list.Machines = own
-	return list
-}
--- /dev/null
+++ b/pkg/control/quorum/members.go
@@ -0,0 +1,46 @@
+package quorum
+
+import (
+	"martenwheel.dev/pkg/api"
+)
+
+// Member identifies one life of a node.
+type Member struct {
+	ID          api.NodeID
+	Incarnation uint64
+}
+
+// MemberOf returns the identity of a node's life.
+func MemberOf(node api.NodeRef) Member {
+	return Member{ID: node.ID, Incarnation: node.Incarnation}
+}
+
+func majority(members []api.NodeRef, has func(Member) bool) bool {
+	count := 0
+	for _, node := range members {
+		if has(MemberOf(node)) {
+			count++
+		}
+	}
+	return 2*count > len(members)
+}
+
+func contains(nodes []api.NodeRef, node api.NodeRef) bool {
+	for _, other := range nodes {
+		if MemberOf(other) == MemberOf(node) {
+			return true
+		}
+	}
+	return false
+}
+
+// without returns the nodes that are not among others.
+func without(nodes, others []api.NodeRef) []api.NodeRef {
+	var left []api.NodeRef
+	for _, node := range nodes {
+		if !contains(others, node) {
+			left = append(left, node)
+		}
+	}
+	return left
+}
--- a/pkg/control/types.go
+++ b/pkg/control/types.go
@@ -1,8 +1,3 @@
-// Package control is the control side of one node as a pure state machine: the
-// membership of nodes, the quorum groups that own cells, the cells that this
-// node owns, and the floor of the settings tree. One goroutine owns a Machine;
-// real processes, hollow ones and the tests under virtual time run the same
-// code.
 package control
 
 import (
