--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -1,5 +1,3 @@
-// Package node runs one process of martenwheel: it wires the libraries of the
-// control side and of the traffic side together and starts and stops them.
 package node
 
 import (
@@ -39,7 +37,8 @@
 	Peers     string `json:"peers"`
 }
 
-// Node is one process of martenwheel.
+// Node is one process of martenwheel. Addresses, Status and Ready may be called
+// from any goroutine; Run once.
 type Node struct {
 	settings settings.Settings
 	logger   hclog.Logger
@@ -66,7 +65,9 @@
 	stopControl context.CancelFunc
 }
 
-// New opens the listeners and wires the parts. Nothing runs before Run.
+// New opens the listeners and wires the parts. Nothing runs before Run. It fails
+// if a file of keys or certificates is faulty, a setting of the platform is, or
+// an address can't be listened on; findings.Error tells of all faulty files.
 func New(options Options) (*Node, error) {
 	logger, err := newLogger(options)
 	if err != nil {
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -13,12 +13,15 @@
 	"martenwheel.dev/pkg/tree"
 )
 
-// inspectTimeout bounds how long a status waits for the control loop.
+// inspectTimeout bounds how long a status or the metrics wait for the control
+// loop.
 const inspectTimeout = 2 * time.Second
 
+// errNoTree means that the node has not got its first tree.
 var errNoTree = errors.New("no tree of settings yet")
 
-// Status implements operator.StatusSource.
+// Status implements operator.StatusSource. Without an answer of the control loop
+// in time, it names no other nodes.
 func (n *Node) Status() operator.Status {
 	ctx, cancel := context.WithTimeout(context.Background(), inspectTimeout)
 	defer cancel()
--- a/pkg/node/wiring.go
+++ b/pkg/node/wiring.go
@@ -92,15 +92,22 @@
 	})
 	n.keeping = newKeeping(self)
 	n.loop = newLoop(machine, n.view, n.trees, n.keeping)
-	for _, metrics := range []prometheus.Collector{collector{loop: n.loop, counters: n.counters}, n.keeping.keeper} {
-		if err := n.registry.Register(metrics); err != nil {
-			return errors.Wrap(err, "node: register metrics")
-		}
+	if err := n.registerMetrics(collector{loop: n.loop, counters: n.counters}, n.keeping.keeper); err != nil {
+		return err
 	}
+	n.store = tree.NewStore(clients.table, clients.objects)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stopControl = cancel
+	n.executor = n.newExecutor(ctx, clients)
+	n.loop.carryOut = n.executor.carryOut
+	return nil
+}
+
+// newExecutor returns what carries out the effects of the control loop until
+// ctx ends.
+func (n *Node) newExecutor(ctx context.Context, clients platformClients) *executor {
 	logger := n.logger.Named("control")
-	n.executor = &executor{
+	x := &executor{
 		ctx:       ctx,
 		loop:      n.loop,
 		view:      n.view,
@@ -111,16 +118,23 @@
 		keeping:   n.keeping,
 		logger:    logger,
 	}
-	n.store = tree.NewStore(clients.table, clients.objects)
-	n.executor.fetcher = &treeFetcher{
+	x.fetcher = &treeFetcher{
 		ctx:       ctx,
-		tasks:     &n.executor.tasks,
+		tasks:     &x.tasks,
 		trees:     n.trees,
 		store:     n.store,
 		transport: n.transport,
 		logger:    logger,
 	}
-	n.loop.carryOut = n.executor.carryOut
+	return x
+}
+
+func (n *Node) registerMetrics(collectors ...prometheus.Collector) error {
+	for _, metrics := range collectors {
+		if err := n.registry.Register(metrics); err != nil {
+			return errors.Wrap(err, "node: register metrics")
+		}
+	}
 	return nil
 }
 
@@ -140,8 +154,8 @@
 		Zone:    n.settings.Node.Zone,
 		Seed:    n.server.Self().Incarnation,
 	})
-	if err := n.registry.Register(traffic.Collector{Router: n.router}); err != nil {
-		return errors.Wrap(err, "node: register metrics")
+	if err := n.registerMetrics(traffic.Collector{Router: n.router}); err != nil {
+		return err
 	}
 	n.claims = keeper.NewClient(n.transport, n.keeping.configuration, time.Now, 0)
 	config := gateway.Config{
