explore: tests share what they repeated, files by job

Merged, with all checks kept: - the five tests that take one mechanism away (TestIntentsAreNeeded, TestAdmissionIsNeeded, TestVerifyIsNeeded, TestOldListIsNotBelieved, TestInstanceIsNeeded) run by isNeeded, with the sites, seeds and switches they had; it logs what broke for each, as only one of them did - 19 waits that end the test are mustReach - orders and inventories reach an engine by callEngine

--- a/pkg/control/explore/alone_test.go
+++ b/pkg/control/explore/alone_test.go
@@ -19,14 +19,10 @@
 	w.addServer("s2", 24)
 	n := w.addNode("n1", "z1")
 	defer printTrace(t, w)
-	if !w.runUntil(10*time.Second, func() bool { return w.owner() == n }) {
-		t.Fatal("the node does not own the cell")
-	}
+	w.mustReach(t, 10*time.Second, func() bool { return w.owner() == n }, "the node does not own the cell")
 	w.run(time.Second)
 	n.report("glaze-7b", 1, 0)
-	if !w.runUntil(5*time.Second, func() bool { return w.ready("glaze-7b") == 1 }) {
-		t.Fatal("the model is not loaded")
-	}
+	w.mustReach(t, 5*time.Second, func() bool { return w.ready("glaze-7b") == 1 }, "the model is not loaded")
 	w.run(time.Second)
 	if estimate := n.estimate["glaze-7b"]; !estimate.Accepted {
 		t.Errorf("estimate = %+v, want accepted", estimate)
@@ -35,9 +31,7 @@
 		t.Errorf("published replicas = %v, want one that is ready", got)
 	}
 	n.report("glaze-7b", 0, 0)
-	if !w.runUntil(20*time.Second, func() bool { return w.ready("glaze-7b") == 0 && !w.servers[0].holds("glaze-7b") }) {
-		t.Fatal("the model is not unloaded after its keep-alive")
-	}
+	w.mustReach(t, 20*time.Second, func() bool { return w.ready("glaze-7b") == 0 && !w.servers[0].holds("glaze-7b") }, "the model is not unloaded after its keep-alive")
 }
 
 // TestPoliciesLoadAdapters lets each policy of the product serve a request for
@@ -85,3 +79,12 @@
 		t.Log("\n" + strings.Join(w.trace, "\n"))
 	}
 }
+
+// mustReach runs until the condition holds and ends the test with message if it
+// does not within limit.
+func (w *world) mustReach(t *testing.T, limit time.Duration, condition func() bool, message string) {
+	t.Helper()
+	if !w.runUntil(limit, condition) {
+		t.Fatal(message)
+	}
+}
--- /dev/null
+++ b/pkg/control/explore/calls_test.go
@@ -0,0 +1,239 @@
+package explore
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/control"
+	"martenwheel.dev/pkg/engine"
+	"martenwheel.dev/pkg/platform"
+)
+
+// latency is the one-way delay of a message.
+func (w *world) latency() time.Duration {
+	if w.chance(w.odds.late) {
+		return w.between(100*time.Millisecond, 15*time.Second)
+	}
+	return w.between(time.Millisecond, 5*time.Millisecond)
+}
+
+// depart runs send when the bytes leave the process, which is after it wakes if
+// it froze meanwhile. They may leave even if the process has died since.
+func (n *node) depart(send func()) {
+	life := n.life
+	n.world.after(n.world.between(0, 2*time.Millisecond), func() { n.departNow(life, send) })
+}
+
+func (n *node) departNow(life uint64, send func()) {
+	if n.life == life && n.frozen {
+		n.world.after(50*time.Millisecond, func() { n.departNow(life, send) })
+		return
+	}
+	send()
+}
+
+func (n *node) sendPeer(e control.SendPeer) {
+	w := n.world
+	if w.onSend != nil {
+		w.onSend(n, e)
+	}
+	from := n.ref()
+	n.depart(func() {
+		copies := 1
+		if w.chance(w.odds.duplicated) {
+			copies = 2
+		}
+		for range copies {
+			if w.chance(w.odds.lost) || w.cut(n.address(), e.To.PeerAddress) {
+				continue
+			}
+			w.after(w.latency(), func() { w.arrive(e.To.PeerAddress, control.PeerReceived{From: from, Message: e.Message}) })
+		}
+	})
+}
+
+func (w *world) arrive(address string, event control.Event) {
+	for _, n := range w.nodes {
+		if n.address() == address {
+			n.deliver(n.life, event)
+		}
+	}
+}
+
+type callFailure int
+
+// call carries out a request to another party and gives exactly one answer:
+// its result, a surely failed call, or an unknown outcome.
+func (n *node) call(party string, carryOut func(), answer func(failure callFailure) control.Event) {
+	w := n.world
+	life := n.life
+	reply := func(delay time.Duration, failure callFailure) {
+		w.after(delay, func() { n.deliver(life, answer(failure)) })
+	}
+	n.depart(func() {
+		if w.cut(n.address(), party) {
+			reply(time.Millisecond, callUnreached)
+			return
+		}
+		if w.chance(w.odds.lost) {
+			reply(callTimeout, callUnknown)
+			return
+		}
+		if w.chance(w.odds.duplicated) {
+			w.after(w.latency(), carryOut)
+		}
+		w.after(w.latency(), func() {
+			carryOut()
+			if w.chance(w.odds.answerLost) || w.cut(n.address(), party) {
+				reply(callTimeout, callUnknown)
+				return
+			}
+			reply(w.latency(), callAnswered)
+		})
+	})
+}
+
+func (f callFailure) engineError() error {
+	switch f {
+	case callUnreached:
+		return errors.WithStack(engine.ErrUnreachable)
+	case callUnknown:
+		return errors.WithStack(engine.ErrUnknownOutcome)
+	}
+	return nil
+}
+
+func (f callFailure) platformError() error {
+	switch f {
+	case callUnreached:
+		return errors.WithStack(platform.ErrUnavailable)
+	case callUnknown:
+		return errors.WithStack(platform.ErrUnknownOutcome)
+	}
+	return nil
+}
+
+func (n *node) orderEngine(e control.OrderEngine) {
+	if n.world.onOrder != nil {
+		n.world.onOrder(e)
+	}
+	given := ordering{issued: n.world.steps}
+	if n.tree != nil {
+		given.limit = n.tree.model(e.Order.Model).Settings.MaxReplicas
+	}
+	var result engine.OrderResult
+	carryOut := func(target *modelEngine) { result = target.order(e.Order, given) }
+	n.callEngine(e.Server, e.Address, carryOut, func(failure callFailure) control.Event {
+		answered := control.OrderAnswered{Server: e.Server, Order: e.Order, Err: failure.engineError()}
+		if failure == callAnswered {
+			answered.Result = result
+		}
+		return answered
+	})
+}
+
+func (n *node) readInventory(e control.ReadInventory) {
+	var inventory engine.Inventory
+	carryOut := func(target *modelEngine) { inventory = target.inventory(e.Request) }
+	n.callEngine(e.Server, e.Address, carryOut, func(failure callFailure) control.Event {
+		answered := control.InventoryAnswered{Server: e.Server, Request: e.Request, Err: failure.engineError()}
+		if failure == callAnswered {
+			answered.Inventory = inventory
+		}
+		return answered
+	})
+}
+
+// callEngine is call for a server's engine, which is not reached while it is
+// down.
+func (n *node) callEngine(id api.ServerID, address string, carryOut func(*modelEngine), answer func(callFailure) control.Event) {
+	target := n.world.server(id)
+	reached := false
+	carryOutIfUp := func() {
+		if target != nil && !target.down {
+			carryOut(target)
+			reached = true
+		}
+	}
+	n.call(address, carryOutIfUp, func(failure callFailure) control.Event {
+		if failure == callAnswered && !reached {
+			failure = callUnreached
+		}
+		return answer(failure)
+	})
+}
+
+func (n *node) listMachines() {
+	var list platform.MachineList
+	down := false
+	n.call("machines", func() { list, down = n.world.laggingList(), n.world.listDown }, func(failure callFailure) control.Event {
+		if down {
+			failure = callUnreached
+		}
+		return control.MachinesListed{List: list, Err: failure.platformError()}
+	})
+}
+
+func (n *node) readRecord(e control.ReadRecord) {
+	var record platform.Record
+	var err error
+	n.call("table", func() {
+		record, err = n.world.table.get(e.Key)
+		if n.world.table.down {
+			err = errors.WithStack(platform.ErrUnavailable)
+		}
+	}, func(failure callFailure) control.Event {
+		if failure != callAnswered {
+			err = failure.platformError()
+		}
+		return control.RecordRead{Key: e.Key, Record: record, Err: err}
+	})
+}
+
+func (n *node) commitRecord(e control.CommitRecord) {
+	var err error
+	n.call("table", func() {
+		if n.world.table.down {
+			err = errors.WithStack(platform.ErrUnavailable)
+			return
+		}
+		err = n.world.table.commit(e.Transaction)
+	}, func(failure callFailure) control.Event {
+		if failure != callAnswered {
+			err = failure.platformError()
+		}
+		return control.RecordCommitted{Transaction: e.Transaction, Err: err}
+	})
+}
+
+// fetchTree brings the tree of a peer, or one of the platform, which may be
+// stale.
+func (n *node) fetchTree(e control.FetchTree) {
+	w := n.world
+	life := n.life
+	n.depart(func() {
+		w.after(w.latency(), func() {
+			fetched := n.fetched(e.Peer)
+			w.after(w.latency(), func() { n.useTree(life, fetched) })
+		})
+	})
+}
+
+func (n *node) fetched(peer string) *settings {
+	w := n.world
+	if peer == "" {
+		if w.treeDown || w.cut(n.address(), "table") {
+			return nil
+		}
+		stale := min(len(w.trees)-1, w.random.IntN(2))
+		return w.trees[len(w.trees)-1-stale]
+	}
+	for _, other := range w.nodes {
+		if other.address() == peer && other.machine != nil && !w.cut(n.address(), peer) {
+			return other.tree
+		}
+	}
+	return nil
+}
--- a/pkg/control/explore/faults_test.go
+++ b/pkg/control/explore/faults_test.go
@@ -98,9 +98,7 @@
 func runFaults(t *testing.T, first, second int) {
 	w := smallSite(uint64(first*len(siteFaults) + second))
 	w.demandForAll()
-	if !w.runUntil(15*time.Second, func() bool { return w.servers[0].holds("m0") || w.servers[1].holds("m0") }) {
-		t.Fatal("no load begins")
-	}
+	w.mustReach(t, 15*time.Second, func() bool { return w.servers[0].holds("m0") || w.servers[1].holds("m0") }, "no load begins")
 	siteFaults[first].cause(w)
 	if second != first {
 		w.run(w.between(0, 3*time.Second))
@@ -184,9 +182,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			w := smallSite(7)
 			w.demandForAll()
-			if !w.runUntil(15*time.Second, func() bool { return w.ready("m0") == 1 }) {
-				t.Fatal("the site does not come up")
-			}
+			w.mustReach(t, 15*time.Second, func() bool { return w.ready("m0") == 1 }, "the site does not come up")
 			w.run(2 * time.Second)
 			began := w.now
 			c.leave(w)
@@ -206,9 +202,7 @@
 	w := smallSite(3)
 	w.addServer("s2", 23)
 	w.demandForAll()
-	if !w.runUntil(15*time.Second, func() bool { return w.ready("m0") == 1 }) {
-		t.Fatal("the site does not come up")
-	}
+	w.mustReach(t, 15*time.Second, func() bool { return w.ready("m0") == 1 }, "the site does not come up")
 	held := w.servers[0]
 	if !held.holds("m0") {
 		held = w.servers[1]
--- a/pkg/control/explore/scenarios_test.go
+++ b/pkg/control/explore/scenarios_test.go
@@ -9,43 +9,56 @@
 	"martenwheel.dev/pkg/control/internal/switches"
 )
 
-// TestIntentsAreNeeded: an owner that has been cut off from its group orders a
-// load from a server that the next owner does not reach.
-func TestIntentsAreNeeded(t *testing.T) {
-	cases := []struct {
-		name   string
-		unsafe switches.Set
-	}{
-		{"all mechanisms", switches.Set{}},
-		{"orders before intents are committed", switches.Set{NoIntents: true}},
-		{"intents committed without a majority", switches.Set{NoMajority: true}},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			w := newWorld(3)
-			w.unsafe = c.unsafe
-			w.addModel("m0", "", 10, 1)
-			w.addServer("s0", 23).leaving = true
-			w.addServer("s1", 23)
-			for index := range 3 {
-				w.addNode(fmt.Sprint("n", index), fmt.Sprint("z", index))
-			}
-			runCutOffOwner(t, w)
-			if broken, unsafe := w.failure != "", c.unsafe != (switches.Set{}); broken != unsafe {
+// isNeeded runs a scenario with all mechanisms and without each of those given: a
+// promise must break without one, and only then.
+func isNeeded(t *testing.T, site func(switches.Set) *world, run func(*testing.T, *world), without ...mechanism) {
+	t.Helper()
+	for _, m := range append([]mechanism{{name: "all mechanisms"}}, without...) {
+		t.Run(m.name, func(t *testing.T) {
+			w := site(m.unsafe)
+			run(t, w)
+			if broken, unsafe := w.failure != "", m.unsafe != (switches.Set{}); broken != unsafe {
 				t.Errorf("violation %q, want one: %t", w.failure, unsafe)
 			}
-			if w.failure == "" && !w.servers[0].holds("m0") {
-				t.Error("the next owner does not load the model")
-			}
+			t.Log(w.failure)
 		})
 	}
 }
 
+// scenarioSite has one model and no servers and nodes yet.
+func scenarioSite(seed uint64, unsafe switches.Set) *world {
+	w := newWorld(seed)
+	w.unsafe = unsafe
+	w.addModel("m0", "", 10, 1)
+	return w
+}
+
+// addNodes starts nodes in three zones.
+func (w *world) addNodes(count int) {
+	for index := range count {
+		w.addNode(fmt.Sprint("n", index), fmt.Sprint("z", index%3))
+	}
+}
+
+// TestIntentsAreNeeded: an owner that has been cut off from its group orders a
+// load from a server that the next owner does not reach.
+func TestIntentsAreNeeded(t *testing.T) {
+	site := func(unsafe switches.Set) *world {
+		w := scenarioSite(3, unsafe)
+		w.addServer("s0", 23).leaving = true
+		w.addServer("s1", 23)
+		w.addNodes(3)
+		return w
+	}
+	isNeeded(t, site, runCutOffOwner,
+		mechanism{"orders before intents are committed", switches.Set{NoIntents: true}},
+		mechanism{"intents committed without a majority", switches.Set{NoMajority: true}},
+	)
+}
+
 func runCutOffOwner(t *testing.T, w *world) {
 	t.Helper()
-	if !w.runUntil(20*time.Second, func() bool { return w.owner() != nil && w.allKnowOwner() }) {
-		t.Fatal("the site does not come up")
-	}
+	w.mustReach(t, 20*time.Second, w.allKnowOwner, "the site does not come up")
 	w.run(5 * time.Second)
 	old := w.owner()
 	for _, n := range w.nodes {
@@ -59,28 +72,22 @@
 	w.run(500 * time.Millisecond)
 	w.servers[0].leaving = false
 	w.run(10 * time.Second)
+	if w.failure == "" && !w.servers[0].holds("m0") {
+		t.Error("the next owner does not load the model")
+	}
 }
 
 // TestAdmissionIsNeeded: an owner uses a machine that is too new for the list
 // that the founder of the next epoch reads. With the machine in the record the
 // founder counts it; without, the model is loaded twice.
 func TestAdmissionIsNeeded(t *testing.T) {
-	for _, unsafe := range []bool{false, true} {
-		t.Run(fmt.Sprintf("without admission %t", unsafe), func(t *testing.T) {
-			w := newWorld(9)
-			w.unsafe = switches.Set{NoAdmission: unsafe, NoVerify: unsafe}
-			w.addModel("m0", "", 10, 1)
-			w.addServer("s0", 23).leaving = true
-			for index := range 3 {
-				w.addNode(fmt.Sprint("n", index), fmt.Sprint("z", index))
-			}
-			runLateMachine(t, w)
-			if broken := w.failure != ""; broken != unsafe {
-				t.Errorf("violation %q with admission switched off: %t", w.failure, unsafe)
-			}
-			t.Log(w.failure)
-		})
+	site := func(unsafe switches.Set) *world {
+		w := scenarioSite(9, unsafe)
+		w.addServer("s0", 23).leaving = true
+		w.addNodes(3)
+		return w
 	}
+	isNeeded(t, site, runLateMachine, mechanism{"without admission", switches.Set{NoAdmission: true, NoVerify: true}})
 }
 
 // runLateMachine loads the model on a late machine, loses the group, and gives
@@ -97,9 +104,7 @@
 	} else {
 		w.table.down = false
 	}
-	if !w.runUntil(5*time.Second, func() bool { return w.servers[1].holds("m0") }) {
-		t.Fatal("the late machine is not used")
-	}
+	w.mustReach(t, 5*time.Second, func() bool { return w.servers[1].holds("m0") }, "the late machine is not used")
 	w.table.down = false
 	w.cutFor(owner.address(), "table", time.Minute)
 	w.listLag = 10 * time.Second
@@ -122,23 +127,14 @@
 // that both know is reclaimed and comes back on the old side, after the new side
 // has read in the list that it is gone.
 func TestVerifyIsNeeded(t *testing.T) {
-	for _, unsafe := range []bool{false, true} {
-		t.Run(fmt.Sprintf("without verification %t", unsafe), func(t *testing.T) {
-			w := newWorld(4)
-			w.unsafe = switches.Set{NoVerify: unsafe}
-			w.addModel("m0", "", 10, 1)
-			w.addServer("s0", 23)
-			late := w.addServer("s1", 23)
-			late.leaving = true
-			for index := range 4 {
-				w.addNode(fmt.Sprint("n", index), fmt.Sprint("z", index%3))
-			}
-			runSplitReturn(t, w)
-			if broken := w.failure != ""; broken != unsafe {
-				t.Errorf("violation %q with verification switched off: %t", w.failure, unsafe)
-			}
-		})
+	site := func(unsafe switches.Set) *world {
+		w := scenarioSite(4, unsafe)
+		w.addServer("s0", 23)
+		w.addServer("s1", 23).leaving = true
+		w.addNodes(4)
+		return w
 	}
+	isNeeded(t, site, runSplitReturn, mechanism{"without verification", switches.Set{NoVerify: true}})
 }
 
 func runSplitReturn(t *testing.T, w *world) {
@@ -146,9 +142,7 @@
 	for _, n := range w.nodes {
 		w.keepWaiting(n, n.life)
 	}
-	if !w.runUntil(20*time.Second, func() bool { return w.ready("m0") == 1 }) {
-		t.Fatal("the model is not loaded")
-	}
+	w.mustReach(t, 20*time.Second, func() bool { return w.ready("m0") == 1 }, "the model is not loaded")
 	w.run(2 * time.Second)
 	old := w.owner()
 	oldSide := map[*node]bool{old: true}
@@ -163,9 +157,7 @@
 	w.servers[1].leaving = false
 	w.run(time.Second)
 	w.reclaim(w.servers[0])
-	if !w.runUntil(30*time.Second, func() bool { return w.servers[1].holds("m0") }) {
-		t.Fatal("the new side does not load the model")
-	}
+	w.mustReach(t, 30*time.Second, func() bool { return w.servers[1].holds("m0") }, "the new side does not load the model")
 	w.giveBack(w.servers[0])
 	w.run(10 * time.Second)
 }
@@ -200,36 +192,26 @@
 // TestOldListIsNotBelieved: a machine is reclaimed, comes back and is loaded on
 // again, and only then a list from the time in between says that it is gone.
 func TestOldListIsNotBelieved(t *testing.T) {
-	for _, unsafe := range []bool{false, true} {
-		t.Run(fmt.Sprintf("believed %t", unsafe), func(t *testing.T) {
-			w := newWorld(8)
-			w.unsafe = switches.Set{BelieveList: unsafe}
-			w.addModel("m0", "", 10, 1)
-			w.addServer("s0", 23)
-			w.addServer("s1", 23).leaving = true
-			n := w.addNode("n0", "z1")
-			w.keepWaiting(n, n.life)
-			runOldList(t, w)
-			if broken := w.failure != ""; broken != unsafe {
-				t.Errorf("violation %q with the list believed: %t", w.failure, unsafe)
-			}
-		})
+	site := func(unsafe switches.Set) *world {
+		w := scenarioSite(8, unsafe)
+		w.addServer("s0", 23)
+		w.addServer("s1", 23).leaving = true
+		n := w.addNode("n0", "z1")
+		w.keepWaiting(n, n.life)
+		return w
 	}
+	isNeeded(t, site, runOldList, mechanism{"old list believed", switches.Set{BelieveList: true}})
 }
 
 func runOldList(t *testing.T, w *world) {
 	t.Helper()
 	loaded := func() bool { return w.ready("m0") == 1 }
-	if !w.runUntil(15*time.Second, loaded) {
-		t.Fatal("the model is not loaded")
-	}
+	w.mustReach(t, 15*time.Second, loaded, "the model is not loaded")
 	w.listDown = true
 	w.reclaim(w.servers[0])
 	w.run(30 * time.Second)
 	w.giveBack(w.servers[0])
-	if !w.runUntil(15*time.Second, loaded) {
-		t.Fatal("the model is not loaded again")
-	}
+	w.mustReach(t, 15*time.Second, loaded, "the model is not loaded again")
 	w.servers[1].leaving = false
 	w.run(2 * time.Second)
 	w.listLag = 2*w.now.Sub(w.listing[len(w.listing)-1].AsOf) + time.Second
@@ -241,20 +223,16 @@
 // has restarted since, and so has seen no fence, before the next owner has read
 // the new instance's inventory.
 func TestInstanceIsNeeded(t *testing.T) {
-	for _, unsafe := range []bool{false, true} {
-		t.Run(fmt.Sprintf("without the instance %t", unsafe), func(t *testing.T) {
-			w := smallSite(2)
-			w.unsafe = switches.Set{NoInstance: unsafe}
-			for _, n := range w.nodes {
-				n.crash()
-				n.boot()
-			}
-			runLateOrder(t, w)
-			if broken := w.failure != ""; broken != unsafe {
-				t.Errorf("violation %q with the instance left out: %t", w.failure, unsafe)
-			}
-		})
+	site := func(unsafe switches.Set) *world {
+		w := smallSite(2)
+		w.unsafe = unsafe
+		for _, n := range w.nodes {
+			n.crash()
+			n.boot()
+		}
+		return w
 	}
+	isNeeded(t, site, runLateOrder, mechanism{"without the instance", switches.Set{NoInstance: true}})
 }
 
 // runLateOrder keeps a copy of the order that loads m0, lets the model be
@@ -271,13 +249,9 @@
 		}
 	}
 	w.keepWaiting(w.nodes[0], w.nodes[0].life)
-	if !w.runUntil(10*time.Second, func() bool { return w.servers[0].holds("m0") }) {
-		t.Fatal("the model is not loaded")
-	}
+	w.mustReach(t, 10*time.Second, func() bool { return w.servers[0].holds("m0") }, "the model is not loaded")
 	w.servers[0].leaving, w.servers[1].leaving = true, false
-	if !w.runUntil(30*time.Second, func() bool { return w.servers[1].holds("m0") }) {
-		t.Fatal("the model is not moved")
-	}
+	w.mustReach(t, 30*time.Second, func() bool { return w.servers[1].holds("m0") }, "the model is not moved")
 	w.servers[0].restart()
 	w.servers[0].order(late.Order, ordering{limit: 1})
 }
--- a/pkg/control/explore/switches_test.go
+++ b/pkg/control/explore/switches_test.go
@@ -6,14 +6,17 @@
 	"martenwheel.dev/pkg/control/internal/switches"
 )
 
+// mechanism is a safety mechanism with the switches that take it away.
+type mechanism struct {
+	name   string
+	unsafe switches.Set
+}
+
 // mechanisms are the safety mechanisms that random schedules soon show to be
 // needed. Others have tests of their own, which cause just what they are for:
 // see scenarios_test.go, TestPromiseIsNeeded in package quorum, and
 // TestLimitIsCheckedAgain and TestMemoryIsFreeOnlyWhenShown in package cell.
-var mechanisms = []struct {
-	name   string
-	unsafe switches.Set
-}{
+var mechanisms = []mechanism{
 	{"fenced inventories", switches.Set{NoFence: true}},
 	{"unknown servers count", switches.Set{UnknownIsEmpty: true}},
 	{"doubt settled by inventory", switches.Set{DoubtIsRefused: true}},
--- a/pkg/control/explore/takeover_test.go
+++ b/pkg/control/explore/takeover_test.go
@@ -27,9 +27,7 @@
 // an idle model for a request that waits since the kill.
 func takeover(t *testing.T, w *world, prepare func(w *world), place int) (owned, served time.Duration) {
 	t.Helper()
-	if !w.runUntil(20*time.Second, func() bool { return w.owner() != nil && w.allKnowOwner() }) {
-		t.Fatal("the site does not come up")
-	}
+	w.mustReach(t, 20*time.Second, w.allKnowOwner, "the site does not come up")
 	w.run(5 * time.Second)
 	prepare(w)
 	began := w.now
@@ -37,13 +35,9 @@
 	old.crash()
 	waiting := w.aliveNodes()[place]
 	w.keepWaiting(waiting, waiting.life)
-	if !w.runUntil(30*time.Second, func() bool { return w.owner() != nil && w.allKnowOwner() }) {
-		t.Fatal("nobody takes over")
-	}
+	w.mustReach(t, 30*time.Second, w.allKnowOwner, "nobody takes over")
 	owned = w.now.Sub(began)
-	if !w.runUntil(30*time.Second, func() bool { return w.holders("m0") > 0 }) {
-		t.Fatal("the new owner does not load the waiting model")
-	}
+	w.mustReach(t, 30*time.Second, func() bool { return w.holders("m0") > 0 }, "the new owner does not load the waiting model")
 	return owned, w.now.Sub(began)
 }
 
@@ -124,14 +118,12 @@
 // down: each dead member is replaced by the group itself.
 func TestOwnersFailOverRepeatedly(t *testing.T) {
 	w := ownSite(5, 6)
-	if !w.runUntil(20*time.Second, func() bool { return w.owner() != nil && w.allKnowOwner() }) {
-		t.Fatal("the site does not come up")
-	}
+	w.mustReach(t, 20*time.Second, w.allKnowOwner, "the site does not come up")
 	w.run(3 * time.Second)
 	w.table.down, w.treeDown = true, true
 	for round := range 4 {
 		w.owner().crash()
-		if !w.runUntil(20*time.Second, func() bool { return w.owner() != nil && w.allKnowOwner() }) {
+		if !w.runUntil(20*time.Second, w.allKnowOwner) {
 			t.Fatalf("nobody takes over in round %d", round)
 		}
 		w.run(8 * time.Second)
@@ -143,9 +135,7 @@
 // than a death would be noticed.
 func TestPlannedStop(t *testing.T) {
 	w := ownSite(6, 4)
-	if !w.runUntil(20*time.Second, func() bool { return w.owner() != nil && w.allKnowOwner() }) {
-		t.Fatal("the site does not come up")
-	}
+	w.mustReach(t, 20*time.Second, w.allKnowOwner, "the site does not come up")
 	w.run(3 * time.Second)
 	old := w.owner()
 	began := w.now
--- a/pkg/control/explore/world_test.go
+++ b/pkg/control/explore/world_test.go
@@ -4,7 +4,6 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"martenwheel.dev/pkg/api"
@@ -13,7 +12,6 @@
 	"martenwheel.dev/pkg/engine"
 	"martenwheel.dev/pkg/platform"
 	"martenwheel.dev/pkg/policy"
-	"martenwheel.dev/pkg/tree"
 )
 
 const (
@@ -75,14 +73,17 @@
 type eventQueue []scheduled
 
 func (q eventQueue) Len() int { return len(q) }
+
 func (q eventQueue) Less(i, j int) bool {
 	if !q[i].at.Equal(q[j].at) {
 		return q[i].at.Before(q[j].at)
 	}
 	return q[i].sequence < q[j].sequence
 }
+
 func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
 func (q *eventQueue) Push(x any)   { *q = append(*q, x.(scheduled)) }
+
 func (q *eventQueue) Pop() any {
 	old := *q
 	last := old[len(old)-1]
@@ -241,129 +242,6 @@
 	w.listMachines()
 }
 
-// check verifies the promises on the engines' true state.
-func (w *world) check() {
-	for _, e := range w.servers {
-		var held uint64
-		for _, item := range e.items {
-			if item.State != engine.ItemFailed {
-				held += item.held
-			}
-		}
-		if held > e.capacity {
-			w.fail("memory of %s overcommitted: %d of %d", e.id, held, e.capacity)
-		}
-	}
-	for _, model := range w.models {
-		w.checkReplicas(model)
-	}
-}
-
-// checkLoad verifies that an owner that ordered all replicas of a model itself
-// did not go beyond the limit that it knew when it gave the last of the orders.
-// It covers lowered limits.
-func (w *world) checkLoad(model api.ModelName) {
-	count := 0
-	var last *modelItem
-	for _, e := range w.servers {
-		if !e.holds(model) {
-			continue
-		}
-		item := e.items[model]
-		if last != nil && item.term != last.term {
-			return
-		}
-		if last == nil || item.issued > last.issued {
-			last = item
-		}
-		count++
-	}
-	if count > last.limit {
-		w.fail("%d replicas of %s after a load, at most %d decided (term %x)", count, model, last.limit, last.term)
-	}
-}
-
-// checkReplicas compares the replicas of a model with the largest limit that
-// was in force where one of them was ordered.
-func (w *world) checkReplicas(model api.ModelName) {
-	count, limit := 0, 0
-	var where []string
-	for _, e := range w.servers {
-		if e.holds(model) {
-			count++
-			limit = max(limit, e.items[model].limit)
-			where = append(where, fmt.Sprintf("%s (term %x)", e.id, e.items[model].term))
-		}
-	}
-	if count > limit {
-		w.fail("%d replicas of %s, at most %d decided: %s", count, model, limit, strings.Join(where, ", "))
-	}
-}
-
-// settings is a revision of a small tree.
-type settings struct {
-	revision tree.Revision
-	models   []tree.Model
-}
-
-func (s *settings) Revision() tree.Revision { return s.revision }
-func (s *settings) Models() []tree.Model    { return s.models }
-func (s *settings) Services() []string      { return []string{serviceName} }
-func (s *settings) Root() tree.Settings {
-	return tree.Settings{WeightFullSpeed: 8, WeightLoadRate: 4}
-}
-
-func (s *settings) model(name api.ModelName) tree.Model {
-	for _, model := range s.models {
-		if model.Name == name {
-			return model
-		}
-	}
-	return tree.Model{}
-}
-
-// addModel adds a model to the first revision.
-func (w *world) addModel(name, base string, gigabytes uint64, maxReplicas int) {
-	if len(w.trees) == 0 {
-		w.trees = append(w.trees, &settings{revision: 1})
-	}
-	w.models = append(w.models, api.ModelName(name))
-	w.trees[0].models = append(w.trees[0].models, tree.Model{
-		Name: api.ModelName(name), Base: api.ModelName(base), Service: serviceName,
-		Settings: tree.Settings{
-			MemoryBytes: gigabytes, KVBytes: 1, LoadTime: time.Second, MaxReplicas: maxReplicas,
-			KeepAlive: 5 * time.Second, DrainTime: 5 * time.Second,
-		},
-	})
-}
-
-func (w *world) newest() *settings {
-	return w.trees[len(w.trees)-1]
-}
-
-// kvBytes is the KV cache of each replica, whatever the revision. An adapter
-// shares its base's.
-func (w *world) kvBytes(name api.ModelName) uint64 {
-	model := w.trees[0].model(name)
-	if model.Base != "" {
-		return 0
-	}
-	return model.Settings.KVBytes
-}
-
-// edit accepts a change of max_replicas on top of the newest revision.
-func (w *world) edit(name api.ModelName, maxReplicas int) {
-	base := w.newest()
-	next := &settings{revision: base.revision + 1, models: append([]tree.Model(nil), base.models...)}
-	for index := range next.models {
-		if next.models[index].Name == name {
-			next.models[index].Settings.MaxReplicas = maxReplicas
-		}
-	}
-	w.trees = append(w.trees, next)
-	w.note("tree revision %d: at most %d of %s", next.revision, maxReplicas, name)
-}
-
 // addNode starts a node.
 func (w *world) addNode(id, zone string) *node {
 	n := &node{world: w, id: api.NodeID(id), zone: zone, peerAddress: "node/" + id}
