--- a/pkg/control/explore/calls_test.go
+++ b/pkg/control/explore/calls_test.go
@@ -96,23 +96,15 @@
 }
 
 func (f callFailure) engineError() error {
-	switch f {
-	case callUnreached:
-		return errors.WithStack(engine.ErrUnreachable)
-	case callUnknown:
-		return errors.WithStack(engine.ErrUnknownOutcome)
-	}
-	return nil
+	return f.errorOf(engine.ErrUnreachable, engine.ErrUnknownOutcome)
 }
 
 func (f callFailure) platformError() error {
-	switch f {
-	case callUnreached:
-		return errors.WithStack(platform.ErrUnavailable)
-	case callUnknown:
-		return errors.WithStack(platform.ErrUnknownOutcome)
-	}
-	return nil
+	return f.errorOf(platform.ErrUnavailable, platform.ErrUnknownOutcome)
+}
+
+func (f callFailure) errorOf(unreached, unknown error) error {
+	return map[callFailure]error{callUnreached: errors.WithStack(unreached), callUnknown: errors.WithStack(unknown)}[f]
 }
 
 func (n *node) orderEngine(e control.OrderEngine) {
@@ -178,33 +170,37 @@
 
 func (n *node) readRecord(e control.ReadRecord) {
 	var record platform.Record
-	var err error
-	n.call("table", func() {
+	read := func() (err error) {
 		record, err = n.world.table.get(e.Key)
-		if n.world.table.down {
-			err = errors.WithStack(platform.ErrUnavailable)
-		}
-	}, func(failure callFailure) control.Event {
-		if failure != callAnswered {
-			err = failure.platformError()
-		}
+		return err
+	}
+	n.callTable(read, func(err error) control.Event {
 		return control.RecordRead{Key: e.Key, Record: record, Err: err}
 	})
 }
 
 func (n *node) commitRecord(e control.CommitRecord) {
+	commit := func() error { return n.world.table.commit(e.Transaction) }
+	n.callTable(commit, func(err error) control.Event {
+		return control.RecordCommitted{Transaction: e.Transaction, Err: err}
+	})
+}
+
+// callTable is call for the table service, which carries out nothing while it
+// is down.
+func (n *node) callTable(carryOut func() error, answer func(error) control.Event) {
 	var err error
-	n.call("table", func() {
-		if n.world.table.down {
-			err = errors.WithStack(platform.ErrUnavailable)
-			return
+	carryOutIfUp := func() {
+		err = errors.WithStack(platform.ErrUnavailable)
+		if !n.world.table.down {
+			err = carryOut()
 		}
-		err = n.world.table.commit(e.Transaction)
-	}, func(failure callFailure) control.Event {
+	}
+	n.call("table", carryOutIfUp, func(failure callFailure) control.Event {
 		if failure != callAnswered {
 			err = failure.platformError()
 		}
-		return control.RecordCommitted{Transaction: e.Transaction, Err: err}
+		return answer(err)
 	})
 }
 
--- a/pkg/control/explore/faults_test.go
+++ b/pkg/control/explore/faults_test.go
@@ -125,9 +125,7 @@
 	w.addModel("m2", "", 10, 1)
 	w.addServer("s0", 23)
 	w.addServer("s1", 23)
-	for index, zone := range []string{"z1", "z2", "z3"} {
-		w.addNode([]string{"n0", "n1", "n2"}[index], zone)
-	}
+	w.addNodes(3)
 	return w
 }
 
@@ -239,13 +237,7 @@
 }
 
 func (w *world) allSeeUnreachable(id api.ServerID) bool {
-	gone := true
-	for _, n := range w.nodes {
-		for _, server := range n.view.Servers {
-			gone = gone && (server.ID != id || !server.Reachable)
-		}
-	}
-	return gone
+	return w.allViews(id, func(server api.ServerView) bool { return !server.Reachable })
 }
 
 // allViews tells whether in the newest view of every node that has the server
--- a/pkg/control/explore/scenarios_test.go
+++ b/pkg/control/explore/scenarios_test.go
@@ -1,7 +1,6 @@
 package explore
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -33,13 +32,6 @@
 	return w
 }
 
-// addNodes starts nodes in three zones.
-func (w *world) addNodes(count int) {
-	for index := range count {
-		w.addNode(fmt.Sprint("n", index), fmt.Sprint("z", index%3))
-	}
-}
-
 // TestIntentsAreNeeded: an owner that has been cut off from its group orders a
 // load from a server that the next owner does not reach.
 func TestIntentsAreNeeded(t *testing.T) {
--- a/pkg/control/explore/takeover_test.go
+++ b/pkg/control/explore/takeover_test.go
@@ -1,10 +1,10 @@
 package explore
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
+	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/control"
 )
 
@@ -17,9 +17,7 @@
 	w.addServer("s0", 23)
 	w.addServer("s1", 23)
 	w.seeds = []string{"node/n0", "node/n1"}
-	for index := range nodes {
-		w.addNode(fmt.Sprint("n", index), fmt.Sprint("z", index%3+1))
-	}
+	w.addNodes(nodes)
 	return w
 }
 
@@ -58,13 +56,11 @@
 	return alive
 }
 
-func (w *world) holders(model string) int {
+func (w *world) holders(model api.ModelName) int {
 	count := 0
 	for _, e := range w.servers {
-		for name := range e.items {
-			if string(name) == model && e.holds(name) {
-				count++
-			}
+		if e.holds(model) {
+			count++
 		}
 	}
 	return count
--- a/pkg/control/explore/traffic_test.go
+++ b/pkg/control/explore/traffic_test.go
@@ -71,9 +71,7 @@
 		w.addServer(fmt.Sprint("s", index), 60)
 	}
 	w.seeds = []string{"node/n0", "node/n1"}
-	for index := range nodes {
-		w.addNode(fmt.Sprint("n", index), fmt.Sprint("z", index%3))
-	}
+	w.addNodes(nodes)
 	w.run(30 * time.Second)
 	if busy {
 		w.wakeInTurn(0)
--- a/pkg/control/explore/world_test.go
+++ b/pkg/control/explore/world_test.go
@@ -250,6 +250,13 @@
 	return n
 }
 
+// addNodes starts nodes in three zones.
+func (w *world) addNodes(count int) {
+	for index := range count {
+		w.addNode(fmt.Sprint("n", index), fmt.Sprint("z", index%3+1))
+	}
+}
+
 // owner returns the node that owns the cell in the highest term, if any.
 func (w *world) owner() *node {
 	var owner *node
--- a/pkg/control/quorum/group_test.go
+++ b/pkg/control/quorum/group_test.go
@@ -81,6 +81,24 @@
 	n.add(refs[0], n.group(members[0]).Found(n.now, 1, refs, Data{}))
 }
 
+// foundAll founds a group of the first three, and all of them hear of it.
+func (n *network) foundAll() {
+	n.found(0, 1, 2)
+	n.deliverAll()
+}
+
+// propose lets the first member propose an intent alone.
+func (n *network) propose(name string) {
+	n.add(n.refs[0], n.group(0).Propose(n.now, intents(name)))
+}
+
+// takeQueue empties the queue and returns what was in it.
+func (n *network) takeQueue() []flight {
+	queue := n.queue
+	n.queue = nil
+	return queue
+}
+
 func intents(names ...string) Data {
 	var data Data
 	for _, name := range names {
@@ -104,17 +122,14 @@
 func TestPromiseIsNeeded(t *testing.T) {
 	for _, unsafe := range []bool{false, true} {
 		n := newNetwork(3, switches.Set{NoPromise: unsafe})
-		n.found(0, 1, 2)
-		n.deliverAll()
-		n.add(n.refs[0], n.group(0).Propose(n.now, intents("late")))
-		accepts := n.queue
-		n.queue = nil
+		n.foundAll()
+		n.propose("late")
+		accepts := n.takeQueue()
 		n.now = n.now.Add(10 * time.Second)
 		n.tick(2) // stands
 		n.queue = n.packetsTo(1)
 		n.deliver(0) // member 1 promises
-		promises := n.queue
-		n.queue = nil
+		promises := n.takeQueue()
 		for _, f := range accepts {
 			if f.packet.To.ID == n.refs[1].ID {
 				n.add(f.packet.To, n.group(1).Receive(n.now, f.from, f.packet.Message))
@@ -149,9 +164,8 @@
 // members lead after the old ones are gone.
 func TestMembersAreReplaced(t *testing.T) {
 	n := newNetwork(6, switches.Set{})
-	n.found(0, 1, 2)
-	n.deliverAll()
-	n.add(n.refs[0], n.group(0).Propose(n.now, intents("kept")))
+	n.foundAll()
+	n.propose("kept")
 	n.deliverAll()
 	n.add(n.refs[0], n.group(0).Reconfigure(n.now, []api.NodeRef{n.refs[3], n.refs[4], n.refs[5]}))
 	n.deliverAll()
@@ -204,8 +218,7 @@
 // whatever their terms.
 func TestLaterEpochSilencesMembers(t *testing.T) {
 	n := newNetwork(4, switches.Set{})
-	n.found(0, 1, 2)
-	n.deliverAll()
+	n.foundAll()
 	n.add(n.refs[3], n.group(3).Found(n.now, 2, []api.NodeRef{n.refs[3], n.refs[2]}, Data{}))
 	n.deliverAll()
 	n.group(0).Supersede(2)
