--- a/pkg/control/cell/demand.go
+++ b/pkg/control/cell/demand.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"sort"
 	"time"
 
 	"martenwheel.dev/pkg/api"
@@ -167,3 +168,13 @@
 	}
 	return a.ReadyBy.Sub(b.ReadyBy).Abs() > estimateTolerance
 }
+
+// sortedNodes returns the nodes of some reports in order.
+func sortedNodes(reports map[api.NodeID]*report) []api.NodeID {
+	nodes := make([]api.NodeID, 0, len(reports))
+	for id := range reports {
+		nodes = append(nodes, id)
+	}
+	sort.Slice(nodes, func(i, j int) bool { return nodes[i] < nodes[j] })
+	return nodes
+}
--- a/pkg/control/cell/types.go
+++ b/pkg/control/cell/types.go
@@ -1,15 +1,3 @@
-// Package cell is the owner of one cell: it turns the settings, the demand and
-// the wishes of a policy into fenced orders to the cell's engines, and keeps
-// two promises whatever it is told, in whatever order:
-//
-//   - no more replicas of a model are loaded than the settings allow, and
-//   - the accelerator memory of a server is never overcommitted.
-//
-// For both it counts everything that an engine may hold. A load counts from
-// before it is ordered until an inventory, read at the owner's own fence, shows
-// that the model is gone. A server that may hold any model counts for each.
-//
-// An Owner holds no clock, socket or goroutine.
 package cell
 
 import (
--- a/pkg/control/cell/view.go
+++ b/pkg/control/cell/view.go
@@ -1,13 +1,11 @@
 package cell
 
 import (
-	"sort"
-
 	"martenwheel.dev/pkg/api"
 )
 
 // TakeView returns the view for routers, and false if nothing has changed since
-// it was last taken. Leader and Members are left to the caller.
+// it was last taken. The members of the group are left to the caller.
 func (o *Owner) TakeView() (api.CellView, bool) {
 	if !o.changed {
 		return api.CellView{}, false
@@ -46,13 +44,3 @@
 	}
 	return shown
 }
-
-// sortedNodes returns the nodes of some reports in order.
-func sortedNodes(reports map[api.NodeID]*report) []api.NodeID {
-	nodes := make([]api.NodeID, 0, len(reports))
-	for id := range reports {
-		nodes = append(nodes, id)
-	}
-	sort.Slice(nodes, func(i, j int) bool { return nodes[i] < nodes[j] })
-	return nodes
-}
