control: one way to look for a node, clearer names, missing comments

quorum.contains and control.isAmong, and quorum.without and withoutLeaving, were the same loops: quorum.Contains and quorum.Without serve both. noticeTerm had a public copy that only called it.

Names: obstacle is serverObstacle beside countObstacle and loadObstacle, free is freeBytes (it is a size), loads is newestClaim (it is a claim, not loads). 21 functions whose part was not plain from their names have comments.

--- a/pkg/control/answers.go
+++ b/pkg/control/answers.go
@@ -1,5 +1,7 @@
 package control
 
+// takeOrderAnswer offers an answer to all owners; the one whose order it was knows
+// it by the server and the fence.
 func (m *Machine) takeOrderAnswer(e OrderAnswered) {
 	for _, name := range m.cellOrder {
 		if owner := m.cells[name].owner; owner != nil {
--- a/pkg/control/candidates.go
+++ b/pkg/control/candidates.go
@@ -16,7 +16,7 @@
 	live := c.machine.liveNodes()
 	count := 0
 	for _, member := range members {
-		if isAmong(member, live) {
+		if quorum.Contains(live, member) {
 			count++
 		}
 	}
@@ -67,7 +67,7 @@
 			if len(chosen) >= quorum.Size {
 				return chosen
 			}
-			if isAmong(node, chosen) || otherZonesOnly && zones[node.Zone] {
+			if quorum.Contains(chosen, node) || otherZonesOnly && zones[node.Zone] {
 				continue
 			}
 			chosen = append(chosen, node)
@@ -103,7 +103,7 @@
 	live := c.machine.liveNodes()
 	count := 0
 	for _, member := range members {
-		if isAmong(member, live) || !known[member.ID] {
+		if quorum.Contains(live, member) || !known[member.ID] {
 			count++
 		}
 	}
--- a/pkg/control/cell/decide.go
+++ b/pkg/control/cell/decide.go
@@ -94,6 +94,7 @@
 	return names
 }
 
+// input is what a policy decides by: the models that name it, and all servers.
 func (o *Owner) input(now time.Time, policyName string) policy.Input {
 	input := policy.Input{LoadSlots: o.allocation.Slots, LoadRate: o.allocation.Rate}
 	replicas := o.replicasByModel()
--- a/pkg/control/cell/demand.go
+++ b/pkg/control/cell/demand.go
@@ -43,6 +43,8 @@
 	}
 }
 
+// reportedBy replaces a node's report on a model. A first waiter makes a decision
+// due, and use of the model puts off its unload.
 func (o *Owner) reportedBy(now time.Time, d *demand, node api.NodeRef, seen api.ModelDemand) {
 	previous := d.reports[node.ID]
 	next := &report{node: node, demand: seen, at: now}
@@ -162,6 +164,7 @@
 	}
 }
 
+// differs tells whether an estimate is worth telling after another one.
 func differs(a, b api.LoadEstimate) bool {
 	if a.Accepted != b.Accepted || a.Reason != b.Reason {
 		return true
--- a/pkg/control/cell/inventory.go
+++ b/pkg/control/cell/inventory.go
@@ -58,6 +58,7 @@
 	return tiers
 }
 
+// pollInterval is the time until the next inventory of a server.
 func (o *Owner) pollInterval(id api.ServerID) time.Duration {
 	for _, r := range o.moving {
 		if r.intent.Server == id && r.phase != phaseDraining {
--- a/pkg/control/cell/machines.go
+++ b/pkg/control/cell/machines.go
@@ -123,6 +123,7 @@
 	}
 }
 
+// admit lets a recorded server be used once the group has committed it.
 func (o *Owner) admit(now time.Time, s *server) {
 	s.admitted = true
 	s.pollAt = now
--- a/pkg/control/cell/orders.go
+++ b/pkg/control/cell/orders.go
@@ -59,6 +59,7 @@
 	}
 }
 
+// awaitsOrder tells whether the load is intended and not ordered yet.
 func (r *replica) awaitsOrder() bool {
 	return r.phase == phaseIntended
 }
--- a/pkg/control/cell/placement.go
+++ b/pkg/control/cell/placement.go
@@ -79,14 +79,14 @@
 // place returns the wished server, or another one if the wished one can't take
 // the load.
 func (o *Owner) place(now time.Time, model tree.Model, wished api.ServerID) (*server, waitCause) {
-	if s := o.servers[wished]; s != nil && o.obstacle(now, model, s) == 0 {
+	if s := o.servers[wished]; s != nil && o.serverObstacle(now, model, s) == 0 {
 		return s, 0
 	}
 	var best *server
 	cause := waitsForMemory
 	for _, s := range o.sortedServers() {
-		obstacle := o.obstacle(now, model, s)
-		if obstacle == 0 && (best == nil || o.free(s) > o.free(best)) {
+		obstacle := o.serverObstacle(now, model, s)
+		if obstacle == 0 && (best == nil || o.freeBytes(s) > o.freeBytes(best)) {
 			best = s
 		}
 		if obstacle != 0 && obstacle < cause {
@@ -99,12 +99,13 @@
 	return nil, cause
 }
 
-func (o *Owner) free(s *server) uint64 {
+// freeBytes is the memory of a server that no replica counts on.
+func (o *Owner) freeBytes(s *server) uint64 {
 	return s.capacityBytes() - min(s.capacityBytes(), o.reserved[s.ID])
 }
 
-// obstacle tells why a server can't take a load of the model now.
-func (o *Owner) obstacle(now time.Time, model tree.Model, s *server) waitCause {
+// serverObstacle tells why a server can't take a load of the model now.
+func (o *Owner) serverObstacle(now time.Time, model tree.Model, s *server) waitCause {
 	if s.settles(now) || s.admitted && !s.fenced && s.reachable {
 		return waitsForServers
 	}
@@ -127,7 +128,7 @@
 	if o.reserved[s.ID]+need <= s.capacityBytes() {
 		return 0
 	}
-	if need <= o.free(s)+o.leavingBytes(s.ID) {
+	if need <= o.freeBytes(s)+o.leavingBytes(s.ID) {
 		return waitsForRoom
 	}
 	return waitsForMemory
--- a/pkg/control/cells.go
+++ b/pkg/control/cells.go
@@ -16,14 +16,14 @@
 // cellControl is this node's part in one cell: its place in the quorum group,
 // the owner while it leads, and the newest view.
 type cellControl struct {
-	machine   *Machine
-	name      api.CellName
-	models    []tree.Model
-	group     *quorum.Group
-	owner     *cell.Owner // nil unless this node leads
-	committed uint64      // version of the group's state that the owner knows
-	view      api.CellView
-	loads     claimEntry // newest claim on the weight store heard
+	machine     *Machine
+	name        api.CellName
+	models      []tree.Model
+	group       *quorum.Group
+	owner       *cell.Owner // nil unless this node leads
+	committed   uint64      // version of the group's state that the owner knows
+	view        api.CellView
+	newestClaim claimEntry // on the weight store, heard or, at the owner, told
 
 	formation     formation
 	leaderlessAt  time.Time // since when this member has heard of no leader
@@ -46,6 +46,7 @@
 	}
 }
 
+// tick lets time pass for the group and for what watches over it.
 func (c *cellControl) tick() {
 	c.sendGroup(c.group.Tick(c.machine.now))
 	c.tickFormation()
@@ -106,6 +107,7 @@
 	}
 }
 
+// beginOwnership makes the owner for a term that this node has begun to lead in.
 func (c *cellControl) beginOwnership(now time.Time, term uint64) {
 	state := c.group.Committed()
 	c.owner = cell.New(now, cell.Config{
@@ -125,6 +127,8 @@
 	c.machine.repeatDemand(c)
 }
 
+// endOwnership drops the owner. Engines judge its orders under way by their
+// fences.
 func (c *cellControl) endOwnership() {
 	if c.owner == nil {
 		return
--- a/pkg/control/claims.go
+++ b/pkg/control/claims.go
@@ -19,11 +19,11 @@
 	if c.owner != nil {
 		return
 	}
-	same := theirs.Term == c.loads.term
-	if theirs.Term < c.loads.term || same && theirs.LoadsVersion <= c.loads.version {
+	same := theirs.Term == c.newestClaim.term
+	if theirs.Term < c.newestClaim.term || same && theirs.LoadsVersion <= c.newestClaim.version {
 		return
 	}
-	c.loads = claimEntry{
+	c.newestClaim = claimEntry{
 		term:    theirs.Term,
 		version: theirs.LoadsVersion,
 		claim: weights.Claim{
@@ -44,14 +44,14 @@
 			continue
 		}
 		claim := c.owner.Claim(m.now)
-		version := c.loads.version
-		if c.loads.term != c.owner.Term() {
+		version := c.newestClaim.version
+		if c.newestClaim.term != c.owner.Term() {
 			version = 0
 		}
-		if version == 0 || claim.Active+claim.Wanted > 0 || c.loads.claim.Active+c.loads.claim.Wanted > 0 {
+		if version == 0 || claim.Active+claim.Wanted > 0 || c.newestClaim.claim.Active+c.newestClaim.claim.Wanted > 0 {
 			version++
 		}
-		c.loads = claimEntry{claim: claim, term: c.owner.Term(), version: version}
+		c.newestClaim = claimEntry{claim: claim, term: c.owner.Term(), version: version}
 	}
 	m.updateDigest()
 }
@@ -78,5 +78,5 @@
 	if c.owner != nil {
 		return c.owner.Claim(now)
 	}
-	return c.loads.claim
+	return c.newestClaim.claim
 }
--- a/pkg/control/formation.go
+++ b/pkg/control/formation.go
@@ -172,6 +172,8 @@
 	return true
 }
 
+// retryFormation logs why a try failed and plans the next one, after a pause that
+// doubles.
 func (c *cellControl) retryFormation(message string, err error) {
 	timing := c.machine.timing
 	pause := min(timing.FormationRetry<<min(c.formation.failures, 10), timing.FormationRetryMax)
--- a/pkg/control/machines.go
+++ b/pkg/control/machines.go
@@ -31,6 +31,7 @@
 	return false
 }
 
+// takeMachines gives each cell its part of a list, or the failure to get one.
 func (m *Machine) takeMachines(e MachinesListed) {
 	m.machinesAsked = time.Time{}
 	if e.Err != nil {
--- a/pkg/control/members.go
+++ b/pkg/control/members.go
@@ -27,13 +27,13 @@
 // that stops is let go if another member remains.
 func (c *cellControl) wantedMembers(current []api.NodeRef) []api.NodeRef {
 	m := c.machine
-	live := c.withoutLeaving(m.liveNodes())
+	live := quorum.Without(m.liveNodes(), c.leaving)
 	var staying, dead []api.NodeRef
 	for _, member := range current {
 		switch {
-		case isAmong(member, live):
+		case quorum.Contains(live, member):
 			staying = append(staying, member)
-		case !isAmong(member, c.leaving) && !(m.stopping && m.isSelf(member)):
+		case !quorum.Contains(c.leaving, member) && !(m.stopping && m.isSelf(member)):
 			dead = append(dead, member)
 		}
 	}
@@ -71,19 +71,9 @@
 	return staying
 }
 
-func (c *cellControl) withoutLeaving(nodes []api.NodeRef) []api.NodeRef {
-	var left []api.NodeRef
-	for _, node := range nodes {
-		if !isAmong(node, c.leaving) {
-			left = append(left, node)
-		}
-	}
-	return left
-}
-
 // memberLeaving notes that a member asks to be replaced.
 func (c *cellControl) memberLeaving(node api.NodeRef) {
-	if c.owner == nil || isAmong(node, c.leaving) {
+	if c.owner == nil || quorum.Contains(c.leaving, node) {
 		return
 	}
 	c.leaving = append(c.leaving, node)
@@ -95,7 +85,7 @@
 		return false
 	}
 	for _, node := range a {
-		if !isAmong(node, b) {
+		if !quorum.Contains(b, node) {
 			return false
 		}
 	}
--- a/pkg/control/nodes.go
+++ b/pkg/control/nodes.go
@@ -11,19 +11,11 @@
 	return sameNode(node, m.config.Self)
 }
 
+// sameNode tells whether two references name the same life of a node.
 func sameNode(a, b api.NodeRef) bool {
 	return quorum.MemberOf(a) == quorum.MemberOf(b)
 }
 
-func isAmong(node api.NodeRef, nodes []api.NodeRef) bool {
-	for _, other := range nodes {
-		if sameNode(node, other) {
-			return true
-		}
-	}
-	return false
-}
-
 // liveNodes returns the nodes of this region that are not known to be dead,
 // with this node among them unless it stops.
 func (m *Machine) liveNodes() []api.NodeRef {
--- a/pkg/control/quorum/group.go
+++ b/pkg/control/quorum/group.go
@@ -168,12 +168,6 @@
 	return g.flush()
 }
 
-// NoticeTerm tells that somebody, such as an engine, has seen term. A leader of
-// a lower one steps down.
-func (g *Group) NoticeTerm(now time.Time, term uint64) {
-	g.noticeTerm(now, term)
-}
-
 // Tick lets time pass.
 func (g *Group) Tick(now time.Time) []Packet {
 	switch g.role {
--- a/pkg/control/quorum/leader.go
+++ b/pkg/control/quorum/leader.go
@@ -44,6 +44,7 @@
 	g.advance(now)
 }
 
+// stepDown makes a leader or candidate a follower of nobody.
 func (g *Group) stepDown(now time.Time) {
 	g.role = roleFollower
 	g.leader = api.NodeRef{}
@@ -119,7 +120,7 @@
 	next := g.accepted
 	switch {
 	case len(next.Next) > 0:
-		g.departed = without(next.Members, next.Next)
+		g.departed = Without(next.Members, next.Next)
 		next.Previous = next.Members
 		next.Members, next.Next = next.Next, nil
 		next.Configuration++
--- a/pkg/control/quorum/member.go
+++ b/pkg/control/quorum/member.go
@@ -66,6 +66,7 @@
 	return term > g.promised || term == g.promised && MemberOf(from) == g.promisedTo
 }
 
+// receiveHeartbeat follows the leader and tells which state this member has.
 func (g *Group) receiveHeartbeat(now time.Time, from api.NodeRef, m Heartbeat) {
 	if g.accepted.Term == 0 {
 		return // not a member: the leader sends an Accept first
@@ -94,13 +95,14 @@
 // term for which it was refused.
 func (g *Group) granted(now time.Time, granted bool, promised uint64) bool {
 	if !granted {
-		g.noticeTerm(now, promised)
+		g.NoticeTerm(now, promised)
 	}
 	return granted
 }
 
-// noticeTerm reacts to a refusal: somebody follows a higher term.
-func (g *Group) noticeTerm(now time.Time, term uint64) {
+// NoticeTerm tells that somebody, such as a member that refused or an engine,
+// follows term. A leader or candidate of a lower one steps down.
+func (g *Group) NoticeTerm(now time.Time, term uint64) {
 	if term <= g.promised || g.role == roleNone {
 		return
 	}
--- a/pkg/control/quorum/members.go
+++ b/pkg/control/quorum/members.go
@@ -15,6 +15,7 @@
 	return Member{ID: node.ID, Incarnation: node.Incarnation}
 }
 
+// majority tells whether has is true for more than half of the members.
 func majority(members []api.NodeRef, has func(Member) bool) bool {
 	count := 0
 	for _, node := range members {
@@ -25,7 +26,8 @@
 	return 2*count > len(members)
 }
 
-func contains(nodes []api.NodeRef, node api.NodeRef) bool {
+// Contains tells whether the life of node is among nodes.
+func Contains(nodes []api.NodeRef, node api.NodeRef) bool {
 	for _, other := range nodes {
 		if MemberOf(other) == MemberOf(node) {
 			return true
@@ -34,11 +36,11 @@
 	return false
 }
 
-// without returns the nodes that are not among others.
-func without(nodes, others []api.NodeRef) []api.NodeRef {
+// Without returns the nodes that are not among others.
+func Without(nodes, others []api.NodeRef) []api.NodeRef {
 	var left []api.NodeRef
 	for _, node := range nodes {
-		if !contains(others, node) {
+		if !Contains(others, node) {
 			left = append(left, node)
 		}
 	}
--- a/pkg/control/quorum/state.go
+++ b/pkg/control/quorum/state.go
@@ -98,14 +98,14 @@
 
 // Has tells whether node is a member in the state.
 func (s State) Has(node api.NodeRef) bool {
-	return contains(s.Members, node) || contains(s.Next, node)
+	return Contains(s.Members, node) || Contains(s.Next, node)
 }
 
 // All returns the members of both configurations, each once.
 func (s State) All() []api.NodeRef {
 	all := append([]api.NodeRef(nil), s.Members...)
 	for _, node := range s.Next {
-		if !contains(all, node) {
+		if !Contains(all, node) {
 			all = append(all, node)
 		}
 	}
--- a/pkg/control/record.go
+++ b/pkg/control/record.go
@@ -145,6 +145,7 @@
 	failures  int
 }
 
+// reset makes a new owner begin with a read of the record.
 func (k *recordKeeper) reset(now time.Time) {
 	*k = recordKeeper{retryAt: now}
 }
@@ -203,7 +204,7 @@
 		return true
 	}
 	for _, member := range r.Members {
-		if !isAmong(member, known.Members) {
+		if !quorum.Contains(known.Members, member) {
 			return true
 		}
 	}
--- a/pkg/control/sink.go
+++ b/pkg/control/sink.go
@@ -39,6 +39,7 @@
 	c.estimates[member].estimates = append(c.estimates[member].estimates, estimate)
 }
 
+// flushEstimates sends what Estimate has collected, one message a node.
 func (c *cellControl) flushEstimates() {
 	for _, member := range c.outboxes {
 		box := c.estimates[member]
--- a/pkg/control/stop.go
+++ b/pkg/control/stop.go
@@ -45,7 +45,7 @@
 	if !c.group.Member() {
 		return false
 	}
-	replaced := c.view.Term >= c.group.Accepted().Term && !isAmong(c.machine.config.Self, c.view.Members)
+	replaced := c.view.Term >= c.group.Accepted().Term && !quorum.Contains(c.view.Members, c.machine.config.Self)
 	return !replaced
 }
 
--- a/pkg/control/sync.go
+++ b/pkg/control/sync.go
@@ -51,11 +51,11 @@
 			continue
 		}
 		version := membership.CellVersion{Cell: name, Term: c.view.Term, Version: c.view.Version}
-		if c.loads.term == c.view.Term {
-			version.LoadsVersion = c.loads.version
-			version.ActiveLoads = c.loads.claim.Active
-			version.WantedLoads = c.loads.claim.Wanted
-			version.UrgentLoads = c.loads.claim.Urgent
+		if c.newestClaim.term == c.view.Term {
+			version.LoadsVersion = c.newestClaim.version
+			version.ActiveLoads = c.newestClaim.claim.Active
+			version.WantedLoads = c.newestClaim.claim.Wanted
+			version.UrgentLoads = c.newestClaim.claim.Urgent
 		}
 		digest.Cells = append(digest.Cells, version)
 	}
--- a/pkg/control/weights/share.go
+++ b/pkg/control/weights/share.go
@@ -87,6 +87,7 @@
 	return claims
 }
 
+// splitSlots gives out slots one by one and returns how many each claim got.
 func splitSlots(slots int, claims []Claim) []int {
 	given := make([]int, len(claims))
 	for ; slots > 0; slots-- {
