--- a/pkg/control/cell/demand.go
+++ b/pkg/control/cell/demand.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"sort"
 	"time"
 
 	"martenwheel.dev/pkg/api"
@@ -42,6 +43,8 @@
 	}
 }
 
+// reportedBy replaces a node's report on a model. A first waiter makes a decision
+// due, and use of the model puts off its unload.
 func (o *Owner) reportedBy(now time.Time, d *demand, node api.NodeRef, seen api.ModelDemand) {
 	previous := d.reports[node.ID]
 	next := &report{node: node, demand: seen, at: now}
@@ -161,9 +164,20 @@
 	}
 }
 
+// differs tells whether an estimate is worth telling after another one.
 func differs(a, b api.LoadEstimate) bool {
 	if a.Accepted != b.Accepted || a.Reason != b.Reason {
 		return true
 	}
 	return a.ReadyBy.Sub(b.ReadyBy).Abs() > estimateTolerance
 }
+
+// sortedNodes returns the nodes of some reports in order.
+func sortedNodes(reports map[api.NodeID]*report) []api.NodeID {
+	nodes := make([]api.NodeID, 0, len(reports))
+	for id := range reports {
+		nodes = append(nodes, id)
+	}
+	sort.Slice(nodes, func(i, j int) bool { return nodes[i] < nodes[j] })
+	return nodes
+}
--- a/pkg/control/explore/faults_test.go
+++ b/pkg/control/explore/faults_test.go
@@ -98,9 +98,7 @@
 func runFaults(t *testing.T, first, second int) {
 	w := smallSite(uint64(first*len(siteFaults) + second))
 	w.demandForAll()
-	if !w.runUntil(15*time.Second, func() bool { return w.servers[0].holds("m0") || w.servers[1].holds("m0") }) {
-		t.Fatal("no load begins")
-	}
+	w.mustReach(t, 15*time.Second, func() bool { return w.servers[0].holds("m0") || w.servers[1].holds("m0") }, "no load begins")
 	siteFaults[first].cause(w)
 	if second != first {
 		w.run(w.between(0, 3*time.Second))
@@ -127,9 +125,7 @@
 	w.addModel("m2", "", 10, 1)
 	w.addServer("s0", 23)
 	w.addServer("s1", 23)
-	for index, zone := range []string{"z1", "z2", "z3"} {
-		w.addNode([]string{"n0", "n1", "n2"}[index], zone)
-	}
+	w.addNodes(3)
 	return w
 }
 
@@ -184,9 +180,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			w := smallSite(7)
 			w.demandForAll()
-			if !w.runUntil(15*time.Second, func() bool { return w.ready("m0") == 1 }) {
-				t.Fatal("the site does not come up")
-			}
+			w.mustReach(t, 15*time.Second, func() bool { return w.ready("m0") == 1 }, "the site does not come up")
 			w.run(2 * time.Second)
 			began := w.now
 			c.leave(w)
@@ -206,9 +200,7 @@
 	w := smallSite(3)
 	w.addServer("s2", 23)
 	w.demandForAll()
-	if !w.runUntil(15*time.Second, func() bool { return w.ready("m0") == 1 }) {
-		t.Fatal("the site does not come up")
-	}
+	w.mustReach(t, 15*time.Second, func() bool { return w.ready("m0") == 1 }, "the site does not come up")
 	held := w.servers[0]
 	if !held.holds("m0") {
 		held = w.servers[1]
@@ -245,13 +237,7 @@
 }
 
 func (w *world) allSeeUnreachable(id api.ServerID) bool {
-	gone := true
-	for _, n := range w.nodes {
-		for _, server := range n.view.Servers {
-			gone = gone && (server.ID != id || !server.Reachable)
-		}
-	}
-	return gone
+	return w.allViews(id, func(server api.ServerView) bool { return !server.Reachable })
 }
 
 // allViews tells whether in the newest view of every node that has the server
