gateway: a stopping node's listener resets nobody

A backlog of 0 still completes one.

Ruled out: idle connections that Shutdown closes (a failure within 'connect' has no connection yet) and requests in flight.

A filter on the listening socket now drops first packets (SYN), the accept loop catches up during the 0.3 s of refusals, and the listener closes with nothing behind it. This replaces the cut of the backlog.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -153,7 +153,9 @@
 	listeners := slices.Clone(g.listeners)
 	g.mutex.Unlock()
 	for _, listener := range listeners {
-		listener.stopBacklog()
+		if err := listener.stopConnecting(); err != nil {
+			g.config.Logger.Warn("connections may be reset when the listener closes", "error", err)
+		}
 	}
 	pause := time.NewTimer(g.config.Timeouts.TurnAway)
 	defer pause.Stop()
--- a/pkg/gateway/listener.go
+++ b/pkg/gateway/listener.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
@@ -62,21 +61,13 @@
 	}
 }
 
-// stopBacklog lets the kernel complete no further connections than are accepted
-// at once, so that closing the listener resets none. Callers that try to
-// connect meanwhile are refused when it closes.
-func (l *limitedListener) stopBacklog() {
+// stopConnecting lets nobody connect any more. Those who have stay connected.
+func (l *limitedListener) stopConnecting() error {
 	listener, isTCP := l.Listener.(*net.TCPListener)
 	if !isTCP {
-		return
-	}
-	raw, err := listener.SyscallConn()
-	if err != nil {
-		return // closed already
+		return nil
 	}
-	_ = raw.Control(func(descriptor uintptr) {
-		_ = syscall.Listen(int(descriptor), 0) // without it the stop is only less gentle
-	})
+	return stopConnecting(listener)
 }
 
 // ipOf returns the IP address of a connection's other side.
