gateway: a stopping node accepts those who have connected before it stops listening

Cause: the kernel resets connections that it has completed and nobody has accepted when a listener closes; a backlog of 0 still completes one.

What waits is accepted, and listening ends in the next system call. TestDrainTurnsNewCallersAway now asks until it is refused, so that every new caller, not one, must get an answer or a refusal.

--- a/pkg/gateway/drain_test.go
+++ b/pkg/gateway/drain_test.go
@@ -7,9 +7,11 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
 	"martenwheel.dev/pkg/traffic"
@@ -137,7 +139,8 @@
 }
 
 // TestDrainTurnsNewCallersAway: at the beginning of a planned stop, callers on
-// kept and on new connections get an answer, not a connection that breaks.
+// kept and on new connections get an answer, not a connection that breaks, until
+// nobody can connect any more.
 func TestDrainTurnsNewCallersAway(t *testing.T) {
 	g, url := startGateway(t, Config{Dispatcher: &fakeDispatcher{}, Timeouts: Timeouts{TurnAway: time.Hour}})
 	kept := dialRaw(t, url)
@@ -148,11 +151,18 @@
 	for !g.draining.Load() {
 		runtime.Gosched()
 	}
-	for name, connection := range map[string]net.Conn{"kept": kept, "new": dialRaw(t, url)} {
+	for connection := kept; connection != nil; {
 		_, _ = io.WriteString(connection, rawRequest(chatBody("glaze-7b", "ash", false), ""))
 		received, err := io.ReadAll(connection)
 		if err != nil || !strings.Contains(string(received), `"code":"stopping"`) {
-			t.Errorf("%s connection: %v, %s", name, err, received)
+			t.Errorf("%v, %s", err, received)
+		}
+		connection, err = net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+		if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("a new caller gets %v", err)
+		}
+		if err != nil {
+			break
 		}
 	}
 	cancel()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -144,16 +144,18 @@
 	return err
 }
 
-// turnNewCallersAway answers new requests with a refusal for a short time, so
-// that callers on kept connections and in the listener's backlog learn of the
-// stop by an answer. Connections that are closed with a request under way on
-// them look cut off to their callers.
+// turnNewCallersAway lets nobody connect any more and, for a short time, answers
+// the new requests of those who are connected with a refusal, so that they learn
+// of the stop by an answer. Connections that are closed with a request under way
+// on them look cut off to their callers.
 func (g *Gateway) turnNewCallersAway(ctx context.Context) {
 	g.mutex.Lock()
 	listeners := slices.Clone(g.listeners)
 	g.mutex.Unlock()
 	for _, listener := range listeners {
-		listener.stopBacklog()
+		if err := listener.stopConnecting(); err != nil {
+			g.config.Logger.Warn("callers that are just connecting may be cut off", "error", err)
+		}
 	}
 	pause := time.NewTimer(g.config.Timeouts.TurnAway)
 	defer pause.Stop()
--- a/pkg/gateway/listener.go
+++ b/pkg/gateway/listener.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
-	"syscall"
+	"sync/atomic"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
@@ -19,6 +19,11 @@
 	writeTimeout time.Duration
 	plain        bool // a refusal can be written as plain HTTP
 
+	stopping atomic.Bool   // nobody connects any more
+	waiting  chan net.Conn // accepted by stopConnecting
+	closed   chan struct{}
+	closing  sync.Once
+
 	mutex sync.Mutex
 	open  map[*callerConn]struct{}
 	byIP  map[string]int // number of open connections
@@ -32,6 +37,8 @@
 		perIP:        config.Limits.ConnectionsPerIP,
 		writeTimeout: config.Timeouts.Write,
 		plain:        config.TLS == nil,
+		waiting:      make(chan net.Conn),
+		closed:       make(chan struct{}),
 		open:         make(map[*callerConn]struct{}),
 		byIP:         make(map[string]int),
 	}
@@ -51,6 +58,9 @@
 func (l *limitedListener) Accept() (net.Conn, error) {
 	for {
 		accepted, err := l.Listener.Accept()
+		if err != nil && l.stopping.Load() {
+			accepted, err = l.takeWaiting()
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -62,23 +72,6 @@
 	}
 }
 
-// stopBacklog lets the kernel complete no further connections than are accepted
-// at once, so that closing the listener resets none. Callers that try to
-// connect meanwhile are refused when it closes.
-func (l *limitedListener) stopBacklog() {
-	listener, isTCP := l.Listener.(*net.TCPListener)
-	if !isTCP {
-		return
-	}
-	raw, err := listener.SyscallConn()
-	if err != nil {
-		return // closed already
-	}
-	_ = raw.Control(func(descriptor uintptr) {
-		_ = syscall.Listen(int(descriptor), 0) // without it the stop is only less gentle
-	})
-}
-
 // ipOf returns the IP address of a connection's other side.
 func ipOf(connection net.Conn) string {
 	host, _, err := net.SplitHostPort(connection.RemoteAddr().String())
