One indexed heap, one way to style a plot, New closes all that it opened

Cause, from reading it once more: the heap whose entries know their positions stood four times (fair queue, keepers' records, the emulator's clock and its shared rates); the plots repeated how a plot and a line are made; node.New, when it failed late, left the peer client and the control context open.

No test changed but for the exported name of Before.

--- a/pkg/keeper/records.go
+++ b/pkg/keeper/records.go
@@ -4,6 +4,8 @@
 	"container/heap"
 	"sort"
 	"time"
+
+	"martenwheel.dev/pkg/indexedheap"
 )
 
 // records holds the records of a cell by key, by age for copying, and by
@@ -11,8 +13,8 @@
 type records struct {
 	byKey       map[Key]*record
 	perCaller   map[string]int
-	byExpiry    expiryHeap
-	bySequence  []*record // ascending; may hold removed ones
+	byExpiry    indexedheap.Heap[*record] // the first to expire comes first
+	bySequence  []*record                 // ascending; may hold removed ones
 	sequence    uint64
 	answerBytes int
 }
@@ -114,30 +116,8 @@
 	return page, true
 }
 
-// expiryHeap has the record that expires first at its root.
-type expiryHeap []*record
-
-func (h expiryHeap) Len() int           { return len(h) }
-func (h expiryHeap) Less(i, j int) bool { return h[i].expiresAt.Before(h[j].expiresAt) }
-
-func (h expiryHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].heapIndex, h[j].heapIndex = i, j
-}
+// Before implements indexedheap.Entry.
+func (r *record) Before(other *record) bool { return r.expiresAt.Before(other.expiresAt) }
 
-// Push implements heap.Interface.
-func (h *expiryHeap) Push(added any) {
-	entry := added.(*record)
-	entry.heapIndex = len(*h)
-	*h = append(*h, entry)
-}
-
-// Pop implements heap.Interface.
-func (h *expiryHeap) Pop() any {
-	last := len(*h) - 1
-	removed := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	removed.heapIndex = -1
-	return removed
-}
+// SetPosition implements indexedheap.Entry.
+func (r *record) SetPosition(position int) { r.heapIndex = position }
--- a/pkg/lab/clock.go
+++ b/pkg/lab/clock.go
@@ -3,6 +3,8 @@
 import (
 	"container/heap"
 	"time"
+
+	"martenwheel.dev/pkg/indexedheap"
 )
 
 // epoch is the virtual time at which each run begins: midnight of a Monday.
@@ -13,7 +15,7 @@
 type clock struct {
 	elapsed  time.Duration
 	sequence uint64
-	queue    eventQueue
+	queue    indexedheap.Heap[*event]
 }
 
 // event is something that happens at one moment.
@@ -21,7 +23,7 @@
 	at       time.Duration
 	sequence uint64
 	run      func()
-	index    int // in the queue; -1 when it is not there
+	index    int // in the queue; negative when it is not there
 }
 
 // now returns the virtual time.
@@ -60,34 +62,13 @@
 	return true
 }
 
-// eventQueue implements heap.Interface.
-type eventQueue []*event
-
-func (q eventQueue) Len() int { return len(q) }
-
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at != q[j].at {
-		return q[i].at < q[j].at
+// Before implements indexedheap.Entry.
+func (e *event) Before(other *event) bool {
+	if e.at != other.at {
+		return e.at < other.at
 	}
-	return q[i].sequence < q[j].sequence
-}
-
-func (q eventQueue) Swap(i, j int) {
-	q[i], q[j] = q[j], q[i]
-	q[i].index, q[j].index = i, j
+	return e.sequence < other.sequence
 }
 
-func (q *eventQueue) Push(x any) {
-	e := x.(*event)
-	e.index = len(*q)
-	*q = append(*q, e)
-}
-
-func (q *eventQueue) Pop() any {
-	last := len(*q) - 1
-	e := (*q)[last]
-	(*q)[last] = nil
-	*q = (*q)[:last]
-	e.index = -1
-	return e
-}
+// SetPosition implements indexedheap.Entry.
+func (e *event) SetPosition(position int) { e.index = position }
--- a/pkg/lab/plots.go
+++ b/pkg/lab/plots.go
@@ -31,10 +31,7 @@
 // coldStartPlot shows the share of wakes that waited at least so long; the
 // logarithmic axis shows the tail.
 func coldStartPlot(runs []measuredRun) (template.HTML, error) {
-	p := plot.New()
-	p.Title.Text = "Cold-start time"
-	p.X.Label.Text = "percentile of the wakes"
-	p.Y.Label.Text = "seconds"
+	p := newPlot("Cold-start time", "percentile of the wakes", "seconds")
 	for i, run := range runs {
 		points := make(plotter.XYs, 0, len(run.Series.ColdStarts))
 		for _, quantile := range run.Series.ColdStarts {
@@ -53,10 +50,7 @@
 
 // idlePlot shows the idle accelerator hours of each hour of the run.
 func idlePlot(runs []measuredRun) (template.HTML, error) {
-	p := plot.New()
-	p.Title.Text = "Idle accelerator hours over the day"
-	p.X.Label.Text = "hour"
-	p.Y.Label.Text = "accelerator hours"
+	p := newPlot("Idle accelerator hours over the day", "hour", "accelerator hours")
 	for i, run := range runs {
 		points := make(plotter.XYs, 0, len(run.Series.IdleByHour))
 		for hour, idle := range run.Series.IdleByHour {
@@ -72,10 +66,7 @@
 
 // frontierPlot shows the two measures of each run against each other.
 func frontierPlot(runs []measuredRun) (template.HTML, error) {
-	p := plot.New()
-	p.Title.Text = "Frontier: lower left is better"
-	p.X.Label.Text = "idle accelerator hours"
-	p.Y.Label.Text = "cold-start p99, seconds"
+	p := newPlot("Frontier: lower left is better", "idle accelerator hours", "cold-start p99, seconds")
 	for i, run := range runs {
 		point := plotter.XYs{{X: run.Result.IdleHours, Y: run.Result.ColdStartSeconds.P99}}
 		scatter, err := plotter.NewScatter(point)
@@ -101,31 +92,39 @@
 	return render(p)
 }
 
-// addLine adds a labelled line.
+// newPlot returns an empty plot with its texts.
+func newPlot(title, x, y string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = x
+	p.Y.Label.Text = y
+	p.Legend.Top = true
+	return p
+}
+
+// addLine adds the labelled line of a run.
 func addLine(p *plot.Plot, number int, label string, points plotter.XYs) error {
-	line, err := plotter.NewLine(points)
-	if err != nil {
-		return errors.Wrap(err, label)
-	}
-	line.Color = plotutil.Color(number)
-	line.Width = vg.Points(1.5)
-	p.Add(line)
-	p.Legend.Add(label, line)
-	p.Legend.Top, p.Legend.Left = true, true
-	return nil
+	p.Legend.Left = true
+	style := draw.LineStyle{Color: plotutil.Color(number), Width: vg.Points(1.5)}
+	return addStyled(p, label, points, style)
 }
 
 // addBound adds a dashed grey line.
 func addBound(p *plot.Plot, label string, points plotter.XYs) error {
+	style := plotter.DefaultLineStyle
+	style.Color = color.Gray{Y: 120}
+	style.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
+	return addStyled(p, label, points, style)
+}
+
+func addStyled(p *plot.Plot, label string, points plotter.XYs, style draw.LineStyle) error {
 	line, err := plotter.NewLine(points)
 	if err != nil {
 		return errors.Wrap(err, label)
 	}
-	line.Color = color.Gray{Y: 120}
-	line.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
+	line.LineStyle = style
 	p.Add(line)
 	p.Legend.Add(label, line)
-	p.Legend.Top = true
 	return nil
 }
 
--- a/pkg/lab/sharing.go
+++ b/pkg/lab/sharing.go
@@ -3,6 +3,8 @@
 import (
 	"container/heap"
 	"time"
+
+	"martenwheel.dev/pkg/indexedheap"
 )
 
 // sharedRate serves jobs at the same time (processor sharing): each advances
@@ -13,7 +15,7 @@
 	rate     func(jobs int) float64 // units a second for each job
 	progress float64                // units that a job has got which was there from the start
 	updated  time.Duration
-	jobs     jobQueue
+	jobs     indexedheap.Heap[*job]
 	next     *event
 }
 
@@ -48,7 +50,7 @@
 // clear ends all jobs.
 func (s *sharedRate) clear() {
 	for _, j := range s.jobs {
-		j.index = -1
+		j.index = indexedheap.NoPosition
 	}
 	s.jobs = nil
 	s.schedule()
@@ -84,34 +86,13 @@
 	j.done()
 }
 
-// jobQueue implements heap.Interface.
-type jobQueue []*job
-
-func (q jobQueue) Len() int { return len(q) }
-
-func (q jobQueue) Less(i, j int) bool {
-	if q[i].finish != q[j].finish {
-		return q[i].finish < q[j].finish
+// Before implements indexedheap.Entry.
+func (j *job) Before(other *job) bool {
+	if j.finish != other.finish {
+		return j.finish < other.finish
 	}
-	return q[i].number < q[j].number
-}
-
-func (q jobQueue) Swap(i, j int) {
-	q[i], q[j] = q[j], q[i]
-	q[i].index, q[j].index = i, j
+	return j.number < other.number
 }
 
-func (q *jobQueue) Push(x any) {
-	j := x.(*job)
-	j.index = len(*q)
-	*q = append(*q, j)
-}
-
-func (q *jobQueue) Pop() any {
-	last := len(*q) - 1
-	j := (*q)[last]
-	(*q)[last] = nil
-	*q = (*q)[:last]
-	j.index = -1
-	return j
-}
+// SetPosition implements indexedheap.Entry.
+func (j *job) SetPosition(position int) { j.index = position }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -105,6 +105,10 @@
 	if n.callers != nil {
 		_ = n.callers.Close()
 	}
+	if n.stopControl != nil {
+		n.stopControl()
+	}
+	_ = n.transport.Close()
 	_ = n.server.Close() // cause is what matters
 	return cause
 }
--- a/pkg/traffic/fairqueue/class.go
+++ b/pkg/traffic/fairqueue/class.go
@@ -1,6 +1,10 @@
 package fairqueue
 
-import "container/heap"
+import (
+	"container/heap"
+
+	"martenwheel.dev/pkg/indexedheap"
+)
 
 // maxIdleFlows bounds the flows of a class that are remembered though nothing
 // of theirs waits.
@@ -12,7 +16,7 @@
 	name    string
 	blocked bool
 	flows   map[string]*flow[T]
-	backlog indexedHeap[*flow[T]] // the flows with waiting items
+	backlog indexedheap.Heap[*flow[T]] // the flows with waiting items
 	clock   clock
 	length  int
 	size    int
@@ -95,7 +99,7 @@
 func (c *class[T]) ahead(item *Item[T]) int {
 	own := 0
 	for _, other := range item.flow.items {
-		if other != item && other.before(item) {
+		if other != item && other.Before(item) {
 			own++
 		}
 	}
@@ -117,7 +121,7 @@
 	tags
 	name     string
 	class    *class[T]
-	items    indexedHeap[*Item[T]]
+	items    indexedheap.Heap[*Item[T]]
 	cost     float64
 	key      float64 // orders the class's backlog
 	position int     // in the class's backlog
@@ -125,13 +129,13 @@
 
 func (f *flow[T]) priority() int { return f.items[0].Priority }
 
-// before orders flows by their keys, and equal ones by the arrival of their
+// Before orders flows by their keys, and equal ones by the arrival of their
 // heads.
-func (f *flow[T]) before(other *flow[T]) bool {
+func (f *flow[T]) Before(other *flow[T]) bool {
 	if f.key != other.key {
 		return f.key < other.key
 	}
 	return f.items[0].sequence < other.items[0].sequence
 }
 
-func (f *flow[T]) setPosition(position int) { f.position = position }
+func (f *flow[T]) SetPosition(position int) { f.position = position }
--- a/pkg/traffic/fairqueue/queue.go
+++ b/pkg/traffic/fairqueue/queue.go
@@ -27,8 +27,8 @@
 	flow     *flow[T]
 }
 
-// before tells whether the item goes before other within one flow.
-func (i *Item[T]) before(other *Item[T]) bool {
+// Before tells whether the item goes before other within one flow.
+func (i *Item[T]) Before(other *Item[T]) bool {
 	if i.Priority != other.Priority {
 		return i.Priority > other.Priority
 	}
@@ -38,7 +38,7 @@
 	return i.sequence < other.sequence
 }
 
-func (i *Item[T]) setPosition(position int) { i.position = position }
+func (i *Item[T]) SetPosition(position int) { i.position = position }
 
 // Queue holds the waiting items. Create it with New.
 type Queue[T any] struct {
@@ -193,7 +193,7 @@
 	}
 	last := largest.items[0]
 	for _, item := range largest.items {
-		if last.before(item) {
+		if last.Before(item) {
 			last = item
 		}
 	}
--- a/pkg/traffic/fairqueue/queue_test.go
+++ b/pkg/traffic/fairqueue/queue_test.go
@@ -70,7 +70,7 @@
 				return false
 			}
 			key := item.Class + item.Flow
-			if previous := last[key]; previous != nil && item.before(previous) {
+			if previous := last[key]; previous != nil && item.Before(previous) {
 				return false
 			}
 			last[key] = item
