gateway: no handshake is in progress when a stopping node ends listening

For 20 ms nobody accepts, with a backlog of 0: the first caller that connects fills it and the kernel ignores further attempts, so handshakes end. Then all are accepted and listening ends. A caller of these 20 ms may wait for the second in which its kernel tries again, and is then refused.

--- a/pkg/gateway/stop_connecting.go
+++ b/pkg/gateway/stop_connecting.go
@@ -24,24 +24,38 @@
 		return errors.Wrap(err, "gateway: stop listening")
 	}
 	l.stopping.Store(true)
+	if err := listener.SetDeadline(time.Unix(1, 0)); err != nil { // ends Accept
+		return errors.Wrap(err, "gateway: stop listening")
+	}
 	var accepted []int
 	var stopError error
 	err = raw.Control(func(descriptor uintptr) {
-		accepted = acceptAll(int(descriptor))
-		stopError = unix.Shutdown(int(descriptor), unix.SHUT_RD)
+		accepted, stopError = endListening(int(descriptor))
 	})
 	if err == nil {
 		err = stopError
 	}
-	if err == nil {
-		err = listener.SetDeadline(time.Unix(1, 0)) // wakes Accept
-	}
 	for _, descriptor := range accepted {
 		l.handOn(descriptor)
 	}
 	return errors.Wrap(err, "gateway: stop listening")
 }
 
+// handshakeTime is longer than a handshake in progress takes to end.
+const handshakeTime = 20 * time.Millisecond
+
+// endListening accepts all connections and ends listening. While nobody accepts,
+// a backlog of 0 is full with the first caller that connects, and the kernel
+// ignores further ones; so no handshake is in progress when listening ends.
+func endListening(listening int) ([]int, error) {
+	if err := unix.Listen(listening, 0); err != nil {
+		return nil, err
+	}
+	time.Sleep(handshakeTime)
+	accepted := acceptAll(listening)
+	return accepted, unix.Shutdown(listening, unix.SHUT_RD)
+}
+
 // acceptAll accepts the connections that wait on a listening socket.
 func acceptAll(listening int) []int {
 	var accepted []int
