Tests: one authority for certificates, one check of findings

Cause, from reading it once more: four packages made a certificate authority of their own (peer, gateway, security, e2e), two the same check of findings. pkg/security/securitytest and pkg/findings/findingstest serve them. No check changed; 240 lines of tests fewer.

--- a/e2e/security_test.go
+++ b/e2e/security_test.go
@@ -1,15 +1,9 @@
 package e2e
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"fmt"
-	"math/big"
 	"net"
 	"net/http"
 	"os"
@@ -24,50 +18,25 @@
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/operator"
 	"martenwheel.dev/pkg/security"
+	"martenwheel.dev/pkg/security/securitytest"
 )
 
-// authority issues certificates for one test.
+// authority issues the certificates of a site.
 type authority struct {
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-	file        string // its certificate
+	*securitytest.Authority
+	file string // its certificate
 }
 
 func newAuthority(t *testing.T, name string) *authority {
 	t.Helper()
-	a := &authority{key: newKey(t), file: filepath.Join(t.TempDir(), name+".pem")}
-	template := &x509.Certificate{
-		SerialNumber:          big.NewInt(1),
-		Subject:               pkix.Name{CommonName: name},
-		NotBefore:             time.Now().Add(-time.Hour),
-		NotAfter:              time.Now().Add(time.Hour),
-		IsCA:                  true,
-		BasicConstraintsValid: true,
-		KeyUsage:              x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if a.certificate, err = x509.ParseCertificate(der); err != nil {
-		t.Fatal(err)
-	}
-	writePEM(t, a.file, "CERTIFICATE", der)
+	a := &authority{Authority: securitytest.NewAuthority(t, time.Now()), file: filepath.Join(t.TempDir(), name+".pem")}
+	writeFile(t, a.file, a.PEM())
 	return a
 }
 
-func newKey(t *testing.T) *ecdsa.PrivateKey {
+func writeFile(t *testing.T, file, content string) {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return key
-}
-
-func writePEM(t *testing.T, file, kind string, der []byte) {
-	t.Helper()
-	if err := os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
+	if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -76,37 +45,19 @@
 // trusted is who the node takes other nodes' certificates from.
 func (a *authority) issue(t *testing.T, id api.NodeID, trusted *authority) string {
 	t.Helper()
-	key := newKey(t)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(time.Now().UnixNano()),
-		Subject:      pkix.Name{CommonName: string(id)},
-		DNSNames:     []string{string(id)},
-		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
-		NotBefore:    time.Now().Add(-time.Hour),
-		NotAfter:     time.Now().Add(time.Hour),
-		KeyUsage:     x509.KeyUsageDigitalSignature,
-		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
-	if err != nil {
-		t.Fatal(err)
-	}
+	onLoopback := func(c *x509.Certificate) { c.IPAddresses = []net.IP{net.IPv4(127, 0, 0, 1)} }
+	issued := a.Issue(securitytest.CommonName(string(id)), securitytest.DNSName(string(id)), onLoopback)
+	certificate, key := securitytest.EncodePEM(t, issued)
 	directory := t.TempDir()
 	certificateFile, keyFile := filepath.Join(directory, "node.pem"), filepath.Join(directory, "node.key")
-	writePEM(t, certificateFile, "CERTIFICATE", der)
-	writePEM(t, keyFile, "PRIVATE KEY", keyDER)
+	writeFile(t, certificateFile, certificate)
+	writeFile(t, keyFile, key)
 	return fmt.Sprintf("tls: {certificate_file: %q, key_file: %q, ca_file: %q}\n", certificateFile, keyFile, trusted.file)
 }
 
 // client returns an HTTP client that trusts the authority.
 func (a *authority) client() *http.Client {
-	pool := x509.NewCertPool()
-	pool.AddCert(a.certificate)
-	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: a.Pool(), MinVersion: tls.VersionTLS12}}}
 }
 
 // newKeyFile writes a key file with one key and returns both.
--- a/pkg/gateway/connection_test.go
+++ b/pkg/gateway/connection_test.go
@@ -2,19 +2,17 @@
 
 import (
 	"bufio"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
 	"fmt"
 	"io"
-	"math/big"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
+
+	"martenwheel.dev/pkg/security/securitytest"
 )
 
 // dialRaw opens a connection on which the test writes its own HTTP.
@@ -97,35 +95,11 @@
 	engine.waitCancelled(t, 1)
 }
 
-// testCertificate returns a certificate for 127.0.0.1 and a pool that trusts it.
-func testCertificate(t *testing.T) (tls.Certificate, *x509.CertPool) {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1),
-		NotBefore:    time.Now().Add(-time.Hour),
-		NotAfter:     time.Now().Add(time.Hour),
-		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
-	}
-	encoded, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	parsed, err := x509.ParseCertificate(encoded)
-	if err != nil {
-		t.Fatal(err)
-	}
-	trusted := x509.NewCertPool()
-	trusted.AddCert(parsed)
-	return tls.Certificate{Certificate: [][]byte{encoded}, PrivateKey: key}, trusted
-}
-
 // TestTLS: requests are served over TLS, and a hang-up shows through it.
 func TestTLS(t *testing.T) {
-	certificate, trusted := testCertificate(t)
+	authority := securitytest.NewAuthority(t, time.Now())
+	certificate := authority.Issue(func(c *x509.Certificate) { c.IPAddresses = []net.IP{net.IPv4(127, 0, 0, 1)} })
+	trusted := authority.Pool()
 	engine := startEngine(t, 5)
 	paused := make(chan struct{}, 1)
 	engine.pauseAt(2, untilDropped(paused))
--- a/pkg/peer/tls_test.go
+++ b/pkg/peer/tls_test.go
@@ -1,13 +1,8 @@
 package peer
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"crypto/x509/pkix"
-	"math/big"
 	"net/url"
 	"testing"
 	"time"
@@ -15,112 +10,43 @@
 	"github.com/pkg/errors"
 
 	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/security/securitytest"
 )
 
-// authority issues certificates for tests.
-type authority struct {
-	t           *testing.T
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-	pool        *x509.CertPool
-}
-
-func newAuthority(t *testing.T) *authority {
-	t.Helper()
-	a := &authority{t: t, key: newKey(t), pool: x509.NewCertPool()}
-	template := &x509.Certificate{
-		SerialNumber:          big.NewInt(1),
-		Subject:               pkix.Name{CommonName: "test authority"},
-		NotBefore:             time.Now().Add(-time.Hour),
-		NotAfter:              time.Now().Add(time.Hour),
-		IsCA:                  true,
-		BasicConstraintsValid: true,
-		KeyUsage:              x509.KeyUsageCertSign,
-	}
-	a.certificate = sign(t, template, template, a.key, a.key)
-	a.pool.AddCert(a.certificate)
-	return a
-}
-
-func newKey(t *testing.T) *ecdsa.PrivateKey {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return key
-}
-
-func sign(t *testing.T, template, parent *x509.Certificate, key, parentKey *ecdsa.PrivateKey) *x509.Certificate {
-	t.Helper()
-	data, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, parentKey)
-	if err != nil {
-		t.Fatal(err)
-	}
-	certificate, err := x509.ParseCertificate(data)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return certificate
-}
-
-// issue returns the configuration of a node; name changes its certificate.
-func (a *authority) issue(name func(*x509.Certificate)) *tls.Config {
-	a.t.Helper()
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(2),
-		NotBefore:    time.Now().Add(-time.Hour),
-		NotAfter:     time.Now().Add(time.Hour),
-		KeyUsage:     x509.KeyUsageDigitalSignature,
-		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
-	}
-	name(template)
-	key := newKey(a.t)
-	certificate := sign(a.t, template, a.certificate, key, a.key)
+// issue returns the configuration of a node; change names its certificate.
+func issue(a *securitytest.Authority, change ...func(*x509.Certificate)) *tls.Config {
 	return &tls.Config{
-		Certificates: []tls.Certificate{{Certificate: [][]byte{certificate.Raw}, PrivateKey: key}},
-		RootCAs:      a.pool,
-		ClientCAs:    a.pool,
+		Certificates: []tls.Certificate{a.Issue(change...)},
+		RootCAs:      a.Pool(),
+		ClientCAs:    a.Pool(),
 	}
 }
 
-func commonName(name string) func(*x509.Certificate) {
-	return func(c *x509.Certificate) { c.Subject.CommonName = name }
-}
-
-func dnsName(name string) func(*x509.Certificate) {
-	return func(c *x509.Certificate) { c.DNSNames = []string{name} }
-}
-
 func uriName(name string) func(*x509.Certificate) {
 	return func(c *x509.Certificate) { c.URIs = []*url.URL{{Opaque: name, Scheme: "node"}} }
 }
 
-func expired(c *x509.Certificate) {
-	c.Subject.CommonName = "server"
-	c.NotAfter = time.Now().Add(-time.Minute)
-}
-
 func TestMutualTLS(t *testing.T) {
-	ours, foreign := newAuthority(t), newAuthority(t)
+	ours := securitytest.NewAuthority(t, time.Now())
+	foreign := securitytest.NewAuthority(t, time.Now())
 	for _, test := range []struct {
 		name           string
 		server, client *tls.Config
 		clientID       api.NodeID
 		works          bool
 	}{
-		{"common names", ours.issue(commonName("server")), ours.issue(commonName("client")), "client", true},
-		{"DNS names", ours.issue(dnsName("server")), ours.issue(dnsName("client")), "client", true},
-		{"URIs", ours.issue(commonName("server")), ours.issue(uriName("7")), "node:7", true},
-		{"client of another authority", ours.issue(commonName("server")), foreign.issue(commonName("client")), "client", false},
-		{"server of another authority", foreign.issue(commonName("server")), ours.issue(commonName("client")), "client", false},
-		{"client says it is another node", ours.issue(commonName("server")), ours.issue(commonName("client")), "other", false},
-		{"client without a name", ours.issue(commonName("server")), ours.issue(commonName("client")), "", false},
-		{"server has another node's certificate", ours.issue(commonName("other")), ours.issue(commonName("client")), "client", false},
-		{"expired certificate", ours.issue(expired), ours.issue(commonName("client")), "client", false},
-		{"client without a certificate", ours.issue(commonName("server")), &tls.Config{RootCAs: ours.pool}, "client", false},
-		{"client without TLS", ours.issue(commonName("server")), nil, "client", false},
-		{"server without TLS", nil, ours.issue(commonName("client")), "client", false},
+		{"common names", issue(ours, securitytest.CommonName("server")), issue(ours, securitytest.CommonName("client")), "client", true},
+		{"DNS names", issue(ours, securitytest.DNSName("server")), issue(ours, securitytest.DNSName("client")), "client", true},
+		{"URIs", issue(ours, securitytest.CommonName("server")), issue(ours, uriName("7")), "node:7", true},
+		{"client of another authority", issue(ours, securitytest.CommonName("server")), issue(foreign, securitytest.CommonName("client")), "client", false},
+		{"server of another authority", issue(foreign, securitytest.CommonName("server")), issue(ours, securitytest.CommonName("client")), "client", false},
+		{"client says it is another node", issue(ours, securitytest.CommonName("server")), issue(ours, securitytest.CommonName("client")), "other", false},
+		{"client without a name", issue(ours, securitytest.CommonName("server")), issue(ours, securitytest.CommonName("client")), "", false},
+		{"server has another node's certificate", issue(ours, securitytest.CommonName("other")), issue(ours, securitytest.CommonName("client")), "client", false},
+		{"expired certificate", issue(ours, securitytest.CommonName("server"), securitytest.Until(time.Now().Add(-time.Minute))), issue(ours, securitytest.CommonName("client")), "client", false},
+		{"client without a certificate", issue(ours, securitytest.CommonName("server")), &tls.Config{RootCAs: ours.Pool()}, "client", false},
+		{"client without TLS", issue(ours, securitytest.CommonName("server")), nil, "client", false},
+		{"server without TLS", nil, issue(ours, securitytest.CommonName("client")), "client", false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
--- a/pkg/security/certificates_test.go
+++ b/pkg/security/certificates_test.go
@@ -1,15 +1,8 @@
 package security
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"errors"
-	"math/big"
 	"net"
 	"path/filepath"
 	"strings"
@@ -17,6 +10,7 @@
 	"time"
 
 	"martenwheel.dev/pkg/findings"
+	"martenwheel.dev/pkg/security/securitytest"
 )
 
 const nodeName = "node-a"
@@ -25,66 +19,18 @@
 
 func testClock() time.Time { return testNow }
 
-// testAuthority issues certificates in memory.
-type testAuthority struct {
-	t           *testing.T
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-	pem         string
-}
-
-func newTestAuthority(t *testing.T) *testAuthority {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test authority"},
-		NotBefore: testNow.Add(-time.Hour), NotAfter: testNow.Add(time.Hour),
-		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	certificate, err := x509.ParseCertificate(der)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return &testAuthority{t, certificate, key, encodePEM("CERTIFICATE", der)}
-}
-
 // issue returns files with a certificate for a DNS name that ends after a time.
-func (a *testAuthority) issue(name string, lifetime time.Duration) Files {
-	a.t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name},
-		NotBefore: testNow.Add(-time.Hour), NotAfter: testNow.Add(lifetime),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
-	if err != nil {
-		a.t.Fatal(err)
-	}
+func issue(t *testing.T, a *securitytest.Authority, name string, lifetime time.Duration) Files {
+	t.Helper()
+	end := securitytest.Until(testNow.Add(lifetime))
+	certificate, key := securitytest.EncodePEM(t, a.Issue(securitytest.CommonName(name), securitytest.DNSName(name), end))
 	return Files{
-		Certificate: writeFile(a.t, "certificate.pem", encodePEM("CERTIFICATE", der)),
-		Key:         writeFile(a.t, "key.pem", encodePEM("PRIVATE KEY", keyDER)),
-		Authorities: writeFile(a.t, "authorities.pem", a.pem),
+		Certificate: writeFile(t, "certificate.pem", certificate),
+		Key:         writeFile(t, "key.pem", key),
+		Authorities: writeFile(t, "authorities.pem", a.PEM()),
 	}
 }
 
-func encodePEM(kind string, der []byte) string {
-	return string(pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}))
-}
-
 func openTest(t *testing.T, files Files) *Certificates {
 	t.Helper()
 	certificates, err := OpenCertificates(files, testClock)
@@ -137,15 +83,15 @@
 }
 
 func TestPeerConfigAdmitsOnlyNodes(t *testing.T) {
-	authority, stranger := newTestAuthority(t), newTestAuthority(t)
-	node := peerConfig(t, authority.issue(nodeName, time.Minute))
+	authority, stranger := securitytest.NewAuthority(t, testNow), securitytest.NewAuthority(t, testNow)
+	node := peerConfig(t, issue(t, authority, nodeName, time.Minute))
 	cases := []struct {
 		name   string
 		other  *tls.Config
 		admits bool
 	}{
-		{"same authority", peerConfig(t, authority.issue(nodeName, time.Minute)), true},
-		{"another authority", peerConfig(t, stranger.issue(nodeName, time.Minute)), false},
+		{"same authority", peerConfig(t, issue(t, authority, nodeName, time.Minute)), true},
+		{"another authority", peerConfig(t, issue(t, stranger, nodeName, time.Minute)), false},
 		{"no certificate", &tls.Config{RootCAs: node.RootCAs, Time: testClock}, false},
 	}
 	for _, test := range cases {
@@ -161,8 +107,8 @@
 }
 
 func TestReloadedCertificateServesStandingConfigurations(t *testing.T) {
-	authority := newTestAuthority(t)
-	files := authority.issue(nodeName, time.Minute)
+	authority := securitytest.NewAuthority(t, testNow)
+	files := issue(t, authority, nodeName, time.Minute)
 	certificates := openTest(t, files)
 	server, err := certificates.PeerConfig()
 	if err != nil {
@@ -172,7 +118,7 @@
 	if changed, err := certificates.ReloadIfChanged(); !changed || err == nil {
 		t.Fatalf("a broken key: changed %v, error %v", changed, err)
 	}
-	next := authority.issue("node-b", 2*time.Minute)
+	next := issue(t, authority, "node-b", 2*time.Minute)
 	overwrite(t, files.Certificate, readFile(t, next.Certificate))
 	overwrite(t, files.Key, readFile(t, next.Key))
 	if err := certificates.Reload(); err != nil {
@@ -189,13 +135,11 @@
 }
 
 func TestServerConfigServesCallers(t *testing.T) {
-	authority := newTestAuthority(t)
-	files := authority.issue("martenwheel.example", time.Minute)
-	pool := x509.NewCertPool()
-	pool.AddCert(authority.certificate)
+	authority := securitytest.NewAuthority(t, testNow)
+	files := issue(t, authority, "martenwheel.example", time.Minute)
 	files.Authorities = ""
 	certificates := openTest(t, files)
-	client := &tls.Config{RootCAs: pool, ServerName: "martenwheel.example", Time: testClock}
+	client := &tls.Config{RootCAs: authority.Pool(), ServerName: "martenwheel.example", Time: testClock}
 	if serverError, clientError := handshake(t, certificates.ServerConfig(), client); serverError != nil || clientError != nil {
 		t.Errorf("server %v, client %v", serverError, clientError)
 	}
@@ -205,9 +149,9 @@
 }
 
 func TestFaultyCertificateFilesAreFindings(t *testing.T) {
-	authority := newTestAuthority(t)
-	good, other := authority.issue(nodeName, time.Minute), authority.issue(nodeName, time.Minute)
-	expired := authority.issue(nodeName, -time.Minute)
+	authority := securitytest.NewAuthority(t, testNow)
+	good, other := issue(t, authority, nodeName, time.Minute), issue(t, authority, nodeName, time.Minute)
+	expired := issue(t, authority, nodeName, -time.Minute)
 	absent := filepath.Join(t.TempDir(), "absent.pem")
 	cases := []struct {
 		name  string
@@ -217,7 +161,7 @@
 		{"nothing named", Files{}, []string{"certificate: no file", "private key: no file"}},
 		{"all absent", Files{absent, absent, absent}, []string{"certificate cannot", "private key cannot", "authorities cannot"}},
 		{"mismatched", Files{good.Certificate, other.Key, good.Authorities}, []string{"does not go with"}},
-		{"another authority's", Files{good.Certificate, good.Key, newTestAuthority(t).issue(nodeName, time.Minute).Authorities}, []string{"would be refused by peers"}},
+		{"another authority's", Files{good.Certificate, good.Key, issue(t, securitytest.NewAuthority(t, testNow), nodeName, time.Minute).Authorities}, []string{"would be refused by peers"}},
 		{"expired", expired, []string{"expired at 2026-01-02T03:03:05Z"}},
 		{"not PEM", Files{writeFile(t, "x", "hello"), good.Key, good.Authorities}, []string{"not in PEM form"}},
 		{"key as authority", Files{good.Certificate, good.Key, good.Key}, []string{"no certificate"}},
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"martenwheel.dev/pkg/findings"
+	"martenwheel.dev/pkg/findings/findingstest"
 )
 
 const sampleFile = `node: {id: node-a, zone: hall-1, region: gulf-south}
@@ -26,23 +27,6 @@
   body: 8MiB
 `
 
-// wantFindings checks the findings that err carries by how they begin.
-func wantFindings(t *testing.T, err error, want ...string) {
-	t.Helper()
-	var reported *findings.Error
-	if !errors.As(err, &reported) {
-		t.Fatalf("got %v, want findings", err)
-	}
-	if len(reported.Findings) != len(want) {
-		t.Fatalf("got %d findings, want %d:\n%v", len(reported.Findings), len(want), err)
-	}
-	for index, finding := range reported.Findings {
-		if !strings.HasPrefix(finding.String(), want[index]) {
-			t.Errorf("finding %d: got %q, want %q", index, finding, want[index])
-		}
-	}
-}
-
 func TestFileDefaultsAndFlags(t *testing.T) {
 	settings, err := Parse("node.yaml", []byte(sampleFile), map[string]string{"log_level": "debug", "drain_time": "1m"})
 	if err != nil {
@@ -80,7 +64,7 @@
   connections: 5
 `
 	settings, err := Parse("node.yaml", []byte(file), map[string]string{"limits.idle_timeout": "5"})
-	wantFindings(t, err,
+	findingstest.Want(t, err,
 		`node.yaml:1 node.zone: "hall 1" must be`,
 		`node.yaml:3 listen.callers: "localhost:8080" is a host name, an IP address is needed`,
 		`node.yaml:4 listen.operators: "10.0.0.5" has no port`,
@@ -144,7 +128,7 @@
 		"keys.callers_file":                filepath.Join(directory, "missing"),
 		"tls.certificate_file":             broken,
 	})
-	wantFindings(t, err,
+	findingstest.Want(t, err,
 		"--keys-callers-file: can't be read: ",
 		"--tls-certificate-file: needs also tls.key_file and tls.ca_file",
 		"--platform-objects-secret-key-file: "+empty+" is empty")
--- a/pkg/tree/store_test.go
+++ b/pkg/tree/store_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"martenwheel.dev/pkg/findings/findingstest"
 	"martenwheel.dev/pkg/platform"
 )
 
@@ -203,11 +204,11 @@
 	store := newFakeStore(newFakeTable(), newFakeObjects())
 	mustCommit(t, store, keepAlive("a", "assistant", "5m", 0))
 	_, err := store.Commit(context.Background(), keepAlive("a", "assistant", "6m", 0))
-	wantFindings(t, err, "change a: the ID was used for other edits at revision 1")
+	findingstest.Want(t, err, "change a: the ID was used for other edits at revision 1")
 	_, err = store.Commit(context.Background(), keepAlive("", "assistant", "6m", 0))
-	wantFindings(t, err, "change id: must have 1 to 128 bytes")
+	findingstest.Want(t, err, "change id: must have 1 to 128 bytes")
 	_, err = store.Commit(context.Background(), keepAlive("b", "assistant", "6m", 9))
-	wantFindings(t, err, "change b: its base 9 is newer than the tree")
+	findingstest.Want(t, err, "change b: its base 9 is newer than the tree")
 }
 
 func TestLargeChanges(t *testing.T) {
@@ -231,16 +232,16 @@
 		edits = append(edits, Edit{Path: Path(fmt.Sprintf("/s/f/m%d", random.Uint64())), Key: "memory", Value: fmt.Sprintf("%dB", random.Uint32())})
 	}
 	_, err := store.Commit(context.Background(), Change{ID: "huge", Edits: edits})
-	wantFindings(t, err, "change huge: has ")
+	findingstest.Want(t, err, "change huge: has ")
 	_, err = store.Commit(context.Background(), Change{ID: "endless", Edits: make([]Edit, maxEdits+1)})
-	wantFindings(t, err, "change: has 50001 edits, more than 50000")
+	findingstest.Want(t, err, "change: has 50001 edits, more than 50000")
 }
 
 func TestChangeOnAnOldTreeIsRefused(t *testing.T) {
 	store := newFakeStore(newFakeTable(), newFakeObjects())
 	fill(t, store, maxBaseAge+2)
 	_, err := store.Commit(context.Background(), keepAlive("late", "booking", "5m", 1))
-	wantFindings(t, err, "change late: its base 1 is more than 1000 revisions old")
+	findingstest.Want(t, err, "change late: its base 1 is more than 1000 revisions old")
 	mustCommit(t, store, keepAlive("in time", "booking", "5m", 2))
 }
 
--- a/pkg/tree/tree_test.go
+++ b/pkg/tree/tree_test.go
@@ -1,12 +1,11 @@
 package tree
 
 import (
-	"errors"
 	"strings"
 	"testing"
 	"time"
 
-	"martenwheel.dev/pkg/findings"
+	"martenwheel.dev/pkg/findings/findingstest"
 )
 
 // sampleTree has settings at every level.
@@ -46,23 +45,6 @@
 	return tree
 }
 
-// wantFindings checks the findings that err carries, as "place: message begins".
-func wantFindings(t *testing.T, err error, want ...string) {
-	t.Helper()
-	var reported *findings.Error
-	if !errors.As(err, &reported) {
-		t.Fatalf("got %v, want findings", err)
-	}
-	if len(reported.Findings) != len(want) {
-		t.Fatalf("got %d findings, want %d:\n%v", len(reported.Findings), len(want), err)
-	}
-	for index, finding := range reported.Findings {
-		if !strings.HasPrefix(finding.String(), want[index]) {
-			t.Errorf("finding %d: got %q, want %q", index, finding, want[index])
-		}
-	}
-}
-
 func TestEffectiveSettingsAreInherited(t *testing.T) {
 	tree := parseSample(t)
 	model, found := tree.Model("glaze-7b")
@@ -136,7 +118,7 @@
           kiln-7b: {}
           "bad name": {}
 `))
-	wantFindings(t, err,
+	findingstest.Want(t, err,
 		`site.yaml:1 / keep_alive: "10" has no unit`,
 		`site.yaml:4 /assistant keep_alife: unknown key "keep_alife"`,
 		`site.yaml:5 /assistant weight_load_rate: may not be set at a service, only at: root`,
@@ -158,7 +140,7 @@
 		{Path: "/booking/slots/glaze-7b", Key: "memory", Value: "1GiB"},
 		{Path: "/booking", Key: "keep_alive", Value: "1m"},
 	}})
-	wantFindings(t, err,
+	findingstest.Want(t, err,
 		`/assistant keep_alive: "10" has no unit`,
 		`/assistant keep_alife: unknown key`,
 		`assistant keep_alive: path "assistant" does not begin with /`,
@@ -197,7 +179,7 @@
 				}
 				return
 			}
-			wantFindings(t, err, test.want)
+			findingstest.Want(t, err, test.want)
 		})
 	}
 }
@@ -219,22 +201,22 @@
 	}
 	for want, edit := range cases {
 		_, err := parseSample(t).Apply(Change{Edits: []Edit{edit}})
-		wantFindings(t, err, want)
+		findingstest.Want(t, err, want)
 	}
 	_, err := parseSample(t).Apply(Change{})
-	wantFindings(t, err, "change: has no edits")
+	findingstest.Want(t, err, "change: has no edits")
 }
 
 func TestRefusedValuesCauseNoFurtherFindings(t *testing.T) {
 	_, err := Parse([]byte("max_replicas: many\nservices: {a: {families: {b: {models: {c: {memory: 5, min_replicas: 4}}}}}}"))
-	wantFindings(t, err,
+	findingstest.Want(t, err,
 		`line 1 / max_replicas: "many" is no whole number`,
 		`line 2 /a/b/c memory: "5" has no unit`)
 }
 
 func TestSecondDocumentIsNotIgnored(t *testing.T) {
 	_, err := ParseNamed("site.yaml", []byte(sampleTree+"---\nkeep_alive: 1m\n"))
-	wantFindings(t, err, "site.yaml: a second document begins")
+	findingstest.Want(t, err, "site.yaml: a second document begins")
 }
 
 func TestModelsThatFitNoServerAreFound(t *testing.T) {
@@ -245,7 +227,7 @@
 	if err := tree.CheckFits(servers(17<<30 + 100<<20)); err != nil {
 		t.Errorf("all fit: %v", err)
 	}
-	wantFindings(t, tree.CheckFits(servers(17<<30)),
+	findingstest.Want(t, tree.CheckFits(servers(17<<30)),
 		"/assistant/llama/glaze-7b/studio-3 memory: needs 17508MiB with its KV cache and base model, but the largest server of assistant has 17GiB",
 		"/assistant/llama/glaze-7b/studio-4 memory: needs 17472MiB")
 }
