status shows every node's revision; metrics of unknown servers and of record failures

Cause: the status showed the revision of the answering node only, since digests go to neighbours; operators could not see that an edit is in force everywhere. The node that is asked now asks the others, all at once and for a second at most. What an owner knows of servers of a new epoch and of its record in the table service was in no page that operators get.

TestWholePath checks that the status of each of three nodes shows the same revision for all.

--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -106,6 +106,23 @@
 		})
 	}
 	wantRequestLogged(t, c, "idle-streamed")
+	wantOneRevision(t, c)
+}
+
+// wantOneRevision checks that the status of any node shows the revision of each.
+func wantOneRevision(t *testing.T, c *cluster) {
+	t.Helper()
+	for _, asked := range c.nodes {
+		status := c.status(t, asked)
+		if len(status.Nodes) != len(c.nodes) {
+			t.Errorf("%s shows %d nodes, want %d", asked.id, len(status.Nodes), len(c.nodes))
+		}
+		for _, node := range status.Nodes {
+			if node.TreeRevision != status.TreeRevision || node.TreeRevision == 0 {
+				t.Errorf("%s shows revision %d of %s, its own is %d", asked.id, node.TreeRevision, node.ID, status.TreeRevision)
+			}
+		}
+	}
 }
 
 // wantRequestLogged checks that a request can be followed over processes, and
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -20,6 +20,8 @@
 	ownedMetric        = newMetric("cell_owned", "1 if this node owns the cell, else 0.", "cell")
 	replicasMetric     = newMetric("cell_replicas", "Replicas of the cell by state, as this node knows them.", "cell", "state")
 	unreachableMetric  = newMetric("cell_servers_unreachable", "Servers of the cell that its owner cannot ask.", "cell")
+	unknownMetric      = newMetric("cell_servers_unknown", "Servers of the cell that may hold anything, at its owner.", "cell")
+	recordMetric       = newMetric("cell_record_failures", "Failed calls in a row of the cell's record in the table service, at its owner.", "cell")
 	peerBytesMetric    = newMetric("peer_bytes_total", "Bytes of messages between nodes.", "direction", "type")
 	peerMessagesMetric = newMetric("peer_messages_total", "Messages between nodes.", "direction", "type")
 )
@@ -38,7 +40,7 @@
 func (c collector) Describe(descriptions chan<- *prometheus.Desc) {
 	for _, metric := range []*prometheus.Desc{
 		treeRevisionMetric, treeSeenMetric, membersMetric, ownedMetric,
-		replicasMetric, unreachableMetric, peerBytesMetric, peerMessagesMetric,
+		replicasMetric, unreachableMetric, unknownMetric, recordMetric, peerBytesMetric, peerMessagesMetric,
 	} {
 		descriptions <- metric
 	}
@@ -83,6 +85,8 @@
 	gauge(metrics, replicasMetric, float64(cell.Loading), name, "loading")
 	gauge(metrics, replicasMetric, float64(cell.InDoubt), name, "in_doubt")
 	gauge(metrics, unreachableMetric, float64(cell.Unreachable), name)
+	gauge(metrics, unknownMetric, float64(cell.UnknownServer), name)
+	gauge(metrics, recordMetric, float64(cell.RecordFailed), name)
 }
 
 func (c collector) collectTransport(metrics chan<- prometheus.Metric) {
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc/pool"
 
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/control"
@@ -13,9 +16,13 @@
 	"martenwheel.dev/pkg/tree"
 )
 
-// inspectTimeout bounds how long a status or the metrics wait for the control
-// loop.
-const inspectTimeout = 2 * time.Second
+// Bounds of what a status or the metrics wait for and do at once.
+const (
+	inspectTimeout    = 2 * time.Second // for the control loop
+	revisionTimeout   = time.Second     // for the other nodes' revisions
+	revisionsAtOnce   = 32
+	newerThanAnything = tree.Revision(math.MaxUint64)
+)
 
 // errNoTree means that the node has not got its first tree.
 var errNoTree = errors.New("no tree of settings yet")
@@ -32,7 +39,7 @@
 		Region:       n.settings.Node.Region,
 		At:           time.Now(),
 		TreeRevision: n.trees.Current().Revision(),
-		Nodes:        nodeStatuses(seen, n.server.Self(), n.trees.Current().Revision()),
+		Nodes:        n.nodeStatuses(seen.Members),
 	}
 	for _, cell := range n.view.Directory().Cells {
 		addCell(&status, cell)
@@ -52,17 +59,37 @@
 	return nil
 }
 
-// nodeStatuses lists the members that this node sees, itself among them.
-func nodeStatuses(seen control.Status, self api.NodeRef, revision tree.Revision) []operator.NodeStatus {
-	statuses := []operator.NodeStatus{nodeStatus(self, membership.StateAlive, revision)}
-	for _, member := range seen.Members {
-		if member.Ref.ID != self.ID {
-			statuses = append(statuses, nodeStatus(member.Ref, member.State, 0))
-		}
+// nodeStatuses lists this node and the other members that it sees, and asks those
+// that live for their revisions. One that does not answer in time has revision 0.
+func (n *Node) nodeStatuses(members []membership.Member) []operator.NodeStatus {
+	self := n.server.Self()
+	others := slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool { return m.Ref.ID == self.ID })
+	statuses := make([]operator.NodeStatus, len(others)+1)
+	statuses[0] = nodeStatus(self, membership.StateAlive, n.trees.Current().Revision())
+	ctx, cancel := context.WithTimeout(context.Background(), revisionTimeout)
+	defer cancel()
+	asking := pool.New().WithMaxGoroutines(revisionsAtOnce)
+	for i, member := range others {
+		asking.Go(func() { statuses[i+1] = nodeStatus(member.Ref, member.State, n.revisionAt(ctx, member)) })
 	}
+	asking.Wait()
 	return statuses
 }
 
+// revisionAt asks a member for the revision that is in force there. It returns 0
+// for one that does not live or does not answer.
+func (n *Node) revisionAt(ctx context.Context, member membership.Member) tree.Revision {
+	if member.State != membership.StateAlive {
+		return 0
+	}
+	peer := peerSource{transport: n.transport, address: member.Ref.PeerAddress}
+	answer, err := peer.Fetch(ctx, tree.FetchRequest{After: newerThanAnything})
+	if err != nil {
+		return 0
+	}
+	return answer.Revision
+}
+
 func nodeStatus(ref api.NodeRef, state membership.State, revision tree.Revision) operator.NodeStatus {
 	return operator.NodeStatus{
 		ID:           ref.ID,
