--- a/cmd/martenwheel/node.go
+++ b/cmd/martenwheel/node.go
@@ -13,6 +13,7 @@
 	"martenwheel.dev/pkg/cli"
 	"martenwheel.dev/pkg/node"
 	"martenwheel.dev/pkg/settings"
+	"martenwheel.dev/platform"
 )
 
 // newNodeCommand returns the command that runs a node in this process.
@@ -23,10 +24,27 @@
 	path := ""
 	command.String(&path, "s", "settings", "settings file (YAML); every setting of it is also a flag")
 	flags := settings.Bind(command)
-	run := func(streams cli.Streams) int { return runNode(streams, path, flags.Overrides()) }
+	run := func(streams cli.Streams) int {
+		if given, found := platform.SettingsPath(); found && path == "" {
+			return runOnPlatform(streams, given)
+		}
+		return runNode(streams, path, flags.Overrides())
+	}
 	return cli.Extra{Command: command, Run: run}
 }
 
+// runOnPlatform runs a node by the settings file of the users' platform. It logs
+// to stdout.
+func runOnPlatform(streams cli.Streams, path string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := platform.Run(ctx, platform.Options{Path: path, Version: cli.Version(), Logs: streams.Out}); err != nil {
+		fmt.Fprintln(streams.Err, err)
+		return cli.ExitRefused
+	}
+	return cli.ExitOK
+}
+
 // runNode prints the node's addresses as one JSON line on stdout when it
 // listens, and logs to stderr.
 func runNode(streams cli.Streams, path string, overrides map[string]string) int {
--- /dev/null
+++ b/pkg/backend/condition.go
@@ -0,0 +1,182 @@
+package backend
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Condition is what this node found out about one life of a server. Safe for
+// concurrent use.
+type Condition struct {
+	pool     *pool
+	inFlight atomic.Int64
+	draining atomic.Bool
+	left     atomic.Bool
+
+	mu       sync.Mutex
+	beliefs  map[Need]belief
+	running  map[string]int // this node's requests by model
+	recent   float64        // requests sent lately, decayed
+	recentAt time.Time
+	failures int       // in a row
+	until    time.Time // to be avoided
+}
+
+// belief is what was learned of a server outside of its record.
+type belief struct {
+	holds bool
+	until time.Time
+}
+
+func newCondition(dialer Dialer, s *Server) *Condition {
+	return &Condition{
+		pool:    newPool(dialer, s.Address),
+		beliefs: make(map[Need]belief),
+		running: make(map[string]int),
+	}
+}
+
+// Left tells whether the server's record is gone.
+func (c *Condition) Left() bool { return c.left.Load() }
+
+// Leaving tells whether the server takes no new requests.
+func (c *Condition) Leaving() bool { return c.left.Load() || c.draining.Load() }
+
+// leave ends the use of the server for new requests.
+func (c *Condition) leave() {
+	c.left.Store(true)
+	c.pool.closeIdle()
+}
+
+// InFlight returns this node's requests at the server.
+func (c *Condition) InFlight() int { return int(c.inFlight.Load()) }
+
+// Open returns the number of connections to the server.
+func (c *Condition) Open() int { return c.pool.count() }
+
+// Running returns this node's requests at the server that need a model.
+func (c *Condition) Running(model string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.running[model]
+}
+
+// recentHalfLife is the time in which the count of recent requests halves.
+const recentHalfLife = 2 * time.Second
+
+// Begin counts a request that goes to the server.
+func (c *Condition) Begin(now time.Time, model string) {
+	c.inFlight.Add(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running[model]++
+	c.recent = c.recentBy(now) + 1
+	c.recentAt = now
+}
+
+// End takes back Begin.
+func (c *Condition) End(model string) {
+	c.inFlight.Add(-1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.running[model]--; c.running[model] <= 0 {
+		delete(c.running, model)
+	}
+}
+
+// Recent returns the requests sent lately, decayed by their age.
+func (c *Condition) Recent(now time.Time) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.recentBy(now)
+}
+
+// recentBy halves the count once for each half-life, in steps.
+func (c *Condition) recentBy(now time.Time) float64 {
+	age := now.Sub(c.recentAt)
+	if age >= 10*recentHalfLife {
+		return 0
+	}
+	count := c.recent
+	for ; age >= recentHalfLife; age -= recentHalfLife {
+		count /= 2
+	}
+	return count * (1 - 0.5*float64(age)/float64(recentHalfLife))
+}
+
+// How long a server that fails is avoided: the first failure costs shortAvoid,
+// further ones in a row double it up to longAvoid.
+const (
+	shortAvoid = 500 * time.Millisecond
+	longAvoid  = 4 * time.Second
+)
+
+// Failed notes that the server did not serve a request.
+func (c *Condition) Failed(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	pause := shortAvoid << min(c.failures, 4)
+	c.failures++
+	c.until = now.Add(min(pause, longAvoid))
+}
+
+// Answered notes that the server served a request.
+func (c *Condition) Answered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failures = 0
+	c.until = time.Time{}
+}
+
+// Avoid tells whether the server failed a moment ago.
+func (c *Condition) Avoid(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Before(c.until)
+}
+
+func (c *Condition) believe(n Need, holds bool, until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.beliefs[n] = belief{holds: holds, until: until}
+}
+
+func (c *Condition) believes(now time.Time, n Need) (holds, known bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b, known := c.beliefs[n]
+	if !known {
+		return false, false
+	}
+	if now.After(b.until) {
+		delete(c.beliefs, n)
+		return false, false
+	}
+	return b.holds, true
+}
+
+// relearn drops the beliefs that a newer record confirms.
+func (c *Condition) relearn(before, after *Server) {
+	if before.Version == after.Version {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for n, b := range c.beliefs {
+		if after.Holds(n) == b.holds {
+			delete(c.beliefs, n)
+		}
+	}
+}
+
+// EachRunning calls f for each model that requests of this node run on.
+func (c *Condition) EachRunning(f func(model string, n int)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for model, n := range c.running {
+		if model != "" {
+			f(model, n)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/backend/directory.go
@@ -0,0 +1,142 @@
+package backend
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Snapshot is the servers known at one moment. It is immutable.
+type Snapshot struct {
+	version  uint64
+	at       time.Time
+	services map[string][]*Member
+	members  map[string]*Member
+}
+
+// Version returns the version of the list that the snapshot was made from.
+func (s *Snapshot) Version() uint64 { return s.version }
+
+// At returns when the snapshot was taken.
+func (s *Snapshot) At() time.Time { return s.at }
+
+// Service returns the servers of a service. The slice is not to be changed.
+func (s *Snapshot) Service(name string) []*Member { return s.services[name] }
+
+// Member returns the server with an ID, nil if it is not known.
+func (s *Snapshot) Member(id string) *Member { return s.members[id] }
+
+// Members returns all servers by ID. The map is not to be changed.
+func (s *Snapshot) Members() map[string]*Member { return s.members }
+
+// Member is a server with what this node found out about it.
+type Member struct {
+	*Server
+	*Condition
+}
+
+// Serves tells whether the server may get a new request that needs n.
+func (m *Member) Serves(now time.Time, n Need) bool {
+	if m.Draining || m.Left() {
+		return false
+	}
+	if believed, known := m.believes(now, n); known {
+		return believed
+	}
+	return m.Holds(n)
+}
+
+// Directory keeps the newest snapshot. Safe for concurrent use. Set the fields
+// before the first Replace.
+type Directory struct {
+	Dialer Dialer
+	Clock  func() time.Time // time.Now if nil
+
+	mu       sync.Mutex
+	current  atomic.Pointer[Snapshot]
+	changed  chan struct{}
+	detached []*Condition // of servers that are gone, until their requests end
+}
+
+// Snapshot returns the newest snapshot; an empty one before the first Replace.
+func (d *Directory) Snapshot() *Snapshot {
+	if s := d.current.Load(); s != nil {
+		return s
+	}
+	return &Snapshot{}
+}
+
+// Known tells whether a list of servers was taken in.
+func (d *Directory) Known() bool { return d.current.Load() != nil }
+
+// Changed returns a channel that is closed at the next change of the servers or
+// of what is believed of them.
+func (d *Directory) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.changed == nil {
+		d.changed = make(chan struct{})
+	}
+	return d.changed
+}
+
+// announce wakes those that wait for a change. The caller holds mu.
+func (d *Directory) announce() {
+	if d.changed != nil {
+		close(d.changed)
+		d.changed = nil
+	}
+}
+
+// Replace takes in the whole list of servers. Servers that are missing get no
+// new requests from now on.
+func (d *Directory) Replace(servers []*Server, version uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.Snapshot()
+	next := &Snapshot{
+		version:  version,
+		at:       d.now(),
+		services: make(map[string][]*Member),
+		members:  make(map[string]*Member, len(servers)),
+	}
+	for _, s := range servers {
+		m := &Member{Server: s}
+		if before := old.members[s.ID]; before != nil {
+			m.Condition = before.Condition
+			m.Condition.relearn(before.Server, s)
+		} else {
+			m.Condition = newCondition(d.Dialer, s)
+		}
+		m.draining.Store(s.Draining)
+		next.members[s.ID] = m
+		next.services[s.Service] = append(next.services[s.Service], m)
+	}
+	d.current.Store(next)
+	for id, m := range old.members {
+		if next.members[id] == nil {
+			m.Condition.leave()
+		}
+	}
+	d.announce()
+}
+
+// Believe notes, until the time, that a server holds n or not, whatever the
+// list says. It is dropped when the list tells of another state of the model.
+func (d *Directory) Believe(id string, n Need, holds bool, until time.Time) {
+	m := d.Snapshot().Member(id)
+	if m == nil {
+		return
+	}
+	m.believe(n, holds, until)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.announce()
+}
+
+func (d *Directory) now() time.Time {
+	if d.Clock != nil {
+		return d.Clock()
+	}
+	return time.Now()
+}
--- /dev/null
+++ b/pkg/backend/pool.go
@@ -0,0 +1,161 @@
+package backend
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrCrowded means that the node has as many connections to the server as it
+// may have. Nothing was sent.
+var ErrCrowded = errors.New("backend: too many connections to the server")
+
+// Limits of idle connections.
+const (
+	maxIdle = time.Minute
+	// idleMargin is how long before the server closes an idle connection it is
+	// not used any more.
+	idleMargin = 500 * time.Millisecond
+)
+
+// pool holds the connections to one life of a server. Safe for concurrent use.
+type pool struct {
+	dial    Dialer
+	address string
+	limit   atomic.Int64 // connections; zero: none
+
+	mu     sync.Mutex
+	idle   []*conn // the last used at the end
+	open   int
+	ended  bool
+	dialed uint64
+}
+
+func newPool(dial Dialer, address string) *pool {
+	return &pool{dial: dial, address: address}
+}
+
+func (p *pool) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
+// take returns an idle connection, nil if there is none.
+func (p *pool) take(now time.Time) *conn {
+	for {
+		c := p.pop()
+		if c == nil {
+			return nil
+		}
+		bound := maxIdle
+		if c.idleFor > 0 {
+			bound = min(bound, max(c.idleFor-idleMargin, c.idleFor/2))
+		}
+		if now.Sub(c.idleAt) < bound {
+			return c
+		}
+		c.fail(errIdleClosed)
+	}
+}
+
+func (p *pool) pop() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	c := p.idle[len(p.idle)-1]
+	p.idle = p.idle[:len(p.idle)-1]
+	return c
+}
+
+// put gives a connection back.
+func (p *pool) put(c *conn) {
+	c.idleAt = time.Now()
+	p.mu.Lock()
+	ended := p.ended
+	if !ended {
+		p.idle = append(p.idle, c)
+	}
+	p.mu.Unlock()
+	if ended {
+		c.fail(errIdleClosed)
+	}
+}
+
+// drop forgets a connection that has ended.
+func (p *pool) drop(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+	for i, other := range p.idle {
+		if other == c {
+			p.idle = append(p.idle[:i], p.idle[i+1:]...)
+			return
+		}
+	}
+}
+
+// closeIdle closes the unused connections, and the others once they are unused.
+func (p *pool) closeIdle() {
+	p.mu.Lock()
+	p.ended = true
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.fail(errIdleClosed)
+	}
+}
+
+// connect opens a connection.
+func (p *pool) connect(ctx context.Context) (*conn, error) {
+	p.mu.Lock()
+	if limit := int(p.limit.Load()); limit > 0 && p.open >= limit {
+		p.mu.Unlock()
+		return nil, ErrCrowded
+	}
+	p.open++
+	p.dialed++
+	p.mu.Unlock()
+	nc, err := p.dial(ctx, p.address)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, errors.Wrap(ErrNotSent, err.Error())
+	}
+	return newConn(p, nc), nil
+}
+
+// SetConnectionLimit bounds the connections to the server; zero: no bound.
+func (c *Condition) SetConnectionLimit(n int) { c.pool.limit.Store(int64(n)) }
+
+// Send writes a request to the server once and waits for the head of its
+// answer. check is asked right before the first byte goes out; its error keeps
+// the request from being sent.
+func (c *Condition) Send(ctx context.Context, m *Message, check func() error) (*Answer, error) {
+	for {
+		nc := c.pool.take(time.Now())
+		fresh := nc == nil
+		if fresh {
+			var err error
+			if nc, err = c.pool.connect(ctx); err != nil {
+				return nil, err
+			}
+		}
+		if err := check(); err != nil {
+			c.pool.put(nc)
+			return nil, errors.Wrap(ErrNotSent, err.Error())
+		}
+		a, err := nc.send(ctx, m)
+		if err != nil && !fresh && errors.Is(err, ErrNotSent) && ctx.Err() == nil {
+			continue // it had closed while idle
+		}
+		return a, err
+	}
+}
--- /dev/null
+++ b/pkg/coordinator/holder.go
@@ -0,0 +1,314 @@
+package coordinator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/lease"
+	"martenwheel.dev/pkg/peer"
+	"martenwheel.dev/pkg/policy"
+	"martenwheel.dev/pkg/route"
+)
+
+// Times of the holder.
+const (
+	tickInterval = 200 * time.Millisecond
+	nodeExpiry   = 3 * time.Second
+	wishTime     = 6 * time.Second // how long a wish counts after it was last told
+	rateHalfLife = 3 * time.Second
+)
+
+// Holder decides for the site while this node holds the lease. All its state
+// belongs to the goroutine of Run. Set the fields before Run.
+type Holder struct {
+	Lease     *lease.Lease
+	Routes    func() *route.Table
+	Servers   *backend.Directory
+	Orders    Orders
+	Transport peer.Transport
+	Decider   policy.Decider
+	Turns     time.Duration // between orders of two holders to one server
+	Ceiling   Ceiling
+	Logger    hclog.Logger
+
+	once     sync.Once
+	requests chan func()
+	planSoon bool
+
+	term    uint64 // of the state below
+	nodes   map[string]*nodeState
+	demands map[demandKey]*demand
+	servers map[string]*serverState
+	fetches []time.Time // starts of loads from the weight store
+}
+
+// Ceiling bounds the loads from the weight store in any window.
+type Ceiling struct {
+	Window time.Duration
+	Over   float64 // factor that the platform tolerates
+}
+
+// nodeState is a node that beats.
+type nodeState struct {
+	node Node
+	seen time.Time
+	uses map[demandKey]Use
+}
+
+// demandKey names a model of a service, or an adapter of it.
+type demandKey struct {
+	service string
+	need    string
+}
+
+// demand is what is asked of a model.
+type demand struct {
+	rate     float64 // arrivals a second, smoothed
+	ratedAt  time.Time
+	last     time.Time // arrival
+	wishedAt time.Time // last wish without a server
+	deadline time.Time
+	priority int // 0 is the most urgent
+	request  string
+}
+
+func (h *Holder) init() {
+	h.once.Do(func() { h.requests = make(chan func(), 256) })
+}
+
+// Run acts whenever the lease is held, until ctx ends.
+func (h *Holder) Run(ctx context.Context) {
+	h.init()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			h.tick(ctx)
+		case f := <-h.requests:
+			f()
+			if h.planSoon {
+				h.tick(ctx)
+			}
+		}
+	}
+}
+
+// tick takes in what changed and plans.
+func (h *Holder) tick(ctx context.Context) {
+	h.planSoon = false
+	term, held := h.Lease.Held()
+	if !held {
+		return
+	}
+	if term != h.term {
+		h.begin(term)
+	}
+	now := time.Now()
+	h.expire(now)
+	h.learn(now)
+	h.plan(ctx, now)
+}
+
+// begin starts a term with nothing but what the record tells.
+func (h *Holder) begin(term uint64) {
+	h.term = term
+	h.nodes = make(map[string]*nodeState)
+	h.demands = make(map[demandKey]*demand)
+	h.servers = make(map[string]*serverState)
+	h.fetches = nil
+	record, _ := h.Lease.Current()
+	now, storeNow := time.Now(), h.Lease.Now()
+	for _, i := range record.Intents {
+		at := now.Add(-time.Duration(storeNow-i.At) * time.Millisecond)
+		h.server(i.Server).quietUntil = at.Add(h.Turns + lease.PermitTime)
+		if i.Fetch {
+			h.fetches = append(h.fetches, at)
+		}
+	}
+	h.Logger.Info("coordinating", "term", term, "intents", len(record.Intents))
+}
+
+// do runs f on the holder's goroutine and waits for it.
+func (h *Holder) do(ctx context.Context, f func()) error {
+	h.init()
+	done := make(chan struct{})
+	select {
+	case h.requests <- func() { defer close(done); f() }:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// post runs f on the holder's goroutine some time.
+func (h *Holder) post(ctx context.Context, f func()) {
+	select {
+	case h.requests <- f:
+	case <-ctx.Done():
+	}
+}
+
+// HandleMessage implements peer.Handler.
+func (h *Holder) HandleMessage(ctx context.Context, _ api.NodeRef, message peer.Message) (peer.Message, error) {
+	var reply peer.Message
+	var handle func()
+	switch m := message.(type) {
+	case Beat:
+		handle = func() { reply = h.beat(time.Now(), m) }
+	case WishMessage:
+		handle = func() { reply = h.wish(ctx, time.Now(), m) }
+	default:
+		return nil, errMessage
+	}
+	if err := h.do(ctx, handle); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// holds tells whether the state is that of a term that is held now.
+func (h *Holder) holds() bool {
+	term, held := h.Lease.Held()
+	if held && term != h.term {
+		h.begin(term)
+	}
+	return held
+}
+
+// beat takes in what a node tells.
+func (h *Holder) beat(now time.Time, b Beat) BeatAnswer {
+	if !h.holds() {
+		return BeatAnswer{}
+	}
+	n := h.nodes[b.Node.Name]
+	if n == nil || n.node.Life <= b.Node.Life {
+		if n == nil || n.node.Life != b.Node.Life {
+			h.Logger.Info("node joined", "name", b.Node.Name, "zone", b.Node.Zone, "life", b.Node.Life)
+		}
+		n = &nodeState{node: b.Node, seen: now, uses: make(map[demandKey]Use)}
+		h.nodes[b.Node.Name] = n
+	}
+	for _, u := range b.Uses {
+		key := demandKey{u.Service, u.Model}
+		n.uses[key] = u
+		if u.Arrivals > 0 {
+			h.demand(key).arrive(now, u.Arrivals)
+		}
+	}
+	answer := BeatAnswer{Term: h.term}
+	for _, other := range h.nodes {
+		answer.Nodes = append(answer.Nodes, other.node)
+	}
+	return answer
+}
+
+func (h *Holder) demand(key demandKey) *demand {
+	d := h.demands[key]
+	if d == nil {
+		d = &demand{}
+		h.demands[key] = d
+	}
+	return d
+}
+
+// arrive takes arrivals into the smoothed rate.
+func (d *demand) arrive(now time.Time, n int) {
+	d.rate = d.rateAt(now) + float64(n)/rateHalfLife.Seconds()*decayPerHalfLife
+	d.ratedAt = now
+	d.last = now
+}
+
+// decayPerHalfLife makes the sum of decaying arrivals a rate: ln 2.
+const decayPerHalfLife = 0.693
+
+// rateAt returns the smoothed arrivals a second.
+func (d *demand) rateAt(now time.Time) float64 {
+	rate := d.rate
+	for age := now.Sub(d.ratedAt); age > 0 && rate > 0.001; age -= rateHalfLife {
+		if age < rateHalfLife {
+			return rate * (1 - 0.5*age.Seconds()/rateHalfLife.Seconds())
+		}
+		rate /= 2
+	}
+	return rate
+}
+
+// wished tells whether a request waits for the model.
+func (d *demand) wished(now time.Time) bool {
+	return !d.wishedAt.IsZero() && now.Sub(d.wishedAt) < wishTime
+}
+
+// wish takes in that a node lacks a model.
+func (h *Holder) wish(ctx context.Context, now time.Time, w WishMessage) WishAnswer {
+	if !h.holds() {
+		return WishAnswer{}
+	}
+	need := backend.ParseNeed(w.Need)
+	d := h.demand(demandKey{w.Service, w.Need})
+	first := !d.wished(now)
+	d.wishedAt, d.last = now, now
+	d.priority, d.deadline, d.request = w.Priority, now.Add(w.Left), w.RequestID
+	h.learn(now)
+	answer := WishAnswer{Term: h.term}
+	if server := h.heldBy(w.Service, need); server != "" {
+		answer.Server = server
+		d.wishedAt = time.Time{}
+		return answer
+	}
+	h.planSoon = false
+	h.plan(ctx, now)
+	answer.ReadyIn = h.readyIn(now, w.Service, need)
+	if first {
+		h.Logger.Info("wish", "request_id", w.RequestID, "service", w.Service, "model", w.Need,
+			"priority", w.Priority, "ready_in_ms", answer.ReadyIn.Milliseconds())
+	}
+	return answer
+}
+
+// expire drops nodes that are silent and demands that are over.
+func (h *Holder) expire(now time.Time) {
+	for name, n := range h.nodes {
+		if now.Sub(n.seen) > nodeExpiry {
+			h.Logger.Warn("node silent", "name", name, "zone", n.node.Zone, "life", n.node.Life)
+			delete(h.nodes, name)
+		}
+	}
+	for key, d := range h.demands {
+		if !d.wished(now) && d.rateAt(now) < 0.001 && now.Sub(d.last) > time.Minute {
+			delete(h.demands, key)
+		}
+	}
+}
+
+// inFlight returns the requests that all nodes have running on a model.
+func (h *Holder) inFlight(key demandKey) int {
+	sum := 0
+	for _, n := range h.nodes {
+		sum += n.uses[key].InFlight
+	}
+	return sum
+}
+
+// tell sends a notice to all other nodes and takes it in here.
+func (h *Holder) tell(n Notice) {
+	h.Servers.Believe(n.Server, backend.ParseNeed(n.Need), n.Holds, time.Now().Add(noticeTime))
+	record, _ := h.Lease.Current()
+	for _, other := range h.nodes {
+		if other.node.Peers != record.Address {
+			h.Transport.Send(other.node.Peers, n)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/coordinator/member.go
@@ -0,0 +1,218 @@
+package coordinator
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/lease"
+	"martenwheel.dev/pkg/peer"
+	"martenwheel.dev/pkg/relay"
+)
+
+// Times of a member.
+const (
+	beatInterval = time.Second
+	beatRetry    = 300 * time.Millisecond
+	beatTimeout  = 700 * time.Millisecond
+	noticeTime   = 5 * time.Second
+)
+
+// Errors of a member.
+var (
+	ErrNoHolder = errors.New("coordinator: no node is known to hold the lease")
+	errMessage  = errors.New("coordinator: unexpected message")
+)
+
+// Member is a node's part in the site. Set the fields before Run.
+type Member struct {
+	Self      Node
+	Lease     *lease.Lease
+	Holder    *Holder // of this node; acts while the lease is held here
+	Transport peer.Transport
+	Servers   *backend.Directory
+	Logger    hclog.Logger
+
+	nodes    atomic.Pointer[[]Node]
+	stopping atomic.Bool
+	beatNow  chan struct{}
+	started  sync.Once
+
+	mu       sync.Mutex
+	arrivals map[Use]int // by service and model
+	answered bool        // the last beat was
+}
+
+func (m *Member) init() {
+	m.started.Do(func() { m.beatNow = make(chan struct{}, 1) })
+}
+
+// Nodes returns the nodes of the site as last told, this one among them.
+func (m *Member) Nodes() []Node {
+	if nodes := m.nodes.Load(); nodes != nil {
+		return *nodes
+	}
+	return []Node{m.self()}
+}
+
+// Stop tells the others that this node is leaving.
+func (m *Member) Stop() {
+	m.init()
+	m.stopping.Store(true)
+	select {
+	case m.beatNow <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Member) self() Node {
+	n := m.Self
+	n.Stopping = m.stopping.Load()
+	return n
+}
+
+// Run beats until ctx ends.
+func (m *Member) Run(ctx context.Context) {
+	m.init()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.beatNow:
+		case <-timer.C:
+		}
+		pause := beatInterval
+		if err := m.beat(ctx); err != nil {
+			m.lost(err)
+			pause = beatRetry
+		}
+		timer.Reset(pause)
+	}
+}
+
+// lost notes that the holder does not answer.
+func (m *Member) lost(err error) {
+	m.Lease.Suspect()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.answered {
+		m.Logger.Warn("coordinator lost", "error", err)
+	}
+	m.answered = false
+}
+
+// beat tells the holder of this node and takes in what it tells of the others.
+func (m *Member) beat(ctx context.Context) error {
+	beat := Beat{Node: m.self(), Uses: m.uses()}
+	answer, err := ask[BeatAnswer](ctx, m, beat)
+	if err != nil {
+		return err
+	}
+	if answer.Term == 0 {
+		return ErrNoHolder
+	}
+	m.nodes.Store(&answer.Nodes)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.answered {
+		m.Logger.Info("coordinator answers", "term", answer.Term, "nodes", len(answer.Nodes))
+	}
+	m.answered = true
+	return nil
+}
+
+// ask sends a message to the holder, which may be this node.
+func ask[A any](ctx context.Context, m *Member, message peer.Message) (A, error) {
+	var none A
+	record, known := m.Lease.Current()
+	if !known || record.Holder == "" {
+		return none, ErrNoHolder
+	}
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	var reply peer.Message
+	var err error
+	if record.Address == m.Self.Peers {
+		reply, err = m.Holder.HandleMessage(ctx, api.NodeRef{}, message)
+	} else {
+		reply, err = m.Transport.Call(ctx, record.Address, message)
+	}
+	if err != nil {
+		return none, err
+	}
+	answer, ok := reply.(A)
+	if !ok {
+		return none, errMessage
+	}
+	return answer, nil
+}
+
+// Arrived counts a request for a model.
+func (m *Member) Arrived(service string, n backend.Need) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.arrivals == nil {
+		m.arrivals = make(map[Use]int)
+	}
+	m.arrivals[Use{Service: service, Model: n.Model}]++
+	if n.Adapter != "" {
+		m.arrivals[Use{Service: service, Model: n.String()}]++
+	}
+}
+
+// uses returns what this node serves, and starts to count anew.
+func (m *Member) uses() []Use {
+	m.mu.Lock()
+	arrivals := m.arrivals
+	m.arrivals = nil
+	m.mu.Unlock()
+	if arrivals == nil {
+		arrivals = make(map[Use]int)
+	}
+	running := make(map[Use]int)
+	for _, s := range m.Servers.Snapshot().Members() {
+		s.EachRunning(func(model string, n int) {
+			key := Use{Service: s.Service, Model: model}
+			running[key] += n
+			arrivals[key] += 0
+		})
+	}
+	uses := make([]Use, 0, len(arrivals))
+	for key, n := range arrivals {
+		uses = append(uses, Use{Service: key.Service, Model: key.Model, Arrivals: n, InFlight: running[key]})
+	}
+	return uses
+}
+
+// Wake implements relay.Waker.
+func (m *Member) Wake(ctx context.Context, w relay.Wish) (relay.Outlook, error) {
+	answer, err := ask[WishAnswer](ctx, m, WishMessage{
+		Service: w.Service, Need: w.Need.String(), Priority: w.Priority,
+		Left: time.Until(w.Deadline), RequestID: w.RequestID,
+	})
+	if err == nil && answer.Term == 0 {
+		err = ErrNoHolder
+	}
+	if err != nil {
+		m.Lease.Suspect()
+		return relay.Outlook{}, err
+	}
+	return relay.Outlook{Server: answer.Server, ReadyIn: answer.ReadyIn}, nil
+}
+
+// HandleMessage implements peer.Handler.
+func (m *Member) HandleMessage(ctx context.Context, from api.NodeRef, message peer.Message) (peer.Message, error) {
+	if n, ok := message.(Notice); ok {
+		m.Servers.Believe(n.Server, backend.ParseNeed(n.Need), n.Holds, time.Now().Add(noticeTime))
+		return nil, nil
+	}
+	return m.Holder.HandleMessage(ctx, from, message)
+}
--- /dev/null
+++ b/pkg/coordinator/messages.go
@@ -0,0 +1,73 @@
+// Package coordinator makes the nodes of a site act together. Each node beats to
+// the one that holds the lease; the holder tells them of each other, collects
+// which models are asked for, and has the servers load them.
+//
+// Begin with member.go, the part of every node, and with holder.go, the loop of
+// the node that holds the lease. plan.go asks package policy what to load where;
+// adapters.go places adapters; orders.go gives orders, one at a time to each
+// server, and finds out what became of them.
+package coordinator
+
+import (
+	"time"
+
+	"martenwheel.dev/pkg/peer"
+)
+
+// Node is a node of the site.
+type Node struct {
+	Name     string
+	Life     int64 // larger for a later life
+	Zone     string
+	Callers  string // IP:port for callers
+	Peers    string // IP:port for other nodes
+	Stopping bool
+}
+
+// Use is what a node sees of one model of a service.
+type Use struct {
+	Service  string
+	Model    string // or "model/adapter"
+	InFlight int
+	Arrivals int // since the last beat
+}
+
+// Beat tells the holder that a node is alive and what it serves.
+type Beat struct {
+	Node Node
+	Uses []Use
+}
+
+// BeatAnswer tells a node of all nodes. Term is zero if the node that was asked
+// does not hold the lease.
+type BeatAnswer struct {
+	Term  uint64
+	Nodes []Node
+}
+
+// WishMessage asks the holder to have a model loaded.
+type WishMessage struct {
+	Service   string
+	Need      string // "model" or "model/adapter"
+	Priority  int
+	Left      time.Duration // of the request that waits
+	RequestID string
+}
+
+// WishAnswer tells what is known of a wish.
+type WishAnswer struct {
+	Term    uint64 // zero: not the holder
+	Server  string
+	ReadyIn time.Duration
+}
+
+// Notice tells all nodes that a server holds a model by now, or not any more.
+type Notice struct {
+	Server string
+	Need   string
+	Holds  bool
+}
+
+func init() {
+	peer.Register(Beat{}, BeatAnswer{}, WishMessage{}, WishAnswer{}, Notice{})
+}
--- /dev/null
+++ b/pkg/coordinator/orders.go
@@ -0,0 +1,270 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/lease"
+	"martenwheel.dev/pkg/route"
+)
+
+// Order is a fenced order to a server.
+type Order struct {
+	Load     bool // or unload
+	Need     backend.Need
+	Holder   string
+	Fence    uint64
+	Expected uint64 // orders that the server has taken before it
+}
+
+// Result is a server's verdict on an order.
+type Result uint8
+
+// The verdicts.
+const (
+	Accepted  Result = iota + 1
+	Already          // it holds as asked
+	Conflict         // another is under way, or the number of orders differs
+	Fenced           // a higher fence was seen
+	Elsewhere        // another server has the address
+	Refused          // there is no such order
+)
+
+// Report is a server's own word on its state.
+type Report struct {
+	Models   []backend.Holding
+	Busy     bool
+	Sequence uint64
+	InMemory []string
+	OnDisk   []string
+}
+
+// Orders carries orders and reports. An error leaves open whether an order was
+// taken, or will be.
+type Orders interface {
+	Give(ctx context.Context, s *backend.Server, o Order) (Result, error)
+	Report(ctx context.Context, s *backend.Server) (Report, error)
+}
+
+// order is what the holder wants of a server.
+type order struct {
+	load  bool
+	need  backend.Need
+	after uint64 // orders that the server has taken once this one is
+}
+
+// Times of orders.
+const (
+	orderTimeout  = time.Second
+	reportTimeout = 700 * time.Millisecond
+	reportPause   = 250 * time.Millisecond
+	reportLag     = 300 * time.Millisecond // how far a report may lie behind
+	adapterTime   = 25 * time.Millisecond  // for an adapter to arrive
+	arriveTime    = 3 * time.Second        // for the record to show it
+	refusedPause  = 2 * time.Second
+	unloadTime    = 300 * time.Millisecond
+)
+
+// give writes the intent of an order and sends it, in a goroutine of its own.
+func (h *Holder) give(ctx context.Context, s *serverState, o order, fetch bool, expected time.Duration, reason string) {
+	now := time.Now()
+	s.asking = true
+	o.after = s.sequence + 1
+	if o.need.Adapter == "" {
+		s.busy = &operation{order: o, since: now, readyAt: now.Add(expected), fetch: fetch}
+	}
+	if fetch {
+		h.fetches = append(h.fetches, now)
+	}
+	h.Logger.Info("order", "server", s.id, "load", o.load, "model", o.need.String(), "reason", reason,
+		"sequence", s.sequence, "fence", h.term, "fetch", fetch, "expected_ms", expected.Milliseconds(),
+		"record", s.version)
+	server, term := s.member.Server, h.term
+	wire := Order{Load: o.load, Need: o.need, Holder: h.Lease.Self, Fence: term, Expected: s.sequence}
+	go func() {
+		result, err := h.send(ctx, server, wire, fetch)
+		h.post(ctx, func() {
+			if h.term == term {
+				h.answered(s, o, result, err)
+			}
+		})
+	}()
+}
+
+// errNotGiven means that an order was not sent.
+var errNotGiven = errors.New("coordinator: the order was not sent")
+
+// send writes the intent and gives the order within the permit's time.
+func (h *Holder) send(ctx context.Context, server *backend.Server, o Order, fetch bool) (Result, error) {
+	kind := "unload "
+	if o.Load {
+		kind = "load "
+	}
+	intent := lease.Intent{Server: server.ID, What: kind + o.Need.String(), Fetch: fetch}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	permit, err := h.Lease.Commit(ctx, []lease.Intent{intent})
+	if err != nil {
+		return 0, errors.Wrap(errNotGiven, err.Error())
+	}
+	if permit.Term != o.Fence || !permit.Valid() {
+		return 0, errNotGiven
+	}
+	return h.Orders.Give(ctx, server, o)
+}
+
+// answered takes in what became of an order.
+func (h *Holder) answered(s *serverState, o order, result Result, err error) {
+	now := time.Now()
+	s.asking = false
+	h.planSoon = true
+	if err != nil || result != Accepted {
+		h.Logger.Info("order answered", "server", s.id, "model", o.need.String(), "load", o.load, "result", result, "error", err)
+	}
+	if errors.Is(err, errNotGiven) {
+		h.undo(s, o)
+		s.avoidUntil = now.Add(reportPause)
+		return
+	}
+	if err != nil {
+		s.doubt = &o
+		s.failures++
+		s.reportAt = now
+		return
+	}
+	s.failures, s.doubt = 0, nil
+	switch result {
+	case Accepted:
+		s.sequence = max(s.sequence, o.after)
+		s.reportAt = now.Add(reportPause)
+		if s.busy != nil {
+			s.reportAt = s.busy.readyAt
+		}
+		h.accepted(now, s, o)
+	case Already:
+		h.undo(s, o)
+		h.holdsNow(now, s, o)
+	case Fenced:
+		h.undo(s, o)
+		h.Lease.Resign(h.term)
+	case Conflict:
+		h.undo(s, o)
+		s.reportAt, s.unsure = now, true
+	default:
+		h.undo(s, o)
+		s.avoidUntil = now.Add(refusedPause)
+	}
+}
+
+// undo forgets an order that had no effect.
+func (h *Holder) undo(s *serverState, o order) {
+	if s.busy != nil && o.need.Adapter == "" && s.busy.need == o.need && s.busy.load == o.load {
+		s.busy = nil
+	}
+	if known := s.holds[o.need.Model]; known != nil && o.load {
+		delete(known.arriving, o.need.Adapter)
+	}
+}
+
+// accepted notes an order that the server took.
+func (h *Holder) accepted(now time.Time, s *serverState, o order) {
+	if o.need.Adapter == "" {
+		return
+	}
+	if !o.load {
+		h.holdsNow(now, s, o)
+		return
+	}
+	time.AfterFunc(adapterTime, func() {
+		h.post(context.Background(), func() { h.holdsNow(time.Now(), s, o) })
+	})
+}
+
+// holdsNow notes that what an order asks for is so, and tells the nodes.
+func (h *Holder) holdsNow(now time.Time, s *serverState, o order) {
+	known := s.holds[o.need.Model]
+	switch {
+	case o.need.Adapter == "":
+	case known == nil:
+		return
+	case o.load:
+		known.adapters[o.need.Adapter] = now
+		known.arriving[o.need.Adapter] = now.Add(arriveTime)
+	default:
+		delete(known.adapters, o.need.Adapter)
+	}
+	h.tell(Notice{Server: s.id, Need: o.need.String(), Holds: o.load})
+	h.planSoon = true
+}
+
+// look asks the servers for reports whose operations should be done or are in
+// doubt.
+func (h *Holder) look(ctx context.Context, now time.Time) {
+	for _, s := range h.servers {
+		if s.member == nil || s.asking || s.reportAt.IsZero() || now.Before(s.reportAt) {
+			continue
+		}
+		if s.busy == nil && s.doubt == nil && !s.unsure {
+			s.reportAt = time.Time{}
+			continue
+		}
+		s.asking = true
+		server, term := s.member.Server, h.term
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+			defer cancel()
+			report, err := h.Orders.Report(ctx, server)
+			h.post(ctx, func() {
+				if h.term == term {
+					h.reported(time.Now(), s, report, err)
+				}
+			})
+		}()
+	}
+}
+
+// reported takes in a report. It lies a little behind.
+func (h *Holder) reported(now time.Time, s *serverState, r Report, err error) {
+	s.asking = false
+	s.reportAt = now.Add(reportPause)
+	if err != nil {
+		s.failures++
+		s.reportAt = now.Add(time.Duration(min(s.failures, 8)) * reportPause)
+		return
+	}
+	s.failures = 0
+	s.cache(r.InMemory, r.OnDisk)
+	if s.unsure {
+		h.Logger.Info("server asked", "server", s.id, "sequence", r.Sequence, "believed", s.sequence, "busy", r.Busy)
+		s.unsure = false
+		s.avoidUntil = now.Add(reportPause)
+	}
+	if r.Sequence < s.sequence {
+		return
+	}
+	if s.doubt != nil && r.Sequence >= s.doubt.after {
+		h.Logger.Info("order was taken", "server", s.id, "model", s.doubt.need.String(), "sequence", r.Sequence)
+		s.doubt = nil
+	}
+	h.take(now, s, r)
+	if s.busy != nil && !r.Busy && s.doubt == nil && now.Sub(s.busy.since) > reportLag+reportPause && now.After(s.busy.readyAt) {
+		h.Logger.Warn("order without effect", "server", s.id, "model", s.busy.need.String(), "load", s.busy.load)
+		s.busy = nil
+	}
+}
+
+// loadTime returns how long a load is expected to take, and whether it comes
+// from the weight store.
+func (s *serverState) loadTime(m *route.Model) (time.Duration, bool) {
+	switch s.cached[m.Name] {
+	case inMemory:
+		return m.MemoryTime, false
+	case onDisk:
+		return m.DiskTime, false
+	default:
+		return m.LoadTime, true
+	}
+}
--- /dev/null
+++ b/pkg/coordinator/plan.go
@@ -0,0 +1,237 @@
+package coordinator
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/engine"
+	"martenwheel.dev/pkg/policy"
+	"martenwheel.dev/pkg/route"
+	"martenwheel.dev/pkg/tree"
+)
+
+// How replicas follow the demand.
+const (
+	busyRate       = 0.4 // arrivals a second from which a model has a spare replica
+	perReplica     = 14  // requests that one replica is to run
+	prewarmedLoads = 2   // loads under way that no request waits for
+)
+
+// plan decides and orders for all services with engines.
+func (h *Holder) plan(ctx context.Context, now time.Time) {
+	h.look(ctx, now)
+	table := h.Routes()
+	if table == nil || !h.Servers.Known() {
+		return
+	}
+	h.repeatDoubts(ctx, now)
+	for name, s := range table.Services() {
+		if s.Engine != nil {
+			h.planAdapters(ctx, now, name, s.Engine)
+			h.planModels(ctx, now, name, s.Engine)
+		}
+	}
+}
+
+// repeatDoubts gives orders without an answer again, under the same condition:
+// only one of the two can take effect.
+func (h *Holder) repeatDoubts(ctx context.Context, now time.Time) {
+	for _, s := range h.servers {
+		if s.doubt == nil || s.asking || !s.usable(now) || now.Before(s.reportAt) {
+			continue
+		}
+		o := *s.doubt
+		if o.after != s.sequence+1 {
+			s.doubt = nil
+			continue
+		}
+		expected := time.Duration(0)
+		fetch := false
+		if s.busy != nil {
+			expected, fetch = s.busy.readyAt.Sub(s.busy.since), s.busy.fetch
+		}
+		h.give(ctx, s, o, fetch, expected, "no answer before")
+	}
+}
+
+// planModels asks the decider and gives its orders.
+func (h *Holder) planModels(ctx context.Context, now time.Time, service string, e *route.Engine) {
+	input := h.input(now, service, e)
+	loading := 0
+	for _, s := range h.servers {
+		if s.busy != nil && s.busy.load {
+			loading++
+		}
+	}
+	for _, action := range h.Decider.Decide(now, input) {
+		s := h.servers[string(action.Server)]
+		m := e.Models[string(action.Model)]
+		if s == nil || m == nil || s.busy != nil || s.asking || s.doubt != nil || !s.usable(now) {
+			continue
+		}
+		o := order{load: action.Kind == policy.ActionLoad, need: backend.Need{Model: m.Name}}
+		if !o.load {
+			h.give(ctx, s, o, false, unloadTime, action.Reason)
+			h.tell(Notice{Server: s.id, Need: m.Name, Holds: false})
+			continue
+		}
+		if !action.Urgent && loading >= prewarmedLoads {
+			continue
+		}
+		expected, fetch := s.loadTime(m)
+		if fetch && !h.mayFetch(now, e) || h.freeBytes(s, e) < m.Bytes {
+			continue
+		}
+		loading++
+		h.give(ctx, s, o, fetch, expected, action.Reason)
+	}
+}
+
+// mayFetch tells whether one more load may start from the weight store.
+func (h *Holder) mayFetch(now time.Time, e *route.Engine) bool {
+	window := h.Ceiling.Window + ceilingMargin
+	h.fetches = slices.DeleteFunc(h.fetches, func(at time.Time) bool { return now.Sub(at) > window })
+	return float64(len(h.fetches)+1) <= e.LoadsPerSecond*h.Ceiling.Window.Seconds()+ceilingSpare
+}
+
+// The ceiling counts a little longer, and takes part of the platform's spare.
+const (
+	ceilingMargin = 400 * time.Millisecond
+	ceilingSpare  = 1
+)
+
+// freeBytes returns the memory of a server that no model, adapter or order may
+// take. Room for all adapters is kept free.
+func (h *Holder) freeBytes(s *serverState, e *route.Engine) uint64 {
+	used := adapterRoom(e)
+	for name := range s.holds {
+		if m := e.Models[name]; m != nil {
+			used += m.Bytes
+		}
+	}
+	if s.busy != nil && s.busy.load && s.holds[s.busy.need.Model] == nil {
+		if m := e.Models[s.busy.need.Model]; m != nil {
+			used += m.Bytes
+		}
+	}
+	if used >= e.WeightBytes {
+		return 0
+	}
+	return e.WeightBytes - used
+}
+
+// adapterRoom is the memory that the adapters of a server may take.
+func adapterRoom(e *route.Engine) uint64 {
+	largest := uint64(0)
+	for _, m := range e.Models {
+		if m.Adapters > 0 {
+			largest = max(largest, m.AdapterBytes)
+		}
+	}
+	return largest * uint64(e.AdapterPlaces)
+}
+
+// input describes the service for the decider.
+func (h *Holder) input(now time.Time, service string, e *route.Engine) policy.Input {
+	input := policy.Input{LoadSlots: len(h.servers), LoadRate: e.LoadsPerSecond * h.Ceiling.Window.Seconds()}
+	for _, s := range h.servers {
+		if s.member == nil || s.member.Service != service {
+			continue
+		}
+		input.Servers = append(input.Servers, policy.Server{
+			ID: api.ServerID(s.id), Zone: s.member.Zone, CapacityBytes: e.WeightBytes, FreeBytes: h.freeBytes(s, e),
+			Leaving:   s.member.Leaving(),
+			Reachable: s.usable(now) && s.failures == 0 && s.busy == nil && s.doubt == nil,
+			Cached:    s.cachedTiers(),
+		})
+	}
+	slices.SortFunc(input.Servers, func(a, b policy.Server) int { return cmp.Compare(a.ID, b.ID) })
+	for name, m := range e.Models {
+		input.Models = append(input.Models, h.modelInput(now, service, name, m, len(input.Servers)))
+	}
+	slices.SortFunc(input.Models, func(a, b policy.Model) int { return cmp.Compare(a.Name, b.Name) })
+	return input
+}
+
+func (s *serverState) cachedTiers() map[string]engine.CacheTier {
+	tiers := make(map[string]engine.CacheTier, len(s.cached))
+	for name, t := range s.cached {
+		tiers[name] = engine.TierDisk
+		if t == inMemory {
+			tiers[name] = engine.TierMemory
+		}
+	}
+	return tiers
+}
+
+// mostUrgent is the priority of the product for the most urgent requests.
+const mostUrgent = 9
+
+// modelInput describes a model for the decider.
+func (h *Holder) modelInput(now time.Time, service, name string, m *route.Model, servers int) policy.Model {
+	key := demandKey{service, name}
+	d := h.demands[key]
+	model := policy.Model{
+		Name: api.ModelName(name),
+		Settings: tree.Settings{
+			MemoryBytes: m.Bytes, LoadTime: m.LoadTime, MaxReplicas: servers, MaxConcurrency: perReplica,
+			KeepAlive: time.Hour, ColdStartWeight: 1,
+		},
+		History: &policy.History{},
+	}
+	model.Demand.InFlight = h.inFlight(key)
+	if d != nil {
+		model.Demand.LastArrival = d.last
+		if d.rateAt(now) >= busyRate {
+			model.Settings.MinReplicas = 2
+		}
+	}
+	h.addWishes(now, service, name, &model)
+	for _, s := range h.servers {
+		if s.member == nil || s.member.Service != service {
+			continue
+		}
+		if r, present := s.replica(now, name); present {
+			r.LastUse = model.Demand.LastArrival
+			model.Replicas = append(model.Replicas, r)
+		}
+	}
+	return model
+}
+
+// addWishes takes in the requests that wait for the model or an adapter of it.
+func (h *Holder) addWishes(now time.Time, service, name string, model *policy.Model) {
+	for key, d := range h.demands {
+		if key.service != service || !d.wished(now) || backend.ParseNeed(key.need).Model != name {
+			continue
+		}
+		model.Demand.Waiting++
+		model.Demand.HighestPriority = max(model.Demand.HighestPriority, mostUrgent-d.priority)
+		if model.Demand.EarliestDeadline.IsZero() || d.deadline.Before(model.Demand.EarliestDeadline) {
+			model.Demand.EarliestDeadline = d.deadline
+		}
+	}
+}
+
+// replica returns a model's replica on the server.
+func (s *serverState) replica(now time.Time, name string) (policy.Replica, bool) {
+	r := policy.Replica{Server: api.ServerID(s.id), Since: now}
+	if known := s.holds[name]; known != nil {
+		r.State, r.Since = api.ReplicaReady, known.since
+		if s.member.Leaving() {
+			return r, false
+		}
+	}
+	if s.busy != nil && s.busy.need.Model == name {
+		r.State = api.ReplicaUnloading
+		if s.busy.load {
+			r.State, r.ReadyBy = api.ReplicaLoading, s.busy.readyAt
+		}
+		r.Since = s.busy.since
+	}
+	return r, r.State != 0
+}
--- /dev/null
+++ b/pkg/coordinator/server.go
@@ -0,0 +1,193 @@
+package coordinator
+
+import (
+	"slices"
+	"time"
+
+	"martenwheel.dev/pkg/backend"
+)
+
+// serverState is what the holder knows of one life of a server.
+type serverState struct {
+	id         string
+	member     *backend.Member // nil: gone
+	sequence   uint64          // orders that it has surely taken
+	version    uint64          // of the record that was taken in
+	holds      map[string]*holding
+	cached     map[string]tier // copies of weights near it
+	quietUntil time.Time       // orders of another holder may have just come
+	asking     bool            // an order or a report is under way
+	reportAt   time.Time       // when to look at it
+	unsure     bool            // the number of its orders is to be asked for
+	failures   int             // calls without an answer, in a row
+	busy       *operation      // the load or unload of a model
+	doubt      *order          // without an answer; only the same may follow
+	avoidUntil time.Time       // it refused an order
+}
+
+// holding is a model on a server.
+type holding struct {
+	since    time.Time
+	adapters map[string]time.Time // when last used
+	arriving map[string]time.Time // adapters on their way, until
+}
+
+// tier is where a copy of weights lies.
+type tier uint8
+
+const (
+	onDisk tier = iota + 1
+	inMemory
+)
+
+// operation is an order that is being carried out.
+type operation struct {
+	order
+	since   time.Time
+	readyAt time.Time // expected
+	fetch   bool      // from the weight store
+}
+
+// server returns the state of a server, made if it is new.
+func (h *Holder) server(id string) *serverState {
+	s := h.servers[id]
+	if s == nil {
+		s = &serverState{id: id, holds: make(map[string]*holding), cached: make(map[string]tier)}
+		h.servers[id] = s
+	}
+	return s
+}
+
+// learn takes in the newest records of the servers. Records lag and don't tell
+// how many orders a server has taken, so they only add to what it is believed to
+// hold; when one lacks something, the server is asked.
+func (h *Holder) learn(now time.Time) {
+	snapshot := h.Servers.Snapshot()
+	for id, m := range snapshot.Members() {
+		s := h.server(id)
+		fresh := s.member == nil
+		s.member = m
+		if fresh {
+			s.unsure, s.reportAt = true, now
+		}
+		if m.Server.Version == s.version && !fresh {
+			continue
+		}
+		s.version = m.Server.Version
+		s.cache(m.InMemory, m.OnDisk)
+		for i := range m.Models {
+			s.add(now, &m.Models[i])
+		}
+		if len(m.Models) < len(s.holds) && s.busy == nil && !s.unsure {
+			s.unsure, s.reportAt = true, now.Add(recordLag)
+		}
+		h.settle(now, s, func(name string) bool { return m.Holds(backend.Need{Model: name}) })
+	}
+	for id, s := range h.servers {
+		if snapshot.Member(id) == nil && s.member != nil {
+			delete(h.servers, id)
+		}
+	}
+}
+
+// recordLag is how far the record of a server may lie behind.
+const recordLag = 2 * time.Second
+
+// add notes that a server holds a model with adapters.
+func (s *serverState) add(now time.Time, m *backend.Holding) *holding {
+	known := s.holds[m.Model]
+	if known == nil {
+		known = &holding{since: now, adapters: make(map[string]time.Time), arriving: make(map[string]time.Time)}
+		s.holds[m.Model] = known
+	}
+	for _, name := range m.Adapters {
+		if _, has := known.adapters[name]; !has {
+			known.adapters[name] = now
+		}
+		delete(known.arriving, name)
+	}
+	return known
+}
+
+// take takes in a server's own word on what it holds after so many orders.
+func (h *Holder) take(now time.Time, s *serverState, r Report) {
+	s.sequence = r.Sequence
+	listed := make(map[string]bool, len(r.Models))
+	for i := range r.Models {
+		m := &r.Models[i]
+		listed[m.Model] = true
+		known := s.add(now, m)
+		for name := range known.adapters {
+			if !slices.Contains(m.Adapters, name) && now.After(known.arriving[name]) {
+				delete(known.adapters, name)
+			}
+		}
+	}
+	for name := range s.holds {
+		if !listed[name] {
+			delete(s.holds, name)
+		}
+	}
+	h.settle(now, s, func(name string) bool { return listed[name] })
+}
+
+// settle ends the operation that what the server holds shows to be done.
+func (h *Holder) settle(now time.Time, s *serverState, holds func(model string) bool) {
+	op := s.busy
+	if op == nil || holds(op.need.Model) != op.load || !op.load && s.sequence < op.after {
+		return
+	}
+	s.busy = nil
+	if !op.load {
+		delete(s.holds, op.need.Model)
+	}
+	h.planSoon = true
+	h.Logger.Info("order done", "server", s.id, "load", op.load, "model", op.need.String(),
+		"ms", now.Sub(op.since).Milliseconds(), "expected_ms", op.readyAt.Sub(op.since).Milliseconds())
+	if op.load {
+		h.tell(Notice{Server: s.id, Need: op.need.Model, Holds: true})
+	}
+}
+
+// cache takes in which weights lie near the server.
+func (s *serverState) cache(memory, disk []string) {
+	for _, name := range disk {
+		s.cached[name] = onDisk
+	}
+	for _, name := range memory {
+		s.cached[name] = inMemory
+	}
+}
+
+// usable tells whether orders may be given to the server.
+func (s *serverState) usable(now time.Time) bool {
+	return s.member != nil && !s.unsure && !s.member.Leaving() && !now.Before(s.quietUntil) && !now.Before(s.avoidUntil)
+}
+
+// heldBy returns a server that holds what a request needs, "" if none does.
+func (h *Holder) heldBy(service string, need backend.Need) string {
+	now := time.Now()
+	for _, m := range h.Servers.Snapshot().Service(service) {
+		if m.Serves(now, need) {
+			return m.ID
+		}
+	}
+	return ""
+}
+
+// readyIn returns when a model is expected to be ready, zero if it is not known.
+func (h *Holder) readyIn(now time.Time, service string, need backend.Need) time.Duration {
+	var soonest time.Duration
+	for _, s := range h.servers {
+		if s.member == nil || s.member.Service != service || s.busy == nil {
+			continue
+		}
+		if s.busy.load && s.busy.need.Model == need.Model {
+			left := max(s.busy.readyAt.Sub(now), tickInterval/4)
+			if soonest == 0 || left < soonest {
+				soonest = left
+			}
+		}
+	}
+	return soonest
+}
--- /dev/null
+++ b/pkg/lease/lease.go
@@ -0,0 +1,427 @@
+// Package lease keeps one record in the platform's store that tells which node
+// coordinates, and what it is about to do. A lease only says when another node
+// may try; whether an order takes effect is judged by the servers, by the
+// record's term as the fence.
+//
+// Each order is preceded by a conditional write of its intent: a holder that was
+// deposed while it was paused fails to write and gives no order, and the next
+// holder reads what may still be on its way.
+package lease
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Intent is an order that the holder is about to give.
+type Intent struct {
+	Server string
+	What   string
+	Fetch  bool  // a load from the weight store
+	At     int64 // by the store's clock, in milliseconds
+}
+
+// Record is what the store keeps. Times are by the store's clock, in
+// milliseconds.
+type Record struct {
+	Term    uint64
+	Holder  string // empty: released
+	Address string // of the holder, for other nodes
+	Renewed int64
+	Intents []Intent
+}
+
+// Stored is a record as it was read.
+type Stored struct {
+	Record  Record
+	Version uint64 // zero: there is none yet
+	Now     int64  // the store's clock
+}
+
+// ErrConflict means that the record has changed; the one that is there comes
+// with it.
+var ErrConflict = errors.New("lease: the record has changed")
+
+// ErrNotHeld means that this node does not hold the lease.
+var ErrNotHeld = errors.New("lease: not held")
+
+// Store keeps the record. Any other error than ErrConflict leaves open whether a
+// write was done, or will be.
+type Store interface {
+	Read(ctx context.Context) (Stored, error)
+	Write(ctx context.Context, r Record, version uint64) (Stored, error)
+}
+
+// Times of a lease.
+const (
+	// Renewal is the time between two renewals.
+	Renewal = 700 * time.Millisecond
+	// Hold is how long a holder counts itself as such after the start of its
+	// last renewal. It is shorter than Expiry, so that the holder stops first.
+	Hold = 2 * time.Second
+	// Expiry is the age of a renewal at which another node may take over.
+	Expiry = 2500 * time.Millisecond
+	// PermitTime bounds the time from the start of the write of an intent to
+	// its order.
+	PermitTime = 500 * time.Millisecond
+	// IntentTime is how long intents stay in the record.
+	IntentTime = 12 * time.Second
+
+	callTimeout = 800 * time.Millisecond
+	lookPause   = 400 * time.Millisecond
+	lookRest    = 5 * time.Second
+	maxIntents  = 200
+)
+
+// Lease is this node's part in holding the lease. Set the fields before Run.
+type Lease struct {
+	Store   Store
+	Self    string // name of this life of the node; unique
+	Address string
+	Log     func(message string, fields ...any)
+
+	mu       sync.Mutex
+	seen     Stored
+	known    bool
+	offset   time.Duration // the store's clock less the steady one
+	term     uint64        // held; zero: none
+	until    time.Time     // end of the hold
+	start    time.Time     // zero of the steady clock
+	stopped  bool
+	suspects chan struct{}
+	commits  chan *commit
+}
+
+// commit is a wish to write intents.
+type commit struct {
+	intents []Intent
+	result  chan error
+	started time.Time
+}
+
+// Permit allows the orders whose intents were written.
+type Permit struct {
+	Term  uint64
+	Until time.Time
+}
+
+// Valid tells whether orders may still be given by the permit.
+func (p Permit) Valid() bool { return time.Now().Before(p.Until) }
+
+func (l *Lease) init() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.suspects == nil {
+		l.start = time.Now()
+		l.suspects = make(chan struct{}, 1)
+		l.commits = make(chan *commit)
+	}
+}
+
+// Current returns the newest record that was seen.
+func (l *Lease) Current() (Record, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.seen.Record, l.known
+}
+
+// Held returns the term in which this node holds the lease now, false if it
+// does not.
+func (l *Lease) Held() (uint64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.term, l.term > 0 && time.Now().Before(l.until)
+}
+
+// Suspect makes the lease look at the record soon: its holder does not answer.
+func (l *Lease) Suspect() {
+	l.init()
+	select {
+	case l.suspects <- struct{}{}:
+	default:
+	}
+}
+
+// Resign gives up the term, as when a server refused its fence.
+func (l *Lease) Resign(term uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term == term {
+		l.term = 0
+		l.log("lease resigned", "term", term)
+	}
+}
+
+// Commit writes intents and returns the permit for their orders.
+func (l *Lease) Commit(ctx context.Context, intents []Intent) (Permit, error) {
+	l.init()
+	c := &commit{intents: intents, result: make(chan error, 1)}
+	select {
+	case l.commits <- c:
+	case <-ctx.Done():
+		return Permit{}, ctx.Err()
+	}
+	select {
+	case err := <-c.result:
+		if err != nil {
+			return Permit{}, err
+		}
+		term, held := l.Held()
+		if !held {
+			return Permit{}, ErrNotHeld
+		}
+		return Permit{Term: term, Until: c.started.Add(PermitTime)}, nil
+	case <-ctx.Done():
+		return Permit{}, ctx.Err()
+	}
+}
+
+// Now returns the store's clock as far as it is known.
+func (l *Lease) Now() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.storeNow()
+}
+
+func (l *Lease) storeNow() int64 {
+	return (time.Since(l.start) + l.offset).Milliseconds()
+}
+
+// Run looks for a free lease, takes it and renews it until ctx ends; then it
+// releases the lease.
+func (l *Lease) Run(ctx context.Context) {
+	l.init()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			l.release()
+			return
+		case <-l.suspects:
+			timer.Reset(jitter(lookPause / 4))
+		case c := <-l.commits:
+			l.serveCommits(ctx, c)
+			timer.Reset(Renewal)
+		case <-timer.C:
+			timer.Reset(l.turn(ctx))
+		}
+	}
+}
+
+// jitter spreads a pause over half to one and a half of it.
+func jitter(pause time.Duration) time.Duration {
+	return pause/2 + time.Duration(rand.Int64N(int64(pause)+1))
+}
+
+// turn renews the lease or looks whether it is free, and returns when to do it
+// again.
+func (l *Lease) turn(ctx context.Context) time.Duration {
+	if _, held := l.heldTerm(); held {
+		if err := l.write(ctx, nil); err != nil {
+			return jitter(lookPause / 2)
+		}
+		return Renewal
+	}
+	s, err := l.read(ctx)
+	if err != nil {
+		return jitter(lookPause)
+	}
+	if !s.free() {
+		if s.age() > Renewal+Renewal/2 {
+			return jitter(lookPause)
+		}
+		return jitter(lookRest)
+	}
+	if l.take(ctx, s) != nil {
+		return jitter(lookPause)
+	}
+	return Renewal
+}
+
+// heldTerm returns the term that was not lost, though its hold may be over.
+func (l *Lease) heldTerm() (uint64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.term, l.term > 0
+}
+
+// free tells whether another node may take the lease.
+func (s Stored) free() bool {
+	return s.Version == 0 || s.Record.Holder == "" || s.age() > Expiry
+}
+
+// age is the time since the last renewal.
+func (s Stored) age() time.Duration {
+	return time.Duration(s.Now-s.Record.Renewed) * time.Millisecond
+}
+
+func (l *Lease) read(ctx context.Context) (Stored, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	s, err := l.Store.Read(ctx)
+	if err == nil {
+		l.see(s)
+	}
+	return s, err
+}
+
+// see takes in a record that was read.
+func (l *Lease) see(s Stored) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.offset = time.Duration(s.Now)*time.Millisecond - time.Since(l.start)
+	if l.known && s.Version < l.seen.Version {
+		return
+	}
+	changed := s.Record.Holder != l.seen.Record.Holder || s.Record.Term != l.seen.Record.Term
+	l.seen, l.known = s, true
+	if l.term > 0 && (s.Record.Term != l.term || s.Record.Holder != l.Self) {
+		l.log("lease lost", "term", l.term, "holder", s.Record.Holder, "new_term", s.Record.Term)
+		l.term = 0
+	}
+	if changed {
+		l.log("lease holder", "holder", s.Record.Holder, "address", s.Record.Address, "term", s.Record.Term,
+			"version", s.Version, "age_ms", s.age().Milliseconds())
+	}
+}
+
+// take writes the record of a new term.
+func (l *Lease) take(ctx context.Context, s Stored) error {
+	l.mu.Lock()
+	next := Record{
+		Term: s.Record.Term + 1, Holder: l.Self, Address: l.Address, Renewed: s.Now,
+		Intents: fresh(s.Record.Intents, s.Now),
+	}
+	l.mu.Unlock()
+	return l.put(ctx, next, s.Version)
+}
+
+// write renews the record with further intents.
+func (l *Lease) write(ctx context.Context, intents []Intent) error {
+	l.mu.Lock()
+	s := l.seen
+	now := l.storeNow()
+	next := s.Record
+	next.Renewed = max(now, next.Renewed)
+	next.Intents = fresh(next.Intents, now)
+	for _, i := range intents {
+		i.At = now
+		next.Intents = append(next.Intents, i)
+	}
+	if extra := len(next.Intents) - maxIntents; extra > 0 {
+		next.Intents = next.Intents[extra:]
+	}
+	l.mu.Unlock()
+	return l.put(ctx, next, s.Version)
+}
+
+// fresh returns the intents that still count, in a new slice.
+func fresh(intents []Intent, now int64) []Intent {
+	return slices.DeleteFunc(slices.Clone(intents), func(i Intent) bool {
+		return now-i.At > IntentTime.Milliseconds()
+	})
+}
+
+// put writes a record of this node. After a lost answer it reads back whether
+// the write was done.
+func (l *Lease) put(ctx context.Context, r Record, version uint64) error {
+	started := time.Now()
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	s, err := l.Store.Write(call, r, version)
+	switch {
+	case err == nil:
+		s.Record = r
+		l.hold(s, started)
+		return nil
+	case errors.Is(err, ErrConflict):
+		return l.conflict(s, r, started)
+	}
+	s, readErr := l.read(ctx)
+	if readErr != nil {
+		return err
+	}
+	return l.conflict(s, r, started)
+}
+
+// conflict judges a record that is not the one expected: it may be the one that
+// this node wrote, by a call whose answer was lost.
+func (l *Lease) conflict(s Stored, r Record, started time.Time) error {
+	if s.Record.Holder == l.Self && s.Record.Term == r.Term && s.Record.Renewed == r.Renewed &&
+		len(s.Record.Intents) == len(r.Intents) {
+		l.hold(s, started)
+		return nil
+	}
+	l.see(s)
+	return ErrConflict
+}
+
+// hold notes a write of this node that was done.
+func (l *Lease) hold(s Stored, started time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term != s.Record.Term {
+		l.log("lease held", "term", s.Record.Term, "version", s.Version, "before", l.seen.Record.Holder)
+	}
+	l.seen, l.known = s, true
+	l.offset = time.Duration(s.Now)*time.Millisecond - time.Since(l.start)
+	l.term = s.Record.Term
+	l.until = started.Add(Hold)
+}
+
+// serveCommits writes the intents of all that wait in one write.
+func (l *Lease) serveCommits(ctx context.Context, first *commit) {
+	waiting := []*commit{first}
+	for more := true; more; {
+		select {
+		case c := <-l.commits:
+			waiting = append(waiting, c)
+		default:
+			more = false
+		}
+	}
+	var intents []Intent
+	started := time.Now()
+	for _, c := range waiting {
+		c.started = started
+		intents = append(intents, c.intents...)
+	}
+	err := ErrNotHeld
+	if _, held := l.heldTerm(); held {
+		err = l.write(ctx, intents)
+	}
+	for _, c := range waiting {
+		c.result <- err
+	}
+}
+
+// release lets another node take over at once.
+func (l *Lease) release() {
+	if _, held := l.heldTerm(); !held {
+		return
+	}
+	l.mu.Lock()
+	s := l.seen
+	next := s.Record
+	next.Holder, next.Address = "", ""
+	next.Intents = fresh(next.Intents, l.storeNow())
+	term := l.term
+	l.term = 0
+	l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	_, err := l.Store.Write(ctx, next, s.Version)
+	l.log("lease released", "term", term, "error", err)
+}
+
+func (l *Lease) log(message string, fields ...any) {
+	if l.Log != nil {
+		l.Log(message, fields...)
+	}
+}
--- /dev/null
+++ b/pkg/relay/attempt.go
@@ -0,0 +1,215 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/route"
+)
+
+// errImpatient ends an attempt whose answer takes too long while another server
+// could serve the request.
+var errImpatient = errors.New("relay: the server takes too long")
+
+// errLeaving keeps a request from a server that began to leave.
+var errLeaving = errors.New("relay: the server is leaving")
+
+// errTooMany means that the request may not go to another server.
+var errTooMany = errors.New("relay: no further attempt is allowed")
+
+// verdict tells what became of an attempt.
+type verdict uint8
+
+const (
+	served   verdict = iota // the answer went out, whole
+	notRun                  // the server surely did not run it
+	mayRun                  // it may have run, wholly or in part
+	answered                // the server answered with a failure that may be passed on
+	gone                    // the caller left or the time is over
+)
+
+// serve sends the request to servers until one serves it or no more may try.
+func (c *call) serve(ctx context.Context) {
+	c.relay.budgets.arrive(c.relay.Budget, c.arrived, c.service)
+	if c.need.Model != "" && c.relay.Arrived != nil {
+		c.relay.Arrived(c.service, c.need)
+	}
+	for {
+		m := c.acquire(ctx)
+		if m == nil {
+			return
+		}
+		if c.sends > 0 && !c.relay.budgets.repeat(c.relay.Budget, time.Now(), c.service, c.nodes()) {
+			c.refuse(c.notServed(reasonBudget, defaultRetryAfter))
+			return
+		}
+		if !c.attempt(ctx, m) {
+			return
+		}
+	}
+}
+
+func (c *call) nodes() int {
+	if c.relay.Nodes == nil {
+		return 1
+	}
+	return c.relay.Nodes()
+}
+
+// attempt sends the request to a server. It tells whether another one is to be
+// tried.
+func (c *call) attempt(ctx context.Context, m *backend.Member) bool {
+	started := time.Now()
+	m.Begin(started, c.need.Model)
+	ended := false
+	end := func() {
+		if !ended {
+			ended = true
+			m.End(c.need.Model)
+		}
+	}
+	defer end()
+	attempt, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	impatience := c.giveUpLater(m, cancel)
+	a, err := m.Send(attempt, c.message(m), func() error {
+		if m.Leaving() {
+			return errLeaving
+		}
+		return nil
+	})
+	if impatience != nil && c.route.Kind != route.Stream {
+		defer impatience.Stop()
+	}
+	c.record.try(m.ID, started)
+	v, err := c.conclude(ctx, m, a, err, impatience)
+	if a != nil {
+		a.Close()
+	}
+	end()
+	return c.next(ctx, m, v, err)
+}
+
+// giveUpLater ends an attempt that shows no sign of an answer, if another
+// server could serve the request.
+func (c *call) giveUpLater(m *backend.Member, cancel context.CancelCauseFunc) *time.Timer {
+	if !c.mayTryAnother() {
+		return nil
+	}
+	return time.AfterFunc(patience(c.route), func() {
+		if c.hasOther(m) {
+			cancel(errImpatient)
+		}
+	})
+}
+
+// mayTryAnother tells whether the request may go to another server even if the
+// present one runs it.
+func (c *call) mayTryAnother() bool {
+	return c.route.Repeatable() && c.runs+1 < max(c.route.MaxAttempts, 1)
+}
+
+// hasOther tells whether a server besides m, and not tried yet, could serve the
+// request.
+func (c *call) hasOther(m *backend.Member) bool {
+	now := time.Now()
+	for _, other := range c.relay.Servers.Snapshot().Service(c.service) {
+		if other.ID != m.ID && other.Serves(now, c.need) && !other.Avoid(now) && !contains(c.tried, other.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+func contains(ids []string, id string) bool {
+	for _, other := range ids {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
+
+// conclude judges the answer and passes it on if it is one.
+func (c *call) conclude(ctx context.Context, m *backend.Member, a *backend.Answer, err error, impatience *time.Timer) (verdict, error) {
+	switch {
+	case errors.Is(err, backend.ErrNotSent), errors.Is(err, backend.ErrCrowded):
+		if ctx.Err() != nil {
+			return gone, context.Cause(ctx)
+		}
+		return notRun, err
+	case err != nil:
+		c.sends++
+		c.runs++
+		if ctx.Err() != nil {
+			return gone, context.Cause(ctx)
+		}
+		return mayRun, err
+	}
+	c.sends++
+	c.record.status = a.Status
+	if a.Status == http.StatusMisdirectedRequest || a.Header.Get(c.relay.Headers.NotRun) != "" {
+		return notRun, errors.Errorf("the server did not run it: %d", a.Status)
+	}
+	c.runs++
+	if a.Header.Get(c.relay.Headers.Seal) == "" && a.Status < http.StatusMultipleChoices {
+		return mayRun, errors.New("an answer without the server's seal")
+	}
+	if c.route.Kind == route.Stream && a.Status == http.StatusOK {
+		return c.passStream(ctx, m, a, impatience)
+	}
+	return c.passWhole(ctx, a)
+}
+
+// next decides what an attempt's end allows. It tells whether another server is
+// to be tried.
+func (c *call) next(ctx context.Context, m *backend.Member, v verdict, err error) bool {
+	now := time.Now()
+	c.record.fail(m.ID, v, err)
+	switch v {
+	case served:
+		m.Answered()
+		c.record.end(outcomeServed, nil)
+		return false
+	case gone:
+		c.giveUp(ctx)
+		return false
+	case notRun:
+		c.learn(now, m, err)
+		c.tried = append(c.tried, m.ID)
+		if c.sends >= maxSends {
+			c.refuse(c.notServed(reasonNoServer, defaultRetryAfter))
+			return false
+		}
+		return true
+	}
+	m.Failed(now)
+	c.tried = append(c.tried, m.ID)
+	if !c.route.Repeatable() || c.runs >= max(c.route.MaxAttempts, 1) {
+		c.refuse(c.notServed(reasonFailed, defaultRetryAfter))
+		return false
+	}
+	return true
+}
+
+// maxSends bounds how often a request is sent when servers turn it away.
+const maxSends = 4
+
+// learn notes why a server turned a request away.
+func (c *call) learn(now time.Time, m *backend.Member, err error) {
+	switch {
+	case errors.Is(err, errLeaving), errors.Is(err, backend.ErrCrowded):
+	case c.record.status == http.StatusMisdirectedRequest && c.need.Model != "":
+		c.relay.Servers.Believe(m.ID, c.need, false, now.Add(disbeliefTime))
+	default:
+		m.Failed(now)
+	}
+}
+
+// disbeliefTime is how long a server that turned away a request for a model it
+// should hold gets no more of them.
+const disbeliefTime = 1500 * time.Millisecond
--- /dev/null
+++ b/pkg/relay/call.go
@@ -0,0 +1,203 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/route"
+)
+
+// errDeadline ends a request whose time is over.
+var errDeadline = errors.New("relay: the time of the request is over")
+
+// defaultTimeout bounds requests that neither the caller nor the route bounds.
+const defaultTimeout = time.Minute
+
+// call is one request of a caller on its way.
+type call struct {
+	relay    *Relay
+	w        http.ResponseWriter
+	http     *http.Request
+	arrived  time.Time
+	deadline time.Time // of the whole answer
+
+	table     *route.Table
+	route     *route.Route
+	service   string
+	engine    *route.Engine
+	id        string
+	target    string // path and query as they came
+	head      []byte // header lines that go on
+	body      []byte
+	need      backend.Need
+	lastEvent string
+
+	tried    []string // servers that did not serve it
+	sends    int
+	runs     int // servers that may have run it
+	headSent bool
+	record   record
+}
+
+// accept reads and checks the request. If it returns false, the request is
+// answered.
+func (c *call) accept() bool {
+	c.id = c.http.Header.Get(c.relay.Headers.RequestID)
+	c.record.id = c.id
+	c.table = c.relay.Routes()
+	if c.table == nil || !c.relay.Servers.Known() {
+		c.refuse(notReady)
+		return false
+	}
+	c.target = c.http.RequestURI
+	if !strings.HasPrefix(c.target, "/") {
+		c.target = c.http.URL.RequestURI()
+	}
+	path, _, _ := strings.Cut(c.target, "?")
+	c.route = c.table.Match(c.http.Host, path)
+	if c.route == nil {
+		c.refuse(noRoute)
+		return false
+	}
+	return c.readBody() && c.resolve()
+}
+
+// readBody reads the whole body within the table's bounds.
+func (c *call) readBody() bool {
+	limit := c.table.Limits().BodyBytes
+	if limit > 0 && c.http.ContentLength > limit {
+		c.refuse(tooLarge)
+		return false
+	}
+	reader := io.Reader(c.http.Body)
+	if limit > 0 {
+		reader = io.LimitReader(reader, limit+1)
+	}
+	var err error
+	if c.body, err = io.ReadAll(reader); err != nil {
+		c.record.end(outcomeUnread, err)
+		panic(http.ErrAbortHandler)
+	}
+	if limit > 0 && int64(len(c.body)) > limit {
+		c.refuse(tooLarge)
+		return false
+	}
+	return true
+}
+
+// resolve works out what the request needs and how long it may take.
+func (c *call) resolve() bool {
+	c.service = c.relay.splits.Pick(c.route)
+	if s := c.table.Service(c.service); s != nil {
+		c.engine = s.Engine
+	}
+	h := c.http.Header
+	wait := c.route.Timeout
+	if text := h.Get(c.relay.Headers.Deadline); text != "" {
+		ms, err := strconv.ParseFloat(text, 64)
+		if err != nil || ms < 0 {
+			c.refuse(badDeadline)
+			return false
+		}
+		if given := time.Duration(ms * float64(time.Millisecond)); wait <= 0 || given < wait {
+			wait = given
+		}
+	}
+	if wait <= 0 {
+		wait = defaultTimeout
+	}
+	c.deadline = c.arrived.Add(wait)
+	if c.engine != nil {
+		c.need = backend.ParseNeed(h.Get(c.relay.Headers.Model))
+	}
+	c.lastEvent = h.Get(c.relay.Headers.LastEvent)
+	c.head = c.forwardedHead()
+	return true
+}
+
+// hopByHop are the headers that belong to one connection, and those that the
+// relay writes itself.
+var hopByHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Expect": true, "Host": true,
+}
+
+// forwardedHead renders the header lines that go on as they came.
+func (c *call) forwardedHead() []byte {
+	dropped := connectionHeaders(c.http.Header)
+	own := c.relay.Headers
+	b := make([]byte, 0, 512)
+	b = append(b, "Host: "+c.http.Host+"\r\n"...)
+	for name, values := range c.http.Header {
+		if hopByHop[name] || dropped[name] || name == own.Deadline || name == own.Expect || name == own.LastEvent {
+			continue
+		}
+		for _, v := range values {
+			b = appendHeader(b, name, v)
+		}
+	}
+	return b
+}
+
+// connectionHeaders returns the headers that Connection names.
+func connectionHeaders(h http.Header) map[string]bool {
+	var named map[string]bool
+	for _, line := range h.Values("Connection") {
+		for _, name := range strings.Split(line, ",") {
+			if named == nil {
+				named = make(map[string]bool)
+			}
+			named[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return named
+}
+
+func appendHeader(b []byte, name, value string) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = append(b, value...)
+	return append(b, "\r\n"...)
+}
+
+// message is the request as it goes to one server.
+func (c *call) message(m *backend.Member) *backend.Message {
+	own := c.relay.Headers
+	left := max(time.Until(c.deadline), time.Millisecond)
+	head := make([]byte, 0, len(c.head)+160)
+	head = append(head, c.head...)
+	head = appendHeader(head, own.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
+	head = appendHeader(head, own.Expect, m.ID)
+	if c.lastEvent != "" {
+		head = appendHeader(head, own.LastEvent, c.lastEvent)
+	}
+	if c.engine != nil && c.http.Header.Get(own.Priority) == "" {
+		head = appendHeader(head, own.Priority, strconv.Itoa(min(c.route.Priority, lowestPriority)))
+	}
+	return &backend.Message{
+		Method: c.http.Method, Target: c.target, Head: head, Body: c.body,
+		IsAnswer: func(h http.Header) bool {
+			id := h.Get(own.RequestID)
+			return c.id == "" || id == "" || id == c.id
+		},
+	}
+}
+
+// lowestPriority is the least urgent that servers know.
+const lowestPriority = 9
+
+// left returns the time that the request still has.
+func (c *call) left() time.Duration { return time.Until(c.deadline) }
+
+// callerGone tells whether the caller hung up.
+func (c *call) callerGone(ctx context.Context) bool {
+	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline)
+}
--- /dev/null
+++ b/pkg/relay/choose.go
@@ -0,0 +1,214 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/route"
+	"martenwheel.dev/pkg/traffic/routing"
+)
+
+// How often a waiting request looks again without news.
+const (
+	lookInterval = 100 * time.Millisecond
+	wakeInterval = 250 * time.Millisecond
+	// wakeTimeout bounds one question to the waker.
+	wakeTimeout = time.Second
+)
+
+// acquire waits for a server that may get the request. It returns nil when the
+// request was answered.
+func (c *call) acquire(ctx context.Context) *backend.Member {
+	var asked time.Time
+	outlooks := make(chan Outlook, 1)
+	asking := false
+	for {
+		changed := c.relay.Servers.Changed()
+		if m := c.choose(); m != nil {
+			return m
+		}
+		if c.lacksModel() && !asking && time.Since(asked) >= wakeInterval {
+			asked, asking = time.Now(), true
+			go c.ask(ctx, outlooks)
+		}
+		timer := time.NewTimer(lookInterval)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			c.giveUp(ctx)
+			return nil
+		case <-changed:
+		case <-timer.C:
+		case o := <-outlooks:
+			asking = false
+			if f, refused := c.judge(o); refused {
+				timer.Stop()
+				c.refuse(f)
+				return nil
+			}
+		}
+		timer.Stop()
+	}
+}
+
+// lacksModel tells whether a model that a server could load is missing.
+func (c *call) lacksModel() bool {
+	if c.need.Model == "" || c.engine == nil {
+		return false
+	}
+	now := time.Now()
+	for _, m := range c.relay.Servers.Snapshot().Service(c.service) {
+		if m.Serves(now, c.need) {
+			return false
+		}
+	}
+	return true
+}
+
+// ask tells the waker what is missing.
+func (c *call) ask(ctx context.Context, outlooks chan<- Outlook) {
+	ctx, cancel := context.WithTimeout(ctx, wakeTimeout)
+	defer cancel()
+	o, err := c.relay.Waker.Wake(ctx, Wish{
+		Service: c.service, Need: c.need, Priority: c.route.Priority, Deadline: c.deadline, RequestID: c.id,
+	})
+	if err != nil {
+		c.record.wakeError = err
+	}
+	if o.Server != "" {
+		c.relay.Servers.Believe(o.Server, c.need, true, time.Now().Add(beliefTime))
+	}
+	outlooks <- o
+}
+
+// beliefTime is how long the waker's word on a server counts before its record
+// confirms it.
+const beliefTime = 5 * time.Second
+
+// judge refuses a request that comes back better later than it waits here: its
+// model will not be ready within its target.
+func (c *call) judge(o Outlook) (refusal, bool) {
+	c.record.readyIn = o.ReadyIn
+	if o.Server != "" || o.ReadyIn <= 0 {
+		return refusal{}, false
+	}
+	waited := time.Since(c.arrived)
+	if waited+o.ReadyIn <= c.route.Target || waited > c.route.Target/refuseEarly {
+		return refusal{}, false
+	}
+	return c.notServed(reasonLoading, o.ReadyIn+loadMargin), true
+}
+
+// refuseEarly divides the target: a refusal that comes later than this part of
+// it does the caller no good.
+const refuseEarly = 4
+
+// loadMargin is added to the time that a load is expected to take.
+const loadMargin = 150 * time.Millisecond
+
+// choose picks a server for the request, nil if none may get it now.
+func (c *call) choose() *backend.Member {
+	now := time.Now()
+	var members []*backend.Member
+	var candidates []routing.Candidate
+	untried, good := false, false
+	for _, m := range c.relay.Servers.Snapshot().Service(c.service) {
+		if !m.Serves(now, c.need) {
+			continue
+		}
+		candidate := c.candidate(now, m)
+		untried = untried || !slices.Contains(c.tried, m.ID)
+		good = good || !candidate.Ejected
+		members = append(members, m)
+		candidates = append(candidates, candidate)
+	}
+	if len(members) == 0 {
+		return nil
+	}
+	if !good {
+		for i := range candidates {
+			candidates[i].Ejected = false
+		}
+	}
+	asked := routing.Request{Zone: c.relay.Zone, Blocks: len(c.prefix())}
+	if untried {
+		for _, id := range c.tried {
+			asked.Tried = append(asked.Tried, api.ServerID(id))
+		}
+	}
+	i, found := c.relay.pick(&asked, candidates)
+	if !found {
+		return nil
+	}
+	return members[i]
+}
+
+// assumedSlots stands for the slots of a server that doesn't tell.
+const assumedSlots = 16
+
+// candidate is a server as the plug-ins of routing see it.
+func (c *call) candidate(now time.Time, m *backend.Member) routing.Candidate {
+	slots := m.Slots
+	if slots <= 0 {
+		slots = assumedSlots
+	}
+	return routing.Candidate{
+		Server:  api.ServerID(m.ID),
+		Zone:    m.Zone,
+		State:   api.ReplicaReady,
+		Ejected: m.Avoid(now),
+		Share:   1,
+		Usage:   routing.Usage{Requests: m.InFlight(), MaxRequests: slots},
+		Recent:  m.Recent(now),
+	}
+}
+
+// pick chooses among candidates.
+func (r *Relay) pick(asked *routing.Request, candidates []routing.Candidate) (int, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.chooser == nil {
+		r.chooser = routing.NewDefaultChooser()
+		r.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	return r.chooser.Choose(r.random, asked, candidates)
+}
+
+// promptPart is one part of a prompt.
+type promptPart struct {
+	id     string
+	tokens int
+}
+
+// prefix returns the parts of the request's prompt.
+func (c *call) prefix() []promptPart {
+	var parts []promptPart
+	for _, field := range strings.Split(c.http.Header.Get(c.relay.Headers.Prefix), ",") {
+		id, count, found := strings.Cut(strings.TrimSpace(field), ":")
+		if n, err := strconv.Atoi(count); found && err == nil {
+			parts = append(parts, promptPart{id, n})
+		}
+	}
+	return parts
+}
+
+// patience is how long the first byte of an answer is waited for while another
+// server could serve the request.
+func patience(r *route.Route) time.Duration {
+	if r.Kind == route.Stream {
+		return r.Target + r.Target/2 + streamPatience
+	}
+	return max(2*r.Target, wholePatience)
+}
+
+// Parts of patience.
+const (
+	streamPatience = 300 * time.Millisecond
+	wholePatience  = 250 * time.Millisecond
+)
--- /dev/null
+++ b/pkg/relay/record.go
@@ -0,0 +1,159 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Outcomes of requests, in logs and metrics.
+const (
+	outcomeServed  = "served"
+	outcomeRefused = "refused"
+	outcomeLeft    = "caller left"
+	outcomeUnread  = "not read"
+	outcomeBroken  = "broken off"
+)
+
+// try is one attempt, for the log.
+type try struct {
+	server  string
+	started time.Time
+	verdict verdict
+	err     error
+}
+
+// record is what the log line of a request tells.
+type record struct {
+	id        string
+	outcome   string
+	err       error
+	status    int
+	tries     []try
+	firstByte time.Duration
+	readyIn   time.Duration
+	wakeError error
+	bytes     int
+	events    int
+}
+
+func (r *record) try(server string, started time.Time) {
+	r.tries = append(r.tries, try{server: server, started: started})
+}
+
+// fail notes how the last attempt ended.
+func (r *record) fail(server string, v verdict, err error) {
+	if n := len(r.tries); n > 0 && r.tries[n-1].server == server {
+		r.tries[n-1].verdict, r.tries[n-1].err = v, err
+	}
+}
+
+// end notes the outcome; the first word counts.
+func (r *record) end(outcome string, err error) {
+	if r.outcome == "" {
+		r.outcome, r.err = outcome, err
+	}
+}
+
+// finish logs and counts the end of a request. A panic that cuts the answer off
+// goes on.
+func (c *call) finish() {
+	c.record.end(outcomeBroken, nil)
+	took := time.Since(c.arrived)
+	c.relay.Metrics.observe(c, took)
+	fields := []any{"request_id", c.record.id, "outcome", c.record.outcome, "status", c.record.status,
+		"ms", took.Milliseconds(), "first_ms", c.record.firstByte.Milliseconds()}
+	if c.route != nil {
+		snapshot := c.relay.Servers.Snapshot()
+		fields = append(fields, "route", c.route.Name, "service", c.service, "config", c.table.Version(),
+			"servers", snapshot.Version(), "servers_age_ms", time.Since(snapshot.At()).Milliseconds(),
+			"left_ms", c.left().Milliseconds())
+	}
+	if c.need.Model != "" {
+		fields = append(fields, "model", c.need.String(), "ready_in_ms", c.record.readyIn.Milliseconds())
+	}
+	if c.record.events > 0 {
+		fields = append(fields, "events", c.record.events, "last_event", c.lastEvent)
+	}
+	if len(c.record.tries) > 0 {
+		fields = append(fields, "tries", c.describeTries())
+	}
+	if c.record.err != nil {
+		fields = append(fields, "reason", c.record.err.Error())
+	}
+	if c.record.wakeError != nil {
+		fields = append(fields, "wake_error", c.record.wakeError.Error())
+	}
+	c.relay.Logger.Info("request", fields...)
+}
+
+// tryLine is an attempt as it stands in the log.
+type tryLine struct {
+	Server  string `json:"server"`
+	AtMS    int64  `json:"at_ms"`
+	Verdict string `json:"verdict"`
+	Error   string `json:"error,omitempty"`
+}
+
+func (c *call) describeTries() []tryLine {
+	lines := make([]tryLine, len(c.record.tries))
+	for i, t := range c.record.tries {
+		lines[i] = tryLine{Server: t.server, AtMS: t.started.Sub(c.arrived).Milliseconds(), Verdict: t.verdict.String()}
+		if t.err != nil {
+			lines[i].Error = t.err.Error()
+		}
+	}
+	return lines
+}
+
+// String names the verdict in logs.
+func (v verdict) String() string {
+	switch v {
+	case served:
+		return "served"
+	case notRun:
+		return "not run"
+	case mayRun:
+		return "may have run"
+	case answered:
+		return "failed"
+	default:
+		return "gone"
+	}
+}
+
+// Metrics counts the ends of requests. Create it with NewMetrics.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	tries    prometheus.Counter
+}
+
+// NewMetrics registers the relay's metrics.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "martenwheel", Name: "relay_requests_total", Help: "Requests by service and outcome.",
+		}, []string{"service", "outcome"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: "martenwheel", Name: "relay_first_byte_seconds", Help: "Time to the first byte of the answer.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 13),
+		}, []string{"service"}),
+		tries: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: "martenwheel", Name: "relay_attempts_total", Help: "Requests sent to servers, repeats included.",
+		}),
+	}
+	registry.MustRegister(m.requests, m.latency, m.tries)
+	return m
+}
+
+func (m *Metrics) observe(c *call, took time.Duration) {
+	if m == nil {
+		return
+	}
+	m.requests.WithLabelValues(c.service, c.record.outcome).Inc()
+	m.tries.Add(float64(len(c.record.tries)))
+	if c.record.outcome == outcomeServed {
+		m.latency.WithLabelValues(c.service).Observe(min(took, c.record.firstByte).Seconds())
+	}
+}
--- /dev/null
+++ b/pkg/relay/refuse.go
@@ -0,0 +1,81 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// refusal is an answer of the relay itself. A status of 429 or 503 promises
+// that no server ran the request.
+type refusal struct {
+	status int
+	reason string
+	after  time.Duration // when to come back; zero: not told
+}
+
+// The refusals that need nothing more.
+var (
+	notReady    = refusal{http.StatusServiceUnavailable, "not ready", time.Second}
+	noRoute     = refusal{http.StatusNotFound, "no route", 0}
+	tooLarge    = refusal{http.StatusRequestEntityTooLarge, "body too large", 0}
+	badDeadline = refusal{http.StatusBadRequest, "bad deadline", 0}
+)
+
+// Reasons of refusals.
+const (
+	reasonDeadline = "deadline"
+	reasonNoServer = "no server"
+	reasonFailed   = "server failed"
+	reasonBudget   = "budget of repeats spent"
+	reasonLoading  = "model is loading"
+)
+
+// notServed is the final answer to a request that no server served. It tells
+// whether one may have run it.
+func (c *call) notServed(reason string, after time.Duration) refusal {
+	status := http.StatusServiceUnavailable
+	switch {
+	case c.runs > 0 && reason == reasonDeadline:
+		status = http.StatusGatewayTimeout
+	case c.runs > 0:
+		status = http.StatusBadGateway
+	}
+	return refusal{status: status, reason: reason, after: after}
+}
+
+// refuse answers with a refusal, unless part of another answer went out.
+func (c *call) refuse(f refusal) {
+	c.record.end(outcomeRefused, errors.New(f.reason))
+	c.record.status = f.status
+	if c.headSent {
+		panic(http.ErrAbortHandler)
+	}
+	h := c.w.Header()
+	h.Set("Content-Type", "application/json")
+	if c.id != "" {
+		h.Set(c.relay.Headers.RequestID, c.id)
+	}
+	if f.after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(f.after.Seconds(), 'f', 3, 64))
+	}
+	body := `{"error":` + strconv.Quote(f.reason) + "}\n"
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	c.w.WriteHeader(f.status)
+	_, _ = c.w.Write([]byte(body)) // a caller that is gone needs no answer
+}
+
+// giveUp ends a request whose context ended: the time is over or the caller left.
+func (c *call) giveUp(ctx context.Context) {
+	if c.callerGone(ctx) {
+		c.record.end(outcomeLeft, context.Cause(ctx))
+		panic(http.ErrAbortHandler)
+	}
+	c.refuse(c.notServed(reasonDeadline, defaultRetryAfter))
+}
+
+// defaultRetryAfter is told when nothing better is known.
+const defaultRetryAfter = 300 * time.Millisecond
--- /dev/null
+++ b/pkg/relay/relay.go
@@ -0,0 +1,108 @@
+// Package relay carries any HTTP request from a caller to one of the servers
+// that its route leads to, and the answer back. It knows nothing of what is
+// asked: models are needs of a request that servers hold or not.
+//
+// A request's way, by file: relay.go takes it in; call.go finds its route and
+// bounds; choose.go waits for a server, by the plug-ins of package routing;
+// attempt.go sends it and decides what a failure allows; whole.go and stream.go
+// pass the answer on; refuse.go gives the relay's own answers; budget.go bounds
+// repeats; record.go logs and counts the end.
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/route"
+	"martenwheel.dev/pkg/traffic/routing"
+)
+
+// Headers are the names of the headers that callers, the relay and servers
+// speak, in canonical form.
+type Headers struct {
+	RequestID string // of one attempt of a caller; servers repeat it
+	Deadline  string // milliseconds that the sender waits
+	Seal      string // a server's signature of its answer
+	Expect    string // the server that a request is for
+	NotRun    string // a server did not run the request
+	Model     string // what the request needs
+	Tokens    string // of the prompt, and at most out
+	Prefix    string // parts of the prompt
+	LastEvent string // event after which a stream goes on
+	Priority  string // 0 is the most urgent
+}
+
+// Wish is a model that a request needs and no server is known to hold.
+type Wish struct {
+	Service   string
+	Need      backend.Need
+	Priority  int // 0 is the most urgent
+	Deadline  time.Time
+	RequestID string
+}
+
+// Outlook is what is known of a wish.
+type Outlook struct {
+	Server  string        // that holds it by now; empty: none yet
+	ReadyIn time.Duration // expected; zero: not known
+}
+
+// Waker has models loaded. Wake does not wait for the load.
+type Waker interface {
+	Wake(ctx context.Context, w Wish) (Outlook, error)
+}
+
+// Relay serves callers. Set the fields before the first request; the zero
+// values of those marked so select defaults.
+type Relay struct {
+	Headers Headers
+	Zone    string
+	Routes  func() *route.Table // nil while none is known
+	Servers *backend.Directory
+	Waker   Waker
+	Nodes   func() int // that share the budget of repeats; 1 if nil
+	Budget  BudgetConfig
+	Logger  hclog.Logger
+	Metrics *Metrics                             // not counted if nil
+	Arrived func(service string, n backend.Need) // told of each request; may be nil
+
+	splits   route.Splitter
+	budgets  budgets
+	inFlight atomic.Int64
+	stopping atomic.Bool
+
+	mu      sync.Mutex // guards what choosing needs
+	random  *rand.Rand
+	chooser *routing.Chooser
+}
+
+// Stop makes the relay close each connection with its next answer. Requests are
+// still served.
+func (r *Relay) Stop() { r.stopping.Store(true) }
+
+// InFlight returns the number of requests under way.
+func (r *Relay) InFlight() int { return int(r.inFlight.Load()) }
+
+// ServeHTTP implements http.Handler.
+func (r *Relay) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	r.inFlight.Add(1)
+	defer r.inFlight.Add(-1)
+	c := &call{relay: r, w: w, http: hr, arrived: time.Now()}
+	if r.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	defer c.finish()
+	if !c.accept() {
+		return
+	}
+	ctx, cancel := context.WithDeadlineCause(hr.Context(), c.deadline, errDeadline)
+	defer cancel()
+	c.serve(ctx)
+}
--- /dev/null
+++ b/pkg/route/service.go
@@ -0,0 +1,33 @@
+package route
+
+import "time"
+
+// Service is a group of servers that answer the same requests.
+type Service struct {
+	Name           string
+	HealthPath     string
+	MaxConnections int     // that a server takes from all nodes together; zero: no limit
+	Engine         *Engine // nil: a plain HTTP service
+}
+
+// Engine describes the model servers of a service.
+type Engine struct {
+	Slots          int    // requests that a server runs at once
+	KVTokens       int    // of a server's memory for prompts and answers
+	WeightBytes    uint64 // of a server, for weights and adapters
+	AdapterPlaces  int    // adapters that a server holds at once
+	LoadsPerSecond float64
+	HoldKV         bool // servers keep backups of running requests
+	Models         map[string]*Model
+}
+
+// Model is a model that an engine can load.
+type Model struct {
+	Name         string
+	Bytes        uint64
+	AdapterBytes uint64
+	Adapters     int
+	LoadTime     time.Duration // from the weight store
+	DiskTime     time.Duration // from the server's disk
+	MemoryTime   time.Duration // from the server's memory
+}
--- /dev/null
+++ b/pkg/site/site.go
@@ -0,0 +1,194 @@
+// Package site runs one node of a site whose control state lies in a shared
+// store: it carries callers' requests (package relay), takes its part among the
+// nodes (packages coordinator and lease), and stops as planned. What the
+// surroundings speak is given by an adapter.
+package site
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sourcegraph/conc"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/coordinator"
+	"martenwheel.dev/pkg/lease"
+	"martenwheel.dev/pkg/peer"
+	"martenwheel.dev/pkg/policy"
+	"martenwheel.dev/pkg/relay"
+	"martenwheel.dev/pkg/route"
+)
+
+// Site is one node of a site. Set the fields before Run.
+type Site struct {
+	Self     coordinator.Node
+	Headers  relay.Headers
+	Routes   func() *route.Table
+	Servers  *backend.Directory
+	Store    lease.Store
+	Orders   coordinator.Orders
+	Turns    time.Duration // between orders of two holders to one server
+	Ceiling  coordinator.Ceiling
+	Budget   relay.BudgetConfig
+	Grace    time.Duration // of a planned stop
+	Linger   time.Duration // callers may still come for so long after it began
+	Metrics  string        // IP:port; empty: not served
+	Registry *prometheus.Registry
+	Logger   hclog.Logger
+
+	member   *coordinator.Member
+	relay    *relay.Relay
+	stopping atomic.Bool
+	limiter  limiter
+}
+
+// Ready tells whether callers may be sent to this node.
+func (s *Site) Ready() bool {
+	return !s.stopping.Load() && s.Routes() != nil && s.Servers.Known()
+}
+
+// Nodes returns the nodes of the site as far as this one knows.
+func (s *Site) Nodes() []coordinator.Node {
+	if s.member == nil {
+		return nil
+	}
+	return s.member.Nodes()
+}
+
+// Listen opens what the node listens on and makes its parts.
+func (s *Site) listen() (net.Listener, *peer.Server, error) {
+	callers, err := net.Listen("tcp", s.Self.Callers)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "site: callers")
+	}
+	peers, err := peer.Listen(peer.Config{Self: s.ref(), Address: s.Self.Peers, Logger: s.Logger})
+	if err != nil {
+		_ = callers.Close()
+		return nil, nil, errors.Wrap(err, "site: peers")
+	}
+	return callers, peers, nil
+}
+
+// ref is this node as peers know it.
+func (s *Site) ref() api.NodeRef {
+	return api.NodeRef{ID: api.NodeID(s.Self.Name), Incarnation: uint64(s.Self.Life), PeerAddress: s.Self.Peers, Zone: s.Self.Zone}
+}
+
+// peerDial bounds the wait for a connection to another node.
+const peerDial = 500 * time.Millisecond
+
+// assemble makes the parts.
+func (s *Site) assemble() (*lease.Lease, *coordinator.Holder, peer.Transport) {
+	transport := peer.NewClient(peer.Config{
+		Self: s.ref(), Logger: s.Logger, Timeouts: peer.Timeouts{Dial: peerDial, Write: time.Second, Ping: time.Second},
+	})
+	l := &lease.Lease{
+		Store: s.Store, Self: s.Self.Name + "/" + lifeText(s.Self.Life), Address: s.Self.Peers,
+		Log: func(message string, fields ...any) { s.Logger.Info(message, fields...) },
+	}
+	decider, _ := policy.ByName(policy.NameNeverUnload)
+	holder := &coordinator.Holder{
+		Lease: l, Routes: s.Routes, Servers: s.Servers, Orders: s.Orders, Transport: transport,
+		Decider: decider, Turns: s.Turns, Ceiling: s.Ceiling, Logger: s.Logger.Named("holder"),
+	}
+	s.member = &coordinator.Member{
+		Self: s.Self, Lease: l, Holder: holder, Transport: transport, Servers: s.Servers, Logger: s.Logger.Named("member"),
+	}
+	s.relay = &relay.Relay{
+		Headers: s.Headers, Zone: s.Self.Zone, Routes: s.Routes, Servers: s.Servers, Waker: s.member,
+		Nodes: func() int { return len(s.member.Nodes()) }, Budget: s.Budget, Logger: s.Logger.Named("relay"),
+		Metrics: relay.NewMetrics(s.Registry), Arrived: s.member.Arrived,
+	}
+	return l, holder, transport
+}
+
+// headerTime bounds the wait for a request's head, idleTime how long an unused
+// connection of a caller is kept.
+const (
+	headerTime = 10 * time.Second
+	idleTime   = 2 * time.Minute
+)
+
+// Run serves until ctx ends and the planned stop is over.
+func (s *Site) Run(ctx context.Context) error {
+	callers, peers, err := s.listen()
+	if err != nil {
+		return err
+	}
+	l, holder, transport := s.assemble()
+	peers.Serve(s.member)
+	life, end := context.WithCancel(context.Background())
+	defer end()
+	server := &http.Server{
+		Handler: s.relay, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
+		ErrorLog: s.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+	var tasks conc.WaitGroup
+	tasks.Go(func() { l.Run(ctx) })
+	tasks.Go(func() { holder.Run(life) })
+	tasks.Go(func() { s.member.Run(life) })
+	tasks.Go(func() { s.limiter.run(life, s) })
+	tasks.Go(func() { s.serveMetrics(life) })
+	failed := make(chan error, 1)
+	tasks.Go(func() { failed <- server.Serve(callers) })
+	s.Logger.Info("serving", "callers", s.Self.Callers, "peers", s.Self.Peers, "pid", os.Getpid())
+	select {
+	case err = <-failed:
+		s.Logger.Error("callers can't be served", "error", err)
+	case <-ctx.Done():
+		s.stop(server)
+		err = nil
+	}
+	end()
+	_ = peers.Close()
+	_ = transport.Close()
+	tasks.Wait()
+	return err
+}
+
+// Times of a planned stop.
+const (
+	stopMargin = 400 * time.Millisecond // left of the grace for the end of the process
+	stopLook   = 50 * time.Millisecond
+)
+
+// stop lets the requests end and serves those who still come.
+func (s *Site) stop(server *http.Server) {
+	began := time.Now()
+	s.stopping.Store(true)
+	s.member.Stop()
+	s.relay.Stop()
+	s.Logger.Info("stopping", "in_flight", s.relay.InFlight(), "grace_ms", s.Grace.Milliseconds())
+	for time.Since(began) < s.Grace-stopMargin {
+		if time.Since(began) > s.Linger && s.relay.InFlight() == 0 {
+			break
+		}
+		time.Sleep(stopLook)
+	}
+	s.Logger.Info("stopped", "cut_off", s.relay.InFlight(), "ms", time.Since(began).Milliseconds())
+	_ = server.Close()
+}
+
+// serveMetrics serves the metrics until ctx ends.
+func (s *Site) serveMetrics(ctx context.Context) {
+	if s.Metrics == "" {
+		return
+	}
+	server := &http.Server{
+		Addr: s.Metrics, Handler: promhttp.HandlerFor(s.Registry, promhttp.HandlerOpts{}), ReadHeaderTimeout: headerTime,
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		s.Logger.Error("metrics are not served", "error", err)
+	}
+}
--- /dev/null
+++ b/pkg/telemetry/buffer.go
@@ -0,0 +1,85 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Buffer passes log lines on to a slow writer without making anybody wait: when
+// it is full, lines are dropped and counted. Set the fields before the first
+// Write.
+type Buffer struct {
+	Output io.Writer
+	Lines  int // kept at most; defaultBufferLines if zero
+
+	once    sync.Once
+	lines   chan []byte
+	done    chan struct{}
+	dropped atomic.Uint64
+	told    uint64 // of the dropped ones; for run alone
+}
+
+const defaultBufferLines = 2048
+
+// flushTime bounds the wait for the last lines.
+const flushTime = 300 * time.Millisecond
+
+func (b *Buffer) init() {
+	b.once.Do(func() {
+		n := b.Lines
+		if n == 0 {
+			n = defaultBufferLines
+		}
+		b.lines = make(chan []byte, n)
+		b.done = make(chan struct{})
+		go b.run()
+	})
+}
+
+// Write takes one line. It never blocks and never fails.
+func (b *Buffer) Write(line []byte) (int, error) {
+	b.init()
+	select {
+	case b.lines <- append([]byte(nil), line...):
+	default:
+		b.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines that were dropped.
+func (b *Buffer) Dropped() uint64 { return b.dropped.Load() }
+
+func (b *Buffer) run() {
+	for line := range b.lines {
+		if line == nil {
+			close(b.done)
+			return
+		}
+		if dropped := b.dropped.Load(); dropped != b.told {
+			b.told = dropped
+			fmt.Fprintf(b.Output, `{"@level":"warn","@message":"log lines dropped","total":%d}`+"\n", dropped)
+		}
+		if _, err := b.Output.Write(line); err != nil {
+			b.dropped.Add(1)
+		}
+	}
+}
+
+// Flush waits a short time until the lines before it are written, and ends the
+// buffer.
+func (b *Buffer) Flush() {
+	b.init()
+	select {
+	case b.lines <- nil:
+	case <-time.After(flushTime):
+		return
+	}
+	select {
+	case <-b.done:
+	case <-time.After(flushTime):
+	}
+}
