--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -263,8 +263,10 @@
 	d.priority, d.deadline, d.request = w.Priority, now.Add(w.Left), w.RequestID
 	h.learn(now)
 	answer := WishAnswer{Term: h.term}
-	if server := h.heldBy(w.Service, need); server != "" {
+	h.doubtHolding(now, w.Missing, need)
+	if server := h.heldBy(now, w.Service, need); server != "" {
 		answer.Server = server
+		h.tell(Notice{Server: server, Need: w.Need, Holds: true})
 		d.wishedAt = time.Time{}
 		return answer
 	}
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -196,7 +196,7 @@
 func (m *Member) Wake(ctx context.Context, w relay.Wish) (relay.Outlook, error) {
 	answer, err := ask[WishAnswer](ctx, m, WishMessage{
 		Service: w.Service, Need: w.Need.String(), Priority: w.Priority,
-		Left: time.Until(w.Deadline), RequestID: w.RequestID,
+		Left: time.Until(w.Deadline), RequestID: w.RequestID, Missing: w.Missing,
 	})
 	if err == nil && answer.Term == 0 {
 		err = ErrNoHolder
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -51,6 +51,7 @@
 	Need      string // "model" or "model/adapter"
 	Priority  int
 	Left      time.Duration // of the request that waits
+	Missing   string        // server that said that it does not hold it
 	RequestID string
 }
 
--- a/pkg/coordinator/orders.go
+++ b/pkg/coordinator/orders.go
@@ -136,6 +136,9 @@
 		return
 	}
 	s.failures, s.doubt = 0, nil
+	if result == Accepted || result == Already {
+		s.acceptedAt = now
+	}
 	switch result {
 	case Accepted:
 		s.sequence = max(s.sequence, o.after)
@@ -145,6 +148,9 @@
 		}
 		h.accepted(now, s, o)
 	case Already:
+		if !o.load && o.need.Adapter != "" {
+			s.sequence = max(s.sequence, o.after) // done at once
+		}
 		h.undo(s, o)
 		h.holdsNow(now, s, o)
 	case Fenced:
@@ -153,6 +159,9 @@
 	case Conflict:
 		h.undo(s, o)
 		s.reportAt, s.unsure = now, true
+		if lag := reportLag - now.Sub(s.acceptedAt); lag > 0 {
+			s.reportAt = now.Add(lag)
+		}
 	default:
 		h.undo(s, o)
 		s.avoidUntil = now.Add(refusedPause)
@@ -175,7 +184,8 @@
 		return
 	}
 	if !o.load {
-		h.holdsNow(now, s, o)
+		// Requests still use it: its place is taken until a report shows it free.
+		s.unsure, s.reportAt = true, now.Add(reportLag)
 		return
 	}
 	time.AfterFunc(adapterTime, func() {
@@ -237,13 +247,12 @@
 	}
 	s.failures = 0
 	s.cache(r.InMemory, r.OnDisk)
+	if r.Sequence < s.sequence {
+		return // it was made before the last order
+	}
 	if s.unsure {
 		h.Logger.Info("server asked", "server", s.id, "sequence", r.Sequence, "believed", s.sequence, "busy", r.Busy)
 		s.unsure = false
-		s.avoidUntil = now.Add(reportPause)
-	}
-	if r.Sequence < s.sequence {
-		return
 	}
 	if s.doubt != nil && r.Sequence >= s.doubt.after {
 		h.Logger.Info("order was taken", "server", s.id, "model", s.doubt.need.String(), "sequence", r.Sequence)
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -151,7 +151,7 @@
 	}
 	slices.SortFunc(input.Servers, func(a, b policy.Server) int { return cmp.Compare(a.ID, b.ID) })
 	for name, m := range e.Models {
-		input.Models = append(input.Models, h.modelInput(now, service, name, m, len(input.Servers)))
+		input.Models = append(input.Models, h.modelInput(now, service, name, m, e, len(input.Servers)))
 	}
 	slices.SortFunc(input.Models, func(a, b policy.Model) int { return cmp.Compare(a.Name, b.Name) })
 	return input
@@ -172,7 +172,7 @@
 const mostUrgent = 9
 
 // modelInput describes a model for the decider.
-func (h *Holder) modelInput(now time.Time, service, name string, m *route.Model, servers int) policy.Model {
+func (h *Holder) modelInput(now time.Time, service, name string, m *route.Model, e *route.Engine, servers int) policy.Model {
 	key := demandKey{service, name}
 	d := h.demands[key]
 	model := policy.Model{
@@ -190,6 +190,10 @@
 			model.Settings.MinReplicas = 2
 		}
 	}
+	if e.AdapterPlaces > 0 {
+		wanted := (h.adaptersInUse(now, service, name) + e.AdapterPlaces - 1) / e.AdapterPlaces
+		model.Settings.MinReplicas = max(model.Settings.MinReplicas, min(wanted, servers))
+	}
 	h.addWishes(now, service, name, &model)
 	for _, s := range h.servers {
 		if s.member == nil || s.member.Service != service {
@@ -203,6 +207,21 @@
 	return model
 }
 
+// adaptersInUse returns how many adapters of a model were asked for lately.
+func (h *Holder) adaptersInUse(now time.Time, service, name string) int {
+	count := 0
+	for key, d := range h.demands {
+		need := backend.ParseNeed(key.need)
+		if key.service == service && need.Model == name && need.Adapter != "" && now.Sub(d.last) < adapterUseTime {
+			count++
+		}
+	}
+	return count
+}
+
+// adapterUseTime is how long an adapter counts as in use after a request.
+const adapterUseTime = 6 * time.Second
+
 // addWishes takes in the requests that wait for the model or an adapter of it.
 func (h *Holder) addWishes(now time.Time, service, name string, model *policy.Model) {
 	for key, d := range h.demands {
--- a/pkg/coordinator/server.go
+++ b/pkg/coordinator/server.go
@@ -23,6 +23,7 @@
 	busy       *operation      // the load or unload of a model
 	doubt      *order          // without an answer; only the same may follow
 	avoidUntil time.Time       // it refused an order
+	acceptedAt time.Time       // of the last order; reports lag behind it
 }
 
 // holding is a model on a server.
@@ -81,7 +82,9 @@
 		if len(m.Models) < len(s.holds) && s.busy == nil && !s.unsure {
 			s.unsure, s.reportAt = true, now.Add(recordLag)
 		}
-		h.settle(now, s, func(name string) bool { return m.Holds(backend.Need{Model: name}) })
+		if s.busy != nil && s.busy.load {
+			h.settle(now, s, func(name string) bool { return m.Holds(backend.Need{Model: name}) })
+		}
 	}
 	for id, s := range h.servers {
 		if snapshot.Member(id) == nil && s.member != nil {
@@ -128,13 +131,15 @@
 			delete(s.holds, name)
 		}
 	}
-	h.settle(now, s, func(name string) bool { return listed[name] })
+	if s.busy != nil && (s.busy.load || !r.Busy && s.sequence >= s.busy.after) {
+		h.settle(now, s, func(name string) bool { return listed[name] })
+	}
 }
 
 // settle ends the operation that what the server holds shows to be done.
 func (h *Holder) settle(now time.Time, s *serverState, holds func(model string) bool) {
 	op := s.busy
-	if op == nil || holds(op.need.Model) != op.load || !op.load && s.sequence < op.after {
+	if op == nil || holds(op.need.Model) != op.load {
 		return
 	}
 	s.busy = nil
@@ -164,17 +169,44 @@
 	return s.member != nil && !s.unsure && !s.member.Leaving() && !now.Before(s.quietUntil) && !now.Before(s.avoidUntil)
 }
 
-// heldBy returns a server that holds what a request needs, "" if none does.
-func (h *Holder) heldBy(service string, need backend.Need) string {
-	now := time.Now()
-	for _, m := range h.Servers.Snapshot().Service(service) {
-		if m.Serves(now, need) {
-			return m.ID
+// heldBy returns a server that holds what a request needs, "" if none does. The
+// holder's own word goes before that of the records.
+func (h *Holder) heldBy(now time.Time, service string, need backend.Need) string {
+	for _, s := range h.servers {
+		if s.member == nil || s.member.Service != service || s.member.Leaving() || s.failures > 0 || s.unsure {
+			continue
+		}
+		if s.ready(now, need) {
+			return s.id
 		}
 	}
 	return ""
 }
 
+// ready tells whether the server surely holds what a request needs.
+func (s *serverState) ready(now time.Time, need backend.Need) bool {
+	known := s.holds[need.Model]
+	if known == nil || s.busy != nil && s.busy.need.Model == need.Model {
+		return false
+	}
+	if need.Adapter == "" {
+		return true
+	}
+	_, has := known.adapters[need.Adapter]
+	return has
+}
+
+// doubtHolding has a server asked that told a node that it does not hold what
+// it is believed to hold.
+func (h *Holder) doubtHolding(now time.Time, id string, need backend.Need) {
+	s := h.servers[id]
+	if s == nil || s.unsure || !s.ready(now, need) {
+		return
+	}
+	h.Logger.Info("server lacks a model", "server", id, "model", need.String())
+	s.unsure, s.reportAt = true, now
+}
+
 // readyIn returns when a model is expected to be ready, zero if it is not known.
 func (h *Holder) readyIn(now time.Time, service string, need backend.Need) time.Duration {
 	var soonest time.Duration
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -204,6 +204,7 @@
 	switch {
 	case errors.Is(err, errLeaving), errors.Is(err, backend.ErrCrowded):
 	case c.record.status == http.StatusMisdirectedRequest && c.need.Model != "":
+		c.missing = m.ID
 		c.relay.Servers.Believe(m.ID, c.need, false, now.Add(disbeliefTime))
 	default:
 		m.Failed(now)
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -41,6 +41,7 @@
 	lastEvent string
 
 	tried    []string // servers that did not serve it
+	missing  string   // server that said that it does not hold what is needed
 	sends    int
 	runs     int // servers that may have run it
 	headSent bool
@@ -67,7 +68,14 @@
 		c.refuse(noRoute)
 		return false
 	}
-	return c.readBody() && c.resolve()
+	if !c.readBody() {
+		return false
+	}
+	if c.relay.stopped(c.route.Kind, true) {
+		c.refuse(stopping)
+		return false
+	}
+	return c.resolve()
 }
 
 // readBody reads the whole body within the table's bounds.
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -30,6 +30,10 @@
 	asking := false
 	for {
 		changed := c.relay.Servers.Changed()
+		if c.relay.stopped(c.route.Kind, false) {
+			c.refuse(c.notServed(reasonStopping, stopping.after))
+			return nil
+		}
 		if m := c.choose(); m != nil {
 			return m
 		}
@@ -77,6 +81,7 @@
 	defer cancel()
 	o, err := c.relay.Waker.Wake(ctx, Wish{
 		Service: c.service, Need: c.need, Priority: c.route.Priority, Deadline: c.deadline, RequestID: c.id,
+		Missing: c.missing,
 	})
 	if err != nil {
 		c.record.wakeError = err
--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -22,6 +22,7 @@
 	notReady    = refusal{http.StatusServiceUnavailable, "not ready", time.Second}
 	noRoute     = refusal{http.StatusNotFound, "no route", 0}
 	tooLarge    = refusal{http.StatusRequestEntityTooLarge, "body too large", 0}
+	stopping    = refusal{http.StatusServiceUnavailable, "the node is stopping", 50 * time.Millisecond}
 	badDeadline = refusal{http.StatusBadRequest, "bad deadline", 0}
 )
 
@@ -32,6 +33,7 @@
 	reasonFailed   = "server failed"
 	reasonBudget   = "budget of repeats spent"
 	reasonLoading  = "model is loading"
+	reasonStopping = "the node is stopping"
 )
 
 // notServed is the final answer to a request that no server served. It tells
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -46,6 +46,7 @@
 	Priority  int // 0 is the most urgent
 	Deadline  time.Time
 	RequestID string
+	Missing   string // server that said that it does not hold it
 }
 
 // Outlook is what is known of a wish.
@@ -76,16 +77,44 @@
 	splits   route.Splitter
 	budgets  budgets
 	inFlight atomic.Int64
-	stopping atomic.Bool
+	stop     atomic.Pointer[stopPlan]
 
 	mu      sync.Mutex // guards what choosing needs
 	random  *rand.Rand
 	chooser *routing.Chooser
 }
 
-// Stop makes the relay close each connection with its next answer. Requests are
-// still served.
-func (r *Relay) Stop() { r.stopping.Store(true) }
+// stopPlan says what a stopping relay still takes.
+type stopPlan struct {
+	streamsUntil time.Time // new streams would be cut off after it
+	until        time.Time // nothing new is sent after it
+}
+
+// streamShare is the part of a stop's time in which streams are still begun.
+const streamShare = 0.3
+
+// lastAnswers is the time at the end of a stop for the answers under way.
+const lastAnswers = 1200 * time.Millisecond
+
+// Stop begins a planned stop that ends after grace: each connection closes with
+// its next answer, and what can't be served to its end any more is refused.
+func (r *Relay) Stop(grace time.Duration) {
+	now := time.Now()
+	r.stop.Store(&stopPlan{
+		streamsUntil: now.Add(time.Duration(streamShare * float64(grace))),
+		until:        now.Add(grace - lastAnswers),
+	})
+}
+
+// stopped tells whether a stop keeps a request from being sent.
+func (r *Relay) stopped(kind route.Kind, fresh bool) bool {
+	plan := r.stop.Load()
+	if plan == nil {
+		return false
+	}
+	now := time.Now()
+	return now.After(plan.until) || fresh && kind == route.Stream && now.After(plan.streamsUntil)
+}
 
 // InFlight returns the number of requests under way.
 func (r *Relay) InFlight() int { return int(r.inFlight.Load()) }
@@ -95,7 +124,7 @@
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
 	c := &call{relay: r, w: w, http: hr, arrived: time.Now()}
-	if r.stopping.Load() {
+	if r.stop.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	defer c.finish()
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -166,7 +166,7 @@
 	began := time.Now()
 	s.stopping.Store(true)
 	s.member.Stop()
-	s.relay.Stop()
+	s.relay.Stop(s.Grace)
 	s.Logger.Info("stopping", "in_flight", s.relay.InFlight(), "grace_ms", s.Grace.Milliseconds())
 	for time.Since(began) < s.Grace-stopMargin {
 		if time.Since(began) > s.Linger && s.relay.InFlight() == 0 {
