--- a/pkg/coordinator/adapters.go
+++ b/pkg/coordinator/adapters.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"slices"
 	"time"
 
@@ -14,7 +13,7 @@
 const adapterIdle = 1500 * time.Millisecond
 
 // planAdapters has the adapters loaded that requests wait for.
-func (h *Holder) planAdapters(ctx context.Context, now time.Time, service string, e *route.Engine) {
+func (h *Holder) planAdapters(now time.Time, service string, e *route.Engine) {
 	for key, d := range h.demands {
 		need := backend.ParseNeed(key.need)
 		if key.service != service || need.Adapter == "" || e.Models[need.Model] == nil {
@@ -25,7 +24,7 @@
 			continue
 		}
 		if s := h.adapterServer(now, service, need, e); s != nil {
-			h.giveAdapter(ctx, now, s, need, e)
+			h.giveAdapter(now, s, need, e)
 		}
 	}
 }
@@ -114,13 +113,13 @@
 }
 
 // giveAdapter orders an adapter, or the unload of one that makes way.
-func (h *Holder) giveAdapter(ctx context.Context, now time.Time, s *serverState, need backend.Need, e *route.Engine) {
+func (h *Holder) giveAdapter(now time.Time, s *serverState, need backend.Need, e *route.Engine) {
 	if s.adapters() >= e.AdapterPlaces {
 		idle := s.idleAdapter(now)
 		h.tell(Notice{Server: s.id, Need: idle.String(), Holds: false})
-		h.give(ctx, s, order{need: idle}, false, 0, "room for "+need.String())
+		h.give(s, order{need: idle}, false, 0, "room for "+need.String())
 		return
 	}
 	s.holds[need.Model].arriving[need.Adapter] = now.Add(arriveTime)
-	h.give(ctx, s, order{load: true, need: need}, false, adapterTime, "wished")
+	h.give(s, order{load: true, need: need}, false, adapterTime, "wished")
 }
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -37,6 +37,7 @@
 	Logger    hclog.Logger
 
 	once     sync.Once
+	life     context.Context // of Run; orders outlive the messages that cause them
 	requests chan func()
 	planSoon bool
 
@@ -84,6 +85,7 @@
 // Run acts whenever the lease is held, until ctx ends.
 func (h *Holder) Run(ctx context.Context) {
 	h.init()
+	h.life = ctx
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -91,18 +93,18 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			h.tick(ctx)
+			h.tick()
 		case f := <-h.requests:
 			f()
 			if h.planSoon {
-				h.tick(ctx)
+				h.tick()
 			}
 		}
 	}
 }
 
 // tick takes in what changed and plans.
-func (h *Holder) tick(ctx context.Context) {
+func (h *Holder) tick() {
 	h.planSoon = false
 	term, held := h.Lease.Held()
 	if !held {
@@ -114,7 +116,7 @@
 	now := time.Now()
 	h.expire(now)
 	h.learn(now)
-	h.plan(ctx, now)
+	h.plan(now)
 }
 
 // begin starts a term with nothing but what the record tells.
@@ -154,10 +156,10 @@
 }
 
 // post runs f on the holder's goroutine some time.
-func (h *Holder) post(ctx context.Context, f func()) {
+func (h *Holder) post(f func()) {
 	select {
 	case h.requests <- f:
-	case <-ctx.Done():
+	case <-h.life.Done():
 	}
 }
 
@@ -169,7 +171,7 @@
 	case Beat:
 		handle = func() { reply = h.beat(time.Now(), m) }
 	case WishMessage:
-		handle = func() { reply = h.wish(ctx, time.Now(), m) }
+		handle = func() { reply = h.wish(time.Now(), m) }
 	default:
 		return nil, errMessage
 	}
@@ -252,7 +254,7 @@
 }
 
 // wish takes in that a node lacks a model.
-func (h *Holder) wish(ctx context.Context, now time.Time, w WishMessage) WishAnswer {
+func (h *Holder) wish(now time.Time, w WishMessage) WishAnswer {
 	if !h.holds() {
 		return WishAnswer{}
 	}
@@ -271,7 +273,7 @@
 		return answer
 	}
 	h.planSoon = false
-	h.plan(ctx, now)
+	h.plan(now)
 	answer.ReadyIn = h.readyIn(now, w.Service, need)
 	if first {
 		h.Logger.Info("wish", "request_id", w.RequestID, "service", w.Service, "model", w.Need,
--- a/pkg/coordinator/orders.go
+++ b/pkg/coordinator/orders.go
@@ -69,7 +69,7 @@
 )
 
 // give writes the intent of an order and sends it, in a goroutine of its own.
-func (h *Holder) give(ctx context.Context, s *serverState, o order, fetch bool, expected time.Duration, reason string) {
+func (h *Holder) give(s *serverState, o order, fetch bool, expected time.Duration, reason string) {
 	now := time.Now()
 	s.asking = true
 	o.after = s.sequence + 1
@@ -85,8 +85,8 @@
 	server, term := s.member.Server, h.term
 	wire := Order{Load: o.load, Need: o.need, Holder: h.Lease.Self, Fence: term, Expected: s.sequence}
 	go func() {
-		result, err := h.send(ctx, server, wire, fetch)
-		h.post(ctx, func() {
+		result, err := h.send(server, wire, fetch)
+		h.post(func() {
 			if h.term == term {
 				h.answered(s, o, result, err)
 			}
@@ -98,13 +98,13 @@
 var errNotGiven = errors.New("coordinator: the order was not sent")
 
 // send writes the intent and gives the order within the permit's time.
-func (h *Holder) send(ctx context.Context, server *backend.Server, o Order, fetch bool) (Result, error) {
+func (h *Holder) send(server *backend.Server, o Order, fetch bool) (Result, error) {
 	kind := "unload "
 	if o.Load {
 		kind = "load "
 	}
 	intent := lease.Intent{Server: server.ID, What: kind + o.Need.String(), Fetch: fetch}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(h.life, orderTimeout)
 	defer cancel()
 	permit, err := h.Lease.Commit(ctx, []lease.Intent{intent})
 	if err != nil {
@@ -189,7 +189,7 @@
 		return
 	}
 	time.AfterFunc(adapterTime, func() {
-		h.post(context.Background(), func() { h.holdsNow(time.Now(), s, o) })
+		h.post(func() { h.holdsNow(time.Now(), s, o) })
 	})
 }
 
@@ -212,7 +212,7 @@
 
 // look asks the servers for reports whose operations should be done or are in
 // doubt.
-func (h *Holder) look(ctx context.Context, now time.Time) {
+func (h *Holder) look(now time.Time) {
 	for _, s := range h.servers {
 		if s.member == nil || s.asking || s.reportAt.IsZero() || now.Before(s.reportAt) {
 			continue
@@ -224,10 +224,10 @@
 		s.asking = true
 		server, term := s.member.Server, h.term
 		go func() {
-			ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+			ctx, cancel := context.WithTimeout(h.life, reportTimeout)
 			defer cancel()
 			report, err := h.Orders.Report(ctx, server)
-			h.post(ctx, func() {
+			h.post(func() {
 				if h.term == term {
 					h.reported(time.Now(), s, report, err)
 				}
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"slices"
 	"time"
 
@@ -22,24 +21,24 @@
 )
 
 // plan decides and orders for all services with engines.
-func (h *Holder) plan(ctx context.Context, now time.Time) {
-	h.look(ctx, now)
+func (h *Holder) plan(now time.Time) {
+	h.look(now)
 	table := h.Routes()
 	if table == nil || !h.Servers.Known() {
 		return
 	}
-	h.repeatDoubts(ctx, now)
+	h.repeatDoubts(now)
 	for name, s := range table.Services() {
 		if s.Engine != nil {
-			h.planAdapters(ctx, now, name, s.Engine)
-			h.planModels(ctx, now, name, s.Engine)
+			h.planAdapters(now, name, s.Engine)
+			h.planModels(now, name, s.Engine)
 		}
 	}
 }
 
 // repeatDoubts gives orders without an answer again, under the same condition:
 // only one of the two can take effect.
-func (h *Holder) repeatDoubts(ctx context.Context, now time.Time) {
+func (h *Holder) repeatDoubts(now time.Time) {
 	for _, s := range h.servers {
 		if s.doubt == nil || s.asking || !s.usable(now) || now.Before(s.reportAt) {
 			continue
@@ -54,12 +53,12 @@
 		if s.busy != nil {
 			expected, fetch = s.busy.readyAt.Sub(s.busy.since), s.busy.fetch
 		}
-		h.give(ctx, s, o, fetch, expected, "no answer before")
+		h.give(s, o, fetch, expected, "no answer before")
 	}
 }
 
 // planModels asks the decider and gives its orders.
-func (h *Holder) planModels(ctx context.Context, now time.Time, service string, e *route.Engine) {
+func (h *Holder) planModels(now time.Time, service string, e *route.Engine) {
 	input := h.input(now, service, e)
 	loading := 0
 	for _, s := range h.servers {
@@ -75,7 +74,7 @@
 		}
 		o := order{load: action.Kind == policy.ActionLoad, need: backend.Need{Model: m.Name}}
 		if !o.load {
-			h.give(ctx, s, o, false, unloadTime, action.Reason)
+			h.give(s, o, false, unloadTime, action.Reason)
 			h.tell(Notice{Server: s.id, Need: m.Name, Holds: false})
 			continue
 		}
@@ -87,7 +86,7 @@
 			continue
 		}
 		loading++
-		h.give(ctx, s, o, fetch, expected, action.Reason)
+		h.give(s, o, fetch, expected, action.Reason)
 	}
 }
 
@@ -145,7 +144,7 @@
 		input.Servers = append(input.Servers, policy.Server{
 			ID: api.ServerID(s.id), Zone: s.member.Zone, CapacityBytes: e.WeightBytes, FreeBytes: h.freeBytes(s, e),
 			Leaving:   s.member.Leaving(),
-			Reachable: s.usable(now) && s.failures == 0 && s.busy == nil && s.doubt == nil,
+			Reachable: s.usable(now) && s.failures == 0 && s.doubt == nil && (s.busy == nil || !s.busy.load),
 			Cached:    s.cachedTiers(),
 		})
 	}
