coordinator: a new holder takes over the operations of the one before

Now the intents in the lease's record name the operation; until it is done nothing else is ordered there.

--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -119,6 +120,9 @@
 	h.plan(now)
 }
 
+// adapterMark stands in the names of adapters.
+const adapterMark = "/"
+
 // begin starts a term with nothing but what the record tells.
 func (h *Holder) begin(term uint64) {
 	h.term = term
@@ -130,7 +134,11 @@
 	now, storeNow := time.Now(), h.Lease.Now()
 	for _, i := range record.Intents {
 		at := now.Add(-time.Duration(storeNow-i.At) * time.Millisecond)
-		h.server(i.Server).quietUntil = at.Add(h.Turns + lease.PermitTime)
+		s := h.server(i.Server)
+		s.quietUntil = at.Add(h.Turns + lease.PermitTime)
+		if !strings.Contains(i.Need, adapterMark) {
+			s.inherited = i
+		}
 		if i.Fetch {
 			h.fetches = append(h.fetches, at)
 		}
--- a/pkg/coordinator/orders.go
+++ b/pkg/coordinator/orders.go
@@ -99,11 +99,7 @@
 
 // send writes the intent and gives the order within the permit's time.
 func (h *Holder) send(server *backend.Server, o Order, fetch bool) (Result, error) {
-	kind := "unload "
-	if o.Load {
-		kind = "load "
-	}
-	intent := lease.Intent{Server: server.ID, What: kind + o.Need.String(), Fetch: fetch}
+	intent := lease.Intent{Server: server.ID, Load: o.Load, Need: o.Need.String(), Fetch: fetch}
 	ctx, cancel := context.WithTimeout(h.life, orderTimeout)
 	defer cancel()
 	permit, err := h.Lease.Commit(ctx, []lease.Intent{intent})
@@ -250,6 +246,10 @@
 	if r.Sequence < s.sequence {
 		return // it was made before the last order
 	}
+	if r.Busy && s.busy == nil {
+		h.inherit(now, s, r)
+		return
+	}
 	if s.unsure {
 		h.Logger.Info("server asked", "server", s.id, "sequence", r.Sequence, "believed", s.sequence, "busy", r.Busy)
 		s.unsure = false
@@ -265,6 +265,42 @@
 	}
 }
 
+// inherit takes over an operation that an order of an earlier holder began. The
+// record of the lease tells which; until it is done, what the server holds is
+// not known.
+func (h *Holder) inherit(now time.Time, s *serverState, r Report) {
+	s.unsure = true
+	intent := s.inherited
+	need := backend.ParseNeed(intent.Need)
+	if need.Model == "" || need.Adapter != "" {
+		return
+	}
+	s.unsure, s.inherited = false, lease.Intent{}
+	h.take(now, s, r)
+	expected := unloadTime
+	if e := h.engineOf(s); intent.Load && e != nil && e.Models[need.Model] != nil {
+		expected, _ = s.loadTime(e.Models[need.Model])
+	}
+	s.busy = &operation{
+		order: order{load: intent.Load, need: need, after: r.Sequence},
+		since: now, readyAt: now.Add(expected), fetch: intent.Fetch,
+	}
+	h.Logger.Info("order inherited", "server", s.id, "load", intent.Load, "model", intent.Need, "sequence", r.Sequence)
+}
+
+// engineOf returns the engine of the server's service, nil if it has none.
+func (h *Holder) engineOf(s *serverState) *route.Engine {
+	table := h.Routes()
+	if table == nil || s.member == nil {
+		return nil
+	}
+	service := table.Service(s.member.Service)
+	if service == nil {
+		return nil
+	}
+	return service.Engine
+}
+
 // loadTime returns how long a load is expected to take, and whether it comes
 // from the weight store.
 func (s *serverState) loadTime(m *route.Model) (time.Duration, bool) {
--- a/pkg/coordinator/server.go
+++ b/pkg/coordinator/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/lease"
 )
 
 // serverState is what the holder knows of one life of a server.
@@ -21,6 +22,7 @@
 	unsure     bool            // the number of its orders is to be asked for
 	failures   int             // calls without an answer, in a row
 	busy       *operation      // the load or unload of a model
+	inherited  lease.Intent    // the last order of an earlier holder
 	doubt      *order          // without an answer; only the same may follow
 	avoidUntil time.Time       // it refused an order
 	acceptedAt time.Time       // of the last order; reports lag behind it
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -21,7 +21,8 @@
 // Intent is an order that the holder is about to give.
 type Intent struct {
 	Server string
-	What   string
+	Load   bool // or unload
+	Need   string
 	Fetch  bool  // a load from the weight store
 	At     int64 // by the store's clock, in milliseconds
 }
