watch: tables of the store on every node, read by a few

Now a site of more than 12 nodes has four watchers that pass changes on, pulses tell that they are fresh, a node that hears none for 2.3 s reads the store itself; a new holder announces itself.

--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -35,6 +35,7 @@
 	Decider   policy.Decider
 	Turns     time.Duration // between orders of two holders to one server
 	Ceiling   Ceiling
+	Nodes     func() []Node // that this node knows of
 	Logger    hclog.Logger
 
 	once     sync.Once
@@ -144,6 +145,11 @@
 		}
 	}
 	h.Logger.Info("coordinating", "term", term, "intents", len(record.Intents))
+	for _, n := range h.Nodes() {
+		if n.Peers != record.Address {
+			h.Transport.Send(n.Peers, Announcement{Term: term, Holder: record.Holder, Address: record.Address})
+		}
+	}
 }
 
 // do runs f on the holder's goroutine and waits for it.
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -37,6 +37,7 @@
 	Holder    *Holder // of this node; acts while the lease is held here
 	Transport peer.Transport
 	Servers   *backend.Directory
+	Candidate func() bool // whether this node is among the first to take the lease
 	Logger    hclog.Logger
 
 	nodes    atomic.Pointer[[]Node]
@@ -47,6 +48,7 @@
 	mu       sync.Mutex
 	arrivals map[Use]int // by service and model
 	answered bool        // the last beat was
+	since    time.Time   // of the first beat without an answer
 }
 
 func (m *Member) init() {
@@ -61,6 +63,9 @@
 	return []Node{m.self()}
 }
 
+// Known tells whether the nodes of the site are as a holder told.
+func (m *Member) Known() bool { return m.nodes.Load() != nil }
+
 // Stop tells the others that this node is leaving.
 func (m *Member) Stop() {
 	m.init()
@@ -98,15 +103,23 @@
 	}
 }
 
+// patience is how long nodes that are not candidates leave it to the others to
+// find a new holder, who then announces itself.
+const patience = 4 * time.Second
+
 // lost notes that the holder does not answer.
 func (m *Member) lost(err error) {
-	m.Lease.Suspect()
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.answered {
+	if m.answered || m.since.IsZero() {
+		m.since = time.Now()
 		m.Logger.Warn("coordinator lost", "error", err)
 	}
 	m.answered = false
+	waited := time.Since(m.since)
+	m.mu.Unlock()
+	if !m.Known() || m.Candidate == nil || m.Candidate() || waited > patience {
+		m.Lease.Suspect()
+	}
 }
 
 // beat tells the holder of this node and takes in what it tells of the others.
@@ -202,7 +215,7 @@
 		err = ErrNoHolder
 	}
 	if err != nil {
-		m.Lease.Suspect()
+		m.lost(err)
 		return relay.Outlook{}, err
 	}
 	return relay.Outlook{Server: answer.Server, ReadyIn: answer.ReadyIn}, nil
@@ -210,9 +223,13 @@
 
 // HandleMessage implements peer.Handler.
 func (m *Member) HandleMessage(ctx context.Context, from api.NodeRef, message peer.Message) (peer.Message, error) {
-	if n, ok := message.(Notice); ok {
+	switch n := message.(type) {
+	case Notice:
 		m.Servers.Believe(n.Server, backend.ParseNeed(n.Need), n.Holds, time.Now().Add(noticeTime))
 		return nil, nil
+	case Announcement:
+		m.Lease.Announced(lease.Record{Term: n.Term, Holder: n.Holder, Address: n.Address})
+		return nil, nil
 	}
 	return m.Holder.HandleMessage(ctx, from, message)
 }
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -69,6 +69,13 @@
 	Holds  bool
 }
 
+// Announcement tells the nodes who holds the lease now.
+type Announcement struct {
+	Term    uint64
+	Holder  string
+	Address string
+}
+
 func init() {
-	peer.Register(Beat{}, BeatAnswer{}, WishMessage{}, WishAnswer{}, Notice{})
+	peer.Register(Announcement{}, Beat{}, BeatAnswer{}, WishMessage{}, WishAnswer{}, Notice{})
 }
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -75,7 +75,7 @@
 
 	callTimeout = 800 * time.Millisecond
 	lookPause   = 400 * time.Millisecond
-	lookRest    = 5 * time.Second
+	lookRest    = time.Minute
 	maxIntents  = 200
 )
 
@@ -89,6 +89,7 @@
 	mu       sync.Mutex
 	seen     Stored
 	known    bool
+	told     Record        // by its holder, maybe newer than seen
 	offset   time.Duration // the store's clock less the steady one
 	term     uint64        // held; zero: none
 	until    time.Time     // end of the hold
@@ -124,13 +125,26 @@
 	}
 }
 
-// Current returns the newest record that was seen.
+// Current returns the newest record that was seen or told.
 func (l *Lease) Current() (Record, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.told.Term > l.seen.Record.Term {
+		return l.told, true
+	}
 	return l.seen.Record, l.known
 }
 
+// Announced takes in what a holder tells of itself. It is a hint: only the
+// stored record counts for taking the lease.
+func (l *Lease) Announced(r Record) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.Term > l.told.Term {
+		l.told = r
+	}
+}
+
 // Held returns the term in which this node holds the lease now, false if it
 // does not.
 func (l *Lease) Held() (uint64, bool) {
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -26,6 +26,7 @@
 	"martenwheel.dev/pkg/policy"
 	"martenwheel.dev/pkg/relay"
 	"martenwheel.dev/pkg/route"
+	"martenwheel.dev/pkg/watch"
 )
 
 // Site is one node of a site. Set the fields before Run.
@@ -35,6 +36,7 @@
 	Routes   func() *route.Table
 	Servers  *backend.Directory
 	Store    lease.Store
+	Tables   []*watch.Table // of the store, which the site keeps up to date
 	Orders   coordinator.Orders
 	Turns    time.Duration // between orders of two holders to one server
 	Ceiling  coordinator.Ceiling
@@ -46,6 +48,7 @@
 	Logger   hclog.Logger
 
 	member   *coordinator.Member
+	hub      *watch.Hub
 	relay    *relay.Relay
 	stopping atomic.Bool
 	limiter  limiter
@@ -103,6 +106,12 @@
 	s.member = &coordinator.Member{
 		Self: s.Self, Lease: l, Holder: holder, Transport: transport, Servers: s.Servers, Logger: s.Logger.Named("member"),
 	}
+	holder.Nodes = s.member.Nodes
+	s.hub = &watch.Hub{
+		Self: watchNode(s.Self), Nodes: s.watchNodes, Known: s.member.Known, Transport: transport,
+		Tables: s.Tables, Logger: s.Logger.Named("watch"),
+	}
+	s.member.Candidate = s.hub.Watching
 	s.relay = &relay.Relay{
 		Headers: s.Headers, Zone: s.Self.Zone, Routes: s.Routes, Servers: s.Servers, Waker: s.member,
 		Nodes: func() int { return len(s.member.Nodes()) }, Budget: s.Budget, Logger: s.Logger.Named("relay"),
@@ -111,6 +120,28 @@
 	return l, holder, transport
 }
 
+// watchNodes returns the nodes of the site as the hub needs them.
+func (s *Site) watchNodes() []watch.Node {
+	nodes := s.member.Nodes()
+	list := make([]watch.Node, len(nodes))
+	for i := range nodes {
+		list[i] = watchNode(nodes[i])
+	}
+	return list
+}
+
+func watchNode(n coordinator.Node) watch.Node {
+	return watch.Node{Name: n.Name, Zone: n.Zone, Peers: n.Peers}
+}
+
+// HandleMessage implements peer.Handler.
+func (s *Site) HandleMessage(ctx context.Context, from api.NodeRef, message peer.Message) (peer.Message, error) {
+	if reply, handled, err := s.hub.Handle(ctx, message); handled {
+		return reply, err
+	}
+	return s.member.HandleMessage(ctx, from, message)
+}
+
 // headerTime bounds the wait for a request's head, idleTime how long an unused
 // connection of a caller is kept.
 const (
@@ -125,7 +156,7 @@
 		return err
 	}
 	l, holder, transport := s.assemble()
-	peers.Serve(s.member)
+	peers.Serve(s)
 	life, end := context.WithCancel(context.Background())
 	defer end()
 	server := &http.Server{
@@ -136,6 +167,7 @@
 	tasks.Go(func() { l.Run(ctx) })
 	tasks.Go(func() { holder.Run(life) })
 	tasks.Go(func() { s.member.Run(life) })
+	tasks.Go(func() { s.hub.Run(life) })
 	tasks.Go(func() { s.limiter.run(life, s) })
 	tasks.Go(func() { s.serveMetrics(life) })
 	failed := make(chan error, 1)
--- /dev/null
+++ b/pkg/watch/hub.go
@@ -0,0 +1,215 @@
+package watch
+
+import (
+	"cmp"
+	"context"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/peer"
+)
+
+// Node is a node of the site as the hub needs it.
+type Node struct {
+	Name  string
+	Zone  string
+	Peers string // IP:port for other nodes
+}
+
+// News passes changes of a table on; without records it tells that a watcher is
+// fresh.
+type News struct {
+	Table   string
+	After   uint64
+	Page    Page
+	Age     time.Duration
+	Watcher string // address to ask when something is missing
+}
+
+// Pull asks a watcher for a whole table.
+type Pull struct {
+	Table string
+}
+
+// PullAnswer is a whole table. Known is false if the node has none.
+type PullAnswer struct {
+	Known bool
+	Page  Page
+	Age   time.Duration
+}
+
+func init() { peer.Register(News{}, Pull{}, PullAnswer{}) }
+
+// Sizes and times of a hub.
+const (
+	// SmallSite is the number of nodes up to which all watch the store.
+	SmallSite = 12
+	// Watchers is the number of watching nodes of a larger site.
+	Watchers = 4
+
+	pulseInterval = 500 * time.Millisecond
+	// staleAfter is the age at which a node turns to the store itself.
+	staleAfter  = 2300 * time.Millisecond
+	pullTimeout = 700 * time.Millisecond
+	changesKept = 64
+)
+
+// Hub has the tables of a node. Set the fields before Run.
+type Hub struct {
+	Self      Node
+	Nodes     func() []Node // of the site; only Self while none are known
+	Known     func() bool   // whether Nodes is what the site's holder told
+	Transport peer.Transport
+	Tables    []*Table
+	Logger    hclog.Logger
+}
+
+// errUnknown means that a message names a table that is not followed.
+var errUnknown = errors.New("watch: unknown table or message")
+
+// Run follows all tables until ctx ends.
+func (h *Hub) Run(ctx context.Context) {
+	done := make(chan struct{})
+	for _, t := range h.Tables {
+		t.changed = make(chan news, changesKept)
+		go func() {
+			t.run(ctx, func() bool { return h.direct(t) })
+			done <- struct{}{}
+		}()
+		go h.passOn(ctx, t)
+	}
+	for range h.Tables {
+		<-done
+	}
+}
+
+// Watching tells whether this node is one of the site's watchers.
+func (h *Hub) Watching() bool {
+	nodes := h.Nodes()
+	if !h.Known() || len(nodes) <= SmallSite {
+		return true
+	}
+	return slices.Contains(watchers(nodes), h.Self.Name)
+}
+
+// direct tells whether the table is to be read from the store by this node.
+func (h *Hub) direct(t *Table) bool {
+	return h.Watching() || t.Age() > staleAfter
+}
+
+// Rank orders nodes so that all see the same ones as first, in different zones
+// as far as there are.
+func Rank(nodes []Node) []string {
+	ordered := slices.Clone(nodes)
+	slices.SortFunc(ordered, func(a, b Node) int { return cmp.Compare(weight(a.Name), weight(b.Name)) })
+	var first, rest []string
+	zones := make(map[string]bool)
+	for _, n := range ordered {
+		if zones[n.Zone] {
+			rest = append(rest, n.Name)
+			continue
+		}
+		zones[n.Zone] = true
+		first = append(first, n.Name)
+	}
+	return append(first, rest...)
+}
+
+func weight(name string) uint32 {
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(name)) // never fails
+	return sum.Sum32()
+}
+
+// watchers returns the names of the watching nodes.
+func watchers(nodes []Node) []string {
+	ranked := Rank(nodes)
+	return ranked[:min(Watchers, len(ranked))]
+}
+
+// passOn tells the other nodes of what changes, and now and then that nothing
+// does.
+func (h *Hub) passOn(ctx context.Context, t *Table) {
+	ticker := time.NewTicker(pulseInterval)
+	defer ticker.Stop()
+	for {
+		var n news
+		select {
+		case <-ctx.Done():
+			return
+		case n = <-t.changed:
+		case <-ticker.C:
+			n.page.Version, n.after = t.state()
+		}
+		nodes := h.Nodes()
+		if len(nodes) > SmallSite && n.page.Version > 0 && h.Watching() && t.Age() < staleAfter {
+			h.tell(nodes, News{Table: t.Name, After: n.after, Page: n.page, Age: t.Age(), Watcher: h.Self.Peers})
+		}
+	}
+}
+
+// tell sends news to the nodes that don't watch.
+func (h *Hub) tell(nodes []Node, n News) {
+	watching := watchers(nodes)
+	for _, other := range nodes {
+		if other.Name != h.Self.Name && !slices.Contains(watching, other.Name) {
+			h.Transport.Send(other.Peers, n)
+		}
+	}
+}
+
+func (h *Hub) table(name string) *Table {
+	for _, t := range h.Tables {
+		if t.Name == name {
+			return t
+		}
+	}
+	return nil
+}
+
+// Handle answers a message of another node. It tells whether it was one of the
+// hub's.
+func (h *Hub) Handle(ctx context.Context, message peer.Message) (peer.Message, bool, error) {
+	switch m := message.(type) {
+	case News:
+		return nil, true, h.news(ctx, m)
+	case Pull:
+		t := h.table(m.Table)
+		if t == nil {
+			return nil, true, errUnknown
+		}
+		page, known := t.whole()
+		return PullAnswer{Known: known, Page: page, Age: t.Age()}, true, nil
+	}
+	return nil, false, nil
+}
+
+// news takes in what a watcher tells, and asks it for the whole table if some of
+// it is missing.
+func (h *Hub) news(ctx context.Context, n News) error {
+	t := h.table(n.Table)
+	if t == nil {
+		return errUnknown
+	}
+	if t.Change(n.After, n.Page, n.Age) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	reply, err := h.Transport.Call(ctx, n.Watcher, Pull{Table: n.Table})
+	if err != nil {
+		return err
+	}
+	answer, ok := reply.(PullAnswer)
+	if !ok {
+		return errUnknown
+	}
+	if answer.Known {
+		t.Replace(answer.Page, answer.Age)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/watch/watch.go
@@ -0,0 +1,283 @@
+// Package watch keeps tables of the platform's store in memory on every node.
+// A few nodes watch the store themselves and pass on what changes; the others
+// read it only when no watcher is known to be fresh. Calls to the store so stay
+// the same in number however many nodes there are.
+//
+// A Table is followed by one goroutine; Hub has those of a node and speaks with
+// the other nodes. Versions of a table never go back in the life of a process.
+package watch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+)
+
+// Record is a row of a table.
+type Record struct {
+	Key     string
+	Value   []byte
+	Version uint64
+	Gone    bool
+}
+
+// Page is the rows of a table, or what changed in it, up to a version.
+type Page struct {
+	Records []Record
+	Version uint64
+}
+
+// news is changes after a version.
+type news struct {
+	after uint64
+	page  Page
+}
+
+// ErrHistoryGone means that changes since a version are not known any more.
+var ErrHistoryGone = errors.New("watch: the history is gone")
+
+// Source is the platform's store.
+type Source interface {
+	Read(ctx context.Context, table string) (Page, error)
+	// Feed waits for changes after a version, and returns none after wait.
+	Feed(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error)
+}
+
+// Times of a watch. The wait is short, so that a store that fell silent is
+// noticed before the bounds on configuration and draining run out.
+const (
+	feedWait   = 1500 * time.Millisecond
+	feedSlack  = 600 * time.Millisecond
+	readTime   = 1500 * time.Millisecond
+	retryPause = 150 * time.Millisecond
+	retryMost  = 700 * time.Millisecond
+)
+
+// Table follows one table. Set the fields before Run.
+type Table struct {
+	Name   string
+	Source Source
+	Pause  time.Duration // after news, so that more comes at once
+	// Apply takes in the rows; it is called by one goroutine at a time. The map
+	// is not to be kept.
+	Apply  func(rows map[string]Record, version uint64)
+	Logger hclog.Logger
+
+	mu       sync.Mutex
+	rows     map[string]Record // nil: not read yet
+	version  uint64
+	freshAt  time.Time // as of when the rows are known to be the newest
+	reread   bool
+	failures int
+	last     uint64    // version of the last change of a row
+	changed  chan news // for the other nodes
+}
+
+// Version returns the version of the rows, zero if there are none yet.
+func (t *Table) Version() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
+// Age returns for how long the rows were not confirmed to be the newest.
+func (t *Table) Age() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.rows == nil {
+		return time.Hour
+	}
+	return time.Since(t.freshAt)
+}
+
+// whole returns all rows.
+func (t *Table) whole() (Page, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := Page{Version: t.version}
+	for _, r := range t.rows {
+		p.Records = append(p.Records, r)
+	}
+	return p, t.rows != nil
+}
+
+// run follows the store while direct returns true.
+func (t *Table) run(ctx context.Context, direct func() bool) {
+	for ctx.Err() == nil {
+		if !direct() {
+			sleep(ctx, retryPause)
+			continue
+		}
+		changed, err := t.step(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
+			sleep(ctx, t.lost(err))
+		default:
+			t.regained()
+			if changed {
+				sleep(ctx, t.Pause)
+			}
+		}
+	}
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	if pause <= 0 {
+		return
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// lost notes a failure and returns the pause after it.
+func (t *Table) lost(err error) time.Duration {
+	if errors.Is(err, ErrHistoryGone) {
+		t.Logger.Warn("history gone, table is read anew", "table", t.Name, "version", t.Version())
+		t.mu.Lock()
+		t.reread = true
+		t.mu.Unlock()
+		return 0
+	}
+	if t.failures == 0 {
+		t.Logger.Warn("store lost", "table", t.Name, "version", t.Version(), "error", err)
+	}
+	t.failures++
+	pause := min(retryPause<<min(t.failures, 4), retryMost)
+	return pause/2 + rand.N(pause)
+}
+
+func (t *Table) regained() {
+	if t.failures > 0 {
+		t.Logger.Info("store regained", "table", t.Name, "version", t.Version(), "failures", t.failures)
+	}
+	t.failures = 0
+}
+
+// step reads the table or waits for its changes.
+func (t *Table) step(ctx context.Context) (bool, error) {
+	t.mu.Lock()
+	anew := t.rows == nil || t.reread
+	after := t.version
+	t.mu.Unlock()
+	if anew {
+		return true, t.read(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, feedWait+feedSlack)
+	defer cancel()
+	page, err := t.Source.Feed(ctx, t.Name, after, feedWait)
+	if err != nil {
+		return false, err
+	}
+	t.Change(after, page, 0)
+	return len(page.Records) > 0, nil
+}
+
+func (t *Table) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTime)
+	defer cancel()
+	all, err := t.Source.Read(ctx, t.Name)
+	if err != nil {
+		return err
+	}
+	if !t.Replace(all, 0) {
+		return errors.Errorf("watch: table %s is older than known: %d", t.Name, all.Version)
+	}
+	return nil
+}
+
+// Replace takes in a whole table that was the newest so long ago. It refuses one
+// that is older than what is known.
+func (t *Table) Replace(all Page, age time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if all.Version < t.version {
+		return false
+	}
+	rows := make(map[string]Record, len(all.Records))
+	for _, r := range all.Records {
+		if known, has := t.rows[r.Key]; has && known.Version > r.Version {
+			r = known
+		}
+		rows[r.Key] = r
+	}
+	t.rows, t.version, t.reread = rows, all.Version, false
+	t.last = t.version // so that the others ask for what they miss
+	t.confirm(age)
+	t.Apply(t.rows, t.version)
+	return true
+}
+
+// Change takes in the changes after a version, as of so long ago. It refuses
+// changes between which some are missing.
+func (t *Table) Change(after uint64, page Page, age time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.rows == nil || after > t.version {
+		return false
+	}
+	if page.Version < t.version {
+		return true // known already
+	}
+	var fresh []Record
+	for _, r := range page.Records {
+		if t.take(r) {
+			fresh = append(fresh, r)
+		}
+	}
+	t.version = page.Version
+	t.confirm(age)
+	if len(fresh) > 0 {
+		before := t.last
+		t.last = t.version
+		t.Apply(t.rows, t.version)
+		t.pass(news{after: before, page: Page{Records: fresh, Version: t.version}})
+	}
+	return true
+}
+
+// take takes in a row, unless a newer one is known. The caller holds mu.
+func (t *Table) take(r Record) bool {
+	known, has := t.rows[r.Key]
+	if has && known.Version >= r.Version || !has && r.Gone {
+		return false
+	}
+	if r.Gone {
+		delete(t.rows, r.Key)
+	} else {
+		t.rows[r.Key] = r
+	}
+	return true
+}
+
+// state returns the version of the rows and that of the last change.
+func (t *Table) state() (version, last uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version, t.last
+}
+
+// confirm notes that the rows were the newest so long ago. The caller holds mu.
+func (t *Table) confirm(age time.Duration) {
+	if at := time.Now().Add(-age); at.After(t.freshAt) {
+		t.freshAt = at
+	}
+}
+
+// pass hands changes to the hub, which drops them if it is behind: the versions
+// that it tells next make the others ask. The caller holds mu.
+func (t *Table) pass(n news) {
+	select {
+	case t.changed <- n:
+	default:
+	}
+}
