--- a/pkg/coordinator/adapters.go
+++ b/pkg/coordinator/adapters.go
@@ -20,7 +20,7 @@
 			continue
 		}
 		h.touch(now, service, need, d)
-		if !d.wished(now) || h.adapterUnderWay(now, service, need) {
+		if !d.wished(now) || h.heldBy(now, service, need) != "" || h.adapterUnderWay(now, service, need) {
 			continue
 		}
 		if s := h.adapterServer(now, service, need, e); s != nil {
@@ -67,8 +67,8 @@
 		if !s.usable(now) || s.member.Service != service || s.asking || s.doubt != nil || s.failures > 0 || s.holds[need.Model] == nil {
 			continue
 		}
-		if s.busy != nil && !s.busy.load && s.busy.need.Model == need.Model {
-			continue
+		if s.busy != nil {
+			continue // it would refuse the order
 		}
 		if s.adapters() >= e.AdapterPlaces && s.idleAdapter(now).Adapter == "" {
 			continue
--- a/pkg/coordinator/orders.go
+++ b/pkg/coordinator/orders.go
@@ -94,8 +94,8 @@
 	}()
 }
 
-// errNotGiven means that an order was not sent.
-var errNotGiven = errors.New("coordinator: the order was not sent")
+// ErrNotGiven means that an order was surely not sent.
+var ErrNotGiven = errors.New("coordinator: the order was not sent")
 
 // send writes the intent and gives the order within the permit's time.
 func (h *Holder) send(server *backend.Server, o Order, fetch bool) (Result, error) {
@@ -104,10 +104,10 @@
 	defer cancel()
 	permit, err := h.Lease.Commit(ctx, []lease.Intent{intent})
 	if err != nil {
-		return 0, errors.Wrap(errNotGiven, err.Error())
+		return 0, errors.Wrap(ErrNotGiven, err.Error())
 	}
 	if permit.Term != o.Fence || !permit.Valid() {
-		return 0, errNotGiven
+		return 0, ErrNotGiven
 	}
 	return h.Orders.Give(ctx, server, o)
 }
@@ -120,9 +120,10 @@
 	if err != nil || result != Accepted {
 		h.Logger.Info("order answered", "server", s.id, "model", o.need.String(), "load", o.load, "result", result, "error", err)
 	}
-	if errors.Is(err, errNotGiven) {
+	if errors.Is(err, ErrNotGiven) {
 		h.undo(s, o)
-		s.avoidUntil = now.Add(reportPause)
+		s.failures++
+		s.avoidUntil = now.Add(time.Duration(min(s.failures, 8)) * reportPause)
 		return
 	}
 	if err != nil {
