policy demand-first, truthful early refusals, spare replicas, doubts repeated

Orders without an answer were never given again (the look came first each time). A request whose model is not ready within its target is refused at once with the time to come back, and kept when it has come back. Models with many arrivals have spare replicas that go before rare ones. demand-first lets surplus replicas and models cached near by go first.

--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -132,6 +132,13 @@
 	return newConn(p, nc), nil
 }
 
+// Idle returns the number of unused connections to the server.
+func (c *Condition) Idle() int {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	return len(c.pool.idle)
+}
+
 // SetConnectionLimit bounds the connections to the server; zero: no bound.
 func (c *Condition) SetConnectionLimit(n int) { c.pool.limit.Store(int64(n)) }
 
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -21,7 +21,7 @@
 	tickInterval = 200 * time.Millisecond
 	nodeExpiry   = 3 * time.Second
 	wishTime     = 6 * time.Second // how long a wish counts after it was last told
-	rateHalfLife = 3 * time.Second
+	rateHalfLife = 5 * time.Second
 )
 
 // Holder decides for the site while this node holds the lease. All its state
--- a/pkg/coordinator/orders.go
+++ b/pkg/coordinator/orders.go
@@ -58,14 +58,16 @@
 
 // Times of orders.
 const (
-	orderTimeout  = time.Second
-	reportTimeout = 700 * time.Millisecond
-	reportPause   = 250 * time.Millisecond
-	reportLag     = 300 * time.Millisecond // how far a report may lie behind
-	adapterTime   = 25 * time.Millisecond  // for an adapter to arrive
-	arriveTime    = 3 * time.Second        // for the record to show it
-	refusedPause  = 2 * time.Second
-	unloadTime    = 300 * time.Millisecond
+	orderTimeout   = 500 * time.Millisecond
+	reportTimeout  = 400 * time.Millisecond
+	reportPause    = 250 * time.Millisecond
+	reportLag      = 300 * time.Millisecond // how far a report mostly lies behind
+	reportSettles  = time.Second            // after an order, for reports to show it
+	adapterTime    = 25 * time.Millisecond  // for an adapter to arrive
+	arriveTime     = 3 * time.Second        // for the record to show it
+	refusedPause   = 2 * time.Second
+	elsewherePause = 30 * time.Second
+	unloadTime     = 300 * time.Millisecond
 )
 
 // give writes the intent of an order and sends it, in a goroutine of its own.
@@ -159,6 +161,9 @@
 		if lag := reportLag - now.Sub(s.acceptedAt); lag > 0 {
 			s.reportAt = now.Add(lag)
 		}
+	case Elsewhere:
+		h.undo(s, o)
+		s.avoidUntil = now.Add(elsewherePause) // until its record is gone
 	default:
 		h.undo(s, o)
 		s.avoidUntil = now.Add(refusedPause)
@@ -245,7 +250,10 @@
 	s.failures = 0
 	s.cache(r.InMemory, r.OnDisk)
 	if r.Sequence < s.sequence {
-		return // it was made before the last order
+		if now.Sub(s.acceptedAt) < reportSettles {
+			return // it was made before the last order
+		}
+		h.Logger.Warn("server took fewer orders than believed", "server", s.id, "sequence", r.Sequence, "believed", s.sequence)
 	}
 	if r.Busy && s.busy == nil {
 		h.inherit(now, s, r)
@@ -259,6 +267,7 @@
 		h.Logger.Info("order was taken", "server", s.id, "model", s.doubt.need.String(), "sequence", r.Sequence)
 		s.doubt = nil
 	}
+	s.repeat = s.doubt != nil
 	h.take(now, s, r)
 	if s.busy != nil && !r.Busy && s.doubt == nil && now.Sub(s.busy.since) > reportLag+reportPause && now.After(s.busy.readyAt) {
 		h.Logger.Warn("order without effect", "server", s.id, "model", s.busy.need.String(), "load", s.busy.load)
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -15,7 +15,8 @@
 
 // How replicas follow the demand.
 const (
-	busyRate       = 0.4 // arrivals a second from which a model has a spare replica
+	busyRate       = 0.8 // arrivals a second from which a model has a spare replica
+	veryBusyRate   = 2.5 // from which it has two
 	perReplica     = 14  // requests that one replica is to run
 	prewarmedLoads = 2   // loads under way that no request waits for
 )
@@ -40,7 +41,7 @@
 // only one of the two can take effect.
 func (h *Holder) repeatDoubts(now time.Time) {
 	for _, s := range h.servers {
-		if s.doubt == nil || s.asking || !s.usable(now) || now.Before(s.reportAt) {
+		if s.doubt == nil || !s.repeat || s.asking || !s.usable(now) {
 			continue
 		}
 		o := *s.doubt
@@ -53,6 +54,7 @@
 		if s.busy != nil {
 			expected, fetch = s.busy.readyAt.Sub(s.busy.since), s.busy.fetch
 		}
+		s.repeat = false
 		h.give(s, o, fetch, expected, "no answer before")
 	}
 }
@@ -185,9 +187,8 @@
 	model.Demand.InFlight = h.inFlight(key)
 	if d != nil {
 		model.Demand.LastArrival = d.last
-		if d.rateAt(now) >= busyRate {
-			model.Settings.MinReplicas = 2
-		}
+		model.Demand.Rate = d.rateAt(now)
+		model.Settings.MinReplicas = spareReplicas(d.rateAt(now), servers)
 	}
 	if e.AdapterPlaces > 0 {
 		wanted := (h.adaptersInUse(now, service, name) + e.AdapterPlaces - 1) / e.AdapterPlaces
@@ -203,9 +204,27 @@
 			model.Replicas = append(model.Replicas, r)
 		}
 	}
+	if len(model.Replicas) < model.Settings.MinReplicas && model.Demand.Waiting == 0 {
+		// A busy model without its spare replicas goes before rare ones that wait.
+		model.Demand.Waiting = 1
+		model.Demand.HighestPriority = mostUrgent
+	}
 	return model
 }
 
+// spareReplicas returns how many replicas a model with so many arrivals a second
+// has at least, so that the loss of a server leaves some.
+func spareReplicas(rate float64, servers int) int {
+	switch {
+	case rate >= veryBusyRate:
+		return min(3, servers)
+	case rate >= busyRate:
+		return min(2, servers)
+	default:
+		return 0
+	}
+}
+
 // adaptersInUse returns how many adapters of a model were asked for lately.
 func (h *Holder) adaptersInUse(now time.Time, service, name string) int {
 	count := 0
--- a/pkg/coordinator/server.go
+++ b/pkg/coordinator/server.go
@@ -24,6 +24,7 @@
 	busy       *operation      // the load or unload of a model
 	inherited  lease.Intent    // the last order of an earlier holder
 	doubt      *order          // without an answer; only the same may follow
+	repeat     bool            // the order in doubt was not taken yet, by a report
 	avoidUntil time.Time       // it refused an order
 	acceptedAt time.Time       // of the last order; reports lag behind it
 }
@@ -209,19 +210,64 @@
 	s.unsure, s.reportAt = true, now
 }
 
-// readyIn returns when a model is expected to be ready, zero if it is not known.
+// readyIn returns when a model is expected to be ready, zero if its service has
+// no engine for it.
 func (h *Holder) readyIn(now time.Time, service string, need backend.Need) time.Duration {
-	var soonest time.Duration
+	if left, loading := h.loadingLeft(now, service, need.Model); loading {
+		return left
+	}
+	if need.Adapter != "" && h.heldBy(now, service, backend.Need{Model: need.Model}) != "" {
+		return 2 * adapterTime
+	}
+	free, servers := time.Duration(0), 0
+	load := time.Duration(0)
 	for _, s := range h.servers {
-		if s.member == nil || s.member.Service != service || s.busy == nil {
+		e := h.engineOf(s)
+		if e == nil || s.member.Service != service || s.member.Leaving() || e.Models[need.Model] == nil {
 			continue
 		}
-		if s.busy.load && s.busy.need.Model == need.Model {
-			left := max(s.busy.readyAt.Sub(now), tickInterval/4)
-			if soonest == 0 || left < soonest {
-				soonest = left
-			}
+		wait := max(s.quietUntil.Sub(now), 0)
+		if s.busy != nil {
+			wait = max(wait, s.busy.readyAt.Sub(now))
+		}
+		if servers == 0 || wait < free {
+			free = wait
+		}
+		servers++
+		load = e.Models[need.Model].LoadTime
+	}
+	if servers == 0 {
+		return 0
+	}
+	queue := time.Duration(h.unserved(now, service)/servers) * load
+	return free + unloadTime + load + queue
+}
+
+// loadingLeft returns how long the load of a model still takes that is under way.
+func (h *Holder) loadingLeft(now time.Time, service, model string) (time.Duration, bool) {
+	left, loading := time.Duration(0), false
+	for _, s := range h.servers {
+		if s.member == nil || s.member.Service != service || s.busy == nil || !s.busy.load || s.busy.need.Model != model {
+			continue
+		}
+		if l := max(s.busy.readyAt.Sub(now), tickInterval/4); !loading || l < left {
+			left, loading = l, true
+		}
+	}
+	return left, loading
+}
+
+// unserved counts the models that requests wait for and no server loads yet.
+func (h *Holder) unserved(now time.Time, service string) int {
+	count := 0
+	for key, d := range h.demands {
+		need := backend.ParseNeed(key.need)
+		if key.service != service || need.Adapter != "" || !d.wished(now) || h.heldBy(now, service, need) != "" {
+			continue
+		}
+		if _, loading := h.loadingLeft(now, service, need.Model); !loading {
+			count++
 		}
 	}
-	return soonest
+	return count
 }
--- a/pkg/policy/decide.go
+++ b/pkg/policy/decide.go
@@ -16,6 +16,7 @@
 	NameFixedKeepAliveNear = "fixed-keepalive-near" // with adaptive's placement
 	NameNeverUnload        = "never-unload"
 	NameUnloadAtOnce       = "unload-at-once"
+	NameDemandFirst        = "demand-first" // for sites on which idle memory is free
 )
 
 // deciders are all deciders, the default first.
@@ -25,6 +26,7 @@
 	{NameFixedKeepAliveNear, fixedKeepAlive{}, lowestCost{}},
 	{NameNeverUnload, neverUnload{}, tierFirst{}},
 	{NameUnloadAtOnce, unloadAtOnce{}, tierFirst{}},
+	{NameDemandFirst, demandFirst{}, lowestCost{}},
 }
 
 // Names returns the names of all deciders, the default first.
--- a/pkg/policy/types.go
+++ b/pkg/policy/types.go
@@ -43,6 +43,7 @@
 	HighestPriority  int
 	EarliestDeadline time.Time // of the waiting requests; zero if none
 	LastArrival      time.Time
+	Rate             float64 // arrivals a second lately; zero if it is not known
 }
 
 // Server is a server of the cell as the decider sees it.
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -40,6 +40,7 @@
 	need      backend.Need
 	lastEvent string
 
+	cameBack bool     // the caller was refused before, by the time that it has left
 	tried    []string // servers that did not serve it
 	missing  string   // server that said that it does not hold what is needed
 	sends    int
@@ -115,7 +116,9 @@
 			c.refuse(badDeadline)
 			return false
 		}
-		if given := time.Duration(ms * float64(time.Millisecond)); wait <= 0 || given < wait {
+		given := time.Duration(ms * float64(time.Millisecond))
+		c.cameBack = c.relay.patience.cameBack(c.route.Name, given)
+		if wait <= 0 || given < wait {
 			wait = given
 		}
 	}
@@ -179,7 +182,7 @@
 // message is the request as it goes to one server.
 func (c *call) message(m *backend.Member) *backend.Message {
 	own := c.relay.Headers
-	left := max(time.Until(c.deadline), time.Millisecond)
+	left := max(time.Until(c.deadline)-answerTime, time.Millisecond)
 	head := make([]byte, 0, len(c.head)+160)
 	head = append(head, c.head...)
 	head = appendHeader(head, own.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
@@ -199,6 +202,9 @@
 	}
 }
 
+// answerTime is left for a server's own word that the time is over.
+const answerTime = 10 * time.Millisecond
+
 // lowestPriority is the least urgent that servers know.
 const lowestPriority = 9
 
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -85,6 +85,7 @@
 	})
 	if err != nil {
 		c.record.wakeError = err
+		o.ReadyIn = unknownReady
 	}
 	if o.Server != "" {
 		c.relay.Servers.Believe(o.Server, c.need, true, time.Now().Add(beliefTime))
@@ -92,15 +93,20 @@
 	outlooks <- o
 }
 
+// unknownReady is told when nobody knows when a model will be ready: about the
+// time for another node to take over and to have it loaded.
+const unknownReady = 4 * time.Second
+
 // beliefTime is how long the waker's word on a server counts before its record
 // confirms it.
 const beliefTime = 5 * time.Second
 
 // judge refuses a request that comes back better later than it waits here: its
-// model will not be ready within its target.
+// model will not be ready within its target. One that has come back already is
+// kept.
 func (c *call) judge(o Outlook) (refusal, bool) {
 	c.record.readyIn = o.ReadyIn
-	if o.Server != "" || o.ReadyIn <= 0 {
+	if o.Server != "" || o.ReadyIn <= 0 || c.cameBack {
 		return refusal{}, false
 	}
 	waited := time.Since(c.arrived)
@@ -115,7 +121,7 @@
 const refuseEarly = 4
 
 // loadMargin is added to the time that a load is expected to take.
-const loadMargin = 150 * time.Millisecond
+const loadMargin = 300 * time.Millisecond
 
 // choose picks a server for the request, nil if none may get it now.
 func (c *call) choose() *backend.Member {
@@ -171,15 +177,41 @@
 		Share:   1,
 		Usage:   routing.Usage{Requests: m.InFlight(), MaxRequests: slots},
 		Recent:  m.Recent(now),
+
+		Connected: m.Idle() > 0,
 	}
 }
 
+// The weights of what the choice of a server follows, and how far below the best
+// one it may lie. Load counts most; a connection that stands and a near server
+// decide while there is room.
+const (
+	weightInFlight  = 2.0
+	weightRecent    = 0.5
+	weightConnected = 0.3
+	weightZone      = 0.2
+	pickMargin      = 0.1
+)
+
+func newChooser() *routing.Chooser {
+	return routing.NewChooser(
+		[]routing.Filter{routing.EjectedFilter{}, routing.TriedFilter{}},
+		[]routing.Weighted{
+			{Scorer: routing.InFlightScorer{}, Weight: weightInFlight},
+			{Scorer: routing.RecentScorer{}, Weight: weightRecent},
+			{Scorer: routing.ConnectedScorer{}, Weight: weightConnected},
+			{Scorer: routing.ZoneScorer{}, Weight: weightZone},
+		},
+		routing.TwoChoicePicker{Margin: pickMargin},
+	)
+}
+
 // pick chooses among candidates.
 func (r *Relay) pick(asked *routing.Request, candidates []routing.Candidate) (int, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.chooser == nil {
-		r.chooser = routing.NewDefaultChooser()
+		r.chooser = newChooser()
 		r.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
 	return r.chooser.Choose(r.random, asked, candidates)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -76,6 +76,7 @@
 
 	splits   route.Splitter
 	budgets  budgets
+	patience patiences
 	inFlight atomic.Int64
 	stop     atomic.Pointer[stopPlan]
 
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -98,7 +98,7 @@
 		Store: s.Store, Self: s.Self.Name + "/" + lifeText(s.Self.Life), Address: s.Self.Peers,
 		Log: func(message string, fields ...any) { s.Logger.Info(message, fields...) },
 	}
-	decider, _ := policy.ByName(policy.NameNeverUnload)
+	decider, _ := policy.ByName(policy.NameDemandFirst)
 	holder := &coordinator.Holder{
 		Lease: l, Routes: s.Routes, Servers: s.Servers, Orders: s.Orders, Transport: transport,
 		Decider: decider, Turns: s.Turns, Ceiling: s.Ceiling, Logger: s.Logger.Named("holder"),
--- a/pkg/traffic/routing/routing.go
+++ b/pkg/traffic/routing/routing.go
@@ -57,6 +57,7 @@
 	ReportedLoad  float64 // requests that others have on the server, decayed by the report's age
 	MatchedBlocks int     // leading blocks of the prompt believed to be cached
 	AdapterSeen   bool    // the engine's last load report lists the model
+	Connected     bool    // an unused connection to the server stands
 }
 
 // Filter drops candidates that must not get the request.
