--- a/pkg/coordinator/adapters.go
+++ b/pkg/coordinator/adapters.go
@@ -64,7 +64,7 @@
 func (h *Holder) adapterServer(now time.Time, service string, need backend.Need, e *route.Engine) *serverState {
 	var able []*serverState
 	for _, s := range h.servers {
-		if !s.usable(now) || s.member.Service != service || s.asking || s.doubt != nil || s.failures > 0 || s.holds[need.Model] == nil {
+		if !s.usable(now) || s.member.Service != service || s.asking || s.doubt != nil || s.holds[need.Model] == nil {
 			continue
 		}
 		if s.busy != nil {
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -48,6 +48,8 @@
 	demands map[demandKey]*demand
 	servers map[string]*serverState
 	fetches []time.Time // starts of loads from the weight store
+
+	resumeAt time.Time // when orders are given again after the store failed
 }
 
 // Ceiling bounds the loads from the weight store in any window.
--- a/pkg/coordinator/orders.go
+++ b/pkg/coordinator/orders.go
@@ -58,16 +58,16 @@
 
 // Times of orders.
 const (
-	orderTimeout   = 500 * time.Millisecond
-	reportTimeout  = 400 * time.Millisecond
-	reportPause    = 250 * time.Millisecond
-	reportLag      = 300 * time.Millisecond // how far a report mostly lies behind
-	reportSettles  = time.Second            // after an order, for reports to show it
-	adapterTime    = 25 * time.Millisecond  // for an adapter to arrive
-	arriveTime     = 3 * time.Second        // for the record to show it
-	refusedPause   = 2 * time.Second
-	elsewherePause = 30 * time.Second
-	unloadTime     = 300 * time.Millisecond
+	commitTimeout = 700 * time.Millisecond
+	orderTimeout  = 500 * time.Millisecond
+	reportTimeout = 400 * time.Millisecond
+	reportPause   = 250 * time.Millisecond
+	reportLag     = 300 * time.Millisecond // how far a report mostly lies behind
+	reportSettles = time.Second            // after an order, for reports to show it
+	adapterTime   = 25 * time.Millisecond  // for an adapter to arrive
+	arriveTime    = 3 * time.Second        // for the record to show it
+	refusedPause  = 2 * time.Second
+	unloadTime    = 300 * time.Millisecond
 )
 
 // give writes the intent of an order and sends it, in a goroutine of its own.
@@ -99,18 +99,24 @@
 // ErrNotGiven means that an order was surely not sent.
 var ErrNotGiven = errors.New("coordinator: the order was not sent")
 
+// errNotWritten means that an order's intent was not written in time, so that it
+// was not sent.
+var errNotWritten = errors.New("coordinator: the intent was not written")
+
 // send writes the intent and gives the order within the permit's time.
 func (h *Holder) send(server *backend.Server, o Order, fetch bool) (Result, error) {
 	intent := lease.Intent{Server: server.ID, Load: o.Load, Need: o.Need.String(), Fetch: fetch}
-	ctx, cancel := context.WithTimeout(h.life, orderTimeout)
-	defer cancel()
-	permit, err := h.Lease.Commit(ctx, []lease.Intent{intent})
+	writing, done := context.WithTimeout(h.life, commitTimeout)
+	defer done()
+	permit, err := h.Lease.Commit(writing, []lease.Intent{intent})
 	if err != nil {
-		return 0, errors.Wrap(ErrNotGiven, err.Error())
+		return 0, errors.Wrap(errNotWritten, err.Error())
 	}
 	if permit.Term != o.Fence || !permit.Valid() {
-		return 0, ErrNotGiven
+		return 0, errNotWritten
 	}
+	ctx, cancel := context.WithTimeout(h.life, orderTimeout)
+	defer cancel()
 	return h.Orders.Give(ctx, server, o)
 }
 
@@ -122,6 +128,11 @@
 	if err != nil || result != Accepted {
 		h.Logger.Info("order answered", "server", s.id, "model", o.need.String(), "load", o.load, "result", result, "error", err)
 	}
+	if errors.Is(err, errNotWritten) {
+		h.undo(s, o)
+		h.resumeAt = now.Add(reportPause) // the store fails, not the server
+		return
+	}
 	if errors.Is(err, ErrNotGiven) {
 		h.undo(s, o)
 		s.failures++
@@ -132,6 +143,7 @@
 		s.doubt = &o
 		s.failures++
 		s.reportAt = now
+		s.avoidUntil = now.Add(reportPause)
 		return
 	}
 	s.failures, s.doubt = 0, nil
@@ -161,9 +173,10 @@
 		if lag := reportLag - now.Sub(s.acceptedAt); lag > 0 {
 			s.reportAt = now.Add(lag)
 		}
-	case Elsewhere:
+	case Elsewhere: // another server has the address, or it lacks the model
 		h.undo(s, o)
-		s.avoidUntil = now.Add(elsewherePause) // until its record is gone
+		s.avoidUntil = now.Add(refusedPause)
+		s.unsure, s.reportAt = true, s.avoidUntil
 	default:
 		h.undo(s, o)
 		s.avoidUntil = now.Add(refusedPause)
@@ -245,6 +258,7 @@
 	if err != nil {
 		s.failures++
 		s.reportAt = now.Add(time.Duration(min(s.failures, 8)) * reportPause)
+		s.avoidUntil = s.reportAt
 		return
 	}
 	s.failures = 0
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -28,6 +28,9 @@
 	if table == nil || !h.Servers.Known() {
 		return
 	}
+	if now.Before(h.resumeAt) {
+		return
+	}
 	h.repeatDoubts(now)
 	for name, s := range table.Services() {
 		if s.Engine != nil {
@@ -146,7 +149,7 @@
 		input.Servers = append(input.Servers, policy.Server{
 			ID: api.ServerID(s.id), Zone: s.member.Zone, CapacityBytes: e.WeightBytes, FreeBytes: h.freeBytes(s, e),
 			Leaving:   s.member.Leaving(),
-			Reachable: s.usable(now) && s.failures == 0 && s.doubt == nil && (s.busy == nil || !s.busy.load),
+			Reachable: s.usable(now) && s.doubt == nil && (s.busy == nil || !s.busy.load),
 			Cached:    s.cachedTiers(),
 		})
 	}
--- a/pkg/coordinator/server.go
+++ b/pkg/coordinator/server.go
@@ -172,11 +172,14 @@
 	return s.member != nil && !s.unsure && !s.member.Leaving() && !now.Before(s.quietUntil) && !now.Before(s.avoidUntil)
 }
 
+// silent tells whether the server did not answer a moment ago.
+func (s *serverState) silent(now time.Time) bool { return s.failures > 0 && now.Before(s.avoidUntil) }
+
 // heldBy returns a server that holds what a request needs, "" if none does. The
 // holder's own word goes before that of the records.
 func (h *Holder) heldBy(now time.Time, service string, need backend.Need) string {
 	for _, s := range h.servers {
-		if s.member == nil || s.member.Service != service || s.member.Leaving() || s.failures > 0 || s.unsure {
+		if s.member == nil || s.member.Service != service || s.member.Leaving() || s.silent(now) || s.unsure {
 			continue
 		}
 		if s.ready(now, need) {
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -69,7 +69,7 @@
 	Expiry = 2500 * time.Millisecond
 	// PermitTime bounds the time from the start of the write of an intent to
 	// its order.
-	PermitTime = 500 * time.Millisecond
+	PermitTime = 800 * time.Millisecond
 	// IntentTime is how long intents stay in the record.
 	IntentTime = 12 * time.Second
 
@@ -429,10 +429,21 @@
 	term := l.term
 	l.term = 0
 	l.mu.Unlock()
+	err := l.giveBack(next, s.Version)
+	l.log("lease released", "term", term, "error", err)
+}
+
+// giveBack writes a record without a holder, also if a write of this node whose
+// answer is unknown came between.
+func (l *Lease) giveBack(next Record, version uint64) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	_, err := l.Store.Write(ctx, next, s.Version)
-	l.log("lease released", "term", term, "error", err)
+	s, err := l.Store.Write(ctx, next, version)
+	if err == nil || s.Record.Term != next.Term || s.Record.Holder != l.Self {
+		return err
+	}
+	_, err = l.Store.Write(ctx, next, s.Version)
+	return err
 }
 
 func (l *Lease) log(message string, fields ...any) {
