watch: changes packed, each node told by one watcher; freshness from the bounds

Changes are deflated and sent by one watcher per node; the waits follow from the bounds of the settings.

--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -83,8 +83,7 @@
 func (c *call) readBody() bool {
 	limit := c.table.Limits().BodyBytes
 	if limit > 0 && c.http.ContentLength > limit {
-		c.refuse(tooLarge)
-		return false
+		return c.refuseBody(limit)
 	}
 	reader := io.Reader(c.http.Body)
 	if limit > 0 {
@@ -96,12 +95,19 @@
 		panic(http.ErrAbortHandler)
 	}
 	if limit > 0 && int64(len(c.body)) > limit {
-		c.refuse(tooLarge)
-		return false
+		return c.refuseBody(limit)
 	}
 	return true
 }
 
+// refuseBody refuses a body that is too large. It reads on for a while first: a
+// connection that closes with bytes unread is reset, and the answer with it.
+func (c *call) refuseBody(limit int64) bool {
+	_, _ = io.CopyN(io.Discard, c.http.Body, limit) // what is left decides nothing
+	c.refuse(tooLarge)
+	return false
+}
+
 // resolve works out what the request needs and how long it may take.
 func (c *call) resolve() bool {
 	c.service = c.relay.splits.Pick(c.route)
--- /dev/null
+++ b/pkg/relay/relay_test.go
@@ -0,0 +1,229 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"martenwheel.dev/pkg/route"
+)
+
+func TestRequestArrivesUnchangedAndAnswerIsPassedOn(t *testing.T) {
+	s := newSite(t, route.Route{Kind: route.Unsafe}, sealed(http.StatusCreated, "hello"))
+	got := s.post("id-1", "body")
+	if got.status != http.StatusCreated || got.body != "hello" || got.header.Get(testHeaders.Seal) != "seal-server-0" {
+		t.Errorf("the answer is %+v", got)
+	}
+	arrived := s.arrivals()
+	if len(arrived) != 1 || arrived[0].id != "id-1" || arrived[0].body != "body" || arrived[0].target != "/p/x" || arrived[0].expect != "server-0" {
+		t.Errorf("the server got %+v", arrived)
+	}
+	if ms, err := strconv.Atoi(arrived[0].deadline); err != nil || ms <= 0 || ms > 2000 {
+		t.Errorf("the server may work for %q ms", arrived[0].deadline)
+	}
+}
+
+// TestFailuresOfServers is the table of what a server's failure allows.
+func TestFailuresOfServers(t *testing.T) {
+	reset := raw("")
+	foreign := raw("HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Seal: s\r\nContent-Length: 5\r\n\r\nwrong")
+	garbage := raw("this is no answer\r\n\r\n")
+	short := raw("HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Seal: s\r\nContent-Length: 50\r\n\r\nshort")
+	unsealed := raw("HTTP/1.1 200 OK\r\nX-Id: {id}\r\nContent-Length: 2\r\n\r\nok")
+	for _, c := range []struct {
+		name   string
+		kind   route.Kind
+		first  answerer
+		status int // at the caller
+		runs   int // arrivals at servers
+	}{
+		{"unsafe is not repeated after a reset", route.Unsafe, reset, http.StatusBadGateway, 1},
+		{"safe is repeated after a reset", route.Safe, reset, http.StatusOK, 2},
+		{"unsafe goes on after a server that did not run it", route.Unsafe, turnedAway(http.StatusServiceUnavailable), http.StatusOK, 2},
+		{"unsafe goes on after another server's address", route.Unsafe, turnedAway(http.StatusMisdirectedRequest), http.StatusOK, 2},
+		{"unsafe is not repeated after another's answer", route.Unsafe, foreign, http.StatusBadGateway, 1},
+		{"safe is repeated after another's answer", route.Safe, foreign, http.StatusOK, 2},
+		{"unsafe is not repeated after garbage", route.Unsafe, garbage, http.StatusBadGateway, 1},
+		{"safe is repeated after a short answer", route.Safe, short, http.StatusOK, 2},
+		{"unsafe with a short answer fails", route.Unsafe, short, http.StatusBadGateway, 1},
+		{"a success without seal is none", route.Unsafe, unsealed, http.StatusBadGateway, 1},
+		{"a server's failure is passed on", route.Unsafe, sealed(http.StatusInternalServerError, "bad"), http.StatusInternalServerError, 1},
+		{"a server's failure is repeated if safe", route.Safe, sealed(http.StatusInternalServerError, "bad"), http.StatusOK, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSite(t, route.Route{Kind: c.kind, MaxAttempts: 2}, c.first, sealed(http.StatusOK, "fine"))
+			s.relay.Servers.Snapshot().Member("server-1").Failed(time.Now()) // so that the first is tried first
+			got := s.get("id")
+			if got.status != c.status {
+				t.Errorf("the caller got %d %q %v, want %d", got.status, got.body, got.err, c.status)
+			}
+			if got.status == http.StatusOK && got.body != "fine" {
+				t.Errorf("the caller got the body %q", got.body)
+			}
+			if runs := len(s.arrivals()); runs != c.runs {
+				t.Errorf("%d arrivals at servers, want %d", runs, c.runs)
+			}
+		})
+	}
+}
+
+// TestNoMoreServersThanTheRouteAllows: MaxAttempts bounds the servers that may
+// have run a request.
+func TestNoMoreServersThanTheRouteAllows(t *testing.T) {
+	bad := raw("")
+	s := newSite(t, route.Route{Kind: route.Safe, MaxAttempts: 2}, bad, bad, bad, bad)
+	got := s.get("id")
+	if got.status != http.StatusBadGateway || len(s.arrivals()) != 2 {
+		t.Errorf("status %d after %d arrivals, want 502 after 2", got.status, len(s.arrivals()))
+	}
+}
+
+// TestRepeatsKeepToTheBudget: the share of a node among ten is spent, then
+// failures are final.
+func TestRepeatsKeepToTheBudget(t *testing.T) {
+	bad := raw("")
+	s := newSite(t, route.Route{Kind: route.Safe, MaxAttempts: 2}, bad, bad)
+	s.relay.Budget = BudgetConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 20}
+	s.relay.Nodes = func() int { return 10 }
+	const requests = 20
+	for range requests {
+		s.get("id")
+	}
+	repeats := len(s.arrivals()) - requests
+	if most := int(0.2*requests + 2); repeats > most || repeats == 0 {
+		t.Errorf("%d repeats of %d requests, want 1 to %d", repeats, requests, most)
+	}
+}
+
+// TestAPromiseIsKept: 503 is told only while no server may have run the request.
+func TestAPromiseIsKept(t *testing.T) {
+	s := newSite(t, route.Route{Kind: route.Unsafe, MaxAttempts: 3}, turnedAway(http.StatusServiceUnavailable), raw(""))
+	s.relay.Servers.Snapshot().Member("server-1").Failed(time.Now())
+	if got := s.post("id", "x"); got.status != http.StatusBadGateway {
+		t.Errorf("status %d for a request that may have run, want 502", got.status)
+	}
+	s = newSite(t, route.Route{Kind: route.Unsafe}, turnedAway(http.StatusServiceUnavailable))
+	got := s.post("id", "x")
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q for a request that no server ran", got.status, got.header.Get("Retry-After"))
+	}
+}
+
+// TestTimeoutOfTheRoute: the final answer comes when the route's time is over.
+func TestTimeoutOfTheRoute(t *testing.T) {
+	hang := func(_ http.ResponseWriter, r *http.Request, _ seen) { <-r.Context().Done() }
+	s := newSite(t, route.Route{Kind: route.Unsafe, Timeout: 150 * time.Millisecond}, hang)
+	started := time.Now()
+	got := s.post("id", "x")
+	if took := time.Since(started); got.status != http.StatusGatewayTimeout || took > 600*time.Millisecond {
+		t.Errorf("status %d after %v, want 504 within 600ms", got.status, took)
+	}
+}
+
+// TestCallerThatLeavesStopsTheServer: the server's connection closes.
+func TestCallerThatLeavesStopsTheServer(t *testing.T) {
+	hang := func(_ http.ResponseWriter, r *http.Request, _ seen) { <-r.Context().Done() }
+	s := newSite(t, route.Route{Kind: route.Stream, Timeout: 20 * time.Second}, hang)
+	ctx, leave := context.WithCancel(t.Context())
+	done := make(chan answer, 1)
+	go func() { done <- s.do(s.request(ctx, http.MethodPost, "/p/x", "id", "x")) }()
+	for len(s.arrivals()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	leave()
+	select {
+	case <-s.arrivals()[0].left:
+	case <-time.After(5 * time.Second):
+		t.Error("the server still works for a caller that left")
+	}
+	<-done
+}
+
+// TestNoServerThatLeavesGetsARequest: neither a draining nor a missing one.
+func TestNoServerThatLeavesGetsARequest(t *testing.T) {
+	s := newSite(t, route.Route{Kind: route.Unsafe, Timeout: 300 * time.Millisecond}, sealed(http.StatusOK, "a"), sealed(http.StatusOK, "b"))
+	draining := *s.servers[0]
+	draining.Draining, draining.Version = true, 2
+	s.relay.Servers.Replace(s.servers[1:], 2)
+	s.relay.Servers.Replace([]*backendServer{&draining, s.servers[1]}, 3)
+	for range 10 {
+		if got := s.get("id"); got.body != "b" {
+			t.Fatalf("the answer is %+v", got)
+		}
+	}
+	s.relay.Servers.Replace([]*backendServer{&draining}, 4)
+	if got := s.get("id"); got.status != http.StatusServiceUnavailable {
+		t.Errorf("status %d with no server left, want 503", got.status)
+	}
+}
+
+// TestHeadersOfOneConnectionStay: they are not passed on, in either direction.
+func TestHeadersOfOneConnectionStay(t *testing.T) {
+	var got http.Header
+	s := newSite(t, route.Route{Kind: route.Unsafe}, func(w http.ResponseWriter, r *http.Request, at seen) {
+		got = r.Header.Clone()
+		w.Header().Set("Keep-Alive", "timeout=7")
+		sealed(http.StatusOK, "ok")(w, r, at)
+	})
+	r := s.request(t.Context(), http.MethodPost, "/p/x", "id", "x")
+	r.Header.Set("Connection", "X-Hop")
+	r.Header.Set("X-Hop", "1")
+	r.Header.Set("X-End", "2")
+	answer := s.do(r)
+	if got.Get("X-Hop") != "" || got.Get("X-End") != "2" || answer.header.Get("Keep-Alive") != "" {
+		t.Errorf("the server got %v, the caller %v", got, answer.header)
+	}
+}
+
+// TestNoTableIsNoRoute: a node that knows no configuration answers 503, not 404.
+func TestNoTableIsNoRoute(t *testing.T) {
+	s := newSite(t, route.Route{Kind: route.Unsafe}, sealed(http.StatusOK, "ok"))
+	r := s.request(t.Context(), http.MethodGet, "/other/", "id", "")
+	if got := s.do(r); got.status != http.StatusNotFound {
+		t.Errorf("status %d for a path without a route, want 404", got.status)
+	}
+	s.relay.Routes = func() *route.Table { return nil }
+	if got := s.get("id"); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("status %d without a table, want 503 with the time to come back", got.status)
+	}
+}
+
+// TestStoppingNodeServesAndThenRefuses: what it can't end any more is refused,
+// nothing is cut off.
+func TestStoppingNodeServesAndThenRefuses(t *testing.T) {
+	s := newSite(t, route.Route{Kind: route.Unsafe}, sealed(http.StatusOK, "ok"))
+	s.relay.Stop(time.Minute)
+	got := s.get("id")
+	if got.status != http.StatusOK {
+		t.Errorf("a stopping node answers %d", got.status)
+	}
+	s.relay.Stop(lastAnswers)
+	time.Sleep(time.Millisecond)
+	if got := s.get("id"); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("status %d at the end of a stop, want 503 with the time to come back", got.status)
+	}
+	if len(s.arrivals()) != 1 {
+		t.Errorf("%d arrivals, want 1", len(s.arrivals()))
+	}
+}
+
+// TestBodyLimit: a body over the table's bound is refused before any server.
+func TestBodyLimit(t *testing.T) {
+	s := newSite(t, route.Route{Kind: route.Unsafe}, sealed(http.StatusOK, "ok"))
+	got := s.post("id", strings.Repeat("x", 1<<20+1))
+	if got.status != http.StatusRequestEntityTooLarge || len(s.arrivals()) != 0 {
+		t.Errorf("status %d, %d arrivals", got.status, len(s.arrivals()))
+	}
+}
+
+// TestAnswerWithoutLengthIsWholeOnlyAtACleanEnd: a server may end its answer by
+// closing the connection.
+func TestAnswerWithoutLengthIsWholeOnlyAtACleanEnd(t *testing.T) {
+	s := newSite(t, route.Route{Kind: route.Unsafe}, raw("HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Seal: s\r\nConnection: close\r\n\r\nto the end"))
+	if got := s.get("id"); got.status != http.StatusOK || got.body != "to the end" {
+		t.Errorf("the answer is %+v", got)
+	}
+}
--- /dev/null
+++ b/pkg/relay/stream_test.go
@@ -0,0 +1,169 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/route"
+)
+
+// backendServer shortens the lists of servers in tests.
+type backendServer = backend.Server
+
+// streamed is the whole stream of n events that the test's servers make.
+func streamed(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// events answers with the events after Last-Event-Id up to stop, then ends as
+// the func says.
+func events(stop, last int, end func(net.Conn)) answerer {
+	return func(w http.ResponseWriter, r *http.Request, s seen) {
+		first := 1
+		if n, err := strconv.Atoi(s.lastEvent); err == nil {
+			first = n + 1
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set(testHeaders.Seal, "seal-"+s.server)
+		w.Header().Set(testHeaders.RequestID, s.id)
+		_, _ = io.WriteString(w, streamed(first, min(stop, last)))
+		_ = http.NewResponseController(w).Flush()
+		if stop >= last {
+			return
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		end(conn)
+	}
+}
+
+// cut closes with a reset.
+func cut(conn net.Conn) {
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.Close()
+}
+
+// halfEvent breaks off within an event.
+func halfEvent(conn net.Conn) {
+	_, _ = io.WriteString(conn, "10\r\nid: 4\ndata: piec\r\n")
+	cut(conn)
+}
+
+func streamRoute(resumable bool) route.Route {
+	return route.Route{Kind: route.Stream, Resumable: resumable, MaxAttempts: 2, Timeout: 5 * time.Second,
+		GapTarget: 50 * time.Millisecond}
+}
+
+func TestStreamIsPassedOnWhole(t *testing.T) {
+	s := newSite(t, streamRoute(false), events(5, 5, nil))
+	if got := s.post("id", "x"); got.err != nil || got.body != streamed(1, 5) {
+		t.Errorf("the caller got %q, %v", got.body, got.err)
+	}
+}
+
+// TestBrokenStreamGoesOnElsewhere: no piece is lost or comes twice, and the head
+// stays that of the first server.
+func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
+	for name, end := range map[string]func(net.Conn){"cut": cut, "within an event": halfEvent} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, streamRoute(true), events(3, 8, end), events(8, 8, nil))
+			s.relay.Servers.Snapshot().Member("server-1").Failed(time.Now())
+			got := s.post("id", "x")
+			if got.err != nil || got.body != streamed(1, 8) || got.header.Get(testHeaders.Seal) != "seal-server-0" {
+				t.Errorf("the caller got %q, %v, seal %q", got.body, got.err, got.header.Get(testHeaders.Seal))
+			}
+			arrived := s.arrivals()
+			if len(arrived) != 2 || arrived[1].lastEvent != "3" || arrived[1].server != "server-1" {
+				t.Errorf("the servers got %+v", arrived)
+			}
+		})
+	}
+}
+
+// TestBrokenStreamThatMayNotGoOnLooksBroken: it does not end as a complete one.
+func TestBrokenStreamThatMayNotGoOnLooksBroken(t *testing.T) {
+	s := newSite(t, streamRoute(false), events(3, 8, cut), events(8, 8, nil))
+	s.relay.Servers.Snapshot().Member("server-1").Failed(time.Now())
+	got := s.post("id", "x")
+	if got.err == nil {
+		t.Errorf("a broken stream ended as complete: %q", got.body)
+	}
+	if len(s.arrivals()) != 1 {
+		t.Errorf("%d arrivals of a stream that may run once", len(s.arrivals()))
+	}
+}
+
+// TestStalledStreamMovesAndStopsAtTheOldServer: a run that goes on elsewhere has
+// stopped where it was.
+func TestStalledStreamMovesAndStopsAtTheOldServer(t *testing.T) {
+	stalled := func(w http.ResponseWriter, r *http.Request, s seen) {
+		w.Header().Set(testHeaders.Seal, "seal-"+s.server)
+		w.Header().Set(testHeaders.RequestID, s.id)
+		_, _ = io.WriteString(w, streamed(1, 2))
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}
+	s := newSite(t, streamRoute(true), stalled, events(6, 6, nil))
+	s.relay.Servers.Snapshot().Member("server-1").Failed(time.Now().Add(-time.Minute))
+	first := s.relay.Servers.Snapshot().Member("server-1")
+	first.Begin(time.Now(), "") // so that the other is preferred
+	first.Begin(time.Now(), "")
+	got := s.post("id", "x")
+	if got.err != nil || got.body != streamed(1, 6) {
+		t.Errorf("the caller got %q, %v", got.body, got.err)
+	}
+	for _, arrived := range s.arrivals() {
+		if arrived.server != "server-0" {
+			continue
+		}
+		select {
+		case <-arrived.left:
+		case <-time.After(400 * time.Millisecond):
+			t.Error("the old server still works on a stream that went on elsewhere")
+		}
+	}
+}
+
+// TestStreamLeavesAServerThatWillBeGone: a server that leaves at short notice
+// loses its streams in time.
+func TestStreamLeavesAServerThatWillBeGone(t *testing.T) {
+	slow := func(w http.ResponseWriter, r *http.Request, s seen) {
+		w.Header().Set(testHeaders.Seal, "seal-"+s.server)
+		w.Header().Set(testHeaders.RequestID, s.id)
+		for i := 1; i <= 200 && r.Context().Err() == nil; i++ {
+			_, _ = io.WriteString(w, streamed(i, i))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	s := newSite(t, streamRoute(true), slow, events(200, 200, nil))
+	s.relay.Servers.Snapshot().Member("server-1").Failed(time.Now())
+	done := make(chan answer, 1)
+	go func() { done <- s.post("id", "x") }()
+	for len(s.arrivals()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	leaving := *s.servers[0]
+	leaving.Draining, leaving.LeaveAt, leaving.Version = true, time.Now().Add(leaveMargin+100*time.Millisecond), 2
+	s.relay.Servers.Replace([]*backendServer{&leaving, s.servers[1]}, 2)
+	got := <-done
+	if got.err != nil || got.body != streamed(1, 200) {
+		t.Errorf("the caller got %d bytes, %v", len(got.body), got.err)
+	}
+	if arrived := s.arrivals(); len(arrived) != 2 || arrived[1].server != "server-1" {
+		t.Errorf("the stream did not move: %d arrivals", len(arrived))
+	}
+}
--- a/pkg/watch/hub.go
+++ b/pkg/watch/hub.go
@@ -20,12 +20,13 @@
 	Peers string // IP:port for other nodes
 }
 
-// News passes changes of a table on; without records it tells that a watcher is
-// fresh.
+// News tells that there are no changes of a table between two versions but
+// those that come with it.
 type News struct {
 	Table   string
 	After   uint64
-	Page    Page
+	Version uint64
+	Records []byte // packed; empty: none
 	Age     time.Duration
 	Watcher string // address to ask when something is missing
 }
@@ -37,9 +38,10 @@
 
 // PullAnswer is a whole table. Known is false if the node has none.
 type PullAnswer struct {
-	Known bool
-	Page  Page
-	Age   time.Duration
+	Known   bool
+	Version uint64
+	Records []byte // packed
+	Age     time.Duration
 }
 
 func init() { peer.Register(News{}, Pull{}, PullAnswer{}) }
@@ -51,11 +53,9 @@
 	// Watchers is the number of watching nodes of a larger site.
 	Watchers = 4
 
-	pulseInterval = 500 * time.Millisecond
-	// staleAfter is the age at which a node turns to the store itself.
-	staleAfter  = 2300 * time.Millisecond
-	pullTimeout = 700 * time.Millisecond
-	changesKept = 64
+	pulseInterval = 400 * time.Millisecond
+	pullTimeout   = 700 * time.Millisecond
+	changesKept   = 64
 )
 
 // Hub has the tables of a node. Set the fields before Run.
@@ -98,7 +98,7 @@
 
 // direct tells whether the table is to be read from the store by this node.
 func (h *Hub) direct(t *Table) bool {
-	return h.Watching() || t.Age() > staleAfter
+	return h.Watching() || t.stale()
 }
 
 // Rank orders nodes so that all see the same ones as first, in different zones
@@ -146,18 +146,34 @@
 			n.page.Version, n.after = t.state()
 		}
 		nodes := h.Nodes()
-		if len(nodes) > SmallSite && n.page.Version > 0 && h.Watching() && t.Age() < staleAfter {
-			h.tell(nodes, News{Table: t.Name, After: n.after, Page: n.page, Age: t.Age(), Watcher: h.Self.Peers})
+		if len(nodes) > SmallSite && n.page.Version > 0 && h.Watching() && !t.stale() {
+			h.tell(nodes, t, n)
 		}
 	}
 }
 
-// tell sends news to the nodes that don't watch.
-func (h *Hub) tell(nodes []Node, n News) {
+// tell sends news to the nodes that don't watch. Each gets the records from one
+// watcher only: the links of small machines would not carry them from all.
+func (h *Hub) tell(nodes []Node, t *Table, n news) {
 	watching := watchers(nodes)
+	bare := News{Table: t.Name, After: n.after, Version: n.page.Version, Age: t.Age(), Watcher: h.Self.Peers}
+	full := bare
+	if len(n.page.Records) > 0 {
+		packed, err := pack(n.page.Records)
+		if err != nil {
+			h.Logger.Error("changes not packed", "table", t.Name, "error", err)
+			return
+		}
+		full.Records = packed
+		bare.After = n.page.Version // what comes from another watcher is missing until then
+	}
 	for _, other := range nodes {
-		if other.Name != h.Self.Name && !slices.Contains(watching, other.Name) {
-			h.Transport.Send(other.Peers, n)
+		switch {
+		case slices.Contains(watching, other.Name):
+		case watching[int(weight(other.Name))%len(watching)] == h.Self.Name:
+			h.Transport.Send(other.Peers, full)
+		default:
+			h.Transport.Send(other.Peers, bare)
 		}
 	}
 }
@@ -183,7 +199,8 @@
 			return nil, true, errUnknown
 		}
 		page, known := t.whole()
-		return PullAnswer{Known: known, Page: page, Age: t.Age()}, true, nil
+		packed, err := pack(page.Records)
+		return PullAnswer{Known: known, Version: page.Version, Records: packed, Age: t.Age()}, true, err
 	}
 	return nil, false, nil
 }
@@ -195,7 +212,11 @@
 	if t == nil {
 		return errUnknown
 	}
-	if t.Change(n.After, n.Page, n.Age) {
+	records, err := unpack(n.Records)
+	if err != nil {
+		return err
+	}
+	if t.Change(n.After, Page{Records: records, Version: n.Version}, n.Age) || !t.gap() {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
@@ -208,8 +229,9 @@
 	if !ok {
 		return errUnknown
 	}
-	if answer.Known {
-		t.Replace(answer.Page, answer.Age)
+	all, err := unpack(answer.Records)
+	if err == nil && answer.Known {
+		t.Replace(Page{Records: all, Version: answer.Version}, answer.Age)
 	}
-	return nil
+	return err
 }
--- /dev/null
+++ b/pkg/watch/pack.go
@@ -0,0 +1,45 @@
+package watch
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/gob"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// maxUnpacked bounds what packed records may grow to.
+const maxUnpacked = 32 << 20
+
+// pack encodes records in few bytes: rows are text of much the same form.
+func pack(records []Record) ([]byte, error) {
+	if len(records) == 0 {
+		return nil, nil
+	}
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "watch: pack")
+	}
+	if err := gob.NewEncoder(w).Encode(records); err != nil {
+		return nil, errors.Wrap(err, "watch: pack")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "watch: pack")
+	}
+	return b.Bytes(), nil
+}
+
+// unpack is the inverse of pack.
+func unpack(packed []byte) ([]Record, error) {
+	if len(packed) == 0 {
+		return nil, nil
+	}
+	r := flate.NewReader(bytes.NewReader(packed))
+	var records []Record
+	if err := gob.NewDecoder(io.LimitReader(r, maxUnpacked)).Decode(&records); err != nil {
+		return nil, errors.Wrap(err, "watch: unpack")
+	}
+	return records, nil
+}
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -47,14 +47,20 @@
 	Feed(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error)
 }
 
-// Times of a watch. The wait is short, so that a store that fell silent is
-// noticed before the bounds on configuration and draining run out.
+// Times of a watch.
 const (
-	feedWait   = 1500 * time.Millisecond
-	feedSlack  = 600 * time.Millisecond
+	feedSlack  = 500 * time.Millisecond // beyond the wait, for an answer
 	readTime   = 1500 * time.Millisecond
-	retryPause = 150 * time.Millisecond
-	retryMost  = 700 * time.Millisecond
+	retryPause = 120 * time.Millisecond
+	retryMost  = 600 * time.Millisecond
+)
+
+// Parts of the bound within which changes are to be in force everywhere. A feed
+// is asked anew before much of it is over, so that a store that fell silent is
+// noticed; a node that hears nothing turns to the store with time left.
+const (
+	feedShare  = 0.4
+	staleShare = 0.6
 )
 
 // Table follows one table. Set the fields before Run.
@@ -62,6 +68,7 @@
 	Name   string
 	Source Source
 	Pause  time.Duration // after news, so that more comes at once
+	Bound  time.Duration // within which changes are to be in force
 	// Apply takes in the rows; it is called by one goroutine at a time. The map
 	// is not to be kept.
 	Apply  func(rows map[string]Record, version uint64)
@@ -74,6 +81,7 @@
 	reread   bool
 	failures int
 	last     uint64    // version of the last change of a row
+	gapSince time.Time // since when changes are known to be missing
 	changed  chan news // for the other nodes
 }
 
@@ -94,6 +102,12 @@
 	return time.Since(t.freshAt)
 }
 
+// part returns a part of the bound.
+func (t *Table) part(share float64) time.Duration { return time.Duration(share * float64(t.Bound)) }
+
+// stale tells whether others have not confirmed the rows for too long.
+func (t *Table) stale() bool { return t.Age() > t.part(staleShare) }
+
 // whole returns all rows.
 func (t *Table) whole() (Page, bool) {
 	t.mu.Lock()
@@ -107,8 +121,13 @@
 
 // run follows the store while direct returns true.
 func (t *Table) run(ctx context.Context, direct func() bool) {
+	reading := true
 	for ctx.Err() == nil {
-		if !direct() {
+		if now := direct(); now != reading {
+			reading = now
+			t.Logger.Info("table source", "table", t.Name, "store", reading, "version", t.Version(), "age_ms", t.Age().Milliseconds())
+		}
+		if !reading {
 			sleep(ctx, retryPause)
 			continue
 		}
@@ -172,9 +191,10 @@
 	if anew {
 		return true, t.read(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, feedWait+feedSlack)
+	wait := t.part(feedShare)
+	ctx, cancel := context.WithTimeout(ctx, wait+feedSlack)
 	defer cancel()
-	page, err := t.Source.Feed(ctx, t.Name, after, feedWait)
+	page, err := t.Source.Feed(ctx, t.Name, after, wait)
 	if err != nil {
 		return false, err
 	}
@@ -210,7 +230,7 @@
 		}
 		rows[r.Key] = r
 	}
-	t.rows, t.version, t.reread = rows, all.Version, false
+	t.rows, t.version, t.reread, t.gapSince = rows, all.Version, false, time.Time{}
 	t.last = t.version // so that the others ask for what they miss
 	t.confirm(age)
 	t.Apply(t.rows, t.version)
@@ -234,7 +254,7 @@
 			fresh = append(fresh, r)
 		}
 	}
-	t.version = page.Version
+	t.version, t.gapSince = page.Version, time.Time{}
 	t.confirm(age)
 	if len(fresh) > 0 {
 		before := t.last
@@ -259,6 +279,20 @@
 	return true
 }
 
+// gap notes that changes are missing, and tells whether they have been for so
+// long that they will not come by themselves.
+func (t *Table) gap() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.gapSince.IsZero() {
+		t.gapSince = time.Now()
+	}
+	return time.Since(t.gapSince) > t.part(gapShare)
+}
+
+// gapShare is the part of the bound for which missing changes are waited for.
+const gapShare = 0.15
+
 // state returns the version of the rows and that of the last change.
 func (t *Table) state() (version, last uint64) {
 	t.mu.Lock()
