coordinator: places of unloaded adapters are free again; tests under virtual time

Cause: an adapter that was on its way once was counted for ever, so after a server's places had been filled and freed no further adapter was loaded there (TestLIMITOfAdapterPlaces, which failed before: no server held the third adapter after 10 s). Tests for ONE, LIMIT, CEILING, late orders and a store that is away, against engines that judge orders as the platform's do.

--- a/pkg/coordinator/adapters.go
+++ b/pkg/coordinator/adapters.go
@@ -70,7 +70,7 @@
 		if s.busy != nil {
 			continue // it would refuse the order
 		}
-		if s.adapters() >= e.AdapterPlaces && s.idleAdapter(now).Adapter == "" {
+		if s.adapters(now) >= e.AdapterPlaces && s.idleAdapter(now).Adapter == "" {
 			continue
 		}
 		able = append(able, s)
@@ -79,17 +79,17 @@
 		return nil
 	}
 	return slices.MinFunc(able, func(a, b *serverState) int {
-		return cmp.Or(cmp.Compare(a.adapters(), b.adapters()), cmp.Compare(a.id, b.id))
+		return cmp.Or(cmp.Compare(a.adapters(now), b.adapters(now)), cmp.Compare(a.id, b.id))
 	})
 }
 
 // adapters returns how many adapters the server holds or is getting.
-func (s *serverState) adapters() int {
+func (s *serverState) adapters(now time.Time) int {
 	count := 0
 	for _, known := range s.holds {
 		count += len(known.adapters)
-		for name := range known.arriving {
-			if _, has := known.adapters[name]; !has {
+		for name, until := range known.arriving {
+			if _, has := known.adapters[name]; !has && now.Before(until) {
 				count++
 			}
 		}
@@ -114,7 +114,7 @@
 
 // giveAdapter orders an adapter, or the unload of one that makes way.
 func (h *Holder) giveAdapter(now time.Time, s *serverState, need backend.Need, e *route.Engine) {
-	if s.adapters() >= e.AdapterPlaces {
+	if s.adapters(now) >= e.AdapterPlaces {
 		idle := s.idleAdapter(now)
 		h.tell(Notice{Server: s.id, Need: idle.String(), Holds: false})
 		h.give(s, order{need: idle}, false, 0, "room for "+need.String())
--- /dev/null
+++ b/pkg/coordinator/harness_test.go
@@ -0,0 +1,330 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/lease"
+	"martenwheel.dev/pkg/peer"
+	"martenwheel.dev/pkg/policy"
+	"martenwheel.dev/pkg/route"
+)
+
+// Sizes of the test's engines.
+const (
+	engineBytes   = 200
+	modelBytes    = 80
+	adapterPlaces = 2
+	loadTime      = 4 * time.Second
+	loadsPerS     = 2
+	turns         = 3 * time.Second
+	window        = 5 * time.Second
+)
+
+// row is a lease in memory.
+type row struct {
+	mu      sync.Mutex
+	stored  lease.Stored
+	down    bool
+	started time.Time
+}
+
+func (r *row) now() int64 { return time.Since(r.started).Milliseconds() }
+
+func (r *row) Read(context.Context) (lease.Stored, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.down {
+		return lease.Stored{}, errDown
+	}
+	s := r.stored
+	s.Now = r.now()
+	return s, nil
+}
+
+func (r *row) Write(_ context.Context, next lease.Record, version uint64) (lease.Stored, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.down {
+		return lease.Stored{}, errDown
+	}
+	if version != r.stored.Version {
+		s := r.stored
+		s.Now = r.now()
+		return s, lease.ErrConflict
+	}
+	r.stored = lease.Stored{Record: next, Version: version + 1, Now: r.now()}
+	return r.stored, nil
+}
+
+func (r *row) setDown(down bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down = down
+}
+
+var errDown = fmt.Errorf("the store is down")
+
+// given is an order as an engine got it.
+type given struct {
+	at     time.Time
+	server string
+	order  Order
+	result Result
+}
+
+// engines are model servers that judge orders as the platform's do.
+type engines struct {
+	t  *testing.T
+	mu sync.Mutex
+
+	servers map[string]*engineState
+	orders  []given
+	silent  int // orders that are taken and not answered
+	late    []func()
+}
+
+// engineState is one server.
+type engineState struct {
+	models    map[string]map[string]bool
+	sequence  uint64
+	fence     uint64
+	busyUntil time.Time
+	loading   string
+	unloading string
+}
+
+// settle ends what is done by now.
+func (e *engineState) settle() {
+	if e.busyUntil.IsZero() || time.Now().Before(e.busyUntil) {
+		return
+	}
+	if e.loading != "" {
+		e.models[e.loading] = make(map[string]bool)
+	}
+	delete(e.models, e.unloading)
+	e.loading, e.unloading, e.busyUntil = "", "", time.Time{}
+}
+
+// bytes is what the server holds or is loading.
+func (e *engineState) bytes() int {
+	n := len(e.models)
+	if e.loading != "" {
+		n++
+	}
+	return n * modelBytes
+}
+
+func (e *engineState) adapters() int {
+	n := 0
+	for _, names := range e.models {
+		n += len(names)
+	}
+	return n
+}
+
+// Give implements Orders.
+func (e *engines) Give(ctx context.Context, s *backend.Server, o Order) (Result, error) {
+	time.Sleep(5 * time.Millisecond)
+	e.mu.Lock()
+	if e.silent > 0 {
+		e.silent--
+		e.late = append(e.late, func() { e.take(s.ID, o) })
+		e.mu.Unlock()
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	defer e.mu.Unlock()
+	return e.take(s.ID, o), nil
+}
+
+// carryOutLate carries out the orders that were not answered.
+func (e *engines) carryOutLate() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, f := range e.late {
+		f()
+	}
+	e.late = nil
+}
+
+// take judges an order. The caller holds mu.
+func (e *engines) take(id string, o Order) Result {
+	s := e.servers[id]
+	s.settle()
+	result := e.judge(s, o)
+	e.orders = append(e.orders, given{time.Now(), id, o, result})
+	return result
+}
+
+func (e *engines) judge(s *engineState, o Order) Result {
+	if o.Fence < s.fence {
+		return Fenced
+	}
+	s.fence = o.Fence
+	_, holds := s.models[o.Need.Model]
+	switch {
+	case o.Expected != s.sequence || !s.busyUntil.IsZero():
+		return Conflict
+	case o.Need.Adapter != "":
+		return e.judgeAdapter(s, o)
+	case o.Load == holds:
+		return Already
+	case o.Load:
+		s.loading, s.busyUntil = o.Need.Model, time.Now().Add(loadTime)
+	default:
+		s.unloading, s.busyUntil = o.Need.Model, time.Now().Add(50*time.Millisecond)
+	}
+	if s.bytes() > engineBytes {
+		e.t.Errorf("the server was ordered to load %s beyond its memory", o.Need.Model)
+	}
+	s.sequence++
+	return Accepted
+}
+
+func (e *engines) judgeAdapter(s *engineState, o Order) Result {
+	names := s.models[o.Need.Model]
+	switch {
+	case names == nil:
+		return Elsewhere
+	case o.Load == names[o.Need.Adapter]:
+		return Already
+	case o.Load:
+		names[o.Need.Adapter] = true
+		if s.adapters() > adapterPlaces {
+			e.t.Errorf("the server was ordered to load %s beyond its places", o.Need)
+		}
+		s.sequence++
+		return Accepted
+	default:
+		delete(names, o.Need.Adapter)
+		s.sequence++
+		return Already
+	}
+}
+
+// Report implements Orders.
+func (e *engines) Report(_ context.Context, s *backend.Server) (Report, error) {
+	time.Sleep(2 * time.Millisecond)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	state := e.servers[s.ID]
+	state.settle()
+	return Report{Models: state.holdings(), Busy: !state.busyUntil.IsZero(), Sequence: state.sequence}, nil
+}
+
+func (e *engineState) holdings() []backend.Holding {
+	var list []backend.Holding
+	for name, adapters := range e.models {
+		h := backend.Holding{Model: name}
+		for adapter := range adapters {
+			h.Adapters = append(h.Adapters, adapter)
+		}
+		list = append(list, h)
+	}
+	return list
+}
+
+// loads returns the orders that began a load of a model.
+func (e *engines) loads() []given {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var list []given
+	for _, g := range e.orders {
+		if g.result == Accepted && g.order.Load && g.order.Need.Adapter == "" {
+			list = append(list, g)
+		}
+	}
+	return list
+}
+
+// noTransport loses all messages.
+type noTransport struct{ peer.Transport }
+
+func (noTransport) Send(string, peer.Message) {}
+
+// site is engines, a store and holders.
+type site struct {
+	t       *testing.T
+	row     *row
+	engines *engines
+	table   *route.Table
+	list    []*backend.Server
+	version uint64
+}
+
+// newSite has servers that hold the models named, and models m0 to m9.
+func newSite(t *testing.T, holds ...[]string) *site {
+	s := &site{t: t, row: &row{started: time.Now()}, engines: &engines{t: t, servers: make(map[string]*engineState)}}
+	e := &route.Engine{Slots: 8, WeightBytes: engineBytes, AdapterPlaces: adapterPlaces, LoadsPerSecond: loadsPerS,
+		Models: make(map[string]*route.Model)}
+	for i := range 10 {
+		name := fmt.Sprintf("m%d", i)
+		e.Models[name] = &route.Model{Name: name, Bytes: modelBytes, Adapters: 9, AdapterBytes: 1, LoadTime: loadTime}
+	}
+	s.table = route.NewTable(1, route.Limits{}, nil, []*route.Service{{Name: "s", Engine: e}})
+	for i, models := range holds {
+		id := fmt.Sprintf("server-%d", i)
+		state := &engineState{models: make(map[string]map[string]bool)}
+		server := &backend.Server{ID: id, Service: "s", Zone: "z", Slots: 8, Version: 1}
+		for _, m := range models {
+			state.models[m] = make(map[string]bool)
+			server.Models = append(server.Models, backend.Holding{Model: m})
+		}
+		s.engines.servers[id] = state
+		s.list = append(s.list, server)
+	}
+	return s
+}
+
+// node is a node with its own holder and view of the servers.
+type node struct {
+	holder  *Holder
+	lease   *lease.Lease
+	servers *backend.Directory
+	stop    context.CancelFunc
+}
+
+// start runs a node.
+func (s *site) start(name string) *node {
+	n := &node{servers: &backend.Directory{}}
+	n.servers.Replace(s.list, 1)
+	n.lease = &lease.Lease{Store: s.row, Self: name, Address: name}
+	decider, _ := policy.ByName(policy.NameDemandFirst)
+	n.holder = &Holder{
+		Lease: n.lease, Routes: func() *route.Table { return s.table }, Servers: n.servers, Orders: s.engines,
+		Transport: noTransport{}, Decider: decider, Turns: turns,
+		Ceiling: Ceiling{Window: window, Over: 1.1}, Logger: hclog.NewNullLogger(), Nodes: func() []Node { return nil },
+	}
+	ctx, cancel := context.WithCancel(s.t.Context())
+	n.stop = cancel
+	go n.lease.Run(ctx)
+	go n.holder.Run(ctx)
+	return n
+}
+
+// wish asks the node's holder for a model.
+func (n *node) wish(t *testing.T, need string) WishAnswer {
+	t.Helper()
+	reply, err := n.holder.HandleMessage(t.Context(), api.NodeRef{}, WishMessage{Service: "s", Need: need, Priority: 2, Left: 20 * time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return reply.(WishAnswer)
+}
+
+// bubble runs a test under virtual time.
+func bubble(t *testing.T, f func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, f)
+}
+
+func needOf(text string) backend.Need { return backend.ParseNeed(text) }
--- /dev/null
+++ b/pkg/coordinator/holder_test.go
@@ -0,0 +1,213 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// wishUntil tells the wish again, as nodes do, until a server holds the model.
+func wishUntil(t *testing.T, n *node, need string, most time.Duration) string {
+	t.Helper()
+	for began := time.Now(); time.Since(began) < most; time.Sleep(250 * time.Millisecond) {
+		if answer := n.wish(t, need); answer.Server != "" {
+			return answer.Server
+		}
+	}
+	t.Errorf("no server holds %s after %v", need, most)
+	return ""
+}
+
+func TestWishLoadsAModel(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSite(t, []string{"m0"}, []string{"m1"})
+		n := s.start("a")
+		time.Sleep(time.Second)
+		if answer := n.wish(t, "m5"); answer.Server != "" || answer.ReadyIn < loadTime/2 {
+			t.Errorf("the first answer is %+v", answer)
+		}
+		wishUntil(t, n, "m5", loadTime+2*time.Second)
+		if loads := s.engines.loads(); len(loads) != 1 {
+			t.Errorf("%d loads for one wish", len(loads))
+		}
+		n.stop()
+	})
+}
+
+// TestLIMITOfMemory: models make room before others are loaded, also when many
+// are wished at once. The engines report an order beyond their memory.
+func TestLIMITOfMemory(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSite(t, []string{"m0", "m1"}, []string{"m2", "m3"})
+		n := s.start("a")
+		time.Sleep(time.Second)
+		for i := 4; i < 10; i++ {
+			wishUntil(t, n, fmt.Sprintf("m%d", i), 30*time.Second)
+		}
+		n.stop()
+	})
+}
+
+// TestLIMITOfAdapterPlaces: adapters make room for others.
+func TestLIMITOfAdapterPlaces(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSite(t, []string{"m0"})
+		n := s.start("a")
+		time.Sleep(time.Second)
+		for i := 1; i < 9; i++ {
+			wishUntil(t, n, fmt.Sprintf("m0/a%d", i), 10*time.Second)
+		}
+		n.stop()
+	})
+}
+
+// TestLIMITAfterAChangeOfHolder: what the last holder is loading is counted,
+// though reports don't list it.
+func TestLIMITAfterAChangeOfHolder(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSite(t, []string{"m0"})
+		first := s.start("a")
+		time.Sleep(time.Second)
+		first.wish(t, "m5")
+		time.Sleep(100 * time.Millisecond)
+		second := s.start("b")
+		first.stop()
+		time.Sleep(500 * time.Millisecond)
+		for began := time.Now(); time.Since(began) < 6*time.Second; time.Sleep(200 * time.Millisecond) {
+			second.wish(t, "m6")
+		}
+		wishUntil(t, second, "m6", 10*time.Second)
+		second.stop()
+	})
+}
+
+// TestLateOrdersDoNoHarm: an order without an answer is given again under the
+// same condition; carried out late it has no second effect.
+func TestLateOrdersDoNoHarm(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSite(t, []string{"m0"})
+		n := s.start("a")
+		time.Sleep(time.Second)
+		s.engines.silent = 1
+		n.wish(t, "m5")
+		wishUntil(t, n, "m5", loadTime+4*time.Second)
+		s.engines.carryOutLate()
+		if loads := s.engines.loads(); len(loads) != 1 {
+			t.Errorf("%d loads of one model", len(loads))
+		}
+		wishUntil(t, n, "m6", 20*time.Second)
+		n.stop()
+	})
+}
+
+// TestCEILING: the loads that begin in any window stay below the platform's
+// bound, over a change of the holder too.
+func TestCEILING(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		var holds [][]string
+		for range 40 {
+			holds = append(holds, nil)
+		}
+		s := newSite(t, holds...)
+		n := s.start("a")
+		time.Sleep(time.Second)
+		for began := time.Now(); time.Since(began) < 12*time.Second; time.Sleep(100 * time.Millisecond) {
+			for i := range 10 {
+				n.wish(t, fmt.Sprintf("m%d", i))
+			}
+			for _, server := range s.list { // so that all are asked for again and again
+				n.servers.Believe(server.ID, needOf("m0"), false, time.Now().Add(time.Second))
+			}
+		}
+		loads := s.engines.loads()
+		most := int(loadsPerS*window.Seconds()*1.1) + 3
+		for i := range loads {
+			within := 0
+			for _, other := range loads[i:] {
+				if other.at.Sub(loads[i].at) < window {
+					within++
+				}
+			}
+			if within > most {
+				t.Errorf("%d loads within %v, at most %d are allowed", within, window, most)
+			}
+		}
+		n.stop()
+	})
+}
+
+// TestONEHolderAtATime: two holders' orders to one server never come within the
+// turn, and the fence only rises.
+func TestONEHolderAtATime(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSite(t, []string{"m0"}, []string{"m1"})
+		nodes := map[string]*node{"a": s.start("a")}
+		time.Sleep(time.Second)
+		nodes["b"], nodes["c"] = s.start("b"), s.start("c")
+		for _, stopped := range []string{"a", "b", "c"} {
+			began := time.Now()
+			for i := 0; time.Since(began) < 8*time.Second; i++ {
+				for _, n := range nodes {
+					n.wish(t, fmt.Sprintf("m%d", 2+i%8))
+					n.lease.Suspect()
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+			nodes[stopped].stop()
+			delete(nodes, stopped)
+		}
+		last := make(map[string]given)
+		holders := make(map[string]bool)
+		for _, g := range s.engines.orders {
+			before, had := last[g.server]
+			if had && g.order.Fence < before.order.Fence {
+				t.Errorf("fence %d after %d at %s", g.order.Fence, before.order.Fence, g.server)
+			}
+			if had && g.order.Holder != before.order.Holder && g.at.Sub(before.at) < turns {
+				t.Errorf("orders of %s and %s within %v at %s", before.order.Holder, g.order.Holder, g.at.Sub(before.at), g.server)
+			}
+			last[g.server] = g
+			holders[g.order.Holder] = true
+		}
+		if len(holders) < 2 {
+			t.Errorf("orders came from %v only", holders)
+		}
+	})
+}
+
+// TestNoOrdersWithoutTheStore: intents can't be written, so nothing is ordered;
+// it goes on when the store is back.
+func TestNoOrdersWithoutTheStore(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSite(t, []string{"m0"})
+		n := s.start("a")
+		time.Sleep(time.Second)
+		s.row.setDown(true)
+		n.wish(t, "m5")
+		time.Sleep(4 * time.Second)
+		if orders := len(s.engines.orders); orders != 0 {
+			t.Errorf("%d orders while the store is down", orders)
+		}
+		s.row.setDown(false)
+		n.lease.Suspect()
+		time.Sleep(3 * time.Second)
+		wishUntil(t, n, "m5", 10*time.Second)
+		n.stop()
+	})
+}
+
+// TestServersRecoverFromAFailingStore: a write that fails is no failure of the
+// server that the order was for.
+func TestServersRecoverFromAFailingStore(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSite(t, []string{"m0", "m1"})
+		n := s.start("a")
+		time.Sleep(time.Second)
+		s.row.setDown(true)
+		n.wish(t, "m0/a1")
+		time.Sleep(900 * time.Millisecond)
+		s.row.setDown(false)
+		wishUntil(t, n, "m0/a1", 5*time.Second)
+		n.stop()
+	})
+}
--- a/pkg/coordinator/orders.go
+++ b/pkg/coordinator/orders.go
@@ -220,6 +220,7 @@
 		known.arriving[o.need.Adapter] = now.Add(arriveTime)
 	default:
 		delete(known.adapters, o.need.Adapter)
+		delete(known.arriving, o.need.Adapter)
 	}
 	h.tell(Notice{Server: s.id, Need: o.need.String(), Holds: o.load})
 	h.planSoon = true
