coordinator: plans gather the demand once; a wish no longer costs a plan

Models without replicas and wishes are left out, plans that news cause are 40 ms apart. Ruled out: sources of tables (none of the silent nodes changed source).

--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -19,6 +19,7 @@
 // Times of the holder.
 const (
 	tickInterval = 200 * time.Millisecond
+	planPause    = 40 * time.Millisecond // between plans that news cause
 	nodeExpiry   = 3 * time.Second
 	wishTime     = 6 * time.Second // how long a wish counts after it was last told
 	rateHalfLife = 5 * time.Second
@@ -49,7 +50,9 @@
 	servers map[string]*serverState
 	fetches []time.Time // starts of loads from the weight store
 
-	resumeAt time.Time // when orders are given again after the store failed
+	resumeAt time.Time      // when orders are given again after the store failed
+	planned  time.Time      // the last plan
+	unserved map[string]int // by service, at the last plan
 }
 
 // Ceiling bounds the loads from the weight store in any window.
@@ -100,7 +103,7 @@
 			h.tick()
 		case f := <-h.requests:
 			f()
-			if h.planSoon {
+			if h.planSoon && time.Since(h.planned) >= planPause {
 				h.tick()
 			}
 		}
@@ -133,6 +136,7 @@
 	h.demands = make(map[demandKey]*demand)
 	h.servers = make(map[string]*serverState)
 	h.fetches = nil
+	h.unserved = make(map[string]int)
 	record, _ := h.Lease.Current()
 	now, storeNow := time.Now(), h.Lease.Now()
 	for _, i := range record.Intents {
@@ -279,7 +283,6 @@
 	first := !d.wished(now)
 	d.wishedAt, d.last = now, now
 	d.priority, d.deadline, d.request = w.Priority, now.Add(w.Left), w.RequestID
-	h.learn(now)
 	answer := WishAnswer{Term: h.term}
 	h.doubtHolding(now, w.Missing, need)
 	if server := h.heldBy(now, w.Service, need); server != "" {
@@ -288,8 +291,12 @@
 		d.wishedAt = time.Time{}
 		return answer
 	}
-	h.planSoon = false
-	h.plan(now)
+	if now.Sub(h.planned) >= planPause {
+		h.planSoon = false
+		h.plan(now)
+	} else {
+		h.planSoon = true
+	}
 	answer.ReadyIn = h.readyIn(now, w.Service, need)
 	if first {
 		h.Logger.Info("wish", "request_id", w.RequestID, "service", w.Service, "model", w.Need,
@@ -313,15 +320,6 @@
 	}
 }
 
-// inFlight returns the requests that all nodes have running on a model.
-func (h *Holder) inFlight(key demandKey) int {
-	sum := 0
-	for _, n := range h.nodes {
-		sum += n.uses[key].InFlight
-	}
-	return sum
-}
-
 // tell sends a notice to all other nodes and takes it in here.
 func (h *Holder) tell(n Notice) {
 	h.Servers.Believe(n.Server, backend.ParseNeed(n.Need), n.Holds, time.Now().Add(noticeTime))
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -21,8 +21,65 @@
 	prewarmedLoads = 2   // loads under way that no request waits for
 )
 
+// wanted is what is asked of the models of one service, gathered once a plan.
+type wanted struct {
+	wishes   map[string][]*demand // of models and their adapters, by model
+	adapters map[string]int       // that were asked for lately, by model
+	inFlight map[string]int       // by model
+	unserved int                  // models that requests wait for and no server loads
+}
+
+// gather reads all demands of a service.
+func (h *Holder) gather(now time.Time, service string) wanted {
+	w := wanted{wishes: make(map[string][]*demand), adapters: make(map[string]int), inFlight: make(map[string]int)}
+	for key, d := range h.demands {
+		if key.service != service {
+			continue
+		}
+		need := backend.ParseNeed(key.need)
+		if d.wished(now) {
+			w.wishes[need.Model] = append(w.wishes[need.Model], d)
+		}
+		if need.Adapter != "" && now.Sub(d.last) < adapterUseTime {
+			w.adapters[need.Model]++
+		}
+	}
+	for _, n := range h.nodes {
+		for key, u := range n.uses {
+			if key.service == service {
+				w.inFlight[u.Model] += u.InFlight
+			}
+		}
+	}
+	under := h.presence(service)
+	for model := range w.wishes {
+		if under[model] == 0 {
+			w.unserved++
+		}
+	}
+	return w
+}
+
+// presence counts the servers of a service that hold or load each model.
+func (h *Holder) presence(service string) map[string]int {
+	count := make(map[string]int)
+	for _, s := range h.servers {
+		if s.member == nil || s.member.Service != service {
+			continue
+		}
+		for model := range s.holds {
+			count[model]++
+		}
+		if s.busy != nil && s.busy.load {
+			count[s.busy.need.Model]++
+		}
+	}
+	return count
+}
+
 // plan decides and orders for all services with engines.
 func (h *Holder) plan(now time.Time) {
+	h.planned = now
 	h.look(now)
 	table := h.Routes()
 	if table == nil || !h.Servers.Known() {
@@ -154,8 +211,13 @@
 		})
 	}
 	slices.SortFunc(input.Servers, func(a, b policy.Server) int { return cmp.Compare(a.ID, b.ID) })
+	w := h.gather(now, service)
+	h.unserved[service] = w.unserved
+	present := h.presence(service)
 	for name, m := range e.Models {
-		input.Models = append(input.Models, h.modelInput(now, service, name, m, e, len(input.Servers)))
+		if present[name] > 0 || len(w.wishes[name]) > 0 {
+			input.Models = append(input.Models, h.modelInput(now, service, m, e, &w, len(input.Servers)))
+		}
 	}
 	slices.SortFunc(input.Models, func(a, b policy.Model) int { return cmp.Compare(a.Name, b.Name) })
 	return input
@@ -176,9 +238,9 @@
 const mostUrgent = 9
 
 // modelInput describes a model for the decider.
-func (h *Holder) modelInput(now time.Time, service, name string, m *route.Model, e *route.Engine, servers int) policy.Model {
-	key := demandKey{service, name}
-	d := h.demands[key]
+func (h *Holder) modelInput(now time.Time, service string, m *route.Model, e *route.Engine, w *wanted, servers int) policy.Model {
+	name := m.Name
+	d := h.demands[demandKey{service, name}]
 	model := policy.Model{
 		Name: api.ModelName(name),
 		Settings: tree.Settings{
@@ -187,17 +249,17 @@
 		},
 		History: &policy.History{},
 	}
-	model.Demand.InFlight = h.inFlight(key)
+	model.Demand.InFlight = w.inFlight[name]
 	if d != nil {
 		model.Demand.LastArrival = d.last
 		model.Demand.Rate = d.rateAt(now)
 		model.Settings.MinReplicas = spareReplicas(d.rateAt(now), servers)
 	}
 	if e.AdapterPlaces > 0 {
-		wanted := (h.adaptersInUse(now, service, name) + e.AdapterPlaces - 1) / e.AdapterPlaces
+		wanted := (w.adapters[name] + e.AdapterPlaces - 1) / e.AdapterPlaces
 		model.Settings.MinReplicas = max(model.Settings.MinReplicas, min(wanted, servers))
 	}
-	h.addWishes(now, service, name, &model)
+	addWishes(w.wishes[name], &model)
 	for _, s := range h.servers {
 		if s.member == nil || s.member.Service != service {
 			continue
@@ -228,27 +290,12 @@
 	}
 }
 
-// adaptersInUse returns how many adapters of a model were asked for lately.
-func (h *Holder) adaptersInUse(now time.Time, service, name string) int {
-	count := 0
-	for key, d := range h.demands {
-		need := backend.ParseNeed(key.need)
-		if key.service == service && need.Model == name && need.Adapter != "" && now.Sub(d.last) < adapterUseTime {
-			count++
-		}
-	}
-	return count
-}
-
 // adapterUseTime is how long an adapter counts as in use after a request.
 const adapterUseTime = 6 * time.Second
 
 // addWishes takes in the requests that wait for the model or an adapter of it.
-func (h *Holder) addWishes(now time.Time, service, name string, model *policy.Model) {
-	for key, d := range h.demands {
-		if key.service != service || !d.wished(now) || backend.ParseNeed(key.need).Model != name {
-			continue
-		}
+func addWishes(wishes []*demand, model *policy.Model) {
+	for _, d := range wishes {
 		model.Demand.Waiting++
 		model.Demand.HighestPriority = max(model.Demand.HighestPriority, mostUrgent-d.priority)
 		if model.Demand.EarliestDeadline.IsZero() || d.deadline.Before(model.Demand.EarliestDeadline) {
--- a/pkg/coordinator/server.go
+++ b/pkg/coordinator/server.go
@@ -242,7 +242,7 @@
 	if servers == 0 {
 		return 0
 	}
-	queue := time.Duration(h.unserved(now, service)/servers) * load
+	queue := time.Duration(h.unserved[service]/servers) * load
 	return free + unloadTime + load + queue
 }
 
@@ -259,18 +259,3 @@
 	}
 	return left, loading
 }
-
-// unserved counts the models that requests wait for and no server loads yet.
-func (h *Holder) unserved(now time.Time, service string) int {
-	count := 0
-	for key, d := range h.demands {
-		need := backend.ParseNeed(key.need)
-		if key.service != service || need.Adapter != "" || !d.wished(now) || h.heldBy(now, service, need) != "" {
-			continue
-		}
-		if _, loading := h.loadingLeft(now, service, need.Model); !loading {
-			count++
-		}
-	}
-	return count
-}
