lease: suspicions no longer put off the look at the record

A look that is due sooner now stays. Without the mend TestSuspicionsDoNotPutOffTheLook and TestTakeoverAfterADeath fail.

--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -24,7 +24,7 @@
 	modelBytes    = 80
 	adapterPlaces = 2
 	loadTime      = 4 * time.Second
-	loadsPerS     = 2
+	loadRate      = 2
 	turns         = 3 * time.Second
 	window        = 5 * time.Second
 )
@@ -264,7 +264,7 @@
 // newSite has servers that hold the models named, and models m0 to m9.
 func newSite(t *testing.T, holds ...[]string) *site {
 	s := &site{t: t, row: &row{started: time.Now()}, engines: &engines{t: t, servers: make(map[string]*engineState)}}
-	e := &route.Engine{Slots: 8, WeightBytes: engineBytes, AdapterPlaces: adapterPlaces, LoadsPerSecond: loadsPerS,
+	e := &route.Engine{Slots: 8, WeightBytes: engineBytes, AdapterPlaces: adapterPlaces, LoadsPerSecond: loadRate,
 		Models: make(map[string]*route.Model)}
 	for i := range 10 {
 		name := fmt.Sprintf("m%d", i)
--- a/pkg/coordinator/holder_test.go
+++ b/pkg/coordinator/holder_test.go
@@ -120,7 +120,7 @@
 			}
 		}
 		loads := s.engines.loads()
-		most := int(loadsPerS*window.Seconds()*1.1) + 3
+		most := int(loadRate*window.Seconds()*1.1) + 3
 		for i := range loads {
 			within := 0
 			for _, other := range loads[i:] {
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -213,18 +213,26 @@
 	l.init()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	due := time.Now()
+	next := func(pause time.Duration) {
+		due = time.Now().Add(pause)
+		timer.Reset(pause)
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			l.release()
 			return
 		case <-l.suspects:
-			timer.Reset(jitter(lookPause / 4))
+			// A look that is due sooner stays: suspicions may come at any rate.
+			if pause := jitter(lookPause / 4); time.Until(due) > pause {
+				next(pause)
+			}
 		case c := <-l.commits:
 			l.serveCommits(ctx, c)
-			timer.Reset(Renewal)
+			next(Renewal)
 		case <-timer.C:
-			timer.Reset(l.turn(ctx))
+			next(l.turn(ctx))
 		}
 	}
 }
--- /dev/null
+++ b/pkg/lease/lease_test.go
@@ -0,0 +1,261 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// memory is a store with faults.
+type memory struct {
+	mu      sync.Mutex
+	stored  Stored
+	down    bool
+	lost    int // answers of writes that are lost
+	started time.Time
+	reads   int
+}
+
+var errAway = errors.New("the store is away")
+
+func (m *memory) now() int64 { return time.Since(m.started).Milliseconds() }
+
+func (m *memory) Read(context.Context) (Stored, error) {
+	time.Sleep(4 * time.Millisecond)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reads++
+	if m.down {
+		return Stored{}, errAway
+	}
+	s := m.stored
+	s.Now = m.now()
+	return s, nil
+}
+
+func (m *memory) Write(_ context.Context, r Record, version uint64) (Stored, error) {
+	time.Sleep(4 * time.Millisecond)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return Stored{}, errAway
+	}
+	if version != m.stored.Version {
+		s := m.stored
+		s.Now = m.now()
+		return s, ErrConflict
+	}
+	m.stored = Stored{Record: r, Version: version + 1, Now: m.now()}
+	if m.lost > 0 {
+		m.lost--
+		return Stored{}, errAway
+	}
+	return m.stored, nil
+}
+
+func (m *memory) looks() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reads
+}
+
+func (m *memory) set(f func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f()
+}
+
+// run starts a lease and returns how to stop it.
+func run(t *testing.T, m *memory, name string) (*Lease, context.CancelFunc) {
+	l := &Lease{Store: m, Self: name, Address: name}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.Run(ctx)
+	}()
+	return l, func() {
+		cancel()
+		<-done
+	}
+}
+
+func held(l *Lease) bool {
+	_, ok := l.Held()
+	return ok
+}
+
+func bubble(t *testing.T, f func(t *testing.T, m *memory)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { f(t, &memory{started: time.Now()}) })
+}
+
+func TestOneOfManyHolds(t *testing.T) {
+	bubble(t, func(t *testing.T, m *memory) {
+		var leases []*Lease
+		for _, name := range []string{"a", "b", "c"} {
+			l, stop := run(t, m, name)
+			defer stop()
+			leases = append(leases, l)
+		}
+		time.Sleep(time.Second)
+		holders := 0
+		for _, l := range leases {
+			if held(l) {
+				holders++
+			}
+		}
+		if holders != 1 {
+			t.Errorf("%d nodes hold the lease", holders)
+		}
+	})
+}
+
+// TestSuspicionsDoNotPutOffTheLook: however often a holder is missed, the record
+// is looked at.
+func TestSuspicionsDoNotPutOffTheLook(t *testing.T) {
+	bubble(t, func(t *testing.T, m *memory) {
+		m.down = true
+		l, stop := run(t, m, "a")
+		defer stop()
+		time.Sleep(100 * time.Millisecond)
+		m.set(func() { m.down = false })
+		for began := time.Now(); time.Since(began) < 2*time.Second; time.Sleep(10 * time.Millisecond) {
+			l.Suspect()
+		}
+		if !held(l) {
+			t.Error("a free lease was not taken in 2s of suspicions")
+		}
+	})
+}
+
+// TestTakeoverAfterADeath: another node takes over after Expiry, and the dead
+// one's term is over before.
+func TestTakeoverAfterADeath(t *testing.T) {
+	bubble(t, func(t *testing.T, m *memory) {
+		dead, kill := run(t, m, "a")
+		time.Sleep(time.Second)
+		next, stop := run(t, m, "b")
+		defer stop()
+		m.set(func() { m.down = true }) // so that the dead one can't give it back
+		kill()
+		died := time.Now()
+		time.Sleep(100 * time.Millisecond)
+		m.set(func() { m.down = false })
+		for !held(next) && time.Since(died) < time.Minute {
+			next.Suspect()
+			time.Sleep(50 * time.Millisecond)
+			if held(dead) && held(next) {
+				t.Error("both hold the lease")
+			}
+		}
+		if took := time.Since(died); took > Expiry+time.Second {
+			t.Errorf("the takeover took %v", took)
+		}
+	})
+}
+
+// TestPlannedStopHandsOverAtOnce also after a write whose answer was lost.
+func TestPlannedStopHandsOverAtOnce(t *testing.T) {
+	for name, lost := range map[string]int{"calm": 0, "answer lost": 1} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, m *memory) {
+				first, stopFirst := run(t, m, "a")
+				time.Sleep(time.Second)
+				next, stop := run(t, m, "b")
+				defer stop()
+				time.Sleep(100 * time.Millisecond)
+				if lost > 0 {
+					m.set(func() { m.lost = lost })
+					go func() { _, _ = first.Commit(t.Context(), []Intent{{Server: "s"}}) }()
+					time.Sleep(6 * time.Millisecond)
+				}
+				stopped := time.Now()
+				stopFirst()
+				for !held(next) && time.Since(stopped) < time.Minute {
+					next.Suspect()
+					time.Sleep(20 * time.Millisecond)
+				}
+				if took := time.Since(stopped); took > time.Second {
+					t.Errorf("the handover took %v", took)
+				}
+			})
+		})
+	}
+}
+
+// TestACommitWithoutAnswerIsFoundOut: the write was done, so the permit is good.
+func TestACommitWithoutAnswerIsFoundOut(t *testing.T) {
+	bubble(t, func(t *testing.T, m *memory) {
+		l, stop := run(t, m, "a")
+		defer stop()
+		time.Sleep(time.Second)
+		m.set(func() { m.lost = 1 })
+		permit, err := l.Commit(t.Context(), []Intent{{Server: "s", Need: "m"}})
+		if err != nil || !permit.Valid() {
+			t.Errorf("permit %+v, %v", permit, err)
+		}
+		intents := 0
+		for _, i := range m.stored.Record.Intents {
+			if i.Server == "s" {
+				intents++
+			}
+		}
+		if intents != 1 {
+			t.Errorf("the intent stands %d times in the record", intents)
+		}
+	})
+}
+
+// TestADeposedHolderGetsNoPermit: it was paused while another took over.
+func TestADeposedHolderGetsNoPermit(t *testing.T) {
+	bubble(t, func(t *testing.T, m *memory) {
+		l, stop := run(t, m, "a")
+		defer stop()
+		time.Sleep(time.Second)
+		m.set(func() {
+			m.stored.Record = Record{Term: 9, Holder: "b", Address: "b", Renewed: m.now()}
+			m.stored.Version++
+		})
+		if permit, err := l.Commit(t.Context(), []Intent{{Server: "s"}}); err == nil {
+			t.Errorf("a deposed holder got the permit %+v", permit)
+		}
+		if held(l) {
+			t.Error("a deposed holder still holds")
+		}
+	})
+}
+
+// TestAHolderWithoutTheStoreStops before another may take over.
+func TestAHolderWithoutTheStoreStops(t *testing.T) {
+	bubble(t, func(t *testing.T, m *memory) {
+		l, stop := run(t, m, "a")
+		defer stop()
+		time.Sleep(time.Second)
+		m.set(func() { m.down = true })
+		time.Sleep(Hold)
+		if held(l) {
+			t.Errorf("still held %v after the store went away", Hold)
+		}
+	})
+}
+
+// TestFollowersAreQuiet: while the holder renews, nobody else reads the record.
+func TestFollowersAreQuiet(t *testing.T) {
+	bubble(t, func(t *testing.T, m *memory) {
+		_, stopFirst := run(t, m, "a")
+		defer stopFirst()
+		time.Sleep(time.Second)
+		_, stop := run(t, m, "b")
+		defer stop()
+		time.Sleep(time.Second)
+		before := m.looks()
+		time.Sleep(10 * time.Second)
+		if more := m.looks() - before; more > 1 {
+			t.Errorf("%d reads in 10s", more)
+		}
+	})
+}
