coordinator: wishes shared by a node, beats without known lists, strong nodes first

From 7 s to 15.7 s answers to orders were not taken in, 77 nodes counted as silent. Now a node tells a wish once in 0.8 s for all its requests, lists go out when they have changed, plans leave three quarters of the time to the rest, and watchers, who are the first candidates, are the nodes with the most processor.

--- a/pkg/backend/directory.go
+++ b/pkg/backend/directory.go
@@ -52,10 +52,9 @@
 	Dialer Dialer
 	Clock  func() time.Time // time.Now if nil
 
-	mu       sync.Mutex
-	current  atomic.Pointer[Snapshot]
-	changed  chan struct{}
-	detached []*Condition // of servers that are gone, until their requests end
+	mu      sync.Mutex
+	current atomic.Pointer[Snapshot]
+	changed chan struct{}
 }
 
 // Snapshot returns the newest snapshot; an empty one before the first Replace.
--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -258,7 +258,6 @@
 	engines *engines
 	table   *route.Table
 	list    []*backend.Server
-	version uint64
 }
 
 // newSite has servers that hold the models named, and models m0 to m9.
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -19,7 +19,8 @@
 // Times of the holder.
 const (
 	tickInterval = 200 * time.Millisecond
-	planPause    = 40 * time.Millisecond // between plans that news cause
+	planPause    = 40 * time.Millisecond // between plans that news cause, at least
+	planShare    = 4                     // and so many times what one takes
 	nodeExpiry   = 3 * time.Second
 	wishTime     = 6 * time.Second // how long a wish counts after it was last told
 	rateHalfLife = 5 * time.Second
@@ -44,14 +45,17 @@
 	requests chan func()
 	planSoon bool
 
-	term    uint64 // of the state below
-	nodes   map[string]*nodeState
-	demands map[demandKey]*demand
-	servers map[string]*serverState
-	fetches []time.Time // starts of loads from the weight store
+	term  uint64 // of the state below
+	nodes map[string]*nodeState
+	// nodesNumber counts the changes of nodes.
+	nodesNumber uint64
+	demands     map[demandKey]*demand
+	servers     map[string]*serverState
+	fetches     []time.Time // starts of loads from the weight store
 
-	resumeAt time.Time      // when orders are given again after the store failed
-	planned  time.Time      // the last plan
+	resumeAt time.Time // when orders are given again after the store failed
+	planned  time.Time // the end of the last plan
+	planTook time.Duration
 	unserved map[string]int // by service, at the last plan
 }
 
@@ -103,7 +107,7 @@
 			h.tick()
 		case f := <-h.requests:
 			f()
-			if h.planSoon && time.Since(h.planned) >= planPause {
+			if h.planSoon && h.mayPlan(time.Now()) {
 				h.tick()
 			}
 		}
@@ -210,6 +214,12 @@
 	return held
 }
 
+// mayPlan tells whether news may cause a plan: plans are to leave most of the
+// processor to the rest.
+func (h *Holder) mayPlan(now time.Time) bool {
+	return now.Sub(h.planned) >= max(planPause, planShare*h.planTook)
+}
+
 // beat takes in what a node tells.
 func (h *Holder) beat(now time.Time, b Beat) BeatAnswer {
 	if !h.holds() {
@@ -220,6 +230,9 @@
 		if n == nil || n.node.Life != b.Node.Life {
 			h.Logger.Info("node joined", "name", b.Node.Name, "zone", b.Node.Zone, "life", b.Node.Life)
 		}
+		if n == nil || n.node != b.Node {
+			h.nodesNumber++
+		}
 		n = &nodeState{node: b.Node, seen: now, uses: make(map[demandKey]Use)}
 		h.nodes[b.Node.Name] = n
 	}
@@ -230,7 +243,10 @@
 			h.demand(key).arrive(now, u.Arrivals)
 		}
 	}
-	answer := BeatAnswer{Term: h.term}
+	answer := BeatAnswer{Version: NodesVersion{h.term, h.nodesNumber}}
+	if b.Knows == answer.Version {
+		return answer
+	}
 	for _, other := range h.nodes {
 		answer.Nodes = append(answer.Nodes, other.node)
 	}
@@ -291,7 +307,7 @@
 		d.wishedAt = time.Time{}
 		return answer
 	}
-	if now.Sub(h.planned) >= planPause {
+	if h.mayPlan(now) {
 		h.planSoon = false
 		h.plan(now)
 	} else {
@@ -311,6 +327,7 @@
 		if now.Sub(n.seen) > nodeExpiry {
 			h.Logger.Warn("node silent", "name", name, "zone", n.node.Zone, "life", n.node.Life)
 			delete(h.nodes, name)
+			h.nodesNumber++
 		}
 	}
 	for key, d := range h.demands {
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -41,14 +41,16 @@
 	Logger    hclog.Logger
 
 	nodes    atomic.Pointer[[]Node]
+	version  NodesVersion // of nodes; for Run alone
 	stopping atomic.Bool
 	beatNow  chan struct{}
 	started  sync.Once
 
 	mu       sync.Mutex
 	arrivals map[Use]int // by service and model
-	answered bool        // the last beat was
-	since    time.Time   // of the first beat without an answer
+	wishes   map[demandKey]*asked
+	answered bool      // the last beat was
+	since    time.Time // of the first beat without an answer
 }
 
 func (m *Member) init() {
@@ -124,19 +126,22 @@
 
 // beat tells the holder of this node and takes in what it tells of the others.
 func (m *Member) beat(ctx context.Context) error {
-	beat := Beat{Node: m.self(), Uses: m.uses()}
+	beat := Beat{Node: m.self(), Uses: m.uses(), Knows: m.version}
 	answer, err := ask[BeatAnswer](ctx, m, beat)
 	if err != nil {
 		return err
 	}
-	if answer.Term == 0 {
+	if answer.Version.Term == 0 {
 		return ErrNoHolder
 	}
-	m.nodes.Store(&answer.Nodes)
+	if len(answer.Nodes) > 0 {
+		m.nodes.Store(&answer.Nodes)
+		m.version = answer.Version
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.answered {
-		m.Logger.Info("coordinator answers", "term", answer.Term, "nodes", len(answer.Nodes))
+		m.Logger.Info("coordinator answers", "term", answer.Version.Term, "nodes", len(m.Nodes()))
 	}
 	m.answered = true
 	return nil
@@ -205,8 +210,53 @@
 	return uses
 }
 
+// wakeRest is how long an answer to a wish serves all requests of this node that
+// need the same: notices tell sooner when it is fulfilled.
+const wakeRest = 800 * time.Millisecond
+
+// asked is a wish that was told, and what is known of it.
+type asked struct {
+	at      time.Time
+	done    chan struct{} // closed when the answer is here
+	outlook relay.Outlook
+	err     error
+}
+
 // Wake implements relay.Waker.
 func (m *Member) Wake(ctx context.Context, w relay.Wish) (relay.Outlook, error) {
+	key := demandKey{w.Service, w.Need.String()}
+	m.mu.Lock()
+	known := m.wishes[key]
+	fresh := known == nil || time.Since(known.at) > wakeRest || w.Missing != ""
+	if fresh {
+		known = &asked{at: time.Now(), done: make(chan struct{})}
+		if m.wishes == nil || len(m.wishes) > maxWishes {
+			m.wishes = make(map[demandKey]*asked)
+		}
+		m.wishes[key] = known
+	}
+	m.mu.Unlock()
+	if fresh {
+		known.outlook, known.err = m.tellWish(ctx, w)
+		close(known.done)
+	}
+	select {
+	case <-known.done:
+	case <-ctx.Done():
+		return relay.Outlook{}, ctx.Err()
+	}
+	o := known.outlook
+	if o.ReadyIn > 0 {
+		o.ReadyIn = max(o.ReadyIn-time.Since(known.at), time.Millisecond)
+	}
+	return o, known.err
+}
+
+// maxWishes bounds the wishes that are remembered.
+const maxWishes = 1024
+
+// tellWish asks the holder.
+func (m *Member) tellWish(ctx context.Context, w relay.Wish) (relay.Outlook, error) {
 	answer, err := ask[WishAnswer](ctx, m, WishMessage{
 		Service: w.Service, Need: w.Need.String(), Priority: w.Priority,
 		Left: time.Until(w.Deadline), RequestID: w.RequestID, Missing: w.Missing,
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -19,8 +19,9 @@
 	Name     string
 	Life     int64 // larger for a later life
 	Zone     string
-	Callers  string // IP:port for callers
-	Peers    string // IP:port for other nodes
+	Callers  string  // IP:port for callers
+	Peers    string  // IP:port for other nodes
+	Power    float64 // processor that it has, in cores
 	Stopping bool
 }
 
@@ -34,15 +35,22 @@
 
 // Beat tells the holder that a node is alive and what it serves.
 type Beat struct {
-	Node Node
-	Uses []Use
+	Node  Node
+	Uses  []Use
+	Knows NodesVersion // of the nodes that it was told of
 }
 
-// BeatAnswer tells a node of all nodes. Term is zero if the node that was asked
-// does not hold the lease.
+// NodesVersion tells lists of nodes apart.
+type NodesVersion struct {
+	Term   uint64
+	Number uint64
+}
+
+// BeatAnswer tells a node of all nodes, unless it knows this version of them.
+// The term is zero if the node that was asked does not hold the lease.
 type BeatAnswer struct {
-	Term  uint64
-	Nodes []Node
+	Version NodesVersion
+	Nodes   []Node // empty: as known
 }
 
 // WishMessage asks the holder to have a model loaded.
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -79,7 +79,10 @@
 
 // plan decides and orders for all services with engines.
 func (h *Holder) plan(now time.Time) {
-	h.planned = now
+	defer func() {
+		h.planned = time.Now()
+		h.planTook = h.planned.Sub(now)
+	}()
 	h.look(now)
 	table := h.Routes()
 	if table == nil || !h.Servers.Known() {
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -94,7 +94,6 @@
 	term     uint64        // held; zero: none
 	until    time.Time     // end of the hold
 	start    time.Time     // zero of the steady clock
-	stopped  bool
 	suspects chan struct{}
 	commits  chan *commit
 }
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -18,9 +18,6 @@
 // errLeaving keeps a request from a server that began to leave.
 var errLeaving = errors.New("relay: the server is leaving")
 
-// errTooMany means that the request may not go to another server.
-var errTooMany = errors.New("relay: no further attempt is allowed")
-
 // verdict tells what became of an attempt.
 type verdict uint8
 
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -25,7 +25,6 @@
 // Faults of a stream.
 var (
 	errMoved    = errors.New("relay: the server is about to be gone")
-	errGap      = errors.New("relay: the stream paused too long")
 	errTooLong  = errors.New("relay: an event is too long")
 	eventEnd    = []byte("\n\n")
 	eventID     = []byte("id:")
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -131,7 +131,7 @@
 }
 
 func watchNode(n coordinator.Node) watch.Node {
-	return watch.Node{Name: n.Name, Zone: n.Zone, Peers: n.Peers}
+	return watch.Node{Name: n.Name, Zone: n.Zone, Peers: n.Peers, Power: n.Power}
 }
 
 // HandleMessage implements peer.Handler.
--- a/pkg/watch/hub.go
+++ b/pkg/watch/hub.go
@@ -18,6 +18,7 @@
 	Name  string
 	Zone  string
 	Peers string // IP:port for other nodes
+	Power float64
 }
 
 // News tells that there are no changes of a table between two versions but
@@ -101,11 +102,13 @@
 	return h.Watching() || t.stale()
 }
 
-// Rank orders nodes so that all see the same ones as first, in different zones
-// as far as there are.
+// Rank orders nodes so that all see the same ones as first: the strongest, in
+// different zones as far as there are.
 func Rank(nodes []Node) []string {
 	ordered := slices.Clone(nodes)
-	slices.SortFunc(ordered, func(a, b Node) int { return cmp.Compare(weight(a.Name), weight(b.Name)) })
+	slices.SortFunc(ordered, func(a, b Node) int {
+		return cmp.Or(cmp.Compare(b.Power, a.Power), cmp.Compare(weight(a.Name), weight(b.Name)))
+	})
 	var first, rest []string
 	zones := make(map[string]bool)
 	for _, n := range ordered {
