demo: nodes stop one after the other

Cause of 10 s after the answers: all three nodes stopped at once, each waited for another to take its place in the quorum group until the control machine's own bound (goroutines in handOver).

--- a/pkg/demo/site.go
+++ b/pkg/demo/site.go
@@ -43,14 +43,13 @@
 	engines  []*standin.EngineServer
 	nodes    []*node.Node
 	running  conc.WaitGroup
-	stop     context.CancelFunc
+	stops    []func() // of the nodes, in the order of their start
 }
 
 // startSite starts all parts. The nodes' logs go to logs as JSON lines.
 func startSite(ctx context.Context, version string, logs io.Writer) (*site, error) {
 	s := &site{}
-	nodesContext, stop := context.WithCancel(ctx)
-	s.stop = stop
+	nodesContext := ctx
 	steps := []func() error{
 		s.startPlatform,
 		s.startEngines,
@@ -66,10 +65,13 @@
 	return s, nil
 }
 
-// close stops the nodes as planned and then the stand-ins.
+// close stops the nodes as planned, one after the other as an operator would: a
+// node that stops hands over to those that stay, and waits long for others that
+// are stopping too. Then it stops the stand-ins.
 func (s *site) close() {
-	s.stop()
-	s.running.Wait()
+	for _, stop := range s.stops {
+		stop()
+	}
 	for _, engine := range s.engines {
 		engine.Close()
 	}
@@ -145,6 +147,20 @@
 	return platform
 }
 
+// run runs a node until its own stop is called, which waits for its end.
+func (s *site) run(ctx context.Context, started *node.Node) {
+	ctx, cancel := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	s.running.Go(func() {
+		defer close(ended)
+		_ = started.Run(ctx) // its error is in the node's log
+	})
+	s.stops = append(s.stops, func() {
+		cancel()
+		<-ended
+	})
+}
+
 func (s *site) startNodes(ctx context.Context, version string, logs io.Writer) error {
 	var seeds []string
 	for _, zone := range zones {
@@ -154,7 +170,7 @@
 		}
 		s.nodes = append(s.nodes, started)
 		seeds = append(seeds, started.Addresses().Peers)
-		s.running.Go(func() { _ = started.Run(ctx) }) // its error is in the node's log
+		s.run(ctx, started)
 	}
 	return nil
 }
