--- /dev/null
+++ b/pkg/watch/watch_test.go
@@ -0,0 +1,331 @@
+package watch
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"martenwheel.dev/pkg/peer"
+)
+
+// bound is the test's time for changes to be in force.
+const bound = 2 * time.Second
+
+// memory is a store's table.
+type memory struct {
+	mu      sync.Mutex
+	rows    map[string]Record
+	log     []Record
+	version uint64
+	oldest  uint64
+	calls   int
+	cut     map[string]bool // callers that get no answer
+}
+
+func newMemory() *memory { return &memory{rows: make(map[string]Record), cut: make(map[string]bool)} }
+
+func (m *memory) put(key, value string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.version++
+	r := Record{Key: key, Value: []byte(value), Version: m.version, Gone: value == ""}
+	m.log = append(m.log, r)
+	if r.Gone {
+		delete(m.rows, key)
+	} else {
+		m.rows[key] = r
+	}
+}
+
+// other is a change of another table, which moves the version alone.
+func (m *memory) other() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.version++
+}
+
+// caller is a node's way to the store.
+type caller struct {
+	name  string
+	store *memory
+}
+
+func (c caller) answer(ctx context.Context, f func() (Page, error)) (Page, error) {
+	time.Sleep(4 * time.Millisecond)
+	c.store.mu.Lock()
+	c.store.calls++
+	cut := c.store.cut[c.name]
+	c.store.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return Page{}, ctx.Err()
+	}
+	return f()
+}
+
+func (c caller) Read(ctx context.Context, _ string) (Page, error) {
+	return c.answer(ctx, func() (Page, error) {
+		c.store.mu.Lock()
+		defer c.store.mu.Unlock()
+		p := Page{Version: c.store.version}
+		for _, r := range c.store.rows {
+			p.Records = append(p.Records, r)
+		}
+		return p, nil
+	})
+}
+
+func (c caller) Feed(ctx context.Context, _ string, after uint64, wait time.Duration) (Page, error) {
+	return c.answer(ctx, func() (Page, error) {
+		for end := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
+			c.store.mu.Lock()
+			p := Page{Version: c.store.version}
+			gone := after < c.store.oldest
+			for _, r := range c.store.log {
+				if r.Version > after {
+					p.Records = append(p.Records, r)
+				}
+			}
+			c.store.mu.Unlock()
+			if gone {
+				return Page{}, ErrHistoryGone
+			}
+			if len(p.Records) > 0 || time.Now().After(end) || ctx.Err() != nil {
+				return p, ctx.Err()
+			}
+		}
+	})
+}
+
+// network carries messages between the hubs of a test.
+type network struct {
+	mu   sync.Mutex
+	hubs map[string]*Hub
+	dead map[string]bool
+}
+
+func (n *network) hub(address string) *Hub {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.dead[address] {
+		return nil
+	}
+	return n.hubs[address]
+}
+
+func (n *network) Send(address string, message peer.Message) {
+	if h := n.hub(address); h != nil {
+		go func() {
+			time.Sleep(2 * time.Millisecond)
+			_, _, _ = h.Handle(context.Background(), message)
+		}()
+	}
+}
+
+func (n *network) Call(ctx context.Context, address string, message peer.Message) (peer.Message, error) {
+	h := n.hub(address)
+	if h == nil {
+		return nil, peer.ErrUnreachable
+	}
+	time.Sleep(2 * time.Millisecond)
+	reply, _, err := h.Handle(ctx, message)
+	return reply, err
+}
+
+func (n *network) Close() error { return nil }
+
+// member is a node of the test with what it was told last.
+type member struct {
+	hub  *Hub
+	mu   sync.Mutex
+	rows map[string]string
+	back bool // a version went back
+	last uint64
+}
+
+func (m *member) value(key string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.rows[key]
+}
+
+// start runs a site of n nodes until the test ends.
+func start(t *testing.T, store *memory, n int) ([]*member, *network) {
+	net := &network{hubs: make(map[string]*Hub), dead: make(map[string]bool)}
+	var nodes []Node
+	for i := range n {
+		name := string(rune('A' + i))
+		nodes = append(nodes, Node{Name: name, Zone: name[:1], Peers: name})
+	}
+	var members []*member
+	ctx, cancel := context.WithCancel(context.Background())
+	for _, node := range nodes {
+		m := &member{}
+		table := &Table{Name: "t", Source: caller{node.Name, store}, Bound: bound, Logger: hclog.NewNullLogger(),
+			Apply: func(rows map[string]Record, version uint64) {
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				m.back = m.back || version < m.last
+				m.last, m.rows = version, make(map[string]string)
+				for key, r := range rows {
+					m.rows[key] = string(r.Value)
+				}
+			}}
+		m.hub = &Hub{Self: node, Nodes: func() []Node { return nodes }, Known: func() bool { return true },
+			Transport: net, Tables: []*Table{table}, Logger: hclog.NewNullLogger()}
+		net.hubs[node.Name] = m.hub
+		members = append(members, m)
+		go m.hub.Run(ctx)
+	}
+	stopAtEnd = func() {
+		cancel()
+		time.Sleep(5 * time.Second) // virtual; for what is under way to end
+	}
+	return members, net
+}
+
+// stopAtEnd ends the site of the running test.
+var stopAtEnd func()
+
+// inForce waits until all members have the value, and returns the time it took.
+func inForce(t *testing.T, members []*member, key, want string) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for _, m := range members {
+		for m.value(key) != want {
+			if time.Since(began) > 10*bound {
+				t.Fatalf("%s has %q, not %q, after %v", m.hub.Self.Name, m.value(key), want, time.Since(began))
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return time.Since(began)
+}
+
+func TestChangesAreInForceWithinTheBound(t *testing.T) {
+	for _, size := range []int{3, 20} {
+		synctest.Test(t, func(t *testing.T) {
+			store := newMemory()
+			store.put("a", "1")
+			members, _ := start(t, store, size)
+			inForce(t, members, "a", "1")
+			time.Sleep(5 * time.Second)
+			for _, change := range [][2]string{{"a", "2"}, {"b", "1"}, {"a", ""}, {"b", "2"}} {
+				store.put(change[0], change[1])
+				if took := inForce(t, members, change[0], change[1]); took > bound/2 {
+					t.Errorf("%d nodes: in force after %v", size, took)
+				}
+				store.other()
+			}
+			for _, m := range members {
+				if m.back {
+					t.Errorf("%s went back", m.hub.Self.Name)
+				}
+			}
+			stopAtEnd()
+		})
+	}
+}
+
+// TestCallsDoNotGrowWithTheSite: four nodes watch, however many there are.
+func TestCallsDoNotGrowWithTheSite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemory()
+		store.put("a", "1")
+		members, _ := start(t, store, 26)
+		inForce(t, members, "a", "1")
+		time.Sleep(5 * time.Second)
+		store.mu.Lock()
+		before := store.calls
+		store.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		store.mu.Lock()
+		calls := store.calls - before
+		store.mu.Unlock()
+		each := int(10*time.Second/members[0].hub.Tables[0].part(feedShare)) + 2
+		if calls > Watchers*each {
+			t.Errorf("%d calls in 10s, at most %d of %d watchers", calls, Watchers*each, Watchers)
+		}
+		stopAtEnd()
+	})
+}
+
+// TestNodesTurnToTheStoreWithoutFreshWatchers: watchers that die, or are cut off
+// from the store, don't hold the others back.
+func TestNodesTurnToTheStoreWithoutFreshWatchers(t *testing.T) {
+	for name, harm := range map[string]func(*memory, *network, string){
+		"dead":                   func(_ *memory, n *network, watcher string) { n.dead[watcher] = true },
+		"cut off from the store": func(s *memory, _ *network, watcher string) { s.cut[watcher] = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newMemory()
+				store.put("a", "1")
+				members, net := start(t, store, 20)
+				inForce(t, members, "a", "1")
+				time.Sleep(5 * time.Second)
+				watching := watchers(members[0].hub.Nodes())
+				store.mu.Lock()
+				net.mu.Lock()
+				for _, watcher := range watching {
+					harm(store, net, watcher)
+				}
+				net.mu.Unlock()
+				store.mu.Unlock()
+				time.Sleep(bound) // they are told to be fresh no more
+				store.put("a", "2")
+				var rest []*member
+				for _, m := range members {
+					if !m.hub.Watching() {
+						rest = append(rest, m)
+					}
+				}
+				if took := inForce(t, rest, "a", "2"); took > bound {
+					t.Errorf("in force after %v without watchers", took)
+				}
+				stopAtEnd()
+			})
+		})
+	}
+}
+
+// TestForgottenHistoryIsReadAnew on all nodes.
+func TestForgottenHistoryIsReadAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemory()
+		store.put("a", "1")
+		members, _ := start(t, store, 20)
+		inForce(t, members, "a", "1")
+		time.Sleep(3 * time.Second)
+		store.put("a", "2")
+		store.mu.Lock()
+		store.oldest = store.version + 1
+		store.mu.Unlock()
+		store.put("b", "1")
+		store.put("a", "")
+		inForce(t, members, "a", "")
+		if took := inForce(t, members, "b", "1"); took > bound {
+			t.Errorf("in force after %v", took)
+		}
+		stopAtEnd()
+	})
+}
+
+func TestPackIsUndoneByUnpack(t *testing.T) {
+	records := []Record{{Key: "a", Value: []byte("x"), Version: 3}, {Key: "b", Version: 4, Gone: true}}
+	packed, err := pack(records)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := unpack(packed)
+	if err != nil || len(got) != 2 || got[0].Key != "a" || string(got[0].Value) != "x" || !got[1].Gone {
+		t.Errorf("%+v, %v", got, err)
+	}
+	if _, err := unpack([]byte("nonsense")); err == nil {
+		t.Error("nonsense was unpacked")
+	}
+}
