--- a/pkg/tree/keys.go
+++ b/pkg/tree/keys.go
@@ -227,7 +227,7 @@
 
 // Policies are the names of the keep-alive and prewarming policies that package
 // policy implements, the default first.
-var Policies = []string{"adaptive", "fixed-keepalive", "fixed-keepalive-near", "never-unload", "unload-at-once"}
+var Policies = []string{"adaptive", "fixed-keepalive", "fixed-keepalive-near", "never-unload", "unload-at-once", "demand-first"}
 
 // textPattern allows names and versions as they appear in weight stores.
 var textPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:/@+-]*$`)
