--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -27,11 +27,10 @@
 	address string
 	limit   atomic.Int64 // connections; zero: none
 
-	mu     sync.Mutex
-	idle   []*conn // the last used at the end
-	open   int
-	ended  bool
-	dialed uint64
+	mu    sync.Mutex
+	idle  []*conn // the last used at the end
+	open  int
+	ended bool
 }
 
 func newPool(dial Dialer, address string) *pool {
@@ -120,7 +119,6 @@
 		return nil, ErrCrowded
 	}
 	p.open++
-	p.dialed++
 	p.mu.Unlock()
 	nc, err := p.dial(ctx, p.address)
 	if err != nil {
--- a/pkg/backend/server.go
+++ b/pkg/backend/server.go
@@ -18,7 +18,6 @@
 	Slots    int
 	Draining bool
 	LeaveAt  time.Time // when a server that leaves at short notice is gone; else zero
-	Warming  time.Duration
 	Models   []Holding
 	InMemory []string // models whose weights lie in the server's memory
 	OnDisk   []string // models whose weights lie on its disk
--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -303,7 +303,7 @@
 	n.holder = &Holder{
 		Lease: n.lease, Routes: func() *route.Table { return s.table }, Servers: n.servers, Orders: s.engines,
 		Transport: noTransport{}, Decider: decider, Turns: turns,
-		Ceiling: Ceiling{Window: window, Over: 1.1}, Logger: hclog.NewNullLogger(), Nodes: func() []Node { return nil },
+		Ceiling: Ceiling{Window: window}, Logger: hclog.NewNullLogger(), Nodes: func() []Node { return nil },
 	}
 	ctx, cancel := context.WithCancel(s.t.Context())
 	n.stop = func() {
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -62,7 +62,6 @@
 // Ceiling bounds the loads from the weight store in any window.
 type Ceiling struct {
 	Window time.Duration
-	Over   float64 // factor that the platform tolerates
 }
 
 // nodeState is a node that beats.
--- a/pkg/route/service.go
+++ b/pkg/route/service.go
@@ -13,11 +13,9 @@
 // Engine describes the model servers of a service.
 type Engine struct {
 	Slots          int    // requests that a server runs at once
-	KVTokens       int    // of a server's memory for prompts and answers
 	WeightBytes    uint64 // of a server, for weights and adapters
 	AdapterPlaces  int    // adapters that a server holds at once
 	LoadsPerSecond float64
-	HoldKV         bool // servers keep backups of running requests
 	Models         map[string]*Model
 }
 
--- a/pkg/site/limiter.go
+++ b/pkg/site/limiter.go
@@ -6,9 +6,6 @@
 	"time"
 )
 
-// limiter shares each server's connections among the nodes.
-type limiter struct{}
-
 // limitInterval is how often the shares are worked out anew.
 const limitInterval = 500 * time.Millisecond
 
@@ -18,7 +15,9 @@
 // leastConnections are what a node may always have to a server.
 const leastConnections = 2
 
-func (limiter) run(ctx context.Context, s *Site) {
+// keepConnectionShares shares each server's connections among the nodes until ctx
+// ends.
+func (s *Site) keepConnectionShares(ctx context.Context) {
 	ticker := time.NewTicker(limitInterval)
 	defer ticker.Stop()
 	for {
@@ -26,13 +25,13 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			limitConnections(s)
+			s.limitConnections()
 		}
 	}
 }
 
 // limitConnections gives this node its share of each server's connections.
-func limitConnections(s *Site) {
+func (s *Site) limitConnections() {
 	table := s.Routes()
 	if table == nil {
 		return
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -51,7 +51,6 @@
 	hub      *watch.Hub
 	relay    *relay.Relay
 	stopping atomic.Bool
-	limiter  limiter
 }
 
 // Ready tells whether callers may be sent to this node.
@@ -67,7 +66,7 @@
 	return s.member.Nodes()
 }
 
-// Listen opens what the node listens on and makes its parts.
+// listen opens what the node listens on.
 func (s *Site) listen() (net.Listener, *peer.Server, error) {
 	callers, err := net.Listen("tcp", s.Self.Callers)
 	if err != nil {
@@ -168,7 +167,7 @@
 	tasks.Go(func() { holder.Run(life) })
 	tasks.Go(func() { s.member.Run(life) })
 	tasks.Go(func() { s.hub.Run(life) })
-	tasks.Go(func() { s.limiter.run(life, s) })
+	tasks.Go(func() { s.keepConnectionShares(life) })
 	tasks.Go(func() { s.serveMetrics(life) })
 	failed := make(chan error, 1)
 	tasks.Go(func() { failed <- server.Serve(callers) })
