relay: servers that refuse connections are not dialled in a loop

Found by reading: a try that never left the process cost no send, so a request dialled dead servers until its deadline. TestDeadServersAreNotDialledInALoop counted 61,166 dials in 0.6 s before; now 8 with growing pauses, then 503 with the time to come back. The waker's error is no longer written by another goroutine than the request's.

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -178,10 +178,12 @@
 	case notRun:
 		c.learn(now, m, err)
 		c.tried = append(c.tried, m.ID)
-		if c.sends >= maxSends {
+		c.misses++
+		if c.sends >= maxSends || c.misses >= maxMisses {
 			c.refuse(c.notServed(reasonNoServer, defaultRetryAfter))
 			return false
 		}
+		c.pauseAfterMiss(ctx)
 		return true
 	}
 	m.Failed(now)
@@ -193,8 +195,29 @@
 	return true
 }
 
-// maxSends bounds how often a request is sent when servers turn it away.
-const maxSends = 4
+// Bounds of how often a request is sent when servers turn it away, and of the
+// tries in all, those without a connection included.
+const (
+	maxSends  = 4
+	maxMisses = 8
+)
+
+// pauseAfterMiss waits a little before the next try: not after the first miss,
+// then longer each time.
+func (c *call) pauseAfterMiss(ctx context.Context) {
+	if c.misses < 2 {
+		return
+	}
+	timer := time.NewTimer(missPause << (c.misses - 2))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// missPause is the pause after the second miss; it doubles.
+const missPause = 10 * time.Millisecond
 
 // learn notes why a server turned a request away.
 func (c *call) learn(now time.Time, m *backend.Member, err error) {
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -44,6 +44,7 @@
 	tried    []string // servers that did not serve it
 	missing  string   // server that said that it does not hold what is needed
 	sends    int
+	misses   int // tries after which no server had run it
 	runs     int // servers that may have run it
 	headSent bool
 	record   record
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -25,8 +25,8 @@
 // acquire waits for a server that may get the request. It returns nil when the
 // request was answered.
 func (c *call) acquire(ctx context.Context) *backend.Member {
-	var asked time.Time
-	outlooks := make(chan Outlook, 1)
+	var askedAt time.Time
+	outlooks := make(chan asked, 1)
 	asking := false
 	for {
 		changed := c.relay.Servers.Changed()
@@ -37,9 +37,9 @@
 		if m := c.choose(); m != nil {
 			return m
 		}
-		if c.lacksModel() && !asking && time.Since(asked) >= wakeInterval {
-			asked, asking = time.Now(), true
-			go c.ask(ctx, outlooks)
+		if c.lacksModel() && !asking && time.Since(askedAt) >= wakeInterval {
+			askedAt, asking = time.Now(), true
+			go c.ask(ctx, c.missing, outlooks)
 		}
 		timer := time.NewTimer(lookInterval)
 		select {
@@ -49,9 +49,10 @@
 			return nil
 		case <-changed:
 		case <-timer.C:
-		case o := <-outlooks:
+		case a := <-outlooks:
 			asking = false
-			if f, refused := c.judge(o); refused {
+			c.record.wakeError = a.err
+			if f, refused := c.judge(a.outlook); refused {
 				timer.Stop()
 				c.refuse(f)
 				return nil
@@ -75,22 +76,27 @@
 	return true
 }
 
+// asked is an answer of the waker.
+type asked struct {
+	outlook Outlook
+	err     error
+}
+
 // ask tells the waker what is missing.
-func (c *call) ask(ctx context.Context, outlooks chan<- Outlook) {
+func (c *call) ask(ctx context.Context, missing string, outlooks chan<- asked) {
 	ctx, cancel := context.WithTimeout(ctx, wakeTimeout)
 	defer cancel()
 	o, err := c.relay.Waker.Wake(ctx, Wish{
 		Service: c.service, Need: c.need, Priority: c.route.Priority, Deadline: c.deadline, RequestID: c.id,
-		Missing: c.missing,
+		Missing: missing,
 	})
 	if err != nil {
-		c.record.wakeError = err
 		o.ReadyIn = unknownReady
 	}
 	if o.Server != "" {
 		c.relay.Servers.Believe(o.Server, c.need, true, time.Now().Add(beliefTime))
 	}
-	outlooks <- o
+	outlooks <- asked{o, err}
 }
 
 // unknownReady is told when nobody knows when a model will be ready: about the
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/route"
 )
 
@@ -229,3 +233,23 @@
 		t.Errorf("the answer is %+v", got)
 	}
 }
+
+// TestDeadServersAreNotDialledInALoop: servers that refuse connections cost a few
+// dials, not the processor.
+func TestDeadServersAreNotDialledInALoop(t *testing.T) {
+	s := newSite(t, route.Route{Kind: route.Unsafe, Timeout: 600 * time.Millisecond}, sealed(http.StatusOK, "never"))
+	var dials atomic.Int32
+	directory := &backend.Directory{Dialer: func(context.Context, string) (net.Conn, error) {
+		dials.Add(1)
+		return nil, errors.New("connection refused")
+	}}
+	directory.Replace(s.servers, 1)
+	s.relay.Servers = directory
+	got := s.post("id", "x")
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("status %d, want 503 with the time to come back", got.status)
+	}
+	if n := dials.Load(); n > 10 {
+		t.Errorf("%d dials of one request", n)
+	}
+}
