relay: a failure of the server that was to go on does not end a stream

Such an answer is now a failed attempt; without another the connection is broken off. TestResumedStreamThatFailsLooksBroken failed before. Ruled out: the first server's break (cut streams that may not go on were broken off).

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -159,6 +159,9 @@
 	if c.route.Kind == route.Stream && a.Status == http.StatusOK {
 		return c.passStream(ctx, m, a, impatience)
 	}
+	if c.headSent {
+		return mayRun, errors.Errorf("the server does not go on with the stream: %d", a.Status)
+	}
 	return c.passWhole(ctx, a)
 }
 
--- a/pkg/relay/stream_test.go
+++ b/pkg/relay/stream_test.go
@@ -170,3 +170,16 @@
 		t.Errorf("the stream did not move: %d arrivals", len(arrived))
 	}
 }
+
+// TestResumedStreamThatFailsLooksBroken: a failure of the server that was to go
+// on is no part of the answer, and does not end it.
+func TestResumedStreamThatFailsLooksBroken(t *testing.T) {
+	s := newSite(t, streamRoute(true), events(3, 8, cut), sealed(http.StatusInternalServerError, "bad"))
+	for range 4 { // so that the first is preferred
+		s.relay.Servers.Snapshot().Member("server-1").Begin(time.Now(), "")
+	}
+	got := s.post("id", "x")
+	if got.err == nil || got.body != streamed(1, 3) {
+		t.Errorf("the caller got %q as a complete answer (%v)", got.body, got.err)
+	}
+}
