--- a/pkg/backend/condition.go
+++ b/pkg/backend/condition.go
@@ -52,16 +52,6 @@
 // InFlight returns this node's requests at the server.
 func (c *Condition) InFlight() int { return int(c.inFlight.Load()) }
 
-// Open returns the number of connections to the server.
-func (c *Condition) Open() int { return c.pool.count() }
-
-// Running returns this node's requests at the server that need a model.
-func (c *Condition) Running(model string) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.running[model]
-}
-
 // recentHalfLife is the time in which the count of recent requests halves.
 const recentHalfLife = 2 * time.Second
 
--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -37,12 +37,6 @@
 	return &pool{dial: dial, address: address}
 }
 
-func (p *pool) count() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open
-}
-
 // take returns an idle connection, nil if there is none.
 func (p *pool) take(now time.Time) *conn {
 	for {
--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -322,7 +322,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return reply.(WishAnswer)
+	answer := reply.(WishAnswer)
+	if answer.Term == 0 {
+		n.lease.Suspect() // as a member does
+	}
+	return answer
 }
 
 // bubble runs a test under virtual time.
--- /dev/null
+++ b/pkg/lease/record.go
@@ -0,0 +1,66 @@
+package lease
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Intent is an order that the holder is about to give.
+type Intent struct {
+	Server string
+	Load   bool // or unload
+	Need   string
+	Fetch  bool  // a load from the weight store
+	At     int64 // by the store's clock, in milliseconds
+}
+
+// Record is what the store keeps. Times are by the store's clock, in
+// milliseconds.
+type Record struct {
+	Term    uint64
+	Holder  string // empty: released
+	Address string // of the holder, for other nodes
+	Renewed int64
+	Intents []Intent
+}
+
+// Stored is a record as it was read.
+type Stored struct {
+	Record  Record
+	Version uint64 // zero: there is none yet
+	Now     int64  // the store's clock
+}
+
+// ErrConflict means that the record has changed; the one that is there comes
+// with it.
+var ErrConflict = errors.New("lease: the record has changed")
+
+// ErrNotHeld means that this node does not hold the lease.
+var ErrNotHeld = errors.New("lease: not held")
+
+// Store keeps the record. Any other error than ErrConflict leaves open whether a
+// write was done, or will be.
+type Store interface {
+	Read(ctx context.Context) (Stored, error)
+	Write(ctx context.Context, r Record, version uint64) (Stored, error)
+}
+
+// free tells whether another node may take the lease.
+func (s Stored) free() bool {
+	return s.Version == 0 || s.Record.Holder == "" || s.age() > Expiry
+}
+
+// age is the time since the last renewal.
+func (s Stored) age() time.Duration {
+	return time.Duration(s.Now-s.Record.Renewed) * time.Millisecond
+}
+
+// fresh returns the intents that still count, in a new slice.
+func fresh(intents []Intent, now int64) []Intent {
+	return slices.DeleteFunc(slices.Clone(intents), func(i Intent) bool {
+		return now-i.At > IntentTime.Milliseconds()
+	})
+}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -97,7 +97,7 @@
 	if !c.mayTryAnother() {
 		return nil
 	}
-	return time.AfterFunc(patience(c.route), func() {
+	return time.AfterFunc(firstByteTime(c.route), func() {
 		if c.hasOther(m) {
 			cancel(errImpatient)
 		}
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -4,8 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"martenwheel.dev/pkg/api"
@@ -108,11 +106,11 @@
 const beliefTime = 5 * time.Second
 
 // judge refuses a request that comes back better later than it waits here: its
-// model will not be ready within its target. One that has come back already is
-// kept.
+// model will not be ready within its target. One that has come back already, or
+// whose answer has begun, is kept.
 func (c *call) judge(o Outlook) (refusal, bool) {
 	c.record.readyIn = o.ReadyIn
-	if o.Server != "" || o.ReadyIn <= 0 || c.cameBack {
+	if o.Server != "" || o.ReadyIn <= 0 || c.cameBack || c.headSent {
 		return refusal{}, false
 	}
 	waited := time.Since(c.arrived)
@@ -153,7 +151,7 @@
 			candidates[i].Ejected = false
 		}
 	}
-	asked := routing.Request{Zone: c.relay.Zone, Blocks: len(c.prefix())}
+	asked := routing.Request{Zone: c.relay.Zone}
 	if untried {
 		for _, id := range c.tried {
 			asked.Tried = append(asked.Tried, api.ServerID(id))
@@ -223,34 +221,16 @@
 	return r.chooser.Choose(r.random, asked, candidates)
 }
 
-// promptPart is one part of a prompt.
-type promptPart struct {
-	id     string
-	tokens int
-}
-
-// prefix returns the parts of the request's prompt.
-func (c *call) prefix() []promptPart {
-	var parts []promptPart
-	for _, field := range strings.Split(c.http.Header.Get(c.relay.Headers.Prefix), ",") {
-		id, count, found := strings.Cut(strings.TrimSpace(field), ":")
-		if n, err := strconv.Atoi(count); found && err == nil {
-			parts = append(parts, promptPart{id, n})
-		}
-	}
-	return parts
-}
-
-// patience is how long the first byte of an answer is waited for while another
+// firstByteTime is how long the first byte of an answer is waited for while another
 // server could serve the request.
-func patience(r *route.Route) time.Duration {
+func firstByteTime(r *route.Route) time.Duration {
 	if r.Kind == route.Stream {
 		return r.Target + r.Target/2 + streamPatience
 	}
 	return max(2*r.Target, wholePatience)
 }
 
-// Parts of patience.
+// Parts of firstByteTime.
 const (
 	streamPatience = 300 * time.Millisecond
 	wholePatience  = 250 * time.Millisecond
--- a/pkg/relay/harness_test.go
+++ b/pkg/relay/harness_test.go
@@ -22,7 +22,7 @@
 // testHeaders are the names that the tests' callers and servers speak.
 var testHeaders = Headers{
 	RequestID: "X-Id", Deadline: "X-Deadline", Seal: "X-Seal", Expect: "X-Expect", NotRun: "X-Not-Run",
-	Model: "X-Model", Tokens: "X-Tokens", Prefix: "X-Prefix", LastEvent: "Last-Event-Id", Priority: "X-Priority",
+	Model: "X-Model", LastEvent: "Last-Event-Id", Priority: "X-Priority",
 }
 
 // seen is a request as a server got it.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -33,8 +33,6 @@
 	Expect    string // the server that a request is for
 	NotRun    string // a server did not run the request
 	Model     string // what the request needs
-	Tokens    string // of the prompt, and at most out
-	Prefix    string // parts of the prompt
 	LastEvent string // event after which a stream goes on
 	Priority  string // 0 is the most urgent
 }
--- a/pkg/relay/stream_test.go
+++ b/pkg/relay/stream_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -183,3 +184,40 @@
 		t.Errorf("the caller got %q as a complete answer (%v)", got.body, got.err)
 	}
 }
+
+// lateWaker says that a model will be ready after the target of the test's route.
+type lateWaker struct{}
+
+func (lateWaker) Wake(context.Context, Wish) (Outlook, error) {
+	return Outlook{ReadyIn: 3 * time.Second}, nil
+}
+
+// TestBrokenStreamWaitsForItsModel: a stream that has begun is not refused while
+// it could still go on.
+func TestBrokenStreamWaitsForItsModel(t *testing.T) {
+	r := streamRoute(true)
+	r.Sticky = true // the service has an engine with the model m
+	var s *site
+	goneThenCut := func(conn net.Conn) {
+		s.relay.Servers.Replace(s.servers[1:], 3)
+		cut(conn)
+	}
+	s = newSite(t, r, events(3, 8, goneThenCut), events(8, 8, nil))
+	s.relay.Waker = lateWaker{}
+	s.servers[0].Models = []backend.Holding{{Model: "m"}}
+	s.relay.Servers.Replace(s.servers, 2)
+	request := s.request(t.Context(), http.MethodPost, "/p/x", "id", "x")
+	request.Header.Set(testHeaders.Model, "m")
+	done := make(chan answer, 1)
+	go func() { done <- s.do(request) }()
+	for len(s.arrivals()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	holds := *s.servers[1]
+	holds.Version, holds.Models = 2, []backend.Holding{{Model: "m"}}
+	time.Sleep(300 * time.Millisecond)
+	s.relay.Servers.Replace([]*backendServer{&holds}, 4)
+	if got := <-done; got.err != nil || got.body != streamed(1, 8) {
+		t.Errorf("the caller got %q, %v", got.body, got.err)
+	}
+}
