coordinator: tests read the orders that came under their lock

Under the race detector 1 of 40 runs of the package was red: TestONEHolderAtATime read the list that an order under way wrote. Nothing of the product was in it.

--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -235,12 +236,24 @@
 	return list
 }
 
-// loads returns the orders that began a load of a model.
-func (e *engines) loads() []given {
+// given returns all orders that came.
+func (e *engines) given() []given {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.orders)
+}
+
+// loseAnswers has so many orders not answered.
+func (e *engines) loseAnswers(n int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.silent = n
+}
+
+// loads returns the orders that began a load of a model.
+func (e *engines) loads() []given {
 	var list []given
-	for _, g := range e.orders {
+	for _, g := range e.given() {
 		if g.result == Accepted && g.order.Load && g.order.Need.Adapter == "" {
 			list = append(list, g)
 		}
--- a/pkg/coordinator/holder_test.go
+++ b/pkg/coordinator/holder_test.go
@@ -92,7 +92,7 @@
 		s := newSite(t, []string{"m0"})
 		n := s.start("a")
 		time.Sleep(time.Second)
-		s.engines.silent = 1
+		s.engines.loseAnswers(1)
 		n.wish(t, "m5")
 		wishUntil(t, n, "m5", loadTime+4*time.Second)
 		s.engines.carryOutLate()
@@ -163,7 +163,7 @@
 		}
 		last := make(map[string]given)
 		holders := make(map[string]bool)
-		for _, g := range s.engines.orders {
+		for _, g := range s.engines.given() {
 			before, had := last[g.server]
 			if had && g.order.Fence < before.order.Fence {
 				t.Errorf("fence %d after %d at %s", g.order.Fence, before.order.Fence, g.server)
@@ -190,7 +190,7 @@
 		s.row.setDown(true)
 		n.wish(t, "m5")
 		time.Sleep(4 * time.Second)
-		if orders := len(s.engines.orders); orders != 0 {
+		if orders := len(s.engines.given()); orders != 0 {
 			t.Errorf("%d orders while the store is down", orders)
 		}
 		s.row.setDown(false)
