e2e: running waits for a report that is not older than the question

Cause: the test asked the engine's load report, which lags 500 ms of simulated time (50 ms at speed 10). When the callers had come and left within 50 ms of the stream's first token, the report still showed the time before the stream. Ruled out: a preempted generation (memory is ample), a request that ran (the lines of all ten have no attempt).

The check is as strict: it asks for the same count, of a later moment. Conclusion: a fault of the test, also where it says that nothing runs any more on an engine: a report of before the stream said so as well.

--- a/e2e/traffic_test.go
+++ b/e2e/traffic_test.go
@@ -81,11 +81,19 @@
 	return count
 }
 
-// running counts the requests that run on an engine.
+// running counts the requests that run on an engine. The engine's reports lag,
+// so that it waits for one that shows the moment of the call or a later one.
 func running(t *testing.T, e *engineProcess) int {
 	t.Helper()
+	lag := standin.DefaultEngineConfig().LoadReportLag
+	current := getJSON[engine.LoadReport](t, e.Address, engine.PathLoad).AsOf.Add(lag + lag/4)
+	var report engine.LoadReport
+	waitFor(t, "the engine reports its load", func() bool {
+		report = getJSON[engine.LoadReport](t, e.Address, engine.PathLoad)
+		return !report.AsOf.Before(current)
+	})
 	count := 0
-	for _, model := range getJSON[engine.LoadReport](t, e.Address, engine.PathLoad).Models {
+	for _, model := range report.Models {
 		count += model.Running
 	}
 	return count
