relay: servers that ended do not count; tries that reach no server cost no budget

A repeat that reached no server is given back. When the servers of a route are used up, the last one is dialled once, 100 ms at most: a refused connection shows that it ended, and then it does not count; a connection that comes up is kept. The log of the try says server_ended. Servers that run on count as before.

Ruled out: waiting for the list of servers to show the crash (2 s and more). Tests, each failed before: TestServersThatEndedDoNotCount (cut before the answer and midway), TestTriesThatReachNoServerCostNoBudget; TestServersThatRunOnCount passed before too.

--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -119,7 +120,7 @@
 		p.mu.Lock()
 		p.open--
 		p.mu.Unlock()
-		return nil, errors.Wrap(ErrNotSent, err.Error())
+		return nil, err
 	}
 	return newConn(p, nc), nil
 }
@@ -134,6 +135,30 @@
 // SetConnectionLimit bounds the connections to the server; zero: no bound.
 func (c *Condition) SetConnectionLimit(n int) { c.pool.limit.Store(int64(n)) }
 
+// notSent tells that err kept a request from being sent.
+func notSent(err error) error {
+	if errors.Is(err, ErrCrowded) {
+		return err
+	}
+	return errors.Wrap(ErrNotSent, err.Error())
+}
+
+// endedTimeout bounds the wait for a server that may have ended.
+const endedTimeout = 100 * time.Millisecond
+
+// Ended tells whether surely nobody listens any more where the server did. A
+// connection that comes up is kept for requests.
+func (c *Condition) Ended(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, endedTimeout)
+	defer cancel()
+	nc, err := c.pool.connect(ctx, false)
+	if err == nil {
+		c.pool.put(nc)
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Send writes a request to the server once and waits for the head of its
 // answer. check is asked right before the first byte goes out; its error keeps
 // the request from being sent.
@@ -144,12 +169,12 @@
 		if fresh {
 			var err error
 			if nc, err = c.pool.connect(ctx, m.Control); err != nil {
-				return nil, err
+				return nil, notSent(err)
 			}
 		}
 		if err := check(); err != nil {
 			c.pool.put(nc)
-			return nil, errors.Wrap(ErrNotSent, err.Error())
+			return nil, notSent(err)
 		}
 		a, err := nc.send(ctx, m)
 		if err != nil && !fresh && errors.Is(err, ErrNotSent) && ctx.Err() == nil {
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -40,11 +40,16 @@
 		if m == nil {
 			return
 		}
-		if c.sends > 0 && !c.relay.budgets.repeat(c.relay.Budget, time.Now(), c.service, c.nodes()) {
+		before := c.sends
+		if before > 0 && !c.relay.budgets.repeat(c.relay.Budget, time.Now(), c.service, c.nodes()) {
 			c.refuse(c.notServed(reasonBudget, defaultRetryAfter))
 			return
 		}
-		if !c.attempt(ctx, m) {
+		goOn := c.attempt(ctx, m)
+		if before > 0 && c.sends == before {
+			c.relay.budgets.giveBack(c.relay.Budget, time.Now(), c.service)
+		}
+		if !goOn {
 			return
 		}
 	}
@@ -191,13 +196,31 @@
 	}
 	m.Failed(now)
 	c.tried = append(c.tried, m.ID)
-	if !c.route.Repeatable() || c.runs >= max(c.route.MaxAttempts, 1) {
+	if !c.mayTryAgain(ctx, m, v, err) {
 		c.refuse(c.notServed(reasonFailed, defaultRetryAfter))
 		return false
 	}
 	return true
 }
 
+// mayTryAgain tells whether the request may go to one more server after one that
+// may have run it. A server that has ended does not count.
+func (c *call) mayTryAgain(ctx context.Context, m *backend.Member, v verdict, err error) bool {
+	if !c.route.Repeatable() {
+		return false
+	}
+	if c.runs < max(c.route.MaxAttempts, 1) {
+		return true
+	}
+	broke := errors.Is(err, backend.ErrNoAnswer) || errors.Is(err, backend.ErrBroken)
+	if v != mayRun || !broke || c.sends >= maxSends || !m.Ended(ctx) {
+		return false
+	}
+	c.runs--
+	c.record.serverEnded()
+	return true
+}
+
 // Bounds of how often a request is sent when servers turn it away, and of the
 // tries in all, those without a connection included.
 const (
--- a/pkg/relay/budget.go
+++ b/pkg/relay/budget.go
@@ -77,6 +77,24 @@
 	return true
 }
 
+// giveBack returns a repeat that reached no server.
+func (b *budgets) giveBack(cfg BudgetConfig, now time.Time, service string) {
+	if cfg.Window <= 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.of(service)
+	at := s.slot(cfg, now)
+	for back := range budgetSlots {
+		slot := &s.slots[(at+budgetSlots-back)%budgetSlots]
+		if slot.repeats > 0 && s.slots[at].number-slot.number < budgetSlots {
+			slot.repeats--
+			return
+		}
+	}
+}
+
 // budgetCaution keeps a node below its share: the others may not know yet of a
 // node that came.
 const budgetCaution = 0.8
--- a/pkg/relay/harness_test.go
+++ b/pkg/relay/harness_test.go
@@ -37,6 +37,7 @@
 	relay   *Relay
 	front   *httptest.Server
 	servers []*backend.Server
+	running []*httptest.Server // of servers
 
 	mu   sync.Mutex
 	seen []seen
@@ -131,11 +132,15 @@
 		answer(w, r, got)
 	}))
 	s.t.Cleanup(server.Close)
+	s.running = append(s.running, server)
 	s.servers = append(s.servers, &backend.Server{
 		ID: id, Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 8, Version: 1,
 	})
 }
 
+// end stops a server's listening, as its crash does.
+func (s *site) end(i int) { _ = s.running[i].Listener.Close() }
+
 // arrivals returns what the servers got.
 func (s *site) arrivals() []seen {
 	s.mu.Lock()
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -21,6 +21,7 @@
 	started time.Time
 	verdict verdict
 	err     error
+	ended   bool // the server was found to have ended
 }
 
 // record is what the log line of a request tells.
@@ -48,6 +49,9 @@
 	}
 }
 
+// serverEnded notes that the server of the last attempt had ended.
+func (r *record) serverEnded() { r.tries[len(r.tries)-1].ended = true }
+
 // end notes the outcome; the first word counts.
 func (r *record) end(outcome string, err error) {
 	if r.outcome == "" {
@@ -93,12 +97,13 @@
 	AtMS    int64  `json:"at_ms"`
 	Verdict string `json:"verdict"`
 	Error   string `json:"error,omitempty"`
+	Ended   bool   `json:"server_ended,omitempty"`
 }
 
 func (c *call) describeTries() []tryLine {
 	lines := make([]tryLine, len(c.record.tries))
 	for i, t := range c.record.tries {
-		lines[i] = tryLine{Server: t.server, AtMS: t.started.Sub(c.arrived).Milliseconds(), Verdict: t.verdict.String()}
+		lines[i] = tryLine{Server: t.server, AtMS: t.started.Sub(c.arrived).Milliseconds(), Verdict: t.verdict.String(), Ended: t.ended}
 		if t.err != nil {
 			lines[i].Error = t.err.Error()
 		}
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -253,3 +253,22 @@
 		t.Errorf("%d dials of one request", n)
 	}
 }
+
+// TestTriesThatReachNoServerCostNoBudget: of three servers one breaks off, one is
+// dead, and the budget allows one repeat.
+func TestTriesThatReachNoServerCostNoBudget(t *testing.T) {
+	s := newSite(t, route.Route{Kind: route.Safe, MaxAttempts: 2}, raw(""), sealed(http.StatusOK, "never"), sealed(http.StatusOK, "good"))
+	s.relay.Budget = BudgetConfig{Window: 10 * time.Second, Slack: 1 / budgetCaution}
+	s.end(1)
+	for i, id := range []string{"server-0", "server-1", "server-2"} {
+		for range 4 * i { // so that they are tried in this order
+			s.relay.Servers.Snapshot().Member(id).Begin(time.Now(), "")
+		}
+	}
+	if got := s.get("id"); got.status != http.StatusOK || got.body != "good" {
+		t.Errorf("status %d, body %q", got.status, got.body)
+	}
+	if n := len(s.arrivals()); n != 2 {
+		t.Errorf("%d arrivals", n)
+	}
+}
--- a/pkg/relay/stream_test.go
+++ b/pkg/relay/stream_test.go
@@ -221,3 +221,50 @@
 		t.Errorf("the caller got %q, %v", got.body, got.err)
 	}
 }
+
+// TestServersThatEndedDoNotCount: the route allows one server, and the one that
+// had the request crashed.
+func TestServersThatEndedDoNotCount(t *testing.T) {
+	for name, whenCut := range map[string]int{"before its answer": 0, "midway": 3} {
+		t.Run(name, func(t *testing.T) {
+			r := streamRoute(true)
+			r.MaxAttempts = 1
+			var s *site
+			crash := func(conn net.Conn) {
+				s.end(0)
+				cut(conn)
+			}
+			first := events(whenCut, 8, crash)
+			if whenCut == 0 {
+				first = func(w http.ResponseWriter, _ *http.Request, _ seen) {
+					conn, _, _ := w.(http.Hijacker).Hijack()
+					crash(conn)
+				}
+			}
+			s = newSite(t, r, first, events(8, 8, nil))
+			s.relay.Servers.Snapshot().Member("server-1").Failed(time.Now())
+			got := s.post("id", "x")
+			if got.err != nil || got.body != streamed(1, 8) {
+				t.Errorf("the caller got %q, %v", got.body, got.err)
+			}
+			if n := len(s.arrivals()); n != 2 {
+				t.Errorf("%d arrivals", n)
+			}
+		})
+	}
+}
+
+// TestServersThatRunOnCount: the route allows one server, and the one that had
+// the request lost its answer and runs on.
+func TestServersThatRunOnCount(t *testing.T) {
+	r := streamRoute(true)
+	r.MaxAttempts = 1
+	s := newSite(t, r, events(3, 8, cut), events(8, 8, nil))
+	s.relay.Servers.Snapshot().Member("server-1").Failed(time.Now())
+	if got := s.post("id", "x"); got.err == nil {
+		t.Errorf("the caller got %q as a complete answer", got.body)
+	}
+	if n := len(s.arrivals()); n != 1 {
+		t.Errorf("%d arrivals at servers that run on, of a request that may go to one", n)
+	}
+}
