coordinator: a new holder hears what is in use before it lets models go

Nodes keep a smoothed rate of each model and tell it with their first beat to a holder that has not answered them yet; an announcement makes them beat at once. Until all nodes but one, the last holder, were heard, 1.2 s at most, nothing is unloaded. The rate is one type for nodes and holder.

Ruled out: keeping the rates in the lease's row (writes as often as beats).

--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -22,8 +22,8 @@
 	planPause    = 40 * time.Millisecond // between plans that news cause, at least
 	planShare    = 4                     // and so many times what one takes
 	nodeExpiry   = 3 * time.Second
-	wishTime     = 6 * time.Second // how long a wish counts after it was last told
-	rateHalfLife = 5 * time.Second
+	wishTime     = 6 * time.Second         // how long a wish counts after it was last told
+	learnTime    = 1200 * time.Millisecond // in which a new holder hears what is in use
 )
 
 // Holder decides for the site while this node holds the lease. All its state
@@ -53,6 +53,7 @@
 	servers     map[string]*serverState
 	fetches     []time.Time // starts of loads from the weight store
 
+	learned  time.Time // when the nodes should have told what is in use
 	resumeAt time.Time // when orders are given again after the store failed
 	planned  time.Time // the end of the last plan
 	planTook time.Duration
@@ -79,8 +80,7 @@
 
 // demand is what is asked of a model.
 type demand struct {
-	rate     float64 // arrivals a second, smoothed
-	ratedAt  time.Time
+	rate     rate
 	last     time.Time // arrival
 	wishedAt time.Time // last wish without a server
 	deadline time.Time
@@ -142,6 +142,7 @@
 	h.unserved = make(map[string]int)
 	record, _ := h.Lease.Current()
 	now, storeNow := time.Now(), h.Lease.Now()
+	h.learned = now.Add(learnTime)
 	for _, i := range record.Intents {
 		at := now.Add(-time.Duration(storeNow-i.At) * time.Millisecond)
 		s := h.server(i.Server)
@@ -161,6 +162,12 @@
 	}
 }
 
+// learning tells whether what is in use is not known yet: all nodes but one, the
+// last holder, are to have told it.
+func (h *Holder) learning(now time.Time) bool {
+	return now.Before(h.learned) && len(h.nodes) < len(h.Nodes())-1
+}
+
 // do runs f on the holder's goroutine and waits for it.
 func (h *Holder) do(ctx context.Context, f func()) error {
 	h.init()
@@ -238,8 +245,11 @@
 	for _, u := range b.Uses {
 		key := demandKey{u.Service, u.Model}
 		n.uses[key] = u
-		if u.Arrivals > 0 {
-			h.demand(key).arrive(now, u.Arrivals)
+		if u.Arrivals > 0 || u.Rate > 0 {
+			d := h.demand(key)
+			d.rate.add(now, u.Arrivals)
+			d.rate.join(now, u.Rate)
+			d.last = now
 		}
 	}
 	answer := BeatAnswer{Version: NodesVersion{h.term, h.nodesNumber}}
@@ -261,28 +271,6 @@
 	return d
 }
 
-// arrive takes arrivals into the smoothed rate.
-func (d *demand) arrive(now time.Time, n int) {
-	d.rate = d.rateAt(now) + float64(n)/rateHalfLife.Seconds()*decayPerHalfLife
-	d.ratedAt = now
-	d.last = now
-}
-
-// decayPerHalfLife makes the sum of decaying arrivals a rate: ln 2.
-const decayPerHalfLife = 0.693
-
-// rateAt returns the smoothed arrivals a second.
-func (d *demand) rateAt(now time.Time) float64 {
-	rate := d.rate
-	for age := now.Sub(d.ratedAt); age > 0 && rate > 0.001; age -= rateHalfLife {
-		if age < rateHalfLife {
-			return rate * (1 - 0.5*age.Seconds()/rateHalfLife.Seconds())
-		}
-		rate /= 2
-	}
-	return rate
-}
-
 // wished tells whether a request waits for the model.
 func (d *demand) wished(now time.Time) bool {
 	return !d.wishedAt.IsZero() && now.Sub(d.wishedAt) < wishTime
@@ -330,7 +318,7 @@
 		}
 	}
 	for key, d := range h.demands {
-		if !d.wished(now) && d.rateAt(now) < 0.001 && now.Sub(d.last) > time.Minute {
+		if !d.wished(now) && d.rate.at(now) < 0.001 && now.Sub(d.last) > time.Minute {
 			delete(h.demands, key)
 		}
 	}
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -47,7 +47,9 @@
 	started  sync.Once
 
 	mu       sync.Mutex
-	arrivals map[Use]int // by service and model
+	arrivals map[demandKey]int
+	rates    map[demandKey]*rate // arrivals that a holder was told of
+	told     uint64              // term of the holder that knows the rates
 	wishes   map[demandKey]*asked
 	answered bool      // the last beat was
 	since    time.Time // of the first beat without an answer
@@ -70,8 +72,13 @@
 
 // Stop tells the others that this node is leaving.
 func (m *Member) Stop() {
-	m.init()
 	m.stopping.Store(true)
+	m.beatSoon()
+}
+
+// beatSoon has the next beat go out at once.
+func (m *Member) beatSoon() {
+	m.init()
 	select {
 	case m.beatNow <- struct{}{}:
 	default:
@@ -126,7 +133,7 @@
 
 // beat tells the holder of this node and takes in what it tells of the others.
 func (m *Member) beat(ctx context.Context) error {
-	beat := Beat{Node: m.self(), Uses: m.uses(), Knows: m.version}
+	beat := Beat{Node: m.self(), Uses: m.uses(time.Now()), Knows: m.version}
 	answer, err := ask[BeatAnswer](ctx, m, beat)
 	if err != nil {
 		return err
@@ -144,6 +151,7 @@
 		m.Logger.Info("coordinator answers", "term", answer.Version.Term, "nodes", len(m.Nodes()))
 	}
 	m.answered = true
+	m.told = answer.Version.Term
 	return nil
 }
 
@@ -178,36 +186,65 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.arrivals == nil {
-		m.arrivals = make(map[Use]int)
+		m.arrivals = make(map[demandKey]int)
 	}
-	m.arrivals[Use{Service: service, Model: n.Model}]++
+	m.arrivals[demandKey{service, n.Model}]++
 	if n.Adapter != "" {
-		m.arrivals[Use{Service: service, Model: n.String()}]++
+		m.arrivals[demandKey{service, n.String()}]++
 	}
 }
 
-// uses returns what this node serves, and starts to count anew.
-func (m *Member) uses() []Use {
+// uses returns what this node serves, and starts to count anew. A holder that is
+// new to this node is told the rates of what came before.
+func (m *Member) uses(now time.Time) []Use {
+	uses := make(map[demandKey]*Use)
+	of := func(key demandKey) *Use {
+		u := uses[key]
+		if u == nil {
+			u = &Use{Service: key.service, Model: key.need}
+			uses[key] = u
+		}
+		return u
+	}
+	record, _ := m.Lease.Current()
 	m.mu.Lock()
-	arrivals := m.arrivals
+	for key, r := range m.rates {
+		perSecond := r.at(now)
+		if perSecond < leastRate {
+			delete(m.rates, key)
+		} else if record.Term != m.told {
+			of(key).Rate = perSecond
+		}
+	}
+	for key, n := range m.arrivals {
+		of(key).Arrivals = n
+		m.rate(key).add(now, n)
+	}
 	m.arrivals = nil
 	m.mu.Unlock()
-	if arrivals == nil {
-		arrivals = make(map[Use]int)
-	}
-	running := make(map[Use]int)
 	for _, s := range m.Servers.Snapshot().Members() {
 		s.EachRunning(func(model string, n int) {
-			key := Use{Service: s.Service, Model: model}
-			running[key] += n
-			arrivals[key] += 0
+			of(demandKey{s.Service, model}).InFlight += n
 		})
 	}
-	uses := make([]Use, 0, len(arrivals))
-	for key, n := range arrivals {
-		uses = append(uses, Use{Service: key.Service, Model: key.Model, Arrivals: n, InFlight: running[key]})
+	list := make([]Use, 0, len(uses))
+	for _, u := range uses {
+		list = append(list, *u)
+	}
+	return list
+}
+
+// rate returns the rate of a model, made if there is none. The caller holds mu.
+func (m *Member) rate(key demandKey) *rate {
+	if m.rates == nil {
+		m.rates = make(map[demandKey]*rate)
+	}
+	r := m.rates[key]
+	if r == nil {
+		r = &rate{}
+		m.rates[key] = r
 	}
-	return uses
+	return r
 }
 
 // wakeRest is how long an answer to a wish serves all requests of this node that
@@ -279,6 +316,7 @@
 		return nil, nil
 	case Announcement:
 		m.Lease.Announced(lease.Record{Term: n.Term, Holder: n.Holder, Address: n.Address})
+		m.beatSoon()
 		return nil, nil
 	}
 	return m.Holder.HandleMessage(ctx, from, message)
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -138,6 +138,9 @@
 			continue
 		}
 		o := order{load: action.Kind == policy.ActionLoad, need: backend.Need{Model: m.Name}}
+		if !o.load && h.learning(now) {
+			continue
+		}
 		if !o.load {
 			h.give(s, o, false, unloadTime, action.Reason)
 			h.tell(Notice{Server: s.id, Need: m.Name, Holds: false})
@@ -255,8 +258,8 @@
 	model.Demand.InFlight = w.inFlight[name]
 	if d != nil {
 		model.Demand.LastArrival = d.last
-		model.Demand.Rate = d.rateAt(now)
-		model.Settings.MinReplicas = spareReplicas(d.rateAt(now), servers)
+		model.Demand.Rate = d.rate.at(now)
+		model.Settings.MinReplicas = spareReplicas(d.rate.at(now), servers)
 	}
 	if e.AdapterPlaces > 0 {
 		wanted := (w.adapters[name] + e.AdapterPlaces - 1) / e.AdapterPlaces
