coordinator: what a wish is told counts the models that wait before it

Cause: the time told to a refused caller took the queue as models / servers, in whole numbers: nothing, until there were as many waiting models as servers. And a wish was forgotten 6 s after it was last told, so that a caller who had been told a longer time found nothing (TestRefusedWishesAreKept failed: two of three models loaded).

After each plan the queued models are laid over the servers, in the decider's order of urgency, each where it is ready first; a wish counts until the caller should be back.

--- a/pkg/coordinator/adapters.go
+++ b/pkg/coordinator/adapters.go
@@ -20,7 +20,7 @@
 			continue
 		}
 		h.touch(now, service, need, d)
-		if !d.wished(now) || h.heldBy(now, service, need) != "" || h.adapterUnderWay(now, service, need) {
+		if !d.waits(now) || h.heldBy(now, service, need) != "" || h.adapterUnderWay(now, service, need) {
 			continue
 		}
 		if s := h.adapterServer(now, service, need, e); s != nil {
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -24,6 +24,7 @@
 	nodeExpiry   = 3 * time.Second
 	wishTime     = 6 * time.Second         // how long a wish counts after it was last told
 	learnTime    = 1200 * time.Millisecond // in which a new holder hears what is in use
+	returnTime   = 1500 * time.Millisecond // in which a refused request is back after its model was ready
 )
 
 // Holder decides for the site while this node holds the lease. All its state
@@ -57,7 +58,7 @@
 	resumeAt time.Time // when orders are given again after the store failed
 	planned  time.Time // the end of the last plan
 	planTook time.Duration
-	unserved map[string]int // by service, at the last plan
+	expected map[string]map[string]time.Time // when queued models will be ready, by service
 }
 
 // Ceiling bounds the loads from the weight store in any window.
@@ -82,7 +83,7 @@
 type demand struct {
 	rate     rate
 	last     time.Time // arrival
-	wishedAt time.Time // last wish without a server
+	wished   time.Time // until when a wish without a server counts
 	deadline time.Time
 	priority int // 0 is the most urgent
 	request  string
@@ -139,7 +140,7 @@
 	h.demands = make(map[demandKey]*demand)
 	h.servers = make(map[string]*serverState)
 	h.fetches = nil
-	h.unserved = make(map[string]int)
+	h.expected = make(map[string]map[string]time.Time)
 	record, _ := h.Lease.Current()
 	now, storeNow := time.Now(), h.Lease.Now()
 	h.learned = now.Add(learnTime)
@@ -271,10 +272,8 @@
 	return d
 }
 
-// wished tells whether a request waits for the model.
-func (d *demand) wished(now time.Time) bool {
-	return !d.wishedAt.IsZero() && now.Sub(d.wishedAt) < wishTime
-}
+// waits tells whether a request waits for the model.
+func (d *demand) waits(now time.Time) bool { return now.Before(d.wished) }
 
 // wish takes in that a node lacks a model.
 func (h *Holder) wish(now time.Time, w WishMessage) WishAnswer {
@@ -283,15 +282,15 @@
 	}
 	need := backend.ParseNeed(w.Need)
 	d := h.demand(demandKey{w.Service, w.Need})
-	first := !d.wished(now)
-	d.wishedAt, d.last = now, now
+	first := !d.waits(now)
+	d.wished, d.last = latest(d.wished, now.Add(wishTime)), now
 	d.priority, d.deadline, d.request = w.Priority, now.Add(w.Left), w.RequestID
 	answer := WishAnswer{Term: h.term}
 	h.doubtHolding(now, w.Missing, need)
 	if server := h.heldBy(now, w.Service, need); server != "" {
 		answer.Server = server
 		h.tell(Notice{Server: server, Need: w.Need, Holds: true})
-		d.wishedAt = time.Time{}
+		d.wished = time.Time{}
 		return answer
 	}
 	if h.mayPlan(now) {
@@ -301,6 +300,8 @@
 		h.planSoon = true
 	}
 	answer.ReadyIn = h.readyIn(now, w.Service, need)
+	// Who is refused for now comes back about then.
+	d.wished = latest(d.wished, now.Add(answer.ReadyIn+returnTime))
 	if first {
 		h.Logger.Info("wish", "request_id", w.RequestID, "service", w.Service, "model", w.Need,
 			"priority", w.Priority, "ready_in_ms", answer.ReadyIn.Milliseconds())
@@ -318,7 +319,7 @@
 		}
 	}
 	for key, d := range h.demands {
-		if !d.wished(now) && d.rate.at(now) < 0.001 && now.Sub(d.last) > time.Minute {
+		if !d.waits(now) && d.rate.at(now) < leastRate && now.Sub(d.last) > time.Minute {
 			delete(h.demands, key)
 		}
 	}
--- /dev/null
+++ b/pkg/coordinator/outlook.go
@@ -0,0 +1,152 @@
+package coordinator
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/route"
+)
+
+// queued is a model that requests wait for and that no server holds or loads.
+type queued struct {
+	model    *route.Model
+	priority int // 0 is the most urgent
+	deadline time.Time
+}
+
+// before orders models as the decider does those that can be in time.
+func (q queued) before(other queued) int {
+	return cmp.Or(
+		cmp.Compare(q.priority, other.priority),
+		q.deadline.Compare(other.deadline),
+		cmp.Compare(q.model.Name, other.model.Name),
+	)
+}
+
+// loader is a server that takes one load after the other.
+type loader struct {
+	free time.Time // from when it may take the next
+}
+
+// loaders returns the servers of a service that loads may be given to.
+func (h *Holder) loaders(now time.Time, service string) []loader {
+	var list []loader
+	for _, s := range h.servers {
+		if s.member == nil || s.member.Service != service || s.member.Leaving() {
+			continue
+		}
+		free := latest(now, s.quietUntil)
+		if s.busy != nil {
+			free = latest(free, s.busy.readyAt)
+		}
+		list = append(list, loader{free})
+	}
+	return list
+}
+
+// queue returns the models of a service that wait for a server, the most urgent
+// first.
+func (h *Holder) queue(e *route.Engine, w *wanted, present map[string]int) []queued {
+	var list []queued
+	for name, wishes := range w.wishes {
+		m := e.Models[name]
+		if m == nil || present[name] > 0 {
+			continue
+		}
+		q := queued{model: m, priority: wishes[0].priority, deadline: wishes[0].deadline}
+		for _, d := range wishes[1:] {
+			q.priority = min(q.priority, d.priority)
+			if d.deadline.Before(q.deadline) {
+				q.deadline = d.deadline
+			}
+		}
+		list = append(list, q)
+	}
+	slices.SortFunc(list, queued.before)
+	return list
+}
+
+// expect works out when each queued model will be ready: each goes, in its turn,
+// to the server that has it ready first.
+func expect(queue []queued, loaders []loader) map[string]time.Time {
+	ready := make(map[string]time.Time, len(queue))
+	for _, q := range queue {
+		best, at := -1, time.Time{}
+		for i := range loaders {
+			if done := loaders[i].ready(q.model); best < 0 || done.Before(at) {
+				best, at = i, done
+			}
+		}
+		if best < 0 {
+			return ready
+		}
+		loaders[best].free = at
+		ready[q.model.Name] = at
+	}
+	return ready
+}
+
+// ready returns when the server would have the model ready at the latest, after
+// room was made. A copy near the server is left out: the decider may choose
+// another one, and a caller who comes back too early is worse off than one who
+// comes back late.
+func (l *loader) ready(m *route.Model) time.Time {
+	return l.free.Add(unloadTime + m.LoadTime)
+}
+
+// readyIn returns when a model is expected to be ready, zero if its service has
+// no engine for it.
+func (h *Holder) readyIn(now time.Time, service string, need backend.Need) time.Duration {
+	if left, loading := h.loadingLeft(now, service, need.Model); loading {
+		return left
+	}
+	if need.Adapter != "" && h.heldBy(now, service, backend.Need{Model: need.Model}) != "" {
+		return 2 * adapterTime
+	}
+	if at, known := h.expected[service][need.Model]; known && at.After(now) {
+		return at.Sub(now)
+	}
+	return h.readyAlone(now, service, need.Model)
+}
+
+// readyAlone returns when a model that is not queued yet would be ready if it
+// were the only one.
+func (h *Holder) readyAlone(now time.Time, service, model string) time.Duration {
+	table := h.Routes()
+	if table == nil || table.Service(service) == nil || table.Service(service).Engine == nil {
+		return 0
+	}
+	m := table.Service(service).Engine.Models[model]
+	if m == nil {
+		return 0
+	}
+	at, found := expect([]queued{{model: m}}, h.loaders(now, service))[model]
+	if !found {
+		return 0
+	}
+	return at.Sub(now)
+}
+
+// loadingLeft returns how long the load of a model still takes that is under way.
+func (h *Holder) loadingLeft(now time.Time, service, model string) (time.Duration, bool) {
+	left, loading := time.Duration(0), false
+	for _, s := range h.servers {
+		if s.member == nil || s.member.Service != service || s.busy == nil || !s.busy.load || s.busy.need.Model != model {
+			continue
+		}
+		if l := max(s.busy.readyAt.Sub(now), tickInterval/4); !loading || l < left {
+			left, loading = l, true
+		}
+	}
+	return left, loading
+}
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/pkg/coordinator/outlook_test.go
@@ -0,0 +1,92 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"martenwheel.dev/pkg/route"
+)
+
+// TestExpectTakesTurns: models go in the order of their urgency to the server
+// that has them ready first.
+func TestExpectTakesTurns(t *testing.T) {
+	now := time.Now()
+	after := func(d time.Duration) time.Time { return now.Add(d) }
+	model := func(name string) *route.Model {
+		return &route.Model{Name: name, LoadTime: 4 * time.Second, DiskTime: 2 * time.Second, MemoryTime: time.Second}
+	}
+	urgent := queued{model: model("urgent"), deadline: after(9 * time.Second)}
+	early := queued{model: model("early"), priority: 2, deadline: after(10 * time.Second)}
+	late := queued{model: model("late"), priority: 2, deadline: after(20 * time.Second)}
+	if late.before(early) < 0 || early.before(urgent) < 0 {
+		t.Error("the queue is out of order")
+	}
+	got := expect([]queued{urgent, early, late}, []loader{{after(2 * time.Second)}, {now}})
+	want := map[string]time.Time{
+		"urgent": after(unloadTime + 4*time.Second),                 // at the second, which is free
+		"early":  after(2*time.Second + unloadTime + 4*time.Second), // at the first, after its load under way
+		"late":   after(2*unloadTime + 8*time.Second),               // at the second again
+	}
+	for name, at := range want {
+		if got[name] != at {
+			t.Errorf("%s is expected after %v, want %v", name, got[name].Sub(now), at.Sub(now))
+		}
+	}
+	if got := expect([]queued{urgent}, nil); len(got) != 0 {
+		t.Errorf("without servers %v is expected", got)
+	}
+}
+
+// TestOutlookCountsTheQueue wishes many models of two servers at once. What is
+// told to the last is about what it takes.
+func TestOutlookCountsTheQueue(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		const wishes = 6
+		s := newSite(t, []string{"m0", "m1"}, []string{"m2", "m3"})
+		n := s.start("a")
+		time.Sleep(time.Second)
+		for i := range wishes {
+			n.wish(t, fmt.Sprintf("m%d", 10+i))
+		}
+		time.Sleep(200 * time.Millisecond)
+		last, told := "", time.Duration(0)
+		for i := range wishes {
+			name := fmt.Sprintf("m%d", 10+i)
+			if answer := n.wish(t, name); answer.ReadyIn > told {
+				last, told = name, answer.ReadyIn
+			}
+		}
+		began := time.Now()
+		wishUntil(t, n, last, 30*time.Second)
+		took := time.Since(began)
+		if told < took/2 || told > 3*took/2 {
+			t.Errorf("the last was told %v and took %v", told, took)
+		}
+		n.stop()
+	})
+}
+
+// TestRefusedWishesAreKept: who was told when to come back finds the model then,
+// though nobody waited for it meanwhile.
+func TestRefusedWishesAreKept(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSite(t, []string{"m0", "m1"})
+		n := s.start("a")
+		time.Sleep(time.Second)
+		longest := time.Duration(0)
+		for _, name := range []string{"m10", "m11", "m12"} {
+			n.wish(t, name)
+			time.Sleep(200 * time.Millisecond)
+			longest = max(longest, n.wish(t, name).ReadyIn)
+		}
+		if longest < 2*loadTime {
+			t.Fatalf("the longest wait is told as %v", longest)
+		}
+		time.Sleep(longest + 2*time.Second)
+		if loads := len(s.engines.loads()); loads != 3 {
+			t.Errorf("%d models were loaded of 3 that were wished", loads)
+		}
+		n.stop()
+	})
+}
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -26,7 +26,6 @@
 	wishes   map[string][]*demand // of models and their adapters, by model
 	adapters map[string]int       // that were asked for lately, by model
 	inFlight map[string]int       // by model
-	unserved int                  // models that requests wait for and no server loads
 }
 
 // gather reads all demands of a service.
@@ -37,7 +36,7 @@
 			continue
 		}
 		need := backend.ParseNeed(key.need)
-		if d.wished(now) {
+		if d.waits(now) {
 			w.wishes[need.Model] = append(w.wishes[need.Model], d)
 		}
 		if need.Adapter != "" && now.Sub(d.last) < adapterUseTime {
@@ -51,12 +50,6 @@
 			}
 		}
 	}
-	under := h.presence(service)
-	for model := range w.wishes {
-		if under[model] == 0 {
-			w.unserved++
-		}
-	}
 	return w
 }
 
@@ -124,7 +117,8 @@
 
 // planModels asks the decider and gives its orders.
 func (h *Holder) planModels(now time.Time, service string, e *route.Engine) {
-	input := h.input(now, service, e)
+	w := h.gather(now, service)
+	input := h.input(now, service, e, &w)
 	loading := 0
 	for _, s := range h.servers {
 		if s.busy != nil && s.busy.load {
@@ -156,6 +150,7 @@
 		loading++
 		h.give(s, o, fetch, expected, action.Reason)
 	}
+	h.expected[service] = expect(h.queue(e, &w, h.presence(service)), h.loaders(now, service))
 }
 
 // mayFetch tells whether one more load may start from the weight store.
@@ -203,7 +198,7 @@
 }
 
 // input describes the service for the decider.
-func (h *Holder) input(now time.Time, service string, e *route.Engine) policy.Input {
+func (h *Holder) input(now time.Time, service string, e *route.Engine, w *wanted) policy.Input {
 	input := policy.Input{LoadSlots: len(h.servers), LoadRate: e.LoadsPerSecond * h.Ceiling.Window.Seconds()}
 	for _, s := range h.servers {
 		if s.member == nil || s.member.Service != service {
@@ -217,12 +212,10 @@
 		})
 	}
 	slices.SortFunc(input.Servers, func(a, b policy.Server) int { return cmp.Compare(a.ID, b.ID) })
-	w := h.gather(now, service)
-	h.unserved[service] = w.unserved
 	present := h.presence(service)
 	for name, m := range e.Models {
 		if present[name] > 0 || len(w.wishes[name]) > 0 {
-			input.Models = append(input.Models, h.modelInput(now, service, m, e, &w, len(input.Servers)))
+			input.Models = append(input.Models, h.modelInput(now, service, m, e, w, len(input.Servers)))
 		}
 	}
 	slices.SortFunc(input.Models, func(a, b policy.Model) int { return cmp.Compare(a.Name, b.Name) })
