policy: a model waits for a busy server with a copy if it is ready sooner there

Ruled out as a cause: the choice among free servers, which follows the time; free servers with copies that were passed over held two models with requests under way.

The decider is told how long a server is busy. A load is put off if a busy server with a copy would have the model ready half a second sooner than the best free one; one model a server, and no request waits so for more than 3 s.

--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -83,6 +83,7 @@
 type demand struct {
 	rate     rate
 	last     time.Time // arrival
+	since    time.Time // of the first wish that counts
 	wished   time.Time // until when a wish without a server counts
 	deadline time.Time
 	priority int // 0 is the most urgent
@@ -283,6 +284,9 @@
 	need := backend.ParseNeed(w.Need)
 	d := h.demand(demandKey{w.Service, w.Need})
 	first := !d.waits(now)
+	if first {
+		d.since = now
+	}
 	d.wished, d.last = latest(d.wished, now.Add(wishTime)), now
 	d.priority, d.deadline, d.request = w.Priority, now.Add(w.Left), w.RequestID
 	answer := WishAnswer{Term: h.term}
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -209,6 +209,7 @@
 			Leaving:   s.member.Leaving(),
 			Reachable: s.usable(now) && s.doubt == nil && (s.busy == nil || !s.busy.load),
 			Cached:    s.cachedTiers(),
+			BusyFor:   s.loadsFor(now),
 		})
 	}
 	slices.SortFunc(input.Servers, func(a, b policy.Server) int { return cmp.Compare(a.ID, b.ID) })
@@ -222,6 +223,15 @@
 	return input
 }
 
+// loadsFor returns how long the load under way is still expected to take, zero if
+// there is none or if it is overdue.
+func (s *serverState) loadsFor(now time.Time) time.Duration {
+	if s.busy == nil || !s.busy.load || s.unsure || s.doubt != nil {
+		return 0
+	}
+	return max(s.busy.readyAt.Sub(now), 0)
+}
+
 func (s *serverState) cachedTiers() map[string]engine.CacheTier {
 	tiers := make(map[string]engine.CacheTier, len(s.cached))
 	for name, t := range s.cached {
@@ -297,6 +307,9 @@
 	for _, d := range wishes {
 		model.Demand.Waiting++
 		model.Demand.HighestPriority = max(model.Demand.HighestPriority, mostUrgent-d.priority)
+		if model.Demand.WaitingSince.IsZero() || d.since.Before(model.Demand.WaitingSince) {
+			model.Demand.WaitingSince = d.since
+		}
 		if model.Demand.EarliestDeadline.IsZero() || d.deadline.Before(model.Demand.EarliestDeadline) {
 			model.Demand.EarliestDeadline = d.deadline
 		}
--- a/pkg/policy/decide_test.go
+++ b/pkg/policy/decide_test.go
@@ -41,6 +41,15 @@
 	}
 }
 
+// busyWithCopy is a server that loads something else and has copies near it.
+func busyWithCopy(name string, busyFor time.Duration) Server {
+	server := testServer(name, 80)
+	server.Reachable = false
+	server.BusyFor = busyFor
+	server.Cached = map[string]engine.CacheTier{"a": engine.TierMemory, "b": engine.TierDisk}
+	return server
+}
+
 func waiting(requests int, deadline time.Duration) Demand {
 	return Demand{Waiting: requests, EarliestDeadline: testNow.Add(deadline), LastArrival: testNow}
 }
@@ -68,6 +77,53 @@
 			},
 			want: []string{"load a on s2 urgent"},
 		},
+		{
+			name:   "a model waits for a busy server with a copy if it is ready sooner there",
+			policy: NameDemandFirst,
+			input: Input{
+				Models: []Model{testModel("a", func(m *Model) {
+					m.Demand = waiting(1, time.Minute)
+					m.Demand.WaitingSince = testNow.Add(-time.Second)
+				})},
+				Servers: []Server{testServer("s1", 80), busyWithCopy("s2", 3*time.Second)},
+			},
+		},
+		{
+			name:   "a model does not wait for a busy server that is free too late",
+			policy: NameDemandFirst,
+			input: Input{
+				Models: []Model{testModel("a", func(m *Model) {
+					m.Demand = waiting(1, time.Minute)
+					m.Demand.WaitingSince = testNow
+				})},
+				Servers: []Server{testServer("s1", 80), busyWithCopy("s2", 7*time.Second)},
+			},
+			want: []string{"load a on s1 urgent"},
+		},
+		{
+			name:   "a model that waits for long takes what there is",
+			policy: NameDemandFirst,
+			input: Input{
+				Models: []Model{testModel("a", func(m *Model) {
+					m.Demand = waiting(1, time.Minute)
+					m.Demand.WaitingSince = testNow.Add(-2 * longestDefer)
+				})},
+				Servers: []Server{testServer("s1", 80), busyWithCopy("s2", 3*time.Second)},
+			},
+			want: []string{"load a on s1 urgent"},
+		},
+		{
+			name:   "one model waits for a busy server, the next one does not",
+			policy: NameDemandFirst,
+			input: Input{
+				Models: []Model{
+					testModel("a", func(m *Model) { m.Demand = waiting(1, time.Minute); m.Demand.WaitingSince = testNow }),
+					testModel("b", func(m *Model) { m.Demand = waiting(1, time.Hour); m.Demand.WaitingSince = testNow }),
+				},
+				Servers: []Server{testServer("s1", 80), busyWithCopy("s2", 3*time.Second)},
+			},
+			want: []string{"load b on s1 urgent"},
+		},
 		{
 			name:   "a cached checkpoint beats the best fit",
 			policy: NameFixedKeepAlive,
--- a/pkg/policy/placement.go
+++ b/pkg/policy/placement.go
@@ -1,6 +1,8 @@
 package policy
 
 import (
+	"time"
+
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/engine"
 )
@@ -172,9 +174,48 @@
 			best = candidate
 		}
 	}
+	if best.server != nil && p.soonerLater(model, best) {
+		return placement{}
+	}
 	return best
 }
 
+// Bounds of waiting for a server that has a copy of a checkpoint.
+const (
+	leastGain    = 0.5             // seconds that a model is to be ready sooner
+	longestDefer = 3 * time.Second // that a request waits without a load
+)
+
+// soonerLater tells whether a busy server would have the model ready sooner than
+// placed, since it has a copy of the checkpoint. It is then kept for the model.
+func (p *plan) soonerLater(model *Model, placed placement) bool {
+	since := model.Demand.WaitingSince
+	if since.IsZero() || p.now.Sub(since) > longestDefer {
+		return false
+	}
+	var best *serverPlan
+	ready := placed.seconds - leastGain
+	for i := range p.servers {
+		server := &p.servers[i]
+		if server.BusyFor <= 0 || server.Leaving || p.holds(model, server.ID) {
+			continue
+		}
+		tier := p.tierOn(model, server)
+		if tier == tierRemote {
+			continue
+		}
+		seconds := server.busyFor + evictionSeconds + model.Settings.LoadTime.Seconds()*tier.loadShare()
+		if seconds < ready {
+			best, ready = server, seconds
+		}
+	}
+	if best == nil {
+		return false
+	}
+	best.busyFor = ready
+	return true
+}
+
 // placeOn works out what a load on one server takes; false if it has not
 // enough memory that may be freed.
 func (d decider) placeOn(p *plan, model *Model, server *serverPlan, need uint64) (placement, bool) {
--- a/pkg/policy/plan.go
+++ b/pkg/policy/plan.go
@@ -47,8 +47,9 @@
 // serverPlan is a server with what the plan changes on it.
 type serverPlan struct {
 	*Server
-	free     uint64 // bytes that a load may take now
-	freeSoon uint64 // bytes of replicas that are being unloaded
+	free     uint64  // bytes that a load may take now
+	freeSoon uint64  // bytes of replicas that are being unloaded
+	busyFor  float64 // seconds until the loads are done that are under way or are to wait for it
 
 	cachedKnown bool // cachedBytes was worked out
 	cachedBytes uint64
@@ -70,7 +71,7 @@
 		kin:     make([]kin, len(input.Models)),
 	}
 	for i := range input.Servers {
-		p.servers[i] = serverPlan{Server: &input.Servers[i], free: input.Servers[i].FreeBytes}
+		p.servers[i] = serverPlan{Server: &input.Servers[i], free: input.Servers[i].FreeBytes, busyFor: input.Servers[i].BusyFor.Seconds()}
 	}
 	p.linkAdapters()
 	p.countReplicas()
--- a/pkg/policy/types.go
+++ b/pkg/policy/types.go
@@ -42,6 +42,7 @@
 	InFlight         int
 	HighestPriority  int
 	EarliestDeadline time.Time // of the waiting requests; zero if none
+	WaitingSince     time.Time // of the first of them; zero if it is not known
 	LastArrival      time.Time
 	Rate             float64 // arrivals a second lately; zero if it is not known
 }
@@ -56,6 +57,9 @@
 	Reachable     bool
 	Loading       int                         // loads under way on it
 	Cached        map[string]engine.CacheTier // by checkpoint
+	// BusyFor is how long the load under way still takes on a server that may
+	// take another one after it; zero if there is none.
+	BusyFor time.Duration
 }
 
 // Input is what a decision is made from.
