--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -218,10 +218,6 @@
 	if err := c.begin(x); err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
-	type wrote struct {
-		n   int
-		err error
-	}
 	writing := make(chan wrote, 1)
 	go func() {
 		w := counted{Conn: c.Conn}
@@ -246,14 +242,9 @@
 			if a.err != nil {
 				return nil, errors.Wrap(ErrNoAnswer, a.err.Error())
 			}
-			if writing != nil {
-				select {
-				case end := <-writing:
-					whole = end.err == nil
-				default:
-				}
-			}
-			return newAnswer(ctx, c, x, a.response, whole), nil
+			answer := newAnswer(ctx, c, x, a.response)
+			answer.whole, answer.writing = whole, writing
+			return answer, nil
 		case <-ctx.Done():
 			c.abandon(x, context.Cause(ctx))
 			return nil, errors.Wrap(ErrNoAnswer, context.Cause(ctx).Error())
@@ -261,6 +252,12 @@
 	}
 }
 
+// wrote tells how the writing of a message ended.
+type wrote struct {
+	n   int
+	err error
+}
+
 // abandon ends the connection and an exchange whose answer nobody reads.
 func (c *conn) abandon(x *exchange, err error) {
 	c.fail(err)
@@ -280,15 +277,16 @@
 	conn     *conn
 	exchange *exchange
 	body     io.ReadCloser
-	whole    bool // the request was written to its end
-	ended    bool // the body was read to its end
+	whole    bool         // the request was written to its end
+	writing  <-chan wrote // tells it, if it was not known when the answer came
+	ended    bool         // the body was read to its end
 	closed   bool
 	stop     func() bool
 }
 
-func newAnswer(ctx context.Context, c *conn, x *exchange, r *http.Response, whole bool) *Answer {
+func newAnswer(ctx context.Context, c *conn, x *exchange, r *http.Response) *Answer {
 	a := &Answer{Status: r.StatusCode, Header: r.Header, Length: r.ContentLength,
-		conn: c, exchange: x, body: r.Body, whole: whole}
+		conn: c, exchange: x, body: r.Body}
 	a.stop = context.AfterFunc(ctx, func() { c.fail(context.Cause(ctx)) })
 	return a
 }
@@ -309,6 +307,25 @@
 // ReadBy bounds the wait for the next bytes; zero: no bound.
 func (a *Answer) ReadBy(t time.Time) { _ = a.conn.SetReadDeadline(t) }
 
+// writeRest is how long the end of a request is waited for whose answer has come
+// to its end: mostly it was written and only its writer did not tell yet.
+const writeRest = 20 * time.Millisecond
+
+// wrote tells whether the request was written to its end.
+func (a *Answer) wrote() bool {
+	if a.whole || a.writing == nil {
+		return a.whole
+	}
+	timer := time.NewTimer(writeRest)
+	defer timer.Stop()
+	select {
+	case end := <-a.writing:
+		return end.err == nil
+	case <-timer.C:
+		return false
+	}
+}
+
 // Close ends the reading. The connection is kept if the body was read to its
 // end; else it closes, which stops the server's work.
 func (a *Answer) Close() {
@@ -319,7 +336,7 @@
 	if !a.stop() {
 		a.ended = false
 	}
-	if a.ended && a.whole {
+	if a.ended && a.wrote() {
 		_ = a.conn.SetReadDeadline(time.Time{})
 		a.exchange.done <- true
 		return
--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -91,7 +91,9 @@
 	servers map[string]*engineState
 	orders  []given
 	silent  int // orders that are taken and not answered
+	lost    int // orders that never come
 	load    time.Duration
+	delay   time.Duration // of an order's answer
 	late    []func()
 }
 
@@ -136,8 +138,14 @@
 
 // Give implements Orders.
 func (e *engines) Give(ctx context.Context, s *backend.Member, o Order) (Result, error) {
-	time.Sleep(5 * time.Millisecond)
+	time.Sleep(max(e.delay, 5*time.Millisecond))
 	e.mu.Lock()
+	if e.lost > 0 {
+		e.lost--
+		e.mu.Unlock()
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
 	if e.silent > 0 {
 		e.silent--
 		e.late = append(e.late, func() { e.take(s.ID, o) })
@@ -250,6 +258,13 @@
 	e.silent = n
 }
 
+// loseOrders loses so many orders.
+func (e *engines) loseOrders(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lost = n
+}
+
 // loads returns the orders that began a load of a model.
 func (e *engines) loads() []given {
 	var list []given
@@ -331,7 +346,13 @@
 // wish asks the node's holder for a model.
 func (n *node) wish(t *testing.T, need string) WishAnswer {
 	t.Helper()
-	reply, err := n.holder.HandleMessage(t.Context(), api.NodeRef{}, WishMessage{Service: "s", Need: need, Priority: 2, Left: 20 * time.Second})
+	return n.wishWith(t, need, 2)
+}
+
+// wishWith tells a wish of a priority, 0 being the most urgent.
+func (n *node) wishWith(t *testing.T, need string, priority int) WishAnswer {
+	t.Helper()
+	reply, err := n.holder.HandleMessage(t.Context(), api.NodeRef{}, WishMessage{Service: "s", Need: need, Priority: priority, Left: 20 * time.Second})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/coordinator/holder_test.go
+++ b/pkg/coordinator/holder_test.go
@@ -216,3 +216,65 @@
 		n.stop()
 	})
 }
+
+// TestRepeatsLeaveTheFirstOrderInDoubt: an order without an answer is repeated,
+// the repeat fails for another reason, and then the first takes effect. What it
+// loads is counted. The engines report an order beyond their memory.
+func TestRepeatsLeaveTheFirstOrderInDoubt(t *testing.T) {
+	for name, fail := range map[string]func(s *site){
+		"the repeat is not written": func(s *site) { s.row.setDown(true) },
+		"the repeat conflicts":      func(s *site) { s.engines.carryOutLate() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				s := newSite(t, nil)
+				before := s.start("a")
+				time.Sleep(time.Second)
+				wishUntil(t, before, "m4", 10*time.Second)
+				before.stop()
+				n := s.start("b") // whose lease still lists the order for m4
+				time.Sleep(2 * time.Second)
+				wishUntil(t, n, "m4", 10*time.Second)
+				time.Sleep(3 * time.Second)
+				s.engines.loseAnswers(1)
+				n.wish(t, "m5")
+				time.Sleep(orderTimeout + 50*time.Millisecond) // in doubt, not repeated yet
+				fail(s)
+				time.Sleep(900 * time.Millisecond)
+				s.engines.carryOutLate()
+				s.row.setDown(false)
+				for range 20 {
+					n.wishWith(t, "m6", 0)
+					time.Sleep(100 * time.Millisecond)
+				}
+				wishUntil(t, n, "m5", 10*time.Second)
+				wishUntil(t, n, "m6", 10*time.Second)
+				n.stop()
+			})
+		})
+	}
+}
+
+// TestAdaptersInDoubtForLongKeepTheirPlace: the order of an adapter is answered at
+// last, while others wait for the same place. The engines report an order beyond
+// their places.
+func TestAdaptersInDoubtForLongKeepTheirPlace(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSite(t, []string{"m0"})
+		n := s.start("a")
+		time.Sleep(time.Second)
+		wishUntil(t, n, "m0/a1", 5*time.Second)
+		s.engines.delay = 2 * planPause // so that a plan comes with the answer
+		s.engines.loseOrders(int(2 * arriveTime / orderTimeout))
+		for range 60 {
+			for _, need := range []string{"m0/a2", "m0/a3", "m0/a4"} {
+				n.wish(t, need)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		for _, need := range []string{"m0/a2", "m0/a3", "m0/a4"} {
+			wishUntil(t, n, need, 10*time.Second)
+		}
+		n.stop()
+	})
+}
--- a/pkg/coordinator/orders.go
+++ b/pkg/coordinator/orders.go
@@ -128,13 +128,19 @@
 	if err != nil || result != Accepted {
 		h.Logger.Info("order answered", "server", s.id, "model", o.need.String(), "load", o.load, "result", result, "error", err)
 	}
+	// The one before may still take effect, whatever became of its repeat.
+	repeated := s.doubt != nil
 	if errors.Is(err, errNotWritten) {
-		h.undo(s, o)
+		if !repeated {
+			h.undo(s, o)
+		}
 		h.resumeAt = now.Add(reportPause) // the store fails, not the server
 		return
 	}
 	if errors.Is(err, ErrNotGiven) {
-		h.undo(s, o)
+		if !repeated {
+			h.undo(s, o)
+		}
 		s.failures++
 		s.avoidUntil = now.Add(time.Duration(min(s.failures, 8)) * reportPause)
 		return
@@ -146,6 +152,10 @@
 		s.avoidUntil = now.Add(reportPause)
 		return
 	}
+	if repeated && result == Conflict {
+		s.failures, s.reportAt = 0, now // which tells whether the one before was taken
+		return
+	}
 	s.failures, s.doubt = 0, nil
 	if result == Accepted || result == Already {
 		s.acceptedAt = now
@@ -203,6 +213,9 @@
 		s.unsure, s.reportAt = true, now.Add(reportLag)
 		return
 	}
+	if known := s.holds[o.need.Model]; known != nil {
+		known.arriving[o.need.Adapter] = now.Add(arriveTime) // it may have been ordered long ago
+	}
 	time.AfterFunc(adapterTime, func() {
 		h.post(func() { h.holdsNow(time.Now(), s, o) })
 	})
