coordinator: orders arrive within the permit that the next holder counts on

An order whose intent took 0.7 s to be written had half a second more for itself, and arrived 1.1 s after the time that the next holder counts from; it adds 0.8 s (PermitTime). Orders now end with their permit. Ruled out: the fence, which was right. TestONEOrdersArriveWithinThePermit failed before (1.2 s).

--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -36,6 +36,7 @@
 	mu      sync.Mutex
 	stored  lease.Stored
 	down    bool
+	slow    time.Duration // until a write is done
 	started time.Time
 }
 
@@ -53,6 +54,10 @@
 }
 
 func (r *row) Write(_ context.Context, next lease.Record, version uint64) (lease.Stored, error) {
+	r.mu.Lock()
+	slow := r.slow
+	r.mu.Unlock()
+	time.Sleep(slow)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.down {
@@ -67,6 +72,12 @@
 	return r.stored, nil
 }
 
+func (r *row) setSlow(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.slow = d
+}
+
 func (r *row) setDown(down bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -139,6 +150,9 @@
 // Give implements Orders.
 func (e *engines) Give(ctx context.Context, s *backend.Member, o Order) (Result, error) {
 	time.Sleep(max(e.delay, 5*time.Millisecond))
+	if ctx.Err() != nil {
+		return 0, ctx.Err()
+	}
 	e.mu.Lock()
 	if e.lost > 0 {
 		e.lost--
--- a/pkg/coordinator/holder_test.go
+++ b/pkg/coordinator/holder_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"martenwheel.dev/pkg/lease"
 )
 
 // wishUntil tells the wish again, as nodes do, until a server holds the model.
@@ -278,3 +280,27 @@
 		n.stop()
 	})
 }
+
+// TestONEOrdersArriveWithinThePermit: the next holder leaves a server alone for a
+// time that begins when the intent was written. An order after a slow write gets
+// what is left of the permit and no more.
+func TestONEOrdersArriveWithinThePermit(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSite(t, []string{"m0"})
+		n := s.start("a")
+		time.Sleep(time.Second)
+		s.row.setSlow(600 * time.Millisecond)
+		s.engines.delay = 400 * time.Millisecond
+		wished := time.Now()
+		n.wish(t, "m5")
+		time.Sleep(2 * time.Second)
+		for _, g := range s.engines.given() {
+			if after := g.at.Sub(wished); after > lease.PermitTime {
+				t.Errorf("an order arrived %v after its wish", after)
+			}
+		}
+		s.row.setSlow(0)
+		wishUntil(t, n, "m5", 20*time.Second)
+		n.stop()
+	})
+}
--- a/pkg/coordinator/orders.go
+++ b/pkg/coordinator/orders.go
@@ -115,7 +115,11 @@
 	if permit.Term != o.Fence || !permit.Valid() {
 		return 0, errNotWritten
 	}
-	ctx, cancel := context.WithTimeout(h.life, orderTimeout)
+	end := time.Now().Add(orderTimeout)
+	if permit.Until.Before(end) {
+		end = permit.Until // the next holder counts on it
+	}
+	ctx, cancel := context.WithDeadline(h.life, end)
 	defer cancel()
 	return h.Orders.Give(ctx, server, o)
 }
--- a/pkg/coordinator/world_test.go
+++ b/pkg/coordinator/world_test.go
@@ -256,7 +256,9 @@
 		time.AfterFunc(w.between(time.Millisecond, 3*time.Second), func() { w.take(m.ID, o, true) })
 		return 0, hang(ctx)
 	}
-	n.delay(ctx)
+	if n.delay(ctx); ctx.Err() != nil {
+		return 0, errLost // the connection closed before
+	}
 	result := w.take(m.ID, o, thawed)
 	if !n.awake() || ctx.Err() != nil || w.chance(func(t trouble) float64 { return t.loseAnswer }) {
 		return 0, hang(ctx)
