--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -171,6 +171,13 @@
 	return e.take(s.ID, o), nil
 }
 
+// someLate tells whether an order was not answered and is not carried out yet.
+func (e *engines) someLate() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.late) > 0
+}
+
 // carryOutLate carries out the orders that were not answered.
 func (e *engines) carryOutLate() {
 	e.mu.Lock()
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -148,7 +148,7 @@
 	for _, i := range record.Intents {
 		at := now.Add(-time.Duration(storeNow-i.At) * time.Millisecond)
 		s := h.server(i.Server)
-		s.quietUntil = at.Add(h.Turns + lease.PermitTime)
+		s.quietUntil, s.recheck = at.Add(h.Turns+lease.PermitTime), true
 		if !strings.Contains(i.Need, adapterMark) {
 			s.inherited = i
 		}
--- a/pkg/coordinator/holder_test.go
+++ b/pkg/coordinator/holder_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/lease"
 )
 
@@ -304,3 +305,61 @@
 		n.stop()
 	})
 }
+
+// TestLateOrdersOfALastHolderAreSeen: an order of the last holder takes effect
+// after the new one has asked the server and before it may order there. The
+// engines report an order beyond their memory.
+func TestLateOrdersOfALastHolderAreSeen(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSite(t, []string{"m0"})
+		before := s.start("a")
+		time.Sleep(time.Second)
+		s.engines.loseAnswers(1)
+		before.wish(t, "m5")
+		for !s.engines.someLate() {
+			time.Sleep(time.Millisecond)
+		}
+		before.stop() // its order is on its way
+		n := s.start("b")
+		for _, held := n.lease.Held(); !held; _, held = n.lease.Held() {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(2 * tickInterval)
+		s.engines.carryOutLate()
+		for range 40 {
+			n.wishWith(t, "m6", 0)
+			time.Sleep(100 * time.Millisecond)
+		}
+		wishUntil(t, n, "m6", 10*time.Second)
+		n.stop()
+	})
+}
+
+// TestRecordsFromBeforeALoadDoNotEndIt: a model is loaded again right after it
+// made way, and the record that comes meanwhile still lists it from before.
+func TestRecordsFromBeforeALoadDoNotEndIt(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSite(t, []string{"m0", "m1"})
+		n := s.start("a")
+		time.Sleep(time.Second)
+		wishUntil(t, n, "m5", 10*time.Second)
+		gone := "m0"
+		for _, g := range s.engines.given() {
+			if !g.order.Load {
+				gone = g.order.Need.Model
+			}
+		}
+		for loads := len(s.engines.loads()); len(s.engines.loads()) == loads; time.Sleep(20 * time.Millisecond) {
+			n.wishWith(t, gone, 0)
+		}
+		stale := *s.list[0]
+		stale.Version++
+		n.servers.Replace([]*backend.Server{&stale}, 2)
+		began := time.Now()
+		wishUntil(t, n, gone, 2*loadTime)
+		if took := time.Since(began); took < loadTime/2 {
+			t.Errorf("%s is taken to be held %v after its load began", gone, took)
+		}
+		n.stop()
+	})
+}
--- a/pkg/coordinator/orders.go
+++ b/pkg/coordinator/orders.go
@@ -250,7 +250,7 @@
 		if s.member == nil || s.asking || s.reportAt.IsZero() || now.Before(s.reportAt) {
 			continue
 		}
-		if s.busy == nil && s.doubt == nil && !s.unsure {
+		if s.busy == nil && s.doubt == nil && !s.unsure && !s.recheck {
 			s.reportAt = time.Time{}
 			continue
 		}
@@ -291,6 +291,11 @@
 		h.inherit(now, s, r)
 		return
 	}
+	if s.recheck && now.Before(s.quietUntil) {
+		s.reportAt = s.quietUntil
+	} else {
+		s.recheck = false
+	}
 	if s.unsure {
 		h.Logger.Info("server asked", "server", s.id, "sequence", r.Sequence, "believed", s.sequence, "busy", r.Busy)
 		s.unsure = false
--- a/pkg/coordinator/server.go
+++ b/pkg/coordinator/server.go
@@ -17,6 +17,7 @@
 	holds      map[string]*holding
 	cached     map[string]tier // copies of weights near it
 	quietUntil time.Time       // orders of another holder may have just come
+	recheck    bool            // it is to be asked once more after that
 	asking     bool            // an order or a report is under way
 	reportAt   time.Time       // when to look at it
 	unsure     bool            // the number of its orders is to be asked for
@@ -85,7 +86,8 @@
 		if len(m.Models) < len(s.holds) && s.busy == nil && !s.unsure {
 			s.unsure, s.reportAt = true, now.Add(recordLag)
 		}
-		if s.busy != nil && s.busy.load {
+		// A younger load may be of a model that the record shows from before.
+		if s.busy != nil && s.busy.load && now.Sub(s.busy.since) > recordLag {
 			h.settle(now, s, func(name string) bool { return m.Holds(backend.Need{Model: name}) })
 		}
 	}
@@ -169,7 +171,7 @@
 
 // usable tells whether orders may be given to the server.
 func (s *serverState) usable(now time.Time) bool {
-	return s.member != nil && !s.unsure && !s.member.Leaving() && !now.Before(s.quietUntil) && !now.Before(s.avoidUntil)
+	return s.member != nil && !s.unsure && !s.recheck && !s.member.Leaving() && !now.Before(s.quietUntil) && !now.Before(s.avoidUntil)
 }
 
 // silent tells whether the server did not answer a moment ago.
