--- a/pkg/coordinator/world_test.go
+++ b/pkg/coordinator/world_test.go
@@ -72,6 +72,7 @@
 		random: rand.New(rand.NewPCG(seed, 1)), luck: rand.New(rand.NewPCG(seed, 2)),
 	}
 	w.engines.load = 2 * time.Second
+	w.table.Service("s").Engine.LoadsPerSecond = exploreLoadRate
 	for i := range 3 {
 		w.startNode(i)
 	}
