coordinator: the log tells of loads that wait, and the rate of what an order is about

A wish without an order for a second has one line, 'load waits', with the models before it and when it is expected; 'order' has the rate. TestLongWaitsAreToldOnce. The explorer's world no longer races in itself (two places, by -race), and tests set a node's logger and nodes before it starts.

--- a/pkg/coordinator/explore_test.go
+++ b/pkg/coordinator/explore_test.go
@@ -117,10 +117,6 @@
 		}
 		close(n.crashed)
 		n.stop()
-		w.mu.Lock()
-		lives := w.nodes
-		w.nodes = append(lives[:0:0], lives...)
-		w.mu.Unlock()
 		w.startNode(i)
 		return
 	}
@@ -168,7 +164,8 @@
 	defer w.engines.mu.Unlock()
 	for id := range w.engines.servers { // which one is the map's choice
 		delete(w.engines.servers, id)
-		next := fmt.Sprintf("server-%d", len(w.steps)+1000)
+		w.lives++
+		next := fmt.Sprintf("server-%d", 1000+w.lives)
 		w.engines.servers[next] = &engineState{models: make(map[string]map[string]bool)}
 		w.note("%s comes back as %s", id, next)
 		return
--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -309,6 +309,8 @@
 	engines *engines
 	table   *route.Table
 	list    []*backend.Server
+	nodes   []Node       // that a starting node knows of
+	logger  hclog.Logger // of nodes; none if nil
 }
 
 // newSite has servers that hold the models named, and models m0, m1 and so on.
@@ -352,7 +354,10 @@
 	n.holder = &Holder{
 		Lease: n.lease, Routes: func() *route.Table { return s.table }, Servers: n.servers, Orders: s.engines,
 		Transport: noTransport{}, Decider: decider, Turns: turns,
-		Ceiling: Ceiling{Window: window}, Logger: hclog.NewNullLogger(), Nodes: func() []Node { return nil },
+		Ceiling: Ceiling{Window: window}, Logger: s.logger, Nodes: func() []Node { return s.nodes },
+	}
+	if s.logger == nil {
+		n.holder.Logger = hclog.NewNullLogger()
 	}
 	ctx, cancel := context.WithCancel(s.t.Context())
 	n.stop = func() {
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -84,6 +84,7 @@
 	rate     rate
 	last     time.Time // arrival
 	since    time.Time // of the first wish that counts
+	told     bool      // that it waits for long
 	wished   time.Time // until when a wish without a server counts
 	deadline time.Time
 	priority int // 0 is the most urgent
@@ -285,7 +286,7 @@
 	d := h.demand(demandKey{w.Service, w.Need})
 	first := !d.waits(now)
 	if first {
-		d.since = now
+		d.since, d.told = now, false
 	}
 	d.wished, d.last = latest(d.wished, now.Add(wishTime)), now
 	d.priority, d.deadline, d.request = w.Priority, now.Add(w.Left), w.RequestID
--- a/pkg/coordinator/orders.go
+++ b/pkg/coordinator/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -83,7 +84,7 @@
 	}
 	h.Logger.Info("order", "server", s.id, "load", o.load, "model", o.need.String(), "reason", reason,
 		"sequence", s.sequence, "fence", h.term, "fetch", fetch, "expected_ms", expected.Milliseconds(),
-		"record", s.version)
+		"record", s.version, "rate", h.rateOf(now, s, o.need))
 	server, term := s.member, h.term
 	wire := Order{Load: o.load, Need: o.need, Holder: h.Lease.Self, Fence: term, Expected: s.sequence}
 	go func() {
@@ -96,6 +97,18 @@
 	}()
 }
 
+// rateOf returns the arrivals a second for what an order is about.
+func (h *Holder) rateOf(now time.Time, s *serverState, need backend.Need) float64 {
+	if s.member == nil {
+		return 0
+	}
+	d := h.demands[demandKey{s.member.Service, need.String()}]
+	if d == nil {
+		return 0
+	}
+	return math.Round(100*d.rate.at(now)) / 100
+}
+
 // ErrNotGiven means that an order was surely not sent.
 var ErrNotGiven = errors.New("coordinator: the order was not sent")
 
--- a/pkg/coordinator/outlook.go
+++ b/pkg/coordinator/outlook.go
@@ -68,6 +68,25 @@
 	return list
 }
 
+// longWait is how long a wish waits for an order before the log tells.
+const longWait = time.Second
+
+// tellWaits logs, once for each wish, which models wait for long without an
+// order, and for how many others.
+func (h *Holder) tellWaits(now time.Time, service string, queue []queued, w *wanted) {
+	for i, q := range queue {
+		for _, d := range w.wishes[q.model.Name] {
+			if d.told || now.Sub(d.since) < longWait {
+				continue
+			}
+			d.told = true
+			h.Logger.Info("load waits", "model", q.model.Name, "service", service, "request_id", d.request,
+				"waited_ms", now.Sub(d.since).Milliseconds(), "before_it", i,
+				"expected_ms", h.expected[service][q.model.Name].Sub(now).Milliseconds())
+		}
+	}
+}
+
 // expect works out when each queued model will be ready: each goes, in its turn,
 // to the server that has it ready first.
 func expect(queue []queued, loaders []loader) map[string]time.Time {
--- a/pkg/coordinator/outlook_test.go
+++ b/pkg/coordinator/outlook_test.go
@@ -1,10 +1,14 @@
 package coordinator
 
 import (
+	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"martenwheel.dev/pkg/route"
 )
 
@@ -90,3 +94,24 @@
 		n.stop()
 	})
 }
+
+// TestLongWaitsAreToldOnce: a wish without an order for a second has a line in the
+// log, one only.
+func TestLongWaitsAreToldOnce(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSite(t, []string{"m0", "m1"})
+		var log bytes.Buffer
+		s.logger = hclog.New(&hclog.LoggerOptions{Output: &log, JSONFormat: true})
+		n := s.start("a")
+		time.Sleep(time.Second)
+		for range 20 {
+			n.wish(t, "m10")
+			n.wish(t, "m11")
+			time.Sleep(200 * time.Millisecond)
+		}
+		n.stop()
+		if lines := strings.Count(log.String(), "load waits"); lines != 1 {
+			t.Errorf("%d lines of one load that waits for another one:\n%s", lines, log.String())
+		}
+	})
+}
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -150,7 +150,9 @@
 		loading++
 		h.give(s, o, fetch, expected, action.Reason)
 	}
-	h.expected[service] = expect(h.queue(e, &w, h.presence(service)), h.loaders(now, service))
+	queue := h.queue(e, &w, h.presence(service))
+	h.expected[service] = expect(queue, h.loaders(now, service))
+	h.tellWaits(now, service, queue, &w)
 }
 
 // mayFetch tells whether one more load may start from the weight store.
--- a/pkg/coordinator/takeover_test.go
+++ b/pkg/coordinator/takeover_test.go
@@ -17,15 +17,14 @@
 		t.Run(used, func(t *testing.T) {
 			bubble(t, func(t *testing.T) {
 				s := newSite(t, []string{"m0", "m1"})
+				s.nodes = []Node{{Name: "a"}, {Name: "b"}, {Name: "c"}, {Name: "gone"}}
 				n := s.start("a")
-				nodes := []Node{{Name: "a"}, {Name: "b"}, {Name: "c"}, {Name: "gone"}}
-				n.holder.Nodes = func() []Node { return nodes }
 				for _, held := n.lease.Held(); !held; _, held = n.lease.Held() {
 					time.Sleep(time.Millisecond)
 				}
 				n.wish(t, "m5")
 				time.Sleep(700 * time.Millisecond)
-				for _, node := range nodes[:3] {
+				for _, node := range s.nodes[:3] {
 					beat := Beat{Node: node, Uses: []Use{{Service: "s", Model: used, Rate: 1}}}
 					if _, err := n.holder.HandleMessage(t.Context(), api.NodeRef{}, beat); err != nil {
 						t.Fatal(err)
--- a/pkg/coordinator/world_test.go
+++ b/pkg/coordinator/world_test.go
@@ -31,12 +31,11 @@
 	*site
 	random *rand.Rand // for the schedule; not safe for concurrent use
 	nodes  []*worldNode
-	ended  bool // the faults
+	lives  int // of nodes and servers that were started later
 
 	mu      sync.Mutex
 	luck    *rand.Rand // for calls
 	trouble trouble
-	lives   int
 	orders  []given
 	lates   int
 	steps   []string
@@ -135,11 +134,13 @@
 		Lease: own, Holder: n.holder, Transport: n, Servers: servers, Logger: hclog.NewNullLogger(),
 	}
 	n.holder.Nodes = n.member.Nodes
+	w.mu.Lock()
 	if i < len(w.nodes) {
 		w.nodes[i] = n
 	} else {
 		w.nodes = append(w.nodes, n)
 	}
+	w.mu.Unlock()
 	go own.Run(ctx)
 	go n.holder.Run(ctx)
 	go n.member.Run(ctx)
