--- /dev/null
+++ b/tools/compare/main.go
@@ -0,0 +1,184 @@
+// Command compare plays the same days with the same seeds on several checkouts
+// and shows what each day was worth, part by part, so that a change can be told
+// from luck: a single score of the users' bench moves by 0.03 on the same code.
+//
+//	go run ./compare [-seeds N] [-jobs N] [-days A,B] BENCH SITE CHECKOUT...
+//
+// BENCH is the bench's program and SITE a site file. Processor time is not
+// charged, so that a run repeats.
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+)
+
+// report is what is read of the bench's report of a day.
+type report struct {
+	Worth  float64                    `json:"G"`
+	Parts  [][3]any                   `json:"parts"`  // name, weight, value
+	Prices [][3]any                   `json:"prices"` // name, amount, price
+	Breaks map[string]json.RawMessage `json:"breaks"`
+	Fault  any                        `json:"fault"`
+	Short  []string                   `json:"short"`
+}
+
+// play is one day with one seed on one checkout.
+type play struct {
+	checkout, day string
+	seed          int
+}
+
+func main() {
+	seeds := flag.Int("seeds", 4, "seeds of each day")
+	jobs := flag.Int("jobs", 4, "days played at once")
+	days := flag.String("days", "quiet-1,trouble-1,scale-1,trouble-2,scale-2,trouble-3", "names of days")
+	flag.Parse()
+	if flag.NArg() < 3 {
+		flag.Usage()
+		os.Exit(2)
+	}
+	bench, site, checkouts := absolute(flag.Arg(0)), absolute(flag.Arg(1)), flag.Args()[2:]
+	names := strings.Split(*days, ",")
+	results := playAll(bench, site, checkouts, names, *seeds, *jobs)
+	for _, checkout := range checkouts {
+		total := 0.0
+		for _, day := range names {
+			total += show(checkout, day, results, *seeds)
+		}
+		fmt.Printf("%s: mean worth %.4f\n\n", checkout, total/float64(len(names)))
+	}
+}
+
+func absolute(path string) string {
+	whole, err := filepath.Abs(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	return whole
+}
+
+// playAll plays all days and returns the reports of those that were played.
+func playAll(bench, site string, checkouts, days []string, seeds, jobs int) map[play]report {
+	results := make(map[play]report)
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	turns := make(chan struct{}, max(jobs, 1))
+	for _, checkout := range checkouts {
+		for _, day := range days {
+			for seed := 1; seed <= seeds; seed++ {
+				p := play{checkout, day, seed}
+				turns <- struct{}{}
+				wait.Go(func() {
+					defer func() { <-turns }()
+					r, err := p.run(bench, site)
+					if err != nil {
+						fmt.Fprintf(os.Stderr, "%s %s seed %d: %v\n", checkout, day, seed, err)
+						return
+					}
+					mu.Lock()
+					defer mu.Unlock()
+					results[p] = r
+				})
+			}
+		}
+	}
+	wait.Wait()
+	return results
+}
+
+// run plays the day.
+func (p play) run(bench, site string) (report, error) {
+	file, err := os.CreateTemp("", "report")
+	if err != nil {
+		return report{}, err
+	}
+	_ = file.Close()
+	defer os.Remove(file.Name())
+	command := exec.Command(bench, "run", site, p.day, "--seed", strconv.Itoa(p.seed), "--no-cpu",
+		"--report", file.Name(), "--why", "comparison over seeds")
+	command.Dir = p.checkout
+	if out, err := command.CombinedOutput(); err != nil {
+		return report{}, fmt.Errorf("%w: %s", err, out[max(len(out)-300, 0):])
+	}
+	text, err := os.ReadFile(file.Name())
+	if err != nil {
+		return report{}, err
+	}
+	var r report
+	return r, json.Unmarshal(text, &r)
+}
+
+// show prints a day's means over its seeds and returns that of its worth.
+func show(checkout, day string, results map[play]report, seeds int) float64 {
+	var worth, prices []float64
+	parts := make(map[string][]float64)
+	var names, wrong []string
+	for seed := 1; seed <= seeds; seed++ {
+		r, played := results[play{checkout, day, seed}]
+		if !played {
+			continue
+		}
+		worth = append(worth, r.Worth)
+		price := 0.0
+		for _, p := range r.Prices {
+			price += number(p[2])
+		}
+		prices = append(prices, price)
+		for _, part := range r.Parts {
+			name := fmt.Sprint(part[0])
+			if len(parts[name]) == 0 {
+				names = append(names, name)
+			}
+			parts[name] = append(parts[name], number(part[2]))
+		}
+		for rule := range r.Breaks {
+			wrong = append(wrong, fmt.Sprintf("%s with seed %d", rule, seed))
+		}
+		if r.Fault != nil || len(r.Short) > 0 {
+			wrong = append(wrong, fmt.Sprintf("%v %v with seed %d", r.Fault, r.Short, seed))
+		}
+	}
+	fmt.Printf("%-10s %d played, worth %.4f (spread %.3f)", day, len(worth), mean(worth), spread(worth))
+	for _, name := range names {
+		fmt.Printf(", %s %.3f", name, mean(parts[name]))
+	}
+	fmt.Printf(", prices %.3f", mean(prices))
+	if len(wrong) > 0 {
+		fmt.Printf(", WRONG: %s", strings.Join(wrong, "; "))
+	}
+	fmt.Println()
+	return mean(worth)
+}
+
+// number returns a JSON number, zero for anything else.
+func number(v any) float64 {
+	f, _ := v.(float64)
+	return f
+}
+
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / float64(max(len(values), 1))
+}
+
+// spread is the standard deviation.
+func spread(values []float64) float64 {
+	center, sum := mean(values), 0.0
+	for _, v := range values {
+		sum += (v - center) * (v - center)
+	}
+	return math.Sqrt(sum / float64(max(len(values), 1)))
+}
