coordinator: the explorer plays with and without a bound by the ceiling; tools/variants

With a ceiling of 0.4 loads a second in all schedules the explorer no longer found that repeats leave the first order in doubt (3,000 schedules): there were too few loads. Every other schedule has one that binds.

tools/variants makes variants of a site file outside of the repository: fewer and more servers, memory for one model, small caches, a slow weight store, 2.5 times the traffic, twice the rare models.

--- a/pkg/coordinator/explore_test.go
+++ b/pkg/coordinator/explore_test.go
@@ -20,8 +20,9 @@
 	exploreLogs      = flag.Bool("explore.logs", false, "tell the holders' logs in the story of a failed schedule")
 )
 
-// exploreLoadRate is the ceiling of loads a second: less than the servers could do.
-const exploreLoadRate = 0.4
+// exploreLoadRates are the ceilings of loads a second, in turn for one schedule
+// after the other: less than the servers could do, and no bound to them.
+var exploreLoadRates = []float64{0.4, loadRate}
 
 // Times of a schedule.
 const (
@@ -268,7 +269,7 @@
 			loads = append(loads, g.at)
 		}
 	}
-	most := int(exploreLoadRate*window.Seconds()*1.1) + 3
+	most := int(w.loadRate*window.Seconds()*1.1) + 3
 	for i := range loads {
 		if i >= most && loads[i].Sub(loads[i-most]) < window {
 			w.t.Errorf("%d loads began within %v", most+1, loads[i].Sub(loads[i-most]))
--- a/pkg/coordinator/world_test.go
+++ b/pkg/coordinator/world_test.go
@@ -29,9 +29,10 @@
 // tells. It judges all orders that reach a server.
 type world struct {
 	*site
-	random *rand.Rand // for the schedule; not safe for concurrent use
-	nodes  []*worldNode
-	lives  int // of nodes and servers that were started later
+	random   *rand.Rand // for the schedule; not safe for concurrent use
+	nodes    []*worldNode
+	lives    int     // of nodes and servers that were started later
+	loadRate float64 // the ceiling
 
 	mu      sync.Mutex
 	luck    *rand.Rand // for calls
@@ -71,7 +72,8 @@
 		random: rand.New(rand.NewPCG(seed, 1)), luck: rand.New(rand.NewPCG(seed, 2)),
 	}
 	w.engines.load = 2 * time.Second
-	w.table.Service("s").Engine.LoadsPerSecond = exploreLoadRate
+	w.loadRate = exploreLoadRates[seed%uint64(len(exploreLoadRates))]
+	w.table.Service("s").Engine.LoadsPerSecond = w.loadRate
 	for i := range 3 {
 		w.startNode(i)
 	}
--- /dev/null
+++ b/tools/variants/make.sh
@@ -0,0 +1,30 @@
+#!/bin/bash
+# Makes variants of a site file, to see that nothing is tuned to the site.
+#
+#   tools/variants/make.sh SITE DIRECTORY
+#
+# DIRECTORY lies outside of the repository; it gets a file for each variant. Play
+# them with tools/compare.
+set -euo pipefail
+site=$1 directory=$2
+mkdir -p "$directory"
+cp "$(dirname "$site")/wire.json" "$directory/"
+
+# variant NAME EDIT: EDIT is Perl for each line of the site file.
+variant() {
+  perl -pe "$2" "$site" > "$directory/$1.toml"
+}
+
+# The edits of lines that describe the service with engines, and models.
+engines='/model = "llm"/'
+models='/^\s*\{ name = "[^"]*", mb = /'
+
+variant same ''
+variant fewer-servers "s/count = (\\d+)/'count = ' . (\$1 > 1 ? \$1 - 1 : 1)/ge if $engines"
+variant more-servers "s/count = (\\d+)/'count = ' . 2 * \$1/ge if $engines"
+variant scarce-memory "s/\\bmb = 200000\\.0, resident = 2/mb = 120000.0, resident = 1/ if $engines"
+variant small-caches "s/host_mb = [\\d.]+/host_mb = 75000.0/, s/disk_mb = [\\d.]+/disk_mb = 80000.0/ if $engines"
+variant slow-store "s/load_s = ([\\d.]+)/'load_s = ' . 2.5 * \$1/ge if $models"
+variant much-traffic 's/per_s = ([\d.]+)/"per_s = " . 2.5 * $1/ge if /^\s*\{ zone = "[^"]*", mix = /'
+variant many-models "if ($models && /share = 0\\.0,/) { my \$twin = s/name = \"/name = \"twin-/r; \$_ .= \$twin }"
+ls "$directory"
