--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -2,10 +2,12 @@
 // the one that holds the lease; the holder tells them of each other, collects
 // which models are asked for, and has the servers load them.
 //
-// Begin with member.go, the part of every node, and with holder.go, the loop of
-// the node that holds the lease. plan.go asks package policy what to load where;
+// Begin with member.go, the part of every node, with uses.go, what it tells of its
+// requests, and wishes.go, what it asks for; and with holder.go, the loop of the
+// node that holds the lease. plan.go asks package policy what to load where;
 // adapters.go places adapters; orders.go gives orders, one at a time to each
-// server, and finds out what became of them.
+// server, and reports.go finds out what became of them; outlook.go tells when a
+// model will be ready.
 package coordinator
 
 import (
--- a/pkg/coordinator/orders.go
+++ b/pkg/coordinator/orders.go
@@ -147,65 +147,67 @@
 	}
 	// The one before may still take effect, whatever became of its repeat.
 	repeated := s.doubt != nil
-	if errors.Is(err, errNotWritten) {
-		if !repeated {
-			h.undo(s, o)
-		}
-		h.resumeAt = now.Add(reportPause) // the store fails, not the server
-		return
-	}
-	if errors.Is(err, ErrNotGiven) {
+	switch {
+	case errors.Is(err, errNotWritten), errors.Is(err, ErrNotGiven):
 		if !repeated {
 			h.undo(s, o)
 		}
-		s.failures++
-		s.avoidUntil = now.Add(time.Duration(min(s.failures, 8)) * reportPause)
-		return
-	}
-	if err != nil {
+		h.notGiven(now, s, err)
+	case err != nil:
 		s.doubt = &o
 		s.failures++
 		s.reportAt = now
 		s.avoidUntil = now.Add(reportPause)
-		return
-	}
-	if repeated && result == Conflict {
+	case repeated && result == Conflict:
 		s.failures, s.reportAt = 0, now // which tells whether the one before was taken
+	default:
+		s.failures, s.doubt = 0, nil
+		h.judged(now, s, o, result)
+	}
+}
+
+// notGiven rests after an order that was surely not sent: all orders if the store
+// failed, those to the server if that did.
+func (h *Holder) notGiven(now time.Time, s *serverState, err error) {
+	if errors.Is(err, errNotWritten) {
+		h.resumeAt = now.Add(reportPause)
 		return
 	}
-	s.failures, s.doubt = 0, nil
-	if result == Accepted || result == Already {
+	s.failures++
+	s.avoidUntil = now.Add(time.Duration(min(s.failures, 8)) * reportPause)
+}
+
+// judged takes in a server's verdict on an order.
+func (h *Holder) judged(now time.Time, s *serverState, o order, result Result) {
+	if result == Accepted {
 		s.acceptedAt = now
-	}
-	switch result {
-	case Accepted:
 		s.sequence = max(s.sequence, o.after)
 		s.reportAt = now.Add(reportPause)
 		if s.busy != nil {
 			s.reportAt = s.busy.readyAt
 		}
 		h.accepted(now, s, o)
+		return
+	}
+	h.undo(s, o)
+	switch result {
 	case Already:
+		s.acceptedAt = now
 		if !o.load && o.need.Adapter != "" {
 			s.sequence = max(s.sequence, o.after) // done at once
 		}
-		h.undo(s, o)
 		h.holdsNow(now, s, o)
 	case Fenced:
-		h.undo(s, o)
 		h.Lease.Resign(h.term)
 	case Conflict:
-		h.undo(s, o)
 		s.reportAt, s.unsure = now, true
 		if lag := reportLag - now.Sub(s.acceptedAt); lag > 0 {
 			s.reportAt = now.Add(lag)
 		}
 	case Elsewhere: // another server has the address, or it lacks the model
-		h.undo(s, o)
 		s.avoidUntil = now.Add(refusedPause)
 		s.unsure, s.reportAt = true, s.avoidUntil
 	default:
-		h.undo(s, o)
 		s.avoidUntil = now.Add(refusedPause)
 	}
 }
@@ -256,98 +258,6 @@
 	h.planSoon = true
 }
 
-// look asks the servers for reports whose operations should be done or are in
-// doubt.
-func (h *Holder) look(now time.Time) {
-	for _, s := range h.servers {
-		if s.member == nil || s.asking || s.reportAt.IsZero() || now.Before(s.reportAt) {
-			continue
-		}
-		if s.busy == nil && s.doubt == nil && !s.unsure && !s.recheck {
-			s.reportAt = time.Time{}
-			continue
-		}
-		s.asking = true
-		server, term := s.member, h.term
-		go func() {
-			ctx, cancel := context.WithTimeout(h.life, reportTimeout)
-			defer cancel()
-			report, err := h.Orders.Report(ctx, server)
-			h.post(func() {
-				if h.term == term {
-					h.reported(time.Now(), s, report, err)
-				}
-			})
-		}()
-	}
-}
-
-// reported takes in a report. It lies a little behind.
-func (h *Holder) reported(now time.Time, s *serverState, r Report, err error) {
-	s.asking = false
-	s.reportAt = now.Add(reportPause)
-	if err != nil {
-		s.failures++
-		s.reportAt = now.Add(time.Duration(min(s.failures, 8)) * reportPause)
-		s.avoidUntil = s.reportAt
-		return
-	}
-	s.failures = 0
-	s.cache(r.InMemory, r.OnDisk)
-	if r.Sequence < s.sequence {
-		if now.Sub(s.acceptedAt) < reportSettles {
-			return // it was made before the last order
-		}
-		h.Logger.Warn("server took fewer orders than believed", "server", s.id, "sequence", r.Sequence, "believed", s.sequence)
-	}
-	if r.Busy && s.busy == nil {
-		h.inherit(now, s, r)
-		return
-	}
-	if s.recheck && now.Before(s.quietUntil) {
-		s.reportAt = s.quietUntil
-	} else {
-		s.recheck = false
-	}
-	if s.unsure {
-		h.Logger.Info("server asked", "server", s.id, "sequence", r.Sequence, "believed", s.sequence, "busy", r.Busy)
-		s.unsure = false
-	}
-	if s.doubt != nil && r.Sequence >= s.doubt.after {
-		h.Logger.Info("order was taken", "server", s.id, "model", s.doubt.need.String(), "sequence", r.Sequence)
-		s.doubt = nil
-	}
-	s.repeat = s.doubt != nil
-	h.take(now, s, r)
-	if s.busy != nil && !r.Busy && s.doubt == nil && now.Sub(s.busy.since) > reportLag+reportPause && now.After(s.busy.readyAt) {
-		h.Logger.Warn("order without effect", "server", s.id, "model", s.busy.need.String(), "load", s.busy.load)
-		s.busy = nil
-	}
-}
-
-// inherit takes over an operation that an order of an earlier holder began. The
-// record of the lease tells which; until it is done, what the server holds is
-// not known.
-func (h *Holder) inherit(now time.Time, s *serverState, r Report) {
-	s.unsure = true
-	intent := s.inherited
-	need := backend.ParseNeed(intent.Need)
-	if need.Model == "" || need.Adapter != "" {
-		return
-	}
-	s.unsure, s.inherited = false, lease.Intent{}
-	h.take(now, s, r)
-	expected := unloadTime
-	if e := h.engineOf(s); intent.Load && e != nil && e.Models[need.Model] != nil {
-		expected, _ = s.loadTime(e.Models[need.Model])
-	}
-	s.busy = &operation{
-		order: order{load: intent.Load, need: need, after: r.Sequence},
-		since: now, readyAt: now.Add(expected), fetch: intent.Fetch,
-	}
-	h.Logger.Info("order inherited", "server", s.id, "load", intent.Load, "model", intent.Need, "sequence", r.Sequence)
-}
-
 // engineOf returns the engine of the server's service, nil if it has none.
 func (h *Holder) engineOf(s *serverState) *route.Engine {
 	table := h.Routes()
--- /dev/null
+++ b/pkg/coordinator/wishes.go
@@ -0,0 +1,69 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"martenwheel.dev/pkg/relay"
+)
+
+// wakeRest is how long an answer to a wish serves all requests of this node that
+// need the same: notices tell sooner when it is fulfilled.
+const wakeRest = 800 * time.Millisecond
+
+// asked is a wish that was told, and what is known of it.
+type asked struct {
+	at      time.Time
+	done    chan struct{} // closed when the answer is here
+	outlook relay.Outlook
+	err     error
+}
+
+// Wake implements relay.Waker.
+func (m *Member) Wake(ctx context.Context, w relay.Wish) (relay.Outlook, error) {
+	key := demandKey{w.Service, w.Need.String()}
+	m.mu.Lock()
+	known := m.wishes[key]
+	fresh := known == nil || time.Since(known.at) > wakeRest || w.Missing != ""
+	if fresh {
+		known = &asked{at: time.Now(), done: make(chan struct{})}
+		if m.wishes == nil || len(m.wishes) > maxWishes {
+			m.wishes = make(map[demandKey]*asked)
+		}
+		m.wishes[key] = known
+	}
+	m.mu.Unlock()
+	if fresh {
+		known.outlook, known.err = m.tellWish(ctx, w)
+		close(known.done)
+	}
+	select {
+	case <-known.done:
+	case <-ctx.Done():
+		return relay.Outlook{}, ctx.Err()
+	}
+	o := known.outlook
+	if o.ReadyIn > 0 {
+		o.ReadyIn = max(o.ReadyIn-time.Since(known.at), time.Millisecond)
+	}
+	return o, known.err
+}
+
+// maxWishes bounds the wishes that are remembered.
+const maxWishes = 1024
+
+// tellWish asks the holder.
+func (m *Member) tellWish(ctx context.Context, w relay.Wish) (relay.Outlook, error) {
+	answer, err := ask[WishAnswer](ctx, m, WishMessage{
+		Service: w.Service, Need: w.Need.String(), Priority: w.Priority,
+		Left: time.Until(w.Deadline), RequestID: w.RequestID, Missing: w.Missing,
+	})
+	if err == nil && answer.Term == 0 {
+		err = ErrNoHolder
+	}
+	if err != nil {
+		m.lost(err)
+		return relay.Outlook{}, err
+	}
+	return relay.Outlook{Server: answer.Server, ReadyIn: answer.ReadyIn}, nil
+}
--- a/pkg/coordinator/world_test.go
+++ b/pkg/coordinator/world_test.go
@@ -58,12 +58,11 @@
 	name    string // of this life
 	crashed chan struct{}
 
-	mu         sync.Mutex
-	frozen     time.Time // until
-	noStore    bool
-	noServers  map[string]bool
-	cutFrom    map[string]bool // other nodes
-	thawedLate time.Time       // of the last thaw
+	mu        sync.Mutex
+	frozen    time.Time // until
+	noStore   bool
+	noServers map[string]bool
+	cutFrom   map[string]bool // other nodes
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
