coordinator: a replica takes at most half of a server's slots

Ruled out: the choice among servers that hold a model, which follows the load.

A replica is to run half of the slots, 14 at most: nothing changes on servers of 28 slots and more.

--- a/pkg/coordinator/outlook_test.go
+++ b/pkg/coordinator/outlook_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/route"
 )
 
@@ -115,3 +116,25 @@
 		}
 	})
 }
+
+// TestReplicasFollowTheSlots: a model whose requests fill its share of a server
+// gets another replica, whatever the servers' size.
+func TestReplicasFollowTheSlots(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSite(t, []string{"m0"}, []string{"m1"})
+		slots := s.table.Service("s").Engine.Slots
+		n := s.start("a")
+		time.Sleep(time.Second)
+		for range 10 {
+			beat := Beat{Node: Node{Name: "b"}, Uses: []Use{{Service: "s", Model: "m0", InFlight: slots}}}
+			if _, err := n.holder.HandleMessage(t.Context(), api.NodeRef{}, beat); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+		}
+		if loads := s.engines.loads(); len(loads) != 1 || loads[0].order.Need.Model != "m0" {
+			t.Errorf("%d loads while all slots of the only replica are taken", len(loads))
+		}
+		n.stop()
+	})
+}
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -17,7 +17,8 @@
 const (
 	busyRate       = 0.8 // arrivals a second from which a model has a spare replica
 	veryBusyRate   = 2.5 // from which it has two
-	perReplica     = 14  // requests that one replica is to run
+	perReplica     = 14  // requests that one replica is to run at most
+	replicaShare   = 0.5 // of a server's slots that a model is to take: models share them
 	prewarmedLoads = 2   // loads under way that no request waits for
 )
 
@@ -255,7 +256,7 @@
 	model := policy.Model{
 		Name: api.ModelName(name),
 		Settings: tree.Settings{
-			MemoryBytes: m.Bytes, LoadTime: m.LoadTime, MaxReplicas: servers, MaxConcurrency: perReplica,
+			MemoryBytes: m.Bytes, LoadTime: m.LoadTime, MaxReplicas: servers, MaxConcurrency: concurrency(e),
 			KeepAlive: time.Hour, ColdStartWeight: 1,
 		},
 		History: &policy.History{},
@@ -288,6 +289,15 @@
 	return model
 }
 
+// concurrency returns how many requests one replica is to run. Beyond it a model
+// gets another one.
+func concurrency(e *route.Engine) int {
+	if e.Slots <= 0 {
+		return perReplica
+	}
+	return min(perReplica, max(int(replicaShare*float64(e.Slots)), 1))
+}
+
 // spareReplicas returns how many replicas a model with so many arrivals a second
 // has at least, so that the loss of a server leaves some.
 func spareReplicas(rate float64, servers int) int {
