coordinator: read once more as a newcomer

- The servers of a service were walked in nine places, each with the same two conditions: serversOf yields them.
- The pause after failures in a row stood twice, the engine of a service was looked up in two ways: rest, engine.
- The outlook kept a type of one field and a method that no longer looked at the server: expect takes the times from which servers are free.
- What is to be unloaded was tested twice in a row in planModels.
- Names that needed explaining: Member.told (a term) is toldTerm, demand.told waitTold, demand.wished waitsTill, Holder.learned learnUntil.
- lifeText stood among the limits of connections and was one call.
No test, bound or check is loosened; the tests that changed take the new names.

--- a/pkg/coordinator/adapters.go
+++ b/pkg/coordinator/adapters.go
@@ -31,10 +31,7 @@
 
 // touch notes the last use of an adapter where it is held.
 func (h *Holder) touch(now time.Time, service string, need backend.Need, d *demand) {
-	for _, s := range h.servers {
-		if s.member == nil || s.member.Service != service {
-			continue
-		}
+	for s := range h.serversOf(service) {
 		if known := s.holds[need.Model]; known != nil {
 			if used, has := known.adapters[need.Adapter]; has && d.last.After(used) {
 				known.adapters[need.Adapter] = d.last
@@ -45,8 +42,8 @@
 
 // adapterUnderWay tells whether the adapter is held or on its way somewhere.
 func (h *Holder) adapterUnderWay(now time.Time, service string, need backend.Need) bool {
-	for _, s := range h.servers {
-		if s.member == nil || s.member.Service != service || s.member.Leaving() {
+	for s := range h.serversOf(service) {
+		if s.member.Leaving() {
 			continue
 		}
 		if s.doubt != nil && s.doubt.need == need {
@@ -63,8 +60,8 @@
 // with the fewest adapters.
 func (h *Holder) adapterServer(now time.Time, service string, need backend.Need, e *route.Engine) *serverState {
 	var able []*serverState
-	for _, s := range h.servers {
-		if !s.usable(now) || s.member.Service != service || s.asking || s.doubt != nil || s.holds[need.Model] == nil {
+	for s := range h.serversOf(service) {
+		if !s.usable(now) || s.asking || s.doubt != nil || s.holds[need.Model] == nil {
 			continue
 		}
 		if s.busy != nil {
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -54,11 +54,11 @@
 	servers     map[string]*serverState
 	fetches     []time.Time // starts of loads from the weight store
 
-	learned  time.Time // when the nodes should have told what is in use
-	resumeAt time.Time // when orders are given again after the store failed
-	planned  time.Time // the end of the last plan
-	planTook time.Duration
-	expected map[string]map[string]time.Time // when queued models will be ready, by service
+	learnUntil time.Time // when the nodes should have told what is in use
+	resumeAt   time.Time // when orders are given again after the store failed
+	planned    time.Time // the end of the last plan
+	planTook   time.Duration
+	expected   map[string]map[string]time.Time // when queued models will be ready, by service
 }
 
 // Ceiling bounds the loads from the weight store in any window.
@@ -81,14 +81,14 @@
 
 // demand is what is asked of a model.
 type demand struct {
-	rate     rate
-	last     time.Time // arrival
-	since    time.Time // of the first wish that counts
-	told     bool      // that it waits for long
-	wished   time.Time // until when a wish without a server counts
-	deadline time.Time
-	priority int // 0 is the most urgent
-	request  string
+	rate      rate
+	last      time.Time // arrival
+	since     time.Time // of the first wish that counts
+	waitTold  bool      // the log told that it waits for long
+	waitsTill time.Time // until when a wish without a server counts
+	deadline  time.Time
+	priority  int // 0 is the most urgent
+	request   string
 }
 
 func (h *Holder) init() {
@@ -145,7 +145,7 @@
 	h.expected = make(map[string]map[string]time.Time)
 	record, _ := h.Lease.Current()
 	now, storeNow := time.Now(), h.Lease.Now()
-	h.learned = now.Add(learnTime)
+	h.learnUntil = now.Add(learnTime)
 	for _, i := range record.Intents {
 		at := now.Add(-time.Duration(storeNow-i.At) * time.Millisecond)
 		s := h.server(i.Server)
@@ -168,7 +168,7 @@
 // learning tells whether what is in use is not known yet: all nodes but one, the
 // last holder, are to have told it.
 func (h *Holder) learning(now time.Time) bool {
-	return now.Before(h.learned) && len(h.nodes) < len(h.Nodes())-1
+	return now.Before(h.learnUntil) && len(h.nodes) < len(h.Nodes())-1
 }
 
 // do runs f on the holder's goroutine and waits for it.
@@ -275,7 +275,7 @@
 }
 
 // waits tells whether a request waits for the model.
-func (d *demand) waits(now time.Time) bool { return now.Before(d.wished) }
+func (d *demand) waits(now time.Time) bool { return now.Before(d.waitsTill) }
 
 // wish takes in that a node lacks a model.
 func (h *Holder) wish(now time.Time, w WishMessage) WishAnswer {
@@ -286,16 +286,16 @@
 	d := h.demand(demandKey{w.Service, w.Need})
 	first := !d.waits(now)
 	if first {
-		d.since, d.told = now, false
+		d.since, d.waitTold = now, false
 	}
-	d.wished, d.last = latest(d.wished, now.Add(wishTime)), now
+	d.waitsTill, d.last = latest(d.waitsTill, now.Add(wishTime)), now
 	d.priority, d.deadline, d.request = w.Priority, now.Add(w.Left), w.RequestID
 	answer := WishAnswer{Term: h.term}
 	h.doubtHolding(now, w.Missing, need)
 	if server := h.heldBy(now, w.Service, need); server != "" {
 		answer.Server = server
 		h.tell(Notice{Server: server, Need: w.Need, Holds: true})
-		d.wished = time.Time{}
+		d.waitsTill = time.Time{}
 		return answer
 	}
 	if h.mayPlan(now) {
@@ -306,7 +306,7 @@
 	}
 	answer.ReadyIn = h.readyIn(now, w.Service, need)
 	// Who is refused for now comes back about then.
-	d.wished = latest(d.wished, now.Add(answer.ReadyIn+returnTime))
+	d.waitsTill = latest(d.waitsTill, now.Add(answer.ReadyIn+returnTime))
 	if first {
 		h.Logger.Info("wish", "request_id", w.RequestID, "service", w.Service, "model", w.Need,
 			"priority", w.Priority, "ready_in_ms", answer.ReadyIn.Milliseconds())
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -48,7 +48,7 @@
 	mu       sync.Mutex
 	arrivals map[demandKey]int
 	rates    map[demandKey]*rate // arrivals that a holder was told of
-	told     uint64              // term of the holder that knows the rates
+	toldTerm uint64              // term of the holder that knows the rates
 	wishes   map[demandKey]*asked
 	answered bool      // the last beat was
 	since    time.Time // of the first beat without an answer
@@ -150,7 +150,7 @@
 		m.Logger.Info("coordinator answers", "term", answer.Version.Term, "nodes", len(m.Nodes()))
 	}
 	m.answered = true
-	m.told = answer.Version.Term
+	m.toldTerm = answer.Version.Term
 	return nil
 }
 
--- a/pkg/coordinator/orders.go
+++ b/pkg/coordinator/orders.go
@@ -174,7 +174,7 @@
 		return
 	}
 	s.failures++
-	s.avoidUntil = now.Add(time.Duration(min(s.failures, 8)) * reportPause)
+	s.avoidUntil = now.Add(s.rest())
 }
 
 // judged takes in a server's verdict on an order.
@@ -260,15 +260,19 @@
 
 // engineOf returns the engine of the server's service, nil if it has none.
 func (h *Holder) engineOf(s *serverState) *route.Engine {
-	table := h.Routes()
-	if table == nil || s.member == nil {
+	if s.member == nil {
 		return nil
 	}
-	service := table.Service(s.member.Service)
-	if service == nil {
+	return h.engine(s.member.Service)
+}
+
+// engine returns the engine of a service, nil if it has none.
+func (h *Holder) engine(service string) *route.Engine {
+	table := h.Routes()
+	if table == nil || table.Service(service) == nil {
 		return nil
 	}
-	return service.Engine
+	return table.Service(service).Engine
 }
 
 // loadTime returns how long a load is expected to take, and whether it comes
--- a/pkg/coordinator/outlook.go
+++ b/pkg/coordinator/outlook.go
@@ -25,23 +25,18 @@
 	)
 }
 
-// loader is a server that takes one load after the other.
-type loader struct {
-	free time.Time // from when it may take the next
-}
-
-// loaders returns the servers of a service that loads may be given to.
-func (h *Holder) loaders(now time.Time, service string) []loader {
-	var list []loader
-	for _, s := range h.servers {
-		if s.member == nil || s.member.Service != service || s.member.Leaving() {
+// freeTimes returns from when each server of a service may take the next load.
+func (h *Holder) freeTimes(now time.Time, service string) []time.Time {
+	var list []time.Time
+	for s := range h.serversOf(service) {
+		if s.member.Leaving() {
 			continue
 		}
 		free := latest(now, s.quietUntil)
 		if s.busy != nil {
 			free = latest(free, s.busy.readyAt)
 		}
-		list = append(list, loader{free})
+		list = append(list, free)
 	}
 	return list
 }
@@ -76,10 +71,10 @@
 func (h *Holder) tellWaits(now time.Time, service string, queue []queued, w *wanted) {
 	for i, q := range queue {
 		for _, d := range w.wishes[q.model.Name] {
-			if d.told || now.Sub(d.since) < longWait {
+			if d.waitTold || now.Sub(d.since) < longWait {
 				continue
 			}
-			d.told = true
+			d.waitTold = true
 			h.Logger.Info("load waits", "model", q.model.Name, "service", service, "request_id", d.request,
 				"waited_ms", now.Sub(d.since).Milliseconds(), "before_it", i,
 				"expected_ms", h.expected[service][q.model.Name].Sub(now).Milliseconds())
@@ -87,34 +82,28 @@
 	}
 }
 
-// expect works out when each queued model will be ready: each goes, in its turn,
-// to the server that has it ready first.
-func expect(queue []queued, loaders []loader) map[string]time.Time {
+// expect works out when each queued model will be ready at the latest: each goes,
+// in its turn, to the server that is free first. All loads count as from the weight
+// store, since the decider may choose a server without a copy, and a caller who
+// comes back too early is worse off than one who comes back late. It changes free.
+func expect(queue []queued, free []time.Time) map[string]time.Time {
 	ready := make(map[string]time.Time, len(queue))
+	if len(free) == 0 {
+		return ready
+	}
 	for _, q := range queue {
-		best, at := -1, time.Time{}
-		for i := range loaders {
-			if done := loaders[i].ready(q.model); best < 0 || done.Before(at) {
-				best, at = i, done
+		first := 0
+		for i := range free {
+			if free[i].Before(free[first]) {
+				first = i
 			}
 		}
-		if best < 0 {
-			return ready
-		}
-		loaders[best].free = at
-		ready[q.model.Name] = at
+		free[first] = free[first].Add(unloadTime + q.model.LoadTime)
+		ready[q.model.Name] = free[first]
 	}
 	return ready
 }
 
-// ready returns when the server would have the model ready at the latest, after
-// room was made. A copy near the server is left out: the decider may choose
-// another one, and a caller who comes back too early is worse off than one who
-// comes back late.
-func (l *loader) ready(m *route.Model) time.Time {
-	return l.free.Add(unloadTime + m.LoadTime)
-}
-
 // readyIn returns when a model is expected to be ready, zero if its service has
 // no engine for it.
 func (h *Holder) readyIn(now time.Time, service string, need backend.Need) time.Duration {
@@ -133,15 +122,11 @@
 // readyAlone returns when a model that is not queued yet would be ready if it
 // were the only one.
 func (h *Holder) readyAlone(now time.Time, service, model string) time.Duration {
-	table := h.Routes()
-	if table == nil || table.Service(service) == nil || table.Service(service).Engine == nil {
-		return 0
-	}
-	m := table.Service(service).Engine.Models[model]
-	if m == nil {
+	e := h.engine(service)
+	if e == nil || e.Models[model] == nil {
 		return 0
 	}
-	at, found := expect([]queued{{model: m}}, h.loaders(now, service))[model]
+	at, found := expect([]queued{{model: e.Models[model]}}, h.freeTimes(now, service))[model]
 	if !found {
 		return 0
 	}
@@ -151,8 +136,8 @@
 // loadingLeft returns how long the load of a model still takes that is under way.
 func (h *Holder) loadingLeft(now time.Time, service, model string) (time.Duration, bool) {
 	left, loading := time.Duration(0), false
-	for _, s := range h.servers {
-		if s.member == nil || s.member.Service != service || s.busy == nil || !s.busy.load || s.busy.need.Model != model {
+	for s := range h.serversOf(service) {
+		if s.busy == nil || !s.busy.load || s.busy.need.Model != model {
 			continue
 		}
 		if l := max(s.busy.readyAt.Sub(now), tickInterval/4); !loading || l < left {
--- a/pkg/coordinator/outlook_test.go
+++ b/pkg/coordinator/outlook_test.go
@@ -14,7 +14,7 @@
 )
 
 // TestExpectTakesTurns: models go in the order of their urgency to the server
-// that has them ready first.
+// that is free first.
 func TestExpectTakesTurns(t *testing.T) {
 	now := time.Now()
 	after := func(d time.Duration) time.Time { return now.Add(d) }
@@ -27,7 +27,7 @@
 	if late.before(early) < 0 || early.before(urgent) < 0 {
 		t.Error("the queue is out of order")
 	}
-	got := expect([]queued{urgent, early, late}, []loader{{after(2 * time.Second)}, {now}})
+	got := expect([]queued{urgent, early, late}, []time.Time{after(2 * time.Second), now})
 	want := map[string]time.Time{
 		"urgent": after(unloadTime + 4*time.Second),                 // at the second, which is free
 		"early":  after(2*time.Second + unloadTime + 4*time.Second), // at the first, after its load under way
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -57,10 +57,7 @@
 // presence counts the servers of a service that hold or load each model.
 func (h *Holder) presence(service string) map[string]int {
 	count := make(map[string]int)
-	for _, s := range h.servers {
-		if s.member == nil || s.member.Service != service {
-			continue
-		}
+	for s := range h.serversOf(service) {
 		for model := range s.holds {
 			count[model]++
 		}
@@ -133,12 +130,11 @@
 			continue
 		}
 		o := order{load: action.Kind == policy.ActionLoad, need: backend.Need{Model: m.Name}}
-		if !o.load && h.learning(now) {
-			continue
-		}
 		if !o.load {
-			h.give(s, o, false, unloadTime, action.Reason)
-			h.tell(Notice{Server: s.id, Need: m.Name, Holds: false})
+			if !h.learning(now) {
+				h.give(s, o, false, unloadTime, action.Reason)
+				h.tell(Notice{Server: s.id, Need: m.Name, Holds: false})
+			}
 			continue
 		}
 		if !action.Urgent && loading >= prewarmedLoads {
@@ -152,7 +148,7 @@
 		h.give(s, o, fetch, expected, action.Reason)
 	}
 	queue := h.queue(e, &w, h.presence(service))
-	h.expected[service] = expect(queue, h.loaders(now, service))
+	h.expected[service] = expect(queue, h.freeTimes(now, service))
 	h.tellWaits(now, service, queue, &w)
 }
 
@@ -203,10 +199,7 @@
 // input describes the service for the decider.
 func (h *Holder) input(now time.Time, service string, e *route.Engine, w *wanted) policy.Input {
 	input := policy.Input{LoadSlots: len(h.servers), LoadRate: e.LoadsPerSecond * h.Ceiling.Window.Seconds()}
-	for _, s := range h.servers {
-		if s.member == nil || s.member.Service != service {
-			continue
-		}
+	for s := range h.serversOf(service) {
 		input.Servers = append(input.Servers, policy.Server{
 			ID: api.ServerID(s.id), Zone: s.member.Zone, CapacityBytes: e.WeightBytes, FreeBytes: h.freeBytes(s, e),
 			Leaving:   s.member.Leaving(),
@@ -272,10 +265,7 @@
 		model.Settings.MinReplicas = max(model.Settings.MinReplicas, min(wanted, servers))
 	}
 	addWishes(w.wishes[name], &model)
-	for _, s := range h.servers {
-		if s.member == nil || s.member.Service != service {
-			continue
-		}
+	for s := range h.serversOf(service) {
 		if r, present := s.replica(now, name); present {
 			r.LastUse = model.Demand.LastArrival
 			model.Replicas = append(model.Replicas, r)
--- a/pkg/coordinator/reports.go
+++ b/pkg/coordinator/reports.go
@@ -40,7 +40,7 @@
 	s.reportAt = now.Add(reportPause)
 	if err != nil {
 		s.failures++
-		s.reportAt = now.Add(time.Duration(min(s.failures, 8)) * reportPause)
+		s.reportAt = now.Add(s.rest())
 		s.avoidUntil = s.reportAt
 		return
 	}
--- a/pkg/coordinator/server.go
+++ b/pkg/coordinator/server.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -63,6 +64,25 @@
 	return s
 }
 
+// serversOf yields the servers of a service that the platform lists.
+func (h *Holder) serversOf(service string) iter.Seq[*serverState] {
+	return func(yield func(*serverState) bool) {
+		for _, s := range h.servers {
+			if s.member != nil && s.member.Service == service && !yield(s) {
+				return
+			}
+		}
+	}
+}
+
+// rest returns how long a server is left alone after failures in a row.
+func (s *serverState) rest() time.Duration {
+	return time.Duration(min(s.failures, mostRests)) * reportPause
+}
+
+// mostRests bounds rest, in pauses.
+const mostRests = 8
+
 // learn takes in the newest records of the servers. Records lag and don't tell
 // how many orders a server has taken, so they only add to what it is believed to
 // hold; when one lacks something, the server is asked.
@@ -180,8 +200,8 @@
 // heldBy returns a server that holds what a request needs, "" if none does. The
 // holder's own word goes before that of the records.
 func (h *Holder) heldBy(now time.Time, service string, need backend.Need) string {
-	for _, s := range h.servers {
-		if s.member == nil || s.member.Service != service || s.member.Leaving() || s.silent(now) || s.unsure {
+	for s := range h.serversOf(service) {
+		if s.member.Leaving() || s.silent(now) || s.unsure {
 			continue
 		}
 		if s.ready(now, need) {
--- a/pkg/coordinator/takeover_test.go
+++ b/pkg/coordinator/takeover_test.go
@@ -62,7 +62,7 @@
 				t.Errorf("a beat to a holder that did not answer yet tells %+v", u)
 			}
 		}
-		m.told = 1
+		m.toldTerm = 1
 		if uses := m.uses(time.Now()); len(uses) != 0 {
 			t.Errorf("a holder that knows the rates is told %+v", uses)
 		}
--- a/pkg/coordinator/uses.go
+++ b/pkg/coordinator/uses.go
@@ -37,7 +37,7 @@
 		perSecond := r.at(now)
 		if perSecond < leastRate {
 			delete(m.rates, key)
-		} else if record.Term != m.told {
+		} else if record.Term != m.toldTerm {
 			of(key).Rate = perSecond
 		}
 	}
--- a/pkg/site/limiter.go
+++ b/pkg/site/limiter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 )
 
@@ -46,5 +45,3 @@
 		m.SetConnectionLimit(max(share, leastConnections))
 	}
 }
-
-func lifeText(life int64) string { return strconv.FormatInt(life, 36) }
