lease: a lost answer of the store holds up orders for a moment only

A write without an answer was waited for until its 0.8 s were over, longer than an order waits for its intent (0.7 s), so each lost answer cost all orders a second. Ruled out: the ceiling of loads and busy servers (idle servers stood by).

Now the same write is sent again, under the same condition, once an answer takes four times as long as usual (60 to 300 ms): one of them takes effect at most, and a later one finds the record as this node wrote it. A store that is slow by itself raises the usual time. TestALostAnswerDoesNotHoldUpOrders (0.8 s or a conflict before), TestASlowStoreIsNotAskedInALoop.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -55,6 +55,7 @@
 	start    time.Time     // zero of the steady clock
 	suspects chan struct{}
 	commits  chan *commit
+	pace     pace
 }
 
 // commit is a wish to write intents.
@@ -298,7 +299,7 @@
 	started := time.Now()
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	s, err := l.Store.Write(call, r, version)
+	s, err := l.insist(call, r, version)
 	switch {
 	case err == nil:
 		s.Record = r
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -14,7 +14,11 @@
 	mu      sync.Mutex
 	stored  Stored
 	down    bool
-	lost    int // answers of writes that are lost
+	lost    int           // answers of writes that are lost, as the caller sees at once
+	silent  int           // answers of writes that never come
+	late    int           // writes that are done only after writeLate, without an answer
+	writes  int           // that were asked for
+	slow    time.Duration // further time of a write
 	started time.Time
 	reads   int
 }
@@ -36,13 +40,25 @@
 	return s, nil
 }
 
-func (m *memory) Write(_ context.Context, r Record, version uint64) (Stored, error) {
-	time.Sleep(4 * time.Millisecond)
+// writeLate is how late a late write is done.
+const writeLate = 2 * time.Second
+
+func (m *memory) Write(ctx context.Context, r Record, version uint64) (Stored, error) {
+	time.Sleep(4*time.Millisecond + m.slow)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.writes++
 	if m.down {
 		return Stored{}, errAway
 	}
+	if m.late > 0 {
+		m.late--
+		time.AfterFunc(writeLate, func() { _, _ = m.Write(context.Background(), r, version) })
+		m.mu.Unlock()
+		<-ctx.Done()
+		m.mu.Lock()
+		return Stored{}, ctx.Err()
+	}
 	if version != m.stored.Version {
 		s := m.stored
 		s.Now = m.now()
@@ -53,6 +69,13 @@
 		m.lost--
 		return Stored{}, errAway
 	}
+	if m.silent > 0 {
+		m.silent--
+		m.mu.Unlock()
+		<-ctx.Done()
+		m.mu.Lock()
+		return Stored{}, ctx.Err()
+	}
 	return m.stored, nil
 }
 
@@ -62,6 +85,12 @@
 	return m.reads
 }
 
+func (m *memory) asked() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.writes
+}
+
 func (m *memory) set(f func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -259,3 +288,60 @@
 		}
 	})
 }
+
+// TestALostAnswerDoesNotHoldUpOrders: the answer of a write that never comes costs
+// orders a moment, not the whole time of a call.
+func TestALostAnswerDoesNotHoldUpOrders(t *testing.T) {
+	cases := []struct {
+		name         string
+		silent, late int
+	}{
+		{"the write is done", 1, 0},
+		{"twice", 2, 0},
+		{"the write is done later", 0, 1},
+		{"both", 1, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, m *memory) {
+				l, stop := run(t, m, "a")
+				defer stop()
+				time.Sleep(100 * time.Millisecond)
+				m.set(func() { m.silent, m.late = c.silent, c.late })
+				began := time.Now()
+				if _, err := l.Commit(t.Context(), []Intent{{Server: "s"}}); err != nil {
+					t.Fatalf("the intent was not written: %v", err)
+				}
+				if took := time.Since(began); took > 200*time.Millisecond {
+					t.Errorf("the intent was written after %v", took)
+				}
+				time.Sleep(2 * writeLate)
+				if !held(l) {
+					t.Error("the lease was lost")
+				}
+				if record, _ := l.Current(); len(record.Intents) != 1 {
+					t.Errorf("the record has %d intents in place of one", len(record.Intents))
+				}
+			})
+		})
+	}
+}
+
+// TestASlowStoreIsNotAskedInALoop: writes are not repeated while the store answers
+// as slowly as it did of late.
+func TestASlowStoreIsNotAskedInALoop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &memory{started: time.Now(), slow: 200 * time.Millisecond}
+		l, stop := run(t, m, "a")
+		defer stop()
+		time.Sleep(5 * time.Second)
+		before := m.asked()
+		time.Sleep(20 * time.Second)
+		if asked := m.asked() - before; asked > 25 {
+			t.Errorf("%d writes in 20s, of a renewal each 0.7s", asked)
+		}
+		if !held(l) {
+			t.Error("the lease is not held")
+		}
+	})
+}
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -23,6 +23,8 @@
 // acquire waits for a server that may get the request. It returns nil when the
 // request was answered.
 func (c *call) acquire(ctx context.Context) *backend.Member {
+	began := time.Now()
+	defer func() { c.record.waited += time.Since(began) }()
 	var askedAt time.Time
 	outlooks := make(chan asked, 1)
 	asking := false
@@ -35,7 +37,8 @@
 		if m := c.choose(); m != nil {
 			return m
 		}
-		if c.lacksModel() && !asking && time.Since(askedAt) >= wakeInterval {
+		c.record.waitFor = c.lacks()
+		if c.record.waitFor != lacksServer && !asking && time.Since(askedAt) >= wakeInterval {
 			askedAt, asking = time.Now(), true
 			go c.ask(ctx, c.missing, outlooks)
 		}
@@ -60,18 +63,30 @@
 	}
 }
 
-// lacksModel tells whether a model that a server could load is missing.
-func (c *call) lacksModel() bool {
+// What a waiting request lacks, in logs.
+const (
+	lacksServer  = "server" // that may get it now
+	lacksModel   = "model"
+	lacksAdapter = "adapter" // of a model that a server holds
+)
+
+// lacks tells what keeps a request waiting that no server may get now.
+func (c *call) lacks() string {
 	if c.need.Model == "" || c.engine == nil {
-		return false
+		return lacksServer
 	}
 	now := time.Now()
+	base := backend.Need{Model: c.need.Model}
+	lack := lacksModel
 	for _, m := range c.relay.Servers.Snapshot().Service(c.service) {
 		if m.Serves(now, c.need) {
-			return false
+			return lacksServer
+		}
+		if base != c.need && m.Serves(now, base) {
+			lack = lacksAdapter
 		}
 	}
-	return true
+	return lack
 }
 
 // asked is an answer of the waker.
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -15,6 +15,16 @@
 	outcomeBroken  = "broken off"
 )
 
+// sent notes that events went out.
+func (r *record) sent(now time.Time, bytes, events int) {
+	if !r.eventAt.IsZero() {
+		r.pause = max(r.pause, now.Sub(r.eventAt))
+	}
+	r.eventAt = now
+	r.bytes += bytes
+	r.events += events
+}
+
 // try is one attempt, for the log.
 type try struct {
 	server  string
@@ -33,9 +43,13 @@
 	tries     []try
 	firstByte time.Duration
 	readyIn   time.Duration
+	waited    time.Duration // for servers, over all tries
+	waitFor   string        // what it lacked when it last waited; empty: it never did
 	wakeError error
 	bytes     int
 	events    int
+	eventAt   time.Time     // when the last events went out
+	pause     time.Duration // longest between two sends of events
 }
 
 func (r *record) try(server string, started time.Time) {
@@ -71,13 +85,17 @@
 		snapshot := c.relay.Servers.Snapshot()
 		fields = append(fields, "route", c.route.Name, "service", c.service, "config", c.table.Version(),
 			"servers", snapshot.Version(), "servers_age_ms", time.Since(snapshot.At()).Milliseconds(),
-			"left_ms", c.left().Milliseconds())
+			"left_ms", c.left().Milliseconds(), "target_ms", c.route.Target.Milliseconds(), "came_back", c.cameBack)
+	}
+	if c.record.waitFor != "" {
+		fields = append(fields, "waited_ms", c.record.waited.Milliseconds(), "waited_for", c.record.waitFor)
 	}
 	if c.need.Model != "" {
 		fields = append(fields, "model", c.need.String(), "ready_in_ms", c.record.readyIn.Milliseconds())
 	}
 	if c.record.events > 0 {
-		fields = append(fields, "events", c.record.events, "last_event", c.lastEvent)
+		fields = append(fields, "events", c.record.events, "last_event", c.lastEvent,
+			"pause_ms", c.record.pause.Milliseconds(), "pause_target_ms", c.route.GapTarget.Milliseconds())
 	}
 	if len(c.record.tries) > 0 {
 		fields = append(fields, "tries", c.describeTries())
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -100,8 +100,7 @@
 		return false
 	}
 	_ = http.NewResponseController(c.w).Flush()
-	c.record.bytes += len(events)
-	c.record.events += bytes.Count(events, eventEnd)
+	c.record.sent(time.Now(), len(events), bytes.Count(events, eventEnd))
 	if id := lastEventID(events); id != "" {
 		c.lastEvent = id
 	}
--- /dev/null
+++ b/tools/credit/split.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+)
+
+// line is what is read of the log line of a request.
+type line struct {
+	Message  string  `json:"@message"`
+	Outcome  string  `json:"outcome"`
+	Reason   string  `json:"reason"`
+	Status   int     `json:"status"`
+	First    float64 `json:"first_ms"`
+	Took     float64 `json:"ms"`
+	Target   float64 `json:"target_ms"`
+	Waited   float64 `json:"waited_ms"`
+	WaitFor  string  `json:"waited_for"`
+	CameBack bool    `json:"came_back"`
+	Pause    float64 `json:"pause_ms"`
+	PauseMax float64 `json:"pause_target_ms"`
+	Tries    []struct {
+		Verdict string `json:"verdict"`
+	} `json:"tries"`
+}
+
+// class is a kind of request of the site file.
+type class struct {
+	Name   string  `toml:"name"`
+	Target float64 `toml:"aim_ms"`
+	Worth  float64 `toml:"worth"`
+	Late   float64 `toml:"late_worth"`
+}
+
+// loss returns what the request of a line lost of its worth. One that was refused
+// and comes back is counted in two halves: a request that is in time after a
+// refusal earns the mean of the two worths.
+func (l *line) loss(c *class) float64 {
+	half := (c.Worth - c.Late) / 2
+	switch {
+	case l.Outcome == "refused" && !l.CameBack && len(l.Tries) == 0:
+		return half
+	case l.Outcome != "served" || l.Status >= 400:
+		if l.CameBack {
+			return c.Worth - half
+		}
+		return c.Worth
+	case l.First <= l.Target && !l.paused():
+		return 0
+	case l.CameBack:
+		return half
+	default:
+		return c.Worth - c.Late
+	}
+}
+
+// paused tells whether the stream paused for too long between two events.
+func (l *line) paused() bool { return l.PauseMax > 0 && l.Pause > l.PauseMax }
+
+// cause names why a request lost something.
+func (l *line) cause() string {
+	end := "late"
+	switch {
+	case l.Outcome == "refused":
+		end = "refused (" + l.Reason + ")"
+	case l.Outcome != "served":
+		end = l.Outcome
+	case l.Status >= 400:
+		return fmt.Sprintf("the server's %d", l.Status)
+	case l.First <= l.Target && len(l.Tries) > 1:
+		return "paused, after an attempt that ended " + l.Tries[0].Verdict
+	case l.First <= l.Target:
+		return "paused at the server"
+	}
+	if l.CameBack {
+		end = "came back, " + end
+	}
+	switch {
+	case l.Waited > l.Target/4 || len(l.Tries) == 0:
+		return end + ", waited for " + cmp.Or(l.WaitFor, "nothing")
+	case len(l.Tries) > 1:
+		return end + ", after an attempt that ended " + l.Tries[0].Verdict
+	default:
+		return end + ", at the server"
+	}
+}
+
+// item is what one cause cost.
+type item struct {
+	requests int
+	loss     float64
+}
+
+// split is what was lost, by kind of request and cause.
+type split struct {
+	owed   map[string]float64
+	lost   map[string]float64 // by the bench's own count
+	causes map[string]map[string]item
+}
+
+func newSplit() split {
+	return split{owed: make(map[string]float64), lost: make(map[string]float64), causes: make(map[string]map[string]item)}
+}
+
+// count adds a request.
+func (s split) count(c *class, l *line) {
+	loss := l.loss(c)
+	if loss <= 0 {
+		return
+	}
+	s.put(c.Name, l.cause(), item{1, loss})
+}
+
+func (s split) put(class, cause string, more item) {
+	if s.causes[class] == nil {
+		s.causes[class] = make(map[string]item)
+	}
+	i := s.causes[class][cause]
+	s.causes[class][cause] = item{i.requests + more.requests, i.loss + more.loss}
+}
+
+// add takes in another split.
+func (s split) add(other split) {
+	for name, owed := range other.owed {
+		s.owed[name] += owed
+		s.lost[name] += other.lost[name]
+	}
+	for name, causes := range other.causes {
+		for cause, i := range causes {
+			s.put(name, cause, i)
+		}
+	}
+}
+
+// print shows the causes of each kind of request, the costliest first, as parts of
+// all that was owed.
+func (s split) print(w io.Writer) {
+	owed := 0.0
+	for _, v := range s.owed {
+		owed += v
+	}
+	type row struct {
+		class, cause string
+		item
+	}
+	var rows []row
+	for name := range s.owed {
+		told := 0.0
+		for cause, i := range s.causes[name] {
+			rows = append(rows, row{name, cause, i})
+			told += i.loss
+		}
+		rows = append(rows, row{name, "without a line", item{0, s.lost[name] - told}})
+	}
+	slices.SortFunc(rows, func(a, b row) int {
+		return cmp.Or(cmp.Compare(b.loss, a.loss), cmp.Compare(a.class, b.class), cmp.Compare(a.cause, b.cause))
+	})
+	for _, r := range rows {
+		fmt.Fprintf(w, "%.4f  %-18s %5d  %s\n", r.loss/owed, r.class, r.requests, r.cause)
+	}
+}
