--- a/pkg/coordinator/outlook.go
+++ b/pkg/coordinator/outlook.go
@@ -110,8 +110,8 @@
 	if left, loading := h.loadingLeft(now, service, need.Model); loading {
 		return left
 	}
-	if left, held := h.adapterLeft(now, service, need); held {
-		return left
+	if need.Adapter != "" && h.heldBy(now, service, backend.Need{Model: need.Model}) != "" {
+		return 2 * adapterTime
 	}
 	if at, known := h.expected[service][need.Model]; known && at.After(now) {
 		return at.Sub(now)
@@ -147,32 +147,6 @@
 	return left, loading
 }
 
-// adapterLeft returns when an adapter can be there whose model is held: a server
-// takes no adapter during a load, nor while all its places are in use.
-func (h *Holder) adapterLeft(now time.Time, service string, need backend.Need) (time.Duration, bool) {
-	e := h.engine(service)
-	if need.Adapter == "" || e == nil {
-		return 0, false
-	}
-	left, held := time.Duration(0), false
-	for s := range h.serversOf(service) {
-		if s.holds[need.Model] == nil || s.member.Leaving() {
-			continue
-		}
-		l := 2 * adapterTime
-		if s.busy != nil {
-			l += max(s.busy.readyAt.Sub(now), 0)
-		}
-		if s.adapters(now) >= e.AdapterPlaces && s.idleAdapter(now).Adapter == "" {
-			l += adapterIdle / 2
-		}
-		if !held || l < left {
-			left, held = l, true
-		}
-	}
-	return left, held
-}
-
 // latest returns the later of two times.
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -121,23 +121,18 @@
 const beliefTime = 5 * time.Second
 
 // judge refuses a request that comes back better later than it waits here: its
-// model will not be ready before its caller leaves, or not within its target. One
-// that has come back already waits beyond its target; one whose answer has begun is
-// kept.
+// model will not be ready within its target. One that has come back already, or
+// whose answer has begun, is kept.
 func (c *call) judge(o Outlook) (refusal, bool) {
 	c.record.readyIn = o.ReadyIn
-	if o.Server != "" || o.ReadyIn <= 0 || c.headSent {
+	if o.Server != "" || o.ReadyIn <= 0 || c.cameBack || c.headSent {
 		return refusal{}, false
 	}
-	f := c.notServed(reasonLoading, o.ReadyIn+loadMargin)
 	waited := time.Since(c.arrived)
-	if p := c.route.Patience; p > 0 && waited+o.ReadyIn > p {
-		return f, true
-	}
-	if c.cameBack || waited+o.ReadyIn <= c.route.Target || waited > c.route.Target/refuseEarly {
+	if waited+o.ReadyIn <= c.route.Target || waited > c.route.Target/refuseEarly {
 		return refusal{}, false
 	}
-	return f, true
+	return c.notServed(reasonLoading, o.ReadyIn+loadMargin), true
 }
 
 // refuseEarly divides the target: a refusal that comes later than this part of
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -48,7 +48,6 @@
 	Timeout     time.Duration // longest that a request is held; zero: no limit
 	Target      time.Duration // within which an answer is worth most
 	GapTarget   time.Duration // longest pause between events that is in time
-	Patience    time.Duration // callers leave a stream that shows no event for so long; zero: not known
 	MaxAttempts int           // servers that one request may be sent to
 	Priority    int           // 0 is the most urgent
 	Sticky      bool          // requests share parts of their prompts
