policy: loads from disk and memory count with the times that the site tells

So copies on disks were passed over for the store, and models whose weights lie in memory counted as cheaper to let go than they are.

Models now carry both times; where a site tells none the shares stay.

--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -252,7 +252,8 @@
 			MemoryBytes: m.Bytes, LoadTime: m.LoadTime, MaxReplicas: servers, MaxConcurrency: concurrency(e),
 			KeepAlive: time.Hour, ColdStartWeight: 1,
 		},
-		History: &policy.History{},
+		History:  &policy.History{},
+		DiskTime: m.DiskTime, MemoryTime: m.MemoryTime,
 	}
 	model.Demand.InFlight = w.inFlight[name]
 	if d != nil {
--- a/pkg/policy/adaptive.go
+++ b/pkg/policy/adaptive.go
@@ -77,7 +77,7 @@
 // reload returns how long it is expected to take to load a model again on the
 // server that holds it.
 func (p *plan) reload(model *Model, server api.ServerID) time.Duration {
-	return time.Duration(float64(model.Settings.LoadTime) * p.tier(model, server).loadShare())
+	return model.loadTime(p.tier(model, server))
 }
 
 // outlook returns what holding a model is worth whose load takes the time load.
--- a/pkg/policy/caching.go
+++ b/pkg/policy/caching.go
@@ -33,7 +33,8 @@
 		return false
 	}
 	load := model.Settings.LoadTime.Seconds()
-	saved := load * (from.loadShare() - memoryLoadShare) * wantedAgain * coldStartWorth(model)
+	sooner := model.loadTime(from) - model.loadTime(tierMemory)
+	saved := sooner.Seconds() * wantedAgain * coldStartWorth(model)
 	return saved > (load+cachingOverhead)*accelerators(model)
 }
 
--- a/pkg/policy/decide.go
+++ b/pkg/policy/decide.go
@@ -180,7 +180,7 @@
 			best = max(best, p.tier(model, p.servers[i].ID))
 		}
 	}
-	return time.Duration(float64(model.Settings.LoadTime) * best.loadShare())
+	return model.loadTime(best)
 }
 
 // maxReplicas returns the bound on a model's replicas.
--- a/pkg/policy/placement.go
+++ b/pkg/policy/placement.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"time"
 
 	"martenwheel.dev/pkg/api"
@@ -16,7 +17,8 @@
 	tierMemory
 )
 
-// Expected load times from a cache as shares of the time from the weight store.
+// Expected load times from a cache as shares of the time from the weight store, for
+// sites that don't tell them.
 const (
 	diskLoadShare   = 0.62
 	memoryLoadShare = 0.22
@@ -43,16 +45,15 @@
 	}
 }
 
-// loadShare returns the expected load time from the tier as a share of that
-// from the weight store.
-func (t checkpointTier) loadShare() float64 {
-	switch t {
+// loadTime returns how long a load of the model is expected to take from a tier.
+func (m *Model) loadTime(from checkpointTier) time.Duration {
+	switch from {
 	case tierMemory:
-		return memoryLoadShare
+		return cmp.Or(m.MemoryTime, time.Duration(memoryLoadShare*float64(m.Settings.LoadTime)))
 	case tierDisk:
-		return diskLoadShare
+		return cmp.Or(m.DiskTime, time.Duration(diskLoadShare*float64(m.Settings.LoadTime)))
 	default:
-		return 1
+		return m.Settings.LoadTime
 	}
 }
 
@@ -204,7 +205,7 @@
 		if tier == tierRemote {
 			continue
 		}
-		seconds := server.busyFor + evictionSeconds + model.Settings.LoadTime.Seconds()*tier.loadShare()
+		seconds := server.busyFor + evictionSeconds + model.loadTime(tier).Seconds()
 		if seconds < ready {
 			best, ready = server, seconds
 		}
@@ -221,7 +222,7 @@
 func (d decider) placeOn(p *plan, model *Model, server *serverPlan, need uint64) (placement, bool) {
 	placed := placement{
 		server:      server,
-		seconds:     model.Settings.LoadTime.Seconds() * p.tier(model, server.ID).loadShare(),
+		seconds:     model.loadTime(p.tier(model, server.ID)).Seconds(),
 		worth:       coldStartWorth(model),
 		cachedBytes: p.cachedBytes(server),
 		newZone:     !p.inZone(model, server.Zone),
--- a/pkg/policy/types.go
+++ b/pkg/policy/types.go
@@ -22,6 +22,9 @@
 	Replicas []Replica
 	Demand   Demand
 	History  *History // of this model's arrivals; never nil
+	// DiskTime and MemoryTime are how long a load takes from a server's own disk and
+	// memory; zero: estimated from Settings.LoadTime.
+	DiskTime, MemoryTime time.Duration
 }
 
 // Replica is one replica of a model. All states but Ready are counted as
