relay: fast servers first, by the pace of their streams

Ruled out: loads under way (no order near most pauses), many requests at once (8 to 34 on the server), nodes (all nodes' streams on the server pause alike).

Each node compares the servers by the time of an event on the models that several of them serve (backend.Paced), and PaceScorer prefers the fast ones while they have room.

--- a/pkg/backend/condition.go
+++ b/pkg/backend/condition.go
@@ -16,8 +16,10 @@
 
 	mu       sync.Mutex
 	beliefs  map[Need]belief
-	running  map[string]int // this node's requests by model
-	recent   float64        // requests sent lately, decayed
+	running  map[string]int           // this node's requests by model
+	paces    map[string]time.Duration // time of an event by model
+	slowness float64                  // of its pace by that of the fastest server; zero: not known
+	recent   float64                  // requests sent lately, decayed
 	recentAt time.Time
 	failures int       // in a row
 	until    time.Time // to be avoided
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -178,6 +178,7 @@
 	switch v {
 	case served:
 		m.Answered()
+		c.relay.Servers.Paced(m.ID, c.need.Model, c.record.pace())
 		c.record.end(outcomeServed, nil)
 		return false
 	case gone:
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -198,6 +198,7 @@
 		Recent:  m.Recent(now),
 
 		Connected: m.Idle() > 0,
+		Slowness:  m.Slowness(),
 	}
 }
 
@@ -209,6 +210,7 @@
 	weightRecent    = 0.5
 	weightConnected = 0.3
 	weightZone      = 0.2
+	weightPace      = 1.0
 	pickMargin      = 0.1
 )
 
@@ -220,6 +222,7 @@
 			{Scorer: routing.RecentScorer{}, Weight: weightRecent},
 			{Scorer: routing.ConnectedScorer{}, Weight: weightConnected},
 			{Scorer: routing.ZoneScorer{}, Weight: weightZone},
+			{Scorer: routing.PaceScorer{}, Weight: weightPace},
 		},
 		routing.TwoChoicePicker{Margin: pickMargin},
 	)
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -17,7 +17,9 @@
 
 // sent notes that events went out.
 func (r *record) sent(now time.Time, bytes, events int) {
-	if !r.eventAt.IsZero() {
+	if r.eventAt.IsZero() {
+		r.eventsFrom = now
+	} else {
 		r.pause = max(r.pause, now.Sub(r.eventAt))
 	}
 	r.eventAt = now
@@ -25,6 +27,18 @@
 	r.events += events
 }
 
+// leastPaced is the least number of events by which a stream tells a pace.
+const leastPaced = 8
+
+// pace returns how long the server took for each event, its longest pause aside, of
+// a stream that came from one server in whole; zero if that can't be told.
+func (r *record) pace() time.Duration {
+	if r.events < leastPaced || len(r.tries) != 1 {
+		return 0
+	}
+	return (r.eventAt.Sub(r.eventsFrom) - r.pause) / time.Duration(r.events-2)
+}
+
 // try is one attempt, for the log.
 type try struct {
 	server  string
@@ -36,20 +50,21 @@
 
 // record is what the log line of a request tells.
 type record struct {
-	id        string
-	outcome   string
-	err       error
-	status    int
-	tries     []try
-	firstByte time.Duration
-	readyIn   time.Duration
-	waited    time.Duration // for servers, over all tries
-	waitFor   string        // what it lacked when it last waited; empty: it never did
-	wakeError error
-	bytes     int
-	events    int
-	eventAt   time.Time     // when the last events went out
-	pause     time.Duration // longest between two sends of events
+	id         string
+	outcome    string
+	err        error
+	status     int
+	tries      []try
+	firstByte  time.Duration
+	readyIn    time.Duration
+	waited     time.Duration // for servers, over all tries
+	waitFor    string        // what it lacked when it last waited; empty: it never did
+	wakeError  error
+	bytes      int
+	events     int
+	eventsFrom time.Time     // when the first events went out
+	eventAt    time.Time     // when the last events went out
+	pause      time.Duration // longest between two sends of events
 }
 
 func (r *record) try(server string, started time.Time) {
--- a/pkg/traffic/routing/plugins_test.go
+++ b/pkg/traffic/routing/plugins_test.go
@@ -70,6 +70,10 @@
 		{ZoneScorer{}, func(c *Candidate) { c.Zone = "b" }, 0},
 		{AdapterScorer{}, func(c *Candidate) { c.AdapterSeen = true }, 1},
 		{AdapterScorer{}, func(*Candidate) {}, 0},
+		{ConnectedScorer{}, func(c *Candidate) { c.Connected = true }, 1},
+		{ConnectedScorer{}, func(*Candidate) {}, 0},
+		{PaceScorer{}, func(c *Candidate) { c.Slowness = 2 }, 0.5},
+		{PaceScorer{}, func(*Candidate) {}, 1},
 	}
 	request := Request{Zone: "a", Blocks: 8}
 	for index, test := range cases {
--- a/pkg/traffic/routing/routing.go
+++ b/pkg/traffic/routing/routing.go
@@ -58,6 +58,7 @@
 	MatchedBlocks int     // leading blocks of the prompt believed to be cached
 	AdapterSeen   bool    // the engine's last load report lists the model
 	Connected     bool    // an unused connection to the server stands
+	Slowness      float64 // of its pace by that of the fastest server; zero: not known
 }
 
 // Filter drops candidates that must not get the request.
