coordinator: loads that are done are seen sooner

The server stands idle meanwhile, in bursts with others waiting for it. Ruled out: longer loads under many requests (the same on idle servers).

The first report comes 100 ms after the expected time, further ones each 100 ms for a second, and a plan is made at those moments.

--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -188,6 +188,11 @@
 	}
 }
 
+// planAt has a plan made at a time, sooner than the next tick.
+func (h *Holder) planAt(at time.Time) {
+	time.AfterFunc(time.Until(at), func() { h.post(func() { h.planSoon = true }) })
+}
+
 // post runs f on the holder's goroutine some time.
 func (h *Holder) post(f func()) {
 	select {
--- a/pkg/coordinator/holder_test.go
+++ b/pkg/coordinator/holder_test.go
@@ -37,6 +37,33 @@
 	})
 }
 
+// TestFinishedLoadsAreSeenSoon: requests wait for a load that is done, however much
+// longer than expected it took.
+func TestFinishedLoadsAreSeenSoon(t *testing.T) {
+	const cases, step, most = 12, 30 * time.Millisecond, 2 * duePause
+	for i := range cases {
+		bubble(t, func(t *testing.T) {
+			s := newSite(t, []string{"m0"})
+			s.engines.load = loadTime + time.Duration(i)*step
+			n := s.start("a")
+			time.Sleep(time.Second + time.Duration(i)*step)
+			n.wish(t, "m5")
+			for len(s.engines.loads()) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			done := s.engines.loads()[0].at.Add(s.engines.load)
+			need := backend.Need{Model: "m5"}
+			for !n.servers.Snapshot().Member("server-0").Serves(time.Now(), need) {
+				time.Sleep(time.Millisecond)
+			}
+			if after := time.Since(done); after > most {
+				t.Errorf("a load that took %v longer was seen %v after its end", time.Duration(i)*step, after)
+			}
+			n.stop()
+		})
+	}
+}
+
 // TestLIMITOfMemory: models make room before others are loaded, also when many
 // are wished at once. The engines report an order beyond their memory.
 func TestLIMITOfMemory(t *testing.T) {
--- a/pkg/coordinator/orders.go
+++ b/pkg/coordinator/orders.go
@@ -63,6 +63,8 @@
 	orderTimeout  = 500 * time.Millisecond
 	reportTimeout = 400 * time.Millisecond
 	reportPause   = 250 * time.Millisecond
+	duePause      = 100 * time.Millisecond // between reports on what should be done by now
+	dueTime       = time.Second            // after which it is late
 	reportLag     = 300 * time.Millisecond // how far a report mostly lies behind
 	reportSettles = time.Second            // after an order, for reports to show it
 	adapterTime   = 25 * time.Millisecond  // for an adapter to arrive
@@ -184,7 +186,8 @@
 		s.sequence = max(s.sequence, o.after)
 		s.reportAt = now.Add(reportPause)
 		if s.busy != nil {
-			s.reportAt = s.busy.readyAt
+			s.reportAt = s.busy.readyAt.Add(duePause)
+			h.planAt(s.reportAt)
 		}
 		h.accepted(now, s, o)
 		return
--- a/pkg/coordinator/reports.go
+++ b/pkg/coordinator/reports.go
@@ -37,7 +37,8 @@
 // reported takes in a report. It lies a little behind.
 func (h *Holder) reported(now time.Time, s *serverState, r Report, err error) {
 	s.asking = false
-	s.reportAt = now.Add(reportPause)
+	s.reportAt = now.Add(s.reportRest(now))
+	h.planAt(s.reportAt)
 	if err != nil {
 		s.failures++
 		s.reportAt = now.Add(s.rest())
@@ -77,6 +78,15 @@
 	}
 }
 
+// reportRest returns the time until a server is asked again: a load that should be
+// done is waited for by requests.
+func (s *serverState) reportRest(now time.Time) time.Duration {
+	if s.busy != nil && now.Sub(s.busy.readyAt) < dueTime {
+		return duePause
+	}
+	return reportPause
+}
+
 // inherit takes over an operation that an order of an earlier holder began. The
 // record of the lease tells which; until it is done, what the server holds is
 // not known.
