control: a group does not take in a node that is stopping

Then a exits, the group counts a dead member, and the next planned stop waits for a majority that needs it until its bound of 10 s. Ruled out: the stand-ins' ends (they close in milliseconds) and membership, which would tell of a's leave some ms later.

A stopping node tells all members of its groups, of both configurations while they change, and each keeps it, whether it leads or not, until membership has dropped the node.

--- a/pkg/control/cells.go
+++ b/pkg/control/cells.go
@@ -117,7 +117,7 @@
 	c.owner.Configure(c.machine.TreeRevision(), c.models)
 	c.committed = state.Version
 	c.record.reset(now)
-	c.leaving = nil
+	c.leaving = c.stillLeaving()
 	c.reconfigureAt = now
 	c.machine.machinesAt = now
 	if state.Data.Revision > uint64(c.machine.TreeRevision()) {
--- a/pkg/control/explore/takeover_test.go
+++ b/pkg/control/explore/takeover_test.go
@@ -150,3 +150,30 @@
 	}
 	printTrace(t, w)
 }
+
+// TestPlannedStopsInTurn stops the nodes of a small site one after the other, as an
+// operator does: no group takes in a node that is stopping, so that each stop is
+// fast but the last, which has nobody to hand over to.
+func TestPlannedStopsInTurn(t *testing.T) {
+	const seeds, atOnce = 60, 3 * time.Second
+	for seed := range uint64(seeds) {
+		w := ownSite(seed, 3)
+		w.mustReach(t, 20*time.Second, w.allKnowOwner, "the site does not come up")
+		w.run(3*time.Second + time.Duration(seed)*17*time.Millisecond)
+		for range 2 {
+			n := w.owner()
+			if n == nil {
+				t.Errorf("seed %d: nobody owns the cell", seed)
+				break
+			}
+			began := w.now
+			n.step(control.StopRequested{})
+			if !w.runUntil(20*time.Second, n.machine.Stopped) || w.now.Sub(began) > atOnce {
+				t.Errorf("seed %d: %s stopped after %v", seed, n.address(), w.now.Sub(began))
+			}
+			w.run(10 * time.Millisecond)
+			n.crash()
+			w.run(500 * time.Millisecond)
+		}
+	}
+}
--- a/pkg/control/members.go
+++ b/pkg/control/members.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"slices"
+
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/control/quorum"
 )
@@ -71,15 +73,23 @@
 	return staying
 }
 
-// memberLeaving notes that a member asks to be replaced.
+// memberLeaving notes that a member asks to be replaced, also at a node that does
+// not lead: it may be the next one to, and is not to take the member in again.
 func (c *cellControl) memberLeaving(node api.NodeRef) {
-	if c.owner == nil || quorum.Contains(c.leaving, node) {
+	if quorum.Contains(c.leaving, node) {
 		return
 	}
-	c.leaving = append(c.leaving, node)
+	c.leaving = append(c.stillLeaving(), node)
 	c.reconfigureAt = c.machine.now
 }
 
+// stillLeaving returns the leaving nodes that membership has not dropped yet.
+func (c *cellControl) stillLeaving() []api.NodeRef {
+	return slices.DeleteFunc(c.leaving, func(node api.NodeRef) bool {
+		return !quorum.Contains(c.machine.liveNodes(), node)
+	})
+}
+
 func sameMembers(a, b []api.NodeRef) bool {
 	if len(a) != len(b) {
 		return false
--- a/pkg/control/quorum/messages.go
+++ b/pkg/control/quorum/messages.go
@@ -49,7 +49,7 @@
 	Term uint64
 }
 
-// Leaving asks the leader to replace the sender, which is about to stop.
+// Leaving asks the members of a group to replace the sender, which is about to stop.
 type Leaving struct {
 	Cell api.CellName
 }
--- a/pkg/control/stop.go
+++ b/pkg/control/stop.go
@@ -33,10 +33,15 @@
 	}
 }
 
+// askToLeave tells all members of the group: any of them may lead it next.
 func (c *cellControl) askToLeave() {
-	leader, led := c.group.Leader(c.machine.now)
-	if c.isMember() && led && !c.machine.isSelf(leader) {
-		c.machine.send(leader, quorum.Leaving{Cell: c.name})
+	if !c.isMember() {
+		return
+	}
+	for _, member := range c.group.Accepted().All() {
+		if !c.machine.isSelf(member) {
+			c.machine.send(member, quorum.Leaving{Cell: c.name})
+		}
 	}
 }
 
