--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -46,7 +46,7 @@
 	started  sync.Once
 
 	mu       sync.Mutex
-	arrivals map[demandKey]int
+	arrivals map[demandKey]arrivals
 	rates    map[demandKey]*rate // arrivals that a holder was told of
 	toldTerm uint64              // term of the holder that knows the rates
 	wishes   map[demandKey]*asked
