--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -82,12 +82,10 @@
 // demand is what is asked of a model.
 type demand struct {
 	rate      rate
-	habit     rate          // over a longer time
-	target    time.Duration // the shortest of the routes that they come by; zero: not known
-	last      time.Time     // arrival
-	since     time.Time     // of the first wish that counts
-	waitTold  bool          // the log told that it waits for long
-	waitsTill time.Time     // until when a wish without a server counts
+	last      time.Time // arrival
+	since     time.Time // of the first wish that counts
+	waitTold  bool      // the log told that it waits for long
+	waitsTill time.Time // until when a wish without a server counts
 	deadline  time.Time
 	priority  int // 0 is the most urgent
 	request   string
@@ -257,7 +255,9 @@
 		n.uses[key] = u
 		if u.Arrivals > 0 || u.Rate > 0 {
 			d := h.demand(key)
-			d.arrive(now, u)
+			d.rate.add(now, u.Arrivals)
+			d.rate.join(now, u.Rate)
+			d.last = now
 		}
 	}
 	answer := BeatAnswer{Version: NodesVersion{h.term, h.nodesNumber}}
@@ -279,18 +279,6 @@
 	return d
 }
 
-// arrive takes in what a node tells of requests.
-func (d *demand) arrive(now time.Time, u Use) {
-	d.rate.add(now, u.Arrivals)
-	d.rate.join(now, u.Rate)
-	d.habit.halfLife = habitHalfLife
-	d.habit.add(now, u.Arrivals)
-	if u.Target > 0 && (d.target == 0 || u.Target < d.target) {
-		d.target = u.Target
-	}
-	d.last = now
-}
-
 // waits tells whether a request waits for the model.
 func (d *demand) waits(now time.Time) bool { return now.Before(d.waitsTill) }
 
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -46,7 +46,7 @@
 	started  sync.Once
 
 	mu       sync.Mutex
-	arrivals map[demandKey]arrivals
+	arrivals map[demandKey]int
 	rates    map[demandKey]*rate // arrivals that a holder was told of
 	toldTerm uint64              // term of the holder that knows the rates
 	wishes   map[demandKey]*asked
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -32,9 +32,8 @@
 	Service  string
 	Model    string // or "model/adapter"
 	InFlight int
-	Arrivals int           // since the last beat
-	Rate     float64       // arrivals a second lately; told to a holder once, at its first beat
-	Target   time.Duration // the shortest of the routes that they came by; zero: not known
+	Arrivals int     // since the last beat
+	Rate     float64 // arrivals a second lately; told to a holder once, at its first beat
 }
 
 // Beat tells the holder that a node is alive and what it serves.
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -259,8 +259,6 @@
 	if d != nil {
 		model.Demand.LastArrival = d.last
 		model.Demand.Rate = d.rate.at(now)
-		model.Demand.Habit = d.habit.at(now)
-		model.Demand.Target = d.target
 		model.Settings.MinReplicas = spareReplicas(d.rate.at(now), servers)
 	}
 	if e.AdapterPlaces > 0 {
--- a/pkg/coordinator/rate.go
+++ b/pkg/coordinator/rate.go
@@ -1,24 +1,15 @@
 package coordinator
 
-import (
-	"cmp"
-	"time"
-)
+import "time"
 
 // rate is a smoothed number of arrivals a second.
 type rate struct {
 	perSecond float64
 	asOf      time.Time
-	halfLife  time.Duration // rateHalfLife if zero
 }
 
-// Ages at which arrivals count half.
-const (
-	rateHalfLife  = 5 * time.Second
-	habitHalfLife = time.Minute
-)
-
-func (r *rate) half() time.Duration { return cmp.Or(r.halfLife, rateHalfLife) }
+// rateHalfLife is the age at which arrivals count half.
+const rateHalfLife = 5 * time.Second
 
 // decayPerHalfLife makes the sum of decaying arrivals a rate: ln 2.
 const decayPerHalfLife = 0.693
@@ -28,7 +19,7 @@
 
 // add takes in arrivals.
 func (r *rate) add(now time.Time, n int) {
-	r.join(now, float64(n)/r.half().Seconds()*decayPerHalfLife)
+	r.join(now, float64(n)/rateHalfLife.Seconds()*decayPerHalfLife)
 }
 
 // join takes in the rate of others.
@@ -40,9 +31,9 @@
 // at returns the rate as it has decayed until now.
 func (r *rate) at(now time.Time) float64 {
 	left := r.perSecond
-	for age := now.Sub(r.asOf); age > 0 && left > leastRate; age -= r.half() {
-		if age < r.half() {
-			return left * (1 - 0.5*age.Seconds()/r.half().Seconds())
+	for age := now.Sub(r.asOf); age > 0 && left > leastRate; age -= rateHalfLife {
+		if age < rateHalfLife {
+			return left * (1 - 0.5*age.Seconds()/rateHalfLife.Seconds())
 		}
 		left /= 2
 	}
--- a/pkg/coordinator/uses.go
+++ b/pkg/coordinator/uses.go
@@ -6,33 +6,17 @@
 	"martenwheel.dev/pkg/backend"
 )
 
-// arrivals are the requests for a model since the last beat.
-type arrivals struct {
-	count  int
-	target time.Duration // the shortest of their routes; zero: not known
-}
-
-// Arrived counts a request for a model that is worth most within a target.
-func (m *Member) Arrived(service string, n backend.Need, target time.Duration) {
+// Arrived counts a request for a model.
+func (m *Member) Arrived(service string, n backend.Need) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.arrivals == nil {
-		m.arrivals = make(map[demandKey]arrivals)
+		m.arrivals = make(map[demandKey]int)
 	}
-	m.arrived(demandKey{service, n.Model}, target)
+	m.arrivals[demandKey{service, n.Model}]++
 	if n.Adapter != "" {
-		m.arrived(demandKey{service, n.String()}, target)
-	}
-}
-
-// arrived counts a request. The caller holds mu.
-func (m *Member) arrived(key demandKey, target time.Duration) {
-	a := m.arrivals[key]
-	a.count++
-	if a.target == 0 || target < a.target {
-		a.target = target
+		m.arrivals[demandKey{service, n.String()}]++
 	}
-	m.arrivals[key] = a
 }
 
 // uses returns what this node serves, and starts to count anew. A holder that is
@@ -57,9 +41,9 @@
 			of(key).Rate = perSecond
 		}
 	}
-	for key, a := range m.arrivals {
-		of(key).Arrivals, of(key).Target = a.count, a.target
-		m.rate(key).add(now, a.count)
+	for key, n := range m.arrivals {
+		of(key).Arrivals = n
+		m.rate(key).add(now, n)
 	}
 	m.arrivals = nil
 	m.mu.Unlock()
--- a/pkg/policy/demand.go
+++ b/pkg/policy/demand.go
@@ -16,9 +16,7 @@
 const (
 	demandHorizon = 10 * time.Second
 	priorRate     = 0.03
-	surplusValue  = 0.05                    // of a replica beyond the demand, of what it is worth else
-	patientValue  = 0.3                     // of a model whose requests are in time after a load
-	queueTime     = 1500 * time.Millisecond // that a load waits for its turn
+	surplusValue  = 0.05 // of a replica beyond the demand, of what it is worth else
 )
 
 func (demandFirst) unload(*plan, *Model, *Replica, time.Time) bool { return false }
@@ -28,13 +26,9 @@
 // value implements retention: the cold start that the replica is expected to
 // save, in accelerator seconds.
 func (demandFirst) value(p *plan, model *Model, replica *Replica, _ time.Time) float64 {
-	rate := max(model.Demand.Rate, model.Demand.Habit) + priorRate
-	chance := 1 - math.Exp(-rate*demandHorizon.Seconds())
-	reload := p.reload(model, replica.Server)
-	value := coldStartWorth(model) * (reload.Seconds() + loadOverhead) * chance
-	if reload+queueTime <= model.Demand.Target {
-		value *= patientValue
-	}
+	chance := 1 - math.Exp(-(model.Demand.Rate+priorRate)*demandHorizon.Seconds())
+	reload := p.reload(model, replica.Server).Seconds() + loadOverhead
+	value := coldStartWorth(model) * reload * chance
 	if p.staying(model) > max(wantedReplicas(model), 1) {
 		value *= surplusValue
 	}
--- a/pkg/policy/types.go
+++ b/pkg/policy/types.go
@@ -47,9 +47,7 @@
 	EarliestDeadline time.Time // of the waiting requests; zero if none
 	WaitingSince     time.Time // of the first of them; zero if it is not known
 	LastArrival      time.Time
-	Rate             float64       // arrivals a second lately; zero if it is not known
-	Habit            float64       // arrivals a second over a longer time; zero if it is not known
-	Target           time.Duration // within which answers are worth most; zero if it is not known
+	Rate             float64 // arrivals a second lately; zero if it is not known
 }
 
 // Server is a server of the cell as the decider sees it.
