--- a/pkg/backend/condition.go
+++ b/pkg/backend/condition.go
@@ -22,7 +22,6 @@
 	recent   float64                  // requests sent lately, decayed
 	recentAt time.Time
 	failures int       // in a row
-	ended    time.Time // until when it counts as ended
 	until    time.Time // to be avoided
 }
 
@@ -122,24 +121,6 @@
 	c.until = time.Time{}
 }
 
-// endedTime is how long a server gets no request after nobody listened there.
-const endedTime = time.Second
-
-// NoteEnded notes that nobody listened at the server's address: it serves nothing
-// for a while, whatever its record says.
-func (c *Condition) NoteEnded(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.ended = now.Add(endedTime)
-}
-
-// hasEnded tells whether nobody listened at the server's address a moment ago.
-func (c *Condition) hasEnded(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return now.Before(c.ended)
-}
-
 // Avoid tells whether the server failed a moment ago.
 func (c *Condition) Avoid(now time.Time) bool {
 	c.mu.Lock()
--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -21,8 +21,6 @@
 var (
 	// ErrNotSent means that no byte of the request left this process.
 	ErrNotSent = errors.New("backend: not sent")
-	// ErrEnded means that nobody listens where the server did. Nothing was sent.
-	ErrEnded = errors.Wrap(ErrNotSent, "backend: nobody listens")
 	// ErrNoAnswer means that some of the request was sent and no answer came.
 	ErrNoAnswer = errors.New("backend: sent, no answer")
 	// ErrBroken means that the answer broke off.
--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -137,14 +137,10 @@
 
 // notSent tells that err kept a request from being sent.
 func notSent(err error) error {
-	switch {
-	case errors.Is(err, ErrCrowded):
+	if errors.Is(err, ErrCrowded) {
 		return err
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return errors.Wrap(ErrEnded, err.Error())
-	default:
-		return errors.Wrap(ErrNotSent, err.Error())
 	}
+	return errors.Wrap(ErrNotSent, err.Error())
 }
 
 // endedTimeout bounds the wait for a server that may have ended.
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -335,19 +335,6 @@
 	}
 }
 
-// tellUnloads tells the nodes of the models that are being unloaded, and again while
-// an unload waits for its runs: the server's record shows the model all the time.
-func (h *Holder) tellUnloads(now time.Time) {
-	for _, s := range h.servers {
-		op := s.busy
-		if op == nil || op.load || now.Sub(op.toldAt) < noticeTime/2 {
-			continue
-		}
-		op.toldAt = now
-		h.tell(Notice{Server: s.id, Need: op.need.Model, Holds: false})
-	}
-}
-
 // tell sends a notice to all other nodes and takes it in here.
 func (h *Holder) tell(n Notice) {
 	h.Servers.Believe(n.Server, backend.ParseNeed(n.Need), n.Holds, time.Now().Add(noticeTime))
--- a/pkg/coordinator/orders.go
+++ b/pkg/coordinator/orders.go
@@ -114,10 +114,6 @@
 // ErrNotGiven means that an order was surely not sent.
 var ErrNotGiven = errors.New("coordinator: the order was not sent")
 
-// ErrServerEnded means that nobody listens at a server's address: its process is
-// gone, and nothing was sent.
-var ErrServerEnded = errors.Wrap(ErrNotGiven, "the server has ended")
-
 // errNotWritten means that an order's intent was not written in time, so that it
 // was not sent.
 var errNotWritten = errors.New("coordinator: the intent was not written")
@@ -181,10 +177,6 @@
 	}
 	s.failures++
 	s.avoidUntil = now.Add(s.rest())
-	if errors.Is(err, ErrServerEnded) {
-		h.noteEnded(s, true)
-		s.reportAt = s.avoidUntil
-	}
 }
 
 // judged takes in a server's verdict on an order.
--- a/pkg/coordinator/outlook.go
+++ b/pkg/coordinator/outlook.go
@@ -29,7 +29,7 @@
 func (h *Holder) freeTimes(now time.Time, service string) []time.Time {
 	var list []time.Time
 	for s := range h.serversOf(service) {
-		if s.lost() {
+		if s.member.Leaving() {
 			continue
 		}
 		free := latest(now, s.quietUntil)
@@ -137,7 +137,7 @@
 func (h *Holder) loadingLeft(now time.Time, service, model string) (time.Duration, bool) {
 	left, loading := time.Duration(0), false
 	for s := range h.serversOf(service) {
-		if s.busy == nil || !s.busy.load || s.busy.need.Model != model || s.lost() {
+		if s.busy == nil || !s.busy.load || s.busy.need.Model != model {
 			continue
 		}
 		if l := max(s.busy.readyAt.Sub(now), tickInterval/4); !loading || l < left {
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -54,17 +54,12 @@
 	return w
 }
 
-// presence counts the servers of a service that hold or load each model and stay.
+// presence counts the servers of a service that hold or load each model.
 func (h *Holder) presence(service string) map[string]int {
 	count := make(map[string]int)
 	for s := range h.serversOf(service) {
-		if s.lost() {
-			continue
-		}
 		for model := range s.holds {
-			if s.busy == nil || s.busy.load || s.busy.need.Model != model {
-				count[model]++
-			}
+			count[model]++
 		}
 		if s.busy != nil && s.busy.load {
 			count[s.busy.need.Model]++
@@ -88,7 +83,6 @@
 		return
 	}
 	h.repeatDoubts(now)
-	h.tellUnloads(now)
 	for name, s := range table.Services() {
 		if s.Engine != nil {
 			h.planAdapters(now, name, s.Engine)
@@ -139,7 +133,7 @@
 		if !o.load {
 			if !h.learning(now) {
 				h.give(s, o, false, unloadTime, action.Reason)
-				h.tellUnloads(now)
+				h.tell(Notice{Server: s.id, Need: m.Name, Holds: false})
 			}
 			continue
 		}
@@ -328,11 +322,11 @@
 // replica returns a model's replica on the server.
 func (s *serverState) replica(now time.Time, name string) (policy.Replica, bool) {
 	r := policy.Replica{Server: api.ServerID(s.id), Since: now}
-	if s.lost() {
-		return r, false
-	}
 	if known := s.holds[name]; known != nil {
 		r.State, r.Since = api.ReplicaReady, known.since
+		if s.member.Leaving() {
+			return r, false
+		}
 	}
 	if s.busy != nil && s.busy.need.Model == name {
 		r.State = api.ReplicaUnloading
--- a/pkg/coordinator/reports.go
+++ b/pkg/coordinator/reports.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/lease"
 )
@@ -41,7 +39,6 @@
 	s.asking = false
 	s.reportAt = now.Add(s.reportRest(now))
 	h.planAt(s.reportAt)
-	h.noteEnded(s, errors.Is(err, ErrServerEnded))
 	if err != nil {
 		s.failures++
 		s.reportAt = now.Add(s.rest())
@@ -81,22 +78,6 @@
 	}
 }
 
-// noteEnded notes whether a server's process is gone. Its record tells so only after
-// some missed heartbeats; until then its models are to be loaded elsewhere.
-func (h *Holder) noteEnded(s *serverState, ended bool) {
-	if ended == s.ended {
-		return
-	}
-	s.ended = ended
-	h.planSoon = true
-	if ended {
-		s.unsure = true // no orders until it has answered
-		h.Logger.Warn("server ended", "server", s.id, "models", len(s.holds), "record", s.version)
-	} else {
-		h.Logger.Info("server answers again", "server", s.id)
-	}
-}
-
 // reportRest returns the time until a server is asked again: a load that should be
 // done is waited for by requests.
 func (s *serverState) reportRest(now time.Time) time.Duration {
--- a/pkg/coordinator/server.go
+++ b/pkg/coordinator/server.go
@@ -28,7 +28,6 @@
 	doubt      *order          // without an answer; only the same may follow
 	repeat     bool            // the order in doubt was not taken yet, by a report
 	avoidUntil time.Time       // it refused an order
-	ended      bool            // nobody listened at its address when it was last asked
 	acceptedAt time.Time       // of the last order; reports lag behind it
 }
 
@@ -53,7 +52,6 @@
 	since   time.Time
 	readyAt time.Time // expected
 	fetch   bool      // from the weight store
-	toldAt  time.Time // when the nodes were last told that an unload is under way
 }
 
 // server returns the state of a server, made if it is new.
@@ -196,10 +194,6 @@
 	return s.member != nil && !s.unsure && !s.recheck && !s.member.Leaving() && !now.Before(s.quietUntil) && !now.Before(s.avoidUntil)
 }
 
-// lost tells whether what the server holds or loads serves no new request: it is
-// leaving, or has ended though its record is still there.
-func (s *serverState) lost() bool { return s.ended || s.member.Leaving() }
-
 // silent tells whether the server did not answer a moment ago.
 func (s *serverState) silent(now time.Time) bool { return s.failures > 0 && now.Before(s.avoidUntil) }
 
@@ -207,7 +201,7 @@
 // holder's own word goes before that of the records.
 func (h *Holder) heldBy(now time.Time, service string, need backend.Need) string {
 	for s := range h.serversOf(service) {
-		if s.lost() || s.silent(now) || s.unsure {
+		if s.member.Leaving() || s.silent(now) || s.unsure {
 			continue
 		}
 		if s.ready(now, need) {
--- a/pkg/policy/decide.go
+++ b/pkg/policy/decide.go
@@ -103,7 +103,7 @@
 	var loads []wantedLoad
 	for i := range p.input.Models {
 		model := &p.input.Models[i]
-		missing := wantedReplicas(model) - (p.present[i] - p.unloading[i])
+		missing := wantedReplicas(model) - p.present[i]
 		if missing <= 0 {
 			continue
 		}
--- a/pkg/policy/plan.go
+++ b/pkg/policy/plan.go
@@ -29,15 +29,12 @@
 	now     time.Time
 	input   *Input
 	servers []serverPlan
-	loaded  []int // models with replicas
-	present []int // replicas of each model, whatever their state, with planned loads
-	// unloading are those of present that are being unloaded: they serve no request,
-	// and an unload waits for the runs on it.
-	unloading []int
-	kin       []kin               // of each model
-	unload    map[replicaKey]bool // replicas that an action unloads
-	slots     int                 // loads from the weight store that may still start
-	actions   []Action
+	loaded  []int               // models with replicas
+	present []int               // replicas of each model, whatever their state, with planned loads
+	kin     []kin               // of each model
+	unload  map[replicaKey]bool // replicas that an action unloads
+	slots   int                 // loads from the weight store that may still start
+	actions []Action
 }
 
 // kin links a model with its adapters: -1 where there is none.
@@ -67,12 +64,11 @@
 // newPlan starts a decision.
 func newPlan(now time.Time, input *Input) *plan {
 	p := &plan{
-		now:       now,
-		input:     input,
-		servers:   make([]serverPlan, len(input.Servers)),
-		present:   make([]int, len(input.Models)),
-		unloading: make([]int, len(input.Models)),
-		kin:       make([]kin, len(input.Models)),
+		now:     now,
+		input:   input,
+		servers: make([]serverPlan, len(input.Servers)),
+		present: make([]int, len(input.Models)),
+		kin:     make([]kin, len(input.Models)),
 	}
 	for i := range input.Servers {
 		p.servers[i] = serverPlan{Server: &input.Servers[i], free: input.Servers[i].FreeBytes, busyFor: input.Servers[i].BusyFor.Seconds()}
@@ -115,7 +111,6 @@
 		for j := range model.Replicas {
 			replica := &model.Replicas[j]
 			if replica.State == api.ReplicaUnloading {
-				p.unloading[i]++
 				if server := p.server(replica.Server); server != nil {
 					server.freeSoon += ReplicaBytes(model)
 				}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -192,7 +192,7 @@
 			c.refuse(c.notServed(reasonNoServer, defaultRetryAfter))
 			return false
 		}
-		c.pauseAfterMiss(ctx, c.record.status == http.StatusServiceUnavailable)
+		c.pauseAfterMiss(ctx)
 		return true
 	}
 	m.Failed(now)
@@ -225,22 +225,17 @@
 // Bounds of how often a request is sent when servers turn it away, and of the
 // tries in all, those without a connection included.
 const (
-	maxSends  = 5
+	maxSends  = 4
 	maxMisses = 8
 )
 
 // pauseAfterMiss waits a little before the next try: not after the first miss,
-// then longer each time. A server that turns requests away is full or carries out an
-// order, and needs longer than a connection that failed.
-func (c *call) pauseAfterMiss(ctx context.Context, turnedAway bool) {
+// then longer each time.
+func (c *call) pauseAfterMiss(ctx context.Context) {
 	if c.misses < 2 {
 		return
 	}
-	pause := missPause
-	if turnedAway {
-		pause = turnedAwayPause
-	}
-	timer := time.NewTimer(pause << (c.misses - 2))
+	timer := time.NewTimer(missPause << (c.misses - 2))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -248,20 +243,13 @@
 	}
 }
 
-// The pauses after the second miss; they double.
-const (
-	missPause       = 10 * time.Millisecond
-	turnedAwayPause = 100 * time.Millisecond
-)
+// missPause is the pause after the second miss; it doubles.
+const missPause = 10 * time.Millisecond
 
 // learn notes why a server turned a request away.
 func (c *call) learn(now time.Time, m *backend.Member, err error) {
 	switch {
 	case errors.Is(err, errLeaving), errors.Is(err, backend.ErrCrowded):
-	case errors.Is(err, backend.ErrEnded) && c.need.Model != "":
-		// What it held is to be loaded elsewhere before its record is gone.
-		c.missing = m.ID
-		m.NoteEnded(now)
 	case c.record.status == http.StatusMisdirectedRequest && c.need.Model != "":
 		c.missing = m.ID
 		c.relay.Servers.Believe(m.ID, c.need, false, now.Add(disbeliefTime))
