lease, watch: a large site starts with fewer calls of the store

A node that does not hold the lease writes once; after a conflict it goes by the record that came with it. On a first start of the whole site (the settings tell) nodes leave the tables to the watchers for up to 2 s. Restarts read at once as before, since there every moment counts.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -215,15 +215,32 @@
 		return jitter(lookPause)
 	}
 	if !s.free() {
-		if s.age() > Renewal+Renewal/2 {
-			return jitter(lookPause)
-		}
-		return jitter(lookRest)
+		return rest(s)
 	}
-	if l.take(ctx, s) != nil {
+	err = l.take(ctx, s)
+	switch {
+	case err == nil:
+		return Renewal
+	case errors.Is(err, ErrConflict):
+		return rest(l.lastSeen())
+	default:
 		return jitter(lookPause)
 	}
-	return Renewal
+}
+
+// rest returns when to look again at a record that another node holds.
+func rest(s Stored) time.Duration {
+	if s.free() || s.age() > Renewal+Renewal/2 {
+		return jitter(lookPause)
+	}
+	return jitter(lookRest)
+}
+
+// lastSeen returns the newest record that was seen.
+func (l *Lease) lastSeen() Stored {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.seen
 }
 
 // heldTerm returns the term that was not lost, though its hold may be over.
@@ -299,7 +316,11 @@
 	started := time.Now()
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	s, err := l.insist(call, r, version)
+	write := l.Store.Write
+	if term, _ := l.heldTerm(); term == r.Term {
+		write = l.insist // orders wait for it, and no other node writes
+	}
+	s, err := write(call, r, version)
 	switch {
 	case err == nil:
 		s.Record = r
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -19,6 +20,8 @@
 	late    int           // writes that are done only after writeLate, without an answer
 	writes  int           // that were asked for
 	slow    time.Duration // further time of a write
+	inTurn  time.Duration // that each write takes, one after the other
+	free    time.Time     // when the writes that wait are done
 	started time.Time
 	reads   int
 }
@@ -44,7 +47,11 @@
 const writeLate = 2 * time.Second
 
 func (m *memory) Write(ctx context.Context, r Record, version uint64) (Stored, error) {
-	time.Sleep(4*time.Millisecond + m.slow)
+	m.mu.Lock()
+	m.free = time.Now().Add(max(time.Until(m.free), 0) + m.inTurn)
+	wait := time.Until(m.free)
+	m.mu.Unlock()
+	time.Sleep(4*time.Millisecond + m.slow + wait)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.writes++
@@ -327,6 +334,27 @@
 	}
 }
 
+// TestManyNodesStartWithFewCalls: the store writes one record after the other, and
+// all nodes of a large site start at once. Each asks once whether the lease is free
+// and tries once to take it.
+func TestManyNodesStartWithFewCalls(t *testing.T) {
+	const nodes = 60
+	bubble(t, func(t *testing.T, m *memory) {
+		m.inTurn = 5 * time.Millisecond
+		for i := range nodes {
+			_, stop := run(t, m, fmt.Sprint(i))
+			defer stop()
+		}
+		time.Sleep(3 * time.Second)
+		if asked := m.asked(); asked > nodes+10 {
+			t.Errorf("%d writes by %d nodes", asked, nodes)
+		}
+		if reads := m.looks(); reads > nodes+10 {
+			t.Errorf("%d reads by %d nodes", reads, nodes)
+		}
+	})
+}
+
 // TestASlowStoreIsNotAskedInALoop: writes are not repeated while the store answers
 // as slowly as it did of late.
 func TestASlowStoreIsNotAskedInALoop(t *testing.T) {
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -42,6 +42,7 @@
 	Turns    time.Duration // between orders of two holders to one server
 	Ceiling  coordinator.Ceiling
 	Budget   relay.BudgetConfig
+	First    bool          // the whole site starts for the first time
 	Grace    time.Duration // of a planned stop
 	Linger   time.Duration // callers may still come for so long after it began
 	Metrics  string        // IP:port; empty: not served
@@ -109,7 +110,7 @@
 	holder.Nodes = s.member.Nodes
 	s.hub = &watch.Hub{
 		Self: watchNode(s.Self), Nodes: s.watchNodes, Known: s.member.Known, Transport: transport,
-		Tables: s.Tables, Logger: s.Logger.Named("watch"),
+		Tables: s.Tables, FirstStart: s.First, Logger: s.Logger.Named("watch"),
 	}
 	s.member.Candidate = s.hub.Watching
 	s.relay = &relay.Relay{
--- a/pkg/watch/hub.go
+++ b/pkg/watch/hub.go
@@ -56,7 +56,9 @@
 
 	pulseInterval = 400 * time.Millisecond
 	pullTimeout   = 700 * time.Millisecond
-	changesKept   = 64
+	// firstWait is how long the nodes of a site that starts wait for its watchers.
+	firstWait   = 2 * time.Second
+	changesKept = 64
 )
 
 // Hub has the tables of a node. Set the fields before Run.
@@ -66,7 +68,12 @@
 	Known     func() bool   // whether Nodes is what the site's holder told
 	Transport peer.Transport
 	Tables    []*Table
-	Logger    hclog.Logger
+	// FirstStart tells that the whole site starts for the first time: nodes leave the
+	// store to the watchers until those have had time to tell what they read.
+	FirstStart bool
+	Logger     hclog.Logger
+
+	started time.Time
 }
 
 // errUnknown means that a message names a table that is not followed.
@@ -74,6 +81,7 @@
 
 // Run follows all tables until ctx ends.
 func (h *Hub) Run(ctx context.Context) {
+	h.started = time.Now()
 	done := make(chan struct{})
 	for _, t := range h.Tables {
 		t.changed = make(chan news, changesKept)
@@ -99,6 +107,9 @@
 
 // direct tells whether the table is to be read from the store by this node.
 func (h *Hub) direct(t *Table) bool {
+	if h.FirstStart && time.Since(h.started) < firstWait {
+		return h.Known() && h.Watching()
+	}
 	return h.Watching() || t.stale()
 }
 
--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -154,7 +154,7 @@
 }
 
 // start runs a site of n nodes until the test ends.
-func start(t *testing.T, store *memory, n int) ([]*member, *network) {
+func start(t *testing.T, store *memory, n int, options ...func(*Hub)) ([]*member, *network) {
 	net := &network{hubs: make(map[string]*Hub), dead: make(map[string]bool)}
 	var nodes []Node
 	for i := range n {
@@ -177,6 +177,9 @@
 			}}
 		m.hub = &Hub{Self: node, Nodes: func() []Node { return nodes }, Known: func() bool { return true },
 			Transport: net, Tables: []*Table{table}, Logger: hclog.NewNullLogger()}
+		for _, set := range options {
+			set(m.hub)
+		}
 		net.hubs[node.Name] = m.hub
 		members = append(members, m)
 		go m.hub.Run(ctx)
@@ -254,6 +257,38 @@
 	})
 }
 
+// TestFirstStartLeavesTheStoreToTheWatchers: the nodes of a large site that starts
+// read nothing themselves, and have the table soon; without watchers they read it.
+func TestFirstStartLeavesTheStoreToTheWatchers(t *testing.T) {
+	const size = 26
+	first := func(h *Hub) { h.FirstStart = true }
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemory()
+		store.put("a", "1")
+		members, _ := start(t, store, size, first)
+		if took := inForce(t, members, "a", "1"); took > time.Second {
+			t.Errorf("all nodes have the table after %v", took)
+		}
+		store.mu.Lock()
+		calls := store.calls
+		store.mu.Unlock()
+		if calls > 3*Watchers {
+			t.Errorf("%d calls by %d nodes of which %d watch", calls, size, Watchers)
+		}
+		stopAtEnd()
+	})
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemory()
+		store.put("a", "1")
+		unknown := func(h *Hub) { h.Known = func() bool { return false } }
+		members, _ := start(t, store, size, first, unknown)
+		if took := inForce(t, members, "a", "1"); took > firstWait+time.Second {
+			t.Errorf("nodes that nobody told of the others have the table after %v", took)
+		}
+		stopAtEnd()
+	})
+}
+
 // TestNodesTurnToTheStoreWithoutFreshWatchers: watchers that die, or are cut off
 // from the store, don't hold the others back.
 func TestNodesTurnToTheStoreWithoutFreshWatchers(t *testing.T) {
