--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -6,6 +6,10 @@
 // Each order is preceded by a conditional write of its intent: a holder that was
 // deposed while it was paused fails to write and gives no order, and the next
 // holder reads what may still be on its way.
+//
+// lease.go looks for the lease, takes and renews it; commit.go has the intents of
+// orders written; write.go and insist.go write the record and find out what became of
+// a write whose answer was lost; record.go is what the store keeps.
 package lease
 
 import (
@@ -58,22 +62,6 @@
 	pace     pace
 }
 
-// commit is a wish to write intents.
-type commit struct {
-	intents []Intent
-	result  chan error
-	started time.Time
-}
-
-// Permit allows the orders whose intents were written.
-type Permit struct {
-	Term  uint64
-	Until time.Time
-}
-
-// Valid tells whether orders may still be given by the permit.
-func (p Permit) Valid() bool { return time.Now().Before(p.Until) }
-
 func (l *Lease) init() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -131,30 +119,6 @@
 	}
 }
 
-// Commit writes intents and returns the permit for their orders.
-func (l *Lease) Commit(ctx context.Context, intents []Intent) (Permit, error) {
-	l.init()
-	c := &commit{intents: intents, result: make(chan error, 1)}
-	select {
-	case l.commits <- c:
-	case <-ctx.Done():
-		return Permit{}, ctx.Err()
-	}
-	select {
-	case err := <-c.result:
-		if err != nil {
-			return Permit{}, err
-		}
-		term, held := l.Held()
-		if !held {
-			return Permit{}, ErrNotHeld
-		}
-		return Permit{Term: term, Until: c.started.Add(PermitTime)}, nil
-	case <-ctx.Done():
-		return Permit{}, ctx.Err()
-	}
-}
-
 // Now returns the store's clock as far as it is known.
 func (l *Lease) Now() int64 {
 	l.mu.Lock()
@@ -291,102 +255,6 @@
 	return l.put(ctx, next, s.Version)
 }
 
-// write renews the record with further intents.
-func (l *Lease) write(ctx context.Context, intents []Intent) error {
-	l.mu.Lock()
-	s := l.seen
-	now := l.storeNow()
-	next := s.Record
-	next.Renewed = max(now, next.Renewed)
-	next.Intents = fresh(next.Intents, now)
-	for _, i := range intents {
-		i.At = now
-		next.Intents = append(next.Intents, i)
-	}
-	if extra := len(next.Intents) - maxIntents; extra > 0 {
-		next.Intents = next.Intents[extra:]
-	}
-	l.mu.Unlock()
-	return l.put(ctx, next, s.Version)
-}
-
-// put writes a record of this node. After a lost answer it reads back whether
-// the write was done.
-func (l *Lease) put(ctx context.Context, r Record, version uint64) error {
-	started := time.Now()
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	write := l.Store.Write
-	if term, _ := l.heldTerm(); term == r.Term {
-		write = l.insist // orders wait for it, and no other node writes
-	}
-	s, err := write(call, r, version)
-	switch {
-	case err == nil:
-		s.Record = r
-		l.hold(s, started)
-		return nil
-	case errors.Is(err, ErrConflict):
-		return l.conflict(s, r, started)
-	}
-	s, readErr := l.read(ctx)
-	if readErr != nil {
-		return err
-	}
-	return l.conflict(s, r, started)
-}
-
-// conflict judges a record that is not the one expected: it may be the one that
-// this node wrote, by a call whose answer was lost.
-func (l *Lease) conflict(s Stored, r Record, started time.Time) error {
-	if s.Record.Holder == l.Self && s.Record.Term == r.Term && s.Record.Renewed == r.Renewed &&
-		len(s.Record.Intents) == len(r.Intents) {
-		l.hold(s, started)
-		return nil
-	}
-	l.see(s)
-	return ErrConflict
-}
-
-// hold notes a write of this node that was done.
-func (l *Lease) hold(s Stored, started time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.term != s.Record.Term {
-		l.log("lease held", "term", s.Record.Term, "version", s.Version, "before", l.seen.Record.Holder)
-	}
-	l.seen, l.known = s, true
-	l.offset = time.Duration(s.Now)*time.Millisecond - time.Since(l.start)
-	l.term = s.Record.Term
-	l.until = started.Add(Hold)
-}
-
-// serveCommits writes the intents of all that wait in one write.
-func (l *Lease) serveCommits(ctx context.Context, first *commit) {
-	waiting := []*commit{first}
-	for more := true; more; {
-		select {
-		case c := <-l.commits:
-			waiting = append(waiting, c)
-		default:
-			more = false
-		}
-	}
-	var intents []Intent
-	started := time.Now()
-	for _, c := range waiting {
-		c.started = started
-		intents = append(intents, c.intents...)
-	}
-	err := ErrNotHeld
-	if _, held := l.heldTerm(); held {
-		err = l.write(ctx, intents)
-	}
-	for _, c := range waiting {
-		c.result <- err
-	}
-}
-
 // release lets another node take over at once.
 func (l *Lease) release() {
 	if _, held := l.heldTerm(); !held {
--- /dev/null
+++ b/pkg/lease/write.go
@@ -0,0 +1,78 @@
+package lease
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// write renews the record with further intents.
+func (l *Lease) write(ctx context.Context, intents []Intent) error {
+	l.mu.Lock()
+	s := l.seen
+	now := l.storeNow()
+	next := s.Record
+	next.Renewed = max(now, next.Renewed)
+	next.Intents = fresh(next.Intents, now)
+	for _, i := range intents {
+		i.At = now
+		next.Intents = append(next.Intents, i)
+	}
+	if extra := len(next.Intents) - maxIntents; extra > 0 {
+		next.Intents = next.Intents[extra:]
+	}
+	l.mu.Unlock()
+	return l.put(ctx, next, s.Version)
+}
+
+// put writes a record of this node. After a lost answer it reads back whether
+// the write was done.
+func (l *Lease) put(ctx context.Context, r Record, version uint64) error {
+	started := time.Now()
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	write := l.Store.Write
+	if term, _ := l.heldTerm(); term == r.Term {
+		write = l.insist // orders wait for it, and no other node writes
+	}
+	s, err := write(call, r, version)
+	switch {
+	case err == nil:
+		s.Record = r
+		l.hold(s, started)
+		return nil
+	case errors.Is(err, ErrConflict):
+		return l.conflict(s, r, started)
+	}
+	s, readErr := l.read(ctx)
+	if readErr != nil {
+		return err
+	}
+	return l.conflict(s, r, started)
+}
+
+// conflict judges a record that is not the one expected: it may be the one that
+// this node wrote, by a call whose answer was lost.
+func (l *Lease) conflict(s Stored, r Record, started time.Time) error {
+	if s.Record.Holder == l.Self && s.Record.Term == r.Term && s.Record.Renewed == r.Renewed &&
+		len(s.Record.Intents) == len(r.Intents) {
+		l.hold(s, started)
+		return nil
+	}
+	l.see(s)
+	return ErrConflict
+}
+
+// hold notes a write of this node that was done.
+func (l *Lease) hold(s Stored, started time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term != s.Record.Term {
+		l.log("lease held", "term", s.Record.Term, "version", s.Version, "before", l.seen.Record.Holder)
+	}
+	l.seen, l.known = s, true
+	l.offset = time.Duration(s.Now)*time.Millisecond - time.Since(l.start)
+	l.term = s.Record.Term
+	l.until = started.Add(Hold)
+}
