--- a/tools/variants/make.sh
+++ b/tools/variants/make.sh
@@ -27,4 +27,14 @@
 variant slow-store "s/load_s = ([\\d.]+)/'load_s = ' . 2.5 * \$1/ge if $models"
 variant much-traffic 's/per_s = ([\d.]+)/"per_s = " . 2.5 * $1/ge if /^\s*\{ zone = "[^"]*", mix = /'
 variant many-models "if ($models && /share = 0\\.0,/) { my \$twin = s/name = \"/name = \"twin-/r; \$_ .= \$twin }"
+
+# Zones: all in the first one, and two further ones, each like the last.
+zones=($(perl -ne 'print "$1\n" if /^\s*\{ name = "([^"]+)", region = "/' "$site"))
+first=${zones[0]} last=${zones[-1]}
+others=$(IFS='|'; echo "${zones[*]:1}")
+variant one-zone "if (/^\s*\{ name = \"($others)\", region = /) { \$_ = '' } s/\"($others)\"/\"$first\"/g"
+variant more-zones "
+  if (/^\s*\{ name = \"$last\", region = /) { \$_ .= s/\"$last\"/\"$last-2\"/r . s/\"$last\"/\"$last-3\"/r }
+  elsif (/^\s*\{ (class|zone) = .*\"$last\"/) { \$_ .= s/\"$last\"/\"$last-2\"/r . s/\"$last\"/\"$last-3\"/r }
+  else { s/(\{ zone = \"$last\", count = \d+ \})/my \$s = \$1; join(', ', \$s, \$s =~ s{$last}{$last-2}r, \$s =~ s{$last}{$last-3}r)/ge if /servers = \[/ }"
 ls "$directory"
