coordinator, backend: read once more as a newcomer

Every report, also of a server that carries nothing out, had a plan made at the time of the next one: only what should be done by now needs that (due). A server's pace and slowness were smoothed twice in different words: one function. TestFinishedLoadsAreSeenSoon and the tests of paces pass unchanged.

--- a/pkg/backend/condition.go
+++ b/pkg/backend/condition.go
@@ -36,6 +36,7 @@
 		pool:    newPool(dialer, s.Address),
 		beliefs: make(map[Need]belief),
 		running: make(map[string]int),
+		paces:   make(map[string]time.Duration),
 	}
 }
 
--- a/pkg/backend/pace.go
+++ b/pkg/backend/pace.go
@@ -2,8 +2,7 @@
 
 import "time"
 
-// paceWeight is the weight of the newest stream in what is known of a server's
-// pace.
+// paceWeight is the weight of the newest stream in what is known of a server.
 const paceWeight = 0.3
 
 // Paced notes how long a server took for each event of a stream on a model. Servers
@@ -33,18 +32,19 @@
 func (c *Condition) notePace(model string, perEvent time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.paces == nil {
-		c.paces = make(map[string]time.Duration)
-	}
-	pace, known := c.paces[model]
-	if !known {
-		pace = perEvent
-	}
-	pace += time.Duration(paceWeight * float64(perEvent-pace))
+	pace := time.Duration(smooth(float64(c.paces[model]), float64(perEvent)))
 	c.paces[model] = pace
 	return pace
 }
 
+// smooth takes the newest value into a mean, zero if there is none yet.
+func smooth(mean, newest float64) float64 {
+	if mean == 0 {
+		return newest
+	}
+	return mean + paceWeight*(newest-mean)
+}
+
 // pace returns the server's pace on a model, zero if it is not known.
 func (c *Condition) pace(model string) time.Duration {
 	c.mu.Lock()
@@ -52,13 +52,11 @@
 	return c.paces[model]
 }
 
+// noteSlowness takes in how many times as long as the fastest server it took.
 func (c *Condition) noteSlowness(ratio float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.slowness == 0 {
-		c.slowness = ratio
-	}
-	c.slowness += paceWeight * (ratio - c.slowness)
+	c.slowness = smooth(c.slowness, ratio)
 }
 
 // Slowness tells how many times as long as the fastest known server this one takes
--- a/pkg/coordinator/reports.go
+++ b/pkg/coordinator/reports.go
@@ -37,8 +37,11 @@
 // reported takes in a report. It lies a little behind.
 func (h *Holder) reported(now time.Time, s *serverState, r Report, err error) {
 	s.asking = false
-	s.reportAt = now.Add(s.reportRest(now))
-	h.planAt(s.reportAt)
+	s.reportAt = now.Add(reportPause)
+	if s.due(now) {
+		s.reportAt = now.Add(duePause)
+		h.planAt(s.reportAt)
+	}
 	if err != nil {
 		s.failures++
 		s.reportAt = now.Add(s.rest())
@@ -78,13 +81,10 @@
 	}
 }
 
-// reportRest returns the time until a server is asked again: a load that should be
-// done is waited for by requests.
-func (s *serverState) reportRest(now time.Time) time.Duration {
-	if s.busy != nil && now.Sub(s.busy.readyAt) < dueTime {
-		return duePause
-	}
-	return reportPause
+// due tells whether the server is asked often: what it carries out should be done by
+// now, and requests may wait for it.
+func (s *serverState) due(now time.Time) bool {
+	return s.busy != nil && now.Sub(s.busy.readyAt) < dueTime
 }
 
 // inherit takes over an operation that an order of an earlier holder began. The
