policy: loads go by the gain for each second of theirs

Cause: loads were ordered by priority, then deadline. Ruled out: the servers' memory and batches (under half used).

Nodes tell arrivals by weight. Only demand-first uses the order.

Tests: TestLoadsGoByGain, TestGainRateCountsTheLoad.

--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -81,7 +81,7 @@
 
 // demand is what is asked of a model.
 type demand struct {
-	rate      rate
+	rate      rates
 	last      time.Time // arrival
 	since     time.Time // of the first wish that counts
 	waitTold  bool      // the log told that it waits for long
@@ -255,8 +255,9 @@
 		n.uses[key] = u
 		if u.Arrivals > 0 || u.Rate > 0 {
 			d := h.demand(key)
-			d.rate.add(now, u.Arrivals)
-			d.rate.join(now, u.Rate)
+			d.rate.add(now, arrivals{u.Arrivals, u.Weight})
+			d.rate.count.join(now, u.Rate)
+			d.rate.weight.join(now, u.Pressure)
 			d.last = now
 		}
 	}
@@ -329,7 +330,7 @@
 		}
 	}
 	for key, d := range h.demands {
-		if !d.waits(now) && d.rate.at(now) < leastRate && now.Sub(d.last) > time.Minute {
+		if !d.waits(now) && d.rate.count.at(now) < leastRate && now.Sub(d.last) > time.Minute {
 			delete(h.demands, key)
 		}
 	}
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -46,9 +46,9 @@
 	started  sync.Once
 
 	mu       sync.Mutex
-	arrivals map[demandKey]int
-	rates    map[demandKey]*rate // arrivals that a holder was told of
-	toldTerm uint64              // term of the holder that knows the rates
+	arrivals map[demandKey]arrivals
+	rates    map[demandKey]*rates // arrivals that a holder was told of
+	toldTerm uint64               // term of the holder that knows the rates
 	wishes   map[demandKey]*asked
 	answered bool      // the last beat was
 	since    time.Time // of the first beat without an answer
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -33,7 +33,9 @@
 	Model    string // or "model/adapter"
 	InFlight int
 	Arrivals int     // since the last beat
+	Weight   float64 // of the arrivals, each by its policy.UrgencyWeight
 	Rate     float64 // arrivals a second lately; told to a holder once, at its first beat
+	Pressure float64 // the same by weight; told with Rate
 }
 
 // Beat tells the holder that a node is alive and what it serves.
--- a/pkg/coordinator/orders.go
+++ b/pkg/coordinator/orders.go
@@ -108,7 +108,7 @@
 	if d == nil {
 		return 0
 	}
-	return math.Round(100*d.rate.at(now)) / 100
+	return math.Round(100*d.rate.count.at(now)) / 100
 }
 
 // ErrNotGiven means that an order was surely not sent.
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -258,8 +258,8 @@
 	model.Demand.InFlight = w.inFlight[name]
 	if d != nil {
 		model.Demand.LastArrival = d.last
-		model.Demand.Rate = d.rate.at(now)
-		model.Settings.MinReplicas = spareReplicas(d.rate.at(now), servers)
+		model.Demand.Rate, model.Demand.Pressure = d.rate.count.at(now), d.rate.weight.at(now)
+		model.Settings.MinReplicas = spareReplicas(model.Demand.Rate, servers)
 	}
 	if e.AdapterPlaces > 0 {
 		wanted := (w.adapters[name] + e.AdapterPlaces - 1) / e.AdapterPlaces
@@ -309,6 +309,7 @@
 func addWishes(wishes []*demand, model *policy.Model) {
 	for _, d := range wishes {
 		model.Demand.Waiting++
+		model.Demand.WaitingWeight += policy.UrgencyWeight(d.priority)
 		model.Demand.HighestPriority = max(model.Demand.HighestPriority, mostUrgent-d.priority)
 		if model.Demand.WaitingSince.IsZero() || d.since.Before(model.Demand.WaitingSince) {
 			model.Demand.WaitingSince = d.since
--- a/pkg/coordinator/rate.go
+++ b/pkg/coordinator/rate.go
@@ -18,8 +18,8 @@
 const leastRate = 0.001
 
 // add takes in arrivals.
-func (r *rate) add(now time.Time, n int) {
-	r.join(now, float64(n)/rateHalfLife.Seconds()*decayPerHalfLife)
+func (r *rate) add(now time.Time, n float64) {
+	r.join(now, n/rateHalfLife.Seconds()*decayPerHalfLife)
 }
 
 // join takes in the rate of others.
@@ -39,3 +39,14 @@
 	}
 	return left
 }
+
+// rates are the arrivals of a model, by number and by the weight of their urgency.
+type rates struct {
+	count, weight rate
+}
+
+// add takes in arrivals.
+func (r *rates) add(now time.Time, a arrivals) {
+	r.count.add(now, float64(a.count))
+	r.weight.add(now, a.weight)
+}
--- a/pkg/coordinator/takeover_test.go
+++ b/pkg/coordinator/takeover_test.go
@@ -52,11 +52,11 @@
 			time.Sleep(time.Millisecond)
 		}
 		m := &Member{Self: Node{Name: "b"}, Lease: n.lease, Holder: n.holder, Servers: n.servers, Logger: hclog.NewNullLogger()}
-		m.Arrived("s", backend.Need{Model: "m0", Adapter: "a1"})
+		m.Arrived("s", backend.Need{Model: "m0", Adapter: "a1"}, 1)
 		if uses := m.uses(time.Now()); len(uses) != 2 || uses[0].Arrivals != 1 || uses[0].Rate != 0 {
 			t.Errorf("the first beat tells %+v", uses)
 		}
-		m.Arrived("s", backend.Need{Model: "m0"})
+		m.Arrived("s", backend.Need{Model: "m0"}, 1)
 		for _, u := range m.uses(time.Now()) {
 			if u.Rate == 0 || u.Arrivals != 0 && u.Model != "m0" {
 				t.Errorf("a beat to a holder that did not answer yet tells %+v", u)
--- a/pkg/coordinator/uses.go
+++ b/pkg/coordinator/uses.go
@@ -4,19 +4,32 @@
 	"time"
 
 	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/policy"
 )
 
-// Arrived counts a request for a model.
-func (m *Member) Arrived(service string, n backend.Need) {
+// arrivals are requests for a model since the last beat.
+type arrivals struct {
+	count  int
+	weight float64
+}
+
+// Arrived counts a request for a model; priority 0 is the most urgent.
+func (m *Member) Arrived(service string, n backend.Need, priority int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.arrivals == nil {
-		m.arrivals = make(map[demandKey]int)
-	}
-	m.arrivals[demandKey{service, n.Model}]++
+	m.arrive(demandKey{service, n.Model}, priority)
 	if n.Adapter != "" {
-		m.arrivals[demandKey{service, n.String()}]++
+		m.arrive(demandKey{service, n.String()}, priority)
+	}
+}
+
+// arrive counts a request. The caller holds mu.
+func (m *Member) arrive(key demandKey, priority int) {
+	if m.arrivals == nil {
+		m.arrivals = make(map[demandKey]arrivals)
 	}
+	a := m.arrivals[key]
+	m.arrivals[key] = arrivals{a.count + 1, a.weight + policy.UrgencyWeight(priority)}
 }
 
 // uses returns what this node serves, and starts to count anew. A holder that is
@@ -34,16 +47,16 @@
 	record, _ := m.Lease.Current()
 	m.mu.Lock()
 	for key, r := range m.rates {
-		perSecond := r.at(now)
+		perSecond := r.count.at(now)
 		if perSecond < leastRate {
 			delete(m.rates, key)
 		} else if record.Term != m.toldTerm {
-			of(key).Rate = perSecond
+			of(key).Rate, of(key).Pressure = perSecond, r.weight.at(now)
 		}
 	}
-	for key, n := range m.arrivals {
-		of(key).Arrivals = n
-		m.rate(key).add(now, n)
+	for key, a := range m.arrivals {
+		of(key).Arrivals, of(key).Weight = a.count, a.weight
+		m.rate(key).add(now, a)
 	}
 	m.arrivals = nil
 	m.mu.Unlock()
@@ -60,13 +73,13 @@
 }
 
 // rate returns the rate of a model, made if there is none. The caller holds mu.
-func (m *Member) rate(key demandKey) *rate {
+func (m *Member) rate(key demandKey) *rates {
 	if m.rates == nil {
-		m.rates = make(map[demandKey]*rate)
+		m.rates = make(map[demandKey]*rates)
 	}
 	r := m.rates[key]
 	if r == nil {
-		r = &rate{}
+		r = &rates{}
 		m.rates[key] = r
 	}
 	return r
--- a/pkg/policy/decide.go
+++ b/pkg/policy/decide.go
@@ -21,12 +21,12 @@
 
 // deciders are all deciders, the default first.
 var deciders = []decider{
-	{NameAdaptive, adaptive{}, lowestCost{}},
-	{NameFixedKeepAlive, fixedKeepAlive{}, tierFirst{}},
-	{NameFixedKeepAliveNear, fixedKeepAlive{}, lowestCost{}},
-	{NameNeverUnload, neverUnload{}, tierFirst{}},
-	{NameUnloadAtOnce, unloadAtOnce{}, tierFirst{}},
-	{NameDemandFirst, demandFirst{}, lowestCost{}},
+	{NameAdaptive, adaptive{}, lowestCost{}, compareUrgency},
+	{NameFixedKeepAlive, fixedKeepAlive{}, tierFirst{}, compareUrgency},
+	{NameFixedKeepAliveNear, fixedKeepAlive{}, lowestCost{}, compareUrgency},
+	{NameNeverUnload, neverUnload{}, tierFirst{}, compareUrgency},
+	{NameUnloadAtOnce, unloadAtOnce{}, tierFirst{}, compareUrgency},
+	{NameDemandFirst, demandFirst{}, lowestCost{}, byGain},
 }
 
 // Names returns the names of all deciders, the default first.
@@ -71,6 +71,7 @@
 	name      string
 	retention retention
 	placer    placer
+	order     loadOrder
 }
 
 // Name implements Decider.
@@ -79,7 +80,7 @@
 // Decide implements Decider.
 func (d decider) Decide(now time.Time, input Input) []Action {
 	p := newPlan(now, &input)
-	for _, want := range p.wanted() {
+	for _, want := range p.wanted(d.order) {
 		d.loadWanted(p, want)
 	}
 	d.unloadIdle(p)
@@ -95,11 +96,12 @@
 	priority   int
 	deadline   time.Time // zero if no request waits
 	late       bool      // cannot be ready by the deadline
+	gainRate   float64   // what it is worth for each second of the load
 	reason     string
 }
 
-// wanted returns the loads that are missing, the most urgent first.
-func (p *plan) wanted() []wantedLoad {
+// wanted returns the loads that are missing, in the order given.
+func (p *plan) wanted(order loadOrder) []wantedLoad {
 	var loads []wantedLoad
 	for i := range p.input.Models {
 		model := &p.input.Models[i]
@@ -113,11 +115,13 @@
 			}
 			continue
 		}
-		for range missing {
-			loads = append(loads, p.wantedLoad(model))
+		for more := range missing {
+			load := p.wantedLoad(model)
+			load.gainRate = gain(model, p.present[i]+more) / (p.fastestLoad(model).Seconds() + evictionSeconds)
+			loads = append(loads, load)
 		}
 	}
-	slices.SortStableFunc(loads, compareUrgency)
+	slices.SortStableFunc(loads, order)
 	return loads
 }
 
--- /dev/null
+++ b/pkg/policy/gain_test.go
@@ -0,0 +1,95 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"martenwheel.dev/pkg/api"
+)
+
+// TestLoadsGoByGain: of two models that wait for the one server, the one goes first
+// whose load is worth more for each second.
+func TestLoadsGoByGain(t *testing.T) {
+	rare := func(priority int) Demand {
+		d := waiting(1, time.Minute)
+		d.WaitingWeight = UrgencyWeight(priority)
+		d.HighestPriority = 9 - priority
+		d.Rate, d.Pressure = 0.1, 0.1*UrgencyWeight(priority)
+		return d
+	}
+	busy := func(priority int) Demand {
+		d := rare(priority)
+		d.Rate, d.Pressure = 8, 8*UrgencyWeight(priority)
+		return d
+	}
+	cases := []struct {
+		name  string
+		a, b  func(*Model)
+		first api.ModelName
+	}{
+		{
+			"many requests go before a single one that is more urgent",
+			func(m *Model) { m.Demand = rare(0) },
+			func(m *Model) { m.Demand = busy(1) },
+			"b",
+		},
+		{
+			"of single requests the more urgent one goes first",
+			func(m *Model) { m.Demand = rare(2) },
+			func(m *Model) { m.Demand = rare(0) },
+			"b",
+		},
+		{
+			"of the same demand the shorter load goes first",
+			func(m *Model) { m.Demand = rare(1) },
+			func(m *Model) { m.Demand = rare(1); m.Settings.LoadTime = time.Second },
+			"b",
+		},
+		{
+			"a rare model goes before the spare replica of a busy one",
+			func(m *Model) { m.Demand = rare(0) },
+			func(m *Model) {
+				m.Demand = busy(1)
+				m.Demand.WaitingWeight = 0
+				m.Settings.MaxReplicas, m.Settings.MinReplicas, m.Settings.MaxConcurrency = 2, 2, 100
+				m.Replicas = []Replica{idleReplica("s2", 0)}
+			},
+			"a",
+		},
+		{
+			"a busy model that is overloaded goes before a rare one",
+			func(m *Model) { m.Demand = rare(0) },
+			func(m *Model) {
+				m.Demand = busy(1)
+				m.Demand.InFlight = 40
+				m.Settings.MaxReplicas, m.Settings.MaxConcurrency = 2, 10
+				m.Replicas = []Replica{idleReplica("s2", 0)}
+			},
+			"b",
+		},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			full := testServer("s2", 0)
+			input := Input{
+				Models:    []Model{testModel("a", test.a), testModel("b", test.b)},
+				Servers:   []Server{testServer("s1", 30), full},
+				LoadSlots: 8, LoadRate: 4,
+			}
+			decider, _ := ByName(NameDemandFirst)
+			actions := decider.Decide(testNow, input)
+			if len(actions) == 0 || actions[0].Model != test.first || actions[0].Kind != ActionLoad {
+				t.Errorf("got %+v, want a load of %s first", actions, test.first)
+			}
+		})
+	}
+}
+
+// TestGainRateCountsTheLoad: the same demand is worth less for each second of a
+// longer load.
+func TestGainRateCountsTheLoad(t *testing.T) {
+	m := testModel("a", func(m *Model) { m.Demand = Demand{WaitingWeight: 1, Pressure: 2} })
+	if short, long := GainRate(&m, time.Second), GainRate(&m, 6*time.Second); short <= long || long <= 0 {
+		t.Errorf("a load of 1 s is worth %.2f a second, one of 6 s %.2f", short, long)
+	}
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -69,8 +69,8 @@
 	Nodes   func() int // that share the budget of repeats; 1 if nil
 	Budget  BudgetConfig
 	Logger  hclog.Logger
-	Metrics *Metrics                             // not counted if nil
-	Arrived func(service string, n backend.Need) // told of each request; may be nil
+	Metrics *Metrics                                           // not counted if nil
+	Arrived func(service string, n backend.Need, priority int) // told of each request; may be nil
 
 	splits   route.Splitter
 	budgets  budgets
