--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -53,10 +53,12 @@
 	demands     map[demandKey]*demand
 	servers     map[string]*serverState
 	fetches     []time.Time // starts of loads from the weight store
+	store       storeLimit  // how many of them go at full speed at once
 
-	learnUntil time.Time // when the nodes should have told what is in use
-	resumeAt   time.Time // when orders are given again after the store failed
-	planned    time.Time // the end of the last plan
+	learnUntil time.Time     // when the nodes should have told what is in use
+	resumeAt   time.Time     // when orders are given again after the store failed
+	planned    time.Time     // the end of the last plan
+	nextPlan   chan struct{} // closed when the next plan is done
 	planTook   time.Duration
 	expected   map[string]map[string]time.Time // when queued models will be ready, by service
 }
@@ -84,6 +86,7 @@
 	rate      rates
 	last      time.Time // arrival
 	since     time.Time // of the first wish that counts
+	logged    bool      // the log told of the wish
 	waitTold  bool      // the log told that it waits for long
 	waitsTill time.Time // until when a wish without a server counts
 	deadline  time.Time
@@ -92,7 +95,10 @@
 }
 
 func (h *Holder) init() {
-	h.once.Do(func() { h.requests = make(chan func(), 256) })
+	h.once.Do(func() {
+		h.requests = make(chan func(), 256)
+		h.nextPlan = make(chan struct{})
+	})
 }
 
 // Run acts whenever the lease is held, until ctx ends.
@@ -121,6 +127,7 @@
 	h.planSoon = false
 	term, held := h.Lease.Held()
 	if !held {
+		h.tellPlanned()
 		return
 	}
 	if term != h.term {
@@ -203,20 +210,33 @@
 
 // HandleMessage implements peer.Handler.
 func (h *Holder) HandleMessage(ctx context.Context, _ api.NodeRef, message peer.Message) (peer.Message, error) {
-	var reply peer.Message
-	var handle func()
 	switch m := message.(type) {
 	case Beat:
-		handle = func() { reply = h.beat(time.Now(), m) }
+		var reply BeatAnswer
+		err := h.do(ctx, func() { reply = h.beat(time.Now(), m) })
+		return reply, err
 	case WishMessage:
-		handle = func() { reply = h.wish(time.Now(), m) }
+		return h.answerWish(ctx, m)
 	default:
 		return nil, errMessage
 	}
-	if err := h.do(ctx, handle); err != nil {
-		return nil, err
+}
+
+// answerWish takes in a wish and answers after the next plan, which tells when the
+// model will be ready.
+func (h *Holder) answerWish(ctx context.Context, w WishMessage) (WishAnswer, error) {
+	var answer WishAnswer
+	var planned <-chan struct{}
+	if err := h.do(ctx, func() { answer, planned = h.wish(time.Now(), w) }); err != nil || planned == nil {
+		return answer, err
+	}
+	select {
+	case <-planned:
+	case <-ctx.Done():
+		return answer, ctx.Err()
 	}
-	return reply, nil
+	err := h.do(ctx, func() { h.outlook(time.Now(), w, &answer) })
+	return answer, err
 }
 
 // holds tells whether the state is that of a term that is held now.
@@ -231,7 +251,12 @@
 // mayPlan tells whether news may cause a plan: plans are to leave most of the
 // processor to the rest.
 func (h *Holder) mayPlan(now time.Time) bool {
-	return now.Sub(h.planned) >= max(planPause, planShare*h.planTook)
+	return !now.Before(h.mayPlanAt())
+}
+
+// mayPlanAt returns from when news may cause a plan.
+func (h *Holder) mayPlanAt() time.Time {
+	return h.planned.Add(max(planPause, planShare*h.planTook))
 }
 
 // beat takes in what a node tells.
@@ -283,16 +308,16 @@
 // waits tells whether a request waits for the model.
 func (d *demand) waits(now time.Time) bool { return now.Before(d.waitsTill) }
 
-// wish takes in that a node lacks a model.
-func (h *Holder) wish(now time.Time, w WishMessage) WishAnswer {
+// wish takes in that a node lacks a model. If no server holds it, what is known of it
+// can be told after the next plan; the channel is closed then.
+func (h *Holder) wish(now time.Time, w WishMessage) (WishAnswer, <-chan struct{}) {
 	if !h.holds() {
-		return WishAnswer{}
+		return WishAnswer{}, nil
 	}
 	need := backend.ParseNeed(w.Need)
 	d := h.demand(demandKey{w.Service, w.Need})
-	first := !d.waits(now)
-	if first {
-		d.since, d.waitTold = now, false
+	if !d.waits(now) {
+		d.since, d.waitTold, d.logged = now, false, false
 	}
 	d.waitsTill, d.last = latest(d.waitsTill, now.Add(wishTime)), now
 	d.priority, d.deadline, d.request = w.Priority, now.Add(w.Left), w.RequestID
@@ -302,22 +327,36 @@
 		answer.Server = server
 		h.tell(Notice{Server: server, Need: w.Need, Holds: true})
 		d.waitsTill = time.Time{}
-		return answer
+		return answer, nil
 	}
-	if h.mayPlan(now) {
-		h.planSoon = false
-		h.plan(now)
-	} else {
+	planned := h.nextPlan
+	if !h.planSoon {
 		h.planSoon = true
+		h.planAt(h.mayPlanAt())
 	}
-	answer.ReadyIn = h.readyIn(now, w.Service, need)
+	return answer, planned
+}
+
+// tellPlanned lets go those who wait for a plan.
+func (h *Holder) tellPlanned() {
+	close(h.nextPlan)
+	h.nextPlan = make(chan struct{})
+}
+
+// outlook tells when a model that was wished for will be ready.
+func (h *Holder) outlook(now time.Time, w WishMessage, answer *WishAnswer) {
+	if !h.holds() || answer.Term != h.term {
+		return
+	}
+	answer.ReadyIn = h.readyIn(now, w.Service, backend.ParseNeed(w.Need))
+	d := h.demand(demandKey{w.Service, w.Need})
 	// Who is refused for now comes back about then.
 	d.waitsTill = latest(d.waitsTill, now.Add(answer.ReadyIn+returnTime))
-	if first {
+	if !d.logged {
+		d.logged = true
 		h.Logger.Info("wish", "request_id", w.RequestID, "service", w.Service, "model", w.Need,
 			"priority", w.Priority, "ready_in_ms", answer.ReadyIn.Milliseconds())
 	}
-	return answer
 }
 
 // expire drops nodes that are silent and demands that are over.
--- a/pkg/coordinator/orders.go
+++ b/pkg/coordinator/orders.go
@@ -79,7 +79,10 @@
 	s.asking = true
 	o.after = s.sequence + 1
 	if o.need.Adapter == "" {
-		s.busy = &operation{order: o, since: now, readyAt: now.Add(expected), fetch: fetch}
+		s.busy = &operation{order: o, since: now, readyAt: now.Add(expected), fetch: fetch, told: expected}
+		if fetch && s.doubt == nil {
+			s.busy.beside, _ = h.fetching(now)
+		}
 	}
 	if fetch {
 		h.fetches = append(h.fetches, now)
@@ -157,6 +160,9 @@
 		h.notGiven(now, s, err)
 	case err != nil:
 		s.doubt = &o
+		if s.busy != nil {
+			s.busy.beside = 0 // it may be carried out late: its time tells nothing of the store
+		}
 		s.failures++
 		s.reportAt = now
 		s.avoidUntil = now.Add(reportPause)
--- a/pkg/coordinator/server.go
+++ b/pkg/coordinator/server.go
@@ -28,7 +28,8 @@
 	doubt      *order          // without an answer; only the same may follow
 	repeat     bool            // the order in doubt was not taken yet, by a report
 	avoidUntil time.Time       // it refused an order
-	acceptedAt time.Time       // of the last order; reports lag behind it
+	reserved   reservation
+	acceptedAt time.Time // of the last order; reports lag behind it
 }
 
 // holding is a model on a server.
@@ -50,8 +51,10 @@
 type operation struct {
 	order
 	since   time.Time
-	readyAt time.Time // expected
-	fetch   bool      // from the weight store
+	readyAt time.Time     // expected
+	fetch   bool          // from the weight store
+	beside  int           // loads from the weight store under way when it began, itself among them; zero: not known
+	told    time.Duration // that the site tells for the load
 }
 
 // server returns the state of a server, made if it is new.
@@ -177,6 +180,9 @@
 	if op.load {
 		h.tell(Notice{Server: s.id, Need: op.need.Model, Holds: true})
 	}
+	if op.load && op.fetch && op.beside > 0 {
+		h.learnStore(now, op)
+	}
 }
 
 // cache takes in which weights lie near the server.
--- a/pkg/policy/decide.go
+++ b/pkg/policy/decide.go
@@ -21,12 +21,12 @@
 
 // deciders are all deciders, the default first.
 var deciders = []decider{
-	{NameAdaptive, adaptive{}, lowestCost{}, compareUrgency},
-	{NameFixedKeepAlive, fixedKeepAlive{}, tierFirst{}, compareUrgency},
-	{NameFixedKeepAliveNear, fixedKeepAlive{}, lowestCost{}, compareUrgency},
-	{NameNeverUnload, neverUnload{}, tierFirst{}, compareUrgency},
-	{NameUnloadAtOnce, unloadAtOnce{}, tierFirst{}, compareUrgency},
-	{NameDemandFirst, demandFirst{}, lowestCost{}, byGain},
+	{NameAdaptive, adaptive{}, lowestCost{}, compareUrgency, false},
+	{NameFixedKeepAlive, fixedKeepAlive{}, tierFirst{}, compareUrgency, false},
+	{NameFixedKeepAliveNear, fixedKeepAlive{}, lowestCost{}, compareUrgency, false},
+	{NameNeverUnload, neverUnload{}, tierFirst{}, compareUrgency, false},
+	{NameUnloadAtOnce, unloadAtOnce{}, tierFirst{}, compareUrgency, false},
+	{NameDemandFirst, demandFirst{}, lowestCost{}, byGain, true},
 }
 
 // Names returns the names of all deciders, the default first.
@@ -72,6 +72,7 @@
 	retention retention
 	placer    placer
 	order     loadOrder
+	reserves  bool // room that is made is kept for the model that it is made for
 }
 
 // Name implements Decider.
@@ -80,6 +81,9 @@
 // Decide implements Decider.
 func (d decider) Decide(now time.Time, input Input) []Action {
 	p := newPlan(now, &input)
+	if p.reserves = d.reserves; p.reserves {
+		p.useReservations()
+	}
 	for _, want := range p.wanted(d.order) {
 		d.loadWanted(p, want)
 	}
@@ -253,7 +257,7 @@
 			}
 			lastUse := p.lastUse(model, replica)
 			if d.retention.unload(p, model, replica, lastUse) {
-				p.drop(model, replica, fmt.Sprintf("idle %s", p.now.Sub(lastUse).Round(time.Second)))
+				p.drop(model, replica, fmt.Sprintf("idle %s", p.now.Sub(lastUse).Round(time.Second)), "")
 			}
 		}
 	}
--- a/pkg/policy/evict.go
+++ b/pkg/policy/evict.go
@@ -80,7 +80,11 @@
 // makeRoom unloads the victims of a placement and keeps the memory for it.
 func (p *plan) makeRoom(placed placement, model *Model, need uint64) {
 	for _, v := range placed.victims {
-		p.drop(v.model, v.replica, "room for "+string(model.Name))
+		p.drop(v.model, v.replica, "room for "+string(model.Name), model.Name)
+	}
+	if p.reserves {
+		p.reserve(model, placed.server, need)
+		return
 	}
 	p.claim(placed.server, need)
 }
--- a/pkg/policy/placement.go
+++ b/pkg/policy/placement.go
@@ -62,6 +62,9 @@
 	if !server.Reachable || server.Leaving || p.holds(model, server.ID) {
 		return false
 	}
+	if server.reserved != "" {
+		return false
+	}
 	if model.Base == "" {
 		return true
 	}
--- a/pkg/policy/plan.go
+++ b/pkg/policy/plan.go
@@ -35,6 +35,8 @@
 	unload  map[replicaKey]bool // replicas that an action unloads
 	slots   int                 // loads from the weight store that may still start
 	actions []Action
+
+	reserves bool // room that is made is kept for the model that it is made for
 }
 
 // kin links a model with its adapters: -1 where there is none.
@@ -47,9 +49,10 @@
 // serverPlan is a server with what the plan changes on it.
 type serverPlan struct {
 	*Server
-	free     uint64  // bytes that a load may take now
-	freeSoon uint64  // bytes of replicas that are being unloaded
-	busyFor  float64 // seconds until the loads are done that are under way or are to wait for it
+	reserved api.ModelName // see Server.Reserved; by this decision or an earlier one
+	free     uint64        // bytes that a load may take now
+	freeSoon uint64        // bytes of replicas that are being unloaded
+	busyFor  float64       // seconds until the loads are done that are under way or are to wait for it
 
 	cachedKnown bool // cachedBytes was worked out
 	cachedBytes uint64
@@ -227,7 +230,8 @@
 
 // drop adds an unload to the plan. The memory is free only once the engine
 // has confirmed it.
-func (p *plan) drop(model *Model, replica *Replica, reason string) {
+// makesRoomFor names the model that it is done for, empty if there is none.
+func (p *plan) drop(model *Model, replica *Replica, reason string, makesRoomFor api.ModelName) {
 	if p.unload == nil {
 		p.unload = make(map[replicaKey]bool)
 	}
@@ -236,6 +240,6 @@
 		server.freeSoon += ReplicaBytes(model)
 	}
 	p.actions = append(p.actions, Action{
-		Kind: ActionUnload, Model: model.Name, Server: replica.Server, Reason: reason,
+		Kind: ActionUnload, Model: model.Name, Server: replica.Server, Reason: reason, For: makesRoomFor,
 	})
 }
--- a/pkg/policy/types.go
+++ b/pkg/policy/types.go
@@ -65,6 +65,9 @@
 	// BusyFor is how long the load under way still takes on a server that may
 	// take another one after it; zero if there is none.
 	BusyFor time.Duration
+	// Reserved names the model that memory of the server was freed for, or is being
+	// freed; no other one is loaded there. Empty if there is none.
+	Reserved api.ModelName
 }
 
 // Input is what a decision is made from.
@@ -90,8 +93,9 @@
 	Kind   ActionKind
 	Model  api.ModelName
 	Server api.ServerID
-	Urgent bool   // a request waits for it
-	Reason string // for logs, such as "idle 10m0s" or "2 waiting"
+	Urgent bool          // a request waits for it
+	Reason string        // for logs, such as "idle 10m0s" or "2 waiting"
+	For    api.ModelName // that an unload makes room for; the server is to be reserved
 }
 
 // Decider decides what a cell should load and unload now. Decide must not keep
--- a/tools/compare/main.go
+++ b/tools/compare/main.go
@@ -9,13 +9,16 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"flag"
 	"fmt"
+	"maps"
 	"math"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -122,6 +125,7 @@
 func show(checkout, day string, results map[play]report, seeds int) float64 {
 	var worth, prices []float64
 	parts := make(map[string][]float64)
+	each := make(map[string]float64)
 	var names, wrong []string
 	for seed := 1; seed <= seeds; seed++ {
 		r, played := results[play{checkout, day, seed}]
@@ -132,6 +136,7 @@
 		price := 0.0
 		for _, p := range r.Prices {
 			price += number(p[2])
+			each[fmt.Sprint(p[0])] += number(p[2])
 		}
 		prices = append(prices, price)
 		for _, part := range r.Parts {
@@ -152,7 +157,7 @@
 	for _, name := range names {
 		fmt.Printf(", %s %.3f", name, mean(parts[name]))
 	}
-	fmt.Printf(", prices %.3f", mean(prices))
+	fmt.Printf(", prices %.3f%s", mean(prices), largest(each, len(prices)))
 	if len(wrong) > 0 {
 		fmt.Printf(", WRONG: %s", strings.Join(wrong, "; "))
 	}
@@ -160,6 +165,19 @@
 	return mean(worth)
 }
 
+// shownPrices is how many prices of a day are shown.
+const shownPrices = 4
+
+// largest shows the largest prices, summed over so many plays, as means.
+func largest(each map[string]float64, plays int) string {
+	names := slices.SortedFunc(maps.Keys(each), func(a, b string) int { return cmp.Compare(each[b], each[a]) })
+	text := ""
+	for _, name := range names[:min(len(names), shownPrices)] {
+		text += fmt.Sprintf("; %.3f %s", each[name]/float64(plays), name)
+	}
+	return text
+}
+
 // number returns a JSON number, zero for anything else.
 func number(v any) float64 {
 	f, _ := v.(float64)
