--- a/pkg/coordinator/outlook_test.go
+++ b/pkg/coordinator/outlook_test.go
@@ -137,7 +137,7 @@
 		n := s.start("a")
 		time.Sleep(time.Second)
 		for range 10 {
-			beat := Beat{Node: Node{Name: "b"}, Uses: []Use{{Service: "s", Model: "m0", InFlight: slots}}}
+			beat := Beat{Node: Node{Name: "b"}, Uses: []Use{{Service: "s", Model: "m0", Running: []Running{{"server-0", slots}}}}}
 			if _, err := n.holder.HandleMessage(t.Context(), api.NodeRef{}, beat); err != nil {
 				t.Fatal(err)
 			}
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -27,11 +27,18 @@
 	wishes   map[string][]*demand // of models and their adapters, by model
 	adapters map[string]int       // that were asked for lately, by model
 	inFlight map[string]int       // by model
+	running  map[replica]int      // requests, as the nodes told last
+}
+
+// replica names a model on a server.
+type replica struct {
+	server, model string
 }
 
 // gather reads all demands of a service.
 func (h *Holder) gather(now time.Time, service string) wanted {
-	w := wanted{wishes: make(map[string][]*demand), adapters: make(map[string]int), inFlight: make(map[string]int)}
+	w := wanted{wishes: make(map[string][]*demand), adapters: make(map[string]int), inFlight: make(map[string]int),
+		running: make(map[replica]int)}
 	for key, d := range h.demands {
 		if key.service != service {
 			continue
@@ -47,7 +54,10 @@
 	for _, n := range h.nodes {
 		for key, u := range n.uses {
 			if key.service == service {
-				w.inFlight[u.Model] += u.InFlight
+				for _, at := range u.Running {
+					w.inFlight[u.Model] += at.InFlight
+					w.running[replica{at.Server, u.Model}] += at.InFlight
+				}
 			}
 		}
 	}
@@ -274,6 +284,7 @@
 	for s := range h.serversOf(service) {
 		if r, present := s.replica(now, name); present {
 			r.LastUse = model.Demand.LastArrival
+			r.InFlight = w.running[replica{s.id, name}]
 			model.Replicas = append(model.Replicas, r)
 		}
 	}
--- a/pkg/coordinator/uses.go
+++ b/pkg/coordinator/uses.go
@@ -62,7 +62,8 @@
 	m.mu.Unlock()
 	for _, s := range m.Servers.Snapshot().Members() {
 		s.EachRunning(func(model string, n int) {
-			of(demandKey{s.Service, model}).InFlight += n
+			u := of(demandKey{s.Service, model})
+			u.Running = append(u.Running, Running{s.ID, n})
 		})
 	}
 	list := make([]Use, 0, len(uses))
