relay: callers are told in time that a model will not be ready before they leave

Callers of streams leave after 2 s, 4 targets or 8 pauses; what will not be ready by then is refused when that is known, with the time at which it will be. Ruled out: refusing all that come back (their model is mostly ready then).

--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -42,6 +42,10 @@
 			askedAt, asking = time.Now(), true
 			go c.ask(ctx, c.missing, outlooks)
 		}
+		if c.leavesSoon() {
+			c.refuse(c.notServed(reasonLoading, defaultRetryAfter))
+			return nil
+		}
 		timer := time.NewTimer(lookInterval)
 		select {
 		case <-ctx.Done():
@@ -63,6 +67,18 @@
 	}
 }
 
+// leavesSoon tells whether the caller is about to leave without an answer. A request
+// that was to be ready by now and is not is given up.
+func (c *call) leavesSoon() bool {
+	if c.need.Model == "" || c.headSent || c.record.waitFor == lacksServer {
+		return false
+	}
+	return time.Since(c.arrived) > c.patience()-impatienceMargin
+}
+
+// impatienceMargin is the time for a refusal to reach a caller before it leaves.
+const impatienceMargin = 2 * lookInterval
+
 // What a waiting request lacks, in logs.
 const (
 	lacksServer  = "server" // that may get it now
@@ -120,21 +136,41 @@
 // confirms it.
 const beliefTime = 5 * time.Second
 
-// judge refuses a request that comes back better later than it waits here: its
-// model will not be ready within its target. One that has come back already, or
-// whose answer has begun, is kept.
+// judge refuses a request that is better off elsewhere in time: its model will not be
+// ready within its target, and it comes back when it is; or its caller will have left
+// before. One whose answer has begun is kept.
 func (c *call) judge(o Outlook) (refusal, bool) {
 	c.record.readyIn = o.ReadyIn
-	if o.Server != "" || o.ReadyIn <= 0 || c.cameBack || c.headSent {
+	if o.Server != "" || o.ReadyIn <= 0 || c.headSent {
 		return refusal{}, false
 	}
 	waited := time.Since(c.arrived)
-	if waited+o.ReadyIn <= c.route.Target || waited > c.route.Target/refuseEarly {
+	ready := waited + o.ReadyIn
+	if ready <= c.route.Target {
 		return refusal{}, false
 	}
+	early := !c.cameBack && waited <= c.route.Target/refuseEarly
+	if !early && ready+loadMargin <= c.patience() {
+		return refusal{}, false // late is better than refused late, or twice
+	}
 	return c.notServed(reasonLoading, o.ReadyIn+loadMargin), true
 }
 
+// patience is how long the caller waits for the first byte of an answer. Callers of
+// streams leave before their deadline: after two seconds, four times the target or
+// eight times the longest pause between events, whichever is the longest.
+func (c *call) patience() time.Duration {
+	whole := c.deadline.Sub(c.arrived)
+	if c.route.Kind != route.Stream {
+		return whole
+	}
+	return min(whole, max(leastPatience, 4*c.route.Target, 8*c.route.GapTarget))
+}
+
+// leastPatience is the least time that a caller of a stream waits for an event, as the
+// users' pages tell.
+const leastPatience = 2 * time.Second
+
 // refuseEarly divides the target: a refusal that comes later than this part of
 // it does the caller no good.
 const refuseEarly = 4
