--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -274,11 +274,11 @@
 	if d != nil {
 		model.Demand.LastArrival = d.last
 		model.Demand.Rate, model.Demand.Pressure = d.rate.count.at(now), d.rate.weight.at(now)
-		model.Settings.MinReplicas = spareReplicas(model.Demand.Rate, servers)
+		model.Spares = spareReplicas(model.Demand.Rate, servers)
 	}
 	if e.AdapterPlaces > 0 {
 		wanted := (w.adapters[name] + e.AdapterPlaces - 1) / e.AdapterPlaces
-		model.Settings.MinReplicas = max(model.Settings.MinReplicas, min(wanted, servers))
+		model.Spares = max(model.Spares, min(wanted, servers))
 	}
 	addWishes(w.wishes[name], &model)
 	for s := range h.serversOf(service) {
@@ -288,7 +288,7 @@
 			model.Replicas = append(model.Replicas, r)
 		}
 	}
-	if len(model.Replicas) < model.Settings.MinReplicas && model.Demand.Waiting == 0 {
+	if len(model.Replicas) < model.Spares && model.Demand.Waiting == 0 {
 		// A busy model without its spare replicas goes before rare ones that wait.
 		model.Demand.Waiting = 1
 		model.Demand.HighestPriority = mostUrgent
--- a/pkg/coordinator/takeover_test.go
+++ b/pkg/coordinator/takeover_test.go
@@ -25,7 +25,7 @@
 				n.wish(t, "m5")
 				time.Sleep(700 * time.Millisecond)
 				for _, node := range s.nodes[:3] {
-					beat := Beat{Node: node, Uses: []Use{{Service: "s", Model: used, Rate: 1}}}
+					beat := Beat{Node: node, Uses: []Use{{Service: "s", Model: used, Rate: 1, Pressure: 1}}}
 					if _, err := n.holder.HandleMessage(t.Context(), api.NodeRef{}, beat); err != nil {
 						t.Fatal(err)
 					}
--- a/pkg/policy/adaptive.go
+++ b/pkg/policy/adaptive.go
@@ -39,6 +39,8 @@
 // not reported yet does not meet an unloading one.
 const shortestIdle = 3 * time.Second
 
+func (adaptive) worth(model *Model) float64 { return coldStartWorth(model) }
+
 // value implements retention.
 func (adaptive) value(p *plan, model *Model, replica *Replica, _ time.Time) float64 {
 	return p.outlook(model, p.reload(model, replica.Server)).hold
--- a/pkg/policy/baselines.go
+++ b/pkg/policy/baselines.go
@@ -29,6 +29,8 @@
 
 func (leastRecentlyUsed) prewarm(*plan, *Model) (prewarmWish, bool) { return prewarmWish{}, false }
 
+func (leastRecentlyUsed) worth(model *Model) float64 { return coldStartWorth(model) }
+
 // value is the negative age; with the offset it is above zero, so that an
 // eviction always costs something.
 func (leastRecentlyUsed) value(p *plan, _ *Model, _ *Replica, lastUse time.Time) float64 {
--- a/pkg/policy/decide.go
+++ b/pkg/policy/decide.go
@@ -58,6 +58,8 @@
 	prewarm(p *plan, model *Model) (prewarmWish, bool)
 	// value ranks idle replicas when memory is short: the lowest goes first.
 	value(p *plan, model *Model, replica *Replica, lastUse time.Time) float64
+	// worth is what a second until the model is ready costs, in the unit of value.
+	worth(model *Model) float64
 }
 
 // prewarmWish is the wish to load a model before a request comes.
@@ -196,14 +198,17 @@
 	return max(model.Settings.MaxReplicas, 0)
 }
 
+// neededReplicas returns how many replicas the demand and the settings ask for, spare
+// ones aside.
+func neededReplicas(model *Model) int {
+	concurrency := max(model.Settings.MaxConcurrency, 1)
+	requests := model.Demand.Waiting + model.Demand.InFlight
+	return max(model.Settings.MinReplicas, (requests+concurrency-1)/concurrency)
+}
+
 // wantedReplicas returns how many replicas the demand and the settings ask for.
 func wantedReplicas(model *Model) int {
-	want := model.Settings.MinReplicas
-	if requests := model.Demand.Waiting + model.Demand.InFlight; requests > 0 {
-		concurrency := max(model.Settings.MaxConcurrency, 1)
-		want = max(want, (requests+concurrency-1)/concurrency)
-	}
-	return min(want, maxReplicas(model))
+	return min(max(neededReplicas(model), model.Spares), maxReplicas(model))
 }
 
 // hasUsableBase tells whether the adapter's base is present, ready or not, on
--- a/pkg/policy/gain.go
+++ b/pkg/policy/gain.go
@@ -55,3 +55,13 @@
 func byGain(a, b wantedLoad) int {
 	return cmp.Or(cmp.Compare(b.gainRate, a.gainRate), compareUrgency(a, b))
 }
+
+// worthMore tells whether the victims of a placement are worth more than the replica
+// that they would make way for.
+func (p *plan) worthMore(victims []victim, incoming *Model) bool {
+	lost := 0.0
+	for i := range victims {
+		lost += gain(victims[i].model, p.staying(victims[i].model)-1)
+	}
+	return lost > gain(incoming, p.present[p.indexOf(incoming.Name)])
+}
--- a/pkg/policy/placement.go
+++ b/pkg/policy/placement.go
@@ -82,7 +82,7 @@
 	evicted     float64  // summed value of the victims
 	waits       bool     // for memory that is being freed, or for the victims
 	seconds     float64  // expected until the model is ready
-	worth       float64  // of a second, in accelerator seconds
+	worth       float64  // of a second, in the unit of evicted
 	cachedBytes uint64   // in the server's memory
 	newZone     bool     // has no replica of the model
 }
@@ -226,7 +226,7 @@
 	placed := placement{
 		server:      server,
 		seconds:     model.loadTime(p.tier(model, server.ID)).Seconds(),
-		worth:       coldStartWorth(model),
+		worth:       d.retention.worth(model),
 		cachedBytes: p.cachedBytes(server),
 		newZone:     !p.inZone(model, server.Zone),
 	}
@@ -237,7 +237,7 @@
 	placed.seconds += evictionSeconds
 	if available := server.free + server.freeSoon; available < need {
 		placed.victims, placed.evicted = d.victims(p, server, model, need-available)
-		if placed.victims == nil {
+		if placed.victims == nil || d.reserves && p.worthMore(placed.victims, model) {
 			return placement{}, false
 		}
 	}
--- a/pkg/policy/types.go
+++ b/pkg/policy/types.go
@@ -25,6 +25,9 @@
 	// DiskTime and MemoryTime are how long a load takes from a server's own disk and
 	// memory; zero: estimated from Settings.LoadTime.
 	DiskTime, MemoryTime time.Duration
+	// Spares is how many replicas there should be while the servers have room, so that
+	// the loss of one leaves some. Unlike those of Settings.MinReplicas they make way.
+	Spares int
 }
 
 // Replica is one replica of a model. All states but Ready are counted as
