--- a/pkg/coordinator/server.go
+++ b/pkg/coordinator/server.go
@@ -102,7 +102,9 @@
 			continue
 		}
 		s.version = m.Server.Version
-		s.cache(m.InMemory, m.OnDisk)
+		if now.Sub(s.acceptedAt) > recordLag {
+			s.cache(m.InMemory, m.OnDisk)
+		}
 		for i := range m.Models {
 			s.add(now, &m.Models[i])
 		}
@@ -185,8 +187,13 @@
 	}
 }
 
-// cache takes in which weights lie near the server.
+// cache takes in which weights lie near the server, in place of what was known: a
+// server drops the copies that were unused for longest. Without lists nothing was told.
 func (s *serverState) cache(memory, disk []string) {
+	if memory == nil && disk == nil {
+		return
+	}
+	clear(s.cached)
 	for _, name := range disk {
 		s.cached[name] = onDisk
 	}
