--- a/pkg/coordinator/outlook.go
+++ b/pkg/coordinator/outlook.go
@@ -30,7 +30,7 @@
 }
 
 // lanes returns the servers of a service that may take loads.
-func (h *Holder) lanes(now time.Time, service string) []lane {
+func (h *Holder) lanes(now time.Time, service string, e *route.Engine, w *wanted) []lane {
 	var list []lane
 	for s := range h.serversOf(service) {
 		if s.member.Leaving() {
@@ -44,12 +44,38 @@
 			if at, kept := h.expected[service][name]; kept {
 				free = latest(free, at)
 			}
+		} else if s.busy == nil && !h.hasRoom(s, e, w) {
+			free = free.Add(useTime)
 		}
 		list = append(list, lane{free: free, near: s.loadTime})
 	}
 	return list
 }
 
+// useTime is about how long it takes until a replica is idle on a server of which all
+// are in use; see package policy.
+const useTime = time.Second
+
+// hasRoom tells whether a server can take a model at once, or has a replica that no
+// request runs on.
+func (h *Holder) hasRoom(s *serverState, e *route.Engine, w *wanted) bool {
+	for name := range s.holds {
+		if w.running[replica{s.id, name}] == 0 {
+			return true
+		}
+	}
+	return h.freeBytes(s, e) >= largestModel(e)
+}
+
+// largestModel returns the memory of the largest model of an engine.
+func largestModel(e *route.Engine) uint64 {
+	largest := uint64(0)
+	for _, m := range e.Models {
+		largest = max(largest, m.Bytes)
+	}
+	return largest
+}
+
 // promised works out when the models will be ready that servers are kept for, and
 // returns how many servers hold, load or are kept for each model.
 func (h *Holder) promised(now time.Time, service string, e *route.Engine) map[string]int {
@@ -146,7 +172,8 @@
 		return 0
 	}
 	ready := make(map[string]time.Time)
-	expect([]queued{{model: e.Models[model]}}, h.lanes(now, service), ready)
+	w := h.gather(now, service)
+	expect([]queued{{model: e.Models[model]}}, h.lanes(now, service, e, &w), ready)
 	if at, found := ready[model]; found {
 		return at.Sub(now)
 	}
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -162,7 +162,7 @@
 	}
 	h.expected[service] = make(map[string]time.Time)
 	queue := h.queue(e, &w, &input, h.promised(now, service, e))
-	expect(queue, h.lanes(now, service), h.expected[service])
+	expect(queue, h.lanes(now, service, e, &w), h.expected[service])
 	h.tellWaits(now, service, queue, &w)
 }
 
--- a/pkg/policy/placement.go
+++ b/pkg/policy/placement.go
@@ -178,7 +178,7 @@
 			best = candidate
 		}
 	}
-	if best.server != nil && p.soonerLater(model, best) {
+	if best.server != nil && d.soonerLater(p, model, best) {
 		return placement{}
 	}
 	return best
@@ -188,11 +188,15 @@
 const (
 	leastGain    = 0.5             // seconds that a model is to be ready sooner
 	longestDefer = 3 * time.Second // that a request waits without a load
+	// useSeconds is about how long it takes until a replica is idle on a server of
+	// which all are in use: what is left of the shortest of some streams of two seconds.
+	useSeconds = 1.0
 )
 
-// soonerLater tells whether a busy server would have the model ready sooner than
-// placed, since it has a copy of the checkpoint. It is then kept for the model.
-func (p *plan) soonerLater(model *Model, placed placement) bool {
+// soonerLater tells whether a server that can't take the model now would have it ready
+// sooner than placed, since it has a copy of the checkpoint. It is then kept for the
+// model.
+func (d decider) soonerLater(p *plan, model *Model, placed placement) bool {
 	since := model.Demand.WaitingSince
 	if since.IsZero() || p.now.Sub(since) > longestDefer {
 		return false
@@ -201,14 +205,15 @@
 	ready := placed.seconds - leastGain
 	for i := range p.servers {
 		server := &p.servers[i]
-		if server.BusyFor <= 0 || server.Leaving || p.holds(model, server.ID) {
+		tier := p.tierOn(model, server)
+		if tier == tierRemote || server.Leaving || p.holds(model, server.ID) {
 			continue
 		}
-		tier := p.tierOn(model, server)
-		if tier == tierRemote {
+		free := d.freeIn(p, model, server)
+		if free <= 0 {
 			continue
 		}
-		seconds := server.busyFor + evictionSeconds + model.loadTime(tier).Seconds()
+		seconds := free + evictionSeconds + model.loadTime(tier).Seconds()
 		if seconds < ready {
 			best, ready = server, seconds
 		}
@@ -220,6 +225,21 @@
 	return true
 }
 
+// freeIn returns in how many seconds a server can make room for the model that can't
+// now; zero if that is not known or if it can now.
+func (d decider) freeIn(p *plan, model *Model, server *serverPlan) float64 {
+	if server.busyFor > 0 {
+		return server.busyFor
+	}
+	if !d.reserves || !server.Reachable || server.reserved != "" {
+		return 0
+	}
+	if _, ok := d.placeOn(p, model, server, ReplicaBytes(model)); ok {
+		return 0
+	}
+	return useSeconds
+}
+
 // placeOn works out what a load on one server takes; false if it has not
 // enough memory that may be freed.
 func (d decider) placeOn(p *plan, model *Model, server *serverPlan, need uint64) (placement, bool) {
--- a/pkg/policy/reserve.go
+++ b/pkg/policy/reserve.go
@@ -36,5 +36,6 @@
 	}
 	p.claim(server, need)
 	server.reserved = model.Name
+	server.busyFor = evictionSeconds + model.loadTime(p.tierOn(model, server)).Seconds()
 	p.present[p.indexOf(model.Name)]++
 }
