--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -57,6 +57,7 @@
 
 	learnUntil time.Time     // when the nodes should have told what is in use
 	resumeAt   time.Time     // when orders are given again after the store failed
+	failing    time.Time     // since when no order could be written; zero: the last one was
 	planned    time.Time     // the end of the last plan
 	nextPlan   chan struct{} // closed when the next plan is done
 	planTook   time.Duration
@@ -149,6 +150,7 @@
 	h.demands = make(map[demandKey]*demand)
 	h.servers = make(map[string]*serverState)
 	h.fetches = nil
+	h.failing = time.Time{}
 	h.expected = make(map[string]map[string]time.Time)
 	record, _ := h.Lease.Current()
 	now, storeNow := time.Now(), h.Lease.Now()
@@ -348,7 +350,7 @@
 	if !h.holds() || answer.Term != h.term {
 		return
 	}
-	answer.ReadyIn = h.readyIn(now, w.Service, backend.ParseNeed(w.Need))
+	answer.ReadyIn = h.readyIn(now, w.Service, backend.ParseNeed(w.Need)) + h.failsFor(now)
 	d := h.demand(demandKey{w.Service, w.Need})
 	// Who is refused for now comes back about then.
 	d.waitsTill = latest(d.waitsTill, now.Add(answer.ReadyIn+returnTime))
--- a/pkg/coordinator/orders.go
+++ b/pkg/coordinator/orders.go
@@ -150,6 +150,9 @@
 	if err != nil || result != Accepted {
 		h.Logger.Info("order answered", "server", s.id, "model", o.need.String(), "load", o.load, "result", result, "error", err)
 	}
+	if !errors.Is(err, errNotWritten) {
+		h.failing = time.Time{}
+	}
 	// The one before may still take effect, whatever became of its repeat.
 	repeated := s.doubt != nil
 	switch {
@@ -179,6 +182,9 @@
 func (h *Holder) notGiven(now time.Time, s *serverState, err error) {
 	if errors.Is(err, errNotWritten) {
 		h.resumeAt = now.Add(reportPause)
+		if h.failing.IsZero() {
+			h.failing = now
+		}
 		return
 	}
 	s.failures++
--- a/pkg/coordinator/outlook.go
+++ b/pkg/coordinator/outlook.go
@@ -201,3 +201,15 @@
 	}
 	return b
 }
+
+// leastFailing is how long the store is expected to fail on at least.
+const leastFailing = 500 * time.Millisecond
+
+// failsFor returns how long no order can be written yet: a failure of the store is
+// taken to last as long again as it has lasted.
+func (h *Holder) failsFor(now time.Time) time.Duration {
+	if h.failing.IsZero() {
+		return 0
+	}
+	return max(now.Sub(h.failing), leastFailing)
+}
