--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -55,13 +55,14 @@
 	fetches     []time.Time // starts of loads from the weight store
 	store       storeLimit  // how many of them go at full speed at once
 
-	learnUntil time.Time     // when the nodes should have told what is in use
-	resumeAt   time.Time     // when orders are given again after the store failed
-	failing    time.Time     // since when no order could be written; zero: the last one was
-	planned    time.Time     // the end of the last plan
-	nextPlan   chan struct{} // closed when the next plan is done
-	planTook   time.Duration
-	expected   map[string]map[string]time.Time // when queued models will be ready, by service
+	learnUntil  time.Time     // when the nodes should have told what is in use
+	resumeAt    time.Time     // when orders are given again after the store failed
+	scarceUntil time.Time     // models wait for servers
+	failing     time.Time     // since when no order could be written; zero: the last one was
+	planned     time.Time     // the end of the last plan
+	nextPlan    chan struct{} // closed when the next plan is done
+	planTook    time.Duration
+	expected    map[string]map[string]time.Time // when queued models will be ready, by service
 }
 
 // Ceiling bounds the loads from the weight store in any window.
@@ -288,7 +289,10 @@
 			d.last = now
 		}
 	}
-	answer := BeatAnswer{Version: NodesVersion{h.term, h.nodesNumber}}
+	if now.Before(h.scarceUntil) {
+		h.planSoon = true // a replica that went idle may make way
+	}
+	answer := BeatAnswer{Version: NodesVersion{h.term, h.nodesNumber}, Scarce: now.Before(h.scarceUntil)}
 	if b.Knows == answer.Version {
 		return answer
 	}
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -20,6 +20,7 @@
 	beatInterval = time.Second
 	beatRetry    = 300 * time.Millisecond
 	beatTimeout  = 700 * time.Millisecond
+	idleLook     = 250 * time.Millisecond // between looks at what went idle while servers are scarce
 	noticeTime   = 5 * time.Second
 )
 
@@ -40,7 +41,10 @@
 	Logger    hclog.Logger
 
 	nodes    atomic.Pointer[[]Node]
-	version  NodesVersion // of nodes; for Run alone
+	version  NodesVersion    // of nodes; for Run alone
+	beatAt   time.Time       // when the next beat is due at the latest; for Run alone
+	scarce   bool            // by the last answer; for Run alone
+	told     map[replica]int // running requests by the last beat; for Run alone
 	stopping atomic.Bool
 	beatNow  chan struct{}
 	started  sync.Once
@@ -100,15 +104,58 @@
 		case <-ctx.Done():
 			return
 		case <-m.beatNow:
+			m.beatAt = time.Time{}
 		case <-timer.C:
 		}
-		pause := beatInterval
-		if err := m.beat(ctx); err != nil {
-			m.lost(err)
-			pause = beatRetry
+		timer.Reset(m.beatOrLook(ctx))
+	}
+}
+
+// beatOrLook beats if it is time to, or if requests ended that keep replicas from making
+// way for models that wait. It returns when to look again.
+func (m *Member) beatOrLook(ctx context.Context) time.Duration {
+	now := time.Now()
+	if left := m.beatAt.Sub(now); left > 0 && !m.stopping.Load() && !m.wentIdle() {
+		return min(left, idleLook)
+	}
+	m.beatAt = now.Add(beatInterval)
+	if err := m.beat(ctx); err != nil {
+		m.lost(err)
+		m.scarce = false
+		m.beatAt = now.Add(beatRetry)
+		return beatRetry
+	}
+	if m.scarce {
+		return idleLook
+	}
+	return beatInterval
+}
+
+// wentIdle tells whether a replica that the holder was told to be in use is idle by now.
+func (m *Member) wentIdle() bool {
+	if !m.scarce {
+		return false
+	}
+	running := m.running()
+	for r := range m.told {
+		if running[r] == 0 {
+			return true
 		}
-		timer.Reset(pause)
 	}
+	return false
+}
+
+// running counts the requests of this node by replica.
+func (m *Member) running() map[replica]int {
+	running := make(map[replica]int)
+	for _, s := range m.Servers.Snapshot().Members() {
+		s.EachRunning(func(model string, n int) {
+			if n > 0 {
+				running[replica{s.ID, model}] = n
+			}
+		})
+	}
+	return running
 }
 
 // patience is how long nodes that are not candidates leave it to the others to
@@ -132,6 +179,7 @@
 
 // beat tells the holder of this node and takes in what it tells of the others.
 func (m *Member) beat(ctx context.Context) error {
+	told := m.running()
 	beat := Beat{Node: m.self(), Uses: m.uses(time.Now()), Knows: m.version}
 	answer, err := ask[BeatAnswer](ctx, m, beat)
 	if err != nil {
@@ -140,6 +188,7 @@
 	if answer.Version.Term == 0 {
 		return ErrNoHolder
 	}
+	m.scarce, m.told = answer.Scarce, told
 	if len(answer.Nodes) > 0 {
 		m.nodes.Store(&answer.Nodes)
 		m.version = answer.Version
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -62,6 +62,7 @@
 type BeatAnswer struct {
 	Version NodesVersion
 	Nodes   []Node // empty: as known
+	Scarce  bool   // models waited for a server lately: what goes idle is to be told soon
 }
 
 // WishMessage asks the holder to have a model loaded.
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -162,6 +162,9 @@
 	}
 	h.expected[service] = make(map[string]time.Time)
 	queue := h.queue(e, &w, &input, h.promised(now, service, e))
+	if len(queue) > 0 {
+		h.scarceUntil = now.Add(scarceTime)
+	}
 	expect(queue, h.lanes(now, service, e, &w), h.expected[service])
 	h.tellWaits(now, service, queue, &w)
 }
@@ -318,6 +321,10 @@
 	}
 }
 
+// scarceTime is how long after a model waited for a server the nodes tell at once what
+// goes idle.
+const scarceTime = 5 * time.Second
+
 // adapterUseTime is how long an adapter counts as in use after a request.
 const adapterUseTime = 6 * time.Second
 
