--- a/pkg/backend/directory.go
+++ b/pkg/backend/directory.go
@@ -37,7 +37,7 @@
 
 // Serves tells whether the server may get a new request that needs n.
 func (m *Member) Serves(now time.Time, n Need) bool {
-	if m.Draining || m.Left() {
+	if m.Draining || m.Left() || n.Model != "" && m.Gone(now) {
 		return false
 	}
 	if believed, known := m.believes(now, n); known {
--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -28,10 +28,11 @@
 	address string
 	limit   atomic.Int64 // connections; zero: none
 
-	mu    sync.Mutex
-	idle  []*conn // the last used at the end
-	open  int
-	ended bool
+	mu        sync.Mutex
+	idle      []*conn // the last used at the end
+	open      int
+	ended     bool
+	goneUntil time.Time // it refused a connection
 }
 
 func newPool(dial Dialer, address string) *pool {
@@ -119,12 +120,29 @@
 	if err != nil {
 		p.mu.Lock()
 		p.open--
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			p.goneUntil = time.Now().Add(goneTime)
+		}
 		p.mu.Unlock()
 		return nil, err
 	}
+	p.mu.Lock()
+	p.goneUntil = time.Time{}
+	p.mu.Unlock()
 	return newConn(p, nc), nil
 }
 
+// goneTime is how long a server that refused a connection counts as gone before it is
+// tried again: about as long as its entry stays in the list.
+const goneTime = 2 * time.Second
+
+// Gone tells whether nobody listened any more, a moment ago, where the server did.
+func (c *Condition) Gone(now time.Time) bool {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	return now.Before(c.pool.goneUntil)
+}
+
 // Idle returns the number of unused connections to the server.
 func (c *Condition) Idle() int {
 	c.pool.mu.Lock()
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -328,7 +328,11 @@
 	d.waitsTill, d.last = latest(d.waitsTill, now.Add(wishTime)), now
 	d.priority, d.deadline, d.request = w.Priority, now.Add(w.Left), w.RequestID
 	answer := WishAnswer{Term: h.term}
-	h.doubtHolding(now, w.Missing, need)
+	if w.Gone {
+		h.lose(now, w.Missing)
+	} else {
+		h.doubtHolding(now, w.Missing, need)
+	}
 	if server := h.heldBy(now, w.Service, need); server != "" {
 		answer.Server = server
 		h.tell(Notice{Server: server, Need: w.Need, Holds: true})
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -72,6 +72,7 @@
 	Priority  int
 	Left      time.Duration // of the request that waits
 	Missing   string        // server that said that it does not hold it
+	Gone      bool          // that server refused the connection
 	RequestID string
 }
 
--- a/pkg/coordinator/outlook.go
+++ b/pkg/coordinator/outlook.go
@@ -33,7 +33,7 @@
 func (h *Holder) lanes(now time.Time, service string) []lane {
 	var list []lane
 	for s := range h.serversOf(service) {
-		if s.member.Leaving() {
+		if s.member.Leaving() || s.gone(now) {
 			continue
 		}
 		free := latest(now, s.quietUntil)
@@ -58,7 +58,7 @@
 // promised works out when the models will be ready that servers are kept for, and
 // returns how many servers hold, load or are kept for each model.
 func (h *Holder) promised(now time.Time, service string, e *route.Engine) map[string]int {
-	present := h.presence(service)
+	present := h.presence(now, service)
 	for s := range h.serversOf(service) {
 		name := s.reservedFor(now)
 		m := e.Models[name]
@@ -166,7 +166,7 @@
 func (h *Holder) loadingLeft(now time.Time, service, model string) (time.Duration, bool) {
 	left, loading := time.Duration(0), false
 	for s := range h.serversOf(service) {
-		if s.busy == nil || !s.busy.load || s.busy.need.Model != model {
+		if s.busy == nil || !s.busy.load || s.busy.need.Model != model || s.gone(now) {
 			continue
 		}
 		if l := max(s.busy.readyAt.Sub(now), tickInterval/4); !loading || l < left {
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -65,9 +65,12 @@
 }
 
 // presence counts the servers of a service that hold or load each model.
-func (h *Holder) presence(service string) map[string]int {
+func (h *Holder) presence(now time.Time, service string) map[string]int {
 	count := make(map[string]int)
 	for s := range h.serversOf(service) {
+		if s.gone(now) {
+			continue
+		}
 		for model := range s.holds {
 			count[model]++
 		}
@@ -227,7 +230,7 @@
 		})
 	}
 	slices.SortFunc(input.Servers, func(a, b policy.Server) int { return cmp.Compare(a.ID, b.ID) })
-	present := h.presence(service)
+	present := h.presence(now, service)
 	for name, m := range e.Models {
 		if present[name] > 0 || len(w.wishes[name]) > 0 {
 			input.Models = append(input.Models, h.modelInput(now, service, m, e, w, len(input.Servers)))
@@ -346,6 +349,9 @@
 // replica returns a model's replica on the server.
 func (s *serverState) replica(now time.Time, name string) (policy.Replica, bool) {
 	r := policy.Replica{Server: api.ServerID(s.id), Since: now}
+	if s.gone(now) {
+		return r, false
+	}
 	if known := s.holds[name]; known != nil {
 		r.State, r.Since = api.ReplicaReady, known.since
 		if s.member.Leaving() {
--- a/pkg/coordinator/server.go
+++ b/pkg/coordinator/server.go
@@ -28,6 +28,7 @@
 	doubt      *order          // without an answer; only the same may follow
 	repeat     bool            // the order in doubt was not taken yet, by a report
 	avoidUntil time.Time       // it refused an order
+	goneUntil  time.Time       // it refused a connection
 	reserved   reservation
 	acceptedAt time.Time // of the last order; reports lag behind it
 }
@@ -202,9 +203,30 @@
 	}
 }
 
+// goneTime is how long a server that refused a node's connection counts as gone. Its
+// entry in the list goes within some heartbeats.
+const goneTime = 2 * time.Second
+
+// lose notes that a server refused a node's connection.
+func (h *Holder) lose(now time.Time, id string) {
+	s := h.servers[id]
+	if s == nil || s.member == nil {
+		return
+	}
+	if !s.gone(now) {
+		h.Logger.Info("server refuses connections", "server", id, "holds", len(s.holds))
+	}
+	s.goneUntil = now.Add(goneTime)
+}
+
+// gone tells whether a node found lately that nobody listens at the server's address.
+func (s *serverState) gone(now time.Time) bool {
+	return now.Before(s.goneUntil) || s.member != nil && s.member.Gone(now)
+}
+
 // usable tells whether orders may be given to the server.
 func (s *serverState) usable(now time.Time) bool {
-	return s.member != nil && !s.unsure && !s.recheck && !s.member.Leaving() && !now.Before(s.quietUntil) && !now.Before(s.avoidUntil)
+	return s.member != nil && !s.gone(now) && !s.unsure && !s.recheck && !s.member.Leaving() && !now.Before(s.quietUntil) && !now.Before(s.avoidUntil)
 }
 
 // silent tells whether the server did not answer a moment ago.
@@ -214,7 +236,7 @@
 // holder's own word goes before that of the records.
 func (h *Holder) heldBy(now time.Time, service string, need backend.Need) string {
 	for s := range h.serversOf(service) {
-		if s.member.Leaving() || s.silent(now) || s.unsure {
+		if s.member.Leaving() || s.silent(now) || s.gone(now) || s.unsure {
 			continue
 		}
 		if s.ready(now, need) {
--- a/pkg/coordinator/wishes.go
+++ b/pkg/coordinator/wishes.go
@@ -56,7 +56,7 @@
 func (m *Member) tellWish(ctx context.Context, w relay.Wish) (relay.Outlook, error) {
 	answer, err := ask[WishAnswer](ctx, m, WishMessage{
 		Service: w.Service, Need: w.Need.String(), Priority: w.Priority,
-		Left: time.Until(w.Deadline), RequestID: w.RequestID, Missing: w.Missing,
+		Left: time.Until(w.Deadline), RequestID: w.RequestID, Missing: w.Missing, Gone: w.Gone,
 	})
 	if err == nil && answer.Term == 0 {
 		err = ErrNoHolder
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -249,9 +249,12 @@
 // learn notes why a server turned a request away.
 func (c *call) learn(now time.Time, m *backend.Member, err error) {
 	switch {
+	case c.need.Model != "" && m.Gone(now):
+		c.missing, c.missingGone = m.ID, true
+		m.Failed(now)
 	case errors.Is(err, errLeaving), errors.Is(err, backend.ErrCrowded):
 	case c.record.status == http.StatusMisdirectedRequest && c.need.Model != "":
-		c.missing = m.ID
+		c.missing, c.missingGone = m.ID, false
 		c.relay.Servers.Believe(m.ID, c.need, false, now.Add(disbeliefTime))
 	default:
 		m.Failed(now)
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -40,14 +40,15 @@
 	need      backend.Need
 	lastEvent string
 
-	cameBack bool     // the caller was refused before, by the time that it has left
-	tried    []string // servers that did not serve it
-	missing  string   // server that said that it does not hold what is needed
-	sends    int
-	misses   int // tries after which no server had run it
-	runs     int // servers that may have run it
-	headSent bool
-	record   record
+	cameBack    bool     // the caller was refused before, by the time that it has left
+	tried       []string // servers that did not serve it
+	missing     string   // server that said that it does not hold what is needed
+	missingGone bool     // it refused the connection
+	sends       int
+	misses      int // tries after which no server had run it
+	runs        int // servers that may have run it
+	headSent    bool
+	record      record
 }
 
 // accept reads and checks the request. If it returns false, the request is
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -40,7 +40,7 @@
 		c.record.waitFor = c.lacks()
 		if c.record.waitFor != lacksServer && !asking && time.Since(askedAt) >= wakeInterval {
 			askedAt, asking = time.Now(), true
-			go c.ask(ctx, c.missing, outlooks)
+			go c.ask(ctx, c.missing, c.missingGone, outlooks)
 		}
 		if c.leavesSoon() {
 			c.refuse(c.notServed(reasonLoading, defaultRetryAfter))
@@ -112,12 +112,12 @@
 }
 
 // ask tells the waker what is missing.
-func (c *call) ask(ctx context.Context, missing string, outlooks chan<- asked) {
+func (c *call) ask(ctx context.Context, missing string, gone bool, outlooks chan<- asked) {
 	ctx, cancel := context.WithTimeout(ctx, wakeTimeout)
 	defer cancel()
 	o, err := c.relay.Waker.Wake(ctx, Wish{
 		Service: c.service, Need: c.need, Priority: c.route.Priority, Deadline: c.deadline, RequestID: c.id,
-		Missing: missing,
+		Missing: missing, Gone: gone,
 	})
 	if err != nil {
 		o.ReadyIn = unknownReady
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -45,6 +45,7 @@
 	Deadline  time.Time
 	RequestID string
 	Missing   string // server that said that it does not hold it
+	Gone      bool   // the missing server refused the connection
 }
 
 // Outlook is what is known of a wish.
