--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -17,7 +17,7 @@
 const (
 	busyRate       = 0.8 // arrivals a second from which a model has a spare replica
 	veryBusyRate   = 2.5 // from which it has two
-	perReplica     = 14  // requests that one replica is to run at most
+	perReplica     = 24  // requests that one replica is to run at most
 	replicaShare   = 0.5 // of a server's slots that a model is to take: models share them
 	prewarmedLoads = 2   // loads under way that no request waits for
 )
