--- a/pkg/policy/placement.go
+++ b/pkg/policy/placement.go
@@ -186,8 +186,11 @@
 
 // Bounds of waiting for a server that has a copy of a checkpoint.
 const (
-	leastGain    = 0.5             // seconds that a model is to be ready sooner
-	longestDefer = 3 * time.Second // that a request waits without a load
+	leastGain = 0.5 // seconds that a model is to be ready sooner
+	// longestDefer bounds how long a request waits without a load. It only guards
+	// against a server whose load never ends: a load from the weight store beside keeps
+	// another server from short loads for several times as long.
+	longestDefer = 20 * time.Second
 	// useSeconds is about how long it takes until a replica is idle on a server of
 	// which all are in use: what is left of the shortest of some streams of two seconds.
 	useSeconds = 1.0
