--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -289,10 +289,12 @@
 			d.last = now
 		}
 	}
+	h.store.take(b.Store)
 	if now.Before(h.scarceUntil) {
 		h.planSoon = true // a replica that went idle may make way
 	}
-	answer := BeatAnswer{Version: NodesVersion{h.term, h.nodesNumber}, Scarce: now.Before(h.scarceUntil)}
+	answer := BeatAnswer{Version: NodesVersion{h.term, h.nodesNumber}, Scarce: now.Before(h.scarceUntil),
+		Store: h.store.tell(h.term)}
 	if b.Knows == answer.Version {
 		return answer
 	}
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -40,14 +40,16 @@
 	Candidate func() bool // whether this node is among the first to take the lease
 	Logger    hclog.Logger
 
-	nodes    atomic.Pointer[[]Node]
-	version  NodesVersion    // of nodes; for Run alone
-	beatAt   time.Time       // when the next beat is due at the latest; for Run alone
-	scarce   bool            // by the last answer; for Run alone
-	told     map[replica]int // running requests by the last beat; for Run alone
-	stopping atomic.Bool
-	beatNow  chan struct{}
-	started  sync.Once
+	nodes     atomic.Pointer[[]Node]
+	version   NodesVersion    // of nodes; for Run alone
+	beatAt    time.Time       // when the next beat is due at the latest; for Run alone
+	scarce    bool            // by the last answer; for Run alone
+	told      map[replica]int // running requests by the last beat; for Run alone
+	store     StoreLimit      // as the last holder learned it; for Run alone
+	storeTold uint64          // term of the holder that was told of it; for Run alone
+	stopping  atomic.Bool
+	beatNow   chan struct{}
+	started   sync.Once
 
 	mu       sync.Mutex
 	arrivals map[demandKey]arrivals
@@ -180,7 +182,11 @@
 // beat tells the holder of this node and takes in what it tells of the others.
 func (m *Member) beat(ctx context.Context) error {
 	told := m.running()
-	beat := Beat{Node: m.self(), Uses: m.uses(time.Now()), Knows: m.version}
+	var store StoreLimit
+	if record, _ := m.Lease.Current(); record.Term != m.storeTold {
+		store = m.store
+	}
+	beat := Beat{Node: m.self(), Uses: m.uses(time.Now()), Knows: m.version, Store: store}
 	answer, err := ask[BeatAnswer](ctx, m, beat)
 	if err != nil {
 		return err
@@ -189,6 +195,10 @@
 		return ErrNoHolder
 	}
 	m.scarce, m.told = answer.Scarce, told
+	m.storeTold = answer.Version.Term
+	if answer.Store.Loads > 0 {
+		m.store = answer.Store
+	}
 	if len(answer.Nodes) > 0 {
 		m.nodes.Store(&answer.Nodes)
 		m.version = answer.Version
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -49,6 +49,7 @@
 	Node  Node
 	Uses  []Use
 	Knows NodesVersion // of the nodes that it was told of
+	Store StoreLimit   // as an earlier holder learned it; told to a holder once, at its first beat
 }
 
 // NodesVersion tells lists of nodes apart.
@@ -61,8 +62,9 @@
 // The term is zero if the node that was asked does not hold the lease.
 type BeatAnswer struct {
 	Version NodesVersion
-	Nodes   []Node // empty: as known
-	Scarce  bool   // models waited for a server lately: what goes idle is to be told soon
+	Nodes   []Node     // empty: as known
+	Scarce  bool       // models waited for a server lately: what goes idle is to be told soon
+	Store   StoreLimit // what was learned of the weight store, for the next holder
 }
 
 // WishMessage asks the holder to have a model loaded.
--- a/pkg/coordinator/storelimit.go
+++ b/pkg/coordinator/storelimit.go
@@ -7,35 +7,34 @@
 	"time"
 )
 
-// Bounds of what is learned of the weight store.
+// How the number of loads at once is learned.
 const (
-	firstStoreLimit = 4                      // loads at once before anything is known
-	storeGrowth     = 1.5                    // how many more are tried after all went at full speed
-	storeMemory     = 12                     // loads that are remembered
-	storeForgets    = 45 * time.Second       // after which a load tells nothing any more
-	storeProbe      = 12 * time.Second       // after the last slow load one more is tried
+	firstStoreLimit = 4                      // before anything is known
+	storeGrowth     = 1.5                    // how many times more are tried while all go at full speed
+	firstProbe      = 12 * time.Second       // after a slow load, until more are tried again
+	longestProbe    = time.Minute            // it doubles up to this with each try that fails
+	slowMemory      = 3                      // slow loads of which the median counts
 	slowRatio       = 1.12                   // of the time told, beyond which a load was slow
 	slowSlack       = 450 * time.Millisecond // by which the end of a load is seen late: report lag and pause
 )
 
-// storeLoad is a load from the weight store that was seen to its end.
-type storeLoad struct {
-	at     time.Time // of its end
-	beside int       // loads under way when it began, itself among them
-	ratio  float64   // of the time it took to the time told; 1 if it was at full speed
-}
-
-// capacity returns at how many loads at once the store works at full speed, by a load
-// that was slow: the time of each grows in proportion beyond that.
-func (l storeLoad) capacity() float64 { return float64(l.beside) / l.ratio }
-
-// storeLimit learns how many loads from the weight store go at full speed at once.
-// The store does not tell; loads beyond that only take longer and keep their servers
-// from other loads. It starts careful, grows while loads are as fast as told, and goes
-// back to what slow loads show.
+// storeLimit learns how many loads from the weight store go at full speed at once. The
+// store does not tell; loads beyond that only take longer and keep their servers from
+// other loads. It starts careful and grows while loads are as fast as told. A slow load
+// shows the knee, since the time of a load grows in proportion beyond it; from then on
+// a few more are tried now and then.
 type storeLimit struct {
-	loads []storeLoad
-	told  StoreLimit // by an earlier holder; counts until a load is seen
+	loads   int       // at once at full speed, as far as is known; zero: nothing is
+	bound   bool      // more than that were slow
+	boundAt time.Time // when the last slow load was seen: loads that began before tell of more at once
+	slow    []float64 // knees that the last slow loads showed
+	fast    int       // most loads at once that were at full speed lately
+	fastAt  time.Time // when
+	more    int       // loads that the next try adds
+	tryAt   time.Time // when more are tried again
+	pause   time.Duration
+
+	term uint64 // of the holder that told what is known; zero: it was seen here
 }
 
 // StoreLimit is what a holder learned, as nodes keep it for the next one.
@@ -44,76 +43,91 @@
 	Term  uint64
 }
 
+// limit returns how many loads may be under way at once.
+func (l *storeLimit) limit(now time.Time) int {
+	known := cmp.Or(l.loads, firstStoreLimit)
+	if l.bound && !now.Before(l.tryAt) {
+		return known + l.more
+	}
+	return known
+}
+
+// take takes in what an earlier holder learned; the latest one counts, and what was
+// seen here before all.
+func (l *storeLimit) take(told StoreLimit) {
+	if told.Loads > 0 && told.Term > l.term && (l.loads == 0 || l.term > 0) {
+		l.loads, l.term = told.Loads, told.Term
+	}
+}
+
+// tell returns what is known, for the next holder.
+func (l *storeLimit) tell(term uint64) StoreLimit {
+	if l.loads == 0 {
+		return StoreLimit{}
+	}
+	return StoreLimit{Loads: l.loads, Term: cmp.Or(l.term, term)}
+}
+
 // slow tells whether a load that took so long, or has run for so long, is slow.
 func slow(took, told time.Duration) bool {
 	return took-slowSlack > time.Duration(slowRatio*float64(told))
 }
 
-// observe takes in a load that ended.
+// observe takes in a load that ended; beside is how many were under way when it began,
+// itself among them.
 func (l *storeLimit) observe(now time.Time, beside int, took, told time.Duration) {
 	if told <= 0 || beside <= 0 {
 		return
 	}
-	seen := storeLoad{at: now, beside: beside, ratio: 1}
 	if slow(took, told) {
-		seen.ratio = (took - slowSlack/2).Seconds() / told.Seconds()
+		l.sawSlow(now, beside, (took-slowSlack/2).Seconds()/told.Seconds())
+		return
 	}
-	l.loads = append(l.loads, seen)
-	if len(l.loads) > storeMemory {
-		l.loads = l.loads[1:]
+	if began := now.Add(-took); !l.bound || !began.Before(l.boundAt) {
+		l.sawFast(now, beside, told)
 	}
 }
 
-// limit returns how many loads may be under way at once.
-func (l *storeLimit) limit(now time.Time) int {
-	l.loads = slices.DeleteFunc(l.loads, func(s storeLoad) bool { return now.Sub(s.at) > storeForgets })
-	if len(l.loads) == 0 {
-		return cmp.Or(l.told.Loads, firstStoreLimit)
+// sawFast takes in a load at full speed.
+func (l *storeLimit) sawFast(now time.Time, beside int, told time.Duration) {
+	if beside >= l.fast || now.Sub(l.fastAt) > firstProbe {
+		l.fast, l.fastAt = beside, now
 	}
-	capacity, lastSlow := l.slowest()
-	// Loads at full speed after the slow ones show that the store has become faster.
-	fast := 0
-	for _, s := range l.loads {
-		if s.ratio == 1 && s.at.After(lastSlow) {
-			fast = max(fast, s.beside)
+	known := cmp.Or(l.loads, firstStoreLimit)
+	switch {
+	case beside < known, l.bound && beside == known:
+	case l.bound: // more than were known to be: the knee has moved
+		l.loads, l.term = beside, 0
+		if !now.Before(l.tryAt) {
+			l.more = min(2*l.more, max(beside/4, 1))
 		}
+		l.slow, l.pause = nil, firstProbe
+		l.tryAt = now.Add(told + slowSlack) // when loads beside that many were seen
+	default:
+		l.loads, l.term = int(math.Ceil(storeGrowth*float64(beside))), 0
 	}
-	if lastSlow.IsZero() {
-		return max(firstStoreLimit, l.told.Loads, int(math.Ceil(storeGrowth*float64(fast))))
-	}
-	known := max(int(capacity+0.3), 1)
-	if now.Sub(lastSlow) > storeProbe {
-		known = max(known, fast) + 1
-	}
-	return known
 }
 
-// slowest returns the capacity that the slow loads show, their median, and when the
-// last of them ended. A single slow load beside faster ones of the same number is the
-// load's own: an order that was carried out late, a busy server.
-func (l *storeLimit) slowest() (capacity float64, last time.Time) {
-	var shown []float64
-	for _, s := range l.loads {
-		if s.ratio > 1 && !l.contradicted(s) {
-			shown = append(shown, s.capacity())
-			last = s.at
-		}
+// sawSlow takes in a load that took ratio times as long as told. One beside others that
+// were at full speed in the same number is the load's own: an order that was carried out
+// late, a busy server.
+func (l *storeLimit) sawSlow(now time.Time, beside int, ratio float64) {
+	if l.fast >= beside && now.Sub(l.fastAt) < firstProbe {
+		return
 	}
-	if len(shown) == 0 {
-		return 0, time.Time{}
+	l.slow = append(l.slow, float64(beside)/ratio)
+	if len(l.slow) > slowMemory {
+		l.slow = l.slow[1:]
 	}
-	slices.Sort(shown)
-	return shown[len(shown)/2], last
-}
-
-// contradicted tells whether as many loads or more went at full speed about then.
-func (l *storeLimit) contradicted(slow storeLoad) bool {
-	for _, s := range l.loads {
-		if s.ratio == 1 && s.beside >= slow.beside && s.at.Sub(slow.at).Abs() < storeProbe {
-			return true
-		}
+	shown := slices.Sorted(slices.Values(l.slow))
+	l.loads, l.term = max(int(shown[len(shown)/2]+0.3), 1), 0
+	if l.pause == 0 {
+		l.pause = firstProbe
+	}
+	if l.bound && !now.Before(l.tryAt) {
+		l.pause = min(2*l.pause, longestProbe)
 	}
-	return false
+	l.bound, l.boundAt, l.more, l.tryAt = true, now, 1, now.Add(l.pause)
 }
 
 // learnStore takes in a load from the weight store that was seen to its end.
--- /dev/null
+++ b/pkg/coordinator/storelimit_test.go
@@ -0,0 +1,166 @@
+package coordinator
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// weightStore serves loads as one with a knee does: with more at once than that, the
+// time of each that begins grows in proportion.
+type weightStore struct {
+	knee    int           // zero: none
+	told    time.Duration // of a load at full speed
+	running []storeRun
+}
+
+type storeRun struct {
+	since, until time.Time
+	beside       int
+}
+
+// begin starts a load.
+func (s *weightStore) begin(now time.Time) {
+	beside := len(s.running) + 1
+	took := s.told
+	if s.knee > 0 && beside > s.knee {
+		took = time.Duration(float64(s.told) * float64(beside) / float64(s.knee))
+	}
+	s.running = append(s.running, storeRun{now, now.Add(took), beside})
+}
+
+// end takes out the loads that are done by now.
+func (s *weightStore) end(now time.Time) []storeRun {
+	var done []storeRun
+	s.running = slices.DeleteFunc(s.running, func(r storeRun) bool {
+		if r.until.After(now) {
+			return false
+		}
+		done = append(done, r)
+		return true
+	})
+	return done
+}
+
+// drive has loads wait for the store all the time and returns the limit at the end of
+// each second. Ends are seen late by lag.
+func drive(s *weightStore, l *storeLimit, servers int, from time.Time, span, lag time.Duration) []int {
+	const step = 100 * time.Millisecond
+	var limits []int
+	for now := from; now.Before(from.Add(span)); now = now.Add(step) {
+		for _, r := range s.end(now.Add(-lag)) {
+			l.observe(now, r.beside, now.Sub(r.since), s.told)
+		}
+		for len(s.running) < min(l.limit(now), servers) {
+			s.begin(now)
+		}
+		if now.Sub(from)%time.Second == 0 {
+			limits = append(limits, l.limit(now))
+		}
+	}
+	return limits
+}
+
+// TestStoreLimitFindsTheKnee: whatever number of loads goes at full speed at once, the
+// limit comes near it within some loads and stays there.
+func TestStoreLimitFindsTheKnee(t *testing.T) {
+	const servers = 30
+	for _, told := range []time.Duration{700 * time.Millisecond, 3 * time.Second, 6 * time.Second} {
+		for _, knee := range []int{2, 4, 8, 11, 20, 0} {
+			t.Run(fmt.Sprintf("knee %d, loads of %v", knee, told), func(t *testing.T) {
+				const lag = 250 * time.Millisecond
+				limits := drive(&weightStore{knee: knee, told: told}, &storeLimit{}, servers, time.Now(), 20*told, lag)
+				settled := limits[len(limits)/2:]
+				low, high := slices.Min(settled), slices.Max(settled)
+				want := knee
+				if knee == 0 {
+					want = servers
+				}
+				if low < want*3/4 {
+					t.Errorf("at most %d of %d loads are allowed: %v", low, want, limits)
+				}
+				// Loads that end seen late by a third of their time can't tell a knee exactly.
+				if slack := max(want/4+1, int(float64(want)*slowSlack.Seconds()/told.Seconds())); knee > 0 && high > want+slack {
+					t.Errorf("%d loads are allowed at a knee of %d: %v", high, want, limits)
+				}
+			})
+		}
+	}
+}
+
+// TestStoreLimitFollowsTheKnee: the limit follows a knee that moves either way.
+func TestStoreLimitFollowsTheKnee(t *testing.T) {
+	for _, test := range []struct{ before, after int }{{4, 12}, {12, 4}} {
+		s, l, now := &weightStore{knee: test.before, told: 2 * time.Second}, &storeLimit{}, time.Now()
+		drive(s, l, 30, now, time.Minute, 0)
+		s.knee = test.after
+		limits := drive(s, l, 30, now.Add(time.Minute), 4*time.Minute, 0)
+		end := limits[len(limits)-1]
+		if end < test.after*3/4 || end > test.after+test.after/4+1 {
+			t.Errorf("%d loads are allowed after the knee moved from %d to %d: %v", end, test.before, test.after, limits)
+		}
+	}
+}
+
+// TestStoreLimitIgnoresALateLoad: one load that was carried out late does not lower the
+// limit while others beside it are at full speed.
+func TestStoreLimitIgnoresALateLoad(t *testing.T) {
+	l, now := &storeLimit{}, time.Now()
+	for range 5 {
+		l.observe(now, 8, 3*time.Second, 3*time.Second)
+	}
+	before := l.limit(now)
+	l.observe(now, 6, 9*time.Second, 3*time.Second)
+	if got := l.limit(now); got != before {
+		t.Errorf("the limit went from %d to %d for one late load", before, got)
+	}
+}
+
+// TestStoreLimitIsHandedOn: a new holder starts with what the last one learned, and the
+// word of an earlier one does not replace it.
+func TestStoreLimitIsHandedOn(t *testing.T) {
+	first, now := &storeLimit{}, time.Now()
+	first.observe(now, 10, 6*time.Second, 3*time.Second)
+	told := first.tell(7)
+	if told.Loads != 5 || told.Term != 7 {
+		t.Fatalf("%+v is handed on, want 5 loads of term 7", told)
+	}
+	next := &storeLimit{}
+	if got := next.tell(8); got.Loads != 0 {
+		t.Errorf("a holder that saw no load hands on %+v", got)
+	}
+	next.take(told)
+	next.take(StoreLimit{Loads: 20, Term: 3})
+	if got := next.limit(now); got != 5 {
+		t.Errorf("the next holder starts with %d loads, want 5", got)
+	}
+}
+
+// TestStoreLimitProperties: whatever is seen, one load may run and the limit is bounded
+// by what was seen.
+func TestStoreLimitProperties(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(20261202)
+	parameters.MinSuccessfulTests = 500
+	properties := gopter.NewProperties(parameters)
+	properties.Property("the limit stays within bounds", prop.ForAll(
+		func(besides, millis []int) bool {
+			l, now, most := &storeLimit{}, time.Now(), firstStoreLimit
+			for i := range min(len(besides), len(millis)) {
+				now = now.Add(time.Duration(millis[i]) * time.Millisecond)
+				l.observe(now, besides[i], time.Duration(millis[i])*time.Millisecond, 2*time.Second)
+				most = max(most, besides[i])
+				if got := l.limit(now); got < 1 || got > 2*most+1 {
+					return false
+				}
+			}
+			return true
+		},
+		gen.SliceOf(gen.IntRange(1, 40)), gen.SliceOf(gen.IntRange(0, 30000)),
+	))
+	properties.TestingRun(t)
+}
