--- a/pkg/backend/conn_test.go
+++ b/pkg/backend/conn_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -168,3 +169,33 @@
 		t.Errorf("a message of control: %v", err)
 	}
 }
+
+// TestServersThatRefuseConnectionsAreGone: a server that refused a connection serves
+// no model until it is tried again, or until a connection comes up.
+func TestServersThatRefuseConnectionsAreGone(t *testing.T) {
+	refuse := true
+	m := toServer(func(context.Context, string) (net.Conn, error) {
+		if refuse {
+			return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+		}
+		here, there := net.Pipe()
+		go serve(there, good)
+		return here, nil
+	})
+	m.Models = []Holding{{Model: "m"}}
+	need := Need{Model: "m"}
+	if !m.Serves(time.Now(), need) {
+		t.Fatal("the server does not serve what it holds")
+	}
+	if !m.Ended(t.Context()) {
+		t.Fatal("a refused connection is not told")
+	}
+	if now := time.Now(); m.Serves(now, need) || !m.Serves(now, Need{}) || !m.Serves(now.Add(goneTime+time.Second), need) {
+		t.Error("a server that refuses connections counts as serving, or for good as gone")
+	}
+	refuse = false
+	exchangeWith(t, m)
+	if !m.Serves(time.Now(), need) {
+		t.Error("a server that is back counts as gone")
+	}
+}
--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -25,6 +25,7 @@
 	modelBytes    = 80
 	adapterPlaces = 2
 	loadTime      = 4 * time.Second // unless the test says otherwise
+	diskTime      = 500 * time.Millisecond
 	models        = 40
 	loadRate      = 2
 	turns         = 3 * time.Second
@@ -116,6 +117,7 @@
 	busyUntil time.Time
 	loading   string
 	unloading string
+	disk      []string // models with a copy on its disk
 }
 
 // settle ends what is done by now.
@@ -215,6 +217,9 @@
 		return Already
 	case o.Load:
 		s.loading, s.busyUntil = o.Need.Model, time.Now().Add(e.load)
+		if slices.Contains(s.disk, o.Need.Model) {
+			s.busyUntil = time.Now().Add(diskTime)
+		}
 	default:
 		s.unloading, s.busyUntil = o.Need.Model, time.Now().Add(50*time.Millisecond)
 	}
@@ -250,7 +255,7 @@
 	defer e.mu.Unlock()
 	state := e.servers[s.ID]
 	state.settle()
-	return Report{Models: state.holdings(), Busy: !state.busyUntil.IsZero(), Sequence: state.sequence}, nil
+	return Report{Models: state.holdings(), Busy: !state.busyUntil.IsZero(), Sequence: state.sequence, OnDisk: slices.Clone(state.disk)}, nil
 }
 
 func (e *engineState) holdings() []backend.Holding {
@@ -320,7 +325,7 @@
 		Models: make(map[string]*route.Model)}
 	for i := range models {
 		name := fmt.Sprintf("m%d", i)
-		e.Models[name] = &route.Model{Name: name, Bytes: modelBytes, Adapters: 9, AdapterBytes: 1, LoadTime: loadTime}
+		e.Models[name] = &route.Model{Name: name, Bytes: modelBytes, Adapters: 9, AdapterBytes: 1, LoadTime: loadTime, DiskTime: diskTime}
 	}
 	s.table = route.NewTable(1, route.Limits{}, nil, []*route.Service{{Name: "s", Engine: e}})
 	for i, models := range holds {
--- a/pkg/relay/pace_test.go
+++ b/pkg/relay/pace_test.go
@@ -17,6 +17,7 @@
 	const requests = 20
 	for i := range requests {
 		s.post(fmt.Sprintf("id-%d", i), "x")
+		s.settle()
 	}
 	slow := 0
 	for _, got := range s.arrivals() {
@@ -29,6 +30,25 @@
 	}
 }
 
+// settle waits until the servers' connections are back in their pools: a caller has its
+// answer a little before that, and a connection that stands counts in the choice.
+func (s *site) settle() {
+	s.t.Helper()
+	used := make(map[string]bool)
+	for _, got := range s.arrivals() {
+		used[got.server] = true
+	}
+	for id := range used {
+		m := s.relay.Servers.Snapshot().Member(id)
+		for m.InFlight() > 0 || m.Idle() == 0 {
+			if s.t.Context().Err() != nil {
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
 // TestPaceOfAStream: the longest pause and the first wait don't count.
 func TestPaceOfAStream(t *testing.T) {
 	r := &record{tries: make([]try, 1)}
