--- a/pkg/coordinator/takeover_test.go
+++ b/pkg/coordinator/takeover_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/policy"
 )
 
 // TestNewHolderKeepsWhatIsInUse: a wish that reaches a new holder before the
@@ -74,3 +76,38 @@
 		n.stop()
 	})
 }
+
+// TestRECOVERBusyModelGoesFirst: when a new holder finds nothing loaded, a model that
+// many ask for goes before the single requests of a more urgent route, however many
+// models these are for.
+func TestRECOVERBusyModelGoesFirst(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSite(t, []string{}, []string{})
+		s.nodes = []Node{{Name: "a"}}
+		n := s.start("a")
+		for _, held := n.lease.Held(); !held; _, held = n.lease.Held() {
+			time.Sleep(time.Millisecond)
+		}
+		uses := []Use{{Service: "s", Model: "m5", Rate: 10, Pressure: 10 * policy.UrgencyWeight(1)}}
+		if _, err := n.holder.HandleMessage(t.Context(), api.NodeRef{}, Beat{Node: s.nodes[0], Uses: uses}); err != nil {
+			t.Fatal(err)
+		}
+		for i := range 12 {
+			n.wishWith(t, fmt.Sprintf("m%d", 10+i), 0)
+		}
+		n.wishWith(t, "m5", 1)
+		time.Sleep(loadTime)
+		first := s.engines.loads()
+		if len(first) > 4 {
+			first = first[:4] // two at each server fit
+		}
+		for _, g := range first {
+			if g.order.Need.Model == "m5" {
+				n.stop()
+				return
+			}
+		}
+		t.Errorf("the busy model is not among the first loads: %+v", first)
+		n.stop()
+	})
+}
