--- a/pkg/policy/evict.go
+++ b/pkg/policy/evict.go
@@ -101,19 +101,14 @@
 // bytes, and their value; nil if there are not enough.
 func (d decider) victims(p *plan, server *serverPlan, incoming *Model, missing uint64) ([]victim, float64) {
 	var candidates []victim
-	for _, i := range p.loaded {
-		model := &p.input.Models[i]
-		if model == incoming || model.Name == incoming.Base {
+	for _, held := range server.held {
+		model := &p.input.Models[held.model]
+		replica := &model.Replicas[held.replica]
+		if model == incoming || model.Name == incoming.Base || !p.mayUnload(model, replica) {
 			continue
 		}
-		for j := range model.Replicas {
-			replica := &model.Replicas[j]
-			if replica.Server != server.ID || !p.mayUnload(model, replica) {
-				continue
-			}
-			value := d.retention.value(p, model, replica, p.lastUse(model, replica))
-			candidates = append(candidates, victim{model, replica, value})
-		}
+		value := d.retention.value(p, model, replica, p.lastUse(model, replica))
+		candidates = append(candidates, victim{model, replica, value})
 	}
 	slices.SortStableFunc(candidates, func(a, b victim) int { return cmp.Compare(a.value, b.value) })
 	value := 0.0
--- a/pkg/policy/plan.go
+++ b/pkg/policy/plan.go
@@ -53,11 +53,15 @@
 	free     uint64        // bytes that a load may take now
 	freeSoon uint64        // bytes of replicas that are being unloaded
 	busyFor  float64       // seconds until the loads are done that are under way or are to wait for it
+	held     []heldReplica // on it, in the order of the models
 
 	cachedKnown bool // cachedBytes was worked out
 	cachedBytes uint64
 }
 
+// heldReplica is a replica of the input, by the numbers of its model and among those.
+type heldReplica struct{ model, replica int }
+
 // replicaKey names a replica: a server holds a model at most once.
 type replicaKey struct {
 	model  api.ModelName
@@ -113,8 +117,9 @@
 		}
 		for j := range model.Replicas {
 			replica := &model.Replicas[j]
-			if replica.State == api.ReplicaUnloading {
-				if server := p.server(replica.Server); server != nil {
+			if server := p.server(replica.Server); server != nil {
+				server.held = append(server.held, heldReplica{i, j})
+				if replica.State == api.ReplicaUnloading {
 					server.freeSoon += ReplicaBytes(model)
 				}
 			}
