--- a/tools/variants/make.sh
+++ b/tools/variants/make.sh
@@ -28,6 +28,14 @@
 variant much-traffic 's/per_s = ([\d.]+)/"per_s = " . 2.5 * $1/ge if /^\s*\{ zone = "[^"]*", mix = /'
 variant many-models "if ($models && /share = 0\\.0,/) { my \$twin = s/name = \"/name = \"twin-/r; \$_ .= \$twin }"
 
+# The weight store: how many loads at once go at full speed, and how long they take.
+variant knee-2 's/^at_once = \d+/at_once = 2/'
+variant knee-20 's/^at_once = \d+/at_once = 20/'
+variant short-loads "s/load_s = [\\d.]+/load_s = 1.6/ if $models"
+variant long-loads "s/load_s = [\\d.]+/load_s = 9.5/ if $models"
+variant no-copies "s/host_mb = [\\d.]+/host_mb = 0.0/, s/disk_mb = [\\d.]+/disk_mb = 0.0/ if $engines"
+variant flat-demand 's/\{ at = [\d.]+, kind = "model_shift"[^}]*\},?//; s/only_now = \d+/only_now = 5/'
+
 # Zones: all in the first one, and two further ones, each like the last.
 zones=($(perl -ne 'print "$1\n" if /^\s*\{ name = "([^"]+)", region = "/' "$site"))
 first=${zones[0]} last=${zones[-1]}
