--- a/pkg/coordinator/storelimit_test.go
+++ b/pkg/coordinator/storelimit_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
@@ -164,3 +165,29 @@
 	))
 	properties.TestingRun(t)
 }
+
+// TestNewHolderIsToldTheStoreLimit: a node tells a holder that is new to it what the last
+// one learned, and keeps what it is told.
+func TestNewHolderIsToldTheStoreLimit(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSite(t, []string{"m0"})
+		n := s.start("a")
+		for _, held := n.lease.Held(); !held; _, held = n.lease.Held() {
+			time.Sleep(time.Millisecond)
+		}
+		m := &Member{
+			Self: Node{Name: "b", Peers: "a"}, Lease: n.lease, Holder: n.holder, Servers: n.servers,
+			Logger: hclog.NewNullLogger(), store: StoreLimit{Loads: 9, Term: 1},
+		}
+		if err := m.beat(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if got := n.holder.store.limit(time.Now()); got != 9 {
+			t.Errorf("the holder starts with %d loads, want 9", got)
+		}
+		if m.storeTold == 0 || m.store.Loads != 9 {
+			t.Errorf("the node keeps %+v of term %d", m.store, m.storeTold)
+		}
+		n.stop()
+	})
+}
