--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -152,6 +152,7 @@
 	h.servers = make(map[string]*serverState)
 	h.fetches = nil
 	h.failing = time.Time{}
+	h.store = storeLimit{} // another node may have held the lease since: the nodes tell what it learned
 	h.expected = make(map[string]map[string]time.Time)
 	record, _ := h.Lease.Current()
 	now, storeNow := time.Now(), h.Lease.Now()
--- a/pkg/coordinator/storelimit.go
+++ b/pkg/coordinator/storelimit.go
@@ -15,6 +15,7 @@
 	longestProbe    = time.Minute            // it doubles up to this with each try that fails
 	slowMemory      = 3                      // slow loads of which the median counts
 	slowRatio       = 1.12                   // of the time told, beyond which a load was slow
+	kneeRounding    = 0.3                    // below a half: one load too few costs less than one too many
 	slowSlack       = 450 * time.Millisecond // by which the end of a load is seen late: report lag and pause
 )
 
@@ -120,7 +121,7 @@
 		l.slow = l.slow[1:]
 	}
 	shown := slices.Sorted(slices.Values(l.slow))
-	l.loads, l.term = max(int(shown[len(shown)/2]+0.3), 1), 0
+	l.loads, l.term = max(int(shown[len(shown)/2]+kneeRounding), 1), 0
 	if l.pause == 0 {
 		l.pause = firstProbe
 	}
