policy, coordinator, relay: read once more as a newcomer

Deciders are made with named fields. Pressure is WeightedRate. A lane tells a load's time alone. The server that a request found lacking is one value.

--- a/pkg/backend/conn_test.go
+++ b/pkg/backend/conn_test.go
@@ -190,7 +190,7 @@
 	if !m.Ended(t.Context()) {
 		t.Fatal("a refused connection is not told")
 	}
-	if now := time.Now(); m.Serves(now, need) || !m.Serves(now, Need{}) || !m.Serves(now.Add(goneTime+time.Second), need) {
+	if now := time.Now(); m.Serves(now, need) || !m.Serves(now, Need{}) || !m.Serves(now.Add(GoneTime+time.Second), need) {
 		t.Error("a server that refuses connections counts as serving, or for good as gone")
 	}
 	refuse = false
--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -121,7 +121,7 @@
 		p.mu.Lock()
 		p.open--
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			p.goneUntil = time.Now().Add(goneTime)
+			p.goneUntil = time.Now().Add(GoneTime)
 		}
 		p.mu.Unlock()
 		return nil, err
@@ -132,9 +132,9 @@
 	return newConn(p, nc), nil
 }
 
-// goneTime is how long a server that refused a connection counts as gone before it is
+// GoneTime is how long a server that refused a connection counts as gone before it is
 // tried again: about as long as its entry stays in the list.
-const goneTime = 2 * time.Second
+const GoneTime = 2 * time.Second
 
 // Gone tells whether nobody listened any more, a moment ago, where the server did.
 func (c *Condition) Gone(now time.Time) bool {
--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -374,6 +374,13 @@
 	return n
 }
 
+// hold waits until the node holds the lease.
+func (n *node) hold() {
+	for _, held := n.lease.Held(); !held; _, held = n.lease.Held() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // wish asks the node's holder for a model.
 func (n *node) wish(t *testing.T, need string) WishAnswer {
 	t.Helper()
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -286,11 +286,11 @@
 			d := h.demand(key)
 			d.rate.add(now, arrivals{u.Arrivals, u.Weight})
 			d.rate.count.join(now, u.Rate)
-			d.rate.weight.join(now, u.Pressure)
+			d.rate.weight.join(now, u.WeightedRate)
 			d.last = now
 		}
 	}
-	h.store.take(b.Store)
+	h.store.take(now, b.Store)
 	if now.Before(h.scarceUntil) {
 		h.planSoon = true // a replica that went idle may make way
 	}
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -29,13 +29,13 @@
 
 // Use is what a node sees of one model of a service.
 type Use struct {
-	Service  string
-	Model    string    // or "model/adapter"
-	Running  []Running // where its requests run
-	Arrivals int       // since the last beat
-	Weight   float64   // of the arrivals, each by its policy.UrgencyWeight
-	Rate     float64   // arrivals a second lately; told to a holder once, at its first beat
-	Pressure float64   // the same by weight; told with Rate
+	Service      string
+	Model        string    // or "model/adapter"
+	Running      []Running // where its requests run
+	Arrivals     int       // since the last beat
+	Weight       float64   // of the arrivals, each by its policy.UrgencyWeight
+	Rate         float64   // arrivals a second lately; told to a holder once, at its first beat
+	WeightedRate float64   // the same by weight; told with Rate
 }
 
 // Running counts the requests of a node for a model that run at one server.
--- a/pkg/coordinator/outlook.go
+++ b/pkg/coordinator/outlook.go
@@ -23,10 +23,10 @@
 }
 
 // lane is a server as the queue sees it: from when it may take the next load, and how
-// long one takes there of each model with a copy near it.
+// long a load takes there.
 type lane struct {
 	free time.Time
-	near func(m *route.Model) (load time.Duration, fetch bool)
+	load func(m *route.Model) time.Duration
 }
 
 // lanes returns the servers of a service that may take loads.
@@ -45,16 +45,11 @@
 				free = latest(free, at)
 			}
 		}
-		list = append(list, lane{free: free, near: s.loadTime})
+		list = append(list, lane{free: free, load: s.expectedLoad})
 	}
 	return list
 }
 
-// blockedTime is about how long a model waits for a server that the decider could not
-// place at once: until a stream of some seconds ends. Measured on lakeshore-ledger: 1
-// to 3 s.
-const blockedTime = 1500 * time.Millisecond
-
 // promised works out when the models will be ready that servers are kept for, and
 // returns how many servers hold, load or are kept for each model.
 func (h *Holder) promised(now time.Time, service string, e *route.Engine) map[string]int {
@@ -65,10 +60,10 @@
 		if m == nil {
 			continue
 		}
-		load, _ := s.loadTime(m)
 		present[name]++
-		if at, known := h.expected[service][name]; !known || s.reservedReady(now, load).Before(at) {
-			h.expected[service][name] = s.reservedReady(now, load)
+		ready := s.reservedReady(now, s.expectedLoad(m))
+		if at, known := h.expected[service][name]; !known || ready.Before(at) {
+			h.expected[service][name] = ready
 		}
 	}
 	return present
@@ -114,13 +109,12 @@
 func expect(now time.Time, queue []queued, lanes []lane, ready map[string]time.Time) {
 	// What the decider did not place at once waits for replicas to go idle.
 	for i := range lanes {
-		lanes[i].free = latest(lanes[i].free, now.Add(blockedTime))
+		lanes[i].free = latest(lanes[i].free, now.Add(policy.IdleWait))
 	}
 	for _, q := range queue {
 		first, at := -1, time.Time{}
 		for i := range lanes {
-			load, _ := lanes[i].near(q.model)
-			if done := lanes[i].free.Add(unloadTime + load); first < 0 || done.Before(at) {
+			if done := lanes[i].free.Add(unloadTime + lanes[i].load(q.model)); first < 0 || done.Before(at) {
 				first, at = i, done
 			}
 		}
--- a/pkg/coordinator/outlook_test.go
+++ b/pkg/coordinator/outlook_test.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/policy"
 	"martenwheel.dev/pkg/route"
 )
 
@@ -21,13 +22,13 @@
 	model := func(name string) *route.Model { return &route.Model{Name: name} }
 	lanes := func() []lane {
 		return []lane{
-			{free: after(2 * time.Second), near: func(m *route.Model) (time.Duration, bool) {
+			{free: after(2 * time.Second), load: func(m *route.Model) time.Duration {
 				if m.Name == "copied" {
-					return time.Second, false // from its disk
+					return time.Second // from its disk
 				}
-				return 4 * time.Second, true
+				return 4 * time.Second
 			}},
-			{free: now, near: func(*route.Model) (time.Duration, bool) { return 4 * time.Second, true }},
+			{free: now, load: func(*route.Model) time.Duration { return 4 * time.Second }},
 		}
 	}
 	first := queued{model: model("first"), gain: 3}
@@ -39,7 +40,7 @@
 	got := make(map[string]time.Time)
 	expect(now, []queued{first, copied, last}, lanes(), got)
 	want := map[string]time.Time{
-		"first":  after(blockedTime + unloadTime + 4*time.Second),     // at the second, which is free
+		"first":  after(policy.IdleWait + unloadTime + 4*time.Second), // at the second, which is free
 		"copied": after(2*time.Second + unloadTime + time.Second),     // at the first, near its copy
 		"last":   after(3*time.Second + 2*unloadTime + 4*time.Second), // at the first again
 	}
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -279,7 +279,7 @@
 	model.Demand.InFlight = w.inFlight[name]
 	if d != nil {
 		model.Demand.LastArrival = d.last
-		model.Demand.Rate, model.Demand.Pressure = d.rate.count.at(now), d.rate.weight.at(now)
+		model.Demand.Rate, model.Demand.WeightedRate = d.rate.count.at(now), d.rate.weight.at(now)
 		model.Spares = spareReplicas(model.Demand.Rate, servers)
 	}
 	if e.AdapterPlaces > 0 {
--- a/pkg/coordinator/server.go
+++ b/pkg/coordinator/server.go
@@ -203,10 +203,6 @@
 	}
 }
 
-// goneTime is how long a server that refused a node's connection counts as gone. Its
-// entry in the list goes within some heartbeats.
-const goneTime = 2 * time.Second
-
 // lose notes that a server refused a node's connection.
 func (h *Holder) lose(now time.Time, id string) {
 	s := h.servers[id]
@@ -216,7 +212,7 @@
 	if !s.gone(now) {
 		h.Logger.Info("server refuses connections", "server", id, "holds", len(s.holds))
 	}
-	s.goneUntil = now.Add(goneTime)
+	s.goneUntil = now.Add(backend.GoneTime)
 }
 
 // gone tells whether a node found lately that nobody listens at the server's address.
--- a/pkg/coordinator/storelimit.go
+++ b/pkg/coordinator/storelimit.go
@@ -40,7 +40,8 @@
 
 // StoreLimit is what a holder learned, as nodes keep it for the next one.
 type StoreLimit struct {
-	Loads int // at once; zero: nothing is known
+	Loads int  // at once; zero: nothing is known
+	Bound bool // more than that were slow
 	Term  uint64
 }
 
@@ -55,10 +56,12 @@
 
 // take takes in what an earlier holder learned; the latest one counts, and what was
 // seen here before all.
-func (l *storeLimit) take(told StoreLimit) {
-	if told.Loads > 0 && told.Term > l.term && (l.loads == 0 || l.term > 0) {
-		l.loads, l.term = told.Loads, told.Term
+func (l *storeLimit) take(now time.Time, told StoreLimit) {
+	if told.Loads <= 0 || told.Term <= l.term || l.loads > 0 && l.term == 0 {
+		return
 	}
+	l.loads, l.bound, l.term = told.Loads, told.Bound, told.Term
+	l.more, l.pause, l.tryAt = 1, firstProbe, now.Add(firstProbe)
 }
 
 // tell returns what is known, for the next holder.
@@ -66,7 +69,7 @@
 	if l.loads == 0 {
 		return StoreLimit{}
 	}
-	return StoreLimit{Loads: l.loads, Term: cmp.Or(l.term, term)}
+	return StoreLimit{Loads: l.loads, Bound: l.bound, Term: cmp.Or(l.term, term)}
 }
 
 // slow tells whether a load that took so long, or has run for so long, is slow.
--- a/pkg/coordinator/storelimit_test.go
+++ b/pkg/coordinator/storelimit_test.go
@@ -128,18 +128,22 @@
 	first, now := &storeLimit{}, time.Now()
 	first.observe(now, 10, 6*time.Second, 3*time.Second)
 	told := first.tell(7)
-	if told.Loads != 5 || told.Term != 7 {
-		t.Fatalf("%+v is handed on, want 5 loads of term 7", told)
+	if told != (StoreLimit{Loads: 5, Bound: true, Term: 7}) {
+		t.Fatalf("%+v is handed on, want 5 loads and no more of term 7", told)
 	}
 	next := &storeLimit{}
 	if got := next.tell(8); got.Loads != 0 {
 		t.Errorf("a holder that saw no load hands on %+v", got)
 	}
-	next.take(told)
-	next.take(StoreLimit{Loads: 20, Term: 3})
+	next.take(now, told)
+	next.take(now, StoreLimit{Loads: 20, Term: 3})
 	if got := next.limit(now); got != 5 {
 		t.Errorf("the next holder starts with %d loads, want 5", got)
 	}
+	next.observe(now.Add(3*time.Second), 5, 3*time.Second, 3*time.Second)
+	if got := next.limit(now.Add(3 * time.Second)); got != 5 {
+		t.Errorf("the next holder allows %d loads after one at full speed, want 5: more were slow", got)
+	}
 }
 
 // TestStoreLimitProperties: whatever is seen, one load may run and the limit is bounded
@@ -172,9 +176,7 @@
 	bubble(t, func(t *testing.T) {
 		s := newSite(t, []string{"m0"})
 		n := s.start("a")
-		for _, held := n.lease.Held(); !held; _, held = n.lease.Held() {
-			time.Sleep(time.Millisecond)
-		}
+		n.hold()
 		m := &Member{
 			Self: Node{Name: "b", Peers: "a"}, Lease: n.lease, Holder: n.holder, Servers: n.servers,
 			Logger: hclog.NewNullLogger(), store: StoreLimit{Loads: 9, Term: 1},
--- a/pkg/coordinator/takeover_test.go
+++ b/pkg/coordinator/takeover_test.go
@@ -21,13 +21,11 @@
 				s := newSite(t, []string{"m0", "m1"})
 				s.nodes = []Node{{Name: "a"}, {Name: "b"}, {Name: "c"}, {Name: "gone"}}
 				n := s.start("a")
-				for _, held := n.lease.Held(); !held; _, held = n.lease.Held() {
-					time.Sleep(time.Millisecond)
-				}
+				n.hold()
 				n.wish(t, "m5")
 				time.Sleep(700 * time.Millisecond)
 				for _, node := range s.nodes[:3] {
-					beat := Beat{Node: node, Uses: []Use{{Service: "s", Model: used, Rate: 1, Pressure: 1}}}
+					beat := Beat{Node: node, Uses: []Use{{Service: "s", Model: used, Rate: 1, WeightedRate: 1}}}
 					if _, err := n.holder.HandleMessage(t.Context(), api.NodeRef{}, beat); err != nil {
 						t.Fatal(err)
 					}
@@ -50,9 +48,7 @@
 	bubble(t, func(t *testing.T) {
 		s := newSite(t, []string{"m0"})
 		n := s.start("a")
-		for _, held := n.lease.Held(); !held; _, held = n.lease.Held() {
-			time.Sleep(time.Millisecond)
-		}
+		n.hold()
 		m := &Member{Self: Node{Name: "b"}, Lease: n.lease, Holder: n.holder, Servers: n.servers, Logger: hclog.NewNullLogger()}
 		m.Arrived("s", backend.Need{Model: "m0", Adapter: "a1"}, 1)
 		if uses := m.uses(time.Now()); len(uses) != 2 || uses[0].Arrivals != 1 || uses[0].Rate != 0 {
@@ -85,10 +81,8 @@
 		s := newSite(t, []string{}, []string{})
 		s.nodes = []Node{{Name: "a"}}
 		n := s.start("a")
-		for _, held := n.lease.Held(); !held; _, held = n.lease.Held() {
-			time.Sleep(time.Millisecond)
-		}
-		uses := []Use{{Service: "s", Model: "m5", Rate: 10, Pressure: 10 * policy.UrgencyWeight(1)}}
+		n.hold()
+		uses := []Use{{Service: "s", Model: "m5", Rate: 10, WeightedRate: 10 * policy.UrgencyWeight(1)}}
 		if _, err := n.holder.HandleMessage(t.Context(), api.NodeRef{}, Beat{Node: s.nodes[0], Uses: uses}); err != nil {
 			t.Fatal(err)
 		}
--- a/pkg/coordinator/uses.go
+++ b/pkg/coordinator/uses.go
@@ -51,7 +51,7 @@
 		if perSecond < leastRate {
 			delete(m.rates, key)
 		} else if record.Term != m.toldTerm {
-			of(key).Rate, of(key).Pressure = perSecond, r.weight.at(now)
+			of(key).Rate, of(key).WeightedRate = perSecond, r.weight.at(now)
 		}
 	}
 	for key, a := range m.arrivals {
--- a/pkg/policy/adaptive.go
+++ b/pkg/policy/adaptive.go
@@ -39,6 +39,7 @@
 // not reported yet does not meet an unloading one.
 const shortestIdle = 3 * time.Second
 
+// worth implements retention, in accelerator seconds.
 func (adaptive) worth(model *Model) float64 { return coldStartWorth(model) }
 
 // value implements retention.
--- a/pkg/policy/baselines.go
+++ b/pkg/policy/baselines.go
@@ -29,6 +29,7 @@
 
 func (leastRecentlyUsed) prewarm(*plan, *Model) (prewarmWish, bool) { return prewarmWish{}, false }
 
+// worth implements retention, in accelerator seconds.
 func (leastRecentlyUsed) worth(model *Model) float64 { return coldStartWorth(model) }
 
 // value is the negative age; with the offset it is above zero, so that an
--- a/pkg/policy/bench_test.go
+++ b/pkg/policy/bench_test.go
@@ -22,7 +22,7 @@
 		m.Settings.MemoryBytes = 70 * gigabyte
 		m.Settings.MaxReplicas = servers
 		m.DiskTime, m.MemoryTime = time.Second, time.Second/2
-		m.Demand.Rate, m.Demand.Pressure = 0.07, 0.07
+		m.Demand.Rate, m.Demand.WeightedRate = 0.07, 0.07
 		for k := range 3 {
 			input.Servers[(i+k)%servers].Cached[string(m.Name)] = engine.TierDisk
 		}
--- a/pkg/policy/decide.go
+++ b/pkg/policy/decide.go
@@ -21,12 +21,12 @@
 
 // deciders are all deciders, the default first.
 var deciders = []decider{
-	{NameAdaptive, adaptive{}, lowestCost{}, compareUrgency, false},
-	{NameFixedKeepAlive, fixedKeepAlive{}, tierFirst{}, compareUrgency, false},
-	{NameFixedKeepAliveNear, fixedKeepAlive{}, lowestCost{}, compareUrgency, false},
-	{NameNeverUnload, neverUnload{}, tierFirst{}, compareUrgency, false},
-	{NameUnloadAtOnce, unloadAtOnce{}, tierFirst{}, compareUrgency, false},
-	{NameDemandFirst, demandFirst{}, lowestCost{}, byGain, true},
+	{name: NameAdaptive, retention: adaptive{}, placer: lowestCost{}, order: compareUrgency},
+	{name: NameFixedKeepAlive, retention: fixedKeepAlive{}, placer: tierFirst{}, order: compareUrgency},
+	{name: NameFixedKeepAliveNear, retention: fixedKeepAlive{}, placer: lowestCost{}, order: compareUrgency},
+	{name: NameNeverUnload, retention: neverUnload{}, placer: tierFirst{}, order: compareUrgency},
+	{name: NameUnloadAtOnce, retention: unloadAtOnce{}, placer: tierFirst{}, order: compareUrgency},
+	{name: NameDemandFirst, retention: demandFirst{}, placer: lowestCost{}, order: byGain, scarce: true},
 }
 
 // Names returns the names of all deciders, the default first.
@@ -74,7 +74,11 @@
 	retention retention
 	placer    placer
 	order     loadOrder
-	reserves  bool // room that is made is kept for the model that it is made for
+	// scarce tells that places for models are scarce and loads long, so that each has to
+	// be worth it: room that is made is kept for its model, nothing makes way for what is
+	// worth less, and models wait for servers with their copy of which all replicas are
+	// in use.
+	scarce bool
 }
 
 // Name implements Decider.
@@ -83,7 +87,7 @@
 // Decide implements Decider.
 func (d decider) Decide(now time.Time, input Input) []Action {
 	p := newPlan(now, &input)
-	if p.reserves = d.reserves; p.reserves {
+	if p.scarce = d.scarce; p.scarce {
 		p.useReservations()
 	}
 	for _, want := range p.wanted(d.order) {
--- a/pkg/policy/demand.go
+++ b/pkg/policy/demand.go
@@ -30,7 +30,7 @@
 	demand := &model.Demand
 	chance := 1 - math.Exp(-(demand.Rate+priorRate)*demandHorizon.Seconds())
 	reload := p.reload(model, replica.Server).Seconds() + loadOverhead
-	value := reload * (chance*meanWeight(demand) + demand.Pressure*reload)
+	value := reload * (chance*meanWeight(demand) + demand.WeightedRate*reload)
 	if p.staying(model) > max(wantedReplicas(model), 1) {
 		return value * surplusValue
 	}
@@ -42,10 +42,10 @@
 
 // worth implements retention: the weighted requests that a second of waiting hits.
 func (demandFirst) worth(model *Model) float64 {
-	return model.Demand.WaitingWeight + model.Demand.Pressure + priorPressure
+	return model.Demand.WaitingWeight + model.Demand.WeightedRate + priorWeightedRate
 }
 
 // meanWeight is what a request for a model counts for.
 func meanWeight(demand *Demand) float64 {
-	return (demand.Pressure + priorPressure) / (demand.Rate + priorRate)
+	return (demand.WeightedRate + priorWeightedRate) / (demand.Rate + priorRate)
 }
--- a/pkg/policy/evict.go
+++ b/pkg/policy/evict.go
@@ -82,7 +82,7 @@
 	for _, v := range placed.victims {
 		p.drop(v.model, v.replica, "room for "+string(model.Name), model.Name)
 	}
-	if p.reserves {
+	if p.scarce {
 		p.reserve(model, placed.server, need)
 		return
 	}
--- a/pkg/policy/gain.go
+++ b/pkg/policy/gain.go
@@ -16,9 +16,9 @@
 	return math.Pow(urgencyStep, -float64(max(priority, 0)))
 }
 
-// priorPressure is the pressure of a model that nothing is known of: priorRate
+// priorWeightedRate is the pressure of a model that nothing is known of: priorRate
 // arrivals a second of a middle priority.
-const priorPressure = priorRate / urgencyStep
+const priorWeightedRate = priorRate / urgencyStep
 
 // spareShare is what a replica beyond the demand is worth of the one that carries it:
 // about the chance that a server is lost while the demand lasts.
@@ -29,7 +29,7 @@
 // it would serve.
 func gain(model *Model, present int) float64 {
 	demand := &model.Demand
-	expected := (demand.Pressure + priorPressure) * demandHorizon.Seconds()
+	expected := (demand.WeightedRate + priorWeightedRate) * demandHorizon.Seconds()
 	if present == 0 {
 		return demand.WaitingWeight + expected
 	}
--- a/pkg/policy/gain_test.go
+++ b/pkg/policy/gain_test.go
@@ -14,14 +14,23 @@
 		d := waiting(1, time.Minute)
 		d.WaitingWeight = UrgencyWeight(priority)
 		d.HighestPriority = 9 - priority
-		d.Rate, d.Pressure = 0.1, 0.1*UrgencyWeight(priority)
+		d.Rate, d.WeightedRate = 0.1, 0.1*UrgencyWeight(priority)
 		return d
 	}
 	busy := func(priority int) Demand {
 		d := rare(priority)
-		d.Rate, d.Pressure = 8, 8*UrgencyWeight(priority)
+		d.Rate, d.WeightedRate = 8, 8*UrgencyWeight(priority)
 		return d
 	}
+	// held is a busy model with a replica, which may have two.
+	held := func(inFlight, concurrency, spares int) func(*Model) {
+		return func(m *Model) {
+			m.Demand = busy(1)
+			m.Demand.WaitingWeight, m.Demand.InFlight = 0, inFlight
+			m.Settings.MaxReplicas, m.Settings.MaxConcurrency, m.Spares = 2, concurrency, spares
+			m.Replicas = []Replica{idleReplica("s2", 0)}
+		}
+	}
 	cases := []struct {
 		name  string
 		a, b  func(*Model)
@@ -48,23 +57,13 @@
 		{
 			"a rare model goes before the spare replica of a busy one",
 			func(m *Model) { m.Demand = rare(0) },
-			func(m *Model) {
-				m.Demand = busy(1)
-				m.Demand.WaitingWeight = 0
-				m.Settings.MaxReplicas, m.Settings.MinReplicas, m.Settings.MaxConcurrency = 2, 2, 100
-				m.Replicas = []Replica{idleReplica("s2", 0)}
-			},
+			held(0, 100, 2),
 			"a",
 		},
 		{
 			"a busy model that is overloaded goes before a rare one",
 			func(m *Model) { m.Demand = rare(0) },
-			func(m *Model) {
-				m.Demand = busy(1)
-				m.Demand.InFlight = 40
-				m.Settings.MaxReplicas, m.Settings.MaxConcurrency = 2, 10
-				m.Replicas = []Replica{idleReplica("s2", 0)}
-			},
+			held(40, 10, 0),
 			"b",
 		},
 	}
@@ -88,7 +87,7 @@
 // TestGainRateCountsTheLoad: the same demand is worth less for each second of a
 // longer load.
 func TestGainRateCountsTheLoad(t *testing.T) {
-	m := testModel("a", func(m *Model) { m.Demand = Demand{WaitingWeight: 1, Pressure: 2} })
+	m := testModel("a", func(m *Model) { m.Demand = Demand{WaitingWeight: 1, WeightedRate: 2} })
 	if short, long := GainRate(&m, time.Second), GainRate(&m, 6*time.Second); short <= long || long <= 0 {
 		t.Errorf("a load of 1 s is worth %.2f a second, one of 6 s %.2f", short, long)
 	}
--- a/pkg/policy/placement.go
+++ b/pkg/policy/placement.go
@@ -59,10 +59,7 @@
 
 // eligible tells whether model may be loaded on server, memory aside.
 func (p *plan) eligible(model *Model, server *serverPlan) bool {
-	if !server.Reachable || server.Leaving || p.holds(model, server.ID) {
-		return false
-	}
-	if server.reserved != "" {
+	if !server.Reachable || server.Leaving || server.reserved != "" || p.holds(model, server.ID) {
 		return false
 	}
 	if model.Base == "" {
@@ -191,11 +188,13 @@
 	// against a server whose load never ends: a load from the weight store beside keeps
 	// another server from short loads for several times as long.
 	longestDefer = 20 * time.Second
-	// useSeconds is about how long it takes until a replica is idle on a server of
-	// which all are in use: what is left of the shortest of some streams of two seconds.
-	useSeconds = 1.0
 )
 
+// IdleWait is about how long it takes until a replica is idle on a server of which all
+// are in use: what is left of the shortest of some streams of two seconds, and until the
+// nodes tell. On lakeshore-ledger it was 1 to 3 s.
+const IdleWait = 1500 * time.Millisecond
+
 // soonerLater tells whether a server that can't take the model now would have it ready
 // sooner than placed, since it has a copy of the checkpoint. It is then kept for the
 // model.
@@ -234,13 +233,13 @@
 	if server.busyFor > 0 {
 		return server.busyFor
 	}
-	if !d.reserves || !server.Reachable || server.reserved != "" {
+	if !d.scarce || !server.Reachable || server.reserved != "" {
 		return 0
 	}
 	if _, ok := d.placeOn(p, model, server, ReplicaBytes(model)); ok {
 		return 0
 	}
-	return useSeconds
+	return IdleWait.Seconds()
 }
 
 // placeOn works out what a load on one server takes; false if it has not
@@ -260,7 +259,7 @@
 	placed.seconds += evictionSeconds
 	if available := server.free + server.freeSoon; available < need {
 		placed.victims, placed.evicted = d.victims(p, server, model, need-available)
-		if placed.victims == nil || d.reserves && p.worthMore(placed.victims, model) {
+		if placed.victims == nil || d.scarce && p.worthMore(placed.victims, model) {
 			return placement{}, false
 		}
 	}
--- a/pkg/policy/plan.go
+++ b/pkg/policy/plan.go
@@ -36,7 +36,7 @@
 	slots   int                 // loads from the weight store that may still start
 	actions []Action
 
-	reserves bool // room that is made is kept for the model that it is made for
+	scarce bool // see decider.scarce
 }
 
 // kin links a model with its adapters: -1 where there is none.
@@ -233,10 +233,9 @@
 	})
 }
 
-// drop adds an unload to the plan. The memory is free only once the engine
-// has confirmed it.
-// makesRoomFor names the model that it is done for, empty if there is none.
-func (p *plan) drop(model *Model, replica *Replica, reason string, makesRoomFor api.ModelName) {
+// drop adds an unload to the plan, done for the model named; empty if there is none.
+// The memory is free only once the engine has confirmed it.
+func (p *plan) drop(model *Model, replica *Replica, reason string, incoming api.ModelName) {
 	if p.unload == nil {
 		p.unload = make(map[replicaKey]bool)
 	}
@@ -245,6 +244,6 @@
 		server.freeSoon += ReplicaBytes(model)
 	}
 	p.actions = append(p.actions, Action{
-		Kind: ActionUnload, Model: model.Name, Server: replica.Server, Reason: reason, For: makesRoomFor,
+		Kind: ActionUnload, Model: model.Name, Server: replica.Server, Reason: reason, For: incoming,
 	})
 }
--- a/pkg/policy/reserve_test.go
+++ b/pkg/policy/reserve_test.go
@@ -78,7 +78,7 @@
 func TestSpareReplicasMakeWay(t *testing.T) {
 	busy := func(inFlight int) Model {
 		return testModel("busy", func(m *Model) {
-			m.Demand = Demand{Rate: 5, Pressure: 5 * UrgencyWeight(1), InFlight: inFlight}
+			m.Demand = Demand{Rate: 5, WeightedRate: 5 * UrgencyWeight(1), InFlight: inFlight}
 			m.Spares, m.Settings.MaxReplicas, m.Settings.MaxConcurrency = 2, 2, 4
 			m.Replicas = []Replica{idleReplica("s1", 0), idleReplica("s2", 0)}
 		})
--- a/pkg/policy/types.go
+++ b/pkg/policy/types.go
@@ -51,7 +51,7 @@
 	WaitingSince     time.Time // of the first of them; zero if it is not known
 	LastArrival      time.Time
 	Rate             float64 // arrivals a second lately; zero if it is not known
-	Pressure         float64 // the same, each arrival by its UrgencyWeight
+	WeightedRate     float64 // the same, each arrival by its UrgencyWeight
 	WaitingWeight    float64 // of what waits, by its UrgencyWeight
 }
 
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -250,11 +250,11 @@
 func (c *call) learn(now time.Time, m *backend.Member, err error) {
 	switch {
 	case c.need.Model != "" && m.Gone(now):
-		c.missing, c.missingGone = m.ID, true
+		c.lacking = lacking{server: m.ID, gone: true}
 		m.Failed(now)
 	case errors.Is(err, errLeaving), errors.Is(err, backend.ErrCrowded):
 	case c.record.status == http.StatusMisdirectedRequest && c.need.Model != "":
-		c.missing, c.missingGone = m.ID, false
+		c.lacking = lacking{server: m.ID}
 		c.relay.Servers.Believe(m.ID, c.need, false, now.Add(disbeliefTime))
 	default:
 		m.Failed(now)
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -40,15 +40,21 @@
 	need      backend.Need
 	lastEvent string
 
-	cameBack    bool     // the caller was refused before, by the time that it has left
-	tried       []string // servers that did not serve it
-	missing     string   // server that said that it does not hold what is needed
-	missingGone bool     // it refused the connection
-	sends       int
-	misses      int // tries after which no server had run it
-	runs        int // servers that may have run it
-	headSent    bool
-	record      record
+	cameBack bool     // the caller was refused before, by the time that it has left
+	tried    []string // servers that did not serve it
+	lacking  lacking  // server that could not serve what is needed, though it was believed to hold it
+	sends    int
+	misses   int // tries after which no server had run it
+	runs     int // servers that may have run it
+	headSent bool
+	record   record
+}
+
+// lacking is a server that does not hold what a request needs; gone: it refused the
+// connection.
+type lacking struct {
+	server string
+	gone   bool
 }
 
 // accept reads and checks the request. If it returns false, the request is
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -40,10 +40,10 @@
 		c.record.waitFor = c.lacks()
 		if c.record.waitFor != lacksServer && !asking && time.Since(askedAt) >= wakeInterval {
 			askedAt, asking = time.Now(), true
-			go c.ask(ctx, c.missing, c.missingGone, outlooks)
+			go c.ask(ctx, c.lacking, outlooks)
 		}
 		if c.leavesSoon() {
-			c.refuse(c.notServed(reasonLoading, defaultRetryAfter))
+			c.refuse(c.notServed(reasonLoading, max(c.record.readyIn, defaultRetryAfter)))
 			return nil
 		}
 		timer := time.NewTimer(lookInterval)
@@ -111,13 +111,13 @@
 	err     error
 }
 
-// ask tells the waker what is missing.
-func (c *call) ask(ctx context.Context, missing string, gone bool, outlooks chan<- asked) {
+// ask tells the waker what is needed, and of the server that lacks it.
+func (c *call) ask(ctx context.Context, by lacking, outlooks chan<- asked) {
 	ctx, cancel := context.WithTimeout(ctx, wakeTimeout)
 	defer cancel()
 	o, err := c.relay.Waker.Wake(ctx, Wish{
 		Service: c.service, Need: c.need, Priority: c.route.Priority, Deadline: c.deadline, RequestID: c.id,
-		Missing: missing, Gone: gone,
+		Missing: by.server, Gone: by.gone,
 	})
 	if err != nil {
 		o.ReadyIn = unknownReady
@@ -136,9 +136,9 @@
 // confirms it.
 const beliefTime = 5 * time.Second
 
-// judge refuses a request that is better off elsewhere in time: its model will not be
-// ready within its target, and it comes back when it is; or its caller will have left
-// before. One whose answer has begun is kept.
+// judge refuses a request whose model will not be ready within its target, so that its
+// caller comes back when it is, or not before its caller will have left. One whose
+// answer has begun is kept.
 func (c *call) judge(o Outlook) (refusal, bool) {
 	c.record.readyIn = o.ReadyIn
 	if o.Server != "" || o.ReadyIn <= 0 || c.headSent {
