relay, coordinator, lease: shares of the budget of repeats survive kills and ignorance

Ruled out: repeats of requests that reached no server, they are given back.

The holder counts the fleet as the most nodes of the last 30 s, keeps the number in the lease's record for the next holder, and tells it with each beat; a node that was not told yet takes none of the slack. A node's slack is an account that holds two thirds of its share and gets the rest within a window, and begins empty in a new life, so that both lives together keep to the share. On the first start of a site it begins full.

The test of relay that allows one repeat sizes its slack by what an account holds now; the harness starts nodes as ones that run for long.

--- /dev/null
+++ b/pkg/coordinator/fleet_test.go
@@ -0,0 +1,69 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"martenwheel.dev/pkg/api"
+)
+
+// TestFleetShrinksSlowly: nodes that are away for some seconds count, those that stay
+// away do not for ever.
+func TestFleetShrinksSlowly(t *testing.T) {
+	var f fleet
+	now := time.Unix(1000, 0)
+	f.begin(now, 0)
+	if f.known() != 0 {
+		t.Errorf("%d nodes before any told", f.known())
+	}
+	f.observe(now, 100)
+	steps := []struct {
+		after time.Duration
+		nodes int
+		want  int
+	}{
+		{time.Second, 45, 100},
+		{10 * time.Second, 60, 100},
+		{fleetMemory - 12*time.Second, 50, 100},
+		{2 * time.Second, 50, 60}, // the most of the while
+		{time.Second, 61, 61},
+	}
+	for i, s := range steps {
+		now = now.Add(s.after)
+		f.observe(now, s.nodes)
+		if f.known() != s.want {
+			t.Errorf("step %d: %d nodes count, want %d", i, f.known(), s.want)
+		}
+	}
+}
+
+// TestNewHolderKnowsTheFleet: the holder of many nodes is killed with all others; the
+// next one counts them all before they told it of themselves.
+func TestNewHolderKnowsTheFleet(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSite(t)
+		const fleet = 30
+		beat := func(n *node, i int) BeatAnswer {
+			reply, err := n.holder.HandleMessage(t.Context(), api.NodeRef{}, Beat{Node: Node{Name: fmt.Sprint(i)}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return reply.(BeatAnswer)
+		}
+		first := s.start("first")
+		first.hold()
+		for i := range fleet {
+			if told := beat(first, i).Fleet; told != i+1 {
+				t.Errorf("node %d is told of %d", i, told)
+			}
+		}
+		time.Sleep(2 * time.Second) // a renewal tells the record
+		first.stop()
+		second := s.start("second")
+		second.hold()
+		if told := beat(second, 0).Fleet; told != fleet {
+			t.Errorf("the new holder tells of %d nodes, want %d", told, fleet)
+		}
+	})
+}
--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -361,6 +361,7 @@
 		Transport: noTransport{}, Decider: decider, Turns: turns,
 		Ceiling: Ceiling{Window: window}, Logger: s.logger, Nodes: func() []Node { return s.nodes },
 	}
+	n.lease.Fleet = n.holder.Fleet
 	if s.logger == nil {
 		n.holder.Logger = hclog.NewNullLogger()
 	}
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -48,6 +48,7 @@
 
 	term  uint64 // of the state below
 	nodes map[string]*nodeState
+	fleet fleet
 	// nodesNumber counts the changes of nodes.
 	nodesNumber uint64
 	demands     map[demandKey]*demand
@@ -156,6 +157,7 @@
 	h.expected = make(map[string]map[string]time.Time)
 	record, _ := h.Lease.Current()
 	now, storeNow := time.Now(), h.Lease.Now()
+	h.fleet.begin(now, record.Fleet)
 	h.learnUntil = now.Add(learnTime)
 	for _, i := range record.Intents {
 		at := now.Add(-time.Duration(storeNow-i.At) * time.Millisecond)
@@ -168,7 +170,7 @@
 			h.fetches = append(h.fetches, at)
 		}
 	}
-	h.Logger.Info("coordinating", "term", term, "intents", len(record.Intents))
+	h.Logger.Info("coordinating", "term", term, "intents", len(record.Intents), "fleet", record.Fleet)
 	for _, n := range h.Nodes() {
 		if n.Peers != record.Address {
 			h.Transport.Send(n.Peers, Announcement{Term: term, Holder: record.Holder, Address: record.Address})
@@ -212,6 +214,10 @@
 	}
 }
 
+// Fleet returns how many nodes the site has, the most of the last while; zero if no
+// holder of this process knew any. Safe for concurrent use.
+func (h *Holder) Fleet() int { return h.fleet.known() }
+
 // HandleMessage implements peer.Handler.
 func (h *Holder) HandleMessage(ctx context.Context, _ api.NodeRef, message peer.Message) (peer.Message, error) {
 	switch m := message.(type) {
@@ -290,12 +296,13 @@
 			d.last = now
 		}
 	}
+	h.fleet.observe(now, len(h.nodes))
 	h.store.take(now, b.Store)
 	if now.Before(h.scarceUntil) {
 		h.planSoon = true // a replica that went idle may make way
 	}
 	answer := BeatAnswer{Version: NodesVersion{h.term, h.nodesNumber}, Scarce: now.Before(h.scarceUntil),
-		Store: h.store.tell(h.term)}
+		Store: h.store.tell(h.term), Fleet: h.fleet.known()}
 	if b.Knows == answer.Version {
 		return answer
 	}
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -41,6 +41,7 @@
 	Logger    hclog.Logger
 
 	nodes     atomic.Pointer[[]Node]
+	fleet     atomic.Int64
 	version   NodesVersion    // of nodes; for Run alone
 	beatAt    time.Time       // when the next beat is due at the latest; for Run alone
 	scarce    bool            // by the last answer; for Run alone
@@ -72,6 +73,11 @@
 	return []Node{m.self()}
 }
 
+// Fleet returns among how many nodes this one shares what all may use together: no
+// fewer than there are, zero while no holder told. It stays as last told while no holder
+// answers.
+func (m *Member) Fleet() int { return int(m.fleet.Load()) }
+
 // Known tells whether the nodes of the site are as a holder told.
 func (m *Member) Known() bool { return m.nodes.Load() != nil }
 
@@ -199,6 +205,7 @@
 	if answer.Store.Loads > 0 {
 		m.store = answer.Store
 	}
+	m.fleet.Store(int64(answer.Fleet))
 	if len(answer.Nodes) > 0 {
 		m.nodes.Store(&answer.Nodes)
 		m.version = answer.Version
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -65,6 +65,7 @@
 	Nodes   []Node     // empty: as known
 	Scarce  bool       // models waited for a server lately: what goes idle is to be told soon
 	Store   StoreLimit // what was learned of the weight store, for the next holder
+	Fleet   int        // nodes that share what all may use together, the most of the last while
 }
 
 // WishMessage asks the holder to have a model loaded.
--- a/pkg/coordinator/world_test.go
+++ b/pkg/coordinator/world_test.go
@@ -135,6 +135,7 @@
 		Lease: own, Holder: n.holder, Transport: n, Servers: servers, Logger: hclog.NewNullLogger(),
 	}
 	n.holder.Nodes = n.member.Nodes
+	own.Fleet = n.holder.Fleet
 	w.mu.Lock()
 	if i < len(w.nodes) {
 		w.nodes[i] = n
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -47,7 +47,10 @@
 	Store   Store
 	Self    string // name of this life of the node; unique
 	Address string
-	Log     func(message string, fields ...any)
+	// Fleet tells how many nodes the site has, for the record; zero keeps what the
+	// record says. It may be nil.
+	Fleet func() int
+	Log   func(message string, fields ...any)
 
 	mu       sync.Mutex
 	seen     Stored
@@ -249,7 +252,7 @@
 	l.mu.Lock()
 	next := Record{
 		Term: s.Record.Term + 1, Holder: l.Self, Address: l.Address, Renewed: s.Now,
-		Intents: fresh(s.Record.Intents, s.Now),
+		Fleet: s.Record.Fleet, Intents: fresh(s.Record.Intents, s.Now),
 	}
 	l.mu.Unlock()
 	return l.put(ctx, next, s.Version)
--- a/pkg/lease/record.go
+++ b/pkg/lease/record.go
@@ -24,6 +24,7 @@
 	Holder  string // empty: released
 	Address string // of the holder, for other nodes
 	Renewed int64
+	Fleet   int // nodes of the site, the most that holders lately knew of; zero: not known
 	Intents []Intent
 }
 
--- a/pkg/lease/write.go
+++ b/pkg/lease/write.go
@@ -9,11 +9,18 @@
 
 // write renews the record with further intents.
 func (l *Lease) write(ctx context.Context, intents []Intent) error {
+	fleet := 0
+	if l.Fleet != nil {
+		fleet = l.Fleet()
+	}
 	l.mu.Lock()
 	s := l.seen
 	now := l.storeNow()
 	next := s.Record
 	next.Renewed = max(now, next.Renewed)
+	if fleet > 0 {
+		next.Fleet = fleet
+	}
 	next.Intents = fresh(next.Intents, now)
 	for _, i := range intents {
 		i.At = now
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -31,7 +31,7 @@
 
 // serve sends the request to servers until one serves it or no more may try.
 func (c *call) serve(ctx context.Context) {
-	c.relay.budgets.arrive(c.relay.Budget, c.arrived, c.service)
+	c.relay.budgets.arrive(c.relay.Budget, c.relay.Began, c.arrived, c.service)
 	if c.need.Model != "" && c.relay.Arrived != nil {
 		c.relay.Arrived(c.service, c.need, c.route.Priority)
 	}
--- a/pkg/relay/budget.go
+++ b/pkg/relay/budget.go
@@ -17,43 +17,64 @@
 const budgetSlots = 20
 
 // budget counts the requests and repeats of one service on this node. Each node
-// keeps to its share of the bound without asking the others.
+// keeps to its share of the bound without asking the others, and so do the lives of a
+// node together: what an earlier life of it spent is not known.
+//
+// A repeat is covered by the requests of the last window and, for the rest, by an
+// account of slack that fills over time. The account of a life begins empty and takes
+// what is left of the share beyond its size a whole window to fill: the most that is
+// taken from it in any window, by an earlier life and by this one, is the share.
 type budget struct {
 	slots [budgetSlots]struct {
 		number   int64
 		requests int
-		repeats  int
+		covered  float64 // repeats that requests cover
+		slack    float64 // repeats taken from the account
 	}
+	slack    float64   // in the account
+	filledAt time.Time // when the account was last brought up to date
 }
 
 // budgets hold those of all services. Safe for concurrent use.
 type budgets struct {
 	mu       sync.Mutex
+	began    time.Time // from when accounts of slack fill
 	services map[string]*budget
 }
 
+// FillTime is how long an account of slack takes to fill.
+func (cfg BudgetConfig) FillTime() time.Duration {
+	return time.Duration(slackBurst / (1 - slackBurst) * float64(cfg.Window))
+}
+
 func (b *budgets) of(service string) *budget {
 	if b.services == nil {
 		b.services = make(map[string]*budget)
 	}
 	s := b.services[service]
 	if s == nil {
-		s = &budget{}
+		s = &budget{filledAt: b.began}
 		b.services[service] = s
 	}
 	return s
 }
 
-// arrive counts a request.
-func (b *budgets) arrive(cfg BudgetConfig, now time.Time, service string) {
+// arrive counts a request at a node whose accounts fill from a time on; zero: from now.
+func (b *budgets) arrive(cfg BudgetConfig, began, now time.Time, service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.began.IsZero() {
+		b.began = now
+		if !began.IsZero() {
+			b.began = began
+		}
+	}
 	s := b.of(service)
 	s.slots[s.slot(cfg, now)].requests++
 }
 
 // repeat takes a repeat out of the budget of a node among n, false if it is
-// spent.
+// spent. While n is not known (zero), only requests cover repeats.
 func (b *budgets) repeat(cfg BudgetConfig, now time.Time, service string, n int) bool {
 	if cfg.Window <= 0 {
 		return true
@@ -62,21 +83,49 @@
 	defer b.mu.Unlock()
 	s := b.of(service)
 	at := s.slot(cfg, now)
-	requests, repeats := 0, 0
-	for _, slot := range s.slots {
-		if s.slots[at].number-slot.number < budgetSlots {
+	s.fill(cfg, now, n)
+	covered := min(s.covers(cfg, at), 1)
+	if covered+s.slack < 1-spendTolerance {
+		return false
+	}
+	s.slots[at].covered += covered
+	s.slots[at].slack += 1 - covered
+	s.slack = max(s.slack-(1-covered), 0)
+	return true
+}
+
+// spendTolerance is for the rounding of sums of fractions of repeats.
+const spendTolerance = 1e-9
+
+// covers returns how many repeats the requests of the window that ends with a slot
+// still cover.
+func (b *budget) covers(cfg BudgetConfig, at int) float64 {
+	requests, covered := 0, 0.0
+	for _, slot := range b.slots {
+		if b.slots[at].number-slot.number < budgetSlots {
 			requests += slot.requests
-			repeats += slot.repeats
+			covered += slot.covered
 		}
 	}
-	share := budgetCaution * (cfg.Ratio*float64(requests) + cfg.Slack/float64(max(n, 1)))
-	if float64(repeats+1) > share {
-		return false
+	return max(budgetCaution*cfg.Ratio*float64(requests)-covered, 0)
+}
+
+// fill brings the account of slack up to date.
+func (b *budget) fill(cfg BudgetConfig, now time.Time, n int) {
+	since := b.filledAt
+	b.filledAt = now
+	if n <= 0 {
+		return
 	}
-	s.slots[at].repeats++
-	return true
+	share := budgetCaution * cfg.Slack / float64(n)
+	flow := (1 - slackBurst) * share * now.Sub(since).Seconds() / cfg.Window.Seconds()
+	b.slack = min(b.slack+flow, slackBurst*share)
 }
 
+// slackBurst is the part of a node's share of the slack that its account holds at
+// most; the rest is what flows into it during a window.
+const slackBurst = 2.0 / 3
+
 // giveBack returns a repeat that reached no server.
 func (b *budgets) giveBack(cfg BudgetConfig, now time.Time, service string) {
 	if cfg.Window <= 0 {
@@ -86,12 +135,18 @@
 	defer b.mu.Unlock()
 	s := b.of(service)
 	at := s.slot(cfg, now)
-	for back := range budgetSlots {
+	for back, left := 0, 1.0; back < budgetSlots && left > spendTolerance; back++ {
 		slot := &s.slots[(at+budgetSlots-back)%budgetSlots]
-		if slot.repeats > 0 && s.slots[at].number-slot.number < budgetSlots {
-			slot.repeats--
+		if s.slots[at].number-slot.number >= budgetSlots {
 			return
 		}
+		part := min(slot.slack, left)
+		slot.slack -= part
+		s.slack += part
+		left -= part
+		part = min(slot.covered, left)
+		slot.covered -= part
+		left -= part
 	}
 }
 
@@ -105,7 +160,7 @@
 	number := now.UnixNano() / int64(width)
 	i := int(number % budgetSlots)
 	if b.slots[i].number != number {
-		b.slots[i].number, b.slots[i].requests, b.slots[i].repeats = number, 0, 0
+		b.slots[i].number, b.slots[i].requests, b.slots[i].covered, b.slots[i].slack = number, 0, 0, 0
 	}
 	return i
 }
--- a/pkg/relay/harness_test.go
+++ b/pkg/relay/harness_test.go
@@ -106,6 +106,7 @@
 		Logger: hclog.NewNullLogger(), Waker: noWaker{},
 		Budget: BudgetConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
 	}
+	s.relay.Began = time.Now().Add(-s.relay.Budget.FillTime()) // as of a node that runs for long
 	s.front = httptest.NewServer(s.relay)
 	t.Cleanup(s.front.Close)
 	return s
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -67,8 +67,9 @@
 	Routes  func() *route.Table // nil while none is known
 	Servers *backend.Directory
 	Waker   Waker
-	Nodes   func() int // that share the budget of repeats; 1 if nil
+	Nodes   func() int // that share the budget of repeats, zero while not known; 1 if nil
 	Budget  BudgetConfig
+	Began   time.Time // since when this node's account of repeats fills; the first request if zero
 	Logger  hclog.Logger
 	Metrics *Metrics                                           // not counted if nil
 	Arrived func(service string, n backend.Need, priority int) // told of each request; may be nil
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -112,15 +112,25 @@
 		Self: watchNode(s.Self), Nodes: s.watchNodes, Known: s.member.Known, Transport: transport,
 		Tables: s.Tables, FirstStart: s.First, Logger: s.Logger.Named("watch"),
 	}
+	l.Fleet = holder.Fleet
 	s.member.Candidate = s.hub.Watching
 	s.relay = &relay.Relay{
 		Headers: s.Headers, Zone: s.Self.Zone, Routes: s.Routes, Servers: s.Servers, Waker: s.member,
-		Nodes: func() int { return len(s.member.Nodes()) }, Budget: s.Budget, Logger: s.Logger.Named("relay"),
+		Nodes: s.member.Fleet, Budget: s.Budget, Began: s.budgetBegan(time.Now()), Logger: s.Logger.Named("relay"),
 		Metrics: relay.NewMetrics(s.Registry), Arrived: s.member.Arrived,
 	}
 	return l, holder, transport
 }
 
+// budgetBegan returns from when the budget of repeats counts as unspent by this node: an
+// earlier life of it may have spent its share up to now, unless there was none.
+func (s *Site) budgetBegan(now time.Time) time.Time {
+	if s.First {
+		return now.Add(-s.Budget.FillTime())
+	}
+	return now
+}
+
 // watchNodes returns the nodes of the site as the hub needs them.
 func (s *Site) watchNodes() []watch.Node {
 	nodes := s.member.Nodes()
