lease, watch: nodes don't ask the store for what they can know or will be told

Now: first looks at the lease are spread over 0.4 s; a suspicion looks at once, and then when the lease may have expired by what was seen; looks that fail pause up to 1.6 s; a node that has read a table and knows no watchers yet waits for them until it is stale; nodes on which no other relies pause up to 0.6 of the bound before a store that fails.

Time to hold the lease and to have changes in force stay bounded by the same tests.

TestALostAnswerDoesNotHoldUpOrders waited 100 ms for its first holder; it waits until there is one.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -39,7 +39,15 @@
 	callTimeout = 800 * time.Millisecond
 	lookPause   = 400 * time.Millisecond
 	lookRest    = time.Minute
-	maxIntents  = 200
+	// mostDoublings bounds the pause after looks that fail: 1.6 s, so that many nodes
+	// before a store that is down don't all ask it several times a second.
+	mostDoublings = 2
+	// promptLooks is how many looks in a row for suspicions are taken at once: a holder
+	// that stops as planned releases the lease about when it stops to answer.
+	promptLooks = 1
+	// episode is the time after which a suspicion counts as a new one.
+	episode    = 2 * Expiry
+	maxIntents = 200
 )
 
 // Lease is this node's part in holding the lease. Set the fields before Run.
@@ -61,6 +69,10 @@
 	until    time.Time     // end of the hold
 	start    time.Time     // zero of the steady clock
 	suspects chan struct{}
+	failed   int       // looks that failed in a row
+	vain     int       // looks for suspicions that found the record held, in a row
+	asked    bool      // the next look is for a suspicion
+	looks    time.Time // when the record was last looked at
 	commits  chan *commit
 	pace     pace
 }
@@ -103,7 +115,8 @@
 	return l.term, l.term > 0 && time.Now().Before(l.until)
 }
 
-// Suspect makes the lease look at the record soon: its holder does not answer.
+// Suspect makes the lease look at the record, as soon as it may be free by what is known
+// of it: its holder does not answer.
 func (l *Lease) Suspect() {
 	l.init()
 	select {
@@ -137,9 +150,11 @@
 // releases the lease.
 func (l *Lease) Run(ctx context.Context) {
 	l.init()
-	timer := time.NewTimer(0)
+	// Nodes that start together don't ask all at once: the first one takes the lease.
+	first := rand.N(lookPause)
+	timer := time.NewTimer(first)
 	defer timer.Stop()
-	due := time.Now()
+	due := time.Now().Add(first)
 	next := func(pause time.Duration) {
 		due = time.Now().Add(pause)
 		timer.Reset(pause)
@@ -151,7 +166,7 @@
 			return
 		case <-l.suspects:
 			// A look that is due sooner stays: suspicions may come at any rate.
-			if pause := jitter(lookPause / 4); time.Until(due) > pause {
+			if pause, may := l.freeIn(); may && time.Until(due) > pause {
 				next(pause)
 			}
 		case c := <-l.commits:
@@ -178,8 +193,8 @@
 		return Renewal
 	}
 	s, err := l.read(ctx)
-	if err != nil {
-		return jitter(lookPause)
+	if doublings := l.looked(err); err != nil {
+		return jitter(lookPause << doublings)
 	}
 	if !s.free() {
 		return rest(s)
@@ -195,14 +210,51 @@
 	}
 }
 
-// rest returns when to look again at a record that another node holds.
+// looked notes a look. It returns how often the pause after one that failed is doubled.
+func (l *Lease) looked(err error) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err == nil {
+		l.failed, l.looks = 0, time.Now()
+		if l.asked {
+			l.vain++
+			l.asked = false
+		}
+		return 0
+	}
+	l.failed++
+	return min(l.failed-1, mostDoublings)
+}
+
+// rest returns when to look again, if nobody suspects the holder, at a record that
+// another node holds.
 func rest(s Stored) time.Duration {
-	if s.free() || s.age() > Renewal+Renewal/2 {
+	if s.free() {
 		return jitter(lookPause)
 	}
 	return jitter(lookRest)
 }
 
+// freeIn returns when to look at the record if its holder does not answer, false if the
+// look that is due anyway is waited for. A holder may have released the record since it
+// was last seen; if it has not, the record is not free before it expires.
+func (l *Lease) freeIn() (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.known || l.failed > 0 || l.asked {
+		return 0, false
+	}
+	if time.Since(l.looks) > episode {
+		l.vain = 0
+	}
+	l.asked = true
+	age := time.Duration(l.storeNow()-l.seen.Record.Renewed) * time.Millisecond
+	if l.seen.free() || age >= Expiry || l.vain < promptLooks {
+		return jitter(lookPause / 4), true
+	}
+	return Expiry - age + rand.N(lookPause), true
+}
+
 // lastSeen returns the newest record that was seen.
 func (l *Lease) lastSeen() Stored {
 	l.mu.Lock()
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -313,7 +313,9 @@
 			bubble(t, func(t *testing.T, m *memory) {
 				l, stop := run(t, m, "a")
 				defer stop()
-				time.Sleep(100 * time.Millisecond)
+				for !held(l) {
+					time.Sleep(time.Millisecond)
+				}
 				m.set(func() { m.silent, m.late = c.silent, c.late })
 				began := time.Now()
 				if _, err := l.Commit(t.Context(), []Intent{{Server: "s"}}); err != nil {
--- a/pkg/watch/hub.go
+++ b/pkg/watch/hub.go
@@ -86,7 +86,7 @@
 	for _, t := range h.Tables {
 		t.changed = make(chan news, changesKept)
 		go func() {
-			t.run(ctx, func() bool { return h.direct(t) })
+			t.run(ctx, func() bool { return h.direct(t) }, h.Watching)
 			done <- struct{}{}
 		}()
 		go h.passOn(ctx, t)
@@ -105,12 +105,17 @@
 	return slices.Contains(watchers(nodes), h.Self.Name)
 }
 
-// direct tells whether the table is to be read from the store by this node.
+// direct tells whether the table is to be read from the store by this node. One that has
+// just read it and does not know the other nodes yet leaves it to them to tell what
+// changes.
 func (h *Hub) direct(t *Table) bool {
+	if h.Known() && h.Watching() {
+		return true
+	}
 	if h.FirstStart && time.Since(h.started) < firstWait {
-		return h.Known() && h.Watching()
+		return false
 	}
-	return h.Watching() || t.stale()
+	return t.stale()
 }
 
 // Rank orders nodes so that all see the same ones as first: the strongest, in
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -52,9 +52,12 @@
 	feedSlack  = 500 * time.Millisecond // beyond the wait, for an answer
 	readTime   = 1500 * time.Millisecond
 	retryPause = 120 * time.Millisecond
-	retryMost  = 600 * time.Millisecond
+	retryMost  = 600 * time.Millisecond // of a watcher; others wait for up to staleShare
 )
 
+// mostDoublings bounds the doublings of retryPause: to some four seconds.
+const mostDoublings = 5
+
 // Parts of the bound within which changes are to be in force everywhere. A feed
 // is asked anew before much of it is over, so that a store that fell silent is
 // noticed; a node that hears nothing turns to the store with time left.
@@ -119,8 +122,9 @@
 	return p, t.rows != nil
 }
 
-// run follows the store while direct returns true.
-func (t *Table) run(ctx context.Context, direct func() bool) {
+// run follows the store while direct returns true; watching tells whether other nodes
+// rely on it.
+func (t *Table) run(ctx context.Context, direct, watching func() bool) {
 	reading := true
 	for ctx.Err() == nil {
 		if now := direct(); now != reading {
@@ -136,7 +140,7 @@
 		case ctx.Err() != nil:
 			return
 		case err != nil:
-			sleep(ctx, t.lost(err))
+			sleep(ctx, t.lost(err, watching()))
 		default:
 			t.regained()
 			if changed {
@@ -158,8 +162,9 @@
 	}
 }
 
-// lost notes a failure and returns the pause after it.
-func (t *Table) lost(err error) time.Duration {
+// lost notes a failure and returns the pause after it. A node on which no other relies
+// hears from the watchers when the store is back.
+func (t *Table) lost(err error, watching bool) time.Duration {
 	if errors.Is(err, ErrHistoryGone) {
 		t.Logger.Warn("history gone, table is read anew", "table", t.Name, "version", t.Version())
 		t.mu.Lock()
@@ -171,7 +176,11 @@
 		t.Logger.Warn("store lost", "table", t.Name, "version", t.Version(), "error", err)
 	}
 	t.failures++
-	pause := min(retryPause<<min(t.failures, 4), retryMost)
+	most := retryMost
+	if !watching {
+		most = max(most, t.part(staleShare))
+	}
+	pause := min(retryPause<<min(t.failures, mostDoublings), most)
 	return pause/2 + rand.N(pause)
 }
 
--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -24,9 +25,12 @@
 	oldest  uint64
 	calls   int
 	cut     map[string]bool // callers that get no answer
+	refused map[string]bool // callers that are turned away
 }
 
-func newMemory() *memory { return &memory{rows: make(map[string]Record), cut: make(map[string]bool)} }
+func newMemory() *memory {
+	return &memory{rows: make(map[string]Record), cut: make(map[string]bool), refused: make(map[string]bool)}
+}
 
 func (m *memory) put(key, value string) {
 	m.mu.Lock()
@@ -48,6 +52,8 @@
 	m.version++
 }
 
+var errRefused = errors.New("the store turns the node away")
+
 // caller is a node's way to the store.
 type caller struct {
 	name  string
@@ -58,8 +64,11 @@
 	time.Sleep(4 * time.Millisecond)
 	c.store.mu.Lock()
 	c.store.calls++
-	cut := c.store.cut[c.name]
+	cut, refused := c.store.cut[c.name], c.store.refused[c.name]
 	c.store.mu.Unlock()
+	if refused {
+		return Page{}, errRefused
+	}
 	if cut {
 		<-ctx.Done()
 		return Page{}, ctx.Err()
@@ -364,3 +373,72 @@
 		t.Error("nonsense was unpacked")
 	}
 }
+
+// callsOf returns the calls that the store has got.
+func (m *memory) callsOf() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.calls
+}
+
+// TestRestartedNodesReadOnce: the nodes of a site that lost power read the table at once
+// and leave its changes to the watchers while they wait to be told who those are.
+func TestRestartedNodesReadOnce(t *testing.T) {
+	const size = 26
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemory()
+		store.put("a", "1")
+		began := time.Now()
+		late := func(h *Hub) { h.Known = func() bool { return time.Since(began) > bound/2 } }
+		members, _ := start(t, store, size, late)
+		if took := inForce(t, members, "a", "1"); took > 100*time.Millisecond {
+			t.Errorf("all nodes have the table after %v", took)
+		}
+		for range 8 {
+			store.put("b", time.Now().String())
+			time.Sleep(bound / 20)
+		}
+		time.Sleep(bound / 2)
+		if calls := store.callsOf(); calls > size+10*Watchers {
+			t.Errorf("%d calls by %d nodes of which %d watch", calls, size, Watchers)
+		}
+		store.put("a", "2")
+		if took := inForce(t, members, "a", "2"); took > bound/2 {
+			t.Errorf("in force after %v", took)
+		}
+		stopAtEnd()
+	})
+}
+
+// TestNodesSpareAStoreThatIsDown: those that don't watch ask it now and then, and all
+// have what changed within the bound after its return.
+func TestNodesSpareAStoreThatIsDown(t *testing.T) {
+	const size = 26
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemory()
+		store.put("a", "1")
+		members, _ := start(t, store, size)
+		inForce(t, members, "a", "1")
+		time.Sleep(5 * time.Second)
+		store.mu.Lock()
+		for _, m := range members {
+			store.refused[m.hub.Self.Name] = true
+		}
+		store.mu.Unlock()
+		before := store.callsOf()
+		const away = 10 * time.Second
+		time.Sleep(away)
+		// A watcher asks each 0.6 s and the others each 1.2 s, on average and at most.
+		if calls := store.callsOf() - before; calls > (size+Watchers)*int(away/(bound*6/10))*5/4 {
+			t.Errorf("%d calls by %d nodes in %v", calls, size, away)
+		}
+		store.mu.Lock()
+		clear(store.refused)
+		store.mu.Unlock()
+		store.put("a", "2")
+		if took := inForce(t, members, "a", "2"); took > bound {
+			t.Errorf("in force %v after the store's return", took)
+		}
+		stopAtEnd()
+	})
+}
