--- a/pkg/lease/calls_test.go
+++ b/pkg/lease/calls_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -95,3 +96,22 @@
 		}
 	})
 }
+
+// TestEagerNodesTakeTheLeaseSoon: a node on which the others rely does not pause for
+// longer and longer before a store that is down.
+func TestEagerNodesTakeTheLeaseSoon(t *testing.T) {
+	bubble(t, func(t *testing.T, m *memory) {
+		m.down = true
+		l := &Lease{Store: m, Self: "a", Address: "a", Eager: func() bool { return true }}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go l.Run(ctx)
+		time.Sleep(10 * time.Second)
+		m.set(func() { m.down = false })
+		if took := suspectAll([]*Lease{l}, time.Minute); took > 2*lookPause {
+			t.Errorf("the lease was not held for %v after the store came back", took)
+		}
+		cancel()
+		time.Sleep(time.Second) // virtual; for what is under way to end
+	})
+}
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -55,6 +55,9 @@
 	Store   Store
 	Self    string // name of this life of the node; unique
 	Address string
+	// Eager tells whether this node is among the few on which the others rely to take
+	// the lease: those ask a store that fails without growing pauses. It may be nil.
+	Eager func() bool
 	// Fleet tells how many nodes the site has, for the record; zero keeps what the
 	// record says. It may be nil.
 	Fleet func() int
@@ -193,7 +196,11 @@
 		return Renewal
 	}
 	s, err := l.read(ctx)
-	if doublings := l.looked(err); err != nil {
+	doublings := l.looked(err)
+	if err != nil && l.Eager != nil && l.Eager() {
+		return jitter(lookPause)
+	}
+	if err != nil {
 		return jitter(lookPause << doublings)
 	}
 	if !s.free() {
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -113,6 +113,7 @@
 		Tables: s.Tables, FirstStart: s.First, Logger: s.Logger.Named("watch"),
 	}
 	l.Fleet = holder.Fleet
+	l.Eager = func() bool { return s.member.Known() && s.hub.Watching() }
 	s.member.Candidate = s.hub.Watching
 	s.relay = &relay.Relay{
 		Headers: s.Headers, Zone: s.Self.Zone, Routes: s.Routes, Servers: s.Servers, Waker: s.member,
