relay: one decision on holding and refusing, by what the caller gets

What can be served before its caller leaves is held, in time or late; what can't is refused at once with the time at which it could be. Requests of a plain service that has no server are refused at once too; they were held to their deadline.

prospect.go is the decision as a pure function, with a table (zero, none and absurd times) and properties: held if and only if it can be served in time for the caller, later readiness and longer waits never turn a refusal into a hold, who is refused is told a time after readiness. A request's line tells what decided: ready_in_ms, outlook_age_ms and leaves_ms in place of came_back. tools/credit counts from the first try, which it tells by the site file's deadlines.

TestJudge had cases of early refusals and of callers that came back; they are replaced by cases of the new decision, more of them.

--- a/pkg/coordinator/wishes.go
+++ b/pkg/coordinator/wishes.go
@@ -43,8 +43,9 @@
 		return relay.Outlook{}, ctx.Err()
 	}
 	o := known.outlook
+	o.Age = time.Since(known.at)
 	if o.ReadyIn > 0 {
-		o.ReadyIn = max(o.ReadyIn-time.Since(known.at), time.Millisecond)
+		o.ReadyIn = max(o.ReadyIn-o.Age, time.Millisecond)
 	}
 	return o, known.err
 }
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -40,7 +40,6 @@
 	need      backend.Need
 	lastEvent string
 
-	cameBack bool     // the caller was refused before, by the time that it has left
 	tried    []string // servers that did not serve it
 	lacking  lacking  // server that could not serve what is needed, though it was believed to hold it
 	sends    int
@@ -131,7 +130,6 @@
 			return false
 		}
 		given := time.Duration(ms * float64(time.Millisecond))
-		c.cameBack = c.relay.patience.cameBack(c.route.Name, given)
 		if wait <= 0 || given < wait {
 			wait = given
 		}
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -42,6 +42,10 @@
 			askedAt, asking = time.Now(), true
 			go c.ask(ctx, c.lacking, outlooks)
 		}
+		if next := c.prospect(0).course(); c.need.Model == "" && !next.hold {
+			c.refuse(c.notServed(reasonNoServer, next.after))
+			return nil
+		}
 		if c.leavesSoon() {
 			c.refuse(c.notServed(reasonLoading, max(c.record.readyIn, defaultRetryAfter)))
 			return nil
@@ -128,56 +132,23 @@
 	outlooks <- asked{o, err}
 }
 
-// unknownReady is told when nobody knows when a model will be ready: about the
-// time for another node to take over and to have it loaded.
-const unknownReady = 4 * time.Second
-
 // beliefTime is how long the waker's word on a server counts before its record
 // confirms it.
 const beliefTime = 5 * time.Second
 
-// judge refuses a request whose model will not be ready within its target, so that its
-// caller comes back when it is, or not before its caller will have left. One whose
-// answer has begun is kept.
+// judge takes in the outlook of what the request lacks. It refuses one that can't be
+// served while its caller is there.
 func (c *call) judge(o Outlook) (refusal, bool) {
-	c.record.readyIn = o.ReadyIn
-	if o.Server != "" || o.ReadyIn <= 0 || c.headSent {
-		return refusal{}, false
-	}
-	waited := time.Since(c.arrived)
-	ready := waited + o.ReadyIn
-	if ready <= c.route.Target {
+	c.record.readyIn, c.record.outlookAge = o.ReadyIn, o.Age
+	if o.Server != "" {
 		return refusal{}, false
 	}
-	early := !c.cameBack && waited <= c.route.Target/refuseEarly
-	if !early && ready+loadMargin <= c.patience() {
-		return refusal{}, false // late is better than refused late, or twice
+	if next := c.prospect(o.ReadyIn).course(); !next.hold {
+		return c.notServed(reasonLoading, next.after), true
 	}
-	return c.notServed(reasonLoading, o.ReadyIn+loadMargin), true
+	return refusal{}, false
 }
 
-// patience is how long the caller waits for the first byte of an answer. Callers of
-// streams leave before their deadline: after two seconds, four times the target or
-// eight times the longest pause between events, whichever is the longest.
-func (c *call) patience() time.Duration {
-	whole := c.deadline.Sub(c.arrived)
-	if c.route.Kind != route.Stream {
-		return whole
-	}
-	return min(whole, max(leastPatience, 4*c.route.Target, 8*c.route.GapTarget))
-}
-
-// leastPatience is the least time that a caller of a stream waits for an event, as the
-// users' pages tell.
-const leastPatience = 2 * time.Second
-
-// refuseEarly divides the target: a refusal that comes later than this part of
-// it does the caller no good.
-const refuseEarly = 4
-
-// loadMargin is added to the time that a load is expected to take.
-const loadMargin = 300 * time.Millisecond
-
 // choose picks a server for the request, nil if none may get it now.
 func (c *call) choose() *backend.Member {
 	now := time.Now()
--- /dev/null
+++ b/pkg/relay/prospect_test.go
@@ -0,0 +1,104 @@
+package relay
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"martenwheel.dev/pkg/route"
+)
+
+// TestJudge: who is held and who is refused, by what is known of the model and of the
+// caller.
+func TestJudge(t *testing.T) {
+	short := route.Route{Kind: route.Stream, Target: 400 * time.Millisecond, GapTarget: 300 * time.Millisecond} // its callers leave after 2.4 s
+	long := route.Route{Kind: route.Stream, Target: 2500 * time.Millisecond, GapTarget: 300 * time.Millisecond} // after 10 s
+	cases := []struct {
+		name     string
+		route    route.Route
+		headSent bool
+		waited   time.Duration
+		left     time.Duration // of the deadline, from the arrival
+		readyIn  time.Duration
+		refused  bool
+	}{
+		{"ready within the target", long, false, 0, 25 * time.Second, 2 * time.Second, false},
+		{"ready late, at the start", long, false, 100 * time.Millisecond, 25 * time.Second, 4 * time.Second, false},
+		{"ready late, after a while", long, false, time.Second, 25 * time.Second, 4 * time.Second, false},
+		{"ready after the caller will have left", long, false, time.Second, 25 * time.Second, 9 * time.Second, true},
+		{"ready after the deadline", long, false, 0, 3 * time.Second, 5 * time.Second, true},
+		{"a short target, ready before the caller leaves", short, false, 0, 10 * time.Second, 2 * time.Second, false},
+		{"a short target, ready after it left", short, false, 0, 10 * time.Second, 3 * time.Second, true},
+		{"the answer has begun", short, true, 0, 10 * time.Second, 3 * time.Second, false},
+		{"nothing is known, the caller stays", long, false, 0, 15 * time.Second, 0, false},
+		{"nothing is known, the caller leaves soon", short, false, 0, 15 * time.Second, 0, true},
+		{"no target and no pause", route.Route{Kind: route.Stream}, false, 0, time.Minute, time.Second, false},
+		{"no time at all", long, false, 0, 0, time.Millisecond, true},
+		{"an absurd time", route.Route{Kind: route.Safe}, false, 0, 1 << 62, time.Hour, false},
+		{"an absurd expectation", long, false, 0, 25 * time.Second, 1 << 60, true},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			arrived := time.Now().Add(-test.waited)
+			c := &call{route: &test.route, arrived: arrived, deadline: arrived.Add(test.left), headSent: test.headSent}
+			f, refused := c.judge(Outlook{ReadyIn: test.readyIn})
+			if refused != test.refused {
+				t.Fatalf("refused: %v, want %v", refused, test.refused)
+			}
+			if refused && (f.status != http.StatusServiceUnavailable || f.after < test.readyIn) {
+				t.Errorf("the refusal is %+v", f)
+			}
+		})
+	}
+}
+
+// propertySeed makes the property tests the same on each run.
+const propertySeed = 21
+
+// TestCourseProperties: who can be served while the caller is there is held; a model
+// that is ready later never turns a refusal into a hold; waiting longer doesn't either;
+// who is refused is told a time, after which the model is ready.
+func TestCourseProperties(t *testing.T) {
+	parameters := gopter.DefaultTestParameters()
+	parameters.Rng.Seed(propertySeed)
+	properties := gopter.NewProperties(parameters)
+	span := gen.Int64Range(0, int64(time.Minute))
+	properties.Property("held if and only if it can be served", prop.ForAll(
+		func(waited, leaves, readyIn int64, begun bool) bool {
+			p := prospect{time.Duration(waited), time.Duration(leaves), time.Duration(readyIn), begun}
+			next := p.course()
+			can := waited+max(readyIn, 1)+int64(readyMargin) <= leaves
+			if readyIn > 0 && next.hold != (can || begun) {
+				return false
+			}
+			return next.hold == (next.after == 0) && (next.hold || next.after >= p.readyIn)
+		}, span, span, span, gen.Bool()))
+	properties.Property("later is never better", prop.ForAll(
+		func(waited, leaves, readyIn, more int64) bool {
+			p := prospect{waited: time.Duration(waited), leaves: time.Duration(leaves), readyIn: time.Duration(readyIn) + 1}
+			later, longer := p, p
+			later.readyIn += time.Duration(more)
+			longer.waited += time.Duration(more)
+			return p.course().hold || !later.course().hold && !longer.course().hold
+		}, span, span, span, span))
+	properties.TestingRun(t)
+}
+
+// TestRequestsWithoutServersAreRefusedAtOnce: a plain service has no server, and nobody
+// expects one before its callers leave.
+func TestRequestsWithoutServersAreRefusedAtOnce(t *testing.T) {
+	s := newSite(t, route.Route{Kind: route.Safe, Timeout: time.Second}, sealed(200, "x"))
+	s.relay.Servers.Replace(nil, 2)
+	began := time.Now()
+	got := s.get("id")
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("the answer is %d %v", got.status, got.header)
+	}
+	if took := time.Since(began); took >= time.Second {
+		t.Errorf("it took %v, the caller's whole time", took)
+	}
+}
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -56,7 +56,8 @@
 	status     int
 	tries      []try
 	firstByte  time.Duration
-	readyIn    time.Duration
+	readyIn    time.Duration // by the last outlook
+	outlookAge time.Duration
 	waited     time.Duration // for servers, over all tries
 	waitFor    string        // what it lacked when it last waited; empty: it never did
 	wakeError  error
@@ -100,13 +101,14 @@
 		snapshot := c.relay.Servers.Snapshot()
 		fields = append(fields, "route", c.route.Name, "service", c.service, "config", c.table.Version(),
 			"servers", snapshot.Version(), "servers_age_ms", time.Since(snapshot.At()).Milliseconds(),
-			"left_ms", c.left().Milliseconds(), "target_ms", c.route.Target.Milliseconds(), "came_back", c.cameBack)
+			"left_ms", c.left().Milliseconds(), "target_ms", c.route.Target.Milliseconds())
 	}
 	if c.record.waitFor != "" {
 		fields = append(fields, "waited_ms", c.record.waited.Milliseconds(), "waited_for", c.record.waitFor)
 	}
 	if c.need.Model != "" {
-		fields = append(fields, "model", c.need.String(), "ready_in_ms", c.record.readyIn.Milliseconds())
+		fields = append(fields, "model", c.need.String(), "ready_in_ms", c.record.readyIn.Milliseconds(),
+			"outlook_age_ms", c.record.outlookAge.Milliseconds(), "leaves_ms", c.patience().Milliseconds())
 	}
 	if c.record.events > 0 {
 		fields = append(fields, "events", c.record.events, "last_event", c.lastEvent,
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -4,9 +4,10 @@
 //
 // A request's way, by file: relay.go takes it in; call.go finds its route and
 // bounds; choose.go waits for a server, by the plug-ins of package routing;
-// attempt.go sends it and decides what a failure allows; whole.go and stream.go
-// pass the answer on; refuse.go gives the relay's own answers; budget.go bounds
-// repeats; record.go logs and counts the end.
+// prospect.go decides whether one that finds none is held or refused; attempt.go
+// sends it and decides what a failure allows; whole.go and stream.go pass the
+// answer on; refuse.go gives the relay's own answers; budget.go bounds repeats;
+// record.go logs and counts the end.
 package relay
 
 import (
@@ -52,6 +53,7 @@
 type Outlook struct {
 	Server  string        // that holds it by now; empty: none yet
 	ReadyIn time.Duration // expected; zero: not known
+	Age     time.Duration // of this word
 }
 
 // Waker has models loaded. Wake does not wait for the load.
@@ -76,7 +78,6 @@
 
 	splits   route.Splitter
 	budgets  budgets
-	patience patiences
 	inFlight atomic.Int64
 	stop     atomic.Pointer[stopPlan]
 
--- a/tools/credit/split.go
+++ b/tools/credit/split.go
@@ -18,7 +18,7 @@
 	Target   float64 `json:"target_ms"`
 	Waited   float64 `json:"waited_ms"`
 	WaitFor  string  `json:"waited_for"`
-	CameBack bool    `json:"came_back"`
+	Left     float64 `json:"left_ms"` // of the caller's time, at the end
 	Pause    float64 `json:"pause_ms"`
 	PauseMax float64 `json:"pause_target_ms"`
 	Tries    []struct {
@@ -30,27 +30,36 @@
 type class struct {
 	Name   string  `toml:"name"`
 	Target float64 `toml:"aim_ms"`
+	Whole  float64 `toml:"deadline_ms"`
 	Worth  float64 `toml:"worth"`
 	Late   float64 `toml:"late_worth"`
 }
 
-// loss returns what the request of a line lost of its worth. One that was refused
-// and comes back is counted in two halves: a request that is in time after a
-// refusal earns the mean of the two worths.
+// returnShare is the part of a caller's whole time below which what it still has shows
+// that it was refused before.
+const returnShare = 0.97
+
+// before returns how long ago the caller's first try was when this one came, zero for a
+// first try.
+func (l *line) before(c *class) float64 {
+	given := l.Took + l.Left
+	if given >= returnShare*c.Whole {
+		return 0
+	}
+	return c.Whole - given
+}
+
+// loss returns what the request of a line lost of its worth, counted from the caller's
+// first try. A first try that was refused loses nothing yet: its caller's next one tells.
 func (l *line) loss(c *class) float64 {
-	half := (c.Worth - c.Late) / 2
+	before := l.before(c)
 	switch {
-	case l.Outcome == "refused" && !l.CameBack && len(l.Tries) == 0:
-		return half
+	case l.Outcome == "refused" && before == 0 && len(l.Tries) == 0:
+		return 0
 	case l.Outcome != "served" || l.Status >= 400:
-		if l.CameBack {
-			return c.Worth - half
-		}
 		return c.Worth
-	case l.First <= l.Target && !l.paused():
+	case before+l.First <= l.Target && !l.paused():
 		return 0
-	case l.CameBack:
-		return half
 	default:
 		return c.Worth - c.Late
 	}
@@ -60,7 +69,7 @@
 func (l *line) paused() bool { return l.PauseMax > 0 && l.Pause > l.PauseMax }
 
 // cause names why a request lost something.
-func (l *line) cause() string {
+func (l *line) cause(c *class) string {
 	end := "late"
 	switch {
 	case l.Outcome == "refused":
@@ -74,7 +83,7 @@
 	case l.First <= l.Target:
 		return "paused at the server"
 	}
-	if l.CameBack {
+	if l.before(c) > 0 {
 		end = "came back, " + end
 	}
 	switch {
@@ -110,7 +119,7 @@
 	if loss <= 0 {
 		return
 	}
-	s.put(c.Name, l.cause(), item{1, loss})
+	s.put(c.Name, l.cause(c), item{1, loss})
 }
 
 func (s split) put(class, cause string, more item) {
