watch: tables of a node share one circuit breaker before a store that fails

Now one table asks for all, without a long poll, and the others go on with its answer; a node that knows no watchers pauses like one on which nobody relies, half as long while it has no rows.

--- a/pkg/watch/hub.go
+++ b/pkg/watch/hub.go
@@ -83,10 +83,12 @@
 func (h *Hub) Run(ctx context.Context) {
 	h.started = time.Now()
 	done := make(chan struct{})
+	var shared breaker
 	for _, t := range h.Tables {
+		t.breaker = &shared
 		t.changed = make(chan news, changesKept)
 		go func() {
-			t.run(ctx, func() bool { return h.direct(t) }, h.Watching)
+			t.run(ctx, func() bool { return h.direct(t) }, func() bool { return h.Known() && h.Watching() })
 			done <- struct{}{}
 		}()
 		go h.passOn(ctx, t)
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -52,18 +51,19 @@
 	feedSlack  = 500 * time.Millisecond // beyond the wait, for an answer
 	readTime   = 1500 * time.Millisecond
 	retryPause = 120 * time.Millisecond
-	retryMost  = 600 * time.Millisecond // of a watcher; others wait for up to staleShare
+	retryMost  = 600 * time.Millisecond // of a watcher
 )
 
-// mostDoublings bounds the doublings of retryPause: to some four seconds.
-const mostDoublings = 5
-
 // Parts of the bound within which changes are to be in force everywhere. A feed
 // is asked anew before much of it is over, so that a store that fell silent is
 // noticed; a node that hears nothing turns to the store with time left.
 const (
 	feedShare  = 0.4
 	staleShare = 0.6
+	// A node on which no other relies rests for long before a store that fails, less so
+	// while it has no rows: the watchers tell it when the store is back.
+	restShare  = 0.6
+	emptyShare = 0.3
 )
 
 // Table follows one table. Set the fields before Run.
@@ -86,6 +86,7 @@
 	last     uint64    // version of the last change of a row
 	gapSince time.Time // since when changes are known to be missing
 	changed  chan news // for the other nodes
+	breaker  *breaker  // of all tables of the node
 }
 
 // Version returns the version of the rows, zero if there are none yet.
@@ -135,12 +136,21 @@
 			sleep(ctx, retryPause)
 			continue
 		}
-		changed, err := t.step(ctx)
+		probe, err := t.breaker.enter(ctx)
+		if err != nil {
+			return
+		}
+		if !direct() {
+			t.breaker.skip() // others told what changed
+			continue
+		}
+		changed, err := t.step(ctx, probe)
+		t.breaker.leave(err != nil && !errors.Is(err, ErrHistoryGone), t.rest(watching()))
 		switch {
 		case ctx.Err() != nil:
 			return
 		case err != nil:
-			sleep(ctx, t.lost(err, watching()))
+			t.lost(err)
 		default:
 			t.regained()
 			if changed {
@@ -162,26 +172,33 @@
 	}
 }
 
-// lost notes a failure and returns the pause after it. A node on which no other relies
-// hears from the watchers when the store is back.
-func (t *Table) lost(err error, watching bool) time.Duration {
+// lost notes a failure.
+func (t *Table) lost(err error) {
 	if errors.Is(err, ErrHistoryGone) {
 		t.Logger.Warn("history gone, table is read anew", "table", t.Name, "version", t.Version())
 		t.mu.Lock()
 		t.reread = true
 		t.mu.Unlock()
-		return 0
+		return
 	}
 	if t.failures == 0 {
 		t.Logger.Warn("store lost", "table", t.Name, "version", t.Version(), "error", err)
 	}
 	t.failures++
-	most := retryMost
-	if !watching {
-		most = max(most, t.part(staleShare))
+}
+
+// rest returns the longest pause before a store that fails.
+func (t *Table) rest(watching bool) time.Duration {
+	if watching {
+		return retryMost
+	}
+	t.mu.Lock()
+	empty := t.rows == nil
+	t.mu.Unlock()
+	if empty {
+		return max(retryMost, t.part(emptyShare))
 	}
-	pause := min(retryPause<<min(t.failures, mostDoublings), most)
-	return pause/2 + rand.N(pause)
+	return max(retryMost, t.part(restShare))
 }
 
 func (t *Table) regained() {
@@ -191,8 +208,9 @@
 	t.failures = 0
 }
 
-// step reads the table or waits for its changes.
-func (t *Table) step(ctx context.Context) (bool, error) {
+// step reads the table or waits for its changes; not for long if the call is to find out
+// whether the store is back.
+func (t *Table) step(ctx context.Context, probe bool) (bool, error) {
 	t.mu.Lock()
 	anew := t.rows == nil || t.reread
 	after := t.version
@@ -201,6 +219,9 @@
 		return true, t.read(ctx)
 	}
 	wait := t.part(feedShare)
+	if probe {
+		wait = 0
+	}
 	ctx, cancel := context.WithTimeout(ctx, wait+feedSlack)
 	defer cancel()
 	page, err := t.Source.Feed(ctx, t.Name, after, wait)
