relay, coordinator: the holder lends half of the slack of repeats

Half of the slack stays shared out; a node that has spent its part asks the holder for a repeat. The pool fills like a node's account and is empty when a holder begins, since its predecessor may just have lent all.

Ruled out: that the nodes pool what requests cover as well; it is most of the budget in calm times, but would take a word of every node for each window.

--- a/pkg/coordinator/fleet_test.go
+++ b/pkg/coordinator/fleet_test.go
@@ -67,3 +67,42 @@
 		}
 	})
 }
+
+// TestHolderLendsRepeats: what is lent keeps to the slack, and a new holder has nothing
+// to lend at first.
+func TestHolderLendsRepeats(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSite(t)
+		first := s.start("first")
+		first.hold()
+		borrow := func(n *node) BorrowAnswer {
+			reply, err := n.holder.HandleMessage(t.Context(), api.NodeRef{}, Borrow{Service: "s"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return reply.(BorrowAnswer)
+		}
+		time.Sleep(s.budget().FillTime())
+		lent := 0
+		for borrow(first).Lent {
+			lent++
+		}
+		if lent < 10 || float64(lent) > s.budget().Slack/2 {
+			t.Errorf("%d repeats were lent of a slack of %v", lent, s.budget().Slack)
+		}
+		first.stop()
+		second := s.start("second")
+		if answer := borrow(second); answer.Term != 0 || answer.Lent {
+			t.Errorf("a node that is not the holder answers %+v", answer)
+		}
+		second.hold()
+		time.Sleep(tickInterval)
+		if answer := borrow(second); answer.Term == 0 || answer.Lent {
+			t.Errorf("a new holder answers %+v", answer)
+		}
+		time.Sleep(s.budget().Window)
+		if !borrow(second).Lent {
+			t.Error("nothing is lent later")
+		}
+	})
+}
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -13,6 +13,7 @@
 	"martenwheel.dev/pkg/lease"
 	"martenwheel.dev/pkg/peer"
 	"martenwheel.dev/pkg/policy"
+	"martenwheel.dev/pkg/relay"
 	"martenwheel.dev/pkg/route"
 )
 
@@ -38,7 +39,8 @@
 	Decider   policy.Decider
 	Turns     time.Duration // between orders of two holders to one server
 	Ceiling   Ceiling
-	Nodes     func() []Node // that this node knows of
+	Budget    relay.BudgetConfig // of repeats, part of which the holder lends
+	Nodes     func() []Node      // that this node knows of
 	Logger    hclog.Logger
 
 	once     sync.Once
@@ -49,6 +51,7 @@
 	term  uint64 // of the state below
 	nodes map[string]*nodeState
 	fleet fleet
+	slack relay.SlackPool
 	// nodesNumber counts the changes of nodes.
 	nodesNumber uint64
 	demands     map[demandKey]*demand
@@ -158,6 +161,8 @@
 	record, _ := h.Lease.Current()
 	now, storeNow := time.Now(), h.Lease.Now()
 	h.fleet.begin(now, record.Fleet)
+	h.slack.Budget = h.Budget
+	h.slack.Begin(now)
 	h.learnUntil = now.Add(learnTime)
 	for _, i := range record.Intents {
 		at := now.Add(-time.Duration(storeNow-i.At) * time.Millisecond)
@@ -227,6 +232,10 @@
 		return reply, err
 	case WishMessage:
 		return h.answerWish(ctx, m)
+	case Borrow:
+		var reply BorrowAnswer
+		err := h.do(ctx, func() { reply = h.lend(time.Now(), m) })
+		return reply, err
 	default:
 		return nil, errMessage
 	}
@@ -312,6 +321,14 @@
 	return answer
 }
 
+// lend lends a repeat.
+func (h *Holder) lend(now time.Time, b Borrow) BorrowAnswer {
+	if !h.holds() {
+		return BorrowAnswer{}
+	}
+	return BorrowAnswer{Term: h.term, Lent: h.slack.Lend(now, b.Service)}
+}
+
 func (h *Holder) demand(key demandKey) *demand {
 	d := h.demands[key]
 	if d == nil {
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -86,6 +86,17 @@
 	ReadyIn time.Duration
 }
 
+// Borrow asks the holder for a repeat of a request to the service.
+type Borrow struct {
+	Service string
+}
+
+// BorrowAnswer tells whether it was lent.
+type BorrowAnswer struct {
+	Term uint64 // zero: not the holder
+	Lent bool
+}
+
 // Notice tells all nodes that a server holds a model by now, or not any more.
 type Notice struct {
 	Server string
@@ -101,5 +112,5 @@
 }
 
 func init() {
-	peer.Register(Announcement{}, Beat{}, BeatAnswer{}, WishMessage{}, WishAnswer{}, Notice{})
+	peer.Register(Borrow{}, BorrowAnswer{}, Announcement{}, Beat{}, BeatAnswer{}, WishMessage{}, WishAnswer{}, Notice{})
 }
--- a/pkg/coordinator/wishes.go
+++ b/pkg/coordinator/wishes.go
@@ -50,6 +50,15 @@
 	return o, known.err
 }
 
+// Borrow implements relay.Lender.
+func (m *Member) Borrow(ctx context.Context, service string) (bool, error) {
+	answer, err := ask[BorrowAnswer](ctx, m, Borrow{Service: service})
+	if err == nil && answer.Term == 0 {
+		err = ErrNoHolder
+	}
+	return answer.Lent, err
+}
+
 // maxWishes bounds the wishes that are remembered.
 const maxWishes = 1024
 
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -41,7 +41,7 @@
 			return
 		}
 		before := c.sends
-		if before > 0 && !c.relay.budgets.repeat(c.relay.Budget, time.Now(), c.service, c.nodes()) {
+		if before > 0 && !c.mayRepeat(ctx) {
 			c.refuse(c.notServed(reasonBudget, defaultRetryAfter))
 			return
 		}
--- a/pkg/relay/budget.go
+++ b/pkg/relay/budget.go
@@ -31,8 +31,7 @@
 		covered  float64 // repeats that requests cover
 		slack    float64 // repeats taken from the account
 	}
-	slack    float64   // in the account
-	filledAt time.Time // when the account was last brought up to date
+	slack slackAccount
 }
 
 // budgets hold those of all services. Safe for concurrent use.
@@ -42,18 +41,13 @@
 	services map[string]*budget
 }
 
-// FillTime is how long an account of slack takes to fill.
-func (cfg BudgetConfig) FillTime() time.Duration {
-	return time.Duration(slackBurst / (1 - slackBurst) * float64(cfg.Window))
-}
-
 func (b *budgets) of(service string) *budget {
 	if b.services == nil {
 		b.services = make(map[string]*budget)
 	}
 	s := b.services[service]
 	if s == nil {
-		s = &budget{filledAt: b.began}
+		s = &budget{slack: slackAccount{filledAt: b.began}}
 		b.services[service] = s
 	}
 	return s
@@ -85,12 +79,12 @@
 	at := s.slot(cfg, now)
 	s.fill(cfg, now, n)
 	covered := min(s.covers(cfg, at), 1)
-	if covered+s.slack < 1-spendTolerance {
+	if covered+s.slack.repeats < 1-spendTolerance {
 		return false
 	}
 	s.slots[at].covered += covered
 	s.slots[at].slack += 1 - covered
-	s.slack = max(s.slack-(1-covered), 0)
+	s.slack.repeats = max(s.slack.repeats-(1-covered), 0)
 	return true
 }
 
@@ -110,21 +104,22 @@
 	return max(budgetCaution*cfg.Ratio*float64(requests)-covered, 0)
 }
 
-// fill brings the account of slack up to date.
+// fill brings the account of slack up to date for a node among n.
 func (b *budget) fill(cfg BudgetConfig, now time.Time, n int) {
-	since := b.filledAt
-	b.filledAt = now
-	if n <= 0 {
-		return
+	share := 0.0
+	if n > 0 {
+		share = budgetCaution * (1 - lentShare) * cfg.Slack / float64(n)
 	}
-	share := budgetCaution * cfg.Slack / float64(n)
-	flow := (1 - slackBurst) * share * now.Sub(since).Seconds() / cfg.Window.Seconds()
-	b.slack = min(b.slack+flow, slackBurst*share)
+	b.slack.fill(now, cfg.Window, share)
 }
 
-// slackBurst is the part of a node's share of the slack that its account holds at
-// most; the rest is what flows into it during a window.
-const slackBurst = 2.0 / 3
+// borrowed notes a repeat that the holder lent.
+func (b *budgets) borrowed(cfg BudgetConfig, now time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.of(service)
+	s.slots[s.slot(cfg, now)].slack++ // to be given back if the repeat reaches no server
+}
 
 // giveBack returns a repeat that reached no server.
 func (b *budgets) giveBack(cfg BudgetConfig, now time.Time, service string) {
@@ -142,7 +137,7 @@
 		}
 		part := min(slot.slack, left)
 		slot.slack -= part
-		s.slack += part
+		s.slack.repeats += part
 		left -= part
 		part = min(slot.covered, left)
 		slot.covered -= part
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -102,7 +102,7 @@
 	decider, _ := policy.ByName(policy.NameDemandFirst)
 	holder := &coordinator.Holder{
 		Lease: l, Routes: s.Routes, Servers: s.Servers, Orders: s.Orders, Transport: transport,
-		Decider: decider, Turns: s.Turns, Ceiling: s.Ceiling, Logger: s.Logger.Named("holder"),
+		Decider: decider, Turns: s.Turns, Ceiling: s.Ceiling, Budget: s.Budget, Logger: s.Logger.Named("holder"),
 	}
 	s.member = &coordinator.Member{
 		Self: s.Self, Lease: l, Holder: holder, Transport: transport, Servers: s.Servers, Logger: s.Logger.Named("member"),
@@ -117,7 +117,7 @@
 	s.member.Candidate = s.hub.Watching
 	s.relay = &relay.Relay{
 		Headers: s.Headers, Zone: s.Self.Zone, Routes: s.Routes, Servers: s.Servers, Waker: s.member,
-		Nodes: s.member.Fleet, Budget: s.Budget, Began: s.budgetBegan(time.Now()), Logger: s.Logger.Named("relay"),
+		Nodes: s.member.Fleet, Budget: s.Budget, Lender: s.member, Began: s.budgetBegan(time.Now()), Logger: s.Logger.Named("relay"),
 		Metrics: relay.NewMetrics(s.Registry), Arrived: s.member.Arrived,
 	}
 	return l, holder, transport
