--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -192,7 +192,7 @@
 			c.refuse(c.notServed(reasonNoServer, defaultRetryAfter))
 			return false
 		}
-		c.pauseAfterMiss(ctx)
+		c.pauseAfterMiss(ctx, now)
 		return true
 	}
 	m.Failed(now)
@@ -229,13 +229,18 @@
 	maxMisses = 8
 )
 
-// pauseAfterMiss waits a little before the next try: not after the first miss,
-// then longer each time.
-func (c *call) pauseAfterMiss(ctx context.Context) {
-	if c.misses < 2 {
+// pauseAfterMiss waits before the next try, longer each time: only a moment, and not after
+// the first miss, if there is a server that did not turn the request away yet.
+func (c *call) pauseAfterMiss(ctx context.Context, now time.Time) {
+	pause := fullPause << (c.misses - 1)
+	switch {
+	case !c.hasUntried(now):
+	case c.misses < 2:
 		return
+	default:
+		pause = missPause << (c.misses - 2)
 	}
-	timer := time.NewTimer(missPause << (c.misses - 2))
+	timer := time.NewTimer(min(pause, longestPause))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -243,8 +248,24 @@
 	}
 }
 
-// missPause is the pause after the second miss; it doubles.
-const missPause = 10 * time.Millisecond
+// Pauses after misses; they double.
+const (
+	missPause = 10 * time.Millisecond // after the second one
+	// fullPause is for a server that is full and the only one: in it some of the requests
+	// ahead end, each of which takes a second or two at a server that runs 12 to 64.
+	fullPause    = 80 * time.Millisecond
+	longestPause = 500 * time.Millisecond
+)
+
+// hasUntried tells whether a server that was not tried could serve the request.
+func (c *call) hasUntried(now time.Time) bool {
+	for _, m := range c.relay.Servers.Snapshot().Service(c.service) {
+		if m.Serves(now, c.need) && !contains(c.tried, m.ID) {
+			return true
+		}
+	}
+	return false
+}
 
 // learn notes why a server turned a request away.
 func (c *call) learn(now time.Time, m *backend.Member, err error) {
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -272,3 +273,30 @@
 		t.Errorf("%d arrivals", n)
 	}
 }
+
+// TestAFullServerIsLeftAlone: the only server turns requests away as full; it is asked
+// again after pauses that give it time.
+func TestAFullServerIsLeftAlone(t *testing.T) {
+	var mu sync.Mutex
+	var at []time.Time
+	full := func(w http.ResponseWriter, r *http.Request, s seen) {
+		mu.Lock()
+		at = append(at, time.Now())
+		mu.Unlock()
+		turnedAway(http.StatusServiceUnavailable)(w, r, s)
+	}
+	s := newSite(t, route.Route{Kind: route.Safe, MaxAttempts: 2}, full)
+	if got := s.get("id"); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("the answer is %d %v", got.status, got.header)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if len(at) != maxSends {
+		t.Errorf("%d arrivals, want %d", len(at), maxSends)
+	}
+	for i := 1; i < len(at); i++ {
+		if pause := at[i].Sub(at[i-1]); pause < fullPause<<(i-1) {
+			t.Errorf("arrival %d after %v", i+1, pause)
+		}
+	}
+}
