lease, site: strong nodes take a free lease first; a new life leaves ordered servers alone

Before, strong nodes took it since they start faster. Now a node leaves a free lease to stronger ones, up to 0.4 s for hardly any processor, by the nodes that it knows or a whole core while it knows none; equal nodes don't wait.

--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -167,11 +167,8 @@
 	for _, i := range record.Intents {
 		at := now.Add(-time.Duration(storeNow-i.At) * time.Millisecond)
 		s := h.server(i.Server)
-		turns := h.Turns
-		if h.Lease.OwnTerm(i.Term) {
-			turns = 0 // one node is one holder
-		}
-		s.quietUntil, s.recheck = latest(s.quietUntil, at.Add(turns+lease.PermitTime)), true
+		// Also after an earlier life of this node: its orders may still be carried out.
+		s.quietUntil, s.recheck = at.Add(h.Turns+lease.PermitTime), true
 		if !strings.Contains(i.Need, adapterMark) {
 			s.inherited = i
 		}
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -60,6 +60,11 @@
 	// Eager tells whether this node is among the few on which the others rely to take
 	// the lease: those ask a store that fails without growing pauses. It may be nil.
 	Eager func() bool
+	// First tells that the whole site starts for the first time: nodes then look one after
+	// the other, so that the first one takes the lease and the others find it held.
+	First bool
+	// Patience tells how long this node leaves a free lease to better ones; none if nil.
+	Patience func() time.Duration
 	// Fleet tells how many nodes the site has, for the record; zero keeps what the
 	// record says. It may be nil.
 	Fleet func() int
@@ -74,7 +79,7 @@
 	until    time.Time     // end of the hold
 	start    time.Time     // zero of the steady clock
 	suspects chan struct{}
-	ownTerm  uint64    // the last term that an earlier life of this node held, as far as it was seen
+	waited   bool      // the free lease was left to better nodes
 	failed   int       // looks that failed in a row
 	vain     int       // looks for suspicions that found the record held, in a row
 	asked    bool      // the next look is for a suspicion
@@ -156,8 +161,11 @@
 // releases the lease.
 func (l *Lease) Run(ctx context.Context) {
 	l.init()
-	// Nodes that start together don't ask all at once: the first one takes the lease.
-	first := rand.N(lookPause)
+	first := time.Duration(0)
+	if l.First {
+		first = l.patience() + rand.N(lookPause)
+		l.setWaited(true)
+	}
 	timer := time.NewTimer(first)
 	defer timer.Stop()
 	due := time.Now().Add(first)
@@ -206,9 +214,15 @@
 	if err != nil {
 		return jitter(lookPause << doublings)
 	}
-	if !s.free() && !l.ownLife(s) {
+	own := l.ownLife(s)
+	if !s.free() && !own {
+		l.setWaited(false)
 		return rest(s)
 	}
+	if pause := l.patience(); pause > 0 && !own && !l.setWaited(true) {
+		return pause + rand.N(lookPause/4)
+	}
+	l.setWaited(false)
 	err = l.take(ctx, s)
 	switch {
 	case err == nil:
@@ -220,23 +234,28 @@
 	}
 }
 
-// ownLife tells whether an earlier life of this node holds the record. It is dead, since
-// this one runs: nobody has to wait until its lease expires.
-func (l *Lease) ownLife(s Stored) bool {
-	if l.Lives == "" || s.Record.Holder == l.Self || !strings.HasPrefix(s.Record.Holder, l.Lives) {
-		return false
+// patience returns how long a free lease is left to better nodes.
+func (l *Lease) patience() time.Duration {
+	if l.Patience == nil {
+		return 0
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.ownTerm = s.Record.Term
-	return true
+	return l.Patience()
 }
 
-// OwnTerm tells whether an earlier life of this node held the lease in a term.
-func (l *Lease) OwnTerm(term uint64) bool {
+// setWaited notes whether a free lease was left to better nodes, and returns whether it
+// was before.
+func (l *Lease) setWaited(waited bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return term > 0 && term == l.ownTerm
+	before := l.waited
+	l.waited = waited
+	return before
+}
+
+// ownLife tells whether an earlier life of this node holds the record. It is dead, since
+// this one runs: nobody has to wait until its lease expires.
+func (l *Lease) ownLife(s Stored) bool {
+	return l.Lives != "" && s.Record.Holder != l.Self && strings.HasPrefix(s.Record.Holder, l.Lives)
 }
 
 // looked notes a look. It returns how often the pause after one that failed is doubled.
@@ -270,7 +289,7 @@
 func (l *Lease) freeIn() (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.known || l.failed > 0 || l.asked {
+	if !l.known || l.failed > 0 || l.asked || l.waited {
 		return 0, false
 	}
 	if time.Since(l.looks) > episode {
@@ -281,7 +300,8 @@
 	if l.seen.free() || age >= Expiry || l.vain < promptLooks {
 		return jitter(lookPause / 4), true
 	}
-	return Expiry - age + rand.N(lookPause), true
+	l.waited = true
+	return Expiry - age + l.patience() + rand.N(lookPause), true
 }
 
 // lastSeen returns the newest record that was seen.
--- a/pkg/lease/record.go
+++ b/pkg/lease/record.go
@@ -13,9 +13,8 @@
 	Server string
 	Load   bool // or unload
 	Need   string
-	Fetch  bool   // a load from the weight store
-	At     int64  // by the store's clock, in milliseconds
-	Term   uint64 // in which it was written
+	Fetch  bool  // a load from the weight store
+	At     int64 // by the store's clock, in milliseconds
 }
 
 // Record is what the store keeps. Times are by the store's clock, in
--- a/pkg/lease/write.go
+++ b/pkg/lease/write.go
@@ -23,7 +23,7 @@
 	}
 	next.Intents = fresh(next.Intents, now)
 	for _, i := range intents {
-		i.At, i.Term = now, next.Term
+		i.At = now
 		next.Intents = append(next.Intents, i)
 	}
 	if extra := len(next.Intents) - maxIntents; extra > 0 {
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -114,6 +114,7 @@
 		Tables: s.Tables, FirstStart: s.First, Logger: s.Logger.Named("watch"),
 	}
 	l.Fleet = holder.Fleet
+	l.First, l.Patience = s.First, s.leasePatience
 	l.Eager = func() bool { return s.member.Known() && s.hub.Watching() }
 	s.member.Candidate = s.hub.Watching
 	s.relay = &relay.Relay{
@@ -133,6 +134,30 @@
 	return now
 }
 
+// weakestPatience is how long a node with hardly any processor leaves a free lease to
+// stronger ones: the holder of a site of 195 nodes spends a good part of a weak one's on
+// beats and plans, and its calls of the store are late then.
+const weakestPatience = 400 * time.Millisecond
+
+// leasePatience returns how long this node leaves a free lease to stronger ones.
+func (s *Site) leasePatience() time.Duration {
+	most := wholeCore
+	if s.member.Known() {
+		most = s.Self.Power
+		for _, n := range s.member.Nodes() {
+			most = max(most, n.Power)
+		}
+	}
+	return time.Duration(float64(weakestPatience) * max(1-s.Self.Power/max(most, leastPower), 0))
+}
+
+// Powers, in cores: what other nodes are taken to have while none are known, and the
+// least that counts.
+const (
+	wholeCore  = 1.0
+	leastPower = 0.01
+)
+
 // watchNodes returns the nodes of the site as the hub needs them.
 func (s *Site) watchNodes() []watch.Node {
 	nodes := s.member.Nodes()
