policy: a replica for requests beyond the room of the present ones is urgent

Requests beyond the room wait at the servers, so the load is as urgent as one that they wait for at the nodes; the order by gain stays.

TestOverloadedModelsGetReplicasBesideLoads fails without it (0 replicas beside 4 loads).

--- a/pkg/policy/decide.go
+++ b/pkg/policy/decide.go
@@ -103,6 +103,7 @@
 	model      *Model
 	extraBytes uint64 // for the adapter that the base is loaded for
 	waiting    int
+	overloaded bool // more requests run than the present replicas have room for
 	priority   int
 	deadline   time.Time // zero if no request waits
 	late       bool      // cannot be ready by the deadline
@@ -127,6 +128,7 @@
 		}
 		for more := range missing {
 			load := p.wantedLoad(model)
+			load.overloaded = overloaded(model, p.present[i])
 			load.gainRate = gain(model, p.present[i]+more) / (p.fastestLoad(model).Seconds() + evictionSeconds)
 			loads = append(loads, load)
 		}
@@ -210,6 +212,12 @@
 	return max(model.Settings.MinReplicas, (requests+concurrency-1)/concurrency)
 }
 
+// overloaded tells whether more requests run at so many replicas than they have room for:
+// those that are too many wait at the servers.
+func overloaded(model *Model, present int) bool {
+	return model.Demand.InFlight > present*max(model.Settings.MaxConcurrency, 1)
+}
+
 // wantedReplicas returns how many replicas the demand and the settings ask for.
 func wantedReplicas(model *Model) int {
 	return min(max(neededReplicas(model), model.Spares), maxReplicas(model))
@@ -251,7 +259,7 @@
 	case placed.waits:
 		p.makeRoom(placed, model, ReplicaBytes(model)+want.extraBytes)
 	default:
-		p.load(model, placed.server, want.waiting > 0, want.reason)
+		p.load(model, placed.server, want.waiting > 0 || want.overloaded, want.reason)
 	}
 }
 
