coordinator: outlooks count that the weight store serves few loads at once

The queue now takes slots of the store as it takes servers: after the loads under way, and after those that servers are kept for. TestExpectWaitsForTheStore: the last of two models behind a load under way was expected after 5.8 s, and is after 11.6 s.

Outlooks still slide: models with a higher gain come in between.

--- a/pkg/coordinator/orders.go
+++ b/pkg/coordinator/orders.go
@@ -302,9 +302,3 @@
 		return m.LoadTime, true
 	}
 }
-
-// expectedLoad returns how long a load is expected to take.
-func (s *serverState) expectedLoad(m *route.Model) time.Duration {
-	load, _ := s.loadTime(m)
-	return load
-}
--- a/pkg/coordinator/outlook.go
+++ b/pkg/coordinator/outlook.go
@@ -23,10 +23,50 @@
 }
 
 // lane is a server as the queue sees it: from when it may take the next load, and how
-// long a load takes there.
+// long a load takes there and whether it comes from the weight store.
 type lane struct {
 	free time.Time
-	load func(m *route.Model) time.Duration
+	load func(m *route.Model) (took time.Duration, fetch bool)
+}
+
+// storeSlots are when each of the loads that the weight store serves at once may begin,
+// the first one first.
+type storeSlots []time.Time
+
+// begin returns when a load begins that its server may take from a time on.
+func (s storeSlots) begin(free time.Time, fetch bool) time.Time {
+	if !fetch || len(s) == 0 {
+		return free
+	}
+	return latest(free, s[0])
+}
+
+// fill notes a load from the store until it is done.
+func (s storeSlots) fill(done time.Time) {
+	if len(s) > 0 {
+		s[0] = done
+		slices.SortFunc(s, time.Time.Compare)
+	}
+}
+
+// storeSlotsFrom returns the slots of the weight store as the loads under way leave them.
+func (h *Holder) storeSlotsFrom(now time.Time) storeSlots {
+	var busy storeSlots
+	for _, s := range h.servers {
+		if op := s.busy; op != nil && op.load && op.fetch {
+			busy = append(busy, latest(now, op.readyAt))
+		}
+	}
+	slices.SortFunc(busy, time.Time.Compare)
+	most := max(h.storeSlots(now), 1)
+	if len(busy) > most {
+		return busy[len(busy)-most:]
+	}
+	slots := make(storeSlots, most-len(busy), most)
+	for i := range slots {
+		slots[i] = now
+	}
+	return append(slots, busy...)
 }
 
 // lanes returns the servers of a service that may take loads.
@@ -45,14 +85,14 @@
 				free = latest(free, at)
 			}
 		}
-		list = append(list, lane{free: free, load: s.expectedLoad})
+		list = append(list, lane{free: free, load: s.loadTime})
 	}
 	return list
 }
 
 // promised works out when the models will be ready that servers are kept for, and
 // returns how many servers hold, load or are kept for each model.
-func (h *Holder) promised(now time.Time, service string, e *route.Engine) map[string]int {
+func (h *Holder) promised(now time.Time, service string, e *route.Engine, slots storeSlots) map[string]int {
 	present := h.presence(now, service)
 	for s := range h.serversOf(service) {
 		name := s.reservedFor(now)
@@ -61,7 +101,11 @@
 			continue
 		}
 		present[name]++
-		ready := s.reservedReady(now, s.expectedLoad(m))
+		took, fetch := s.loadTime(m)
+		ready := slots.begin(s.reservedFree(now), fetch).Add(took)
+		if fetch {
+			slots.fill(ready)
+		}
 		if at, known := h.expected[service][name]; !known || ready.Before(at) {
 			h.expected[service][name] = ready
 		}
@@ -105,22 +149,27 @@
 }
 
 // expect works out when each queued model will be ready: each goes, in its turn, to
-// the server that has it ready first. It changes the lanes.
-func expect(now time.Time, queue []queued, lanes []lane, ready map[string]time.Time) {
+// the server that has it ready first, and waits for the weight store if it has to come
+// from there. It changes the lanes and the slots.
+func expect(now time.Time, queue []queued, lanes []lane, slots storeSlots, ready map[string]time.Time) {
 	// What the decider did not place at once waits for replicas to go idle.
 	for i := range lanes {
 		lanes[i].free = latest(lanes[i].free, now.Add(policy.IdleWait))
 	}
 	for _, q := range queue {
-		first, at := -1, time.Time{}
+		first, at, fetched := -1, time.Time{}, false
 		for i := range lanes {
-			if done := lanes[i].free.Add(unloadTime + lanes[i].load(q.model)); first < 0 || done.Before(at) {
-				first, at = i, done
+			took, fetch := lanes[i].load(q.model)
+			if done := slots.begin(lanes[i].free, fetch).Add(unloadTime + took); first < 0 || done.Before(at) {
+				first, at, fetched = i, done, fetch
 			}
 		}
 		if first < 0 {
 			return
 		}
+		if fetched {
+			slots.fill(at)
+		}
 		lanes[first].free = at
 		ready[q.model.Name] = at
 	}
@@ -149,7 +198,7 @@
 		return 0
 	}
 	ready := make(map[string]time.Time)
-	expect(now, []queued{{model: e.Models[model]}}, h.lanes(now, service), ready)
+	expect(now, []queued{{model: e.Models[model]}}, h.lanes(now, service), h.storeSlotsFrom(now), ready)
 	if at, found := ready[model]; found {
 		return at.Sub(now)
 	}
--- a/pkg/coordinator/outlook_test.go
+++ b/pkg/coordinator/outlook_test.go
@@ -22,13 +22,13 @@
 	model := func(name string) *route.Model { return &route.Model{Name: name} }
 	lanes := func() []lane {
 		return []lane{
-			{free: after(2 * time.Second), load: func(m *route.Model) time.Duration {
+			{free: after(2 * time.Second), load: func(m *route.Model) (time.Duration, bool) {
 				if m.Name == "copied" {
-					return time.Second // from its disk
+					return time.Second, false // from its disk
 				}
-				return 4 * time.Second
+				return 4 * time.Second, true
 			}},
-			{free: now, load: func(*route.Model) time.Duration { return 4 * time.Second }},
+			{free: now, load: func(*route.Model) (time.Duration, bool) { return 4 * time.Second, true }},
 		}
 	}
 	first := queued{model: model("first"), gain: 3}
@@ -38,7 +38,7 @@
 		t.Error("the queue is out of order")
 	}
 	got := make(map[string]time.Time)
-	expect(now, []queued{first, copied, last}, lanes(), got)
+	expect(now, []queued{first, copied, last}, lanes(), nil, got)
 	want := map[string]time.Time{
 		"first":  after(policy.IdleWait + unloadTime + 4*time.Second), // at the second, which is free
 		"copied": after(2*time.Second + unloadTime + time.Second),     // at the first, near its copy
@@ -50,11 +50,42 @@
 		}
 	}
 	none := make(map[string]time.Time)
-	if expect(now, []queued{first}, nil, none); len(none) != 0 {
+	if expect(now, []queued{first}, nil, nil, none); len(none) != 0 {
 		t.Errorf("without servers %v is expected", none)
 	}
 }
 
+// TestExpectWaitsForTheStore: servers are free, but the weight store serves one load at a
+// time, and one is under way; what lies on a disk does not wait for it.
+func TestExpectWaitsForTheStore(t *testing.T) {
+	now := time.Now()
+	var lanes []lane
+	for range 9 {
+		lanes = append(lanes, lane{free: now, load: func(m *route.Model) (time.Duration, bool) {
+			if m.Name == "copied" {
+				return time.Second, false
+			}
+			return 4 * time.Second, true
+		}})
+	}
+	var queue []queued
+	for _, name := range []string{"first", "copied", "last"} {
+		queue = append(queue, queued{model: &route.Model{Name: name}})
+	}
+	got := make(map[string]time.Time)
+	expect(now, queue, lanes, storeSlots{now.Add(3 * time.Second)}, got)
+	want := map[string]time.Duration{
+		"first":  3*time.Second + unloadTime + 4*time.Second,
+		"copied": policy.IdleWait + unloadTime + time.Second,
+		"last":   3*time.Second + 2*(unloadTime+4*time.Second),
+	}
+	for name, after := range want {
+		if took := got[name].Sub(now); took != after {
+			t.Errorf("%s is expected after %v, want %v", name, took, after)
+		}
+	}
+}
+
 // TestOutlookCountsTheQueue wishes many models of two servers at once. What is
 // told to the last is about what it takes.
 func TestOutlookCountsTheQueue(t *testing.T) {
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -164,11 +164,12 @@
 		h.give(s, o, fetch, expected, action.Reason)
 	}
 	h.expected[service] = make(map[string]time.Time)
-	queue := h.queue(e, &w, &input, h.promised(now, service, e))
+	slots := h.storeSlotsFrom(now)
+	queue := h.queue(e, &w, &input, h.promised(now, service, e, slots))
 	if len(queue) > 0 {
 		h.scarceUntil = now.Add(scarceTime)
 	}
-	expect(now, queue, h.lanes(now, service), h.expected[service])
+	expect(now, queue, h.lanes(now, service), slots, h.expected[service])
 	h.tellWaits(now, service, queue, &w)
 }
 
--- a/pkg/coordinator/reservation.go
+++ b/pkg/coordinator/reservation.go
@@ -21,11 +21,10 @@
 	return s.reserved.model
 }
 
-// reservedReady returns when the model that the server is kept for should be ready.
-func (s *serverState) reservedReady(now time.Time, load time.Duration) time.Time {
-	free := now
+// reservedFree returns when the server that is kept for a model may load it.
+func (s *serverState) reservedFree(now time.Time) time.Time {
 	if s.busy != nil {
-		free = latest(now, s.busy.readyAt)
+		return latest(now, s.busy.readyAt)
 	}
-	return free.Add(load)
+	return now
 }
