--- a/pkg/coordinator/outlook_test.go
+++ b/pkg/coordinator/outlook_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -181,3 +182,37 @@
 		n.stop()
 	})
 }
+
+// TestStoreSlotsFollowTheLoads: loads from the weight store take its slots until they are
+// done, those from copies and unloads don't; with more under way than it serves at once,
+// as after a slow one, the next begins when that is true again.
+func TestStoreSlotsFollowTheLoads(t *testing.T) {
+	now := time.Now()
+	after := func(seconds int) time.Time { return now.Add(time.Duration(seconds) * time.Second) }
+	fetch := func(seconds int) *serverState {
+		return &serverState{busy: &operation{order: order{load: true}, since: now, readyAt: after(seconds), fetch: true}}
+	}
+	cases := []struct {
+		name    string
+		servers []*serverState
+		want    []time.Time
+	}{
+		{"idle", []*serverState{{}}, []time.Time{now, now, now, now}},
+		{"others", []*serverState{{busy: &operation{order: order{load: true}}}, {busy: &operation{fetch: true}}}, []time.Time{now, now, now, now}},
+		{"one", []*serverState{fetch(5)}, []time.Time{now, now, now, after(5)}},
+		{"overdue", []*serverState{fetch(-1)}, []time.Time{now, now, now, now}},
+		{"full", []*serverState{fetch(4), fetch(2), fetch(1), fetch(3)}, []time.Time{after(1), after(2), after(3), after(4)}},
+		{"too many", []*serverState{fetch(4), fetch(2), fetch(1), fetch(3), fetch(5)}, []time.Time{after(2), after(3), after(4), after(5)}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := &Holder{servers: make(map[string]*serverState)}
+			for i, s := range c.servers {
+				h.servers[fmt.Sprint(i)] = s
+			}
+			if got := h.storeSlotsFrom(now); !slices.EqualFunc(got, c.want, time.Time.Equal) {
+				t.Errorf("slots are %v, want %v", got, c.want)
+			}
+		})
+	}
+}
