--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -200,6 +200,17 @@
 	return members, net
 }
 
+// calmSite runs a site of n nodes for a while; all have the value 1 of a.
+func calmSite(t *testing.T, n int) (*memory, []*member) {
+	t.Helper()
+	store := newMemory()
+	store.put("a", "1")
+	members, _ := start(t, store, n)
+	inForce(t, members, "a", "1")
+	time.Sleep(5 * time.Second)
+	return store, members
+}
+
 // stopAtEnd ends the site of the running test.
 var stopAtEnd func()
 
@@ -246,11 +257,7 @@
 // TestCallsDoNotGrowWithTheSite: four nodes watch, however many there are.
 func TestCallsDoNotGrowWithTheSite(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := newMemory()
-		store.put("a", "1")
-		members, _ := start(t, store, 26)
-		inForce(t, members, "a", "1")
-		time.Sleep(5 * time.Second)
+		store, members := calmSite(t, 26)
 		store.mu.Lock()
 		before := store.calls
 		store.mu.Unlock()
@@ -415,11 +422,7 @@
 func TestNodesSpareAStoreThatIsDown(t *testing.T) {
 	const size = 26
 	synctest.Test(t, func(t *testing.T) {
-		store := newMemory()
-		store.put("a", "1")
-		members, _ := start(t, store, size)
-		inForce(t, members, "a", "1")
-		time.Sleep(5 * time.Second)
+		store, members := calmSite(t, size)
 		store.mu.Lock()
 		for _, m := range members {
 			store.refused[m.hub.Self.Name] = true
