lease, coordinator: a holder goes on while the store does not answer, where servers check fences

A holder goes on when its record could not be written for a second, servers refuse lower fences, most of the fleet beats to it and no later term was told. What it ordered is written as soon as the store is back. Servers that check no fences: as before.

Without the guard TestLIMITLateOrdersThatNoIntentTellsOf fails.

--- /dev/null
+++ b/pkg/coordinator/handover.go
@@ -0,0 +1,198 @@
+package coordinator
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/lease"
+	"martenwheel.dev/pkg/route"
+)
+
+// Times of a change of holder.
+const (
+	// handoverTimeout bounds the wait for the last holder's word. One that is cut off or
+	// gone does not answer.
+	handoverTimeout = 400 * time.Millisecond
+	// followTime is how old the holder's count of its followers may be: two ticks and a
+	// plan.
+	followTime = 3 * tickInterval
+	// latestOrder is how late an order may still be carried out.
+	latestOrder = 5 * time.Second
+)
+
+// everyServer stands in intents of orders that have servers see the holder's fence.
+const everyServer = ""
+
+// adapterMark stands in the names of adapters.
+const adapterMark = "/"
+
+// countFollowers notes whether most nodes of the fleet beat to this holder.
+func (h *Holder) countFollowers(now time.Time) {
+	if 2*len(h.nodes) > h.fleet.known() {
+		h.followed.Store(now.UnixNano())
+	}
+}
+
+// MayGoOn tells whether this holder may give orders while the store does not answer:
+// servers judge by the fence, so that a later holder ends it, and most nodes ask this one.
+// Safe for concurrent use.
+func (h *Holder) MayGoOn() bool {
+	return h.Fenced && time.Since(time.Unix(0, h.followed.Load())) < followTime
+}
+
+// inheritIntents takes in orders of an earlier holder.
+func (h *Holder) inheritIntents(now time.Time, storeNow int64, intents []lease.Intent) {
+	for _, i := range intents {
+		at := now.Add(-time.Duration(storeNow-i.At) * time.Millisecond)
+		// Also after an earlier life of this node: its orders may still be carried out.
+		quiet := at.Add(h.Turns + lease.PermitTime)
+		if i.Server == everyServer {
+			h.quietUntil = latest(h.quietUntil, quiet)
+			for _, s := range h.servers {
+				s.quietUntil = latest(s.quietUntil, quiet)
+			}
+			continue
+		}
+		s := h.server(i.Server)
+		s.quietUntil, s.recheck = latest(s.quietUntil, quiet), true
+		if !strings.Contains(i.Need, adapterMark) {
+			s.inherited = i
+		}
+		if i.Fetch {
+			h.fetches = append(h.fetches, at)
+		}
+	}
+}
+
+// takeOver asks the last holder for its orders that the record does not tell of, which it
+// gave while it could not write to the store. If it does not answer, each server is made
+// to refuse what may still come from it before it gets orders.
+func (h *Holder) takeOver(term uint64) {
+	record, _ := h.Lease.Current()
+	before := h.Lease.Before()
+	h.taking, h.guarding = false, false
+	switch {
+	case !h.Fenced || before.Holder == "":
+		return // it never goes on without the store, or it released the lease
+	case before.Address == record.Address:
+		h.guard("an earlier life of this node") // which can't be asked any more
+		return
+	}
+	h.taking = true
+	go func() {
+		ctx, cancel := context.WithTimeout(h.life, handoverTimeout)
+		defer cancel()
+		reply, err := h.Transport.Call(ctx, before.Address, Yield{Term: term, Holder: record.Holder, Address: record.Address})
+		h.post(func() {
+			if h.term != term {
+				return
+			}
+			h.taking = false
+			answer, ok := reply.(Handover)
+			if err != nil || !ok || answer.Holder != before.Holder || answer.Term != before.Term {
+				h.guard("the last holder does not answer")
+				return
+			}
+			h.Logger.Info("handed over", "holder", before.Holder, "term", before.Term, "intents", len(answer.Intents))
+			h.inheritIntents(time.Now(), h.Lease.Now(), answer.Intents)
+			h.planSoon = true
+		})
+	}()
+}
+
+// guard has no server get orders before it refuses those of the last holder.
+func (h *Holder) guard(reason string) {
+	h.Logger.Info("servers are guarded", "reason", reason, "servers", len(h.servers))
+	h.guarding = true
+	for _, s := range h.servers {
+		s.guarded = true
+	}
+}
+
+// raiseFences gives the servers that are guarded an order without effect, by which they
+// see this holder's fence. What they report after it can't be changed by late orders.
+func (h *Holder) raiseFences(now time.Time) {
+	var orders []fenceOrder
+	for _, s := range h.servers {
+		if !s.guarded || s.asking || s.unsure || s.busy != nil || s.member == nil || now.Before(latest(s.quietUntil, s.avoidUntil)) {
+			continue
+		}
+		e := h.engineOf(s)
+		if e == nil {
+			continue
+		}
+		need, found := s.lacks(e)
+		if !found { // it holds all there are: late orders are waited for
+			s.guarded, s.quietUntil = false, latest(s.quietUntil, now.Add(latestOrder))
+			continue
+		}
+		s.asking = true
+		orders = append(orders, fenceOrder{s, s.member, Order{Need: need, Holder: h.Lease.Self, Fence: h.term, Expected: s.sequence}})
+	}
+	if len(orders) > 0 {
+		go h.sendFences(h.term, orders)
+	}
+}
+
+// fenceOrder is an order without effect.
+type fenceOrder struct {
+	server *serverState // for the holder's goroutine
+	member *backend.Member
+	order  Order
+}
+
+// sendFences writes one intent for all and gives the orders.
+func (h *Holder) sendFences(term uint64, orders []fenceOrder) {
+	writing, done := context.WithTimeout(h.life, commitTimeout)
+	defer done()
+	permit, err := h.Lease.Commit(writing, []lease.Intent{{Server: everyServer}})
+	if err == nil && (permit.Term != term || !permit.Valid()) {
+		err = errNotWritten
+	}
+	for _, o := range orders {
+		go func() {
+			result, err := Result(0), err
+			if err == nil {
+				o.order.Offline = permit.Offline
+				ctx, cancel := context.WithDeadline(h.life, permit.Until)
+				defer cancel()
+				result, err = h.Orders.Give(ctx, o.member, o.order)
+			}
+			h.post(func() {
+				if h.term == term {
+					h.fenceRaised(time.Now(), o.server, result, err)
+				}
+			})
+		}()
+	}
+}
+
+// lacks returns a model that the server does not hold by its last word.
+func (s *serverState) lacks(e *route.Engine) (backend.Need, bool) {
+	for name := range e.Models {
+		if s.holds[name] == nil {
+			return backend.Need{Model: name}, true
+		}
+	}
+	return backend.Need{}, false
+}
+
+// fenceRaised takes in what became of an order that has a server see the fence.
+func (h *Holder) fenceRaised(now time.Time, s *serverState, result Result, err error) {
+	s.asking = false
+	s.unsure, s.reportAt = true, now.Add(reportLag)
+	switch {
+	case err != nil:
+		s.failures++
+		s.avoidUntil = now.Add(s.rest())
+		s.reportAt = s.avoidUntil
+	case result == Fenced:
+		h.Lease.Resign(h.term)
+	case result == Conflict: // another order came, or is under way: once more after a report
+	default:
+		s.guarded, s.failures = false, 0
+		s.acceptedAt = now // reports lag behind it
+	}
+}
--- /dev/null
+++ b/pkg/coordinator/handover_test.go
@@ -0,0 +1,176 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/backend"
+)
+
+// beats has so many nodes of a fleet beat to a holder each second until it is stopped.
+func beats(t *testing.T, n *node, nodes int) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		for ctx.Err() == nil {
+			for i := range nodes {
+				_, _ = n.holder.HandleMessage(ctx, api.NodeRef{}, Beat{Node: Node{Name: fmt.Sprint(i)}})
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(beatInterval):
+			}
+		}
+	}()
+	return cancel
+}
+
+// TestHolderGoesOnWhileTheStoreIsDown where servers refuse lower fences and most nodes
+// follow it.
+func TestHolderGoesOnWhileTheStoreIsDown(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		fenced    bool
+		followers int // of a fleet of five, once the store is down
+		want      bool
+	}{
+		{"all follow", true, 5, true},
+		{"most follow", true, 3, true},
+		{"few follow", true, 2, false},
+		{"servers check no fences", false, 5, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				s := newSite(t, []string{"m0"})
+				s.fenced = test.fenced
+				n := s.start("a")
+				n.hold()
+				for i := range 5 {
+					if _, err := n.holder.HandleMessage(t.Context(), api.NodeRef{}, Beat{Node: Node{Name: fmt.Sprint(i)}}); err != nil {
+						t.Fatal(err)
+					}
+				}
+				defer n.stop()
+				defer beats(t, n, test.followers)()
+				time.Sleep(5 * time.Second)
+				s.row.setDown(true)
+				time.Sleep(3 * time.Second)
+				n.wish(t, "m5")
+				time.Sleep(loadTime + 2*time.Second)
+				if loaded := len(s.engines.loads()) > 0; loaded != test.want {
+					t.Errorf("a model is loaded while the store is down: %t, want %t", loaded, test.want)
+				}
+				for _, g := range s.engines.given() {
+					if !g.order.Offline {
+						t.Errorf("an order is not marked: %+v", g)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestNextHolderIsToldOfOrders: a holder gave an order while it could not write; another
+// node that can takes the lease and is told, so that it counts what the server gets.
+func TestNextHolderIsToldOfOrders(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSite(t, []string{"m0"})
+		s.fenced = true
+		first := s.start("a")
+		first.hold()
+		silence := beats(t, first, 1)
+		time.Sleep(time.Second)
+		first.store.away.Store(true)
+		time.Sleep(3 * time.Second)
+		first.wish(t, "m5")
+		time.Sleep(500 * time.Millisecond)
+		if len(s.engines.loads()) != 1 {
+			t.Fatalf("%d loads began without the store", len(s.engines.loads()))
+		}
+		defer first.stop()
+		defer silence()
+		second := s.start("b")
+		defer second.stop()
+		second.hold()
+		time.Sleep(2 * tickInterval)
+		if _, held := first.lease.Held(); held {
+			t.Error("the earlier holder goes on beside the next one")
+		}
+		if err := second.holder.do(t.Context(), func() {
+			if op := second.holder.servers["server-0"].busy; op == nil || op.need.Model != "m5" || !op.load {
+				t.Errorf("the next holder takes the server's operation to be %+v", op)
+			}
+		}); err != nil {
+			t.Fatal(err)
+		}
+		for range 40 {
+			second.wishWith(t, "m6", 0)
+			time.Sleep(250 * time.Millisecond)
+		}
+	})
+}
+
+// TestLIMITLateOrdersThatNoIntentTellsOf: a holder ends that went on without the store, and
+// an order of it comes some time after the next one took the lease. Once servers were made
+// to see the next holder's fence they refuse it; one that came before is found. The engines
+// report an order beyond their memory.
+func TestLIMITLateOrdersThatNoIntentTellsOf(t *testing.T) {
+	const fenceSeen = tickInterval + handoverTimeout + tickInterval
+	for _, late := range []time.Duration{0, tickInterval, 500 * time.Millisecond, fenceSeen, time.Second, 2 * time.Second, 3 * time.Second} {
+		t.Run(late.String(), func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				s := newSite(t, []string{"m0"})
+				s.fenced = true
+				first := s.start("a")
+				first.hold()
+				silence := beats(t, first, 1)
+				time.Sleep(time.Second)
+				s.row.setDown(true)
+				time.Sleep(3 * time.Second)
+				s.engines.loseAnswers(1)
+				first.wish(t, "m5")
+				for !s.engines.someLate() {
+					time.Sleep(time.Millisecond)
+				}
+				silence()
+				first.stop() // it could not tell the record
+				s.row.setDown(false)
+				second := s.start("b")
+				defer second.stop()
+				second.hold()
+				time.AfterFunc(late, s.engines.carryOutLate)
+				for range 40 {
+					second.wishWith(t, "m6", 0)
+					time.Sleep(100 * time.Millisecond)
+				}
+				wishUntil(t, second, "m6", 10*time.Second)
+				for _, g := range s.engines.given() {
+					if g.order.Holder == "a" && late >= fenceSeen && g.result != Fenced {
+						t.Errorf("the late order is judged %d", g.result)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestAdaptersOnTheirWayTakePlaces: an earlier holder ordered an adapter that the server
+// lists as on its way and no intent tells of.
+func TestAdaptersOnTheirWayTakePlaces(t *testing.T) {
+	h := &Holder{Logger: hclog.NewNullLogger()}
+	now := time.Unix(1000, 0)
+	s := &serverState{holds: make(map[string]*holding)}
+	r := Report{Sequence: 3, Models: []backend.Holding{{Model: "m0", Adapters: []string{"a1"}}},
+		Arriving: []backend.Need{{Model: "m0", Adapter: "a2"}, {Model: "gone", Adapter: "a1"}}}
+	h.take(now, s, r)
+	if n := s.adapters(now); n != 2 {
+		t.Errorf("%d places are taken, want 2", n)
+	}
+	if n := s.adapters(now.Add(2 * arriveTime)); n != 1 {
+		t.Errorf("%d places are taken of what never came", n)
+	}
+}
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -38,6 +38,7 @@
 	Transport peer.Transport
 	Decider   policy.Decider
 	Turns     time.Duration // between orders of two holders to one server
+	Fenced    bool          // servers refuse orders of lower terms than they have seen
 	Ceiling   Ceiling
 	Budget    relay.BudgetConfig // of repeats, part of which the holder lends
 	Nodes     func() []Node      // that this node knows of
@@ -59,6 +60,10 @@
 	fetches     []time.Time // starts of loads from the weight store
 	store       storeLimit  // how many of them go at full speed at once
 
+	taking      bool          // the last holder is asked what it did without the store
+	quietUntil  time.Time     // the last holder had all servers see its fence
+	guarding    bool          // servers may get late orders of the last holder that no intent tells of
+	followed    atomic.Int64  // when most nodes were last known to follow, in nanoseconds; read by other goroutines
 	learnUntil  time.Time     // when the nodes should have told what is in use
 	resumeAt    time.Time     // when orders are given again after the store failed
 	scarceUntil time.Time     // models wait for servers
@@ -141,13 +146,11 @@
 	}
 	now := time.Now()
 	h.expire(now)
+	h.countFollowers(now)
 	h.learn(now)
 	h.plan(now)
 }
 
-// adapterMark stands in the names of adapters.
-const adapterMark = "/"
-
 // begin starts a term with nothing but what the record tells.
 func (h *Holder) begin(term uint64) {
 	h.term = term
@@ -164,18 +167,9 @@
 	h.slack.Budget = h.Budget
 	h.slack.Begin(now)
 	h.learnUntil = now.Add(learnTime)
-	for _, i := range record.Intents {
-		at := now.Add(-time.Duration(storeNow-i.At) * time.Millisecond)
-		s := h.server(i.Server)
-		// Also after an earlier life of this node: its orders may still be carried out.
-		s.quietUntil, s.recheck = at.Add(h.Turns+lease.PermitTime), true
-		if !strings.Contains(i.Need, adapterMark) {
-			s.inherited = i
-		}
-		if i.Fetch {
-			h.fetches = append(h.fetches, at)
-		}
-	}
+	h.quietUntil = time.Time{}
+	h.inheritIntents(now, storeNow, record.Intents)
+	h.takeOver(term)
 	h.Logger.Info("coordinating", "term", term, "intents", len(record.Intents), "fleet", record.Fleet)
 	for _, n := range h.Nodes() {
 		if n.Peers != record.Address {
--- a/pkg/coordinator/holder_test.go
+++ b/pkg/coordinator/holder_test.go
@@ -390,3 +390,45 @@
 		n.stop()
 	})
 }
+
+// TestLIMITAnOrderInDoubtBeyondTheServersCount: a holder believes that a server took one
+// order more than it did, and an order by that number is on its way. It takes effect once
+// the server's count gets there, so nothing else is ordered until it can't come any more.
+// A record that lies behind hides that the adapter is on its way.
+func TestLIMITAnOrderInDoubtBeyondTheServersCount(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSite(t, []string{"m0"}, []string{"m0"})
+		tell := func(version uint64, adapters ...[]string) {
+			var list []*backend.Server
+			for i, names := range adapters {
+				record := *s.list[i]
+				record.Version, record.Models = version, []backend.Holding{{Model: "m0", Adapters: names}}
+				list = append(list, &record)
+			}
+			s.list = list
+		}
+		s.engines.servers["server-0"].models["m0"]["a8"] = true
+		s.engines.servers["server-1"].models["m0"]["a7"] = true
+		tell(1, []string{"a8"}, []string{"a7"})
+		n := s.start("a")
+		n.hold()
+		time.Sleep(time.Second)
+		if err := n.holder.do(t.Context(), func() { n.holder.servers["server-0"].sequence++ }); err != nil {
+			t.Fatal(err)
+		}
+		s.engines.loseAnswers(1)
+		n.wish(t, "m0/a1")
+		for !s.engines.someLate() {
+			time.Sleep(time.Millisecond)
+		}
+		s.engines.servers["server-1"].models["m0"]["a1"] = true
+		tell(2, []string{"a8", "a1"}, []string{"a7", "a1"})
+		n.servers.Replace(s.list, 2)
+		time.Sleep(2 * time.Second)
+		n.wish(t, "m0/a2")
+		time.Sleep(time.Second)
+		s.engines.carryOutLate()
+		wishUntil(t, n, "m0/a2", 2*latestOrder)
+		n.stop()
+	})
+}
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -256,6 +256,11 @@
 		m.Lease.Announced(lease.Record{Term: n.Term, Holder: n.Holder, Address: n.Address})
 		m.beatSoon()
 		return nil, nil
+	case Yield:
+		next := lease.Record{Term: n.Term, Holder: n.Holder, Address: n.Address}
+		handover := Handover{m.Lease.Yield(next)}
+		m.beatSoon()
+		return handover, nil
 	}
 	return m.Holder.HandleMessage(ctx, from, message)
 }
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -6,13 +6,15 @@
 // requests, and wishes.go, what it asks for; and with holder.go, the loop of the
 // node that holds the lease. plan.go asks package policy what to load where;
 // adapters.go places adapters; orders.go gives orders, one at a time to each
-// server, and reports.go finds out what became of them; outlook.go tells when a
+// server, and reports.go finds out what became of them; handover.go takes over from a
+// holder that went on without the store; outlook.go tells when a
 // model will be ready.
 package coordinator
 
 import (
 	"time"
 
+	"martenwheel.dev/pkg/lease"
 	"martenwheel.dev/pkg/peer"
 )
 
@@ -111,6 +113,19 @@
 	Address string
 }
 
+// Yield tells an earlier holder that the lease was taken by another node. It is answered
+// by a Handover.
+type Yield struct {
+	Term    uint64
+	Holder  string
+	Address string
+}
+
+// Handover is what an earlier holder tells the next one.
+type Handover struct {
+	lease.Handover
+}
+
 func init() {
-	peer.Register(Borrow{}, BorrowAnswer{}, Announcement{}, Beat{}, BeatAnswer{}, WishMessage{}, WishAnswer{}, Notice{})
+	peer.Register(Yield{}, Handover{}, Borrow{}, BorrowAnswer{}, Announcement{}, Beat{}, BeatAnswer{}, WishMessage{}, WishAnswer{}, Notice{})
 }
--- a/pkg/coordinator/orders.go
+++ b/pkg/coordinator/orders.go
@@ -19,6 +19,7 @@
 	Holder   string
 	Fence    uint64
 	Expected uint64 // orders that the server has taken before it
+	Offline  bool   // given while the store does not answer; not told to the server
 }
 
 // Result is a server's verdict on an order.
@@ -39,6 +40,7 @@
 	Models   []backend.Holding
 	Busy     bool
 	Sequence uint64
+	Arriving []backend.Need // adapters on their way
 	InMemory []string
 	OnDisk   []string
 }
@@ -123,7 +125,7 @@
 
 // send writes the intent and gives the order within the permit's time.
 func (h *Holder) send(server *backend.Member, o Order, fetch bool) (Result, error) {
-	intent := lease.Intent{Server: server.ID, Load: o.Load, Need: o.Need.String(), Fetch: fetch}
+	intent := lease.Intent{Server: server.ID, Load: o.Load, Need: o.Need.String(), Fetch: fetch, After: o.Expected + 1}
 	writing, done := context.WithTimeout(h.life, commitTimeout)
 	defer done()
 	permit, err := h.Lease.Commit(writing, []lease.Intent{intent})
@@ -133,6 +135,7 @@
 	if permit.Term != o.Fence || !permit.Valid() {
 		return 0, errNotWritten
 	}
+	o.Offline = permit.Offline
 	end := time.Now().Add(orderTimeout)
 	if permit.Until.Before(end) {
 		end = permit.Until // the next holder counts on it
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -96,6 +96,10 @@
 	if now.Before(h.resumeAt) {
 		return
 	}
+	if h.taking {
+		return
+	}
+	h.raiseFences(now)
 	h.repeatDoubts(now)
 	for name, s := range table.Services() {
 		if s.Engine != nil {
@@ -113,6 +117,11 @@
 			continue
 		}
 		o := *s.doubt
+		if o.after > s.sequence+1 {
+			// The server took fewer orders than believed: this one takes effect if it comes
+			// once the count gets there.
+			s.quietUntil, s.recheck = latest(s.quietUntil, now.Add(latestOrder)), true
+		}
 		if o.after != s.sequence+1 {
 			s.doubt = nil
 			continue
--- a/pkg/coordinator/reports.go
+++ b/pkg/coordinator/reports.go
@@ -94,8 +94,8 @@
 	s.unsure = true
 	intent := s.inherited
 	need := backend.ParseNeed(intent.Need)
-	if need.Model == "" || need.Adapter != "" {
-		return
+	if need.Model == "" || need.Adapter != "" || intent.After != r.Sequence {
+		return // it carries out an order that no intent tells of
 	}
 	s.unsure, s.inherited = false, lease.Intent{}
 	h.take(now, s, r)
--- a/pkg/coordinator/server.go
+++ b/pkg/coordinator/server.go
@@ -25,6 +25,7 @@
 	failures   int             // calls without an answer, in a row
 	busy       *operation      // the load or unload of a model
 	inherited  lease.Intent    // the last order of an earlier holder
+	guarded    bool            // late orders of the last holder may change it
 	doubt      *order          // without an answer; only the same may follow
 	repeat     bool            // the order in doubt was not taken yet, by a report
 	avoidUntil time.Time       // it refused an order
@@ -62,7 +63,7 @@
 func (h *Holder) server(id string) *serverState {
 	s := h.servers[id]
 	if s == nil {
-		s = &serverState{id: id, holds: make(map[string]*holding), cached: make(map[string]tier)}
+		s = &serverState{id: id, guarded: h.guarding, quietUntil: h.quietUntil, holds: make(map[string]*holding), cached: make(map[string]tier)}
 		h.servers[id] = s
 	}
 	return s
@@ -162,6 +163,11 @@
 			delete(s.holds, name)
 		}
 	}
+	for _, need := range r.Arriving {
+		if known := s.holds[need.Model]; known != nil && !now.Before(known.arriving[need.Adapter]) {
+			known.arriving[need.Adapter] = now.Add(arriveTime) // ordered by an earlier holder
+		}
+	}
 	if s.busy != nil && (s.busy.load || !r.Busy && s.sequence >= s.busy.after) {
 		h.settle(now, s, func(name string) bool { return listed[name] })
 	}
@@ -222,7 +228,7 @@
 
 // usable tells whether orders may be given to the server.
 func (s *serverState) usable(now time.Time) bool {
-	return s.member != nil && !s.gone(now) && !s.unsure && !s.recheck && !s.member.Leaving() && !now.Before(s.quietUntil) && !now.Before(s.avoidUntil)
+	return s.member != nil && !s.gone(now) && !s.guarded && !s.unsure && !s.recheck && !s.member.Leaving() && !now.Before(s.quietUntil) && !now.Before(s.avoidUntil)
 }
 
 // silent tells whether the server did not answer a moment ago.
--- a/pkg/lease/commit.go
+++ b/pkg/lease/commit.go
@@ -14,16 +14,21 @@
 
 // Permit allows the orders whose intents were written.
 type Permit struct {
-	Term  uint64
-	Until time.Time
+	Term    uint64
+	Until   time.Time
+	Offline bool // the intents are not in the store's record yet
 }
 
 // Valid tells whether orders may still be given by the permit.
 func (p Permit) Valid() bool { return time.Now().Before(p.Until) }
 
-// Commit writes intents and returns the permit for their orders.
+// Commit writes intents and returns the permit for their orders. A holder that goes on
+// without the store notes them, to be written later.
 func (l *Lease) Commit(ctx context.Context, intents []Intent) (Permit, error) {
 	l.init()
+	if permit, offline := l.commitOffline(intents); offline {
+		return permit, nil
+	}
 	c := &commit{intents: intents, result: make(chan error, 1)}
 	select {
 	case l.commits <- c:
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -8,14 +8,15 @@
 // holder reads what may still be on its way.
 //
 // lease.go takes, renews and releases the lease; look.go tells when to look at the record
-// of another holder; commit.go has the intents of
-// orders written; write.go and insist.go write the record and find out what became of
+// of another holder; commit.go has the intents of orders written; offline.go has a holder
+// go on while the store does not answer; write.go and insist.go write the record and find out what became of
 // a write whose answer was lost; record.go is what the store keeps.
 package lease
 
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -69,7 +70,11 @@
 	// Fleet tells how many nodes the site has, for the record; zero keeps what the
 	// record says. It may be nil.
 	Fleet func() int
-	Log   func(message string, fields ...any)
+	// GoOn tells whether this node, as the holder, may give orders while the store does not
+	// answer: servers refuse those of lower terms, and most nodes follow it. Nil: it may
+	// not. It is called with the lease locked and is not to call it.
+	GoOn func() bool
+	Log  func(message string, fields ...any)
 
 	mu       sync.Mutex
 	seen     Stored
@@ -87,6 +92,11 @@
 	looks    time.Time // when the record was last looked at
 	commits  chan *commit
 	pace     pace
+
+	failing   time.Time // start of the first write of the holder that failed; zero: the last one was done
+	unwritten []Intent  // of orders given since
+	lastTerm  uint64    // that this life held
+	before    Record    // that this life's last term took the place of
 }
 
 func (l *Lease) init() {
@@ -119,12 +129,12 @@
 	}
 }
 
-// Held returns the term in which this node holds the lease now, false if it
-// does not.
+// Held returns the term in which this node holds the lease now, or goes on without the
+// store; false if it does neither.
 func (l *Lease) Held() (uint64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.term, l.term > 0 && time.Now().Before(l.until)
+	return l.term, l.term > 0 && (time.Now().Before(l.until) || l.offline())
 }
 
 // Suspect makes the lease look at the record, as soon as it may be free by what is known
@@ -282,6 +292,7 @@
 // take writes the record of a new term.
 func (l *Lease) take(ctx context.Context, s Stored) error {
 	l.mu.Lock()
+	l.before = s.Record
 	next := Record{
 		Term: s.Record.Term + 1, Holder: l.Self, Address: l.Address, Renewed: s.Now,
 		Fleet: s.Record.Fleet, Intents: fresh(s.Record.Intents, s.Now),
@@ -299,7 +310,7 @@
 	s := l.seen
 	next := s.Record
 	next.Holder, next.Address = "", ""
-	next.Intents = fresh(next.Intents, l.storeNow())
+	next.Intents = fresh(append(slices.Clone(next.Intents), l.unwritten...), l.storeNow())
 	term := l.term
 	l.term = 0
 	l.mu.Unlock()
--- a/pkg/lease/record.go
+++ b/pkg/lease/record.go
@@ -13,8 +13,9 @@
 	Server string
 	Load   bool // or unload
 	Need   string
-	Fetch  bool  // a load from the weight store
-	At     int64 // by the store's clock, in milliseconds
+	Fetch  bool   // a load from the weight store
+	After  uint64 // orders that the server has taken once it took this one
+	At     int64  // by the store's clock, in milliseconds
 }
 
 // Record is what the store keeps. Times are by the store's clock, in
--- a/pkg/lease/write.go
+++ b/pkg/lease/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,7 +22,9 @@
 	if fleet > 0 {
 		next.Fleet = fleet
 	}
-	next.Intents = fresh(next.Intents, now)
+	l.unwritten = fresh(l.unwritten, now)
+	unwritten := len(l.unwritten)
+	next.Intents = fresh(append(slices.Clone(next.Intents), l.unwritten...), now)
 	for _, i := range intents {
 		i.At = now
 		next.Intents = append(next.Intents, i)
@@ -30,7 +33,11 @@
 		next.Intents = next.Intents[extra:]
 	}
 	l.mu.Unlock()
-	return l.put(ctx, next, s.Version)
+	if err := l.put(ctx, next, s.Version); err != nil {
+		return err
+	}
+	l.wroteIntents(unwritten)
+	return nil
 }
 
 // put writes a record of this node. After a lost answer it reads back whether
@@ -40,7 +47,7 @@
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	write := l.Store.Write
-	if term, _ := l.heldTerm(); term == r.Term {
+	if term, _ := l.heldTerm(); term == r.Term && !l.fails() {
 		write = l.insist // orders wait for it, and no other node writes
 	}
 	s, err := write(call, r, version)
@@ -52,6 +59,7 @@
 	case errors.Is(err, ErrConflict):
 		return l.conflict(s, r, started)
 	}
+	l.noteFailure(started)
 	s, readErr := l.read(ctx)
 	if readErr != nil {
 		return err
@@ -77,7 +85,14 @@
 	defer l.mu.Unlock()
 	if l.term != s.Record.Term {
 		l.log("lease held", "term", s.Record.Term, "version", s.Version, "before", l.seen.Record.Holder)
+		l.unwritten = nil
+	}
+	if !l.failing.IsZero() {
+		l.log("lease writes resumed", "term", s.Record.Term, "failed_ms", time.Since(l.failing).Milliseconds(),
+			"intents", len(l.unwritten))
+		l.failing = time.Time{}
 	}
+	l.lastTerm = s.Record.Term
 	l.seen, l.known = s, true
 	l.offset = time.Duration(s.Now)*time.Millisecond - time.Since(l.start)
 	l.term = s.Record.Term
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -40,6 +40,7 @@
 	Tables   []*watch.Table // of the store, which the site keeps up to date
 	Orders   coordinator.Orders
 	Turns    time.Duration // between orders of two holders to one server
+	Fenced   bool          // servers refuse orders of lower terms than they have seen
 	Ceiling  coordinator.Ceiling
 	Budget   relay.BudgetConfig
 	First    bool          // the whole site starts for the first time
@@ -103,7 +104,7 @@
 	decider, _ := policy.ByName(policy.NameDemandFirst)
 	holder := &coordinator.Holder{
 		Lease: l, Routes: s.Routes, Servers: s.Servers, Orders: s.Orders, Transport: transport,
-		Decider: decider, Turns: s.Turns, Ceiling: s.Ceiling, Budget: s.Budget, Logger: s.Logger.Named("holder"),
+		Decider: decider, Turns: s.Turns, Fenced: s.Fenced, Ceiling: s.Ceiling, Budget: s.Budget, Logger: s.Logger.Named("holder"),
 	}
 	s.member = &coordinator.Member{
 		Self: s.Self, Lease: l, Holder: holder, Transport: transport, Servers: s.Servers, Logger: s.Logger.Named("member"),
@@ -113,7 +114,7 @@
 		Self: watchNode(s.Self), Nodes: s.watchNodes, Known: s.member.Known, Transport: transport,
 		Tables: s.Tables, FirstStart: s.First, Logger: s.Logger.Named("watch"),
 	}
-	l.Fleet = holder.Fleet
+	l.Fleet, l.GoOn = holder.Fleet, holder.MayGoOn
 	l.First, l.Patience = s.First, s.leasePatience
 	l.Eager = func() bool { return s.member.Known() && s.hub.Watching() }
 	s.member.Candidate = s.hub.Watching
