watch: two watchers read and two stand by; nodes on which none relies rest longer; a longer wait at the first start

Two of the four watchers ask; the others do once no reader confirmed the rows for 0.55 of the bound, before the rest of the nodes turns to the store (0.6). A node that knows its rows and on which no other relies rests at once for 0.6 of the bound, or 25 ms for each node of the fleet if that is more.

--- a/pkg/watch/breaker.go
+++ b/pkg/watch/breaker.go
@@ -73,14 +73,19 @@
 	b.tell()
 }
 
-// leave notes how a call ended. most bounds the pause after one that failed.
-func (b *breaker) leave(failed bool, most time.Duration) {
+// pauses bounds the pause after a call that failed, before half of it is left to chance.
+type pauses struct {
+	least, most time.Duration
+}
+
+// leave notes how a call ended.
+func (b *breaker) leave(failed bool, p pauses) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.probing = false
 	if failed {
 		b.failures++
-		pause := min(retryPause<<min(b.failures, mostDoublings), most)
+		pause := max(min(retryPause<<min(b.failures, mostDoublings), p.most), p.least)
 		b.until = time.Now().Add(pause/2 + rand.N(pause))
 	} else {
 		b.failures = 0
--- a/pkg/watch/breaker_test.go
+++ b/pkg/watch/breaker_test.go
@@ -29,7 +29,7 @@
 					}
 					time.Sleep(took)
 					failed := time.Now().Before(back)
-					b.leave(failed, retryMost)
+					b.leave(failed, pauses{most: retryMost})
 					if failed {
 						calls.Add(1)
 					} else {
@@ -65,7 +65,7 @@
 		if probe, err := b.enter(t.Context()); probe || err != nil {
 			t.Fatalf("the first call: %v, %v", probe, err)
 		}
-		b.leave(true, retryMost)
+		b.leave(true, pauses{most: retryMost})
 		if probe, err := b.enter(t.Context()); !probe || err != nil {
 			t.Fatalf("the call after a failure: %v, %v", probe, err)
 		}
--- a/pkg/watch/hub.go
+++ b/pkg/watch/hub.go
@@ -53,11 +53,16 @@
 	SmallSite = 12
 	// Watchers is the number of watching nodes of a larger site.
 	Watchers = 4
+	// Readers is how many of them ask the store; the others do if these don't confirm the
+	// rows, and pass on what they are told.
+	Readers = 2
 
 	pulseInterval = 400 * time.Millisecond
 	pullTimeout   = 700 * time.Millisecond
-	// firstWait is how long the nodes of a site that starts wait for its watchers.
-	firstWait   = 2 * time.Second
+	// firstWait is how long the nodes of a site that starts wait for its watchers: until
+	// there is a holder, all have beaten to it, and a few watchers have sent the tables to
+	// some two hundred nodes. Callers come ten seconds after the start.
+	firstWait   = 5 * time.Second
 	changesKept = 64
 )
 
@@ -86,6 +91,7 @@
 	var shared breaker
 	for _, t := range h.Tables {
 		t.breaker = &shared
+		t.fleet = func() int { return len(h.Nodes()) }
 		t.changed = make(chan news, changesKept)
 		go func() {
 			t.run(ctx, func() bool { return h.direct(t) }, func() bool { return h.Known() && h.Watching() })
@@ -107,12 +113,18 @@
 	return slices.Contains(watchers(nodes), h.Self.Name)
 }
 
+// standby tells whether this node watches and leaves the store to other watchers.
+func (h *Hub) standby() bool {
+	nodes := h.Nodes()
+	return len(nodes) > SmallSite && slices.Index(watchers(nodes), h.Self.Name) >= Readers
+}
+
 // direct tells whether the table is to be read from the store by this node. One that has
 // just read it and does not know the other nodes yet leaves it to them to tell what
 // changes.
 func (h *Hub) direct(t *Table) bool {
 	if h.Known() && h.Watching() {
-		return true
+		return !h.standby() || t.unconfirmed()
 	}
 	if h.FirstStart && time.Since(h.started) < firstWait {
 		return false
@@ -173,8 +185,9 @@
 	}
 }
 
-// tell sends news to the nodes that don't watch. Each gets the records from one
-// watcher only: the links of small machines would not carry them from all.
+// tell sends news to the nodes that don't ask the store. Each gets the records from one
+// watcher only: the links of small machines would not carry them from all. The watchers
+// on standby get them from a reader.
 func (h *Hub) tell(nodes []Node, t *Table, n news) {
 	watching := watchers(nodes)
 	bare := News{Table: t.Name, After: n.after, Version: n.page.Version, Age: t.Age(), Watcher: h.Self.Peers}
@@ -189,8 +202,13 @@
 		bare.After = n.page.Version // what comes from another watcher is missing until then
 	}
 	for _, other := range nodes {
+		place := slices.Index(watching, other.Name)
 		switch {
-		case slices.Contains(watching, other.Name):
+		case place >= 0 && (place < Readers || h.standby()):
+		case place >= 0 && watching[place%Readers] != h.Self.Name:
+			h.Transport.Send(other.Peers, bare)
+		case place >= 0:
+			h.Transport.Send(other.Peers, full)
 		case watching[int(weight(other.Name))%len(watching)] == h.Self.Name:
 			h.Transport.Send(other.Peers, full)
 		default:
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -60,12 +60,18 @@
 const (
 	feedShare  = 0.4
 	staleShare = 0.6
+	// A watcher on standby asks sooner, but not while a reader's feed is just long.
+	standbyShare = 0.55
 	// A node on which no other relies rests for long before a store that fails, less so
 	// while it has no rows: the watchers tell it when the store is back.
 	restShare  = 0.6
 	emptyShare = 0.3
 )
 
+// restEach is a node's part of the rest of nodes on which no other relies: all of them
+// together ask a store that fails some forty times a second at most.
+const restEach = 25 * time.Millisecond
+
 // Table follows one table. Set the fields before Run.
 type Table struct {
 	Name   string
@@ -87,6 +93,7 @@
 	gapSince time.Time // since when changes are known to be missing
 	changed  chan news // for the other nodes
 	breaker  *breaker  // of all tables of the node
+	fleet    func() int
 }
 
 // Version returns the version of the rows, zero if there are none yet.
@@ -112,6 +119,9 @@
 // stale tells whether others have not confirmed the rows for too long.
 func (t *Table) stale() bool { return t.Age() > t.part(staleShare) }
 
+// unconfirmed tells whether a watcher on standby is to ask the store.
+func (t *Table) unconfirmed() bool { return t.Age() > t.part(standbyShare) }
+
 // whole returns all rows.
 func (t *Table) whole() (Page, bool) {
 	t.mu.Lock()
@@ -145,7 +155,7 @@
 			continue
 		}
 		changed, err := t.step(ctx, probe)
-		t.breaker.leave(err != nil && !errors.Is(err, ErrHistoryGone), t.rest(watching()))
+		t.breaker.leave(err != nil && !errors.Is(err, ErrHistoryGone), t.pauses(watching()))
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -187,18 +197,21 @@
 	t.failures++
 }
 
-// rest returns the longest pause before a store that fails.
-func (t *Table) rest(watching bool) time.Duration {
+// pauses returns the bounds of the pause before a store that fails. A node that knows its
+// rows and on which no other relies rests for long at once: the watchers tell it when the
+// store is back.
+func (t *Table) pauses(watching bool) pauses {
 	if watching {
-		return retryMost
+		return pauses{most: retryMost}
 	}
 	t.mu.Lock()
 	empty := t.rows == nil
 	t.mu.Unlock()
 	if empty {
-		return max(retryMost, t.part(emptyShare))
+		return pauses{most: max(retryMost, t.part(emptyShare))}
 	}
-	return max(retryMost, t.part(restShare))
+	rest := max(retryMost, t.part(restShare), time.Duration(t.fleet())*restEach)
+	return pauses{least: rest, most: rest}
 }
 
 func (t *Table) regained() {
--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -254,7 +254,7 @@
 	}
 }
 
-// TestCallsDoNotGrowWithTheSite: four nodes watch, however many there are.
+// TestCallsDoNotGrowWithTheSite: two nodes read, however many there are.
 func TestCallsDoNotGrowWithTheSite(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, members := calmSite(t, 26)
@@ -266,8 +266,8 @@
 		calls := store.calls - before
 		store.mu.Unlock()
 		each := int(10*time.Second/members[0].hub.Tables[0].part(feedShare)) + 2
-		if calls > Watchers*each {
-			t.Errorf("%d calls in 10s, at most %d of %d watchers", calls, Watchers*each, Watchers)
+		if calls > Readers*each {
+			t.Errorf("%d calls in 10s, at most %d of %d readers", calls, Readers*each, Readers)
 		}
 		stopAtEnd()
 	})
@@ -432,7 +432,7 @@
 		const away = 10 * time.Second
 		time.Sleep(away)
 		// A watcher asks each 0.6 s and the others each 1.2 s, on average and at most.
-		if calls := store.callsOf() - before; calls > (size+Watchers)*int(away/(bound*6/10))*5/4 {
+		if calls := store.callsOf() - before; calls > (size+Watchers)*int(away/(bound*6/10)) {
 			t.Errorf("%d calls by %d nodes in %v", calls, size, away)
 		}
 		store.mu.Lock()
@@ -445,3 +445,69 @@
 		stopAtEnd()
 	})
 }
+
+// TestManyNodesSpareAStoreThatIsDown: beyond some size all together ask it no more often.
+func TestManyNodesSpareAStoreThatIsDown(t *testing.T) {
+	const size = 200
+	synctest.Test(t, func(t *testing.T) {
+		store, members := calmSite(t, size)
+		store.mu.Lock()
+		for _, m := range members {
+			store.refused[m.hub.Self.Name] = true
+		}
+		store.mu.Unlock()
+		before := store.callsOf()
+		const away = 10 * time.Second
+		time.Sleep(away)
+		most := size + int(away/restEach) + Watchers*int(away/retryMost)*2
+		if calls := store.callsOf() - before; calls > most {
+			t.Errorf("%d calls by %d nodes in %v, at most %d", calls, size, away, most)
+		}
+		store.mu.Lock()
+		clear(store.refused)
+		store.mu.Unlock()
+		store.put("a", "2")
+		if took := inForce(t, members, "a", "2"); took > bound {
+			t.Errorf("in force %v after the store's return", took)
+		}
+		stopAtEnd()
+	})
+}
+
+// TestStandbysReadWithoutReaders: readers that die, or that the store turns away, are
+// replaced by the other watchers before the rest turns to the store.
+func TestStandbysReadWithoutReaders(t *testing.T) {
+	for name, harm := range map[string]func(*memory, *network, string){
+		"dead":        func(_ *memory, n *network, reader string) { n.dead[reader] = true },
+		"turned away": func(s *memory, _ *network, reader string) { s.refused[reader] = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const size = 26
+				store := newMemory()
+				store.put("a", "1")
+				members, net := start(t, store, size)
+				inForce(t, members, "a", "1")
+				time.Sleep(5 * time.Second)
+				store.mu.Lock()
+				net.mu.Lock()
+				for _, reader := range watchers(members[0].hub.Nodes())[:Readers] {
+					harm(store, net, reader)
+				}
+				net.mu.Unlock()
+				store.mu.Unlock()
+				store.put("a", "2")
+				var rest []*member
+				for _, m := range members {
+					if !m.hub.Watching() {
+						rest = append(rest, m)
+					}
+				}
+				if took := inForce(t, rest, "a", "2"); took > bound {
+					t.Errorf("in force after %v without readers", took)
+				}
+				stopAtEnd()
+			})
+		})
+	}
+}
