--- a/pkg/watch/hub.go
+++ b/pkg/watch/hub.go
@@ -176,6 +176,9 @@
 			return
 		case n = <-t.changed:
 		case <-ticker.C:
+			if h.standby() && !t.unconfirmed() {
+				continue // the readers tell it
+			}
 			n.page.Version, n.after = t.state()
 		}
 		nodes := h.Nodes()
