relay, tools: the log tells the time that the caller gave; credit goes by it

Request lines have caller_ms, what the caller gave; credit goes by it and calls paused only what was in time from the first try on.

--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -130,6 +130,7 @@
 			return false
 		}
 		given := time.Duration(ms * float64(time.Millisecond))
+		c.record.given = given
 		if wait <= 0 || given < wait {
 			wait = given
 		}
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -58,6 +58,7 @@
 	firstByte  time.Duration
 	readyIn    time.Duration // by the last outlook
 	outlookAge time.Duration
+	given      time.Duration // that the caller waits; zero: not told
 	waited     time.Duration // for servers, over all tries
 	waitFor    string        // what it lacked when it last waited; empty: it never did
 	wakeError  error
@@ -103,6 +104,9 @@
 			"servers", snapshot.Version(), "servers_age_ms", time.Since(snapshot.At()).Milliseconds(),
 			"left_ms", c.left().Milliseconds(), "target_ms", c.route.Target.Milliseconds())
 	}
+	if c.record.given > 0 {
+		fields = append(fields, "caller_ms", c.record.given.Milliseconds())
+	}
 	if c.record.waitFor != "" {
 		fields = append(fields, "waited_ms", c.record.waited.Milliseconds(), "waited_for", c.record.waitFor)
 	}
--- a/tools/credit/split.go
+++ b/tools/credit/split.go
@@ -18,7 +18,8 @@
 	Target   float64 `json:"target_ms"`
 	Waited   float64 `json:"waited_ms"`
 	WaitFor  string  `json:"waited_for"`
-	Left     float64 `json:"left_ms"` // of the caller's time, at the end
+	Left     float64 `json:"left_ms"`   // of the time that the caller and the route give, at the end
+	Given    float64 `json:"caller_ms"` // that the caller gave; zero: not told
 	Pause    float64 `json:"pause_ms"`
 	PauseMax float64 `json:"pause_target_ms"`
 	Tries    []struct {
@@ -42,7 +43,7 @@
 // before returns how long ago the caller's first try was when this one came, zero for a
 // first try.
 func (l *line) before(c *class) float64 {
-	given := l.Took + l.Left
+	given := cmp.Or(l.Given, l.Took+l.Left)
 	if given >= returnShare*c.Whole {
 		return 0
 	}
@@ -78,9 +79,9 @@
 		end = l.Outcome
 	case l.Status >= 400:
 		return fmt.Sprintf("the server's %d", l.Status)
-	case l.First <= l.Target && len(l.Tries) > 1:
+	case l.before(c)+l.First <= l.Target && len(l.Tries) > 1:
 		return "paused, after an attempt that ended " + l.Tries[0].Verdict
-	case l.First <= l.Target:
+	case l.before(c)+l.First <= l.Target:
 		return "paused at the server"
 	}
 	if l.before(c) > 0 {
