--- a/pkg/coordinator/handover.go
+++ b/pkg/coordinator/handover.go
@@ -181,6 +181,7 @@
 
 // fenceRaised takes in what became of an order that has a server see the fence.
 func (h *Holder) fenceRaised(now time.Time, s *serverState, result Result, err error) {
+	h.Logger.Info("fence raised", "server", s.id, "fence", h.term, "sequence", s.sequence, "result", result, "error", err)
 	s.asking = false
 	s.unsure, s.reportAt = true, now.Add(reportLag)
 	switch {
