e2e: two tests depend less on the machine's speed

Traced: the first sends 60 requests one after the other while a stream of 1,500 tokens runs at a leaving engine, and they outlasted it (12 s), so that the question whether it still runs found no engine (connection refused; the same again at load 57). In the second the nodes refused the flood truthfully ("the first token is expected 25.317s from now, after the deadline").

The 60 requests go six at a time, with all checks as before; the flood and the urgent requests tell the node how long they wait, 30 s, which is what they do wait.

--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
+	"github.com/pkg/errors"
 )
 
 // requestBound is the longest that one request of a test may take.
@@ -41,17 +42,26 @@
 // askWhole sends a request that is not streamed and returns its text.
 func askWhole(t *testing.T, node *nodeProcess, model, requestID string) string {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), requestBound)
+	content, err := wholeAnswer(t.Context(), node, model, requestID)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return content
+}
+
+// wholeAnswer is askWhole for other goroutines than the test's.
+func wholeAnswer(ctx context.Context, node *nodeProcess, model, requestID string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, requestBound)
 	defer cancel()
 	client := newClient(node)
 	completion, err := client.Chat.Completions.New(ctx, parameters(model), option.WithHeader("X-Request-Id", requestID))
 	if err != nil {
-		t.Fatalf("%s: %v", model, err)
+		return "", errors.Wrap(err, model)
 	}
 	if len(completion.Choices) != 1 || completion.Choices[0].FinishReason == "" {
-		t.Fatalf("%s: incomplete answer %s", model, completion.RawJSON())
+		return "", errors.Errorf("%s: incomplete answer %s", model, completion.RawJSON())
 	}
-	return completion.Choices[0].Message.Content
+	return completion.Choices[0].Message.Content, nil
 }
 
 // askStreamed sends a streamed request and returns its text.
--- a/e2e/traffic_test.go
+++ b/e2e/traffic_test.go
@@ -188,11 +188,13 @@
 	const flood, urgent = 120, 10
 	c := startClusterWith(t, options{tree: narrowTree})
 	askUntilServed(t, c.nodes[0], "glaze-7b")
+	// The callers wait for so long: the node is not to refuse what it expects before that.
+	patience := option.WithHeader("X-Deadline-Ms", strconv.FormatInt(requestBound.Milliseconds(), 10))
 	var floodServed atomic.Int64
 	callers := pool.New()
 	for range flood {
 		callers.Go(func() {
-			if _, err := tryWhole(t.Context(), c.nodes[0], "glaze-7b", option.WithHeader("X-Priority", "-10")); err != nil {
+			if _, err := tryWhole(t.Context(), c.nodes[0], "glaze-7b", option.WithHeader("X-Priority", "-10"), patience); err != nil {
 				t.Errorf("flood: %v", err)
 			}
 			floodServed.Add(1)
@@ -203,7 +205,7 @@
 	urgentCallers := pool.New()
 	for range urgent {
 		urgentCallers.Go(func() {
-			if _, err := tryWhole(t.Context(), c.nodes[0], "glaze-7b", option.WithHeader("X-Priority", "10")); err != nil {
+			if _, err := tryWhole(t.Context(), c.nodes[0], "glaze-7b", option.WithHeader("X-Priority", "10"), patience); err != nil {
 				t.Errorf("urgent: %v", err)
 			}
 		})
@@ -413,9 +415,16 @@
 	for _, node := range c.nodes {
 		waitFor(t, string(node.id)+" knows that the engine leaves", func() bool { return c.knowsLeaving(t, node, leaving) })
 	}
+	// Several at once: on a slow machine one after the other would outlast the stream.
+	callers := pool.New().WithMaxGoroutines(6)
 	for i := range 60 {
-		askWhole(t, c.nodes[i%len(c.nodes)], "glaze-7b", fmt.Sprintf("after-%d", i))
+		callers.Go(func() {
+			if _, err := wholeAnswer(t.Context(), c.nodes[i%len(c.nodes)], "glaze-7b", fmt.Sprintf("after-%d", i)); err != nil {
+				t.Error(err)
+			}
+		})
 	}
+	callers.Wait()
 	c.wantOneAttemptEach(t, "after-", 60)
 	if running(t, leaving) != 1 {
 		t.Error("the stream was over too early to show anything")
