--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -9,8 +9,8 @@
 //
 // lease.go takes, renews and releases the lease; look.go tells when to look at the record
 // of another holder; commit.go has the intents of orders written; offline.go has a holder
-// go on while the store does not answer; write.go and insist.go write the record and find out what became of
-// a write whose answer was lost; record.go is what the store keeps.
+// go on while the store does not answer; write.go and insist.go write the record and find
+// out what became of a write whose answer was lost; record.go is what the store keeps.
 package lease
 
 import (
--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -417,61 +417,38 @@
 	})
 }
 
-// TestNodesSpareAStoreThatIsDown: those that don't watch ask it now and then, and all
-// have what changed within the bound after its return.
+// TestNodesSpareAStoreThatIsDown: those that don't watch ask it now and then, beyond some
+// size of the site all together no more often, and all have what changed within the bound
+// after its return.
 func TestNodesSpareAStoreThatIsDown(t *testing.T) {
-	const size = 26
-	synctest.Test(t, func(t *testing.T) {
-		store, members := calmSite(t, size)
-		store.mu.Lock()
-		for _, m := range members {
-			store.refused[m.hub.Self.Name] = true
-		}
-		store.mu.Unlock()
-		before := store.callsOf()
-		const away = 10 * time.Second
-		time.Sleep(away)
+	const away = 10 * time.Second
+	for size, most := range map[int]int{
 		// A watcher asks each 0.6 s and the others each 1.2 s, on average and at most.
-		if calls := store.callsOf() - before; calls > (size+Watchers)*int(away/(bound*6/10)) {
-			t.Errorf("%d calls by %d nodes in %v", calls, size, away)
-		}
-		store.mu.Lock()
-		clear(store.refused)
-		store.mu.Unlock()
-		store.put("a", "2")
-		if took := inForce(t, members, "a", "2"); took > bound {
-			t.Errorf("in force %v after the store's return", took)
-		}
-		stopAtEnd()
-	})
-}
-
-// TestManyNodesSpareAStoreThatIsDown: beyond some size all together ask it no more often.
-func TestManyNodesSpareAStoreThatIsDown(t *testing.T) {
-	const size = 200
-	synctest.Test(t, func(t *testing.T) {
-		store, members := calmSite(t, size)
-		store.mu.Lock()
-		for _, m := range members {
-			store.refused[m.hub.Self.Name] = true
-		}
-		store.mu.Unlock()
-		before := store.callsOf()
-		const away = 10 * time.Second
-		time.Sleep(away)
-		most := size + int(away/restEach) + Watchers*int(away/retryMost)*2
-		if calls := store.callsOf() - before; calls > most {
-			t.Errorf("%d calls by %d nodes in %v, at most %d", calls, size, away, most)
-		}
-		store.mu.Lock()
-		clear(store.refused)
-		store.mu.Unlock()
-		store.put("a", "2")
-		if took := inForce(t, members, "a", "2"); took > bound {
-			t.Errorf("in force %v after the store's return", took)
-		}
-		stopAtEnd()
-	})
+		26:  (26 + Watchers) * int(away/(bound*6/10)),
+		200: 200 + int(away/restEach) + Watchers*int(away/retryMost)*2,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			store, members := calmSite(t, size)
+			store.mu.Lock()
+			for _, m := range members {
+				store.refused[m.hub.Self.Name] = true
+			}
+			store.mu.Unlock()
+			before := store.callsOf()
+			time.Sleep(away)
+			if calls := store.callsOf() - before; calls > most {
+				t.Errorf("%d calls by %d nodes in %v, at most %d", calls, size, away, most)
+			}
+			store.mu.Lock()
+			clear(store.refused)
+			store.mu.Unlock()
+			store.put("a", "2")
+			if took := inForce(t, members, "a", "2"); took > bound {
+				t.Errorf("%d nodes: in force %v after the store's return", size, took)
+			}
+			stopAtEnd()
+		})
+	}
 }
 
 // TestStandbysReadWithoutReaders: readers that die, or that the store turns away, are
