--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -305,6 +305,30 @@
 	})
 }
 
+// withoutWatchers runs a site whose first watchers are harmed after a while. It returns the
+// nodes that don't watch.
+func withoutWatchers(t *testing.T, size, harmed int, harm func(*memory, *network, string)) (*memory, []*member) {
+	store := newMemory()
+	store.put("a", "1")
+	members, net := start(t, store, size)
+	inForce(t, members, "a", "1")
+	time.Sleep(5 * time.Second)
+	store.mu.Lock()
+	net.mu.Lock()
+	for _, watcher := range watchers(members[0].hub.Nodes())[:harmed] {
+		harm(store, net, watcher)
+	}
+	net.mu.Unlock()
+	store.mu.Unlock()
+	var rest []*member
+	for _, m := range members {
+		if !m.hub.Watching() {
+			rest = append(rest, m)
+		}
+	}
+	return store, rest
+}
+
 // TestNodesTurnToTheStoreWithoutFreshWatchers: watchers that die, or are cut off
 // from the store, don't hold the others back.
 func TestNodesTurnToTheStoreWithoutFreshWatchers(t *testing.T) {
@@ -314,27 +338,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				store := newMemory()
-				store.put("a", "1")
-				members, net := start(t, store, 20)
-				inForce(t, members, "a", "1")
-				time.Sleep(5 * time.Second)
-				watching := watchers(members[0].hub.Nodes())
-				store.mu.Lock()
-				net.mu.Lock()
-				for _, watcher := range watching {
-					harm(store, net, watcher)
-				}
-				net.mu.Unlock()
-				store.mu.Unlock()
+				store, rest := withoutWatchers(t, 20, Watchers, harm)
 				time.Sleep(bound) // they are told to be fresh no more
 				store.put("a", "2")
-				var rest []*member
-				for _, m := range members {
-					if !m.hub.Watching() {
-						rest = append(rest, m)
-					}
-				}
 				if took := inForce(t, rest, "a", "2"); took > bound {
 					t.Errorf("in force after %v without watchers", took)
 				}
@@ -460,26 +466,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				const size = 26
-				store := newMemory()
-				store.put("a", "1")
-				members, net := start(t, store, size)
-				inForce(t, members, "a", "1")
-				time.Sleep(5 * time.Second)
-				store.mu.Lock()
-				net.mu.Lock()
-				for _, reader := range watchers(members[0].hub.Nodes())[:Readers] {
-					harm(store, net, reader)
-				}
-				net.mu.Unlock()
-				store.mu.Unlock()
+				store, rest := withoutWatchers(t, 26, Readers, harm)
 				store.put("a", "2")
-				var rest []*member
-				for _, m := range members {
-					if !m.hub.Watching() {
-						rest = append(rest, m)
-					}
-				}
 				if took := inForce(t, rest, "a", "2"); took > bound {
 					t.Errorf("in force after %v without readers", took)
 				}
