--- a/pkg/coordinator/handover_test.go
+++ b/pkg/coordinator/handover_test.go
@@ -29,6 +29,18 @@
 	return cancel
 }
 
+// followedHolder runs a site with fences and one server whose holder is followed by a node
+// until silence is called.
+func followedHolder(t *testing.T) (s *site, first *node, silence func()) {
+	s = newSite(t, []string{"m0"})
+	s.fenced = true
+	first = s.start("a")
+	first.hold()
+	silence = beats(t, first, 1)
+	time.Sleep(time.Second)
+	return s, first, silence
+}
+
 // TestHolderGoesOnWhileTheStoreIsDown where servers refuse lower fences and most nodes
 // follow it.
 func TestHolderGoesOnWhileTheStoreIsDown(t *testing.T) {
@@ -78,12 +90,7 @@
 // node that can takes the lease and is told, so that it counts what the server gets.
 func TestNextHolderIsToldOfOrders(t *testing.T) {
 	bubble(t, func(t *testing.T) {
-		s := newSite(t, []string{"m0"})
-		s.fenced = true
-		first := s.start("a")
-		first.hold()
-		silence := beats(t, first, 1)
-		time.Sleep(time.Second)
+		s, first, silence := followedHolder(t)
 		first.store.away.Store(true)
 		time.Sleep(3 * time.Second)
 		first.wish(t, "m5")
@@ -123,12 +130,7 @@
 	for _, late := range []time.Duration{0, tickInterval, 500 * time.Millisecond, fenceSeen, time.Second, 2 * time.Second, 3 * time.Second} {
 		t.Run(late.String(), func(t *testing.T) {
 			bubble(t, func(t *testing.T) {
-				s := newSite(t, []string{"m0"})
-				s.fenced = true
-				first := s.start("a")
-				first.hold()
-				silence := beats(t, first, 1)
-				time.Sleep(time.Second)
+				s, first, silence := followedHolder(t)
 				s.row.setDown(true)
 				time.Sleep(3 * time.Second)
 				s.engines.loseAnswers(1)
--- a/pkg/lease/offline_test.go
+++ b/pkg/lease/offline_test.go
@@ -16,9 +16,9 @@
 	return n
 }
 
-// goOn starts a lease whose holder may go on without the store, or may not.
-func goOn(t *testing.T, m *memory, name string, may bool) (*Lease, func()) {
-	l, stop := runLease(t, &Lease{Store: m, Self: name, Address: name, GoOn: func() bool { return may }})
+// goOn starts a lease whose holder, a, may go on without the store.
+func goOn(t *testing.T, m *memory) (*Lease, func()) {
+	l, stop := runLease(t, &Lease{Store: m, Self: "a", Address: "a", GoOn: func() bool { return true }})
 	return l, stop
 }
 
@@ -26,7 +26,7 @@
 // gap, orders are permitted at once, and their intents are in the record once it is back.
 func TestAHolderGoesOnWithoutTheStore(t *testing.T) {
 	bubble(t, func(t *testing.T, m *memory) {
-		l, stop := goOn(t, m, "a", true)
+		l, stop := goOn(t, m)
 		defer stop()
 		time.Sleep(time.Second)
 		term, _ := l.Held()
@@ -63,7 +63,7 @@
 // for less than offlineAfter.
 func TestAMomentOfThrottlingIsWaitedFor(t *testing.T) {
 	bubble(t, func(t *testing.T, m *memory) {
-		l, stop := goOn(t, m, "a", true)
+		l, stop := goOn(t, m)
 		defer stop()
 		time.Sleep(time.Second)
 		m.set(func() { m.down = true })
@@ -103,7 +103,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			bubble(t, func(t *testing.T, m *memory) {
-				l, stop := goOn(t, m, "a", true)
+				l, stop := goOn(t, m)
 				defer stop()
 				time.Sleep(time.Second)
 				term, _ := l.Held()
@@ -132,7 +132,7 @@
 // TestAReleaseTellsTheUnwrittenIntents: the next holder asks nobody.
 func TestAReleaseTellsTheUnwrittenIntents(t *testing.T) {
 	bubble(t, func(t *testing.T, m *memory) {
-		l, stop := goOn(t, m, "a", true)
+		l, stop := goOn(t, m)
 		time.Sleep(time.Second)
 		m.set(func() { m.down = true })
 		time.Sleep(5 * time.Second)
