relay, tenant, watch: requests need a tenant's key; keys that were taken away let nobody in

Cause: nothing on the path of the platform's requests knew a tenant.

Change: package tenant holds tenants and their keys beside the routes, looked up by keyed hashes that the product's own interface uses now too (security.KeySet). The relay refuses with 401 what carries no valid key, sends the tenant's name on in place of the key, and drops what only the system may set. Tenants go before each other at servers, routes within a tenant.

Revocation: a node lets nobody in by a table that may be older than the bound. The age is counted by the store's own clock (package storeclock), of which each node knows an upper bound: a message that was late or waited in the buffers of a frozen process says how old it is. Ruled out: the age that watchers told, which lacks the time on the way (the test fails with it: "lacks nothing older than 49 ms; version 5 is 50 ms old" and far more), and the time of sending. What a feed tells counts a second more, since the store may hide changes for so long before it forgets its history (the test fails without it as well).

Quotas are not kept yet.

--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -15,6 +15,7 @@
 	"martenwheel.dev/pkg/policy"
 	"martenwheel.dev/pkg/relay"
 	"martenwheel.dev/pkg/route"
+	"martenwheel.dev/pkg/storeclock"
 )
 
 // Times of the holder.
@@ -36,6 +37,7 @@
 	Servers   *backend.Directory
 	Orders    Orders
 	Transport peer.Transport
+	Clock     *storeclock.Clock // of the store; nil: not told
 	Decider   policy.Decider
 	Turns     time.Duration // between orders of two holders to one server
 	Fenced    bool          // servers refuse orders of lower terms than they have seen
@@ -307,6 +309,9 @@
 	}
 	answer := BeatAnswer{Version: NodesVersion{h.term, h.nodesNumber}, Scarce: now.Before(h.scarceUntil),
 		Store: h.store.tell(h.term), Fleet: h.fleet.known()}
+	if h.Clock != nil {
+		answer.StoreClock, _ = h.Clock.Latest()
+	}
 	if b.Knows == answer.Version {
 		return answer
 	}
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -13,6 +13,7 @@
 	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/lease"
 	"martenwheel.dev/pkg/peer"
+	"martenwheel.dev/pkg/storeclock"
 )
 
 // Times of a member.
@@ -37,7 +38,8 @@
 	Holder    *Holder // of this node; acts while the lease is held here
 	Transport peer.Transport
 	Servers   *backend.Directory
-	Candidate func() bool // whether this node is among the first to take the lease
+	Clock     *storeclock.Clock // of the store; nil: not needed
+	Candidate func() bool       // whether this node is among the first to take the lease
 	Logger    hclog.Logger
 
 	nodes     atomic.Pointer[[]Node]
@@ -193,10 +195,14 @@
 		store = m.store
 	}
 	beat := Beat{Node: m.self(), Uses: m.uses(time.Now()), Knows: m.version, Store: store}
+	sent := time.Now()
 	answer, err := ask[BeatAnswer](ctx, m, beat)
 	if err != nil {
 		return err
 	}
+	if m.Clock != nil && answer.StoreClock > 0 {
+		m.Clock.ObserveLatest(sent, answer.StoreClock)
+	}
 	if answer.Version.Term == 0 {
 		return ErrNoHolder
 	}
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -68,6 +68,9 @@
 	Scarce  bool       // models waited for a server lately: what goes idle is to be told soon
 	Store   StoreLimit // what was learned of the weight store, for the next holder
 	Fleet   int        // nodes that share what all may use together, the most of the last while
+	// StoreClock is what the store's clock showed at most; zero: not known. Nodes that can't
+	// reach the store tell by it how old their tables are.
+	StoreClock time.Duration
 }
 
 // WishMessage asks the holder to have a model loaded.
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -33,7 +33,7 @@
 func (c *call) serve(ctx context.Context) {
 	c.relay.budgets.arrive(c.relay.Budget, c.relay.Began, c.arrived, c.service)
 	if c.need.Model != "" && c.relay.Arrived != nil {
-		c.relay.Arrived(c.service, c.need, c.route.Priority)
+		c.relay.Arrived(c.service, c.need, c.priority())
 	}
 	for {
 		m := c.acquire(ctx)
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -13,6 +13,7 @@
 
 	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/route"
+	"martenwheel.dev/pkg/tenant"
 )
 
 // errDeadline ends a request whose time is over.
@@ -31,6 +32,7 @@
 
 	table     *route.Table
 	route     *route.Route
+	tenant    *tenant.Tenant // in whose name it is made; nil: nobody's
 	service   string
 	engine    *route.Engine
 	id        string
@@ -61,6 +63,8 @@
 func (c *call) accept() bool {
 	c.id = c.http.Header.Get(c.relay.Headers.RequestID)
 	c.record.id = c.id
+	age, after, young := c.relay.Keys.check() // before the table is read, which may be newer
+	c.record.keysAge = age
 	c.table = c.relay.Routes()
 	if c.table == nil || !c.relay.Servers.Known() {
 		c.refuse(notReady)
@@ -76,7 +80,11 @@
 		c.refuse(noRoute)
 		return false
 	}
-	if !c.readBody() {
+	if !young && c.table.Tenants() != nil && !c.route.Public {
+		c.refuse(refusal{http.StatusServiceUnavailable, reasonOldKeys, after})
+		return false
+	}
+	if !c.identify() || !c.readBody() {
 		return false
 	}
 	if c.relay.stopped(c.route.Kind, true) {
@@ -161,13 +169,16 @@
 	b := make([]byte, 0, 512)
 	b = append(b, "Host: "+c.http.Host+"\r\n"...)
 	for name, values := range c.http.Header {
-		if hopByHop[name] || dropped[name] || name == own.Deadline || name == own.Expect || name == own.LastEvent {
+		if hopByHop[name] || dropped[name] || own.sets(name) || name == headerKey && c.table.Tenants() != nil {
 			continue
 		}
 		for _, v := range values {
 			b = appendHeader(b, name, v)
 		}
 	}
+	if c.tenant != nil {
+		b = appendHeader(b, own.Tenant, c.tenant.Name)
+	}
 	return b
 }
 
@@ -203,8 +214,8 @@
 	if c.lastEvent != "" {
 		head = appendHeader(head, own.LastEvent, c.lastEvent)
 	}
-	if c.engine != nil && c.http.Header.Get(own.Priority) == "" {
-		head = appendHeader(head, own.Priority, strconv.Itoa(min(c.route.Priority, lowestPriority)))
+	if c.engine != nil {
+		head = appendHeader(head, own.Priority, strconv.Itoa(c.rank()))
 	}
 	return &backend.Message{
 		Method: c.http.Method, Target: c.target, Head: head, Body: c.body,
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -120,7 +120,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wakeTimeout)
 	defer cancel()
 	o, err := c.relay.Waker.Wake(ctx, Wish{
-		Service: c.service, Need: c.need, Priority: c.route.Priority, Deadline: c.deadline, RequestID: c.id,
+		Service: c.service, Need: c.need, Priority: c.priority(), Deadline: c.deadline, RequestID: c.id,
 		Missing: by.server, Gone: by.gone,
 	})
 	if err != nil {
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -51,6 +51,8 @@
 // record is what the log line of a request tells.
 type record struct {
 	id         string
+	tenant     string        // name; empty: none
+	keysAge    time.Duration // of the table of keys, at most
 	outcome    string
 	err        error
 	status     int
@@ -104,6 +106,12 @@
 			"servers", snapshot.Version(), "servers_age_ms", time.Since(snapshot.At()).Milliseconds(),
 			"left_ms", c.left().Milliseconds(), "target_ms", c.route.Target.Milliseconds())
 	}
+	if c.record.tenant != "" {
+		fields = append(fields, "tenant", c.record.tenant)
+	}
+	if c.table != nil && c.table.Tenants() != nil {
+		fields = append(fields, "keys_age_ms", c.record.keysAge.Milliseconds())
+	}
 	if c.record.given > 0 {
 		fields = append(fields, "caller_ms", c.record.given.Milliseconds())
 	}
--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -34,6 +34,7 @@
 	reasonBudget   = "budget of repeats spent"
 	reasonLoading  = "model is loading"
 	reasonStopping = "the node is stopping"
+	reasonOldKeys  = "keys not confirmed in time"
 )
 
 // notServed is the final answer to a request that no server served. It tells
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -3,7 +3,7 @@
 // asked: models are needs of a request that servers hold or not.
 //
 // A request's way, by file: relay.go takes it in; call.go finds its route and
-// bounds; choose.go waits for a server, by the plug-ins of package routing;
+// bounds; access.go finds the tenant in whose name it is made; choose.go waits for a server, by the plug-ins of package routing;
 // prospect.go decides whether one that finds none is held or refused; attempt.go
 // sends it and decides what a failure allows; whole.go and stream.go pass the
 // answer on; refuse.go gives the relay's own answers; budget.go and
@@ -37,6 +37,20 @@
 	Model     string // what the request needs
 	LastEvent string // event after which a stream goes on
 	Priority  string // 0 is the most urgent
+	Tenant    string // in whose name a request is made
+	Tokens    string // of a request: of its prompt, and the most that it generates
+	// Reserved are those that the system alone sets: what callers send under these names
+	// does not go on.
+	Reserved map[string]bool
+}
+
+// sets tells whether the relay itself sets a header of what goes to servers.
+func (h *Headers) sets(name string) bool {
+	switch name {
+	case h.Deadline, h.Expect, h.LastEvent, h.Priority, h.Tenant:
+		return true
+	}
+	return h.Reserved[name]
 }
 
 // Wish is a model that a request needs and no server is known to hold.
@@ -68,6 +82,7 @@
 	Headers Headers
 	Zone    string
 	Routes  func() *route.Table // nil while none is known
+	Keys    KeyAge
 	Servers *backend.Directory
 	Waker   Waker
 	Nodes   func() int // that share the budget of repeats, zero while not known; 1 if nil
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"martenwheel.dev/pkg/tenant"
 )
 
 // Kind tells what may be repeated of a route's requests.
@@ -51,6 +53,7 @@
 	MaxAttempts int           // servers that one request may be sent to
 	Priority    int           // 0 is the most urgent
 	Sticky      bool          // requests share parts of their prompts
+	Public      bool          // requests need no key
 	Parts       []Part        // at least one
 }
 
@@ -67,13 +70,14 @@
 	IdleTime    time.Duration
 }
 
-// Table is an immutable set of routes and services.
+// Table is an immutable set of routes, services and tenants.
 type Table struct {
 	version  uint64
 	limits   Limits
 	hosts    map[string][]*Route // the longest prefix first
 	routes   int
 	services map[string]*Service
+	tenants  *tenant.Table // nil: requests need no key
 }
 
 // NewTable returns the table of a version. It keeps what it is given.
@@ -97,6 +101,16 @@
 	return t
 }
 
+// WithTenants returns a copy of the table whose requests need the key of a tenant.
+func (t *Table) WithTenants(tenants *tenant.Table) *Table {
+	with := *t
+	with.tenants = tenants
+	return &with
+}
+
+// Tenants returns those whose keys requests need, nil if they need none.
+func (t *Table) Tenants() *tenant.Table { return t.tenants }
+
 // Version returns the version that the table was made from.
 func (t *Table) Version() uint64 { return t.version }
 
--- a/pkg/security/keys.go
+++ b/pkg/security/keys.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"crypto/rand"
 	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/base64"
 	"encoding/hex"
 	"fmt"
@@ -19,8 +18,7 @@
 )
 
 const (
-	// MaxKeys bounds the number of keys in a file: each authentication
-	// compares with all of them.
+	// MaxKeys bounds the number of keys in a file, which an operator keeps by hand.
 	MaxKeys = 1024
 	// MaxKeyBytes bounds a key that is presented; a longer one is refused
 	// without being hashed.
@@ -35,15 +33,15 @@
 // Keys authenticates callers or operators by the API keys of one file. Safe
 // for concurrent use.
 type Keys struct {
-	path    string
-	mutex   sync.Mutex // serialises reloads
-	seen    fileStamp
-	entries atomic.Pointer[[]keyEntry]
+	path  string
+	mutex sync.Mutex // serialises reloads
+	seen  fileStamp
+	names atomic.Pointer[KeySet[string]]
 }
 
 type keyEntry struct {
 	name   string
-	digest [sha256.Size]byte
+	digest digest
 }
 
 // OpenKeys reads the key file at path: one "name: digest" a line, where digest
@@ -81,11 +79,11 @@
 	if err != nil {
 		return keyFileError(k.path, err)
 	}
-	entries, err := parseKeys(k.path, content)
+	names, err := parseKeys(k.path, content)
 	if err != nil {
 		return err
 	}
-	k.entries.Store(&entries)
+	k.names.Store(names)
 	return nil
 }
 
@@ -96,27 +94,14 @@
 }
 
 // Authenticate returns the name of the presented key. Its time does not depend
-// on which key matches, or how much of one. It keeps no reference to key.
+// on how much of a key matches. It keeps no reference to key.
 func (k *Keys) Authenticate(key []byte) (name string, ok bool) {
-	if len(key) == 0 || len(key) > MaxKeyBytes {
-		return "", false
-	}
-	digest := sha256.Sum256(key)
-	entries := *k.entries.Load()
-	found := -1
-	for i := range entries {
-		equal := subtle.ConstantTimeCompare(digest[:], entries[i].digest[:])
-		found = subtle.ConstantTimeSelect(equal, i, found)
-	}
-	if found < 0 {
-		return "", false
-	}
-	return entries[found].name, true
+	return k.names.Load().Find(key)
 }
 
 // Len returns the number of keys in force.
 func (k *Keys) Len() int {
-	return len(*k.entries.Load())
+	return k.names.Load().Len()
 }
 
 // GenerateKey returns a new random key, for its holder alone, and the line
@@ -136,15 +121,14 @@
 
 // parseKeys never puts the content of a line into a finding: an operator may
 // have pasted the key itself.
-func parseKeys(path string, content []byte) ([]keyEntry, error) {
+func parseKeys(path string, content []byte) (*KeySet[string], error) {
 	var faults findings.List
 	if len(content) > maxKeyFileBytes {
 		faults.Addf(path, "is larger than %d bytes", maxKeyFileBytes)
 		return nil, faults.Err()
 	}
-	var entries []keyEntry
-	names := map[string]int{}
-	digests := map[[sha256.Size]byte]int{}
+	set := NewKeySet[string](0)
+	lines := map[string]int{} // of the names
 	for i, line := range strings.Split(string(bytes.TrimPrefix(content, []byte("\ufeff"))), "\n") {
 		line = strings.TrimSpace(line)
 		if line == "" || strings.HasPrefix(line, "#") {
@@ -157,26 +141,24 @@
 			faults.Addf(place, "%s", fault)
 			continue
 		}
-		if first, exists := names[entry.name]; exists {
+		if first, exists := lines[entry.name]; exists {
 			faults.Addf(place, "name %q already stands in line %d", entry.name, first)
 		}
-		if first, exists := digests[entry.digest]; exists {
-			faults.Addf(place, "the same digest already stands in line %d", first)
+		if other, doubled := set.addDigest(entry.digest, entry.name); doubled {
+			faults.Addf(place, "the same digest already stands in line %d", lines[other])
 		}
-		names[entry.name] = number
-		digests[entry.digest] = number
-		entries = append(entries, entry)
+		lines[entry.name] = number
 	}
-	if len(entries) > MaxKeys {
-		faults.Addf(path, "holds %d keys, at most %d are allowed", len(entries), MaxKeys)
+	if set.Len() > MaxKeys {
+		faults.Addf(path, "holds %d keys, at most %d are allowed", set.Len(), MaxKeys)
 	}
-	if len(entries) == 0 && faults.Len() == 0 {
+	if set.Len() == 0 && faults.Len() == 0 {
 		faults.Addf(path, "holds no key, so that nobody could get in")
 	}
 	if err := faults.Err(); err != nil {
 		return nil, err
 	}
-	return entries, nil
+	return set, nil
 }
 
 func parseKeyLine(line string) (keyEntry, string) {
@@ -188,11 +170,11 @@
 	if fault := checkKeyName(name); fault != "" {
 		return keyEntry{}, fault
 	}
-	digest, err := hex.DecodeString(strings.TrimSpace(digestText))
-	if err != nil || len(digest) != sha256.Size {
+	sum, err := hex.DecodeString(strings.TrimSpace(digestText))
+	if err != nil || len(sum) != sha256.Size {
 		return keyEntry{}, fmt.Sprintf("the digest is not %d hexadecimal digits (the SHA-256 of the key, not the key)", hex.EncodedLen(sha256.Size))
 	}
-	return keyEntry{name: name, digest: [sha256.Size]byte(digest)}, ""
+	return keyEntry{name: name, digest: [sha256.Size]byte(sum)}, ""
 }
 
 func checkKeyName(name string) string {
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -27,6 +27,7 @@
 	"martenwheel.dev/pkg/policy"
 	"martenwheel.dev/pkg/relay"
 	"martenwheel.dev/pkg/route"
+	"martenwheel.dev/pkg/storeclock"
 	"martenwheel.dev/pkg/watch"
 )
 
@@ -35,6 +36,8 @@
 	Self     coordinator.Node
 	Headers  relay.Headers
 	Routes   func() *route.Table
+	Keys     relay.KeyAge
+	Clock    *storeclock.Clock // of the store
 	Servers  *backend.Directory
 	Store    lease.Store
 	Tables   []*watch.Table // of the store, which the site keeps up to date
@@ -104,10 +107,10 @@
 	decider, _ := policy.ByName(policy.NameDemandFirst)
 	holder := &coordinator.Holder{
 		Lease: l, Routes: s.Routes, Servers: s.Servers, Orders: s.Orders, Transport: transport,
-		Decider: decider, Turns: s.Turns, Fenced: s.Fenced, Ceiling: s.Ceiling, Budget: s.Budget, Logger: s.Logger.Named("holder"),
+		Clock: s.Clock, Decider: decider, Turns: s.Turns, Fenced: s.Fenced, Ceiling: s.Ceiling, Budget: s.Budget, Logger: s.Logger.Named("holder"),
 	}
 	s.member = &coordinator.Member{
-		Self: s.Self, Lease: l, Holder: holder, Transport: transport, Servers: s.Servers, Logger: s.Logger.Named("member"),
+		Self: s.Self, Lease: l, Holder: holder, Transport: transport, Servers: s.Servers, Clock: s.Clock, Logger: s.Logger.Named("member"),
 	}
 	holder.Nodes = s.member.Nodes
 	s.hub = &watch.Hub{
@@ -119,7 +122,7 @@
 	l.Eager = func() bool { return s.member.Known() && s.hub.Watching() }
 	s.member.Candidate = s.hub.Watching
 	s.relay = &relay.Relay{
-		Headers: s.Headers, Zone: s.Self.Zone, Routes: s.Routes, Servers: s.Servers, Waker: s.member,
+		Headers: s.Headers, Zone: s.Self.Zone, Routes: s.Routes, Keys: s.Keys, Servers: s.Servers, Waker: s.member,
 		Nodes: s.member.Fleet, Budget: s.Budget, Lender: s.member, Began: s.budgetBegan(time.Now()), Logger: s.Logger.Named("relay"),
 		Metrics: relay.NewMetrics(s.Registry), Arrived: s.member.Arrived,
 	}
--- /dev/null
+++ b/pkg/storeclock/clock_test.go
@@ -0,0 +1,76 @@
+package storeclock
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func TestLatestOfAClockThatNobodyTold(t *testing.T) {
+	var c Clock
+	if _, known := c.Latest(); known {
+		t.Error("a clock without an observation is known")
+	}
+}
+
+// TestLatestIsNeverBehindTheStore: whatever answers are delayed, by links or by a process
+// that is frozen, and whoever passes them on.
+func TestLatestIsNeverBehindTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(1, 2))
+		start := time.Now()
+		truth := func() time.Duration { return 7*time.Hour + time.Since(start) }
+		stamp := func() time.Duration { return truth().Truncate(time.Millisecond) }
+		pause := func() { time.Sleep(time.Duration(random.Int64N(int64(3 * time.Second)))) }
+		var near, far Clock
+		for range 5000 {
+			sent := time.Now()
+			pause()
+			s := stamp()
+			pause()
+			near.Observe(sent, s)
+			sent = time.Now()
+			pause()
+			latest, _ := near.Latest()
+			pause()
+			far.ObserveLatest(sent, latest)
+			for name, c := range map[string]*Clock{"near": &near, "far": &far} {
+				if latest, known := c.Latest(); !known || latest < truth() {
+					t.Fatalf("the %s clock shows %v at most, the store's %v", name, latest, truth())
+				}
+			}
+		}
+	})
+}
+
+// TestLatestIsCloseAfterAQuickAnswer: a long wait before or after it does no harm.
+func TestLatestIsCloseAfterAQuickAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var c Clock
+		start := time.Now()
+		for _, delay := range []time.Duration{2 * time.Second, 4 * time.Millisecond, 5 * time.Second} {
+			sent := time.Now()
+			stamp := time.Since(start) + delay
+			time.Sleep(delay)
+			c.Observe(sent, stamp)
+		}
+		latest, _ := c.Latest()
+		if over := latest - time.Since(start); over > 10*time.Millisecond {
+			t.Errorf("the clock is %v ahead after an answer within 4 ms", over)
+		}
+	})
+}
+
+// TestAStoreWhoseClockIsSetAhead is followed.
+func TestAStoreWhoseClockIsSetAhead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var c Clock
+		c.Observe(time.Now(), time.Second)
+		time.Sleep(time.Second)
+		c.Observe(time.Now(), time.Hour)
+		if latest, _ := c.Latest(); latest < time.Hour {
+			t.Errorf("the clock shows %v at most, the store's an hour", latest)
+		}
+	})
+}
--- a/pkg/watch/hub.go
+++ b/pkg/watch/hub.go
@@ -29,7 +29,8 @@
 	Version uint64
 	Records []byte // packed; empty: none
 	Age     time.Duration
-	Watcher string // address to ask when something is missing
+	AsOf    time.Duration // by the store's clock, see Page
+	Watcher string        // address to ask when something is missing
 }
 
 // Pull asks a watcher for a whole table.
@@ -43,6 +44,7 @@
 	Version uint64
 	Records []byte // packed
 	Age     time.Duration
+	AsOf    time.Duration // by the store's clock, see Page
 }
 
 func init() { peer.Register(News{}, Pull{}, PullAnswer{}) }
@@ -179,7 +181,7 @@
 			if h.standby() && !t.unconfirmed() {
 				continue // the readers tell it
 			}
-			n.page.Version, n.after = t.state()
+			n = t.state()
 		}
 		nodes := h.Nodes()
 		if len(nodes) > SmallSite && n.page.Version > 0 && h.Watching() && !t.stale() {
@@ -193,7 +195,7 @@
 // on standby get them from a reader.
 func (h *Hub) tell(nodes []Node, t *Table, n news) {
 	watching := watchers(nodes)
-	bare := News{Table: t.Name, After: n.after, Version: n.page.Version, Age: t.Age(), Watcher: h.Self.Peers}
+	bare := News{Table: t.Name, After: n.after, Version: n.page.Version, Age: t.Age(), AsOf: n.page.AsOf, Watcher: h.Self.Peers}
 	full := bare
 	if len(n.page.Records) > 0 {
 		packed, err := pack(n.page.Records)
@@ -242,7 +244,7 @@
 		}
 		page, known := t.whole()
 		packed, err := pack(page.Records)
-		return PullAnswer{Known: known, Version: page.Version, Records: packed, Age: t.Age()}, true, err
+		return PullAnswer{Known: known, Version: page.Version, Records: packed, Age: t.Age(), AsOf: page.AsOf}, true, err
 	}
 	return nil, false, nil
 }
@@ -258,7 +260,7 @@
 	if err != nil {
 		return err
 	}
-	if t.Change(n.After, Page{Records: records, Version: n.Version}, n.Age) || !t.gap() {
+	if t.Change(n.After, Page{Records: records, Version: n.Version, AsOf: n.AsOf}, n.Age) || !t.gap() {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
@@ -273,7 +275,7 @@
 	}
 	all, err := unpack(answer.Records)
 	if err == nil && answer.Known {
-		t.Replace(Page{Records: all, Version: answer.Version}, answer.Age)
+		t.Replace(Page{Records: all, Version: answer.Version, AsOf: answer.AsOf}, answer.Age)
 	}
 	return err
 }
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -14,6 +14,8 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/storeclock"
 )
 
 // Record is a row of a table.
@@ -28,6 +30,7 @@
 type Page struct {
 	Records []Record
 	Version uint64
+	AsOf    time.Duration // by the store's clock: all changes before are in; zero: not known
 }
 
 // news is changes after a version.
@@ -72,12 +75,20 @@
 // together ask a store that fails some forty times a second at most.
 const restEach = 25 * time.Millisecond
 
+// hiddenChanges is for how long the store may keep changes from those that wait for them
+// before it forgets its history: what a feed tells counts as that much older.
+const hiddenChanges = time.Second
+
 // Table follows one table. Set the fields before Run.
 type Table struct {
 	Name   string
 	Source Source
 	Pause  time.Duration // after news, so that more comes at once
 	Bound  time.Duration // within which changes are to be in force
+	// Refresh is how long a watcher waits for news at most, and so about how old the rows
+	// may be that nodes know to be the newest; zero: a part of Bound.
+	Refresh time.Duration
+	Clock   *storeclock.Clock // of the store; nil: Lag is not known
 	// Apply takes in the rows; it is called by one goroutine at a time. The map
 	// is not to be kept.
 	Apply  func(rows map[string]Record, version uint64)
@@ -86,7 +97,8 @@
 	mu       sync.Mutex
 	rows     map[string]Record // nil: not read yet
 	version  uint64
-	freshAt  time.Time // as of when the rows are known to be the newest
+	freshAt  time.Time     // as of when the rows are known to be the newest
+	asOf     time.Duration // the same by the store's clock
 	reread   bool
 	failures int
 	last     uint64    // version of the last change of a row
@@ -113,6 +125,26 @@
 	return time.Since(t.freshAt)
 }
 
+// Lag returns for how long changes may have been made that the rows lack, at most; false
+// if that is not known. Unlike Age it counts the time that news was on its way.
+func (t *Table) Lag() (time.Duration, bool) {
+	if t.Clock == nil {
+		return 0, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	latest, known := t.Clock.Latest()
+	return latest - t.asOf, known && t.asOf > 0
+}
+
+// feedTime returns how long a feed waits for news.
+func (t *Table) feedTime() time.Duration {
+	if t.Refresh > 0 {
+		return min(t.Refresh, t.part(feedShare))
+	}
+	return t.part(feedShare)
+}
+
 // part returns a part of the bound.
 func (t *Table) part(share float64) time.Duration { return time.Duration(share * float64(t.Bound)) }
 
@@ -126,7 +158,7 @@
 func (t *Table) whole() (Page, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := Page{Version: t.version}
+	p := Page{Version: t.version, AsOf: t.asOf}
 	for _, r := range t.rows {
 		p.Records = append(p.Records, r)
 	}
@@ -231,7 +263,7 @@
 	if anew {
 		return true, t.read(ctx)
 	}
-	wait := t.part(feedShare)
+	wait := t.feedTime()
 	if probe {
 		wait = 0
 	}
@@ -241,6 +273,7 @@
 	if err != nil {
 		return false, err
 	}
+	page.AsOf = max(page.AsOf-hiddenChanges, 0)
 	t.Change(after, page, 0)
 	return len(page.Records) > 0, nil
 }
@@ -275,7 +308,7 @@
 	}
 	t.rows, t.version, t.reread, t.gapSince = rows, all.Version, false, time.Time{}
 	t.last = t.version // so that the others ask for what they miss
-	t.confirm(age)
+	t.confirm(age, all.AsOf)
 	t.Apply(t.rows, t.version)
 	return true
 }
@@ -298,12 +331,12 @@
 		}
 	}
 	t.version, t.gapSince = page.Version, time.Time{}
-	t.confirm(age)
+	t.confirm(age, page.AsOf)
 	if len(fresh) > 0 {
 		before := t.last
 		t.last = t.version
 		t.Apply(t.rows, t.version)
-		t.pass(news{after: before, page: Page{Records: fresh, Version: t.version}})
+		t.pass(news{after: before, page: Page{Records: fresh, Version: t.version, AsOf: t.asOf}})
 	}
 	return true
 }
@@ -336,15 +369,17 @@
 // gapShare is the part of the bound for which missing changes are waited for.
 const gapShare = 0.15
 
-// state returns the version of the rows and that of the last change.
-func (t *Table) state() (version, last uint64) {
+// state returns that nothing changed in the rows since the last change.
+func (t *Table) state() news {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.version, t.last
+	return news{after: t.last, page: Page{Version: t.version, AsOf: t.asOf}}
 }
 
-// confirm notes that the rows were the newest so long ago. The caller holds mu.
-func (t *Table) confirm(age time.Duration) {
+// confirm notes that the rows were the newest so long ago, and at a time of the store's
+// clock. The caller holds mu.
+func (t *Table) confirm(age, asOf time.Duration) {
+	t.asOf = max(t.asOf, asOf)
 	if at := time.Now().Add(-age); at.After(t.freshAt) {
 		t.freshAt = at
 	}
