coordinator: late orders that were handed over find the next holder's fence

The last holder gave an order while the store was down, got no answer, and handed its intent over. The next one left the server alone for 3.8 s, found that it had not taken the order and took it for lost; it was carried out 6.1 s after it was given, and the next order was beyond the server's memory. Ruled out: a lost intent (2 were handed over) and the clock.

Change: a server that has not taken all orders by then is made to see the fence before it gets others. Test first: it failed with the order carried out after 5 s and 8 s.

--- a/pkg/coordinator/handover.go
+++ b/pkg/coordinator/handover.go
@@ -61,6 +61,7 @@
 		}
 		s := h.server(i.Server)
 		s.quietUntil, s.recheck = latest(s.quietUntil, quiet), true
+		s.mayCome = max(s.mayCome, i.After)
 		if !strings.Contains(i.Need, adapterMark) {
 			s.inherited = i
 		}
--- a/pkg/coordinator/handover_test.go
+++ b/pkg/coordinator/handover_test.go
@@ -160,6 +160,37 @@
 	}
 }
 
+// TestLIMITLateOrdersThatWereHandedOver: the last holder tells of an order that was not
+// answered, and the server carries it out when the intent is long over. The engines report
+// an order beyond their memory.
+func TestLIMITLateOrdersThatWereHandedOver(t *testing.T) {
+	for _, late := range []time.Duration{time.Second, 5 * time.Second, 8 * time.Second} {
+		t.Run(late.String(), func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				s, first, silence := followedHolder(t)
+				s.engines.loseAnswers(1)
+				first.wish(t, "m5")
+				for !s.engines.someLate() {
+					time.Sleep(time.Millisecond)
+				}
+				silence()
+				first.stop()
+				second := s.start("b")
+				defer second.stop()
+				second.hold()
+				time.AfterFunc(late, s.engines.carryOutLate)
+				for began := time.Now(); time.Since(began) < late+2*time.Second; time.Sleep(100 * time.Millisecond) {
+					if time.Since(began) > late {
+						second.wishWith(t, "m6", 0)
+						second.wishWith(t, "m7", 0)
+					}
+				}
+				wishUntil(t, second, "m6", 20*time.Second)
+			})
+		})
+	}
+}
+
 // TestAdaptersOnTheirWayTakePlaces: an earlier holder ordered an adapter that the server
 // lists as on its way and no intent tells of.
 func TestAdaptersOnTheirWayTakePlaces(t *testing.T) {
--- a/pkg/coordinator/reports.go
+++ b/pkg/coordinator/reports.go
@@ -64,6 +64,7 @@
 		s.reportAt = s.quietUntil
 	} else {
 		s.recheck = false
+		h.guardOrdersToCome(s, r)
 	}
 	if s.unsure {
 		h.Logger.Info("server asked", "server", s.id, "sequence", r.Sequence, "believed", s.sequence, "busy", r.Busy)
@@ -81,6 +82,18 @@
 	}
 }
 
+// guardOrdersToCome has a server refuse orders of earlier holders that it did not take
+// though it was left alone for as long as they should need: an order that was not answered
+// may be carried out many seconds later. What the server is to hold by then, it and the
+// orders given meanwhile, may be beyond its memory.
+func (h *Holder) guardOrdersToCome(s *serverState, r Report) {
+	if h.Fenced && r.Sequence < s.mayCome && !s.guarded {
+		s.guarded = true
+		h.Logger.Info("server is guarded", "server", s.id, "sequence", r.Sequence, "orders", s.mayCome)
+	}
+	s.mayCome = 0
+}
+
 // due tells whether the server is asked often: what it carries out should be done by
 // now, and requests may wait for it.
 func (s *serverState) due(now time.Time) bool {
--- a/pkg/coordinator/server.go
+++ b/pkg/coordinator/server.go
@@ -25,6 +25,7 @@
 	failures   int             // calls without an answer, in a row
 	busy       *operation      // the load or unload of a model
 	inherited  lease.Intent    // the last order of an earlier holder
+	mayCome    uint64          // earlier holders gave it orders up to this number
 	guarded    bool            // late orders of the last holder may change it
 	doubt      *order          // without an answer; only the same may follow
 	repeat     bool            // the order in doubt was not taken yet, by a report
