quota: a deputy decides without a holder, and a new holder makes up for the gap

Two reasons: nodes without a holder went by shares of which most are less than a request, and the new holder charged what they had let in before its term against a bucket that had not filled meanwhile. Ruled out: tenants above their limits (none asked more than its rate then).

Change: nodes that get no answer from the holder ask the strongest other node, which may let in for all what their shares amount to; the shares are left for nodes that don't reach it. A new holder credits the gap, at most three seconds, against the reports of the first 1.5 s.

--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -320,8 +320,11 @@
 // Call implements peer.Transport.
 func (d directTransport) Call(ctx context.Context, address string, message peer.Message) (peer.Message, error) {
 	d.site.mu.Lock()
-	to := d.site.running[address]
+	to, other := d.site.running[address], d.site.members[address]
 	d.site.mu.Unlock()
+	if other != nil {
+		return other.HandleMessage(ctx, api.NodeRef{}, message)
+	}
 	if to == nil {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -342,7 +345,8 @@
 	fenced  bool         // holders rely on the servers' fences
 
 	mu      sync.Mutex
-	running map[string]*node // by name
+	running map[string]*node   // by name
+	members map[string]*Member // that are reached beside the nodes, by name
 }
 
 // newSite has servers that hold the models named, and models m0, m1 and so on.
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -43,9 +43,10 @@
 	Turns     time.Duration // between orders of two holders to one server
 	Fenced    bool          // servers refuse orders of lower terms than they have seen
 	Ceiling   Ceiling
-	Budget    relay.BudgetConfig // of repeats, part of which the holder lends
-	Tolerance quota.Tolerance    // of what runs beyond tenants' quotas
-	Nodes     func() []Node      // that this node knows of
+	Budget    relay.BudgetConfig                // of repeats, part of which the holder lends
+	Tolerance quota.Tolerance                   // of what runs beyond tenants' quotas
+	Nodes     func() []Node                     // that this node knows of
+	Unheard   func(now time.Time) time.Duration // since this node heard of a holder; none if nil
 	Logger    hclog.Logger
 
 	once     sync.Once
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -53,6 +53,7 @@
 	storeTold uint64          // term of the holder that was told of it; for Run alone
 	stopping  atomic.Bool
 	ledger    quota.Ledger
+	deputized quota.Ledger // what this node lets in for all while there is no holder
 	beatNow   chan struct{}
 	started   sync.Once
 
@@ -206,7 +207,7 @@
 		m.ledger.Return(beat.Spent)
 		return err
 	}
-	m.ledger.Told(time.Now(), answer.ScarceTenants)
+	m.tellLedgers(answer.ScarceTenants)
 	if m.Clock != nil && answer.StoreClock > 0 {
 		m.Clock.ObserveLatest(sent, answer.StoreClock)
 	}
@@ -266,9 +267,11 @@
 		m.Lease.Announced(lease.Record{Term: n.Term, Holder: n.Holder, Address: n.Address})
 		m.beatSoon()
 		return nil, nil
+	case DeputyDraw:
+		return m.drawAsDeputy(ctx, n)
 	case QuotaNotice:
 		if record, known := m.Lease.Current(); known && record.Term == n.Term {
-			m.ledger.Told(time.Now(), n.Scarce)
+			m.tellLedgers(n.Scarce)
 		}
 		return nil, nil
 	case Yield:
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -134,5 +134,5 @@
 }
 
 func init() {
-	peer.Register(Yield{}, Handover{}, Borrow{}, BorrowAnswer{}, Draw{}, DrawAnswer{}, QuotaNotice{}, Announcement{}, Beat{}, BeatAnswer{}, WishMessage{}, WishAnswer{}, Notice{})
+	peer.Register(Yield{}, Handover{}, Borrow{}, BorrowAnswer{}, Draw{}, DrawAnswer{}, DeputyDraw{}, QuotaNotice{}, Announcement{}, Beat{}, BeatAnswer{}, WishMessage{}, WishAnswer{}, Notice{})
 }
--- a/pkg/coordinator/quotas.go
+++ b/pkg/coordinator/quotas.go
@@ -1,10 +1,13 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"martenwheel.dev/pkg/quota"
 	"martenwheel.dev/pkg/relay"
 	"martenwheel.dev/pkg/tenant"
@@ -23,6 +26,10 @@
 	After   time.Duration // when there may be enough, if it is not granted
 }
 
+// DeputyDraw asks the deputy for what the holder does not answer. It is answered by a
+// DrawAnswer.
+type DeputyDraw Draw
+
 // QuotaNotice tells all nodes for which tenants the holder is to be asked from now on.
 type QuotaNotice struct {
 	Term   uint64
@@ -35,31 +42,145 @@
 
 // Admit implements relay.Quotas.
 func (m *Member) Admit(ctx context.Context, t *tenant.Tenant, cost float64) relay.Admission {
-	verdict, after := m.ledger.Look(time.Now(), t, cost, m.Fleet())
-	if verdict != quota.Ask {
-		return relay.Admission{Granted: verdict == quota.Admit, After: after}
+	verdict, after := m.ledger.Look(time.Now(), t, cost)
+	var err error
+	if verdict == quota.Ask {
+		var answer DrawAnswer
+		if answer, err = m.drawFromHolder(ctx, Draw{Tenant: t.Name, Amount: cost}); err == nil {
+			return m.drawn(t, answer)
+		}
+		m.ledger.Unanswered(time.Now())
+		verdict = quota.Alone
 	}
+	if verdict == quota.Alone {
+		return m.admitAlone(ctx, t, cost, err)
+	}
+	return relay.Admission{Granted: verdict == quota.Admit, After: after}
+}
+
+// drawFromHolder has the holder decide.
+func (m *Member) drawFromHolder(ctx context.Context, d Draw) (DrawAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
 	defer cancel()
-	answer, err := ask[DrawAnswer](ctx, m, Draw{Tenant: t.Name, Amount: cost})
+	answer, err := ask[DrawAnswer](ctx, m, d)
 	if err == nil && answer.Term == 0 {
 		err = ErrNoHolder
 	}
-	now := time.Now()
+	return answer, err
+}
+
+// drawn takes in what the holder decided.
+func (m *Member) drawn(t *tenant.Tenant, answer DrawAnswer) relay.Admission {
+	if answer.Granted {
+		m.ledger.Granted(t)
+		return relay.Admission{Granted: true}
+	}
+	return relay.Admission{After: m.ledger.Denied(time.Now(), t, answer.After)}
+}
+
+// admitAlone decides without the holder, which did not answer: by the deputy, or else by
+// this node's share of what the deputy may grant.
+func (m *Member) admitAlone(ctx context.Context, t *tenant.Tenant, cost float64, cause error) relay.Admission {
+	answer, err := m.drawFromDeputy(ctx, DeputyDraw{Tenant: t.Name, Amount: cost})
 	switch {
 	case err != nil:
-		verdict, after = m.ledger.Unanswered(now, t, cost, m.Fleet())
+		verdict, after := m.ledger.GoAlone(time.Now(), t, cost, m.Fleet())
 		return relay.Admission{Granted: verdict == quota.Admit, After: after, Err: err}
 	case answer.Granted:
-		m.ledger.Granted(t)
-		return relay.Admission{Granted: true}
+		m.ledger.Lent(t, cost)
+	}
+	return relay.Admission{Granted: answer.Granted, After: answer.After, Err: cause}
+}
+
+// drawFromDeputy has the deputy decide, which may be this node.
+func (m *Member) drawFromDeputy(ctx context.Context, d DeputyDraw) (DrawAnswer, error) {
+	deputy, found := m.deputy()
+	if !found {
+		return DrawAnswer{}, errNoDeputy
+	}
+	if deputy.Name == m.Self.Name {
+		return m.drawAsDeputy(ctx, d)
+	}
+	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
+	defer cancel()
+	reply, err := m.Transport.Call(ctx, deputy.Peers, d)
+	if err != nil {
+		return DrawAnswer{}, err
+	}
+	answer, ok := reply.(DrawAnswer)
+	if !ok {
+		return DrawAnswer{}, errMessage
 	}
-	return relay.Admission{After: m.ledger.Denied(now, t, answer.After)}
+	return answer, nil
 }
 
+// deputy returns the node that all ask while the holder does not answer: the strongest of
+// the others.
+func (m *Member) deputy() (Node, bool) {
+	record, known := m.Lease.Current()
+	if !known || !m.Known() {
+		return Node{}, false
+	}
+	var deputy Node
+	for _, n := range m.Nodes() {
+		if n.Stopping || n.Peers == record.Address {
+			continue
+		}
+		if deputy.Name == "" || cmp.Or(cmp.Compare(deputy.Power, n.Power), cmp.Compare(n.Name, deputy.Name)) < 0 {
+			deputy = n
+		}
+	}
+	return deputy, deputy.Name != ""
+}
+
+// drawAsDeputy decides for the holder: by asking it, if this node hears of it, or by what
+// all nodes together may let in without it.
+func (m *Member) drawAsDeputy(ctx context.Context, d DeputyDraw) (DrawAnswer, error) {
+	if m.ledger.Hears(time.Now()) {
+		if answer, err := m.drawFromHolder(ctx, Draw(d)); err == nil {
+			return answer, nil
+		}
+	}
+	t := m.tenant(d.Tenant)
+	if t == nil {
+		return DrawAnswer{}, errNoDeputy
+	}
+	verdict, after := m.deputized.GoAlone(time.Now(), t, d.Amount, 1)
+	return DrawAnswer{Granted: verdict == quota.Admit, After: after}, nil
+}
+
+// tenant returns the tenant of a name, nil if the configuration in force has none.
+func (m *Member) tenant(name string) *tenant.Tenant {
+	if tenants := m.Holder.tenants(); tenants != nil {
+		return tenants.Named(name)
+	}
+	return nil
+}
+
+// tellLedgers takes in for which tenants the holder is to be asked.
+func (m *Member) tellLedgers(scarce []string) {
+	now := time.Now()
+	m.ledger.Told(now, scarce)
+	m.deputized.Told(now, scarce)
+}
+
+// errNoDeputy means that no node decides on quotas without the holder.
+var errNoDeputy = errors.New("coordinator: no deputy is known")
+
 // GiveBack implements relay.Quotas.
 func (m *Member) GiveBack(t *tenant.Tenant, cost float64) { m.ledger.GiveBack(t, cost) }
 
+// unheard returns for how long this node has not heard of a holder.
+func (h *Holder) unheard(now time.Time) time.Duration {
+	if h.Unheard == nil {
+		return 0
+	}
+	return h.Unheard(now)
+}
+
+// Unheard returns for how long this node has not heard of the holder; zero if it never did.
+func (m *Member) Unheard(now time.Time) time.Duration { return m.ledger.Unheard(now) }
+
 // tenants returns those of the configuration in force, nil if there are none.
 func (h *Holder) tenants() *tenant.Table {
 	if table := h.Routes(); table != nil {
@@ -76,7 +197,7 @@
 	if !held {
 		return DrawAnswer{}
 	}
-	h.quotas.Begin(now, term)
+	h.quotas.Begin(now, term, h.unheard(now))
 	tenants := h.tenants()
 	if tenants == nil || tenants.Named(d.Tenant) == nil {
 		// This node has not read yet of the tenant, which has hardly spent anything.
@@ -93,7 +214,7 @@
 	if tenants == nil {
 		return nil
 	}
-	h.quotas.Begin(now, h.term)
+	h.quotas.Begin(now, h.term, h.unheard(now))
 	for _, s := range spent {
 		if t := tenants.Named(s.Tenant); t != nil {
 			h.quotas.Spent(now, t, s.Amount)
--- a/pkg/coordinator/quotas_test.go
+++ b/pkg/coordinator/quotas_test.go
@@ -38,13 +38,19 @@
 		Self: Node{Name: name, Peers: name}, Lease: of.lease, Holder: of.holder, Transport: directTransport{site: s},
 		Servers: of.servers, Logger: hclog.NewNullLogger(),
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.members == nil {
+		s.members = make(map[string]*Member)
+	}
+	s.members[name] = m
 	go m.Run(ctx)
 	return m
 }
 
 // demandQuota asks for requests of a tenant at all members, so many tokens a second, and
-// returns what was let in, by steps of 10 ms.
-func demandQuota(t *testing.T, members []*Member, of *tenant.Tenant, rate float64, length time.Duration) (in []float64) {
+// returns what was let in, by steps of 10 ms, and what was refused.
+func demandQuota(t *testing.T, members []*Member, of *tenant.Tenant, rate float64, length time.Duration) (in []float64, refused float64) {
 	t.Helper()
 	const step = 10 * time.Millisecond
 	due, turn := 0.0, 0
@@ -55,13 +61,16 @@
 			admission := members[turn%len(members)].Admit(t.Context(), of, quotaCost)
 			if admission.Granted {
 				sum += quotaCost
-			} else if admission.After <= 0 {
+				continue
+			}
+			refused += quotaCost
+			if admission.After <= 0 {
 				t.Fatal("a refused request is not told when to come back")
 			}
 		}
 		in = append(in, sum)
 	}
-	return in
+	return in, refused
 }
 
 // most returns the most that was let in within eight seconds.
@@ -78,6 +87,41 @@
 	return most
 }
 
+// TestQUOTAWithoutAHolder: while there is none, a tenant gets what it may as long as it
+// keeps to its quota, and one that sends far more than it is not let in without bounds.
+func TestQUOTAWithoutAHolder(t *testing.T) {
+	const gap = 2500 * time.Millisecond
+	bubble(t, func(t *testing.T) {
+		s := newSite(t, []string{"m0"})
+		greedy, modest := s.withQuotas()
+		n := s.start("holder-1")
+		n.hold()
+		ctx, cancel := context.WithCancel(t.Context())
+		var members []*Member
+		for i := range 60 {
+			members = append(members, s.member(ctx, fmt.Sprintf("node-%02d", i), n))
+		}
+		time.Sleep(3 * time.Second)
+		n.stop() // takes a second itself
+		if _, refused := demandQuota(t, members, modest, 0.5*quotaRate, gap); refused > 0 {
+			t.Errorf("%g of a tenant at half of its quota were refused within %v", refused, gap)
+		}
+		if in, _ := demandQuota(t, members, greedy, 8*quotaRate, gap); sum(in) > 4*quotaRate {
+			t.Errorf("%g of a tenant at eight times its quota were let in within %v", sum(in), gap)
+		}
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
+
+func sum(list []float64) float64 {
+	total := 0.0
+	for _, one := range list {
+		total += one
+	}
+	return total
+}
+
 // TestQUOTAOverAllNodes: a tenant that sends four times its quota gets the quota and no
 // more, also when the holder changes meanwhile; one that keeps to it is not refused.
 func TestQUOTAOverAllNodes(t *testing.T) {
@@ -92,11 +136,11 @@
 			members = append(members, s.member(ctx, fmt.Sprint("node-", i), n))
 		}
 		time.Sleep(3 * time.Second)
-		if in := demandQuota(t, members, modest, 0.9*quotaRate, 10*time.Second); most(in) < 0.99*8*0.9*quotaRate {
+		if in, _ := demandQuota(t, members, modest, 0.9*quotaRate, 10*time.Second); most(in) < 0.99*8*0.9*quotaRate {
 			t.Errorf("of a tenant at 0.9 of its quota %g were let in within 8 s", most(in))
 		}
 		allowed := 9 * quotaRate * (1 + quotaOverage)
-		in := demandQuota(t, members, greedy, 4*quotaRate, 12*time.Second)
+		in, _ := demandQuota(t, members, greedy, 4*quotaRate, 12*time.Second)
 		if most(in) > allowed || most(in) < 7.5*quotaRate {
 			t.Errorf("of a tenant at four times its quota %g were let in within 8 s, want its quota, at most %g", most(in), allowed)
 		}
@@ -107,7 +151,8 @@
 		for _, m := range members {
 			m.Lease.Announced(record)
 		}
-		in = append(in, demandQuota(t, members, greedy, 4*quotaRate, 12*time.Second)...)
+		after, _ := demandQuota(t, members, greedy, 4*quotaRate, 12*time.Second)
+		in = append(in, after...)
 		if most(in) > allowed {
 			t.Errorf("with another holder %g were let in within 8 s, at most %g may be", most(in), allowed)
 		}
--- a/pkg/quota/compare_test.go
+++ b/pkg/quota/compare_test.go
@@ -132,10 +132,12 @@
 	pool    Pool
 	term    uint64
 	ledgers []Ledger
-	away    bool
-	always  bool
-	chance  func() float64
-	asked   int
+	// deputized is that of the deputy for all.
+	deputized Ledger
+	away      bool
+	always    bool
+	chance    func() float64
+	asked     int
 }
 
 func newReporting(t testing.TB, l load, always bool) *reporting {
@@ -145,7 +147,7 @@
 	s.chance = random.Float64
 	s.restart()
 	s.pool.Tolerance = Tolerance{Overage: overage - 1, Slack: windowSlack}
-	s.pool.Begin(time.Unix(990, 0), 1)
+	s.pool.Begin(time.Unix(990, 0), 1, 0)
 	return s
 }
 
@@ -157,18 +159,18 @@
 
 func (s *reporting) admit(now time.Time, node int, cost float64) bool {
 	l := &s.ledgers[node]
-	verdict, _ := l.Look(now, s.one(), cost, s.load.nodes)
+	verdict, _ := l.Look(now, s.one(), cost)
 	if verdict == Admit && s.always {
 		l.GiveBack(s.one(), cost)
 		verdict = Ask
 	}
-	if verdict != Ask {
+	if verdict == Admit || verdict == Refuse {
 		return verdict == Admit
 	}
 	s.asked++
 	if !s.reaches(now, node) {
-		verdict, _ = l.Unanswered(now, s.one(), cost, s.load.nodes)
-		return verdict == Admit
+		l.Unanswered(now)
+		return s.admitAlone(now, node, cost)
 	}
 	after, granted := s.pool.Draw(now, s.one(), cost)
 	if !granted {
@@ -177,12 +179,31 @@
 	return granted
 }
 
+// deputy is the node that all ask without a holder. Nodes that are cut off do not reach it.
+const deputy = 1
+
+func (s *reporting) admitAlone(now time.Time, node int, cost float64) bool {
+	l := &s.ledgers[node]
+	if s.load.all || s.load.cut(node, now.Sub(time.Unix(1000, 0))) { // nobody knows others, or reaches them
+		verdict, _ := l.GoAlone(now, s.one(), cost, s.load.nodes)
+		return verdict == Admit
+	}
+	verdict, _ := s.deputized.GoAlone(now, s.one(), cost, 1)
+	if verdict == Admit {
+		l.Lent(s.one(), cost)
+	}
+	return verdict == Admit
+}
+
 func (s *reporting) beat(now time.Time, node int) {
 	for _, spent := range s.ledgers[node].Report() {
 		s.pool.Spent(now, s.one(), spent.Amount)
 	}
 	scarce := s.pool.Scarce(now, s.tenants)
 	s.ledgers[node].Told(now, scarce)
+	if node == deputy {
+		s.deputized.Told(now, scarce)
+	}
 	if len(scarce) == 0 {
 		return
 	}
@@ -211,7 +232,11 @@
 func (s *reporting) back(now time.Time) {
 	s.away = false
 	s.term++
-	s.pool.Begin(now, s.term)
+	gap := holderAway
+	if s.load.all {
+		gap = 0 // no node heard of a holder in this life
+	}
+	s.pool.Begin(now, s.term, gap)
 }
 
 func (s *reporting) messages() int { return s.asked }
--- a/pkg/quota/ledger.go
+++ b/pkg/quota/ledger.go
@@ -15,6 +15,7 @@
 const (
 	Admit  Verdict = iota // let it in
 	Ask                   // have the holder grant it
+	Alone                 // the holder did not answer a moment ago: have the deputy grant it, or GoAlone decide
 	Refuse                // the quota is spent, or may be
 )
 
@@ -25,7 +26,8 @@
 // What all nodes together let in of a tenant while they hear nothing of the holder, as a
 // time at the quota's rate: at once, and for each second. A tenant that was not scarce ran
 // less than its quota before. Whatever it sends, no eight seconds have more than nine at
-// the quota's rate then.
+// the quota's rate then. One node that all know, the deputy, has it all; those that don't
+// reach it have their shares.
 const (
 	alonePlenty = 2 * time.Second
 	aloneScarce = 300 * time.Millisecond
@@ -69,10 +71,9 @@
 	return a
 }
 
-// Look decides on a request that costs so much, at a node of so many; zero: not known. A
-// request that is let in is noted as spent. One that is refused may come back after the
-// time.
-func (l *Ledger) Look(now time.Time, t *tenant.Tenant, cost float64, nodes int) (Verdict, time.Duration) {
+// Look decides on a request that costs so much. A request that is let in is noted as
+// spent. One that is refused may come back after the time.
+func (l *Ledger) Look(now time.Time, t *tenant.Tenant, cost float64) (Verdict, time.Duration) {
 	if !t.Quota.Limited() {
 		return Admit, 0
 	}
@@ -84,7 +85,7 @@
 		return Refuse, a.refused.Sub(now)
 	case l.scarce[t.Name] || now.Sub(l.told) > aloneAfter:
 		if now.Before(l.silent) {
-			return l.goAlone(now, a, t, cost, nodes)
+			return Alone, 0
 		}
 		return Ask, 0
 	}
@@ -93,20 +94,30 @@
 	return Admit, 0
 }
 
-// Unanswered decides on a request for which the holder was asked in vain.
-func (l *Ledger) Unanswered(now time.Time, t *tenant.Tenant, cost float64, nodes int) (Verdict, time.Duration) {
+// Unanswered notes that the holder was asked in vain.
+func (l *Ledger) Unanswered(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.silent = now.Add(silentRest)
-	return l.goAlone(now, l.account(t.Name), t, cost, nodes)
 }
 
 // silentRest is for how long a holder that did not answer is not asked again: each vain
 // question costs its request the time that an answer is waited for.
 const silentRest = 300 * time.Millisecond
 
-// goAlone decides on a request without the holder. The caller holds mu.
-func (l *Ledger) goAlone(now time.Time, a *account, t *tenant.Tenant, cost float64, nodes int) (Verdict, time.Duration) {
+// Hears tells whether the holder told something lately.
+func (l *Ledger) Hears(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.told) <= aloneAfter
+}
+
+// GoAlone decides on a request without the holder, at one of so many nodes that do so; zero:
+// not known how many.
+func (l *Ledger) GoAlone(now time.Time, t *tenant.Tenant, cost float64, nodes int) (Verdict, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(t.Name)
 	if nodes <= 0 {
 		return Refuse, aloneRest
 	}
@@ -149,6 +160,13 @@
 	l.account(t.Name).alone = time.Time{}
 }
 
+// Lent notes that the deputy granted a request: the next holder is to know of it.
+func (l *Ledger) Lent(t *tenant.Tenant, cost float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.account(t.Name).spent += cost
+}
+
 // Denied notes that the holder does not grant a request before a time is over. It returns
 // when to come back.
 func (l *Ledger) Denied(now time.Time, t *tenant.Tenant, after time.Duration) time.Duration {
@@ -202,12 +220,25 @@
 	}
 }
 
+// Unheard returns for how long the holder has not told anything; zero if it never did.
+func (l *Ledger) Unheard(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.told.IsZero() {
+		return 0
+	}
+	return now.Sub(l.told)
+}
+
 // Told takes in for which tenants the holder is to be asked. Accounts of tenants that are
 // gone stay until the process ends: their number is that of the tenants ever configured.
 func (l *Ledger) Told(now time.Time, scarce []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.told = now
+	for _, a := range l.accounts {
+		a.alone = time.Time{}
+	}
 	l.scarce = make(map[string]bool, len(scarce))
 	for _, name := range scarce {
 		l.scarce[name] = true
--- a/pkg/quota/pool.go
+++ b/pkg/quota/pool.go
@@ -56,6 +56,7 @@
 	mu      sync.Mutex
 	term    uint64
 	began   time.Time
+	gap     time.Duration // before it, in which there was no holder
 	buckets map[string]*bucket
 }
 
@@ -64,6 +65,7 @@
 	rate   float64 // that it fills with, a second
 	size   float64 // what it holds at most
 	level  float64
+	credit float64   // for what was spent before the term
 	at     time.Time // of the level
 	scarce bool
 }
@@ -74,14 +76,22 @@
 	return max(q.Burst, rate*leastSize.Seconds()) + toleranceUsed*t.Slack, rate
 }
 
-// Begin starts a term of the holder, unless it has begun.
-func (p *Pool) Begin(now time.Time, term uint64) {
+// How buckets make up for the time without a holder. In it they would have filled by what
+// nodes let in; nodes report that with their first beats.
+const (
+	mostGap    = 3 * time.Second // that counts: a lease expires and is taken in less
+	reportTime = 1500 * time.Millisecond
+)
+
+// Begin starts a term of the holder, unless it has begun, after a gap since the node heard
+// of the last one.
+func (p *Pool) Begin(now time.Time, term uint64, gap time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.term == term && p.buckets != nil {
 		return
 	}
-	p.term, p.began, p.buckets = term, now, make(map[string]*bucket)
+	p.term, p.began, p.gap, p.buckets = term, now, min(gap, mostGap), make(map[string]*bucket)
 }
 
 // bucket returns that of a tenant, filled up to now. The caller holds mu.
@@ -89,7 +99,7 @@
 	size, rate := p.Tolerance.sizeOf(t.Quota)
 	b := p.buckets[t.Name]
 	if b == nil {
-		b = &bucket{rate: rate, level: firstLevel * size, at: p.began}
+		b = &bucket{rate: rate, level: firstLevel * size, credit: rate * p.gap.Seconds(), at: p.began}
 		if p.buckets == nil {
 			p.buckets = make(map[string]*bucket)
 		}
@@ -118,7 +128,12 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.bucket(now, t).level -= amount
+	b := p.bucket(now, t)
+	if credit := min(b.credit, amount); credit > 0 && now.Sub(p.began) < reportTime {
+		b.credit -= credit
+		amount -= credit
+	}
+	b.level -= amount
 }
 
 // Draw takes an amount out of the bucket of a tenant. If there is not enough it takes
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -26,7 +26,7 @@
 	one := limited()
 	var p Pool
 	now := time.Unix(1000, 0)
-	p.Begin(now, 1)
+	p.Begin(now, 1, 0)
 	now = now.Add(10 * time.Second) // full
 	granted := 0
 	for range 40 {
@@ -51,7 +51,7 @@
 	one := limited()
 	var p Pool
 	now := time.Unix(1000, 0)
-	p.Begin(now, 1)
+	p.Begin(now, 1, 0)
 	now = now.Add(10 * time.Second)
 	p.Spent(now, one, 3000)
 	if after, ok := p.Draw(now, one, 100); ok || after != 2100*time.Millisecond {
@@ -69,7 +69,7 @@
 	one := limited()
 	var p Pool
 	now := time.Unix(1000, 0)
-	p.Begin(now, 1)
+	p.Begin(now, 1, 0)
 	now = now.Add(10 * time.Second)
 	if _, ok := p.Draw(now, one, 5000); !ok {
 		t.Error("a full bucket did not grant it")
@@ -79,12 +79,32 @@
 	}
 }
 
+// TestANewHolderMakesUpForTheGap: what nodes let in before its term counts only beyond what
+// the quota gave in that time.
+func TestANewHolderMakesUpForTheGap(t *testing.T) {
+	for _, c := range []struct {
+		spent, level float64
+	}{{1500, 800}, {2000, 800}, {2600, 200}} {
+		one := limited()
+		var p Pool
+		now := time.Unix(1000, 0)
+		p.Begin(now, 2, 2*time.Second)
+		p.Spent(now, one, c.spent)
+		if _, ok := p.Draw(now, one, c.level+1); ok {
+			t.Errorf("after %g were spent in a gap of 2s more than %g are granted", c.spent, c.level)
+		}
+		if _, ok := p.Draw(now, one, c.level); !ok {
+			t.Errorf("after %g were spent in a gap of 2s %g are not granted", c.spent, c.level)
+		}
+	}
+}
+
 func TestScarceTenantsAreTold(t *testing.T) {
 	one, free := limited(), &tenant.Tenant{Name: "free"}
 	all := table(t, one, free)
 	var p Pool
 	now := time.Unix(1000, 0)
-	p.Begin(now, 1)
+	p.Begin(now, 1, 0)
 	now = now.Add(time.Second)
 	if got := p.Scarce(now, all); len(got) != 0 {
 		t.Errorf("with a full bucket the scarce tenants are %v", got)
@@ -104,7 +124,7 @@
 	one := limited()
 	var p Pool
 	now := time.Unix(1000, 0)
-	p.Begin(now, 1)
+	p.Begin(now, 1, 0)
 	p.Draw(now, one, 1)
 	lower := limited()
 	lower.Quota.PerSecond, lower.Quota.Burst = 100, 100
@@ -126,7 +146,7 @@
 	now := time.Unix(1000, 0)
 	expect := func(what string, want Verdict) {
 		t.Helper()
-		if got, _ := l.Look(now, one, 10, 5); got != want {
+		if got, _ := l.Look(now, one, 10); got != want {
 			t.Errorf("%s: the verdict is %d, want %d", what, got, want)
 		}
 	}
@@ -144,7 +164,7 @@
 	l.Told(now, nil)
 	now = now.Add(aloneAfter + time.Millisecond)
 	expect("without word for long", Ask)
-	if got, _ := l.Look(now, &tenant.Tenant{Name: "free"}, 10, 5); got != Admit {
+	if got, _ := l.Look(now, &tenant.Tenant{Name: "free"}, 10); got != Admit {
 		t.Error("a tenant without a quota is not let in")
 	}
 	if spent := l.Report(); len(spent) != 1 || spent[0] != (Spent{"a", 10}) {
@@ -159,9 +179,9 @@
 	var l Ledger
 	now := time.Unix(1000, 0)
 	l.Told(now, nil)
-	l.Look(now, one, 30, 5)
+	l.Look(now, one, 30)
 	lost := l.Report()
-	l.Look(now, one, 5, 5)
+	l.Look(now, one, 5)
 	l.Return(lost)
 	l.GiveBack(one, 7)
 	if got := l.Report(); len(got) != 1 || got[0].Amount != 28 {
@@ -181,7 +201,7 @@
 			l.Told(now, nil)
 			for step := range 200 { // of 10 ms each: far more than anyone may
 				at := now.Add(2*time.Second + time.Duration(step)*10*time.Millisecond)
-				if v, _ := l.Unanswered(at, one, cost, nodes); v == Admit {
+				if v, _ := l.GoAlone(at, one, cost, nodes); v == Admit {
 					granted += cost
 				}
 			}
@@ -205,7 +225,7 @@
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		for i := 0; pb.Next(); i++ {
-			l.Look(now, tenants[i%len(tenants)], 1, 87)
+			l.Look(now, tenants[i%len(tenants)], 1)
 		}
 	})
 }
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -115,7 +115,7 @@
 	s.member = &coordinator.Member{
 		Self: s.Self, Lease: l, Holder: holder, Transport: transport, Servers: s.Servers, Clock: s.Clock, Logger: s.Logger.Named("member"),
 	}
-	holder.Nodes = s.member.Nodes
+	holder.Nodes, holder.Unheard = s.member.Nodes, s.member.Unheard
 	s.hub = &watch.Hub{
 		Self: watchNode(s.Self), Nodes: s.watchNodes, Known: s.member.Known, Transport: transport,
 		Tables: s.Tables, FirstStart: s.First, Logger: s.Logger.Named("watch"),
