coordinator, platform: files with one job each; tests of keys that don't depend on speed

Moves: what a holder does with beats to beats.go (holder.go 434 to 356 lines), the tenants of a configuration to platform/tenants.go.

--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -86,13 +86,6 @@
 	Window time.Duration
 }
 
-// nodeState is a node that beats.
-type nodeState struct {
-	node Node
-	seen time.Time
-	uses map[demandKey]Use
-}
-
 // demandKey names a model of a service, or an adapter of it.
 type demandKey struct {
 	service string
@@ -284,61 +277,6 @@
 	return h.planned.Add(max(planPause, planShare*h.planTook))
 }
 
-// beat takes in what a node tells.
-func (h *Holder) beat(now time.Time, b Beat) BeatAnswer {
-	if !h.holds() {
-		return BeatAnswer{}
-	}
-	n := h.nodes[b.Node.Name]
-	if n == nil || n.node.Life <= b.Node.Life {
-		if n == nil || n.node.Life != b.Node.Life {
-			h.Logger.Info("node joined", "name", b.Node.Name, "zone", b.Node.Zone, "life", b.Node.Life)
-		}
-		if n == nil || n.node != b.Node {
-			h.nodesNumber++
-		}
-		n = &nodeState{node: b.Node, seen: now, uses: make(map[demandKey]Use)}
-		h.nodes[b.Node.Name] = n
-	}
-	for _, u := range b.Uses {
-		key := demandKey{u.Service, u.Model}
-		n.uses[key] = u
-		if u.Arrivals > 0 || u.Rate > 0 {
-			d := h.demand(key)
-			d.rate.add(now, arrivals{u.Arrivals, u.Weight})
-			d.rate.count.join(now, u.Rate)
-			d.rate.weight.join(now, u.WeightedRate)
-			d.last = now
-		}
-	}
-	h.fleet.observe(now, len(h.nodes))
-	h.store.take(now, b.Store)
-	if now.Before(h.scarceUntil) {
-		h.planSoon = true // a replica that went idle may make way
-	}
-	answer := BeatAnswer{Version: NodesVersion{h.term, h.nodesNumber}, Scarce: now.Before(h.scarceUntil),
-		Store: h.store.tell(h.term), Fleet: h.fleet.known()}
-	answer.ScarceTenants = h.takeSpent(now, b.Spent)
-	if h.Clock != nil {
-		answer.StoreClock, _ = h.Clock.Latest()
-	}
-	if b.Knows == answer.Version {
-		return answer
-	}
-	for _, other := range h.nodes {
-		answer.Nodes = append(answer.Nodes, other.node)
-	}
-	return answer
-}
-
-// lend lends a repeat.
-func (h *Holder) lend(now time.Time, b Borrow) BorrowAnswer {
-	if !h.holds() {
-		return BorrowAnswer{}
-	}
-	return BorrowAnswer{Term: h.term, Lent: h.slack.Lend(now, b.Service)}
-}
-
 func (h *Holder) demand(key demandKey) *demand {
 	d := h.demands[key]
 	if d == nil {
@@ -406,22 +344,6 @@
 	}
 }
 
-// expire drops nodes that are silent and demands that are over.
-func (h *Holder) expire(now time.Time) {
-	for name, n := range h.nodes {
-		if now.Sub(n.seen) > nodeExpiry {
-			h.Logger.Warn("node silent", "name", name, "zone", n.node.Zone, "life", n.node.Life)
-			delete(h.nodes, name)
-			h.nodesNumber++
-		}
-	}
-	for key, d := range h.demands {
-		if !d.waits(now) && d.rate.count.at(now) < leastRate && now.Sub(d.last) > time.Minute {
-			delete(h.demands, key)
-		}
-	}
-}
-
 // tell sends a notice to all other nodes and takes it in here.
 func (h *Holder) tell(n Notice) {
 	h.Servers.Believe(n.Server, backend.ParseNeed(n.Need), n.Holds, time.Now().Add(noticeTime))
