coordinator: a new holder loads from the weight store once the nodes told what they ask for

The holder that took over at 21.6 s had begun two loads from the store 0.4 s later, for models of 0.13 and 0.34 requests a second by what it knew, on servers that were empty; loads that need an unload wait for the nodes' word already.

Change: no load from the store before that word, 1.2 s at most. Test fails without it: the first load 219 ms after the term.

Tried: a new holder counts the loads that the last one handed over as under way. Its test passed without it as well: the servers' reports tell sooner.

--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -192,8 +192,13 @@
 	return longest
 }
 
-// mayFetch tells whether one more load may start from the weight store.
+// mayFetch tells whether one more load may start from the weight store. A new holder waits
+// until the nodes told what they ask for: without it, the first loads of a term, which take
+// the longest, went to whichever models were wished for first.
 func (h *Holder) mayFetch(now time.Time, e *route.Engine) bool {
+	if h.learning(now) {
+		return false
+	}
 	window := h.Ceiling.Window + ceilingMargin
 	h.fetches = slices.DeleteFunc(h.fetches, func(at time.Time) bool { return now.Sub(at) > window })
 	return float64(len(h.fetches)+1) <= e.LoadsPerSecond*h.Ceiling.Window.Seconds()+ceilingSpare
--- a/pkg/coordinator/storelimit_test.go
+++ b/pkg/coordinator/storelimit_test.go
@@ -212,12 +212,7 @@
 // from their disks, and the first model from the store is ready in its time.
 func TestServersStayFreeWhileTheStoreIsSlow(t *testing.T) {
 	bubble(t, func(t *testing.T) {
-		const told = 20 * time.Second
-		s := newSite(t, []string{"m0", "m1"}, []string{"m2", "m3"}, []string{"m4", "m5"}, []string{"m6", "m7"})
-		s.engines.load = told
-		for _, m := range s.table.Service("s").Engine.Models {
-			m.LoadTime = told
-		}
+		s := longLoads(t, 0)
 		for i := range 4 {
 			s.engines.servers[fmt.Sprintf("server-%d", i)].disk = []string{fmt.Sprintf("m%d", 20+i)}
 		}
@@ -240,3 +235,34 @@
 		}
 	})
 }
+
+// longLoads is a site whose store serves one load of 20 s at full speed, with so many empty
+// servers beside four full ones.
+func longLoads(t *testing.T, empty int) *site {
+	holds := [][]string{{"m0", "m1"}, {"m2", "m3"}, {"m4", "m5"}, {"m6", "m7"}}
+	s := newSite(t, append(holds, make([][]string, empty)...)...)
+	s.engines.load = 20 * time.Second
+	for _, m := range s.table.Service("s").Engine.Models {
+		m.LoadTime = s.engines.load
+	}
+	return s
+}
+
+// TestNewHolderLoadsFromTheStoreOnceItKnows what the nodes ask for.
+func TestNewHolderLoadsFromTheStoreOnceItKnows(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := longLoads(t, 2)
+		s.nodes = []Node{{Name: "a"}, {Name: "b"}, {Name: "c"}, {Name: "d"}}
+		n := s.start("a")
+		defer n.stop()
+		n.hold()
+		began := time.Now()
+		for len(s.engines.loads()) == 0 && time.Since(began) < 10*time.Second {
+			n.wish(t, "m10")
+			time.Sleep(20 * time.Millisecond)
+		}
+		if took := time.Since(began); took < learnTime-tickInterval || took > 2*learnTime+time.Second {
+			t.Errorf("the first load from the store began %v after the term, want it right after %v", took, learnTime)
+		}
+	})
+}
