--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -12,6 +12,14 @@
 	return &tenant.Tenant{Name: "a", Quota: tenant.Quota{PerSecond: 1000, Burst: 1000, Tokens: true, PlainTokens: 200}}
 }
 
+// fullPool returns a pool whose term began so long ago that all its buckets are full, and the
+// time.
+func fullPool() (*Pool, time.Time) {
+	p, began := &Pool{}, time.Unix(1000, 0)
+	p.Begin(began, 1, 0)
+	return p, began.Add(10 * time.Second)
+}
+
 // table is a table of tenants.
 func table(t testing.TB, tenants ...*tenant.Tenant) *tenant.Table {
 	t.Helper()
@@ -24,10 +32,7 @@
 
 func TestPoolGrantsABurstAndThenTheRate(t *testing.T) {
 	one := limited()
-	var p Pool
-	now := time.Unix(1000, 0)
-	p.Begin(now, 1, 0)
-	now = now.Add(10 * time.Second) // full
+	p, now := fullPool()
 	granted := 0
 	for range 40 {
 		if _, ok := p.Draw(now, one, 100); ok {
@@ -49,10 +54,7 @@
 // TestPoolLetsADebtBePaidOffFirst: what was spent without asking counts.
 func TestPoolLetsADebtBePaidOffFirst(t *testing.T) {
 	one := limited()
-	var p Pool
-	now := time.Unix(1000, 0)
-	p.Begin(now, 1, 0)
-	now = now.Add(10 * time.Second)
+	p, now := fullPool()
 	p.Spent(now, one, 3000, false)
 	if after, ok := p.Draw(now, one, 100); ok || after != 2100*time.Millisecond {
 		t.Errorf("granted %t, after %v, want 2.1s", ok, after)
@@ -67,10 +69,7 @@
 // full and leaves a debt.
 func TestPoolNeverStarvesALargeRequest(t *testing.T) {
 	one := limited()
-	var p Pool
-	now := time.Unix(1000, 0)
-	p.Begin(now, 1, 0)
-	now = now.Add(10 * time.Second)
+	p, now := fullPool()
 	if _, ok := p.Draw(now, one, 5000); !ok {
 		t.Error("a full bucket did not grant it")
 	}
