--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/prompt"
 	"martenwheel.dev/pkg/quarantine"
 	"martenwheel.dev/pkg/route"
 	"martenwheel.dev/pkg/tenant"
@@ -45,6 +46,7 @@
 	body        []byte
 	fingerprint quarantine.Fingerprint // once the body was read
 	need        backend.Need
+	prompt      prompt.Prompt // of a request to an engine
 	lastEvent   string
 
 	tried    []string // servers that did not serve it
@@ -170,6 +172,8 @@
 	c.deadline = c.arrived.Add(wait)
 	if c.engine != nil {
 		c.need = backend.ParseNeed(h.Get(c.relay.Headers.Model))
+		c.prompt = prompt.Parse(prompt.Fields{Tokens: h.Get(c.relay.Headers.Tokens),
+			Parts: h.Get(c.relay.Headers.Parts), Likely: h.Get(c.relay.Headers.Likely)})
 	}
 	c.lastEvent = h.Get(c.relay.Headers.LastEvent)
 	c.head = c.forwardedHead()
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -41,6 +41,8 @@
 	Priority  string // 0 is the most urgent
 	Tenant    string // in whose name a request is made
 	Tokens    string // of a request: of its prompt, and the most that it generates
+	Parts     string // of a prompt, shared among requests
+	Likely    string // the caller's guess of the tokens that it generates
 	// Reserved are those that the system alone sets: what callers send under these names
 	// does not go on.
 	Reserved map[string]bool
--- a/pkg/route/service.go
+++ b/pkg/route/service.go
@@ -17,6 +17,14 @@
 	AdapterPlaces  int    // adapters that a server holds at once
 	LoadsPerSecond float64
 	Models         map[string]*Model
+
+	CacheTokens   int           // that a server's running requests and kept prompts take together; zero: not told
+	BytesPerToken float64       // of a prompt's memory when it is copied to another server
+	LinkBytes     float64       // that a server copies of prompts a second
+	Moves         bool          // running requests may be moved to another server
+	Backups       bool          // servers may send copies of what they run to another one
+	EventTokens   int           // in one event of a stream
+	HandleTime    time.Duration // for which a server keeps a copy that nobody uses
 }
 
 // Model is a model that an engine can load.
