backend, relay, coordinator, platform: a server that starts again under its name is another life

Cause: all that is believed of a server was keyed by the name under which it lists itself, taken to be new with each start. A server may start again under its name, with nothing that it held and its count of orders anew: requests for what it held went on to it, three ends of one server counted as one under a request that ends servers, and reports of the next life were taken for the first one's.

Change: the ID of a server is that of one life, its name with its start, which entries and reports tell; the name is what goes out on the wire. Reports of another life are refused. An order decided for a life that has ended is not sent.

Servers of services that the table does not name are not asked for reports.

--- a/pkg/backend/directory.go
+++ b/pkg/backend/directory.go
@@ -89,8 +89,8 @@
 	}
 }
 
-// Replace takes in the whole list of servers. Servers that are missing get no
-// new requests from now on.
+// Replace takes in the whole list of servers. Lives of servers that are missing get no
+// new requests from now on, also if the next life of the server is in the list.
 func (d *Directory) Replace(servers []*Server, version uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -103,7 +103,8 @@
 	}
 	for _, s := range servers {
 		m := &Member{Server: s}
-		if before := old.members[s.ID]; before != nil {
+		before := old.members[s.ID]
+		if before != nil && before.Address == s.Address {
 			m.Condition = before.Condition
 			m.Condition.relearn(before.Server, s)
 		} else {
@@ -115,7 +116,7 @@
 	}
 	d.current.Store(next)
 	for id, m := range old.members {
-		if next.members[id] == nil {
+		if now := next.members[id]; now == nil || now.Condition != m.Condition {
 			m.Condition.leave()
 		}
 	}
--- a/pkg/backend/server.go
+++ b/pkg/backend/server.go
@@ -11,7 +11,7 @@
 
 // Server is what the platform tells of one life of a server. It is immutable.
 type Server struct {
-	ID       string // of this life; a restarted server has another one
+	ID       string // of this life, see Life; a restarted server has another one
 	Service  string
 	Address  string // IP:port
 	Zone     string
@@ -24,6 +24,12 @@
 	Version  uint64   // of the record that tells this
 }
 
+// Life returns which life of a server this is.
+func (s *Server) Life() Life { return ParseLife(s.ID) }
+
+// Instance returns the name that the server answers to. Its next life may have it as well.
+func (s *Server) Instance() string { return s.Life().Instance }
+
 // Holding is a model that a server holds, with its adapters.
 type Holding struct {
 	Model    string
--- a/pkg/coordinator/handover.go
+++ b/pkg/coordinator/handover.go
@@ -60,6 +60,7 @@
 			}
 			continue
 		}
+		h.instance(i.Server).inherit(i, at, quiet)
 		s := h.server(i.Server)
 		s.quietUntil, s.recheck = latest(s.quietUntil, quiet), true
 		s.mayCome = max(s.mayCome, i.After)
@@ -161,7 +162,7 @@
 		go func() {
 			result, err := Result(0), err
 			if err == nil {
-				o.order.Offline, o.order.May = permit.Offline, mayBy(permit)
+				o.order.Offline, o.order.May = permit.Offline, mayBy(permit, o.member)
 				ctx, cancel := context.WithTimeout(h.life, h.Time.Until(permit.Until))
 				defer cancel()
 				result, err = h.Orders.Give(ctx, o.member, o.order)
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -70,6 +70,7 @@
 	nodesNumber uint64
 	demands     map[demandKey]*demand
 	servers     map[string]*serverState
+	instances   map[string]*instance     // what all lives of a server share, by its name
 	fatal       map[demandKey]*fatalLoad // models during whose loads servers ended
 	fetches     []time.Time              // starts of loads from the weight store
 	store       storeLimit               // how many of them go at full speed at once
@@ -165,6 +166,7 @@
 	h.nodes = make(map[string]*nodeState)
 	h.demands = make(map[demandKey]*demand)
 	h.servers = make(map[string]*serverState)
+	h.instances = make(map[string]*instance)
 	h.fetches = nil
 	h.fatal = make(map[demandKey]*fatalLoad)
 	h.failing = time.Time{}
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -7,7 +7,8 @@
 // node that holds the lease. plan.go asks package policy what to load where;
 // beats.go takes in what nodes tell, and quotas.go keeps the quotas of tenants by it;
 // adapters.go places adapters; orders.go gives orders, one at a time to each
-// server, and reports.go finds out what became of them; handover.go takes over from a
+// server, and reports.go finds out what became of them; lives.go is about servers that start
+// again under the name that they had; handover.go takes over from a
 // holder that went on without the store; quarantine.go spreads what is known of requests that
 // end servers; outlook.go tells when a model will be ready.
 package coordinator
--- a/pkg/coordinator/orders.go
+++ b/pkg/coordinator/orders.go
@@ -34,7 +34,7 @@
 	Already          // it holds as asked
 	Conflict         // another is under way, or the number of orders differs
 	Fenced           // a higher fence was seen
-	Elsewhere        // another server has the address
+	Elsewhere        // another server has the address, or the next life of this one
 	Refused          // there is no such order
 )
 
@@ -95,6 +95,7 @@
 	h.Logger.Info("order", "server", s.id, "load", o.load, "model", o.need.String(), "reason", reason,
 		"sequence", s.sequence, "fence", h.term, "fetch", fetch, "expected_ms", expected.Milliseconds(),
 		"record", s.version, "rate", h.rateOf(now, s, o.need))
+	h.instance(s.id).open(s.id, o.after, now.Add(lateOrder))
 	server, term := s.member, h.term
 	wire := Order{Load: o.load, Need: o.need, Holder: h.Lease.Self, Fence: term, Expected: s.sequence}
 	go func() {
@@ -122,6 +123,13 @@
 // ErrNotGiven means that an order was surely not sent.
 var ErrNotGiven = errors.New("coordinator: the order was not sent")
 
+// ErrOtherLife means that another life of the server answers than the one believed to run. The
+// server's record tells of it soon.
+var ErrOtherLife = errors.New("coordinator: another life of the server answers")
+
+// errLifeOver keeps an order from the next life of the server that it was decided for.
+var errLifeOver = errors.New("coordinator: the life of the server is over")
+
 // errNotWritten means that an order's intent was not written in time, so that it
 // was not sent.
 var errNotWritten = errors.New("coordinator: the intent was not written")
@@ -129,11 +137,14 @@
 // errPermitOver keeps an order from being sent whose permit is over.
 var errPermitOver = errors.New("coordinator: the permit of the order is over")
 
-// mayBy lets orders out as long as a permit is valid.
-func mayBy(permit lease.Permit) func() error {
+// mayBy lets orders to a server out as long as a permit is valid.
+func mayBy(permit lease.Permit, server *backend.Member) func() error {
 	return func() error {
-		if !permit.Valid() {
+		switch {
+		case !permit.Valid():
 			return errPermitOver
+		case server.Left():
+			return errLifeOver
 		}
 		return nil
 	}
@@ -151,7 +162,7 @@
 	if permit.Term != o.Fence || !permit.Valid() {
 		return 0, errNotWritten
 	}
-	o.Offline, o.May = permit.Offline, mayBy(permit)
+	o.Offline, o.May = permit.Offline, mayBy(permit, server)
 	end := h.Time.Now().Add(orderTimeout)
 	if permit.Until.Before(end) {
 		end = permit.Until // the next holder counts on it
@@ -166,6 +177,9 @@
 	now := h.Time.Now()
 	s.asking = false
 	h.planSoon = true
+	if surelyOver(err) {
+		h.instance(s.id).closeOrder(s.id, o.after)
+	}
 	if err != nil || result != Accepted {
 		h.Logger.Info("order answered", "server", s.id, "model", o.need.String(), "load", o.load, "result", result, "error", err)
 	}
@@ -196,6 +210,12 @@
 	}
 }
 
+// surelyOver tells whether an order can't be carried out any more: it was judged, or it never
+// went out.
+func surelyOver(err error) bool {
+	return err == nil || errors.Is(err, errNotWritten) || errors.Is(err, ErrNotGiven)
+}
+
 // notGiven rests after an order that was surely not sent: all orders if the store
 // failed, those to the server if that did.
 func (h *Holder) notGiven(now time.Time, s *serverState, err error) {
--- a/pkg/coordinator/reports.go
+++ b/pkg/coordinator/reports.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/lease"
 )
@@ -12,7 +14,7 @@
 // doubt.
 func (h *Holder) look(now time.Time) {
 	for _, s := range h.servers {
-		if s.member == nil || s.asking || s.reportAt.IsZero() || now.Before(s.reportAt) {
+		if s.member == nil || s.asking || s.reportAt.IsZero() || now.Before(s.reportAt) || !h.lists(s.member.Service) {
 			continue
 		}
 		if s.busy == nil && s.doubt == nil && !s.unsure && !s.recheck {
@@ -43,6 +45,10 @@
 		h.planAt(s.reportAt)
 	}
 	if err != nil {
+		if errors.Is(err, ErrOtherLife) && !s.unsure {
+			h.Logger.Info("another life answers", "server", s.id, "record", s.version, "error", err)
+		}
+		s.unsure = s.unsure || errors.Is(err, ErrOtherLife)
 		s.failures++
 		s.reportAt = now.Add(s.rest())
 		s.avoidUntil = s.reportAt
--- a/pkg/coordinator/server.go
+++ b/pkg/coordinator/server.go
@@ -33,6 +33,7 @@
 	goneUntil  time.Time       // it refused a connection
 	reserved   reservation
 	acceptedAt time.Time // of the last order; reports lag behind it
+	lives      *instance // what all lives of the server share
 }
 
 // holding is a model on a server.
@@ -64,7 +65,7 @@
 func (h *Holder) server(id string) *serverState {
 	s := h.servers[id]
 	if s == nil {
-		s = &serverState{id: id, guarded: h.guarding, quietUntil: h.quietUntil, holds: make(map[string]*holding), cached: make(map[string]tier)}
+		s = &serverState{id: id, lives: h.instance(id), guarded: h.guarding, quietUntil: h.quietUntil, holds: make(map[string]*holding), cached: make(map[string]tier)}
 		h.servers[id] = s
 	}
 	return s
@@ -100,6 +101,7 @@
 		s.member = m
 		if fresh {
 			s.unsure, s.reportAt = true, now
+			s.begin(now)
 		}
 		if m.Server.Version == s.version && !fresh {
 			continue
@@ -231,7 +233,8 @@
 
 // usable tells whether orders may be given to the server.
 func (s *serverState) usable(now time.Time) bool {
-	return s.member != nil && !s.gone(now) && !s.guarded && !s.unsure && !s.recheck && !s.member.Leaving() && !now.Before(s.quietUntil) && !now.Before(s.avoidUntil)
+	return s.member != nil && !s.gone(now) && !s.guarded && !s.unsure && !s.recheck && !s.member.Leaving() && !now.Before(s.quietUntil) && !now.Before(s.avoidUntil) &&
+		!s.lives.mayCross(now, s.id, s.sequence+1)
 }
 
 // silent tells whether the server did not answer a moment ago.
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -235,7 +235,7 @@
 	head := make([]byte, 0, len(c.head)+160)
 	head = append(head, c.head...)
 	head = appendHeader(head, own.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
-	head = appendHeader(head, own.Expect, m.ID)
+	head = appendHeader(head, own.Expect, m.Instance())
 	if c.lastEvent != "" {
 		head = appendHeader(head, own.LastEvent, c.lastEvent)
 	}
