coordinator: tests of lives, and the explorer has servers start again under their names

A report of another life marks the life as not known: between its reports nodes were still sent to what it had held (TestALifeThatEndedWhileItLoaded).

--- a/pkg/coordinator/explore_quarantine_test.go
+++ b/pkg/coordinator/explore_quarantine_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -98,7 +97,7 @@
 		}
 		if standing == quarantine.Suspected {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			granted, _ := n.member.TakeTurn(ctx, f.fingerprint, "s", server)
+			granted, _ := n.member.TakeTurn(ctx, f.fingerprint, "s", n.listed(server))
 			cancel()
 			if !granted || !n.awake() {
 				return
@@ -107,16 +106,17 @@
 		if n.cutOff(server) {
 			return
 		}
-		run := quarantine.Run{Request: f.fingerprint, Service: "s", Server: server, Round: n.member.NextRound(f.fingerprint), RequestID: "id"}
+		born := f.born(server)
+		run := quarantine.Run{Request: f.fingerprint, Service: "s", Server: n.listed(server), Round: n.member.NextRound(f.fingerprint), RequestID: "id"}
 		f.arrive(n, server)
 		time.Sleep(runsFor)
-		f.end(server)
+		f.end(server, born)
 		if !n.awake() {
 			return
 		}
 		n.member.Ended(run)
 		if standing == quarantine.Suspected {
-			n.member.ReleaseTurn(f.fingerprint, server)
+			n.member.ReleaseTurn(f.fingerprint, run.Server)
 		}
 	}
 }
@@ -129,6 +129,26 @@
 	return ""
 }
 
+// born returns the start of the life that runs under a name.
+func (f *fatal) born(server string) int64 {
+	f.world.engines.mu.Lock()
+	defer f.world.engines.mu.Unlock()
+	if e := f.world.engines.servers[server]; e != nil {
+		return e.born
+	}
+	return 0
+}
+
+// listed returns the life of a server that the node believes to run, by its record.
+func (n *worldNode) listed(server string) string {
+	for id, m := range n.servers.Snapshot().Members() {
+		if m.Instance() == server {
+			return id
+		}
+	}
+	return server
+}
+
 // arrive notes that a node sent the request to a server.
 func (f *fatal) arrive(n *worldNode, server string) {
 	touch := n.inTouch() && time.Since(n.started) > contact
@@ -138,14 +158,12 @@
 	f.arrivals = append(f.arrivals, arrival{time.Now(), n.name, touch})
 }
 
-// end ends a server, which comes back as another life.
-func (f *fatal) end(server string) {
+// end ends a server, unless that life has ended, and it comes back as another one.
+func (f *fatal) end(server string, born int64) {
 	w := f.world
 	w.engines.mu.Lock()
-	if w.engines.servers[server] != nil {
-		delete(w.engines.servers, server)
-		w.lives++
-		w.engines.servers[fmt.Sprintf("server-%d", 1000+w.lives)] = &engineState{models: make(map[string]map[string]bool)}
+	if e := w.engines.servers[server]; e != nil && e.born == born {
+		w.startAgain(server)
 	}
 	w.engines.mu.Unlock()
 	f.mu.Lock()
--- a/pkg/coordinator/explore_test.go
+++ b/pkg/coordinator/explore_test.go
@@ -171,20 +171,31 @@
 	clear(n.cutFrom)
 }
 
-// restartServer replaces a server by another life of it, which holds nothing.
+// restartServer replaces a server by another life of it, which holds nothing, and has its name
+// more often than not.
 func (w *world) restartServer() {
 	w.engines.mu.Lock()
 	defer w.engines.mu.Unlock()
-	for id := range w.engines.servers { // which one is the map's choice
-		delete(w.engines.servers, id)
-		w.lives++
-		next := fmt.Sprintf("server-%d", 1000+w.lives)
-		w.engines.servers[next] = &engineState{models: make(map[string]map[string]bool)}
-		w.note("%s comes back as %s", id, next)
+	for name := range w.engines.servers { // which one is the map's choice
+		w.startAgain(name)
 		return
 	}
 }
 
+// startAgain ends a server and starts its next life. The caller holds the engines' mu.
+func (w *world) startAgain(name string) {
+	if w.births.IntN(3) > 0 {
+		w.engines.reborn(name)
+		w.note("%s starts again under its name", name)
+		return
+	}
+	delete(w.engines.servers, name)
+	w.lives++
+	next := fmt.Sprintf("server-%d", 1000+w.lives)
+	w.engines.servers[next] = &engineState{models: make(map[string]map[string]bool)}
+	w.note("%s comes back as %s", name, next)
+}
+
 func (w *world) serverIDs() map[string]bool {
 	w.engines.mu.Lock()
 	defer w.engines.mu.Unlock()
--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -99,7 +99,8 @@
 	result Result
 }
 
-// engines are model servers that judge orders as the platform's do.
+// engines are model servers, by the names that they answer to, that judge orders as the
+// platform's do.
 type engines struct {
 	t  *testing.T
 	mu sync.Mutex
@@ -115,6 +116,7 @@
 
 // engineState is one server.
 type engineState struct {
+	born      int64 // of its life; zero: it has not started again under its name
 	models    map[string]map[string]bool
 	sequence  uint64
 	fence     uint64
@@ -124,6 +126,12 @@
 	disk      []string // models with a copy on its disk
 }
 
+// reborn has a server start again under its name: it holds nothing and counts anew. The caller
+// holds mu.
+func (e *engines) reborn(name string) {
+	e.servers[name] = &engineState{born: e.servers[name].born + 1, models: make(map[string]map[string]bool)}
+}
+
 // settle ends what is done by now.
 func (e *engineState) settle() {
 	if e.busyUntil.IsZero() || time.Now().Before(e.busyUntil) {
@@ -168,13 +176,13 @@
 	}
 	if e.silent > 0 {
 		e.silent--
-		e.late = append(e.late, func() { e.take(s.ID, o) })
+		e.late = append(e.late, func() { e.take(s.Instance(), o) })
 		e.mu.Unlock()
 		<-ctx.Done()
 		return 0, ctx.Err()
 	}
 	defer e.mu.Unlock()
-	return e.take(s.ID, o), nil
+	return e.take(s.Instance(), o), nil
 }
 
 // someLate tells whether an order was not answered and is not carried out yet.
@@ -257,7 +265,10 @@
 	time.Sleep(2 * time.Millisecond)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	state := e.servers[s.ID]
+	state := e.servers[s.Instance()]
+	if state.born != s.Life().Born {
+		return Report{}, ErrOtherLife
+	}
 	state.settle()
 	return Report{Models: state.holdings(), Busy: !state.busyUntil.IsZero(), Sequence: state.sequence, OnDisk: slices.Clone(state.disk)}, nil
 }
--- a/pkg/coordinator/world_test.go
+++ b/pkg/coordinator/world_test.go
@@ -31,6 +31,7 @@
 type world struct {
 	*site
 	random   *rand.Rand // for the schedule; not safe for concurrent use
+	births   *rand.Rand // for the names of lives of servers; the same
 	nodes    []*worldNode
 	lives    int     // of nodes and servers that were started later
 	loadRate float64 // the ceiling
@@ -74,6 +75,7 @@
 	w := &world{
 		site:   newSite(t, []string{"m0", "m1"}, []string{"m0", "m2"}, []string{"m3"}, nil),
 		random: rand.New(rand.NewPCG(seed, 1)), luck: rand.New(rand.NewPCG(seed, 2)),
+		births: rand.New(rand.NewPCG(seed, 4)),
 	}
 	w.engines.load = 2 * time.Second
 	w.loadRate = exploreLoadRates[seed%uint64(len(exploreLoadRates))]
@@ -176,8 +178,9 @@
 	w.engines.mu.Lock()
 	defer w.engines.mu.Unlock()
 	var list []*backend.Server
-	for id, e := range w.engines.servers {
+	for name, e := range w.engines.servers {
 		e.settle()
+		id := backend.Life{Instance: name, Born: e.born}.ID()
 		list = append(list, &backend.Server{ID: id, Service: "s", Zone: "z", Slots: 8, Version: version, Models: e.holdings()})
 	}
 	return list
@@ -290,17 +293,17 @@
 		w.t.Errorf("%s orders without the store, which answers", n.name)
 	}
 	thawed := time.Since(sent) > 0
-	if n.cutOff(m.ID) || w.chance(func(t trouble) float64 { return t.loseOrder }) {
+	if n.cutOff(m.Instance()) || w.chance(func(t trouble) float64 { return t.loseOrder }) {
 		return 0, hang(ctx)
 	}
 	if w.chance(func(t trouble) float64 { return t.lateOrder }) {
-		time.AfterFunc(w.between(time.Millisecond, 3*time.Second), func() { w.take(m.ID, o, true) })
+		time.AfterFunc(w.between(time.Millisecond, 3*time.Second), func() { w.take(m.Instance(), o, true) })
 		return 0, hang(ctx)
 	}
 	if n.delay(ctx); ctx.Err() != nil {
 		return 0, errLost // the connection closed before
 	}
-	result := w.take(m.ID, o, thawed)
+	result := w.take(m.Instance(), o, thawed)
 	if !n.awake() || ctx.Err() != nil || w.chance(func(t trouble) float64 { return t.loseAnswer }) {
 		return 0, hang(ctx)
 	}
@@ -330,11 +333,11 @@
 
 // Report implements Orders.
 func (n *worldNode) Report(ctx context.Context, m *backend.Member) (Report, error) {
-	if !n.awake() || n.cutOff(m.ID) {
+	if !n.awake() || n.cutOff(m.Instance()) {
 		return Report{}, hang(ctx)
 	}
 	n.delay(ctx)
-	r, err := n.world.report(m.ID)
+	r, err := n.world.report(m.Life())
 	if !n.awake() || ctx.Err() != nil || n.world.chance(func(t trouble) float64 { return t.loseAnswer }) {
 		return Report{}, hang(ctx)
 	}
@@ -342,12 +345,15 @@
 }
 
 // report returns what a server tells of itself.
-func (w *world) report(id string) (Report, error) {
+func (w *world) report(of backend.Life) (Report, error) {
 	w.engines.mu.Lock()
 	defer w.engines.mu.Unlock()
-	e := w.engines.servers[id]
-	if e == nil {
+	e := w.engines.servers[of.Instance]
+	switch {
+	case e == nil:
 		return Report{}, errLost
+	case e.born != of.Born:
+		return Report{}, ErrOtherLife
 	}
 	e.settle()
 	return Report{Models: e.holdings(), Busy: !e.busyUntil.IsZero(), Sequence: e.sequence}, nil
