--- a/pkg/coordinator/explore_quarantine_test.go
+++ b/pkg/coordinator/explore_quarantine_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +17,7 @@
 	world       *world
 	fingerprint quarantine.Fingerprint
 	random      *rand.Rand // for the caller; not safe for concurrent use
+	sticky      bool       // it goes to the same server, whose lives have one name and stand behind a proxy
 
 	mu       sync.Mutex
 	ends     []time.Time // of servers
@@ -44,8 +47,9 @@
 	explore(t, func(w *world, seed uint64) {
 		f := &fatal{
 			world: w, fingerprint: quarantine.FingerprintOf("POST", "h", "/", []byte{byte(seed)}),
-			random: rand.New(rand.NewPCG(seed, 3)),
+			random: rand.New(rand.NewPCG(seed, 3)), sticky: seed%2 == 0,
 		}
+		w.namesStay = f.sticky
 		f.play()
 		f.judge()
 	})
@@ -114,6 +118,13 @@
 		if !n.awake() {
 			return
 		}
+		if f.sticky {
+			n.tellByRecord(run)
+			if standing == quarantine.Suspected {
+				return // the turn is kept until it lapses
+			}
+			continue
+		}
 		n.member.Ended(run)
 		if standing == quarantine.Suspected {
 			n.member.ReleaseTurn(f.fingerprint, run.Server)
@@ -123,10 +134,14 @@
 
 // server returns one that runs, "" if there is none.
 func (f *fatal) server() string {
-	for id := range f.world.serverIDs() {
-		return id
+	names := slices.Collect(maps.Keys(f.world.serverIDs())) // in the map's order
+	if f.sticky {
+		slices.Sort(names)
 	}
-	return ""
+	if len(names) == 0 {
+		return ""
+	}
+	return names[0]
 }
 
 // born returns the start of the life that runs under a name.
@@ -149,6 +164,17 @@
 	return server
 }
 
+// endShows is within which the record of a server that ended tells it, as in package relay.
+const endShows = 5 * time.Second
+
+// tellByRecord has the end of a server told once its record tells it: what stands before the
+// server refuses no connection.
+func (n *worldNode) tellByRecord(r quarantine.Run) {
+	if m := n.servers.Snapshot().Member(r.Server); m != nil {
+		m.IfItEnds(endShows, func() { n.member.Ended(r) })
+	}
+}
+
 // arrive notes that a node sent the request to a server.
 func (f *fatal) arrive(n *worldNode, server string) {
 	touch := n.inTouch() && time.Since(n.started) > contact
--- a/pkg/coordinator/explore_test.go
+++ b/pkg/coordinator/explore_test.go
@@ -184,7 +184,7 @@
 
 // startAgain ends a server and starts its next life. The caller holds the engines' mu.
 func (w *world) startAgain(name string) {
-	if w.births.IntN(3) > 0 {
+	if w.namesStay || w.births.IntN(3) > 0 {
 		w.engines.reborn(name)
 		w.note("%s starts again under its name", name)
 		return
--- a/pkg/coordinator/world_test.go
+++ b/pkg/coordinator/world_test.go
@@ -30,11 +30,13 @@
 // tells. It judges all orders that reach a server.
 type world struct {
 	*site
-	random   *rand.Rand // for the schedule; not safe for concurrent use
-	births   *rand.Rand // for the names of lives of servers; the same
-	nodes    []*worldNode
-	lives    int     // of nodes and servers that were started later
-	loadRate float64 // the ceiling
+	random *rand.Rand // for the schedule; not safe for concurrent use
+	births *rand.Rand // for the names of lives of servers; the same
+	// namesStay has servers start again under their names only.
+	namesStay bool
+	nodes     []*worldNode
+	lives     int     // of nodes and servers that were started later
+	loadRate  float64 // the ceiling
 
 	mu      sync.Mutex
 	luck    *rand.Rand // for calls
