--- a/pkg/backend/life_test.go
+++ b/pkg/backend/life_test.go
@@ -122,3 +122,13 @@
 		t.Errorf("a connection to %q was opened; the first one has left: %t", address, first.Left())
 	}
 }
+
+// BenchmarkLife reads the name that a request is sent to.
+func BenchmarkLife(b *testing.B) {
+	s := &Server{ID: Life{Instance: "i-7f3a91c2", Born: 1_800_000_000_000}.ID()}
+	for b.Loop() {
+		if s.Instance() == "" {
+			b.Fatal("no name")
+		}
+	}
+}
