--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -267,5 +267,6 @@
 
 // callerGone tells whether the caller hung up.
 func (c *call) callerGone(ctx context.Context) bool {
-	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline)
+	cause := context.Cause(ctx)
+	return cause != nil && !errors.Is(cause, errDeadline) && !errors.Is(cause, errStopping)
 }
--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -72,12 +72,17 @@
 	_, _ = c.w.Write([]byte(body)) // a caller that is gone needs no answer
 }
 
-// giveUp ends a request whose context ended: the time is over or the caller left.
+// giveUp ends a request whose context ended: the time is over, the caller left or the node
+// stops.
 func (c *call) giveUp(ctx context.Context) {
 	if c.callerGone(ctx) {
 		c.record.end(outcomeLeft, context.Cause(ctx))
 		panic(http.ErrAbortHandler)
 	}
+	if errors.Is(context.Cause(ctx), errStopping) {
+		c.refuse(c.notServed(reasonStopping, stopping.after))
+		return
+	}
 	c.refuse(c.notServed(reasonDeadline, defaultRetryAfter))
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -8,7 +8,7 @@
 // prospect.go decides whether one that finds none is held or refused; attempt.go
 // sends it and decides what a failure allows; quarantine.go keeps it from servers if it ends
 // them; whole.go and stream.go pass the answer on; refuse.go gives the relay's own answers;
-// budget.go and slack.go bound repeats;
+// budget.go and slack.go bound repeats; ending.go ends what a stop would cut off;
 // record.go logs and counts the end.
 package relay
 
@@ -104,6 +104,7 @@
 	splits  route.Splitter
 	budgets budgets
 	borrowing
+	endings  endings
 	inFlight atomic.Int64
 	stop     atomic.Pointer[stopPlan]
 
@@ -159,7 +160,11 @@
 	if !c.accept() {
 		return
 	}
-	ctx, cancel := context.WithTimeoutCause(hr.Context(), c.left(), errDeadline)
+	ctx, end := context.WithCancelCause(hr.Context())
+	defer end(nil)
+	r.endings.add(c, end)
+	defer r.endings.remove(c)
+	ctx, cancel := context.WithTimeoutCause(ctx, c.left(), errDeadline)
 	defer cancel()
 	if c.admit(ctx) {
 		c.serve(ctx)
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -244,6 +244,9 @@
 const (
 	stopMargin = 400 * time.Millisecond // left of the grace for the end of the process
 	stopLook   = 50 * time.Millisecond
+	// lastWords is for the answers to requests that could not be seen to their end to go out,
+	// and for the unused connections to close.
+	lastWords = 200 * time.Millisecond
 )
 
 // stop lets the requests end and serves those who still come.
@@ -259,7 +262,12 @@
 		}
 		time.Sleep(stopLook)
 	}
-	s.Logger.Info("stopped", "cut_off", s.relay.InFlight(), "ms", clock.Since(began).Milliseconds())
+	unfinished := s.relay.InFlight()
+	s.relay.End()
+	ctx, cancel := context.WithTimeout(context.Background(), lastWords)
+	defer cancel()
+	_ = server.Shutdown(ctx) // what is still open then is cut off
+	s.Logger.Info("stopped", "unfinished", unfinished, "cut_off", s.relay.InFlight(), "ms", clock.Since(began).Milliseconds())
 	_ = server.Close()
 }
 
