coordinator, backend: nodes tell each other of the paces of servers with their beats

Cause: each node learned which servers are slow from its own streams alone, a few in a hundred of all, and needs two servers of one model to compare: prompts went on to servers of half the pace.

Change: a beat carries what the node's streams told (64 at most), the holder compares them all and its answer tells of servers whose slowness moved by 0.2 since (64 at most, the rest follows), with their age; words older than 30 s or absurd ones are left out, so is what waited in a suspension. A new holder begins with what its node was told, and tells the first word on each server again. Only streams of requests whose pauses long prompts can make late are told, so that other deployments choose as before.

--- a/pkg/backend/pace.go
+++ b/pkg/backend/pace.go
@@ -28,6 +28,81 @@
 	}
 }
 
+// Pace is what one stream on a model told of a server, for other nodes.
+type Pace struct {
+	Server   string // the ID of its life
+	Model    string
+	PerEvent time.Duration
+}
+
+// Slowness is what is known of a server by the streams of all nodes.
+type Slowness struct {
+	Server string        // the ID of its life
+	Ratio  float64       // of its pace by that of the fastest, one or more
+	Age    time.Duration // of the last stream that told it
+}
+
+// Bounds of paces that other nodes tell.
+const (
+	// mostReports is how many streams a node tells of at once: it ends a few a second.
+	mostReports = 64
+	// longestPace is the longest time for an event that is believed.
+	longestPace = time.Minute
+	// MostSlowness is the largest ratio that is believed.
+	MostSlowness = 16
+	// SlownessLifetime is the largest age of a word on a server that is told and believed. What
+	// slows a server for a moment is over by then; a slow machine has ended streams since.
+	SlownessLifetime = 30 * time.Second
+)
+
+// Report keeps what a stream told for the other nodes, see TakeReports. Beyond mostReports
+// none is kept.
+func (d *Directory) Report(p Pace) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p.PerEvent > 0 && len(d.reports) < mostReports {
+		d.reports = append(d.reports, p)
+	}
+}
+
+// TakeReports returns what streams told since the last call.
+func (d *Directory) TakeReports() []Pace {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := d.reports
+	d.reports = nil
+	return list
+}
+
+// Learn takes in what other nodes' streams told. What can't be is left out.
+func (d *Directory) Learn(list []Pace) {
+	for _, p := range list[:min(len(list), mostReports)] {
+		if p.PerEvent <= longestPace {
+			d.Paced(p.Server, p.Model, p.PerEvent)
+		}
+	}
+}
+
+// Believed takes in what is known of servers by the streams of all nodes, which are more than
+// this node's own. What is too old or can't be is left out.
+func (d *Directory) Believed(list []Slowness) {
+	snapshot := d.Snapshot()
+	for _, s := range list {
+		m := snapshot.Member(s.Server)
+		if m == nil || s.Age < 0 || s.Age > SlownessLifetime || !(s.Ratio >= 1 && s.Ratio <= MostSlowness) {
+			continue
+		}
+		m.setSlowness(s.Ratio)
+	}
+}
+
+// setSlowness takes in what is known by the streams of all nodes.
+func (c *Condition) setSlowness(ratio float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.slowness = ratio
+}
+
 // notePace takes in a stream's pace and returns the server's on the model.
 func (c *Condition) notePace(model string, perEvent time.Duration) time.Duration {
 	c.mu.Lock()
--- a/pkg/backend/pace_test.go
+++ b/pkg/backend/pace_test.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"math"
 	"testing"
 	"time"
 )
@@ -33,3 +34,34 @@
 		t.Errorf("a stream that tells no pace left the slowness %.3f", got)
 	}
 }
+
+// TestWordsOfOtherNodesAreChecked: what can't be is left out, and reports are bounded.
+func TestWordsOfOtherNodesAreChecked(t *testing.T) {
+	d := &Directory{}
+	d.Replace([]*Server{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}}, 1)
+	for _, s := range []Slowness{{Server: "gone", Ratio: 2}, {Server: "a", Ratio: math.NaN()}, {Server: "a", Ratio: 1e9},
+		{Server: "a", Ratio: 0.2}, {Server: "a", Ratio: -1}, {Server: "a", Ratio: 2, Age: time.Hour}, {Server: "a", Ratio: 2, Age: -1}} {
+		d.Believed([]Slowness{s})
+		if got := d.Snapshot().Member("a").Slowness(); got != 1 {
+			t.Errorf("%+v is believed: %v", s, got)
+		}
+	}
+	d.Believed([]Slowness{{Server: "a", Ratio: 2}})
+	if got := d.Snapshot().Member("a").Slowness(); got != 2 {
+		t.Errorf("the slowness is %v, 2 was told", got)
+	}
+	d.Learn([]Pace{{"b", "m", time.Second}, {"b", "m", -1}, {"b", "m", math.MaxInt64}, {"gone", "m", 1}, {"a", "m", time.Second}})
+	if got := d.Snapshot().Member("b").pace("m"); got != time.Second {
+		t.Errorf("the pace is %v", got)
+	}
+	for range 10 * mostReports {
+		d.Report(Pace{"a", "m", time.Second})
+	}
+	d.Report(Pace{"a", "m", 0})
+	if got := len(d.TakeReports()); got != mostReports {
+		t.Errorf("%d reports are kept", got)
+	}
+	if got := len(d.TakeReports()); got != 0 {
+		t.Errorf("%d reports are told twice", got)
+	}
+}
--- a/pkg/coordinator/beats.go
+++ b/pkg/coordinator/beats.go
@@ -45,6 +45,7 @@
 	answer := BeatAnswer{Version: NodesVersion{h.term, h.nodesNumber}, Scarce: now.Before(h.scarceUntil),
 		Store: h.store.tell(h.term), Fleet: h.fleet.known()}
 	answer.Evidence = h.exchange(now, b.Evidence)
+	h.exchangePaces(now, &b, &answer)
 	answer.ScarceTenants = h.takeSpent(now, b.Spent, first)
 	if h.Clock != nil {
 		answer.StoreClock, _ = h.Clock.Latest()
@@ -75,6 +76,7 @@
 			h.nodesNumber++
 		}
 	}
+	h.paces.expire(now)
 	for key, d := range h.demands {
 		if !d.waits(now) && d.rate.count.at(now) < leastRate && now.Sub(d.last) > time.Minute {
 			delete(h.demands, key)
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -64,6 +64,7 @@
 	fleet      fleet
 	slack      relay.SlackPool
 	turns      quarantine.Turns // of suspected requests
+	paces      paces            // of servers
 	quotas     quota.Pool       // safe for other goroutines than the holder's
 	scarceTold []string         // tenants for which the nodes were told to ask
 	// nodesNumber counts the changes of nodes.
@@ -176,6 +177,7 @@
 	h.slack.Budget = h.Budget
 	h.slack.Begin(now)
 	h.turns = quarantine.Turns{}
+	h.paces = paces{}
 	h.Quarantine.Keep(now, record.Aged(storeNow))
 	h.scarceTold = nil
 	h.learnUntil = now.Add(learnTime)
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -48,21 +48,22 @@
 	Time       clock.Clock
 	Logger     hclog.Logger
 
-	nodes     atomic.Pointer[[]Node]
-	fleet     atomic.Int64
-	version   NodesVersion    // of nodes; for Run alone
-	beatAt    time.Time       // when the next beat is due at the latest; for Run alone
-	scarce    bool            // by the last answer; for Run alone
-	told      map[replica]int // running requests by the last beat; for Run alone
-	store     StoreLimit      // as the last holder learned it; for Run alone
-	storeTold uint64          // term of the holder that was told of it; for Run alone
-	stopping  atomic.Bool
-	ledger    quota.Ledger
-	deputized quota.Ledger // what this node lets in for all while there is no holder
-	notices   notices
-	evidence  uint64 // sum of the holder's evidence, as last told; for Run alone
-	beatNow   chan struct{}
-	started   sync.Once
+	nodes      atomic.Pointer[[]Node]
+	fleet      atomic.Int64
+	version    NodesVersion    // of nodes; for Run alone
+	beatAt     time.Time       // when the next beat is due at the latest; for Run alone
+	scarce     bool            // by the last answer; for Run alone
+	told       map[replica]int // running requests by the last beat; for Run alone
+	store      StoreLimit      // as the last holder learned it; for Run alone
+	storeTold  uint64          // term of the holder that was told of it; for Run alone
+	stopping   atomic.Bool
+	ledger     quota.Ledger
+	deputized  quota.Ledger // what this node lets in for all while there is no holder
+	notices    notices
+	pacesKnown PacesVersion // of servers, as last told; for Run alone
+	evidence   uint64       // sum of the holder's evidence, as last told; for Run alone
+	beatNow    chan struct{}
+	started    sync.Once
 
 	mu       sync.Mutex
 	arrivals map[demandKey]arrivals
@@ -211,7 +212,7 @@
 		store = m.store
 	}
 	beat := Beat{Node: m.self(), Uses: m.uses(m.Time.Now()), Knows: m.version, Store: store, Spent: m.ledger.Report(),
-		Evidence: knownEvidence(m.Quarantine, m.Time.Now(), m.evidence)}
+		Evidence: knownEvidence(m.Quarantine, m.Time.Now(), m.evidence), Paces: m.Servers.TakeReports(), KnowsPaces: m.pacesKnown}
 	sent := m.Time.Now()
 	answer, err := ask[BeatAnswer](ctx, m, beat)
 	if err == nil && answer.Version.Term == 0 {
@@ -224,6 +225,7 @@
 	m.tellLedgers(answer.ScarceTenants)
 	m.takeEvidence(answer.Evidence.Parts)
 	m.evidence = answer.Evidence.Sum
+	m.takePaces(sent, &answer)
 	if m.Clock != nil && answer.StoreClock > 0 {
 		m.Clock.ObserveLatest(sent, answer.StoreClock)
 	}
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -15,6 +15,7 @@
 import (
 	"time"
 
+	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/lease"
 	"martenwheel.dev/pkg/peer"
 	"martenwheel.dev/pkg/quota"
@@ -57,6 +58,9 @@
 	Spent []quota.Spent // of tenants' quotas since the last beat
 	// Evidence is against requests that end servers.
 	Evidence KnownEvidence
+	Paces    []backend.Pace // that streams told since the last beat, see paces
+	// KnowsPaces is up to which change of servers' paces the node was told.
+	KnowsPaces PacesVersion
 }
 
 // NodesVersion tells lists of nodes apart.
@@ -80,6 +84,9 @@
 	ScarceTenants []string
 	// Evidence is against requests that end servers.
 	Evidence KnownEvidence
+	Paces    []backend.Slowness // of servers whose pace moved
+	// PacesVersion is up to which change the paces are told.
+	PacesVersion PacesVersion
 }
 
 // WishMessage asks the holder to have a model loaded.
--- /dev/null
+++ b/pkg/coordinator/paces.go
@@ -0,0 +1,137 @@
+package coordinator
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"martenwheel.dev/pkg/backend"
+)
+
+// PacesVersion is up to which change of servers' paces a node was told.
+type PacesVersion struct {
+	Term   uint64
+	Number uint64
+}
+
+// Bounds of what is told of paces.
+const (
+	// leastMove is by how much a server's slowness moves before nodes are told again: less
+	// changes hardly any choice.
+	leastMove = 0.2
+	// mostPacesTold is how many servers one answer tells of; the rest follow with the next.
+	mostPacesTold = 64
+)
+
+// paces is what the holder tells of the paces of servers. Each node sees a few of the streams
+// of a fleet, too few to tell which servers are slow; all of them show it within seconds. It
+// changes no order: it only leans the choices of nodes. For the holder's loop alone.
+type paces struct {
+	known  map[string]*knownPace // by the life of the server
+	number uint64                // of the last change
+}
+
+// knownPace is what nodes are told of one server.
+type knownPace struct {
+	ratio  float64   // as told
+	number uint64    // of the change that it came with
+	at     time.Time // of the last stream that told of it
+}
+
+// note takes in a server's slowness as it stands. The first word on one is told whatever it
+// is: nodes may believe what was told of it before it was forgotten, or by an earlier holder.
+func (p *paces) note(now time.Time, id string, ratio float64) {
+	ratio = min(ratio, backend.MostSlowness)
+	k := p.known[id]
+	first := k == nil
+	if first {
+		if p.known == nil {
+			p.known = make(map[string]*knownPace)
+		}
+		k = &knownPace{}
+		p.known[id] = k
+	}
+	k.at = now
+	if first || math.Abs(ratio-k.ratio) >= leastMove {
+		p.number++
+		k.ratio, k.number = ratio, p.number
+	}
+}
+
+// since returns what changed after a number and is of use, oldest changes first, and the
+// number up to which that is all.
+func (p *paces) since(now time.Time, number uint64) ([]backend.Slowness, uint64) {
+	if number >= p.number {
+		return nil, p.number
+	}
+	var ids []string
+	for id, k := range p.known {
+		if k.number > number && now.Sub(k.at) <= backend.SlownessLifetime {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(p.known[a].number, p.known[b].number) })
+	upTo := p.number
+	if len(ids) > mostPacesTold {
+		ids = ids[:mostPacesTold]
+		upTo = p.known[ids[mostPacesTold-1]].number
+	}
+	var list []backend.Slowness
+	for _, id := range ids {
+		list = append(list, backend.Slowness{Server: id, Ratio: p.known[id].ratio, Age: now.Sub(p.known[id].at)})
+	}
+	return list, upTo
+}
+
+// expire forgets servers that no stream told of for long.
+func (p *paces) expire(now time.Time) {
+	for id, k := range p.known {
+		if now.Sub(k.at) > backend.SlownessLifetime {
+			delete(p.known, id)
+		}
+	}
+}
+
+// exchangePaces takes in what a node's streams told of servers and tells it what moved.
+func (h *Holder) exchangePaces(now time.Time, b *Beat, answer *BeatAnswer) {
+	if b.Node.Peers != h.address() { // this node's own are known
+		h.Servers.Learn(b.Paces)
+	}
+	snapshot := h.Servers.Snapshot()
+	for _, pace := range b.Paces {
+		if m := snapshot.Member(pace.Server); m != nil {
+			h.paces.note(now, m.ID, m.Slowness())
+		}
+	}
+	known := uint64(0)
+	if b.KnowsPaces.Term == h.term {
+		known = b.KnowsPaces.Number
+	}
+	answer.PacesVersion.Term = h.term
+	answer.Paces, answer.PacesVersion.Number = h.paces.since(now, known)
+}
+
+// address returns where this node is reached while it holds the lease.
+func (h *Holder) address() string {
+	record, _ := h.Lease.Current()
+	return record.Address
+}
+
+// takePaces takes in what the holder told. What waited in a suspension is too old.
+func (m *Member) takePaces(sent time.Time, answer *BeatAnswer) {
+	if m.Time.Since(sent) > beatTimeout {
+		return
+	}
+	if len(answer.Paces) > 0 && m.Holder.address() != m.Self.Peers { // its own are as told or newer
+		m.Servers.Believed(answer.Paces)
+		m.Logger.Info("paces told", "servers", len(answer.Paces), "slowest", slowest(answer.Paces), "term", answer.PacesVersion.Term,
+			"number", answer.PacesVersion.Number)
+	}
+	m.pacesKnown = answer.PacesVersion
+}
+
+// slowest returns the largest ratio of a list.
+func slowest(list []backend.Slowness) float64 {
+	return slices.MaxFunc(list, func(a, b backend.Slowness) int { return cmp.Compare(a.Ratio, b.Ratio) }).Ratio
+}
--- a/pkg/relay/affinity.go
+++ b/pkg/relay/affinity.go
@@ -122,3 +122,13 @@
 	c.noteChoice(choice, prefers, i)
 	return i, found
 }
+
+// notePace notes the pace of a server that streamed the answer, for other nodes as well where
+// long prompts make pauses that count.
+func (c *call) notePace(m *backend.Member) {
+	pace := c.record.pace()
+	c.relay.Servers.Paced(m.ID, c.need.Model, pace)
+	if c.shaped.Lane() != affinity.AnyLane {
+		c.relay.Servers.Report(backend.Pace{Server: m.ID, Model: c.need.Model, PerEvent: pace})
+	}
+}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -218,7 +218,7 @@
 	case served:
 		m.Answered()
 		c.ran()
-		c.relay.Servers.Paced(m.ID, c.need.Model, c.record.pace())
+		c.notePace(m)
 		c.record.end(outcomeServed, nil)
 		return false
 	case gone:
