--- a/pkg/affinity/order.go
+++ b/pkg/affinity/order.go
@@ -27,8 +27,12 @@
 	// slowFrom is the least slowness that counts: paces of servers that are alike differ by
 	// that much with what else they run.
 	slowFrom = 1.25
-	// slowPower leaves a server of half the pace a sixteenth of what it would get.
-	slowPower = 4.0
+	// slowPower leaves a server of half the pace a sixth of what it would get. By a larger one
+	// the fast servers are crowded once the fleet has more to do than it can.
+	slowPower = 2.5
+	// shortSlowPower leaves such a server a sixteenth of the short requests, which wait there for
+	// prompts whose models have no other replica. They are too little work to crowd the others.
+	shortSlowPower = 4.0
 	// mostSlowness bounds what is believed of a pace.
 	mostSlowness = 16.0
 )
@@ -88,15 +92,15 @@
 
 // pull returns the logarithm of the replica's weight.
 func (r *Request) pull(lanes float64, b *Replica) float64 {
-	pull := 0.0
+	pull, power := 0.0, slowPower
 	switch r.lane {
 	case LongLane:
 		pull = lanes * longPull * Place(b.Life)
 	case ShortLane:
-		pull = -lanes * shortPull * Place(b.Life)
+		pull, power = -lanes*shortPull*Place(b.Life), shortSlowPower
 	}
 	if b.Slowness > slowFrom {
-		pull -= slowPower * math.Log(min(b.Slowness, mostSlowness))
+		pull -= power * math.Log(min(b.Slowness, mostSlowness))
 	}
 	return pull
 }
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -8,8 +8,9 @@
 // beats.go takes in what nodes tell, and quotas.go keeps the quotas of tenants by it;
 // adapters.go places adapters; orders.go gives orders, one at a time to each
 // server, and reports.go finds out what became of them; handover.go takes over from a
-// holder that went on without the store; quarantine.go spreads what is known of requests that
-// end servers; outlook.go tells when a model will be ready.
+// holder that went on without the store; paces.go tells which servers are slow; quarantine.go
+// spreads what is known of requests that end servers; outlook.go tells when a model will be
+// ready.
 package coordinator
 
 import (
--- a/pkg/relay/affinity.go
+++ b/pkg/relay/affinity.go
@@ -119,7 +119,9 @@
 	r.setChooser()
 	choice, prefers := c.prefer(p)
 	i, found := r.chooser.Choose(r.random, &p.asked, p.candidates)
-	c.noteChoice(choice, prefers, i)
+	if found {
+		c.noteChoice(choice, prefers, i)
+	}
 	return i, found
 }
 
