--- /dev/null
+++ b/pkg/admission/server.go
@@ -0,0 +1,196 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// Engine tells what a server can hold.
+type Engine struct {
+	Slots       int // requests that it runs at once
+	CacheTokens int // of prompts and answers that run, together
+	EventTokens int // in one event of a stream
+}
+
+// place is a request at a server.
+type place struct {
+	key      Place
+	model    Key
+	need     string
+	rank     int
+	target   time.Duration
+	sent     time.Time
+	work     float64 // tokens to read
+	expected float64 // work until its first event when it was granted; zero: not known
+	memory   int
+	out      int
+	parts    Work
+	first    time.Time // when its first event came; zero: not yet
+	dies     time.Time // when its time is over
+	heard    time.Time // when its node last told of it
+}
+
+// profile is what was lately asked by requests of one rank.
+type profile struct {
+	target time.Duration
+	work   float64
+	at     time.Time
+}
+
+// ranks that requests have.
+const ranks = 10
+
+// server is what is believed of one life of a server.
+type server struct {
+	engine   Engine
+	places   []*place // by when they were sent
+	waiters  []*waiter
+	speed    speed
+	tokenMS  float64              // for each token of a stream, lately; zero: not known
+	kept     map[string]time.Time // parts of prompts, under the need, when they were last used
+	profiles [ranks]profile
+	heard    time.Time
+}
+
+// keptTime is how long a part that was read and not used counts as kept: what runs meanwhile
+// takes the memory. Engines of a crowd turn theirs over within some ten seconds.
+const keptTime = 8 * time.Second
+
+// mostKept bounds the parts that are remembered of a server.
+const mostKept = 512
+
+// newsDelay is how long the word of a first event may be on the way.
+const newsDelay = 150 * time.Millisecond
+
+// load is what a server has to read.
+type load struct {
+	unread float64 // tokens
+	speed  float64 // tokens a millisecond
+	memory int     // tokens taken
+	places int
+}
+
+// load works out what is unread by now. Places whose first event is overdue tell that the server
+// is slower than was believed.
+func (s *server) load(now time.Time) load {
+	l := load{speed: s.speed.careful(now), places: len(s.places)}
+	tail := s.tail(0)
+	var began, read time.Time // of the busy time; until when what is before is read
+	sum := 0.0
+	for _, p := range s.places {
+		l.memory += p.memory
+		if !p.first.IsZero() {
+			began, sum = later(began, p.first), 0
+			continue
+		}
+		if sum == 0 {
+			began = later(began, p.sent)
+		}
+		sum += p.work
+		if took := now.Sub(began) - newsDelay; took > duration(sum+tail, l.speed) {
+			l.speed = max((sum+tail)/(float64(took)/float64(time.Millisecond)), leastSpeed)
+		}
+	}
+	for _, p := range s.places {
+		if !p.first.IsZero() {
+			read = later(read, p.first.Add(-duration(tail, l.speed)))
+			continue
+		}
+		read = later(read, p.sent).Add(duration(p.work, l.speed))
+	}
+	if read.After(now) {
+		l.unread = tokens(read.Sub(now), l.speed)
+	}
+	return l
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// tail returns the work from the end of a prompt's reading to the first event, with so much
+// unread behind it: the prompts behind are read between the tokens of the event.
+func (s *server) tail(behind float64) float64 {
+	events := float64(max(s.engine.EventTokens, 1))
+	return events*stepWork + min(behind, events*pieceTokens)
+}
+
+// toRead returns what a server reads of a prompt: not the first parts that it surely keeps.
+func (s *server) toRead(now time.Time, need string, w Work) float64 {
+	left := w.Tokens
+	for _, part := range w.Parts[:max(len(w.Parts)-1, 0)] {
+		if used, found := s.kept[need+" "+part.ID]; !found || now.Sub(used) > keptTime {
+			break
+		}
+		left -= part.Tokens
+	}
+	return float64(max(left, 1))
+}
+
+// keep notes that the shared parts of a prompt were read.
+func (s *server) keep(now time.Time, need string, w Work) {
+	if s.kept == nil || len(s.kept) > mostKept {
+		s.kept = make(map[string]time.Time)
+	}
+	for _, part := range w.Parts[:max(len(w.Parts)-1, 0)] {
+		s.kept[need+" "+part.ID] = now
+	}
+}
+
+// add puts a place in order.
+func (s *server) add(p *place) {
+	i := len(s.places)
+	for i > 0 && s.places[i-1].sent.After(p.sent) {
+		i--
+	}
+	s.places = slices.Insert(s.places, i, p)
+}
+
+func (s *server) remove(p *place) {
+	s.places = slices.DeleteFunc(s.places, func(other *place) bool { return other == p })
+}
+
+// answered takes in that the first event of a place came, a time after it was sent. What came
+// between, as prompts that were read in the midst, makes the server count as slower, so that
+// predictions hold in the mean.
+func (s *server) answered(now time.Time, p *place, after time.Duration) {
+	p.first = p.sent.Add(after)
+	s.keep(p.first, p.need, p.parts)
+	if after < time.Millisecond || after > mostTime {
+		return
+	}
+	if p.expected > 0 {
+		s.speed.add(now, p.expected, after)
+		return
+	}
+	s.speed.atLeast(now, p.work+s.tail(0), after)
+}
+
+// ended takes in that a place is free.
+func (s *server) ended(p *place, now time.Time) {
+	s.remove(p)
+	if p.first.IsZero() || p.out <= 0 {
+		return
+	}
+	ms := float64(now.Sub(p.first)) / float64(time.Millisecond) / float64(p.out)
+	if s.tokenMS == 0 {
+		s.tokenMS = ms
+	}
+	s.tokenMS += speedWeight * (ms - s.tokenMS)
+}
+
+// profileOf notes what requests of a rank ask for.
+func (s *server) profileOf(now time.Time, rank int, target time.Duration, work float64) {
+	p := &s.profiles[min(rank, ranks-1)]
+	if now.Sub(p.at) > profileTime {
+		*p = profile{target: target, work: work}
+	}
+	p.at, p.target = now, min(p.target, target)
+	p.work += speedWeight * (work - p.work)
+}
+
+// profileTime is how long room is kept for more urgent requests after the last of them came.
+const profileTime = 5 * time.Second
--- /dev/null
+++ b/pkg/admission/verdict.go
@@ -0,0 +1,320 @@
+package admission
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Shares of what callers want that are counted on, the rest being for what can't be foreseen.
+const (
+	// inTimeShare is of the time until a request is late: predictions are off by a tenth to a
+	// fifth, and prompts that come behind delay the first event by a few steps.
+	inTimeShare = 0.85
+	// patienceShare is of the time until the caller leaves.
+	patienceShare = 0.85
+	// urgentShare is of the target of more urgent requests, for whose sake less urgent ones wait.
+	urgentShare = 0.6
+	// dueShare is of the target, by which requests of a rank go first: whose time is longer gets
+	// room while it has some left, and not as its last is spent.
+	dueShare = 0.4
+	// memoryShare is of a server's memory: answers are longer than their callers guess by half of
+	// them, and a server without memory left drops what it has read and reads it anew.
+	memoryShare = 0.9
+)
+
+// Times of waiting.
+const (
+	// shallow is what a server has to read, that it is not idle before the next verdict: a news
+	// of its progress and an answer to a node take less.
+	shallow    = 250 * time.Millisecond
+	leastWait  = 20 * time.Millisecond
+	mostWait   = 120 * time.Millisecond
+	waiterTime = 2 * time.Millisecond // for each that waits, so that they ask 500 times a second at most
+)
+
+// When refused requests come back.
+const (
+	leastAway = 200 * time.Millisecond
+	mostAway  = 4 * time.Second
+)
+
+// Errors of what nodes tell.
+var (
+	ErrRequest = errors.New("admission: the request has absurd values")
+	ErrReport  = errors.New("admission: the report has absurd values")
+	ErrServer  = errors.New("admission: none of the servers is known")
+)
+
+// waiter is a request that was told to ask again.
+type waiter struct {
+	place  Place
+	model  Key
+	target time.Duration
+	server string
+	order  order
+	work   float64
+	memory int
+	until  time.Time
+}
+
+// order is who goes first: the more urgent; then who can still be in time; then whose time
+// runs out sooner.
+type order struct {
+	rank int
+	late bool
+	due  time.Time
+}
+
+func (o order) before(other order) bool {
+	if o.rank != other.rank {
+		return o.rank < other.rank
+	}
+	if o.late != other.late {
+		return other.late
+	}
+	return o.due.Before(other.due)
+}
+
+// prospect is what a request can expect at a server.
+type prospect struct {
+	name     string
+	server   *server
+	load     load
+	own      float64
+	unread   float64       // with that of waiters that go before it
+	expected float64       // work until its first event
+	first    time.Duration // until its first event
+	open     bool          // it may go now
+	wait     time.Duration // until it may, about
+}
+
+// Decide decides on a request. One that may go has its place from then on; an error means that
+// it was not decided on, and its node is to choose by itself.
+func (m *Model) Decide(now time.Time, r *Request) (Verdict, error) {
+	if !r.Valid() {
+		return Verdict{}, ErrRequest
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.drop(r.Place)
+	if now.Before(m.learnUntil) {
+		return Verdict{}, nil
+	}
+	o := order{rank: r.rank(), due: now.Add(time.Duration(dueShare*float64(r.Target+r.Waited)) - r.Waited)}
+	limit := time.Duration(inTimeShare * float64(r.Target))
+	if m.ways.patience {
+		limit = time.Duration(patienceShare * float64(r.Patience))
+	}
+	list := m.prospects(now, r, o)
+	if len(list) == 0 {
+		return Verdict{}, ErrServer
+	}
+	if best := soonest(list, true); best != nil && best.first <= limit {
+		return m.grant(now, r, best), nil
+	}
+	if best := soonest(list, false); best.first <= limit {
+		return m.hold(now, r, o, best), nil
+	}
+	return m.decideLate(now, r, o), nil
+}
+
+// rank returns the rank of a request. One whose caller has waited for long goes up, so that
+// those of a low rank are not kept from servers for good.
+func (r *Request) rank() int {
+	rank := min(r.Rank, ranks-1)
+	switch {
+	case r.Patience < r.Waited/3:
+		return 0
+	case r.Patience < r.Waited:
+		return max(rank-1, 0)
+	}
+	return rank
+}
+
+// decideLate decides on a request that can't be in time. It goes where it takes nobody's room;
+// it waits for that while its caller does, behind all that can be in time.
+func (m *Model) decideLate(now time.Time, r *Request, o order) Verdict {
+	o.late, o.due = true, now.Add(r.Patience)
+	limit := time.Duration(patienceShare * float64(r.Patience))
+	list := m.prospects(now, r, o)
+	best := soonest(list, true)
+	switch {
+	case best != nil && best.first <= limit && (m.ways.patience || best.spare()):
+		return m.grant(now, r, best)
+	case best == nil:
+		best = soonest(list, false)
+	}
+	if best.first <= limit && !m.ways.patience {
+		return m.hold(now, r, o, best)
+	}
+	return m.refuse(now, r, best)
+}
+
+// spare tells whether the server has so little to read that a request in time could hardly be
+// made late by one more.
+func (p *prospect) spare() bool { return p.unread <= tokens(shallow, p.load.speed)/2 }
+
+// prospects returns what a request can expect at each of its servers that is known.
+func (m *Model) prospects(now time.Time, r *Request, o order) []prospect {
+	list := make([]prospect, 0, len(r.Servers))
+	for _, name := range r.Servers {
+		s := m.server(name)
+		if s == nil {
+			continue
+		}
+		list = append(list, prospect{name: name, server: s, load: s.load(now), own: s.toRead(now, r.Need, r.Work)})
+	}
+	waiting, speeds := m.before(now, list, o), 0.0
+	for i := range list {
+		speeds += list[i].load.speed
+	}
+	for i := range list {
+		list[i].judge(now, r, o, waiting, list[i].load.speed/speeds, m.ways)
+	}
+	return list
+}
+
+// ahead is what waits and goes before a request.
+type ahead struct {
+	work   float64
+	memory int
+	count  int
+}
+
+// before returns what waits for any of the servers and goes before a request: who waits longest
+// gets the first room at any of them.
+func (m *Model) before(now time.Time, list []prospect, o order) ahead {
+	var a ahead
+	for i := range list {
+		for _, w := range list[i].server.waiters {
+			if now.Before(w.until) && w.order.before(o) {
+				a.work += w.work
+				a.memory += w.memory
+				a.count++
+			}
+		}
+	}
+	return a
+}
+
+// soonest returns where the first event comes soonest, nil if there is none; the first one
+// among equals, as the node that asks would have chosen it.
+func soonest(list []prospect, open bool) *prospect {
+	var best *prospect
+	for i := range list {
+		if p := &list[i]; (p.open || !open) && (best == nil || p.first < best.first) {
+			best = p
+		}
+	}
+	return best
+}
+
+// judge works out what the request can expect, with the server's share of what waits before it.
+func (p *prospect) judge(now time.Time, r *Request, o order, waiting ahead, share float64, ways ways) {
+	s := p.server
+	p.unread = p.load.unread + share*waiting.work
+	p.expected = p.unread + p.own + s.tail(p.unread/2)
+	p.first = duration(p.expected, p.load.speed)
+	if !p.hasRoom(r, waiting, share, ways) {
+		p.wait = s.turnover(p.load)
+		p.first += p.wait
+		return
+	}
+	depth := s.depth(now, o.rank, p.own, p.load.speed, ways)
+	if slack := time.Duration(inTimeShare*float64(r.Target)) - p.first; slack >= 0 && slack < mostWait {
+		depth = max(depth, tokens(shallow, p.load.speed)) // it is late otherwise
+	}
+	over := p.unread - depth
+	p.open = over <= 0
+	p.wait = duration(max(over, 0), p.load.speed)
+}
+
+// hasRoom tells whether the server has a slot and memory for the request beside what runs and
+// what waits before it.
+func (p *prospect) hasRoom(r *Request, waiting ahead, share float64, ways ways) bool {
+	if p.load.places == 0 {
+		return true // what is larger than its memory it turns away itself
+	}
+	if p.load.places+int(share*float64(waiting.count)) >= p.server.engine.Slots {
+		return false
+	}
+	taken := p.load.memory + int(share*float64(waiting.memory)) + r.Work.Tokens + r.Work.Out
+	return ways.noMemory || taken <= int(memoryShare*float64(p.server.engine.CacheTokens))
+}
+
+// turnover returns after which time one of the server's places is likely free: as many end in a
+// request's time as run.
+func (s *server) turnover(l load) time.Duration {
+	sum := l.unread
+	for _, p := range s.places {
+		sum += float64(p.out) * s.tokenMS * l.speed
+	}
+	return min(duration(sum/float64(max(l.places, 1)), l.speed), time.Second)
+}
+
+// depth returns how much a server may have to read before a request of a rank that goes there,
+// which has it read so much itself. More urgent requests that came lately are to
+// be in time.
+func (s *server) depth(now time.Time, rank int, own, speed float64, ways ways) float64 {
+	if ways.noRoom {
+		return mostTokens
+	}
+	most := tokens(shallow, speed)
+	for i := range min(rank, ranks-1) {
+		p := &s.profiles[i]
+		if now.Sub(p.at) > profileTime {
+			continue
+		}
+		bound := tokens(time.Duration(urgentShare*float64(p.target)), speed) - p.work - s.tail(0)
+		most = min(most, bound-own)
+	}
+	return max(most, 0)
+}
+
+// grant gives a request its place.
+func (m *Model) grant(now time.Time, r *Request, best *prospect) Verdict {
+	s := best.server
+	p := &place{key: r.Place, model: r.Key, need: r.Need, rank: r.Rank, target: r.Target + r.Waited, sent: now, work: best.own,
+		expected: best.expected, memory: r.Work.Tokens + r.Work.Out, out: r.Work.Out, parts: r.Work,
+		dies: now.Add(r.Left + newsDelay), heard: now}
+	m.put(best.name, s, p)
+	s.profileOf(now, r.Rank, p.target, best.own)
+	return Verdict{Kind: Go, Server: best.name, First: best.first, Age: now.Sub(s.heard)}
+}
+
+// hold has a request wait for a server.
+func (m *Model) hold(now time.Time, r *Request, o order, best *prospect) Verdict {
+	s := best.server
+	after := max(best.wait, leastWait, time.Duration(len(s.waiters))*waiterTime)
+	after = min(after, max(mostWait, time.Duration(len(s.waiters))*waiterTime))
+	w := &waiter{place: r.Place, model: r.Key, target: r.Target + r.Waited, server: best.name, order: o, work: best.own, memory: r.Work.Tokens + r.Work.Out,
+		until: now.Add(after + newsDelay)}
+	s.waiters = append(s.waiters, w)
+	m.waiting[r.Place] = w
+	s.profileOf(now, r.Rank, r.Target+r.Waited, best.own)
+	return Verdict{Kind: Wait, First: best.first, After: after, Age: now.Sub(s.heard)}
+}
+
+// refuse tells a request when there should be room. What was told to come back before it is
+// counted.
+func (m *Model) refuse(now time.Time, r *Request, best *prospect) Verdict {
+	speed := 0.0
+	for _, name := range r.Servers {
+		if s := m.server(name); s != nil {
+			speed += s.speed.careful(now)
+		}
+	}
+	c := m.crowd(r.Key)
+	room := later(c.promised, now.Add(min(best.first, mostAway/2)))
+	c.promised = room.Add(duration(best.own, max(speed, leastSpeed)))
+	after := min(max(room.Sub(now), leastAway), mostAway)
+	if after == mostAway { // spread by the count of the node that asks: all would come at once
+		after -= time.Duration(r.Place.ID%16) * mostAway / 64
+	}
+	return Verdict{Kind: Refuse, First: best.first, After: after, Age: now.Sub(best.server.heard)}
+}
+
+// compareLoad orders crowds by how long what waits takes.
+func compareLoad(a, b *crowd) int { return cmp.Compare(b.load, a.load) }
--- a/pkg/coordinator/beats.go
+++ b/pkg/coordinator/beats.go
@@ -23,6 +23,9 @@
 		if n == nil || n.node != b.Node {
 			h.nodesNumber++
 		}
+		if n != nil && n.node.Life != b.Node.Life {
+			h.places.model.NodeGone(placeNode(n.node))
+		}
 		n = &nodeState{node: b.Node, seen: now, uses: make(map[demandKey]Use)}
 		h.nodes[b.Node.Name] = n
 	}
@@ -45,6 +48,7 @@
 	answer := BeatAnswer{Version: NodesVersion{h.term, h.nodesNumber}, Scarce: now.Before(h.scarceUntil),
 		Store: h.store.tell(h.term), Fleet: h.fleet.known()}
 	answer.Evidence = h.exchange(now, b.Evidence)
+	answer.Crowded = h.takePlaces(now, b)
 	answer.ScarceTenants = h.takeSpent(now, b.Spent, first)
 	if h.Clock != nil {
 		answer.StoreClock, _ = h.Clock.Latest()
@@ -72,6 +76,7 @@
 		if now.Sub(n.seen) > nodeExpiry {
 			h.Logger.Warn("node silent", "name", name, "zone", n.node.Zone, "life", n.node.Life)
 			delete(h.nodes, name)
+			h.places.model.NodeGone(placeNode(n.node))
 			h.nodesNumber++
 		}
 	}
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -65,7 +65,8 @@
 	slack      relay.SlackPool
 	turns      quarantine.Turns // of suspected requests
 	quotas     quota.Pool       // safe for other goroutines than the holder's
-	scarceTold []string         // tenants for which the nodes were told to ask
+	places     holderPlaces
+	scarceTold []string // tenants for which the nodes were told to ask
 	// nodesNumber counts the changes of nodes.
 	nodesNumber uint64
 	demands     map[demandKey]*demand
@@ -154,6 +155,7 @@
 	}
 	now := h.Time.Now()
 	h.expire(now)
+	h.watchCrowds(now)
 	h.countFollowers(now)
 	h.learn(now)
 	h.plan(now)
@@ -178,6 +180,7 @@
 	h.turns = quarantine.Turns{}
 	h.Quarantine.Keep(now, record.Aged(storeNow))
 	h.scarceTold = nil
+	h.beginPlaces(now, term)
 	h.learnUntil = now.Add(learnTime)
 	h.quietUntil = time.Time{}
 	h.inheritIntents(now, storeNow, record.Intents)
@@ -241,6 +244,11 @@
 		return h.answerWish(ctx, m)
 	case Draw:
 		return h.draw(h.Time.Now(), m), nil
+	case AskPlace:
+		return h.decidePlace(h.Time.Now(), m), nil
+	case PlaceNews:
+		h.takePlaceNews(h.Time.Now(), m)
+		return nil, nil
 	case TakeTurn:
 		var reply TurnAnswer
 		err := h.do(ctx, func() { reply = h.takeTurn(h.Time.Now(), m) })
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -60,6 +60,7 @@
 	ledger    quota.Ledger
 	deputized quota.Ledger // what this node lets in for all while there is no holder
 	notices   notices
+	places    memberPlaces
 	evidence  uint64 // sum of the holder's evidence, as last told; for Run alone
 	beatNow   chan struct{}
 	started   sync.Once
@@ -211,7 +212,7 @@
 		store = m.store
 	}
 	beat := Beat{Node: m.self(), Uses: m.uses(m.Time.Now()), Knows: m.version, Store: store, Spent: m.ledger.Report(),
-		Evidence: knownEvidence(m.Quarantine, m.Time.Now(), m.evidence)}
+		Evidence: knownEvidence(m.Quarantine, m.Time.Now(), m.evidence), Places: m.places.ledger.Whole(m.Time.Now())}
 	sent := m.Time.Now()
 	answer, err := ask[BeatAnswer](ctx, m, beat)
 	if err == nil && answer.Version.Term == 0 {
@@ -219,9 +220,11 @@
 	}
 	if err != nil {
 		m.ledger.Return(beat.Spent)
+		m.places.ledger.Return(sent, beat.Places)
 		return err
 	}
 	m.tellLedgers(answer.ScarceTenants)
+	m.places.ledger.Told(m.Time.Now(), answer.Crowded)
 	m.takeEvidence(answer.Evidence.Parts)
 	m.evidence = answer.Evidence.Sum
 	if m.Clock != nil && answer.StoreClock > 0 {
@@ -293,6 +296,11 @@
 			m.tellLedgers(n.Scarce)
 		}
 		return nil, nil
+	case CrowdNotice:
+		if record, known := m.Lease.Current(); known && record.Term == n.Term {
+			m.places.ledger.Told(m.Time.Now(), n.Crowded)
+		}
+		return nil, nil
 	case Yield:
 		next := lease.Record{Term: n.Term, Holder: n.Holder, Address: n.Address}
 		handover := Handover{m.Lease.Yield(next)}
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -8,13 +8,14 @@
 // beats.go takes in what nodes tell, and quotas.go keeps the quotas of tenants by it;
 // adapters.go places adapters; orders.go gives orders, one at a time to each
 // server, and reports.go finds out what became of them; handover.go takes over from a
-// holder that went on without the store; quarantine.go spreads what is known of requests that
+// holder that went on without the store; places.go has nodes take turns at crowded servers; quarantine.go spreads what is known of requests that
 // end servers; outlook.go tells when a model will be ready.
 package coordinator
 
 import (
 	"time"
 
+	"martenwheel.dev/pkg/admission"
 	"martenwheel.dev/pkg/lease"
 	"martenwheel.dev/pkg/peer"
 	"martenwheel.dev/pkg/quota"
@@ -57,6 +58,7 @@
 	Spent []quota.Spent // of tenants' quotas since the last beat
 	// Evidence is against requests that end servers.
 	Evidence KnownEvidence
+	Places   []admission.Report // all that the node has at servers whose memory is told
 }
 
 // NodesVersion tells lists of nodes apart.
@@ -80,6 +82,8 @@
 	ScarceTenants []string
 	// Evidence is against requests that end servers.
 	Evidence KnownEvidence
+	// Crowded are the models for which the holder is to be asked before a request is sent.
+	Crowded []admission.Key
 }
 
 // WishMessage asks the holder to have a model loaded.
--- a/pkg/enginetest/engine.go
+++ b/pkg/enginetest/engine.go
@@ -61,6 +61,13 @@
 	e.waiting = append(e.waiting, r)
 }
 
+// Leave ends a request whose caller is gone, whether it runs or waits.
+func (e *Engine) Leave(r *Run) {
+	same := func(other *Run) bool { return other == r }
+	e.waiting = slices.DeleteFunc(e.waiting, same)
+	e.running = slices.DeleteFunc(e.running, same)
+}
+
 // Running returns how many requests run.
 func (e *Engine) Running() int { return len(e.running) }
 
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -40,7 +40,11 @@
 		if m == nil {
 			return
 		}
-		switch c.permit(ctx, m) {
+		m, may := c.takePlace(ctx, m)
+		if may == mayRunNow {
+			may = c.permit(ctx, m)
+		}
+		switch may {
 		case isRefused:
 			return
 		case looksAgain:
@@ -93,6 +97,8 @@
 		}
 	}
 	defer end()
+	c.beginPlace(m)
+	defer c.endPlace()
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	impatience := c.giveUpLater(m, cancel)
@@ -102,6 +108,8 @@
 			return errLeaving
 		case c.left() <= 0: // the machine may have been suspended: the timer of ctx goes by another clock
 			return errDeadline
+		case c.place.stale(c.relay.Time.Now()):
+			return errStalePlace
 		}
 		return nil
 	})
@@ -207,6 +215,7 @@
 // answers notes that the server began to answer.
 func (c *call) answers() {
 	c.record.answers(c.relay.Time.Now())
+	c.answersInPlace()
 	c.turn.begin()
 }
 
@@ -225,6 +234,9 @@
 		c.giveUp(ctx)
 		return false
 	case notRun:
+		if errors.Is(err, errStalePlace) {
+			return true
+		}
 		c.learn(now, m, err)
 		c.tried = append(c.tried, m.ID)
 		c.misses++
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -57,6 +57,7 @@
 	headSent bool
 	turn     *turn // of a suspected request that runs; nil: it needs none
 	round    int   // of the run that begins next, see quarantine.End
+	place    place // among all requests to crowded servers
 	record   record
 }
 
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -79,6 +79,7 @@
 	waitFor    string        // what it lacked when it last waited; empty: it never did
 	wakeError  error
 	turnError  error // why the holder could not be asked for a turn
+	place      placeRecord
 	bytes      int
 	events     int
 	eventsFrom time.Time     // when the first events went out
@@ -129,6 +130,7 @@
 func (c *call) finish() {
 	c.record.end(outcomeBroken, nil)
 	c.settle()
+	c.endPlace() // of a request that waited for one in vain
 	took := c.relay.Time.Since(c.arrived)
 	c.relay.Metrics.observe(c, took)
 	fields := []any{"request_id", c.record.id, "outcome", c.record.outcome, "status", c.record.status,
@@ -177,6 +179,7 @@
 	if c.record.turnError != nil {
 		fields = append(fields, "turn_error", c.record.turnError.Error())
 	}
+	fields = append(fields, c.describePlace()...)
 	if c.record.wakeError != nil {
 		fields = append(fields, "wake_error", c.record.wakeError.Error())
 	}
@@ -228,6 +231,7 @@
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	tries    prometheus.Counter
+	foreseen prometheus.Histogram
 }
 
 // NewMetrics registers the relay's metrics.
@@ -244,7 +248,8 @@
 			Namespace: "martenwheel", Name: "relay_attempts_total", Help: "Requests sent to servers, repeats included.",
 		}),
 	}
-	registry.MustRegister(m.requests, m.latency, m.tries)
+	m.foreseen = newForeseen()
+	registry.MustRegister(m.requests, m.latency, m.tries, m.foreseen)
 	return m
 }
 
@@ -254,6 +259,7 @@
 	}
 	m.requests.WithLabelValues(c.service, c.record.outcome).Inc()
 	m.tries.Add(float64(len(c.record.tries)))
+	m.observePlace(c)
 	if c.record.outcome == outcomeServed {
 		m.latency.WithLabelValues(c.service).Observe(min(took, c.record.firstByte).Seconds())
 	}
--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -36,6 +36,7 @@
 	reasonStopping = "the node is stopping"
 	reasonOldKeys  = "keys not confirmed in time"
 	reasonQuota    = "quota spent"
+	reasonCrowded  = "servers are crowded"
 )
 
 // notServed is the final answer to a request that no server served. It tells
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -5,7 +5,8 @@
 // A request's way, by file: relay.go takes it in; call.go finds its route and
 // bounds; access.go finds the tenant in whose name it is made and quota.go charges it;
 // choose.go waits for a server, by the plug-ins of package routing;
-// prospect.go decides whether one that finds none is held or refused; attempt.go
+// prospect.go decides whether one that finds none is held or refused; place.go has it take
+// its turn where servers are crowded; attempt.go
 // sends it and decides what a failure allows; quarantine.go keeps it from servers if it ends
 // them; whole.go and stream.go pass the answer on; refuse.go gives the relay's own answers;
 // budget.go and slack.go bound repeats;
@@ -93,13 +94,15 @@
 	Waker   Waker
 	// Quarantine keeps requests that end servers from them; none are kept if nil.
 	Quarantine Quarantine
-	Nodes      func() int // that share the budget of repeats, zero while not known; 1 if nil
-	Budget     BudgetConfig
-	Lender     Lender    // of repeats when this node's share is spent; may be nil
-	Began      time.Time // since when this node's account of repeats fills; the first request if zero
-	Logger     hclog.Logger
-	Metrics    *Metrics                                           // not counted if nil
-	Arrived    func(service string, n backend.Need, priority int) // told of each request; may be nil
+	// Places says where and when requests go to crowded servers; the node chooses alone if nil.
+	Places  Places
+	Nodes   func() int // that share the budget of repeats, zero while not known; 1 if nil
+	Budget  BudgetConfig
+	Lender  Lender    // of repeats when this node's share is spent; may be nil
+	Began   time.Time // since when this node's account of repeats fills; the first request if zero
+	Logger  hclog.Logger
+	Metrics *Metrics                                           // not counted if nil
+	Arrived func(service string, n backend.Need, priority int) // told of each request; may be nil
 
 	splits  route.Splitter
 	budgets budgets
