--- a/pkg/admission/crowd.go
+++ b/pkg/admission/crowd.go
@@ -13,6 +13,9 @@
 	crowdShare   = 0.5
 	calmShare    = 0.2
 	crowdWaiting = 2.0
+	// crowdTime is for how long it has to last: a few requests that come together are read within
+	// it, and what nodes told a moment ago may be over.
+	crowdTime = 400 * time.Millisecond
 	// calmTime is how long a model has to be calm: crowds come back, and each change is told to
 	// all nodes.
 	calmTime = 3 * time.Second
@@ -25,6 +28,7 @@
 	key      Key
 	on       bool
 	load     float64   // share of the target that what is unread takes
+	fullFrom time.Time // since when it is as a crowd is; zero: it is not
 	busyAt   time.Time // when it was last not calm
 	promised time.Time // until when the room is promised to refused requests that come back
 }
@@ -125,8 +129,15 @@
 	if c.load >= calmShare {
 		c.busyAt = now
 	}
+	full := c.load >= crowdShare && float64(d.waiting) >= crowdWaiting*float64(b.replicas)
 	switch {
-	case !c.on && c.load >= crowdShare && float64(d.waiting) >= crowdWaiting*float64(b.replicas):
+	case !full:
+		c.fullFrom = time.Time{}
+	case c.fullFrom.IsZero():
+		c.fullFrom = now
+	}
+	switch {
+	case !c.on && full && now.Sub(c.fullFrom) >= crowdTime:
 		c.on = true
 	case c.on && now.Sub(c.busyAt) > calmTime:
 		c.on = false
--- a/pkg/admission/play_test.go
+++ b/pkg/admission/play_test.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -58,11 +57,11 @@
 }
 
 // counts is what callers of a kind got.
-type counts struct{ all, inTime, late, refused, left, lateFirst, latePause, latePauseSlow int }
+type counts struct{ all, inTime, late, refused, left int }
 
 func (c counts) String() string {
 	part := func(n int) float64 { return float64(n) / float64(max(c.all, 1)) }
-	return fmt.Sprintf("%.2f/%.2f/%.2f/%.2f [%.2f %.2f %.2f]", part(c.inTime), part(c.late), part(c.refused), part(c.left), part(c.lateFirst), part(c.latePause), part(c.latePauseSlow))
+	return fmt.Sprintf("%.2f/%.2f/%.2f/%.2f", part(c.inTime), part(c.late), part(c.refused), part(c.left))
 }
 
 // play is a load on servers, and what decides on it.
@@ -72,7 +71,8 @@
 	engines  []*enginetest.Engine
 	model    *Model // nil: the standing way
 	list     []*request
-	inFlight [playNodes][]int // by server
+	inFlight [playNodes][]int     // by server
+	paces    [playNodes][]float64 // of an event, by server; zero: not known
 	asks     int
 	offs     []float64 // predictions by the real time to the first event
 	slow     func(server int, at time.Duration) float64
@@ -87,6 +87,7 @@
 	}
 	for i := range p.inFlight {
 		p.inFlight[i] = make([]int, len(speeds))
+		p.paces[i] = make([]float64, len(speeds))
 	}
 	if ways != nil {
 		p.model = newModel()
@@ -166,14 +167,6 @@
 		c.inTime++
 	default:
 		c.late++
-		if r.run.First-r.arrives > r.kind.target {
-			c.lateFirst++
-		} else {
-			c.latePause++
-			if r.server == 0 {
-				c.latePauseSlow++
-			}
-		}
 	}
 }
 
@@ -221,15 +214,37 @@
 	p.engines[r.server].Add(&r.run)
 }
 
-// standing returns the server that the request's node would choose: the one at which it has
-// less itself.
+// standing returns the server that the request's node would choose, as package relay does: by
+// what it has there itself, and by the pace of the streams that it saw.
 func (p *play) standing(r *request) int {
-	own := p.inFlight[r.node]
-	a, b := p.random.IntN(len(own)), p.random.IntN(len(own))
-	if own[a] <= own[b] {
-		return a
+	best, most := 0, 0.0
+	for _, i := range p.random.Perm(len(p.engines)) {
+		score := 2 * (1 - float64(p.inFlight[r.node][i])/48)
+		paces := p.paces[r.node]
+		if slices.Min(paces) > 0 {
+			score += slices.Min(paces) / paces[i]
+		} else {
+			score++
+		}
+		if score > most+0.1 {
+			best, most = i, score
+		}
 	}
-	return b
+	return best
+}
+
+// pace has a node learn from a stream that ended.
+func (p *play) pace(r *request) {
+	events := r.run.Out / 6
+	if events < 8 {
+		return
+	}
+	pace := &p.paces[r.node][r.server]
+	sample := float64(r.run.End-r.run.First) / float64(events)
+	if *pace == 0 {
+		*pace = sample
+	}
+	*pace += 0.3 * (sample - *pace)
 }
 
 // follow notes what became of a request that was sent.
@@ -249,14 +264,14 @@
 	}
 	if r.run.End > 0 && at >= r.run.End+reportTime {
 		p.tell(r, at, true)
+		p.pace(r)
 		r.done = true
 	}
 }
 
 func (p *play) tell(r *request, at time.Duration, ended bool) {
-	p.inFlight[r.node][r.server]--
-	if !ended {
-		p.inFlight[r.node][r.server]++
+	if ended {
+		p.inFlight[r.node][r.server]--
 	}
 	if p.model == nil {
 		return
@@ -283,39 +298,130 @@
 	return got / most
 }
 
-// TestCrowd shows the ways beside each other, with -v, and checks the one that is used.
+// sum adds other counts.
+func (c *counts) sum(other *counts) {
+	*c = counts{c.all + other.all, c.inTime + other.inTime, c.late + other.late, c.refused + other.refused, c.left + other.left}
+}
+
+// outcome is what a way made of a load.
+type outcome struct {
+	kinds map[string]*counts
+	asks  float64   // a second
+	offs  []float64 // predictions by the real time, sorted
+}
+
+func (o *outcome) part(kind string, of func(*counts) int) float64 {
+	return float64(of(o.kinds[kind])) / float64(o.kinds[kind].all)
+}
+
+func inTimeOf(c *counts) int  { return c.inTime }
+func refusedOf(c *counts) int { return c.refused }
+func leftOf(c *counts) int    { return c.left }
+func servedOf(c *counts) int  { return c.inTime + c.late }
+
+// String shows in time/late/refused/left by kind, and predictions: a tenth, the median and nine
+// tenths.
+func (o *outcome) String() string {
+	text := fmt.Sprintf("draft %v notice %v question %v worth %.3f", o.kinds["draft"], o.kinds["notice"], o.kinds["question"], worth(o.kinds))
+	if n := len(o.offs); n > 0 {
+		text += fmt.Sprintf(" asks/s %3.0f predicted/real %.2f %.2f %.2f", o.asks, o.offs[n/10], o.offs[n/2], o.offs[n*9/10])
+	}
+	return text
+}
+
+// Seeds of the plays.
+const playSeeds = 4
+
+// playAll plays a load with all seeds.
+func playAll(w *ways, rate float64, change func(*play)) *outcome {
+	o := &outcome{kinds: map[string]*counts{}}
+	for _, k := range kinds {
+		o.kinds[k.name] = &counts{}
+	}
+	for seed := range uint64(playSeeds) {
+		p := newPlay(seed, w, 0.55, 1.2)
+		if change != nil {
+			change(p)
+		}
+		p.load(rate)
+		for name, c := range p.run() {
+			o.kinds[name].sum(c)
+		}
+		o.asks += float64(p.asks) / playSeeds / playTime.Seconds()
+		o.offs = append(o.offs, p.offs...)
+	}
+	slices.Sort(o.offs)
+	return o
+}
+
+// TestCrowd plays the ways beside each other at loads from what two servers bear to far more,
+// and shows with -v what callers get. It checks the one that is used against the standing one,
+// and that each of its parts is worth something.
 func TestCrowd(t *testing.T) {
-	for _, rate := range []float64{10, 15, 20, 25, 35} {
+	for _, rate := range []float64{10, 15, 25, 35} {
+		got := map[string]*outcome{}
 		for _, way := range []struct {
 			name string
 			ways *ways
 		}{
 			{"standing", nil},
-			{"patience, no memory", &ways{patience: true, noMemory: true, noRoom: true}},
-			{"patience", &ways{patience: true, noRoom: true}},
-			{"objective, no room for the urgent", &ways{noRoom: true}},
-			{"objective, no memory", &ways{noMemory: true}},
-			{"objective (used)", &ways{}},
+			{"by patience, no memory", &ways{patience: true, noMemory: true, noRoom: true}},
+			{"by patience", &ways{patience: true, noRoom: true}},
+			{"by objective, no room for the urgent", &ways{noRoom: true}},
+			{"by objective, no memory", &ways{noMemory: true}},
+			{"by objective (used)", &ways{}},
 		} {
-			sum, asks, offs := map[string]*counts{}, 0, []float64(nil)
-			const seeds = 4
-			for seed := range uint64(seeds) {
-				p := newPlay(seed, way.ways, 0.55, 1.2)
-				p.load(rate)
-				for name, c := range p.run() {
-					s := cmp.Or(sum[name], &counts{})
-					*s = counts{s.all + c.all, s.inTime + c.inTime, s.late + c.late, s.refused + c.refused, s.left + c.left, s.lateFirst + c.lateFirst, s.latePause + c.latePause, s.latePauseSlow + c.latePauseSlow}
-					sum[name] = s
-				}
-				asks += p.asks
-				offs = append(offs, p.offs...)
-			}
-			slices.Sort(offs)
-			off := ""
-			if len(offs) > 0 {
-				off = fmt.Sprintf("predicted/real %.2f %.2f %.2f", offs[len(offs)/10], offs[len(offs)/2], offs[len(offs)*9/10])
+			o := playAll(way.ways, rate, nil)
+			got[way.name] = o
+			t.Logf("%2.0f/s %-36s %v", rate, way.name, o)
+		}
+		used, standing := got["by objective (used)"], got["standing"]
+		used.check(t, rate, standing)
+		if rate < 25 {
+			continue
+		}
+		if a, b := worth(used.kinds), worth(got["by patience"].kinds); a < b+0.2 {
+			t.Errorf("%g/s: worth %.3f by objective, %.3f by patience", rate, a, b)
+		}
+		without := got["by objective, no room for the urgent"]
+		if a, b := used.part("question", inTimeOf), without.part("question", inTimeOf); a < b+0.1 {
+			t.Errorf("%g/s: %.2f of the most urgent in time with room kept for them, %.2f without", rate, a, b)
+		}
+	}
+}
+
+// check has each kind fare better than by the standing way, the most urgent be refused least, and
+// no kind starve.
+func (o *outcome) check(t *testing.T, rate float64, standing *outcome) {
+	t.Helper()
+	for _, k := range kinds {
+		if a, b := o.part(k.name, inTimeOf), standing.part(k.name, inTimeOf); a < b {
+			t.Errorf("%g/s: %.2f of %s in time, %.2f by the standing way", rate, a, k.name, b)
+		}
+		if a := o.part(k.name, leftOf); a > 0.02 {
+			t.Errorf("%g/s: of %s %.2f left", rate, k.name, a)
+		}
+		if a := o.part(k.name, servedOf); a < 0.1 {
+			t.Errorf("%g/s: of %s %.2f are served", rate, k.name, a)
+		}
+	}
+	if a, b := o.part("question", refusedOf), o.part("draft", refusedOf); a > b+0.01 {
+		t.Errorf("%g/s: %.2f of the most urgent are refused, %.2f of the least", rate, a, b)
+	}
+}
+
+// TestAServerThatTurnsSlow has the fast server work at a fifth of its speed for 2 s, three times.
+func TestAServerThatTurnsSlow(t *testing.T) {
+	slow := func(p *play) {
+		p.slow = func(server int, at time.Duration) float64 {
+			if server == 1 && at%(9*time.Second) > 7*time.Second {
+				return 0.2
 			}
-			t.Logf("%2.0f/s %-34s draft %v notice %v question %v worth %.3f asks/s %.0f %s", rate, way.name, sum["draft"], sum["notice"], sum["question"], worth(sum), float64(asks)/seeds/playTime.Seconds(), off)
+			return 1
 		}
 	}
+	standing, used := playAll(nil, 15, slow), playAll(&ways{}, 15, slow)
+	t.Logf("standing %v", standing)
+	t.Logf("used     %v", used)
+	used.check(t, 15, standing)
 }
--- a/pkg/admission/server.go
+++ b/pkg/admission/server.go
@@ -87,7 +87,7 @@
 			began = later(began, p.sent)
 		}
 		sum += p.work
-		if took := now.Sub(began) - newsDelay; took > duration(sum+tail, l.speed) {
+		if took := p.seen(now).Sub(began); took > duration(sum+tail, l.speed) {
 			l.speed = max((sum+tail)/(float64(took)/float64(time.Millisecond)), leastSpeed)
 		}
 	}
@@ -104,6 +104,15 @@
 	return l
 }
 
+// seen returns until when it is known that the first event did not come. Of places that were
+// granted it is told at once, of others with beats.
+func (p *place) seen(now time.Time) time.Time {
+	if p.expected > 0 {
+		return now.Add(-newsDelay)
+	}
+	return p.heard
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/pkg/admission/verdict.go
+++ b/pkg/admission/verdict.go
@@ -107,17 +107,18 @@
 	if m.ways.patience {
 		limit = time.Duration(patienceShare * float64(r.Patience))
 	}
-	list := m.prospects(now, r, o)
+	list := m.prospects(now, r)
 	if len(list) == 0 {
 		return Verdict{}, ErrServer
 	}
+	m.judge(now, r, o, list)
 	if best := soonest(list, true); best != nil && best.first <= limit {
 		return m.grant(now, r, best), nil
 	}
 	if best := soonest(list, false); best.first <= limit {
 		return m.hold(now, r, o, best), nil
 	}
-	return m.decideLate(now, r, o), nil
+	return m.decideLate(now, r, o, list), nil
 }
 
 // rank returns the rank of a request. One whose caller has waited for long goes up, so that
@@ -135,10 +136,10 @@
 
 // decideLate decides on a request that can't be in time. It goes where it takes nobody's room;
 // it waits for that while its caller does, behind all that can be in time.
-func (m *Model) decideLate(now time.Time, r *Request, o order) Verdict {
+func (m *Model) decideLate(now time.Time, r *Request, o order, list []prospect) Verdict {
 	o.late, o.due = true, now.Add(r.Patience)
 	limit := time.Duration(patienceShare * float64(r.Patience))
-	list := m.prospects(now, r, o)
+	m.judge(now, r, o, list)
 	best := soonest(list, true)
 	switch {
 	case best != nil && best.first <= limit && (m.ways.patience || best.spare()):
@@ -156,8 +157,8 @@
 // made late by one more.
 func (p *prospect) spare() bool { return p.unread <= tokens(shallow, p.load.speed)/2 }
 
-// prospects returns what a request can expect at each of its servers that is known.
-func (m *Model) prospects(now time.Time, r *Request, o order) []prospect {
+// prospects returns those of a request's servers that are known, with what they have to do.
+func (m *Model) prospects(now time.Time, r *Request) []prospect {
 	list := make([]prospect, 0, len(r.Servers))
 	for _, name := range r.Servers {
 		s := m.server(name)
@@ -166,6 +167,11 @@
 		}
 		list = append(list, prospect{name: name, server: s, load: s.load(now), own: s.toRead(now, r.Need, r.Work)})
 	}
+	return list
+}
+
+// judge works out what the request can expect at each of its servers.
+func (m *Model) judge(now time.Time, r *Request, o order, list []prospect) {
 	waiting, speeds := m.before(now, list, o), 0.0
 	for i := range list {
 		speeds += list[i].load.speed
@@ -173,7 +179,6 @@
 	for i := range list {
 		list[i].judge(now, r, o, waiting, list[i].load.speed/speeds, m.ways)
 	}
-	return list
 }
 
 // ahead is what waits and goes before a request.
@@ -189,7 +194,7 @@
 	var a ahead
 	for i := range list {
 		for _, w := range list[i].server.waiters {
-			if now.Before(w.until) && w.order.before(o) {
+			if now.Before(w.until) && !o.before(w.order) {
 				a.work += w.work
 				a.memory += w.memory
 				a.count++
@@ -214,6 +219,7 @@
 // judge works out what the request can expect, with the server's share of what waits before it.
 func (p *prospect) judge(now time.Time, r *Request, o order, waiting ahead, share float64, ways ways) {
 	s := p.server
+	p.open, p.wait = false, 0
 	p.unread = p.load.unread + share*waiting.work
 	p.expected = p.unread + p.own + s.tail(p.unread/2)
 	p.first = duration(p.expected, p.load.speed)
