--- /dev/null
+++ b/pkg/relay/place_test.go
@@ -0,0 +1,261 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"martenwheel.dev/pkg/admission"
+	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/clock"
+	"martenwheel.dev/pkg/route"
+)
+
+// keeper decides on places as a test says, and notes what it is told.
+type keeper struct {
+	decide func(n int, r *admission.Request) (admission.Verdict, error) // n: how many were asked before
+
+	mu    sync.Mutex
+	count uint64
+	asked []admission.Request
+	sent  []admission.Report
+	first []uint64
+	left  []uint64
+}
+
+func (k *keeper) NextPlace() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.count++
+	return k.count
+}
+
+func (k *keeper) TakePlace(_ context.Context, r *admission.Request) (admission.Verdict, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.asked = append(k.asked, *r)
+	return k.decide(len(k.asked)-1, r)
+}
+
+func (k *keeper) SentToPlace(r admission.Report) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.sent = append(k.sent, r)
+}
+
+func (k *keeper) AnsweredInPlace(id uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.first = append(k.first, id)
+}
+
+func (k *keeper) LeftPlace(id uint64, _ admission.Key) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.left = append(k.left, id)
+}
+
+// crowdedSite is a site whose servers hold m and tell of their memory.
+func crowdedSite(t *testing.T, r route.Route, k *keeper, answers ...answerer) *site {
+	t.Helper()
+	r.Sticky = true
+	s := newSite(t, r, answers...)
+	for _, server := range s.servers {
+		server.Models = []backend.Holding{{Model: "m", Version: 1, Adapters: []string{"a"}}}
+	}
+	s.relay.Servers.Replace(s.servers, 2)
+	s.relay.Headers.Tokens, s.relay.Headers.Parts, s.relay.Headers.Likely = "X-Tokens", "X-Parts", "X-Likely"
+	s.relay.Routes().Service("s").Engine.CacheTokens = 250_000
+	s.relay.Places = k
+	return s
+}
+
+// prompted sends a request with a prompt.
+func (s *site) prompted(id string) answer {
+	s.t.Helper()
+	r := s.request(s.t.Context(), http.MethodPost, "/p/x", id, "x")
+	r.Header.Set("X-Model", "m/a")
+	r.Header.Set("X-Tokens", "9200,80")
+	r.Header.Set("X-Parts", "c:2500,s:3800,o:2900")
+	return s.do(r)
+}
+
+// always decides the same.
+func always(v admission.Verdict) func(int, *admission.Request) (admission.Verdict, error) {
+	return func(int, *admission.Request) (admission.Verdict, error) { return v, nil }
+}
+
+// TestARequestGoesWhereItHasItsPlace, and its way is told.
+func TestARequestGoesWhereItHasItsPlace(t *testing.T) {
+	k := &keeper{decide: always(admission.Verdict{Kind: admission.Go, Server: "server-2", First: time.Millisecond})}
+	s := crowdedSite(t, streamRoute(false), k, events(5, 5, nil), events(5, 5, nil), events(5, 5, nil))
+	for range 5 {
+		if got := s.prompted("id"); got.body != streamed(1, 5) {
+			t.Fatalf("the caller got %+v", got)
+		}
+	}
+	for _, got := range s.arrivals() {
+		if got.server != "server-2" {
+			t.Errorf("a request went to %s", got.server)
+		}
+	}
+	r := k.asked[0]
+	if r.Key != (admission.Key{Service: "s", Model: "m"}) || r.Need != "m/a" || r.Work.Tokens != 9200 || r.Work.Out != 80 ||
+		len(r.Work.Parts) != 3 || len(r.Servers) != 3 || r.Target <= 0 || r.Patience <= r.Target || !r.Valid() && r.Place.Node != "" {
+		t.Errorf("it asked %+v", r)
+	}
+	if len(k.sent) != 5 || k.sent[0].Server != "server-2" || !k.sent[0].Granted || len(k.first) < 5 || len(k.left) != 5 {
+		t.Errorf("told %+v, %v, %v", k.sent, k.first, k.left)
+	}
+}
+
+// TestARefusedRequestIsNotRun and its caller is told the truth and when to come back.
+func TestARefusedRequestIsNotRun(t *testing.T) {
+	k := &keeper{decide: always(admission.Verdict{Kind: admission.Refuse, After: 700 * time.Millisecond})}
+	s := crowdedSite(t, streamRoute(false), k, events(5, 5, nil))
+	got := s.prompted("id")
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") != "0.700" || len(s.arrivals()) != 0 {
+		t.Errorf("the caller got %+v, the servers %v", got, s.arrivals())
+	}
+	s.front.Close() // once the request is over
+	if len(k.left) != 1 || len(k.sent) != 0 {
+		t.Errorf("told %v, %v", k.left, k.sent)
+	}
+}
+
+// TestARequestWaitsAndAsksAgain under the same ID.
+func TestARequestWaitsAndAsksAgain(t *testing.T) {
+	k := &keeper{decide: func(n int, _ *admission.Request) (admission.Verdict, error) {
+		if n < 2 {
+			return admission.Verdict{Kind: admission.Wait, After: 20 * time.Millisecond}, nil
+		}
+		return admission.Verdict{Kind: admission.Go, Server: "server-0"}, nil
+	}}
+	s := crowdedSite(t, streamRoute(false), k, events(5, 5, nil))
+	if got := s.prompted("id"); got.body != streamed(1, 5) {
+		t.Fatalf("the caller got %+v", got)
+	}
+	if len(k.asked) != 3 || k.asked[2].Place.ID != k.asked[0].Place.ID || k.asked[2].Waited < 40*time.Millisecond {
+		t.Errorf("it asked %+v", k.asked)
+	}
+}
+
+// TestNobodyWaitsBeyondItsCaller: a request that is told to wait again and again is refused before
+// its caller leaves.
+func TestNobodyWaitsBeyondItsCaller(t *testing.T) {
+	k := &keeper{decide: always(admission.Verdict{Kind: admission.Wait, After: 100 * time.Millisecond})}
+	r := streamRoute(false)
+	r.Timeout = time.Second
+	s := crowdedSite(t, r, k, events(5, 5, nil))
+	began := time.Now()
+	if got := s.prompted("id"); got.status != http.StatusServiceUnavailable || time.Since(began) >= time.Second {
+		t.Errorf("the caller got %+v after %v", got, time.Since(began))
+	}
+}
+
+// TestWithoutAWordTheNodeChooses: nobody answers, or the server of the word is gone.
+func TestWithoutAWordTheNodeChooses(t *testing.T) {
+	for name, decide := range map[string]func(int, *admission.Request) (admission.Verdict, error){
+		"nobody answers": func(int, *admission.Request) (admission.Verdict, error) {
+			return admission.Verdict{}, errors.New("no answer")
+		},
+		"the server is gone": always(admission.Verdict{Kind: admission.Go, Server: "gone"}),
+	} {
+		k := &keeper{decide: decide}
+		s := crowdedSite(t, streamRoute(false), k, events(5, 5, nil))
+		if got := s.prompted("id"); got.body != streamed(1, 5) {
+			t.Errorf("%s: the caller got %+v", name, got)
+		}
+		if len(k.sent) != 1 || k.sent[0].Server != "server-0" {
+			t.Errorf("%s: told %+v", name, k.sent)
+		}
+	}
+}
+
+// TestAnAnswerThatHasBegunIsNotRefused: its stream broke, and goes on at another server without
+// a question.
+func TestAnAnswerThatHasBegunIsNotRefused(t *testing.T) {
+	k := &keeper{decide: func(n int, _ *admission.Request) (admission.Verdict, error) {
+		if n == 0 {
+			return admission.Verdict{Kind: admission.Go, Server: "server-0"}, nil
+		}
+		return admission.Verdict{Kind: admission.Refuse, After: time.Second}, nil
+	}}
+	s := crowdedSite(t, streamRoute(true), k, events(3, 6, halfEvent), events(6, 6, nil))
+	if got := s.prompted("id"); got.body != streamed(1, 6) {
+		t.Errorf("the caller got %+v", got)
+	}
+	if len(k.asked) != 1 || len(k.sent) != 2 || len(k.left) != 2 {
+		t.Errorf("%d questions, told %+v, %v", len(k.asked), k.sent, k.left)
+	}
+}
+
+// TestARefusalAfterARunSaysSo: a server may have run the request.
+func TestARefusalAfterARunSaysSo(t *testing.T) {
+	k := &keeper{decide: func(n int, _ *admission.Request) (admission.Verdict, error) {
+		if n == 0 {
+			return admission.Verdict{Kind: admission.Go, Server: "server-0"}, nil
+		}
+		return admission.Verdict{Kind: admission.Refuse, After: time.Second}, nil
+	}}
+	s := crowdedSite(t, streamRoute(true), k, raw("HTTP/1.1 200 OK\r\n"), events(6, 6, nil))
+	if got := s.prompted("id"); got.status != http.StatusBadGateway {
+		t.Errorf("the caller got %+v", got)
+	}
+}
+
+// TestAPlaceLapsesInASuspension: the node sleeps between the word and the send, and asks again.
+func TestAPlaceLapsesInASuspension(t *testing.T) {
+	var mu sync.Mutex
+	var slept time.Duration
+	k := &keeper{decide: always(admission.Verdict{Kind: admission.Go, Server: "server-0"})}
+	s := crowdedSite(t, streamRoute(false), k, events(5, 5, nil))
+	s.relay.Time = clock.Clock(func() time.Time {
+		mu.Lock()
+		defer mu.Unlock()
+		return time.Now().Add(slept)
+	})
+	s.relay.Servers = &backend.Directory{Time: s.relay.Time, Dialer: func(ctx context.Context, address string) (net.Conn, error) {
+		mu.Lock()
+		if slept == 0 {
+			slept = time.Second // the machine sleeps while it connects
+		}
+		mu.Unlock()
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}}
+	s.relay.Servers.Replace(s.servers, 1)
+	if got := s.prompted("id"); got.body != streamed(1, 5) {
+		t.Errorf("the caller got %+v", got)
+	}
+	if len(k.asked) != 2 || len(s.arrivals()) != 1 {
+		t.Errorf("%d questions, %d arrivals, want two and one", len(k.asked), len(s.arrivals()))
+	}
+}
+
+// TestPlacesAreForLongPromptsOnly: other routes, engines and requests don't ask and tell nothing.
+func TestPlacesAreForLongPromptsOnly(t *testing.T) {
+	for name, change := range map[string]func(s *site, r *http.Request){
+		"its prompt is not told":         func(_ *site, r *http.Request) { r.Header.Del("X-Tokens") },
+		"the memory is not told":         func(s *site, _ *http.Request) { s.relay.Routes().Service("s").Engine.CacheTokens = 0 },
+		"its route shares no parts":      func(s *site, _ *http.Request) { s.relay.Routes().Match("site.example", "/p/x").Sticky = false },
+		"it needs no model":              func(_ *site, r *http.Request) { r.Header.Del("X-Model") },
+		"nobody has requests take turns": func(s *site, _ *http.Request) { s.relay.Places = nil },
+	} {
+		k := &keeper{decide: always(admission.Verdict{Kind: admission.Refuse})}
+		s := crowdedSite(t, streamRoute(false), k, events(5, 5, nil))
+		r := s.request(t.Context(), http.MethodPost, "/p/x", "id", "x")
+		r.Header.Set("X-Model", "m")
+		r.Header.Set("X-Tokens", "900,80")
+		change(s, r)
+		if got := s.do(r); got.body != streamed(1, 5) {
+			t.Errorf("%s: the caller got %+v", name, got)
+		}
+		if len(k.asked)+len(k.sent)+len(k.left) != 0 {
+			t.Errorf("%s: it asked %v, told %v, %v", name, k.asked, k.sent, k.left)
+		}
+	}
+}
