--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -354,6 +354,7 @@
 func newSite(t *testing.T, holds ...[]string) *site {
 	s := &site{t: t, running: make(map[string]*node), row: &row{started: time.Now()}, engines: &engines{t: t, load: loadTime, servers: make(map[string]*engineState)}}
 	e := &route.Engine{Slots: 8, WeightBytes: engineBytes, AdapterPlaces: adapterPlaces, LoadsPerSecond: loadRate,
+		CacheTokens: 250_000, EventTokens: 6,
 		Models: make(map[string]*route.Model)}
 	for i := range models {
 		name := fmt.Sprintf("m%d", i)
--- a/pkg/coordinator/places_test.go
+++ b/pkg/coordinator/places_test.go
@@ -18,13 +18,11 @@
 // crowdKey is the model that two servers of the test's world hold.
 var crowdKey = admission.Key{Service: "s", Model: "m0"}
 
-// crowdWorld runs three nodes before servers whose memory is told, and f.
+// crowdWorld runs three nodes and f.
 func crowdWorld(t *testing.T, f func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 1)
-		e := w.table.Service("s").Engine
-		e.CacheTokens, e.EventTokens, e.Slots = 250_000, 6, 48
 		defer func() {
 			for _, n := range w.nodes {
 				n.stop()
@@ -159,8 +157,12 @@
 		if next == nil || next == holder {
 			t.Fatal("nobody took over")
 		}
-		if len(next.holder.places.told) == 0 {
-			t.Error("the next holder does not know of the crowd")
+		if err := next.holder.do(w.t.Context(), func() {
+			if len(next.holder.places.told) == 0 {
+				t.Error("the next holder does not know of the crowd")
+			}
+		}); err != nil {
+			t.Error(err)
 		}
 	})
 }
@@ -176,12 +178,11 @@
 		time.Sleep(1500 * time.Millisecond)
 		w.crash(other)
 		time.Sleep(nodeExpiry + time.Second)
-		holder, third := w.holderAndOther()
+		_, third := w.holderAndOther()
 		third.member.places.ledger.Told(time.Now(), []admission.Key{crowdKey})
 		if v := w.takePlace(third.member, crowdRequest(third.member)); v.Kind != admission.Go {
 			t.Errorf("after the node with all places was found silent: %v", v.Kind)
 		}
-		_ = holder
 	})
 }
 
