--- a/pkg/admission/ledger.go
+++ b/pkg/admission/ledger.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -195,6 +196,7 @@
 			delete(l.open, id)
 		}
 	}
+	slices.SortFunc(list, func(a, b Report) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
 
--- a/pkg/admission/server.go
+++ b/pkg/admission/server.go
@@ -74,28 +74,13 @@
 // is slower than was believed.
 func (s *server) load(now time.Time) load {
 	l := load{speed: s.speed.careful(now), places: len(s.places)}
-	tail := s.tail(0)
-	var began, read time.Time // of the busy time; until when what is before is read
-	sum := 0.0
 	for _, p := range s.places {
 		l.memory += p.memory
-		if !p.first.IsZero() {
-			began, sum = later(began, p.first), 0
-			continue
-		}
-		if sum == 0 {
-			began = later(began, p.sent)
-		}
-		sum += p.work
-		if took := p.seen(now).Sub(began); took > duration(sum+tail, l.speed) {
-			l.speed = max((sum+tail)/(float64(took)/float64(time.Millisecond)), leastSpeed)
-		}
 	}
-	for _, p := range s.places {
-		if !p.first.IsZero() {
-			read = later(read, p.first.Add(-duration(tail, l.speed)))
-			continue
-		}
+	unread, began := s.unanswered()
+	l.speed = s.overdue(now, unread, began, l.speed)
+	read := began
+	for _, p := range unread {
 		read = later(read, p.sent).Add(duration(p.work, l.speed))
 	}
 	if read.After(now) {
@@ -104,13 +89,45 @@
 	return l
 }
 
-// seen returns until when it is known that the first event did not come. Of places that were
-// granted it is told at once, of others with beats.
-func (p *place) seen(now time.Time) time.Time {
-	if p.expected > 0 {
-		return now.Add(-newsDelay)
+// unanswered returns the places that may be unread, and when what was before them had been read.
+// Prompts are read in the order in which they come: those before one that was answered are read,
+// though the news of it may be lost.
+func (s *server) unanswered() ([]*place, time.Time) {
+	for i := len(s.places) - 1; i >= 0; i-- {
+		if p := s.places[i]; !p.first.IsZero() {
+			return s.places[i+1:], p.first
+		}
+	}
+	return s.places, time.Time{}
+}
+
+// silentShare is the least part of its speed that a server is taken to have only because no news
+// came: they may be lost. What its node tells of it counts in full.
+const silentShare = 0.5
+
+// overdue returns the speed by which none of the answers is overdue, at most the one believed.
+func (s *server) overdue(now time.Time, unread []*place, began time.Time, believed float64) float64 {
+	speed, work := believed, s.tail(0)
+	for i, p := range unread {
+		if i == 0 {
+			began = later(began, p.sent)
+		}
+		work += p.work
+		speed = min(speed, speedOf(work, p.heard.Sub(began)))
+		if p.expected > 0 { // its answer is told at once, that of others with beats
+			speed = min(speed, max(speedOf(work, now.Sub(began)-newsDelay), silentShare*believed))
+		}
+	}
+	return max(speed, leastSpeed)
+}
+
+// speedOf returns the speed of a server that had not done some work within a time, which may be
+// any if there was none.
+func speedOf(work float64, d time.Duration) float64 {
+	if d <= 0 {
+		return mostSpeed
 	}
-	return p.heard
+	return work / (float64(d) / float64(time.Millisecond))
 }
 
 func later(a, b time.Time) time.Time {
