--- a/pkg/admission/model.go
+++ b/pkg/admission/model.go
@@ -34,6 +34,11 @@
 	server string
 }
 
+// grantedAfter tells whether the place was granted after its request was sent at a time.
+func (p *place) grantedAfter(sent time.Time) bool {
+	return p.expected > 0 && p.sent.Sub(sent) > time.Millisecond
+}
+
 // learnTime is within which a model that begins hears from all nodes what runs.
 const learnTime = 1200 * time.Millisecond
 
@@ -138,6 +143,9 @@
 	}
 	s.heard = now
 	h := m.places[node][r.ID]
+	if h != nil && h.grantedAfter(now.Add(-r.Sent)) {
+		return nil // late news of an earlier send of the request
+	}
 	if h != nil && h.server != r.Server {
 		m.free(h)
 		h = nil
@@ -163,6 +171,7 @@
 		dies: now.Add(r.Left + newsDelay)}
 	m.put(r.Server, s, p)
 	s.profileOf(now, r.Rank, r.Target, p.work)
+	s.serves(p.sent, r.Rank)
 	return m.places[key.Node][key.ID]
 }
 
--- a/pkg/admission/server.go
+++ b/pkg/admission/server.go
@@ -49,6 +49,7 @@
 	tokenMS  float64              // for each token of a stream, lately; zero: not known
 	kept     map[string]time.Time // parts of prompts, under the need, when they were last used
 	profiles [ranks]profile
+	served   [ranks]time.Time // when it last got one of the rank or of a less urgent one
 	heard    time.Time
 }
 
@@ -220,3 +221,20 @@
 
 // profileTime is how long room is kept for more urgent requests after the last of them came.
 const profileTime = 5 * time.Second
+
+// serves notes that a request of a rank goes to the server.
+func (s *server) serves(now time.Time, rank int) {
+	for i := range min(rank, ranks-1) + 1 {
+		s.served[i] = now
+	}
+}
+
+// urgentBefore tells whether more urgent requests came lately.
+func (s *server) urgentBefore(now time.Time, rank int) bool {
+	for i := range rank {
+		if now.Sub(s.profiles[i].at) <= profileTime {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/admission/verdict.go
+++ b/pkg/admission/verdict.go
@@ -102,7 +102,7 @@
 	if now.Before(m.learnUntil) {
 		return Verdict{}, nil
 	}
-	o := order{rank: r.rank(), due: now.Add(time.Duration(dueShare*float64(r.Target+r.Waited)) - r.Waited)}
+	o := order{rank: min(r.Rank, ranks-1), due: now.Add(time.Duration(dueShare*float64(r.Target+r.Waited)) - r.Waited)}
 	limit := time.Duration(inTimeShare * float64(r.Target))
 	if m.ways.patience {
 		limit = time.Duration(patienceShare * float64(r.Patience))
@@ -111,6 +111,9 @@
 	if len(list) == 0 {
 		return Verdict{}, ErrServer
 	}
+	if due := m.turn(now, r, list); due != nil {
+		return m.grant(now, r, due), nil
+	}
 	m.judge(now, r, o, list)
 	if best := soonest(list, true); best != nil && best.first <= limit {
 		return m.grant(now, r, best), nil
@@ -121,17 +124,26 @@
 	return m.decideLate(now, r, o, list), nil
 }
 
-// rank returns the rank of a request. One whose caller has waited for long goes up, so that
-// those of a low rank are not kept from servers for good.
-func (r *Request) rank() int {
+// turnTime is after how long without one of a rank, or of a less urgent one, a server takes the
+// next that comes, whatever more urgent ones wait: one prompt in two seconds makes few of those
+// late, and the callers of nearly all ranks wait for longer than that.
+const turnTime = 2 * time.Second
+
+// turn returns a server that is due to take one of the request's rank, nil if there is none.
+func (m *Model) turn(now time.Time, r *Request, list []prospect) *prospect {
 	rank := min(r.Rank, ranks-1)
-	switch {
-	case r.Patience < r.Waited/3:
-		return 0
-	case r.Patience < r.Waited:
-		return max(rank-1, 0)
+	limit := time.Duration(patienceShare * float64(r.Patience))
+	for i := range list {
+		p := &list[i]
+		if now.Sub(p.server.served[rank]) < turnTime || !p.server.urgentBefore(now, rank) {
+			continue
+		}
+		p.judge(now, r, order{}, ahead{}, 0, m.ways)
+		if p.hasRoom(r, ahead{}, 0, m.ways) && p.first <= limit {
+			return p
+		}
 	}
-	return rank
+	return nil
 }
 
 // decideLate decides on a request that can't be in time. It goes where it takes nobody's room;
@@ -287,6 +299,7 @@
 		dies: now.Add(r.Left + newsDelay), heard: now}
 	m.put(best.name, s, p)
 	s.profileOf(now, r.Rank, p.target, best.own)
+	s.serves(now, r.Rank)
 	return Verdict{Kind: Go, Server: best.name, First: best.first, Age: now.Sub(s.heard)}
 }
 
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -98,7 +98,6 @@
 	}
 	defer end()
 	c.beginPlace(m)
-	defer c.endPlace()
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	impatience := c.giveUpLater(m, cancel)
@@ -123,6 +122,7 @@
 		a.Close()
 	}
 	end()
+	c.endPlace()
 	c.record.fail(c.relay.Time.Now(), v, err)
 	if c.sends > before && (v == mayRun || v == gone) {
 		c.suspect(ctx, m, err, context.Cause(attempt) != nil)
