--- a/pkg/clock/lint_test.go
+++ b/pkg/clock/lint_test.go
@@ -11,7 +11,7 @@
 
 // aging are the folders in which beliefs age.
 var aging = []string{
-	"pkg/backend", "pkg/coordinator", "pkg/lease", "pkg/quarantine", "pkg/quota", "pkg/relay", "pkg/site",
+	"pkg/admission", "pkg/backend", "pkg/coordinator", "pkg/lease", "pkg/quarantine", "pkg/quota", "pkg/relay", "pkg/site",
 	"pkg/storeclock", "pkg/watch", "platform",
 }
 
