--- a/pkg/admission/model_test.go
+++ b/pkg/admission/model_test.go
@@ -264,6 +264,9 @@
 		if s := m.servers["s0"]; s != nil && len(s.places) != 0 || len(m.places) != 0 {
 			t.Errorf("%s: a place is left", name)
 		}
+		if gone && m.servers["s0"] != nil {
+			t.Errorf("%s: it is still believed in", name)
+		}
 	}
 }
 
--- a/pkg/coordinator/places_test.go
+++ b/pkg/coordinator/places_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"encoding/gob"
+	"reflect"
 	"strings"
 	"sync"
 	"testing"
@@ -13,6 +15,8 @@
 
 	"martenwheel.dev/pkg/admission"
 	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/peer"
+	"martenwheel.dev/pkg/prompt"
 )
 
 // crowdKey is the model that two servers of the test's world hold.
@@ -277,3 +281,23 @@
 		}
 	})
 }
+
+// TestPlacesGoOverTheWire as they are.
+func TestPlacesGoOverTheWire(t *testing.T) {
+	r := admission.Request{Place: admission.Place{Node: "n/1", ID: 7}, Key: crowdKey, Need: "m0/a",
+		Work: admission.Work{Tokens: 9, Out: 5, Parts: []prompt.Part{{ID: "c", Tokens: 3}}}, Rank: 1, Target: -time.Second, Servers: []string{"s"}}
+	list := []admission.Report{{ID: 7, Key: crowdKey, Server: "s", Work: r.Work, First: time.Second, Ended: true}}
+	for _, m := range []peer.Message{
+		AskPlace{r, list}, PlaceAnswer{3, admission.Verdict{Kind: admission.Wait, Server: "s", After: time.Second}},
+		PlaceNews{"n/1", list}, CrowdNotice{3, []admission.Key{crowdKey}}, Beat{Places: list}, BeatAnswer{Crowded: []admission.Key{crowdKey}},
+	} {
+		var b bytes.Buffer
+		got := reflect.New(reflect.TypeOf(m))
+		if err := gob.NewEncoder(&b).Encode(m); err != nil {
+			t.Fatal(err)
+		}
+		if err := gob.NewDecoder(&b).DecodeValue(got); err != nil || !reflect.DeepEqual(got.Elem().Interface(), m) {
+			t.Errorf("%+v came as %+v, %v", m, got, err)
+		}
+	}
+}
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -133,7 +133,7 @@
 	s.relay = &relay.Relay{
 		Headers: s.Headers, Zone: s.Self.Zone, Routes: s.Routes, Keys: s.Keys, Quotas: s.member, Servers: s.Servers, Waker: s.member,
 		Quarantine: s.member, Places: s.member,
-		Nodes:      s.member.Fleet, Budget: s.Budget, Lender: s.member, Began: s.budgetBegan(clock.Now()), Logger: s.Logger.Named("relay"),
+		Nodes: s.member.Fleet, Budget: s.Budget, Lender: s.member, Began: s.budgetBegan(clock.Now()), Logger: s.Logger.Named("relay"),
 		Metrics: relay.NewMetrics(s.Registry), Arrived: s.member.Arrived,
 	}
 	return l, holder, transport
