admission: speeds are learned from beats by what was before a request, not by bounds

Cause: a request that found others before it at a server that nobody was asked for told a bound of its speed, far below it in a crowd; the first sample counted in full. Seen in the test with real nodes: first events of 1.2 s foreseen as 4.6 to 7.4 s.

--- a/pkg/admission/model_test.go
+++ b/pkg/admission/model_test.go
@@ -195,6 +195,18 @@
 	}
 }
 
+// TestSpeedIsLearnedFromBeats, also from answers that had others before them.
+func TestSpeedIsLearnedFromBeats(t *testing.T) {
+	m := newModel()
+	for id := range uint64(5) { // sent at once, read one after the other, 30 tokens a millisecond
+		first := time.Duration(id+1) * 100 * time.Millisecond
+		m.Told(began.Add(time.Second), fmt.Sprint("n", id), []Report{report(ask(id, 1, 3000, time.Second, time.Second), "s0", time.Second-time.Duration(id)*time.Millisecond, first, false)}, true)
+	}
+	if got := m.servers["s0"].speed.mean; got < 25 || got > 50 {
+		t.Errorf("the server counts as reading %g tokens a millisecond", got)
+	}
+}
+
 // TestAnOverdueAnswerTellsThatTheServerIsSlow before any answer came.
 func TestAnOverdueAnswerTellsThatTheServerIsSlow(t *testing.T) {
 	m := newModel()
@@ -474,6 +486,10 @@
 	if first, part, _ := watch(engines(), engine, 16, 20*time.Second, tokens, 800*time.Millisecond); first < 0 || first > 3*time.Second || part < 0.8 {
 		t.Errorf("crowded after %v, for %.2f of the time", first, part)
 	}
+	fast := []*enginetest.Engine{{ReadsPerMS: 300}, {ReadsPerMS: 300}}
+	if _, part, _ := watch(fast, engine, 16, time.Minute, tokens, 800*time.Millisecond); part > 0.01 {
+		t.Errorf("servers that read eight times as fast are crowded for %.2f of the time", part)
+	}
 	if _, part, late := watch(engines(), engine, 3, time.Minute, tokens, 800*time.Millisecond); part > 0.05 {
 		t.Errorf("crowded for %.2f of the time at the usual load; %.2f late", part, late)
 	}
--- a/pkg/admission/server.go
+++ b/pkg/admission/server.go
@@ -189,11 +189,23 @@
 	if after < time.Millisecond || after > mostTime {
 		return
 	}
-	if p.expected > 0 {
-		s.speed.add(now, p.expected, after)
-		return
+	work := p.expected
+	if work == 0 {
+		unread := s.unreadAt(p.sent)
+		work = unread + p.work + s.tail(unread/2)
+	}
+	s.speed.add(now, work, after)
+}
+
+// unreadAt returns what was before a request that was sent at a time, as far as nodes told.
+func (s *server) unreadAt(sent time.Time) float64 {
+	sum := 0.0
+	for _, p := range s.places {
+		if p.sent.Before(sent) && (p.first.IsZero() || p.first.After(sent)) {
+			sum += p.work
+		}
 	}
-	s.speed.atLeast(now, p.work+s.tail(0), after)
+	return sum
 }
 
 // ended takes in that a place is free.
--- a/pkg/admission/speed.go
+++ b/pkg/admission/speed.go
@@ -50,13 +50,6 @@
 	s.mean += weight * off
 }
 
-// atLeast takes in that the server did at least so much in a time.
-func (s *speed) atLeast(now time.Time, work float64, took time.Duration) {
-	if s.samples == 0 || work/(float64(took)/float64(time.Millisecond)) > s.mean {
-		s.add(now, work, took)
-	}
-}
-
 // careful returns the speed to count on. What varies counts less, and what is old is forgotten.
 func (s *speed) careful(now time.Time) float64 {
 	if s.samples == 0 {
--- a/pkg/admission/verdict.go
+++ b/pkg/admission/verdict.go
@@ -9,8 +9,8 @@
 
 // Shares of what callers want that are counted on, the rest being for what can't be foreseen.
 const (
-	// inTimeShare is of the time until a request is late: predictions are off by a tenth to a
-	// fifth, and prompts that come behind delay the first event by a few steps.
+	// inTimeShare is of the time until a request is late: prompts that come behind delay the
+	// first event by a few steps.
 	inTimeShare = 0.85
 	// patienceShare is of the time until the caller leaves.
 	patienceShare = 0.85
