--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -66,7 +66,8 @@
 	turns      quarantine.Turns // of suspected requests
 	paces      paces            // of servers
 	quotas     quota.Pool       // safe for other goroutines than the holder's
-	scarceTold []string         // tenants for which the nodes were told to ask
+	places     holderPlaces
+	scarceTold []string // tenants for which the nodes were told to ask
 	// nodesNumber counts the changes of nodes.
 	nodesNumber uint64
 	demands     map[demandKey]*demand
@@ -155,6 +156,7 @@
 	}
 	now := h.Time.Now()
 	h.expire(now)
+	h.watchCrowds(now)
 	h.countFollowers(now)
 	h.learn(now)
 	h.plan(now)
@@ -180,6 +182,7 @@
 	h.paces = paces{}
 	h.Quarantine.Keep(now, record.Aged(storeNow))
 	h.scarceTold = nil
+	h.beginPlaces(now, term)
 	h.learnUntil = now.Add(learnTime)
 	h.quietUntil = time.Time{}
 	h.inheritIntents(now, storeNow, record.Intents)
@@ -243,6 +246,11 @@
 		return h.answerWish(ctx, m)
 	case Draw:
 		return h.draw(h.Time.Now(), m), nil
+	case AskPlace:
+		return h.decidePlace(h.Time.Now(), m), nil
+	case PlaceNews:
+		h.takePlaceNews(h.Time.Now(), m)
+		return nil, nil
 	case TakeTurn:
 		var reply TurnAnswer
 		err := h.do(ctx, func() { reply = h.takeTurn(h.Time.Now(), m) })
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -8,14 +8,15 @@
 // beats.go takes in what nodes tell, and quotas.go keeps the quotas of tenants by it;
 // adapters.go places adapters; orders.go gives orders, one at a time to each
 // server, and reports.go finds out what became of them; handover.go takes over from a
-// holder that went on without the store; paces.go tells which servers are slow; quarantine.go
-// spreads what is known of requests that end servers; outlook.go tells when a model will be
-// ready.
+// holder that went on without the store; paces.go tells which servers are slow, and places.go
+// has nodes take turns at crowded ones; quarantine.go spreads what is known of requests that end
+// servers; outlook.go tells when a model will be ready.
 package coordinator
 
 import (
 	"time"
 
+	"martenwheel.dev/pkg/admission"
 	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/lease"
 	"martenwheel.dev/pkg/peer"
@@ -62,6 +63,7 @@
 	Paces    []backend.Pace // that streams told since the last beat, see paces
 	// KnowsPaces is up to which change of servers' paces the node was told.
 	KnowsPaces PacesVersion
+	Places     []admission.Report // all that the node has at servers whose memory is told
 }
 
 // NodesVersion tells lists of nodes apart.
@@ -88,6 +90,8 @@
 	Paces    []backend.Slowness // of servers whose pace moved
 	// PacesVersion is up to which change the paces are told.
 	PacesVersion PacesVersion
+	// Crowded are the models for which the holder is to be asked before a request is sent.
+	Crowded []admission.Key
 }
 
 // WishMessage asks the holder to have a model loaded.
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -79,6 +79,7 @@
 	waitFor    string        // what it lacked when it last waited; empty: it never did
 	wakeError  error
 	turnError  error // why the holder could not be asked for a turn
+	place      placeRecord
 	bytes      int
 	events     int
 	eventsFrom time.Time     // when the first events went out
@@ -130,6 +131,7 @@
 func (c *call) finish() {
 	c.record.end(outcomeBroken, nil)
 	c.settle()
+	c.endPlace() // of a request that waited for one in vain
 	took := c.relay.Time.Since(c.arrived)
 	c.relay.Metrics.observe(c, took)
 	fields := []any{"request_id", c.record.id, "outcome", c.record.outcome, "status", c.record.status,
@@ -182,6 +184,7 @@
 	if c.record.turnError != nil {
 		fields = append(fields, "turn_error", c.record.turnError.Error())
 	}
+	fields = append(fields, c.describePlace()...)
 	if c.record.wakeError != nil {
 		fields = append(fields, "wake_error", c.record.wakeError.Error())
 	}
@@ -234,6 +237,7 @@
 	latency  *prometheus.HistogramVec
 	tries    prometheus.Counter
 	choices  *prometheus.CounterVec
+	foreseen prometheus.Histogram
 }
 
 // NewMetrics registers the relay's metrics.
@@ -254,7 +258,8 @@
 			Help: "Requests of routes that share parts of prompts: sent to the replica that they prefer (taken), to another (passed on), or without a preference (none).",
 		}, []string{"choice"}),
 	}
-	registry.MustRegister(m.requests, m.latency, m.tries, m.choices)
+	m.foreseen = newForeseen()
+	registry.MustRegister(m.requests, m.latency, m.tries, m.choices, m.foreseen)
 	return m
 }
 
@@ -267,6 +272,7 @@
 	if c.record.preference != "" && c.route.Sticky {
 		m.choices.WithLabelValues(c.record.preference).Inc()
 	}
+	m.observePlace(c)
 	if c.record.outcome == outcomeServed {
 		m.latency.WithLabelValues(c.service).Observe(min(took, c.record.firstByte).Seconds())
 	}
