admission: what is promised to refused requests is bounded; names and comments

Cause: each refusal moved the time that was promised on, without bound: after some hundred of them callers were told to stay away for 4 s long after the crowd. TestRefusedRequestsComeBackApart.

--- a/pkg/admission/crowd.go
+++ b/pkg/admission/crowd.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -68,7 +69,7 @@
 			delete(m.crowds, key)
 		}
 	}
-	slices.SortFunc(list, compareLoad)
+	slices.SortFunc(list, func(a, b *crowd) int { return cmp.Compare(b.load, a.load) })
 	keys := make([]Key, 0, min(len(list), mostCrowds))
 	for _, c := range list[:min(len(list), mostCrowds)] {
 		keys = append(keys, c.key)
--- a/pkg/admission/model_test.go
+++ b/pkg/admission/model_test.go
@@ -66,11 +66,14 @@
 		}
 		last = v.After
 	}
-	for id := range uint64(100) {
+	for id := range uint64(300) {
 		if v := decide(t, m, 0, ask(id, 1, 9000, 500*time.Millisecond, 600*time.Millisecond)); v.After > mostAway {
 			t.Fatalf("it is told to stay away for %v", v.After)
 		}
 	}
+	if v := decide(t, m, 4*time.Second, ask(1, 1, 9000, 500*time.Millisecond, 600*time.Millisecond)); v.Kind != Refuse || v.After > mostAway/2 {
+		t.Errorf("four seconds after 300 refusals it got %+v", v)
+	}
 }
 
 func TestTheMoreUrgentGoesFirst(t *testing.T) {
--- a/pkg/admission/verdict.go
+++ b/pkg/admission/verdict.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"cmp"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,8 +25,8 @@
 
 // Times of waiting.
 const (
-	// shallow is what a server has to read, that it is not idle before the next verdict: a news
-	// of its progress and an answer to a node take less.
+	// shallow is what a server has to read so that it is not idle before the next verdict: news of
+	// its progress and a node's next question take less.
 	shallow    = 250 * time.Millisecond
 	leastWait  = 20 * time.Millisecond
 	mostWait   = 120 * time.Millisecond
@@ -37,7 +36,8 @@
 // When refused requests come back.
 const (
 	leastAway = 200 * time.Millisecond
-	mostAway  = 4 * time.Second
+	mostAway  = 4 * time.Second // about as long as most callers wait: later ones begin anew anyway
+	awayParts = 16              // over which the last quarter of mostAway is spread
 )
 
 // Errors of what nodes tell.
@@ -272,9 +272,8 @@
 	return min(duration(sum/float64(max(l.places, 1)), l.speed), time.Second)
 }
 
-// depth returns how much a server may have to read before a request of a rank that goes there,
-// which has it read so much itself. More urgent requests that came lately are to
-// be in time.
+// depth returns how much a server may have to read before a request of a rank that goes there and
+// brings so much itself. More urgent requests, of which some came lately, are to be in time.
 func (s *server) depth(now time.Time, rank int, own, speed float64, ways ways) float64 {
 	if ways.noRoom {
 		return mostTokens
@@ -326,14 +325,10 @@
 		}
 	}
 	c := m.crowd(r.Key)
-	room := later(c.promised, now.Add(min(best.first, mostAway/2)))
-	c.promised = room.Add(duration(best.own, max(speed, leastSpeed)))
-	after := min(max(room.Sub(now), leastAway), mostAway)
-	if after == mostAway { // spread by the count of the node that asks: all would come at once
-		after -= time.Duration(r.Place.ID%16) * mostAway / 64
+	away := max(min(best.first, mostAway/2), c.promised.Sub(now), leastAway)
+	if away > mostAway { // spread by the count of the node that asks: all would come at once
+		away = mostAway - time.Duration(r.Place.ID%awayParts)*mostAway/(4*awayParts)
 	}
-	return Verdict{Kind: Refuse, First: best.first, After: after, Age: now.Sub(best.server.heard)}
+	c.promised = now.Add(min(away+duration(best.own, max(speed, leastSpeed)), mostAway+1))
+	return Verdict{Kind: Refuse, First: best.first, After: away, Age: now.Sub(best.server.heard)}
 }
-
-// compareLoad orders crowds by how long what waits takes.
-func compareLoad(a, b *crowd) int { return cmp.Compare(b.load, a.load) }
