--- a/pkg/coordinator/beats.go
+++ b/pkg/coordinator/beats.go
@@ -49,6 +49,7 @@
 		Store: h.store.tell(h.term), Fleet: h.fleet.known()}
 	answer.Evidence = h.exchange(now, b.Evidence)
 	answer.Crowded = h.takePlaces(now, b)
+	h.exchangePaces(now, &b, &answer)
 	answer.ScarceTenants = h.takeSpent(now, b.Spent, first)
 	if h.Clock != nil {
 		answer.StoreClock, _ = h.Clock.Latest()
@@ -80,6 +81,7 @@
 			h.nodesNumber++
 		}
 	}
+	h.paces.expire(now)
 	for key, d := range h.demands {
 		if !d.waits(now) && d.rate.count.at(now) < leastRate && now.Sub(d.last) > time.Minute {
 			delete(h.demands, key)
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -64,6 +64,7 @@
 	fleet      fleet
 	slack      relay.SlackPool
 	turns      quarantine.Turns // of suspected requests
+	paces      paces            // of servers
 	quotas     quota.Pool       // safe for other goroutines than the holder's
 	places     holderPlaces
 	scarceTold []string // tenants for which the nodes were told to ask
@@ -178,6 +179,7 @@
 	h.slack.Budget = h.Budget
 	h.slack.Begin(now)
 	h.turns = quarantine.Turns{}
+	h.paces = paces{}
 	h.Quarantine.Keep(now, record.Aged(storeNow))
 	h.scarceTold = nil
 	h.beginPlaces(now, term)
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -8,14 +8,16 @@
 // beats.go takes in what nodes tell, and quotas.go keeps the quotas of tenants by it;
 // adapters.go places adapters; orders.go gives orders, one at a time to each
 // server, and reports.go finds out what became of them; handover.go takes over from a
-// holder that went on without the store; places.go has nodes take turns at crowded servers; quarantine.go spreads what is known of requests that
-// end servers; outlook.go tells when a model will be ready.
+// holder that went on without the store; paces.go tells which servers are slow; places.go has
+// nodes take turns at crowded servers; quarantine.go spreads what is known of requests that end
+// servers; outlook.go tells when a model will be ready.
 package coordinator
 
 import (
 	"time"
 
 	"martenwheel.dev/pkg/admission"
+	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/lease"
 	"martenwheel.dev/pkg/peer"
 	"martenwheel.dev/pkg/quota"
@@ -59,6 +61,9 @@
 	// Evidence is against requests that end servers.
 	Evidence KnownEvidence
 	Places   []admission.Report // all that the node has at servers whose memory is told
+	Paces    []backend.Pace     // that streams told since the last beat, see paces
+	// KnowsPaces is up to which change of servers' paces the node was told.
+	KnowsPaces PacesVersion
 }
 
 // NodesVersion tells lists of nodes apart.
@@ -84,6 +89,9 @@
 	Evidence KnownEvidence
 	// Crowded are the models for which the holder is to be asked before a request is sent.
 	Crowded []admission.Key
+	Paces   []backend.Slowness // of servers whose pace moved
+	// PacesVersion is up to which change the paces are told.
+	PacesVersion PacesVersion
 }
 
 // WishMessage asks the holder to have a model loaded.
