--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -236,8 +236,8 @@
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	tries    prometheus.Counter
-	choices  *prometheus.CounterVec
 	foreseen prometheus.Histogram
+	choices  *prometheus.CounterVec
 }
 
 // NewMetrics registers the relay's metrics.
@@ -269,10 +269,10 @@
 	}
 	m.requests.WithLabelValues(c.service, c.record.outcome).Inc()
 	m.tries.Add(float64(len(c.record.tries)))
+	m.observePlace(c)
 	if c.record.preference != "" && c.route.Sticky {
 		m.choices.WithLabelValues(c.record.preference).Inc()
 	}
-	m.observePlace(c)
 	if c.record.outcome == outcomeServed {
 		m.latency.WithLabelValues(c.service).Observe(min(took, c.record.firstByte).Seconds())
 	}
