--- a/pkg/coordinator/paces_test.go
+++ b/pkg/coordinator/paces_test.go
@@ -146,6 +146,8 @@
 				n = other
 			}
 		}
+		n.stop() // the member's own loop takes in answers as well
+		synctest.Wait()
 		answer := &BeatAnswer{Paces: []backend.Slowness{{Server: "server-0", Ratio: 3}}, PacesVersion: PacesVersion{Term: 99, Number: 7}}
 		n.member.takePaces(time.Now().Add(-time.Minute), answer)
 		if got := n.servers.Snapshot().Member("server-0").Slowness(); got != 1 {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -5,12 +5,11 @@
 // A request's way, by file: relay.go takes it in; call.go finds its route and
 // bounds; access.go finds the tenant in whose name it is made and quota.go charges it;
 // choose.go waits for a server, by the plug-ins of package routing, and affinity.go tells which
-// of them the request prefers;
-// prospect.go decides whether one that finds none is held or refused; place.go has it take
-// its turn where servers are crowded; attempt.go
-// sends it and decides what a failure allows; quarantine.go keeps it from servers if it ends
-// them; whole.go and stream.go pass the answer on; refuse.go gives the relay's own answers;
-// budget.go and slack.go bound repeats; ending.go ends what a stop would cut off;
+// of them the request prefers; prospect.go decides whether one that finds none is held or
+// refused; place.go has it take its turn where servers are crowded; attempt.go sends it and
+// decides what a failure allows; quarantine.go keeps it from servers if it ends them; whole.go
+// and stream.go pass the answer on; refuse.go gives the relay's own answers; budget.go and
+// slack.go bound repeats; ending.go ends what a stop would cut off;
 // record.go logs and counts the end.
 package relay
 
