--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -9,13 +9,16 @@
 // adapters.go places adapters; orders.go gives orders, one at a time to each
 // server, and reports.go finds out what became of them; lives.go is about servers that start
 // again under the name that they had; handover.go takes over from a
-// holder that went on without the store; quarantine.go spreads what is known of requests that
-// end servers; outlook.go tells when a model will be ready.
+// holder that went on without the store; paces.go tells which servers are slow; places.go has
+// nodes take turns at crowded servers; quarantine.go spreads what is known of requests that end
+// servers; outlook.go tells when a model will be ready.
 package coordinator
 
 import (
 	"time"
 
+	"martenwheel.dev/pkg/admission"
+	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/lease"
 	"martenwheel.dev/pkg/peer"
 	"martenwheel.dev/pkg/quota"
@@ -58,6 +61,10 @@
 	Spent []quota.Spent // of tenants' quotas since the last beat
 	// Evidence is against requests that end servers.
 	Evidence KnownEvidence
+	Places   []admission.Report // all that the node has at servers whose memory is told
+	Paces    []backend.Pace     // that streams told since the last beat, see paces
+	// KnowsPaces is up to which change of servers' paces the node was told.
+	KnowsPaces PacesVersion
 }
 
 // NodesVersion tells lists of nodes apart.
@@ -81,6 +88,11 @@
 	ScarceTenants []string
 	// Evidence is against requests that end servers.
 	Evidence KnownEvidence
+	// Crowded are the models for which the holder is to be asked before a request is sent.
+	Crowded []admission.Key
+	Paces   []backend.Slowness // of servers whose pace moved
+	// PacesVersion is up to which change the paces are told.
+	PacesVersion PacesVersion
 }
 
 // WishMessage asks the holder to have a model loaded.
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -79,11 +79,13 @@
 	waitFor    string        // what it lacked when it last waited; empty: it never did
 	wakeError  error
 	turnError  error // why the holder could not be asked for a turn
+	place      placeRecord
 	bytes      int
 	events     int
 	eventsFrom time.Time     // when the first events went out
 	eventAt    time.Time     // when the last events went out
 	pause      time.Duration // longest between two sends of events
+	preference string        // whether the last server chosen is the one preferred; empty: none was chosen
 }
 
 func (r *record) try(server string, started time.Time) {
@@ -129,6 +131,7 @@
 func (c *call) finish() {
 	c.record.end(outcomeBroken, nil)
 	c.settle()
+	c.endPlace() // of a request that waited for one in vain
 	took := c.relay.Time.Since(c.arrived)
 	c.relay.Metrics.observe(c, took)
 	fields := []any{"request_id", c.record.id, "outcome", c.record.outcome, "status", c.record.status,
@@ -162,6 +165,10 @@
 		fields = append(fields, "events", c.record.events, "last_event", c.lastEvent,
 			"pause_ms", c.record.pause.Milliseconds(), "pause_target_ms", c.route.GapTarget.Milliseconds())
 	}
+	if c.record.preference != "" && c.route.Sticky {
+		fields = append(fields, "lane", c.shaped.Lane().String(), "preferred", c.record.preference,
+			"shared_tokens", c.prompt.SharedTokens())
+	}
 	if len(c.record.tries) > 0 {
 		fields = append(fields, "tries", c.describeTries())
 	}
@@ -177,6 +184,7 @@
 	if c.record.turnError != nil {
 		fields = append(fields, "turn_error", c.record.turnError.Error())
 	}
+	fields = append(fields, c.describePlace()...)
 	if c.record.wakeError != nil {
 		fields = append(fields, "wake_error", c.record.wakeError.Error())
 	}
@@ -228,6 +236,8 @@
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	tries    prometheus.Counter
+	foreseen prometheus.Histogram
+	choices  *prometheus.CounterVec
 }
 
 // NewMetrics registers the relay's metrics.
@@ -243,8 +253,13 @@
 		tries: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: "martenwheel", Name: "relay_attempts_total", Help: "Requests sent to servers, repeats included.",
 		}),
+		choices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "martenwheel", Name: "relay_preferred_replicas_total",
+			Help: "Requests of routes that share parts of prompts: sent to the replica that they prefer (taken), to another (passed on), or without a preference (none).",
+		}, []string{"choice"}),
 	}
-	registry.MustRegister(m.requests, m.latency, m.tries)
+	m.foreseen = newForeseen()
+	registry.MustRegister(m.requests, m.latency, m.tries, m.choices, m.foreseen)
 	return m
 }
 
@@ -254,6 +269,10 @@
 	}
 	m.requests.WithLabelValues(c.service, c.record.outcome).Inc()
 	m.tries.Add(float64(len(c.record.tries)))
+	m.observePlace(c)
+	if c.record.preference != "" && c.route.Sticky {
+		m.choices.WithLabelValues(c.record.preference).Inc()
+	}
 	if c.record.outcome == outcomeServed {
 		m.latency.WithLabelValues(c.service).Observe(min(took, c.record.firstByte).Seconds())
 	}
--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -36,6 +36,7 @@
 	reasonStopping = "the node is stopping"
 	reasonOldKeys  = "keys not confirmed in time"
 	reasonQuota    = "quota spent"
+	reasonCrowded  = "servers are crowded"
 )
 
 // notServed is the final answer to a request that no server served. It tells
@@ -72,12 +73,17 @@
 	_, _ = c.w.Write([]byte(body)) // a caller that is gone needs no answer
 }
 
-// giveUp ends a request whose context ended: the time is over or the caller left.
+// giveUp ends a request whose context ended: the time is over, the caller left or the node
+// stops.
 func (c *call) giveUp(ctx context.Context) {
 	if c.callerGone(ctx) {
 		c.record.end(outcomeLeft, context.Cause(ctx))
 		panic(http.ErrAbortHandler)
 	}
+	if errors.Is(context.Cause(ctx), errStopping) {
+		c.refuse(c.notServed(reasonStopping, stopping.after))
+		return
+	}
 	c.refuse(c.notServed(reasonDeadline, defaultRetryAfter))
 }
 
