quota, coordinator, relay: routes share a tenant's quota in tokens

Cause: while a tenant asked for several times its quota, a node that had a long prompt refused rested for the whole tenant until that one would have had room, and at the holder a nearly empty bucket went to whoever met it.

Change: the holder (and the deputy) divide the bucket of a tenant whose quota counts tokens among the routes of its requests; refusals at nodes are by route and by what a request has in common with its next try; a refused request gets an appointment with room set aside, or a time after which its caller does not come back. Draw, DrawAnswer, DeputyDraw and Spent have new fields; nodes of other versions read those that they know. Tenants with quotas in requests are served as before.

Tests changed: quota_test.go names the fields of a Spent, which has more of them; relay/quota_test.go and coordinator/quotas_test.go follow the interface. What they check is the same.

--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -66,6 +66,7 @@
 	turns      quarantine.Turns // of suspected requests
 	quotas     quota.Pool       // safe for other goroutines than the holder's
 	scarceTold []string         // tenants for which the nodes were told to ask
+	roomsTold  time.Time        // when the log was last told how their quotas are shared
 	// nodesNumber counts the changes of nodes.
 	nodesNumber uint64
 	demands     map[demandKey]*demand
--- a/pkg/coordinator/quotas.go
+++ b/pkg/coordinator/quotas.go
@@ -13,17 +13,50 @@
 	"martenwheel.dev/pkg/tenant"
 )
 
-// Draw asks the holder to let in a request of a tenant that is scarce.
+// Draw asks the holder to let in a request of a tenant that is scarce. Its fields are those of
+// a quota.Request, one by one: nodes of other versions read the ones that they know.
 type Draw struct {
-	Tenant string
-	Amount float64
+	Tenant          string
+	Amount          float64
+	Route           string
+	Priority        int
+	Mark            quota.Mark
+	Within, Returns time.Duration
+	Part            float64
+	// Spent is what this node let in of the tenant unasked since its last report.
+	Spent []quota.Spent
 }
 
-// DrawAnswer tells whether it is let in.
+// newDraw returns the message that asks for a request.
+func newDraw(t *tenant.Tenant, r quota.Request) Draw {
+	return Draw{Tenant: t.Name, Amount: r.Amount, Route: r.Route, Priority: r.Priority, Mark: r.Mark,
+		Within: r.Within, Returns: r.Returns, Part: r.Part}
+}
+
+// request is the inverse of newDraw.
+func (d Draw) request() quota.Request {
+	return quota.Request{Amount: d.Amount, Route: d.Route, Priority: d.Priority, Mark: d.Mark,
+		Within: d.Within, Returns: d.Returns, Part: d.Part}
+}
+
+// DrawAnswer tells whether it is let in, in the fields of a quota.Answer.
 type DrawAnswer struct {
-	Term    uint64 // zero: not the holder
-	Granted bool
-	After   time.Duration // when there may be enough, if it is not granted
+	Term     uint64 // zero: not the holder
+	Granted  bool
+	After    time.Duration // when to come back, if it is not granted
+	Promised bool          // with room set aside
+	Room     quota.Room
+	Sieve    quota.Sieve
+	Took     bool // what was spent
+}
+
+func newDrawAnswer(term uint64, a quota.Answer) DrawAnswer {
+	return DrawAnswer{Term: term, Granted: a.Granted, After: a.After, Promised: a.Promised, Room: a.Room, Sieve: a.Sieve}
+}
+
+// answer is the inverse of newDrawAnswer.
+func (d DrawAnswer) answer() quota.Answer {
+	return quota.Answer{Granted: d.Granted, After: d.After, Promised: d.Promised, Room: d.Room, Sieve: d.Sieve}
 }
 
 // DeputyDraw asks the deputy for what the holder does not answer. It is answered by a
@@ -41,23 +74,45 @@
 const drawTimeout = 60 * time.Millisecond
 
 // Admit implements relay.Quotas.
-func (m *Member) Admit(ctx context.Context, t *tenant.Tenant, cost float64) relay.Admission {
-	verdict, after := m.ledger.Look(m.Time.Now(), t, cost)
+func (m *Member) Admit(ctx context.Context, t *tenant.Tenant, r quota.Request) relay.Admission {
+	verdict, after := m.ledger.LookFor(m.Time.Now(), t, &r)
 	var err error
 	if verdict == quota.Ask {
 		var answer DrawAnswer
-		if answer, err = m.drawFromHolder(ctx, Draw{Tenant: t.Name, Amount: cost}); err == nil {
-			return m.drawn(t, answer)
+		d := newDraw(t, r)
+		d.Spent = m.spentOf(t)
+		answer, err = m.drawFromHolder(ctx, d)
+		if err != nil || !answer.Took {
+			m.ledger.Return(d.Spent)
+		}
+		if err == nil {
+			return m.drawn(t, r, answer)
 		}
 		m.ledger.Unanswered(m.Time.Now())
 		verdict = quota.Alone
 	}
 	if verdict == quota.Alone {
-		return m.admitAlone(ctx, t, cost, err)
+		return m.admitAlone(ctx, t, r, err)
 	}
 	return relay.Admission{Granted: verdict == quota.Admit, After: after}
 }
 
+// spentOf returns what goes with a question about a divided quota: what was spent of it, if
+// the holder had this node's first report of its term, which is of the time before it as well.
+func (m *Member) spentOf(t *tenant.Tenant) []quota.Spent {
+	record, known := m.Lease.Current()
+	if !known || !quota.Shared(t.Quota) {
+		return nil
+	}
+	m.mu.Lock()
+	reported := m.answered && m.toldTerm == record.Term
+	m.mu.Unlock()
+	if !reported {
+		return nil
+	}
+	return m.ledger.ReportOf(t)
+}
+
 // drawFromHolder has the holder decide.
 func (m *Member) drawFromHolder(ctx context.Context, d Draw) (DrawAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
@@ -70,26 +125,28 @@
 }
 
 // drawn takes in what the holder decided.
-func (m *Member) drawn(t *tenant.Tenant, answer DrawAnswer) relay.Admission {
-	if answer.Granted {
-		m.ledger.Granted(t)
-		return relay.Admission{Granted: true}
-	}
-	return relay.Admission{After: m.ledger.Denied(m.Time.Now(), t, answer.After)}
+func (m *Member) drawn(t *tenant.Tenant, r quota.Request, answer DrawAnswer) relay.Admission {
+	a := answer.answer()
+	a.After = m.ledger.Answered(m.Time.Now(), t, r, a)
+	return admission(a, nil)
 }
 
 // admitAlone decides without the holder, which did not answer: by the deputy, or else by
 // this node's share of what the deputy may grant.
-func (m *Member) admitAlone(ctx context.Context, t *tenant.Tenant, cost float64, cause error) relay.Admission {
-	answer, err := m.drawFromDeputy(ctx, DeputyDraw{Tenant: t.Name, Amount: cost})
-	switch {
-	case err != nil:
-		verdict, after := m.ledger.GoAlone(m.Time.Now(), t, cost, m.Fleet())
-		return relay.Admission{Granted: verdict == quota.Admit, After: after, Err: err}
-	case answer.Granted:
-		m.ledger.Lent(t, cost)
+func (m *Member) admitAlone(ctx context.Context, t *tenant.Tenant, r quota.Request, cause error) relay.Admission {
+	answer, err := m.drawFromDeputy(ctx, DeputyDraw(newDraw(t, r)))
+	if err != nil {
+		return admission(m.ledger.GoAloneFor(m.Time.Now(), t, r, m.Fleet()), err)
+	}
+	if answer.Granted {
+		m.ledger.LentFor(t, r)
 	}
-	return relay.Admission{Granted: answer.Granted, After: answer.After, Err: cause}
+	return admission(answer.answer(), cause)
+}
+
+// admission is an answer for package relay; err: why the holder could not be asked.
+func admission(a quota.Answer, err error) relay.Admission {
+	return relay.Admission{Granted: a.Granted, Promised: a.Promised, After: a.After, Room: a.Room, Err: err}
 }
 
 // drawFromDeputy has the deputy decide, which may be this node.
@@ -145,8 +202,7 @@
 	if t == nil {
 		return DrawAnswer{}, errNoDeputy
 	}
-	verdict, after := m.deputized.GoAlone(m.Time.Now(), t, d.Amount, 1)
-	return DrawAnswer{Granted: verdict == quota.Admit, After: after}, nil
+	return newDrawAnswer(0, m.deputized.GoAloneFor(m.Time.Now(), t, Draw(d).request(), 1)), nil
 }
 
 // tenant returns the tenant of a name, nil if the configuration in force has none.
@@ -160,7 +216,9 @@
 // tellLedgers takes in for which tenants the holder is to be asked.
 func (m *Member) tellLedgers(scarce []string) {
 	now := m.Time.Now()
-	m.ledger.Told(now, scarce)
+	if m.ledger.Told(now, scarce) {
+		m.beatSoon()
+	}
 	m.deputized.Told(now, scarce)
 }
 
@@ -168,7 +226,7 @@
 var errNoDeputy = errors.New("coordinator: no deputy is known")
 
 // GiveBack implements relay.Quotas.
-func (m *Member) GiveBack(t *tenant.Tenant, cost float64) { m.ledger.GiveBack(t, cost) }
+func (m *Member) GiveBack(t *tenant.Tenant, r quota.Request) { m.ledger.GiveBackFor(t, r) }
 
 // unheard returns for how long this node has not heard of a holder.
 func (h *Holder) unheard(now time.Time) time.Duration {
@@ -203,8 +261,15 @@
 		// This node has not read yet of the tenant, which has hardly spent anything.
 		return DrawAnswer{Term: term, Granted: true}
 	}
-	after, granted := h.quotas.Draw(now, tenants.Named(d.Tenant), d.Amount)
-	return DrawAnswer{Term: term, Granted: granted, After: after}
+	t := tenants.Named(d.Tenant)
+	for _, s := range d.Spent {
+		if s.Tenant == d.Tenant {
+			h.quotas.SpentBy(now, t, s, false)
+		}
+	}
+	answer := newDrawAnswer(term, h.quotas.DrawFor(now, t, d.request()))
+	answer.Took = true
+	return answer
 }
 
 // takeSpent takes in what a node let in without asking, and tells all nodes at once if
@@ -218,7 +283,7 @@
 	h.quotas.Begin(now, h.term, h.unheard(now))
 	for _, s := range spent {
 		if t := tenants.Named(s.Tenant); t != nil {
-			h.quotas.Spent(now, t, s.Amount, first)
+			h.quotas.SpentBy(now, t, s, first)
 		}
 	}
 	scarce := h.quotas.Scarce(now, tenants)
@@ -229,9 +294,30 @@
 		h.Logger.Info("scarce tenants", "tenants", scarce, "before", h.scarceTold, "term", h.term)
 	}
 	h.scarceTold = scarce
+	h.logRooms(now, tenants)
 	return scarce
 }
 
+// Bounds of what is logged of tenants that are scarce.
+const (
+	roomsInterval = 2 * time.Second
+	roomsTenants  = 5
+)
+
+// logRooms tells the log now and then who has the room of tenants that are scarce.
+func (h *Holder) logRooms(now time.Time, tenants *tenant.Table) {
+	if now.Sub(h.roomsTold) < roomsInterval {
+		return
+	}
+	for _, name := range h.scarceTold[:min(len(h.scarceTold), roomsTenants)] {
+		t := tenants.Named(name)
+		if rooms := h.quotas.Rooms(t); len(rooms) > 0 {
+			h.roomsTold = now
+			h.Logger.Info("quota shared", "tenant", name, "quota", t.Quota.PerSecond, "routes", rooms, "term", h.term)
+		}
+	}
+}
+
 // tellScarce tells all nodes for which tenants they are to ask.
 func (h *Holder) tellScarce(scarce []string) {
 	for _, n := range h.nodes {
--- a/pkg/coordinator/quotas_test.go
+++ b/pkg/coordinator/quotas_test.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"martenwheel.dev/pkg/quarantine"
+	"martenwheel.dev/pkg/quota"
 	"martenwheel.dev/pkg/tenant"
 )
 
@@ -23,8 +24,8 @@
 // withQuotas has the site serve the tenants a and b.
 func (s *site) withQuotas() {
 	s.t.Helper()
-	quota := tenant.Quota{PerSecond: quotaRate, Burst: quotaRate, Tokens: true}
-	all, err := tenant.NewTable([]*tenant.Tenant{{Name: "a", Quota: quota}, {Name: "b", Quota: quota}})
+	each := tenant.Quota{PerSecond: quotaRate, Burst: quotaRate, Tokens: true}
+	all, err := tenant.NewTable([]*tenant.Tenant{{Name: "a", Quota: each}, {Name: "b", Quota: each}})
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -57,7 +58,7 @@
 		sum := 0.0
 		for due += rate * step.Seconds(); due >= quotaCost; due -= quotaCost {
 			turn++
-			admission := members[turn%len(members)].Admit(t.Context(), of, quotaCost)
+			admission := members[turn%len(members)].Admit(t.Context(), of, quota.Request{Amount: quotaCost})
 			if admission.Granted {
 				sum += quotaCost
 				continue
--- a/pkg/quota/ledger.go
+++ b/pkg/quota/ledger.go
@@ -1,7 +1,9 @@
 package quota
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,7 +60,41 @@
 	alone    time.Time // since when it goes on without a holder; zero: it does not
 	allowed  float64   // that it may still let in without a holder, at aloneAt
 	aloneAt  time.Time
-	fraction float64 // of a request that counts as allowed, by chance
+	fraction float64                  // of a request that counts as allowed, by chance
+	routes   map[string]*routeAccount // of a divided quota
+	bucket   *bucket                  // of the deputy, for a divided quota; nil: begins anew
+}
+
+// routeAccount is what a node knows of a tenant's route.
+type routeAccount struct {
+	priority int
+	spent    float64 // without asking, and not reported yet
+	sieve    Sieve
+	sieved   time.Time // until when the sieve counts
+}
+
+// sieveTime is for how long a node goes by the holder's word on which requests to ask about:
+// then it asks about one more. A node's requests of a route are some tens of a second while
+// that matters.
+const sieveTime = time.Second
+
+// route returns the account of a request's route. Those beyond maxRoutes share one, and
+// requests of it are always asked about.
+func (a *account) route(r Request) *routeAccount {
+	one := a.routes[r.Route]
+	if one == nil && len(a.routes) >= maxRoutes {
+		r.Route = ""
+		one = a.routes[""]
+	}
+	if one == nil {
+		one = &routeAccount{}
+		if a.routes == nil {
+			a.routes = make(map[string]*routeAccount)
+		}
+		a.routes[r.Route] = one
+	}
+	one.priority = r.Priority
+	return one
 }
 
 func (l *Ledger) account(name string) *account {
@@ -91,11 +127,124 @@
 		}
 		return Ask, 0
 	}
-	a.alone = time.Time{}
+	a.restart()
 	a.spent += cost
 	return Admit, 0
 }
 
+// LookFor is Look for a request of a route. Of a quota that is divided, a refusal holds for
+// requests of its route alone, and only for those that the holder is not to be asked about. If
+// the verdict is Ask it sets the request's Part.
+func (l *Ledger) LookFor(now time.Time, t *tenant.Tenant, r *Request) (Verdict, time.Duration) {
+	if !Shared(t.Quota) {
+		return l.Look(now, t, r.Amount)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(t.Name)
+	one := a.route(*r)
+	if l.scarce[t.Name] || now.Sub(l.told) > aloneAfter {
+		switch {
+		case now.Before(l.silent):
+			return Alone, 0
+		case !now.Before(one.sieved):
+			return Ask, 0
+		case !one.sieve.passes(r.Mark):
+			return Refuse, r.beyond()
+		}
+		r.Part = one.sieve.Part
+		return Ask, 0
+	}
+	a.restart()
+	one.spent += r.Amount
+	return Admit, 0
+}
+
+// restart ends what a node does without a holder.
+func (a *account) restart() { a.alone, a.bucket = time.Time{}, nil }
+
+// Answered takes in what the holder decided on a request, and returns when it is to come
+// back if it was refused.
+func (l *Ledger) Answered(now time.Time, t *tenant.Tenant, r Request, answer Answer) time.Duration {
+	if !Shared(t.Quota) {
+		if answer.Granted {
+			l.Granted(t)
+			return 0
+		}
+		return l.Denied(now, t, answer.After)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(t.Name)
+	a.restart()
+	if !(answer.Sieve.Part > 0) { // of a holder that knows no shares
+		answer.Sieve.Part = 1
+	}
+	one := a.route(r)
+	one.sieve, one.sieved = answer.Sieve, now.Add(sieveTime)
+	if answer.Granted {
+		return 0
+	}
+	return max(answer.After, leastWait)
+}
+
+// GoAloneFor is GoAlone for a request of a route. The deputy divides what it may let in as the
+// holder does.
+func (l *Ledger) GoAloneFor(now time.Time, t *tenant.Tenant, r Request, nodes int) Answer {
+	if !Shared(t.Quota) || nodes != 1 {
+		verdict, after := l.GoAlone(now, t, r.Amount, nodes)
+		if verdict == Admit {
+			l.LentFor(t, r) // in place of what GoAlone noted for the tenant as a whole
+			l.GiveBack(t, r.Amount)
+		}
+		return Answer{Granted: verdict == Admit, After: after}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(t.Name)
+	if a.bucket == nil {
+		a.bucket = l.aloneBucket(now, t)
+	}
+	b := a.bucket
+	b.fill(now)
+	b.level = min(b.level, b.size)
+	answer := b.draw(now, r)
+	if answer.Granted {
+		a.route(r).spent += r.Amount
+	}
+	return answer
+}
+
+// aloneBucket is what all nodes together may let in of a tenant without a holder.
+func (l *Ledger) aloneBucket(now time.Time, t *tenant.Tenant) *bucket {
+	atOnce := alonePlenty
+	if l.scarce[t.Name] || l.told.IsZero() {
+		atOnce = aloneScarce
+	}
+	b := &bucket{rate: aloneFlow * t.Quota.PerSecond, at: now}
+	b.size = t.Quota.PerSecond * atOnce.Seconds()
+	b.level = b.size
+	marks := maxMarks
+	b.divided(policy{}, uint64(now.UnixNano()), &marks)
+	return b
+}
+
+// LentFor is Lent for a request of a route.
+func (l *Ledger) LentFor(t *tenant.Tenant, r Request) {
+	l.GiveBackFor(t, Request{Route: r.Route, Priority: r.Priority, Amount: -r.Amount})
+}
+
+// GiveBackFor is GiveBack for a request of a route.
+func (l *Ledger) GiveBackFor(t *tenant.Tenant, r Request) {
+	if !Shared(t.Quota) {
+		l.GiveBack(t, r.Amount)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.account(t.Name).route(r).spent -= r.Amount
+}
+
 // Unanswered notes that the holder was asked in vain.
 func (l *Ledger) Unanswered(now time.Time) {
 	l.mu.Lock()
@@ -159,7 +308,7 @@
 func (l *Ledger) Granted(t *tenant.Tenant) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.account(t.Name).alone = time.Time{}
+	l.account(t.Name).restart()
 }
 
 // Lent notes that the deputy granted a request: the next holder is to know of it.
@@ -175,7 +324,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(t.Name)
-	a.alone = time.Time{}
+	a.restart()
 	after = max(after, shortRest)
 	a.refused = now.Add(after)
 	return after
@@ -191,10 +340,13 @@
 	l.account(t.Name).spent -= cost
 }
 
-// Spent is what a node let in of a tenant without asking.
+// Spent is what a node let in of a tenant without asking; of a quota that is divided, of one
+// route.
 type Spent struct {
-	Tenant string
-	Amount float64
+	Tenant   string
+	Amount   float64
+	Route    string
+	Priority int // of the route
 }
 
 // Report returns what was spent since the last report. If it does not arrive, Return puts
@@ -204,11 +356,33 @@
 	defer l.mu.Unlock()
 	var list []Spent
 	for name, a := range l.accounts {
-		if a.spent != 0 {
-			list = append(list, Spent{name, a.spent})
-			a.spent = 0
+		list = a.report(name, list)
+	}
+	return list
+}
+
+// ReportOf returns what was spent of one tenant since the last report, to go with a question
+// to the holder: before it makes promises it is to know what nodes let in a moment ago.
+func (l *Ledger) ReportOf(t *tenant.Tenant) []Spent {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.account(t.Name).report(t.Name, nil)
+}
+
+// report appends what was spent to a list, in order.
+func (a *account) report(name string, list []Spent) []Spent {
+	begin := len(list)
+	if a.spent != 0 {
+		list = append(list, Spent{Tenant: name, Amount: a.spent})
+		a.spent = 0
+	}
+	for route, one := range a.routes {
+		if one.spent != 0 {
+			list = append(list, Spent{Tenant: name, Amount: one.spent, Route: route, Priority: one.priority})
+			one.spent = 0
 		}
 	}
+	slices.SortFunc(list[begin:], func(a, b Spent) int { return cmp.Compare(a.Route, b.Route) })
 	return list
 }
 
@@ -218,7 +392,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range list {
-		l.account(s.Tenant).spent += max(s.Amount, 0)
+		a := l.account(s.Tenant)
+		if s.Route == "" {
+			a.spent += max(s.Amount, 0)
+			continue
+		}
+		a.route(Request{Route: s.Route, Priority: s.Priority}).spent += max(s.Amount, 0)
 	}
 }
 
@@ -233,16 +412,35 @@
 }
 
 // Told takes in for which tenants the holder is to be asked. Accounts of tenants that are
-// gone stay until the process ends: their number is that of the tenants ever configured.
-func (l *Ledger) Told(now time.Time, scarce []string) {
+// gone stay until the process ends: their number is that of the tenants ever configured. It
+// tells whether the holder is to hear at once what was spent of a divided quota that became
+// scarce: what it promises meanwhile would lack that room.
+func (l *Ledger) Told(now time.Time, scarce []string) (reportNow bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	for _, name := range scarce {
+		reportNow = reportNow || !l.scarce[name] && l.accounts[name].owesReport()
+	}
 	l.told = now
 	for _, a := range l.accounts {
-		a.alone = time.Time{}
+		a.restart()
 	}
 	l.scarce = make(map[string]bool, len(scarce))
 	for _, name := range scarce {
 		l.scarce[name] = true
 	}
+	return reportNow
+}
+
+// owesReport tells whether something was spent of a divided quota since the last report.
+func (a *account) owesReport() bool {
+	if a == nil {
+		return false
+	}
+	for _, one := range a.routes {
+		if one.spent > 0 {
+			return true
+		}
+	}
+	return false
 }
--- a/pkg/quota/pool.go
+++ b/pkg/quota/pool.go
@@ -9,9 +9,14 @@
 // a second; from then on until it has filled, nodes have the holder grant each request
 // before it is let in. What was spent beyond the bucket meanwhile is a debt that the tenant
 // pays off first, so that over any longer time no more is run than the quota allows.
+//
+// Where the costs of requests differ, a bucket is divided among the routes that they take
+// (Shared): begin with shares.go, what is asked and answered, and division.go, which divides;
+// draw.go decides on a request, and promises.go keeps what was told to those who are to come back.
 package quota
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -67,6 +72,8 @@
 	began   time.Time
 	gap     time.Duration // before it, in which there was no holder
 	buckets map[string]*bucket
+	marks   int // that may be remembered besides those that are
+	policy  policy
 }
 
 // bucket is what a tenant may still have run; below zero it is in debt.
@@ -77,6 +84,7 @@
 	credit float64   // for what was spent before the term
 	at     time.Time // of the level
 	scarce bool
+	shares *division // among routes; nil: not divided
 }
 
 // sizeOf returns what a bucket of a quota holds at most, and the rate at which it fills.
@@ -99,6 +107,7 @@
 		return
 	}
 	p.term, p.began, p.gap, p.buckets = term, now, min(gap, mostGap), make(map[string]*bucket)
+	p.marks = maxMarks
 }
 
 // bucket returns that of a tenant, filled up to now. The caller holds mu.
@@ -108,25 +117,54 @@
 	if b == nil {
 		b = &bucket{rate: rate, level: p.firstLevel() * size, credit: rate * p.gap.Seconds(), at: p.began}
 		if p.buckets == nil {
-			p.buckets = make(map[string]*bucket)
+			p.buckets, p.marks = make(map[string]*bucket), maxMarks
 		}
 		p.buckets[t.Name] = b
 	}
-	if passed := now.Sub(b.at); passed > 0 {
-		b.level += b.rate * passed.Seconds()
-		b.at = now
-	}
+	b.fill(now)
 	b.size, b.rate = size, rate
 	b.level = min(b.level, size)
 	switch {
 	case b.level < scarceBelow*size:
+		if !b.scarce && b.shares != nil {
+			b.shares.salt++ // who was unlucky in the last burst is not again
+		}
 		b.scarce = true
-	case b.level > plentyAbove*size:
+	case b.level > plentyAbove*size && !b.hungry(now):
 		b.scarce = false
 	}
 	return b
 }
 
+// fill brings the level up to now.
+func (b *bucket) fill(now time.Time) {
+	if passed := now.Sub(b.at); passed > 0 {
+		b.level += b.rate * passed.Seconds()
+		b.at = now
+	}
+}
+
+// hungry tells whether a route of a divided bucket lacks room though the whole has plenty:
+// the others' reserves are full then, and its own is not.
+func (b *bucket) hungry(now time.Time) bool {
+	if b.shares == nil || !b.scarce {
+		return false
+	}
+	b.shares.fill(now, b)
+	return b.shares.hungry(now)
+}
+
+// saltBits are those of a term's salts, one for each time in which a tenant is scarce.
+const saltBits = 32
+
+// divided returns the shares of a bucket, which it has from now on.
+func (b *bucket) divided(p policy, salt uint64, budget *int) *division {
+	if b.shares == nil {
+		b.shares = &division{policy: p, salt: salt, budget: budget, filled: b.at}
+	}
+	return b.shares
+}
+
 // firstLevel returns at which part of its size a bucket begins. The caller holds mu.
 func (p *Pool) firstLevel() float64 {
 	if p.gap == 0 {
@@ -143,14 +181,78 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	b := p.bucket(now, t)
+	p.spend(p.bucket(now, t), amount, first)
+}
+
+// spend takes an amount out of a bucket that nobody asked for, and returns what of it counts.
+func (p *Pool) spend(b *bucket, amount float64, first bool) float64 {
 	if credit := min(b.credit, amount); credit > 0 && first {
 		b.credit -= credit
 		amount -= credit
 	}
 	b.level -= amount
+	return amount
+}
+
+// SpentBy is Spent for the requests of one route.
+func (p *Pool) SpentBy(now time.Time, t *tenant.Tenant, s Spent, first bool) {
+	switch {
+	case !isAmount(s.Amount):
+		return
+	case !Shared(t.Quota):
+		p.Spent(now, t, s.Amount, first)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := p.bucket(now, t)
+	if s.Route == "" { // of a node that tells no routes
+		s.Priority = LeastUrgent
+	}
+	shares := b.divided(p.policy, p.term<<saltBits, &p.marks)
+	one := shares.place(now, s.Route, s.Priority)
+	shares.fill(now, b)
+	shares.spend(one, p.spend(b, s.Amount, first))
+}
+
+// DrawFor decides on a request of a tenant: within its route's share if the quota is divided,
+// else like Draw. An amount that is no number from zero up is refused.
+func (p *Pool) DrawFor(now time.Time, t *tenant.Tenant, r Request) Answer {
+	if !Shared(t.Quota) {
+		after, granted := p.Draw(now, t, r.Amount)
+		return Answer{Granted: granted, After: after}
+	}
+	if !isAmount(r.Amount) || r.Amount < 0 {
+		return Answer{After: shortRest}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := p.bucket(now, t)
+	b.divided(p.policy, p.term<<saltBits, &p.marks)
+	return b.draw(now, r)
+}
+
+// Rooms returns what the routes of a tenant have, those that are given the most first: some at
+// most, none if its quota is not divided or was not asked yet.
+func (p *Pool) Rooms(t *tenant.Tenant) []RouteRoom {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := p.buckets[t.Name]
+	if b == nil || b.shares == nil {
+		return nil
+	}
+	return b.shares.rooms(b.rate, mostRooms)
 }
 
+// mostRooms bounds what is told of a tenant in one line of the log.
+const mostRooms = 8
+
+// isAmount tells whether a number that came in a message can be counted.
+func isAmount(x float64) bool { return math.Abs(x) <= maxAmount }
+
+// maxAmount bounds what one message counts: beyond it sums of floats lose single tokens.
+const maxAmount = 1e12
+
 // Draw takes an amount out of the bucket of a tenant. If there is not enough it takes
 // nothing and returns when there will be, if nobody else draws.
 func (p *Pool) Draw(now time.Time, t *tenant.Tenant, amount float64) (after time.Duration, granted bool) {
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -166,7 +166,7 @@
 	if got, _ := l.Look(now, &tenant.Tenant{Name: "free"}, 10); got != Admit {
 		t.Error("a tenant without a quota is not let in")
 	}
-	if spent := l.Report(); len(spent) != 1 || spent[0] != (Spent{"a", 10}) {
+	if spent := l.Report(); len(spent) != 1 || spent[0] != (Spent{Tenant: "a", Amount: 10}) {
 		t.Errorf("the report is %v, want the one request that was let in unasked", spent)
 	}
 }
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -15,6 +15,7 @@
 	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/prompt"
 	"martenwheel.dev/pkg/quarantine"
+	"martenwheel.dev/pkg/quota"
 	"martenwheel.dev/pkg/route"
 	"martenwheel.dev/pkg/tenant"
 )
@@ -36,7 +37,7 @@
 	table       *route.Table
 	route       *route.Route
 	tenant      *tenant.Tenant // in whose name it is made; nil: nobody's
-	cost        float64        // of it in the tenant's quota
+	asks        quota.Request  // of the tenant's quota
 	charged     bool           // the quota was charged with it
 	service     string
 	engine      *route.Engine
--- a/pkg/relay/quota.go
+++ b/pkg/relay/quota.go
@@ -7,22 +7,25 @@
 	"strings"
 	"time"
 
+	"martenwheel.dev/pkg/quota"
 	"martenwheel.dev/pkg/tenant"
 )
 
 // Quotas keeps what is run in the name of tenants, over all nodes, within their quotas.
 type Quotas interface {
-	// Admit decides on a request of a tenant that counts so much.
-	Admit(ctx context.Context, t *tenant.Tenant, cost float64) Admission
+	// Admit decides on a request of a tenant.
+	Admit(ctx context.Context, t *tenant.Tenant, r quota.Request) Admission
 	// GiveBack takes back a request that was admitted and that no server ran.
-	GiveBack(t *tenant.Tenant, cost float64)
+	GiveBack(t *tenant.Tenant, r quota.Request)
 }
 
 // Admission is what was decided on a request.
 type Admission struct {
-	Granted bool
-	After   time.Duration // when a request that is not granted may come back
-	Err     error         // why the one who knows could not be asked
+	Granted  bool
+	Promised bool          // room is set aside for when it comes back
+	After    time.Duration // when a request that is not granted may come back
+	Room     quota.Room    // of its route; zero: the quota is not divided, or nobody was asked
+	Err      error         // why the one who knows could not be asked
 }
 
 // admit has the quota of the request's tenant decide. If it returns false, the request is
@@ -31,9 +34,10 @@
 	if c.tenant == nil || c.relay.Quotas == nil || !c.tenant.Quota.Limited() {
 		return true
 	}
-	c.cost = c.tenant.Quota.Cost(tokens(c.http.Header.Get(c.relay.Headers.Tokens)))
-	a := c.relay.Quotas.Admit(ctx, c.tenant, c.cost)
-	c.record.quotaError = a.Err
+	c.asks = c.quotaRequest()
+	c.record.admission = c.relay.Quotas.Admit(ctx, c.tenant, c.asks)
+	a := c.record.admission
+	c.relay.Metrics.observeQuota(c.tenant.Name, c.route.Name, a.Granted)
 	if a.Granted {
 		c.charged = true
 		return true
@@ -42,10 +46,38 @@
 	return false
 }
 
+// quotaRequest is what the request asks of its tenant's quota.
+func (c *call) quotaRequest() quota.Request {
+	waits := c.record.given
+	if waits <= 0 {
+		waits = c.left()
+	}
+	r := quota.Request{
+		Route: c.route.Name, Priority: c.route.Priority, Mark: quota.Mark(c.fingerprint),
+		Amount:  c.tenant.Quota.Cost(tokens(c.http.Header.Get(c.relay.Headers.Tokens))),
+		Returns: waits / returnPart,
+	}
+	r.Within = max(r.Returns-refusalTime, 0)
+	if c.route.Target > 0 {
+		r.Within = min(r.Within, c.route.Target/inTimePart)
+	}
+	return r
+}
+
+// returnPart is the part of the time left up to which callers honour a time to come back.
+const returnPart = 3
+
+// refusalTime is the time in which a refusal reaches its caller, who has less time left then.
+const refusalTime = 20 * time.Millisecond
+
+// inTimePart is the part of the route's target after which a request that comes back is still
+// served in time as a rule.
+const inTimePart = 2
+
 // settle gives the quota back what no server ran.
 func (c *call) settle() {
 	if c.charged && !c.record.mayHaveRun() {
-		c.relay.Quotas.GiveBack(c.tenant, c.cost)
+		c.relay.Quotas.GiveBack(c.tenant, c.asks)
 	}
 }
 
--- a/pkg/relay/quota_test.go
+++ b/pkg/relay/quota_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"martenwheel.dev/pkg/quota"
 	"martenwheel.dev/pkg/route"
 	"martenwheel.dev/pkg/tenant"
 )
@@ -18,7 +19,8 @@
 	back float64
 }
 
-func (c *counted) Admit(_ context.Context, _ *tenant.Tenant, cost float64) Admission {
+func (c *counted) Admit(_ context.Context, _ *tenant.Tenant, r quota.Request) Admission {
+	cost := r.Amount
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if cost > c.left {
@@ -28,7 +30,8 @@
 	return Admission{Granted: true}
 }
 
-func (c *counted) GiveBack(_ *tenant.Tenant, cost float64) {
+func (c *counted) GiveBack(_ *tenant.Tenant, r quota.Request) {
+	cost := r.Amount
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.back += cost
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -1,12 +1,15 @@
 package relay
 
 import (
+	"math"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"martenwheel.dev/pkg/quarantine"
+	"martenwheel.dev/pkg/quota"
 )
 
 // Outcomes of requests, in logs and metrics.
@@ -66,7 +69,7 @@
 	id         string
 	tenant     string        // name; empty: none
 	keysAge    time.Duration // of the table of keys, at most
-	quotaError error         // why the holder could not be asked for its quota
+	admission  Admission     // by its tenant's quota
 	outcome    string
 	err        error
 	status     int
@@ -168,12 +171,7 @@
 	if c.record.err != nil {
 		fields = append(fields, "reason", c.record.err.Error())
 	}
-	if c.charged || c.cost > 0 {
-		fields = append(fields, "cost", c.cost)
-	}
-	if c.record.quotaError != nil {
-		fields = append(fields, "quota_error", c.record.quotaError.Error())
-	}
+	fields = append(fields, c.describeQuota()...)
 	if c.record.turnError != nil {
 		fields = append(fields, "turn_error", c.record.turnError.Error())
 	}
@@ -183,6 +181,28 @@
 	c.relay.Logger.Info("request", fields...)
 }
 
+// describeQuota tells what the request counts in its tenant's quota, and if it was refused, of
+// what room: in the quota's unit a second, of its route.
+func (c *call) describeQuota() []any {
+	var fields []any
+	a := c.record.admission
+	if c.charged || c.asks.Amount > 0 {
+		fields = append(fields, "cost", c.asks.Amount)
+	}
+	if a.Err != nil {
+		fields = append(fields, "quota_error", a.Err.Error())
+	}
+	if c.asks.Amount <= 0 || a.Granted {
+		return fields
+	}
+	fields = append(fields, "after_ms", a.After.Milliseconds(), "promised", a.Promised)
+	if a.Room != (quota.Room{}) {
+		fields = append(fields, "route_share", math.Round(a.Room.Share), "route_asked", math.Round(a.Room.Asked),
+			"route_given", math.Round(a.Room.Given))
+	}
+	return fields
+}
+
 // tryLine is an attempt as it stands in the log.
 type tryLine struct {
 	Server  string `json:"server"`
@@ -228,6 +248,43 @@
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	tries    prometheus.Counter
+	quotas   *prometheus.CounterVec
+
+	mu     sync.Mutex
+	labels map[quotaLabel]bool
+}
+
+// quotaLabel names a route of a tenant.
+type quotaLabel struct{ tenant, route string }
+
+// maxQuotaLabels bounds the routes of tenants that are counted apart: the first that were
+// refused something, in the order of their refusals, so that no counter ever falls. Some tenants
+// are over their quotas at a time, with some routes each.
+const maxQuotaLabels = 200
+
+// otherLabel stands for all that are not counted apart.
+const otherLabel = "other"
+
+// observeQuota counts a decision on a quota. A route of a tenant is counted apart from its
+// first refusal on, up to maxQuotaLabels of them.
+func (m *Metrics) observeQuota(tenant, route string, granted bool) {
+	if m == nil {
+		return
+	}
+	label := quotaLabel{tenant, route}
+	outcome := "let in"
+	m.mu.Lock()
+	if !granted {
+		outcome = outcomeRefused
+		if len(m.labels) < maxQuotaLabels {
+			m.labels[label] = true
+		}
+	}
+	if !m.labels[label] {
+		label = quotaLabel{otherLabel, otherLabel}
+	}
+	m.mu.Unlock()
+	m.quotas.WithLabelValues(label.tenant, label.route, outcome).Inc()
 }
 
 // NewMetrics registers the relay's metrics.
@@ -243,8 +300,12 @@
 		tries: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: "martenwheel", Name: "relay_attempts_total", Help: "Requests sent to servers, repeats included.",
 		}),
+		quotas: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "martenwheel", Name: "relay_quota_requests_total", Help: "Requests of tenants with quotas by route and outcome.",
+		}, []string{"tenant", "route", "outcome"}),
+		labels: make(map[quotaLabel]bool),
 	}
-	registry.MustRegister(m.requests, m.latency, m.tries)
+	registry.MustRegister(m.requests, m.latency, m.tries, m.quotas)
 	return m
 }
 
