quota: a test of when a tenant is scarce no more, and of another sieve for each burst

Two mechanisms could be switched off without a failing test: the pause after the last refusal, and the salt of the sieves. Both fail this one now.

--- a/pkg/quota/shares_test.go
+++ b/pkg/quota/shares_test.go
@@ -480,3 +480,32 @@
 			Mark: markOf(uint64(i)), Within: 400 * time.Millisecond, Returns: time.Second})
 	}
 }
+
+// TestScarceUntilNobodyWasRefusedForAWhile: callers that were told a time come back, and a burst
+// has pauses; nodes that let requests in unasked meanwhile would run a second's worth too much.
+// Each time in which the tenant is scarce has a sieve of its own.
+func TestScarceUntilNobodyWasRefusedForAWhile(t *testing.T) {
+	one := limited()
+	all := table(t, one)
+	p, now := fullPool()
+	burst := func() (salt uint64) {
+		p.SpentBy(now, one, Spent{Tenant: "a", Route: "a", Amount: 900}, false)
+		p.Scarce(now, all)
+		for p.DrawFor(now, one, Request{Route: "a", Amount: 10}).Granted {
+		}
+		return p.DrawFor(now, one, Request{Route: "a", Amount: 10}).Sieve.Salt
+	}
+	first := burst()
+	now = now.Add(calmAfter - 50*time.Millisecond)
+	scarce := len(p.Scarce(now, all)) == 1
+	if level := p.buckets["a"].level; !scarce || level < plentyAbove*1000 {
+		t.Errorf("a moment after a refusal the tenant is scarce: %t, with %g of 1000 in the bucket", scarce, level)
+	}
+	now = now.Add(100 * time.Millisecond)
+	if len(p.Scarce(now, all)) == 1 {
+		t.Error("the tenant is scarce though nobody was refused for a while")
+	}
+	if burst() == first {
+		t.Error("the sieve of another burst is that of the first")
+	}
+}
