--- a/pkg/coordinator/quotas.go
+++ b/pkg/coordinator/quotas.go
@@ -128,7 +128,7 @@
 func (m *Member) drawn(t *tenant.Tenant, r quota.Request, answer DrawAnswer) relay.Admission {
 	a := answer.answer()
 	a.After = m.ledger.Answered(m.Time.Now(), t, r, a)
-	return admission(a, nil)
+	return admitted(a, nil)
 }
 
 // admitAlone decides without the holder, which did not answer: by the deputy, or else by
@@ -136,16 +136,16 @@
 func (m *Member) admitAlone(ctx context.Context, t *tenant.Tenant, r quota.Request, cause error) relay.Admission {
 	answer, err := m.drawFromDeputy(ctx, DeputyDraw(newDraw(t, r)))
 	if err != nil {
-		return admission(m.ledger.GoAloneFor(m.Time.Now(), t, r, m.Fleet()), err)
+		return admitted(m.ledger.GoAloneFor(m.Time.Now(), t, r, m.Fleet()), err)
 	}
 	if answer.Granted {
 		m.ledger.LentFor(t, r)
 	}
-	return admission(answer.answer(), cause)
+	return admitted(answer.answer(), cause)
 }
 
-// admission is an answer for package relay; err: why the holder could not be asked.
-func admission(a quota.Answer, err error) relay.Admission {
+// admitted is an answer for package relay; err: why the holder could not be asked.
+func admitted(a quota.Answer, err error) relay.Admission {
 	return relay.Admission{Granted: a.Granted, Promised: a.Promised, After: a.After, Room: a.Room, Err: err}
 }
 
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"martenwheel.dev/pkg/affinity"
 	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/prompt"
 	"martenwheel.dev/pkg/quarantine"
@@ -48,6 +49,7 @@
 	fingerprint quarantine.Fingerprint // once the body was read
 	need        backend.Need
 	prompt      prompt.Prompt // of a request to an engine
+	shaped      affinity.Request
 	lastEvent   string
 
 	tried    []string // servers that did not serve it
@@ -58,6 +60,7 @@
 	headSent bool
 	turn     *turn // of a suspected request that runs; nil: it needs none
 	round    int   // of the run that begins next, see quarantine.End
+	place    place // among all requests to crowded servers
 	record   record
 }
 
@@ -175,6 +178,7 @@
 		c.need = backend.ParseNeed(h.Get(c.relay.Headers.Model))
 		c.prompt = prompt.Parse(prompt.Fields{Tokens: h.Get(c.relay.Headers.Tokens),
 			Parts: h.Get(c.relay.Headers.Parts), Likely: h.Get(c.relay.Headers.Likely)})
+		c.shape()
 	}
 	c.lastEvent = h.Get(c.relay.Headers.LastEvent)
 	c.head = c.forwardedHead()
--- a/pkg/relay/quota.go
+++ b/pkg/relay/quota.go
@@ -5,8 +5,11 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"martenwheel.dev/pkg/quota"
 	"martenwheel.dev/pkg/tenant"
 )
@@ -96,3 +99,62 @@
 	}
 	return sum
 }
+
+// quotaCounters count decisions on quotas by tenant and route.
+type quotaCounters struct {
+	requests *prometheus.CounterVec
+
+	mu     *sync.Mutex
+	labels map[quotaLabel]bool
+}
+
+// quotaLabel names a route of a tenant.
+type quotaLabel struct{ tenant, route string }
+
+// maxQuotaLabels bounds the routes of tenants that are counted apart: the first that were
+// refused something, in the order of their refusals, so that no counter ever falls. Some tenants
+// are over their quotas at a time, with some routes each.
+const maxQuotaLabels = 200
+
+// Labels of the counters.
+const (
+	otherLabel   = "other" // all that are not counted apart
+	outcomeLetIn = "let in"
+)
+
+func newQuotaCounters() quotaCounters {
+	return quotaCounters{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "martenwheel", Name: "relay_quota_requests_total", Help: "Requests of tenants with quotas by route and outcome.",
+		}, []string{"tenant", "route", "outcome"}),
+		mu:     new(sync.Mutex),
+		labels: make(map[quotaLabel]bool),
+	}
+}
+
+// observeQuota counts a decision on a quota. A route of a tenant is counted apart from its
+// first refusal on, up to maxQuotaLabels of them.
+func (m *Metrics) observeQuota(tenant, route string, granted bool) {
+	if m == nil {
+		return
+	}
+	outcome := outcomeLetIn
+	if !granted {
+		outcome = outcomeRefused
+	}
+	label := m.quotas.label(quotaLabel{tenant, route}, !granted)
+	m.quotas.requests.WithLabelValues(label.tenant, label.route, outcome).Inc()
+}
+
+// label returns by which label a route of a tenant is counted.
+func (q *quotaCounters) label(l quotaLabel, refused bool) quotaLabel {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if refused && len(q.labels) < maxQuotaLabels {
+		q.labels[l] = true
+	}
+	if q.labels[l] {
+		return l
+	}
+	return quotaLabel{otherLabel, otherLabel}
+}
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -82,11 +81,13 @@
 	waitFor    string        // what it lacked when it last waited; empty: it never did
 	wakeError  error
 	turnError  error // why the holder could not be asked for a turn
+	place      placeRecord
 	bytes      int
 	events     int
 	eventsFrom time.Time     // when the first events went out
 	eventAt    time.Time     // when the last events went out
 	pause      time.Duration // longest between two sends of events
+	preference string        // whether the last server chosen is the one preferred; empty: none was chosen
 }
 
 func (r *record) try(server string, started time.Time) {
@@ -132,6 +133,7 @@
 func (c *call) finish() {
 	c.record.end(outcomeBroken, nil)
 	c.settle()
+	c.endPlace() // of a request that waited for one in vain
 	took := c.relay.Time.Since(c.arrived)
 	c.relay.Metrics.observe(c, took)
 	fields := []any{"request_id", c.record.id, "outcome", c.record.outcome, "status", c.record.status,
@@ -165,6 +167,10 @@
 		fields = append(fields, "events", c.record.events, "last_event", c.lastEvent,
 			"pause_ms", c.record.pause.Milliseconds(), "pause_target_ms", c.route.GapTarget.Milliseconds())
 	}
+	if c.record.preference != "" && c.route.Sticky {
+		fields = append(fields, "lane", c.shaped.Lane().String(), "preferred", c.record.preference,
+			"shared_tokens", c.prompt.SharedTokens())
+	}
 	if len(c.record.tries) > 0 {
 		fields = append(fields, "tries", c.describeTries())
 	}
@@ -175,6 +181,7 @@
 	if c.record.turnError != nil {
 		fields = append(fields, "turn_error", c.record.turnError.Error())
 	}
+	fields = append(fields, c.describePlace()...)
 	if c.record.wakeError != nil {
 		fields = append(fields, "wake_error", c.record.wakeError.Error())
 	}
@@ -248,43 +255,9 @@
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	tries    prometheus.Counter
-	quotas   *prometheus.CounterVec
-
-	mu     sync.Mutex
-	labels map[quotaLabel]bool
-}
-
-// quotaLabel names a route of a tenant.
-type quotaLabel struct{ tenant, route string }
-
-// maxQuotaLabels bounds the routes of tenants that are counted apart: the first that were
-// refused something, in the order of their refusals, so that no counter ever falls. Some tenants
-// are over their quotas at a time, with some routes each.
-const maxQuotaLabels = 200
-
-// otherLabel stands for all that are not counted apart.
-const otherLabel = "other"
-
-// observeQuota counts a decision on a quota. A route of a tenant is counted apart from its
-// first refusal on, up to maxQuotaLabels of them.
-func (m *Metrics) observeQuota(tenant, route string, granted bool) {
-	if m == nil {
-		return
-	}
-	label := quotaLabel{tenant, route}
-	outcome := "let in"
-	m.mu.Lock()
-	if !granted {
-		outcome = outcomeRefused
-		if len(m.labels) < maxQuotaLabels {
-			m.labels[label] = true
-		}
-	}
-	if !m.labels[label] {
-		label = quotaLabel{otherLabel, otherLabel}
-	}
-	m.mu.Unlock()
-	m.quotas.WithLabelValues(label.tenant, label.route, outcome).Inc()
+	foreseen prometheus.Histogram
+	choices  *prometheus.CounterVec
+	quotas   quotaCounters
 }
 
 // NewMetrics registers the relay's metrics.
@@ -300,12 +273,14 @@
 		tries: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: "martenwheel", Name: "relay_attempts_total", Help: "Requests sent to servers, repeats included.",
 		}),
-		quotas: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: "martenwheel", Name: "relay_quota_requests_total", Help: "Requests of tenants with quotas by route and outcome.",
-		}, []string{"tenant", "route", "outcome"}),
-		labels: make(map[quotaLabel]bool),
+		choices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "martenwheel", Name: "relay_preferred_replicas_total",
+			Help: "Requests of routes that share parts of prompts: sent to the replica that they prefer (taken), to another (passed on), or without a preference (none).",
+		}, []string{"choice"}),
 	}
-	registry.MustRegister(m.requests, m.latency, m.tries, m.quotas)
+	m.foreseen = newForeseen()
+	m.quotas = newQuotaCounters()
+	registry.MustRegister(m.requests, m.latency, m.tries, m.choices, m.foreseen, m.quotas.requests)
 	return m
 }
 
@@ -315,6 +290,10 @@
 	}
 	m.requests.WithLabelValues(c.service, c.record.outcome).Inc()
 	m.tries.Add(float64(len(c.record.tries)))
+	m.observePlace(c)
+	if c.record.preference != "" && c.route.Sticky {
+		m.choices.WithLabelValues(c.record.preference).Inc()
+	}
 	if c.record.outcome == outcomeServed {
 		m.latency.WithLabelValues(c.service).Observe(min(took, c.record.firstByte).Seconds())
 	}
--- a/pkg/relay/shares_test.go
+++ b/pkg/relay/shares_test.go
@@ -73,7 +73,7 @@
 		m.observeQuota("a", fmt.Sprint(i), false)
 		m.observeQuota("a", fmt.Sprint(i), true)
 	}
-	if n := testutil.CollectAndCount(m.quotas); n > 2*maxQuotaLabels+2 {
+	if n := testutil.CollectAndCount(m.quotas.requests); n > 2*maxQuotaLabels+2 {
 		t.Errorf("there are %d counters", n)
 	}
 	for _, c := range []struct {
@@ -84,7 +84,7 @@
 		{[]string{otherLabel, otherLabel, outcomeRefused}, 1000 - maxQuotaLabels},
 		{[]string{otherLabel, otherLabel, "let in"}, 1001 - maxQuotaLabels},
 	} {
-		if got := testutil.ToFloat64(m.quotas.WithLabelValues(c.labels...)); got != c.want {
+		if got := testutil.ToFloat64(m.quotas.requests.WithLabelValues(c.labels...)); got != c.want {
 			t.Errorf("%v counts %g, want %g", c.labels, got, c.want)
 		}
 	}
