--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -67,7 +67,8 @@
 	paces      paces            // of servers
 	quotas     quota.Pool       // safe for other goroutines than the holder's
 	places     holderPlaces
-	scarceTold []string // tenants for which the nodes were told to ask
+	scarceTold []string  // tenants for which the nodes were told to ask
+	roomsTold  time.Time // when the log was last told how their quotas are shared
 	// nodesNumber counts the changes of nodes.
 	nodesNumber uint64
 	demands     map[demandKey]*demand
--- a/pkg/relay/quota.go
+++ b/pkg/relay/quota.go
@@ -5,24 +5,30 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
+	"martenwheel.dev/pkg/quota"
 	"martenwheel.dev/pkg/tenant"
 )
 
 // Quotas keeps what is run in the name of tenants, over all nodes, within their quotas.
 type Quotas interface {
-	// Admit decides on a request of a tenant that counts so much.
-	Admit(ctx context.Context, t *tenant.Tenant, cost float64) Admission
+	// Admit decides on a request of a tenant.
+	Admit(ctx context.Context, t *tenant.Tenant, r quota.Request) Admission
 	// GiveBack takes back a request that was admitted and that no server ran.
-	GiveBack(t *tenant.Tenant, cost float64)
+	GiveBack(t *tenant.Tenant, r quota.Request)
 }
 
 // Admission is what was decided on a request.
 type Admission struct {
-	Granted bool
-	After   time.Duration // when a request that is not granted may come back
-	Err     error         // why the one who knows could not be asked
+	Granted  bool
+	Promised bool          // room is set aside for when it comes back
+	After    time.Duration // when a request that is not granted may come back
+	Room     quota.Room    // of its route; zero: the quota is not divided, or nobody was asked
+	Err      error         // why the one who knows could not be asked
 }
 
 // admit has the quota of the request's tenant decide. If it returns false, the request is
@@ -31,9 +37,10 @@
 	if c.tenant == nil || c.relay.Quotas == nil || !c.tenant.Quota.Limited() {
 		return true
 	}
-	c.cost = c.tenant.Quota.Cost(tokens(c.http.Header.Get(c.relay.Headers.Tokens)))
-	a := c.relay.Quotas.Admit(ctx, c.tenant, c.cost)
-	c.record.quotaError = a.Err
+	c.asks = c.quotaRequest()
+	c.record.admission = c.relay.Quotas.Admit(ctx, c.tenant, c.asks)
+	a := c.record.admission
+	c.relay.Metrics.observeQuota(c.tenant.Name, c.route.Name, a.Granted)
 	if a.Granted {
 		c.charged = true
 		return true
@@ -42,10 +49,38 @@
 	return false
 }
 
+// quotaRequest is what the request asks of its tenant's quota.
+func (c *call) quotaRequest() quota.Request {
+	waits := c.record.given
+	if waits <= 0 {
+		waits = c.left()
+	}
+	r := quota.Request{
+		Route: c.route.Name, Priority: c.route.Priority, Mark: quota.Mark(c.fingerprint),
+		Amount:  c.tenant.Quota.Cost(tokens(c.http.Header.Get(c.relay.Headers.Tokens))),
+		Returns: waits / returnPart,
+	}
+	r.Within = max(r.Returns-refusalTime, 0)
+	if c.route.Target > 0 {
+		r.Within = min(r.Within, c.route.Target/inTimePart)
+	}
+	return r
+}
+
+// returnPart is the part of the time left up to which callers honour a time to come back.
+const returnPart = 3
+
+// refusalTime is the time in which a refusal reaches its caller, who has less time left then.
+const refusalTime = 20 * time.Millisecond
+
+// inTimePart is the part of the route's target after which a request that comes back is still
+// served in time as a rule.
+const inTimePart = 2
+
 // settle gives the quota back what no server ran.
 func (c *call) settle() {
 	if c.charged && !c.record.mayHaveRun() {
-		c.relay.Quotas.GiveBack(c.tenant, c.cost)
+		c.relay.Quotas.GiveBack(c.tenant, c.asks)
 	}
 }
 
@@ -64,3 +99,62 @@
 	}
 	return sum
 }
+
+// quotaCounters count decisions on quotas by tenant and route.
+type quotaCounters struct {
+	requests *prometheus.CounterVec
+
+	mu     *sync.Mutex
+	labels map[quotaLabel]bool
+}
+
+// quotaLabel names a route of a tenant.
+type quotaLabel struct{ tenant, route string }
+
+// maxQuotaLabels bounds the routes of tenants that are counted apart: the first that were
+// refused something, in the order of their refusals, so that no counter ever falls. Some tenants
+// are over their quotas at a time, with some routes each.
+const maxQuotaLabels = 200
+
+// Labels of the counters.
+const (
+	otherLabel   = "other" // all that are not counted apart
+	outcomeLetIn = "let in"
+)
+
+func newQuotaCounters() quotaCounters {
+	return quotaCounters{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "martenwheel", Name: "relay_quota_requests_total", Help: "Requests of tenants with quotas by route and outcome.",
+		}, []string{"tenant", "route", "outcome"}),
+		mu:     new(sync.Mutex),
+		labels: make(map[quotaLabel]bool),
+	}
+}
+
+// observeQuota counts a decision on a quota. A route of a tenant is counted apart from its
+// first refusal on, up to maxQuotaLabels of them.
+func (m *Metrics) observeQuota(tenant, route string, granted bool) {
+	if m == nil {
+		return
+	}
+	outcome := outcomeLetIn
+	if !granted {
+		outcome = outcomeRefused
+	}
+	label := m.quotas.label(quotaLabel{tenant, route}, !granted)
+	m.quotas.requests.WithLabelValues(label.tenant, label.route, outcome).Inc()
+}
+
+// label returns by which label a route of a tenant is counted.
+func (q *quotaCounters) label(l quotaLabel, refused bool) quotaLabel {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if refused && len(q.labels) < maxQuotaLabels {
+		q.labels[l] = true
+	}
+	if q.labels[l] {
+		return l
+	}
+	return quotaLabel{otherLabel, otherLabel}
+}
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -1,12 +1,14 @@
 package relay
 
 import (
+	"math"
 	"slices"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"martenwheel.dev/pkg/quarantine"
+	"martenwheel.dev/pkg/quota"
 )
 
 // Outcomes of requests, in logs and metrics.
@@ -66,7 +68,7 @@
 	id         string
 	tenant     string        // name; empty: none
 	keysAge    time.Duration // of the table of keys, at most
-	quotaError error         // why the holder could not be asked for its quota
+	admission  Admission     // by its tenant's quota
 	outcome    string
 	err        error
 	status     int
@@ -175,12 +177,7 @@
 	if c.record.err != nil {
 		fields = append(fields, "reason", c.record.err.Error())
 	}
-	if c.charged || c.cost > 0 {
-		fields = append(fields, "cost", c.cost)
-	}
-	if c.record.quotaError != nil {
-		fields = append(fields, "quota_error", c.record.quotaError.Error())
-	}
+	fields = append(fields, c.describeQuota()...)
 	if c.record.turnError != nil {
 		fields = append(fields, "turn_error", c.record.turnError.Error())
 	}
@@ -191,6 +188,28 @@
 	c.relay.Logger.Info("request", fields...)
 }
 
+// describeQuota tells what the request counts in its tenant's quota, and if it was refused, of
+// what room: in the quota's unit a second, of its route.
+func (c *call) describeQuota() []any {
+	var fields []any
+	a := c.record.admission
+	if c.charged || c.asks.Amount > 0 {
+		fields = append(fields, "cost", c.asks.Amount)
+	}
+	if a.Err != nil {
+		fields = append(fields, "quota_error", a.Err.Error())
+	}
+	if c.asks.Amount <= 0 || a.Granted {
+		return fields
+	}
+	fields = append(fields, "after_ms", a.After.Milliseconds(), "promised", a.Promised)
+	if a.Room != (quota.Room{}) {
+		fields = append(fields, "route_share", math.Round(a.Room.Share), "route_asked", math.Round(a.Room.Asked),
+			"route_given", math.Round(a.Room.Given))
+	}
+	return fields
+}
+
 // tryLine is an attempt as it stands in the log.
 type tryLine struct {
 	Server  string `json:"server"`
@@ -238,6 +257,7 @@
 	tries    prometheus.Counter
 	foreseen prometheus.Histogram
 	choices  *prometheus.CounterVec
+	quotas   quotaCounters
 }
 
 // NewMetrics registers the relay's metrics.
@@ -259,7 +279,8 @@
 		}, []string{"choice"}),
 	}
 	m.foreseen = newForeseen()
-	registry.MustRegister(m.requests, m.latency, m.tries, m.choices, m.foreseen)
+	m.quotas = newQuotaCounters()
+	registry.MustRegister(m.requests, m.latency, m.tries, m.choices, m.foreseen, m.quotas.requests)
 	return m
 }
 
