migration, relay: running streams move when their server leaves

A stream that may run once was lost with a server that left before its end; a resumable one was read anew elsewhere. The relay now has the source copy the run's memory to another server while it runs, then stop it and copy the rest, and goes on there within the same answer. What to do when a step fails is a pure decision (migration.Handover): nothing goes on elsewhere before the source has surely stopped, and a request that may run once is never sent without a copy. A close that follows from our own stop is no evidence that the server ended.

backend.Answer tells whether a body has its own end: one that ends with its connection looks whole when its source is stopped.

--- a/pkg/backend/condition.go
+++ b/pkg/backend/condition.go
@@ -14,6 +14,7 @@
 	pool     *pool
 	inFlight atomic.Int64
 	draining atomic.Bool
+	leavesAt atomic.Pointer[time.Time] // since when it is known to leave; nil: it does not
 	left     atomic.Bool
 
 	mu       sync.Mutex
@@ -51,9 +52,33 @@
 // Leaving tells whether the server takes no new requests.
 func (c *Condition) Leaving() bool { return c.left.Load() || c.draining.Load() }
 
+// LeavingFor returns for how long the server is known to leave; zero: it does not.
+func (c *Condition) LeavingFor(now time.Time) time.Duration {
+	since := c.leavesAt.Load()
+	if since == nil {
+		return 0
+	}
+	return max(now.Sub(*since), 1)
+}
+
+// drain notes whether the server declares that it leaves.
+func (c *Condition) drain(now time.Time, draining bool) {
+	c.draining.Store(draining)
+	switch {
+	case !draining:
+		c.leavesAt.Store(nil)
+	case c.leavesAt.Load() == nil:
+		c.leavesAt.Store(&now)
+	}
+}
+
 // leave ends the use of the server for new requests.
 func (c *Condition) leave() {
 	c.left.Store(true)
+	if c.leavesAt.Load() == nil {
+		now := c.pool.time.Now()
+		c.leavesAt.Store(&now)
+	}
 	if !c.draining.Load() {
 		c.tellEnd()
 	}
--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -276,6 +276,7 @@
 	Status int
 	Header http.Header
 	Length int64 // of the body; -1: not told
+	Framed bool  // the body tells its own end; else it ends with its connection
 
 	conn     *conn
 	exchange *exchange
@@ -289,7 +290,7 @@
 
 func newAnswer(ctx context.Context, c *conn, x *exchange, r *http.Response) *Answer {
 	a := &Answer{Status: r.StatusCode, Header: r.Header, Length: r.ContentLength,
-		conn: c, exchange: x, body: r.Body}
+		Framed: r.ContentLength >= 0 || len(r.TransferEncoding) > 0, conn: c, exchange: x, body: r.Body}
 	a.stop = context.AfterFunc(ctx, func() { c.fail(context.Cause(ctx)) })
 	return a
 }
--- a/pkg/backend/directory.go
+++ b/pkg/backend/directory.go
@@ -109,7 +109,7 @@
 		} else {
 			m.Condition = newCondition(d.Dialer, d.Time, s)
 		}
-		m.draining.Store(s.Draining)
+		m.drain(next.at, s.Draining)
 		next.members[s.ID] = m
 		next.services[s.Service] = append(next.services[s.Service], m)
 	}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -83,6 +83,15 @@
 // attempt sends the request to a server. It tells whether another one is to be
 // tried.
 func (c *call) attempt(ctx context.Context, m *backend.Member) bool {
+	v, err := c.try(ctx, m)
+	if errors.Is(err, errHandedOver) {
+		return c.goOn(ctx)
+	}
+	return c.next(ctx, m, v, err)
+}
+
+// try sends the request to a server and passes its answer on.
+func (c *call) try(ctx context.Context, m *backend.Member) (verdict, error) {
 	started := c.relay.Time.Now()
 	m.Begin(started, c.need.Model)
 	ended := false
@@ -98,7 +107,7 @@
 	impatience := c.giveUpLater(m, cancel)
 	a, err := m.Send(attempt, c.message(m), func() error {
 		switch {
-		case m.Leaving():
+		case m.Leaving() && !c.resumption.back:
 			return errLeaving
 		case c.left() <= 0: // the machine may have been suspended: the timer of ctx goes by another clock
 			return errDeadline
@@ -109,6 +118,7 @@
 		defer impatience.Stop()
 	}
 	c.record.try(m.ID, started)
+	c.record.last().answered = c.resumption.answered
 	before := c.sends
 	v, err := c.conclude(ctx, m, a, err, impatience)
 	if a != nil {
@@ -117,9 +127,9 @@
 	end()
 	c.record.fail(c.relay.Time.Now(), v, err)
 	if c.sends > before && (v == mayRun || v == gone) {
-		c.suspect(ctx, m, err, context.Cause(attempt) != nil)
+		c.suspectUnlessStopped(ctx, m, err, context.Cause(attempt) != nil)
 	}
-	return c.next(ctx, m, v, err)
+	return v, err
 }
 
 // broke tells whether the connection to the server broke under the request.
@@ -130,6 +140,9 @@
 // giveUpLater ends an attempt that shows no sign of an answer, if another
 // server could serve the request.
 func (c *call) giveUpLater(m *backend.Member, cancel context.CancelCauseFunc) *time.Timer {
+	if c.resumption.from != "" {
+		return c.giveUpResuming(cancel)
+	}
 	if !c.mayTryAnother() {
 		return nil
 	}
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -58,6 +58,10 @@
 	turn     *turn // of a suspected request that runs; nil: it needs none
 	round    int   // of the run that begins next, see quarantine.End
 	record   record
+
+	ride       *ride // that the next server goes on with; nil: none
+	broken     error // why its source sends no more
+	resumption resumption
 }
 
 // lacking is a server that does not hold what a request needs; gone: it refused the
@@ -239,6 +243,9 @@
 	if c.lastEvent != "" {
 		head = appendHeader(head, own.LastEvent, c.lastEvent)
 	}
+	if c.resumption.from != "" {
+		head = appendHeader(head, own.Origin, c.resumption.from)
+	}
 	if c.engine != nil {
 		head = appendHeader(head, own.Priority, strconv.Itoa(c.rank()))
 	}
--- /dev/null
+++ b/pkg/relay/moves.go
@@ -0,0 +1,214 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/migration"
+)
+
+// moveLine is a call or a step of a move as it stands in the log.
+type moveLine struct {
+	From    string `json:"from"`
+	To      string `json:"to"`
+	Step    string `json:"step"`
+	TookMS  int64  `json:"took_ms"`
+	Events  int    `json:"events"` // that the run had made, or that the caller had before a step
+	Outcome string `json:"outcome"`
+}
+
+// maxMoveLines bounds the lines of one ride.
+const maxMoveLines = 16
+
+// note keeps a line for the log.
+func (r *ride) note(l moveLine) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.lines) < maxMoveLines {
+		r.lines = append(r.lines, l)
+	}
+}
+
+// endsByMove tells whether the end of a stream's bytes may be the end of its connection by a
+// move rather than its own: an answer without a frame ends with its connection.
+func (r *ride) endsByMove(a *backend.Answer) bool { return !a.Framed && r.mayBeStopped() }
+
+// brokeOff judges a stream whose server sends no more, after all that it had sent went out.
+func (c *call) brokeOff(ctx context.Context, r *ride, err error) (verdict, error) {
+	if !r.take(ctx) {
+		return mayRun, err
+	}
+	c.ride, c.broken = r, err
+	return mayRun, errHandedOver
+}
+
+// take takes the ride over from the move that is under way, once that is through. It returns false
+// if there is no copy to go on from.
+func (r *ride) take(ctx context.Context) bool {
+	if r == nil {
+		return false
+	}
+	r.mu.Lock()
+	r.over = true
+	moving := r.moving
+	r.mu.Unlock()
+	if moving != nil {
+		select {
+		case <-moving:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.taken = r.handle != ""
+	return r.taken
+}
+
+// stoppedByMove tells whether the source broke the stream off because it was asked to.
+func (r *ride) stoppedByMove() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stopSent && r.handover.Stopped
+}
+
+// alight ends a ride and keeps what it tells for the log.
+func (c *call) alight(r *ride) {
+	if r == nil {
+		return
+	}
+	if c.ride != r {
+		c.record.moves = append(c.record.moves, r.told()...)
+	}
+	r.leave()
+}
+
+// suspectUnlessStopped is suspect, unless the server broke the stream off since it was asked to:
+// that is no end of the server.
+func (c *call) suspectUnlessStopped(ctx context.Context, m *backend.Member, err error, taken bool) {
+	if errors.Is(err, errHandedOver) {
+		if c.ride.stoppedByMove() {
+			return
+		}
+		m.Failed(c.relay.Time.Now())
+		err = c.broken
+	}
+	c.suspect(ctx, m, err, taken)
+}
+
+// resumption is how a try goes on from a copy; the zero value does not.
+type resumption struct {
+	from     string        // where the copy is from
+	back     bool          // the try goes to the source
+	answered time.Time     // when the run began to answer, at its first server
+	events   int           // that the caller had before
+	patience time.Duration // for an answer; zero: there is no other way
+}
+
+// goOn takes up a stream whose source stopped it, or broke it off after it was copied. It tells
+// whether another server is to be tried.
+func (c *call) goOn(ctx context.Context) bool {
+	r := c.ride
+	c.ride = nil
+	defer c.settleRide(r)
+	if c.record.lastEnded() { // one that has ended does not count
+		c.runs--
+	}
+	h := &r.handover
+	h.MayStop, h.MayAnew = true, c.route.Repeatable()
+	for {
+		h.MayBack = c.mayGoBack(r)
+		switch step := h.Next(); step {
+		case migration.Stop:
+			r.stop(callTime)
+		case migration.GoOnThere, migration.GoBack:
+			v, err, ended := c.resume(ctx, r, step)
+			switch {
+			case errors.Is(err, errHandedOver): // the next server left or broke off in turn
+				return c.goOn(ctx)
+			case ended:
+				return c.next(ctx, r.end(step), v, err)
+			}
+		case migration.Anew:
+			return c.next(ctx, r.source, mayRun, errMoved)
+		default:
+			c.refuse(c.notServed(reasonFailed, defaultRetryAfter))
+			return false
+		}
+	}
+}
+
+// mayGoBack tells whether the source of a ride may still be sent a request.
+func (c *call) mayGoBack(r *ride) bool {
+	if !r.source.Leaving() {
+		return true
+	}
+	left, told := c.relay.goneIn(r.source)
+	if told && left < backMargin {
+		return false
+	}
+	return c.relay.DrainTime > 0 && r.source.LeavingFor(c.relay.Time.Now()) < c.relay.DrainTime-sendMargin
+}
+
+// resume has an end of a ride go on with the stream. It is the same run: it counts neither as a
+// repeat nor as one more server. ended tells that the copy is used and v is final.
+func (c *call) resume(ctx context.Context, r *ride, step migration.Step) (v verdict, err error, ended bool) {
+	began, sends, runs := c.relay.Time.Now(), c.sends, c.runs
+	c.resumption = resumption{from: c.relay.Mover.Origin(r.source, r.handle), back: step == migration.GoBack,
+		answered: c.record.last().answered, events: c.record.events}
+	if step == migration.GoOnThere && r.handover.Kept {
+		c.resumption.patience = max(leastGap, gapFactor*c.route.GapTarget)
+	}
+	v, err = c.try(ctx, r.end(step))
+	o := c.resumed(v)
+	r.handover.Told(step, o)
+	r.note(moveLine{From: r.source.ID, To: r.end(step).ID, Step: step.String(), Events: c.resumption.events,
+		TookMS: c.relay.Time.Since(began).Milliseconds(), Outcome: o.String()})
+	c.sends, c.runs, c.resumption = sends, runs, resumption{}
+	return v, err, v == gone || o == migration.Done || o == migration.Broke
+}
+
+// resumed is the end of a try that went on from a copy, as the handover sees it.
+func (c *call) resumed(v verdict) migration.Outcome {
+	switch {
+	case v == served:
+		return migration.Done
+	case v == notRun:
+		return migration.Refused
+	case c.record.events > c.resumption.events:
+		return migration.Broke
+	}
+	return migration.NoAnswer
+}
+
+// end is the server that a step goes to.
+func (r *ride) end(step migration.Step) *backend.Member {
+	if step == migration.GoBack {
+		return r.source
+	}
+	return r.target
+}
+
+// giveUpResuming ends a try that shows no sign of an answer while the source keeps the run.
+func (c *call) giveUpResuming(cancel context.CancelCauseFunc) *time.Timer {
+	if c.resumption.patience <= 0 {
+		return nil
+	}
+	return time.AfterFunc(c.resumption.patience, func() { cancel(errImpatient) })
+}
+
+// settleRide keeps what a ride tells for the log and drops a copy that was not used.
+func (c *call) settleRide(r *ride) {
+	c.record.moves = append(c.record.moves, r.told()...)
+	r.drop()
+}
+
+// told returns the lines for the log.
+func (r *ride) told() []moveLine {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lines
+}
--- /dev/null
+++ b/pkg/relay/moves_test.go
@@ -0,0 +1,369 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/route"
+)
+
+// fault is what happens to one call of a move, or to a request that goes on from a copy.
+type fault uint8
+
+const (
+	well       fault = iota
+	refused          // answered as not done
+	lost             // nothing happens, no answer comes
+	halfLost         // it is done, no answer comes
+	sourceEnds       // before it is done
+	targetEnds
+)
+
+// fleet is servers whose runs move: it stands for the engines and implements Mover.
+type fleet struct {
+	*site
+	total  int
+	pace   time.Duration
+	faults func(step string) fault
+
+	fleetMu sync.Mutex
+	working map[string]chan struct{} // by server; closing it stops the run
+	peak    int                      // runs at once
+	fresh   int                      // runs that began without a copy
+	handle  string
+	stopped string // server that stopped its run
+	used    bool
+	ended   map[string]bool
+}
+
+const originHeader = "X-Origin"
+
+// newFleet starts servers, all of which hold all, before a relay that moves streams. The first one
+// is preferred.
+func newFleet(t *testing.T, resumable bool, servers int, faults func(step string) fault) *fleet {
+	f := &fleet{total: 40, pace: 2 * time.Millisecond, faults: faults, working: map[string]chan struct{}{}, ended: map[string]bool{}}
+	answers := make([]answerer, servers)
+	for i := range answers {
+		answers[i] = f.serve
+	}
+	r := streamRoute(resumable)
+	r.Sticky, r.MaxAttempts = true, 2
+	f.site = newSite(t, r, answers...)
+	f.relay.Headers.Origin = originHeader
+	f.relay.Mover, f.relay.DrainTime = f, 5*time.Second
+	table := f.relay.Routes()
+	table.Service("s").Engine = &route.Engine{Moves: true, EventTokens: 1, Models: map[string]*route.Model{"m": {Name: "m"}}}
+	for _, s := range f.servers {
+		s.Slots, s.Models = 400, []backend.Holding{{Model: "m"}} // so many that moves begin at once
+	}
+	f.relay.Servers.Replace(f.servers, 2)
+	for _, s := range f.servers[1:] {
+		f.relay.Servers.Snapshot().Member(s.ID).Failed(time.Now())
+	}
+	return f
+}
+
+// crash ends a server: what it runs and what it keeps is lost.
+func (f *fleet) crash(server string) {
+	f.fleetMu.Lock()
+	defer f.fleetMu.Unlock()
+	f.ended[server] = true
+	for i, s := range f.servers {
+		if s.ID == server {
+			_ = f.running[i].Listener.Close()
+			go f.running[i].CloseClientConnections()
+		}
+	}
+	if stop := f.working[server]; stop != nil {
+		close(stop)
+		delete(f.working, server)
+	}
+}
+
+// serve runs a request.
+func (f *fleet) serve(w http.ResponseWriter, r *http.Request, s seen) {
+	stop, ok := f.start(s.server, r.Header.Get(originHeader))
+	if !ok {
+		turnedAway(http.StatusServiceUnavailable)(w, r, s)
+		return
+	}
+	if stop == nil {
+		panic(http.ErrAbortHandler)
+	}
+	next := 1
+	if n, err := strconv.Atoi(s.lastEvent); err == nil {
+		next = n + 1
+	}
+	w.Header().Set(testHeaders.Seal, "seal-"+s.server)
+	w.Header().Set(testHeaders.RequestID, s.id)
+	for ; next <= f.total; next++ {
+		select {
+		case <-stop:
+			panic(http.ErrAbortHandler)
+		case <-r.Context().Done():
+			f.finish(s.server, stop)
+			return
+		case <-time.After(f.pace):
+		}
+		_, _ = io.WriteString(w, streamed(next, next))
+		_ = http.NewResponseController(w).Flush()
+	}
+	f.finish(s.server, stop)
+}
+
+// start begins a run; nil: no answer comes, false: it is refused.
+func (f *fleet) start(server, origin string) (chan struct{}, bool) {
+	effect := well
+	if origin != "" {
+		step := "go on"
+		if strings.HasPrefix(origin, server) {
+			step = "go back"
+		}
+		effect = f.fault(step, origin, server)
+	}
+	f.fleetMu.Lock()
+	defer f.fleetMu.Unlock()
+	if origin == "" {
+		f.fresh++
+	} else {
+		if effect == lost || f.ended[server] {
+			return nil, true
+		}
+		_, handle, _ := strings.Cut(origin, "/")
+		if effect == refused || f.used || handle != f.handle || handle == "" {
+			return nil, false
+		}
+		f.used = true
+		if effect == halfLost {
+			return nil, true
+		}
+	}
+	for range 2000 { // a server whose connection closed notices it a moment later
+		if len(f.working) == 0 {
+			break
+		}
+		f.fleetMu.Unlock()
+		time.Sleep(time.Millisecond)
+		f.fleetMu.Lock()
+	}
+	stop := make(chan struct{})
+	f.working[server] = stop
+	f.peak = max(f.peak, len(f.working))
+	return stop, true
+}
+
+// fault draws what happens, and ends servers that are to end.
+func (f *fleet) fault(step, origin, target string) fault {
+	effect := f.faults(step)
+	source, _, _ := strings.Cut(origin, "/")
+	switch effect {
+	case sourceEnds:
+		f.crash(source)
+	case targetEnds:
+		f.crash(target)
+	}
+	return effect
+}
+
+func (f *fleet) finish(server string, stop chan struct{}) {
+	f.fleetMu.Lock()
+	defer f.fleetMu.Unlock()
+	if f.working[server] == stop {
+		delete(f.working, server)
+	}
+}
+
+var errLost = errors.Wrap(backend.ErrNoAnswer, "a test's fault")
+
+// Copy implements Mover.
+func (f *fleet) Copy(_ context.Context, source *backend.Member, o CopyOrder) (Copied, error) {
+	step, target := "copy", ""
+	if o.Stop {
+		step = "stop"
+	}
+	for _, s := range f.servers {
+		if s.Address == o.To {
+			target = s.ID
+		}
+	}
+	effect := f.fault(step, source.ID, target)
+	f.fleetMu.Lock()
+	defer f.fleetMu.Unlock()
+	stop := f.working[source.ID]
+	switch {
+	case f.ended[source.ID]:
+		return Copied{}, errors.Wrap(backend.ErrNotSent, "a test's fault")
+	case effect == lost:
+		return Copied{}, errLost
+	case stop == nil && f.stopped != source.ID:
+		return Copied{Result: CopyNoRun}, nil
+	}
+	if o.Stop && stop != nil && effect != refused {
+		close(stop)
+		delete(f.working, source.ID)
+		f.stopped = source.ID
+	}
+	if (effect == refused || f.ended[target]) && f.stopped != source.ID {
+		return Copied{Result: CopyNoRoom}, nil
+	}
+	if f.handle == "" || f.used { // a new run's
+		f.handle, f.used = fmt.Sprintf("h%d", rand.Uint32()), false
+	}
+	switch {
+	case effect == refused, f.ended[target]:
+		return Copied{Result: CopyNoRoom, Handle: f.handle}, nil
+	case effect == halfLost:
+		return Copied{}, errLost
+	}
+	return Copied{Handle: f.handle}, nil
+}
+
+// Drop implements Mover.
+func (f *fleet) Drop(_ context.Context, _ *backend.Member, handle string) error {
+	f.fleetMu.Lock()
+	defer f.fleetMu.Unlock()
+	if handle == f.handle {
+		f.handle = ""
+	}
+	return nil
+}
+
+// Origin implements Mover.
+func (f *fleet) Origin(source *backend.Member, handle string) string { return source.ID + "/" + handle }
+
+// play sends a request whose server leaves while it streams.
+func (f *fleet) play() answer {
+	request := f.request(f.t.Context(), http.MethodPost, "/p/x", "id", "x")
+	request.Header.Set(testHeaders.Model, "m")
+	done := make(chan answer, 1)
+	go func() { done <- f.do(request) }()
+	for len(f.arrivals()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	first := f.arrivals()[0].server
+	servers := make([]*backend.Server, len(f.servers))
+	for i, s := range f.servers {
+		c := *s
+		c.Draining, c.Version = s.ID == first, 3
+		servers[i] = &c
+	}
+	f.relay.Servers.Replace(servers, 3)
+	return <-done
+}
+
+// check tells what must hold whatever fails: no event twice or missing, no second run of a request that
+// may run once, never two at once, no copy left behind.
+func (f *fleet) check(got answer, resumable bool) error {
+	whole := streamed(1, f.total)
+	switch {
+	case !strings.HasPrefix(whole, got.body):
+		return errors.Errorf("events are missing or twice: %q", got.body)
+	case got.err == nil && got.body != whole:
+		return errors.Errorf("a broken stream looks complete after %d bytes", len(got.body))
+	case got.header.Get(testHeaders.Seal) != "seal-"+f.arrivals()[0].server:
+		return errors.Errorf("the seal is %q", got.header.Get(testHeaders.Seal))
+	}
+	deadline := time.Now().Add(time.Second) // a copy is dropped after the answer
+	for {
+		f.fleetMu.Lock()
+		fresh, peak, left := f.fresh, f.peak, f.handle != "" && !f.used && !f.ended[f.arrivals()[0].server]
+		f.fleetMu.Unlock()
+		switch {
+		case !resumable && fresh > 1:
+			return errors.Errorf("%d runs of a request that may run once", fresh)
+		case peak > 1:
+			return errors.Errorf("%d runs at once", peak)
+		case !left:
+			return nil
+		case time.Now().After(deadline):
+			return errors.New("a copy is left behind")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestStreamMovesWithItsServersLeave: also one that may run once goes on at another server, as the same
+// run.
+func TestStreamMovesWithItsServersLeave(t *testing.T) {
+	f := newFleet(t, false, 2, func(string) fault { return well })
+	got := f.play()
+	if err := f.check(got, false); err != nil {
+		t.Error(err)
+	}
+	if got.err != nil {
+		t.Errorf("the stream broke: %v", got.err)
+	}
+	if a := f.arrivals(); len(a) != 2 || a[1].server == a[0].server {
+		t.Errorf("the stream did not move: %+v", a)
+	}
+}
+
+// onlyOnce has the fault happen to the first such step of each kind that is named.
+func onlyOnce(faulty map[string]fault) func(string) fault {
+	var mu sync.Mutex
+	left := make(map[string]fault, len(faulty))
+	for step, effect := range faulty {
+		left[step] = effect
+	}
+	return func(step string) fault {
+		mu.Lock()
+		defer mu.Unlock()
+		effect := left[step]
+		delete(left, step)
+		return effect
+	}
+}
+
+// TestMovesThatFailHalfway is the table of the design note: what becomes of a stream that may run once,
+// and of a resumable one, when a step fails.
+func TestMovesThatFailHalfway(t *testing.T) {
+	for _, row := range []struct {
+		name            string
+		faults          map[string]fault
+		once, resumable bool // the caller gets the whole stream
+	}{
+		{"the copy is refused", map[string]fault{"copy": refused}, true, true},
+		{"the copy is not asked for", map[string]fault{"copy": lost}, true, true},
+		{"the copy's answer is lost", map[string]fault{"copy": halfLost}, true, true},
+		{"the source ends before the copy", map[string]fault{"copy": sourceEnds}, false, true},
+		{"the target ends before the copy", map[string]fault{"copy": targetEnds}, true, true},
+		{"the stop is refused", map[string]fault{"stop": refused}, true, true},
+		{"the stop is not asked for", map[string]fault{"stop": lost}, true, true},
+		{"the stop's answer is lost", map[string]fault{"stop": halfLost}, true, true},
+		{"the source ends before the stop", map[string]fault{"stop": sourceEnds}, true, true},
+		{"the target ends before the stop", map[string]fault{"stop": targetEnds}, true, true},
+		{"the target refuses", map[string]fault{"go on": refused}, true, true},
+		{"the request to the target is lost", map[string]fault{"go on": lost}, true, true},
+		{"the target does not begin", map[string]fault{"go on": halfLost}, false, true},
+		{"the target ends", map[string]fault{"go on": targetEnds}, true, true},
+		{"the source ends once stopped", map[string]fault{"go on": sourceEnds}, true, true},
+		{"both refuse", map[string]fault{"go on": refused, "go back": refused}, false, true},
+		{"the target refuses, the source ends", map[string]fault{"go on": refused, "go back": sourceEnds}, false, true},
+		{"the target refuses, the way back is lost", map[string]fault{"go on": refused, "go back": lost}, false, true},
+	} {
+		for resumable, whole := range map[bool]bool{false: row.once, true: row.resumable} {
+			t.Run(fmt.Sprintf("%s, resumable %t", row.name, resumable), func(t *testing.T) {
+				t.Parallel()
+				f := newFleet(t, resumable, 3, onlyOnce(row.faults))
+				got := f.play()
+				if err := f.check(got, resumable); err != nil {
+					t.Error(err)
+				}
+				if (got.err == nil) != whole {
+					t.Errorf("the caller got %d bytes, %v; want the whole stream: %t", len(got.body), got.err, whole)
+				}
+			})
+		}
+	}
+}
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -84,6 +84,7 @@
 	eventsFrom time.Time     // when the first events went out
 	eventAt    time.Time     // when the last events went out
 	pause      time.Duration // longest between two sends of events
+	moves      []moveLine
 }
 
 func (r *record) try(server string, started time.Time) {
@@ -165,6 +166,9 @@
 	if len(c.record.tries) > 0 {
 		fields = append(fields, "tries", c.describeTries())
 	}
+	if len(c.record.moves) > 0 {
+		fields = append(fields, "moves", c.record.moves)
+	}
 	if c.record.err != nil {
 		fields = append(fields, "reason", c.record.err.Error())
 	}
@@ -228,6 +232,7 @@
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	tries    prometheus.Counter
+	moves    *prometheus.CounterVec
 }
 
 // NewMetrics registers the relay's metrics.
@@ -243,8 +248,11 @@
 		tries: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: "martenwheel", Name: "relay_attempts_total", Help: "Requests sent to servers, repeats included.",
 		}),
+		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "martenwheel", Name: "relay_moves_total", Help: "Steps of moves of running streams by outcome.",
+		}, []string{"step", "outcome"}),
 	}
-	registry.MustRegister(m.requests, m.latency, m.tries)
+	registry.MustRegister(m.requests, m.latency, m.tries, m.moves)
 	return m
 }
 
@@ -254,6 +262,9 @@
 	}
 	m.requests.WithLabelValues(c.service, c.record.outcome).Inc()
 	m.tries.Add(float64(len(c.record.tries)))
+	for _, l := range c.record.moves {
+		m.moves.WithLabelValues(l.Step, l.Outcome).Inc()
+	}
 	if c.record.outcome == outcomeServed {
 		m.latency.WithLabelValues(c.service).Observe(min(took, c.record.firstByte).Seconds())
 	}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -7,7 +7,7 @@
 // choose.go waits for a server, by the plug-ins of package routing;
 // prospect.go decides whether one that finds none is held or refused; attempt.go
 // sends it and decides what a failure allows; quarantine.go keeps it from servers if it ends
-// them; whole.go and stream.go pass the answer on; refuse.go gives the relay's own answers;
+// them; whole.go and stream.go pass the answer on; rides.go and moves.go move a stream whose server leaves; refuse.go gives the relay's own answers;
 // budget.go and slack.go bound repeats;
 // record.go logs and counts the end.
 package relay
@@ -42,6 +42,7 @@
 	Tenant    string // in whose name a request is made
 	Tokens    string // of a request: of its prompt, and the most that it generates
 	Parts     string // of a prompt, shared among requests
+	Origin    string // of a request that goes on from a copy: where the copy is from
 	Likely    string // the caller's guess of the tokens that it generates
 	// Reserved are those that the system alone sets: what callers send under these names
 	// does not go on.
@@ -51,7 +52,7 @@
 // sets tells whether the relay itself sets a header of what goes to servers.
 func (h *Headers) sets(name string) bool {
 	switch name {
-	case h.Deadline, h.Expect, h.LastEvent, h.Priority, h.Tenant:
+	case h.Deadline, h.Expect, h.Origin, h.LastEvent, h.Priority, h.Tenant:
 		return true
 	}
 	return h.Reserved[name]
@@ -93,17 +94,22 @@
 	Waker   Waker
 	// Quarantine keeps requests that end servers from them; none are kept if nil.
 	Quarantine Quarantine
-	Nodes      func() int // that share the budget of repeats, zero while not known; 1 if nil
-	Budget     BudgetConfig
-	Lender     Lender    // of repeats when this node's share is spent; may be nil
-	Began      time.Time // since when this node's account of repeats fills; the first request if zero
-	Logger     hclog.Logger
-	Metrics    *Metrics                                           // not counted if nil
-	Arrived    func(service string, n backend.Need, priority int) // told of each request; may be nil
+	// Mover moves running streams; none move if nil.
+	Mover Mover
+	// DrainTime is for how long a server that leaves surely goes on serving; zero: not known.
+	DrainTime time.Duration
+	Nodes     func() int // that share the budget of repeats, zero while not known; 1 if nil
+	Budget    BudgetConfig
+	Lender    Lender    // of repeats when this node's share is spent; may be nil
+	Began     time.Time // since when this node's account of repeats fills; the first request if zero
+	Logger    hclog.Logger
+	Metrics   *Metrics                                           // not counted if nil
+	Arrived   func(service string, n backend.Need, priority int) // told of each request; may be nil
 
 	splits  route.Splitter
 	budgets budgets
 	borrowing
+	rides    rides
 	inFlight atomic.Int64
 	stop     atomic.Pointer[stopPlan]
 
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -34,10 +34,13 @@
 // passStream passes events on as they come, whole ones only, until the stream
 // ends. What went out before a break is kept: the next server goes on after it.
 func (c *call) passStream(ctx context.Context, m *backend.Member, a *backend.Answer, impatience *time.Timer) (verdict, error) {
+	ride := c.board(m)
+	defer c.alight(ride)
 	buffer := make([]byte, streamReadBytes)
 	var pending []byte
 	for {
-		if c.mustMove(m) {
+		ride.look()
+		if !ride.isMoving() && c.mustMove(m) {
 			return mayRun, errMoved
 		}
 		c.boundGap(a, m)
@@ -52,15 +55,16 @@
 			if !c.sendEvents(a, pending[:cut]) {
 				return gone, errors.New("the caller can't be written to")
 			}
+			ride.progress(c.relay.Time.Now(), bytes.Count(pending[:cut], eventEnd))
 			pending = append(pending[:0], pending[cut:]...)
 		}
 		switch {
-		case err == io.EOF:
+		case err == io.EOF && !ride.endsByMove(a):
 			return c.endStream(a, pending)
 		case err != nil && ctx.Err() != nil:
 			return gone, context.Cause(ctx)
 		case err != nil:
-			return mayRun, err
+			return c.brokeOff(ctx, ride, err)
 		case len(pending) > maxEventBytes:
 			return mayRun, errTooLong
 		}
