--- a/pkg/relay/moves_test.go
+++ b/pkg/relay/moves_test.go
@@ -30,6 +30,9 @@
 	halfLost         // it is done, no answer comes
 	sourceEnds       // before it is done
 	targetEnds
+	late   // it is done, and the answer takes a while
+	breaks // a stream that goes on breaks off after some events
+	hangs  // a server takes a request and does nothing until its connection closes
 )
 
 // fleet is servers whose runs move: it stands for the engines and implements Mover.
@@ -39,6 +42,8 @@
 	total  int
 	pace   time.Duration
 	faults func(step string) fault
+	// unframed answers end with their connection, whole or not.
+	unframed bool
 
 	fleetMu sync.Mutex
 	working map[string]chan struct{} // by server; closing it stops the run
@@ -50,6 +55,7 @@
 	stopped string // server that stopped its run
 	used    bool
 	ended   map[string]bool
+	hung    atomic.Bool
 }
 
 // fleets numbers them.
@@ -110,6 +116,9 @@
 		turnedAway(http.StatusServiceUnavailable)(w, r, s)
 		return
 	}
+	if stop == nil && f.hung.Load() {
+		<-r.Context().Done()
+	}
 	if stop == nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -119,6 +128,10 @@
 	}
 	w.Header().Set(testHeaders.Seal, "seal-"+s.server)
 	w.Header().Set(testHeaders.RequestID, s.id)
+	if f.unframed {
+		f.serveUnframed(w, s, next, stop)
+		return
+	}
 	for ; next <= f.total; next++ {
 		select {
 		case <-stop:
@@ -134,6 +147,25 @@
 	f.finish(s.server, stop)
 }
 
+// serveUnframed writes the events on the bare connection until the run ends or stops, and closes it.
+func (f *fleet) serveUnframed(w http.ResponseWriter, s seen, next int, stop chan struct{}) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Seal: seal-%s\r\nX-Id: %s\r\nConnection: close\r\n\r\n", s.server, s.id)
+	for ; next <= f.total; next++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(f.pace):
+		}
+		_, _ = io.WriteString(conn, streamed(next, next))
+	}
+	f.finish(s.server, stop)
+}
+
 // start begins a run; nil: no answer comes, false: it is refused.
 func (f *fleet) start(server, origin string) (chan struct{}, bool) {
 	effect := well
@@ -149,7 +181,8 @@
 	if origin == "" {
 		f.fresh = append(f.fresh, server)
 	} else {
-		if effect == lost || f.ended[server] {
+		f.hung.Store(effect == hangs)
+		if effect == lost || effect == hangs || f.ended[server] {
 			return nil, true
 		}
 		_, handle, _ := strings.Cut(origin, "/")
@@ -175,6 +208,9 @@
 	stop := make(chan struct{})
 	f.working[server] = stop
 	f.peak = max(f.peak, len(f.working))
+	if effect == breaks {
+		time.AfterFunc(10*time.Millisecond, func() { f.breakOff(server, stop) })
+	}
 	return stop, true
 }
 
@@ -191,6 +227,16 @@
 	return effect
 }
 
+// breakOff breaks a run off.
+func (f *fleet) breakOff(server string, stop chan struct{}) {
+	f.fleetMu.Lock()
+	defer f.fleetMu.Unlock()
+	if f.working[server] == stop {
+		close(stop)
+		delete(f.working, server)
+	}
+}
+
 func (f *fleet) finish(server string, stop chan struct{}) {
 	f.fleetMu.Lock()
 	defer f.fleetMu.Unlock()
@@ -229,7 +275,7 @@
 		delete(f.working, source.ID)
 		f.stopped = source.ID
 	}
-	if (effect == refused || f.ended[target]) && f.stopped != source.ID {
+	if (effect == refused || f.ended[target]) && f.stopped != source.ID && o.Stop {
 		return Copied{Result: CopyNoRoom}, nil
 	}
 	if f.handle == "" || f.used { // a new run's
@@ -243,6 +289,11 @@
 		return Copied{}, errLost
 	}
 	f.told = true
+	if effect == late {
+		f.fleetMu.Unlock()
+		time.Sleep(30 * time.Millisecond)
+		f.fleetMu.Lock()
+	}
 	return Copied{Handle: f.handle}, nil
 }
 
@@ -363,6 +414,9 @@
 		{"the target ends before the stop", map[string]fault{"stop": targetEnds}, true, true},
 		{"the target refuses", map[string]fault{"go on": refused}, true, true},
 		{"the request to the target is lost", map[string]fault{"go on": lost}, true, true},
+		{"the target does not answer", map[string]fault{"go on": hangs}, true, true},
+		{"the stop's answer is late", map[string]fault{"stop": late}, true, true},
+		{"the target breaks off", map[string]fault{"go on": breaks}, false, true},
 		{"the target does not begin", map[string]fault{"go on": halfLost}, false, true},
 		{"the target ends", map[string]fault{"go on": targetEnds}, true, true},
 		{"the source ends once stopped", map[string]fault{"go on": sourceEnds}, true, true},
@@ -396,7 +450,7 @@
 		if random.IntN(2) == 0 {
 			return well
 		}
-		return fault(random.IntN(int(targetEnds) + 1))
+		return fault(random.IntN(int(breaks) + 1))
 	}
 }
 
@@ -430,3 +484,86 @@
 	}
 	wg.Wait()
 }
+
+// TestAStoppedAnswerThatEndsWithItsConnectionGoesOn: its end does not look like one that was cut.
+func TestAStoppedAnswerThatEndsWithItsConnectionGoesOn(t *testing.T) {
+	f := newFleet(t, false, 2, func(string) fault { return well })
+	f.unframed = true
+	got := f.play()
+	if err := f.check(got, false); err != nil || got.err != nil {
+		t.Errorf("%v, %v", err, got.err)
+	}
+	if a := f.arrivals(); len(a) != 2 {
+		t.Errorf("the stream did not move: %+v", a)
+	}
+}
+
+// TestAStopIsNoEndOfAServer: that a source closes a stream which it was asked to stop is no evidence
+// against the request, though the source is gone soon.
+func TestAStopIsNoEndOfAServer(t *testing.T) {
+	f := newFleet(t, false, 2, func(string) fault { return well })
+	q := &alone{}
+	f.relay.Quarantine = q
+	if got := f.play(); got.err != nil {
+		t.Fatal(got.err)
+	}
+	source := f.arrivals()[0].server
+	f.crash(source)
+	if !f.relay.Servers.Snapshot().Member(source).Ended(t.Context()) {
+		t.Fatal("the source did not end")
+	}
+	time.Sleep(20 * time.Millisecond) // the word of an end goes in a goroutine
+	if n := q.blamed(); n > 0 {
+		t.Errorf("%d ends were put down to a request that was moved", n)
+	}
+}
+
+// TestASuspectedStreamStays: it may end the server that it moves to.
+func TestASuspectedStreamStays(t *testing.T) {
+	f := newFleet(t, false, 2, func(step string) fault {
+		t.Errorf("a suspected request moves: %s", step)
+		return well
+	})
+	q := &alone{}
+	f.relay.Quarantine = q
+	q.suspect(t, "x")
+	if got := f.play(); got.err != nil {
+		t.Error(got.err)
+	}
+}
+
+// TestAMoveIsNoRepeat: it needs neither the budget of repeats nor a server more than the route allows.
+func TestAMoveIsNoRepeat(t *testing.T) {
+	f := newFleet(t, false, 2, func(string) fault { return well })
+	f.relay.Budget = BudgetConfig{Window: time.Minute}
+	f.relay.Routes().Match("site.example", "/p/x").MaxAttempts = 1
+	if got := f.play(); got.err != nil || len(f.arrivals()) != 2 {
+		t.Errorf("%v, %d arrivals", got.err, len(f.arrivals()))
+	}
+}
+
+// TestNothingGoesBackOnceASourceTakesNoMore: a server that leaves gets nothing after a time.
+func TestNothingGoesBackOnceASourceTakesNoMore(t *testing.T) {
+	f := newFleet(t, false, 2, onlyOnce(map[string]fault{"go on": refused}))
+	f.relay.DrainTime = sendMargin
+	got := f.play()
+	if err := f.check(got, false); err != nil {
+		t.Error(err)
+	}
+	a := f.arrivals()
+	if len(a) != 2 || a[1].server == a[0].server {
+		t.Errorf("the servers got %+v", a)
+	}
+}
+
+// TestMovesAreOnWhereTheEngineCan only.
+func TestMovesAreOnWhereTheEngineCan(t *testing.T) {
+	f := newFleet(t, false, 2, func(step string) fault {
+		t.Errorf("a stream moves: %s", step)
+		return well
+	})
+	f.relay.Routes().Service("s").Engine.Moves = false
+	if got := f.play(); got.err != nil {
+		t.Error(got.err)
+	}
+}
