--- /dev/null
+++ b/pkg/migration/insurance.go
@@ -0,0 +1,61 @@
+package migration
+
+import "time"
+
+// Risk is what is known of the end of a server while it runs a stream.
+type Risk struct {
+	// Failures are requests that the server failed in a row, as this node saw it.
+	Failures int
+	// Ends are servers of the service that were found to have ended within Span, and Servers
+	// how many there are.
+	Ends, Servers int
+	Span          time.Duration
+}
+
+// Chances of an end within a run.
+const (
+	// failedChance is that of a server that failed its last request: nearly all that crash are
+	// first seen by a request that fails, and about every fifth that fails one is about to end.
+	failedChance = 0.2
+	mostChance   = 0.5
+)
+
+// Chance returns how likely the server ends within a run of some length.
+func (r Risk) Chance(run time.Duration) float64 {
+	chance := 0.0
+	if r.Servers > 0 && r.Span > 0 {
+		chance = float64(r.Ends) / float64(r.Servers) * run.Seconds() / r.Span.Seconds()
+	}
+	if r.Failures > 0 {
+		chance = max(chance, failedChance)
+	}
+	return min(chance, mostChance)
+}
+
+// copyCost is what the copy of a token costs of what reading it costs: an engine reads some 20
+// tokens in a millisecond, and a link of hundreds of gigabits copies 20 times as many, but the
+// copy takes as much memory at a second server as the run at the first.
+const copyCost = 0.1
+
+// leastInsured is the least prompt that is worth a copy: a shorter one is read anew in the time
+// that a pause between events may take.
+const leastInsured = 512
+
+// Insure answers the load of servers that end under long streams: whether a stream is worth a
+// copy at another server while it runs. What is lost without it is the reading, and for a stream
+// that may not run anew the answer as well, which counts as much again. What it costs is the copy
+// of all that the run has in memory.
+func Insure(s Stream, answer int, chance float64) bool {
+	if s.Tokens < leastInsured {
+		return false
+	}
+	lost := float64(s.Tokens)
+	if !s.Anew {
+		lost += float64(s.Tokens + answer)
+	}
+	return chance*lost > copyCost*float64(s.Tokens+answer)
+}
+
+// Cover bounds what one node has copied to one server at a time: a share of the server's memory,
+// which its own requests need.
+const Cover = 1.0 / 16
--- a/pkg/migration/migration_test.go
+++ b/pkg/migration/migration_test.go
@@ -268,3 +268,74 @@
 		_ = h.Next()
 	}
 }
+
+func TestInsure(t *testing.T) {
+	long := Stream{Tokens: 5000}
+	again := Stream{Tokens: 5000, Anew: true}
+	healthy, suspect := Risk{}, Risk{Failures: 1}
+	storm := Risk{Ends: 30, Servers: 100, Span: 10 * time.Second}
+	for _, c := range []struct {
+		s    Stream
+		r    Risk
+		want bool
+	}{
+		{long, healthy, false}, {long, suspect, true}, {again, suspect, true}, {long, storm, true}, {again, storm, false},
+		{Stream{Tokens: 100}, suspect, false}, {long, Risk{Ends: 5, Servers: 140, Span: 30 * time.Second}, false},
+		{long, Risk{Ends: 5}, false},
+	} {
+		if got := Insure(c.s, 200, c.r.Chance(3*time.Second)); got != c.want {
+			t.Errorf("%+v at %+v: %t", c.s, c.r, got)
+		}
+	}
+}
+
+// TestWaysToInsure weighs never, always and by Insure: 100,000 streams of 500 to 9,000 tokens at servers of
+// which 3 in 100 are about to end. Those end under one run in four, and show it by a failed request four
+// times in five; of the others one run in a thousand meets an end, and one in a hundred finds a request
+// failed before.
+func TestWaysToInsure(t *testing.T) {
+	type sums struct{ copied, lost int }
+	ways := map[string]func(s Stream, r Risk) bool{
+		"never":  func(Stream, Risk) bool { return false },
+		"always": func(Stream, Risk) bool { return true },
+		"insure": func(s Stream, r Risk) bool { return Insure(s, 200, r.Chance(3*time.Second)) },
+	}
+	got := map[string]sums{}
+	for name, way := range ways {
+		random := rand.New(rand.NewPCG(3, 3))
+		var sum sums
+		for range 100_000 {
+			s := Stream{Tokens: 500 + random.IntN(8500), Anew: random.IntN(2) == 0}
+			failing := random.Float64() < 0.03
+			shows, ends := 0.01, 0.001
+			if failing {
+				shows, ends = 0.8, 0.25
+			}
+			r := Risk{Ends: 25, Servers: 100, Span: 90 * time.Second}
+			if random.Float64() < shows {
+				r.Failures = 1
+			}
+			insured := way(s, r)
+			ended := random.Float64() < ends
+			switch {
+			case insured:
+				sum.copied += s.Tokens + 200
+			case ended:
+				sum.lost += s.Tokens
+			}
+		}
+		got[name] = sum
+		t.Logf("%-7s copied %9d tokens, read %8d for nothing", name, sum.copied, sum.lost)
+	}
+	if n, a, i := got["never"], got["always"], got["insure"]; a.lost != 0 || n.copied != 0 ||
+		i.lost > n.lost*2/5 || i.copied > a.copied/20 {
+		t.Errorf("never %+v, always %+v, insure %+v", n, a, i)
+	}
+}
+
+func BenchmarkInsure(b *testing.B) {
+	r := Risk{Failures: 1, Ends: 3, Servers: 140, Span: 30 * time.Second}
+	for b.Loop() {
+		Insure(Stream{Tokens: 5000}, 200, r.Chance(3*time.Second))
+	}
+}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -105,6 +105,8 @@
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	impatience := c.giveUpLater(m, cancel)
+	c.backup = c.insure(m)
+	defer c.uninsure(c.backup)
 	a, err := m.Send(attempt, c.message(m), func() error {
 		switch {
 		case m.Leaving() && !c.resumption.back:
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -62,6 +62,7 @@
 	ride       *ride // that the next server goes on with; nil: none
 	broken     error // why its source sends no more
 	resumption resumption
+	backup     *backend.Member // that gets copies of the run that begins; nil: none
 }
 
 // lacking is a server that does not hold what a request needs; gone: it refused the
@@ -246,6 +247,9 @@
 	if c.resumption.from != "" {
 		head = appendHeader(head, own.Origin, c.resumption.from)
 	}
+	if c.backup != nil {
+		head = appendHeader(head, own.Backup, c.backup.Address)
+	}
 	if c.engine != nil {
 		head = appendHeader(head, own.Priority, strconv.Itoa(c.rank()))
 	}
--- a/pkg/relay/moves.go
+++ b/pkg/relay/moves.go
@@ -64,7 +64,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.taken = r.handle != ""
+	r.taken = r.handle != "" || r.backup != nil && r.events > 0
 	return r.taken
 }
 
@@ -114,11 +114,13 @@
 	r := c.ride
 	c.ride = nil
 	defer c.settleRide(r)
+	h := &r.handover
 	if c.record.lastEnded() { // one that has ended does not count
 		c.runs--
+		h.Stopped = true
 	}
-	h := &r.handover
-	h.MayStop, h.MayAnew = true, c.route.Repeatable()
+	h.MayStop, h.MayAnew = c.engine.Moves, c.route.Repeatable()
+	h.Copied = h.Copied || r.backup != nil
 	for {
 		h.MayBack = c.mayGoBack(r)
 		switch step := h.Next(); step {
@@ -157,7 +159,7 @@
 // repeat nor as one more server. ended tells that the copy is used and v is final.
 func (c *call) resume(ctx context.Context, r *ride, step migration.Step) (v verdict, err error, ended bool) {
 	began, sends, runs := c.relay.Time.Now(), c.sends, c.runs
-	c.resumption = resumption{from: c.relay.Mover.Origin(r.source, r.handle), back: step == migration.GoBack,
+	c.resumption = resumption{from: r.origin(), back: step == migration.GoBack,
 		answered: c.record.last().answered, events: c.record.events}
 	if step == migration.GoOnThere && r.handover.Kept {
 		c.resumption.patience = max(leastGap, gapFactor*c.route.GapTarget)
@@ -171,6 +173,16 @@
 	return v, err, v == gone || o == migration.Done || o == migration.Broke
 }
 
+// origin tells where the copy is from: what moved goes by its handle, what was copied since the run
+// began by the request.
+func (r *ride) origin() string {
+	name := r.handle
+	if name == "" {
+		name = r.call.id
+	}
+	return r.call.relay.Mover.Origin(r.source, name)
+}
+
 // resumed is the end of a try that went on from a copy, as the handover sees it.
 func (c *call) resumed(v verdict) migration.Outcome {
 	switch {
--- a/pkg/relay/moves_test.go
+++ b/pkg/relay/moves_test.go
@@ -55,13 +55,19 @@
 	stopped string // server that stopped its run
 	used    bool
 	ended   map[string]bool
+	backup  string // server that gets copies of the run
 	hung    atomic.Bool
+	made    atomic.Int64 // events
 }
 
 // fleets numbers them.
 var fleets atomic.Int64
 
-const originHeader = "X-Origin"
+const (
+	originHeader = "X-Origin"
+	backupHeader = "X-Backup"
+	tokensHeader = "X-Tokens"
+)
 
 // newFleet starts servers, all of which hold all, before a relay that moves streams. The first one
 // is preferred.
@@ -74,7 +80,7 @@
 	r := streamRoute(resumable)
 	r.Sticky, r.MaxAttempts = true, 2
 	f.site = newSite(t, r, answers...)
-	f.relay.Headers.Origin = originHeader
+	f.relay.Headers.Origin, f.relay.Headers.Backup, f.relay.Headers.Tokens = originHeader, backupHeader, tokensHeader
 	f.relay.Mover, f.relay.DrainTime = f, 5*time.Second
 	table := f.relay.Routes()
 	table.Service("s").Engine = &route.Engine{Moves: true, EventTokens: 1, Models: map[string]*route.Model{"m": {Name: "m"}}}
@@ -111,6 +117,11 @@
 		turnedAway(http.StatusMisdirectedRequest)(w, r, s)
 		return
 	}
+	for _, other := range f.servers {
+		if other.Address == r.Header.Get(backupHeader) {
+			f.backedBy(other.ID)
+		}
+	}
 	stop, ok := f.start(s.server, r.Header.Get(originHeader))
 	if !ok {
 		turnedAway(http.StatusServiceUnavailable)(w, r, s)
@@ -143,6 +154,7 @@
 		}
 		_, _ = io.WriteString(w, streamed(next, next))
 		_ = http.NewResponseController(w).Flush()
+		f.made.Add(1)
 	}
 	f.finish(s.server, stop)
 }
@@ -166,6 +178,13 @@
 	f.finish(s.server, stop)
 }
 
+// backedBy notes the server that gets copies.
+func (f *fleet) backedBy(server string) {
+	f.fleetMu.Lock()
+	defer f.fleetMu.Unlock()
+	f.backup = server
+}
+
 // start begins a run; nil: no answer comes, false: it is refused.
 func (f *fleet) start(server, origin string) (chan struct{}, bool) {
 	effect := well
@@ -186,7 +205,8 @@
 			return nil, true
 		}
 		_, handle, _ := strings.Cut(origin, "/")
-		if effect == refused || f.used || handle != f.handle || handle == "" {
+		copied := handle == f.handle || handle == f.id && server == f.backup
+		if effect == refused || f.used || !copied || handle == "" {
 			return nil, false
 		}
 		f.used = true
@@ -567,3 +587,44 @@
 		t.Error(got.err)
 	}
 }
+
+// TestStreamOutlivesItsServerByACopy: where the engine can and the server failed a moment ago, a long
+// stream that may run once goes on at the server that got copies of it.
+func TestStreamOutlivesItsServerByACopy(t *testing.T) {
+	for _, row := range []struct {
+		name           string
+		suspect, on    bool
+		goOn           fault
+		backed, served bool
+	}{
+		{"suspect", true, true, well, true, true},
+		{"suspect, no copy there", true, true, refused, true, false},
+		{"healthy", false, true, well, false, false},
+		{"the engine can't", true, false, well, false, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			f := newFleet(t, false, 2, onlyOnce(map[string]fault{"go on": row.goOn}))
+			e := f.relay.Routes().Service("s").Engine
+			e.Moves, e.Backups, e.CacheTokens = false, row.on, 60_000
+			if row.suspect {
+				f.relay.Servers.Snapshot().Member("server-0").Failed(time.Now().Add(-time.Second))
+			}
+			request := f.request(t.Context(), http.MethodPost, "/p/x", f.id, "x")
+			request.Header.Set(testHeaders.Model, "m")
+			request.Header.Set(tokensHeader, "2000,200")
+			done := make(chan answer, 1)
+			go func() { done <- f.do(request) }()
+			for f.made.Load() < 5 {
+				time.Sleep(time.Millisecond)
+			}
+			f.crash("server-0")
+			got := <-done
+			if err := f.check(got, false); err != nil {
+				t.Error(err)
+			}
+			if (got.err == nil) != row.served || (f.backup != "") != row.backed {
+				t.Errorf("backup at %q; the caller got %d bytes, %v", f.backup, len(got.body), got.err)
+			}
+		})
+	}
+}
--- a/pkg/relay/quarantine.go
+++ b/pkg/relay/quarantine.go
@@ -154,6 +154,7 @@
 // long: then it is taken to have ended by something else.
 func (c *call) blame(m *backend.Member) {
 	c.record.serverEnded()
+	c.relay.rides.serverEnded(m.ID, c.relay.Time.Now())
 	if c.relay.Quarantine == nil || c.record.last().ran() >= quarantine.SettleTime {
 		return
 	}
--- a/pkg/relay/rides.go
+++ b/pkg/relay/rides.go
@@ -89,6 +89,7 @@
 	taken    bool     // the call goes on with it elsewhere
 	tried    []string // targets that had no room
 	wokeAt   time.Time
+	backup   *backend.Member // got copies of the run since it began; nil: none did
 	target   *backend.Member
 	handle   string
 	lines    []moveLine
@@ -100,19 +101,21 @@
 	mu       sync.Mutex
 	at       map[string]map[*ride]struct{}
 	emptying map[string]bool
+	insured  map[string]int       // tokens of this node's running streams by the server that gets copies
+	ends     map[string]time.Time // servers that were found to have ended under a request of late
 }
 
 // board registers a stream at a server, nil if the stream can't move: its engine can't, nobody
 // could say what is to move, or it is suspected to end servers and stays where it is.
 func (c *call) board(m *backend.Member) *ride {
 	r := c.relay
-	if c.engine == nil || !c.engine.Moves || r.Mover == nil || c.id == "" {
+	if c.engine == nil || r.Mover == nil || c.id == "" || !c.engine.Moves && c.backup == nil {
 		return nil
 	}
 	if q := r.Quarantine; q != nil && q.Standing(c.fingerprint) != quarantine.Free {
 		return nil
 	}
-	ride := &ride{call: c, source: m, table: &r.rides}
+	ride := &ride{call: c, source: m, table: &r.rides, target: c.backup, backup: c.backup}
 	r.rides.add(ride)
 	return ride
 }
@@ -154,7 +157,7 @@
 
 // look has the streams of a server that leaves looked after.
 func (r *ride) look() {
-	if r == nil || !r.source.Leaving() {
+	if r == nil || !r.source.Leaving() || !r.call.engine.Moves {
 		return
 	}
 	t := r.table
@@ -349,8 +352,8 @@
 	r.dropHandle(handle) // before the next copy, which may have the same handle
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.handle, r.stopSent, r.handover = "", false, migration.Handover{}
 	r.tried = append(r.tried, r.target.ID)
+	r.handle, r.stopSent, r.handover, r.target = "", false, migration.Handover{}, r.backup
 }
 
 // stopsInFlow is how often a run that goes on is to be stopped when no answer comes.
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -55,7 +55,9 @@
 			if !c.sendEvents(a, pending[:cut]) {
 				return gone, errors.New("the caller can't be written to")
 			}
-			ride.progress(c.relay.Time.Now(), bytes.Count(pending[:cut], eventEnd))
+			if c.lastEvent != "" {
+				ride.progress(c.relay.Time.Now(), bytes.Count(pending[:cut], eventEnd))
+			}
 			pending = append(pending[:0], pending[cut:]...)
 		}
 		switch {
