--- a/pkg/enginetest/engine.go
+++ b/pkg/enginetest/engine.go
@@ -54,6 +54,9 @@
 	tokens int
 }
 
+// Made returns the tokens that were generated so far.
+func (r *Run) Made() int { return r.made }
+
 // Add sends a request to the engine. It is let in once the engine gets to its arrival.
 func (e *Engine) Add(r *Run) {
 	e.setDefaults()
