--- a/pkg/relay/insurance.go
+++ b/pkg/relay/insurance.go
@@ -24,39 +24,30 @@
 		return nil
 	}
 	now := c.relay.Time.Now()
-	servers := c.relay.Servers.Snapshot().Service(c.service)
-	risk := c.relay.rides.riskOf(m.ID, now, len(servers))
+	servers := len(c.relay.Servers.Snapshot().Service(c.service))
+	risk := c.relay.rides.riskOf(m.ID, now, servers)
 	s := migration.Stream{Tokens: c.prompt.Tokens(), Anew: c.route.Repeatable()}
 	if !migration.Insure(s, c.prompt.Likely(), risk.Chance(usualRun)) {
 		return nil
 	}
-	return c.cover(now, m, servers)
+	return c.cover(m)
 }
 
 // cover picks the server that gets the copies, within a bound of what one gets, and notes it.
-func (c *call) cover(now time.Time, m *backend.Member, servers []*backend.Member) *backend.Member {
+func (c *call) cover(m *backend.Member) *backend.Member {
 	t := &c.relay.rides
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	bound := int(migration.Cover * float64(c.engine.CacheTokens))
-	var members []*backend.Member
-	var targets []migration.Target
-	for _, other := range servers {
-		if other.ID == m.ID || !other.Serves(now, c.need) || t.insured[other.ID]+c.insuredTokens() > bound {
-			continue
-		}
-		members = append(members, other)
-		targets = append(targets, migration.Target{Busy: other.InFlight(), Slots: other.Slots, Near: other.Zone == m.Zone, Shaky: other.Avoid(now)})
-	}
-	best := migration.Best(targets)
-	if best < 0 {
+	backup := c.bestBeside(m, func(other *backend.Member) bool { return t.insured[other.ID]+c.insuredTokens() <= bound })
+	if backup == nil {
 		return nil
 	}
 	if t.insured == nil {
 		t.insured = make(map[string]int)
 	}
-	t.insured[members[best].ID] += c.insuredTokens()
-	return members[best]
+	t.insured[backup.ID] += c.insuredTokens()
+	return backup
 }
 
 // insuredTokens is what the request takes at the server that gets its copies, at most.
--- a/pkg/relay/rides.go
+++ b/pkg/relay/rides.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -431,16 +432,24 @@
 	r.mu.Lock()
 	tried := r.tried
 	r.mu.Unlock()
-	c := r.call
+	return r.call.bestBeside(r.source, func(m *backend.Member) bool { return !contains(tried, m.ID) })
+}
+
+// bestBeside returns the best server beside the source of a stream for it to go on at, of those
+// that may be taken, nil if none has room. Nodes know little of each other's streams: of servers
+// that look the same each takes another one.
+func (c *call) bestBeside(source *backend.Member, may func(*backend.Member) bool) *backend.Member {
 	now := c.relay.Time.Now()
 	var members []*backend.Member
 	var targets []migration.Target
-	for _, m := range c.relay.Servers.Snapshot().Service(c.service) {
-		if m.ID == r.source.ID || !m.Serves(now, c.need) || contains(tried, m.ID) {
+	servers := c.relay.Servers.Snapshot().Service(c.service)
+	for _, i := range rand.Perm(len(servers)) {
+		m := servers[i]
+		if m.ID == source.ID || !m.Serves(now, c.need) || !may(m) {
 			continue
 		}
 		members = append(members, m)
-		targets = append(targets, migration.Target{Busy: m.InFlight(), Slots: m.Slots, Near: m.Zone == r.source.Zone, Shaky: m.Avoid(now)})
+		targets = append(targets, migration.Target{Busy: m.InFlight(), Slots: m.Slots, Near: m.Zone == source.Zone, Shaky: m.Avoid(now)})
 	}
 	if best := migration.Best(targets); best >= 0 {
 		return members[best]
