--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -40,7 +40,11 @@
 		if m == nil {
 			return
 		}
-		switch c.permit(ctx, m) {
+		m, may := c.takePlace(ctx, m)
+		if may == mayRunNow {
+			may = c.permit(ctx, m)
+		}
+		switch may {
 		case isRefused:
 			return
 		case looksAgain:
@@ -102,6 +106,7 @@
 		}
 	}
 	defer end()
+	c.beginPlace(m)
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	impatience := c.giveUpLater(m, cancel)
@@ -113,6 +118,8 @@
 			return errLeaving
 		case c.left() <= 0: // the machine may have been suspended: the timer of ctx goes by another clock
 			return errDeadline
+		case c.place.stale(c.relay.Time.Now()):
+			return errStalePlace
 		}
 		return nil
 	})
@@ -127,6 +134,7 @@
 		a.Close()
 	}
 	end()
+	c.endPlace()
 	c.record.fail(c.relay.Time.Now(), v, err)
 	if c.sends > before && (v == mayRun || v == gone) {
 		c.suspectUnlessStopped(ctx, m, err, context.Cause(attempt) != nil)
@@ -222,6 +230,7 @@
 // answers notes that the server began to answer.
 func (c *call) answers() {
 	c.record.answers(c.relay.Time.Now())
+	c.answersInPlace()
 	c.turn.begin()
 }
 
@@ -233,13 +242,16 @@
 	case served:
 		m.Answered()
 		c.ran()
-		c.relay.Servers.Paced(m.ID, c.need.Model, c.record.pace())
+		c.notePace(m)
 		c.record.end(outcomeServed, nil)
 		return false
 	case gone:
 		c.giveUp(ctx)
 		return false
 	case notRun:
+		if errors.Is(err, errStalePlace) {
+			return true
+		}
 		c.learn(now, m, err)
 		c.tried = append(c.tried, m.ID)
 		c.misses++
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"martenwheel.dev/pkg/affinity"
 	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/prompt"
 	"martenwheel.dev/pkg/quarantine"
@@ -47,6 +48,7 @@
 	fingerprint quarantine.Fingerprint // once the body was read
 	need        backend.Need
 	prompt      prompt.Prompt // of a request to an engine
+	shaped      affinity.Request
 	lastEvent   string
 
 	tried    []string // servers that did not serve it
@@ -57,6 +59,7 @@
 	headSent bool
 	turn     *turn // of a suspected request that runs; nil: it needs none
 	round    int   // of the run that begins next, see quarantine.End
+	place    place // among all requests to crowded servers
 	record   record
 
 	ride       *ride // that the next server goes on with; nil: none
@@ -179,6 +182,7 @@
 		c.need = backend.ParseNeed(h.Get(c.relay.Headers.Model))
 		c.prompt = prompt.Parse(prompt.Fields{Tokens: h.Get(c.relay.Headers.Tokens),
 			Parts: h.Get(c.relay.Headers.Parts), Likely: h.Get(c.relay.Headers.Likely)})
+		c.shape()
 	}
 	c.lastEvent = h.Get(c.relay.Headers.LastEvent)
 	c.head = c.forwardedHead()
@@ -278,5 +282,6 @@
 
 // callerGone tells whether the caller hung up.
 func (c *call) callerGone(ctx context.Context) bool {
-	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline)
+	cause := context.Cause(ctx)
+	return cause != nil && !errors.Is(cause, errDeadline) && !errors.Is(cause, errStopping)
 }
--- a/pkg/relay/moves.go
+++ b/pkg/relay/moves.go
@@ -159,6 +159,7 @@
 // repeat nor as one more server. ended tells that the copy is used and v is final.
 func (c *call) resume(ctx context.Context, r *ride, step migration.Step) (v verdict, err error, ended bool) {
 	began, sends, runs := c.relay.Time.Now(), c.sends, c.runs
+	c.place.granted = time.Time{} // a run that goes on takes no turn
 	c.resumption = resumption{from: r.origin(), back: step == migration.GoBack,
 		answered: c.record.last().answered, events: c.record.events}
 	if step == migration.GoOnThere && r.handover.Kept {
--- a/pkg/relay/moves_test.go
+++ b/pkg/relay/moves_test.go
@@ -35,8 +35,8 @@
 	hangs  // a server takes a request and does nothing until its connection closes
 )
 
-// fleet is servers whose runs move: it stands for the engines and implements Mover.
-type fleet struct {
+// movers is servers whose runs move: it stands for the engines and implements Mover.
+type movers struct {
 	*site
 	id     string // of its one request
 	total  int
@@ -69,10 +69,10 @@
 	tokensHeader = "X-Tokens"
 )
 
-// newFleet starts servers, all of which hold all, before a relay that moves streams. The first one
+// newMovers starts servers, all of which hold all, before a relay that moves streams. The first one
 // is preferred.
-func newFleet(t *testing.T, resumable bool, servers int, faults func(step string) fault) *fleet {
-	f := &fleet{id: fmt.Sprintf("id-%d", fleets.Add(1)), total: 40, pace: 2 * time.Millisecond, faults: faults, working: map[string]chan struct{}{}, ended: map[string]bool{}}
+func newMovers(t *testing.T, resumable bool, servers int, faults func(step string) fault) *movers {
+	f := &movers{id: fmt.Sprintf("id-%d", fleets.Add(1)), total: 40, pace: 2 * time.Millisecond, faults: faults, working: map[string]chan struct{}{}, ended: map[string]bool{}}
 	answers := make([]answerer, servers)
 	for i := range answers {
 		answers[i] = f.serve
@@ -95,7 +95,7 @@
 }
 
 // crash ends a server: what it runs and what it keeps is lost.
-func (f *fleet) crash(server string) {
+func (f *movers) crash(server string) {
 	f.fleetMu.Lock()
 	defer f.fleetMu.Unlock()
 	f.ended[server] = true
@@ -112,7 +112,7 @@
 }
 
 // serve runs a request.
-func (f *fleet) serve(w http.ResponseWriter, r *http.Request, s seen) {
+func (f *movers) serve(w http.ResponseWriter, r *http.Request, s seen) {
 	if s.id != f.id { // of another fleet, to an address that a server of it had before it ended
 		turnedAway(http.StatusMisdirectedRequest)(w, r, s)
 		return
@@ -160,7 +160,7 @@
 }
 
 // serveUnframed writes the events on the bare connection until the run ends or stops, and closes it.
-func (f *fleet) serveUnframed(w http.ResponseWriter, s seen, next int, stop chan struct{}) {
+func (f *movers) serveUnframed(w http.ResponseWriter, s seen, next int, stop chan struct{}) {
 	conn, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
@@ -179,14 +179,14 @@
 }
 
 // backedBy notes the server that gets copies.
-func (f *fleet) backedBy(server string) {
+func (f *movers) backedBy(server string) {
 	f.fleetMu.Lock()
 	defer f.fleetMu.Unlock()
 	f.backup = server
 }
 
 // start begins a run; nil: no answer comes, false: it is refused.
-func (f *fleet) start(server, origin string) (chan struct{}, bool) {
+func (f *movers) start(server, origin string) (chan struct{}, bool) {
 	effect := well
 	if origin != "" {
 		step := "go on"
@@ -235,7 +235,7 @@
 }
 
 // fault draws what happens, and ends servers that are to end.
-func (f *fleet) fault(step, origin, target string) fault {
+func (f *movers) fault(step, origin, target string) fault {
 	effect := f.faults(step)
 	source, _, _ := strings.Cut(origin, "/")
 	switch effect {
@@ -248,7 +248,7 @@
 }
 
 // breakOff breaks a run off.
-func (f *fleet) breakOff(server string, stop chan struct{}) {
+func (f *movers) breakOff(server string, stop chan struct{}) {
 	f.fleetMu.Lock()
 	defer f.fleetMu.Unlock()
 	if f.working[server] == stop {
@@ -257,7 +257,7 @@
 	}
 }
 
-func (f *fleet) finish(server string, stop chan struct{}) {
+func (f *movers) finish(server string, stop chan struct{}) {
 	f.fleetMu.Lock()
 	defer f.fleetMu.Unlock()
 	if f.working[server] == stop {
@@ -268,7 +268,7 @@
 var errLost = errors.Wrap(backend.ErrNoAnswer, "a test's fault")
 
 // Copy implements Mover.
-func (f *fleet) Copy(_ context.Context, source *backend.Member, o CopyOrder) (Copied, error) {
+func (f *movers) Copy(_ context.Context, source *backend.Member, o CopyOrder) (Copied, error) {
 	step, target := "copy", ""
 	if o.Stop {
 		step = "stop"
@@ -318,7 +318,7 @@
 }
 
 // Drop implements Mover.
-func (f *fleet) Drop(_ context.Context, _ *backend.Member, handle string) error {
+func (f *movers) Drop(_ context.Context, _ *backend.Member, handle string) error {
 	f.fleetMu.Lock()
 	defer f.fleetMu.Unlock()
 	if handle == f.handle {
@@ -328,10 +328,12 @@
 }
 
 // Origin implements Mover.
-func (f *fleet) Origin(source *backend.Member, handle string) string { return source.ID + "/" + handle }
+func (f *movers) Origin(source *backend.Member, handle string) string {
+	return source.ID + "/" + handle
+}
 
 // play sends a request whose server leaves while it streams.
-func (f *fleet) play() answer {
+func (f *movers) play() answer {
 	request := f.request(f.t.Context(), http.MethodPost, "/p/x", f.id, "x")
 	request.Header.Set(testHeaders.Model, "m")
 	done := make(chan answer, 1)
@@ -352,7 +354,7 @@
 
 // check tells what must hold whatever fails: no event twice or missing, no second run of a request that
 // may run once, never two at once, no copy left behind.
-func (f *fleet) check(got answer, resumable bool) error {
+func (f *movers) check(got answer, resumable bool) error {
 	whole := streamed(1, f.total)
 	switch {
 	case !strings.HasPrefix(whole, got.body):
@@ -385,7 +387,7 @@
 // TestStreamMovesWithItsServersLeave: also one that may run once goes on at another server, as the same
 // run.
 func TestStreamMovesWithItsServersLeave(t *testing.T) {
-	f := newFleet(t, false, 2, func(string) fault { return well })
+	f := newMovers(t, false, 2, func(string) fault { return well })
 	got := f.play()
 	if err := f.check(got, false); err != nil {
 		t.Error(err)
@@ -447,7 +449,7 @@
 		for resumable, whole := range map[bool]bool{false: row.once, true: row.resumable} {
 			t.Run(fmt.Sprintf("%s, resumable %t", row.name, resumable), func(t *testing.T) {
 				t.Parallel()
-				f := newFleet(t, resumable, 3, onlyOnce(row.faults))
+				f := newMovers(t, resumable, 3, onlyOnce(row.faults))
 				got := f.play()
 				if err := f.check(got, resumable); err != nil {
 					t.Error(err)
@@ -494,7 +496,7 @@
 			defer wg.Done()
 			defer func() { <-places }()
 			resumable := seed%2 == 0
-			f := newFleet(t, resumable, 3, randomFaults(seed))
+			f := newMovers(t, resumable, 3, randomFaults(seed))
 			f.total = 25
 			got := f.play()
 			if err := f.check(got, resumable); err != nil {
@@ -507,7 +509,7 @@
 
 // TestAStoppedAnswerThatEndsWithItsConnectionGoesOn: its end does not look like one that was cut.
 func TestAStoppedAnswerThatEndsWithItsConnectionGoesOn(t *testing.T) {
-	f := newFleet(t, false, 2, func(string) fault { return well })
+	f := newMovers(t, false, 2, func(string) fault { return well })
 	f.unframed = true
 	got := f.play()
 	if err := f.check(got, false); err != nil || got.err != nil {
@@ -521,7 +523,7 @@
 // TestAStopIsNoEndOfAServer: that a source closes a stream which it was asked to stop is no evidence
 // against the request, though the source is gone soon.
 func TestAStopIsNoEndOfAServer(t *testing.T) {
-	f := newFleet(t, false, 2, func(string) fault { return well })
+	f := newMovers(t, false, 2, func(string) fault { return well })
 	q := &alone{}
 	f.relay.Quarantine = q
 	if got := f.play(); got.err != nil {
@@ -540,7 +542,7 @@
 
 // TestASuspectedStreamStays: it may end the server that it moves to.
 func TestASuspectedStreamStays(t *testing.T) {
-	f := newFleet(t, false, 2, func(step string) fault {
+	f := newMovers(t, false, 2, func(step string) fault {
 		t.Errorf("a suspected request moves: %s", step)
 		return well
 	})
@@ -554,7 +556,7 @@
 
 // TestAMoveIsNoRepeat: it needs neither the budget of repeats nor a server more than the route allows.
 func TestAMoveIsNoRepeat(t *testing.T) {
-	f := newFleet(t, false, 2, func(string) fault { return well })
+	f := newMovers(t, false, 2, func(string) fault { return well })
 	f.relay.Budget = BudgetConfig{Window: time.Minute}
 	f.relay.Routes().Match("site.example", "/p/x").MaxAttempts = 1
 	if got := f.play(); got.err != nil || len(f.arrivals()) != 2 {
@@ -564,7 +566,7 @@
 
 // TestNothingGoesBackOnceASourceTakesNoMore: a server that leaves gets nothing after a time.
 func TestNothingGoesBackOnceASourceTakesNoMore(t *testing.T) {
-	f := newFleet(t, false, 2, onlyOnce(map[string]fault{"go on": refused}))
+	f := newMovers(t, false, 2, onlyOnce(map[string]fault{"go on": refused}))
 	f.relay.DrainTime = sendMargin
 	got := f.play()
 	if err := f.check(got, false); err != nil {
@@ -578,7 +580,7 @@
 
 // TestMovesAreOnWhereTheEngineCan only.
 func TestMovesAreOnWhereTheEngineCan(t *testing.T) {
-	f := newFleet(t, false, 2, func(step string) fault {
+	f := newMovers(t, false, 2, func(step string) fault {
 		t.Errorf("a stream moves: %s", step)
 		return well
 	})
@@ -603,7 +605,7 @@
 		{"the engine can't", true, false, well, false, false},
 	} {
 		t.Run(row.name, func(t *testing.T) {
-			f := newFleet(t, false, 2, onlyOnce(map[string]fault{"go on": row.goOn}))
+			f := newMovers(t, false, 2, onlyOnce(map[string]fault{"go on": row.goOn}))
 			e := f.relay.Routes().Service("s").Engine
 			e.Moves, e.Backups, e.CacheTokens = false, row.on, 60_000
 			if row.suspect {
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -79,12 +79,14 @@
 	waitFor    string        // what it lacked when it last waited; empty: it never did
 	wakeError  error
 	turnError  error // why the holder could not be asked for a turn
+	place      placeRecord
 	bytes      int
 	events     int
 	eventsFrom time.Time     // when the first events went out
 	eventAt    time.Time     // when the last events went out
 	pause      time.Duration // longest between two sends of events
 	moves      []moveLine
+	preference string // whether the last server chosen is the one preferred; empty: none was chosen
 }
 
 func (r *record) try(server string, started time.Time) {
@@ -130,6 +132,7 @@
 func (c *call) finish() {
 	c.record.end(outcomeBroken, nil)
 	c.settle()
+	c.endPlace() // of a request that waited for one in vain
 	took := c.relay.Time.Since(c.arrived)
 	c.relay.Metrics.observe(c, took)
 	fields := []any{"request_id", c.record.id, "outcome", c.record.outcome, "status", c.record.status,
@@ -163,6 +166,10 @@
 		fields = append(fields, "events", c.record.events, "last_event", c.lastEvent,
 			"pause_ms", c.record.pause.Milliseconds(), "pause_target_ms", c.route.GapTarget.Milliseconds())
 	}
+	if c.record.preference != "" && c.route.Sticky {
+		fields = append(fields, "lane", c.shaped.Lane().String(), "preferred", c.record.preference,
+			"shared_tokens", c.prompt.SharedTokens())
+	}
 	if len(c.record.tries) > 0 {
 		fields = append(fields, "tries", c.describeTries())
 	}
@@ -181,6 +188,7 @@
 	if c.record.turnError != nil {
 		fields = append(fields, "turn_error", c.record.turnError.Error())
 	}
+	fields = append(fields, c.describePlace()...)
 	if c.record.wakeError != nil {
 		fields = append(fields, "wake_error", c.record.wakeError.Error())
 	}
@@ -233,6 +241,8 @@
 	latency  *prometheus.HistogramVec
 	tries    prometheus.Counter
 	moves    *prometheus.CounterVec
+	choices  *prometheus.CounterVec
+	foreseen prometheus.Histogram
 }
 
 // NewMetrics registers the relay's metrics.
@@ -251,8 +261,13 @@
 		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "martenwheel", Name: "relay_moves_total", Help: "Steps of moves of running streams by outcome.",
 		}, []string{"step", "outcome"}),
+		choices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "martenwheel", Name: "relay_preferred_replicas_total",
+			Help: "Requests of routes that share parts of prompts: sent to the replica that they prefer (taken), to another (passed on), or without a preference (none).",
+		}, []string{"choice"}),
 	}
-	registry.MustRegister(m.requests, m.latency, m.tries, m.moves)
+	m.foreseen = newForeseen()
+	registry.MustRegister(m.requests, m.latency, m.tries, m.choices, m.foreseen, m.moves)
 	return m
 }
 
@@ -265,6 +280,10 @@
 	for _, l := range c.record.moves {
 		m.moves.WithLabelValues(l.Step, l.Outcome).Inc()
 	}
+	if c.record.preference != "" && c.route.Sticky {
+		m.choices.WithLabelValues(c.record.preference).Inc()
+	}
+	m.observePlace(c)
 	if c.record.outcome == outcomeServed {
 		m.latency.WithLabelValues(c.service).Observe(min(took, c.record.firstByte).Seconds())
 	}
