--- a/pkg/relay/place.go
+++ b/pkg/relay/place.go
@@ -123,6 +123,9 @@
 }
 
 func (c *call) work() admission.Work {
+	if c.resumption.from != "" { // it was read
+		return admission.Work{Out: max(c.prompt.Likely()-c.record.events*max(c.engine.EventTokens, 1), 0)}
+	}
 	return admission.Work{Tokens: c.prompt.Tokens(), Out: c.prompt.Likely(), Parts: c.prompt.Parts()}
 }
 
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -87,7 +87,8 @@
 	eventsFrom time.Time     // when the first events went out
 	eventAt    time.Time     // when the last events went out
 	pause      time.Duration // longest between two sends of events
-	preference string        // whether the last server chosen is the one preferred; empty: none was chosen
+	moves      []moveLine
+	preference string // whether the last server chosen is the one preferred; empty: none was chosen
 }
 
 func (r *record) try(server string, started time.Time) {
@@ -174,6 +175,9 @@
 	if len(c.record.tries) > 0 {
 		fields = append(fields, "tries", c.describeTries())
 	}
+	if len(c.record.moves) > 0 {
+		fields = append(fields, "moves", c.record.moves)
+	}
 	if c.record.err != nil {
 		fields = append(fields, "reason", c.record.err.Error())
 	}
@@ -255,8 +259,9 @@
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	tries    prometheus.Counter
-	foreseen prometheus.Histogram
+	moves    *prometheus.CounterVec
 	choices  *prometheus.CounterVec
+	foreseen prometheus.Histogram
 	quotas   quotaCounters
 }
 
@@ -273,6 +278,9 @@
 		tries: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: "martenwheel", Name: "relay_attempts_total", Help: "Requests sent to servers, repeats included.",
 		}),
+		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "martenwheel", Name: "relay_moves_total", Help: "Steps of moves of running streams by outcome.",
+		}, []string{"step", "outcome"}),
 		choices: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "martenwheel", Name: "relay_preferred_replicas_total",
 			Help: "Requests of routes that share parts of prompts: sent to the replica that they prefer (taken), to another (passed on), or without a preference (none).",
@@ -280,7 +288,7 @@
 	}
 	m.foreseen = newForeseen()
 	m.quotas = newQuotaCounters()
-	registry.MustRegister(m.requests, m.latency, m.tries, m.choices, m.foreseen, m.quotas.requests)
+	registry.MustRegister(m.requests, m.latency, m.tries, m.choices, m.foreseen, m.moves, m.quotas.requests)
 	return m
 }
 
@@ -291,6 +299,9 @@
 	m.requests.WithLabelValues(c.service, c.record.outcome).Inc()
 	m.tries.Add(float64(len(c.record.tries)))
 	m.observePlace(c)
+	for _, l := range c.record.moves {
+		m.moves.WithLabelValues(l.Step, l.Outcome).Inc()
+	}
 	if c.record.preference != "" && c.route.Sticky {
 		m.choices.WithLabelValues(c.record.preference).Inc()
 	}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -9,7 +9,8 @@
 // refused; place.go has it take its turn where servers are crowded; attempt.go sends it and
 // decides what a failure allows; quarantine.go keeps it from servers if it ends them; whole.go
 // and stream.go pass the answer on; refuse.go gives the relay's own answers; budget.go and
-// slack.go bound repeats; ending.go ends what a stop would cut off;
+// slack.go bound repeats; ending.go ends what a stop would cut off; rides.go and moves.go move a
+// stream whose server leaves, insurance.go has copies made of one beforehand;
 // record.go logs and counts the end.
 package relay
 
@@ -43,6 +44,8 @@
 	Tenant    string // in whose name a request is made
 	Tokens    string // of a request: of its prompt, and the most that it generates
 	Parts     string // of a prompt, shared among requests
+	Origin    string // of a request that goes on from a copy: where the copy is from
+	Backup    string // of a request: the server that gets copies of what it runs
 	Likely    string // the caller's guess of the tokens that it generates
 	// Reserved are those that the system alone sets: what callers send under these names
 	// does not go on.
@@ -52,7 +55,7 @@
 // sets tells whether the relay itself sets a header of what goes to servers.
 func (h *Headers) sets(name string) bool {
 	switch name {
-	case h.Deadline, h.Expect, h.LastEvent, h.Priority, h.Tenant:
+	case h.Deadline, h.Expect, h.Origin, h.Backup, h.LastEvent, h.Priority, h.Tenant:
 		return true
 	}
 	return h.Reserved[name]
@@ -94,6 +97,10 @@
 	Waker   Waker
 	// Quarantine keeps requests that end servers from them; none are kept if nil.
 	Quarantine Quarantine
+	// Mover moves running streams; none move if nil.
+	Mover Mover
+	// DrainTime is for how long a server that leaves surely goes on serving; zero: not known.
+	DrainTime time.Duration
 	// Places says where and when requests go to crowded servers; the node chooses alone if nil.
 	Places  Places
 	Nodes   func() int // that share the budget of repeats, zero while not known; 1 if nil
@@ -108,6 +115,7 @@
 	budgets budgets
 	mixes   mixes
 	borrowing
+	rides    rides
 	endings  endings
 	inFlight atomic.Int64
 	stop     atomic.Pointer[stopPlan]
