--- a/pkg/coordinator/paces_test.go
+++ b/pkg/coordinator/paces_test.go
@@ -34,12 +34,7 @@
 func TestAllNodesKnowSlowServers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 1)
-		defer func() {
-			for _, n := range w.nodes {
-				n.stop()
-			}
-			time.Sleep(5 * time.Second) // virtual; for calls under way to end
-		}()
+		defer w.stopNodes()
 		const spreads = 2500 * time.Millisecond // two beats and a half
 		time.Sleep(5 * time.Second)
 		w.nodes[0].report("server-0", 20*time.Millisecond, 3)
@@ -133,12 +128,7 @@
 func TestOldWordsOnPacesAreLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 1)
-		defer func() {
-			for _, n := range w.nodes {
-				n.stop()
-			}
-			time.Sleep(5 * time.Second) // virtual; for calls under way to end
-		}()
+		defer w.stopNodes()
 		time.Sleep(3 * time.Second)
 		var n *worldNode // that does not hold the lease
 		for _, other := range w.nodes {
--- a/pkg/coordinator/places_test.go
+++ b/pkg/coordinator/places_test.go
@@ -27,12 +27,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 1)
-		defer func() {
-			for _, n := range w.nodes {
-				n.stop()
-			}
-			time.Sleep(5 * time.Second) // virtual; for calls under way to end
-		}()
+		defer w.stopNodes()
 		time.Sleep(5 * time.Second)
 		f(w)
 	})
--- a/pkg/coordinator/quarantine_test.go
+++ b/pkg/coordinator/quarantine_test.go
@@ -16,12 +16,7 @@
 func TestAFirstEndIsKnownToNodesThatItsNodeWasNotToldOf(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 1)
-		defer func() {
-			for _, n := range w.nodes {
-				n.stop()
-			}
-			time.Sleep(5 * time.Second) // virtual; for calls under way to end
-		}()
+		defer w.stopNodes()
 		time.Sleep(5 * time.Second)
 		var first *worldNode // that does not hold the lease
 		for _, n := range w.nodes {
--- a/pkg/coordinator/world_test.go
+++ b/pkg/coordinator/world_test.go
@@ -73,6 +73,14 @@
 	cutFrom   map[string]bool // other nodes
 }
 
+// stopNodes ends all nodes, and waits in virtual time for calls under way to end.
+func (w *world) stopNodes() {
+	for _, n := range w.nodes {
+		n.stop()
+	}
+	time.Sleep(5 * time.Second)
+}
+
 func newWorld(t *testing.T, seed uint64) *world {
 	w := &world{
 		site:   newSite(t, []string{"m0", "m1"}, []string{"m0", "m2"}, []string{"m3"}, nil),
