relay: the fields of a call in groups: the request, its progress at servers, its moves

A call had 33 fields in one list. Those that tell what was asked, what became of it and how its stream goes on are structs of their own by now, embedded, so that nothing else reads differently. No change of what is done; the tests of the package pass (45 s).

--- a/pkg/relay/access_test.go
+++ b/pkg/relay/access_test.go
@@ -145,7 +145,7 @@
 		t.Fatal(err)
 	}
 	rank := func(of *tenant.Tenant, priority int) int {
-		c := &call{relay: &Relay{}, tenant: of, route: &route.Route{Priority: priority}}
+		c := &call{relay: &Relay{}, request: request{tenant: of, route: &route.Route{Priority: priority}}}
 		return c.rank()
 	}
 	var ranks []int
--- a/pkg/relay/affinity_test.go
+++ b/pkg/relay/affinity_test.go
@@ -127,9 +127,9 @@
 	}
 	r := &Relay{Zone: "a", Servers: &backend.Directory{}}
 	r.Servers.Replace(list, 1)
-	c := &call{relay: r, service: "s", arrived: time.Now(), need: backend.Need{Model: "m"}, engine: &route.Engine{EventTokens: 6},
+	c := &call{relay: r, request: request{service: "s", arrived: time.Now(), need: backend.Need{Model: "m"}, engine: &route.Engine{EventTokens: 6},
 		route:  &route.Route{Kind: route.Stream, Sticky: true, Target: 800 * time.Millisecond, GapTarget: 300 * time.Millisecond},
-		prompt: prompt.Parse(prompt.Fields{Tokens: "9200,54", Parts: sharedParts})}
+		prompt: prompt.Parse(prompt.Fields{Tokens: "9200,54", Parts: sharedParts})}}
 	c.shape()
 	return c
 }
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -29,19 +29,31 @@
 
 // call is one request of a caller on its way.
 type call struct {
-	relay    *Relay
-	w        http.ResponseWriter
-	http     *http.Request
+	relay *Relay
+	w     http.ResponseWriter
+	http  *http.Request
+
+	request
+	progress
+	moves
+	turn   *turn // of a suspected request that runs; nil: it needs none
+	place  place // among all requests to crowded servers
+	record record
+}
+
+// request is what the caller asks for and what bounds it, as it was accepted.
+type request struct {
 	arrived  time.Time
 	deadline time.Time // of the whole answer
 
-	table       *route.Table
-	route       *route.Route
-	tenant      *tenant.Tenant // in whose name it is made; nil: nobody's
-	asks        quota.Request  // of the tenant's quota
-	charged     bool           // the quota was charged with it
-	service     string
-	engine      *route.Engine
+	table   *route.Table
+	route   *route.Route
+	tenant  *tenant.Tenant // in whose name it is made; nil: nobody's
+	asks    quota.Request  // of the tenant's quota
+	charged bool           // the quota was charged with it
+	service string
+	engine  *route.Engine
+
 	id          string
 	target      string // path and query as they came
 	head        []byte // header lines that go on
@@ -50,19 +62,22 @@
 	need        backend.Need
 	prompt      prompt.Prompt // of a request to an engine
 	shaped      affinity.Request
-	lastEvent   string
+}
 
-	tried    []string // servers that did not serve it
-	lacking  lacking  // server that could not serve what is needed, though it was believed to hold it
-	sends    int
-	misses   int // tries after which no server had run it
-	runs     int // servers that may have run it
-	headSent bool
-	turn     *turn // of a suspected request that runs; nil: it needs none
-	round    int   // of the run that begins next, see quarantine.End
-	place    place // among all requests to crowded servers
-	record   record
+// progress is what became of the request at servers so far.
+type progress struct {
+	tried     []string // servers that did not serve it
+	lacking   lacking  // server that could not serve what is needed, though it was believed to hold it
+	sends     int
+	misses    int // tries after which no server had run it
+	runs      int // servers that may have run it
+	round     int // of the run that begins next, see quarantine.End
+	headSent  bool
+	lastEvent string // that the caller has, by its id
+}
 
+// moves is how a stream goes on at another server.
+type moves struct {
 	ride       *ride // that the next server goes on with; nil: none
 	broken     error // why its source sends no more
 	resumption resumption
--- a/pkg/relay/fleet_test.go
+++ b/pkg/relay/fleet_test.go
@@ -312,8 +312,8 @@
 // send has a node choose a server for a request.
 func (f *fleet) send(a *arrival, choose way) {
 	r := f.relays[a.node]
-	c := &call{relay: r, arrived: r.Time.Now(), service: "s", need: a.need, prompt: a.Prompt, route: &f.kinds[a.kind].route,
-		engine: &route.Engine{Slots: f.engine.Slots, EventTokens: f.engine.EventTokens}}
+	c := &call{relay: r, request: request{arrived: r.Time.Now(), service: "s", need: a.need, prompt: a.Prompt, route: &f.kinds[a.kind].route,
+		engine: &route.Engine{Slots: f.engine.Slots, EventTokens: f.engine.EventTokens}}}
 	c.shape()
 	m := choose(c)
 	if e := f.byLife[m.ID]; slices.Contains(f.ended, e) {
--- a/pkg/relay/prospect_test.go
+++ b/pkg/relay/prospect_test.go
@@ -44,7 +44,8 @@
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			arrived := time.Now().Add(-test.waited)
-			c := &call{relay: &Relay{}, route: &test.route, arrived: arrived, deadline: arrived.Add(test.left), headSent: test.headSent}
+			c := &call{relay: &Relay{}, progress: progress{headSent: test.headSent},
+				request: request{route: &test.route, arrived: arrived, deadline: arrived.Add(test.left)}}
 			f, refused := c.judge(Outlook{ReadyIn: test.readyIn})
 			if refused != test.refused {
 				t.Fatalf("refused: %v, want %v", refused, test.refused)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -164,7 +164,7 @@
 func (r *Relay) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
-	c := &call{relay: r, w: w, http: hr, arrived: r.Time.Now()}
+	c := &call{relay: r, w: w, http: hr, request: request{arrived: r.Time.Now()}}
 	if r.stop.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
--- a/pkg/relay/shares_test.go
+++ b/pkg/relay/shares_test.go
@@ -52,7 +52,7 @@
 
 // TestTheLineTellsTheRoom for which a request was refused.
 func TestTheLineTellsTheRoom(t *testing.T) {
-	c := &call{asks: quota.Request{Amount: 7}}
+	c := &call{request: request{asks: quota.Request{Amount: 7}}}
 	c.record.admission = (&noted{}).Admit(t.Context(), nil, quota.Request{})
 	want := "[cost 7 after_ms 400 promised true route_share 10 route_asked 30 route_given 12]"
 	if got := fmt.Sprint(c.describeQuota()); got != want {
