--- a/pkg/coordinator/explore_quarantine_test.go
+++ b/pkg/coordinator/explore_quarantine_test.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 	world       *world
 	fingerprint quarantine.Fingerprint
 	random      *rand.Rand // for the caller; not safe for concurrent use
+	sticky      bool       // it goes to the same server, whose lives have one name and stand behind a proxy
 
 	mu       sync.Mutex
 	ends     []time.Time // of servers
@@ -45,8 +47,9 @@
 	explore(t, func(w *world, seed uint64) {
 		f := &fatal{
 			world: w, fingerprint: quarantine.FingerprintOf("POST", "h", "/", []byte{byte(seed)}),
-			random: rand.New(rand.NewPCG(seed, 3)),
+			random: rand.New(rand.NewPCG(seed, 3)), sticky: seed%2 == 0,
 		}
+		w.namesStay = f.sticky
 		f.play()
 		f.judge()
 	})
@@ -98,7 +101,7 @@
 		}
 		if standing == quarantine.Suspected {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			granted, _ := n.member.TakeTurn(ctx, f.fingerprint, "s", server)
+			granted, _ := n.member.TakeTurn(ctx, f.fingerprint, "s", n.listed(server))
 			cancel()
 			if !granted || !n.awake() {
 				return
@@ -107,26 +110,69 @@
 		if n.cutOff(server) {
 			return
 		}
-		run := quarantine.Run{Request: f.fingerprint, Service: "s", Server: server, Round: n.member.NextRound(f.fingerprint), RequestID: "id"}
+		born := f.born(server)
+		run := quarantine.Run{Request: f.fingerprint, Service: "s", Server: n.listed(server), Round: n.member.NextRound(f.fingerprint), RequestID: "id"}
 		f.arrive(n, server)
 		time.Sleep(runsFor)
-		f.end(server)
+		f.end(server, born)
 		if !n.awake() {
 			return
 		}
+		if f.sticky {
+			n.tellByRecord(run)
+			if standing == quarantine.Suspected {
+				return // the turn is kept until it lapses
+			}
+			continue
+		}
 		n.member.Ended(run)
 		if standing == quarantine.Suspected {
-			n.member.ReleaseTurn(f.fingerprint, server)
+			n.member.ReleaseTurn(f.fingerprint, run.Server)
 		}
 	}
 }
 
 // server returns one that runs, "" if there is none.
 func (f *fatal) server() string {
-	for id := range f.world.serverIDs() {
-		return id
+	names := slices.Collect(maps.Keys(f.world.serverIDs())) // in the map's order
+	if f.sticky {
+		slices.Sort(names)
+	}
+	if len(names) == 0 {
+		return ""
+	}
+	return names[0]
+}
+
+// born returns the start of the life that runs under a name.
+func (f *fatal) born(server string) int64 {
+	f.world.engines.mu.Lock()
+	defer f.world.engines.mu.Unlock()
+	if e := f.world.engines.servers[server]; e != nil {
+		return e.born
+	}
+	return 0
+}
+
+// listed returns the life of a server that the node believes to run, by its record.
+func (n *worldNode) listed(server string) string {
+	for id, m := range n.servers.Snapshot().Members() {
+		if m.Instance() == server {
+			return id
+		}
+	}
+	return server
+}
+
+// endShows is within which the record of a server that ended tells it, as in package relay.
+const endShows = 5 * time.Second
+
+// tellByRecord has the end of a server told once its record tells it: what stands before the
+// server refuses no connection.
+func (n *worldNode) tellByRecord(r quarantine.Run) {
+	if m := n.servers.Snapshot().Member(r.Server); m != nil {
+		m.IfItEnds(endShows, func() { n.member.Ended(r) })
 	}
-	return ""
 }
 
 // arrive notes that a node sent the request to a server.
@@ -138,14 +184,12 @@
 	f.arrivals = append(f.arrivals, arrival{time.Now(), n.name, touch})
 }
 
-// end ends a server, which comes back as another life.
-func (f *fatal) end(server string) {
+// end ends a server, unless that life has ended, and it comes back as another one.
+func (f *fatal) end(server string, born int64) {
 	w := f.world
 	w.engines.mu.Lock()
-	if w.engines.servers[server] != nil {
-		delete(w.engines.servers, server)
-		w.lives++
-		w.engines.servers[fmt.Sprintf("server-%d", 1000+w.lives)] = &engineState{models: make(map[string]map[string]bool)}
+	if e := w.engines.servers[server]; e != nil && e.born == born {
+		w.startAgain(server)
 	}
 	w.engines.mu.Unlock()
 	f.mu.Lock()
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -67,11 +67,13 @@
 	paces      paces            // of servers
 	quotas     quota.Pool       // safe for other goroutines than the holder's
 	places     holderPlaces
-	scarceTold []string // tenants for which the nodes were told to ask
+	scarceTold []string  // tenants for which the nodes were told to ask
+	roomsTold  time.Time // when the log was last told how their quotas are shared
 	// nodesNumber counts the changes of nodes.
 	nodesNumber uint64
 	demands     map[demandKey]*demand
 	servers     map[string]*serverState
+	instances   map[string]*instance     // what all lives of a server share, by its name
 	fatal       map[demandKey]*fatalLoad // models during whose loads servers ended
 	fetches     []time.Time              // starts of loads from the weight store
 	store       storeLimit               // how many of them go at full speed at once
@@ -168,6 +170,7 @@
 	h.nodes = make(map[string]*nodeState)
 	h.demands = make(map[demandKey]*demand)
 	h.servers = make(map[string]*serverState)
+	h.instances = make(map[string]*instance)
 	h.fetches = nil
 	h.fatal = make(map[demandKey]*fatalLoad)
 	h.failing = time.Time{}
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -7,9 +7,10 @@
 // node that holds the lease. plan.go asks package policy what to load where;
 // beats.go takes in what nodes tell, and quotas.go keeps the quotas of tenants by it;
 // adapters.go places adapters; orders.go gives orders, one at a time to each
-// server, and reports.go finds out what became of them; handover.go takes over from a
-// holder that went on without the store; paces.go tells which servers are slow, and places.go
-// has nodes take turns at crowded ones; quarantine.go spreads what is known of requests that end
+// server, and reports.go finds out what became of them; lives.go is about servers that start
+// again under the name that they had; handover.go takes over from a
+// holder that went on without the store; paces.go tells which servers are slow; places.go has
+// nodes take turns at crowded servers; quarantine.go spreads what is known of requests that end
 // servers; outlook.go tells when a model will be ready.
 package coordinator
 
@@ -60,10 +61,10 @@
 	Spent []quota.Spent // of tenants' quotas since the last beat
 	// Evidence is against requests that end servers.
 	Evidence KnownEvidence
-	Paces    []backend.Pace // that streams told since the last beat, see paces
+	Places   []admission.Report // all that the node has at servers whose memory is told
+	Paces    []backend.Pace     // that streams told since the last beat, see paces
 	// KnowsPaces is up to which change of servers' paces the node was told.
 	KnowsPaces PacesVersion
-	Places     []admission.Report // all that the node has at servers whose memory is told
 }
 
 // NodesVersion tells lists of nodes apart.
@@ -87,11 +88,11 @@
 	ScarceTenants []string
 	// Evidence is against requests that end servers.
 	Evidence KnownEvidence
-	Paces    []backend.Slowness // of servers whose pace moved
-	// PacesVersion is up to which change the paces are told.
-	PacesVersion PacesVersion
 	// Crowded are the models for which the holder is to be asked before a request is sent.
 	Crowded []admission.Key
+	Paces   []backend.Slowness // of servers whose pace moved
+	// PacesVersion is up to which change the paces are told.
+	PacesVersion PacesVersion
 }
 
 // WishMessage asks the holder to have a model loaded.
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -16,6 +16,7 @@
 	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/prompt"
 	"martenwheel.dev/pkg/quarantine"
+	"martenwheel.dev/pkg/quota"
 	"martenwheel.dev/pkg/route"
 	"martenwheel.dev/pkg/tenant"
 )
@@ -37,7 +38,7 @@
 	table       *route.Table
 	route       *route.Route
 	tenant      *tenant.Tenant // in whose name it is made; nil: nobody's
-	cost        float64        // of it in the tenant's quota
+	asks        quota.Request  // of the tenant's quota
 	charged     bool           // the quota was charged with it
 	service     string
 	engine      *route.Engine
@@ -244,7 +245,7 @@
 	head := make([]byte, 0, len(c.head)+160)
 	head = append(head, c.head...)
 	head = appendHeader(head, own.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
-	head = appendHeader(head, own.Expect, m.ID)
+	head = appendHeader(head, own.Expect, m.Instance())
 	if c.lastEvent != "" {
 		head = appendHeader(head, own.LastEvent, c.lastEvent)
 	}
--- a/pkg/relay/place_test.go
+++ b/pkg/relay/place_test.go
@@ -84,14 +84,14 @@
 	return s.do(r)
 }
 
-// says always decides the same.
-func says(v admission.Verdict) func(int, *admission.Request) (admission.Verdict, error) {
+// decides gives the same verdict always.
+func decides(v admission.Verdict) func(int, *admission.Request) (admission.Verdict, error) {
 	return func(int, *admission.Request) (admission.Verdict, error) { return v, nil }
 }
 
 // TestARequestGoesWhereItHasItsPlace, and its way is told.
 func TestARequestGoesWhereItHasItsPlace(t *testing.T) {
-	k := &keeper{decide: says(admission.Verdict{Kind: admission.Go, Server: "server-2", First: time.Millisecond})}
+	k := &keeper{decide: decides(admission.Verdict{Kind: admission.Go, Server: "server-2", First: time.Millisecond})}
 	s := crowdedSite(t, streamRoute(false), k, events(5, 5, nil), events(5, 5, nil), events(5, 5, nil))
 	for range 5 {
 		if got := s.prompted("id"); got.body != streamed(1, 5) {
@@ -115,7 +115,7 @@
 
 // TestARefusedRequestIsNotRun and its caller is told the truth and when to come back.
 func TestARefusedRequestIsNotRun(t *testing.T) {
-	k := &keeper{decide: says(admission.Verdict{Kind: admission.Refuse, After: 700 * time.Millisecond})}
+	k := &keeper{decide: decides(admission.Verdict{Kind: admission.Refuse, After: 700 * time.Millisecond})}
 	s := crowdedSite(t, streamRoute(false), k, events(5, 5, nil))
 	got := s.prompted("id")
 	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") != "0.700" || len(s.arrivals()) != 0 {
@@ -147,7 +147,7 @@
 // TestNobodyWaitsBeyondItsCaller: a request that is told to wait again and again is refused before
 // its caller leaves.
 func TestNobodyWaitsBeyondItsCaller(t *testing.T) {
-	k := &keeper{decide: says(admission.Verdict{Kind: admission.Wait, After: 100 * time.Millisecond})}
+	k := &keeper{decide: decides(admission.Verdict{Kind: admission.Wait, After: 100 * time.Millisecond})}
 	r := streamRoute(false)
 	r.Timeout = time.Second
 	s := crowdedSite(t, r, k, events(5, 5, nil))
@@ -163,7 +163,7 @@
 		"nobody answers": func(int, *admission.Request) (admission.Verdict, error) {
 			return admission.Verdict{}, errors.New("no answer")
 		},
-		"the server is gone": says(admission.Verdict{Kind: admission.Go, Server: "gone"}),
+		"the server is gone": decides(admission.Verdict{Kind: admission.Go, Server: "gone"}),
 	} {
 		k := &keeper{decide: decide}
 		s := crowdedSite(t, streamRoute(false), k, events(5, 5, nil))
@@ -212,7 +212,7 @@
 func TestAPlaceLapsesInASuspension(t *testing.T) {
 	var mu sync.Mutex
 	var slept time.Duration
-	k := &keeper{decide: says(admission.Verdict{Kind: admission.Go, Server: "server-0"})}
+	k := &keeper{decide: decides(admission.Verdict{Kind: admission.Go, Server: "server-0"})}
 	s := crowdedSite(t, streamRoute(false), k, events(5, 5, nil), events(5, 5, nil))
 	s.relay.Time = clock.Clock(func() time.Time {
 		mu.Lock()
@@ -248,7 +248,7 @@
 		"it needs no model":              func(_ *site, r *http.Request) { r.Header.Del("X-Model") },
 		"nobody has requests take turns": func(s *site, _ *http.Request) { s.relay.Places = nil },
 	} {
-		k := &keeper{decide: says(admission.Verdict{Kind: admission.Refuse})}
+		k := &keeper{decide: decides(admission.Verdict{Kind: admission.Refuse})}
 		s := crowdedSite(t, streamRoute(false), k, events(5, 5, nil))
 		r := s.request(t.Context(), http.MethodPost, "/p/x", "id", "x")
 		r.Header.Set("X-Model", "m")
