--- a/pkg/coordinator/places.go
+++ b/pkg/coordinator/places.go
@@ -241,6 +241,11 @@
 	}
 }
 
+// crowded tells whether a model is crowded, as nodes were told last.
+func (h *Holder) crowded(service, model string) bool {
+	return slices.Contains(h.places.told, admission.Key{Service: service, Model: model})
+}
+
 // errPlaceSilent means that the holder did not answer a moment ago.
 var errPlaceSilent = errors.New("coordinator: the holder did not answer about a place a moment ago")
 
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -320,6 +320,9 @@
 			model.Replicas = append(model.Replicas, r)
 		}
 	}
+	if h.crowded(service, name) {
+		widen(&model)
+	}
 	if len(model.Replicas) < model.Spares && model.Demand.Waiting == 0 {
 		// A busy model without its spare replicas goes before rare ones that wait.
 		model.Demand.Waiting = 1
