relay: a stop that did not leave stops nothing while the stream flows

Cause: a call for a stop that found no connection (the server resets those beyond its bound, a dial that takes too long on a weak node) counted as the source having stopped. The stream flowed on; once its connection broke, the target went on without another question to a source that may work on, and an answer without a frame that came to its end was taken for a stopped one and went on at the target.

Change: while the stream flows such a call says nothing: it is made again, and once more after the stream broke, where it still tells that the source can't be reached. Ruled out: the same after the break, as a source that is dark would then lose its streams.

TestAStopThatDidNotLeaveStopsNothing fails without it (2 arrivals for 1). TestMovesInAnySchedule draws such calls as well; 240 schedules pass.

--- a/pkg/relay/moves_test.go
+++ b/pkg/relay/moves_test.go
@@ -33,6 +33,7 @@
 	late   // it is done, and the answer takes a while
 	breaks // a stream that goes on breaks off after some events
 	hangs  // a server takes a request and does nothing until its connection closes
+	unsent // no byte of a call leaves: no connection came up in time, or it was reset at once
 )
 
 // movers is servers whose runs move: it stands for the engines and implements Mover.
@@ -287,6 +288,8 @@
 		return Copied{}, errors.Wrap(backend.ErrNotSent, "a test's fault")
 	case effect == lost:
 		return Copied{}, errLost
+	case effect == unsent:
+		return Copied{}, errors.Wrap(backend.ErrNotSent, "a test's fault")
 	case stop == nil && f.stopped != source.ID:
 		return Copied{Result: CopyNoRun}, nil
 	}
@@ -472,7 +475,10 @@
 		if random.IntN(2) == 0 {
 			return well
 		}
-		return fault(random.IntN(int(breaks) + 1))
+		if effect := fault(random.IntN(int(breaks) + 2)); effect <= breaks {
+			return effect
+		}
+		return unsent
 	}
 }
 
@@ -520,6 +526,25 @@
 	}
 }
 
+// TestAStopThatDidNotLeaveStopsNothing: while the stream flows, a call that found no connection is no
+// evidence that the source works on it no more. An answer without a frame that ends is whole then.
+func TestAStopThatDidNotLeaveStopsNothing(t *testing.T) {
+	f := newMovers(t, false, 2, func(step string) fault {
+		if step == "stop" {
+			return unsent
+		}
+		return well
+	})
+	f.unframed = true
+	got := f.play()
+	if err := f.check(got, false); err != nil || got.err != nil {
+		t.Errorf("%v, %v", err, got.err)
+	}
+	if a := f.arrivals(); len(a) != 1 {
+		t.Errorf("the stream moved though its source did not stop: %+v", a)
+	}
+}
+
 // TestAStopIsNoEndOfAServer: that a source closes a stream which it was asked to stop is no evidence
 // against the request, though the source is gone soon.
 func TestAStopIsNoEndOfAServer(t *testing.T) {
--- a/pkg/relay/rides.go
+++ b/pkg/relay/rides.go
@@ -332,7 +332,7 @@
 	}
 	for range stopsInFlow {
 		switch r.stop(limit) {
-		case migration.NoAnswer:
+		case migration.NoAnswer, migration.NotSent:
 		case migration.Refused:
 			r.stays()
 			return
@@ -370,9 +370,11 @@
 	return !r.over
 }
 
-// stop has the source stop the run and copy the rest.
+// stop has the source stop the run and copy the rest. A call that does not leave tells nothing of a
+// source whose stream flows: it may be that it takes no more connections.
 func (r *ride) stop(limit time.Duration) migration.Outcome {
 	r.mu.Lock()
+	before := r.stopSent
 	r.stopSent = true
 	target := r.target
 	r.mu.Unlock()
@@ -383,6 +385,11 @@
 		r.handle = copied.Handle
 	}
 	outcome := stopOutcome(copied, err)
+	if outcome == migration.NotSent && !r.over {
+		r.stopSent = before
+		r.handover.Told(migration.Stop, migration.Refused)
+		return outcome
+	}
 	r.handover.Told(migration.Stop, outcome)
 	return outcome
 }
