relay: callers that leave in the midst of a move, next lives of sources

A caller that left while a move was waited for counted as a failure of the source: the source was avoided, and a stream that may be repeated began a try at another server. And after a source had begun its next life under its name, a stream could go back to it, and copies be dropped there, by a handle of the earlier life, which may name another request's copy: Expect-Instance lets both through.

Change: such a caller has left, and the copy is dropped; nothing goes back to, and nothing is dropped at, a source whose next life is in the list. Both tests fail without the change.

--- a/pkg/relay/moves.go
+++ b/pkg/relay/moves.go
@@ -38,15 +38,18 @@
 
 // brokeOff judges a stream whose server sends no more, after all that it had sent went out.
 func (c *call) brokeOff(ctx context.Context, r *ride, err error) (verdict, error) {
-	if !r.take(ctx) {
-		return mayRun, err
+	switch {
+	case r.take(ctx):
+		c.ride, c.broken = r, err
+		return mayRun, errHandedOver
+	case ctx.Err() != nil: // the caller left, or the time is over, while a move was waited for
+		return gone, context.Cause(ctx)
 	}
-	c.ride, c.broken = r, err
-	return mayRun, errHandedOver
+	return mayRun, err
 }
 
 // take takes the ride over from the move that is under way, once that is through. It returns false
-// if there is no copy to go on from.
+// if there is no copy to go on from, or nobody to go on for.
 func (r *ride) take(ctx context.Context) bool {
 	if r == nil {
 		return false
@@ -64,7 +67,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.taken = r.handle != "" || r.backup != nil && r.events > 0
+	r.taken = ctx.Err() == nil && (r.handle != "" || r.backup != nil && r.events > 0)
 	return r.taken
 }
 
@@ -145,7 +148,10 @@
 
 // mayGoBack tells whether the source of a ride may still be sent a request.
 func (c *call) mayGoBack(r *ride) bool {
-	if !r.source.Leaving() {
+	switch {
+	case r.rebornSource():
+		return false
+	case !r.source.Leaving():
 		return true
 	}
 	left, told := c.relay.goneIn(r.source)
@@ -155,6 +161,17 @@
 	return c.relay.DrainTime > 0 && r.source.LeavingFor(c.relay.Time.Now()) < c.relay.DrainTime-sendMargin
 }
 
+// rebornSource tells whether the source is known to have begun its next life, which answers to the
+// same name and kept nothing: a handle of the earlier life may name another request's copy there.
+func (r *ride) rebornSource() bool {
+	for _, m := range r.call.relay.Servers.Snapshot().Service(r.source.Service) {
+		if m.ID != r.source.ID && backend.SameServer(m.ID, r.source.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 // resume has an end of a ride go on with the stream. It is the same run: it counts neither as a
 // repeat nor as one more server. ended tells that the copy is used and v is final.
 func (c *call) resume(ctx context.Context, r *ride, step migration.Step) (v verdict, err error, ended bool) {
--- a/pkg/relay/moves_test.go
+++ b/pkg/relay/moves_test.go
@@ -655,3 +655,47 @@
 		})
 	}
 }
+
+// ridesFor returns a ride at the first server of a site, and its call.
+func ridesFor(t *testing.T) (*ride, *site) {
+	s := newSite(t, streamRoute(true), sealed(http.StatusOK, "good"))
+	s.relay.Mover, s.relay.DrainTime = &movers{site: s}, 5*time.Second
+	c := &call{relay: s.relay, id: "id-1"}
+	return &ride{call: c, source: s.relay.Servers.Snapshot().Member("server-0"), table: &s.relay.rides}, s
+}
+
+// TestACallerThatLeavesDuringAMoveLeft: its stream is not tried elsewhere, and nothing is held against
+// the server.
+func TestACallerThatLeavesDuringAMoveLeft(t *testing.T) {
+	r, _ := ridesFor(t)
+	r.moving = make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if v, err := r.call.brokeOff(ctx, r, backend.ErrBroken); v != gone || !errors.Is(err, context.Canceled) {
+		t.Errorf("verdict %d, %v", v, err)
+	}
+}
+
+// TestNothingGoesBackToTheNextLife: it answers to the name of its source, and what a handle of the earlier
+// life named may be another's there.
+func TestNothingGoesBackToTheNextLife(t *testing.T) {
+	r, s := ridesFor(t)
+	leaving := *s.servers[0]
+	leaving.Draining = true
+	s.relay.Servers.Replace([]*backend.Server{&leaving}, 2)
+	if !r.call.mayGoBack(r) {
+		t.Error("a source that leaves is not gone back to")
+	}
+	next := *s.servers[0]
+	next.ID = backend.Life{Instance: next.ID, Born: 7}.ID()
+	s.relay.Servers.Replace([]*backend.Server{&next}, 3)
+	if r.call.mayGoBack(r) {
+		t.Error("a stream goes back to the next life of its source")
+	}
+	mover := s.relay.Mover.(*movers)
+	mover.handle = "h1"
+	r.dropHandle("h1")
+	if mover.handle == "" {
+		t.Error("a copy of the next life was dropped")
+	}
+}
--- a/pkg/relay/rides.go
+++ b/pkg/relay/rides.go
@@ -510,7 +510,11 @@
 	}
 }
 
+// dropHandle frees a copy. The source's next life has none of it.
 func (r *ride) dropHandle(handle string) {
+	if r.rebornSource() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), dropTime)
 	defer cancel()
 	if err := r.call.relay.Mover.Drop(ctx, r.source, handle); err != nil {
