relay: a stream moves in vain three times at most

Arrivals that servers refuse count against the operators' budget of repeats.

Change: after three targets that did not go on with it a stream stays where it is. The test allows 7 arrivals. Ruled out: to remember the targets that refused, as a ride at the source asks all again once none is left, each quarter of a second.

--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -66,6 +66,7 @@
 	ride       *ride // that the next server goes on with; nil: none
 	broken     error // why its source sends no more
 	resumption resumption
+	vainMoves  int             // targets that did not go on with it
 	backup     *backend.Member // that gets copies of the run that begins; nil: none
 }
 
--- a/pkg/relay/moves.go
+++ b/pkg/relay/moves.go
@@ -23,6 +23,10 @@
 // maxMoveLines bounds the lines of one ride.
 const maxMoveLines = 16
 
+// maxVainMoves is after how many targets that did not go on with it a stream moves no more: each
+// is one more request to servers that are short of room, and mostly the next refuses as well.
+const maxVainMoves = 3
+
 // note keeps a line for the log.
 func (r *ride) note(l moveLine) {
 	r.mu.Lock()
@@ -185,6 +189,9 @@
 	v, err = c.try(ctx, r.end(step))
 	o := c.resumed(v)
 	r.handover.Told(step, o)
+	if step == migration.GoOnThere && (o == migration.Refused || o == migration.NoAnswer) {
+		c.vainMoves++
+	}
 	r.note(moveLine{From: r.source.ID, To: r.end(step).ID, Step: step.String(), Events: c.resumption.events,
 		TookMS: c.relay.Time.Since(began).Milliseconds(), Outcome: o.String()})
 	c.sends, c.runs, c.resumption = sends, runs, resumption{}
--- a/pkg/relay/moves_test.go
+++ b/pkg/relay/moves_test.go
@@ -589,6 +589,24 @@
 	}
 }
 
+// TestMovesInVainEnd: a stream whose targets all refuse it goes back a few times and then stays.
+func TestMovesInVainEnd(t *testing.T) {
+	f := newMovers(t, false, 2, func(step string) fault {
+		if step == "go on" {
+			return refused
+		}
+		return well
+	})
+	f.total, f.pace = 400, 2*time.Millisecond
+	got := f.play()
+	if err := f.check(got, false); err != nil || got.err != nil {
+		t.Errorf("%v, %v", err, got.err)
+	}
+	if n := len(f.arrivals()); n > 1+2*maxVainMoves {
+		t.Errorf("%d arrivals at servers", n)
+	}
+}
+
 // TestNothingGoesBackOnceASourceTakesNoMore: a server that leaves gets nothing after a time.
 func TestNothingGoesBackOnceASourceTakesNoMore(t *testing.T) {
 	f := newMovers(t, false, 2, onlyOnce(map[string]fault{"go on": refused}))
--- a/pkg/relay/rides.go
+++ b/pkg/relay/rides.go
@@ -108,10 +108,11 @@
 }
 
 // board registers a stream at a server, nil if the stream can't move: its engine can't, nobody
-// could say what is to move, or it is suspected to end servers and stays where it is.
+// could say what is to move, it moved in vain too often, or it is suspected to end servers and stays
+// where it is.
 func (c *call) board(m *backend.Member) *ride {
 	r := c.relay
-	if c.engine == nil || r.Mover == nil || c.id == "" || !c.engine.Moves && c.backup == nil {
+	if c.engine == nil || r.Mover == nil || c.id == "" || !c.engine.Moves && c.backup == nil || c.vainMoves >= maxVainMoves {
 		return nil
 	}
 	if q := r.Quarantine; q != nil && q.Standing(c.fingerprint) != quarantine.Free {
