admission, relay: many replicas, many models and no holder

Three faults, each with a test that fails first: - Of more than 16 replicas each request named its node's choice and the same first 15: with those full a request was refused beside free ones. It names others each time now (TestAllReplicasGetTheirTurn: 16 of 48 named before, 48 after). - The look for crowds, five times a second under the lock that verdicts need, went through all servers for each model that anybody asked for. Beyond what one message tells, what ends is forgotten; the holder frees its place with its deadline (TestALedgerThatNobodyAsksIsBounded: 5,120 kept before, 512 after).

--- a/pkg/admission/crowd.go
+++ b/pkg/admission/crowd.go
@@ -60,8 +60,11 @@
 	}
 	var list []*crowd
 	for key, c := range m.crowds {
-		d := demands[key]
-		c.judge(now, d, m.unread(now, replicas(key)))
+		d, b := demands[key], backlog{}
+		if c.on || float64(d.waiting) >= crowdWaiting { // else it is no crowd, whatever there is to read
+			b = m.unread(now, replicas(key))
+		}
+		c.judge(now, d, b)
 		switch {
 		case c.on:
 			list = append(list, c)
--- a/pkg/admission/ledger.go
+++ b/pkg/admission/ledger.go
@@ -158,6 +158,9 @@
 	defer l.mu.Unlock()
 	e := l.open[id]
 	switch {
+	case e != nil && len(l.open) > MostReports: // nobody was told for long
+		delete(l.open, id)
+		return false
 	case e != nil:
 		e.report.Ended = true
 	case !l.crowd(now, key) || len(l.open) >= MostReports:
--- a/pkg/admission/ledger_test.go
+++ b/pkg/admission/ledger_test.go
@@ -92,3 +92,21 @@
 		t.Errorf("of one that waited in vain %+v", got)
 	}
 }
+
+// TestALedgerThatNobodyAsksIsBounded: while there is nobody to tell, what has ended is not kept for ever.
+func TestALedgerThatNobodyAsksIsBounded(t *testing.T) {
+	var l Ledger
+	for range 10 * MostReports {
+		r := ask(l.Next(), 1, 6000, time.Second, 4*time.Second)
+		l.Sent(began, report(r, "s0", 0, 0, false))
+		l.Ended(began, r.Place.ID, r.Key)
+	}
+	if n := len(l.open); n > MostReports {
+		t.Errorf("it keeps %d requests", n)
+	}
+	r := ask(l.Next(), 1, 6000, time.Second, 4*time.Second)
+	l.Sent(began, report(r, "s0", 0, 0, false))
+	if _, found := l.open[r.Place.ID]; !found {
+		t.Error("a request that runs is not kept")
+	}
+}
--- a/pkg/admission/model_test.go
+++ b/pkg/admission/model_test.go
@@ -552,3 +552,19 @@
 		m.drop(r.Place)
 	}
 }
+
+// TestModelsThatFewAskForAreNoCrowd: their replicas, which are looked for among all servers, are not asked
+// for.
+func TestModelsThatFewAskForAreNoCrowd(t *testing.T) {
+	m := newModel()
+	for i := range 2 {
+		r := ask(uint64(i), 1, 6000, time.Second, 10*time.Second)
+		r.Key.Model = fmt.Sprint("m", i)
+		m.Told(began, "n", []Report{report(r, "s0", 0, 0, false)}, false)
+	}
+	asked := 0
+	m.Crowded(began, func(Key) []string { asked++; return []string{"s0"} })
+	if asked != 0 {
+		t.Errorf("replicas of %d models are asked for", asked)
+	}
+}
--- a/pkg/relay/place.go
+++ b/pkg/relay/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -130,14 +131,17 @@
 }
 
 // placeServers returns the servers that may get the request, m first. Those that it was sent to
-// in vain are left out.
+// in vain are left out. Of more than may be named, each request names others.
 func (c *call) placeServers(m *backend.Member) []string {
 	now := c.relay.Time.Now()
 	list := []string{m.ID}
-	for _, other := range c.relay.Servers.Snapshot().Service(c.service) {
+	servers := c.relay.Servers.Snapshot().Service(c.service)
+	first := rand.IntN(max(len(servers), 1))
+	for i := range servers {
 		if len(list) == mostPlaces {
 			break
 		}
+		other := servers[(first+i)%len(servers)]
 		if other.ID != m.ID && other.Serves(now, c.need) && !other.Avoid(now) && !contains(c.tried, other.ID) {
 			list = append(list, other.ID)
 		}
--- a/pkg/relay/place_test.go
+++ b/pkg/relay/place_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -262,3 +264,36 @@
 		}
 	}
 }
+
+// TestAllReplicasGetTheirTurn: a request names a few of many replicas, and not the same ones each time:
+// others would be full beside free ones.
+func TestAllReplicasGetTheirTurn(t *testing.T) {
+	const replicas = 3 * mostPlaces
+	k := &keeper{}
+	s := crowdedSite(t, streamRoute(false), k, events(1, 1, nil))
+	servers := []*backend.Server{s.servers[0]}
+	for i := range replicas - 1 {
+		server := *s.servers[0]
+		server.ID = "replica-" + strconv.Itoa(i)
+		servers = append(servers, &server)
+	}
+	s.relay.Servers.Replace(servers, 3)
+	c := &call{relay: s.relay, service: "s", need: backend.Need{Model: "m"}}
+	own, named := s.relay.Servers.Snapshot().Member("server-0"), make(map[string]bool)
+	for range 100 {
+		list := c.placeServers(own)
+		if len(list) != mostPlaces || list[0] != own.ID {
+			t.Fatalf("it names %v", list)
+		}
+		slices.Sort(list)
+		if len(slices.Compact(list)) != mostPlaces {
+			t.Fatal("it names a server twice")
+		}
+		for _, id := range list {
+			named[id] = true
+		}
+	}
+	if len(named) != replicas {
+		t.Errorf("%d of %d replicas are named", len(named), replicas)
+	}
+}
