relay: a stop without an answer may come after one that was refused

Cause: once a later stop was refused, the ride forgot that an earlier one was not answered.

Change: a ride remembers stops without an answer; the end of an answer without a frame is no end of the stream then.

--- a/pkg/relay/moves_test.go
+++ b/pkg/relay/moves_test.go
@@ -30,10 +30,11 @@
 	halfLost         // it is done, no answer comes
 	sourceEnds       // before it is done
 	targetEnds
-	late   // it is done, and the answer takes a while
-	breaks // a stream that goes on breaks off after some events
-	hangs  // a server takes a request and does nothing until its connection closes
-	unsent // no byte of a call leaves: no connection came up in time, or it was reset at once
+	late    // it is done, and the answer takes a while
+	breaks  // a stream that goes on breaks off after some events
+	hangs   // a server takes a request and does nothing until its connection closes
+	overdue // no answer comes, and a stop is carried out a while later
+	unsent  // no byte of a call leaves: no connection came up in time, or it was reset at once
 )
 
 // movers is servers whose runs move: it stands for the engines and implements Mover.
@@ -288,6 +289,9 @@
 		return Copied{}, errors.Wrap(backend.ErrNotSent, "a test's fault")
 	case effect == lost:
 		return Copied{}, errLost
+	case effect == overdue:
+		time.AfterFunc(20*time.Millisecond, func() { f.breakOff(source.ID, stop) })
+		return Copied{}, errLost
 	case effect == unsent:
 		return Copied{}, errors.Wrap(backend.ErrNotSent, "a test's fault")
 	case stop == nil && f.stopped != source.ID:
@@ -545,6 +549,26 @@
 	}
 }
 
+// TestAStopThatComesLateIsNoEnd: one that was not answered may stop the run after a later one was refused.
+func TestAStopThatComesLateIsNoEnd(t *testing.T) {
+	f := newMovers(t, false, 2, func() func(string) fault {
+		stops := 0
+		return func(step string) fault {
+			if step != "stop" {
+				return well
+			}
+			if stops++; stops == 1 {
+				return overdue
+			}
+			return refused
+		}
+	}())
+	f.unframed, f.total = true, 100
+	if err := f.check(f.play(), false); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestAStopIsNoEndOfAServer: that a source closes a stream which it was asked to stop is no evidence
 // against the request, though the source is gone soon.
 func TestAStopIsNoEndOfAServer(t *testing.T) {
--- a/pkg/relay/rides.go
+++ b/pkg/relay/rides.go
@@ -87,6 +87,7 @@
 	over     bool          // the source sends no more
 	moving   chan struct{} // closed when the move under way is through; nil: none was begun
 	stopSent bool
+	stopLate bool     // a call for a stop got no answer, and may still be carried out
 	taken    bool     // the call goes on with it elsewhere
 	tried    []string // targets that had no room
 	wokeAt   time.Time
@@ -343,8 +344,8 @@
 	}
 }
 
-// stays gives a move up whose run surely did not stop: its copy is dropped, and the stream may
-// move to another server.
+// stays gives a move up whose run did not stop: its copy is dropped, and the stream may move to another
+// server.
 func (r *ride) stays() {
 	r.mu.Lock()
 	handle, over := r.handle, r.over
@@ -356,7 +357,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.tried = append(r.tried, r.target.ID)
-	r.handle, r.stopSent, r.handover, r.target = "", false, migration.Handover{}, r.backup
+	r.handle, r.stopSent, r.handover, r.target = "", r.stopLate, migration.Handover{}, r.backup
 }
 
 // stopsInFlow is how often a run that goes on is to be stopped when no answer comes.
@@ -386,6 +387,7 @@
 		r.handle = copied.Handle
 	}
 	outcome := stopOutcome(copied, err)
+	r.stopLate = r.stopLate || outcome == migration.NoAnswer
 	if outcome == migration.NotSent && !r.over {
 		r.stopSent = before
 		r.handover.Told(migration.Stop, migration.Refused)
