relay: a stream that may run anew does not wait for a copy that hangs

Cause: patience with a server that goes on from a copy was bound only where the source keeps the run. A stream that may be resumed and whose source had ended waited for a silent target until its caller left: TestACopyThatHangsIsNotWaitedFor got 105 bytes and an end after 2 s before the change. Without a copy it would have run anew after its usual patience.

Change: the same patience where the stream may run anew; it is whole in the test then.

--- a/pkg/relay/moves.go
+++ b/pkg/relay/moves.go
@@ -183,7 +183,7 @@
 	c.place.granted = time.Time{} // a run that goes on takes no turn
 	c.resumption = resumption{from: r.origin(), back: step == migration.GoBack,
 		answered: c.record.last().answered, events: c.record.events}
-	if step == migration.GoOnThere && r.handover.Kept {
+	if step == migration.GoOnThere && r.handover.Kept || c.mayRunAgain() {
 		c.resumption.patience = max(leastGap, gapFactor*c.route.GapTarget)
 	}
 	v, err = c.try(ctx, r.end(step))
--- a/pkg/relay/moves_test.go
+++ b/pkg/relay/moves_test.go
@@ -741,3 +741,25 @@
 		t.Error("a copy of the next life was dropped")
 	}
 }
+
+// TestACopyThatHangsIsNotWaitedFor: a stream that may run anew does so once the server with its copy shows
+// no sign of it.
+func TestACopyThatHangsIsNotWaitedFor(t *testing.T) {
+	f := newMovers(t, true, 2, onlyOnce(map[string]fault{"go on": hangs}))
+	e := f.relay.Routes().Service("s").Engine
+	e.Moves, e.Backups, e.CacheTokens = false, true, 60_000
+	f.relay.rides.connectionBroke("server-0", time.Now())
+	request := f.request(t.Context(), http.MethodPost, "/p/x", f.id, "x")
+	request.Header.Set(testHeaders.Model, "m")
+	request.Header.Set(tokensHeader, "2000,200")
+	done := make(chan answer, 1)
+	go func() { done <- f.do(request) }()
+	for f.made.Load() < 5 {
+		time.Sleep(time.Millisecond)
+	}
+	f.crash("server-0")
+	got := <-done
+	if err := f.check(got, true); err != nil || got.err != nil || f.backup == "" {
+		t.Errorf("%v; backup at %q; the caller got %d bytes, %v", err, f.backup, len(got.body), got.err)
+	}
+}
