--- a/pkg/relay/moves_test.go
+++ b/pkg/relay/moves_test.go
@@ -30,9 +30,11 @@
 	halfLost         // it is done, no answer comes
 	sourceEnds       // before it is done
 	targetEnds
-	late   // it is done, and the answer takes a while
-	breaks // a stream that goes on breaks off after some events
-	hangs  // a server takes a request and does nothing until its connection closes
+	late    // it is done, and the answer takes a while
+	breaks  // a stream that goes on breaks off after some events
+	hangs   // a server takes a request and does nothing until its connection closes
+	overdue // no answer comes, and a stop is carried out a while later
+	unsent  // no byte of a call leaves: no connection came up in time, or it was reset at once
 )
 
 // movers is servers whose runs move: it stands for the engines and implements Mover.
@@ -287,6 +289,11 @@
 		return Copied{}, errors.Wrap(backend.ErrNotSent, "a test's fault")
 	case effect == lost:
 		return Copied{}, errLost
+	case effect == overdue:
+		time.AfterFunc(20*time.Millisecond, func() { f.breakOff(source.ID, stop) })
+		return Copied{}, errLost
+	case effect == unsent:
+		return Copied{}, errors.Wrap(backend.ErrNotSent, "a test's fault")
 	case stop == nil && f.stopped != source.ID:
 		return Copied{Result: CopyNoRun}, nil
 	}
@@ -472,7 +479,10 @@
 		if random.IntN(2) == 0 {
 			return well
 		}
-		return fault(random.IntN(int(breaks) + 1))
+		if effect := fault(random.IntN(int(breaks) + 2)); effect <= breaks {
+			return effect
+		}
+		return unsent
 	}
 }
 
@@ -520,6 +530,45 @@
 	}
 }
 
+// TestAStopThatDidNotLeaveStopsNothing: while the stream flows, a call that found no connection is no
+// evidence that the source works on it no more. An answer without a frame that ends is whole then.
+func TestAStopThatDidNotLeaveStopsNothing(t *testing.T) {
+	f := newMovers(t, false, 2, func(step string) fault {
+		if step == "stop" {
+			return unsent
+		}
+		return well
+	})
+	f.unframed = true
+	got := f.play()
+	if err := f.check(got, false); err != nil || got.err != nil {
+		t.Errorf("%v, %v", err, got.err)
+	}
+	if a := f.arrivals(); len(a) != 1 {
+		t.Errorf("the stream moved though its source did not stop: %+v", a)
+	}
+}
+
+// TestAStopThatComesLateIsNoEnd: one that was not answered may stop the run after a later one was refused.
+func TestAStopThatComesLateIsNoEnd(t *testing.T) {
+	f := newMovers(t, false, 2, func() func(string) fault {
+		stops := 0
+		return func(step string) fault {
+			if step != "stop" {
+				return well
+			}
+			if stops++; stops == 1 {
+				return overdue
+			}
+			return refused
+		}
+	}())
+	f.unframed, f.total = true, 100
+	if err := f.check(f.play(), false); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestAStopIsNoEndOfAServer: that a source closes a stream which it was asked to stop is no evidence
 // against the request, though the source is gone soon.
 func TestAStopIsNoEndOfAServer(t *testing.T) {
@@ -564,6 +613,24 @@
 	}
 }
 
+// TestMovesInVainEnd: a stream whose targets all refuse it goes back a few times and then stays.
+func TestMovesInVainEnd(t *testing.T) {
+	f := newMovers(t, false, 2, func(step string) fault {
+		if step == "go on" {
+			return refused
+		}
+		return well
+	})
+	f.total, f.pace = 400, 2*time.Millisecond
+	got := f.play()
+	if err := f.check(got, false); err != nil || got.err != nil {
+		t.Errorf("%v, %v", err, got.err)
+	}
+	if n := len(f.arrivals()); n > 1+2*maxVainMoves {
+		t.Errorf("%d arrivals at servers", n)
+	}
+}
+
 // TestNothingGoesBackOnceASourceTakesNoMore: a server that leaves gets nothing after a time.
 func TestNothingGoesBackOnceASourceTakesNoMore(t *testing.T) {
 	f := newMovers(t, false, 2, onlyOnce(map[string]fault{"go on": refused}))
@@ -630,3 +697,69 @@
 		})
 	}
 }
+
+// ridesFor returns a ride at the first server of a site, and its call.
+func ridesFor(t *testing.T) (*ride, *site) {
+	s := newSite(t, streamRoute(true), sealed(http.StatusOK, "good"))
+	s.relay.Mover, s.relay.DrainTime = &movers{site: s}, 5*time.Second
+	c := &call{relay: s.relay, id: "id-1"}
+	return &ride{call: c, source: s.relay.Servers.Snapshot().Member("server-0"), table: &s.relay.rides}, s
+}
+
+// TestACallerThatLeavesDuringAMoveLeft: its stream is not tried elsewhere, and nothing is held against
+// the server.
+func TestACallerThatLeavesDuringAMoveLeft(t *testing.T) {
+	r, _ := ridesFor(t)
+	r.moving = make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if v, err := r.call.brokeOff(ctx, r, backend.ErrBroken); v != gone || !errors.Is(err, context.Canceled) {
+		t.Errorf("verdict %d, %v", v, err)
+	}
+}
+
+// TestNothingGoesBackToTheNextLife: it answers to the name of its source, and what a handle of the earlier
+// life named may be another's there.
+func TestNothingGoesBackToTheNextLife(t *testing.T) {
+	r, s := ridesFor(t)
+	leaving := *s.servers[0]
+	leaving.Draining = true
+	s.relay.Servers.Replace([]*backend.Server{&leaving}, 2)
+	if !r.call.mayGoBack(r) {
+		t.Error("a source that leaves is not gone back to")
+	}
+	next := *s.servers[0]
+	next.ID = backend.Life{Instance: next.ID, Born: 7}.ID()
+	s.relay.Servers.Replace([]*backend.Server{&next}, 3)
+	if r.call.mayGoBack(r) {
+		t.Error("a stream goes back to the next life of its source")
+	}
+	mover := s.relay.Mover.(*movers)
+	mover.handle = "h1"
+	r.dropHandle("h1")
+	if mover.handle == "" {
+		t.Error("a copy of the next life was dropped")
+	}
+}
+
+// TestACopyThatHangsIsNotWaitedFor: a stream that may run anew does so once the server with its copy shows
+// no sign of it.
+func TestACopyThatHangsIsNotWaitedFor(t *testing.T) {
+	f := newMovers(t, true, 2, onlyOnce(map[string]fault{"go on": hangs}))
+	e := f.relay.Routes().Service("s").Engine
+	e.Moves, e.Backups, e.CacheTokens = false, true, 60_000
+	f.relay.rides.connectionBroke("server-0", time.Now())
+	request := f.request(t.Context(), http.MethodPost, "/p/x", f.id, "x")
+	request.Header.Set(testHeaders.Model, "m")
+	request.Header.Set(tokensHeader, "2000,200")
+	done := make(chan answer, 1)
+	go func() { done <- f.do(request) }()
+	for f.made.Load() < 5 {
+		time.Sleep(time.Millisecond)
+	}
+	f.crash("server-0")
+	got := <-done
+	if err := f.check(got, true); err != nil || got.err != nil || f.backup == "" {
+		t.Errorf("%v; backup at %q; the caller got %d bytes, %v", err, f.backup, len(got.body), got.err)
+	}
+}
--- a/pkg/relay/rides.go
+++ b/pkg/relay/rides.go
@@ -87,6 +87,7 @@
 	over     bool          // the source sends no more
 	moving   chan struct{} // closed when the move under way is through; nil: none was begun
 	stopSent bool
+	stopLate bool     // a call for a stop got no answer, and may still be carried out
 	taken    bool     // the call goes on with it elsewhere
 	tried    []string // targets that had no room
 	wokeAt   time.Time
@@ -108,10 +109,11 @@
 }
 
 // board registers a stream at a server, nil if the stream can't move: its engine can't, nobody
-// could say what is to move, or it is suspected to end servers and stays where it is.
+// could say what is to move, it moved in vain too often, or it is suspected to end servers and stays
+// where it is.
 func (c *call) board(m *backend.Member) *ride {
 	r := c.relay
-	if c.engine == nil || r.Mover == nil || c.id == "" || !c.engine.Moves && c.backup == nil {
+	if c.engine == nil || r.Mover == nil || c.id == "" || !c.engine.Moves && c.backup == nil || c.vainMoves >= maxVainMoves {
 		return nil
 	}
 	if q := r.Quarantine; q != nil && q.Standing(c.fingerprint) != quarantine.Free {
@@ -332,7 +334,7 @@
 	}
 	for range stopsInFlow {
 		switch r.stop(limit) {
-		case migration.NoAnswer:
+		case migration.NoAnswer, migration.NotSent:
 		case migration.Refused:
 			r.stays()
 			return
@@ -342,8 +344,8 @@
 	}
 }
 
-// stays gives a move up whose run surely did not stop: its copy is dropped, and the stream may
-// move to another server.
+// stays gives a move up whose run did not stop: its copy is dropped, and the stream may move to another
+// server.
 func (r *ride) stays() {
 	r.mu.Lock()
 	handle, over := r.handle, r.over
@@ -355,7 +357,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.tried = append(r.tried, r.target.ID)
-	r.handle, r.stopSent, r.handover, r.target = "", false, migration.Handover{}, r.backup
+	r.handle, r.stopSent, r.handover, r.target = "", r.stopLate, migration.Handover{}, r.backup
 }
 
 // stopsInFlow is how often a run that goes on is to be stopped when no answer comes.
@@ -370,9 +372,11 @@
 	return !r.over
 }
 
-// stop has the source stop the run and copy the rest.
+// stop has the source stop the run and copy the rest. A call that does not leave tells nothing of a
+// source whose stream flows: it may be that it takes no more connections.
 func (r *ride) stop(limit time.Duration) migration.Outcome {
 	r.mu.Lock()
+	before := r.stopSent
 	r.stopSent = true
 	target := r.target
 	r.mu.Unlock()
@@ -383,6 +387,12 @@
 		r.handle = copied.Handle
 	}
 	outcome := stopOutcome(copied, err)
+	r.stopLate = r.stopLate || outcome == migration.NoAnswer
+	if outcome == migration.NotSent && !r.over {
+		r.stopSent = before
+		r.handover.Told(migration.Stop, migration.Refused)
+		return outcome
+	}
 	r.handover.Told(migration.Stop, outcome)
 	return outcome
 }
@@ -503,7 +513,11 @@
 	}
 }
 
+// dropHandle frees a copy. The source's next life has none of it.
 func (r *ride) dropHandle(handle string) {
+	if r.rebornSource() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), dropTime)
 	defer cancel()
 	if err := r.call.relay.Mover.Drop(ctx, r.source, handle); err != nil {
