admission: comments and names that a newcomer stumbles over

Read as somebody who knows Go and serving systems, but not these sessions: units of tokens and times were missing on fields, one comment stood for three constants, bounds had no line of their own (calmShare, crowdWaiting, leastWait), 'the news are waited for' did not say that they go out at once, lastTime is how long a refusal holds, a method named crowd returned a bool beside one that returns a crowd, a Work was called parts, inTime did not look at whether anything is in time. One bare time.Second has a name. No decision changes.

go test ./pkg/admission passes.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -1,9 +1,9 @@
 // Package admission decides which requests go to servers that are crowded, and when.
 //
 // It answers this load: a model whose demand rises has two or three replicas and gets no more
-// for longer than callers wait, while its requests come in at dozens of nodes of which each sees
-// a few. Prompts are read one after the other, so that each one that is let in makes all behind
-// it later: a request that can't be in time any more has those behind it late as well.
+// for longer than callers wait, while its requests come in at dozens of nodes, each of which sees
+// a few. Prompts are read one after the other, so that each one that is let in delays all behind
+// it: one that can no longer be in time makes those behind it late as well.
 //
 // Model is the belief of the one node that is asked: what runs at the servers, what of its
 // prompts is still to be read and how fast each server reads. Ledger is the part of every node:
@@ -31,11 +31,14 @@
 
 // Work is what a request brings to a server.
 type Work struct {
-	Tokens int // of its prompt
-	Out    int // likely tokens of the answer
-	Parts  []prompt.Part
+	Tokens int           // of its prompt
+	Out    int           // likely tokens of the answer
+	Parts  []prompt.Part // of its prompt, in order; the last one is the request's own
 }
 
+// memory returns what the work takes of a server's memory, in tokens.
+func (w *Work) memory() int { return w.Tokens + w.Out }
+
 // Request asks for a place. Durations count from when it is asked.
 type Request struct {
 	Place    Place
@@ -50,6 +53,9 @@
 	Servers  []string      // that may get it, the one that its node would choose first
 }
 
+// routeTarget returns the target of the request's route: what is left of it, and what has passed.
+func (r *Request) routeTarget() time.Duration { return r.Target + r.Waited }
+
 // Kind is what is to be done with a request.
 type Kind uint8
 
@@ -101,14 +107,15 @@
 	Granted bool // by the word of the one who is asked now
 }
 
-// Bounds of what is believed; what lies beyond is a fault of the one who tells it.
+// Bounds of what is believed; what lies beyond is a fault of the node that tells it.
 const (
 	mostTokens  = 1 << 24          // of a prompt or an answer
-	mostTime    = 10 * time.Minute // of a request
+	mostTime    = 10 * time.Minute // for any duration of a request, and for ages
 	mostServers = 64               // named by one request
-	mostParts   = 64
+	mostParts   = 64               // of one prompt
 )
 
+// valid tells whether the sizes can be believed.
 func (w *Work) valid() bool {
 	if w.Tokens < 0 || w.Tokens > mostTokens || w.Out < 0 || w.Out > mostTokens || len(w.Parts) > mostParts {
 		return false
@@ -121,7 +128,8 @@
 	return true
 }
 
-func inTime(list ...time.Duration) bool {
+// plausible tells whether durations of a request can be believed; those that are over are negative.
+func plausible(list ...time.Duration) bool {
 	for _, d := range list {
 		if d < -mostTime || d > mostTime {
 			return false
@@ -133,11 +141,11 @@
 // Valid tells whether a request can be decided on.
 func (r *Request) Valid() bool {
 	return r.Work.valid() && r.Place.Node != "" && r.Key.Model != "" && r.Rank >= 0 && len(r.Servers) > 0 &&
-		len(r.Servers) <= mostServers && inTime(r.Target, r.Patience, r.Left, r.Waited)
+		len(r.Servers) <= mostServers && plausible(r.Target, r.Patience, r.Left, r.Waited)
 }
 
 // Valid tells whether a report can be believed.
 func (r *Report) Valid() bool {
 	return r.Work.valid() && r.Key.Model != "" && r.Rank >= 0 && r.Sent >= 0 && r.First >= 0 &&
-		inTime(r.Target, r.Sent, r.First, r.Left)
+		plausible(r.Target, r.Sent, r.First, r.Left)
 }
--- a/pkg/admission/crowd.go
+++ b/pkg/admission/crowd.go
@@ -6,21 +6,26 @@
 	"time"
 )
 
-// When a model counts as crowded: what is unread at its replicas, in the mean, takes so much of
-// the target of those that wait for it. Half of it: a request then finds the other half for its
-// own prompt and the first tokens, and is late if it meets the fuller one of two replicas, which
-// no node can tell. With less than two that wait at each replica there is nobody to put in order.
+// When a model counts as crowded.
 const (
-	crowdShare   = 0.5
-	calmShare    = 0.2
+	// crowdShare is the part of the target of those that wait which the reading of what is before
+	// them takes at the model's replicas, in the mean, from which on it is crowded. With half of it a
+	// request finds the other half for its own prompt and the first tokens, and is late if it meets
+	// the fuller one of two replicas, which no node can tell.
+	crowdShare = 0.5
+	// calmShare is the part below which the model is calm: well below crowdShare, or it would be
+	// crowded and calm in turn.
+	calmShare = 0.2
+	// crowdWaiting is how many requests wait at each replica of a crowded model, at least: with
+	// less than two there is nobody to put in order.
 	crowdWaiting = 2.0
-	// crowdTime is for how long it has to last: a few requests that come together are read within
+	// crowdTime is how long a crowd has to last: a few requests that come together are read within
 	// it, and what nodes told a moment ago may be over.
 	crowdTime = 400 * time.Millisecond
 	// calmTime is how long a model has to be calm: crowds come back, and each change is told to
 	// all nodes.
 	calmTime = 3 * time.Second
-	// mostCrowds bounds what nodes are told of.
+	// mostCrowds bounds the models that nodes are told of.
 	mostCrowds = 64
 )
 
@@ -29,11 +34,12 @@
 	key      Key
 	on       bool
 	load     float64   // share of the target that what is unread takes
-	fullFrom time.Time // since when it is as a crowd is; zero: it is not
+	fullFrom time.Time // since when it meets the bounds of a crowd; zero: it does not
 	busyAt   time.Time // when it was last not calm
 	promised time.Time // until when the room is promised to refused requests that come back
 }
 
+// crowd returns what is known of a model's crowd, made if it is new. The caller holds mu.
 func (m *Model) crowd(key Key) *crowd {
 	c := m.crowds[key]
 	if c == nil {
@@ -45,8 +51,8 @@
 
 // demand is what waits for a model's replicas.
 type demand struct {
-	waiting int
-	targets time.Duration // sum
+	waiting int           // requests
+	targets time.Duration // sum of theirs
 }
 
 // Crowded returns the models that are crowded, the most crowded first. Replicas tells the
@@ -100,9 +106,10 @@
 // backlog is what replicas have to read.
 type backlog struct {
 	replicas int
-	mean     time.Duration
+	mean     time.Duration // that one of them takes to read it
 }
 
+// unread returns what servers have to read, with that of those that wait for them.
 func (m *Model) unread(now time.Time, servers []string) backlog {
 	var sum time.Duration
 	for _, name := range servers {
--- a/pkg/admission/ledger.go
+++ b/pkg/admission/ledger.go
@@ -9,19 +9,19 @@
 
 // What a node does without the word of the one who is asked.
 const (
-	// heardTime is for how long models count as crowded after the last word of it.
+	// heardTime is how long models count as crowded after the last word of it.
 	heardTime = 3 * time.Second
-	// silentTime is for how long nobody is asked after one did not answer.
+	// silentTime is how long nobody is asked after a question was not answered.
 	silentTime = 300 * time.Millisecond
-	// lastTime is for how long a refusal holds while nobody answers.
-	lastTime = 500 * time.Millisecond
+	// refusalTime is how long a refusal holds while nobody answers.
+	refusalTime = 500 * time.Millisecond
 )
 
 // MostReports bounds what a node tells at once; it has far fewer requests at a time.
 const MostReports = 512
 
-// AgainAfter is when a request comes back that was refused by an old word: by then somebody
-// answers again, or nobody is asked.
+// AgainAfter is when a request comes back that is refused because one like it was: by then
+// somebody answers again, or nobody is asked.
 const AgainAfter = time.Second
 
 // Standing is what a node does with a request.
@@ -47,7 +47,7 @@
 type Ledger struct {
 	mu      sync.Mutex
 	count   uint64
-	open    map[uint64]*entry
+	open    map[uint64]*entry // by Place.ID
 	crowded []Key
 	heard   time.Time // when it was last told which models are crowded
 	silent  time.Time // until when nobody is asked
@@ -57,9 +57,9 @@
 // entry is a request of this node.
 type entry struct {
 	report Report
-	dies   time.Time
+	dies   time.Time // its deadline
 	sent   time.Time
-	told   bool // as it is
+	told   bool // since it last changed
 }
 
 // Told takes in which models are crowded.
@@ -80,11 +80,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch last, found := l.refused[r.Key]; {
-	case !l.crowd(now, r.Key):
+	case !l.isCrowded(now, r.Key):
 		return Free
 	case !now.Before(l.silent):
 		return Ask
-	case found && now.Sub(last.at) < lastTime && r.Rank >= last.rank && r.Target+r.Waited <= last.target:
+	case found && now.Sub(last.at) < refusalTime && r.Rank >= last.rank && r.routeTarget() <= last.target:
 		return Refused
 	}
 	return Silent
@@ -100,13 +100,14 @@
 		if l.refused == nil {
 			l.refused = make(map[Key]refusal)
 		}
-		l.refused[r.Key] = refusal{now, r.Rank, r.Target + r.Waited}
+		l.refused[r.Key] = refusal{now, r.Rank, r.routeTarget()}
 	case Go:
 		delete(l.refused, r.Key)
 	}
 }
 
-func (l *Ledger) crowd(now time.Time, key Key) bool {
+// isCrowded tells whether nodes ask for a model by the last word on it. The caller holds mu.
+func (l *Ledger) isCrowded(now time.Time, key Key) bool {
 	return now.Sub(l.heard) <= heardTime && slices.Contains(l.crowded, key)
 }
 
@@ -125,8 +126,8 @@
 	return l.count
 }
 
-// Sent notes that a request goes to a server: r tells of it, with the durations of now. It tells
-// whether the news are waited for.
+// Sent notes that a request goes to a server: r tells of it, with the durations of now. It reports
+// whether the news is to be told at once, as the request's model is crowded.
 func (l *Ledger) Sent(now time.Time, r Report) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -134,11 +135,11 @@
 		l.open = make(map[uint64]*entry)
 	}
 	l.open[r.ID] = &entry{report: r, sent: now, dies: now.Add(r.Left)}
-	return !r.Granted && l.crowd(now, r.Key)
+	return !r.Granted && l.isCrowded(now, r.Key)
 }
 
-// Answered notes that the first event of a request came. It tells whether the news are waited
-// for.
+// Answered notes that the first event of a request came. It reports whether the news is to be
+// told at once.
 func (l *Ledger) Answered(now time.Time, id uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -148,11 +149,11 @@
 	}
 	e.report.First = max(now.Sub(e.sent), 1)
 	e.told = false
-	return l.crowd(now, e.report.Key)
+	return l.isCrowded(now, e.report.Key)
 }
 
 // Ended notes that a request has ended at its server, or that it needs no place any more. It
-// tells whether the news are waited for.
+// reports whether the news is to be told at once.
 func (l *Ledger) Ended(now time.Time, id uint64, key Key) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -160,9 +161,9 @@
 	switch {
 	case e != nil:
 		e.report.Ended = true
-	case !l.crowd(now, key) || len(l.open) >= MostReports:
+	case !l.isCrowded(now, key) || len(l.open) >= MostReports:
 		return false
-	default: // it was told to wait
+	default: // it was told to wait: no server has it
 		if l.open == nil {
 			l.open = make(map[uint64]*entry)
 		}
@@ -170,16 +171,17 @@
 		l.open[id] = e
 	}
 	e.told = false
-	return l.crowd(now, key)
+	return l.isCrowded(now, key)
 }
 
-// News returns what was not told yet. What ended is told once: what gets lost of it, the next
-// Whole makes up for.
+// News returns what was not told yet, MostReports at most. An end is told once: if that is lost,
+// the next Whole makes up for it, which lacks the request.
 func (l *Ledger) News(now time.Time) []Report { return l.take(now, true) }
 
-// Whole returns all that the node has.
+// Whole returns all that the node has, MostReports at most.
 func (l *Ledger) Whole(now time.Time) []Report { return l.take(now, false) }
 
+// take returns what was not told yet, or all, with the durations of now.
 func (l *Ledger) take(now time.Time, news bool) []Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/pkg/admission/ledger_test.go
+++ b/pkg/admission/ledger_test.go
@@ -46,8 +46,8 @@
 			t.Errorf("%s: %d, want %d", c.name, got, c.want)
 		}
 	}
-	l.Unanswered(began.Add(lastTime))
-	if got := l.Look(began.Add(lastTime), r); got != Silent {
+	l.Unanswered(began.Add(refusalTime))
+	if got := l.Look(began.Add(refusalTime), r); got != Silent {
 		t.Errorf("half a second after the last word: %d", got)
 	}
 }
--- a/pkg/admission/model.go
+++ b/pkg/admission/model.go
@@ -6,11 +6,11 @@
 	"time"
 )
 
-// ways are parts of the decision that tests take away.
+// ways are parts of the decision that tests take away; the zero value is the one in use.
 type ways struct {
 	patience bool // go by when callers leave, not by when they are late
-	noMemory bool
-	noRoom   bool // for the more urgent
+	noMemory bool // no bound by servers' memory
+	noRoom   bool // none is kept for the more urgent
 }
 
 // Model is what one node believes of the crowded servers. Set the fields before the first use.
@@ -21,7 +21,7 @@
 
 	mu         sync.Mutex
 	ways       ways
-	learnUntil time.Time
+	learnUntil time.Time // before it nothing is decided
 	servers    map[string]*server
 	places     map[string]map[uint64]*held // by node
 	waiting    map[Place]*waiter
@@ -34,16 +34,17 @@
 	server string
 }
 
-// grantedAfter tells whether the place was granted after its request was sent at a time.
+// grantedAfter tells whether the place was granted here after its request was sent at a time: news
+// of that send is late, then.
 func (p *place) grantedAfter(sent time.Time) bool {
 	return p.expected > 0 && p.sent.Sub(sent) > time.Millisecond
 }
 
-// learnTime is within which a model that begins hears from all nodes what runs.
+// learnTime is the time within which a model that begins hears from all nodes what runs.
 const learnTime = 1200 * time.Millisecond
 
-// Begin forgets everything: another node knew better until now. Nothing is decided before all
-// nodes had time to tell what they have.
+// Begin forgets everything, as this node begins to decide: what it believes is older than what
+// another one knew until now. Nothing is decided before all nodes had time to tell what they have.
 func (m *Model) Begin(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -69,6 +70,7 @@
 	return s
 }
 
+// put notes a place at a server. The caller holds mu.
 func (m *Model) put(name string, s *server, p *place) {
 	s.add(p)
 	of := m.places[p.key.Node]
@@ -79,7 +81,7 @@
 	of[p.key.ID] = &held{p, name}
 }
 
-// drop forgets a place, or a wait for one.
+// drop forgets a place, or a wait for one. The caller holds mu.
 func (m *Model) drop(key Place) {
 	if w := m.waiting[key]; w != nil {
 		delete(m.waiting, key)
@@ -92,6 +94,7 @@
 	}
 }
 
+// free forgets a place. The caller holds mu.
 func (m *Model) free(h *held) {
 	delete(m.places[h.key.Node], h.key.ID)
 	if len(m.places[h.key.Node]) == 0 {
@@ -102,12 +105,13 @@
 	}
 }
 
-// lostTime is after which a place that its node does not tell of any more counts as free: a
-// verdict that is on its way to the node may cross its word.
+// lostTime is the time after which a place that its node no longer tells of counts as free: a
+// verdict that is on its way to the node may cross what the node tells.
 const lostTime = 1500 * time.Millisecond
 
-// Told takes in what a node tells. Whole: it told of all that it has. It returns one error for
-// each report that can't be believed.
+// Told takes in what a node tells; whole means that these are all requests that it has, so that
+// its other places are free, see lostTime. It returns one error for each report that can't be
+// believed.
 func (m *Model) Told(now time.Time, node string, list []Report, whole bool) []error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -127,6 +131,7 @@
 	return faults
 }
 
+// tell takes in one report. The caller holds mu.
 func (m *Model) tell(now time.Time, node string, r *Report) error {
 	if !r.Valid() {
 		return ErrReport
@@ -167,7 +172,7 @@
 // learn takes in a place that was not granted here.
 func (m *Model) learn(now time.Time, key Place, s *server, r *Report) *held {
 	p := &place{key: key, model: r.Key, need: r.Need, rank: r.Rank, target: r.Target, sent: now.Add(-r.Sent),
-		work: s.toRead(now, r.Need, r.Work), memory: r.Work.Tokens + r.Work.Out, out: r.Work.Out, parts: r.Work,
+		work: s.toRead(now, r.Need, r.Work), memory: r.Work.memory(), out: r.Work.Out, whole: r.Work,
 		dies: now.Add(r.Left + newsDelay)}
 	m.put(r.Server, s, p)
 	s.profileOf(now, r.Rank, r.Target, p.work)
@@ -184,11 +189,11 @@
 	}
 }
 
-// forgetTime is after which a server that nothing is told of is forgotten.
+// forgetTime is the time after which a server that nothing is told of is forgotten.
 const forgetTime = time.Minute
 
-// Expire forgets what is over: places whose time is, waiters that did not ask again, servers
-// that are gone.
+// Expire forgets what is over: places past their deadline, waiters that did not ask again,
+// servers that are gone.
 func (m *Model) Expire(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/pkg/admission/server.go
+++ b/pkg/admission/server.go
@@ -16,28 +16,28 @@
 type place struct {
 	key      Place
 	model    Key
-	need     string
+	need     string // see Request
 	rank     int
-	target   time.Duration
+	target   time.Duration // of its route
 	sent     time.Time
-	work     float64 // tokens to read
-	expected float64 // work until its first event when it was granted; zero: not known
-	memory   int
-	out      int
-	parts    Work
+	work     float64   // tokens to read
+	expected float64   // tokens to be read until its first event, when it was granted; zero: it was not granted here
+	memory   int       // tokens
+	out      int       // likely tokens of the answer
+	whole    Work      // as its node told it, with what the server keeps
 	first    time.Time // when its first event came; zero: not yet
-	dies     time.Time // when its time is over
+	dies     time.Time // shortly after its deadline
 	heard    time.Time // when its node last told of it
 }
 
 // profile is what was lately asked by requests of one rank.
 type profile struct {
-	target time.Duration
-	work   float64
-	at     time.Time
+	target time.Duration // the shortest
+	work   float64       // tokens to read, smoothed
+	at     time.Time     // of the last one
 }
 
-// ranks that requests have.
+// ranks is the number of ranks that are told apart; larger ones count as the last.
 const ranks = 10
 
 // server is what is believed of one life of a server.
@@ -46,7 +46,7 @@
 	places   []*place // by when they were sent
 	waiters  []*waiter
 	speed    speed
-	tokenMS  float64              // for each token of a stream, lately; zero: not known
+	tokenMS  float64              // milliseconds for each token of a stream, lately; zero: not known
 	kept     map[string]time.Time // parts of prompts, under the need, when they were last used
 	profiles [ranks]profile
 	served   [ranks]time.Time // when it last got one of the rank or of a less urgent one
@@ -60,7 +60,7 @@
 // mostKept bounds the parts that are remembered of a server.
 const mostKept = 512
 
-// newsDelay is how long the word of a first event may be on the way.
+// newsDelay is how long the news of a first event may be on the way.
 const newsDelay = 150 * time.Millisecond
 
 // load is what a server has to read.
@@ -68,7 +68,7 @@
 	unread float64 // tokens
 	speed  float64 // tokens a millisecond
 	memory int     // tokens taken
-	places int
+	places int     // requests that have one
 }
 
 // load works out what is unread by now. Places whose first event is overdue tell that the server
@@ -102,8 +102,8 @@
 	return s.places, time.Time{}
 }
 
-// silentShare is the least part of its speed that a server is taken to have only because no news
-// came: they may be lost. What its node tells of it counts in full.
+// silentShare is the least part of its believed speed that a server keeps while no news of it
+// comes, as the news may be lost. That an answer is overdue by what its node told counts in full.
 const silentShare = 0.5
 
 // overdue returns the speed by which none of the answers is overdue, at most the one believed.
@@ -122,8 +122,8 @@
 	return max(speed, leastSpeed)
 }
 
-// speedOf returns the speed of a server that had not done some work within a time, which may be
-// any if there was none.
+// speedOf returns the most that the speed of a server can be which has not done some work within a
+// time; without any time it is not bounded.
 func speedOf(work float64, d time.Duration) float64 {
 	if d <= 0 {
 		return mostSpeed
@@ -131,6 +131,7 @@
 	return work / (float64(d) / float64(time.Millisecond))
 }
 
+// later returns the later of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -138,8 +139,8 @@
 	return b
 }
 
-// tail returns the work from the end of a prompt's reading to the first event, with so much
-// unread behind it: the prompts behind are read between the tokens of the event.
+// tail returns the work from the end of a prompt's reading to its first event, if so many tokens
+// are unread behind it: the prompts behind are read between the tokens of the event.
 func (s *server) tail(behind float64) float64 {
 	events := float64(max(s.engine.EventTokens, 1))
 	return events*stepWork + min(behind, events*pieceTokens)
@@ -180,12 +181,12 @@
 	s.places = slices.DeleteFunc(s.places, func(other *place) bool { return other == p })
 }
 
-// answered takes in that the first event of a place came, a time after it was sent. What came
-// between, as prompts that were read in the midst, makes the server count as slower, so that
-// predictions hold in the mean.
+// answered takes in that the first event of a place came so long after it was sent. Prompts that
+// came later and were read meanwhile make the server count as slower, so that predictions hold in
+// the mean.
 func (s *server) answered(now time.Time, p *place, after time.Duration) {
 	p.first = p.sent.Add(after)
-	s.keep(p.first, p.need, p.parts)
+	s.keep(p.first, p.need, p.whole)
 	if after < time.Millisecond || after > mostTime {
 		return
 	}
@@ -197,7 +198,7 @@
 	s.speed.add(now, work, after)
 }
 
-// unreadAt returns what was before a request that was sent at a time, as far as nodes told.
+// unreadAt returns what was unread before a request when it was sent, as far as nodes told.
 func (s *server) unreadAt(sent time.Time) float64 {
 	sum := 0.0
 	for _, p := range s.places {
--- a/pkg/admission/speed.go
+++ b/pkg/admission/speed.go
@@ -7,12 +7,13 @@
 
 // How fast a server reads, in tokens of prompts a millisecond.
 const (
-	// cautiousSpeed is believed of a server that nothing is known of: about what the slowest
-	// read of those that serve long prompts. A server that is faster shows it with its first
-	// answers; one that were taken for faster than it is would get what it can't read in time.
+	// cautiousSpeed is believed of a server of which nothing is known: about that of the slowest
+	// servers of long prompts. A faster one shows it with its first answers; one taken for faster
+	// than it is would get what it can't read in time.
 	cautiousSpeed = 16.0
-	leastSpeed    = 0.5
-	mostSpeed     = 1000.0
+	// leastSpeed and mostSpeed are far beyond what any engine shows; samples beyond are faults.
+	leastSpeed = 0.5
+	mostSpeed  = 1000.0
 	// speedMemory is how long what a server did tells of what it will do: it turns slow or fast
 	// again within some seconds (noisy neighbours), and differs from others for good.
 	speedMemory = 30 * time.Second
@@ -29,7 +30,7 @@
 
 // speed is what is known of a server's reading.
 type speed struct {
-	mean, deviation float64
+	mean, deviation float64 // tokens a millisecond
 	samples         int
 	at              time.Time // of the newest
 }
--- a/pkg/admission/verdict.go
+++ b/pkg/admission/verdict.go
@@ -27,10 +27,15 @@
 const (
 	// shallow is what a server has to read so that it is not idle before the next verdict: news of
 	// its progress and a node's next question take less.
-	shallow    = 250 * time.Millisecond
+	shallow = 250 * time.Millisecond
+	// leastWait and mostWait bound the wait before a request asks again. The latter is below
+	// shallow, so that no server is idle meanwhile.
 	leastWait  = 20 * time.Millisecond
 	mostWait   = 120 * time.Millisecond
 	waiterTime = 2 * time.Millisecond // for each that waits, so that they ask 500 times a second at most
+	// mostTurnover bounds the time after which one of a server's places is taken to be free, as the
+	// lengths of answers are guesses.
+	mostTurnover = time.Second
 )
 
 // When refused requests come back.
@@ -51,12 +56,12 @@
 type waiter struct {
 	place  Place
 	model  Key
-	target time.Duration
-	server string
+	target time.Duration // of its route
+	server string        // with the soonest room
 	order  order
-	work   float64
-	memory int
-	until  time.Time
+	work   float64   // tokens to read
+	memory int       // tokens
+	until  time.Time // when it counts as gone if it did not ask again
 }
 
 // order is who goes first: the more urgent; then who can still be in time; then whose time
@@ -82,9 +87,9 @@
 	name     string
 	server   *server
 	load     load
-	own      float64
-	unread   float64       // with that of waiters that go before it
-	expected float64       // work until its first event
+	own      float64       // tokens that the server reads of its prompt
+	unread   float64       // tokens, with those of waiters that go before it
+	expected float64       // tokens to be read until its first event
 	first    time.Duration // until its first event
 	open     bool          // it may go now
 	wait     time.Duration // until it may, about
@@ -102,7 +107,7 @@
 	if now.Before(m.learnUntil) {
 		return Verdict{}, nil
 	}
-	o := order{rank: min(r.Rank, ranks-1), due: now.Add(time.Duration(dueShare*float64(r.Target+r.Waited)) - r.Waited)}
+	o := order{rank: min(r.Rank, ranks-1), due: now.Add(time.Duration(dueShare*float64(r.routeTarget())) - r.Waited)}
 	limit := time.Duration(inTimeShare * float64(r.Target))
 	if m.ways.patience {
 		limit = time.Duration(patienceShare * float64(r.Patience))
@@ -124,9 +129,9 @@
 	return m.decideLate(now, r, o, list), nil
 }
 
-// turnTime is after how long without one of a rank, or of a less urgent one, a server takes the
-// next that comes, whatever more urgent ones wait: one prompt in two seconds makes few of those
-// late, and the callers of nearly all ranks wait for longer than that.
+// turnTime is the time after which a server that got no request of a rank, or of a less urgent
+// one, takes the next of that rank whatever more urgent ones wait: one prompt in two seconds makes
+// few of those late, and the callers of nearly all ranks wait for longer than that.
 const turnTime = 2 * time.Second
 
 // turn returns a server that is due to take one of the request's rank, nil if there is none.
@@ -195,9 +200,9 @@
 
 // ahead is what waits and goes before a request.
 type ahead struct {
-	work   float64
-	memory int
-	count  int
+	work   float64 // tokens to read
+	memory int     // tokens
+	count  int     // requests
 }
 
 // before returns what waits for any of the servers and goes before a request: who waits longest
@@ -253,12 +258,12 @@
 // what waits before it.
 func (p *prospect) hasRoom(r *Request, waiting ahead, share float64, ways ways) bool {
 	if p.load.places == 0 {
-		return true // what is larger than its memory it turns away itself
+		return true // the server itself turns away what is larger than its memory
 	}
 	if p.load.places+int(share*float64(waiting.count)) >= p.server.engine.Slots {
 		return false
 	}
-	taken := p.load.memory + int(share*float64(waiting.memory)) + r.Work.Tokens + r.Work.Out
+	taken := p.load.memory + int(share*float64(waiting.memory)) + r.Work.memory()
 	return ways.noMemory || taken <= int(memoryShare*float64(p.server.engine.CacheTokens))
 }
 
@@ -269,7 +274,7 @@
 	for _, p := range s.places {
 		sum += float64(p.out) * s.tokenMS * l.speed
 	}
-	return min(duration(sum/float64(max(l.places, 1)), l.speed), time.Second)
+	return min(duration(sum/float64(max(l.places, 1)), l.speed), mostTurnover)
 }
 
 // depth returns how much a server may have to read before a request of a rank that goes there and
@@ -293,8 +298,8 @@
 // grant gives a request its place.
 func (m *Model) grant(now time.Time, r *Request, best *prospect) Verdict {
 	s := best.server
-	p := &place{key: r.Place, model: r.Key, need: r.Need, rank: r.Rank, target: r.Target + r.Waited, sent: now, work: best.own,
-		expected: best.expected, memory: r.Work.Tokens + r.Work.Out, out: r.Work.Out, parts: r.Work,
+	p := &place{key: r.Place, model: r.Key, need: r.Need, rank: r.Rank, target: r.routeTarget(), sent: now, work: best.own,
+		expected: best.expected, memory: r.Work.memory(), out: r.Work.Out, whole: r.Work,
 		dies: now.Add(r.Left + newsDelay), heard: now}
 	m.put(best.name, s, p)
 	s.profileOf(now, r.Rank, p.target, best.own)
@@ -307,16 +312,16 @@
 	s := best.server
 	after := max(best.wait, leastWait, time.Duration(len(s.waiters))*waiterTime)
 	after = min(after, max(mostWait, time.Duration(len(s.waiters))*waiterTime))
-	w := &waiter{place: r.Place, model: r.Key, target: r.Target + r.Waited, server: best.name, order: o, work: best.own, memory: r.Work.Tokens + r.Work.Out,
+	w := &waiter{place: r.Place, model: r.Key, target: r.routeTarget(), server: best.name, order: o, work: best.own, memory: r.Work.memory(),
 		until: now.Add(after + newsDelay)}
 	s.waiters = append(s.waiters, w)
 	m.waiting[r.Place] = w
-	s.profileOf(now, r.Rank, r.Target+r.Waited, best.own)
+	s.profileOf(now, r.Rank, r.routeTarget(), best.own)
 	return Verdict{Kind: Wait, First: best.first, After: after, Age: now.Sub(s.heard)}
 }
 
-// refuse tells a request when there should be room. What was told to come back before it is
-// counted.
+// refuse tells a request when there should be room, behind the refused ones that were told to come
+// back before it.
 func (m *Model) refuse(now time.Time, r *Request, best *prospect) Verdict {
 	speed := 0.0
 	for _, name := range r.Servers {
@@ -329,6 +334,7 @@
 	if away > mostAway { // spread by the count of the node that asks: all would come at once
 		away = mostAway - time.Duration(r.Place.ID%awayParts)*mostAway/(4*awayParts)
 	}
-	c.promised = now.Add(min(away+duration(best.own, max(speed, leastSpeed)), mostAway+1))
+	room := away + duration(best.own, max(speed, leastSpeed))
+	c.promised = now.Add(min(room, mostAway+1)) // beyond mostAway, the next one is spread
 	return Verdict{Kind: Refuse, First: best.first, After: away, Age: now.Sub(best.server.heard)}
 }
