prompt, enginetest: what fields hold, and what zero means

A newcomer could not tell the three counts of a Prompt apart without its accessors, 'tells nothing' stood for 'is not known', and the fields of the engine in virtual time read as fragments ('of one token of each running request', 'by which all is faster'). Comments only.

go test of both packages passes.

--- a/pkg/enginetest/engine.go
+++ b/pkg/enginetest/engine.go
@@ -1,6 +1,6 @@
 // Package enginetest has a small stand-in for an engine in virtual time, by which tests of
-// decisions see what callers get: a batch that reads prompts in pieces between the tokens of
-// others, bounded memory with kept prompt parts, and a speed of its own.
+// decisions see what callers get. It has a batch that reads prompts in pieces between the tokens
+// of other requests, bounded memory with kept parts of prompts, and a speed of its own.
 package enginetest
 
 import (
@@ -14,14 +14,15 @@
 // Engine is one server. Set the exported fields before the first Add; those that are zero
 // take the values of Default.
 type Engine struct {
-	Slots        int           // requests that run at once
-	CacheTokens  int           // that running requests and kept parts take together
-	Piece        int           // tokens of prompts that one step reads at most
-	Step         time.Duration // of one token of each running request
-	StepPerSlot  time.Duration // more for each running request
-	ReadsPerMS   float64       // tokens of prompts
-	Speed        float64       // by which all is faster
-	EventTokens  int           // in one event
+	Slots       int           // requests that run at once
+	CacheTokens int           // that running requests and kept parts take together
+	Piece       int           // tokens of prompts that one step reads at most
+	Step        time.Duration // in which each running request gets a token, without reading
+	StepPerSlot time.Duration // by which each running request makes a step longer
+	ReadsPerMS  float64       // tokens of prompts
+	Speed       float64       // by which all of that is faster
+	EventTokens int           // in one event
+
 	now          time.Duration
 	waiting      []*Run
 	running      []*Run
@@ -30,7 +31,7 @@
 	tokensReused int
 }
 
-// Default is an engine like those that serve long prompts.
+// Default is an engine like those that serve long prompts. It is not to be changed.
 var Default = Engine{Slots: 48, CacheTokens: 250_000, Piece: 1024, Step: 4430 * time.Microsecond,
 	StepPerSlot: 19 * time.Microsecond, ReadsPerMS: 38, Speed: 1, EventTokens: 6}
 
@@ -45,10 +46,11 @@
 	End   time.Duration // zero: it runs on
 	Pause time.Duration // longest between two events
 
-	toRead, made int
-	eventAt      time.Duration
+	toRead, made int           // tokens
+	eventAt      time.Duration // when its last event came
 }
 
+// keptPart is a part of a prompt in the engine's memory.
 type keptPart struct {
 	id     string
 	tokens int
@@ -92,7 +94,7 @@
 	return sum
 }
 
-// Advance has the engine work until a time.
+// Advance has the engine work until a time; the last step may end later.
 func (e *Engine) Advance(until time.Duration) {
 	e.setDefaults()
 	for e.now < until {
@@ -105,6 +107,7 @@
 	}
 }
 
+// setDefaults sets the fields that are zero.
 func (e *Engine) setDefaults() {
 	e.Slots = cmp.Or(e.Slots, Default.Slots)
 	e.CacheTokens = cmp.Or(e.CacheTokens, Default.CacheTokens)
--- a/pkg/prompt/prompt.go
+++ b/pkg/prompt/prompt.go
@@ -14,12 +14,12 @@
 	Tokens int
 }
 
-// Prompt is the work that a request brings. The zero value tells nothing.
+// Prompt is the work that a request brings. In the zero value nothing is known.
 type Prompt struct {
-	tokens int
-	most   int
-	likely int
-	parts  []Part
+	tokens int    // of the prompt; zero: not told
+	most   int    // tokens of the answer; zero: not told
+	likely int    // tokens of the answer; zero: not told
+	parts  []Part // in order; nil: not told
 }
 
 // Tokens returns the length of the prompt, zero if it is not told.
@@ -37,8 +37,8 @@
 	return p.most
 }
 
-// Parts returns the parts in order; the last one belongs to the request or its session alone.
-// The slice is not to be changed.
+// Parts returns the parts in order, nil if they are not told; the last one belongs to the request
+// or its session alone. The slice is not to be changed.
 func (p *Prompt) Parts() []Part { return p.parts }
 
 // SharedTokens returns how much of the prompt other requests may have brought as well.
@@ -60,6 +60,7 @@
 	return shared[len(shared)-1].ID
 }
 
+// shared returns all parts but the last.
 func (p *Prompt) shared() []Part {
 	if len(p.parts) < 2 {
 		return nil
@@ -67,14 +68,14 @@
 	return p.parts[:len(p.parts)-1]
 }
 
-// Bounds of what a caller may tell; what lies beyond tells nothing.
+// Bounds of what a caller may tell; a field beyond them counts as not told.
 const (
 	mostTokens = 1 << 24 // of a prompt or an answer
 	mostParts  = 64
 	mostIDLen  = 64 // bytes
 )
 
-// Fields are the texts that tell of a prompt, as a caller sends them; empty ones tell nothing.
+// Fields are the texts in which a caller tells of a prompt; an empty one is not told.
 type Fields struct {
 	Tokens string // of the prompt, and the most of the answer: "1460,80"
 	Parts  string // ID:TOKENS, separated by commas
@@ -95,7 +96,7 @@
 	return p
 }
 
-// number reads a count of tokens, zero if it is none.
+// number reads a count of tokens, zero if the text is none or out of bounds.
 func number(text string) int {
 	n, err := strconv.ParseUint(strings.TrimSpace(text), 10, 32)
 	if err != nil || n > mostTokens {
