--- a/pkg/affinity/affinity.go
+++ b/pkg/affinity/affinity.go
@@ -1,16 +1,16 @@
 // Package affinity decides at which replica of a model a request is best read, by what all
 // nodes know alike and without a message between them.
 //
-// The load it answers: prompts of thousands of tokens of which two thirds are parts that
-// others brought before, beside urgent streams whose events may not pause. Tens of nodes each
-// see a few in a hundred of the requests, so that what a node itself has running tells
+// The load it answers: prompts of thousands of tokens, of which two thirds are parts that
+// others brought before, beside urgent streams whose events may not pause. Each of tens of nodes
+// sees a few in a hundred of the requests, so that what a node itself has running tells
 // nearly nothing, and a choice by it is a random one: each replica reads and keeps each
 // shared part, and each stream runs beside the reading of long prompts.
 //
 // Two preferences answer it. By affinity, requests that share parts go to the same replica,
-// the first in an order of rendezvous hashing over the replicas' lives: what was kept at a
-// lost one moves, and nothing else. By lanes, requests that are long to read keep to the
-// replicas at one end of an order of all servers, short ones whose pauses count to those at
+// the first in an order of rendezvous hashing over the replicas' lives: when one is lost, the
+// parts that it kept go elsewhere, and no others. By lanes, requests that are long to read keep to
+// the replicas at one end of an order of all servers, short ones whose pauses count to those at
 // the other end, so that over all models the servers of one end read few long prompts.
 package affinity
 
@@ -29,7 +29,7 @@
 const (
 	AnyLane   Lane = iota // it makes no difference
 	ShortLane             // short to read, and its pauses count
-	LongLane              // its reading makes the pauses of others
+	LongLane              // its reading makes others pause
 )
 
 // String names the lane in logs.
@@ -44,7 +44,7 @@
 	}
 }
 
-// Terms are the bounds of a request by its route and engine. Zeros tell nothing.
+// Terms are the bounds of a request by its route and engine. A field that is zero is not known.
 type Terms struct {
 	Target      time.Duration // within which the first event is in time
 	GapTarget   time.Duration // longest pause between events that is in time
@@ -55,28 +55,28 @@
 // the slowest servers met, half of the usual one. What seems short by it is short anywhere.
 const readsPerMS = 20
 
-// What makes a difference to callers.
+// From where on reading makes a difference to callers.
 const (
 	// targetShare is the least part of a route's target that kept parts must save: less
 	// does not make late answers timely, and one replica would be crowded for nothing.
 	targetShare = 0.1
-	// mostSaving is a saving that counts whatever the target is, for it is taken from the
-	// reading that others wait for.
+	// mostSaving is a saving that counts whatever the target is, as it shortens the reading that
+	// others wait for.
 	mostSaving = 100 * time.Millisecond
 	// fullSaving is the number of least savings from which on the preference has its whole
 	// strength.
 	fullSaving = 4
-	// longShare is the least part of the longest pause in time that reads a long prompt: two
-	// that meet then make a stream beside them late.
+	// longShare is the part of the longest pause in time that the reading of a long prompt takes
+	// at least: two that meet then make a stream beside them late.
 	longShare = 0.5
 )
 
-// Request is what the preferences follow of a request. The zero value prefers nothing.
+// Request is what decides on the preferences of a request. The zero value prefers nothing.
 type Request struct {
-	key      uint64 // of the shared parts; zero: no preference
-	strength float64
+	key      uint64  // of the shared parts; zero: none that count
+	strength float64 // from 0 to 1, see Strength
 	lane     Lane
-	reads    time.Duration
+	reads    time.Duration // that its whole prompt takes to be read
 }
 
 // Of returns what a request for a model, and perhaps an adapter, prefers.
@@ -91,7 +91,7 @@
 	return r
 }
 
-// Lane returns where the request is served best.
+// Lane returns at which end of the order of servers the request is served best.
 func (r *Request) Lane() Lane { return r.lane }
 
 // Shares tells whether the request prefers the replica that read its shared parts before.
@@ -100,6 +100,7 @@
 // Strength returns how much the shared parts save, from 0 to 1.
 func (r *Request) Strength() float64 { return r.strength }
 
+// readingTime returns how long a slow server reads so many tokens.
 func readingTime(tokens int) time.Duration {
 	return time.Duration(tokens) * time.Millisecond / readsPerMS
 }
@@ -112,7 +113,7 @@
 	return min(time.Duration(targetShare*float64(t.Target)), mostSaving)
 }
 
-// mostEventTokens bounds what is believed of events.
+// mostEventTokens bounds what a configuration may tell of events, so that no product overflows.
 const mostEventTokens = 1 << 10
 
 // largestPiece is the most of prompts, in tokens, that engines usually read between two
@@ -152,8 +153,8 @@
 // LifeOf returns the hash of a life of a server.
 func LifeOf(id string) uint64 { return xxhash.Sum64String(id) }
 
-// Place returns where a life of a server lies in the order of lanes, from 0, where short
-// requests are served, up to 1: the same on all nodes and for all models.
+// Place returns where a life of a server lies in the order of all servers, from 0, where short
+// requests are served, to 1, where long ones are: the same on all nodes and for all models.
 func Place(life uint64) float64 { return unit(mix(life)) }
 
 // unit maps x to a number above 0 and below 1.
--- a/pkg/affinity/mix.go
+++ b/pkg/affinity/mix.go
@@ -13,21 +13,21 @@
 	mu    sync.Mutex
 	at    time.Time
 	long  float64 // reading time of long requests, in seconds, decayed
-	reads float64 // of all
+	reads float64 // reading time of all requests, in seconds, decayed
 	short float64 // number of short requests, decayed
-	all   float64 // number of all
+	all   float64 // number of all requests, decayed
 }
 
-// mixHalfLife is the time in which what was seen counts half. A node of a hundred sees a few
-// requests a second.
+// mixHalfLife is the time after which what was seen counts half: one of a hundred nodes sees a few
+// requests a second, and their mix is to be told by some dozens.
 const mixHalfLife = 30 * time.Second
 
 // From which mix on lanes count. The short requests of a model gather at few of its replicas,
 // which is safe only where they are a small part of the work.
 const (
-	leastLong = 0.5  // part of the reading that is long, at which lanes begin to count
-	mostLong  = 0.8  // at which they count wholly
-	presence  = 0.25 // part of the requests that is short, at which lanes count wholly
+	longFrom  = 0.5  // part of the reading that is long, at which lanes begin to count
+	longFull  = 0.8  // part of the reading that is long, from which on they count wholly
+	shortFull = 0.25 // part of the requests that is short, from which on they count wholly
 )
 
 // Note takes in a request.
@@ -52,8 +52,8 @@
 	if m.reads <= 0 || m.all <= 0 {
 		return 0
 	}
-	long := (m.long/m.reads - leastLong) / (mostLong - leastLong)
-	return max(min(long, m.short/m.all/presence, 1), 0)
+	long := (m.long/m.reads - longFrom) / (longFull - longFrom)
+	return max(min(long, m.short/m.all/shortFull, 1), 0)
 }
 
 // decay ages what was seen. Times that go back age nothing.
