--- a/pkg/migration/handover.go
+++ b/pkg/migration/handover.go
@@ -3,10 +3,10 @@
 // Step is what is done next with a stream that its server, the source, broke off.
 type Step uint8
 
-// Steps. The first two work on the run; the others end the handover.
+// Steps. After Anew, GiveUp and Over the handover has ended.
 const (
 	GoOnThere Step = iota // send the request to the target, which goes on from its copy
-	GoBack                // send it to the source, which stopped and keeps its memory
+	GoBack                // send the request to the source, which stopped and keeps the run's memory
 	Stop                  // have the source stop the run, if it still works on it, and copy the rest
 	Anew                  // run it again elsewhere, from the last event
 	GiveUp                // end the answer as broken
@@ -19,7 +19,7 @@
 // Outcomes.
 const (
 	Done     Outcome = iota // of Stop: the source stopped and copied the rest; else: the stream came to its end
-	Kept                    // of Stop: the source stopped and keeps its memory, but could not copy the rest
+	Kept                    // of Stop: the source stopped and keeps the run's memory, but could not copy the rest
 	NoRun                   // of Stop: the source does not run it (any more)
 	Refused                 // surely nothing was done
 	NotSent                 // no byte left: the server can't be reached
@@ -33,24 +33,25 @@
 // or that a request that may run once is sent without a copy. Set the exported fields; the zero
 // value has nothing but the request itself.
 type Handover struct {
-	Copied   bool // the target has a copy, whole or in part
-	Kept     bool // the source keeps its memory under the copy's handle
-	Stopped  bool // the source surely works on it no more
-	MayStop  bool // the source can be asked to stop
-	MayBack  bool // the source may still be sent requests
-	MayAnew  bool // the request may run again
+	Copied  bool // the target has a copy, whole or in part
+	Kept    bool // the source keeps the run's memory under the copy's handle
+	Stopped bool // the source surely works on it no more
+	MayStop bool // the source can be asked to stop
+	MayBack bool // the source may still be sent requests
+	MayAnew bool // the request may run again
+
 	used     bool // the copy is used up
-	served   bool
-	stops    int
-	wentBack bool
-	tried    bool // the target was
+	served   bool // to its end
+	stops    int  // calls to stop that were made
+	wentBack bool // the source was sent the request again
+	tried    bool // the target was sent the request
 }
 
 // maxStops bounds the calls that a source does not answer: two while the stream flows, one after it
 // broke.
 const maxStops = 3
 
-// Next returns the next step.
+// Next returns the next step. Its outcome is to be told before the next call.
 func (h *Handover) Next() Step {
 	switch {
 	case h.served:
@@ -91,6 +92,7 @@
 	}
 }
 
+// toldStop notes what became of a call to stop.
 func (h *Handover) toldStop(o Outcome) {
 	h.stops++
 	switch o {
@@ -103,6 +105,7 @@
 	}
 }
 
+// toldRun notes what became of a request that was to go on from the copy.
 func (h *Handover) toldRun(o Outcome) {
 	switch o {
 	case Done:
@@ -112,7 +115,7 @@
 	}
 }
 
-// Unused tells whether the copy may still take memory that nobody needs.
+// Unused tells whether the copy may still take up memory though nobody uses it.
 func (h *Handover) Unused() bool { return (h.Copied || h.Kept) && !h.used }
 
 // String names the outcome of a step in logs.
