--- a/pkg/relay/affinity.go
+++ b/pkg/relay/affinity.go
@@ -9,21 +9,21 @@
 	"martenwheel.dev/pkg/traffic/routing"
 )
 
-// Preferred replicas, in logs and metrics.
+// Whether a request went to the replica that it prefers, in logs and metrics.
 const (
 	preferenceTaken  = "taken"     // the request went to the replica that it prefers
 	preferencePassed = "passed on" // that one failed, was tried or was loaded beyond its share
 	preferenceNone   = "none"      // the request prefers none
 )
 
-// mixes are what the relay saw of the kinds of requests, by service. The zero value is ready
-// to use.
+// mixes are what the relay saw lately of long and short requests, by service. The zero value is
+// ready to use. Safe for concurrent use.
 type mixes struct {
 	mu       sync.Mutex
 	services map[string]*affinity.Mix
 }
 
-// of returns the mix of a service of the configuration.
+// of returns the mix of a service. It keeps one for each: services are those of configurations.
 func (m *mixes) of(service string) *affinity.Mix {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -50,11 +50,11 @@
 	c.relay.mixes.of(c.service).Note(c.arrived, &c.shaped)
 }
 
-// picking is what a choice works on. It is kept between choices, which allocate nothing.
+// picking is what a choice works on. It is kept between choices, so that they allocate nothing.
 type picking struct {
 	members    []*backend.Member
-	candidates []routing.Candidate
-	replicas   []affinity.Replica
+	candidates []routing.Candidate // the members, as package routing sees them
+	replicas   []affinity.Replica  // the members, as package affinity sees them
 	asked      routing.Request
 }
 
@@ -67,8 +67,8 @@
 	p.asked = routing.Request{Tried: p.asked.Tried[:0]}
 }
 
-// prefer notes with the candidates which of them the request prefers. The caller holds
-// the relay's mu.
+// prefer marks the candidate that the request prefers, if it prefers one. The caller holds the
+// relay's mu.
 func (c *call) prefer(p *picking) (affinity.Choice, bool) {
 	if !c.shaped.Shares() && c.shaped.Lane() == affinity.AnyLane {
 		return affinity.Choice{}, false
@@ -125,8 +125,8 @@
 	return i, found
 }
 
-// notePace notes the pace of a server that streamed the answer, for other nodes as well where
-// long prompts make pauses that count.
+// notePace notes the pace of a server that streamed the answer; where long prompts make pauses that
+// count, other nodes are told of it as well.
 func (c *call) notePace(m *backend.Member) {
 	pace := c.record.pace()
 	c.relay.Servers.Paced(m.ID, c.need.Model, pace)
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -174,16 +175,7 @@
 func (c *call) hasOther(m *backend.Member) bool {
 	now := c.relay.Time.Now()
 	for _, other := range c.relay.Servers.Snapshot().Service(c.service) {
-		if other.ID != m.ID && other.Serves(now, c.need) && !other.Avoid(now) && !contains(c.tried, other.ID) {
-			return true
-		}
-	}
-	return false
-}
-
-func contains(ids []string, id string) bool {
-	for _, other := range ids {
-		if other == id {
+		if other.ID != m.ID && other.Serves(now, c.need) && !other.Avoid(now) && !slices.Contains(c.tried, other.ID) {
 			return true
 		}
 	}
@@ -330,7 +322,7 @@
 // hasUntried tells whether a server that was not tried could serve the request.
 func (c *call) hasUntried(now time.Time) bool {
 	for _, m := range c.relay.Servers.Snapshot().Service(c.service) {
-		if m.Serves(now, c.need) && !contains(c.tried, m.ID) {
+		if m.Serves(now, c.need) && !slices.Contains(c.tried, m.ID) {
 			return true
 		}
 	}
--- a/pkg/relay/ending.go
+++ b/pkg/relay/ending.go
@@ -11,13 +11,12 @@
 var errStopping = errors.New("relay: the node stops")
 
 // endings has the requests under way end before a planned stop cuts their connections off: a
-// caller whose connection just closes can't tell whether a server ran its request. A server
-// that is silent would hold a request until then (soak, seed 251: lost in 1 of 8 plays). Safe
-// for concurrent use.
+// caller whose connection just closes can't tell whether a server ran its request, and a server
+// that is silent would hold a request until then. Safe for concurrent use.
 type endings struct {
 	mu      sync.Mutex
-	cancels map[*call]context.CancelCauseFunc
-	ended   bool
+	cancels map[*call]context.CancelCauseFunc // of the requests under way
+	ended   bool                              // new ones are ended at once
 }
 
 // add notes a request under way.
--- a/pkg/relay/insurance.go
+++ b/pkg/relay/insurance.go
@@ -9,16 +9,16 @@
 	"martenwheel.dev/pkg/route"
 )
 
-// Times by which the risk of servers is told.
+// Times by which the risk that a server ends is judged.
 const (
 	endsSpan   = 30 * time.Second // in which ends of servers count
 	breaksSpan = 10 * time.Second // in which a broken connection counts against its server
-	// usualRun is how long a stream is taken to run before one is known.
+	// usualRun is how long a stream is taken to run: when it begins, nothing tells its length.
 	usualRun = 3 * time.Second
 )
 
-// insure returns the server that is to get copies of the run that begins at m, nil if it is not worth
-// them or the engine can't.
+// insure returns the server that is to get copies of the run that begins at m, nil if the run is not
+// worth them, the engine can't send them or no server has room. uninsure ends what it notes.
 func (c *call) insure(m *backend.Member) *backend.Member {
 	if c.engine == nil || !c.engine.Backups || c.relay.Mover == nil || c.id == "" || c.route.Kind != route.Stream || c.resumption.from != "" {
 		return nil
@@ -33,7 +33,7 @@
 	return c.cover(m)
 }
 
-// cover picks the server that gets the copies, within a bound of what one gets, and notes it.
+// cover picks the server that gets the copies, within the bound of what one may get, and notes it.
 func (c *call) cover(m *backend.Member) *backend.Member {
 	t := &c.relay.rides
 	t.mu.Lock()
@@ -80,7 +80,7 @@
 	t.breaks = remember(t.breaks, server, now, breaksSpan)
 }
 
-// remember notes a server with the time and forgets what counts no more.
+// remember notes a server with the time, and forgets those noted longer ago than span.
 func remember(list map[string]time.Time, server string, now time.Time, span time.Duration) map[string]time.Time {
 	if list == nil {
 		list = make(map[string]time.Time)
@@ -90,7 +90,7 @@
 	return list
 }
 
-// riskOf returns what is known of the end of a server among so many.
+// riskOf returns what is known of the risk that a server ends; servers is how many its service has.
 func (t *rides) riskOf(server string, now time.Time, servers int) migration.Risk {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/relay/moves.go
+++ b/pkg/relay/moves.go
@@ -36,7 +36,8 @@
 // move rather than its own: an answer without a frame ends with its connection.
 func (r *ride) endsByMove(a *backend.Answer) bool { return !a.Framed && r.mayBeStopped() }
 
-// brokeOff judges a stream whose server sends no more, after all that it had sent went out.
+// brokeOff judges a stream whose server sends no more, after all that it had sent went out: with
+// errHandedOver if there is a copy to go on from.
 func (c *call) brokeOff(ctx context.Context, r *ride, err error) (verdict, error) {
 	if !r.take(ctx) {
 		return mayRun, err
@@ -45,8 +46,8 @@
 	return mayRun, errHandedOver
 }
 
-// take takes the ride over from the move that is under way, once that is through. It returns false
-// if there is no copy to go on from.
+// take waits for the move that is under way, if any, and has the call go on with the ride from
+// then on. It returns false if there is no copy to go on from.
 func (r *ride) take(ctx context.Context) bool {
 	if r == nil {
 		return false
@@ -75,7 +76,8 @@
 	return r.stopSent && r.handover.Stopped
 }
 
-// alight ends a ride and keeps what it tells for the log.
+// alight ends a ride at its source and keeps what it tells for the log; if the call goes on with it,
+// settleRide does.
 func (c *call) alight(r *ride) {
 	if r == nil {
 		return
@@ -86,7 +88,7 @@
 	r.leave()
 }
 
-// suspectUnlessStopped is suspect, unless the server broke the stream off since it was asked to:
+// suspectUnlessStopped is suspect, unless the server broke the stream off because it was asked to:
 // that is no end of the server.
 func (c *call) suspectUnlessStopped(ctx context.Context, m *backend.Member, err error, taken bool) {
 	if errors.Is(err, errHandedOver) {
@@ -99,23 +101,23 @@
 	c.suspect(ctx, m, err, taken)
 }
 
-// resumption is how a try goes on from a copy; the zero value does not.
+// resumption is how a try goes on from a copy. The zero value stands for a try that does not.
 type resumption struct {
-	from     string        // where the copy is from
+	from     string        // where the copy is from, see Mover.Origin
 	back     bool          // the try goes to the source
 	answered time.Time     // when the run began to answer, at its first server
 	events   int           // that the caller had before
-	patience time.Duration // for an answer; zero: there is no other way
+	patience time.Duration // until the try is given up without an answer; zero: the deadline alone bounds it
 }
 
-// goOn takes up a stream whose source stopped it, or broke it off after it was copied. It tells
-// whether another server is to be tried.
+// goOn takes up a stream whose source stopped it, or broke it off after it was copied, by the steps
+// of its handover. It tells whether another server is to be tried.
 func (c *call) goOn(ctx context.Context) bool {
 	r := c.ride
 	c.ride = nil
 	defer c.settleRide(r)
 	h := &r.handover
-	if c.record.lastEnded() { // one that has ended does not count
+	if c.record.lastEnded() { // a run whose server has ended does not count as one
 		c.runs--
 		h.Stopped = true
 	}
@@ -155,8 +157,9 @@
 	return c.relay.DrainTime > 0 && r.source.LeavingFor(c.relay.Time.Now()) < c.relay.DrainTime-sendMargin
 }
 
-// resume has an end of a ride go on with the stream. It is the same run: it counts neither as a
-// repeat nor as one more server. ended tells that the copy is used and v is final.
+// resume has the target or the source of a ride go on with the stream. It is the same run: it
+// counts neither as a repeat nor as one more server. ended tells that the copy is used and v is
+// final.
 func (c *call) resume(ctx context.Context, r *ride, step migration.Step) (v verdict, err error, ended bool) {
 	began, sends, runs := c.relay.Time.Now(), c.sends, c.runs
 	c.place.granted = time.Time{} // a run that goes on takes no turn
@@ -184,7 +187,7 @@
 	return r.call.relay.Mover.Origin(r.source, name)
 }
 
-// resumed is the end of a try that went on from a copy, as the handover sees it.
+// resumed returns how a try that went on from a copy ended, as the handover sees it.
 func (c *call) resumed(v verdict) migration.Outcome {
 	switch {
 	case v == served:
--- a/pkg/relay/moves_test.go
+++ b/pkg/relay/moves_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -371,7 +372,7 @@
 		switch {
 		case !resumable && len(fresh) > 1:
 			return errors.Errorf("%d runs of a request that may run once", len(fresh))
-		case got.body != "" && !contains(fresh, seal):
+		case got.body != "" && !slices.Contains(fresh, seal):
 			return errors.Errorf("the seal is %q, of a server that went on with a run of %v", seal, fresh)
 		case peak > 1:
 			return errors.Errorf("%d runs at once", peak)
--- a/pkg/relay/place.go
+++ b/pkg/relay/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,14 +35,14 @@
 // placeTime is within which a place is used: to connect takes some milliseconds.
 const placeTime = 500 * time.Millisecond
 
-// mostPlaces bounds the servers among which a request's place is.
+// mostPlaces bounds the servers that a node names for one request.
 const mostPlaces = 16
 
-// place is a request's among all that go to crowded servers.
+// place is a request's part in the turns at crowded servers.
 type place struct {
-	id      uint64 // zero: none yet
-	granted time.Time
-	open    bool // its end is to be told
+	id      uint64    // under which Places knows the request; zero: none yet
+	granted time.Time // when it was told that it may go; zero: it was not
+	open    bool      // its end is to be told
 }
 
 // stale tells whether the word that the request may go lapsed.
@@ -52,10 +53,10 @@
 // placeRecord is what the log line of a request tells of its place.
 type placeRecord struct {
 	verdict admission.Verdict // the last one
-	asked   bool
-	waits   int
-	waited  time.Duration
-	err     error
+	asked   bool              // a verdict was given
+	waits   int               // how often it was told to ask again
+	waited  time.Duration     // in all, before it asked again
+	err     error             // why the holder could not be asked last
 }
 
 // takesPlace tells whether the request takes its turn at crowded servers: its prompt is told and
@@ -66,12 +67,14 @@
 		c.route.Kind == route.Stream && c.prompt.Tokens() > 0 && c.need.Model != ""
 }
 
+// placeKey names the model whose servers may be crowded.
 func (c *call) placeKey() admission.Key {
 	return admission.Key{Service: c.service, Model: c.need.Model}
 }
 
-// takePlace has it decided where and when the request goes, m being this node's own choice. An
-// answer that has begun is not kept waiting.
+// takePlace asks where and when the request is to go; m is this node's own choice. It returns the
+// server and mayRunNow, or nil and isRefused, once it has answered the caller, or looksAgain, once
+// it has waited. An answer that has begun is not kept waiting.
 func (c *call) takePlace(ctx context.Context, m *backend.Member) (*backend.Member, permission) {
 	c.place.granted = time.Time{}
 	if !c.takesPlace() || c.headSent {
@@ -100,7 +103,7 @@
 	if other := c.relay.Servers.Snapshot().Member(v.Server); other != nil && other.Serves(c.place.granted, c.need) {
 		return other, mayRunNow
 	}
-	return m, mayRunNow // the server left meanwhile; where the request goes is told
+	return m, mayRunNow // the server left meanwhile; beginPlace tells where the request goes
 }
 
 // awaitPlace waits before the request asks again.
@@ -111,6 +114,7 @@
 	c.record.place.waited += c.relay.Time.Since(began)
 }
 
+// placeRequest is the question for a place; m is this node's own choice.
 func (c *call) placeRequest(m *backend.Member) *admission.Request {
 	if c.place.id == 0 {
 		c.place.id = c.relay.Places.NextPlace()
@@ -122,8 +126,9 @@
 	}
 }
 
+// work is what the request brings to a server.
 func (c *call) work() admission.Work {
-	if c.resumption.from != "" { // it was read
+	if c.resumption.from != "" { // its prompt was read, at the server that the copy is from
 		return admission.Work{Out: max(c.prompt.Likely()-c.record.events*max(c.engine.EventTokens, 1), 0)}
 	}
 	return admission.Work{Tokens: c.prompt.Tokens(), Out: c.prompt.Likely(), Parts: c.prompt.Parts()}
@@ -138,7 +143,7 @@
 		if len(list) == mostPlaces {
 			break
 		}
-		if other.ID != m.ID && other.Serves(now, c.need) && !other.Avoid(now) && !contains(c.tried, other.ID) {
+		if other.ID != m.ID && other.Serves(now, c.need) && !other.Avoid(now) && !slices.Contains(c.tried, other.ID) {
 			list = append(list, other.ID)
 		}
 	}
@@ -191,7 +196,7 @@
 	return fields
 }
 
-// firstEvent returns the time from the last send to the first event; zero if none came.
+// firstEvent returns the time from the last try's start to its first event; zero if none came.
 func (c *call) firstEvent() time.Duration {
 	if len(c.record.tries) == 0 || c.record.last().answered.IsZero() {
 		return 0
@@ -199,7 +204,7 @@
 	return c.record.last().answered.Sub(c.record.last().started)
 }
 
-// newForeseen counts how first events came by how they were predicted.
+// newForeseen returns the histogram of times to the first event by what was predicted.
 func newForeseen() prometheus.Histogram {
 	return prometheus.NewHistogram(prometheus.HistogramOpts{
 		Namespace: "martenwheel", Name: "relay_first_event_by_prediction",
@@ -208,7 +213,7 @@
 	})
 }
 
-// observePlace counts the error of a prediction.
+// observePlace counts how the prediction for a request came true, if it has a place and an answer.
 func (m *Metrics) observePlace(c *call) {
 	v := &c.record.place.verdict
 	if real := c.firstEvent(); real > 0 && v.Kind == admission.Go && v.First > 0 {
--- a/pkg/relay/quota.go
+++ b/pkg/relay/quota.go
@@ -28,7 +28,7 @@
 	Promised bool          // room is set aside for when it comes back
 	After    time.Duration // when a request that is not granted may come back
 	Room     quota.Room    // of its route; zero: the quota is not divided, or nobody was asked
-	Err      error         // why the one who knows could not be asked
+	Err      error         // why the holder could not be asked
 }
 
 // admit has the quota of the request's tenant decide. If it returns false, the request is
@@ -67,14 +67,15 @@
 	return r
 }
 
-// returnPart is the part of the time left up to which callers honour a time to come back.
+// returnPart: callers come back at the time that they are told if it lies within a third of the
+// time that they have left.
 const returnPart = 3
 
-// refusalTime is the time in which a refusal reaches its caller, who has less time left then.
+// refusalTime is how long a refusal takes to reach its caller, who has less time left by then.
 const refusalTime = 20 * time.Millisecond
 
-// inTimePart is the part of the route's target after which a request that comes back is still
-// served in time as a rule.
+// inTimePart: a request that comes back within half of its route's target is still served in time
+// as a rule.
 const inTimePart = 2
 
 // settle gives the quota back what no server ran.
@@ -104,21 +105,21 @@
 type quotaCounters struct {
 	requests *prometheus.CounterVec
 
-	mu     *sync.Mutex
-	labels map[quotaLabel]bool
+	mu     *sync.Mutex         // shared by copies
+	labels map[quotaLabel]bool // routes that are counted apart
 }
 
 // quotaLabel names a route of a tenant.
 type quotaLabel struct{ tenant, route string }
 
-// maxQuotaLabels bounds the routes of tenants that are counted apart: the first that were
-// refused something, in the order of their refusals, so that no counter ever falls. Some tenants
-// are over their quotas at a time, with some routes each.
+// maxQuotaLabels bounds the routes of tenants that are counted apart. Those that were refused
+// first keep their place, so that no counter ever falls. Only some tenants are over their quotas
+// at a time, with some routes each.
 const maxQuotaLabels = 200
 
 // Labels of the counters.
 const (
-	otherLabel   = "other" // all that are not counted apart
+	otherLabel   = "other" // tenant and route of all that are not counted apart
 	outcomeLetIn = "let in"
 )
 
@@ -146,7 +147,8 @@
 	m.quotas.requests.WithLabelValues(label.tenant, label.route, outcome).Inc()
 }
 
-// label returns by which label a route of a tenant is counted.
+// label returns under which label a route of a tenant is counted; refused tells whether the request
+// was.
 func (q *quotaCounters) label(l quotaLabel, refused bool) quotaLabel {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/pkg/relay/rides.go
+++ b/pkg/relay/rides.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,17 +38,17 @@
 
 // Words of a source.
 const (
-	CopyDone   CopyResult = iota
-	CopyNoRun             // it does not run the request
-	CopyBusy              // a call for the request is under way
-	CopyNoRoom            // nothing was copied; if there is a handle, the run has stopped and is kept
+	CopyDone   CopyResult = iota // copied, and stopped if that was asked for
+	CopyNoRun                    // it does not run the request
+	CopyBusy                     // another call for the request is under way
+	CopyNoRoom                   // nothing was copied; if there is a handle, the run has stopped and is kept
 )
 
 // Copied is a source's answer.
 type Copied struct {
 	Result CopyResult
-	Handle string
-	Events int // that the run had made
+	Handle string // of the copy, or of a run that has stopped; empty: there is none
+	Events int    // that the run had made
 }
 
 // errHandedOver ends an attempt whose run goes on from a copy.
@@ -55,60 +56,62 @@
 
 // Times of moves.
 const (
-	// callTime bounds one call of a move beside the time of the copy: callers notice a pause of some
+	// callTime bounds one call of a move besides the time of the copy: callers notice a pause of some
 	// tenths of a second.
 	callTime = 400 * time.Millisecond
-	// copyBusyPause is before a call that found another one under way is made again.
+	// copyBusyPause is the time before a call that found another one under way is made again.
 	copyBusyPause = 30 * time.Millisecond
-	maxCopyCalls  = 2
+	// maxCopyCalls is how often one call is made at most, the first time included.
+	maxCopyCalls = 2
 	// evacuateLook is how often streams of a server that leaves are looked through.
 	evacuateLook = 50 * time.Millisecond
-	// movesAtOnce bounds the moves of this node from one server: they share its link anyway, and a
+	// movesAtOnce bounds the moves of this node from one server: they share its link anyway, yet one
 	// call that gets no answer is not to hold up the others.
 	movesAtOnce = 4
-	// sendMargin is how long before nothing may be sent any more to a server that leaves a stream
-	// may still go back there: the word that it leaves came to this node some tenths of a second late.
+	// sendMargin is how long before the end of the drain time streams cease to go back to a server
+	// that leaves: the word that it leaves came to this node some tenths of a second late.
 	sendMargin = 700 * time.Millisecond
-	// backMargin is the least time for which a stream goes back to a server.
+	// backMargin is the least time until a server is gone for which a stream still goes back there.
 	backMargin = 200 * time.Millisecond
-	// wakePause is between two questions for a server that a stream could move to.
+	// wakePause is the least time between two questions for a server that a stream could move to.
 	wakePause = 250 * time.Millisecond
 )
 
-// ride is a stream while it runs at a server that can hand it over. A nil ride can't.
+// ride is a stream while it runs at a server that can hand it over, from board to alight. A nil ride
+// stands for a stream that can't be handed over.
 type ride struct {
 	call   *call
-	source *backend.Member
+	source *backend.Member // where it runs
 	table  *rides
 
 	mu       sync.Mutex
-	began    time.Time // when its first events came
-	events   int
-	over     bool          // the source sends no more
-	moving   chan struct{} // closed when the move under way is through; nil: none was begun
-	stopSent bool
-	taken    bool     // the call goes on with it elsewhere
-	tried    []string // targets that had no room
-	wokeAt   time.Time
+	began    time.Time       // when its first events came
+	events   int             // that went out
+	over     bool            // the source sends no more
+	moving   chan struct{}   // closed when the move under way is through; nil: none is
+	stopSent bool            // the source was asked to stop the run
+	taken    bool            // the call goes on with it elsewhere
+	tried    []string        // IDs of targets that took no copy
+	wokeAt   time.Time       // when a server to move to was asked for last
 	backup   *backend.Member // got copies of the run since it began; nil: none did
-	target   *backend.Member
-	handle   string
-	lines    []moveLine
+	target   *backend.Member // has a copy, or the backup; nil: none is chosen
+	handle   string          // of the copy at the target; empty: none was made
+	lines    []moveLine      // for the log
 	handover migration.Handover
 }
 
 // rides are the streams of this node by their servers. The zero value is ready.
 type rides struct {
 	mu       sync.Mutex
-	at       map[string]map[*ride]struct{}
-	emptying map[string]bool
-	insured  map[string]int       // tokens of this node's running streams by the server that gets copies
-	ends     map[string]time.Time // servers that were found to have ended under a request of late
-	breaks   map[string]time.Time // servers to which a connection broke under a request of late
+	at       map[string]map[*ride]struct{} // by the server's ID
+	emptying map[string]bool               // servers whose streams evacuate moves
+	insured  map[string]int                // tokens of this node's running streams by the server that gets copies
+	ends     map[string]time.Time          // servers that were found to have ended under a request of late
+	breaks   map[string]time.Time          // servers to which a connection broke under a request of late
 }
 
-// board registers a stream at a server, nil if the stream can't move: its engine can't, nobody
-// could say what is to move, or it is suspected to end servers and stays where it is.
+// board registers a stream at a server. It returns nil if the stream can't move: its engine can't,
+// it has no ID to name it by, or it is suspected to end servers and stays where it is.
 func (c *call) board(m *backend.Member) *ride {
 	r := c.relay
 	if c.engine == nil || r.Mover == nil || c.id == "" || !c.engine.Moves && c.backup == nil {
@@ -117,9 +120,9 @@
 	if q := r.Quarantine; q != nil && q.Standing(c.fingerprint) != quarantine.Free {
 		return nil
 	}
-	ride := &ride{call: c, source: m, table: &r.rides, target: c.backup, backup: c.backup}
-	r.rides.add(ride)
-	return ride
+	boarded := &ride{call: c, source: m, table: &r.rides, target: c.backup, backup: c.backup}
+	r.rides.add(boarded)
+	return boarded
 }
 
 func (t *rides) add(r *ride) {
@@ -157,7 +160,7 @@
 	r.events += n
 }
 
-// look has the streams of a server that leaves looked after.
+// look has the streams of the source moved if it leaves, by one goroutine for all of them.
 func (r *ride) look() {
 	if r == nil || !r.source.Leaving() || !r.call.engine.Moves {
 		return
@@ -171,7 +174,8 @@
 	}
 }
 
-// isMoving tells whether a move was begun that decides where the stream goes on.
+// isMoving tells whether a move decides where the stream goes on: one is under way, or a target has a
+// copy.
 func (r *ride) isMoving() bool {
 	if r == nil {
 		return false
@@ -191,7 +195,7 @@
 	return r.stopSent
 }
 
-// stream is the ride as the plan sees it.
+// stream is the ride as package migration sees it, and whether a move of it may begin.
 func (r *ride) stream(now time.Time) (s migration.Stream, movable bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -204,7 +208,7 @@
 	}, r.events > 0 && !r.over && r.moving == nil && r.handle == ""
 }
 
-// gather returns the movable streams at a server and how many there are in all.
+// gather returns the movable streams at a server, their rides, and how many streams there are in all.
 func (t *rides) gather(now time.Time, server string) (streams []migration.Stream, byID map[string]*ride, all int) {
 	t.mu.Lock()
 	here := make([]*ride, 0, len(t.at[server]))
@@ -276,7 +280,7 @@
 			return
 		}
 		ride := byID[s.ID]
-		limit := callTime + 2*leave.Link.CopyTime(s.Tokens)
+		limit := callTime + 2*leave.Link.CopyTime(s.Tokens) // twice, since the link is shared
 		done := ride.begin()
 		if done == nil {
 			<-atOnce
@@ -290,7 +294,8 @@
 	}
 }
 
-// begin takes the stream for a move, nil if it is over or moves already.
+// begin takes the stream for a move and returns the channel that ends it, see through; nil if the
+// stream is over or moves already.
 func (r *ride) begin() chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -301,7 +306,7 @@
 	return r.moving
 }
 
-// through tells those that wait that a move is through.
+// through ends a move that begin took: those that wait for it go on.
 func (r *ride) through(done chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -332,7 +337,7 @@
 	}
 	for range stopsInFlow {
 		switch r.stop(limit) {
-		case migration.NoAnswer:
+		case migration.NoAnswer: // again
 		case migration.Refused:
 			r.stays()
 			return
@@ -342,8 +347,8 @@
 	}
 }
 
-// stays gives a move up whose run surely did not stop: its copy is dropped, and the stream may
-// move to another server.
+// stays gives up a move whose run surely did not stop: its copy is dropped, and the stream may move
+// to another server.
 func (r *ride) stays() {
 	r.mu.Lock()
 	handle, over := r.handle, r.over
@@ -358,10 +363,11 @@
 	r.handle, r.stopSent, r.handover, r.target = "", false, migration.Handover{}, r.backup
 }
 
-// stopsInFlow is how often a run that goes on is to be stopped when no answer comes.
+// stopsInFlow is how often the source is asked to stop a run whose stream flows, when no answer
+// comes; migration bounds what follows once the stream broke.
 const stopsInFlow = 2
 
-// holds notes that a target has a copy. It returns false if the stream is over.
+// holds notes that a target has a copy. It returns false if the stream is over meanwhile.
 func (r *ride) holds(target *backend.Member, handle string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -407,8 +413,10 @@
 // stepOf names calls in logs, by whether the run stops.
 var stepOf = map[bool]string{false: "copy", true: migration.Stop.String()}
 
-// copyTo makes one call, again if another one is under way or if it got no answer while the run
-// goes on: the copy that it may have made is known by its handle alone.
+// copyTo has the source copy the run to a target, and stop it first if stop is set. It asks once
+// more if another call is under way, or if a copy got no answer while the run goes on: the copy
+// that may have been made is known by its handle alone. A stop without an answer is the handover's
+// to ask again.
 func (r *ride) copyTo(target *backend.Member, stop bool, limit time.Duration) (copied Copied, err error) {
 	c := r.call
 	for range maxCopyCalls {
@@ -432,12 +440,12 @@
 	r.mu.Lock()
 	tried := r.tried
 	r.mu.Unlock()
-	return r.call.bestBeside(r.source, func(m *backend.Member) bool { return !contains(tried, m.ID) })
+	return r.call.bestBeside(r.source, func(m *backend.Member) bool { return !slices.Contains(tried, m.ID) })
 }
 
-// bestBeside returns the best server beside the source of a stream for it to go on at, of those
-// that may be taken, nil if none has room. Nodes know little of each other's streams: of servers
-// that look the same each takes another one.
+// bestBeside returns the server, other than the source, at which a stream goes on best, of those for
+// which may returns true; nil if none has room. Nodes know little of each other's streams, so that
+// each takes one at random of servers that look the same.
 func (c *call) bestBeside(source *backend.Member, may func(*backend.Member) bool) *backend.Member {
 	now := c.relay.Time.Now()
 	var members []*backend.Member
@@ -457,7 +465,7 @@
 	return nil
 }
 
-// wake asks for a server that the stream can move to.
+// wake asks the holder for a server that the stream can move to.
 func (r *ride) wake() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
