backend: leavesAt is since when, not when; comments of paces and lives

leavesAt held since when a server is known to leave, beside Server.LeaveAt, which is when it is gone: leavingSince. 'What can't be is left out', and what ParseLife does with a text that is no ID, are told. No behaviour changes.

--- a/pkg/backend/condition.go
+++ b/pkg/backend/condition.go
@@ -11,11 +11,11 @@
 // Condition is what this node found out about one life of a server. Safe for
 // concurrent use.
 type Condition struct {
-	pool     *pool
-	inFlight atomic.Int64
-	draining atomic.Bool
-	leavesAt atomic.Pointer[time.Time] // since when it is known to leave; nil: it does not
-	left     atomic.Bool
+	pool         *pool
+	inFlight     atomic.Int64
+	draining     atomic.Bool
+	leavingSince atomic.Pointer[time.Time] // nil: it is not known to leave
+	left         atomic.Bool
 
 	mu       sync.Mutex
 	beliefs  map[Need]belief
@@ -52,32 +52,32 @@
 // Leaving tells whether the server takes no new requests.
 func (c *Condition) Leaving() bool { return c.left.Load() || c.draining.Load() }
 
-// LeavingFor returns for how long the server is known to leave; zero: it does not.
+// LeavingFor returns for how long it has been known that the server leaves; zero: it is not.
 func (c *Condition) LeavingFor(now time.Time) time.Duration {
-	since := c.leavesAt.Load()
+	since := c.leavingSince.Load()
 	if since == nil {
 		return 0
 	}
 	return max(now.Sub(*since), 1)
 }
 
-// drain notes whether the server declares that it leaves.
+// drain notes whether the server declares that it drains.
 func (c *Condition) drain(now time.Time, draining bool) {
 	c.draining.Store(draining)
 	switch {
 	case !draining:
-		c.leavesAt.Store(nil)
-	case c.leavesAt.Load() == nil:
-		c.leavesAt.Store(&now)
+		c.leavingSince.Store(nil)
+	case c.leavingSince.Load() == nil:
+		c.leavingSince.Store(&now)
 	}
 }
 
 // leave ends the use of the server for new requests.
 func (c *Condition) leave() {
 	c.left.Store(true)
-	if c.leavesAt.Load() == nil {
+	if c.leavingSince.Load() == nil {
 		now := c.pool.time.Now()
-		c.leavesAt.Store(&now)
+		c.leavingSince.Store(&now)
 	}
 	if !c.draining.Load() {
 		c.tellEnd()
--- a/pkg/backend/life.go
+++ b/pkg/backend/life.go
@@ -26,7 +26,8 @@
 	return l.Instance + bornMark + strconv.FormatInt(l.Born, bornBase)
 }
 
-// ParseLife reads the ID of a life.
+// ParseLife reads the ID of a life. A text without a start that can be read names an instance whose
+// start is not told.
 func ParseLife(id string) Life {
 	i := strings.LastIndex(id, bornMark)
 	if i < 0 {
--- a/pkg/backend/pace.go
+++ b/pkg/backend/pace.go
@@ -32,7 +32,7 @@
 type Pace struct {
 	Server   string // the ID of its life
 	Model    string
-	PerEvent time.Duration
+	PerEvent time.Duration // mean over the stream
 }
 
 // Slowness is what is known of a server by the streams of all nodes.
@@ -44,25 +44,24 @@
 
 // Bounds of paces that other nodes tell.
 const (
-	// mostReports is how many streams a node tells of at once: it ends a few a second.
+	// mostReports is how many streams a node tells of at once: a few end there in a second.
 	mostReports = 64
-	// longestPace is the longest time for an event that is believed.
+	// longestPace is the longest time for an event that is believed: callers leave long before.
 	longestPace = time.Minute
 	// MostSlowness is the largest ratio that is believed.
 	MostSlowness = 16
-	// SlownessLifetime is the largest age of a word on a server that is told and believed. What
-	// slows a server for a moment is over by then; a slow machine has ended streams since.
+	// SlownessLifetime is the largest age at which what is known of a server is told and believed.
+	// What slows a server for a moment is over by then; a slow machine has ended streams since.
 	SlownessLifetime = 30 * time.Second
 )
 
 // report is a pace that other nodes are to be told.
 type report struct {
 	pace Pace
-	at   time.Time
+	at   time.Time // when its stream ended
 }
 
-// Report keeps what a stream told for the other nodes, see TakeReports. Beyond mostReports
-// none is kept.
+// Report keeps a pace for the other nodes, see TakeReports. Beyond mostReports none is kept.
 func (d *Directory) Report(p Pace) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -71,8 +70,8 @@
 	}
 }
 
-// TakeReports returns what streams told since the last call: the newest, so many at most, and
-// nothing that is too old by now, for the machine may have been suspended.
+// TakeReports returns the newest paces kept since the last call, so many at most, and none that is
+// too old by now, for the machine may have been suspended. The others are forgotten.
 func (d *Directory) TakeReports(most int) []Pace {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -86,7 +85,7 @@
 	return list
 }
 
-// Learn takes in what other nodes' streams told. What can't be is left out.
+// Learn takes in paces that other nodes' streams showed. Those that can't be true are left out.
 func (d *Directory) Learn(list []Pace) {
 	for _, p := range list[:min(len(list), mostReports)] {
 		if p.PerEvent <= longestPace {
@@ -95,8 +94,8 @@
 	}
 }
 
-// Believed takes in what is known of servers by the streams of all nodes, which are more than
-// this node's own. What is too old or can't be is left out.
+// Believed takes in the slowness of servers by the streams of all nodes, in place of what this
+// node's own showed, which are fewer. What is too old or can't be true is left out.
 func (d *Directory) Believed(list []Slowness) {
 	snapshot := d.Snapshot()
 	for _, s := range list {
