--- a/pkg/quota/division.go
+++ b/pkg/quota/division.go
@@ -12,79 +12,81 @@
 // once, and what they borrow is never in the reserve of a route that comes back.
 type division struct {
 	policy  policy
-	places  map[string]*share
-	list    []*share // the same, in the order of arrival
-	filled  time.Time
-	weighed time.Time
-	salt    uint64
-	budget  *int // of what is remembered of requests
+	routes  map[string]*share // by the route's name; empty: all beyond maxRoutes
+	list    []*share          // the same, in the order of arrival
+	filled  time.Time         // up to when reserves are filled
+	weighed time.Time         // when weights were set; zero: they are to be set anew
+	salt    uint64            // of the sieves, see Sieve.Salt
+	budget  *int              // how many more requests may be remembered, over all tenants
 	// pressure is how much of what routes keep is not lent, from leastPressure to 1.
 	pressure float64
-	cheap    float64 // that a route keeps always, for two requests at most
+	cheap    float64 // that a route keeps always, for keptRequests at most
 }
 
-// share is a route's part of a bucket.
+// share is a route's part of a bucket. Amounts are in the quota's unit.
 type share struct {
-	name     string
-	urgency  float64 // weight by its priority
-	weight   float64 // by its priority and what is asked; only its ratio to others counts
-	level    float64 // of its reserve; below zero it is in debt
-	most     float64 // that the reserve holds
-	given    float64 // a second, lately
-	asked    float64 // a second, lately
-	requests float64 // a second, lately
-	part     float64 // of the requests that nodes ask about
-	aim      float64 // of part, which falls to it slowly
-	wants    float64 // scratch of weigh
-	gets     float64 // scratch of weigh
-	used     time.Time
+	name     string    // of the route
+	urgency  float64   // weight by its priority
+	weight   float64   // by its priority and what is asked; only its ratio to others counts
+	level    float64   // of its reserve; below zero it is in debt
+	most     float64   // that the reserve holds
+	given    float64   // a second, lately
+	asked    float64   // a second, lately
+	requests float64   // a second, lately
+	part     float64   // of the requests that nodes ask about
+	aim      float64   // where part is to fall to, slowly
+	wants    float64   // a second; scratch of weigh
+	gets     float64   // scratch: a second in weigh, an amount in fill
+	used     time.Time // when the last request came
 	large    time.Time // when it last asked for more than its reserve holds
 	overdrew time.Time // when it was last granted that
 	refused  time.Time // when one was last told to come later, or not at all
-	// Since the last weighing; what nodes held back by their sieves is worked out.
+	// Amounts and requests since the last weighing, with an estimate of what nodes held back by
+	// their sieves: asked of the holder, let in by nodes unasked, and the number of the former.
 	newAsked, newUnasked, newRequests float64
 	promises                          promises
-	// turnedAway are those who were told that there is no room, until the time they were told.
+	// turnedAway are the requests that were told that there is no room, until the time at which they
+	// were told to come back. Their amounts are zero.
 	turnedAway promises
 }
 
-// place returns that of a request's route, which it makes if there is none.
-func (d *division) place(now time.Time, route string, priority int) *share {
-	one := d.places[route]
+// share returns the share of a request's route, made if it is new.
+func (d *division) share(now time.Time, route string, priority int) *share {
+	one := d.routes[route]
 	if one == nil && len(d.list) >= maxRoutes && !d.forget(now) {
 		route = ""
-		one = d.places[route]
+		one = d.routes[route]
 	}
 	if one == nil {
 		one = d.add(route)
 	}
 	one.used = now
-	if urgency := max(d.policy.weigh(priority), leastWeight); urgency != one.urgency {
+	if urgency := max(d.policy.urgency(priority), leastWeight); urgency != one.urgency {
 		one.urgency = urgency
 		d.weighed = time.Time{}
 	}
 	return one
 }
 
-// add makes a place for a route.
+// add makes a share for a route.
 func (d *division) add(route string) *share {
 	one := &share{name: route, part: 1, aim: 1}
 	one.promises = promises{most: maxPromises, budget: d.budget}
 	one.turnedAway = promises{most: maxTurnedAway, budget: d.budget}
-	if d.places == nil {
-		d.places = make(map[string]*share)
+	if d.routes == nil {
+		d.routes = make(map[string]*share)
 	}
-	d.places[route] = one
+	d.routes[route] = one
 	d.list = append(d.list, one)
 	return one
 }
 
-// forget makes room for another route, if one is idle.
+// forget removes the share of a route that is idle, and returns false if there is none.
 func (d *division) forget(now time.Time) bool {
 	for i, one := range d.list {
 		if now.Sub(one.used) > routeIdle {
 			*d.budget += len(one.promises.marks) + len(one.turnedAway.marks)
-			delete(d.places, one.name)
+			delete(d.routes, one.name)
 			d.list = slices.Delete(d.list, i, i+1)
 			d.weighed = time.Time{}
 			return true
@@ -93,7 +95,8 @@
 	return false
 }
 
-// fill brings the reserves to the level of the whole bucket.
+// fill divides what flowed into the whole bucket, or was taken out of it, among the reserves, so
+// that they make up its level.
 func (d *division) fill(now time.Time, b *bucket) {
 	if now.Sub(d.weighed) >= weighEach || d.weighed.IsZero() {
 		d.weigh(now, b)
@@ -156,7 +159,7 @@
 	}
 }
 
-// drain takes an amount from the reserves, as much of each as it holds.
+// drain takes an amount from the reserves, from each in proportion to what it holds.
 func (d *division) drain(amount float64) {
 	held := 0.0
 	for _, one := range d.list {
@@ -171,8 +174,9 @@
 	}
 }
 
-// spend takes what nodes let in unasked from a route. Its debt takes from the others'
-// reserves first, so that reserves and debts together run no more than the bucket may.
+// spend takes what nodes let in unasked out of a route's reserve. What that lacks is taken out of
+// the others' reserves as far as they can spare it, so that reserves and debts together run no more
+// than the bucket may.
 func (d *division) spend(one *share, amount float64) {
 	one.level -= amount
 	if amount > 0 {
@@ -218,13 +222,14 @@
 func (s *share) spare(d *division) float64 {
 	kept := d.pressure * (keptReserve*s.most + s.asked*keptTime.Seconds())
 	if s.requests > 0 {
-		kept = max(kept, min(2*s.asked/s.requests, d.cheap))
+		kept = max(kept, min(keptRequests*s.asked/s.requests, d.cheap))
 	}
 	kept += s.promises.sum
 	return max(s.level-min(kept, s.most), 0)
 }
 
-// hungry tells whether a route has less than nodes may let in unasked, or would have.
+// hungry tells whether a route lacks room that nodes would let in unasked: its reserve is low, nodes
+// ask about a part of its requests only, or one was refused a moment ago.
 func (d *division) hungry(now time.Time) bool {
 	for _, one := range d.list {
 		if one.part < 1 || one.level-one.promises.sum < scarceBelow*one.most || now.Sub(one.refused) < calmAfter {
@@ -254,16 +259,20 @@
 	d.cheap = keptCheap * b.size
 	d.pressure = min(max((d.wanted()/b.rate-noPressure)/(fullPressure-noPressure), leastPressure), 1)
 	floor := 0.0
-	for range 5 {
+	for range floorRounds {
 		d.allot(b.rate, floor, urgency)
 		floor = (floor + leastServed*d.served()) / 2
 	}
 	for _, one := range d.list {
-		one.weigh()
+		one.setWeight()
 		one.sift(passed, d.policy.noSieve)
 	}
 }
 
+// floorRounds is how often the floor and what is allotted by it are worked out from each other:
+// each round halves what the floor is off.
+const floorRounds = 5
+
 // horizon returns over how long demand is averaged: over enough requests to tell demand from
 // chance.
 func (d *division) horizon() time.Duration {
@@ -274,7 +283,7 @@
 	return time.Duration(min(max(lately.Seconds(), enough/max(requests, 1)), maxHorizon.Seconds()) * float64(time.Second))
 }
 
-// wanted returns what all routes ask.
+// wanted returns what all routes ask, a second.
 func (d *division) wanted() float64 {
 	sum := 0.0
 	for _, one := range d.list {
@@ -283,8 +292,8 @@
 	return sum
 }
 
-// weigh sets the weight by what was allotted.
-func (s *share) weigh() {
+// setWeight sets the weight by what was allotted.
+func (s *share) setWeight() {
 	if s.gets < s.wants {
 		s.weight = s.gets
 		return
@@ -292,7 +301,7 @@
 	s.weight = max(inviolable*s.weight, ample*s.gets)
 }
 
-// sift sets the part of the route's requests that nodes are to ask about.
+// sift sets the part of the route's requests that nodes are to ask about; never: it is all of them.
 func (s *share) sift(passed time.Duration, never bool) {
 	s.aim = 1
 	if s.gets < satisfied*s.wants && s.requests > siftFrom && !never {
@@ -301,7 +310,8 @@
 	s.part = max(s.aim, s.part-passed.Seconds()/siftTime.Seconds())
 }
 
-// learn takes in what was asked since the last weighing.
+// learn takes in what was asked since the last weighing, a time ago; over is how long demand is
+// averaged.
 func (s *share) learn(passed, over time.Duration) {
 	if passed <= 0 {
 		return
@@ -317,8 +327,9 @@
 	s.newAsked, s.newRequests = 0, 0
 }
 
-// allot divides a rate: to each what it asks of its inviolable share, then as far as it goes a
-// part of what it asks, then by urgency.
+// allot divides a rate. Each route gets what it asks of its inviolable share; then, as far as the
+// rate goes, at least a part of all that it asks; what is left goes by urgency. The last argument is
+// the sum of urgencies.
 func (d *division) allot(rate, part, urgency float64) {
 	lacking := 0.0
 	left := rate
@@ -363,7 +374,7 @@
 	}
 }
 
-// served returns the part of all requests that is served by what was allotted.
+// served returns the part of all requests that is served by what was allotted, from 0 to 1.
 func (d *division) served() float64 {
 	all, served := 0.0, 0.0
 	for _, one := range d.list {
@@ -378,7 +389,7 @@
 	return served / all
 }
 
-// room returns what a route has of a rate.
+// room returns what a route has of the bucket's rate.
 func (d *division) room(one *share, rate float64) Room {
 	all := 0.0
 	for _, other := range d.list {
@@ -387,7 +398,7 @@
 	return Room{Share: rate * one.weight / max(all, leastWeight), Asked: one.asked, Given: one.given}
 }
 
-// RouteRoom is what a route of a tenant has.
+// RouteRoom is what a route of a tenant has, as it stands in the log.
 type RouteRoom struct {
 	Route string  `json:"route"`
 	Share float64 `json:"share"` // in the quota's unit a second, as in Room
@@ -395,7 +406,7 @@
 	Given float64 `json:"given"`
 }
 
-// rooms returns what routes have, those that are given the most first.
+// rooms returns what routes have of a rate, those that are given the most first, so many at most.
 func (d *division) rooms(rate float64, most int) []RouteRoom {
 	var list []RouteRoom
 	for _, one := range d.list {
--- a/pkg/quota/draw.go
+++ b/pkg/quota/draw.go
@@ -5,7 +5,7 @@
 // draw decides on a request within its route's share of a bucket that was filled up to now.
 func (b *bucket) draw(now time.Time, r Request) Answer {
 	d := b.shares
-	one := d.place(now, r.Route, r.Priority)
+	one := d.share(now, r.Route, r.Priority)
 	d.fill(now, b)
 	one.promises.expire(now)
 	one.turnedAway.expire(now)
@@ -43,13 +43,14 @@
 	return answer
 }
 
-// kept tells whether a request would pass the sieves of nodes when it comes back, though they
-// become finer meanwhile.
+// kept tells whether a request will pass the sieves of nodes when it comes back, though they let
+// fewer pass by then.
 func (s *share) kept(salt uint64, m Mark) bool {
 	return s.aim >= 1 || Sieve{Part: keptPart * s.aim, Salt: salt}.passes(m)
 }
 
-// count takes a request for as many as were held back by the node's sieve for each that was not.
+// count notes a request, and with it those that the node's sieve held back for each that it lets
+// pass.
 func (s *share) count(r Request) {
 	part := r.Part
 	if !(part >= leastAsked && part <= 1) {
@@ -59,9 +60,9 @@
 	s.newRequests += 1 / part
 }
 
-// fits tells whether a route has room for an amount, with what the others can spare: beside
-// what was promised, if the request is not one that a promise was made to. What it lacks is
-// borrowed.
+// fits tells whether a route has room for an amount, with what the others can spare; what it lacks
+// is borrowed. p is the promise that was made to the request; without one, what was promised to
+// others is left out. certain is the route's share, a second.
 func (b *bucket) fits(now time.Time, one *share, amount, certain float64, p *promise) bool {
 	lacks := amount - one.level
 	if p == nil {
@@ -80,8 +81,8 @@
 }
 
 // overdraws tells whether a request may run that is larger than its route's whole reserve: it
-// empties a full one and leaves a debt, of one route at a time. That is the one that waits for
-// longest of those that asked for as much lately.
+// empties a full one and leaves a debt. One route at a time may: of those that asked for as much
+// lately, the one that was let do so the longest ago.
 func (d *division) overdraws(now time.Time, one *share) bool {
 	one.large = now
 	if one.level < one.most || d.debt() > 0 {
@@ -96,7 +97,7 @@
 	return true
 }
 
-// largeTime is for how long a route is waited for that asked for more than its reserve.
+// largeTime is how long a route that asked for more than its reserve keeps its turn.
 const largeTime = time.Second
 
 // setAside returns what of a route's reserve is promised, beyond what flows in until the last
@@ -125,11 +126,11 @@
 	return max(time.Duration(seconds*float64(time.Second)), leastWait)
 }
 
-// mostWait is the longest time that is told.
+// mostWait is the longest time that a request is told to wait.
 const mostWait = time.Hour
 
-// rate is what a route may count on: of what it is given beyond its share a part, since others
-// may come back.
+// rate is what a route may count on, a second: of its share, certain, and of the part lent of what
+// it is given beyond that, since others may come back.
 func (s *share) rate(certain, lent float64) float64 {
 	return promisedPart * (certain + lent*max(s.given-certain, 0))
 }
--- a/pkg/quota/ledger.go
+++ b/pkg/quota/ledger.go
@@ -73,9 +73,9 @@
 	sieved   time.Time // until when the sieve counts
 }
 
-// sieveTime is for how long a node goes by the holder's word on which requests to ask about:
-// then it asks about one more. A node's requests of a route are some tens of a second while
-// that matters.
+// sieveTime is how long a node goes by the holder's word on which requests to ask about; then it asks
+// about the next one, whichever it is. While that matters a node has some tens of requests of the
+// route a second.
 const sieveTime = time.Second
 
 // route returns the account of a request's route. Those beyond maxRoutes share one, and
@@ -177,7 +177,7 @@
 	defer l.mu.Unlock()
 	a := l.account(t.Name)
 	a.restart()
-	if !(answer.Sieve.Part > 0) { // of a holder that knows no shares
+	if !(answer.Sieve.Part > 0) { // of a holder that knows no shares, or no number
 		answer.Sieve.Part = 1
 	}
 	one := a.route(r)
@@ -215,7 +215,7 @@
 	return answer
 }
 
-// aloneBucket is what all nodes together may let in of a tenant without a holder.
+// aloneBucket returns a bucket of what all nodes together may let in of a tenant without a holder.
 func (l *Ledger) aloneBucket(now time.Time, t *tenant.Tenant) *bucket {
 	atOnce := alonePlenty
 	if l.scarce[t.Name] || l.told.IsZero() {
--- a/pkg/quota/pool.go
+++ b/pkg/quota/pool.go
@@ -72,8 +72,8 @@
 	began   time.Time
 	gap     time.Duration // before it, in which there was no holder
 	buckets map[string]*bucket
-	marks   int // that may be remembered besides those that are
-	policy  policy
+	marks   int    // how many more requests may be remembered, see promises
+	policy  policy // by which buckets are divided
 }
 
 // bucket is what a tenant may still have run; below zero it is in debt.
@@ -154,10 +154,10 @@
 	return b.shares.hungry(now)
 }
 
-// saltBits are those of a term's salts, one for each time in which a tenant is scarce.
+// saltBits is the width of the count of times that a tenant became scarce, in a salt below the term.
 const saltBits = 32
 
-// divided returns the shares of a bucket, which it has from now on.
+// divided returns the division of a bucket among routes, which it has from now on.
 func (b *bucket) divided(p policy, salt uint64, budget *int) *division {
 	if b.shares == nil {
 		b.shares = &division{policy: p, salt: salt, budget: budget, filled: b.at}
@@ -184,7 +184,8 @@
 	p.spend(p.bucket(now, t), amount, first)
 }
 
-// spend takes an amount out of a bucket that nobody asked for, and returns what of it counts.
+// spend takes what was let in unasked out of a bucket, and returns how much of it counts: of a node's
+// first report of the term, the part that the credit covers does not.
 func (p *Pool) spend(b *bucket, amount float64, first bool) float64 {
 	if credit := min(b.credit, amount); credit > 0 && first {
 		b.credit -= credit
@@ -210,7 +211,7 @@
 		s.Priority = LeastUrgent
 	}
 	shares := b.divided(p.policy, p.term<<saltBits, &p.marks)
-	one := shares.place(now, s.Route, s.Priority)
+	one := shares.share(now, s.Route, s.Priority)
 	shares.fill(now, b)
 	shares.spend(one, p.spend(b, s.Amount, first))
 }
@@ -232,8 +233,8 @@
 	return b.draw(now, r)
 }
 
-// Rooms returns what the routes of a tenant have, those that are given the most first: some at
-// most, none if its quota is not divided or was not asked yet.
+// Rooms returns what the routes of a tenant have, those that are given the most first, mostRooms at
+// most; none if its quota is not divided or nobody asked for it yet.
 func (p *Pool) Rooms(t *tenant.Tenant) []RouteRoom {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/quota/promises.go
+++ b/pkg/quota/promises.go
@@ -16,11 +16,12 @@
 	lateness = 150 * time.Millisecond
 	// leastWait keeps callers from coming back before a holder can have room.
 	leastWait = 20 * time.Millisecond
-	// beyond is what is told beyond the time after which a caller comes back.
+	// beyond is by how much a time is told too late for a caller that is not to come back, and
+	// mostBeyond bounds what such a caller is believed to wait.
 	beyond     = 50 * time.Millisecond
 	mostBeyond = time.Minute
-	// maxPromises, maxTurnedAway and maxMarks bound those of one route, and all that one pool
-	// remembers, at some 150 bytes each: 5 MB.
+	// maxPromises and maxTurnedAway bound the requests that are remembered of one route, maxMarks
+	// all that one pool remembers, at some 150 bytes each: 5 MB.
 	maxPromises   = 256
 	maxTurnedAway = 1024
 	maxMarks      = 32768
@@ -39,9 +40,9 @@
 type promises struct {
 	marks  map[Mark]*promise
 	queue  []*promise // some are removed; see marks
-	sum    float64    // amounts
+	sum    float64    // of their amounts
 	most   int        // that are kept
-	budget *int       // how many more are kept of all routes of all tenants
+	budget *int       // how many more may be kept of all routes of all tenants
 }
 
 // add makes a promise, unless there are too many, or the request can't be recognized.
@@ -63,8 +64,8 @@
 	return true
 }
 
-// find returns the promise that was made to a request; or, if anybody is, to whoever comes
-// at its time.
+// find returns the promise that was made to a request, nil if there is none. If anybody is set, it
+// returns the first that is due instead, whoever it was made to.
 func (p *promises) find(now time.Time, m Mark, anybody bool) *promise {
 	if !anybody {
 		return p.marks[m]
@@ -121,7 +122,7 @@
 // a node that refuses the others unasked refuses nobody who has an appointment.
 type Sieve struct {
 	Part float64 // of the requests; 1: all
-	Salt uint64  // another one for each time in which the tenant is scarce
+	Salt uint64  // another one for each time that the tenant becomes scarce
 }
 
 // passes tells whether a request is one to ask about. A request that can't be recognized is.
--- a/pkg/quota/shares_test.go
+++ b/pkg/quota/shares_test.go
@@ -209,9 +209,9 @@
 		p.Begin(now, 1, 0)
 		others := 1 + random.IntN(4)
 		priority := random.IntN(3)
-		urgency, mine := 0.0, policy{}.weigh(priority)
+		urgency, mine := 0.0, policy{}.urgency(priority)
 		for i := range others {
-			urgency += policy{}.weigh(i % 3)
+			urgency += policy{}.urgency(i % 3)
 		}
 		asks := 0.9 * inviolable * rate * mine / (urgency + mine)
 		pauseFrom := time.Second + time.Duration(random.IntN(1000))*time.Millisecond
@@ -289,7 +289,7 @@
 			t.Fatalf("request %d: %+v", mark, answer)
 		}
 	}
-	route := p.buckets["a"].shares.places["a"]
+	route := p.buckets["a"].shares.routes["a"]
 	if n := len(route.promises.marks); n == 0 || n > 11 || route.promises.sum > 1100 {
 		t.Errorf("%d promises of %g were made within a second's worth of 1000", n, route.promises.sum)
 	}
