coordinator: comments and a name that a newcomer stumbles over

newsDelay was here how long news are gathered and in admission how long they may be on the way: newsPause. 'PlaceAnswer tells it' told nothing, fields of holderPlaces and instance had no meaning beside their names, the bool given to Model.Told had no name, closeOrder did not say which of two orders alike it closes. No behaviour changes.

go test ./pkg/coordinator passes.

--- a/pkg/coordinator/lives.go
+++ b/pkg/coordinator/lives.go
@@ -8,27 +8,27 @@
 	"martenwheel.dev/pkg/lease"
 )
 
-// A server may start again under the name that it had. The state of a server is that of one
+// A server may start again under the name that it had. What the holder knows of it is about one
 // life, and the next one begins with nothing. Only what is on its way to the name outlives a
-// life: an order that was not answered may be carried out by the next life, whose number of
-// orders is counted anew and may be the one that the order expects.
+// life: an order that was not answered may be carried out by the next life, which counts its
+// orders anew and may come to the count that the order expects.
 
 // lateOrder is how long after it was given an order without an answer may still be carried out.
-// It lies far beyond the few seconds that are usual: what a server loses meanwhile is that it
-// gets an order later, and a late load beyond its memory ends it.
+// It is far longer than the few seconds that are usual: to wait costs a server no more than a
+// later order, while a late load beyond its memory ends it.
 const lateOrder = 15 * time.Second
 
 // instance is what all lives of a server share.
 type instance struct {
-	quietUntil time.Time // of orders of an earlier holder: two holders are not to take turns
-	orders     []openOrder
+	quietUntil time.Time   // when orders may follow those of an earlier holder
+	orders     []openOrder // that may still be carried out
 }
 
 // openOrder is an order that may still be carried out.
 type openOrder struct {
-	life  string
-	after uint64 // orders that the server has taken once it took this one
-	until time.Time
+	life  string    // ID of the one that it was given to
+	after uint64    // orders that the server has taken once it took this one
+	until time.Time // when it can't be carried out any more
 }
 
 // instance returns what the lives of a server share, made if it is new.
@@ -47,8 +47,8 @@
 	i.orders = append(i.orders, openOrder{life, after, until})
 }
 
-// closeOrder notes that one such order can't be carried out any more. Another one without an
-// answer, which it repeats, still may be.
+// closeOrder notes that an order can't be carried out any more. Of several alike, which were given
+// again for lack of an answer, it closes the last one: the others may still be carried out.
 func (i *instance) closeOrder(life string, after uint64) {
 	for n := len(i.orders) - 1; n >= 0; n-- {
 		if i.orders[n].life == life && i.orders[n].after == after {
@@ -58,7 +58,8 @@
 	}
 }
 
-// inherit takes in an order of an earlier holder, given at a time.
+// inherit takes in an order of an earlier holder, given at a time; quiet is when this holder may give
+// its first one to the server.
 func (i *instance) inherit(intent lease.Intent, at, quiet time.Time) {
 	i.quietUntil = latest(i.quietUntil, quiet)
 	i.open(intent.Server, intent.After, at.Add(lateOrder))
@@ -80,8 +81,7 @@
 	}
 }
 
-// lists tells whether the table in force names the service. A server of another one is none of
-// ours.
+// lists tells whether the table in force names the service. Servers of others are left alone.
 func (h *Holder) lists(service string) bool {
 	table := h.Routes()
 	return table != nil && table.Service(service) != nil
--- a/pkg/coordinator/paces.go
+++ b/pkg/coordinator/paces.go
@@ -9,16 +9,16 @@
 	"martenwheel.dev/pkg/backend"
 )
 
-// PacesVersion is up to which change of servers' paces a node was told.
+// PacesVersion tells up to which change of servers' paces a node was told.
 type PacesVersion struct {
-	Term   uint64
-	Number uint64
+	Term   uint64 // of the holder that counts the changes
+	Number uint64 // of the last change; zero: nothing was told
 }
 
 // Bounds of what is told of paces.
 const (
-	// leastMove is by how much a server's slowness moves before nodes are told again: less
-	// changes hardly any choice.
+	// leastMove is by how much a server's slowness has to move before nodes are told again: less
+	// hardly changes a choice.
 	leastMove = 0.2
 	// mostPacesTold is how many servers one answer tells of; the rest follow with the next.
 	mostPacesTold = 64
@@ -27,12 +27,12 @@
 	pacesASecond = 400
 )
 
-// pacesShare returns of how many streams a node of a fleet tells with a beat.
+// pacesShare returns of how many streams each node of a fleet of so many tells with a beat.
 func pacesShare(fleet int) int { return max(pacesASecond/max(fleet, 1), 1) }
 
-// paces is what the holder tells of the paces of servers. Each node sees a few of the streams
-// of a fleet, too few to tell which servers are slow; all of them show it within seconds. It
-// changes no order: it only leans the choices of nodes. For the holder's loop alone.
+// paces is what the holder tells nodes of the paces of servers. Each node sees a few of the streams
+// of a fleet, too few to tell which servers are slow; all of them show it within seconds. Nothing
+// but the choices of nodes goes by it, no order does. For the holder's loop alone.
 type paces struct {
 	known  map[string]*knownPace // by the life of the server
 	number uint64                // of the last change
@@ -40,7 +40,7 @@
 
 // knownPace is what nodes are told of one server.
 type knownPace struct {
-	ratio  float64   // as told
+	ratio  float64   // its slowness, as told
 	number uint64    // of the change that it came with
 	at     time.Time // of the last stream that told of it
 }
@@ -58,14 +58,14 @@
 		p.known[id] = k
 	}
 	k.at = now
-	if math.Abs(ratio-k.ratio) >= leastMove { // so is the first one, which is no less than one
+	if math.Abs(ratio-k.ratio) >= leastMove { // also at the first word: a ratio is no less than one
 		p.number++
 		k.ratio, k.number = ratio, p.number
 	}
 }
 
-// since returns what changed after a number and is of use, oldest changes first, and the
-// number up to which that is all.
+// since returns what changed after a number and is not too old, oldest changes first, and the
+// number of the change up to which nothing is missing.
 func (p *paces) since(now time.Time, number uint64) ([]backend.Slowness, uint64) {
 	if number >= p.number {
 		return nil, p.number
@@ -123,7 +123,8 @@
 	return record.Address
 }
 
-// takePaces takes in what the holder told. What waited in a suspension is too old.
+// takePaces takes in what the holder told in answer to a beat that was sent at a time. An answer that
+// waited in a suspension is too old.
 func (m *Member) takePaces(sent time.Time, answer *BeatAnswer) {
 	if m.Time.Since(sent) > beatTimeout {
 		return
--- a/pkg/coordinator/places.go
+++ b/pkg/coordinator/places.go
@@ -18,10 +18,10 @@
 // AskPlace asks the holder where and when a request goes to crowded servers.
 type AskPlace struct {
 	Request admission.Request
-	News    []admission.Report // of the node's requests, that were not told yet
+	News    []admission.Report // of the node's requests, not told yet
 }
 
-// PlaceAnswer tells it.
+// PlaceAnswer answers AskPlace.
 type PlaceAnswer struct {
 	Term    uint64 // zero: not the holder
 	Verdict admission.Verdict
@@ -29,7 +29,7 @@
 
 // PlaceNews tells the holder of a node's requests to crowded servers.
 type PlaceNews struct {
-	Node string // of one life
+	Node string // see placeNode
 	News []admission.Report
 }
 
@@ -39,9 +39,9 @@
 	Crowded []admission.Key
 }
 
-// newsDelay is how long a node gathers news of its requests to crowded servers: little beside
+// newsPause is how long a node gathers news of its requests to crowded servers: little beside
 // the times that are predicted from them.
-const newsDelay = 40 * time.Millisecond
+const newsPause = 40 * time.Millisecond
 
 // placeNode names one life of a node among those that have places.
 func placeNode(n Node) string { return n.Name + "/" + strconv.FormatInt(n.Life, 36) }
@@ -107,10 +107,11 @@
 // tellPlacesSoon tells the holder of what changed, together with what comes within a moment.
 func (m *Member) tellPlacesSoon() {
 	if m.places.telling.CompareAndSwap(false, true) {
-		time.AfterFunc(newsDelay, m.tellPlaces)
+		time.AfterFunc(newsPause, m.tellPlaces)
 	}
 }
 
+// tellPlaces tells the holder what it was not told yet.
 func (m *Member) tellPlaces() {
 	m.places.telling.Store(false)
 	record, known := m.Lease.Current()
@@ -129,13 +130,13 @@
 	m.Transport.Send(record.Address, news)
 }
 
-// holderPlaces is the holder's part. Safe for other goroutines than the holder's.
+// holderPlaces is the holder's part. All but told is safe for other goroutines than the holder's.
 type holderPlaces struct {
 	model   admission.Model
-	term    atomic.Uint64 // of the model
-	told    []admission.Key
-	once    sync.Once
-	faultAt atomic.Int64 // when an absurd message was logged last, by the holder's clock
+	term    atomic.Uint64   // in which the model began
+	told    []admission.Key // models that nodes were told to be crowded
+	once    sync.Once       // sets the model up
+	faultAt atomic.Int64    // when an absurd message was logged last, in Unix nanoseconds of the holder's clock
 }
 
 // beginPlaces has the holder start anew.
@@ -202,7 +203,7 @@
 	}
 }
 
-// faultPause is the least time between two log lines of absurd messages.
+// faultPause is the least time between two log lines on absurd messages.
 const faultPause = time.Second
 
 // logPlaceFaults logs that some of what a node told was not believed.
@@ -221,7 +222,8 @@
 // crowded.
 func (h *Holder) takePlaces(now time.Time, b Beat) []admission.Key {
 	node := placeNode(b.Node)
-	h.logPlaceFaults(now, node, h.places.model.Told(now, node, b.Places, len(b.Places) < admission.MostReports)...)
+	whole := len(b.Places) < admission.MostReports // else the list may be cut off
+	h.logPlaceFaults(now, node, h.places.model.Told(now, node, b.Places, whole)...)
 	return h.places.told
 }
 
@@ -241,7 +243,7 @@
 	}
 }
 
-// errPlaceSilent means that the holder did not answer a moment ago.
+// errPlaceSilent means that the holder was not asked, as it did not answer a moment ago.
 var errPlaceSilent = errors.New("coordinator: the holder did not answer about a place a moment ago")
 
 func init() { peer.Register(AskPlace{}, PlaceAnswer{}, PlaceNews{}, CrowdNotice{}) }
--- a/pkg/coordinator/quotas.go
+++ b/pkg/coordinator/quotas.go
@@ -47,7 +47,7 @@
 	Promised bool          // with room set aside
 	Room     quota.Room
 	Sieve    quota.Sieve
-	Took     bool // what was spent
+	Took     bool // Draw.Spent was counted
 }
 
 func newDrawAnswer(term uint64, a quota.Answer) DrawAnswer {
@@ -97,8 +97,9 @@
 	return relay.Admission{Granted: verdict == quota.Admit, After: after}
 }
 
-// spentOf returns what goes with a question about a divided quota: what was spent of it, if
-// the holder had this node's first report of its term, which is of the time before it as well.
+// spentOf returns what goes with a question about a divided quota: what was spent of it since the
+// last report. There is nothing before the holder had this node's first report of its term, which
+// is also about the time before the term.
 func (m *Member) spentOf(t *tenant.Tenant) []quota.Spent {
 	record, known := m.Lease.Current()
 	if !known || !quota.Shared(t.Quota) {
@@ -304,7 +305,8 @@
 	roomsTenants  = 5
 )
 
-// logRooms tells the log now and then who has the room of tenants that are scarce.
+// logRooms tells the log, each roomsInterval at most, which routes have the room of tenants that are
+// scarce.
 func (h *Holder) logRooms(now time.Time, tenants *tenant.Table) {
 	if now.Sub(h.roomsTold) < roomsInterval {
 		return
