--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -46,7 +46,7 @@
 	Parts     string // of a prompt, shared among requests
 	Origin    string // of a request that goes on from a copy: where the copy is from
 	Backup    string // of a request: the server that gets copies of what it runs
-	Likely    string // the caller's guess of the tokens that it generates
+	Likely    string // of a request: the caller's guess of the tokens that it generates
 	// Reserved are those that the system alone sets: what callers send under these names
 	// does not go on.
 	Reserved map[string]bool
@@ -99,9 +99,9 @@
 	Quarantine Quarantine
 	// Mover moves running streams; none move if nil.
 	Mover Mover
-	// DrainTime is for how long a server that leaves surely goes on serving; zero: not known.
+	// DrainTime is how long a server that leaves surely goes on serving; zero: not known.
 	DrainTime time.Duration
-	// Places says where and when requests go to crowded servers; the node chooses alone if nil.
+	// Places decides where and when requests go to crowded servers; the node chooses alone if nil.
 	Places  Places
 	Nodes   func() int // that share the budget of repeats, zero while not known; 1 if nil
 	Budget  BudgetConfig
--- a/pkg/route/service.go
+++ b/pkg/route/service.go
@@ -19,11 +19,11 @@
 	Models         map[string]*Model
 
 	CacheTokens   int           // that a server's running requests and kept prompts take together; zero: not told
-	BytesPerToken float64       // of a prompt's memory when it is copied to another server
-	LinkBytes     float64       // that a server copies of prompts a second
+	BytesPerToken float64       // of a run's memory when it is copied to another server; zero: not told
+	LinkBytes     float64       // a second, that a server sends of copies; zero: not told
 	Moves         bool          // running requests may be moved to another server
 	Backups       bool          // servers may send copies of what they run to another one
-	EventTokens   int           // in one event of a stream
+	EventTokens   int           // in one event of a stream; zero: not told
 	HandleTime    time.Duration // for which a server keeps a copy that nobody uses
 }
 
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -45,7 +45,7 @@
 	Tables  []*watch.Table // of the store, which the site keeps up to date
 	Orders  coordinator.Orders
 	Mover   relay.Mover // of running streams; nil: none move
-	// DrainTime is for how long a server that leaves surely goes on serving.
+	// DrainTime is how long a server that leaves surely goes on serving; zero: not known.
 	DrainTime time.Duration
 	Turns     time.Duration // between orders of two holders to one server
 	Fenced    bool          // servers refuse orders of lower terms than they have seen
@@ -247,8 +247,8 @@
 const (
 	stopMargin = 400 * time.Millisecond // left of the grace for the end of the process
 	stopLook   = 50 * time.Millisecond
-	// lastWords is for the answers to requests that could not be seen to their end to go out,
-	// and for the unused connections to close.
+	// lastWords is the time for the answers to requests that were ended before their servers
+	// answered to go out, and for unused connections to close.
 	lastWords = 200 * time.Millisecond
 )
 
