relay, coordinator: functions that had grown beyond a screen

finish, try and the two beats did several things each, with places, moves, paces and shares added to them: describe and describeService make the log line, mayGo is asked before the first byte, newBeat and takeAnswer are a node's part of a beat, seen is the holder's on who beats.

--- a/pkg/coordinator/beats.go
+++ b/pkg/coordinator/beats.go
@@ -14,21 +14,8 @@
 	if !h.holds() {
 		return BeatAnswer{}
 	}
-	n := h.nodes[b.Node.Name]
-	first := n == nil
-	if n == nil || n.node.Life <= b.Node.Life {
-		if n == nil || n.node.Life != b.Node.Life {
-			h.Logger.Info("node joined", "name", b.Node.Name, "zone", b.Node.Zone, "life", b.Node.Life)
-		}
-		if n == nil || n.node != b.Node {
-			h.nodesNumber++
-		}
-		if n != nil && n.node.Life != b.Node.Life {
-			h.places.model.NodeGone(placeNode(n.node))
-		}
-		n = &nodeState{node: b.Node, seen: now, uses: make(map[demandKey]Use)}
-		h.nodes[b.Node.Name] = n
-	}
+	first := h.nodes[b.Node.Name] == nil
+	n := h.seen(now, b.Node)
 	for _, u := range b.Uses {
 		key := demandKey{u.Service, u.Model}
 		n.uses[key] = u
@@ -63,6 +50,27 @@
 	return answer
 }
 
+// seen notes that a node beats and returns its state, emptied. That of a later life of the node is
+// left as it is.
+func (h *Holder) seen(now time.Time, node Node) *nodeState {
+	n := h.nodes[node.Name]
+	if n != nil && n.node.Life > node.Life {
+		return n
+	}
+	if n == nil || n.node.Life != node.Life {
+		h.Logger.Info("node joined", "name", node.Name, "zone", node.Zone, "life", node.Life)
+	}
+	if n == nil || n.node != node {
+		h.nodesNumber++
+	}
+	if n != nil && n.node.Life != node.Life {
+		h.places.model.NodeGone(placeNode(n.node))
+	}
+	n = &nodeState{node: node, seen: now, uses: make(map[demandKey]Use)}
+	h.nodes[node.Name] = n
+	return n
+}
+
 // lend lends a repeat.
 func (h *Holder) lend(now time.Time, b Borrow) BorrowAnswer {
 	if !h.holds() {
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -208,13 +208,7 @@
 // beat tells the holder of this node and takes in what it tells of the others.
 func (m *Member) beat(ctx context.Context) error {
 	told := m.running()
-	var store StoreLimit
-	if record, _ := m.Lease.Current(); record.Term != m.storeTold {
-		store = m.store
-	}
-	beat := Beat{Node: m.self(), Uses: m.uses(m.Time.Now()), Knows: m.version, Store: store, Spent: m.ledger.Report(),
-		Evidence: knownEvidence(m.Quarantine, m.Time.Now(), m.evidence), Paces: m.Servers.TakeReports(pacesShare(m.Fleet())), KnowsPaces: m.pacesKnown,
-		Places: m.places.ledger.Whole(m.Time.Now())}
+	beat := m.newBeat()
 	sent := m.Time.Now()
 	answer, err := ask[BeatAnswer](ctx, m, beat)
 	if err == nil && answer.Version.Term == 0 {
@@ -225,15 +219,36 @@
 		m.places.ledger.Return(sent, beat.Places)
 		return err
 	}
+	m.told = told
+	m.takeAnswer(sent, &answer)
+	return nil
+}
+
+// newBeat returns what this node tells now. What it tells once is taken from where it is kept.
+func (m *Member) newBeat() Beat {
+	var store StoreLimit
+	if record, _ := m.Lease.Current(); record.Term != m.storeTold {
+		store = m.store
+	}
+	return Beat{
+		Node: m.self(), Uses: m.uses(m.Time.Now()), Knows: m.version, Store: store, Spent: m.ledger.Report(),
+		Evidence: knownEvidence(m.Quarantine, m.Time.Now(), m.evidence),
+		Paces:    m.Servers.TakeReports(pacesShare(m.Fleet())), KnowsPaces: m.pacesKnown,
+		Places: m.places.ledger.Whole(m.Time.Now()),
+	}
+}
+
+// takeAnswer takes in what the holder told in answer to a beat that was sent at a time.
+func (m *Member) takeAnswer(sent time.Time, answer *BeatAnswer) {
 	m.tellLedgers(answer.ScarceTenants)
 	m.places.ledger.Told(m.Time.Now(), answer.Crowded)
 	m.takeEvidence(answer.Evidence.Parts)
 	m.evidence = answer.Evidence.Sum
-	m.takePaces(sent, &answer)
+	m.takePaces(sent, answer)
 	if m.Clock != nil && answer.StoreClock > 0 {
 		m.Clock.ObserveLatest(sent, answer.StoreClock)
 	}
-	m.scarce, m.told = answer.Scarce, told
+	m.scarce = answer.Scarce
 	m.storeTold = answer.Version.Term
 	if answer.Store.Loads > 0 {
 		m.store = answer.Store
@@ -250,7 +265,6 @@
 	}
 	m.answered = true
 	m.toldTerm = answer.Version.Term
-	return nil
 }
 
 // ask sends a message to the holder, which may be this node.
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -113,17 +113,7 @@
 	impatience := c.giveUpLater(m, cancel)
 	c.backup = c.insure(m)
 	defer c.uninsure(c.backup)
-	a, err := m.Send(attempt, c.message(m), func() error {
-		switch {
-		case m.Leaving() && !c.resumption.back:
-			return errLeaving
-		case c.left() <= 0: // the machine may have been suspended: the timer of ctx goes by another clock
-			return errDeadline
-		case c.place.stale(c.relay.Time.Now()):
-			return errStalePlace
-		}
-		return nil
-	})
+	a, err := m.Send(attempt, c.message(m), func() error { return c.mayGo(m) })
 	if impatience != nil && c.route.Kind != route.Stream {
 		defer impatience.Stop()
 	}
@@ -143,6 +133,20 @@
 	return v, err
 }
 
+// mayGo is asked right before the first byte goes to a server. An error tells why the request may not
+// go there any more.
+func (c *call) mayGo(m *backend.Member) error {
+	switch {
+	case m.Leaving() && !c.resumption.back:
+		return errLeaving
+	case c.left() <= 0: // the machine may have been suspended: the timer of ctx goes by another clock
+		return errDeadline
+	case c.place.stale(c.relay.Time.Now()):
+		return errStalePlace
+	}
+	return nil
+}
+
 // broke tells whether the connection to the server broke under the request.
 func broke(err error) bool {
 	return errors.Is(err, backend.ErrNoAnswer) || errors.Is(err, backend.ErrBroken)
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -137,6 +137,11 @@
 	c.endPlace() // of a request that waited for one in vain
 	took := c.relay.Time.Since(c.arrived)
 	c.relay.Metrics.observe(c, took)
+	c.relay.Logger.Info("request", c.describe(took)...)
+}
+
+// describe returns what the log line of the request tells.
+func (c *call) describe(took time.Duration) []any {
 	fields := []any{"request_id", c.record.id, "outcome", c.record.outcome, "status", c.record.status,
 		"ms", took.Milliseconds(), "first_ms", c.record.firstByte.Milliseconds()}
 	if c.route != nil {
@@ -157,6 +162,25 @@
 	if c.record.given > 0 {
 		fields = append(fields, "caller_ms", c.record.given.Milliseconds())
 	}
+	fields = append(fields, c.describeService()...)
+	if c.record.err != nil {
+		fields = append(fields, "reason", c.record.err.Error())
+	}
+	fields = append(fields, c.describeQuota()...)
+	if c.record.turnError != nil {
+		fields = append(fields, "turn_error", c.record.turnError.Error())
+	}
+	fields = append(fields, c.describePlace()...)
+	if c.record.wakeError != nil {
+		fields = append(fields, "wake_error", c.record.wakeError.Error())
+	}
+	return fields
+}
+
+// describeService tells how the request was served: what it waited for, what was sent of it, where
+// it went.
+func (c *call) describeService() []any {
+	var fields []any
 	if c.record.waitFor != "" {
 		fields = append(fields, "waited_ms", c.record.waited.Milliseconds(), "waited_for", c.record.waitFor)
 	}
@@ -178,18 +202,7 @@
 	if len(c.record.moves) > 0 {
 		fields = append(fields, "moves", c.record.moves)
 	}
-	if c.record.err != nil {
-		fields = append(fields, "reason", c.record.err.Error())
-	}
-	fields = append(fields, c.describeQuota()...)
-	if c.record.turnError != nil {
-		fields = append(fields, "turn_error", c.record.turnError.Error())
-	}
-	fields = append(fields, c.describePlace()...)
-	if c.record.wakeError != nil {
-		fields = append(fields, "wake_error", c.record.wakeError.Error())
-	}
-	c.relay.Logger.Info("request", fields...)
+	return fields
 }
 
 // describeQuota tells what the request counts in its tenant's quota, and if it was refused, of
