--- a/pkg/affinity/affinity_test.go
+++ b/pkg/affinity/affinity_test.go
@@ -37,7 +37,7 @@
 	return choices
 }
 
-func TestShape(t *testing.T) {
+func TestLaneAndSharedPartsOfARequest(t *testing.T) {
 	for _, test := range []struct {
 		name   string
 		fields prompt.Fields
@@ -201,7 +201,7 @@
 	}
 }
 
-func TestMix(t *testing.T) {
+func TestLanesCountWhereLongAndShortMeet(t *testing.T) {
 	now := time.Unix(100, 0)
 	p := prompt.Parse(prompt.Fields{Tokens: "830,294"})
 	short, many := Of("m", "", &p, terms), Of("m", "", long("s"), terms)
--- a/pkg/coordinator/paces_test.go
+++ b/pkg/coordinator/paces_test.go
@@ -160,7 +160,7 @@
 	})
 }
 
-func TestPacesShare(t *testing.T) {
+func TestNodesTellOfSoManyStreamsTogether(t *testing.T) {
 	for fleet, want := range map[int]int{-1: 400, 0: 400, 1: 400, 77: 5, 330: 1, 5000: 1} {
 		if got := pacesShare(fleet); got != want {
 			t.Errorf("a node of %d tells of %d streams, want %d", fleet, got, want)
--- a/pkg/migration/migration_test.go
+++ b/pkg/migration/migration_test.go
@@ -40,7 +40,7 @@
 	}
 }
 
-func TestRest(t *testing.T) {
+func TestRestIsByThePaceOrEndless(t *testing.T) {
 	for _, c := range []struct {
 		took                      time.Duration
 		events, eventTokens, most int
@@ -58,7 +58,7 @@
 	}
 }
 
-func TestBestTarget(t *testing.T) {
+func TestBestTargetHasRoomAndIsNearAndSound(t *testing.T) {
 	for _, c := range []struct {
 		targets []Target
 		want    int
@@ -269,7 +269,7 @@
 	}
 }
 
-func TestInsure(t *testing.T) {
+func TestOnlyLongStreamsAtRiskAreInsured(t *testing.T) {
 	long := Stream{Tokens: 5000}
 	again := Stream{Tokens: 5000, Anew: true}
 	healthy, suspect := Risk{}, Risk{Broke: true}
--- a/pkg/prompt/prompt_test.go
+++ b/pkg/prompt/prompt_test.go
@@ -2,7 +2,7 @@
 
 import "testing"
 
-func TestParse(t *testing.T) {
+func TestParseTellsCountsAndSharedParts(t *testing.T) {
 	p := Parse(Fields{Tokens: "1460,80", Parts: "5c1e07a2:800,91bd3f06:410,e4402b7d:250", Likely: "30"})
 	if p.Tokens() != 1460 || p.Most() != 80 || p.Likely() != 30 {
 		t.Errorf("%d in, %d out, likely %d", p.Tokens(), p.Most(), p.Likely())
