--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -112,17 +113,7 @@
 	impatience := c.giveUpLater(m, cancel)
 	c.backup = c.insure(m)
 	defer c.uninsure(c.backup)
-	a, err := m.Send(attempt, c.message(m), func() error {
-		switch {
-		case m.Leaving() && !c.resumption.back:
-			return errLeaving
-		case c.left() <= 0: // the machine may have been suspended: the timer of ctx goes by another clock
-			return errDeadline
-		case c.place.stale(c.relay.Time.Now()):
-			return errStalePlace
-		}
-		return nil
-	})
+	a, err := m.Send(attempt, c.message(m), func() error { return c.mayGo(m) })
 	if impatience != nil && c.route.Kind != route.Stream {
 		defer impatience.Stop()
 	}
@@ -142,6 +133,20 @@
 	return v, err
 }
 
+// mayGo is asked right before the first byte goes to a server. An error tells why the request may not
+// go there any more.
+func (c *call) mayGo(m *backend.Member) error {
+	switch {
+	case m.Leaving() && !c.resumption.back:
+		return errLeaving
+	case c.left() <= 0: // the machine may have been suspended: the timer of ctx goes by another clock
+		return errDeadline
+	case c.place.stale(c.relay.Time.Now()):
+		return errStalePlace
+	}
+	return nil
+}
+
 // broke tells whether the connection to the server broke under the request.
 func broke(err error) bool {
 	return errors.Is(err, backend.ErrNoAnswer) || errors.Is(err, backend.ErrBroken)
@@ -174,16 +179,7 @@
 func (c *call) hasOther(m *backend.Member) bool {
 	now := c.relay.Time.Now()
 	for _, other := range c.relay.Servers.Snapshot().Service(c.service) {
-		if other.ID != m.ID && other.Serves(now, c.need) && !other.Avoid(now) && !contains(c.tried, other.ID) {
-			return true
-		}
-	}
-	return false
-}
-
-func contains(ids []string, id string) bool {
-	for _, other := range ids {
-		if other == id {
+		if other.ID != m.ID && other.Serves(now, c.need) && !other.Avoid(now) && !slices.Contains(c.tried, other.ID) {
 			return true
 		}
 	}
@@ -330,7 +326,7 @@
 // hasUntried tells whether a server that was not tried could serve the request.
 func (c *call) hasUntried(now time.Time) bool {
 	for _, m := range c.relay.Servers.Snapshot().Service(c.service) {
-		if m.Serves(now, c.need) && !contains(c.tried, m.ID) {
+		if m.Serves(now, c.need) && !slices.Contains(c.tried, m.ID) {
 			return true
 		}
 	}
--- a/pkg/relay/moves_test.go
+++ b/pkg/relay/moves_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -378,7 +379,7 @@
 		switch {
 		case !resumable && len(fresh) > 1:
 			return errors.Errorf("%d runs of a request that may run once", len(fresh))
-		case got.body != "" && !contains(fresh, seal):
+		case got.body != "" && !slices.Contains(fresh, seal):
 			return errors.Errorf("the seal is %q, of a server that went on with a run of %v", seal, fresh)
 		case peak > 1:
 			return errors.Errorf("%d runs at once", peak)
@@ -702,7 +703,7 @@
 func ridesFor(t *testing.T) (*ride, *site) {
 	s := newSite(t, streamRoute(true), sealed(http.StatusOK, "good"))
 	s.relay.Mover, s.relay.DrainTime = &movers{site: s}, 5*time.Second
-	c := &call{relay: s.relay, id: "id-1"}
+	c := &call{relay: s.relay, request: request{id: "id-1"}}
 	return &ride{call: c, source: s.relay.Servers.Snapshot().Member("server-0"), table: &s.relay.rides}, s
 }
 
