--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -74,7 +74,8 @@
 	Ends    []End // by server
 }
 
-// Standing is by the ends that nothing cleared.
+// Standing is by the ends of this request that nothing cleared; Table.Standing looks at those of
+// others as well.
 func (e *Evidence) Standing() Standing {
 	rounds := e.rounds()
 	switch {
@@ -145,11 +146,19 @@
 	return changed
 }
 
+// ended tells whether a server ended under the request and nothing cleared that.
+func (e *Evidence) ended(server string) bool {
+	return slices.ContainsFunc(e.Ends, func(end End) bool { return end.Server == server && !end.Cleared })
+}
+
 // Servers returns the servers that ended under the request, but those that are cleared.
-func (e *Evidence) Servers() []string {
+func (e *Evidence) Servers() []string { return e.serversFrom(0) }
+
+// serversFrom is Servers of a round and later ones.
+func (e *Evidence) serversFrom(round int) []string {
 	var list []string
 	for _, end := range e.Ends {
-		if !end.Cleared {
+		if !end.Cleared && end.Round >= round {
 			list = append(list, end.Server)
 		}
 	}
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -48,11 +48,42 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.live(now, f); e != nil {
-		return e.Standing()
+		return t.standing(now, e)
 	}
 	return Free
 }
 
+// standing is by the ends of all requests. The run of the third round is to be apart, so that its
+// server's end tells which request it was; where another suspected one ended the same server, at a
+// node that did not know of turns yet, it tells nothing, and the next turn does. A fourth round counts
+// in any case: a request that ends servers and is never alone takes one server more. The caller
+// holds mu.
+func (t *Table) standing(now time.Time, e *entry) Standing {
+	s := e.Standing()
+	if s == Quarantined && e.rounds() == quarantinedRounds && t.sharesLast(now, e) {
+		return Suspected
+	}
+	return s
+}
+
+// sharesLast tells whether other suspected requests ended all servers of a request's last round. It
+// looks at all entries, 50 microseconds if they are as many as can be; so few requests come to a third
+// round that an index by servers is not kept for it. The caller holds mu.
+func (t *Table) sharesLast(now time.Time, e *entry) bool {
+	last := e.serversFrom(e.rounds())
+	for f := range t.entries {
+		if len(last) == 0 {
+			return true
+		}
+		other := t.live(now, f)
+		if other == nil || other == e || other.Standing() == Free {
+			continue
+		}
+		last = slices.DeleteFunc(last, other.ended)
+	}
+	return len(last) == 0
+}
+
 // NextRound returns the round of a run that begins now, see End.
 func (t *Table) NextRound(now time.Time, f Fingerprint) int {
 	t.mu.Lock()
@@ -160,11 +191,11 @@
 
 // change notes what news of a time did to an entry. The caller holds mu.
 func (t *Table) change(at time.Time, e *entry, f func() bool) Change {
-	c := Change{Before: e.Standing()}
+	c := Change{Before: t.standing(at, e)}
 	if c.New = f(); c.New && at.After(e.at) {
 		e.at = at
 	}
-	c.Now, c.Evidence = e.Standing(), e.copy()
+	c.Now, c.Evidence = t.standing(at, e), e.copy()
 	return c
 }
 
@@ -255,7 +286,7 @@
 	defer t.mu.Unlock()
 	n := 0
 	for f := range t.entries {
-		if e := t.live(now, f); e != nil && e.Standing() == standing {
+		if e := t.live(now, f); e != nil && t.standing(now, e) == standing {
 			n++
 		}
 	}
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -224,6 +224,57 @@
 	}
 }
 
+// TestAThirdEndThatASuspectSharesTellsNothing: a node that was not told yet has the request that
+// ends servers run without a turn, at the server where an innocent one has its own. All ends of the
+// innocent one are those of the other as well, so that its next turn tells.
+func TestAThirdEndThatASuspectSharesTellsNothing(t *testing.T) {
+	const innocent, fatal = 1, 2
+	ends := []Evidence{
+		ended(innocent, "i-1", "i-2", "i-3"), ended(fatal, "i-1", "i-2"),
+		Run{Request: request(fatal), Service: "s", Server: "i-3", Round: 1}.Ended(), // by the node that was not told
+	}
+	for _, order := range [][]int{{0, 1, 2}, {2, 1, 0}, {1, 0, 2}, {2, 0, 1}} {
+		var table Table
+		for _, i := range order {
+			table.Merge(testStart, ends[i])
+		}
+		for _, n := range []int{innocent, fatal} {
+			if got := table.Standing(testStart, request(n)); got != Suspected {
+				t.Errorf("in order %v request %d is %v, want suspected", order, n, got)
+			}
+		}
+		c := table.Merge(testStart, Run{Request: request(fatal), Server: "i-4", Round: table.NextRound(testStart, request(fatal))}.Ended())
+		if c.Now != Quarantined {
+			t.Errorf("after an end of its own the request that ends servers is %v", c.Now)
+		}
+		if got := table.Standing(testStart, request(innocent)); got != Suspected {
+			t.Errorf("the innocent one is %v then", got)
+		}
+		if c := table.Ran(testStart, request(innocent)); c.Now != Free {
+			t.Errorf("having run to its end it is %v", c.Now)
+		}
+	}
+}
+
+// TestAFourthRoundCountsThoughShared: a request that ends servers and is never alone is stopped one
+// server later.
+func TestAFourthRoundCountsThoughShared(t *testing.T) {
+	var table Table
+	table.Merge(testStart, ended(1, "i-1", "i-2", "i-3"))
+	table.Merge(testStart, ended(2, "i-1", "i-2", "i-3"))
+	for _, n := range []int{1, 2} {
+		if got := table.Standing(testStart, request(n)); got != Suspected {
+			t.Errorf("of two that ended all three together %d is %v, want suspected", n, got)
+		}
+	}
+	if c := table.Merge(testStart, Run{Request: request(1), Server: "i-4", Round: 4}.Ended()); c.Now != Quarantined {
+		t.Errorf("after a fourth round it is %v", c.Now)
+	}
+	if c := table.Merge(testStart, Run{Request: request(2), Server: "i-4", Round: 4}.Ended()); c.Now != Quarantined {
+		t.Errorf("after a fourth round that is shared as well it is %v", c.Now)
+	}
+}
+
 // BenchmarkRan is the cost of noting each request that ran to its end. It is new: 64
 // nanoseconds on one core of the machine that ran it.
 func BenchmarkRan(b *testing.B) {
