--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -60,6 +60,7 @@
 	ledger     quota.Ledger
 	deputized  quota.Ledger // what this node lets in for all while there is no holder
 	notices    notices
+	apart      apart
 	places     memberPlaces
 	pacesKnown PacesVersion // of servers, as last told; for Run alone
 	evidence   uint64       // sum of the holder's evidence, as last told; for Run alone
--- a/pkg/coordinator/quarantine.go
+++ b/pkg/coordinator/quarantine.go
@@ -80,8 +80,70 @@
 	return m.Quarantine.NextRound(m.Time.Now(), f)
 }
 
+// sharedShows is how long the end of a run apart waits for the words of other requests on the same
+// end, which may take its evidence away: nodes learn of a server's end by its record, and did so up to
+// 270 ms after each other in the soak. The turn stays taken until then, so that the request ends no
+// other server meanwhile; the callers of an innocent one are not told that it is in quarantine.
+const sharedShows = 500 * time.Millisecond
+
+// apart is the runs apart whose servers ended and whose evidence waits. Safe for concurrent use.
+type apart struct {
+	mu      sync.Mutex
+	waiting map[apartRun]struct{}
+}
+
+// apartRun is one that waits.
+type apartRun struct {
+	request quarantine.Fingerprint
+	server  string
+}
+
+// begin notes one. It returns false if it is known.
+func (a *apart) begin(r apartRun) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, known := a.waiting[r]; known {
+		return false
+	}
+	if a.waiting == nil {
+		a.waiting = make(map[apartRun]struct{})
+	}
+	a.waiting[r] = struct{}{}
+	return true
+}
+
+func (a *apart) end(r apartRun) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.waiting, r)
+}
+
+func (a *apart) has(r apartRun) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	_, known := a.waiting[r]
+	return known
+}
+
 // Ended implements relay.Quarantine.
 func (m *Member) Ended(r quarantine.Run) {
+	if !r.Apart() {
+		m.ended(r)
+		return
+	}
+	run := apartRun{r.Request, r.Server}
+	if !m.apart.begin(run) {
+		return
+	}
+	time.AfterFunc(sharedShows, func() {
+		m.ended(r)
+		m.apart.end(run)
+		m.ReleaseTurn(r.Request, r.Server)
+	})
+}
+
+// ended takes in the evidence of a run whose server ended, and has it told.
+func (m *Member) ended(r quarantine.Run) {
 	change := m.Quarantine.Merge(m.Time.Now(), r.Ended())
 	m.Logger.Info("server ended under request", "fingerprint", r.Request.String(), "request_id", r.RequestID, "service", r.Service,
 		"server", r.Server, "round", r.Round, "ended_under_it", change.Servers(), "standing", change.Now.String())
@@ -183,7 +245,7 @@
 // ReleaseTurn implements relay.Quarantine.
 func (m *Member) ReleaseTurn(f quarantine.Fingerprint, server string) {
 	record, known := m.Lease.Current()
-	if !known {
+	if !known || m.apart.has(apartRun{f, server}) {
 		return // turns end by themselves
 	}
 	release := ReleaseTurn{Server: server, Request: f}
--- a/pkg/coordinator/quarantine_test.go
+++ b/pkg/coordinator/quarantine_test.go
@@ -41,3 +41,70 @@
 		}
 	})
 }
+
+// TestAnEndThatASuspectSharesBlamesNobody: an innocent request that many send has its turn at a server
+// that a node which was not told yet has the request that ends servers run at. That node learns of
+// the end later. The innocent one is never in quarantine, at any node, and gets no other turn until
+// that is sure; the other one's next end puts it there.
+func TestAnEndThatASuspectSharesBlamesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+		defer func() {
+			for _, n := range w.nodes {
+				n.stop()
+			}
+			time.Sleep(5 * time.Second) // virtual; for calls under way to end
+		}()
+		time.Sleep(5 * time.Second)
+		innocent, fatal := quarantine.FingerprintOf("POST", "h", "/", []byte("innocent")), quarantine.FingerprintOf("POST", "h", "/", []byte("fatal"))
+		end := func(n *worldNode, f quarantine.Fingerprint, server string, round int) {
+			n.member.Ended(quarantine.Run{Request: f, Service: "s", Server: server, Round: round, RequestID: "id"})
+		}
+		takesTurn := func(n *worldNode, f quarantine.Fingerprint, server string) bool {
+			granted, err := n.member.TakeTurn(t.Context(), f, "s", server)
+			if err != nil {
+				t.Error(err)
+			}
+			return granted
+		}
+		one, other := w.nodes[0], w.nodes[1]
+		for i, server := range []string{"server-0", "server-1"} {
+			end(one, innocent, server, i+1)
+			end(one, fatal, server, i+1)
+		}
+		time.Sleep(200 * time.Millisecond)
+		if !takesTurn(one, innocent, "server-2") {
+			t.Error("it gets no turn")
+		}
+		end(one, innocent, "server-2", one.member.NextRound(innocent))
+		one.member.ReleaseTurn(innocent, "server-2")
+		for step := range 20 {
+			time.Sleep(50 * time.Millisecond)
+			if step == 5 {
+				end(other, fatal, "server-2", 1)
+			}
+			if step < 8 && takesTurn(other, innocent, "server-3") {
+				t.Errorf("it gets another turn in step %d", step)
+			}
+			for _, n := range w.nodes {
+				if got := n.member.Standing(innocent); got != quarantine.Suspected {
+					t.Errorf("at %s in step %d it is %v, want suspected", n.name, step, got)
+				}
+			}
+		}
+		if !takesTurn(other, innocent, "server-3") {
+			t.Error("it gets no other turn")
+		}
+		if !takesTurn(other, fatal, "server-4") {
+			t.Error("the one that ends servers gets no turn")
+		}
+		end(other, fatal, "server-4", other.member.NextRound(fatal))
+		other.member.ReleaseTurn(fatal, "server-4")
+		time.Sleep(time.Second)
+		for _, n := range w.nodes {
+			if got := n.member.Standing(fatal); got != quarantine.Quarantined {
+				t.Errorf("at %s the one that ends servers is %v", n.name, got)
+			}
+		}
+	})
+}
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -61,6 +61,9 @@
 	RequestID string // of the caller's try, for logs
 }
 
+// Apart tells whether it is a run that puts the request in quarantine if its server ends.
+func (r Run) Apart() bool { return r.Round >= quarantinedRounds }
+
 // Ended is the evidence that its server ended under a run.
 func (r Run) Ended() Evidence {
 	return Evidence{Request: r.Request, Service: r.Service, Ends: []End{{Server: r.Server, Round: r.Round}}}
