--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -27,6 +27,11 @@
 type entry struct {
 	Evidence
 	at time.Time // of the last news
+
+	// Whether other suspected requests share its last round, and the table's number of changes that
+	// this was found at.
+	shared   bool
+	sharedAt uint64
 }
 
 // Table is what a node knows. The zero value is ready. Safe for concurrent use.
@@ -34,6 +39,7 @@
 	mu      sync.Mutex
 	entries map[Fingerprint]*entry
 	ran     ranSet
+	changes uint64 // of entries
 }
 
 // Change is what news did to what is known of a request.
@@ -66,10 +72,19 @@
 	return s
 }
 
-// sharesLast tells whether other suspected requests ended all servers of a request's last round. It
-// looks at all entries, 50 microseconds if they are as many as can be; so few requests come to a third
-// round that an index by servers is not kept for it. The caller holds mu.
+// sharesLast tells whether other suspected requests ended all servers of a request's last round. The
+// answer is kept until an entry changes: it looks at all entries, and a request in quarantine may come
+// thousands of times. The caller holds mu.
 func (t *Table) sharesLast(now time.Time, e *entry) bool {
+	if e.sharedAt != t.changes {
+		e.shared = t.share(now, e)
+		e.sharedAt = t.changes
+	}
+	return e.shared
+}
+
+// share is sharesLast, without what is kept. The caller holds mu.
+func (t *Table) share(now time.Time, e *entry) bool {
 	last := e.serversFrom(e.rounds())
 	for f := range t.entries {
 		if len(last) == 0 {
@@ -111,7 +126,7 @@
 		return nil
 	}
 	if now.Sub(e.at) > Lifetime {
-		delete(t.entries, f)
+		t.drop(f)
 		return nil
 	}
 	return e
@@ -192,8 +207,11 @@
 // change notes what news of a time did to an entry. The caller holds mu.
 func (t *Table) change(at time.Time, e *entry, f func() bool) Change {
 	c := Change{Before: t.standing(at, e)}
-	if c.New = f(); c.New && at.After(e.at) {
-		e.at = at
+	if c.New = f(); c.New {
+		t.changes++
+		if at.After(e.at) {
+			e.at = at
+		}
 	}
 	c.Now, c.Evidence = t.standing(at, e), e.copy()
 	return c
@@ -218,10 +236,16 @@
 		return cmp.Or(cmp.Compare(len(a.Servers()), len(b.Servers())), a.at.Compare(b.at))
 	})
 	for _, e := range list[:len(list)/4] { // so that this is rare
-		delete(t.entries, e.Request)
+		t.drop(e.Request)
 	}
 }
 
+// drop forgets an entry. The caller holds mu.
+func (t *Table) drop(f Fingerprint) {
+	delete(t.entries, f)
+	t.changes++
+}
+
 // Restricted returns the evidence against requests that are suspected or in quarantine: what
 // nodes that may have missed it are to know. Nodes that know the same return the same.
 func (t *Table) Restricted(now time.Time) []Evidence {
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -289,3 +289,17 @@
 		i++
 	}
 }
+
+// BenchmarkStandingAfterAThirdRound is the cost of each arrival of a request in quarantine at a node
+// that keeps evidence of as many others as it can, all suspected: 0.7 microseconds on one core of a
+// loaded machine, 340 with all of them looked at each time.
+func BenchmarkStandingAfterAThirdRound(b *testing.B) {
+	var table Table
+	table.Merge(testStart, ended(-1, "i-1", "i-2", "i-3"))
+	for i := range maxEntries - 1 {
+		table.Merge(testStart, ended(i, "i-4", "i-5"))
+	}
+	for b.Loop() {
+		table.Standing(testStart, request(-1))
+	}
+}
