quarantine: a third round that another suspected request shares tells nothing

Ruled out: streams and their servers (no evidence names them), servers that the soak itself starts again (engines only; none is in the evidence), the same life told twice.

Change: a third round whose servers all ended under another suspected request as well makes a request suspected, no more; a fourth counts in any case.

--- a/pkg/quarantine/doc.go
+++ b/pkg/quarantine/doc.go
@@ -7,7 +7,8 @@
 // are innocent. With two, the second under a run that began after the first was known, it is
 // suspected and runs apart: of all suspected requests one at a server at a time, over all
 // nodes, so that the next end tells which of them it was. With a third round it is in
-// quarantine and goes to no server until that lapses or is lifted.
+// quarantine and goes to no server until that lapses or is lifted, unless other suspected
+// requests ended the servers of that round as well: then its next turn tells.
 //
 // A request that ran to its end within the last minute, at any node, is not blamed.
 //
