--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -27,6 +27,11 @@
 type entry struct {
 	Evidence
 	at time.Time // of the last news
+
+	// Whether other suspected requests share its last round, and the table's number of changes that
+	// this was found at.
+	shared   bool
+	sharedAt uint64
 }
 
 // Table is what a node knows. The zero value is ready. Safe for concurrent use.
@@ -34,6 +39,7 @@
 	mu      sync.Mutex
 	entries map[Fingerprint]*entry
 	ran     ranSet
+	changes uint64 // of entries
 }
 
 // Change is what news did to what is known of a request.
@@ -48,11 +54,51 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.live(now, f); e != nil {
-		return e.Standing()
+		return t.standing(now, e)
 	}
 	return Free
 }
 
+// standing is by the ends of all requests. The run of the third round is to be apart, so that its
+// server's end tells which request it was; where another suspected one ended the same server, at a
+// node that did not know of turns yet, it tells nothing, and the next turn does. A fourth round counts
+// in any case: a request that ends servers and is never alone takes one server more. The caller
+// holds mu.
+func (t *Table) standing(now time.Time, e *entry) Standing {
+	s := e.Standing()
+	if s == Quarantined && e.rounds() == quarantinedRounds && t.sharesLast(now, e) {
+		return Suspected
+	}
+	return s
+}
+
+// sharesLast tells whether other suspected requests ended all servers of a request's last round. The
+// answer is kept until an entry changes: it looks at all entries, and a request in quarantine may come
+// thousands of times. The caller holds mu.
+func (t *Table) sharesLast(now time.Time, e *entry) bool {
+	if e.sharedAt != t.changes {
+		e.shared = t.share(now, e)
+		e.sharedAt = t.changes
+	}
+	return e.shared
+}
+
+// share is sharesLast, without what is kept. The caller holds mu.
+func (t *Table) share(now time.Time, e *entry) bool {
+	last := e.serversFrom(e.rounds())
+	for f := range t.entries {
+		if len(last) == 0 {
+			return true
+		}
+		other := t.live(now, f)
+		if other == nil || other == e || other.Standing() == Free {
+			continue
+		}
+		last = slices.DeleteFunc(last, other.ended)
+	}
+	return len(last) == 0
+}
+
 // NextRound returns the round of a run that begins now, see End.
 func (t *Table) NextRound(now time.Time, f Fingerprint) int {
 	t.mu.Lock()
@@ -80,7 +126,7 @@
 		return nil
 	}
 	if now.Sub(e.at) > Lifetime {
-		delete(t.entries, f)
+		t.drop(f)
 		return nil
 	}
 	return e
@@ -160,11 +206,14 @@
 
 // change notes what news of a time did to an entry. The caller holds mu.
 func (t *Table) change(at time.Time, e *entry, f func() bool) Change {
-	c := Change{Before: e.Standing()}
-	if c.New = f(); c.New && at.After(e.at) {
-		e.at = at
+	c := Change{Before: t.standing(at, e)}
+	if c.New = f(); c.New {
+		t.changes++
+		if at.After(e.at) {
+			e.at = at
+		}
 	}
-	c.Now, c.Evidence = e.Standing(), e.copy()
+	c.Now, c.Evidence = t.standing(at, e), e.copy()
 	return c
 }
 
@@ -187,10 +236,16 @@
 		return cmp.Or(cmp.Compare(len(a.Servers()), len(b.Servers())), a.at.Compare(b.at))
 	})
 	for _, e := range list[:len(list)/4] { // so that this is rare
-		delete(t.entries, e.Request)
+		t.drop(e.Request)
 	}
 }
 
+// drop forgets an entry. The caller holds mu.
+func (t *Table) drop(f Fingerprint) {
+	delete(t.entries, f)
+	t.changes++
+}
+
 // Restricted returns the evidence against requests that are suspected or in quarantine: what
 // nodes that may have missed it are to know. Nodes that know the same return the same.
 func (t *Table) Restricted(now time.Time) []Evidence {
@@ -255,7 +310,7 @@
 	defer t.mu.Unlock()
 	n := 0
 	for f := range t.entries {
-		if e := t.live(now, f); e != nil && e.Standing() == standing {
+		if e := t.live(now, f); e != nil && t.standing(now, e) == standing {
 			n++
 		}
 	}
