--- a/pkg/relay/place_test.go
+++ b/pkg/relay/place_test.go
@@ -278,7 +278,7 @@
 		servers = append(servers, &server)
 	}
 	s.relay.Servers.Replace(servers, 3)
-	c := &call{relay: s.relay, service: "s", need: backend.Need{Model: "m"}}
+	c := &call{relay: s.relay, request: request{service: "s", need: backend.Need{Model: "m"}}}
 	own, named := s.relay.Servers.Snapshot().Member("server-0"), make(map[string]bool)
 	for range 100 {
 		list := c.placeServers(own)
