--- a/pkg/backend/conn_test.go
+++ b/pkg/backend/conn_test.go
@@ -75,22 +75,25 @@
 // TestConnectionIsKeptThoughTheAnswerWasFaster: an answer that is there before
 // the request's writer has returned does not cost the connection.
 func TestConnectionIsKeptThoughTheAnswerWasFaster(t *testing.T) {
-	var dials atomic.Int32
-	m := toServer(func(context.Context, string) (net.Conn, error) {
-		dials.Add(1)
-		near, far := net.Pipe()
-		go serve(far, good, good, good)
-		return slowWriter{near}, nil
-	})
-	for range 3 {
-		if body := exchangeWith(t, m); body != "good" {
-			t.Errorf("the answer is %q", body)
+	synctest.Test(t, func(t *testing.T) { // a busy machine's writer took longer than any answer is waited with
+		var dials atomic.Int32
+		m := toServer(func(context.Context, string) (net.Conn, error) {
+			dials.Add(1)
+			near, far := net.Pipe()
+			go serve(far, good, good, good)
+			return slowWriter{near}, nil
+		})
+		defer m.pool.closeIdle()
+		for range 3 {
+			if body := exchangeWith(t, m); body != "good" {
+				t.Errorf("the answer is %q", body)
+			}
+			waitIdle(t, m)
 		}
-		waitIdle(t, m)
-	}
-	if dials.Load() != 1 {
-		t.Errorf("%d dials for three requests in turn", dials.Load())
-	}
+		if dials.Load() != 1 {
+			t.Errorf("%d dials for three requests in turn", dials.Load())
+		}
+	})
 }
 
 // TestUnsolicitedBytesEndAConnection: bytes that come while no request is under
