coordinator: a tenant beyond its quota while holders change, a failing test

Cause suspected: a new holder begins with a part of a full bucket and forgives debts. Ruled out so far: two holders at once (a holder that freezes gives less than its rate, 4,350 to 6,050 of 11,900). Six of the sixteen plays fail each time in five runs: the holder crashes or stops each 0.7, 1 and 2 s, 13,900 to 17,200 let in within 8 s of 11,900 that may be. The 300 random schedules pass.

--- a/pkg/coordinator/world_test.go
+++ b/pkg/coordinator/world_test.go
@@ -87,6 +87,7 @@
 		random: rand.New(rand.NewPCG(seed, 1)), luck: rand.New(rand.NewPCG(seed, 2)),
 		births: rand.New(rand.NewPCG(seed, 4)),
 	}
+	w.withQuotas()
 	w.engines.load = 2 * time.Second
 	w.loadRate = exploreLoadRates[seed%uint64(len(exploreLoadRates))]
 	w.table.Service("s").Engine.LoadsPerSecond = w.loadRate
