peer: a message of a type that the other build does not know closes no connection

Cause, by reading and a stand-in of an earlier build: a node closes the connection at the first message of a type that it does not know, and all calls under way on it are lost, each time.

Hellos tell the types that a build knows; a type is sent to those who know it alone, and to builds that tell none unless one closed the connection at it in this life. What this build does not know it passes over, and answers a call with an error. Twenty messages to a stand-in of a build that tells none close one connection; to one that tells its types none.

--- a/pkg/coordinator/places.go
+++ b/pkg/coordinator/places.go
@@ -251,4 +251,4 @@
 // errPlaceSilent means that the holder was not asked, as it did not answer a moment ago.
 var errPlaceSilent = errors.New("coordinator: the holder did not answer about a place a moment ago")
 
-func init() { peer.Register(AskPlace{}, PlaceAnswer{}, PlaceNews{}, CrowdNotice{}) }
+func init() { peer.RegisterRecent(AskPlace{}, PlaceAnswer{}, PlaceNews{}, CrowdNotice{}) }
--- a/pkg/coordinator/quarantine.go
+++ b/pkg/coordinator/quarantine.go
@@ -331,4 +331,4 @@
 	return answer
 }
 
-func init() { peer.Register(EvidenceNotice{}, TakeTurn{}, TurnAnswer{}, ReleaseTurn{}) }
+func init() { peer.RegisterRecent(EvidenceNotice{}, TakeTurn{}, TurnAnswer{}, ReleaseTurn{}) }
--- a/pkg/peer/codec.go
+++ b/pkg/peer/codec.go
@@ -44,6 +44,7 @@
 	message  Message // send, call, answer; nil for an acknowledgement
 	text     string  // error
 	typeName string  // of message; empty for none
+	unknown  bool    // the message's type is of another build; message is nil
 }
 
 // encoder writes frames. The types are described once in a stream.
@@ -133,7 +134,7 @@
 
 type namedType struct {
 	name string
-	kind reflect.Type
+	kind reflect.Type // nil: this build does not know it
 }
 
 // byteReader is what frames are read from.
@@ -250,11 +251,15 @@
 	if err != nil {
 		return err
 	}
+	f.typeName = known.name
+	if known.kind == nil {
+		f.unknown = true
+		return errors.Wrapf(d.gob.DecodeValue(reflect.Value{}), "peer: pass over %s", known.name)
+	}
 	value := reflect.New(known.kind)
 	if err := d.gob.DecodeValue(value); err != nil {
 		return errors.Wrapf(err, "peer: decode %s", known.name)
 	}
-	f.typeName = known.name
 	f.message = value.Elem().Interface()
 	return nil
 }
@@ -276,11 +281,7 @@
 	if _, err := io.ReadFull(&d.body, name); err != nil {
 		return namedType{}, errors.Wrap(err, "peer: name of a type")
 	}
-	kind, err := typeOf(string(name))
-	if err != nil {
-		return namedType{}, err
-	}
-	added := namedType{name: string(name), kind: kind}
+	added := namedType{name: string(name), kind: typeOf(string(name))}
 	d.types = append(d.types, added)
 	return added, nil
 }
--- a/pkg/peer/fault_test.go
+++ b/pkg/peer/fault_test.go
@@ -64,14 +64,18 @@
 
 // greet exchanges hellos as a server.
 func greet(conn net.Conn) *bufio.Reader {
-	reader := bufio.NewReader(conn)
-	if _, err := readHello(reader); err != nil {
-		return reader
-	}
+	reader := greetReader(conn)
 	conn.Write(encodeHello(api.NodeRef{ID: "fake"}))
 	return reader
 }
 
+// greetReader reads the other end's hello and returns what comes after it.
+func greetReader(conn net.Conn) *bufio.Reader {
+	reader := bufio.NewReader(conn)
+	_, _ = readHello(reader) // one that is none ends the connection
+	return reader
+}
+
 // readCalls counts calls until the connection ends or limit is reached.
 func (p *fakePeer) readCalls(reader *bufio.Reader, limit int) {
 	var decoder decoder
--- a/pkg/peer/hello.go
+++ b/pkg/peer/hello.go
@@ -35,6 +35,9 @@
 // hello tells who is at an end of a connection.
 type hello struct {
 	Self api.NodeRef
+	// Kinds are the marks of the message types that this end knows, see markOf; earlier builds tell
+	// none. Another build may know fewer or more, while nodes are replaced one after the other.
+	Kinds []uint32
 }
 
 // connection is a connection after the exchange of hellos.
@@ -42,6 +45,7 @@
 	net.Conn
 	reader *bufio.Reader
 	peer   api.NodeRef
+	kinds  map[uint32]bool // that the peer knows; nil: not told
 }
 
 // startClient does the TLS handshake, if any, and exchanges hellos.
@@ -134,17 +138,30 @@
 // finishStart reads the peer's hello and compares it with its certificate.
 func finishStart(started net.Conn, certificates []*x509.Certificate) (*connection, error) {
 	reader := bufio.NewReader(started)
-	peer, err := readHello(reader)
+	received, err := readHello(reader)
 	if err != nil {
 		return nil, err
 	}
+	peer := received.Self
 	if len(certificates) > 0 && !certifies(certificates[0], peer.ID) {
 		return nil, errors.Wrapf(ErrIdentity, "hello of %q", peer.ID)
 	}
 	if err := started.SetDeadline(time.Time{}); err != nil {
 		return nil, errors.WithStack(err)
 	}
-	return &connection{Conn: started, reader: reader, peer: peer}, nil
+	return &connection{Conn: started, reader: reader, peer: peer, kinds: received.kinds()}, nil
+}
+
+// kinds returns the marks of the message types that were told, nil if none were.
+func (h *hello) kinds() map[uint32]bool {
+	if len(h.Kinds) == 0 {
+		return nil
+	}
+	kinds := make(map[uint32]bool, len(h.Kinds))
+	for _, mark := range h.Kinds {
+		kinds[mark] = true
+	}
+	return kinds
 }
 
 // certifies tells whether a certificate is for a node, by a DNS name, a URI or
@@ -168,7 +185,7 @@
 // encodeHello returns the opening bytes of a connection.
 func encodeHello(self api.NodeRef) []byte {
 	var body bytes.Buffer
-	if err := gob.NewEncoder(&body).Encode(hello{Self: self}); err != nil {
+	if err := gob.NewEncoder(&body).Encode(hello{Self: self, Kinds: registeredMarks()}); err != nil {
 		panic(errors.Wrap(err, "peer: encode hello")) // plain strings cannot fail
 	}
 	opening := []byte(magic)
@@ -179,24 +196,24 @@
 
 // readHello reads the opening bytes of a connection. Nothing is decoded unless
 // magic and version are right.
-func readHello(from byteReader) (api.NodeRef, error) {
+func readHello(from byteReader) (hello, error) {
 	var opening [len(magic) + 2]byte
 	if _, err := io.ReadFull(from, opening[:]); err != nil {
-		return api.NodeRef{}, errors.Wrap(err, "peer: hello")
+		return hello{}, errors.Wrap(err, "peer: hello")
 	}
 	if string(opening[:len(magic)]) != magic {
-		return api.NodeRef{}, errors.New("peer: not this protocol")
+		return hello{}, errors.New("peer: not this protocol")
 	}
 	if version := binary.BigEndian.Uint16(opening[len(magic):]); version != Version {
-		return api.NodeRef{}, errors.Wrapf(ErrVersion, "peer has %d, this node %d", version, Version)
+		return hello{}, errors.Wrapf(ErrVersion, "peer has %d, this node %d", version, Version)
 	}
 	body, err := newFrameReader(from, maxHelloBytes).next()
 	if err != nil {
-		return api.NodeRef{}, errors.Wrap(err, "peer: hello")
+		return hello{}, errors.Wrap(err, "peer: hello")
 	}
 	var received hello
 	if err := gob.NewDecoder(bytes.NewReader(body)).Decode(&received); err != nil {
-		return api.NodeRef{}, errors.Wrap(err, "peer: hello")
+		return hello{}, errors.Wrap(err, "peer: hello")
 	}
-	return received.Self, nil
+	return received, nil
 }
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -28,6 +28,7 @@
 	running  bool
 	failures int
 	retryAt  time.Time // no connection is tried before
+	lacks    lacking
 }
 
 // add queues a message, dropping the oldest one without an answer if the queue
@@ -198,6 +199,7 @@
 	writer     *bufio.Writer
 	ended      chan struct{} // closed when the reader has ended
 	received   atomic.Int64  // frames so far
+	unproved   unproved      // for the writer alone
 
 	mutex    sync.Mutex
 	lastCall uint64
@@ -224,6 +226,7 @@
 	err := e.write()
 	e.connection.Close()
 	reader.Wait()
+	e.learn()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	for _, call := range e.pending {
@@ -298,6 +301,11 @@
 
 // writeItem writes a message. A message that cannot be encoded fails alone.
 func (e *exchange) writeItem(item *outgoing) error {
+	if !e.knows(item.typeName) {
+		item.finish(nil, errors.Wrap(ErrUnknownType, item.typeName))
+		return nil
+	}
+	e.note(item.typeName)
 	out := frame{kind: frameSend, message: item.message, typeName: item.typeName}
 	if item.reply != nil {
 		out.kind = frameCall
@@ -406,6 +414,8 @@
 	call := e.forget(answer.call)
 	switch {
 	case call == nil:
+	case answer.unknown:
+		call.finish(nil, errors.Wrapf(ErrUnknownOutcome, "answer of type %s, which is of another build", answer.typeName))
 	case answer.kind == frameError:
 		call.finish(nil, &RemoteError{Text: answer.text})
 	default:
--- a/pkg/peer/registry.go
+++ b/pkg/peer/registry.go
@@ -1,7 +1,9 @@
 package peer
 
 import (
+	"hash/fnv"
 	"reflect"
+	"slices"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -12,7 +14,9 @@
 	sync.RWMutex
 	byName map[string]reflect.Type
 	byType map[reflect.Type]string
+	recent map[string]bool // by name, see RegisterRecent
 }{
+	recent: make(map[string]bool),
 	byName: make(map[string]reflect.Type),
 	byType: make(map[reflect.Type]string),
 }
@@ -35,6 +39,17 @@
 	}
 }
 
+// RegisterRecent is Register for types that some builds lack which don't tell the types that they
+// know.
+func RegisterRecent(messages ...Message) {
+	Register(messages...)
+	registry.Lock()
+	defer registry.Unlock()
+	for _, message := range messages {
+		registry.recent[registry.byType[reflect.TypeOf(message)]] = true
+	}
+}
+
 // nameOf returns the registered name of a message's type.
 func nameOf(message Message) (string, error) {
 	registry.RLock()
@@ -46,13 +61,35 @@
 	return name, nil
 }
 
-// typeOf returns the type registered under a name.
-func typeOf(name string) (reflect.Type, error) {
+// typeOf returns the type registered under a name, nil if there is none.
+func typeOf(name string) reflect.Type {
 	registry.RLock()
 	defer registry.RUnlock()
-	kind, known := registry.byName[name]
-	if !known {
-		return nil, errors.Errorf("peer: unknown message type %q", name)
+	return registry.byName[name]
+}
+
+// markOf is the short form of a type's name that hellos tell.
+func markOf(name string) uint32 {
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(name)) // never fails
+	return sum.Sum32()
+}
+
+// registeredMarks returns the marks of all types.
+func registeredMarks() []uint32 {
+	registry.RLock()
+	defer registry.RUnlock()
+	marks := make([]uint32, 0, len(registry.byName))
+	for name := range registry.byName {
+		marks = append(marks, markOf(name))
 	}
-	return kind, nil
+	slices.Sort(marks)
+	return marks
+}
+
+// isRecent tells whether builds that don't tell their types may lack one.
+func isRecent(name string) bool {
+	registry.RLock()
+	defer registry.RUnlock()
+	return registry.recent[name]
 }
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -178,6 +178,10 @@
 			return err
 		}
 		s.server.config.Counters.received(s.peer.PeerAddress, received.typeName, len(data))
+		if received.unknown {
+			s.passOver(received)
+			continue
+		}
 		switch received.kind {
 		case frameSend:
 			s.handle(ctx, received.message)
@@ -192,6 +196,14 @@
 	}
 }
 
+// passOver tells the sender of a message whose type is of another build that it is not handled.
+func (s *session) passOver(received frame) {
+	s.server.config.Logger.Warn("message of an unknown type is passed over", "type", received.typeName, "peer", s.peer.ID)
+	if received.kind == frameCall {
+		s.write(frame{kind: frameError, call: received.call, text: ErrUnknownType.Error()})
+	}
+}
+
 // answer handles a call and writes its answer.
 func (s *session) answer(ctx context.Context, received frame) {
 	defer func() { <-s.slots }()
--- a/pkg/peer/types.go
+++ b/pkg/peer/types.go
@@ -22,6 +22,9 @@
 	ErrUnreachable = errors.New("peer: unreachable")
 	// ErrUnknownOutcome means that the message was sent but not answered.
 	ErrUnknownOutcome = errors.New("peer: outcome unknown")
+	// ErrUnknownType means that the peer is of a build that does not know the message. It was not
+	// sent.
+	ErrUnknownType = errors.New("peer: message of a type that the peer does not know")
 	// ErrTooLarge means that the message is over MaxMessageBytes.
 	ErrTooLarge = errors.New("peer: message too large")
 )
