--- a/pkg/coordinator/beats.go
+++ b/pkg/coordinator/beats.go
@@ -6,7 +6,9 @@
 type nodeState struct {
 	node Node
 	seen time.Time
-	uses map[demandKey]Use
+	// changed is the number of the change in which the node came or changed last.
+	changed uint64
+	uses    map[demandKey]Use
 }
 
 // beat takes in what a node tells.
@@ -32,7 +34,7 @@
 	if now.Before(h.scarceUntil) {
 		h.planSoon = true // a replica that went idle may make way
 	}
-	answer := BeatAnswer{Version: NodesVersion{h.term, h.nodesNumber}, Scarce: now.Before(h.scarceUntil),
+	answer := BeatAnswer{Version: NodesVersion{h.term, h.roster.number}, Scarce: now.Before(h.scarceUntil),
 		Store: h.store.tell(h.term), Fleet: h.fleet.known()}
 	answer.Evidence = h.exchange(now, b.Evidence)
 	answer.Crowded = h.takePlaces(now, b)
@@ -41,12 +43,7 @@
 	if h.Clock != nil {
 		answer.StoreClock, _ = h.Clock.Latest()
 	}
-	if b.Knows == answer.Version {
-		return answer
-	}
-	for _, other := range h.nodes {
-		answer.Nodes = append(answer.Nodes, other.node)
-	}
+	h.tellNodes(&b, &answer)
 	return answer
 }
 
@@ -60,13 +57,16 @@
 	if n == nil || n.node.Life != node.Life {
 		h.Logger.Info("node joined", "name", node.Name, "zone", node.Zone, "life", node.Life)
 	}
+	changed := uint64(0)
 	if n == nil || n.node != node {
-		h.nodesNumber++
+		changed = h.roster.change()
+	} else {
+		changed = n.changed
 	}
 	if n != nil && n.node.Life != node.Life {
 		h.places.model.NodeGone(placeNode(n.node))
 	}
-	n = &nodeState{node: node, seen: now, uses: make(map[demandKey]Use)}
+	n = &nodeState{node: node, seen: now, changed: changed, uses: make(map[demandKey]Use)}
 	h.nodes[node.Name] = n
 	return n
 }
@@ -81,12 +81,13 @@
 
 // expire drops nodes that are silent and demands that are over.
 func (h *Holder) expire(now time.Time) {
+	h.forgiveStall(now)
 	for name, n := range h.nodes {
 		if now.Sub(n.seen) > nodeExpiry {
 			h.Logger.Warn("node silent", "name", name, "zone", n.node.Zone, "life", n.node.Life)
 			delete(h.nodes, name)
 			h.places.model.NodeGone(placeNode(n.node))
-			h.nodesNumber++
+			h.roster.went(name)
 		}
 	}
 	h.paces.expire(now)
--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -102,7 +102,7 @@
 // engines are model servers, by the names that they answer to, that judge orders as the
 // platform's do.
 type engines struct {
-	t  *testing.T
+	t  testing.TB
 	mu sync.Mutex
 
 	servers map[string]*engineState
@@ -347,7 +347,7 @@
 
 // site is engines, a store and holders.
 type site struct {
-	t       *testing.T
+	t       testing.TB
 	row     *row
 	engines *engines
 	table   *route.Table
@@ -362,7 +362,7 @@
 }
 
 // newSite has servers that hold the models named, and models m0, m1 and so on.
-func newSite(t *testing.T, holds ...[]string) *site {
+func newSite(t testing.TB, holds ...[]string) *site {
 	s := &site{t: t, running: make(map[string]*node), row: &row{started: time.Now()}, engines: &engines{t: t, load: loadTime, servers: make(map[string]*engineState)}}
 	e := &route.Engine{Slots: 8, WeightBytes: engineBytes, AdapterPlaces: adapterPlaces, LoadsPerSecond: loadRate,
 		CacheTokens: 250_000, EventTokens: 6,
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -74,14 +74,14 @@
 	// scarceRecorded is when the lease's record was last written for tenants that became scarce.
 	scarceRecorded time.Time
 	roomsTold      time.Time // when the log was last told how their quotas are shared
-	// nodesNumber counts the changes of nodes.
-	nodesNumber uint64
-	demands     map[demandKey]*demand
-	servers     map[string]*serverState
-	instances   map[string]*instance     // what all lives of a server share, by its name
-	fatal       map[demandKey]*fatalLoad // models during whose loads servers ended
-	fetches     []time.Time              // starts of loads from the weight store
-	store       storeLimit               // how many of them go at full speed at once
+	roster         roster    // of the nodes
+	expiredAt      time.Time // when nodes' silence was last looked at, in this term
+	demands        map[demandKey]*demand
+	servers        map[string]*serverState
+	instances      map[string]*instance     // what all lives of a server share, by its name
+	fatal          map[demandKey]*fatalLoad // models during whose loads servers ended
+	fetches        []time.Time              // starts of loads from the weight store
+	store          storeLimit               // how many of them go at full speed at once
 
 	taking      bool                      // the last holder is asked what it did without the store
 	quietUntil  time.Time                 // the last holder had all servers see its fence
@@ -173,6 +173,7 @@
 func (h *Holder) begin(term uint64) {
 	h.term = term
 	h.nodes = make(map[string]*nodeState)
+	h.roster.begin()
 	h.demands = make(map[demandKey]*demand)
 	h.servers = make(map[string]*serverState)
 	h.instances = make(map[string]*instance)
@@ -183,6 +184,7 @@
 	h.expected = make(map[string]map[string]time.Time)
 	record, _ := h.Lease.Current()
 	now, storeNow := h.Time.Now(), h.Lease.Now()
+	h.expiredAt = now
 	h.fleet.begin(now, record.Fleet)
 	h.slack.Budget = h.Budget
 	h.slack.Begin(now)
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -232,7 +232,7 @@
 		store = m.store
 	}
 	return Beat{
-		Node: m.self(), Uses: m.uses(m.Time.Now()), Knows: m.version, Store: store, Spent: m.ledger.Report(),
+		Node: m.self(), Uses: m.uses(m.Time.Now()), Knows: m.version, Partial: true, Store: store, Spent: m.ledger.Report(),
 		Evidence: knownEvidence(m.Quarantine, m.Time.Now(), m.evidence),
 		Paces:    m.Servers.TakeReports(pacesShare(m.Fleet())), KnowsPaces: m.pacesKnown,
 		Places: m.places.ledger.Whole(m.Time.Now()),
@@ -255,10 +255,7 @@
 		m.store = answer.Store
 	}
 	m.fleet.Store(int64(answer.Fleet))
-	if len(answer.Nodes) > 0 {
-		m.nodes.Store(&answer.Nodes)
-		m.version = answer.Version
-	}
+	m.takeNodes(answer)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.answered {
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -56,9 +56,11 @@
 type Beat struct {
 	Node  Node
 	Uses  []Use
-	Knows NodesVersion  // of the nodes that it was told of
-	Store StoreLimit    // as an earlier holder learned it; told to a holder once, at its first beat
-	Spent []quota.Spent // of tenants' quotas since the last beat
+	Knows NodesVersion // of the nodes that it was told of
+	// Partial tells that the answer may tell of the nodes that changed since alone.
+	Partial bool
+	Store   StoreLimit    // as an earlier holder learned it; told to a holder once, at its first beat
+	Spent   []quota.Spent // of tenants' quotas since the last beat
 	// Evidence is against requests that end servers.
 	Evidence KnownEvidence
 	Places   []admission.Report // all that the node has at servers whose memory is told
@@ -77,7 +79,11 @@
 // The term is zero if the node that was asked does not hold the lease.
 type BeatAnswer struct {
 	Version NodesVersion
-	Nodes   []Node     // empty: as known
+	Nodes   []Node // empty: as known
+	// Partial tells that Nodes are those that came or changed since the version that the beat told;
+	// Gone are those that went.
+	Partial bool
+	Gone    []string
 	Scarce  bool       // models waited for a server lately: what goes idle is to be told soon
 	Store   StoreLimit // what was learned of the weight store, for the next holder
 	Fleet   int        // nodes that share what all may use together, the most of the last while
--- a/pkg/coordinator/places_test.go
+++ b/pkg/coordinator/places_test.go
@@ -80,7 +80,7 @@
 	return takeWithin(w.t, m, r, 2*drawTimeout)
 }
 
-func takeWithin(t *testing.T, m *Member, r *admission.Request, bound time.Duration) admission.Verdict {
+func takeWithin(t testing.TB, m *Member, r *admission.Request, bound time.Duration) admission.Verdict {
 	t.Helper()
 	began := time.Now()
 	v, _ := m.TakePlace(t.Context(), r)
