--- a/pkg/coordinator/roster_test.go
+++ b/pkg/coordinator/roster_test.go
@@ -1,14 +1,18 @@
 package coordinator
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/policy"
 )
 
 // After all 302 nodes of a site before 3,000 servers had been lost, each beat was answered with the list
@@ -114,3 +118,48 @@
 		}
 	})
 }
+
+// slowDecider is a decider whose decisions take a while, as those for thousands of servers do.
+type slowDecider struct {
+	policy.Decider
+	took time.Duration
+}
+
+func (d slowDecider) Decide(now time.Time, input policy.Input) []policy.Action {
+	time.Sleep(d.took)
+	return d.Decider.Decide(now, input)
+}
+
+// TestBeatsAreAnsweredBesideLongPlans: a holder whose plans took longer than its ticks are apart made one
+// plan after the other. A beat and a tick that both waited had the same chance, so that some five beats
+// a second were answered: at 302 nodes before 3,000 servers, whose first reports wait there as well, all
+// nodes were silent for some three seconds, were heard, and were silent again.
+func TestBeatsAreAnsweredBesideLongPlans(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, []string{"m0"})
+		n := s.start("holder")
+		n.hold()
+		defer n.stop()
+		n.holder.Decider = slowDecider{n.holder.Decider, 300 * time.Millisecond}
+		const nodes, seconds = 302, 5
+		var late atomic.Int32
+		var all sync.WaitGroup
+		for i := range nodes {
+			all.Go(func() {
+				time.Sleep(time.Duration(i) * time.Second / nodes)
+				for range seconds {
+					ctx, cancel := context.WithTimeout(t.Context(), beatTimeout)
+					if _, err := n.holder.HandleMessage(ctx, api.NodeRef{}, Beat{Node: Node{Name: fmt.Sprint("node-", i)}}); err != nil {
+						late.Add(1)
+					}
+					cancel()
+					time.Sleep(time.Second)
+				}
+			})
+		}
+		all.Wait()
+		if n := late.Load(); n > 0 {
+			t.Errorf("%d of %d beats were not answered within %v", n, nodes*seconds, beatTimeout)
+		}
+	})
+}
