relay: a server that ended in a test keeps its port

TestTriesThatReachNoServerCostNoBudget failed once with a 404: another test's server had got the port of the one that had ended. TestAnEndedServerKeepsItsPort showed that anybody could listen there, and fails without the held socket.

--- a/pkg/relay/harness_test.go
+++ b/pkg/relay/harness_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -139,8 +140,33 @@
 	})
 }
 
-// end stops a server's listening, as its crash does.
-func (s *site) end(i int) { _ = s.running[i].Listener.Close() }
+// end stops a server's listening, as its crash does. Its port stays taken, so that connections to it are
+// refused: a server of another test that got it answered 404 in place of the one that had ended.
+func (s *site) end(i int) {
+	address := s.running[i].Listener.Addr().(*net.TCPAddr)
+	_ = s.running[i].Listener.Close()
+	holdPort(s.t, address)
+}
+
+// holdPort binds a socket that does not listen to an address, until the test ends.
+func holdPort(t testing.TB, address *net.TCPAddr) {
+	t.Helper()
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(socket) })
+	reuse := func(on int) { // connections of the ended server may linger on the port; nobody else is to reuse it
+		if err := syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, on); err != nil {
+			t.Fatal(err)
+		}
+	}
+	reuse(1)
+	if err := syscall.Bind(socket, &syscall.SockaddrInet4{Port: address.Port, Addr: [4]byte(address.IP.To4())}); err != nil {
+		t.Fatal(err)
+	}
+	reuse(0)
+}
 
 // arrivals returns what the servers got.
 func (s *site) arrivals() []seen {
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -300,3 +300,18 @@
 		}
 	}
 }
+
+// TestAnEndedServerKeepsItsPort: nobody else can listen there, and connections are refused.
+func TestAnEndedServerKeepsItsPort(t *testing.T) {
+	s := newSite(t, route.Route{Kind: route.Safe, MaxAttempts: 1}, sealed(http.StatusOK, "x"))
+	address := s.running[0].Listener.Addr().String()
+	s.end(0)
+	if other, err := net.Listen("tcp", address); err == nil {
+		_ = other.Close()
+		t.Error("another server can have the port")
+	}
+	if connection, err := net.Dial("tcp", address); err == nil {
+		_ = connection.Close()
+		t.Error("somebody listens there")
+	}
+}
