--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -5,7 +5,8 @@
 // Begin with member.go, the part of every node, with uses.go, what it tells of its
 // requests, and wishes.go, what it asks for; and with holder.go, the loop of the
 // node that holds the lease. plan.go asks package policy what to load where;
-// beats.go takes in what nodes tell, and quotas.go keeps the quotas of tenants by it;
+// beats.go takes in what nodes tell, roster.go tells them of each other by changes, and quotas.go
+// keeps the quotas of tenants by what they tell;
 // adapters.go places adapters; orders.go gives orders, one at a time to each
 // server, and reports.go finds out what became of them; lives.go is about servers that start
 // again under the name that they had; handover.go takes over from a
--- a/pkg/coordinator/quotas.go
+++ b/pkg/coordinator/quotas.go
@@ -342,7 +342,7 @@
 // recordScarce has the record tell at once of tenants that became scarce: as a tenant becomes hot it
 // runs some 3 s' worth of its quota within a second, and a holder that is lost before it renews the
 // lease takes the debt with it. In the plays of TestQUOTAWhileHoldersChange and TestQUOTAInSchedules
-// no window had more than 0.84 of what may run with this write, 0.90 without it.
+// no window had more than 0.87 of what may run with this write, 0.90 without it.
 func (h *Holder) recordScarce(now time.Time) {
 	if now.Sub(h.scarceRecorded) < recordInterval {
 		return
--- a/pkg/quota/inherit.go
+++ b/pkg/quota/inherit.go
@@ -28,7 +28,7 @@
 	// and in debt as far as it is not paid off; what nodes let in between the holders counts in full.
 	// With a part of a full bucket in each term a tenant that sends five times its quota ran up to 1.22
 	// of what may run in 8 s while holders change, 1.08 with this node's word alone, 0.97 with the
-	// record alone, and 0.84 with both (coordinator's TestQUOTAWhileHoldersChange and
+	// record alone, and 0.87 with both (coordinator's TestQUOTAWhileHoldersChange and
 	// TestQUOTAInSchedules, the worst of some 630 plays each).
 	Scarce []Inherited
 }
