--- a/pkg/coordinator/quotas.go
+++ b/pkg/coordinator/quotas.go
@@ -288,7 +288,7 @@
 	if h.ScarceTold != nil {
 		for _, name := range h.ScarceTold() {
 			if !slices.ContainsFunc(start.Scarce, func(one quota.Inherited) bool { return one.Tenant == name }) {
-				start.Scarce = append(start.Scarce, quota.Inherited{Left: quota.Left{Tenant: name}})
+				start.Scarce = append(start.Scarce, quota.Inherited{Balance: quota.Balance{Tenant: name}})
 				told++
 			}
 		}
@@ -299,10 +299,10 @@
 	}
 }
 
-// QuotasLeft returns what scarce tenants' quotas hold in a term of this holder, for the lease's
+// QuotaBalances returns what scarce tenants' quotas hold in a term of this holder, for the lease's
 // record; false if this holder does not know yet. Safe for concurrent use.
-func (h *Holder) QuotasLeft(term uint64) ([]quota.Left, bool) {
-	return h.quotas.Left(h.Time.Now(), term)
+func (h *Holder) QuotaBalances(term uint64) ([]quota.Balance, bool) {
+	return h.quotas.Balances(h.Time.Now(), term)
 }
 
 // takeSpent takes in what a node let in without asking, and tells all nodes at once if
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -84,7 +84,7 @@
 	// Quotas returns what scarce tenants' quotas hold, as the record is to have it; false if it
 	// keeps its own, as it does if this is nil. It is called with the lease locked and is not to
 	// call it.
-	Quotas func(term uint64) ([]quota.Left, bool)
+	Quotas func(term uint64) ([]quota.Balance, bool)
 	Time   clock.Clock
 	Log    func(message string, fields ...any)
 
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -444,11 +444,11 @@
 // next one tells.
 func TestQuotasOutliveTheHolder(t *testing.T) {
 	bubble(t, func(t *testing.T, m *memory) {
-		left, known := []quota.Left{{Tenant: "a", Amount: -7}}, true
-		_, stop := runLease(t, &Lease{Store: m, Self: "a", Address: "a", Quotas: func(uint64) ([]quota.Left, bool) { return left, known }})
+		left, known := []quota.Balance{{Tenant: "a", Amount: -7}}, true
+		_, stop := runLease(t, &Lease{Store: m, Self: "a", Address: "a", Quotas: func(uint64) ([]quota.Balance, bool) { return left, known }})
 		time.Sleep(2 * Renewal)
 		stop()
-		next, stop := runLease(t, &Lease{Store: m, Self: "b", Address: "b", Quotas: func(uint64) ([]quota.Left, bool) { return nil, false }})
+		next, stop := runLease(t, &Lease{Store: m, Self: "b", Address: "b", Quotas: func(uint64) ([]quota.Balance, bool) { return nil, false }})
 		defer stop()
 		for !held(next) {
 			next.Suspect()
@@ -457,7 +457,7 @@
 		time.Sleep(2 * Renewal)
 		record, _ := next.Current()
 		inherited := record.Inherited(m.now())
-		if len(inherited) != 1 || inherited[0].Left != left[0] {
+		if len(inherited) != 1 || inherited[0].Balance != left[0] {
 			t.Fatalf("the record tells %+v, want %+v", inherited, left)
 		}
 		if age := inherited[0].Age; age < 2*Renewal || age > 2*Renewal+Expiry {
--- a/pkg/lease/record.go
+++ b/pkg/lease/record.go
@@ -34,12 +34,12 @@
 	// Quarantine is of requests that end servers, so that it outlives all nodes.
 	Quarantine []Quarantined `json:",omitempty"`
 	// Quotas is what scarce tenants' quotas held, so that it outlives the holder.
-	Quotas []QuotaLeft `json:",omitempty"`
+	Quotas []QuotaBalance `json:",omitempty"`
 }
 
-// QuotaLeft is what a scarce tenant's bucket held.
-type QuotaLeft struct {
-	quota.Left
+// QuotaBalance is what a scarce tenant's bucket held.
+type QuotaBalance struct {
+	quota.Balance
 	At int64 // in milliseconds by the store's clock
 }
 
@@ -47,16 +47,16 @@
 func (r Record) Inherited(now int64) []quota.Inherited {
 	list := make([]quota.Inherited, len(r.Quotas))
 	for i, q := range r.Quotas {
-		list[i] = quota.Inherited{Left: q.Left, Age: time.Duration(max(now-q.At, 0)) * time.Millisecond}
+		list[i] = quota.Inherited{Balance: q.Balance, Age: time.Duration(max(now-q.At, 0)) * time.Millisecond}
 	}
 	return list
 }
 
-// quotasLeft is the inverse of Inherited for what is left now.
-func quotasLeft(left []quota.Left, now int64) []QuotaLeft {
-	var list []QuotaLeft
+// quotaBalances is the inverse of Inherited for what is left now.
+func quotaBalances(left []quota.Balance, now int64) []QuotaBalance {
+	var list []QuotaBalance
 	for _, one := range left {
-		list = append(list, QuotaLeft{one, now})
+		list = append(list, QuotaBalance{one, now})
 	}
 	return list
 }
--- a/pkg/lease/write.go
+++ b/pkg/lease/write.go
@@ -50,7 +50,7 @@
 		return
 	}
 	if left, known := l.Quotas(r.Term); known {
-		r.Quotas = quotasLeft(left, now)
+		r.Quotas = quotaBalances(left, now)
 	}
 }
 
--- a/pkg/quota/inherit.go
+++ b/pkg/quota/inherit.go
@@ -6,15 +6,15 @@
 	"time"
 )
 
-// Left is what a scarce tenant's bucket held; below zero it was in debt.
-type Left struct {
+// Balance is what a scarce tenant's bucket held; below zero it was in debt.
+type Balance struct {
 	Tenant string
 	Amount float64 // in the quota's unit
 }
 
 // Inherited is what a new holder knows of a scarce tenant's bucket from before its term.
 type Inherited struct {
-	Left
+	Balance
 	Age time.Duration // of the amount
 }
 
@@ -70,10 +70,10 @@
 	return b
 }
 
-// maxLeft bounds how many tenants the lease's record tells of, some 40 bytes each. With more that
+// maxBalances bounds how many tenants the lease's record tells of, some 40 bytes each. With more that
 // are scarce at once, those whose buckets are the fullest for their rate begin the next term as
 // others do.
-const maxLeft = 64
+const maxBalances = 64
 
 // recordAfter is after how much that nodes let in of a scarce tenant the record is to be told, as a
 // time at the quota's rate: less than what a bucket of a second's worth holds when it becomes scarce.
@@ -92,29 +92,29 @@
 	return false
 }
 
-// Left returns what the buckets of scarce tenants hold, for the next holder; false if not all
+// Balances returns what the buckets of scarce tenants hold, for the next holder; false if not all
 // tenants were looked at in this term yet: what the last holder left still counts.
-func (p *Pool) Left(now time.Time, term uint64) ([]Left, bool) {
+func (p *Pool) Balances(now time.Time, term uint64) ([]Balance, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.term != term || !p.looked {
 		return nil, false
 	}
-	var list []Left
+	var list []Balance
 	for name, b := range p.buckets {
 		if b.scarce {
 			b.fill(now)
 			b.unrecorded = 0
-			list = append(list, Left{name, min(b.level, b.size)})
+			list = append(list, Balance{name, min(b.level, b.size)})
 		}
 	}
-	slices.SortFunc(list, func(a, b Left) int {
+	slices.SortFunc(list, func(a, b Balance) int {
 		return cmp.Or(cmp.Compare(p.seconds(a), p.seconds(b)), cmp.Compare(a.Tenant, b.Tenant))
 	})
-	return list[:min(len(list), maxLeft)], true
+	return list[:min(len(list), maxBalances)], true
 }
 
 // seconds returns what a bucket holds as a time at its rate. The caller holds mu.
-func (p *Pool) seconds(l Left) float64 {
+func (p *Pool) seconds(l Balance) float64 {
 	return l.Amount / max(p.buckets[l.Tenant].rate, leastWeight)
 }
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -110,7 +110,7 @@
 		var p Pool
 		now := time.Unix(1000, 0)
 		age := time.Duration(c.age * float64(time.Second))
-		p.Begin(now, 2, Start{Gap: 2 * time.Second, Scarce: []Inherited{{Left{"a", c.left}, age}}})
+		p.Begin(now, 2, Start{Gap: 2 * time.Second, Scarce: []Inherited{{Balance{"a", c.left}, age}}})
 		after, ok := p.Draw(now, one, 100)
 		if want := time.Duration(c.waits * float64(time.Second)); ok || (after-want).Abs() > time.Millisecond {
 			t.Errorf("left %g, %v ago: granted %t, to come back after %v, want %v", c.left, age, ok, after, want)
@@ -131,7 +131,7 @@
 // the term.
 func TestWhatIsLeftIsTold(t *testing.T) {
 	list := []*tenant.Tenant{}
-	for i := range 2 * maxLeft {
+	for i := range 2 * maxBalances {
 		one := limited()
 		one.Name = fmt.Sprintf("t%03d", i)
 		list = append(list, one)
@@ -141,21 +141,21 @@
 	for i, one := range list[1:] {
 		p.Spent(now, one, 600+float64(i), false)
 	}
-	if _, known := p.Left(now, 1); known {
+	if _, known := p.Balances(now, 1); known {
 		t.Error("what is left is told before all tenants were looked at")
 	}
 	p.Scarce(now, all)
 	if !p.Owes() {
 		t.Error("much was let in, and the record need not be told")
 	}
-	left, known := p.Left(now, 1)
-	if !known || len(left) != maxLeft || left[0] != (Left{"t127", 1000 - 726}) {
+	left, known := p.Balances(now, 1)
+	if !known || len(left) != maxBalances || left[0] != (Balance{"t127", 1000 - 726}) {
 		t.Errorf("known %t, %d are told, the first is %+v", known, len(left), left[0])
 	}
 	if p.Owes() {
 		t.Error("the record is to be told once more")
 	}
-	if _, known := p.Left(now, 2); known {
+	if _, known := p.Balances(now, 2); known {
 		t.Error("what is left is told of another term")
 	}
 }
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -131,7 +131,7 @@
 	}
 	l.Fleet, l.GoOn = holder.Fleet, holder.MayGoOn
 	l.Quarantine = func(recorded []quarantine.Aged) []quarantine.Aged { return known.Keep(clock.Now(), recorded) }
-	l.Quotas = holder.QuotasLeft
+	l.Quotas = holder.QuotaBalances
 	l.First, l.Patience = s.First, s.leasePatience
 	l.Eager = func() bool { return s.member.Known() && s.hub.Watching() }
 	s.member.Candidate = s.hub.Watching
