--- a/pkg/watch/pack_test.go
+++ b/pkg/watch/pack_test.go
@@ -14,7 +14,7 @@
 	page := Page{Version: 5000}
 	for i := range 3000 {
 		page.Records = append(page.Records, Record{Key: fmt.Sprintf("i-%08x", 0x9e3779b1*uint32(i)), Version: uint64(i), Value: fmt.Appendf(nil,
-			`{"service":"ledger-assist","address":"10.%d.%d.%d:8501","zone":"lakes-%c","version":1,"slots":16,"state":"ready","coldLeftMs":0,"callSeq":1,"models":[{"name":"m%d","version":1,"adapters":["a1"]},{"name":"m%d","version":1,"adapters":[]}],"available":{"inMemory":["m%d"],"onDisk":["m%d","m%d"]}}`,
+			`{"kind":"ledger-assist","at":"10.%d.%d.%d:8501","zone":"lakes-%c","build":1,"places":16,"says":"ready","warmsUpFor":0,"count":1,"holds":[{"name":"m%d","build":1,"adapters":["a1"]},{"name":"m%d","build":1,"adapters":[]}],"copies":{"memory":["m%d"],"disk":["m%d","m%d"]}}`,
 			i%3+1, 64+i/250, i%250, 'a'+i%3, i%400, i%397, i%400, i%400, i%397)})
 	}
 	t.Replace(page, 0)
