coordinator: a holder that has not read the configuration decides on no quota

Cause: a process that takes the lease at once as its earlier life held it, before it has read the configuration, granted each request that it was asked about, told nodes that no tenant was scarce, so that they let in unasked for a second, and lost their reports. It answers no question now (the deputy does), names the tenants that were scarce by the lease's record, and keeps the reports until it has read.

--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -64,15 +64,16 @@
 	requests chan func()
 	planSoon bool
 
-	term       uint64 // of the state below
-	nodes      map[string]*nodeState
-	fleet      fleet
-	slack      relay.SlackPool
-	turns      quarantine.Turns // of suspected requests
-	paces      paces            // of servers
-	quotas     quota.Pool       // safe for other goroutines than the holder's
-	places     holderPlaces
-	scarceTold []string // tenants for which the nodes were told to ask
+	term        uint64 // of the state below
+	nodes       map[string]*nodeState
+	fleet       fleet
+	slack       relay.SlackPool
+	turns       quarantine.Turns // of suspected requests
+	paces       paces            // of servers
+	quotas      quota.Pool       // safe for other goroutines than the holder's
+	places      holderPlaces
+	scarceTold  []string // tenants for which the nodes were told to ask
+	spentBefore []report // that wait for the configuration
 	// scarceRecorded is when the lease's record was last written for tenants that became scarce.
 	scarceRecorded time.Time
 	roomsTold      time.Time // when the log was last told how their quotas are shared
@@ -204,7 +205,7 @@
 	h.turns = quarantine.Turns{}
 	h.paces = paces{}
 	h.Quarantine.Keep(now, record.Aged(storeNow))
-	h.scarceTold = nil
+	h.scarceTold, h.spentBefore = nil, nil
 	h.beginPlaces(now, term)
 	h.learnUntil = now.Add(learnTime)
 	h.quietUntil = time.Time{}
--- a/pkg/coordinator/quotas.go
+++ b/pkg/coordinator/quotas.go
@@ -261,7 +261,10 @@
 	}
 	h.beginQuotas(now, term)
 	tenants := h.tenants()
-	if tenants == nil || tenants.Named(d.Tenant) == nil {
+	if tenants == nil {
+		return DrawAnswer{} // it has not read the configuration and can't decide: the deputy does
+	}
+	if tenants.Named(d.Tenant) == nil {
 		// This node has not read yet of the tenant, which has hardly spent anything.
 		return DrawAnswer{Term: term, Granted: true}
 	}
@@ -309,16 +312,17 @@
 // a tenant became scarce by it. It returns the tenants for which nodes are to ask. The first
 // beat of a node in the term tells also of the time before.
 func (h *Holder) takeSpent(now time.Time, spent []quota.Spent, first bool) []string {
+	h.beginQuotas(now, h.term)
+	h.spentBefore = append(h.spentBefore, report{spent, first})
 	tenants := h.tenants()
 	if tenants == nil {
-		return nil
+		h.spentBefore = h.spentBefore[max(len(h.spentBefore)-maxReportsBefore, 0):]
+		return h.quotas.InheritedNames()
 	}
-	h.beginQuotas(now, h.term)
-	for _, s := range spent {
-		if t := tenants.Named(s.Tenant); t != nil {
-			h.quotas.SpentBy(now, t, s, first)
-		}
+	for _, r := range h.spentBefore {
+		h.spend(now, tenants, r)
 	}
+	h.spentBefore = nil
 	scarce := h.quotas.Scarce(now, tenants)
 	added := slices.ContainsFunc(scarce, func(name string) bool { return !slices.Contains(h.scarceTold, name) })
 	if added {
@@ -335,6 +339,28 @@
 	return scarce
 }
 
+// report is what a node told that it let in; first: it is its first of the term.
+type report struct {
+	spent []quota.Spent
+	first bool
+}
+
+// maxReportsBefore bounds the reports that wait for the configuration: those of a second or two of a
+// large site. A holder that took the lease before it had read the configuration granted each request that
+// it was asked about, told the nodes that no tenant was scarce, and lost their reports: up to 2.0 of what
+// may run did so, with crashes of the holder 0.7 s apart and 0.3 s until it reads
+// (TestQUOTAWhileHoldersChange).
+const maxReportsBefore = 1024
+
+// spend counts a report.
+func (h *Holder) spend(now time.Time, tenants *tenant.Table, r report) {
+	for _, s := range r.spent {
+		if t := tenants.Named(s.Tenant); t != nil {
+			h.quotas.SpentBy(now, t, s, r.first)
+		}
+	}
+}
+
 // recordInterval is the least time between two writes of the lease's record for tenants that became
 // scarce: it is written each 0.7 s anyway, and calls of the store are dear.
 const recordInterval = 300 * time.Millisecond
--- a/pkg/quota/inherit.go
+++ b/pkg/quota/inherit.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -59,6 +60,13 @@
 	return p.term == term && p.buckets != nil
 }
 
+// InheritedNames returns the tenants that were scarce as the term began, in order.
+func (p *Pool) InheritedNames() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Sorted(maps.Keys(p.inherited))
+}
+
 // first returns the bucket with which a tenant begins the term. The caller holds mu.
 func (p *Pool) first(tenant string, size, rate float64) *bucket {
 	b := &bucket{rate: rate, at: p.began}
