--- a/pkg/coordinator/roster.go
+++ b/pkg/coordinator/roster.go
@@ -46,8 +46,8 @@
 // tellNodes has an answer tell of the nodes: of those that changed since the beat's list, if it is of
 // this term, or of all. On a site of 302 nodes whose nodes come and go each beat was answered with
 // 25.6 kB, 0.24 ms to make, and the holder of a loss of all nodes, at 3.7 MB a second, answered most
-// beats too late: its nodes never learned of each other. With one
-// node that starts again each second it is 2.2 kB and 0.05 ms now (BenchmarkBeatsOfALargeFleet).
+// beats too late: its nodes never learned of each other. With one node that starts again each second it
+// is 2.2 kB and 0.05 ms now (BenchmarkBeatsOfALargeFleet).
 func (h *Holder) tellNodes(b *Beat, answer *BeatAnswer) {
 	if b.Knows == answer.Version {
 		return
