policy: a plan looks at what a server has, not at what a model has

Cause: for each load and each server a plan looked through all replicas of the model (is it held here, has this zone one), through all models (what is cached here), and for each replica through those of its model (how many stay). With servers and replicas growing together that grows with their square. Ruled out: the decider's order; it is the same, also where not all servers are weighed: up to 512 servers nothing changes. Change: held models by server, counts of ready replicas and zones of a model kept once a plan, sizes of checkpoints by name; beyond 512 servers some hundred are weighed besides those with a copy. TestAPlanGrowsWithTheServers counts looks at 300 and 900 servers.

--- a/pkg/policy/decide.go
+++ b/pkg/policy/decide.go
@@ -192,8 +192,9 @@
 func (p *plan) fastestLoad(model *Model) time.Duration {
 	best := tierRemote
 	for i := range p.servers {
+		p.looks++
 		if p.eligible(model, &p.servers[i]) {
-			best = max(best, p.tier(model, p.servers[i].ID))
+			best = max(best, p.tierOn(model, &p.servers[i]))
 		}
 	}
 	return model.loadTime(best)
@@ -269,6 +270,7 @@
 		model := &p.input.Models[i]
 		for j := range model.Replicas {
 			replica := &model.Replicas[j]
+			p.looks++
 			if !p.mayUnload(model, replica) {
 				continue
 			}
--- a/pkg/policy/evict.go
+++ b/pkg/policy/evict.go
@@ -27,16 +27,7 @@
 }
 
 // staying returns the ready replicas of the model that no action unloads.
-func (p *plan) staying(model *Model) int {
-	count := 0
-	for i := range model.Replicas {
-		replica := &model.Replicas[i]
-		if replica.State == api.ReplicaReady && !p.unload[replicaKey{model.Name, replica.Server}] {
-			count++
-		}
-	}
-	return count
-}
+func (p *plan) staying(model *Model) int { return p.stay[p.indexOf(model.Name)] }
 
 // carriesAdapter tells whether an adapter of base holds memory on the server
 // or waits for the base.
--- /dev/null
+++ b/pkg/policy/growth_test.go
@@ -0,0 +1,80 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/engine"
+	"martenwheel.dev/pkg/tree"
+)
+
+// largeInput is a fleet of n servers that hold two of so many models each, with copies of eight more.
+// Ten models wait for a replica.
+func largeInput(now time.Time, n, models int) Input {
+	const waiting = 10
+	in := Input{LoadSlots: 400, LoadRate: 2800}
+	for i := range models {
+		in.Models = append(in.Models, Model{
+			Name: api.ModelName(fmt.Sprintf("m%04d", i)), History: &History{},
+			Settings: tree.Settings{MemoryBytes: 70, LoadTime: 6 * time.Second, MaxReplicas: n, MaxConcurrency: 6, KeepAlive: time.Hour, ColdStartWeight: 1},
+			Demand:   Demand{Rate: 0.5, WeightedRate: 0.2, LastArrival: now},
+		})
+	}
+	held := models - waiting // of the models, by some server
+	for i := range n {
+		id := api.ServerID(fmt.Sprintf("i-%06d", i))
+		s := Server{ID: id, Zone: fmt.Sprint("zone-", i%5), CapacityBytes: 200, FreeBytes: 60, Reachable: true, Cached: make(map[string]engine.CacheTier)}
+		for k := range 8 {
+			s.Cached[string(in.Models[(i*7+k*31)%models].Name)] = engine.TierDisk
+		}
+		in.Servers = append(in.Servers, s)
+		for k := range 2 {
+			m := &in.Models[(2*i+k)%held]
+			m.Replicas = append(m.Replicas, Replica{Server: id, State: api.ReplicaReady, Since: now.Add(-time.Minute)})
+		}
+	}
+	for i := range waiting {
+		m := &in.Models[held+i]
+		m.Demand.Waiting, m.Demand.WaitingWeight, m.Demand.WaitingSince = 1, 1, now
+	}
+	return in
+}
+
+// TestAPlanGrowsWithTheServers and not with the servers times the replicas of a model or times the
+// models: with three times as many servers, and so replicas, it looks at three times as many.
+func TestAPlanGrowsWithTheServers(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	looks := func(n int) int {
+		in := largeInput(now, n, 60)
+		d, _ := ByName(NameDemandFirst)
+		p := newPlan(now, &in)
+		p.scarce = true
+		for _, want := range p.wanted(byGain) {
+			d.(decider).loadWanted(p, want)
+		}
+		d.(decider).unloadIdle(p)
+		if len(p.actions) < 10 {
+			t.Fatalf("%d actions for 10 models that wait", len(p.actions))
+		}
+		return p.looks
+	}
+	small, large := looks(300), looks(900)
+	if growth := float64(large) / float64(small); growth > 3.3 {
+		t.Errorf("a plan for 300 servers looks at %d, for 900 at %d: %.1f times", small, large, growth)
+	}
+}
+
+// BenchmarkPlanOfALargeFleet is a plan for 10,000 servers and 574 models: 905 ms while each load looked
+// at all replicas of its model for each server, 264 ms with what each server has, 41 ms with some
+// hundred servers weighed.
+func BenchmarkPlanOfALargeFleet(b *testing.B) {
+	now := time.Unix(1_800_000_000, 0)
+	in := largeInput(now, 10000, 574)
+	d, _ := ByName(NameDemandFirst)
+	b.ReportAllocs()
+	for b.Loop() {
+		d.Decide(now, in)
+	}
+}
--- a/pkg/policy/placement.go
+++ b/pkg/policy/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"hash/fnv"
 	"time"
 
 	"martenwheel.dev/pkg/api"
@@ -59,7 +60,7 @@
 
 // eligible tells whether model may be loaded on server, memory aside.
 func (p *plan) eligible(model *Model, server *serverPlan) bool {
-	if !server.Reachable || server.Leaving || server.reserved != "" || p.holds(model, server.ID) {
+	if !server.Reachable || server.Leaving || server.reserved != "" || p.holdsOn(model, server) {
 		return false
 	}
 	if model.Base == "" {
@@ -69,6 +70,22 @@
 	return base != nil && p.readyOn(base, server.ID)
 }
 
+// mostCandidates is how many servers are weighed for a load, besides those with a copy of its weights.
+// Of thousands the best of some hundred is hardly worse than the best of all, and what would make way
+// on each is the dear part of a plan.
+const mostCandidates = 512
+
+// firstCandidate returns the server with which to begin to weigh them: another one for each model if
+// not all are weighed, so that loads are spread.
+func (p *plan) firstCandidate(model *Model) int {
+	if len(p.servers) <= mostCandidates {
+		return 0
+	}
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(model.Name)) // never fails
+	return int(sum.Sum32() % uint32(len(p.servers)))
+}
+
 // evictionSeconds is about how long it takes to drain and unload a replica.
 const evictionSeconds = 0.8
 
@@ -162,14 +179,17 @@
 // has no slot.
 func (d decider) place(p *plan, model *Model, extraBytes uint64, by placer) placement {
 	var best placement
-	for i := range p.servers {
-		server := &p.servers[i]
+	first, weighed := p.firstCandidate(model), 0
+	for k := range p.servers {
+		server := &p.servers[(first+k)%len(p.servers)]
+		p.looks++
 		if !p.eligible(model, server) {
 			continue
 		}
-		if p.tier(model, server.ID) == tierRemote && p.slots <= 0 {
+		if p.tierOn(model, server) == tierRemote && (p.slots <= 0 || weighed >= mostCandidates) {
 			continue
 		}
+		weighed++
 		candidate, ok := d.placeOn(p, model, server, ReplicaBytes(model)+extraBytes)
 		if ok && (best.server == nil || by.better(candidate, best)) {
 			best = candidate
@@ -208,7 +228,7 @@
 	for i := range p.servers {
 		server := &p.servers[i]
 		tier := p.tierOn(model, server)
-		if tier == tierRemote || server.Leaving || p.holds(model, server.ID) {
+		if tier == tierRemote || server.Leaving || p.holdsOn(model, server) {
 			continue
 		}
 		free := d.freeIn(p, model, server)
@@ -247,7 +267,7 @@
 func (d decider) placeOn(p *plan, model *Model, server *serverPlan, need uint64) (placement, bool) {
 	placed := placement{
 		server:      server,
-		seconds:     model.loadTime(p.tier(model, server.ID)).Seconds(),
+		seconds:     model.loadTime(p.tierOn(model, server)).Seconds(),
 		worth:       d.retention.worth(model),
 		cachedBytes: p.cachedBytes(server),
 		newZone:     !p.inZone(model, server.Zone),
@@ -273,10 +293,16 @@
 		return server.cachedBytes
 	}
 	server.cachedKnown = true
-	for i := range p.input.Models {
-		model := &p.input.Models[i]
-		if server.Cached[CheckpointName(model)] == engine.TierMemory {
-			server.cachedBytes += model.Settings.MemoryBytes
+	if p.sizes == nil {
+		p.sizes = make(map[string]uint64, len(p.input.Models))
+		for i := range p.input.Models {
+			p.sizes[CheckpointName(&p.input.Models[i])] += p.input.Models[i].Settings.MemoryBytes
+		}
+	}
+	for checkpoint, tier := range server.Cached {
+		p.looks++
+		if tier == engine.TierMemory {
+			server.cachedBytes += p.sizes[checkpoint]
 		}
 	}
 	return server.cachedBytes
@@ -284,10 +310,15 @@
 
 // inZone tells whether the zone has a replica of the model.
 func (p *plan) inZone(model *Model, zone string) bool {
-	for i := range model.Replicas {
-		if server := p.server(model.Replicas[i].Server); server != nil && server.Zone == zone {
-			return true
+	i := p.indexOf(model.Name)
+	if p.zones[i] == nil {
+		p.zones[i] = make(map[string]bool)
+		for j := range model.Replicas {
+			p.looks++
+			if server := p.server(model.Replicas[j].Server); server != nil {
+				p.zones[i][server.Zone] = true
+			}
 		}
 	}
-	return false
+	return p.zones[i][zone]
 }
--- a/pkg/policy/plan.go
+++ b/pkg/policy/plan.go
@@ -35,8 +35,12 @@
 	unload  map[replicaKey]bool // replicas that an action unloads
 	slots   int                 // loads from the weight store that may still start
 	actions []Action
+	stay    []int             // ready replicas of each model that no action unloads
+	zones   []map[string]bool // that have a replica of a model; nil: not worked out
+	sizes   map[string]uint64 // of checkpoints; nil: not worked out
 
 	scarce bool // see decider.scarce
+	looks  int  // at servers and replicas, which a plan's time grows with
 }
 
 // kin links a model with its adapters: -1 where there is none.
@@ -76,6 +80,8 @@
 		servers: make([]serverPlan, len(input.Servers)),
 		present: make([]int, len(input.Models)),
 		kin:     make([]kin, len(input.Models)),
+		stay:    make([]int, len(input.Models)),
+		zones:   make([]map[string]bool, len(input.Models)),
 	}
 	for i := range input.Servers {
 		p.servers[i] = serverPlan{Server: &input.Servers[i], free: input.Servers[i].FreeBytes, busyFor: input.Servers[i].BusyFor.Seconds()}
@@ -123,7 +129,11 @@
 					server.freeSoon += ReplicaBytes(model)
 				}
 			}
+			p.looks++
 			p.present[i]++
+			if replica.State == api.ReplicaReady {
+				p.stay[i]++
+			}
 			if replica.State != api.ReplicaLoading || p.tier(model, replica.Server) != tierRemote {
 				continue
 			}
@@ -194,16 +204,23 @@
 }
 
 // holds tells whether a replica of the model is on the server in any state,
-// or will be after the plan's actions.
-func (p *plan) holds(model *Model, server api.ServerID) bool {
-	for i := range model.Replicas {
-		if model.Replicas[i].Server == server {
+// or will be after the plan's actions. It looks at what the server has, which is little, and not at
+// the model's replicas, which are as many as the fleet is large.
+func (p *plan) holds(model *Model, id api.ServerID) bool {
+	server := p.server(id)
+	return server != nil && p.holdsOn(model, server)
+}
+
+// holdsOn is holds for a server that is at hand.
+func (p *plan) holdsOn(model *Model, server *serverPlan) bool {
+	for _, held := range server.held {
+		if &p.input.Models[held.model] == model {
 			return true
 		}
 	}
 	for i := range p.actions {
 		action := &p.actions[i]
-		if action.Kind == ActionLoad && action.Model == model.Name && action.Server == server {
+		if action.Kind == ActionLoad && action.Model == model.Name && action.Server == server.ID {
 			return true
 		}
 	}
@@ -223,7 +240,7 @@
 
 // load adds a load to the plan.
 func (p *plan) load(model *Model, server *serverPlan, urgent bool, reason string) {
-	if p.tier(model, server.ID) == tierRemote {
+	if p.tierOn(model, server) == tierRemote {
 		p.slots--
 	}
 	server.free -= ReplicaBytes(model)
@@ -239,7 +256,11 @@
 	if p.unload == nil {
 		p.unload = make(map[replicaKey]bool)
 	}
-	p.unload[replicaKey{model.Name, replica.Server}] = true
+	key := replicaKey{model.Name, replica.Server}
+	if replica.State == api.ReplicaReady && !p.unload[key] {
+		p.stay[p.indexOf(model.Name)]--
+	}
+	p.unload[key] = true
 	if server := p.server(replica.Server); server != nil {
 		server.freeSoon += ReplicaBytes(model)
 	}
--- a/pkg/policy/reserve.go
+++ b/pkg/policy/reserve.go
@@ -17,7 +17,7 @@
 		}
 		model := &p.input.Models[index]
 		need := ReplicaBytes(model)
-		if p.present[index] >= wantedReplicas(model) || p.holds(model, server.ID) || server.free+server.freeSoon < need {
+		if p.present[index] >= wantedReplicas(model) || p.holdsOn(model, server) || server.free+server.freeSoon < need {
 			continue
 		}
 		if server.free >= need {
