backend, relay: zones that are evacuated, servers that are cold

Cause: nothing read the operator's rows that empty a zone, nor a server's word that it is cold and bears few requests a second; both were met on no platform yet. Change: servers of an evacuated zone get no new requests, and count as leaving for what is loaded where; a server that tells that it is cold, or whose zone is taken back, gets requests only if no other one serves them, and then few: each node works out from names alone whether it may send one. Nothing is cold where a configuration tells no time for it. Conditions of servers allocate their maps when they are needed (10,000 servers on a node).

--- a/pkg/backend/condition.go
+++ b/pkg/backend/condition.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,8 @@
 	draining     atomic.Bool
 	leavingSince atomic.Pointer[time.Time] // nil: it is not known to leave
 	left         atomic.Bool
+	released     atomic.Bool // this node lets go of the server, which goes on
+	evacuated    atomic.Bool
 
 	mu       sync.Mutex
 	beliefs  map[Need]belief
@@ -27,6 +30,8 @@
 	ends     []endWatch // who wants to know whether the server ends
 	failures int        // in a row
 	until    time.Time  // to be avoided
+
+	coldUntil time.Time
 }
 
 // belief is what was learned of a server outside of its record.
@@ -36,12 +41,7 @@
 }
 
 func newCondition(dialer Dialer, t clock.Clock, s *Server) *Condition {
-	c := &Condition{
-		pool:    newPool(dialer, t, s.Address),
-		beliefs: make(map[Need]belief),
-		running: make(map[string]int),
-		paces:   make(map[string]time.Duration),
-	}
+	c := &Condition{pool: newPool(dialer, t, s.Address)}
 	c.pool.refused = c.tellEnd
 	return c
 }
@@ -79,12 +79,24 @@
 		now := c.pool.time.Now()
 		c.leavingSince.Store(&now)
 	}
-	if !c.draining.Load() {
+	if !c.draining.Load() && !c.released.Load() {
 		c.tellEnd()
 	}
 	c.pool.closeIdle()
 }
 
+// InUse tells whether requests of this node run at the server, or somebody waits to know whether it
+// ends.
+func (c *Condition) InUse() bool {
+	if c.InFlight() > 0 {
+		return true
+	}
+	now := c.pool.time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(c.ends, func(w endWatch) bool { return !now.After(w.until) })
+}
+
 // InFlight returns this node's requests at the server.
 func (c *Condition) InFlight() int { return int(c.inFlight.Load()) }
 
@@ -96,6 +108,9 @@
 	c.inFlight.Add(1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.running == nil {
+		c.running = make(map[string]int)
+	}
 	c.running[model]++
 	c.recent = c.recentBy(now) + 1
 	c.recentAt = now
@@ -165,6 +180,9 @@
 func (c *Condition) believe(n Need, holds bool, until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.beliefs == nil {
+		c.beliefs = make(map[Need]belief)
+	}
 	c.beliefs[n] = belief{holds: holds, until: until}
 }
 
--- a/pkg/backend/directory.go
+++ b/pkg/backend/directory.go
@@ -39,6 +39,14 @@
 
 // Serves tells whether the server may get a new request that needs n.
 func (m *Member) Serves(now time.Time, n Need) bool {
+	return !m.Cold(now) && m.serves(now, n)
+}
+
+// serves is Serves for a server that may be cold.
+func (m *Member) serves(now time.Time, n Need) bool {
+	if m.Evacuated() {
+		return false
+	}
 	if m.Draining || m.Left() || n.Model != "" && m.Gone(now) {
 		return false
 	}
@@ -53,11 +61,15 @@
 type Directory struct {
 	Dialer Dialer
 	Time   clock.Clock
-
-	mu      sync.Mutex
-	reports []report
-	current atomic.Pointer[Snapshot]
-	changed chan struct{}
+	// ColdFor returns for how long servers of a service are cold after a start, see Evacuate; nil:
+	// none are.
+	ColdFor func(service string) time.Duration
+
+	mu        sync.Mutex
+	evacuated map[string]bool // zones
+	reports   []report
+	current   atomic.Pointer[Snapshot]
+	changed   chan struct{}
 }
 
 // Snapshot returns the newest snapshot; an empty one before the first Replace.
@@ -112,6 +124,7 @@
 			m.Condition = newCondition(d.Dialer, d.Time, s)
 		}
 		m.drain(next.at, s.Draining)
+		d.withdraw(m)
 		next.members[s.ID] = m
 		next.services[s.Service] = append(next.services[s.Service], m)
 	}
@@ -124,6 +137,17 @@
 	d.announce()
 }
 
+// Release tells that the next list lacks lives that go on: this node lets go of them, which is no end
+// of theirs.
+func (d *Directory) Release(lives []string) {
+	snapshot := d.Snapshot()
+	for _, id := range lives {
+		if m := snapshot.Member(id); m != nil {
+			m.released.Store(true)
+		}
+	}
+}
+
 // Believe notes, until the time, that a server holds n or not, whatever the
 // list says. It is dropped when the list tells of another state of the model.
 func (d *Directory) Believe(id string, n Need, holds bool, until time.Time) {
--- a/pkg/backend/pace.go
+++ b/pkg/backend/pace.go
@@ -119,6 +119,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	pace := time.Duration(smooth(float64(c.paces[model]), float64(perEvent)))
+	if c.paces == nil {
+		c.paces = make(map[string]time.Duration)
+	}
 	c.paces[model] = pace
 	return pace
 }
--- a/pkg/backend/server.go
+++ b/pkg/backend/server.go
@@ -18,10 +18,12 @@
 	Slots    int
 	Draining bool
 	LeaveAt  time.Time // when a server that leaves at short notice is gone; else zero
-	Models   []Holding
-	InMemory []string // models whose weights lie in the server's memory
-	OnDisk   []string // models whose weights lie on its disk
-	Version  uint64   // of the record that tells this
+	// ColdUntil is when it stops to be cold after a start; zero: it is not.
+	ColdUntil time.Time
+	Models    []Holding
+	InMemory  []string // models whose weights lie in the server's memory
+	OnDisk    []string // models whose weights lie on its disk
+	Version   uint64   // of the record that tells this
 }
 
 // Life returns which life of a server this is.
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -137,7 +137,7 @@
 // go there any more.
 func (c *call) mayGo(m *backend.Member) error {
 	switch {
-	case m.Leaving() && !c.resumption.back:
+	case (m.Leaving() || m.Evacuated()) && !c.resumption.back:
 		return errLeaving
 	case c.left() <= 0: // the machine may have been suspended: the timer of ctx goes by another clock
 		return errDeadline
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -172,7 +172,7 @@
 		p.candidates = append(p.candidates, candidate)
 	}
 	if len(p.members) == 0 {
-		return nil
+		return c.chooseCold(now)
 	}
 	if !good {
 		for i := range p.candidates {
--- /dev/null
+++ b/pkg/relay/cold_test.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestFAILBACKNodesTogetherSpareAColdServer: however many nodes have requests for a cold server, it
+// gets no more in any second than it bears, and some.
+func TestFAILBACKNodesTogetherSpareAColdServer(t *testing.T) {
+	const (
+		perSecond = 8.0
+		bound     = perSecond*1.5 + 5 // with the overage and the slack that are allowed
+		span      = 10 * time.Second
+		step      = 10 * time.Millisecond
+	)
+	for _, nodes := range []int{1, 6, 89, 1000} {
+		for server := range 40 {
+			gates := make([]coldGate, nodes)
+			id := fmt.Sprint("i-", server)
+			began := time.Unix(1_800_000_000, 0)
+			var sent []time.Time
+			for now := began; now.Sub(began) < span; now = now.Add(step) {
+				for i := range gates {
+					if gates[i].take(now, fmt.Sprint("node-", i), id, perSecond, nodes) {
+						sent = append(sent, now)
+					}
+				}
+			}
+			for i, from := range sent {
+				n := 0
+				for _, at := range sent[i:] {
+					if at.Sub(from) < time.Second {
+						n++
+					}
+				}
+				if n > bound {
+					t.Fatalf("%d nodes send %s %d requests in a second", nodes, id, n)
+				}
+			}
+			if nodes <= 6 && len(sent) == 0 {
+				t.Errorf("%d nodes send %s nothing in %v", nodes, id, span)
+			}
+		}
+	}
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -5,8 +5,8 @@
 // A request's way, by file: relay.go takes it in; call.go finds its route and
 // bounds; access.go finds the tenant in whose name it is made and quota.go charges it;
 // choose.go waits for a server, by the plug-ins of package routing, and affinity.go tells which
-// of them the request prefers; prospect.go decides whether one that finds none is held or
-// refused; place.go has it take its turn where servers are crowded; attempt.go sends it and
+// of them the request prefers; cold.go spares servers that have just started; prospect.go decides
+// whether one that finds none is held or refused; place.go has it take its turn where servers are crowded; attempt.go sends it and
 // decides what a failure allows; quarantine.go keeps it from servers if it ends them; whole.go
 // and stream.go pass the answer on; refuse.go gives the relay's own answers; budget.go and
 // slack.go bound repeats; ending.go ends what a stop would cut off; rides.go and moves.go move a
@@ -88,6 +88,7 @@
 // values of those marked so select defaults.
 type Relay struct {
 	Headers Headers
+	Node    string // name of this node
 	Zone    string
 	Time    clock.Clock
 	Routes  func() *route.Table // nil while none is known
@@ -116,6 +117,7 @@
 	mixes   mixes
 	borrowing
 	rides    rides
+	cold     coldGate
 	endings  endings
 	inFlight atomic.Int64
 	stop     atomic.Pointer[stopPlan]
--- a/pkg/route/service.go
+++ b/pkg/route/service.go
@@ -6,8 +6,12 @@
 type Service struct {
 	Name           string
 	HealthPath     string
-	MaxConnections int     // that a server takes from all nodes together; zero: no limit
-	Engine         *Engine // nil: a plain HTTP service
+	MaxConnections int // that a server takes from all nodes together; zero: no limit
+	// ColdTime is for how long a server is cold after a start, in which it bears ColdPerSecond
+	// requests and falls over under many more; zero: it bears all at once.
+	ColdTime      time.Duration
+	ColdPerSecond float64
+	Engine        *Engine // nil: a plain HTTP service
 }
 
 // Engine describes the model servers of a service.
