watch, coordinator: nodes hold parts of a table and follow each other; a term asks few servers

Cause: each node held all servers and was told of all changes by readers in other zones; a new holder asked all servers and fenced all of them; each order was told to all nodes; a plan went through all servers for each model and adapter. Each grows with the fleet for a node, or with its square for all. Ruled out: a longer time for the pull of a whole table, or more readers: both only move the size. Change: (a) tables come in 64 parts, a message each, kept if the next does not come; readers are followed by relays, one for 32 nodes of a zone, and these by the others, each by a second parent whose pulses tell what is missing; changes of the last while repair gaps. (b) a node keeps 1,024 rows and asks the relay for servers of models that these lack, whose parts it then follows. (c) a holder asks 256 servers at once and others before their first order, and looks models up in an index of the plan. (d) notices go to nodes that were asked for the model in the last minute. Nodes of earlier builds are told as before. A node that restarts leaves a large table to others. Texts of rows are kept once.

--- a/pkg/coordinator/adapters.go
+++ b/pkg/coordinator/adapters.go
@@ -23,7 +23,7 @@
 		if !d.waits(now) || h.heldBy(now, service, need) != "" || h.adapterUnderWay(now, service, need) {
 			continue
 		}
-		if s := h.adapterServer(now, service, need, e); s != nil {
+		if s := h.adapterServer(now, service, need, e); s != nil && h.touchServer(now, s) {
 			h.giveAdapter(now, s, need, e)
 		}
 	}
@@ -31,7 +31,7 @@
 
 // touch notes the last use of an adapter where it is held.
 func (h *Holder) touch(now time.Time, service string, need backend.Need, d *demand) {
-	for s := range h.serversOf(service) {
+	for _, s := range h.holdersOf(service, need.Model) {
 		if known := s.holds[need.Model]; known != nil {
 			if used, has := known.adapters[need.Adapter]; has && d.last.After(used) {
 				known.adapters[need.Adapter] = d.last
@@ -42,8 +42,8 @@
 
 // adapterUnderWay tells whether the adapter is held or on its way somewhere.
 func (h *Holder) adapterUnderWay(now time.Time, service string, need backend.Need) bool {
-	for s := range h.serversOf(service) {
-		if s.member.Leaving() {
+	for _, s := range h.holdersOf(service, need.Model) {
+		if s.removed || s.member.Withdrawn() {
 			continue
 		}
 		if s.doubt != nil && s.doubt.need == need {
@@ -60,8 +60,8 @@
 // with the fewest adapters.
 func (h *Holder) adapterServer(now time.Time, service string, need backend.Need, e *route.Engine) *serverState {
 	var able []*serverState
-	for s := range h.serversOf(service) {
-		if !s.usable(now) || s.asking || s.doubt != nil || s.holds[need.Model] == nil {
+	for _, s := range h.holdersOf(service, need.Model) {
+		if s.removed || !s.usable(now) || s.asking || s.doubt != nil || s.holds[need.Model] == nil {
 			continue
 		}
 		if s.busy != nil {
--- a/pkg/coordinator/beats.go
+++ b/pkg/coordinator/beats.go
@@ -21,6 +21,7 @@
 	for _, u := range b.Uses {
 		key := demandKey{u.Service, u.Model}
 		n.uses[key] = u
+		h.interest.note(now, key, b.Node.Name)
 		if u.Arrivals > 0 || u.Rate > 0 {
 			d := h.demand(key)
 			d.rate.add(now, arrivals{u.Arrivals, u.Weight})
@@ -91,6 +92,7 @@
 		}
 	}
 	h.paces.expire(now)
+	h.interest.sweep(now)
 	for key, d := range h.demands {
 		if !d.waits(now) && d.rate.count.at(now) < leastRate && now.Sub(d.last) > time.Minute {
 			delete(h.demands, key)
--- a/pkg/coordinator/handover.go
+++ b/pkg/coordinator/handover.go
@@ -64,6 +64,9 @@
 		s := h.server(i.Server)
 		s.quietUntil, s.recheck = latest(s.quietUntil, quiet), true
 		s.mayCome = max(s.mayCome, i.After)
+		if s.untouched {
+			s.ask(now)
+		}
 		if !strings.Contains(i.Need, adapterMark) {
 			s.inherited = i
 		}
@@ -123,7 +126,7 @@
 func (h *Holder) raiseFences(now time.Time) {
 	var orders []fenceOrder
 	for _, s := range h.servers {
-		if !s.guarded || s.asking || s.unsure || s.busy != nil || s.member == nil || now.Before(latest(s.quietUntil, s.avoidUntil)) {
+		if !s.guarded || s.untouched || s.asking || s.unsure || s.busy != nil || s.member == nil || now.Before(latest(s.quietUntil, s.avoidUntil)) {
 			continue
 		}
 		e := h.engineOf(s)
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -54,6 +54,8 @@
 	// ScarceTold returns the tenants that were scarce by the last holder's word to this node; none
 	// if nil.
 	ScarceTold func() []string
+	// Complete tells whether this node knows of all servers; it does if nil.
+	Complete func() bool
 	// Quarantine is what this node knows of requests that end servers.
 	Quarantine *quarantine.Table
 	Time       clock.Clock
@@ -81,6 +83,9 @@
 	expiredAt      time.Time // when nodes' silence was last looked at, in this term
 	demands        map[demandKey]*demand
 	servers        map[string]*serverState
+	indices        map[string]*index        // of the last plan, by service
+	met            int                      // servers that this term learned of
+	interest       interest                 // of nodes in what they were asked for
 	instances      map[string]*instance     // what all lives of a server share, by its name
 	fatal          map[demandKey]*fatalLoad // models during whose loads servers ended
 	fetches        []time.Time              // starts of loads from the weight store
@@ -187,9 +192,10 @@
 func (h *Holder) begin(term uint64) {
 	h.term = term
 	h.nodes = make(map[string]*nodeState)
+	h.interest = interest{}
 	h.roster.begin()
 	h.demands = make(map[demandKey]*demand)
-	h.servers = make(map[string]*serverState)
+	h.servers, h.indices, h.met = make(map[string]*serverState), nil, 0
 	h.instances = make(map[string]*instance)
 	h.fetches = nil
 	h.fatal = make(map[demandKey]*fatalLoad)
@@ -260,14 +266,14 @@
 func (h *Holder) Fleet() int { return h.fleet.known() }
 
 // HandleMessage implements peer.Handler.
-func (h *Holder) HandleMessage(ctx context.Context, _ api.NodeRef, message peer.Message) (peer.Message, error) {
+func (h *Holder) HandleMessage(ctx context.Context, from api.NodeRef, message peer.Message) (peer.Message, error) {
 	switch m := message.(type) {
 	case Beat:
 		var reply BeatAnswer
 		err := h.do(ctx, func() { reply = h.beat(h.Time.Now(), m) })
 		return reply, err
 	case WishMessage:
-		return h.answerWish(ctx, m)
+		return h.answerWish(ctx, m, string(from.ID))
 	case Draw:
 		return h.draw(h.Time.Now(), m), nil
 	case AskPlace:
@@ -292,10 +298,10 @@
 
 // answerWish takes in a wish and answers after the next plan, which tells when the
 // model will be ready.
-func (h *Holder) answerWish(ctx context.Context, w WishMessage) (WishAnswer, error) {
+func (h *Holder) answerWish(ctx context.Context, w WishMessage, node string) (WishAnswer, error) {
 	var answer WishAnswer
 	var planned <-chan struct{}
-	if err := h.do(ctx, func() { answer, planned = h.wish(h.Time.Now(), w) }); err != nil || planned == nil {
+	if err := h.do(ctx, func() { answer, planned = h.wish(h.Time.Now(), w, node) }); err != nil || planned == nil {
 		return answer, err
 	}
 	select {
@@ -339,14 +345,16 @@
 // waits tells whether a request waits for the model.
 func (d *demand) waits(now time.Time) bool { return now.Before(d.waitsTill) }
 
-// wish takes in that a node lacks a model. If no server holds it, what is known of it
+// wish takes in that a node of a name lacks a model. If no server holds it, what is known of it
 // can be told after the next plan; the channel is closed then.
-func (h *Holder) wish(now time.Time, w WishMessage) (WishAnswer, <-chan struct{}) {
+func (h *Holder) wish(now time.Time, w WishMessage, node string) (WishAnswer, <-chan struct{}) {
 	if !h.holds() {
 		return WishAnswer{}, nil
 	}
 	need := backend.ParseNeed(w.Need)
-	d := h.demand(demandKey{w.Service, w.Need})
+	key := demandKey{w.Service, w.Need}
+	d := h.demand(key)
+	h.interest.note(now, key, node)
 	if !d.waits(now) {
 		d.since, d.waitTold, d.logged = now, false, false
 	}
@@ -394,10 +402,10 @@
 	}
 }
 
-// tell sends a notice to all other nodes and takes it in here.
+// tell sends a notice to the nodes whom it concerns and takes it in here.
 func (h *Holder) tell(n Notice) {
 	h.Servers.Believe(n.Server, backend.ParseNeed(n.Need), n.Holds, h.Time.Now().Add(noticeTime))
-	sendAll(h.Transport, h.others(), n)
+	sendAll(h.Transport, h.interested(h.Time.Now(), n), n)
 }
 
 // others returns where the nodes but this one are reached that beat to the holder.
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -43,6 +43,10 @@
 	Servers   *backend.Directory
 	Clock     *storeclock.Clock // of the store; nil: not needed
 	Candidate func() bool       // whether this node is among the first to take the lease
+	// Nearest returns where a node is reached that knows all servers; empty, or nil: this node does.
+	Nearest func() string
+	// Cover gets to know lives of servers, which this node then is told of; nil: it knows all.
+	Cover func(ctx context.Context, servers []string) error
 	// Quarantine is what this node knows of requests that end servers; the holder's as well.
 	Quarantine *quarantine.Table
 	Time       clock.Clock
@@ -119,7 +123,7 @@
 
 func (m *Member) self() Node {
 	n := m.Self
-	n.Stopping = m.stopping.Load()
+	n.Stopping, n.Follows = m.stopping.Load(), true
 	return n
 }
 
@@ -295,8 +299,10 @@
 func (m *Member) HandleMessage(ctx context.Context, from api.NodeRef, message peer.Message) (peer.Message, error) {
 	switch n := message.(type) {
 	case Notice:
-		m.Servers.Believe(n.Server, backend.ParseNeed(n.Need), n.Holds, m.Time.Now().Add(noticeTime))
+		m.believe(ctx, n)
 		return nil, nil
+	case Locate:
+		return m.locate(n), nil
 	case Announcement:
 		m.Lease.Announced(lease.Record{Term: n.Term, Holder: n.Holder, Address: n.Address})
 		m.beatSoon()
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -34,6 +34,8 @@
 	Peers    string  // IP:port for other nodes
 	Power    float64 // processor that it has, in cores
 	Stopping bool
+	// Follows tells that the node follows others, see package watch. Earlier builds don't tell it.
+	Follows bool
 }
 
 // Use is what a node sees of one model of a service.
--- a/pkg/coordinator/orders.go
+++ b/pkg/coordinator/orders.go
@@ -85,6 +85,7 @@
 	o.after = s.sequence + 1
 	if o.need.Adapter == "" {
 		s.busy = &operation{order: o, since: now, readyAt: now.Add(expected), fetch: fetch, told: expected}
+		h.about(s, o.need.Model)
 		if fetch && s.doubt == nil {
 			s.busy.beside, _ = h.fetching(now)
 		}
--- a/pkg/coordinator/outlook.go
+++ b/pkg/coordinator/outlook.go
@@ -73,7 +73,7 @@
 func (h *Holder) lanes(now time.Time, service string) []lane {
 	var list []lane
 	for s := range h.serversOf(service) {
-		if s.member.Leaving() || s.gone(now) {
+		if s.member.Withdrawn() || s.gone(now) {
 			continue
 		}
 		free := latest(now, s.quietUntil)
@@ -209,8 +209,8 @@
 // loadingLeft returns how long the load of a model still takes that is under way.
 func (h *Holder) loadingLeft(now time.Time, service, model string) (time.Duration, bool) {
 	left, loading := time.Duration(0), false
-	for s := range h.serversOf(service) {
-		if s.busy == nil || !s.busy.load || s.busy.need.Model != model || s.gone(now) {
+	for _, s := range h.holdersOf(service, model) {
+		if s.removed || s.busy == nil || !s.busy.load || s.busy.need.Model != model || s.gone(now) {
 			continue
 		}
 		if l := max(s.busy.readyAt.Sub(now), tickInterval/4); !loading || l < left {
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -7,7 +7,6 @@
 
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/backend"
-	"martenwheel.dev/pkg/engine"
 	"martenwheel.dev/pkg/policy"
 	"martenwheel.dev/pkg/route"
 	"martenwheel.dev/pkg/tree"
@@ -67,7 +66,7 @@
 // presence counts the servers of a service that hold or load each model.
 func (h *Holder) presence(now time.Time, service string) map[string]int {
 	count := make(map[string]int)
-	for s := range h.serversOf(service) {
+	for _, s := range h.indexOf(service).servers {
 		if s.gone(now) {
 			continue
 		}
@@ -81,6 +80,10 @@
 	return count
 }
 
+// complete tells whether this node knows of all servers. A node that takes the lease may hold some of
+// them only; a model that another one holds would be loaded once more.
+func (h *Holder) complete() bool { return h.Complete == nil || h.Complete() }
+
 // plan decides and orders for all services with engines.
 func (h *Holder) plan(now time.Time) {
 	defer func() {
@@ -90,7 +93,7 @@
 	}()
 	h.look(now)
 	table := h.Routes()
-	if table == nil || !h.Servers.Known() {
+	if table == nil || !h.Servers.Known() || !h.complete() {
 		return
 	}
 	if now.Before(h.resumeAt) {
@@ -99,6 +102,7 @@
 	if h.taking {
 		return
 	}
+	clear(h.indices)
 	h.raiseFences(now)
 	h.repeatDoubts(now)
 	for name, s := range table.Services() {
@@ -154,6 +158,9 @@
 		if s == nil || m == nil || s.busy != nil || s.asking || s.doubt != nil || !s.usable(now) {
 			continue
 		}
+		if !h.touchServer(now, s) {
+			continue
+		}
 		o := order{load: action.Kind == policy.ActionLoad, need: backend.Need{Model: m.Name}}
 		if !o.load {
 			if !h.learning(now) {
@@ -167,7 +174,7 @@
 			continue
 		}
 		expected, fetch := s.loadTime(m)
-		if fetch && !h.mayFetch(now, e) || h.freeBytes(s, e) < m.Bytes {
+		if fetch && !h.mayFetch(now, e) || s.freeBytes(e, adapterRoom(e)) < m.Bytes {
 			continue
 		}
 		loading++
@@ -211,10 +218,10 @@
 	ceilingSpare  = 1
 )
 
-// freeBytes returns the memory of a server that no model, adapter or order may
-// take. Room for all adapters is kept free.
-func (h *Holder) freeBytes(s *serverState, e *route.Engine) uint64 {
-	used := adapterRoom(e)
+// freeBytes returns the memory of a server that no model, order or, of the room kept for them,
+// adapter may take.
+func (s *serverState) freeBytes(e *route.Engine, adapters uint64) uint64 {
+	used := adapters
 	for name := range s.holds {
 		if m := e.Models[name]; m != nil {
 			used += m.Bytes
@@ -245,17 +252,19 @@
 // input describes the service for the decider.
 func (h *Holder) input(now time.Time, service string, e *route.Engine, w *wanted) policy.Input {
 	input := policy.Input{LoadSlots: h.storeSlots(now), LoadRate: e.LoadsPerSecond * h.Ceiling.Window.Seconds()}
-	for s := range h.serversOf(service) {
+	servers := h.indexOf(service).servers
+	input.Servers = make([]policy.Server, 0, len(servers))
+	room := adapterRoom(e)
+	for _, s := range servers {
 		input.Servers = append(input.Servers, policy.Server{
-			ID: api.ServerID(s.id), Zone: s.member.Zone, CapacityBytes: e.WeightBytes, FreeBytes: h.freeBytes(s, e),
-			Leaving:   s.member.Leaving(),
+			ID: api.ServerID(s.id), Zone: s.member.Zone, CapacityBytes: e.WeightBytes, FreeBytes: s.freeBytes(e, room),
+			Leaving:   s.member.Withdrawn(),
 			Reachable: s.usable(now) && s.doubt == nil && (s.busy == nil || !s.busy.load),
-			Cached:    s.cachedTiers(),
+			Cached:    s.cached,
 			BusyFor:   s.loadsFor(now),
 			Reserved:  api.ModelName(s.reservedFor(now)),
 		})
 	}
-	slices.SortFunc(input.Servers, func(a, b policy.Server) int { return cmp.Compare(a.ID, b.ID) })
 	present := h.presence(now, service)
 	for name, m := range e.Models {
 		if present[name] > 0 || len(w.wishes[name]) > 0 {
@@ -275,17 +284,6 @@
 	return max(s.busy.readyAt.Sub(now), 0)
 }
 
-func (s *serverState) cachedTiers() map[string]engine.CacheTier {
-	tiers := make(map[string]engine.CacheTier, len(s.cached))
-	for name, t := range s.cached {
-		tiers[name] = engine.TierDisk
-		if t == inMemory {
-			tiers[name] = engine.TierMemory
-		}
-	}
-	return tiers
-}
-
 // mostUrgent is the priority of the product for the most urgent requests.
 const mostUrgent = 9
 
@@ -313,7 +311,7 @@
 		model.Spares = max(model.Spares, min(wanted, servers))
 	}
 	addWishes(w.wishes[name], &model)
-	for s := range h.serversOf(service) {
+	for _, s := range h.holdersOf(service, name) {
 		if r, present := s.replica(now, name); present {
 			r.LastUse = model.Demand.LastArrival
 			r.InFlight = w.running[replica{s.id, name}]
@@ -383,7 +381,7 @@
 	}
 	if known := s.holds[name]; known != nil {
 		r.State, r.Since = api.ReplicaReady, known.since
-		if s.member.Leaving() {
+		if s.member.Withdrawn() {
 			return r, false
 		}
 	}
--- a/pkg/coordinator/reports.go
+++ b/pkg/coordinator/reports.go
@@ -126,5 +126,6 @@
 		order: order{load: intent.Load, need: need, after: r.Sequence},
 		since: now, readyAt: now.Add(expected), fetch: intent.Fetch,
 	}
+	h.about(s, need.Model)
 	h.Logger.Info("order inherited", "server", s.id, "load", intent.Load, "model", intent.Need, "sequence", r.Sequence)
 }
--- a/pkg/coordinator/roster.go
+++ b/pkg/coordinator/roster.go
@@ -77,9 +77,14 @@
 		}
 		return
 	}
-	nodes := slices.DeleteFunc(slices.Clone(m.Nodes()), func(n Node) bool {
-		return slices.Contains(answer.Gone, n.Name) || slices.ContainsFunc(answer.Nodes, func(c Node) bool { return c.Name == n.Name })
-	})
+	moved := make(map[string]bool, len(answer.Gone)+len(answer.Nodes))
+	for _, name := range answer.Gone {
+		moved[name] = true
+	}
+	for i := range answer.Nodes {
+		moved[answer.Nodes[i].Name] = true
+	}
+	nodes := slices.DeleteFunc(slices.Clone(m.Nodes()), func(n Node) bool { return moved[n.Name] })
 	nodes = append(nodes, answer.Nodes...)
 	m.nodes.Store(&nodes)
 	m.version = answer.Version
--- a/pkg/coordinator/server.go
+++ b/pkg/coordinator/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/engine"
 	"martenwheel.dev/pkg/lease"
 )
 
@@ -13,6 +14,7 @@
 type serverState struct {
 	id         string
 	member     *backend.Member // nil: gone
+	removed    bool            // the platform does not list it any more
 	sequence   uint64          // orders that it has surely taken
 	version    uint64          // of the record that was taken in
 	holds      map[string]*holding
@@ -22,6 +24,7 @@
 	asking     bool            // an order or a report is under way
 	reportAt   time.Time       // when to look at it
 	unsure     bool            // the number of its orders is to be asked for
+	untouched  bool            // it got no order of this term: it is neither asked nor guarded before one
 	failures   int             // calls without an answer, in a row
 	busy       *operation      // the load or unload of a model
 	inherited  lease.Intent    // the last order of an earlier holder
@@ -44,11 +47,11 @@
 }
 
 // tier is where a copy of weights lies.
-type tier uint8
+type tier = engine.CacheTier
 
 const (
-	onDisk tier = iota + 1
-	inMemory
+	onDisk   = engine.TierDisk
+	inMemory = engine.TierMemory
 )
 
 // operation is an order that is being carried out.
@@ -100,8 +103,8 @@
 		fresh := s.member == nil
 		s.member = m
 		if fresh {
-			s.unsure, s.reportAt = true, now
 			s.begin(now)
+			h.meet(now, s)
 		}
 		if m.Server.Version == s.version && !fresh {
 			continue
@@ -113,6 +116,10 @@
 		for i := range m.Models {
 			s.add(now, &m.Models[i])
 		}
+		if s.untouched {
+			s.forget(m.Models) // nobody but the last holder, which is over, can have changed it
+			continue
+		}
 		if len(m.Models) < len(s.holds) && s.busy == nil && !s.unsure {
 			s.unsure, s.reportAt = true, now.Add(recordLag)
 		}
@@ -124,11 +131,50 @@
 	for id, s := range h.servers {
 		if snapshot.Member(id) == nil && s.member != nil {
 			h.loseLoad(now, s)
+			s.removed = true // an index may list it still
 			delete(h.servers, id)
 		}
 	}
 }
 
+// forget has an untouched server hold what its record tells alone.
+func (s *serverState) forget(models []backend.Holding) {
+	for name := range s.holds {
+		if !slices.ContainsFunc(models, func(m backend.Holding) bool { return m.Model == name }) {
+			delete(s.holds, name)
+		}
+	}
+}
+
+// mostMet is how many servers a new holder asks at once how many orders they took: all of a small
+// site, so that the first orders find them known. Of thousands few get an order in a term, and each
+// question is a new connection: the others are asked right before their first one.
+const mostMet = 256
+
+// meet takes in a server that the holder learns of.
+func (h *Holder) meet(now time.Time, s *serverState) {
+	if h.met++; h.met > mostMet && !s.recheck && s.inherited == (lease.Intent{}) {
+		s.untouched = true
+		return
+	}
+	s.ask(now)
+}
+
+// ask has a server asked for the number of its orders and what it holds.
+func (s *serverState) ask(now time.Time) { s.untouched, s.unsure, s.reportAt = false, true, now }
+
+// touchServer prepares an untouched server for its first order, which follows once it was asked and, if
+// late orders of the last holder may come, sees this holder's fence. It returns whether the order
+// may go out now.
+func (h *Holder) touchServer(now time.Time, s *serverState) bool {
+	if !s.untouched {
+		return true
+	}
+	s.ask(now)
+	h.planSoon = true
+	return false
+}
+
 // recordLag is how far the record of a server may lie behind.
 const recordLag = 2 * time.Second
 
@@ -233,7 +279,7 @@
 
 // usable tells whether orders may be given to the server.
 func (s *serverState) usable(now time.Time) bool {
-	return s.member != nil && !s.gone(now) && !s.guarded && !s.unsure && !s.recheck && !s.member.Leaving() && !now.Before(s.quietUntil) && !now.Before(s.avoidUntil) &&
+	return s.member != nil && !s.gone(now) && (!s.guarded || s.untouched) && !s.unsure && !s.recheck && !s.member.Withdrawn() && !now.Before(s.quietUntil) && !now.Before(s.avoidUntil) &&
 		!s.lives.mayCross(now, s.id, s.sequence+1)
 }
 
@@ -243,8 +289,8 @@
 // heldBy returns a server that holds what a request needs, "" if none does. The
 // holder's own word goes before that of the records.
 func (h *Holder) heldBy(now time.Time, service string, need backend.Need) string {
-	for s := range h.serversOf(service) {
-		if s.member.Leaving() || s.silent(now) || s.gone(now) || s.unsure {
+	for _, s := range h.candidates(service, need) {
+		if s.removed || s.member.Withdrawn() || s.silent(now) || s.gone(now) || s.unsure {
 			continue
 		}
 		if s.ready(now, need) {
@@ -254,6 +300,14 @@
 	return ""
 }
 
+// candidates returns the servers that may hold what a request needs.
+func (h *Holder) candidates(service string, need backend.Need) []*serverState {
+	if need.Model == "" {
+		return h.indexOf(service).servers
+	}
+	return h.holdersOf(service, need.Model)
+}
+
 // ready tells whether the server surely holds what a request needs.
 func (s *serverState) ready(now time.Time, need backend.Need) bool {
 	known := s.holds[need.Model]
@@ -275,5 +329,5 @@
 		return
 	}
 	h.Logger.Info("server lacks a model", "server", id, "model", need.String())
-	s.unsure, s.reportAt = true, now
+	s.ask(now)
 }
--- a/pkg/coordinator/wishes.go
+++ b/pkg/coordinator/wishes.go
@@ -62,8 +62,25 @@
 // maxWishes bounds the wishes that are remembered.
 const maxWishes = 1024
 
-// tellWish asks the holder.
+// tellWish looks for a server that this node does not know, and asks the holder if there is none.
 func (m *Member) tellWish(ctx context.Context, w relay.Wish) (relay.Outlook, error) {
+	if server := m.find(ctx, w); server != "" {
+		return relay.Outlook{Server: server}, nil
+	}
+	outlook, err := m.askHolder(ctx, w)
+	if err == nil && outlook.Server != "" && m.Cover != nil {
+		if outlook.Server = m.meet(ctx, []string{outlook.Server}); outlook.Server == "" {
+			outlook.ReadyIn = meetAgain
+		}
+	}
+	return outlook, err
+}
+
+// meetAgain is how long a request waits for another try to get to know the server that serves it.
+const meetAgain = 250 * time.Millisecond
+
+// askHolder tells the holder of a wish.
+func (m *Member) askHolder(ctx context.Context, w relay.Wish) (relay.Outlook, error) {
 	answer, err := ask[WishAnswer](ctx, m, WishMessage{
 		Service: w.Service, Need: w.Need.String(), Priority: w.Priority,
 		Left: m.Time.Until(w.Deadline), RequestID: w.RequestID, Missing: w.Missing, Gone: w.Gone,
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -65,6 +65,7 @@
 	relay    *relay.Relay
 	traffic  *peerTraffic
 	stopping atomic.Bool
+	watched  atomic.Pointer[watchedNodes]
 }
 
 // Ready tells whether callers may be sent to this node.
@@ -128,7 +129,10 @@
 	s.hub = &watch.Hub{
 		Self: watchNode(s.Self), Nodes: s.watchNodes, Known: s.member.Known, Transport: transport,
 		Tables: s.Tables, FirstStart: s.First, Logger: s.Logger.Named("watch"),
+		Whole: func() bool { _, held := l.Held(); return held },
 	}
+	holder.Complete = s.tablesWhole
+	s.member.Nearest, s.member.Cover = s.nearest, s.cover
 	l.Fleet, l.GoOn = holder.Fleet, holder.MayGoOn
 	l.Quarantine = func(recorded []quarantine.Aged) []quarantine.Aged { return known.Keep(clock.Now(), recorded) }
 	l.Quotas = holder.QuotaBalances
@@ -136,7 +140,7 @@
 	l.Eager = func() bool { return s.member.Known() && s.hub.Watching() }
 	s.member.Candidate = s.hub.Watching
 	s.relay = &relay.Relay{
-		Headers: s.Headers, Zone: s.Self.Zone, Routes: s.Routes, Keys: s.Keys, Quotas: s.member, Servers: s.Servers, Waker: s.member,
+		Headers: s.Headers, Node: s.Self.Name, Zone: s.Self.Zone, Routes: s.Routes, Keys: s.Keys, Quotas: s.member, Servers: s.Servers, Waker: s.member,
 		Quarantine: s.member, Places: s.member, Mover: s.Mover, DrainTime: s.DrainTime,
 		Nodes: s.member.Fleet, Budget: s.Budget, Lender: s.member, Began: s.budgetBegan(clock.Now()), Logger: s.Logger.Named("relay"),
 		Metrics: relay.NewMetrics(s.Registry), Arrived: s.member.Arrived,
@@ -177,18 +181,64 @@
 	leastPower = 0.01
 )
 
-// watchNodes returns the nodes of the site as the hub needs them.
+// tablesWhole tells whether this node holds all rows of all tables.
+func (s *Site) tablesWhole() bool {
+	for _, t := range s.Tables {
+		if !t.Whole() {
+			return false
+		}
+	}
+	return true
+}
+
+// nearest returns where a node is reached that knows all servers; empty if this one does.
+func (s *Site) nearest() string {
+	if s.tablesWhole() {
+		return ""
+	}
+	return s.hub.Main()
+}
+
+// cover has this node told of lives of servers that it does not know.
+func (s *Site) cover(ctx context.Context, servers []string) error {
+	keys := make([]string, len(servers))
+	for i, id := range servers {
+		keys[i] = backend.ParseLife(id).Instance
+	}
+	for _, t := range s.Tables {
+		if !t.Parted {
+			continue
+		}
+		if err := s.hub.Cover(ctx, t.Name, keys...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// watchedNodes is a list of the nodes of the site as the hub needs it.
+type watchedNodes struct {
+	of   []coordinator.Node
+	list []watch.Node
+}
+
+// watchNodes returns the nodes of the site as the hub needs them: the same list while they are the
+// same, by which the hub tells that it has nothing to work out.
 func (s *Site) watchNodes() []watch.Node {
 	nodes := s.member.Nodes()
-	list := make([]watch.Node, len(nodes))
+	if known := s.watched.Load(); known != nil && len(known.of) == len(nodes) && &known.of[0] == &nodes[0] {
+		return known.list
+	}
+	next := &watchedNodes{of: nodes, list: make([]watch.Node, len(nodes))}
 	for i := range nodes {
-		list[i] = watchNode(nodes[i])
+		next.list[i] = watchNode(nodes[i])
 	}
-	return list
+	s.watched.Store(next)
+	return next.list
 }
 
 func watchNode(n coordinator.Node) watch.Node {
-	return watch.Node{Name: n.Name, Zone: n.Zone, Peers: n.Peers, Power: n.Power}
+	return watch.Node{Name: n.Name, Zone: n.Zone, Peers: n.Peers, Power: n.Power, Follows: n.Follows, Leaving: n.Stopping}
 }
 
 // HandleMessage implements peer.Handler.
--- a/pkg/watch/hub.go
+++ b/pkg/watch/hub.go
@@ -5,6 +5,7 @@
 	"context"
 	"hash/fnv"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -20,6 +21,9 @@
 	Zone  string
 	Peers string // IP:port for other nodes
 	Power float64
+	// Follows tells that the node follows others; nodes of earlier builds are told without asking.
+	Follows bool
+	Leaving bool // it stops soon
 }
 
 // News tells that there are no changes of a table between two versions but
@@ -33,21 +37,42 @@
 	AsOf    time.Duration // by the store's clock, see Page
 	Dated   bool
 	Watcher string // address to ask when something is missing
+	Parts   Parts  // that it is about; zero: the whole table
+	Rows    int    // of the whole table; zero: not told
 }
 
-// Pull asks a watcher for a whole table.
+// Pull asks a node for parts of a table.
 type Pull struct {
 	Table string
+	Parts Parts  // zero: the whole table in one answer, as earlier builds ask
+	After uint64 // what changed after this version will do; zero: it won't
 }
 
-// PullAnswer is a whole table. Known is false if the node has none.
+// PullAnswer is some of the parts that were asked for. Known is false if the node has none.
 type PullAnswer struct {
 	Known   bool
 	Version uint64
-	Records []byte // packed
+	Records []byte // packed; the whole table, for earlier builds and of them
 	Age     time.Duration
 	AsOf    time.Duration // by the store's clock, see Page
 	Dated   bool
+	Parts   Parts    // zero: the whole table
+	Packs   [][]byte // packed records
+	Changes bool     // it is what changed in all parts since the version that was asked
+	Rows    int      // of the whole table; zero: not told
+}
+
+// page returns what an answer carries.
+func (a *PullAnswer) page() (Page, error) {
+	p := Page{Version: a.Version, AsOf: a.AsOf, Dated: a.Dated, Parts: a.Parts}
+	for _, packed := range append([][]byte{a.Records}, a.Packs...) {
+		records, err := unpack(packed)
+		if err != nil {
+			return Page{}, err
+		}
+		p.Records = append(p.Records, records...)
+	}
+	return p, nil
 }
 
 func init() { peer.Register(News{}, Pull{}, PullAnswer{}) }
@@ -64,9 +89,10 @@
 
 	pulseInterval = 400 * time.Millisecond
 	pullTimeout   = 700 * time.Millisecond
-	// firstWait is how long the nodes of a site that starts wait for its watchers: until
-	// there is a holder, all have beaten to it, and a few watchers have sent the tables to
-	// some two hundred nodes. Callers come ten seconds after the start.
+	// firstWait is how long the nodes of a site that starts wait for its watchers, and a node that
+	// starts alone for others to tell it a large table: until there is a holder, all have beaten to
+	// it, and a few watchers have sent the tables to some two hundred nodes. Callers come ten seconds
+	// after the start.
 	firstWait   = 5 * time.Second
 	changesKept = 64
 )
@@ -81,9 +107,19 @@
 	// FirstStart tells that the whole site starts for the first time: nodes leave the
 	// store to the watchers until those have had time to tell what they read.
 	FirstStart bool
+	Whole      func() bool // whether this node needs all rows of all tables; nil: it does not
 	Logger     hclog.Logger
 
-	started time.Time
+	started   time.Time
+	followNow chan struct{}
+
+	mu        sync.Mutex
+	top       *topology
+	main      string             // address of the node that is followed
+	parents   map[string]*parent // by address
+	shares    map[string]Parts   // that this node keeps, by table
+	extra     map[extraPart]time.Time
+	followers map[string]follower // by address
 }
 
 // errUnknown means that a message names a table that is not followed.
@@ -92,36 +128,49 @@
 // Run follows all tables until ctx ends.
 func (h *Hub) Run(ctx context.Context) {
 	h.started = clock.Now()
+	h.init()
 	done := make(chan struct{})
 	var shared breaker
 	for _, t := range h.Tables {
 		t.breaker = &shared
 		t.fleet = func() int { return len(h.Nodes()) }
-		t.changed = make(chan news, changesKept)
+		t.alone = func() bool { return !h.Known() }
+		t.changed, t.confirms = make(chan news, changesKept), make(chan struct{}, 1)
 		go func() {
 			t.run(ctx, func() bool { return h.direct(t) }, func() bool { return h.Known() && h.Watching() })
 			done <- struct{}{}
 		}()
 		go h.passOn(ctx, t)
 	}
+	go h.follow(ctx)
 	for range h.Tables {
 		<-done
 	}
 }
 
+func (h *Hub) init() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.followNow == nil {
+		h.followNow = make(chan struct{}, 1)
+		h.parents, h.followers = make(map[string]*parent), make(map[string]follower)
+		h.shares, h.extra = make(map[string]Parts), make(map[extraPart]time.Time)
+	}
+}
+
 // Watching tells whether this node is one of the site's watchers.
 func (h *Hub) Watching() bool {
-	nodes := h.Nodes()
-	if !h.Known() || len(nodes) <= SmallSite {
+	top := h.topology()
+	if !h.Known() || len(top.nodes) <= SmallSite {
 		return true
 	}
-	return slices.Contains(watchers(nodes), h.Self.Name)
+	return slices.Contains(top.watchers, h.Self.Name)
 }
 
 // standby tells whether this node watches and leaves the store to other watchers.
 func (h *Hub) standby() bool {
-	nodes := h.Nodes()
-	return len(nodes) > SmallSite && slices.Index(watchers(nodes), h.Self.Name) >= Readers
+	top := h.topology()
+	return len(top.nodes) > SmallSite && slices.Index(top.watchers, h.Self.Name) >= Readers
 }
 
 // direct tells whether the table is to be read from the store by this node. One that has
@@ -131,7 +180,7 @@
 	if h.Known() && h.Watching() {
 		return !h.standby() || t.unconfirmed()
 	}
-	if h.FirstStart && clock.Since(h.started) < firstWait {
+	if clock.Since(h.started) < firstWait && (h.FirstStart || t.Parted && (h.Known() || t.isLarge())) {
 		return false
 	}
 	return t.stale()
@@ -170,35 +219,46 @@
 }
 
 // passOn tells the other nodes of what changes, and now and then that nothing
-// does.
+// does: a node that follows others as soon as they tell it.
 func (h *Hub) passOn(ctx context.Context, t *Table) {
 	ticker := time.NewTicker(pulseInterval)
 	defer ticker.Stop()
+	var pulsed time.Time
 	for {
 		var n news
 		select {
 		case <-ctx.Done():
 			return
 		case n = <-t.changed:
+		case <-t.confirms:
+			if clock.Since(pulsed) < pulseInterval/2 {
+				continue // two nodes are followed
+			}
+			pulsed = clock.Now()
+			h.tellFollowers(t, t.state())
+			continue
 		case <-ticker.C:
-			if h.standby() && !t.unconfirmed() {
-				continue // the readers tell it
+			if clock.Since(pulsed) < pulseInterval || h.standby() && !t.unconfirmed() {
+				continue // or the readers tell it
 			}
 			n = t.state()
 		}
-		nodes := h.Nodes()
-		if len(nodes) > SmallSite && n.page.Version > 0 && h.Watching() && !t.stale() {
-			h.tell(nodes, t, n)
+		h.tellFollowers(t, n)
+		if n.page.Version == 0 || t.stale() {
+			continue
+		}
+		if top := h.topology(); len(top.nodes) > SmallSite && h.Watching() {
+			h.tell(top, t, n)
 		}
 	}
 }
 
-// tell sends news to the nodes that don't ask the store. Each gets the records from one
-// watcher only: the links of small machines would not carry them from all. The watchers
+// tell sends news to the nodes that neither ask the store nor follow others. Each gets the records
+// from one watcher only: the links of small machines would not carry them from all. The watchers
 // on standby get them from a reader.
-func (h *Hub) tell(nodes []Node, t *Table, n news) {
-	watching := watchers(nodes)
-	bare := News{Table: t.Name, After: n.after, Version: n.page.Version, Age: t.Age(), AsOf: n.page.AsOf, Dated: n.page.Dated, Watcher: h.Self.Peers}
+func (h *Hub) tell(top *topology, t *Table, n news) {
+	watching := top.watchers
+	bare := h.newsFor(t, n, AllParts)
 	full := bare
 	if len(n.page.Records) > 0 {
 		packed, err := pack(n.page.Records)
@@ -209,9 +269,10 @@
 		full.Records = packed
 		bare.After = n.page.Version // what comes from another watcher is missing until then
 	}
-	for _, other := range nodes {
+	for _, other := range top.nodes {
 		place := slices.Index(watching, other.Name)
 		switch {
+		case place < 0 && other.Follows:
 		case place >= 0 && (place < Readers || h.standby()):
 		case place >= 0 && watching[place%Readers] != h.Self.Name:
 			h.Transport.Send(other.Peers, bare)
@@ -252,7 +313,7 @@
 func (t *Table) summary() PullAnswer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return PullAnswer{Known: t.rows != nil, Version: t.version, AsOf: t.asOf, Dated: t.dated}
+	return PullAnswer{Known: t.rows != nil && t.held == AllParts, Version: t.version, AsOf: t.asOf, Dated: t.dated}
 }
 
 func (h *Hub) table(name string) *Table {
@@ -275,48 +336,56 @@
 		if t == nil {
 			return nil, true, errUnknown
 		}
+		if m.Parts != 0 {
+			answer, err := t.answer(m)
+			return answer, true, err
+		}
 		answer, err := t.pullAnswer()
 		return answer, true, err
+	case Follow:
+		h.init()
+		h.followedBy(m)
+		return nil, true, nil
 	}
 	return nil, false, nil
 }
 
-// news takes in what a watcher tells, and asks it for the whole table if some of
-// it is missing.
+// news takes in what another node tells, and asks it for what is missing.
 func (h *Hub) news(ctx context.Context, n News) error {
 	t := h.table(n.Table)
 	if t == nil {
 		return errUnknown
 	}
+	h.heardFrom(n.Watcher)
 	records, err := unpack(n.Records)
 	if err != nil {
 		return err
 	}
-	if t.Change(n.After, Page{Records: records, Version: n.Version, AsOf: n.AsOf, Dated: n.Dated}, n.Age) || !t.gap() {
+	if n.Rows > 0 {
+		t.setTotal(n.Rows)
+	}
+	if t.Change(n.After, Page{Records: records, Version: n.Version, AsOf: n.AsOf, Dated: n.Dated, Parts: n.Parts}, n.Age) {
+		t.confirmed()
+		return nil
+	}
+	missing, held, version := t.lacks()
+	if !told(n.Parts).covers(held) || !t.gap() {
 		return nil
 	}
 	if !t.pulling.CompareAndSwap(false, true) {
 		return nil // the answer is on its way
 	}
 	defer t.pulling.Store(false)
-	return h.pull(ctx, t, n.Watcher)
+	if held == 0 {
+		return h.pull(ctx, t, n.Watcher, missing, 0)
+	}
+	return h.pull(ctx, t, n.Watcher, held, version)
 }
 
-// pull asks a watcher for a whole table.
-func (h *Hub) pull(ctx context.Context, t *Table, watcher string) error {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
-	reply, err := h.Transport.Call(ctx, watcher, Pull{Table: t.Name})
-	if err != nil {
-		return err
-	}
-	answer, ok := reply.(PullAnswer)
-	if !ok {
-		return errUnknown
-	}
-	all, err := unpack(answer.Records)
-	if err == nil && answer.Known {
-		t.Replace(Page{Records: all, Version: answer.Version, AsOf: answer.AsOf, Dated: answer.Dated}, answer.Age)
+// confirmed has the followers told that the rows are confirmed.
+func (t *Table) confirmed() {
+	select {
+	case t.confirms <- struct{}{}:
+	default: // also before Run
 	}
-	return err
 }
--- a/pkg/watch/pack.go
+++ b/pkg/watch/pack.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"encoding/gob"
 	"io"
+	"sync"
 
 	"github.com/pkg/errors"
 )
@@ -12,16 +13,22 @@
 // maxUnpacked bounds what packed records may grow to.
 const maxUnpacked = 32 << 20
 
+// packers keeps what packing works on, which takes over a megabyte: a relay packs some dozens of times
+// a second.
+var packers = sync.Pool{New: func() any {
+	w, _ := flate.NewWriter(nil, flate.BestSpeed) // fails on an unknown level alone
+	return w
+}}
+
 // pack encodes records in few bytes: rows are text of much the same form.
 func pack(records []Record) ([]byte, error) {
 	if len(records) == 0 {
 		return nil, nil
 	}
 	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.BestSpeed)
-	if err != nil {
-		return nil, errors.Wrap(err, "watch: pack")
-	}
+	w := packers.Get().(*flate.Writer)
+	defer packers.Put(w)
+	w.Reset(&b)
 	if err := gob.NewEncoder(w).Encode(records); err != nil {
 		return nil, errors.Wrap(err, "watch: pack")
 	}
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -5,6 +5,12 @@
 //
 // A Table is followed by one goroutine; Hub has those of a node and speaks with
 // the other nodes. Versions of a table never go back in the life of a process.
+//
+// Nodes follow each other in a tree: a few readers ask the store, some relays in each zone follow
+// these, and all others follow a relay near them, so that a change crosses the boundary of a zone
+// once for each relay. A node needs some rows of a large table only and holds parts of it. parts.go
+// divides tables; topology.go tells who is what; follow.go is the side of those that follow and
+// serve.go that of those that are followed; hub.go is what readers tell nodes that follow nobody.
 package watch
 
 import (
@@ -34,12 +40,32 @@
 	Version uint64
 	AsOf    time.Duration // by the store's clock: all changes before are in
 	Dated   bool          // AsOf is known
+	Parts   Parts         // that it is about; zero: the whole table
 }
 
-// news is changes after a version.
+// news is changes after the versions at which the parts changed before.
 type news struct {
-	after uint64
-	page  Page
+	before lastChanges
+	page   Page
+}
+
+// lastChanges are the versions of the last change in each part.
+type lastChanges [PartCount]uint64
+
+// of returns the version of the last change in some parts.
+func (l *lastChanges) of(parts Parts) uint64 {
+	last := uint64(0)
+	for i := range parts.each() {
+		last = max(last, l[i])
+	}
+	return last
+}
+
+// note takes in a change in some parts.
+func (l *lastChanges) note(parts Parts, version uint64) {
+	for i := range parts.each() {
+		l[i] = version
+	}
 }
 
 // ErrHistoryGone means that changes since a version are not known any more.
@@ -54,6 +80,12 @@
 	Feed(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error)
 }
 
+// Prober is a Source that tells whether a table is large for little.
+type Prober interface {
+	// Probe reads the first rows of a table, and tells whether there are more.
+	Probe(ctx context.Context, table string) (first Page, more bool, err error)
+}
+
 // Times of a watch.
 const (
 	feedSlack  = 500 * time.Millisecond // beyond the wait, for an answer
@@ -98,25 +130,41 @@
 	// is not to be kept.
 	Apply  func(rows map[string]Record, version uint64)
 	Logger hclog.Logger
+	// Parted tells that the node may do with some parts of the rows.
+	Parted bool
+	// InUse tells whether the node uses what a row is about: its part is kept then. It may be nil.
+	InUse func(key string) bool
+	// Dropped is told the keys of rows that the node lets go of, which may still be there, before
+	// Apply. It may be nil.
+	Dropped func(keys []string)
 
 	mu       sync.Mutex
 	rows     map[string]Record // nil: not read yet
+	wanted   Parts             // zero: all
+	held     Parts             // whose rows are here
+	floors   [PartCount]uint64 // versions at which the rows of the parts were taken in as a whole
+	total    int               // rows of the whole table, as far as is known
 	version  uint64
 	freshAt  time.Time     // as of when the rows are known to be the newest
 	asOf     time.Duration // the same by the store's clock
 	dated    bool          // asOf is known
 	reread   bool
 	failures int
-	last     uint64    // version of the last change of a row
-	gapSince time.Time // since when changes are known to be missing
-	changed  chan news // for the other nodes
-	breaker  *breaker  // of all tables of the node
+	lasts    lastChanges
+	recent   recentChanges // of a node that holds all rows
+	gapSince time.Time     // since when changes are known to be missing
+	changed  chan news     // for the other nodes
+	confirms chan struct{} // another node confirmed the rows
+	breaker  *breaker      // of all tables of the node
 	fleet    func() int
-	pulling  atomic.Bool // the whole table is asked for
+	alone    func() bool // no other node is known that could tell the rows
+	large    bool        // the store has more rows than it tells at once
+	pulling  atomic.Bool // rows are asked for
 
 	packing       sync.Mutex
 	packed        []byte // all rows, as of packedVersion; nil: not packed yet
 	packedVersion uint64
+	packs         [PartCount]partPack
 }
 
 // Version returns the version of the rows, zero if there are none yet.
@@ -276,7 +324,7 @@
 // whether the store is back.
 func (t *Table) step(ctx context.Context, probe bool) (bool, error) {
 	t.mu.Lock()
-	anew := t.rows == nil || t.reread
+	anew := t.rows == nil || t.reread || t.missing() != 0
 	after := t.version
 	t.mu.Unlock()
 	if anew {
@@ -297,7 +345,39 @@
 	return len(page.Records) > 0, nil
 }
 
+// probe reads the table if it is small, and tells whether it did. A large one is better had from
+// other nodes: of 985 that start at once each would read 10,000 rows, some 4 GB together.
+func (t *Table) probe(ctx context.Context) (done bool, err error) {
+	p, can := t.Source.(Prober)
+	if !can || !t.Parted || t.alone == nil || !t.alone() || t.isLarge() {
+		return false, nil
+	}
+	first, more, err := p.Probe(ctx, t.Name)
+	if err != nil {
+		return true, err
+	}
+	if more {
+		t.mu.Lock()
+		t.large = true
+		t.mu.Unlock()
+		t.Logger.Info("large table is left to others to tell", "table", t.Name, "rows", len(first.Records), "version", first.Version)
+		return true, nil
+	}
+	t.Replace(first, 0)
+	return true, nil
+}
+
+// isLarge tells whether the store has more rows than it tells at once.
+func (t *Table) isLarge() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.large
+}
+
 func (t *Table) read(ctx context.Context) error {
+	if done, err := t.probe(ctx); done {
+		return err
+	}
 	all, err := t.Source.Read(ctx, t.Name)
 	if err != nil {
 		return err
@@ -316,15 +396,24 @@
 	if all.Version < t.version {
 		return false
 	}
-	rows := make(map[string]Record, len(all.Records))
+	t.total = len(all.Records)
+	t.held = t.wants()
+	rows := make(map[string]Record)
 	for _, r := range all.Records {
+		if !t.held.Holds(r.Key) {
+			continue
+		}
 		if known, has := t.rows[r.Key]; has && known.Version > r.Version {
 			r = known
 		}
 		rows[r.Key] = r
 	}
 	t.rows, t.version, t.reread, t.gapSince = rows, all.Version, false, time.Time{}
-	t.last = t.version // so that the others ask for what they miss
+	for i := range t.held.each() {
+		t.floors[i] = t.version
+	}
+	t.lasts.note(AllParts, t.version) // so that the others ask for what they miss
+	t.recent.reset(t.version)
 	t.confirm(age, all)
 	t.Apply(t.rows, t.version)
 	return true
@@ -335,31 +424,41 @@
 func (t *Table) Change(after uint64, page Page, age time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.rows == nil || after > t.version {
+	if t.rows == nil || after > t.version || !told(page.Parts).covers(t.held) {
 		return false
 	}
 	if page.Version < t.version {
 		return true // known already
 	}
 	var fresh []Record
+	var touched Parts
 	for _, r := range page.Records {
 		if t.take(r) {
 			fresh = append(fresh, r)
+			touched |= PartOf(r.Key)
 		}
 	}
 	t.version, t.gapSince = page.Version, time.Time{}
 	t.confirm(age, page)
 	if len(fresh) > 0 {
-		before := t.last
-		t.last = t.version
+		before := t.lasts
+		t.lasts.note(touched, t.version)
+		if t.held == AllParts {
+			t.total = len(t.rows)
+			t.recent.add(fresh)
+		}
 		t.Apply(t.rows, t.version)
-		t.pass(news{after: before, page: Page{Records: fresh, Version: t.version, AsOf: t.asOf, Dated: t.dated}})
+		t.pass(news{before: before, page: Page{Records: fresh, Version: t.version, AsOf: t.asOf, Dated: t.dated}})
 	}
 	return true
 }
 
-// take takes in a row, unless a newer one is known. The caller holds mu.
+// take takes in a row of a part that is held, unless a newer one is known. The caller holds mu.
 func (t *Table) take(r Record) bool {
+	part := partIndex(r.Key)
+	if t.held&partAt(part) == 0 || r.Version <= t.floors[part] {
+		return false
+	}
 	known, has := t.rows[r.Key]
 	if has && known.Version >= r.Version || !has && r.Gone {
 		return false
@@ -390,7 +489,7 @@
 func (t *Table) state() news {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return news{after: t.last, page: Page{Version: t.version, AsOf: t.asOf, Dated: t.dated}}
+	return news{before: t.lasts, page: Page{Version: t.version, AsOf: t.asOf, Dated: t.dated}}
 }
 
 // confirm notes that the rows were the newest so long ago, and at a time of the store's
