--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -53,12 +53,14 @@
 	Budget    relay.BudgetConfig
 	// Tolerance is what may run beyond tenants' quotas.
 	Tolerance quota.Tolerance
-	First     bool          // the whole site starts for the first time
-	Grace     time.Duration // of a planned stop
-	Linger    time.Duration // callers may still come for so long after it began
-	Metrics   string        // IP:port; empty: not served
-	Registry  *prometheus.Registry
-	Logger    hclog.Logger
+	// Regions tells the region of each zone; nil: not known.
+	Regions  map[string]string
+	First    bool          // the whole site starts for the first time
+	Grace    time.Duration // of a planned stop
+	Linger   time.Duration // callers may still come for so long after it began
+	Metrics  string        // IP:port; empty: not served
+	Registry *prometheus.Registry
+	Logger   hclog.Logger
 
 	member   *coordinator.Member
 	hub      *watch.Hub
