coordinator, watch: lists of nodes and late changes come in messages of one size

Cause: two more bounds in time for what grows: a beat's answer with all nodes had 0.7 s however many there are (79 kB each for 985 nodes that start at once), and a feed with all that changed while the store was away half a second beyond its wait, for ever again. Change: an answer tells of 256 nodes, the next at once of the rest; a node knows none before it knows all, since readers and relays follow from all. Two feeds that came too late have the table read in pages.

--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -55,6 +55,8 @@
 	nodes      atomic.Pointer[[]Node]
 	fleet      atomic.Int64
 	version    NodesVersion    // of nodes; for Run alone
+	listing    []Node          // as far as they were told; nil: they are told as a whole; for Run alone
+	more       bool            // the last answer told of the first nodes only; for Run alone
 	beatAt     time.Time       // when the next beat is due at the latest; for Run alone
 	scarce     bool            // by the last answer; for Run alone
 	told       map[replica]int // running requests by the last beat; for Run alone
@@ -158,6 +160,10 @@
 		m.beatAt = now.Add(beatRetry)
 		return beatRetry
 	}
+	if m.more {
+		m.beatAt = now
+		return 0
+	}
 	if m.scarce {
 		return idleLook
 	}
@@ -236,7 +242,7 @@
 		store = m.store
 	}
 	return Beat{
-		Node: m.self(), Uses: m.uses(m.Time.Now()), Knows: m.version, Partial: true, Store: store, Spent: m.ledger.Report(),
+		Node: m.self(), Uses: m.uses(m.Time.Now()), Knows: m.version, Partial: true, Paged: true, Store: store, Spent: m.ledger.Report(),
 		Evidence: knownEvidence(m.Quarantine, m.Time.Now(), m.evidence),
 		Paces:    m.Servers.TakeReports(pacesShare(m.Fleet())), KnowsPaces: m.pacesKnown,
 		Places: m.places.ledger.Whole(m.Time.Now()),
@@ -260,6 +266,7 @@
 	}
 	m.fleet.Store(int64(answer.Fleet))
 	m.takeNodes(answer)
+	m.more = answer.More
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.answered {
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -62,8 +62,10 @@
 	Knows NodesVersion // of the nodes that it was told of
 	// Partial tells that the answer may tell of the nodes that changed since alone.
 	Partial bool
-	Store   StoreLimit    // as an earlier holder learned it; told to a holder once, at its first beat
-	Spent   []quota.Spent // of tenants' quotas since the last beat
+	// Paged tells that the answer may tell of the first of them only, and that there are more.
+	Paged bool
+	Store StoreLimit    // as an earlier holder learned it; told to a holder once, at its first beat
+	Spent []quota.Spent // of tenants' quotas since the last beat
 	// Evidence is against requests that end servers.
 	Evidence KnownEvidence
 	Places   []admission.Report // all that the node has at servers whose memory is told
@@ -87,6 +89,7 @@
 	// Gone are those that went.
 	Partial bool
 	Gone    []string
+	More    bool       // nodes changed after Version, of which the next answer tells
 	Scarce  bool       // models waited for a server lately: what goes idle is to be told soon
 	Store   StoreLimit // what was learned of the weight store, for the next holder
 	Fleet   int        // nodes that share what all may use together, the most of the last while
--- a/pkg/coordinator/roster.go
+++ b/pkg/coordinator/roster.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -53,11 +54,20 @@
 		return
 	}
 	answer.Partial = b.Partial && b.Knows.Term == h.term && b.Knows.Number >= h.roster.since
+	var told []*nodeState
 	for _, other := range h.nodes {
 		if !answer.Partial || other.changed > b.Knows.Number {
-			answer.Nodes = append(answer.Nodes, other.node)
+			told = append(told, other)
 		}
 	}
+	if b.Paged && len(told) > mostNodesTold {
+		slices.SortFunc(told, func(a, b *nodeState) int { return cmp.Compare(a.changed, b.changed) })
+		told = told[:mostNodesTold]
+		answer.Version.Number, answer.More = told[mostNodesTold-1].changed, true
+	}
+	for _, other := range told {
+		answer.Nodes = append(answer.Nodes, other.node)
+	}
 	if !answer.Partial {
 		return
 	}
@@ -68,15 +78,33 @@
 	}
 }
 
-// takeNodes takes in what an answer tells of the nodes.
+// mostNodesTold is how many nodes one answer tells of, some 20 kB: the answer has beatTimeout to come,
+// over any link and however many nodes there are.
+const mostNodesTold = 256
+
+// takeNodes takes in what an answer tells of the nodes. A list that comes in several answers counts
+// once it is whole: who watches and who relays follows from all nodes.
 func (m *Member) takeNodes(answer *BeatAnswer) {
-	if !answer.Partial {
-		if len(answer.Nodes) > 0 {
-			m.nodes.Store(&answer.Nodes)
-			m.version = answer.Version
-		}
+	nodes := answer.Nodes
+	switch {
+	case answer.Partial && m.listing != nil:
+		nodes = changedNodes(m.listing, answer)
+	case answer.Partial:
+		nodes = changedNodes(m.Nodes(), answer)
+	case len(answer.Nodes) == 0:
+		return // as known
+	}
+	m.version = answer.Version
+	if answer.More && (!answer.Partial || m.listing != nil) {
+		m.listing = nodes
 		return
 	}
+	m.listing = nil
+	m.nodes.Store(&nodes)
+}
+
+// changedNodes returns nodes with what an answer tells that changed among them.
+func changedNodes(known []Node, answer *BeatAnswer) []Node {
 	moved := make(map[string]bool, len(answer.Gone)+len(answer.Nodes))
 	for _, name := range answer.Gone {
 		moved[name] = true
@@ -84,10 +112,8 @@
 	for i := range answer.Nodes {
 		moved[answer.Nodes[i].Name] = true
 	}
-	nodes := slices.DeleteFunc(slices.Clone(m.Nodes()), func(n Node) bool { return moved[n.Name] })
-	nodes = append(nodes, answer.Nodes...)
-	m.nodes.Store(&nodes)
-	m.version = answer.Version
+	nodes := slices.DeleteFunc(slices.Clone(known), func(n Node) bool { return moved[n.Name] })
+	return append(nodes, answer.Nodes...)
 }
 
 // stallTime is how long the holder may leave its nodes' beats alone: some ticks. It counts no longer
--- a/pkg/coordinator/roster_test.go
+++ b/pkg/coordinator/roster_test.go
@@ -163,3 +163,42 @@
 		}
 	})
 }
+
+// TestAListOfNodesComesInAnswersOfOneSize: however many nodes there are, an answer tells of some; a
+// node knows none of the others before it was told all, and then the same ones as the holder. Nodes of
+// a build that does not ask for pages are told at once.
+func TestAListOfNodesComesInAnswersOfOneSize(t *testing.T) {
+	for _, size := range []int{300, 900} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(t, []string{"m0"})
+			n := s.start("holder")
+			n.hold()
+			defer n.stop()
+			for i := range size {
+				beatWith(t, n, Beat{Node: Node{Name: fmt.Sprintf("node-%d", i)}})
+			}
+			m := &Member{Self: Node{Name: "node-0"}}
+			answers := 0
+			for answer := (BeatAnswer{More: true}); answer.More; answers++ {
+				if answers > size/mostNodesTold+2 {
+					t.Fatalf("no whole list of %d nodes after %d answers", size, answers)
+				}
+				answer = beatWith(t, n, Beat{Node: m.Self, Knows: m.version, Partial: true, Paged: true})
+				if len(answer.Nodes) > mostNodesTold {
+					t.Errorf("an answer tells of %d nodes", len(answer.Nodes))
+				}
+				m.takeNodes(&answer)
+				if known := m.Known(); known == answer.More {
+					t.Errorf("after an answer with more to come, %t, the nodes are known: %t", answer.More, known)
+				}
+				if answers == 0 { // one comes meanwhile
+					beatWith(t, n, Beat{Node: Node{Name: "late"}})
+				}
+			}
+			whole := beatWith(t, n, Beat{Node: m.Self})
+			if got, want := namesOf(m.Nodes()), namesOf(whole.Nodes); !slices.Equal(got, want) || len(got) != size+1 {
+				t.Errorf("the node knows %d nodes, the holder %d", len(got), len(want))
+			}
+		})
+	}
+}
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -150,6 +150,7 @@
 	dated    bool          // asOf is known
 	reread   bool
 	failures int
+	late     int // feeds in a row that were not read in time
 	lasts    lastChanges
 	recent   recentChanges // of a node that holds all rows
 	gapSince time.Time     // since when changes are known to be missing
@@ -338,8 +339,10 @@
 	defer cancel()
 	page, err := t.Source.Feed(ctx, t.Name, after, wait)
 	if err != nil {
+		t.noteLate(errors.Is(err, context.DeadlineExceeded))
 		return false, err
 	}
+	t.late = 0
 	page.AsOf -= hiddenChanges
 	t.Change(after, page, 0)
 	return len(page.Records) > 0, nil
@@ -374,6 +377,26 @@
 	return t.large
 }
 
+// mostLate is after how many feeds that were not read in time the table is read anew. All that changed
+// while the store was away comes in one answer, which grows with the table and has the time of one
+// call; a table is read in pages, each with its own.
+const mostLate = 2
+
+// noteLate notes a feed that failed.
+func (t *Table) noteLate(late bool) {
+	if !late {
+		t.late = 0
+		return
+	}
+	if t.late++; t.late >= mostLate {
+		t.late = 0
+		t.Logger.Warn("changes not read in time, table is read anew", "table", t.Name, "version", t.Version())
+		t.mu.Lock()
+		t.reread = true
+		t.mu.Unlock()
+	}
+}
+
 func (t *Table) read(ctx context.Context) error {
 	if done, err := t.probe(ctx); done {
 		return err
