--- a/pkg/relay/affinity.go
+++ b/pkg/relay/affinity.go
@@ -76,6 +76,7 @@
 	for i := range p.candidates {
 		p.replicas = append(p.replicas, replica(&p.asked, &p.candidates[i]))
 	}
+	p.barFar()
 	choice, prefers := c.shaped.Choose(c.relay.random, c.relay.mixes.of(c.service).Lanes(), p.replicas)
 	if !prefers {
 		return choice, false
@@ -89,6 +90,20 @@
 	return choice, true
 }
 
+// barFar keeps requests from preferring a replica in another region while their own has some: what
+// they share is then kept once in each region, in place of sending prompts over the links between.
+func (p *picking) barFar() {
+	near := func(i int) bool { return p.candidates[i].Region == p.asked.Region }
+	for i := range p.replicas {
+		if near(i) && !p.replicas[i].Barred {
+			for j := range p.replicas {
+				p.replicas[j].Barred = p.replicas[j].Barred || !near(j)
+			}
+			return
+		}
+	}
+}
+
 // replica is a candidate as package affinity sees it.
 func replica(asked *routing.Request, candidate *routing.Candidate) affinity.Replica {
 	near := routing.ConnectedScorer{}.Score(asked, candidate)*weightConnected +
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -179,7 +179,7 @@
 			p.candidates[i].Ejected = false
 		}
 	}
-	p.asked.Zone = c.relay.Zone
+	p.asked.Zone, p.asked.Region = c.relay.Zone, c.relay.Regions[c.relay.Zone]
 	if untried {
 		for _, id := range c.tried {
 			p.asked.Tried = append(p.asked.Tried, api.ServerID(id))
@@ -204,6 +204,7 @@
 	return routing.Candidate{
 		Server:  api.ServerID(m.ID),
 		Zone:    m.Zone,
+		Region:  c.relay.Regions[m.Zone],
 		State:   api.ReplicaReady,
 		Ejected: m.Avoid(now),
 		Share:   1,
@@ -224,6 +225,7 @@
 	weightRecent    = 0.5
 	weightConnected = 0.3
 	weightZone      = 0.2
+	weightRegion    = 1.0
 	weightPace      = 1.0
 	weightAffinity  = 2.0
 	weightLane      = 2.0
@@ -238,6 +240,7 @@
 			{Scorer: routing.RecentScorer{}, Weight: weightRecent},
 			{Scorer: routing.ConnectedScorer{}, Weight: weightConnected},
 			{Scorer: routing.ZoneScorer{}, Weight: weightZone},
+			{Scorer: routing.RegionScorer{}, Weight: weightRegion},
 			{Scorer: routing.PaceScorer{}, Weight: weightPace},
 			{Scorer: routing.AffinityScorer{}, Weight: weightAffinity},
 			{Scorer: routing.LaneScorer{}, Weight: weightLane},
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -90,6 +90,7 @@
 	Headers Headers
 	Node    string // name of this node
 	Zone    string
+	Regions map[string]string // the region of each zone; nil: not known
 	Time    clock.Clock
 	Routes  func() *route.Table // nil while none is known
 	Keys    KeyAge
--- a/pkg/traffic/routing/plugins_test.go
+++ b/pkg/traffic/routing/plugins_test.go
@@ -68,6 +68,8 @@
 		{PrefixScorer{}, func(c *Candidate) { c.MatchedBlocks = 2 }, 0.25},
 		{ZoneScorer{}, func(*Candidate) {}, 1},
 		{ZoneScorer{}, func(c *Candidate) { c.Zone = "b" }, 0},
+		{RegionScorer{}, func(*Candidate) {}, 1},
+		{RegionScorer{}, func(c *Candidate) { c.Region = "far" }, 0},
 		{AdapterScorer{}, func(c *Candidate) { c.AdapterSeen = true }, 1},
 		{AdapterScorer{}, func(*Candidate) {}, 0},
 		{ConnectedScorer{}, func(c *Candidate) { c.Connected = true }, 1},
--- a/pkg/traffic/routing/routing.go
+++ b/pkg/traffic/routing/routing.go
@@ -12,6 +12,7 @@
 // Request is what the plug-ins need to know of a request.
 type Request struct {
 	Zone   string         // of the node that asks
+	Region string         // of its zone; empty: not known
 	Tokens int            // that the request will hold on the replica
 	Blocks int            // of the prompt, for which prefix hashes are known
 	Tried  []api.ServerID // servers on which earlier attempts failed
@@ -46,6 +47,7 @@
 type Candidate struct {
 	Server        api.ServerID
 	Zone          string
+	Region        string // of the zone; empty: not known
 	State         api.ReplicaState
 	Leaving       bool
 	Unreachable   bool // answers neither the owner nor this node
--- /dev/null
+++ b/pkg/traffic/routing/scorer_region.go
@@ -0,0 +1,16 @@
+package routing
+
+// RegionScorer prefers servers in the node's own region: the links between regions are long and
+// narrow, and all traffic between them shares them.
+type RegionScorer struct{}
+
+// Name returns "region".
+func (RegionScorer) Name() string { return "region" }
+
+// Score is 1 in the same region, also if none is known, else 0.
+func (RegionScorer) Score(request *Request, candidate *Candidate) float64 {
+	if request.Region == candidate.Region {
+		return 1
+	}
+	return 0
+}
