--- a/pkg/coordinator/locate.go
+++ b/pkg/coordinator/locate.go
@@ -101,14 +101,20 @@
 
 // believe takes in that a server holds something, or not any more. One that this node does not know
 // and whose model its requests wait for is got to know.
-func (m *Member) believe(ctx context.Context, n Notice) {
-	need := backend.ParseNeed(n.Need)
-	if n.Holds && m.Cover != nil && m.Servers.Snapshot().Member(n.Server) == nil {
-		ctx, cancel := context.WithTimeout(ctx, locateTimeout)
+func (m *Member) believe(n Notice) {
+	take := func() {
+		m.Servers.Believe(n.Server, backend.ParseNeed(n.Need), n.Holds, m.Time.Now().Add(noticeTime))
+	}
+	if !n.Holds || m.Cover == nil || m.Servers.Snapshot().Member(n.Server) != nil {
+		take()
+		return
+	}
+	go func() { // messages that come meanwhile are not to wait
+		ctx, cancel := context.WithTimeout(context.Background(), locateTimeout)
 		defer cancel()
 		m.meet(ctx, []string{n.Server})
-	}
-	m.Servers.Believe(n.Server, need, n.Holds, m.Time.Now().Add(noticeTime))
+		take()
+	}()
 }
 
 func init() { peer.RegisterRecent(Locate{}, Located{}) }
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -306,7 +306,7 @@
 func (m *Member) HandleMessage(ctx context.Context, from api.NodeRef, message peer.Message) (peer.Message, error) {
 	switch n := message.(type) {
 	case Notice:
-		m.believe(ctx, n)
+		m.believe(n)
 		return nil, nil
 	case Locate:
 		return m.locate(n), nil
--- a/pkg/watch/follow.go
+++ b/pkg/watch/follow.go
@@ -92,7 +92,7 @@
 	h.setMain(main)
 	for _, t := range h.Tables {
 		if missing, _, _ := t.lacks(); missing != 0 && main != "" {
-			go h.fill(ctx, t, main, missing)
+			go h.fill(ctx, t, main, missing, 0)
 		}
 	}
 }
@@ -276,14 +276,14 @@
 	h.main = address
 }
 
-// fill asks for parts that are missing, unless some are on their way.
-func (h *Hub) fill(ctx context.Context, t *Table, address string, missing Parts) {
+// fill asks for parts, or for what changed in them since a version, unless some are on their way.
+func (h *Hub) fill(ctx context.Context, t *Table, address string, parts Parts, after uint64) {
 	if !t.pulling.CompareAndSwap(false, true) {
 		return
 	}
 	defer t.pulling.Store(false)
-	if err := h.pull(ctx, t, address, missing, 0); err != nil {
-		h.Logger.Debug("parts not read", "table", t.Name, "parts", missing.count(), "from", address, "error", err)
+	if err := h.pull(ctx, t, address, parts, after); err != nil {
+		h.Logger.Info("rows not read", "table", t.Name, "parts", parts.count(), "after", after, "from", address, "error", err)
 	}
 }
 
--- a/pkg/watch/hub.go
+++ b/pkg/watch/hub.go
@@ -372,14 +372,11 @@
 	if !told(n.Parts).covers(held) || !t.gap() {
 		return nil
 	}
-	if !t.pulling.CompareAndSwap(false, true) {
-		return nil // the answer is on its way
-	}
-	defer t.pulling.Store(false)
 	if held == 0 {
-		return h.pull(ctx, t, n.Watcher, missing, 0)
+		held, version = missing, 0
 	}
-	return h.pull(ctx, t, n.Watcher, held, version)
+	go h.fill(context.WithoutCancel(ctx), t, n.Watcher, held, version) // messages that come meanwhile are not to wait
+	return nil
 }
 
 // confirmed has the followers told that the rows are confirmed.
