peer, coordinator: no large buffers kept for a thousand connections, no lanes without a queue

Cause, by reading and by a heap profile of a holder of 10,000 servers: an encoder kept room for the largest frame that it ever wrote, of lists of nodes some 32 kB for each of a thousand connections; each plan made lanes of all servers also when no model waits (77 of 640 MB allocated in ten seconds), and grew lists of replicas (239 MB). Change: buffers over 4 kB go with the next frame, lanes with a queue only, lists are made as long as needed.

--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -187,7 +187,9 @@
 	if len(queue) > 0 {
 		h.scarceUntil = now.Add(scarceTime)
 	}
-	expect(now, queue, h.lanes(now, service), slots, h.expected[service])
+	if len(queue) > 0 {
+		expect(now, queue, h.lanes(now, service), slots, h.expected[service])
+	}
 	h.tellWaits(now, service, queue, &w)
 }
 
@@ -311,7 +313,9 @@
 		model.Spares = max(model.Spares, min(wanted, servers))
 	}
 	addWishes(w.wishes[name], &model)
-	for _, s := range h.holdersOf(service, name) {
+	holders := h.holdersOf(service, name)
+	model.Replicas = make([]policy.Replica, 0, len(holders))
+	for _, s := range holders {
 		if r, present := s.replica(now, name); present {
 			r.LastUse = model.Demand.LastArrival
 			r.InFlight = w.running[replica{s.id, name}]
--- a/pkg/peer/codec.go
+++ b/pkg/peer/codec.go
@@ -47,6 +47,9 @@
 	unknown  bool    // the message's type is of another build; message is nil
 }
 
+// keptBuffer is the room, in bytes, that an encoder keeps for the next frame: most are smaller.
+const keptBuffer = 4 << 10
+
 // encoder writes frames. The types are described once in a stream.
 type encoder struct {
 	buffer  bytes.Buffer
@@ -58,6 +61,9 @@
 // the next frame starts a new stream, because the receiver did not get the
 // types described in the failed one.
 func (e *encoder) encode(f frame) ([]byte, error) {
+	if e.buffer.Cap() > keptBuffer {
+		e.buffer = bytes.Buffer{} // what the last frame took is not kept for a thousand connections
+	}
 	e.buffer.Reset()
 	e.buffer.Write(make([]byte, binary.MaxVarintLen32))
 	fresh := byte(0)
--- a/pkg/peer/codec_test.go
+++ b/pkg/peer/codec_test.go
@@ -276,3 +276,22 @@
 		}
 	}
 }
+
+// TestALargeFrameLeavesNoLargeBuffer: a node has a connection from each other one, and each carries a
+// long list once.
+func TestALargeFrameLeavesNoLargeBuffer(t *testing.T) {
+	var e encoder
+	large := testAnswer{Text: strings.Repeat("x", 1<<20)}
+	name, err := nameOf(large)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range []testAnswer{large, {Text: "short"}} {
+		if _, err := e.encode(frame{kind: frameSend, message: m, typeName: name}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if c := e.buffer.Cap(); c > keptBuffer {
+		t.Errorf("the buffer keeps %d bytes", c)
+	}
+}
