--- a/pkg/watch/follow.go
+++ b/pkg/watch/follow.go
@@ -38,11 +38,11 @@
 	silent time.Time // until when it is not followed, as it was silent
 }
 
-// following is whom a node follows. It belongs to the goroutine of Hub.follow, but for what is said.
+// following is whom a node follows, and what it told them. It belongs to the goroutine of Hub.follow.
 type following struct {
 	main, second string // addresses; empty: none
+	tables       map[string]Parts
 	toldAt       time.Time
-	told         map[string]Parts
 	lookedAt     time.Time
 }
 
@@ -71,38 +71,52 @@
 	f.lookedAt = now
 	top := h.topology()
 	if !h.Known() || len(top.nodes) <= SmallSite || h.Watching() {
-		for _, t := range h.Tables {
-			t.want(AllParts)
-		}
-		*f = following{lookedAt: now}
-		h.setMain("")
+		h.followNobody(f)
 		return
 	}
 	main, second := h.chooseParents(top, now)
+	relay := top.relay(h.Self)
+	tables := h.wanted(relay)
 	if main != f.main {
-		h.Logger.Info("follows", "main", main, "second", second, "before", f.main, "relay", top.relay(h.Self))
+		h.Logger.Info("follows", "main", main, "second", second, "before", f.main, "relay", relay)
 	}
-	wanted := h.wanted(top.relay(h.Self))
-	if main != f.main || second != f.second || now.Sub(f.toldAt) >= followInterval || !maps.Equal(wanted, f.told) {
-		h.tellParent(main, Follow{Follower: h.Self.Peers, Tables: wanted})
-		h.tellParent(second, Follow{Follower: h.Self.Peers, Tables: wanted, Bare: true})
-		f.toldAt, f.told = now, wanted
+	if main != f.main || second != f.second || !maps.Equal(tables, f.tables) || now.Sub(f.toldAt) >= followInterval {
+		h.sendFollow(main, Follow{Follower: h.Self.Peers, Tables: tables})
+		h.sendFollow(second, Follow{Follower: h.Self.Peers, Tables: tables, Bare: true})
+		f.main, f.second, f.tables, f.toldAt = main, second, tables, now
 	}
-	f.main, f.second = main, second
 	h.setMain(main)
+	h.fillAll(ctx, main)
+}
+
+// followNobody is the step of a node that watches, or knows no others yet: it holds all.
+func (h *Hub) followNobody(f *following) {
 	for _, t := range h.Tables {
-		if missing, _, _ := t.lacks(); missing != 0 && main != "" {
-			go h.fill(ctx, t, main, missing, 0)
-		}
+		t.want(AllParts)
 	}
+	*f = following{lookedAt: f.lookedAt}
+	h.setMain("")
 }
 
-func (h *Hub) tellParent(address string, f Follow) {
+// sendFollow tells a node that this one follows it; an empty address: none.
+func (h *Hub) sendFollow(address string, f Follow) {
 	if address != "" {
 		h.Transport.Send(address, f)
 	}
 }
 
+// fillAll asks a node for what is missing of all tables; an empty address: none.
+func (h *Hub) fillAll(ctx context.Context, address string) {
+	if address == "" {
+		return
+	}
+	for _, t := range h.Tables {
+		if missing, _, _ := t.lacks(); missing != 0 {
+			go h.fill(ctx, t, address, missing, 0)
+		}
+	}
+}
+
 // chooseParents returns the addresses of the nodes to follow: the first two of those preferred that
 // are not silent, or of all if all are, as while the store is down. The second one's pulses tell that
 // changes are missing while the first is lost.
