--- a/pkg/coordinator/adapters.go
+++ b/pkg/coordinator/adapters.go
@@ -23,7 +23,7 @@
 		if !d.waits(now) || h.heldBy(now, service, need) != "" || h.adapterUnderWay(now, service, need) {
 			continue
 		}
-		if s := h.adapterServer(now, service, need, e); s != nil && h.touchServer(now, s) {
+		if s := h.adapterServer(now, service, need, e); s != nil && h.prepare(now, s) {
 			h.giveAdapter(now, s, need, e)
 		}
 	}
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -84,7 +84,7 @@
 	demands        map[demandKey]*demand
 	servers        map[string]*serverState
 	indices        map[string]*index        // of the last plan, by service
-	met            int                      // servers that this term learned of
+	learned        int                      // servers that this term learned of
 	interest       interest                 // of nodes in what they were asked for
 	instances      map[string]*instance     // what all lives of a server share, by its name
 	fatal          map[demandKey]*fatalLoad // models during whose loads servers ended
@@ -195,7 +195,7 @@
 	h.interest = interest{}
 	h.roster.begin()
 	h.demands = make(map[demandKey]*demand)
-	h.servers, h.indices, h.met = make(map[string]*serverState), nil, 0
+	h.servers, h.indices, h.learned = make(map[string]*serverState), nil, 0
 	h.instances = make(map[string]*instance)
 	h.fetches = nil
 	h.fatal = make(map[demandKey]*fatalLoad)
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -158,7 +158,7 @@
 		if s == nil || m == nil || s.busy != nil || s.asking || s.doubt != nil || !s.usable(now) {
 			continue
 		}
-		if !h.touchServer(now, s) {
+		if !h.prepare(now, s) {
 			continue
 		}
 		o := order{load: action.Kind == policy.ActionLoad, need: backend.Need{Model: m.Name}}
--- a/pkg/coordinator/server.go
+++ b/pkg/coordinator/server.go
@@ -104,7 +104,7 @@
 		s.member = m
 		if fresh {
 			s.begin(now)
-			h.meet(now, s)
+			h.learnOf(now, s)
 		}
 		if m.Server.Version == s.version && !fresh {
 			continue
@@ -146,14 +146,14 @@
 	}
 }
 
-// mostMet is how many servers a new holder asks at once how many orders they took: all of a small
+// mostAskedAtOnce is how many servers a new holder asks at once how many orders they took: all of a small
 // site, so that the first orders find them known. Of thousands few get an order in a term, and each
 // question is a new connection: the others are asked right before their first one.
-const mostMet = 256
+const mostAskedAtOnce = 256
 
-// meet takes in a server that the holder learns of.
-func (h *Holder) meet(now time.Time, s *serverState) {
-	if h.met++; h.met > mostMet && !s.recheck && s.inherited == (lease.Intent{}) {
+// learnOf takes in a server that the holder did not know.
+func (h *Holder) learnOf(now time.Time, s *serverState) {
+	if h.learned++; h.learned > mostAskedAtOnce && !s.recheck && s.inherited == (lease.Intent{}) {
 		s.untouched = true
 		return
 	}
@@ -163,10 +163,10 @@
 // ask has a server asked for the number of its orders and what it holds.
 func (s *serverState) ask(now time.Time) { s.untouched, s.unsure, s.reportAt = false, true, now }
 
-// touchServer prepares an untouched server for its first order, which follows once it was asked and, if
+// prepare prepares an untouched server for its first order, which follows once it was asked and, if
 // late orders of the last holder may come, sees this holder's fence. It returns whether the order
 // may go out now.
-func (h *Holder) touchServer(now time.Time, s *serverState) bool {
+func (h *Holder) prepare(now time.Time, s *serverState) bool {
 	if !s.untouched {
 		return true
 	}
