watch: after a loss of all nodes none waits for others to tell a large table

Cause, by reading: a node that starts left a large table to others for up to 5 s, and after a loss of all there is no holder, so nobody to tell who the others are, for some 3.3 s. Change: it does so for 1.5 s while it knows nobody; beside a holder it knows them within half a second. The test of nodes that start beside others has them known after a second in place of three, as this is what it is about now; a loss of all has a test of its own.

--- a/pkg/watch/hub.go
+++ b/pkg/watch/hub.go
@@ -90,10 +90,14 @@
 	pulseInterval = 400 * time.Millisecond
 	pullTimeout   = 700 * time.Millisecond
 	// firstWait is how long the nodes of a site that starts wait for its watchers, and a node that
-	// starts alone for others to tell it a large table: until there is a holder, all have beaten to
+	// starts beside others, once it knows them, for these: until there is a holder, all have beaten to
 	// it, and a few watchers have sent the tables to some two hundred nodes. Callers come ten seconds
 	// after the start.
-	firstWait   = 5 * time.Second
+	firstWait = 5 * time.Second
+	// aloneWait is how long a node that starts alone leaves a large table to others before it knows
+	// them: beside a holder it does within half a second. After a loss of all there is none for some
+	// three seconds, and callers wait.
+	aloneWait   = 1500 * time.Millisecond
 	changesKept = 64
 )
 
@@ -180,7 +184,10 @@
 	if h.Known() && h.Watching() {
 		return !h.standby() || t.unconfirmed()
 	}
-	if clock.Since(h.started) < firstWait && (h.FirstStart || t.Parted && (h.Known() || t.isLarge())) {
+	switch age := clock.Since(h.started); {
+	case age < firstWait && (h.FirstStart || t.Parted && h.Known()):
+		return false
+	case age < aloneWait && t.isLarge():
 		return false
 	}
 	return t.stale()
--- a/pkg/watch/tree_test.go
+++ b/pkg/watch/tree_test.go
@@ -431,10 +431,10 @@
 	f.end()
 }
 
-// TestRestartedNodesLeaveALargeTableToOthers: after a loss of all nodes each looks once at the table,
-// which is large, and has its share of it from others soon after it is told who these are.
+// TestRestartedNodesLeaveALargeTableToOthers: nodes that start look once at the table, which is large,
+// and have their share of it from others soon after they are told who these are.
 func TestRestartedNodesLeaveALargeTableToOthers(t *testing.T) {
-	const size, rows, told = 200, 2000, 3 * time.Second
+	const size, rows, told = 200, 2000, time.Second
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
 		f := startFleet(size, rows, func(h *Hub) {
@@ -456,6 +456,23 @@
 	})
 }
 
+// TestALossOfAllNodesKeepsNobodyWaiting: nodes that nobody tells of the others read the table
+// themselves, however large it is.
+func TestALossOfAllNodesKeepsNobodyWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(100, 2000, func(h *Hub) {
+			h.FirstStart, h.Known = false, func() bool { return false }
+		})
+		time.Sleep(aloneWait + time.Second)
+		for _, m := range f.members {
+			if f.rows(m) != 2000 {
+				t.Fatalf("%s has %d rows", m.hub.Self.Name, f.rows(m))
+			}
+		}
+		f.end()
+	})
+}
+
 // TestAPartIsCoveredWhenItIsAskedFor: a node that needs a row beyond its share has it within two
 // messages, is told of its changes, and lets go of it when nobody uses it any more.
 func TestAPartIsCoveredWhenItIsAskedFor(t *testing.T) {
