backend, platform: what servers ask for in their answers is read and told in the log

Answers of servers name a limit of requests a second, that the server leaves, or, with a 503, for how long it wants nothing. Each answer whose head comes is read now, also failures and answers of other requests; 'server asks' tells each change of what a node believes, and the line of a try the rest that a 503 asked for. Nothing is decided by it yet.

--- a/pkg/backend/condition.go
+++ b/pkg/backend/condition.go
@@ -1,17 +1,21 @@
 package backend
 
 import (
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"martenwheel.dev/pkg/clock"
+	"martenwheel.dev/pkg/backpressure"
 )
 
 // Condition is what this node found out about one life of a server. Safe for
 // concurrent use.
 type Condition struct {
+	id           string // of the life
+	words        func(status int, h http.Header) backpressure.Word
+	heard        func(Heard)
 	pool         *pool
 	inFlight     atomic.Int64
 	draining     atomic.Bool
@@ -32,6 +36,7 @@
 	until    time.Time  // to be avoided
 
 	coldUntil time.Time
+	pressure  backpressure.State
 }
 
 // belief is what was learned of a server outside of its record.
@@ -40,9 +45,9 @@
 	until time.Time
 }
 
-func newCondition(dialer Dialer, t clock.Clock, s *Server) *Condition {
-	c := &Condition{pool: newPool(dialer, t, s.Address)}
-	c.pool.refused = c.tellEnd
+func newCondition(d *Directory, s *Server) *Condition {
+	c := &Condition{id: s.ID, words: d.Words, heard: d.Heard, pool: newPool(d.Dialer, d.Time, s.Address)}
+	c.pool.refused, c.pool.hear = c.tellEnd, c.hear
 	return c
 }
 
--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -86,6 +86,7 @@
 // exchange is one request on a connection.
 type exchange struct {
 	message *Message
+	sent    time.Time     // when it began to be sent
 	answers chan answered // gets one value
 	done    chan bool     // gets whether the body was read to its end
 }
@@ -148,8 +149,10 @@
 			continue
 		}
 		if x.message.IsAnswer == nil || x.message.IsAnswer(response.Header) {
+			c.pool.hear(x.sent, response)
 			return response, nil
 		}
+		c.pool.hear(time.Time{}, response)
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, err
 		}
@@ -217,7 +220,7 @@
 // send writes the message and waits for the head of its answer. When ctx ends
 // the connection closes.
 func (c *conn) send(ctx context.Context, m *Message) (*Answer, error) {
-	x := &exchange{message: m, answers: make(chan answered, 1), done: make(chan bool, 1)}
+	x := &exchange{message: m, sent: c.pool.time.Now(), answers: make(chan answered, 1), done: make(chan bool, 1)}
 	if err := c.begin(x); err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
--- a/pkg/backend/directory.go
+++ b/pkg/backend/directory.go
@@ -1,10 +1,12 @@
 package backend
 
 import (
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"martenwheel.dev/pkg/backpressure"
 	"martenwheel.dev/pkg/clock"
 )
 
@@ -64,6 +66,11 @@
 	// ColdFor returns for how long servers of a service are cold after a start, see Evacuate; nil:
 	// none are.
 	ColdFor func(service string) time.Duration
+	// Words reads what an answer tells of its server; nil: answers tell nothing.
+	Words func(status int, h http.Header) backpressure.Word
+	// Heard is told of each change of what is believed of a server by its own word; may be nil. It is
+	// not to block.
+	Heard func(Heard)
 
 	pacing sync.Mutex
 	paced  map[pacedKey]map[*Condition]bool // servers that streamed a model
@@ -124,7 +131,7 @@
 			m.Condition = before.Condition
 			m.Condition.relearn(before.Server, s)
 		} else {
-			m.Condition = newCondition(d.Dialer, d.Time, s)
+			m.Condition = newCondition(d, s)
 		}
 		m.drain(next.at, s.Draining)
 		d.withdraw(m)
--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -39,6 +40,9 @@
 	goneUntil time.Time // it refused a connection
 	look      *endLook  // the last one
 	refused   func()    // told when a connection was refused
+	// hear is told of each head of an answer that came, with when its request began to be sent: zero
+	// for an answer that is another request's.
+	hear func(sent time.Time, r *http.Response)
 }
 
 func newPool(dial Dialer, t clock.Clock, address string) *pool {
--- /dev/null
+++ b/pkg/backpressure/state_test.go
@@ -0,0 +1,86 @@
+package backpressure
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+var start = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+// word is an answer to a request sent and answered at seconds.
+type word struct {
+	sent, came float64
+	Word
+}
+
+func limitOf(n float64) Word { return Word{Limited: true, Limit: n} }
+
+// TestALimitEndsWithALaterAnswerOnly plays answers that overtake each other.
+func TestALimitEndsWithALaterAnswerOnly(t *testing.T) {
+	for name, c := range map[string]struct {
+		words []word
+		want  float64 // zero: no limit
+	}{
+		"it is named":                          {[]word{{0, 1, limitOf(2)}}, 2},
+		"it moves":                             {[]word{{0, 1, limitOf(2)}, {1, 2, limitOf(3)}}, 3},
+		"a later answer names none":            {[]word{{0, 1, limitOf(2)}, {2, 3, Word{}}}, 0},
+		"an answer from before comes late":     {[]word{{0, 2, limitOf(2)}, {1, 3, Word{}}}, 2},
+		"it is named by one that is overtaken": {[]word{{0, 1, limitOf(2)}, {2, 3, Word{}}, {2.5, 3.2, limitOf(2)}}, 0},
+		"it is named again":                    {[]word{{0, 1, limitOf(2)}, {2, 3, Word{}}, {3.1, 3.2, limitOf(2)}}, 2},
+		"one that waited long names it again":  {[]word{{0, 1, limitOf(2)}, {2, 3, Word{}}, {2.5, 9, limitOf(2)}}, 2},
+		"nothing that can be read":             {[]word{{0, 1, limitOf(2)}, {2, 3, Word{Unclear: true}}}, 2},
+		"nobody knows when it was sent":        {[]word{{0, 1, limitOf(2)}, {-1e6, 3, Word{}}}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var s State
+			for _, w := range c.words {
+				s.Hear(at(w.sent), at(w.came), w.Word)
+			}
+			if got, limited := s.Limit(); got != c.want || limited != (c.want > 0) {
+				t.Errorf("a limit of %v, %v, want %v", got, limited, c.want)
+			}
+		})
+	}
+}
+
+func TestAServerThatLeavesDoesSoForGood(t *testing.T) {
+	var s State
+	if s.Hear(at(0), at(1), Word{Leaving: true}) != Left {
+		t.Error("the word changed nothing")
+	}
+	if s.Hear(at(2), at(3), Word{}) != 0 || !s.Leaving() {
+		t.Error("a later answer took it back")
+	}
+}
+
+func TestTheLongestRestCounts(t *testing.T) {
+	var s State
+	s.Hear(at(0), at(1), Word{Rest: 3 * time.Second})
+	s.Hear(at(0), at(2), Word{Rest: time.Second})
+	s.Hear(at(0), at(2), Word{})
+	if got := s.Rest(at(2)); got != 2*time.Second {
+		t.Errorf("%v left, want 2 s", got)
+	}
+	if got := s.Rest(at(9)); got != 0 {
+		t.Errorf("%v left at the end", got)
+	}
+}
+
+func TestWordsAreBounded(t *testing.T) {
+	for _, c := range []struct{ word, want Word }{
+		{limitOf(0), limitOf(LeastLimit)},
+		{limitOf(math.Inf(1)), limitOf(MostLimit)},
+		{limitOf(-1), Word{Unclear: true}},
+		{limitOf(math.NaN()), Word{Unclear: true}},
+		{limitOf(7.5), limitOf(7.5)},
+		{Word{Rest: 365 * 24 * time.Hour}, Word{Rest: MostRest}},
+		{Word{Rest: -time.Second}, Word{}},
+	} {
+		if got := c.word.Bounded(); got != c.want {
+			t.Errorf("%+v is %+v, want %+v", c.word, got, c.want)
+		}
+	}
+}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -207,7 +207,7 @@
 	c.sends++
 	c.record.status = a.Status
 	if a.Status == http.StatusMisdirectedRequest || a.Header.Get(c.relay.Headers.NotRun) != "" {
-		return notRun, errors.Errorf("the server did not run it: %d", a.Status)
+		return notRun, c.turnedAway(m, a)
 	}
 	c.runs++
 	if a.Header.Get(c.relay.Headers.Seal) == "" && a.Status < http.StatusMultipleChoices {
@@ -223,6 +223,14 @@
 	return c.passWhole(ctx, a)
 }
 
+// turnedAway tells how a server that did not run the request turned it away, and what it asked for.
+func (c *call) turnedAway(m *backend.Member, a *backend.Answer) error {
+	if rest := m.Rest(c.relay.Time.Now()); rest > 0 {
+		return errors.Errorf("the server did not run it: %d, and wants nothing for %d ms", a.Status, rest.Milliseconds())
+	}
+	return errors.Errorf("the server did not run it: %d", a.Status)
+}
+
 // answers notes that the server began to answer.
 func (c *call) answers() {
 	c.record.answers(c.relay.Time.Now())
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -127,6 +127,7 @@
 		Self: s.Self, Lease: l, Holder: holder, Transport: transport, Servers: s.Servers, Clock: s.Clock, Quarantine: known,
 		Logger: s.Logger.Named("member"),
 	}
+	s.Servers.Heard = s.member.Heard
 	holder.Nodes, holder.Unheard, holder.ScarceTold = s.member.Nodes, s.member.Unheard, s.member.ScarceTold
 	s.hub = &watch.Hub{
 		Self: watchNode(s.Self), Nodes: s.watchNodes, Known: s.member.Known, Transport: transport,
