relay, coordinator: requests to a server that names a limit go by slots that the holder gives out

What callers saw: nothing; a server in need got 99 requests in 4 s at a limit of 1 a second. Cause: nothing acted on the limit that servers name in their answers. Ruled out: nodes that each keep to the limit alone (one node alone went beyond it), and orders or reports as the cause of the count (requests alone reach it). Now servers without a limit go first; a request that only limited ones can serve asks the holder for a slot at one of them, waits for it up to 1 s or is refused at once with a time of its own. A holder's slots begin when those of the last one are over. While nobody gives out slots nodes go by rations (as at cold servers) of a quarter of the limit. Nothing that goes to a limited server passes the last check before its first byte without a slot: first sends, repeats, resumed and moved streams; limited servers are no targets of moves, copies, hedges and places. Orders and reports don't count: they take no place of a request. A model whose servers turn requests away by their limit is loaded elsewhere. Slots cost two messages a request, ten a second and node at most once one is refused.

--- a/pkg/backend/pressure.go
+++ b/pkg/backend/pressure.go
@@ -45,3 +45,9 @@
 	defer c.mu.Unlock()
 	return c.pressure.Limit()
 }
+
+// Limited tells whether the server names a limit.
+func (c *Condition) Limited() bool {
+	_, limited := c.Limit()
+	return limited
+}
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -10,6 +10,7 @@
 
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/backpressure"
 	"martenwheel.dev/pkg/clock"
 	"martenwheel.dev/pkg/lease"
 	"martenwheel.dev/pkg/peer"
@@ -74,8 +75,9 @@
 	paces       paces            // of servers
 	quotas      quota.Pool       // safe for other goroutines than the holder's
 	places      holderPlaces
-	scarceTold  []string // tenants for which the nodes were told to ask
-	spentBefore []report // that wait for the configuration
+	slots       backpressure.Slots // at servers with a limit; safe for other goroutines than the holder's
+	scarceTold  []string           // tenants for which the nodes were told to ask
+	spentBefore []report           // that wait for the configuration
 	// scarceRecorded is when the lease's record was last written for tenants that became scarce.
 	scarceRecorded time.Time
 	roomsTold      time.Time // when the log was last told how their quotas are shared
@@ -185,6 +187,7 @@
 	h.watchCrowds(now)
 	h.countFollowers(now)
 	h.learn(now)
+	h.noteShort(now)
 	h.plan(now)
 }
 
@@ -213,6 +216,7 @@
 	h.Quarantine.Keep(now, record.Aged(storeNow))
 	h.scarceTold, h.spentBefore = nil, nil
 	h.beginPlaces(now, term)
+	h.slots.Begin(now, term)
 	h.learnUntil = now.Add(learnTime)
 	h.quietUntil = time.Time{}
 	h.inheritIntents(now, storeNow, record.Intents)
@@ -278,6 +282,8 @@
 		return h.draw(h.Time.Now(), m), nil
 	case AskPlace:
 		return h.decidePlace(h.Time.Now(), m), nil
+	case AskSlot:
+		return h.giveSlot(h.Time.Now(), m), nil
 	case PlaceNews:
 		h.takePlaceNews(h.Time.Now(), m)
 		return nil, nil
@@ -366,7 +372,7 @@
 	} else {
 		h.doubtHolding(now, w.Missing, need)
 	}
-	if server := h.heldBy(now, w.Service, need); server != "" {
+	if server := h.heldBy(now, w.Service, need); server != "" && !h.servers[server].short(now) {
 		answer.Server = server
 		h.tell(Notice{Server: server, Need: w.Need, Holds: true})
 		d.waitsTill = time.Time{}
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -68,6 +68,7 @@
 	notices    notices
 	apart      apart
 	places     memberPlaces
+	slotRests  slotRests
 	pacesKnown PacesVersion // of servers, as last told; for Run alone
 	evidence   uint64       // sum of the holder's evidence, as last told; for Run alone
 	beatNow    chan struct{}
--- a/pkg/coordinator/outlook.go
+++ b/pkg/coordinator/outlook.go
@@ -73,7 +73,7 @@
 func (h *Holder) lanes(now time.Time, service string) []lane {
 	var list []lane
 	for s := range h.serversOf(service) {
-		if s.member.Withdrawn() || s.gone(now) {
+		if s.spared(now) || s.gone(now) {
 			continue
 		}
 		free := latest(now, s.quietUntil)
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -260,7 +260,7 @@
 	for _, s := range servers {
 		input.Servers = append(input.Servers, policy.Server{
 			ID: api.ServerID(s.id), Zone: s.member.Zone, CapacityBytes: e.WeightBytes, FreeBytes: s.freeBytes(e, room),
-			Leaving:   s.member.Withdrawn(),
+			Leaving:   s.spared(now),
 			Reachable: s.usable(now) && s.doubt == nil && (s.busy == nil || !s.busy.load),
 			Cached:    s.cached,
 			BusyFor:   s.loadsFor(now),
@@ -385,7 +385,7 @@
 	}
 	if known := s.holds[name]; known != nil {
 		r.State, r.Since = api.ReplicaReady, known.since
-		if s.member.Withdrawn() {
+		if s.spared(now) {
 			return r, false
 		}
 	}
--- a/pkg/coordinator/server.go
+++ b/pkg/coordinator/server.go
@@ -23,6 +23,7 @@
 	recheck    bool            // it is to be asked once more after that
 	asking     bool            // an order or a report is under way
 	reportAt   time.Time       // when to look at it
+	shortUntil time.Time       // its limit turns requests away
 	unsure     bool            // the number of its orders is to be asked for
 	untouched  bool            // it got no order of this term: it is neither asked nor guarded before one
 	failures   int             // calls without an answer, in a row
@@ -286,18 +287,20 @@
 // silent tells whether the server did not answer a moment ago.
 func (s *serverState) silent(now time.Time) bool { return s.failures > 0 && now.Before(s.avoidUntil) }
 
-// heldBy returns a server that holds what a request needs, "" if none does. The
-// holder's own word goes before that of the records.
+// heldBy returns a server that holds what a request needs, "" if none does; one that is short of room only if
+// no other one does. The holder's own word goes before that of the records.
 func (h *Holder) heldBy(now time.Time, service string, need backend.Need) string {
+	short := ""
 	for _, s := range h.candidates(service, need) {
-		if s.removed || s.member.Withdrawn() || s.silent(now) || s.gone(now) || s.unsure {
+		if s.removed || s.member.Withdrawn() || s.silent(now) || s.gone(now) || s.unsure || !s.ready(now, need) {
 			continue
 		}
-		if s.ready(now, need) {
+		if !s.short(now) {
 			return s.id
 		}
+		short = s.id
 	}
-	return ""
+	return short
 }
 
 // candidates returns the servers that may hold what a request needs.
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -45,10 +45,15 @@
 		if may == mayRunNow {
 			may = c.permit(ctx, m)
 		}
+		if may == mayRunNow {
+			m, may = c.takeSlot(ctx, m)
+		}
 		switch may {
 		case isRefused:
+			c.endTurn()
 			return
 		case looksAgain:
+			c.endTurn()
 			continue
 		}
 		before := c.sends
@@ -143,6 +148,8 @@
 		return errDeadline
 	case c.place.stale(c.relay.Time.Now()):
 		return errStalePlace
+	case !c.slot.covers(c.relay.Time.Now(), m):
+		return errNoSlot
 	}
 	return nil
 }
@@ -179,7 +186,7 @@
 func (c *call) hasOther(m *backend.Member) bool {
 	now := c.relay.Time.Now()
 	for _, other := range c.relay.Servers.Snapshot().Service(c.service) {
-		if other.ID != m.ID && other.Serves(now, c.need) && !other.Avoid(now) && !slices.Contains(c.tried, other.ID) {
+		if other.ID != m.ID && other.Serves(now, c.need) && !other.Limited() && !other.Avoid(now) && !slices.Contains(c.tried, other.ID) {
 			return true
 		}
 	}
@@ -253,7 +260,7 @@
 		c.giveUp(ctx)
 		return false
 	case notRun:
-		if errors.Is(err, errStalePlace) {
+		if errors.Is(err, errStalePlace) || errors.Is(err, errNoSlot) {
 			return true
 		}
 		c.learn(now, m, err)
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -38,6 +38,7 @@
 	moves
 	turn   *turn // of a suspected request that runs; nil: it needs none
 	place  place // among all requests to crowded servers
+	slot   slot  // at a server that limits its requests
 	record record
 }
 
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -160,20 +160,21 @@
 	p := pickings.Get().(*picking)
 	defer pickings.Put(p)
 	defer p.reset()
-	untried, good := false, false
 	for _, m := range c.relay.Servers.Snapshot().Service(c.service) {
-		if !m.Serves(now, c.need) {
-			continue
+		if m.Serves(now, c.need) {
+			p.members = append(p.members, m)
+			p.candidates = append(p.candidates, c.candidate(now, m))
 		}
-		candidate := c.candidate(now, m)
-		untried = untried || !slices.Contains(c.tried, m.ID)
-		good = good || !candidate.Ejected
-		p.members = append(p.members, m)
-		p.candidates = append(p.candidates, candidate)
 	}
 	if len(p.members) == 0 {
 		return c.chooseCold(now)
 	}
+	p.spareLimited(c.tried)
+	untried, good := false, false
+	for i, m := range p.members {
+		untried = untried || !slices.Contains(c.tried, m.ID)
+		good = good || !p.candidates[i].Ejected
+	}
 	if !good {
 		for i := range p.candidates {
 			p.candidates[i].Ejected = false
--- a/pkg/relay/moves.go
+++ b/pkg/relay/moves.go
@@ -189,7 +189,11 @@
 	if step == migration.GoOnThere && r.handover.Kept || c.mayRunAgain() {
 		c.resumption.patience = max(leastGap, gapFactor*c.route.GapTarget)
 	}
-	v, err = c.try(ctx, r.end(step))
+	if c.takeSlotAt(ctx, r.end(step)) {
+		v, err = c.try(ctx, r.end(step))
+	} else {
+		v, err = notRun, errNoSlot
+	}
 	o := c.resumed(v)
 	r.handover.Told(step, o)
 	if step == migration.GoOnThere && (o == migration.Refused || o == migration.NoAnswer) {
--- a/pkg/relay/place.go
+++ b/pkg/relay/place.go
@@ -147,7 +147,7 @@
 			break
 		}
 		other := servers[(first+i)%len(servers)]
-		if other.ID != m.ID && other.Serves(now, c.need) && !other.Avoid(now) && !slices.Contains(c.tried, other.ID) {
+		if other.ID != m.ID && other.Serves(now, c.need) && !other.Limited() && !other.Avoid(now) && !slices.Contains(c.tried, other.ID) {
 			list = append(list, other.ID)
 		}
 	}
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -82,6 +82,7 @@
 	wakeError  error
 	turnError  error // why the holder could not be asked for a turn
 	place      placeRecord
+	slot       slotRecord
 	bytes      int
 	events     int
 	eventsFrom time.Time     // when the first events went out
@@ -171,6 +172,7 @@
 		fields = append(fields, "turn_error", c.record.turnError.Error())
 	}
 	fields = append(fields, c.describePlace()...)
+	fields = append(fields, c.describeSlot()...)
 	if c.record.wakeError != nil {
 		fields = append(fields, "wake_error", c.record.wakeError.Error())
 	}
--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -37,6 +37,7 @@
 	reasonOldKeys  = "keys not confirmed in time"
 	reasonQuota    = "quota spent"
 	reasonCrowded  = "servers are crowded"
+	reasonLimited  = "servers limit their requests"
 )
 
 // notServed is the final answer to a request that no server served. It tells
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -6,7 +6,8 @@
 // bounds; access.go finds the tenant in whose name it is made and quota.go charges it;
 // choose.go waits for a server, by the plug-ins of package routing, and affinity.go tells which
 // of them the request prefers; cold.go spares servers that have just started; prospect.go decides
-// whether one that finds none is held or refused; place.go has it take its turn where servers are crowded; attempt.go sends it and
+// whether one that finds none is held or refused; place.go has it take its turn where servers are crowded, slots.go
+// where they limit what they take; attempt.go sends it and
 // decides what a failure allows; quarantine.go keeps it from servers if it ends them; whole.go
 // and stream.go pass the answer on; refuse.go gives the relay's own answers; budget.go and
 // slack.go bound repeats; ending.go ends what a stop would cut off; rides.go and moves.go move a
@@ -25,6 +26,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/backpressure"
 	"martenwheel.dev/pkg/clock"
 	"martenwheel.dev/pkg/route"
 	"martenwheel.dev/pkg/traffic/routing"
@@ -103,6 +105,8 @@
 	Mover Mover
 	// DrainTime is how long a server that leaves surely goes on serving; zero: not known.
 	DrainTime time.Duration
+	// Slots gives out when requests go to servers that limit them; the node goes by its ration alone if nil.
+	Slots Slots
 	// Places decides where and when requests go to crowded servers; the node chooses alone if nil.
 	Places  Places
 	Nodes   func() int // that share the budget of repeats, zero while not known; 1 if nil
@@ -118,7 +122,8 @@
 	mixes   mixes
 	borrowing
 	rides    rides
-	cold     coldGate
+	cold     backpressure.Ration // of cold servers
+	alone    backpressure.Ration // of servers with a limit, while nobody gives out slots
 	endings  endings
 	inFlight atomic.Int64
 	stop     atomic.Pointer[stopPlan]
--- a/pkg/relay/rides.go
+++ b/pkg/relay/rides.go
@@ -463,7 +463,7 @@
 	servers := c.relay.Servers.Snapshot().Service(c.service)
 	for _, i := range rand.Perm(len(servers)) {
 		m := servers[i]
-		if m.ID == source.ID || !m.Serves(now, c.need) || !may(m) {
+		if m.ID == source.ID || !m.Serves(now, c.need) || m.Limited() || !may(m) {
 			continue
 		}
 		members = append(members, m)
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -144,7 +144,7 @@
 	s.member.Candidate = s.hub.Watching
 	s.relay = &relay.Relay{
 		Headers: s.Headers, Node: s.Self.Name, Zone: s.Self.Zone, Regions: s.Regions, Routes: s.Routes, Keys: s.Keys, Quotas: s.member, Servers: s.Servers, Waker: s.member,
-		Quarantine: s.member, Places: s.member, Mover: s.Mover, DrainTime: s.DrainTime,
+		Quarantine: s.member, Slots: s.member, Places: s.member, Mover: s.Mover, DrainTime: s.DrainTime,
 		Nodes: s.member.Fleet, Budget: s.Budget, Lender: s.member, Began: s.budgetBegan(clock.Now()), Logger: s.Logger.Named("relay"),
 		Metrics: relay.NewMetrics(s.Registry), Arrived: s.member.Arrived,
 	}
