relay, backpressure: a server gets nothing of a node for the rest that it asked that node for

What callers saw: fraud briefs refused with 503 after four tries at one server within half a second; others of the same node went there as well, up to nine in a rest of 3 s. Cause: the time in a server's 503 was not read; a node avoided a server that turned requests away for 0.5 to 4 s, as a preference that gives way if there is no other, and tried the only one again after pauses of its own. Ruled out: that the request that was turned away alone knew (it was the one that went there again). Now a server at rest is none to choose, at the last check before the first byte as well, and gets neither orders nor questions for reports of this node. After a rest one request goes first; the others wait for its answer, or half a second. A request that only servers at rest could serve is held for the end of the first rest if its caller can wait, as for a load; when the server asks again all are refused at once, with the time left and up to a second more, so that callers don't return together. The holder is told, and has the model loaded elsewhere.

--- a/pkg/backend/directory.go
+++ b/pkg/backend/directory.go
@@ -41,10 +41,10 @@
 
 // Serves tells whether the server may get a new request that needs n.
 func (m *Member) Serves(now time.Time, n Need) bool {
-	return !m.Cold(now) && m.serves(now, n)
+	return !m.Cold(now) && m.Rest(now) == 0 && m.serves(now, n)
 }
 
-// serves is Serves for a server that may be cold.
+// serves is Serves for a server that may be cold or at rest.
 func (m *Member) serves(now time.Time, n Need) bool {
 	if m.Evacuated() {
 		return false
--- a/pkg/backend/pressure.go
+++ b/pkg/backend/pressure.go
@@ -42,6 +42,14 @@
 	return c.pressure.Rest(now)
 }
 
+// TakeAfterRest tells whether a request may go to the server now by the rests that it asked for, and counts it:
+// after a rest one goes first.
+func (c *Condition) TakeAfterRest(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pressure.Take(now)
+}
+
 // Limit returns how many requests a second the server takes from all nodes together, false if it names
 // no limit.
 func (c *Condition) Limit() (float64, bool) {
@@ -55,3 +63,19 @@
 	_, limited := c.Limit()
 	return limited
 }
+
+// Return is when a server at rest is expected to take requests.
+type Return struct {
+	Server  string        // the ID of its life
+	In      time.Duration // until its rest is over
+	Hopeful bool          // it is expected to take requests then
+}
+
+// Returns returns when the server is expected to take requests, if it could get one that needs n but for its
+// rest; false if it is not so.
+func (m *Member) Returns(now time.Time, n Need) (Return, bool) {
+	m.mu.Lock()
+	in, hopeful := m.pressure.Returns(now)
+	m.mu.Unlock()
+	return Return{m.ID, in, hopeful}, in > 0 && !m.Cold(now) && m.serves(now, n)
+}
--- a/pkg/backend/withdrawn.go
+++ b/pkg/backend/withdrawn.go
@@ -62,5 +62,5 @@
 
 // ServesCold tells whether the server could get a request that needs n but for being cold.
 func (m *Member) ServesCold(now time.Time, n Need) bool {
-	return m.Cold(now) && m.serves(now, n)
+	return m.Cold(now) && m.Rest(now) == 0 && m.serves(now, n)
 }
--- a/pkg/backpressure/state.go
+++ b/pkg/backpressure/state.go
@@ -6,14 +6,19 @@
 // concurrent use.
 //
 // A server that leaves does so for the rest of its life, whatever later answers lack. A limit ends with
-// an answer that names none, if it was surely given later than the last one that named it.
+// an answer that names none, if it was surely given later than the last one that named it. After a rest one
+// request goes first, to find out whether the server takes any: of all that wait for it each would be turned
+// away by a server that does not.
 type State struct {
 	limited   bool
 	limit     float64
 	limitedAt time.Time // when the last word with a limit came
 	endedAt   time.Time // when the last word came that ended one
 	leaving   bool
+	closed    bool // it asked for rest, and has not taken a request since
 	restUntil time.Time
+	rests     int       // in a row
+	probedAt  time.Time // when a request last went to find out whether the rest is over
 }
 
 // Change tells how a word changed what is believed.
@@ -39,10 +44,7 @@
 		s.leaving = true
 		change |= Left
 	}
-	if until := now.Add(w.Rest); w.Rest > 0 && until.After(s.restUntil) {
-		s.restUntil = until
-		change |= RestSet
-	}
+	change |= s.hearRest(sent, now, w.Rest)
 	switch {
 	case w.Unclear:
 	case w.Limited:
@@ -74,5 +76,55 @@
 // Leaving tells whether the server said that it leaves.
 func (s *State) Leaving() bool { return s.leaving }
 
+// hearRest takes in the rest that an answer asked for; zero: none.
+func (s *State) hearRest(sent, now time.Time, rest time.Duration) Change {
+	if rest <= 0 {
+		if s.closed && !sent.Before(s.restUntil) {
+			s.closed, s.rests = false, 0
+		}
+		return 0
+	}
+	until := now.Add(rest)
+	if !until.After(s.restUntil) {
+		return 0
+	}
+	if !s.closed || !sent.Before(s.restUntil) {
+		s.rests++
+	}
+	s.closed, s.restUntil, s.probedAt = true, until, time.Time{}
+	return RestSet
+}
+
+// probeTime is how long one request after a rest is waited for before the next one goes: servers that turn
+// requests away do so at once.
+const probeTime = 500 * time.Millisecond
+
 // Rest returns for how much longer this node is to send nothing; zero: it may.
-func (s *State) Rest(now time.Time) time.Duration { return max(s.restUntil.Sub(now), 0) }
+func (s *State) Rest(now time.Time) time.Duration {
+	switch {
+	case !s.closed:
+		return 0
+	case now.Before(s.restUntil):
+		return s.restUntil.Sub(now)
+	case s.probedAt.IsZero():
+		return 0
+	}
+	return max(probeTime-now.Sub(s.probedAt), 0)
+}
+
+// Take tells whether a request may go to the server now by its rests, and counts it.
+func (s *State) Take(now time.Time) bool {
+	if s.Rest(now) > 0 {
+		return false
+	}
+	if s.closed {
+		s.probedAt = now
+	}
+	return true
+}
+
+// Returns returns in what time the server is expected to take requests, if it is at rest. It is not hopeful of
+// one that asked for rest again after a rest: requests are not to wait for it.
+func (s *State) Returns(now time.Time) (in time.Duration, hopeful bool) {
+	return s.Rest(now), s.rests <= 1
+}
--- a/pkg/backpressure/state_test.go
+++ b/pkg/backpressure/state_test.go
@@ -69,6 +69,35 @@
 	}
 }
 
+// TestOneRequestGoesFirstAfterARest: the others wait for its answer, and a server that asks for rest again is
+// expected back later.
+func TestOneRequestGoesFirstAfterARest(t *testing.T) {
+	var s State
+	s.Hear(at(0), at(1), Word{Rest: 2 * time.Second})
+	s.Hear(at(0.5), at(1.1), Word{Rest: 2 * time.Second}) // sent before the first word came
+	if in, hopeful := s.Returns(at(2)); s.Take(at(2)) || in != 1100*time.Millisecond || !hopeful {
+		t.Errorf("in the rest a request may go, or it is over in %v, hopeful %t", in, hopeful)
+	}
+	if !s.Take(at(3.2)) || s.Take(at(3.3)) {
+		t.Error("not one request alone goes first")
+	}
+	s.Hear(at(3.2), at(3.4), Word{Rest: 2 * time.Second})
+	if in, hopeful := s.Returns(at(3.4)); in != 2*time.Second || hopeful {
+		t.Errorf("after the second rest in a row it is expected back in %v, hopeful %t", in, hopeful)
+	}
+	if !s.Take(at(5.5)) || s.Take(at(5.9)) || !s.Take(at(6.01)) {
+		t.Error("without an answer the next request does not go half a second later")
+	}
+	s.Hear(at(6.01), at(6.1), Word{})
+	if !s.Take(at(6.1)) || !s.Take(at(6.1)) {
+		t.Error("a server that took a request gets no others")
+	}
+	s.Hear(at(6.1), at(6.2), Word{Rest: time.Second})
+	if in, hopeful := s.Returns(at(6.2)); in != time.Second || !hopeful {
+		t.Errorf("after it took requests, and asked for rest, it is expected back in %v, hopeful %t", in, hopeful)
+	}
+}
+
 func TestWordsAreBounded(t *testing.T) {
 	for _, c := range []struct{ word, want Word }{
 		{limitOf(0), limitOf(LeastLimit)},
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -372,6 +372,7 @@
 	} else {
 		h.doubtHolding(now, w.Missing, need)
 	}
+	h.shorten(now, w.Short, w.ShortFor)
 	if server := h.heldBy(now, w.Service, need); server != "" && !h.servers[server].short(now) {
 		answer.Server = server
 		h.tell(Notice{Server: server, Need: w.Need, Holds: true})
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -115,6 +115,8 @@
 	Left      time.Duration // of the request that waits
 	Missing   string        // server that said that it does not hold it
 	Gone      bool          // that server refused the connection
+	Short     string        // server that holds it and turns requests away; empty: none is known
+	ShortFor  time.Duration // for which it does so
 	RequestID string
 }
 
--- a/pkg/coordinator/reports.go
+++ b/pkg/coordinator/reports.go
@@ -14,7 +14,7 @@
 // doubt.
 func (h *Holder) look(now time.Time) {
 	for _, s := range h.servers {
-		if s.member == nil || s.asking || s.reportAt.IsZero() || now.Before(s.reportAt) || !h.lists(s.member.Service) {
+		if s.member == nil || s.asking || s.reportAt.IsZero() || now.Before(s.reportAt) || s.member.Rest(now) > 0 || !h.lists(s.member.Service) {
 			continue
 		}
 		if s.busy == nil && s.doubt == nil && !s.unsure && !s.recheck {
--- a/pkg/coordinator/server.go
+++ b/pkg/coordinator/server.go
@@ -23,7 +23,7 @@
 	recheck    bool            // it is to be asked once more after that
 	asking     bool            // an order or a report is under way
 	reportAt   time.Time       // when to look at it
-	shortUntil time.Time       // its limit turns requests away
+	shortUntil time.Time       // it turns requests away, by its limit or for a rest
 	unsure     bool            // the number of its orders is to be asked for
 	untouched  bool            // it got no order of this term: it is neither asked nor guarded before one
 	failures   int             // calls without an answer, in a row
@@ -280,7 +280,7 @@
 
 // usable tells whether orders may be given to the server.
 func (s *serverState) usable(now time.Time) bool {
-	return s.member != nil && !s.gone(now) && (!s.guarded || s.untouched) && !s.unsure && !s.recheck && !s.member.Withdrawn() && !now.Before(s.quietUntil) && !now.Before(s.avoidUntil) &&
+	return s.member != nil && !s.gone(now) && s.member.Rest(now) == 0 && (!s.guarded || s.untouched) && !s.unsure && !s.recheck && !s.member.Withdrawn() && !now.Before(s.quietUntil) && !now.Before(s.avoidUntil) &&
 		!s.lives.mayCross(now, s.id, s.sequence+1)
 }
 
--- a/pkg/coordinator/slots.go
+++ b/pkg/coordinator/slots.go
@@ -105,23 +105,31 @@
 // noteShort notes which servers have too little room for what comes: their limit turned requests away.
 func (h *Holder) noteShort(now time.Time) {
 	for _, id := range h.slots.Short(now) {
-		s := h.servers[id]
-		if s == nil {
-			continue
-		}
-		if !s.short(now) {
-			h.Logger.Info("server is short of room", "server", id, "models", len(s.holds))
-		}
-		s.shortUntil = now.Add(shortTime)
+		h.shorten(now, id, leastShort)
 	}
 }
 
-// shortTime is for how long a server counts as short of room after the holder saw it to be: until the next
-// plans have seen it.
-const shortTime = time.Second
+// Bounds of how long a server counts as short of room by one word: until the next plans have seen it, and no
+// longer than a load takes, after which the nodes say again what is so.
+const (
+	leastShort = time.Second
+	mostShort  = 5 * time.Second
+)
+
+// shorten notes that a server turns requests away for some time.
+func (h *Holder) shorten(now time.Time, id string, d time.Duration) {
+	s := h.servers[id]
+	if s == nil {
+		return
+	}
+	if !s.short(now) {
+		h.Logger.Info("server is short of room", "server", id, "models", len(s.holds), "for_ms", d.Milliseconds())
+	}
+	s.shortUntil = latest(s.shortUntil, now.Add(min(max(d, leastShort), mostShort)))
+}
 
-// short tells whether the server turns requests away by its limit, so that another one is to hold what it
-// holds.
+// short tells whether the server turns requests away, by its limit or for a rest, so that another one is to
+// hold what it holds.
 func (s *serverState) short(now time.Time) bool { return now.Before(s.shortUntil) }
 
 // spared tells whether the server is to get no loads, and other servers are to hold what it holds.
--- a/pkg/coordinator/slots_test.go
+++ b/pkg/coordinator/slots_test.go
@@ -88,3 +88,32 @@
 		}
 	})
 }
+
+// TestAModelWhoseServerIsAtRestIsLoadedElsewhere: a node tells that the only server with a model wants nothing
+// for some seconds.
+func TestAModelWhoseServerIsAtRestIsLoadedElsewhere(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSite(t, []string{"m0"}, nil)
+		n := s.start("a")
+		n.hold()
+		time.Sleep(5 * time.Second)
+		for range 10 {
+			reply, err := n.holder.HandleMessage(t.Context(), api.NodeRef{},
+				WishMessage{Service: "s", Need: "m0", Priority: 1, Left: 20 * time.Second, Short: "server-0", ShortFor: 3 * time.Second})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if answer := reply.(WishAnswer); answer.Server == "server-0" {
+				t.Fatalf("a request that it turned away is sent there again: %+v", answer)
+			}
+			time.Sleep(time.Second)
+		}
+		loads := s.engines.loads()
+		if len(loads) != 1 || loads[0].server != "server-1" {
+			t.Fatalf("the loads are %+v", loads)
+		}
+		if answer := n.wish(t, "m0"); answer.Server != "server-1" {
+			t.Errorf("it is said to be at %q then", answer.Server)
+		}
+	})
+}
--- a/pkg/coordinator/wishes.go
+++ b/pkg/coordinator/wishes.go
@@ -15,6 +15,7 @@
 type asked struct {
 	at      time.Time
 	done    chan struct{} // closed when the answer is here
+	short   bool          // it told of a server that turns requests away
 	outlook relay.Outlook
 	err     error
 }
@@ -24,9 +25,9 @@
 	key := demandKey{w.Service, w.Need.String()}
 	m.mu.Lock()
 	known := m.wishes[key]
-	fresh := known == nil || m.Time.Since(known.at) > wakeRest || w.Missing != ""
+	fresh := known == nil || m.Time.Since(known.at) > wakeRest || w.Missing != "" || w.Short != "" && !known.short
 	if fresh {
-		known = &asked{at: m.Time.Now(), done: make(chan struct{})}
+		known = &asked{at: m.Time.Now(), done: make(chan struct{}), short: w.Short != ""}
 		if m.wishes == nil || len(m.wishes) > maxWishes {
 			m.wishes = make(map[demandKey]*asked)
 		}
@@ -84,6 +85,7 @@
 	answer, err := ask[WishAnswer](ctx, m, WishMessage{
 		Service: w.Service, Need: w.Need.String(), Priority: w.Priority,
 		Left: m.Time.Until(w.Deadline), RequestID: w.RequestID, Missing: w.Missing, Gone: w.Gone,
+		Short: w.Short, ShortFor: w.ShortFor,
 	})
 	if err == nil && answer.Term == 0 {
 		err = ErrNoHolder
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -150,6 +150,8 @@
 		return errStalePlace
 	case !c.slot.covers(c.relay.Time.Now(), m):
 		return errNoSlot
+	case !m.TakeAfterRest(c.relay.Time.Now()): // the last one, as it counts
+		return errResting
 	}
 	return nil
 }
@@ -260,7 +262,7 @@
 		c.giveUp(ctx)
 		return false
 	case notRun:
-		if errors.Is(err, errStalePlace) || errors.Is(err, errNoSlot) {
+		if errors.Is(err, errStalePlace) || errors.Is(err, errNoSlot) || errors.Is(err, errResting) {
 			return true
 		}
 		c.learn(now, m, err)
@@ -311,6 +313,9 @@
 	pause := fullPause << (c.misses - 1)
 	switch {
 	case !c.hasUntried(now):
+		if c.resting(now) != nil {
+			return // acquire waits for the end of its rest, or refuses
+		}
 	case c.misses < 2:
 		return
 	default:
@@ -354,7 +359,7 @@
 	case c.need.Model != "" && m.Gone(now):
 		c.lacking = lacking{server: m.ID, gone: true}
 		m.Failed(now)
-	case errors.Is(err, errLeaving), errors.Is(err, backend.ErrCrowded):
+	case errors.Is(err, errLeaving), errors.Is(err, backend.ErrCrowded), m.Rest(now) > 0:
 	case c.record.status == http.StatusMisdirectedRequest && c.need.Model != "":
 		c.lacking = lacking{server: m.ID}
 		c.relay.Servers.Believe(m.ID, c.need, false, now.Add(disbeliefTime))
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -87,10 +87,12 @@
 }
 
 // lacking is a server that does not hold what a request needs; gone: it refused the
-// connection.
+// connection. short is one that holds it and turns requests away for some time.
 type lacking struct {
-	server string
-	gone   bool
+	server   string
+	gone     bool
+	short    string
+	shortFor time.Duration
 }
 
 // accept reads and checks the request. If it returns false, the request is
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -37,13 +37,16 @@
 		if m := c.choose(); m != nil {
 			return m
 		}
-		c.record.waitFor = c.lacks()
-		if c.record.waitFor != lacksServer && !asking && c.relay.Time.Since(askedAt) >= wakeInterval {
+		resting := c.resting(c.relay.Time.Now())
+		if c.record.waitFor = c.lacks(); resting != nil {
+			c.record.waitFor = lacksRest
+		}
+		if c.need.Model != "" && c.record.waitFor != lacksServer && !asking && c.relay.Time.Since(askedAt) >= wakeInterval {
 			askedAt, asking = c.relay.Time.Now(), true
-			go c.ask(ctx, c.lacking, outlooks)
+			go c.ask(ctx, c.lackingOr(resting), outlooks)
 		}
-		if next := c.prospect(0).course(); c.need.Model == "" && !next.hold {
-			c.refuse(c.notServed(reasonNoServer, next.after))
+		if f, refused := c.judgePlain(resting); refused {
+			c.refuse(f)
 			return nil
 		}
 		if c.leavesSoon() {
@@ -61,7 +64,7 @@
 		case a := <-outlooks:
 			asking = false
 			c.record.wakeError = a.err
-			if f, refused := c.judge(a.outlook); refused {
+			if f, refused := c.judge(a.outlook, resting); refused {
 				timer.Stop()
 				c.refuse(f)
 				return nil
@@ -93,6 +96,7 @@
 	lacksServer  = "server" // that may get it now
 	lacksModel   = "model"
 	lacksAdapter = "adapter" // of a model that a server holds
+	lacksRest    = "rest"    // the servers that could get it want nothing for a while
 )
 
 // lacks tells what keeps a request waiting that no server may get now.
@@ -126,7 +130,7 @@
 	defer cancel()
 	o, err := c.relay.Waker.Wake(ctx, Wish{
 		Service: c.service, Need: c.need, Priority: c.priority(), Deadline: c.deadline, RequestID: c.id,
-		Missing: by.server, Gone: by.gone,
+		Missing: by.server, Gone: by.gone, Short: by.short, ShortFor: by.shortFor,
 	})
 	if err != nil {
 		o.ReadyIn = unknownReady
@@ -141,10 +145,27 @@
 // confirms it.
 const beliefTime = 5 * time.Second
 
+// judgePlain refuses a request without a model that can't be served while its caller is there.
+func (c *call) judgePlain(resting *backend.Return) (refusal, bool) {
+	if c.need.Model != "" {
+		return refusal{}, false
+	}
+	if resting != nil {
+		next := c.courseAtRest(resting, 0)
+		return c.notServed(reasonRest, next.after), !next.hold
+	}
+	next := c.prospect(0).course()
+	return c.notServed(reasonNoServer, next.after), !next.hold
+}
+
 // judge takes in the outlook of what the request lacks. It refuses one that can't be
 // served while its caller is there.
-func (c *call) judge(o Outlook) (refusal, bool) {
+func (c *call) judge(o Outlook, resting *backend.Return) (refusal, bool) {
 	c.record.readyIn, c.record.outlookAge = o.ReadyIn, o.Age
+	if resting != nil && (o.Server == "" || o.Server == resting.Server) {
+		next := c.courseAtRest(resting, o.ReadyIn)
+		return c.notServed(reasonRest, next.after), !next.hold
+	}
 	if o.Server != "" {
 		return refusal{}, false
 	}
--- a/pkg/relay/moves.go
+++ b/pkg/relay/moves.go
@@ -155,7 +155,7 @@
 // mayGoBack tells whether the source of a ride may still be sent a request.
 func (c *call) mayGoBack(r *ride) bool {
 	switch {
-	case r.rebornSource():
+	case r.rebornSource(), r.source.Rest(c.relay.Time.Now()) > 0:
 		return false
 	case !r.source.Leaving():
 		return true
--- a/pkg/relay/prospect_test.go
+++ b/pkg/relay/prospect_test.go
@@ -46,7 +46,7 @@
 			arrived := time.Now().Add(-test.waited)
 			c := &call{relay: &Relay{}, progress: progress{headSent: test.headSent},
 				request: request{route: &test.route, arrived: arrived, deadline: arrived.Add(test.left)}}
-			f, refused := c.judge(Outlook{ReadyIn: test.readyIn})
+			f, refused := c.judge(Outlook{ReadyIn: test.readyIn}, nil)
 			if refused != test.refused {
 				t.Fatalf("refused: %v, want %v", refused, test.refused)
 			}
--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -37,6 +37,7 @@
 	reasonOldKeys  = "keys not confirmed in time"
 	reasonQuota    = "quota spent"
 	reasonCrowded  = "servers are crowded"
+	reasonRest     = "servers asked for rest"
 	reasonLimited  = "servers limit their requests"
 )
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -72,6 +72,9 @@
 	RequestID string
 	Missing   string // server that said that it does not hold it
 	Gone      bool   // the missing server refused the connection
+	// Short is a server that holds it and turns requests away, so that another one is to hold it as well.
+	Short    string
+	ShortFor time.Duration // for which it does so, as known
 }
 
 // Outlook is what is known of a wish.
--- a/pkg/relay/slots.go
+++ b/pkg/relay/slots.go
@@ -76,7 +76,7 @@
 		return nil, looksAgain
 	}
 	if c.need.Model != "" { // another server is to hold it as well
-		go c.ask(context.WithoutCancel(ctx), lacking{}, make(chan asked, 1))
+		go c.ask(context.WithoutCancel(ctx), lacking{short: m.ID, shortFor: backpressure.MostWait}, make(chan asked, 1))
 	}
 	c.refuse(c.notServed(reasonLimited, max(s.Wait, defaultRetryAfter)))
 	return nil, isRefused
