coordinator: what a server says to one node all nodes learn

A node that had no answer of a server that leaves, or names a limit, went on sending to it: it isn't bound, yet its requests are cut off with the server's end or turned away, and the holder did not plan for it. Nodes tell the holder with their beats what servers said to them, and the holder tells the others what changed since they were told last; of two words on a limit the later one holds, and one who knows of no limit does not end it. The log of changes that paces had is one type for both.

--- a/pkg/backend/pressure.go
+++ b/pkg/backend/pressure.go
@@ -7,12 +7,12 @@
 	"martenwheel.dev/pkg/backpressure"
 )
 
-// Heard is a change of what is believed of a server by a word of its own.
+// Heard is a change of what is believed of a server by a word of its own, and what is believed then.
 type Heard struct {
 	Server string // the ID of its life
 	Change backpressure.Change
-	Word   backpressure.Word
-	At     time.Time
+	Belief backpressure.Belief
+	Rest   time.Duration // that is left for this node
 }
 
 // hear takes in what an answer of the server tells of it; sent is when its request began to be sent, zero
@@ -23,16 +23,38 @@
 	}
 	w := c.words(r.StatusCode, r.Header)
 	now := c.pool.time.Now()
+	h := c.believeWord(now, func(s *backpressure.State) backpressure.Change { return s.Hear(sent, now, w) })
+	if h.Change != 0 && c.heard != nil {
+		c.heard(h)
+	}
+}
+
+// believeWord has a word change what is believed, and returns the change.
+func (c *Condition) believeWord(now time.Time, take func(*backpressure.State) backpressure.Change) Heard {
 	c.mu.Lock()
-	change := c.pressure.Hear(sent, now, w)
+	h := Heard{Server: c.id, Change: take(&c.pressure), Belief: c.pressure.Belief(), Rest: c.pressure.Rest(now)}
 	c.mu.Unlock()
-	if change&backpressure.Left != 0 {
+	if h.Change&backpressure.Left != 0 {
 		c.sayLeaving(now)
 		c.moved()
 	}
-	if change != 0 && c.heard != nil {
-		c.heard(Heard{Server: c.id, Change: change, Word: w, At: now})
+	return h
+}
+
+// Tell takes in what another node believes of a server by its own word, and returns what it changed.
+func (d *Directory) Tell(server string, b backpressure.Belief) Heard {
+	m := d.Snapshot().Member(server)
+	if m == nil {
+		return Heard{Server: server}
 	}
+	return m.believeWord(d.Time.Now(), func(s *backpressure.State) backpressure.Change { return s.Tell(b) })
+}
+
+// Belief returns what is believed of the server by its own words, for all nodes.
+func (c *Condition) Belief() backpressure.Belief {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pressure.Belief()
 }
 
 // Rest returns for how much longer the server wants nothing from this node; zero: it takes requests.
--- a/pkg/backpressure/state.go
+++ b/pkg/backpressure/state.go
@@ -14,6 +14,7 @@
 	limit     float64
 	limitedAt time.Time // when the last word with a limit came
 	endedAt   time.Time // when the last word came that ended one
+	endedBy   time.Time // when the request was sent whose answer ended it
 	leaving   bool
 	closed    bool // it asked for rest, and has not taken a request since
 	restUntil time.Time
@@ -50,7 +51,48 @@
 	case w.Limited:
 		change |= s.setLimit(sent, now, w.Limit)
 	case s.limited && sent.After(s.limitedAt):
-		s.limited, s.limit, s.endedAt = false, 0, now
+		s.limited, s.limit, s.endedAt, s.endedBy = false, 0, now, sent
+		change |= LimitEnded
+	}
+	return change
+}
+
+// Belief is what a node believes of a server for all nodes. Rests are between a server and one node.
+type Belief struct {
+	Leaving bool
+	Limited bool
+	Limit   float64 // of one that is limited
+	// LimitAt is when the limit was heard, or, of one that ended, when the request was sent whose answer told
+	// it; zero: no limit is known of.
+	LimitAt time.Time
+}
+
+// Belief returns what is believed for all nodes.
+func (s *State) Belief() Belief {
+	b := Belief{Leaving: s.leaving, Limited: s.limited, Limit: s.limit, LimitAt: s.endedBy}
+	if s.limited {
+		b.LimitAt = s.limitedAt
+	}
+	return b
+}
+
+// Tell takes in what another node believes.
+func (s *State) Tell(b Belief) Change {
+	var change Change
+	if b.Leaving && !s.leaving {
+		s.leaving = true
+		change |= Left
+	}
+	w, at := Word{Limited: b.Limited, Limit: b.Limit}.Bounded(), b.LimitAt
+	switch {
+	case w.Unclear:
+	case w.Limited && at.After(s.limitedAt) && at.After(s.endedAt):
+		if !s.limited || s.limit != w.Limit {
+			change |= LimitSet
+		}
+		s.limited, s.limit, s.limitedAt = true, w.Limit, at
+	case !w.Limited && s.limited && at.After(s.limitedAt):
+		s.limited, s.limit, s.endedAt, s.endedBy = false, 0, at, at
 		change |= LimitEnded
 	}
 	return change
--- a/pkg/backpressure/state_test.go
+++ b/pkg/backpressure/state_test.go
@@ -113,3 +113,31 @@
 		}
 	}
 }
+
+// TestWordsOfOtherNodes: the newest of what this node heard and of what others did holds.
+func TestWordsOfOtherNodes(t *testing.T) {
+	var s State
+	limited := func(second, limit float64) Belief { return Belief{Limited: true, Limit: limit, LimitAt: at(second)} }
+	if s.Tell(limited(1, 3)) != LimitSet || s.Tell(limited(1, 3)) != 0 {
+		t.Error("a limit that another node heard is not taken in once")
+	}
+	s.Hear(at(4), at(5), limitOf(2))
+	if s.Tell(Belief{LimitAt: at(4)}) != 0 || s.Tell(limited(4.5, 9)) != 0 {
+		t.Error("a word from before counts")
+	}
+	if s.Tell(Belief{Leaving: true}) != Left || !s.Leaving() {
+		t.Error("that it leaves is not taken in")
+	}
+	if got := s.Belief(); got != (Belief{true, true, 2, at(5)}) {
+		t.Errorf("a node that knows of no limit ended it: %+v", got)
+	}
+	if s.Tell(Belief{LimitAt: at(6)}) != LimitEnded {
+		t.Error("the end of the limit is not taken in")
+	}
+	if s.Tell(limited(5.5, 2)) != 0 {
+		t.Error("a limit from before its end counts")
+	}
+	if _, limited := s.Limit(); limited || s.Rest(at(6)) != 0 || s.Belief().LimitAt != at(6) {
+		t.Errorf("it is limited, or at rest: %+v", s.Belief())
+	}
+}
--- a/pkg/coordinator/beats.go
+++ b/pkg/coordinator/beats.go
@@ -40,6 +40,7 @@
 	answer.Evidence = h.exchange(now, b.Evidence)
 	answer.Crowded = h.takePlaces(now, b)
 	h.exchangePaces(now, &b, &answer)
+	h.exchangeSaid(now, &b, &answer)
 	answer.ScarceTenants = h.takeSpent(now, b.Spent, first)
 	if h.Clock != nil {
 		answer.StoreClock, _ = h.Clock.Latest()
@@ -92,6 +93,7 @@
 		}
 	}
 	h.paces.expire(now)
+	h.expireSaid(now)
 	h.interest.sweep(now)
 	for key, d := range h.demands {
 		if !d.waits(now) && d.rate.count.at(now) < leastRate && now.Sub(d.last) > time.Minute {
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -69,6 +69,8 @@
 	apart      apart
 	places     memberPlaces
 	slotRests  slotRests
+	hearings   hearings     // of this node, from servers
+	saidKnown  SaidVersion  // of what servers said, as last told; for Run alone
 	pacesKnown PacesVersion // of servers, as last told; for Run alone
 	evidence   uint64       // sum of the holder's evidence, as last told; for Run alone
 	beatNow    chan struct{}
@@ -229,6 +231,7 @@
 	if err != nil {
 		m.ledger.Return(beat.Spent)
 		m.places.ledger.Return(sent, beat.Places)
+		m.hearings.giveBack(sent, beat.Said)
 		return err
 	}
 	m.told = told
@@ -247,6 +250,7 @@
 		Evidence: knownEvidence(m.Quarantine, m.Time.Now(), m.evidence),
 		Paces:    m.Servers.TakeReports(pacesShare(m.Fleet())), KnowsPaces: m.pacesKnown,
 		Places: m.places.ledger.Whole(m.Time.Now()),
+		Said:   m.hearings.take(m.Time.Now()), KnowsSaid: m.saidKnown,
 	}
 }
 
@@ -257,6 +261,7 @@
 	m.takeEvidence(answer.Evidence.Parts)
 	m.evidence = answer.Evidence.Sum
 	m.takePaces(sent, answer)
+	m.takeSaid(sent, answer)
 	if m.Clock != nil && answer.StoreClock > 0 {
 		m.Clock.ObserveLatest(sent, answer.StoreClock)
 	}
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -72,6 +72,9 @@
 	Paces    []backend.Pace     // that streams told since the last beat, see paces
 	// KnowsPaces is up to which change of servers' paces the node was told.
 	KnowsPaces PacesVersion
+	Said       []Said // by servers to this node since the last beat
+	// KnowsSaid is up to which change of what servers said the node was told.
+	KnowsSaid SaidVersion
 }
 
 // NodesVersion tells lists of nodes apart.
@@ -105,6 +108,9 @@
 	Paces   []backend.Slowness // of servers whose pace moved
 	// PacesVersion is up to which change the paces are told.
 	PacesVersion PacesVersion
+	Said         []Said // by servers, that changed
+	// SaidVersion is up to which change it is told.
+	SaidVersion SaidVersion
 }
 
 // WishMessage asks the holder to have a model loaded.
--- a/pkg/coordinator/paces.go
+++ b/pkg/coordinator/paces.go
@@ -34,68 +34,42 @@
 // of a fleet, too few to tell which servers are slow; all of them show it within seconds. Nothing
 // but the choices of nodes goes by it, no order does. For the holder's loop alone.
 type paces struct {
-	known  map[string]*knownPace // by the life of the server
-	number uint64                // of the last change
+	log changeLog[knownPace] // by the life of the server
 }
 
 // knownPace is what nodes are told of one server.
 type knownPace struct {
-	ratio  float64   // its slowness, as told
-	number uint64    // of the change that it came with
-	at     time.Time // of the last stream that told of it
+	ratio float64   // its slowness, as told
+	at    time.Time // of the last stream that told of it
 }
 
 // note takes in a server's slowness as it stands. The first word on one is told whatever it
 // is: nodes may believe what was told of it before it was forgotten, or by an earlier holder.
 func (p *paces) note(now time.Time, id string, ratio float64) {
 	ratio = min(ratio, backend.MostSlowness)
-	k := p.known[id]
-	if k == nil {
-		if p.known == nil {
-			p.known = make(map[string]*knownPace)
-		}
-		k = &knownPace{}
-		p.known[id] = k
-	}
-	k.at = now
-	if math.Abs(ratio-k.ratio) >= leastMove { // also at the first word: a ratio is no less than one
-		p.number++
-		k.ratio, k.number = ratio, p.number
+	k := p.log.get(id)
+	if k != nil && math.Abs(ratio-k.ratio) < leastMove {
+		k.at = now
+		return
 	}
+	p.log.set(id, knownPace{ratio, now})
 }
 
 // since returns what changed after a number and is not too old, oldest changes first, and the
 // number of the change up to which nothing is missing.
 func (p *paces) since(now time.Time, number uint64) ([]backend.Slowness, uint64) {
-	if number >= p.number {
-		return nil, p.number
-	}
-	var ids []string
-	for id, k := range p.known {
-		if k.number > number && now.Sub(k.at) <= backend.SlownessLifetime {
-			ids = append(ids, id)
-		}
-	}
-	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(p.known[a].number, p.known[b].number) })
-	upTo := p.number
-	if len(ids) > mostPacesTold {
-		ids = ids[:mostPacesTold]
-		upTo = p.known[ids[mostPacesTold-1]].number
-	}
+	ids, upTo := p.log.since(number, mostPacesTold, func(k knownPace) bool { return now.Sub(k.at) <= backend.SlownessLifetime })
 	var list []backend.Slowness
 	for _, id := range ids {
-		list = append(list, backend.Slowness{Server: id, Ratio: p.known[id].ratio, Age: now.Sub(p.known[id].at)})
+		k := p.log.get(id)
+		list = append(list, backend.Slowness{Server: id, Ratio: k.ratio, Age: now.Sub(k.at)})
 	}
 	return list, upTo
 }
 
 // expire forgets servers that no stream told of for long.
 func (p *paces) expire(now time.Time) {
-	for id, k := range p.known {
-		if now.Sub(k.at) > backend.SlownessLifetime {
-			delete(p.known, id)
-		}
-	}
+	p.log.forget(func(_ string, k knownPace) bool { return now.Sub(k.at) > backend.SlownessLifetime })
 }
 
 // exchangePaces takes in what a node's streams told of servers and tells it what moved.
--- a/pkg/coordinator/pressure.go
+++ b/pkg/coordinator/pressure.go
@@ -1,29 +1,192 @@
 package coordinator
 
 import (
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
 	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/backpressure"
 )
 
+// Said is what a node believes of a server by the server's own words.
+type Said struct {
+	Server  string // the ID of its life
+	Leaving bool
+	Limited bool
+	Limit   float64 // requests a second, of one that is limited
+	// KnowsLimit tells that a limit was heard of; it ended if the server is not limited.
+	KnowsLimit bool
+	LimitAge   time.Duration // of the word on the limit
+}
+
+// newSaid returns the message about a server.
+func newSaid(now time.Time, server string, b backpressure.Belief) Said {
+	s := Said{Server: server, Leaving: b.Leaving, Limited: b.Limited, Limit: b.Limit, KnowsLimit: !b.LimitAt.IsZero()}
+	if s.KnowsLimit {
+		s.LimitAge = now.Sub(b.LimitAt)
+	}
+	return s
+}
+
+// belief is the inverse of newSaid. A word that would be of the future is of now.
+func (s Said) belief(now time.Time) backpressure.Belief {
+	b := backpressure.Belief{Leaving: s.Leaving, Limited: s.Limited && s.KnowsLimit, Limit: s.Limit}
+	if s.KnowsLimit {
+		b.LimitAt = now.Add(-max(s.LimitAge, 0))
+	}
+	return b
+}
+
+// SaidVersion tells up to which change of what servers said a node was told.
+type SaidVersion struct {
+	Term   uint64 // of the holder that counts the changes
+	Number uint64 // of the last change; zero: nothing was told
+}
+
+// Bounds of what is told of servers' words.
+const (
+	// mostSaid is how many servers one message tells of; the rest follow with the next.
+	mostSaid = 64
+	// saidTime is after how long a limit that ended is forgotten by the holder: all nodes were told.
+	saidTime = time.Minute
+)
+
+// hearings are the words that this node heard itself and has not told the holder yet. The zero value is empty.
+// Safe for concurrent use.
+type hearings struct {
+	mu    sync.Mutex
+	heard map[string]backpressure.Belief // by the life of the server
+}
+
+// add notes what is believed by a word.
+func (l *hearings) add(server string, b backpressure.Belief) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.heard == nil {
+		l.heard = make(map[string]backpressure.Belief)
+	}
+	l.heard[server] = b
+}
+
+// take returns the words to be told now, and forgets them.
+func (l *hearings) take(now time.Time) []Said {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []Said
+	for server, b := range l.heard {
+		if len(list) == mostSaid {
+			break
+		}
+		list = append(list, newSaid(now, server, b))
+		delete(l.heard, server)
+	}
+	return list
+}
+
+// giveBack takes back words that did not reach the holder, unless there are newer ones.
+func (l *hearings) giveBack(now time.Time, list []Said) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range list {
+		if _, newer := l.heard[s.Server]; !newer {
+			l.heard[s.Server] = s.belief(now)
+		}
+	}
+}
+
 // Heard takes in that a server's own word changed what this node believes of it.
 func (m *Member) Heard(h backend.Heard) {
-	m.logHeard(h)
+	logHeard(m.Logger, h, "")
+	if h.Change&(backpressure.Left|backpressure.LimitSet|backpressure.LimitEnded) != 0 {
+		m.hearings.add(h.Server, h.Belief)
+	}
 }
 
-// logHeard has the log tell of a change of belief.
-func (m *Member) logHeard(h backend.Heard) {
+// logHeard has the log tell of a change of belief; by: who told of the word, empty: the server itself.
+func logHeard(logger hclog.Logger, h backend.Heard, by string) {
 	fields := []any{"server", h.Server}
 	if h.Change&backpressure.Left != 0 {
 		fields = append(fields, "leaving", true)
 	}
 	if h.Change&backpressure.RestSet != 0 {
-		fields = append(fields, "rest_ms", h.Word.Rest.Milliseconds())
+		fields = append(fields, "rest_ms", h.Rest.Milliseconds())
 	}
 	if h.Change&backpressure.LimitSet != 0 {
-		fields = append(fields, "limit", h.Word.Limit)
+		fields = append(fields, "limit", h.Belief.Limit)
 	}
 	if h.Change&backpressure.LimitEnded != 0 {
 		fields = append(fields, "limit_ended", true)
 	}
-	m.Logger.Info("server asks", fields...)
+	if by != "" {
+		fields = append(fields, "told_by", by)
+	}
+	logger.Info("server asks", fields...)
+}
+
+// takeSaid takes in what the holder told of servers, in answer to a beat that was sent at a time. An answer that
+// waited in a suspension is too old.
+func (m *Member) takeSaid(sent time.Time, answer *BeatAnswer) {
+	now := m.Time.Now()
+	if now.Sub(sent) > beatTimeout {
+		return
+	}
+	if m.Holder.address() != m.Self.Peers { // this node's own are as told or newer
+		for _, s := range answer.Said {
+			if h := m.Servers.Tell(s.Server, s.belief(now)); h.Change != 0 {
+				logHeard(m.Logger, h, "holder")
+			}
+		}
+	}
+	m.saidKnown = answer.SaidVersion
+}
+
+// exchangeSaid takes in what servers said to a node and tells it what changed.
+func (h *Holder) exchangeSaid(now time.Time, b *Beat, answer *BeatAnswer) {
+	own := b.Node.Peers == h.address()
+	for _, s := range b.Said[:min(len(b.Said), mostSaid)] {
+		told := h.Servers.Tell(s.Server, s.belief(now))
+		if told.Change != 0 {
+			logHeard(h.Logger, told, b.Node.Name)
+		}
+		if told.Change != 0 || own { // this node's own are known
+			h.noteSaid(s.Server)
+		}
+	}
+	known := uint64(0)
+	if b.KnowsSaid.Term == h.term {
+		known = b.KnowsSaid.Number
+	}
+	ids, number := h.said.since(known, mostSaid, func(backpressure.Belief) bool { return true })
+	for _, id := range ids {
+		answer.Said = append(answer.Said, newSaid(now, id, *h.said.get(id)))
+	}
+	answer.SaidVersion = SaidVersion{h.term, number}
+}
+
+// noteSaid has nodes told what this node believes of a server now.
+func (h *Holder) noteSaid(server string) {
+	if m := h.Servers.Snapshot().Member(server); m != nil {
+		h.said.set(server, m.Belief())
+		h.planSoon = true // other servers are to hold what it holds
+	}
+}
+
+// beginSaid has nodes told in a new term what this node believes of servers.
+func (h *Holder) beginSaid() {
+	h.said = changeLog[backpressure.Belief]{}
+	for id, m := range h.Servers.Snapshot().Members() {
+		if b := m.Belief(); b.Limited || b.Leaving {
+			h.noteSaid(id)
+		}
+	}
+}
+
+// expireSaid forgets limits that ended, and servers that are gone.
+func (h *Holder) expireSaid(now time.Time) {
+	snapshot := h.Servers.Snapshot()
+	h.said.forget(func(id string, b backpressure.Belief) bool {
+		return snapshot.Member(id) == nil || !b.Limited && !b.Leaving && now.Sub(b.LimitAt) > saidTime
+	})
 }
