coordinator: the holder that most nodes beat to gives out slots at limited servers

Cause: a holder that is cut from the store goes on while most nodes follow it, and beside it the next one has taken the lease; for orders the servers' fences keep them apart, slots have no fence: both gave them out for 2 s, 10 in each half second, by the story with who gave which. Ruled out: rations (3 in these 2 s), slots of a term that begins too early (they wait for the last one's). A holder gives out slots only while most nodes of the fleet beat to it within 1.3 s, which one holder at a time can say.

--- a/pkg/coordinator/slots_test.go
+++ b/pkg/coordinator/slots_test.go
@@ -19,6 +19,22 @@
 	return reply.(SlotAnswer)
 }
 
+// beats has a node beat to its own holder until the test ends, as its member would.
+func (n *node) beats(t *testing.T, name string) {
+	go func() {
+		ticker := time.NewTicker(beatInterval)
+		defer ticker.Stop()
+		for {
+			_, _ = n.holder.HandleMessage(t.Context(), api.NodeRef{}, Beat{Node: Node{Name: name, Life: 1, Peers: name}})
+			select {
+			case <-ticker.C:
+			case <-t.Context().Done():
+				return
+			}
+		}
+	}()
+}
+
 // TestAModelWhoseServerLimitsItsRequestsIsLoadedElsewhere: the only server with a model turns requests away
 // by its limit.
 func TestAModelWhoseServerLimitsItsRequestsIsLoadedElsewhere(t *testing.T) {
@@ -26,6 +42,7 @@
 		s := newSite(t, []string{"m0"}, nil)
 		n := s.start("a")
 		n.hold()
+		n.beats(t, "a")
 		time.Sleep(5 * time.Second) // what servers hold is learned
 		if answer := n.wish(t, "m0"); answer.Server != "server-0" {
 			t.Fatalf("it is said to be at %q", answer.Server)
@@ -83,6 +100,11 @@
 			t.Errorf("one that does not hold the lease answers %+v", answer)
 		}
 		time.Sleep(2 * time.Second)
+		if answer := holder.takeSlot(t, "server-0", 10); answer.Term != 0 {
+			t.Errorf("a holder that no node beats to answers %+v", answer)
+		}
+		holder.beats(t, "a")
+		time.Sleep(2 * time.Second)
 		if answer := holder.takeSlot(t, "server-0", 10); answer.Term == 0 || !answer.Slot.Granted {
 			t.Errorf("the holder answers %+v", answer)
 		}
