--- a/pkg/site/operator.go
+++ b/pkg/site/operator.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/clock"
 	"martenwheel.dev/pkg/quarantine"
 )
@@ -82,3 +83,25 @@
 		}, func() float64 { return float64(known.Count(clock.Now(), standing)) }))
 	}
 }
+
+// registerAsking has the metrics tell how many servers ask for something in their answers, as this node believes.
+func registerAsking(registry prometheus.Registerer, servers *backend.Directory) {
+	for word, asks := range map[string]func(*backend.Member) bool{
+		"limit":   func(m *backend.Member) bool { return m.Limited() },
+		"rest":    func(m *backend.Member) bool { return m.Rest(clock.Now()) > 0 },
+		"leaving": func(m *backend.Member) bool { return m.Belief().Leaving },
+	} {
+		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: "martenwheel", Name: "servers_asking", Help: "Servers that ask for something in their answers.",
+			ConstLabels: prometheus.Labels{"word": word},
+		}, func() float64 {
+			n := 0
+			for _, m := range servers.Snapshot().Members() {
+				if asks(m) {
+					n++
+				}
+			}
+			return float64(n)
+		}))
+	}
+}
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -117,6 +117,7 @@
 	}
 	known := new(quarantine.Table)
 	registerQuarantine(s.Registry, known)
+	registerAsking(s.Registry, s.Servers)
 	decider, _ := policy.ByName(policy.NameDemandFirst)
 	holder := &coordinator.Holder{
 		Lease: l, Routes: s.Routes, Servers: s.Servers, Orders: s.Orders, Transport: transport,
