backend: what a server said outlives a gap in the list of servers

By the node's lines the row of the server was missing from one reading of the table and back in the next (server listed, with the version that it had before), while the answer with the rest was on its way: with the row the node forgot all that it believed, and the late answer told a life that was listed no more. Also a server that said that it leaves would have got requests again once its row lapsed while the store was away.

--- a/pkg/backend/condition.go
+++ b/pkg/backend/condition.go
@@ -20,8 +20,8 @@
 	pool         *pool
 	inFlight     atomic.Int64
 	draining     atomic.Bool
-	saidLeaving  atomic.Bool               // in an answer, which holds for the rest of its life
-	leavingSince atomic.Pointer[time.Time] // nil: it is not known to leave
+	leavingSince atomic.Pointer[time.Time] // nil: it is not known to leave by its record
+	pressure     *pressure
 	left         atomic.Bool
 	released     atomic.Bool // this node lets go of the server, which goes on
 	evacuated    atomic.Bool
@@ -38,7 +38,6 @@
 	until    time.Time  // to be avoided
 
 	coldUntil time.Time
-	pressure  backpressure.State
 }
 
 // belief is what was learned of a server outside of its record.
@@ -48,7 +47,10 @@
 }
 
 func newCondition(d *Directory, s *Server) *Condition {
-	c := &Condition{id: s.ID, words: d.Words, heard: d.Heard, moved: d.moved, pool: newPool(d.Dialer, d.Time, s.Address)}
+	c := &Condition{
+		id: s.ID, words: d.Words, heard: d.Heard, moved: d.moved,
+		pressure: d.departed.take(d.Time.Now(), s), pool: newPool(d.Dialer, d.Time, s.Address),
+	}
 	c.pool.refused, c.pool.hear = c.tellEnd, c.hear
 	return c
 }
@@ -60,34 +62,30 @@
 func (c *Condition) Leaving() bool { return c.left.Load() || c.Declared() }
 
 // Declared tells whether the server said that it leaves, by its record or in an answer: its end is no crash.
-func (c *Condition) Declared() bool { return c.draining.Load() || c.saidLeaving.Load() }
+func (c *Condition) Declared() bool { return c.draining.Load() || c.pressure.leavingSince.Load() != nil }
 
 // LeavingFor returns for how long it has been known that the server leaves; zero: it is not.
 func (c *Condition) LeavingFor(now time.Time) time.Duration {
-	since := c.leavingSince.Load()
-	if since == nil {
-		return 0
+	known := time.Duration(0)
+	for _, since := range []*time.Time{c.leavingSince.Load(), c.pressure.leavingSince.Load()} {
+		if since != nil {
+			known = max(known, now.Sub(*since), 1)
+		}
 	}
-	return max(now.Sub(*since), 1)
+	return known
 }
 
 // drain notes whether the server's record declares that it drains. One without it may be older than the
 // server's own word.
 func (c *Condition) drain(now time.Time, draining bool) {
 	c.draining.Store(draining)
-	if c.Declared() {
+	if draining {
 		c.leavingSince.CompareAndSwap(nil, &now)
 	} else {
 		c.leavingSince.Store(nil)
 	}
 }
 
-// sayLeaving notes that the server said in an answer that it leaves.
-func (c *Condition) sayLeaving(now time.Time) {
-	c.saidLeaving.Store(true)
-	c.leavingSince.CompareAndSwap(nil, &now)
-}
-
 // leave ends the use of the server for new requests.
 func (c *Condition) leave() {
 	c.left.Store(true)
--- a/pkg/backend/directory.go
+++ b/pkg/backend/directory.go
@@ -78,6 +78,7 @@
 	mu        sync.Mutex
 	evacuated map[string]bool // zones
 	reports   []report
+	departed  departed
 	current   atomic.Pointer[Snapshot]
 	changed   chan struct{}
 }
@@ -149,6 +150,7 @@
 	for id, m := range old.members {
 		if now := next.members[id]; now == nil || now.Condition != m.Condition {
 			m.Condition.leave()
+			d.departed.keep(next.at, m)
 		}
 	}
 	d.announce()
--- a/pkg/backend/pressure.go
+++ b/pkg/backend/pressure.go
@@ -2,11 +2,27 @@
 
 import (
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"martenwheel.dev/pkg/backpressure"
 )
 
+// pressure is what is believed of one life of a server by its own words. The zero value believes nothing.
+type pressure struct {
+	mu           sync.Mutex
+	state        backpressure.State
+	leavingSince atomic.Pointer[time.Time] // when it was heard that it leaves; nil: it was not
+}
+
+// asks tells whether the server asks for anything.
+func (p *pressure) asks() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Asks()
+}
+
 // Heard is a change of what is believed of a server by a word of its own, and what is believed then.
 type Heard struct {
 	Server string // the ID of its life
@@ -31,11 +47,12 @@
 
 // believeWord has a word change what is believed, and returns the change.
 func (c *Condition) believeWord(now time.Time, take func(*backpressure.State) backpressure.Change) Heard {
-	c.mu.Lock()
-	h := Heard{Server: c.id, Change: take(&c.pressure), Belief: c.pressure.Belief(), Rest: c.pressure.Rest(now)}
-	c.mu.Unlock()
+	p := c.pressure
+	p.mu.Lock()
+	h := Heard{Server: c.id, Change: take(&p.state), Belief: p.state.Belief(), Rest: p.state.Rest(now)}
+	p.mu.Unlock()
 	if h.Change&backpressure.Left != 0 {
-		c.sayLeaving(now)
+		p.leavingSince.CompareAndSwap(nil, &now)
 		c.moved()
 	}
 	return h
@@ -52,32 +69,32 @@
 
 // Belief returns what is believed of the server by its own words, for all nodes.
 func (c *Condition) Belief() backpressure.Belief {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.pressure.Belief()
+	c.pressure.mu.Lock()
+	defer c.pressure.mu.Unlock()
+	return c.pressure.state.Belief()
 }
 
 // Rest returns for how much longer the server wants nothing from this node; zero: it takes requests.
 func (c *Condition) Rest(now time.Time) time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.pressure.Rest(now)
+	c.pressure.mu.Lock()
+	defer c.pressure.mu.Unlock()
+	return c.pressure.state.Rest(now)
 }
 
 // TakeAfterRest tells whether a request may go to the server now by the rests that it asked for, and counts it:
 // after a rest one goes first.
 func (c *Condition) TakeAfterRest(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.pressure.Take(now)
+	c.pressure.mu.Lock()
+	defer c.pressure.mu.Unlock()
+	return c.pressure.state.Take(now)
 }
 
 // Limit returns how many requests a second the server takes from all nodes together, false if it names
 // no limit.
 func (c *Condition) Limit() (float64, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.pressure.Limit()
+	c.pressure.mu.Lock()
+	defer c.pressure.mu.Unlock()
+	return c.pressure.state.Limit()
 }
 
 // Limited tells whether the server names a limit.
@@ -96,8 +113,8 @@
 // Returns returns when the server is expected to take requests, if it could get one that needs n but for its
 // rest; false if it is not so.
 func (m *Member) Returns(now time.Time, n Need) (Return, bool) {
-	m.mu.Lock()
-	in, hopeful := m.pressure.Returns(now)
-	m.mu.Unlock()
+	m.pressure.mu.Lock()
+	in, hopeful := m.pressure.state.Returns(now)
+	m.pressure.mu.Unlock()
 	return Return{m.ID, in, hopeful}, in > 0 && !m.Cold(now) && m.serves(now, n)
 }
--- a/pkg/backend/pressure_test.go
+++ b/pkg/backend/pressure_test.go
@@ -98,3 +98,40 @@
 		})
 	}
 }
+
+// TestWhatAServerSaidOutlivesAGapInTheList: the row of a server lapses and is back, as while the store is away; that
+// of another life is not taken for it.
+func TestWhatAServerSaidOutlivesAGapInTheList(t *testing.T) {
+	row := func(address string, version uint64) []*Server {
+		return []*Server{{ID: "i-1~1", Service: "s", Address: address, Version: version}}
+	}
+	for name, c := range map[string]struct {
+		answer string
+		still  func(m *Member) bool
+	}{
+		"it leaves": {saying("Leaving: 1"), func(m *Member) bool { return m.Leaving() }},
+		"a limit":   {saying("Limit: 2"), func(m *Member) bool { return m.Limited() }},
+		"a rest": {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\nRest: 3\r\n\r\ngood",
+			func(m *Member) bool { return m.Rest(time.Now()) > 0 }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d, m := talking(c.answer)
+				exchangeWith(t, m)
+				d.Replace(nil, 2)
+				time.Sleep(time.Second)
+				d.Replace(row("server", 3), 3)
+				if !c.still(d.Snapshot().Member("i-1~1")) {
+					t.Error("it is forgotten once its row is back")
+				}
+				d.Replace(nil, 4)
+				d.Replace(row("elsewhere", 5), 5)
+				if c.still(d.Snapshot().Member("i-1~1")) {
+					t.Error("a server at another address is taken for it")
+				}
+				d.Replace(nil, 6)
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/pkg/backpressure/state.go
+++ b/pkg/backpressure/state.go
@@ -115,6 +115,9 @@
 // names no limit.
 func (s *State) Limit() (float64, bool) { return s.limit, s.limited }
 
+// Asks tells whether the server asks for anything.
+func (s *State) Asks() bool { return s.limited || s.leaving || s.closed }
+
 // Leaving tells whether the server said that it leaves.
 func (s *State) Leaving() bool { return s.leaving }
 
