coordinator: right after a loss of all nodes the proof against a request waits for nodes without a holder

What callers saw: an innocent request refused for up to ten minutes, after losses of all nodes within seconds. Ruled out: turns that two requests had at one server (one alone had it), evidence that was lost with a node (it was told later). Now such evidence waits 3.2 s in the first 4 s in which a node hears of a holder, and the turn is kept meanwhile.

--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -80,11 +80,18 @@
 	arrivals map[demandKey]arrivals
 	rates    map[demandKey]*rates // arrivals that a holder was told of
 	toldTerm uint64               // term of the holder that knows the rates
+	heard    heard                // of a holder
 	wishes   map[demandKey]*asked
 	answered bool      // the last beat was
 	since    time.Time // of the first beat without an answer
 }
 
+// heard is since when a node has heard of the holder of a term.
+type heard struct {
+	term  uint64
+	since time.Time
+}
+
 func (m *Member) init() {
 	m.started.Do(func() { m.beatNow = make(chan struct{}, 1) })
 }
@@ -256,6 +263,7 @@
 
 // takeAnswer takes in what the holder told in answer to a beat that was sent at a time.
 func (m *Member) takeAnswer(sent time.Time, answer *BeatAnswer) {
+	m.heardTerm(m.Time.Now(), answer.Version.Term)
 	m.tellLedgers(answer.ScarceTenants)
 	m.places.ledger.Told(m.Time.Now(), answer.Crowded)
 	m.takeEvidence(answer.Evidence.Parts)
--- a/pkg/coordinator/quarantine.go
+++ b/pkg/coordinator/quarantine.go
@@ -95,6 +95,28 @@
 // TestWordsThatComeLateClearAnInnocent.
 const sharedByRecord = 3200 * time.Millisecond
 
+// youngTime is for how long the evidence of a run apart waits as long as for records, after this node first heard of
+// the holder: when all nodes were lost at once, those that don't reach the store find the holder, and tell what ended
+// servers, only seconds later. It is the users' 3 s in which nodes are in touch, and a beat.
+const youngTime = 4 * time.Second
+
+// heardTerm notes that the holder of a term answers.
+func (m *Member) heardTerm(now time.Time, term uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.heard.term != term {
+		m.heard.term, m.heard.since = term, now
+	}
+}
+
+// isYoung tells whether nodes may not have found the holder yet.
+func (m *Member) isYoung(now time.Time) bool {
+	record, known := m.Lease.Current()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !known || m.heard.term != record.Term || now.Sub(m.heard.since) < youngTime
+}
+
 // apart is the runs apart whose servers ended and whose evidence waits. Safe for concurrent use.
 type apart struct {
 	mu      sync.Mutex
@@ -145,7 +167,7 @@
 		return
 	}
 	shows := sharedShows
-	if r.ByRecord {
+	if r.ByRecord || m.isYoung(m.Time.Now()) {
 		shows = sharedByRecord
 		go m.keepTurn(r)
 	}
--- a/pkg/coordinator/quarantine_test.go
+++ b/pkg/coordinator/quarantine_test.go
@@ -153,3 +153,34 @@
 		}
 	})
 }
+
+// TestAnInnocentIsNotBlamedBeforeNodesFoundTheHolder: the run apart of an innocent request ends with its server right
+// after all nodes were lost, and the node that had the other request run there finds the holder seconds later.
+func TestAnInnocentIsNotBlamedBeforeNodesFoundTheHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+		defer w.stopNodes()
+		time.Sleep(700 * time.Millisecond)
+		innocent, fatal := quarantine.FingerprintOf("POST", "h", "/", []byte("innocent")), quarantine.FingerprintOf("POST", "h", "/", []byte("fatal"))
+		end := func(n *worldNode, f quarantine.Fingerprint, server string, round int) {
+			n.member.Ended(quarantine.Run{Request: f, Service: "s", Server: server, Round: round, RequestID: "id"})
+		}
+		one, other := w.nodes[0], w.nodes[1]
+		for i, server := range []string{"server-0", "server-1"} {
+			end(one, innocent, server, i+1)
+			end(one, fatal, server, i+1)
+		}
+		end(one, innocent, "server-2", one.member.NextRound(innocent))
+		for step := range 80 {
+			time.Sleep(100 * time.Millisecond)
+			if step == 20 {
+				end(other, fatal, "server-2", 1)
+			}
+			for _, n := range w.nodes {
+				if n.member.Standing(innocent) == quarantine.Quarantined {
+					t.Fatalf("at %s it is in quarantine", n.name)
+				}
+			}
+		}
+	})
+}
