--- a/pkg/backend/condition.go
+++ b/pkg/backend/condition.go
@@ -14,7 +14,7 @@
 // concurrent use.
 type Condition struct {
 	id           string // of the life
-	words        func(status int, h http.Header) backpressure.Word
+	signals      func(status int, h http.Header) backpressure.Signals
 	heard        func(Heard)
 	moved        func() // tells those that wait for a change of the servers
 	pool         *pool
@@ -48,7 +48,7 @@
 
 func newCondition(d *Directory, s *Server) *Condition {
 	c := &Condition{
-		id: s.ID, words: d.Words, heard: d.Heard, moved: d.moved,
+		id: s.ID, signals: d.Signals, heard: d.Heard, moved: d.moved,
 		pressure: d.departed.take(d.Time.Now(), s), pool: newPool(d.Dialer, d.Time, s.Address),
 	}
 	c.pool.refused, c.pool.hear = c.tellEnd, c.hear
--- a/pkg/backend/directory.go
+++ b/pkg/backend/directory.go
@@ -66,8 +66,8 @@
 	// ColdFor returns for how long servers of a service are cold after a start, see Evacuate; nil:
 	// none are.
 	ColdFor func(service string) time.Duration
-	// Words reads what an answer tells of its server; nil: answers tell nothing.
-	Words func(status int, h http.Header) backpressure.Word
+	// Signals reads what an answer tells of its server; nil: answers tell nothing.
+	Signals func(status int, h http.Header) backpressure.Signals
 	// Heard is told of each change of what is believed of a server by its own word; may be nil. It is
 	// not to block.
 	Heard func(Heard)
--- a/pkg/backend/pressure.go
+++ b/pkg/backend/pressure.go
@@ -9,7 +9,7 @@
 	"martenwheel.dev/pkg/backpressure"
 )
 
-// pressure is what is believed of one life of a server by its own words. The zero value believes nothing.
+// pressure is what is believed of one life of a server by its signals. The zero value believes nothing.
 type pressure struct {
 	asking       atomic.Bool               // state asks for something: most servers ask for nothing, and each choice looks at all
 	leavingSince atomic.Pointer[time.Time] // when it was heard that it leaves; nil: it was not
@@ -18,7 +18,7 @@
 	state backpressure.State
 }
 
-// Heard is a change of what is believed of a server by a word of its own, and what is believed then.
+// Heard is a change of what is believed of a server by its signals, and what is believed then.
 type Heard struct {
 	Server string // the ID of its life
 	Change backpressure.Change
@@ -29,19 +29,19 @@
 // hear takes in what an answer of the server tells of it; sent is when its request began to be sent, zero
 // if the answer is another request's.
 func (c *Condition) hear(sent time.Time, r *http.Response) {
-	if c.words == nil {
+	if c.signals == nil {
 		return
 	}
-	w := c.words(r.StatusCode, r.Header)
+	w := c.signals(r.StatusCode, r.Header)
 	now := c.pool.time.Now()
-	h := c.believeWord(now, func(s *backpressure.State) backpressure.Change { return s.Hear(sent, now, w) })
+	h := c.believeSignals(now, func(s *backpressure.State) backpressure.Change { return s.Hear(sent, now, w) })
 	if h.Change != 0 && c.heard != nil {
 		c.heard(h)
 	}
 }
 
-// believeWord has a word change what is believed, and returns the change.
-func (c *Condition) believeWord(now time.Time, take func(*backpressure.State) backpressure.Change) Heard {
+// believeSignals has signals change what is believed, and returns the change.
+func (c *Condition) believeSignals(now time.Time, take func(*backpressure.State) backpressure.Change) Heard {
 	p := c.pressure
 	p.mu.Lock()
 	h := Heard{Server: c.id, Change: take(&p.state), Belief: p.state.Belief(), Rest: p.state.Rest(now)}
@@ -54,16 +54,16 @@
 	return h
 }
 
-// Tell takes in what another node believes of a server by its own word, and returns what it changed.
+// Tell takes in what another node believes of a server by its signals, and returns what it changed.
 func (d *Directory) Tell(server string, b backpressure.Belief) Heard {
 	m := d.Snapshot().Member(server)
 	if m == nil {
 		return Heard{Server: server}
 	}
-	return m.believeWord(d.Time.Now(), func(s *backpressure.State) backpressure.Change { return s.Tell(b) })
+	return m.believeSignals(d.Time.Now(), func(s *backpressure.State) backpressure.Change { return s.Tell(b) })
 }
 
-// Belief returns what is believed of the server by its own words, for all nodes.
+// Belief returns what is believed of the server by its signals, for all nodes.
 func (c *Condition) Belief() backpressure.Belief {
 	c.pressure.mu.Lock()
 	defer c.pressure.mu.Unlock()
--- a/pkg/backend/pressure_test.go
+++ b/pkg/backend/pressure_test.go
@@ -11,9 +11,9 @@
 	"martenwheel.dev/pkg/backpressure"
 )
 
-// testWords reads words as the tests' servers tell them.
-func testWords(status int, h http.Header) backpressure.Word {
-	w := backpressure.Word{Leaving: h.Get("Leaving") != ""}
+// testSignals reads words as the tests' servers tell them.
+func testSignals(status int, h http.Header) backpressure.Signals {
+	w := backpressure.Signals{Leaving: h.Get("Leaving") != ""}
 	if h.Get("Limit") != "" {
 		w.Limited, w.Limit = true, 2
 	}
@@ -25,7 +25,7 @@
 
 // talking is a directory with one server that gives some answers in turn, on one connection.
 func talking(answers ...string) (*Directory, *Member) {
-	d := &Directory{Words: testWords, Dialer: func(context.Context, string) (net.Conn, error) {
+	d := &Directory{Signals: testSignals, Dialer: func(context.Context, string) (net.Conn, error) {
 		near, far := net.Pipe()
 		go serve(far, answers...)
 		return near, nil
@@ -73,8 +73,8 @@
 	})
 }
 
-// TestWordsAreReadInEachAnswer: also in a failure, and in an answer to another request that is read over.
-func TestWordsAreReadInEachAnswer(t *testing.T) {
+// TestSignalsAreReadInEachAnswer: also in a failure, and in an answer to another request that is read over.
+func TestSignalsAreReadInEachAnswer(t *testing.T) {
 	for name, answers := range map[string][]string{
 		"a success": {saying("Limit: 2")},
 		"a failure": {"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\nLimit: 2\r\n\r\ngood"},
--- a/pkg/backpressure/word.go
+++ b/pkg/backpressure/signals.go
@@ -2,7 +2,7 @@
 // sent no more than so many requests a second by all nodes together (a limit), to be left alone by one
 // node for a while (a rest), or to get nothing new because they leave. Its decisions need no network.
 //
-// word.go is what one answer tells, state.go what a node believes of one life of a server by the
+// signals.go is what one answer tells, state.go what a node believes of one life of a server by the
 // answers that it got and by what other nodes told.
 package backpressure
 
@@ -11,8 +11,8 @@
 	"time"
 )
 
-// Word is what one answer tells of its server. The zero value asks for nothing.
-type Word struct {
+// Signals is what one answer tells of its server. The zero value asks for nothing.
+type Signals struct {
 	Limited bool
 	Limit   float64       // requests a second from all nodes together, of a limited server
 	Leaving bool          // the server takes no new requests
@@ -32,8 +32,8 @@
 	MostRest = 10 * time.Minute
 )
 
-// Bounded returns the word within the bounds.
-func (w Word) Bounded() Word {
+// Bounded returns the signals within the bounds.
+func (w Signals) Bounded() Signals {
 	if w.Limited {
 		if math.IsNaN(w.Limit) || w.Limit < 0 {
 			w.Limited, w.Limit, w.Unclear = false, 0, true
--- a/pkg/backpressure/slots.go
+++ b/pkg/backpressure/slots.go
@@ -10,7 +10,7 @@
 // node, whose last slots are not over yet. The zero value with a term begun is ready to use. Safe for
 // concurrent use.
 //
-// It answers this load: a server in need, or all servers of a service, and every node has more for them
+// It answers this load: an overloaded server, or all servers of a service, and every node has more for them
 // than they take. Each request gets a time within MostWait, or is turned away at once.
 type Slots struct {
 	mu    sync.Mutex
--- a/pkg/backpressure/state.go
+++ b/pkg/backpressure/state.go
@@ -22,10 +22,10 @@
 	probedAt  time.Time // when a request last went to find out whether the rest is over
 }
 
-// Change tells how a word changed what is believed.
+// Change tells how signals changed what is believed.
 type Change uint8
 
-// Changes; a word may bring several.
+// Changes; an answer may bring several.
 const (
 	LimitSet Change = 1 << iota // or moved
 	LimitEnded
@@ -36,9 +36,9 @@
 // overtakeTime is how much later an answer may come than another one that was given after it.
 const overtakeTime = time.Second
 
-// Hear takes in the word of an answer that came now to a request that was sent at a time; the zero time
+// Hear takes in the signals of an answer that came now to a request that was sent at a time; the zero time
 // if that is not known.
-func (s *State) Hear(sent, now time.Time, w Word) Change {
+func (s *State) Hear(sent, now time.Time, w Signals) Change {
 	w = w.Bounded()
 	var change Change
 	if w.Leaving && !s.leaving {
@@ -83,7 +83,7 @@
 		s.leaving = true
 		change |= Left
 	}
-	w, at := Word{Limited: b.Limited, Limit: b.Limit}.Bounded(), b.LimitAt
+	w, at := Signals{Limited: b.Limited, Limit: b.Limit}.Bounded(), b.LimitAt
 	switch {
 	case w.Unclear:
 	case w.Limited && at.After(s.limitedAt) && at.After(s.endedAt):
--- a/pkg/backpressure/state_test.go
+++ b/pkg/backpressure/state_test.go
@@ -13,10 +13,10 @@
 // word is an answer to a request sent and answered at seconds.
 type word struct {
 	sent, came float64
-	Word
+	Signals
 }
 
-func limitOf(n float64) Word { return Word{Limited: true, Limit: n} }
+func limitOf(n float64) Signals { return Signals{Limited: true, Limit: n} }
 
 // TestALimitEndsWithALaterAnswerOnly plays answers that overtake each other.
 func TestALimitEndsWithALaterAnswerOnly(t *testing.T) {
@@ -26,18 +26,18 @@
 	}{
 		"it is named":                          {[]word{{0, 1, limitOf(2)}}, 2},
 		"it moves":                             {[]word{{0, 1, limitOf(2)}, {1, 2, limitOf(3)}}, 3},
-		"a later answer names none":            {[]word{{0, 1, limitOf(2)}, {2, 3, Word{}}}, 0},
-		"an answer from before comes late":     {[]word{{0, 2, limitOf(2)}, {1, 3, Word{}}}, 2},
-		"it is named by one that is overtaken": {[]word{{0, 1, limitOf(2)}, {2, 3, Word{}}, {2.5, 3.2, limitOf(2)}}, 0},
-		"it is named again":                    {[]word{{0, 1, limitOf(2)}, {2, 3, Word{}}, {3.1, 3.2, limitOf(2)}}, 2},
-		"one that waited long names it again":  {[]word{{0, 1, limitOf(2)}, {2, 3, Word{}}, {2.5, 9, limitOf(2)}}, 2},
-		"nothing that can be read":             {[]word{{0, 1, limitOf(2)}, {2, 3, Word{Unclear: true}}}, 2},
-		"nobody knows when it was sent":        {[]word{{0, 1, limitOf(2)}, {-1e6, 3, Word{}}}, 2},
+		"a later answer names none":            {[]word{{0, 1, limitOf(2)}, {2, 3, Signals{}}}, 0},
+		"an answer from before comes late":     {[]word{{0, 2, limitOf(2)}, {1, 3, Signals{}}}, 2},
+		"it is named by one that is overtaken": {[]word{{0, 1, limitOf(2)}, {2, 3, Signals{}}, {2.5, 3.2, limitOf(2)}}, 0},
+		"it is named again":                    {[]word{{0, 1, limitOf(2)}, {2, 3, Signals{}}, {3.1, 3.2, limitOf(2)}}, 2},
+		"one that waited long names it again":  {[]word{{0, 1, limitOf(2)}, {2, 3, Signals{}}, {2.5, 9, limitOf(2)}}, 2},
+		"nothing that can be read":             {[]word{{0, 1, limitOf(2)}, {2, 3, Signals{Unclear: true}}}, 2},
+		"nobody knows when it was sent":        {[]word{{0, 1, limitOf(2)}, {-1e6, 3, Signals{}}}, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var s State
 			for _, w := range c.words {
-				s.Hear(at(w.sent), at(w.came), w.Word)
+				s.Hear(at(w.sent), at(w.came), w.Signals)
 			}
 			if got, limited := s.Limit(); got != c.want || limited != (c.want > 0) {
 				t.Errorf("a limit of %v, %v, want %v", got, limited, c.want)
@@ -48,19 +48,19 @@
 
 func TestAServerThatLeavesDoesSoForGood(t *testing.T) {
 	var s State
-	if s.Hear(at(0), at(1), Word{Leaving: true}) != Left {
+	if s.Hear(at(0), at(1), Signals{Leaving: true}) != Left {
 		t.Error("the word changed nothing")
 	}
-	if s.Hear(at(2), at(3), Word{}) != 0 || !s.Leaving() {
+	if s.Hear(at(2), at(3), Signals{}) != 0 || !s.Leaving() {
 		t.Error("a later answer took it back")
 	}
 }
 
 func TestTheLongestRestCounts(t *testing.T) {
 	var s State
-	s.Hear(at(0), at(1), Word{Rest: 3 * time.Second})
-	s.Hear(at(0), at(2), Word{Rest: time.Second})
-	s.Hear(at(0), at(2), Word{})
+	s.Hear(at(0), at(1), Signals{Rest: 3 * time.Second})
+	s.Hear(at(0), at(2), Signals{Rest: time.Second})
+	s.Hear(at(0), at(2), Signals{})
 	if got := s.Rest(at(2)); got != 2*time.Second {
 		t.Errorf("%v left, want 2 s", got)
 	}
@@ -73,40 +73,40 @@
 // expected back later.
 func TestOneRequestGoesFirstAfterARest(t *testing.T) {
 	var s State
-	s.Hear(at(0), at(1), Word{Rest: 2 * time.Second})
-	s.Hear(at(0.5), at(1.1), Word{Rest: 2 * time.Second}) // sent before the first word came
+	s.Hear(at(0), at(1), Signals{Rest: 2 * time.Second})
+	s.Hear(at(0.5), at(1.1), Signals{Rest: 2 * time.Second}) // sent before the first word came
 	if in, hopeful := s.Returns(at(2)); s.Take(at(2)) || in != 1100*time.Millisecond || !hopeful {
 		t.Errorf("in the rest a request may go, or it is over in %v, hopeful %t", in, hopeful)
 	}
 	if !s.Take(at(3.2)) || s.Take(at(3.3)) {
 		t.Error("not one request alone goes first")
 	}
-	s.Hear(at(3.2), at(3.4), Word{Rest: 2 * time.Second})
+	s.Hear(at(3.2), at(3.4), Signals{Rest: 2 * time.Second})
 	if in, hopeful := s.Returns(at(3.4)); in != 2*time.Second || hopeful {
 		t.Errorf("after the second rest in a row it is expected back in %v, hopeful %t", in, hopeful)
 	}
 	if !s.Take(at(5.5)) || s.Take(at(5.9)) || !s.Take(at(6.01)) {
 		t.Error("without an answer the next request does not go half a second later")
 	}
-	s.Hear(at(6.01), at(6.1), Word{})
+	s.Hear(at(6.01), at(6.1), Signals{})
 	if !s.Take(at(6.1)) || !s.Take(at(6.1)) {
 		t.Error("a server that took a request gets no others")
 	}
-	s.Hear(at(6.1), at(6.2), Word{Rest: time.Second})
+	s.Hear(at(6.1), at(6.2), Signals{Rest: time.Second})
 	if in, hopeful := s.Returns(at(6.2)); in != time.Second || !hopeful {
 		t.Errorf("after it took requests, and asked for rest, it is expected back in %v, hopeful %t", in, hopeful)
 	}
 }
 
-func TestWordsAreBounded(t *testing.T) {
-	for _, c := range []struct{ word, want Word }{
+func TestSignalsAreBounded(t *testing.T) {
+	for _, c := range []struct{ word, want Signals }{
 		{limitOf(0), limitOf(LeastLimit)},
 		{limitOf(math.Inf(1)), limitOf(MostLimit)},
-		{limitOf(-1), Word{Unclear: true}},
-		{limitOf(math.NaN()), Word{Unclear: true}},
+		{limitOf(-1), Signals{Unclear: true}},
+		{limitOf(math.NaN()), Signals{Unclear: true}},
 		{limitOf(7.5), limitOf(7.5)},
-		{Word{Rest: 365 * 24 * time.Hour}, Word{Rest: MostRest}},
-		{Word{Rest: -time.Second}, Word{}},
+		{Signals{Rest: 365 * 24 * time.Hour}, Signals{Rest: MostRest}},
+		{Signals{Rest: -time.Second}, Signals{}},
 	} {
 		if got := c.word.Bounded(); got != c.want {
 			t.Errorf("%+v is %+v, want %+v", c.word, got, c.want)
@@ -114,8 +114,8 @@
 	}
 }
 
-// TestWordsOfOtherNodes: the newest of what this node heard and of what others did holds.
-func TestWordsOfOtherNodes(t *testing.T) {
+// TestSignalsOfOtherNodes: the newest of what this node heard and of what others did holds.
+func TestSignalsOfOtherNodes(t *testing.T) {
 	var s State
 	limited := func(second, limit float64) Belief { return Belief{Limited: true, Limit: limit, LimitAt: at(second)} }
 	if s.Tell(limited(1, 3)) != LimitSet || s.Tell(limited(1, 3)) != 0 {
--- a/pkg/coordinator/explore_limit_test.go
+++ b/pkg/coordinator/explore_limit_test.go
@@ -26,8 +26,8 @@
 // usedLeast is the part of the limit that is used once all trouble is over.
 const usedLeast = 0.7
 
-// needy is a server that names a limit, and nodes that have more for it.
-type needy struct {
+// limitedServer is a server that names a limit, and nodes that have more for it.
+type limitedServer struct {
 	world  *world
 	limit  float64
 	random *rand.Rand // for the callers; not safe for concurrent use
@@ -37,13 +37,13 @@
 	came    []time.Time
 }
 
-func newNeedy(w *world, seed uint64) *needy {
-	return &needy{world: w, limit: exploreLimits[seed%uint64(len(exploreLimits))], random: rand.New(rand.NewPCG(seed, 6)),
+func newLimitedServer(w *world, seed uint64) *limitedServer {
+	return &limitedServer{world: w, limit: exploreLimits[seed%uint64(len(exploreLimits))], random: rand.New(rand.NewPCG(seed, 6)),
 		rations: make(map[string]*backpressure.Ration)}
 }
 
 // flood sends for a while.
-func (s *needy) flood(length time.Duration) {
+func (s *limitedServer) flood(length time.Duration) {
 	pause := time.Duration(float64(time.Second) / (limitFactor * s.limit))
 	for began := time.Now(); time.Since(began) < length; time.Sleep(pause) {
 		s.world.mu.Lock()
@@ -55,7 +55,7 @@
 }
 
 // send has a node send one request as package relay does: by a slot, or by its ration.
-func (s *needy) send(n *worldNode) {
+func (s *limitedServer) send(n *worldNode) {
 	if n.isFrozen() || !n.awake() {
 		return
 	}
@@ -76,7 +76,7 @@
 	s.came = append(s.came, time.Now())
 }
 
-func (s *needy) ration(n *worldNode) *backpressure.Ration {
+func (s *limitedServer) ration(n *worldNode) *backpressure.Ration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.rations[n.name] == nil {
@@ -86,7 +86,7 @@
 }
 
 // judge looks at the fullest window, and at what came in a while without trouble.
-func (s *needy) judge(calm time.Time, lasted time.Duration) {
+func (s *limitedServer) judge(calm time.Time, lasted time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	slices.SortFunc(s.came, time.Time.Compare)
@@ -117,7 +117,7 @@
 	explore(t, func(w *world, seed uint64) {
 		const calmPart = 8 * time.Second
 		w.addressesStay = seed%2 == 0
-		s := newNeedy(w, seed)
+		s := newLimitedServer(w, seed)
 		time.Sleep(time.Second)
 		done := make(chan struct{})
 		go func() {
