--- a/pkg/coordinator/world_test.go
+++ b/pkg/coordinator/world_test.go
@@ -404,15 +404,34 @@
 // Call implements peer.Transport.
 func (n *worldNode) Call(ctx context.Context, address string, message peer.Message) (peer.Message, error) {
 	to := n.reach(address)
-	if !n.awake() || to == nil || !to.awake() {
+	if !n.awake() || to == nil {
 		return nil, hang(ctx)
 	}
 	n.delay(ctx)
-	reply, err := to.member.HandleMessage(ctx, api.NodeRef{}, message)
-	if !to.awake() || !n.awake() || ctx.Err() != nil {
+	answers := make(chan answered, 1)
+	go func() { // a frozen node reads it when it goes on, also after its caller gave up
+		if to.awake() {
+			reply, err := to.member.HandleMessage(ctx, api.NodeRef{}, message)
+			answers <- answered{reply, err, to.awake()}
+		}
+	}()
+	select {
+	case a := <-answers:
+		if !a.sent || !n.awake() || ctx.Err() != nil {
+			return nil, errLost
+		}
+		return a.reply, a.err
+	case <-ctx.Done():
+		n.awake()
 		return nil, errLost
 	}
-	return reply, err
+}
+
+// answered is what a node answers a call, and whether it got off.
+type answered struct {
+	reply peer.Message
+	err   error
+	sent  bool
 }
 
 // Send implements peer.Transport.
