--- a/pkg/coordinator/explore_quota_test.go
+++ b/pkg/coordinator/explore_quota_test.go
@@ -140,6 +140,14 @@
 	w.startNode(slices.Index(w.nodes, n))
 }
 
+// outOfReach cuts all nodes from each other while the store is down.
+func (w *world) outOfReach(d time.Duration) {
+	w.storeDown(d)
+	for _, n := range w.nodes {
+		n.cut(2, d)
+	}
+}
+
 // TestQUOTAWhileHoldersChange has the holder lost again and again, alone, with all other nodes, or
 // by a planned stop, at different intervals.
 func TestQUOTAWhileHoldersChange(t *testing.T) {
@@ -158,6 +166,7 @@
 			w.readsAfter = 300 * time.Millisecond
 			w.crashAll()
 		}},
+		{"most nodes and the store are out of reach", func(w *world) { w.outOfReach(2500 * time.Millisecond) }},
 		{"the holder freezes", func(w *world) { w.holding().freeze(3 * time.Second) }},
 	} {
 		for _, each := range []time.Duration{700 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second} {
--- a/pkg/coordinator/handover_test.go
+++ b/pkg/coordinator/handover_test.go
@@ -249,3 +249,29 @@
 		})
 	}
 }
+
+// TestHolderWithoutTheStoreEndsAsMostNodesLeaveIt: it lets in what quotas and limits of servers allow as long as
+// it is the holder, and so does the next one that most nodes ask.
+func TestHolderWithoutTheStoreEndsAsMostNodesLeaveIt(t *testing.T) {
+	const most = 2 * time.Second // after the last beat
+	bubble(t, func(t *testing.T) {
+		s := newSite(t, []string{"m0"})
+		s.fenced = true
+		n := s.start("a")
+		n.hold()
+		silence := beats(t, n, 3)
+		defer n.stop()
+		time.Sleep(5 * time.Second)
+		s.row.setDown(true)
+		time.Sleep(10 * time.Second)
+		if _, held := n.lease.Held(); !held {
+			t.Fatal("the holder does not go on without the store")
+		}
+		silence()
+		defer beats(t, n, 1)()
+		time.Sleep(most)
+		if _, held := n.lease.Held(); held {
+			t.Errorf("it goes on %v after most nodes asked it last", most)
+		}
+	})
+}
