coordinator: a holder without the store goes on only while most nodes asked it a moment ago

Guards against two holders that let in the same quota, and against the same for places, repeats and orders: a holder that the store does not answer counted nodes that had asked it in the last 3 s (nodeExpiry), though another one had the lease and they had left it. Nodes count that beat within 1.3 s now, as they did for slots at limited servers alone; one count serves both. It may be 500 ms old, for orders it was 300.

--- a/pkg/coordinator/handover.go
+++ b/pkg/coordinator/handover.go
@@ -15,9 +15,11 @@
 	// handoverTimeout bounds the wait for the last holder's word. One that is cut off or
 	// gone does not answer.
 	handoverTimeout = 400 * time.Millisecond
-	// followTime is how old the holder's count of its followers may be: two ticks and a
+	// followTime is how old the holder's count of its followers may be: two ticks and a long
 	// plan.
-	followTime = 3 * tickInterval
+	followTime = 500 * time.Millisecond
+	// followerTime is within which nodes count that beat, each second.
+	followerTime = beatInterval + 300*time.Millisecond
 	// latestOrder is how late an order may still be carried out.
 	latestOrder = 5 * time.Second
 )
@@ -28,9 +30,17 @@
 // adapterMark stands in the names of adapters.
 const adapterMark = "/"
 
-// countFollowers notes whether most nodes of the fleet beat to this holder.
+// countFollowers notes whether most nodes of the fleet beat to this holder a moment ago. Another one may have
+// the lease while the store does not answer this one. Servers refuse its orders by their fence, but nothing
+// refuses what it lets in by quotas and limits of servers: there is to be one at a time that most nodes ask.
 func (h *Holder) countFollowers(now time.Time) {
-	if 2*len(h.nodes) > h.fleet.known() {
+	beating := 0
+	for _, n := range h.nodes {
+		if now.Sub(n.seen) <= followerTime {
+			beating++
+		}
+	}
+	if 2*beating > h.fleet.known() {
 		h.followed.Store(&now)
 	}
 }
@@ -39,8 +49,13 @@
 // servers judge by the fence, so that a later holder ends it, and most nodes ask this one.
 // Safe for concurrent use.
 func (h *Holder) MayGoOn() bool {
+	return h.Fenced && h.isFollowed(h.Time.Now())
+}
+
+// isFollowed tells whether most nodes asked this holder a moment ago. Safe for concurrent use.
+func (h *Holder) isFollowed(now time.Time) bool {
 	at := h.followed.Load()
-	return h.Fenced && at != nil && h.Time.Since(*at) < followTime
+	return at != nil && now.Sub(*at) < followTime
 }
 
 // inheritIntents takes in orders of an earlier holder. Servers rest after them: two holders
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -98,7 +98,6 @@
 	quietUntil  time.Time                 // the last holder had all servers see its fence
 	guarding    bool                      // servers may get late orders of the last holder that no intent tells of
 	followed    atomic.Pointer[time.Time] // when most nodes were last known to follow; read by other goroutines
-	mostBeat    atomic.Pointer[time.Time] // when most nodes had beaten a moment ago; read by other goroutines
 	learnUntil  time.Time                 // when the nodes should have told what is in use
 	resumeAt    time.Time                 // when orders are given again after the store failed
 	scarceUntil time.Time                 // models wait for servers
@@ -188,7 +187,6 @@
 	h.expire(now)
 	h.watchCrowds(now)
 	h.countFollowers(now)
-	h.countBeating(now)
 	h.learn(now)
 	h.noteShort(now)
 	h.plan(now)
--- a/pkg/coordinator/slots.go
+++ b/pkg/coordinator/slots.go
@@ -92,39 +92,10 @@
 	return answer.Slot, nil
 }
 
-// A holder that the store does not answer may go on while another one has the lease already. Servers refuse its
-// orders by their fence; nothing refuses its slots. So the holder that most nodes beat to gives them out: there is
-// one at a time, but for the time that its knowledge of them is old.
-const (
-	// slotFollowers is within which nodes count that beat, each second.
-	slotFollowers = 1300 * time.Millisecond
-	// slotFollowTime is for how long their number counts: two ticks, and some.
-	slotFollowTime = 500 * time.Millisecond
-)
-
-// countBeating notes whether most nodes of the fleet beat to this holder a moment ago.
-func (h *Holder) countBeating(now time.Time) {
-	beating := 0
-	for _, n := range h.nodes {
-		if now.Sub(n.seen) <= slotFollowers {
-			beating++
-		}
-	}
-	if 2*beating > h.fleet.known() {
-		h.mostBeat.Store(&now)
-	}
-}
-
-// mayGiveSlots tells whether this holder gives out slots. Safe for concurrent use.
-func (h *Holder) mayGiveSlots(now time.Time) bool {
-	at := h.mostBeat.Load()
-	return at != nil && now.Sub(*at) <= slotFollowTime
-}
-
 // giveSlot gives out a slot. It does not wait for the holder's goroutine, which may be planning.
 func (h *Holder) giveSlot(now time.Time, a AskSlot) SlotAnswer {
 	term, held := h.Lease.Held()
-	if !held || !h.mayGiveSlots(now) {
+	if !held || !h.isFollowed(now) {
 		return SlotAnswer{}
 	}
 	h.slots.Begin(now, term)
