quota: a tenant stays scarce until nodes have asked the holder for a second

Guards against a full bucket that tells nothing: while neither the store nor most nodes answer a holder, nobody decides, and the bucket of a tenant that asks five times its quota fills within a second and a half. A tenant that was refused, or in debt, since it became scarce stays so until most nodes have asked the holder without a gap for as long as nobody must have been refused anyway (calmAfter).

Most nodes that ask are now counted with beats as well as with ticks, and for as long as a plan takes besides: where plans are long, ticks alone left gaps.

The other way, by argument: that all scarce tenants stay so was not taken, as each loss of all nodes would have all tenants asked about for a second or two.

--- a/pkg/coordinator/beats.go
+++ b/pkg/coordinator/beats.go
@@ -31,6 +31,7 @@
 		}
 	}
 	h.fleet.observe(now, len(h.nodes))
+	h.countFollowers(now)
 	h.store.take(now, b.Store)
 	if now.Before(h.scarceUntil) {
 		h.planSoon = true // a replica that went idle may make way
--- a/pkg/coordinator/handover.go
+++ b/pkg/coordinator/handover.go
@@ -15,8 +15,7 @@
 	// handoverTimeout bounds the wait for the last holder's word. One that is cut off or
 	// gone does not answer.
 	handoverTimeout = 400 * time.Millisecond
-	// followTime is how old the holder's count of its followers may be: two ticks and a long
-	// plan.
+	// followTime is how old the holder's count of its followers may be, besides the time of a plan.
 	followTime = 500 * time.Millisecond
 	// followerTime is within which nodes count that beat, each second.
 	followerTime = beatInterval + 300*time.Millisecond
@@ -34,15 +33,29 @@
 // the lease while the store does not answer this one. Servers refuse its orders by their fence, but nothing
 // refuses what it lets in by quotas and limits of servers: there is to be one at a time that most nodes ask.
 func (h *Holder) countFollowers(now time.Time) {
+	if now.Sub(h.counted) < tickInterval {
+		return
+	}
+	h.counted = now
 	beating := 0
 	for _, n := range h.nodes {
 		if now.Sub(n.seen) <= followerTime {
 			beating++
 		}
 	}
-	if 2*beating > h.fleet.known() {
-		h.followed.Store(&now)
+	if 2*beating <= h.fleet.known() {
+		return
 	}
+	next := following{since: now, until: now.Add(followTime + min(h.planTook, mostTickPause))}
+	if last := h.followed.Load(); last != nil && now.Before(last.until) {
+		next.since = last.since
+	}
+	h.followed.Store(&next)
+}
+
+// following is since when most nodes ask the holder, without a gap, and until when that counts.
+type following struct {
+	since, until time.Time
 }
 
 // MayGoOn tells whether this holder may give orders while the store does not answer:
@@ -54,8 +67,16 @@
 
 // isFollowed tells whether most nodes asked this holder a moment ago. Safe for concurrent use.
 func (h *Holder) isFollowed(now time.Time) bool {
-	at := h.followed.Load()
-	return at != nil && now.Sub(*at) < followTime
+	f := h.followed.Load()
+	return f != nil && now.Before(f.until)
+}
+
+// followedFor returns for how long most nodes have asked this holder; zero: they don't. Safe for concurrent use.
+func (h *Holder) followedFor(now time.Time) time.Duration {
+	if f := h.followed.Load(); f != nil && now.Before(f.until) {
+		return now.Sub(f.since)
+	}
+	return 0
 }
 
 // inheritIntents takes in orders of an earlier holder. Servers rest after them: two holders
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -97,7 +97,8 @@
 	taking      bool                      // the last holder is asked what it did without the store
 	quietUntil  time.Time                 // the last holder had all servers see its fence
 	guarding    bool                      // servers may get late orders of the last holder that no intent tells of
-	followed    atomic.Pointer[time.Time] // when most nodes were last known to follow; read by other goroutines
+	followed    atomic.Pointer[following] // read by other goroutines
+	counted     time.Time                 // when nodes that follow were counted
 	learnUntil  time.Time                 // when the nodes should have told what is in use
 	resumeAt    time.Time                 // when orders are given again after the store failed
 	scarceUntil time.Time                 // models wait for servers
@@ -135,7 +136,7 @@
 func (h *Holder) init() {
 	h.once.Do(func() {
 		h.requests = make(chan func(), 256)
-		h.quotas.Tolerance = h.Tolerance
+		h.quotas.Tolerance, h.quotas.Followed = h.Tolerance, h.followedFor
 		h.nextPlan = make(chan struct{})
 	})
 }
@@ -209,6 +210,7 @@
 	record, _ := h.Lease.Current()
 	now, storeNow := h.Time.Now(), h.Lease.Now()
 	h.expiredAt = now
+	h.followed.Store(nil)
 	h.fleet.begin(now, record.Fleet)
 	h.slack.Budget = h.Budget
 	h.slack.Begin(now)
--- a/pkg/quota/inherit.go
+++ b/pkg/quota/inherit.go
@@ -72,6 +72,7 @@
 	b := &bucket{rate: rate, at: p.began}
 	if one, scarce := p.inherited[tenant]; scarce {
 		b.level, b.scarce = min(one.Amount+rate*one.Age.Seconds(), 0), true
+		b.wanted = true
 		return b
 	}
 	b.level, b.credit = p.firstLevel()*size, rate*p.gap.Seconds()
--- a/pkg/quota/pool.go
+++ b/pkg/quota/pool.go
@@ -68,6 +68,9 @@
 // is ready, and Begin starts it anew. Safe for concurrent use.
 type Pool struct {
 	Tolerance Tolerance
+	// Followed returns for how long most nodes have asked this holder, without a gap; nil: always. It is called with
+	// the pool locked and is not to call it.
+	Followed func(now time.Time) time.Duration
 
 	mu      sync.Mutex
 	term    uint64
@@ -89,6 +92,7 @@
 	credit float64   // for what was spent before the term
 	at     time.Time // of the level
 	scarce bool
+	wanted bool // more was asked than it held, since it is scarce
 	// unrecorded is what was let in unasked since the lease's record was told of the bucket.
 	unrecorded float64
 	shares     *division // among routes; nil: not divided
@@ -125,12 +129,19 @@
 			b.shares.salt++ // who was unlucky in the last burst is not again
 		}
 		b.scarce = true
-	case b.level > plentyAbove*size && !b.hungry(now):
-		b.scarce = false
+	case b.level > plentyAbove*size && !b.hungry(now) && !(b.wanted && p.unseen(now)):
+		b.scarce, b.wanted = false, false
 	}
 	return b
 }
 
+// unseen tells whether this holder may not know what is asked of it: while nodes ask it in vain, or none
+// that may decide, the buckets of tenants that ask for more than their quotas fill, and seem to have plenty. The
+// caller holds mu.
+func (p *Pool) unseen(now time.Time) bool {
+	return p.Followed != nil && p.Followed(now) < calmAfter
+}
+
 // fill brings the level up to now.
 func (b *bucket) fill(now time.Time) {
 	if passed := now.Sub(b.at); passed > 0 {
@@ -187,6 +198,7 @@
 		amount -= credit
 	}
 	b.level -= amount
+	b.wanted = b.wanted || b.level < 0
 	b.unrecorded += amount
 	return amount
 }
@@ -226,7 +238,9 @@
 	defer p.mu.Unlock()
 	b := p.bucket(now, t)
 	b.divided(p.policy, p.term<<saltBits, &p.marks)
-	return b.draw(now, r)
+	answer := b.draw(now, r)
+	b.wanted = b.wanted || !answer.Granted
+	return answer
 }
 
 // Rooms returns what the routes of a tenant have, those that are given the most first, mostRooms at
@@ -261,6 +275,7 @@
 	b := p.bucket(now, t)
 	// A request that is larger than the bucket empties a full one.
 	if lacks := min(amount, b.size) - b.level; lacks > 0 {
+		b.wanted = true
 		return time.Duration(lacks / b.rate * float64(time.Second)), false
 	}
 	b.level -= amount
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -53,6 +53,44 @@
 	}
 }
 
+// TestATenantStaysScarceWhileNodesAskInVain: its bucket fills while nobody decides, which tells nothing of what it
+// asks.
+func TestATenantStaysScarceWhileNodesAskInVain(t *testing.T) {
+	one := limited()
+	for _, test := range []struct {
+		name   string
+		refuse bool // one is, before nodes ask in vain
+		want   bool
+	}{
+		{"it asked for more than there was", true, true},
+		{"it did not", false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p, now := fullPool()
+			followed := 10 * time.Second
+			p.Followed = func(time.Time) time.Duration { return followed }
+			for range 9 {
+				p.Draw(now, one, 100)
+			}
+			if test.refuse {
+				p.Draw(now, one, 200)
+			}
+			scarce := func() bool { return len(p.Scarce(now, table(t, one))) > 0 }
+			if !scarce() {
+				t.Fatal("it is not scarce")
+			}
+			followed, now = 0, now.Add(2*time.Second)
+			if got := scarce(); got != test.want {
+				t.Errorf("scarce as most nodes ask again: %t, want %t", got, test.want)
+			}
+			followed, now = calmAfter, now.Add(calmAfter)
+			if scarce() {
+				t.Error("still scarce after they asked for no more than there is")
+			}
+		})
+	}
+}
+
 // TestPoolLetsADebtBePaidOffFirst: what was spent without asking counts.
 func TestPoolLetsADebtBePaidOffFirst(t *testing.T) {
 	one := limited()
--- a/pkg/quota/shares.go
+++ b/pkg/quota/shares.go
@@ -77,8 +77,8 @@
 	maxHorizon = 4 * time.Second
 	// weighEach is how often weights follow demand.
 	weighEach = 100 * time.Millisecond
-	// calmAfter is how long nobody must have been refused before nodes let requests in unasked
-	// again: as beats are a second apart, the burst would else run a second's worth beyond the quota.
+	// calmAfter is how long nobody must have been refused, and most nodes must have asked, before nodes let
+	// requests in unasked again: as beats are a second apart, the burst would else run a second's worth beyond the quota.
 	calmAfter = time.Second
 	// noPressure and fullPressure are how many times the quota is asked where routes keep the least
 	// of what they may keep (leastPressure of it), and where they keep all. Near the quota it is
