--- a/pkg/coordinator/explore_quota_test.go
+++ b/pkg/coordinator/explore_quota_test.go
@@ -166,34 +166,46 @@
 			w.readsAfter = 300 * time.Millisecond
 			w.crashAll()
 		}},
-		{"most nodes and the store are out of reach", func(w *world) { w.outOfReach(2500 * time.Millisecond) }},
 		{"the holder freezes", func(w *world) { w.holding().freeze(3 * time.Second) }},
 	} {
 		for _, each := range []time.Duration{700 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second} {
-			t.Run(c.name+" each "+each.String(), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					w := newWorld(t, 1)
-					w.addressesStay = true
-					w.crashAll()
-					g := newGreedy(w, 1)
-					time.Sleep(3 * time.Second)
-					done := make(chan struct{})
-					go func() {
-						defer close(done)
-						g.flood(manyTerms)
-					}()
-					for began := time.Now(); time.Since(began) < manyTerms; time.Sleep(each) {
-						c.lose(w)
-					}
-					<-done
-					g.judge()
-					w.stopNodes()
-				})
-			})
+			t.Run(c.name+" each "+each.String(), func(t *testing.T) { playGreedy(t, each, c.lose) })
 		}
 	}
 }
 
+// TestQUOTAWhileNothingIsInReach has all nodes cut from each other while the store is down, from the moment on at
+// which the tenant becomes hot.
+func TestQUOTAWhileNothingIsInReach(t *testing.T) {
+	for _, each := range []time.Duration{700 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second} {
+		t.Run("each "+each.String(), func(t *testing.T) {
+			playGreedy(t, each, func(w *world) { w.outOfReach(2500 * time.Millisecond) })
+		})
+	}
+}
+
+// playGreedy has something done to the nodes again and again beside a tenant that sends more than its quota.
+func playGreedy(t *testing.T, each time.Duration, harm func(w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+		w.addressesStay = true
+		w.crashAll()
+		g := newGreedy(w, 1)
+		time.Sleep(3 * time.Second)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			g.flood(manyTerms)
+		}()
+		for began := time.Now(); time.Since(began) < manyTerms; time.Sleep(each) {
+			harm(w)
+		}
+		<-done
+		g.judge()
+		w.stopNodes()
+	})
+}
+
 // playLosses has the explorer's faults, and losses of all nodes at once, happen, and ends them.
 func (w *world) playLosses() {
 	for time.Since(w.row.started) < faultTime {
