--- a/pkg/coordinator/handover_test.go
+++ b/pkg/coordinator/handover_test.go
@@ -273,5 +273,11 @@
 		if _, held := n.lease.Held(); held {
 			t.Errorf("it goes on %v after most nodes asked it last", most)
 		}
+		if reply, err := n.holder.HandleMessage(t.Context(), api.NodeRef{}, Borrow{Service: "s"}); err != nil || reply.(BorrowAnswer).Term != 0 {
+			t.Errorf("it lends repeats then: %+v, %v", reply, err)
+		}
+		if answer := n.takeSlot(t, "server-0", 1); answer.Term != 0 {
+			t.Errorf("it gives out slots then: %+v", answer)
+		}
 	})
 }
