coordinator, backend: what a server said to one node survives the holder, and reaches nodes that list it later

Cause, by the explorer: a node tells the holder a word once. A holder that was lost before it told the others took it along; a holder or a node that did not list the server yet passed over it. So nodes went on sending to a server that leaves, or by their own counts to one that names a limit, until it told each of them itself.

Nodes tell the holder of a new term all that they believe of servers that leave or name limits, 64 a beat. What is told of a server that is not listed is kept as what servers said that are gone for a moment is (departedTime, mostDeparted), and the holder passes it on, a minute after it knew it at most.

A beat costs nothing more but for the first one of a term.

--- a/pkg/backend/pressure.go
+++ b/pkg/backend/pressure.go
@@ -42,23 +42,33 @@
 
 // believeSignals has signals change what is believed, and returns the change.
 func (c *Condition) believeSignals(now time.Time, take func(*backpressure.State) backpressure.Change) Heard {
-	p := c.pressure
+	h := c.pressure.take(now, c.id, take)
+	if h.Change&backpressure.Left != 0 {
+		c.moved()
+	}
+	return h
+}
+
+// take has signals of a server change what is believed, and returns the change.
+func (p *pressure) take(now time.Time, server string, take func(*backpressure.State) backpressure.Change) Heard {
 	p.mu.Lock()
-	h := Heard{Server: c.id, Change: take(&p.state), Belief: p.state.Belief(), Rest: p.state.Rest(now)}
+	defer p.mu.Unlock()
+	h := Heard{Server: server, Change: take(&p.state), Belief: p.state.Belief(), Rest: p.state.Rest(now)}
 	p.asking.Store(p.state.Asks())
-	p.mu.Unlock()
 	if h.Change&backpressure.Left != 0 {
 		p.leavingSince.CompareAndSwap(nil, &now)
-		c.moved()
 	}
 	return h
 }
 
-// Tell takes in what another node believes of a server by its signals, and returns what it changed.
+// Tell takes in what another node believes of a server by its signals, and returns what it changed. It counts for a
+// server that is not listed yet as soon as it is.
 func (d *Directory) Tell(server string, b backpressure.Belief) Heard {
 	m := d.Snapshot().Member(server)
 	if m == nil {
-		return Heard{Server: server}
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.departed.tell(d.Time.Now(), server, b)
 	}
 	return m.believeSignals(d.Time.Now(), func(s *backpressure.State) backpressure.Change { return s.Tell(b) })
 }
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -71,10 +71,10 @@
 	nodes       map[string]*nodeState
 	fleet       fleet
 	slack       relay.SlackPool
-	turns       quarantine.Turns               // of suspected requests
-	paces       paces                          // of servers
-	said        changeLog[backpressure.Belief] // by servers, by their lives
-	quotas      quota.Pool                     // safe for other goroutines than the holder's
+	turns       quarantine.Turns // of suspected requests
+	paces       paces            // of servers
+	said        changeLog[noted] // by servers, by their lives
+	quotas      quota.Pool       // safe for other goroutines than the holder's
 	places      holderPlaces
 	slots       backpressure.Slots // at servers with a limit; safe for other goroutines than the holder's
 	scarceTold  []string           // tenants for which the nodes were told to ask
@@ -216,7 +216,7 @@
 	h.slack.Begin(now)
 	h.turns = quarantine.Turns{}
 	h.paces = paces{}
-	h.beginSaid()
+	h.beginSaid(now)
 	h.Quarantine.Keep(now, record.Aged(storeNow))
 	h.scarceTold, h.spentBefore = nil, nil
 	h.beginPlaces(now, term)
--- a/pkg/coordinator/pressure.go
+++ b/pkg/coordinator/pressure.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"iter"
 	"sync"
 	"time"
 
@@ -49,7 +50,8 @@
 const (
 	// mostSaid is how many servers one message tells of; the rest follow with the next.
 	mostSaid = 64
-	// saidTime is after how long a limit that ended is forgotten by the holder: all nodes were told.
+	// saidTime is after how long the holder forgets a limit that ended, or a server that it does not list: all
+	// nodes were told.
 	saidTime = time.Minute
 )
 
@@ -85,6 +87,13 @@
 	return list
 }
 
+// retell has all that is believed told once more: what the last holder was told may have gone no further.
+func (l *hearings) retell(servers *backend.Directory) {
+	for id, b := range believed(servers) {
+		l.add(id, b)
+	}
+}
+
 // giveBack takes back words that did not reach the holder, unless there are newer ones.
 func (l *hearings) giveBack(now time.Time, list []Said) {
 	l.mu.Lock()
@@ -139,6 +148,9 @@
 			}
 		}
 	}
+	if m.saidKnown.Term != answer.SaidVersion.Term {
+		m.hearings.retell(m.Servers)
+	}
 	m.saidKnown = answer.SaidVersion
 }
 
@@ -151,34 +163,47 @@
 			logHeard(h.Logger, told, b.Node.Name)
 		}
 		if told.Change != 0 || own { // this node's own are known
-			h.noteSaid(s.Server)
+			h.noteSaid(now, s.Server, told.Belief)
 		}
 	}
 	known := uint64(0)
 	if b.KnowsSaid.Term == h.term {
 		known = b.KnowsSaid.Number
 	}
-	ids, number := h.said.since(known, mostSaid, func(backpressure.Belief) bool { return true })
+	ids, number := h.said.since(known, mostSaid, func(noted) bool { return true })
 	for _, id := range ids {
-		answer.Said = append(answer.Said, newSaid(now, id, *h.said.get(id)))
+		answer.Said = append(answer.Said, newSaid(now, id, h.said.get(id).belief))
 	}
 	answer.SaidVersion = SaidVersion{h.term, number}
 }
 
-// noteSaid has nodes told what this node believes of a server now.
-func (h *Holder) noteSaid(server string) {
-	if m := h.Servers.Snapshot().Member(server); m != nil {
-		h.said.set(server, m.Belief())
-		h.planSoon = true // other servers are to hold what it holds
-	}
+// noted is what nodes are to be told of a server, since a time.
+type noted struct {
+	belief backpressure.Belief
+	at     time.Time
+}
+
+// noteSaid has nodes told what this node believes of a server now, which it may not list yet.
+func (h *Holder) noteSaid(now time.Time, server string, b backpressure.Belief) {
+	h.said.set(server, noted{b, now})
+	h.planSoon = true // other servers are to hold what it holds
 }
 
 // beginSaid has nodes told in a new term what this node believes of servers.
-func (h *Holder) beginSaid() {
-	h.said = changeLog[backpressure.Belief]{}
-	for id, m := range h.Servers.Snapshot().Members() {
-		if b := m.Belief(); b.Limited || b.Leaving {
-			h.noteSaid(id)
+func (h *Holder) beginSaid(now time.Time) {
+	h.said = changeLog[noted]{}
+	for id, b := range believed(h.Servers) {
+		h.noteSaid(now, id, b)
+	}
+}
+
+// believed yields the servers that name a limit or leave by what this node believes.
+func believed(servers *backend.Directory) iter.Seq2[string, backpressure.Belief] {
+	return func(yield func(string, backpressure.Belief) bool) {
+		for id, m := range servers.Snapshot().Members() {
+			if b := m.Belief(); (b.Limited || b.Leaving) && !yield(id, b) {
+				return
+			}
 		}
 	}
 }
@@ -186,7 +211,8 @@
 // expireSaid forgets limits that ended, and servers that are gone.
 func (h *Holder) expireSaid(now time.Time) {
 	snapshot := h.Servers.Snapshot()
-	h.said.forget(func(id string, b backpressure.Belief) bool {
-		return snapshot.Member(id) == nil || !b.Limited && !b.Leaving && now.Sub(b.LimitAt) > saidTime
+	h.said.forget(func(id string, n noted) bool {
+		over := snapshot.Member(id) == nil || !n.belief.Limited && !n.belief.Leaving
+		return over && now.Sub(n.at) > saidTime
 	})
 }
