--- a/pkg/coordinator/handover.go
+++ b/pkg/coordinator/handover.go
@@ -43,14 +43,18 @@
 			beating++
 		}
 	}
-	if 2*beating <= h.fleet.known() {
-		return
+	last := h.followers(now)
+	if most := 2*beating > h.fleet.known(); most {
+		next := following{since: now, until: now.Add(followTime + min(h.planTook, mostTickPause))}
+		if last != nil {
+			next.since = last.since
+		}
+		h.followed.Store(&next)
 	}
-	next := following{since: now, until: now.Add(followTime + min(h.planTook, mostTickPause))}
-	if last := h.followed.Load(); last != nil && now.Before(last.until) {
-		next.since = last.since
+	if is := h.isFollowed(now); is != h.toldFollowed {
+		h.toldFollowed = is
+		h.Logger.Info("most nodes ask this holder", "is", is, "asked", beating, "fleet", h.fleet.known(), "term", h.term)
 	}
-	h.followed.Store(&next)
 }
 
 // following is since when most nodes ask the holder, without a gap, and until when that counts.
@@ -67,18 +71,25 @@
 
 // isFollowed tells whether most nodes asked this holder a moment ago. Safe for concurrent use.
 func (h *Holder) isFollowed(now time.Time) bool {
-	f := h.followed.Load()
-	return f != nil && now.Before(f.until)
+	return h.followers(now) != nil
 }
 
 // followedFor returns for how long most nodes have asked this holder; zero: they don't. Safe for concurrent use.
 func (h *Holder) followedFor(now time.Time) time.Duration {
-	if f := h.followed.Load(); f != nil && now.Before(f.until) {
+	if f := h.followers(now); f != nil {
 		return now.Sub(f.since)
 	}
 	return 0
 }
 
+// followers returns since when most nodes have asked this holder, nil if they don't. Safe for concurrent use.
+func (h *Holder) followers(now time.Time) *following {
+	if f := h.followed.Load(); f != nil && now.Before(f.until) {
+		return f
+	}
+	return nil
+}
+
 // inheritIntents takes in orders of an earlier holder. Servers rest after them: two holders
 // are not to take turns, and they may still be carried out. Those of an earlier life of this
 // node, which is no other holder, are waited for only where servers check no fences.
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -94,19 +94,21 @@
 	fetches        []time.Time              // starts of loads from the weight store
 	store          storeLimit               // how many of them go at full speed at once
 
-	taking      bool                      // the last holder is asked what it did without the store
-	quietUntil  time.Time                 // the last holder had all servers see its fence
-	guarding    bool                      // servers may get late orders of the last holder that no intent tells of
-	followed    atomic.Pointer[following] // read by other goroutines
-	counted     time.Time                 // when nodes that follow were counted
-	learnUntil  time.Time                 // when the nodes should have told what is in use
-	resumeAt    time.Time                 // when orders are given again after the store failed
-	scarceUntil time.Time                 // models wait for servers
-	failing     time.Time                 // since when no order could be written; zero: the last one was
-	planned     time.Time                 // the end of the last plan
-	nextPlan    chan struct{}             // closed when the next plan is done
-	planTook    time.Duration
-	expected    map[string]map[string]time.Time // when queued models will be ready, by service
+	taking     bool                      // the last holder is asked what it did without the store
+	quietUntil time.Time                 // the last holder had all servers see its fence
+	guarding   bool                      // servers may get late orders of the last holder that no intent tells of
+	followed   atomic.Pointer[following] // read by other goroutines
+	counted    time.Time                 // when nodes that follow were counted
+	// toldFollowed is whether most nodes ask, as the log was told.
+	toldFollowed bool
+	learnUntil   time.Time     // when the nodes should have told what is in use
+	resumeAt     time.Time     // when orders are given again after the store failed
+	scarceUntil  time.Time     // models wait for servers
+	failing      time.Time     // since when no order could be written; zero: the last one was
+	planned      time.Time     // the end of the last plan
+	nextPlan     chan struct{} // closed when the next plan is done
+	planTook     time.Duration
+	expected     map[string]map[string]time.Time // when queued models will be ready, by service
 }
 
 // Ceiling bounds the loads from the weight store in any window.
