coordinator: a holder passes on what nodes tell again of servers, though it knew it

Cause: a node that became the holder knew from the last one that a server leaves, but did not list the server just then, so that it was not among what nodes were to be told; when another node told it once more nothing changed, and it told nobody.

--- a/pkg/coordinator/pressure.go
+++ b/pkg/coordinator/pressure.go
@@ -162,7 +162,7 @@
 		if told.Change != 0 {
 			logHeard(h.Logger, told, b.Node.Name)
 		}
-		if told.Change != 0 || own { // this node's own are known
+		if told.Change != 0 || own || h.said.get(s.Server) == nil { // this node's own are known, as are the last term's
 			h.noteSaid(now, s.Server, told.Belief)
 		}
 	}
