--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -406,6 +406,7 @@
 		return err
 	}
 	if !t.Replace(all, 0) {
+		t.Logger.Warn("table read is older than known", "table", t.Name, "read", all.Version, "known", t.Version(), "rows", len(all.Records))
 		return errors.Errorf("watch: table %s is older than known: %d", t.Name, all.Version)
 	}
 	return nil
