watch, platform: what the store tells is ordered by its epoch, then by its version

Callers saw confirmed changes that were not in force, and requests at servers that had said they leave, for up to 23 s after the store came back from a copy.

Cause: all that is kept from the store was ordered by its version alone, on the word that it never goes back. A table read anew was refused as older until the versions had passed those of before ('table read is older than known', read 11, known 57); where they had passed them before a node asked, no 410 came and rows given out again below them were lacking for good. Ruled out: calls that are not answered (all were, from 19 s on), rows passed over one by one.

Now one type orders it, revision.Revision, in place of each bare version: the epoch in its high bits, the version below. A store that never came back has the epoch zero, so that builds of before tell and read the same. Answers of an earlier epoch, or of none once one was told, count as none; changes after a number of another epoch, and a table whose pages are of two, are read anew. Other nodes are told only what the store has. Followers take the new epoch part by part from those they follow.

--- a/pkg/backend/directory.go
+++ b/pkg/backend/directory.go
@@ -8,18 +8,19 @@
 
 	"martenwheel.dev/pkg/backpressure"
 	"martenwheel.dev/pkg/clock"
+	"martenwheel.dev/pkg/revision"
 )
 
 // Snapshot is the servers known at one moment. It is immutable.
 type Snapshot struct {
-	version  uint64
+	version  revision.Revision
 	at       time.Time
 	services map[string][]*Member
 	members  map[string]*Member
 }
 
 // Version returns the version of the list that the snapshot was made from.
-func (s *Snapshot) Version() uint64 { return s.version }
+func (s *Snapshot) Version() revision.Revision { return s.version }
 
 // At returns when the snapshot was taken.
 func (s *Snapshot) At() time.Time { return s.at }
@@ -122,7 +123,7 @@
 
 // Replace takes in the whole list of servers. Lives of servers that are missing get no
 // new requests from now on, also if the next life of the server is in the list.
-func (d *Directory) Replace(servers []*Server, version uint64) {
+func (d *Directory) Replace(servers []*Server, version revision.Revision) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	old := d.Snapshot()
--- a/pkg/backend/pressure_test.go
+++ b/pkg/backend/pressure_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"martenwheel.dev/pkg/backpressure"
+	"martenwheel.dev/pkg/revision"
 )
 
 // testSignals reads words as the tests' servers tell them.
@@ -102,7 +103,7 @@
 // TestWhatAServerSaidOutlivesAGapInTheList: the row of a server lapses and is back, as while the store is away; that
 // of another life is not taken for it.
 func TestWhatAServerSaidOutlivesAGapInTheList(t *testing.T) {
-	row := func(address string, version uint64) []*Server {
+	row := func(address string, version revision.Revision) []*Server {
 		return []*Server{{ID: "i-1~1", Service: "s", Address: address, Version: version}}
 	}
 	for name, c := range map[string]struct {
--- a/pkg/backend/server.go
+++ b/pkg/backend/server.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"martenwheel.dev/pkg/revision"
 )
 
 // Server is what the platform tells of one life of a server. It is immutable.
@@ -21,9 +23,10 @@
 	// ColdUntil is when it stops to be cold after a start; zero: it is not.
 	ColdUntil time.Time
 	Models    []Holding
-	InMemory  []string // models whose weights lie in the server's memory
-	OnDisk    []string // models whose weights lie on its disk
-	Version   uint64   // of the record that tells this
+	InMemory  []string          // models whose weights lie in the server's memory
+	OnDisk    []string          // models whose weights lie on its disk
+	Version   revision.Revision // of the record that tells this
+	Written   float64           // the server's own count as it wrote the record, which rises in one life
 }
 
 // Life returns which life of a server this is.
--- a/pkg/coordinator/fatalload_test.go
+++ b/pkg/coordinator/fatalload_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/revision"
 )
 
 // TestALoadThatEndsServersIsPutOff: a model's weights end each server that loads them. Without
@@ -20,7 +21,7 @@
 		defer n.stop()
 		n.hold()
 		ended := make(map[string]bool)
-		lives, version := 0, uint64(1)
+		lives, version := 0, revision.Revision(1)
 		end := func(id string) {
 			ended[id] = true
 			lives++
--- a/pkg/coordinator/holder_test.go
+++ b/pkg/coordinator/holder_test.go
@@ -7,6 +7,7 @@
 
 	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/lease"
+	"martenwheel.dev/pkg/revision"
 )
 
 // wishUntil tells the wish again, as nodes do, until a server holds the model.
@@ -398,7 +399,7 @@
 func TestLIMITAnOrderInDoubtBeyondTheServersCount(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		s := newSite(t, []string{"m0"}, []string{"m0"})
-		tell := func(version uint64, adapters ...[]string) {
+		tell := func(version revision.Revision, adapters ...[]string) {
 			var list []*backend.Server
 			for i, names := range adapters {
 				record := *s.list[i]
--- a/pkg/coordinator/server.go
+++ b/pkg/coordinator/server.go
@@ -8,15 +8,16 @@
 	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/engine"
 	"martenwheel.dev/pkg/lease"
+	"martenwheel.dev/pkg/revision"
 )
 
 // serverState is what the holder knows of one life of a server.
 type serverState struct {
 	id         string
-	member     *backend.Member // nil: gone
-	removed    bool            // the platform does not list it any more
-	sequence   uint64          // orders that it has surely taken
-	version    uint64          // of the record that was taken in
+	member     *backend.Member   // nil: gone
+	removed    bool              // the platform does not list it any more
+	sequence   uint64            // orders that it has surely taken
+	version    revision.Revision // of the record that was taken in
 	holds      map[string]*holding
 	cached     map[string]tier // copies of weights near it
 	quietUntil time.Time       // orders of another holder may have just come
--- a/pkg/coordinator/world_test.go
+++ b/pkg/coordinator/world_test.go
@@ -20,6 +20,7 @@
 	"martenwheel.dev/pkg/policy"
 	"martenwheel.dev/pkg/quarantine"
 	"martenwheel.dev/pkg/relay"
+	"martenwheel.dev/pkg/revision"
 	"martenwheel.dev/pkg/route"
 )
 
@@ -193,7 +194,7 @@
 
 // follow takes in the records of the servers, which lag.
 func (n *worldNode) follow(ctx context.Context) {
-	for version := uint64(1); ctx.Err() == nil; version++ {
+	for version := revision.Revision(1); ctx.Err() == nil; version++ {
 		list := n.world.records(version)
 		time.Sleep(n.world.between(50*time.Millisecond, 900*time.Millisecond))
 		if n.reachesStore() {
@@ -203,7 +204,7 @@
 }
 
 // records returns what the store tells of the servers.
-func (w *world) records(version uint64) []*backend.Server {
+func (w *world) records(version revision.Revision) []*backend.Server {
 	w.engines.mu.Lock()
 	defer w.engines.mu.Unlock()
 	var list []*backend.Server
--- a/pkg/lease/copied_test.go
+++ b/pkg/lease/copied_test.go
@@ -10,13 +10,6 @@
 // comeBack has the store hold what it did when a copy was made.
 func (m *memory) comeBack(copied Stored) { m.set(func() { m.stored = copied }) }
 
-// copied returns what the store holds.
-func (m *memory) copied() Stored {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.stored
-}
-
 // termsOf notes which lives held which terms.
 type termsOf struct {
 	mu    sync.Mutex
--- a/pkg/relay/lives_test.go
+++ b/pkg/relay/lives_test.go
@@ -7,6 +7,7 @@
 
 	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/quarantine"
+	"martenwheel.dev/pkg/revision"
 	"martenwheel.dev/pkg/route"
 )
 
@@ -45,7 +46,7 @@
 	l.born++
 	next := *l.servers[0]
 	next.ID = backend.Life{Instance: next.ID, Born: l.born}.ID()
-	next.Version = uint64(l.born)
+	next.Version = revision.Revision(l.born)
 	l.relay.Servers.Replace([]*backend.Server{&next}, next.Version)
 }
 
--- a/pkg/site/suspension_test.go
+++ b/pkg/site/suspension_test.go
@@ -14,6 +14,7 @@
 	"martenwheel.dev/pkg/lease"
 	"martenwheel.dev/pkg/quarantine"
 	"martenwheel.dev/pkg/quota"
+	"martenwheel.dev/pkg/revision"
 	"martenwheel.dev/pkg/storeclock"
 	"martenwheel.dev/pkg/tenant"
 	"martenwheel.dev/pkg/watch"
@@ -111,7 +112,7 @@
 		},
 		"a table": func(_ *testing.T, c clock.Clock) func() bool {
 			table := &watch.Table{Name: "t", Time: c, Bound: 2 * time.Second, Logger: hclog.NewNullLogger(),
-				Apply: func(map[string]watch.Record, uint64) {}}
+				Apply: func(map[string]watch.Record, revision.Revision) {}}
 			table.Replace(watch.Page{Version: 1}, 0)
 			return func() bool { return table.Age() < sleep }
 		},
--- a/pkg/watch/follow.go
+++ b/pkg/watch/follow.go
@@ -10,6 +10,7 @@
 
 	"martenwheel.dev/pkg/clock"
 	"martenwheel.dev/pkg/peer"
+	"martenwheel.dev/pkg/revision"
 )
 
 // Follow asks a node to pass on what changes in some tables for followTime. It is told again before
@@ -305,7 +306,7 @@
 }
 
 // fill asks for parts, or for what changed in them since a version, unless some are on their way.
-func (h *Hub) fill(ctx context.Context, t *Table, address string, parts Parts, after uint64) {
+func (h *Hub) fill(ctx context.Context, t *Table, address string, parts Parts, after revision.Revision) {
 	if !t.pulling.CompareAndSwap(false, true) {
 		return
 	}
@@ -324,7 +325,7 @@
 
 // pull asks a node for parts of a table, or for what changed in them since a version. Each message
 // has a time of its own: parts that came are kept if the next one does not.
-func (h *Hub) pull(ctx context.Context, t *Table, address string, parts Parts, after uint64) error {
+func (h *Hub) pull(ctx context.Context, t *Table, address string, parts Parts, after revision.Revision) error {
 	for parts != 0 {
 		answer, err := h.pullOnce(ctx, address, Pull{Table: t.Name, Parts: parts, After: after})
 		if err != nil {
--- a/pkg/watch/hold.go
+++ b/pkg/watch/hold.go
@@ -1,8 +1,9 @@
 package watch
 
 import (
-	"maps"
 	"time"
+
+	"martenwheel.dev/pkg/revision"
 )
 
 // wants returns the parts that the node is to hold. The caller holds mu.
@@ -18,7 +19,7 @@
 
 // lacks returns the parts that are to be held and are not here, and those that are here with the
 // version of what is known of them.
-func (t *Table) lacks() (missing, held Parts, version uint64) {
+func (t *Table) lacks() (missing, held Parts, version revision.Revision) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.missing(), t.held, t.version
@@ -112,15 +113,7 @@
 	if parts == 0 {
 		return true
 	}
-	if t.rows == nil {
-		t.rows = make(map[string]Record)
-	}
-	maps.DeleteFunc(t.rows, func(key string, _ Record) bool { return parts.Holds(key) })
-	for _, r := range page.Records {
-		if parts.Holds(r.Key) {
-			t.rows[r.Key] = r
-		}
-	}
+	t.takeWhole(parts, page)
 	t.merged(parts, page, age)
 	t.Apply(t.rows, t.version)
 	return true
@@ -135,6 +128,15 @@
 	}
 	t.lasts.note(parts, page.Version)
 	t.recent.reset(page.Version)
+	// Of rows taken in one part after the other, no more is known than of the oldest.
+	oldest := page.Version
+	for i := range others.each() {
+		oldest = min(oldest, t.floors[i])
+	}
+	if oldest > t.version {
+		t.enter(oldest)
+		t.version = oldest
+	}
 	switch at := t.Time.Now().Add(-age); {
 	case others == 0:
 		t.confirm(age, page)
@@ -144,14 +146,6 @@
 			t.asOf = page.AsOf
 		}
 	}
-	// Of rows taken in one part after the other, no more is known than of the oldest.
-	oldest := page.Version
-	for i := range others.each() {
-		oldest = min(oldest, t.floors[i])
-	}
-	if oldest > t.version {
-		t.version = oldest
-	}
 	if others == 0 || oldest == page.Version {
 		t.gapSince, t.reread = time.Time{}, false
 	}
--- a/pkg/watch/hub.go
+++ b/pkg/watch/hub.go
@@ -13,6 +13,7 @@
 
 	"martenwheel.dev/pkg/clock"
 	"martenwheel.dev/pkg/peer"
+	"martenwheel.dev/pkg/revision"
 )
 
 // Node is a node of the site as the hub needs it.
@@ -30,8 +31,8 @@
 // those that come with it.
 type News struct {
 	Table   string
-	After   uint64
-	Version uint64
+	After   revision.Revision
+	Version revision.Revision
 	Records []byte // packed; empty: none
 	Age     time.Duration
 	AsOf    time.Duration // by the store's clock, see Page
@@ -44,14 +45,14 @@
 // Pull asks a node for parts of a table.
 type Pull struct {
 	Table string
-	Parts Parts  // zero: the whole table in one answer, as earlier builds ask
-	After uint64 // what changed after this version will do; zero: it won't
+	Parts Parts             // zero: the whole table in one answer, as earlier builds ask
+	After revision.Revision // what changed after this version will do; zero: it won't
 }
 
 // PullAnswer is some of the parts that were asked for. Known is false if the node has none.
 type PullAnswer struct {
 	Known   bool
-	Version uint64
+	Version revision.Revision
 	Records []byte // packed; the whole table, for earlier builds and of them
 	Age     time.Duration
 	AsOf    time.Duration // by the store's clock, see Page
--- a/pkg/watch/lag_test.go
+++ b/pkg/watch/lag_test.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"martenwheel.dev/pkg/peer"
+	"martenwheel.dev/pkg/revision"
 	"martenwheel.dev/pkg/storeclock"
 )
 
@@ -30,7 +31,7 @@
 	frozen map[string]time.Time // until when
 	cut    map[string]time.Time // from the store, until when
 	hides  time.Time            // until when the store hides changes
-	hidden uint64               // the last version that it shows meanwhile
+	hidden revision.Revision    // the last version that it shows meanwhile
 	acked  []time.Time          // of the versions, from 1
 	calm   bool                 // nothing is lost, and only messages to those named are late
 	late   map[string]time.Duration
@@ -127,7 +128,7 @@
 	return c.stamped(func() (Page, error) { return caller{c.name, c.store}.Read(ctx, table) })
 }
 
-func (c roughCaller) Feed(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error) {
+func (c roughCaller) Feed(ctx context.Context, table string, after revision.Revision, wait time.Duration) (Page, error) {
 	return c.stamped(func() (Page, error) {
 		p, err := caller{c.name, c.store}.Feed(ctx, table, after, wait)
 		c.mu.Lock()
@@ -198,7 +199,7 @@
 		var mu sync.Mutex
 		value := 0
 		table := &Table{Name: "t", Source: roughCaller{r, node.Name, clock}, Clock: clock, Bound: bound, Refresh: bound / 4,
-			Logger: hclog.NewNullLogger(), Apply: func(rows map[string]Record, _ uint64) {
+			Logger: hclog.NewNullLogger(), Apply: func(rows map[string]Record, _ revision.Revision) {
 				mu.Lock()
 				defer mu.Unlock()
 				value, _ = strconv.Atoi(string(rows["a"].Value))
@@ -218,7 +219,7 @@
 func TestLagOfAStoreThatHasJustStarted(t *testing.T) {
 	clock := &storeclock.Clock{}
 	clock.Observe(time.Now(), 0)
-	table := &Table{Clock: clock, Apply: func(map[string]Record, uint64) {}}
+	table := &Table{Clock: clock, Apply: func(map[string]Record, revision.Revision) {}}
 	if lag, known := table.Lag(); known {
 		t.Errorf("before anything was read the lag is %v", lag)
 	}
--- a/pkg/watch/late_test.go
+++ b/pkg/watch/late_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"martenwheel.dev/pkg/revision"
 )
 
 // After an outage of the store all that changed meanwhile comes with the first feed, which has half a
@@ -20,7 +22,7 @@
 // mostRows is how many rows the link carries in the time of a call.
 const mostRows = 100
 
-func (s slowLink) Feed(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error) {
+func (s slowLink) Feed(ctx context.Context, table string, after revision.Revision, wait time.Duration) (Page, error) {
 	page, err := s.caller.Feed(ctx, table, after, wait)
 	if len(page.Records) > mostRows {
 		<-ctx.Done()
--- a/pkg/watch/pull_test.go
+++ b/pkg/watch/pull_test.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"martenwheel.dev/pkg/peer"
+	"martenwheel.dev/pkg/revision"
 )
 
 // A node that lacks a table asks for it whole. On a site of 302 nodes before 3,000 servers that is
@@ -42,7 +43,7 @@
 func TestANodeAsksForAWholeTableOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		transport := &slowPulls{took: 500 * time.Millisecond}
-		table := &Table{Name: "t", Bound: bound, Apply: func(map[string]Record, uint64) {}, Logger: hclog.NewNullLogger()}
+		table := &Table{Name: "t", Bound: bound, Apply: func(map[string]Record, revision.Revision) {}, Logger: hclog.NewNullLogger()}
 		h := &Hub{Tables: []*Table{table}, Transport: transport, Logger: hclog.NewNullLogger()}
 		for range 80 {
 			go func() { _, _, _ = h.Handle(t.Context(), News{Table: "t", After: 5, Version: 6, Watcher: "w"}) }()
--- a/pkg/watch/recent.go
+++ b/pkg/watch/recent.go
@@ -1,5 +1,7 @@
 package watch
 
+import "martenwheel.dev/pkg/revision"
+
 // mostRecent bounds the changes that a node keeps for those who miss some: those of several seconds
 // of a busy table, in memory that does not grow with it.
 const mostRecent = 1024
@@ -7,11 +9,11 @@
 // recentChanges are the last changes of a table, oldest first.
 type recentChanges struct {
 	records []Record
-	from    uint64 // all changes after this version are among them
+	from    revision.Revision // all changes after this version are among them
 }
 
 // reset begins anew: nothing is known of changes up to a version.
-func (c *recentChanges) reset(version uint64) {
+func (c *recentChanges) reset(version revision.Revision) {
 	c.records, c.from = nil, version
 }
 
@@ -29,7 +31,7 @@
 }
 
 // since returns the changes of parts after a version, false if some are not known any more.
-func (c *recentChanges) since(after uint64, parts Parts) ([]Record, bool) {
+func (c *recentChanges) since(after revision.Revision, parts Parts) ([]Record, bool) {
 	if after < c.from {
 		return nil, false
 	}
--- a/pkg/watch/serve.go
+++ b/pkg/watch/serve.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"martenwheel.dev/pkg/clock"
+	"martenwheel.dev/pkg/revision"
 )
 
 // mostFollowers bounds the followers of a node; others find another one.
@@ -109,7 +110,7 @@
 
 // partPack is the rows of a part, packed once for each version of it.
 type partPack struct {
-	version uint64
+	version revision.Revision
 	packed  []byte
 	known   bool
 }
@@ -158,7 +159,7 @@
 	}
 	for key, r := range t.rows {
 		i := partIndex(key)
-		if list, wanted := stale[i]; wanted {
+		if list, wanted := stale[i]; wanted && t.confirmedRow(r) {
 			stale[i] = append(list, r)
 		}
 	}
--- a/pkg/watch/tree_test.go
+++ b/pkg/watch/tree_test.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"martenwheel.dev/pkg/peer"
+	"martenwheel.dev/pkg/revision"
 )
 
 // Of 985 nodes before 10,000 servers each held all servers and was told of all changes, by nodes of
@@ -146,7 +147,7 @@
 func (f *fleet) addNode(node Node, options []func(*Hub)) {
 	m := &member{}
 	table := &Table{Name: "t", Source: prober{caller{node.Name, f.store}}, Bound: bound, Parted: true, Logger: hclog.NewNullLogger(),
-		Apply: func(_ map[string]Record, version uint64) {
+		Apply: func(_ map[string]Record, version revision.Revision) {
 			m.mu.Lock()
 			defer m.mu.Unlock()
 			m.back = m.back || version < m.last
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,7 @@
 	"github.com/pkg/errors"
 
 	"martenwheel.dev/pkg/clock"
+	"martenwheel.dev/pkg/revision"
 	"martenwheel.dev/pkg/storeclock"
 )
 
@@ -30,14 +32,14 @@
 type Record struct {
 	Key     string
 	Value   []byte
-	Version uint64
+	Version revision.Revision
 	Gone    bool
 }
 
 // Page is the rows of a table, or what changed in it, up to a version.
 type Page struct {
 	Records []Record
-	Version uint64
+	Version revision.Revision
 	AsOf    time.Duration // by the store's clock: all changes before are in
 	Dated   bool          // AsOf is known
 	Parts   Parts         // that it is about; zero: the whole table
@@ -50,11 +52,11 @@
 }
 
 // lastChanges are the versions of the last change in each part.
-type lastChanges [PartCount]uint64
+type lastChanges [PartCount]revision.Revision
 
 // of returns the version of the last change in some parts.
-func (l *lastChanges) of(parts Parts) uint64 {
-	last := uint64(0)
+func (l *lastChanges) of(parts Parts) revision.Revision {
+	last := revision.Revision(0)
 	for i := range parts.each() {
 		last = max(last, l[i])
 	}
@@ -62,7 +64,7 @@
 }
 
 // note takes in a change in some parts.
-func (l *lastChanges) note(parts Parts, version uint64) {
+func (l *lastChanges) note(parts Parts, version revision.Revision) {
 	for i := range parts.each() {
 		l[i] = version
 	}
@@ -77,7 +79,7 @@
 	// with the table.
 	Read(ctx context.Context, table string) (Page, error)
 	// Feed waits for changes after a version, and returns none after wait.
-	Feed(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error)
+	Feed(ctx context.Context, table string, after revision.Revision, wait time.Duration) (Page, error)
 }
 
 // Prober is a Source that tells whether a table is large for little.
@@ -128,7 +130,7 @@
 	Time    clock.Clock
 	// Apply takes in the rows; it is called by one goroutine at a time. The map
 	// is not to be kept.
-	Apply  func(rows map[string]Record, version uint64)
+	Apply  func(rows map[string]Record, version revision.Revision)
 	Logger hclog.Logger
 	// Parted tells that the node may do with some parts of the rows.
 	Parted bool
@@ -139,12 +141,12 @@
 	Dropped func(keys []string)
 
 	mu       sync.Mutex
-	rows     map[string]Record // nil: not read yet
-	wanted   Parts             // zero: all
-	held     Parts             // whose rows are here
-	floors   [PartCount]uint64 // versions at which the rows of the parts were taken in as a whole
-	total    int               // rows of the whole table, as far as is known
-	version  uint64
+	rows     map[string]Record            // nil: not read yet
+	wanted   Parts                        // zero: all
+	held     Parts                        // whose rows are here
+	floors   [PartCount]revision.Revision // versions at which the rows of the parts were taken in as a whole
+	total    int                          // rows of the whole table, as far as is known
+	version  revision.Revision
 	freshAt  time.Time     // as of when the rows are known to be the newest
 	asOf     time.Duration // the same by the store's clock
 	dated    bool          // asOf is known
@@ -161,15 +163,16 @@
 	alone    func() bool // no other node is known that could tell the rows
 	large    bool        // the store has more rows than it tells at once
 	pulling  atomic.Bool // rows are asked for
+	copied   copied
 
 	packing       sync.Mutex
 	packed        []byte // all rows, as of packedVersion; nil: not packed yet
-	packedVersion uint64
+	packedVersion revision.Revision
 	packs         [PartCount]partPack
 }
 
 // Version returns the version of the rows, zero if there are none yet.
-func (t *Table) Version() uint64 {
+func (t *Table) Version() revision.Revision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.version
@@ -228,7 +231,9 @@
 	defer t.mu.Unlock()
 	p := Page{Version: t.version, AsOf: t.asOf, Dated: t.dated}
 	for _, r := range t.rows {
-		p.Records = append(p.Records, r)
+		if t.confirmedRow(r) {
+			p.Records = append(p.Records, r)
+		}
 	}
 	return p, t.rows != nil
 }
@@ -238,6 +243,7 @@
 func (t *Table) run(ctx context.Context, direct, watching func() bool) {
 	reading := true
 	for ctx.Err() == nil {
+		t.settle()
 		if now := direct(); now != reading {
 			reading = now
 			t.Logger.Info("table source", "table", t.Name, "store", reading, "version", t.Version(), "age_ms", t.Age().Milliseconds())
@@ -422,17 +428,10 @@
 	}
 	t.total = len(all.Records)
 	t.held = t.wants()
-	rows := make(map[string]Record)
-	for _, r := range all.Records {
-		if !t.held.Holds(r.Key) {
-			continue
-		}
-		if known, has := t.rows[r.Key]; has && known.Version > r.Version {
-			r = known
-		}
-		rows[r.Key] = r
-	}
-	t.rows, t.version, t.reread, t.gapSince = rows, all.Version, false, time.Time{}
+	maps.DeleteFunc(t.rows, func(key string, _ Record) bool { return !t.held.Holds(key) })
+	t.takeWhole(t.held, all)
+	t.enter(all.Version)
+	t.version, t.reread, t.gapSince = all.Version, false, time.Time{}
 	for i := range t.held.each() {
 		t.floors[i] = t.version
 	}
@@ -443,12 +442,46 @@
 	return true
 }
 
+// takeWhole takes in all rows of some parts. The caller holds mu.
+func (t *Table) takeWhole(parts Parts, page Page) {
+	rows := make(map[string]Record, len(page.Records))
+	risen := t.copied.risen
+	t.copied.risen = nil
+	for _, r := range page.Records {
+		if !parts.Holds(r.Key) || t.holdsBack(r, risen) {
+			continue
+		}
+		if known, has := t.rows[r.Key]; has && known.Version > r.Version {
+			r = known
+		}
+		rows[r.Key] = r
+	}
+	for key, r := range risen {
+		if !parts.Holds(key) {
+			t.holdBack(r)
+		}
+	}
+	for key, r := range t.rows {
+		if _, has := rows[key]; has || !parts.Holds(key) || r.Version.Epoch() < page.Version.Epoch() {
+			continue // also rows that a copy lacks
+		}
+		delete(t.rows, key)
+		t.noteRemoved(key)
+	}
+	if t.rows == nil {
+		t.rows = rows
+		return
+	}
+	maps.Copy(t.rows, rows)
+}
+
 // Change takes in the changes after a version, as of so long ago. It refuses
-// changes between which some are missing.
-func (t *Table) Change(after uint64, page Page, age time.Duration) bool {
+// changes between which some are missing, and all of another epoch: changes after a number tell
+// nothing of what the store lost.
+func (t *Table) Change(after revision.Revision, page Page, age time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.rows == nil || after > t.version || !told(page.Parts).covers(t.held) {
+	if t.rows == nil || after > t.version || !told(page.Parts).covers(t.held) || page.Version.Epoch() > t.version.Epoch() {
 		return false
 	}
 	if page.Version < t.version {
@@ -483,12 +516,16 @@
 	if t.held&partAt(part) == 0 || r.Version <= t.floors[part] {
 		return false
 	}
+	if back, held := t.copied.risen[r.Key]; held && r.Version > back.Version {
+		delete(t.copied.risen, r.Key)
+	}
 	known, has := t.rows[r.Key]
 	if has && known.Version >= r.Version || !has && r.Gone {
 		return false
 	}
 	if r.Gone {
 		delete(t.rows, r.Key)
+		t.noteRemoved(r.Key)
 	} else {
 		t.rows[r.Key] = r
 	}
--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"martenwheel.dev/pkg/peer"
+	"martenwheel.dev/pkg/revision"
 )
 
 // bound is the test's time for changes to be in force.
@@ -21,8 +22,8 @@
 	mu      sync.Mutex
 	rows    map[string]Record
 	log     []Record
-	version uint64
-	oldest  uint64
+	version revision.Revision
+	oldest  revision.Revision
 	calls   int
 	cut     map[string]bool // callers that get no answer
 	refused map[string]bool // callers that are turned away
@@ -93,7 +94,7 @@
 	})
 }
 
-func (c caller) Feed(ctx context.Context, _ string, after uint64, wait time.Duration) (Page, error) {
+func (c caller) Feed(ctx context.Context, _ string, after revision.Revision, wait time.Duration) (Page, error) {
 	return c.answer(ctx, func() (Page, error) {
 		for end := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
 			c.store.mu.Lock()
@@ -158,7 +159,7 @@
 	mu   sync.Mutex
 	rows map[string]string
 	back bool // a version went back
-	last uint64
+	last revision.Revision
 }
 
 func (m *member) value(key string) string {
@@ -180,7 +181,7 @@
 	for _, node := range nodes {
 		m := &member{}
 		table := &Table{Name: "t", Source: caller{node.Name, store}, Bound: bound, Logger: hclog.NewNullLogger(),
-			Apply: func(rows map[string]Record, version uint64) {
+			Apply: func(rows map[string]Record, version revision.Revision) {
 				m.mu.Lock()
 				defer m.mu.Unlock()
 				m.back = m.back || version < m.last
