lease: a term belongs to an epoch of the store, and no term is given twice

Cause: terms count from the record that is there, and a node passed over a record of a lower version, so that a holder wrote against a version of before for as long.

Now a record tells in which epoch of the store its term was taken.

Ruled out as mends: the version alone (it is given out again), the term told by nodes (a hint that may be lost with them).

--- a/pkg/coordinator/explore_test.go
+++ b/pkg/coordinator/explore_test.go
@@ -17,6 +17,7 @@
 var (
 	exploreSeed      = flag.Uint64("explore.seed", 1, "seed of the first schedule")
 	exploreSchedules = flag.Int("explore.schedules", 300, "number of schedules")
+	exploreCopies    = flag.Bool("explore.copies", false, "have the store come back from copies beside each schedule")
 	exploreLogs      = flag.Bool("explore.logs", false, "tell the holders' logs in the story of a failed schedule")
 )
 
@@ -66,6 +67,9 @@
 					t.Log("the story of the schedule:\n" + strings.Join(w.steps, "\n"))
 				}
 			}()
+			if *exploreCopies {
+				go newCopies(w, seed).play()
+			}
 			play(w, seed)
 		})
 	})
--- a/pkg/coordinator/handover.go
+++ b/pkg/coordinator/handover.go
@@ -130,7 +130,13 @@
 	record, _ := h.Lease.Current()
 	before := h.Lease.Before()
 	h.taking, h.guarding = false, false
+	if since, is := h.Lease.AfterCopy(); is {
+		h.takeOverCopy(since, before)
+		return
+	}
 	switch {
+	case before.Holder == h.Lease.Self && before.Epoch < record.Epoch:
+		return // this life went on in a new term after the store came back: the record tells of all its orders
 	case !h.Fenced || before.Holder == "":
 		return // it never goes on without the store, or it released the lease
 	case h.Lease.OwnTerm() > 0:
@@ -159,6 +165,21 @@
 	}()
 }
 
+// takeOverCopy begins a term whose record the store has from a copy: it tells neither of all orders of the last holder
+// nor who that was. It gave none later than PermitTime after the store was away, and servers rest after them; where
+// they check fences, each is made to refuse what may still come.
+func (h *Holder) takeOverCopy(since time.Time, before lease.Record) {
+	h.quietUntil = latest(h.quietUntil, since.Add(lease.PermitTime+h.Turns))
+	for _, s := range h.servers {
+		s.quietUntil, s.recheck = latest(s.quietUntil, h.quietUntil), true
+	}
+	h.Logger.Info("store lost what was written last", "before", before.Holder, "term", before.Term,
+		"rest_ms", max(h.Time.Until(h.quietUntil), 0).Milliseconds())
+	if h.Fenced {
+		h.guard("the store lost what was written last")
+	}
+}
+
 // guard has no server get orders before it refuses those of the last holder.
 func (h *Holder) guard(reason string) {
 	h.Logger.Info("servers are guarded", "reason", reason, "servers", len(h.servers))
--- a/pkg/lease/commit.go
+++ b/pkg/lease/commit.go
@@ -73,7 +73,7 @@
 	}
 	err := ErrNotHeld
 	if _, held := l.heldTerm(); held {
-		err = l.write(ctx, intents)
+		err = l.renew(ctx, intents)
 	}
 	for _, c := range waiting {
 		c.result <- err
--- a/pkg/lease/insist.go
+++ b/pkg/lease/insist.go
@@ -23,7 +23,7 @@
 // otherwise noticed only when the call's time is over, and all orders wait for
 // it. The writes are alike and under the same condition, so that one of them takes
 // effect at most; a later one then finds the record as it wrote it.
-func (l *Lease) insist(ctx context.Context, r Record, version uint64) (Stored, error) {
+func (l *Lease) insist(ctx context.Context, r Record, over Stored) (Stored, error) {
 	type answer struct {
 		stored Stored
 		err    error
@@ -31,7 +31,7 @@
 	answers := make(chan answer, maxWrites)
 	write := func() {
 		began := l.Time.Now()
-		s, err := l.Store.Write(ctx, r, version)
+		s, err := l.Store.Write(ctx, r, over)
 		if settled(err) {
 			l.pace.observe(l.Time.Since(began))
 		}
@@ -53,7 +53,7 @@
 				sent++
 				waiting++
 				go write()
-				l.log("lease written again", "version", version, "writes", sent, "patience_ms", patience.Milliseconds())
+				l.log("lease written again", "version", over.Version, "writes", sent, "patience_ms", patience.Milliseconds())
 			}
 		}
 	}
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -88,27 +88,29 @@
 	Time   clock.Clock
 	Log    func(message string, fields ...any)
 
-	mu       sync.Mutex
-	seen     Stored
-	known    bool
-	told     Record        // by its holder, maybe newer than seen
-	offset   time.Duration // the store's clock less the steady one
-	term     uint64        // held; zero: none
-	until    time.Time     // end of the hold
-	start    time.Time     // zero of the steady clock
-	suspects chan struct{}
-	waited   bool      // the free lease was left to better nodes
-	failed   int       // looks that failed in a row
-	vain     int       // looks for suspicions that found the record held, in a row
-	asked    bool      // the next look is for a suspicion
-	looks    time.Time // when the record was last looked at
-	commits  chan *commit
-	pace     pace
+	mu         sync.Mutex
+	seen       Stored
+	epochSince time.Time // since when the store has been in the epoch of seen, as far as is known
+	known      bool
+	told       Record        // by its holder, maybe newer than seen
+	offset     time.Duration // the store's clock less the steady one
+	term       uint64        // held; zero: none
+	until      time.Time     // end of the hold
+	start      time.Time     // zero of the steady clock
+	suspects   chan struct{}
+	waited     bool      // the free lease was left to better nodes
+	failed     int       // looks that failed in a row
+	vain       int       // looks for suspicions that found the record held, in a row
+	asked      bool      // the next look is for a suspicion
+	looks      time.Time // when the record was last looked at
+	commits    chan *commit
+	pace       pace
 
 	failing   time.Time // start of the first write of the holder that failed; zero: the last one was done
 	unwritten []Intent  // of orders given since
 	lastTerm  uint64    // that this life held
 	before    Record    // that this life's last term took the place of
+	afterCopy bool      // that record was of a copy of the store, and may not have been the last one
 }
 
 func (l *Lease) init() {
@@ -224,7 +226,7 @@
 // again.
 func (l *Lease) turn(ctx context.Context) time.Duration {
 	if _, held := l.heldTerm(); held {
-		if err := l.write(ctx, nil); err != nil {
+		if err := l.renew(ctx, nil); err != nil {
 			return jitter(lookPause / 2)
 		}
 		return Renewal
@@ -237,10 +239,10 @@
 	if err != nil {
 		return jitter(lookPause << doublings)
 	}
-	own := l.ownLife(s)
-	if !s.free() && !own {
+	own := l.ownLife(s) && !s.copied()
+	if !l.free(s) && !own {
 		l.setWaited(false)
-		return rest(s)
+		return l.rest(s)
 	}
 	if pause := l.patience(); pause > 0 && !own && !l.setWaited(true) {
 		return pause + rand.N(lookPause/4)
@@ -251,7 +253,7 @@
 	case err == nil:
 		return Renewal
 	case errors.Is(err, ErrConflict):
-		return rest(l.lastSeen())
+		return l.rest(l.lastSeen())
 	default:
 		return jitter(lookPause)
 	}
@@ -289,6 +291,10 @@
 	if l.known && s.Version < l.seen.Version {
 		return
 	}
+	l.sawEpoch(s)
+	if l.known && s.copied() {
+		s.Record = merged(l.seen.Record, s.Record)
+	}
 	if l.Quarantine != nil {
 		l.Quarantine(s.Record.Aged(s.Now)) // a node that no holder tells learns of it here
 	}
@@ -307,14 +313,17 @@
 // take writes the record of a new term.
 func (l *Lease) take(ctx context.Context, s Stored) error {
 	l.mu.Lock()
-	l.before = s.Record
+	l.before, l.afterCopy = s.Record, s.copied() && !l.surelyHeld()
+	intents := slices.Clone(s.Record.Intents)
+	if l.term > 0 {
+		intents = append(intents, l.unwritten...)
+	}
 	next := Record{
-		Term: s.Record.Term + 1, Holder: l.Self, Address: l.Address, Renewed: s.Now,
-		Fleet: s.Record.Fleet, Intents: fresh(s.Record.Intents, s.Now), Quarantine: s.Record.Quarantine,
-		Quotas: s.Record.Quotas,
+		Term: s.nextTerm(), Holder: l.Self, Address: l.Address, Renewed: max(s.Now, l.storeNow()), Epoch: s.Version.Epoch(), Mark: newMark(),
+		Fleet: s.Record.Fleet, Intents: fresh(intents, s.Now), Quarantine: s.Record.Quarantine, Quotas: s.Record.Quotas,
 	}
 	l.mu.Unlock()
-	return l.put(ctx, next, s.Version)
+	return l.put(ctx, next, s)
 }
 
 // release lets another node take over at once.
@@ -325,26 +334,26 @@
 	l.mu.Lock()
 	s := l.seen
 	next := s.Record
-	next.Holder, next.Address = "", ""
+	next.Holder, next.Address, next.Mark = "", "", newMark()
 	next.Intents = fresh(append(slices.Clone(next.Intents), l.unwritten...), l.storeNow())
 	l.tellQuotas(&next, l.storeNow())
 	term := l.term
 	l.term = 0
 	l.mu.Unlock()
-	err := l.giveBack(next, s.Version)
+	err := l.giveBack(next, s)
 	l.log("lease released", "term", term, "error", err)
 }
 
 // giveBack writes a record without a holder, also if a write of this node whose
 // answer is unknown came between.
-func (l *Lease) giveBack(next Record, version uint64) error {
+func (l *Lease) giveBack(next Record, over Stored) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	s, err := l.Store.Write(ctx, next, version)
+	s, err := l.Store.Write(ctx, next, over)
 	if err == nil || s.Record.Term != next.Term || s.Record.Holder != l.Self {
 		return err
 	}
-	_, err = l.Store.Write(ctx, next, s.Version)
+	_, err = l.Store.Write(ctx, next, s)
 	return err
 }
 
--- a/pkg/lease/look.go
+++ b/pkg/lease/look.go
@@ -48,8 +48,11 @@
 
 // rest returns when to look again, if nobody suspects the holder, at a record that
 // another node holds.
-func rest(s Stored) time.Duration {
-	if s.free() {
+func (l *Lease) rest(s Stored) time.Duration {
+	switch {
+	case s.copied():
+		return max(l.epochWait(s), 0) + jitter(lookPause)
+	case s.free():
 		return jitter(lookPause)
 	}
 	return jitter(lookRest)
--- a/pkg/lease/offline.go
+++ b/pkg/lease/offline.go
@@ -94,6 +94,14 @@
 	return l.before.Term
 }
 
+// AfterCopy tells whether the record that this node's last term took the place of was of a copy of the store that may
+// lack later ones with their terms and intents, and since when this node has known that the store came back.
+func (l *Lease) AfterCopy() (since time.Time, is bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.epochSince, l.afterCopy
+}
+
 // Before returns the record that this node's last term took the place of.
 func (l *Lease) Before() Record {
 	l.mu.Lock()
--- a/pkg/lease/record.go
+++ b/pkg/lease/record.go
@@ -9,6 +9,7 @@
 
 	"martenwheel.dev/pkg/quarantine"
 	"martenwheel.dev/pkg/quota"
+	"martenwheel.dev/pkg/revision"
 )
 
 // Intent is an order that the holder is about to give.
@@ -29,7 +30,12 @@
 	Holder  string // empty: released
 	Address string // of the holder, for other nodes
 	Renewed int64
-	Fleet   int // nodes of the site, the most that holders lately knew of; zero: not known
+	// Epoch is that of the store as the term was taken.
+	Epoch uint64 `json:",omitempty"`
+	// Mark names this write among all. Versions are given out again by a store that comes back from a
+	// copy: a write is done only over the record that it expects by both.
+	Mark    string `json:",omitempty"`
+	Fleet   int    // nodes of the site, the most that holders lately knew of; zero: not known
 	Intents []Intent
 	// Quarantine is of requests that end servers, so that it outlives all nodes.
 	Quarantine []Quarantined `json:",omitempty"`
@@ -88,8 +94,8 @@
 // Stored is a record as it was read.
 type Stored struct {
 	Record  Record
-	Version uint64 // zero: there is none yet
-	Now     int64  // the store's clock
+	Version revision.Revision // its number is zero: there is none yet
+	Now     int64             // the store's clock
 }
 
 // ErrConflict means that the record has changed; the one that is there comes
@@ -99,16 +105,16 @@
 // ErrNotHeld means that this node does not hold the lease.
 var ErrNotHeld = errors.New("lease: not held")
 
-// Store keeps the record. Any other error than ErrConflict leaves open whether a
-// write was done, or will be.
+// Store keeps the record. It writes one over the record that is expected there, with its version and
+// its mark. Any other error than ErrConflict leaves open whether a write was done, or will be.
 type Store interface {
 	Read(ctx context.Context) (Stored, error)
-	Write(ctx context.Context, r Record, version uint64) (Stored, error)
+	Write(ctx context.Context, r Record, over Stored) (Stored, error)
 }
 
 // free tells whether another node may take the lease.
 func (s Stored) free() bool {
-	return s.Version == 0 || s.Record.Holder == "" || s.age() > Expiry
+	return s.Version.Number() == 0 || s.Record.Holder == "" || s.age() > Expiry
 }
 
 // age is the time since the last renewal.
--- a/pkg/lease/write.go
+++ b/pkg/lease/write.go
@@ -18,6 +18,7 @@
 	s := l.seen
 	now := l.storeNow()
 	next := s.Record
+	next.Mark = newMark()
 	next.Renewed = max(now, next.Renewed)
 	if fleet > 0 {
 		next.Fleet = fleet
@@ -37,7 +38,7 @@
 		next.Intents = next.Intents[extra:]
 	}
 	l.mu.Unlock()
-	if err := l.put(ctx, next, s.Version); err != nil {
+	if err := l.put(ctx, next, s); err != nil {
 		return err
 	}
 	l.wroteIntents(unwritten)
@@ -56,7 +57,7 @@
 
 // put writes a record of this node. After a lost answer it reads back whether
 // the write was done.
-func (l *Lease) put(ctx context.Context, r Record, version uint64) error {
+func (l *Lease) put(ctx context.Context, r Record, over Stored) error {
 	started := l.Time.Now()
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -64,7 +65,7 @@
 	if term, _ := l.heldTerm(); term == r.Term && !l.fails() {
 		write = l.insist // orders wait for it, and no other node writes
 	}
-	s, err := write(call, r, version)
+	s, err := write(call, r, over)
 	switch {
 	case err == nil:
 		s.Record = r
@@ -84,8 +85,7 @@
 // conflict judges a record that is not the one expected: it may be the one that
 // this node wrote, by a call whose answer was lost.
 func (l *Lease) conflict(s Stored, r Record, started time.Time) error {
-	if s.Record.Holder == l.Self && s.Record.Term == r.Term && s.Record.Renewed == r.Renewed &&
-		len(s.Record.Intents) == len(r.Intents) {
+	if s.Record.Holder == l.Self && s.Record.Mark == r.Mark {
 		l.hold(s, started)
 		return nil
 	}
