platform, watch: what a copy of the store lacks is not taken for never written

Cause: the first configuration that a node reads counted as the newest.

Now a node's first configuration of a store that came back waits until the operator has written after it, the holder tells that it has no newer one (a field of its answer to a beat; builds of before tell none), or the store has been back for 3 s; the record of the lease tells since when. Keys count as old as they were before the store went until rows that a copy lacks had time to be written again (2.5 s), and at a node that started then as of unknown age; what decides whether a node asks the store itself does not go by that.

Ruled out: no keys for 3 s after each return (callers of sites whose nodes know the newest would be turned away for nothing).

--- a/pkg/coordinator/beats.go
+++ b/pkg/coordinator/beats.go
@@ -46,6 +46,9 @@
 	if h.Clock != nil {
 		answer.StoreClock, _ = h.Clock.Latest()
 	}
+	if table := h.Routes(); table != nil {
+		answer.Configuration = table.Version()
+	}
 	h.tellNodes(&b, &answer)
 	return answer
 }
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -42,7 +42,9 @@
 	Transport peer.Transport
 	Servers   *backend.Directory
 	Clock     *storeclock.Clock // of the store; nil: not needed
-	Candidate func() bool       // whether this node is among the first to take the lease
+	// Configured is told the version of the configuration at the holder; may be nil.
+	Configured func(version uint64)
+	Candidate  func() bool // whether this node is among the first to take the lease
 	// Nearest returns where a node is reached that knows all servers; empty, or nil: this node does.
 	Nearest func() string
 	// Cover gets to know lives of servers, which this node then is told of; nil: it knows all.
@@ -273,6 +275,9 @@
 	if m.Clock != nil && answer.StoreClock > 0 {
 		m.Clock.ObserveLatest(sent, answer.StoreClock)
 	}
+	if m.Configured != nil && answer.Configuration > 0 {
+		m.Configured(answer.Configuration)
+	}
 	m.scarce = answer.Scarce
 	m.storeTold = answer.Version.Term
 	if answer.Store.Loads > 0 {
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -111,6 +111,8 @@
 	Said         []Said // by servers, that changed
 	// SaidVersion is up to which change it is told.
 	SaidVersion SaidVersion
+	// Configuration is the version that is in force at the holder; zero: none, or not told.
+	Configuration uint64
 }
 
 // WishMessage asks the holder to have a model loaded.
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -322,6 +322,10 @@
 		Term: s.nextTerm(), Holder: l.Self, Address: l.Address, Renewed: max(s.Now, l.storeNow()), Epoch: s.Version.Epoch(), Mark: newMark(),
 		Fleet: s.Record.Fleet, Intents: fresh(intents, s.Now), Quarantine: s.Record.Quarantine, Quotas: s.Record.Quotas,
 	}
+	next.EpochAt = s.Record.EpochAt
+	if s.copied() {
+		next.EpochAt = l.storeNow() - l.Time.Since(l.epochSince).Milliseconds()
+	}
 	l.mu.Unlock()
 	return l.put(ctx, next, s)
 }
--- a/pkg/lease/record.go
+++ b/pkg/lease/record.go
@@ -32,6 +32,9 @@
 	Renewed int64
 	// Epoch is that of the store as the term was taken.
 	Epoch uint64 `json:",omitempty"`
+	// EpochAt is when a holder first knew of that epoch, by the store's clock in milliseconds; zero: the
+	// store never came back from a copy.
+	EpochAt int64 `json:",omitempty"`
 	// Mark names this write among all. Versions are given out again by a store that comes back from a
 	// copy: a write is done only over the record that it expects by both.
 	Mark    string `json:",omitempty"`
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -38,13 +38,15 @@
 	Self    coordinator.Node
 	Headers relay.Headers
 	Routes  func() *route.Table
-	Keys    relay.KeyAge
-	Clock   *storeclock.Clock // of the store
-	Servers *backend.Directory
-	Store   lease.Store
-	Tables  []*watch.Table // of the store, which the site keeps up to date
-	Orders  coordinator.Orders
-	Mover   relay.Mover // of running streams; nil: none move
+	// Configured is told the version of the configuration at the node that coordinates; may be nil.
+	Configured func(version uint64)
+	Keys       relay.KeyAge
+	Clock      *storeclock.Clock // of the store
+	Servers    *backend.Directory
+	Store      lease.Store
+	Tables     []*watch.Table // of the store, which the site keeps up to date
+	Orders     coordinator.Orders
+	Mover      relay.Mover // of running streams; nil: none move
 	// DrainTime is how long a server that leaves surely goes on serving; zero: not known.
 	DrainTime time.Duration
 	Turns     time.Duration // between orders of two holders to one server
@@ -125,7 +127,7 @@
 		Logger: s.Logger.Named("holder"),
 	}
 	s.member = &coordinator.Member{
-		Self: s.Self, Lease: l, Holder: holder, Transport: transport, Servers: s.Servers, Clock: s.Clock, Quarantine: known,
+		Self: s.Self, Lease: l, Holder: holder, Transport: transport, Servers: s.Servers, Clock: s.Clock, Quarantine: known, Configured: s.Configured,
 		Logger: s.Logger.Named("member"),
 	}
 	s.Servers.Heard = s.member.Heard
--- a/pkg/watch/copied.go
+++ b/pkg/watch/copied.go
@@ -33,6 +33,8 @@
 	removed map[string]time.Time // when rows went, by key
 	risen   map[string]Record    // rows of this epoch that had gone in an earlier one
 	until   time.Time            // until when rows of earlier epochs stay; zero: there are none
+	asOf    time.Duration        // of the rows of the epoch before, by the store's clock; counts until then
+	dated   bool                 // asOf is known
 	risenAt time.Time            // when risen rows are taken; zero: there are none
 }
 
@@ -41,8 +43,11 @@
 	if version.Epoch() == t.version.Epoch() || t.version == 0 {
 		return
 	}
-	t.dated = false // the store's clock may have gone back as well
 	now := t.Time.Now()
+	if now.After(t.copied.until) {
+		t.copied.asOf, t.copied.dated = t.asOf, t.dated
+	}
+	t.dated = false // the store's clock may have gone back as well
 	t.copied.until = now.Add(lostTime)
 	t.copied.risenAt = now.Add(risenTime)
 	lost := 0
--- a/pkg/watch/copied_test.go
+++ b/pkg/watch/copied_test.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"martenwheel.dev/pkg/revision"
+	"martenwheel.dev/pkg/storeclock"
 )
 
 // copiedStore is a store that comes back from copies, as a table sees it.
@@ -240,3 +241,45 @@
 		t.Errorf("the table has %v at %v", got, table.Version())
 	}
 }
+
+// TestTheLagOfACopyCountsFromBefore: changes may be lacking that were made before the store went, until their owners have
+// had time to write them again; also where the store's clock went back, and how old the rows are is not known then.
+func TestTheLagOfACopyCountsFromBefore(t *testing.T) {
+	for name, back := range map[string]time.Duration{"the clock goes on": 0, "the clock goes back": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var store storeclock.Clock
+				began := time.Now().Add(-2 * time.Hour)
+				stamp := func() time.Duration { return time.Since(began) }
+				s := &copiedStore{number: 1, rows: make(map[string]Record)}
+				s.copy()
+				page := func() Page {
+					store.Observe(time.Now(), stamp())
+					p := s.whole()
+					p.AsOf, p.Dated = stamp(), true
+					return p
+				}
+				table := newCopiedTable(s)
+				table.Clock = &store
+				table.Replace(page(), 0)
+				const away = 2 * time.Second
+				time.Sleep(away)
+				s.comeBack(s.copies[0])
+				began = began.Add(back)
+				table.Replace(page(), 0)
+				if lag, known := table.Lag(); known && lag < away || known != (back == 0) {
+					t.Errorf("as the store is back changes of %v may be lacking, known %t", lag, known)
+				}
+				if age := table.Age(); age > time.Second {
+					t.Errorf("the rows, just read, are %v old", age)
+				}
+				time.Sleep(lostTime + time.Millisecond)
+				table.settle()
+				table.Replace(page(), 0)
+				if lag, known := table.Lag(); !known || lag > time.Second {
+					t.Errorf("later changes of %v may be lacking, known %t", lag, known)
+				}
+			})
+		})
+	}
+}
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -183,29 +183,37 @@
 // waited for seconds behind tables of 3,000 servers, and a node that went by the age it was
 // told did not turn to the store.
 func (t *Table) Age() time.Duration {
-	lag, known := t.Lag()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.rows == nil {
 		return time.Hour
 	}
 	age := t.Time.Since(t.freshAt)
-	if known {
+	if lag, known := t.lagOf(t.asOf, t.dated); known {
 		age = max(age, lag-hiddenChanges)
 	}
 	return age
 }
 
 // Lag returns for how long changes may have been made that the rows lack, at most; false
-// if that is not known. Unlike Age it counts the time that news was on its way.
+// if that is not known. Unlike Age it counts the time that news was on its way, and that a
+// copy of the store lacks what was written last, until its owners have written it again.
 func (t *Table) Lag() (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.Time.Now().Before(t.copied.until) {
+		return t.lagOf(t.copied.asOf, t.copied.dated)
+	}
+	return t.lagOf(t.asOf, t.dated)
+}
+
+// lagOf returns how old rows are that had all changes as of a time by the store's clock. The caller holds mu.
+func (t *Table) lagOf(asOf time.Duration, dated bool) (time.Duration, bool) {
 	if t.Clock == nil {
 		return 0, false
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	latest, known := t.Clock.Latest()
-	return latest - t.asOf, known && t.dated
+	return latest - asOf, known && dated && latest >= asOf
 }
 
 // feedTime returns how long a feed waits for news.
