lease: what a copy lacks is written back before anybody holds the lease again

It now writes the record that it knows back at once, still as one of the epoch before, by which nobody holds the lease: evidence, quotas, orders and the last term outlive all nodes again within a moment, and a taker asks the right one for its orders. A holder that lives is not overtaken while it writes.

--- a/pkg/lease/copied.go
+++ b/pkg/lease/copied.go
@@ -74,12 +74,34 @@
 	return Expiry - l.Time.Since(l.epochSince)
 }
 
-// errEpochWait means that the store came back from a copy and others may have held the lease.
+// errEpochWait means that the store came back from a copy a moment ago and others may have held the lease.
 var errEpochWait = errors.New("lease: the store came back from a copy a moment ago")
 
 // surelyHeld tells whether nobody else can have taken the lease since the last renewal. The caller holds mu.
 func (l *Lease) surelyHeld() bool { return l.term > 0 && l.Time.Now().Before(l.until) }
 
+// writeBack writes what this node, the holder as far as it knows, knows of the record that a copy lacks: evidence against
+// requests, quotas, orders. The record stays one of the epoch before, by which nobody holds the lease. It returns
+// errEpochWait if it is done.
+func (l *Lease) writeBack(ctx context.Context, s Stored) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	next, unwritten := l.nextRecord(s, nil)
+	written, err := l.Store.Write(ctx, next, s)
+	switch {
+	case errors.Is(err, ErrConflict):
+		l.see(written)
+	case err == nil:
+		l.mu.Lock()
+		written.Record = next
+		l.seen = written
+		l.mu.Unlock()
+		l.wroteIntents(unwritten)
+		err = errEpochWait
+	}
+	return err
+}
+
 // renew has the record written with further intents. The term is over if the store came back from a copy; this node
 // then takes the next one, in which the intents don't count.
 func (l *Lease) renew(ctx context.Context, intents []Intent) error {
@@ -91,7 +113,7 @@
 	sure := l.surelyHeld()
 	l.mu.Unlock()
 	if !sure && l.epochWait(s) > 0 {
-		return errEpochWait
+		return l.writeBack(ctx, s)
 	}
 	if err := l.take(ctx, s); err != nil {
 		return err
--- a/pkg/lease/copied_test.go
+++ b/pkg/lease/copied_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"martenwheel.dev/pkg/quarantine"
 	"martenwheel.dev/pkg/revision"
 )
 
@@ -17,6 +18,13 @@
 	})
 }
 
+// copied returns what the store holds.
+func (m *memory) copied() Stored {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stored
+}
+
 // termsOf notes which lives held which terms.
 type termsOf struct {
 	mu    sync.Mutex
@@ -244,6 +252,39 @@
 	})
 }
 
+// TestWhatACopyLacksIsWrittenBackWhileNobodyHoldsTheLease: evidence that the holder has outlives all nodes again within a
+// moment, and nobody holds the lease by it.
+func TestWhatACopyLacksIsWrittenBackWhileNobodyHoldsTheLease(t *testing.T) {
+	bubble(t, func(t *testing.T, m *memory) {
+		known := []quarantine.Aged{{Evidence: quarantine.Evidence{Request: quarantine.FingerprintOf("POST", "h", "/", nil)}}}
+		a, stop := runLease(t, &Lease{Store: m, Self: "a", Address: "a", GoOn: func() bool { return true },
+			Quarantine: func([]quarantine.Aged) []quarantine.Aged { return known }})
+		defer stop()
+		copied := m.copied()
+		time.Sleep(2 * time.Second)
+		m.set(func() { m.down = true })
+		time.Sleep(Hold + time.Second)
+		m.comeBack(copied)
+		m.set(func() { m.down = false })
+		time.Sleep(Renewal + 2*lookPause)
+		back := m.copied()
+		if len(back.Record.Quarantine) != 1 || back.Record.Term != 1 || back.Record.Holder != "a" {
+			t.Errorf("the store has %+v", back.Record)
+		}
+		if !back.copied() {
+			t.Error("somebody holds the lease by what was written back")
+		}
+		c, stopC := run(t, m, "c")
+		defer stopC()
+		for began := time.Now(); time.Since(began) < 3*Expiry; time.Sleep(50 * time.Millisecond) {
+			c.Suspect()
+		}
+		if term, is := a.Held(); !is || term <= epochTerms || held(c) {
+			t.Errorf("a holds the lease: %t, in term %d; c: %t", is, term, held(c))
+		}
+	})
+}
+
 // TestTermsRiseOverEpochs also where a copy is older than the last one.
 func TestTermsRiseOverEpochs(t *testing.T) {
 	bubble(t, func(t *testing.T, m *memory) {
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -226,7 +226,10 @@
 // again.
 func (l *Lease) turn(ctx context.Context) time.Duration {
 	if _, held := l.heldTerm(); held {
-		if err := l.renew(ctx, nil); err != nil {
+		switch err := l.renew(ctx, nil); {
+		case errors.Is(err, errEpochWait):
+			return min(Renewal, max(l.epochWait(l.lastSeen()), 0)+time.Millisecond)
+		case err != nil:
 			return jitter(lookPause / 2)
 		}
 		return Renewal
--- a/pkg/lease/write.go
+++ b/pkg/lease/write.go
@@ -10,16 +10,31 @@
 
 // write renews the record with further intents.
 func (l *Lease) write(ctx context.Context, intents []Intent) error {
+	s := l.lastSeen()
+	next, unwritten := l.nextRecord(s, intents)
+	if err := l.put(ctx, next, s); err != nil {
+		return err
+	}
+	l.wroteIntents(unwritten)
+	return nil
+}
+
+// nextRecord returns what follows a record of this node's term: with further intents and what the node knows by now. It
+// has all of the unwritten intents, which are so many.
+func (l *Lease) nextRecord(s Stored, intents []Intent) (next Record, unwritten int) {
 	fleet := 0
 	if l.Fleet != nil {
 		fleet = l.Fleet()
 	}
 	l.mu.Lock()
-	s := l.seen
+	defer l.mu.Unlock()
 	now := l.storeNow()
-	next := s.Record
+	next = s.Record
 	next.Mark = newMark()
 	next.Renewed = max(now, next.Renewed)
+	if s.copied() {
+		next.Renewed = now // the store's clock may have gone back
+	}
 	if fleet > 0 {
 		next.Fleet = fleet
 	}
@@ -28,7 +43,6 @@
 	}
 	l.tellQuotas(&next, now)
 	l.unwritten = fresh(l.unwritten, now)
-	unwritten := len(l.unwritten)
 	next.Intents = fresh(append(slices.Clone(next.Intents), l.unwritten...), now)
 	for _, i := range intents {
 		i.At, i.Term = now, next.Term
@@ -37,12 +51,7 @@
 	if extra := len(next.Intents) - maxIntents; extra > 0 {
 		next.Intents = next.Intents[extra:]
 	}
-	l.mu.Unlock()
-	if err := l.put(ctx, next, s); err != nil {
-		return err
-	}
-	l.wroteIntents(unwritten)
-	return nil
+	return next, len(l.unwritten)
 }
 
 // tellQuotas has a record of this node's term tell what is left of quotas. The caller holds mu.
