lab: the emulator's table service comes back from a copy

The product's own table service promises to lose nothing; the timetable asks what holds if it does. It is no part of mixed, whose runs stay as they were.

--- a/pkg/lab/faults.go
+++ b/pkg/lab/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -23,11 +24,12 @@
 	FaultsStoreDown   Faults = "store-down"   // the table service and object store are down
 	FaultsWeightsSlow Faults = "weights-slow" // the weight store is slow
 	FaultsMixed       Faults = "mixed"        // all of these
+	FaultsStoreCopy   Faults = "store-copy"   // the table service comes back from a copy, which it promises not to do
 )
 
 // AllFaults returns the names of the timetables.
 func AllFaults() []Faults {
-	return []Faults{FaultsNone, FaultsKill, FaultsCut, FaultsFreeze, FaultsStoreDown, FaultsWeightsSlow, FaultsMixed}
+	return []Faults{FaultsNone, FaultsKill, FaultsCut, FaultsFreeze, FaultsStoreDown, FaultsWeightsSlow, FaultsMixed, FaultsStoreCopy}
 }
 
 // How often failures come and how long they last.
@@ -44,6 +46,9 @@
 	storeDownLasts   = time.Hour
 	storeLosesFor    = 10 * time.Minute // before and after it is down
 	storeLoses       = 0.2
+	copyInterval     = time.Hour
+	copyAge          = 5 * time.Second
+	copyAway         = 2 * time.Second
 	editInterval     = 10 * time.Minute
 	weightsInterval  = 6 * time.Hour
 	weightsSlowLasts = time.Hour
@@ -56,7 +61,7 @@
 	if !slices.Contains(AllFaults(), faults) {
 		return errors.Errorf("unknown faults %q; known are %v", faults, AllFaults())
 	}
-	has := func(one Faults) bool { return faults == one || faults == FaultsMixed }
+	has := func(one Faults) bool { return faults == one || faults == FaultsMixed && one != FaultsStoreCopy }
 	if has(FaultsKill) {
 		w.repeat(random, killInterval, func() { w.killEngine(random) })
 		w.repeat(random, killInterval, func() { w.killNode(random) })
@@ -75,6 +80,9 @@
 	if has(FaultsWeightsSlow) {
 		w.repeat(random, weightsInterval, w.slowWeights)
 	}
+	if has(FaultsStoreCopy) {
+		w.repeat(random, copyInterval, w.loseStore)
+	}
 	if distributed, ok := w.plane.(*distributedPlane); ok {
 		w.repeat(random, editInterval, func() { distributed.edit(random) })
 	}
@@ -227,6 +235,21 @@
 	w.clock.after(2*loses+down, func() { store.loses = 0 })
 }
 
+// loseStore lets the table service be away and come back as it was a while before.
+func (w *world) loseStore() {
+	distributed, ok := w.plane.(*distributedPlane)
+	if !ok {
+		return
+	}
+	store := distributed.platform
+	records, applied := maps.Clone(store.records), maps.Clone(store.applied)
+	w.clock.after(copyAge, func() {
+		store.down = true
+		w.count(FaultsStoreCopy)
+	})
+	w.clock.after(copyAge+copyAway, func() { store.records, store.applied, store.down = records, applied, false })
+}
+
 // edit lets an operator change a setting at a random node.
 func (d *distributedPlane) edit(random *rand.Rand) {
 	w := d.world
--- a/pkg/lab/run_test.go
+++ b/pkg/lab/run_test.go
@@ -91,7 +91,7 @@
 			result, _ := w.result(Options{Seed: seed}, true)
 			checkPromises(t, result)
 			for _, kind := range AllFaults()[1:] {
-				expected := kind != FaultsMixed && (kind == faults || faults == FaultsMixed)
+				expected := kind != FaultsMixed && (kind == faults || faults == FaultsMixed && kind != FaultsStoreCopy)
 				if happened := w.failures[kind] > 0; happened != expected {
 					t.Errorf("%s happened %d times", kind, w.failures[kind])
 				}
