lease, platform, watch: read once more: writes over a copy, answers without rows, lines of the log

- A write that the store does only after it came back, over just what the copy has, counted as a renewal and made its holder sure that nobody else had held the lease; it is kept as what the store has, and no hold (TestAWriteOverACopyIsNoHold).
The tests' stores judge a write as the real one does, by number and mark.
- Rows that are dropped or taken after a return are told in one line with 20 keys at most, not one each.

--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -68,12 +68,12 @@
 	if r.down {
 		return lease.Stored{}, errDown
 	}
-	if over.Version != r.stored.Version || over.Record.Mark != r.stored.Record.Mark {
+	if over.Version.Number() != r.stored.Version.Number() || over.Record.Mark != r.stored.Record.Mark {
 		s := r.stored
 		s.Now = r.now()
 		return s, lease.ErrConflict
 	}
-	r.stored = lease.Stored{Record: next, Version: over.Version + 1, Now: r.now()}
+	r.stored = lease.Stored{Record: next, Version: r.stored.Version + 1, Now: r.now()}
 	return r.stored, nil
 }
 
--- a/pkg/lease/copied.go
+++ b/pkg/lease/copied.go
@@ -92,16 +92,23 @@
 	case errors.Is(err, ErrConflict):
 		l.see(written)
 	case err == nil:
-		l.mu.Lock()
 		written.Record = next
-		l.seen = written
-		l.mu.Unlock()
+		l.keep(written)
 		l.wroteIntents(unwritten)
 		err = errEpochWait
 	}
 	return err
 }
 
+// keep notes a record of an earlier epoch that this node wrote.
+func (l *Lease) keep(s Stored) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sawEpoch(s)
+	l.seen, l.known = s, true
+	l.offset = time.Duration(s.Now)*time.Millisecond - l.Time.Since(l.start)
+}
+
 // renew has the record written with further intents. The term is over if the store came back from a copy; this node
 // then takes the next one, in which the intents don't count.
 func (l *Lease) renew(ctx context.Context, intents []Intent) error {
--- a/pkg/lease/copied_test.go
+++ b/pkg/lease/copied_test.go
@@ -285,6 +285,30 @@
 	})
 }
 
+// TestAWriteOverACopyIsNoHold: the copy has just the record that a write expects, whose holder was cut off for longer than its
+// hold; others may have held the lease in what the store lost.
+func TestAWriteOverACopyIsNoHold(t *testing.T) {
+	bubble(t, func(t *testing.T, m *memory) {
+		way := &cutStore{memory: m}
+		a, stop := runLease(t, &Lease{Store: way, Self: "a", Address: "a"})
+		defer stop()
+		time.Sleep(2 * time.Second)
+		way.setCut(true)
+		time.Sleep(Hold + time.Second)
+		m.comeBack(m.copied())
+		way.setCut(false)
+		for began := time.Now(); time.Since(began) < Expiry; time.Sleep(10 * time.Millisecond) {
+			if held(a) {
+				t.Fatalf("it holds the lease %v after the store came back", time.Since(began))
+			}
+		}
+		time.Sleep(2 * Renewal)
+		if term, is := a.Held(); !is || term <= epochTerms {
+			t.Errorf("later it holds the lease: %t, in term %d", is, term)
+		}
+	})
+}
+
 // TestTermsRiseOverEpochs also where a copy is older than the last one.
 func TestTermsRiseOverEpochs(t *testing.T) {
 	bubble(t, func(t *testing.T, m *memory) {
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -69,12 +69,12 @@
 		m.mu.Lock()
 		return Stored{}, ctx.Err()
 	}
-	if over.Version != m.stored.Version || over.Record.Mark != m.stored.Record.Mark {
+	if over.Version.Number() != m.stored.Version.Number() || over.Record.Mark != m.stored.Record.Mark {
 		s := m.stored
 		s.Now = m.now()
 		return s, ErrConflict
 	}
-	m.stored = Stored{Record: r, Version: over.Version + 1, Now: m.now()}
+	m.stored = Stored{Record: r, Version: m.stored.Version + 1, Now: m.now()}
 	if m.lost > 0 {
 		m.lost--
 		return Stored{}, errAway
--- a/pkg/lease/write.go
+++ b/pkg/lease/write.go
@@ -78,8 +78,7 @@
 	switch {
 	case err == nil:
 		s.Record = r
-		l.hold(s, started)
-		return nil
+		return l.wrote(s, started)
 	case errors.Is(err, ErrConflict):
 		return l.conflict(s, r, started)
 	}
@@ -95,13 +94,23 @@
 // this node wrote, by a call whose answer was lost.
 func (l *Lease) conflict(s Stored, r Record, started time.Time) error {
 	if s.Record.Holder == l.Self && s.Record.Mark == r.Mark {
-		l.hold(s, started)
-		return nil
+		return l.wrote(s, started)
 	}
 	l.see(s)
 	return ErrConflict
 }
 
+// wrote notes a write of this node that was done. By one that the store did only after it came back from a copy, over
+// what the copy has, nobody holds the lease.
+func (l *Lease) wrote(s Stored, started time.Time) error {
+	if s.copied() {
+		l.keep(s)
+		return errEpochWait
+	}
+	l.hold(s, started)
+	return nil
+}
+
 // hold notes a write of this node that was done.
 func (l *Lease) hold(s Stored, started time.Time) {
 	l.mu.Lock()
--- a/pkg/watch/copied.go
+++ b/pkg/watch/copied.go
@@ -26,6 +26,8 @@
 	removedTime = time.Minute
 	// mostRemoved bounds the rows that are remembered.
 	mostRemoved = 1 << 14
+	// mostKeysTold bounds the keys in a line of the log.
+	mostKeysTold = 20
 )
 
 // copied is what a table keeps to take in the rows of a copy. The table's mu guards it.
@@ -109,32 +111,52 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Time.Now()
-	changed := false
+	var changed []string
 	if !t.copied.until.IsZero() && now.After(t.copied.until) {
 		t.copied.until = time.Time{}
-		for key, r := range t.rows {
-			if r.Version.Epoch() < t.version.Epoch() {
-				delete(t.rows, key)
-				changed = true
-				t.Logger.Info("row not written again is gone", "table", t.Name, "key", key, "of", r.Version, "version", t.version)
-			}
-		}
+		changed = t.dropLost()
 	}
 	if !t.copied.risenAt.IsZero() && now.After(t.copied.risenAt) {
 		t.copied.risenAt = time.Time{}
-		for key, r := range t.copied.risen {
-			if _, has := t.rows[key]; !has && t.held.Holds(key) {
-				t.rows[key] = r
-				changed = true
-				t.Logger.Info("row that had gone is back", "table", t.Name, "key", key, "of", r.Version, "version", t.version)
-			}
-		}
-		t.copied.risen = nil
+		changed = append(changed, t.takeRisen()...)
 	}
-	if changed {
+	if len(changed) > 0 {
 		t.Apply(t.rows, t.version)
 	}
 }
 
+// dropLost lets rows of earlier epochs go and returns their keys. The caller holds mu.
+func (t *Table) dropLost() []string {
+	var keys []string
+	for key, r := range t.rows {
+		if !t.confirmedRow(r) {
+			delete(t.rows, key)
+			keys = append(keys, key)
+		}
+	}
+	if len(keys) > 0 {
+		t.Logger.Warn("rows not written again are gone", "table", t.Name, "rows", len(keys), "version", t.version,
+			"keys", keys[:min(len(keys), mostKeysTold)])
+	}
+	return keys
+}
+
+// takeRisen takes the rows that were held back and returns their keys. The caller holds mu.
+func (t *Table) takeRisen() []string {
+	var keys []string
+	for key, r := range t.copied.risen {
+		if _, has := t.rows[key]; !has && t.held.Holds(key) {
+			t.rows[key] = r
+			keys = append(keys, key)
+		}
+	}
+	t.copied.risen = nil
+	if len(keys) > 0 {
+		t.Logger.Warn("rows that had gone are back", "table", t.Name, "rows", len(keys), "version", t.version,
+			"keys", keys[:min(len(keys), mostKeysTold)])
+	}
+	return keys
+}
+
 // confirmedRow tells whether the store has a row in the epoch of the table. The caller holds mu.
 func (t *Table) confirmedRow(r Record) bool { return r.Version.Epoch() >= t.version.Epoch() }
