lease: who looks for a free lease knows more than the copy, also at a site's first start

A node that found the record of a copy took the lease over that record as it was read: the term, orders and evidence that it had seen before did not count, nor whom to ask for orders. And the exemption of a site's first start from the wait went by the record's absence alone: where a copy is from before the first record, a node that started with the site took the lease beside its holder. Both tests failed before: TestATakerKnowsMoreThanTheCopy (it took over from the copy's holder in term 1, where it had seen another one's term 2 with an order) and TestONEAFirstStartEndsWithTheFirstHolder (both held the lease). Now the record that counts is the merged one, and the exemption ends with the first holder seen or told. Nothing of this is entered before the store has come back from a copy.

--- a/pkg/lease/copied.go
+++ b/pkg/lease/copied.go
@@ -66,11 +66,11 @@
 
 // epochWait returns for how much longer nobody but its holder may take the lease of a record of an earlier epoch.
 func (l *Lease) epochWait(s Stored) time.Duration {
-	if l.First && s.Version.Number() == 0 {
-		return 0 // there never was a holder
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.First && s.Record.Term == 0 && l.told.Term == 0 {
+		return 0 // there never was a holder
+	}
 	return Expiry - l.Time.Since(l.epochSince)
 }
 
--- a/pkg/lease/copied_test.go
+++ b/pkg/lease/copied_test.go
@@ -309,6 +309,61 @@
 	})
 }
 
+// TestONEAFirstStartEndsWithTheFirstHolder: a copy from before the first record is waited out like any other by nodes that
+// started with the site and have seen a holder since, or were told of one.
+func TestONEAFirstStartEndsWithTheFirstHolder(t *testing.T) {
+	for name, told := range map[string]bool{"it saw the record": false, "the holder told it": true} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, m *memory) {
+				way := &cutStore{memory: m}
+				a, stopA := runLease(t, &Lease{Store: way, Self: "a", Address: "a", First: true})
+				defer stopA()
+				time.Sleep(2 * time.Second)
+				c := &Lease{Store: m, Self: "c", Address: "c", First: true}
+				if told {
+					c.Announced(m.copied().Record)
+					way.setCut(true)
+					m.comeBack(Stored{})
+				}
+				c, stopC := runLease(t, c)
+				defer stopC()
+				time.Sleep(time.Second)
+				if !told {
+					way.setCut(true)
+					m.comeBack(Stored{})
+				}
+				for began := time.Now(); time.Since(began) < Hold; time.Sleep(10 * time.Millisecond) {
+					c.Suspect()
+					if held(a) && held(c) {
+						t.Fatal("ONE: both hold the lease")
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestATakerKnowsMoreThanTheCopy: what it saw of the record before the store went counts, also its intents.
+func TestATakerKnowsMoreThanTheCopy(t *testing.T) {
+	bubble(t, func(t *testing.T, m *memory) {
+		older := Stored{Record: Record{Term: 1, Holder: "dead", Address: "dead"}, Version: 3}
+		m.set(func() {
+			m.stored = Stored{Record: Record{Term: 2, Holder: "last", Address: "last", Renewed: m.now(),
+				Intents: []Intent{{Server: "s", Need: "lost", At: m.now()}}}, Version: 9}
+		})
+		c, stop := run(t, m, "c")
+		defer stop()
+		time.Sleep(100 * time.Millisecond)
+		m.comeBack(older)
+		for began := time.Now(); time.Since(began) < 3*Expiry && !held(c); time.Sleep(10 * time.Millisecond) {
+			c.Suspect()
+		}
+		if before := c.Before(); !held(c) || before.Holder != "last" || before.Term != 2 || len(before.Intents) != 1 {
+			t.Errorf("it holds the lease: %t, after %+v", held(c), before)
+		}
+	})
+}
+
 // TestTermsRiseOverEpochs also where a copy is older than the last one.
 func TestTermsRiseOverEpochs(t *testing.T) {
 	bubble(t, func(t *testing.T, m *memory) {
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -242,6 +242,9 @@
 	if err != nil {
 		return jitter(lookPause << doublings)
 	}
+	if s.copied() {
+		s = l.lastSeen() // with what this node knows and the copy lacks
+	}
 	own := l.ownLife(s) && !s.copied()
 	if !l.free(s) && !own {
 		l.setWaited(false)
