watch: log why a node lacks a change that others have

Callers were handled by a configuration 4.4 s after a newer one was acknowledged, and no line told whether the node backed off from the store, as what and until when, nor why it gave up the nodes that it followed.

Change: 'role changed', 'followed node is silent', 'table is overdue' (once, then every 5 s) with role, followed nodes, gap, the store's last error and what is left of the pause, 'table is confirmed again'; 'store lost' tells the pause, and 'store still lost' each 5 s. No decision changes.

--- a/pkg/watch/breaker.go
+++ b/pkg/watch/breaker.go
@@ -80,19 +80,31 @@
 	min, max time.Duration
 }
 
-// leave records how a call ended.
-func (b *breaker) leave(failed bool, p pauseLimits) {
+// leave records how a call ended. It returns the pause after a failed call.
+func (b *breaker) leave(failed bool, p pauseLimits) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	defer b.notify()
 	b.probing = false
-	if failed {
-		b.failures++
-		pause := max(min(retryPause<<min(b.failures, maxDoublings), p.max), p.min)
-		b.until = clock.Now().Add(pause/2 + rand.N(pause))
-	} else {
+	if !failed {
 		b.failures = 0
+		return 0
 	}
-	b.notify()
+	b.failures++
+	pause := max(min(retryPause<<min(b.failures, maxDoublings), p.max), p.min)
+	pause = pause/2 + rand.N(pause)
+	b.until = clock.Now().Add(pause)
+	return pause
+}
+
+// pauseLeft returns the rest of the pause after a failed call, and the number of failures in a row.
+func (b *breaker) pauseLeft(now time.Time) (left time.Duration, failures int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.failures == 0 {
+		return 0, 0
+	}
+	return max(b.until.Sub(now), 0), b.failures
 }
 
 // notify wakes the waiting callers. The caller holds mu.
--- a/pkg/watch/follow.go
+++ b/pkg/watch/follow.go
@@ -46,6 +46,8 @@
 	tables       map[string]Parts // parts by table in the last Follow
 	sentAt       time.Time        // time of the last Follow
 	checkedAt    time.Time        // time of the last step
+	role         role             // at the last step
+	overdue      map[string]overdueTable
 }
 
 // follow subscribes to other nodes until ctx ends.
@@ -73,6 +75,8 @@
 	}
 	f.checkedAt = now
 	top := h.topology()
+	h.logRole(f, top)
+	h.logOverdue(f, now)
 	if !h.Known() || len(top.nodes) <= SmallSite || h.Watching() {
 		h.followNobody(f)
 		return
@@ -97,7 +101,7 @@
 	for _, t := range h.Tables {
 		t.setWanted(AllParts)
 	}
-	*f = followState{checkedAt: f.checkedAt}
+	f.main, f.second, f.tables, f.sentAt = "", "", nil, time.Time{}
 	h.setMainParent("")
 }
 
@@ -138,6 +142,8 @@
 		}
 		if now.Sub(p.followedSince) > parentTimeout && now.Sub(p.lastHeard) > parentTimeout {
 			p.avoidUntil = now.Add(silentParentPause)
+			h.Logger.Info("followed node is silent", "address", n.Peers, "heard_ms", sinceKnown(now, p.lastHeard),
+				"followed_ms", now.Sub(p.followedSince).Milliseconds(), "avoid_ms", silentParentPause.Milliseconds())
 			continue
 		}
 		chosen = append(chosen, n.Peers)
--- a/pkg/watch/hub.go
+++ b/pkg/watch/hub.go
@@ -120,6 +120,7 @@
 
 	started   time.Time
 	followNow chan struct{} // wakes the goroutine of follow
+	breaker   breaker       // shared by all tables
 
 	mu         sync.Mutex
 	top        *topology               // topology of the last list of nodes
@@ -138,9 +139,8 @@
 	h.started = clock.Now()
 	h.init()
 	done := make(chan struct{})
-	var shared breaker
 	for _, t := range h.Tables {
-		t.breaker = &shared
+		t.breaker = &h.breaker
 		t.fleetSize = func() int { return len(h.Nodes()) }
 		t.isAlone = func() bool { return !h.Known() }
 		t.updates, t.confirmations = make(chan update, updateQueueLength), make(chan struct{}, 1)
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -154,6 +154,8 @@
 	dated         bool          // asOf is known
 	reread        bool          // the whole table has to be read again
 	failures      int           // failed calls of the store in a row
+	failureLogged time.Time     // time of the last log line about a failed call
+	lastFailure   callFailure   // last failed call of the store
 	lateFeeds     int           // feeds in a row that timed out
 	lastChanged   lastChanges   // version of the last change in each part
 	recent        recentChanges // recent changes; only on a node that holds all rows
@@ -273,12 +275,12 @@
 			continue
 		}
 		changed, err := t.readOrFeed(ctx, probe)
-		t.breaker.leave(err != nil && !errors.Is(err, ErrHistoryGone), t.failurePauses(watching()))
+		pause := t.breaker.leave(err != nil && !errors.Is(err, ErrHistoryGone), t.failurePauses(watching()))
 		switch {
 		case ctx.Err() != nil:
 			return
 		case err != nil:
-			t.noteFailure(err)
+			t.noteFailure(err, pause)
 		default:
 			t.noteSuccess()
 			if changed {
@@ -301,8 +303,18 @@
 	}
 }
 
-// noteFailure updates the state after a failed call of the store.
-func (t *Table) noteFailure(err error) {
+// callFailure is a failed call of the store.
+type callFailure struct {
+	at    time.Time
+	err   error // nil: no call failed yet
+	pause time.Duration
+}
+
+// failureLogInterval is the least time between log lines about a store that goes on failing.
+const failureLogInterval = 5 * time.Second
+
+// noteFailure updates the state after a failed call of the store, which is called again after a pause.
+func (t *Table) noteFailure(err error, pause time.Duration) {
 	if errors.Is(err, ErrHistoryGone) {
 		t.Logger.Warn("change history is gone, reading the whole table", "table", t.Name, "version", t.Version())
 		t.mu.Lock()
@@ -310,10 +322,20 @@
 		t.mu.Unlock()
 		return
 	}
+	now := t.Time.Now()
+	t.mu.Lock()
+	t.lastFailure = callFailure{now, err, pause}
+	t.mu.Unlock()
+	message := "store still lost"
 	if t.failures == 0 {
-		t.Logger.Warn("store lost", "table", t.Name, "version", t.Version(), "error", err)
+		message = "store lost"
 	}
 	t.failures++
+	if t.failures == 1 || now.Sub(t.failureLogged) >= failureLogInterval {
+		t.failureLogged = now
+		t.Logger.Warn(message, "table", t.Name, "version", t.Version(), "age_ms", t.Age().Milliseconds(), "failures", t.failures,
+			"pause_ms", pause.Milliseconds(), "error", err)
+	}
 }
 
 // failurePauses returns the limits of the pause after a failed call. A node that has its rows and on which no
--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -27,6 +27,7 @@
 	calls   int               // number of calls
 	cut     map[string]bool   // callers that get no answer
 	refused map[string]bool   // callers whose calls fail at once
+	dead    map[string]bool   // callers that ended
 }
 
 func newFakeStore() *fakeStore {
@@ -67,8 +68,10 @@
 func (c storeClient) answer(ctx context.Context, f func() (Page, error)) (Page, error) {
 	time.Sleep(4 * time.Millisecond)
 	c.store.mu.Lock()
-	c.store.calls++
-	cut, refused := c.store.cut[c.name], c.store.refused[c.name]
+	if !c.store.dead[c.name] {
+		c.store.calls++
+	}
+	cut, refused := c.store.cut[c.name] || c.store.dead[c.name], c.store.refused[c.name]
 	c.store.mu.Unlock()
 	if refused {
 		return Page{}, errRefused
