--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -28,10 +28,12 @@
 	cut     map[string]bool   // callers that get no answer
 	refused map[string]bool   // callers whose calls fail at once
 	dead    map[string]bool   // callers that ended
+	callsBy map[string]int    // number of calls by caller
+	reads   int               // whole tables that were returned
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{rows: make(map[string]Record), cut: make(map[string]bool), refused: make(map[string]bool)}
+	return &fakeStore{rows: make(map[string]Record), cut: make(map[string]bool), refused: make(map[string]bool), callsBy: make(map[string]int)}
 }
 
 func (m *fakeStore) put(key, value string) {
@@ -70,6 +72,7 @@
 	c.store.mu.Lock()
 	if !c.store.dead[c.name] {
 		c.store.calls++
+		c.store.callsBy[c.name]++
 	}
 	cut, refused := c.store.cut[c.name] || c.store.dead[c.name], c.store.refused[c.name]
 	c.store.mu.Unlock()
@@ -89,6 +92,7 @@
 	return c.answer(ctx, func() (Page, error) {
 		c.store.mu.Lock()
 		defer c.store.mu.Unlock()
+		c.store.reads++
 		p := Page{Version: c.store.version}
 		for _, r := range c.store.rows {
 			p.Records = append(p.Records, r)
