watch: a stale node's call of the store doesn't wait for changes

When the store fell silent, 146 nodes asked it as their rows became stale (2.8 s), with calls that wait 1.6 s for changes and 0.5 s for the answer: these ended at 4.93 s, two seconds after the store was back, and only then the back-off began.

Cause: a node that turns to the store as nobody confirms its rows asked as a watcher does, whose call may well wait. Half of the bound went before it knew that the call had failed.

Change: only watchers wait for changes; all others get the changes or a confirmation at once, and know after 0.5 s that the store is silent.

TestANodeNoticesSoonThatTheStoreIsSilent fails on the code before (no failure noticed 670 ms after the rows became stale) and passes.

--- a/pkg/watch/outage_test.go
+++ b/pkg/watch/outage_test.go
@@ -85,6 +85,26 @@
 	})
 }
 
+// TestANodeNoticesSoonThatTheStoreIsSilent guards against a stale node whose first call takes half of the bound.
+func TestANodeNoticesSoonThatTheStoreIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(195, 195, func(h *Hub) { h.Tables[0].Bound = 4 * time.Second })
+		f.waitSettled(t)
+		time.Sleep(firstStartWait)
+		leaf := f.tables[f.leaves()[0].hub.Self.Name]
+		f.store.setOutage(f.everybody(), false)
+		for !leaf.stale() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		const notice = retryPause + feedSlack + 50*time.Millisecond // the next check, the time of a call, and some more
+		time.Sleep(notice)
+		if _, failures := f.leaves()[0].hub.breaker.pauseLeft(time.Now()); failures == 0 {
+			t.Errorf("the node has not noticed that the store is silent %v after its rows became stale", notice)
+		}
+		f.end()
+	})
+}
+
 // TestParentsAreOfferedInAFixedOrder guards against nodes that follow another node at each check.
 func TestParentsAreOfferedInAFixedOrder(t *testing.T) {
 	var nodes []Node
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -252,8 +252,8 @@
 	return p, t.rows != nil
 }
 
-// run reads from the store while direct returns true, until ctx ends. watching reports whether other nodes
-// depend on this one.
+// run reads from the store while direct returns true, until ctx ends. watching reports whether this node watches
+// the store for others.
 func (t *Table) run(ctx context.Context, direct, watching func() bool) {
 	reading := true
 	for ctx.Err() == nil {
@@ -274,7 +274,7 @@
 			t.breaker.skip() // other nodes sent the changes meanwhile
 			continue
 		}
-		changed, err := t.readOrFeed(ctx, probe)
+		changed, err := t.readOrFeed(ctx, !probe && watching())
 		pause := t.breaker.leave(err != nil && !errors.Is(err, ErrHistoryGone), t.failurePauses(watching()))
 		switch {
 		case ctx.Err() != nil:
@@ -362,9 +362,10 @@
 	t.failures = 0
 }
 
-// readOrFeed reads the table or waits for changes, and reports whether there were any. If probe is set, it
-// does not wait, as the call is to find out whether the store answers again.
-func (t *Table) readOrFeed(ctx context.Context, probe bool) (bool, error) {
+// readOrFeed reads the table or asks for changes, and reports whether there were any. It waits for changes only
+// if mayWait is set: a call that is to find out whether the store answers, or that makes up for news that other
+// nodes did not send, has to fail early if it fails.
+func (t *Table) readOrFeed(ctx context.Context, mayWait bool) (bool, error) {
 	t.mu.Lock()
 	reread := t.rows == nil || t.reread || t.missing() != 0
 	after := t.version
@@ -372,9 +373,9 @@
 	if reread {
 		return true, t.read(ctx)
 	}
-	wait := t.feedTime()
-	if probe {
-		wait = 0
+	wait := time.Duration(0)
+	if mayWait {
+		wait = t.feedTime()
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+feedSlack)
 	defer cancel()
