watch: a node that becomes a reader doesn't sit out its back-off as a leaf

Callers were handled by a configuration of 8.4 s before: both readers had lost power while the store was silent, and the two nodes that took their place from 5 to 7 s on, with 150 followers each, called the store for the first time at 11.85 s and not before 12.8 s, after a single failed call at 4.9 s.

Cause: the end of a back-off was drawn when a call failed, by what the node was then: 2.4 to 7.3 s for a node on which no other depends. A new role changed nothing of it.

Change: the breaker keeps when the call failed and how the pause is spread, and asks for the limits while it waits; a new role wakes the waiting callers. The role is one type now, which the log tells.

--- a/pkg/watch/breaker.go
+++ b/pkg/watch/breaker.go
@@ -14,7 +14,8 @@
 type breaker struct {
 	mu       sync.Mutex
 	failures int           // in a row; zero: closed
-	until    time.Time     // time of the next probe
+	failedAt time.Time     // end of the last failed call
+	jitter   float64       // of the pause after it, as a factor
 	probing  bool          // a call that finds out whether the store answers again is in progress
 	changed  chan struct{} // closed when any of this changes
 }
@@ -23,10 +24,11 @@
 const maxDoublings = 5
 
 // enter waits until the caller may ask the store. It reports whether the call is a probe, which finds out
-// whether the store answers again. Unless it returns an error, leave or skip must follow.
-func (b *breaker) enter(ctx context.Context) (probe bool, err error) {
+// whether the store answers again. Unless it returns an error, leave or skip must follow. The limits of the pause may
+// change while it waits, see wake.
+func (b *breaker) enter(ctx context.Context, limits func() pauseLimits) (probe bool, err error) {
 	for {
-		wait, changed := b.try(clock.Now())
+		wait, changed := b.try(clock.Now(), limits())
 		if wait <= 0 {
 			return changed == nil, ctx.Err()
 		}
@@ -48,7 +50,7 @@
 
 // try returns how long to wait before the store may be asked; the wait also ends when the channel is closed.
 // Zero means now, and without a channel the call is a probe.
-func (b *breaker) try(now time.Time) (time.Duration, <-chan struct{}) {
+func (b *breaker) try(now time.Time, p pauseLimits) (time.Duration, <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.changed == nil {
@@ -59,8 +61,8 @@
 		return 0, b.changed
 	case b.probing:
 		return maxProbeWait, b.changed
-	case now.Before(b.until):
-		return b.until.Sub(now), b.changed
+	case now.Sub(b.failedAt) < b.pause(p):
+		return b.pause(p) - now.Sub(b.failedAt), b.changed
 	}
 	b.probing = true
 	return 0, nil
@@ -80,31 +82,43 @@
 	min, max time.Duration
 }
 
-// leave records how a call ended. It returns the pause after a failed call.
-func (b *breaker) leave(failed bool, p pauseLimits) time.Duration {
+// leave records how a call ended.
+func (b *breaker) leave(failed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	defer b.notify()
 	b.probing = false
 	if !failed {
 		b.failures = 0
-		return 0
+		return
 	}
 	b.failures++
+	b.failedAt, b.jitter = clock.Now(), 0.5+rand.Float64()
+}
+
+// pause returns the pause after the last failed call. The caller holds mu.
+func (b *breaker) pause(p pauseLimits) time.Duration {
 	pause := max(min(retryPause<<min(b.failures, maxDoublings), p.max), p.min)
-	pause = pause/2 + rand.N(pause)
-	b.until = clock.Now().Add(pause)
-	return pause
+	return time.Duration(b.jitter * float64(pause))
 }
 
 // pauseLeft returns the rest of the pause after a failed call, and the number of failures in a row.
-func (b *breaker) pauseLeft(now time.Time) (left time.Duration, failures int) {
+func (b *breaker) pauseLeft(now time.Time, p pauseLimits) (left time.Duration, failures int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.failures == 0 {
 		return 0, 0
 	}
-	return max(b.until.Sub(now), 0), b.failures
+	return max(b.pause(p)-now.Sub(b.failedAt), 0), b.failures
+}
+
+// wake makes the waiting callers look at the limits of their pauses again.
+func (b *breaker) wake() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.changed != nil {
+		b.notify()
+	}
 }
 
 // notify wakes the waiting callers. The caller holds mu.
--- a/pkg/watch/breaker_test.go
+++ b/pkg/watch/breaker_test.go
@@ -14,13 +14,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		const callers, outage, took = 3, 10 * time.Second, 100 * time.Millisecond
 		var b breaker
+		limits := func() pauseLimits { return pauseLimits{max: maxRetryPause} }
 		var calls, served, probes atomic.Int64
 		ctx, cancel := context.WithCancel(t.Context())
 		back := time.Now().Add(outage)
 		for range callers {
 			go func() {
 				for {
-					probe, err := b.enter(ctx)
+					probe, err := b.enter(ctx, limits)
 					if err != nil {
 						return
 					}
@@ -29,7 +30,7 @@
 					}
 					time.Sleep(took)
 					failed := time.Now().Before(back)
-					b.leave(failed, pauseLimits{max: maxRetryPause})
+					b.leave(failed)
 					if failed {
 						calls.Add(1)
 					} else {
@@ -62,16 +63,17 @@
 func TestBreakerSkipLetsTheNextCallerProbe(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var b breaker
-		if probe, err := b.enter(t.Context()); probe || err != nil {
+		limits := func() pauseLimits { return pauseLimits{max: maxRetryPause} }
+		if probe, err := b.enter(t.Context(), limits); probe || err != nil {
 			t.Fatalf("first call: probe %v, error %v", probe, err)
 		}
-		b.leave(true, pauseLimits{max: maxRetryPause})
-		if probe, err := b.enter(t.Context()); !probe || err != nil {
+		b.leave(true)
+		if probe, err := b.enter(t.Context(), limits); !probe || err != nil {
 			t.Fatalf("call after a failure: probe %v, error %v", probe, err)
 		}
 		b.skip()
 		began := time.Now()
-		if probe, err := b.enter(t.Context()); !probe || err != nil || time.Since(began) > 0 {
+		if probe, err := b.enter(t.Context(), limits); !probe || err != nil || time.Since(began) > 0 {
 			t.Errorf("call after a skipped probe: probe %v, error %v after %v", probe, err, time.Since(began))
 		}
 	})
--- a/pkg/watch/follow.go
+++ b/pkg/watch/follow.go
@@ -75,7 +75,7 @@
 	}
 	f.checkedAt = now
 	top := h.topology()
-	h.logRole(f, top)
+	h.checkRole(f, top)
 	h.logOverdue(f, now)
 	if !h.Known() || len(top.nodes) <= SmallSite || h.Watching() {
 		h.followNobody(f)
--- a/pkg/watch/hub.go
+++ b/pkg/watch/hub.go
@@ -142,10 +142,10 @@
 	for _, t := range h.Tables {
 		t.breaker = &h.breaker
 		t.fleetSize = func() int { return len(h.Nodes()) }
-		t.isAlone = func() bool { return !h.Known() }
+		t.role = func() role { return h.roleIn(h.topology()) }
 		t.updates, t.confirmations = make(chan update, updateQueueLength), make(chan struct{}, 1)
 		go func() {
-			t.run(ctx, func() bool { return h.readsStore(t) }, func() bool { return h.Known() && h.Watching() })
+			t.run(ctx, func() bool { return h.readsStore(t) })
 			done <- struct{}{}
 		}()
 		go h.sendUpdates(ctx, t)
--- a/pkg/watch/status.go
+++ b/pkg/watch/status.go
@@ -16,6 +16,12 @@
 	roleReader  role = "reader"  // asks the store
 )
 
+// watches reports whether the node watches the store for others.
+func (r role) watches() bool { return r == roleReader || r == roleStandby }
+
+// hasDependents reports whether other nodes depend on the node for changes.
+func (r role) hasDependents() bool { return r.watches() }
+
 // roleIn returns this node's role in a topology.
 func (h *Hub) roleIn(top *topology) role {
 	switch {
@@ -33,15 +39,15 @@
 	return roleLeaf
 }
 
-// logRole logs the role of this node when it changes.
-func (h *Hub) logRole(f *followState, top *topology) {
+// checkRole logs the role of this node when it changes, and ends pauses that were due to the one before.
+func (h *Hub) checkRole(f *followState, top *topology) {
 	now := h.roleIn(top)
 	if now == f.role {
 		return
 	}
-	left, failures := h.breaker.pauseLeft(f.checkedAt)
-	h.Logger.Info("role changed", "role", now, "before", f.role, "nodes", len(top.nodes), "store_failures", failures, "store_pause_ms", left.Milliseconds())
+	h.Logger.Info("role changed", "role", now, "before", f.role, "nodes", len(top.nodes))
 	f.role = now
+	h.breaker.wake()
 }
 
 // overdueLogInterval is the least time between log lines about the same overdue table.
@@ -76,7 +82,7 @@
 
 // logStatus logs all that decides when a node gets the changes of a table.
 func (h *Hub) logStatus(f *followState, t *Table, now time.Time) {
-	left, failures := h.breaker.pauseLeft(now)
+	left, failures := h.breaker.pauseLeft(now, t.failurePauses())
 	t.mu.Lock()
 	failure, gap := t.lastFailure, t.gapSince
 	t.mu.Unlock()
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -164,7 +164,7 @@
 	confirmations chan struct{} // wakes sendUpdates when another node confirmed the rows
 	breaker       *breaker      // shared by all tables of the node
 	fleetSize     func() int    // number of nodes of the site
-	isAlone       func() bool   // whether no other node is known that could send the rows
+	role          func() role   // of the node
 	large         bool          // the store has more rows than its first page
 	pulling       atomic.Bool   // a request for rows is in progress
 	restored      restoreState
@@ -252,9 +252,8 @@
 	return p, t.rows != nil
 }
 
-// run reads from the store while direct returns true, until ctx ends. watching reports whether this node watches
-// the store for others.
-func (t *Table) run(ctx context.Context, direct, watching func() bool) {
+// run reads from the store while direct returns true, until ctx ends.
+func (t *Table) run(ctx context.Context, direct func() bool) {
 	reading := true
 	for ctx.Err() == nil {
 		t.expireRestoreState()
@@ -266,7 +265,7 @@
 			sleep(ctx, retryPause)
 			continue
 		}
-		probe, err := t.breaker.enter(ctx)
+		probe, err := t.breaker.enter(ctx, t.failurePauses)
 		if err != nil {
 			return
 		}
@@ -274,13 +273,13 @@
 			t.breaker.skip() // other nodes sent the changes meanwhile
 			continue
 		}
-		changed, err := t.readOrFeed(ctx, !probe && watching())
-		pause := t.breaker.leave(err != nil && !errors.Is(err, ErrHistoryGone), t.failurePauses(watching()))
+		changed, err := t.readOrFeed(ctx, !probe && t.role().watches())
+		t.breaker.leave(err != nil && !errors.Is(err, ErrHistoryGone))
 		switch {
 		case ctx.Err() != nil:
 			return
 		case err != nil:
-			t.noteFailure(err, pause)
+			t.noteFailure(err)
 		default:
 			t.noteSuccess()
 			if changed {
@@ -305,16 +304,15 @@
 
 // callFailure is a failed call of the store.
 type callFailure struct {
-	at    time.Time
-	err   error // nil: no call failed yet
-	pause time.Duration
+	at  time.Time
+	err error // nil: no call failed yet
 }
 
 // failureLogInterval is the least time between log lines about a store that goes on failing.
 const failureLogInterval = 5 * time.Second
 
-// noteFailure updates the state after a failed call of the store, which is called again after a pause.
-func (t *Table) noteFailure(err error, pause time.Duration) {
+// noteFailure updates the state after a failed call of the store.
+func (t *Table) noteFailure(err error) {
 	if errors.Is(err, ErrHistoryGone) {
 		t.Logger.Warn("change history is gone, reading the whole table", "table", t.Name, "version", t.Version())
 		t.mu.Lock()
@@ -324,7 +322,7 @@
 	}
 	now := t.Time.Now()
 	t.mu.Lock()
-	t.lastFailure = callFailure{now, err, pause}
+	t.lastFailure = callFailure{now, err}
 	t.mu.Unlock()
 	message := "store still lost"
 	if t.failures == 0 {
@@ -333,6 +331,7 @@
 	t.failures++
 	if t.failures == 1 || now.Sub(t.failureLogged) >= failureLogInterval {
 		t.failureLogged = now
+		pause, _ := t.breaker.pauseLeft(now, t.failurePauses())
 		t.Logger.Warn(message, "table", t.Name, "version", t.Version(), "age_ms", t.Age().Milliseconds(), "failures", t.failures,
 			"pause_ms", pause.Milliseconds(), "error", err)
 	}
@@ -340,8 +339,8 @@
 
 // failurePauses returns the limits of the pause after a failed call. A node that has its rows and on which no
 // other depends backs off for long at once: the watchers send it news when the store answers again.
-func (t *Table) failurePauses(watching bool) pauseLimits {
-	if watching {
+func (t *Table) failurePauses() pauseLimits {
+	if t.role().hasDependents() {
 		return pauseLimits{max: maxRetryPause}
 	}
 	t.mu.Lock()
@@ -395,7 +394,7 @@
 // together.
 func (t *Table) probeSize(ctx context.Context) (done bool, err error) {
 	p, can := t.Source.(Prober)
-	if !can || !t.Partitioned || t.isAlone == nil || !t.isAlone() || t.isLarge() {
+	if !can || !t.Partitioned || t.role == nil || t.role() != roleAlone || t.isLarge() {
 		return false, nil
 	}
 	first, more, err := p.Probe(ctx, t.Name)
