watch: a relay asks a failing store as often as a watcher does

Callers of whole zones were handled by an old configuration: with the readers lost, no relay asked the store for up to 7.3 s after it had failed, though some 30 nodes get their changes from each.

Cause: only watchers counted as nodes on which others depend.

--- a/pkg/watch/status.go
+++ b/pkg/watch/status.go
@@ -20,7 +20,7 @@
 func (r role) watches() bool { return r == roleReader || r == roleStandby }
 
 // hasDependents reports whether other nodes depend on the node for changes.
-func (r role) hasDependents() bool { return r.watches() }
+func (r role) hasDependents() bool { return r.watches() || r == roleRelay }
 
 // roleIn returns this node's role in a topology.
 func (h *Hub) roleIn(top *topology) role {
