watch: the back-off of a node from the store ends within the bound, at any size of the site

What callers saw: requests handled by configuration 3 at 9.27 and 9.53 s, though 5 had been acknowledged at 4.86 s and the store had been back since 2.9 s.

Cause: a node on which no other depends backed off from a failing store for 25 ms a node of the site, half to one and a half times: 2.4 to 7.3 s at 195 nodes, up to 37 s at 985, on the word that watchers send news once the store answers. Both readers had lost power. Class of fault: a pause that grows with the site stands inside a bound that does not, and rests on others who may be lost.

Evidence: the calls of the two nodes at 2.8 s end at 4.9 s, and their next ones come at 12.1 s, 7.2 s later; the first calls of all others lie between 7.4 and 12.2 s.

Change: the back-off is 0.6 of the bound, a quarter longer or shorter. A failed call (0.5 s), the longest back-off (0.75 of the bound) and an answer are over 0.7 to 1.2 s before a node has to keep the bound again, whoever else is left; the sum is a test. No help of others is counted, so that no set of losses breaks it. They still help: readers and relays ask every 0.6 s and tell all others, most of whom then ask nothing.

A long pause while followed nodes are heard: the node can't tell a followed node that is cut off from the store from an outage. So each node has to ask by itself, and the rate grows with the nodes: some 90 calls a second at 195 nodes with a bound of 4 s, 460 at 985, while the store is away (worked out, not measured).

TestNodesSpareAStoreThatIsDown: its check at 200 nodes asked for a rate that stops growing with the site, which is this fault. It asks the same of each node at 200 nodes now as at 26, where the check stays as it was.

TestCONFIGAfterAnOutageAndLosses leaves the list; TestCONFIGOfNodesThatHearNobody and TestTheBoundHoldsForANodeByItself fail before and pass.

--- a/pkg/watch/breaker.go
+++ b/pkg/watch/breaker.go
@@ -76,12 +76,14 @@
 	b.notify()
 }
 
-// pauseLimits bounds the pause after a failed call. The actual pause is random, half to one and a half times
-// as long.
+// pauseLimits bounds the pause after a failed call. The actual pause is random, up to pauseJitter shorter or longer.
 type pauseLimits struct {
 	min, max time.Duration
 }
 
+// pauseJitter spreads the calls of nodes that notice at the same moment that the store fails.
+const pauseJitter = 0.25
+
 // leave records how a call ended.
 func (b *breaker) leave(failed bool) {
 	b.mu.Lock()
@@ -93,7 +95,7 @@
 		return
 	}
 	b.failures++
-	b.failedAt, b.jitter = clock.Now(), 0.5+rand.Float64()
+	b.failedAt, b.jitter = clock.Now(), 1+pauseJitter*(2*rand.Float64()-1)
 }
 
 // pause returns the pause after the last failed call. The caller holds mu.
--- a/pkg/watch/hub.go
+++ b/pkg/watch/hub.go
@@ -141,7 +141,6 @@
 	done := make(chan struct{})
 	for _, t := range h.Tables {
 		t.breaker = &h.breaker
-		t.fleetSize = func() int { return len(h.Nodes()) }
 		t.role = func() role { return h.roleIn(h.topology()) }
 		t.updates, t.confirmations = make(chan update, updateQueueLength), make(chan struct{}, 1)
 		go func() {
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -105,16 +105,13 @@
 	// A watcher on standby asks the store earlier than other nodes, but not just because a reader's feed
 	// takes long.
 	standbyShare = 0.55
-	// A node on which no other depends backs off for long from a store that fails, and for a shorter time
-	// while it has no rows. The watchers send it news when the store answers again.
+	// A node on which no other depends backs off for long from a store that fails, and for a shorter time while it
+	// has no rows. The watchers mostly send it news before it asks again, but they may be lost, and the bound
+	// counts again soon after the store's return: so the back-off must not grow with the site.
 	idleBackoffShare  = 0.6
 	emptyBackoffShare = 0.3
 )
 
-// backoffPerNode times the number of nodes of the site is the back-off of nodes on which no other depends, so
-// that all of them together ask a failing store some forty times a second at most.
-const backoffPerNode = 25 * time.Millisecond
-
 // maxHiddenTime is how long the store may hide changes from feeds before it forgets its history. The result
 // of a feed counts as that much older.
 const maxHiddenTime = time.Second
@@ -163,7 +160,6 @@
 	updates       chan update   // changes to send to other nodes
 	confirmations chan struct{} // wakes sendUpdates when another node confirmed the rows
 	breaker       *breaker      // shared by all tables of the node
-	fleetSize     func() int    // number of nodes of the site
 	role          func() role   // of the node
 	large         bool          // the store has more rows than its first page
 	pulling       atomic.Bool   // a request for rows is in progress
@@ -278,6 +274,8 @@
 		switch {
 		case ctx.Err() != nil:
 			return
+		case errors.Is(err, ErrHistoryGone):
+			t.noteHistoryGone()
 		case err != nil:
 			t.noteFailure(err)
 		default:
@@ -302,6 +300,14 @@
 	}
 }
 
+// noteHistoryGone has the whole table read again.
+func (t *Table) noteHistoryGone() {
+	t.Logger.Warn("change history is gone, reading the whole table", "table", t.Name, "version", t.Version())
+	t.mu.Lock()
+	t.reread = true
+	t.mu.Unlock()
+}
+
 // callFailure is a failed call of the store.
 type callFailure struct {
 	at  time.Time
@@ -313,13 +319,6 @@
 
 // noteFailure updates the state after a failed call of the store.
 func (t *Table) noteFailure(err error) {
-	if errors.Is(err, ErrHistoryGone) {
-		t.Logger.Warn("change history is gone, reading the whole table", "table", t.Name, "version", t.Version())
-		t.mu.Lock()
-		t.reread = true
-		t.mu.Unlock()
-		return
-	}
 	now := t.Time.Now()
 	t.mu.Lock()
 	t.lastFailure = callFailure{now, err}
@@ -349,7 +348,7 @@
 	if empty {
 		return pauseLimits{max: max(maxRetryPause, t.boundShare(emptyBackoffShare))}
 	}
-	backoff := max(maxRetryPause, t.boundShare(idleBackoffShare), time.Duration(t.fleetSize())*backoffPerNode)
+	backoff := max(maxRetryPause, t.boundShare(idleBackoffShare))
 	return pauseLimits{min: backoff, max: backoff}
 }
 
