watch: the relays of other zones are offered in a fixed order

What callers saw: nothing by itself; 195 nodes wrote 1,297 lines 'following other nodes' in the last seconds that their logs kept, each node a change every 200 ms, and sent as many subscriptions beside their requests.

Cause: the nodes that a node may follow ended with the first relays of the other zones in the order of a map. When its own zone's relay and the readers were silent, each check chose others, and a dead one among them was never followed for the 1.2 s of silence after which it is given up.

Change: these too come in the node's own order.

TestParentsAreOfferedInAFixedOrder fails before (other orders of the last six of nine within 100 calls) and passes; it leaves the list.

--- a/pkg/watch/topology.go
+++ b/pkg/watch/topology.go
@@ -57,13 +57,14 @@
 	if t.isRelay(n) {
 		return readers
 	}
-	list := append(preferredOrder(n, t.relays[n.Zone]), readers...)
+	var others []Node
 	for zone, relays := range t.relays {
-		if zone != n.Zone {
-			list = append(list, preferredOrder(n, relays[:1])...)
+		if zone != n.Zone && len(relays) > 0 {
+			others = append(others, relays[0])
 		}
 	}
-	return list
+	list := append(preferredOrder(n, t.relays[n.Zone]), readers...)
+	return append(list, preferredOrder(n, others)...)
 }
 
 // preferredOrder returns the other nodes in the order in which a node prefers them.
