watch: nodes follow their own zone again once the store is back

What callers saw: nothing by itself; after the outage all nodes left the relays of their zones for 10 s and crowded at a few nodes of other zones, which pass changes on to 256 at most.

Cause: a node whose rows are stale sends nothing, also when only the store is away. Followers took that for the node's own silence and avoided it for 10 s.

Change: when a node's rows are confirmed again after they were stale, it may follow all nodes again. A node that is gone costs 1.2 s once more.

--- a/pkg/watch/follow.go
+++ b/pkg/watch/follow.go
@@ -47,6 +47,7 @@
 	sentAt       time.Time        // time of the last Follow
 	checkedAt    time.Time        // time of the last step
 	role         role             // at the last step
+	wasStale     bool             // rows were stale at the last step
 	overdue      map[string]overdueTable
 }
 
@@ -81,6 +82,7 @@
 		h.followNobody(f)
 		return
 	}
+	h.checkOutage(f, now)
 	main, second := h.chooseParents(top, now)
 	relay := top.isRelay(h.Self)
 	tables := h.wantedParts(relay)
@@ -188,6 +190,33 @@
 	}
 }
 
+// checkOutage ends the avoidance of silent nodes when this node's rows are confirmed again after they were stale. Most
+// likely the store was away, so that nobody had news to send.
+func (h *Hub) checkOutage(f *followState, now time.Time) {
+	isStale := slices.ContainsFunc(h.Tables, (*Table).stale)
+	if f.wasStale && !isStale {
+		h.stopAvoiding(now)
+	}
+	f.wasStale = isStale
+}
+
+// stopAvoiding lets this node follow silent nodes again.
+func (h *Hub) stopAvoiding(now time.Time) {
+	avoided := 0
+	h.mu.Lock()
+	for _, p := range h.parents {
+		if now.Before(p.avoidUntil) {
+			avoided++
+			p.avoidUntil = time.Time{}
+		}
+	}
+	h.mu.Unlock()
+	if avoided > 0 {
+		h.Logger.Info("rows are confirmed again, silent nodes may be followed", "nodes", avoided)
+	}
+	h.resetParentTimes(now)
+}
+
 // heardFrom records that a message came from a node that may be a parent.
 func (h *Hub) heardFrom(address string) {
 	h.mu.Lock()
