watch, platform: a silent store is no reason to read a whole table

What callers saw: nothing by itself.

Cause: two feeds in a row that timed out count as changes that are too many for one answer. A store that says nothing looks the same.

Change: only answers that began and did not arrive in time count; the adapter tells them apart.

--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -71,8 +71,13 @@
 	}
 }
 
-// ErrHistoryGone means that the changes after a version are no longer known.
-var ErrHistoryGone = errors.New("watch: the history is gone")
+// Errors of a Source.
+var (
+	// ErrHistoryGone means that the changes after a version are no longer known.
+	ErrHistoryGone = errors.New("watch: the history is gone")
+	// ErrIncomplete means that the store answered, and that the answer did not arrive in time.
+	ErrIncomplete = errors.New("watch: the answer did not arrive in time")
+)
 
 // Source is the platform's store.
 type Source interface {
@@ -80,7 +85,7 @@
 	// the table.
 	Read(ctx context.Context, table string) (Page, error)
 	// Feed waits for changes after a version. It returns a page without records if there are none within
-	// wait.
+	// wait, and ErrIncomplete if only a part of the changes arrived in time.
 	Feed(ctx context.Context, table string, after revision.Revision, wait time.Duration) (Page, error)
 }
 
@@ -153,7 +158,7 @@
 	failures      int           // failed calls of the store in a row
 	failureLogged time.Time     // time of the last log line about a failed call
 	lastFailure   callFailure   // last failed call of the store
-	lateFeeds     int           // feeds in a row that timed out
+	lateFeeds     int           // feeds in a row whose answers did not arrive in time
 	lastChanged   lastChanges   // version of the last change in each part
 	recent        recentChanges // recent changes; only on a node that holds all rows
 	gapSince      time.Time     // time since which changes are known to be missing; zero: none are
@@ -379,7 +384,7 @@
 	defer cancel()
 	page, err := t.Source.Feed(ctx, t.Name, after, wait)
 	if err != nil {
-		t.noteFeedFailure(errors.Is(err, context.DeadlineExceeded))
+		t.noteFeedFailure(errors.Is(err, ErrIncomplete))
 		return false, err
 	}
 	t.lateFeeds = 0
@@ -418,12 +423,13 @@
 	return t.large
 }
 
-// maxLateFeeds is the number of feeds that time out in a row after which the whole table is read. All changes
+// maxLateFeeds is the number of feeds in a row whose answers arrive too late, after which the whole table is read. All changes
 // made during an outage of the store come in one answer, which grows with the table and has the time of one
 // call only. A table is read in pages that each have their own time.
 const maxLateFeeds = 2
 
-// noteFeedFailure counts feeds that timed out, and has the whole table read after too many.
+// noteFeedFailure counts feeds whose answers arrived too late, and has the whole table read after too many. A store
+// that is silent says nothing about the number of changes.
 func (t *Table) noteFeedFailure(late bool) {
 	if !late {
 		t.lateFeeds = 0
