backend, relay: an end that another request met first is reported

What callers saw: a request that crashes servers is not blamed for one of them, so that it may reach one more.

Cause: OnEnd hears of a refused connection only after it was called. All requests at a server share one probe; where another request's probe was refused a moment before, the abandoned request's callback waited for a record that had not gone yet.

Change: a refusal is remembered, and counts if the request had begun before it. One that began after it is not blamed.

--- a/pkg/backend/condition.go
+++ b/pkg/backend/condition.go
@@ -35,6 +35,7 @@
 	recentAt         time.Time
 	endWatches       []endWatch // callbacks for the end of the server
 	vanishedAt       time.Time  // when its record was removed without an announcement that it leaves; zero: not removed so
+	refusedAt        time.Time  // when it last refused a connection of this node; zero: never
 	failures         int        // consecutive
 	avoidUntil       time.Time  // end of the time for which the server is avoided
 
@@ -52,7 +53,7 @@
 		id: s.ID, readSignals: d.Signals, onSignalChange: d.OnSignalChange, notifyChanged: d.notifyChanged,
 		signalState: d.departed.take(d.Time.Now(), s), pool: newPool(d.Dialer, d.Time, s.Address),
 	}
-	c.pool.onRefused, c.pool.onResponse = c.notifyEnd, c.observeResponse
+	c.pool.onRefused, c.pool.onResponse = c.noteRefused, c.observeResponse
 	return c
 }
 
--- a/pkg/backend/conn_test.go
+++ b/pkg/backend/conn_test.go
@@ -230,3 +230,27 @@
 		}
 	})
 }
+
+// TestAnEndThatAnotherRequestMetFirstIsReported guards against a request that is not blamed for a crash as another one
+// met the refused connection before it.
+func TestAnEndThatAnotherRequestMetFirstIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &Directory{Dialer: func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }}
+		d.Replace([]*Server{{ID: "i-1", Service: "s", Address: "server", Version: 1}}, 1)
+		m := d.Snapshot().Member("i-1")
+		began := time.Now()
+		time.Sleep(time.Second)
+		m.Ended(t.Context()) // as done for another request
+		time.Sleep(time.Second)
+		var ended, later bool
+		m.OnEnd(began, time.Minute, func() { ended = true })
+		m.OnEnd(time.Now(), time.Minute, func() { later = true })
+		synctest.Wait()
+		if !ended {
+			t.Error("the end while the request ran was not reported")
+		}
+		if later {
+			t.Error("the end before the request began was reported")
+		}
+	})
+}
--- a/pkg/backend/ended.go
+++ b/pkg/backend/ended.go
@@ -60,14 +60,14 @@
 }
 
 // OnEnd calls f in a new goroutine if the server is found to have ended within the given time: it refuses a
-// connection of this node, or its record is removed although it had not announced that it leaves. The
-// record may also have been removed up to that long before the call, while the request was running. OnEnd
-// itself opens no connection.
-func (c *Condition) OnEnd(within time.Duration, f func()) {
+// connection of this node, or its record is removed although it had not announced that it leaves. Either may also
+// have happened before the call, while the request that began at the given time was running. OnEnd itself opens no
+// connection.
+func (c *Condition) OnEnd(began time.Time, within time.Duration, f func()) {
 	now := c.pool.time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.vanishedAt.After(now.Add(-within)) {
+	if c.vanishedAt.After(now.Add(-within)) || c.refusedAt.After(began) {
 		go f()
 		return
 	}
@@ -75,6 +75,14 @@
 	c.endWatches = append(c.endWatches, endWatch{now.Add(within), f})
 }
 
+// noteRefused records that the server refused a connection, which shows that it has ended.
+func (c *Condition) noteRefused() {
+	c.mu.Lock()
+	c.refusedAt = c.pool.time.Now()
+	c.mu.Unlock()
+	c.notifyEnd()
+}
+
 // notifyEnd runs the callbacks that wait for the end of the server.
 func (c *Condition) notifyEnd() {
 	now := c.pool.time.Now()
--- a/pkg/backend/incarnation_test.go
+++ b/pkg/backend/incarnation_test.go
@@ -68,7 +68,7 @@
 		r.first.Failed(now)
 		r.first.Begin(now, "m")
 		ended := false
-		r.first.OnEnd(time.Second, func() { ended = true })
+		r.first.OnEnd(now, time.Second, func() { ended = true })
 		next := r.restart()
 		synctest.Wait()
 		switch {
--- a/pkg/backend/signals_test.go
+++ b/pkg/backend/signals_test.go
@@ -48,7 +48,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		d, m := newSignallingServer(goodWithHeader("Leaving: 1"))
 		ended := false
-		m.OnEnd(time.Hour, func() { ended = true })
+		m.OnEnd(time.Now(), time.Hour, func() { ended = true })
 		changed := d.Changed()
 		exchangeWith(t, m)
 		select {
--- a/pkg/coordinator/explore_quarantine_test.go
+++ b/pkg/coordinator/explore_quarantine_test.go
@@ -239,7 +239,7 @@
 func (n *simNode) reportEndByRecord(r quarantine.Run, m *backend.Member) {
 	r.ByRecord = true
 	if m != nil {
-		m.OnEnd(recordTimeout, func() { n.member.ServerCrashed(r) })
+		m.OnEnd(time.Now(), recordTimeout, func() { n.member.ServerCrashed(r) })
 	}
 }
 
--- a/pkg/relay/quarantine.go
+++ b/pkg/relay/quarantine.go
@@ -214,7 +214,7 @@
 	}
 	run := c.lastRun(m)
 	run.ByRecord = true
-	m.OnEnd(quarantine.SuspicionTime, func() { q.ServerCrashed(run) })
+	m.OnEnd(c.record.last().started, quarantine.SuspicionTime, func() { q.ServerCrashed(run) })
 }
 
 // Reasons of refusals, telling the caller why retrying does not help.
