--- a/e2e/rolling_test.go
+++ b/e2e/rolling_test.go
@@ -152,3 +152,21 @@
 	}
 	return remaining
 }
+
+// TestUnsafeRequestsGoOnWhileNodesAreReplacedAtOnce guards against planned stops that leave too few nodes that remember
+// the keys of unsafe requests.
+func TestUnsafeRequestsGoOnWhileNodesAreReplacedAtOnce(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t)
+	askUntilServed(t, c.nodes[0], "glaze-7b")
+	c.wantKeysRunOnce(t, c.nodes, "before")
+	const rounds = 2
+	for range rounds {
+		for _, old := range c.nodes {
+			old.stop(t)
+			c.replaceNode(t, old)
+		}
+	}
+	c.wantKeysRunOnce(t, c.nodes, "before") // repeats, which get the first answer
+	c.wantKeysRunOnce(t, c.nodes, "after")
+}
