keeper, node: a stopping node stays until others have what it remembers of unsafe requests

What callers saw: after three to five planned replacements in a row, unsafe requests refused as 'too few keepers answer' for minutes.

Cause: a stop waited until its node was no longer a keeper, not until the new keeper had copied its records. The next node leaves while the new one still copies; of the three members before, one is left to copy from, where two are needed, and both new keepers abstain until all records have expired.

The answer to a request for a copy tells whether the keeper grants; a build of before leaves it out.

--- a/pkg/keeper/copy.go
+++ b/pkg/keeper/copy.go
@@ -14,7 +14,7 @@
 
 // copyPage returns the page of records after the requested position.
 func (s *Store) copyPage(now time.Time, request CopyRequest) CopyReply {
-	reply := CopyReply{Version: s.configuration.Version, Complete: s.complete || s.granting, Next: request.After}
+	reply := CopyReply{Version: s.configuration.Version, Complete: s.complete || s.granting, Granting: s.granting, Next: request.After}
 	if request.Cell != s.configuration.Cell {
 		return CopyReply{}
 	}
--- a/pkg/keeper/messages.go
+++ b/pkg/keeper/messages.go
@@ -90,6 +90,7 @@
 type CopyReply struct {
 	Version  uint64 // configuration version that the keeper uses
 	Complete bool   // the keeper granted claims in Version-1 or does so now, so it has all of its records
+	Granting bool   // the keeper grants claims now; earlier builds don't send it
 	Records  []Record
 	Next     uint64 // After of the request for the next page
 	Done     bool   // no further pages
--- a/pkg/node/stop.go
+++ b/pkg/node/stop.go
@@ -43,7 +43,8 @@
 	handOverPoll    = 50 * time.Millisecond
 )
 
-// handOver asks the control machine to stop and waits until it has.
+// handOver asks the control machine to stop, and waits until it has and until other nodes have what this one remembers of
+// unsafe requests.
 func (n *Node) handOver() {
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
@@ -51,6 +52,9 @@
 	for !n.controlStopped(ctx) && ctx.Err() == nil {
 		time.Sleep(handOverPoll)
 	}
+	began := time.Now()
+	unready := n.claimState.keeper.AwaitSuccessors(ctx, n.transport)
+	n.logger.Info("keepers handed over", "unready_cells", unready, "ms", time.Since(began).Milliseconds())
 }
 
 func (n *Node) controlStopped(ctx context.Context) bool {
