watch, platform: an answer that has begun has time to arrive

What callers saw: nothing yet; found by reading the change that has stale nodes ask without waiting. Their answers had 0.5 s as a whole, where a call that waited for changes had up to 2.1 s; on a link of 10 Mbit/s beside other traffic the changes of an outage may take longer, and each failure would cost a back-off.

Change: a silent store is noticed by the time for the beginning of an answer (0.5 s beyond the wait), and the rest has a second more.

--- a/pkg/watch/late_feeds_test.go
+++ b/pkg/watch/late_feeds_test.go
@@ -10,7 +10,7 @@
 	"martenwheel.dev/pkg/revision"
 )
 
-// After an outage of the store the first feed returns all changes made meanwhile, and has feedSlack for its
+// After an outage of the store the first feed returns all changes made meanwhile, and has AnswerTime for its
 // answer. Over a slow link thousands of rows take longer. If the feed were just repeated, each try would have
 // the same time for at least as many rows, until the history is gone.
 
--- a/pkg/watch/outage_losses_test.go
+++ b/pkg/watch/outage_losses_test.go
@@ -189,8 +189,8 @@
 		}
 		for name, c := range map[string]struct{ takes, allowed time.Duration }{
 			"changes without an outage":     {holds.boundShare(staleShare) + retryPause + answer, site.bound},
-			"after an outage, as a leaf":    {feedSlack + longest(holds, roleLeaf) + answer, site.undisturbed()},
-			"after an outage, as a watcher": {holds.feedTime() + feedSlack + longest(holds, roleReader) + answer, site.undisturbed()},
+			"after an outage, as a leaf":    {AnswerTime + longest(holds, roleLeaf) + answer, site.undisturbed()},
+			"after an outage, as a watcher": {holds.feedTime() + AnswerTime + longest(holds, roleReader) + answer, site.undisturbed()},
 			"after a start":                 {readTime + longest(empty, roleAlone) + answer, site.undisturbed()},
 		} {
 			if c.takes > c.allowed {
--- a/pkg/watch/outage_test.go
+++ b/pkg/watch/outage_test.go
@@ -96,7 +96,7 @@
 		for !leaf.stale() {
 			time.Sleep(10 * time.Millisecond)
 		}
-		const notice = retryPause + feedSlack + 50*time.Millisecond // the next check, the time of a call, and some more
+		const notice = retryPause + AnswerTime + 50*time.Millisecond // the next check, the time of a call, and some more
 		time.Sleep(notice)
 		if _, failures := f.leaves()[0].hub.breaker.pauseLeft(time.Now(), pauseLimits{}); failures == 0 {
 			t.Errorf("the node has not noticed that the store is silent %v after its rows became stale", notice)
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -85,7 +85,8 @@
 	// the table.
 	Read(ctx context.Context, table string) (Page, error)
 	// Feed waits for changes after a version. It returns a page without records if there are none within
-	// wait, and ErrIncomplete if only a part of the changes arrived in time.
+	// wait. It fails if the answer does not begin within wait and AnswerTime, and with ErrIncomplete if only a part
+	// of the answer has arrived when ctx ends.
 	Feed(ctx context.Context, table string, after revision.Revision, wait time.Duration) (Page, error)
 }
 
@@ -97,7 +98,10 @@
 
 // Times of calls of the store.
 const (
-	feedSlack     = 500 * time.Millisecond // time for the answer, beyond the wait of a feed
+	// AnswerTime is how long a sound store takes at most to begin its answer to a feed, beyond the wait.
+	AnswerTime = 500 * time.Millisecond
+	// transferTime is how long the rest of the answer may take: changes of several seconds over a slow link.
+	transferTime  = time.Second
 	retryPause    = 120 * time.Millisecond // after a failure, before it is doubled
 	maxRetryPause = 600 * time.Millisecond // of a watcher
 )
@@ -380,7 +384,7 @@
 	if mayWait {
 		wait = t.feedTime()
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+feedSlack)
+	ctx, cancel := context.WithTimeout(ctx, wait+AnswerTime+transferTime)
 	defer cancel()
 	page, err := t.Source.Feed(ctx, t.Name, after, wait)
 	if err != nil {
--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -102,6 +102,8 @@
 }
 
 func (c storeClient) Feed(ctx context.Context, _ string, after revision.Revision, wait time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+AnswerTime)
+	defer cancel()
 	return c.answer(ctx, func() (Page, error) {
 		for end := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
 			c.store.mu.Lock()
