--- a/pkg/watch/outage_test.go
+++ b/pkg/watch/outage_test.go
@@ -40,6 +40,15 @@
 	return callers
 }
 
+// startOutage runs n nodes with a bound of 4 s and a store that has refused calls, or been silent, for six seconds.
+func startOutage(t *testing.T, n int, refuses bool) *fleet {
+	f := startFleet(n, n, func(h *Hub) { h.Tables[0].Bound = 4 * time.Second })
+	f.waitSettled(t)
+	f.store.setOutage(f.everybody(), refuses)
+	time.Sleep(6 * time.Second)
+	return f
+}
+
 // soonAgain is how soon a node on which others depend asks a failing store again: the longest pause and the time in
 // which it notices its role.
 const soonAgain = maxRetryPause*3/2 + followCheckInterval + 50*time.Millisecond
@@ -47,10 +56,7 @@
 // TestANewReaderDoesNotSitOutItsPauseAsALeaf guards against a site whose new readers leave the store alone for seconds.
 func TestANewReaderDoesNotSitOutItsPauseAsALeaf(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := startFleet(302, 302, func(h *Hub) { h.Tables[0].Bound = 4 * time.Second })
-		f.waitSettled(t)
-		f.store.setOutage(f.everybody(), true)
-		time.Sleep(6 * time.Second)
+		f := startOutage(t, 302, true)
 		lost := newTopology(f.nodes).watchers
 		f.lose(lost)
 		left := slices.DeleteFunc(slices.Clone(f.nodes), func(n Node) bool { return slices.Contains(lost, n.Name) })
@@ -68,10 +74,7 @@
 // TestARelayAsksAFailingStoreAgainSoon guards against a zone that waits for a relay that waits for lost readers.
 func TestARelayAsksAFailingStoreAgainSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := startFleet(302, 302, func(h *Hub) { h.Tables[0].Bound = 4 * time.Second })
-		f.waitSettled(t)
-		f.store.setOutage(f.everybody(), true)
-		time.Sleep(6 * time.Second)
+		f := startOutage(t, 302, true)
 		top := newTopology(f.nodes)
 		callers := f.callersWithin(soonAgain)
 		for zone, relays := range top.relays {
@@ -126,10 +129,7 @@
 // TestNodesFollowTheirZoneAgainAfterAnOutage guards against a site that gets its changes across zones for 10 s.
 func TestNodesFollowTheirZoneAgainAfterAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := startFleet(195, 195, func(h *Hub) { h.Tables[0].Bound = 4 * time.Second })
-		f.waitSettled(t)
-		f.store.setOutage(f.everybody(), false)
-		time.Sleep(6 * time.Second)
+		f := startOutage(t, 195, false)
 		f.store.setOutage(nil, false)
 		f.awaitConfirmed()
 		time.Sleep(parentTimeout)
