--- a/pkg/watch/follow.go
+++ b/pkg/watch/follow.go
@@ -98,6 +98,17 @@
 	h.requestMissing(ctx, main)
 }
 
+// checkRole logs the role of this node when it changes, and ends pauses that were due to the one before.
+func (h *Hub) checkRole(f *followState, top *topology) {
+	now := h.roleIn(top)
+	if now == f.role {
+		return
+	}
+	h.Logger.Info("role changed", "role", now, "before", f.role, "nodes", len(top.nodes))
+	f.role = now
+	h.breaker.wake()
+}
+
 // followNobody is the step of a node that watches the store, or knows no other nodes yet: it holds all rows.
 func (h *Hub) followNobody(f *followState) {
 	for _, t := range h.Tables {
--- a/pkg/watch/status.go
+++ b/pkg/watch/status.go
@@ -2,53 +2,8 @@
 
 import "time"
 
-// These log lines tell why a node lacks a change that others have: what it does for others, whom it follows, when
-// it last heard of them, and how its own calls of the store went.
-
-// role is what a node does for the other nodes of its site.
-type role string
-
-const (
-	roleAlone   role = "alone"   // knows no other nodes yet
-	roleLeaf    role = "leaf"    // gets changes from a node that it follows
-	roleRelay   role = "relay"   // follows a reader and passes changes on to nodes of its zone
-	roleStandby role = "standby" // gets changes from the readers, and asks the store if they fail
-	roleReader  role = "reader"  // asks the store
-)
-
-// watches reports whether the node watches the store for others.
-func (r role) watches() bool { return r == roleReader || r == roleStandby }
-
-// hasDependents reports whether other nodes depend on the node for changes.
-func (r role) hasDependents() bool { return r.watches() || r == roleRelay }
-
-// roleIn returns this node's role in a topology.
-func (h *Hub) roleIn(top *topology) role {
-	switch {
-	case !h.Known():
-		return roleAlone
-	case len(top.nodes) <= SmallSite:
-		return roleReader
-	case h.onStandby():
-		return roleStandby
-	case h.Watching():
-		return roleReader
-	case top.isRelay(h.Self):
-		return roleRelay
-	}
-	return roleLeaf
-}
-
-// checkRole logs the role of this node when it changes, and ends pauses that were due to the one before.
-func (h *Hub) checkRole(f *followState, top *topology) {
-	now := h.roleIn(top)
-	if now == f.role {
-		return
-	}
-	h.Logger.Info("role changed", "role", now, "before", f.role, "nodes", len(top.nodes))
-	f.role = now
-	h.breaker.wake()
-}
+// The log lines of this file tell why a node lacks a change that others have: its role, whom it follows, when it last
+// heard of them, and how its own calls of the store went.
 
 // overdueLogInterval is the least time between log lines about the same overdue table.
 const overdueLogInterval = 5 * time.Second
--- a/pkg/watch/topology.go
+++ b/pkg/watch/topology.go
@@ -86,3 +86,37 @@
 	}
 	return h.top
 }
+
+// role is what a node does for the other nodes of its site.
+type role string
+
+const (
+	roleAlone   role = "alone"   // knows no other nodes yet
+	roleLeaf    role = "leaf"    // gets changes from a node that it follows
+	roleRelay   role = "relay"   // follows a reader and passes changes on to nodes of its zone
+	roleStandby role = "standby" // gets changes from the readers, and asks the store if they fail
+	roleReader  role = "reader"  // asks the store
+)
+
+// watches reports whether the node watches the store for others.
+func (r role) watches() bool { return r == roleReader || r == roleStandby }
+
+// hasDependents reports whether other nodes depend on the node for changes.
+func (r role) hasDependents() bool { return r.watches() || r == roleRelay }
+
+// roleIn returns this node's role in a topology.
+func (h *Hub) roleIn(top *topology) role {
+	switch {
+	case !h.Known():
+		return roleAlone
+	case len(top.nodes) <= SmallSite:
+		return roleReader
+	case h.onStandby():
+		return roleStandby
+	case h.Watching():
+		return roleReader
+	case top.isRelay(h.Self):
+		return roleRelay
+	}
+	return roleLeaf
+}
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -11,7 +11,7 @@
 //
 // parts.go divides tables into parts; topology.go assigns the roles; follow.go is the side of the followers
 // and serve.go that of the followed nodes; hub.go is what readers send to nodes that follow nobody;
-// restored.go handles a store that was restored from a backup.
+// restored.go handles a store that was restored from a backup; status.go logs why a table is out of date.
 package watch
 
 import (
@@ -346,7 +346,7 @@
 }
 
 // failurePauses returns the limits of the pause after a failed call. A node that has its rows and on which no
-// other depends backs off for long at once: the watchers send it news when the store answers again.
+// other depends backs off for long at once, as the watchers mostly send it news when the store answers again.
 func (t *Table) failurePauses() pauseLimits {
 	if t.role().hasDependents() {
 		return pauseLimits{max: maxRetryPause}
@@ -427,9 +427,9 @@
 	return t.large
 }
 
-// maxLateFeeds is the number of feeds in a row whose answers arrive too late, after which the whole table is read. All changes
-// made during an outage of the store come in one answer, which grows with the table and has the time of one
-// call only. A table is read in pages that each have their own time.
+// maxLateFeeds is the number of feeds in a row whose answers arrive too late, after which the whole table is read.
+// All changes made during an outage of the store come in one answer, which grows with the table and has the time
+// of one call only. A table is read in pages that each have their own time.
 const maxLateFeeds = 2
 
 // noteFeedFailure counts feeds whose answers arrived too late, and has the whole table read after too many. A store
