relay: log how a stream was framed and what followed its last event

A request's line could not tell whether a stream that reached its caller too short had neither length nor chunks, and whether it ended within an event. Each try now carries unframed and rest_bytes. Only logs change; tests of the package pass.

--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -53,6 +53,8 @@
 	verdict       attemptResult
 	err           error
 	serverCrashed bool // the server was found to have crashed
+	unframed      bool // the answer had no length and no chunks, so that it ended with its connection
+	restBytes     int  // received after the last whole event when the answer ended
 }
 
 // answerDuration returns how long the server sent its answer; zero if none began.
@@ -106,6 +108,13 @@
 	}
 }
 
+// streamEnded records how the stream of the last attempt was framed, and how many bytes followed its
+// last whole event.
+func (r *record) streamEnded(framed bool, restBytes int) {
+	t := r.last()
+	t.unframed, t.restBytes = !framed, restBytes
+}
+
 // attemptEnded records the result of the last attempt.
 func (r *record) attemptEnded(now time.Time, v attemptResult, err error) {
 	t := r.last()
@@ -230,13 +239,15 @@
 
 // tryLine is an attempt in the log.
 type tryLine struct {
-	Server  string `json:"server"`
-	AtMS    int64  `json:"at_ms"`
-	TookMS  int64  `json:"took_ms"`
-	RanMS   int64  `json:"ran_ms"` // part of TookMS after the answer began
-	Verdict string `json:"verdict"`
-	Error   string `json:"error,omitempty"`
-	Ended   bool   `json:"server_ended,omitempty"`
+	Server    string `json:"server"`
+	AtMS      int64  `json:"at_ms"`
+	TookMS    int64  `json:"took_ms"`
+	RanMS     int64  `json:"ran_ms"` // part of TookMS after the answer began
+	Verdict   string `json:"verdict"`
+	Error     string `json:"error,omitempty"`
+	Ended     bool   `json:"server_ended,omitempty"`
+	Unframed  bool   `json:"unframed,omitempty"`
+	RestBytes int    `json:"rest_bytes,omitempty"`
 }
 
 func (c *call) describeTries() []tryLine {
@@ -244,7 +255,7 @@
 	for i, t := range c.record.tries {
 		lines[i] = tryLine{Server: t.server, AtMS: t.started.Sub(c.arrived).Milliseconds(),
 			TookMS: t.ended.Sub(t.started).Milliseconds(), RanMS: t.answerDuration().Milliseconds(),
-			Verdict: t.verdict.String(), Ended: t.serverCrashed}
+			Verdict: t.verdict.String(), Ended: t.serverCrashed, Unframed: t.unframed, RestBytes: t.restBytes}
 		if t.err != nil {
 			lines[i].Error = t.err.Error()
 		}
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -60,6 +60,9 @@
 			}
 			pending = append(pending[:0], pending[cut:]...)
 		}
+		if err != nil {
+			c.record.streamEnded(a.Framed, len(pending))
+		}
 		switch {
 		case err == io.EOF && !active.mayEndByMove(a):
 			return c.endStream(a, pending)
