--- a/pkg/relay/harness_test.go
+++ b/pkg/relay/harness_test.go
@@ -219,3 +219,19 @@
 	s.t.Helper()
 	return s.do(s.request(s.t.Context(), http.MethodPost, "/p/x", id, body))
 }
+
+// unframedStream writes an answer with neither length nor chunks, and ends its connection.
+func unframedStream(contentType, body string, end func(net.Conn)) answerer {
+	return func(w http.ResponseWriter, _ *http.Request, s seen) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: seal-%s\r\nContent-Type: %s\r\n\r\n%s",
+			s.id, s.server, contentType, body)
+		end(conn)
+	}
+}
+
+// closeConnection closes a connection in the ordinary way.
+func closeConnection(conn net.Conn) { _ = conn.Close() }
