relay: events whose lines end with CR LF or CR are passed on as they arrive

What callers saw: of a server that writes CR LF or CR, no event until the stream had ended, then all at once; and nothing to continue from when it broke. Cause: the end of an event was two LF in a row. By the standard of server-sent events a line ends with CR LF, LF or CR, and an event with an empty line. Blocks of comments are passed on but not counted as events, as nothing was generated for them.

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -17,7 +17,7 @@
 //   - slots.go: servers that limit their request rate
 //   - attempt.go: sending a request, and what a failed attempt allows
 //   - quarantine.go: requests that crash servers
-//   - buffered.go, stream.go: passing answers on
+//   - buffered.go, stream.go, events.go: passing answers on
 //   - refuse.go: answers of the relay itself
 //   - budget.go, slack.go: the retry budget
 //   - cancel.go: ending requests before a planned stop
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -26,8 +25,6 @@
 var (
 	errMoved        = errors.New("relay: the server is about to be gone")
 	errEventTooLong = errors.New("relay: an event is too long")
-	eventEnd        = []byte("\n\n")
-	eventID         = []byte("id:")
 	errPartialEvent = errors.New("relay: the stream ended within an event")
 )
 
@@ -46,19 +43,18 @@
 		c.limitGap(a, m)
 		n, err := a.Read(buffer)
 		pending = append(pending, buffer[:n]...)
-		if cut := bytes.LastIndex(pending, eventEnd); cut >= 0 {
+		if whole := scanEvents(pending); whole.size > 0 {
 			if impatience != nil {
 				impatience.Stop()
 			}
-			cut += len(eventEnd)
 			c.answerStarted()
-			if !c.sendEvents(a, pending[:cut]) {
+			if !c.sendEvents(a, pending[:whole.size], whole) {
 				return aborted, errors.New("the caller can't be written to")
 			}
 			if c.lastEvent != "" {
-				active.noteProgress(c.relay.Time.Now(), bytes.Count(pending[:cut], eventEnd))
+				active.noteProgress(c.relay.Time.Now(), whole.count)
 			}
-			pending = append(pending[:0], pending[cut:]...)
+			pending = append(pending[:0], pending[whole.size:]...)
 		}
 		if err != nil {
 			c.record.streamEnded(a.Framed, len(pending))
@@ -98,39 +94,28 @@
 	return c.hasAlternative(m)
 }
 
-// sendEvents passes complete events on and remembers the ID of the last one.
-func (c *call) sendEvents(a *backend.Answer, events []byte) bool {
+// sendEvents passes data of a stream on and remembers the ID of its last complete event.
+func (c *call) sendEvents(a *backend.Answer, data []byte, whole wholeEvents) bool {
 	if !c.headSent {
 		c.sendHead(a)
 		c.w.WriteHeader(a.Status)
 		c.record.firstByte = c.relay.Time.Since(c.arrived)
 	}
-	if _, err := c.w.Write(events); err != nil {
+	if _, err := c.w.Write(data); err != nil {
 		return false
 	}
 	_ = http.NewResponseController(c.w).Flush()
-	c.record.eventsSent(c.relay.Time.Now(), len(events), bytes.Count(events, eventEnd))
-	if id := lastEventID(events); id != "" {
-		c.lastEvent = id
+	c.record.eventsSent(c.relay.Time.Now(), len(data), whole.count)
+	if whole.lastID != "" {
+		c.lastEvent = whole.lastID
 	}
 	return true
 }
 
-// lastEventID returns the ID of the last event that has one.
-func lastEventID(events []byte) string {
-	last := ""
-	for line := range bytes.Lines(events) {
-		if rest, found := bytes.CutPrefix(line, eventID); found {
-			last = string(bytes.TrimSpace(rest))
-		}
-	}
-	return last
-}
-
 // endStream completes the answer of a stream that ended. Data after the last event is part of the
 // server's body.
 func (c *call) endStream(a *backend.Answer, rest []byte) (attemptResult, error) {
-	if len(rest) > 0 && !c.sendEvents(a, rest) {
+	if len(rest) > 0 && !c.sendEvents(a, rest, wholeEvents{}) {
 		return aborted, errPartialEvent
 	}
 	if !c.headSent {
