relay: a stream whose connection closes within an event has been broken off

Cause: an answer may have neither length nor chunks and end with its connection, and a server that crashes may close its connections in order. The relay took the end of the connection for the end of the stream, passed what followed the last whole event on and ended its own answer as complete. Class: an end that nobody stated is taken for the end. A reset, chunks or a length that end short were broken before, too. Why it works: of an answer without framing only its events tell whether it is whole. One that ends within an event, or has none, ends as a connection that broke does: it goes on elsewhere from the last whole event, is tried again if nothing was sent, or breaks at the caller; the server is looked at for a crash, and nothing is counted as completed. An answer with a length or chunks, or that is no stream of events, ends as it says (TestCompleteAnswerOfAStreamLooksBroken). An end between two events can't be told from the end of the stream.

--- a/pkg/relay/events.go
+++ b/pkg/relay/events.go
@@ -66,3 +66,16 @@
 		return line[:cr], b[cr+1:], true
 	}
 }
+
+// isWithinEvent reports whether rest, which follows the last complete event of a stream, begins
+// another one. Whole lines of comments belong to no event.
+func isWithinEvent(rest []byte) bool {
+	for len(rest) > 0 {
+		line, after, ended := cutLine(rest)
+		if !ended || len(line) > 0 && line[0] != commentMarker {
+			return true
+		}
+		rest = after
+	}
+	return false
+}
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"time"
 
@@ -25,7 +26,8 @@
 var (
 	errMoved        = errors.New("relay: the server is about to be gone")
 	errEventTooLong = errors.New("relay: an event is too long")
-	errPartialEvent = errors.New("relay: the stream ended within an event")
+	errPartialEvent = errors.WithMessage(backend.ErrBroken, "relay: the connection closed within the stream")
+	errNotWritable  = errors.New("relay: the caller can't be written to")
 )
 
 // relayStream passes complete events on as they arrive until the stream ends. After a break, the
@@ -35,6 +37,7 @@
 	defer c.unregisterStream(active)
 	buffer := make([]byte, streamReadBytes)
 	var pending []byte
+	events := 0 // of this attempt
 	for {
 		active.evacuateIfLeaving()
 		if !active.isMoving() && c.mustMove(m) {
@@ -49,16 +52,20 @@
 			}
 			c.answerStarted()
 			if !c.sendEvents(a, pending[:whole.size], whole) {
-				return aborted, errors.New("the caller can't be written to")
+				return aborted, errNotWritable
 			}
 			if c.lastEvent != "" {
 				active.noteProgress(c.relay.Time.Now(), whole.count)
 			}
 			pending = append(pending[:0], pending[whole.size:]...)
+			events += whole.count
 		}
 		if err != nil {
 			c.record.streamEnded(a.Framed, len(pending))
 		}
+		if err == io.EOF && isPartialStream(a, events, pending) {
+			err = errPartialEvent
+		}
 		switch {
 		case err == io.EOF && !active.mayEndByMove(a):
 			return c.endStream(a, pending)
@@ -72,6 +79,23 @@
 	}
 }
 
+// isPartialStream reports whether an answer that ended with its connection is only a part of its
+// stream: it contains no event, or ends within one. A server that crashes may close its connections in
+// order, so that nothing else tells.
+func isPartialStream(a *backend.Answer, events int, rest []byte) bool {
+	return !a.Framed && isEventStream(a.Header) && (events == 0 || isWithinEvent(rest))
+}
+
+// isEventStream reports whether the content of an answer is a stream of events or not named.
+func isEventStream(h http.Header) bool {
+	contentType := h.Get("Content-Type")
+	if contentType == "" {
+		return true
+	}
+	mediaType, _, _ := mime.ParseMediaType(contentType) // parameters do not matter
+	return mediaType == "text/event-stream"
+}
+
 // limitGap sets a time limit for the next read if the stream could continue elsewhere.
 func (c *call) limitGap(a *backend.Answer, m *backend.Member) {
 	if !c.headSent || !c.mayRunAgain() || !c.hasAlternative(m) {
@@ -116,7 +140,7 @@
 // server's body.
 func (c *call) endStream(a *backend.Answer, rest []byte) (attemptResult, error) {
 	if len(rest) > 0 && !c.sendEvents(a, rest, wholeEvents{}) {
-		return aborted, errPartialEvent
+		return aborted, errNotWritable
 	}
 	if !c.headSent {
 		c.sendHead(a)
