relay: a broken stream ends with a reset for callers of HTTP/1.0

What such callers would see: a stream cut short that looks complete. They get no chunks, so that a stream ends for them with its connection, and an aborted answer closes it in order. Cause: the same class as of streams closed within an event, on the callers' side. The users' callers speak HTTP/1.1; found by looking for the same cause elsewhere. Why it works: from the head of a stream to its regular end the connection is set to close with a reset, so that also the end of the process shows. Weighed: taking over the connection when an answer is aborted, which the end of the process would escape; holding the stream until its length is known, which is no stream.

--- a/pkg/relay/harness_test.go
+++ b/pkg/relay/harness_test.go
@@ -107,7 +107,9 @@
 		Budget: BudgetConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
 	}
 	s.relay.BudgetStart = time.Now().Add(-s.relay.Budget.FillTime()) // as if the node had been running for long
-	s.front = httptest.NewServer(s.relay)
+	s.front = httptest.NewUnstartedServer(s.relay)
+	s.front.Config.ConnContext = ConnContext
+	s.front.Start()
 	t.Cleanup(s.front.Close)
 	return s
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -18,6 +18,7 @@
 //   - attempt.go: sending a request, and what a failed attempt allows
 //   - quarantine.go: requests that crash servers
 //   - buffered.go, stream.go, events.go: passing answers on
+//   - unframed.go: callers that get streams without framing
 //   - refuse.go: answers of the relay itself
 //   - budget.go, slack.go: the retry budget
 //   - cancel.go: ending requests before a planned stop
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -122,6 +122,7 @@
 func (c *call) sendEvents(a *backend.Answer, data []byte, whole wholeEvents) bool {
 	if !c.headSent {
 		c.sendHead(a)
+		c.resetUnlessComplete()
 		c.w.WriteHeader(a.Status)
 		c.record.firstByte = c.relay.Time.Since(c.arrived)
 	}
@@ -146,5 +147,6 @@
 		c.sendHead(a)
 		c.w.WriteHeader(a.Status)
 	}
+	c.streamIsComplete()
 	return served, nil
 }
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -274,7 +274,7 @@
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	server := &http.Server{
-		Handler: s.relay, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
+		Handler: s.relay, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, ConnContext: relay.ConnContext,
 		ErrorLog: s.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	var tasks conc.WaitGroup
