tunnel: a node that does not reach a server connects through another node

Cause: a node knows no way to servers but its own links. Nothing in dialling or choosing could serve a request; class: a path that everything rests on and that has no second one. It carries bytes only: who counts, limits and answers stays the node that took the request, and a refusal still means that nothing was sent. A refused connection counts as the end of a server only if the server refused another node as well, which reaches others itself. Orders never use a tunnel: they would come from two machines.

--- a/pkg/backend/condition.go
+++ b/pkg/backend/condition.go
@@ -51,7 +51,7 @@
 func newCondition(d *Directory, s *Server) *Condition {
 	c := &Condition{
 		id: s.ID, readSignals: d.Signals, onSignalChange: d.OnSignalChange, notifyChanged: d.notifyChanged,
-		signalState: d.departed.take(d.Time.Now(), s), pool: newPool(d.Dialer, d.Time, s.Address),
+		signalState: d.departed.take(d.Time.Now(), s), pool: newPool(d, s.Address),
 	}
 	c.pool.onRefused, c.pool.onResponse = c.noteRefused, c.observeResponse
 	return c
--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -17,6 +17,18 @@
 // Dialer opens a connection to a server.
 type Dialer func(ctx context.Context, address string) (net.Conn, error)
 
+// IndirectConn is a connection that leads through another node, since this one does not reach the server.
+type IndirectConn interface {
+	net.Conn
+	Indirect()
+}
+
+// Reach is told what direct connections show about this node's way to servers.
+type Reach interface {
+	Sent()  // a request is sent
+	Heard() // a server answered
+}
+
 // Errors of an exchange.
 var (
 	// ErrNotSent means that no byte of the request left this process.
@@ -42,6 +54,8 @@
 	Body   []byte
 	// Control lets the message open a connection beyond the limit.
 	Control bool
+	// Direct forbids connections through other nodes: the server goes by who sends the message.
+	Direct bool
 	// IsAnswer reports whether a response belongs to the request. Other responses are skipped. Nil accepts
 	// every response.
 	IsAnswer func(http.Header) bool
@@ -70,10 +84,11 @@
 // closes that arrive while no request is in progress.
 type conn struct {
 	net.Conn
-	pool    *pool
-	reader  *bufio.Reader
-	idleAt  time.Time     // when the connection became idle
-	idleFor time.Duration // idle time after which the server closes the connection; zero: unknown
+	pool     *pool
+	indirect bool // it leads through another node
+	reader   *bufio.Reader
+	idleAt   time.Time     // when the connection became idle
+	idleFor  time.Duration // idle time after which the server closes the connection; zero: unknown
 	// suspended is the total time for which the machine had been suspended when the connection became idle.
 	// After a suspension the connection may be dead without notice, and it would be unknown whether a
 	// request sent on it was executed.
@@ -101,7 +116,8 @@
 const readBufferBytes = 4 << 10
 
 func newConn(p *pool, nc net.Conn) *conn {
-	c := &conn{Conn: nc, pool: p, reader: bufio.NewReaderSize(nc, readBufferBytes)}
+	_, indirect := nc.(IndirectConn)
+	c := &conn{Conn: nc, pool: p, indirect: indirect, reader: bufio.NewReaderSize(nc, readBufferBytes)}
 	go c.read()
 	return c
 }
@@ -146,6 +162,7 @@
 		if err != nil {
 			return nil, err
 		}
+		c.noteHeard()
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -164,6 +181,20 @@
 	return nil, errForeignResponses
 }
 
+// noteHeard tells that the server was heard, if directly.
+func (c *conn) noteHeard() {
+	if c.pool.reach != nil && !c.indirect {
+		c.pool.reach.Heard()
+	}
+}
+
+// noteSent tells that a request is sent, if directly.
+func (c *conn) noteSent() {
+	if c.pool.reach != nil && !c.indirect {
+		c.pool.reach.Sent()
+	}
+}
+
 // keepAlive returns how long the server announces to keep an idle connection open; zero: not announced.
 func keepAlive(h http.Header) time.Duration {
 	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
@@ -224,6 +255,7 @@
 	if err := c.begin(x); err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
+	c.noteSent()
 	writing := make(chan writeResult, 1)
 	go func() {
 		w := countingConn{Conn: c.Conn}
--- a/pkg/backend/directory.go
+++ b/pkg/backend/directory.go
@@ -63,7 +63,10 @@
 // call of Replace.
 type Directory struct {
 	Dialer Dialer
-	Time   clock.Clock
+	// DirectDialer connects without the help of other nodes; nil: Dialer.
+	DirectDialer Dialer
+	Reach        Reach // may be nil
+	Time         clock.Clock
 	// ColdFor returns how long the servers of a service are cold after a start, see Evacuate; nil: never.
 	ColdFor func(service string) time.Duration
 	// Signals reads the backpressure signals of a response; nil: responses carry none.
@@ -155,6 +158,14 @@
 	d.notifyChangedLocked()
 }
 
+// DropDirectConnections closes the idle direct connections to all servers, for a node that is cut from
+// them: a request sent on one would hang.
+func (d *Directory) DropDirectConnections() {
+	for _, m := range d.Snapshot().members {
+		m.pool.dropDirect()
+	}
+}
+
 // Release announces that the next list will omit incarnations that continue to run: this node stops using
 // them, which does not count as their end.
 func (d *Directory) Release(ids []string) {
--- a/pkg/backend/ended.go
+++ b/pkg/backend/ended.go
@@ -101,7 +101,7 @@
 func (p *pool) refuses(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	nc, err := p.connect(ctx, false)
+	nc, err := p.connect(ctx, false, false)
 	if err == nil {
 		p.put(nc)
 		return false
--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -23,14 +24,18 @@
 	maxIdle = time.Minute
 	// idleMargin is how long before the server closes an idle connection the node stops using it.
 	idleMargin = 500 * time.Millisecond
+	// maxIndirectIdle is short since direct connections take over once they work again.
+	maxIndirectIdle = 2 * time.Second
 )
 
 // pool holds the connections to one incarnation of a server. Safe for concurrent use.
 type pool struct {
-	dial    Dialer
-	time    clock.Clock
-	address string
-	limit   atomic.Int64 // maximum number of connections; zero: unlimited
+	dial       Dialer
+	dialDirect Dialer // for messages that must not lead through other nodes
+	reach      Reach  // may be nil
+	time       clock.Clock
+	address    string
+	limit      atomic.Int64 // maximum number of connections; zero: unlimited
 
 	mu        sync.Mutex
 	idle      []*conn // most recently used last
@@ -44,18 +49,25 @@
 	onResponse func(sent time.Time, r *http.Response)
 }
 
-func newPool(dial Dialer, t clock.Clock, address string) *pool {
-	return &pool{dial: dial, time: t, address: address}
+func newPool(d *Directory, address string) *pool {
+	p := &pool{dial: d.Dialer, dialDirect: d.DirectDialer, reach: d.Reach, time: d.Time, address: address}
+	if p.dialDirect == nil {
+		p.dialDirect = d.Dialer
+	}
+	return p
 }
 
 // take returns a usable idle connection, or nil if there is none.
-func (p *pool) take(now time.Time) *conn {
+func (p *pool) take(now time.Time, direct bool) *conn {
 	for {
-		c := p.pop()
+		c := p.pop(direct)
 		if c == nil {
 			return nil
 		}
 		bound := maxIdle
+		if c.indirect {
+			bound = maxIndirectIdle
+		}
 		if c.idleFor > 0 {
 			bound = min(bound, max(c.idleFor-idleMargin, c.idleFor/2))
 		}
@@ -66,15 +78,17 @@
 	}
 }
 
-func (p *pool) pop() *conn {
+// pop removes and returns the idle connection that was used last, or nil.
+func (p *pool) pop(direct bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle) == 0 {
-		return nil
+	for i, c := range slices.Backward(p.idle) {
+		if !direct || !c.indirect {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[len(p.idle)-1]
-	p.idle = p.idle[:len(p.idle)-1]
-	return c
+	return nil
 }
 
 // put returns a connection to the pool.
@@ -116,8 +130,19 @@
 	}
 }
 
+// dropDirect closes the idle direct connections.
+func (p *pool) dropDirect() {
+	for c := p.pop(true); c != nil; c = p.pop(true) {
+		c.fail(errIdleClosed)
+	}
+}
+
 // connect opens a connection. The limit does not apply to control connections.
-func (p *pool) connect(ctx context.Context, control bool) (*conn, error) {
+func (p *pool) connect(ctx context.Context, control, direct bool) (*conn, error) {
+	dial := p.dial
+	if direct {
+		dial = p.dialDirect
+	}
 	p.mu.Lock()
 	if limit := int(p.limit.Load()); limit > 0 && p.open >= limit && !control {
 		p.mu.Unlock()
@@ -125,7 +150,7 @@
 	}
 	p.open++
 	p.mu.Unlock()
-	nc, err := p.dial(ctx, p.address)
+	nc, err := dial(ctx, p.address)
 	if err != nil {
 		p.failed(err)
 		return nil, err
@@ -184,11 +209,11 @@
 // before the first byte is sent; if check returns an error, the request is not sent.
 func (c *Condition) Send(ctx context.Context, m *Message, check func() error) (*Answer, error) {
 	for {
-		nc := c.pool.take(c.pool.time.Now())
+		nc := c.pool.take(c.pool.time.Now(), m.Direct)
 		fresh := nc == nil
 		if fresh {
 			var err error
-			if nc, err = c.pool.connect(ctx, m.Control); err != nil {
+			if nc, err = c.pool.connect(ctx, m.Control, m.Direct); err != nil {
 				return nil, notSent(err)
 			}
 		}
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -188,6 +188,10 @@
 		case frameSend:
 			s.handle(ctx, received.message)
 		case frameCall:
+			if _, asks := received.message.(StreamRequest); asks {
+				s.serveStream(ctx, received)
+				return nil
+			}
 			s.slots <- struct{}{}
 			s.calls.Go(func() { s.answer(ctx, received) })
 		case framePing:
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -30,6 +30,7 @@
 	"martenwheel.dev/pkg/relay"
 	"martenwheel.dev/pkg/route"
 	"martenwheel.dev/pkg/storeclock"
+	"martenwheel.dev/pkg/tunnel"
 	"martenwheel.dev/pkg/watch"
 )
 
@@ -43,6 +44,7 @@
 	Keys       relay.KeyAge      // limits the age of the key table by which requests are admitted
 	Clock      *storeclock.Clock // the store's clock
 	Servers    *backend.Directory
+	Dial       backend.Dialer // connects to servers directly; nil: Dial
 	Store      lease.Store
 	Tables     []*watch.Table // tables of the store that the site keeps up to date
 	Orders     coordinator.Orders
@@ -68,6 +70,9 @@
 	hub      *watch.Hub
 	relay    *relay.Relay
 	traffic  *peerTraffic
+	reach    *tunnel.Reach
+	dialer   *tunnel.Dialer
+	helper   *tunnel.Helper
 	stopping atomic.Bool
 	watched  atomic.Pointer[watchedNodes]
 }
@@ -264,11 +269,13 @@
 // Run serves until ctx ends and the graceful shutdown is finished.
 func (s *Site) Run(ctx context.Context) error {
 	s.traffic = newPeerTraffic(s.Registry)
+	s.reach = &tunnel.Reach{}
 	callers, peers, err := s.listen()
 	if err != nil {
 		return err
 	}
 	l, holder, transport := s.assemble()
+	s.connectThroughOthers(l)
 	peers.Serve(s)
 	defer s.watchSuspension()()
 	background, cancel := context.WithCancel(context.Background())
@@ -282,6 +289,7 @@
 	tasks.Go(func() { holder.Run(background) })
 	tasks.Go(func() { s.member.Run(background) })
 	tasks.Go(func() { s.hub.Run(background) })
+	tasks.Go(func() { s.dialer.Run(background) })
 	tasks.Go(func() { s.keepConnectionShares(background) })
 	tasks.Go(func() { s.serveMetrics(background) })
 	tasks.Go(func() { s.traffic.summarize(background, s.Logger) })
@@ -320,7 +328,7 @@
 	s.relay.Stop(s.Grace)
 	s.Logger.Info("stopping", "in_flight", s.relay.InFlight(), "grace_ms", s.Grace.Milliseconds())
 	for clock.Since(began) < s.Grace-stopMargin {
-		if clock.Since(began) > s.Linger && s.relay.InFlight() == 0 {
+		if clock.Since(began) > s.Linger && s.relay.InFlight() == 0 && s.helper.Open() == 0 {
 			break
 		}
 		time.Sleep(stopPollInterval)
--- /dev/null
+++ b/pkg/tunnel/dialer_test.go
@@ -0,0 +1,298 @@
+package tunnel
+
+import (
+	"context"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+)
+
+// link is how a connection to a server goes.
+type link uint8
+
+const (
+	works   link = iota
+	refuses      // the server or the link
+	hangs
+	slow // for the time of a busy machine
+)
+
+// Times of the fakes.
+const (
+	roundTrip  = 3 * time.Millisecond
+	hangTime   = 350 * time.Millisecond
+	slowTime   = 150 * time.Millisecond
+	serverName = "server"
+)
+
+// dial connects over a link.
+func (l link) dial(ctx context.Context) (net.Conn, error) {
+	wait, err := roundTrip, error(nil)
+	switch l {
+	case refuses:
+		err = refusal()
+	case hangs:
+		wait, err = hangTime, os.ErrDeadlineExceeded
+	case slow:
+		wait = slowTime
+	}
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(wait):
+	}
+	if err != nil {
+		return nil, err
+	}
+	conn, _ := net.Pipe()
+	return conn, nil
+}
+
+// newDialer returns a dialer of a node whose direct connections go over one link and whose helpers answer by
+// name.
+func newDialer(direct link, helpers map[string]func(context.Context) (net.Conn, Result, error)) *Dialer {
+	reach := &Reach{Time: func() time.Time { return time.Now() }, Servers: func() int { return 8 }, Logger: hclog.NewNullLogger()}
+	d := &Dialer{
+		Zone: "a", Reach: reach, Servers: func() []string { return []string{serverName, "server-1", "server-2", "server-3"} },
+		Leads:  func() bool { return false },
+		Direct: func(ctx context.Context, _ string) (net.Conn, error) { return direct.dial(ctx) },
+		Connect: func(ctx context.Context, node, _ string) (net.Conn, Result, error) {
+			return helpers[node](ctx)
+		},
+	}
+	d.Nodes = func() []Node {
+		var nodes []Node
+		for name := range helpers {
+			nodes = append(nodes, Node{Address: name, Zone: name[:1]})
+		}
+		return nodes
+	}
+	return d
+}
+
+// helperOver is a node that connects over a link.
+func helperOver(l link) func(context.Context) (net.Conn, Result, error) {
+	return func(ctx context.Context) (net.Conn, Result, error) {
+		conn, err := l.dial(ctx)
+		switch {
+		case err == nil:
+			return conn, Open, nil
+		case isRefusal(err):
+			return nil, Refused, nil
+		}
+		return nil, NotReached, err
+	}
+}
+
+// unavailable is a node that opens no tunnel.
+func unavailable(context.Context) (net.Conn, Result, error) { return nil, Unavailable, nil }
+
+// TestConnectionsOverBrokenWays guards against requests that wait for, or are refused by, links that are broken.
+func TestConnectionsOverBrokenWays(t *testing.T) {
+	type helpers = map[string]func(context.Context) (net.Conn, Result, error)
+	for name, c := range map[string]struct {
+		direct   link
+		helpers  helpers
+		indirect bool
+		most     time.Duration
+	}{
+		"sound":                      {works, helpers{"a": helperOver(works)}, false, 2 * roundTrip},
+		"silent":                     {hangs, helpers{"a": helperOver(works)}, true, directTime + 2*roundTrip},
+		"refused":                    {refuses, helpers{"a": helperOver(works)}, true, 3 * roundTrip},
+		"the zone is cut":            {hangs, helpers{"a1": helperOver(hangs), "b": helperOver(works)}, true, directTime + nextHelperTime + 2*roundTrip},
+		"one says that it is cut":    {hangs, helpers{"a": unavailable, "b": helperOver(works)}, true, directTime + 2*roundTrip},
+		"others reach it no better":  {slow, helpers{"a": helperOver(hangs), "b": unavailable}, false, slowTime + roundTrip},
+		"two of three helpers hang":  {hangs, helpers{"a": helperOver(hangs), "b": helperOver(hangs), "c": helperOver(works)}, true, directTime + 2*nextHelperTime + 2*roundTrip},
+		"no other node, but it goes": {slow, nil, false, slowTime + roundTrip},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDialer(c.direct, c.helpers)
+				began := time.Now()
+				conn, err := d.Dial(t.Context(), serverName)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, indirect := conn.(indirectConn); indirect != c.indirect {
+					t.Errorf("indirect: %v", indirect)
+				}
+				if took := time.Since(began); took > c.most {
+					t.Errorf("took %v, want at most %v", took, c.most)
+				}
+				time.Sleep(time.Second) // attempts that lost the race end
+			})
+		})
+	}
+}
+
+// TestRefusalsOfBrokenWaysLookLikeEnds guards against servers that count as ended because a link rejects
+// connections.
+func TestRefusalsOfBrokenWaysLookLikeEnds(t *testing.T) {
+	type helpers = map[string]func(context.Context) (net.Conn, Result, error)
+	for name, c := range map[string]struct {
+		direct  link
+		helpers helpers
+		others  int // servers that the node failed to reach before
+		ended   bool
+	}{
+		"refused everywhere":               {refuses, helpers{"a": helperOver(refuses)}, 0, true},
+		"silent here, refused elsewhere":   {hangs, helpers{"a": helperOver(refuses)}, 0, true},
+		"alone":                            {refuses, nil, 0, true},
+		"nobody can tell":                  {refuses, helpers{"a": unavailable}, 0, true},
+		"nobody can tell, all are refused": {refuses, helpers{"a": unavailable}, 2, false},
+		"silent everywhere":                {hangs, helpers{"a": helperOver(hangs)}, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDialer(c.direct, c.helpers)
+				for i := range c.others {
+					d.Reach.Failed([]string{"server-1", "server-2"}[i], false)
+				}
+				_, err := d.Dial(t.Context(), serverName)
+				if err == nil || errors.Is(err, syscall.ECONNREFUSED) != c.ended {
+					t.Errorf("error %v, ended: want %v", err, c.ended)
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// TestRequestsPayForEachDialOfACutNode guards against a wait for each connection while the node is cut.
+func TestRequestsPayForEachDialOfACutNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDialer(hangs, map[string]func(context.Context) (net.Conn, Result, error){"a": helperOver(works)})
+		for _, server := range d.Servers() {
+			if _, err := d.Dial(t.Context(), server); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Second)
+		if !d.Reach.Cut() {
+			t.Fatal("not cut")
+		}
+		began := time.Now()
+		if _, err := d.Dial(t.Context(), "server-9"); err != nil || time.Since(began) > 2*roundTrip {
+			t.Errorf("%v after %v", err, time.Since(began))
+		}
+		time.Sleep(time.Second)
+	})
+}
+
+// TestCutIsNoticedByRequestsOnly guards against cuts whose begin and end only failing requests would show.
+func TestCutIsNoticedByRequestsOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDialer(works, map[string]func(context.Context) (net.Conn, Result, error){"a": helperOver(works)})
+		now := works
+		d.Direct = func(ctx context.Context, _ string) (net.Conn, error) { return now.dial(ctx) }
+		ctx, stop := context.WithCancel(t.Context())
+		go d.Run(ctx)
+		d.Reach.Heard()
+		time.Sleep(roundTrip)
+		now = hangs
+		d.Reach.Sent() // on an open connection, which hangs
+		time.Sleep(2 * time.Second)
+		if !d.Reach.Cut() {
+			t.Error("the cut is not noticed in 2 s")
+		}
+		now = works
+		time.Sleep(time.Second)
+		if d.Reach.Cut() {
+			t.Error("the end of the cut is not noticed in 1 s")
+		}
+		stop()
+		time.Sleep(time.Second)
+	})
+}
+
+// TestHelperConfirmsRefusalsOfItsOwnLinks guards against two cut nodes that take a server for ended.
+func TestHelperConfirmsRefusalsOfItsOwnLinks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDialer(refuses, nil)
+		h := &Helper{Dialer: d, Stopping: func() bool { return false }, Logger: hclog.NewNullLogger(), Listed: func(context.Context, Connect) bool { return true }}
+		if _, result := h.Connect(t.Context(), "node", Connect{Address: serverName}); result != NotReached {
+			t.Errorf("a node that reaches no server says %v", result)
+		}
+		d.Direct = func(ctx context.Context, address string) (net.Conn, error) {
+			if address == serverName {
+				return refuses.dial(ctx)
+			}
+			return works.dial(ctx)
+		}
+		if _, result := h.Connect(t.Context(), "node", Connect{Address: serverName}); result != Refused {
+			t.Errorf("a node that reaches the other servers says %v", result)
+		}
+		if h.Open() != 0 {
+			t.Errorf("%d tunnels are open", h.Open())
+		}
+	})
+}
+
+// TestHelperOpensTunnelsItShouldNot guards against hops through nodes that stop, are cut or don't list the server.
+func TestHelperOpensTunnelsItShouldNot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDialer(works, nil)
+		stopping, listed := false, true
+		h := &Helper{Dialer: d, Stopping: func() bool { return stopping }, Logger: hclog.NewNullLogger(), Listed: func(context.Context, Connect) bool { return listed }}
+		connect := func() (net.Conn, Result) { return h.Connect(t.Context(), "node", Connect{Address: serverName}) }
+		conn, result := connect()
+		if result != Open || h.Open() != 1 {
+			t.Fatalf("%v, %d open", result, h.Open())
+		}
+		_ = conn.Close()
+		_ = conn.Close()
+		if h.Open() != 0 {
+			t.Errorf("%d tunnels are open after a close", h.Open())
+		}
+		stopping = true
+		if _, result := connect(); result != Unavailable {
+			t.Errorf("stopping: %v", result)
+		}
+		stopping, listed = false, false
+		if _, result := connect(); result != Unavailable {
+			t.Errorf("not listed: %v", result)
+		}
+		listed = true
+		time.Sleep(time.Second)
+		breakWays(d.Reach, 8)
+		if _, result := connect(); result != Unavailable {
+			t.Errorf("cut: %v", result)
+		}
+		d.Reach.Heard()
+		h.open.Store(maxTunnels)
+		if _, result := connect(); result != Unavailable {
+			t.Errorf("full: %v", result)
+		}
+	})
+}
+
+// TestNodeThatReachesNoServerLeads guards against holders that can give no orders.
+func TestNodeThatReachesNoServerLeads(t *testing.T) {
+	type helpers = map[string]func(context.Context) (net.Conn, Result, error)
+	for name, c := range map[string]struct {
+		direct  link
+		helpers helpers
+		fit     bool
+	}{
+		"sound":                  {works, helpers{"a": helperOver(works)}, true},
+		"cut":                    {hangs, helpers{"a": helperOver(works)}, false},
+		"refused":                {refuses, helpers{"a": helperOver(works)}, false},
+		"nobody reaches servers": {hangs, helpers{"a": helperOver(hangs)}, true},
+		"alone":                  {hangs, nil, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				if got := newDialer(c.direct, c.helpers).ReachesServers(t.Context()); got != c.fit {
+					t.Errorf("fit: %v", got)
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
--- a/pkg/tunnel/reach.go
+++ b/pkg/tunnel/reach.go
@@ -24,6 +24,8 @@
 	aroundTime = 10 * time.Second
 	// failureTime is how long a failed direct connection casts doubt on those to other servers.
 	failureTime = time.Second
+	// probeSilence is how long a request may stay without any answer before servers are probed.
+	probeSilence = 800 * time.Millisecond
 	// forgetTime is when an unconfirmed failure is forgotten.
 	forgetTime = 5 * time.Second
 )
@@ -218,11 +220,38 @@
 	return others >= cutWays-1
 }
 
+// silentFor returns how long no server was heard directly.
+func (r *Reach) silentFor() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Time.Since(r.contactAt)
+}
+
+// HeardSince reports whether a server was heard directly since t.
+func (r *Reach) HeardSince(t time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.contactAt.After(t)
+}
+
+// mayBeCut reports whether a way is broken and no server was heard directly since.
+func (r *Reach) mayBeCut() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Time.Now()
+	for _, w := range r.ways {
+		if w.isBroken(now) && w.failedAt.After(r.contactAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // unanswered reports whether a request was sent a while ago and no server was heard directly since.
 func (r *Reach) unanswered() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.sentAt.After(r.contactAt) && r.Time.Since(r.contactAt) > cutSilence
+	return r.sentAt.After(r.contactAt) && r.Time.Since(r.sentAt) < forgetTime && r.Time.Since(r.contactAt) > probeSilence
 }
 
 // brokenWays returns the addresses of servers to which the way is broken, the one whose direct connection
