backend, relay: a broken link of the node accuses no server and no request

Cause: a connection that breaks while the server's port still answers was taken for a crash behind a proxy. A broken link of the node looks the same. Why it works: after a break the server is connected again, as before. If that connection comes up through another node only, the node's own link explains the break, and nothing is told. A server that refuses the other node has ended, as before, and one that is connected directly stays a suspect.

--- a/pkg/backend/ended.go
+++ b/pkg/backend/ended.go
@@ -18,17 +18,31 @@
 	probeSharedTime = 100 * time.Millisecond
 )
 
+// ProbeResult is what a probe shows of a server.
+type ProbeResult int32
+
+const (
+	ProbeUnclear ProbeResult = iota
+	// ProbeEnded means that nothing listens at the server's port any more.
+	ProbeEnded
+	// ProbeLinkBroken means that the server is there, and only this node's way to it is broken.
+	ProbeLinkBroken
+)
+
 // endProbe is a check whether a server has ended, made by connecting to it.
 type endProbe struct {
-	began time.Time
-	done  chan struct{} // closed when ended is set
-	ended atomic.Bool
+	began  time.Time
+	done   chan struct{} // closed when result is set
+	result atomic.Int32  // ProbeResult
 }
 
-// Ended reports whether the server's port certainly has no listener any more, because it refuses a
-// connection. A connection that succeeds is kept for requests. Calls at about the same time share one
-// probe.
-func (c *Condition) Ended(ctx context.Context) bool {
+// Ended reports whether the server's port certainly has no listener any more.
+func (c *Condition) Ended(ctx context.Context) bool { return c.Probe(ctx) == ProbeEnded }
+
+// Probe connects to the server to find out why a connection to it broke. A refused connection shows that
+// the server has ended. A connection that succeeds is kept for requests. Calls at about the same time share
+// one probe.
+func (c *Condition) Probe(ctx context.Context) ProbeResult {
 	p := c.pool
 	now := p.time.Now()
 	p.mu.Lock()
@@ -42,14 +56,14 @@
 	if fresh {
 		go func() {
 			defer close(probe.done)
-			probe.ended.Store(p.refuses(context.WithoutCancel(ctx)))
+			probe.result.Store(int32(p.probe(context.WithoutCancel(ctx))))
 		}()
 	}
 	select {
 	case <-probe.done:
-		return probe.ended.Load()
+		return ProbeResult(probe.result.Load())
 	case <-ctx.Done():
-		return false
+		return ProbeUnclear
 	}
 }
 
@@ -97,14 +111,20 @@
 	}
 }
 
-// refuses reports whether the server refuses a new connection.
-func (p *pool) refuses(ctx context.Context) bool {
+// probe makes a new connection to the server.
+func (p *pool) probe(ctx context.Context) ProbeResult {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	nc, err := p.connect(ctx, false, false)
 	if err == nil {
 		p.put(nc)
-		return false
+		if nc.indirect {
+			return ProbeLinkBroken
+		}
+		return ProbeUnclear
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return ProbeEnded
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return ProbeUnclear
 }
--- a/pkg/relay/quarantine.go
+++ b/pkg/relay/quarantine.go
@@ -153,9 +153,14 @@
 	switch {
 	case abandoned:
 		c.watchForCrash(m)
+		return
 	case !isConnectionBroken(err): // no sign of a crash
-	case m.Ended(ctx):
+		return
+	}
+	switch m.Probe(ctx) {
+	case backend.ProbeEnded:
 		c.recordCrash(m)
+	case backend.ProbeLinkBroken: // this node's link explains the break
 	default:
 		c.relay.streams.connectionBroke(m.ID, c.relay.Time.Now())
 		c.recordSuspicion(ctx, m)
--- a/pkg/relay/quarantine_test.go
+++ b/pkg/relay/quarantine_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/quarantine"
 	"martenwheel.dev/pkg/route"
 )
@@ -20,10 +21,11 @@
 type localQuarantine struct {
 	noCoordinator bool // nobody grants trials
 
-	table   quarantine.Table
-	mu      sync.Mutex
-	trials  quarantine.Trials
-	crashes []string // servers, as reported
+	table      quarantine.Table
+	mu         sync.Mutex
+	trials     quarantine.Trials
+	crashes    []string // servers, as reported
+	suspicions int      // reported
 }
 
 // Standing implements Quarantine.
@@ -64,6 +66,9 @@
 
 // CrashSuspected implements Quarantine.
 func (a *localQuarantine) CrashSuspected(_ context.Context, r quarantine.Run) {
+	a.mu.Lock()
+	a.suspicions++
+	a.mu.Unlock()
 	a.table.Suspect(time.Now(), r)
 }
 
@@ -99,6 +104,13 @@
 	return len(a.crashes)
 }
 
+// suspicionCount returns the number of reported suspicions.
+func (a *localQuarantine) suspicionCount() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.suspicions
+}
+
 // crashingBody is the body of requests that crash the servers of these tests.
 const crashingBody = "ends servers"
 
@@ -382,3 +394,37 @@
 		t.Errorf("the standing after three rounds is %v", got)
 	}
 }
+
+// throughAnother is a connection through another node.
+type throughAnother struct{ net.Conn }
+
+func (throughAnother) Indirect() {}
+
+// TestBrokenLinkOfTheNodeAccusesTheServer guards against innocent requests in the quarantine of all nodes.
+func TestBrokenLinkOfTheNodeAccusesTheServer(t *testing.T) {
+	for name, c := range map[string]struct {
+		reachedByOther bool
+		suspected      int
+	}{"this node's link broke": {true, 0}, "the connection broke": {false, 1}} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, streamRoute(false), events(3, 8, resetConnection))
+			var dials atomic.Int32
+			directory := &backend.Directory{Dialer: func(ctx context.Context, address string) (net.Conn, error) {
+				conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+				if err == nil && dials.Add(1) > 1 && c.reachedByOther {
+					return throughAnother{conn}, nil
+				}
+				return conn, err
+			}}
+			directory.Replace(s.servers, 1)
+			q := &localQuarantine{}
+			s.relay.Servers, s.relay.Quarantine = directory, q
+			if got := s.post("id", "x"); got.err == nil {
+				t.Fatal("the stream did not break")
+			}
+			if n := q.suspicionCount(); n != c.suspected {
+				t.Errorf("%d suspicions, want %d", n, c.suspected)
+			}
+		})
+	}
+}
