lease, site: a holder that is cut from all servers hands the lease over

What callers saw: models that no server holds are not loaded while the holder is cut; their requests are refused for as long as the cut lasts. Cause: orders reach servers over the holder's own links only, and the lease goes by the store alone, which the holder still reaches. Why it works: a holder that has been cut for half a second releases the lease as at a planned stop. Before a node takes a free lease it connects to servers, unless it heard one just now; if only others reach them, it leaves the lease to those for 5 s, so that the next holder is no node that is cut without knowing it. A lease that the store does not let others take is kept (TestLeaseIsHandedOverWithoutTheStore). Weighed: orders through tunnels, which would come from two machines.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -42,6 +42,9 @@
 	callTimeout      = 800 * time.Millisecond // of one call of the store
 	pollInterval     = 400 * time.Millisecond // between reads of a record that is free
 	heldPollInterval = time.Minute            // between reads of a record that another node holds
+	// UnfitDelay is how long a node that can't do a holder's work leaves a free lease to others. By then also
+	// those have asked that leave it to the first candidates.
+	UnfitDelay = 5 * time.Second
 	// maxDoublings limits the interval after failed reads to 1.6 s. Without the growing interval, many nodes
 	// would each ask a store that is down several times a second.
 	maxDoublings = 2
@@ -68,6 +71,9 @@
 	// TakeoverDelay returns how long this node leaves a free lease to better suited nodes; nil means no
 	// delay. It may be called with the lease locked and must not call the lease.
 	TakeoverDelay func() time.Duration
+	// Fit reports whether this node can do a holder's work. It is asked right before the node takes a free
+	// lease; if it cannot, it leaves the lease to others for UnfitDelay. It may be nil.
+	Fit func(ctx context.Context) bool
 	// Fleet returns the number of nodes of the site, which is stored in the record; zero keeps the stored
 	// number. It may be nil.
 	Fleet func() int
@@ -95,12 +101,14 @@
 	holdUntil        time.Time           // end of the hold time
 	start            time.Time           // zero of the local monotonic clock
 	suspicions       chan struct{}       // wakes Run after a Suspect
+	unfitUntil       time.Time           // until when the free lease is left to others; zero: it is not; used by Run only
 	deferred         bool                // the free lease was left to better suited nodes
 	failedPolls      int                 // reads that failed in a row
 	suspicionPolls   int                 // successful reads in a row that were due to suspicions
 	pollForSuspicion bool                // the next read is due to a suspicion
 	lastPoll         time.Time           // time of the last successful read
 	commits          chan *commitRequest // requests to Run to write intents
+	handOvers        chan struct{}       // makes Run release the lease
 	writeLatency     latency             // of the store's answers to writes
 
 	failingSince       time.Time // start of the first failed write of the holder; zero: the last one succeeded
@@ -117,6 +125,7 @@
 		l.start = l.Time.Now()
 		l.suspicions = make(chan struct{}, 1)
 		l.commits = make(chan *commitRequest)
+		l.handOvers = make(chan struct{}, 1)
 	}
 }
 
@@ -167,6 +176,23 @@
 	}
 }
 
+// HandOver releases the lease, if this node holds it and reaches the store, so that another node can take it
+// at once. This node takes it again after TakeoverDelay if no other does.
+func (l *Lease) HandOver() {
+	l.init()
+	select {
+	case l.handOvers <- struct{}{}:
+	default:
+	}
+}
+
+// renewalFails reports whether the holder's last write to the store failed.
+func (l *Lease) renewalFails() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.failingSince.IsZero()
+}
+
 // Now returns the estimated time of the store's clock in milliseconds.
 func (l *Lease) Now() int64 {
 	l.mu.Lock()
@@ -204,6 +230,10 @@
 			if pause, may := l.pollAfterSuspicion(); may && time.Until(due) > pause {
 				next(pause)
 			}
+		case <-l.handOvers:
+			if !l.renewalFails() {
+				l.release()
+			}
 		case c := <-l.commits:
 			l.serveCommits(ctx, c)
 			next(Renewal)
@@ -244,11 +274,15 @@
 	ownEarlier := l.heldByEarlierIncarnation(s) && !s.fromEarlierEpoch()
 	if !l.free(s) && !ownEarlier {
 		l.setDeferred(false)
+		l.unfitUntil = time.Time{}
 		return l.nextPoll(s)
 	}
 	if pause := l.takeoverDelay(); pause > 0 && !ownEarlier && !l.setDeferred(true) {
 		return pause + rand.N(pollInterval/4)
 	}
+	if pause := l.unfitPause(ctx); pause > 0 {
+		return pause
+	}
 	l.setDeferred(false)
 	err = l.acquire(ctx, s)
 	switch {
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -470,3 +471,61 @@
 		}
 	})
 }
+
+// TestUnfitNodeTakesAFreeLease guards against holders that can give no orders while another node could.
+func TestUnfitNodeTakesAFreeLease(t *testing.T) {
+	bubble(t, func(t *testing.T, m *fakeStore) {
+		unfit, stop := runLease(t, &Lease{Store: m, Self: "a", Address: "a", Fit: func(context.Context) bool { return false }})
+		defer stop()
+		for range 20 { // suspicions make it ask again, not take it
+			unfit.Suspect()
+			time.Sleep(100 * time.Millisecond)
+		}
+		if held(unfit) {
+			t.Error("a node that is not fit took the lease at once")
+		}
+		time.Sleep(UnfitDelay)
+		if !held(unfit) {
+			t.Error("nobody holds the lease although no other node takes it")
+		}
+	})
+}
+
+// TestHandedOverLeaseStaysAtItsHolder guards against a holder that takes back what it handed over.
+func TestHandedOverLeaseStaysAtItsHolder(t *testing.T) {
+	bubble(t, func(t *testing.T, m *fakeStore) {
+		var cut atomic.Bool
+		first, stopFirst := runLease(t, &Lease{Store: m, Self: "a", Address: "a", Fit: func(context.Context) bool { return !cut.Load() }})
+		defer stopFirst()
+		time.Sleep(time.Second)
+		next, stop := run(t, m, "b")
+		defer stop()
+		time.Sleep(time.Second)
+		cut.Store(true)
+		first.HandOver()
+		handed := time.Now()
+		for !held(next) && time.Since(handed) < UnfitDelay {
+			next.Suspect()
+			time.Sleep(20 * time.Millisecond)
+		}
+		if took := time.Since(handed); held(first) || took > time.Second {
+			t.Errorf("after %v the first holder holds it: %v", took, held(first))
+		}
+	})
+}
+
+// TestLeaseIsHandedOverWithoutTheStore guards against a lease that nobody else can take.
+func TestLeaseIsHandedOverWithoutTheStore(t *testing.T) {
+	bubble(t, func(t *testing.T, m *fakeStore) {
+		l, stop := runLease(t, &Lease{Store: m, Self: "a", Address: "a", AllowOffline: func() bool { return true }})
+		defer stop()
+		time.Sleep(time.Second)
+		m.set(func() { m.down = true })
+		time.Sleep(2 * Renewal)
+		l.HandOver()
+		time.Sleep(time.Second)
+		if !held(l) {
+			t.Error("the lease was given up while no other node can take it")
+		}
+	})
+}
--- a/pkg/lease/poll.go
+++ b/pkg/lease/poll.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"context"
 	"math/rand/v2"
 	"strings"
 	"time"
@@ -14,6 +15,27 @@
 	return l.TakeoverDelay()
 }
 
+// unfitPause returns how long this node still leaves a free lease to others because it can't do a holder's
+// work; zero: it may take it.
+func (l *Lease) unfitPause(ctx context.Context) time.Duration {
+	now := l.Time.Now()
+	switch {
+	case l.Fit == nil:
+		return 0
+	case l.unfitUntil.IsZero():
+		if l.Fit(ctx) {
+			return 0
+		}
+		l.unfitUntil = l.Time.Now().Add(UnfitDelay)
+		l.log("free lease left to others", "ms", UnfitDelay.Milliseconds())
+		return UnfitDelay
+	case now.Before(l.unfitUntil):
+		return l.unfitUntil.Sub(now)
+	}
+	l.unfitUntil = time.Time{}
+	return 0
+}
+
 // setDeferred sets whether a free lease was left to better suited nodes, and returns the previous value.
 func (l *Lease) setDeferred(deferred bool) bool {
 	l.mu.Lock()
--- a/pkg/site/reach.go
+++ b/pkg/site/reach.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -13,6 +14,10 @@
 	"martenwheel.dev/pkg/tunnel"
 )
 
+// handOverDelay is how long a holder must be cut from all servers before it hands the lease over: it can give
+// no orders.
+const handOverDelay = 500 * time.Millisecond
+
 // connectThroughOthers makes connections to servers go through other nodes while this node does not reach
 // the servers itself, and lets other nodes do so through this one.
 func (s *Site) connectThroughOthers(l *lease.Lease) {
@@ -22,7 +27,7 @@
 		direct = Dial
 	}
 	s.reach.Servers, s.reach.Logger = func() int { return len(s.Servers.Snapshot().Members()) }, logger
-	s.reach.OnCut = s.cutChanged
+	s.reach.OnCut = func(cut bool) { s.cutChanged(l, cut) }
 	opener := &peer.Opener{Config: peer.Config{Self: s.nodeRef(), Timeouts: peer.Timeouts{Dial: peerDialTimeout}}, Dial: Dial}
 	s.dialer = &tunnel.Dialer{
 		Zone: s.Self.Zone, Direct: direct, Reach: s.reach, Nodes: s.helperNodes, Servers: s.serverAddresses,
@@ -33,6 +38,7 @@
 	}
 	s.helper = &tunnel.Helper{Dialer: s.dialer, Listed: s.listed, Stopping: s.stopping.Load, Logger: logger}
 	s.Servers.Dialer, s.Servers.DirectDialer, s.Servers.Reach = s.dialer.Dial, s.dialer.DialOnlyDirect, s.reach
+	l.Fit = s.dialer.ReachesServers
 	s.registerReach()
 }
 
@@ -64,9 +70,15 @@
 }
 
 // cutChanged adapts the node when it is cut from all servers.
-func (s *Site) cutChanged(cut bool) {
-	if cut {
-		s.Servers.DropDirectConnections()
+func (s *Site) cutChanged(l *lease.Lease, cut bool) {
+	if !cut {
+		return
+	}
+	s.Servers.DropDirectConnections()
+	time.Sleep(handOverDelay)
+	if _, held := l.Held(); held && s.reach.Cut() {
+		s.Logger.Warn("lease handed over: this node reaches no server")
+		l.HandOver()
 	}
 }
 
