site: a server that is silent for a second keeps its connections

What callers saw: none yet. Cause: with a first probe after 2 s, the next after 1 s and a limit of 2 s, the second probe comes after the limit: a connection at rest, or that waits for a long prefill, ends 1 s after its first probe, whatever the count of 2 says. On a real socket it can't be played here: nothing can make a peer on loopback silent below TCP. Why it works: probes begin after 1 s and the limit is 2.5 s, so that two go unanswered before the connection ends, 3 s after the last data as before. Data without acknowledgement takes 2.5 s instead of 2. Tunnels use the same dialer; their other end sets no such limit.

--- a/pkg/site/dial.go
+++ b/pkg/site/dial.go
@@ -10,11 +10,13 @@
 )
 
 // Timeouts of connections to servers. A server behind a network partition does not respond: dials time out
-// early, and the kernel closes connections whose data is not acknowledged.
+// early, and the kernel closes connections whose data is not acknowledged. unacknowledgedTimeout, counted from
+// the last data received, also ends a connection at the first probe after it, whatever the number of probes; so
+// a server that is silent for a second or so must have answered one before.
 const (
 	serverDialTimeout     = 350 * time.Millisecond
-	unacknowledgedTimeout = 2 * time.Second
-	keepAliveIdle         = 2 * time.Second
+	unacknowledgedTimeout = 2500 * time.Millisecond
+	keepAliveIdle         = time.Second
 	keepAliveInterval     = time.Second
 	keepAliveCount        = 2
 )
