tunnel, backend: bounds for asking other nodes, and for tunnels at rest

Cause: found on reading once more. Change: 16 nodes are asked at a time, the list is made when it is needed, and the idle connections that lead around are closed when the cut ends.

--- a/pkg/backend/directory.go
+++ b/pkg/backend/directory.go
@@ -158,11 +158,12 @@
 	d.notifyChangedLocked()
 }
 
-// DropDirectConnections closes the idle direct connections to all servers, for a node that is cut from
-// them: a request sent on one would hang.
-func (d *Directory) DropDirectConnections() {
+// WaysChanged closes the idle connections that are of no use any more: the direct ones when this node is
+// cut from all servers, since a request sent on one would hang, and those through other nodes when it no
+// longer is.
+func (d *Directory) WaysChanged(cut bool) {
 	for _, m := range d.Snapshot().members {
-		m.pool.dropDirect()
+		m.pool.dropIdle(!cut)
 	}
 }
 
--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -130,9 +130,19 @@
 	}
 }
 
-// dropDirect closes the idle direct connections.
-func (p *pool) dropDirect() {
-	for c := p.pop(true); c != nil; c = p.pop(true) {
+// dropIdle closes the idle connections that are indirect or not.
+func (p *pool) dropIdle(indirect bool) {
+	p.mu.Lock()
+	var dropped []*conn
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		if c.indirect != indirect {
+			return false
+		}
+		dropped = append(dropped, c)
+		return true
+	})
+	p.mu.Unlock()
+	for _, c := range dropped {
 		c.fail(errIdleClosed)
 	}
 }
--- a/pkg/site/reach.go
+++ b/pkg/site/reach.go
@@ -71,10 +71,10 @@
 
 // cutChanged adapts the node when it is cut from all servers.
 func (s *Site) cutChanged(l *lease.Lease, cut bool) {
+	s.Servers.WaysChanged(cut)
 	if !cut {
 		return
 	}
-	s.Servers.DropDirectConnections()
 	time.Sleep(handOverDelay)
 	if _, held := l.Held(); held && s.reach.Cut() {
 		s.Logger.Warn("lease handed over: this node reaches no server")
--- a/pkg/tunnel/dialer.go
+++ b/pkg/tunnel/dialer.go
@@ -21,6 +21,9 @@
 	// nextHelperTime is how long after one node the next one is asked.
 	nextHelperTime = 60 * time.Millisecond
 	maxHelpers     = 3 // asked for one connection
+	// maxAsking limits the nodes that are asked at the same time: on a node short of processor time many
+	// direct connections are late, and asking for all of them would make it worse.
+	maxAsking = 16
 	// confirmTime is how long other nodes may take to confirm that a server refuses connections.
 	confirmTime = 150 * time.Millisecond
 	// avoidHelperTime is how long a node that opened no tunnel is asked after the others.
@@ -56,6 +59,7 @@
 	Reach   *Reach
 
 	opened       atomic.Int64
+	asking       atomic.Int64
 	silentProbes int // rounds of probes in a row that nothing answered; used by Run only
 
 	mu          sync.Mutex
@@ -117,12 +121,8 @@
 // Dial connects to a server, through another node if the direct connection is late or fails. A refused
 // connection is reported as such only if the server itself refused it, as far as known.
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
-	nodes := d.candidates()
-	if len(nodes) == 0 {
-		return d.DialDirect(ctx, address)
-	}
 	way := d.Reach.routeTo(address)
-	r := &race{dialer: d, address: address, nodes: nodes, results: make(chan attempt, 1+maxHelpers)}
+	r := &race{dialer: d, address: address, results: make(chan attempt, 1+maxHelpers)}
 	defer r.abandon()
 	r.helperCtx, r.stopHelpers = context.WithCancel(ctx)
 	if way.direct {
@@ -196,8 +196,10 @@
 	dialer      *Dialer
 	address     string
 	nodes       []Node // not asked yet
+	asked       bool   // nodes is set
 	results     chan attempt
 	pending     int
+	triedDirect bool
 	directErr   error // why the direct connection failed; nil: it has not
 	helperCtx   context.Context
 	stopHelpers context.CancelFunc
@@ -206,6 +208,7 @@
 // startDirect connects directly. If another node is faster, the outcome still shows whether the direct way is
 // broken.
 func (r *race) startDirect(ctx context.Context) {
+	r.triedDirect = true
 	r.pending++
 	ctx = context.WithoutCancel(ctx)
 	go func() {
@@ -214,15 +217,23 @@
 	}()
 }
 
-// askNext asks the next node. It reports whether there was one.
+// askNext asks the next node. It reports whether there is one.
 func (r *race) askNext() bool {
+	if !r.asked {
+		r.nodes, r.asked = r.dialer.candidates(), true
+	}
 	if len(r.nodes) == 0 {
 		return false
 	}
+	if r.dialer.asking.Add(1) > maxAsking {
+		r.dialer.asking.Add(-1)
+		return true
+	}
 	node := r.nodes[0].Address
 	r.nodes = r.nodes[1:]
 	r.pending++
 	go func() {
+		defer r.dialer.asking.Add(-1)
 		conn, result, err := r.dialer.Connect(r.helperCtx, node, r.address)
 		r.results <- attempt{conn, node, result, err}
 	}()
@@ -248,6 +259,10 @@
 			if r.askNext() {
 				next.Reset(nextHelperTime)
 			} else if r.pending == 0 {
+				if r.directErr == nil && !r.triedDirect { // no other node is known
+					r.startDirect(ctx)
+					continue
+				}
 				return nil, r.failure()
 			}
 		case a := <-r.results:
