tunnel: whom to ask is one order, and read as such

From a reading of the diff: the order of the nodes to ask was sorted in two passes with a special case; the timer for an unconfirmed refusal is named for what it is. Tested: one node of the own zone, then other zones, those that failed last.

--- a/pkg/tunnel/dialer.go
+++ b/pkg/tunnel/dialer.go
@@ -139,26 +139,31 @@
 	}
 	nodes := slices.Clone(d.Nodes())
 	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
-	if i := slices.IndexFunc(nodes, func(n Node) bool { return n.Zone == d.Zone && !d.avoids(n.Address) }); i > 0 {
-		nodes[0], nodes[i] = nodes[i], nodes[0]
-	}
-	rest := nodes[min(1, len(nodes)):]
-	slices.SortStableFunc(rest, func(a, b Node) int { return d.order(a) - d.order(b) })
-	if len(nodes) > 0 && d.avoids(nodes[0].Address) { // none of the own zone
-		slices.SortStableFunc(nodes, func(a, b Node) int { return d.order(a) - d.order(b) })
+	slices.SortStableFunc(nodes, func(a, b Node) int { return int(d.preference(a)) - int(d.preference(b)) })
+	if i := slices.IndexFunc(nodes, func(n Node) bool { return d.preference(n) == ownZone }); i > 0 {
+		near := nodes[i]
+		nodes = slices.Insert(slices.Delete(nodes, i, i+1), 0, near)
 	}
 	return nodes[:min(len(nodes), maxHelpers)]
 }
 
-// order sorts the nodes after the first one.
-func (d *Dialer) order(n Node) int {
+// preference sorts nodes to ask, the lowest first.
+type preference uint8
+
+const (
+	otherZone preference = iota
+	ownZone
+	avoided // opened no tunnel a moment ago
+)
+
+func (d *Dialer) preference(n Node) preference {
 	switch {
 	case d.avoids(n.Address):
-		return 2
+		return avoided
 	case n.Zone == d.Zone:
-		return 1
+		return ownZone
 	}
-	return 0
+	return otherZone
 }
 
 func (d *Dialer) avoids(node string) bool {
@@ -248,22 +253,21 @@
 	}
 	next := time.NewTimer(first)
 	defer next.Stop()
-	var late <-chan time.Time
+	var unconfirmed <-chan time.Time // fires when nobody confirmed a refusal in time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
-		case <-late:
+		case <-unconfirmed:
 			return nil, r.failure()
 		case <-next.C:
 			if r.askNext() {
 				next.Reset(nextHelperTime)
 			} else if r.pending == 0 {
-				if r.directErr == nil && !r.triedDirect { // no other node is known
-					r.startDirect(ctx)
-					continue
+				if r.triedDirect {
+					return nil, r.failure()
 				}
-				return nil, r.failure()
+				r.startDirect(ctx) // the way is broken, but no other node is known
 			}
 		case a := <-r.results:
 			r.pending--
@@ -277,7 +281,7 @@
 			default:
 				r.directErr = a.err
 				if isRefusal(a.err) {
-					late = time.After(confirmTime)
+					unconfirmed = time.After(confirmTime)
 				}
 			}
 			next.Reset(0)
--- a/pkg/tunnel/dialer_test.go
+++ b/pkg/tunnel/dialer_test.go
@@ -296,3 +296,25 @@
 		})
 	}
 }
+
+// TestWholeZoneIsAskedFirst guards against connections that wait for one node of a cut zone after the other.
+func TestWholeZoneIsAskedFirst(t *testing.T) {
+	d := newDialer(works, nil)
+	d.Nodes = func() []Node {
+		return []Node{{"a1", "a"}, {"a2", "a"}, {"a3", "a"}, {"b1", "b"}, {"b2", "b"}, {"c1", "c"}}
+	}
+	for range 50 {
+		asked := d.candidates()
+		if len(asked) != maxHelpers || asked[0].Zone != "a" || asked[1].Zone == "a" || asked[2].Zone == "a" {
+			t.Fatalf("asked are %v", asked)
+		}
+	}
+	for _, node := range []string{"a1", "a2", "a3", "b1"} {
+		d.avoid(node)
+	}
+	for range 50 {
+		if asked := d.candidates(); d.avoids(asked[0].Address) || d.avoids(asked[1].Address) || !d.avoids(asked[2].Address) {
+			t.Fatalf("asked are %v", asked)
+		}
+	}
+}
