backpressure: brittle servers get no more than half of what they can run

Cause: the header was not known. A node learns that a server is full by a rejection, and no node knows what the others have there. Why it works: while a service is brittle, each server has a limit of half of its slots over the mean time of a request, which all nodes share by the holder's slots, as where a server sets one; a rejection halves it at the node that met it. Nothing changes without the header.

--- a/pkg/backend/condition.go
+++ b/pkg/backend/condition.go
@@ -22,6 +22,8 @@
 	draining       atomic.Bool
 	leavingSince   atomic.Pointer[time.Time] // when its record first announced that it drains, or was removed; nil: neither
 	signalState    *signalState
+	brittle        *backpressure.Brittle // of its service
+	slots          int                   // requests that it runs at once
 	delisted       atomic.Bool
 	released       atomic.Bool // this node stops using the server, which continues to run
 	evacuated      atomic.Bool
@@ -51,7 +53,7 @@
 func newCondition(d *Directory, s *Server) *Condition {
 	c := &Condition{
 		id: s.ID, readSignals: d.Signals, onSignalChange: d.OnSignalChange, notifyChanged: d.notifyChanged,
-		signalState: d.departed.take(d.Time.Now(), s), pool: newPool(d, s.Address),
+		signalState: d.departed.take(d.Time.Now(), s), brittle: d.brittleService(s.Service), slots: s.Slots, pool: newPool(d, s.Address),
 	}
 	c.pool.onRefused, c.pool.onResponse = c.noteRefused, c.observeResponse
 	return c
--- a/pkg/backend/directory.go
+++ b/pkg/backend/directory.go
@@ -82,6 +82,7 @@
 	evacuated   map[string]bool // zones whose servers get no new requests
 	queuedPaces []queuedPace
 	departed    departedServers
+	brittle     map[string]*backpressure.Brittle // by service
 	current     atomic.Pointer[Snapshot]
 	changed     chan struct{}
 }
@@ -107,6 +108,17 @@
 	return d.changed
 }
 
+// brittleService returns what is known of a service whose servers may be brittle. The caller holds mu.
+func (d *Directory) brittleService(service string) *backpressure.Brittle {
+	if d.brittle == nil {
+		d.brittle = make(map[string]*backpressure.Brittle)
+	}
+	if d.brittle[service] == nil {
+		d.brittle[service] = new(backpressure.Brittle)
+	}
+	return d.brittle[service]
+}
+
 // notifyChanged wakes those that wait for a change.
 func (d *Directory) notifyChanged() {
 	d.mu.Lock()
--- a/pkg/backend/signals.go
+++ b/pkg/backend/signals.go
@@ -25,6 +25,7 @@
 	Change  backpressure.Change
 	Shared  backpressure.SharedState
 	BackOff time.Duration // remaining back-off of this node
+	Brittle float64       // requests that the server can reject in a second; zero: it is not brittle
 }
 
 // observeResponse applies the signals of a response. sent is when the node began to send the request, or
@@ -36,6 +37,8 @@
 	signals := c.readSignals(r.StatusCode, r.Header)
 	now := c.pool.time.Now()
 	update := c.updateSignals(now, func(s *backpressure.State) backpressure.Change { return s.Observe(sent, now, signals) })
+	update.Change |= c.brittle.Observe(sent, now, signals.Brittle)
+	update.Brittle = signals.Brittle
 	if update.Change != 0 && c.onSignalChange != nil {
 		c.onSignalChange(update)
 	}
@@ -103,18 +106,32 @@
 	return c.signalState.state.Admit(now)
 }
 
-// Limit returns the limit of the server in requests per second from all nodes together, or false if it set
-// none.
+// Limit returns the limit of the server in requests per second from all nodes together, or false if it has
+// none: it set one, or it is brittle.
 func (c *Condition) Limit() (float64, bool) {
+	limit, limited := c.brittle.Limit(c.pool.time.Now(), c.slots)
 	if !c.signalState.active.Load() {
-		return 0, false
+		return limit, limited
 	}
 	c.signalState.mu.Lock()
 	defer c.signalState.mu.Unlock()
-	return c.signalState.state.Limit()
+	announced, isAnnounced := c.signalState.state.Limit()
+	if isAnnounced && (!limited || announced < limit) {
+		return announced, true
+	}
+	return limit, limited
 }
 
-// Limited reports whether the server set a limit.
+// IsBrittle reports whether the server falls over when it rejects too many requests.
+func (c *Condition) IsBrittle() bool { return c.brittle.Bound() > 0 }
+
+// Ran records how long the server took for a request.
+func (c *Condition) Ran(d time.Duration) { c.brittle.Ran(d) }
+
+// Rejected records that the server had no room for a request.
+func (c *Condition) Rejected(now time.Time) { c.brittle.Rejected(now) }
+
+// Limited reports whether the server has a limit.
 func (c *Condition) Limited() bool {
 	_, limited := c.Limit()
 	return limited
--- a/pkg/backpressure/signals.go
+++ b/pkg/backpressure/signals.go
@@ -3,7 +3,8 @@
 // back-off), or to receive nothing new because they leave. It only computes and sends no messages.
 //
 // signals.go defines the signals of one response. state.go combines the signals that a node received from
-// one incarnation of a server with those that other nodes reported.
+// one incarnation of a server with those that other nodes reported. slots.go and ration.go share a limit among
+// the nodes. brittle.go derives a limit for servers that fall over when they reject too much.
 package backpressure
 
 import (
@@ -17,6 +18,9 @@
 	Limit   float64       // requests per second from all nodes together, if Limited
 	Leaving bool          // the server takes no new requests
 	BackOff time.Duration // time for which the node that got the response must send nothing; zero: none
+	// Brittle is the number of requests that the server can reject in a second without falling over; zero: it
+	// does not say so.
+	Brittle float64
 	// Unreadable means that the response names a limit that can't be parsed. It neither sets nor ends a
 	// limit.
 	Unreadable bool
@@ -43,6 +47,9 @@
 			s.Limit = min(max(s.Limit, MinLimit), MaxLimit)
 		}
 	}
+	if math.IsNaN(s.Brittle) || s.Brittle < 0 {
+		s.Brittle = 0
+	}
 	s.BackOff = min(max(s.BackOff, 0), MaxBackOff)
 	return s
 }
--- a/pkg/backpressure/state.go
+++ b/pkg/backpressure/state.go
@@ -31,6 +31,8 @@
 	LimitEnded
 	LeavingSet // the server is now known to leave
 	BackOffSet
+	BrittleSet // the service's servers now say that they are brittle, or another bound
+	BrittleEnded
 )
 
 // reorderTime is by how much a response may be overtaken by one that the server sent later.
--- a/pkg/coordinator/announcements.go
+++ b/pkg/coordinator/announcements.go
@@ -128,6 +128,12 @@
 	if update.Change&backpressure.LimitEnded != 0 {
 		fields = append(fields, "limit_ended", true)
 	}
+	if update.Change&backpressure.BrittleSet != 0 {
+		fields = append(fields, "brittle", update.Brittle)
+	}
+	if update.Change&backpressure.BrittleEnded != 0 {
+		fields = append(fields, "brittle_ended", true)
+	}
 	if reporter != "" {
 		fields = append(fields, "told_by", reporter)
 	}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -213,6 +213,9 @@
 	c.sends++
 	c.record.status = a.Status
 	if a.Status == http.StatusMisdirectedRequest || a.Header.Get(c.relay.Headers.NotRun) != "" {
+		if a.Status == http.StatusServiceUnavailable {
+			m.Rejected(c.relay.Time.Now())
+		}
 		return notRun, c.rejectionError(m, a)
 	}
 	c.runs++
@@ -259,6 +262,7 @@
 	switch v {
 	case served:
 		m.Answered()
+		m.Ran(c.record.last().ended.Sub(c.record.last().started))
 		c.recordCompletion(m)
 		c.reportSpeed(m)
 		c.record.setOutcome(outcomeServed, nil)
--- a/pkg/relay/slots.go
+++ b/pkg/relay/slots.go
@@ -29,6 +29,10 @@
 // slotLifetime is how long a slot may be used. Connecting takes a few milliseconds.
 const slotLifetime = 500 * time.Millisecond
 
+// maxBrittleDelay is how late a slot at a brittle server may be used. After a pause of the node, all
+// slots that were due meanwhile would be used at once.
+const maxBrittleDelay = 20 * time.Millisecond
+
 // maxSlotServers limits the servers among which a slot is requested.
 const maxSlotServers = 16
 
@@ -102,6 +106,7 @@
 // useSlot waits until a granted slot begins.
 func (c *call) useSlot(ctx context.Context, servers []*backend.Member, s backpressure.Slot) (*backend.Member, permission) {
 	c.record.slot.waited += s.Wait
+	due := c.relay.Time.Now().Add(s.Wait)
 	if s.Wait > 0 {
 		c.sleep(ctx, s.Wait)
 	}
@@ -111,7 +116,7 @@
 	}
 	c.slot = slot{server: s.Server, at: c.relay.Time.Now()}
 	i := slices.IndexFunc(servers, func(m *backend.Member) bool { return m.ID == s.Server })
-	if i < 0 || !servers[i].Serves(c.slot.at, c.need) {
+	if i < 0 || !servers[i].Serves(c.slot.at, c.need) || servers[i].IsBrittle() && c.slot.at.Sub(due) > maxBrittleDelay {
 		return nil, chooseAgain
 	}
 	return servers[i], mayRunNow
