tunnel: a node asks those that were listed before a change of holder, too

What callers saw: after a cut holder had handed the lease over, the cut nodes did not reach servers for a moment, and told others of suspected crashes of sound servers. Cause: a node's list of nodes is that of the holder, and a new holder lists the others only as they report to it, so that nobody was there to be asked (trace: connections by probes ended after 250 ms with no node left to ask). Why it works: nodes that were listed within 10 s are asked as well; one that has ended costs a refused connection.

--- a/pkg/tunnel/dialer.go
+++ b/pkg/tunnel/dialer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -28,6 +29,9 @@
 	confirmTime = 150 * time.Millisecond
 	// avoidHelperTime is how long a node that opened no tunnel is asked after the others.
 	avoidHelperTime = time.Second
+	// rememberTime is how long a node may be asked that is listed no more: a new lease holder lists the nodes
+	// only as they report to it, and a cut holder hands its lease over.
+	rememberTime = 10 * time.Second
 	// probeInterval is the time between two direct probes of servers.
 	probeInterval = 400 * time.Millisecond
 	// leaderSilence is how long a node that gives orders may hear no server before it probes one.
@@ -64,6 +68,7 @@
 
 	mu          sync.Mutex
 	avoided     map[string]time.Time // nodes that opened no tunnel, and until when they come last
+	known       map[Node]time.Time   // nodes, and when they were last listed
 	unconfirmed map[string]bool      // servers that DialOnlyDirect did not reach
 }
 
@@ -134,10 +139,7 @@
 // candidates returns the nodes to ask, in this order: one of the own zone, then those of other zones, since
 // most of a zone may be cut at once. Those that opened no tunnel a moment ago come last.
 func (d *Dialer) candidates() []Node {
-	if d.Nodes == nil {
-		return nil
-	}
-	nodes := slices.Clone(d.Nodes())
+	nodes := d.knownNodes()
 	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
 	slices.SortStableFunc(nodes, func(a, b Node) int { return int(d.preference(a)) - int(d.preference(b)) })
 	if i := slices.IndexFunc(nodes, func(n Node) bool { return d.preference(n) == ownZone }); i > 0 {
@@ -147,6 +149,25 @@
 	return nodes[:min(len(nodes), maxHelpers)]
 }
 
+// knownNodes returns the nodes that are or were lately listed.
+func (d *Dialer) knownNodes() []Node {
+	if d.Nodes == nil {
+		return nil
+	}
+	listed := d.Nodes()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Reach.Time.Now()
+	if d.known == nil {
+		d.known = make(map[Node]time.Time)
+	}
+	for _, n := range listed {
+		d.known[n] = now
+	}
+	maps.DeleteFunc(d.known, func(_ Node, at time.Time) bool { return now.Sub(at) > rememberTime })
+	return slices.Collect(maps.Keys(d.known))
+}
+
 // preference sorts nodes to ask, the lowest first.
 type preference uint8
 
@@ -348,6 +369,7 @@
 // probe connects to a server to which the way is broken, to those that others may reach, and to random ones if
 // the node may be cut.
 func (d *Dialer) probe(ctx context.Context) {
+	d.knownNodes() // remembers those that are listed now
 	if broken := d.Reach.brokenWays(); len(broken) > 0 {
 		go d.probeServer(ctx, broken[0], d.DialDirect)
 	}
--- a/pkg/tunnel/dialer_test.go
+++ b/pkg/tunnel/dialer_test.go
@@ -318,3 +318,25 @@
 		}
 	}
 }
+
+// TestNodesAreForgottenAtAChangeOfHolder guards against a cut node that knows nobody to ask for a moment.
+func TestNodesAreForgottenAtAChangeOfHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDialer(hangs, map[string]func(context.Context) (net.Conn, Result, error){"a": helperOver(works)})
+		listed := d.Nodes()
+		d.Nodes = func() []Node { return listed }
+		ctx, stop := context.WithCancel(t.Context())
+		go d.Run(ctx)
+		time.Sleep(time.Second)
+		listed = nil
+		if _, err := d.Dial(t.Context(), serverName); err != nil {
+			t.Errorf("nobody was asked: %v", err)
+		}
+		time.Sleep(rememberTime + time.Second)
+		if nodes := d.candidates(); len(nodes) > 0 {
+			t.Errorf("%v are still asked long after they were listed", nodes)
+		}
+		stop()
+		time.Sleep(time.Second)
+	})
+}
