backpressure: servers that become slower have a lower limit at once

Cause: the mean time of a request followed slowly, so that brittle servers that became slower got more than they could run for some runs. Slower runs count for half now, faster ones as before.

--- a/pkg/backpressure/brittle.go
+++ b/pkg/backpressure/brittle.go
@@ -29,8 +29,9 @@
 	brittleUse = 0.5
 	// defaultRunTime is assumed before any request was run, in seconds.
 	defaultRunTime = 1.0
-	// runTimeWeight is the weight of one run in the mean.
-	runTimeWeight = 0.1
+	// Weights of one run in the mean time. Servers that become slower have less room at once.
+	slowerRunWeight = 0.5
+	fasterRunWeight = 0.1
 	// rejectedFactor multiplies the rate after a rejection, at most once per reduceInterval: those that were on
 	// their way are rejected as well.
 	rejectedFactor = 0.5
@@ -71,7 +72,11 @@
 		b.runTime = d.Seconds()
 		return
 	}
-	b.runTime += runTimeWeight * (d.Seconds() - b.runTime)
+	weight := fasterRunWeight
+	if d.Seconds() > b.runTime {
+		weight = slowerRunWeight
+	}
+	b.runTime += weight * (d.Seconds() - b.runTime)
 }
 
 // Rejected records that a server had no room for a request.
