--- a/pkg/backend/server.go
+++ b/pkg/backend/server.go
@@ -17,6 +17,7 @@
 	Service  string
 	Address  string // IP:port
 	Zone     string
+	Software string // version of the server's software; empty: not reported
 	Slots    int
 	Draining bool
 	LeaveAt  time.Time // when a server that leaves at short notice will be gone; zero: none announced
--- a/pkg/relay/affinity_test.go
+++ b/pkg/relay/affinity_test.go
@@ -164,7 +164,7 @@
 func TestSpeedsAreReportedForLongPrompts(t *testing.T) {
 	c := callWithServers(2, 2)
 	m := c.choose()
-	c.record.try(m.ID, time.Now())
+	c.record.try(m, time.Now())
 	for i := range 20 {
 		c.record.eventsSent(time.Unix(100, 0).Add(time.Duration(i)*30*time.Millisecond), 10, 1)
 	}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -120,7 +120,7 @@
 	if impatience != nil && c.route.Kind != route.Stream {
 		defer impatience.Stop()
 	}
-	c.record.try(m.ID, started)
+	c.record.try(m, started)
 	c.record.last().answered = c.resumption.answered
 	before := c.sends
 	v, err := c.handleAnswer(ctx, m, a, err, impatience)
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -76,7 +76,7 @@
 	suspectedRounds int  // further rounds of runs that may have crashed their servers
 	serverSuspected bool // an earlier run may have crashed the chosen server, see quarantine.Run.Again
 	headSent        bool
-	lastEvent       string // ID of the last event sent to the caller
+	lastEvent       string // ID of the last event sent to the caller, also by earlier attempts of the caller
 }
 
 // migrationState is the state of a stream that continues at another server.
@@ -205,6 +205,7 @@
 		c.computeAffinity()
 	}
 	c.lastEvent = h.Get(c.relay.Headers.LastEvent)
+	c.record.resumesAfter, c.record.resumes = c.lastEvent, h.Get(c.relay.Headers.Resumes)
 	c.head = c.forwardedHead()
 	return true
 }
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/quarantine"
 	"martenwheel.dev/pkg/quota"
 )
@@ -47,6 +48,7 @@
 // try is one attempt, for the log.
 type try struct {
 	server        string
+	software      string // version of the server's software
 	started       time.Time
 	answered      time.Time // first event, or the head of an answer without events; zero: none
 	ended         time.Time
@@ -85,6 +87,8 @@
 	trialError    error         // why the coordinator could not be asked for a trial
 	place         placeRecord
 	slot          slotRecord
+	resumesAfter  string // last event that the caller had when the request came in; empty: it takes up no stream
+	resumes       string // caller's attempt that the stream began with, as it says
 	bytes         int
 	events        int
 	firstEventAt  time.Time     // when the first events were sent
@@ -94,8 +98,8 @@
 	preference    string        // whether the last server chosen is the preferred one; empty: none was chosen
 }
 
-func (r *record) try(server string, started time.Time) {
-	r.tries = append(r.tries, try{server: server, started: started})
+func (r *record) try(m *backend.Member, started time.Time) {
+	r.tries = append(r.tries, try{server: m.ID, software: m.Software, started: started})
 }
 
 // last returns the last attempt.
@@ -198,6 +202,7 @@
 		fields = append(fields, "model", c.need.String(), "ready_in_ms", c.record.readyIn.Milliseconds(),
 			"outlook_age_ms", c.record.statusAge.Milliseconds(), "leaves_ms", c.patience().Milliseconds())
 	}
+	fields = append(fields, c.describeResumption()...)
 	if c.record.events > 0 {
 		fields = append(fields, "events", c.record.events, "last_event", c.lastEvent,
 			"pause_ms", c.record.longestGap.Milliseconds(), "pause_target_ms", c.route.GapTarget.Milliseconds())
@@ -215,6 +220,20 @@
 	return fields
 }
 
+// describeResumption returns the fields about the stream that the caller takes up.
+func (c *call) describeResumption() []any {
+	if c.record.resumesAfter == "" && c.record.resumes == "" {
+		return nil
+	}
+	return []any{"resumes", truncate(c.record.resumes), "resumes_after", truncate(c.record.resumesAfter)}
+}
+
+// maxLoggedHeader bounds the logged part of a header that the caller chose, in bytes.
+const maxLoggedHeader = 64
+
+// truncate returns the beginning of a header's value for the log.
+func truncate(value string) string { return value[:min(len(value), maxLoggedHeader)] }
+
 // describeQuota returns the fields about the request's cost in its tenant's quota and, if it was
 // refused, about the capacity of its route in units of the quota per second.
 func (c *call) describeQuota() []any {
@@ -240,6 +259,7 @@
 // tryLine is an attempt in the log.
 type tryLine struct {
 	Server    string `json:"server"`
+	Software  string `json:"software,omitempty"`
 	AtMS      int64  `json:"at_ms"`
 	TookMS    int64  `json:"took_ms"`
 	RanMS     int64  `json:"ran_ms"` // part of TookMS after the answer began
@@ -253,7 +273,7 @@
 func (c *call) describeTries() []tryLine {
 	lines := make([]tryLine, len(c.record.tries))
 	for i, t := range c.record.tries {
-		lines[i] = tryLine{Server: t.server, AtMS: t.started.Sub(c.arrived).Milliseconds(),
+		lines[i] = tryLine{Server: t.server, Software: t.software, AtMS: t.started.Sub(c.arrived).Milliseconds(),
 			TookMS: t.ended.Sub(t.started).Milliseconds(), RanMS: t.answerDuration().Milliseconds(),
 			Verdict: t.verdict.String(), Ended: t.serverCrashed, Unframed: t.unframed, RestBytes: t.restBytes}
 		if t.err != nil {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -54,6 +54,7 @@
 	NotRun    string // set by a server that did not run the request
 	Model     string // the model that the request needs
 	LastEvent string // event after which a stream continues
+	Resumes   string // request ID of the caller's attempt that brought the first event of the stream that continues
 	Priority  string // 0 is the most urgent
 	Tenant    string // the tenant on whose behalf the request is made
 	Tokens    string // token count of the prompt and the maximum to generate
