relay: a stream goes on within its answer at the version that it began at

What callers saw: a stream whose server broke off went on, in the same answer, at a server of another software version; or it was broken off to be continued there, since its server would be gone. Cause: the choice of the next server knows what a server holds and how it fares, but not the version of its software. Why it works: the call is bound to the version of the server whose first event it is about to send; each place that looks for servers (the choice, alternatives, cold, limited and crowded ones, back-offs) goes through one list, of that version then. If none of that version accepts requests, the answer breaks off at once.

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -184,7 +184,7 @@
 // hasAlternative reports whether an untried server other than m could serve the request.
 func (c *call) hasAlternative(m *backend.Member) bool {
 	now := c.relay.Time.Now()
-	for _, other := range c.relay.Servers.Snapshot().Service(c.service) {
+	for _, other := range c.servers() {
 		if other.ID != m.ID && other.Serves(now, c.need) && !other.Limited() && !other.Avoid(now) && !slices.Contains(c.tried, other.ID) {
 			return true
 		}
@@ -354,7 +354,7 @@
 
 // hasUntried reports whether an untried server could serve the request.
 func (c *call) hasUntried(now time.Time) bool {
-	for _, m := range c.relay.Servers.Snapshot().Service(c.service) {
+	for _, m := range c.servers() {
 		if m.Serves(now, c.need) && !slices.Contains(c.tried, m.ID) {
 			return true
 		}
--- a/pkg/relay/backoff.go
+++ b/pkg/relay/backoff.go
@@ -17,7 +17,7 @@
 // precede others.
 func (c *call) firstBackoffEnd(now time.Time) *backend.ExpectedReturn {
 	var first *backend.ExpectedReturn
-	for _, m := range c.relay.Servers.Snapshot().Service(c.service) {
+	for _, m := range c.servers() {
 		r, serves := m.ExpectedReturn(now, c.need)
 		if serves && (first == nil || r.Likely && !first.Likely || r.Likely == first.Likely && r.In < first.In) {
 			first = &r
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -76,6 +76,8 @@
 	suspectedRounds int  // further rounds of runs that may have crashed their servers
 	serverSuspected bool // an earlier run may have crashed the chosen server, see quarantine.Run.Again
 	headSent        bool
+	pinned          bool   // the stream has events: only servers of one software version may continue it
+	software        string // the version, if pinned
 	lastEvent       string // ID of the last event sent to the caller, also by earlier attempts of the caller
 }
 
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -36,6 +36,10 @@
 		if m := c.choose(); m != nil {
 			return m
 		}
+		if c.versionGone() {
+			c.refuse(c.notServed(reasonVersionGone, 0))
+			return nil
+		}
 		backoff := c.firstBackoffEnd(c.relay.Time.Now())
 		if c.record.waitFor = c.waitReason(); backoff != nil {
 			c.record.waitFor = waitsForBackoff
@@ -106,7 +110,7 @@
 	now := c.relay.Time.Now()
 	base := backend.Need{Model: c.need.Model}
 	reason := waitsForModel
-	for _, m := range c.relay.Servers.Snapshot().Service(c.service) {
+	for _, m := range c.servers() {
 		if m.Serves(now, c.need) {
 			return waitsForServer
 		}
@@ -167,7 +171,7 @@
 		next := c.decideDuringBackoff(backoff, status.ReadyIn)
 		return c.notServed(reasonBackoff, next.after), !next.hold
 	}
-	if status.Server != "" {
+	if status.Server != "" && c.mayUse(status.Server) {
 		return refusal{}, false
 	}
 	if next := c.estimateWait(status.ReadyIn).decide(); !next.hold {
@@ -182,7 +186,7 @@
 	p := choiceBufferPool.Get().(*choiceBuffers)
 	defer choiceBufferPool.Put(p)
 	defer p.reset()
-	for _, m := range c.relay.Servers.Snapshot().Service(c.service) {
+	for _, m := range c.servers() {
 		if m.Serves(now, c.need) {
 			p.members = append(p.members, m)
 			p.candidates = append(p.candidates, c.candidate(now, m))
--- a/pkg/relay/cold.go
+++ b/pkg/relay/cold.go
@@ -14,7 +14,7 @@
 	if s == nil || s.ColdPerSecond <= 0 {
 		return nil
 	}
-	for _, m := range c.relay.Servers.Snapshot().Service(c.service) {
+	for _, m := range c.servers() {
 		if m.ServesCold(now, c.need) && c.relay.coldRation.Take(now, c.relay.Node, m.ID, s.ColdPerSecond, c.relay.nodes()) {
 			return m
 		}
--- a/pkg/relay/place.go
+++ b/pkg/relay/place.go
@@ -102,7 +102,7 @@
 		return nil, chooseAgain
 	}
 	c.place.granted = c.relay.Time.Now()
-	if other := c.relay.Servers.Snapshot().Member(v.Server); other != nil && other.Serves(c.place.granted, c.need) {
+	if other := c.relay.Servers.Snapshot().Member(v.Server); other != nil && c.fits(other) && other.Serves(c.place.granted, c.need) {
 		return other, mayRunNow
 	}
 	return m, mayRunNow // the server left meanwhile; reportPlaceSent reports the actual server
@@ -141,7 +141,7 @@
 func (c *call) placeServers(m *backend.Member) []string {
 	now := c.relay.Time.Now()
 	list := []string{m.ID}
-	servers := c.relay.Servers.Snapshot().Service(c.service)
+	servers := c.servers()
 	first := rand.IntN(max(len(servers), 1))
 	for i := range servers {
 		if len(list) == maxPlaceServers {
--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -39,6 +39,8 @@
 	reasonOverloaded = "servers are crowded"
 	reasonBackoff    = "servers asked for rest"
 	reasonLimited    = "servers limit their requests"
+	// reasonVersionGone is not followed by a time to come back: the servers of a version do not return.
+	reasonVersionGone = "no server of the stream's version is left"
 )
 
 // notServed returns the final answer to a request that no server served. Its status tells whether a
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -17,6 +17,7 @@
 //   - slots.go: servers that limit their request rate
 //   - attempt.go: sending a request, and what a failed attempt allows
 //   - quarantine.go: requests that crash servers
+//   - version.go: streams continue at the software version that they began at
 //   - buffered.go, stream.go, events.go: passing answers on
 //   - unframed.go: callers that get streams without framing
 //   - refuse.go: answers of the relay itself
--- a/pkg/relay/slots.go
+++ b/pkg/relay/slots.go
@@ -137,7 +137,7 @@
 	if !c.place.granted.IsZero() || c.trial != nil {
 		return list // its place or trial is valid at m only
 	}
-	servers := c.relay.Servers.Snapshot().Service(c.service)
+	servers := c.servers()
 	first := rand.IntN(max(len(servers), 1))
 	for i := range servers {
 		if len(list) == maxSlotServers {
@@ -153,7 +153,7 @@
 
 // hasUnlimited reports whether an untried server without a limit may get the request.
 func (c *call) hasUnlimited(now time.Time) bool {
-	return slices.ContainsFunc(c.relay.Servers.Snapshot().Service(c.service), func(m *backend.Member) bool {
+	return slices.ContainsFunc(c.servers(), func(m *backend.Member) bool {
 		return m.Serves(now, c.need) && !m.Limited() && !slices.Contains(c.tried, m.ID)
 	})
 }
