relay: streams move, and are copied, to servers of their own version only

What callers saw: a stream of a server that leaves was moved to a server of another software version, or copied to one from its beginning and continued from that copy after a crash. Cause: the choice of a target looks at places, zones and failures, not at versions. In a release most free servers are of the new one. Why it works: both go through bestAlternative, which leaves out servers of another version than the source's. Without a server of that version nobody is asked to load the model for the move.

--- a/pkg/relay/migrate.go
+++ b/pkg/relay/migrate.go
@@ -454,9 +454,9 @@
 	return r.call.bestAlternative(r.source, func(m *backend.Member) bool { return !slices.Contains(tried, m.ID) })
 }
 
-// bestAlternative returns the best server other than the source to continue a stream, among those
-// for which may returns true, or nil if none has free capacity. Nodes know little about each
-// other's streams, so ties are broken at random.
+// bestAlternative returns the best server of the source's software version, other than the source, to
+// continue a stream, among those for which may returns true, or nil if none has free capacity. Nodes
+// know little about each other's streams, so ties are broken at random.
 func (c *call) bestAlternative(source *backend.Member, may func(*backend.Member) bool) *backend.Member {
 	now := c.relay.Time.Now()
 	var members []*backend.Member
@@ -464,7 +464,7 @@
 	servers := c.relay.Servers.Snapshot().Service(c.service)
 	for _, i := range rand.Perm(len(servers)) {
 		m := servers[i]
-		if m.ID == source.ID || !m.Serves(now, c.need) || m.Limited() || !may(m) {
+		if m.ID == source.ID || m.Software != source.Software || !m.Serves(now, c.need) || m.Limited() || !may(m) {
 			continue
 		}
 		members = append(members, m)
@@ -481,7 +481,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.call.relay.Time.Now()
-	if now.Sub(r.requestedAt) < targetRequestInterval {
+	if now.Sub(r.requestedAt) < targetRequestInterval || r.call.versionGone() {
 		return
 	}
 	r.requestedAt = now
