lineage, relay, site: streams that callers take up go on at the version that they began at

Cause: a node that a caller comes to with Last-Event-Id takes any server of the route's service. Where the stream began is known to the node that passed its first event on alone, which may be another one, or gone; 'Resumes' was read nowhere. Class of fault: state that belongs to one version of the servers is handed to any. The request is bound to the service and version found, also on a route that is split between services. What nobody knows is refused at once, not run; a reference that stands twice or is too long gets 400.

--- /dev/null
+++ b/pkg/lineage/register.go
@@ -0,0 +1,318 @@
+package lineage
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"martenwheel.dev/pkg/clock"
+	"martenwheel.dev/pkg/peer"
+)
+
+// Times of telling and asking other nodes.
+const (
+	// tellInterval is how often streams that may be taken up are told again, to keepers that restarted, joined
+	// or could not be reached.
+	tellInterval = 2 * time.Second
+	// askTime is how long the answers of keepers are awaited. A caller waits for them, but only if none knows
+	// the stream.
+	askTime = 300 * time.Millisecond
+	// formerTime is how long nodes that left the list are still asked: lists of nodes differ for a while when
+	// nodes join and leave, and a new holder of the lease may list few at first.
+	formerTime = 5 * time.Second
+	// maxStreamsPerMessage keeps messages below some 10 kB.
+	maxStreamsPerMessage = 512
+)
+
+// Register is a node's part in keeping the origins of streams. Set the exported fields before the first call.
+// It is safe for concurrent use.
+type Register struct {
+	Self      string        // name of this node
+	Nodes     func() []Node // nodes of the site, this one among them; the same slice while unchanged
+	Holder    func() string // address of a node that knows all nodes; empty: none, or this one
+	Transport peer.Transport
+	Time      clock.Clock
+	Logger    hclog.Logger
+
+	streams table
+
+	mu      sync.Mutex
+	pending map[Key]pendingStream // streams that this node told of and that may still be taken up
+	view    view
+	full    time.Time // when the last stream was evicted; zero: none was
+}
+
+// pendingStream is a stream that this node told its keepers of.
+type pendingStream struct {
+	origin Origin
+	until  time.Time
+	told   time.Time
+}
+
+// view is the list of nodes, and what follows from it.
+type view struct {
+	nodes   []Node       // as listed
+	former  []formerNode // nodes that left the list recently
+	tell    []Node       // keepers of this node's streams
+	ask     []Node       // keepers of all nodes' streams
+	changes time.Time    // when the first of former is to be forgotten; zero: none
+}
+
+// formerNode is a node that left the list.
+type formerNode struct {
+	Node
+	until time.Time
+}
+
+// Began records where a stream began, or continues, and tells this node's keepers. Its caller may take it up
+// within the given time. It does not wait.
+func (r *Register) Began(key Key, o Origin, left time.Duration) {
+	now := r.Time.Now()
+	left = min(left, MaxLifetime)
+	r.put(now, key, o, left)
+	r.mu.Lock()
+	if r.pending == nil {
+		r.pending = make(map[Key]pendingStream)
+	}
+	r.pending[key] = pendingStream{origin: o, until: now.Add(left), told: now}
+	keepers := r.currentView(now).tell
+	r.mu.Unlock()
+	message := Began{Groups: []Group{{Origin: o, Streams: []Stream{{Key: key, Left: left}}}}}
+	for _, n := range keepers {
+		r.Transport.Send(n.Address, message)
+	}
+}
+
+// Complete records that a stream was sent to its end, so that nobody takes it up.
+func (r *Register) Complete(key Key) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.pending, key)
+}
+
+// put stores a stream and logs, at intervals, that older ones had to make room.
+func (r *Register) put(now time.Time, key Key, o Origin, left time.Duration) {
+	if !r.streams.put(now, key, o, left) {
+		return
+	}
+	r.mu.Lock()
+	first := now.Sub(r.full) > fullLogInterval
+	if first {
+		r.full = now
+	}
+	r.mu.Unlock()
+	if first {
+		streams, evicted := r.streams.size()
+		r.Logger.Warn("too many streams to know where all began", "streams", streams, "evicted", evicted)
+	}
+}
+
+// fullLogInterval is the time between two log lines about a full table.
+const fullLogInterval = 10 * time.Second
+
+// Find looks for the origin of a stream, here first and then at the keepers of all nodes.
+func (r *Register) Find(ctx context.Context, key Key) Found {
+	if f := r.findHere(key); f.Known || f.Conflicting {
+		return f
+	}
+	now := r.Time.Now()
+	r.mu.Lock()
+	nodes := r.currentView(now).ask
+	r.mu.Unlock()
+	message := Find{Key: key}
+	if len(nodes) == 0 && r.Holder() != "" {
+		nodes, message.Ask = []Node{{Name: holderName, Address: r.Holder()}}, true
+	}
+	return r.ask(ctx, nodes, message)
+}
+
+// holderName stands for the holder of the lease in Found.From, while this node does not know any names.
+const holderName = "holder of the lease"
+
+// findHere returns what this node knows of a stream.
+func (r *Register) findHere(key Key) Found {
+	f := r.streams.find(r.Time.Now(), key)
+	f.From = r.Self
+	return f
+}
+
+// ask asks nodes for a stream and returns the first answer of one that knows it.
+func (r *Register) ask(ctx context.Context, nodes []Node, message Find) Found {
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	answers := make(chan Found, len(nodes))
+	for _, n := range nodes {
+		go func() { answers <- r.askOne(ctx, n, message) }()
+	}
+	result := Found{Asked: len(nodes)}
+	for range nodes {
+		f := <-answers
+		if f.Answered > 0 {
+			result.Answered++
+		}
+		if f.Known || f.Conflicting {
+			f.Asked, f.Answered = result.Asked, result.Answered
+			return f
+		}
+	}
+	return result
+}
+
+// askOne asks one node. Answered is zero if it did not answer.
+func (r *Register) askOne(ctx context.Context, n Node, message Find) Found {
+	reply, err := r.Transport.Call(ctx, n.Address, message)
+	answer, ok := reply.(FindAnswer)
+	if err != nil || !ok {
+		return Found{}
+	}
+	return Found{Origin: answer.Origin, Known: answer.Known, Conflicting: answer.Conflicting, Age: answer.Age, From: n.Name, Answered: 1}
+}
+
+// Handle processes a message of another node. It returns false for messages of other packages.
+func (r *Register) Handle(ctx context.Context, message peer.Message) (peer.Message, bool) {
+	switch m := message.(type) {
+	case Began:
+		now := r.Time.Now()
+		for _, g := range m.Groups {
+			for _, s := range g.Streams {
+				r.put(now, s.Key, g.Origin, s.Left)
+			}
+		}
+		return nil, true
+	case Find:
+		f := r.findHere(m.Key)
+		if !f.Known && !f.Conflicting && m.Ask {
+			f = r.Find(ctx, m.Key)
+		}
+		return FindAnswer{Origin: f.Origin, Known: f.Known, Conflicting: f.Conflicting, Age: f.Age}, true
+	}
+	return nil, false
+}
+
+// Run tells the keepers again of the streams that may be taken up, until ctx ends.
+func (r *Register) Run(ctx context.Context) {
+	ticker := time.NewTicker(tellInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.tellAgain()
+		}
+	}
+}
+
+// tellAgain tells the keepers of the streams that they were told of a while ago.
+func (r *Register) tellAgain() {
+	now := r.Time.Now()
+	r.mu.Lock()
+	messages := r.duePending(now)
+	keepers := r.currentView(now).tell
+	r.mu.Unlock()
+	for _, message := range messages {
+		for _, n := range keepers {
+			r.Transport.Send(n.Address, message)
+		}
+	}
+}
+
+// duePending returns the messages about the pending streams that are due, and removes those whose time is
+// over. The caller holds mu.
+func (r *Register) duePending(now time.Time) []Began {
+	groups := make(map[Origin][]Stream)
+	for key, p := range r.pending {
+		switch left := p.until.Sub(now); {
+		case left <= 0:
+			delete(r.pending, key)
+		case now.Sub(p.told) >= tellInterval/2:
+			p.told = now
+			r.pending[key] = p
+			groups[p.origin] = append(groups[p.origin], Stream{Key: key, Left: left})
+		}
+	}
+	var messages []Began
+	for o, streams := range groups {
+		for len(streams) > 0 {
+			n := min(len(streams), maxStreamsPerMessage)
+			messages = append(messages, Began{Groups: []Group{{Origin: o, Streams: streams[:n]}}})
+			streams = streams[n:]
+		}
+	}
+	return messages
+}
+
+// currentView returns the view for the nodes listed now. The caller holds mu.
+func (r *Register) currentView(now time.Time) *view {
+	nodes := r.Nodes()
+	v := &r.view
+	if !sameSlice(nodes, v.nodes) {
+		r.noteFormer(now, nodes)
+		v.nodes = nodes
+		r.updateKeepers(now)
+	} else if !v.changes.IsZero() && !now.Before(v.changes) {
+		r.updateKeepers(now)
+	}
+	return v
+}
+
+func sameSlice(a, b []Node) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+// noteFormer records the nodes that left the list, and forgets those that are listed again.
+func (r *Register) noteFormer(now time.Time, nodes []Node) {
+	listed := make(map[string]bool, len(nodes))
+	for i := range nodes {
+		listed[nodes[i].Name] = true
+	}
+	var former []formerNode
+	for _, f := range r.view.former {
+		if !listed[f.Name] {
+			former = append(former, f)
+		}
+	}
+	for _, n := range r.view.nodes {
+		if !listed[n.Name] {
+			former = append(former, formerNode{n, now.Add(formerTime)})
+		}
+	}
+	r.view.former = former
+}
+
+// updateKeepers determines the keepers of the nodes listed now. Those of the nodes listed before are asked,
+// too.
+func (r *Register) updateKeepers(now time.Time) {
+	v := &r.view
+	var staying, all []Node
+	for _, n := range v.nodes {
+		all = append(all, n)
+		if !n.Stopping {
+			staying = append(staying, n)
+		}
+	}
+	v.changes = time.Time{}
+	kept := v.former[:0]
+	for _, f := range v.former {
+		if !now.Before(f.until) {
+			continue
+		}
+		kept = append(kept, f)
+		all = append(all, f.Node)
+		if v.changes.IsZero() || f.until.Before(v.changes) {
+			v.changes = f.until
+		}
+	}
+	v.former = kept
+	present := keepersAmong(staying)
+	v.tell, v.ask = keepersOf(r.Self, present), nil
+	asked := map[string]bool{r.Self: true}
+	for _, n := range append(present, keepersAmong(all)...) {
+		if !asked[n.Name] {
+			asked[n.Name] = true
+			v.ask = append(v.ask, n)
+		}
+	}
+}
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -14,6 +14,7 @@
 
 	"martenwheel.dev/pkg/affinity"
 	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/lineage"
 	"martenwheel.dev/pkg/prompt"
 	"martenwheel.dev/pkg/quarantine"
 	"martenwheel.dev/pkg/quota"
@@ -76,9 +77,10 @@
 	suspectedRounds int  // further rounds of runs that may have crashed their servers
 	serverSuspected bool // an earlier run may have crashed the chosen server, see quarantine.Run.Again
 	headSent        bool
-	pinned          bool   // the stream has events: only servers of one software version may continue it
-	software        string // the version, if pinned
-	lastEvent       string // ID of the last event sent to the caller, also by earlier attempts of the caller
+	pinned          bool          // the stream has events: only servers of one software version may continue it
+	software        string        // the version, if pinned
+	streamKeys      []lineage.Key // by which the caller may take the stream up; nil: it can't, or has not begun
+	lastEvent       string        // ID of the last event sent to the caller, also by earlier attempts of the caller
 }
 
 // migrationState is the state of a stream that continues at another server.
@@ -178,10 +180,7 @@
 
 // resolve determines what the request needs and its deadline.
 func (c *call) resolve() bool {
-	c.service = c.relay.splits.Pick(c.route)
-	if s := c.table.Service(c.service); s != nil {
-		c.engine = s.Engine
-	}
+	c.useService(c.relay.splits.Pick(c.route))
 	h := c.http.Header
 	wait := c.route.Timeout
 	if text := h.Get(c.relay.Headers.Deadline); text != "" {
@@ -200,18 +199,28 @@
 		wait = defaultTimeout
 	}
 	c.deadline = c.arrived.Add(wait)
-	if c.engine != nil {
-		c.need = backend.ParseNeed(h.Get(c.relay.Headers.Model))
-		c.prompt = prompt.Parse(prompt.Fields{Tokens: h.Get(c.relay.Headers.Tokens),
-			Parts: h.Get(c.relay.Headers.Parts), ExpectedOutput: h.Get(c.relay.Headers.Likely)})
-		c.computeAffinity()
-	}
 	c.lastEvent = h.Get(c.relay.Headers.LastEvent)
 	c.record.resumesAfter, c.record.resumes = c.lastEvent, h.Get(c.relay.Headers.Resumes)
 	c.head = c.forwardedHead()
 	return true
 }
 
+// useService sets the service and what the request needs of its servers.
+func (c *call) useService(service string) {
+	c.service, c.engine, c.need = service, nil, backend.Need{}
+	if s := c.table.Service(service); s != nil {
+		c.engine = s.Engine
+	}
+	if c.engine == nil {
+		return
+	}
+	h := c.http.Header
+	c.need = backend.ParseNeed(h.Get(c.relay.Headers.Model))
+	c.prompt = prompt.Parse(prompt.Fields{Tokens: h.Get(c.relay.Headers.Tokens),
+		Parts: h.Get(c.relay.Headers.Parts), ExpectedOutput: h.Get(c.relay.Headers.Likely)})
+	c.computeAffinity()
+}
+
 // hopByHop holds the headers that belong to a single connection or that the relay writes itself.
 var hopByHop = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/lineage"
 	"martenwheel.dev/pkg/quarantine"
 	"martenwheel.dev/pkg/quota"
 )
@@ -87,8 +88,9 @@
 	trialError    error         // why the coordinator could not be asked for a trial
 	place         placeRecord
 	slot          slotRecord
-	resumesAfter  string // last event that the caller had when the request came in; empty: it takes up no stream
-	resumes       string // caller's attempt that the stream began with, as it says
+	resumesAfter  string        // last event that the caller had when the request came in; empty: it takes up no stream
+	resumes       string        // caller's attempt that the stream began with, as it says
+	origin        lineage.Found // where the stream that it takes up began
 	bytes         int
 	events        int
 	firstEventAt  time.Time     // when the first events were sent
@@ -225,7 +227,10 @@
 	if c.record.resumesAfter == "" && c.record.resumes == "" {
 		return nil
 	}
-	return []any{"resumes", truncate(c.record.resumes), "resumes_after", truncate(c.record.resumesAfter)}
+	o := &c.record.origin
+	return []any{"resumes", truncate(c.record.resumes), "resumes_after", truncate(c.record.resumesAfter),
+		"origin_known", o.Known, "origin_service", o.Service, "origin_software", o.Software, "origin_from", o.From,
+		"origin_age_ms", o.Age.Milliseconds(), "origin_asked", o.Asked, "origin_answered", o.Answered, "origin_conflicting", o.Conflicting}
 }
 
 // maxLoggedHeader bounds the logged part of a header that the caller chose, in bytes.
--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -24,6 +24,7 @@
 	tooLarge    = refusal{http.StatusRequestEntityTooLarge, "body too large", 0}
 	stopping    = refusal{http.StatusServiceUnavailable, "the node is stopping", 50 * time.Millisecond}
 	badDeadline = refusal{http.StatusBadRequest, "bad deadline", 0}
+	badResumes  = refusal{http.StatusBadRequest, "more than one, or too long, reference to the attempt that a stream began with", 0}
 )
 
 // Reasons of refusals.
@@ -40,7 +41,9 @@
 	reasonBackoff    = "servers asked for rest"
 	reasonLimited    = "servers limit their requests"
 	// reasonVersionGone is not followed by a time to come back: the servers of a version do not return.
-	reasonVersionGone = "no server of the stream's version is left"
+	reasonVersionGone    = "no server of the stream's version is left"
+	reasonVersionUnknown = "not known at which version the stream began"
+	reasonOtherService   = "the stream began at a service that its route does not lead to"
 )
 
 // notServed returns the final answer to a request that no server served. Its status tells whether a
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -118,6 +118,9 @@
 	Loader  ModelLoader
 	// Quarantine keeps requests that crash servers away from them; not enforced if nil.
 	Quarantine Quarantine
+	// Lineage knows at which software version streams began. If nil, streams that callers take up go on at
+	// any server.
+	Lineage Lineage
 	// Mover moves running streams; none move if nil.
 	Mover Mover
 	// DrainTime is the time for which a leaving server is guaranteed to serve; zero: unknown.
@@ -205,7 +208,7 @@
 	defer r.active.remove(c)
 	ctx, cancel := context.WithTimeoutCause(ctx, c.timeLeft(), errDeadline)
 	defer cancel()
-	if c.admit(ctx) {
+	if c.bindToOrigin(ctx) && c.admit(ctx) {
 		c.serve(ctx)
 	}
 }
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -149,5 +149,6 @@
 		c.w.WriteHeader(a.Status)
 	}
 	c.streamIsComplete()
+	c.noteComplete()
 	return served, nil
 }
--- a/pkg/relay/version.go
+++ b/pkg/relay/version.go
@@ -1,20 +1,119 @@
 package relay
 
 import (
+	"context"
 	"slices"
+	"time"
 
 	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/lineage"
+	"martenwheel.dev/pkg/route"
 )
 
 // A stream may continue only at servers of the software version that brought its first event: what two
-// versions write does not fit together, and servers do not check it.
+// versions write does not fit together, and servers do not check it. This holds within an answer and for
+// the further attempts of its caller, at any node.
 
-// pin binds the stream to the software version of the server that its first event comes from. It is
-// called before that event is sent to the caller.
+// Lineage knows at which software version streams began. A lineage.Register implements it.
+type Lineage interface {
+	// Began records where a stream began, or continues. Its caller may take it up within the given time.
+	Began(key lineage.Key, o lineage.Origin, left time.Duration)
+	// Complete records that a stream was sent to its end.
+	Complete(key lineage.Key)
+	// Find looks for the origin of a stream, if necessary at other nodes.
+	Find(ctx context.Context, key lineage.Key) lineage.Found
+}
+
+// maxRequestIDBytes limits the ID by which a caller names the attempt that its stream began with.
+const maxRequestIDBytes = 200
+
+// resumeMargin is how much longer than its caller waits a stream is known: its next attempt may be under way.
+const resumeMargin = time.Second
+
+// takesUp reports whether the request continues a stream of an earlier attempt of its caller.
+func (c *call) takesUp() bool {
+	return c.route.Kind == route.Stream && (c.lastEvent != "" || c.record.resumes != "")
+}
+
+// bindToOrigin binds a request that takes a stream up to the service and software version that the stream
+// began at. If it returns false, the request was answered.
+func (c *call) bindToOrigin(ctx context.Context) bool {
+	if c.relay.Lineage == nil || !c.takesUp() {
+		return true
+	}
+	if named := c.http.Header[c.relay.Headers.Resumes]; len(named) > 1 || len(c.record.resumes) > maxRequestIDBytes {
+		c.refuse(badResumes)
+		return false
+	}
+	found := c.findOrigin(ctx)
+	c.record.origin = found
+	switch {
+	case ctx.Err() != nil:
+		c.giveUp(ctx)
+		return false
+	case !found.Known:
+		c.refuse(c.notServed(reasonVersionUnknown, defaultRetryAfter))
+		return false
+	case !c.route.LeadsTo(found.Service):
+		c.refuse(c.notServed(reasonOtherService, 0))
+		return false
+	}
+	if found.Service != c.service {
+		c.useService(found.Service)
+	}
+	c.pinned, c.software = true, found.Software
+	return true
+}
+
+// findOrigin returns where the stream that the request takes up began.
+func (c *call) findOrigin(ctx context.Context) lineage.Found {
+	if c.record.resumes == "" {
+		return lineage.Found{}
+	}
+	return c.relay.Lineage.Find(ctx, c.streamKey(c.record.resumes))
+}
+
+// streamKey returns the key of a stream that began with an attempt of the request's caller.
+func (c *call) streamKey(attempt string) lineage.Key {
+	tenant := ""
+	if c.tenant != nil {
+		tenant = c.tenant.Name
+	}
+	return lineage.KeyOf(tenant, attempt)
+}
+
+// pin binds the stream to the software version of the server that its first event comes from, and lets
+// other nodes know. It is called before events are sent to the caller.
 func (c *call) pin(m *backend.Member) {
 	if !c.pinned {
 		c.pinned, c.software = true, m.Software
 	}
+	if c.streamKeys == nil && c.relay.Lineage != nil && c.route.Resumable && c.id != "" {
+		c.tellOrigin()
+	}
+}
+
+// tellOrigin lets other nodes know the origin of the stream, by this attempt and by the one that the caller
+// says it began with.
+func (c *call) tellOrigin() {
+	c.streamKeys = []lineage.Key{c.streamKey(c.id)}
+	if c.record.resumes != "" {
+		c.streamKeys = append(c.streamKeys, c.streamKey(c.record.resumes))
+	}
+	left := c.record.callerTimeout
+	if left <= 0 {
+		left = max(c.route.Timeout, defaultTimeout)
+	}
+	for _, key := range c.streamKeys {
+		c.relay.Lineage.Began(key, lineage.Origin{Service: c.service, Software: c.software}, left+resumeMargin)
+	}
+}
+
+// noteComplete records that the whole stream was sent to the caller.
+func (c *call) noteComplete() {
+	for _, key := range c.streamKeys {
+		c.relay.Lineage.Complete(key)
+	}
 }
 
 // servers returns the servers of the service that may continue or, if it has not begun, run the
--- a/pkg/relay/versions_test.go
+++ b/pkg/relay/versions_test.go
@@ -1,11 +1,15 @@
 package relay
 
 import (
+	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/lineage"
+	"martenwheel.dev/pkg/route"
 )
 
 // setSoftware sets the software version of each server, in their order.
@@ -88,3 +92,108 @@
 		t.Errorf("ORDER: the caller got %d bytes, %v, from %d servers", len(got.body), got.err, len(s.arrivals()))
 	}
 }
+
+// fakeLineage knows the origins of some streams, and records which it was told.
+type fakeLineage struct {
+	known    map[lineage.Key]lineage.Origin
+	began    chan lineage.Key
+	complete chan lineage.Key
+}
+
+func newFakeLineage() *fakeLineage {
+	return &fakeLineage{known: make(map[lineage.Key]lineage.Origin), began: make(chan lineage.Key, 10), complete: make(chan lineage.Key, 10)}
+}
+
+func (l *fakeLineage) Began(key lineage.Key, _ lineage.Origin, _ time.Duration) { l.began <- key }
+func (l *fakeLineage) Complete(key lineage.Key)                                 { l.complete <- key }
+func (l *fakeLineage) Find(_ context.Context, key lineage.Key) lineage.Found {
+	o, known := l.known[key]
+	return lineage.Found{Origin: o, Known: known}
+}
+
+// takeUp sends a request that continues a stream after its second event.
+func (s *site) takeUp(id string, resumes ...string) answer {
+	r := s.request(s.t.Context(), http.MethodPost, "/p/x", id, "x")
+	r.Header.Set(testHeaders.LastEvent, "2")
+	r.Header[testHeaders.Resumes] = resumes
+	return s.do(r)
+}
+
+func TestORDERStreamOfAnUnknownVersionGoesOn(t *testing.T) {
+	s := newSite(t, streamRoute(true), events(8, 8, nil), events(8, 8, nil))
+	s.setSoftware("v1", "v2")
+	l := newFakeLineage()
+	s.relay.Lineage = l
+	l.known[lineage.KeyOf("", "known")] = lineage.Origin{Service: "s", Software: "v2"}
+	l.known[lineage.KeyOf("another tenant", "theirs")] = lineage.Origin{Service: "s", Software: "v2"}
+	l.known[lineage.KeyOf("", "elsewhere")] = lineage.Origin{Service: "another", Software: "v2"}
+	l.known[lineage.KeyOf("", "gone")] = lineage.Origin{Service: "s", Software: "v0"}
+	for name, row := range map[string]struct {
+		resumes []string
+		status  int
+	}{
+		"known":                         {[]string{"known"}, http.StatusOK},
+		"unknown":                       {[]string{"unknown"}, http.StatusServiceUnavailable},
+		"names no attempt":              {nil, http.StatusServiceUnavailable},
+		"names an empty one":            {[]string{""}, http.StatusServiceUnavailable},
+		"names two":                     {[]string{"known", "known"}, http.StatusBadRequest},
+		"names a very long one":         {[]string{strings.Repeat("k", 10_000)}, http.StatusBadRequest},
+		"of another tenant":             {[]string{"theirs"}, http.StatusServiceUnavailable},
+		"of another route's service":    {[]string{"elsewhere"}, http.StatusServiceUnavailable},
+		"no server of its version left": {[]string{"gone"}, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			before := len(s.arrivals())
+			got := s.takeUp("id-"+name, row.resumes...)
+			arrived := s.arrivals()[before:]
+			if got.status != row.status || (len(arrived) == 1) != (row.status == http.StatusOK) {
+				t.Errorf("status %d with %d requests at servers, want %d", got.status, len(arrived), row.status)
+			}
+			if len(arrived) == 1 && (arrived[0].server != "server-1" || got.body != eventsText(3, 8)) {
+				t.Errorf("ORDER: %s went on with %q", arrived[0].server, got.body)
+			}
+		})
+	}
+}
+
+func TestStreamIsNotToldWhenItBegins(t *testing.T) {
+	s := newSite(t, streamRoute(true), events(8, 8, nil))
+	l := newFakeLineage()
+	s.relay.Lineage = l
+	if got := s.post("whole", "x"); got.err != nil {
+		t.Fatal(got.err)
+	}
+	key := lineage.KeyOf("", "whole")
+	if told, complete := <-l.began, <-l.complete; told != key || complete != key {
+		t.Errorf("told of %x, complete %x, want %x", told, complete, key)
+	}
+	l.known[key] = lineage.Origin{Service: "s"}
+	s.takeUp("again", "whole")
+	if told := []lineage.Key{<-l.began, <-l.began}; told[0] != lineage.KeyOf("", "again") || told[1] != key {
+		t.Errorf("a stream that was taken up is told as %x", told)
+	}
+}
+
+func TestStreamIsTakenUpAtAnotherServiceOfItsRoute(t *testing.T) {
+	s := newSite(t, streamRoute(true), events(8, 8, nil), events(8, 8, nil))
+	s.servers[1].Service = "other"
+	s.setSoftware("v1", "v1")
+	r := streamRoute(true)
+	r.Name, r.Host, r.Prefix, r.Target = "r", "site.example", "/p/", time.Second
+	r.Parts = []route.Part{{Service: "s", Weight: 99}, {Service: "other", Weight: 1}}
+	table := route.NewTable(2, route.Limits{}, []*route.Route{&r}, []*route.Service{{Name: "s"}, {Name: "other"}})
+	s.relay.Routes = func() *route.Table { return table }
+	l := newFakeLineage()
+	s.relay.Lineage = l
+	l.known[lineage.KeyOf("", "began")] = lineage.Origin{Service: "other", Software: "v1"}
+	for range 5 {
+		if got := s.takeUp("id", "began"); got.body != eventsText(3, 8) {
+			t.Errorf("the caller got %d, %q", got.status, got.body)
+		}
+	}
+	for _, a := range s.arrivals() {
+		if a.server != "server-1" {
+			t.Errorf("the stream went on at %s, of another service", a.server)
+		}
+	}
+}
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -70,6 +70,11 @@
 	IdleTime    time.Duration
 }
 
+// LeadsTo reports whether requests of the route may go to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Parts, func(p Part) bool { return p.Service == service })
+}
+
 // Table is an immutable set of routes, services and tenants.
 type Table struct {
 	version  uint64
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -23,6 +23,7 @@
 	"martenwheel.dev/pkg/clock"
 	"martenwheel.dev/pkg/coordinator"
 	"martenwheel.dev/pkg/lease"
+	"martenwheel.dev/pkg/lineage"
 	"martenwheel.dev/pkg/peer"
 	"martenwheel.dev/pkg/policy"
 	"martenwheel.dev/pkg/quarantine"
@@ -67,6 +68,7 @@
 	Logger     hclog.Logger
 
 	member   *coordinator.Member
+	lineage  *lineage.Register
 	hub      *watch.Hub
 	relay    *relay.Relay
 	traffic  *peerTraffic
@@ -74,7 +76,8 @@
 	dialer   *tunnel.Dialer
 	helper   *tunnel.Helper
 	stopping atomic.Bool
-	watched  atomic.Pointer[watchedNodes]
+	watched  convertedNodes[watch.Node]
+	known    convertedNodes[lineage.Node]
 }
 
 // Ready reports whether this node can serve callers.
@@ -150,9 +153,12 @@
 	l.FirstStart, l.TakeoverDelay = s.FirstStart, s.takeoverDelay
 	l.Eager = func() bool { return s.member.NodesKnown() && s.hub.Watching() }
 	s.member.Candidate = s.hub.Watching
+	s.lineage = &lineage.Register{
+		Self: s.Self.Name, Nodes: s.lineageNodes, Holder: func() string { return s.holderAddress(l) }, Transport: transport, Logger: s.Logger.Named("lineage"),
+	}
 	s.relay = &relay.Relay{
 		Headers: s.Headers, Node: s.Self.Name, Zone: s.Self.Zone, Regions: s.Regions, Routes: s.Routes, Keys: s.Keys, Quotas: s.member, Servers: s.Servers, Loader: s.member,
-		Quarantine: s.member, Slots: s.member, Places: s.member, Mover: s.Mover, DrainTime: s.DrainTime,
+		Quarantine: s.member, Slots: s.member, Places: s.member, Lineage: s.lineage, Mover: s.Mover, DrainTime: s.DrainTime,
 		Nodes: s.member.FleetSize, Budget: s.Budget, Lender: s.member, BudgetStart: s.budgetStart(clock.Now()), Logger: s.Logger.Named("relay"),
 		Metrics: relay.NewMetrics(s.Registry), RequestArrived: s.member.RequestArrived,
 	}
@@ -226,27 +232,50 @@
 	return nil
 }
 
-// watchedNodes caches the conversion of a list of nodes for the hub.
-type watchedNodes struct {
+// convertedNodes caches the conversion of the list of nodes to the form of another package, which gets the same
+// slice while the nodes are unchanged.
+type convertedNodes[N any] struct {
+	converted atomic.Pointer[conversion[N]]
+}
+
+// conversion is a list of nodes and its conversion.
+type conversion[N any] struct {
 	source []coordinator.Node
-	list   []watch.Node
+	list   []N
 }
 
-// watchNodes returns the nodes of the site in the form of package watch. It returns the same slice while the
-// nodes are unchanged, by which the hub sees that it need not recompute anything.
-func (s *Site) watchNodes() []watch.Node {
-	nodes := s.member.Nodes()
-	if known := s.watched.Load(); known != nil && len(known.source) == len(nodes) && &known.source[0] == &nodes[0] {
+// get returns the conversion of the given nodes, of which there is at least one.
+func (c *convertedNodes[N]) get(nodes []coordinator.Node, convert func(coordinator.Node) N) []N {
+	if known := c.converted.Load(); known != nil && len(known.source) == len(nodes) && &known.source[0] == &nodes[0] {
 		return known.list
 	}
-	next := &watchedNodes{source: nodes, list: make([]watch.Node, len(nodes))}
+	next := &conversion[N]{source: nodes, list: make([]N, len(nodes))}
 	for i := range nodes {
-		next.list[i] = watchNode(nodes[i])
+		next.list[i] = convert(nodes[i])
 	}
-	s.watched.Store(next)
+	c.converted.Store(next)
 	return next.list
 }
 
+// watchNodes returns the nodes of the site in the form of package watch.
+func (s *Site) watchNodes() []watch.Node { return s.watched.get(s.member.Nodes(), watchNode) }
+
+// lineageNodes returns the nodes of the site in the form of package lineage.
+func (s *Site) lineageNodes() []lineage.Node { return s.known.get(s.member.Nodes(), lineageNode) }
+
+func lineageNode(n coordinator.Node) lineage.Node {
+	return lineage.Node{Name: n.Name, Zone: n.Zone, Address: n.Peers, Stopping: n.Stopping}
+}
+
+// holderAddress returns the address of the node that holds the lease, empty if that is unknown or this node.
+func (s *Site) holderAddress(l *lease.Lease) string {
+	record, _ := l.Current()
+	if record.Holder == "" || record.Address == s.Self.Peers {
+		return ""
+	}
+	return record.Address
+}
+
 func watchNode(n coordinator.Node) watch.Node {
 	return watch.Node{Name: n.Name, Zone: n.Zone, Peers: n.Peers, Power: n.Power, Follows: n.Follows, Leaving: n.Stopping}
 }
@@ -256,6 +285,9 @@
 	if reply, handled, err := s.hub.Handle(ctx, message); handled {
 		return reply, err
 	}
+	if reply, handled := s.lineage.Handle(ctx, message); handled {
+		return reply, nil
+	}
 	return s.member.HandleMessage(ctx, from, message)
 }
 
@@ -289,6 +321,7 @@
 	tasks.Go(func() { holder.Run(background) })
 	tasks.Go(func() { s.member.Run(background) })
 	tasks.Go(func() { s.hub.Run(background) })
+	tasks.Go(func() { s.lineage.Run(background) })
 	tasks.Go(func() { s.dialer.Run(background) })
 	tasks.Go(func() { s.keepConnectionShares(background) })
 	tasks.Go(func() { s.serveMetrics(background) })
