lineage, coordinator, relay: a service that one version has served alone mixes none

What callers saw: after the loss of all nodes, and where callers name no attempt, streams were refused although their service never had more than one software version. Cause: where a stream began is known to its node and three keepers; nothing says that there is only one answer. Why it works: the holder of the lease, which lists all servers, sees at each plan which services have one version, and since when; the lease's record carries it to the next holder, whose gap may be ten seconds, and heartbeats carry it to all nodes. A node relies on it for five seconds, while it lists no other version itself, and only if it covers twice the time that the stream may be old. At the first start of a site there is nothing before. The holder says nothing new while its list is older than two seconds.

--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -56,6 +56,8 @@
 	ScarceTenants func() []string
 	// Complete tells whether this node knows all servers; if nil, it does.
 	Complete func() bool
+	// ListAge returns the age of the list of servers; nil: it is up to date.
+	ListAge func() time.Duration
 	// Quarantine is this node's evidence against requests that crash servers.
 	Quarantine *quarantine.Table
 	Time       clock.Clock
@@ -76,6 +78,7 @@
 	beliefs         changeLog[announcedBelief] // what servers announced, by ID of the incarnation
 	quotas          quota.Pool                 // safe for concurrent use
 	places          holderPlaces
+	versions        versionWatch
 	slots           backpressure.Slots // slots at servers with a request limit; safe for concurrent use
 	announcedScarce []string           // tenants last announced to the nodes as scarce
 	pendingSpend    []spendReport      // reports of quota usage that wait until the configuration is read
@@ -194,6 +197,7 @@
 	h.updateOverloadedModels(now)
 	h.countHeartbeats(now)
 	h.learnRecords(now)
+	h.observeVersions()
 	h.markOverloadedServers(now)
 	h.plan(now)
 }
@@ -228,6 +232,7 @@
 	h.announcedScarce, h.pendingSpend = nil, nil
 	h.beginPlaces(now, term)
 	h.slots.Begin(now, term)
+	h.beginVersions(term, record.Sole)
 	h.learnUntil = now.Add(learnPeriod)
 	h.quietUntil = time.Time{}
 	h.inheritIntents(now, storeNow, record.Intents)
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -57,6 +57,7 @@
 
 	nodes                atomic.Pointer[[]Node]
 	fleet                atomic.Int64
+	sole                 atomic.Pointer[knownSole]
 	version              NodesVersion    // version of the list in nodes; for Run alone
 	partialNodes         []Node          // list received so far; nil: the list is complete; for Run alone
 	moreNodes            bool            // the last answer held only part of the list; for Run alone
@@ -282,6 +283,7 @@
 	if m.Configured != nil && answer.Configuration > 0 {
 		m.Configured(answer.Configuration)
 	}
+	m.sole.Store(&knownSole{sent, answer.Sole})
 	m.serversScarce = answer.Scarce
 	m.storeLimitTerm = answer.Version.Term
 	if answer.Store.Loads > 0 {
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -24,6 +24,7 @@
 //   - heartbeats.go, roster.go: heartbeats, and the list of nodes that is sent as changes
 //   - quotas.go: quotas of tenants
 //   - places.go, slots.go: admission to overloaded servers and to servers with a request limit
+//   - versions.go: services that one software version serves alone
 //   - speeds.go, announcements.go: speeds of servers, and what servers announce (limits, leaving)
 //   - quarantine.go, suspicions.go, crashingload.go: evidence against requests and models that crash servers
 package coordinator
@@ -34,6 +35,7 @@
 	"martenwheel.dev/pkg/admission"
 	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/lease"
+	"martenwheel.dev/pkg/lineage"
 	"martenwheel.dev/pkg/peer"
 	"martenwheel.dev/pkg/quota"
 )
@@ -129,6 +131,8 @@
 	SaidVersion SaidVersion
 	// Configuration is the configuration version in force at the holder; zero: none, or not reported.
 	Configuration uint64
+	// Sole are the software versions that serve a service alone.
+	Sole []lineage.SoleVersion
 }
 
 // WishMessage asks the holder to load a model. It is called a load request in this package.
--- /dev/null
+++ b/pkg/coordinator/versions.go
@@ -0,0 +1,109 @@
+package coordinator
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"martenwheel.dev/pkg/lineage"
+	"martenwheel.dev/pkg/revision"
+)
+
+// The holder follows which services are served by one software version alone, and tells all nodes with their
+// heartbeats: a stream of which nobody knows where it began can only continue at such a service.
+
+// versionWatch is the holder's part. It is safe for concurrent use.
+type versionWatch struct {
+	mu      sync.Mutex
+	term    uint64
+	history lineage.VersionHistory
+	seen    revision.Revision // version of the list of servers of which versions were made
+	current map[string][]string
+	mixed   map[string]bool // services that several versions served when last logged
+}
+
+// beginVersions takes over what the lease's record tells, at the start of a term.
+func (h *Holder) beginVersions(term uint64, recorded []lineage.SoleVersion) {
+	w := &h.versions
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.term, w.current = term, nil
+	w.history.Inherit(recorded, h.Lease.FirstStart && term == firstTerm)
+}
+
+// firstTerm is the first term of a lease.
+const firstTerm = 1
+
+// observeVersions records which versions the listed servers have, if the list is complete and up to date.
+func (h *Holder) observeVersions() {
+	if h.Complete != nil && !h.Complete() || h.ListAge != nil && h.ListAge() > maxListAge {
+		return
+	}
+	snapshot := h.Servers.Snapshot()
+	w := &h.versions
+	now := h.Lease.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.current == nil || w.seen != snapshot.Version() {
+		w.seen, w.current = snapshot.Version(), make(map[string][]string)
+		for _, m := range snapshot.Members() {
+			if list := w.current[m.Service]; !slices.Contains(list, m.Software) {
+				w.current[m.Service] = append(list, m.Software)
+			}
+		}
+		h.logMixed(w)
+	}
+	w.history.Observe(now, w.current)
+}
+
+// maxListAge is the age beyond which a list of servers may lack a version that came and went since: a server
+// is listed for as long as it drains, and after a crash for some heartbeats.
+const maxListAge = 2 * time.Second
+
+// logMixed logs the services that began or ceased to be served by several versions. The caller holds the
+// watch's mu.
+func (h *Holder) logMixed(w *versionWatch) {
+	if w.mixed == nil {
+		w.mixed = make(map[string]bool)
+	}
+	for service, list := range w.current {
+		if mixed := len(list) > 1; mixed != w.mixed[service] {
+			w.mixed[service] = mixed
+			h.Logger.Info("software versions of a service changed", "service", service, "versions", list, "ver", w.seen)
+		}
+	}
+}
+
+// SoleVersions returns the versions that serve a service alone, for the record of a term.
+func (h *Holder) SoleVersions(term uint64) ([]lineage.SoleVersion, bool) {
+	h.versions.mu.Lock()
+	defer h.versions.mu.Unlock()
+	if h.versions.term != term || h.versions.current == nil {
+		return nil, false
+	}
+	return h.versions.history.Sole(), true
+}
+
+// knownSole is what the last heartbeat's answer told of versions that serve a service alone.
+type knownSole struct {
+	at       time.Time // when the heartbeat was sent
+	versions []lineage.SoleVersion
+}
+
+// soleLifetime is how long a node relies on what a holder told, if no holder answers.
+const soleLifetime = 5 * time.Second
+
+// SoleVersion returns the software version that serves a service alone, and for how long at least it has; an
+// empty service if that is not known.
+func (m *Member) SoleVersion(service string) lineage.SoleVersion {
+	known := m.sole.Load()
+	if known == nil || m.Time.Since(known.at) > soleLifetime {
+		return lineage.SoleVersion{}
+	}
+	for _, v := range known.versions {
+		if v.Service == service {
+			return v
+		}
+	}
+	return lineage.SoleVersion{}
+}
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -21,6 +21,7 @@
 	"github.com/pkg/errors"
 
 	"martenwheel.dev/pkg/clock"
+	"martenwheel.dev/pkg/lineage"
 	"martenwheel.dev/pkg/quarantine"
 	"martenwheel.dev/pkg/quota"
 )
@@ -88,8 +89,11 @@
 	// or is nil, the record keeps its balances. It is called with the lease locked and must not call the
 	// lease.
 	Quotas func(term uint64) ([]quota.Balance, bool)
-	Time   clock.Clock
-	Log    func(message string, fields ...any)
+	// Sole returns the versions that serve a service alone, for a record of the given term. If it returns false
+	// or is nil, the record keeps its versions. It is called with the lease locked and must not call the lease.
+	Sole func(term uint64) ([]lineage.SoleVersion, bool)
+	Time clock.Clock
+	Log  func(message string, fields ...any)
 
 	mu               sync.Mutex
 	seen             Stored              // newest record that was read or written
@@ -356,7 +360,7 @@
 	}
 	next := Record{
 		Term: s.nextTerm(), Holder: l.Self, Address: l.Address, Renewed: max(s.Now, l.storeNow()), Epoch: s.Version.Epoch(), Mark: newMark(),
-		Fleet: s.Record.Fleet, Intents: unexpired(intents, s.Now), Quarantine: s.Record.Quarantine, Quotas: s.Record.Quotas,
+		Fleet: s.Record.Fleet, Intents: unexpired(intents, s.Now), Quarantine: s.Record.Quarantine, Quotas: s.Record.Quotas, Sole: s.Record.Sole,
 	}
 	next.EpochAt = s.Record.EpochAt
 	if s.fromEarlierEpoch() {
@@ -377,6 +381,7 @@
 	next.Holder, next.Address, next.Mark = "", "", newMark()
 	next.Intents = unexpired(append(slices.Clone(next.Intents), l.unwritten...), l.storeNow())
 	l.updateQuotas(&next, l.storeNow())
+	l.updateSole(&next)
 	term := l.term
 	l.term = 0
 	l.mu.Unlock()
--- a/pkg/lease/record.go
+++ b/pkg/lease/record.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"martenwheel.dev/pkg/lineage"
 	"martenwheel.dev/pkg/quarantine"
 	"martenwheel.dev/pkg/quota"
 	"martenwheel.dev/pkg/revision"
@@ -44,6 +45,8 @@
 	Quarantine []Quarantined `json:",omitempty"`
 	// Quotas is the balances of scarce tenants' quotas. They are stored so that they outlive the holder.
 	Quotas []QuotaBalance `json:",omitempty"`
+	// Sole are the software versions that serve a service alone. They are stored so that they outlive all nodes.
+	Sole []lineage.SoleVersion `json:",omitempty"`
 }
 
 // QuotaBalance is the balance of a scarce tenant's token bucket.
--- a/pkg/lease/write.go
+++ b/pkg/lease/write.go
@@ -42,6 +42,7 @@
 		next.Quarantine = toQuarantined(l.Quarantine(next.Aged(now)), now)
 	}
 	l.updateQuotas(&next, now)
+	l.updateSole(&next)
 	l.unwritten = unexpired(l.unwritten, now)
 	next.Intents = unexpired(append(slices.Clone(next.Intents), l.unwritten...), now)
 	for _, i := range intents {
@@ -64,6 +65,16 @@
 	}
 }
 
+// updateSole sets the versions that serve alone in a record of this node's term. The caller holds mu.
+func (l *Lease) updateSole(r *Record) {
+	if l.Sole == nil {
+		return
+	}
+	if sole, known := l.Sole(r.Term); known {
+		r.Sole = sole
+	}
+}
+
 // put writes a record of this node. After a lost answer it reads the record to find out whether the write was
 // done.
 func (l *Lease) put(ctx context.Context, r Record, over Stored) error {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -41,6 +41,7 @@
 	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/backpressure"
 	"martenwheel.dev/pkg/clock"
+	"martenwheel.dev/pkg/lineage"
 	"martenwheel.dev/pkg/route"
 	"martenwheel.dev/pkg/traffic/routing"
 )
@@ -121,6 +122,9 @@
 	// Lineage knows at which software version streams began. If nil, streams that callers take up go on at
 	// any server.
 	Lineage Lineage
+	// SoleVersion returns the software version that serves a service alone; the zero value if none is known
+	// to. If nil, none is.
+	SoleVersion func(service string) lineage.SoleVersion
 	// Mover moves running streams; none move if nil.
 	Mover Mover
 	// DrainTime is the time for which a leaving server is guaranteed to serve; zero: unknown.
--- a/pkg/relay/version.go
+++ b/pkg/relay/version.go
@@ -67,12 +67,41 @@
 
 // findOrigin returns where the stream that the request takes up began.
 func (c *call) findOrigin(ctx context.Context) lineage.Found {
-	if c.record.resumes == "" {
-		return lineage.Found{}
+	var found lineage.Found
+	if c.record.resumes != "" {
+		found = c.relay.Lineage.Find(ctx, c.streamKey(c.record.resumes))
+	}
+	if software, sole := c.soleVersion(); sole && !found.Known && !found.Conflicting {
+		found.Known, found.Origin, found.From = true, lineage.Origin{Service: c.service, Software: software}, soleVersionOnly
+	}
+	return found
+}
+
+// soleVersionOnly stands in Found.From for the knowledge that the service had one version only.
+const soleVersionOnly = "one version alone"
+
+// soleVersion returns the only software version that has served the service for as long as the stream may be
+// old, false if there may have been others.
+func (c *call) soleVersion() (string, bool) {
+	if c.relay.SoleVersion == nil {
+		return "", false
+	}
+	sole := c.relay.SoleVersion(c.service)
+	if sole.Service == "" || sole.Served() < maxStreamAges*max(c.route.Timeout, c.record.callerTimeout) {
+		return "", false
 	}
-	return c.relay.Lineage.Find(ctx, c.streamKey(c.record.resumes))
+	for _, m := range c.relay.Servers.Snapshot().Service(c.service) {
+		if m.Software != sole.Software { // newer than what the holder told
+			return "", false
+		}
+	}
+	return sole.Software, true
 }
 
+// maxStreamAges is how old a stream that its caller takes up may be, as a multiple of what a caller waits: a
+// route's limit holds for each attempt.
+const maxStreamAges = 2
+
 // streamKey returns the key of a stream that began with an attempt of the request's caller.
 func (c *call) streamKey(attempt string) lineage.Key {
 	tenant := ""
--- a/pkg/relay/versions_test.go
+++ b/pkg/relay/versions_test.go
@@ -156,6 +156,33 @@
 	}
 }
 
+func TestORDERStreamGoesOnAtAVersionThatServesAlone(t *testing.T) {
+	for name, row := range map[string]struct {
+		sole   lineage.SoleVersion
+		listed string // version of the second server
+		status int
+	}{
+		"always":                   {lineage.SoleVersion{Service: "s", Software: "v1"}, "v1", http.StatusOK},
+		"for long":                 {lineage.SoleVersion{Service: "s", Software: "v1", Since: 1, Until: 10_001}, "v1", http.StatusOK},
+		"not long enough":          {lineage.SoleVersion{Service: "s", Software: "v1", Since: 1, Until: 9_999}, "v1", http.StatusServiceUnavailable},
+		"another has come since":   {lineage.SoleVersion{Service: "s", Software: "v1"}, "v2", http.StatusServiceUnavailable},
+		"not known":                {lineage.SoleVersion{}, "v1", http.StatusServiceUnavailable},
+		"the list is of before it": {lineage.SoleVersion{Service: "s", Software: "v0"}, "v1", http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, streamRoute(true), events(8, 8, nil), events(8, 8, nil))
+			s.setSoftware("v1", row.listed)
+			s.relay.Lineage = newFakeLineage()
+			s.relay.SoleVersion = func(string) lineage.SoleVersion { return row.sole }
+			for _, resumes := range [][]string{nil, {"unknown"}} {
+				if got := s.takeUp("id", resumes...); got.status != row.status {
+					t.Errorf("status %d, want %d", got.status, row.status)
+				}
+			}
+		})
+	}
+}
+
 func TestStreamIsNotToldWhenItBegins(t *testing.T) {
 	s := newSite(t, streamRoute(true), events(8, 8, nil))
 	l := newFakeLineage()
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -145,11 +145,11 @@
 		Tables: s.Tables, FirstStart: s.FirstStart, Logger: s.Logger.Named("watch"),
 		NeedsWhole: func() bool { _, held := l.Held(); return held },
 	}
-	holder.Complete = s.tablesComplete
+	holder.Complete, holder.ListAge = s.tablesComplete, s.serversAge
 	s.member.NearestFullNode, s.member.EnsureServers = s.nearestFullNode, s.ensureServers
 	l.Fleet, l.AllowOffline = holder.FleetSize, holder.MayContinueOffline
 	l.Quarantine = func(recorded []quarantine.Aged) []quarantine.Aged { return known.MergeStored(clock.Now(), recorded) }
-	l.Quotas = holder.QuotaBalances
+	l.Quotas, l.Sole = holder.QuotaBalances, holder.SoleVersions
 	l.FirstStart, l.TakeoverDelay = s.FirstStart, s.takeoverDelay
 	l.Eager = func() bool { return s.member.NodesKnown() && s.hub.Watching() }
 	s.member.Candidate = s.hub.Watching
@@ -158,7 +158,7 @@
 	}
 	s.relay = &relay.Relay{
 		Headers: s.Headers, Node: s.Self.Name, Zone: s.Self.Zone, Regions: s.Regions, Routes: s.Routes, Keys: s.Keys, Quotas: s.member, Servers: s.Servers, Loader: s.member,
-		Quarantine: s.member, Slots: s.member, Places: s.member, Lineage: s.lineage, Mover: s.Mover, DrainTime: s.DrainTime,
+		Quarantine: s.member, Slots: s.member, Places: s.member, Lineage: s.lineage, SoleVersion: s.member.SoleVersion, Mover: s.Mover, DrainTime: s.DrainTime,
 		Nodes: s.member.FleetSize, Budget: s.Budget, Lender: s.member, BudgetStart: s.budgetStart(clock.Now()), Logger: s.Logger.Named("relay"),
 		Metrics: relay.NewMetrics(s.Registry), RequestArrived: s.member.RequestArrived,
 	}
@@ -207,6 +207,17 @@
 	return true
 }
 
+// serversAge returns the time since the list of servers was last confirmed to be up to date.
+func (s *Site) serversAge() time.Duration {
+	age := time.Duration(0)
+	for _, t := range s.Tables {
+		if t.Partitioned {
+			age = max(age, t.Age())
+		}
+	}
+	return age
+}
+
 // nearestFullNode returns the address of a node that knows all servers; empty if this one does.
 func (s *Site) nearestFullNode() string {
 	if s.tablesComplete() {
