relay, backend: streams of a version whose servers all leave go on at one of them

What callers saw: once all servers of a stream's version drain, which a release ends with, a stream that broke off was refused, though they still serve for the drain time. Cause: a server that leaves is left out for all requests alike. New streams don't go there (TestDRAINStreamOfAVersionIsSentToAServerThatMayBeGone).

--- a/pkg/backend/condition.go
+++ b/pkg/backend/condition.go
@@ -21,6 +21,7 @@
 	inFlight       atomic.Int64
 	draining       atomic.Bool
 	leavingSince   atomic.Pointer[time.Time] // when its record first announced that it drains, or was removed; nil: neither
+	listedReady    atomic.Bool               // its record was read before it announced that it drains
 	signalState    *signalState
 	brittle        *backpressure.Brittle // of its service
 	slots          int                   // requests that it runs at once
@@ -90,9 +91,25 @@
 		c.leavingSince.CompareAndSwap(nil, &now)
 	} else {
 		c.leavingSince.Store(nil)
+		c.listedReady.Store(true)
 	}
 }
 
+// LeaveSeen reports whether this node listed the server before it began to leave. Otherwise LeavingFor may be
+// much too short.
+func (c *Condition) LeaveSeen() bool { return c.listedReady.Load() }
+
+// ServesLeaving reports whether the server leaves and could otherwise get a request that needs n.
+func (m *Member) ServesLeaving(now time.Time, n Need) bool {
+	if !m.Leaving() || m.Evacuated() || m.BackOff(now) > 0 || m.Gone(now) {
+		return false
+	}
+	if holds, overridden := m.holdingOverride(now, n); overridden {
+		return holds
+	}
+	return m.Holds(n)
+}
+
 // delist ends the use of the server for new requests.
 func (c *Condition) delist() {
 	c.delisted.Store(true)
--- a/pkg/backend/directory.go
+++ b/pkg/backend/directory.go
@@ -17,8 +17,19 @@
 	at       time.Time
 	services map[string][]*Member
 	members  map[string]*Member
+	vanished []vanishedServer
 }
 
+// vanishedServer is a server whose record has been removed. It may serve for a while yet, as if it had
+// announced that it leaves.
+type vanishedServer struct {
+	member *Member
+	at     time.Time
+}
+
+// vanishedTime is how long vanished servers are kept, which is longer than they serve.
+const vanishedTime = 10 * time.Second
+
 // Version returns the version of the list that the snapshot was made from.
 func (s *Snapshot) Version() revision.Revision { return s.version }
 
@@ -28,6 +39,17 @@
 // Service returns the servers of a service. The caller must not change the slice.
 func (s *Snapshot) Service(name string) []*Member { return s.services[name] }
 
+// Vanished returns the servers of a service whose records have been removed recently.
+func (s *Snapshot) Vanished(service string) []*Member {
+	var list []*Member
+	for _, v := range s.vanished {
+		if v.member.Service == service {
+			list = append(list, v.member)
+		}
+	}
+	return list
+}
+
 // Member returns the server with the given ID, or nil if it is unknown.
 func (s *Snapshot) Member(id string) *Member { return s.members[id] }
 
@@ -160,12 +182,25 @@
 		next.members[s.ID] = m
 		next.services[s.Service] = append(next.services[s.Service], m)
 	}
-	d.current.Store(next)
+	for _, v := range old.vanished {
+		if next.members[v.member.ID] == nil && next.at.Sub(v.at) < vanishedTime {
+			next.vanished = append(next.vanished, v)
+		}
+	}
+	var removed []*Member
 	for id, m := range old.members {
-		if now := next.members[id]; now == nil || now.Condition != m.Condition {
-			m.Condition.delist()
-			d.departed.keep(next.at, m)
+		now := next.members[id]
+		if now == nil && !m.released.Load() {
+			next.vanished = append(next.vanished, vanishedServer{m, next.at})
 		}
+		if now == nil || now.Condition != m.Condition {
+			removed = append(removed, m)
+		}
+	}
+	d.current.Store(next)
+	for _, m := range removed {
+		m.Condition.delist()
+		d.departed.keep(next.at, m)
 	}
 	d.notifyChangedLocked()
 }
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -140,7 +140,7 @@
 // request must not be sent.
 func (c *call) checkBeforeSend(m *backend.Member) error {
 	switch {
-	case (m.Leaving() || m.Evacuated()) && !c.resumption.toSource:
+	case (m.Leaving() || m.Evacuated()) && !c.resumption.toSource && !c.mayUseLeaving(m):
 		return errLeaving
 	case c.timeLeft() <= 0: // the timer of ctx uses another clock and may be late after a suspension
 		return errDeadline
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -193,7 +193,10 @@
 		}
 	}
 	if len(p.members) == 0 {
-		return c.chooseCold(now)
+		if m := c.chooseCold(now); m != nil {
+			return m
+		}
+		return c.chooseLeaving(now)
 	}
 	p.preferUnlimited(c.tried)
 	untried, good := false, false
--- a/pkg/relay/resume.go
+++ b/pkg/relay/resume.go
@@ -161,11 +161,16 @@
 	case !r.source.Leaving():
 		return true
 	}
-	left, announced := c.relay.timeUntilGone(r.source)
+	return c.relay.servesYet(r.source)
+}
+
+// servesYet reports whether a server that leaves is still certain to serve a request that is sent now.
+func (r *Relay) servesYet(m *backend.Member) bool {
+	left, announced := r.timeUntilGone(m)
 	if announced && left < backMargin {
 		return false
 	}
-	return c.relay.DrainTime > 0 && r.source.LeavingFor(c.relay.Time.Now()) < c.relay.DrainTime-sendMargin
+	return r.DrainTime > 0 && m.LeavingFor(r.Time.Now()) < r.DrainTime-sendMargin
 }
 
 // sourceRestarted reports whether a newer incarnation of the source is known. It has the same name
--- a/pkg/relay/version.go
+++ b/pkg/relay/version.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -172,5 +173,29 @@
 
 // versionGone reports whether no server of the version that the stream is bound to accepts requests.
 func (c *call) versionGone() bool {
-	return c.pinned && !slices.ContainsFunc(c.servers(), func(m *backend.Member) bool { return !m.Withdrawn() })
+	return c.pinned && !slices.ContainsFunc(c.servers(), func(m *backend.Member) bool { return !m.Withdrawn() }) &&
+		c.chooseLeaving(c.relay.Time.Now()) == nil
+}
+
+// chooseLeaving picks a server that leaves for a stream that can continue at no other server, or returns nil
+// if none takes it. New requests, and streams that other servers can continue, do not go there.
+func (c *call) chooseLeaving(now time.Time) *backend.Member {
+	if !c.pinned {
+		return nil
+	}
+	var best *backend.Member
+	leaving := append(c.servers(), c.relay.Servers.Snapshot().Vanished(c.service)...)
+	for _, i := range rand.Perm(len(leaving)) {
+		m := leaving[i]
+		if m.ServesLeaving(now, c.need) && c.mayUseLeaving(m) && !slices.Contains(c.tried, m.ID) && (best == nil || m.InFlight() < best.InFlight()) {
+			best = m
+		}
+	}
+	return best
+}
+
+// mayUseLeaving reports whether the request may be sent to a server that leaves: it continues a stream of its
+// version, and the server is known to serve yet.
+func (c *call) mayUseLeaving(m *backend.Member) bool {
+	return c.pinned && c.fits(m) && m.Leaving() && !m.Evacuated() && m.LeaveSeen() && !m.Limited() && c.relay.servesYet(m)
 }
--- a/pkg/relay/versions_test.go
+++ b/pkg/relay/versions_test.go
@@ -183,6 +183,60 @@
 	}
 }
 
+func TestDRAINStreamOfAVersionIsSentToAServerThatMayBeGone(t *testing.T) {
+	for name, row := range map[string]struct {
+		drainTime time.Duration
+		unseen    bool // the server drains when this node first lists it
+		removed   bool // its record is removed without an announcement
+		remaining time.Duration
+		takesUp   bool
+		status    int
+	}{
+		"drains":                        {drainTime: 2 * time.Second, takesUp: true, status: http.StatusOK},
+		"record removed":                {drainTime: 2 * time.Second, removed: true, takesUp: true, status: http.StatusOK},
+		"drains for unknown time":       {drainTime: 2 * time.Second, unseen: true, takesUp: true, status: http.StatusServiceUnavailable},
+		"drain time is about over":      {drainTime: sendMargin, takesUp: true, status: http.StatusServiceUnavailable},
+		"drain time is unknown":         {takesUp: true, status: http.StatusServiceUnavailable},
+		"is gone in a moment":           {drainTime: 2 * time.Second, remaining: backMargin / 2, takesUp: true, status: http.StatusServiceUnavailable},
+		"drains, and the stream is new": {drainTime: 2 * time.Second, status: http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, streamRoute(true), events(8, 8, nil))
+			s.relay.DrainTime = row.drainTime
+			l := newFakeLineage()
+			s.relay.Lineage = l
+			l.known[lineage.KeyOf("", "began")] = lineage.Origin{Service: "s", Software: "v1"}
+			leaving := *s.servers[0]
+			leaving.Software, leaving.Draining, leaving.Version = "v1", true, 3
+			if row.unseen {
+				s.relay.Servers.Replace(nil, 2)
+			} else {
+				s.setSoftware("v1")
+			}
+			if row.remaining > 0 {
+				leaving.LeaveAt = time.Now().Add(row.remaining)
+			}
+			if row.unseen {
+				leaving.ID = "server-0~unseen"
+			}
+			if row.removed {
+				s.relay.Servers.Replace(nil, 3)
+			} else {
+				s.relay.Servers.Replace([]*backend.Server{&leaving}, 3)
+			}
+			got := answer{}
+			if row.takesUp {
+				got = s.takeUp("id", "began")
+			} else {
+				got = s.post("id", "x")
+			}
+			if got.status != row.status {
+				t.Errorf("status %d with %d requests at the server, want %d", got.status, len(s.arrivals()), row.status)
+			}
+		})
+	}
+}
+
 func TestStreamIsNotToldWhenItBegins(t *testing.T) {
 	s := newSite(t, streamRoute(true), events(8, 8, nil))
 	l := newFakeLineage()
