backend: an entry that changes its software version is another incarnation

Cause: an entry counted as the same incarnation as long as its ID and address were the same. Evidence: TestServerThatChangesItsSoftwareKeepsItsConnections fails before. Why it works: a process keeps its address and its software, so that a record with other ones is of another process.

--- a/pkg/backend/conn_test.go
+++ b/pkg/backend/conn_test.go
@@ -254,3 +254,20 @@
 		}
 	})
 }
+
+func TestServerThatChangesItsSoftwareKeepsItsConnections(t *testing.T) {
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = far.Close() })
+	go serve(far, good)
+	d := &Directory{Dialer: func(context.Context, string) (net.Conn, error) { return near, nil }}
+	server := Server{ID: "i-1", Service: "s", Address: "server", Software: "v1"}
+	d.Replace([]*Server{&server}, 1)
+	before := d.Snapshot().Member("i-1")
+	exchangeWith(t, before)
+	changed := server
+	changed.Software = "v2"
+	d.Replace([]*Server{&changed}, 2)
+	if after := d.Snapshot().Member("i-1"); after.Condition == before.Condition || !before.Leaving() {
+		t.Error("an entry of another software version stands for the same incarnation")
+	}
+}
--- a/pkg/backend/directory.go
+++ b/pkg/backend/directory.go
@@ -171,7 +171,7 @@
 	for _, s := range servers {
 		m := &Member{Server: s}
 		before := old.members[s.ID]
-		if before != nil && before.Address == s.Address {
+		if before != nil && before.Server.isSameProcess(s) {
 			m.Condition = before.Condition
 			m.Condition.dropConfirmed(before.Server, s)
 		} else {
--- a/pkg/backend/server.go
+++ b/pkg/backend/server.go
@@ -36,6 +36,12 @@
 // Instance returns the name of the server, which its next incarnation may share.
 func (s *Server) Instance() string { return s.Incarnation().Instance }
 
+// isSameProcess reports whether a later record with the same ID is of the same process: a process keeps its
+// address and its software.
+func (s *Server) isSameProcess(later *Server) bool {
+	return s.Address == later.Address && s.Software == later.Software
+}
+
 // Holding is a model that a server holds, with its adapters.
 type Holding struct {
 	Model    string
--- a/pkg/relay/resume.go
+++ b/pkg/relay/resume.go
@@ -177,7 +177,7 @@
 // but none of the earlier one's copies, and a handle may name the copy of another request there.
 func (r *activeStream) sourceRestarted() bool {
 	for _, m := range r.call.relay.Servers.Snapshot().Service(r.source.Service) {
-		if m.ID != r.source.ID && backend.SameServer(m.ID, r.source.ID) {
+		if (m.ID != r.source.ID || m.Software != r.source.Software) && backend.SameServer(m.ID, r.source.ID) {
 			return true
 		}
 	}
