backend, relay, platform: a stream goes on only at the process that its server's entry describes

What callers saw: a stream whose server was replaced under its name and address went on at the process of another version, since it was taken up before nodes had read the new entry. Cause: X-Martenwheel-Expect-Instance names the server, which its next process shares; the node's list lags by some 100 ms, at a node that is cut off by any time. Why it works: where a server's entry tells when it started, its report is read on the very connection over which the stream goes on, right before it; another start, or none, and the request is not sent. Servers whose entries tell no start have a new name each time. It costs one report for a stream that goes on, none for others.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -56,11 +56,21 @@
 	Control bool
 	// Direct forbids connections through other nodes: the server goes by who sends the message.
 	Direct bool
+	// Probe is exchanged on the same connection right before the message, which is not sent if it fails; nil:
+	// none.
+	Probe *Probe
 	// IsAnswer reports whether a response belongs to the request. Other responses are skipped. Nil accepts
 	// every response.
 	IsAnswer func(http.Header) bool
 }
 
+// Probe is a request that tells which process is at the other end of a connection. It has no other effect.
+type Probe struct {
+	Message *Message
+	// Accept returns why the process is not the expected one, nil if it is.
+	Accept func(status int, body []byte) error
+}
+
 // write sends the whole message.
 func (m *Message) write(w io.Writer) error {
 	b := make([]byte, 0, len(m.Method)+len(m.Target)+len(m.Head)+len(m.Body)+64)
@@ -105,6 +115,9 @@
 	sent    time.Time         // when the node began to send the request
 	answers chan headerResult // receives one value
 	done    chan bool         // receives whether the body was read completely
+	// reserved receives whether the connection can be used again, instead of its return to the pool; nil: it
+	// is returned.
+	reserved chan bool
 }
 
 // headerResult is the header of a response, or the error in its place.
@@ -141,15 +154,24 @@
 			return
 		}
 		x.answers <- headerResult{response: response}
-		if !<-x.done || response.Close {
+		usable := <-x.done && !response.Close
+		if usable {
+			c.idleFor = keepAlive(response.Header)
+			c.mu.Lock()
+			c.current = nil
+			c.mu.Unlock()
+		} else {
 			c.fail(errIdleClosed)
+		}
+		switch {
+		case x.reserved != nil:
+			x.reserved <- usable
+		case usable:
+			c.pool.put(c)
+		}
+		if !usable {
 			return
 		}
-		c.idleFor = keepAlive(response.Header)
-		c.mu.Lock()
-		c.current = nil
-		c.mu.Unlock()
-		c.pool.put(c)
 	}
 }
 
@@ -251,7 +273,12 @@
 
 // send writes the message and waits for the header of its response. If ctx ends, the connection is closed.
 func (c *conn) send(ctx context.Context, m *Message) (*Answer, error) {
-	x := &exchange{message: m, sent: c.pool.time.Now(), answers: make(chan headerResult, 1), done: make(chan bool, 1)}
+	return c.exchangeMessage(ctx, &exchange{message: m, sent: c.pool.time.Now(), answers: make(chan headerResult, 1), done: make(chan bool, 1)})
+}
+
+// exchangeMessage is send for a new exchange.
+func (c *conn) exchangeMessage(ctx context.Context, x *exchange) (*Answer, error) {
+	m := x.message
 	if err := c.begin(x); err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
@@ -290,6 +317,34 @@
 	}
 }
 
+// errNotReusable is returned if a connection ends with the response to a probe.
+var errNotReusable = errors.New("backend: connection closed after a probe")
+
+// maxProbeBytes limits the response to a probe.
+const maxProbeBytes = 1 << 20
+
+// probe exchanges a probe. Afterwards the connection is used by the caller or, after an error, closed.
+func (c *conn) probe(ctx context.Context, p *Probe) error {
+	x := &exchange{message: p.Message, sent: c.pool.time.Now(), answers: make(chan headerResult, 1), done: make(chan bool, 1),
+		reserved: make(chan bool, 1)}
+	a, err := c.exchangeMessage(ctx, x)
+	if err != nil {
+		return err
+	}
+	body, err := io.ReadAll(io.LimitReader(a, maxProbeBytes))
+	a.Close()
+	if err == nil {
+		err = p.Accept(a.Status, body)
+	}
+	if usable := <-x.reserved; err == nil && !usable {
+		err = errNotReusable
+	}
+	if err != nil {
+		c.fail(err)
+	}
+	return err
+}
+
 // writeResult is the outcome of writing a message.
 type writeResult struct {
 	n   int
--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -215,6 +215,11 @@
 	return fmt.Errorf("%w: %w", err, ErrNotSent) // callers test for either error
 }
 
+// isConnectionError reports whether a probe failed by its connection alone.
+func isConnectionError(err error) bool {
+	return errors.Is(err, ErrNotSent) || errors.Is(err, ErrNoAnswer) || errors.Is(err, ErrBroken) || errors.Is(err, errNotReusable)
+}
+
 // Send writes a request to the server once and waits for the header of its response. It calls check right
 // before the first byte is sent; if check returns an error, the request is not sent.
 func (c *Condition) Send(ctx context.Context, m *Message, check func() error) (*Answer, error) {
@@ -227,6 +232,15 @@
 				return nil, notSent(err)
 			}
 		}
+		if m.Probe != nil {
+			err := nc.probe(ctx, m.Probe)
+			if err != nil && !fresh && isConnectionError(err) && ctx.Err() == nil {
+				continue // the idle connection was closed: use another
+			}
+			if err != nil {
+				return nil, notSent(err)
+			}
+		}
 		if err := check(); err != nil {
 			c.pool.put(nc)
 			return nil, notSent(err)
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -289,7 +289,7 @@
 		head = appendHeader(head, own.Priority, strconv.Itoa(c.rank()))
 	}
 	return &backend.Message{
-		Method: c.http.Method, Target: c.target, Head: head, Body: c.body,
+		Method: c.http.Method, Target: c.target, Head: head, Body: c.body, Probe: c.probe(m),
 		IsAnswer: func(h http.Header) bool {
 			id := h.Get(own.RequestID)
 			return c.id == "" || id == "" || id == c.id
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -125,6 +125,9 @@
 	// SoleVersion returns the software version that serves a service alone; the zero value if none is known
 	// to. If nil, none is.
 	SoleVersion func(service string) lineage.SoleVersion
+	// Identify returns a probe that finds out whether a server is the incarnation that its record describes;
+	// nil, or if it is nil: nothing but the server's name can tell.
+	Identify func(m *backend.Member) *backend.Probe
 	// Mover moves running streams; none move if nil.
 	Mover Mover
 	// DrainTime is the time for which a leaving server is guaranteed to serve; zero: unknown.
--- a/pkg/relay/version.go
+++ b/pkg/relay/version.go
@@ -146,6 +146,15 @@
 	}
 }
 
+// probe returns the probe for a stream that continues: another version may have replaced the server under its
+// name and address before its record tells so. A copy, which only its incarnation has, needs none.
+func (c *call) probe(m *backend.Member) *backend.Probe {
+	if !c.pinned || c.resumption.from != "" || c.relay.Identify == nil {
+		return nil
+	}
+	return c.relay.Identify(m)
+}
+
 // servers returns the servers of the service that may continue or, if it has not begun, run the
 // request, whatever their condition.
 func (c *call) servers() []*backend.Member {
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -49,7 +49,9 @@
 	Store      lease.Store
 	Tables     []*watch.Table // tables of the store that the site keeps up to date
 	Orders     coordinator.Orders
-	Mover      relay.Mover // moves running streams between servers; nil: streams are not moved
+	// Identify returns a probe that finds out whether a server is the incarnation of its record; may be nil.
+	Identify func(m *backend.Member) *backend.Probe
+	Mover    relay.Mover // moves running streams between servers; nil: streams are not moved
 	// DrainTime is how long a draining server keeps serving at least; zero: unknown.
 	DrainTime     time.Duration
 	HandoverPause time.Duration       // pause between the orders of two successive lease holders to one server
@@ -158,7 +160,7 @@
 	}
 	s.relay = &relay.Relay{
 		Headers: s.Headers, Node: s.Self.Name, Zone: s.Self.Zone, Regions: s.Regions, Routes: s.Routes, Keys: s.Keys, Quotas: s.member, Servers: s.Servers, Loader: s.member,
-		Quarantine: s.member, Slots: s.member, Places: s.member, Lineage: s.lineage, SoleVersion: s.member.SoleVersion, Mover: s.Mover, DrainTime: s.DrainTime,
+		Quarantine: s.member, Slots: s.member, Places: s.member, Lineage: s.lineage, SoleVersion: s.member.SoleVersion, Identify: s.Identify, Mover: s.Mover, DrainTime: s.DrainTime,
 		Nodes: s.member.FleetSize, Budget: s.Budget, Lender: s.member, BudgetStart: s.budgetStart(clock.Now()), Logger: s.Logger.Named("relay"),
 		Metrics: relay.NewMetrics(s.Registry), RequestArrived: s.member.RequestArrived,
 	}
