coordinator, relay: adapters are loaded at the version whose stream needs them

What callers see: a stream whose adapter no other server of its version holds was refused, though it takes some 20 ms to load, and the holder answered with a server of another version, for which the request then waited. Cause: load requests name a model and a service, no software version. Why it works: load requests, and questions to nodes that know all servers, name the version of the stream. The holder answers with a server of that version only, and orders an adapter at one that holds its model; whole models are not loaded for one stream, whose caller leaves before they are ready. A node that does not list all servers asks before it refuses.

--- a/pkg/coordinator/adapters.go
+++ b/pkg/coordinator/adapters.go
@@ -20,10 +20,11 @@
 			continue
 		}
 		h.recordAdapterUse(now, service, need, d)
-		if !d.waits(now) || h.heldBy(now, service, need) != "" || h.adapterUnderWay(now, service, need) {
+		h.planBoundAdapters(now, service, need, d, e)
+		if !d.waits(now) || h.heldBy(now, service, need) != "" || h.adapterUnderWay(now, service, need, anyServer) {
 			continue
 		}
-		if s := h.adapterServer(now, service, need, e); s != nil && h.prepare(now, s) {
+		if s := h.adapterServer(now, service, need, e, anyServer); s != nil && h.prepare(now, s) {
 			h.orderAdapter(now, s, need, e)
 		}
 	}
@@ -40,10 +41,13 @@
 	}
 }
 
-// adapterUnderWay tells whether a server is loading the adapter, or may be.
-func (h *Holder) adapterUnderWay(now time.Time, service string, need backend.Need) bool {
+// anyServer is a filter that all servers pass.
+func anyServer(*serverState) bool { return true }
+
+// adapterUnderWay tells whether a server that passes a filter is loading the adapter, or may be.
+func (h *Holder) adapterUnderWay(now time.Time, service string, need backend.Need, fits func(*serverState) bool) bool {
 	for _, s := range h.serversWith(service, need.Model) {
-		if s.removed || s.member.Withdrawn() {
+		if s.removed || s.member.Withdrawn() || !fits(s) {
 			continue
 		}
 		if s.unresolved != nil && s.unresolved.need == need {
@@ -56,11 +60,12 @@
 	return false
 }
 
-// adapterServer picks the server to load an adapter: one that holds its model, with the fewest adapters.
-func (h *Holder) adapterServer(now time.Time, service string, need backend.Need, e *route.Engine) *serverState {
+// adapterServer picks the server to load an adapter: of those that pass a filter one that holds its model, with the
+// fewest adapters.
+func (h *Holder) adapterServer(now time.Time, service string, need backend.Need, e *route.Engine, fits func(*serverState) bool) *serverState {
 	var able []*serverState
 	for _, s := range h.serversWith(service, need.Model) {
-		if s.removed || !s.usable(now) || s.awaitingAnswer || s.unresolved != nil || s.holds[need.Model] == nil {
+		if s.removed || !s.usable(now) || s.awaitingAnswer || s.unresolved != nil || s.holds[need.Model] == nil || !fits(s) {
 			continue
 		}
 		if s.busy != nil {
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -138,6 +138,7 @@
 	deadline     time.Time
 	priority     int // 0 is the most urgent
 	requestID    string
+	bound        map[string]time.Time // software versions whose streams wait for the adapter, until when
 }
 
 func (h *Holder) init() {
@@ -392,6 +393,9 @@
 	key := demandKey{w.Service, w.Need}
 	d := h.demandFor(key)
 	h.interest.note(now, key, node)
+	if w.Bound {
+		return h.handleBoundRequest(now, w, d)
+	}
 	if !d.waits(now) {
 		d.waitingSince, d.waitLogged, d.logged = now, false, false
 	}
@@ -410,12 +414,17 @@
 		d.waitsUntil = time.Time{}
 		return answer, nil
 	}
+	return answer, h.planNext()
+}
+
+// planNext makes the next plan follow soon, and returns a channel that is closed after it.
+func (h *Holder) planNext() <-chan struct{} {
 	planned := h.nextPlan
 	if !h.planSoon {
 		h.planSoon = true
 		h.planAt(h.mayPlanAt())
 	}
-	return answer, planned
+	return planned
 }
 
 // signalPlanned wakes the load requests that wait for a plan.
@@ -429,6 +438,10 @@
 	if !h.ensureTerm() || answer.Term != h.term {
 		return
 	}
+	if w.Bound {
+		answer.ReadyIn = h.boundReadyIn(now, w)
+		return
+	}
 	answer.ReadyIn = h.readyIn(now, w.Service, backend.ParseNeed(w.Need)) + h.expectedOutage(now)
 	d := h.demandFor(demandKey{w.Service, w.Need})
 	// A caller that is refused now retries at about that time.
--- a/pkg/coordinator/loadrequests.go
+++ b/pkg/coordinator/loadrequests.go
@@ -11,6 +11,13 @@
 // model. If the model is ready earlier, a Notice tells it.
 const loadStatusTTL = 800 * time.Millisecond
 
+// loadRequestKey identifies load requests that have the same answer.
+type loadRequestKey struct {
+	demandKey
+	bound    bool
+	software string // see relay.LoadRequest
+}
+
 // sentLoadRequest is a load request that was sent, and its answer.
 type sentLoadRequest struct {
 	at     time.Time
@@ -22,14 +29,14 @@
 
 // RequestLoad implements relay.ModelLoader.
 func (m *Member) RequestLoad(ctx context.Context, w relay.LoadRequest) (relay.LoadStatus, error) {
-	key := demandKey{w.Service, w.Need.String()}
+	key := loadRequestKey{demandKey{w.Service, w.Need.String()}, w.Bound, w.Software}
 	m.mu.Lock()
 	known := m.loadRequests[key]
 	fresh := known == nil || m.Time.Since(known.at) > loadStatusTTL || w.Missing != "" || w.Short != "" && !known.short
 	if fresh {
 		known = &sentLoadRequest{at: m.Time.Now(), done: make(chan struct{}), short: w.Short != ""}
 		if m.loadRequests == nil || len(m.loadRequests) > maxLoadRequests {
-			m.loadRequests = make(map[demandKey]*sentLoadRequest)
+			m.loadRequests = make(map[loadRequestKey]*sentLoadRequest)
 		}
 		m.loadRequests[key] = known
 	}
@@ -85,7 +92,7 @@
 	answer, err := callHolder[WishAnswer](ctx, m, WishMessage{
 		Service: w.Service, Need: w.Need.String(), Priority: w.Priority,
 		Left: m.Time.Until(w.Deadline), RequestID: w.RequestID, Missing: w.Missing, Gone: w.Gone,
-		Short: w.Short, ShortFor: w.ShortFor,
+		Bound: w.Bound, Software: w.Software, Short: w.Short, ShortFor: w.ShortFor,
 	})
 	if err == nil && answer.Term == 0 {
 		err = ErrNoHolder
--- a/pkg/coordinator/locate.go
+++ b/pkg/coordinator/locate.go
@@ -16,6 +16,9 @@
 	Service string
 	Need    string
 	Zone    string // servers in this zone are preferred
+	// Bound restricts the answer to servers of one software version. Earlier builds ignore it.
+	Bound    bool
+	Software string // the version, if Bound
 }
 
 // Located answers Locate.
@@ -41,7 +44,7 @@
 	var near, far []string
 	for _, i := range rand.Perm(len(servers)) {
 		s := servers[i]
-		if !s.Serves(now, need) || s.Avoid(now) {
+		if !s.Serves(now, need) || s.Avoid(now) || l.Bound && s.Software != l.Software {
 			continue
 		}
 		if s.Zone == l.Zone {
@@ -69,7 +72,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
 	defer cancel()
-	reply, err := m.Transport.Call(ctx, address, Locate{Service: w.Service, Need: w.Need.String(), Zone: m.Self.Zone})
+	reply, err := m.Transport.Call(ctx, address, Locate{Service: w.Service, Need: w.Need.String(), Zone: m.Self.Zone, Bound: w.Bound, Software: w.Software})
 	if err != nil {
 		m.Logger.Info("servers not located", "model", w.Need.String(), "asked", address, "error", err)
 		return ""
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -86,7 +86,7 @@
 	rates           map[demandKey]*rates // arrivals that were reported to a holder
 	ratesTerm       uint64               // term of the holder that was sent the rates
 	firstContact    holderContact        // with the current holder
-	loadRequests    map[demandKey]*sentLoadRequest
+	loadRequests    map[loadRequestKey]*sentLoadRequest
 	connected       bool      // the last heartbeat was answered
 	unansweredSince time.Time // first heartbeat without an answer
 }
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -143,6 +143,8 @@
 	Left      time.Duration // until the deadline of the waiting request
 	Missing   string        // server that answered that it does not hold the model
 	Gone      bool          // Missing refused the connection
+	Bound     bool          // only servers of one software version can serve the request
+	Software  string        // the version, if Bound
 	Short     string        // server that holds the model and rejects requests; empty: none is known
 	ShortFor  time.Duration // how long Short will reject requests
 	RequestID string
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -36,7 +36,7 @@
 		if m := c.choose(); m != nil {
 			return m
 		}
-		if c.versionGone() {
+		if c.versionGone() && c.listsAll() {
 			c.refuse(c.notServed(reasonVersionGone, 0))
 			return nil
 		}
@@ -134,7 +134,7 @@
 	defer cancel()
 	status, err := c.relay.Loader.RequestLoad(ctx, LoadRequest{
 		Service: c.service, Need: c.need, Priority: c.priority(), Deadline: c.deadline, RequestID: c.id,
-		Missing: s.server, Gone: s.gone, Short: s.short, ShortFor: s.shortFor,
+		Missing: s.server, Gone: s.gone, Bound: c.pinned, Software: c.software, Short: s.short, ShortFor: s.shortFor,
 	})
 	if err != nil {
 		status.ReadyIn = unknownReady
@@ -174,6 +174,9 @@
 	if status.Server != "" && c.mayUse(status.Server) {
 		return refusal{}, false
 	}
+	if c.versionGone() {
+		return c.notServed(reasonVersionGone, 0), true
+	}
 	if next := c.estimateWait(status.ReadyIn).decide(); !next.hold {
 		return c.notServed(reasonLoading, next.after), true
 	}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -86,6 +86,8 @@
 	RequestID string
 	Missing   string // server that reported that it does not hold the model
 	Gone      bool   // the missing server refused the connection
+	Bound     bool   // only servers of one software version can serve the request
+	Software  string // the version, if Bound
 	// Short is a server that holds the model but rejects requests, so that another replica is
 	// needed.
 	Short    string
@@ -125,6 +127,8 @@
 	// SoleVersion returns the software version that serves a service alone; the zero value if none is known
 	// to. If nil, none is.
 	SoleVersion func(service string) lineage.SoleVersion
+	// ListsAll reports whether this node knows all servers; nil: it does.
+	ListsAll func() bool
 	// Identify returns a probe that finds out whether a server is the incarnation that its record describes;
 	// nil, or if it is nil: nothing but the server's name can tell.
 	Identify func(m *backend.Member) *backend.Probe
--- a/pkg/relay/version.go
+++ b/pkg/relay/version.go
@@ -186,6 +186,11 @@
 		c.chooseLeaving(c.relay.Time.Now()) == nil
 }
 
+// listsAll reports whether no other node can know a server that could serve the request.
+func (c *call) listsAll() bool {
+	return c.need.Model == "" || c.relay.ListsAll == nil || c.relay.ListsAll()
+}
+
 // chooseLeaving picks a server that leaves for a stream that can continue at no other server, or returns nil
 // if none takes it. New requests, and streams that other servers can continue, do not go there.
 func (c *call) chooseLeaving(now time.Time) *backend.Member {
