lab: releases of servers in the emulator, and streams that go on at their own version

The emulator's engines had no software version, so that none of its schedules could mix two. Streams that have begun go to engines of their version or are refused; tokens of two versions count as a violation ('versions'). Which version a stream began at is known to all nodes there, as the record of at-most-once requests is.

--- a/pkg/lab/distributed.go
+++ b/pkg/lab/distributed.go
@@ -219,7 +219,7 @@
 			continue
 		}
 		replicas[m.index] = append(replicas[m.index], replicaView{
-			server: e, state: replica.State, leaving: leaving[replica.Server], readyBy: replica.ReadyBy.Sub(epoch),
+			server: e, software: e.software, state: replica.State, leaving: leaving[replica.Server], readyBy: replica.ReadyBy.Sub(epoch),
 		})
 	}
 	for _, m := range p.plane.sim.models {
--- a/pkg/lab/engine.go
+++ b/pkg/lab/engine.go
@@ -28,6 +28,7 @@
 	service  int
 	zone     int
 	capacity uint64
+	software int // version of its software, from 1
 	memory   *checkpointCache
 	disk     *checkpointCache
 	caches   *Caches
--- a/pkg/lab/faults.go
+++ b/pkg/lab/faults.go
@@ -24,12 +24,13 @@
 	FaultsStoreDown     Faults = "store-down"   // the table service and object store are unavailable
 	FaultsWeightsSlow   Faults = "weights-slow" // the weight store is slow
 	FaultsMixed         Faults = "mixed"        // all of the above
+	FaultsRelease       Faults = "release"      // servers are replaced by a next version of their software
 	FaultsStoreRestored Faults = "store-copy"   // the table service is restored from a backup, which the platform guarantees not to do
 )
 
 // AllFaults returns the names of the schedules.
 func AllFaults() []Faults {
-	return []Faults{FaultsNone, FaultsKill, FaultsCut, FaultsFreeze, FaultsStoreDown, FaultsWeightsSlow, FaultsMixed, FaultsStoreRestored}
+	return []Faults{FaultsNone, FaultsKill, FaultsCut, FaultsFreeze, FaultsStoreDown, FaultsWeightsSlow, FaultsMixed, FaultsRelease, FaultsStoreRestored}
 }
 
 // Intervals, durations and rates of the faults.
@@ -46,6 +47,9 @@
 	storeDownDuration      = time.Hour
 	storeLossDuration      = 10 * time.Minute // answers get lost for this long before and after the outage
 	storeLossRate          = 0.2              // share of answers that get lost
+	releaseInterval        = 30 * time.Minute
+	releaseGap             = 20 * time.Second // between the servers of a release
+	releaseNodeKills       = 10               // nodes killed in the time from one release to the next
 	restoreInterval        = time.Hour
 	backupAge              = 5 * time.Second // age of the backup when the table service goes down
 	restoreDowntime        = 2 * time.Second // downtime of the table service
@@ -80,6 +84,10 @@
 	if includes(FaultsWeightsSlow) {
 		sim.repeat(random, weightsSlowInterval, sim.slowWeights)
 	}
+	if includes(FaultsRelease) {
+		sim.repeat(random, releaseInterval, func() { sim.release(random) })
+		sim.repeat(random, releaseInterval/releaseNodeKills, func() { sim.killNode(random) }) // whose callers go on elsewhere
+	}
 	if includes(FaultsStoreRestored) {
 		sim.repeat(random, restoreInterval, sim.restoreStore)
 	}
@@ -140,6 +148,11 @@
 // crashEngine crashes an engine and restarts it after a while, on a new machine if replaced.
 func (sim *simulation) crashEngine(e *emulatedEngine, downtime time.Duration, replaced bool) {
 	sim.countFault(FaultsKill)
+	sim.restartEngine(e, downtime, replaced)
+}
+
+// restartEngine ends an engine and starts it again after a while, on a new machine if replaced.
+func (sim *simulation) restartEngine(e *emulatedEngine, downtime time.Duration, replaced bool) {
 	e.crash()
 	e.gone = replaced
 	sim.plane.engineChanged(e)
@@ -165,6 +178,43 @@
 	})
 }
 
+// release replaces the servers of a service one after the other by the next version of their software, half
+// of them at most, so that versions serve side by side until later releases.
+func (sim *simulation) release(random *rand.Rand) {
+	service := random.IntN(len(sim.scenario.Services))
+	version := 0
+	var servers []*emulatedEngine
+	for _, e := range sim.engines {
+		if e.service == service {
+			servers = append(servers, e)
+			version = max(version, e.software+1)
+		}
+	}
+	sim.countFault(FaultsRelease)
+	for i, e := range servers[:(len(servers)+1)/2] {
+		if random.IntN(2) == 0 {
+			e = servers[len(servers)-1-i]
+		}
+		sim.clock.after(time.Duration(i)*releaseGap, func() { sim.replaceSoftware(e, version) })
+	}
+}
+
+// replaceSoftware makes a server leave, and start again with another version of its software.
+func (sim *simulation) replaceSoftware(e *emulatedEngine, version int) {
+	if !e.alive || e.leavingAt >= 0 {
+		return
+	}
+	e.leavingAt = sim.clock.elapsed
+	instance := e.instance
+	sim.plane.engineChanged(e)
+	sim.clock.after(reclaimNotice, func() {
+		if e.alive && e.instance == instance {
+			e.software = version
+			sim.restartEngine(e, restartTime, false)
+		}
+	})
+}
+
 // killNode kills a node, which restarts a little later.
 func (sim *simulation) killNode(random *rand.Rand) {
 	n := sim.nodes[random.IntN(len(sim.nodes))]
--- a/pkg/lab/node.go
+++ b/pkg/lab/node.go
@@ -33,6 +33,7 @@
 // replicaView is a node's view of a replica.
 type replicaView struct {
 	server     *emulatedEngine
+	software   int // version of its software
 	state      api.ReplicaState
 	leaving    bool
 	readyBy    time.Duration // expected end of the load
@@ -128,24 +129,41 @@
 func (n *node) dispatch(model int) {
 	queue := n.queue(model)
 	for len(queue.waiting) > 0 {
-		target := n.pick(model)
+		req := queue.waiting[0]
+		if n.versionGone(req) {
+			queue.waiting = queue.waiting[1:]
+			n.refuse(req)
+			continue
+		}
+		target := n.pick(req)
 		if target == nil {
 			n.refuseTooLate(model)
 			return
 		}
-		req := queue.waiting[0]
 		queue.waiting = queue.waiting[1:]
 		n.attempt(req, target)
 	}
 }
 
-// pick chooses a replica with the real routing code among those that the node knows; nil if none
-// can take a request.
-func (n *node) pick(model int) *emulatedEngine {
+// versionGone reports whether no replica is left at which a stream can go on that has begun: only the version
+// that it began at can continue it. Where that was is known to all nodes.
+func (n *node) versionGone(req *request) bool {
+	return req.software != 0 && !slices.ContainsFunc(n.views[req.model.index], func(v replicaView) bool { return v.mayServe(req) })
+}
+
+// mayServe reports whether a replica has the version at which a request began, if it has.
+func (v *replicaView) mayServe(req *request) bool {
+	return req.software == 0 || req.software == v.software
+}
+
+// pick chooses a replica for a request with the real routing code among those that the node knows; nil if
+// none can take it.
+func (n *node) pick(req *request) *emulatedEngine {
+	model := req.model.index
 	settings := &n.sim.models[model].settings
 	n.candidates, n.servers = n.candidates[:0], n.servers[:0]
 	for _, view := range n.views[model] {
-		if view.avoidUntil > n.sim.clock.elapsed {
+		if view.avoidUntil > n.sim.clock.elapsed || !view.mayServe(req) {
 			continue
 		}
 		n.servers = append(n.servers, view.server)
--- a/pkg/lab/owner.go
+++ b/pkg/lab/owner.go
@@ -129,7 +129,7 @@
 	for _, replica := range state.replicas {
 		e := o.servers[replica.Server]
 		views = append(views, replicaView{
-			server: e, state: replica.State, readyBy: replica.ReadyBy.Sub(epoch),
+			server: e, software: e.software, state: replica.State, readyBy: replica.ReadyBy.Sub(epoch),
 			leaving: o.serverViews[o.position(e)].leaving,
 		})
 	}
--- a/pkg/lab/request.go
+++ b/pkg/lab/request.go
@@ -15,6 +15,7 @@
 	maybeRan     bool          // an attempt since the last send ended with its outcome unknown
 	startedAt    time.Duration // when it first ran; -1 before
 	firstTokenAt time.Duration // when its first token reached the caller; -1 before
+	software     int           // version of the engine that its first token came from; 0 before
 	answered     bool          // the caller got the final answer
 	claimed      bool          // an unsafe request that may have reached an engine
 }
@@ -97,6 +98,13 @@
 
 // firstToken records when the first token of a run reaches the caller.
 func (sim *simulation) firstToken(e *emulatedEngine, r *run) {
+	switch r.request.software {
+	case 0:
+		r.request.software = e.software
+	case e.software:
+	default:
+		sim.checker.violations.Versions++
+	}
 	delay := sim.network.delay(e.zone, sim.nodes[r.request.node].zone) + sim.scenario.Delays.ToClients
 	if r.request.firstTokenAt < 0 {
 		r.request.firstTokenAt = sim.clock.elapsed + delay
--- a/pkg/lab/result.go
+++ b/pkg/lab/result.go
@@ -67,11 +67,13 @@
 	NotRun      int `json:"not_run"`      // a refusal as not run, of a request that ran
 	Leaving     int `json:"leaving"`      // a new request to an engine long after its leaving notice
 	TreeReverts int `json:"tree_reverts"` // a node went back to an older revision of its settings
+	// Versions counts streams with tokens of engines of two software versions.
+	Versions int `json:"versions,omitempty"`
 }
 
 // Sum returns the number of all violations.
 func (v Violations) Sum() int {
-	return v.Replicas + v.Memory + v.AtMostOnce + v.NotRun + v.Leaving + v.TreeReverts
+	return v.Replicas + v.Memory + v.AtMostOnce + v.NotRun + v.Leaving + v.TreeReverts + v.Versions
 }
 
 // Bounds are reference values that no policy is expected to beat; bounds.go explains them.
--- a/pkg/lab/run_test.go
+++ b/pkg/lab/run_test.go
@@ -199,3 +199,9 @@
 		}
 	}
 }
+
+func TestORDERStreamsOfReleasesHoldTwoVersions(t *testing.T) {
+	scenario := loadScenario(t, "delta-piney", "duration=20m", "fault_rate=60")
+	result, _ := mustRun(t, Options{Scenario: scenario, Seed: 1, Control: ControlDistributed, Faults: FaultsRelease})
+	checkNoViolations(t, result)
+}
--- a/pkg/lab/simulation.go
+++ b/pkg/lab/simulation.go
@@ -112,7 +112,7 @@
 			e := &emulatedEngine{
 				sim: sim, id: api.ServerID(fmt.Sprintf("%s-s%02d", service.Name, j)),
 				address: fmt.Sprintf("10.%d.0.%d:8000", i, j+1),
-				service: i, zone: j % len(sim.scenario.Zones), caches: &service.Caches,
+				service: i, software: 1, zone: j % len(sim.scenario.Zones), caches: &service.Caches,
 				capacity: uint64(float64(service.Accelerators) * service.AcceleratorGigabytes * gigabyte),
 				items:    make([]*item, len(sim.models)),
 			}
