--- a/pkg/lineage/register.go
+++ b/pkg/lineage/register.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"martenwheel.dev/pkg/clock"
 	"martenwheel.dev/pkg/peer"
@@ -170,6 +171,24 @@
 	return Found{Origin: answer.Origin, Known: answer.Known, Conflicting: answer.Conflicting, Age: answer.Age, From: n.Name, Answered: 1}
 }
 
+// Collect returns gauges of the streams that this node knows, and of those that it forgot before their time.
+func (r *Register) Collect() []prometheus.Collector {
+	return []prometheus.Collector{
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: "martenwheel", Name: "lineage_streams", Help: "Streams of which this node knows where they began.",
+		}, func() float64 {
+			streams, _ := r.streams.size()
+			return float64(streams)
+		}),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: "martenwheel", Name: "lineage_evicted_total", Help: "Streams forgotten before their time, for lack of space.",
+		}, func() float64 {
+			_, evicted := r.streams.size()
+			return float64(evicted)
+		}),
+	}
+}
+
 // Handle processes a message of another node. It returns false for messages of other packages.
 func (r *Register) Handle(ctx context.Context, message peer.Message) (peer.Message, bool) {
 	switch m := message.(type) {
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -311,6 +312,7 @@
 	tries           prometheus.Counter
 	moves           *prometheus.CounterVec
 	choices         *prometheus.CounterVec
+	takenUp         *prometheus.CounterVec
 	predictionRatio prometheus.Histogram
 	quotas          quotaCounters
 }
@@ -336,9 +338,13 @@
 			Help: "Requests of routes that share parts of prompts: sent to the replica that they prefer (taken), to another (passed on), or without a preference (none).",
 		}, []string{"choice"}),
 	}
+	m.takenUp = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "martenwheel", Name: "relay_streams_taken_up_total",
+		Help: "Streams that callers took up, by whether it was known where they began, and outcome.",
+	}, []string{"known", "outcome"})
 	m.predictionRatio = newPredictionRatio()
 	m.quotas = newQuotaCounters()
-	registry.MustRegister(m.requests, m.latency, m.tries, m.choices, m.predictionRatio, m.moves, m.quotas.requests)
+	registry.MustRegister(m.requests, m.latency, m.tries, m.choices, m.takenUp, m.predictionRatio, m.moves, m.quotas.requests)
 	return m
 }
 
@@ -352,6 +358,9 @@
 	for _, l := range c.record.moves {
 		m.moves.WithLabelValues(l.Step, l.Outcome).Inc()
 	}
+	if c.record.resumesAfter != "" {
+		m.takenUp.WithLabelValues(strconv.FormatBool(c.record.origin.Known), c.record.outcome).Inc()
+	}
 	if c.record.preference != "" && c.route.Sticky {
 		m.choices.WithLabelValues(c.record.preference).Inc()
 	}
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -158,6 +158,7 @@
 	s.lineage = &lineage.Register{
 		Self: s.Self.Name, Nodes: s.lineageNodes, Holder: func() string { return s.holderAddress(l) }, Transport: transport, Logger: s.Logger.Named("lineage"),
 	}
+	s.Registry.MustRegister(s.lineage.Collect()...)
 	s.relay = &relay.Relay{
 		Headers: s.Headers, Node: s.Self.Name, Zone: s.Self.Zone, Regions: s.Regions, Routes: s.Routes, Keys: s.Keys, Quotas: s.member, Servers: s.Servers, Loader: s.member,
 		Quarantine: s.member, Slots: s.member, Places: s.member, Lineage: s.lineage, SoleVersion: s.member.SoleVersion, ListsAll: s.tablesComplete, Identify: s.Identify, Mover: s.Mover, DrainTime: s.DrainTime,
