loadtest, lab: a load tool whose callers take streams up elsewhere

martenwheel-lab load sends streams to running nodes at a rate; a stream that breaks off is taken up at another node, by the attempt that brought its first event; events that were lost or repeated, and streams of two software versions, count as violations.

--- /dev/null
+++ b/cmd/martenwheel-lab/load.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"martenwheel.dev/pkg/loadtest"
+)
+
+// Defaults of the "load" subcommand.
+const (
+	defaultLoadRate     = 10.0 // streams per second
+	defaultLoadDuration = 10 * time.Second
+	defaultLoadDeadline = 15 * time.Second
+	defaultLoadAttempts = 3
+)
+
+// loadCommand returns the "load" subcommand, which sends streams to running nodes.
+func loadCommand() command {
+	o := loadtest.Options{PerSecond: defaultLoadRate, Duration: defaultLoadDuration, Deadline: defaultLoadDeadline, Attempts: defaultLoadAttempts,
+		IDHeader: "X-Request-Id", Path: "/"}
+	model, modelHeader := "", ""
+	c := flaggy.NewSubcommand("load")
+	c.Description = "Send streams to running nodes, take up at another node those that break off, and count what callers got."
+	c.StringSlice(&o.Nodes, "", "node", "IP:port of a node's listener for callers (several times)")
+	c.String(&o.Host, "", "host", "Host of the route")
+	c.String(&o.Path, "", "path", "Path of the route")
+	c.String(&o.Body, "", "body", "Beginning of each body")
+	c.String(&model, "", "model", "Model that the requests need")
+	c.String(&modelHeader, "", "model-header", "Header with the model")
+	c.String(&o.IDHeader, "", "id-header", "Header with the ID of an attempt")
+	c.String(&o.DeadlineHeader, "", "deadline-header", "Header with the milliseconds that the caller waits")
+	c.String(&o.ResumesHeader, "", "resumes-header", "Header with the ID of the attempt that brought the first event")
+	c.String(&o.SameField, "", "same-field", "JSON field of events that tells the server's software version, or data")
+	c.Float64(&o.PerSecond, "", "rate", "Streams per second")
+	c.Duration(&o.Duration, "", "for", "How long streams begin")
+	c.Duration(&o.Deadline, "", "deadline", "How long a caller waits for a whole stream")
+	c.Int(&o.Attempts, "", "attempts", "Attempts of a caller")
+	c.UInt64(&o.Seed, "", "seed", "Seed of the choice of nodes")
+	return command{c, func(ctx context.Context) (int, error) {
+		if modelHeader != "" {
+			o.Header = http.Header{http.CanonicalHeaderKey(modelHeader): {model}}
+		}
+		return load(ctx, o)
+	}}
+}
+
+// load runs the load and prints its result.
+func load(ctx context.Context, o loadtest.Options) (int, error) {
+	result, err := loadtest.Run(ctx, o)
+	if err != nil {
+		return exitUsage, err
+	}
+	out := json.NewEncoder(os.Stdout)
+	out.SetIndent("", "  ")
+	if err := out.Encode(result); err != nil {
+		return exitFailed, err
+	}
+	if result.Violations() > 0 {
+		return exitViolations, nil
+	}
+	return exitDone, nil
+}
--- a/cmd/martenwheel-lab/main.go
+++ b/cmd/martenwheel-lab/main.go
@@ -1,5 +1,5 @@
 // Command martenwheel-lab runs martenwheel's decisions in virtual time against an emulated
-// platform, and compares the results.
+// platform, and compares the results. It also sends load to running nodes.
 package main
 
 import (
@@ -35,12 +35,14 @@
         --set services.assistant.settings.coldStartWeight=0.5 --out out/mixed
     martenwheel-lab compare out/adaptive out/fixed
     martenwheel-lab report out/adaptive
+    martenwheel-lab load --node 10.0.1.5:8080 --host site.example --path /draft/ \
+        --deadline-header X-Deadline-Ms --resumes-header Resumes --rate 50 --for 1m
 
   Exit codes: 0 done, 1 failed, 2 bad usage, 3 a request was lost or a guarantee
   was violated, 130 interrupted (partial results are written).`
 
 func main() {
-	commands := []command{runCommand(), compareCommand(), reportCommand()}
+	commands := []command{runCommand(), compareCommand(), reportCommand(), loadCommand()}
 	parser := flaggy.NewParser("martenwheel-lab")
 	parser.Description = "Runs martenwheel's decisions in virtual time against an emulated platform."
 	parser.AdditionalHelpAppend = examples
--- /dev/null
+++ b/pkg/loadtest/loadtest.go
@@ -0,0 +1,129 @@
+// Package loadtest sends requests for streams to nodes at a rate, as callers do: a stream that breaks off is
+// taken up at another node. It counts what the callers got, and what no caller may get: lost or repeated events,
+// and streams of servers of two software versions.
+package loadtest
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Options are the parameters of a run. All but those said to be optional are required.
+type Options struct {
+	Nodes     []string // IP:port of each node's listener for callers
+	Host      string   // of the route
+	Path      string
+	Body      string        // begins each request's body, which ends with its ID; optional
+	Header    http.Header   // sent with each request; optional
+	PerSecond float64       // streams that begin per second
+	Duration  time.Duration // of the run, without the streams under way at its end
+	Deadline  time.Duration // that a caller waits for a whole stream
+	Attempts  int           // of a caller; 1 if not set
+
+	IDHeader       string // name of the header with the ID of an attempt
+	DeadlineHeader string // name of the header with the milliseconds that the caller waits
+	ResumesHeader  string // name of the header with the ID of the attempt that brought a stream's first event
+
+	// SameField is what all events of a stream have in common if they come from one software version: a field of the
+	// JSON object in their data, or the data itself if it is "data"; optional.
+	SameField string
+	Seed      uint64       // of the choice of nodes
+	Client    *http.Client // optional
+}
+
+// Result counts streams.
+type Result struct {
+	Sent       int `json:"sent"`
+	Begun      int `json:"begun"` // at least one event came
+	Whole      int `json:"whole"`
+	Refused    int `json:"refused"`     // ended by a refusal before any event
+	TakenUp    int `json:"taken_up"`    // broke off and were taken up
+	GoneOn     int `json:"gone_on"`     // of those, more events came
+	Disordered int `json:"disordered"`  // lost or repeated an event
+	Mixed      int `json:"two_version"` // hold events of two software versions
+	FirstMS    int `json:"first_ms"`    // mean time to the first event
+}
+
+// Violations returns the number of streams that no caller may get.
+func (r *Result) Violations() int { return r.Disordered + r.Mixed }
+
+// check returns all faults of the options.
+func (o *Options) check() error {
+	var faults []string
+	for name, missing := range map[string]bool{
+		"no node": len(o.Nodes) == 0, "no path": !strings.HasPrefix(o.Path, "/"), "no rate": o.PerSecond <= 0, "no duration": o.Duration <= 0,
+		"no deadline": o.Deadline <= 0, "no header for IDs": o.IDHeader == "", "no header for deadlines": o.DeadlineHeader == "",
+		"no header for streams that are taken up": o.ResumesHeader == "" && o.Attempts > 1, "a negative number of attempts": o.Attempts < 0,
+	} {
+		if missing {
+			faults = append(faults, name)
+		}
+	}
+	if len(faults) > 0 {
+		return errors.Errorf("load test: %s", strings.Join(faults, ", "))
+	}
+	return nil
+}
+
+// Run sends streams until the run's duration is over or ctx ends, and waits for those under way.
+func Run(ctx context.Context, o Options) (Result, error) {
+	if err := o.check(); err != nil {
+		return Result{}, err
+	}
+	if o.Client == nil {
+		o.Client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.Duration+o.Deadline)
+	defer cancel()
+	var callers sync.WaitGroup
+	var total totals
+	random := rand.New(rand.NewPCG(o.Seed, 1))
+	ticker := time.NewTicker(time.Duration(float64(time.Second) / o.PerSecond))
+	defer ticker.Stop()
+	for end := time.Now().Add(o.Duration); time.Now().Before(end) && ctx.Err() == nil; {
+		<-ticker.C
+		s := &stream{options: &o, name: fmt.Sprintf("%x", random.Uint64()), random: rand.New(rand.NewPCG(o.Seed, random.Uint64()))}
+		callers.Go(func() { total.add(s.read(ctx)) })
+	}
+	callers.Wait()
+	return total.result(), nil
+}
+
+// totals sums up streams. It is safe for concurrent use.
+type totals struct {
+	mu    sync.Mutex
+	sum   Result
+	first time.Duration // of all streams that began
+}
+
+func (t *totals) add(o outcome) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sum.Sent++
+	for count, happened := range map[*int]bool{
+		&t.sum.Begun: o.events > 0, &t.sum.Whole: o.whole, &t.sum.Refused: o.events == 0 && o.refused, &t.sum.TakenUp: o.takenUp,
+		&t.sum.GoneOn: o.goneOn, &t.sum.Disordered: o.disordered, &t.sum.Mixed: len(o.same) > 1,
+	} {
+		if happened {
+			*count++
+		}
+	}
+	t.first += o.first
+}
+
+func (t *totals) result() Result {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.sum
+	if r.Begun > 0 {
+		r.FirstMS = int((t.first / time.Duration(r.Begun)).Milliseconds())
+	}
+	return r
+}
--- /dev/null
+++ b/pkg/loadtest/loadtest_test.go
@@ -0,0 +1,89 @@
+package loadtest
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// serve starts a node that answers each attempt with the events after the last one up to the next break, every third
+// one, which tell the software version that version returns.
+func serve(t *testing.T, version func(r *http.Request) string, skip int) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // zero if missing: from the first event
+		for i := last + 1; i <= 9; i++ {
+			fmt.Fprintf(w, "id: %d\ndata: {\"v\": %q}\n\n", i+skip*last, version(r))
+			_ = http.NewResponseController(w).Flush()
+			if i%3 == 0 && i < 9 {
+				panic(http.ErrAbortHandler)
+			}
+		}
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func options(node string) Options {
+	return Options{Nodes: []string{node}, Path: "/", PerSecond: 100, Duration: 100 * time.Millisecond, Deadline: 5 * time.Second, Attempts: 3,
+		IDHeader: "X-Id", DeadlineHeader: "X-Deadline", ResumesHeader: "X-Resumes", SameField: "v"}
+}
+
+func TestViolationsAreNotCounted(t *testing.T) {
+	one := func(*http.Request) string { return "v1" }
+	byAttempt := func(r *http.Request) string { return "v" + r.Header.Get("Last-Event-Id") }
+	for name, row := range map[string]struct {
+		version           func(*http.Request) string
+		skip              int
+		mixed, disordered bool
+	}{
+		"one version":  {one, 0, false, false},
+		"two versions": {byAttempt, 0, true, false},
+		"lost events":  {one, 1, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, err := Run(t.Context(), options(serve(t, row.version, row.skip)))
+			if err != nil || got.Sent == 0 || got.Begun != got.Sent || got.TakenUp != got.Sent || got.GoneOn != got.Sent {
+				t.Fatalf("%+v, %v", got, err)
+			}
+			if got.Mixed > 0 != row.mixed || got.Disordered > 0 != row.disordered {
+				t.Errorf("%+v", got)
+			}
+		})
+	}
+}
+
+func TestAttemptThatBroughtTheFirstEventIsNotNamed(t *testing.T) {
+	named := make(chan string, 100)
+	node := serve(t, func(r *http.Request) string {
+		if r.Header.Get("Last-Event-Id") != "" {
+			named <- r.Header.Get("X-Resumes") + " by " + r.Header.Get("X-Id")
+		}
+		return "v1"
+	}, 0)
+	o := options(node)
+	o.Duration = 10 * time.Millisecond
+	if _, err := Run(t.Context(), o); err != nil {
+		t.Fatal(err)
+	}
+	close(named)
+	for text := range named {
+		first, by, _ := strings.Cut(text, " by ")
+		if !strings.HasSuffix(first, "-0") || strings.TrimSuffix(first, "-0") != by[:len(by)-2] {
+			t.Errorf("%s", text)
+		}
+	}
+}
+
+func TestBadOptionsAreReportedTogether(t *testing.T) {
+	_, err := Run(t.Context(), Options{Attempts: 2})
+	for _, fault := range []string{"no node", "no path", "no rate", "no duration", "no deadline", "no header for IDs"} {
+		if err == nil || !strings.Contains(err.Error(), fault) {
+			t.Errorf("%v lacks %q", err, fault)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/loadtest/stream.go
@@ -0,0 +1,146 @@
+package loadtest
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// headerLastEvent tells after which event a stream goes on.
+const headerLastEvent = "Last-Event-Id"
+
+// retryPause is the pause between two attempts of a caller.
+const retryPause = 50 * time.Millisecond
+
+// stream is one stream of a caller.
+type stream struct {
+	options *Options
+	name    string
+	random  *rand.Rand
+	started time.Time
+	began   string // ID of the attempt that brought the first event; empty: none did
+	lastID  string
+	outcome
+}
+
+// outcome is what the caller got.
+type outcome struct {
+	events     int
+	whole      bool
+	refused    bool // the last attempt was refused
+	takenUp    bool
+	goneOn     bool
+	disordered bool
+	same       map[string]bool // values of Options.SameField
+	first      time.Duration   // until the first event
+}
+
+// read sends attempts until the stream is whole.
+func (s *stream) read(ctx context.Context) outcome {
+	s.started, s.same = time.Now(), make(map[string]bool)
+	for attempt := range max(s.options.Attempts, 1) {
+		left := s.options.Deadline - time.Since(s.started)
+		if left <= 0 || ctx.Err() != nil {
+			break
+		}
+		before := s.events
+		s.takenUp = s.takenUp || before > 0
+		if err := s.try(ctx, fmt.Sprintf("%s-%d", s.name, attempt), left); err == nil && !s.refused {
+			s.whole = true
+		}
+		s.goneOn = s.goneOn || before > 0 && s.events > before
+		if s.whole {
+			break
+		}
+		time.Sleep(retryPause)
+	}
+	return s.outcome
+}
+
+// try sends one attempt to a random node, and reads its events. An error means that the stream broke off.
+func (s *stream) try(ctx context.Context, id string, left time.Duration) error {
+	o := s.options
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	node := o.Nodes[s.random.IntN(len(o.Nodes))]
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+o.Path, strings.NewReader(o.Body+s.name))
+	if err != nil {
+		return err
+	}
+	for name, values := range o.Header {
+		r.Header[name] = values
+	}
+	r.Host = o.Host
+	r.Header.Set(o.IDHeader, id)
+	r.Header.Set(o.DeadlineHeader, strconv.FormatInt(left.Milliseconds(), 10))
+	if s.began != "" {
+		r.Header.Set(headerLastEvent, s.lastID)
+		r.Header.Set(o.ResumesHeader, s.began)
+	}
+	response, err := o.Client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if s.refused = response.StatusCode != http.StatusOK; s.refused {
+		return nil
+	}
+	return s.readEvents(response.Body, id)
+}
+
+// readEvents reads the events of an attempt.
+func (s *stream) readEvents(body io.Reader, attempt string) error {
+	id, data := "", ""
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		line := lines.Text()
+		switch {
+		case strings.HasPrefix(line, "id: "):
+			id = line[len("id: "):]
+		case strings.HasPrefix(line, "data: "):
+			data = line[len("data: "):]
+		case line == "" && id != "":
+			s.add(id, data, attempt)
+			id, data = "", ""
+		}
+	}
+	return lines.Err()
+}
+
+// add records an event.
+func (s *stream) add(id, data, attempt string) {
+	if s.events == 0 {
+		s.first, s.began = time.Since(s.started), attempt
+	}
+	if n, err := strconv.Atoi(id); err != nil || n != s.events+1 {
+		s.disordered = true
+	}
+	s.events++
+	s.lastID = id
+	if value, found := s.sameValue(data); found {
+		s.same[value] = true
+	}
+}
+
+// sameValue returns what the event's data has in common with all events of its software version.
+func (s *stream) sameValue(data string) (string, bool) {
+	switch s.options.SameField {
+	case "":
+		return "", false
+	case "data":
+		return data, true
+	}
+	var fields map[string]any
+	if json.Unmarshal([]byte(data), &fields) != nil {
+		return "", false // not an object: it tells nothing
+	}
+	value, found := fields[s.options.SameField]
+	return fmt.Sprint(value), found
+}
