backpressure, relay, coordinator: the places of brittle servers are lent

The test's servers told 8 slots in their records where they had 4 places, so that nodes sent at the rate of all their places in place of half of them; and a rate, whatever its share, bounds no places: requests that last longer than the mean, or come together, find none. Why it works: a request goes to a brittle server with the loan of one of its places only, until its whole answer came, or until its time is over if it may still run; no more are there than the server has, whatever the load or the run time. Requests that would wait longer than their caller are refused at once.

--- a/pkg/backend/signals.go
+++ b/pkg/backend/signals.go
@@ -122,6 +122,23 @@
 	return limit, limited
 }
 
+// LendablePlaces returns how many of a brittle server's places may be lent to requests, and how long one takes; zero if it
+// is not brittle.
+func (c *Condition) LendablePlaces() (int, time.Duration) {
+	return c.brittle.Places(c.pool.time.Now(), c.slots)
+}
+
+// AnnouncesLimit reports whether the server itself set a limit.
+func (c *Condition) AnnouncesLimit() bool {
+	if !c.signalState.active.Load() {
+		return false
+	}
+	c.signalState.mu.Lock()
+	defer c.signalState.mu.Unlock()
+	_, announced := c.signalState.state.Limit()
+	return announced
+}
+
 // IsBrittle reports whether the server falls over when it rejects too many requests.
 func (c *Condition) IsBrittle() bool { return c.brittle.Bound() > 0 }
 
--- a/pkg/backpressure/brittle.go
+++ b/pkg/backpressure/brittle.go
@@ -8,9 +8,9 @@
 
 // Brittle is what a node knows of a service whose servers may say that they are brittle: one that rejects more
 // than a few requests in a second falls over, which leaves more requests to the others. What a server rejects
-// can't be bounded by what each node has at it, as none knows what the others have. So all nodes together keep to
-// a rate that the server can run, by slots, as at servers that set a limit. The zero value is not brittle. Safe for
-// concurrent use.
+// can't be bounded by what each node has at it, as none knows what the others have. So its places are lent to the
+// requests of all nodes; where nobody lends them, nodes keep to a rate that the server can run. The zero value is
+// not brittle. Safe for concurrent use.
 type Brittle struct {
 	active atomic.Bool // readable without mu: every selection of a server checks it
 
@@ -111,6 +111,22 @@
 	return max(brittleUse*b.currentFactor(now)*float64(max(slots, 1))/runTime, MinLimit), true
 }
 
+// Places returns how many of a server's slots may be lent to requests, and how long a request takes; zero if the
+// service is not brittle. Others may use the server as well, so that some slots are not lent, and fewer are after a
+// rejection.
+func (b *Brittle) Places(now time.Time, slots int) (int, time.Duration) {
+	if !b.active.Load() {
+		return 0, 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	unlent := (slots + unlentShare - 1) / unlentShare
+	return max(int(b.currentFactor(now)*float64(slots-unlent)), 1), time.Duration(b.runTime * float64(time.Second))
+}
+
+// unlentShare is the part of a server's slots that is not lent: one of so many, and one at least.
+const unlentShare = 8
+
 // Bound returns the rejections per second that a server bears; zero if the service is not brittle.
 func (b *Brittle) Bound() float64 {
 	b.mu.Lock()
--- a/pkg/backpressure/slots.go
+++ b/pkg/backpressure/slots.go
@@ -18,19 +18,27 @@
 	began     time.Time
 	schedules map[string]*serverSchedule
 	sweptAt   time.Time
+	lastLoan  uint64
 }
 
 // serverSchedule holds the granted slots of one server.
 type serverSchedule struct {
-	nextSlot   time.Time // first time that is not granted yet
-	retryAt    time.Time // latest time at which a rejected request was told to retry
-	rejectedAt time.Time // when a request was last rejected
+	nextSlot   time.Time            // first time that is not granted yet
+	retryAt    time.Time            // latest time at which a rejected request was told to retry
+	rejectedAt time.Time            // when a request was last rejected
+	loans      map[uint64]time.Time // places that are lent, and when each loan ends at last
 }
 
 // Ask is a server to which a request may go, with the limit that the server set.
 type Ask struct {
 	Server string // ID of the incarnation
 	Limit  float64
+	// Announced tells that the server itself set the limit, if Places is set.
+	Announced bool
+	// Places is how many of the server's places may be lent; zero: the server is not brittle.
+	Places int
+	Run    time.Duration // mean time that a request takes, if Places is set
+	Left   time.Duration // how long the request may take, if Places is set
 }
 
 // Interval returns the time between two requests at the server's limit.
@@ -43,6 +51,8 @@
 	Granted bool
 	Server  string        // ID of the server's incarnation, if granted
 	Wait    time.Duration // until the request may go, or until a rejected one should retry
+	Loan    uint64        // identifies the place that is lent; zero: none
+	Term    uint64        // of the node that lent the place
 }
 
 const (
@@ -75,6 +85,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sweep(now)
+	if asks[0].Places > 0 {
+		return s.lend(now, asks)
+	}
 	best, bestSchedule := 0, s.schedule(now, asks[0].Server)
 	for i, a := range asks[1:] {
 		if sched := s.schedule(now, a.Server); sched.nextSlot.Before(bestSchedule.nextSlot) {
@@ -138,7 +151,7 @@
 	}
 	s.sweptAt = now
 	for server, sched := range s.schedules {
-		if now.Sub(sched.nextSlot) > forgetTime && now.Sub(sched.retryAt) > forgetTime {
+		if now.Sub(sched.nextSlot) > forgetTime && now.Sub(sched.retryAt) > forgetTime && sched.lent(now) == 0 {
 			delete(s.schedules, server)
 		}
 	}
--- a/pkg/backpressure/slots_test.go
+++ b/pkg/backpressure/slots_test.go
@@ -67,7 +67,7 @@
 		}
 		c.slots.Begin(start.Add(term*c.termLength), uint64(term)+2)
 	}
-	slot := c.slots.Take(now, []Ask{{"server", c.limit}}, MaxWait)
+	slot := c.slots.Take(now, []Ask{{Server: "server", Limit: c.limit}}, MaxWait)
 	return now.Add(slot.Wait), slot.Granted, 2
 }
 
@@ -160,14 +160,14 @@
 	last.Begin(at(0), 1)
 	var end time.Time
 	for {
-		slot := last.Take(at(10), []Ask{{"a", 5}}, time.Hour)
+		slot := last.Take(at(10), []Ask{{Server: "a", Limit: 5}}, time.Hour)
 		if !slot.Granted {
 			break
 		}
 		end = at(10).Add(slot.Wait)
 	}
 	next.Begin(at(10), 2)
-	if slot := next.Take(at(10), []Ask{{"a", 5}}, time.Hour); !slot.Granted || at(10).Add(slot.Wait).Before(end) {
+	if slot := next.Take(at(10), []Ask{{Server: "a", Limit: 5}}, time.Hour); !slot.Granted || at(10).Add(slot.Wait).Before(end) {
 		t.Errorf("the first slot of the term is %+v, while the previous term granted slots until %v after its start", slot, end.Sub(at(10)))
 	}
 }
@@ -179,7 +179,7 @@
 	s.Begin(at(0), 1)
 	var retryTimes []time.Duration
 	for range 8 {
-		if slot := s.Take(at(10), []Ask{{"a", 2}, {"b", 2}}, 100*time.Millisecond); !slot.Granted {
+		if slot := s.Take(at(10), []Ask{{Server: "a", Limit: 2}, {Server: "b", Limit: 2}}, 100*time.Millisecond); !slot.Granted {
 			retryTimes = append(retryTimes, slot.Wait)
 		}
 	}
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -309,6 +309,9 @@
 		return h.decidePlace(h.Time.Now(), m), nil
 	case AskSlot:
 		return h.grantSlot(h.Time.Now(), m), nil
+	case ReturnPlace:
+		h.returnPlace(m)
+		return nil, nil
 	case PlaceNews:
 		h.applyPlaceNews(h.Time.Now(), m)
 		return nil, nil
--- a/pkg/coordinator/slots.go
+++ b/pkg/coordinator/slots.go
@@ -21,7 +21,17 @@
 	Slot backpressure.Slot
 }
 
-func init() { peer.Register(AskSlot{}, SlotAnswer{}) }
+// ReturnPlace tells the holder that a request for which a place was lent has ended.
+type ReturnPlace struct {
+	Term   uint64
+	Server string
+	Loan   uint64
+}
+
+func init() {
+	peer.Register(AskSlot{}, SlotAnswer{})
+	peer.RegisterRecent(ReturnPlace{})
+}
 
 // maxSlotServers bounds how many servers of one question the holder considers.
 const maxSlotServers = 64
@@ -74,7 +84,8 @@
 
 // RequestSlot implements relay.Slots.
 func (m *Member) RequestSlot(ctx context.Context, asks []backpressure.Ask, within time.Duration) (backpressure.Slot, error) {
-	if s, refused := m.slotBackoffs.lookup(m.Time.Now(), asks[0]); refused {
+	lent := asks[0].Places > 0 // places become free at any time
+	if s, refused := m.slotBackoffs.lookup(m.Time.Now(), asks[0]); refused && !lent {
 		return s, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
@@ -86,12 +97,29 @@
 	if err != nil {
 		return backpressure.Slot{}, err
 	}
-	if !answer.Slot.Granted {
+	if answer.Slot.Loan != 0 {
+		answer.Slot.Term = answer.Term
+	}
+	if !answer.Slot.Granted && !lent {
 		m.slotBackoffs.refused(m.Time.Now(), asks[0].Server, answer.Slot)
 	}
 	return answer.Slot, nil
 }
 
+// ReturnPlace implements relay.Slots.
+func (m *Member) ReturnPlace(s backpressure.Slot) {
+	record, _ := m.Lease.Current()
+	message := ReturnPlace{Term: s.Term, Server: s.Server, Loan: s.Loan}
+	if record.Address == m.Self.Peers {
+		m.Holder.returnPlace(message)
+		return
+	}
+	m.Transport.Send(record.Address, message)
+}
+
+// returnPlace ends the loan of a place.
+func (h *Holder) returnPlace(r ReturnPlace) { h.slots.Return(r.Term, r.Server, r.Loan) }
+
 // grantSlot grants a slot if there is one. It does not wait for the goroutine of Run, which may be planning.
 func (h *Holder) grantSlot(now time.Time, a AskSlot) SlotAnswer {
 	term, held := h.Lease.Held()
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -31,6 +31,7 @@
 
 // serve sends the request to servers until one serves it or no further attempt is allowed.
 func (c *call) serve(ctx context.Context) {
+	defer c.returnPlace()
 	c.relay.budgets.arrive(c.relay.Budget, c.relay.BudgetStart, c.arrived, c.service)
 	if c.need.Model != "" && c.relay.RequestArrived != nil {
 		c.relay.RequestArrived(c.service, c.need, c.priority())
@@ -128,6 +129,7 @@
 		a.Close()
 	}
 	end()
+	c.endLoan(v)
 	c.releasePlace()
 	c.record.attemptEnded(c.relay.Time.Now(), v, err)
 	if c.sends > before && (v == mayHaveRun || v == aborted) {
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -14,6 +14,7 @@
 
 	"martenwheel.dev/pkg/affinity"
 	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/backpressure"
 	"martenwheel.dev/pkg/lineage"
 	"martenwheel.dev/pkg/prompt"
 	"martenwheel.dev/pkg/quarantine"
@@ -37,9 +38,10 @@
 	request
 	progress
 	migrationState
-	trial  *trial // permission to run a suspected request; nil: not needed
-	place  place  // admission at overloaded servers
-	slot   slot   // send slot at a rate-limited server
+	trial  *trial            // permission to run a suspected request; nil: not needed
+	place  place             // admission at overloaded servers
+	slot   slot              // send slot at a rate-limited server
+	loan   backpressure.Slot // place that is lent to the request at a brittle server
 	record record
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -154,12 +154,13 @@
 	budgets budgets
 	mixes   mixes
 	borrowing
-	streams    streamTable
-	coldRation backpressure.Ration // limits requests to cold servers
-	localSlots backpressure.Ration // limits requests to rate-limited servers while nobody grants slots
-	active     activeRequests
-	inFlight   atomic.Int64
-	stop       atomic.Pointer[stopPlan]
+	streams     streamTable
+	coldRation  backpressure.Ration // limits requests to cold servers
+	localSlots  backpressure.Ration // limits requests to rate-limited servers while nobody grants slots
+	placeQueues placeQueues         // requests that wait for places at brittle servers
+	active      activeRequests
+	inFlight    atomic.Int64
+	stop        atomic.Pointer[stopPlan]
 
 	mu      sync.Mutex // guards random and chooser
 	random  *rand.Rand
--- a/pkg/relay/slots.go
+++ b/pkg/relay/slots.go
@@ -17,22 +17,23 @@
 	// RequestSlot asks for a slot at one of some servers within a time. If the coordinator could not
 	// be asked, it returns an error and the slot is not valid.
 	RequestSlot(ctx context.Context, asks []backpressure.Ask, within time.Duration) (backpressure.Slot, error)
+	// ReturnPlace ends the loan of a place at a brittle server.
+	ReturnPlace(s backpressure.Slot)
 }
 
 // errNoSlot keeps a request from a rate-limited server: the server announced its limit a moment
 // ago, or the slot expired.
 var errNoSlot = errors.New("relay: no slot at the server")
 
+// errNoPlace ends the wait for a place at a brittle server.
+var errNoPlace = errors.New("relay: no place at the servers in time")
+
 // errNoSlots is recorded if no service grants slots.
 var errNoSlots = errors.New("relay: nobody gives out slots")
 
 // slotLifetime is how long a slot may be used. Connecting takes a few milliseconds.
 const slotLifetime = 500 * time.Millisecond
 
-// maxBrittleDelay is how late a slot at a brittle server may be used. After a pause of the node, all
-// slots that were due meanwhile would be used at once.
-const maxBrittleDelay = 20 * time.Millisecond
-
 // maxSlotServers limits the servers among which a slot is requested.
 const maxSlotServers = 16
 
@@ -60,10 +61,14 @@
 // the server and mayRunNow, nil and wasRefused after answering the caller, or nil and chooseAgain
 // if a server without a limit may serve the request.
 func (c *call) takeSlot(ctx context.Context, m *backend.Member) (*backend.Member, permission) {
+	c.returnPlace()
 	c.slot = slot{}
 	if !m.Limited() {
 		return m, mayRunNow
 	}
+	if m.IsBrittle() && c.relay.Slots != nil {
+		return c.borrowPlace(ctx, m)
+	}
 	now := c.relay.Time.Now()
 	servers := c.limitedServers(now, m)
 	s := c.requestSlot(ctx, servers, c.slotPatience(now))
@@ -90,6 +95,7 @@
 // takeSlotAt is takeSlot for a stream that can continue at one server only. It reports whether it
 // may.
 func (c *call) takeSlotAt(ctx context.Context, m *backend.Member) bool {
+	c.returnPlace()
 	c.slot = slot{}
 	if !m.Limited() {
 		return true
@@ -98,6 +104,7 @@
 	if !s.Granted {
 		return false
 	}
+	c.loan = s
 	c.sleep(ctx, s.Wait)
 	c.slot = slot{server: m.ID, at: c.relay.Time.Now()}
 	return ctx.Err() == nil
@@ -106,7 +113,6 @@
 // useSlot waits until a granted slot begins.
 func (c *call) useSlot(ctx context.Context, servers []*backend.Member, s backpressure.Slot) (*backend.Member, permission) {
 	c.record.slot.waited += s.Wait
-	due := c.relay.Time.Now().Add(s.Wait)
 	if s.Wait > 0 {
 		c.sleep(ctx, s.Wait)
 	}
@@ -116,7 +122,7 @@
 	}
 	c.slot = slot{server: s.Server, at: c.relay.Time.Now()}
 	i := slices.IndexFunc(servers, func(m *backend.Member) bool { return m.ID == s.Server })
-	if i < 0 || !servers[i].Serves(c.slot.at, c.need) || servers[i].IsBrittle() && c.slot.at.Sub(due) > maxBrittleDelay {
+	if i < 0 || !servers[i].Serves(c.slot.at, c.need) {
 		return nil, chooseAgain
 	}
 	return servers[i], mayRunNow
@@ -164,7 +170,8 @@
 	asks := make([]backpressure.Ask, 0, len(servers))
 	for _, m := range servers {
 		limit, _ := m.Limit()
-		asks = append(asks, backpressure.Ask{Server: m.ID, Limit: limit})
+		places, run := m.LendablePlaces()
+		asks = append(asks, backpressure.Ask{Server: m.ID, Limit: limit, Announced: m.AnnouncesLimit(), Places: places, Run: run, Left: c.timeLeft()})
 	}
 	note := &c.record.slot
 	note.asked, note.err = true, errNoSlots
