relay: a move asks whether its version leaves without reading what its call changes

Cause: the goroutine that moves a stream asked for servers that leave by the call's list of tried servers, which the call may extend meanwhile. Found on reading; it asks for servers of the version alone now.

--- a/pkg/relay/migrate.go
+++ b/pkg/relay/migrate.go
@@ -481,7 +481,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.call.relay.Time.Now()
-	if now.Sub(r.requestedAt) < targetRequestInterval || r.call.versionGone() {
+	if now.Sub(r.requestedAt) < targetRequestInterval || r.call.versionLeaves() {
 		return
 	}
 	r.requestedAt = now
--- a/pkg/relay/version.go
+++ b/pkg/relay/version.go
@@ -180,10 +180,15 @@
 	return m == nil || c.fits(m)
 }
 
-// versionGone reports whether no server of the version that the stream is bound to accepts requests.
+// versionGone reports whether no server of the version that the stream is bound to takes it.
 func (c *call) versionGone() bool {
-	return c.pinned && !slices.ContainsFunc(c.servers(), func(m *backend.Member) bool { return !m.Withdrawn() }) &&
-		c.chooseLeaving(c.relay.Time.Now()) == nil
+	return c.versionLeaves() && c.chooseLeaving(c.relay.Time.Now()) == nil
+}
+
+// versionLeaves reports whether no server of the version that the stream is bound to accepts new requests. Once
+// the stream has events, it may be called by other goroutines as well.
+func (c *call) versionLeaves() bool {
+	return c.pinned && !slices.ContainsFunc(c.servers(), func(m *backend.Member) bool { return !m.Withdrawn() })
 }
 
 // listsAll reports whether no other node can know a server that could serve the request.
