--- a/pkg/coordinator/versions.go
+++ b/pkg/coordinator/versions.go
@@ -12,13 +12,13 @@
 // The holder follows which services are served by one software version alone, and tells all nodes with their
 // heartbeats: a stream of which nobody knows where it began can only continue at such a service.
 
-// versionWatch is the holder's part. It is safe for concurrent use.
+// versionWatch is what the holder knows of the versions of servers. It is safe for concurrent use.
 type versionWatch struct {
 	mu      sync.Mutex
 	term    uint64
 	history lineage.VersionHistory
-	seen    revision.Revision // version of the list of servers of which versions were made
-	current map[string][]string
+	seen    revision.Revision   // list of servers that current was made from
+	current map[string][]string // versions of the listed servers, by service; nil: none were seen in this term
 	mixed   map[string]bool // services that several versions served when last logged
 }
 
--- a/pkg/lineage/register.go
+++ b/pkg/lineage/register.go
@@ -58,7 +58,7 @@
 	former  []formerNode // nodes that left the list recently
 	tell    []Node       // keepers of this node's streams
 	ask     []Node       // keepers of all nodes' streams
-	changes time.Time    // when the first of former is to be forgotten; zero: none
+	expires time.Time    // when the first of former is to be forgotten; zero: none
 }
 
 // formerNode is a node that left the list.
@@ -271,7 +271,7 @@
 		r.noteFormer(now, nodes)
 		v.nodes = nodes
 		r.updateKeepers(now)
-	} else if !v.changes.IsZero() && !now.Before(v.changes) {
+	} else if !v.expires.IsZero() && !now.Before(v.expires) {
 		r.updateKeepers(now)
 	}
 	return v
@@ -281,7 +281,7 @@
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
-// noteFormer records the nodes that left the list, and forgets those that are listed again.
+// noteFormer records the nodes that left the list, and forgets those that are listed again. The caller holds mu.
 func (r *Register) noteFormer(now time.Time, nodes []Node) {
 	listed := make(map[string]bool, len(nodes))
 	for i := range nodes {
@@ -302,7 +302,7 @@
 }
 
 // updateKeepers determines the keepers of the nodes listed now. Those of the nodes listed before are asked,
-// too.
+// too. The caller holds mu.
 func (r *Register) updateKeepers(now time.Time) {
 	v := &r.view
 	var staying, all []Node
@@ -312,7 +312,7 @@
 			staying = append(staying, n)
 		}
 	}
-	v.changes = time.Time{}
+	v.expires = time.Time{}
 	kept := v.former[:0]
 	for _, f := range v.former {
 		if !now.Before(f.until) {
@@ -320,8 +320,8 @@
 		}
 		kept = append(kept, f)
 		all = append(all, f.Node)
-		if v.changes.IsZero() || f.until.Before(v.changes) {
-			v.changes = f.until
+		if v.expires.IsZero() || f.until.Before(v.expires) {
+			v.expires = f.until
 		}
 	}
 	v.former = kept
