--- a/pkg/coordinator/versions.go
+++ b/pkg/coordinator/versions.go
@@ -19,7 +19,7 @@
 	history lineage.VersionHistory
 	seen    revision.Revision   // list of servers that current was made from
 	current map[string][]string // versions of the listed servers, by service; nil: none were seen in this term
-	mixed   map[string]bool // services that several versions served when last logged
+	mixed   map[string]bool     // services that several versions served when last logged
 }
 
 // beginVersions takes over what the lease's record tells, at the start of a term.
