--- a/cmd/martenwheel-lab/main.go
+++ b/cmd/martenwheel-lab/main.go
@@ -36,7 +36,7 @@
     martenwheel-lab compare out/adaptive out/fixed
     martenwheel-lab report out/adaptive
     martenwheel-lab load --node 10.0.1.5:8080 --host site.example --path /draft/ \
-        --deadline-header X-Deadline-Ms --resumes-header Resumes --rate 50 --for 1m
+        --deadline-header X-Deadline-Ms --resumes-header X-Resumes --rate 50 --for 1m
 
   Exit codes: 0 done, 1 failed, 2 bad usage, 3 a request was lost or a guarantee
   was violated, 130 interrupted (partial results are written).`
