coordinator: questions for places at brittle servers wait for a returned one

Cause: requests asked for a place each 15 ms, so that a place that was returned lay unused until the next question, the longer the slower the machine. And the first request of a queue is the one whose time ends next: if it ended during a question, the answer's loan was lost until the request's time and half a second were over, and the error of the question that was given up let the request go to the server by the node's ration, without a place.

The holder keeps a question for up to 100 ms and answers it as a place is returned, in order. An answer for a request that left is returned. A request whose time is over uses no ration.

--- a/pkg/backpressure/slots.go
+++ b/pkg/backpressure/slots.go
@@ -27,6 +27,7 @@
 	retryAt    time.Time            // latest time at which a rejected request was told to retry
 	rejectedAt time.Time            // when a request was last rejected
 	loans      map[uint64]time.Time // places that are lent, and when each loan ends at last
+	borrowers  []*borrower          // requests that wait for a place, in order
 }
 
 // Ask is a server to which a request may go, with the limit that the server set.
@@ -77,7 +78,8 @@
 	}
 }
 
-// Take grants the earliest slot at any of the servers if it lies within the given time.
+// Take grants the earliest slot at any of the servers if it lies within the given time. Places at brittle servers are
+// lent by Borrow.
 func (s *Slots) Take(now time.Time, asks []Ask, within time.Duration) Slot {
 	if len(asks) == 0 {
 		return Slot{}
@@ -85,9 +87,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sweep(now)
-	if asks[0].Places > 0 {
-		return s.lend(now, asks)
-	}
 	best, bestSchedule := 0, s.schedule(now, asks[0].Server)
 	for i, a := range asks[1:] {
 		if sched := s.schedule(now, a.Server); sched.nextSlot.Before(bestSchedule.nextSlot) {
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -308,9 +308,9 @@
 	case AskPlace:
 		return h.decidePlace(h.Time.Now(), m), nil
 	case AskSlot:
-		return h.grantSlot(h.Time.Now(), m), nil
+		return h.grantSlot(ctx, h.Time.Now(), m), nil
 	case ReturnPlace:
-		h.returnPlace(m)
+		h.returnPlace(h.Time.Now(), m)
 		return nil, nil
 	case PlaceNews:
 		h.applyPlaceNews(h.Time.Now(), m)
--- a/pkg/coordinator/slots.go
+++ b/pkg/coordinator/slots.go
@@ -33,6 +33,16 @@
 	peer.RegisterRecent(ReturnPlace{})
 }
 
+// borrows reports whether the question is for a place at a brittle server.
+func (a AskSlot) borrows() bool { return len(a.Servers) > 0 && a.Servers[0].Places > 0 }
+
+const (
+	// maxBorrowWait is how long the holder keeps a question until a place is returned.
+	maxBorrowWait = 100 * time.Millisecond
+	// borrowTimeout bounds the wait for the holder's answer, in which it may wait for a place.
+	borrowTimeout = 300 * time.Millisecond
+)
+
 // maxSlotServers bounds how many servers of one question the holder considers.
 const maxSlotServers = 64
 
@@ -84,13 +94,25 @@
 
 // RequestSlot implements relay.Slots.
 func (m *Member) RequestSlot(ctx context.Context, asks []backpressure.Ask, within time.Duration) (backpressure.Slot, error) {
-	lent := asks[0].Places > 0 // places become free at any time
-	if s, refused := m.slotBackoffs.lookup(m.Time.Now(), asks[0]); refused && !lent {
+	question := AskSlot{Servers: asks, Within: within}
+	if question.borrows() {
+		return m.borrowPlace(ctx, question)
+	}
+	if s, refused := m.slotBackoffs.lookup(m.Time.Now(), asks[0]); refused {
 		return s, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
 	defer cancel()
-	answer, err := callHolder[SlotAnswer](ctx, m, AskSlot{Servers: asks, Within: within})
+	slot, err := m.askSlot(ctx, question)
+	if err == nil && !slot.Granted {
+		m.slotBackoffs.refused(m.Time.Now(), asks[0].Server, slot)
+	}
+	return slot, err
+}
+
+// askSlot asks the holder.
+func (m *Member) askSlot(ctx context.Context, question AskSlot) (backpressure.Slot, error) {
+	answer, err := callHolder[SlotAnswer](ctx, m, question)
 	if err == nil && answer.Term == 0 {
 		err = ErrNoHolder
 	}
@@ -100,34 +122,72 @@
 	if answer.Slot.Loan != 0 {
 		answer.Slot.Term = answer.Term
 	}
-	if !answer.Slot.Granted && !lent {
-		m.slotBackoffs.refused(m.Time.Now(), asks[0].Server, answer.Slot)
-	}
 	return answer.Slot, nil
 }
 
+// borrowPlace asks the holder for a place at a brittle server. A place that is lent after ctx ended is returned, as
+// nobody uses it.
+func (m *Member) borrowPlace(ctx context.Context, question AskSlot) (backpressure.Slot, error) {
+	type result struct {
+		slot backpressure.Slot
+		err  error
+	}
+	answered := make(chan result)
+	go func() {
+		asking, cancel := context.WithTimeout(context.WithoutCancel(ctx), borrowTimeout)
+		defer cancel()
+		slot, err := m.askSlot(asking, question)
+		select {
+		case answered <- result{slot, err}:
+		case <-ctx.Done():
+			if slot.Loan != 0 {
+				m.ReturnPlace(slot)
+			}
+		}
+	}()
+	select {
+	case r := <-answered:
+		return r.slot, r.err
+	case <-ctx.Done():
+		return backpressure.Slot{}, ctx.Err()
+	}
+}
+
 // ReturnPlace implements relay.Slots.
 func (m *Member) ReturnPlace(s backpressure.Slot) {
 	record, _ := m.Lease.Current()
 	message := ReturnPlace{Term: s.Term, Server: s.Server, Loan: s.Loan}
 	if record.Address == m.Self.Peers {
-		m.Holder.returnPlace(message)
+		m.Holder.returnPlace(m.Time.Now(), message)
 		return
 	}
 	m.Transport.Send(record.Address, message)
 }
 
 // returnPlace ends the loan of a place.
-func (h *Holder) returnPlace(r ReturnPlace) { h.slots.Return(r.Term, r.Server, r.Loan) }
+func (h *Holder) returnPlace(now time.Time, r ReturnPlace) {
+	h.slots.Return(now, r.Term, r.Server, r.Loan)
+}
 
-// grantSlot grants a slot if there is one. It does not wait for the goroutine of Run, which may be planning.
-func (h *Holder) grantSlot(now time.Time, a AskSlot) SlotAnswer {
+// grantSlot grants a slot if there is one, or waits for a place at a brittle server. It does not wait for the goroutine
+// of Run, which may be planning.
+func (h *Holder) grantSlot(ctx context.Context, now time.Time, a AskSlot) SlotAnswer {
 	term, held := h.Lease.Held()
 	if !held || !h.hasMajority(now) {
 		return SlotAnswer{}
 	}
 	h.slots.Begin(now, term)
-	return SlotAnswer{Term: term, Slot: h.slots.Take(now, a.Servers[:min(len(a.Servers), maxSlotServers)], a.Within)}
+	servers := a.Servers[:min(len(a.Servers), maxSlotServers)]
+	if !a.borrows() {
+		return SlotAnswer{Term: term, Slot: h.slots.Take(now, servers, a.Within)}
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxBorrowWait)
+	defer cancel()
+	slot := h.slots.Borrow(ctx, now, servers)
+	if lastTerm, held := h.Lease.Held(); !held || lastTerm != term {
+		return SlotAnswer{} // the next term waits for the requests of this one, not for later ones
+	}
+	return SlotAnswer{Term: term, Slot: slot}
 }
 
 // markOverloadedServers marks the servers as overloaded whose limit had requests rejected.
--- a/pkg/coordinator/slots_test.go
+++ b/pkg/coordinator/slots_test.go
@@ -1,11 +1,13 @@
 package coordinator
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/backpressure"
+	"martenwheel.dev/pkg/peer"
 )
 
 // requestSlot asks a node's holder for a slot.
@@ -141,3 +143,56 @@
 		}
 	})
 }
+
+// slowTransport delivers answers late, and records the places that are returned.
+type slowTransport struct {
+	directTransport
+	delay    time.Duration
+	returned chan ReturnPlace
+}
+
+func (s slowTransport) Call(ctx context.Context, address string, message peer.Message) (peer.Message, error) {
+	reply, err := s.directTransport.Call(ctx, address, message)
+	select {
+	case <-time.After(s.delay):
+		return reply, err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (s slowTransport) Send(_ string, message peer.Message) {
+	if r, ok := message.(ReturnPlace); ok {
+		s.returned <- r
+	}
+}
+
+func TestPlaceLentToARequestThatLeftStaysLent(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSite(t, []string{"m0"})
+		n := s.start("a")
+		n.waitForLease()
+		n.sendHeartbeats(t, "a")
+		time.Sleep(5 * time.Second)
+		transport := slowTransport{directTransport{site: s}, 100 * time.Millisecond, make(chan ReturnPlace, 1)}
+		m := &Member{Self: Node{Name: "b", Peers: "b"}, Lease: n.lease, Transport: transport}
+		ask := backpressure.Ask{Server: "server-0", Places: 1, Run: time.Millisecond, Left: 10 * time.Second}
+		ctx, leave := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer leave()
+		if slot, err := m.RequestSlot(ctx, []backpressure.Ask{ask}, time.Second); err == nil {
+			t.Fatalf("%+v came before the request left", slot)
+		}
+		time.Sleep(time.Second)
+		select {
+		case place := <-transport.returned:
+			if _, err := n.holder.HandleMessage(t.Context(), api.NodeRef{}, place); err != nil {
+				t.Fatal(err)
+			}
+		default:
+			t.Fatal("the place was not returned")
+		}
+		if slot, err := m.RequestSlot(t.Context(), []backpressure.Ask{ask}, time.Second); err != nil || slot.Server != "server-0" {
+			t.Errorf("the returned place is not lent again: %+v, %v", slot, err)
+		}
+	})
+}
--- a/pkg/relay/slots.go
+++ b/pkg/relay/slots.go
@@ -178,7 +178,7 @@
 	if c.relay.Slots != nil {
 		note.last, note.err = c.relay.Slots.RequestSlot(ctx, asks, within)
 	}
-	if note.err != nil {
+	if note.err != nil && ctx.Err() == nil { // otherwise the request no longer waits
 		note.last = c.relay.localSlot(asks)
 	}
 	return note.last
