backend, relay: the end of a server that a record shows counts once

Cause: a run that follows one under suspicion was taken to be at the server's next life, and the event that its life ended was told as the end of that next life too, under a name of its own, which no other node's words can explain.

Such a run's end is told when the end of the life shows that is listed next, by that life's name. A refused connection counts as before, and so does a run that broke while the list of servers was unconfirmed for two seconds.

--- a/pkg/backend/condition.go
+++ b/pkg/backend/condition.go
@@ -16,7 +16,8 @@
 	id             string // ID of the incarnation
 	readSignals    func(status int, h http.Header) backpressure.Signals
 	onSignalChange func(SignalUpdate)
-	notifyChanged  func() // wakes those that wait for a change of the servers
+	notifyChanged  func()               // wakes those that wait for a change of the servers
+	listAge        func() time.Duration // see Directory.Age
 	pool           *pool
 	inFlight       atomic.Int64
 	draining       atomic.Bool
@@ -38,6 +39,7 @@
 	recentAt         time.Time
 	endWatches       []endWatch // callbacks for the end of the server
 	vanishedAt       time.Time  // when its record was removed without an announcement that it leaves; zero: not removed so
+	next             *Condition // incarnation that was listed in its place at vanishedAt; nil: none
 	refusedAt        time.Time  // when it last refused a connection of this node; zero: never
 	failures         int        // consecutive
 	avoidUntil       time.Time  // end of the time for which the server is avoided
@@ -53,7 +55,7 @@
 
 func newCondition(d *Directory, s *Server) *Condition {
 	c := &Condition{
-		id: s.ID, readSignals: d.Signals, onSignalChange: d.OnSignalChange, notifyChanged: d.notifyChanged,
+		id: s.ID, readSignals: d.Signals, onSignalChange: d.OnSignalChange, notifyChanged: d.notifyChanged, listAge: d.Age,
 		signalState: d.departed.take(d.Time.Now(), s), brittle: d.brittleService(s.Service), slots: s.Slots, pool: newPool(d, s.Address),
 	}
 	c.pool.onRefused, c.pool.onResponse = c.noteRefused, c.observeResponse
@@ -110,18 +112,15 @@
 	return m.Holds(n)
 }
 
-// delist ends the use of the server for new requests.
-func (c *Condition) delist() {
+// delist ends the use of the server for new requests. next is the incarnation that is listed in its place, nil if none.
+func (c *Condition) delist(next *Condition) {
 	c.delisted.Store(true)
 	if c.leavingSince.Load() == nil {
 		now := c.pool.time.Now()
 		c.leavingSince.Store(&now)
 	}
 	if !c.AnnouncedLeaving() && !c.released.Load() {
-		c.mu.Lock()
-		c.vanishedAt = c.pool.time.Now()
-		c.mu.Unlock()
-		c.notifyEnd()
+		c.noteVanished(next)
 	}
 	c.pool.closeIdle()
 }
--- a/pkg/backend/directory.go
+++ b/pkg/backend/directory.go
@@ -91,6 +91,8 @@
 	Time         clock.Clock
 	// ColdFor returns how long the servers of a service are cold after a start, see Evacuate; nil: never.
 	ColdFor func(service string) time.Duration
+	// Age returns the time since the list of servers was last confirmed to be up to date; nil: it always is.
+	Age func() time.Duration
 	// Signals reads the backpressure signals of a response; nil: responses carry none.
 	Signals func(status int, h http.Header) backpressure.Signals
 	// OnSignalChange is called for each change of a server's signal state by the server's own responses;
@@ -199,7 +201,7 @@
 	}
 	d.current.Store(next)
 	for _, m := range removed {
-		m.Condition.delist()
+		m.Condition.delist(next.successor(m))
 		d.departed.keep(next.at, m)
 	}
 	d.notifyChangedLocked()
@@ -214,6 +216,16 @@
 	}
 }
 
+// successor returns the condition of the incarnation that is listed in place of a server, nil if there is none.
+func (s *Snapshot) successor(of *Member) *Condition {
+	for _, m := range s.services[of.Service] {
+		if m.ID != of.ID && m.Instance() == of.Instance() {
+			return m.Condition
+		}
+	}
+	return nil
+}
+
 // Release announces that the next list will omit incarnations that continue to run: this node stops using
 // them, which does not count as their end.
 func (d *Directory) Release(ids []string) {
--- a/pkg/backend/ended.go
+++ b/pkg/backend/ended.go
@@ -70,7 +70,8 @@
 // endWatch is a callback to run if the server ends before a given time.
 type endWatch struct {
 	until time.Time
-	f     func()
+	f     func(server string)
+	later bool // the end of the next incarnation is meant if there is one, see OnLaterEnd
 }
 
 // OnEnd calls f in a new goroutine if the server is found to have ended within the given time: it refuses a
@@ -78,15 +79,45 @@
 // have happened before the call, while the request that began at the given time was running. OnEnd itself opens no
 // connection.
 func (c *Condition) OnEnd(began time.Time, within time.Duration, f func()) {
+	c.watchEnd(began, within, endWatch{f: func(string) { f() }})
+}
+
+// OnLaterEnd is OnEnd for a request that was sent after an earlier one had broken, under which the server may have
+// ended: this one broke at the same incarnation, or at the next one. The removal of a record shows the end of one
+// incarnation, so that f is called with the ID of the next one, once its end shows as well. If this node's list of
+// servers was out of date as the request broke, it may not show each incarnation, and f is called with this server's ID,
+// as it is when the server refuses a connection.
+func (c *Condition) OnLaterEnd(began time.Time, within time.Duration, f func(server string)) {
+	c.watchEnd(began, within, endWatch{f: f, later: c.listAge == nil || c.listAge() < maxListAge})
+}
+
+// maxListAge is the age from which on the list of servers may lack incarnations. Without changes it is confirmed at
+// least that often.
+const maxListAge = 2 * time.Second
+
+// watchEnd runs the watch if the server is found to have ended.
+func (c *Condition) watchEnd(began time.Time, within time.Duration, w endWatch) {
 	now := c.pool.time.Now()
+	w.until = now.Add(within)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.vanishedAt.After(now.Add(-within)) || c.refusedAt.After(began) {
-		go f()
-		return
+	vanished := c.vanishedAt.After(now.Add(-within))
+	switch {
+	case c.refusedAt.After(began), vanished && !w.later:
+		go w.f(c.id)
+	case vanished:
+		w.follow(now, c.next)
+	default:
+		c.endWatches = slices.DeleteFunc(c.endWatches, func(w endWatch) bool { return now.After(w.until) })
+		c.endWatches = append(c.endWatches, w)
+	}
+}
+
+// follow watches the next incarnation, if there is one.
+func (w endWatch) follow(now time.Time, next *Condition) {
+	if next != nil {
+		next.watchEnd(now, w.until.Sub(now), endWatch{f: w.f})
 	}
-	c.endWatches = slices.DeleteFunc(c.endWatches, func(w endWatch) bool { return now.After(w.until) })
-	c.endWatches = append(c.endWatches, endWatch{now.Add(within), f})
 }
 
 // noteRefused records that the server refused a connection, which shows that it has ended.
@@ -94,23 +125,37 @@
 	c.mu.Lock()
 	c.refusedAt = c.pool.time.Now()
 	c.mu.Unlock()
-	c.notifyEnd()
+	for _, w := range c.takeEndWatches() {
+		go w.f(c.id)
+	}
 }
 
-// notifyEnd runs the callbacks that wait for the end of the server.
-func (c *Condition) notifyEnd() {
+// noteVanished records that the server's record was removed, which shows that it has ended, and which incarnation is
+// listed in its place.
+func (c *Condition) noteVanished(next *Condition) {
 	now := c.pool.time.Now()
 	c.mu.Lock()
-	watches := c.endWatches
-	c.endWatches = nil
+	c.vanishedAt, c.next = now, next
 	c.mu.Unlock()
-	for _, w := range watches {
-		if !now.After(w.until) {
-			go w.f()
+	for _, w := range c.takeEndWatches() {
+		if w.later {
+			w.follow(now, next)
+		} else {
+			go w.f(c.id)
 		}
 	}
 }
 
+// takeEndWatches removes the callbacks that wait for the end of the server and returns those that are not over.
+func (c *Condition) takeEndWatches() []endWatch {
+	now := c.pool.time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	watches := c.endWatches
+	c.endWatches = nil
+	return slices.DeleteFunc(watches, func(w endWatch) bool { return now.After(w.until) })
+}
+
 // probe makes a new connection to the server.
 func (p *pool) probe(ctx context.Context) ProbeResult {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/pkg/coordinator/explore_quarantine_test.go
+++ b/pkg/coordinator/explore_quarantine_test.go
@@ -238,7 +238,11 @@
 // the server does not refuse connections.
 func (n *simNode) reportEndByRecord(r quarantine.Run, m *backend.Member) {
 	r.ByRecord = true
-	if m != nil {
+	switch {
+	case m == nil:
+	case r.Again:
+		m.OnLaterEnd(time.Now(), recordTimeout, func(server string) { n.member.ServerCrashed(r.At(server)) })
+	default:
 		m.OnEnd(time.Now(), recordTimeout, func() { n.member.ServerCrashed(r) })
 	}
 }
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -78,6 +78,14 @@
 // Decisive reports whether a crash of the run's server puts the request in quarantine.
 func (r Run) Decisive() bool { return r.Round+r.Doubts >= quarantinedRounds }
 
+// At returns the run with the ID of the incarnation at which it was, if that is known by now to be a later one.
+func (r Run) At(server string) Run {
+	if server != r.Server {
+		r.Server, r.Again = server, false
+	}
+	return r
+}
+
 // repeatMark separates, in End.Server, the ID of a server from the round of a run. It marks the crash
 // of a later incarnation whose own ID is not known yet.
 const repeatMark = "#"
--- a/pkg/relay/quarantine.go
+++ b/pkg/relay/quarantine.go
@@ -219,7 +219,12 @@
 	}
 	run := c.lastRun(m)
 	run.ByRecord = true
-	m.OnEnd(c.record.last().started, quarantine.SuspicionTime, func() { q.ServerCrashed(run) })
+	began := c.record.last().started
+	if !run.Again {
+		m.OnEnd(began, quarantine.SuspicionTime, func() { q.ServerCrashed(run) })
+		return
+	}
+	m.OnLaterEnd(began, quarantine.SuspicionTime, func(server string) { q.ServerCrashed(run.At(server)) })
 }
 
 // Reasons of refusals, telling the caller why retrying does not help.
--- a/pkg/relay/quarantine_test.go
+++ b/pkg/relay/quarantine_test.go
@@ -14,6 +14,7 @@
 
 	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/quarantine"
+	"martenwheel.dev/pkg/revision"
 	"martenwheel.dev/pkg/route"
 )
 
@@ -428,3 +429,38 @@
 		})
 	}
 }
+
+func TestOneEndOfAServerCountsAsTwo(t *testing.T) {
+	later := func(s *site, started int64) *backend.Server {
+		return &backend.Server{ID: backend.Incarnation{Instance: "server-0", Started: started}.ID(), Service: "s", Address: s.servers[0].Address, Slots: 8, Version: 1}
+	}
+	for name, c := range map[string]struct {
+		lists [][]int64 // starts of the incarnations listed one after the other
+		ends  int
+	}{
+		"its record vanishes":                    {[][]int64{{}}, 1},
+		"another incarnation takes its place":    {[][]int64{{2000}}, 1},
+		"the incarnation in its place ends, too": {[][]int64{{2000}, {3000}}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newProxiedSite(t, 1)
+			q := s.relay.Quarantine.(*localQuarantine)
+			s.relay.Servers.Replace([]*backend.Server{later(s, 1000)}, 2)
+			for _, id := range []string{"first", "second"} {
+				s.post(id, crashingBody)
+			}
+			for i, starts := range c.lists {
+				var list []*backend.Server
+				for _, started := range starts {
+					list = append(list, later(s, started))
+				}
+				s.relay.Servers.Replace(list, revision.Revision(i+3))
+			}
+			time.Sleep(100 * time.Millisecond)
+			f := quarantine.FingerprintOf(http.MethodPost, "site.example", "/p/x", []byte(crashingBody))
+			if ends := q.table.Evidence(time.Now(), f, "s").Ends; len(ends) != c.ends {
+				t.Errorf("ends %+v, want %d", ends, c.ends)
+			}
+		})
+	}
+}
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -148,6 +148,7 @@
 		NeedsWhole: func() bool { _, held := l.Held(); return held },
 	}
 	holder.Complete, holder.ListAge = s.tablesComplete, s.serversAge
+	s.Servers.Age = s.serversAge
 	s.member.NearestFullNode, s.member.EnsureServers = s.nearestFullNode, s.ensureServers
 	l.Fleet, l.AllowOffline = holder.FleetSize, holder.MayContinueOffline
 	l.Quarantine = func(recorded []quarantine.Aged) []quarantine.Aged { return known.MergeStored(clock.Now(), recorded) }
