watch: a pull waits while the asked node is heard from

Cause: an answer with rows had 0.7 s. Sixty nodes asked one relay at once, so that its link of 10 Mbit/s carried none of the answers in time; each node dropped its late answer and asked for it again, which filled the link for good. Its news still came, so that nobody left it.

The asker waits as long as the asked node is heard from, at most 10 s, and the time that the answer took counts as age of its rows.

--- a/pkg/watch/follow.go
+++ b/pkg/watch/follow.go
@@ -406,13 +406,15 @@
 }
 
 func (h *Hub) pullOnce(ctx context.Context, address string, p Pull) (PullAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	ctx, cancel := h.whileHeard(ctx, address)
 	defer cancel()
+	began := clock.Now()
 	reply, err := h.Transport.Call(ctx, address, p)
 	if err != nil {
 		return PullAnswer{}, err
 	}
 	answer, ok := reply.(PullAnswer)
+	answer.Age += clock.Since(began) // it may have been on its way for long
 	switch {
 	case !ok:
 		return answer, errUnknown
@@ -422,4 +424,27 @@
 	return answer, nil
 }
 
+// whileHeard returns a context that ends after pullTimeout, or later if news of the asked node arrives meanwhile. After a
+// loss of all nodes a relay sends rows to dozens of nodes over one link. If each of them asked again before its answer is
+// there, the link would carry answers that nobody takes, and no node would ever get its rows.
+func (h *Hub) whileHeard(ctx context.Context, address string) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, maxPullTime)
+	go func() {
+		for pauseFor(ctx, pullTimeout) {
+			if !h.heardWithin(parentTimeout, address) {
+				cancel()
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
+// heardWithin reports whether a node that is followed sent something within the given time.
+func (h *Hub) heardWithin(d time.Duration, address string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.parents[address]
+	return p != nil && clock.Since(p.lastHeard) < d
+}
+
 func init() { peer.RegisterRecent(Follow{}) }
--- a/pkg/watch/hub.go
+++ b/pkg/watch/hub.go
@@ -91,7 +91,8 @@
 	Readers = 2
 
 	heartbeatInterval = 400 * time.Millisecond // between messages that confirm an unchanged table
-	pullTimeout       = 700 * time.Millisecond // of one Pull
+	pullTimeout       = 700 * time.Millisecond // of one Pull to a node that is not heard from meanwhile
+	maxPullTime       = 10 * time.Second       // of one Pull: so long answers for 240 nodes take on one of the slowest links
 	// firstStartWait is how long the nodes of a site that starts wait for its watchers. A node that starts
 	// beside others and knows them waits as long for them. In this time a holder appears, all nodes send it a
 	// heartbeat, and a few watchers send the tables to some two hundred nodes. Callers come ten seconds after
