relay, coordinator: servers of a service without models are searched for, too

A node that holds a part of the rows refused requests of a service without models for lack of servers if none of them was in its part, though others know some: for models it asked another node, for such services it did not. With 1,024 of 3,000 rows a node lacks all of three servers in 28 of 100 cases (worked out).

Such a request asks once, as requests for models do, and is refused as before if nobody knows a server. Streams without a model that are bound to a version are searched for in the same way.

--- a/pkg/coordinator/loadrequests.go
+++ b/pkg/coordinator/loadrequests.go
@@ -70,11 +70,15 @@
 // maxLoadRequests bounds the load requests that are kept.
 const maxLoadRequests = 1024
 
-// sendLoadRequest looks for a server that this node does not know, and asks the holder if there is none.
+// sendLoadRequest looks for a server that this node does not know, and asks the holder to have the model loaded if there
+// is none.
 func (m *Member) sendLoadRequest(ctx context.Context, w relay.LoadRequest) (relay.LoadStatus, error) {
 	if server := m.locateServer(ctx, w); server != "" {
 		return relay.LoadStatus{Server: server}, nil
 	}
+	if w.Need.Model == "" {
+		return relay.LoadStatus{}, nil
+	}
 	status, err := m.askHolder(ctx, w)
 	if err == nil && status.Server != "" && m.EnsureServers != nil {
 		if status.Server = m.learnServers(ctx, []string{status.Server}); status.Server == "" {
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -26,7 +26,7 @@
 	defer func() { c.record.waited += c.relay.Time.Since(began) }()
 	var requestedAt time.Time
 	results := make(chan loadResult, 1)
-	requestPending := false
+	requestPending, answered := false, false
 	for {
 		changed := c.relay.Servers.Changed()
 		if c.relay.stopped(c.route.Kind, false) {
@@ -44,11 +44,13 @@
 		if c.record.waitFor = c.waitReason(); backoff != nil {
 			c.record.waitFor = waitsForBackoff
 		}
-		if c.need.Model != "" && c.record.waitFor != waitsForServer && !requestPending && c.relay.Time.Since(requestedAt) >= loadRequestInterval {
+		needsLoad := c.need.Model != "" && c.record.waitFor != waitsForServer
+		needsSearch := c.need.Model == "" && !c.listsAll()
+		if (needsLoad || needsSearch) && !requestPending && c.relay.Time.Since(requestedAt) >= loadRequestInterval {
 			requestedAt, requestPending = c.relay.Time.Now(), true
 			go c.requestLoad(ctx, c.shortageWith(backoff), results)
 		}
-		if f, refused := c.evaluateWithoutModel(backoff); refused {
+		if f, refused := c.evaluateWithoutModel(backoff); refused && (!needsSearch || answered) {
 			c.refuse(f)
 			return nil
 		}
@@ -65,7 +67,7 @@
 		case <-changed:
 		case <-timer.C:
 		case a := <-results:
-			requestPending = false
+			requestPending, answered = false, true
 			c.record.loadError = a.err
 			if f, refused := c.evaluateStatus(a.status, backoff); refused {
 				timer.Stop()
@@ -128,7 +130,7 @@
 }
 
 // requestLoad asks for the needed model to be loaded and reports the servers that could not serve
-// it.
+// it. For a request without a model, it asks for servers that this node does not know.
 func (c *call) requestLoad(ctx context.Context, s shortage, results chan<- loadResult) {
 	ctx, cancel := context.WithTimeout(ctx, loadRequestTimeout)
 	defer cancel()
@@ -139,7 +141,7 @@
 	if err != nil {
 		status.ReadyIn = unknownReady
 	}
-	if status.Server != "" {
+	if status.Server != "" && c.need.Model != "" {
 		c.relay.Servers.OverrideHolding(status.Server, c.need, true, c.relay.Time.Now().Add(assumedHeldTime))
 	}
 	results <- loadResult{status, err}
@@ -155,6 +157,9 @@
 	if c.need.Model != "" {
 		return refusal{}, false
 	}
+	if c.versionGone() {
+		return c.notServed(reasonVersionGone, 0), true
+	}
 	if backoff != nil {
 		next := c.decideDuringBackoff(backoff, 0)
 		return c.notServed(reasonBackoff, next.after), !next.hold
@@ -166,6 +171,9 @@
 // evaluateStatus records the status of a load request. It refuses a request that can't be served
 // before its caller leaves.
 func (c *call) evaluateStatus(status LoadStatus, backoff *backend.ExpectedReturn) (refusal, bool) {
+	if c.need.Model == "" {
+		return refusal{}, false // see evaluateWithoutModel
+	}
 	c.record.readyIn, c.record.statusAge = status.ReadyIn, status.Age
 	if backoff != nil && (status.Server == "" || status.Server == backoff.Server) {
 		next := c.decideDuringBackoff(backoff, status.ReadyIn)
--- a/pkg/relay/version.go
+++ b/pkg/relay/version.go
@@ -193,7 +193,7 @@
 
 // listsAll reports whether no other node can know a server that could serve the request.
 func (c *call) listsAll() bool {
-	return c.need.Model == "" || c.relay.ListsAll == nil || c.relay.ListsAll()
+	return c.relay.ListsAll == nil || c.relay.ListsAll()
 }
 
 // chooseLeaving picks a server that leaves for a stream that can continue at no other server, or returns nil
