quarantine, coordinator: a run at the next incarnation keeps its trial

A run whose end shows as that of a server's next incarnation has its trial under the name of the one before, which was neither extended until its evidence was sent nor released after it: the request might have run elsewhere meanwhile. The run names the server of its trial; test TestRunAtTheNextIncarnationLosesItsTrial.

--- a/pkg/coordinator/quarantine.go
+++ b/pkg/coordinator/quarantine.go
@@ -166,7 +166,7 @@
 		m.reportCrash(r)
 		return
 	}
-	run := isolatedRun{r.Request, r.Server}
+	run := isolatedRun{r.Request, r.TrialServer()}
 	if !m.isolated.begin(run) {
 		return
 	}
@@ -178,14 +178,14 @@
 	time.AfterFunc(wait, func() {
 		m.reportCrash(r)
 		m.isolated.end(run)
-		m.ReleaseTrial(r.Request, r.Server)
+		m.ReleaseTrial(r.Request, r.TrialServer())
 	})
 }
 
 // keepTrial extends the trial of a run whose server crashed until its evidence is sent.
 func (m *Member) keepTrial(r quarantine.Run) {
 	evidence := m.Quarantine.Evidence(m.Time.Now(), r.Request, r.Service)
-	if _, err := callHolder[TurnAnswer](context.Background(), m, TakeTurn{Evidence: evidence, Server: r.Server, Keep: true}); err != nil {
+	if _, err := callHolder[TurnAnswer](context.Background(), m, TakeTurn{Evidence: evidence, Server: r.TrialServer(), Keep: true}); err != nil {
 		m.Logger.Warn("trial not extended", "fingerprint", r.Request.String(), "server", r.Server, "error", err)
 	}
 }
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"strings"
@@ -73,15 +74,20 @@
 	// ByRecord is set if only the server's record showed its crash, as with servers behind a proxy
 	// that never refuses connections.
 	ByRecord bool
+	// trialServer is the server of the run's trial, if that is not Server, see At.
+	trialServer string
 }
 
+// TrialServer returns the server for which the run had its trial, if it had one.
+func (r Run) TrialServer() string { return cmp.Or(r.trialServer, r.Server) }
+
 // Decisive reports whether a crash of the run's server puts the request in quarantine.
 func (r Run) Decisive() bool { return r.Round+r.Doubts >= quarantinedRounds }
 
 // At returns the run with the ID of the incarnation at which it was, if that is known by now to be a later one.
 func (r Run) At(server string) Run {
 	if server != r.Server {
-		r.Server, r.Again = server, false
+		r.trialServer, r.Server, r.Again = r.TrialServer(), server, false
 	}
 	return r
 }
--- a/pkg/quarantine/suspicion_test.go
+++ b/pkg/quarantine/suspicion_test.go
@@ -138,3 +138,14 @@
 		t.Errorf("after SuspicionTime the request is %v, want free", got)
 	}
 }
+
+func TestRunAtTheNextIncarnationLosesItsTrial(t *testing.T) {
+	run := Run{Request: request(1), Server: "i-0", Round: 2, Again: true}
+	next := run.At("i-1")
+	if next.Server != "i-1" || next.Again || next.TrialServer() != "i-0" {
+		t.Errorf("%+v has its trial at %s", next, next.TrialServer())
+	}
+	if same := run.At("i-0"); same != run || same.TrialServer() != "i-0" {
+		t.Errorf("%+v, want %+v", same, run)
+	}
+}
