watch: a pull of single parts goes on when the request that needed it gives up

Requests for models that a node did not know asked a relay for a part of the rows with 0.2 s; over a busy link the answer came later and was dropped, and the next request asked again.

Pulls due to Cover go on by themselves, and all who need the same part wait for the same pull.

--- a/pkg/watch/follow.go
+++ b/pkg/watch/follow.go
@@ -325,8 +325,63 @@
 	case h.followNow <- struct{}{}: // tells the parent before it sends the next changes
 	default:
 	}
+	for _, p := range h.pullParts(ctx, t, main, parts&^held) {
+		select {
+		case <-p.done:
+			if p.err != nil {
+				return p.err
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// partPull is a request for parts due to Cover.
+type partPull struct {
+	done chan struct{} // closed after the answer
+	err  error         // valid once done is closed
+}
+
+// pullParts asks a node for those of the parts for which no such request is in progress, and returns all requests that
+// concern the parts. They go on when ctx ends: who asks next must not have to ask for the same again.
+func (h *Hub) pullParts(ctx context.Context, t *Table, address string, parts Parts) []*partPull {
+	var pulls []*partPull
+	var asked Parts
+	next := &partPull{done: make(chan struct{})}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := range parts.each() {
+		key := extraPart{t.Name, i}
+		if p := h.partPulls[key]; p != nil {
+			pulls = append(pulls, p)
+			continue
+		}
+		h.partPulls[key] = next
+		asked |= partAt(i)
+	}
+	if asked == 0 {
+		return pulls
+	}
+	go func() {
+		next.err = h.pullUntilCurrent(context.WithoutCancel(ctx), t, address, asked)
+		h.mu.Lock()
+		for i := range asked.each() {
+			delete(h.partPulls, extraPart{t.Name, i})
+		}
+		h.mu.Unlock()
+		close(next.done)
+	}()
+	return append(pulls, next)
+}
+
+// pullUntilCurrent asks a node for parts again while its rows are older than this node's.
+func (h *Hub) pullUntilCurrent(ctx context.Context, t *Table, address string, parts Parts) error {
+	ctx, cancel := context.WithTimeout(ctx, maxPullTime)
+	defer cancel()
 	for {
-		err := h.pull(ctx, t, main, parts&^held, 0)
+		err := h.pull(ctx, t, address, parts, 0)
 		if !errors.Is(err, errOutdated) || !pauseFor(ctx, outdatedRetryPause) {
 			return err
 		}
--- a/pkg/watch/hub.go
+++ b/pkg/watch/hub.go
@@ -129,6 +129,7 @@
 	parents    map[string]*parent      // by address
 	keptParts  map[string]Parts        // parts that this node keeps in any case, by table
 	extraParts map[extraPart]time.Time // time until which parts are kept due to Cover
+	partPulls  map[extraPart]*partPull // requests in progress due to Cover
 	followers  map[string]follower     // by address
 }
 
@@ -163,6 +164,7 @@
 		h.followNow = make(chan struct{}, 1)
 		h.parents, h.followers = make(map[string]*parent), make(map[string]follower)
 		h.keptParts, h.extraParts = make(map[string]Parts), make(map[extraPart]time.Time)
+		h.partPulls = make(map[extraPart]*partPull)
 	}
 }
 
--- a/pkg/watch/slow_links_test.go
+++ b/pkg/watch/slow_links_test.go
@@ -74,6 +74,13 @@
 	return messages
 }
 
+// set changes the bytes that each node sends in a second.
+func (s *slowLinks) set(perSecond int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.perSecond = perSecond
+}
+
 // drain waits until no message is on its way.
 func (s *slowLinks) drain() {
 	busy := func() bool {
@@ -128,12 +135,24 @@
 	return b.String()
 }
 
+// withRandomValues gives the rows of a fleet's store such values before the first node starts.
+func withRandomValues(rows, bytes int) func(*Hub) {
+	var once sync.Once
+	return func(h *Hub) {
+		once.Do(func() {
+			for i := range rows {
+				h.Tables[0].Source.(prober).store.put(rowKey(i), randomValue(bytes))
+			}
+		})
+	}
+}
+
 func TestNodesNeverGetTheirRowsOverSlowLinks(t *testing.T) {
 	const size, rows, rowBytes, linkBytes, limit = 300, 3000, 130, 1_250_000, 15 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
 		links := &slowLinks{perSecond: linkBytes}
-		f := startFleet(size, rows, func(h *Hub) {
+		f := startFleet(size, rows, withRandomValues(rows, rowBytes), func(h *Hub) {
 			h.FirstStart = false
 			h.Known = func() bool { return time.Since(began) > time.Second }
 			h.Transport = slowTransport{h.Transport.(nodeTransport), links}
@@ -142,9 +161,6 @@
 			f.end()
 			links.drain()
 		}()
-		for i := range rows {
-			f.store.put(rowKey(i), randomValue(rowBytes))
-		}
 		time.Sleep(limit)
 		late := 0
 		for name, table := range f.tables {
@@ -158,3 +174,37 @@
 		}
 	})
 }
+
+func TestAPartIsAskedForAgainBeforeItsAnswerArrives(t *testing.T) {
+	const size, rows, rowBytes, linkBytes = 200, 4000, 130, 40_000
+	synctest.Test(t, func(t *testing.T) {
+		links := &slowLinks{perSecond: 1 << 30}
+		f := startFleet(size, rows, withRandomValues(rows, rowBytes), func(h *Hub) { h.Transport = slowTransport{h.Transport.(nodeTransport), links} })
+		defer func() {
+			f.end()
+			links.drain()
+		}()
+		f.waitSettled(t)
+		leaf := f.leaves()[0]
+		i := 0
+		for f.value(leaf, rowKey(i)) != "" {
+			i++
+		}
+		links.set(linkBytes)
+		f.net.resetCounts()
+		for range 20 {
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			_ = leaf.hub.Cover(ctx, "t", rowKey(i)) // its answer takes longer
+			cancel()
+			time.Sleep(50 * time.Millisecond)
+		}
+		if f.value(leaf, rowKey(i)) == "" {
+			t.Error("the part did not come")
+		}
+		f.net.mu.Lock()
+		defer f.net.mu.Unlock()
+		if part := rows * (rowBytes + messageOverhead) / PartCount; f.net.received[leaf.hub.Self.Name] > 3*part {
+			t.Errorf("the node was sent %d bytes, a part has some %d", f.net.received[leaf.hub.Self.Name], part)
+		}
+	})
+}
