relay: the standing of a request is checked again right before it is sent

Cause: a request was permitted to run, and then waited for a slot or a place at a limited server, for the holder's answer on its retry, and for a connection. What the node learned of it meanwhile was not looked at: it ran without a trial, even in quarantine, and counted for the round in which it was permitted.

Evidence: TestRequestIsSentAlthoughServersWereFoundToHaveEndedUnderItMeanwhile, red before: the request reaches a server while suspected and while in quarantine.

The check before the first byte asks for the standing again, and sets the round as of now. A request that is no longer permitted goes back to where it asks for a trial, or is refused.

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -150,6 +150,8 @@
 		return errStalePlace
 	case !c.slot.covers(c.relay.Time.Now(), m):
 		return errNoSlot
+	case !c.stillPermitted(m):
+		return errNotPermitted
 	case !m.AdmitAfterBackOff(c.relay.Time.Now()): // checked last since it counts the request
 		return errBackoff
 	}
@@ -273,7 +275,7 @@
 		c.giveUp(ctx)
 		return false
 	case notRun:
-		if errors.Is(err, errStalePlace) || errors.Is(err, errNoSlot) || errors.Is(err, errBackoff) {
+		if errors.Is(err, errStalePlace) || errors.Is(err, errNoSlot) || errors.Is(err, errNotPermitted) || errors.Is(err, errBackoff) {
 			return true
 		}
 		c.recordRejection(now, m, err)
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -69,6 +69,9 @@
 		case a := <-results:
 			requestPending, answered = false, true
 			c.record.loadError = a.err
+			if c.need.Model == "" {
+				break // see evaluateWithoutModel
+			}
 			if f, refused := c.evaluateStatus(a.status, backoff); refused {
 				timer.Stop()
 				c.refuse(f)
@@ -171,9 +174,6 @@
 // evaluateStatus records the status of a load request. It refuses a request that can't be served
 // before its caller leaves.
 func (c *call) evaluateStatus(status LoadStatus, backoff *backend.ExpectedReturn) (refusal, bool) {
-	if c.need.Model == "" {
-		return refusal{}, false // see evaluateWithoutModel
-	}
 	c.record.readyIn, c.record.statusAge = status.ReadyIn, status.Age
 	if backoff != nil && (status.Server == "" || status.Server == backoff.Server) {
 		next := c.decideDuringBackoff(backoff, status.ReadyIn)
--- a/pkg/relay/quarantine.go
+++ b/pkg/relay/quarantine.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/quarantine"
 )
@@ -61,11 +63,34 @@
 		return mayRunNow
 	}
 	p := c.checkStanding(ctx, q, m)
-	c.round = q.NextRound(c.fingerprint) // counts the evidence that came with the trial
-	c.suspectedRounds, c.serverSuspected = q.SuspectedRounds(c.fingerprint, m.ID)
+	c.setRound(q, m) // counts the evidence that came with the trial
 	return p
 }
 
+// setRound sets the round of a run that begins at a server now.
+func (c *call) setRound(q Quarantine, m *backend.Member) {
+	c.round = q.NextRound(c.fingerprint)
+	c.suspectedRounds, c.serverSuspected = q.SuspectedRounds(c.fingerprint, m.ID)
+}
+
+// errNotPermitted keeps a request from a server: servers were found to have ended under it since it was permitted.
+var errNotPermitted = errors.New("relay: the request may no longer run without a trial")
+
+// stillPermitted reports whether the request may still go to a server. It may have waited for a slot, a retry or a
+// connection since permit. The run belongs to the round as of now.
+func (c *call) stillPermitted(m *backend.Member) bool {
+	q := c.relay.Quarantine
+	if q == nil {
+		return true
+	}
+	switch standing := q.Standing(c.fingerprint); {
+	case standing == quarantine.Quarantined, standing == quarantine.Suspected && c.trial == nil:
+		return false
+	}
+	c.setRound(q, m)
+	return true
+}
+
 // checkStanding decides by the standing of the request. A suspected request waits for a trial: of
 // the requests that ran together when servers crashed only one is to blame, and running them
 // separately shows which.
--- a/pkg/relay/quarantine_test.go
+++ b/pkg/relay/quarantine_test.go
@@ -464,3 +464,39 @@
 		})
 	}
 }
+
+// crashesMeanwhile is a quarantine that learns of crashes right after a request was permitted.
+type crashesMeanwhile struct {
+	*localQuarantine
+	servers []string
+	once    sync.Once
+}
+
+// SuspectedRounds implements Quarantine.
+func (c *crashesMeanwhile) SuspectedRounds(f quarantine.Fingerprint, server string) (rounds int, again bool) {
+	defer c.once.Do(func() {
+		for i, gone := range c.servers {
+			c.ServerCrashed(quarantine.Run{Request: f, Service: "s", Server: gone, Round: i + 1})
+		}
+	})
+	return c.localQuarantine.SuspectedRounds(f, server)
+}
+
+func TestRequestIsSentAlthoughServersWereFoundToHaveEndedUnderItMeanwhile(t *testing.T) {
+	for name, servers := range map[string][]string{
+		"it is suspected":   {"gone-1", "gone-2"},
+		"it is quarantined": {"gone-1", "gone-2", "gone-3"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, q := newCrashingSite(t, 2, sealed(http.StatusOK, "ok"))
+			q.noCoordinator = true
+			s.relay.Quarantine = &crashesMeanwhile{localQuarantine: q, servers: servers}
+			if got := s.post("id", "any"); got.status != http.StatusServiceUnavailable {
+				t.Errorf("the request got %+v", got)
+			}
+			if n := len(s.arrivals()); n != 0 {
+				t.Errorf("the request reached %d servers", n)
+			}
+		})
+	}
+}
