control: a new owner learns how long models were idle

Cause: a new owner took each inherited replica for used as its term began, so that the time after which it is unloaded began anew with each owner.

Evidence: TestNewOwnerForgetsHowLongAReplicaWasIdle and TestNewOwnerIsNotToldHow- LongModelsWereIdle, which the code before has no means to pass.

Nodes tell a new owner how long ago the last request for a model came, beside the requests that wait. Three seconds into its term, in which all can have reported, the owner goes by that for replicas that were not used since. Builds of before tell nothing, and the owner then waits as before.

--- a/pkg/api/types.go
+++ b/pkg/api/types.go
@@ -162,7 +162,8 @@
 	HighestPriority  int       // highest priority of the waiting requests; larger is more urgent
 	EarliestDeadline time.Time // earliest deadline of the waiting requests; zero if none
 	LastArrival      time.Time
-	RequestID        string // ID of one of the waiting requests, for logs
+	Idle             time.Duration // since the last arrival, in a report to a new owner without arrivals; zero: unknown
+	RequestID        string        // ID of one of the waiting requests, for logs
 }
 
 // DemandReport is sent by a node to the owner of a cell: immediately when a model
--- a/pkg/control/cell/decide.go
+++ b/pkg/control/cell/decide.go
@@ -146,9 +146,10 @@
 		}
 	}
 	for _, r := range replicas {
+		lastUse, since := o.lastUseOf(now, r)
 		shown := policy.Replica{
-			Server: r.intent.Server, State: r.state(), Since: r.since,
-			LastUse: r.lastUse, ReadyBy: r.readyBy, Prewarmed: r.prewarmed,
+			Server: r.intent.Server, State: r.state(), Since: since,
+			LastUse: lastUse, ReadyBy: r.readyBy, Prewarmed: r.prewarmed,
 		}
 		if shown.State == api.ReplicaReady {
 			shown.InFlight = (result.Demand.InFlight + ready - 1) / ready
--- a/pkg/control/cell/demand.go
+++ b/pkg/control/cell/demand.go
@@ -13,8 +13,9 @@
 
 // demand is the demand that the nodes reported for one model.
 type demand struct {
-	reports map[api.NodeID]*report
-	history *policy.History
+	reports     map[api.NodeID]*report
+	history     *policy.History
+	lastArrival time.Time // before this owner's term, as nodes reported it; zero: unknown
 }
 
 // report is the last demand report of one node.
@@ -56,12 +57,29 @@
 	}
 	d.reports[node.ID] = next
 	if seen.Arrivals == 0 && seen.InFlight == 0 {
+		if last := now.Add(-seen.Idle); seen.Idle > 0 && last.After(d.lastArrival) {
+			d.lastArrival = last
+		}
 		return
 	}
 	for _, r := range o.replicasOf(seen.Model) {
 		r.lastUse = now
-		r.prewarmed = false
+		r.prewarmed, r.useUnknown = false, false
+	}
+}
+
+// inheritedUseGrace is how long a new owner takes inherited replicas for used as its term began. In this time the nodes
+// report when they last used them.
+const inheritedUseGrace = 3 * time.Second
+
+// lastUseOf returns when a replica was last used, and when its phase began. Otherwise an idle replica of a cell whose
+// owner changes often would never be unloaded.
+func (o *Owner) lastUseOf(now time.Time, r *replica) (lastUse, since time.Time) {
+	d := o.demand[r.intent.Model]
+	if !r.useUnknown || d == nil || d.lastArrival.IsZero() || now.Sub(o.began) < inheritedUseGrace {
+		return r.lastUse, r.since
 	}
+	return d.lastArrival, d.lastArrival
 }
 
 // summary sums up the reports on a model that have not expired. LastArrival
--- a/pkg/control/cell/owner.go
+++ b/pkg/control/cell/owner.go
@@ -16,6 +16,7 @@
 type Owner struct {
 	config Config
 	start  Start
+	began  time.Time // when the term began
 
 	models        map[api.ModelName]tree.Model
 	modelOrder    []api.ModelName // sorted
@@ -60,6 +61,7 @@
 	o := &Owner{
 		config:        config,
 		start:         start,
+		began:         now,
 		models:        make(map[api.ModelName]tree.Model),
 		servers:       make(map[api.ServerID]*server),
 		replicas:      make(replicaSet),
@@ -105,7 +107,7 @@
 		}
 	}
 	for _, intent := range o.start.Data.Intents {
-		r := &replica{intent: intent, committed: true, phase: phaseInherited, since: now, lastUse: now}
+		r := &replica{intent: intent, committed: true, phase: phaseInherited, since: now, lastUse: now, useUnknown: true}
 		r.wasReady = wasReady[r.key()]
 		o.addReplica(r)
 	}
--- a/pkg/control/cell/owner_test.go
+++ b/pkg/control/cell/owner_test.go
@@ -275,3 +275,47 @@
 		t.Errorf("estimate = %+v (sent: %t), want accepted", got, sent)
 	}
 }
+
+func TestNewOwnerForgetsHowLongAReplicaWasIdle(t *testing.T) {
+	const idle = time.Minute
+	for name, c := range map[string]struct {
+		report api.ModelDemand
+		known  bool
+	}{
+		"a node tells":           {api.ModelDemand{Model: "a", Idle: idle}, true},
+		"no node used it":        {api.ModelDemand{Model: "a"}, false},
+		"a request is under way": {api.ModelDemand{Model: "a", Idle: idle, InFlight: 1}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestSite(t, quorum.Server{ID: "s"})
+			began := s.now
+			s.owner = New(began, s.owner.config, Start{Term: 6, Data: quorum.Data{
+				Servers: []quorum.Server{{ID: "s", Address: "a", Instance: "i"}},
+				Intents: []quorum.Intent{{Server: "s", Model: "a", Bytes: 10, Instance: "i", OrderID: "c/5/1"}},
+			}})
+			s.items["s"]["a"] = engine.Item{Model: "a", State: engine.ItemReady, MemoryBytes: 10, OrderID: "c/5/1"}
+			s.owner.Configure(1, []tree.Model{model("a", "", 10)})
+			s.owner.Reported(began, api.NodeRef{ID: "n"}, []api.ModelDemand{c.report})
+			s.run(time.Second)
+			if last := s.lastUse(t, "a"); last.Before(began) {
+				t.Errorf("a new owner takes it for unused since %v, before all nodes can have reported", began.Sub(last))
+			}
+			s.run(inheritedUseGrace + time.Second)
+			if last := s.lastUse(t, "a"); c.known != last.Equal(began.Add(-idle)) {
+				t.Errorf("last used %v before the term", began.Sub(last))
+			}
+		})
+	}
+}
+
+// lastUse returns when the only replica of a model was last used, as the policy was told.
+func (s *testSite) lastUse(t *testing.T, name api.ModelName) time.Time {
+	t.Helper()
+	for _, m := range s.input.Models {
+		if m.Name == name && len(m.Replicas) == 1 {
+			return m.Replicas[0].LastUse
+		}
+	}
+	t.Fatalf("%s has no single replica", name)
+	return time.Time{}
+}
--- a/pkg/control/cell/replica.go
+++ b/pkg/control/cell/replica.go
@@ -42,9 +42,10 @@
 	lastUse   time.Time
 	// prewarmed means that it was loaded without waiting requests and not used
 	// since.
-	prewarmed bool
-	retryAt   time.Time // when the unload is repeated
-	reason    string    // why it was loaded or drained
+	prewarmed  bool
+	useUnknown bool      // inherited, and not used since
+	retryAt    time.Time // when the unload is repeated
+	reason     string    // why it was loaded or drained
 }
 
 func (r *replica) key() replicaKey {
--- a/pkg/control/cell/site_test.go
+++ b/pkg/control/cell/site_test.go
@@ -22,6 +22,7 @@
 	now      time.Time
 	owner    *Owner
 	proposed []policy.Action // actions for the next decision
+	input    policy.Input    // of the last decision
 	items    map[api.ServerID]map[api.ModelName]engine.Item
 	fences   map[api.ServerID]api.Fence
 	orders   []engine.Order
@@ -36,7 +37,8 @@
 
 func (s *testSite) Name() string { return "" }
 
-func (s *testSite) Decide(time.Time, policy.Input) []policy.Action {
+func (s *testSite) Decide(_ time.Time, input policy.Input) []policy.Action {
+	s.input = input
 	actions := s.proposed
 	s.proposed = nil
 	return actions
--- a/pkg/control/demand.go
+++ b/pkg/control/demand.go
@@ -26,6 +26,17 @@
 	at     time.Time
 }
 
+// repeated returns the report of the demand to a new owner. Requests that waited long ago don't wait any more.
+func (s sentDemand) repeated(now time.Time, waits bool) api.ModelDemand {
+	if !waits {
+		return api.ModelDemand{Model: s.demand.Model, InFlight: s.demand.InFlight, LastArrival: s.demand.LastArrival,
+			Idle: max(now.Sub(s.demand.LastArrival), 1)}
+	}
+	repeated := s.demand
+	repeated.Arrivals = 0
+	return repeated
+}
+
 func newDemandBuffer() demandBuffer {
 	return demandBuffer{
 		pending: make(map[api.ModelName]api.ModelDemand),
@@ -124,7 +135,8 @@
 }
 
 // repeatDemand reports the requests that wait on this node to a new owner,
-// including those already reported to the previous owner.
+// including those already reported to the previous owner. For other models it
+// reports how long ago the last request came.
 func (m *Machine) repeatDemand(c *cellControl) {
 	var waiting []api.ModelName
 	for _, model := range c.models {
@@ -135,13 +147,13 @@
 	}
 	for _, model := range slices.Sorted(maps.Keys(m.demand.sent)) {
 		last := m.demand.sent[model]
-		if m.modelCell[model] != c.name || last.demand.Waiting == 0 || m.now.Sub(last.at) >= demandRetention {
+		waits := last.demand.Waiting > 0 && m.now.Sub(last.at) < demandRetention
+		_, pending := m.demand.pending[model]
+		if m.modelCell[model] != c.name || !waits && (pending || last.demand.LastArrival.IsZero()) {
 			continue
 		}
-		if _, pending := m.demand.pending[model]; !pending {
-			repeated := last.demand
-			repeated.Arrivals = 0
-			m.demand.pending[model] = repeated
+		if !pending {
+			m.demand.pending[model] = last.repeated(m.now, waits)
 		}
 		waiting = append(waiting, model)
 	}
--- a/pkg/control/machine_test.go
+++ b/pkg/control/machine_test.go
@@ -259,3 +259,24 @@
 	runtime.ReadMemStats(&stats)
 	return stats.HeapAlloc
 }
+
+func TestNewOwnerIsNotToldHowLongModelsWereIdle(t *testing.T) {
+	const idle = 10 * time.Second
+	s := newHarness(1, 2)
+	owner := api.NodeRef{ID: "owner", Incarnation: 1, Region: "r"}
+	used := api.ModelDemand{Model: "m0000", Arrivals: 1, Waiting: 1, LastArrival: s.now}
+	s.machine.demand.sent["m0000"] = sentDemand{demand: used, at: s.now}
+	s.now = s.now.Add(idle)
+	view := api.CellView{Cell: "assistant@r", Term: quorum.MakeTerm(9, 1), Version: 1, Leader: owner, Members: []api.NodeRef{owner}}
+	for _, effect := range s.machine.Step(s.now, PeerReceived{From: owner, Message: ViewPush{View: view}}) {
+		if send, is := effect.(SendPeer); is {
+			if report, is := send.Message.(api.DemandReport); is {
+				if len(report.Models) != 1 || report.Models[0].Idle != idle || report.Models[0].Waiting != 0 || report.Models[0].Arrivals != 0 {
+					t.Errorf("reported %+v", report.Models)
+				}
+				return
+			}
+		}
+	}
+	t.Error("nothing was reported")
+}
