relay: an end counts although another node still connects to the server

Cause: after a broken connection a node that is refused asks other nodes for the server. One of them connected, behind whose link something accepts connections in the server's place. The node took its own link for broken, and the break counted for nothing, even as the server's record showed its end.

The node waits for the server's record, which a server to which only the way is broken keeps, and the rounds of the same request's next runs count the break as one in doubt.

--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -77,6 +77,7 @@
 	runs            int  // servers that may have run it
 	round           int  // round of the next run: one more than the known rounds of crashes
 	suspectedRounds int  // further rounds of runs that may have crashed their servers
+	unprovenRound   int  // round, with those in doubt, of the last attempt that broke although another node reached the server
 	serverSuspected bool // an earlier run may have crashed the chosen server, see quarantine.Run.Again
 	headSent        bool
 	pinned          bool          // the stream has events: only servers of one software version may continue it
--- a/pkg/relay/quarantine.go
+++ b/pkg/relay/quarantine.go
@@ -71,6 +71,7 @@
 func (c *call) setRound(q Quarantine, m *backend.Member) {
 	c.round = q.NextRound(c.fingerprint)
 	c.suspectedRounds, c.serverSuspected = q.SuspectedRounds(c.fingerprint, m.ID)
+	c.suspectedRounds = max(c.suspectedRounds, c.unprovenRound-(c.round-1))
 }
 
 // errNotPermitted keeps a request from a server: servers were found to have ended under it since it was permitted.
@@ -185,7 +186,9 @@
 	switch m.Probe(ctx) {
 	case backend.ProbeEnded:
 		c.recordCrash(m)
-	case backend.ProbeLinkBroken: // this node's link explains the break
+	case backend.ProbeLinkBroken: // this node's link explains the break, unless the server's record shows its end
+		c.watchForCrash(m)
+		c.unprovenRound = c.round + c.suspectedRounds
 	default:
 		c.relay.streams.connectionBroke(m.ID, c.relay.Time.Now())
 		c.recordSuspicion(ctx, m)
--- a/pkg/relay/quarantine_test.go
+++ b/pkg/relay/quarantine_test.go
@@ -500,3 +500,30 @@
 		})
 	}
 }
+
+func TestEndOfAServerThatAnotherNodeConnectsToIsForgotten(t *testing.T) {
+	s := newProxiedSite(t, 3)
+	var dials sync.Map
+	directory := &backend.Directory{Dialer: func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		if _, again := dials.LoadOrStore(address, true); err == nil && again && address == s.servers[0].Address {
+			return throughAnother{conn}, nil // something accepts connections in place of the server
+		}
+		return conn, err
+	}}
+	directory.Replace(s.servers, 1)
+	s.relay.Servers = directory
+	if got := s.post("id", crashingBody); got.status != http.StatusBadGateway || len(s.arrivals()) != 3 {
+		t.Fatalf("the request got %+v after %d servers", got, len(s.arrivals()))
+	}
+	directory.Replace(nil, 2)
+	f := quarantine.FingerprintOf(http.MethodPost, "site.example", "/p/x", []byte(crashingBody))
+	deadline := time.Now().Add(2 * time.Second)
+	for s.relay.Quarantine.Standing(f) != quarantine.Quarantined {
+		if time.Now().After(deadline) {
+			t.Fatalf("three servers ended one after the other; it is %v by %+v", s.relay.Quarantine.Standing(f),
+				s.relay.Quarantine.(*localQuarantine).table.Evidence(time.Now(), f, "s").Ends)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
