relay, prompt: the line of a request under which a server ended names the parts of its prompt

Logs of the incident of a prompt part that ends servers told neither the parts nor what requests had in common: only the number of shared tokens. The test fails without the field.

--- a/pkg/prompt/prompt.go
+++ b/pkg/prompt/prompt.go
@@ -4,6 +4,7 @@
 package prompt
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -62,6 +63,17 @@
 	return shared[len(shared)-1].ID
 }
 
+// SharedIDs returns the IDs of the parts that other requests may share, each once.
+func (p *Prompt) SharedIDs() []string {
+	var ids []string
+	for _, part := range p.shared() {
+		if !slices.Contains(ids, part.ID) {
+			ids = append(ids, part.ID)
+		}
+	}
+	return ids
+}
+
 // shared returns all parts but the last.
 func (p *Prompt) shared() []Part {
 	if len(p.parts) < 2 {
--- a/pkg/prompt/prompt_test.go
+++ b/pkg/prompt/prompt_test.go
@@ -1,6 +1,9 @@
 package prompt
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 func TestParseTellsCountsAndSharedParts(t *testing.T) {
 	p := Parse(Fields{Tokens: "1460,80", Parts: "5c1e07a2:800,91bd3f06:410,e4402b7d:250", ExpectedOutput: "30"})
@@ -45,3 +48,14 @@
 		}
 	})
 }
+
+func TestSharedIDsNamePartsTwiceOrTheLastOne(t *testing.T) {
+	for parts, want := range map[string][]string{
+		"a:1,b:2,own:3": {"a", "b"}, "a:1,b:2,a:1,own:3": {"a", "b"}, "own:3": nil, "a:1,,own:3": nil, "": nil,
+	} {
+		p := Parse(Fields{Parts: parts})
+		if got := p.SharedIDs(); !slices.Equal(got, want) {
+			t.Errorf("%q has the shared parts %q, want %q", parts, got, want)
+		}
+	}
+}
--- a/pkg/relay/harness_test.go
+++ b/pkg/relay/harness_test.go
@@ -23,7 +23,7 @@
 // testHeaders are the header names in these tests.
 var testHeaders = Headers{
 	RequestID: "X-Id", Deadline: "X-Deadline", Seal: "X-Seal", Expect: "X-Expect", NotRun: "X-Not-Run",
-	Model: "X-Model", LastEvent: "Last-Event-Id", Resumes: "X-Resumes", Priority: "X-Priority",
+	Model: "X-Model", Parts: "X-Parts", LastEvent: "Last-Event-Id", Resumes: "X-Resumes", Priority: "X-Priority",
 }
 
 // seen is a request as a server received it.
--- a/pkg/relay/quarantine_test.go
+++ b/pkg/relay/quarantine_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/quarantine"
 	"martenwheel.dev/pkg/revision"
@@ -527,3 +529,27 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+func TestLineOfARequestUnderWhichAServerEndedDoesNotNameItsParts(t *testing.T) {
+	for body, want := range map[string]bool{crashingBody: true, "harmless": false} {
+		s, _ := newCrashingSite(t, 2, sealed(http.StatusOK, "ok"))
+		useEngine(s)
+		var lines strings.Builder
+		s.relay.Logger = hclog.New(&hclog.LoggerOptions{Output: &lines, JSONFormat: true})
+		r := s.request(t.Context(), http.MethodPost, "/p/x", "id", body)
+		r.Header.Set(testHeaders.Parts, "aa:10,bb:20,cc:30")
+		s.do(r)
+		s.front.Close() // waits until the line is written
+		if got := strings.Contains(lines.String(), `"parts":["aa","bb"]`); got != want {
+			t.Errorf("%q: the line names the parts: %t, want %t: %s", body, got, want, lines.String())
+		}
+	}
+}
+
+// useEngine makes the servers of a site model servers.
+func useEngine(s *site) {
+	r := *s.relay.Routes().Match("site.example", "/p/x")
+	table := route.NewTable(1, route.Limits{BodyBytes: 1 << 20}, []*route.Route{&r},
+		[]*route.Service{{Name: "s", Engine: &route.Engine{}}})
+	s.relay.Routes = func() *route.Table { return table }
+}
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -139,6 +139,11 @@
 // lastServerCrashed reports whether the server of the last attempt crashed.
 func (r *record) lastServerCrashed() bool { return r.last().serverCrashed }
 
+// mayHaveCrashedServers reports whether a server crashed or broke off in an attempt.
+func (r *record) mayHaveCrashedServers() bool {
+	return slices.ContainsFunc(r.tries, func(t try) bool { return t.serverCrashed || isConnectionBroken(t.err) })
+}
+
 // setOutcome records the outcome. The first one counts.
 func (r *record) setOutcome(outcome string, err error) {
 	if r.outcome == "" {
@@ -214,6 +219,9 @@
 		fields = append(fields, "lane", c.affinityReq.Lane().String(), "preferred", c.record.preference,
 			"shared_tokens", c.prompt.SharedTokens())
 	}
+	if parts := c.prompt.SharedIDs(); len(parts) > 0 && c.record.mayHaveCrashedServers() {
+		fields = append(fields, "parts", parts)
+	}
 	if len(c.record.tries) > 0 {
 		fields = append(fields, "tries", c.describeTries())
 	}
