--- a/pkg/coordinator/explore_harmless_test.go
+++ b/pkg/coordinator/explore_harmless_test.go
@@ -70,7 +70,7 @@
 		if h.run(n, server) {
 			n.member.Completed(h.fingerprint)
 			if standing == quarantine.Suspected {
-				n.member.ReleaseTrial(h.fingerprint, run.Server)
+				n.member.ReleaseTrial(run.Server, h.fingerprint)
 			}
 			return
 		}
@@ -103,7 +103,7 @@
 			return standing, false
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		granted, _ := n.member.RequestTrial(ctx, h.fingerprint, "s", n.listedIncarnation(server))
+		granted, _ := n.member.RequestTrial(ctx, "s", n.listedIncarnation(server), h.fingerprint)
 		cancel()
 		if granted {
 			h.crashing.sim.logEvent("%s got a trial of the harmless request at %s", n.name, server)
@@ -138,7 +138,7 @@
 	}
 	n.member.ServerCrashed(r)
 	if standing == quarantine.Suspected {
-		n.member.ReleaseTrial(r.Request, r.Server)
+		n.member.ReleaseTrial(r.Server, r.Request)
 	}
 }
 
--- a/pkg/coordinator/explore_quarantine_test.go
+++ b/pkg/coordinator/explore_quarantine_test.go
@@ -154,7 +154,7 @@
 		}
 		if standing == quarantine.Suspected {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			granted, _ := n.member.RequestTrial(ctx, r.fingerprint, "s", n.listedIncarnation(server))
+			granted, _ := n.member.RequestTrial(ctx, "s", n.listedIncarnation(server), r.fingerprint)
 			cancel()
 			if !granted || !n.waitUntilRunning() {
 				return
@@ -183,7 +183,7 @@
 		}
 		n.member.ServerCrashed(run)
 		if standing == quarantine.Suspected {
-			n.member.ReleaseTrial(r.fingerprint, run.Server)
+			n.member.ReleaseTrial(run.Server, r.fingerprint)
 		}
 	}
 }
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -71,6 +71,7 @@
 	deputyLedger         quota.Ledger // what this node admits as the deputy while no holder answers
 	pendingEvidence      evidenceQueue
 	isolated             isolatedRuns
+	runningTrials        runningTrials
 	suspicions           suspicionLimit // limits the suspicions that this node sends
 	places               memberPlaces
 	slotBackoffs         slotBackoffs
@@ -343,7 +344,7 @@
 		m.applyEvidence(n.Evidence)
 		return nil, nil
 	case DoubtNews:
-		m.applyEvidence([]quarantine.Evidence{n.Evidence})
+		m.applyEvidence(DoubtNotice(n).list())
 		return DoubtTaken{}, nil
 	case DeputyDraw:
 		return m.drawAsDeputy(ctx, n)
--- a/pkg/coordinator/quarantine.go
+++ b/pkg/coordinator/quarantine.go
@@ -10,7 +10,8 @@
 	"martenwheel.dev/pkg/quarantine"
 )
 
-// EvidenceNotice tells all nodes of requests under which servers crashed, or which have since run to their end.
+// EvidenceNotice tells all nodes of requests and parts of prompts under which servers crashed, or which have since run
+// to their end.
 type EvidenceNotice struct {
 	Evidence []quarantine.Evidence
 }
@@ -18,7 +19,9 @@
 // TakeTurn asks the holder for a trial: permission to run a suspected request alone at a server.
 type TakeTurn struct {
 	Evidence quarantine.Evidence
-	Server   string // where it would run
+	Parts    []quarantine.Evidence    // on parts of its prompt
+	Subjects []quarantine.Fingerprint // all of the request; nil: the request alone
+	Server   string                   // where it would run
 	// Keep extends the request's trial: its server crashed, and reports of other nodes may still show another cause.
 	Keep bool
 }
@@ -27,18 +30,20 @@
 type TurnAnswer struct {
 	Term    uint64 // zero: not the holder
 	Granted bool
+	Running bool                  // not granted because one of the subjects has a trial elsewhere
 	Known   []quarantine.Evidence // evidence that the asking node lacks
 }
 
 // ReleaseTurn tells the holder that a trial is over.
 type ReleaseTurn struct {
 	Server  string
-	Request quarantine.Fingerprint
+	Request quarantine.Fingerprint // a subject of the request
 	// Evidence is what the node knows of the request: notices of the trial's outcome arrive later.
 	Evidence quarantine.Evidence
+	Parts    []quarantine.Evidence // on parts of its prompt
 }
 
-// KnownEvidence is exchanged by a node and the holder with each heartbeat. It covers requests that are suspected or
+// KnownEvidence is exchanged by a node and the holder with each heartbeat. It covers subjects that are suspected or
 // in quarantine, and replaces notices that the node lost or that were sent before it started.
 type KnownEvidence struct {
 	Sum   uint64                // checksum of all evidence, see quarantine.Sum
@@ -73,8 +78,8 @@
 }
 
 // Standing implements relay.Quarantine.
-func (m *Member) Standing(f quarantine.Fingerprint) quarantine.Standing {
-	return m.Quarantine.Standing(m.Time.Now(), f)
+func (m *Member) Standing(subjects ...quarantine.Fingerprint) quarantine.Standing {
+	return m.Quarantine.Standing(m.Time.Now(), subjects...)
 }
 
 // NextRound implements relay.Quarantine.
@@ -161,43 +166,77 @@
 }
 
 // ServerCrashed implements relay.Quarantine.
-func (m *Member) ServerCrashed(r quarantine.Run) {
-	if !r.Decisive() {
-		m.reportCrash(r)
-		return
+func (m *Member) ServerCrashed(runs ...quarantine.Run) {
+	decisive := slices.DeleteFunc(slices.Clone(runs), func(r quarantine.Run) bool { return !r.Decisive() })
+	for _, r := range runs {
+		if !r.Decisive() {
+			m.reportCrash(r)
+		}
 	}
-	run := isolatedRun{r.Request, r.TrialServer()}
-	if !m.isolated.begin(run) {
+	if len(decisive) == 0 || !m.isolated.begin(isolatedRun{decisive[0].Request, decisive[0].TrialServer()}) {
 		return
 	}
+	m.reportIsolated(decisive)
+}
+
+// reportIsolated reports the crash of an isolated run's server once other nodes can have reported another cause.
+func (m *Member) reportIsolated(runs []quarantine.Run) {
+	first := runs[0]
 	wait := clearanceWait
-	if r.ByRecord || m.isJoining(m.Time.Now()) {
+	if first.ByRecord || m.isJoining(m.Time.Now()) {
 		wait = clearanceWaitByRecord
-		go m.keepTrial(r)
+		go m.keepTrial(runs)
 	}
 	time.AfterFunc(wait, func() {
-		m.reportCrash(r)
-		m.isolated.end(run)
-		m.ReleaseTrial(r.Request, r.TrialServer())
+		for _, r := range runs {
+			m.reportCrash(r)
+		}
+		m.isolated.end(isolatedRun{first.Request, first.TrialServer()})
+		m.ReleaseTrial(first.TrialServer(), subjectsOf(runs)...)
 	})
 }
 
+// subjectsOf returns the subjects of the runs.
+func subjectsOf(runs []quarantine.Run) []quarantine.Fingerprint {
+	list := make([]quarantine.Fingerprint, len(runs))
+	for i, r := range runs {
+		list[i] = r.Request
+	}
+	return list
+}
+
 // keepTrial extends the trial of a run whose server crashed until its evidence is sent.
-func (m *Member) keepTrial(r quarantine.Run) {
-	evidence := m.Quarantine.Evidence(m.Time.Now(), r.Request, r.Service)
-	if _, err := callHolder[TurnAnswer](context.Background(), m, TakeTurn{Evidence: evidence, Server: r.TrialServer(), Keep: true}); err != nil {
-		m.Logger.Warn("trial not extended", "fingerprint", r.Request.String(), "server", r.Server, "error", err)
+func (m *Member) keepTrial(runs []quarantine.Run) {
+	first := runs[0]
+	ask := m.trialRequest(first.Service, first.TrialServer(), subjectsOf(runs))
+	ask.Keep = true
+	if _, err := callHolder[TurnAnswer](context.Background(), m, ask); err != nil {
+		m.Logger.Warn("trial not extended", "fingerprint", first.Request.String(), "server", first.Server, "error", err)
 	}
 }
 
-// reportCrash merges the evidence of a run whose server crashed and announces it.
+// reportCrash merges the evidence of a run whose server crashed and announces it. A part that was answered here lately
+// is not blamed.
 func (m *Member) reportCrash(r quarantine.Run) {
-	change := m.Quarantine.Merge(m.Time.Now(), r.CrashEvidence())
-	m.Logger.Info("server ended under request", "fingerprint", r.Request.String(), "request_id", r.RequestID, "service", r.Service,
-		"server", r.Server, "round", r.Round, "rounds_in_doubt", r.Doubts, "ended_under_it", change.Servers(), "standing", change.Now.String())
+	now := m.Time.Now()
+	if r.Part != "" && m.Quarantine.Cleared(now, r.Request) {
+		return
+	}
+	change := m.Quarantine.Merge(now, r.CrashEvidence())
+	m.Logger.Info("server ended under "+subjectKind(r.Part), "fingerprint", r.Request.String(), "part", r.Part, "request_id", r.RequestID,
+		"service", r.Service, "server", r.Server, "round", r.Round, "rounds_in_doubt", r.Doubts, "ended_under_it", change.Servers(),
+		"standing", change.Now.String())
 	m.announceEvidence(change)
 }
 
+// subjectKind names a subject in logs, given its ID if it is a part of prompts.
+func subjectKind(part string) string {
+	if part != "" {
+		return "part of prompts"
+	}
+	return "request"
+}
+
 // Completed implements relay.Quarantine.
 func (m *Member) Completed(f quarantine.Fingerprint) {
 	change := m.Quarantine.Completed(m.Time.Now(), f)
@@ -205,12 +244,19 @@
 	m.announceEvidence(change)
 }
 
+// PartAnswered implements relay.Quarantine.
+func (m *Member) PartAnswered(id string, f quarantine.Fingerprint) {
+	change := m.Quarantine.PartAnswered(m.Time.Now(), id, f)
+	m.logStanding(change, "a request with it was answered")
+	m.announceEvidence(change)
+}
+
 // ServerAlive implements relay.Quarantine.
 func (m *Member) ServerAlive(server string, sent time.Time) {
 	m.Quarantine.ServerAlive(m.Time.Now(), server, sent)
 }
 
-// LiftQuarantine takes a request out of quarantine on behalf of an operator. It returns whether there was evidence
+// LiftQuarantine takes a request or a part of prompts out of quarantine on behalf of an operator. It returns whether there was evidence
 // against it.
 func (m *Member) LiftQuarantine(f quarantine.Fingerprint) bool {
 	change := m.Quarantine.Clear(m.Time.Now(), f)
@@ -219,13 +265,13 @@
 	return change.New
 }
 
-// Evidence returns the evidence on requests that are suspected or in quarantine.
+// Evidence returns the evidence on requests and parts of prompts that are suspected or in quarantine.
 func (m *Member) Evidence() []quarantine.Evidence { return m.Quarantine.Restricted(m.Time.Now()) }
 
-// logStanding logs a change of a request's standing.
+// logStanding logs a change of a subject's standing.
 func (m *Member) logStanding(c quarantine.Change, reason string) {
 	if c.Before != c.Now {
-		m.Logger.Info("request "+c.Now.String(), "fingerprint", c.Request.String(), "before", c.Before.String(),
+		m.Logger.Info(subjectKind(c.Part)+" "+c.Now.String(), "fingerprint", c.Request.String(), "part", c.Part, "before", c.Before.String(),
 			"service", c.Service, "ended_under_it", c.Servers(), "reason", reason)
 	}
 }
@@ -273,16 +319,39 @@
 	for _, e := range list {
 		c := m.Quarantine.Merge(now, e)
 		m.logStanding(c, "told by another node")
-		completedHere := e.Standing() != quarantine.Free && c.Now == quarantine.Free // a completed run known here clears it: others must know
-		if held || completedHere {
+		switch {
+		case held:
 			m.announceEvidence(c)
+		case c.New && c.Accused != quarantine.Free && c.Evidence.Standing() == quarantine.Free && e.ClearedFor == 0:
+			m.tellCleared(c)
 		}
 	}
 }
 
+// tellCleared tells the other nodes that a subject that they accuse ran to its end here, or that an operator lifted its
+// quarantine. The holder passes it on: every node of a large site may know the same of a popular part of prompts.
+func (m *Member) tellCleared(c quarantine.Change) {
+	record, known := m.Lease.Current()
+	if !known || record.Address == "" || record.Address == m.Self.Peers {
+		m.announceEvidence(c)
+		return
+	}
+	m.Transport.Send(record.Address, EvidenceNotice{[]quarantine.Evidence{c.Evidence}})
+}
+
+// trialRequest returns the question for a trial of a request with the given subjects, the first of which stands for it.
+func (m *Member) trialRequest(service, server string, subjects []quarantine.Fingerprint) TakeTurn {
+	now := m.Time.Now()
+	return TakeTurn{Evidence: m.Quarantine.Evidence(now, subjects[0], service), Parts: m.Quarantine.Known(now, subjects[1:]),
+		Subjects: subjects, Server: server}
+}
+
 // RequestTrial implements relay.Quarantine.
-func (m *Member) RequestTrial(ctx context.Context, f quarantine.Fingerprint, service, server string) (bool, error) {
-	answer, err := callHolder[TurnAnswer](ctx, m, TakeTurn{Evidence: m.Quarantine.Evidence(m.Time.Now(), f, service), Server: server})
+func (m *Member) RequestTrial(ctx context.Context, service, server string, subjects ...quarantine.Fingerprint) (bool, error) {
+	if m.runningTrials.has(m.Time.Now(), subjects) {
+		return false, nil
+	}
+	answer, err := callHolder[TurnAnswer](ctx, m, m.trialRequest(service, server, subjects))
 	if err == nil && answer.Term == 0 {
 		err = ErrNoHolder
 	}
@@ -290,16 +359,27 @@
 		return false, err
 	}
 	m.applyEvidence(answer.Known)
+	if answer.Running {
+		m.runningTrials.add(m.Time.Now(), m.suspectedOf(subjects))
+	}
 	return answer.Granted, nil
 }
 
+// suspectedOf returns those subjects of a request that have a standing.
+func (m *Member) suspectedOf(subjects []quarantine.Fingerprint) []quarantine.Fingerprint {
+	return slices.DeleteFunc(slices.Clone(subjects), func(f quarantine.Fingerprint) bool { return m.Standing(f) == quarantine.Free })
+}
+
 // ReleaseTrial implements relay.Quarantine.
-func (m *Member) ReleaseTrial(f quarantine.Fingerprint, server string) {
+func (m *Member) ReleaseTrial(server string, subjects ...quarantine.Fingerprint) {
 	record, known := m.Lease.Current()
-	if !known || m.isolated.has(isolatedRun{f, server}) {
+	isolated := slices.ContainsFunc(subjects, func(f quarantine.Fingerprint) bool { return m.isolated.has(isolatedRun{f, server}) })
+	if !known || isolated {
 		return // the trial ends by itself
 	}
-	release := ReleaseTurn{Server: server, Request: f, Evidence: m.Quarantine.Evidence(m.Time.Now(), f, "")}
+	now := m.Time.Now()
+	release := ReleaseTurn{Server: server, Request: subjects[0], Evidence: m.Quarantine.Evidence(now, subjects[0], ""),
+		Parts: m.Quarantine.Known(now, subjects[1:])}
 	if record.Address == m.Self.Peers {
 		m.Holder.post(func() { m.Holder.releaseTrial(m.Time.Now(), release) })
 		return
@@ -344,27 +424,56 @@
 		return TurnAnswer{}
 	}
 	answer := TurnAnswer{Term: h.term}
-	theirs := []quarantine.Evidence{t.Evidence}
+	theirs := append([]quarantine.Evidence{t.Evidence}, t.Parts...)
 	h.mergeAndForward(now, theirs)
-	answer.Known = h.Quarantine.Differing(now, theirs)
-	if h.Quarantine.Standing(now, t.Evidence.Request) == quarantine.Quarantined {
+	answer.Known = h.lackedBy(now, theirs, t.Subjects)
+	subjects := t.Subjects
+	if subjects == nil {
+		subjects = []quarantine.Fingerprint{t.Evidence.Request}
+	}
+	if h.Quarantine.Standing(now, subjects...) == quarantine.Quarantined {
 		return answer
 	}
+	suspected := h.suspectedOf(now, subjects)
 	if t.Keep {
-		h.trials.Renew(now, t.Server, t.Evidence.Request)
+		h.trials.Renew(now, t.Server, suspected...)
 		return answer
 	}
-	answer.Granted = h.trials.Start(now, t.Server, t.Evidence.Request)
+	answer.Running = h.trials.Running(now, suspected...)
+	answer.Granted = h.trials.Start(now, t.Server, suspected...)
 	h.Logger.Info("trial of a suspected request", "fingerprint", t.Evidence.Request.String(), "service", t.Evidence.Service,
-		"server", t.Server, "granted", answer.Granted)
+		"server", t.Server, "subjects", len(suspected), "granted", answer.Granted)
 	return answer
 }
 
+// lackedBy returns what is known of a request's subjects beyond a node's evidence.
+func (h *Holder) lackedBy(now time.Time, theirs []quarantine.Evidence, subjects []quarantine.Fingerprint) []quarantine.Evidence {
+	list := h.Quarantine.Differing(now, theirs)
+	for _, e := range h.Quarantine.Known(now, subjects) {
+		if !slices.ContainsFunc(theirs, func(other quarantine.Evidence) bool { return other.Request == e.Request }) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// suspectedOf returns the request itself, which is the first subject, and those parts of its prompt that have a standing.
+func (h *Holder) suspectedOf(now time.Time, subjects []quarantine.Fingerprint) []quarantine.Fingerprint {
+	list := []quarantine.Fingerprint{subjects[0]}
+	for _, f := range subjects[1:] {
+		if h.Quarantine.Standing(now, f) != quarantine.Free {
+			list = append(list, f)
+		}
+	}
+	return list
+}
+
 // releaseTrial ends a trial. The node's evidence is merged first, so that whoever gets the next trial knows if a
 // server crashed in this one.
 func (h *Holder) releaseTrial(now time.Time, r ReleaseTurn) {
-	if len(r.Evidence.Ends) > 0 {
-		h.mergeAndForward(now, []quarantine.Evidence{r.Evidence})
+	known := slices.DeleteFunc(append([]quarantine.Evidence{r.Evidence}, r.Parts...), func(e quarantine.Evidence) bool { return len(e.Ends) == 0 })
+	if len(known) > 0 {
+		h.mergeAndForward(now, known)
 	}
 	h.trials.End(r.Server, r.Request)
 	h.Logger.Info("trial released", "fingerprint", r.Request.String(), "server", r.Server, "ended_under_it", r.Evidence.Servers(),
--- a/pkg/coordinator/quarantine_test.go
+++ b/pkg/coordinator/quarantine_test.go
@@ -65,7 +65,7 @@
 					reportCrash(other, crashing, server, 1) // all its tries belong to one round: no crash has shown yet
 				}
 				time.Sleep(200 * time.Millisecond)
-				if granted, err := one.member.RequestTrial(t.Context(), harmless, "s", "server-2"); err != nil || !granted {
+				if granted, err := one.member.RequestTrial(t.Context(), "s", "server-2", harmless); err != nil || !granted {
 					t.Fatal("the harmless request gets no trial", err)
 				}
 				time.Sleep(4 * time.Second) // the record disappears after three missed heartbeats
@@ -78,7 +78,7 @@
 						}
 					}
 					waited := time.Since(crashed)
-					if granted, _ := other.member.RequestTrial(t.Context(), harmless, "s", "server-3"); granted && waited < delay {
+					if granted, _ := other.member.RequestTrial(t.Context(), "s", "server-3", harmless); granted && waited < delay {
 						t.Fatalf("it gets another trial after %v, before the evidence on the server's crash arrived", waited)
 					}
 				}
@@ -107,7 +107,7 @@
 			n.member.ServerCrashed(quarantine.Run{Request: f, Service: "s", Server: server, Round: round, RequestID: "id"})
 		}
 		requestTrial := func(n *simNode, f quarantine.Fingerprint, server string) bool {
-			granted, err := n.member.RequestTrial(t.Context(), f, "s", server)
+			granted, err := n.member.RequestTrial(t.Context(), "s", server, f)
 			if err != nil {
 				t.Error(err)
 			}
@@ -123,7 +123,7 @@
 			t.Error("the harmless request gets no trial")
 		}
 		reportCrash(one, harmless, "server-2", one.member.NextRound(harmless))
-		one.member.ReleaseTrial(harmless, "server-2")
+		one.member.ReleaseTrial("server-2", harmless)
 		for step := range 20 {
 			time.Sleep(50 * time.Millisecond)
 			if step == 5 {
@@ -145,7 +145,7 @@
 			t.Error("the crashing request gets no trial")
 		}
 		reportCrash(other, crashing, "server-4", other.member.NextRound(crashing))
-		other.member.ReleaseTrial(crashing, "server-4")
+		other.member.ReleaseTrial("server-4", crashing)
 		time.Sleep(time.Second)
 		for _, n := range sim.nodes {
 			if got := n.member.Standing(crashing); got != quarantine.Quarantined {
@@ -205,13 +205,13 @@
 					one.member.ServerCrashed(quarantine.Run{Request: f, Service: "s", Server: fmt.Sprintf("server-%d", i), Round: i + 1, RequestID: "id"})
 				}
 				time.Sleep(200 * time.Millisecond)
-				if granted, err := one.member.RequestTrial(t.Context(), f, "s", "server-5"); !granted {
+				if granted, err := one.member.RequestTrial(t.Context(), "s", "server-5", f); !granted {
 					t.Fatalf("the request gets no trial: %v", err)
 				}
 				one.member.ServerCrashed(quarantine.Run{Request: f, Service: "s", Server: "server-5", Round: crashes + 1, RequestID: "id"})
-				one.member.ReleaseTrial(f, "server-5")
+				one.member.ReleaseTrial("server-5", f)
 				for range 2 * clearanceWait / time.Millisecond {
-					granted, err := other.member.RequestTrial(t.Context(), f, "s", "server-6")
+					granted, err := other.member.RequestTrial(t.Context(), "s", "server-6", f)
 					if err != nil {
 						t.Fatal(err)
 					}
--- a/pkg/coordinator/suspicions.go
+++ b/pkg/coordinator/suspicions.go
@@ -15,6 +15,12 @@
 // request.
 type DoubtNotice struct {
 	Evidence quarantine.Evidence
+	Others   []quarantine.Evidence // on other subjects of the same request
+}
+
+// list returns the evidence on all subjects.
+func (n DoubtNotice) list() []quarantine.Evidence {
+	return append([]quarantine.Evidence{n.Evidence}, n.Others...)
 }
 
 // DoubtAnswer tells that the holder has forwarded the suspicion.
@@ -25,6 +31,7 @@
 // DoubtNews is a suspicion that the holder forwards to the other nodes.
 type DoubtNews struct {
 	Evidence quarantine.Evidence
+	Others   []quarantine.Evidence // on other subjects of the same request
 }
 
 // DoubtTaken answers DoubtNews.
@@ -67,26 +74,41 @@
 
 // CrashSuspected implements relay.Quarantine. When it returns, the holder has forwarded the suspicion, unless it does not
 // answer in time: callers retry such a request within milliseconds, at any node.
-func (m *Member) CrashSuspected(ctx context.Context, r quarantine.Run) {
+func (m *Member) CrashSuspected(ctx context.Context, runs ...quarantine.Run) {
 	now := m.Time.Now()
-	change := m.Quarantine.Suspect(now, r)
-	m.Logger.Info("server may have crashed under request", "fingerprint", r.Request.String(), "request_id", r.RequestID,
-		"service", r.Service, "server", r.Server, "round", r.Round, "rounds_in_doubt", r.Doubts, "ended_under_it", change.Servers(),
-		"in_doubt", len(change.Doubts), "standing", change.Now.String())
-	if !change.New || len(change.Doubts) == 0 || !m.suspicions.take(now) {
+	var suspicions []quarantine.Evidence
+	for _, r := range runs {
+		if e, suspected := m.suspect(now, r); suspected {
+			suspicions = append(suspicions, e)
+		}
+	}
+	if len(suspicions) == 0 || !m.suspicions.take(now) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, suspicionTimeout)
 	defer cancel()
-	answer, err := callHolder[DoubtAnswer](ctx, m, DoubtNotice{change.Evidence})
+	answer, err := callHolder[DoubtAnswer](ctx, m, DoubtNotice{suspicions[0], suspicions[1:]})
 	if err == nil && answer.Term == 0 {
 		err = ErrNoHolder
 	}
 	if err != nil {
-		m.Logger.Warn("suspicion not sent to the lease holder", "fingerprint", r.Request.String(), "server", r.Server, "error", err)
+		m.Logger.Warn("suspicion not sent to the lease holder", "fingerprint", suspicions[0].Request.String(), "server", runs[0].Server, "error", err)
 	}
 }
 
+// suspect records that a server may have crashed under a run. It returns the evidence, and whether it is new and not
+// cleared.
+func (m *Member) suspect(now time.Time, r quarantine.Run) (quarantine.Evidence, bool) {
+	if r.Part != "" && m.Quarantine.Cleared(now, r.Request) {
+		return quarantine.Evidence{}, false
+	}
+	change := m.Quarantine.Suspect(now, r)
+	m.Logger.Info("server may have crashed under "+subjectKind(r.Part), "fingerprint", r.Request.String(), "part", r.Part, "request_id", r.RequestID,
+		"service", r.Service, "server", r.Server, "round", r.Round, "rounds_in_doubt", r.Doubts, "ended_under_it", change.Servers(),
+		"in_doubt", len(change.Doubts), "standing", change.Now.String())
+	return change.Evidence, change.New && len(change.Doubts) > 0
+}
+
 // answerSuspicion handles a node's suspicion and answers once the other nodes know it: a caller that retries the
 // request right afterwards at one of them must not be able to run it there without restriction.
 func (h *Holder) answerSuspicion(ctx context.Context, n DoubtNotice) (DoubtAnswer, error) {
@@ -120,7 +142,9 @@
 		return acceptedSuspicion{}
 	}
 	accepted := acceptedSuspicion{term: h.term}
-	h.Quarantine.Merge(now, n.Evidence)
+	for _, e := range n.list() {
+		h.Quarantine.Merge(now, e)
+	}
 	if h.suspicions.take(now) {
 		accepted.others = h.otherNodes()
 	}
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Standing says whether and how a request may run.
@@ -62,9 +63,11 @@
 // maxRound returns the round if all earlier suspicions were crashes.
 func (e End) maxRound() int { return e.Round + e.Doubts }
 
-// Run is one run of a request on a server, as of its beginning.
+// Run is one run of a request on a server, as of its beginning, as far as it concerns one subject of
+// evidence: the request or a part of its prompt.
 type Run struct {
-	Request   Fingerprint
+	Request   Fingerprint // the subject
+	Part      string      // ID of the part; empty: the subject is the request itself
 	Service   string
 	Server    string
 	Round     int    // round of the crash, if the server crashes
@@ -102,7 +105,7 @@
 	if r.Again {
 		server += repeatMark + strconv.Itoa(r.Round+r.Doubts)
 	}
-	return Evidence{Request: r.Request, Service: r.Service, Ends: []End{{Server: server, Round: r.Round, Doubts: r.Doubts}}}
+	return Evidence{Request: r.Request, Part: r.Part, Service: r.Service, Ends: []End{{Server: server, Round: r.Round, Doubts: r.Doubts}}}
 }
 
 // listedServer returns the ID in End.Server without a repeatMark and a round.
@@ -111,19 +114,23 @@
 	return name
 }
 
-// Evidence is what is known of a request. Merging the evidence of different nodes in any order and
-// any number of times gives the same result.
+// Evidence is what is known of a subject: a request or a part of prompts. Merging the evidence of
+// different nodes in any order and any number of times gives the same result.
 type Evidence struct {
-	Request Fingerprint
+	Request Fingerprint // of the subject
+	Part    string      `json:",omitempty"` // ID of the part; empty: the subject is a request
 	Service string
 	Ends    []End // sorted by server
 	// Doubts lists the runs that may have crashed their servers. Nodes send them when they ask for
 	// trials. They are not stored in the platform's store.
 	Doubts []Doubt `json:",omitempty"`
+	// ClearedFor is how much longer the subject is not blamed because it ran to its end at the node
+	// that says so, or at one that told it.
+	ClearedFor time.Duration `json:",omitempty"`
 }
 
-// Standing returns the standing by this request's crashes that are not cleared. Table.Standing also
-// considers other requests.
+// Standing returns the standing by this subject's crashes that are not cleared. Table.Standing also
+// considers other subjects.
 func (e *Evidence) Standing() Standing {
 	rounds := e.rounds()
 	switch {
@@ -195,6 +202,15 @@
 	e.Cleared = e.Cleared || other.Cleared
 }
 
+// standingIfNotCleared returns the standing by all crashes, cleared or not.
+func (e *Evidence) standingIfNotCleared() Standing {
+	accusation := e.copy()
+	for i := range accusation.Ends {
+		accusation.Ends[i].Cleared = false
+	}
+	return accusation.Standing()
+}
+
 // clear marks all crashes as not caused by the request. It reports whether anything changed.
 func (e *Evidence) clear() bool {
 	changed := false
@@ -227,5 +243,5 @@
 
 // copy returns a copy that shares no memory with e and has no suspicions.
 func (e *Evidence) copy() Evidence {
-	return Evidence{Request: e.Request, Service: e.Service, Ends: slices.Clone(e.Ends)}
+	return Evidence{Request: e.Request, Part: e.Part, Service: e.Service, Ends: slices.Clone(e.Ends)}
 }
--- a/pkg/quarantine/suspicion.go
+++ b/pkg/quarantine/suspicion.go
@@ -35,7 +35,7 @@
 
 // Suspect records that the connection of a run broke shortly after the run began.
 func (t *Table) Suspect(now time.Time, r Run) Change {
-	return t.Merge(now, Evidence{Request: r.Request, Service: r.Service, Doubts: []Doubt{{r.Server, r.Round + r.Doubts, SuspicionTime}}})
+	return t.Merge(now, Evidence{Request: r.Request, Part: r.Part, Service: r.Service, Doubts: []Doubt{{r.Server, r.Round + r.Doubts, SuspicionTime}}})
 }
 
 // SuspectedRounds returns how far the round of a run that begins on a server now exceeds NextRound
@@ -47,8 +47,9 @@
 	if e == nil {
 		return 0, false
 	}
+	known := t.knownRounds(now, e)
 	for _, d := range e.suspicions {
-		rounds = max(rounds, d.round-e.rounds())
+		rounds = max(rounds, d.round-known)
 		again = again || d.server == server
 	}
 	return rounds, again
@@ -69,6 +70,7 @@
 			continue
 		}
 		e.suspicions = slices.DeleteFunc(e.suspicions, func(d suspicion) bool { return d.server == server && d.since.Before(sent) })
+		t.changes++
 		left = append(left, e.suspicions...)
 	}
 	clear(t.suspectedUntil)
@@ -104,9 +106,12 @@
 	return changed
 }
 
-// pruneSuspicions drops suspicions that expired or whose server is known to have crashed.
-func (e *entry) pruneSuspicions(now time.Time) {
+// pruneSuspicions drops suspicions that expired or whose server is known to have crashed. It reports
+// whether there were any.
+func (e *entry) pruneSuspicions(now time.Time) bool {
+	before := len(e.suspicions)
 	e.suspicions = slices.DeleteFunc(e.suspicions, func(d suspicion) bool { return !now.Before(d.until) || e.knowsCrash(d.server) })
+	return len(e.suspicions) < before
 }
 
 // knowsCrash reports whether a crash of the server is known, cleared or not.
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -30,19 +30,23 @@
 	updated    time.Time // when the evidence last changed
 	suspicions []suspicion
 
-	// lastRoundShared is the cached result of Table.lastRoundShared. It is valid while the table's change
-	// counter is sharedAtChange.
-	lastRoundShared bool
-	sharedAtChange  uint64
+	// explained is valid while the table's change counter is explainedAtChange.
+	explained         explanation
+	explainedAtChange uint64
 }
 
-// Table is a node's knowledge of crashing requests. The zero value is ready. It is safe for
-// concurrent use.
+// Table is a node's knowledge of crashing requests and parts of prompts. The zero value is ready. It
+// is safe for concurrent use.
 type Table struct {
-	mu        sync.Mutex
-	entries   map[Fingerprint]*entry
-	completed completedSet
-	changes   uint64 // counts changes of entries
+	mu             sync.Mutex
+	entries        map[Fingerprint]*entry
+	completed      completedSet // requests
+	completedParts completedSet
+	changes        uint64 // counts changes of entries
+	// accused are the entries with a standing by themselves. They are valid while changes is
+	// accusedAtChange.
+	accused         []*entry
+	accusedAtChange uint64
 	// suspectedUntil is, for each server, until when there may be suspicions.
 	suspectedUntil map[string]time.Time
 }
@@ -51,84 +55,83 @@
 type Change struct {
 	Evidence
 	Before, Now Standing
-	New         bool // whether anything was new
+	Accused     Standing // if no crash had been cleared
+	New         bool     // whether anything was new
 }
 
-// Standing returns the standing of a request.
-func (t *Table) Standing(now time.Time, f Fingerprint) Standing {
+// Standing returns the standing of a request, given the fingerprints of all subjects that it has. It
+// is that of the gravest of them.
+func (t *Table) Standing(now time.Time, subjects ...Fingerprint) Standing {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.liveEntry(now, f); e != nil {
-		return t.standing(now, e)
-	}
-	return Free
-}
-
-// standing considers the crashes of all requests. The run of the third round is a trial, so that a
-// crash shows which request caused it. If another suspected request crashed the same server,
-// because a node did not know of trials yet, the crash shows nothing and the next trial decides. A
-// fourth round counts in any case: a request that crashes servers and is never alone crashes one more
-// server. Suspicions alone never make a request more than suspected. The caller holds mu.
-func (t *Table) standing(now time.Time, e *entry) Standing {
-	s := e.Standing()
-	if s == Free && e.suspectedBySuspicion() {
-		return Suspected
-	}
-	if s == Quarantined && e.rounds() == quarantinedRounds && t.lastRoundShared(now, e) {
-		return Suspected
-	}
-	return s
-}
-
-// lastRoundShared reports whether other suspected requests crashed all servers of a request's last
-// round. The result is cached until an entry changes, since it takes a scan of all entries and a
-// request in quarantine may come thousands of times. The caller holds mu.
-func (t *Table) lastRoundShared(now time.Time, e *entry) bool {
-	if e.sharedAtChange != t.changes {
-		e.lastRoundShared = t.computeLastRoundShared(now, e)
-		e.sharedAtChange = t.changes
-	}
-	return e.lastRoundShared
-}
-
-// computeLastRoundShared is lastRoundShared without the cache. The caller holds mu.
-func (t *Table) computeLastRoundShared(now time.Time, e *entry) bool {
-	last := e.serversFrom(e.rounds())
-	for f := range t.entries {
-		if len(last) == 0 {
-			return true
+	gravest := Free
+	for _, f := range subjects {
+		if e := t.liveEntry(now, f); e != nil {
+			gravest = max(gravest, t.standing(now, e, subjects))
 		}
-		other := t.liveEntry(now, f)
-		if other == nil || other == e || other.Standing() == Free {
-			continue
-		}
-		last = slices.DeleteFunc(last, other.crashed)
 	}
-	return len(last) == 0
+	return gravest
 }
 
-// NextRound returns the round of a run that begins now, see End.
+// NextRound returns the round, for a subject, of a run that begins now, see End.
 func (t *Table) NextRound(now time.Time, f Fingerprint) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.liveEntry(now, f); e != nil {
-		return e.rounds() + 1
+		return t.knownRounds(now, e) + 1
 	}
 	return 1
 }
 
-// Evidence returns what is known of a request to a service, including suspicions.
+// Evidence returns what is known of a subject of a request to a service, including suspicions.
 func (t *Table) Evidence(now time.Time, f Fingerprint, service string) Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.liveEntry(now, f); e != nil {
-		evidence := e.copy()
-		evidence.Doubts = e.exportSuspicions(now)
-		return evidence
+		return t.export(now, e)
 	}
 	return Evidence{Request: f, Service: service}
 }
 
+// Known returns what is known of those subjects of a request against which there is evidence,
+// including suspicions.
+func (t *Table) Known(now time.Time, subjects []Fingerprint) []Evidence {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Evidence
+	for _, f := range subjects {
+		if e := t.liveEntry(now, f); e != nil {
+			list = append(list, t.export(now, e))
+		}
+	}
+	return list
+}
+
+// export returns a copy of an entry's evidence with its suspicions. The caller holds mu.
+func (t *Table) export(now time.Time, e *entry) Evidence {
+	evidence := e.copy()
+	evidence.Doubts = e.exportSuspicions(now)
+	evidence.ClearedFor = t.clearedFor(now, e.Part, e.Request)
+	return evidence
+}
+
+// Cleared reports whether a part of prompts is not blamed now because it ran to its end within the last
+// minute.
+func (t *Table) Cleared(now time.Time, part Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.completedParts.remaining(now, part) > 0
+}
+
+// clearedFor returns how much longer a subject is not blamed. part is its ID if it is a part of prompts.
+// The caller holds mu.
+func (t *Table) clearedFor(now time.Time, part string, f Fingerprint) time.Duration {
+	if part != "" {
+		return t.completedParts.remaining(now, f)
+	}
+	return t.completed.remaining(now, f)
+}
+
 // liveEntry returns the entry of a request, or nil if there is none or it has expired. The caller
 // holds mu.
 func (t *Table) liveEntry(now time.Time, f Fingerprint) *entry {
@@ -136,7 +139,9 @@
 	if e == nil {
 		return nil
 	}
-	e.pruneSuspicions(now)
+	if e.pruneSuspicions(now) {
+		t.changes++
+	}
 	if now.Sub(e.updated) > Lifetime || len(e.Ends) == 0 && len(e.suspicions) == 0 {
 		t.drop(f)
 		return nil
@@ -156,15 +161,19 @@
 	e := t.liveEntry(now, other.Request)
 	if e == nil {
 		t.makeRoom(now)
-		e = &entry{Evidence: Evidence{Request: other.Request, Service: other.Service}, updated: at}
+		e = &entry{Evidence: Evidence{Request: other.Request, Part: other.Part, Service: other.Service}, updated: at}
 		if t.entries == nil {
 			t.entries = make(map[Fingerprint]*entry)
 		}
 		t.entries[other.Request] = e
 	}
+	if other.ClearedFor > 0 {
+		t.noteCompleted(now, now.Add(min(other.ClearedFor, completedTime)), other.Part, other.Request)
+	}
 	return t.change(at, e, func() bool {
 		changed := e.merge(other)
-		if t.completed.has(now, other.Request) {
+		if t.clearedFor(now, other.Part, other.Request) > 0 {
+			e.suspicions = nil
 			return e.clear() || changed
 		}
 		e.pruneSuspicions(now)
@@ -203,11 +212,30 @@
 func (t *Table) Completed(now time.Time, f Fingerprint) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.completed.add(now, f)
+	t.noteCompleted(now, now.Add(completedTime), "", f)
+	return t.clear(now, f)
+}
+
+// PartAnswered records that a request with a part of prompts was answered on this node, which clears
+// the part.
+func (t *Table) PartAnswered(now time.Time, id string, f Fingerprint) Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.noteCompleted(now, now.Add(completedTime), id, f)
 	return t.clear(now, f)
 }
 
-// Clear marks a request as not crashing servers. Unlike after Completed, later crashes count.
+// noteCompleted records that a subject is not blamed until a time. part is its ID if it is a part of
+// prompts. The caller holds mu.
+func (t *Table) noteCompleted(now, until time.Time, part string, f Fingerprint) {
+	if part != "" {
+		t.completedParts.add(now, until, f, maxCompletedParts)
+		return
+	}
+	t.completed.add(now, until, f, maxCompleted)
+}
+
+// Clear marks a request or part as not crashing servers. Unlike after Completed, later crashes count.
 func (t *Table) Clear(now time.Time, f Fingerprint) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -230,15 +258,14 @@
 // change applies f to an entry and returns the effect. at is the time of the new evidence. The caller
 // holds mu.
 func (t *Table) change(at time.Time, e *entry, f func() bool) Change {
-	c := Change{Before: t.standing(at, e)}
+	c := Change{Before: t.standingAlone(at, e)}
 	if c.New = f(); c.New {
 		t.changes++
 		if at.After(e.updated) {
 			e.updated = at
 		}
 	}
-	c.Now, c.Evidence = t.standing(at, e), e.copy()
-	c.Doubts = e.exportSuspicions(at)
+	c.Now, c.Evidence, c.Accused = t.standingAlone(at, e), t.export(at, e), e.standingIfNotCleared()
 	return c
 }
 
@@ -271,7 +298,7 @@
 	t.changes++
 }
 
-// Restricted returns the evidence on requests that are suspected or in quarantine, which nodes that
+// Restricted returns the evidence on subjects that are suspected or in quarantine, which nodes that
 // may have missed it must get. Nodes with the same knowledge return the same list.
 func (t *Table) Restricted(now time.Time) []Evidence {
 	t.mu.Lock()
@@ -292,12 +319,24 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b *entry) int {
-		return cmp.Or(cmp.Compare(b.Standing(), a.Standing()), bytes.Compare(a.Request[:], b.Request[:]))
+		return cmp.Or(cmp.Compare(b.Standing(), a.Standing()), compareKinds(a, b), bytes.Compare(a.Request[:], b.Request[:]))
 	})
 	return list[:min(len(list), maxRestricted)]
 }
 
-// Differing returns this node's evidence on those requests in another node's list for which it
+// compareKinds orders parts of prompts before requests: a part stands for many requests.
+func compareKinds(a, b *entry) int {
+	switch {
+	case (a.Part == "") == (b.Part == ""):
+		return 0
+	case a.Part != "":
+		return -1
+	default:
+		return 1
+	}
+}
+
+// Differing returns this node's evidence on those subjects in another node's list for which it
 // differs from the other node's.
 func (t *Table) Differing(now time.Time, theirs []Evidence) []Evidence {
 	t.mu.Lock()
@@ -329,13 +368,13 @@
 	return total
 }
 
-// Count returns the number of requests with a standing.
+// Count returns the number of subjects with a standing.
 func (t *Table) Count(now time.Time, standing Standing) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
 	for f := range t.entries {
-		if e := t.liveEntry(now, f); e != nil && t.standing(now, e) == standing {
+		if e := t.liveEntry(now, f); e != nil && t.standingAlone(now, e) == standing {
 			n++
 		}
 	}
--- a/pkg/quarantine/trials.go
+++ b/pkg/quarantine/trials.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Times of trials.
 const (
@@ -18,47 +21,63 @@
 )
 
 // Trials has suspected requests run alone: a server has at most one at a time, so that a crash
-// shows which request caused it, and a request runs on at most one server. The lease holder keeps
-// it. A new holder does not know the running trials; in the worst case two suspected requests run
-// on one server once. The zero value is ready. It is not safe for concurrent use.
+// shows which request caused it, and a subject runs on at most one server. The lease holder keeps it.
+// A new holder does not know the running trials; in the worst case two suspected requests run on one
+// server once. The zero value is ready. It is not safe for concurrent use.
 type Trials struct {
 	running map[string]trial // by server
 }
 
 // trial is a trial that was granted.
 type trial struct {
-	request Fingerprint
-	until   time.Time
+	subjects []Fingerprint // of the request that may run
+	until    time.Time
 }
 
-// Start grants a request a trial on a server. It returns false if another request has a trial there
-// or the request has a trial elsewhere.
-func (t *Trials) Start(now time.Time, server string, f Fingerprint) bool {
+func (t trial) has(f Fingerprint) bool { return slices.Contains(t.subjects, f) }
+
+// Start grants a request with the given subjects a trial on a server. It returns false if another
+// request has a trial there or one of the subjects has a trial elsewhere.
+func (t *Trials) Start(now time.Time, server string, subjects ...Fingerprint) bool {
 	for at, taken := range t.running {
 		switch {
 		case !now.Before(taken.until):
 			delete(t.running, at)
-		case at == server || taken.request == f:
+		case at == server || slices.ContainsFunc(subjects, taken.has):
 			return false
 		}
 	}
 	if t.running == nil {
 		t.running = make(map[string]trial)
 	}
-	t.running[server] = trial{request: f, until: now.Add(TrialTime)}
+	t.running[server] = trial{subjects, now.Add(TrialTime)}
 	return true
 }
 
-// Renew restarts the time of a request's trial on a server, unless another request has a trial
-// there or the request has one elsewhere.
-func (t *Trials) Renew(now time.Time, server string, f Fingerprint) {
-	t.End(server, f)
-	t.Start(now, server, f)
+// Running reports whether a request with one of the subjects has a trial on any server.
+func (t *Trials) Running(now time.Time, subjects ...Fingerprint) bool {
+	for _, taken := range t.running {
+		if now.Before(taken.until) && slices.ContainsFunc(subjects, taken.has) {
+			return true
+		}
+	}
+	return false
+}
+
+// Renew restarts the time of a trial on a server, unless another request has a trial there or one of
+// the subjects has one elsewhere.
+func (t *Trials) Renew(now time.Time, server string, subjects ...Fingerprint) {
+	if taken := t.running[server]; slices.ContainsFunc(subjects, taken.has) {
+		taken.until = now.Add(TrialTime)
+		t.running[server] = taken
+		return
+	}
+	t.Start(now, server, subjects...)
 }
 
-// End ends a request's trial on a server.
-func (t *Trials) End(server string, f Fingerprint) {
-	if t.running[server].request == f {
+// End ends the trial of a request with one of the subjects on a server.
+func (t *Trials) End(server string, subjects ...Fingerprint) {
+	if slices.ContainsFunc(subjects, t.running[server].has) {
 		delete(t.running, server)
 	}
 }
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -233,6 +233,7 @@
 		return mayHaveRun, errors.Errorf("the server does not go on with the stream: %d", a.Status)
 	}
 	c.answerStarted()
+	c.record.last().unframed = !a.Framed
 	return c.relayBuffered(ctx, a)
 }
 
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -62,7 +62,9 @@
 	target      string // path and query as received
 	head        []byte // header lines that are forwarded
 	body        []byte
-	fingerprint quarantine.Fingerprint // set after the body was read
+	fingerprint quarantine.Fingerprint   // set after the body was read
+	parts       []string                 // IDs of the parts of the prompt that other requests may share
+	subjects    []quarantine.Fingerprint // of the request, and of parts
 	need        backend.Need
 	prompt      prompt.Prompt // only for requests to an engine
 	affinityReq affinity.Request
@@ -70,20 +72,18 @@
 
 // progress is the state of the attempts at servers so far.
 type progress struct {
-	tried           []string // servers that did not serve the request
-	shortage        shortage // servers that could not serve it though they were believed to hold the model
-	sends           int
-	misses          int  // attempts in which no server ran the request
-	runs            int  // servers that may have run it
-	round           int  // round of the next run: one more than the known rounds of crashes
-	suspectedRounds int  // further rounds of runs that may have crashed their servers
-	unprovenRound   int  // round, with those in doubt, of the last attempt that broke although another node reached the server
-	serverSuspected bool // an earlier run may have crashed the chosen server, see quarantine.Run.Again
-	headSent        bool
-	pinned          bool          // the stream has events: only servers of one software version may continue it
-	software        string        // the version, if pinned
-	streamKeys      []lineage.Key // by which the caller may take the stream up; nil: it can't, or has not begun
-	lastEvent       string        // ID of the last event sent to the caller, also by earlier attempts of the caller
+	tried          []string // servers that did not serve the request
+	shortage       shortage // servers that could not serve it though they were believed to hold the model
+	sends          int
+	misses         int              // attempts in which no server ran the request
+	runs           int              // servers that may have run it
+	nextRuns       []quarantine.Run // the next run, or the last one, by subject
+	unprovenRounds []int            // by subject: rounds, with those in doubt, of the last attempt that broke although another node reached the server
+	headSent       bool
+	pinned         bool          // the stream has events: only servers of one software version may continue it
+	software       string        // the version, if pinned
+	streamKeys     []lineage.Key // by which the caller may take the stream up; nil: it can't, or has not begun
+	lastEvent      string        // ID of the last event sent to the caller, also by earlier attempts of the caller
 }
 
 // migrationState is the state of a stream that continues at another server.
@@ -131,7 +131,7 @@
 	if !c.identify() || !c.readBody() {
 		return false
 	}
-	c.fingerprint = quarantine.FingerprintOf(c.http.Method, c.http.Host, c.target, c.body)
+	c.identifySubjects()
 	if c.quarantined() { // checked before any work is done
 		c.refuseQuarantined()
 		return false
--- a/pkg/relay/migrate.go
+++ b/pkg/relay/migrate.go
@@ -119,7 +119,7 @@
 	if c.engine == nil || r.Mover == nil || c.id == "" || !c.engine.Moves && c.backup == nil || c.failedMoves >= maxFailedMoves {
 		return nil
 	}
-	if q := r.Quarantine; q != nil && q.Standing(c.fingerprint) != quarantine.Free {
+	if q := r.Quarantine; q != nil && q.Standing(c.subjects...) != quarantine.Free {
 		return nil
 	}
 	s := &activeStream{call: c, source: m, table: &r.streams, target: c.backup, backup: c.backup}
--- a/pkg/relay/quarantine.go
+++ b/pkg/relay/quarantine.go
@@ -9,32 +9,37 @@
 	"github.com/pkg/errors"
 
 	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/prompt"
 	"martenwheel.dev/pkg/quarantine"
 )
 
-// Quarantine tracks, over all nodes, requests that crash the servers that run them.
+// Quarantine tracks, over all nodes, requests and parts of prompts that crash the servers that run
+// them. The subjects of a request are its own fingerprint, first, and those of the parts of its prompt.
 type Quarantine interface {
-	// Standing returns what may be done with a request.
-	Standing(f quarantine.Fingerprint) quarantine.Standing
-	// NextRound returns the round of a run that begins now.
+	// Standing returns what may be done with a request that has the given subjects.
+	Standing(subjects ...quarantine.Fingerprint) quarantine.Standing
+	// NextRound returns the round, for a subject, of a run that begins now.
 	NextRound(f quarantine.Fingerprint) int
 	// SuspectedRounds returns the additional rounds from runs of which it is unknown whether their
 	// servers crashed, and whether one of those runs was at server.
 	SuspectedRounds(f quarantine.Fingerprint, server string) (rounds int, again bool)
-	// ServerCrashed records that a server crashed a moment after it began to run the request.
-	ServerCrashed(r quarantine.Run)
+	// ServerCrashed records that a server crashed a moment after it began to run the request. There is
+	// one run for each subject.
+	ServerCrashed(runs ...quarantine.Run)
 	// CrashSuspected records that the connection to a server broke a moment after it began to run the
-	// request and that it is unknown whether the server crashed. It returns when the other nodes
-	// were informed or can't be.
-	CrashSuspected(ctx context.Context, r quarantine.Run)
+	// request and that it is unknown whether the server crashed. There is one run for each subject. It
+	// returns when the other nodes were informed or can't be.
+	CrashSuspected(ctx context.Context, runs ...quarantine.Run)
 	// Completed records that a server ran the request to its end.
 	Completed(f quarantine.Fingerprint)
+	// PartAnswered records that a server answered a request with a part of prompts.
+	PartAnswered(id string, f quarantine.Fingerprint)
 	// ServerAlive records that a server answered a request that was sent at the given time.
 	ServerAlive(server string, sent time.Time)
 	// RequestTrial asks for a trial: permission to run a suspected request at a server now.
-	RequestTrial(ctx context.Context, f quarantine.Fingerprint, service, server string) (bool, error)
+	RequestTrial(ctx context.Context, service, server string, subjects ...quarantine.Fingerprint) (bool, error)
 	// ReleaseTrial ends a trial: the request ran without harm or no longer runs.
-	ReleaseTrial(f quarantine.Fingerprint, server string)
+	ReleaseTrial(server string, subjects ...quarantine.Fingerprint)
 }
 
 // permission tells whether a request may be sent to a server now.
@@ -49,14 +54,34 @@
 // quarantined reports whether the request is in quarantine.
 func (c *call) quarantined() bool {
 	q := c.relay.Quarantine
-	return q != nil && q.Standing(c.fingerprint) == quarantine.Quarantined
+	return q != nil && q.Standing(c.subjects...) == quarantine.Quarantined
 }
 
 // refuseQuarantined sends no retry time: the same request will not be served while it is in
 // quarantine.
-func (c *call) refuseQuarantined() { c.refuse(c.notServed(reasonQuarantine, 0)) }
+func (c *call) refuseQuarantined() {
+	c.noteAccused()
+	reason := reasonQuarantine
+	if len(c.parts) > 0 && c.relay.Quarantine.Standing(c.fingerprint) != quarantine.Quarantined {
+		reason = reasonQuarantinedParts
+	}
+	c.refuse(c.notServed(reason, 0))
+}
+
+// noteAccused keeps for the log which subjects of the request have a standing.
+func (c *call) noteAccused() {
+	q := c.relay.Quarantine
+	if standing := q.Standing(c.fingerprint); standing != quarantine.Free {
+		c.record.accused = append(c.record.accused, accusedLine{Standing: standing.String()})
+	}
+	for i, id := range c.parts {
+		if standing := q.Standing(c.subjects[i+1]); standing != quarantine.Free {
+			c.record.accused = append(c.record.accused, accusedLine{Part: id, Standing: standing.String()})
+		}
+	}
+}
 
-// permit decides whether the request may go to a server now, and sets the round of its run.
+// permit decides whether the request may go to a server now, and sets the rounds of its run.
 func (c *call) permit(ctx context.Context, m *backend.Member) permission {
 	q := c.relay.Quarantine
 	if q == nil {
@@ -67,11 +92,32 @@
 	return p
 }
 
-// setRound sets the round of a run that begins at a server now.
+// identifySubjects sets what may be to blame if servers crash: the request itself and the parts of its
+// prompt that other requests may share.
+func (c *call) identifySubjects() {
+	c.fingerprint = quarantine.FingerprintOf(c.http.Method, c.http.Host, c.target, c.body)
+	described := prompt.Parse(prompt.Fields{Parts: c.http.Header.Get(c.relay.Headers.Parts)})
+	c.parts = described.SharedIDs()
+	c.subjects = append(c.subjects, c.fingerprint)
+	for _, id := range c.parts {
+		c.subjects = append(c.subjects, quarantine.FingerprintOfPart(id))
+	}
+}
+
+// setRound sets the rounds of a run that begins at a server now.
 func (c *call) setRound(q Quarantine, m *backend.Member) {
-	c.round = q.NextRound(c.fingerprint)
-	c.suspectedRounds, c.serverSuspected = q.SuspectedRounds(c.fingerprint, m.ID)
-	c.suspectedRounds = max(c.suspectedRounds, c.unprovenRound-(c.round-1))
+	c.nextRuns = make([]quarantine.Run, len(c.subjects))
+	for i, f := range c.subjects {
+		run := quarantine.Run{Request: f, Service: c.service, Server: m.ID, Round: q.NextRound(f), RequestID: c.id}
+		run.Doubts, run.Again = q.SuspectedRounds(f, m.ID)
+		if i > 0 {
+			run.Part = c.parts[i-1]
+		}
+		if i < len(c.unprovenRounds) {
+			run.Doubts = max(run.Doubts, c.unprovenRounds[i]-(run.Round-1))
+		}
+		c.nextRuns[i] = run
+	}
 }
 
 // errNotPermitted keeps a request from a server: servers were found to have ended under it since it was permitted.
@@ -84,7 +130,7 @@
 	if q == nil {
 		return true
 	}
-	switch standing := q.Standing(c.fingerprint); {
+	switch standing := q.Standing(c.subjects...); {
 	case standing == quarantine.Quarantined, standing == quarantine.Suspected && c.trial == nil:
 		return false
 	}
@@ -96,14 +142,14 @@
 // the requests that ran together when servers crashed only one is to blame, and running them
 // separately shows which.
 func (c *call) checkStanding(ctx context.Context, q Quarantine, m *backend.Member) permission {
-	switch q.Standing(c.fingerprint) {
+	switch q.Standing(c.subjects...) {
 	case quarantine.Free:
 		return mayRunNow
 	case quarantine.Quarantined: // found by another node after the request was accepted
 		c.refuseQuarantined()
 		return wasRefused
 	}
-	granted, err := q.RequestTrial(ctx, c.fingerprint, c.service, m.ID)
+	granted, err := q.RequestTrial(ctx, c.service, m.ID, c.subjects...)
 	c.record.trialError = err
 	if granted {
 		c.trial = &trial{call: c, server: m.ID}
@@ -120,6 +166,7 @@
 		c.giveUp(ctx)
 		return wasRefused
 	case !c.headSent && c.callerLeavesBy(c.relay.Time.Now().Add(quarantine.TrialRetryAfter)): // refusing after part of the answer would make the caller start over
+		c.noteAccused()
 		c.refuse(c.notServed(reasonSuspected, suspectedAfter))
 		return wasRefused
 	}
@@ -146,8 +193,8 @@
 	if t == nil || t.settleTimer != nil {
 		return
 	}
-	q, fingerprint := t.call.relay.Quarantine, t.call.fingerprint
-	t.settleTimer = time.AfterFunc(quarantine.SettleTime, func() { q.ReleaseTrial(fingerprint, t.server) })
+	q, subjects := t.call.relay.Quarantine, t.call.subjects
+	t.settleTimer = time.AfterFunc(quarantine.SettleTime, func() { q.ReleaseTrial(t.server, subjects...) })
 }
 
 // hold keeps the trial until it expires and prevents other attempts of the request: its connection
@@ -169,7 +216,7 @@
 		return
 	}
 	if t.settleTimer == nil || t.settleTimer.Stop() {
-		t.call.relay.Quarantine.ReleaseTrial(t.call.fingerprint, t.server)
+		t.call.relay.Quarantine.ReleaseTrial(t.server, t.call.subjects...)
 	}
 }
 
@@ -188,10 +235,10 @@
 		c.recordCrash(m)
 	case backend.ProbeLinkBroken: // this node's link explains the break, unless the server's record shows its end
 		c.watchForCrash(m)
-		c.unprovenRound = c.round + c.suspectedRounds
+		c.noteUnproven()
 	default:
 		c.relay.streams.connectionBroke(m.ID, c.relay.Time.Now())
-		c.recordSuspicion(ctx, m)
+		c.recordSuspicion(ctx)
 		c.watchForCrash(m)
 		c.trial.hold()
 	}
@@ -205,35 +252,69 @@
 	if c.relay.Quarantine == nil || c.record.last().answerDuration() >= quarantine.SettleTime {
 		return
 	}
-	c.relay.Quarantine.ServerCrashed(c.lastRun(m))
+	c.relay.Quarantine.ServerCrashed(c.nextRuns...)
+}
+
+// noteUnproven keeps the rounds of the last run, whose connection broke although another node reached the
+// server.
+func (c *call) noteUnproven() {
+	c.unprovenRounds = make([]int, len(c.nextRuns))
+	for i, run := range c.nextRuns {
+		c.unprovenRounds[i] = run.Round + run.Doubts
+	}
 }
 
 // recordSuspicion records that the last server may have crashed while running the request. A proxy
 // in front of it accepts connections after a crash, which then shows 0.3 s later or more; meanwhile
 // the request would be sent to all other servers.
-func (c *call) recordSuspicion(ctx context.Context, m *backend.Member) {
+func (c *call) recordSuspicion(ctx context.Context) {
 	if q := c.relay.Quarantine; q != nil && c.record.last().answerDuration() < quarantine.SettleTime {
-		q.CrashSuspected(ctx, c.lastRun(m))
+		q.CrashSuspected(ctx, c.nextRuns...)
 	}
 }
 
-// lastRun returns the last run of the request, at server m.
-func (c *call) lastRun(m *backend.Member) quarantine.Run {
-	return quarantine.Run{Request: c.fingerprint, Service: c.service, Server: m.ID,
-		Round: c.round, Doubts: c.suspectedRounds, Again: c.serverSuspected, RequestID: c.id}
-}
-
 // recordCompletion records that the request ran to its end. A server's own failure only shows that
 // the server is alive: it may not have reached the part that crashes it.
+//
+// An answer that only the end of its connection delimits may have been broken off by a crash. Unless
+// it went on for long, it proves nothing.
 func (c *call) recordCompletion(m *backend.Member) {
 	q := c.relay.Quarantine
 	if q == nil {
 		return
 	}
-	q.ServerAlive(m.ID, c.record.last().started)
+	last := c.record.last()
+	q.ServerAlive(m.ID, last.started)
+	if last.unframed && last.answerDuration() < quarantine.SettleTime {
+		c.watchForCrash(m)
+		return
+	}
 	if c.record.status < http.StatusInternalServerError {
 		q.Completed(c.fingerprint)
 	}
+	if c.record.status < http.StatusMultipleChoices {
+		c.recordPartsAnswered()
+	}
+}
+
+// recordPartsAnswered records once in an attempt that the parts of the prompt crash no server.
+func (c *call) recordPartsAnswered() {
+	last := c.record.last()
+	if c.relay.Quarantine == nil || last.partsAnswered {
+		return
+	}
+	last.partsAnswered = true
+	for i, id := range c.parts {
+		c.relay.Quarantine.PartAnswered(id, c.subjects[i+1])
+	}
+}
+
+// recordSettled records that the parts of the prompt crash no server once a stream has brought events
+// for long enough.
+func (c *call) recordSettled() {
+	if c.relay.Time.Since(c.record.last().answered) >= quarantine.SettleTime {
+		c.recordPartsAnswered()
+	}
 }
 
 // watchForCrash blames the request if its server is found to have crashed later. Either the
@@ -245,18 +326,32 @@
 	if q == nil || c.record.last().answerDuration() >= quarantine.SettleTime {
 		return
 	}
-	run := c.lastRun(m)
-	run.ByRecord = true
+	var runs, again []quarantine.Run
+	for _, run := range c.nextRuns {
+		run.ByRecord = true
+		if run.Again {
+			again = append(again, run)
+		} else {
+			runs = append(runs, run)
+		}
+	}
 	began := c.record.last().started
-	if !run.Again {
-		m.OnEnd(began, quarantine.SuspicionTime, func() { q.ServerCrashed(run) })
-		return
+	if len(runs) > 0 {
+		m.OnEnd(began, quarantine.SuspicionTime, func() { q.ServerCrashed(runs...) })
+	}
+	if len(again) > 0 {
+		m.OnLaterEnd(began, quarantine.SuspicionTime, func(server string) {
+			for i := range again {
+				again[i] = again[i].At(server)
+			}
+			q.ServerCrashed(again...)
+		})
 	}
-	m.OnLaterEnd(began, quarantine.SuspicionTime, func(server string) { q.ServerCrashed(run.At(server)) })
 }
 
 // Reasons of refusals, telling the caller why retrying does not help.
 var (
-	reasonQuarantine = fmt.Sprintf("servers ended when they ran this request; it is not run for up to %v", quarantine.Lifetime)
-	reasonSuspected  = "servers ended when they ran this request; it waits for its turn to run alone"
+	reasonQuarantine       = fmt.Sprintf("servers ended when they ran this request; it is not run for up to %v", quarantine.Lifetime)
+	reasonQuarantinedParts = fmt.Sprintf("servers ended when they ran requests with a part of this prompt; it is not run for up to %v", quarantine.Lifetime)
+	reasonSuspected        = "servers ended when they ran this request; it waits for its turn to run alone"
 )
--- a/pkg/relay/quarantine_test.go
+++ b/pkg/relay/quarantine_test.go
@@ -32,16 +32,18 @@
 }
 
 // Standing implements Quarantine.
-func (a *localQuarantine) Standing(f quarantine.Fingerprint) quarantine.Standing {
-	return a.table.Standing(time.Now(), f)
+func (a *localQuarantine) Standing(subjects ...quarantine.Fingerprint) quarantine.Standing {
+	return a.table.Standing(time.Now(), subjects...)
 }
 
 // ServerCrashed implements Quarantine.
-func (a *localQuarantine) ServerCrashed(r quarantine.Run) {
+func (a *localQuarantine) ServerCrashed(runs ...quarantine.Run) {
 	a.mu.Lock()
-	a.crashes = append(a.crashes, r.Server)
+	a.crashes = append(a.crashes, runs[0].Server)
 	a.mu.Unlock()
-	a.table.Merge(time.Now(), r.CrashEvidence())
+	for _, r := range runs {
+		a.table.Merge(time.Now(), r.CrashEvidence())
+	}
 }
 
 // NextRound implements Quarantine.
@@ -68,36 +70,43 @@
 }
 
 // CrashSuspected implements Quarantine.
-func (a *localQuarantine) CrashSuspected(_ context.Context, r quarantine.Run) {
+func (a *localQuarantine) CrashSuspected(_ context.Context, runs ...quarantine.Run) {
 	a.mu.Lock()
 	a.suspicions++
 	a.mu.Unlock()
-	a.table.Suspect(time.Now(), r)
+	for _, r := range runs {
+		a.table.Suspect(time.Now(), r)
+	}
 }
 
 // Completed implements Quarantine.
 func (a *localQuarantine) Completed(f quarantine.Fingerprint) { a.table.Completed(time.Now(), f) }
 
+// PartAnswered implements Quarantine.
+func (a *localQuarantine) PartAnswered(id string, f quarantine.Fingerprint) {
+	a.table.PartAnswered(time.Now(), id, f)
+}
+
 // ServerAlive implements Quarantine.
 func (a *localQuarantine) ServerAlive(server string, sent time.Time) {
 	a.table.ServerAlive(time.Now(), server, sent)
 }
 
 // RequestTrial implements Quarantine.
-func (a *localQuarantine) RequestTrial(_ context.Context, f quarantine.Fingerprint, _, server string) (bool, error) {
+func (a *localQuarantine) RequestTrial(_ context.Context, _, server string, subjects ...quarantine.Fingerprint) (bool, error) {
 	if a.noCoordinator {
 		return false, errors.New("no holder")
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.trials.Start(time.Now(), server, f), nil
+	return a.trials.Start(time.Now(), server, subjects...), nil
 }
 
 // ReleaseTrial implements Quarantine.
-func (a *localQuarantine) ReleaseTrial(f quarantine.Fingerprint, server string) {
+func (a *localQuarantine) ReleaseTrial(server string, subjects ...quarantine.Fingerprint) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.trials.End(server, f)
+	a.trials.End(server, subjects...)
 }
 
 // crashCount returns the number of reported crashes.
@@ -349,7 +358,7 @@
 }
 
 // Standing implements Quarantine.
-func (b *brieflyQuarantined) Standing(quarantine.Fingerprint) quarantine.Standing {
+func (b *brieflyQuarantined) Standing(...quarantine.Fingerprint) quarantine.Standing {
 	if b.looks.Add(1) == 2 { // the first check is made when the request is accepted
 		return quarantine.Quarantined
 	}
@@ -374,9 +383,9 @@
 type evidenceSharing struct{ *localQuarantine }
 
 // RequestTrial implements Quarantine.
-func (i evidenceSharing) RequestTrial(ctx context.Context, f quarantine.Fingerprint, service, server string) (bool, error) {
-	i.ServerCrashed(quarantine.Run{Request: f, Service: service, Server: "gone-2", Round: 2})
-	return i.localQuarantine.RequestTrial(ctx, f, service, server)
+func (i evidenceSharing) RequestTrial(ctx context.Context, service, server string, subjects ...quarantine.Fingerprint) (bool, error) {
+	i.ServerCrashed(quarantine.Run{Request: subjects[0], Service: service, Server: "gone-2", Round: 2})
+	return i.localQuarantine.RequestTrial(ctx, service, server, subjects...)
 }
 
 // TestRoundIncludesEvidenceFromTrial checks that a run in a trial belongs to the round after the
@@ -533,7 +542,6 @@
 func TestLineOfARequestUnderWhichAServerEndedDoesNotNameItsParts(t *testing.T) {
 	for body, want := range map[string]bool{crashingBody: true, "harmless": false} {
 		s, _ := newCrashingSite(t, 2, sealed(http.StatusOK, "ok"))
-		useEngine(s)
 		var lines strings.Builder
 		s.relay.Logger = hclog.New(&hclog.LoggerOptions{Output: &lines, JSONFormat: true})
 		r := s.request(t.Context(), http.MethodPost, "/p/x", "id", body)
@@ -545,11 +553,3 @@
 		}
 	}
 }
-
-// useEngine makes the servers of a site model servers.
-func useEngine(s *site) {
-	r := *s.relay.Routes().Match("site.example", "/p/x")
-	table := route.NewTable(1, route.Limits{BodyBytes: 1 << 20}, []*route.Route{&r},
-		[]*route.Service{{Name: "s", Engine: &route.Engine{}}})
-	s.relay.Routes = func() *route.Table { return table }
-}
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -59,6 +59,7 @@
 	serverCrashed bool // the server was found to have crashed
 	unframed      bool // the answer had no length and no chunks, so that it ended with its connection
 	restBytes     int  // received after the last whole event when the answer ended
+	partsAnswered bool // it was recorded that the parts of the prompt crash no server
 }
 
 // answerDuration returns how long the server sent its answer; zero if none began.
@@ -87,6 +88,7 @@
 	waitFor       string        // reason of the last wait; empty: never waited
 	loadError     error         // why the last load request failed
 	trialError    error         // why the coordinator could not be asked for a trial
+	accused       []accusedLine // why the request was refused
 	place         placeRecord
 	slot          slotRecord
 	resumesAfter  string        // last event that the caller had when the request came in; empty: it takes up no stream
@@ -219,8 +221,11 @@
 		fields = append(fields, "lane", c.affinityReq.Lane().String(), "preferred", c.record.preference,
 			"shared_tokens", c.prompt.SharedTokens())
 	}
-	if parts := c.prompt.SharedIDs(); len(parts) > 0 && c.record.mayHaveCrashedServers() {
-		fields = append(fields, "parts", parts)
+	if len(c.parts) > 0 && c.record.mayHaveCrashedServers() {
+		fields = append(fields, "parts", c.parts)
+	}
+	if len(c.record.accused) > 0 {
+		fields = append(fields, "accused", c.record.accused)
 	}
 	if len(c.record.tries) > 0 {
 		fields = append(fields, "tries", c.describeTries())
@@ -242,6 +247,12 @@
 		"origin_age_ms", o.Age.Milliseconds(), "origin_asked", o.Asked, "origin_answered", o.Answered, "origin_conflicting", o.Conflicting}
 }
 
+// accusedLine is a subject of a request that has a standing: the request itself, or a part of its prompt.
+type accusedLine struct {
+	Part     string `json:"part,omitempty"`
+	Standing string `json:"standing"`
+}
+
 // maxLoggedHeader bounds the logged part of a header that the caller chose, in bytes.
 const maxLoggedHeader = 64
 
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -51,6 +51,7 @@
 				impatience.Stop()
 			}
 			c.answerStarted()
+			c.recordSettled()
 			c.pin(m)
 			if !c.sendEvents(a, pending[:whole.size], whole) {
 				return aborted, errNotWritable
