--- a/pkg/coordinator/explore_harmless_test.go
+++ b/pkg/coordinator/explore_harmless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -24,11 +25,14 @@
 type harmlessRequest struct {
 	crashing    *crashingRequest
 	fingerprint quarantine.Fingerprint
+	parts       []string      // of the prompts of many requests, no two alike, in place of one; nil: it is one
 	random      *rand.Rand    // used by flood; not safe for concurrent use
 	runTime     time.Duration // time that one copy runs
 
 	mu                sync.Mutex
+	sent              int // requests with the parts
 	completed, broken int
+	calls             []harmlessCall
 	quarantined       []string // names of the nodes that had it in quarantine
 }
 
@@ -39,10 +43,40 @@
 	maxCrashTime     = 40 * time.Millisecond // longest time until the crashing request crashes its server
 )
 
+// harmlessCall is a request of a caller.
+type harmlessCall struct {
+	at        time.Time
+	inContact bool // the node was in contact with the store, by the users' rules
+	first     bool // its first run was not interrupted
+}
+
+// nextSubjects returns the subjects of the request that is sent next.
+func (h *harmlessRequest) nextSubjects() []quarantine.Fingerprint {
+	if h.parts == nil {
+		return []quarantine.Fingerprint{h.fingerprint}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sent++
+	return subjectsOfPrompt(fmt.Sprint("harmless ", h.sent), h.parts)
+}
+
 // flood sends copies for the given time.
 func (h *harmlessRequest) flood(length time.Duration) {
+	stop := make(chan struct{})
+	time.AfterFunc(length, func() { close(stop) })
+	h.floodUntil(stop)
+}
+
+// floodUntil sends copies until stop is closed.
+func (h *harmlessRequest) floodUntil(stop <-chan struct{}) {
 	sim := h.crashing.sim
-	for began := time.Now(); time.Since(began) < length; time.Sleep(harmlessInterval) {
+	for ; ; time.Sleep(harmlessInterval) {
+		select {
+		case <-stop:
+			return
+		default:
+		}
 		sim.mu.Lock()
 		n := sim.nodes[h.random.IntN(len(sim.nodes))]
 		sim.mu.Unlock()
@@ -52,6 +86,13 @@
 
 // send sends one copy to up to defaultMaxTries servers, as a node's relay does.
 func (h *harmlessRequest) send(n *simNode, offset int) {
+	subjects := h.nextSubjects()
+	call := harmlessCall{at: time.Now(), inContact: n.inContact() && time.Since(n.started) > contactTime}
+	defer func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.calls = append(h.calls, call)
+	}()
 	for try := range defaultMaxTries {
 		if n.isFrozen() || !n.waitUntilRunning() {
 			return
@@ -60,24 +101,27 @@
 		if server == "" || n.isCutFromServer(server) {
 			return
 		}
-		standing, granted := h.waitForPermission(n, server)
+		standing, granted := h.waitForPermission(n, server, subjects)
 		if !granted {
 			return
 		}
-		run := quarantine.Run{Request: h.fingerprint, Service: "s", Server: n.listedIncarnation(server), Round: n.member.NextRound(h.fingerprint), RequestID: "id"}
-		run.Doubts, run.Again = n.member.SuspectedRounds(h.fingerprint, run.Server)
-		sentTo := n.servers.Snapshot().Member(run.Server)
+		runs := n.beginRuns(subjects, h.parts, server)
+		sentTo := n.servers.Snapshot().Member(runs[0].Server)
 		if h.run(n, server) {
-			n.member.Completed(h.fingerprint)
+			call.first = try == 0
+			n.member.Completed(subjects[0])
+			for i, id := range h.parts {
+				n.member.PartAnswered(id, subjects[i+1])
+			}
 			if standing == quarantine.Suspected {
-				n.member.ReleaseTrial(run.Server, h.fingerprint)
+				n.member.ReleaseTrial(runs[0].Server, subjects...)
 			}
 			return
 		}
 		if !n.waitUntilRunning() {
 			return
 		}
-		h.reportCrash(n, run, sentTo, standing)
+		h.reportCrash(n, runs, sentTo, standing)
 		if h.crashing.proxied && standing == quarantine.Suspected {
 			return // the trial is kept until it expires
 		}
@@ -86,12 +130,12 @@
 
 // waitForPermission waits for a trial at the server if the request is suspected. It reports whether
 // the request may run there.
-func (h *harmlessRequest) waitForPermission(n *simNode, server string) (quarantine.Standing, bool) {
+func (h *harmlessRequest) waitForPermission(n *simNode, server string, subjects []quarantine.Fingerprint) (quarantine.Standing, bool) {
 	for began := time.Now(); time.Since(began) < trialWait; time.Sleep(quarantine.TrialRetryAfter) {
 		if !n.waitUntilRunning() {
 			return 0, false
 		}
-		standing := n.member.Standing(h.fingerprint)
+		standing := n.member.Standing(subjects...)
 		switch standing {
 		case quarantine.Free:
 			return standing, true
@@ -103,7 +147,7 @@
 			return standing, false
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		granted, _ := n.member.RequestTrial(ctx, "s", n.listedIncarnation(server), h.fingerprint)
+		granted, _ := n.member.RequestTrial(ctx, "s", n.listedIncarnation(server), subjects...)
 		cancel()
 		if granted {
 			h.crashing.sim.logEvent("%s got a trial of the harmless request at %s", n.name, server)
@@ -130,15 +174,15 @@
 }
 
 // reportCrash reports that a server crashed while a copy ran there.
-func (h *harmlessRequest) reportCrash(n *simNode, r quarantine.Run, sentTo *backend.Member, standing quarantine.Standing) {
+func (h *harmlessRequest) reportCrash(n *simNode, runs []quarantine.Run, sentTo *backend.Member, standing quarantine.Standing) {
 	if h.crashing.proxied {
-		n.member.CrashSuspected(h.crashing.sim.t.Context(), r)
-		n.reportEndByRecord(r, sentTo)
+		n.member.CrashSuspected(h.crashing.sim.t.Context(), runs...)
+		n.reportEndByRecord(runs, sentTo)
 		return
 	}
-	n.member.ServerCrashed(r)
+	n.member.ServerCrashed(runs...)
 	if standing == quarantine.Suspected {
-		n.member.ReleaseTrial(r.Server, r.Request)
+		n.member.ReleaseTrial(runs[0].Server, subjectsOf(runs)...)
 	}
 }
 
--- a/pkg/coordinator/explore_quarantine_test.go
+++ b/pkg/coordinator/explore_quarantine_test.go
@@ -21,6 +21,7 @@
 type crashingRequest struct {
 	sim         *simulation
 	fingerprint quarantine.Fingerprint
+	parts       []string      // of the prompts of many requests, no two alike, which crash servers in place of one; nil: it is one
 	random      *rand.Rand    // for the caller; not safe for concurrent use
 	timeToCrash time.Duration // from the start of a run to the crash of its server
 	sticky      bool          // all are sent to one server, which keeps its name and is behind a proxy
@@ -29,10 +30,46 @@
 	maxTries    int           // servers that one request may be sent to; zero means defaultMaxTries
 
 	mu       sync.Mutex
+	sent     int         // requests with the parts
 	crashes  []time.Time // when servers crashed under the request
 	arrivals []arrival
 }
 
+// nextSubjects returns the subjects of the request that is sent next.
+func (r *crashingRequest) nextSubjects() []quarantine.Fingerprint {
+	if r.parts == nil {
+		return []quarantine.Fingerprint{r.fingerprint}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent++
+	return subjectsOfPrompt(fmt.Sprint("crashing ", r.sent), r.parts)
+}
+
+// subjectsOfPrompt returns the subjects of a request with a body and parts of its prompt.
+func subjectsOfPrompt(body string, parts []string) []quarantine.Fingerprint {
+	list := []quarantine.Fingerprint{quarantine.FingerprintOf("POST", "h", "/", []byte(body))}
+	for _, id := range parts {
+		list = append(list, quarantine.FingerprintOfPart(id))
+	}
+	return list
+}
+
+// beginRuns returns the runs that begin on a server for the subjects of a request, as package relay
+// does.
+func (n *simNode) beginRuns(subjects []quarantine.Fingerprint, parts []string, server string) []quarantine.Run {
+	list := make([]quarantine.Run, len(subjects))
+	for i, f := range subjects {
+		run := quarantine.Run{Request: f, Service: "s", Server: n.listedIncarnation(server), Round: n.member.NextRound(f), RequestID: "id"}
+		run.Doubts, run.Again = n.member.SuspectedRounds(f, run.Server)
+		if i > 0 {
+			run.Part = parts[i-1]
+		}
+		list[i] = run
+	}
+	return list
+}
+
 // arrival is a request that reached a server.
 type arrival struct {
 	at        time.Time
@@ -111,6 +148,12 @@
 // faults begin with a crash of all nodes. Nodes in contact with the store are held to the users'
 // rule.
 func (r *crashingRequest) run() {
+	r.phases()
+	r.sim.finish()
+}
+
+// phases is the part of run before the nodes stop.
+func (r *crashingRequest) phases() {
 	sim := r.sim
 	time.Sleep(time.Duration(r.random.Int64N(int64(3 * time.Second))))
 	for range 3 {
@@ -124,6 +167,10 @@
 		}
 		r.phase(contactTime+time.Duration(r.random.Int64N(int64(maxFaultFreePhase))), false)
 	}
+}
+
+// finish stops the nodes.
+func (sim *simulation) finish() {
 	time.Sleep(recoverTime) // virtual; lets pending load requests end
 	for _, n := range sim.nodes {
 		n.stop()
@@ -144,17 +191,18 @@
 
 // send sends the request to up to maxTries servers, as a node's relay does.
 func (r *crashingRequest) send(n *simNode) {
+	subjects := r.nextSubjects()
 	for range cmp.Or(r.maxTries, defaultMaxTries) {
 		if !n.waitUntilRunning() {
 			return
 		}
-		server, standing := r.nextServer(n), n.member.Standing(r.fingerprint)
+		server, standing := r.nextServer(n), n.member.Standing(subjects...)
 		if server == "" || standing == quarantine.Quarantined {
 			return
 		}
 		if standing == quarantine.Suspected {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			granted, _ := n.member.RequestTrial(ctx, "s", n.listedIncarnation(server), r.fingerprint)
+			granted, _ := n.member.RequestTrial(ctx, "s", n.listedIncarnation(server), subjects...)
 			cancel()
 			if !granted || !n.waitUntilRunning() {
 				return
@@ -164,9 +212,8 @@
 			return
 		}
 		incarnation := r.incarnation(server)
-		run := quarantine.Run{Request: r.fingerprint, Service: "s", Server: n.listedIncarnation(server), Round: n.member.NextRound(r.fingerprint), RequestID: "id"}
-		run.Doubts, run.Again = n.member.SuspectedRounds(r.fingerprint, run.Server)
-		sentTo := n.servers.Snapshot().Member(run.Server)
+		runs := n.beginRuns(subjects, r.parts, server)
+		sentTo := n.servers.Snapshot().Member(runs[0].Server)
 		r.noteArrival(n, server)
 		time.Sleep(r.timeToCrash)
 		r.crashServer(server, incarnation)
@@ -174,16 +221,16 @@
 			return
 		}
 		if r.sticky || r.proxied {
-			n.member.CrashSuspected(r.sim.t.Context(), run)
-			n.reportEndByRecord(run, sentTo)
+			n.member.CrashSuspected(r.sim.t.Context(), runs...)
+			n.reportEndByRecord(runs, sentTo)
 			if standing == quarantine.Suspected {
 				return // the trial is kept until it expires
 			}
 			continue
 		}
-		n.member.ServerCrashed(run)
+		n.member.ServerCrashed(runs...)
 		if standing == quarantine.Suspected {
-			n.member.ReleaseTrial(run.Server, r.fingerprint)
+			n.member.ReleaseTrial(runs[0].Server, subjects...)
 		}
 	}
 }
@@ -236,14 +283,29 @@
 
 // reportEndByRecord reports the crash of a server once its record has disappeared. The proxy before
 // the server does not refuse connections.
-func (n *simNode) reportEndByRecord(r quarantine.Run, m *backend.Member) {
-	r.ByRecord = true
-	switch {
-	case m == nil:
-	case r.Again:
-		m.OnLaterEnd(time.Now(), recordTimeout, func(server string) { n.member.ServerCrashed(r.At(server)) })
-	default:
-		m.OnEnd(time.Now(), recordTimeout, func() { n.member.ServerCrashed(r) })
+func (n *simNode) reportEndByRecord(runs []quarantine.Run, m *backend.Member) {
+	if m == nil {
+		return
+	}
+	var here, again []quarantine.Run
+	for _, r := range runs {
+		r.ByRecord = true
+		if r.Again {
+			again = append(again, r)
+		} else {
+			here = append(here, r)
+		}
+	}
+	if len(here) > 0 {
+		m.OnEnd(time.Now(), recordTimeout, func() { n.member.ServerCrashed(here...) })
+	}
+	if len(again) > 0 {
+		m.OnLaterEnd(time.Now(), recordTimeout, func(server string) {
+			for i := range again {
+				again[i] = again[i].At(server)
+			}
+			n.member.ServerCrashed(again...)
+		})
 	}
 }
 
@@ -270,19 +332,29 @@
 	r.crashes = append(r.crashes, time.Now())
 }
 
+// Crashes after which the users count the arrivals of a request, or of requests with a part.
+const (
+	requestCrashes = 3
+	partCrashes    = 5
+)
+
 // check verifies the arrivals by the users' rule.
 func (r *crashingRequest) check() {
-	if len(r.crashes) < 3 {
+	free := requestCrashes
+	if r.parts != nil {
+		free = partCrashes
+	}
+	if len(r.crashes) < free {
 		r.sim.t.Logf("only %d servers crashed", len(r.crashes))
 		return
 	}
 	lateArrivals := 0
 	for _, a := range r.arrivals {
-		if a.inContact && a.at.Sub(r.crashes[2]) > contactTime {
+		if a.inContact && a.at.Sub(r.crashes[free-1]) > contactTime {
 			lateArrivals++
 		}
 	}
 	if lateArrivals > 3 {
-		r.sim.t.Errorf("the request reached servers %d times later than %v after the third crash; %d servers crashed in all", lateArrivals, contactTime, len(r.crashes))
+		r.sim.t.Errorf("the request reached servers %d times later than %v after crash %d; %d servers crashed in all", lateArrivals, contactTime, free, len(r.crashes))
 	}
 }
