quarantine: evidence keeps its age between nodes, and a quarantine that is in use ends with a trial

What callers saw, by reading: a request that is wrongly in quarantine for longer than its ten minutes. Two nodes never let the same evidence go at the same moment, and the one that still had it told it to the other, where it began anew. Evidence has its age now.

While requests with a bad part keep coming, its quarantine has to last, or every ten minutes three more servers end: users allow three more for good. A refusal is news, told once in five minutes; after ten minutes the subject gets one trial, and each crash in one doubles the time until the next (10 min to 10 h), so that a sound one is found innocent all the same.

--- a/pkg/coordinator/quarantine.go
+++ b/pkg/coordinator/quarantine.go
@@ -251,6 +251,13 @@
 	m.announceEvidence(change)
 }
 
+// Refused implements relay.Quarantine.
+func (m *Member) Refused(subjects ...quarantine.Fingerprint) {
+	for _, e := range m.Quarantine.Refused(m.Time.Now(), subjects...) {
+		m.announceEvidence(quarantine.Change{Evidence: e, New: true})
+	}
+}
+
 // ServerAlive implements relay.Quarantine.
 func (m *Member) ServerAlive(server string, sent time.Time) {
 	m.Quarantine.ServerAlive(m.Time.Now(), server, sent)
--- a/pkg/quarantine/blame.go
+++ b/pkg/quarantine/blame.go
@@ -48,7 +48,7 @@
 		return Free
 	case s != Quarantined:
 		return t.leftover(now, e).standing()
-	case t.hasAlternative(now, e, subjects):
+	case e.mayBeTried(now), t.hasAlternative(now, e, subjects):
 		return Suspected
 	default:
 		return Quarantined
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -127,6 +127,10 @@
 	// ClearedFor is how much longer the subject is not blamed because it ran to its end at the node
 	// that says so, or at one that told it.
 	ClearedFor time.Duration `json:",omitempty"`
+	// Age is how long ago the evidence last changed. It is zero in the platform's store, see Aged.
+	Age time.Duration `json:",omitempty"`
+	// RefusedAgo is how long ago a request with the subject was last refused; zero: none is known.
+	RefusedAgo time.Duration `json:",omitempty"`
 }
 
 // Standing returns the standing by this subject's crashes that are not cleared. Table.Standing also
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -15,6 +15,10 @@
 	// again within seconds to minutes. A request that is wrongly in quarantine stays there no
 	// longer than this.
 	Lifetime = 10 * time.Minute
+	// maxPauses bounds how often the time until the next trial of a subject in quarantine doubles.
+	maxPauses = 6
+	// refusalNews is how old the last refusal that a node knows must be for the next one to be told.
+	refusalNews = Lifetime / 2
 	// maxEntries bounds the requests of which a node keeps evidence, at some 300 bytes each. A loss
 	// of 20 servers with 64 places each gives 1,280 entries. Beyond the bound, the entries with the
 	// least evidence are dropped, the oldest of them first.
@@ -28,6 +32,7 @@
 type entry struct {
 	Evidence
 	updated    time.Time // when the evidence last changed
+	refused    time.Time // when a request with the subject was last refused
 	suspicions []suspicion
 
 	// explained is valid while the table's change counter is explainedAtChange.
@@ -109,7 +114,7 @@
 
 // export returns a copy of an entry's evidence with its suspicions. The caller holds mu.
 func (t *Table) export(now time.Time, e *entry) Evidence {
-	evidence := e.copy()
+	evidence := e.aged(now)
 	evidence.Doubts = e.exportSuspicions(now)
 	evidence.ClearedFor = t.clearedFor(now, e.Part, e.Request)
 	return evidence
@@ -142,7 +147,7 @@
 	if e.pruneSuspicions(now) {
 		t.changes++
 	}
-	if now.Sub(e.updated) > Lifetime || len(e.Ends) == 0 && len(e.suspicions) == 0 {
+	if now.Sub(e.lastNews()) > Lifetime || len(e.Ends) == 0 && len(e.suspicions) == 0 {
 		t.drop(f)
 		return nil
 	}
@@ -153,12 +158,15 @@
 func (t *Table) Merge(now time.Time, other Evidence) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.merge(now, now, other)
+	return t.merge(now, now.Add(-other.Age), other)
 }
 
 // merge adds evidence that last changed at the given time. The caller holds mu.
 func (t *Table) merge(now, at time.Time, other Evidence) Change {
 	e := t.liveEntry(now, other.Request)
+	if e == nil && now.Sub(at) > Lifetime && other.RefusedAgo == 0 {
+		return Change{Evidence: other}
+	}
 	if e == nil {
 		t.makeRoom(now)
 		e = &entry{Evidence: Evidence{Request: other.Request, Part: other.Part, Service: other.Service}, updated: at}
@@ -172,6 +180,7 @@
 	}
 	return t.change(at, e, func() bool {
 		changed := e.merge(other)
+		changed = e.noteRefused(now, other.RefusedAgo) || changed
 		if t.clearedFor(now, other.Part, other.Request) > 0 {
 			e.suspicions = nil
 			return e.clear() || changed
@@ -203,7 +212,9 @@
 	}
 	var kept []Aged
 	for _, e := range t.restricted(now) {
-		kept = append(kept, Aged{e.copy(), now.Sub(e.updated)})
+		stored := e.aged(now)
+		stored.Age = 0
+		kept = append(kept, Aged{stored, now.Sub(e.updated)})
 	}
 	return kept
 }
@@ -305,7 +316,7 @@
 	defer t.mu.Unlock()
 	var list []Evidence
 	for _, e := range t.restricted(now) {
-		list = append(list, e.copy())
+		list = append(list, e.aged(now))
 	}
 	return list
 }
@@ -344,7 +355,7 @@
 	var list []Evidence
 	for _, other := range theirs {
 		if e := t.liveEntry(now, other.Request); e != nil && !slices.Equal(e.Ends, other.Ends) {
-			list = append(list, e.copy())
+			list = append(list, e.aged(now))
 		}
 	}
 	return list
--- a/pkg/relay/quarantine.go
+++ b/pkg/relay/quarantine.go
@@ -34,6 +34,8 @@
 	Completed(f quarantine.Fingerprint)
 	// PartAnswered records that a server answered a request with a part of prompts.
 	PartAnswered(id string, f quarantine.Fingerprint)
+	// Refused records that a request was refused because it or a part of its prompt is in quarantine.
+	Refused(subjects ...quarantine.Fingerprint)
 	// ServerAlive records that a server answered a request that was sent at the given time.
 	ServerAlive(server string, sent time.Time)
 	// RequestTrial asks for a trial: permission to run a suspected request at a server now.
@@ -61,6 +63,7 @@
 // quarantine.
 func (c *call) refuseQuarantined() {
 	c.noteAccused()
+	c.relay.Quarantine.Refused(c.subjects...)
 	reason := reasonQuarantine
 	if len(c.parts) > 0 && c.relay.Quarantine.Standing(c.fingerprint) != quarantine.Quarantined {
 		reason = reasonQuarantinedParts
--- a/pkg/relay/quarantine_test.go
+++ b/pkg/relay/quarantine_test.go
@@ -87,6 +87,11 @@
 	a.table.PartAnswered(time.Now(), id, f)
 }
 
+// Refused implements Quarantine.
+func (a *localQuarantine) Refused(subjects ...quarantine.Fingerprint) {
+	a.table.Refused(time.Now(), subjects...)
+}
+
 // ServerAlive implements Quarantine.
 func (a *localQuarantine) ServerAlive(server string, sent time.Time) {
 	a.table.ServerAlive(time.Now(), server, sent)
