coordinator: loads of an adapter under which servers end are paused

The same cause elsewhere: a load under which servers end was blamed on its model, and an adapter's load on nobody. An adapter that crashes each server that loads it was ordered at the next one, 12 of 12 servers in TestAnAdapterThatCrashesServersIsLoadedAtOneAfterTheOther (red before; 3 now, then the pauses that models have, and the wait is told). Its model and the model's other adapters are loaded as before. An adapter that a server's record or report shows clears itself.

--- a/pkg/coordinator/adapters.go
+++ b/pkg/coordinator/adapters.go
@@ -20,6 +20,9 @@
 			continue
 		}
 		h.recordAdapterUse(now, service, need, d)
+		if h.loadPause(now, service, key.need) > 0 {
+			continue
+		}
 		h.planBoundAdapters(now, service, need, d, e)
 		if !d.waits(now) || h.heldBy(now, service, need) != "" || h.adapterUnderWay(now, service, need, anyServer) {
 			continue
--- a/pkg/coordinator/readytime.go
+++ b/pkg/coordinator/readytime.go
@@ -177,7 +177,7 @@
 		return left
 	}
 	if need.Adapter != "" && h.heldBy(now, service, backend.Need{Model: need.Model}) != "" {
-		return 2 * adapterTime
+		return max(2*adapterTime, h.loadPause(now, service, need.String()))
 	}
 	pause := h.loadPause(now, service, need.Model)
 	if at, known := h.expectedReady[service][need.Model]; known && at.After(now) {
--- a/pkg/coordinator/server.go
+++ b/pkg/coordinator/server.go
@@ -116,7 +116,7 @@
 			s.setCached(m.InMemory, m.OnDisk)
 		}
 		for i := range m.Models {
-			s.addHolding(now, &m.Models[i])
+			h.addHolding(now, s, &m.Models[i])
 		}
 		if s.untouched {
 			s.dropUnlisted(m.Models) // only the last holder, whose term is over, can have changed it
@@ -132,7 +132,7 @@
 	}
 	for id, s := range h.servers {
 		if snapshot.Member(id) == nil && s.member != nil {
-			h.noteLoadCrash(now, s)
+			h.noteLoadCrashes(now, s)
 			s.removed = true // an index may still list it
 			delete(h.servers, id)
 		}
@@ -182,7 +182,7 @@
 const recordLag = 2 * time.Second
 
 // addHolding records that a server holds a model with adapters.
-func (s *serverState) addHolding(now time.Time, m *backend.Holding) *holding {
+func (h *Holder) addHolding(now time.Time, s *serverState, m *backend.Holding) *holding {
 	known := s.holds[m.Model]
 	if known == nil {
 		known = &holding{since: now, adapters: make(map[string]time.Time), arriving: make(map[string]time.Time)}
@@ -192,7 +192,10 @@
 		if _, has := known.adapters[name]; !has {
 			known.adapters[name] = now
 		}
-		delete(known.arriving, name)
+		if _, ordered := known.arriving[name]; ordered && s.member != nil {
+			delete(known.arriving, name)
+			h.noteLoaded(s.member.Service, backend.Need{Model: m.Model, Adapter: name}.String())
+		}
 	}
 	return known
 }
@@ -204,7 +207,7 @@
 	for i := range r.Models {
 		m := &r.Models[i]
 		listed[m.Model] = true
-		known := s.addHolding(now, m)
+		known := h.addHolding(now, s, m)
 		for name := range known.adapters {
 			if !slices.Contains(m.Adapters, name) && now.After(known.arriving[name]) {
 				delete(known.adapters, name)
