loadtest: streams with a part of their prompts that crashes servers

The load tool sends a share of prompts with such a part, no two alike, and counts them apart from the sound ones, which share their first part with them: sound streams that began in their first attempt, and refusals of the others.

--- a/pkg/loadtest/loadtest.go
+++ b/pkg/loadtest/loadtest.go
@@ -31,6 +31,14 @@
 	DeadlineHeader string // name of the header with the milliseconds that the caller waits
 	ResumesHeader  string // name of the header with the ID of the attempt that brought a stream's first event
 
+	// PartsHeader is the name of the header with the parts of a prompt, in order, as ID:TOKENS; optional. All prompts
+	// begin with SharedPart and end with a part of their own. BadShare of them also have BadPart, which crashes the
+	// servers of the test.
+	PartsHeader string
+	SharedPart  string
+	BadPart     string
+	BadShare    float64 // 0 to 1
+
 	// SameField is what all events of a stream have in common if they come from one software version: a field of the
 	// JSON object in their data, or the data itself if it is "data"; optional.
 	SameField string
@@ -49,6 +57,11 @@
 	Disordered int `json:"disordered"`  // lost or repeated an event
 	Mixed      int `json:"two_version"` // hold events of two software versions
 	FirstMS    int `json:"first_ms"`    // mean time to the first event
+
+	// Sound streams are those without Options.BadPart; the others are counted apart.
+	SoundBegunAtFirst int `json:"sound_begun_at_first,omitempty"` // in their first attempt
+	Bad               int `json:"bad,omitempty"`
+	BadRefused        int `json:"bad_refused,omitempty"` // their last attempt was refused
 }
 
 // Violations returns the number of streams that no caller may get.
@@ -60,6 +73,8 @@
 	for name, missing := range map[string]bool{
 		"no node": len(o.Nodes) == 0, "no path": !strings.HasPrefix(o.Path, "/"), "no rate": o.PerSecond <= 0, "no duration": o.Duration <= 0,
 		"no deadline": o.Deadline <= 0, "no header for IDs": o.IDHeader == "", "no header for deadlines": o.DeadlineHeader == "",
+		"no header for the parts of prompts": o.PartsHeader == "" && o.BadShare > 0, "no part that crashes servers": o.BadPart == "" && o.BadShare > 0,
+		"a share of bad parts beyond 0 to 1":      o.BadShare < 0 || o.BadShare > 1,
 		"no header for streams that are taken up": o.ResumesHeader == "" && o.Attempts > 1, "a negative number of attempts": o.Attempts < 0,
 	} {
 		if missing {
@@ -90,6 +105,7 @@
 	for end := time.Now().Add(o.Duration); time.Now().Before(end) && ctx.Err() == nil; {
 		<-ticker.C
 		s := &stream{options: &o, name: fmt.Sprintf("%x", random.Uint64()), random: rand.New(rand.NewPCG(o.Seed, random.Uint64()))}
+		s.bad = s.random.Float64() < o.BadShare
 		callers.Go(func() { total.add(s.read(ctx)) })
 	}
 	callers.Wait()
@@ -110,6 +126,7 @@
 	for count, happened := range map[*int]bool{
 		&t.sum.Begun: o.events > 0, &t.sum.Whole: o.whole, &t.sum.Refused: o.events == 0 && o.refused, &t.sum.TakenUp: o.takenUp,
 		&t.sum.GoneOn: o.goneOn, &t.sum.Disordered: o.disordered, &t.sum.Mixed: len(o.same) > 1,
+		&t.sum.SoundBegunAtFirst: !o.bad && o.atFirst, &t.sum.Bad: o.bad, &t.sum.BadRefused: o.bad && o.refused,
 	} {
 		if happened {
 			*count++
--- a/pkg/loadtest/loadtest_test.go
+++ b/pkg/loadtest/loadtest_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -87,3 +90,33 @@
 		}
 	}
 }
+
+func TestStreamsWithABadPartAreCountedAsSound(t *testing.T) {
+	var mu sync.Mutex
+	sent := map[string]int{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		parts := strings.Split(r.Header.Get("X-Parts"), ",")
+		mu.Lock()
+		sent[strings.Join(parts[:len(parts)-1], ",")]++
+		mu.Unlock()
+		if slices.Contains(parts, "bad:100") {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "id: 1\ndata: {}\n\n")
+	}))
+	t.Cleanup(server.Close)
+	o := options(strings.TrimPrefix(server.URL, "http://"))
+	o.PartsHeader, o.SharedPart, o.BadPart, o.BadShare, o.Attempts = "X-Parts", "shared", "bad", 0.5, 1
+	got, err := Run(t.Context(), o)
+	if err != nil || got.Bad == 0 || got.Bad == got.Sent || got.BadRefused != got.Bad || got.SoundBegunAtFirst != got.Sent-got.Bad {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	if sent["shared:100"] != got.Sent-got.Bad || sent["shared:100,bad:100"] != got.Bad || len(sent) != 2 {
+		t.Errorf("parts sent: %v, for %+v", sent, got)
+	}
+	o.PartsHeader = ""
+	if _, err := Run(t.Context(), o); err == nil || !strings.Contains(err.Error(), "no header for the parts of prompts") {
+		t.Errorf("without a header: %v", err)
+	}
+}
--- a/pkg/loadtest/stream.go
+++ b/pkg/loadtest/stream.go
@@ -32,6 +32,8 @@
 
 // outcome is what the caller got.
 type outcome struct {
+	bad        bool // its prompt has Options.BadPart
+	atFirst    bool // its first attempt brought an event
 	events     int
 	whole      bool
 	refused    bool // the last attempt was refused
@@ -56,6 +58,7 @@
 			s.whole = true
 		}
 		s.goneOn = s.goneOn || before > 0 && s.events > before
+		s.atFirst = s.atFirst || attempt == 0 && s.events > 0
 		if s.whole {
 			break
 		}
@@ -77,6 +80,9 @@
 	for name, values := range o.Header {
 		r.Header[name] = values
 	}
+	if o.PartsHeader != "" {
+		r.Header.Set(o.PartsHeader, s.parts())
+	}
 	r.Host = o.Host
 	r.Header.Set(o.IDHeader, id)
 	r.Header.Set(o.DeadlineHeader, strconv.FormatInt(left.Milliseconds(), 10))
@@ -95,6 +101,24 @@
 	return s.readEvents(response.Body, id)
 }
 
+// partTokens is the length of each part of a prompt.
+const partTokens = 100
+
+// parts returns the parts of the stream's prompt.
+func (s *stream) parts() string {
+	ids := []string{s.options.SharedPart, s.name}
+	if s.bad {
+		ids = []string{s.options.SharedPart, s.options.BadPart, s.name}
+	}
+	var list []string
+	for _, id := range ids {
+		if id != "" {
+			list = append(list, fmt.Sprintf("%s:%d", id, partTokens))
+		}
+	}
+	return strings.Join(list, ",")
+}
+
 // readEvents reads the events of an attempt.
 func (s *stream) readEvents(body io.Reader, attempt string) error {
 	id, data := "", ""
