--- a/pkg/lab/node.go
+++ b/pkg/lab/node.go
@@ -19,6 +19,7 @@
 	frozen      bool
 	incarnation int
 	deferred    []func()        // calls that arrived while the node was frozen
+	unread      []*request      // of callers that connected while the node was frozen
 	views       [][]replicaView // by model index
 	queues      []*modelQueue   // by model index
 	active      []int           // indexes of the models to report, sorted
@@ -70,7 +71,11 @@
 		return
 	}
 	incarnation := n.incarnation
+	if n.frozen {
+		n.unread = append(n.unread, req)
+	}
 	n.handle(func() {
+		n.unread = slices.DeleteFunc(n.unread, func(other *request) bool { return other == req })
 		queue := n.queue(req.model.index)
 		queue.arrivals++
 		queue.lastArrival = n.sim.clock.elapsed
@@ -359,11 +364,14 @@
 	n.alive, n.frozen = false, false
 	n.incarnation++
 	n.deferred, n.active, n.ticking = nil, nil, false
-	runs := n.runs
-	n.runs = nil
+	runs, unread := n.runs, n.unread
+	n.runs, n.unread = nil, nil
 	for _, r := range runs {
 		n.sim.connectionLost(r.request, n)
 	}
+	for _, req := range unread {
+		n.sim.connectionLost(req, n)
+	}
 	for model, queue := range n.queues {
 		if queue == nil {
 			continue
