lab: a part of prompts that crashes engines

The emulator knew no request that ends its server. A schedule of faults has for half of each hour a part in one of 20 requests that crashes the engine 120 ms after it began; nodes use the quarantine's table, with evidence told 15 ms later and one trial at a time. Counted as violations: more than three of its requests at engines later than contact after the fifth crash.

--- a/pkg/lab/engine_requests.go
+++ b/pkg/lab/engine_requests.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"martenwheel.dev/pkg/engine"
+	"martenwheel.dev/pkg/quarantine"
 )
 
 // run is one attempt to run a request on an engine.
@@ -17,7 +18,9 @@
 	item        *item
 	timer       *event
 	job         *job
-	outputOf    int // number of the request that produced the output
+	outputOf    int    // number of the request that produced the output
+	instance    string // incarnation of the server that runs it
+	subjects    []quarantine.Run
 }
 
 // submit handles a request from a node: it starts the request, queues it or refuses it.
@@ -50,6 +53,10 @@
 	it.running = append(it.running, r)
 	r.outputOf = r.request.number
 	e.sim.checker.started(r)
+	if r.request.badPart != "" {
+		e.crashByPart(r)
+		return
+	}
 	streams := len(it.batch.jobs) + 1
 	prefillSeconds := float64(r.request.prompt) / promptTokensPerSecond * (1 + float64(streams-1)*batchSlowdown)
 	r.timer = e.sim.clock.after(time.Duration(prefillSeconds*float64(time.Second)), func() {
--- a/pkg/lab/faults.go
+++ b/pkg/lab/faults.go
@@ -25,12 +25,13 @@
 	FaultsWeightsSlow   Faults = "weights-slow" // the weight store is slow
 	FaultsMixed         Faults = "mixed"        // all of the above
 	FaultsRelease       Faults = "release"      // servers are replaced by a next version of their software
+	FaultsBadPart       Faults = "bad-part"     // a part of prompts crashes the engines that begin to answer it
 	FaultsStoreRestored Faults = "store-copy"   // the table service is restored from a backup, which the platform guarantees not to do
 )
 
 // AllFaults returns the names of the schedules.
 func AllFaults() []Faults {
-	return []Faults{FaultsNone, FaultsKill, FaultsCut, FaultsFreeze, FaultsStoreDown, FaultsWeightsSlow, FaultsMixed, FaultsRelease, FaultsStoreRestored}
+	return []Faults{FaultsNone, FaultsKill, FaultsCut, FaultsFreeze, FaultsStoreDown, FaultsWeightsSlow, FaultsMixed, FaultsRelease, FaultsBadPart, FaultsStoreRestored}
 }
 
 // Intervals, durations and rates of the faults.
@@ -53,6 +54,9 @@
 	restoreInterval        = time.Hour
 	backupAge              = 5 * time.Second // age of the backup when the table service goes down
 	restoreDowntime        = 2 * time.Second // downtime of the table service
+	badPartInterval        = time.Hour
+	badPartDuration        = 30 * time.Minute
+	badPartShare           = 0.05 // of the requests
 	editInterval           = 10 * time.Minute
 	weightsSlowInterval    = 6 * time.Hour
 	weightsSlowDuration    = time.Hour
@@ -88,6 +92,9 @@
 		sim.repeat(random, releaseInterval, func() { sim.release(random) })
 		sim.repeat(random, releaseInterval/releaseNodeKills, func() { sim.killNode(random) }) // whose callers go on elsewhere
 	}
+	if includes(FaultsBadPart) {
+		sim.repeat(random, badPartInterval, func() { sim.sendBadPart(random) })
+	}
 	if includes(FaultsStoreRestored) {
 		sim.repeat(random, restoreInterval, sim.restoreStore)
 	}
--- a/pkg/lab/node.go
+++ b/pkg/lab/node.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/quarantine"
 	"martenwheel.dev/pkg/traffic/routing"
 )
 
@@ -25,6 +26,7 @@
 	active      []int           // indexes of the models to report, sorted
 	ticking     bool
 	runs        []*run // attempts in progress
+	quarantine  *quarantine.Table
 
 	chooser    *routing.Chooser
 	candidates []routing.Candidate // reused buffer of pick
@@ -44,6 +46,7 @@
 // modelQueue is a node's queue and counts for one model.
 type modelQueue struct {
 	waiting     []*request
+	postponed   []*request // suspected of crashing engines, until they ask for a trial again
 	inFlight    int
 	arrivals    uint32
 	lastArrival time.Duration
@@ -75,7 +78,7 @@
 		n.unread = append(n.unread, req)
 	}
 	n.handle(func() {
-		n.unread = slices.DeleteFunc(n.unread, func(other *request) bool { return other == req })
+		removeRequest(&n.unread, req)
 		queue := n.queue(req.model.index)
 		queue.arrivals++
 		queue.lastArrival = n.sim.clock.elapsed
@@ -121,11 +124,16 @@
 // leaveQueue removes a request from its queue and reports whether it was there.
 func (n *node) leaveQueue(req *request) bool {
 	queue := n.queue(req.model.index)
-	i := slices.Index(queue.waiting, req)
+	return removeRequest(&queue.waiting, req) || removeRequest(&queue.postponed, req)
+}
+
+// removeRequest removes a request from a list and reports whether it was there.
+func removeRequest(list *[]*request, req *request) bool {
+	i := slices.Index(*list, req)
 	if i < 0 {
 		return false
 	}
-	queue.waiting = slices.Delete(queue.waiting, i, i+1)
+	*list = slices.Delete(*list, i, i+1)
 	return true
 }
 
@@ -135,7 +143,8 @@
 	queue := n.queue(model)
 	for len(queue.waiting) > 0 {
 		req := queue.waiting[0]
-		if n.versionGone(req) {
+		standing := n.quarantine.Standing(n.sim.clock.now(), req.subjects...)
+		if n.versionGone(req) || standing == quarantine.Quarantined {
 			queue.waiting = queue.waiting[1:]
 			n.refuse(req)
 			continue
@@ -146,6 +155,10 @@
 			return
 		}
 		queue.waiting = queue.waiting[1:]
+		if standing == quarantine.Suspected && !n.sim.startTrial(req, target) {
+			n.postpone(req)
+			continue
+		}
 		n.attempt(req, target)
 	}
 }
@@ -221,6 +234,7 @@
 // attempt sends a request to an engine.
 func (n *node) attempt(req *request, target *emulatedEngine) {
 	r := &run{request: req, sendNumber: req.sends, node: n, incarnation: n.incarnation, server: target}
+	n.beginRound(r)
 	req.attempts++
 	req.claimed = req.model.unsafe
 	n.runs = append(n.runs, r)
@@ -253,6 +267,7 @@
 		n.runs = slices.Delete(n.runs, i, i+1)
 		model := r.request.model.index
 		n.queue(model).inFlight--
+		n.recordEvidence(r, kind)
 		n.handleOutcome(r, kind)
 		n.dispatch(model)
 	})
@@ -377,7 +392,7 @@
 			continue
 		}
 		n.queues[model] = nil
-		for _, req := range queue.waiting {
+		for _, req := range slices.Concat(queue.waiting, queue.postponed) {
 			n.sim.connectionLost(req, n)
 		}
 	}
@@ -386,6 +401,7 @@
 // restart starts the process again, with no knowledge of replicas.
 func (n *node) restart() {
 	n.alive = true
+	n.quarantine = n.sim.knownEvidence()
 	n.views = make([][]replicaView, len(n.sim.models))
 	n.sim.plane.nodeStarted(n)
 }
--- a/pkg/lab/request.go
+++ b/pkg/lab/request.go
@@ -1,6 +1,10 @@
 package lab
 
-import "time"
+import (
+	"time"
+
+	"martenwheel.dev/pkg/quarantine"
+)
 
 // request is the state of a caller's request.
 type request struct {
@@ -9,15 +13,18 @@
 	model        *model
 	priority     int
 	deadline     time.Duration
-	sends        int           // times that the caller sent it
-	attempts     int           // times that a node sent it to an engine
-	ranPerSend   []bool        // for each send, whether an engine ran it
-	maybeRan     bool          // an attempt since the last send ended with its outcome unknown
-	startedAt    time.Duration // when it first ran; -1 before
-	firstTokenAt time.Duration // when its first token reached the caller; -1 before
-	software     int           // version of the engine that its first token came from; 0 before
-	answered     bool          // the caller got the final answer
-	claimed      bool          // an unsafe request that may have reached an engine
+	sends        int                      // times that the caller sent it
+	attempts     int                      // times that a node sent it to an engine
+	ranPerSend   []bool                   // for each send, whether an engine ran it
+	maybeRan     bool                     // an attempt since the last send ended with its outcome unknown
+	startedAt    time.Duration            // when it first ran; -1 before
+	firstTokenAt time.Duration            // when its first token reached the caller; -1 before
+	software     int                      // version of the engine that its first token came from; 0 before
+	answered     bool                     // the caller got the final answer
+	claimed      bool                     // an unsafe request that may have reached an engine
+	badPart      string                   // part of its prompt that crashes engines; empty: none
+	parts        []string                 // of its prompt, that other requests share
+	subjects     []quarantine.Fingerprint // what may be to blame if engines crash: the request, and parts of its prompt
 }
 
 // answerKind describes how an attempt, or the whole request, ended.
@@ -48,6 +55,7 @@
 		arrival: a, number: number, model: m, priority: m.settings.Priority,
 		deadline: a.at + m.settings.Deadline, startedAt: -1, firstTokenAt: -1,
 	}
+	sim.describePrompt(req)
 	sim.checker.sent(req)
 	sim.clock.at(req.deadline+answerGrace, func() { sim.checker.timeOut(req) })
 	sim.send(req, sim.nodes[a.node])
--- a/pkg/lab/result.go
+++ b/pkg/lab/result.go
@@ -69,11 +69,14 @@
 	TreeReverts int `json:"tree_reverts"` // a node went back to an older revision of its settings
 	// Versions counts streams with tokens of engines of two software versions.
 	Versions int `json:"versions,omitempty"`
+	// BadParts counts requests with a part that crashes engines, beyond those that may reach engines after
+	// its first crashes.
+	BadParts int `json:"bad_parts,omitempty"`
 }
 
 // Sum returns the number of all violations.
 func (v Violations) Sum() int {
-	return v.Replicas + v.Memory + v.AtMostOnce + v.NotRun + v.Leaving + v.TreeReverts + v.Versions
+	return v.Replicas + v.Memory + v.AtMostOnce + v.NotRun + v.Leaving + v.TreeReverts + v.Versions + v.BadParts
 }
 
 // Bounds are reference values that no policy is expected to beat; bounds.go explains them.
--- a/pkg/lab/run_test.go
+++ b/pkg/lab/run_test.go
@@ -102,6 +102,16 @@
 	}
 }
 
+func TestABadPartCrashesOneEngineAfterTheOther(t *testing.T) {
+	t.Parallel()
+	scenario := loadScenario(t, "hornada", "duration=2h")
+	result, _ := mustRun(t, Options{Scenario: scenario, Seed: 3, Faults: FaultsBadPart})
+	checkNoViolations(t, result)
+	if result.Requests.Refused > result.Requests.Sent/5 {
+		t.Errorf("with a bad part in one of 20 requests for half an hour: %+v", result.Requests)
+	}
+}
+
 // TestAdaptiveMeetsTargets compares the default policy with fixed-keepalive over six hours of each
 // scenario: in delta-piney at most half its cold-start p99 without more idle hours, in hornada at
 // most half its idle hours without a higher p99. The seed was not used to tune the policy.
--- a/pkg/lab/simulation.go
+++ b/pkg/lab/simulation.go
@@ -33,6 +33,7 @@
 	ended             bool    // no more requests and faults
 	endedAt           time.Duration
 	faultCounts       map[Faults]int // number of injected faults by kind
+	badParts          badParts
 }
 
 // controlPlane decides where models are loaded, and updates the nodes.
