--- a/pkg/site/operator.go
+++ b/pkg/site/operator.go
@@ -22,9 +22,11 @@
 	return mux
 }
 
-// quarantineLine is an entry of the quarantine list: a request during which servers crashed.
+// quarantineLine is an entry of the quarantine list: a request during which servers crashed, or a part of the prompts of
+// many.
 type quarantineLine struct {
 	Fingerprint string   `json:"fingerprint"`
+	Part        string   `json:"part,omitempty"` // ID of the part
 	Service     string   `json:"service"`
 	Standing    string   `json:"standing"`
 	Servers     []string `json:"ended_under_it"`
@@ -33,14 +35,16 @@
 func (s *Site) listQuarantine(w http.ResponseWriter, _ *http.Request) {
 	lines := []quarantineLine{}
 	for _, e := range s.member.Evidence() {
-		lines = append(lines, quarantineLine{e.Request.String(), e.Service, s.member.Standing(e.Request).String(), e.Servers()})
+		if standing := s.member.Standing(e.Request); standing != quarantine.Free {
+			lines = append(lines, quarantineLine{e.Request.String(), e.Part, e.Service, standing.String(), e.Servers()})
+		}
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(lines) // fails only if the client is gone
 }
 
-// liftQuarantine permits a request again, on all nodes. Only clients on this machine may do so: a crashing
-// request costs three more servers before it is in quarantine again.
+// liftQuarantine permits a request or a part of prompts again, on all nodes. Only clients on this machine may do so: one
+// that crashes servers costs three more before it is in quarantine again.
 func (s *Site) liftQuarantine(w http.ResponseWriter, r *http.Request) {
 	if !fromThisMachine(r) {
 		http.Error(w, "only from the node's own machine", http.StatusForbidden)
@@ -52,7 +56,7 @@
 		return
 	}
 	if !s.member.LiftQuarantine(f) {
-		http.Error(w, "no servers are known to have ended under this request", http.StatusNotFound)
+		http.Error(w, "no servers are known to have ended under this request or part", http.StatusNotFound)
 	}
 }
 
@@ -78,7 +82,7 @@
 func registerQuarantine(registry prometheus.Registerer, known *quarantine.Table) {
 	for _, standing := range []quarantine.Standing{quarantine.Suspected, quarantine.Quarantined} {
 		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Namespace: "martenwheel", Name: "quarantine_requests", Help: "Requests under which servers ended.",
+			Namespace: "martenwheel", Name: "quarantine_requests", Help: "Requests and parts of prompts under which servers ended.",
 			ConstLabels: prometheus.Labels{"standing": standing.String()},
 		}, func() float64 { return float64(known.Count(clock.Now(), standing)) }))
 	}
