quarantine: evidence is passed on with the age that it has

Ages and the time for which a subject is cleared were taken as of the evidence's own time, so that old evidence was passed on as new and a clearance for longer than it holds. By reading the change; TestOldEvidenceIsPassedOnAsNew, red before. The package's page names parts.

--- a/pkg/quarantine/doc.go
+++ b/pkg/quarantine/doc.go
@@ -1,5 +1,5 @@
 // Package quarantine stops requests that crash the servers that run them from reaching more
-// servers.
+// servers, and requests whose prompts have a part that does.
 //
 // A connection that breaks under a request has many possible causes: the server crashed by itself,
 // it was killed, or another request crashed it. Evidence against a request is that several servers
@@ -14,8 +14,14 @@
 //
 // A request that any node completed within the last minute is not blamed.
 //
-// fingerprint.go identifies a request that comes again. completed.go remembers completed requests.
-// evidence.go has what is known of a request, and how reports of several nodes are merged.
-// suspicion.go has runs that may have crashed their servers. table.go keeps all of this on each
-// node. trials.go has suspected requests run one at a time.
+// The parts of a request's prompt are subjects of evidence beside the request itself, and all of the
+// above holds for each of them: many requests may share a part that crashes servers and be different
+// otherwise. A request runs as its gravest subject says. Crashes that a part explains don't count
+// against the requests that met them.
+//
+// fingerprint.go identifies a subject that comes again. completed.go remembers what ran to its end.
+// evidence.go has what is known of a subject, and how reports of several nodes are merged. blame.go
+// decides which subjects are to blame. suspicion.go has runs that may have crashed their servers.
+// lifetime.go has how long evidence counts. table.go keeps all of this on each node. trials.go has
+// suspected requests run one at a time.
 package quarantine
--- a/pkg/quarantine/lifetime_test.go
+++ b/pkg/quarantine/lifetime_test.go
@@ -60,3 +60,17 @@
 		t.Errorf("when no such request comes any more it is %v, want free", got)
 	}
 }
+
+func TestOldEvidenceIsPassedOnAsNew(t *testing.T) {
+	var here Table
+	old := crashEvidence(1, "i-1", "i-2", "i-3")
+	old.Age = Lifetime / 2
+	if c := here.Merge(testStart, old); c.Evidence.Age != Lifetime/2 || c.Now != Quarantined {
+		t.Errorf("evidence of an age of %v is passed on as %+v", old.Age, c)
+	}
+	here.PartAnswered(testStart, "p", part("p"))
+	accusation := Evidence{Request: part("p"), Part: "p", Ends: old.Ends, Age: completedTime / 2}
+	if c := here.Merge(testStart.Add(completedTime/2), accusation); c.ClearedFor != completedTime/2 {
+		t.Errorf("a part that is cleared for %v is told as cleared for %v", completedTime/2, c.ClearedFor)
+	}
+}
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -120,8 +120,8 @@
 	return evidence
 }
 
-// Cleared reports whether a part of prompts is not blamed now because it ran to its end within the last
-// minute.
+// Cleared reports whether a part of prompts is not blamed now because a request with it was answered
+// within the last minute, here or at a node that told it.
 func (t *Table) Cleared(now time.Time, part Fingerprint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -178,7 +178,7 @@
 	if other.ClearedFor > 0 {
 		t.noteCompleted(now, now.Add(min(other.ClearedFor, completedTime)), other.Part, other.Request)
 	}
-	return t.change(at, e, func() bool {
+	return t.change(now, at, e, func() bool {
 		changed := e.merge(other)
 		changed = e.noteRefused(now, other.RefusedAgo) || changed
 		if t.clearedFor(now, other.Part, other.Request) > 0 {
@@ -259,7 +259,7 @@
 	if e == nil {
 		return Change{}
 	}
-	return t.change(now, e, func() bool {
+	return t.change(now, now, e, func() bool {
 		hadSuspicions := len(e.suspicions) > 0
 		e.suspicions = nil
 		return e.clear() || hadSuspicions
@@ -268,15 +268,15 @@
 
 // change applies f to an entry and returns the effect. at is the time of the new evidence. The caller
 // holds mu.
-func (t *Table) change(at time.Time, e *entry, f func() bool) Change {
-	c := Change{Before: t.standingAlone(at, e)}
+func (t *Table) change(now, at time.Time, e *entry, f func() bool) Change {
+	c := Change{Before: t.standingAlone(now, e)}
 	if c.New = f(); c.New {
 		t.changes++
 		if at.After(e.updated) {
 			e.updated = at
 		}
 	}
-	c.Now, c.Evidence, c.Accused = t.standingAlone(at, e), t.export(at, e), e.standingIfNotCleared()
+	c.Now, c.Evidence, c.Accused = t.standingAlone(now, e), t.export(now, e), e.standingIfNotCleared()
 	return c
 }
 
