--- a/tools/mutants/play.sh
+++ b/tools/mutants/play.sh
@@ -26,7 +26,7 @@
   OLD=$old NEW=$new perl -0pi -e '
     my ($old, $new) = map { s/\\n/\n/gr =~ s/\\t/\t/gr } @ENV{qw(OLD NEW)};
     s/\Q$old\E/$new/ or die "text not found\n"' "$file" || { echo "?         $name: text not found in $file"; cp original "$file"; continue; }
-  if out=$(timeout 600 go test ./pkg/coordinator -run 'TestSchedules|TestBUDGETOfFatalRequestsInSchedules' -explore.schedules="$schedules" -timeout 550s 2>&1); then
+  if out=$(timeout 600 go test ./pkg/coordinator -run 'TestSchedules|TestBUDGETOfFatalRequestsInSchedules|TestBUDGETOfPartsInSchedules|TestLOSTBesidePartsInSchedules' -explore.schedules="$schedules" -timeout 550s 2>&1); then
     echo "not found $name"
   elif grep -q 'build failed' <<< "$out"; then
     echo "?         $name: does not compile"
