--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -208,6 +208,9 @@
 
 // standingIfNotCleared returns the standing by all crashes, cleared or not.
 func (e *Evidence) standingIfNotCleared() Standing {
+	if !slices.ContainsFunc(e.Ends, func(end End) bool { return end.Cleared }) {
+		return e.Standing()
+	}
 	accusation := e.copy()
 	for i := range accusation.Ends {
 		accusation.Ends[i].Cleared = false
