--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -77,7 +77,7 @@
 	sends          int
 	misses         int              // attempts in which no server ran the request
 	runs           int              // servers that may have run it
-	nextRuns       []quarantine.Run // the next run, or the last one, by subject
+	subjectRuns    []quarantine.Run // the run that begins or began last, for each subject
 	unprovenRounds []int            // by subject: rounds, with those in doubt, of the last attempt that broke although another node reached the server
 	headSent       bool
 	pinned         bool          // the stream has events: only servers of one software version may continue it
--- a/pkg/relay/quarantine.go
+++ b/pkg/relay/quarantine.go
@@ -109,7 +109,7 @@
 
 // setRound sets the rounds of a run that begins at a server now.
 func (c *call) setRound(q Quarantine, m *backend.Member) {
-	c.nextRuns = make([]quarantine.Run, len(c.subjects))
+	c.subjectRuns = make([]quarantine.Run, len(c.subjects))
 	for i, f := range c.subjects {
 		run := quarantine.Run{Request: f, Service: c.service, Server: m.ID, Round: q.NextRound(f), RequestID: c.id}
 		run.Doubts, run.Again = q.SuspectedRounds(f, m.ID)
@@ -119,7 +119,7 @@
 		if i < len(c.unprovenRounds) {
 			run.Doubts = max(run.Doubts, c.unprovenRounds[i]-(run.Round-1))
 		}
-		c.nextRuns[i] = run
+		c.subjectRuns[i] = run
 	}
 }
 
@@ -255,14 +255,14 @@
 	if c.relay.Quarantine == nil || c.record.last().answerDuration() >= quarantine.SettleTime {
 		return
 	}
-	c.relay.Quarantine.ServerCrashed(c.nextRuns...)
+	c.relay.Quarantine.ServerCrashed(c.subjectRuns...)
 }
 
 // noteUnproven keeps the rounds of the last run, whose connection broke although another node reached the
 // server.
 func (c *call) noteUnproven() {
-	c.unprovenRounds = make([]int, len(c.nextRuns))
-	for i, run := range c.nextRuns {
+	c.unprovenRounds = make([]int, len(c.subjectRuns))
+	for i, run := range c.subjectRuns {
 		c.unprovenRounds[i] = run.Round + run.Doubts
 	}
 }
@@ -272,7 +272,7 @@
 // the request would be sent to all other servers.
 func (c *call) recordSuspicion(ctx context.Context) {
 	if q := c.relay.Quarantine; q != nil && c.record.last().answerDuration() < quarantine.SettleTime {
-		q.CrashSuspected(ctx, c.nextRuns...)
+		q.CrashSuspected(ctx, c.subjectRuns...)
 	}
 }
 
@@ -330,7 +330,7 @@
 		return
 	}
 	var runs, again []quarantine.Run
-	for _, run := range c.nextRuns {
+	for _, run := range c.subjectRuns {
 		run.ByRecord = true
 		if run.Again {
 			again = append(again, run)
@@ -354,7 +354,7 @@
 
 // Reasons of refusals, telling the caller why retrying does not help.
 var (
-	reasonQuarantine       = fmt.Sprintf("servers ended when they ran this request; it is not run for up to %v", quarantine.Lifetime)
-	reasonQuarantinedParts = fmt.Sprintf("servers ended when they ran requests with a part of this prompt; it is not run for up to %v", quarantine.Lifetime)
+	reasonQuarantine       = fmt.Sprintf("servers ended when they ran this request; it is not run for %v or longer", quarantine.Lifetime)
+	reasonQuarantinedParts = fmt.Sprintf("servers ended when they ran requests with a part of this prompt; it is not run for %v or longer", quarantine.Lifetime)
 	reasonSuspected        = "servers ended when they ran this request; it waits for its turn to run alone"
 )
