--- a/pkg/coordinator/explore_parts_test.go
+++ b/pkg/coordinator/explore_parts_test.go
@@ -19,8 +19,7 @@
 	return bad, &harmlessRequest{crashing: bad, parts: []string{sharedPart, soundPart}, random: rand.New(rand.NewPCG(seed, 7)), runTime: crashTime}
 }
 
-// TestBUDGETOfPartsInSchedules guards against parts of prompts that crash one server after the other, and against
-// refusals of sound requests beside them, whatever else fails.
+// Guards against parts that crash one server after the other, and refusals of sound requests beside them, under any faults.
 func TestBUDGETOfPartsInSchedules(t *testing.T) {
 	exploreThird(t, func(sim *simulation, seed uint64) {
 		bad, sound := newPartRequests(sim, seed)
@@ -63,8 +62,7 @@
 	})
 }
 
-// TestSoundPartsAreAccusedInSchedules guards against waits and refusals of requests because servers crash for other
-// reasons.
+// Guards against waits and refusals of requests because servers crash for other reasons.
 func TestSoundPartsAreAccusedInSchedules(t *testing.T) {
 	exploreThird(t, func(sim *simulation, seed uint64) {
 		bad, sound := newPartRequests(sim, seed)
--- a/pkg/quarantine/compare_parts_test.go
+++ b/pkg/quarantine/compare_parts_test.go
@@ -398,9 +398,7 @@
 	return s
 }
 
-// TestWaysToFindABadPart compares the ways with a part that crashes servers, with crashes of other
-// causes, and on calm days, with one in five sound requests about a subject of its own. The larger sites
-// are played with the way in use alone, as the others take minutes there.
+// TestWaysToFindABadPart plays the larger sites with the way in use alone, as the others take minutes there.
 func TestWaysToFindABadPart(t *testing.T) {
 	for _, size := range []struct {
 		nodes, servers int
