relay: an answer that the node itself ends has an outcome and a log line of its own

Answers that had begun and were ended by the relay were logged and counted as refused, without what decided it. They are "cut off" now, with the time since the last event, the attempts, the retry budget and the newest configuration's version, so that a cut can be told from a refusal, and a change of the configuration from a silent server.

--- a/pkg/relay/budget.go
+++ b/pkg/relay/budget.go
@@ -90,6 +90,19 @@
 	return true
 }
 
+// left returns how many retries the budget of one of n nodes holds.
+func (b *budgets) left(cfg BudgetConfig, now time.Time, service string, n int) float64 {
+	if cfg.Window <= 0 {
+		return 0 // without a limit, no number says anything
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.of(service)
+	at := s.slot(cfg, now)
+	s.fill(cfg, now, n)
+	return s.covers(cfg, at) + s.slack.retries
+}
+
 // spendTolerance allows for rounding in sums of fractional retries.
 const spendTolerance = 1e-9
 
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -18,6 +18,7 @@
 const (
 	outcomeServed  = "served"
 	outcomeRefused = "refused"
+	outcomeCut     = "cut off" // this node ended an answer that had begun
 	outcomeLeft    = "caller left"
 	outcomeUnread  = "not read"
 	outcomeBroken  = "broken off"
@@ -213,6 +214,9 @@
 			"outlook_age_ms", c.record.statusAge.Milliseconds(), "leaves_ms", c.patience().Milliseconds())
 	}
 	fields = append(fields, c.describeResumption()...)
+	if c.record.outcome == outcomeCut {
+		fields = append(fields, c.describeCut()...)
+	}
 	if c.record.events > 0 {
 		fields = append(fields, "events", c.record.events, "last_event", c.lastEvent,
 			"pause_ms", c.record.longestGap.Milliseconds(), "pause_target_ms", c.route.GapTarget.Milliseconds())
@@ -236,6 +240,20 @@
 	return fields
 }
 
+// describeCut returns the fields about what decided that an answer that had begun was ended.
+func (c *call) describeCut() []any {
+	now := c.relay.Time.Now()
+	fields := []any{"sends", c.sends, "runs", c.runs, "max_attempts", c.route.MaxAttempts,
+		"retries_left", c.relay.budgets.left(c.relay.Budget, now, c.service, c.nodes())}
+	if !c.record.lastEventAt.IsZero() {
+		fields = append(fields, "silent_ms", now.Sub(c.record.lastEventAt).Milliseconds())
+	}
+	if newest := c.relay.Routes(); newest != nil {
+		fields = append(fields, "config_now", newest.Version())
+	}
+	return fields
+}
+
 // describeResumption returns the fields about the stream that the caller takes up.
 func (c *call) describeResumption() []any {
 	if c.record.resumesAfter == "" && c.record.resumes == "" {
--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -61,11 +61,12 @@
 
 // refuse answers with a refusal. If part of an answer was sent, it aborts the connection.
 func (c *call) refuse(f refusal) {
-	c.record.setOutcome(outcomeRefused, errors.New(f.reason))
-	c.record.status = f.status
 	if c.headSent {
+		c.record.setOutcome(outcomeCut, errors.New(f.reason))
 		panic(http.ErrAbortHandler)
 	}
+	c.record.setOutcome(outcomeRefused, errors.New(f.reason))
+	c.record.status = f.status
 	h := c.w.Header()
 	h.Set("Content-Type", "application/json")
 	if c.id != "" {
