--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -12,8 +12,8 @@
 	"martenwheel.dev/pkg/route"
 )
 
-// errImpatient ends an attempt that takes too long while another server could serve the request.
-var errImpatient = errors.New("relay: the server takes too long")
+// errSilent ends a run that continues from a copy and shows no sign of an answer.
+var errSilent = errors.New("relay: the server is silent")
 
 // errLeaving keeps a request from a server that began to leave.
 var errLeaving = errors.New("relay: the server is leaving")
@@ -57,7 +57,7 @@
 			continue
 		}
 		before := c.sends
-		if before > 0 && !c.mayRetry(ctx) {
+		if before > 0 && !c.takeReserved() && !c.mayRetry(ctx) {
 			c.endTrial()
 			c.refuse(c.notServed(reasonBudget, defaultRetryAfter))
 			return
@@ -90,57 +90,97 @@
 	return c.relay.Nodes()
 }
 
-// attempt sends the request to a server. It reports whether to try another one.
+// attempt sends the request to a server, and goes on with its hedge if that is faster or the server fails. It reports
+// whether to try another server.
 func (c *call) attempt(ctx context.Context, m *backend.Member) bool {
-	v, err := c.try(ctx, m)
+	r, v, err := c.try(ctx, m)
+	for c.hedge != nil && c.needsHedge(v, err) {
+		if !errors.Is(err, errMoved) {
+			c.noteFailure(r, v, err)
+		}
+		r = c.hedge
+		v, err = c.goOnWithHedge(ctx)
+	}
+	c.dropHedge()
 	if errors.Is(err, errHandedOver) {
 		return c.continueElsewhere(ctx)
 	}
-	return c.decideNext(ctx, m, v, err)
+	return c.decideNext(ctx, r, v, err)
+}
+
+// needsHedge reports whether the result of a run leaves the request to its hedge.
+func (c *call) needsHedge(v attemptResult, err error) bool {
+	return v != served && v != aborted && !errors.Is(err, errHandedOver)
 }
 
 // try sends the request to a server and passes its answer on.
-func (c *call) try(ctx context.Context, m *backend.Member) (attemptResult, error) {
+func (c *call) try(ctx context.Context, m *backend.Member) (*run, attemptResult, error) {
 	started := c.relay.Time.Now()
 	m.Begin(started, c.need.Model)
-	ended := false
-	end := func() {
-		if !ended {
-			ended = true
-			m.End(c.need.Model)
-		}
-	}
-	defer end()
 	c.reportPlaceSent(m)
-	attempt, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	impatience := c.startImpatienceTimer(m, cancel)
-	c.backup = c.chooseBackup(m)
-	defer c.releaseBackup(c.backup)
-	a, err := m.Send(attempt, c.message(m), func() error { return c.checkBeforeSend(m) })
-	if impatience != nil && c.route.Kind != route.Stream {
-		defer impatience.Stop()
-	}
-	c.record.try(m, started)
-	c.record.last().answered = c.resumption.answered
-	before := c.sends
-	v, err := c.handleAnswer(ctx, m, a, err, impatience)
-	if a != nil {
-		a.Close()
+	backup := c.chooseBackup(m)
+	defer c.releaseBackup(backup)
+	r := newRun(ctx, m, c.record.try(m, started))
+	r.backup = backup
+	c.record.current = r.try
+	r.try.answered = c.resumption.answered
+	c.startPatience(ctx, r)
+	defer r.stopPatience()
+	c.watchSilence(r)
+	r.start(c.message(m, backup), c.route.Kind, func() error { return c.checkBeforeSend(r) })
+	v, err := c.follow(ctx, r)
+	return r, v, err
+}
+
+// follow passes the answer of a run on and ends the run.
+func (c *call) follow(ctx context.Context, r *run) (attemptResult, error) {
+	v, err := c.handleAnswer(ctx, r)
+	c.disarmHedge()
+	abandoned := context.Cause(r.ctx) != nil
+	r.close(err)
+	if errors.Is(err, errOvertaken) {
+		v, abandoned = c.overtaken(r), true
 	}
-	end()
+	r.member.End(c.need.Model)
 	c.endLoan(v)
 	c.releasePlace()
-	c.record.attemptEnded(c.relay.Time.Now(), v, err)
-	if c.sends > before && (v == mayHaveRun || v == aborted) {
-		c.investigateUnlessStopped(ctx, m, err, context.Cause(attempt) != nil)
+	r.try.end(c.relay.Time.Now(), v, err)
+	if r.counted && (v == mayHaveRun || v == aborted) {
+		c.investigateUnlessStopped(ctx, r, err, abandoned)
 	}
 	return v, err
 }
 
+// overtaken returns the result of a run that was ended since its hedge was faster.
+func (c *call) overtaken(r *run) attemptResult {
+	if !r.sent.Load() {
+		return notRun
+	}
+	c.countRun(r)
+	return mayHaveRun
+}
+
+// countSend counts that a run was sent to a server.
+func (c *call) countSend(r *run) {
+	if !r.counted {
+		r.counted = true
+		c.sends++
+	}
+}
+
+// countRun counts that a server may have run the request.
+func (c *call) countRun(r *run) {
+	c.countSend(r)
+	if !r.ran {
+		r.ran = true
+		c.runs++
+	}
+}
+
 // checkBeforeSend is called right before the first byte is sent to a server. An error tells why the
 // request must not be sent.
-func (c *call) checkBeforeSend(m *backend.Member) error {
+func (c *call) checkBeforeSend(r *run) error {
+	m := r.member
 	switch {
 	case (m.Leaving() || m.Evacuated()) && !c.resumption.toSource && !c.mayUseLeaving(m):
 		return errLeaving
@@ -150,7 +190,7 @@
 		return errStalePlace
 	case !c.slot.covers(c.relay.Time.Now(), m):
 		return errNoSlot
-	case !c.stillPermitted(m):
+	case !c.stillPermitted(r):
 		return errNotPermitted
 	case !m.AdmitAfterBackOff(c.relay.Time.Now()): // checked last since it counts the request
 		return errBackoff
@@ -163,28 +203,6 @@
 	return errors.Is(err, backend.ErrNoAnswer) || errors.Is(err, backend.ErrBroken)
 }
 
-// startImpatienceTimer ends an attempt that shows no sign of an answer while another server could
-// serve the request.
-func (c *call) startImpatienceTimer(m *backend.Member, cancel context.CancelCauseFunc) *time.Timer {
-	if c.resumption.from != "" {
-		return c.startResumeTimer(cancel)
-	}
-	if !c.mayTryAnother() {
-		return nil
-	}
-	return time.AfterFunc(firstByteTime(c.route), func() {
-		if c.hasAlternative(m) {
-			cancel(errImpatient)
-		}
-	})
-}
-
-// mayTryAnother reports whether the request may go to another server even if the current one runs
-// it.
-func (c *call) mayTryAnother() bool {
-	return c.route.Repeatable() && c.runs+1 < max(c.route.MaxAttempts, 1)
-}
-
 // hasAlternative reports whether an untried server other than m could serve the request.
 func (c *call) hasAlternative(m *backend.Member) bool {
 	now := c.relay.Time.Now()
@@ -197,8 +215,33 @@
 }
 
 // handleAnswer classifies the outcome of a send and passes the server's answer on.
-func (c *call) handleAnswer(ctx context.Context, m *backend.Member, a *backend.Answer, err error, impatience *time.Timer) (attemptResult, error) {
-	switch {
+func (c *call) handleAnswer(ctx context.Context, r *run) (attemptResult, error) {
+	u, err := c.next(ctx, r)
+	if err != nil {
+		return mayHaveRun, err
+	}
+	if u.answer != nil {
+		c.record.status = u.answer.Status
+	}
+	if v, err := c.readHead(ctx, r, u); err != nil {
+		return v, err
+	}
+	if c.isStream(r.answer) {
+		return c.relayStream(ctx, r)
+	}
+	c.answerStarted()
+	r.try.unframed = !r.answer.Framed
+	return c.relayBuffered(ctx, r)
+}
+
+// isStream reports whether an answer is passed on as it arrives.
+func (c *call) isStream(a *backend.Answer) bool {
+	return c.route.Kind == route.Stream && a.Status == http.StatusOK
+}
+
+// readHead classifies the head of a run's answer, or why there is none. Without an error, the answer is to be passed on.
+func (c *call) readHead(ctx context.Context, r *run, u update) (attemptResult, error) {
+	switch err := u.err; {
 	case errors.Is(err, errDeadline):
 		return aborted, errDeadline
 	case errors.Is(err, backend.ErrNotSent), errors.Is(err, backend.ErrTooManyConnections):
@@ -207,34 +250,29 @@
 		}
 		return notRun, err
 	case err != nil:
-		c.sends++
-		c.runs++
+		c.countRun(r)
 		if ctx.Err() != nil {
 			return aborted, context.Cause(ctx)
 		}
 		return mayHaveRun, err
 	}
-	c.sends++
-	c.record.status = a.Status
+	a := u.answer
+	c.countSend(r)
+	r.try.status = a.Status
 	if a.Status == http.StatusMisdirectedRequest || a.Header.Get(c.relay.Headers.NotRun) != "" {
 		if a.Status == http.StatusServiceUnavailable {
-			m.Rejected(c.relay.Time.Now())
+			r.member.Rejected(c.relay.Time.Now())
 		}
-		return notRun, c.rejectionError(m, a)
+		return notRun, c.rejectionError(r.member, a)
 	}
-	c.runs++
-	if !c.isAuthentic(a) {
+	c.countRun(r)
+	switch {
+	case !c.isAuthentic(a):
 		return mayHaveRun, errors.Errorf("an answer without the server's seal: %d", a.Status)
-	}
-	if c.route.Kind == route.Stream && a.Status == http.StatusOK {
-		return c.relayStream(ctx, m, a, impatience)
-	}
-	if c.headSent {
+	case c.headSent && !c.isStream(a):
 		return mayHaveRun, errors.Errorf("the server does not go on with the stream: %d", a.Status)
 	}
-	c.answerStarted()
-	c.record.last().unframed = !a.Framed
-	return c.relayBuffered(ctx, a)
+	return served, nil
 }
 
 // isAuthentic reports whether an answer comes from the server. Successes carry its seal, failures
@@ -260,37 +298,33 @@
 	c.trial.startSettling()
 }
 
-// decideNext decides what the result of an attempt allows. It reports whether to try another
-// server.
-func (c *call) decideNext(ctx context.Context, m *backend.Member, v attemptResult, err error) bool {
-	now := c.relay.Time.Now()
+// decideNext decides what the result of a run allows. It reports whether to try another server.
+func (c *call) decideNext(ctx context.Context, r *run, v attemptResult, err error) bool {
 	switch v {
 	case served:
-		m.Answered()
-		m.Ran(c.record.last().ended.Sub(c.record.last().started))
-		c.recordCompletion(m)
-		c.reportSpeed(m)
+		r.member.Answered()
+		r.member.Ran(r.try.ended.Sub(r.try.started))
+		c.recordCompletion(r)
+		c.reportSpeed(r.member)
 		c.record.setOutcome(outcomeServed, nil)
 		return false
 	case aborted:
-		c.giveUp(ctx)
+		c.giveUp(ctx, err)
 		return false
 	case notRun:
-		if errors.Is(err, errStalePlace) || errors.Is(err, errNoSlot) || errors.Is(err, errNotPermitted) || errors.Is(err, errBackoff) {
+		if mayChooseSameServer(err) {
 			return true
 		}
-		c.recordRejection(now, m, err)
-		c.tried = append(c.tried, m.ID)
+		c.noteFailure(r, v, err)
 		c.misses++
 		if c.sends >= maxSends || c.misses >= maxMisses {
 			c.refuse(c.notServed(reasonNoServer, defaultRetryAfter))
 			return false
 		}
-		c.pauseAfterMiss(ctx, now)
+		c.pauseAfterMiss(ctx, c.relay.Time.Now())
 		return true
 	}
-	m.Failed(now)
-	c.tried = append(c.tried, m.ID)
+	c.noteFailure(r, v, err)
 	if !c.mayTryAgain() {
 		c.refuse(c.notServed(reasonFailed, defaultRetryAfter))
 		return false
@@ -298,6 +332,25 @@
 	return true
 }
 
+// mayChooseSameServer reports whether a request that was not sent may be sent to the same server a moment later.
+func mayChooseSameServer(err error) bool {
+	return errors.Is(err, errStalePlace) || errors.Is(err, errNoSlot) || errors.Is(err, errNotPermitted) || errors.Is(err, errBackoff)
+}
+
+// noteFailure records that a server did not serve the request.
+func (c *call) noteFailure(r *run, v attemptResult, err error) {
+	now := c.relay.Time.Now()
+	switch {
+	case v == notRun && mayChooseSameServer(err):
+		return
+	case v == notRun:
+		c.recordRejection(now, r, err)
+	case !errors.Is(err, errMoved): // a server that leaves as it announced has not failed
+		r.member.Failed(now)
+	}
+	c.tried = append(c.tried, r.member.ID)
+}
+
 // mayTryAgain reports whether the request may go to another server after one that may have run it.
 // A server that crashed does not count.
 func (c *call) mayTryAgain() bool {
@@ -307,7 +360,7 @@
 	if c.runs < max(c.route.MaxAttempts, 1) {
 		return true
 	}
-	if !c.record.lastServerCrashed() || c.sends >= maxSends {
+	if !c.record.currentServerCrashed() || c.sends >= maxSends {
 		return false
 	}
 	c.runs--
@@ -368,13 +421,14 @@
 }
 
 // recordRejection records why a server rejected the request.
-func (c *call) recordRejection(now time.Time, m *backend.Member, err error) {
+func (c *call) recordRejection(now time.Time, r *run, err error) {
+	m := r.member
 	switch {
 	case c.need.Model != "" && m.Gone(now):
 		c.shortage = shortage{server: m.ID, gone: true}
 		m.Failed(now)
 	case errors.Is(err, errLeaving), errors.Is(err, backend.ErrTooManyConnections), m.BackOff(now) > 0:
-	case c.record.status == http.StatusMisdirectedRequest && c.need.Model != "":
+	case r.try.status == http.StatusMisdirectedRequest && c.need.Model != "":
 		c.shortage = shortage{server: m.ID}
 		c.relay.Servers.OverrideHolding(m.ID, c.need, false, now.Add(assumedNotHeldTime))
 	default:
--- a/pkg/relay/brittle.go
+++ b/pkg/relay/brittle.go
@@ -130,7 +130,7 @@
 	if context.Cause(ctx) == errNoPlace {
 		c.refuse(c.notServed(reasonLimited, defaultRetryAfter))
 	} else {
-		c.giveUp(ctx)
+		c.giveUp(ctx, context.Cause(ctx))
 	}
 	return nil, wasRefused
 }
--- a/pkg/relay/buffered.go
+++ b/pkg/relay/buffered.go
@@ -17,17 +17,18 @@
 
 // relayBuffered reads an answer to its end and passes it on unchanged. Nothing is sent before the
 // answer is complete, so that the request may be retried if it breaks off.
-func (c *call) relayBuffered(ctx context.Context, a *backend.Answer) (attemptResult, error) {
-	a.ReadWithin(c.timeLeft())
-	body, err := io.ReadAll(io.LimitReader(a, maxBufferedBytes+1))
-	if err == nil && len(body) > maxBufferedBytes {
-		err = errors.New("the answer is too large")
-	}
-	if err != nil {
-		if ctx.Err() != nil {
-			return aborted, context.Cause(ctx)
-		}
+func (c *call) relayBuffered(ctx context.Context, r *run) (attemptResult, error) {
+	u, err := c.next(ctx, r)
+	a, body := r.answer, u.data
+	switch {
+	case err != nil:
 		return mayHaveRun, err
+	case u.err != io.EOF && ctx.Err() != nil:
+		return aborted, context.Cause(ctx)
+	case u.err != io.EOF:
+		return mayHaveRun, u.err
+	case len(body) > maxBufferedBytes:
+		return mayHaveRun, errors.New("the answer is too large")
 	}
 	if c.mayRetryFailure(a.Status) {
 		return failedAnswer, errors.Errorf("status %d", a.Status)
@@ -47,7 +48,7 @@
 
 // mayRetryFailure reports whether to retry a server's failure elsewhere rather than pass it on.
 func (c *call) mayRetryFailure(status int) bool {
-	return status >= http.StatusInternalServerError && c.mayRunAgain() && c.timeLeft() > minRetryTime
+	return status >= http.StatusInternalServerError && (c.hedge != nil || c.mayRunAgain()) && c.timeLeft() > minRetryTime
 }
 
 // mayRunAgain reports whether the request may go to another server.
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -8,6 +8,7 @@
 	"net/textproto"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -38,6 +39,7 @@
 	request
 	progress
 	migrationState
+	hedging
 	trial  *trial            // permission to run a suspected request; nil: not needed
 	place  place             // admission at overloaded servers
 	slot   slot              // send slot at a rate-limited server
@@ -75,11 +77,11 @@
 	tried          []string // servers that did not serve the request
 	shortage       shortage // servers that could not serve it though they were believed to hold the model
 	sends          int
-	misses         int              // attempts in which no server ran the request
-	runs           int              // servers that may have run it
-	subjectRuns    []quarantine.Run // the run that begins or began last, for each subject
-	unprovenRounds []int            // by subject: rounds, with those in doubt, of the last attempt that broke although another node reached the server
+	misses         int   // attempts in which no server ran the request
+	runs           int   // servers that may have run it
+	unprovenRounds []int // by subject: rounds, with those in doubt, of the last attempt that broke although another node reached the server
 	headSent       bool
+	retryReserved  atomic.Bool   // a retry was taken from the budget and not used yet
 	pinned         bool          // the stream has events: only servers of one software version may continue it
 	software       string        // the version, if pinned
 	streamKeys     []lineage.Key // by which the caller may take the stream up; nil: it can't, or has not begun
@@ -91,8 +93,7 @@
 	handedOver  *activeStream // stream that the next server continues; nil: none
 	breakErr    error         // why the source stopped sending
 	resumption  resumption
-	failedMoves int             // targets that failed to continue it
-	backup      *backend.Member // receives copies of the next run; nil: none
+	failedMoves int // targets that failed to continue it
 }
 
 // shortage names servers that could not serve a request. It is reported with a load request.
@@ -271,8 +272,8 @@
 	return append(b, "\r\n"...)
 }
 
-// message returns the request as it is sent to a server.
-func (c *call) message(m *backend.Member) *backend.Message {
+// message returns the request as it is sent to a server, which copies the run to backup; nil: it does not.
+func (c *call) message(m, backup *backend.Member) *backend.Message {
 	own := c.relay.Headers
 	left := max(c.relay.Time.Until(c.deadline)-answerTime, time.Millisecond)
 	head := make([]byte, 0, len(c.head)+160)
@@ -285,8 +286,8 @@
 	if c.resumption.from != "" {
 		head = appendHeader(head, own.Origin, c.resumption.from)
 	}
-	if c.backup != nil {
-		head = appendHeader(head, own.Backup, c.backup.Address)
+	if backup != nil {
+		head = appendHeader(head, own.Backup, backup.Address)
 	}
 	if c.engine != nil {
 		head = appendHeader(head, own.Priority, strconv.Itoa(c.rank()))
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -62,7 +62,7 @@
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			c.giveUp(ctx)
+			c.giveUp(ctx, context.Cause(ctx))
 			return nil
 		case <-changed:
 		case <-timer.C:
--- a/pkg/relay/harness_test.go
+++ b/pkg/relay/harness_test.go
@@ -222,6 +222,14 @@
 	return s.do(s.request(s.t.Context(), http.MethodPost, "/p/x", id, body))
 }
 
+// patientPost sends a POST request with a deadline well beyond any silence.
+func (s *site) patientPost(id string) answer {
+	s.t.Helper()
+	r := s.request(s.t.Context(), http.MethodPost, "/p/x", id, "x")
+	r.Header.Set(testHeaders.Deadline, "5000")
+	return s.do(r)
+}
+
 // unframedStream writes an answer with neither length nor chunks, and ends its connection.
 func unframedStream(contentType, body string, end func(net.Conn)) answerer {
 	return func(w http.ResponseWriter, _ *http.Request, s seen) {
--- /dev/null
+++ b/pkg/relay/hedge_test.go
@@ -0,0 +1,118 @@
+package relay
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"martenwheel.dev/pkg/route"
+)
+
+// silentStream writes events, falls silent for a time after the given one, and goes on.
+func silentStream(after, last int, silence time.Duration) answerer {
+	return func(w http.ResponseWriter, r *http.Request, s seen) {
+		w.Header().Set(testHeaders.Seal, "seal-"+s.server)
+		w.Header().Set(testHeaders.RequestID, s.id)
+		_, _ = io.WriteString(w, eventsText(1, after))
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-r.Context().Done():
+		case <-time.After(silence):
+			_, _ = io.WriteString(w, eventsText(after+1, last))
+		}
+	}
+}
+
+// lateAnswer answers after a time.
+func lateAnswer(d time.Duration) answerer {
+	return func(w http.ResponseWriter, r *http.Request, s seen) {
+		time.Sleep(d)
+		sealed(http.StatusOK, "late")(w, r, s)
+	}
+}
+
+// rejecting rejects each request and counts it.
+func rejecting() answerer { return rejectWith(http.StatusServiceUnavailable) }
+
+// preferFirst makes the first of two servers preferred.
+func (s *site) preferFirst() {
+	for range 4 {
+		s.relay.Servers.Snapshot().Member("server-1").Begin(time.Now(), "")
+	}
+}
+
+const silentBeyondLimit = soundSilence + 300*time.Millisecond
+
+// Guards against a stream that is cut off over a silence since no retry is left for a second run.
+func TestSilentStreamIsCutOffWhenNoRetryIsLeft(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, streamRoute(true), silentStream(2, 6, silentBeyondLimit), events(6, 6, nil))
+	s.relay.Budget = BudgetConfig{Window: 10 * time.Second}
+	s.preferFirst()
+	if got := s.patientPost("id"); got.err != nil || got.body != eventsText(1, 6) {
+		t.Errorf("the caller got %q, %v", got.body, got.err)
+	}
+	if n := len(s.arrivals()); n != 1 {
+		t.Errorf("%d requests at servers without a retry", n)
+	}
+}
+
+// Guards against a stream that is cut off over a silence since the other server rejects it or breaks it off.
+func TestSilentStreamIsCutOffWhenTheOtherServerFails(t *testing.T) {
+	t.Parallel()
+	for name, other := range map[string]answerer{
+		"rejects":      rejecting(),
+		"answers 500":  sealed(http.StatusInternalServerError, "failed"),
+		"breaks off":   raw("HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Seal: s\r\nContent-Length: 100\r\n\r\nid: 3\n"),
+		"is no server": raw("no answer"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, streamRoute(true), silentStream(2, 6, silentBeyondLimit), other)
+			s.preferFirst()
+			if got := s.patientPost("id"); got.err != nil || got.body != eventsText(1, 6) {
+				t.Errorf("the caller got %q, %v", got.body, got.err)
+			}
+		})
+	}
+}
+
+// Guards against a request that fails though its server would have answered: it was given up before the other one rejected it.
+func TestSlowRequestFailsWhenTheOtherServerRejects(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, route.Route{Kind: route.Safe, MaxAttempts: 2, Target: 100 * time.Millisecond}, lateAnswer(700*time.Millisecond), rejecting())
+	s.preferFirst()
+	if got := s.get("id"); got.err != nil || got.status != http.StatusOK || got.body != "late" {
+		t.Errorf("the caller got %+v", got)
+	}
+}
+
+// Guards against requests that wait for a silent server although another one is free.
+func TestSlowRequestDoesNotGoOnAtAFreeServer(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, route.Route{Kind: route.Safe, MaxAttempts: 2, Target: 100 * time.Millisecond}, lateAnswer(1500*time.Millisecond), sealed(http.StatusOK, "soon"))
+	s.preferFirst()
+	if got := s.get("id"); got.err != nil || got.status != http.StatusOK || got.body != "soon" {
+		t.Errorf("the caller got %+v", got)
+	}
+}
+
+// Guards against servers that are blamed for a pause of the node itself: its timers fire late, what came lies unread.
+func TestOwnPauseBeginsAHedge(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, streamRoute(true), events(6, 6, nil), events(6, 6, nil))
+	c := &call{relay: s.relay, request: request{route: &route.Route{Kind: route.Stream, Resumable: true, MaxAttempts: 2, Parts: []route.Part{{Service: "s", Weight: 1}}},
+		service: "s", arrived: time.Now(), deadline: time.Now().Add(time.Minute)}}
+	c.http = s.request(t.Context(), http.MethodPost, "/p/x", "id", "x")
+	r := newRun(t.Context(), s.relay.Servers.Snapshot().Member("server-0"), &try{})
+	c.due = time.Now().Add(-2 * maxTimerDelay)
+	if c.silenceElapsed(t.Context(), r); c.hedge != nil {
+		t.Error("a hedge began though the node was held up")
+	}
+	c.due = time.Now()
+	if c.silenceElapsed(t.Context(), r); c.hedge == nil {
+		t.Fatal("no hedge began after a silence")
+	}
+	c.dropHedge()
+}
--- a/pkg/relay/migrate.go
+++ b/pkg/relay/migrate.go
@@ -114,15 +114,15 @@
 // registerStream registers a stream at a server. It returns nil if the stream can't move: the
 // engine does not support it, the request has no ID, moves failed too often, or the request is
 // suspected of crashing servers and must stay where it is.
-func (c *call) registerStream(m *backend.Member) *activeStream {
+func (c *call) registerStream(at *run) *activeStream {
 	r := c.relay
-	if c.engine == nil || r.Mover == nil || c.id == "" || !c.engine.Moves && c.backup == nil || c.failedMoves >= maxFailedMoves {
+	if c.engine == nil || r.Mover == nil || c.id == "" || !c.engine.Moves && at.backup == nil || c.failedMoves >= maxFailedMoves {
 		return nil
 	}
 	if q := r.Quarantine; q != nil && q.Standing(c.subjects...) != quarantine.Free {
 		return nil
 	}
-	s := &activeStream{call: c, source: m, table: &r.streams, target: c.backup, backup: c.backup}
+	s := &activeStream{call: c, source: at.member, table: &r.streams, target: at.backup, backup: at.backup}
 	r.streams.add(s)
 	return s
 }
--- a/pkg/relay/place.go
+++ b/pkg/relay/place.go
@@ -92,7 +92,7 @@
 	note.asked, note.verdict, c.place.open = true, v, true
 	switch {
 	case ctx.Err() != nil:
-		c.giveUp(ctx)
+		c.giveUp(ctx, context.Cause(ctx))
 		return nil, wasRefused
 	case v.Kind == admission.Refuse, v.Kind == admission.Wait && c.callerLeavesBy(c.relay.Time.Now().Add(v.After)):
 		c.refuse(c.notServed(reasonOverloaded, max(v.After, defaultRetryAfter)))
@@ -204,10 +204,11 @@
 // firstEvent returns the time from the start of the last attempt to its first event; zero if none
 // came.
 func (c *call) firstEvent() time.Duration {
-	if len(c.record.tries) == 0 || c.record.last().answered.IsZero() {
+	t := c.record.current
+	if t == nil || t.answered.IsZero() {
 		return 0
 	}
-	return c.record.last().answered.Sub(c.record.last().started)
+	return t.answered.Sub(t.started)
 }
 
 // newPredictionRatio returns the histogram of the time to the first event relative to its
--- a/pkg/relay/quarantine.go
+++ b/pkg/relay/quarantine.go
@@ -84,15 +84,13 @@
 	}
 }
 
-// permit decides whether the request may go to a server now, and sets the rounds of its run.
+// permit decides whether the request may go to a server now.
 func (c *call) permit(ctx context.Context, m *backend.Member) permission {
 	q := c.relay.Quarantine
 	if q == nil {
 		return mayRunNow
 	}
-	p := c.checkStanding(ctx, q, m)
-	c.setRound(q, m) // counts the evidence that came with the trial
-	return p
+	return c.checkStanding(ctx, q, m)
 }
 
 // identifySubjects sets what may be to blame if servers crash: the request itself and the parts of its
@@ -107,9 +105,13 @@
 	}
 }
 
-// setRound sets the rounds of a run that begins at a server now.
-func (c *call) setRound(q Quarantine, m *backend.Member) {
-	c.subjectRuns = make([]quarantine.Run, len(c.subjects))
+// subjectRuns returns the run that begins at a server now for each subject, with its round; nil without a quarantine.
+func (c *call) subjectRuns(m *backend.Member) []quarantine.Run {
+	q := c.relay.Quarantine
+	if q == nil {
+		return nil
+	}
+	runs := make([]quarantine.Run, len(c.subjects))
 	for i, f := range c.subjects {
 		run := quarantine.Run{Request: f, Service: c.service, Server: m.ID, Round: q.NextRound(f), RequestID: c.id}
 		run.Doubts, run.Again = q.SuspectedRounds(f, m.ID)
@@ -119,8 +121,9 @@
 		if i < len(c.unprovenRounds) {
 			run.Doubts = max(run.Doubts, c.unprovenRounds[i]-(run.Round-1))
 		}
-		c.subjectRuns[i] = run
+		runs[i] = run
 	}
+	return runs
 }
 
 // errNotPermitted keeps a request from a server: servers were found to have ended under it since it was permitted.
@@ -128,7 +131,7 @@
 
 // stillPermitted reports whether the request may still go to a server. It may have waited for a slot, a retry or a
 // connection since permit. The run belongs to the round as of now.
-func (c *call) stillPermitted(m *backend.Member) bool {
+func (c *call) stillPermitted(r *run) bool {
 	q := c.relay.Quarantine
 	if q == nil {
 		return true
@@ -137,7 +140,7 @@
 	case standing == quarantine.Quarantined, standing == quarantine.Suspected && c.trial == nil:
 		return false
 	}
-	c.setRound(q, m)
+	r.subjects = c.subjectRuns(r.member)
 	return true
 }
 
@@ -166,7 +169,7 @@
 func (c *call) awaitTrial(ctx context.Context) permission {
 	switch {
 	case ctx.Err() != nil:
-		c.giveUp(ctx)
+		c.giveUp(ctx, context.Cause(ctx))
 		return wasRefused
 	case !c.headSent && c.callerLeavesBy(c.relay.Time.Now().Add(quarantine.TrialRetryAfter)): // refusing after part of the answer would make the caller start over
 		c.noteAccused()
@@ -223,56 +226,54 @@
 	}
 }
 
-// investigateFailure determines whether the server of the last attempt, which may have run the
-// request, crashed. abandoned tells that this node ended the attempt itself.
-func (c *call) investigateFailure(ctx context.Context, m *backend.Member, err error, abandoned bool) {
+// investigateFailure determines whether the server of a run, which may have run the request, crashed. abandoned tells
+// that this node ended the run itself.
+func (c *call) investigateFailure(ctx context.Context, r *run, err error, abandoned bool) {
 	switch {
 	case abandoned:
-		c.watchForCrash(m)
+		c.watchForCrash(r)
 		return
 	case !isConnectionBroken(err): // no sign of a crash
 		return
 	}
-	switch m.Probe(ctx) {
+	switch r.member.Probe(ctx) {
 	case backend.ProbeEnded:
-		c.recordCrash(m)
+		c.recordCrash(r)
 	case backend.ProbeLinkBroken: // this node's link explains the break, unless the server's record shows its end
-		c.watchForCrash(m)
-		c.noteUnproven()
+		c.watchForCrash(r)
+		c.noteUnproven(r)
 	default:
-		c.relay.streams.connectionBroke(m.ID, c.relay.Time.Now())
-		c.recordSuspicion(ctx)
-		c.watchForCrash(m)
+		c.relay.streams.connectionBroke(r.member.ID, c.relay.Time.Now())
+		c.recordSuspicion(ctx, r)
+		c.watchForCrash(r)
 		c.trial.hold()
 	}
 }
 
-// recordCrash records that the last server crashed while running the request. If it had sent the
-// answer for long, the request is not blamed.
-func (c *call) recordCrash(m *backend.Member) {
-	c.record.serverCrashed()
-	c.relay.streams.serverCrashed(m.ID, c.relay.Time.Now())
-	if c.relay.Quarantine == nil || c.record.last().answerDuration() >= quarantine.SettleTime {
+// recordCrash records that the server of a run crashed meanwhile. If it had sent the answer for long, the request is not
+// blamed.
+func (c *call) recordCrash(r *run) {
+	r.try.serverCrashed = true
+	c.relay.streams.serverCrashed(r.member.ID, c.relay.Time.Now())
+	if c.relay.Quarantine == nil || r.try.answerDuration() >= quarantine.SettleTime {
 		return
 	}
-	c.relay.Quarantine.ServerCrashed(c.subjectRuns...)
+	c.relay.Quarantine.ServerCrashed(r.subjects...)
 }
 
-// noteUnproven keeps the rounds of the last run, whose connection broke although another node reached the
-// server.
-func (c *call) noteUnproven() {
-	c.unprovenRounds = make([]int, len(c.subjectRuns))
-	for i, run := range c.subjectRuns {
+// noteUnproven keeps the rounds of a run whose connection broke although another node reached the server.
+func (c *call) noteUnproven(r *run) {
+	c.unprovenRounds = make([]int, len(r.subjects))
+	for i, run := range r.subjects {
 		c.unprovenRounds[i] = run.Round + run.Doubts
 	}
 }
 
-// recordSuspicion records that the last server may have crashed while running the request. A proxy
-// in front of it accepts connections after a crash, which then shows 0.3 s later or more; meanwhile
-// the request would be sent to all other servers.
-func (c *call) recordSuspicion(ctx context.Context) {
-	if q := c.relay.Quarantine; q != nil && c.record.last().answerDuration() < quarantine.SettleTime {
-		q.CrashSuspected(ctx, c.subjectRuns...)
+// recordSuspicion records that the server of a run may have crashed meanwhile. A proxy in front of it accepts connections
+// after a crash, which then shows 0.3 s later or more; meanwhile the request would be sent to all other servers.
+func (c *call) recordSuspicion(ctx context.Context, r *run) {
+	if q := c.relay.Quarantine; q != nil && r.try.answerDuration() < quarantine.SettleTime {
+		q.CrashSuspected(ctx, r.subjects...)
 	}
 }
 
@@ -281,32 +282,30 @@
 //
 // An answer that only the end of its connection delimits may have been broken off by a crash. Unless
 // it went on for long, it proves nothing.
-func (c *call) recordCompletion(m *backend.Member) {
+func (c *call) recordCompletion(r *run) {
 	q := c.relay.Quarantine
 	if q == nil {
 		return
 	}
-	last := c.record.last()
-	q.ServerAlive(m.ID, last.started)
-	if last.unframed && last.answerDuration() < quarantine.SettleTime {
-		c.watchForCrash(m)
+	q.ServerAlive(r.member.ID, r.try.started)
+	if r.try.unframed && r.try.answerDuration() < quarantine.SettleTime {
+		c.watchForCrash(r)
 		return
 	}
 	if c.record.status < http.StatusInternalServerError {
 		q.Completed(c.fingerprint)
 	}
 	if c.record.status < http.StatusMultipleChoices {
-		c.recordPartsAnswered()
+		c.recordPartsAnswered(r)
 	}
 }
 
-// recordPartsAnswered records once in an attempt that the parts of the prompt crash no server.
-func (c *call) recordPartsAnswered() {
-	last := c.record.last()
-	if c.relay.Quarantine == nil || last.partsAnswered {
+// recordPartsAnswered records once in a run that the parts of the prompt crash no server.
+func (c *call) recordPartsAnswered(r *run) {
+	if c.relay.Quarantine == nil || r.try.partsAnswered {
 		return
 	}
-	last.partsAnswered = true
+	r.try.partsAnswered = true
 	for i, id := range c.parts {
 		c.relay.Quarantine.PartAnswered(id, c.subjects[i+1])
 	}
@@ -314,23 +313,23 @@
 
 // recordSettled records that the parts of the prompt crash no server once a stream has brought events
 // for long enough.
-func (c *call) recordSettled() {
-	if c.relay.Time.Since(c.record.last().answered) >= quarantine.SettleTime {
-		c.recordPartsAnswered()
+func (c *call) recordSettled(r *run) {
+	if c.relay.Time.Since(r.try.answered) >= quarantine.SettleTime {
+		c.recordPartsAnswered(r)
 	}
 }
 
-// watchForCrash blames the request if its server is found to have crashed later. Either the
+// watchForCrash blames the request if the server of a run is found to have crashed later. Either the
 // connection broke and something still listens there, such as a proxy or the server's next
-// incarnation; or this node abandoned the request before an answer, as the caller left or another
-// server was to be faster. Nearly all servers then stop working on it, some of them late.
-func (c *call) watchForCrash(m *backend.Member) {
+// incarnation; or this node abandoned the run before an answer, as the caller left or another
+// server was faster. Nearly all servers then stop working on it, some of them late.
+func (c *call) watchForCrash(r *run) {
 	q := c.relay.Quarantine
-	if q == nil || c.record.last().answerDuration() >= quarantine.SettleTime {
+	if q == nil || r.try.answerDuration() >= quarantine.SettleTime {
 		return
 	}
 	var runs, again []quarantine.Run
-	for _, run := range c.subjectRuns {
+	for _, run := range r.subjects {
 		run.ByRecord = true
 		if run.Again {
 			again = append(again, run)
@@ -338,7 +337,7 @@
 			runs = append(runs, run)
 		}
 	}
-	began := c.record.last().started
+	m, began := r.member, r.try.started
 	if len(runs) > 0 {
 		m.OnEnd(began, quarantine.SuspicionTime, func() { q.ServerCrashed(runs...) })
 	}
--- a/pkg/relay/quarantine_test.go
+++ b/pkg/relay/quarantine_test.go
@@ -485,17 +485,18 @@
 type crashesMeanwhile struct {
 	*localQuarantine
 	servers []string
-	once    sync.Once
+	asked   atomic.Int32 // how often the standing was asked for
 }
 
-// SuspectedRounds implements Quarantine.
-func (c *crashesMeanwhile) SuspectedRounds(f quarantine.Fingerprint, server string) (rounds int, again bool) {
-	defer c.once.Do(func() {
+// Standing implements Quarantine. The first call accepts the request, the second permits its run.
+func (c *crashesMeanwhile) Standing(subjects ...quarantine.Fingerprint) quarantine.Standing {
+	standing := c.localQuarantine.Standing(subjects...)
+	if c.asked.Add(1) == 2 {
 		for i, gone := range c.servers {
-			c.ServerCrashed(quarantine.Run{Request: f, Service: "s", Server: gone, Round: i + 1})
+			c.ServerCrashed(quarantine.Run{Request: subjects[0], Service: "s", Server: gone, Round: i + 1})
 		}
-	})
-	return c.localQuarantine.SuspectedRounds(f, server)
+	}
+	return standing
 }
 
 func TestRequestIsSentAlthoughServersWereFoundToHaveEndedUnderItMeanwhile(t *testing.T) {
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -56,6 +56,7 @@
 	answered      time.Time // first event, or the head of an answer without events; zero: none
 	ended         time.Time
 	verdict       attemptResult
+	status        int // of the answer; zero: none
 	err           error
 	serverCrashed bool // the server was found to have crashed
 	unframed      bool // the answer had no length and no chunks, so that it ended with its connection
@@ -80,7 +81,8 @@
 	outcome       string
 	err           error
 	status        int
-	tries         []try
+	tries         []*try
+	current       *try // the last attempt whose answer was passed on or waited for; other attempts are hedges
 	firstByte     time.Duration
 	readyIn       time.Duration // expected time until the model is ready, by the last LoadStatus
 	statusAge     time.Duration
@@ -104,47 +106,41 @@
 	preference    string        // whether the last server chosen is the preferred one; empty: none was chosen
 }
 
-func (r *record) try(m *backend.Member, started time.Time) {
-	r.tries = append(r.tries, try{server: m.ID, software: m.Software, started: started})
+// try adds an attempt.
+func (r *record) try(m *backend.Member, started time.Time) *try {
+	t := &try{server: m.ID, software: m.Software, started: started}
+	r.tries = append(r.tries, t)
+	return t
 }
 
-// last returns the last attempt.
-func (r *record) last() *try { return &r.tries[len(r.tries)-1] }
-
-// answerStarted records that part of the last attempt's answer arrived.
+// answerStarted records that part of the current attempt's answer arrived.
 func (r *record) answerStarted(now time.Time) {
-	if t := r.last(); t.answered.IsZero() {
+	if t := r.current; t.answered.IsZero() {
 		t.answered = now
 	}
 }
 
-// streamEnded records how the stream of the last attempt was framed, and how many bytes followed its
-// last whole event.
-func (r *record) streamEnded(framed bool, restBytes int) {
-	t := r.last()
+// streamEnded records how the stream of the attempt was framed, and how many bytes followed its last whole event.
+func (t *try) streamEnded(framed bool, restBytes int) {
 	t.unframed, t.restBytes = !framed, restBytes
 }
 
-// attemptEnded records the result of the last attempt.
-func (r *record) attemptEnded(now time.Time, v attemptResult, err error) {
-	t := r.last()
+// end records the result of the attempt.
+func (t *try) end(now time.Time, v attemptResult, err error) {
 	t.ended, t.verdict, t.err = now, v, err
 }
 
 // mayHaveRun reports whether a server may have run the request.
 func (r *record) mayHaveRun() bool {
-	return slices.ContainsFunc(r.tries, func(t try) bool { return t.verdict != notRun })
+	return slices.ContainsFunc(r.tries, func(t *try) bool { return t.verdict != notRun })
 }
 
-// serverCrashed records that the server of the last attempt crashed.
-func (r *record) serverCrashed() { r.last().serverCrashed = true }
-
-// lastServerCrashed reports whether the server of the last attempt crashed.
-func (r *record) lastServerCrashed() bool { return r.last().serverCrashed }
+// currentServerCrashed reports whether the server of the current attempt crashed.
+func (r *record) currentServerCrashed() bool { return r.current.serverCrashed }
 
 // mayHaveCrashedServers reports whether a server crashed or broke off in an attempt.
 func (r *record) mayHaveCrashedServers() bool {
-	return slices.ContainsFunc(r.tries, func(t try) bool { return t.serverCrashed || isConnectionBroken(t.err) })
+	return slices.ContainsFunc(r.tries, func(t *try) bool { return t.serverCrashed || isConnectionBroken(t.err) })
 }
 
 // setOutcome records the outcome. The first one counts.
@@ -156,6 +152,8 @@
 
 // finish logs and counts the end of a request. It does not recover a panic that aborts the answer.
 func (c *call) finish() {
+	c.dropHedge() // of a request that ended by a panic
+	c.returnReserved()
 	c.record.setOutcome(outcomeBroken, nil)
 	c.refundQuota()
 	c.releasePlace() // for a request that waited for a place in vain
--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -81,11 +81,10 @@
 	_, _ = c.w.Write([]byte(body)) // the caller may be gone
 }
 
-// giveUp ends a request whose context ended: its deadline passed, the caller left or the node
-// stops.
-func (c *call) giveUp(ctx context.Context) {
-	if c.callerGone(ctx) {
-		c.record.setOutcome(outcomeLeft, context.Cause(ctx))
+// giveUp ends a request that can't be continued: its deadline passed, the caller left or the node stops.
+func (c *call) giveUp(ctx context.Context, err error) {
+	if c.callerGone(ctx) || errors.Is(err, errNotWritable) {
+		c.record.setOutcome(outcomeLeft, err)
 		panic(http.ErrAbortHandler)
 	}
 	if errors.Is(context.Cause(ctx), errStopping) {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -16,6 +16,8 @@
 //   - place.go: admission at overloaded servers
 //   - slots.go: servers that limit their request rate
 //   - attempt.go: sending a request, and what a failed attempt allows
+//   - run.go: one run of a request at a server
+//   - hedge.go: a second run beside one whose server is silent
 //   - quarantine.go: requests that crash servers
 //   - version.go: streams continue at the software version that they began at
 //   - buffered.go, stream.go, events.go: passing answers on
--- a/pkg/relay/resume.go
+++ b/pkg/relay/resume.go
@@ -97,25 +97,25 @@
 
 // investigateUnlessStopped calls investigateFailure unless the server broke the stream off because
 // it was asked to, which is no sign of a crash.
-func (c *call) investigateUnlessStopped(ctx context.Context, m *backend.Member, err error, abandoned bool) {
+func (c *call) investigateUnlessStopped(ctx context.Context, r *run, err error, abandoned bool) {
 	if errors.Is(err, errHandedOver) {
 		if c.handedOver.stoppedByMove() {
 			return
 		}
-		m.Failed(c.relay.Time.Now())
+		r.member.Failed(c.relay.Time.Now())
 		err = c.breakErr
 	}
-	c.investigateFailure(ctx, m, err, abandoned)
+	c.investigateFailure(ctx, r, err, abandoned)
 }
 
 // resumption describes an attempt that continues from a copy. The zero value is an ordinary
 // attempt.
 type resumption struct {
-	from     string        // where the copy is from, see Mover.Origin
-	toSource bool          // the attempt goes back to the source
-	answered time.Time     // when the run began to answer at its first server
-	events   int           // received by the caller before
-	patience time.Duration // time to wait for an answer; zero: until the deadline
+	from      string    // where the copy is from, see Mover.Origin
+	toSource  bool      // the attempt goes back to the source
+	answered  time.Time // when the run began to answer at its first server
+	events    int       // received by the caller before
+	mayReturn bool      // the source keeps the run, so that it can go on there
 }
 
 // continueElsewhere follows the steps of the handover for a stream that its source stopped, or
@@ -125,7 +125,7 @@
 	c.handedOver = nil
 	defer c.finishMove(r)
 	h := &r.handover
-	if c.record.lastServerCrashed() { // a run at a crashed server does not count
+	if c.record.currentServerCrashed() { // a run at a crashed server does not count
 		c.runs--
 		h.Stopped = true
 	}
@@ -137,15 +137,15 @@
 		case migration.Stop:
 			r.stop(moveCallTimeout)
 		case migration.ResumeAtTarget, migration.ResumeAtSource:
-			v, err, ended := c.resume(ctx, r, step)
+			next, v, err, ended := c.resume(ctx, r, step)
 			switch {
 			case errors.Is(err, errHandedOver): // the next server left or broke off in turn
 				return c.continueElsewhere(ctx)
 			case ended:
-				return c.decideNext(ctx, r.serverFor(step), v, err)
+				return c.decideNext(ctx, next, v, err)
 			}
 		case migration.RunAgain:
-			return c.decideNext(ctx, r.source, mayHaveRun, errMoved)
+			return c.decideNext(ctx, &run{member: r.source}, mayHaveRun, errMoved)
 		default:
 			c.refuse(c.notServed(reasonFailed, defaultRetryAfter))
 			return false
@@ -187,16 +187,14 @@
 // resume makes the target or the source continue the stream. As it is the same run, it counts
 // neither as a retry nor as another server. ended tells that the copy is used up and the result v
 // is final.
-func (c *call) resume(ctx context.Context, r *activeStream, step migration.Step) (v attemptResult, err error, ended bool) {
+func (c *call) resume(ctx context.Context, r *activeStream, step migration.Step) (next *run, v attemptResult, err error, ended bool) {
 	began, sends, runs := c.relay.Time.Now(), c.sends, c.runs
 	c.place.granted = time.Time{} // a continued run needs no place
 	c.resumption = resumption{from: r.origin(), toSource: step == migration.ResumeAtSource,
-		answered: c.record.last().answered, events: c.record.events}
-	if step == migration.ResumeAtTarget && r.handover.Kept || c.mayRunAgain() {
-		c.resumption.patience = max(minGapTimeout, gapFactor*c.route.GapTarget)
-	}
+		answered: c.record.current.answered, events: c.record.events}
+	c.resumption.mayReturn = step == migration.ResumeAtTarget && r.handover.Kept
 	if c.takeSlotAt(ctx, r.serverFor(step)) {
-		v, err = c.try(ctx, r.serverFor(step))
+		next, v, err = c.try(ctx, r.serverFor(step))
 	} else {
 		v, err = notRun, errNoSlot
 	}
@@ -208,7 +206,7 @@
 	r.addLogLine(moveLine{From: r.source.ID, To: r.serverFor(step).ID, Step: step.String(), Events: c.resumption.events,
 		TookMS: c.relay.Time.Since(began).Milliseconds(), Outcome: o.String()})
 	c.sends, c.runs, c.resumption = sends, runs, resumption{}
-	return v, err, v == aborted || o == migration.Done || o == migration.StreamBroke
+	return next, v, err, next != nil && (v == aborted || o == migration.Done || o == migration.StreamBroke)
 }
 
 // origin names the copy for the target: by its handle if the stream was moved, by the request ID if
@@ -242,13 +240,25 @@
 	return r.target
 }
 
-// startResumeTimer ends an attempt to resume that shows no sign of an answer while there is an
-// alternative.
-func (c *call) startResumeTimer(cancel context.CancelCauseFunc) *time.Timer {
-	if c.resumption.patience <= 0 {
-		return nil
+// startPatience ends a run that continues from a copy if it shows no sign of an answer, once it is certain that the stream
+// can go on otherwise.
+func (c *call) startPatience(ctx context.Context, r *run) {
+	mayReturn := c.resumption.mayReturn
+	if c.resumption.from == "" || !mayReturn && !c.mayRunAgain() {
+		return
+	}
+	r.patience = time.AfterFunc(silenceLimit(c.route), func() {
+		if mayReturn || c.reserveRetry(ctx) {
+			r.cancel(errSilent)
+		}
+	})
+}
+
+// stopPatience keeps startPatience from ending the run.
+func (r *run) stopPatience() {
+	if r.patience != nil {
+		r.patience.Stop()
 	}
-	return time.AfterFunc(c.resumption.patience, func() { cancel(errImpatient) })
 }
 
 // finishMove keeps the log entries of a stream and drops an unused copy.
--- /dev/null
+++ b/pkg/relay/run.go
@@ -0,0 +1,128 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/quarantine"
+	"martenwheel.dev/pkg/route"
+)
+
+// run is the request at one server: sent there, and its answer as it arrives. A goroutine of its own sends the
+// request and reads the answer, so that the call can wait for two runs at once.
+type run struct {
+	member   *backend.Member
+	try      *try             // its entry in the record
+	subjects []quarantine.Run // what is to blame if the server crashes, as of the moment at which it was sent
+	counted  bool             // it is part of the call's sends
+	ran      bool             // it is part of the call's runs
+	backup   *backend.Member  // receives copies of it; nil: none
+	active   *activeStream    // the stream that can be handed over; nil: it can't, or has not begun
+	patience *time.Timer      // see startPatience; nil: the run may be silent until the deadline
+
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	sent    atomic.Bool   // part of the request may have reached the server
+	updates chan update   // closed when the goroutine ends
+	dropped chan struct{} // closed when nobody takes updates any more
+
+	answer *backend.Answer // set when its head was taken
+	ahead  []update        // updates of a hedge that were taken before it became the call's run
+	over   bool            // the last update was taken
+}
+
+// update is the next part of a run: first the head of the answer, or why there is none, then its content.
+type update struct {
+	answer *backend.Answer // the first update of an answer
+	data   []byte          // valid until the next update is taken
+	err    error           // there are no further updates; io.EOF: the answer is complete
+}
+
+// newRun returns a run that has not been started.
+func newRun(ctx context.Context, m *backend.Member, t *try) *run {
+	r := &run{member: m, try: t, updates: make(chan update), dropped: make(chan struct{})}
+	r.ctx, r.cancel = context.WithCancelCause(ctx)
+	return r
+}
+
+// start sends the message if check, which is called right before, returns no error.
+func (r *run) start(message *backend.Message, kind route.Kind, check func() error) {
+	go func() {
+		defer close(r.updates)
+		a, err := r.member.Send(r.ctx, message, func() error {
+			err := check()
+			r.sent.Store(err == nil)
+			return err
+		})
+		switch {
+		case !r.pass(update{answer: a, err: err}):
+			if a != nil {
+				a.Close()
+			}
+		case err != nil:
+		case kind == route.Stream && a.Status == http.StatusOK:
+			r.readPieces(a)
+		default:
+			r.readWhole(a)
+		}
+	}()
+}
+
+// pass hands an update over. It returns false if nobody takes it.
+func (r *run) pass(u update) bool {
+	select {
+	case r.updates <- u:
+		return true
+	case <-r.dropped:
+		return false
+	}
+}
+
+// readPieces reads an answer as it arrives. There are two buffers since one is in use until the next update is
+// taken.
+func (r *run) readPieces(a *backend.Answer) {
+	var buffers [2][streamReadBytes]byte
+	for i := 0; ; i = 1 - i {
+		n, err := a.Read(buffers[i][:])
+		if !r.pass(update{data: buffers[i][:n], err: err}) || err != nil {
+			return
+		}
+	}
+}
+
+// readWhole reads an answer to its end, or to the limit of what is held.
+func (r *run) readWhole(a *backend.Answer) {
+	body, err := io.ReadAll(io.LimitReader(a, maxBufferedBytes+1))
+	if err == nil {
+		err = io.EOF
+	}
+	r.pass(update{data: body, err: err})
+}
+
+// take records that an update was taken.
+func (r *run) take(u update) update {
+	if u.answer != nil {
+		r.answer = u.answer
+	}
+	r.over = r.over || u.err != nil
+	return u
+}
+
+// close ends the run, wherever it is, and frees its connection. cause is why, if it is not over.
+func (r *run) close(cause error) {
+	if !r.over {
+		r.cancel(cause)
+	}
+	close(r.dropped)
+	for u := range r.updates { // until the goroutine has ended
+		r.take(u)
+	}
+	if r.answer != nil {
+		r.answer.Close()
+	}
+	r.cancel(nil)
+}
--- a/pkg/relay/slack.go
+++ b/pkg/relay/slack.go
@@ -104,6 +104,29 @@
 	b.until[service] = now.Add(borrowPause)
 }
 
+// reserveRetry takes a retry in advance, so that it is certain before a run that lives is ended. It returns false if there
+// is none. It may be called by timers.
+func (c *call) reserveRetry(ctx context.Context) bool {
+	if c.retryReserved.Load() {
+		return true
+	}
+	if !c.mayRetry(ctx) {
+		return false
+	}
+	c.retryReserved.Store(true)
+	return true
+}
+
+// takeReserved uses the reserved retry, if there is one.
+func (c *call) takeReserved() bool { return c.retryReserved.Swap(false) }
+
+// returnReserved returns a reserved retry that was not used.
+func (c *call) returnReserved() {
+	if c.takeReserved() {
+		c.relay.budgets.returnRetry(c.relay.Budget, c.relay.Time.Now(), c.service)
+	}
+}
+
 // mayRetry takes a retry from this node's budget or borrows one.
 func (c *call) mayRetry(ctx context.Context) bool {
 	r := c.relay
--- a/pkg/relay/slots.go
+++ b/pkg/relay/slots.go
@@ -74,7 +74,7 @@
 	s := c.requestSlot(ctx, servers, c.slotPatience(now))
 	switch {
 	case ctx.Err() != nil:
-		c.giveUp(ctx)
+		c.giveUp(ctx, context.Cause(ctx))
 		return nil, wasRefused
 	case s.Granted:
 		return c.useSlot(ctx, servers, s)
@@ -117,7 +117,7 @@
 		c.sleep(ctx, s.Wait)
 	}
 	if ctx.Err() != nil {
-		c.giveUp(ctx)
+		c.giveUp(ctx, context.Cause(ctx))
 		return nil, wasRefused
 	}
 	c.slot = slot{server: s.Server, at: c.relay.Time.Now()}
--- a/pkg/relay/speed_test.go
+++ b/pkg/relay/speed_test.go
@@ -50,7 +50,7 @@
 
 // TestTimePerEvent checks that the longest pause and the initial wait do not count.
 func TestTimePerEvent(t *testing.T) {
-	r := &record{tries: make([]try, 1)}
+	r := &record{tries: make([]*try, 1)}
 	now := time.Now()
 	for i := range 20 {
 		if i == 10 {
@@ -62,11 +62,11 @@
 	if got := r.timePerEvent(); got < 19*time.Millisecond || got > 21*time.Millisecond {
 		t.Errorf("the time per event is %v", got)
 	}
-	r.tries = make([]try, 2)
+	r.tries = make([]*try, 2)
 	if got := r.timePerEvent(); got != 0 {
 		t.Errorf("a stream of two servers has the time per event %v, want none", got)
 	}
-	short := &record{tries: make([]try, 1)}
+	short := &record{tries: make([]*try, 1)}
 	short.eventsSent(now, 40, 2)
 	if got := short.timePerEvent(); got != 0 {
 		t.Errorf("a stream of two events has the time per event %v, want none", got)
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -14,10 +14,8 @@
 
 // Limits of streams.
 const (
-	streamReadBytes = 4 << 10
+	streamReadBytes = 2 << 10
 	maxEventBytes   = 1 << 20
-	minGapTimeout   = 900 * time.Millisecond
-	gapFactor       = 3
 	// leaveMargin is how long before a server is gone its streams are moved.
 	leaveMargin = 500 * time.Millisecond
 )
@@ -32,27 +30,25 @@
 
 // relayStream passes complete events on as they arrive until the stream ends. After a break, the
 // next server continues after the last event sent.
-func (c *call) relayStream(ctx context.Context, m *backend.Member, a *backend.Answer, impatience *time.Timer) (attemptResult, error) {
-	active := c.registerStream(m)
+func (c *call) relayStream(ctx context.Context, r *run) (attemptResult, error) {
+	a := r.answer
+	active := c.registerStream(r)
+	r.active = active
 	defer c.unregisterStream(active)
-	buffer := make([]byte, streamReadBytes)
 	var pending []byte
-	events := 0 // of this attempt
+	events := 0 // of this run
 	for {
 		active.evacuateIfLeaving()
-		if !active.isMoving() && c.mustMove(m) {
+		if !active.isMoving() && c.mustMove(r.member) && (c.hedge != nil || c.reserveRetry(ctx)) {
 			return mayHaveRun, errMoved
 		}
-		c.limitGap(a, m)
-		n, err := a.Read(buffer)
-		pending = append(pending, buffer[:n]...)
+		u, err := c.next(ctx, r)
+		if err != nil {
+			return mayHaveRun, err
+		}
+		pending = append(pending, u.data...)
 		if whole := scanEvents(pending); whole.size > 0 {
-			if impatience != nil {
-				impatience.Stop()
-			}
-			c.answerStarted()
-			c.recordSettled()
-			c.pin(m)
+			c.progressed(r)
 			if !c.sendEvents(a, pending[:whole.size], whole) {
 				return aborted, errNotWritable
 			}
@@ -62,25 +58,36 @@
 			pending = append(pending[:0], pending[whole.size:]...)
 			events += whole.count
 		}
-		if err != nil {
-			c.record.streamEnded(a.Framed, len(pending))
+		if u.err != nil {
+			r.try.streamEnded(a.Framed, len(pending))
 		}
-		if err == io.EOF && isPartialStream(a, events, pending) {
-			err = errPartialEvent
+		if u.err == io.EOF && isPartialStream(a, events, pending) {
+			u.err = errPartialEvent
 		}
 		switch {
-		case err == io.EOF && !active.mayEndByMove(a):
+		case u.err == io.EOF && !active.mayEndByMove(a):
 			return c.endStream(a, pending)
-		case err != nil && ctx.Err() != nil:
+		case u.err != nil && ctx.Err() != nil:
 			return aborted, context.Cause(ctx)
-		case err != nil:
-			return c.handleBreak(ctx, active, err)
+		case u.err != nil:
+			return c.handleBreak(ctx, active, u.err)
 		case len(pending) > maxEventBytes:
 			return mayHaveRun, errEventTooLong
 		}
 	}
 }
 
+// progressed records that a run brought events, which will be sent to the caller. A hedge, which would continue after
+// earlier ones, ends.
+func (c *call) progressed(r *run) {
+	c.dropHedge()
+	r.stopPatience()
+	c.answerStarted()
+	c.recordSettled(r)
+	c.pin(r.member)
+	c.watchSilence(r)
+}
+
 // isPartialStream reports whether an answer that ended with its connection is only a part of its
 // stream: it contains no event, or ends within one. A server that crashes may close its connections in
 // order, so that nothing else tells.
@@ -98,15 +105,6 @@
 	return mediaType == "text/event-stream"
 }
 
-// limitGap sets a time limit for the next read if the stream could continue elsewhere.
-func (c *call) limitGap(a *backend.Answer, m *backend.Member) {
-	if !c.headSent || !c.mayRunAgain() || !c.hasAlternative(m) {
-		a.ReadUnbounded()
-		return
-	}
-	a.ReadWithin(max(minGapTimeout, gapFactor*c.route.GapTarget))
-}
-
 // mustMove reports whether the server will be gone before the stream is likely to end and another
 // server can continue it.
 func (c *call) mustMove(m *backend.Member) bool {
--- a/pkg/relay/stream_test.go
+++ b/pkg/relay/stream_test.go
@@ -108,8 +108,8 @@
 	}
 }
 
-// TestStalledStreamMovesAndStopsAtTheOldServer checks that a run stops at the old server before it
-// continues elsewhere.
+// TestStalledStreamMovesAndStopsAtTheOldServer checks that a run stops at the old server as soon as another one brings the
+// next event.
 func TestStalledStreamMovesAndStopsAtTheOldServer(t *testing.T) {
 	stalled := func(w http.ResponseWriter, r *http.Request, s seen) {
 		w.Header().Set(testHeaders.Seal, "seal-"+s.server)
@@ -119,14 +119,23 @@
 		<-r.Context().Done()
 	}
 	var s *site
-	// The second server waits until the connection to the first one is closed.
+	// The second server goes on after its first event once the connection to the first server is closed.
 	waiting := func(w http.ResponseWriter, r *http.Request, at seen) {
 		select {
 		case <-s.arrivals()[0].disconnected:
-		case <-time.After(3 * time.Second):
+			t.Error("the old server's run was ended before another server went on")
+		default:
+		}
+		w.Header().Set(testHeaders.Seal, "seal-"+at.server)
+		w.Header().Set(testHeaders.RequestID, at.id)
+		_, _ = io.WriteString(w, eventsText(3, 3))
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-s.arrivals()[0].disconnected:
+		case <-time.After(300 * time.Millisecond):
 			t.Error("the old server still works on a stream that continued elsewhere")
 		}
-		events(6, 6, nil)(w, r, at)
+		_, _ = io.WriteString(w, eventsText(4, 6))
 	}
 	s = newSite(t, streamRoute(true), stalled, waiting)
 	for range 4 { // makes the first server preferred
--- a/pkg/relay/version.go
+++ b/pkg/relay/version.go
@@ -50,7 +50,7 @@
 	c.record.origin = found
 	switch {
 	case ctx.Err() != nil:
-		c.giveUp(ctx)
+		c.giveUp(ctx, context.Cause(ctx))
 		return false
 	case !found.Known:
 		c.refuse(c.notServed(reasonVersionUnknown, defaultRetryAfter))
