relay: a stream whose events have no IDs does not begin anew at another server

Callers would get events twice (ORDER): after a break or a silence another server was asked to go on after an event that has no ID, and began at the first one. Such a stream stays where it is. Found by reading the conditions of a hedge; the test got "first" twice before.

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -332,6 +332,11 @@
 	return true
 }
 
+// continuable reports whether another server may run the request. A stream whose events have no IDs would begin anew there.
+func (c *call) continuable() bool {
+	return c.route.Repeatable() && (c.record.events == 0 || c.lastEvent != "")
+}
+
 // mayChooseSameServer reports whether a request that was not sent may be sent to the same server a moment later.
 func mayChooseSameServer(err error) bool {
 	return errors.Is(err, errStalePlace) || errors.Is(err, errNoSlot) || errors.Is(err, errNotPermitted) || errors.Is(err, errBackoff)
@@ -354,7 +359,7 @@
 // mayTryAgain reports whether the request may go to another server after one that may have run it.
 // A server that crashed does not count.
 func (c *call) mayTryAgain() bool {
-	if !c.route.Repeatable() || c.trial != nil && c.trial.held {
+	if !c.continuable() || c.trial != nil && c.trial.held {
 		return false
 	}
 	if c.runs < max(c.route.MaxAttempts, 1) {
--- a/pkg/relay/buffered.go
+++ b/pkg/relay/buffered.go
@@ -53,7 +53,7 @@
 
 // mayRunAgain reports whether the request may go to another server.
 func (c *call) mayRunAgain() bool {
-	return c.route.Repeatable() && c.runs < max(c.route.MaxAttempts, 1)
+	return c.continuable() && c.runs < max(c.route.MaxAttempts, 1)
 }
 
 // minRetryTime is the minimum remaining time for a retry.
--- a/pkg/relay/hedge.go
+++ b/pkg/relay/hedge.go
@@ -92,7 +92,7 @@
 	if !r.counted {
 		running++
 	}
-	return c.route.Repeatable() && running < max(c.route.MaxAttempts, 1) && c.trial == nil && c.resumption.from == ""
+	return c.continuable() && running < max(c.route.MaxAttempts, 1) && c.trial == nil && c.resumption.from == ""
 }
 
 // next returns the next update of a run. Meanwhile a hedge may begin; if it is ready first, next returns errOvertaken.
--- a/pkg/relay/hedge_test.go
+++ b/pkg/relay/hedge_test.go
@@ -116,3 +116,23 @@
 	}
 	c.dropHedge()
 }
+
+// Guards against events that a caller gets twice: those of a stream without IDs that another server begins anew.
+func TestStreamWithoutIDsBeginsAnewElsewhere(t *testing.T) {
+	t.Parallel()
+	first := func(w http.ResponseWriter, r *http.Request, s seen) {
+		w.Header().Set(testHeaders.Seal, "seal-"+s.server)
+		w.Header().Set(testHeaders.RequestID, s.id)
+		_, _ = io.WriteString(w, "data: first\n\n")
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-r.Context().Done():
+		case <-time.After(silentBeyondLimit):
+			panic(http.ErrAbortHandler)
+		}
+	}
+	s := newSite(t, streamRoute(true), first, first)
+	if got := s.patientPost("id"); got.err == nil || got.body != "data: first\n\n" {
+		t.Errorf("the caller got %q, %v", got.body, got.err)
+	}
+}
