--- a/pkg/relay/hedge.go
+++ b/pkg/relay/hedge.go
@@ -141,6 +141,7 @@
 	}
 	m.Begin(now, c.need.Model)
 	c.hedge = newRun(ctx, m, c.record.try(m, now))
+	c.hedge.try.hedge = true
 	c.hedge.subjects = c.subjectRuns(m)
 	c.hedge.start(c.message(m, nil), c.route.Kind, func() error { return c.checkHedge(m) })
 	return true
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -56,7 +56,8 @@
 	answered      time.Time // first event, or the head of an answer without events; zero: none
 	ended         time.Time
 	verdict       attemptResult
-	status        int // of the answer; zero: none
+	status        int  // of the answer; zero: none
+	hedge         bool // it began beside another one
 	err           error
 	serverCrashed bool // the server was found to have crashed
 	unframed      bool // the answer had no length and no chunks, so that it ended with its connection
@@ -304,6 +305,7 @@
 	AtMS      int64  `json:"at_ms"`
 	TookMS    int64  `json:"took_ms"`
 	RanMS     int64  `json:"ran_ms"` // part of TookMS after the answer began
+	Hedge     bool   `json:"hedge,omitempty"`
 	Verdict   string `json:"verdict"`
 	Error     string `json:"error,omitempty"`
 	Ended     bool   `json:"server_ended,omitempty"`
@@ -316,7 +318,7 @@
 	for i, t := range c.record.tries {
 		lines[i] = tryLine{Server: t.server, Software: t.software, AtMS: t.started.Sub(c.arrived).Milliseconds(),
 			TookMS: t.ended.Sub(t.started).Milliseconds(), RanMS: t.answerDuration().Milliseconds(),
-			Verdict: t.verdict.String(), Ended: t.serverCrashed, Unframed: t.unframed, RestBytes: t.restBytes}
+			Hedge: t.hedge, Verdict: t.verdict.String(), Ended: t.serverCrashed, Unframed: t.unframed, RestBytes: t.restBytes}
 		if t.err != nil {
 			lines[i].Error = t.err.Error()
 		}
@@ -345,6 +347,7 @@
 	requests        *prometheus.CounterVec
 	latency         *prometheus.HistogramVec
 	tries           prometheus.Counter
+	hedges          *prometheus.CounterVec
 	moves           *prometheus.CounterVec
 	choices         *prometheus.CounterVec
 	takenUp         *prometheus.CounterVec
@@ -365,6 +368,10 @@
 		tries: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: "martenwheel", Name: "relay_attempts_total", Help: "Requests sent to servers, repeats included.",
 		}),
+		hedges: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "martenwheel", Name: "relay_hedges_total",
+			Help: "Second runs beside one whose server was silent, by what became of them; gone: the first one went on.",
+		}, []string{"verdict"}),
 		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "martenwheel", Name: "relay_moves_total", Help: "Steps of moves of running streams by outcome.",
 		}, []string{"step", "outcome"}),
@@ -379,7 +386,7 @@
 	}, []string{"known", "outcome"})
 	m.predictionRatio = newPredictionRatio()
 	m.quotas = newQuotaCounters()
-	registry.MustRegister(m.requests, m.latency, m.tries, m.choices, m.takenUp, m.predictionRatio, m.moves, m.quotas.requests)
+	registry.MustRegister(m.requests, m.latency, m.tries, m.hedges, m.choices, m.takenUp, m.predictionRatio, m.moves, m.quotas.requests)
 	return m
 }
 
@@ -390,6 +397,11 @@
 	m.requests.WithLabelValues(c.service, c.record.outcome).Inc()
 	m.tries.Add(float64(len(c.record.tries)))
 	m.observePlace(c)
+	for _, t := range c.record.tries {
+		if t.hedge {
+			m.hedges.WithLabelValues(t.verdict.String()).Inc()
+		}
+	}
 	for _, l := range c.record.moves {
 		m.moves.WithLabelValues(l.Step, l.Outcome).Inc()
 	}
