relay: a stream that a planned stop would cut off is refused as not run

What callers saw: beside nothing but a rolling restart, streams were closed in the middle at the end of the grace time, with most of their own time left. Some had waited at their node for a server and were sent to one seconds after the SIGTERM; others came a second after it and are long.

Cause: a stopping node decided once, as a stream arrived, whether it was still early enough (a third of the grace time), and went by no length. A stream that waited was sent to a server as long as any request was, and one that needs more than what is left was sent as well.

Change: until a server may have run a stream, the node asks before each send, and while the stream waits, whether it can end before the stop: by the tokens that the caller expects, half as many again, and the time per event that the node saw of the model (or of its service), after the route's target for the first event. If that is not known, the third of the grace time is the limit for streams that waited, too. One that can't end is refused with 503 at once, and its caller tries another node; one whose own time ends before the stop runs. The last check is right before the first byte, as a connection may have been slow. A stream that a server may have run is not refused, since that would be no promise.

--- a/pkg/backend/pace.go
+++ b/pkg/backend/pace.go
@@ -169,6 +169,45 @@
 	return c.eventTimes[model]
 }
 
+// TimePerEvent returns the mean time per event of the servers of a service that streamed a model or, if none did, any
+// model; zero if nothing is known.
+func (d *Directory) TimePerEvent(service, model string) time.Duration {
+	d.streamedMu.Lock()
+	defer d.streamedMu.Unlock()
+	var same, all meanTime
+	for key, streamers := range d.streamed {
+		if key.service != service {
+			continue
+		}
+		for c := range streamers {
+			perEvent := c.eventTime(key.model)
+			all.add(perEvent)
+			if key.model == model {
+				same.add(perEvent)
+			}
+		}
+	}
+	if same.n > 0 {
+		return same.mean()
+	}
+	return all.mean()
+}
+
+// meanTime is the mean of the times that are known.
+type meanTime struct {
+	sum time.Duration
+	n   int
+}
+
+func (t *meanTime) add(d time.Duration) {
+	if d > 0 {
+		t.sum += d
+		t.n++
+	}
+}
+
+func (t *meanTime) mean() time.Duration { return t.sum / time.Duration(max(t.n, 1)) }
+
 // recordSlowness adds the ratio of the server's time per event to that of the fastest server.
 func (c *Condition) recordSlowness(ratio float64) {
 	c.mu.Lock()
--- a/pkg/backend/pace_test.go
+++ b/pkg/backend/pace_test.go
@@ -78,3 +78,21 @@
 		t.Errorf("%d reports from an hour ago were returned", got)
 	}
 }
+
+// Guards against expected durations that are unknown, or those of another service, for a model that nothing streamed yet.
+func TestTimePerEventOfUnknownModelIsThatOfItsService(t *testing.T) {
+	d := &Directory{}
+	d.Replace([]*Server{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}, {ID: "c", Service: "other"}}, 1)
+	if got := d.TimePerEvent("s", "m"); got != 0 {
+		t.Errorf("%v though nothing streamed", got)
+	}
+	d.RecordPace("a", "m", 20*time.Millisecond)
+	d.RecordPace("b", "m", 40*time.Millisecond)
+	d.RecordPace("b", "large", 90*time.Millisecond)
+	d.RecordPace("c", "m", time.Second)
+	for model, want := range map[string]time.Duration{"m": 30 * time.Millisecond, "large": 90 * time.Millisecond, "new": 50 * time.Millisecond} {
+		if got := d.TimePerEvent("s", model); got != want {
+			t.Errorf("%s: %v, want %v", model, got, want)
+		}
+	}
+}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -186,6 +186,8 @@
 		return errLeaving
 	case c.timeLeft() <= 0: // the timer of ctx uses another clock and may be late after a suspension
 		return errDeadline
+	case c.stopTooNear():
+		return errStopping
 	case c.place.stale(c.relay.Time.Now()):
 		return errStalePlace
 	case !c.slot.covers(c.relay.Time.Now(), m):
@@ -337,9 +339,10 @@
 	return c.route.Repeatable() && (c.record.events == 0 || c.lastEvent != "")
 }
 
-// mayChooseSameServer reports whether a request that was not sent may be sent to the same server a moment later.
+// mayChooseSameServer reports whether the server is not why a request was not sent to it. acquire chooses again, or refuses.
 func mayChooseSameServer(err error) bool {
-	return errors.Is(err, errStalePlace) || errors.Is(err, errNoSlot) || errors.Is(err, errNotPermitted) || errors.Is(err, errBackoff)
+	return errors.Is(err, errStalePlace) || errors.Is(err, errNoSlot) || errors.Is(err, errNotPermitted) ||
+		errors.Is(err, errBackoff) || errors.Is(err, errStopping)
 }
 
 // noteFailure records that a server did not serve the request.
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -80,6 +80,7 @@
 	misses         int   // attempts in which no server ran the request
 	runs           int   // servers that may have run it
 	unprovenRounds []int // by subject: rounds, with those in doubt, of the last attempt that broke although another node reached the server
+	unrun          bool  // no server may have run it when the current attempt began
 	headSent       bool
 	retryReserved  atomic.Bool   // a retry was taken from the budget and not used yet
 	pinned         bool          // the stream has events: only servers of one software version may continue it
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -27,9 +27,10 @@
 	var requestedAt time.Time
 	results := make(chan loadResult, 1)
 	requestPending, answered := false, false
+	c.unrun = c.runs == 0 && !c.headSent
 	for {
 		changed := c.relay.Servers.Changed()
-		if c.relay.stopped(c.route.Kind, false) {
+		if c.relay.stopped(c.route.Kind, false) || c.stopTooNear() {
 			c.refuse(c.notServed(reasonStopping, stopping.after))
 			return nil
 		}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -201,6 +201,34 @@
 	return now.After(plan.until) || isNew && kind == route.Stream && now.After(plan.streamsUntil)
 }
 
+// expectedMargin is the safety factor of the expected duration of a stream: callers' estimates are right only in the
+// median, and servers differ in speed.
+const expectedMargin = 1.5
+
+// stopTooNear reports whether a planned stop would cut off a stream that no server has run yet.
+func (c *call) stopTooNear() bool {
+	plan := c.relay.stop.Load()
+	if plan == nil || c.route.Kind != route.Stream || !c.unrun || c.resumption.from != "" || !c.deadline.After(plan.until) {
+		return false
+	}
+	now := c.relay.Time.Now()
+	if duration, known := c.expectedDuration(); known {
+		return now.Add(duration).After(plan.until)
+	}
+	return now.After(plan.streamsUntil)
+}
+
+// expectedDuration returns how long a server is expected to take for the whole stream, and whether that is known.
+func (c *call) expectedDuration() (time.Duration, bool) {
+	tokens := c.prompt.ExpectedOutput()
+	perEvent := c.relay.Servers.TimePerEvent(c.service, c.need.Model)
+	if c.engine == nil || tokens <= 0 || perEvent <= 0 {
+		return 0, false
+	}
+	events := float64(tokens) / float64(max(c.engine.EventTokens, 1))
+	return c.route.Target + time.Duration(expectedMargin*events*float64(perEvent)), true
+}
+
 // InFlight returns the number of requests in progress.
 func (r *Relay) InFlight() int { return int(r.inFlight.Load()) }
 
