tunnel: a node that was held up while it connected does not blame the server

Cause: the time limit of a connection runs on while the node stands; when it goes on, the limit is over before the connection, which has long been up, is looked at.

Change: a connection that failed 100 ms or more after its time limit is tried once more, and the second failure counts. The test failed before in its first case (the way is broken, i/o timeout).

--- a/pkg/site/reach.go
+++ b/pkg/site/reach.go
@@ -30,7 +30,7 @@
 	s.reach.OnCut = func(cut bool) { s.cutChanged(l, cut) }
 	opener := &peer.Opener{Config: peer.Config{Self: s.nodeRef(), Timeouts: peer.Timeouts{Dial: peerDialTimeout}}, Dial: Dial}
 	s.dialer = &tunnel.Dialer{
-		Zone: s.Self.Zone, Direct: direct, Reach: s.reach, Nodes: s.helperNodes, Servers: s.serverAddresses,
+		Zone: s.Self.Zone, Direct: direct, DirectTime: serverDialTimeout, Reach: s.reach, Nodes: s.helperNodes, Servers: s.serverAddresses,
 		Leads: func() bool { _, held := l.Held(); return held },
 		Connect: func(ctx context.Context, node, address string) (net.Conn, tunnel.Result, error) {
 			return openTunnel(ctx, opener, node, tunnel.Connect{Server: s.serverAt(address), Address: address})
--- a/pkg/tunnel/dialer.go
+++ b/pkg/tunnel/dialer.go
@@ -37,6 +37,8 @@
 	// leaderSilence is how long a node that gives orders may hear no server before it probes one.
 	leaderSilence = time.Second
 	probedServers = 3 // at once, when neither requests nor the first probe are answered
+	// maxTimerDelay is the delay of a timer beyond which this node was held up itself, and an answer may have come in time.
+	maxTimerDelay = 100 * time.Millisecond
 )
 
 // errNotReached means that other nodes do not reach the server either.
@@ -53,6 +55,8 @@
 type Dialer struct {
 	Zone   string
 	Direct func(ctx context.Context, address string) (net.Conn, error)
+	// DirectTime is the time limit of Direct; zero: unknown.
+	DirectTime time.Duration
 	// Connect asks a node for a tunnel to a server. The connection is nil unless the result is Open.
 	Connect func(ctx context.Context, node, server string) (net.Conn, Result, error)
 	Nodes   func() []Node // other nodes; nil: none
@@ -83,7 +87,11 @@
 
 // DialDirect connects to a server directly.
 func (d *Dialer) DialDirect(ctx context.Context, address string) (net.Conn, error) {
+	began := d.Reach.Time.Now()
 	conn, err := d.Direct(ctx, address)
+	if err != nil && ctx.Err() == nil && d.wasHeldUp(d.Reach.Time.Since(began)) {
+		conn, err = d.Direct(ctx, address)
+	}
 	switch {
 	case err == nil:
 		d.Reach.Connected(address)
@@ -93,6 +101,11 @@
 	return conn, err
 }
 
+// wasHeldUp reports whether a direct connection that failed took so long that this node was held up meanwhile.
+func (d *Dialer) wasHeldUp(took time.Duration) bool {
+	return d.DirectTime > 0 && took > d.DirectTime+maxTimerDelay
+}
+
 // DialOnlyDirect connects to a server directly, for messages that must not lead through another node. Whether
 // others reach the server is found out by a probe.
 func (d *Dialer) DialOnlyDirect(ctx context.Context, address string) (net.Conn, error) {
--- a/pkg/tunnel/dialer_test.go
+++ b/pkg/tunnel/dialer_test.go
@@ -340,3 +340,41 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Guards against a node that was held up while it connected, and blames the server or its way for that.
+func TestNodeThatWasHeldUpDoesNotBlameTheServer(t *testing.T) {
+	for name, c := range map[string]struct {
+		took   []time.Duration // of the direct connections, all but the last of which fail
+		broken bool
+	}{
+		"held up":             {[]time.Duration{hangTime + time.Second, roundTrip}, false},
+		"in time":             {[]time.Duration{hangTime, roundTrip}, true},
+		"a little late":       {[]time.Duration{hangTime + maxTimerDelay/2, roundTrip}, true},
+		"held up, and silent": {[]time.Duration{hangTime + time.Second, hangTime, roundTrip}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDialer(works, nil)
+				d.DirectTime = hangTime
+				calls := 0
+				d.Direct = func(context.Context, string) (net.Conn, error) {
+					calls++
+					time.Sleep(c.took[calls-1])
+					if calls < len(c.took) {
+						return nil, os.ErrDeadlineExceeded
+					}
+					conn, _ := net.Pipe()
+					return conn, nil
+				}
+				conn, err := d.DialDirect(t.Context(), serverName)
+				d.Reach.ReachedByOther(serverName)
+				if broken := len(d.Reach.brokenWays()) > 0; broken != c.broken || (err != nil) != c.broken {
+					t.Errorf("the way is broken: %t, %v", broken, err)
+				}
+				if conn != nil {
+					_ = conn.Close()
+				}
+			})
+		})
+	}
+}
