relay: a hedge never ends the run beside it, and never waits in its way

- A hedge that brought a comment, or closed within its first event, ended the first run and then the answer.
It has to bring an event or a whole answer now.
- A hedge that lived was ended for a copy of the broken first run that nobody may be able to use; the answer was cut off.
- A moved stream was cut off over a silence of its target: whether the source still takes it, or a retry is there, was asked after the run had been ended.
The decision lies in the loop of the call now, before, and nothing is ended if neither is certain.
- A caller who left had the server of a hedge avoided and the request suspected of crashing it.
- A hedge at a server that is dark itself kept others from beginning, and a retry that would be lent was not asked for: streams hung until their deadline.
- Hedges of one request had no limit: twelve sends beside a silence of 3 s; four now, as for all attempts.
- Events of the first run waited while the failure of a hedge was looked into, up to 150 ms.
That, and borrowing a retry, happen beside the loop now.
- A retry that a hedge took and did not use was lost if the hedge became the request's run.

A run that continued from a copy may have a hedge again once it brought events.

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -12,9 +12,6 @@
 	"martenwheel.dev/pkg/route"
 )
 
-// errSilent ends a run that continues from a copy and shows no sign of an answer.
-var errSilent = errors.New("relay: the server is silent")
-
 // errLeaving keeps a request from a server that began to leave.
 var errLeaving = errors.New("relay: the server is leaving")
 
@@ -90,14 +87,21 @@
 	return c.relay.Nodes()
 }
 
-// attempt sends the request to a server, and goes on with its hedge if that is faster or the server fails. It reports
-// whether to try another server.
+// attempt sends the request to a server. It reports whether to try another one.
 func (c *call) attempt(ctx context.Context, m *backend.Member) bool {
-	r, v, err := c.try(ctx, m)
-	for c.hedge != nil && c.needsHedge(v, err) {
-		if !errors.Is(err, errMoved) {
-			c.noteFailure(r, v, err)
+	r, v, err := c.runAt(ctx, m)
+	return c.settle(ctx, r, v, err)
+}
+
+// settle goes on with the hedge of a run that ended, if there is one and it is needed, and then decides what the result
+// allows. It reports whether to try another server.
+func (c *call) settle(ctx context.Context, r *run, v attemptResult, err error) bool {
+	for c.hedge != nil && v != served && v != aborted {
+		if errors.Is(err, errHandedOver) { // the hedge lives, while the copy may not be usable
+			c.finishMove(c.handedOver)
+			c.handedOver, err = nil, c.breakErr
 		}
+		c.noteFailure(r, v, err)
 		r = c.hedge
 		v, err = c.goOnWithHedge(ctx)
 	}
@@ -108,26 +112,19 @@
 	return c.decideNext(ctx, r, v, err)
 }
 
-// needsHedge reports whether the result of a run leaves the request to its hedge.
-func (c *call) needsHedge(v attemptResult, err error) bool {
-	return v != served && v != aborted && !errors.Is(err, errHandedOver)
-}
-
-// try sends the request to a server and passes its answer on.
-func (c *call) try(ctx context.Context, m *backend.Member) (*run, attemptResult, error) {
+// runAt sends the request to a server and passes its answer on.
+func (c *call) runAt(ctx context.Context, m *backend.Member) (*run, attemptResult, error) {
 	started := c.relay.Time.Now()
 	m.Begin(started, c.need.Model)
 	c.reportPlaceSent(m)
 	backup := c.chooseBackup(m)
 	defer c.releaseBackup(backup)
-	r := newRun(ctx, m, c.record.try(m, started))
-	r.backup = backup
+	r := c.newRun(ctx, m, started)
+	r.backup, r.fromCopy = backup, c.resumption.from != ""
 	c.record.current = r.try
 	r.try.answered = c.resumption.answered
-	c.startPatience(ctx, r)
-	defer r.stopPatience()
 	c.watchSilence(r)
-	r.start(c.message(m, backup), c.route.Kind, func() error { return c.checkBeforeSend(r) })
+	r.start(c.message(m, c.resumption.from, backup), c.route.Kind, func() error { return c.checkBeforeSend(r) })
 	v, err := c.follow(ctx, r)
 	return r, v, err
 }
@@ -135,7 +132,7 @@
 // follow passes the answer of a run on and ends the run.
 func (c *call) follow(ctx context.Context, r *run) (attemptResult, error) {
 	v, err := c.handleAnswer(ctx, r)
-	c.disarmHedge()
+	c.disarmSilence()
 	abandoned := context.Cause(r.ctx) != nil
 	r.close(err)
 	if errors.Is(err, errOvertaken) {
@@ -177,6 +174,16 @@
 	}
 }
 
+// uncount undoes the counts of a run that continued another one: it is the same run.
+func (c *call) uncount(r *run) {
+	if r.counted {
+		c.sends--
+	}
+	if r.ran {
+		c.runs--
+	}
+}
+
 // checkBeforeSend is called right before the first byte is sent to a server. An error tells why the
 // request must not be sent.
 func (c *call) checkBeforeSend(r *run) error {
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -8,7 +8,6 @@
 	"net/textproto"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -82,7 +81,8 @@
 	unprovenRounds []int // by subject: rounds, with those in doubt, of the last attempt that broke although another node reached the server
 	unrun          bool  // no server may have run it when the current attempt began
 	headSent       bool
-	retryReserved  atomic.Bool   // a retry was taken from the budget and not used yet
+	retryReserved  bool          // a retry was taken from the budget and not used yet
+	lent           chan bool     // receives whether a retry was lent; nil: none is being borrowed
 	pinned         bool          // the stream has events: only servers of one software version may continue it
 	software       string        // the version, if pinned
 	streamKeys     []lineage.Key // by which the caller may take the stream up; nil: it can't, or has not begun
@@ -273,8 +273,9 @@
 	return append(b, "\r\n"...)
 }
 
-// message returns the request as it is sent to a server, which copies the run to backup; nil: it does not.
-func (c *call) message(m, backup *backend.Member) *backend.Message {
+// message returns the request as it is sent to a server. The run continues from a copy of the given origin, if any, and is
+// copied to backup; nil: it is not.
+func (c *call) message(m *backend.Member, origin string, backup *backend.Member) *backend.Message {
 	own := c.relay.Headers
 	left := max(c.relay.Time.Until(c.deadline)-answerTime, time.Millisecond)
 	head := make([]byte, 0, len(c.head)+160)
@@ -284,8 +285,8 @@
 	if c.lastEvent != "" {
 		head = appendHeader(head, own.LastEvent, c.lastEvent)
 	}
-	if c.resumption.from != "" {
-		head = appendHeader(head, own.Origin, c.resumption.from)
+	if origin != "" {
+		head = appendHeader(head, own.Origin, origin)
 	}
 	if backup != nil {
 		head = appendHeader(head, own.Backup, backup.Address)
@@ -294,7 +295,7 @@
 		head = appendHeader(head, own.Priority, strconv.Itoa(c.rank()))
 	}
 	return &backend.Message{
-		Method: c.http.Method, Target: c.target, Head: head, Body: c.body, Probe: c.probe(m),
+		Method: c.http.Method, Target: c.target, Head: head, Body: c.body, Probe: c.probe(m, origin),
 		IsAnswer: func(h http.Header) bool {
 			id := h.Get(own.RequestID)
 			return c.id == "" || id == "" || id == c.id
--- a/pkg/relay/hedge.go
+++ b/pkg/relay/hedge.go
@@ -17,23 +17,26 @@
 
 // A server may fall silent for a moment and go on, or for good. Nothing tells which it is, so that a run that lives is
 // not given up for one that may never begin: a second run, the hedge, starts beside it, and the request goes on with
-// the one that brings something first. A hedge takes only what nobody waits for: a free server, and a retry of this
-// node's own share. Without them the first run goes on alone.
+// the one that brings something first. A hedge takes only what nobody waits for: a free server, and a retry. Without
+// them the first run goes on alone.
 
 // Ends of runs that this node did not need any more.
 var (
 	// errOvertaken ends a run whose hedge was ready first.
 	errOvertaken = errors.New("relay: another server was faster")
 	errNotNeeded = errors.New("relay: the first server went on")
+	// errSilent ends a run that brought nothing.
+	errSilent = errors.New("relay: the server is silent")
 )
 
 const (
 	// soundSilence is how long a server may be silent in the middle of a stream and go on. Until then a hedge would
 	// mostly be work for nothing.
 	soundSilence = 1500 * time.Millisecond
+	// gapFactor is the multiple of a route's longest pause that counts as silence.
+	gapFactor = 3
 	// hedgeRetryInterval is the interval between attempts to begin a hedge.
 	hedgeRetryInterval = 100 * time.Millisecond
-	gapFactor          = 3 // multiple of a route's longest pause that counts as silence
 	// maxTimerDelay is the delay of a timer beyond which this node was held up itself. What servers sent meanwhile
 	// may not have been read yet.
 	maxTimerDelay = 100 * time.Millisecond
@@ -41,65 +44,77 @@
 
 // hedging is the state of the hedge of a request.
 type hedging struct {
-	hedge *run        // nil: none runs
-	timer *time.Timer // fires when the run has been silent for too long; nil: never armed
-	due   time.Time   // when the timer was to fire
+	hedge        *run        // nil: none runs
+	silenceTimer *time.Timer // fires when the runs have been silent for too long; nil: never armed
+	silenceDue   time.Time   // when silenceTimer was to fire
 }
 
-// armHedge sets the time without progress after which a hedge may begin.
-func (c *call) armHedge(after time.Duration) {
-	c.due = c.relay.Time.Now().Add(after)
-	if c.timer == nil {
-		c.timer = time.NewTimer(after)
+// armSilence sets the time without progress after which something is done about it.
+func (c *call) armSilence(after time.Duration) {
+	c.silenceDue = c.relay.Time.Now().Add(after)
+	if c.silenceTimer == nil {
+		c.silenceTimer = time.NewTimer(after)
 		return
 	}
-	c.timer.Reset(after)
+	c.silenceTimer.Reset(after)
 }
 
-// disarmHedge keeps hedges from beginning.
-func (c *call) disarmHedge() {
-	if c.timer != nil {
-		c.timer.Stop()
+// disarmSilence stops the timer.
+func (c *call) disarmSilence() {
+	if c.silenceTimer != nil {
+		c.silenceTimer.Stop()
 	}
 }
 
-// hedgeTimer returns the channel of the timer; nil if it was never armed.
-func (c *call) hedgeTimer() <-chan time.Time {
-	if c.timer == nil {
+// silenceElapses returns the channel of the timer; nil if it was never armed.
+func (c *call) silenceElapses() <-chan time.Time {
+	if c.silenceTimer == nil {
 		return nil
 	}
-	return c.timer.C
+	return c.silenceTimer.C
 }
 
-// watchSilence sets when a hedge may begin unless the run brings something before.
+// watchSilence sets when something is done about the silence of a run, unless it brings something before.
 func (c *call) watchSilence(r *run) {
 	switch {
+	case r.fromCopy && r.try.events == 0:
+		c.armSilence(silenceLimit(c.route))
 	case !c.hedgeable(r):
-		c.disarmHedge()
-	case r.try.answered.IsZero():
-		c.armHedge(firstByteTime(c.route))
+		c.disarmSilence()
 	default:
-		c.armHedge(silenceLimit(c.route))
+		c.armSilence(c.silenceOf(r))
 	}
 }
 
-// silenceLimit returns how long a stream that has begun may be silent before a hedge begins.
+// silenceOf returns how long a run may be silent before a hedge begins.
+func (c *call) silenceOf(r *run) time.Duration {
+	if r.try.answered.IsZero() {
+		return firstByteTime(c.route)
+	}
+	return silenceLimit(c.route)
+}
+
+// silenceLimit returns how long a stream that has begun may be silent.
 func silenceLimit(r *route.Route) time.Duration { return max(soundSilence, gapFactor*r.GapTarget) }
 
-// hedgeable reports whether a hedge may run beside a run of the request.
+// hedgeable reports whether a further run may begin beside a run of the request and its hedge.
 func (c *call) hedgeable(r *run) bool {
-	running := c.runs
-	if !r.counted {
-		running++
+	sends, runs := c.sends, c.runs
+	for _, pending := range []*run{r, c.hedge} {
+		if pending != nil && !pending.counted {
+			sends++
+		}
+		if pending != nil && !pending.ran {
+			runs++
+		}
 	}
-	return c.continuable() && running < max(c.route.MaxAttempts, 1) && c.trial == nil && c.resumption.from == ""
+	return c.continuable() && runs < max(c.route.MaxAttempts, 1) && sends < maxSends && c.trial == nil &&
+		(!r.fromCopy || r.try.events > 0)
 }
 
 // next returns the next update of a run. Meanwhile a hedge may begin; if it is ready first, next returns errOvertaken.
 func (c *call) next(ctx context.Context, r *run) (update, error) {
-	if len(r.ahead) > 0 {
-		u := r.ahead[0]
-		r.ahead = r.ahead[1:]
+	if u, there := r.replay(); there {
 		return u, nil
 	}
 	for {
@@ -107,43 +122,68 @@
 		if c.hedge != nil {
 			hedged = c.hedge.updates
 		}
+		overtaken, elapsed := false, false
 		select {
 		case u := <-r.updates:
 			return r.take(u), nil
 		case u := <-hedged:
-			if c.hedgeAdvanced(ctx, c.hedge.take(u)) {
-				return update{}, errOvertaken
-			}
-		case <-c.hedgeTimer():
+			overtaken = c.hedgeAdvanced(ctx, c.hedge.take(u))
+		case lent := <-c.lent:
+			c.noteLent(lent)
+		case <-c.silenceElapses():
+			elapsed = true
+		}
+		select {
+		case u := <-r.updates: // a run that goes on at the same moment keeps the request
+			return r.take(u), nil
+		default:
+		}
+		switch {
+		case overtaken:
+			return update{}, errOvertaken
+		case elapsed:
 			c.silenceElapsed(ctx, r)
 		}
 	}
 }
 
-// silenceElapsed begins a hedge, or tries again a moment later.
+// silenceElapsed begins a hedge, or tries again a moment later. A run that continues from a copy ends instead.
 func (c *call) silenceElapsed(ctx context.Context, r *run) {
-	late := c.relay.Time.Since(c.due)
-	if late <= maxTimerDelay && c.beginHedge(ctx, r) {
+	late := c.relay.Time.Since(c.silenceDue)
+	switch {
+	case late > maxTimerDelay:
+	case r.fromCopy && r.try.events == 0:
+		if c.mayGiveUpCopy(ctx) {
+			r.cancel(errSilent)
+			return
+		}
+	case c.beginHedge(ctx, r):
+		c.armSilence(c.silenceOf(c.hedge))
 		return
 	}
-	c.armHedge(hedgeRetryInterval)
+	c.armSilence(hedgeRetryInterval)
 }
 
-// beginHedge starts a hedge for a run. It returns false if none may run now.
+// beginHedge starts a hedge for a run, in place of one that is silent itself. It returns false if none may begin now.
 func (c *call) beginHedge(ctx context.Context, r *run) bool {
-	now := c.relay.Time.Now()
-	if c.hedge != nil || !c.hedgeable(r) || r.active.isMoving() || c.relay.stopped(c.route.Kind, false) || !c.isFree() {
+	if !c.hedgeable(r) || r.active.isMoving() || c.relay.stopped(c.route.Kind, false) || !c.isFree() {
 		return false
 	}
 	m := c.hedgeServer(r.member)
-	if m == nil || !c.relay.budgets.takeRetry(c.relay.Budget, now, c.service, c.nodes()) {
+	if m == nil || !c.reserveRetry(ctx) {
 		return false
 	}
+	if h := c.hedge; h != nil {
+		c.dropHedge()
+		c.noteFailure(h, mayHaveRun, errSilent)
+	}
+	c.takeReserved()
+	now := c.relay.Time.Now()
 	m.Begin(now, c.need.Model)
-	c.hedge = newRun(ctx, m, c.record.try(m, now))
-	c.hedge.try.hedge = true
-	c.hedge.subjects = c.subjectRuns(m)
-	c.hedge.start(c.message(m, nil), c.route.Kind, func() error { return c.checkHedge(m) })
+	h := c.newRun(ctx, m, now)
+	h.try.hedge = true
+	c.hedge = h
+	h.start(c.message(m, "", nil), c.route.Kind, func() error { return c.checkHedge(h) })
 	return true
 }
 
@@ -157,12 +197,13 @@
 func (c *call) hedgeServer(first *backend.Member) *backend.Member {
 	now := c.relay.Time.Now()
 	return c.bestAlternative(first, func(m *backend.Member) bool {
-		return !m.Avoid(now) && !slices.Contains(c.tried, m.ID)
+		return !m.Avoid(now) && !slices.Contains(c.tried, m.ID) && (c.hedge == nil || c.hedge.member.ID != m.ID)
 	})
 }
 
-// checkHedge is checkBeforeSend for a hedge. It is called by the goroutine of its run.
-func (c *call) checkHedge(m *backend.Member) error {
+// checkHedge is checkBeforeSend for a hedge.
+func (c *call) checkHedge(h *run) error {
+	m := h.member
 	switch {
 	case m.Leaving() || m.Evacuated():
 		return errLeaving
@@ -175,81 +216,103 @@
 	case !m.AdmitAfterBackOff(c.relay.Time.Now()): // checked last since it counts the request
 		return errBackoff
 	}
+	h.subjects = c.subjectRuns(h)
 	return nil
 }
 
 // hedgeAdvanced handles an update of the hedge. It returns true if the request should go on with the hedge.
 func (c *call) hedgeAdvanced(ctx context.Context, u update) bool {
 	h := c.hedge
-	u.data = bytes.Clone(u.data)
-	if len(h.ahead) < 2 { // the head, and the content so far
-		h.ahead = append(h.ahead, u)
-	} else {
-		content := &h.ahead[1]
-		content.data, content.err = append(content.data, u.data...), u.err
-	}
-	if len(h.ahead) < 2 {
+	if h.head == nil {
+		h.head = &u
 		if v, err := c.readHead(ctx, h, u); err != nil {
 			c.hedgeFailed(ctx, v, err)
 		}
 		return false
 	}
-	content := h.ahead[1]
-	switch {
-	case c.isStream(h.answer) && scanEvents(content.data).size > 0:
-		return true
-	case c.isStream(h.answer) && content.err == nil:
-		return false
-	case content.err == io.EOF && h.answer.Status < http.StatusInternalServerError:
-		return true
-	case content.err == io.EOF:
-		c.hedgeFailed(ctx, failedAnswer, errors.Errorf("status %d", h.answer.Status))
-	default:
-		c.hedgeFailed(ctx, mayHaveRun, content.err)
+	if h.content == nil {
+		h.content = &update{}
 	}
+	h.content.data, h.content.err = append(h.content.data, bytes.Clone(u.data)...), u.err
+	v, err := c.hedgeReady(ctx, h)
+	if v == served {
+		return err == nil
+	}
+	c.hedgeFailed(ctx, v, err)
 	return false
 }
 
+// errNotReady means that a hedge has brought nothing yet with which the request could go on.
+var errNotReady = errors.New("relay: nothing has arrived yet")
+
+// hedgeReady classifies what a hedge has brought: the request can go on with it, it has to bring more, or it failed.
+func (c *call) hedgeReady(ctx context.Context, h *run) (attemptResult, error) {
+	got := h.content
+	whole := scanEvents(got.data)
+	streams := c.isStream(h.answer)
+	switch {
+	case streams && whole.count > 0:
+		return served, nil
+	case streams && got.err == nil && len(got.data) > maxEventBytes:
+		return mayHaveRun, errEventTooLong
+	case got.err == nil:
+		return served, errNotReady
+	case got.err != io.EOF && ctx.Err() != nil:
+		return aborted, context.Cause(ctx)
+	case got.err != io.EOF:
+		return mayHaveRun, got.err
+	case streams && isPartialStream(h.answer, 0, got.data[whole.size:]):
+		return mayHaveRun, errPartialEvent
+	case h.answer.Status >= http.StatusInternalServerError:
+		return failedAnswer, errors.Errorf("status %d", h.answer.Status)
+	}
+	return served, nil
+}
+
 // hedgeFailed ends a hedge that did not serve the request.
 func (c *call) hedgeFailed(ctx context.Context, v attemptResult, err error) {
 	h := c.hedge
 	c.endHedge(v, err)
-	if !h.counted {
-		c.relay.budgets.returnRetry(c.relay.Budget, c.relay.Time.Now(), c.service)
+	switch {
+	case v == aborted:
+		c.watchForCrash(h)
+	case v == mayHaveRun && isConnectionBroken(err):
+		go c.relay.investigateHedge(context.WithoutCancel(ctx), h)
 	}
 	if v != aborted {
 		c.noteFailure(h, v, err)
 	}
-	if h.ran && v == mayHaveRun {
-		c.investigateFailure(ctx, h, err, false)
-	}
-	c.armHedge(hedgeRetryInterval)
+	c.armSilence(hedgeRetryInterval)
 }
 
 // dropHedge ends the hedge, if there is one, since the first run went on or the request is over.
 func (c *call) dropHedge() {
-	h := c.hedge
-	if h == nil {
-		return
+	if h := c.hedge; h != nil {
+		c.endHedge(aborted, errNotNeeded)
+		c.watchForCrash(h)
 	}
-	c.endHedge(aborted, errNotNeeded)
-	if !h.sent.Load() {
-		c.relay.budgets.returnRetry(c.relay.Budget, c.relay.Time.Now(), c.service)
-		return
-	}
-	c.countRun(h)
-	c.watchForCrash(h)
 }
 
-// endHedge ends the hedge.
+// endHedge ends the hedge, wherever it is.
 func (c *call) endHedge(v attemptResult, err error) {
 	h := c.hedge
 	c.hedge = nil
 	h.close(err)
+	if h.sent.Load() && v == aborted {
+		c.countRun(h)
+	}
+	c.returnUnsent(h)
 	h.member.End(c.need.Model)
 	h.try.end(c.relay.Time.Now(), v, err)
 }
 
+// returnUnsent returns the retry of a hedge that reached no server.
+func (c *call) returnUnsent(h *run) {
+	if !h.counted {
+		c.relay.budgets.returnRetry(c.relay.Budget, c.relay.Time.Now(), c.service)
+	}
+}
+
 // goOnWithHedge makes the hedge the run of the request, and passes its answer on.
 func (c *call) goOnWithHedge(ctx context.Context) (attemptResult, error) {
 	h := c.hedge
@@ -257,5 +320,7 @@
 	c.record.current = h.try
 	c.reportPlaceSent(h.member)
 	c.watchSilence(h)
-	return c.follow(ctx, h)
+	v, err := c.follow(ctx, h)
+	c.returnUnsent(h)
+	return v, err
 }
--- a/pkg/relay/quarantine.go
+++ b/pkg/relay/quarantine.go
@@ -105,9 +105,10 @@
 	}
 }
 
-// subjectRuns returns the run that begins at a server now for each subject, with its round; nil without a quarantine.
-func (c *call) subjectRuns(m *backend.Member) []quarantine.Run {
-	q := c.relay.Quarantine
+// subjectRuns returns a run that begins now for each subject, with its round; nil without a quarantine. It is called by the
+// goroutine of the run.
+func (c *call) subjectRuns(at *run) []quarantine.Run {
+	q, m := c.relay.Quarantine, at.member
 	if q == nil {
 		return nil
 	}
@@ -118,8 +119,8 @@
 		if i > 0 {
 			run.Part = c.parts[i-1]
 		}
-		if i < len(c.unprovenRounds) {
-			run.Doubts = max(run.Doubts, c.unprovenRounds[i]-(run.Round-1))
+		if i < len(at.unproven) {
+			run.Doubts = max(run.Doubts, at.unproven[i]-(run.Round-1))
 		}
 		runs[i] = run
 	}
@@ -140,7 +141,7 @@
 	case standing == quarantine.Quarantined, standing == quarantine.Suspected && c.trial == nil:
 		return false
 	}
-	r.subjects = c.subjectRuns(r.member)
+	r.subjects = c.subjectRuns(r)
 	return true
 }
 
@@ -244,7 +245,7 @@
 		c.noteUnproven(r)
 	default:
 		c.relay.streams.connectionBroke(r.member.ID, c.relay.Time.Now())
-		c.recordSuspicion(ctx, r)
+		c.relay.recordSuspicion(ctx, r)
 		c.watchForCrash(r)
 		c.trial.hold()
 	}
@@ -254,11 +255,30 @@
 // blamed.
 func (c *call) recordCrash(r *run) {
 	r.try.serverCrashed = true
-	c.relay.streams.serverCrashed(r.member.ID, c.relay.Time.Now())
-	if c.relay.Quarantine == nil || r.try.answerDuration() >= quarantine.SettleTime {
+	c.relay.blameForCrash(r)
+}
+
+// blameForCrash records that the server of a run crashed.
+func (r *Relay) blameForCrash(crashed *run) {
+	r.streams.serverCrashed(crashed.member.ID, r.Time.Now())
+	if r.Quarantine != nil && crashed.try.answerDuration() < quarantine.SettleTime {
+		r.Quarantine.ServerCrashed(crashed.subjects...)
+	}
+}
+
+// investigateHedge is investigateFailure for a hedge whose connection broke, beside the first run, whose events must not
+// wait for it.
+func (r *Relay) investigateHedge(ctx context.Context, h *run) {
+	switch h.member.Probe(ctx) {
+	case backend.ProbeEnded:
+		r.blameForCrash(h)
 		return
+	case backend.ProbeLinkBroken:
+	default:
+		r.streams.connectionBroke(h.member.ID, r.Time.Now())
+		r.recordSuspicion(ctx, h)
 	}
-	c.relay.Quarantine.ServerCrashed(r.subjects...)
+	r.watchForCrash(h)
 }
 
 // noteUnproven keeps the rounds of a run whose connection broke although another node reached the server.
@@ -271,9 +291,9 @@
 
 // recordSuspicion records that the server of a run may have crashed meanwhile. A proxy in front of it accepts connections
 // after a crash, which then shows 0.3 s later or more; meanwhile the request would be sent to all other servers.
-func (c *call) recordSuspicion(ctx context.Context, r *run) {
-	if q := c.relay.Quarantine; q != nil && r.try.answerDuration() < quarantine.SettleTime {
-		q.CrashSuspected(ctx, r.subjects...)
+func (r *Relay) recordSuspicion(ctx context.Context, broken *run) {
+	if q := r.Quarantine; q != nil && broken.try.answerDuration() < quarantine.SettleTime {
+		q.CrashSuspected(ctx, broken.subjects...)
 	}
 }
 
@@ -323,13 +343,15 @@
 // connection broke and something still listens there, such as a proxy or the server's next
 // incarnation; or this node abandoned the run before an answer, as the caller left or another
 // server was faster. Nearly all servers then stop working on it, some of them late.
-func (c *call) watchForCrash(r *run) {
-	q := c.relay.Quarantine
-	if q == nil || r.try.answerDuration() >= quarantine.SettleTime {
+func (c *call) watchForCrash(r *run) { c.relay.watchForCrash(r) }
+
+func (r *Relay) watchForCrash(ended *run) {
+	q := r.Quarantine
+	if q == nil || ended.try.answerDuration() >= quarantine.SettleTime {
 		return
 	}
 	var runs, again []quarantine.Run
-	for _, run := range r.subjects {
+	for _, run := range ended.subjects {
 		run.ByRecord = true
 		if run.Again {
 			again = append(again, run)
@@ -337,7 +359,7 @@
 			runs = append(runs, run)
 		}
 	}
-	m, began := r.member, r.try.started
+	m, began := ended.member, ended.try.started
 	if len(runs) > 0 {
 		m.OnEnd(began, quarantine.SuspicionTime, func() { q.ServerCrashed(runs...) })
 	}
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -57,6 +57,7 @@
 	ended         time.Time
 	verdict       attemptResult
 	status        int  // of the answer; zero: none
+	events        int  // passed on
 	hedge         bool // it began beside another one
 	err           error
 	serverCrashed bool // the server was found to have crashed
--- a/pkg/relay/resume.go
+++ b/pkg/relay/resume.go
@@ -111,11 +111,12 @@
 // resumption describes an attempt that continues from a copy. The zero value is an ordinary
 // attempt.
 type resumption struct {
-	from      string    // where the copy is from, see Mover.Origin
-	toSource  bool      // the attempt goes back to the source
-	answered  time.Time // when the run began to answer at its first server
-	events    int       // received by the caller before
-	mayReturn bool      // the source keeps the run, so that it can go on there
+	from     string        // where the copy is from, see Mover.Origin
+	toSource bool          // the attempt goes back to the source
+	answered time.Time     // when the run began to answer at its first server
+	events   int           // received by the caller before
+	stream   *activeStream // the stream that was handed over
+	kept     bool          // the run can go on at the source as well, as long as that accepts requests
 }
 
 // continueElsewhere follows the steps of the handover for a stream that its source stopped, or
@@ -138,11 +139,8 @@
 			r.stop(moveCallTimeout)
 		case migration.ResumeAtTarget, migration.ResumeAtSource:
 			next, v, err, ended := c.resume(ctx, r, step)
-			switch {
-			case errors.Is(err, errHandedOver): // the next server left or broke off in turn
-				return c.continueElsewhere(ctx)
-			case ended:
-				return c.decideNext(ctx, next, v, err)
+			if ended || errors.Is(err, errHandedOver) { // the latter: the next server left or broke off in turn
+				return c.settle(ctx, next, v, err)
 			}
 		case migration.RunAgain:
 			return c.decideNext(ctx, &run{member: r.source}, mayHaveRun, errMoved)
@@ -188,13 +186,14 @@
 // neither as a retry nor as another server. ended tells that the copy is used up and the result v
 // is final.
 func (c *call) resume(ctx context.Context, r *activeStream, step migration.Step) (next *run, v attemptResult, err error, ended bool) {
-	began, sends, runs := c.relay.Time.Now(), c.sends, c.runs
+	began := c.relay.Time.Now()
 	c.place.granted = time.Time{} // a continued run needs no place
 	c.resumption = resumption{from: r.origin(), toSource: step == migration.ResumeAtSource,
 		answered: c.record.current.answered, events: c.record.events}
-	c.resumption.mayReturn = step == migration.ResumeAtTarget && r.handover.Kept
+	c.resumption.stream, c.resumption.kept = r, step == migration.ResumeAtTarget && r.handover.Kept
 	if c.takeSlotAt(ctx, r.serverFor(step)) {
-		next, v, err = c.try(ctx, r.serverFor(step))
+		next, v, err = c.runAt(ctx, r.serverFor(step))
+		c.uncount(next)
 	} else {
 		v, err = notRun, errNoSlot
 	}
@@ -205,7 +204,7 @@
 	}
 	r.addLogLine(moveLine{From: r.source.ID, To: r.serverFor(step).ID, Step: step.String(), Events: c.resumption.events,
 		TookMS: c.relay.Time.Since(began).Milliseconds(), Outcome: o.String()})
-	c.sends, c.runs, c.resumption = sends, runs, resumption{}
+	c.resumption = resumption{}
 	return next, v, err, next != nil && (v == aborted || o == migration.Done || o == migration.StreamBroke)
 }
 
@@ -240,25 +239,13 @@
 	return r.target
 }
 
-// startPatience ends a run that continues from a copy if it shows no sign of an answer, once it is certain that the stream
-// can go on otherwise.
-func (c *call) startPatience(ctx context.Context, r *run) {
-	mayReturn := c.resumption.mayReturn
-	if c.resumption.from == "" || !mayReturn && !c.mayRunAgain() {
-		return
-	}
-	r.patience = time.AfterFunc(silenceLimit(c.route), func() {
-		if mayReturn || c.reserveRetry(ctx) {
-			r.cancel(errSilent)
-		}
-	})
-}
-
-// stopPatience keeps startPatience from ending the run.
-func (r *run) stopPatience() {
-	if r.patience != nil {
-		r.patience.Stop()
+// mayGiveUpCopy reports whether a run that continues from a copy and shows no sign of an answer may end: it is certain that
+// the stream can go on otherwise.
+func (c *call) mayGiveUpCopy(ctx context.Context) bool {
+	if c.resumption.kept && c.mayReturnToSource(c.resumption.stream) {
+		return true
 	}
+	return c.mayRunAgain() && c.reserveRetry(ctx)
 }
 
 // finishMove keeps the log entries of a stream and drops an unused copy.
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -20,9 +20,10 @@
 	subjects []quarantine.Run // what is to blame if the server crashes, as of the moment at which it was sent
 	counted  bool             // it is part of the call's sends
 	ran      bool             // it is part of the call's runs
+	unproven []int            // see progress.unprovenRounds
+	fromCopy bool             // it continues from a copy
 	backup   *backend.Member  // receives copies of it; nil: none
 	active   *activeStream    // the stream that can be handed over; nil: it can't, or has not begun
-	patience *time.Timer      // see startPatience; nil: the run may be silent until the deadline
 
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
@@ -31,8 +32,10 @@
 	dropped chan struct{} // closed when nobody takes updates any more
 
 	answer *backend.Answer // set when its head was taken
-	ahead  []update        // updates of a hedge that were taken before it became the call's run
 	over   bool            // the last update was taken
+
+	// Updates of a hedge that were taken before it became the run of the request; nil: none.
+	head, content *update
 }
 
 // update is the next part of a run: first the head of the answer, or why there is none, then its content.
@@ -49,6 +52,13 @@
 	return r
 }
 
+// newRun returns a run of the request that has not been started.
+func (c *call) newRun(ctx context.Context, m *backend.Member, started time.Time) *run {
+	r := newRun(ctx, m, c.record.try(m, started))
+	r.unproven = c.unprovenRounds
+	return r
+}
+
 // start sends the message if check, which is called right before, returns no error.
 func (r *run) start(message *backend.Message, kind route.Kind, check func() error) {
 	go func() {
@@ -103,6 +113,18 @@
 	r.pass(update{data: body, err: err})
 }
 
+// replay returns the next update that was taken while the run was a hedge.
+func (r *run) replay() (update, bool) {
+	for _, early := range []**update{&r.head, &r.content} {
+		if *early != nil {
+			u := **early
+			*early = nil
+			return u, true
+		}
+	}
+	return update{}, false
+}
+
 // take records that an update was taken.
 func (r *run) take(u update) update {
 	if u.answer != nil {
--- a/pkg/relay/slack.go
+++ b/pkg/relay/slack.go
@@ -104,21 +104,38 @@
 	b.until[service] = now.Add(borrowPause)
 }
 
-// reserveRetry takes a retry in advance, so that it is certain before a run that lives is ended. It returns false if there
-// is none. It may be called by timers.
+// reserveRetry takes a retry in advance, so that it is certain before it is needed. It returns false if there is none now;
+// then one may be borrowed, which next notices.
 func (c *call) reserveRetry(ctx context.Context) bool {
-	if c.retryReserved.Load() {
-		return true
+	r := c.relay
+	if !c.retryReserved {
+		c.retryReserved = r.budgets.takeRetry(r.Budget, r.Time.Now(), c.service, c.nodes())
 	}
-	if !c.mayRetry(ctx) {
-		return false
+	if !c.retryReserved && c.lent == nil {
+		lent := make(chan bool, 1)
+		c.lent = lent
+		go func() { lent <- c.borrowRetry(ctx) }()
+	}
+	return c.retryReserved
+}
+
+// noteLent records whether a retry was lent.
+func (c *call) noteLent(lent bool) {
+	c.lent = nil
+	switch {
+	case lent && c.retryReserved: // one of this node's own became free meanwhile
+		c.relay.budgets.returnRetry(c.relay.Budget, c.relay.Time.Now(), c.service)
+	case lent:
+		c.retryReserved = true
 	}
-	c.retryReserved.Store(true)
-	return true
 }
 
 // takeReserved uses the reserved retry, if there is one.
-func (c *call) takeReserved() bool { return c.retryReserved.Swap(false) }
+func (c *call) takeReserved() bool {
+	reserved := c.retryReserved
+	c.retryReserved = false
+	return reserved
+}
 
 // returnReserved returns a reserved retry that was not used.
 func (c *call) returnReserved() {
@@ -131,9 +148,13 @@
 func (c *call) mayRetry(ctx context.Context) bool {
 	r := c.relay
 	now := r.Time.Now()
-	if r.budgets.takeRetry(r.Budget, now, c.service, c.nodes()) {
-		return true
-	}
+	return r.budgets.takeRetry(r.Budget, now, c.service, c.nodes()) || c.borrowRetry(ctx)
+}
+
+// borrowRetry borrows a retry. It may be called beside the other methods of the call.
+func (c *call) borrowRetry(ctx context.Context) bool {
+	r := c.relay
+	now := r.Time.Now()
 	if r.Lender == nil || r.borrowing.isPaused(now, c.service) {
 		return false
 	}
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -36,10 +36,9 @@
 	r.active = active
 	defer c.unregisterStream(active)
 	var pending []byte
-	events := 0 // of this run
 	for {
 		active.evacuateIfLeaving()
-		if !active.isMoving() && c.mustMove(r.member) && (c.hedge != nil || c.reserveRetry(ctx)) {
+		if !active.isMoving() && c.mustMove(r.member) && c.reserveRetry(ctx) {
 			return mayHaveRun, errMoved
 		}
 		u, err := c.next(ctx, r)
@@ -56,12 +55,12 @@
 				active.noteProgress(c.relay.Time.Now(), whole.count)
 			}
 			pending = append(pending[:0], pending[whole.size:]...)
-			events += whole.count
+			r.try.events += whole.count
 		}
 		if u.err != nil {
 			r.try.streamEnded(a.Framed, len(pending))
 		}
-		if u.err == io.EOF && isPartialStream(a, events, pending) {
+		if u.err == io.EOF && isPartialStream(a, r.try.events, pending) {
 			u.err = errPartialEvent
 		}
 		switch {
@@ -81,7 +80,6 @@
 // earlier ones, ends.
 func (c *call) progressed(r *run) {
 	c.dropHedge()
-	r.stopPatience()
 	c.answerStarted()
 	c.recordSettled(r)
 	c.pin(r.member)
--- a/pkg/relay/version.go
+++ b/pkg/relay/version.go
@@ -148,8 +148,8 @@
 
 // probe returns the probe for a stream that continues: another version may have replaced the server under its
 // name and address before its record tells so. A copy, which only its incarnation has, needs none.
-func (c *call) probe(m *backend.Member) *backend.Probe {
-	if !c.pinned || c.resumption.from != "" || c.relay.Identify == nil {
+func (c *call) probe(m *backend.Member, origin string) *backend.Probe {
+	if !c.pinned || origin != "" || c.relay.Identify == nil {
 		return nil
 	}
 	return c.relay.Identify(m)
