relay: the test of a late loan goes by events instead of times

It failed once with the race detector at a load of 40: the first event, sent 30 ms after the limit, came after the retry was lent. The lender now lends after the first event was taken.

--- a/pkg/relay/patience_test.go
+++ b/pkg/relay/patience_test.go
@@ -48,21 +48,31 @@
 	}
 }
 
+// heldLender lends once it is told to.
+type heldLender struct{ asked, lend chan struct{} }
+
+func (l heldLender) BorrowRetry(ctx context.Context, _ string) (bool, error) {
+	close(l.asked)
+	<-l.lend
+	return true, nil
+}
+
 // Guards against a run that brought events and is then ended as silent, as the retry was lent late.
 func TestRunThatBroughtEventsIsEndedAsSilent(t *testing.T) {
 	t.Parallel()
 	s := newSite(t, streamRoute(true), events(6, 6, nil), events(6, 6, nil))
-	s.relay.Budget = BudgetConfig{Window: 10 * time.Second}
-	s.relay.Lender = lateLender{80 * time.Millisecond}
+	lender := heldLender{asked: make(chan struct{}), lend: make(chan struct{})}
+	s.relay.Budget, s.relay.Lender = BudgetConfig{Window: 10 * time.Second}, lender
 	c := &call{relay: s.relay, request: request{route: &route.Route{Kind: route.Stream, Resumable: true, MaxAttempts: 2}, service: "s"}}
 	r := newRun(t.Context(), s.relay.Servers.Snapshot().Member("server-0"), &try{})
 	r.fromCopy = true
 	c.watchSilence(r)
 	go func() {
 		defer close(r.updates)
-		time.Sleep(silenceLimit(c.route) + 30*time.Millisecond)
+		<-lender.asked
 		r.pass(update{data: []byte("first")})
-		time.Sleep(150 * time.Millisecond)
+		close(lender.lend)
+		time.Sleep(2 * hedgeRetryInterval)
 		r.pass(update{data: []byte("second")})
 	}()
 	for _, want := range []string{"first", "second"} {
