lab: engines that fall silent and go on

The emulator had engines that die and engines that answer nothing for 20 s while their requests run on, but none whose streams stand still for a second and go on.

Its batches stand still, and prompts that were read meanwhile bring their first token afterwards. TestLOSTRequestsAtEnginesThatFallSilent plays two hours with and without silences and asks for the same counts of served, refused and lost requests; TestFaultsBreakNoPromise plays it with all other faults.

--- a/pkg/lab/emulator_test.go
+++ b/pkg/lab/emulator_test.go
@@ -137,3 +137,19 @@
 		t.Error("assignments had no effect")
 	}
 }
+
+func TestSilenceEndsOrSkipsAJob(t *testing.T) {
+	c := &clock{}
+	batch := &sharedRate{clock: c, rate: func(int) float64 { return 10 }}
+	var done []time.Duration
+	end := func() { done = append(done, c.elapsed.Round(time.Millisecond)) }
+	batch.add(10, end)
+	c.after(500*time.Millisecond, func() { batch.setPaused(true) })
+	c.after(time.Second, func() { batch.add(10, end) })
+	c.after(2*time.Second, func() { batch.setPaused(false) })
+	for c.step(time.Minute) {
+	}
+	if want := "[2.5s 3s]"; fmt.Sprint(done) != want {
+		t.Errorf("jobs ended at %v, want %s", done, want)
+	}
+}
--- a/pkg/lab/engine.go
+++ b/pkg/lab/engine.go
@@ -39,6 +39,8 @@
 	alive        bool
 	frozen       bool
 	deferred     []func()      // calls that arrived while the engine was frozen
+	silent       bool          // it generates nothing
+	unspoken     []func()      // ends of prompts that were read while the engine was silent
 	gone         bool          // the machine was taken away
 	leavingAt    time.Duration // when it announced that it leaves; -1 if it stays
 	fence        api.Fence
@@ -151,7 +153,7 @@
 	e.memory.put(it.model)
 	e.disk.put(it.model)
 	if it.model.base < 0 {
-		it.batch = &sharedRate{clock: e.sim.clock, rate: batchRate, updated: e.sim.clock.elapsed}
+		it.batch = &sharedRate{clock: e.sim.clock, rate: batchRate, updated: e.sim.clock.elapsed, paused: e.silent}
 	} else {
 		it.batch = e.items[it.model.base].batch
 	}
@@ -265,8 +267,8 @@
 			e.remove(it)
 		}
 	}
-	e.alive, e.frozen = false, false
-	e.deferred = nil
+	e.alive, e.frozen, e.silent = false, false, false
+	e.deferred, e.unspoken = nil, nil
 }
 
 // restart starts a crashed or replaced engine with empty memory; a replaced machine also has empty
--- a/pkg/lab/engine_requests.go
+++ b/pkg/lab/engine_requests.go
@@ -61,11 +61,16 @@
 	prefillSeconds := float64(r.request.prompt) / promptTokensPerSecond * (1 + float64(streams-1)*batchSlowdown)
 	r.timer = e.sim.clock.after(time.Duration(prefillSeconds*float64(time.Second)), func() {
 		r.timer = nil
-		e.sim.firstToken(e, r)
-		r.job = it.batch.add(float64(r.request.output), func() { e.finish(r) })
+		e.whenSound(func() { e.speak(r) })
 	})
 }
 
+// speak generates the output of a request whose prompt was read.
+func (e *emulatedEngine) speak(r *run) {
+	e.sim.firstToken(e, r)
+	r.job = r.item.batch.add(float64(r.request.output), func() { e.finish(r) })
+}
+
 // setActive changes the number of running requests of an item and of its base.
 func (e *emulatedEngine) setActive(it *item, change int) {
 	for it != nil {
--- a/pkg/lab/faults.go
+++ b/pkg/lab/faults.go
@@ -26,12 +26,13 @@
 	FaultsMixed         Faults = "mixed"        // all of the above
 	FaultsRelease       Faults = "release"      // servers are replaced by a next version of their software
 	FaultsBadPart       Faults = "bad-part"     // a part of prompts crashes the engines that begin to answer it
+	FaultsSilent        Faults = "silent"       // sound engines generate nothing for a second or so and go on
 	FaultsStoreRestored Faults = "store-copy"   // the table service is restored from a backup, which the platform guarantees not to do
 )
 
 // AllFaults returns the names of the schedules.
 func AllFaults() []Faults {
-	return []Faults{FaultsNone, FaultsKill, FaultsCut, FaultsFreeze, FaultsStoreDown, FaultsWeightsSlow, FaultsMixed, FaultsRelease, FaultsBadPart, FaultsStoreRestored}
+	return []Faults{FaultsNone, FaultsKill, FaultsCut, FaultsFreeze, FaultsStoreDown, FaultsWeightsSlow, FaultsMixed, FaultsRelease, FaultsBadPart, FaultsSilent, FaultsStoreRestored}
 }
 
 // Intervals, durations and rates of the faults.
@@ -57,6 +58,7 @@
 	badPartInterval        = time.Hour
 	badPartDuration        = 30 * time.Minute
 	badPartShare           = 0.05 // of the requests
+	silentInterval         = 2 * time.Minute
 	editInterval           = 10 * time.Minute
 	weightsSlowInterval    = 6 * time.Hour
 	weightsSlowDuration    = time.Hour
@@ -95,6 +97,9 @@
 	if includes(FaultsBadPart) {
 		sim.repeat(random, badPartInterval, func() { sim.sendBadPart(random) })
 	}
+	if includes(FaultsSilent) {
+		sim.repeat(random, silentInterval, func() { sim.silenceEngines(random) })
+	}
 	if includes(FaultsStoreRestored) {
 		sim.repeat(random, restoreInterval, sim.restoreStore)
 	}
--- a/pkg/lab/run_test.go
+++ b/pkg/lab/run_test.go
@@ -215,3 +215,20 @@
 	result, _ := mustRun(t, Options{Scenario: scenario, Seed: 1, Control: ControlDistributed, Faults: FaultsRelease})
 	checkNoViolations(t, result)
 }
+
+func TestLOSTRequestsAtEnginesThatFallSilent(t *testing.T) {
+	t.Parallel()
+	results := make(map[Faults]*Result)
+	for _, faults := range []Faults{FaultsNone, FaultsSilent} {
+		scenario := loadScenario(t, "hornada", "duration=2h", "fault_rate=6")
+		results[faults], _ = mustRun(t, Options{Scenario: scenario, Seed: 4, Control: ControlDistributed, Faults: faults})
+		checkNoViolations(t, results[faults])
+	}
+	silent, control := results[FaultsSilent], results[FaultsNone]
+	if silent.Requests != control.Requests {
+		t.Errorf("with silences %+v, without %+v", silent.Requests, control.Requests)
+	}
+	if silent.FirstTokenSeconds == control.FirstTokenSeconds {
+		t.Error("no first token was later for a silence: nothing is shown")
+	}
+}
--- a/pkg/lab/sharing.go
+++ b/pkg/lab/sharing.go
@@ -14,6 +14,7 @@
 	clock    *clock
 	rate     func(jobs int) float64 // units per second for each job
 	progress float64                // units that a job present from the start would have received
+	paused   bool                   // jobs receive nothing
 	updated  time.Duration          // when progress was last updated
 	jobs     indexedheap.Heap[*job]
 	next     *event // completion of the next job
@@ -56,9 +57,16 @@
 	s.schedule()
 }
 
+// setPaused stops all jobs or lets them go on.
+func (s *sharedRate) setPaused(paused bool) {
+	s.advance()
+	s.paused = paused
+	s.schedule()
+}
+
 // advance updates progress to the present.
 func (s *sharedRate) advance() {
-	if len(s.jobs) > 0 {
+	if len(s.jobs) > 0 && !s.paused {
 		s.progress += s.rate(len(s.jobs)) * (s.clock.elapsed - s.updated).Seconds()
 	}
 	s.updated = s.clock.elapsed
@@ -68,7 +76,7 @@
 func (s *sharedRate) schedule() {
 	s.clock.cancel(s.next)
 	s.next = nil
-	if len(s.jobs) == 0 {
+	if len(s.jobs) == 0 || s.paused {
 		return
 	}
 	left := max(s.jobs[0].finish-s.progress, 0)
