standin: an engine can be told to fall silent

Fault silent_ms of an engine's requests: nothing of an answer is sent for so long from when the fault is set, then all answers go on. Orders and reports are answered meanwhile, unlike with a freeze.

--- a/pkg/standin/engine_http_test.go
+++ b/pkg/standin/engine_http_test.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -190,6 +191,32 @@
 	}
 }
 
+func TestSilentEngineBreaksItsAnswersOff(t *testing.T) {
+	const silence = 400 * time.Millisecond
+	for name, fault := range map[string]Faults{"silent": {SilentMilliseconds: int(silence.Milliseconds())}, "control": {}} {
+		t.Run(name, func(t *testing.T) {
+			config := testConfig()
+			config.Speed = 2
+			server := startLoaded(t, config)
+			stream := post(t, t.Context(), server.Address(), "/v1/completions", streamBody, requestID("r")).Body
+			firstLine := make([]byte, 1)
+			if _, err := io.ReadFull(stream, firstLine); err != nil {
+				t.Fatal(err)
+			}
+			set := time.Now()
+			server.SetFaults(PartRequests, fault)
+			server.Load() // answered meanwhile
+			events, done := readEvents(t, io.MultiReader(bytes.NewReader(firstLine), stream))
+			if !done || textOf(t, events) != AnswerText("a", "p", "r", 200) {
+				t.Errorf("%d events, done %t", len(events), done)
+			}
+			if took := time.Since(set); took < time.Duration(fault.SilentMilliseconds)*time.Millisecond {
+				t.Errorf("the stream ended after %v, within the silence", took)
+			}
+		})
+	}
+}
+
 func TestLostAnswerOfAnOrderIsSettledByRepeatingIt(t *testing.T) {
 	server := startEngine(t, testConfig())
 	client := engine.NewHTTPClient(engine.HTTPClientConfig{})
--- a/pkg/standin/engine_openai.go
+++ b/pkg/standin/engine_openai.go
@@ -71,8 +71,9 @@
 	)
 }
 
-// wait waits until the generation has more than seen tokens or has ended. It
-// returns false if the caller left or resumed the request on another connection.
+// wait waits until the engine is not silent and the generation has more than seen
+// tokens or has ended. It returns false if the caller left or resumed the request on
+// another connection.
 func (e *Engine) wait(request *http.Request, x exchange, g *generation, seen int) (progress, bool) {
 	for {
 		now := e.progress(g)
@@ -80,7 +81,7 @@
 			return now, false
 		}
 		if now.tokens > seen || now.phase >= phaseFinished {
-			return now, true
+			return now, e.faults.waitSound(request.Context(), PartRequests)
 		}
 		select {
 		case <-now.changed:
--- a/pkg/standin/faults.go
+++ b/pkg/standin/faults.go
@@ -48,6 +48,10 @@
 	TruncateAnswers int `json:"truncate_answers,omitempty"`
 	MixAnswers      int `json:"mix_answers,omitempty"`
 
+	// Requests to engines only: how long, from when the fault is set, nothing of
+	// an answer is sent. Then the answers go on; none is broken off.
+	SilentMilliseconds int `json:"silent_ms,omitempty"`
+
 	// Orders to engines only: how many of the next loads fail, and how much
 	// longer unloads take.
 	FailLoads          int `json:"fail_loads,omitempty"`
@@ -58,18 +62,19 @@
 type faultSet struct {
 	mutex   sync.Mutex
 	parts   map[string]Faults
+	setAt   map[string]time.Time
 	changed chan struct{} // closed on the next change
 	onSet   func(part string, faults Faults)
 }
 
 func newFaultSet() *faultSet {
-	return &faultSet{parts: map[string]Faults{}, changed: make(chan struct{})}
+	return &faultSet{parts: map[string]Faults{}, setAt: map[string]time.Time{}, changed: make(chan struct{})}
 }
 
 // set replaces the faults of a part.
 func (f *faultSet) set(part string, faults Faults) {
 	f.mutex.Lock()
-	f.parts[part] = faults
+	f.parts[part], f.setAt[part] = faults, time.Now()
 	close(f.changed)
 	f.changed = make(chan struct{})
 	notify := f.onSet
@@ -115,6 +120,33 @@
 	}
 }
 
+// waitSound waits while the part is silent. It returns false if ctx ends.
+func (f *faultSet) waitSound(ctx context.Context, part string) bool {
+	for {
+		left, changed := f.silentFor(part)
+		if left <= 0 {
+			return true
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-timer.C:
+		case <-changed:
+		case <-ctx.Done():
+			timer.Stop()
+			return false
+		}
+		timer.Stop()
+	}
+}
+
+// silentFor returns how long the part is silent from now on.
+func (f *faultSet) silentFor(part string) (time.Duration, <-chan struct{}) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	silence := time.Duration(f.parts[part].SilentMilliseconds) * time.Millisecond
+	return time.Until(f.setAt[part].Add(silence)), f.changed
+}
+
 // wrap returns a handler that applies the part's faults before it calls handler.
 func (f *faultSet) wrap(part string, handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
