loadtest: streams that are cut off, and the longest pause

The load tool counted a stream that broke off as taken up or not whole, whoever ended it and when. Result 'cut' counts streams whose connection ended without a whole answer or a refusal though their caller's time was not up; connections that were never made don't count, nor does what ends within the last 200 ms of a caller's time. 'pause_ms' is the longest time between two events of a stream. With --no-cuts a cut stream is a violation (exit code 3).

--- a/cmd/martenwheel-lab/load.go
+++ b/cmd/martenwheel-lab/load.go
@@ -41,6 +41,7 @@
 	c.String(&o.SharedPart, "", "shared-part", "ID of the first part of all prompts")
 	c.String(&o.BadPart, "", "bad-part", "ID of a part that crashes the servers under test")
 	c.Float64(&o.BadShare, "", "bad-share", "Share of prompts with that part, 0 to 1")
+	c.Bool(&o.CutsViolate, "", "no-cuts", "Exit with 3 if a stream is cut off though its caller's time was not up")
 	c.Float64(&o.PerSecond, "", "rate", "Streams per second")
 	c.Duration(&o.Duration, "", "for", "How long streams begin")
 	c.Duration(&o.Deadline, "", "deadline", "How long a caller waits for a whole stream")
--- a/pkg/loadtest/loadtest.go
+++ b/pkg/loadtest/loadtest.go
@@ -42,8 +42,10 @@
 	// SameField is what all events of a stream have in common if they come from one software version: a field of the
 	// JSON object in their data, or the data itself if it is "data"; optional.
 	SameField string
-	Seed      uint64       // of the choice of nodes
-	Client    *http.Client // optional
+	// CutsViolate makes each stream that is cut off though its time was not up a violation.
+	CutsViolate bool
+	Seed        uint64       // of the choice of nodes
+	Client      *http.Client // optional
 }
 
 // Result counts streams.
@@ -56,16 +58,26 @@
 	GoneOn     int `json:"gone_on"`     // of those, more events came
 	Disordered int `json:"disordered"`  // lost or repeated an event
 	Mixed      int `json:"two_version"` // hold events of two software versions
+	Cut        int `json:"cut"`         // a connection ended without a whole answer or a refusal though the caller's time was not up
 	FirstMS    int `json:"first_ms"`    // mean time to the first event
+	PauseMS    int `json:"pause_ms"`    // longest time between two events of a stream
 
 	// Sound streams are those without Options.BadPart; the others are counted apart.
 	SoundBegunAtFirst int `json:"sound_begun_at_first,omitempty"` // in their first attempt
 	Bad               int `json:"bad,omitempty"`
 	BadRefused        int `json:"bad_refused,omitempty"` // their last attempt was refused
+
+	cutsViolate bool
 }
 
 // Violations returns the number of streams that no caller may get.
-func (r *Result) Violations() int { return r.Disordered + r.Mixed }
+func (r *Result) Violations() int {
+	n := r.Disordered + r.Mixed
+	if r.cutsViolate {
+		n += r.Cut
+	}
+	return n
+}
 
 // check returns all faults of the options.
 func (o *Options) check() error {
@@ -109,7 +121,9 @@
 		callers.Go(func() { total.add(s.read(ctx)) })
 	}
 	callers.Wait()
-	return total.result(), nil
+	result := total.result()
+	result.cutsViolate = o.CutsViolate
+	return result, nil
 }
 
 // totals sums up streams. It is safe for concurrent use.
@@ -117,6 +131,7 @@
 	mu    sync.Mutex
 	sum   Result
 	first time.Duration // of all streams that began
+	pause time.Duration // the longest
 }
 
 func (t *totals) add(o outcome) {
@@ -125,7 +140,7 @@
 	t.sum.Sent++
 	for count, happened := range map[*int]bool{
 		&t.sum.Begun: o.events > 0, &t.sum.Whole: o.whole, &t.sum.Refused: o.events == 0 && o.refused, &t.sum.TakenUp: o.takenUp,
-		&t.sum.GoneOn: o.goneOn, &t.sum.Disordered: o.disordered, &t.sum.Mixed: len(o.same) > 1,
+		&t.sum.GoneOn: o.goneOn, &t.sum.Disordered: o.disordered, &t.sum.Mixed: len(o.same) > 1, &t.sum.Cut: o.cut,
 		&t.sum.SoundBegunAtFirst: !o.bad && o.atFirst, &t.sum.Bad: o.bad, &t.sum.BadRefused: o.bad && o.refused,
 	} {
 		if happened {
@@ -133,6 +148,7 @@
 		}
 	}
 	t.first += o.first
+	t.pause = max(t.pause, o.pause)
 }
 
 func (t *totals) result() Result {
@@ -142,5 +158,6 @@
 	if r.Begun > 0 {
 		r.FirstMS = int((t.first / time.Duration(r.Begun)).Milliseconds())
 	}
+	r.PauseMS = int(t.pause.Milliseconds())
 	return r
 }
--- a/pkg/loadtest/loadtest_test.go
+++ b/pkg/loadtest/loadtest_test.go
@@ -120,3 +120,56 @@
 		t.Errorf("without a header: %v", err)
 	}
 }
+
+func TestCutsAndPausesAreNotCounted(t *testing.T) {
+	const pause = 300 * time.Millisecond
+	event := func(w http.ResponseWriter, i int) {
+		fmt.Fprintf(w, "id: %d\ndata: {}\n\n", i)
+		_ = http.NewResponseController(w).Flush()
+	}
+	for name, row := range map[string]struct {
+		serve func(w http.ResponseWriter, r *http.Request)
+		cut   bool
+		pause time.Duration // at least
+	}{
+		"whole":   {func(w http.ResponseWriter, _ *http.Request) { event(w, 1); event(w, 2) }, false, 0},
+		"silent":  {func(w http.ResponseWriter, _ *http.Request) { event(w, 1); time.Sleep(pause); event(w, 2) }, false, pause},
+		"cut":     {func(w http.ResponseWriter, _ *http.Request) { event(w, 1); panic(http.ErrAbortHandler) }, true, 0},
+		"closed":  {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, true, 0},
+		"refused": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, false, 0},
+		"its time was up": {func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body) // else the server does not notice that the caller left
+			event(w, 1)
+			<-r.Context().Done()
+		}, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := httptest.NewServer(http.HandlerFunc(row.serve))
+			t.Cleanup(server.Close)
+			o := options(strings.TrimPrefix(server.URL, "http://"))
+			o.Attempts, o.Duration, o.Deadline = 1, 50*time.Millisecond, 2*time.Second
+			got, err := Run(t.Context(), o)
+			if err != nil || got.Sent == 0 || got.Cut > 0 != row.cut || row.cut && got.Cut != got.Sent {
+				t.Fatalf("%+v, %v", got, err)
+			}
+			if got.Violations() != 0 || time.Duration(got.PauseMS)*time.Millisecond < row.pause.Truncate(time.Millisecond) {
+				t.Errorf("%d violations, longest pause %d ms", got.Violations(), got.PauseMS)
+			}
+			o.CutsViolate = true
+			if got, err = Run(t.Context(), o); err != nil || got.Violations() > 0 != row.cut {
+				t.Errorf("as violations: %+v, %v", got, err)
+			}
+		})
+	}
+}
+
+func TestNodeThatDoesNotListenCutsStreams(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	o := options(strings.TrimPrefix(server.URL, "http://"))
+	o.Duration = 50 * time.Millisecond
+	if got, err := Run(t.Context(), o); err != nil || got.Sent == 0 || got.Cut != 0 {
+		t.Errorf("%+v, %v", got, err)
+	}
+}
--- a/pkg/loadtest/stream.go
+++ b/pkg/loadtest/stream.go
@@ -7,10 +7,13 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // headerLastEvent tells after which event a stream goes on.
@@ -42,6 +45,9 @@
 	disordered bool
 	same       map[string]bool // values of Options.SameField
 	first      time.Duration   // until the first event
+	cut        bool            // a connection ended without an answer though the caller's time was not up
+	lastAt     time.Time       // of the last event
+	pause      time.Duration   // the longest between two events
 }
 
 // read sends attempts until the stream is whole.
@@ -54,9 +60,9 @@
 		}
 		before := s.events
 		s.takenUp = s.takenUp || before > 0
-		if err := s.try(ctx, fmt.Sprintf("%s-%d", s.name, attempt), left); err == nil && !s.refused {
-			s.whole = true
-		}
+		err := s.try(ctx, fmt.Sprintf("%s-%d", s.name, attempt), left)
+		s.whole = err == nil && !s.refused
+		s.cut = s.cut || s.isCut(ctx, err)
 		s.goneOn = s.goneOn || before > 0 && s.events > before
 		s.atFirst = s.atFirst || attempt == 0 && s.events > 0
 		if s.whole {
@@ -67,6 +73,18 @@
 	return s.outcome
 }
 
+// deadlineMargin is the part of a caller's time at whose beginning a node may end its request: clocks and links differ.
+const deadlineMargin = 200 * time.Millisecond
+
+// isCut reports whether an attempt that a node took ended without an answer though the caller's time was not up.
+func (s *stream) isCut(ctx context.Context, err error) bool {
+	if err == nil || ctx.Err() != nil || time.Since(s.started) > s.options.Deadline-deadlineMargin {
+		return false
+	}
+	var failed *net.OpError
+	return !errors.As(err, &failed) || failed.Op != "dial"
+}
+
 // try sends one attempt to a random node, and reads its events. An error means that the stream broke off.
 func (s *stream) try(ctx context.Context, id string, left time.Duration) error {
 	o := s.options
@@ -142,7 +160,10 @@
 func (s *stream) add(id, data, attempt string) {
 	if s.events == 0 {
 		s.first, s.began = time.Since(s.started), attempt
+	} else {
+		s.pause = max(s.pause, time.Since(s.lastAt))
 	}
+	s.lastAt = time.Now()
 	if n, err := strconv.Atoi(id); err != nil || n != s.events+1 {
 		s.disordered = true
 	}
