--- a/pkg/loadtest/stream.go
+++ b/pkg/loadtest/stream.go
@@ -73,7 +73,7 @@
 	return s.outcome
 }
 
-// deadlineMargin is the part of a caller's time at whose beginning a node may end its request: clocks and links differ.
+// deadlineMargin is how long before the end of its caller's time a node may end a request: clocks and links differ.
 const deadlineMargin = 200 * time.Millisecond
 
 // isCut reports whether an attempt that a node took ended without an answer though the caller's time was not up.
