--- a/pkg/relay/silence_schedules_test.go
+++ b/pkg/relay/silence_schedules_test.go
@@ -172,13 +172,13 @@
 
 func drawAnswer(random *rand.Rand) laterAnswer { return laterAnswer(random.IntN(int(laterAnswers))) }
 
-// drawSilences draws up to two silences of at most 2 s.
+// drawSilences draws up to two silences of at most 3 s: longer ones than the limit of hedges.
 func drawSilences(random *rand.Rand) []silence {
 	var list []silence
 	at := time.Duration(0)
 	for range random.IntN(3) {
 		at += time.Duration(random.IntN(800)) * time.Millisecond
-		length := time.Duration(300+random.IntN(1700)) * time.Millisecond
+		length := time.Duration(300+random.IntN(2700)) * time.Millisecond
 		list = append(list, silence{at, at + length})
 		at += length + 200*time.Millisecond
 	}
