incident: timeline, hypotheses and failing tests of requests that parts in doubt excuse

A request that ends its servers whole is blamed late since parts of prompts are subjects of evidence too (BUDGET).

That a sound request beside a bad part isn't refused (TestASoundRequestIsRefusedBesideABadPart) passes already and guards the fix.

--- a/pkg/quarantine/blame_test.go
+++ b/pkg/quarantine/blame_test.go
@@ -139,6 +139,76 @@
 	}
 }
 
+// TestARequestIsExcusedByOnePartInDoubtAfterTheOther has another request beside it at each server, whose part is in doubt
+// until it is answered.
+func TestARequestIsExcusedByOnePartInDoubtAfterTheOther(t *testing.T) {
+	for _, sharing := range []int{2, 3, 4} { // crashes with the same part beside the request
+		s := site{now: testStart}
+		s.answer(100, "shared")
+		crashed := 0
+		for ; crashed < 12 && s.standing(1, "shared") != Quarantined; crashed++ {
+			server, other := fmt.Sprintf("i-%d", crashed), crashed/sharing
+			request, beside := s.run(1, server, "shared"), s.run(50+other, server, "shared", fmt.Sprint("fresh", other))
+			s.crash(beside...)
+			s.crash(request...)
+			if crashed >= 2 && s.standing(1, "shared") == Free {
+				t.Errorf("%d crashes with each part beside it: after %d crashes it is free, want suspected", sharing, crashed+1)
+			}
+			if crashed%sharing == sharing-1 {
+				s.answer(50+other, "shared", fmt.Sprint("fresh", other))
+			}
+		}
+		if crashed > 4 {
+			t.Errorf("%d crashes with each part beside it: %d servers crashed, want 4 at most", sharing, crashed)
+		}
+	}
+}
+
+func TestAPartThatIsFreedKeepsTheCrashesThatItExplained(t *testing.T) {
+	nodes := []*site{{now: testStart}, {now: testStart}}
+	for i := range 3 {
+		server := fmt.Sprintf("i-%d", i)
+		runs := append(nodes[0].run(1, server), nodes[0].run(50, server, "fresh")...)
+		for _, n := range nodes {
+			n.crash(runs...)
+		}
+	}
+	for i, n := range nodes {
+		if got := n.standing(1); got != Suspected {
+			t.Errorf("at node %d the request is %v after three crashes that a part explains, want suspected", i, got)
+		}
+	}
+	freed := nodes[0].table.PartAnswered(testStart, "fresh", part("fresh"))
+	nodes[1].table.Merge(testStart, freed.Evidence)
+	cleared := nodes[0].table.Completed(testStart, request(50))
+	nodes[1].table.Merge(testStart, cleared.Evidence)
+	for i, n := range nodes {
+		if got := n.standing(1); got != Quarantined {
+			t.Errorf("at node %d the request is %v once the part was answered, want quarantined", i, got)
+		}
+	}
+}
+
+func TestASoundRequestIsRefusedBesideABadPart(t *testing.T) {
+	s := site{now: testStart}
+	for i := range 3 {
+		server := fmt.Sprintf("i-%d", i)
+		bad, sound := s.run(i, server, "bad"), s.run(50, server, "own")
+		s.crash(bad...)
+		s.crash(sound...)
+	}
+	if got := s.standing(50, "own"); got != Suspected {
+		t.Errorf("a request that was interrupted three times is %v, want suspected: its trial decides", got)
+	}
+	s.answer(50, "own")
+	if got := s.standing(50, "own"); got != Free {
+		t.Errorf("it is %v after it was answered, want free", got)
+	}
+	if got := s.standing(9, "bad"); got != Quarantined {
+		t.Errorf("the bad part is %v, want quarantined", got)
+	}
+}
+
 func TestARequestWhosePartsAreAllSoundIsNotBlamed(t *testing.T) {
 	s := site{now: testStart}
 	s.answer(100, "shared", "subject")
