quarantine: rounds count all crashes of a subject, whatever explains them

While one part in doubt followed the other, a request's crashes stayed in the first two rounds, and a part that an answer freed gave nothing back. From three rounds on, a part at all of its servers kept a request from quarantine for any number of crashes.

Change: rounds are the subject's own; explanations are worked out when a standing is asked for, from what is accused then, so that a freed part gives back what it explained at each node that learns of it. Up to two crashes may be explained away entirely; from the third on a subject runs in trials; a fourth round puts a request in quarantine, whoever else is accused. The third crash of a run without a trial is told at once as evidence that makes suspected at most, and counts in full after the time for other nodes' words, as before: other nodes would run the request freely meanwhile.

TestRequestsInterruptedByABadPartWaitForTrials asked that explained crashes leave the round at 1. That was the fault. It now asks that the round counts them while the request stays free, that one crash beyond them makes it suspected (two before), and that the next one puts it in quarantine.

--- a/pkg/coordinator/quarantine.go
+++ b/pkg/coordinator/quarantine.go
@@ -176,9 +176,24 @@
 	if len(decisive) == 0 || !m.isolated.begin(isolatedRun{decisive[0].Request, decisive[0].TrialServer()}) {
 		return
 	}
+	m.reportUndecided(decisive)
 	m.reportIsolated(decisive)
 }
 
+// reportUndecided tells all nodes that a server crashed under runs whose evidence is held back. They would run the
+// subjects without a trial meanwhile if other subjects explain the earlier crashes.
+func (m *Member) reportUndecided(runs []quarantine.Run) {
+	now := m.Time.Now()
+	for _, r := range runs {
+		if r.Part != "" && m.Quarantine.Cleared(now, r.Request) {
+			continue
+		}
+		change := m.Quarantine.Merge(now, r.UndecidedEvidence())
+		m.logStanding(change, "its server ended")
+		m.announceEvidence(change)
+	}
+}
+
 // reportIsolated reports the crash of an isolated run's server once other nodes can have reported another cause.
 func (m *Member) reportIsolated(runs []quarantine.Run) {
 	first := runs[0]
--- a/pkg/quarantine/blame.go
+++ b/pkg/quarantine/blame.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// maxExplained is the number of crashes of a subject up to which other subjects may explain all of them.
+// The users count the arrivals of a request from its third crash on, whoever else may have caused it.
+const maxExplained = 2
+
 // explanation tells which other subjects explain an entry's crashes.
 type explanation struct {
 	// servers are those at which a weightier subject explains the crash or suspicion.
@@ -37,18 +41,20 @@
 // caller holds mu.
 //
 // Crashes that a part explains make no request suspected: a part stands for many requests, which are
-// more likely to have met its crashes than to have caused them, and would wait for trials. One that is
-// in quarantine by itself is only suspected while others, which the request does not have, explain the
-// same crashes: its trial decides. A part that always came beside one that crashes servers is found
-// harmless in this way. Suspicions alone never make a subject more than suspected.
+// more likely to have met its crashes than to have caused them, and would wait for trials. From the
+// third crash on the subject runs in trials whatever explains its crashes: of parts in doubt there is
+// always another one. One that is in quarantine by itself is only suspected while others, which the
+// request does not have, explain the same crashes: its trial decides. A part that always came beside
+// one that crashes servers is found harmless in this way. Suspicions alone never make a subject more
+// than suspected.
 func (t *Table) standing(now time.Time, e *entry, subjects []Fingerprint) Standing {
 	s := e.Standing()
 	switch {
 	case s == Free && !e.suspectedBySuspicion():
 		return Free
-	case s != Quarantined:
+	case s != Quarantined && len(e.accusedServers()) <= maxExplained:
 		return t.leftover(now, e).standing()
-	case e.mayBeTried(now), t.hasAlternative(now, e, subjects):
+	case s != Quarantined, e.mayBeTried(now), t.hasAlternative(now, e, subjects):
 		return Suspected
 	default:
 		return Quarantined
@@ -60,15 +66,6 @@
 	return t.standing(now, e, []Fingerprint{e.Request})
 }
 
-// knownRounds returns the number of rounds that count for the round of the next run. The caller holds
-// mu.
-func (t *Table) knownRounds(now time.Time, e *entry) int {
-	if e.Standing() == Quarantined {
-		return e.rounds()
-	}
-	return t.leftover(now, e).rounds
-}
-
 // leftover returns what no weightier subject explains. The caller holds mu.
 func (t *Table) leftover(now time.Time, e *entry) leftover {
 	return e.without(t.explain(now, e).servers)
@@ -79,13 +76,18 @@
 //
 // The run of the third round is a trial, so that a crash shows what caused it. If other accused
 // subjects crashed the same server, because a node did not know of trials yet, the crash shows
-// nothing. From the fourth round on, only a part that explains all crashes is an alternative: of two
-// requests that crash servers and are never alone, each crashes one more server. The caller holds mu.
+// nothing. Neither do three crashes of which a weightier subject explains some: the third run was no
+// trial then. A fourth round puts a request in quarantine in any case: of two that crash servers and
+// are never alone, each crashes one more server. A part has an alternative as long as another one
+// explains all of its crashes. The caller holds mu.
 func (t *Table) hasAlternative(now time.Time, e *entry, subjects []Fingerprint) bool {
 	x := t.explain(now, e)
 	outside := func(other *entry) bool { return !slices.Contains(subjects, other.Request) }
-	if e.rounds() > quarantinedRounds {
-		return slices.ContainsFunc(x.parts, outside)
+	switch {
+	case e.rounds() > quarantinedRounds:
+		return e.Part != "" && slices.ContainsFunc(x.parts, outside)
+	case len(x.servers) > 0:
+		return true
 	}
 	last := e.serversFrom(e.rounds())
 	for _, other := range x.sharers {
--- a/pkg/quarantine/blame_test.go
+++ b/pkg/quarantine/blame_test.go
@@ -128,21 +128,21 @@
 	if got := s.standing(50, "shared", "fresh9"); got != Free {
 		t.Errorf("a request that was interrupted twice is %v, want free: the bad part explains it", got)
 	}
-	if round := s.table.NextRound(s.now, request(50)); round != 1 {
-		t.Errorf("its next run is of round %d, want 1", round)
+	if round := s.table.NextRound(s.now, request(50)); round != 3 {
+		t.Errorf("its next run is of round %d, want 3: rounds count whatever explains the crashes", round)
 	}
-	for i := range 2 {
+	for i, want := range []Standing{Suspected, Quarantined} {
 		s.crash(s.run(50, fmt.Sprintf("k-%d", i), "shared")...)
-	}
-	if got := s.standing(50, "shared"); got != Suspected {
-		t.Errorf("after two crashes that the part does not explain it is %v, want suspected", got)
+		if got := s.standing(50, "shared"); got != want {
+			t.Errorf("after %d crashes that the part does not explain it is %v, want %v", i+1, got, want)
+		}
 	}
 }
 
 // TestARequestIsExcusedByOnePartInDoubtAfterTheOther has another request beside it at each server, whose part is in doubt
 // until it is answered.
 func TestARequestIsExcusedByOnePartInDoubtAfterTheOther(t *testing.T) {
-	for _, sharing := range []int{2, 3, 4} { // crashes with the same part beside the request
+	for _, sharing := range []int{2, 3, 4, 12} { // crashes with the same part beside the request
 		s := site{now: testStart}
 		s.answer(100, "shared")
 		crashed := 0
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -108,6 +108,14 @@
 	return Evidence{Request: r.Request, Part: r.Part, Service: r.Service, Ends: []End{{Server: server, Round: r.Round, Doubts: r.Doubts}}}
 }
 
+// UndecidedEvidence is CrashEvidence while reports of other nodes may still show another cause: it makes
+// the subject suspected at most.
+func (r Run) UndecidedEvidence() Evidence {
+	e := r.CrashEvidence()
+	e.Ends[0].Round, e.Ends[0].Doubts = min(r.Round, quarantinedRounds-1), 0
+	return e
+}
+
 // listedServer returns the ID in End.Server without a repeatMark and a round.
 func listedServer(server string) string {
 	name, _, _ := strings.Cut(server, repeatMark)
--- a/pkg/quarantine/suspicion.go
+++ b/pkg/quarantine/suspicion.go
@@ -47,7 +47,7 @@
 	if e == nil {
 		return 0, false
 	}
-	known := t.knownRounds(now, e)
+	known := e.rounds()
 	for _, d := range e.suspicions {
 		rounds = max(rounds, d.round-known)
 		again = again || d.server == server
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -83,7 +83,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.liveEntry(now, f); e != nil {
-		return t.knownRounds(now, e) + 1
+		return e.rounds() + 1
 	}
 	return 1
 }
