coordinator: schedules with requests that crash servers and share parts

With a second part that the two requests share and sound ones lack, the schedules showed nothing before the fix either: that part was in quarantine.

--- a/pkg/coordinator/explore_harmless_test.go
+++ b/pkg/coordinator/explore_harmless_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -27,6 +28,7 @@
 	fingerprint quarantine.Fingerprint
 	parts       []string      // of the prompts of many requests, no two alike, in place of one; nil: it is one
 	random      *rand.Rand    // used by flood; not safe for concurrent use
+	fresh       bool          // each request also has a part that no other has
 	runTime     time.Duration // time that one copy runs
 
 	mu                sync.Mutex
@@ -50,15 +52,19 @@
 	first     bool // its first run was not interrupted
 }
 
-// nextSubjects returns the subjects of the request that is sent next.
-func (h *harmlessRequest) nextSubjects() []quarantine.Fingerprint {
+// next returns the subjects of the request that is sent next, and the parts of its prompt.
+func (h *harmlessRequest) next() (subjects []quarantine.Fingerprint, parts []string) {
 	if h.parts == nil {
-		return []quarantine.Fingerprint{h.fingerprint}
+		return []quarantine.Fingerprint{h.fingerprint}, nil
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.sent++
-	return subjectsOfPrompt(fmt.Sprint("harmless ", h.sent), h.parts)
+	parts = h.parts
+	if h.fresh {
+		parts = append(slices.Clone(parts), fmt.Sprint("of harmless ", h.sent))
+	}
+	return subjectsOfPrompt(fmt.Sprint("harmless ", h.sent), parts), parts
 }
 
 // flood sends copies for the given time.
@@ -86,7 +92,7 @@
 
 // send sends one copy to up to defaultMaxTries servers, as a node's relay does.
 func (h *harmlessRequest) send(n *simNode, offset int) {
-	subjects := h.nextSubjects()
+	subjects, parts := h.next()
 	call := harmlessCall{at: time.Now(), inContact: n.inContact() && time.Since(n.started) > contactTime}
 	defer func() {
 		h.mu.Lock()
@@ -105,12 +111,12 @@
 		if !granted {
 			return
 		}
-		runs := n.beginRuns(subjects, h.parts, server)
+		runs := n.beginRuns(subjects, parts, server)
 		sentTo := n.servers.Snapshot().Member(runs[0].Server)
 		if h.run(n, server) {
 			call.first = try == 0
 			n.member.Completed(subjects[0])
-			for i, id := range h.parts {
+			for i, id := range parts {
 				n.member.PartAnswered(id, subjects[i+1])
 			}
 			if standing == quarantine.Suspected {
--- a/pkg/coordinator/explore_parts_test.go
+++ b/pkg/coordinator/explore_parts_test.go
@@ -1,7 +1,9 @@
 package coordinator
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 )
@@ -37,6 +39,32 @@
 	})
 }
 
+// Guards against requests that crash one server after the other because parts in doubt excuse them, under any faults.
+func TestBUDGETOfRequestsThatSharePartsInSchedules(t *testing.T) {
+	exploreThird(t, func(sim *simulation, seed uint64) {
+		var whole []*crashingRequest
+		for i := range uint64(2) {
+			whole = append(whole, &crashingRequest{
+				sim: sim, parts: []string{sharedPart, soundPart}, body: fmt.Sprint("crashing ", i),
+				random: rand.New(rand.NewPCG(seed, 3+10*i)), timeToCrash: crashTime, proxied: seed%3 == 0,
+			})
+		}
+		sound := &harmlessRequest{crashing: whole[0], parts: []string{sharedPart, soundPart}, fresh: true, random: rand.New(rand.NewPCG(seed, 7)), runTime: 3 * crashTime}
+		stop := make(chan struct{})
+		var callers sync.WaitGroup
+		callers.Go(func() { sound.floodUntil(stop) })
+		callers.Go(func() { whole[1].sendUntil(stop) })
+		whole[0].phases()
+		close(stop)
+		callers.Wait()
+		sim.finish()
+		for _, r := range whole {
+			r.check()
+		}
+		sound.checkAccused()
+	})
+}
+
 // TestLOSTBesidePartsInSchedules guards against sound requests that suffer for a part of others' prompts.
 func TestLOSTBesidePartsInSchedules(t *testing.T) {
 	exploreThird(t, func(sim *simulation, seed uint64) {
--- a/pkg/coordinator/explore_quarantine_test.go
+++ b/pkg/coordinator/explore_quarantine_test.go
@@ -22,6 +22,7 @@
 	sim         *simulation
 	fingerprint quarantine.Fingerprint
 	parts       []string      // of the prompts of many requests, no two alike, which crash servers in place of one; nil: it is one
+	body        string        // of one request with the parts, which crashes servers whatever they are; empty: no two are alike
 	random      *rand.Rand    // for the caller; not safe for concurrent use
 	timeToCrash time.Duration // from the start of a run to the crash of its server
 	sticky      bool          // all are sent to one server, which keeps its name and is behind a proxy
@@ -40,6 +41,9 @@
 	if r.parts == nil {
 		return []quarantine.Fingerprint{r.fingerprint}
 	}
+	if r.body != "" {
+		return subjectsOfPrompt(r.body, r.parts)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sent++
@@ -169,6 +173,21 @@
 	}
 }
 
+// sendUntil sends the request again and again until stop is closed.
+func (r *crashingRequest) sendUntil(stop <-chan struct{}) {
+	for ; ; time.Sleep(time.Duration(r.random.Int64N(int64(maxResendPause)))) {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		r.sim.mu.Lock()
+		n := r.sim.nodes[r.random.IntN(len(r.sim.nodes))]
+		r.sim.mu.Unlock()
+		go r.send(n)
+	}
+}
+
 // finish stops the nodes.
 func (sim *simulation) finish() {
 	time.Sleep(recoverTime) // virtual; lets pending load requests end
@@ -341,7 +360,7 @@
 // check verifies the arrivals by the users' rule.
 func (r *crashingRequest) check() {
 	free := requestCrashes
-	if r.parts != nil {
+	if r.parts != nil && r.body == "" {
 		free = partCrashes
 	}
 	if len(r.crashes) < free {
