quarantine: a later run on a crashed server takes no round away

Where a server's next lives are listed late, a request runs on one server several times before its end is known, each run of one round in doubt more. Reports of one server's crash were merged into the last of these runs. The rounds of the earlier ones were lost: after crashes of two servers in rounds 1 and 2, a report of a further run on the second one left a gap, and the suspected request was free again, so that it ran without a trial (seen in a schedule of TestBUDGETOfFatalRequestsInSchedules: 'suspected' to 'free' as a crash is told, with two servers ended under it).

A crash now keeps the rounds of all runs on its server, and stands for one of them. New evidence no longer makes a request less suspected, and one crash still is one round. Builds without the field go by the last run, as before.

TestLaterRunOnACrashedServerMakesARequestFree failed before in four of four orders.

--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -58,11 +58,25 @@
 	// Doubts is the number of additional rounds if all runs that were under suspicion when this run
 	// began crashed their servers, see Doubt.
 	Doubts int `json:",omitempty"`
+	// EarlierRuns has bit r set for each earlier run on the server that was of round r, counting
+	// suspicions as crashes: the server crashed under one of its runs.
+	EarlierRuns uint32 `json:",omitempty"`
 }
 
 // maxRound returns the round if all earlier suspicions were crashes.
 func (e End) maxRound() int { return e.Round + e.Doubts }
 
+// mayBeOf reports whether the crash may be of a round, counting suspicions as crashes.
+func (e End) mayBeOf(round int) bool {
+	return e.maxRound() == round || e.EarlierRuns&roundBit(round) != 0
+}
+
+// maxRoundBit is the highest bit of End.EarlierRuns, which stands for all higher rounds as well.
+const maxRoundBit = 31
+
+// roundBit returns the bit of a round in End.EarlierRuns.
+func roundBit(round int) uint32 { return 1 << min(max(round, 0), maxRoundBit) }
+
 // Run is one run of a request on a server, as of its beginning, as far as it concerns one subject of
 // evidence: the request or a part of its prompt.
 type Run struct {
@@ -164,15 +178,30 @@
 			rounds = max(rounds, end.Round)
 		}
 	}
-	for e.hasRound(rounds) && e.hasRound(rounds+1) {
-		rounds++
+	var used []string
+	server, found := e.crashOfRound(rounds, used)
+	for found {
+		used = append(used, server)
+		if server, found = e.crashOfRound(rounds+1, used); found {
+			rounds++
+		}
 	}
 	return rounds
 }
 
-// hasRound reports whether a server crashed in a round, counting suspicions as crashes.
-func (e *Evidence) hasRound(round int) bool {
-	return slices.ContainsFunc(e.Ends, func(end End) bool { return !end.Cleared && end.maxRound() == round })
+// crashOfRound returns a server that crashed in a round, counting suspicions as crashes, and is not in
+// used: a crash is of one round, even if several runs were on the server.
+func (e *Evidence) crashOfRound(round int, used []string) (server string, found bool) {
+	lastRun := 0
+	for _, end := range e.Ends {
+		if end.Cleared || slices.Contains(used, end.Server) || !end.mayBeOf(round) {
+			continue
+		}
+		if !found || end.maxRound() < lastRun { // others may be of a later round
+			server, found, lastRun = end.Server, true, end.maxRound()
+		}
+	}
+	return server, found
 }
 
 // merge adds what another node knows. It reports whether anything was new.
@@ -206,9 +235,11 @@
 }
 
 // merge combines two reports of the same crash. If there were several runs on the server, the last
-// one counts.
+// one counts, and the earlier ones are kept in EarlierRuns.
 func (e *End) merge(other End) {
 	last := max(e.maxRound(), other.maxRound())
+	runs := e.EarlierRuns | other.EarlierRuns | roundBit(e.maxRound()) | roundBit(other.maxRound())
+	e.EarlierRuns = runs &^ roundBit(last)
 	e.Round = max(e.Round, other.Round)
 	e.Doubts = last - e.Round
 	e.Cleared = e.Cleared || other.Cleared
--- a/pkg/quarantine/suspicion_test.go
+++ b/pkg/quarantine/suspicion_test.go
@@ -107,6 +107,23 @@
 	}
 }
 
+// TestLaterRunOnACrashedServerMakesARequestFree: a second run on the last of two crashed servers took away that server's round.
+func TestLaterRunOnACrashedServerMakesARequestFree(t *testing.T) {
+	f := request(1)
+	first := Run{Request: f, Server: "i-0", Round: 1}
+	second := Run{Request: f, Server: "i-1", Round: 1, Doubts: 1}
+	third := Run{Request: f, Server: "i-1", Round: 1, Doubts: 2}
+	for _, order := range [][]Run{{first, second, third}, {third, first, second}, {second, third, first}, {third, second, first, third, second}} {
+		var table Table
+		for _, r := range order {
+			table.Merge(testStart, r.CrashEvidence())
+		}
+		if got := table.Standing(testStart, f); got != Suspected {
+			t.Errorf("after crashes of two servers in two rounds the request is %v, want suspected: %+v", got, order)
+		}
+	}
+}
+
 // TestRoundsOfSuspicionsAreNotCrashes: a harmless request whose connections broke twice and that
 // then runs on a crashing server has one crash, not three.
 func TestRoundsOfSuspicionsAreNotCrashes(t *testing.T) {
