quarantine: two crashes in one round may explain a third

Change: who excuses has two other crashes, of whatever rounds. A neighbour with one other crash, accused by the crash of the trial, still excuses nothing.

TestLateEvidenceClearsAHarmlessRequest and the other tests of late evidence and trials in pkg/coordinator pass, as do those of pkg/quarantine.

--- a/pkg/quarantine/blame.go
+++ b/pkg/quarantine/blame.go
@@ -9,7 +9,7 @@
 type explanation struct {
 	// servers are those at which a weightier subject explains the crash or suspicion.
 	servers []string
-	// sharers are the entries, accused by other crashes, under which servers of the entry's last round crashed.
+	// sharers are the accused entries with other crashes under which servers of the entry's last round crashed.
 	sharers []*entry
 	// parts are the accused parts under which all of its servers crashed.
 	parts []*entry
@@ -32,6 +32,10 @@
 	return Free
 }
 
+// mayExplain reports whether the subject crashed so many servers that it may have crashed others as well.
+// Two in one round count: a node that learns of crashes late gives all its runs the same round.
+func (l leftover) mayExplain() bool { return l.crashes+l.doubts >= suspectedRounds }
+
 // standing returns the standing of a subject in a request that has the given subjects. Crashes of
 // other subjects count: several may have run at a server when it crashed, and one is to blame. The
 // caller holds mu.
@@ -69,8 +73,8 @@
 // hasAlternative reports whether subjects that the request does not have explain the crashes of a
 // subject in quarantine.
 //
-// The run of the third round is a trial, so that a crash shows what caused it. If other subjects,
-// accused without it, crashed the same server, because a node did not know of trials yet, the crash
+// The run of the third round is a trial, so that a crash shows what caused it. If other subjects with
+// two more crashes crashed the same server, because a node did not know of trials yet, the crash
 // shows nothing. A fourth round puts a request in quarantine in any case: of two that crash servers
 // and are never alone, each crashes one more server. A part has an alternative as long as another one
 // explains all of its crashes. The caller holds mu.
@@ -111,7 +115,7 @@
 		if other == e {
 			continue
 		}
-		if slices.ContainsFunc(last, other.crashed) && other.without(last).standing() != Free {
+		if slices.ContainsFunc(last, other.crashed) && other.without(last).mayExplain() {
 			x.sharers = append(x.sharers, other)
 		}
 		if other.Part == "" {
