quarantine: runs on a server's unlisted next lives stay in doubt

A server behind a proxy that restarts under its name may end several times before its next life is listed. All of these runs have the ID of the first life. As its record went, the doubts at all of them were dropped as settled: one end in one round was left of three, the request was free within a second, and the next callers had it end the server again without a trial. Seen in the schedules of TestBUDGETOfFatalRequestsAtUnlistedServers, where a node sends freely again 0.5 s after three ends at a server that it lists.

The end of a life settles the runs of that life only. A run on it after an earlier one was in doubt was at nothing or at a life that may never be listed: its doubt is settled by an end of the same round at another life, and lasts as long as evidence does once the first life is known to have ended. It never puts the request in quarantine, which runs in trials until one completes. While the first life is not known to have ended, as after resets by the network, doubts lapse after 5 s as before.

TestBUDGETWhereIncarnationsCrashUnlisted and TestLaterRunsOnACrashedServerAreForgotten failed before.

--- a/pkg/coordinator/explore_quarantine_test.go
+++ b/pkg/coordinator/explore_quarantine_test.go
@@ -148,6 +148,29 @@
 	}
 }
 
+// TestBUDGETWhereIncarnationsCrashUnlisted has one server behind a proxy crash three times before its next incarnation is
+// listed: as the first crash showed, the request ran without a trial again.
+func TestBUDGETWhereIncarnationsCrashUnlisted(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			sim := newSimulation(t, seed)
+			sim.keepServerNames = true
+			r := &crashingRequest{sim: sim, fingerprint: quarantine.FingerprintOf("POST", "h", "/", nil), timeToCrash: shortCrashTime, sticky: true}
+			time.Sleep(contactTime)
+			r.send(sim.nodes[0])
+			for range 8 {
+				time.Sleep(time.Second)
+				for _, n := range sim.nodes {
+					if got := n.member.Standing(r.fingerprint); got != quarantine.Suspected {
+						t.Errorf("seed %d: %v after %d crashes the request is %v at %s, want suspected", seed, time.Since(r.crashes[0]), len(r.crashes), got, n.name)
+					}
+				}
+			}
+			sim.stopNodes()
+		})
+	}
+}
+
 // run sends the request through alternating phases with and without faults. Most phases without
 // faults begin with a crash of all nodes. Nodes in contact with the store are held to the users'
 // rule.
--- a/pkg/quarantine/suspicion.go
+++ b/pkg/quarantine/suspicion.go
@@ -23,6 +23,18 @@
 	Server string
 	Round  int           // of the run, suspicions included
 	Left   time.Duration // how long the suspicion still counts
+	Again  bool          // see Run
+	// Lasting tells that Server is known to have crashed before the run, which is therefore of Again. It was on an
+	// incarnation that may never be listed, so that no record settles the suspicion.
+	Lasting bool
+}
+
+// limit bounds how long the suspicion counts.
+func (d Doubt) limit() time.Duration {
+	if d.Lasting {
+		return Lifetime
+	}
+	return SuspicionTime
 }
 
 // suspicion is a Doubt as a table keeps it.
@@ -31,11 +43,14 @@
 	round  int
 	since  time.Time // by this node's clock
 	until  time.Time
+
+	again, lasting bool // see Doubt
 }
 
 // Suspect records that the connection of a run broke shortly after the run began.
 func (t *Table) Suspect(now time.Time, r Run) Change {
-	return t.Merge(now, Evidence{Request: r.Request, Part: r.Part, Service: r.Service, Doubts: []Doubt{{r.Server, r.Round + r.Doubts, SuspicionTime}}})
+	d := Doubt{Server: r.Server, Round: r.Round + r.Doubts, Left: SuspicionTime, Again: r.Again}
+	return t.Merge(now, Evidence{Request: r.Request, Part: r.Part, Service: r.Service, Doubts: []Doubt{d}})
 }
 
 // SuspectedRounds returns how far the round of a run that begins on a server now exceeds NextRound
@@ -97,23 +112,45 @@
 	for _, d := range list {
 		known := slices.ContainsFunc(e.suspicions, func(have suspicion) bool { return have.server == d.Server && have.round == d.Round })
 		switch {
-		case known || e.knowsCrash(d.Server) || d.Left <= 0:
+		case known || d.Left <= 0:
 		case len(e.suspicions) < maxEnds:
-			e.suspicions = append(e.suspicions, suspicion{d.Server, d.Round, now, now.Add(min(d.Left, SuspicionTime))})
+			one := suspicion{d.Server, d.Round, now, now.Add(min(d.Left, d.limit())), d.Again, d.Lasting}
+			if e.settles(one) {
+				continue
+			}
+			e.suspicions = append(e.suspicions, one)
 			changed = true
 		}
 	}
 	return changed
 }
 
-// pruneSuspicions drops suspicions that expired or whose server is known to have crashed. It reports
-// whether there were any.
+// pruneSuspicions drops suspicions that expired or whose crash is known. It reports whether there were any.
 func (e *entry) pruneSuspicions(now time.Time) bool {
 	before := len(e.suspicions)
-	e.suspicions = slices.DeleteFunc(e.suspicions, func(d suspicion) bool { return !now.Before(d.until) || e.knowsCrash(d.server) })
+	e.suspicions = slices.DeleteFunc(e.suspicions, func(d suspicion) bool { return !now.Before(d.until) || e.settles(d) })
+	e.prolongSuspicions()
 	return len(e.suspicions) < before
 }
 
+// prolongSuspicions makes suspicions lasting whose server is known to have crashed before the run.
+func (e *entry) prolongSuspicions() {
+	for i, d := range e.suspicions {
+		if d.again && !d.lasting && e.knowsCrash(d.server) {
+			e.suspicions[i].lasting, e.suspicions[i].until = true, d.since.Add(Lifetime)
+		}
+	}
+}
+
+// settles reports whether a known crash is that of a suspected run. That of a run on a later incarnation has the
+// incarnation's ID, and is known by its round.
+func (e *entry) settles(d suspicion) bool {
+	if !d.again {
+		return e.knowsCrash(d.server)
+	}
+	return slices.ContainsFunc(e.Ends, func(end End) bool { return end.Server != d.server && end.mayBeOf(d.round) })
+}
+
 // knowsCrash reports whether a crash of the server is known, cleared or not.
 func (e *entry) knowsCrash(server string) bool {
 	return slices.ContainsFunc(e.Ends, func(end End) bool { return end.Server == server })
@@ -131,7 +168,7 @@
 func (e *entry) exportSuspicions(now time.Time) []Doubt {
 	var list []Doubt
 	for _, d := range e.suspicions {
-		list = append(list, Doubt{d.server, d.round, d.until.Sub(now)})
+		list = append(list, Doubt{d.server, d.round, d.until.Sub(now), d.again, d.lasting})
 	}
 	return list
 }
--- a/pkg/quarantine/suspicion_test.go
+++ b/pkg/quarantine/suspicion_test.go
@@ -107,6 +107,48 @@
 	}
 }
 
+// TestLaterRunsOnACrashedServerAreForgotten: as its first crash became known, those of its unlisted next incarnations counted for nothing.
+func TestLaterRunsOnACrashedServerAreForgotten(t *testing.T) {
+	f := request(1)
+	for _, c := range []struct {
+		name string
+		do   func(table *Table)
+		at   time.Duration
+		want Standing
+	}{
+		{"a moment later", func(*Table) {}, time.Second, Suspected},
+		{"once a crash would have shown", func(*Table) {}, SuspicionTime + time.Second, Suspected},
+		{"the request ran to its end", func(table *Table) { table.Completed(testStart.Add(time.Second), f) }, time.Second, Free},
+		{"after the lifetime of evidence", func(*Table) {}, Lifetime + time.Second, Free},
+	} {
+		var table, other Table
+		var runs []Run
+		for range 3 {
+			runs = append(runs, beginRun(&table, f, testStart, "i-0"))
+			table.Suspect(testStart, runs[len(runs)-1])
+		}
+		table.Merge(testStart, runs[0].CrashEvidence())
+		c.do(&table)
+		at := testStart.Add(c.at)
+		if got := table.Standing(at, f); got != c.want {
+			t.Errorf("%s: the request is %v, want %v", c.name, got, c.want)
+		}
+		if got := other.Merge(at, table.Evidence(at, f, "s")).Now; got != c.want {
+			t.Errorf("%s: at another node the request is %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// TestLivingServerRemainsInDoubt: connections to a server that broke twice are no lasting evidence while it is not known to have crashed.
+func TestLivingServerRemainsInDoubt(t *testing.T) {
+	var table Table
+	f := request(1)
+	suspectRuns(&table, f, testStart, "i-0", "i-0", "i-0")
+	if got := table.Standing(testStart.Add(SuspicionTime), f); got != Free {
+		t.Errorf("after SuspicionTime the request is %v, want free", got)
+	}
+}
+
 // TestLaterRunOnACrashedServerMakesARequestFree: a second run on the last of two crashed servers took away that server's round.
 func TestLaterRunOnACrashedServerMakesARequestFree(t *testing.T) {
 	f := request(1)
