--- a/pkg/relay/hedge.go
+++ b/pkg/relay/hedge.go
@@ -235,17 +235,17 @@
 	}
 	h.content.data, h.content.err = append(h.content.data, bytes.Clone(u.data)...), u.err
 	v, err := c.hedgeReady(ctx, h)
-	if v == served {
-		return err == nil
+	if err != nil && !errors.Is(err, errNotReady) {
+		c.hedgeFailed(ctx, v, err)
 	}
-	c.hedgeFailed(ctx, v, err)
-	return false
+	return err == nil
 }
 
 // errNotReady means that a hedge has brought nothing yet with which the request could go on.
 var errNotReady = errors.New("relay: nothing has arrived yet")
 
-// hedgeReady classifies what a hedge has brought: the request can go on with it, it has to bring more, or it failed.
+// hedgeReady classifies what a hedge has brought. Without an error the request can go on with it; errNotReady means that it
+// has to bring more, and any other error that it failed.
 func (c *call) hedgeReady(ctx context.Context, h *run) (attemptResult, error) {
 	got := h.content
 	whole := scanEvents(got.data)
