tunnel: two tests share their variables with the dialer without a race

go test -race ./pkg/tunnel failed each time in TestCutIsNoticedByRequestsOnly and TestNodesAreForgottenAtAChangeOfHolder. Cause: both tests change a variable of their own, which the dialer's goroutines read through the functions that the tests gave them, without synchronisation. The variables are atomic now; what is checked is as it was. No race is in the product's code.

--- a/pkg/tunnel/dialer_test.go
+++ b/pkg/tunnel/dialer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -189,19 +190,20 @@
 func TestCutIsNoticedByRequestsOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDialer(works, map[string]func(context.Context) (net.Conn, Result, error){"a": helperOver(works)})
-		now := works
-		d.Direct = func(ctx context.Context, _ string) (net.Conn, error) { return now.dial(ctx) }
+		var now atomic.Uint32 // a link
+		now.Store(uint32(works))
+		d.Direct = func(ctx context.Context, _ string) (net.Conn, error) { return link(now.Load()).dial(ctx) }
 		ctx, stop := context.WithCancel(t.Context())
 		go d.Run(ctx)
 		d.Reach.Heard()
 		time.Sleep(roundTrip)
-		now = hangs
+		now.Store(uint32(hangs))
 		d.Reach.Sent() // on an open connection, which hangs
 		time.Sleep(2 * time.Second)
 		if !d.Reach.Cut() {
 			t.Error("the cut is not noticed in 2 s")
 		}
-		now = works
+		now.Store(uint32(works))
 		time.Sleep(time.Second)
 		if d.Reach.Cut() {
 			t.Error("the end of the cut is not noticed in 1 s")
@@ -323,12 +325,14 @@
 func TestNodesAreForgottenAtAChangeOfHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDialer(hangs, map[string]func(context.Context) (net.Conn, Result, error){"a": helperOver(works)})
-		listed := d.Nodes()
-		d.Nodes = func() []Node { return listed }
+		var listed atomic.Pointer[[]Node]
+		nodes := d.Nodes()
+		listed.Store(&nodes)
+		d.Nodes = func() []Node { return *listed.Load() }
 		ctx, stop := context.WithCancel(t.Context())
 		go d.Run(ctx)
 		time.Sleep(time.Second)
-		listed = nil
+		listed.Store(new([]Node))
 		if _, err := d.Dial(t.Context(), serverName); err != nil {
 			t.Errorf("nobody was asked: %v", err)
 		}
