control: a new owner drains an idle replica whose server is silent

Seen: TestDrainedReplicaOnFrozenEngine, "not drained in 30 s" in a run whose cell changed owner four times in the first 12 s. The idle replica stayed in service in the nodes' views. What callers get meanwhile was not measured.

Cause: a new owner keeps what it inherits in a phase of its own until it has read the server's inventory, and drained nothing in that phase. While the server is silent no inventory comes, so that one change of owner was enough for the replica to stay in service until the server answered, however long the owner then lasted.

A new owner may drain an inherited replica that was in service, three seconds into its term, the time in which nodes report its use. What may still be loading is left alone as before, nothing is unloaded before an inventory of this owner, and a drain is taken back only after one. TestNewOwnerDrainsWhatItCannotRead fails without each of these conditions.

--- a/pkg/control/cell/decide.go
+++ b/pkg/control/cell/decide.go
@@ -181,7 +181,7 @@
 	}
 	if action.Kind == policy.ActionUnload {
 		r := o.replicas[replicaKey{server: action.Server, model: action.Model}]
-		if r != nil && r.phase != phaseInherited {
+		if r != nil && o.mayDrain(now, r) {
 			o.startDrain(now, r, action.Reason, sink)
 		}
 		return
--- a/pkg/control/cell/orders.go
+++ b/pkg/control/cell/orders.go
@@ -183,10 +183,16 @@
 	}
 }
 
+// mayDrain reports whether a replica may be drained: an inherited one only if it is in service, and once the nodes had
+// the time to report its use. Its server may stay silent for long, so that no inventory ever confirms it.
+func (o *Owner) mayDrain(now time.Time, r *replica) bool {
+	return r.phase != phaseInherited || r.wasReady && now.Sub(o.began) >= inheritedUseGrace
+}
+
 // startDrain makes the routers stop using a replica, to be unloaded afterwards. A
 // load that is not ordered yet is cancelled.
 func (o *Owner) startDrain(now time.Time, r *replica, reason string, sink Sink) {
-	if r.isBeingRemoved() || r.phase == phaseInherited {
+	if r.isBeingRemoved() || !o.mayDrain(now, r) {
 		return
 	}
 	sink.Log("info", "draining replica", "model", r.intent.Model, "server", r.intent.Server, "reason", reason)
--- a/pkg/control/cell/owner_test.go
+++ b/pkg/control/cell/owner_test.go
@@ -308,6 +308,54 @@
 	}
 }
 
+// TestNewOwnerDrainsWhatItCannotRead guards against a new owner that keeps an idle replica in service while its server is
+// silent, and against one that drains or returns to service what it knows too little of.
+func TestNewOwnerDrainsWhatItCannotRead(t *testing.T) {
+	const early = inheritedUseGrace - 200*time.Millisecond
+	for name, c := range map[string]struct {
+		wasReady bool
+		after    time.Duration // from the begin of the term to the proposal to unload
+		want     api.ReplicaState
+	}{
+		"in service":                          {true, inheritedUseGrace, api.ReplicaDraining},
+		"before nodes can have told its use":  {true, early, api.ReplicaReady},
+		"it may be loading, nobody routes it": {false, inheritedUseGrace, api.ReplicaInDoubt},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestSite(t, quorum.Server{ID: "s"})
+			s.items["s"]["a"] = engine.Item{Model: "a", State: engine.ItemReady, MemoryBytes: 10, OrderID: "c/5/1"}
+			start := Start{Term: 6, Data: quorum.Data{
+				Servers: []quorum.Server{{ID: "s", Address: "a", Instance: "i"}},
+				Intents: []quorum.Intent{{Server: "s", Model: "a", Bytes: 10, Instance: "i", OrderID: "c/5/1"}},
+			}}
+			if c.wasReady {
+				start.Previous.Replicas = []api.Replica{{Model: "a", Server: "s", State: api.ReplicaReady}}
+			}
+			s.owner = New(s.now, s.owner.config, start)
+			s.owner.Allocate(weights.Allocation{Slots: 4, Rate: 100})
+			s.owner.Configure(1, []tree.Model{model("a", "", 10)})
+			s.stopPolls()
+			s.run(c.after)
+			s.propose(unload("a", "s"))
+			s.run(100 * time.Millisecond)
+			replica := s.owner.replicasOf("a")[0]
+			if replica.state() != c.want {
+				t.Fatalf("the replica is %s, want %s", replica.state(), c.want)
+			}
+			s.report("a", 1, 0)
+			s.run(time.Second)
+			if replica.state() != c.want || len(s.orders) > 0 {
+				t.Errorf("with a waiting request and a silent server: %s, orders %v", replica.state(), s.orders)
+			}
+			s.owner.servers["s"].pollAt = s.now
+			s.run(time.Second)
+			if replica.state() != api.ReplicaReady {
+				t.Errorf("with a waiting request and its server back: %s", replica.state())
+			}
+		})
+	}
+}
+
 // lastUse returns when the only replica of a model was last used, as the policy was told.
 func (s *testSite) lastUse(t *testing.T, name api.ModelName) time.Time {
 	t.Helper()
--- a/pkg/control/cell/placement.go
+++ b/pkg/control/cell/placement.go
@@ -35,7 +35,7 @@
 	}
 	for _, r := range o.replicasOf(model.Name) {
 		s := o.servers[r.intent.Server]
-		if r.phase != phaseDraining || s == nil || s.failures > 0 || s.leaving() || r.intent.Version != model.Settings.Version {
+		if r.phase != phaseDraining || s == nil || !s.fenced || s.failures > 0 || s.leaving() || r.intent.Version != model.Settings.Version {
 			continue
 		}
 		if r.intent.Base != "" && !o.baseReady(r.intent.Base, s.ID) {
--- a/pkg/control/explore/takeover_test.go
+++ b/pkg/control/explore/takeover_test.go
@@ -182,3 +182,58 @@
 		}
 	}
 }
+
+// TestIdleReplicaOnASilentServerIsNeverDrained guards against new owners that keep an idle replica in service for as
+// long as they can't read its server's inventory.
+func TestIdleReplicaOnASilentServerIsNeverDrained(t *testing.T) {
+	const seeds, limit = 20, 15 * time.Second // the keep-alive of 5 s, a takeover, and the time to learn of uses
+	for seed := range uint64(seeds) {
+		w := ownSite(seed, 3)
+		w.mustReach(t, 20*time.Second, w.allKnowOwner, "the site did not come up")
+		w.nodes[0].report("m0", 1, 0)
+		w.mustReach(t, 20*time.Second, func() bool { return w.ready("m0") == 1 && w.inService("m0") }, "m0 was not loaded")
+		w.nodes[0].report("m0", 0, 0)
+		held := w.holder("m0")
+		w.setSilent(held, true)
+		old := w.owner()
+		old.freeze(3 * time.Second)
+		w.mustReach(t, 10*time.Second, func() bool { return w.owner() != old && w.allKnowOwner() }, "no node took over")
+		if !w.runUntil(limit, func() bool { return !w.inService("m0") }) {
+			t.Errorf("seed %d: the idle replica is still in service %v after the takeover", seed, limit)
+		}
+		w.setSilent(held, false)
+		if !w.runUntil(limit, func() bool { return !held.holds("m0") }) || w.inService("m0") {
+			t.Errorf("seed %d: the idle replica is not unloaded %v after its server is back", seed, limit)
+		}
+		printTrace(t, w)
+	}
+}
+
+// holder returns an engine that holds a model.
+func (w *simulation) holder(model api.ModelName) *simEngine {
+	for _, e := range w.servers {
+		if e.holds(model) {
+			return e
+		}
+	}
+	return nil
+}
+
+// setSilent cuts an engine from all nodes, or ends that.
+func (w *simulation) setSilent(e *simEngine, silent bool) {
+	for _, n := range w.nodes {
+		w.setCut(n.address(), e.address, silent)
+	}
+}
+
+// inService reports whether a live node's view shows a ready replica of a model.
+func (w *simulation) inService(model api.ModelName) bool {
+	for _, n := range w.aliveNodes() {
+		for _, r := range n.view.Replicas {
+			if r.Model == model && r.State == api.ReplicaReady {
+				return true
+			}
+		}
+	}
+	return false
+}
