control: a new owner does not show a silent server as reachable

A new owner took each server for reachable until two inventories of its own had failed, 6 s for a server that accepts connections and says nothing. Routers choose by that, so that requests may be held by a silent server again after each change of owner. Found beside the test of the frozen engine, not seen by callers so far; what they get was not measured.

A server that the last view shows as unreachable stays so until it answers the new owner, which asks at once.

--- a/pkg/control/cell/owner.go
+++ b/pkg/control/cell/owner.go
@@ -83,15 +83,20 @@
 	return o
 }
 
-// inheritServers takes over the servers of the committed data.
+// inheritServers takes over the servers of the committed data. Those that the previous owner could not reach stay
+// unreachable until they answer, so that routers do not choose them meanwhile.
 func (o *Owner) inheritServers(now time.Time) {
+	unreachable := make(map[api.ServerID]bool)
+	for _, s := range o.start.Previous.Servers {
+		unreachable[s.ID] = !s.Reachable
+	}
 	for _, known := range o.start.Data.Servers {
 		o.servers[known.ID] = &server{
 			Server:    known,
 			admitted:  true,
 			committed: true,
 			knownAt:   now,
-			reachable: true, // until shown otherwise
+			reachable: !unreachable[known.ID], // until shown otherwise
 			pollAt:    now,
 		}
 	}
--- a/pkg/control/explore/takeover_test.go
+++ b/pkg/control/explore/takeover_test.go
@@ -1,6 +1,7 @@
 package explore
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -237,3 +238,34 @@
 	}
 	return false
 }
+
+// TestTakeoverMakesASilentServerReachable guards against routers that choose a silent server again after each change of
+// owner.
+func TestTakeoverMakesASilentServerReachable(t *testing.T) {
+	const seeds = 20
+	for seed := range uint64(seeds) {
+		w := ownSite(seed, 4)
+		w.mustReach(t, 20*time.Second, w.allKnowOwner, "the site did not come up")
+		w.run(3 * time.Second)
+		silent := w.servers[seed%2]
+		w.setSilent(silent, true)
+		w.mustReach(t, 20*time.Second, func() bool { return w.allSeeUnreachable(silent.id) }, "the server is not seen as unreachable")
+		w.owner().crash()
+		shown := func() bool {
+			return slices.ContainsFunc(w.aliveNodes(), func(n *node) bool {
+				return slices.ContainsFunc(n.view.Servers, func(s api.ServerView) bool { return s.ID == silent.id && s.Reachable })
+			})
+		}
+		if w.runUntil(20*time.Second, shown) {
+			t.Errorf("seed %d: the silent server is shown as reachable after a takeover", seed)
+		}
+		if !w.allKnowOwner() {
+			t.Errorf("seed %d: no node took over", seed)
+		}
+		w.setSilent(silent, false)
+		if !w.runUntil(5*time.Second, shown) {
+			t.Errorf("seed %d: the server is back and not shown as reachable", seed)
+		}
+		printTrace(t, w)
+	}
+}
