quarantine: lasting suspicions outlive all nodes

What callers saw (explorer): a server that restarts under its name behind a proxy ended several times under a request before its next life was listed. One end became known, the others stayed in doubt for as long as evidence lasts. Then all nodes were lost, and the request ran without a trial again: two or three more servers ended at once.

The lease's record kept requests that are suspected by their ends alone, and of these the ends alone. Its doubts, which were to last ten minutes, were in the nodes' memory.

The record keeps lasting doubts, of requests that are suspected by ends or by lasting doubts. Those that end after 5 s are not kept: a network that resets connections makes many. The bounds are as before, 64 requests and 8 doubts of each; requests suspected by doubts alone come last. A request that ran to its end at a node has its doubts dropped there as they are read. Heartbeats do not tell doubts, as before: each node reads the record. Nodes of the code before take such a record in as well, and drop the doubts of requests without a standing as they write it.

Shown by TestLastingSuspicionsAreLostWithAllNodes of both packages, red before.

--- a/pkg/coordinator/explore_quarantine_test.go
+++ b/pkg/coordinator/explore_quarantine_test.go
@@ -171,6 +171,29 @@
 	}
 }
 
+// TestLastingSuspicionsAreLostWithAllNodes crashes all nodes once they know that the first of two runs on one server crashed it: the
+// request ran without a trial again.
+func TestLastingSuspicionsAreLostWithAllNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := newSimulation(t, 1)
+		defer sim.stopNodes()
+		time.Sleep(contactTime)
+		f, n := quarantine.FingerprintOf("POST", "h", "/", nil), sim.nodes[0]
+		first := n.beginRuns([]quarantine.Fingerprint{f}, nil, "server-0")
+		n.member.CrashSuspected(t.Context(), first...)
+		n.member.CrashSuspected(t.Context(), n.beginRuns([]quarantine.Fingerprint{f}, nil, "server-0")...)
+		n.member.ServerCrashed(first...)
+		time.Sleep(contactTime)
+		sim.crashAll()
+		time.Sleep(contactTime)
+		for _, n := range sim.nodes {
+			if got := n.member.Standing(f); got != quarantine.Suspected {
+				t.Errorf("after a crash of all nodes the request is %v at %s, want suspected", got, n.name)
+			}
+		}
+	})
+}
+
 // run sends the request through alternating phases with and without faults. Most phases without
 // faults begin with a crash of all nodes. Nodes in contact with the store are held to the users'
 // rule.
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -144,7 +144,7 @@
 	Service string
 	Ends    []End // sorted by server
 	// Doubts lists the runs that may have crashed their servers. Nodes send them when they ask for
-	// trials. They are not stored in the platform's store.
+	// trials. Only lasting ones are stored in the platform's store.
 	Doubts []Doubt `json:",omitempty"`
 	// ClearedFor is how much longer the subject is not blamed because it ran to its end at the node
 	// that says so, or at one that told it.
--- a/pkg/quarantine/suspicion.go
+++ b/pkg/quarantine/suspicion.go
@@ -172,3 +172,13 @@
 	}
 	return list
 }
+
+// hasLastingStanding reports whether lasting suspicions make the request suspected.
+func (e *entry) hasLastingStanding() bool {
+	return e.suspectedBySuspicion() && slices.ContainsFunc(e.suspicions, func(d suspicion) bool { return d.lasting })
+}
+
+// exportLastingSuspicions is exportSuspicions without those that expire after SuspicionTime.
+func (e *entry) exportLastingSuspicions(now time.Time) []Doubt {
+	return slices.DeleteFunc(e.exportSuspicions(now), func(d Doubt) bool { return !d.Lasting })
+}
--- a/pkg/quarantine/suspicion_test.go
+++ b/pkg/quarantine/suspicion_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -139,6 +140,49 @@
 	}
 }
 
+// TestLastingSuspicionsAreLostWithAllNodes: the platform's store kept crashes alone, so that a request that nodes had suspected
+// for a second crash at an incarnation that was never listed ran freely once all of them had been lost.
+func TestLastingSuspicionsAreLostWithAllNodes(t *testing.T) {
+	f := request(1)
+	var before, after, completed Table
+	runs := []Run{beginRun(&before, f, testStart, "i-0")}
+	before.Suspect(testStart, runs[0])
+	runs = append(runs, beginRun(&before, f, testStart, "i-0"))
+	before.Suspect(testStart, runs[1])
+	if stored := before.MergeStored(testStart, nil); len(stored) > 0 {
+		t.Errorf("suspicions that expire soon are stored: %+v", stored)
+	}
+	before.Merge(testStart, runs[0].CrashEvidence())
+	bytes, err := json.Marshal(before.MergeStored(testStart, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var stored []Aged
+	if err := json.Unmarshal(bytes, &stored); err != nil {
+		t.Fatal(err)
+	}
+	if len(stored) != 1 {
+		t.Fatalf("the store keeps %+v, want the evidence on one request", stored)
+	}
+	const age = SuspicionTime + time.Second
+	later := testStart.Add(age)
+	stored[0].Age = age
+	again := after.MergeStored(later, stored)
+	if got := after.Standing(later, f); got != Suspected {
+		t.Errorf("once all nodes were lost the request is %v, want suspected", got)
+	}
+	if len(again) != 1 || len(again[0].Doubts) != 1 {
+		t.Errorf("the next record has %+v, want the same suspicion", again)
+	}
+	if got := after.Standing(testStart.Add(Lifetime+time.Second), f); got != Free {
+		t.Errorf("after the lifetime of evidence the request is %v, want free", got)
+	}
+	completed.Completed(later, f)
+	if kept := completed.MergeStored(later, stored); len(kept) > 0 || completed.Standing(later, f) != Free {
+		t.Errorf("where the request ran to its end it is %v, and %+v is stored, want free and nothing", completed.Standing(later, f), kept)
+	}
+}
+
 // TestLivingServerRemainsInDoubt: connections to a server that broke twice are no lasting evidence while it is not known to have crashed.
 func TestLivingServerRemainsInDoubt(t *testing.T) {
 	var table Table
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -201,7 +201,8 @@
 }
 
 // MergeStored adds the evidence in the platform's store and returns what must be stored from now
-// on: the evidence on all requests that are suspected or in quarantine.
+// on: the evidence on all requests that are suspected or in quarantine. Suspicions that expire after
+// SuspicionTime are not stored.
 func (t *Table) MergeStored(now time.Time, stored []Aged) []Aged {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -211,9 +212,9 @@
 		}
 	}
 	var kept []Aged
-	for _, e := range t.restricted(now) {
+	for _, e := range t.gravest(now, func(e *entry) bool { return e.Standing() != Free || e.hasLastingStanding() }) {
 		stored := e.aged(now)
-		stored.Age = 0
+		stored.Age, stored.Doubts = 0, e.exportLastingSuspicions(now)
 		kept = append(kept, Aged{stored, now.Sub(e.updated)})
 	}
 	return kept
@@ -323,9 +324,14 @@
 
 // restricted implements Restricted. The caller holds mu.
 func (t *Table) restricted(now time.Time) []*entry {
+	return t.gravest(now, func(e *entry) bool { return e.Standing() != Free })
+}
+
+// gravest returns the wanted entries, the gravest first, maxRestricted at most. The caller holds mu.
+func (t *Table) gravest(now time.Time, wanted func(*entry) bool) []*entry {
 	var list []*entry
 	for f := range t.entries {
-		if e := t.liveEntry(now, f); e != nil && e.Standing() != Free {
+		if e := t.liveEntry(now, f); e != nil && wanted(e) {
 			list = append(list, e)
 		}
 	}
