site: a node without descriptors accepts callers again 50 ms after some are free, and its stop doesn't wait

What callers saw: nothing yet; found by reading what a planned stop waits for. After a failed accept the HTTP library's server pauses, up to a second after some failures in a row, and its Shutdown and Close wait for that pause whatever their context says. So a node that runs out of descriptors kept callers waiting for up to a second although some were free again, and ended its stop up to a second later than its grace time, of which 0.2 s are reserved for this step. The failure was logged at a level that is not written.

Now a listener in front of each HTTP server of a node (callers, readiness, directory, metrics) tries again after 50 ms, as the listener for other nodes does, and logs the failure once a second. The server never learns of it, so there is no pause that Shutdown could wait for.

Both tests fail with the HTTP server on the bare listener.

The gateway of the product's own interface has a similar pause of its HTTP library; not changed.

--- /dev/null
+++ b/pkg/site/listener_test.go
@@ -0,0 +1,110 @@
+package site
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/coordinator"
+	"martenwheel.dev/pkg/relay"
+	"martenwheel.dev/pkg/tunnel"
+)
+
+// exhaustedListener accepts nothing for want of descriptors until it is relieved.
+type exhaustedListener struct {
+	relieved atomic.Bool
+	conns    chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func newExhaustedListener() *exhaustedListener {
+	return &exhaustedListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	select {
+	case <-l.closed:
+		return nil, net.ErrClosed
+	default:
+	}
+	if !l.relieved.Load() {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	select {
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case conn := <-l.conns:
+		return conn, nil
+	}
+}
+
+func (l *exhaustedListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *exhaustedListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// exhaustion is how long descriptors are short: the HTTP server's pauses have their full length by then, and one has just begun.
+const exhaustion = 2300 * time.Millisecond
+
+// Guards against a planned stop that waits for the pause of an HTTP server without descriptors.
+func TestStopIsNotHeldUpByALackOfDescriptors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner := newExhaustedListener()
+		s := &Site{
+			Grace: 3 * time.Second, Logger: hclog.NewNullLogger(),
+			member: &coordinator.Member{}, relay: &relay.Relay{}, helper: &tunnel.Helper{},
+		}
+		server := &http.Server{Handler: http.NotFoundHandler(), ErrorLog: s.Logger.StandardLogger(nil)}
+		served := make(chan error, 1)
+		go func() { served <- server.Serve(&listener{Listener: inner, logger: s.Logger}) }()
+		time.Sleep(exhaustion)
+		began := time.Now()
+		s.stop(server)
+		if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+			t.Errorf("the server ended with %v", err)
+		}
+		if took := time.Since(began); took > shutdownTimeout+stopPollInterval {
+			t.Errorf("the stop of an idle node took %v, want %v at most", took, shutdownTimeout+stopPollInterval)
+		}
+	})
+}
+
+// Guards against callers that wait although descriptors are free again.
+func TestCallersAreAcceptedSoonAfterALackOfDescriptors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner := newExhaustedListener()
+		handled := make(chan time.Time, 1)
+		server := &http.Server{
+			Handler:  http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled <- time.Now() }),
+			ErrorLog: hclog.NewNullLogger().StandardLogger(nil),
+		}
+		served := make(chan error, 1)
+		go func() { served <- server.Serve(&listener{Listener: inner, logger: hclog.NewNullLogger()}) }()
+		time.Sleep(exhaustion)
+		inner.relieved.Store(true)
+		relieved := time.Now()
+		caller, conn := net.Pipe()
+		inner.conns <- conn
+		if _, err := caller.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n")); err != nil {
+			t.Fatal(err)
+		}
+		if waited := (<-handled).Sub(relieved); waited > acceptPause {
+			t.Errorf("the caller waited %v, want %v at most", waited, acceptPause)
+		}
+		_ = caller.Close()
+		_ = server.Close()
+		<-served
+	})
+}
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -97,7 +97,7 @@
 
 // listen opens the listeners for callers and peers.
 func (s *Site) listen() (net.Listener, *peer.Server, error) {
-	callers, err := net.Listen("tcp", s.Self.Callers)
+	callers, err := Listen(s.Self.Callers, s.Logger)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "site: callers")
 	}
@@ -395,12 +395,15 @@
 	if s.Metrics == "" {
 		return
 	}
-	server := &http.Server{
-		Addr: s.Metrics, Handler: s.operatorHandler(), ReadHeaderTimeout: headerTime,
+	l, err := Listen(s.Metrics, s.Logger)
+	if err != nil {
+		s.Logger.Error("serving metrics failed", "error", err)
+		return
 	}
+	server := &http.Server{Handler: s.operatorHandler(), ReadHeaderTimeout: headerTime}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		s.Logger.Error("serving metrics failed", "error", err)
 	}
 }
