site, telemetry: the last lines of the log are written within the grace time of a planned stop

What callers saw: nothing; found by adding up what a planned stop waits for. A stop cancels what runs 0.4 s before the end of the grace time, closes connections for up to 0.2 s, and then waits for the reader of the log for up to two times 0.3 s, each of which began its own time.

TestFlushEndsWithItsLimitThoughNobodyReads, in virtual time, for a buffer with room and a full one.

--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -78,6 +78,7 @@
 	dialer   *tunnel.Dialer
 	helper   *tunnel.Helper
 	stopping atomic.Bool
+	stopped  time.Time // when the planned stop began; zero: it has not; used by the goroutine of Run only
 	watched  convertedNodes[watch.Node]
 	known    convertedNodes[lineage.Node]
 }
@@ -371,6 +372,7 @@
 // cancels the rest.
 func (s *Site) stop(server *http.Server) {
 	began := clock.Now()
+	s.stopped = began
 	s.stopping.Store(true)
 	s.member.Stop()
 	s.relay.Stop(s.Grace)
@@ -390,6 +392,14 @@
 	_ = server.Close()
 }
 
+// GraceLeft returns what is left of the grace period once Run has returned.
+func (s *Site) GraceLeft() time.Duration {
+	if s.stopped.IsZero() {
+		return s.Grace
+	}
+	return s.Grace - clock.Since(s.stopped)
+}
+
 // serveMetrics serves the metrics and the quarantine list until ctx ends.
 func (s *Site) serveMetrics(ctx context.Context) {
 	if s.Metrics == "" {
--- a/pkg/telemetry/buffer.go
+++ b/pkg/telemetry/buffer.go
@@ -24,9 +24,6 @@
 
 const defaultBufferLines = 2048
 
-// flushTime bounds each of the two waits of Flush.
-const flushTime = 300 * time.Millisecond
-
 func (b *Buffer) init() {
 	b.once.Do(func() {
 		n := b.Lines
@@ -70,17 +67,19 @@
 	}
 }
 
-// Flush waits a short time until the buffered lines are written, and stops the
+// Flush waits until the buffered lines are written, at most for limit, and stops the
 // buffer.
-func (b *Buffer) Flush() {
+func (b *Buffer) Flush(limit time.Duration) {
 	b.init()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
 	select {
 	case b.lines <- nil:
-	case <-time.After(flushTime):
+	case <-timer.C:
 		return
 	}
 	select {
 	case <-b.done:
-	case <-time.After(flushTime):
+	case <-timer.C:
 	}
 }
--- a/pkg/telemetry/buffer_test.go
+++ b/pkg/telemetry/buffer_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 )
 
 // blockedWriter blocks until release is closed.
@@ -28,8 +30,32 @@
 		t.Errorf("%d lines were dropped, want at least %d", dropped, lines-3)
 	}
 	close(w.release)
-	b.Flush()
+	b.Flush(time.Second)
 	if text := w.text.String(); !strings.Contains(text, "log lines dropped") {
 		t.Errorf("the output does not report the dropped lines: %q", text)
 	}
 }
+
+// Guards against a flush that lasts longer than its limit, whether the buffer is full or not.
+func TestFlushEndsWithItsLimitThoughNobodyReads(t *testing.T) {
+	for name, lines := range map[string]int{"one line": 1, "full": 10} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := &blockedWriter{release: make(chan struct{})}
+				b := &Buffer{Output: w, Lines: 2}
+				for range lines {
+					_, _ = b.Write([]byte("line\n"))
+				}
+				synctest.Wait()
+				const limit = 80 * time.Millisecond
+				began := time.Now()
+				b.Flush(limit)
+				if took := time.Since(began); took != limit {
+					t.Errorf("the flush took %v, want %v", took, limit)
+				}
+				close(w.release)
+				b.Flush(time.Second) // ends the buffer's goroutine
+			})
+		})
+	}
+}
