site: a planned stop waits until the requests that it cut off are in the log

What callers saw: their connections closed at the end of the grace time, as before, and no line in the log of their node told of it. Cause: a stop closed the connections of what didn't end by itself (a body that never came in full, a caller that doesn't read) and ended the process without waiting for these requests, which log their line when they notice.

After closing the connections a stop waits for these requests, up to 0.1 s. `stopped` tells as `unlogged` how many have not ended even then. The wait before they are cancelled ends on time instead of up to 50 ms later, so that the steps after it fit in their 0.4 s: 0.2 s for answers, 0.1 s for lines, 0.1 s for the rest.

--- a/pkg/site/listener_test.go
+++ b/pkg/site/listener_test.go
@@ -13,10 +13,6 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
-
-	"martenwheel.dev/pkg/coordinator"
-	"martenwheel.dev/pkg/relay"
-	"martenwheel.dev/pkg/tunnel"
 )
 
 // exhaustedListener accepts nothing for want of descriptors until it is relieved.
@@ -62,10 +58,7 @@
 func TestStopIsNotHeldUpByALackOfDescriptors(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		inner := newExhaustedListener()
-		s := &Site{
-			Grace: 3 * time.Second, Logger: hclog.NewNullLogger(),
-			member: &coordinator.Member{}, relay: &relay.Relay{}, helper: &tunnel.Helper{},
-		}
+		s := newStoppableSite(hclog.NewNullLogger())
 		server := &http.Server{Handler: http.NotFoundHandler(), ErrorLog: s.Logger.StandardLogger(nil)}
 		served := make(chan error, 1)
 		go func() { served <- server.Serve(&listener{Listener: inner, logger: s.Logger}) }()
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -366,6 +366,10 @@
 	// shutdownTimeout is the time for sending the responses to cancelled requests and for closing unused
 	// connections.
 	shutdownTimeout = 200 * time.Millisecond
+	// cutOffTime is the time for requests whose connections were closed to end and to be logged. The rest of
+	// stopMargin is for other nodes' connections and the log.
+	cutOffTime         = 100 * time.Millisecond
+	cutOffPollInterval = 5 * time.Millisecond
 )
 
 // stop waits for running requests to finish and still serves new ones, within the grace period, and then
@@ -377,19 +381,28 @@
 	s.member.Stop()
 	s.relay.Stop(s.Grace)
 	s.Logger.Info("stopping", "in_flight", s.relay.InFlight(), "grace_ms", s.Grace.Milliseconds())
-	for clock.Since(began) < s.Grace-stopMargin {
+	for left := s.Grace - stopMargin; left > 0; left = s.Grace - stopMargin - clock.Since(began) {
 		if clock.Since(began) > s.Linger && s.relay.InFlight() == 0 && s.helper.Open() == 0 {
 			break
 		}
-		time.Sleep(stopPollInterval)
+		time.Sleep(min(stopPollInterval, left))
 	}
 	unfinished := s.relay.InFlight()
 	s.relay.CancelAll()
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	_ = server.Shutdown(ctx) // connections that are still open are closed below
-	s.Logger.Info("stopped", "unfinished", unfinished, "cut_off", s.relay.InFlight(), "ms", clock.Since(began).Milliseconds())
+	cutOff := s.relay.InFlight()
 	_ = server.Close()
+	s.awaitCutOff()
+	s.Logger.Info("stopped", "unfinished", unfinished, "cut_off", cutOff, "unlogged", s.relay.InFlight(), "ms", clock.Since(began).Milliseconds())
+}
+
+// awaitCutOff waits until the requests whose connections were closed have ended, so that each has its line in the log.
+func (s *Site) awaitCutOff() {
+	for began := clock.Now(); s.relay.InFlight() > 0 && clock.Since(began) < cutOffTime; {
+		time.Sleep(cutOffPollInterval)
+	}
 }
 
 // GraceLeft returns what is left of the grace period once Run has returned.
