site: connections of callers end no sooner than the configuration allows

A node closed a caller's connection two minutes after its last request, and a new one that brought no byte, or no whole head, after ten seconds, whatever the configuration's limits said. A caller who took such a connection up within four fifths of its limit, as callers may, or who took longer than ten seconds for a head, was cut off.

The HTTP server's timeouts are fixed when it is made. It has none of its own any more: the listener keeps track of the connections that wait for a request, and checks them each second by the limits in force. The former times stay as the least. As callers learn of a lowered limit when they like, the longest limit counts that was in force while a connection waited.

A connection ends by a read that finds nothing, in the goroutine that would serve the next request: what was read is served, and so is what arrived while the node was held up.

--- /dev/null
+++ b/pkg/site/callers_test.go
@@ -0,0 +1,226 @@
+package site
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/route"
+)
+
+// callerSite is an HTTP server on callers' connections, with limits that can be changed.
+type callerSite struct {
+	t       *testing.T
+	callers *callers
+	limits  atomic.Pointer[route.Limits]
+	served  atomic.Int64
+}
+
+func newCallerSite(t *testing.T, least callerTimes, limits route.Limits) *callerSite {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &callerSite{t: t}
+	s.limits.Store(&limits)
+	s.callers = &callers{
+		Listener: listener, limits: func() route.Limits { return *s.limits.Load() }, min: least,
+		open: make(map[*callerConn]struct{}), logger: hclog.NewNullLogger(),
+	}
+	server := &http.Server{ConnState: s.callers.stateChanged, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.served.Add(1)
+		_, _ = io.Copy(w, r.Body)
+	})}
+	go func() { _ = server.Serve(s.callers) }()
+	go s.callers.run(t.Context())
+	t.Cleanup(func() { _ = server.Close() })
+	return s
+}
+
+// connect opens a connection, with a request that was answered if used.
+func (s *callerSite) connect(used bool) net.Conn {
+	s.t.Helper()
+	conn, err := net.Dial("tcp", s.callers.Addr().String())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = conn.Close() })
+	if used {
+		if err := ask(conn); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+	return conn
+}
+
+const siteRequest = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nask"
+
+// ask sends a request and reads its answer.
+func ask(conn net.Conn) error {
+	if _, err := io.WriteString(conn, siteRequest); err != nil {
+		return err
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, answer.Body)
+	_ = answer.Body.Close()
+	return err
+}
+
+// Guards against connections that are closed before a limit that was in force while they were at rest.
+func TestConnectionsAreClosedBeforeTheLimitsOfTheConfiguration(t *testing.T) {
+	t.Parallel()
+	const long, short = 4 * time.Second, 10 * time.Millisecond
+	for _, test := range []struct {
+		name          string
+		used          bool
+		before, after time.Duration // limit, and that which follows after a quarter of long
+		rest          time.Duration
+		closed        bool
+	}{
+		{"new", false, long, long, long * 4 / 5, false},
+		{"used", true, long, long, long * 4 / 5, false},
+		{"used, lowered", true, long, short, long * 4 / 5, false},
+		{"used, raised", true, long / 2, long, long * 4 / 5, false},
+		{"new, over the limit", false, long / 2, long / 2, long, true},
+		{"used, over the limit", true, long / 2, long / 2, long, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			s := newCallerSite(t, callerTimes{head: short, idle: short}, route.Limits{IdleTime: test.before})
+			conn := s.connect(test.used)
+			time.Sleep(long / 4)
+			s.limits.Store(&route.Limits{IdleTime: test.after})
+			time.Sleep(test.rest - long/4)
+			if err := ask(conn); (err != nil) != test.closed {
+				t.Errorf("after a rest of %v: %v", test.rest, err)
+			}
+		})
+	}
+}
+
+// Guards against heads that are cut off before their limit, and connections that are kept though their head does not end.
+func TestHeadsAreCutOffBeforeTheLimitOfTheConfiguration(t *testing.T) {
+	t.Parallel()
+	const limit = 3 * time.Second
+	for name, used := range map[string]bool{"new": false, "used": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newCallerSite(t, callerTimes{head: time.Millisecond, idle: time.Millisecond}, route.Limits{HeaderTime: limit, IdleTime: time.Minute})
+			slow, endless := s.connect(used), s.connect(used)
+			for _, conn := range []net.Conn{slow, endless} {
+				if _, err := io.WriteString(conn, siteRequest[:20]); err != nil {
+					t.Fatal(err)
+				}
+			}
+			time.Sleep(limit * 4 / 5)
+			if _, err := io.WriteString(slow, siteRequest[20:]); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := http.ReadResponse(bufio.NewReader(slow), nil); err != nil {
+				t.Errorf("slow head: %v", err)
+			}
+			_ = endless.SetReadDeadline(time.Now().Add(limit))
+			if _, err := endless.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Error("a head that does not end keeps its connection open")
+			}
+		})
+	}
+}
+
+// Guards against a connection that is ended though a request has arrived on it, which a node that was held up has not read yet.
+func TestRequestThatArrivedBeforeItsConnectionEndedIsLost(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &callers{Listener: listener, limits: func() route.Limits { return route.Limits{} }, open: make(map[*callerConn]struct{})}
+	defer func() { _ = s.Close() }()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = caller.Close() }()
+	conn, err := s.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	all := func(*callerConn) bool { return true }
+	buffer := make([]byte, 2*len(siteRequest))
+	for i := range 2 { // what it reads undoes its end, so that the next one can be read as well
+		if _, err := io.WriteString(caller, siteRequest); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(50 * time.Millisecond) // until it has arrived
+		s.endWhere(all)
+		if n, err := conn.Read(buffer); err != nil || string(buffer[:n]) != siteRequest {
+			t.Errorf("request %d: %q, %v", i, buffer[:n], err)
+		}
+	}
+	s.endWhere(all)
+	if n, err := conn.Read(buffer); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("nothing arrived, yet a read returns %d bytes, %v", n, err)
+	}
+}
+
+// Guards against connections that are closed after a request was read from them.
+func TestLOSTOfRequestsReadAsTheirConnectionsEnd(t *testing.T) {
+	t.Parallel()
+	const connections, rounds = 50, 10
+	s := newCallerSite(t, callerTimes{time.Minute, time.Minute}, route.Limits{})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for t.Context().Err() == nil && s.served.Load() < connections*rounds/2 {
+			s.callers.endWhere(func(c *callerConn) bool { return c.begun.IsZero() && c.used })
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	answered, closed := make(chan int, connections), make(chan int, connections)
+	for range connections {
+		go func() {
+			n, ends := 0, 0
+			for range rounds {
+				conn, err := net.Dial("tcp", s.callers.Addr().String())
+				if err != nil {
+					t.Error(err)
+					break
+				}
+				for ask(conn) == nil {
+					n++
+					if n%rounds == 0 {
+						break
+					}
+					time.Sleep(time.Millisecond)
+				}
+				ends++
+				_ = conn.Close()
+			}
+			answered <- n
+			closed <- ends
+		}()
+	}
+	answers, closes := 0, 0
+	for range connections {
+		answers += <-answered
+		closes += <-closed
+	}
+	<-ended
+	if served := int(s.served.Load()); served != answers {
+		t.Errorf("LOST: %d requests were read and served, %d answered", served, answers)
+	}
+	t.Logf("%d answers, %d connections", answers, closes)
+}
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -307,21 +307,18 @@
 	return s.member.HandleMessage(ctx, from, message)
 }
 
-// headerTime is the timeout for reading a request's headers, idleTime how long an unused
-// connection of a caller is kept.
-const (
-	headerTime = 10 * time.Second
-	idleTime   = 2 * time.Minute
-)
+// headerTime is the timeout for reading the headers of an operator's request.
+const headerTime = 10 * time.Second
 
 // Run serves until ctx ends and the graceful shutdown is finished.
 func (s *Site) Run(ctx context.Context) error {
 	s.traffic = newPeerTraffic(s.Registry)
 	s.reach = &tunnel.Reach{}
-	callers, peers, err := s.listen()
+	listener, peers, err := s.listen()
 	if err != nil {
 		return err
 	}
+	conns := s.newCallers(listener)
 	l, holder, transport := s.assemble()
 	s.connectThroughOthers(l)
 	peers.Serve(s)
@@ -329,7 +326,7 @@
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	server := &http.Server{
-		Handler: s.relay, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, ConnContext: relay.ConnContext,
+		Handler: s.relay, ConnState: conns.stateChanged, ConnContext: relay.ConnContext,
 		ErrorLog: s.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	var tasks conc.WaitGroup
@@ -343,7 +340,8 @@
 	tasks.Go(func() { s.serveMetrics(background) })
 	tasks.Go(func() { s.traffic.summarize(background, s.Logger) })
 	failed := make(chan error, 1)
-	tasks.Go(func() { failed <- server.Serve(callers) })
+	tasks.Go(func() { conns.run(background) })
+	tasks.Go(func() { failed <- server.Serve(conns) })
 	s.Logger.Info("serving", "callers", s.Self.Callers, "peers", s.Self.Peers, "pid", os.Getpid())
 	select {
 	case err = <-failed:
