site: a stopping node answers each request that it has read

At the end of a stop a node closed connections from which it had read a whole request, without an answer, for as long as 200 ms. Callers got the end of their connection in order, not a reset, and couldn't know whether the request ran; one that is not repeatable was lost.

The HTTP server's Shutdown ends the connection of each request that is read after it has begun, and those at rest from which the goroutine that serves them has just read a request. New connections, such as all callers have whom a stopping node told to connect anew, keep Shutdown waiting, up to its time limit.

Now the node closes its listener, and ends a connection only by a read that finds nothing, while it still answers what it reads (with 503, as nothing is sent to servers any more).

--- a/pkg/site/callers.go
+++ b/pkg/site/callers.go
@@ -237,3 +237,25 @@
 		}
 	}
 }
+
+// shutDown closes the listener, and then each connection on which no request has begun, until all are closed or ctx ends. It
+// returns the number of those that are left.
+func (s *callers) shutDown(ctx context.Context) int {
+	if err := s.Close(); err != nil {
+		s.logger.Warn("listener of callers not closed", "error", err)
+	}
+	ticker := time.NewTicker(closePollInterval)
+	defer ticker.Stop()
+	for {
+		s.endWhere(func(c *callerConn) bool { return c.begun.IsZero() })
+		left := len(s.all())
+		if left == 0 {
+			return 0
+		}
+		select {
+		case <-ctx.Done():
+			return left
+		case <-ticker.C:
+		}
+	}
+}
--- a/pkg/site/listener_test.go
+++ b/pkg/site/listener_test.go
@@ -61,10 +61,11 @@
 		s := newStoppableSite(hclog.NewNullLogger())
 		server := &http.Server{Handler: http.NotFoundHandler(), ErrorLog: s.Logger.StandardLogger(nil)}
 		served := make(chan error, 1)
-		go func() { served <- server.Serve(&listener{Listener: inner, logger: s.Logger}) }()
+		conns := s.newCallers(&listener{Listener: inner, logger: s.Logger})
+		go func() { served <- server.Serve(conns) }()
 		time.Sleep(exhaustion)
 		began := time.Now()
-		s.stop(server)
+		s.stop(server, conns)
 		if err := <-served; !errors.Is(err, http.ErrServerClosed) {
 			t.Errorf("the server ended with %v", err)
 		}
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -347,7 +347,7 @@
 	case err = <-failed:
 		s.Logger.Error("serving callers failed", "error", err)
 	case <-ctx.Done():
-		s.stop(server)
+		s.stop(server, conns)
 		err = nil
 	}
 	cancel()
@@ -366,13 +366,14 @@
 	shutdownTimeout = 200 * time.Millisecond
 	// cutOffTime is the time for requests whose connections were closed to end and to be logged. The rest of
 	// stopMargin is for other nodes' connections and the log.
-	cutOffTime         = 100 * time.Millisecond
-	cutOffPollInterval = 5 * time.Millisecond
+	cutOffTime = 100 * time.Millisecond
+	// closePollInterval is the interval of checks whether connections are unused, or closed requests have ended.
+	closePollInterval = 5 * time.Millisecond
 )
 
 // stop waits for running requests to finish and still serves new ones, within the grace period, and then
 // cancels the rest.
-func (s *Site) stop(server *http.Server) {
+func (s *Site) stop(server *http.Server, conns *callers) {
 	began := clock.Now()
 	s.stopped = began
 	s.stopping.Store(true)
@@ -389,17 +390,18 @@
 	s.relay.CancelAll()
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
-	_ = server.Shutdown(ctx) // connections that are still open are closed below
+	// The server's own Shutdown closes connections from which a request was just read. Those that are still open are closed below.
+	open := conns.shutDown(ctx)
 	cutOff := s.relay.InFlight()
 	_ = server.Close()
 	s.awaitCutOff()
-	s.Logger.Info("stopped", "unfinished", unfinished, "cut_off", cutOff, "unlogged", s.relay.InFlight(), "ms", clock.Since(began).Milliseconds())
+	s.Logger.Info("stopped", "unfinished", unfinished, "cut_off", cutOff, "unlogged", s.relay.InFlight(), "open", open, "ms", clock.Since(began).Milliseconds())
 }
 
 // awaitCutOff waits until the requests whose connections were closed have ended, so that each has its line in the log.
 func (s *Site) awaitCutOff() {
 	for began := clock.Now(); s.relay.InFlight() > 0 && clock.Since(began) < cutOffTime; {
-		time.Sleep(cutOffPollInterval)
+		time.Sleep(closePollInterval)
 	}
 }
 
--- a/pkg/site/stop_test.go
+++ b/pkg/site/stop_test.go
@@ -63,14 +63,15 @@
 				inner.relieved.Store(true)
 				server := &http.Server{Handler: s.relay, ErrorLog: hclog.NewNullLogger().StandardLogger(nil)}
 				served := make(chan error, 1)
-				go func() { served <- server.Serve(inner) }()
+				conns := s.newCallers(inner)
+				go func() { served <- server.Serve(conns) }()
 				inner.conns <- conn
 				if _, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
 					t.Fatal(err)
 				}
 				synctest.Wait()
 				began := time.Now()
-				s.stop(server)
+				s.stop(server, conns)
 				took := time.Since(began)
 				logged := strings.Contains(text.String(), `"@message":"request"`)
 				if want := delay < testGrace; logged != want {
