relay: a request whose handler panics gets an answer, and a line in the log

A panic in the handling of a request closed its caller's connection without an answer, and the HTTP server's line about it was logged at the level debug, which nodes do not write: the log had "broken off" and no reason. Shown with a route table that panics; no panic of the relay itself is known.

Now it is logged as an error with its stack, and the request ends with 500, which promises nothing, as a server may have run it. An answer that has begun is still aborted.

--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -19,12 +20,13 @@
 
 // Refusals with fixed content.
 var (
-	notReady    = refusal{http.StatusServiceUnavailable, "not ready", time.Second}
-	noRoute     = refusal{http.StatusNotFound, "no route", 0}
-	tooLarge    = refusal{http.StatusRequestEntityTooLarge, "body too large", 0}
-	stopping    = refusal{http.StatusServiceUnavailable, "the node is stopping", 50 * time.Millisecond}
-	badDeadline = refusal{http.StatusBadRequest, "bad deadline", 0}
-	badResumes  = refusal{http.StatusBadRequest, "more than one, or too long, reference to the attempt that a stream began with", 0}
+	notReady      = refusal{http.StatusServiceUnavailable, "not ready", time.Second}
+	noRoute       = refusal{http.StatusNotFound, "no route", 0}
+	tooLarge      = refusal{http.StatusRequestEntityTooLarge, "body too large", 0}
+	stopping      = refusal{http.StatusServiceUnavailable, "the node is stopping", 50 * time.Millisecond}
+	internalFault = refusal{http.StatusInternalServerError, "the node failed", 0}
+	badDeadline   = refusal{http.StatusBadRequest, "bad deadline", 0}
+	badResumes    = refusal{http.StatusBadRequest, "more than one, or too long, reference to the attempt that a stream began with", 0}
 )
 
 // Reasons of refusals.
@@ -81,6 +83,20 @@
 	_, _ = c.w.Write([]byte(body)) // the caller may be gone
 }
 
+// answerAfterPanic answers a request whose handler panicked. Its status promises nothing, as a server may have run the
+// request. A panic that aborts an answer goes on.
+func (c *call) answerAfterPanic() {
+	fault := recover()
+	switch fault {
+	case nil:
+		return
+	case http.ErrAbortHandler:
+		panic(fault)
+	}
+	c.relay.Logger.Error("request handler panicked", "request_id", c.id, "panic", fault, "stack", string(debug.Stack()))
+	c.refuse(internalFault)
+}
+
 // giveUp ends a request that can't be continued: its deadline passed, the caller left or the node stops.
 func (c *call) giveUp(ctx context.Context, err error) {
 	if c.callerGone(ctx) || errors.Is(err, errNotWritable) {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -241,6 +241,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer c.finish()
+	defer c.answerAfterPanic()
 	if !c.accept() {
 		return
 	}
