quarantine: suspicions at servers never listed last as evidence does

What callers saw (explorer; the relay sends to listed servers alone, so that callers are not known to meet it): a node that had just started and had no list yet sent the request that ends servers three times within 0.4 s.

Such a doubt lapsed after the time within which a server's record shows its end. A node has no record of a server that it never listed, so that nothing could settle the doubt, and lapsing said nothing of it.

A doubt at a server that the node has not listed lasts as long as evidence does, or until the request runs to its end, as one at the next life of an ended server does; the lease's record keeps it. It still never puts a request in quarantine. A server counts as listed that left as announced or lost its record a moment ago, or that the node released while a request of its ran there: a planned leaving leaves no such doubts.

Shown by TestSuspicionsAtUnlistedServersExpire and TestServerThatLeftCountsAsNeverListed; the first is red without the change, its last case with a look at the present list alone.

--- a/pkg/backend/directory.go
+++ b/pkg/backend/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -237,6 +238,17 @@
 	}
 }
 
+// ListedLately reports whether this node lists a server, or did so a moment ago or while requests ran there.
+func (d *Directory) ListedLately(id string) bool {
+	s := d.Snapshot()
+	if s.Member(id) != nil || slices.ContainsFunc(s.vanished, func(v vanishedServer) bool { return v.member.ID == id }) {
+		return true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.departed.servers[id].address != ""
+}
+
 // OverrideHolding sets whether a server holds n until the given time, regardless of its record. The
 // override is dropped when a newer record agrees with it.
 func (d *Directory) OverrideHolding(id string, n Need, holds bool, until time.Time) {
--- a/pkg/backend/incarnation_test.go
+++ b/pkg/backend/incarnation_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"martenwheel.dev/pkg/backpressure"
 )
 
 // TestIncarnationIDsAreUnique: no two incarnations share an ID, whatever the names of the servers.
@@ -133,3 +135,40 @@
 		}
 	}
 }
+
+// TestServerThatLeftCountsAsNeverListed guards against doubts about requests for long after a server has left as planned.
+func TestServerThatLeftCountsAsNeverListed(t *testing.T) {
+	server := Server{ID: "i-1", Service: "s", Address: "server", Version: 1}
+	draining := server
+	draining.Draining, draining.Version = true, 2
+	for _, c := range []struct {
+		name string
+		do   func(d *Directory)
+		want bool
+	}{
+		{"never listed", func(*Directory) {}, false},
+		{"reported by another node", func(d *Directory) { d.MergeSignals("i-1", backpressure.SharedState{}) }, false},
+		{"listed", func(d *Directory) { d.Replace([]*Server{&server}, 1) }, true},
+		{"left as announced", func(d *Directory) {
+			d.Replace([]*Server{&server}, 1)
+			d.Replace([]*Server{&draining}, 2)
+			d.Replace(nil, 3)
+		}, true},
+		{"its record was removed", func(d *Directory) {
+			d.Replace([]*Server{&server}, 1)
+			d.Replace(nil, 2)
+		}, true},
+		{"released while a request runs", func(d *Directory) {
+			d.Replace([]*Server{&server}, 1)
+			d.Snapshot().Member("i-1").Begin(time.Now(), "m")
+			d.Release([]string{"i-1"})
+			d.Replace(nil, 2)
+		}, true},
+	} {
+		d := &Directory{}
+		c.do(d)
+		if got := d.ListedLately("i-1"); got != c.want {
+			t.Errorf("%s: %t, want %t", c.name, got, c.want)
+		}
+	}
+}
--- a/pkg/coordinator/explore_quarantine_test.go
+++ b/pkg/coordinator/explore_quarantine_test.go
@@ -194,6 +194,50 @@
 	})
 }
 
+// TestSuspicionsAtUnlistedServersExpire guards against a request that runs without a trial again 5 s after it broke at servers that its
+// node never listed, whose end no record shows.
+func TestSuspicionsAtUnlistedServersExpire(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		server   string
+		prepare  func(sim *simulation)
+		complete bool
+		want     quarantine.Standing
+	}{
+		{"never listed", "server-9", func(*simulation) {}, false, quarantine.Suspected},
+		{"never listed, and the request ran to its end", "server-9", func(*simulation) {}, true, quarantine.Free},
+		{"listed", "server-0", func(*simulation) {}, false, quarantine.Free},
+		{"no longer listed", "server-0", func(sim *simulation) {
+			sim.engines.mu.Lock()
+			delete(sim.engines.servers, "server-0")
+			sim.engines.mu.Unlock()
+			time.Sleep(2 * time.Second) // until no node lists it
+		}, false, quarantine.Free},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sim := newSimulation(t, 1)
+				defer sim.stopNodes()
+				time.Sleep(contactTime)
+				c.prepare(sim)
+				f, n := quarantine.FingerprintOf("POST", "h", "/", nil), sim.nodes[0]
+				for range 2 {
+					n.member.CrashSuspected(t.Context(), n.beginRuns([]quarantine.Fingerprint{f}, nil, c.server)...)
+				}
+				if c.complete {
+					n.member.Completed(f)
+				}
+				time.Sleep(quarantine.SuspicionTime + time.Second)
+				for _, n := range sim.nodes {
+					if got := n.member.Standing(f); got != c.want {
+						t.Errorf("the request is %v at %s, want %v", got, n.name, c.want)
+					}
+				}
+			})
+		})
+	}
+}
+
 // run sends the request through alternating phases with and without faults. Most phases without
 // faults begin with a crash of all nodes. Nodes in contact with the store are held to the users'
 // rule.
--- a/pkg/coordinator/suspicions.go
+++ b/pkg/coordinator/suspicions.go
@@ -102,6 +102,7 @@
 	if r.Part != "" && m.Quarantine.Cleared(now, r.Request) {
 		return quarantine.Evidence{}, false
 	}
+	r.Unlisted = !m.Servers.ListedLately(r.Server)
 	change := m.Quarantine.Suspect(now, r)
 	m.Logger.Info("server may have crashed under "+subjectKind(r.Part), "fingerprint", r.Request.String(), "part", r.Part, "request_id", r.RequestID,
 		"service", r.Service, "server", r.Server, "round", r.Round, "rounds_in_doubt", r.Doubts, "ended_under_it", change.Servers(),
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -88,6 +88,7 @@
 	Doubts    int    // additional rounds by suspicions, see End
 	Again     bool   // an earlier run on the server is under suspicion: if it crashed the server, this run is on the next incarnation
 	RequestID string // of the caller's attempt, for logs
+	Unlisted  bool   // this node has not listed the server, so that no record shows its crash
 	// ByRecord is set if only the server's record showed its crash, as with servers behind a proxy
 	// that never refuses connections.
 	ByRecord bool
--- a/pkg/quarantine/suspicion.go
+++ b/pkg/quarantine/suspicion.go
@@ -24,8 +24,8 @@
 	Round  int           // of the run, suspicions included
 	Left   time.Duration // how long the suspicion still counts
 	Again  bool          // see Run
-	// Lasting tells that Server is known to have crashed before the run, which is therefore of Again. It was on an
-	// incarnation that may never be listed, so that no record settles the suspicion.
+	// Lasting tells that the run was on an incarnation that may never be listed, so that no record settles the suspicion:
+	// the node did not list Server, or Server is known to have crashed before the run, which is therefore of Again.
 	Lasting bool
 }
 
@@ -49,7 +49,8 @@
 
 // Suspect records that the connection of a run broke shortly after the run began.
 func (t *Table) Suspect(now time.Time, r Run) Change {
-	d := Doubt{Server: r.Server, Round: r.Round + r.Doubts, Left: SuspicionTime, Again: r.Again}
+	d := Doubt{Server: r.Server, Round: r.Round + r.Doubts, Again: r.Again, Lasting: r.Unlisted}
+	d.Left = d.limit()
 	return t.Merge(now, Evidence{Request: r.Request, Part: r.Part, Service: r.Service, Doubts: []Doubt{d}})
 }
 
