coordinator, relay: who waits for a model that is being loaded waits on as its holder is lost

What callers saw: 503 "model is loading" with Retry-After 4.3 s, though the model was ready half a second later and they had 3.6 s left. Cause: a node asks the holder again each 0.8 s. If that fails, the relay took 4 s for the time until the model is ready, its assumption for models of which nothing is known, in place of what the holder had told before. A load that was ordered goes on without a holder, and the server's record tells its end.

Now a node keeps when the model is ready by the holder's last answer, and returns that with the error. A model that should be ready by now counts as due, as it does for a holder, for 3.5 s: by then another holder has the lease and tells more. If the holder had told nothing, nothing is known, as before.

--- a/pkg/coordinator/loadrequests.go
+++ b/pkg/coordinator/loadrequests.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"martenwheel.dev/pkg/lease"
 	"martenwheel.dev/pkg/relay"
 )
 
@@ -25,6 +26,8 @@
 	short  bool          // the request named a server that rejects requests
 	status relay.LoadStatus
 	err    error
+	// readyAt is when the model is ready by the holder's last answer; zero: unknown. Guarded by the member's mu.
+	readyAt time.Time
 }
 
 // RequestLoad implements relay.ModelLoader.
@@ -34,7 +37,11 @@
 	known := m.loadRequests[key]
 	fresh := known == nil || m.Time.Since(known.at) > loadStatusTTL || w.Missing != "" || w.Short != "" && !known.short
 	if fresh {
+		last := known
 		known = &sentLoadRequest{at: m.Time.Now(), done: make(chan struct{}), short: w.Short != ""}
+		if last != nil {
+			known.readyAt = last.readyAt
+		}
 		if m.loadRequests == nil || len(m.loadRequests) > maxLoadRequests {
 			m.loadRequests = make(map[loadRequestKey]*sentLoadRequest)
 		}
@@ -43,6 +50,7 @@
 	m.mu.Unlock()
 	if fresh {
 		known.status, known.err = m.sendLoadRequest(ctx, w)
+		m.noteReady(known)
 		close(known.done)
 	}
 	select {
@@ -52,10 +60,47 @@
 	}
 	o := known.status
 	o.Age = m.Time.Since(known.at)
+	if known.err != nil {
+		o.ReadyIn = m.readyIn(known)
+		return o, known.err
+	}
 	if o.ReadyIn > 0 {
 		o.ReadyIn = max(o.ReadyIn-o.Age, time.Millisecond)
 	}
-	return o, known.err
+	return o, nil
+}
+
+// noteReady records when the model is ready by the answer to a load request. Without an answer the last one stands: a load
+// goes on without the holder.
+func (m *Member) noteReady(r *sentLoadRequest) {
+	if r.err != nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r.readyAt = time.Time{}
+	if r.status.ReadyIn > 0 {
+		r.readyAt = m.Time.Now().Add(r.status.ReadyIn)
+	}
+}
+
+// Expectations by the last answer of a holder that does not answer any more.
+const (
+	// dueReady is the expected time until a model is ready that should be, as a holder expects it.
+	dueReady = tickInterval / 4
+	// maxOverdue is how long a model may be due. By then another holder has taken the lease and tells more.
+	maxOverdue = lease.Expiry + time.Second
+)
+
+// readyIn returns the time until the model is ready by the holder's last answer; zero: unknown.
+func (m *Member) readyIn(r *sentLoadRequest) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	left := m.Time.Until(r.readyAt)
+	if r.readyAt.IsZero() || left < -maxOverdue {
+		return 0
+	}
+	return max(left, dueReady)
 }
 
 // BorrowRetry implements relay.Lender.
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -142,7 +142,7 @@
 		Service: c.service, Need: c.need, Priority: c.priority(), Deadline: c.deadline, RequestID: c.id,
 		Missing: s.server, Gone: s.gone, Bound: c.pinned, Software: c.software, Short: s.short, ShortFor: s.shortFor,
 	})
-	if err != nil {
+	if err != nil && status.ReadyIn <= 0 {
 		status.ReadyIn = unknownReady
 	}
 	if status.Server != "" && c.need.Model != "" {
--- a/pkg/relay/hold_test.go
+++ b/pkg/relay/hold_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
+	"github.com/pkg/errors"
 
 	"martenwheel.dev/pkg/route"
 )
@@ -103,3 +105,22 @@
 		t.Errorf("the answer took %v, the caller's whole time", took)
 	}
 }
+
+// failingLoader reports a status from before, as its holder is lost.
+type failingLoader LoadStatus
+
+func (l failingLoader) RequestLoad(context.Context, LoadRequest) (LoadStatus, error) {
+	return LoadStatus(l), errors.New("no holder answers")
+}
+
+// Guards against a failed load request that replaces what is known of a model by the assumption for unknown ones.
+func TestFailedLoadRequestKeepsWhatIsKnown(t *testing.T) {
+	for known, want := range map[time.Duration]time.Duration{0: unknownReady, time.Second: time.Second, time.Minute: time.Minute} {
+		c := &call{relay: &Relay{Loader: failingLoader{ReadyIn: known}}, http: &http.Request{}, request: request{route: &route.Route{}}}
+		results := make(chan loadResult, 1)
+		c.requestLoad(t.Context(), shortage{}, results)
+		if got := <-results; got.err == nil || got.status.ReadyIn != want {
+			t.Errorf("%v is known: %v, error %v, want %v", known, got.status.ReadyIn, got.err, want)
+		}
+	}
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -103,7 +103,8 @@
 	Age     time.Duration // age of this information
 }
 
-// ModelLoader has models loaded on request. RequestLoad does not wait for the load.
+// ModelLoader has models loaded on request. RequestLoad does not wait for the load. With an error, the status is what is
+// known from before.
 type ModelLoader interface {
 	RequestLoad(ctx context.Context, w LoadRequest) (LoadStatus, error)
 }
