control: an idle replica is drained while owners are held up again and again

TestIdleReplicaStaysInServiceWhileOwnersChange plays the trial of TestDrainedReplicaOnFrozenEngine in virtual time: the server is silent, and each owner is held up for 1.5 s after 2.5 s.

What is left of the cost of a change of owner are the three seconds in which nodes may report their last use, and the owners of this play last for about that long.

--- a/pkg/control/explore/takeover_test.go
+++ b/pkg/control/explore/takeover_test.go
@@ -210,6 +210,38 @@
 	}
 }
 
+// TestIdleReplicaStaysInServiceWhileOwnersChange guards against an idle replica that is not drained because the owner of
+// its cell is held up again and again.
+func TestIdleReplicaStaysInServiceWhileOwnersChange(t *testing.T) {
+	const (
+		seeds        = 20
+		pause, apart = 1500 * time.Millisecond, 2500 * time.Millisecond // an owner is held up for pause, each apart
+		limit        = 30 * time.Second                                 // as with processes
+	)
+	for seed := range uint64(seeds) {
+		w := ownSite(seed, 3)
+		w.mustReach(t, 20*time.Second, w.allKnowOwner, "the site did not come up")
+		w.nodes[0].report("m0", 1, 0)
+		w.mustReach(t, 20*time.Second, func() bool { return w.ready("m0") == 1 && w.inService("m0") }, "m0 was not loaded")
+		w.nodes[0].report("m0", 0, 0)
+		w.setSilent(w.holder("m0"), true)
+		changes, last := 0, w.owner()
+		for end := w.now.Add(limit); w.inService("m0") && w.now.Before(end); {
+			w.run(apart)
+			w.mustReach(t, limit, func() bool { return w.owner() != nil }, "no node owns the cell")
+			w.owner().freeze(pause)
+			w.run(pause + 100*time.Millisecond)
+			if owner := w.owner(); owner != last {
+				changes, last = changes+1, owner
+			}
+		}
+		if w.inService("m0") {
+			t.Errorf("seed %d: the idle replica is still in service after %v and %d changes of owner", seed, limit, changes)
+		}
+		printTrace(t, w)
+	}
+}
+
 // holder returns an engine that holds a model.
 func (w *simulation) holder(model api.ModelName) *simEngine {
 	for _, e := range w.servers {
