relay: answers of a stopping node announce the end of their connection

A stopping node tells callers by "Connection: close" to send their next request elsewhere, but only on requests that arrived after the stop began: the header was set on arrival. An answer that began during the stop, to a request from before it, kept its connection, which the node then closed at its end without a word; the caller's next request, sent just then, met that.

The header is set as the head of an answer, or of a refusal, is written. An answer whose head was sent before the stop can't tell.

--- a/pkg/relay/buffered.go
+++ b/pkg/relay/buffered.go
@@ -74,5 +74,6 @@
 	if _, set := a.Header["Date"]; !set {
 		h["Date"] = nil
 	}
+	c.announceStop()
 	c.headSent = true
 }
--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -69,6 +69,7 @@
 	}
 	c.record.setOutcome(outcomeRefused, errors.New(f.reason))
 	c.record.status = f.status
+	c.announceStop()
 	h := c.w.Header()
 	h.Set("Content-Type", "application/json")
 	if c.id != "" {
@@ -83,6 +84,13 @@
 	_, _ = c.w.Write([]byte(body)) // the caller may be gone
 }
 
+// announceStop tells the caller, with the head of its answer, that a stopping node will close the connection.
+func (c *call) announceStop() {
+	if c.relay.stop.Load() != nil {
+		c.w.Header().Set("Connection", "close")
+	}
+}
+
 // answerAfterPanic answers a request whose handler panicked. Its status promises nothing, as a server may have run the
 // request. A panic that aborts an answer goes on.
 func (c *call) answerAfterPanic() {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -182,7 +182,7 @@
 // finalAnswerTime is reserved at the end of the stop period for answers in progress.
 const finalAnswerTime = 1200 * time.Millisecond
 
-// Stop begins a planned stop that ends after grace. Each connection closes with its next answer,
+// Stop begins a planned stop that ends after grace. Each connection closes with the next answer that begins,
 // and requests that can't be completed in time are refused.
 func (r *Relay) Stop(grace time.Duration) {
 	now := r.Time.Now()
@@ -238,9 +238,6 @@
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
 	c := &call{relay: r, w: w, http: hr, request: request{arrived: r.Time.Now()}}
-	if r.stop.Load() != nil {
-		w.Header().Set("Connection", "close")
-	}
 	defer c.finish()
 	defer c.answerAfterPanic()
 	if !c.accept() {
--- a/pkg/relay/stop_test.go
+++ b/pkg/relay/stop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -93,6 +94,36 @@
 	}
 }
 
+// Guards against callers who aren't told that their connection will be closed, as their request arrived before the stop.
+func TestAnswersDuringAStopDoNotTellThatTheirConnectionEnds(t *testing.T) {
+	for name, answer := range map[string]answerer{"served": sealed(http.StatusOK, "whole"), "refused": rejectWith(http.StatusServiceUnavailable)} {
+		t.Run(name, func(t *testing.T) {
+			arrived, goOn := make(chan struct{}), make(chan struct{})
+			var once sync.Once
+			s := newSite(t, route.Route{Kind: route.Unsafe}, func(w http.ResponseWriter, r *http.Request, got seen) {
+				once.Do(func() {
+					close(arrived)
+					<-goOn
+				})
+				answer(w, r, got)
+			})
+			go func() {
+				<-arrived
+				s.relay.Stop(stopGrace)
+				close(goOn)
+			}()
+			response, err := http.DefaultClient.Do(s.request(t.Context(), http.MethodPost, "/p/x", "id", "x"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = response.Body.Close()
+			if !response.Close {
+				t.Errorf("status %d without Connection: close", response.StatusCode)
+			}
+		})
+	}
+}
+
 // newStoppingSite starts a relay before one server whose speed is known, and returns a function that advances the clock.
 func newStoppingSite(t *testing.T) (*site, func(time.Duration)) {
 	t.Helper()
