telemetry: the test of a flush's limit covers both of its waits

Taken away, the fix of a flush that lasts up to twice its limit left TestFlushEndsWithItsLimitThoughNobodyReads green: with a reader that reads nothing, one of the two waits takes no time. TestFlushEndsWithItsLimitThoughTheReaderIsSlow has a reader that makes room within the limit and is slow after it: with a limit for each wait the flush takes 120 ms of 80 ms, with one for both 80 ms.

--- a/pkg/telemetry/buffer_test.go
+++ b/pkg/telemetry/buffer_test.go
@@ -59,3 +59,29 @@
 		})
 	}
 }
+
+// slowWriter takes a while for each line.
+type slowWriter time.Duration
+
+func (w slowWriter) Write(line []byte) (int, error) {
+	time.Sleep(time.Duration(w))
+	return len(line), nil
+}
+
+// Guards against a flush whose limit begins anew once the reader has made room for its end.
+func TestFlushEndsWithItsLimitThoughTheReaderIsSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 80 * time.Millisecond
+		b := &Buffer{Output: slowWriter(limit * 3 / 4), Lines: 1}
+		for range 2 { // one that is being written, and one that fills the buffer until then
+			_, _ = b.Write([]byte("line\n"))
+			synctest.Wait()
+		}
+		began := time.Now()
+		b.Flush(limit)
+		if took := time.Since(began); took != limit {
+			t.Errorf("the flush took %v, want %v", took, limit)
+		}
+		time.Sleep(limit) // ends the buffer's goroutine
+	})
+}
