site: a test of requests whose connection was to end as they were read

The end of a connection is undone in two places, as a read brings bytes and as the head of a request is read. No test failed without either of them: without the first one the rest of the head is cut off, without the second one the body. TestRestOfARequestIsCutOffAsItsConnectionEnds has a case for each, which fails without it.

--- a/pkg/site/callers_test.go
+++ b/pkg/site/callers_test.go
@@ -224,3 +224,61 @@
 	}
 	t.Logf("%d answers, %d connections", answers, closes)
 }
+
+// Guards against a request that is cut off within because its connection was to end as its first bytes were read.
+func TestRestOfARequestIsCutOffAsItsConnectionEnds(t *testing.T) {
+	t.Parallel()
+	for name, read := range map[string]func(s *callers, c *callerConn) error{
+		"before its first bytes are noted": func(s *callers, c *callerConn) error {
+			c.mu.Lock() // holds the read up once it has its bytes
+			go func() {
+				defer c.mu.Unlock()
+				time.Sleep(50 * time.Millisecond) // until it has them
+				c.end()
+			}()
+			_, err := c.Read(make([]byte, len(siteRequest)))
+			return err
+		},
+		"before its head is noted": func(s *callers, c *callerConn) error {
+			_, err := c.Read(make([]byte, len(siteRequest)))
+			s.endWhere(func(*callerConn) bool { return true })
+			s.stateChanged(c, http.StateActive)
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			s := &callers{Listener: listener, limits: func() route.Limits { return route.Limits{} }, open: make(map[*callerConn]struct{})}
+			defer func() { _ = s.Close() }()
+			caller, err := net.Dial("tcp", listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = caller.Close() }()
+			accepted, err := s.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = accepted.Close() }()
+			c := accepted.(*callerConn)
+			if _, err := io.WriteString(caller, siteRequest[:20]); err != nil {
+				t.Fatal(err)
+			}
+			if err := read(s, c); err != nil {
+				t.Fatal(err)
+			}
+			go func() {
+				time.Sleep(50 * time.Millisecond) // so that a read finds nothing at first
+				_, _ = io.WriteString(caller, siteRequest[20:])
+			}()
+			rest := make([]byte, len(siteRequest))
+			if n, err := c.Read(rest); err != nil || string(rest[:n]) != siteRequest[20:] {
+				t.Errorf("the rest of the request: %q, %v", rest[:n], err)
+			}
+		})
+	}
+}
