--- a/pkg/site/listener.go
+++ b/pkg/site/listener.go
@@ -7,6 +7,8 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/clock"
 )
 
 // Times of a listener without descriptors.
@@ -42,8 +44,8 @@
 		if !lacksResources(err) {
 			return conn, err
 		}
-		if time.Since(l.logged) >= acceptLogInterval {
-			l.logged = time.Now()
+		if clock.Since(l.logged) >= acceptLogInterval {
+			l.logged = clock.Now()
 			l.logger.Warn("accept failed", "address", l.Addr().String(), "error", err)
 		}
 		time.Sleep(acceptPause)
