coordinator, relay: who waits for a model while no holder answers waits for the next one, if that can be in time

What callers saw: 503 "model is loading" 0.7 to 2.3 s after they came, with 5 or 6 s of time, while the holder of the lease stood still or had been killed. The holder came back, or another one had the lease, and the model was ready in their time. (1) Where nothing is known of a model the relay takes 4 s, the time for another node to take over and have it loaded, and took these 4 s anew after each call without an answer, which lasts 0.7 s: with 5 s of time 0.7 + 4 + 0.3 s are too much after the first call. (2) A call to the last holder that failed after another one had the lease told the waiters that none answers, and made the next one count as lost. (3) A failed call was reused for 0.8 s though a holder answered again. (4) A request that ended during its call, as its caller left, made the holder count as lost; found by reading.

Now the 4 s count from when the first call was sent that no holder has answered since, never less than the model takes to load, and are 4 s again after 3.6 s, by when a next holder would have answered. If another node has taken the lease when a call fails, that one is asked at once; a failed call is not reused once a holder answers; a request's end shows nothing of the holder.

Who is held longer: only requests whose model may be loaded before their callers leave, for 3.6 s after the loss at most, and with the load times of a site of 2.5 s and more hardly more than before.

--- a/pkg/coordinator/loadrequests.go
+++ b/pkg/coordinator/loadrequests.go
@@ -28,6 +28,9 @@
 	err    error
 	// readyAt is when the model is ready by the holder's last answer; zero: unknown. Guarded by the member's mu.
 	readyAt time.Time
+	// silentSince is when the first call was sent that no holder has answered since; zero: this one was answered, or is
+	// under way. Guarded by the member's mu.
+	silentSince time.Time
 }
 
 // RequestLoad implements relay.ModelLoader.
@@ -35,7 +38,8 @@
 	key := loadRequestKey{demandKey{w.Service, w.Need.String()}, w.Bound, w.Software}
 	m.mu.Lock()
 	known := m.loadRequests[key]
-	fresh := known == nil || m.Time.Since(known.at) > loadStatusTTL || w.Missing != "" || w.Short != "" && !known.short
+	fresh := known == nil || m.Time.Since(known.at) > loadStatusTTL || w.Missing != "" || w.Short != "" && !known.short ||
+		!known.silentSince.IsZero() && m.connected // a holder answers again
 	if fresh {
 		last := known
 		known = &sentLoadRequest{at: m.Time.Now(), done: make(chan struct{}), short: w.Short != ""}
@@ -50,7 +54,7 @@
 	m.mu.Unlock()
 	if fresh {
 		known.status, known.err = m.sendLoadRequest(ctx, w)
-		m.noteReady(known)
+		m.noteAnswer(known)
 		close(known.done)
 	}
 	select {
@@ -61,7 +65,7 @@
 	o := known.status
 	o.Age = m.Time.Since(known.at)
 	if known.err != nil {
-		o.ReadyIn = m.readyIn(known)
+		o.ReadyIn, o.Silence = m.lastKnown(known)
 		return o, known.err
 	}
 	if o.ReadyIn > 0 {
@@ -70,14 +74,15 @@
 	return o, nil
 }
 
-// noteReady records when the model is ready by the answer to a load request. Without an answer the last one stands: a load
-// goes on without the holder.
-func (m *Member) noteReady(r *sentLoadRequest) {
+// noteAnswer records when the model is ready by the answer to a load request. Without an answer the last one stands: a
+// load goes on without the holder.
+func (m *Member) noteAnswer(r *sentLoadRequest) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if r.err != nil {
+		r.silentSince = m.silentSince
 		return
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	r.readyAt = time.Time{}
 	if r.status.ReadyIn > 0 {
 		r.readyAt = m.Time.Now().Add(r.status.ReadyIn)
@@ -92,15 +97,17 @@
 	maxOverdue = lease.Expiry + time.Second
 )
 
-// readyIn returns the time until the model is ready by the holder's last answer; zero: unknown.
-func (m *Member) readyIn(r *sentLoadRequest) time.Duration {
+// lastKnown returns what is known after a load request without an answer: the time until the model is ready by the
+// holder's last answer, zero if that is unknown, and for how long no holder has answered.
+func (m *Member) lastKnown(r *sentLoadRequest) (readyIn, silence time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	silence = m.Time.Since(r.silentSince)
 	left := m.Time.Until(r.readyAt)
 	if r.readyAt.IsZero() || left < -maxOverdue {
-		return 0
+		return 0, silence
 	}
-	return max(left, dueReady)
+	return max(left, dueReady), silence
 }
 
 // BorrowRetry implements relay.Lender.
@@ -136,19 +143,29 @@
 // learnRetry is how long a request waits before another attempt to load the details of the server that can serve it.
 const learnRetry = 250 * time.Millisecond
 
-// askHolder sends a load request to the holder.
+// askHolder sends a load request to the holder. If another node became the holder meanwhile, that one is asked: it is not
+// known to be lost.
 func (m *Member) askHolder(ctx context.Context, w relay.LoadRequest) (relay.LoadStatus, error) {
-	answer, err := callHolder[WishAnswer](ctx, m, WishMessage{
-		Service: w.Service, Need: w.Need.String(), Priority: w.Priority,
-		Left: m.Time.Until(w.Deadline), RequestID: w.RequestID, Missing: w.Missing, Gone: w.Gone,
-		Bound: w.Bound, Software: w.Software, Short: w.Short, ShortFor: w.ShortFor,
-	})
-	if err == nil && answer.Term == 0 {
-		err = ErrNoHolder
-	}
-	if err != nil {
-		m.holderLost(err)
-		return relay.LoadStatus{}, err
+	for {
+		asked, _ := m.Lease.Current()
+		sent := m.Time.Now()
+		answer, err := callHolder[WishAnswer](ctx, m, WishMessage{
+			Service: w.Service, Need: w.Need.String(), Priority: w.Priority,
+			Left: m.Time.Until(w.Deadline), RequestID: w.RequestID, Missing: w.Missing, Gone: w.Gone,
+			Bound: w.Bound, Software: w.Software, Short: w.Short, ShortFor: w.ShortFor,
+		})
+		if err == nil && answer.Term == 0 {
+			err = ErrNoHolder
+		}
+		if err == nil {
+			return relay.LoadStatus{Server: answer.Server, ReadyIn: answer.ReadyIn}, nil
+		}
+		if ctx.Err() != nil { // the request ended, or its time for this call, which shows nothing of the holder
+			return relay.LoadStatus{}, err
+		}
+		if next, _ := m.Lease.Current(); next.Term == asked.Term {
+			m.holderLost(sent, err)
+			return relay.LoadStatus{}, err
+		}
 	}
-	return relay.LoadStatus{Server: answer.Server, ReadyIn: answer.ReadyIn}, nil
 }
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -89,7 +89,8 @@
 	firstContact    holderContact        // with the current holder
 	loadRequests    map[loadRequestKey]*sentLoadRequest
 	connected       bool      // the last heartbeat was answered
-	unansweredSince time.Time // first heartbeat without an answer
+	unansweredSince time.Time // when the first call without an answer failed
+	silentSince     time.Time // when it was sent
 }
 
 // holderContact is when the holder of a term first answered this node.
@@ -170,7 +171,7 @@
 	}
 	m.nextHeartbeat = now.Add(heartbeatInterval)
 	if err := m.heartbeat(ctx); err != nil {
-		m.holderLost(err)
+		m.holderLost(now, err)
 		m.serversScarce = false
 		m.nextHeartbeat = now.Add(heartbeatRetry)
 		return heartbeatRetry
@@ -216,11 +217,11 @@
 // which then announces itself.
 const suspectDelay = 4 * time.Second
 
-// holderLost records that the holder does not answer.
-func (m *Member) holderLost(err error) {
+// holderLost records that the holder did not answer a call that was sent at the given time.
+func (m *Member) holderLost(sent time.Time, err error) {
 	m.mu.Lock()
 	if m.connected || m.unansweredSince.IsZero() {
-		m.unansweredSince = m.Time.Now()
+		m.unansweredSince, m.silentSince = m.Time.Now(), sent
 		m.Logger.Warn("coordinator lost", "error", err)
 	}
 	m.connected = false
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -143,7 +143,7 @@
 		Missing: s.server, Gone: s.gone, Bound: c.pinned, Software: c.software, Short: s.short, ShortFor: s.shortFor,
 	})
 	if err != nil && status.ReadyIn <= 0 {
-		status.ReadyIn = unknownReady
+		status.ReadyIn = c.readyUnanswered(status.Silence)
 	}
 	if status.Server != "" && c.need.Model != "" {
 		c.relay.Servers.OverrideHolding(status.Server, c.need, true, c.relay.Time.Now().Add(assumedHeldTime))
--- a/pkg/relay/hold.go
+++ b/pkg/relay/hold.go
@@ -40,6 +40,23 @@
 // take over as coordinator and have the model loaded.
 const unknownReady = 4 * time.Second
 
+// takeoverTime is how long after its loss another coordinator has answered, if there is one: the lease expires after 2.5 s,
+// nodes look for it each 0.4 s, and a call to the lost one may last 0.7 s.
+const takeoverTime = 3600 * time.Millisecond
+
+// readyUnanswered returns the assumed time until the model is ready while no coordinator answers and none told: part of
+// unknownReady has passed, and none of the load.
+func (c *call) readyUnanswered(silence time.Duration) time.Duration {
+	if silence >= takeoverTime {
+		return unknownReady
+	}
+	load := time.Duration(0)
+	if c.engine != nil && c.need.Adapter == "" && c.engine.Models[c.need.Model] != nil {
+		load = c.engine.Models[c.need.Model].LoadTime
+	}
+	return max(unknownReady-silence, min(load, unknownReady))
+}
+
 // readyMargin is how much later than expected models are usually ready: the end of a load is
 // noticed by a record and a poll, each about 100 ms old.
 const readyMargin = 300 * time.Millisecond
--- a/pkg/relay/hold_test.go
+++ b/pkg/relay/hold_test.go
@@ -11,6 +11,7 @@
 	"github.com/leanovate/gopter/prop"
 	"github.com/pkg/errors"
 
+	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/route"
 )
 
@@ -124,3 +125,29 @@
 		}
 	}
 }
+
+// Guards against waiters who are refused as if their coordinator were lost anew with each call, and against some that are
+// held though their model can't be loaded in their time.
+func TestTimeWithoutACoordinatorCounts(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		load    time.Duration
+		adapter string
+		silence time.Duration
+		want    time.Duration
+	}{
+		{"lost just now", 0, "", 0, unknownReady},
+		{"lost a while ago", 0, "", 3 * time.Second, unknownReady - 3*time.Second},
+		{"the load takes longer", 2500 * time.Millisecond, "", 3 * time.Second, 2500 * time.Millisecond},
+		{"an adapter", 2500 * time.Millisecond, "x", 3 * time.Second, unknownReady - 3*time.Second},
+		{"a very long load", time.Minute, "", 3 * time.Second, unknownReady},
+		{"no other one came", 0, "", takeoverTime, unknownReady},
+		{"never known", 0, "", 1 << 62, unknownReady},
+	} {
+		c := &call{request: request{need: backend.Need{Model: "m", Adapter: test.adapter},
+			engine: &route.Engine{Models: map[string]*route.Model{"m": {Name: "m", LoadTime: test.load}}}}}
+		if got := c.readyUnanswered(test.silence); got != test.want {
+			t.Errorf("%s: %v, want %v", test.name, got, test.want)
+		}
+	}
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -101,6 +101,7 @@
 	Server  string        // server that already holds the model; empty: none
 	ReadyIn time.Duration // expected time until the model is ready; zero: unknown
 	Age     time.Duration // age of this information
+	Silence time.Duration // with an error: for how long no coordinator has answered
 }
 
 // ModelLoader has models loaded on request. RequestLoad does not wait for the load. With an error, the status is what is
