lease: evidence does not make the record too large for the store

A store refuses rows above its limit, 64 KiB on the deployments at hand. A record that is refused is not renewed, so that the lease is lost. Seen with a store of the tests that has such a limit; callers have not seen it, as so many requests that end servers at once are rare.

Evidence is now added while the record's JSON is below 40 KiB, the gravest first. What doesn't fit stays in the nodes' memory, which hold it as before, and is lost only with all nodes.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -55,6 +55,9 @@
 	// suspicionWindow is the time since the last read after which a suspicion starts a new series.
 	suspicionWindow = 2 * Expiry
 	maxIntents      = 200 // kept in the record; the oldest are dropped
+	// maxRecordBytes is the size of the record's JSON up to which evidence is added: a store refuses rows above its limit,
+	// and the lease is lost then. In base64 that is 54 of the 64 KiB that stores allow.
+	maxRecordBytes = 40 << 10
 )
 
 // Lease takes, holds and observes the lease for this node. Set the exported fields before Run.
@@ -82,7 +85,7 @@
 	// This is safe if servers refuse orders of lower terms and most nodes report to this holder. If it is
 	// nil, the node may not. It is called with the lease locked and must not call the lease.
 	AllowOffline func() bool
-	// Quarantine takes in the evidence in the record and returns the evidence that the record is to have; if
+	// Quarantine takes in the evidence in the record and returns the evidence that the record is to have, the gravest first; if
 	// nil, the record keeps its evidence. It is called with the lease locked and must not call the lease.
 	Quarantine func(recorded []quarantine.Aged) []quarantine.Aged
 	// Quotas returns the balances of scarce tenants' quotas that the record is to have. If it returns false
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/base64"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"strings"
@@ -28,9 +30,22 @@
 	queueEnd       time.Time     // when the last queued write is done
 	started        time.Time     // zero of the store's clock
 	reads          int           // number of calls of Read
+	rowLimit       int           // of a record's JSON in base64, in bytes; zero: none
 }
 
-var errUnavailable = errors.New("the store is unavailable")
+var (
+	errUnavailable = errors.New("the store is unavailable")
+	errTooLarge    = errors.New("the row is too large")
+)
+
+// recordSize returns the size of a record's JSON, in bytes.
+func recordSize(r Record) int {
+	text, err := json.Marshal(r)
+	if err != nil {
+		panic(err)
+	}
+	return len(text)
+}
 
 func (m *fakeStore) now() int64 { return time.Since(m.started).Milliseconds() }
 
@@ -70,6 +85,9 @@
 		m.mu.Lock()
 		return Stored{}, ctx.Err()
 	}
+	if m.rowLimit > 0 && base64.StdEncoding.EncodedLen(recordSize(r)) > m.rowLimit {
+		return Stored{}, errTooLarge
+	}
 	if over.Version.Number() != m.stored.Version.Number() || over.Record.Mark != m.stored.Record.Mark {
 		s := m.stored
 		s.Now = m.now()
--- a/pkg/lease/write.go
+++ b/pkg/lease/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
 	"time"
 
@@ -38,9 +39,6 @@
 	if fleet > 0 {
 		next.Fleet = fleet
 	}
-	if l.Quarantine != nil {
-		next.Quarantine = toQuarantined(l.Quarantine(next.Aged(now)), now)
-	}
 	l.updateQuotas(&next, now)
 	l.updateSole(&next)
 	l.unwritten = unexpired(l.unwritten, now)
@@ -52,9 +50,30 @@
 	if extra := len(next.Intents) - maxIntents; extra > 0 {
 		next.Intents = next.Intents[extra:]
 	}
+	if l.Quarantine != nil {
+		evidence := toQuarantined(l.Quarantine(next.Aged(now)), now)
+		next.Quarantine = nil
+		next.Quarantine = thatFit(evidence, maxRecordBytes-jsonSize(next))
+	}
 	return next, len(l.unwritten)
 }
 
+// thatFit returns as much of the evidence, the gravest first, as fits into some bytes of the record.
+func thatFit(evidence []Quarantined, room int) []Quarantined {
+	for i, q := range evidence {
+		if room -= jsonSize(q) + len(","); room < 0 {
+			return evidence[:i]
+		}
+	}
+	return evidence
+}
+
+// jsonSize returns the size of a record, or a part of it, as stores keep it.
+func jsonSize(value any) int {
+	text, _ := json.Marshal(value) // can't fail: there are only texts, numbers, and lists of them
+	return len(text)
+}
+
 // updateQuotas sets the quota balances of a record of this node's term. The caller holds mu.
 func (l *Lease) updateQuotas(r *Record, now int64) {
 	if l.Quotas == nil {
