quarantine: lasting suspicions that an operator lifted do not return

What operators would see: a request that is suspected by two or more lasting doubts and is lifted is suspected again 0.7 s later, with the next renewal of the lease, for as long as evidence lasts. Shown by a test, not seen on a deployment.

The record of the lease keeps lasting doubts now, and the holder takes the record in before it writes the next one. A request that ran to its end is remembered for a minute, so that its doubts are dropped as they are read; a lift is not remembered. Other nodes kept such doubts also before, as what a lift tells them marks the ends as cleared and says nothing of doubts.

A lasting doubt is at a server whose end is known, and a lift clears that end. So where one side has the end as cleared and the other has not, the other's doubts at that server are older, and are dropped as evidence is merged. New suspicions at other servers count as before.

TestLiftedSuspicionsReturn: without the change suspected at all three nodes after the lift and after a node that was not told has written the record; with it at that node alone.

--- a/pkg/quarantine/suspicion.go
+++ b/pkg/quarantine/suspicion.go
@@ -126,6 +126,27 @@
 	return changed
 }
 
+// clearedSince reports whether a server's crash is cleared here and not yet in the other evidence, whose suspicions of
+// runs on the server are older than that.
+func (e *Evidence) clearedSince(other Evidence, server string) bool {
+	has := func(list []End, cleared bool) bool {
+		return slices.ContainsFunc(list, func(end End) bool { return end.Server == server && end.Cleared == cleared })
+	}
+	return has(e.Ends, true) && has(other.Ends, false)
+}
+
+// unclearedDoubts returns the doubts of other evidence but for those that were cleared since.
+func (e *entry) unclearedDoubts(other Evidence) []Doubt {
+	return slices.DeleteFunc(slices.Clone(other.Doubts), func(d Doubt) bool { return e.clearedSince(other, d.Server) })
+}
+
+// dropClearedSuspicions drops suspicions that were cleared where the other evidence is from. It reports whether there were any.
+func (e *entry) dropClearedSuspicions(other Evidence) bool {
+	before := len(e.suspicions)
+	e.suspicions = slices.DeleteFunc(e.suspicions, func(d suspicion) bool { return other.clearedSince(e.Evidence, d.server) })
+	return len(e.suspicions) < before
+}
+
 // pruneSuspicions drops suspicions that expired or whose crash is known. It reports whether there were any.
 func (e *entry) pruneSuspicions(now time.Time) bool {
 	before := len(e.suspicions)
--- a/pkg/quarantine/suspicion_test.go
+++ b/pkg/quarantine/suspicion_test.go
@@ -183,6 +183,47 @@
 	}
 }
 
+// Guards against lasting suspicions that an operator lifted and that return from the platform's store, or stay at other nodes.
+func TestLiftedSuspicionsReturn(t *testing.T) {
+	f := request(1)
+	var holder, other, late Table
+	var runs []Run
+	for range 3 {
+		runs = append(runs, beginRun(&holder, f, testStart, "i-0"))
+		holder.Suspect(testStart, runs[len(runs)-1])
+	}
+	holder.Merge(testStart, runs[0].CrashEvidence())
+	stored := holder.MergeStored(testStart, nil)
+	for _, table := range []*Table{&other, &late} {
+		table.MergeStored(testStart, stored)
+	}
+	standings := func(now time.Time) string {
+		return fmt.Sprint(holder.Standing(now, f), other.Standing(now, f), late.Standing(now, f))
+	}
+	if got, want := standings(testStart), fmt.Sprint(Suspected, Suspected, Suspected); got != want {
+		t.Fatalf("before the request is lifted: %s, want %s", got, want)
+	}
+	now := testStart.Add(time.Second)
+	other.Merge(now, holder.Clear(now, f).Evidence)
+	old := stored
+	stored = holder.MergeStored(now, old)
+	if got, want := standings(now), fmt.Sprint(Free, Free, Suspected); got != want || len(stored) > 0 {
+		t.Errorf("once the request is lifted, and late is not told: %s, want %s; stored: %+v", got, want, stored)
+	}
+	holder.MergeStored(now, late.MergeStored(now, old)) // late writes the record as the next holder
+	if got, want := standings(now), fmt.Sprint(Free, Free, Suspected); got != want {
+		t.Errorf("once late has written the record: %s, want %s", got, want)
+	}
+	suspectRuns(&holder, f, now, "i-1", "i-1")
+	holder.Merge(now, Evidence{Request: f, Ends: []End{{Server: "i-1", Round: 1}}})
+	later := now.Add(SuspicionTime + time.Second)
+	stored = holder.MergeStored(later, nil)
+	other.MergeStored(later, stored)
+	if got, want := standings(later), fmt.Sprint(Suspected, Suspected, Suspected); got != want || len(stored) != 1 {
+		t.Errorf("after new suspicions: %s, want %s; stored: %+v", got, want, stored)
+	}
+}
+
 // TestLivingServerRemainsInDoubt: connections to a server that broke twice are no lasting evidence while it is not known to have crashed.
 func TestLivingServerRemainsInDoubt(t *testing.T) {
 	var table Table
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -179,14 +179,16 @@
 		t.noteCompleted(now, now.Add(min(other.ClearedFor, completedTime)), other.Part, other.Request)
 	}
 	return t.change(now, at, e, func() bool {
-		changed := e.merge(other)
+		changed := e.dropClearedSuspicions(other)
+		doubts := e.unclearedDoubts(other)
+		changed = e.merge(other) || changed
 		changed = e.noteRefused(now, other.RefusedAgo) || changed
 		if t.clearedFor(now, other.Part, other.Request) > 0 {
 			e.suspicions = nil
 			return e.clear() || changed
 		}
 		e.pruneSuspicions(now)
-		if e.mergeSuspicions(now, other.Doubts) {
+		if e.mergeSuspicions(now, doubts) {
 			t.noteSuspicions(now, e.suspicions)
 			changed = true
 		}
