site: requests that came while their node stood still at the end of its stop are answered, not reset

Why the processes stood is not shown: no scheduler trace was kept.

Cause of the resets. When it goes on, such a node finds its time over, and closes its listener at once: the kernel resets what waits there to be accepted. Now it accepts for 30 ms more, of the 0.2 s for answers, in which all that waits gets its 503.

--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -364,6 +364,9 @@
 	// shutdownTimeout is the time for sending the responses to cancelled requests and for closing unused
 	// connections.
 	shutdownTimeout = 200 * time.Millisecond
+	// backlogTime is the part of shutdownTimeout in which connections are still accepted. Many wait for that if this process
+	// has just stood still, and would be reset with their requests.
+	backlogTime = 30 * time.Millisecond
 	// cutOffTime is the time for requests whose connections were closed to end and to be logged. The rest of
 	// stopMargin is for other nodes' connections and the log.
 	cutOffTime = 100 * time.Millisecond
@@ -390,6 +393,7 @@
 	s.relay.CancelAll()
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
+	time.Sleep(backlogTime)
 	// The server's own Shutdown closes connections from which a request was just read. Those that are still open are closed below.
 	open := conns.shutDown(ctx)
 	cutOff := s.relay.InFlight()
