quarantine: a test that short suspicions are not stored beside lasting ones

No test failed when the record kept all suspicions of the requests that it has. TestLastingSuspicionsAreLostWithAllNodes has one that expires soon beside the lasting one, and fails then.

--- a/pkg/quarantine/suspicion_test.go
+++ b/pkg/quarantine/suspicion_test.go
@@ -153,6 +153,7 @@
 		t.Errorf("suspicions that expire soon are stored: %+v", stored)
 	}
 	before.Merge(testStart, runs[0].CrashEvidence())
+	suspectRuns(&before, f, testStart, "i-1") // expires soon
 	bytes, err := json.Marshal(before.MergeStored(testStart, nil))
 	if err != nil {
 		t.Fatal(err)
@@ -164,6 +165,9 @@
 	if len(stored) != 1 {
 		t.Fatalf("the store keeps %+v, want the evidence on one request", stored)
 	}
+	if len(stored[0].Doubts) != 1 {
+		t.Errorf("the store keeps the suspicions %+v, want the lasting one", stored[0].Doubts)
+	}
 	const age = SuspicionTime + time.Second
 	later := testStart.Add(age)
 	stored[0].Age = age
