site: a test of what the rest of a caller's connection is counted from

No test failed when a connection's rest was counted from the end of its first wait instead of its last request, nor when a new connection was kept for as long as a used one. TestRestOfAConnectionIsMistaken has a case for each, and for a head on a used connection.

--- a/pkg/site/callers_test.go
+++ b/pkg/site/callers_test.go
@@ -282,3 +282,36 @@
 		})
 	}
 }
+
+// Guards against a rest that is counted from before the last request, or that ends by the minimum of another kind of connection.
+func TestRestOfAConnectionIsMistaken(t *testing.T) {
+	const head, idle = 10 * time.Second, 2 * time.Minute
+	least := callerTimes{head: head, idle: idle}
+	for name, test := range map[string]struct {
+		used, begun bool
+		rest        time.Duration
+		want        bool
+	}{
+		"new":                      {rest: head - time.Second},
+		"new, overdue":             {rest: head + time.Second, want: true},
+		"used":                     {used: true, rest: idle - time.Second},
+		"used, overdue":            {used: true, rest: idle + time.Second, want: true},
+		"used, in a head, overdue": {used: true, begun: true, rest: head + time.Second, want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			c := &callerConn{since: now.Add(-time.Hour)}
+			if test.used {
+				c.startWaiting(callerTimes{})
+			} else {
+				c.since = now
+			}
+			if test.begun {
+				c.begun = now
+			}
+			if got := c.overdue(now.Add(test.rest), callerTimes{}, least); got != test.want {
+				t.Errorf("after %v overdue: %v", test.rest, got)
+			}
+		})
+	}
+}
