e2e: requests to a frozen engine after a takeover

A new owner takes over which servers can't be reached ("a new owner does not show a silent server as reachable"); this plays it with processes: the engine frozen, the owner stopped, a request with a deadline at another node gets a refusal marked as not run.

--- a/e2e/engines_test.go
+++ b/e2e/engines_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -220,6 +221,36 @@
 	askUntilServed(t, c.nodes[1], "glaze-7b")
 }
 
+// TestRequestsGoToAFrozenEngineAfterATakeover guards against requests that are held by a frozen engine beyond their deadlines
+// because a new owner takes the engine for reachable.
+func TestRequestsGoToAFrozenEngineAfterATakeover(t *testing.T) {
+	t.Parallel()
+	const (
+		deadline  = 3 * time.Second
+		tolerance = 10 * time.Second // for delays on a busy machine
+		forgotten = 4 * time.Second  // for that long a node goes by answers that it got itself
+	)
+	c := startClusterWith(t, options{tree: "policy: never-unload\n" + siteTree})
+	askUntilServed(t, c.nodes[0], "glaze-7b")
+	holder := c.holder(t, "glaze-7b")
+	c.freezeEngine(t, holder)
+	time.Sleep(forgotten)
+	owner, other := c.owner(t)
+	owner.signal(syscall.SIGSTOP)
+	c.waitForOtherOwner(t, other, owner.id)
+	began := time.Now()
+	_, err := tryUnstreamed(t.Context(), other, "glaze-7b", option.WithHeader("X-Deadline-Ms", strconv.Itoa(int(deadline.Milliseconds()))))
+	if refusal, _ := refusalOf(err); refusal == nil || !notRun(err) {
+		t.Errorf("got %v, want a refusal marked as not run", err)
+	}
+	if took := time.Since(began); took > deadline+tolerance {
+		t.Errorf("the answer took %s with a deadline of %s", took, deadline)
+	}
+	owner.signal(syscall.SIGCONT)
+	holder.signal(syscall.SIGCONT)
+	askUntilServed(t, other, "glaze-7b")
+}
+
 // freezeEngine freezes an engine and waits until a node sees it as unreachable.
 func (c *cluster) freezeEngine(t *testing.T, frozen *engineProcess) {
 	t.Helper()
