--- a/pkg/site/callers_test.go
+++ b/pkg/site/callers_test.go
@@ -139,25 +139,32 @@
 	}
 }
 
-// Guards against a connection that is ended though a request has arrived on it, which a node that was held up has not read yet.
-func TestRequestThatArrivedBeforeItsConnectionEndedIsLost(t *testing.T) {
-	t.Parallel()
+// acceptCaller returns a caller's connection at both ends, without an HTTP server.
+func acceptCaller(t *testing.T) (s *callers, caller net.Conn, accepted *callerConn) {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &callers{Listener: listener, limits: func() route.Limits { return route.Limits{} }, open: make(map[*callerConn]struct{})}
-	defer func() { _ = s.Close() }()
-	caller, err := net.Dial("tcp", listener.Addr().String())
+	t.Cleanup(func() { _ = listener.Close() })
+	s = &callers{Listener: listener, limits: func() route.Limits { return route.Limits{} }, open: make(map[*callerConn]struct{})}
+	caller, err = net.Dial("tcp", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = caller.Close() }()
+	t.Cleanup(func() { _ = caller.Close() })
 	conn, err := s.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = conn.Close() }()
+	t.Cleanup(func() { _ = conn.Close() })
+	return s, caller, conn.(*callerConn)
+}
+
+// Guards against a connection that is ended though a request has arrived on it, which a node that was held up has not read yet.
+func TestRequestThatArrivedBeforeItsConnectionEndedIsLost(t *testing.T) {
+	t.Parallel()
+	s, caller, conn := acceptCaller(t)
 	all := func(*callerConn) bool { return true }
 	buffer := make([]byte, 2*len(siteRequest))
 	for i := range 2 { // what it reads undoes its end, so that the next one can be read as well
@@ -248,23 +255,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			s := &callers{Listener: listener, limits: func() route.Limits { return route.Limits{} }, open: make(map[*callerConn]struct{})}
-			defer func() { _ = s.Close() }()
-			caller, err := net.Dial("tcp", listener.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = caller.Close() }()
-			accepted, err := s.Accept()
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = accepted.Close() }()
-			c := accepted.(*callerConn)
+			s, caller, c := acceptCaller(t)
 			if _, err := io.WriteString(caller, siteRequest[:20]); err != nil {
 				t.Fatal(err)
 			}
