--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,9 @@
 	couldNot = 2
 )
 
+// longest is the time after which a case is given up.
+const longest = 115 * time.Second
+
 // site is what all cases share.
 type site struct {
 	root, dir string
@@ -53,9 +56,6 @@
 		return failed(err)
 	}
 	defer os.RemoveAll(s.dir)
-	if keep := os.Getenv("KEEP_LOGS"); keep != "" {
-		s.dir = keep
-	}
 	if s.record, err = openRecord(filepath.Join(os.Args[2], "record.txt")); err != nil {
 		return failed(err)
 	}
@@ -66,8 +66,13 @@
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
 	go func() {
-		<-interrupted
+		select {
+		case <-interrupted:
+		case <-time.After(longest):
+			fmt.Fprintln(os.Stderr, "the case takes too long")
+		}
 		s.endNodes()
+		_ = os.RemoveAll(s.dir)
 		os.Exit(couldNot)
 	}()
 	code, err := cases[os.Args[1]](s)
@@ -75,7 +80,7 @@
 		s.record.line("the case couldn't run: %v", err)
 		return failed(err)
 	}
-	s.record.line("exit %d", code)
+	s.record.line("TROUBLE=%t, exit %d", s.trouble, code)
 	return code
 }
 
