backend, relay: how much of an answer had arrived when an attempt ended

Cause: the line of a request tells neither whether a server had sent anything before an attempt ended without an answer, nor how much of a body was read, so that a silent server, a head without end and a body without end look alike. Change: bytes are counted by connection and exchange; the error of an attempt without an answer names them, and an attempt that failed within its answer has received_bytes.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -96,7 +96,8 @@
 	net.Conn
 	pool     *pool
 	indirect bool // it leads through another node
-	reader   *bufio.Reader
+	inbound  *inbound
+	reader   *bufio.Reader // of inbound
 	idleAt   time.Time     // when the connection became idle
 	idleFor  time.Duration // idle time after which the server closes the connection; zero: unknown
 	// suspended is the total time for which the machine had been suspended when the connection became idle.
@@ -130,7 +131,8 @@
 
 func newConn(p *pool, nc net.Conn) *conn {
 	_, indirect := nc.(IndirectConn)
-	c := &conn{Conn: nc, pool: p, indirect: indirect, reader: bufio.NewReaderSize(nc, readBufferBytes)}
+	in := &inbound{from: nc}
+	c := &conn{Conn: nc, pool: p, indirect: indirect, inbound: in, reader: bufio.NewReaderSize(in, readBufferBytes)}
 	go c.read()
 	return c
 }
@@ -255,6 +257,7 @@
 	if c.closed != nil {
 		return c.closed
 	}
+	c.inbound.received.Store(0)
 	c.current = x
 	return nil
 }
@@ -305,18 +308,26 @@
 			writing = nil
 		case a := <-x.answers:
 			if a.err != nil {
-				return nil, errors.Wrap(ErrNoAnswer, a.err.Error())
+				return nil, c.noAnswer(a.err)
 			}
 			answer := newAnswer(ctx, c, x, a.response)
 			answer.written, answer.writing = written, writing
 			return answer, nil
 		case <-ctx.Done():
 			c.abandon(x, context.Cause(ctx))
-			return nil, errors.Wrap(ErrNoAnswer, context.Cause(ctx).Error())
+			return nil, c.noAnswer(context.Cause(ctx))
 		}
 	}
 }
 
+// noAnswer returns the error of an exchange without a response, which tells how much of one had arrived.
+func (c *conn) noAnswer(cause error) error {
+	if n := c.inbound.received.Load(); n > 0 {
+		return errors.Wrapf(ErrNoAnswer, "%v, after %d bytes", cause, n)
+	}
+	return errors.Wrap(ErrNoAnswer, cause.Error())
+}
+
 // errNotReusable is returned if a connection ends with the response to a probe.
 var errNotReusable = errors.New("backend: connection closed after a probe")
 
@@ -384,6 +395,9 @@
 	return a
 }
 
+// Received returns the number of bytes that have arrived since the request was sent, head included.
+func (a *Answer) Received() int64 { return a.conn.inbound.received.Load() }
+
 // Read reads the body. It returns io.EOF only at the end of a complete body.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -60,10 +60,11 @@
 	events        int  // passed on
 	hedge         bool // it began beside another one
 	err           error
-	serverCrashed bool // the server was found to have crashed
-	unframed      bool // the answer had no length and no chunks, so that it ended with its connection
-	restBytes     int  // received after the last whole event when the answer ended
-	partsAnswered bool // it was recorded that the parts of the prompt crash no server
+	serverCrashed bool  // the server was found to have crashed
+	unframed      bool  // the answer had no length and no chunks, so that it ended with its connection
+	restBytes     int   // received after the last whole event when the answer ended
+	received      int64 // bytes of the answer that had arrived when the attempt ended, head included
+	partsAnswered bool  // it was recorded that the parts of the prompt crash no server
 }
 
 // answerDuration returns how long the server sent its answer; zero if none began.
@@ -312,6 +313,7 @@
 	Ended     bool   `json:"server_ended,omitempty"`
 	Unframed  bool   `json:"unframed,omitempty"`
 	RestBytes int    `json:"rest_bytes,omitempty"`
+	Received  int64  `json:"received_bytes,omitempty"` // of an answer that was not passed on whole
 }
 
 func (c *call) describeTries() []tryLine {
@@ -321,7 +323,7 @@
 			TookMS: t.ended.Sub(t.started).Milliseconds(), RanMS: t.answerDuration().Milliseconds(),
 			Hedge: t.hedge, Verdict: t.verdict.String(), Ended: t.serverCrashed, Unframed: t.unframed, RestBytes: t.restBytes}
 		if t.err != nil {
-			lines[i].Error = t.err.Error()
+			lines[i].Error, lines[i].Received = t.err.Error(), t.received
 		}
 	}
 	return lines
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -144,6 +144,7 @@
 		r.take(u)
 	}
 	if r.answer != nil {
+		r.try.received = r.answer.Received()
 		r.answer.Close()
 	}
 	r.cancel(nil)
