memory: a budget for what requests hold, and a buffer within it

Cause: limits of single messages don't bound what a crowd of them holds. Change: a package, not used yet. Each holder has a small part beside the budget, so that ordinary requests need nothing of it.

--- /dev/null
+++ b/pkg/memory/budget.go
@@ -0,0 +1,83 @@
+// Package memory bounds what a process holds for its requests at once. Limits of single messages are not enough for
+// that: a crowd of messages that are all within their limits takes any amount.
+package memory
+
+import (
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// ErrUsedUp means that a budget has no room for what was to be held.
+var ErrUsedUp = errors.New("memory: the budget for what requests hold is used up")
+
+// FreeBytes is what each holder may hold beside the budget, so that ordinary requests are served whatever others hold.
+// Their number is bounded by that of connections.
+const FreeBytes = 4 << 10
+
+// Budget bounds the bytes that all its holders hold at once. A nil budget, or one without a limit, bounds nothing. Safe
+// for concurrent use.
+type Budget struct {
+	Limit int64 // bytes; zero: unlimited. Set before use.
+
+	mu      sync.Mutex
+	used    int64
+	most    int64
+	refused int64
+}
+
+// Usage is the state of a budget.
+type Usage struct {
+	Used    int64 // bytes that are held
+	Most    int64 // the most that were held at once
+	Refused int64 // how often something was not held
+}
+
+// Usage returns the state of the budget.
+func (b *Budget) Usage() Usage {
+	if b == nil {
+		return Usage{}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Usage{Used: b.used, Most: b.most, Refused: b.refused}
+}
+
+// take changes what is held by a number of bytes. It returns false, and changes nothing, if the budget has no room.
+func (b *Budget) take(change int64) bool {
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if change > 0 && b.Limit > 0 && b.used+change > b.Limit {
+		b.refused++
+		return false
+	}
+	b.used += change
+	b.most = max(b.most, b.used)
+	return true
+}
+
+// Hold is what one holder holds. It belongs to one goroutine at a time.
+type Hold struct {
+	budget  *Budget
+	charged int64 // bytes beyond FreeBytes
+}
+
+// Hold returns a hold of nothing.
+func (b *Budget) Hold() Hold { return Hold{budget: b} }
+
+// Resize changes the hold to a number of bytes. It returns false, and changes nothing, if the budget has no room. A hold
+// can always shrink.
+func (h *Hold) Resize(bytes int) bool {
+	charged := max(int64(bytes)-FreeBytes, 0)
+	if !h.budget.take(charged - h.charged) {
+		return false
+	}
+	h.charged = charged
+	return true
+}
+
+// Release returns all that is held.
+func (h *Hold) Release() { h.Resize(0) }
