backend: the head of a server's answer has a bound

Cause: http.ReadResponse reads to the end of a line and of a head with no limit; the same for what a server sends after a whole answer, which is read as the next head. The body of a response to another request was skipped for as long as it lasted. Change: the read loop counts what a head takes: 16 kB and 256 lines, as each line takes some hundred bytes of memory; 4 MiB of a skipped response. Beyond that the connection is closed and the attempt has failed.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -131,7 +131,7 @@
 
 func newConn(p *pool, nc net.Conn) *conn {
 	_, indirect := nc.(IndirectConn)
-	in := &inbound{from: nc}
+	in := &inbound{from: nc, headLeft: unlimited}
 	c := &conn{Conn: nc, pool: p, indirect: indirect, inbound: in, reader: bufio.NewReaderSize(in, readBufferBytes)}
 	go c.read()
 	return c
@@ -182,10 +182,14 @@
 func (c *conn) readHeader(x *exchange) (*http.Response, error) {
 	request := &http.Request{Method: x.message.Method}
 	for range maxForeignResponses {
+		c.inbound.limitHead()
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, err
 		}
+		if err := c.inbound.endHead(response.Header); err != nil {
+			return nil, err
+		}
 		c.noteHeard()
 		if response.StatusCode < http.StatusOK {
 			continue
@@ -195,7 +199,7 @@
 			return response, nil
 		}
 		c.pool.onResponse(time.Time{}, response)
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := skip(response.Body); err != nil {
 			return nil, err
 		}
 		if response.Close {
@@ -205,6 +209,15 @@
 	return nil, errForeignResponses
 }
 
+// skip reads a body to its end.
+func skip(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxForeignBytes+1))
+	if err == nil && n > maxForeignBytes {
+		return errForeignTooLong
+	}
+	return err
+}
+
 // noteHeard tells that the server was heard, if directly.
 func (c *conn) noteHeard() {
 	if c.pool.reach != nil && !c.indirect {
--- a/pkg/backend/inbound.go
+++ b/pkg/backend/inbound.go
@@ -1,19 +1,71 @@
 package backend
 
 import (
+	"bytes"
 	"io"
+	"net/http"
 	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// maxHeadBytes limits the head of a response, with the buffer that reads ahead of it.
+	maxHeadBytes = 16 << 10
+	// maxHeadLines limits the lines of a head, each of which takes some hundred bytes of memory however short it is.
+	maxHeadLines = 256
+	// maxForeignBytes limits the bodies of responses to other requests that are skipped before a response.
+	maxForeignBytes = 4 << 20
+)
+
+var (
+	errHeadTooLong    = errors.New("backend: the head of a response is too long")
+	errForeignTooLong = errors.New("backend: a response to another request is too long")
 )
 
-// inbound is what a server sends on a connection.
+var lineEnd = []byte{'\n'}
+
+// unlimited is the headLeft of an inbound that reads no head.
+const unlimited = -1
+
+// inbound is what a server sends on a connection. Its reader is the connection's read loop or, within a body, whoever
+// reads that; received may be read at any time.
 type inbound struct {
 	from     io.Reader
 	received atomic.Int64 // bytes since the current exchange began
+	headLeft int          // bytes that the current head may still take; unlimited: none is read
+	lines    int          // that the current head has brought
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. It returns errHeadTooLong once a head has taken all that it may.
 func (in *inbound) Read(p []byte) (int, error) {
+	if in.headLeft == 0 || in.lines > maxHeadLines {
+		return 0, errHeadTooLong
+	}
+	if in.headLeft > 0 {
+		p = p[:min(len(p), in.headLeft)]
+	}
 	n, err := in.from.Read(p)
 	in.received.Add(int64(n))
+	if in.headLeft > 0 {
+		in.headLeft -= n
+		in.lines += bytes.Count(p[:n], lineEnd) // too many if the body begins here, but then the head is not read on
+	}
 	return n, err
 }
+
+// limitHead begins to count what the next head takes.
+func (in *inbound) limitHead() { in.headLeft = maxHeadBytes }
+
+// endHead ends the limit at the end of a head. It returns errHeadTooLong if the head has too many lines.
+func (in *inbound) endHead(h http.Header) error {
+	in.headLeft, in.lines = unlimited, 0
+	lines := 0
+	for _, values := range h {
+		lines += len(values)
+	}
+	if lines > maxHeadLines {
+		return errHeadTooLong
+	}
+	return nil
+}
