relay: an endless answer is no evidence against its request

What callers saw: after three answers that were no response of the protocol, sound requests with the same body waited up to their deadline for a trial, and were refused (503, 502 for those that had run). Cause: any attempt without a response counted as a connection that broke, as under a crash. But the server lived and went on sending; it was the node that closed. Change: the error of an attempt says whether the connection had ended or what came was malformed. After the latter the request is blamed only if the server is found to have ended (its port refuses, its record goes), and not suspected before.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -35,6 +36,8 @@
 	ErrNotSent = errors.New("backend: not sent")
 	// ErrNoAnswer means that at least a part of the request was sent, but no response came.
 	ErrNoAnswer = errors.New("backend: sent, no answer")
+	// ErrMalformed is an ErrNoAnswer of a server that lives but sent no response.
+	ErrMalformed = errors.New("backend: no response of the protocol")
 	// ErrBroken means that the response ended before it was complete.
 	ErrBroken = errors.New("backend: answer broke off")
 
@@ -151,7 +154,7 @@
 			response, err = c.readHeader(x)
 		}
 		if err != nil {
-			x.answers <- headerResult{err: err}
+			x.answers <- headerResult{err: c.inbound.explain(err)}
 			c.fail(err)
 			return
 		}
@@ -335,10 +338,11 @@
 
 // noAnswer returns the error of an exchange without a response, which tells how much of one had arrived.
 func (c *conn) noAnswer(cause error) error {
-	if n := c.inbound.received.Load(); n > 0 {
-		return errors.Wrapf(ErrNoAnswer, "%v, after %d bytes", cause, n)
+	err := errors.Wrapf(ErrNoAnswer, "%v, after %d bytes", cause, c.inbound.received.Load())
+	if errors.Is(cause, ErrMalformed) {
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
-	return errors.Wrap(ErrNoAnswer, cause.Error())
+	return err
 }
 
 // errNotReusable is returned if a connection ends with the response to a probe.
--- a/pkg/backend/inbound.go
+++ b/pkg/backend/inbound.go
@@ -32,6 +32,7 @@
 // reads that; received may be read at any time.
 type inbound struct {
 	from     io.Reader
+	err      error        // with which from ended; nil: it lives
 	received atomic.Int64 // bytes since the current exchange began
 	headLeft int          // bytes that the current head may still take; unlimited: none is read
 	lines    int          // that the current head has brought
@@ -46,6 +47,7 @@
 		p = p[:min(len(p), in.headLeft)]
 	}
 	n, err := in.from.Read(p)
+	in.err = err
 	in.received.Add(int64(n))
 	if in.headLeft > 0 {
 		in.headLeft -= n
@@ -69,3 +71,11 @@
 	}
 	return nil
 }
+
+// explain returns the error of an exchange in which reading a response failed.
+func (in *inbound) explain(err error) error {
+	if in.err != nil {
+		return err
+	}
+	return errors.Wrap(ErrMalformed, err.Error())
+}
--- /dev/null
+++ b/pkg/relay/endless_test.go
@@ -0,0 +1,57 @@
+package relay
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"martenwheel.dev/pkg/quarantine"
+	"martenwheel.dev/pkg/route"
+)
+
+// endlessly sends a beginning and then a piece again and again, until the node closes the connection.
+func endlessly(begin, again string) answerer {
+	pieces := strings.Repeat(again, 100)
+	return func(w http.ResponseWriter, _ *http.Request, _ seen) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		defer conn.Close()
+		writeUntilClosed(conn, begin, pieces)
+	}
+}
+
+func writeUntilClosed(conn net.Conn, begin, pieces string) {
+	_, err := io.WriteString(conn, begin)
+	for err == nil {
+		_, err = io.WriteString(conn, pieces)
+	}
+}
+
+// Guards against sound requests that are suspected as their servers send what is no answer.
+func TestRequestsAreNotAccusedOfEndlessAnswers(t *testing.T) {
+	sealedHead := "HTTP/1.1 200 OK\r\n" + testHeaders.Seal + ": seal\r\n"
+	for name, answer := range map[string]answerer{
+		"line of a head": endlessly(sealedHead+"X: ", "a"),
+		"no protocol":    endlessly("", "a\n"),
+		"body":           endlessly(sealedHead+"Content-Length: 1099511627776\r\n\r\n", "a"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, route.Route{Kind: route.Safe, MaxAttempts: 3}, answer, answer, answer, answer)
+			q := &localQuarantine{}
+			s.relay.Quarantine = q
+			for range 3 {
+				if got := s.post("id", "sound"); got.status != http.StatusBadGateway {
+					t.Errorf("got %+v", got)
+				}
+			}
+			fingerprint := quarantine.FingerprintOf(http.MethodPost, "site.example", "/p/x", []byte("sound"))
+			if standing := q.Standing(fingerprint); standing != quarantine.Free || q.suspicionCount() > 0 || q.crashCount() > 0 {
+				t.Errorf("standing %v, %d suspicions, %d crashes", standing, q.suspicionCount(), q.crashCount())
+			}
+		})
+	}
+}
--- a/pkg/relay/hedge.go
+++ b/pkg/relay/hedge.go
@@ -277,7 +277,7 @@
 	case v == aborted:
 		c.watchForCrash(h)
 	case v == mayHaveRun && isConnectionBroken(err):
-		go c.relay.investigateHedge(context.WithoutCancel(ctx), h)
+		go c.relay.investigateHedge(context.WithoutCancel(ctx), h, err)
 	}
 	if v != aborted {
 		c.noteFailure(h, v, err)
--- a/pkg/relay/quarantine.go
+++ b/pkg/relay/quarantine.go
@@ -237,10 +237,12 @@
 	case !isConnectionBroken(err): // no sign of a crash
 		return
 	}
-	switch r.member.Probe(ctx) {
-	case backend.ProbeEnded:
+	switch probed := r.member.Probe(ctx); {
+	case probed == backend.ProbeEnded:
 		c.recordCrash(r)
-	case backend.ProbeLinkBroken: // this node's link explains the break, unless the server's record shows its end
+	case errors.Is(err, backend.ErrMalformed): // the server lived, and this node closed the connection
+		c.watchForCrash(r)
+	case probed == backend.ProbeLinkBroken: // this node's link explains the break, unless the server's record shows its end
 		c.watchForCrash(r)
 		c.noteUnproven(r)
 	default:
@@ -268,12 +270,12 @@
 
 // investigateHedge is investigateFailure for a hedge whose connection broke, beside the first run, whose events must not
 // wait for it.
-func (r *Relay) investigateHedge(ctx context.Context, h *run) {
-	switch h.member.Probe(ctx) {
-	case backend.ProbeEnded:
+func (r *Relay) investigateHedge(ctx context.Context, h *run, err error) {
+	switch probed := h.member.Probe(ctx); {
+	case probed == backend.ProbeEnded:
 		r.blameForCrash(h)
 		return
-	case backend.ProbeLinkBroken:
+	case probed == backend.ProbeLinkBroken, errors.Is(err, backend.ErrMalformed):
 	default:
 		r.streams.connectionBroke(h.member.ID, r.Time.Now())
 		r.recordSuspicion(ctx, h)
