relay: answers that are held until they are whole share a budget of memory

Cause: each answer was held up to 4 MiB, with copies as it grew, and nothing bounded the sum: the bound times the connections. An answer that the budget has no room for is passed on as it arrives and can't be retried; an event that it has no room for ends its run.

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -124,7 +124,7 @@
 	c.record.current = r.try
 	r.try.answered = c.resumption.answered
 	c.watchSilence(r)
-	r.start(c.message(m, c.resumption.from, backup), c.route.Kind, func() error { return c.checkBeforeSend(r) })
+	r.start(c.message(m, c.resumption.from, backup), c.route.Kind, c.relay.Answers, func() error { return c.checkBeforeSend(r) })
 	v, err := c.follow(ctx, r)
 	return r, v, err
 }
@@ -341,9 +341,10 @@
 	return true
 }
 
-// continuable reports whether another server may run the request. A stream whose events have no IDs would begin anew there.
+// continuable reports whether another server may run the request. A stream whose events have no IDs would begin anew there,
+// and so would an answer of which a part was passed on.
 func (c *call) continuable() bool {
-	return c.route.Repeatable() && (c.record.events == 0 || c.lastEvent != "")
+	return c.route.Repeatable() && !c.passedOn && (c.record.events == 0 || c.lastEvent != "")
 }
 
 // mayChooseSameServer reports whether the server is not why a request was not sent to it. acquire chooses again, or refuses.
--- a/pkg/relay/buffered.go
+++ b/pkg/relay/buffered.go
@@ -12,26 +12,25 @@
 	"martenwheel.dev/pkg/backend"
 )
 
-// maxBufferedBytes limits an answer that is held until it is complete.
-const maxBufferedBytes = 4 << 20
+// maxAnswerBytes limits an answer that is no stream.
+const maxAnswerBytes = 4 << 20
 
-// relayBuffered reads an answer to its end and passes it on unchanged. Nothing is sent before the
-// answer is complete, so that the request may be retried if it breaks off.
+var errAnswerTooLong = errors.New("relay: the answer is too long")
+
+// relayBuffered reads an answer to its end and passes it on unchanged. Nothing is sent before the answer is complete, so
+// that the request may be retried if it breaks off, unless there is no memory to hold it.
 func (c *call) relayBuffered(ctx context.Context, r *run) (attemptResult, error) {
 	u, err := c.next(ctx, r)
 	a, body := r.answer, u.data
 	switch {
 	case err != nil:
 		return mayHaveRun, err
-	case u.err != io.EOF && ctx.Err() != nil:
-		return aborted, context.Cause(ctx)
-	case u.err != io.EOF:
-		return mayHaveRun, u.err
-	case len(body) > maxBufferedBytes:
-		return mayHaveRun, errors.New("the answer is too large")
-	}
-	if c.mayRetryFailure(a.Status) {
+	case u.err != nil && u.err != io.EOF:
+		return readFailed(ctx, u.err)
+	case c.mayRetryFailure(a.Status):
 		return failedAnswer, errors.Errorf("status %d", a.Status)
+	case u.err == nil:
+		return c.relayPartially(ctx, r, body)
 	}
 	c.sendHead(a)
 	if c.http.Method != http.MethodHead {
@@ -46,6 +45,14 @@
 	return served, nil
 }
 
+// readFailed returns the result of an attempt in which reading the answer failed.
+func readFailed(ctx context.Context, err error) (attemptResult, error) {
+	if ctx.Err() != nil {
+		return aborted, context.Cause(ctx)
+	}
+	return mayHaveRun, err
+}
+
 // mayRetryFailure reports whether to retry a server's failure elsewhere rather than pass it on.
 func (c *call) mayRetryFailure(status int) bool {
 	return status >= http.StatusInternalServerError && (c.hedge != nil || c.mayRunAgain()) && c.timeLeft() > minRetryTime
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -81,6 +81,7 @@
 	unprovenRounds []int // by subject: rounds, with those in doubt, of the last attempt that broke although another node reached the server
 	unrun          bool  // no server may have run it when the current attempt began
 	headSent       bool
+	passedOn       bool          // a part of an answer that is no stream was sent
 	retryReserved  bool          // a retry was taken from the budget and not used yet
 	lent           chan bool     // receives whether a retry was lent; nil: none is being borrowed
 	pinned         bool          // the stream has events: only servers of one software version may continue it
--- a/pkg/relay/hedge.go
+++ b/pkg/relay/hedge.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -11,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/memory"
 	"martenwheel.dev/pkg/quarantine"
 	"martenwheel.dev/pkg/route"
 )
@@ -183,7 +183,7 @@
 	h := c.newRun(ctx, m, now)
 	h.try.hedge = true
 	c.hedge = h
-	h.start(c.message(m, "", nil), c.route.Kind, func() error { return c.checkHedge(h) })
+	h.start(c.message(m, "", nil), c.route.Kind, c.relay.Answers, func() error { return c.checkHedge(h) })
 	return true
 }
 
@@ -233,7 +233,12 @@
 	if h.content == nil {
 		h.content = &update{}
 	}
-	h.content.data, h.content.err = append(h.content.data, bytes.Clone(u.data)...), u.err
+	if len(h.content.data) == 0 && u.err != nil {
+		h.content.data = u.data // nothing follows that would reuse its memory
+	} else {
+		h.content.data = append(h.content.data, u.data...)
+	}
+	h.content.err = u.err
 	v, err := c.hedgeReady(ctx, h)
 	if err != nil && !errors.Is(err, errNotReady) {
 		c.hedgeFailed(ctx, v, err)
@@ -255,6 +260,8 @@
 		return served, nil
 	case streams && got.err == nil && len(got.data) > maxEventBytes:
 		return mayHaveRun, errEventTooLong
+	case got.err == nil && !streams: // it can't be held until it is whole
+		return mayHaveRun, memory.ErrUsedUp
 	case got.err == nil:
 		return served, errNotReady
 	case got.err != io.EOF && ctx.Err() != nil:
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -20,7 +20,7 @@
 //   - hedge.go: a second run beside one whose server is silent
 //   - quarantine.go: requests that crash servers
 //   - version.go: streams continue at the software version that they began at
-//   - buffered.go, stream.go, events.go: passing answers on
+//   - buffered.go, partial.go, stream.go, events.go: passing answers on
 //   - unframed.go: callers that get streams without framing
 //   - refuse.go: answers of the relay itself
 //   - budget.go, slack.go: the retry budget
@@ -44,6 +44,7 @@
 	"martenwheel.dev/pkg/backpressure"
 	"martenwheel.dev/pkg/clock"
 	"martenwheel.dev/pkg/lineage"
+	"martenwheel.dev/pkg/memory"
 	"martenwheel.dev/pkg/route"
 	"martenwheel.dev/pkg/traffic/routing"
 )
@@ -122,6 +123,7 @@
 	Keys    KeyAge
 	Quotas  Quotas // tenants' quotas; not enforced if nil
 	Servers *backend.Directory
+	Answers *memory.Budget // bounds what is held of answers; unlimited if nil
 	Loader  ModelLoader
 	// Quarantine keeps requests that crash servers away from them; not enforced if nil.
 	Quarantine Quarantine
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/memory"
 	"martenwheel.dev/pkg/quarantine"
 	"martenwheel.dev/pkg/route"
 )
@@ -32,6 +33,7 @@
 	dropped chan struct{} // closed when nobody takes updates any more
 
 	answer *backend.Answer // set when its head was taken
+	held   *memory.Buffer  // the content of an answer that is held until it is whole; nil: none is
 	over   bool            // the last update was taken
 
 	// Updates of a hedge that were taken before it became the run of the request; nil: none.
@@ -60,7 +62,7 @@
 }
 
 // start sends the message if check, which is called right before, returns no error.
-func (r *run) start(message *backend.Message, kind route.Kind, check func() error) {
+func (r *run) start(message *backend.Message, kind route.Kind, budget *memory.Budget, check func() error) {
 	go func() {
 		defer close(r.updates)
 		a, err := r.member.Send(r.ctx, message, func() error {
@@ -77,7 +79,7 @@
 		case kind == route.Stream && a.Status == http.StatusOK:
 			r.readPieces(a)
 		default:
-			r.readWhole(a)
+			r.readWhole(a, budget)
 		}
 	}()
 }
@@ -104,13 +106,31 @@
 	}
 }
 
-// readWhole reads an answer to its end, or to the limit of what is held.
-func (r *run) readWhole(a *backend.Answer) {
-	body, err := io.ReadAll(io.LimitReader(a, maxBufferedBytes+1))
-	if err == nil {
-		err = io.EOF
+// readWhole reads an answer to its end within a budget. If that has no room for it, the answer is handed over as it
+// arrives, beginning with what was read.
+func (r *run) readWhole(a *backend.Answer, budget *memory.Budget) {
+	held := memory.NewBuffer(budget)
+	err := held.Fill(a, a.Length, maxAnswerBytes)
+	r.held = held // before the update is passed, after which it belongs to whoever takes that
+	switch err {
+	case nil:
+		r.pass(update{data: held.Bytes(), err: io.EOF})
+	case memory.ErrUsedUp:
+		if r.pass(update{data: held.Bytes()}) {
+			r.readPieces(a)
+		}
+	case memory.ErrTooLong:
+		r.pass(update{err: errAnswerTooLong})
+	default:
+		r.pass(update{err: err})
+	}
+}
+
+// releaseHeld frees what is held of the answer.
+func (r *run) releaseHeld() {
+	if r.held != nil {
+		r.held.Release()
 	}
-	r.pass(update{data: body, err: err})
 }
 
 // replay returns the next update that was taken while the run was a hedge.
@@ -143,6 +163,7 @@
 	for u := range r.updates { // until the goroutine has ended
 		r.take(u)
 	}
+	r.releaseHeld()
 	if r.answer != nil {
 		r.try.received = r.answer.Received()
 		r.answer.Close()
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/memory"
 )
 
 // Limits of streams.
@@ -35,7 +36,8 @@
 	active := c.registerStream(r)
 	r.active = active
 	defer c.unregisterStream(active)
-	var pending []byte
+	pending := memory.NewBuffer(c.relay.Answers)
+	defer pending.Release()
 	for {
 		active.evacuateIfLeaving()
 		if !active.isMoving() && c.mustMove(r.member) && c.reserveRetry(ctx) {
@@ -45,32 +47,34 @@
 		if err != nil {
 			return mayHaveRun, err
 		}
-		pending = append(pending, u.data...)
-		if whole := scanEvents(pending); whole.size > 0 {
+		if !pending.Append(u.data) {
+			return mayHaveRun, memory.ErrUsedUp
+		}
+		if whole := scanEvents(pending.Bytes()); whole.size > 0 {
 			c.progressed(r)
-			if !c.sendEvents(a, pending[:whole.size], whole) {
+			if !c.sendEvents(a, pending.Bytes()[:whole.size], whole) {
 				return aborted, errNotWritable
 			}
 			if c.lastEvent != "" {
 				active.noteProgress(c.relay.Time.Now(), whole.count)
 			}
-			pending = append(pending[:0], pending[whole.size:]...)
+			pending.Discard(whole.size)
 			r.try.events += whole.count
 		}
 		if u.err != nil {
-			r.try.streamEnded(a.Framed, len(pending))
+			r.try.streamEnded(a.Framed, pending.Len())
 		}
-		if u.err == io.EOF && isPartialStream(a, r.try.events, pending) {
+		if u.err == io.EOF && isPartialStream(a, r.try.events, pending.Bytes()) {
 			u.err = errPartialEvent
 		}
 		switch {
 		case u.err == io.EOF && !active.mayEndByMove(a):
-			return c.endStream(a, pending)
+			return c.endStream(a, pending.Bytes())
 		case u.err != nil && ctx.Err() != nil:
 			return aborted, context.Cause(ctx)
 		case u.err != nil:
 			return c.handleBreak(ctx, active, u.err)
-		case len(pending) > maxEventBytes:
+		case pending.Len() > maxEventBytes:
 			return mayHaveRun, errEventTooLong
 		}
 	}
