relay: an endless part of a chunked body is no evidence against its request

What callers saw: as with endless heads, sound requests waited for a trial and were refused, after sizes of chunks or trailers without end. Cause: the same as with heads: an answer that this node gave up counted as one that broke off. Change: an error within a body says whether the connection had ended or what came was malformed.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -36,7 +36,7 @@
 	ErrNotSent = errors.New("backend: not sent")
 	// ErrNoAnswer means that at least a part of the request was sent, but no response came.
 	ErrNoAnswer = errors.New("backend: sent, no answer")
-	// ErrMalformed is an ErrNoAnswer of a server that lives but sent no response.
+	// ErrMalformed marks an ErrNoAnswer or ErrBroken of a server that lives but sends no response.
 	ErrMalformed = errors.New("backend: no response of the protocol")
 	// ErrBroken means that the response ended before it was complete.
 	ErrBroken = errors.New("backend: answer broke off")
@@ -423,7 +423,7 @@
 		return n, io.EOF
 	}
 	if err != nil {
-		return n, errors.Wrap(ErrBroken, err.Error())
+		return n, a.conn.inbound.explainBody(err)
 	}
 	return n, nil
 }
--- a/pkg/backend/inbound.go
+++ b/pkg/backend/inbound.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -72,6 +73,15 @@
 	return nil
 }
 
+// explainBody returns the error of a response whose body could not be read.
+func (in *inbound) explainBody(err error) error {
+	broken := errors.Wrap(ErrBroken, err.Error())
+	if in.err != nil {
+		return broken
+	}
+	return fmt.Errorf("%w: %w", ErrMalformed, broken)
+}
+
 // explain returns the error of an exchange in which reading a response failed.
 func (in *inbound) explain(err error) error {
 	if in.err != nil {
--- a/pkg/relay/endless_test.go
+++ b/pkg/relay/endless_test.go
@@ -35,9 +35,11 @@
 func TestRequestsAreNotAccusedOfEndlessAnswers(t *testing.T) {
 	sealedHead := "HTTP/1.1 200 OK\r\n" + testHeaders.Seal + ": seal\r\n"
 	for name, answer := range map[string]answerer{
-		"line of a head": endlessly(sealedHead+"X: ", "a"),
-		"no protocol":    endlessly("", "a\n"),
-		"body":           endlessly(sealedHead+"Content-Length: 1099511627776\r\n\r\n", "a"),
+		"line of a head":  endlessly(sealedHead+"X: ", "a"),
+		"no protocol":     endlessly("", "a\n"),
+		"chunk extension": endlessly(sealedHead+"Transfer-Encoding: chunked\r\n\r\n5;", "a"),
+		"trailer":         endlessly(sealedHead+"Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: a\r\n"),
+		"body":            endlessly(sealedHead+"Content-Length: 1099511627776\r\n\r\n", "a"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSite(t, route.Route{Kind: route.Safe, MaxAttempts: 3}, answer, answer, answer, answer)
