backend: no request goes on a connection on which more than the response had come

Cause: a connection was kept for the next request although bytes that belong to no response were already in its buffer; it was closed a moment later, unless a request was faster and read them as its answer. Change: such a connection is closed with its response. Result: TestConnectionsWithSurplusBytesAreNotReused fails before.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -159,7 +159,7 @@
 			return
 		}
 		x.answers <- headerResult{response: response}
-		usable := <-x.done && !response.Close
+		usable := <-x.done && !response.Close && c.reader.Buffered() == 0 // what follows a response belongs to no request
 		if usable {
 			c.idleFor = keepAlive(response.Header)
 			c.mu.Lock()
--- a/pkg/backend/inbound_test.go
+++ b/pkg/backend/inbound_test.go
@@ -89,3 +89,28 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against requests that are sent on connections on which more than the response had come.
+func TestConnectionsWithSurplusBytesAreNotReused(t *testing.T) {
+	for answer, usable := range map[string]bool{good: true, good + "surplus": false} {
+		near, far := net.Pipe()
+		go serve(far, answer)
+		c, err := newMember(func(context.Context, string) (net.Conn, error) { return near, nil }).pool.connect(t.Context(), false, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		x := &exchange{message: &Message{Method: http.MethodGet, Target: "/", Head: []byte("Host: x\r\n")},
+			answers: make(chan headerResult, 1), done: make(chan bool, 1), reserved: make(chan bool, 1)}
+		a, err := c.exchangeMessage(t.Context(), x)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadAll(a); err != nil {
+			t.Fatal(err)
+		}
+		a.Close()
+		if got := <-x.reserved; got != usable {
+			t.Errorf("%q: usable %v", answer, got)
+		}
+	}
+}
