relay: the lines of an event are scanned once

What callers saw: an event without end in short lines kept its node busy, beside other callers' requests. Cause: each 2 kB that arrived, all that was kept of an incomplete event was scanned anew, so that the work grew with the square of its length; a hedge kept up to 1 MiB beside the first run. Change: the scanner goes on after the last line that it has read; a hedge keeps 64 kB before its first event.

--- a/pkg/relay/events.go
+++ b/pkg/relay/events.go
@@ -17,35 +17,52 @@
 
 // scanEvents finds the complete events at the start of b. As in the standard of server-sent events,
 // a line ends with CR LF, LF or CR, and an event with an empty line.
-func scanEvents(b []byte) wholeEvents {
+func scanEvents(b []byte) wholeEvents { return new(eventScanner).scan(b) }
+
+// eventScanner finds complete events in a stream whose pieces are kept until an event is complete. It reads each line
+// once, however many an event has.
+type eventScanner struct {
+	read     int // bytes of the kept part that were read, up to the end of a line
+	id       string
+	hasField bool // the incomplete event has more than comments
+}
+
+// scan finds the complete events at the start of b, which is what was kept since the last complete event and what has
+// arrived since. The caller removes the complete events before the next call.
+func (s *eventScanner) scan(b []byte) wholeEvents {
 	var found wholeEvents
-	var id string
-	hasField := false
-	for rest := b; len(rest) > 0; {
+	for rest := b[s.read:]; len(rest) > 0; {
 		line, after, ended := cutLine(rest)
-		if !ended {
+		if !ended || len(line) > 0 && len(after) == 0 && rest[len(rest)-1] == '\r' { // an LF may follow the CR
 			break
 		}
 		rest = after
+		s.read = len(b) - len(rest)
 		if len(line) > 0 {
-			hasField = hasField || line[0] != commentMarker
-			if value, isID := bytes.CutPrefix(line, idField); isID {
-				id = string(bytes.TrimSpace(value))
-			}
+			s.addLine(line)
 			continue
 		}
-		found.size = len(b) - len(rest)
-		if hasField {
+		found.size = s.read
+		if s.hasField {
 			found.count++
 		}
-		if id != "" {
-			found.lastID = id
+		if s.id != "" {
+			found.lastID = s.id
 		}
-		id, hasField = "", false
+		s.id, s.hasField = "", false
 	}
+	s.read -= found.size
 	return found
 }
 
+// addLine reads a line of an event.
+func (s *eventScanner) addLine(line []byte) {
+	s.hasField = s.hasField || line[0] != commentMarker
+	if value, isID := bytes.CutPrefix(line, idField); isID {
+		s.id = string(bytes.TrimSpace(value))
+	}
+}
+
 // cutLine returns the first line of b without its end, and what follows. A CR at the end of b ends
 // the line; an LF that arrives after it is then read as an empty line, which changes no event.
 func cutLine(b []byte) (line, after []byte, ended bool) {
--- a/pkg/relay/events_test.go
+++ b/pkg/relay/events_test.go
@@ -43,3 +43,41 @@
 		}
 	})
 }
+
+// FuzzEventScanner guards against events that are found otherwise when their stream arrives in many pieces.
+func FuzzEventScanner(f *testing.F) {
+	f.Add([]byte("id: 1\r\ndata: x\r\n\r\nid: 2\ndata: y\n\nid: 3\rdata\r\r: c\n\n"), 1)
+	f.Add([]byte("\r\n\r\n\r\r\n\n"), 3)
+	f.Fuzz(func(t *testing.T, b []byte, piece int) {
+		if piece < 1 || piece > len(b) {
+			return
+		}
+		want := scanEvents(b)
+		var got wholeEvents
+		var scanner eventScanner
+		var kept []byte
+		for rest := b; len(rest) > 0; {
+			n := min(piece, len(rest))
+			kept, rest = append(kept, rest[:n]...), rest[n:]
+			found := scanner.scan(kept)
+			kept = append([]byte(nil), kept[found.size:]...)
+			got = wholeEvents{got.size + found.size, got.count + found.count, cmp.Or(found.lastID, got.lastID)}
+		}
+		if got != want {
+			t.Errorf("%q in pieces of %d: %+v, whole %+v", b, piece, got, want)
+		}
+	})
+}
+
+// Guards against a stream whose cost grows with the square of the length of an event.
+func TestLinesOfAnEventAreScannedOnce(t *testing.T) {
+	var scanner eventScanner
+	event := bytes.Repeat([]byte("data: x\n"), 1000)
+	if found := scanner.scan(event); found.size != 0 || scanner.read != len(event) {
+		t.Errorf("found %+v, %d of %d bytes were read", found, scanner.read, len(event))
+	}
+	event = append(event, "id: 9\n\nid: 10\n"...)
+	if found := scanner.scan(event); found != (wholeEvents{len(event) - 7, 1, "9"}) || scanner.read != 7 {
+		t.Errorf("found %+v, %d bytes of the next event were read", found, scanner.read)
+	}
+}
--- a/pkg/relay/hedge.go
+++ b/pkg/relay/hedge.go
@@ -35,6 +35,8 @@
 	soundSilence = 1500 * time.Millisecond
 	// gapFactor is the multiple of a route's longest pause that counts as silence.
 	gapFactor = 3
+	// maxHedgeBytes limits what a hedge brings before its first event, beside what the first run holds.
+	maxHedgeBytes = 64 << 10
 	// hedgeRetryInterval is the interval between attempts to begin a hedge.
 	hedgeRetryInterval = 100 * time.Millisecond
 	// maxTimerDelay is the delay of a timer beyond which this node was held up itself. What servers sent meanwhile
@@ -258,7 +260,7 @@
 	switch {
 	case streams && whole.count > 0:
 		return served, nil
-	case streams && got.err == nil && len(got.data) > maxEventBytes:
+	case streams && got.err == nil && len(got.data) > maxHedgeBytes:
 		return mayHaveRun, errEventTooLong
 	case got.err == nil && !streams: // it can't be held until it is whole
 		return mayHaveRun, memory.ErrUsedUp
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -38,6 +38,7 @@
 	defer c.unregisterStream(active)
 	pending := memory.NewBuffer(c.relay.Answers)
 	defer pending.Release()
+	var scanner eventScanner
 	for {
 		active.evacuateIfLeaving()
 		if !active.isMoving() && c.mustMove(r.member) && c.reserveRetry(ctx) {
@@ -50,7 +51,7 @@
 		if !pending.Append(u.data) {
 			return mayHaveRun, memory.ErrUsedUp
 		}
-		if whole := scanEvents(pending.Bytes()); whole.size > 0 {
+		if whole := scanner.scan(pending.Bytes()); whole.size > 0 {
 			c.progressed(r)
 			if !c.sendEvents(a, pending.Bytes()[:whole.size], whole) {
 				return aborted, errNotWritable
