backend, platform: a limit for what servers' answers to control messages take at once

Cause: the answer to a report, an order, a copy or a probe of a server's identity had a limit of 1 MiB and their sum none. The holder asks all servers in doubt at once, and each new connection to a server of a reused name begins with a probe. Change: these bodies are read into buffers of one budget of 16 MiB of the directory of servers, where the first 4 KiB of each are free. An answer beyond a limit counts as none; before, one of more than 1 MiB was cut there and its status counted. Callers are not known to have met it.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -348,9 +348,6 @@
 // errNotReusable is returned if a connection ends with the response to a probe.
 var errNotReusable = errors.New("backend: connection closed after a probe")
 
-// maxProbeBytes limits the response to a probe.
-const maxProbeBytes = 1 << 20
-
 // probe exchanges a probe. Afterwards the connection is used by the caller or, after an error, closed.
 func (c *conn) probe(ctx context.Context, p *Probe) error {
 	x := &exchange{message: p.Message, sent: c.pool.time.Now(), answers: make(chan headerResult, 1), done: make(chan bool, 1),
@@ -359,10 +356,11 @@
 	if err != nil {
 		return err
 	}
-	body, err := io.ReadAll(io.LimitReader(a, maxProbeBytes))
+	body, err := a.ReadControl()
 	a.Close()
 	if err == nil {
-		err = p.Accept(a.Status, body)
+		err = p.Accept(a.Status, body.Bytes())
+		body.Release()
 	}
 	if usable := <-x.reserved; err == nil && !usable {
 		err = errNotReusable
--- a/pkg/backend/directory.go
+++ b/pkg/backend/directory.go
@@ -9,6 +9,7 @@
 
 	"martenwheel.dev/pkg/backpressure"
 	"martenwheel.dev/pkg/clock"
+	"martenwheel.dev/pkg/memory"
 	"martenwheel.dev/pkg/revision"
 )
 
@@ -108,6 +109,7 @@
 	queuedPaces []queuedPace
 	departed    departedServers
 	brittle     map[string]*backpressure.Brittle // by service
+	control     *memory.Budget                   // for answers to control messages
 	current     atomic.Pointer[Snapshot]
 	changed     chan struct{}
 }
--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"martenwheel.dev/pkg/clock"
+	"martenwheel.dev/pkg/memory"
 )
 
 // ErrTooManyConnections means that the node has reached its limit of connections to the server. Nothing was
@@ -35,6 +36,7 @@
 	reach      Reach  // may be nil
 	time       clock.Clock
 	address    string
+	control    *memory.Budget
 	limit      atomic.Int64 // maximum number of connections; zero: unlimited
 
 	mu        sync.Mutex
@@ -50,7 +52,7 @@
 }
 
 func newPool(d *Directory, address string) *pool {
-	p := &pool{dial: d.Dialer, dialDirect: d.DirectDialer, reach: d.Reach, time: d.Time, address: address}
+	p := &pool{dial: d.Dialer, dialDirect: d.DirectDialer, reach: d.Reach, time: d.Time, address: address, control: d.controlBudget()}
 	if p.dialDirect == nil {
 		p.dialDirect = d.Dialer
 	}
