relay: a limit for IDs of events

Cause: the ID of an event, of up to the 1 MiB of the event, went into a header of the request that continues the stream at another server, which refuses such a head or takes it, and stayed with the request until its end. Change: an event whose ID is longer than 16 KiB, more than a caller may send in a whole head, is never taken for complete. So it is not passed on before the stream ends, and a break continues the stream after the event before it. Callers are not known to have met it.

--- a/pkg/relay/events.go
+++ b/pkg/relay/events.go
@@ -8,6 +8,10 @@
 	commentMarker = byte(':')
 )
 
+// maxEventIDBytes limits an event's ID, which goes into a header of the request that continues the stream. No caller may send a
+// head of that size.
+const maxEventIDBytes = 16 << 10
+
 // wholeEvents describes the complete events at the start of a piece of a stream.
 type wholeEvents struct {
 	size   int    // bytes up to the end of the last one
@@ -16,7 +20,8 @@
 }
 
 // scanEvents finds the complete events at the start of b. As in the standard of server-sent events,
-// a line ends with CR LF, LF or CR, and an event with an empty line.
+// a line ends with CR LF, LF or CR, and an event with an empty line. An event with too long an ID is never
+// complete: without its ID, the stream could not be continued after it.
 func scanEvents(b []byte) wholeEvents { return new(eventScanner).scan(b) }
 
 // eventScanner finds complete events in a stream whose pieces are kept until an event is complete. It reads each line
@@ -36,10 +41,12 @@
 		if !ended || len(line) > 0 && len(after) == 0 && rest[len(rest)-1] == '\r' { // an LF may follow the CR
 			break
 		}
+		if len(line) > 0 && !s.addLine(line) {
+			break
+		}
 		rest = after
 		s.read = len(b) - len(rest)
 		if len(line) > 0 {
-			s.addLine(line)
 			continue
 		}
 		found.size = s.read
@@ -55,12 +62,19 @@
 	return found
 }
 
-// addLine reads a line of an event.
-func (s *eventScanner) addLine(line []byte) {
+// addLine reads a line of an event. It returns false if the line has too long an ID.
+func (s *eventScanner) addLine(line []byte) bool {
 	s.hasField = s.hasField || line[0] != commentMarker
-	if value, isID := bytes.CutPrefix(line, idField); isID {
-		s.id = string(bytes.TrimSpace(value))
+	value, isID := bytes.CutPrefix(line, idField)
+	if !isID {
+		return true
+	}
+	value = bytes.TrimSpace(value)
+	if len(value) > maxEventIDBytes {
+		return false
 	}
+	s.id = string(value)
+	return true
 }
 
 // cutLine returns the first line of b without its end, and what follows. A CR at the end of b ends
