relay: a test that servers that send without end are avoided for a while

Cause: no test showed that the node stops preferring a server that sends a head or a body without end, and looks again later. Change: a test, for heads, bytes of no protocol, bodies and extensions of chunks, against the pauses after failures, and until the server, sound again, gets a request.

--- a/pkg/relay/endless_bodies_test.go
+++ b/pkg/relay/endless_bodies_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"martenwheel.dev/pkg/quarantine"
 	"martenwheel.dev/pkg/route"
@@ -41,3 +43,51 @@
 		}
 	}
 }
+
+// Guards against a node that goes on asking a server that sends without end, and one that never asks it again.
+func TestServersThatSendWithoutEndAreAvoidedForAWhile(t *testing.T) {
+	sealedHead := "HTTP/1.1 200 OK\r\n" + testHeaders.Seal + ": seal\r\n"
+	for name, endless := range map[string]answerer{
+		"line of a head":  endlessly(sealedHead+"X: ", "a"),
+		"no protocol":     endlessly("", "a\n"),
+		"body":            endlessly(sealedHead+"Content-Length: 1099511627776\r\n\r\n", "a"),
+		"chunk extension": endlessly(sealedHead+"Transfer-Encoding: chunked\r\n\r\n5;", "a"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var faulty, asked atomic.Int64
+			faulty.Store(1)
+			s := newSite(t, route.Route{Kind: route.Safe, MaxAttempts: 3}, func(w http.ResponseWriter, r *http.Request, got seen) {
+				asked.Add(1)
+				if faulty.Load() == 1 {
+					endless(w, r, got)
+					return
+				}
+				sealed(http.StatusOK, "ok")(w, r, got)
+			}, sealed(http.StatusOK, "ok"))
+			began := time.Now()
+			const requests = 50
+			for i := range requests {
+				if got := s.get(fmt.Sprint(i)); got.status != http.StatusOK || got.body != "ok" {
+					t.Fatalf("request %d got %+v", i, got)
+				}
+			}
+			allowed := int64(1)
+			for left, pause := time.Since(began), 500*time.Millisecond; left > 0; pause = min(2*pause, 4*time.Second) {
+				allowed++
+				left -= pause
+			}
+			if n := asked.Load(); n == 0 || n > allowed {
+				t.Errorf("the server got %d of %d requests, at most %d may be", n, requests, allowed)
+			}
+			faulty.Store(0)
+			before := asked.Load()
+			for deadline := time.Now().Add(20 * time.Second); asked.Load() == before; time.Sleep(20 * time.Millisecond) {
+				if time.Now().After(deadline) {
+					t.Fatal("the server is never asked again")
+				}
+				s.get("later")
+			}
+		})
+	}
+}
