gateway: a limit for what comes before the first event of a stream

Cause: events without data, such as comments that keep a connection open, are held back until the first event with data, each bounded and their sum not, up to the deadline of the request. Change: together they may take twice the size of an event; beyond that the attempt has failed. The tests of the gateway pass. Callers are not known to have met it.

--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -53,14 +53,18 @@
 	}
 }
 
-// readFirst reads up to the first event with data, until deadline.
+// readFirst reads up to the first event with data, until deadline. What comes before it may take as much as an event.
 func (s *eventStream) readFirst(deadline time.Time) error {
 	s.answer.SetReadDeadline(deadline)
+	limit := 2 * s.attempt.call.gateway.config.Limits.EventBytes
 	for s.events == 0 && !s.ended {
 		event, err := s.nextFromConnection()
 		if err != nil {
 			return err
 		}
+		if len(s.first)+len(event) > limit {
+			return sse.ErrEventTooLarge
+		}
 		s.first = append(s.first, event...)
 	}
 	s.answer.SetReadDeadline(time.Time{})
