engine: a limit of its own for answers that are no exported cache

Cause: the limit of the client's answers, 64 MiB, is that of exported KV caches, and held for orders, reports and cancellations as well, which have some kB and go to all engines in turn. Change: 16 MiB for all but exports. The largest of these answers are lists of 4,096 cache events. The sum over engines has no limit yet. Callers are not known to have met it.

--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -18,6 +18,7 @@
 	DefaultTimeout          = 10 * time.Second // for calls whose context has no deadline
 	DefaultDialTimeout      = time.Second
 	DefaultMaxResponseBytes = 64 << 20 // the largest answer is an exported KV cache
+	maxControlBytes         = 16 << 20 // of all other answers; the largest are lists of cache events
 	maxIdleConnection       = 5 * time.Second
 	maxErrorDetailBytes     = 512
 )
@@ -43,7 +44,8 @@
 
 // HTTPClient is a Client that speaks JSON over HTTP. It never retries a request.
 type HTTPClient struct {
-	http fasthttp.Client
+	export  fasthttp.Client // for exported KV caches
+	control fasthttp.Client // for all else
 }
 
 var _ Client = (*HTTPClient)(nil)
@@ -68,22 +70,35 @@
 			return fasthttp.DialDualStackTimeout(address, config.DialTimeout)
 		}
 	}
-	return &HTTPClient{http: fasthttp.Client{
-		NoDefaultUserAgentHeader:      true,
-		MaxIdemponentCallAttempts:     1,
-		RetryIfErr:                    neverRetry,
-		MaxResponseBodySize:           config.MaxResponseBytes,
-		MaxIdleConnDuration:           maxIdleConnection,
-		DisablePathNormalizing:        true,
-		DisableHeaderNamesNormalizing: false,
-		Dial: func(address string) (net.Conn, error) {
+	c := &HTTPClient{}
+	for client, maxBytes := range map[*fasthttp.Client]int{
+		&c.export:  config.MaxResponseBytes,
+		&c.control: min(config.MaxResponseBytes, maxControlBytes),
+	} {
+		client.NoDefaultUserAgentHeader = true
+		client.MaxIdemponentCallAttempts = 1
+		client.RetryIfErr = neverRetry
+		client.MaxResponseBodySize = maxBytes
+		client.MaxIdleConnDuration = maxIdleConnection
+		client.DisablePathNormalizing = true
+		client.DisableHeaderNamesNormalizing = false
+		client.Dial = func(address string) (net.Conn, error) {
 			connection, err := dial(address)
 			if err != nil {
 				return nil, &dialError{cause: err}
 			}
 			return connection, nil
-		},
-	}}
+		}
+	}
+	return c
+}
+
+// clientFor returns the client for a path.
+func (c *HTTPClient) clientFor(path string) *fasthttp.Client {
+	if path == PathKVExport {
+		return &c.export
+	}
+	return &c.control
 }
 
 func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) {
@@ -161,7 +176,7 @@
 	// them after an early return.
 	response := &fasthttp.Response{}
 	done := make(chan error, 1)
-	go func() { done <- c.http.DoDeadline(request, response, deadline) }()
+	go func() { done <- c.clientFor(path).DoDeadline(request, response, deadline) }()
 	select {
 	case err = <-done:
 	case <-ctx.Done():
