dynamotable: a limit for answers of the table service

Cause: the SDK reads the body of an answer, and what is left of a refusal, to its end. Change: the transport below it brings 16 MiB of a body at most; the protocol allows pages of 1 MB. A longer answer counts as none. Callers are not known to have met it.

--- a/pkg/platform/dynamotable/transport.go
+++ b/pkg/platform/dynamotable/transport.go
@@ -25,6 +25,15 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t bodyTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.send(request)
+	if response != nil && response.Body != nil {
+		response.Body = &limitedBody{ReadCloser: response.Body, left: maxAnswerBytes}
+	}
+	return response, err
+}
+
+// send sends a request with a copy of its body.
+func (t bodyTransport) send(request *http.Request) (*http.Response, error) {
 	if request.Body == nil {
 		return t.next.RoundTrip(request)
 	}
@@ -40,3 +49,24 @@
 	own.Body, _ = own.GetBody() // never fails
 	return t.next.RoundTrip(own)
 }
+
+// maxAnswerBytes limits the body of an answer. The protocol allows 1 MB for a page of a query.
+const maxAnswerBytes = 16 << 20
+
+var errTooLong = errors.New("table: the answer is too long")
+
+// limitedBody is the body of an answer, of which no more than left bytes are read.
+type limitedBody struct {
+	io.ReadCloser
+	left int
+}
+
+// Read implements io.Reader.
+func (b *limitedBody) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := b.ReadCloser.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
+}
