backend: errors repeat little of what a server sent

Cause: the error of a malformed head repeats its line, quoted, and goes into the log line of each attempt. Change: 160 bytes of it. The tests of the package pass; with the race detector TestHeadsAreBounded fails at times, before this change as well, as it reads the number of open connections without the lock of the pool.

--- a/pkg/backend/inbound.go
+++ b/pkg/backend/inbound.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -75,7 +76,7 @@
 
 // explainBody returns the error of a response whose body could not be read.
 func (in *inbound) explainBody(err error) error {
-	broken := errors.Wrap(ErrBroken, err.Error())
+	broken := errors.Wrap(ErrBroken, shortText(err))
 	if in.err != nil {
 		return broken
 	}
@@ -87,5 +88,17 @@
 	if in.err != nil {
 		return err
 	}
-	return errors.Wrap(ErrMalformed, err.Error())
+	return errors.Wrap(ErrMalformed, shortText(err))
+}
+
+// maxErrorText limits the text of an error, in which a server's bytes may be repeated.
+const maxErrorText = 160
+
+// shortText returns the beginning of the text of an error.
+func shortText(err error) string {
+	text := err.Error()
+	if len(text) > maxErrorText {
+		text = strings.ToValidUTF8(text[:maxErrorText], "") + "..."
+	}
+	return text
 }
