backend, relay: attempts that ended at a deadline tell how much of a head had come

Cause: the bytes stood in the error of the attempt, which the deadline's own error replaced in the line of the request. And TestHeadsAreBounded read the number of open connections at times before the read loop had closed the last one. Change: the error carries the number, and received_bytes has it whatever ended the attempt; the test waits for the close.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -338,11 +338,30 @@
 
 // noAnswer returns the error of an exchange without a response, which tells how much of one had arrived.
 func (c *conn) noAnswer(cause error) error {
-	err := errors.Wrapf(ErrNoAnswer, "%v, after %d bytes", cause, c.inbound.received.Load())
+	received := c.inbound.received.Load()
+	err := errors.Wrapf(ErrNoAnswer, "%v, after %d bytes", cause, received)
 	if errors.Is(cause, ErrMalformed) {
-		return fmt.Errorf("%w: %w", ErrMalformed, err)
+		err = fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
-	return err
+	return partialHead{err, received}
+}
+
+// partialHead is the error of an exchange of which the given number of bytes of a response had arrived.
+type partialHead struct {
+	error
+	received int64
+}
+
+// Unwrap returns why there is no response.
+func (e partialHead) Unwrap() error { return e.error }
+
+// ReceivedBytes returns how much of a response had arrived in an exchange that failed with ErrNoAnswer.
+func ReceivedBytes(err error) int64 {
+	var partial partialHead
+	if errors.As(err, &partial) {
+		return partial.received
+	}
+	return 0
 }
 
 // errNotReusable is returned if a connection ends with the response to a probe.
--- a/pkg/backend/inbound_test.go
+++ b/pkg/backend/inbound_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -42,12 +43,22 @@
 		if !errors.Is(err, ErrNoAnswer) {
 			t.Errorf("%s: %v", name, err)
 		}
-		if m.pool.open != 0 {
-			t.Errorf("%s: the connection is still open", name)
+		if got := ReceivedBytes(err); got == 0 || got > maxHeadBytes+readBufferBytes {
+			t.Errorf("%s: the error tells %d bytes", name, got)
+		}
+		for openConnections(m) > 0 { // the read loop closes the connection after it has passed the error on
+			time.Sleep(time.Millisecond)
 		}
 	}
 }
 
+// openConnections returns the number of open connections to a server.
+func openConnections(m *Member) int {
+	m.pool.mu.Lock()
+	defer m.pool.mu.Unlock()
+	return m.pool.open
+}
+
 // Guards against a bound that counts what belongs to the body, or to an earlier head.
 func TestBoundOfHeadsSparesBodies(t *testing.T) {
 	lines := strings.Repeat("\n", 2*maxHeadBytes)
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -150,6 +150,9 @@
 	if u.answer != nil {
 		r.answer = u.answer
 	}
+	if u.err != nil && r.answer == nil {
+		r.try.received = backend.ReceivedBytes(u.err)
+	}
 	r.over = r.over || u.err != nil
 	return u
 }
