relay: what a planned stop would cut off is refused as not run

Callers saw: in a planned stop, in calm, requests that came late in the grace were sent to a server and got 502 at its end, unsafe ones as well. Cause: until 1.2 s before the end of the grace a stopping relay sent every request that is no stream, however long its server takes. Work was accepted by the time at which it begins, not by the time at which it can end. Change: the relay keeps how long servers take for requests other than streams, by service, route and model (mean and deviation of RFC 6298). One decision for all kinds, stopPlan.fits, sends what is expected to end in time, or whose own time is over before; what is not known is sent in the first 0.3 of the grace as streams are, 2.4 s at least; the rest gets 503 with Retry-After at once, before its quota is charged. It is asked when a request is read, before each choice and before the first byte. Retries, hedges, and waits for a model, a server or a place that would end too late are not begun either; a server's own failure is passed on when no time is left for another one. The line of a refused request tells stop_left_ms and work_ms.

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -193,7 +193,7 @@
 		return errLeaving
 	case c.timeLeft() <= 0: // the timer of ctx uses another clock and may be late after a suspension
 		return errDeadline
-	case c.stopTooNear():
+	case c.stopTooNear(0):
 		return errStopping
 	case c.place.stale(c.relay.Time.Now()):
 		return errStalePlace
--- a/pkg/relay/buffered.go
+++ b/pkg/relay/buffered.go
@@ -27,6 +27,11 @@
 		return mayHaveRun, err
 	case u.err != nil && u.err != io.EOF:
 		return readFailed(ctx, u.err)
+	}
+	if u.err == io.EOF && a.Status < http.StatusMultipleChoices { // others may come without work
+		c.relay.durations.record(c.durationKey(), c.relay.Time.Since(r.try.started))
+	}
+	switch {
 	case c.mayRetryFailure(a.Status):
 		return failedAnswer, errors.Errorf("status %d", a.Status)
 	case u.err == nil:
@@ -55,7 +60,13 @@
 
 // mayRetryFailure reports whether to retry a server's failure elsewhere rather than pass it on.
 func (c *call) mayRetryFailure(status int) bool {
-	return status >= http.StatusInternalServerError && (c.hedge != nil || c.mayRunAgain()) && c.timeLeft() > minRetryTime
+	return status >= http.StatusInternalServerError && (c.hedge != nil || c.mayRunAgain()) && c.timeLeft() > minRetryTime &&
+		!c.stopForbidsRetry()
+}
+
+// stopForbidsRetry reports whether a planned stop leaves no time for the request at another server.
+func (c *call) stopForbidsRetry() bool {
+	return c.hedge == nil && (c.relay.stopped(c.route.Kind, false) || c.stopTooNear(0))
 }
 
 // mayRunAgain reports whether the request may go to another server.
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -143,7 +143,15 @@
 		c.refuse(stopping)
 		return false
 	}
-	return c.resolve()
+	if !c.resolve() {
+		return false
+	}
+	c.unrun = true
+	if c.stopTooNear(0) { // checked before the quota is charged
+		c.refuse(stopping)
+		return false
+	}
+	return true
 }
 
 // caller returns the address of the caller without its port.
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -30,7 +30,7 @@
 	c.unrun = c.runs == 0 && !c.headSent
 	for {
 		changed := c.relay.Servers.Changed()
-		if c.relay.stopped(c.route.Kind, false) || c.stopTooNear() {
+		if c.relay.stopped(c.route.Kind, false) || c.stopTooNear(0) {
 			c.refuse(c.notServed(reasonStopping, stopping.after))
 			return nil
 		}
@@ -165,11 +165,9 @@
 		return c.notServed(reasonVersionGone, 0), true
 	}
 	if backoff != nil {
-		next := c.decideDuringBackoff(backoff, 0)
-		return c.notServed(reasonBackoff, next.after), !next.hold
+		return c.holdOrRefuse(c.decideDuringBackoff(backoff, 0), reasonBackoff, backoff.In)
 	}
-	next := c.estimateWait(0).decide()
-	return c.notServed(reasonNoServer, next.after), !next.hold
+	return c.holdOrRefuse(c.estimateWait(0).decide(), reasonNoServer, 0)
 }
 
 // evaluateStatus records the status of a load request. It refuses a request that can't be served
@@ -177,8 +175,11 @@
 func (c *call) evaluateStatus(status LoadStatus, backoff *backend.ExpectedReturn) (refusal, bool) {
 	c.record.readyIn, c.record.statusAge = status.ReadyIn, status.Age
 	if backoff != nil && (status.Server == "" || status.Server == backoff.Server) {
-		next := c.decideDuringBackoff(backoff, status.ReadyIn)
-		return c.notServed(reasonBackoff, next.after), !next.hold
+		readyIn := backoff.In
+		if status.ReadyIn > 0 {
+			readyIn = min(readyIn, status.ReadyIn)
+		}
+		return c.holdOrRefuse(c.decideDuringBackoff(backoff, status.ReadyIn), reasonBackoff, readyIn)
 	}
 	if status.Server != "" && c.mayUse(status.Server) {
 		return refusal{}, false
@@ -186,10 +187,16 @@
 	if c.versionGone() {
 		return c.notServed(reasonVersionGone, 0), true
 	}
-	if next := c.estimateWait(status.ReadyIn).decide(); !next.hold {
-		return c.notServed(reasonLoading, next.after), true
+	return c.holdOrRefuse(c.estimateWait(status.ReadyIn).decide(), reasonLoading, status.ReadyIn)
+}
+
+// holdOrRefuse returns the refusal of a request that is not held, or that a planned stop would cut off if a server got it
+// after readyIn, which is zero if unknown.
+func (c *call) holdOrRefuse(next holdDecision, reason string, readyIn time.Duration) (refusal, bool) {
+	if next.hold && c.stopTooNear(readyIn) {
+		return c.notServed(reasonStopping, stopping.after), true
 	}
-	return refusal{}, false
+	return c.notServed(reason, next.after), !next.hold
 }
 
 // choose picks a server for the request, or returns nil if none may get it now.
--- a/pkg/relay/hedge.go
+++ b/pkg/relay/hedge.go
@@ -168,7 +168,7 @@
 
 // beginHedge starts a hedge for a run, in place of one that is silent itself. It returns false if none may begin now.
 func (c *call) beginHedge(ctx context.Context, r *run) bool {
-	if !c.hedgeable(r) || r.active.isMoving() || c.relay.stopped(c.route.Kind, false) || !c.isFree() {
+	if !c.hedgeable(r) || r.active.isMoving() || c.stopForbidsHedge() || !c.isFree() {
 		return false
 	}
 	m := c.hedgeServer(r.member)
@@ -189,6 +189,12 @@
 	return true
 }
 
+// stopForbidsHedge reports whether a hedge is of no use as a planned stop would cut it off. One of a stream may bring more
+// than its silent run until then.
+func (c *call) stopForbidsHedge() bool {
+	return c.relay.stopped(c.route.Kind, false) || c.route.Kind != route.Stream && c.stopTooNear(0)
+}
+
 // isFree reports whether nothing of the request is suspected of crashing servers.
 func (c *call) isFree() bool {
 	q := c.relay.Quarantine
@@ -211,6 +217,8 @@
 		return errLeaving
 	case c.timeLeft() <= 0:
 		return errDeadline
+	case c.stopForbidsHedge():
+		return errStopping
 	case m.Limited():
 		return errNoSlot
 	case !c.isFree():
--- a/pkg/relay/place.go
+++ b/pkg/relay/place.go
@@ -97,6 +97,9 @@
 	case v.Kind == admission.Refuse, v.Kind == admission.Wait && c.callerLeavesBy(c.relay.Time.Now().Add(v.After)):
 		c.refuse(c.notServed(reasonOverloaded, max(v.After, defaultRetryAfter)))
 		return nil, wasRefused
+	case v.Kind == admission.Wait && c.stopTooNear(v.After):
+		c.refuse(c.notServed(reasonStopping, stopping.after))
+		return nil, wasRefused
 	case v.Kind == admission.Wait:
 		c.awaitPlace(ctx, v.After)
 		return nil, chooseAgain
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -191,6 +191,7 @@
 	if c.record.err != nil {
 		fields = append(fields, "reason", c.record.err.Error())
 	}
+	fields = append(fields, c.describeStop()...)
 	fields = append(fields, c.describeQuota()...)
 	if c.record.trialError != nil {
 		fields = append(fields, "turn_error", c.record.trialError.Error())
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -24,6 +24,7 @@
 //   - unframed.go: callers that get streams without framing
 //   - refuse.go: answers of the relay itself
 //   - budget.go, slack.go: the retry budget
+//   - stopping.go, duration.go: requests that a planned stop would cut off
 //   - cancel.go: ending requests before a planned stop
 //   - migrate.go, resume.go: moving a stream from a server that leaves
 //   - backup.go: copying a running stream to a second server in advance
@@ -167,72 +168,13 @@
 	active      activeRequests
 	inFlight    atomic.Int64
 	stop        atomic.Pointer[stopPlan]
+	durations   durations
 
 	mu      sync.Mutex // guards random and chooser
 	random  *rand.Rand
 	chooser *routing.Chooser
 }
 
-// stopPlan tells which requests a stopping relay still accepts.
-type stopPlan struct {
-	streamsUntil time.Time // new streams are refused afterwards
-	until        time.Time // nothing is sent to servers afterwards
-}
-
-// stopStreamShare is the part of the stop period in which new streams are accepted.
-const stopStreamShare = 0.3
-
-// finalAnswerTime is reserved at the end of the stop period for answers in progress.
-const finalAnswerTime = 1200 * time.Millisecond
-
-// Stop begins a planned stop that ends after grace. Each connection closes with the next answer that begins,
-// and requests that can't be completed in time are refused.
-func (r *Relay) Stop(grace time.Duration) {
-	now := r.Time.Now()
-	r.stop.Store(&stopPlan{
-		streamsUntil: now.Add(time.Duration(stopStreamShare * float64(grace))),
-		until:        now.Add(grace - finalAnswerTime),
-	})
-}
-
-// stopped reports whether a planned stop forbids sending a request.
-func (r *Relay) stopped(kind route.Kind, isNew bool) bool {
-	plan := r.stop.Load()
-	if plan == nil {
-		return false
-	}
-	now := r.Time.Now()
-	return now.After(plan.until) || isNew && kind == route.Stream && now.After(plan.streamsUntil)
-}
-
-// expectedMargin is the safety factor of the expected duration of a stream: callers' estimates are right only in the
-// median, and servers differ in speed.
-const expectedMargin = 1.5
-
-// stopTooNear reports whether a planned stop would cut off a stream that no server has run yet.
-func (c *call) stopTooNear() bool {
-	plan := c.relay.stop.Load()
-	if plan == nil || c.route.Kind != route.Stream || !c.unrun || c.resumption.from != "" || !c.deadline.After(plan.until) {
-		return false
-	}
-	now := c.relay.Time.Now()
-	if duration, known := c.expectedDuration(); known {
-		return now.Add(duration).After(plan.until)
-	}
-	return now.After(plan.streamsUntil)
-}
-
-// expectedDuration returns how long a server is expected to take for the whole stream, and whether that is known.
-func (c *call) expectedDuration() (time.Duration, bool) {
-	tokens := c.prompt.ExpectedOutput()
-	perEvent := c.relay.Servers.TimePerEvent(c.service, c.need.Model)
-	if c.engine == nil || tokens <= 0 || perEvent <= 0 {
-		return 0, false
-	}
-	events := float64(tokens) / float64(max(c.engine.EventTokens, 1))
-	return c.route.Target + time.Duration(expectedMargin*events*float64(perEvent)), true
-}
-
 // InFlight returns the number of requests in progress.
 func (r *Relay) InFlight() int { return int(r.inFlight.Load()) }
 
