lineage, relay: streams of several versions go on after all nodes were killed

Cause: at which version a stream began was known to nodes alone: the one that passed its first event on, and three keepers, in memory. After all were killed at once, every stream of a service of several versions was refused at every node, though servers of its version were there. Nodes of builds without the new fields neither write nor read.

--- a/pkg/coordinator/versions.go
+++ b/pkg/coordinator/versions.go
@@ -107,3 +107,21 @@
 	}
 	return lineage.SoleVersion{}
 }
+
+// ServedAlone returns for how long at least one software version has served a service alone; zero if several
+// serve it, lineage.Always if neither the holder nor this node's list tells so.
+func (m *Member) ServedAlone(service string) time.Duration {
+	listed := m.Servers.Snapshot().Service(service)
+	for _, s := range listed {
+		if s.Software != listed[0].Software {
+			return 0
+		}
+	}
+	if known := m.sole.Load(); known == nil || m.Time.Since(known.at) > soleLifetime {
+		return lineage.Always
+	}
+	if sole := m.SoleVersion(service); sole.Service != "" {
+		return sole.Served()
+	}
+	return 0
+}
--- a/pkg/lineage/lineage.go
+++ b/pkg/lineage/lineage.go
@@ -4,7 +4,10 @@
 //   - lineage.go: what is known of a stream
 //   - table.go: the streams that a node knows
 //   - keepers.go: which nodes are told of a node's streams
-//   - register.go: telling and asking other nodes
+//   - register.go: what a node knows, and asking other nodes
+//   - tell.go: telling other nodes
+//   - archive.go: rows in a store that outlives all nodes
+//   - stored.go: which streams are stored, and who looks for them there
 //   - messages.go: the messages between nodes
 package lineage
 
--- a/pkg/lineage/messages.go
+++ b/pkg/lineage/messages.go
@@ -15,6 +15,8 @@
 type Group struct {
 	Origin  Origin
 	Streams []Stream
+	// Store makes the receiver write the streams to the store.
+	Store bool
 }
 
 // Stream is a stream whose caller may take it up.
@@ -28,6 +30,8 @@
 	Key Key
 	// Ask makes the receiver ask the keepers if it does not know, for a node that does not know any.
 	Ask bool
+	// Stored makes the receiver read the store if it does not know.
+	Stored bool
 }
 
 // FindAnswer answers Find.
--- a/pkg/lineage/register.go
+++ b/pkg/lineage/register.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,19 +13,14 @@
 	"martenwheel.dev/pkg/peer"
 )
 
-// Times of telling and asking other nodes.
+// Times of asking other nodes.
 const (
-	// tellInterval is how often streams that may be taken up are told again, to keepers that restarted, joined
-	// or could not be reached.
-	tellInterval = 2 * time.Second
 	// askTime is how long the answers of keepers are awaited. A caller waits for them, but only if none knows
 	// the stream.
 	askTime = 300 * time.Millisecond
 	// formerTime is how long nodes that left the list are still asked: lists of nodes differ for a while when
 	// nodes join and leave, and a new holder of the lease may list few at first.
 	formerTime = 5 * time.Second
-	// maxStreamsPerMessage keeps messages below some 10 kB.
-	maxStreamsPerMessage = 512
 )
 
 // Register is a node's part in keeping the origins of streams. Set the exported fields before the first call.
@@ -36,8 +32,15 @@
 	Transport peer.Transport
 	Time      clock.Clock
 	Logger    hclog.Logger
+	// Store keeps origins beyond the life of all nodes; nil: nothing does.
+	Store Store
+	// Alone returns for how long one software version has served a service alone; zero if several serve it. It
+	// may be nil: nothing is stored.
+	Alone func(service string) time.Duration
 
 	streams table
+	opening sync.Once
+	archive *archive // opened by openArchive
 
 	mu      sync.Mutex
 	pending map[Key]pendingStream // streams that this node told of and that may still be taken up
@@ -45,18 +48,12 @@
 	full    time.Time // when the last stream was evicted; zero: none was
 }
 
-// pendingStream is a stream that this node told its keepers of.
-type pendingStream struct {
-	origin Origin
-	until  time.Time
-	told   time.Time
-}
-
 // view is the list of nodes, and what follows from it.
 type view struct {
 	nodes   []Node       // as listed
 	former  []formerNode // nodes that left the list recently
 	tell    []Node       // keepers of this node's streams
+	keeper  bool         // this node is a keeper
 	ask     []Node       // keepers of all nodes' streams
 	expires time.Time    // when the first of former is to be forgotten; zero: none
 }
@@ -67,32 +64,6 @@
 	until time.Time
 }
 
-// Began records where a stream began, or continues, and tells this node's keepers. Its caller may take it up
-// within the given time. It does not wait.
-func (r *Register) Began(key Key, o Origin, left time.Duration) {
-	now := r.Time.Now()
-	left = min(left, MaxLifetime)
-	r.put(now, key, o, left)
-	r.mu.Lock()
-	if r.pending == nil {
-		r.pending = make(map[Key]pendingStream)
-	}
-	r.pending[key] = pendingStream{origin: o, until: now.Add(left), told: now}
-	keepers := r.currentView(now).tell
-	r.mu.Unlock()
-	message := Began{Groups: []Group{{Origin: o, Streams: []Stream{{Key: key, Left: left}}}}}
-	for _, n := range keepers {
-		r.Transport.Send(n.Address, message)
-	}
-}
-
-// Complete records that a stream was sent to its end, so that nobody takes it up.
-func (r *Register) Complete(key Key) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.pending, key)
-}
-
 // put stores a stream and logs, at intervals, that older ones had to make room.
 func (r *Register) put(now time.Time, key Key, o Origin, left time.Duration) {
 	if !r.streams.put(now, key, o, left) {
@@ -126,7 +97,7 @@
 	if len(nodes) == 0 && r.Holder() != "" {
 		nodes, message.Ask = []Node{{Name: holderName, Address: r.Holder()}}, true
 	}
-	return r.ask(ctx, nodes, message)
+	return r.ask(ctx, nodes, message, askTime)
 }
 
 // holderName stands for the holder of the lease in Found.From, while this node does not know any names.
@@ -140,8 +111,8 @@
 }
 
 // ask asks nodes for a stream and returns the first answer of one that knows it.
-func (r *Register) ask(ctx context.Context, nodes []Node, message Find) Found {
-	ctx, cancel := context.WithTimeout(ctx, askTime)
+func (r *Register) ask(ctx context.Context, nodes []Node, message Find, limit time.Duration) Found {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	answers := make(chan Found, len(nodes))
 	for _, n := range nodes {
@@ -186,6 +157,18 @@
 			_, evicted := r.streams.size()
 			return float64(evicted)
 		}),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: "martenwheel", Name: "lineage_stored_total", Help: "Streams whose origins this node wrote to the store.",
+		}, func() float64 {
+			stored, _ := r.openArchive().counts()
+			return float64(stored)
+		}),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: "martenwheel", Name: "lineage_not_stored_total", Help: "Streams whose origins were not written to the store, for lack of space.",
+		}, func() float64 {
+			_, dropped := r.openArchive().counts()
+			return float64(dropped)
+		}),
 	}
 }
 
@@ -199,70 +182,15 @@
 				r.put(now, s.Key, g.Origin, s.Left)
 			}
 		}
+		r.store(m.Groups)
 		return nil, true
 	case Find:
-		f := r.findHere(m.Key)
-		if !f.Known && !f.Conflicting && m.Ask {
-			f = r.Find(ctx, m.Key)
-		}
+		f := r.answerFind(ctx, m)
 		return FindAnswer{Origin: f.Origin, Known: f.Known, Conflicting: f.Conflicting, Age: f.Age}, true
 	}
 	return nil, false
 }
 
-// Run tells the keepers again of the streams that may be taken up, until ctx ends.
-func (r *Register) Run(ctx context.Context) {
-	ticker := time.NewTicker(tellInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			r.tellAgain()
-		}
-	}
-}
-
-// tellAgain tells the keepers of the streams that they were told of a while ago.
-func (r *Register) tellAgain() {
-	now := r.Time.Now()
-	r.mu.Lock()
-	messages := r.duePending(now)
-	keepers := r.currentView(now).tell
-	r.mu.Unlock()
-	for _, message := range messages {
-		for _, n := range keepers {
-			r.Transport.Send(n.Address, message)
-		}
-	}
-}
-
-// duePending returns the messages about the pending streams that are due, and removes those whose time is
-// over. The caller holds mu.
-func (r *Register) duePending(now time.Time) []Began {
-	groups := make(map[Origin][]Stream)
-	for key, p := range r.pending {
-		switch left := p.until.Sub(now); {
-		case left <= 0:
-			delete(r.pending, key)
-		case now.Sub(p.told) >= tellInterval/2:
-			p.told = now
-			r.pending[key] = p
-			groups[p.origin] = append(groups[p.origin], Stream{Key: key, Left: left})
-		}
-	}
-	var messages []Began
-	for o, streams := range groups {
-		for len(streams) > 0 {
-			n := min(len(streams), maxStreamsPerMessage)
-			messages = append(messages, Began{Groups: []Group{{Origin: o, Streams: streams[:n]}}})
-			streams = streams[n:]
-		}
-	}
-	return messages
-}
-
 // currentView returns the view for the nodes listed now. The caller holds mu.
 func (r *Register) currentView(now time.Time) *view {
 	nodes := r.Nodes()
@@ -327,6 +255,7 @@
 	v.former = kept
 	present := keepersAmong(staying)
 	v.tell, v.ask = keepersOf(r.Self, present), nil
+	v.keeper = slices.ContainsFunc(present, func(n Node) bool { return n.Name == r.Self })
 	asked := map[string]bool{r.Self: true}
 	for _, n := range append(present, keepersAmong(all)...) {
 		if !asked[n.Name] {
--- a/pkg/relay/version.go
+++ b/pkg/relay/version.go
@@ -23,6 +23,8 @@
 	Complete(key lineage.Key)
 	// Find looks for the origin of a stream, if necessary at other nodes.
 	Find(ctx context.Context, key lineage.Key) lineage.Found
+	// FindStored looks for the origin of a stream that no node knows.
+	FindStored(ctx context.Context, key lineage.Key) lineage.Found
 }
 
 // maxRequestIDBytes limits the ID by which a caller names the attempt that its stream began with.
@@ -72,8 +74,17 @@
 	if c.record.resumes != "" {
 		found = c.relay.Lineage.Find(ctx, c.streamKey(c.record.resumes))
 	}
-	if software, sole := c.soleVersion(); sole && !found.Known && !found.Conflicting {
+	if found.Known || found.Conflicting {
+		return found
+	}
+	if software, sole := c.soleVersion(); sole {
 		found.Known, found.Origin, found.From = true, lineage.Origin{Service: c.service, Software: software}, soleVersionOnly
+		return found
+	}
+	if c.record.resumes != "" {
+		if stored := c.relay.Lineage.FindStored(ctx, c.streamKey(c.record.resumes)); stored.Known || stored.Conflicting {
+			return stored
+		}
 	}
 	return found
 }
--- a/pkg/relay/versions_test.go
+++ b/pkg/relay/versions_test.go
@@ -106,6 +106,9 @@
 
 func (l *fakeLineage) Began(key lineage.Key, _ lineage.Origin, _ time.Duration) { l.began <- key }
 func (l *fakeLineage) Complete(key lineage.Key)                                 { l.complete <- key }
+func (l *fakeLineage) FindStored(context.Context, lineage.Key) lineage.Found {
+	return lineage.Found{}
+}
 func (l *fakeLineage) Find(_ context.Context, key lineage.Key) lineage.Found {
 	o, known := l.known[key]
 	return lineage.Found{Origin: o, Known: known}
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -47,6 +47,7 @@
 	Servers    *backend.Directory
 	Dial       backend.Dialer // connects to servers directly; nil: Dial
 	Store      lease.Store
+	Origins    lineage.Store  // keeps the origins of streams; nil: they are lost with all nodes
 	Tables     []*watch.Table // tables of the store that the site keeps up to date
 	Orders     coordinator.Orders
 	// Identify returns a probe that finds out whether a server is the incarnation of its record; may be nil.
@@ -160,6 +161,7 @@
 	s.member.Candidate = s.hub.Watching
 	s.lineage = &lineage.Register{
 		Self: s.Self.Name, Nodes: s.lineageNodes, Holder: func() string { return s.holderAddress(l) }, Transport: transport, Logger: s.Logger.Named("lineage"),
+		Store: s.Origins, Alone: s.member.ServedAlone,
 	}
 	s.Registry.MustRegister(s.lineage.Collect()...)
 	s.relay = &relay.Relay{
