lab: engines that answer without end

Cause: the emulator had no engines that send without end. Nodes hold what they read within the product's budget of memory and a bound for one answer, and the checker counts what they hold beyond it.

--- a/pkg/lab/checker.go
+++ b/pkg/lab/checker.go
@@ -12,6 +12,7 @@
 	wakes      []wakeSample
 	firstToken []time.Duration
 	loads      int
+	mostHeld   int // bytes of answers that a node has held at once
 }
 
 // wakeSample collects the waiting times of the first requests of a wake.
--- a/pkg/lab/engine.go
+++ b/pkg/lab/engine.go
@@ -41,6 +41,8 @@
 	deferred     []func()      // calls that arrived while the engine was frozen
 	silent       bool          // it generates nothing
 	unspoken     []func()      // ends of prompts that were read while the engine was silent
+	endlessUntil time.Duration // it answers without end until then
+	endlessRuns  int           // answers without end since it last served a request
 	gone         bool          // the machine was taken away
 	leavingAt    time.Duration // when it announced that it leaves; -1 if it stays
 	fence        api.Fence
@@ -278,6 +280,7 @@
 	e.instance = fmt.Sprintf("%s/%d", e.id, e.incarnation)
 	e.alive, e.frozen, e.gone = true, false, false
 	e.leavingAt = -1
+	e.endlessUntil, e.endlessRuns = 0, 0
 	e.fence = 0
 	e.lastOrder = ""
 	if replaced {
--- a/pkg/lab/engine_requests.go
+++ b/pkg/lab/engine_requests.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"martenwheel.dev/pkg/engine"
+	"martenwheel.dev/pkg/memory"
 	"martenwheel.dev/pkg/quarantine"
 )
 
@@ -21,6 +22,8 @@
 	outputOf    int    // number of the request that produced the output
 	instance    string // incarnation of the server that runs it
 	subjects    []quarantine.Run
+	received    int         // bytes of an answer without end, that the node holds
+	hold        memory.Hold // of those bytes
 }
 
 // submit handles a request from a node: it starts the request, queues it or refuses it.
@@ -53,6 +56,10 @@
 	it.running = append(it.running, r)
 	r.outputOf = r.request.number
 	e.sim.checker.started(r)
+	if e.endless() {
+		e.runEndlessly(r)
+		return
+	}
 	if r.request.badPart != "" {
 		e.crashByPart(r)
 		return
@@ -88,7 +95,13 @@
 	it := r.item
 	e.setActive(it, -1)
 	it.running = slices.DeleteFunc(it.running, func(other *run) bool { return other == r })
+	e.sim.noteServed(e)
 	e.sim.reply(e, r, answerServed)
+	e.startNext(it)
+}
+
+// startNext starts the next request in the queue.
+func (e *emulatedEngine) startNext(it *item) {
 	if len(it.queued) > 0 {
 		next := it.queued[0]
 		it.queued = it.queued[1:]
--- a/pkg/lab/faults.go
+++ b/pkg/lab/faults.go
@@ -27,12 +27,13 @@
 	FaultsRelease       Faults = "release"      // servers are replaced by a next version of their software
 	FaultsBadPart       Faults = "bad-part"     // a part of prompts crashes the engines that begin to answer it
 	FaultsSilent        Faults = "silent"       // sound engines generate nothing for a second or so and go on
+	FaultsEndless       Faults = "endless"      // engines answer without end for a while
 	FaultsStoreRestored Faults = "store-copy"   // the table service is restored from a backup, which the platform guarantees not to do
 )
 
 // AllFaults returns the names of the schedules.
 func AllFaults() []Faults {
-	return []Faults{FaultsNone, FaultsKill, FaultsCut, FaultsFreeze, FaultsStoreDown, FaultsWeightsSlow, FaultsMixed, FaultsRelease, FaultsBadPart, FaultsSilent, FaultsStoreRestored}
+	return []Faults{FaultsNone, FaultsKill, FaultsCut, FaultsFreeze, FaultsStoreDown, FaultsWeightsSlow, FaultsMixed, FaultsRelease, FaultsBadPart, FaultsSilent, FaultsEndless, FaultsStoreRestored}
 }
 
 // Intervals, durations and rates of the faults.
@@ -59,6 +60,7 @@
 	badPartDuration        = 30 * time.Minute
 	badPartShare           = 0.05 // of the requests
 	silentInterval         = 2 * time.Minute
+	endlessInterval        = 2 * time.Minute
 	editInterval           = 10 * time.Minute
 	weightsSlowInterval    = 6 * time.Hour
 	weightsSlowDuration    = time.Hour
@@ -100,6 +102,9 @@
 	if includes(FaultsSilent) {
 		sim.repeat(random, silentInterval, func() { sim.silenceEngines(random) })
 	}
+	if includes(FaultsEndless) {
+		sim.repeat(random, endlessInterval, func() { sim.answerEndlessly(random) })
+	}
 	if includes(FaultsStoreRestored) {
 		sim.repeat(random, restoreInterval, sim.restoreStore)
 	}
--- a/pkg/lab/node.go
+++ b/pkg/lab/node.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/memory"
 	"martenwheel.dev/pkg/quarantine"
 	"martenwheel.dev/pkg/traffic/routing"
 )
@@ -27,6 +28,7 @@
 	ticking     bool
 	runs        []*run // attempts in progress
 	quarantine  *quarantine.Table
+	memory      *memory.Budget // of the answers that it holds
 
 	chooser    *routing.Chooser
 	candidates []routing.Candidate // reused buffer of pick
@@ -265,6 +267,7 @@
 			return
 		}
 		n.runs = slices.Delete(n.runs, i, i+1)
+		r.hold.Release()
 		model := r.request.model.index
 		n.queue(model).inFlight--
 		n.recordEvidence(r, kind)
@@ -402,6 +405,7 @@
 func (n *node) restart() {
 	n.alive = true
 	n.quarantine = n.sim.knownEvidence()
+	n.memory = &memory.Budget{Limit: nodeBytes}
 	n.views = make([][]replicaView, len(n.sim.models))
 	n.sim.plane.nodeStarted(n)
 }
--- a/pkg/lab/result.go
+++ b/pkg/lab/result.go
@@ -72,11 +72,13 @@
 	// BadParts counts requests with a part that crashes engines, beyond those that may reach engines after
 	// its first crashes.
 	BadParts int `json:"bad_parts,omitempty"`
+	// Held counts pieces of answers that a node read although it held more than it may.
+	Held int `json:"held,omitempty"`
 }
 
 // Sum returns the number of all violations.
 func (v Violations) Sum() int {
-	return v.Replicas + v.Memory + v.AtMostOnce + v.NotRun + v.Leaving + v.TreeReverts + v.Versions + v.BadParts
+	return v.Replicas + v.Memory + v.AtMostOnce + v.NotRun + v.Leaving + v.TreeReverts + v.Versions + v.BadParts + v.Held
 }
 
 // Bounds are reference values that no policy is expected to beat; bounds.go explains them.
--- a/pkg/lab/run_test.go
+++ b/pkg/lab/run_test.go
@@ -216,6 +216,58 @@
 	checkNoViolations(t, result)
 }
 
+// playEndless runs engines that answer without end, or the same load without them. All requests may be sent again.
+func playEndless(t *testing.T, faults Faults, duration string, keepsAnswers bool) *simulation {
+	t.Helper()
+	const seed = 4
+	scenario := loadScenario(t, "hornada", "duration="+duration, "fault_rate=20", "services.booking.unsafe_share=0",
+		"services.booking.requests_per_second=10", "services.assistant.requests_per_second=10")
+	sim, err := newSimulation(scenario, seed, ControlDistributed, "adaptive")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sim.keepsAnswers = keepsAnswers
+	if err := sim.scheduleFaults(faults, newRandom(seed, streamFaults)); err != nil {
+		t.Fatal(err)
+	}
+	if !sim.run(context.Background(), nil) {
+		t.Fatal("the run did not end")
+	}
+	return sim
+}
+
+// Guards against nodes that keep answers without end, lose requests by them, or never go back to their engines.
+func TestFAULTOfEnginesThatAnswerWithoutEnd(t *testing.T) {
+	t.Parallel()
+	control := playEndless(t, FaultsNone, "10m", false)
+	want, _ := control.result(Options{}, true)
+	checkNoViolations(t, want)
+	sim := playEndless(t, FaultsEndless, "10m", false)
+	got, _ := sim.result(Options{}, true)
+	checkNoViolations(t, got)
+	if got.Requests != want.Requests {
+		t.Errorf("with answers without end %+v, without %+v", got.Requests, want.Requests)
+	}
+	faults := sim.faultCounts[FaultsEndless]
+	t.Logf("%d answers without end in %d faults, %d bytes held at most, engines served again %d times", sim.endlessRuns, faults, sim.checker.mostHeld, sim.cameBack)
+	if sim.endlessRuns < faults || sim.checker.mostHeld < answerBytes {
+		t.Errorf("%d answers without end, %d bytes held: little is shown", sim.endlessRuns, sim.checker.mostHeld)
+	}
+	for _, e := range sim.engines {
+		if e.endlessRuns > 0 && !e.endless() && sim.endedAt-e.endlessUntil > time.Minute {
+			t.Errorf("%s has served nothing since it answered without end, %v before the end", e.id, sim.endedAt-e.endlessUntil)
+		}
+	}
+}
+
+func TestNodesThatKeepAnswersWithoutEndAreNotReported(t *testing.T) {
+	t.Parallel()
+	sim := playEndless(t, FaultsEndless, "2m", true)
+	if sim.checker.violations.Held == 0 {
+		t.Errorf("nodes held %d bytes: no violation", sim.checker.mostHeld)
+	}
+}
+
 func TestLOSTRequestsAtEnginesThatFallSilent(t *testing.T) {
 	t.Parallel()
 	results := make(map[Faults]*Result)
