loadtest: callers that do not behave

Cause: the load tool had only callers that keep to the protocol. Change: options for callers that stop short of the end of bodies or heads, send bodies in chunks of a byte, or read no answer, bounded in number and size, on loopback unless allowed elsewhere, until the end of the run. The result counts their connections beside the ordinary requests.

--- a/cmd/martenwheel-lab/load.go
+++ b/cmd/martenwheel-lab/load.go
@@ -18,12 +18,13 @@
 	defaultLoadDuration = 10 * time.Second
 	defaultLoadDeadline = 15 * time.Second
 	defaultLoadAttempts = 3
+	defaultUnrulyBody   = 4 << 20 // bytes
 )
 
 // loadCommand returns the "load" subcommand, which sends streams to running nodes.
 func loadCommand() command {
 	o := loadtest.Options{PerSecond: defaultLoadRate, Duration: defaultLoadDuration, Deadline: defaultLoadDeadline, Attempts: defaultLoadAttempts,
-		IDHeader: "X-Request-Id", Path: "/"}
+		IDHeader: "X-Request-Id", Path: "/", Unruly: loadtest.Unruly{BodyBytes: defaultUnrulyBody}}
 	model, modelHeader := "", ""
 	c := flaggy.NewSubcommand("load")
 	c.Description = "Send streams to running nodes, take up at another node those that break off, and count what callers got."
@@ -41,6 +42,12 @@
 	c.String(&o.SharedPart, "", "shared-part", "ID of the first part of all prompts")
 	c.String(&o.BadPart, "", "bad-part", "ID of a part that crashes the servers under test")
 	c.Float64(&o.BadShare, "", "bad-share", "Share of prompts with that part, 0 to 1")
+	c.Int(&o.Unruly.StalledBodies, "", "stalled-bodies", "Callers beside the streams whose body stops a byte short of its length")
+	c.Int(&o.Unruly.SmallChunks, "", "small-chunks", "Callers whose body comes in chunks of a byte and does not end")
+	c.Int(&o.Unruly.HalfHeads, "", "half-heads", "Callers whose head does not end")
+	c.Int(&o.Unruly.Unread, "", "unread", "Callers that read no answer")
+	c.Int(&o.Unruly.BodyBytes, "", "body-bytes", "Length of the bodies of those callers")
+	c.Bool(&o.Unruly.Remote, "", "unruly-remote", "Allow those callers at nodes that are not on a loopback address")
 	c.Bool(&o.CutsViolate, "", "no-cuts", "Exit with 3 if a stream is cut off though its caller's time was not up")
 	c.Float64(&o.PerSecond, "", "rate", "Streams per second")
 	c.Duration(&o.Duration, "", "for", "How long streams begin")
--- a/pkg/loadtest/loadtest.go
+++ b/pkg/loadtest/loadtest.go
@@ -1,11 +1,12 @@
 // Package loadtest sends requests for streams to nodes at a rate, as callers do: a stream that breaks off is
 // taken up at another node. It counts what the callers got, and what no caller may get: lost or repeated events,
-// and streams of servers of two software versions.
+// and streams of servers of two software versions. Callers that do not behave may run beside them.
 package loadtest
 
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -42,6 +43,7 @@
 	// SameField is what all events of a stream have in common if they come from one software version: a field of the
 	// JSON object in their data, or the data itself if it is "data"; optional.
 	SameField string
+	Unruly    Unruly // callers that do not behave; optional
 	// CutsViolate makes each stream that is cut off though its time was not up a violation.
 	CutsViolate bool
 	Seed        uint64       // of the choice of nodes
@@ -67,6 +69,9 @@
 	Bad               int `json:"bad,omitempty"`
 	BadRefused        int `json:"bad_refused,omitempty"` // their last attempt was refused
 
+	// Unruly counts the connections of callers that do not behave, by kind.
+	Unruly map[string]*UnrulyCount `json:"unruly,omitempty"`
+
 	cutsViolate bool
 }
 
@@ -81,15 +86,17 @@
 
 // check returns all faults of the options.
 func (o *Options) check() error {
-	var faults []string
-	for name, missing := range map[string]bool{
+	wrong := o.Unruly.faults(o.Nodes)
+	maps.Copy(wrong, map[string]bool{
 		"no node": len(o.Nodes) == 0, "no path": !strings.HasPrefix(o.Path, "/"), "no rate": o.PerSecond <= 0, "no duration": o.Duration <= 0,
 		"no deadline": o.Deadline <= 0, "no header for IDs": o.IDHeader == "", "no header for deadlines": o.DeadlineHeader == "",
 		"no header for the parts of prompts": o.PartsHeader == "" && o.BadShare > 0, "no part that crashes servers": o.BadPart == "" && o.BadShare > 0,
 		"a share of bad parts beyond 0 to 1":      o.BadShare < 0 || o.BadShare > 1,
 		"no header for streams that are taken up": o.ResumesHeader == "" && o.Attempts > 1, "a negative number of attempts": o.Attempts < 0,
-	} {
-		if missing {
+	})
+	var faults []string
+	for name, is := range wrong {
+		if is {
 			faults = append(faults, name)
 		}
 	}
@@ -111,6 +118,10 @@
 	defer cancel()
 	var callers sync.WaitGroup
 	var total totals
+	var unruly unrulyTotals
+	during, stop := context.WithTimeout(ctx, o.Duration)
+	defer stop()
+	startUnruly(during, &o, &callers, &unruly)
 	random := rand.New(rand.NewPCG(o.Seed, 1))
 	ticker := time.NewTicker(time.Duration(float64(time.Second) / o.PerSecond))
 	defer ticker.Stop()
@@ -122,7 +133,7 @@
 	}
 	callers.Wait()
 	result := total.result()
-	result.cutsViolate = o.CutsViolate
+	result.cutsViolate, result.Unruly = o.CutsViolate, unruly.kinds
 	return result, nil
 }
 
