watch: a limit for all packs of a message

Cause: each pack of rows in an answer of another node may take 32 MiB unpacked, and an answer has up to 64 packs, some 10 kB each for rows of 8 MiB that are alike. Change: all packs of a message share the 32 MiB, which is what a node reads of a whole table as well. The tests of the package pass. The sender is another node of the site; callers are not known to have met it.

--- a/pkg/watch/hub.go
+++ b/pkg/watch/hub.go
@@ -67,15 +67,11 @@
 
 // page returns the records of an answer.
 func (a *PullAnswer) page() (Page, error) {
-	p := Page{Version: a.Version, AsOf: a.AsOf, Dated: a.Dated, Parts: a.Parts}
-	for _, packed := range append([][]byte{a.Records}, a.Packs...) {
-		records, err := unpack(packed)
-		if err != nil {
-			return Page{}, err
-		}
-		p.Records = append(p.Records, records...)
+	records, err := unpack(append([][]byte{a.Records}, a.Packs...)...)
+	if err != nil {
+		return Page{}, err
 	}
-	return p, nil
+	return Page{Records: records, Version: a.Version, AsOf: a.AsOf, Dated: a.Dated, Parts: a.Parts}, nil
 }
 
 func init() { peer.Register(News{}, Pull{}, PullAnswer{}) }
--- a/pkg/watch/pack.go
+++ b/pkg/watch/pack.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 )
 
-// maxUnpacked limits the size of unpacked records.
+// maxUnpacked limits the size of the unpacked records of a message.
 const maxUnpacked = 32 << 20
 
 // packers reuses flate writers, each of which takes over a megabyte: a relay packs some dozens of times a
@@ -38,15 +38,20 @@
 	return b.Bytes(), nil
 }
 
-// unpack is the inverse of pack.
-func unpack(packed []byte) ([]Record, error) {
-	if len(packed) == 0 {
-		return nil, nil
-	}
-	r := flate.NewReader(bytes.NewReader(packed))
-	var records []Record
-	if err := gob.NewDecoder(io.LimitReader(r, maxUnpacked)).Decode(&records); err != nil {
-		return nil, errors.Wrap(err, "watch: unpack")
+// unpack is the inverse of pack for all packs of a message.
+func unpack(packs ...[]byte) ([]Record, error) {
+	unpacked := &io.LimitedReader{N: maxUnpacked}
+	var all []Record
+	for _, packed := range packs {
+		if len(packed) == 0 {
+			continue
+		}
+		unpacked.R = flate.NewReader(bytes.NewReader(packed))
+		var records []Record
+		if err := gob.NewDecoder(unpacked).Decode(&records); err != nil {
+			return nil, errors.Wrap(err, "watch: unpack")
+		}
+		all = append(all, records...)
 	}
-	return records, nil
+	return all, nil
 }
