gateway: a limit for all answers that are held at once

Cause: an answer that is not streamed may have 16 MiB, allocated as announced and held until its caller has read it, and nothing bounded the sum. Change: these answers are read into buffers of one budget, HeldAnswerBytes, 256 MiB unless set, as their bytes come, and return their part when the caller has them or has left. An answer that finds no room has failed, like one that breaks off. Callers are not known to have met it.

--- a/pkg/gateway/config.go
+++ b/pkg/gateway/config.go
@@ -36,6 +36,7 @@
 	BodyBytes        int // maximum size of a request body
 	HeaderBytes      int // maximum size of a request header
 	AnswerBytes      int // maximum size of an answer that is not streamed
+	HeldAnswerBytes  int // maximum size of all these answers at once, from their first byte until callers have them
 	EventBytes       int // maximum size of one stream event
 	KeptAnswerBytes  int // maximum size of an answer kept for repeats of an unsafe request
 	Connections      int // open connections of all callers
@@ -89,6 +90,7 @@
 	DefaultBodyBytes        = 4 << 20
 	DefaultHeaderBytes      = 16 << 10
 	DefaultAnswerBytes      = 16 << 20
+	DefaultHeldAnswerBytes  = 256 << 20
 	DefaultEventBytes       = 1 << 20
 	DefaultKeptAnswerBytes  = keeper.MaxKeptAnswer
 	DefaultConnections      = 16384
@@ -153,6 +155,7 @@
 	l.BodyBytes = cmp.Or(l.BodyBytes, DefaultBodyBytes)
 	l.HeaderBytes = cmp.Or(l.HeaderBytes, DefaultHeaderBytes)
 	l.AnswerBytes = cmp.Or(l.AnswerBytes, DefaultAnswerBytes)
+	l.HeldAnswerBytes = cmp.Or(l.HeldAnswerBytes, DefaultHeldAnswerBytes)
 	l.EventBytes = cmp.Or(l.EventBytes, DefaultEventBytes)
 	l.KeptAnswerBytes = cmp.Or(l.KeptAnswerBytes, DefaultKeptAnswerBytes)
 	l.Connections = cmp.Or(l.Connections, DefaultConnections)
--- a/pkg/gateway/engine_answer.go
+++ b/pkg/gateway/engine_answer.go
@@ -13,6 +13,7 @@
 
 	"martenwheel.dev/pkg/engine"
 	"martenwheel.dev/pkg/gateway/internal/upstream"
+	"martenwheel.dev/pkg/memory"
 	"martenwheel.dev/pkg/telemetry"
 	"martenwheel.dev/pkg/traffic"
 )
@@ -52,7 +53,7 @@
 
 // wholeAnswer is a complete answer that was not streamed.
 type wholeAnswer struct {
-	body  []byte
+	body  *memory.Buffer // of the gateway's budget, until the caller has it
 	usage usage
 }
 
@@ -155,23 +156,50 @@
 // readWhole reads an answer that is not streamed and checks that it is complete
 // and belongs to this request.
 func (a *attempt) readWhole(answer *upstream.Answer) (*wholeAnswer, error) {
-	body, err := answer.ReadAll(a.call.gateway.config.Limits.AnswerBytes)
-	if err != nil {
+	whole := &wholeAnswer{body: memory.NewBuffer(&a.call.gateway.held)}
+	if err := a.readInto(whole, answer); err != nil {
+		whole.body.Release()
 		return nil, err
 	}
+	answer.Close(true)
+	return whole, nil
+}
+
+// readInto reads an answer into whole and checks it.
+func (a *attempt) readInto(whole *wholeAnswer, answer *upstream.Answer) error {
+	if err := answer.ReadInto(whole.body, a.call.gateway.config.Limits.AnswerBytes); err != nil {
+		return err
+	}
 	var fields answerFields
-	if json.Unmarshal(body, &fields) != nil {
-		return nil, errNotJSON
+	if json.Unmarshal(whole.body.Bytes(), &fields) != nil {
+		return errNotJSON
 	}
 	if !belongsTo(fields.ID, a.engineID) {
-		return nil, errOtherAnswer
+		return errOtherAnswer
 	}
-	answer.Close(true)
-	whole := &wholeAnswer{body: body}
 	if fields.Usage != nil {
 		whole.usage = *fields.Usage
 	}
-	return whole, nil
+	return nil
+}
+
+// heldBody is the body of an answer to a caller that is not streamed.
+type heldBody struct {
+	bytes.Reader
+	held *memory.Buffer
+}
+
+func newHeldBody(held *memory.Buffer) *heldBody {
+	b := &heldBody{held: held}
+	b.Reset(held.Bytes())
+	return b
+}
+
+// Close releases the answer. The HTTP server calls it when all is sent or the caller hung up.
+func (b *heldBody) Close() error {
+	b.Reset(nil)
+	b.held.Release()
+	return nil
 }
 
 // cancelTimeout is the timeout of a cancellation at an engine.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"martenwheel.dev/pkg/engine"
 	"martenwheel.dev/pkg/gateway/internal/hangup"
 	"martenwheel.dev/pkg/gateway/internal/upstream"
+	"martenwheel.dev/pkg/memory"
 	"martenwheel.dev/pkg/quarantine"
 )
 
@@ -41,6 +42,7 @@
 	quarantine quarantine.Table
 	hangups    *hangup.Watcher
 	metrics    *metrics
+	held       memory.Budget  // for answers that are not streamed
 	background conc.WaitGroup // claim completions, cancellations, unsafe requests whose caller hung up
 
 	hangupRun conc.WaitGroup // runs the hang-up watcher
@@ -66,6 +68,7 @@
 	config = config.withDefaults()
 	g := &Gateway{
 		config:   config,
+		held:     memory.Budget{Limit: int64(config.Limits.HeldAnswerBytes)},
 		hangups:  hangup.NewWatcher(config.Timeouts.HangUpInterval),
 		idPrefix: newIDPrefix(),
 		engines: upstream.NewClient(upstream.Config{
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -120,7 +120,7 @@
 	}
 	served.finishWhole()
 	ctx.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
-	ctx.Response().SetBodyRaw(served.whole.body)
+	ctx.Context().SetBodyStream(newHeldBody(served.whole.body), served.whole.body.Len())
 	return nil
 }
 
--- a/pkg/gateway/internal/upstream/answer.go
+++ b/pkg/gateway/internal/upstream/answer.go
@@ -9,6 +9,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"martenwheel.dev/pkg/memory"
 )
 
 // readBufferSize is the size in bytes of read buffers: enough for an answer's
@@ -91,6 +93,12 @@
 	return body.Bytes(), nil
 }
 
+// ReadInto reads the whole body into a buffer. It returns memory.ErrTooLong if the body has more than limit bytes, and
+// memory.ErrUsedUp if there is no room for it.
+func (a *Answer) ReadInto(body *memory.Buffer, limit int) error {
+	return body.Fill(a, int64(a.Response.Header.ContentLength()), int64(limit))
+}
+
 // SetReadDeadline sets the deadline for reads. The zero time restores the stall
 // timeout for each read.
 func (a *Answer) SetReadDeadline(deadline time.Time) {
--- a/pkg/gateway/stream_body.go
+++ b/pkg/gateway/stream_body.go
@@ -162,7 +162,7 @@
 	a.call.completeClaim(keeper.Answer{
 		Status:      fiber.StatusOK,
 		ContentType: fiber.MIMEApplicationJSON,
-		Body:        a.whole.body,
+		Body:        a.whole.body.Bytes(),
 	})
 	a.call.end(traffic.OutcomeServed, nil)
 }
