s3objects: a limit for pages of lists

Cause: the library decodes a page of a list as long as it comes, names and single elements alike. Change: the transport below it brings 16 MiB of a page at most; a page has 1,000 names of up to 1,024 bytes. The limit of bodies is a package that the table's client uses as well. The tests of the clients and of their stand-in pass. Callers are not known to have met it.

--- a/pkg/platform/dynamotable/transport.go
+++ b/pkg/platform/dynamotable/transport.go
@@ -6,6 +6,8 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/platform/internal/bounded"
 )
 
 // bodyTransport gives each request a copy of its body. The SDK closes its own body
@@ -26,9 +28,7 @@
 // RoundTrip implements http.RoundTripper.
 func (t bodyTransport) RoundTrip(request *http.Request) (*http.Response, error) {
 	response, err := t.send(request)
-	if response != nil && response.Body != nil {
-		response.Body = &limitedBody{ReadCloser: response.Body, left: maxAnswerBytes}
-	}
+	bounded.Limit(response, maxAnswerBytes)
 	return response, err
 }
 
@@ -52,21 +52,3 @@
 
 // maxAnswerBytes limits the body of an answer. The protocol allows 1 MB for a page of a query.
 const maxAnswerBytes = 16 << 20
-
-var errTooLong = errors.New("table: the answer is too long")
-
-// limitedBody is the body of an answer, of which no more than left bytes are read.
-type limitedBody struct {
-	io.ReadCloser
-	left int
-}
-
-// Read implements io.Reader.
-func (b *limitedBody) Read(p []byte) (int, error) {
-	if b.left <= 0 {
-		return 0, errTooLong
-	}
-	n, err := b.ReadCloser.Read(p[:min(len(p), b.left)])
-	b.left -= n
-	return n, err
-}
--- a/pkg/platform/s3objects/objects.go
+++ b/pkg/platform/s3objects/objects.go
@@ -57,10 +57,15 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "object store: endpoint")
 	}
+	secure := endpoint.Scheme == "https"
+	transport, err := newListTransport(config.Transport, secure)
+	if err != nil {
+		return nil, err
+	}
 	client, err := minio.NewCore(endpoint.Host, &minio.Options{
 		Creds:        credentials.NewStaticV4(config.AccessKey, config.SecretKey, ""),
-		Secure:       endpoint.Scheme == "https",
-		Transport:    config.Transport,
+		Secure:       secure,
+		Transport:    transport,
 		Region:       config.Region, // if empty, the library requests it from the server
 		BucketLookup: minio.BucketLookupPath,
 		MaxRetries:   1, // number of attempts; the caller decides about retries
