tunnel, site: nodes are told when one stops through which they reach servers

Callers saw: at a node that reached no server directly, requests got 502 as the other node ended through which they went, in its planned stop. Cause: connections through another node were used on for as long as there were requests, also while that one stopped. Change: a stopping node tells the owners of its tunnels (tunnel.Stops); connections opened before are not taken for further requests (backend.EndingConn). A tunnel that comes up as the node begins to stop is not opened.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -24,6 +24,12 @@
 	Indirect()
 }
 
+// EndingConn is a connection that tells when it is about to end, although it still carries requests.
+type EndingConn interface {
+	net.Conn
+	Ending() bool
+}
+
 // Reach is told what direct connections show about this node's way to servers.
 type Reach interface {
 	Sent()  // a request is sent
@@ -113,6 +119,12 @@
 	closed  error // why the connection is unusable; nil: usable
 }
 
+// ending reports whether the connection is about to end, so that no further request should be sent on it.
+func (c *conn) ending() bool {
+	e, tells := c.Conn.(EndingConn)
+	return tells && e.Ending()
+}
+
 // exchange is one request and its response on a connection.
 type exchange struct {
 	message *Message
--- a/pkg/backend/indirect_test.go
+++ b/pkg/backend/indirect_test.go
@@ -69,3 +69,36 @@
 		})
 	}
 }
+
+// endingConn is a connection that is about to end once the test says so.
+type endingConn struct {
+	net.Conn
+	ends *atomic.Bool
+}
+
+func (c endingConn) Ending() bool { return c.ends.Load() }
+
+// Guards against requests on connections that are about to end.
+func TestConnectionsThatAreAboutToEndAreNotUsedAgain(t *testing.T) {
+	var dialed atomic.Int32
+	var ends atomic.Bool
+	d := &Directory{Dialer: func(context.Context, string) (net.Conn, error) {
+		dialed.Add(1)
+		near, far := net.Pipe()
+		go serve(far, good, good, good)
+		return endingConn{near, &ends}, nil
+	}}
+	d.Replace([]*Server{{ID: "i-1", Service: "s", Address: "server"}}, 1)
+	m := d.Snapshot().Member("i-1")
+	for _, want := range []struct {
+		ends   bool
+		dialed int32
+	}{{false, 1}, {false, 1}, {true, 2}} {
+		ends.Store(want.ends)
+		exchangeWith(t, m)
+		waitIdle(t, m)
+		if got := dialed.Load(); got != want.dialed {
+			t.Errorf("about to end %v: %d connections, want %d", want.ends, got, want.dialed)
+		}
+	}
+}
--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -73,7 +73,7 @@
 		if c.idleFor > 0 {
 			bound = min(bound, max(c.idleFor-idleMargin, c.idleFor/2))
 		}
-		if now.Sub(c.idleAt) < bound && c.suspended == clock.Slept() {
+		if now.Sub(c.idleAt) < bound && c.suspended == clock.Slept() && !c.ending() {
 			return c
 		}
 		c.fail(errIdleClosed)
--- a/pkg/site/reach.go
+++ b/pkg/site/reach.go
@@ -65,10 +65,34 @@
 	if !ok {
 		return nil, nil, errors.Errorf("site: stream for %T", request)
 	}
-	conn, result := s.helper.Connect(ctx, string(from.ID), c)
+	conn, result := s.helper.Connect(ctx, from.PeerAddress, c)
 	return conn, tunnel.Connected{Result: result}, nil
 }
 
+// Calls that tell other nodes that this one stops.
+const (
+	stopCallTime  = 300 * time.Millisecond
+	stopCallTries = 3
+)
+
+// tellTunnelOwners tells the nodes that have tunnels through this one that it stops.
+func (s *Site) tellTunnelOwners() {
+	for _, owner := range s.helper.Owners() {
+		go func() {
+			var err error
+			for range stopCallTries {
+				ctx, cancel := context.WithTimeout(context.Background(), stopCallTime)
+				_, err = s.transport.Call(ctx, owner, tunnel.Stops{Node: s.Self.Peers})
+				cancel()
+				if err == nil {
+					return
+				}
+			}
+			s.Logger.Warn("node with tunnels through this one not told of the stop", "address", owner, "error", err)
+		}()
+	}
+}
+
 // cutChanged adapts the node when it is cut from all servers.
 func (s *Site) cutChanged(l *lease.Lease, cut bool) {
 	s.Servers.WaysChanged(cut)
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -83,6 +83,8 @@
 	stopped  time.Time // when the planned stop began; zero: it has not; used by the goroutine of Run only
 	watched  convertedNodes[watch.Node]
 	known    convertedNodes[lineage.Node]
+
+	transport peer.Transport
 }
 
 // Ready reports whether this node can serve callers.
@@ -307,6 +309,10 @@
 	if reply, handled := s.lineage.Handle(ctx, message); handled {
 		return reply, nil
 	}
+	if stops, is := message.(tunnel.Stops); is {
+		s.dialer.NodeStops(stops.Node)
+		return nil, nil
+	}
 	return s.member.HandleMessage(ctx, from, message)
 }
 
@@ -323,6 +329,7 @@
 	}
 	conns := s.newCallers(listener)
 	l, holder, transport := s.assemble()
+	s.transport = transport
 	s.connectThroughOthers(l)
 	peers.Serve(s)
 	defer s.watchSuspension()()
@@ -385,6 +392,7 @@
 	s.stopping.Store(true)
 	s.member.Stop()
 	s.relay.Stop(s.Grace)
+	s.tellTunnelOwners()
 	s.Logger.Info("stopping", "in_flight", s.relay.InFlight(), "grace_ms", s.Grace.Milliseconds())
 	for left := s.Grace - stopMargin; left > 0; left = s.Grace - stopMargin - clock.Since(began) {
 		if clock.Since(began) > s.Linger && s.relay.InFlight() == 0 && s.helper.Open() == 0 {
--- a/pkg/tunnel/dialer.go
+++ b/pkg/tunnel/dialer.go
@@ -32,6 +32,8 @@
 	// rememberTime is how long a node may be asked that is listed no more: a new lease holder lists the nodes
 	// only as they report to it, and a cut holder hands its lease over.
 	rememberTime = 10 * time.Second
+	// rememberStopTime is longer than a node takes to stop.
+	rememberStopTime = 10 * time.Minute
 	// probeInterval is the time between two direct probes of servers.
 	probeInterval = 400 * time.Millisecond
 	// leaderSilence is how long a node that gives orders may hear no server before it probes one.
@@ -74,17 +76,42 @@
 	avoided     map[string]time.Time // nodes that opened no tunnel, and until when they come last
 	known       map[Node]time.Time   // nodes, and when they were last listed
 	unconfirmed map[string]bool      // servers that DialOnlyDirect did not reach
+	stopping    map[string]time.Time // nodes that said that they stop, and when
 }
 
 // Opened returns the number of connections made through other nodes.
 func (d *Dialer) Opened() int { return int(d.opened.Load()) }
 
 // indirectConn is a connection through another node.
-type indirectConn struct{ net.Conn }
+type indirectConn struct {
+	net.Conn
+	dialer *Dialer
+	node   string
+	opened time.Time
+}
 
 // Indirect marks the connection for package backend.
 func (indirectConn) Indirect() {}
 
+// Ending implements backend.EndingConn.
+func (c indirectConn) Ending() bool {
+	c.dialer.mu.Lock()
+	defer c.dialer.mu.Unlock()
+	return c.dialer.stopping[c.node].After(c.opened)
+}
+
+// NodeStops records that a node is about to end, with the connections that lead through it.
+func (d *Dialer) NodeStops(node string) {
+	now := d.Reach.Time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopping == nil {
+		d.stopping = make(map[string]time.Time)
+	}
+	maps.DeleteFunc(d.stopping, func(_ string, at time.Time) bool { return now.Sub(at) > rememberStopTime })
+	d.stopping[node] = now
+}
+
 // DialDirect connects to a server directly.
 func (d *Dialer) DialDirect(ctx context.Context, address string) (net.Conn, error) {
 	began := d.Reach.Time.Now()
@@ -140,7 +167,7 @@
 // connection is reported as such only if the server itself refused it, as far as known.
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
 	way := d.Reach.routeTo(address)
-	r := &race{dialer: d, address: address, results: make(chan attempt, 1+maxHelpers)}
+	r := &race{dialer: d, address: address, began: d.Reach.Time.Now(), results: make(chan attempt, 1+maxHelpers)}
 	defer r.abandon()
 	r.helperCtx, r.stopHelpers = context.WithCancel(ctx)
 	if way.direct {
@@ -234,6 +261,7 @@
 type race struct {
 	dialer      *Dialer
 	address     string
+	began       time.Time
 	nodes       []Node // not asked yet
 	asked       bool   // nodes is set
 	results     chan attempt
@@ -330,7 +358,7 @@
 	}
 	r.dialer.opened.Add(1)
 	r.dialer.Reach.ReachedByOther(r.address)
-	return indirectConn{a.conn}
+	return indirectConn{a.conn, r.dialer, a.node, r.began}
 }
 
 // failure returns why there is no connection.
--- a/pkg/tunnel/helper.go
+++ b/pkg/tunnel/helper.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +30,29 @@
 
 	open   atomic.Int64
 	opened atomic.Int64
+
+	mu     sync.Mutex
+	owners map[string]int // tunnels that are open, by the address of the node that has them
+}
+
+// Owners returns the addresses of the nodes that have tunnels.
+func (h *Helper) Owners() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Collect(maps.Keys(h.owners))
+}
+
+// count adds to the tunnels of a node.
+func (h *Helper) count(owner string, n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.owners == nil {
+		h.owners = make(map[string]int)
+	}
+	h.owners[owner] += n
+	if h.owners[owner] == 0 {
+		delete(h.owners, owner)
+	}
 }
 
 // Open returns the number of tunnels that are open.
@@ -35,15 +61,21 @@
 // Opened returns the number of tunnels opened so far.
 func (h *Helper) Opened() int { return int(h.opened.Load()) }
 
-// Connect connects to a server for another node, directly. The connection is nil unless the result is Open.
+// Connect connects to a server for the node at an address, directly. The connection is nil unless the result is Open.
 func (h *Helper) Connect(ctx context.Context, from string, c Connect) (net.Conn, Result) {
 	conn, result := h.connect(ctx, c)
 	if conn == nil {
 		h.Logger.Debug("no tunnel", "for", from, "address", c.Address, "result", result.String(), "open", h.Open())
 		return nil, result
 	}
+	counted := &countedConn{Conn: conn, helper: h, owner: from}
+	h.count(counted.owner, 1)
+	if h.Stopping() { // since it was asked, so that the node may not be among the owners that were told
+		_ = counted.Close()
+		return nil, Unavailable
+	}
 	h.opened.Add(1)
-	return &countedConn{Conn: conn, open: &h.open}, Open
+	return counted, Open
 }
 
 func (h *Helper) connect(ctx context.Context, c Connect) (net.Conn, Result) {
@@ -91,14 +123,16 @@
 // countedConn is the connection of a tunnel, counted while it is open.
 type countedConn struct {
 	net.Conn
-	open   *atomic.Int64
+	helper *Helper
+	owner  string
 	closed atomic.Bool
 }
 
 // Close implements net.Conn.
 func (c *countedConn) Close() error {
 	if !c.closed.Swap(true) {
-		c.open.Add(-1)
+		c.helper.open.Add(-1)
+		c.helper.count(c.owner, -1)
 	}
 	return c.Conn.Close()
 }
--- a/pkg/tunnel/messages.go
+++ b/pkg/tunnel/messages.go
@@ -27,4 +27,9 @@
 	Result Result
 }
 
-func init() { peer.RegisterRecent(Connect{}, Connected{}) }
+// Stops tells a node that another one, through which it has tunnels, is about to end.
+type Stops struct {
+	Node string // address of the node that stops, for other nodes
+}
+
+func init() { peer.RegisterRecent(Connect{}, Connected{}, Stops{}) }
