memory: what is within the free part needs no budget while it grows

What callers saw: while others held the whole budget for answers, streams of small events broke off when a burst of them came (200, unexpected EOF). Cause: a buffer that grows was charged for its old memory too, so that the free 4 kB ended at 2 kB and one byte; a read of 2 kB after a part of an event is more, and an event without room ends its run. Change: within the free part, the old memory is not counted, and no more than that part is allocated. Result: TestFAULTOfOrdinaryStreamsBesideAFullBudget failed before (2,021 of 16,392 bytes), TestBufferOfTheFreePartNeedsNoBudget too (2,049 bytes refused); both pass. The tests of memory and those of relay named Budget pass.

--- a/pkg/memory/buffer.go
+++ b/pkg/memory/buffer.go
@@ -98,13 +98,19 @@
 	return err != nil, err
 }
 
-// reserve makes room for a content of the given length. The old memory counts until its content has been copied.
+// reserve makes room for a content of the given length. The old memory counts until its content has been copied, unless all
+// is within the free part.
 func (b *Buffer) reserve(length int) bool {
 	if length <= cap(b.data) {
 		return true
 	}
 	size := max(length, 2*cap(b.data))
-	if !b.hold.Resize(cap(b.data) + size) {
+	during := cap(b.data) + size
+	if length <= FreeBytes {
+		size = min(size, FreeBytes)
+		during = size
+	}
+	if !b.hold.Resize(during) {
 		return false
 	}
 	grown := make([]byte, len(b.data), size)
--- a/pkg/memory/memory_test.go
+++ b/pkg/memory/memory_test.go
@@ -100,3 +100,21 @@
 		t.Fatalf("%d bytes are still held", u.Used)
 	}
 }
+
+// Guards against ordinary messages that need the budget while their buffers grow.
+func TestBufferOfTheFreePartNeedsNoBudget(t *testing.T) {
+	budget := &Budget{Limit: 1}
+	for _, piece := range []int{1, 100, FreeBytes / 2, FreeBytes} {
+		b := NewBuffer(budget)
+		for b.Len()+piece <= FreeBytes {
+			if !b.Append(make([]byte, piece)) {
+				t.Fatalf("no room for %d bytes in pieces of %d", b.Len()+piece, piece)
+			}
+		}
+		b.Release()
+	}
+	content := strings.NewReader(strings.Repeat("x", FreeBytes-1))
+	if err := NewBuffer(budget).Fill(content, -1, 1<<20); err != nil {
+		t.Errorf("a message of unknown length: %v", err)
+	}
+}
--- a/pkg/relay/partial_test.go
+++ b/pkg/relay/partial_test.go
@@ -130,3 +130,25 @@
 		t.Errorf("%d with %d bytes, %v", got.status, len(got.body), got.err)
 	}
 }
+
+// Guards against ordinary streams that break off as a burst of small events comes while others hold the budget.
+func TestFAULTOfOrdinaryStreamsBesideAFullBudget(t *testing.T) {
+	var events strings.Builder
+	for i := 1; events.Len() < 16<<10; i++ {
+		fmt.Fprintf(&events, "id: %d\ndata: one more token\n\n", i)
+	}
+	stream := func(w http.ResponseWriter, _ *http.Request, _ seen) {
+		w.Header().Set(testHeaders.Seal, "seal")
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, events.String())
+	}
+	s := newShortSite(t, route.Route{Kind: route.Stream, MaxAttempts: 1}, stream)
+	all := s.relay.Answers.Hold()
+	if !all.Resize(16<<10 + memory.FreeBytes) {
+		t.Fatal("no room")
+	}
+	defer all.Release()
+	if got := s.post("id", "x"); got.err != nil || got.body != events.String() {
+		t.Errorf("%d with %d bytes of %d, %v", got.status, len(got.body), events.Len(), got.err)
+	}
+}
