backend: a large body is not copied to be sent

Cause: a message was joined with its body in a new buffer for each send, which is kept for as long as the server takes it in. Change: a body beyond 16 KiB is written apart from the head. Result: one copy of each large body less; pkg/backend's tests hold. What it does alone was not measured.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -80,9 +80,16 @@
 	Accept func(status int, body []byte) error
 }
 
+// maxJoinedBytes is the largest body that is sent in one piece with its head. Others are not copied.
+const maxJoinedBytes = 16 << 10
+
 // write sends the whole message.
 func (m *Message) write(w io.Writer) error {
-	b := make([]byte, 0, len(m.Method)+len(m.Target)+len(m.Head)+len(m.Body)+64)
+	joined, apart := m.Body, []byte(nil)
+	if len(m.Body) > maxJoinedBytes {
+		joined, apart = nil, m.Body
+	}
+	b := make([]byte, 0, len(m.Method)+len(m.Target)+len(m.Head)+len(joined)+64)
 	b = append(b, m.Method...)
 	b = append(b, ' ')
 	b = append(b, m.Target...)
@@ -94,8 +101,11 @@
 		b = append(b, "\r\n"...)
 	}
 	b = append(b, "\r\n"...)
-	b = append(b, m.Body...)
-	_, err := w.Write(b)
+	b = append(b, joined...)
+	if _, err := w.Write(b); err != nil || len(apart) == 0 {
+		return err
+	}
+	_, err := w.Write(apart)
 	return err
 }
 
