relay: lines that end with CR are found without a look at all that follows

What callers saw: not shown to have met it. Cause: the end of each line was sought as an LF first, to the end of all that was kept, so that the work grew with the square of the number of lines. Change: both marks are sought in a window that grows from 128 bytes.

--- a/pkg/relay/events.go
+++ b/pkg/relay/events.go
@@ -80,24 +80,38 @@
 // cutLine returns the first line of b without its end, and what follows. A CR at the end of b ends
 // the line; an LF that arrives after it is then read as an empty line, which changes no event.
 func cutLine(b []byte) (line, after []byte, ended bool) {
-	newline := bytes.IndexByte(b, '\n')
-	line = b
-	if newline >= 0 {
-		line = b[:newline]
-	}
-	cr := bytes.IndexByte(line, '\r')
+	end := lineEnd(b)
 	switch {
-	case cr < 0 && newline < 0:
+	case end < 0:
 		return b, nil, false
-	case cr < 0:
-		return line, b[newline+1:], true
-	case cr+1 == newline:
-		return line[:cr], b[newline+1:], true
+	case b[end] == '\r' && end+1 < len(b) && b[end+1] == '\n':
+		return b[:end], b[end+2:], true
 	default:
-		return line[:cr], b[cr+1:], true
+		return b[:end], b[end+1:], true
+	}
+}
+
+// lineEnd returns where the first line of b ends, -1 if it does not. It looks at little more than that line, as either
+// mark may be missing in all that follows.
+func lineEnd(b []byte) int {
+	for size := firstWindow; ; size *= 2 {
+		window := b[:min(size, len(b))]
+		newline := bytes.IndexByte(window, '\n')
+		if newline >= 0 {
+			window = window[:newline]
+		}
+		if cr := bytes.IndexByte(window, '\r'); cr >= 0 {
+			return cr
+		}
+		if newline >= 0 || size >= len(b) {
+			return newline
+		}
 	}
 }
 
+// firstWindow is the number of bytes in which the end of a line is sought first.
+const firstWindow = 128
+
 // isWithinEvent reports whether rest, which follows the last complete event of a stream, begins
 // another one. Whole lines of comments belong to no event.
 func isWithinEvent(rest []byte) bool {
--- a/pkg/relay/events_test.go
+++ b/pkg/relay/events_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"testing"
+	"time"
 )
 
 func TestScanEvents(t *testing.T) {
@@ -81,3 +82,22 @@
 		t.Errorf("found %+v, %d bytes of the next event were read", found, scanner.read)
 	}
 }
+
+// Guards against lines whose cost grows with the square of their number, as no LF ends them.
+func TestFAULTOfLinesThatEndWithCR(t *testing.T) {
+	took := func(lines int) time.Duration {
+		comments := bytes.Repeat([]byte(":\r"), lines)
+		least := time.Hour
+		for range 5 {
+			began := time.Now()
+			if isWithinEvent(comments) {
+				t.Error("comments are an event")
+			}
+			least = min(least, time.Since(began))
+		}
+		return least
+	}
+	if few, many := took(8<<10), took(128<<10); many > 64*few {
+		t.Errorf("%v for 16 times the lines that take %v", many, few)
+	}
+}
