backend: a test of short lines in a head that stays short of its end

Cause: a mutation without the limit of lines while a head is read passed all tests: the other check comes only at the end of the head. Change: a test. Result: it passes, and fails with the mutation (no answer until the test's own deadline of 5 s).

--- a/pkg/backend/inbound_test.go
+++ b/pkg/backend/inbound_test.go
@@ -86,6 +86,18 @@
 	}
 }
 
+// Guards against heads that stay short of their end and keep the memory of many short lines.
+func TestLinesOfUnfinishedHeadsAreBounded(t *testing.T) {
+	begin := "HTTP/1.1 200 OK\r\n" + strings.Repeat("X:\r\n", (readBufferBytes+maxHeadBytes/2)/len("X:\r\n"))
+	m := memberThatGets(func(w io.Writer) { _, _ = io.WriteString(w, begin) })
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	_, err := m.Send(ctx, &Message{Method: http.MethodGet, Target: "/", Head: []byte("Host: x\r\n")}, func() error { return nil })
+	if !errors.Is(err, ErrMalformed) || ReceivedBytes(err) > 2*readBufferBytes {
+		t.Fatal(err)
+	}
+}
+
 // Guards against a response to another request that is skipped for as long as it lasts.
 func TestSkippedResponsesAreBounded(t *testing.T) {
 	m := memberThatGets(func(w io.Writer) {
