relay: what the bodies of requests hold together has a bound

Cause: each body was read whole, by copies, before anything was decided. It had a limit of its own; all of them together had none, and no time: that of the request counted from the end of its body on. Change: bodies are read within a budget of an eighth of the process's memory, a quarter of which is left to bodies that hold at most 256 KiB, and within the request's own time. While it is used up, the incomplete body that has brought less than 16 KiB for longest, a quarter of a second at least, gives way; if none has stalled, the one that needs memory is refused. Refusals are 503 with Retry-After, as nothing has run. They are sent at once, and the rest of the body is read without being kept, so that callers that send first get them. A planned stop ends the reads that are left, with such an answer. Lines of refused requests tell what had come and what all hold.

--- a/pkg/memory/budget.go
+++ b/pkg/memory/budget.go
@@ -19,11 +19,16 @@
 // for concurrent use.
 type Budget struct {
 	Limit int64 // bytes; zero: unlimited. Set before use.
+	// Spare is the part of the limit that is left to holders of at most Small bytes. Set before use.
+	Spare, Small int64
 
-	mu      sync.Mutex
-	used    int64
-	most    int64
-	refused int64
+	mu       sync.Mutex
+	used     int64
+	most     int64
+	refused  int64
+	yielded  int64
+	incoming map[*Incoming]struct{} // messages that may be told to give way
+	returned chan struct{}          // closed when memory is returned; nil: nobody waits
 }
 
 // Usage is the state of a budget.
@@ -31,6 +36,7 @@
 	Used    int64 // bytes that are held
 	Most    int64 // the most that were held at once
 	Refused int64 // how often something was not held
+	Yielded int64 // how often a message that had stalled gave way
 }
 
 // Usage returns the state of the budget.
@@ -40,22 +46,30 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return Usage{Used: b.used, Most: b.most, Refused: b.refused}
+	return Usage{Used: b.used, Most: b.most, Refused: b.refused, Yielded: b.yielded}
 }
 
-// take changes what is held by a number of bytes. It returns false, and changes nothing, if the budget has no room.
-func (b *Budget) take(change int64) bool {
+// take changes what one holder holds. It returns false, and changes nothing, if the budget has no room.
+func (b *Budget) take(before, after int64) bool {
 	if b == nil {
 		return true
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if change > 0 && b.Limit > 0 && b.used+change > b.Limit {
+	change, limit := after-before, b.Limit
+	if after > b.Small {
+		limit -= b.Spare
+	}
+	if change > 0 && b.Limit > 0 && b.used+change > limit {
 		b.refused++
 		return false
 	}
 	b.used += change
 	b.most = max(b.most, b.used)
+	if change < 0 && b.returned != nil {
+		close(b.returned)
+		b.returned = nil
+	}
 	return true
 }
 
@@ -72,7 +86,7 @@
 // can always shrink.
 func (h *Hold) Resize(bytes int) bool {
 	charged := max(int64(bytes)-FreeBytes, 0)
-	if !h.budget.take(charged - h.charged) {
+	if !h.budget.take(h.charged, charged) {
 		return false
 	}
 	h.charged = charged
--- a/pkg/memory/buffer.go
+++ b/pkg/memory/buffer.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 
 	"github.com/pkg/errors"
 )
@@ -33,7 +34,7 @@
 
 // Append adds to the content. It returns false, and adds nothing, if the budget has no room.
 func (b *Buffer) Append(p []byte) bool {
-	if !b.reserve(len(b.data) + len(p)) {
+	if !b.reserve(len(b.data)+len(p), math.MaxInt) {
 		return false
 	}
 	b.data = append(b.data, p...)
@@ -61,14 +62,19 @@
 // greatest one. It returns nil at the end of the reader, ErrTooLong beyond the limit, ErrUsedUp if the budget has no room,
 // and otherwise the reader's error. What has been read is kept.
 func (b *Buffer) Fill(r io.Reader, announced, limit int64) error {
-	if announced > 0 && !b.reserve(int(min(announced, limit, maxTrusted))) {
+	most := int(min(limit, math.MaxInt))
+	if announced > 0 && !b.reserve(int(min(announced, limit, maxTrusted)), most) {
 		return ErrUsedUp
 	}
 	var last [1]byte
 	for {
-		if len(b.data) == cap(b.data) && int64(len(b.data)) == announced {
+		length := int64(len(b.data))
+		if len(b.data) == cap(b.data) && (length == announced || length == limit) {
 			n, err := r.Read(last[:]) // usually the end, for which the buffer need not grow
-			if n > 0 && !b.Append(last[:n]) {
+			switch {
+			case n > 0 && length == limit:
+				return ErrTooLong
+			case n > 0 && !b.Append(last[:n]):
 				return ErrUsedUp
 			}
 			if done, err := b.ended(err, limit); done {
@@ -76,7 +82,7 @@
 			}
 			continue
 		}
-		if len(b.data) == cap(b.data) && !b.reserve(max(len(b.data)+1, firstBytes)) {
+		if len(b.data) == cap(b.data) && !b.reserve(max(len(b.data)+1, firstBytes), most) {
 			return ErrUsedUp
 		}
 		n, err := r.Read(b.data[len(b.data):cap(b.data)])
@@ -98,13 +104,13 @@
 	return err != nil, err
 }
 
-// reserve makes room for a content of the given length. The old memory counts until its content has been copied, unless all
-// is within the free part.
-func (b *Buffer) reserve(length int) bool {
+// reserve makes room for a content of the given length, of which there will be most at the most. The old memory counts
+// until its content has been copied, unless all is within the free part.
+func (b *Buffer) reserve(length, most int) bool {
 	if length <= cap(b.data) {
 		return true
 	}
-	size := max(length, 2*cap(b.data))
+	size := max(length, min(2*cap(b.data), most))
 	during := cap(b.data) + size
 	if length <= FreeBytes {
 		size = min(size, FreeBytes)
--- a/pkg/memory/memory_test.go
+++ b/pkg/memory/memory_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 )
 
 // Guards against holds that together exceed the budget, and holders that a crowd leaves without the free part.
@@ -118,3 +119,86 @@
 		t.Errorf("a message of unknown length: %v", err)
 	}
 }
+
+// Guards against a message of the largest size that is refused since its buffer grows beyond it.
+func TestLargestMessageFitsBesideItsHalf(t *testing.T) {
+	const limit = 1 << 20
+	for _, announced := range []int64{-1, limit} {
+		b := &Budget{Limit: limit * 3 / 2}
+		message := NewIncoming(b, func() {})
+		if err := message.Fill(bytes.NewReader(make([]byte, limit)), announced, limit); err != nil || message.Len() != limit {
+			t.Errorf("%d announced: %d, %v", announced, message.Len(), err)
+		}
+		if err := NewIncoming(&Budget{}, func() {}).Fill(bytes.NewReader(make([]byte, limit+1)), announced, limit); err != ErrTooLong {
+			t.Errorf("%d announced, one byte more: %v", announced, err)
+		}
+	}
+}
+
+// Guards against a crowd of messages that have stalled and keep their memory from others.
+func TestStalledMessageGivesWay(t *testing.T) {
+	b := &Budget{Limit: 1 << 20}
+	end, written := io.Pipe()
+	stalled := NewIncoming(b, func() { _ = end.CloseWithError(io.ErrClosedPipe) })
+	gaveWay := make(chan error)
+	go func() { gaveWay <- stalled.Fill(end, 1<<20, 1<<20) }()
+	if _, err := written.Write(make([]byte, 400<<10)); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * stallTime)
+	other := NewIncoming(b, func() { t.Error("the other gives way") })
+	if err := other.Fill(bytes.NewReader(make([]byte, 512<<10)), -1, 512<<10); err != nil {
+		t.Errorf("the other: %v", err)
+	}
+	if err := <-gaveWay; err != ErrGaveWay {
+		t.Errorf("the stalled one: %v", err)
+	}
+	if u := b.Usage(); u.Used != 512<<10-FreeBytes || u.Yielded != 1 {
+		t.Errorf("usage %+v", u)
+	}
+}
+
+// Guards against messages that go on and are cut for the sake of newer ones.
+func TestMessagesThatGoOnAreKept(t *testing.T) {
+	b := &Budget{Limit: 2 << 20}
+	going := NewIncoming(b, func() { t.Error("a message that goes on gives way") })
+	begun, done := make(chan struct{}), make(chan struct{})
+	end := make(chan error)
+	go func() { end <- going.Fill(&endedBy{begun: begun, done: done}, 700<<10, 1<<20) }()
+	<-begun
+	if err := NewIncoming(b, func() {}).Fill(endless{}, 700<<10, 700<<10); err != ErrUsedUp {
+		t.Errorf("the newer: %v", err)
+	}
+	close(done)
+	if err := <-end; err != nil {
+		t.Error(err)
+	}
+}
+
+// endedBy is a reader of 700 KiB, the last of which come after done is closed.
+type endedBy struct {
+	begun, done chan struct{}
+	read        int
+}
+
+func (r *endedBy) Read(p []byte) (int, error) {
+	if r.read == 700<<10 {
+		return 0, io.EOF
+	}
+	n := min(len(p), 700<<10-r.read)
+	if r.read < 600<<10 && r.read+n >= 600<<10 {
+		close(r.begun)
+		<-r.done
+	}
+	r.read += n
+	return n, nil
+}
+
+// Guards against large messages that leave no memory to small ones.
+func TestSpareIsLeftToSmallMessages(t *testing.T) {
+	b := &Budget{Limit: 1 << 20, Spare: 1 << 18, Small: 1 << 17}
+	large, small := b.Hold(), b.Hold()
+	if large.Resize(1<<20) || !large.Resize(3<<18) || !small.Resize(1<<17) {
+		t.Errorf("usage %+v", b.Usage())
+	}
+}
--- /dev/null
+++ b/pkg/relay/body_test.go
@@ -0,0 +1,72 @@
+package relay
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"martenwheel.dev/pkg/memory"
+	"martenwheel.dev/pkg/route"
+)
+
+// stalledBody sends a part of a request, and returns the answer.
+func (s *site) stalledBody(framing, part string) *http.Response {
+	s.t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(s.front.URL, "http://"))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	text := "POST /p/x HTTP/1.1\r\nHost: site.example\r\n" + testHeaders.RequestID + ": stalled\r\n" + testHeaders.Deadline + ": 400\r\n" + framing + "\r\n\r\n"
+	if _, err := io.WriteString(conn, text+part); err != nil {
+		s.t.Fatal(err)
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	_ = answer.Body.Close()
+	return answer
+}
+
+// Guards against requests that are held without an answer for as long as their callers do not go on.
+func TestREFUSEDIsToldToCallersWhoseBodiesStall(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		framing, part string
+		budget        int64
+		stops         bool
+	}{
+		"with a length":      {"Content-Length: 10", "a", 0, false},
+		"in chunks":          {"Transfer-Encoding: chunked", "1\r\na\r\n", 0, false},
+		"as the node stops":  {"Content-Length: 10", "a", 0, true},
+		"without any memory": {"Content-Length: 100000", strings.Repeat("a", 50_000), 1, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, route.Route{Kind: route.Unsafe, MaxAttempts: 1}, func(w http.ResponseWriter, _ *http.Request, _ seen) { w.WriteHeader(http.StatusOK) })
+			s.relay.Bodies = &memory.Budget{Limit: c.budget}
+			if c.stops {
+				time.AfterFunc(100*time.Millisecond, func() {
+					s.relay.Stop(time.Second)
+					s.relay.CancelAll()
+				})
+			}
+			answer := s.stalledBody(c.framing, c.part)
+			if answer.StatusCode != http.StatusServiceUnavailable || answer.Header.Get("Retry-After") == "" || !answer.Close {
+				t.Errorf("status %d, header %v", answer.StatusCode, answer.Header)
+			}
+			if seen := s.arrivals(); len(seen) > 0 {
+				t.Errorf("a server got %+v", seen)
+			}
+			if u := s.relay.Bodies.Usage(); u.Used != 0 {
+				t.Errorf("%d bytes are still held", u.Used)
+			}
+		})
+	}
+}
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/textproto"
@@ -16,6 +15,7 @@
 	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/backpressure"
 	"martenwheel.dev/pkg/lineage"
+	"martenwheel.dev/pkg/memory"
 	"martenwheel.dev/pkg/prompt"
 	"martenwheel.dev/pkg/quarantine"
 	"martenwheel.dev/pkg/quota"
@@ -63,6 +63,8 @@
 	target      string // path and query as received
 	head        []byte // header lines that are forwarded
 	body        []byte
+	incoming    *memory.Incoming         // holds the body; nil: not read yet
+	bodyEnded   bool                     // nothing of the body is left to read
 	fingerprint quarantine.Fingerprint   // set after the body was read
 	parts       []string                 // IDs of the parts of the prompt that other requests may share
 	subjects    []quarantine.Fingerprint // of the request, and of parts
@@ -131,7 +133,7 @@
 		c.refuse(refusal{http.StatusServiceUnavailable, reasonOldKeys, after})
 		return false
 	}
-	if !c.identify() || !c.readBody() {
+	if !c.identify() || !c.limitTime() || !c.readBody() {
 		return false
 	}
 	c.identifySubjects()
@@ -143,9 +145,7 @@
 		c.refuse(stopping)
 		return false
 	}
-	if !c.resolve() {
-		return false
-	}
+	c.resolve()
 	c.unrun = true
 	if c.stopTooNear(0) { // checked before the quota is charged
 		c.refuse(stopping)
@@ -163,41 +163,10 @@
 	return host
 }
 
-// readBody reads the whole body within the limit of the table.
-func (c *call) readBody() bool {
-	limit := c.table.Limits().BodyBytes
-	if limit > 0 && c.http.ContentLength > limit {
-		return c.refuseBody(limit)
-	}
-	reader := io.Reader(c.http.Body)
-	if limit > 0 {
-		reader = io.LimitReader(reader, limit+1)
-	}
-	var err error
-	if c.body, err = io.ReadAll(reader); err != nil {
-		c.record.setOutcome(outcomeUnread, err)
-		panic(http.ErrAbortHandler)
-	}
-	if limit > 0 && int64(len(c.body)) > limit {
-		return c.refuseBody(limit)
-	}
-	return true
-}
-
-// refuseBody refuses a body that is too large. It first reads on for a while: closing a connection
-// with unread bytes resets it and loses the answer.
-func (c *call) refuseBody(limit int64) bool {
-	_, _ = io.CopyN(io.Discard, c.http.Body, limit) // the result does not matter
-	c.refuse(tooLarge)
-	return false
-}
-
-// resolve determines what the request needs and its deadline.
-func (c *call) resolve() bool {
-	c.useService(c.relay.splits.Pick(c.route))
-	h := c.http.Header
+// limitTime determines the deadline of the request.
+func (c *call) limitTime() bool {
 	wait := c.route.Timeout
-	if text := h.Get(c.relay.Headers.Deadline); text != "" {
+	if text := c.http.Header.Get(c.relay.Headers.Deadline); text != "" {
 		ms, err := strconv.ParseFloat(text, 64)
 		if err != nil || ms < 0 {
 			c.refuse(badDeadline)
@@ -213,10 +182,16 @@
 		wait = defaultTimeout
 	}
 	c.deadline = c.arrived.Add(wait)
+	return true
+}
+
+// resolve determines what the request needs.
+func (c *call) resolve() {
+	c.useService(c.relay.splits.Pick(c.route))
+	h := c.http.Header
 	c.lastEvent = h.Get(c.relay.Headers.LastEvent)
 	c.record.resumesAfter, c.record.resumes = c.lastEvent, h.Get(c.relay.Headers.Resumes)
 	c.head = c.forwardedHead()
-	return true
 }
 
 // useService sets the service and what the request needs of its servers.
--- a/pkg/relay/cancel.go
+++ b/pkg/relay/cancel.go
@@ -43,6 +43,7 @@
 // CancelAll ends all requests. Those whose answer has not begun get one that tells whether a server
 // may have run them. New requests are ended at once.
 func (r *Relay) CancelAll() {
+	r.Bodies.YieldAll()
 	r.active.mu.Lock()
 	defer r.active.mu.Unlock()
 	r.active.stopped = true
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -90,6 +90,7 @@
 	readyIn       time.Duration // expected time until the model is ready, by the last LoadStatus
 	statusAge     time.Duration
 	callerTimeout time.Duration // how long the caller waits; zero: unknown
+	bodyBytes     int           // of the request, as far as it was read
 	waited        time.Duration // total time of waiting for servers, over all attempts
 	waitFor       string        // reason of the last wait; empty: never waited
 	loadError     error         // why the last load request failed
@@ -160,6 +161,7 @@
 	c.record.setOutcome(outcomeBroken, nil)
 	c.refundQuota()
 	c.releasePlace() // for a request that waited for a place in vain
+	c.releaseBody()
 	took := c.relay.Time.Since(c.arrived)
 	c.relay.Metrics.observe(c, took)
 	c.relay.Logger.Info("request", c.describe(took)...)
@@ -192,6 +194,7 @@
 		fields = append(fields, "reason", c.record.err.Error())
 	}
 	fields = append(fields, c.describeStop()...)
+	fields = append(fields, c.describeUnread()...)
 	fields = append(fields, c.describeQuota()...)
 	if c.record.trialError != nil {
 		fields = append(fields, "turn_error", c.record.trialError.Error())
--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -42,6 +42,8 @@
 	reasonOverloaded = "servers are crowded"
 	reasonBackoff    = "servers asked for rest"
 	reasonLimited    = "servers limit their requests"
+	reasonMemory     = "bodies of requests hold all memory that they may"
+	reasonStalled    = "the body stalled while others needed its memory"
 	// reasonVersionGone is not followed by a time to come back: the servers of a version do not return.
 	reasonVersionGone    = "no server of the stream's version is left"
 	reasonVersionUnknown = "not known at which version the stream began"
@@ -71,6 +73,7 @@
 	c.record.status = f.status
 	c.announceStop()
 	h := c.w.Header()
+	unread := c.answerUnread()
 	h.Set("Content-Type", "application/json")
 	if c.id != "" {
 		h.Set(c.relay.Headers.RequestID, c.id)
@@ -82,6 +85,9 @@
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	c.w.WriteHeader(f.status)
 	_, _ = c.w.Write([]byte(body)) // the caller may be gone
+	if unread {
+		_ = http.NewResponseController(c.w).Flush() // the same
+	}
 }
 
 // announceStop tells the caller, with the head of its answer, that a stopping node will close the connection.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -6,6 +6,7 @@
 //
 //   - relay.go: entry point
 //   - call.go: route lookup, limits and the outgoing message
+//   - body.go: reading the body
 //   - access.go: authentication of the tenant
 //   - quota.go: the tenant's quota
 //   - choose.go: waiting for a server and choosing one with the plug-ins of package routing
@@ -148,9 +149,11 @@
 	Slots Slots
 	// Places decides where and when requests go to overloaded servers; the node decides alone if
 	// nil.
-	Places         Places
-	Nodes          func() int // nodes that share the retry budget, zero while unknown; 1 if nil
-	Budget         BudgetConfig
+	Places Places
+	Nodes  func() int // nodes that share the retry budget, zero while unknown; 1 if nil
+	Budget BudgetConfig
+	// Bodies bounds what the bodies of requests hold; unlimited if nil.
+	Bodies         *memory.Budget
 	Lender         Lender    // lends retries when this node's share is spent; may be nil
 	BudgetStart    time.Time // when this node's slack began to fill; the first request if zero
 	Logger         hclog.Logger
@@ -180,9 +183,10 @@
 
 // ServeHTTP implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	c := &call{relay: r, w: w, http: hr, request: request{arrived: r.Time.Now()}}
+	defer c.discardUnread()
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
-	c := &call{relay: r, w: w, http: hr, request: request{arrived: r.Time.Now()}}
 	defer c.finish()
 	defer c.answerAfterPanic()
 	if !c.accept() {
--- a/pkg/site/memory.go
+++ b/pkg/site/memory.go
@@ -6,8 +6,27 @@
 	"martenwheel.dev/pkg/memory"
 )
 
-// answersShare is the part of the process's memory that answers may take which are held until they are whole.
-const answersShare = 0.125
+// Parts of the process's memory.
+const (
+	answersShare = 0.125 // for answers that are held until they are whole
+	bodiesShare  = 0.125 // for bodies of requests
+)
+
+// The part of the memory for bodies that is left to small ones, and their size in bytes.
+const (
+	spareShare = 0.25
+	smallBody  = 256 << 10
+)
+
+// newBodies returns the budget of requests' bodies.
+func (s *Site) newBodies() *memory.Budget {
+	b := s.newBudget("bodies", bodiesShare)
+	b.Spare, b.Small = int64(spareShare*float64(b.Limit)), smallBody
+	s.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: "martenwheel", Name: "bodies_yielded_total", Help: "Bodies that had stalled and gave way to others.",
+	}, func() float64 { return float64(b.Usage().Yielded) }))
+	return b
+}
 
 // newBudget returns a budget of a part of the process's memory, and registers its metrics.
 func (s *Site) newBudget(of string, share float64) *memory.Budget {
