site, platform: readiness, directory and metrics have bounds of their own

Cause: their HTTP servers took heads of 1 MB, requests without a time limit and any number of connections. Change: heads of at most 16 KiB, 10 s for a request, for its answer and at rest, and a number of connections that is a part of the process's descriptors (1/16 for the directory, 1/32 each for readiness and metrics, 8 at least); for a new one the oldest is closed, with a line at most once a second. No body is kept.

--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -67,6 +67,7 @@
 	Grace      time.Duration // time limit for a graceful shutdown
 	Linger     time.Duration // time after the start of a shutdown in which new callers are still served
 	Memory     int64         // bytes that the process may take; zero: unknown
+	Conns      ConnLimits    // of the listeners
 	Metrics    string        // IP:port; empty: not served
 	Registry   *prometheus.Registry
 	Logger     hclog.Logger
@@ -438,10 +439,10 @@
 		s.Logger.Error("serving metrics failed", "error", err)
 		return
 	}
-	server := &http.Server{Handler: s.operatorHandler(), ReadHeaderTimeout: headerTime}
+	server := NewSideServer(s.operatorHandler(), headerTime)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(LimitConns(l, s.Conns.Metrics, s.Logger)); !errors.Is(err, http.ErrServerClosed) {
 		s.Logger.Error("serving metrics failed", "error", err)
 	}
 }
