coordinator: failing test of a model that is unloaded at the only server of a version

Cause: room for one model is made where another one has more servers than it needs, whatever the versions of their software. Streams that began at the version that no longer holds it are refused with "model is loading", and it isn't loaded for an old version. Change: a test with three servers that hold a model in use, one of them of another version, each in turn. Result: the only server of the version unloads it.

--- a/pkg/coordinator/versions_test.go
+++ b/pkg/coordinator/versions_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -46,3 +47,35 @@
 		n.stop()
 	})
 }
+
+// TestLOSTStreamsWhoseModelIsUnloadedAtTheirVersion guards against room that is made at the expense of the only server
+// of a version that holds a model in use, as servers of another version hold it, too.
+func TestLOSTStreamsWhoseModelIsUnloadedAtTheirVersion(t *testing.T) {
+	for old := range 3 {
+		bubble(t, func(t *testing.T) {
+			s := newSite(t, []string{"m0", "m1"}, []string{"m0", "m2"}, []string{"m0", "m4"})
+			for i, server := range s.serverRecords {
+				server.Software = "v2"
+				if i == old {
+					server.Software = "v1"
+				}
+			}
+			n := s.start("a")
+			time.Sleep(time.Second)
+			for range 20 {
+				sendHeartbeat(t, n, Beat{Node: Node{Name: "b"}, Uses: []Use{{Service: "s", Model: "m0", Arrivals: 1, Weight: 1}}})
+				n.requestLoad(t, "m3")
+				time.Sleep(500 * time.Millisecond)
+			}
+			requestUntilLoaded(t, n, "m3", 10*time.Second)
+			id := fmt.Sprintf("server-%d", old)
+			s.engines.mu.Lock()
+			_, holds := s.engines.servers[id].models["m0"]
+			s.engines.mu.Unlock()
+			if !holds {
+				t.Errorf("m0 is in use, and %s, the only server of its version, does not hold it any more", id)
+			}
+			n.stop()
+		})
+	}
+}
