policy, coordinator: the only server of a version keeps a model in use

Cause: room for one model was made where another one had more servers than it needs, whatever the versions of their software; the last server of a version that held a busy model unloaded it, and streams that began there were refused. Change: while servers of several versions hold a model, the only one ready at its version counts as if it were the only one of the model. Callers saw 503 with "model is loading".

--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -317,13 +317,16 @@
 	addWaiting(w.waiting[name], &model)
 	holders := h.serversWith(service, name)
 	model.Replicas = make([]policy.Replica, 0, len(holders))
+	versions := make([]string, 0, len(holders))
 	for _, s := range holders {
 		if r, present := s.replica(now, name); present {
 			r.LastUse = model.Demand.LastArrival
 			r.InFlight = w.running[replica{s.id, name}]
 			model.Replicas = append(model.Replicas, r)
+			versions = append(versions, s.software())
 		}
 	}
+	markSole(model.Replicas, versions)
 	if h.modelOverloaded(service, name) {
 		widen(&model)
 	}
--- a/pkg/coordinator/versions.go
+++ b/pkg/coordinator/versions.go
@@ -5,7 +5,9 @@
 	"sync"
 	"time"
 
+	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/lineage"
+	"martenwheel.dev/pkg/policy"
 	"martenwheel.dev/pkg/revision"
 )
 
@@ -125,3 +127,29 @@
 	}
 	return 0
 }
+
+// software returns the version of the server's software; empty if the server isn't listed.
+func (s *serverState) software() string {
+	if s.member == nil {
+		return ""
+	}
+	return s.member.Software
+}
+
+// markSole marks the replicas that are the only ones ready at their software version, if servers of several
+// versions hold the model: streams that began there can continue at no other. versions are those of the replicas'
+// servers.
+func markSole(replicas []policy.Replica, versions []string) {
+	ready := make(map[string]int, 2)
+	for i, r := range replicas {
+		if r.State == api.ReplicaReady {
+			ready[versions[i]]++
+		}
+	}
+	if len(ready) < 2 {
+		return
+	}
+	for i := range replicas {
+		replicas[i].Sole = replicas[i].State == api.ReplicaReady && ready[versions[i]] == 1
+	}
+}
--- a/pkg/policy/demand.go
+++ b/pkg/policy/demand.go
@@ -30,6 +30,9 @@
 	chance := 1 - math.Exp(-(demand.Rate+priorRate)*demandHorizon.Seconds())
 	reload := p.reload(model, replica.Server).Seconds() + loadOverhead
 	value := reload * (chance*meanWeight(demand) + demand.WeightedRate*reload)
+	if replica.Sole {
+		return value
+	}
 	if p.remainingReplicas(model) > max(wantedReplicas(model), 1) {
 		return value * surplusFactor
 	}
--- a/pkg/policy/gain.go
+++ b/pkg/policy/gain.go
@@ -61,7 +61,11 @@
 func (p *plan) worthMore(victims []victim, incoming *Model) bool {
 	lost := 0.0
 	for i := range victims {
-		lost += gain(victims[i].model, p.remainingReplicas(victims[i].model)-1)
+		left := p.remainingReplicas(victims[i].model) - 1
+		if victims[i].replica.Sole {
+			left = 0
+		}
+		lost += gain(victims[i].model, left)
 	}
 	return lost > gain(incoming, p.present[p.indexOf(incoming.Name)])
 }
--- a/pkg/policy/types.go
+++ b/pkg/policy/types.go
@@ -41,6 +41,9 @@
 	InFlight  int
 	ReadyBy   time.Time // estimated end of the load
 	Prewarmed bool      // loaded without a waiting request
+	// Sole tells that requests which began there can continue at no other replica. It counts as the only one of
+	// its model.
+	Sole bool
 }
 
 // Demand is the sum of the recent reports of the region's nodes about a model.
