site: callers' connections stay below the descriptors of the process

Cause: connections of callers had times but no number, so that a crowd of them took all descriptors. A line, at most once a second, tells how many gave way.

--- a/pkg/site/callers.go
+++ b/pkg/site/callers.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,10 +34,16 @@
 	net.Listener
 	limits func() route.Limits // of the configuration in force
 	min    callerTimes
-	logger hclog.Logger
+	most   int // connections at once; zero: unlimited
+	// yieldBody ends the read of the request body that has stalled for longest, and reports whether there is one; nil:
+	// there is none.
+	yieldBody func() bool
+	logger    hclog.Logger
+	closed    atomic.Bool // no room is made any more
 
-	mu   sync.Mutex
-	open map[*callerConn]struct{}
+	mu     sync.Mutex
+	open   map[*callerConn]struct{}
+	logged time.Time // when connections were last logged to give way; used by the goroutine of Accept only
 }
 
 // callerTimes are the times for which a connection may wait for a request.
@@ -60,7 +67,7 @@
 // newCallers returns the callers of a listener.
 func (s *Site) newCallers(listener net.Listener) *callers {
 	return &callers{
-		Listener: listener, limits: s.callerLimits, min: callerTimes{minHeadTime, minIdleTime},
+		Listener: listener, limits: s.callerLimits, min: callerTimes{minHeadTime, minIdleTime}, most: s.Conns.Callers,
 		open: make(map[*callerConn]struct{}), logger: s.Logger.Named("callers"),
 	}
 }
@@ -89,6 +96,7 @@
 	if !ok {
 		return conn, nil
 	}
+	s.makeRoom()
 	c := &callerConn{TCPConn: tcp, waiting: true, since: clock.Now(), longest: s.allowed()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -241,6 +249,7 @@
 // shutDown closes the listener, and then each connection on which no request has begun, until all are closed or ctx ends. It
 // returns the number of those that are left.
 func (s *callers) shutDown(ctx context.Context) int {
+	s.closed.Store(true)
 	if err := s.Close(); err != nil {
 		s.logger.Warn("listener of callers not closed", "error", err)
 	}
--- a/pkg/site/callers_test.go
+++ b/pkg/site/callers_test.go
@@ -25,6 +25,12 @@
 }
 
 func newCallerSite(t *testing.T, least callerTimes, limits route.Limits) *callerSite {
+	t.Helper()
+	return newCallerSiteOf(t, least, limits, func(*callers) {})
+}
+
+// newCallerSiteOf is newCallerSite after a change of the callers.
+func newCallerSiteOf(t *testing.T, least callerTimes, limits route.Limits, change func(c *callers)) *callerSite {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -36,6 +42,7 @@
 		Listener: listener, limits: func() route.Limits { return *s.limits.Load() }, min: least,
 		open: make(map[*callerConn]struct{}), logger: hclog.NewNullLogger(),
 	}
+	change(s.callers)
 	server := &http.Server{ConnState: s.callers.stateChanged, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.served.Add(1)
 		_, _ = io.Copy(w, r.Body)
@@ -306,3 +313,34 @@
 		})
 	}
 }
+
+// Guards against callers that take all descriptors with connections on which they send nothing, or no whole head.
+func TestConnectionsThatWaitGiveWayToNewOnes(t *testing.T) {
+	t.Parallel()
+	const most = 4
+	for name, begin := range map[string]string{"bare": "", "stopped head": siteRequest[:20]} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newCallerSiteOf(t, callerTimes{head: time.Minute, idle: time.Minute}, route.Limits{}, func(c *callers) { c.most = most })
+			var conns []net.Conn
+			for range 3 * most {
+				conn := s.connect(false)
+				if _, err := io.WriteString(conn, begin); err != nil {
+					t.Fatal(err)
+				}
+				conns = append(conns, conn)
+			}
+			last := s.connect(false)
+			if err := ask(last); err != nil {
+				t.Errorf("the newest: %v", err)
+			}
+			if n := len(s.callers.all()); n > most {
+				t.Errorf("%d connections are open, %d may be", n, most)
+			}
+			_ = conns[0].SetReadDeadline(time.Now().Add(time.Second))
+			if _, err := conns[0].Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Error("the oldest is kept")
+			}
+		})
+	}
+}
