site: heads of requests keep to the configuration's limit, and their sum is bounded

Cause: a head had the default limit of the HTTP server, 1 MB, whatever the configuration says; all heads together had none. Change: a head beyond the largest limit that was in force while its connection waited is answered 431, with what the HTTP server may read ahead as margin; what all heads take (three times their bytes, and 160 for each line) is bounded by 1/16 of the process's memory, a quarter of which is left to ordinary ones, and refused with 503 and Retry-After beyond. The refusal is sent at once, and what still comes is read for half a second. Each has a line with its size and limits. The largest legal head is served. TestFAULTOfCrowdsOfHeads failed before.

--- a/pkg/site/callers.go
+++ b/pkg/site/callers.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"martenwheel.dev/pkg/clock"
+	"martenwheel.dev/pkg/memory"
 	"martenwheel.dev/pkg/route"
 )
 
@@ -38,6 +39,7 @@
 	// yieldBody ends the read of the request body that has stalled for longest, and reports whether there is one; nil:
 	// there is none.
 	yieldBody func() bool
+	heads     *memory.Budget // of what heads hold beyond their free part; nil: unlimited
 	logger    hclog.Logger
 	closed    atomic.Bool // no room is made any more
 
@@ -62,6 +64,12 @@
 	used    bool        // it has carried a request
 	longest callerTimes // of the configurations in force since it began to wait
 	ending  bool        // a read that finds nothing ends it
+
+	callers     *callers
+	headBytes   int // of the head, with what the HTTP server reads ahead
+	headLines   int
+	longestHead int         // that a configuration has allowed since it began to wait, in bytes
+	head        memory.Hold // what the head takes, until the next one
 }
 
 // newCallers returns the callers of a listener.
@@ -97,7 +105,7 @@
 		return conn, nil
 	}
 	s.makeRoom()
-	c := &callerConn{TCPConn: tcp, waiting: true, since: clock.Now(), longest: s.allowed()}
+	c := &callerConn{TCPConn: tcp, callers: s, waiting: true, since: clock.Now(), longest: s.allowed(), head: s.heads.Hold()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open[c] = struct{}{}
@@ -116,6 +124,7 @@
 	case http.StateIdle:
 		c.startWaiting(s.allowed())
 	case http.StateClosed, http.StateHijacked:
+		c.releaseHead()
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.open, c)
@@ -128,6 +137,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting, c.since, c.begun, c.used, c.longest = true, clock.Now(), time.Time{}, true, allowed
+	c.headBytes, c.headLines, c.longestHead = 0, 0, 0
+	c.head.Release()
 }
 
 // stopWaiting ends the wait: the head of a request was read.
@@ -155,24 +166,36 @@
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
+	n, refusal, err := c.noteRead(p, n, err)
+	if refusal != "" {
+		c.refuseHead(refusal)
+		return 0, errHeadRefused
+	}
+	return n, err
+}
+
+// noteRead records what a read brought while the connection waits for a request. It returns the result of the read, and the
+// answer to a head that is refused; empty: it is not.
+func (c *callerConn) noteRead(p []byte, n int, err error) (int, string, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.waiting {
-		return n, err
+		return n, "", err
 	}
 	if c.ending && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		c.goOn()
 		if n, err = c.readArrived(p); n == 0 {
-			return 0, os.ErrDeadlineExceeded
+			return 0, "", os.ErrDeadlineExceeded
 		}
 	}
-	if n > 0 {
-		c.goOn()
-		if c.begun.IsZero() {
-			c.begun = clock.Now()
-		}
+	if n == 0 {
+		return n, "", err
 	}
-	return n, err
+	c.goOn()
+	if c.begun.IsZero() {
+		c.begun = clock.Now()
+	}
+	return n, c.checkHead(p[:n]), err
 }
 
 // readArrived reads what has arrived, without waiting.
--- a/pkg/site/memory.go
+++ b/pkg/site/memory.go
@@ -8,14 +8,16 @@
 
 // Parts of the process's memory.
 const (
-	answersShare = 0.125 // for answers that are held until they are whole
-	bodiesShare  = 0.125 // for bodies of requests
+	answersShare = 0.125  // for answers that are held until they are whole
+	bodiesShare  = 0.125  // for bodies of requests
+	headsShare   = 0.0625 // for heads of requests
 )
 
-// The part of the memory for bodies that is left to small ones, and their size in bytes.
+// The part of the memory for bodies, and for heads, that is left to small ones, and what those hold in bytes.
 const (
 	spareShare = 0.25
 	smallBody  = 256 << 10
+	smallHead  = 16 << 10
 )
 
 // newBodies returns the budget of requests' bodies.
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -330,7 +330,7 @@
 	}
 	conns := s.newCallers(listener)
 	l, holder, transport := s.assemble()
-	conns.yieldBody = s.relay.Bodies.YieldLongest
+	conns.yieldBody, conns.heads = s.relay.Bodies.YieldLongest, s.newHeads()
 	s.transport = transport
 	s.connectThroughOthers(l)
 	peers.Serve(s)
