relay: an answer that its caller does not read ends with the request's time

Cause: writes to callers had no limit. A caller that does not read kept its answer, its connection and its request for as long as it stayed open. Change: writes to a caller end 2 s after the time of the request, or a minute and 2 s after it came while that time is not known. Result: a request of 400 ms whose answer is not read was still in progress after 20 s, now it ends. TestAnswersThatAreNotReadEndWithTheirTime failed before.

--- a/pkg/relay/body_test.go
+++ b/pkg/relay/body_test.go
@@ -70,3 +70,35 @@
 		})
 	}
 }
+
+// Guards against answers that are held for as long as their callers do not read them.
+func TestAnswersThatAreNotReadEndWithTheirTime(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, route.Route{Kind: route.Unsafe, MaxAttempts: 1}, func(w http.ResponseWriter, _ *http.Request, _ seen) {
+		w.Header().Set(testHeaders.Seal, "seal")
+		_, _ = w.Write(make([]byte, 4<<20))
+	})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(s.front.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := conn.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+		t.Fatal(err)
+	}
+	request := "POST /p/x HTTP/1.1\r\nHost: site.example\r\n" + testHeaders.RequestID + ": unread\r\n" + testHeaders.Deadline + ": 400\r\nContent-Length: 0\r\n\r\n"
+	if _, err := io.WriteString(conn, strings.Repeat(request, 20)); err != nil {
+		t.Fatal(err)
+	}
+	const samples = 50 // between two requests of the connection none is in progress
+	began := time.Now()
+	for idle := 0; idle < samples || len(s.arrivals()) == 0; time.Sleep(10 * time.Millisecond) {
+		idle++
+		if s.relay.InFlight() > 0 {
+			idle = 0
+		}
+		if time.Since(began) > 20*time.Second {
+			t.Fatalf("%d requests are still in progress", s.relay.InFlight())
+		}
+	}
+}
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -182,6 +182,7 @@
 		wait = defaultTimeout
 	}
 	c.deadline = c.arrived.Add(wait)
+	c.limitWrites(wait)
 	return true
 }
 
--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -126,3 +126,13 @@
 
 // defaultRetryAfter is used when no better estimate is known.
 const defaultRetryAfter = 300 * time.Millisecond
+
+// writeMargin is the time after the end of a request in which its answer may still be taken by a caller.
+const writeMargin = 2 * time.Second
+
+// limitWrites ends writes to a caller that does not read its answer within the request's time. The HTTP server lifts the
+// limit with the end of the request.
+func (c *call) limitWrites(wait time.Duration) {
+	// If it is not supported, the server has limits of its own.
+	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(wait + writeMargin))
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -184,6 +184,7 @@
 // ServeHTTP implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	c := &call{relay: r, w: w, http: hr, request: request{arrived: r.Time.Now()}}
+	c.limitWrites(defaultTimeout)
 	defer c.discardUnread()
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
