site: receive buffers of callers' connections are bounded

Cause: the system lets a connection's buffer of unread bytes grow to megabytes, and bytes that are not read yet count as the process's memory on its machine. A crowd that sends while bodies wait or are refused fills them all. Change: listeners ask for 64 KiB, of which Linux may keep 128 KiB. Not measured: memory of the system under a crowd, and links with a long delay, where one connection now brings at most the buffer in a round trip.

--- a/pkg/site/listener.go
+++ b/pkg/site/listener.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -28,15 +29,37 @@
 	logged time.Time // when a failed accept was last logged
 }
 
+// receiveBytes is the size of a connection's buffer for bytes that this process has not read yet, of which the system may
+// keep twice as many. A larger one lets a crowd of senders fill megabytes each.
+const receiveBytes = 64 << 10
+
 // Listen opens a listener for an HTTP server.
 func Listen(address string, logger hclog.Logger) (net.Listener, error) {
-	inner, err := net.Listen("tcp", address)
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		if err := limitReceiveBuffer(raw); err != nil { // the system's own size is used
+			logger.Warn("receive buffers not bounded", "address", address, "error", err)
+		}
+		return nil
+	}}
+	inner, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	return &listener{Listener: inner, logger: logger}, nil
 }
 
+// limitReceiveBuffer bounds the receive buffers of the connections of a listener.
+func limitReceiveBuffer(raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBytes)
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
 // Accept implements net.Listener. It is called by one goroutine.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
--- a/pkg/site/listener_test.go
+++ b/pkg/site/listener_test.go
@@ -102,3 +102,35 @@
 		<-served
 	})
 }
+
+// Guards against senders that fill as much of the system's memory as it lets them while nobody reads.
+func TestUnreadBytesAreBounded(t *testing.T) {
+	t.Parallel()
+	l, err := Listen("127.0.0.1:0", hclog.NewNullLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	sender, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sender.Close()
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := raw.Control(func(fd uintptr) {
+		size, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF)
+		if err != nil || size > 2*receiveBytes {
+			t.Errorf("%d bytes, %v", size, err)
+		}
+	}); err != nil {
+		t.Fatal(err)
+	}
+}
