relay: tests of whole answers beyond the budget, and of what a hedge may hold

Cause: three mutations passed the tests: an answer that is passed on as it arrives without its length, or reset at its end for a caller of HTTP/1.0, and a hedge without a limit of an event. Change: a check and two tests. Result: each fails with its mutation, and passes without.

--- a/pkg/relay/hedge_test.go
+++ b/pkg/relay/hedge_test.go
@@ -1,11 +1,13 @@
 package relay
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"testing"
 	"time"
 
+	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/route"
 )
 
@@ -136,3 +138,14 @@
 		t.Errorf("the caller got %q, %v", got.body, got.err)
 	}
 }
+
+// Guards against a hedge that holds an event without end beside what its silent first run holds.
+func TestFAULTOfEventsWithoutEndOfAHedge(t *testing.T) {
+	c := &call{request: request{route: &route.Route{Kind: route.Stream}}}
+	for size, want := range map[int]error{maxHedgeBytes: errNotReady, maxHedgeBytes + 1: errEventTooLong} {
+		h := &run{answer: &backend.Answer{Status: http.StatusOK}, content: &update{data: make([]byte, size)}}
+		if _, err := c.hedgeReady(t.Context(), h); !errors.Is(err, want) {
+			t.Errorf("%d bytes: %v", size, err)
+		}
+	}
+}
--- a/pkg/relay/partial_test.go
+++ b/pkg/relay/partial_test.go
@@ -58,6 +58,9 @@
 			if s.relay.Answers.Usage().Refused == 0 {
 				t.Errorf("%s, %v: the answer was held", name, kind)
 			}
+			if length := got.header.Get("Content-Length"); name == "length" && length != fmt.Sprint(len(longBody)) {
+				t.Errorf("%v: length %q", kind, length)
+			}
 		}
 	}
 }
@@ -93,6 +96,20 @@
 	}
 }
 
+// Guards against a whole answer that looks broken to a caller without chunks.
+func TestAnswersBeyondTheBudgetArriveWholeAtOldCallers(t *testing.T) {
+	s := newShortSite(t, route.Route{Kind: route.Safe, MaxAttempts: 1}, sealed(http.StatusOK, longBody))
+	conn, err := net.Dial("tcp", s.front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /p/x HTTP/1.0\r\nHost: site.example\r\n%s: id\r\nContent-Length: 1\r\n\r\nx", testHeaders.RequestID)
+	if text, err := io.ReadAll(conn); err != nil || !strings.HasSuffix(string(text), longBody) {
+		t.Errorf("%d bytes, %v", len(text), err)
+	}
+}
+
 // Guards against a failure that is passed on although another server may serve the request.
 func TestFailuresBeyondTheBudgetAreRetried(t *testing.T) {
 	failure := sealed(http.StatusInternalServerError, longBody)
