relay: a server has not failed as its node had no memory for what it sent

What callers saw: not shown to have met it. While the budget for answers was used up, by whatever server or caller, a larger event ended its run and made its sound server avoided, for small requests of other callers too. Cause: an attempt that ended for want of memory counted as a failure of its server, also that of a hedge. Change: it does not. The request still goes to another server. Result: TestServersAreNotBlamedForAFullBudget failed before (both servers were avoided after one request) and passes, two of two runs; TestServersThatSendWithoutEndAreAvoidedForAWhile passes. An endless event that is cut for want of memory is no evidence against its server now; one that reaches its own limit is.

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/memory"
 	"martenwheel.dev/pkg/route"
 )
 
@@ -361,7 +362,8 @@
 		return
 	case v == notRun:
 		c.recordRejection(now, r, err)
-	case !errors.Is(err, errMoved): // a server that leaves as it announced has not failed
+	case !errors.Is(err, errMoved) && !errors.Is(err, memory.ErrUsedUp):
+		// A server that leaves as it announced has not failed, nor has one whose answer this node has no memory to hold.
 		r.member.Failed(now)
 	}
 	c.tried = append(c.tried, r.member.ID)
--- a/pkg/relay/partial_test.go
+++ b/pkg/relay/partial_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"martenwheel.dev/pkg/memory"
 	"martenwheel.dev/pkg/route"
@@ -169,3 +170,21 @@
 		t.Errorf("%d with %d bytes of %d, %v", got.status, len(got.body), events.Len(), got.err)
 	}
 }
+
+// Guards against sound servers that are avoided as their node has no memory for what they send.
+func TestServersAreNotBlamedForAFullBudget(t *testing.T) {
+	longEvent := func(w http.ResponseWriter, _ *http.Request, _ seen) {
+		w.Header().Set(testHeaders.Seal, "seal")
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "id: 1\ndata: "+longBody[:64<<10]+"\n\n")
+	}
+	s := newShortSite(t, route.Route{Kind: route.Stream, Resumable: true, MaxAttempts: 2}, longEvent, longEvent)
+	if got := s.post("id", "x"); got.status != http.StatusBadGateway || len(s.arrivals()) != 2 {
+		t.Errorf("%d after %d runs", got.status, len(s.arrivals()))
+	}
+	for _, m := range s.servers {
+		if s.relay.Servers.Snapshot().Member(m.ID).Avoid(time.Now()) {
+			t.Errorf("%s is avoided", m.ID)
+		}
+	}
+}
