relay: tests of hedges beside an answer beyond the budget, and of lines that are read once

Cause: three mutations passed the tests: an answer that is passed on as it arrives while its hedge lives on, which ends it when the hedge is ready; a hedge that goes on holding what the budget had no room for; and a scanner that reads an event from its beginning again. Change: three tests.

--- a/pkg/relay/events_test.go
+++ b/pkg/relay/events_test.go
@@ -101,3 +101,14 @@
 		t.Errorf("%v for 16 times the lines that take %v", many, few)
 	}
 }
+
+// Guards against lines that are read again with each piece of their event.
+func TestLinesThatWereReadAreNotReadAgain(t *testing.T) {
+	var scanner eventScanner
+	event := bytes.Repeat([]byte("data: x\n"), 1000)
+	scanner.scan(event)
+	copy(event, bytes.Repeat([]byte{'\n'}, len(event))) // would be empty lines, which end events
+	if found := scanner.scan(append(event, "data: y\n"...)); found.size != 0 {
+		t.Errorf("found %+v", found)
+	}
+}
--- a/pkg/relay/hedge_test.go
+++ b/pkg/relay/hedge_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"martenwheel.dev/pkg/backend"
+	"martenwheel.dev/pkg/memory"
 	"martenwheel.dev/pkg/route"
 )
 
@@ -149,3 +150,42 @@
 		}
 	}
 }
+
+// Guards against an answer to which that of a hedge is joined, as the first run went on late and its answer can't be held.
+func TestMIXEDOfAnswersBeyondTheBudgetAndHedges(t *testing.T) {
+	t.Parallel()
+	late := func(w http.ResponseWriter, _ *http.Request, _ seen) {
+		time.Sleep(500 * time.Millisecond)
+		w.Header().Set(testHeaders.Seal, "seal")
+		_, _ = io.WriteString(w, longBody[:len(longBody)/2])
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(700 * time.Millisecond)
+		_, _ = io.WriteString(w, longBody[len(longBody)/2:])
+	}
+	begun := func(w http.ResponseWriter, r *http.Request, _ seen) {
+		w.Header().Set(testHeaders.Seal, "seal")
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-time.After(600 * time.Millisecond):
+		case <-r.Context().Done():
+		}
+		_, _ = io.WriteString(w, "another answer")
+	}
+	s := newShortSite(t, route.Route{Kind: route.Safe, MaxAttempts: 2, Target: 100 * time.Millisecond}, late, begun)
+	s.preferFirst()
+	if got := s.get("id"); got.err != nil || got.status != http.StatusOK || got.body != longBody {
+		t.Errorf("%d with %d bytes of %d, %v", got.status, len(got.body), len(longBody), got.err)
+	}
+	if n := len(s.arrivals()); n != 2 {
+		t.Errorf("%d runs, no hedge began", n)
+	}
+}
+
+// Guards against a hedge that holds an answer for which the budget had no room.
+func TestHedgesBeyondTheBudgetEnd(t *testing.T) {
+	c := &call{request: request{route: &route.Route{Kind: route.Safe}}}
+	h := &run{answer: &backend.Answer{Status: http.StatusOK}, content: &update{data: []byte("a part")}}
+	if _, err := c.hedgeReady(t.Context(), h); !errors.Is(err, memory.ErrUsedUp) {
+		t.Error(err)
+	}
+}
