relay: a test of the limit of an event

Cause: a mutation without the limit of 1 MiB of an event passed the narrow tests: the budget alone ended it. Change: a test. Result: it passes, and fails with the mutation (25 MB held, 504 at the deadline).

--- a/pkg/relay/partial_test.go
+++ b/pkg/relay/partial_test.go
@@ -188,3 +188,18 @@
 		}
 	}
 }
+
+// Guards against an event without end that takes all that its budget has.
+func TestFAULTOfEventsWithoutEnd(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\n" + testHeaders.Seal + ": seal\r\nContent-Type: text/event-stream\r\n\r\n"
+	for _, again := range []string{"data: x\n", "x"} {
+		s := newSite(t, route.Route{Kind: route.Stream, MaxAttempts: 1, Timeout: 20 * time.Second}, endlessly(head, again))
+		s.relay.Answers = &memory.Budget{Limit: 32 << 20}
+		if got := s.post("id", "x"); got.status != http.StatusBadGateway {
+			t.Errorf("%q: %d, %v", again, got.status, got.err)
+		}
+		if u := s.relay.Answers.Usage(); u.Most > 4*maxEventBytes || u.Used != 0 {
+			t.Errorf("%q: %+v", again, u)
+		}
+	}
+}
