backend: a server that ends right behind what is malformed has not been shown to live

What callers saw: not shown to have met it. A request whose server sent a malformed line and then ended was not suspected, so that behind a proxy it could go to all servers until their records told. Cause: what was malformed counted as evidence that the server lived, as the end of the connection behind it had not been read.

--- a/pkg/backend/inbound.go
+++ b/pkg/backend/inbound.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -33,7 +36,7 @@
 // inbound is what a server sends on a connection. Its reader is the connection's read loop or, within a body, whoever
 // reads that; received may be read at any time.
 type inbound struct {
-	from     io.Reader
+	from     net.Conn
 	err      error        // with which from ended; nil: it lives
 	received atomic.Int64 // bytes since the current exchange began
 	headLeft int          // bytes that the current head may still take; unlimited: none is read
@@ -74,10 +77,27 @@
 	return nil
 }
 
+const (
+	// endWait is how long to look for the end of a connection right behind what was malformed: the server may have crashed.
+	endWait = 20 * time.Millisecond
+	// maxTailBytes is how much is thrown away meanwhile. A server that sends more lives.
+	maxTailBytes = 64 << 10
+)
+
+// hasEnded reports whether the connection ended, at the latest right behind what was read.
+func (in *inbound) hasEnded() bool {
+	if in.err != nil {
+		return true
+	}
+	_ = in.from.SetReadDeadline(time.Now().Add(endWait)) // if the connection is closed, the read returns the error
+	_, err := io.CopyN(io.Discard, in.from, maxTailBytes)
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // explainBody returns the error of a response whose body could not be read.
 func (in *inbound) explainBody(err error) error {
 	broken := errors.Wrap(ErrBroken, shortText(err))
-	if in.err != nil {
+	if in.hasEnded() {
 		return broken
 	}
 	return fmt.Errorf("%w: %w", ErrMalformed, broken)
@@ -85,7 +105,7 @@
 
 // explain returns the error of an exchange in which reading a response failed.
 func (in *inbound) explain(err error) error {
-	if in.err != nil {
+	if in.hasEnded() {
 		return err
 	}
 	return errors.Wrap(ErrMalformed, shortText(err))
--- a/pkg/backend/inbound_test.go
+++ b/pkg/backend/inbound_test.go
@@ -137,3 +137,30 @@
 		}
 	}
 }
+
+// Guards against a server that crashed and is taken for one that lives, as the last it sent was malformed.
+func TestBUDGETOfServersThatEndWithinMalformedAnswers(t *testing.T) {
+	chunked := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, text := range []string{"no answer\r\n", "HTTP/1.1 200 OK\r\nno header\r\n\r\n", chunked + "no size\r\n"} {
+		for _, ends := range []bool{true, false} {
+			m := newMember(func(context.Context, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				go func() {
+					serve(far, text)
+					if ends {
+						far.Close()
+					}
+				}()
+				return near, nil
+			})
+			a, err := m.Send(t.Context(), &Message{Method: http.MethodGet, Target: "/", Head: []byte("Host: x\r\n")}, func() error { return nil })
+			if err == nil {
+				_, err = io.ReadAll(a)
+				a.Close()
+			}
+			if err == nil || errors.Is(err, ErrMalformed) == ends {
+				t.Errorf("%q, the server ends %v: %v", text, ends, err)
+			}
+		}
+	}
+}
