memory, relay: tests of copies, announced lengths and answers that are passed on without end

Cause: four mutations passed the tests: copies of a growing buffer that are not counted, an announced length that is allocated at once, an answer beyond the budget without a limit, and one whose beginning is held on after it was passed on. Change: two tests. Result: each of the four fails with its mutation, and they pass without.

--- a/pkg/memory/memory_test.go
+++ b/pkg/memory/memory_test.go
@@ -202,3 +202,18 @@
 		t.Errorf("usage %+v", b.Usage())
 	}
 }
+
+// Guards against memory that is not counted while a buffer grows, and against trust in the length that was announced.
+func TestBufferCountsItsCopies(t *testing.T) {
+	budget := &Budget{}
+	b := NewBuffer(budget)
+	b.Append(make([]byte, 100_000))
+	b.Append(make([]byte, 1))
+	if most := budget.Usage().Most; most < 300_000-FreeBytes {
+		t.Errorf("%d bytes were counted", most)
+	}
+	budget = &Budget{}
+	if err := NewBuffer(budget).Fill(strings.NewReader("short"), 1<<30, 1<<30); err != nil || budget.Usage().Most > maxTrusted {
+		t.Errorf("%+v for a message of some bytes, %v", budget.Usage(), err)
+	}
+}
--- a/pkg/relay/partial_test.go
+++ b/pkg/relay/partial_test.go
@@ -203,3 +203,24 @@
 		}
 	}
 }
+
+// Guards against an answer that is passed on as it arrives and holds its beginning, or goes on, without a limit.
+func TestFAULTOfAnswersBeyondTheBudgetWithoutEnd(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\n" + testHeaders.Seal + ": seal\r\n\r\n"
+	s := newShortSite(t, route.Route{Kind: route.Safe, MaxAttempts: 1, Timeout: 20 * time.Second}, endlessly(head, "a"))
+	r := s.request(t.Context(), http.MethodPost, "/p/x", "id", "x")
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	_, _ = io.CopyN(io.Discard, response.Body, 2<<20)
+	held := s.relay.Answers.Usage().Used
+	n, err := io.Copy(io.Discard, response.Body)
+	if n += 2 << 20; err == nil || n > maxAnswerBytes {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+	if held > 0 {
+		t.Errorf("%d bytes are held beside those that were passed on", held)
+	}
+}
