--- a/pkg/backend/probe_test.go
+++ b/pkg/backend/probe_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/memory"
 )
 
 const goodAndClose = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close\r\n\r\ngood"
@@ -66,3 +70,33 @@
 		})
 	}
 }
+
+// Guards against reports of probes that count as held for good, so that later ones find no room.
+func TestReportsOfProbesAreReleased(t *testing.T) {
+	long := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", 4*memory.FreeBytes, strings.Repeat("x", 4*memory.FreeBytes))
+	for _, refusal := range []error{nil, errors.New("another process")} {
+		m := newMember(func(context.Context, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go serve(far, long, good)
+			return near, nil
+		})
+		m.pool.control = &memory.Budget{Limit: 1 << 20}
+		var held int64
+		message := &Message{Method: http.MethodGet, Target: "/", Head: []byte("Host: x\r\n"),
+			Probe: &Probe{Message: &Message{Method: http.MethodGet, Target: "/report", Head: []byte("Host: x\r\n")},
+				Accept: func(int, []byte) error {
+					held = m.pool.control.Usage().Used
+					return refusal
+				}}}
+		a, err := m.Send(t.Context(), message, func() error { return nil })
+		if (err == nil) != (refusal == nil) {
+			t.Fatal(err)
+		}
+		if err == nil {
+			a.Close()
+		}
+		if used := m.pool.control.Usage().Used; held == 0 || used != 0 {
+			t.Errorf("%d bytes are held, %d were", used, held)
+		}
+	}
+}
