memory: two tests of messages that stall run under virtual time

Cause: a message that goes on counted as stalled if the machine was busy for a quarter of a second, so that the tests passed by speed. Change: they run under testing/synctest; checks are as they were.

--- a/pkg/memory/memory_test.go
+++ b/pkg/memory/memory_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
 	"time"
 )
 
@@ -136,7 +137,9 @@
 }
 
 // Guards against a crowd of messages that have stalled and keep their memory from others.
-func TestStalledMessageGivesWay(t *testing.T) {
+func TestStalledMessageGivesWay(t *testing.T) { synctest.Test(t, stalledMessageGivesWay) }
+
+func stalledMessageGivesWay(t *testing.T) {
 	b := &Budget{Limit: 1 << 20}
 	end, written := io.Pipe()
 	stalled := NewIncoming(b, func() { _ = end.CloseWithError(io.ErrClosedPipe) })
@@ -159,7 +162,9 @@
 }
 
 // Guards against messages that go on and are cut for the sake of newer ones.
-func TestMessagesThatGoOnAreKept(t *testing.T) {
+func TestMessagesThatGoOnAreKept(t *testing.T) { synctest.Test(t, messagesThatGoOnAreKept) }
+
+func messagesThatGoOnAreKept(t *testing.T) {
 	b := &Budget{Limit: 2 << 20}
 	going := NewIncoming(b, func() { t.Error("a message that goes on gives way") })
 	begun, done := make(chan struct{}), make(chan struct{})
