relay: tests of what malformed answers are evidence of

Cause: two mutations passed the tests: a request that is not watched after a malformed answer, though its server is found to have ended later, and one that is suspected after a malformed answer to its hedge. Change: two tests.

--- a/pkg/relay/endless_test.go
+++ b/pkg/relay/endless_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"martenwheel.dev/pkg/quarantine"
 	"martenwheel.dev/pkg/route"
@@ -57,3 +58,33 @@
 		})
 	}
 }
+
+// Guards against a request that ends servers and isn't blamed, as they sent what is no answer before.
+func TestBUDGETOfServersThatEndAfterEndlessAnswers(t *testing.T) {
+	s := newSite(t, route.Route{Kind: route.Safe, MaxAttempts: 1}, endlessly("", "a\n"))
+	q := &localQuarantine{}
+	s.relay.Quarantine = q
+	if got := s.post("id", "x"); got.status != http.StatusBadGateway || q.crashCount() > 0 {
+		t.Errorf("got %+v, %d crashes", got, q.crashCount())
+	}
+	s.relay.Servers.Replace(nil, 2) // its record goes
+	for end := time.Now().Add(3 * time.Second); q.crashCount() == 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the request is not blamed")
+		}
+	}
+}
+
+// Guards against sound requests that are suspected as the server of their hedge sends what is no answer.
+func TestRequestsAreNotAccusedOfEndlessAnswersToHedges(t *testing.T) {
+	s := newSite(t, streamRoute(true), silentStream(2, 6, silentBeyondLimit), endlessly("", "a\n"))
+	q := &localQuarantine{}
+	s.relay.Quarantine = q
+	s.preferFirst()
+	if got := s.patientPost("id"); got.err != nil || got.body != eventsText(1, 6) {
+		t.Errorf("the caller got %q, %v", got.body, got.err)
+	}
+	if n := len(s.arrivals()); n != 2 || q.suspicionCount() > 0 {
+		t.Errorf("%d suspicions after %d runs", q.suspicionCount(), n)
+	}
+}
