relay: a request whose server crashed is not refused as not run

What callers saw: a safe request whose only server crashed while running it got 503 with the reason "deadline", which says that it has not run, though it had. Cause: a server that crashed is taken back from the count of servers that may have run the request, as it does not count as an attempt; the status of a refusal went by that count. Change: that a server may have run the request is kept apart from the count of attempts.

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -169,6 +169,7 @@
 // countRun counts that a server may have run the request.
 func (c *call) countRun(r *run) {
 	c.countSend(r)
+	c.mayHaveRun = true
 	if !r.ran {
 		r.ran = true
 		c.runs++
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -79,7 +79,8 @@
 	shortage       shortage // servers that could not serve it though they were believed to hold the model
 	sends          int
 	misses         int   // attempts in which no server ran the request
-	runs           int   // servers that may have run it
+	runs           int   // servers that may have run it, but for those that crashed and don't count as attempts
+	mayHaveRun     bool  // a server may have run it, also one that crashed
 	unprovenRounds []int // by subject: rounds, with those in doubt, of the last attempt that broke although another node reached the server
 	unrun          bool  // no server may have run it when the current attempt began
 	headSent       bool
--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -55,9 +55,9 @@
 func (c *call) notServed(reason string, after time.Duration) refusal {
 	status := http.StatusServiceUnavailable
 	switch {
-	case c.runs > 0 && reason == reasonDeadline:
+	case c.mayHaveRun && reason == reasonDeadline:
 		status = http.StatusGatewayTimeout
-	case c.runs > 0:
+	case c.mayHaveRun:
 		status = http.StatusBadGateway
 	}
 	return refusal{status: status, reason: reason, after: after}
