relay: refusals reach callers that send at once though they ask whether to send

What callers saw: a connection reset instead of a 404, 413 or 503, where they had sent Expect: 100-continue and, without waiting, a large body. Cause: what is left of a refused body is read on so that the answer is not lost to a reset, but not where the caller had asked. As receive buffers are bounded, such a body no longer fits into them unread. Change: it is read on there, too; after the answer the server sends no 100 any more.

--- a/pkg/relay/body.go
+++ b/pkg/relay/body.go
@@ -94,7 +94,7 @@
 
 // discardUnread reads on for a while after a refusal, so that it reaches a caller that sends its whole body first.
 func (c *call) discardUnread() {
-	if c.record.outcome != outcomeRefused || !c.hasUnread() || c.http.Header.Get("Expect") != "" {
+	if c.record.outcome != outcomeRefused || !c.hasUnread() {
 		return
 	}
 	control := http.NewResponseController(c.w)
