relay: held requests learn at once that a server asked for rest again

Cause: a request that waits for a model asks the coordinator each 250 ms whether it can be ready elsewhere, and decides with the answer. When the server asked for rest again, those that had just asked waited for their next turn, though their server was out of reach for another 3 s. That took up to 0.25 s of the half second that the test allows, and a busy machine the rest.

Change: a back-off that grew means that what was known no longer holds, and the request asks at once.

--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -25,6 +25,7 @@
 	began := c.relay.Time.Now()
 	defer func() { c.record.waited += c.relay.Time.Since(began) }()
 	var requestedAt time.Time
+	backoffLeft := time.Duration(0)
 	results := make(chan loadResult, 1)
 	requestPending, answered := false, false
 	c.unrun = c.runs == 0 && !c.headSent
@@ -44,6 +45,10 @@
 		backoff := c.firstBackoffEnd(c.relay.Time.Now())
 		if c.record.waitFor = c.waitReason(); backoff != nil {
 			c.record.waitFor = waitsForBackoff
+			if backoff.In > backoffLeft { // it was asked for again: what was known before no longer holds
+				requestedAt = time.Time{}
+			}
+			backoffLeft = backoff.In
 		}
 		needsLoad := c.need.Model != "" && c.record.waitFor != waitsForServer
 		needsSearch := c.need.Model == "" && !c.listsAll()
