relay: failing test of refused callers that stop after what is discarded

What callers saw: after a refusal a caller that sends as much as the relay discards, and a little more, and then stops, keeps its connection for as long as it stays. Enough of them take all connections for good, since nothing ends them. Cause: discardUnread stops reading after its limit of bytes without ending reads, and the HTTP server then reads up to 256 KiB of the body by itself, without any limit of time.

--- a/pkg/relay/body_test.go
+++ b/pkg/relay/body_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -102,3 +105,25 @@
 		}
 	}
 }
+
+// Guards against connections that stay for as long as the callers of refused requests do, who stop once no more is read.
+func TestFAULTOfRefusedBodiesThatStallLate(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, route.Route{Kind: route.Unsafe, MaxAttempts: 1}, func(w http.ResponseWriter, _ *http.Request, _ seen) { w.WriteHeader(http.StatusOK) })
+	s.relay.Bodies = &memory.Budget{Limit: 1}
+	conn, err := net.Dial("tcp", strings.TrimPrefix(s.front.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(2 * discardTime))
+	const piece = 32 << 10
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", piece, strings.Repeat("a", piece))
+	go func() {
+		_, _ = io.WriteString(conn, "POST /p/x HTTP/1.1\r\nHost: site.example\r\n"+testHeaders.RequestID+": late\r\nTransfer-Encoding: chunked\r\n\r\n"+
+			strings.Repeat(chunk, int(s.relay.Routes().Limits().BodyBytes)/piece+3))
+	}()
+	if _, err := io.Copy(io.Discard, conn); errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Error("the connection is still open")
+	}
+}
