relay: connections of refused callers end with what is discarded

What callers saw: with a crowd that goes on to send after refusals and stops once nothing more is read, no connections are left for others, for as long as it stays. Cause: reads had an end while the relay discarded a body, and none once it had discarded its fill; the HTTP server then reads up to 256 KiB by itself. Change: no read of the connection goes on after the relay has stopped discarding. The connection was to be closed anyway.

--- a/pkg/relay/body.go
+++ b/pkg/relay/body.go
@@ -99,6 +99,7 @@
 	}
 	control := http.NewResponseController(c.w)
 	interrupt := func() { _ = control.SetReadDeadline(past) } // fails only if the connection is closed
+	defer interrupt()                                         // the HTTP server would go on to read, without a limit of time
 	end := time.AfterFunc(discardTime, interrupt)
 	defer end.Stop()
 	pause := time.AfterFunc(discardPause, interrupt)
