site: the tests of callers' connections use the product's HTTP server

What callers saw: nothing. Cause: the tests had an HTTP server of their own, so that what the product's one does by itself was not under test. Change: one constructor for both. The server's own debug lines are named after the callers now.

--- a/pkg/site/callers.go
+++ b/pkg/site/callers.go
@@ -15,6 +15,7 @@
 
 	"martenwheel.dev/pkg/clock"
 	"martenwheel.dev/pkg/memory"
+	"martenwheel.dev/pkg/relay"
 	"martenwheel.dev/pkg/route"
 )
 
@@ -80,6 +81,14 @@
 	}
 }
 
+// newServer returns the HTTP server of the connections.
+func (s *callers) newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ConnState: s.stateChanged, ConnContext: relay.ConnContext,
+		ErrorLog: s.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+}
+
 // callerLimits returns the limits of the configuration in force; the zero value if there is none.
 func (s *Site) callerLimits() route.Limits {
 	if table := s.Routes(); table != nil {
--- a/pkg/site/callers_test.go
+++ b/pkg/site/callers_test.go
@@ -43,10 +43,10 @@
 		open: make(map[*callerConn]struct{}), logger: hclog.NewNullLogger(),
 	}
 	change(s.callers)
-	server := &http.Server{ConnState: s.callers.stateChanged, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := s.callers.newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.served.Add(1)
 		_, _ = io.Copy(w, r.Body)
-	})}
+	}))
 	go func() { _ = server.Serve(s.callers) }()
 	go s.callers.run(t.Context())
 	t.Cleanup(func() { _ = server.Close() })
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -337,10 +337,7 @@
 	defer s.watchSuspension()()
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	server := &http.Server{
-		Handler: s.relay, ConnState: conns.stateChanged, ConnContext: relay.ConnContext,
-		ErrorLog: s.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-	}
+	server := conns.newServer(s.relay)
 	var tasks conc.WaitGroup
 	tasks.Go(func() { l.Run(ctx) })
 	tasks.Go(func() { holder.Run(background) })
