site: failing test of bodies that no handler reads

What callers saw: requests that the HTTP server answers by itself, OPTIONS * and such with an unknown expectation, whose bodies stop keep their connections for as long as their callers stay. Enough of them take all connections for good: nothing ends them, and no line tells of them. Cause: the HTTP server reads what remains of such a body without a limit of time. The relay, which has one, is not asked.

--- a/pkg/site/callers_test.go
+++ b/pkg/site/callers_test.go
@@ -344,3 +344,50 @@
 		})
 	}
 }
+
+// Guards against bodies of requests that the HTTP server answers by itself, whose rests it awaits for as long as the caller stays.
+func TestFAULTOfBodiesThatNoHandlerReads(t *testing.T) {
+	t.Parallel()
+	for name, head := range map[string]string{
+		"of the whole server": "OPTIONS * HTTP/1.1\r\nHost: a\r\n",
+		"with an expectation": "POST / HTTP/1.1\r\nHost: a\r\nExpect: else\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newCallerSite(t, callerTimes{head: 200 * time.Millisecond, idle: time.Minute}, route.Limits{})
+			conn := s.connect(false)
+			_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+			if _, err := io.WriteString(conn, head+"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.Copy(io.Discard, conn); errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Error("the connection is still open")
+			}
+		})
+	}
+}
+
+// Guards against bodies of served requests that are cut off by the limit for those that no handler reads.
+func TestBodiesThatAHandlerReadsHaveItsTime(t *testing.T) {
+	t.Parallel()
+	const least = 200 * time.Millisecond
+	s := newCallerSite(t, callerTimes{head: least, idle: time.Minute}, route.Limits{})
+	conn := s.connect(false)
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.WriteString(conn, siteRequest[:len(siteRequest)-1]); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * least)
+	if _, err := io.WriteString(conn, siteRequest[len(siteRequest)-1:]); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(answer.Body)
+	_ = answer.Body.Close()
+	if err != nil || string(body) != "ask" {
+		t.Errorf("got %q, %v", body, err)
+	}
+}
