site: failing test of requests that the HTTP server answers

What callers saw: OPTIONS * is answered 200 without the seal of any server. Cause: Go's HTTP server answers it by itself, and the relay knows nothing of it.

--- a/pkg/site/callers_test.go
+++ b/pkg/site/callers_test.go
@@ -391,3 +391,21 @@
 		t.Errorf("got %q, %v", body, err)
 	}
 }
+
+// Guards against successes that no server gave, and requests without a line in the log: the HTTP server answers some by itself.
+func TestMIXEDOfRequestsThatTheHTTPServerAnswers(t *testing.T) {
+	t.Parallel()
+	s := newCallerSite(t, callerTimes{head: time.Minute, idle: time.Minute}, route.Limits{})
+	conn := s.connect(false)
+	if _, err := io.WriteString(conn, "OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = answer.Body.Close()
+	if s.served.Load() != 1 {
+		t.Errorf("status %d, and the handler was not asked", answer.StatusCode)
+	}
+}
