site: the HTTP server answers no request by itself that is a proper one

What callers saw: 200 without a seal for OPTIONS *, and no line of it. Cause: Go's HTTP server answers OPTIONS * unless told otherwise. Change: the relay gets it, has no route for it and refuses it with 404 and a line, as any request without a route; its body has the times of a refused one.

--- a/pkg/relay/body_test.go
+++ b/pkg/relay/body_test.go
@@ -127,3 +127,22 @@
 		t.Error("the connection is still open")
 	}
 }
+
+// Guards against requests of no route that are held for as long as their bodies stall.
+func TestREFUSEDIsToldToCallersOfTheWholeServer(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, route.Route{Kind: route.Unsafe, MaxAttempts: 1}, func(w http.ResponseWriter, _ *http.Request, _ seen) { w.WriteHeader(http.StatusOK) })
+	conn, err := net.Dial("tcp", strings.TrimPrefix(s.front.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(2 * discardTime))
+	if _, err := io.WriteString(conn, "OPTIONS * HTTP/1.1\r\nHost: site.example\r\nContent-Length: 10\r\n\r\na"); err != nil {
+		t.Fatal(err)
+	}
+	text, err := io.ReadAll(conn)
+	if err != nil || !strings.HasPrefix(string(text), "HTTP/1.1 404 ") || len(s.arrivals()) > 0 {
+		t.Errorf("answer %q, %v; servers got %+v", text, err, s.arrivals())
+	}
+}
--- a/pkg/site/callers.go
+++ b/pkg/site/callers.go
@@ -90,7 +90,7 @@
 	}
 	return &http.Server{
 		Handler: http.HandlerFunc(own), ConnState: s.stateChanged, ConnContext: relay.ConnContext,
-		ErrorLog: s.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		DisableGeneralOptionsHandler: true, ErrorLog: s.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 }
 
