memory: failing test of messages that hold nothing and give way

What callers saw: beside a crowd, callers with small slow bodies are refused, and what they give up frees nothing; those with large bodies wait 1 s for it and are refused too, though large bodies that have stalled for less long are kept. Cause: the message that has stalled for longest gives way, whatever it holds, and the first 4 KiB of each are beside the budget.

--- a/pkg/memory/memory_test.go
+++ b/pkg/memory/memory_test.go
@@ -222,3 +222,47 @@
 		t.Errorf("%+v for a message of some bytes, %v", budget.Usage(), err)
 	}
 }
+
+// piped is a message that begins with some bytes, followed by what is written to rest.
+type piped struct {
+	rest  *io.PipeWriter
+	ended chan error
+}
+
+func fillPiped(t *testing.T, b *Budget, first int) piped {
+	t.Helper()
+	r, w := io.Pipe()
+	in := NewIncoming(b, func() { _ = r.CloseWithError(io.ErrClosedPipe) })
+	p := piped{w, make(chan error, 1)}
+	go func() { p.ended <- in.Fill(r, -1, 1<<20) }()
+	if _, err := w.Write(make([]byte, first)); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// Guards against messages that give way though they hold nothing that others need, before those that do.
+func TestMessagesThatHoldNothingAreKept(t *testing.T) {
+	synctest.Test(t, messagesThatHoldNothingAreKept)
+}
+
+func messagesThatHoldNothingAreKept(t *testing.T) {
+	b := &Budget{Limit: 1 << 20}
+	small := fillPiped(t, b, FreeBytes/2)
+	time.Sleep(time.Millisecond)
+	large := fillPiped(t, b, 400<<10)
+	time.Sleep(2 * stallTime)
+	began := time.Now()
+	if err := NewIncoming(b, func() {}).Fill(bytes.NewReader(make([]byte, 512<<10)), -1, 512<<10); err != nil || time.Since(began) > 0 {
+		t.Errorf("the newest, after %v: %v", time.Since(began), err)
+	}
+	_, _ = small.rest.Write([]byte("rest")) // fails if it gave way
+	_ = small.rest.Close()
+	if err := <-small.ended; err != nil {
+		t.Errorf("the small one: %v", err)
+	}
+	_ = large.rest.Close()
+	if err := <-large.ended; err != ErrGaveWay {
+		t.Errorf("the large one: %v", err)
+	}
+}
