memory: only messages that hold memory give way for it

What callers saw: beside a crowd, small slow bodies are refused for nothing, and large ones after a wait of 1 s. Cause: the message that had stalled for longest gave way, also one within the free part, whose end returns nothing to the budget; nobody else was told to until the wait was over. Change: the one that has stalled for longest of those that hold memory of the budget. What a holder holds is guarded by the budget, as others look at it. For room among connections any body that has stalled gives way, as before.

--- a/pkg/memory/budget.go
+++ b/pkg/memory/budget.go
@@ -50,13 +50,13 @@
 }
 
 // take changes what one holder holds. It returns false, and changes nothing, if the budget has no room.
-func (b *Budget) take(before, after int64) bool {
+func (b *Budget) take(h *Hold, after int64) bool {
 	if b == nil {
 		return true
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	change, limit := after-before, b.Limit
+	change, limit := after-h.charged, b.Limit
 	if after > b.Small {
 		limit -= b.Spare
 	}
@@ -64,6 +64,7 @@
 		b.refused++
 		return false
 	}
+	h.charged = after
 	b.used += change
 	b.most = max(b.most, b.used)
 	if change < 0 && b.returned != nil {
@@ -76,7 +77,7 @@
 // Hold is what one holder holds. It belongs to one goroutine at a time.
 type Hold struct {
 	budget  *Budget
-	charged int64 // bytes beyond FreeBytes
+	charged int64 // bytes beyond FreeBytes; guarded by the budget's mutex
 }
 
 // Hold returns a hold of nothing.
@@ -85,12 +86,7 @@
 // Resize changes the hold to a number of bytes. It returns false, and changes nothing, if the budget has no room. A hold
 // can always shrink.
 func (h *Hold) Resize(bytes int) bool {
-	charged := max(int64(bytes)-FreeBytes, 0)
-	if !h.budget.take(h.charged, charged) {
-		return false
-	}
-	h.charged = charged
-	return true
+	return h.budget.take(h, max(int64(bytes)-FreeBytes, 0))
 }
 
 // Release returns all that is held.
--- a/pkg/memory/incoming.go
+++ b/pkg/memory/incoming.go
@@ -101,14 +101,14 @@
 	return in.asked
 }
 
-// awaitRoom tells the message that has stalled for longest to give way, unless one is about to, and waits until memory
-// was returned. It returns false if no other message has stalled, or if this one has to give way itself.
+// awaitRoom tells the message that has stalled for longest, of those that hold memory, to give way, unless one is about to, and
+// waits until memory was returned. It returns false if no other message has stalled, or if this one has to give way itself.
 func (b *Budget) awaitRoom(in *Incoming) bool {
 	if b == nil {
 		return false
 	}
 	b.mu.Lock()
-	if !b.givingWay() && !b.yieldLongest(in) || in.asked {
+	if !b.givingWay() && !b.yieldLongest(in, 1) || in.asked {
 		b.mu.Unlock()
 		return false
 	}
@@ -137,23 +137,26 @@
 	in.progress.Store(clock.Now().UnixNano())
 }
 
-// givingWay reports whether a message that was told to give way has not done so yet. The caller holds mu.
+// givingWay reports whether a message that holds memory was told to give way and has not done so yet. The caller holds mu.
 func (b *Budget) givingWay() bool {
 	for in := range b.incoming {
-		if in.asked {
+		if in.asked && in.hold.charged > 0 {
 			return true
 		}
 	}
 	return false
 }
 
-// yieldLongest tells the message that has stalled for longest to give way, and reports whether there is one, other than
-// the given one. The caller holds mu.
-func (b *Budget) yieldLongest(other *Incoming) bool {
+// yieldLongest tells the message that has stalled for longest, of those that hold some bytes of the budget, to give way, and
+// reports whether there is one, other than the given one. The caller holds mu.
+func (b *Budget) yieldLongest(other *Incoming, least int64) bool {
 	now, longest := clock.Now(), stallTime
 	var chosen *Incoming
 	for in := range b.incoming {
-		if stalled := in.stalledFor(now); in != other && !in.asked && !in.waits && stalled >= longest {
+		if in == other || in.asked || in.waits || in.hold.charged < least {
+			continue
+		}
+		if stalled := in.stalledFor(now); stalled >= longest {
 			chosen, longest = in, stalled
 		}
 	}
@@ -178,7 +181,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.yieldLongest(nil)
+	return b.yieldLongest(nil, 0)
 }
 
 // YieldAll tells all incomplete messages to give way.
