memory, relay: failing tests of bodies that wait for memory

What callers saw: a request that waits for memory is answered up to 1 s after its time; at the end of a stop, where 0.2 s are left, its connection may close without an answer. Cause: a body that waits for others to give way is awaited until memory is returned or a second is over; neither its deadline, nor a stop, ends the wait. With many that wait, it may wait again and again.

--- a/pkg/memory/memory_test.go
+++ b/pkg/memory/memory_test.go
@@ -266,3 +266,30 @@
 		t.Errorf("the large one: %v", err)
 	}
 }
+
+// Guards against messages that wait for memory and keep a stop waiting.
+func TestMessagesThatWaitEndAtOnce(t *testing.T) { synctest.Test(t, messagesThatWaitEndAtOnce) }
+
+func messagesThatWaitEndAtOnce(t *testing.T) {
+	b := &Budget{Limit: 1 << 20}
+	r, w := io.Pipe()
+	slow := make(chan error, 1)
+	go func() { slow <- NewIncoming(b, func() {}).Fill(r, -1, 1<<20) }() // is slow to give way
+	if _, err := w.Write(make([]byte, 400<<10)); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * stallTime)
+	began, waits := time.Now(), make(chan error, 1)
+	go func() {
+		waits <- NewIncoming(b, func() {}).Fill(bytes.NewReader(make([]byte, 512<<10)), -1, 512<<10)
+	}()
+	time.Sleep(maxRoomWait / 10)
+	b.YieldAll()
+	if err := <-waits; err != ErrGaveWay || time.Since(began) > maxRoomWait/10 {
+		t.Errorf("after %v: %v", time.Since(began), err)
+	}
+	_ = w.Close()
+	if err := <-slow; err != ErrGaveWay {
+		t.Errorf("the slow one: %v", err)
+	}
+}
--- a/pkg/relay/body_test.go
+++ b/pkg/relay/body_test.go
@@ -146,3 +146,22 @@
 		t.Errorf("answer %q, %v; servers got %+v", text, err, s.arrivals())
 	}
 }
+
+// Guards against requests that wait for memory beyond their time.
+func TestBodiesThatWaitForMemoryHaveTheirTime(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, route.Route{Kind: route.Unsafe, MaxAttempts: 1}, func(w http.ResponseWriter, _ *http.Request, _ seen) { w.WriteHeader(http.StatusOK) })
+	s.relay.Bodies = &memory.Budget{Limit: 256 << 10}
+	r, w := io.Pipe()
+	defer w.Close()
+	go func() { _ = memory.NewIncoming(s.relay.Bodies, func() {}).Fill(r, -1, 256<<10) }() // is slow to give way
+	if _, err := w.Write(make([]byte, 100<<10)); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(300 * time.Millisecond) // it has stalled
+	began := time.Now()
+	answer := s.stalledBody("Content-Length: 200000", strings.Repeat("a", 150_000)) // has 400 ms
+	if took := time.Since(began); answer.StatusCode != http.StatusServiceUnavailable || took > 800*time.Millisecond {
+		t.Errorf("status %d after %v", answer.StatusCode, took)
+	}
+}
