memory, relay: bodies that wait for memory end with their time and with a stop

What callers saw: answers up to 1 s after the time of a request that waited for memory, or none at the end of a stop. Cause: the deadline, and being told to give way, ended reads only, and a body that waits for memory reads nothing. Change: both end the wait as well, and nobody is told to give way for a message that has been told itself.

--- a/pkg/memory/incoming.go
+++ b/pkg/memory/incoming.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,7 +27,9 @@
 // longest gives way.
 type Incoming struct {
 	Buffer
-	interrupt func()       // ends the read in progress
+	interrupt func()        // ends the read in progress
+	ended     chan struct{} // closed by Interrupt
+	ending    sync.Once
 	progress  atomic.Int64 // when it last went on, in nanoseconds since the clock's epoch
 	asked     bool         // to give way; guarded by the budget's mutex, as is the next field
 	waits     bool         // for memory
@@ -35,7 +38,13 @@
 // NewIncoming returns an empty message whose memory is taken from a budget. interrupt makes a read of the sender's bytes
 // that is in progress, and later ones, return an error at once.
 func NewIncoming(b *Budget, interrupt func()) *Incoming {
-	return &Incoming{Buffer: *NewBuffer(b), interrupt: interrupt}
+	return &Incoming{Buffer: *NewBuffer(b), interrupt: interrupt, ended: make(chan struct{})}
+}
+
+// Interrupt ends the read in progress, or the wait for memory, and keeps later ones from beginning.
+func (in *Incoming) Interrupt() {
+	in.ending.Do(func() { close(in.ended) })
+	in.interrupt()
 }
 
 // Fill is Buffer.Fill. It returns ErrGaveWay if the message was told to give way, even if it is complete.
@@ -55,6 +64,16 @@
 	return err
 }
 
+// interrupted reports whether Interrupt was called.
+func (in *Incoming) interrupted() bool {
+	select {
+	case <-in.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // stalledFor returns for how long nothing worth counting has come.
 func (in *Incoming) stalledFor(now time.Time) time.Duration {
 	return time.Duration(now.UnixNano() - in.progress.Load())
@@ -102,13 +121,13 @@
 }
 
 // awaitRoom tells the message that has stalled for longest, of those that hold memory, to give way, unless one is about to, and
-// waits until memory was returned. It returns false if no other message has stalled, or if this one has to give way itself.
+// waits until memory was returned. It returns false if no other message has stalled, or if this one was interrupted.
 func (b *Budget) awaitRoom(in *Incoming) bool {
 	if b == nil {
 		return false
 	}
 	b.mu.Lock()
-	if !b.givingWay() && !b.yieldLongest(in, 1) || in.asked {
+	if in.interrupted() || !b.givingWay() && !b.yieldLongest(in, 1) {
 		b.mu.Unlock()
 		return false
 	}
@@ -122,6 +141,8 @@
 	timer := time.NewTimer(maxRoomWait)
 	defer timer.Stop()
 	select {
+	case <-in.ended:
+		return false
 	case <-returned:
 		return true
 	case <-timer.C:
@@ -171,7 +192,7 @@
 func (b *Budget) yield(in *Incoming) {
 	in.asked = true
 	b.yielded++
-	in.interrupt()
+	in.Interrupt()
 }
 
 // YieldLongest tells the incomplete message that has stalled for longest to give way, and reports whether there is one.
--- a/pkg/relay/body.go
+++ b/pkg/relay/body.go
@@ -33,9 +33,9 @@
 		limit = math.MaxInt64
 	}
 	control := http.NewResponseController(c.w)
-	end := time.AfterFunc(c.timeLeft(), func() { _ = control.SetReadDeadline(past) }) // fails only if the connection is closed
+	c.incoming = memory.NewIncoming(c.relay.Bodies, func() { _ = control.SetReadDeadline(past) }) // fails only if the connection is closed
+	end := time.AfterFunc(c.timeLeft(), c.incoming.Interrupt)
 	defer end.Stop()
-	c.incoming = memory.NewIncoming(c.relay.Bodies, func() { _ = control.SetReadDeadline(past) }) // the same
 	err := c.incoming.Fill(c.http.Body, c.http.ContentLength, limit)
 	c.record.bodyBytes = c.incoming.Len()
 	if !end.Stop() || err != nil {
