relay: failing test of callers' deadlines that lift the time of the route

What callers saw: a request whose deadline is 0, not a number, or beyond the range of time.Duration, is held for up to a minute, and its server is given as much, though its route has 0.2 s. Cause: what time.Duration can't hold becomes a negative time, and a time that is not positive counts as none.

--- a/pkg/relay/body_test.go
+++ b/pkg/relay/body_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -165,3 +166,22 @@
 		t.Errorf("status %d after %v", answer.StatusCode, took)
 	}
 }
+
+// Guards against callers' deadlines that lift the time of the route, and so the only limit of bodies that stall.
+func TestCONFIGOfCallersWithoutADeadline(t *testing.T) {
+	t.Parallel()
+	for _, deadline := range []string{"0", "0.0000001", "1e30", "1e13", "NaN", "+Inf"} {
+		t.Run(deadline, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, route.Route{Kind: route.Unsafe, MaxAttempts: 1, Timeout: 200 * time.Millisecond},
+				func(_ http.ResponseWriter, _ *http.Request, got seen) { <-got.disconnected })
+			r := s.request(t.Context(), http.MethodPost, "/p/x", "a", "body")
+			r.Header.Set(testHeaders.Deadline, deadline)
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			if got := s.do(r.WithContext(ctx)); got.err != nil || got.status == http.StatusOK {
+				t.Errorf("got %+v", got)
+			}
+		})
+	}
+}
