relay: no deadline of a caller lifts the time of its route

What callers saw: requests with a deadline of 0, or one that is no time, are held for a minute, and their servers are given as much. Cause: what time.Duration can't hold became a negative time, and a time that is not positive counted as none, the route's included.

--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"net/textproto"
@@ -29,6 +30,9 @@
 // defaultTimeout applies to requests that neither the caller nor the route bounds.
 const defaultTimeout = time.Minute
 
+// maxCallerTime is what a longer deadline of a caller counts for, so that sums and multiples of it are times.
+const maxCallerTime = 24 * time.Hour
+
 // call is one request of a caller in progress.
 type call struct {
 	relay *Relay
@@ -169,13 +173,13 @@
 	wait := c.route.Timeout
 	if text := c.http.Header.Get(c.relay.Headers.Deadline); text != "" {
 		ms, err := strconv.ParseFloat(text, 64)
-		if err != nil || ms < 0 {
+		if err != nil || ms < 0 || math.IsNaN(ms) {
 			c.refuse(badDeadline)
 			return false
 		}
-		timeout := time.Duration(ms * float64(time.Millisecond))
+		timeout := time.Duration(min(ms*float64(time.Millisecond), float64(maxCallerTime)))
 		c.record.callerTimeout = timeout
-		if wait <= 0 || timeout < wait {
+		if timeout > 0 && (wait <= 0 || timeout < wait) {
 			wait = timeout
 		}
 	}
