lineage: failing test of two origins of an attempt of which one is stored

What callers saw: a caller that uses an attempt's id for two streams, of two versions, may have one go on at the other's version once all nodes were killed. While nodes know of both, it is refused. Cause: of two origins of an attempt a keeper writes the newer one while neither is written, and the older one for 20 s after that was written.

--- a/pkg/lineage/archive_test.go
+++ b/pkg/lineage/archive_test.go
@@ -407,3 +407,24 @@
 		}
 	})
 }
+
+// Guards against one of two origins of an attempt that is stored alone, while all nodes know of both.
+func TestORDERConflictingOriginsAreStoredAsOne(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"before the first is written": 0, "after the first is written": writeTime} {
+		t.Run(name, func(t *testing.T) {
+			inSite(t, 9, func(t *testing.T, s *storedSite) {
+				s.register(0).Began(1, first, time.Minute)
+				time.Sleep(pause)
+				s.register(0).Began(1, second, time.Minute)
+				time.Sleep(writeTime)
+				if f := s.find(1, 1); f.Known || !f.Conflicting {
+					t.Errorf("nodes found %+v", f)
+				}
+				s.start()
+				if f := s.find(1, 1); f.Known || !f.Conflicting {
+					t.Errorf("found %+v in the store", f)
+				}
+			})
+		})
+	}
+}
