lineage: all origins of an attempt are stored

What callers saw: a stream whose attempt had two origins could go on at one of them after all nodes were killed. Cause: what waits to be written, and what was written lately, was known by the attempt alone. Change: both are known by attempt and origin, so that a second origin is written beside the first and whoever reads both takes neither, as among nodes.

--- a/pkg/lineage/archive.go
+++ b/pkg/lineage/archive.go
@@ -74,6 +74,12 @@
 
 const keyBytes = 8
 
+// archived is one origin of a stream. Different ones of a stream are all written, so that none counts.
+type archived struct {
+	key    Key
+	origin Origin
+}
+
 // archive is a keeper's part in writing origins to the store, and a node's in reading them. The zero value with
 // a store is ready to use. It is safe for concurrent use.
 type archive struct {
@@ -84,8 +90,8 @@
 	learn  func(Key, Origin) // is given what was read
 
 	mu        sync.Mutex
-	waiting   map[Key]Origin
-	written   map[Key]time.Time
+	waiting   map[archived]struct{}
+	written   map[archived]time.Time
 	number    uint64        // of the last row written
 	known     bool          // number is known: the rows of earlier incarnations were read
 	reading   chan struct{} // closed when the read under way has ended; nil: none is
@@ -104,7 +110,8 @@
 	now := a.time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if at, written := a.written[key]; written && now.Sub(at) < rewriteAfter {
+	stream := archived{key, o}
+	if at, written := a.written[stream]; written && now.Sub(at) < rewriteAfter {
 		return
 	}
 	if len(a.waiting) >= maxWaiting {
@@ -112,9 +119,9 @@
 		return
 	}
 	if a.waiting == nil {
-		a.waiting = make(map[Key]Origin)
+		a.waiting = make(map[archived]struct{})
 	}
-	a.waiting[key] = o
+	a.waiting[stream] = struct{}{}
 }
 
 // run writes what waits, at intervals, until ctx ends.
@@ -156,9 +163,9 @@
 	now := a.time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for key, at := range a.written {
+	for stream, at := range a.written {
 		if now.Sub(at) >= rewriteAfter {
-			delete(a.written, key)
+			delete(a.written, stream)
 		}
 	}
 	return len(a.waiting) > 0 && !now.Before(a.pauseTill)
@@ -173,30 +180,28 @@
 }
 
 // take removes and returns streams for one row, and its number.
-func (a *archive) take() (map[Key]Origin, uint64) {
+func (a *archive) take() ([]archived, uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	batch := make(map[Key]Origin, min(len(a.waiting), maxRowStreams))
-	for key, o := range a.waiting {
+	batch := make([]archived, 0, min(len(a.waiting), maxRowStreams))
+	for stream := range a.waiting {
 		if len(batch) == maxRowStreams {
 			break
 		}
-		batch[key] = o
-		delete(a.waiting, key)
+		batch = append(batch, stream)
+		delete(a.waiting, stream)
 	}
 	a.number++
 	return batch, a.number
 }
 
 // noteWrite records the outcome of a write that began at the given time.
-func (a *archive) noteWrite(batch map[Key]Origin, began time.Time, err error) {
+func (a *archive) noteWrite(batch []archived, began time.Time, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if err != nil {
-		for key, o := range batch {
-			if _, newer := a.waiting[key]; !newer {
-				a.waiting[key] = o
-			}
+		for _, stream := range batch {
+			a.waiting[stream] = struct{}{}
 		}
 		a.failures++
 		pause := min(archiveInterval<<min(a.failures, maxPauseDoublings), maxWritePause)
@@ -206,10 +211,10 @@
 	}
 	a.failures = 0
 	if a.written == nil {
-		a.written = make(map[Key]time.Time)
+		a.written = make(map[archived]time.Time)
 	}
-	for key := range batch {
-		a.written[key] = began
+	for _, stream := range batch {
+		a.written[stream] = began
 	}
 	a.stored += len(batch)
 }
@@ -315,10 +320,10 @@
 }
 
 // groupsOf returns the streams of a batch in the form of a record.
-func groupsOf(batch map[Key]Origin) []StoredGroup {
+func groupsOf(batch []archived) []StoredGroup {
 	streams := make(map[Origin][]byte)
-	for key, o := range batch {
-		streams[o] = binary.BigEndian.AppendUint64(streams[o], uint64(key))
+	for _, s := range batch {
+		streams[s.origin] = binary.BigEndian.AppendUint64(streams[s.origin], uint64(s.key))
 	}
 	groups := make([]StoredGroup, 0, len(streams))
 	for o, keys := range streams {
