lineage: the tests have no data races

What callers saw: nothing; go test -race ./pkg/lineage failed. Cause: tests read the counters and rows of their store, and added registers to their network, beside running registers without the locks of either. Change: both are read and changed under their locks. What is checked is the same.

--- a/pkg/lineage/archive_test.go
+++ b/pkg/lineage/archive_test.go
@@ -86,6 +86,25 @@
 	s.fails, s.silently = fails, silently
 }
 
+// storeLoad is what a store was asked for, and holds.
+type storeLoad struct {
+	writes, reads, rows int
+	bytes               int // of keys
+	largest             int // streams of the largest row written
+}
+
+func (s *fakeStore) load() storeLoad {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := storeLoad{writes: s.writes, reads: s.reads, rows: len(s.rows), largest: s.largest}
+	for _, r := range s.rows {
+		for _, g := range r.Record.Groups {
+			l.bytes += len(g.Streams)
+		}
+	}
+	return l
+}
+
 // storedSite is the nodes of a site with a store.
 type storedSite struct {
 	*network
@@ -168,8 +187,8 @@
 		s.alone.Store(int64(Always))
 		s.register(0).Began(1, first, time.Minute)
 		time.Sleep(10 * time.Second)
-		if s.store.writes+s.store.reads > 0 {
-			t.Errorf("%d writes and %d reads while one version served alone", s.store.writes, s.store.reads)
+		if s.store.load().writes+s.store.load().reads > 0 {
+			t.Errorf("%d writes and %d reads while one version served alone", s.store.load().writes, s.store.load().reads)
 		}
 		s.alone.Store(0)
 		time.Sleep(archiveInterval + writeTime)
@@ -232,12 +251,12 @@
 		s.register(0).Began(1, first, 5*time.Minute)
 		time.Sleep(writeTime)
 		s.store.set(true, false)
-		before := s.store.writes
+		before := s.store.load().writes
 		for i := range 100 {
 			s.register(0).Began(Key(100+i), first, 5*time.Minute)
 			time.Sleep(time.Second)
 		}
-		if calls := s.store.writes - before; calls > 30 {
+		if calls := s.store.load().writes - before; calls > 30 {
 			t.Errorf("%d writes in 100 s to a store that fails", calls)
 		}
 		s.store.set(true, true) // done, but not answered
@@ -262,8 +281,8 @@
 			}
 			time.Sleep(100 * time.Millisecond)
 		}
-		if most := minKeepers * int(6*time.Second/readInterval+1); s.store.reads > most {
-			t.Errorf("%d reads in 6 s, want %d at most", s.store.reads, most)
+		if most := minKeepers * int(6*time.Second/readInterval+1); s.store.load().reads > most {
+			t.Errorf("%d reads in 6 s, want %d at most", s.store.load().reads, most)
 		}
 	})
 }
@@ -280,8 +299,8 @@
 		time.Sleep(MaxLifetime)
 		s.find(1, 1)
 		synctest.Wait()
-		if len(s.store.rows) > 0 {
-			t.Errorf("%d rows are left", len(s.store.rows))
+		if s.store.load().rows > 0 {
+			t.Errorf("%d rows are left", s.store.load().rows)
 		}
 	})
 }
@@ -346,16 +365,11 @@
 				time.Sleep(time.Second / time.Duration(c.perSecond))
 			}
 			time.Sleep(writeTime)
-			writes, bytes := s.store.writes, 0
-			for _, r := range s.store.rows {
-				for _, g := range r.Record.Groups {
-					bytes += len(g.Streams)
-				}
-			}
+			l := s.store.load()
 			t.Logf("%d nodes, %d streams a second: %d writes and %d bytes of keys a second, %d rows, of %d streams at most",
-				c.size, c.perSecond, writes/seconds, bytes/seconds, len(s.store.rows), s.store.largest)
-			if most := 2 * keepersPerInterval * (seconds + 2); writes > most {
-				t.Errorf("%d writes in %d s", writes, seconds)
+				c.size, c.perSecond, l.writes/seconds, l.bytes/seconds, l.rows, l.largest)
+			if most := 2 * keepersPerInterval * (seconds + 2); l.writes > most {
+				t.Errorf("%d writes in %d s", l.writes, seconds)
 			}
 			s.start()
 			for i := 0; i < c.size; i += 1 + c.size/50 {
@@ -363,8 +377,8 @@
 					t.Fatalf("node %d found %+v", i, f)
 				}
 			}
-			if keepers := max(minKeepers, c.size/nodesPerKeeper+1); s.store.reads > 2*keepers {
-				t.Errorf("%d reads by %d keepers", s.store.reads, keepers)
+			if keepers := max(minKeepers, c.size/nodesPerKeeper+1); s.store.load().reads > 2*keepers {
+				t.Errorf("%d reads by %d keepers", s.store.load().reads, keepers)
 			}
 		})
 	}
@@ -387,15 +401,15 @@
 			}
 			time.Sleep(archiveInterval / 2)
 		}
-		if rows := len(s.store.rows); rows > 3*archiveRows {
+		if rows := s.store.load().rows; rows > 3*archiveRows {
 			t.Errorf("%d rows", rows)
 		}
 		for i := range 3 * maxWaiting {
 			s.register(0).Began(Key(1e6+i), first, 10*time.Second)
 		}
 		time.Sleep(10 * time.Second)
-		if s.store.largest > maxRowStreams {
-			t.Errorf("a row of %d streams", s.store.largest)
+		if largest := s.store.load().largest; largest > maxRowStreams {
+			t.Errorf("a row of %d streams", largest)
 		}
 		dropped := 0
 		for i := range s.nodes {
--- a/pkg/lineage/lineage_test.go
+++ b/pkg/lineage/lineage_test.go
@@ -97,10 +97,19 @@
 
 func (n *network) add(node Node, nodes func() []Node) *Register {
 	r := &Register{Self: node.Name, Nodes: nodes, Holder: func() string { return "" }, Transport: transport{n, node.Address}, Logger: hclog.NewNullLogger()}
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.registers[node.Address] = r
 	return r
 }
 
+// takeDown makes an address refuse.
+func (n *network) takeDown(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.down[address] = true
+}
+
 func TestOriginIsLostWithItsNode(t *testing.T) {
 	for _, size := range []int{2, 3, 9, 80, 330} {
 		n := newNetwork()
@@ -189,12 +198,12 @@
 		registers[0].Began(1, first, time.Minute)
 		registers[0].Began(2, second, time.Minute)
 		registers[0].Complete(2)
+		var asking *Register
 		for _, node := range nodes[1:] {
-			n.add(node, func() []Node { return nodes })
+			asking = n.add(node, func() []Node { return nodes })
 		}
 		time.Sleep(2*tellInterval + time.Millisecond)
-		n.down["address-0"] = true
-		asking := n.registers["address-8"]
+		n.takeDown("address-0")
 		if f := asking.Find(t.Context(), 1); !f.Known || f.Origin != first {
 			t.Errorf("found %+v", f)
 		}
