lineage: failing test of expired rows of which there are many

What callers saw: nothing yet. Rows of keepers that are gone for good would stay in the store, and be read with each search for an origin. Cause: a transaction of the store has at most 100 entries, and the removal of 100 rows has 100 conditions beside them.

--- a/pkg/lineage/archive_test.go
+++ b/pkg/lineage/archive_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,9 @@
 	"martenwheel.dev/pkg/peer"
 )
 
+// storeEntries are the most entries of one transaction of the store.
+const storeEntries = 100
+
 // fakeStore keeps rows in memory.
 type fakeStore struct {
 	mu       sync.Mutex
@@ -69,6 +73,9 @@
 func (s *fakeStore) Remove(_ context.Context, rows []Row) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if 2*len(rows) > storeEntries { // each with its condition
+		return errors.New("too many entries")
+	}
 	for _, r := range rows {
 		if s.rows[r.Key].Version != r.Version {
 			return errors.New("changed")
@@ -442,3 +449,20 @@
 		})
 	}
 }
+
+// Guards against expired rows that are never removed, since there are more of them than one transaction may have.
+func TestManyExpiredOriginsStay(t *testing.T) {
+	inSite(t, 9, func(t *testing.T, s *storedSite) {
+		for i := range 2 * archiveRows {
+			_ = s.store.Write(t.Context(), rowKey(fmt.Sprintf("former-%d", i/archiveRows), uint64(i)), Record{Number: uint64(i)}) // does not fail
+		}
+		time.Sleep(2*MaxLifetime + time.Second)
+		for range 2*archiveRows/(storeEntries/2) + 1 {
+			s.find(1, 1)
+			time.Sleep(readInterval)
+		}
+		if rows := s.store.load().rows; rows > 0 {
+			t.Errorf("%d rows are left", rows)
+		}
+	})
+}
