lineage: as many expired rows are removed at once as a transaction may have entries

What callers saw: nothing yet. Cause: the removal of 100 rows is one of 200 entries with its conditions. Change: 50 rows at once. Whoever reads next removes more.

--- a/pkg/lineage/archive.go
+++ b/pkg/lineage/archive.go
@@ -68,8 +68,8 @@
 	maxWritePause = 8 * time.Second
 	// storedLifetime is how long a node remembers a stream that it read.
 	storedLifetime = time.Minute
-	// maxRemoved limits the rows that are removed at once.
-	maxRemoved = 100
+	// maxRemoved limits the rows that are removed at once. Each takes two entries of a transaction, which may have 100.
+	maxRemoved = 50
 )
 
 const keyBytes = 8
