relay, backend: a stream begins at the process that its server's record describes

Callers saw streams joined of two software versions. They had begun at a server that was replaced in place a moment before.

Cause: the origin of a new stream is read from the server's record, which may be older than the process at the server's address. Only streams that continued asked the process at the other end of their connection who it is.

Change: new streams of services of models ask as well, once on a connection, if the service has not had one version alone for long or if a connection to that incarnation broke since a report was last accepted. If another process answers, nothing was sent, and another server is chosen. A report that was accepted on a connection holds for it, also for streams that continue.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -65,8 +66,8 @@
 	Control bool
 	// Direct forbids connections through other nodes: the server goes by who sends the message.
 	Direct bool
-	// Probe is exchanged on the same connection right before the message, which is not sent if it fails; nil:
-	// none.
+	// Probe is exchanged on the same connection right before the message, which is not sent if it fails, unless one was
+	// accepted there before; nil: none.
 	Probe *Probe
 	// IsAnswer reports whether a response belongs to the request. Other responses are skipped. Nil accepts
 	// every response.
@@ -78,6 +79,8 @@
 	Message *Message
 	// Accept returns why the process is not the expected one, nil if it is.
 	Accept func(status int, body []byte) error
+	// IfInDoubt leaves the probe out while nothing suggests that the process was replaced, see identity.
+	IfInDoubt bool
 }
 
 // maxJoinedBytes is the largest body that is sent in one piece with its head. Others are not copied.
@@ -124,6 +127,9 @@
 	// request sent on it was executed.
 	suspended time.Duration
 
+	breaksBefore int64       // see identity.accept
+	identified   atomic.Bool // a probe on it was accepted
+
 	mu      sync.Mutex
 	current *exchange
 	closed  error // why the connection is unusable; nil: usable
@@ -157,7 +163,8 @@
 func newConn(p *pool, nc net.Conn) *conn {
 	_, indirect := nc.(IndirectConn)
 	in := &inbound{from: nc, headLeft: unlimited}
-	c := &conn{Conn: nc, pool: p, indirect: indirect, inbound: in, reader: bufio.NewReaderSize(in, readBufferBytes)}
+	c := &conn{Conn: nc, pool: p, indirect: indirect, inbound: in, reader: bufio.NewReaderSize(in, readBufferBytes),
+		breaksBefore: p.identity.breaks.Load()}
 	go c.read()
 	return c
 }
@@ -168,6 +175,7 @@
 		_, err := c.reader.Peek(1)
 		x := c.exchange()
 		if x == nil {
+			c.noteIdleEnd()
 			c.fail(errIdleClosed)
 			return
 		}
@@ -176,6 +184,7 @@
 			response, err = c.readHeader(x)
 		}
 		if err != nil {
+			c.noteBreak()
 			x.answers <- headerResult{err: c.inbound.explain(err)}
 			c.fail(err)
 			return
@@ -336,6 +345,7 @@
 		case end := <-writing:
 			written = end.err == nil
 			if end.err != nil && end.n == 0 {
+				c.noteBreak()
 				c.abandon(x, end.err)
 				return nil, errors.Wrap(ErrNotSent, end.err.Error())
 			}
@@ -408,8 +418,11 @@
 	}
 	if err != nil {
 		c.fail(err)
+		return err
 	}
-	return err
+	c.identified.Store(true)
+	c.pool.identity.accept(c.breaksBefore)
+	return nil
 }
 
 // writeResult is the outcome of writing a message.
@@ -462,6 +475,7 @@
 		return n, io.EOF
 	}
 	if err != nil {
+		a.conn.noteBreak()
 		return n, a.conn.inbound.explainBody(err)
 	}
 	return n, nil
--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -38,6 +38,7 @@
 	address    string
 	control    *memory.Budget
 	limit      atomic.Int64 // maximum number of connections; zero: unlimited
+	identity   identity
 
 	mu        sync.Mutex
 	idle      []*conn // most recently used last
@@ -95,8 +96,9 @@
 
 // put returns a connection to the pool.
 func (p *pool) put(c *conn) {
-	c.idleAt, c.suspended = p.time.Now(), clock.Slept()
+	now, suspended := p.time.Now(), clock.Slept()
 	p.mu.Lock()
+	c.idleAt, c.suspended = now, suspended
 	ended := p.ended
 	if !ended {
 		p.idle = append(p.idle, c)
@@ -176,6 +178,9 @@
 // failed records that a connection attempt failed.
 func (p *pool) failed(err error) {
 	refused := errors.Is(err, syscall.ECONNREFUSED)
+	if !errors.Is(err, context.Canceled) {
+		p.identity.noteBreak()
+	}
 	p.mu.Lock()
 	p.open--
 	if refused {
@@ -234,7 +239,7 @@
 				return nil, notSent(err)
 			}
 		}
-		if m.Probe != nil {
+		if nc.needsProbe(m.Probe) {
 			err := nc.probe(ctx, m.Probe)
 			if err != nil && !fresh && isConnectionError(err) && ctx.Err() == nil {
 				continue // the idle connection was closed: use another
--- a/pkg/relay/replaced_server_test.go
+++ b/pkg/relay/replaced_server_test.go
@@ -107,6 +107,32 @@
 	}
 }
 
+// Guards against probes that delay each stream: one goes over each new connection at most, and none if nothing speaks for one.
+func TestReportIsAskedForEachStream(t *testing.T) {
+	for name, row := range map[string]struct {
+		second  string
+		sole    lineage.SoleVersion
+		reports int64
+	}{
+		"one version alone": {"v1", aloneForLong, 0},
+		"two versions":      {"v2", lineage.SoleVersion{}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newReplacedSite(t, row.second)
+			s.relay.SoleVersion = func(string) lineage.SoleVersion { return row.sole }
+			for range 4 {
+				s.begin()
+				m := s.relay.Servers.Snapshot().Member("server-0")
+				for began := time.Now(); m.Idle() == 0 && time.Since(began) < time.Second; time.Sleep(time.Millisecond) {
+				}
+			}
+			if n := s.reports.Load(); n != row.reports {
+				t.Errorf("%d reports were asked for on one connection, want %d", n, row.reports)
+			}
+		})
+	}
+}
+
 // Guards against new streams whose origin is wrong since the server was replaced while the node had no connection to it.
 func TestORDERNewStreamAtAServerReplacedUnseenHasAWrongOrigin(t *testing.T) {
 	s := newReplacedSite(t, "v1")
--- a/pkg/relay/version.go
+++ b/pkg/relay/version.go
@@ -157,13 +157,19 @@
 	}
 }
 
-// probe returns the probe for a stream that continues: another version may have replaced the server under its
-// name and address before its record tells so. A copy, which only its incarnation has, needs none.
+// probe returns the probe that goes before a stream: another version may have replaced the server under its name and
+// address before its record tells so. A stream that continues must not go on there, and one that begins would be taken for
+// one of the version in the record. A copy, which only its incarnation has, needs none.
 func (c *call) probe(m *backend.Member, origin string) *backend.Probe {
-	if !c.pinned || origin != "" || c.relay.Identify == nil {
+	begins := !c.pinned && c.route.Kind == route.Stream && c.engine != nil // other servers need not know how to report
+	if !c.pinned && !begins || origin != "" || c.relay.Identify == nil {
 		return nil
 	}
-	return c.relay.Identify(m)
+	p := c.relay.Identify(m)
+	if p != nil && begins {
+		_, p.IfInDoubt = c.soleVersion()
+	}
+	return p
 }
 
 // servers returns the servers of the service that may continue or, if it has not begun, run the
