tests: a stream goes on from a copy at a server that was replaced in place

A server that is replaced before a run is copied there receives the copy as the new version, while the node's list names the old one. The stream then goes on there, joined of two versions.

--- a/pkg/relay/replaced_server_test.go
+++ b/pkg/relay/replaced_server_test.go
@@ -143,3 +143,44 @@
 		t.Errorf("ORDER: %d streams began at a process that the node took for another one", n)
 	}
 }
+
+// Guards against streams that go on from a copy at a server which was replaced before the copy was made.
+func TestORDERStreamIsMovedToAServerReplacedInPlace(t *testing.T) {
+	for name, row := range map[string]struct {
+		replaced error
+		goesTo   string
+	}{
+		"the process of the record": {nil, "server-1"},
+		"another process":           {errors.New("another process"), "server-0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newMoveCluster(t, false, 2, func(string) fault { return noFault })
+			f.setSoftware("v1", "v1")
+			f.relay.Identify = func(m *backend.Member) *backend.Probe {
+				return &backend.Probe{Message: &backend.Message{Method: http.MethodGet, Target: reportTarget, Head: []byte("Host: x\r\n")},
+					Accept: func(int, []byte) error {
+						if m.ID == "server-1" {
+							return row.replaced
+						}
+						return nil
+					}}
+			}
+			got := f.runWithLeavingServer()
+			if err := f.check(got, false); err != nil {
+				t.Error(err)
+			}
+			if got.err != nil {
+				t.Errorf("the stream broke: %v", got.err)
+			}
+			ran := ""
+			for _, a := range f.arrivals() {
+				if a.target != reportTarget {
+					ran = a.server
+				}
+			}
+			if ran != row.goesTo {
+				t.Errorf("ORDER: the stream went on at %q, want %q", ran, row.goesTo)
+			}
+		})
+	}
+}
