relay: a stream goes on from a copy at the process that its server's record describes

A stream that is moved, or continued from a copy, could go on at a server that was replaced in place before the copy was made: at another software version than its events so far.

Cause: a copy was taken for proof of the incarnation. Copies are sent to an address, so that the new process has them as well.

Change: the process is asked on these connections too, unless a report was accepted on them before. If another one answers, the target counts as having refused, and the stream goes back to its source or elsewhere as it does then.

--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -285,7 +285,7 @@
 		head = appendHeader(head, own.Priority, strconv.Itoa(c.rank()))
 	}
 	return &backend.Message{
-		Method: c.http.Method, Target: c.target, Head: head, Body: c.body, Probe: c.probe(m, origin),
+		Method: c.http.Method, Target: c.target, Head: head, Body: c.body, Probe: c.probe(m),
 		IsAnswer: func(h http.Header) bool {
 			id := h.Get(own.RequestID)
 			return c.id == "" || id == "" || id == c.id
--- a/pkg/relay/version.go
+++ b/pkg/relay/version.go
@@ -158,11 +158,11 @@
 }
 
 // probe returns the probe that goes before a stream: another version may have replaced the server under its name and
-// address before its record tells so. A stream that continues must not go on there, and one that begins would be taken for
-// one of the version in the record. A copy, which only its incarnation has, needs none.
-func (c *call) probe(m *backend.Member, origin string) *backend.Probe {
+// address before its record tells so, and before a copy of the stream was made there. A stream that continues must not go on
+// there, and one that begins would be taken for one of the version in the record.
+func (c *call) probe(m *backend.Member) *backend.Probe {
 	begins := !c.pinned && c.route.Kind == route.Stream && c.engine != nil // other servers need not know how to report
-	if !c.pinned && !begins || origin != "" || c.relay.Identify == nil {
+	if !c.pinned && !begins || c.relay.Identify == nil {
 		return nil
 	}
 	p := c.relay.Identify(m)
