memory: a service holds at most three times what nobody holds

Cause: the budget for answers was shared by whoever came first, so that one service took all of it.

Change: holders have a group, the service, and a group grows only while it holds at most three times what is unused (dynamic thresholds of shared buffers in switches). A service alone has three quarters, some is always left for the next one.

--- a/pkg/memory/budget.go
+++ b/pkg/memory/budget.go
@@ -21,9 +21,13 @@
 	Limit int64 // bytes; zero: unlimited. Set before use.
 	// Spare is the part of the limit that is left to holders of at most Small bytes. Set before use.
 	Spare, Small int64
+	// GroupFactor limits what the holders of one group hold to so many times what nobody holds, so that a group that
+	// comes later finds room. Zero: groups have no limit. Set before use.
+	GroupFactor int64
 
 	mu       sync.Mutex
 	used     int64
+	groups   map[string]int64 // what each group holds of it; without groups that hold nothing
 	most     int64
 	refused  int64
 	yielded  int64
@@ -60,12 +64,13 @@
 	if after > b.Small {
 		limit -= b.Spare
 	}
-	if change > 0 && b.Limit > 0 && b.used+change > limit {
+	if change > 0 && b.Limit > 0 && (b.used+change > limit || b.exceedsGroup(h.group, change)) {
 		b.refused++
 		return false
 	}
 	h.charged = after
 	b.used += change
+	b.addToGroup(h.group, change)
 	b.most = max(b.most, b.used)
 	if change < 0 && b.returned != nil {
 		close(b.returned)
@@ -74,10 +79,29 @@
 	return true
 }
 
+// exceedsGroup reports whether a group would hold too much after a change. The caller holds mu.
+func (b *Budget) exceedsGroup(group string, change int64) bool {
+	return b.GroupFactor > 0 && group != "" && b.groups[group]+change > b.GroupFactor*(b.Limit-b.used-change)
+}
+
+// addToGroup changes what a group holds. The caller holds mu.
+func (b *Budget) addToGroup(group string, change int64) {
+	if b.GroupFactor == 0 || group == "" || change == 0 {
+		return
+	}
+	if b.groups == nil {
+		b.groups = make(map[string]int64)
+	}
+	if b.groups[group] += change; b.groups[group] == 0 {
+		delete(b.groups, group)
+	}
+}
+
 // Hold is what one holder holds. It belongs to one goroutine at a time.
 type Hold struct {
 	budget  *Budget
-	charged int64 // bytes beyond FreeBytes; guarded by the budget's mutex
+	group   string // empty: none
+	charged int64  // bytes beyond FreeBytes; guarded by the budget's mutex
 }
 
 // Hold returns a hold of nothing.
--- a/pkg/memory/buffer.go
+++ b/pkg/memory/buffer.go
@@ -26,6 +26,11 @@
 // NewBuffer returns an empty buffer whose memory is taken from a budget.
 func NewBuffer(b *Budget) *Buffer { return &Buffer{hold: b.Hold()} }
 
+// NewGroupBuffer is NewBuffer for a holder of a group.
+func NewGroupBuffer(b *Budget, group string) *Buffer {
+	return &Buffer{hold: Hold{budget: b, group: group}}
+}
+
 // Bytes returns the content. It is valid until the next change.
 func (b *Buffer) Bytes() []byte { return b.data }
 
--- a/pkg/memory/memory_test.go
+++ b/pkg/memory/memory_test.go
@@ -208,6 +208,36 @@
 	}
 }
 
+// Guards against groups that leave no memory to those that come later.
+func TestGroupsLeaveMemoryToLaterOnes(t *testing.T) {
+	const unit = 16 << 10
+	b := &Budget{Limit: 100 * unit, GroupFactor: 3}
+	held := make(map[string]int)
+	var all []*Buffer
+	for _, group := range []string{"first", "second", "third"} {
+		for {
+			one := NewGroupBuffer(b, group)
+			if !one.Append(make([]byte, unit+FreeBytes)) {
+				break
+			}
+			held[group]++
+			all = append(all, one)
+		}
+	}
+	if held["first"] != 75 || held["second"] != 18 || held["third"] != 5 {
+		t.Errorf("units held: %v", held)
+	}
+	for _, one := range all {
+		one.Release()
+	}
+	if u := b.Usage(); u.Used != 0 || len(b.groups) != 0 {
+		t.Errorf("%+v, groups %v", u, b.groups)
+	}
+	if others := NewBuffer(b); !others.Append(make([]byte, 99*unit)) {
+		t.Error("a holder of no group is limited")
+	}
+}
+
 // Guards against memory that is not counted while a buffer grows, and against trust in the length that was announced.
 func TestBufferCountsItsCopies(t *testing.T) {
 	budget := &Budget{}
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -109,7 +109,7 @@
 // readWhole reads an answer to its end within a budget. If that has no room for it, the answer is handed over as it
 // arrives, beginning with what was read.
 func (r *run) readWhole(a *backend.Answer, budget *memory.Budget) {
-	held := memory.NewBuffer(budget)
+	held := memory.NewGroupBuffer(budget, r.member.Service)
 	err := held.Fill(a, a.Length, maxAnswerBytes)
 	r.held = held // before the update is passed, after which it belongs to whoever takes that
 	switch err {
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -36,7 +36,7 @@
 	active := c.registerStream(r)
 	r.active = active
 	defer c.unregisterStream(active)
-	pending := memory.NewBuffer(c.relay.Answers)
+	pending := memory.NewGroupBuffer(c.relay.Answers, c.service)
 	defer pending.Release()
 	var scanner eventScanner
 	for {
--- a/pkg/site/memory.go
+++ b/pkg/site/memory.go
@@ -20,6 +20,17 @@
 	smallHead  = 16 << 10
 )
 
+// serviceFactor limits what answers of one service hold to so many times what nobody holds: three quarters of the budget
+// for a service alone, and a part that no service holds for those that come later.
+const serviceFactor = 3
+
+// newAnswers returns the budget of answers, which services share.
+func (s *Site) newAnswers() *memory.Budget {
+	b := s.newBudget("answers", answersShare)
+	b.GroupFactor = serviceFactor
+	return b
+}
+
 // newBodies returns the budget of requests' bodies.
 func (s *Site) newBodies() *memory.Budget {
 	b := s.newBudget("bodies", bodiesShare)
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -168,7 +168,7 @@
 	}
 	s.Registry.MustRegister(s.lineage.Collect()...)
 	s.relay = &relay.Relay{
-		Headers: s.Headers, Node: s.Self.Name, Zone: s.Self.Zone, Regions: s.Regions, Routes: s.Routes, Keys: s.Keys, Quotas: s.member, Servers: s.Servers, Answers: s.newBudget("answers", answersShare), Loader: s.member,
+		Headers: s.Headers, Node: s.Self.Name, Zone: s.Self.Zone, Regions: s.Regions, Routes: s.Routes, Keys: s.Keys, Quotas: s.member, Servers: s.Servers, Answers: s.newAnswers(), Loader: s.member,
 		Quarantine: s.member, Slots: s.member, Places: s.member, Lineage: s.lineage, SoleVersion: s.member.SoleVersion, ListsAll: s.tablesComplete, Identify: s.Identify, Mover: s.Mover, DrainTime: s.DrainTime,
 		Nodes: s.member.FleetSize, Budget: s.Budget, Lender: s.member, BudgetStart: s.budgetStart(clock.Now()), Logger: s.Logger.Named("relay"),
 		Metrics: relay.NewMetrics(s.Registry), RequestArrived: s.member.RequestArrived, Bodies: s.newBodies(),
