peer: connections without a hello have a share of the descriptors

What callers saw: 600 connections at a node's address for other nodes that say nothing took 625 descriptors of 512, which requests need, for the 2 s of a hello.

Cause: the listener's limit, 2,048 connections, does not depend on the process's descriptors, and connections that have not said who they are count as nodes.

Change: those have an eighth of the descriptors. Beyond it the oldest gives way after 0.1 s; new ones wait in the listener's queue, so that nodes that all connect at once are served (TestNodesThatConnectAtOnceAreServed).

--- a/pkg/peer/config.go
+++ b/pkg/peer/config.go
@@ -34,6 +34,11 @@
 	SilenceFactor = 2
 	// DefaultMaxConnections is the maximum number of connections of a server.
 	DefaultMaxConnections = 2048
+	// helloTime is how long a connection may always take for its hello. While as many as may be have none, the oldest one
+	// gives way to a new one after this time.
+	helloTime = 100 * time.Millisecond
+	// helloPoll is the interval at which a server that waits for a hello looks again.
+	helloPoll = 5 * time.Millisecond
 	// DefaultMaxLinks is the maximum number of connections of a client. Messages to
 	// further addresses are not sent.
 	DefaultMaxLinks = 1024
@@ -72,6 +77,7 @@
 // ServiceLimits bounds the resources that connections use.
 type ServiceLimits struct {
 	Connections int // maximum number of connections of a server
+	Hellos      int // maximum number of these that have sent no hello; zero: all of them
 	Links       int // maximum number of connections of a client
 	QueueLength int // maximum number of messages that wait for one connection
 }
@@ -83,6 +89,7 @@
 	setDefault(&c.Timeouts.Idle, DefaultIdleTimeout)
 	setDefault(&c.Timeouts.Ping, DefaultPingInterval)
 	setDefault(&c.Limits.Connections, DefaultMaxConnections)
+	setDefault(&c.Limits.Hellos, c.Limits.Connections)
 	setDefault(&c.Limits.Links, DefaultMaxLinks)
 	setDefault(&c.Limits.QueueLength, DefaultQueueLength)
 	if c.Counters == nil {
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -23,8 +23,9 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 
-	mutex sync.Mutex
-	open  map[net.Conn]struct{}
+	mutex  sync.Mutex
+	open   map[net.Conn]struct{}
+	silent map[net.Conn]time.Time // without a hello, with the time since which they are open
 }
 
 // Listen opens the listener. Connections are not accepted before Serve.
@@ -45,6 +46,7 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		open:     make(map[net.Conn]struct{}),
+		silent:   make(map[net.Conn]time.Time),
 	}, nil
 }
 
@@ -80,6 +82,7 @@
 
 func (s *Server) accept() {
 	for {
+		s.awaitHello()
 		conn, err := s.listener.Accept()
 		if s.ctx.Err() != nil {
 			if err == nil {
@@ -89,7 +92,7 @@
 		}
 		if err != nil {
 			s.config.Logger.Warn("accept failed", "error", err)
-			s.pause()
+			s.pause(acceptPause)
 			continue
 		}
 		if !s.admit(conn) {
@@ -101,9 +104,45 @@
 	}
 }
 
-func (s *Server) pause() {
+// awaitHello waits until there is room for one more connection without a hello. Others wait in the listener's queue.
+func (s *Server) awaitHello() {
+	for s.ctx.Err() == nil && !s.hasHelloRoom() {
+		s.pause(helloPoll)
+	}
+}
+
+// hasHelloRoom reports whether there is room for one more connection without a hello, and closes the oldest one if that
+// may give way.
+func (s *Server) hasHelloRoom() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if len(s.silent) < s.config.Limits.Hellos {
+		return true
+	}
+	var oldest net.Conn
+	for conn, since := range s.silent {
+		if oldest == nil || since.Before(s.silent[oldest]) {
+			oldest = conn
+		}
+	}
+	if time.Since(s.silent[oldest]) < helloTime {
+		return false
+	}
+	oldest.Close()
+	delete(s.silent, oldest)
+	return true
+}
+
+// heard records that a connection has sent its hello, or has ended.
+func (s *Server) heard(conn net.Conn) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.silent, conn)
+}
+
+func (s *Server) pause(d time.Duration) {
 	select {
-	case <-time.After(acceptPause):
+	case <-time.After(d):
 	case <-s.ctx.Done():
 	}
 }
@@ -117,6 +156,7 @@
 		return false
 	}
 	s.open[conn] = struct{}{}
+	s.silent[conn] = time.Now()
 	return true
 }
 
@@ -130,6 +170,7 @@
 func (s *Server) serveConnection(raw net.Conn) {
 	defer s.release(raw)
 	started, err := startServer(s.ctx, raw, s.config)
+	s.heard(raw)
 	if err != nil {
 		s.config.Logger.Warn("connection refused", "peer", raw.RemoteAddr().String(), "error", err)
 		return
--- a/pkg/site/crowd.go
+++ b/pkg/site/crowd.go
@@ -18,6 +18,7 @@
 	directoryShare  = 0.0625
 	readinessShare  = 0.03125
 	metricsShare    = 0.03125
+	hellosShare     = 0.125 // for connections of other nodes before their hello
 )
 
 // minConns is the least number of connections of a listener.
@@ -26,6 +27,7 @@
 // ConnLimits are the most connections that listeners keep at once; zero: unlimited.
 type ConnLimits struct {
 	Callers, Directory, Readiness, Metrics int
+	Hellos                                 int // connections of other nodes before their hello
 }
 
 // NewConnLimits returns the limits of a process that may open a number of descriptors; zero: unlimited.
@@ -35,7 +37,7 @@
 	}
 	free := float64(max(descriptors-fileDescriptors, descriptors/2))
 	part := func(share float64) int { return max(int(share*free), minConns) }
-	return ConnLimits{part(callersShare), part(directoryShare), part(readinessShare), part(metricsShare)}
+	return ConnLimits{part(callersShare), part(directoryShare), part(readinessShare), part(metricsShare), part(hellosShare)}
 }
 
 // Limits of requests that are not callers'.
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -107,7 +107,8 @@
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "site: callers")
 	}
-	peers, err := peer.Listen(peer.Config{Self: s.nodeRef(), Address: s.Self.Peers, Logger: s.Logger, Counters: s.traffic.counters})
+	peers, err := peer.Listen(peer.Config{Self: s.nodeRef(), Address: s.Self.Peers, Logger: s.Logger, Counters: s.traffic.counters,
+		Limits: peer.ServiceLimits{Hellos: s.Conns.Hellos}})
 	if err != nil {
 		_ = callers.Close()
 		return nil, nil, errors.Wrap(err, "site: peers")
