memory: tests of who gives way, and when

What callers saw: nothing. Cause: taken away one by one, seven mechanisms were missed by no test: messages that wait, or have just waited, or were told to give way already, or have ended, are not chosen; single bytes are no progress; one message gives way at a time; a limit below the first buffer holds. Change: TestMessagesThatWaitHaveNotStalled, TestOneMessageGivesWayAtATime, TestSingleBytesAreNoProgress and TestSmallLimitsHold.

--- a/pkg/memory/memory_test.go
+++ b/pkg/memory/memory_test.go
@@ -323,3 +323,96 @@
 		t.Errorf("the slow one: %v", err)
 	}
 }
+
+// fillSlow begins a message that holds 512 KiB and has stalled, and does not give way before it is closed.
+func fillSlow(t *testing.T, b *Budget) piped {
+	t.Helper()
+	r, w := io.Pipe()
+	p := piped{w, make(chan error, 1)}
+	go func() { p.ended <- NewIncoming(b, func() {}).Fill(r, -1, 1<<20) }()
+	if _, err := w.Write(make([]byte, 400<<10)); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * stallTime)
+	return p
+}
+
+// Guards against messages that give way for others while, or just since, they waited for memory themselves.
+func TestMessagesThatWaitHaveNotStalled(t *testing.T) {
+	synctest.Test(t, messagesThatWaitHaveNotStalled)
+}
+
+func messagesThatWaitHaveNotStalled(t *testing.T) {
+	b := &Budget{Limit: 1 << 20}
+	slow := fillSlow(t, b)
+	waits := fillPiped(t, b, 256<<10)
+	synctest.Wait() // it waits for another 512 KiB
+	time.Sleep(2 * stallTime)
+	if b.YieldLongest() {
+		t.Error("the message that waits, or again the one that was told to, gives way")
+	}
+	_ = slow.rest.Close()
+	if err := <-slow.ended; err != ErrGaveWay {
+		t.Errorf("the slow one: %v", err)
+	}
+	synctest.Wait()
+	if b.YieldLongest() {
+		t.Error("the message that has just waited gives way")
+	}
+	_ = waits.rest.Close()
+	if err := <-waits.ended; err != nil {
+		t.Errorf("the message that waited: %v", err)
+	}
+	time.Sleep(2 * stallTime)
+	if b.YieldLongest() || b.Usage().Used != 512<<10-FreeBytes {
+		t.Errorf("a message that has ended gives way, %+v", b.Usage())
+	}
+}
+
+// Guards against several messages that are cut where one is enough.
+func TestOneMessageGivesWayAtATime(t *testing.T) { synctest.Test(t, oneMessageGivesWayAtATime) }
+
+func oneMessageGivesWayAtATime(t *testing.T) {
+	b := &Budget{Limit: 1700 << 10}
+	slow := []piped{fillSlow(t, b), fillSlow(t, b)}
+	var waiting []piped
+	for range 2 {
+		waiting = append(waiting, fillPiped(t, b, 256<<10))
+		synctest.Wait()
+	}
+	if u := b.Usage(); u.Yielded != 1 {
+		t.Errorf("usage %+v", u)
+	}
+	b.YieldAll()
+	for _, p := range append(slow, waiting...) {
+		_ = p.rest.Close()
+		if err := <-p.ended; err != ErrGaveWay {
+			t.Error(err)
+		}
+	}
+}
+
+// Guards against messages that are kept by single bytes.
+func TestSingleBytesAreNoProgress(t *testing.T) { synctest.Test(t, singleBytesAreNoProgress) }
+
+func singleBytesAreNoProgress(t *testing.T) {
+	b := &Budget{Limit: 1 << 20}
+	p := fillPiped(t, b, 400<<10)
+	for range 10 {
+		time.Sleep(stallTime / 5)
+		_, _ = p.rest.Write([]byte("a")) // does not fail
+	}
+	if !b.YieldLongest() {
+		t.Error("the message is kept")
+	}
+	if err := <-p.ended; err != ErrGaveWay {
+		t.Error(err)
+	}
+}
+
+// Guards against messages beyond a limit that is smaller than a buffer.
+func TestSmallLimitsHold(t *testing.T) {
+	if err := NewBuffer(nil).Fill(strings.NewReader(strings.Repeat("a", firstBytes/2)), -1, firstBytes/4); err != ErrTooLong {
+		t.Error(err)
+	}
+}
