relay: tests of what durations are learnt from

What callers saw: nothing. Cause: no test noticed when durations were learnt from failures too, which may come without work: a kind would be taken for fast in a stop. Change: TestDurationsOfFailuresAreNotLearnt, and TestDurationsOfOtherKindsAreNotTaken for each part of a kind.

--- a/pkg/relay/stopping_test.go
+++ b/pkg/relay/stopping_test.go
@@ -363,3 +363,27 @@
 		})
 	}
 }
+
+// Guards against durations that are learnt from answers which took no work.
+func TestDurationsOfFailuresAreNotLearnt(t *testing.T) {
+	for _, status := range []int{http.StatusNotFound, http.StatusInternalServerError} {
+		s := newLateSite(t, route.Route{Kind: route.Unsafe}, 0, sealed(status, "no"))
+		if got := s.ask(); got.status != status {
+			t.Fatalf("status %d, %v", got.status, got.err)
+		}
+		s.stopFor(stopGrace / 2)
+		if got := s.ask(); got.status != http.StatusServiceUnavailable || len(s.arrivals()) != 1 {
+			t.Errorf("status %d, %v, %d requests at servers, want a refusal", got.status, got.err, len(s.arrivals()))
+		}
+	}
+}
+
+// Guards against durations of one route, or model, that are taken for those of another.
+func TestDurationsOfOtherKindsAreNotTaken(t *testing.T) {
+	for _, other := range []durationKey{{"other", "r", ""}, {"s", "other", ""}, {"s", "r", "other"}} {
+		s := newLateSite(t, route.Route{Kind: route.Unsafe}, 0, sealed(http.StatusOK, "whole"))
+		s.relay.durations.record(other, time.Millisecond)
+		s.stopFor(stopGrace / 2)
+		s.checkRefused(s.ask())
+	}
+}
