--- a/pkg/site/callers_test.go
+++ b/pkg/site/callers_test.go
@@ -409,3 +409,66 @@
 		t.Errorf("status %d, and the handler was not asked", answer.StatusCode)
 	}
 }
+
+// Guards against callers whose bodies stall and keep all connections.
+func TestStalledBodiesGiveWayToNewConnections(t *testing.T) {
+	t.Parallel()
+	var stalled net.Conn
+	yielded := make(chan struct{})
+	s := newCallerSiteOf(t, callerTimes{head: time.Minute, idle: time.Minute}, route.Limits{}, func(c *callers) {
+		c.most, c.yieldBody = 1, func() bool {
+			select {
+			case <-yielded:
+			default:
+				close(yielded)
+				_ = stalled.Close()
+			}
+			return true
+		}
+	})
+	stalled = s.connect(false)
+	if _, err := io.WriteString(stalled, siteRequest[:len(siteRequest)-1]); err != nil {
+		t.Fatal(err)
+	}
+	for s.served.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	next := s.connect(false)
+	_ = next.SetDeadline(time.Now().Add(5 * time.Second))
+	if err := ask(next); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against listeners that keep more connections than they may, or close the newest.
+func TestOldestConnectionsAreClosed(t *testing.T) {
+	t.Parallel()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const most = 2
+	l := LimitConns(inner, most, hclog.NewNullLogger())
+	defer l.Close()
+	var conns []net.Conn
+	for range 2 * most {
+		conn, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		accepted, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer accepted.Close()
+		conns = append(conns, conn)
+	}
+	for i, conn := range conns {
+		_ = conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+		_, err := conn.Read(make([]byte, 1))
+		if open := errors.Is(err, os.ErrDeadlineExceeded); open != (i >= most) {
+			t.Errorf("connection %d: %v", i, err)
+		}
+	}
+}
