lineage: tests of stores that are not read, or are silent, and of broken rows

What callers saw: nothing. Cause: no test noticed when a keeper wrote before it had read its rows, took a failed read for one, waited for a silent store without a limit, or ended by a row whose last key is cut. Change: a test of each.

--- a/pkg/lineage/archive_test.go
+++ b/pkg/lineage/archive_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"slices"
 	"sync"
@@ -29,17 +30,26 @@
 	largest  int // streams of the largest row
 	fails    bool
 	silently bool // writes that fail are done
+	unread   bool // reads fail
+	silent   bool // reads are not answered
 }
 
 func newFakeStore() *fakeStore {
 	return &fakeStore{rows: make(map[string]Row), written: make(map[string]time.Time)}
 }
 
-func (s *fakeStore) Read(context.Context) ([]Row, error) {
+func (s *fakeStore) Read(ctx context.Context) ([]Row, error) {
+	s.mu.Lock()
+	silent := s.silent
+	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
-	if s.fails {
+	if s.fails || s.unread {
 		return nil, errors.New("down")
 	}
 	var list []Row
@@ -112,6 +122,12 @@
 	return l
 }
 
+func (s *fakeStore) setUnread(unread bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unread = unread
+}
+
 // storedSite is the nodes of a site with a store.
 type storedSite struct {
 	*network
@@ -466,3 +482,53 @@
 		}
 	})
 }
+
+// Guards against rows of before a restart that are overwritten by keepers that could not read them.
+func TestLOSTRowsAreOverwrittenUnread(t *testing.T) {
+	inSite(t, 9, func(t *testing.T, s *storedSite) {
+		s.register(0).Began(1, first, time.Minute)
+		time.Sleep(writeTime)
+		s.store.setUnread(true)
+		s.start()
+		before := s.store.load().writes
+		for i := range 20 {
+			s.register(0).Began(Key(100+i), first, time.Minute)
+			time.Sleep(archiveInterval)
+		}
+		if writes := s.store.load().writes - before; writes > 0 {
+			t.Errorf("%d writes before a read", writes)
+		}
+		s.store.setUnread(false)
+		time.Sleep(readInterval)
+		if f := s.find(1, 1); !f.Known {
+			t.Errorf("found %+v", f)
+		}
+	})
+}
+
+// Guards against nodes that end, or learn what nobody wrote, since a row is not whole.
+func TestBrokenRowsOfOriginsAreRead(t *testing.T) {
+	inSite(t, 9, func(t *testing.T, s *storedSite) {
+		whole := binary.BigEndian.AppendUint64(nil, 1)
+		_ = s.store.Write(t.Context(), rowKey("former", 0), Record{Groups: []StoredGroup{{first, append(whole, 2, 3)}}}) // does not fail
+		if f := s.find(1, 1); !f.Known {
+			t.Errorf("found %+v", f)
+		}
+	})
+}
+
+// Guards against callers that wait for a store which does not answer.
+func TestSilentStoresDelayCallers(t *testing.T) {
+	inSite(t, 9, func(t *testing.T, s *storedSite) {
+		s.store.mu.Lock()
+		s.store.silent = true
+		s.store.mu.Unlock()
+		for i := range s.nodes {
+			began := time.Now()
+			if f := s.find(i, 1); f.Known || time.Since(began) > askTime+storedAskTime {
+				t.Errorf("node %d found %+v after %v", i, f, time.Since(began))
+			}
+		}
+		time.Sleep(readTimeout)
+	})
+}
