coordinator: a failing test of models that are no longer listed (LIMIT)

Cause: freeBytes takes sizes from the configuration in force alone, so that what isn't listed takes no room.

Change: none yet. Stand-in servers know a size for each model, as it was when the load began, and a test's configuration may change.

--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -109,7 +109,8 @@
 	answersToLose int // how many of the next orders get no answer, and take effect later
 	ordersToLose  int // how many of the next orders never arrive
 	loadDuration  time.Duration
-	answerDelay   time.Duration // before an order takes effect and is answered
+	answerDelay   time.Duration  // before an order takes effect and is answered
+	sizes         map[string]int // memory that a model takes if it is loaded now, if it is not modelBytes
 	delayedOrders []func()
 }
 
@@ -122,7 +123,8 @@
 	busyUntil      time.Time
 	loadingModel   string
 	unloadingModel string
-	onDisk         []string // models whose weights are cached on the server's disk
+	sizes          map[string]int // memory that the models it holds or loads take, if it is not modelBytes
+	onDisk         []string       // models whose weights are cached on the server's disk
 }
 
 // resetServer restarts a server under its name: it holds nothing and counts orders from zero again.
@@ -145,11 +147,31 @@
 
 // usedBytes returns the memory of the models that the server holds or is loading.
 func (e *engineState) usedBytes() int {
-	n := len(e.models)
+	used := 0
+	for name := range e.models {
+		used += sizeIn(e.sizes, name)
+	}
 	if e.loadingModel != "" {
-		n++
+		used += sizeIn(e.sizes, e.loadingModel)
+	}
+	return used
+}
+
+// sizeIn returns the memory that a model takes by a list of sizes that differ from modelBytes.
+func sizeIn(sizes map[string]int, model string) int {
+	if bytes, known := sizes[model]; known {
+		return bytes
+	}
+	return modelBytes
+}
+
+// startLoad starts a load that ends after the given time. The model takes as much memory as it does now until it is unloaded.
+func (e *engineState) startLoad(model string, bytes int, duration time.Duration) {
+	if e.sizes == nil {
+		e.sizes = make(map[string]int)
 	}
-	return n * modelBytes
+	e.sizes[model] = bytes
+	e.loadingModel, e.busyUntil = model, time.Now().Add(duration)
 }
 
 func (e *engineState) adapterCount() int {
@@ -216,7 +238,7 @@
 	}
 	s.fence = o.Fence
 	_, holds := s.models[o.Need.Model]
-	if o.Load && !holds && o.Need.Adapter == "" && s.loadingModel != o.Need.Model && s.usedBytes()+modelBytes > engineBytes {
+	if o.Load && !holds && o.Need.Adapter == "" && s.loadingModel != o.Need.Model && s.usedBytes()+sizeIn(e.sizes, o.Need.Model) > engineBytes {
 		e.t.Errorf("order to load %s exceeds the server's memory", o.Need.Model)
 	}
 	switch {
@@ -227,10 +249,11 @@
 	case o.Load == holds:
 		return Already
 	case o.Load:
-		s.loadingModel, s.busyUntil = o.Need.Model, time.Now().Add(e.loadDuration)
+		duration := e.loadDuration
 		if slices.Contains(s.onDisk, o.Need.Model) {
-			s.busyUntil = time.Now().Add(diskLoadTime)
+			duration = diskLoadTime
 		}
+		s.startLoad(o.Need.Model, sizeIn(e.sizes, o.Need.Model), duration)
 	default:
 		s.unloadingModel, s.busyUntil = o.Need.Model, time.Now().Add(50*time.Millisecond)
 	}
@@ -355,6 +378,8 @@
 	knownNodes    []Node       // that a starting node knows of
 	logger        hclog.Logger // logger of the nodes; nil discards everything
 	fenced        bool         // holders rely on the servers' fences
+	// laterTable is the configuration in force once it has changed.
+	laterTable atomic.Pointer[route.Table]
 
 	mu               sync.Mutex
 	runningNodes     map[string]*node   // by name
@@ -418,6 +443,14 @@
 	stop    func()
 }
 
+// currentTable returns the configuration in force.
+func (s *site) currentTable() *route.Table {
+	if later := s.laterTable.Load(); later != nil {
+		return later
+	}
+	return s.table
+}
+
 // retryBudget returns the configuration of the site's retry budget.
 func (s *site) retryBudget() relay.BudgetConfig {
 	return relay.BudgetConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 50}
@@ -433,7 +466,7 @@
 	}
 	decider, _ := policy.ByName(policy.NameDemandFirst)
 	n.holder = &Holder{Quarantine: new(quarantine.Table),
-		Lease: n.lease, Routes: func() *route.Table { return s.table }, Servers: n.servers, Orders: s.engines,
+		Lease: n.lease, Routes: s.currentTable, Servers: n.servers, Orders: s.engines,
 		Transport: directTransport{site: s}, Decider: decider, HandoverPause: holderChangePause, Fenced: s.fenced,
 		Ceiling: Ceiling{Window: ceilingWindow}, Budget: s.retryBudget(), Logger: s.logger, Nodes: func() []Node { return s.knownNodes },
 	}
