coordinator: what servers hold takes room, listed or not (LIMIT)

Seen: a configuration that no longer lists models which servers hold. 35 ms later the holder orders each of the three servers to load 218,100 MB into 200,000; all fall, 12 to 15 streams break off. Nothing unloads a retired model, so that its room is missing afterwards.

Cause: freeBytes and the decider's input take sizes from the configuration in force. What it doesn't list, or lists with another size than by which it was loaded, counts as nothing, or as too little.

Change: what a server holds or loads has a size: the largest by which it can have been loaded, by the configurations that this node has read. The lease's record has the sizes of what is held otherwise than listed, and four bytes for each listed model with its size, so that a holder that did not read those configurations knows, or knows that it doesn't: then the model is unbounded, nothing is loaded at its server, and it is unloaded. The decider sees unlisted models as ones without demand.

--- a/pkg/coordinator/adapters.go
+++ b/pkg/coordinator/adapters.go
@@ -74,7 +74,7 @@
 		if s.busy != nil {
 			continue // it would refuse the order
 		}
-		if s.adapterCount(now) >= e.AdapterPlaces && s.idleAdapter(now).Adapter == "" {
+		if !s.takesAdapter(now, e) && (s.doubtful(now) || s.idleAdapter(now).Adapter == "") {
 			continue
 		}
 		able = append(able, s)
@@ -91,16 +91,27 @@
 func (s *serverState) adapterCount(now time.Time) int {
 	count := 0
 	for _, known := range s.holds {
-		count += len(known.adapters)
-		for name, until := range known.arriving {
-			if _, has := known.adapters[name]; !has && now.Before(until) {
-				count++
-			}
+		count += known.adapterCount(now)
+	}
+	return count
+}
+
+// adapterCount returns how many adapters of the model the server holds or is loading.
+func (k *holding) adapterCount(now time.Time) int {
+	count := len(k.adapters)
+	for name, until := range k.arriving {
+		if _, has := k.adapters[name]; !has && now.Before(until) {
+			count++
 		}
 	}
 	return count
 }
 
+// takesAdapter tells whether a server has a place for one more adapter.
+func (s *serverState) takesAdapter(now time.Time, e *route.Engine) bool {
+	return !s.doubtful(now) && s.adapterCount(now) < e.AdapterPlaces
+}
+
 // idleAdapter returns the least recently used adapter, none if all were used recently.
 func (s *serverState) idleAdapter(now time.Time) backend.Need {
 	var idle backend.Need
@@ -117,7 +128,7 @@
 
 // orderAdapter orders the load of an adapter, or first the unload of one to free its place.
 func (h *Holder) orderAdapter(now time.Time, s *serverState, need backend.Need, e *route.Engine) {
-	if s.adapterCount(now) >= e.AdapterPlaces {
+	if !s.takesAdapter(now, e) {
 		idle := s.idleAdapter(now)
 		h.sendNotice(Notice{Server: s.id, Need: idle.String(), Holds: false})
 		h.sendOrder(s, order{need: idle}, false, 0, "room for "+need.String())
--- a/pkg/coordinator/explore_test.go
+++ b/pkg/coordinator/explore_test.go
@@ -85,14 +85,19 @@
 	})
 }
 
-// runFaults injects faults for faultTime, ends them and checks that the site recovers.
-func (sim *simulation) runFaults() {
+// injectFaults injects faults for faultTime and ends them.
+func (sim *simulation) injectFaults() {
 	time.Sleep(time.Second)
 	for time.Since(sim.leaseStore.started) < faultTime {
 		sim.randomStep()
 		time.Sleep(time.Duration(sim.random.Int64N(int64(1500 * time.Millisecond))))
 	}
 	sim.heal()
+}
+
+// runFaults injects faults for faultTime, ends them and checks that the site recovers.
+func (sim *simulation) runFaults() {
+	sim.injectFaults()
 	time.Sleep(settleTime)
 	sim.checkRecovery()
 	for _, n := range sim.nodes {
--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -27,6 +27,7 @@
 const (
 	engineBytes       = 200
 	modelBytes        = 80
+	adapterBytes      = 1
 	adapterPlaces     = 2
 	loadTime          = 4 * time.Second // unless the test sets another one
 	diskLoadTime      = 500 * time.Millisecond
@@ -154,7 +155,7 @@
 	if e.loadingModel != "" {
 		used += sizeIn(e.sizes, e.loadingModel)
 	}
-	return used
+	return used + e.adapterCount()*adapterBytes
 }
 
 // sizeIn returns the memory that a model takes by a list of sizes that differ from modelBytes.
@@ -239,7 +240,7 @@
 	s.fence = o.Fence
 	_, holds := s.models[o.Need.Model]
 	if o.Load && !holds && o.Need.Adapter == "" && s.loadingModel != o.Need.Model && s.usedBytes()+sizeIn(e.sizes, o.Need.Model) > engineBytes {
-		e.t.Errorf("order to load %s exceeds the server's memory", o.Need.Model)
+		e.t.Errorf("order to load %s exceeds the server's memory, of which %d are taken: %v", o.Need.Model, s.usedBytes(), s.sizes)
 	}
 	switch {
 	case o.Expected != s.sequence || !s.busyUntil.IsZero():
@@ -273,6 +274,9 @@
 		if s.adapterCount() > adapterPlaces {
 			e.t.Errorf("order to load %s exceeds the server's adapter places", o.Need)
 		}
+		if s.usedBytes() > engineBytes {
+			e.t.Errorf("order to load %s exceeds the server's memory", o.Need)
+		}
 		s.sequence++
 		return Accepted
 	default:
@@ -470,7 +474,7 @@
 		Transport: directTransport{site: s}, Decider: decider, HandoverPause: holderChangePause, Fenced: s.fenced,
 		Ceiling: Ceiling{Window: ceilingWindow}, Budget: s.retryBudget(), Logger: s.logger, Nodes: func() []Node { return s.knownNodes },
 	}
-	n.lease.Fleet, n.lease.AllowOffline = n.holder.FleetSize, n.holder.MayContinueOffline
+	n.lease.Fleet, n.lease.AllowOffline, n.lease.Sizes = n.holder.FleetSize, n.holder.MayContinueOffline, n.holder.ModelSizes
 	s.mu.Lock()
 	s.runningNodes[name] = n
 	s.mu.Unlock()
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -96,6 +96,7 @@
 	instances        map[string]*instance        // state that outlives a server's incarnations, by server name
 	crashingLoads    map[demandKey]*crashingLoad // models during whose loads servers crashed
 	fetchStarts      []time.Time                 // start times of loads from the weight store
+	sizes            sizeMemory                  // sizes of models by earlier configurations
 	store            storeLimit                  // learns how many loads from the weight store run at full speed at once
 
 	awaitingHandover    bool                     // the last holder was asked for the orders it gave without the store
@@ -185,6 +186,7 @@
 // tick updates the state and plans, if this node holds the lease.
 func (h *Holder) tick() {
 	h.planSoon = false
+	h.learnSizes(h.Time.Now(), h.Routes())
 	term, held := h.Lease.Held()
 	if !held {
 		h.signalPlanned()
@@ -234,6 +236,7 @@
 	h.beginPlaces(now, term)
 	h.slots.Begin(now, term)
 	h.beginVersions(term, record.Sole)
+	h.sizes.inherit(now, record.Sizes)
 	h.learnUntil = now.Add(learnPeriod)
 	h.quietUntil = time.Time{}
 	h.inheritIntents(now, storeNow, record.Intents)
--- a/pkg/coordinator/orders.go
+++ b/pkg/coordinator/orders.go
@@ -84,7 +84,7 @@
 	s.awaitingAnswer = true
 	o.after = s.sequence + 1
 	if o.need.Adapter == "" {
-		s.busy = &operation{order: o, since: now, readyAt: now.Add(expected), fetch: fetch, nominal: expected}
+		s.busy = &operation{order: o, occupant: h.orderedOccupant(now, s, o), since: now, readyAt: now.Add(expected), fetch: fetch, nominal: expected}
 		h.indexOrder(s, o.need.Model)
 		if fetch && s.unresolved == nil {
 			s.busy.concurrentFetches, _ = h.activeFetches(now)
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -93,6 +93,8 @@
 	}()
 	h.pollServers(now)
 	table := h.Routes()
+	h.learnSizes(now, table)
+	h.recordSizes(now)
 	if table == nil || !h.Servers.Known() || !h.knowsAllServers() {
 		return
 	}
@@ -146,6 +148,7 @@
 	w := h.gatherDemand(now, service)
 	h.dropPaused(now, service, &w)
 	h.store.nominal = longestLoad(e)
+	h.planRetired(now, service, &w)
 	input := h.deciderInput(now, service, e, &w)
 	loading := 0
 	for _, s := range h.servers {
@@ -155,19 +158,19 @@
 	}
 	for _, action := range h.Decider.Decide(now, input) {
 		s := h.servers[string(action.Server)]
-		m := e.Models[string(action.Model)]
-		if s == nil || m == nil || s.busy != nil || s.awaitingAnswer || s.unresolved != nil || !s.usable(now) {
+		m, load := e.Models[string(action.Model)], action.Kind == policy.ActionLoad
+		if s == nil || load && m == nil || s.busy != nil || s.awaitingAnswer || s.unresolved != nil || !s.usable(now) {
 			continue
 		}
 		if !h.prepare(now, s) {
 			continue
 		}
-		o := order{load: action.Kind == policy.ActionLoad, need: backend.Need{Model: m.Name}}
+		o := order{load: load, need: backend.Need{Model: string(action.Model)}}
 		if !o.load {
 			if !h.learning(now) {
 				s.reserved = reservation{string(action.For), now.Add(reservationTime)}
 				h.sendOrder(s, o, false, unloadTime, action.Reason)
-				h.sendNotice(Notice{Server: s.id, Need: m.Name, Holds: false})
+				h.sendNotice(Notice{Server: s.id, Need: o.need.Model, Holds: false})
 			}
 			continue
 		}
@@ -175,7 +178,7 @@
 			continue
 		}
 		expected, fetch := s.loadTime(m)
-		if fetch && !h.mayFetch(now, e) || s.freeBytes(e, adapterMemory(e)) < m.Bytes {
+		if fetch && !h.mayFetch(now, e) || s.freeBytes(now, e, adapterMemory(e)) < m.Bytes {
 			continue
 		}
 		loading++
@@ -222,26 +225,6 @@
 	ceilingSpare  = 1
 )
 
-// freeBytes returns the server's memory that is not used by models, by the load under way or by the given
-// reserve for adapters.
-func (s *serverState) freeBytes(e *route.Engine, adapters uint64) uint64 {
-	used := adapters
-	for name := range s.holds {
-		if m := e.Models[name]; m != nil {
-			used += m.Bytes
-		}
-	}
-	if s.busy != nil && s.busy.load && s.holds[s.busy.need.Model] == nil {
-		if m := e.Models[s.busy.need.Model]; m != nil {
-			used += m.Bytes
-		}
-	}
-	if used >= e.WeightBytes {
-		return 0
-	}
-	return e.WeightBytes - used
-}
-
 // adapterMemory returns the memory that the adapters of a server may use.
 func adapterMemory(e *route.Engine) uint64 {
 	largest := uint64(0)
@@ -261,9 +244,9 @@
 	adapterReserve := adapterMemory(e)
 	for _, s := range servers {
 		input.Servers = append(input.Servers, policy.Server{
-			ID: api.ServerID(s.id), Zone: s.member.Zone, CapacityBytes: e.WeightBytes, FreeBytes: s.freeBytes(e, adapterReserve),
+			ID: api.ServerID(s.id), Zone: s.member.Zone, CapacityBytes: e.WeightBytes, FreeBytes: s.freeBytes(now, e, adapterReserve),
 			Leaving:   s.excluded(now),
-			Reachable: s.usable(now) && s.unresolved == nil && (s.busy == nil || !s.busy.load),
+			Reachable: s.usable(now) && s.unresolved == nil && (s.busy == nil || !s.busy.load) && !s.doubtful(now),
 			Cached:    s.cached,
 			BusyFor:   s.remainingLoad(now),
 			Reserved:  api.ModelName(s.reservedFor(now)),
@@ -275,6 +258,7 @@
 			input.Models = append(input.Models, h.modelInput(now, service, m, e, w, len(input.Servers)))
 		}
 	}
+	input.Models = append(input.Models, h.unlistedModels(now, service, e, w, present)...)
 	slices.SortFunc(input.Models, func(a, b policy.Model) int { return cmp.Compare(a.Name, b.Name) })
 	return input
 }
@@ -315,17 +299,8 @@
 		model.Spares = max(model.Spares, min(adapterReplicas, servers))
 	}
 	addWaiting(w.waiting[name], &model)
-	holders := h.serversWith(service, name)
-	model.Replicas = make([]policy.Replica, 0, len(holders))
-	versions := make([]string, 0, len(holders))
-	for _, s := range holders {
-		if r, present := s.replica(now, name); present {
-			r.LastUse = model.Demand.LastArrival
-			r.InFlight = w.running[replica{s.id, name}]
-			model.Replicas = append(model.Replicas, r)
-			versions = append(versions, s.software())
-		}
-	}
+	var versions []string
+	model.Replicas, versions = h.replicasOf(now, service, name, model.Demand.LastArrival, w)
 	markSole(model.Replicas, versions)
 	if h.modelOverloaded(service, name) {
 		widen(&model)
@@ -338,6 +313,22 @@
 	return model
 }
 
+// replicasOf returns the replicas of a model for the decider, with the software versions of their servers.
+func (h *Holder) replicasOf(now time.Time, service, name string, lastUse time.Time, w *serviceDemand) ([]policy.Replica, []string) {
+	holders := h.serversWith(service, name)
+	replicas := make([]policy.Replica, 0, len(holders))
+	versions := make([]string, 0, len(holders))
+	for _, s := range holders {
+		if r, present := s.replica(now, name); present {
+			r.LastUse = lastUse
+			r.InFlight = w.running[replica{s.id, name}]
+			replicas = append(replicas, r)
+			versions = append(versions, s.software())
+		}
+	}
+	return replicas, versions
+}
+
 // replicaConcurrency returns how many requests one replica may run before its model gets another replica.
 func replicaConcurrency(e *route.Engine) int {
 	if e.Slots <= 0 {
--- a/pkg/coordinator/reports.go
+++ b/pkg/coordinator/reports.go
@@ -124,6 +124,9 @@
 		order: order{load: intent.Load, need: need, after: r.Sequence},
 		since: now, readyAt: now.Add(expected), fetch: intent.Fetch,
 	}
+	if intent.Load {
+		h.updateOccupant(now, s, need.Model, &s.busy.occupant)
+	}
 	h.indexOrder(s, need.Model)
 	h.Logger.Info("order inherited", "server", s.id, "load", intent.Load, "model", intent.Need, "sequence", r.Sequence)
 }
--- a/pkg/coordinator/server.go
+++ b/pkg/coordinator/server.go
@@ -43,6 +43,7 @@
 
 // holding is a model on a server.
 type holding struct {
+	occupant
 	since    time.Time
 	adapters map[string]time.Time // last use of each
 	arriving map[string]time.Time // adapters being loaded, with the time by which the server's record should show them
@@ -59,6 +60,7 @@
 // operation is an order that is being carried out.
 type operation struct {
 	order
+	occupant
 	since             time.Time
 	readyAt           time.Time     // expected end
 	fetch             bool          // the weights come from the weight store
@@ -187,6 +189,7 @@
 	if known == nil {
 		known = &holding{since: now, adapters: make(map[string]time.Time), arriving: make(map[string]time.Time)}
 		s.holds[m.Model] = known
+		h.updateOccupant(now, s, m.Model, &known.occupant)
 	}
 	for _, name := range m.Adapters {
 		if _, has := known.adapters[name]; !has {
@@ -238,6 +241,8 @@
 	s.busy = nil
 	if !op.load {
 		delete(s.holds, op.need.Model)
+	} else if known := s.holds[op.need.Model]; known != nil {
+		known.occupant = op.occupant // the server loaded it after this order, by no larger size
 	}
 	h.planSoon = true
 	h.Logger.Info("order done", "server", s.id, "load", op.load, "model", op.need.String(),
--- a/pkg/coordinator/simulation_test.go
+++ b/pkg/coordinator/simulation_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -68,7 +69,8 @@
 	*node
 	member  *Member
 	sim     *simulation
-	name    string // name of this incarnation
+	name    string                      // name of this incarnation
+	table   atomic.Pointer[route.Table] // the configuration that it read last
 	started time.Time
 	crashed chan struct{}
 
@@ -148,6 +150,7 @@
 		sim: sim, name: fmt.Sprintf("node-%d/%d", i, sim.restarts), started: time.Now(), crashed: make(chan struct{}),
 		cutFromServers: make(map[string]bool), cutFromNodes: make(map[string]bool),
 	}
+	n.table.Store(sim.currentTable())
 	ctx, cancel := context.WithCancel(sim.t.Context())
 	servers := &backend.Directory{}
 	address := n.name
@@ -168,7 +171,7 @@
 	}
 	n.holder.Nodes, n.holder.HolderSilence, n.holder.ScarceTenants = n.member.Nodes, n.member.HolderSilence, n.member.ScarceTenants
 	nodeLease.Fleet, nodeLease.AllowOffline = n.holder.FleetSize, n.holder.MayContinueOffline
-	nodeLease.Quotas = n.holder.QuotaBalances
+	nodeLease.Quotas, nodeLease.Sizes = n.holder.QuotaBalances, n.holder.ModelSizes
 	nodeLease.Quarantine = func(recorded []quarantine.Aged) []quarantine.Aged {
 		return quarantineTable.MergeStored(time.Now(), recorded)
 	}
@@ -186,6 +189,7 @@
 	go n.holder.Run(ctx)
 	go n.member.Run(ctx)
 	go n.watchServers(ctx)
+	go n.watchTable(ctx)
 }
 
 // routes returns the configuration, or nil while the node has not read it.
@@ -193,7 +197,18 @@
 	if time.Since(n.started) < n.sim.configDelay {
 		return nil
 	}
-	return n.sim.table
+	return n.table.Load()
+}
+
+// watchTable reads the configuration from the store, with a delay.
+func (n *simNode) watchTable(ctx context.Context) {
+	for ctx.Err() == nil {
+		table := n.sim.currentTable()
+		time.Sleep(n.sim.randomDuration(50*time.Millisecond, maxTableDelay))
+		if n.reachesStore() {
+			n.table.Store(table)
+		}
+	}
 }
 
 // watchServers updates the node's server directory from the store's records, with a delay.
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -95,8 +95,11 @@
 	// Sole returns the versions that serve a service alone, for a record of the given term. If it returns false
 	// or is nil, the record keeps its versions. It is called with the lease locked and must not call the lease.
 	Sole func(term uint64) ([]lineage.SoleVersion, bool)
-	Time clock.Clock
-	Log  func(message string, fields ...any)
+	// Sizes returns what is known of the memory of models, for a record of the given term. If it returns false or is nil,
+	// the record keeps what it tells. It is called with the lease locked and must not call the lease.
+	Sizes func(term uint64) (*ModelSizes, bool)
+	Time  clock.Clock
+	Log   func(message string, fields ...any)
 
 	mu               sync.Mutex
 	seen             Stored              // newest record that was read or written
@@ -364,6 +367,7 @@
 	next := Record{
 		Term: s.nextTerm(), Holder: l.Self, Address: l.Address, Renewed: max(s.Now, l.storeNow()), Epoch: s.Version.Epoch(), Mark: newMark(),
 		Fleet: s.Record.Fleet, Intents: unexpired(intents, s.Now), Quarantine: s.Record.Quarantine, Quotas: s.Record.Quotas, Sole: s.Record.Sole,
+		Sizes: s.Record.Sizes,
 	}
 	next.EpochAt = s.Record.EpochAt
 	if s.fromEarlierEpoch() {
@@ -385,6 +389,7 @@
 	next.Intents = unexpired(append(slices.Clone(next.Intents), l.unwritten...), l.storeNow())
 	l.updateQuotas(&next, l.storeNow())
 	l.updateSole(&next)
+	l.updateSizes(&next)
 	term := l.term
 	l.term = 0
 	l.mu.Unlock()
--- a/pkg/lease/record.go
+++ b/pkg/lease/record.go
@@ -47,6 +47,24 @@
 	Quotas []QuotaBalance `json:",omitempty"`
 	// Sole are the software versions that serve a service alone. They are stored so that they outlive all nodes.
 	Sole []lineage.SoleVersion `json:",omitempty"`
+	// Sizes tells of the memory that models take at servers. It is stored so that it outlives all nodes.
+	Sizes *ModelSizes `json:",omitempty"`
+}
+
+// ModelSizes is what a holder knows of the memory that models take at servers. It does not change once made.
+type ModelSizes struct {
+	// Held are the sizes of models that servers hold otherwise than as the configuration tells.
+	Held []ModelSize `json:",omitempty"`
+	// Listed are the fingerprints of the models that the configuration lists, of four bytes each, with their sizes: what
+	// servers held of them then takes no more, unless Held tells so.
+	Listed []byte `json:",omitempty"`
+}
+
+// ModelSize is the memory that a model takes at the servers that hold it, at most.
+type ModelSize struct {
+	Service, Model string
+	Bytes          uint64 `json:",omitempty"`
+	AdapterBytes   uint64 `json:",omitempty"` // of each adapter
 }
 
 // QuotaBalance is the balance of a scarce tenant's token bucket.
--- a/pkg/lease/write.go
+++ b/pkg/lease/write.go
@@ -41,6 +41,7 @@
 	}
 	l.updateQuotas(&next, now)
 	l.updateSole(&next)
+	l.updateSizes(&next)
 	l.unwritten = unexpired(l.unwritten, now)
 	next.Intents = unexpired(append(slices.Clone(next.Intents), l.unwritten...), now)
 	for _, i := range intents {
@@ -84,6 +85,16 @@
 	}
 }
 
+// updateSizes sets the models' sizes in a record of this node's term. The caller holds mu.
+func (l *Lease) updateSizes(r *Record) {
+	if l.Sizes == nil {
+		return
+	}
+	if sizes, known := l.Sizes(r.Term); known {
+		r.Sizes = sizes
+	}
+}
+
 // updateSole sets the versions that serve alone in a record of this node's term. The caller holds mu.
 func (l *Lease) updateSole(r *Record) {
 	if l.Sole == nil {
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -159,7 +159,7 @@
 	s.member.NearestFullNode, s.member.EnsureServers = s.nearestFullNode, s.ensureServers
 	l.Fleet, l.AllowOffline = holder.FleetSize, holder.MayContinueOffline
 	l.Quarantine = func(recorded []quarantine.Aged) []quarantine.Aged { return known.MergeStored(clock.Now(), recorded) }
-	l.Quotas, l.Sole = holder.QuotaBalances, holder.SoleVersions
+	l.Quotas, l.Sole, l.Sizes = holder.QuotaBalances, holder.SoleVersions, holder.ModelSizes
 	l.FirstStart, l.TakeoverDelay = s.FirstStart, s.takeoverDelay
 	l.Eager = func() bool { return s.member.NodesKnown() && s.hub.Watching() }
 	s.member.Candidate = s.hub.Watching
