coordinator: adapters are loaded where there is memory for them (LIMIT)

After a configuration that makes adapters larger, or lets servers hold more of them, servers that models fill already are ordered adapters beyond their memory.

Cause: models leave a reserve for adapters, so that only an adapter's place was looked at; the reserve that was left is that of the configuration by which the models were loaded.

Change: a server takes an adapter only if its memory holds it beside what is there; an idle adapter makes room first.

Measured: TestLIMITAdaptersThatBecomeLarger fails without the change and passes with it.

--- a/pkg/coordinator/adapters.go
+++ b/pkg/coordinator/adapters.go
@@ -74,7 +74,7 @@
 		if s.busy != nil {
 			continue // it would refuse the order
 		}
-		if !s.takesAdapter(now, e) && (s.doubtful(now) || s.idleAdapter(now).Adapter == "") {
+		if !s.takesAdapter(now, e, need.Model) && (s.doubtful(now) || s.idleAdapter(now).Adapter == "") {
 			continue
 		}
 		able = append(able, s)
@@ -107,9 +107,10 @@
 	return count
 }
 
-// takesAdapter tells whether a server has a place for one more adapter.
-func (s *serverState) takesAdapter(now time.Time, e *route.Engine) bool {
-	return !s.doubtful(now) && s.adapterCount(now) < e.AdapterPlaces
+// takesAdapter tells whether a server has a place and memory for one more adapter of a model that it holds.
+func (s *serverState) takesAdapter(now time.Time, e *route.Engine, model string) bool {
+	weights, adapters, known := s.usedBytes(now)
+	return known && s.adapterCount(now) < e.AdapterPlaces && weights+adapters+s.holds[model].size.adapter <= e.WeightBytes
 }
 
 // idleAdapter returns the least recently used adapter, none if all were used recently.
@@ -128,7 +129,7 @@
 
 // orderAdapter orders the load of an adapter, or first the unload of one to free its place.
 func (h *Holder) orderAdapter(now time.Time, s *serverState, need backend.Need, e *route.Engine) {
-	if !s.takesAdapter(now, e) {
+	if !s.takesAdapter(now, e, need.Model) {
 		idle := s.idleAdapter(now)
 		h.sendNotice(Notice{Server: s.id, Need: idle.String(), Holds: false})
 		h.sendOrder(s, order{need: idle}, false, 0, "room for "+need.String())
--- a/pkg/coordinator/retired_test.go
+++ b/pkg/coordinator/retired_test.go
@@ -88,6 +88,30 @@
 	})
 }
 
+// Guards against adapters beyond a server's memory after the configuration raised their size or their number.
+func TestLIMITAdaptersThatBecomeLarger(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSite(t, []string{"m0", "m1"})
+		n := s.start("a")
+		n.waitForLease()
+		table := s.listing(2, map[string]int{"m0": modelBytes, "m1": modelBytes})
+		for _, m := range table.Service("s").Engine.Models {
+			m.AdapterBytes = engineBytes - 2*modelBytes - 10
+		}
+		s.laterTable.Store(table)
+		time.Sleep(time.Second)
+		requestUntilLoaded(t, n, "m0/a1", 5*time.Second)
+		n.requestLoad(t, "m0/a2")
+		time.Sleep(time.Second)
+		for _, g := range s.engines.receivedOrders() {
+			if g.order.Load && g.order.Need.Adapter == "a2" {
+				t.Error("an adapter was ordered for which there is no memory")
+			}
+		}
+		n.stop()
+	})
+}
+
 // unloadsOf returns when the engines were first ordered to unload a model, by the time since the test began; 0: never.
 func (s *site) unloadsOf(model string) time.Duration {
 	for _, g := range s.engines.receivedOrders() {
