--- a/pkg/coordinator/sizes.go
+++ b/pkg/coordinator/sizes.go
@@ -56,7 +56,7 @@
 // sizeMemory remembers the sizes of models from earlier configurations: what was loaded under them still takes that much.
 // Its fields belong to the goroutine of Holder.Run, except where noted.
 type sizeMemory struct {
-	table     *route.Table // as of which models is
+	table     *route.Table // the configuration that models goes by
 	models    map[demandKey]*rememberedSize
 	held      map[demandKey]modelSize       // sizes that servers hold otherwise than as listed, when this node was last the holder
 	listed    []byte                        // fingerprints of the models that table lists
@@ -66,7 +66,7 @@
 
 // rememberedSize is what configurations told of a model's size.
 type rememberedSize struct {
-	largest modelSize // of the configurations since changed
+	largest modelSize // with which servers may hold it
 	listed  bool      // by the configuration in force
 	current modelSize // by the configuration in force, if that lists it
 	before  modelSize // the size that was listed before current
