coordinator: a crash in a trial is not lost with its node

Seen: no caller is known to have met it; docs/design/0101 named it as a price. The end of a run apart puts a request in quarantine 0.5 or 3.2 s after it shows. If its node is lost meanwhile, the request gets one more run apart, which cuts off all that runs at one more server. Found in traces of TestBUDGETOfFatalRequestsAtUnlistedServers (KNOWN-RED).

Cause: all nodes are told of the end at once, as one of the second round, and only the node of the run raises it to the third.

Change: what is told carries the round that it is held back from (End.Held, which builds without it leave out). The holder counts it 4 s after it heard of it, if the node of the run has not, and unless this node learned of it within 4 s after it found its holder: after a loss of all nodes the words that show another cause may be lost as well, so that nothing changes there.

--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -70,6 +70,7 @@
 	ledger               quota.Ledger
 	deputyLedger         quota.Ledger // what this node admits as the deputy while no holder answers
 	pendingEvidence      evidenceQueue
+	held                 isolatedRuns // of other nodes
 	isolated             isolatedRuns
 	runningTrials        runningTrials
 	suspicions           suspicionLimit // limits the suspicions that this node sends
@@ -343,6 +344,7 @@
 		return nil, nil
 	case EvidenceNotice:
 		m.applyEvidence(n.Evidence)
+		m.watchHeld(n.Evidence)
 		return nil, nil
 	case DoubtNews:
 		m.applyEvidence(DoubtNotice(n).list())
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -61,8 +61,14 @@
 	// EarlierRuns has bit r set for each earlier run on the server that was of round r, counting
 	// suspicions as crashes: the server crashed under one of its runs.
 	EarlierRuns uint32 `json:",omitempty"`
+	// Held is the round of a trial whose crash puts the request in quarantine unless reports of other nodes show
+	// another cause, see Run.UndecidedEvidence. It is zero if no such crash was reported.
+	Held int `json:",omitempty"`
 }
 
+// isHeld reports whether the crash does not count with its round yet.
+func (e End) isHeld() bool { return !e.Cleared && e.Round < e.Held }
+
 // maxRound returns the round if all earlier suspicions were crashes.
 func (e End) maxRound() int { return e.Round + e.Doubts }
 
@@ -127,6 +133,9 @@
 // the subject suspected at most.
 func (r Run) UndecidedEvidence() Evidence {
 	e := r.CrashEvidence()
+	if r.Round >= quarantinedRounds {
+		e.Ends[0].Held = r.Round
+	}
 	e.Ends[0].Round, e.Ends[0].Doubts = min(r.Round, quarantinedRounds-1), 0
 	return e
 }
@@ -205,6 +214,30 @@
 	return server, found
 }
 
+// HeldServers returns the servers whose crashes do not count with their round yet.
+func (e *Evidence) HeldServers() []string {
+	var list []string
+	for _, end := range e.Ends {
+		if end.isHeld() {
+			list = append(list, end.Server)
+		}
+	}
+	return list
+}
+
+// decide counts the crash of a server with its round. It reports whether it was held back.
+func (e *Evidence) decide(server string) bool {
+	for i, end := range e.Ends {
+		if end.Server == server && end.isHeld() {
+			decided := end
+			decided.Round, decided.Doubts = end.Held, 0
+			e.Ends[i].merge(decided)
+			return true
+		}
+	}
+	return false
+}
+
 // merge adds what another node knows. It reports whether anything was new.
 func (e *Evidence) merge(other Evidence) bool {
 	before := slices.Clone(e.Ends)
@@ -244,6 +277,7 @@
 	e.Round = max(e.Round, other.Round)
 	e.Doubts = last - e.Round
 	e.Cleared = e.Cleared || other.Cleared
+	e.Held = max(e.Held, other.Held)
 }
 
 // standingIfNotCleared returns the standing by all crashes, cleared or not.
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -34,6 +35,7 @@
 	updated    time.Time // when the evidence last changed
 	refused    time.Time // when a request with the subject was last refused
 	suspicions []suspicion
+	heldSince  map[string]time.Time // by server, since when crashes that are held back are known
 
 	// explained is valid while the table's change counter is explainedAtChange.
 	explained         explanation
@@ -182,6 +184,7 @@
 		changed := e.dropClearedSuspicions(other)
 		doubts := e.unclearedDoubts(other)
 		changed = e.merge(other) || changed
+		e.noteHeld(now)
 		changed = e.noteRefused(now, other.RefusedAgo) || changed
 		if t.clearedFor(now, other.Part, other.Request) > 0 {
 			e.suspicions = nil
@@ -196,6 +199,32 @@
 	})
 }
 
+// HeldSince returns since when this node knows that a server crashed under a subject, if the crash is held back, see
+// Run.UndecidedEvidence.
+func (t *Table) HeldSince(now time.Time, f Fingerprint, server string) (since time.Time, held bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.liveEntry(now, f); e != nil {
+		since, held = e.heldSince[server]
+	}
+	return since, held
+}
+
+// Decide counts the crash of a server under a subject with its round if it is held back, see HeldSince.
+func (t *Table) Decide(now time.Time, f Fingerprint, server string) Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.liveEntry(now, f)
+	if e == nil || t.clearedFor(now, e.Part, f) > 0 {
+		return Change{}
+	}
+	return t.change(now, now, e, func() bool {
+		changed := e.decide(server)
+		e.noteHeld(now)
+		return changed
+	})
+}
+
 // Aged is evidence with the time since it last changed.
 type Aged struct {
 	Evidence
@@ -306,6 +335,20 @@
 	}
 }
 
+// noteHeld records since when crashes that are held back are known.
+func (e *entry) noteHeld(now time.Time) {
+	held := e.HeldServers()
+	maps.DeleteFunc(e.heldSince, func(server string, _ time.Time) bool { return !slices.Contains(held, server) })
+	for _, server := range held {
+		if e.heldSince == nil {
+			e.heldSince = make(map[string]time.Time)
+		}
+		if _, known := e.heldSince[server]; !known {
+			e.heldSince[server] = now
+		}
+	}
+}
+
 // drop removes an entry. The caller holds mu.
 func (t *Table) drop(f Fingerprint) {
 	delete(t.entries, f)
