clock: the limit of bodies that no handler reads is one of a connection

TestExpiryGoesByThisClock lists the lines that may go by the monotonic clock, with their reasons. The read deadline in pkg/site/callers.go is the deadline of a connection, like the others there, and was not listed. Nothing expires by it.

--- a/pkg/clock/lint_test.go
+++ b/pkg/clock/lint_test.go
@@ -23,6 +23,7 @@
 	"pkg/backend/conn.go: _ = c.SetReadDeadline(time.Now().Add(answerAfterReset))":                                                            "deadlines of connections use the monotonic clock",
 	"pkg/backend/conn.go: _ = a.conn.SetReadDeadline(time.Now().Add(d)) // if the connection is closed, Read returns the error":               "the same",
 	"pkg/backend/inbound.go: _ = in.from.SetReadDeadline(time.Now().Add(endWait)) // if the connection is closed, the read returns the error": "the same",
+	"pkg/site/callers.go: _ = c.TCPConn.SetReadDeadline(time.Now().Add(limit)) // fails only if the connection is closed":                     "the same",
 	"pkg/site/heads.go: end := time.Now().Add(refusedHeadTime)":                                                                               "the same",
 	"pkg/relay/refuse.go: _ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(wait + writeMargin))":                           "the same",
 	`platform/run.go: Name: settings.Name, Life: time.Now().UnixNano(), Zone: settings.Zone,`:                                                 "numbers incarnations by the time of day",
