control: a model that grows before its order is not loaded into its old room

Cause: the order of a load takes the size in force when it is sent, the room was reserved by the size when the load was decided; mayStillLoad did not compare the two. Change: a load whose model has become larger than what is reserved is cancelled before its order, and decided anew.

--- a/pkg/control/cell/orders.go
+++ b/pkg/control/cell/orders.go
@@ -78,6 +78,9 @@
 	if r.intent.Base != "" && !o.baseReady(r.intent.Base, s.ID) {
 		return false
 	}
+	if replicaBytes(model) > r.intent.Bytes { // the model grew: the server was chosen by its old size
+		return false
+	}
 	return s.acceptsLoads() && s.instance == r.intent.Instance && o.reserved[s.ID] <= s.capacityBytes()
 }
 
