control: a failing test of retired models of earlier epochs

Cause: an engine reports the weights that it was ordered to load, and the KV cache beside them comes from the settings in force; those no longer list a retired model, and its intent, which has the whole size, is gone with all nodes that knew it.

--- a/pkg/control/cell/owner_test.go
+++ b/pkg/control/cell/owner_test.go
@@ -210,6 +210,24 @@
 	}
 }
 
+// TestLIMITRetiredModelsOfEarlierEpochs covers a retired model that an engine still holds when all nodes that knew its
+// intent are gone. Engines report the size of the weights, as ordered; the KV cache beside them is no longer known.
+func TestLIMITRetiredModelsOfEarlierEpochs(t *testing.T) {
+	s := newTestSite(t, quorum.Server{ID: "s", MemoryBytes: 21, Unknown: true})
+	s.items["s"]["retired"] = engine.Item{Model: "retired", State: engine.ItemReady, MemoryBytes: 10, OrderID: "earlier"}
+	const heldBytes = 15 // with 5 of KV cache
+	s.slowUnloads = true
+	s.owner.servers["s"].pollNoLaterThan(s.now)
+	s.run(2 * time.Second)
+	s.orders = nil
+	s.loadModel("a")
+	for _, order := range s.orders {
+		if order.Kind == engine.OrderLoad {
+			t.Errorf("ordered a load of %d bytes beside %d of 21", order.MemoryBytes, heldBytes)
+		}
+	}
+}
+
 // TestServerUnderAdmissionStaysRecorded covers a record that is rewritten for
 // another reason after a server was recorded and before its admission is
 // committed. If the server were left out, the founder of the next epoch would not
