lab: lists of models that change

Cause: the emulator had one list of models from beginning to end, and sizes that did not change. Change: a schedule of faults, model-list: models and adapters are retired, come back, also with another size, and change their sizes, those that engines load first, then those that they hold; at one of four changes the node that owns the cell dies. Engines take the size that they were ordered to load, and report that of the weights, as stand-ins do. The existing check of memory goes by those sizes.

--- a/pkg/lab/checker.go
+++ b/pkg/lab/checker.go
@@ -12,7 +12,8 @@
 	wakes      []wakeSample
 	firstToken []time.Duration
 	loads      int
-	mostHeld   int // bytes of answers that a node has held at once
+	mostHeld   int     // bytes of answers that a node has held at once
+	fullest    float64 // largest share of an engine's memory that was taken at once
 }
 
 // wakeSample collects the waiting times of the first requests of a wake.
@@ -28,8 +29,9 @@
 }
 
 // loadBegan counts a load and checks the number of replicas.
-func (j *checker) loadBegan(m *model) {
+func (j *checker) loadBegan(e *emulatedEngine, m *model) {
 	j.loads++
+	j.fullest = max(j.fullest, float64(e.used)/float64(e.capacity))
 	j.held[m.index]++
 	if j.held[m.index] > m.settings.MaxReplicas {
 		j.violations.Replicas++
--- a/pkg/lab/checker_test.go
+++ b/pkg/lab/checker_test.go
@@ -72,6 +72,11 @@
 				}
 			}
 		}, func(sim *simulation) int { return min(sim.checker.violations.Memory, 1) }},
+		{"memory overcommitted by a model that grew", func(_ *testing.T, sim *simulation) {
+			e, m := sim.engines[0], sim.models[0]
+			grown := e.capacity - m.settings.KVBytes + 1
+			e.order(engine.Order{ID: "test", Fence: e.fence + 1, Kind: engine.OrderLoad, Model: m.name, MemoryBytes: grown})
+		}, func(sim *simulation) int { return sim.checker.violations.Memory }},
 		{"an unsafe request runs twice", func(t *testing.T, sim *simulation) {
 			req := testRequest(sim, readyModel(t, sim, sim.engines[0], true))
 			sim.testRun(sim.engines[0], req)
--- a/pkg/lab/engine.go
+++ b/pkg/lab/engine.go
@@ -54,6 +54,7 @@
 // item is a model or adapter on an engine.
 type item struct {
 	model        *model
+	holdBytes    uint64 // memory that it takes, as ordered
 	state        engine.ItemState
 	orderID      string
 	fence        api.Fence
@@ -115,21 +116,30 @@
 	if m.base >= 0 && (e.items[m.base] == nil || e.items[m.base].state != engine.ItemReady) {
 		return engine.OrderUnknownModel
 	}
-	if e.used+m.holdBytes > e.capacity {
+	holdBytes := m.orderedBytes(order)
+	if e.used+holdBytes > e.capacity {
 		e.sim.checker.violations.Memory++
 		return engine.OrderNoMemory
 	}
 	it := &item{
-		model: m, state: engine.ItemLoading, orderID: order.ID, fence: order.Fence,
+		model: m, holdBytes: holdBytes, state: engine.ItemLoading, orderID: order.ID, fence: order.Fence,
 		urgent: order.Urgent, since: e.sim.clock.elapsed, meteredUntil: e.sim.clock.elapsed,
 	}
 	e.items[m.index] = it
-	e.used += m.holdBytes
-	e.sim.checker.loadBegan(m)
+	e.used += holdBytes
+	e.sim.checker.loadBegan(e, m)
 	e.fetchCheckpoint(it)
 	return engine.OrderAccepted
 }
 
+// orderedBytes returns the accelerator memory of a replica that an order loads: its weights as ordered, and its KV cache.
+func (m *model) orderedBytes(order engine.Order) uint64 {
+	if order.MemoryBytes == 0 {
+		return m.holdBytes
+	}
+	return order.MemoryBytes + m.settings.KVBytes
+}
+
 // fetchCheckpoint gets the checkpoint from the fastest tier that has it.
 func (e *emulatedEngine) fetchCheckpoint(it *item) {
 	c, m := e.sim.clock, it.model
@@ -214,13 +224,13 @@
 func (e *emulatedEngine) remove(it *item) {
 	e.meter(it)
 	e.items[it.model.index] = nil
-	e.used -= it.model.holdBytes
+	e.used -= it.holdBytes
 	e.sim.checker.removed(it.model)
 }
 
 // meter counts the accelerator hours of an item up to now.
 func (e *emulatedEngine) meter(it *item) {
-	e.sim.meter.record(it.model, e.service, it.meteredUntil, e.sim.clock.elapsed, it.active == 0)
+	e.sim.meter.record(it.holdBytes, e.service, it.meteredUntil, e.sim.clock.elapsed, it.active == 0)
 	it.meteredUntil = e.sim.clock.elapsed
 }
 
--- a/pkg/lab/engine_inventory.go
+++ b/pkg/lab/engine_inventory.go
@@ -27,10 +27,10 @@
 	return inventory
 }
 
-// inventoryItem returns the inventory's entry of an item.
+// inventoryItem returns the inventory's entry of an item. Its size is that of the weights, as in orders.
 func (e *emulatedEngine) inventoryItem(it *item) engine.Item {
 	described := engine.Item{
-		Model: it.model.name, State: it.state, MemoryBytes: it.model.holdBytes,
+		Model: it.model.name, State: it.state, MemoryBytes: it.holdBytes - it.model.settings.KVBytes,
 		OrderID: it.orderID, Fence: it.fence,
 	}
 	if it.model.base >= 0 {
--- a/pkg/lab/faults.go
+++ b/pkg/lab/faults.go
@@ -28,12 +28,13 @@
 	FaultsBadPart       Faults = "bad-part"     // a part of prompts crashes the engines that begin to answer it
 	FaultsSilent        Faults = "silent"       // sound engines generate nothing for a second or so and go on
 	FaultsEndless       Faults = "endless"      // engines answer without end for a while
+	FaultsModelList     Faults = "model-list"   // models are retired, come back and change their sizes
 	FaultsStoreRestored Faults = "store-copy"   // the table service is restored from a backup, which the platform guarantees not to do
 )
 
 // AllFaults returns the names of the schedules.
 func AllFaults() []Faults {
-	return []Faults{FaultsNone, FaultsKill, FaultsCut, FaultsFreeze, FaultsStoreDown, FaultsWeightsSlow, FaultsMixed, FaultsRelease, FaultsBadPart, FaultsSilent, FaultsEndless, FaultsStoreRestored}
+	return []Faults{FaultsNone, FaultsKill, FaultsCut, FaultsFreeze, FaultsStoreDown, FaultsWeightsSlow, FaultsMixed, FaultsRelease, FaultsBadPart, FaultsSilent, FaultsEndless, FaultsModelList, FaultsStoreRestored}
 }
 
 // Intervals, durations and rates of the faults.
@@ -61,6 +62,7 @@
 	badPartShare           = 0.05 // of the requests
 	silentInterval         = 2 * time.Minute
 	endlessInterval        = 2 * time.Minute
+	modelListInterval      = 2 * time.Minute
 	editInterval           = 10 * time.Minute
 	weightsSlowInterval    = 6 * time.Hour
 	weightsSlowDuration    = time.Hour
@@ -109,6 +111,9 @@
 		sim.repeat(random, restoreInterval, sim.restoreStore)
 	}
 	if distributed, ok := sim.plane.(*distributedPlane); ok {
+		if includes(FaultsModelList) {
+			sim.repeat(random, modelListInterval, func() { distributed.changeModels(random) })
+		}
 		sim.repeat(random, editInterval, func() { distributed.edit(random) })
 	}
 	return nil
--- a/pkg/lab/meter.go
+++ b/pkg/lab/meter.go
@@ -25,13 +25,13 @@
 	return m
 }
 
-// record counts a model that was held from one time to another. Idle time is all time without a
+// record counts a model of a number of bytes that was held from one time to another. Idle time is all time without a
 // running request, loading and unloading included.
-func (m *meter) record(held *model, service int, from, to time.Duration, idle bool) {
+func (m *meter) record(bytes uint64, service int, from, to time.Duration, idle bool) {
 	if m.closed {
 		return
 	}
-	share := float64(held.holdBytes) / m.acceleratorBytes[service]
+	share := float64(bytes) / m.acceleratorBytes[service]
 	for from < to {
 		hour := int(from / time.Hour)
 		until := min(to, time.Duration(hour+1)*time.Hour)
--- a/pkg/lab/owner_orders.go
+++ b/pkg/lab/owner_orders.go
@@ -82,7 +82,7 @@
 	o.fences[e]++
 	order := engine.Order{
 		ID: fmt.Sprintf("%d-%d", o.service, o.orderCount), Fence: api.MakeFence(1, o.fences[e]),
-		Kind: kind, Model: state.model.name, MemoryBytes: state.model.holdBytes, Urgent: urgent,
+		Kind: kind, Model: state.model.name, MemoryBytes: state.model.weightBytes, Urgent: urgent,
 	}
 	o.send(state, e, e.instance, order)
 }
--- a/pkg/lab/run_test.go
+++ b/pkg/lab/run_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -268,6 +269,55 @@
 	}
 }
 
+// playModelLists runs a list of models that changes, or the same load without changes, under a load that fills the
+// engines.
+func playModelLists(t *testing.T, seed uint64, faults Faults) *simulation {
+	t.Helper()
+	scenario := loadScenario(t, "hornada", "duration=4m", "fault_rate=20", "services.booking.servers=2", "services.assistant.servers=4",
+		"services.booking.requests_per_second=20", "services.assistant.requests_per_second=20")
+	sim, err := newSimulation(scenario, seed, ControlDistributed, "adaptive")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := sim.scheduleFaults(faults, newRandom(seed, streamFaults)); err != nil {
+		t.Fatal(err)
+	}
+	if !sim.run(context.Background(), nil) {
+		t.Fatal("the run did not end")
+	}
+	return sim
+}
+
+// fullEngine is the share of an engine's memory beyond which little fits.
+const fullEngine = 0.95
+
+// Guards against engines that are ordered to load beyond their memory when models are retired, come back or change
+// their sizes while engines hold or load them, also while the owner changes.
+func TestLIMITOfModelListsInTheEmulator(t *testing.T) {
+	for _, seed := range []uint64{4, 5, 6} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			control, _ := playModelLists(t, seed, FaultsNone).result(Options{}, true)
+			checkNoViolations(t, control)
+			sim := playModelLists(t, seed, FaultsModelList)
+			got, _ := sim.result(Options{}, true)
+			checkNoViolations(t, got)
+			changes := &sim.listChanges
+			t.Logf("%d changes, %+v; %.3f of an engine taken; %d loads, without changes %d; %+v, without changes %+v", sim.faultCounts[FaultsModelList],
+				*changes, sim.checker.fullest, got.Loads, control.Loads, got.Requests, control.Requests)
+			for _, met := range []int{changes.retiredHeld, changes.retiredLoading, changes.resizedHeld, changes.resizedLoading,
+				changes.relisted, changes.relistedHeld, changes.adapters, changes.takeovers} {
+				if met == 0 {
+					t.Errorf("a kind of change did not happen: %+v", *changes)
+				}
+			}
+			if sim.checker.fullest < fullEngine {
+				t.Errorf("the fullest engine took %.2f of its memory: little is shown", sim.checker.fullest)
+			}
+		})
+	}
+}
+
 func TestLOSTRequestsAtEnginesThatFallSilent(t *testing.T) {
 	t.Parallel()
 	results := make(map[Faults]*Result)
--- a/pkg/lab/simulation.go
+++ b/pkg/lab/simulation.go
@@ -34,6 +34,7 @@
 	endedAt           time.Duration
 	faultCounts       map[Faults]int // number of injected faults by kind
 	badParts          badParts
+	listChanges       listChanges
 	endlessRuns       int  // answers without end
 	cameBack          int  // times that an engine served again after it had answered without end
 	keepsAnswers      bool // nodes hold what they read of answers without a bound
