loadtest: requests for a model that comes and goes

Cause: the load tool sent all requests for one model, so that a change of the list during a run showed either nothing or refusals alone. Change: a share of the streams names another model, which the operator lists and retires meanwhile; they are counted apart, and those that are cut off with the others. The tool changes no list: that is the operator's, by the site's own means. Not run against real nodes whose list changes.

--- a/cmd/martenwheel-lab/load.go
+++ b/cmd/martenwheel-lab/load.go
@@ -42,6 +42,8 @@
 	c.String(&o.SharedPart, "", "shared-part", "ID of the first part of all prompts")
 	c.String(&o.BadPart, "", "bad-part", "ID of a part that crashes the servers under test")
 	c.Float64(&o.BadShare, "", "bad-share", "Share of prompts with that part, 0 to 1")
+	c.String(&o.PassingModel, "", "passing-model", "Model that is listed and retired during the run")
+	c.Float64(&o.PassingShare, "", "passing-share", "Share of the requests for that model, 0 to 1")
 	c.Int(&o.Unruly.StalledBodies, "", "stalled-bodies", "Callers beside the streams whose body stops a byte short of its length")
 	c.Int(&o.Unruly.SmallChunks, "", "small-chunks", "Callers whose body comes in chunks of a byte and does not end")
 	c.Int(&o.Unruly.HalfHeads, "", "half-heads", "Callers whose head does not end")
@@ -57,6 +59,7 @@
 	return command{c, func(ctx context.Context) (int, error) {
 		if modelHeader != "" {
 			o.Header = http.Header{http.CanonicalHeaderKey(modelHeader): {model}}
+			o.PassingHeader = modelHeader
 		}
 		return load(ctx, o)
 	}}
--- a/pkg/loadtest/loadtest.go
+++ b/pkg/loadtest/loadtest.go
@@ -40,6 +40,12 @@
 	BadPart     string
 	BadShare    float64 // 0 to 1
 
+	// PassingHeader is the name of the header with the model, in which PassingShare of the streams name PassingModel, one
+	// that the operator lists and retires during the run; optional.
+	PassingHeader string
+	PassingModel  string
+	PassingShare  float64 // 0 to 1
+
 	// SameField is what all events of a stream have in common if they come from one software version: a field of the
 	// JSON object in their data, or the data itself if it is "data"; optional.
 	SameField string
@@ -69,6 +75,11 @@
 	Bad               int `json:"bad,omitempty"`
 	BadRefused        int `json:"bad_refused,omitempty"` // their last attempt was refused
 
+	// Passing streams are those for Options.PassingModel.
+	Passing        int `json:"passing,omitempty"`
+	PassingWhole   int `json:"passing_whole,omitempty"`
+	PassingRefused int `json:"passing_refused,omitempty"` // their last attempt was refused
+
 	// Unruly counts the connections of callers that do not behave, by kind.
 	Unruly map[string]*UnrulyCount `json:"unruly,omitempty"`
 
@@ -91,8 +102,11 @@
 		"no node": len(o.Nodes) == 0, "no path": !strings.HasPrefix(o.Path, "/"), "no rate": o.PerSecond <= 0, "no duration": o.Duration <= 0,
 		"no deadline": o.Deadline <= 0, "no header for IDs": o.IDHeader == "", "no header for deadlines": o.DeadlineHeader == "",
 		"no header for the parts of prompts": o.PartsHeader == "" && o.BadShare > 0, "no part that crashes servers": o.BadPart == "" && o.BadShare > 0,
-		"a share of bad parts beyond 0 to 1":      o.BadShare < 0 || o.BadShare > 1,
-		"no header for streams that are taken up": o.ResumesHeader == "" && o.Attempts > 1, "a negative number of attempts": o.Attempts < 0,
+		"a share of bad parts beyond 0 to 1":          o.BadShare < 0 || o.BadShare > 1,
+		"no header for the model that comes and goes": o.PassingHeader == "" && o.PassingShare > 0,
+		"no model that comes and goes":                o.PassingModel == "" && o.PassingShare > 0,
+		"a share of such requests beyond 0 to 1":      o.PassingShare < 0 || o.PassingShare > 1,
+		"no header for streams that are taken up":     o.ResumesHeader == "" && o.Attempts > 1, "a negative number of attempts": o.Attempts < 0,
 	})
 	var faults []string
 	for name, is := range wrong {
@@ -129,6 +143,7 @@
 		<-ticker.C
 		s := &stream{options: &o, name: fmt.Sprintf("%x", random.Uint64()), random: rand.New(rand.NewPCG(o.Seed, random.Uint64()))}
 		s.bad = s.random.Float64() < o.BadShare
+		s.passing = o.PassingShare > 0 && s.random.Float64() < o.PassingShare
 		callers.Go(func() { total.add(s.read(ctx)) })
 	}
 	callers.Wait()
@@ -153,6 +168,7 @@
 		&t.sum.Begun: o.events > 0, &t.sum.Whole: o.whole, &t.sum.Refused: o.events == 0 && o.refused, &t.sum.TakenUp: o.takenUp,
 		&t.sum.GoneOn: o.goneOn, &t.sum.Disordered: o.disordered, &t.sum.Mixed: len(o.same) > 1, &t.sum.Cut: o.cut,
 		&t.sum.SoundBegunAtFirst: !o.bad && o.atFirst, &t.sum.Bad: o.bad, &t.sum.BadRefused: o.bad && o.refused,
+		&t.sum.Passing: o.passing, &t.sum.PassingWhole: o.passing && o.whole, &t.sum.PassingRefused: o.passing && o.refused,
 	} {
 		if happened {
 			*count++
--- a/pkg/loadtest/loadtest_test.go
+++ b/pkg/loadtest/loadtest_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -121,6 +122,49 @@
 	}
 }
 
+// Requests for a model that comes and goes must not be counted as those beside them, and one that is cut off as it
+// goes must be seen.
+func TestStreamsForAModelThatComesAndGoesAreCountedApart(t *testing.T) {
+	for name, cuts := range map[string]bool{"refused while it is not listed": false, "cut off as it goes": true} {
+		t.Run(name, func(t *testing.T) {
+			var passing, passed atomic.Int64
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("X-Model") == "passing" && passing.Add(1)%2 == 0 {
+					if cuts {
+						panic(http.ErrAbortHandler)
+					}
+					w.WriteHeader(http.StatusNotFound)
+					return
+				}
+				if r.Header.Get("X-Model") == "stays" {
+					passed.Add(1)
+				}
+				_, _ = io.WriteString(w, "id: 1\ndata: {}\n\n")
+			}))
+			t.Cleanup(server.Close)
+			o := options(strings.TrimPrefix(server.URL, "http://"))
+			o.Header = http.Header{"X-Model": {"stays"}}
+			o.PassingHeader, o.PassingModel, o.PassingShare = "X-Model", "passing", 0.5
+			o.Attempts, o.Duration, o.CutsViolate = 1, 300*time.Millisecond, true
+			got, err := Run(t.Context(), o)
+			if err != nil || got.Passing < 2 || got.Passing == got.Sent || got.Passing != int(passing.Load()) || got.Sent-got.Passing != int(passed.Load()) {
+				t.Fatalf("%+v, %v", got, err)
+			}
+			gone := got.Passing / 2
+			if got.PassingWhole != got.Passing-gone || got.Whole != got.Sent-gone || cuts && got.Cut != gone || !cuts && got.PassingRefused != gone {
+				t.Errorf("%+v", got)
+			}
+			if got.Violations() > 0 != cuts {
+				t.Errorf("%d violations: %+v", got.Violations(), got)
+			}
+			o.PassingHeader = ""
+			if _, err := Run(t.Context(), o); err == nil || !strings.Contains(err.Error(), "no header for the model that comes and goes") {
+				t.Errorf("without a header: %v", err)
+			}
+		})
+	}
+}
+
 func TestCutsAndPausesAreNotCounted(t *testing.T) {
 	const pause = 300 * time.Millisecond
 	event := func(w http.ResponseWriter, i int) {
--- a/pkg/loadtest/stream.go
+++ b/pkg/loadtest/stream.go
@@ -36,6 +36,7 @@
 // outcome is what the caller got.
 type outcome struct {
 	bad        bool // its prompt has Options.BadPart
+	passing    bool // it is for Options.PassingModel
 	atFirst    bool // its first attempt brought an event
 	events     int
 	whole      bool
@@ -101,6 +102,9 @@
 	if o.PartsHeader != "" {
 		r.Header.Set(o.PartsHeader, s.parts())
 	}
+	if s.passing {
+		r.Header.Set(o.PassingHeader, o.PassingModel)
+	}
 	r.Host = o.Host
 	r.Header.Set(o.IDHeader, id)
 	r.Header.Set(o.DeadlineHeader, strconv.FormatInt(left.Milliseconds(), 10))
