coordinator, peer: a report that is missing has a line, and a clearer name

A report that fails, for one because it has too many entries, left no trace but the missing report: the error was dropped. The first one after others came has a line now, with the server, its record's version and the error; repeats have none. In pkg/peer a function that closes a connection no longer has the name of a question. Tests of reports, orders and pkg/peer pass.

--- a/pkg/coordinator/reports.go
+++ b/pkg/coordinator/reports.go
@@ -47,6 +47,8 @@
 	if err != nil {
 		if errors.Is(err, ErrOtherIncarnation) && !s.sequenceUnknown {
 			h.Logger.Info("another life answers", "server", s.id, "record", s.version, "error", err)
+		} else if s.failures == 0 {
+			h.Logger.Warn("no report", "server", s.id, "record", s.version, "error", err)
 		}
 		s.sequenceUnknown = s.sequenceUnknown || errors.Is(err, ErrOtherIncarnation)
 		s.failures++
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -106,14 +106,14 @@
 
 // awaitHello waits until there is room for one more connection without a hello. Others wait in the listener's queue.
 func (s *Server) awaitHello() {
-	for s.ctx.Err() == nil && !s.hasHelloRoom() {
+	for s.ctx.Err() == nil && !s.makeHelloRoom() {
 		s.pause(helloPoll)
 	}
 }
 
-// hasHelloRoom reports whether there is room for one more connection without a hello, and closes the oldest one if that
-// may give way.
-func (s *Server) hasHelloRoom() bool {
+// makeHelloRoom closes the oldest connection without a hello if there is no room for one more and that may give way. It reports
+// whether there is room.
+func (s *Server) makeHelloRoom() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if len(s.silent) < s.config.Limits.Hellos {
