--- a/pkg/coordinator/retired.go
+++ b/pkg/coordinator/retired.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"martenwheel.dev/pkg/api"
@@ -18,6 +19,8 @@
 	// retireUseTime is how long an unlisted model stays while requests run on it. Its unload is ordered then: the server ends
 	// those that run and begins no others.
 	retireUseTime = 30 * time.Second
+	// maxUnlistedModels bounds the unlisted models that the decider may choose from in one plan.
+	maxUnlistedModels = 64
 	// maxRetiredUnloads bounds the unloads of unlisted models in one plan, and the reports requested for them.
 	maxRetiredUnloads = 8
 )
@@ -83,17 +86,21 @@
 	return now.Sub(since) >= retireDelay
 }
 
-// unlistedModels describes for the decider the models that servers hold and the configuration does not list.
+// unlistedModels describes for the decider the models that servers hold and the configuration does not list, the first ones
+// by name.
 func (h *Holder) unlistedModels(now time.Time, service string, e *route.Engine, w *serviceDemand, present map[string]int) []policy.Model {
-	var list []policy.Model
+	var names []string
 	for name := range present {
-		if e.Models[name] != nil {
-			continue
-		}
-		if size, known := h.sizes.largest(service, name); known {
-			size.weights = min(size.weights, e.WeightBytes)
-			list = append(list, h.unlistedInput(now, service, name, size, w))
+		if _, known := h.sizes.largest(service, name); known && e.Models[name] == nil {
+			names = append(names, name)
 		}
 	}
+	slices.Sort(names)
+	var list []policy.Model
+	for _, name := range names[:min(len(names), maxUnlistedModels)] {
+		size, _ := h.sizes.largest(service, name)
+		size.weights = min(size.weights, e.WeightBytes)
+		list = append(list, h.unlistedInput(now, service, name, size, w))
+	}
 	return list
 }
