gateway: a listener that is served after a drain began stops as well

Cause: Drain stops the listeners that Serve has registered. Where Serve registers one a moment later, as in a process that is stopped while it starts, nobody stops it: new connections are accepted, and refused one by one, for as long as the drain lasts. The stack of the run shows Drain waiting and the listener in Accept.

Change: Serve stops the listener itself if a drain has begun, and a listener stops connecting once, whoever asks.

--- a/pkg/gateway/drain_test.go
+++ b/pkg/gateway/drain_test.go
@@ -169,3 +169,32 @@
 	group.Wait()
 	g.config.Timeouts.RefuseNew = time.Millisecond // for Drain in the test's cleanup
 }
+
+// TestDrainStopsAListenerThatIsServedLater guards against a stopping node that accepts connections for as long as it runs.
+func TestDrainStopsAListenerThatIsServedLater(t *testing.T) {
+	g, err := New(Config{Node: "node-1", Region: "uy-south", Dispatcher: &fakeDispatcher{}, Catalog: func() Catalog { return testCatalog }, Timeouts: Timeouts{RefuseNew: time.Hour}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	group.Go(func() { _ = g.Drain(ctx) }) // ends by cancel
+	for !g.draining.Load() {
+		runtime.Gosched()
+	}
+	time.Sleep(10 * time.Millisecond) // Drain looks for listeners meanwhile
+	listener := listen(t)
+	group.Go(func() { _ = g.Serve(listener) })
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		connection, err := net.Dial("tcp", listener.Addr().String())
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return
+		}
+		if err == nil {
+			_ = connection.Close()
+		}
+	}
+	t.Error("connections are still accepted")
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -118,7 +118,11 @@
 	limited := newLimitedListener(listener, g.config)
 	g.mutex.Lock()
 	g.listeners = append(g.listeners, limited)
+	draining := g.draining.Load()
 	g.mutex.Unlock()
+	if draining { // Drain may not have found the listener
+		go g.stopConnecting(limited)
+	}
 	if err := g.app.Listener(limited.withTLS(g.config.TLS)); err != nil {
 		return errors.Wrap(err, "gateway: serve callers")
 	}
@@ -158,9 +162,7 @@
 	listeners := slices.Clone(g.listeners)
 	g.mutex.Unlock()
 	for _, listener := range listeners {
-		if err := listener.stopConnecting(); err != nil {
-			g.config.Logger.Warn("connections being established may be reset", "error", err)
-		}
+		g.stopConnecting(listener)
 	}
 	pause := time.NewTimer(g.config.Timeouts.RefuseNew)
 	defer pause.Stop()
@@ -170,6 +172,13 @@
 	}
 }
 
+// stopConnecting stops accepting connections on a listener.
+func (g *Gateway) stopConnecting(listener *limitedListener) {
+	if err := listener.stopConnecting(); err != nil {
+		g.config.Logger.Warn("connections being established may be reset", "error", err)
+	}
+}
+
 // waitBackground waits until ctx ends for background work, which has no caller.
 func (g *Gateway) waitBackground(ctx context.Context) error {
 	ended := make(chan struct{})
--- a/pkg/gateway/listener.go
+++ b/pkg/gateway/listener.go
@@ -23,6 +23,8 @@
 	handedOver chan net.Conn // connections accepted by stopConnecting, for Accept
 	closed     chan struct{} // closed by Close
 	closeOnce  sync.Once
+	stopOnce   sync.Once
+	stopError  error // of stopConnecting; valid after stopOnce
 
 	mutex sync.Mutex
 	open  map[*callerConn]struct{}
--- a/pkg/gateway/stop_connecting.go
+++ b/pkg/gateway/stop_connecting.go
@@ -13,8 +13,14 @@
 // listener closes, the kernel resets connections that are established but not yet
 // accepted. So stopConnecting accepts them and stops listening in the next system
 // call. Callers that connect later are refused and know that they sent nothing.
-// It returns when Accept has returned all connections accepted here.
+// It returns when Accept has returned all connections accepted here. Further calls do nothing.
 func (l *limitedListener) stopConnecting() error {
+	l.stopOnce.Do(func() { l.stopError = l.endConnecting() })
+	return l.stopError
+}
+
+// endConnecting does the work of stopConnecting.
+func (l *limitedListener) endConnecting() error {
 	listener, isTCP := l.Listener.(*net.TCPListener)
 	if !isTCP {
 		return nil
