coordinator: a server that is to be rechecked is asked for a report

Three of four servers got no order for as long as the holder lived.

Cause: a trace printed the holder's state of such a server: nothing under way, nothing in doubt, recheck set, and no time for its next report. A server to recheck is not usable until a report came, and a server without a time for a report is not asked. recheck is set in four places, of which not all set a time: a holder that takes over while orders of earlier ones may still arrive, after it had asked the server.

Change: whoever is to be rechecked is asked, whatever time is set.

--- a/pkg/coordinator/reports.go
+++ b/pkg/coordinator/reports.go
@@ -14,7 +14,8 @@
 // uncertain.
 func (h *Holder) pollServers(now time.Time) {
 	for _, s := range h.servers {
-		if s.member == nil || s.awaitingAnswer || s.reportAt.IsZero() || now.Before(s.reportAt) || s.member.BackOff(now) > 0 || !h.configured(s.member.Service) {
+		asleep := s.reportAt.IsZero() && !s.recheck // a server to recheck gets no orders before its next report
+		if s.member == nil || s.awaitingAnswer || asleep || now.Before(s.reportAt) || s.member.BackOff(now) > 0 || !h.configured(s.member.Service) {
 			continue
 		}
 		if s.busy == nil && s.unresolved == nil && !s.sequenceUnknown && !s.recheck {
