--- /dev/null
+++ b/review/standin-2/continued.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// The script of case 4: a server loses the answer of a stream that may run only once and works on. Its queue is long, so that
+// it resets further connections; the node then takes the call that is to stop the run for one that was not sent, and lets the
+// stream go on at the server that has its copy.
+
+const (
+	continuedRounds = 8
+	roundTime       = 10 * time.Second
+	lossTime        = 4 * time.Second // of answer_lost in a round
+	lossShare       = 0.4             // of the requests that the server ran
+	stillWorking    = 400 * time.Millisecond
+)
+
+// Requests of a round. Streams of m0 may run only once; h0 is held by one server alone.
+const (
+	firstStreams  = 6
+	laterStreams  = 6
+	burstStreams  = 18
+	laterStart    = 2000 * time.Millisecond
+	burstStart    = 2400 * time.Millisecond
+	streamTokens  = "1400,300"
+	burstTokens   = "600,120"
+	streamTimeout = 15 * time.Second
+)
+
+func continuedConfiguration() map[string]any {
+	var models []map[string]any
+	for _, name := range []string{"m0", "h0", "m1", "m2", "m3", "m4", "m5", "m6", "m7"} {
+		models = append(models, map[string]any{"name": name, "weightsMb": 70000, "loadS": 6, "adapters": 0, "adapterMb": 0, "warmupS": 1, "diskLoadS": 2})
+	}
+	route := func(name string) map[string]any {
+		return map[string]any{"name": name, "host": host, "pathPrefix": "/" + name + "/", "kind": "streaming", "service": "llm", "timeoutMs": 25000,
+			"targetLatencyMs": 2500, "priority": 1, "maxAttempts": 1, "sticky": true, "resumable": false, "gapAimMs": 300}
+	}
+	return map[string]any{
+		"version": 1,
+		"routes":  []map[string]any{route("once"), route("hot")},
+		"services": []map[string]any{{"name": "llm", "healthPath": "/health", "maxConnections": maxConnections, "engine": map[string]any{
+			"slots": engineSlots, "kvCapacityTokens": 130000, "weightsMb": 200000, "adapterSlots": 8, "loadsPerS": 3.1, "kvTokenBytes": 163840,
+			"linkMbps": 550000, "migrations": true, "kvBackups": true, "stride": tokensPerEvent, "handle_s": 5.0, "models": models}}},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	}
+}
+
+// continued runs the script. It returns 0 if the rule held, 1 if it was broken, and 2 if the case could not run.
+func continued(rec *record, folder string, trouble bool) int {
+	st := newStore()
+	st.put("op", "config", continuedConfiguration())
+	es := &engines{store: st, rec: rec, byAddress: make(map[string]*engine)}
+	held := [][]string{{"m0", "h0"}, {"m0", "m1"}, {"m2", "m3"}, {"m4", "m5"}, {"m6", "m7"}}
+	var first *engine
+	for i, models := range held {
+		e, err := es.startEngine(fmt.Sprintf("i-%d", i), zones[i%len(zones)], models...)
+		if err != nil {
+			rec.add("no server: %v", err)
+			return 2
+		}
+		if i == 0 {
+			first = e
+		}
+	}
+	s := &site{store: st.listen(), folder: folder, fencing: false}
+	defer s.stop()
+	if err := s.start(3); err != nil {
+		rec.add("no site: %v", err)
+		return 2
+	}
+	time.Sleep(4 * time.Second) // longer than contactMs
+	for round := range continuedRounds {
+		began := time.Now()
+		playRound(rec, s, first, round, trouble)
+		time.Sleep(time.Until(began.Add(roundTime)))
+	}
+	for _, p := range s.nodes {
+		if p.ended() {
+			rec.add("%s has ended", p.name)
+			return 2
+		}
+	}
+	return judgeContinued(rec, es, trouble)
+}
+
+// playRound sends the requests of a round.
+func playRound(rec *record, s *site, first *engine, round int, trouble bool) {
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	if trouble {
+		now := time.Now()
+		first.mu.Lock()
+		first.loss = &loss{share: lossShare, from: now, until: now.Add(lossTime)}
+		first.mu.Unlock()
+		rec.add("trouble   %s loses the answers of %.0f%% of what it runs for %v", first.id, 100*lossShare, lossTime)
+	}
+	began := time.Now()
+	send := func(p *node, kind string, i int, route, model, tokens string) {
+		id := fmt.Sprintf("%s-%d-%d", kind, round, i)
+		callers.Go(func() {
+			ask(rec, p, request{id: id, path: "/" + route + "/x", model: model, tokens: tokens, parts: fmt.Sprintf("%08x:400,%08x:200", round*1000+i, len(kind)*100000+round*1000+i),
+				body: id, deadline: streamTimeout})
+		})
+	}
+	for i := range firstStreams {
+		send(s.nodes[0], "first", i, "once", "m0", streamTokens)
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(time.Until(began.Add(laterStart)))
+	for i := range laterStreams {
+		send(s.nodes[0], "later", i, "once", "m0", streamTokens)
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(time.Until(began.Add(burstStart)))
+	rec.add("burst     of %d requests for h0", burstStreams)
+	for i := range burstStreams {
+		send(s.nodes[1+i%2], "burst", i, "hot", "h0", burstTokens)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// judgeContinued checks that no request continued at another server while the one before was still working on it.
+func judgeContinued(rec *record, es *engines, trouble bool) int {
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	lost, broken := 0, 0
+	for _, before := range es.spans {
+		if !before.lost.IsZero() && before.backup != "" {
+			lost++
+		}
+		for _, next := range es.spans {
+			if next.id != before.id || next.server == before.server || next.origin == "" || !next.began.After(before.began) {
+				continue
+			}
+			over := before.ended
+			if over.IsZero() {
+				over = time.Now()
+			}
+			if still := over.Sub(next.began); still > stillWorking {
+				broken++
+				rec.add("TWICE     %s continued at %s at %s, and %s worked on it for %d ms more", before.id, next.server, rec.at(next.began), before.server, still.Milliseconds())
+			}
+		}
+	}
+	rec.add("result    %d answers of copied runs lost, %d requests continued at another server beside a run", lost, broken)
+	switch {
+	case broken > 0:
+		return 1
+	case trouble && lost == 0:
+		return 2
+	}
+	return 0
+}
