Review case 4: a site of its own for each round

Cause: in the first form, eight rounds on one site, only the first two rounds broke the rule; why was not traced. Change: five rounds, each with new nodes and servers; servers close idle connections after 2 s and say so in Keep-Alive; answers are lost within the stated 4 s only.

--- a/review/standin-2/continued.go
+++ b/review/standin-2/continued.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -11,7 +14,7 @@
 // stream go on at the server that has its copy.
 
 const (
-	continuedRounds = 8
+	continuedRounds = 5 // each with a site of its own
 	roundTime       = 10 * time.Second
 	lossTime        = 4 * time.Second // of answer_lost in a round
 	lossShare       = 0.4             // of the requests that the server ran
@@ -51,40 +54,58 @@
 
 // continued runs the script. It returns 0 if the rule held, 1 if it was broken, and 2 if the case could not run.
 func continued(rec *record, folder string, trouble bool) int {
-	st := newStore()
-	st.put("op", "config", continuedConfiguration())
-	es := &engines{store: st, rec: rec, byAddress: make(map[string]*engine)}
-	held := [][]string{{"m0", "h0"}, {"m0", "m1"}, {"m2", "m3"}, {"m4", "m5"}, {"m6", "m7"}}
+	lost, broken := 0, 0
+	for round := range continuedRounds {
+		es := &engines{store: newStore(), rec: rec, byAddress: make(map[string]*engine)}
+		if err := playSite(rec, es, filepath.Join(folder, strconv.Itoa(round)), round, trouble); err != nil {
+			rec.add("not run: %v", err)
+			return 2
+		}
+		l, b := judgeContinued(rec, es)
+		lost, broken = lost+l, broken+b
+	}
+	rec.add("result    %d answers of copied runs lost, %d requests continued at another server beside a run", lost, broken)
+	switch {
+	case broken > 0:
+		return 1
+	case trouble && lost == 0:
+		return 2
+	}
+	return 0
+}
+
+// playSite plays a round with new servers and nodes.
+func playSite(rec *record, es *engines, folder string, round int, trouble bool) error {
+	if err := os.Mkdir(folder, 0o700); err != nil {
+		return err
+	}
+	es.store.put("op", "config", continuedConfiguration())
 	var first *engine
-	for i, models := range held {
-		e, err := es.startEngine(fmt.Sprintf("i-%d", i), zones[i%len(zones)], models...)
+	defer es.stop()
+	for i, models := range [][]string{{"m0", "h0"}, {"m0", "m1"}, {"m2", "m3"}, {"m4", "m5"}, {"m6", "m7"}} {
+		e, err := es.startEngine(fmt.Sprintf("i-%d-%d", round, i), zones[i%len(zones)], models...)
 		if err != nil {
-			rec.add("no server: %v", err)
-			return 2
+			return err
 		}
 		if i == 0 {
 			first = e
 		}
 	}
-	s := &site{store: st.listen(), folder: folder, fencing: false}
+	s := &site{store: es.store.listen(), folder: folder, fencing: false}
 	defer s.stop()
 	if err := s.start(3); err != nil {
-		rec.add("no site: %v", err)
-		return 2
+		return err
 	}
 	time.Sleep(4 * time.Second) // longer than contactMs
-	for round := range continuedRounds {
-		began := time.Now()
-		playRound(rec, s, first, round, trouble)
-		time.Sleep(time.Until(began.Add(roundTime)))
-	}
+	end := time.Now().Add(roundTime)
+	playRound(rec, s, first, round, trouble)
+	time.Sleep(time.Until(end))
 	for _, p := range s.nodes {
 		if p.ended() {
-			rec.add("%s has ended", p.name)
-			return 2
+			return fmt.Errorf("%s has ended", p.name)
 		}
 	}
-	return judgeContinued(rec, es, trouble)
+	return nil
 }
 
 // playRound sends the requests of a round.
@@ -123,11 +144,11 @@
 	}
 }
 
-// judgeContinued checks that no request continued at another server while the one before was still working on it.
-func judgeContinued(rec *record, es *engines, trouble bool) int {
+// judgeContinued checks that no request continued at another server while the one before was still working on it. It returns how
+// many answers of copied runs were lost, and how many requests broke the rule.
+func judgeContinued(rec *record, es *engines) (lost, broken int) {
 	es.mu.Lock()
 	defer es.mu.Unlock()
-	lost, broken := 0, 0
 	for _, before := range es.spans {
 		if !before.lost.IsZero() && before.backup != "" {
 			lost++
@@ -146,12 +167,5 @@
 			}
 		}
 	}
-	rec.add("result    %d answers of copied runs lost, %d requests continued at another server beside a run", lost, broken)
-	switch {
-	case broken > 0:
-		return 1
-	case trouble && lost == 0:
-		return 2
-	}
-	return 0
+	return lost, broken
 }
--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -25,6 +25,7 @@
 	tokensPerEvent  = 2
 	lossEvent       = 50 // event before which an answer is lost
 	serverHeartbeat = 1200 * time.Millisecond
+	idleSeconds     = 2 // after which a connection without a request is closed, as Keep-Alive tells
 )
 
 // span is one run of a request at a server.
@@ -71,6 +72,24 @@
 	mu        sync.Mutex
 	byAddress map[string]*engine
 	spans     []*span
+	listeners []net.Listener
+	stopped   bool
+}
+
+// stop makes the servers accept no more connections and write no more entries.
+func (es *engines) stop() {
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	es.stopped = true
+	for _, l := range es.listeners {
+		_ = l.Close()
+	}
+}
+
+func (es *engines) isStopped() bool {
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	return es.stopped
 }
 
 // startEngine starts a server that holds some models.
@@ -83,10 +102,12 @@
 		copies: make(map[string]bool), slots: make(chan struct{}, engineSlots)}
 	es.mu.Lock()
 	es.byAddress[e.address] = e
+	es.listeners = append(es.listeners, l)
 	es.mu.Unlock()
 	e.writeRow()
 	go func() {
-		for range time.Tick(serverHeartbeat) {
+		for !es.isStopped() {
+			time.Sleep(serverHeartbeat)
 			e.writeRow()
 		}
 	}()
@@ -152,10 +173,12 @@
 	}()
 	reader := bufio.NewReader(conn)
 	for {
+		_ = conn.SetReadDeadline(time.Now().Add(idleSeconds * time.Second))
 		r, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
+		_ = conn.SetReadDeadline(time.Time{})
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
@@ -191,7 +214,7 @@
 	if notExecuted {
 		head += "X-Martenwheel-Not-Executed: 1\r\n"
 	}
-	_, _ = fmt.Fprintf(w, "HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), head, len(text), text)
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 %d %s\r\n%sKeep-Alive: timeout=%d\r\nContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), head, idleSeconds, len(text), text)
 }
 
 func (e *engine) report() string {
@@ -373,8 +396,8 @@
 
 // sendEvents makes the events of a run and sends them, unless the answer is lost.
 func (e *engine) sendEvents(conn net.Conn, s *span, events int, loses bool) bool {
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Martenwheel-Attempt-Id: %s\r\nX-Martenwheel-Server-Seal: %s.%d\r\nTransfer-Encoding: chunked\r\n\r\n",
-		s.id, e.id, s.first)
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Martenwheel-Attempt-Id: %s\r\nX-Martenwheel-Server-Seal: %s.%d\r\nKeep-Alive: timeout=%d\r\nTransfer-Encoding: chunked\r\n\r\n",
+		s.id, e.id, s.first, idleSeconds)
 	lost := false
 	for i := s.first; i <= events; i++ {
 		if !e.isRunning(s.id) {
