--- a/review/standin-2/caller.go
+++ b/review/standin-2/caller.go
@@ -47,9 +47,9 @@
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(q.deadline + 2*time.Second))
 	var b strings.Builder
-	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Martenwheel-Attempt-Id: %s\r\nX-Martenwheel-Deadline-Ms: %d\r\n", q.path, host, q.id, q.deadline.Milliseconds())
+	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", q.path, host, wire("attempt"), q.id, wire("deadline"), q.deadline.Milliseconds())
 	if q.model != "" {
-		fmt.Fprintf(&b, "X-Martenwheel-Model: %s\r\nX-Martenwheel-Token-Count: %s\r\nX-Martenwheel-Prompt-Prefix: %s\r\n", q.model, q.tokens, q.parts)
+		fmt.Fprintf(&b, "%s: %s\r\n%s: %s\r\n%s: %s\r\n", wire("model"), q.model, wire("tokens"), q.tokens, wire("prompt parts"), q.parts)
 	}
 	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(q.body), q.body)
 	if _, err := io.WriteString(conn, b.String()); err != nil {
@@ -60,5 +60,5 @@
 		return reply{err: err}
 	}
 	text, err := io.ReadAll(r.Body)
-	return reply{status: r.StatusCode, seal: r.Header.Get("X-Martenwheel-Server-Seal"), text: string(text), events: strings.Count(string(text), "\n\n"), err: err}
+	return reply{status: r.StatusCode, seal: r.Header.Get(wire("seal")), text: string(text), events: strings.Count(string(text), "\n\n"), err: err}
 }
--- a/review/standin-2/continued.go
+++ b/review/standin-2/continued.go
@@ -36,17 +36,17 @@
 func continuedConfiguration() map[string]any {
 	var models []map[string]any
 	for _, name := range []string{"m0", "h0", "m1", "m2", "m3", "m4", "m5", "m6", "m7"} {
-		models = append(models, map[string]any{"name": name, "weightsMb": 70000, "loadS": 6, "adapters": 0, "adapterMb": 0, "warmupS": 1, "diskLoadS": 2})
+		models = append(models, map[string]any{"name": name, wire("memory"): 70000, "loadS": 6, "adapters": 0, "adapterMb": 0, wire("load from memory"): 1, wire("load from disk"): 2})
 	}
 	route := func(name string) map[string]any {
-		return map[string]any{"name": name, "host": host, "pathPrefix": "/" + name + "/", "kind": "streaming", "service": "llm", "timeoutMs": 25000,
-			"targetLatencyMs": 2500, "priority": 1, "maxAttempts": 1, "sticky": true, "resumable": false, "gapAimMs": 300}
+		return map[string]any{"name": name, "host": host, wire("prefix"): "/" + name + "/", "kind": "streaming", "service": "llm", "timeoutMs": 25000,
+			wire("target"): 2500, "priority": 1, wire("attempts"): 1, "sticky": true, "resumable": false, wire("gap target"): 300}
 	}
 	return map[string]any{
 		"version": 1,
 		"routes":  []map[string]any{route("once"), route("hot")},
 		"services": []map[string]any{{"name": "llm", "healthPath": "/health", "maxConnections": maxConnections, "engine": map[string]any{
-			"slots": engineSlots, "kvCapacityTokens": 130000, "weightsMb": 200000, "adapterSlots": 8, "loadsPerS": 3.1, "kvTokenBytes": 163840,
+			"slots": engineSlots, wire("cache"): 130000, wire("memory"): 200000, wire("adapter places"): 8, wire("loads"): 3.1, wire("token bytes"): 163840,
 			"linkMbps": 550000, "migrations": true, "kvBackups": true, "stride": tokensPerEvent, "handle_s": 5.0, "models": models}}},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	}
--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -159,7 +159,7 @@
 func (e *engine) writeRow() {
 	e.mu.Lock()
 	value := map[string]any{"service": "llm", "address": e.address, "zone": e.zone, "version": "1", "slots": engineSlots, "state": "ready",
-		"coldLeftMs": 0, "callSeq": e.orders, "stage": "both", "models": e.holdings()}
+		wire("cold"): 0, wire("orders"): e.orders, "stage": "both", "models": e.holdings()}
 	e.mu.Unlock()
 	e.site.store.put("servers", e.id, value)
 }
@@ -183,7 +183,7 @@
 		if err != nil {
 			return
 		}
-		if expected := r.Header.Get("X-Martenwheel-Expect-Instance"); expected != "" && expected != e.id {
+		if expected := r.Header.Get(wire("expected server")); expected != "" && expected != e.id {
 			answer(conn, r, http.StatusMisdirectedRequest, true, "")
 			continue
 		}
@@ -208,11 +208,11 @@
 // answer writes an answer that is no stream.
 func answer(w io.Writer, r *http.Request, status int, notExecuted bool, text string) {
 	head := ""
-	if id := r.Header.Get("X-Martenwheel-Attempt-Id"); id != "" {
-		head = "X-Martenwheel-Attempt-Id: " + id + "\r\n"
+	if id := r.Header.Get(wire("attempt")); id != "" {
+		head = wire("attempt") + ": " + id + "\r\n"
 	}
 	if notExecuted {
-		head += "X-Martenwheel-Not-Executed: 1\r\n"
+		head += wire("not run") + ": 1\r\n"
 	}
 	_, _ = fmt.Fprintf(w, "HTTP/1.1 %d %s\r\n%sKeep-Alive: timeout=%d\r\nContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), head, idleSeconds, len(text), text)
 }
@@ -220,7 +220,7 @@
 func (e *engine) report() string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	text, _ := json.Marshal(map[string]any{"stage": "both", "models": e.holdings(), "busy": e.busy, "callSeq": e.orders, "waiting": e.waiting,
+	text, _ := json.Marshal(map[string]any{"stage": "both", "models": e.holdings(), "busy": e.busy, wire("orders"): e.orders, "waiting": e.waiting,
 		"running": len(e.running), "kvUsed": 0, "kvTotal": 130000, "handles": 0})
 	return string(text)
 }
@@ -238,9 +238,13 @@
 		Model     string  `json:"model"`
 		Expected  *uint64 `json:"expectedRev"`
 		Holder    string  `json:"holder"`
-		Fence     uint64  `json:"fencingToken"`
 	}
-	if err := json.Unmarshal(body, &o); err != nil || o.Holder == "" || o.Fence == 0 {
+	var fields map[string]any
+	if json.Unmarshal(body, &o) != nil || json.Unmarshal(body, &fields) != nil {
+		return http.StatusBadRequest
+	}
+	fence, _ := fields[wire("fence")].(float64)
+	if o.Holder == "" || fence == 0 {
 		return http.StatusBadRequest
 	}
 	e.mu.Lock()
@@ -258,7 +262,7 @@
 	if load {
 		took = loadTime
 	}
-	e.site.rec.add("order     at %s: %s %s by %s, fence %d", e.id, o.Operation, o.Model, o.Holder, o.Fence)
+	e.site.rec.add("order     at %s: %s %s by %s, fence %.0f", e.id, o.Operation, o.Model, o.Holder, fence)
 	time.AfterFunc(took, func() {
 		e.mu.Lock()
 		e.busy = false
@@ -349,9 +353,9 @@
 // stream runs a streaming request. It reports whether the connection can be used on.
 func (e *engine) stream(conn net.Conn, r *http.Request) bool {
 	h := r.Header
-	s := &span{id: h.Get("X-Martenwheel-Attempt-Id"), server: e.id, origin: h.Get("Kv-From"), backup: h.Get("X-Martenwheel-Kv-Backup")}
+	s := &span{id: h.Get(wire("attempt")), server: e.id, origin: h.Get("Kv-From"), backup: h.Get(wire("backup"))}
 	e.mu.Lock()
-	holds := slices.Contains(e.models, h.Get("X-Martenwheel-Model"))
+	holds := slices.Contains(e.models, h.Get(wire("model")))
 	e.mu.Unlock()
 	if !holds {
 		answer(conn, r, http.StatusMisdirectedRequest, true, "")
@@ -372,7 +376,7 @@
 		defer func() { <-e.slots }()
 	}
 	last, _ := strconv.Atoi(h.Get("Last-Event-Id"))
-	_, out, _ := strings.Cut(h.Get("X-Martenwheel-Token-Count"), ",")
+	_, out, _ := strings.Cut(h.Get(wire("tokens")), ",")
 	tokens, _ := strconv.Atoi(out)
 	s.first, s.began = last+1, time.Now()
 	loses := s.origin == "" && e.losesAnswer(s.began)
@@ -396,8 +400,8 @@
 
 // sendEvents makes the events of a run and sends them, unless the answer is lost.
 func (e *engine) sendEvents(conn net.Conn, s *span, events int, loses bool) bool {
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Martenwheel-Attempt-Id: %s\r\nX-Martenwheel-Server-Seal: %s.%d\r\nKeep-Alive: timeout=%d\r\nTransfer-Encoding: chunked\r\n\r\n",
-		s.id, e.id, s.first, idleSeconds)
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\n%s: %s.%d\r\nKeep-Alive: timeout=%d\r\nTransfer-Encoding: chunked\r\n\r\n",
+		wire("attempt"), s.id, wire("seal"), e.id, s.first, idleSeconds)
 	lost := false
 	for i := s.first; i <= events; i++ {
 		if !e.isRunning(s.id) {
--- a/review/standin-2/node.go
+++ b/review/standin-2/node.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	_ "embed"
 	"fmt"
 	"net"
 	"net/http"
@@ -21,25 +22,10 @@
 	lastInner     = 7395
 )
 
-const settingsText = `nodeName: "%[1]s"
-role: "node"
-machineClass: "front"
-serves: ["front", "directory"]
-ip: "%[2]s"
-zone: "%[3]s"
-region: "region"
-zones: {zone-a: "region", zone-b: "region", zone-c: "region"}
-listen: {front: "%[2]s:8149", ready: "%[2]s:8141", directory: "%[2]s:8143"}
-innerPortRange: [7380, 7395]
-bootstrap: %[4]t
-limits: {cpuShare: 0.4, cores: 1, memoryMb: 284, maxFds: 4100, linkMbps: 1000.0, diskMb: 0}
-heartbeatMs: 1200
-bounds: {seedLagS: 3, reuseAfterS: 2, contactMs: 3000, ackMs: 4000, catchUpS: 4, drainMs: 2000, graceS: 8,
-  lossSlackMs: 200, configApplyMs: 2000, rollbackSlackMs: 250, maxStretchMs: 5000, retryBudgetRatio: 0.2,
-  budgetWindowS: 10, budgetSlack: 52, recoveryS: 12, passMs: 120, retryAfterS: 0, requireFencing: %[5]t,
-  leaseMs: 3000, thawSlackMs: 300, ceilingWindowS: 5, ceilingOverage: 1.1, ttl_max_s: 5}
-platform: {address: "%[6]s", form: "table", writesPerS: 400, readsPerS: 2000, tx_ms: 5.0, row_bytes: 65536, historyS: 20}
-`
+// settingsText is the settings of a node, as a format.
+//
+//go:embed settings.yaml
+var settingsText string
 
 // node is a node of the product, a process of its own on a loopback address of its own.
 type node struct {
@@ -127,7 +113,7 @@
 	defer log.Close()
 	fields := strings.Fields(os.Getenv("NODE_COMMAND"))
 	p.command = exec.Command(fields[0], fields[1:]...)
-	p.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "MARTENWHEEL_CONFIG=" + p.path}
+	p.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), wire("settings variable") + "=" + p.path}
 	p.command.Stdout, p.command.Stderr = log, log
 	if err := p.command.Start(); err != nil {
 		return err
@@ -168,7 +154,7 @@
 
 // ready checks the node's readiness as the platform does.
 func (p *node) ready() bool {
-	r, err := probes.Get(fmt.Sprintf("http://%s:%d/readiness", p.ip, readyPort))
+	r, err := probes.Get(fmt.Sprintf("http://%s:%d%s", p.ip, readyPort, wire("readiness")))
 	if err != nil {
 		return false
 	}
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -81,10 +81,8 @@
 
 // page is an answer about rows.
 type page struct {
-	Rows []row  `json:"rows"`
-	More bool   `json:"more"`
-	Ver  uint64 `json:"ver"`
-	Now  int64  `json:"now_ms"`
+	Rows []row
+	More bool
 }
 
 // reply writes an answer. The caller holds mu.
@@ -92,21 +90,20 @@
 	if p.Rows == nil {
 		p.Rows = []row{}
 	}
-	p.Ver, p.Now = s.ver, time.Since(s.started).Milliseconds()
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(p)
+	_ = json.NewEncoder(w).Encode(map[string]any{"rows": p.Rows, "more": p.More, "ver": s.ver, wire("store time"): time.Since(s.started).Milliseconds()})
 }
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeCallTime)
 	switch r.URL.Path {
-	case "/rows-get":
+	case wire("get"):
 		s.get(w, r)
-	case "/rows-feed":
+	case wire("feed"):
 		s.feed(w, r)
-	case "/rows-tx":
+	case wire("transaction"):
 		s.tx(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
@@ -137,7 +134,7 @@
 func (s *store) feed(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
-	wait, _ := strconv.Atoi(q.Get("waitMs"))
+	wait, _ := strconv.Atoi(q.Get(wire("wait")))
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for over := false; ; {
 		s.mu.Lock()
