Review case 4: inside the plain dose of answer_lost, at the site's usual rate

Cause: x 0.4 is the site file's dose with how = reset, not of the form that the script plays, and 18 requests in 90 ms were a burst of their own, so that two disruptions were used. Change: x 0.3; callers send at most one request each 44 ms; eight first streams.

--- a/review/standin-2/continued.go
+++ b/review/standin-2/continued.go
@@ -17,17 +17,18 @@
 	continuedRounds = 5 // each with a site of its own
 	roundTime       = 10 * time.Second
 	lossTime        = 4 * time.Second // of answer_lost in a round
-	lossShare       = 0.4             // of the requests that the server ran
+	lossShare       = 0.3             // of the requests that the server ran
 	stillWorking    = 400 * time.Millisecond
 )
 
 // Requests of a round. Streams of m0 may run only once; h0 is held by one server alone.
 const (
-	firstStreams  = 6
+	firstStreams  = 8
 	laterStreams  = 6
 	burstStreams  = 18
 	laterStart    = 2000 * time.Millisecond
 	burstStart    = 2400 * time.Millisecond
+	requestGap    = 44 * time.Millisecond // the site has 22.7 requests of its commonest kind a second
 	streamTokens  = "1400,300"
 	burstTokens   = "600,120"
 	streamTimeout = 15 * time.Second
@@ -129,18 +130,18 @@
 	}
 	for i := range firstStreams {
 		send(s.nodes[0], "first", i, "once", "m0", streamTokens)
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(requestGap)
 	}
 	time.Sleep(time.Until(began.Add(laterStart)))
 	for i := range laterStreams {
 		send(s.nodes[0], "later", i, "once", "m0", streamTokens)
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(requestGap)
 	}
 	time.Sleep(time.Until(began.Add(burstStart)))
-	rec.add("burst     of %d requests for h0", burstStreams)
+	rec.add("burst     of %d requests for h0, one each 44 ms", burstStreams)
 	for i := range burstStreams {
 		send(s.nodes[1+i%2], "burst", i, "hot", "h0", burstTokens)
-		time.Sleep(5 * time.Millisecond)
+		time.Sleep(requestGap)
 	}
 }
 
