--- a/pkg/relay/migrate.go
+++ b/pkg/relay/migrate.go
@@ -436,7 +436,7 @@
 		copied, err = c.relay.Mover.Copy(ctx, r.source, CopyOrder{RequestID: c.id, To: target.Address, Stop: stop})
 		cancel()
 		r.addLogLine(moveLine{From: r.source.ID, To: target.ID, Step: stepNames[stop], TookMS: c.relay.Time.Since(began).Milliseconds(),
-			Events: copied.Events, Outcome: stopOutcome(copied, err).String()})
+			Events: copied.Events, Outcome: stopOutcome(copied, err).String(), Error: errorText(err)})
 		again := stopOutcome(copied, err) == migration.NoAnswer && (err == nil || !stop)
 		if !again {
 			return copied, err
--- a/pkg/relay/resume.go
+++ b/pkg/relay/resume.go
@@ -18,6 +18,15 @@
 	TookMS  int64  `json:"took_ms"`
 	Events  int    `json:"events"` // of the run so far, or received by the caller before the step
 	Outcome string `json:"outcome"`
+	Error   string `json:"error,omitempty"` // why a call failed
+}
+
+// errorText returns the text of an error for a log entry, empty if there is none.
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
 }
 
 // maxMoveLines limits the log entries about the moves of one stream.
