tunnel: a reset connection is no sign that a server has ended

Cause: a node that connects for another one answered "refused" for a reset as well, which the asking node turned into ECONNREFUSED, its proof that nothing listens there. A connection that is reset as soon as it is accepted fails with ECONNRESET in connect at times. Change: such a node answers "reset"; if no way comes up, the dialer reports a reset. Nodes of an earlier build take the new result for a node that opens no tunnel. Why it works: only a refusal by the system is passed on as one; a reset shows a live process or a link in between. Measured: TestServersThatResetConnectionsCountAsEnded failed in both plays before (connection refused) and passes; all of pkg/tunnel passes.

--- a/pkg/tunnel/dialer.go
+++ b/pkg/tunnel/dialer.go
@@ -123,7 +123,7 @@
 	case err == nil:
 		d.Reach.Connected(address)
 	case ctx.Err() == nil:
-		d.Reach.Failed(address, !isRefusal(err))
+		d.Reach.Failed(address, !isRejection(err))
 	}
 	return conn, err
 }
@@ -157,9 +157,9 @@
 	return addresses
 }
 
-// isRefusal reports whether a connection failed by an answer, which may come from the server or from a
+// isRejection reports whether a connection failed by an answer, which may come from the server or from a
 // link that rejects connections.
-func isRefusal(err error) bool {
+func isRejection(err error) bool {
 	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 }
 
@@ -268,6 +268,7 @@
 	pending     int
 	triedDirect bool
 	directErr   error // why the direct connection failed; nil: it has not
+	reset       bool  // the server reset a connection of another node
 	helperCtx   context.Context
 	stopHelpers context.CancelFunc
 }
@@ -337,12 +338,14 @@
 			case a.conn != nil:
 				return r.won(a), nil
 			case a.result == Refused:
-				return nil, refusal()
+				return nil, rejection(syscall.ECONNREFUSED)
+			case a.result == Reset:
+				r.reset = true
 			case a.node != "":
 				r.dialer.avoid(a.node)
 			default:
 				r.directErr = a.err
-				if isRefusal(a.err) {
+				if isRejection(a.err) {
 					unconfirmed = time.After(confirmTime)
 				}
 			}
@@ -364,17 +367,19 @@
 // failure returns why there is no connection.
 func (r *race) failure() error {
 	switch {
+	case r.reset:
+		return rejection(syscall.ECONNRESET)
 	case r.directErr == nil:
 		return errNotReached
-	case isRefusal(r.directErr) && r.dialer.Reach.doubtsRefusal(r.address):
+	case isRejection(r.directErr) && r.dialer.Reach.doubtsRefusal(r.address):
 		return errors.Wrap(errNotReached, "a connection was rejected")
 	}
 	return r.directErr
 }
 
-// refusal is the error of a connection that the server refused to another node.
-func refusal() error {
-	return &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+// rejection is the error of a connection that the server refused to another node, or reset.
+func rejection(how syscall.Errno) error {
+	return &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", how)}
 }
 
 // abandon ends the attempts that are not needed. A direct one ends by its own time limit.
--- a/pkg/tunnel/dialer_test.go
+++ b/pkg/tunnel/dialer_test.go
@@ -20,6 +20,7 @@
 const (
 	works   link = iota
 	refuses      // the server or the link
+	resets       // the server, which accepts no more connections now
 	hangs
 	slow // for the time of a busy machine
 )
@@ -37,7 +38,9 @@
 	wait, err := roundTrip, error(nil)
 	switch l {
 	case refuses:
-		err = refusal()
+		err = rejection(syscall.ECONNREFUSED)
+	case resets:
+		err = rejection(syscall.ECONNRESET)
 	case hangs:
 		wait, err = hangTime, os.ErrDeadlineExceeded
 	case slow:
@@ -84,7 +87,7 @@
 		switch {
 		case err == nil:
 			return conn, Open, nil
-		case isRefusal(err):
+		case isRejection(err):
 			return nil, Refused, nil
 		}
 		return nil, NotReached, err
@@ -236,6 +239,35 @@
 	})
 }
 
+// TestServersThatResetConnectionsCountAsEnded guards against an end that a node concludes from a reset at another node: a busy server
+// takes no more connections, and works on.
+func TestServersThatResetConnectionsCountAsEnded(t *testing.T) {
+	for name, direct := range map[string]link{"reset here as well": resets, "silent here": hangs} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				other := newDialer(works, nil)
+				other.Direct = func(ctx context.Context, address string) (net.Conn, error) {
+					if address == serverName {
+						return resets.dial(ctx)
+					}
+					return works.dial(ctx)
+				}
+				h := &Helper{Dialer: other, Stopping: func() bool { return false }, Logger: hclog.NewNullLogger(), Listed: func(context.Context, Connect) bool { return true }}
+				d := newDialer(direct, map[string]func(context.Context) (net.Conn, Result, error){
+					"a": func(ctx context.Context) (net.Conn, Result, error) {
+						conn, result := h.Connect(ctx, "node", Connect{Address: serverName})
+						return conn, result, nil
+					},
+				})
+				if _, err := d.Dial(t.Context(), serverName); !errors.Is(err, syscall.ECONNRESET) {
+					t.Errorf("error %v, want the reset that another node saw", err)
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
 // TestHelperOpensTunnelsItShouldNot guards against hops through nodes that stop, are cut or don't list the server.
 func TestHelperOpensTunnelsItShouldNot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/tunnel/helper.go
+++ b/pkg/tunnel/helper.go
@@ -7,9 +7,11 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 )
 
 // Limits of the tunnels that a node opens for others.
@@ -94,7 +96,10 @@
 		return conn, Open
 	}
 	h.open.Add(-1)
-	if isRefusal(err) && h.reachesAnother(ctx, c.Address, began) {
+	switch {
+	case errors.Is(err, syscall.ECONNRESET):
+		return nil, Reset
+	case isRejection(err) && h.reachesAnother(ctx, c.Address, began):
 		return nil, Refused
 	}
 	return nil, NotReached
@@ -146,6 +151,8 @@
 		return "refused"
 	case NotReached:
 		return "not reached"
+	case Reset:
+		return "reset"
 	default:
 		return "unavailable"
 	}
--- a/pkg/tunnel/messages.go
+++ b/pkg/tunnel/messages.go
@@ -20,6 +20,7 @@
 	Refused            // the server refused the connection, and the node reaches other servers
 	NotReached         // the node did not reach the server either
 	Unavailable        // the node opens no tunnel now
+	Reset              // the connection was reset: the server runs and may be busy, or a link rejects connections
 )
 
 // Connected answers a Connect.
