relay, migration, backend: a stop that was not sent is no run that is over

Cause: the outcome "not sent" of a stop, a fact about bytes, counted as a source that can't be reached and whose run is over. The same error came of a reset, a connection that was late, a node that was held up, or a limit. Change: the outcome "not sent" shows nothing. A stop that was not sent or not answered is repeated, with pauses of 25 to 400 ms, for as long as the copy lasts (0.4 s if the stream may begin anew). A copy is used once the source said that the run stopped or is not there, its system refuses connections (ErrRefused), or two stops in a row found no sign of the source, neither here nor through other nodes nor on any open connection (ErrNoConnection, HeardSince), which the users' rule excepts as a server that the node does not reach. Why it works: each outcome that frees the copy is made at that moment and by the source, its system, or the silence of all ways to it.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -41,6 +41,11 @@
 var (
 	// ErrNotSent means that no byte of the request left this process.
 	ErrNotSent = errors.New("backend: not sent")
+	// ErrRefused marks an ErrNotSent whose connection the server's system refused, as far as known: nothing listens at its
+	// address.
+	ErrRefused = errors.New("backend: connection refused")
+	// ErrNoConnection marks an ErrNotSent for which no way to the server gave any sign of it, not even a refusal or a reset.
+	ErrNoConnection = errors.New("backend: no sign of the server")
 	// ErrNoAnswer means that at least a part of the request was sent, but no response came.
 	ErrNoAnswer = errors.New("backend: sent, no answer")
 	// ErrMalformed marks an ErrNoAnswer or ErrBroken of a server that lives but sends no response.
@@ -162,7 +167,7 @@
 
 func newConn(p *pool, nc net.Conn) *conn {
 	_, indirect := nc.(IndirectConn)
-	in := &inbound{from: nc, headLeft: unlimited}
+	in := &inbound{from: nc, headLeft: unlimited, onData: p.noteHeard}
 	c := &conn{Conn: nc, pool: p, indirect: indirect, inbound: in, reader: bufio.NewReaderSize(in, readBufferBytes),
 		breaksBefore: p.identity.breaks.Load()}
 	go c.read()
--- a/pkg/backend/inbound.go
+++ b/pkg/backend/inbound.go
@@ -37,6 +37,7 @@
 // reads that; received may be read at any time.
 type inbound struct {
 	from     net.Conn
+	onData   func()       // called when something arrived
 	err      error        // with which from ended; nil: it lives
 	received atomic.Int64 // bytes since the current exchange began
 	headLeft int          // bytes that the current head may still take; unlimited: none is read
@@ -52,6 +53,9 @@
 		p = p[:min(len(p), in.headLeft)]
 	}
 	n, err := in.from.Read(p)
+	if n > 0 {
+		in.onData()
+	}
 	in.err = err
 	in.received.Add(int64(n))
 	if in.headLeft > 0 {
--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -38,6 +38,8 @@
 	address    string
 	control    *memory.Budget
 	limit      atomic.Int64 // maximum number of connections; zero: unlimited
+	created    time.Time
+	heardAfter atomic.Int64 // time from created to the last sign of the server, in nanoseconds
 	identity   identity
 
 	mu        sync.Mutex
@@ -53,7 +55,7 @@
 }
 
 func newPool(d *Directory, address string) *pool {
-	p := &pool{dial: d.Dialer, dialDirect: d.DirectDialer, reach: d.Reach, time: d.Time, address: address, control: d.controlBudget()}
+	p := &pool{dial: d.Dialer, dialDirect: d.DirectDialer, reach: d.Reach, time: d.Time, created: d.Time.Now(), address: address, control: d.controlBudget()}
 	if p.dialDirect == nil {
 		p.dialDirect = d.Dialer
 	}
@@ -169,12 +171,21 @@
 		p.failed(err)
 		return nil, err
 	}
+	p.noteHeard()
 	p.mu.Lock()
 	p.goneUntil = time.Time{}
 	p.mu.Unlock()
 	return newConn(p, nc), nil
 }
 
+// noteHeard records that a connection came up or something arrived on one.
+func (p *pool) noteHeard() { p.heardAfter.Store(int64(p.time.Since(p.created))) }
+
+// HeardSince reports whether the server gave this node a sign after a time, on any connection, also through other nodes.
+func (c *Condition) HeardSince(t time.Time) bool {
+	return c.pool.created.Add(time.Duration(c.pool.heardAfter.Load())).After(t)
+}
+
 // failed records that a connection attempt failed.
 func (p *pool) failed(err error) {
 	refused := errors.Is(err, syscall.ECONNREFUSED)
@@ -222,6 +233,18 @@
 	return fmt.Errorf("%w: %w", err, ErrNotSent) // callers test for either error
 }
 
+// notConnected marks err as the reason why there is no connection for a request.
+func notConnected(err error) error {
+	switch {
+	case errors.Is(err, ErrTooManyConnections), errors.Is(err, syscall.ECONNRESET):
+	case errors.Is(err, syscall.ECONNREFUSED):
+		err = fmt.Errorf("%w: %w", ErrRefused, err)
+	default:
+		err = fmt.Errorf("%w: %w", ErrNoConnection, err)
+	}
+	return notSent(err)
+}
+
 // isConnectionError reports whether a probe failed by its connection alone.
 func isConnectionError(err error) bool {
 	return errors.Is(err, ErrNotSent) || errors.Is(err, ErrNoAnswer) || errors.Is(err, ErrBroken) || errors.Is(err, errNotReusable)
@@ -236,7 +259,7 @@
 		if fresh {
 			var err error
 			if nc, err = c.pool.connect(ctx, m.Control, m.Direct); err != nil {
-				return nil, notSent(err)
+				return nil, notConnected(err)
 			}
 		}
 		if nc.needsProbe(m.Probe) {
--- a/pkg/migration/handover.go
+++ b/pkg/migration/handover.go
@@ -22,7 +22,9 @@
 	Kept                       // Stop: the source stopped and holds the run's memory, but could not copy the rest
 	NoRun                      // Stop: the source does not run the request, or no longer does
 	Refused                    // the server refused and did nothing
-	NotSent                    // nothing was sent: the server can't be reached
+	NotSent                    // nothing was sent, which shows nothing of the server and its runs
+	Ended                      // Stop: the source's process has ended, and the run with it
+	Unreachable                // Stop: nothing was sent, as there is no sign of the source here or at other nodes
 	NoAnswer                   // outcome unknown: the server may have acted or may still act
 	StreamBroke                // the stream broke after some events
 )
@@ -37,20 +39,25 @@
 	Copied      bool // the target has a complete or partial copy
 	Kept        bool // the source holds the run's memory under the copy's handle
 	Stopped     bool // the source is known to have stopped the run
-	MayStop     bool // the source can be asked to stop
+	MayStop     bool // the source can be asked to stop, and there is time for it
 	MayReturn   bool // the source still accepts requests
 	MayRunAgain bool // the request may run more than once
 
-	used        bool // the copy has been used, so it cannot be used again
-	served      bool // the stream was served to its end
-	stopCalls   int  // number of Stop calls made
-	triedSource bool // the request was sent to the source again
-	triedTarget bool // the request was sent to the target
+	used         bool // the copy has been used, so it cannot be used again
+	served       bool // the stream was served to its end
+	refusedStops int  // number of Stop calls that the source refused
+	unreachable  int  // number of the latest Stop calls in a row that found no sign of the source
+	triedSource  bool // the request was sent to the source again
+	triedTarget  bool // the request was sent to the target
 }
 
-// maxStopCalls bounds the Stop calls to a source that does not answer: two while the stream is
-// running, one after it broke.
-const maxStopCalls = 3
+// maxRefusedStops bounds the Stop calls to a source that refuses them. Calls without an answer, or that can't be sent, are repeated for as
+// long as MayStop is set: a stop has no other effect if it is carried out twice, or late.
+const maxRefusedStops = 3
+
+// minUnreachable is how many Stop calls in a row have to find no sign of the source before its run counts as over for this node: a single
+// connection may be late.
+const minUnreachable = 2
 
 // Next returns the next step. Call RecordOutcome with its outcome before the next call.
 func (h *Handover) Next() Step {
@@ -59,9 +66,9 @@
 		return Completed
 	case h.used || !h.Copied && !h.Kept:
 		return h.fallback()
-	case !h.Stopped && h.MayStop && h.stopCalls < maxStopCalls:
+	case !h.mayUseCopy() && h.MayStop && h.refusedStops < maxRefusedStops:
 		return Stop
-	case !h.Stopped: // the source may still execute the run, so the copy must not be used
+	case !h.mayUseCopy(): // the source may still execute the run
 		return h.fallback()
 	case h.Copied && !h.triedTarget:
 		return ResumeAtTarget
@@ -71,6 +78,9 @@
 	return h.fallback()
 }
 
+// mayUseCopy reports whether the source certainly executes the run no more, or is out of reach for all that is known.
+func (h *Handover) mayUseCopy() bool { return h.Stopped || h.unreachable >= minUnreachable }
+
 // fallback returns the step to take when no copy can be used.
 func (h *Handover) fallback() Step {
 	if h.MayRunAgain {
@@ -95,14 +105,20 @@
 
 // recordStop records the outcome of a Stop call.
 func (h *Handover) recordStop(o Outcome) {
-	h.stopCalls++
+	if o == Unreachable {
+		h.unreachable++
+		return
+	}
+	h.unreachable = 0
 	switch o {
 	case Done:
 		h.Stopped, h.Copied, h.Kept = true, true, true
 	case Kept:
 		h.Stopped, h.Kept = true, true
-	case NoRun, NotSent: // the run ended, or the source can't be reached from here at all
+	case NoRun, Ended:
 		h.Stopped = true
+	case Refused:
+		h.refusedStops++
 	}
 }
 
@@ -121,7 +137,7 @@
 
 // String returns the name of the outcome for logs.
 func (o Outcome) String() string {
-	names := [...]string{"done", "kept at the source", "no run", "refused", "not sent", "no answer", "broke off"}
+	names := [...]string{"done", "kept at the source", "no run", "refused", "not sent", "ended", "unreachable", "no answer", "broke off"}
 	if int(o) < len(names) {
 		return names[o]
 	}
--- a/pkg/migration/migration_test.go
+++ b/pkg/migration/migration_test.go
@@ -85,6 +85,7 @@
 	copied      bool
 	stopped     bool // the source stopped the run and holds its memory
 	used        bool
+	unreachable bool   // the last call found no sign of the source
 	delayedCall func() // a call that takes effect after the caller stopped waiting for its answer
 	violations  []string
 	runs        int
@@ -126,10 +127,20 @@
 			m.working["source"], m.stopped, m.copied = false, true, true
 		}
 	}
+	unreachable := m.unreachable
+	m.unreachable = false
 	switch {
-	case m.chance(4): // the source crashed, which ended the run
+	case m.chance(8): // the source crashed, which ended the run
 		m.working["source"], m.stopped = false, false
+		return Ended
+	case m.chance(8): // the source accepts no connection and works on
 		return NotSent
+	case m.chance(8): // a connection came up too late or, the second time, the source's machine has no power
+		if unreachable {
+			m.working["source"], m.stopped = false, false
+		}
+		m.unreachable = true
+		return Unreachable
 	case m.chance(4):
 		m.delayedCall = stop
 		return NoAnswer
@@ -196,7 +207,8 @@
 				}
 				break
 			}
-			if steps > 10 {
+			h.MayStop = h.MayStop && steps < 8 // there is no time for more
+			if steps > 12 {
 				m.violations = append(m.violations, "the handover did not end")
 				break
 			}
@@ -233,6 +245,17 @@
 			h.Stopped = true
 			return h.Next()
 		},
+		"a call that is not sent stops nothing": func(h *Handover, s Step) Step {
+			if s == Stop {
+				h.RecordOutcome(Stop, NoRun)
+				return h.Next()
+			}
+			return s
+		},
+		"one connection may be late": func(h *Handover, s Step) Step {
+			h.Stopped = h.Stopped || h.unreachable > 0
+			return h.Next()
+		},
 		"one that may run once is not run anew": func(_ *Handover, s Step) Step {
 			if s == GiveUp {
 				return RunAgain
--- a/pkg/relay/migrate.go
+++ b/pkg/relay/migrate.go
@@ -17,7 +17,8 @@
 // Mover makes servers copy the memory of running requests to each other.
 type Mover interface {
 	// Copy makes the source copy a request's memory to another server and returns when that is
-	// done. The error backend.ErrNotSent means that the source was not asked.
+	// done. The error backend.ErrNotSent means that the source was not asked, which says nothing of the run; see
+	// activeStream.outcome.
 	Copy(ctx context.Context, source *backend.Member, o CopyOrder) (Copied, error)
 	// Drop frees an unused copy at both ends.
 	Drop(ctx context.Context, source *backend.Member, handle string) error
@@ -325,8 +326,8 @@
 		r.requestTarget()
 		return
 	}
-	copied, err := r.copyTo(target, false, limit)
-	if err != nil || copied.Result != CopyDone {
+	copied, outcome := r.copyTo(target, false, limit)
+	if outcome != migration.Done {
 		if copied.Handle != "" {
 			r.dropHandle(copied.Handle)
 		}
@@ -379,36 +380,54 @@
 	return !r.ended
 }
 
-// stop makes the source stop the run and copy the rest. A call that can't be sent says nothing
-// about a source that still streams: it may just accept no more connections.
+// stop makes the source stop the run and copy the rest. A source that still streams has not ended, whatever became of the call: it may
+// just accept no more connections.
 func (r *activeStream) stop(limit time.Duration) migration.Outcome {
 	r.mu.Lock()
 	before := r.stopSent
 	r.stopSent = true
 	target := r.target
 	r.mu.Unlock()
-	copied, err := r.copyTo(target, true, limit)
+	copied, outcome := r.copyTo(target, true, limit)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if copied.Handle != "" {
 		r.handle = copied.Handle
 	}
-	outcome := stopOutcome(copied, err)
 	r.stopUnanswered = r.stopUnanswered || outcome == migration.NoAnswer
-	if outcome == migration.NotSent && !r.ended {
+	if isUnsent(outcome) && !r.ended {
 		r.stopSent = before
-		r.handover.RecordOutcome(migration.Stop, migration.Refused)
-		return outcome
+		outcome = migration.NotSent
 	}
 	r.handover.RecordOutcome(migration.Stop, outcome)
 	return outcome
 }
 
-// stopOutcome converts the answer to a stop for the handover.
-func stopOutcome(copied Copied, err error) migration.Outcome {
+// isUnsent reports whether a call was not sent.
+func isUnsent(o migration.Outcome) bool {
+	return o == migration.NotSent || o == migration.Ended || o == migration.Unreachable
+}
+
+// outcome converts the answer to a call for the handover. The call was made at the given time and had to end within the limit. A
+// call that was not sent shows that the source has ended only if nothing listens at its address, and that it can't be reached only if
+// neither this call nor any connection brought a sign of it while this node itself was not held up.
+func (r *activeStream) outcome(copied Copied, err error, began time.Time, limit time.Duration) migration.Outcome {
 	switch {
-	case errors.Is(err, backend.ErrNotSent):
+	case !errors.Is(err, backend.ErrNotSent):
+		return answerOutcome(copied, err)
+	case r.source.HeardSince(began):
 		return migration.NotSent
+	case errors.Is(err, backend.ErrRefused):
+		return migration.Ended
+	case errors.Is(err, backend.ErrNoConnection) && r.call.relay.Time.Since(began) < limit+maxTimerDelay:
+		return migration.Unreachable
+	}
+	return migration.NotSent
+}
+
+// answerOutcome converts the answer to a call that may have been sent for the handover.
+func answerOutcome(copied Copied, err error) migration.Outcome {
+	switch {
 	case err != nil, copied.Result == CopyBusy:
 		return migration.NoAnswer
 	case copied.Result == CopyNoRun:
@@ -428,22 +447,23 @@
 // the call once if another call is in progress, or if a copy got no answer while the run continues:
 // a copy that may exist can only be dropped by its handle. Repeating a stop without an answer is
 // left to the handover.
-func (r *activeStream) copyTo(target *backend.Member, stop bool, limit time.Duration) (copied Copied, err error) {
+func (r *activeStream) copyTo(target *backend.Member, stop bool, limit time.Duration) (copied Copied, outcome migration.Outcome) {
 	c := r.call
 	for range maxCopyCalls {
 		began := c.relay.Time.Now()
 		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		var err error
 		copied, err = c.relay.Mover.Copy(ctx, r.source, CopyOrder{RequestID: c.id, To: target.Address, Stop: stop})
 		cancel()
+		outcome = r.outcome(copied, err, began, limit)
 		r.addLogLine(moveLine{From: r.source.ID, To: target.ID, Step: stepNames[stop], TookMS: c.relay.Time.Since(began).Milliseconds(),
-			Events: copied.Events, Outcome: stopOutcome(copied, err).String(), Error: errorText(err)})
-		again := stopOutcome(copied, err) == migration.NoAnswer && (err == nil || !stop)
-		if !again {
-			return copied, err
+			Events: copied.Events, Outcome: outcome.String(), Error: errorText(err)})
+		if outcome != migration.NoAnswer || err != nil && stop {
+			break
 		}
 		time.Sleep(copyBusyPause)
 	}
-	return copied, err
+	return copied, outcome
 }
 
 // pickTarget returns the server that the stream moves to, or nil if none has free capacity.
--- a/pkg/relay/migrate_test.go
+++ b/pkg/relay/migrate_test.go
@@ -290,7 +290,7 @@
 	stop := f.working[source.ID]
 	switch {
 	case f.crashed[source.ID]:
-		return Copied{}, errors.Wrap(backend.ErrNotSent, "a test's fault")
+		return Copied{}, fmt.Errorf("%w: %w", backend.ErrRefused, backend.ErrNotSent)
 	case effect == lost:
 		return Copied{}, errLost
 	case effect == lateStop:
--- a/pkg/relay/resume.go
+++ b/pkg/relay/resume.go
@@ -141,11 +141,19 @@
 	}
 	h.MayStop, h.MayRunAgain = c.engine.Moves, c.route.Repeatable()
 	h.Copied = h.Copied || r.backup != nil
+	patience := c.newStopPatience()
 	for {
 		h.MayReturn = c.mayReturnToSource(r)
+		h.MayStop = h.MayStop && !patience.over(c.relay.Time.Now())
 		switch step := h.Next(); step {
 		case migration.Stop:
-			r.stop(moveCallTimeout)
+			if o := r.stop(moveCallTimeout); o == migration.NotSent || o == migration.NoAnswer {
+				c.sleep(ctx, patience.nextPause())
+			}
+			if ctx.Err() != nil {
+				c.giveUp(ctx, context.Cause(ctx))
+				return false
+			}
 		case migration.ResumeAtTarget, migration.ResumeAtSource:
 			next, v, err, ended := c.resume(ctx, r, step)
 			if ended || errors.Is(err, errHandedOver) { // the latter: the next server left or broke off in turn
@@ -160,6 +168,45 @@
 	}
 }
 
+// stopPatience tells how long the source of a stream that broke off is asked to stop its run, if the calls can't be sent or bring no
+// answer: a server may reset further connections while it is busy.
+type stopPatience struct {
+	until time.Time
+	pause time.Duration
+}
+
+// Pauses between such calls. Each is twice the one before, as every call may cost a connection.
+const (
+	firstStopPause = 25 * time.Millisecond
+	maxStopPause   = 400 * time.Millisecond
+)
+
+// defaultHandleTime is how long servers are taken to keep an unused copy if the engine does not tell.
+const defaultHandleTime = 5 * time.Second
+
+// newStopPatience returns the patience for a stream that has just broken off: for as long as its copy lasts, or shortly if the stream may
+// begin anew elsewhere.
+func (c *call) newStopPatience() *stopPatience {
+	lasts := c.engine.HandleTime
+	if lasts <= 0 {
+		lasts = defaultHandleTime
+	}
+	if c.mayRunAgain() {
+		lasts = moveCallTimeout
+	}
+	return &stopPatience{until: c.relay.Time.Now().Add(lasts), pause: firstStopPause}
+}
+
+// over reports whether the source is asked no more.
+func (p *stopPatience) over(now time.Time) bool { return now.After(p.until) }
+
+// nextPause returns the pause before the next call.
+func (p *stopPatience) nextPause() time.Duration {
+	pause := p.pause
+	p.pause = min(2*p.pause, maxStopPause)
+	return pause
+}
+
 // mayReturnToSource reports whether the source of a stream may still be sent a request.
 func (c *call) mayReturnToSource(r *activeStream) bool {
 	switch {
