backend, relay: a connection is kept ready for the stop of a copied stream

Cause: the first connection to the source that the stop may use is opened after the break, when the source may take no more. Change: when a copied stream begins, a standby connection to its server is opened beside it, which only calls for moves use. TestStandbyConnectionReachesAServerThatTakesNoMore failed with the standby connection switched off (connection refused).

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -67,6 +67,8 @@
 	Target string // path and query exactly as sent by the caller
 	Head   []byte // header lines, each ending in CRLF
 	Body   []byte
+	// Standby lets the message use the standby connection, see Condition.PrepareStandby.
+	Standby bool
 	// Control lets the message open a connection beyond the limit.
 	Control bool
 	// Direct forbids connections through other nodes: the server goes by who sends the message.
--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -44,6 +44,7 @@
 
 	mu        sync.Mutex
 	idle      []*conn // most recently used last
+	standby   *conn   // see Condition.PrepareStandby; nil: none
 	open      int
 	ended     bool
 	goneUntil time.Time // end of the time for which a refused connection marks the server as gone
@@ -83,6 +84,16 @@
 	}
 }
 
+// takeFor returns a usable connection for a message, or nil if there is none.
+func (p *pool) takeFor(m *Message) *conn {
+	if m.Standby {
+		if nc := p.takeStandby(); nc != nil {
+			return nc
+		}
+	}
+	return p.take(p.time.Now(), m.Direct)
+}
+
 // pop removes and returns the idle connection that was used last, or nil.
 func (p *pool) pop(direct bool) *conn {
 	p.mu.Lock()
@@ -128,9 +139,12 @@
 func (p *pool) closeIdle() {
 	p.mu.Lock()
 	p.ended = true
-	idle := p.idle
-	p.idle = nil
+	idle, standby := p.idle, p.standby
+	p.idle, p.standby = nil, nil
 	p.mu.Unlock()
+	if standby != nil {
+		idle = append(idle, standby)
+	}
 	for _, c := range idle {
 		c.fail(errIdleClosed)
 	}
@@ -254,7 +268,7 @@
 // before the first byte is sent; if check returns an error, the request is not sent.
 func (c *Condition) Send(ctx context.Context, m *Message, check func() error) (*Answer, error) {
 	for {
-		nc := c.pool.take(c.pool.time.Now(), m.Direct)
+		nc := c.pool.takeFor(m)
 		fresh := nc == nil
 		if fresh {
 			var err error
--- a/pkg/relay/backup.go
+++ b/pkg/relay/backup.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"maps"
 	"time"
 
@@ -31,7 +32,18 @@
 	if !migration.WorthBackup(stream, c.prompt.ExpectedOutput(), risk.CrashChance(typicalStreamTime)) {
 		return nil
 	}
-	return c.reserveBackup(m)
+	backup := c.reserveBackup(m)
+	if backup != nil {
+		go c.relay.prepareStop(m)
+	}
+	return backup
+}
+
+// prepareStop keeps a connection ready on which a server can be asked to stop a run, even once it takes no more connections.
+func (r *Relay) prepareStop(m *backend.Member) {
+	ctx, cancel := context.WithTimeout(context.Background(), moveCallTimeout)
+	defer cancel()
+	m.PrepareStandby(ctx, r.Logger)
 }
 
 // reserveBackup picks the server that receives the copies, within the limit per server, and
