coordinator, relay, platform: one version alone is confirmed after a stream's caller is back

Cause: what a holder told of the version that serves a service alone counts for five seconds, and was compared with how long that version has served, never with when the stream began, which may be after the telling. Change: before a node relies on it, the platform's store is asked, after the caller has come back, which versions serve now, or serve since the revision at which the holder saw its list; heartbeats tell that. Reads are shared by callers that wait before they begin. Whatever is not confirmed within 0.4 s is refused as not run, and sole_error in the request's line says why. Why it works: a stream begins at a version once the store lists its server, so that a read which begins after the caller is back shows it.

--- a/pkg/backend/directory.go
+++ b/pkg/backend/directory.go
@@ -58,6 +58,16 @@
 // Members returns all servers by ID. The caller must not change the map.
 func (s *Snapshot) Members() map[string]*Member { return s.members }
 
+// KnowsInstance reports whether a server of the name is listed, or its record was removed recently.
+func (s *Snapshot) KnowsInstance(name string) bool {
+	for _, m := range s.members {
+		if m.Instance() == name {
+			return true
+		}
+	}
+	return slices.ContainsFunc(s.vanished, func(v vanishedServer) bool { return v.member.Instance() == name })
+}
+
 // Member is a server with what this node knows about its condition.
 type Member struct {
 	*Server
--- a/pkg/coordinator/heartbeats.go
+++ b/pkg/coordinator/heartbeats.go
@@ -49,6 +49,7 @@
 	if table := h.Routes(); table != nil {
 		answer.Configuration = table.Version()
 	}
+	answer.SoleAsOf = h.soleAsOf()
 	answer.Sole, _ = h.SoleVersions(h.term)
 	h.addNodeChanges(&b, &answer)
 	return answer
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -18,6 +18,7 @@
 	"martenwheel.dev/pkg/quarantine"
 	"martenwheel.dev/pkg/quota"
 	"martenwheel.dev/pkg/relay"
+	"martenwheel.dev/pkg/revision"
 	"martenwheel.dev/pkg/route"
 	"martenwheel.dev/pkg/storeclock"
 )
@@ -56,6 +57,8 @@
 	ScarceTenants func() []string
 	// Complete tells whether this node knows all servers; if nil, it does.
 	Complete func() bool
+	// ListRevision returns the revision of the store at which the list of servers was last confirmed; nil: unknown.
+	ListRevision func() revision.Revision
 	// ListAge returns the age of the list of servers; nil: it is up to date.
 	ListAge func() time.Duration
 	// Quarantine is this node's evidence against requests that crash servers.
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -50,6 +50,8 @@
 	// EnsureServers loads the details of the given server incarnations and keeps them up to date; nil: this
 	// node knows all servers.
 	EnsureServers func(ctx context.Context, servers []string) error
+	// ReadVersions is needed for ConfirmSole.
+	ReadVersions ReadVersions
 	// Quarantine is this node's evidence against requests that crash servers, shared with Holder.
 	Quarantine *quarantine.Table
 	Time       clock.Clock
@@ -58,6 +60,7 @@
 	nodes                atomic.Pointer[[]Node]
 	fleet                atomic.Int64
 	sole                 atomic.Pointer[knownSole]
+	soleReads            soleReads
 	version              NodesVersion    // version of the list in nodes; for Run alone
 	partialNodes         []Node          // list received so far; nil: the list is complete; for Run alone
 	moreNodes            bool            // the last answer held only part of the list; for Run alone
@@ -286,7 +289,7 @@
 	if m.Configured != nil && answer.Configuration > 0 {
 		m.Configured(answer.Configuration)
 	}
-	m.sole.Store(&knownSole{sent, answer.Sole})
+	m.sole.Store(&knownSole{sent, answer.SoleAsOf, answer.Sole})
 	m.serversScarce = answer.Scarce
 	m.storeLimitTerm = answer.Version.Term
 	if answer.Store.Loads > 0 {
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -24,7 +24,7 @@
 //   - heartbeats.go, roster.go: heartbeats, and the list of nodes that is sent as changes
 //   - quotas.go: quotas of tenants
 //   - places.go, slots.go: admission to overloaded servers and to servers with a request limit
-//   - versions.go: services that one software version serves alone
+//   - versions.go, solereads.go: services that one software version serves alone
 //   - speeds.go, announcements.go: speeds of servers, and what servers announce (limits, leaving)
 //   - quarantine.go, suspicions.go, crashingload.go: evidence against requests and models that crash servers
 package coordinator
@@ -38,6 +38,7 @@
 	"martenwheel.dev/pkg/lineage"
 	"martenwheel.dev/pkg/peer"
 	"martenwheel.dev/pkg/quota"
+	"martenwheel.dev/pkg/revision"
 )
 
 // Node is a node of the site.
@@ -133,6 +134,8 @@
 	Configuration uint64
 	// Sole are the software versions that serve a service alone.
 	Sole []lineage.SoleVersion
+	// SoleAsOf is the revision of the store at which those of Sole did so, or an earlier one; zero: unknown.
+	SoleAsOf revision.Revision
 }
 
 // WishMessage asks the holder to load a model. It is called a load request in this package.
--- a/pkg/coordinator/versions.go
+++ b/pkg/coordinator/versions.go
@@ -19,6 +19,7 @@
 	mu      sync.Mutex
 	term    uint64
 	history lineage.VersionHistory
+	asOf    revision.Revision   // of the store at the last observation, or before
 	seen    revision.Revision   // list of servers that current was made from
 	current map[string][]string // versions of the listed servers, by service; nil: none were seen in this term
 	mixed   map[string]bool     // services that several versions served when last logged
@@ -41,6 +42,7 @@
 	if h.Complete != nil && !h.Complete() || h.ListAge != nil && h.ListAge() > maxListAge {
 		return
 	}
+	asOf := h.listRevision() // before the snapshot, which may be newer
 	snapshot := h.Servers.Snapshot()
 	w := &h.versions
 	now := h.Lease.Now()
@@ -56,6 +58,15 @@
 		h.logMixed(w)
 	}
 	w.history.Observe(now, w.current)
+	w.asOf = asOf
+}
+
+// listRevision returns the revision of the store at which the list of servers was last confirmed; zero: unknown.
+func (h *Holder) listRevision() revision.Revision {
+	if h.ListRevision == nil {
+		return 0
+	}
+	return h.ListRevision()
 }
 
 // maxListAge is the age beyond which a list of servers may lack a version that came and went since: a server
@@ -86,9 +97,17 @@
 	return h.versions.history.Sole(), true
 }
 
+// soleAsOf returns the revision of the store at which the versions that SoleVersions returns served alone, or an earlier one.
+func (h *Holder) soleAsOf() revision.Revision {
+	h.versions.mu.Lock()
+	defer h.versions.mu.Unlock()
+	return h.versions.asOf
+}
+
 // knownSole is what the last heartbeat's answer told of versions that serve a service alone.
 type knownSole struct {
-	at       time.Time // when the heartbeat was sent
+	at       time.Time         // when the heartbeat was sent
+	asOf     revision.Revision // of the store when they were seen, or before; zero: unknown
 	versions []lineage.SoleVersion
 }
 
@@ -98,11 +117,15 @@
 // SoleVersion returns the software version that serves a service alone, and for how long at least it has; an
 // empty service if that is not known.
 func (m *Member) SoleVersion(service string) lineage.SoleVersion {
-	known := m.sole.Load()
-	if known == nil || m.Time.Since(known.at) > soleLifetime {
+	return m.sole.Load().of(service, m.Time.Now())
+}
+
+// of returns what is known of a service; an empty service if nothing is, or if it was told too long ago.
+func (k *knownSole) of(service string, now time.Time) lineage.SoleVersion {
+	if k == nil || now.Sub(k.at) > soleLifetime {
 		return lineage.SoleVersion{}
 	}
-	for _, v := range known.versions {
+	for _, v := range k.versions {
 		if v.Service == service {
 			return v
 		}
--- a/pkg/relay/record.go
+++ b/pkg/relay/record.go
@@ -101,6 +101,7 @@
 	resumesAfter  string        // last event that the caller had when the request came in; empty: it takes up no stream
 	resumes       string        // caller's attempt that the stream began with, as it says
 	origin        lineage.Found // where the stream that it takes up began
+	soleErr       error         // why no version was confirmed to serve alone; nil: one was, or it was not asked for
 	bytes         int
 	events        int
 	firstEventAt  time.Time     // when the first events were sent
@@ -265,9 +266,13 @@
 		return nil
 	}
 	o := &c.record.origin
-	return []any{"resumes", truncate(c.record.resumes), "resumes_after", truncate(c.record.resumesAfter),
+	var fields []any
+	if c.record.soleErr != nil {
+		fields = append(fields, "sole_error", c.record.soleErr.Error())
+	}
+	return append(fields, "resumes", truncate(c.record.resumes), "resumes_after", truncate(c.record.resumesAfter),
 		"origin_known", o.Known, "origin_service", o.Service, "origin_software", o.Software, "origin_from", o.From,
-		"origin_age_ms", o.Age.Milliseconds(), "origin_asked", o.Asked, "origin_answered", o.Answered, "origin_conflicting", o.Conflicting}
+		"origin_age_ms", o.Age.Milliseconds(), "origin_asked", o.Asked, "origin_answered", o.Answered, "origin_conflicting", o.Conflicting)
 }
 
 // accusedLine is a subject of a request that has a standing: the request itself, or a part of its prompt.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -135,6 +135,8 @@
 	// SoleVersion returns the software version that serves a service alone; the zero value if none is known
 	// to. If nil, none is.
 	SoleVersion func(service string) lineage.SoleVersion
+	// ConfirmSole is SoleVersion as it holds at a moment after the call, by the platform's store; nil: what SoleVersion returns always does.
+	ConfirmSole func(ctx context.Context, service string) (lineage.SoleVersion, error)
 	// ListsAll reports whether this node knows all servers; nil: it does.
 	ListsAll func() bool
 	// Identify returns a probe that finds out whether a server is the incarnation that its record describes;
--- a/pkg/relay/version.go
+++ b/pkg/relay/version.go
@@ -77,7 +77,7 @@
 	if found.Known || found.Conflicting {
 		return found
 	}
-	if software, sole := c.soleVersion(); sole {
+	if software, sole := c.confirmedSole(ctx); sole {
 		found.Known, found.Origin, found.From = true, lineage.Origin{Service: c.service, Software: software}, soleVersionOnly
 		return found
 	}
@@ -92,19 +92,41 @@
 // soleVersionOnly stands in Found.From for the knowledge that the service had one version only.
 const soleVersionOnly = "one version alone"
 
+// confirmedSole is soleVersion, confirmed after the caller has come back. Until then its stream may have begun at a version that this node
+// and the holder have not heard of.
+func (c *call) confirmedSole(ctx context.Context) (string, bool) {
+	software, alone := c.soleVersion()
+	if !alone || c.relay.ConfirmSole == nil {
+		return software, alone
+	}
+	confirmed, err := c.relay.ConfirmSole(ctx, c.service)
+	if err != nil {
+		c.record.soleErr = err
+		return "", false
+	}
+	return c.aloneForLong(confirmed)
+}
+
 // soleVersion returns the only software version that has served the service for as long as the stream may be
-// old, false if there may have been others.
+// old, false if there may have been others. It is as old as what this node was told.
 func (c *call) soleVersion() (string, bool) {
 	if c.relay.SoleVersion == nil {
 		return "", false
 	}
-	sole := c.relay.SoleVersion(c.service)
+	return c.aloneForLong(c.relay.SoleVersion(c.service))
+}
+
+// aloneForLong returns the version of sole if that has served for as long as the stream may be old, and this node knows of no other.
+func (c *call) aloneForLong(sole lineage.SoleVersion) (string, bool) {
 	if sole.Service == "" || sole.Served() < maxStreamAges*max(c.route.Timeout, c.record.callerTimeout) {
 		return "", false
 	}
-	for _, m := range c.relay.Servers.Snapshot().Service(c.service) {
-		if m.Software != sole.Software { // newer than what the holder told
-			return "", false
+	snapshot := c.relay.Servers.Snapshot()
+	for _, listed := range [][]*backend.Member{snapshot.Service(c.service), snapshot.Vanished(c.service)} {
+		for _, m := range listed {
+			if m.Software != sole.Software { // newer than what the holder told, or gone since
+				return "", false
+			}
 		}
 	}
 	return sole.Software, true
--- a/pkg/relay/versions_test.go
+++ b/pkg/relay/versions_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"martenwheel.dev/pkg/backend"
 	"martenwheel.dev/pkg/lineage"
 	"martenwheel.dev/pkg/route"
@@ -186,6 +188,33 @@
 	}
 }
 
+// Guards against streams that go on at the only version that a node has heard of, though another one may serve by now.
+func TestORDERVersionThatServedAloneIsNotConfirmed(t *testing.T) {
+	told := lineage.SoleVersion{Service: "s", Software: "v1"}
+	for name, row := range map[string]struct {
+		confirmed lineage.SoleVersion
+		err       error
+		status    int
+	}{
+		"confirmed":           {told, nil, http.StatusOK},
+		"not confirmed":       {lineage.SoleVersion{}, errors.New("a test's fault"), http.StatusServiceUnavailable},
+		"another one by now":  {lineage.SoleVersion{Service: "s", Software: "v2"}, nil, http.StatusServiceUnavailable},
+		"alone for a moment":  {lineage.SoleVersion{Service: "s", Software: "v1", Since: 1, Until: 2}, nil, http.StatusServiceUnavailable},
+		"no longer known now": {lineage.SoleVersion{}, nil, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, streamRoute(true), events(8, 8, nil))
+			s.setSoftware("v1")
+			s.relay.Lineage = newFakeLineage()
+			s.relay.SoleVersion = func(string) lineage.SoleVersion { return told }
+			s.relay.ConfirmSole = func(context.Context, string) (lineage.SoleVersion, error) { return row.confirmed, row.err }
+			if got := s.takeUp("id", "unknown"); got.status != row.status {
+				t.Errorf("status %d, want %d", got.status, row.status)
+			}
+		})
+	}
+}
+
 func TestDRAINStreamOfAVersionIsSentToAServerThatMayBeGone(t *testing.T) {
 	for name, row := range map[string]struct {
 		drainTime time.Duration
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -29,6 +29,7 @@
 	"martenwheel.dev/pkg/quarantine"
 	"martenwheel.dev/pkg/quota"
 	"martenwheel.dev/pkg/relay"
+	"martenwheel.dev/pkg/revision"
 	"martenwheel.dev/pkg/route"
 	"martenwheel.dev/pkg/storeclock"
 	"martenwheel.dev/pkg/tunnel"
@@ -50,6 +51,8 @@
 	Origins    lineage.Store  // keeps the origins of streams; nil: they are lost with all nodes
 	Tables     []*watch.Table // tables of the store that the site keeps up to date
 	Orders     coordinator.Orders
+	// ReadVersions reads from the platform's store which software versions serve.
+	ReadVersions coordinator.ReadVersions
 	// Identify returns a probe that finds out whether a server is the incarnation of its record; may be nil.
 	Identify func(m *backend.Member) *backend.Probe
 	Mover    relay.Mover // moves running streams between servers; nil: streams are not moved
@@ -154,7 +157,8 @@
 		Tables: s.Tables, FirstStart: s.FirstStart, Logger: s.Logger.Named("watch"),
 		NeedsWhole: func() bool { _, held := l.Held(); return held },
 	}
-	holder.Complete, holder.ListAge = s.tablesComplete, s.serversAge
+	holder.Complete, holder.ListAge, holder.ListRevision = s.tablesComplete, s.serversAge, s.serversRevision
+	s.member.ReadVersions = s.ReadVersions
 	s.Servers.Age = s.serversAge
 	s.member.NearestFullNode, s.member.EnsureServers = s.nearestFullNode, s.ensureServers
 	l.Fleet, l.AllowOffline = holder.FleetSize, holder.MayContinueOffline
@@ -170,7 +174,7 @@
 	s.Registry.MustRegister(s.lineage.Collect()...)
 	s.relay = &relay.Relay{
 		Headers: s.Headers, Node: s.Self.Name, Zone: s.Self.Zone, Regions: s.Regions, Routes: s.Routes, Keys: s.Keys, Quotas: s.member, Servers: s.Servers, Answers: s.newAnswers(), Loader: s.member,
-		Quarantine: s.member, Slots: s.member, Places: s.member, Lineage: s.lineage, SoleVersion: s.member.SoleVersion, ListsAll: s.tablesComplete, Identify: s.Identify, Mover: s.Mover, DrainTime: s.DrainTime,
+		Quarantine: s.member, Slots: s.member, Places: s.member, Lineage: s.lineage, SoleVersion: s.member.SoleVersion, ConfirmSole: s.member.ConfirmSole, ListsAll: s.tablesComplete, Identify: s.Identify, Mover: s.Mover, DrainTime: s.DrainTime,
 		Nodes: s.member.FleetSize, Budget: s.Budget, Lender: s.member, BudgetStart: s.budgetStart(clock.Now()), Logger: s.Logger.Named("relay"),
 		Metrics: relay.NewMetrics(s.Registry), RequestArrived: s.member.RequestArrived, Bodies: s.newBodies(),
 	}
@@ -230,6 +234,16 @@
 	return age
 }
 
+// serversRevision returns the revision of the store at which the list of servers was last confirmed.
+func (s *Site) serversRevision() revision.Revision {
+	for _, t := range s.Tables {
+		if t.Partitioned {
+			return t.Version()
+		}
+	}
+	return 0
+}
+
 // nearestFullNode returns the address of a node that knows all servers; empty if this one does.
 func (s *Site) nearestFullNode() string {
 	if s.tablesComplete() {
