loadtest: callers that leave their node and take their streams up elsewhere

Cause: the load tool had no disruption that has a stream go on at a node which may know less than the first, or while its server works on it.

Such callers close their first attempt after one to four events and go on at another node at once; they are counted as left. Without the flag no random number is drawn for it, so that seeds stay.

--- a/pkg/loadtest/loadtest.go
+++ b/pkg/loadtest/loadtest.go
@@ -46,6 +46,10 @@
 	PassingModel  string
 	PassingShare  float64 // 0 to 1
 
+	// LeaveShare of the callers close the connection of their first attempt after one of its first events, and take the
+	// stream up at another node at once: its servers may still work on it, and the node may know less than the first.
+	LeaveShare float64 // 0 to 1
+
 	// SameField is what all events of a stream have in common if they come from one software version: a field of the
 	// JSON object in their data, or the data itself if it is "data"; optional.
 	SameField string
@@ -61,14 +65,15 @@
 	Sent       int `json:"sent"`
 	Begun      int `json:"begun"` // at least one event came
 	Whole      int `json:"whole"`
-	Refused    int `json:"refused"`     // ended by a refusal before any event
-	TakenUp    int `json:"taken_up"`    // broke off and were taken up
-	GoneOn     int `json:"gone_on"`     // of those, more events came
-	Disordered int `json:"disordered"`  // lost or repeated an event
-	Mixed      int `json:"two_version"` // hold events of two software versions
-	Cut        int `json:"cut"`         // a connection ended without a whole answer or a refusal though the caller's time was not up
-	FirstMS    int `json:"first_ms"`    // mean time to the first event
-	PauseMS    int `json:"pause_ms"`    // longest time between two events of a stream
+	Refused    int `json:"refused"`        // ended by a refusal before any event
+	TakenUp    int `json:"taken_up"`       // broke off and were taken up
+	GoneOn     int `json:"gone_on"`        // of those, more events came
+	Disordered int `json:"disordered"`     // lost or repeated an event
+	Mixed      int `json:"two_version"`    // hold events of two software versions
+	Left       int `json:"left,omitempty"` // their caller closed the connection and took them up elsewhere
+	Cut        int `json:"cut"`            // a connection ended without a whole answer or a refusal though the caller's time was not up
+	FirstMS    int `json:"first_ms"`       // mean time to the first event
+	PauseMS    int `json:"pause_ms"`       // longest time between two events of a stream
 
 	// Sound streams are those without Options.BadPart; the others are counted apart.
 	SoundBegunAtFirst int `json:"sound_begun_at_first,omitempty"` // in their first attempt
@@ -107,6 +112,9 @@
 		"no model that comes and goes":                o.PassingModel == "" && o.PassingShare > 0,
 		"a share of such requests beyond 0 to 1":      o.PassingShare < 0 || o.PassingShare > 1,
 		"no header for streams that are taken up":     o.ResumesHeader == "" && o.Attempts > 1, "a negative number of attempts": o.Attempts < 0,
+		"a share of callers that leave beyond 0 to 1": o.LeaveShare < 0 || o.LeaveShare > 1,
+		"no second node for callers that leave":       o.LeaveShare > 0 && len(o.Nodes) == 1,
+		"no second attempt for callers that leave":    o.LeaveShare > 0 && o.Attempts == 1,
 	})
 	var faults []string
 	for name, is := range wrong {
@@ -144,6 +152,9 @@
 		s := &stream{options: &o, name: fmt.Sprintf("%x", random.Uint64()), random: rand.New(rand.NewPCG(o.Seed, random.Uint64()))}
 		s.bad = s.random.Float64() < o.BadShare
 		s.passing = o.PassingShare > 0 && s.random.Float64() < o.PassingShare
+		if o.LeaveShare > 0 && s.random.Float64() < o.LeaveShare {
+			s.leavesAfter = 1 + s.random.IntN(maxLeaveEvents)
+		}
 		callers.Go(func() { total.add(s.read(ctx)) })
 	}
 	callers.Wait()
@@ -166,7 +177,7 @@
 	t.sum.Sent++
 	for count, happened := range map[*int]bool{
 		&t.sum.Begun: o.events > 0, &t.sum.Whole: o.whole, &t.sum.Refused: o.events == 0 && o.refused, &t.sum.TakenUp: o.takenUp,
-		&t.sum.GoneOn: o.goneOn, &t.sum.Disordered: o.disordered, &t.sum.Mixed: len(o.same) > 1, &t.sum.Cut: o.cut,
+		&t.sum.GoneOn: o.goneOn, &t.sum.Disordered: o.disordered, &t.sum.Mixed: len(o.same) > 1, &t.sum.Cut: o.cut, &t.sum.Left: o.left,
 		&t.sum.SoundBegunAtFirst: !o.bad && o.atFirst, &t.sum.Bad: o.bad, &t.sum.BadRefused: o.bad && o.refused,
 		&t.sum.Passing: o.passing, &t.sum.PassingWhole: o.passing && o.whole, &t.sum.PassingRefused: o.passing && o.refused,
 	} {
--- a/pkg/loadtest/loadtest_test.go
+++ b/pkg/loadtest/loadtest_test.go
@@ -217,3 +217,59 @@
 		t.Errorf("%+v, %v", got, err)
 	}
 }
+
+// Guards against callers that leave their node, and whose streams are not taken up at another one, or count as cut off.
+func TestCallersThatLeaveTakeTheirStreamsUpElsewhere(t *testing.T) {
+	var mu sync.Mutex
+	nodesOf := map[string]map[string]bool{} // nodes by the attempt that brought a stream's first event
+	seen := func(node string) func(*http.Request) string {
+		return func(r *http.Request) string {
+			mu.Lock()
+			defer mu.Unlock()
+			began := r.Header.Get("X-Resumes")
+			if began == "" {
+				began = r.Header.Get("X-Id")
+			}
+			if nodesOf[began] == nil {
+				nodesOf[began] = map[string]bool{}
+			}
+			nodesOf[began][node] = true
+			return "v1"
+		}
+	}
+	for _, share := range []float64{0, 1} {
+		clear(nodesOf)
+		o := options(serve(t, seen("a"), 0))
+		o.Nodes = append(o.Nodes, serve(t, seen("b"), 0))
+		o.LeaveShare, o.Attempts = share, 5
+		got, err := Run(t.Context(), o)
+		if err != nil || got.Whole != got.Sent || got.Violations() > 0 {
+			t.Fatalf("%+v, %v", got, err)
+		}
+		if want := int(share) * got.Sent; got.Left != want {
+			t.Errorf("%d of %d callers left, want %d", got.Left, got.Sent, want)
+		}
+		for began, nodes := range nodesOf {
+			if share == 1 && len(nodes) != 2 {
+				t.Errorf("stream %s was at one node", began)
+			}
+		}
+	}
+	o := options("127.0.0.1:1")
+	o.LeaveShare = 1
+	if _, err := Run(t.Context(), o); err == nil || !strings.Contains(err.Error(), "no second node") {
+		t.Errorf("one node for callers that leave: %v", err)
+	}
+}
+
+// Guards against streams of two versions that the tool doesn't see if they break off at one node and go on at another.
+func TestStreamsOfCallersThatLeaveAreSeenAsMixed(t *testing.T) {
+	version := func(v string) func(*http.Request) string { return func(*http.Request) string { return v } }
+	o := options(serve(t, version("v1"), 0))
+	o.Nodes = append(o.Nodes, serve(t, version("v2"), 0))
+	o.LeaveShare, o.Attempts = 1, 5
+	got, err := Run(t.Context(), o)
+	if err != nil || got.Sent == 0 || got.Mixed != got.Sent {
+		t.Errorf("%+v, %v", got, err)
+	}
+}
--- a/pkg/loadtest/stream.go
+++ b/pkg/loadtest/stream.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -22,6 +23,12 @@
 // retryPause is the pause between two attempts of a caller.
 const retryPause = 50 * time.Millisecond
 
+// maxLeaveEvents is the most events after which a caller leaves its node.
+const maxLeaveEvents = 4
+
+// errLeft means that the caller closed the connection, to take the stream up elsewhere.
+var errLeft = errors.New("the caller left the node")
+
 // stream is one stream of a caller.
 type stream struct {
 	options *Options
@@ -30,6 +37,9 @@
 	started time.Time
 	began   string // ID of the attempt that brought the first event; empty: none did
 	lastID  string
+	node    string // of the last attempt
+
+	leavesAfter int // events after which the caller leaves its first node; zero: it does not
 	outcome
 }
 
@@ -46,6 +56,7 @@
 	disordered bool
 	same       map[string]bool // values of Options.SameField
 	first      time.Duration   // until the first event
+	left       bool            // the caller closed its connection and took the stream up elsewhere
 	cut        bool            // a connection ended without an answer though the caller's time was not up
 	lastAt     time.Time       // of the last event
 	pause      time.Duration   // the longest between two events
@@ -69,7 +80,9 @@
 		if s.whole {
 			break
 		}
-		time.Sleep(retryPause)
+		if !errors.Is(err, errLeft) {
+			time.Sleep(retryPause)
+		}
 	}
 	return s.outcome
 }
@@ -79,7 +92,7 @@
 
 // isCut reports whether an attempt that a node took ended without an answer though the caller's time was not up.
 func (s *stream) isCut(ctx context.Context, err error) bool {
-	if err == nil || ctx.Err() != nil || time.Since(s.started) > s.options.Deadline-deadlineMargin {
+	if err == nil || errors.Is(err, errLeft) || ctx.Err() != nil || time.Since(s.started) > s.options.Deadline-deadlineMargin {
 		return false
 	}
 	var failed *net.OpError
@@ -91,8 +104,8 @@
 	o := s.options
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	node := o.Nodes[s.random.IntN(len(o.Nodes))]
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+o.Path, strings.NewReader(o.Body+s.name))
+	s.node = s.nextNode()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.node+o.Path, strings.NewReader(o.Body+s.name))
 	if err != nil {
 		return err
 	}
@@ -123,6 +136,15 @@
 	return s.readEvents(response.Body, id)
 }
 
+// nextNode returns a random node; after the caller has left one, another.
+func (s *stream) nextNode() string {
+	nodes := s.options.Nodes
+	if s.left {
+		nodes = slices.DeleteFunc(slices.Clone(nodes), func(node string) bool { return node == s.node })
+	}
+	return nodes[s.random.IntN(len(nodes))]
+}
+
 // partTokens is the length of each part of a prompt.
 const partTokens = 100
 
@@ -155,6 +177,10 @@
 		case line == "" && id != "":
 			s.add(id, data, attempt)
 			id, data = "", ""
+			if s.events == s.leavesAfter && !s.left {
+				s.left = true
+				return errLeft
+			}
 		}
 	}
 	return lines.Err()
