coordinator: no orders by a configuration that is overdue

Cause, by its output: a node without the store for ten seconds took the lease as the store came back and ordered by its old list of models, of which one had been retired and had come back larger. Nothing told the holder how old its configuration was.

Change: while the configuration is overdue, that is unconfirmed for longer than its bound, and the lease can be written, the holder gives no orders and says so in the log. Cut from the store it goes on as before.

--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -384,6 +384,8 @@
 	fenced        bool         // holders rely on the servers' fences
 	// laterTable is the configuration in force once it has changed.
 	laterTable atomic.Pointer[route.Table]
+	// routesOverdue tells holders whether it may have changed; nil: it has not.
+	routesOverdue func() bool
 
 	mu               sync.Mutex
 	runningNodes     map[string]*node   // by name
@@ -473,6 +475,7 @@
 		Lease: n.lease, Routes: s.currentTable, Servers: n.servers, Orders: s.engines,
 		Transport: directTransport{site: s}, Decider: decider, HandoverPause: holderChangePause, Fenced: s.fenced,
 		Ceiling: Ceiling{Window: ceilingWindow}, Budget: s.retryBudget(), Logger: s.logger, Nodes: func() []Node { return s.knownNodes },
+		RoutesOverdue: s.routesOverdue,
 	}
 	n.lease.Fleet, n.lease.AllowOffline, n.lease.Sizes = n.holder.FleetSize, n.holder.MayContinueOffline, n.holder.ModelSizes
 	s.mu.Lock()
--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -61,6 +61,9 @@
 	ListRevision func() revision.Revision
 	// ListAge returns the age of the list of servers; nil: it is up to date.
 	ListAge func() time.Duration
+	// RoutesOverdue tells whether the configuration that Routes returns was not confirmed to be in force for longer than its bound;
+	// nil: it was.
+	RoutesOverdue func() bool
 	// Quarantine is this node's evidence against requests that crash servers.
 	Quarantine *quarantine.Table
 	Time       clock.Clock
@@ -113,6 +116,7 @@
 	learnUntil     time.Time     // when the nodes should have reported what is in use
 	resumeAt       time.Time     // when orders are given again after the store failed
 	scarceUntil    time.Time     // models waited for servers recently, until this time
+	routesOverdue  bool          // orders wait for the configuration, as last logged
 	failingSince   time.Time     // since when no order's intent could be written; zero: the last write succeeded
 	lastPlanned    time.Time     // end of the last plan
 	nextPlan       chan struct{} // closed when the next plan is done
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -101,7 +101,7 @@
 	if now.Before(h.resumeAt) {
 		return
 	}
-	if h.awaitingHandover {
+	if h.awaitingHandover || h.awaitsRoutes() {
 		return
 	}
 	clear(h.indices)
@@ -115,6 +115,17 @@
 	}
 }
 
+// awaitsRoutes reports whether orders wait until the configuration is confirmed to be in force: another one may list models with sizes under
+// which servers load them now. A holder that can't write to the store either goes on by the configuration that it has.
+func (h *Holder) awaitsRoutes() bool {
+	overdue := h.RoutesOverdue != nil && h.RoutesOverdue() && !h.Lease.WritesFail()
+	if overdue != h.routesOverdue {
+		h.routesOverdue = overdue
+		h.Logger.Info("orders wait for the configuration", "waiting", overdue, "version", h.Routes().Version(), "term", h.term)
+	}
+	return overdue
+}
+
 // resendUnresolved repeats orders whose outcome is unknown, with the same expected sequence: only one of
 // the two can take effect.
 func (h *Holder) resendUnresolved(now time.Time) {
--- a/pkg/coordinator/simulation_test.go
+++ b/pkg/coordinator/simulation_test.go
@@ -71,6 +71,7 @@
 	sim     *simulation
 	name    string                      // name of this incarnation
 	table   atomic.Pointer[route.Table] // the configuration that it read last
+	tableAt atomic.Int64                // when that was in force, in Unix nanoseconds
 	started time.Time
 	crashed chan struct{}
 
@@ -151,6 +152,7 @@
 		cutFromServers: make(map[string]bool), cutFromNodes: make(map[string]bool),
 	}
 	n.table.Store(sim.currentTable())
+	n.tableAt.Store(time.Now().UnixNano())
 	ctx, cancel := context.WithCancel(sim.t.Context())
 	servers := &backend.Directory{}
 	address := n.name
@@ -169,6 +171,7 @@
 		Self:  Node{Name: fmt.Sprintf("node-%d", i), Life: int64(sim.restarts), Peers: address},
 		Lease: nodeLease, Holder: n.holder, Transport: n, Servers: servers, Logger: hclog.NewNullLogger(),
 	}
+	n.holder.RoutesOverdue = n.routesOverdue
 	n.holder.Nodes, n.holder.HolderSilence, n.holder.ScarceTenants = n.member.Nodes, n.member.HolderSilence, n.member.ScarceTenants
 	nodeLease.Fleet, nodeLease.AllowOffline = n.holder.FleetSize, n.holder.MayContinueOffline
 	nodeLease.Quotas, nodeLease.Sizes = n.holder.QuotaBalances, n.holder.ModelSizes
@@ -200,13 +203,19 @@
 	return n.table.Load()
 }
 
+// routesOverdue reports whether the node has not read the configuration for longer than it takes while it reaches the store.
+func (n *simNode) routesOverdue() bool {
+	return time.Since(time.Unix(0, n.tableAt.Load())) > 2*maxTableDelay
+}
+
 // watchTable reads the configuration from the store, with a delay.
 func (n *simNode) watchTable(ctx context.Context) {
 	for ctx.Err() == nil {
-		table := n.sim.currentTable()
+		table, at := n.sim.currentTable(), time.Now()
 		time.Sleep(n.sim.randomDuration(50*time.Millisecond, maxTableDelay))
 		if n.reachesStore() {
 			n.table.Store(table)
+			n.tableAt.Store(at.UnixNano())
 		}
 	}
 }
--- a/pkg/lease/offline.go
+++ b/pkg/lease/offline.go
@@ -28,8 +28,8 @@
 	}
 }
 
-// writesFail reports whether the last write of the holder failed.
-func (l *Lease) writesFail() bool {
+// WritesFail reports whether the last write of this node as the holder got no answer.
+func (l *Lease) WritesFail() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return !l.failingSince.IsZero()
--- a/pkg/lease/write.go
+++ b/pkg/lease/write.go
@@ -112,7 +112,7 @@
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	write := l.Store.Write
-	if term, _ := l.heldTerm(); term == r.Term && !l.writesFail() {
+	if term, _ := l.heldTerm(); term == r.Term && !l.WritesFail() {
 		write = l.writeRepeatedly // orders wait for this write, and no other node writes
 	}
 	s, err := write(call, r, over)
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -158,6 +159,7 @@
 		NeedsWhole: func() bool { _, held := l.Held(); return held },
 	}
 	holder.Complete, holder.ListAge, holder.ListRevision = s.tablesComplete, s.serversAge, s.serversRevision
+	holder.RoutesOverdue = s.configurationOverdue
 	s.member.ReadVersions = s.ReadVersions
 	s.Servers.Age = s.serversAge
 	s.member.NearestFullNode, s.member.EnsureServers = s.nearestFullNode, s.ensureServers
@@ -223,6 +225,11 @@
 	return true
 }
 
+// configurationOverdue reports whether the configuration was not confirmed to be in force for longer than its bound.
+func (s *Site) configurationOverdue() bool {
+	return slices.ContainsFunc(s.Tables, func(t *watch.Table) bool { return !t.Partitioned && t.Overdue() })
+}
+
 // serversAge returns the time since the list of servers was last confirmed to be up to date.
 func (s *Site) serversAge() time.Duration {
 	age := time.Duration(0)
--- a/pkg/watch/status.go
+++ b/pkg/watch/status.go
@@ -21,7 +21,7 @@
 	}
 	for _, t := range h.Tables {
 		late, was := f.overdue[t.Name]
-		switch isLate := t.Age() > t.Bound && now.Sub(h.started) > t.Bound; {
+		switch isLate := t.Overdue() && now.Sub(h.started) > t.Bound; {
 		case isLate && !was:
 			f.overdue[t.Name] = overdueTable{now, now}
 			h.logStatus(f, t, now)
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -225,6 +225,9 @@
 	return latest - asOf, known && dated && latest >= asOf
 }
 
+// Overdue reports whether the rows have not been confirmed for longer than their bound.
+func (t *Table) Overdue() bool { return t.Age() > t.Bound }
+
 // feedTime returns how long a feed waits for changes.
 func (t *Table) feedTime() time.Duration {
 	if t.Refresh > 0 {
