relay: heads that are cut at hedges and moved streams are played

Cause: answers cut within their heads had been played for first runs only.

Callers got the first run's answer, an error, or the whole stream; none got a cut answer as whole.

--- a/pkg/relay/migrate_test.go
+++ b/pkg/relay/migrate_test.go
@@ -43,6 +43,7 @@
 type moveCluster struct {
 	*site
 	id            string // ID of its only request
+	cutHead       string // sent in place of an answer that is lost, if it is not empty
 	total         int
 	eventInterval time.Duration
 	faults        func(step string) fault
@@ -134,6 +135,10 @@
 	if stop == nil && f.hung.Load() {
 		<-r.Context().Done()
 	}
+	if stop == nil && f.cutHead != "" {
+		raw(f.cutHead)(w, r, s)
+		return
+	}
 	if stop == nil {
 		panic(http.ErrAbortHandler)
 	}
