--- a/pkg/lab/lostanswer_test.go
+++ b/pkg/lab/lostanswer_test.go
@@ -1,9 +1,6 @@
 package lab
 
-import (
-	"context"
-	"testing"
-)
+import "testing"
 
 // playLostAnswers runs engines that lose answers, or the same load without them.
 func playLostAnswers(t *testing.T, trustsResets bool, unsafeShare string, schedules ...Faults) *simulation {
@@ -14,21 +11,7 @@
 		changes = append(changes, "services."+service+".models=4", "services."+service+".adapters=4", "services."+service+".requests_per_second=10",
 			"services."+service+".settings.minReplicas=2")
 	}
-	scenario := loadScenario(t, "hornada", changes...)
-	sim, err := newSimulation(scenario, seed, ControlDistributed, "adaptive")
-	if err != nil {
-		t.Fatal(err)
-	}
-	sim.trustsResets = trustsResets
-	for _, faults := range schedules {
-		if err := sim.scheduleFaults(faults, newRandom(seed, streamFaults)); err != nil {
-			t.Fatal(err)
-		}
-	}
-	if !sim.run(context.Background(), nil) {
-		t.Fatal("the run did not end")
-	}
-	return sim
+	return playFaults(t, loadScenario(t, "hornada", changes...), seed, func(sim *simulation) { sim.trustsResets = trustsResets }, schedules...)
 }
 
 // Guards against streams that go on at one engine while another one works on them, and against requests that are lost
--- a/pkg/lab/run_test.go
+++ b/pkg/lab/run_test.go
@@ -217,19 +217,18 @@
 	checkNoViolations(t, result)
 }
 
-// playEndless runs engines that answer without end, or the same load without them. All requests may be sent again.
-func playEndless(t *testing.T, faults Faults, duration string, keepsAnswers bool) *simulation {
+// playFaults runs a scenario with schedules of faults under the real control plane. prepare may change the simulation before.
+func playFaults(t *testing.T, scenario *Scenario, seed uint64, prepare func(sim *simulation), schedules ...Faults) *simulation {
 	t.Helper()
-	const seed = 4
-	scenario := loadScenario(t, "hornada", "duration="+duration, "fault_rate=20", "services.booking.unsafe_share=0",
-		"services.booking.requests_per_second=10", "services.assistant.requests_per_second=10")
 	sim, err := newSimulation(scenario, seed, ControlDistributed, "adaptive")
 	if err != nil {
 		t.Fatal(err)
 	}
-	sim.keepsAnswers = keepsAnswers
-	if err := sim.scheduleFaults(faults, newRandom(seed, streamFaults)); err != nil {
-		t.Fatal(err)
+	prepare(sim)
+	for _, faults := range schedules {
+		if err := sim.scheduleFaults(faults, newRandom(seed, streamFaults)); err != nil {
+			t.Fatal(err)
+		}
 	}
 	if !sim.run(context.Background(), nil) {
 		t.Fatal("the run did not end")
@@ -237,6 +236,15 @@
 	return sim
 }
 
+// playEndless runs engines that answer without end, or the same load without them. All requests may be sent again.
+func playEndless(t *testing.T, faults Faults, duration string, keepsAnswers bool) *simulation {
+	t.Helper()
+	const seed = 4
+	scenario := loadScenario(t, "hornada", "duration="+duration, "fault_rate=20", "services.booking.unsafe_share=0",
+		"services.booking.requests_per_second=10", "services.assistant.requests_per_second=10")
+	return playFaults(t, scenario, seed, func(sim *simulation) { sim.keepsAnswers = keepsAnswers }, faults)
+}
+
 // Guards against nodes that keep answers without end, lose requests by them, or never go back to their engines.
 func TestFAULTOfEnginesThatAnswerWithoutEnd(t *testing.T) {
 	t.Parallel()
@@ -275,19 +283,7 @@
 	t.Helper()
 	scenario := loadScenario(t, "hornada", "duration=4m", "fault_rate=20", "services.booking.servers=2", "services.assistant.servers=4",
 		"services.booking.requests_per_second=20", "services.assistant.requests_per_second=20")
-	sim, err := newSimulation(scenario, seed, ControlDistributed, "adaptive")
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, faults := range schedules {
-		if err := sim.scheduleFaults(faults, newRandom(seed, streamFaults)); err != nil {
-			t.Fatal(err)
-		}
-	}
-	if !sim.run(context.Background(), nil) {
-		t.Fatal("the run did not end")
-	}
-	return sim
+	return playFaults(t, scenario, seed, func(*simulation) {}, schedules...)
 }
 
 // fullEngine is the share of an engine's memory beyond which little fits.
