--- a/pkg/coordinator/holder.go
+++ b/pkg/coordinator/holder.go
@@ -61,8 +61,8 @@
 	ListRevision func() revision.Revision
 	// ListAge returns the age of the list of servers; nil: it is up to date.
 	ListAge func() time.Duration
-	// RoutesOverdue tells whether the configuration that Routes returns was not confirmed to be in force for longer than its bound;
-	// nil: it was.
+	// RoutesOverdue tells whether the configuration that Routes returns has not been confirmed to be in force for longer than its bound;
+	// nil: it always has.
 	RoutesOverdue func() bool
 	// Quarantine is this node's evidence against requests that crash servers.
 	Quarantine *quarantine.Table
