cell: a retired model of an earlier epoch closes its server for loads

Cause: a node that finds a model at an engine, which the settings no longer list and of which no intent is left, knows the weights alone.

Change: such a model reserves more than any server has until it is gone, or the settings list it again; the intent keeps that for later owners, also for builds from before. The status shows the server as full.

TestLoadsGoOnBesideModelsThatAreListedAgain fails if the reservation stays once the model is listed. pkg/control, its explorer and pkg/lab pass. The nodes of the platform do not use this control plane.

--- a/pkg/control/cell/inventory.go
+++ b/pkg/control/cell/inventory.go
@@ -96,6 +96,7 @@
 
 // applyItem updates a replica from the item that the engine reports for it.
 func (o *Owner) applyItem(now time.Time, r *replica, item engine.Item) {
+	o.boundReservation(r, item)
 	o.raiseReservation(r, item.MemoryBytes)
 	before := r.state()
 	r.outcomeUnknown, r.wasReady = false, false
@@ -157,8 +158,11 @@
 		phase:     phaseLoading,
 		since:     now,
 	}
-	if model, known := o.models[item.Model]; known {
+	switch model, known := o.models[item.Model]; {
+	case known:
 		r.intent.Bytes = max(item.MemoryBytes, replicaBytes(model))
+	case item.Base == "":
+		r.intent.Bytes = unboundedBytes
 	}
 	o.addReplica(r)
 	o.applyItem(now, r, item)
--- a/pkg/control/cell/owner_test.go
+++ b/pkg/control/cell/owner_test.go
@@ -210,6 +210,29 @@
 	}
 }
 
+// TestLoadsGoOnBesideModelsThatAreListedAgain covers a server that holds a model of unknown size, which the settings then list, or which
+// goes: its memory must not stay closed.
+func TestLoadsGoOnBesideModelsThatAreListedAgain(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		s := newTestSite(t, quorum.Server{ID: "s", MemoryBytes: 21, Unknown: true})
+		s.items["s"]["retired"] = engine.Item{Model: "retired", State: engine.ItemReady, MemoryBytes: 10, OrderID: "earlier"}
+		s.owner.servers["s"].pollNoLaterThan(s.now)
+		s.run(500 * time.Millisecond)
+		if listed {
+			s.owner.Configure(2, []tree.Model{model("a", "", 10), model("b", "", 10), model("retired", "", 10)})
+			s.report("retired", 1, 0) // it is used again
+		}
+		s.run(10 * time.Second)
+		if s.holds("s", "retired") != listed {
+			t.Fatalf("listed again: %t; the server holds %v", listed, s.items["s"])
+		}
+		s.loadModel("a")
+		if !s.holds("s", "a") {
+			t.Errorf("listed again: %t; the server holds %v, reserved %d", listed, s.items["s"], s.owner.reserved["s"])
+		}
+	}
+}
+
 // TestLIMITRetiredModelsOfEarlierEpochs covers a retired model that an engine still holds when all nodes that knew its
 // intent are gone. Engines report the size of the weights, as ordered; the KV cache beside them is no longer known.
 func TestLIMITRetiredModelsOfEarlierEpochs(t *testing.T) {
--- a/pkg/control/cell/replica.go
+++ b/pkg/control/cell/replica.go
@@ -6,6 +6,7 @@
 
 	"martenwheel.dev/pkg/api"
 	"martenwheel.dev/pkg/control/quorum"
+	"martenwheel.dev/pkg/engine"
 )
 
 // phase is the progress of a replica as known to the owner.
@@ -130,6 +131,22 @@
 	o.noteChange()
 }
 
+// unboundedBytes is reserved for a model of unknown size, more than any server's memory: engines report the weights, and what is held
+// beside them is not known once the settings no longer list the model. Nothing is loaded beside it.
+const unboundedBytes = 1 << 50
+
+// boundReservation reserves what the settings tell for a model of unknown size, if they list it by now.
+func (o *Owner) boundReservation(r *replica, item engine.Item) {
+	model, known := o.models[r.intent.Model]
+	if !known || r.intent.Bytes < unboundedBytes {
+		return
+	}
+	bytes := max(item.MemoryBytes, replicaBytes(model))
+	o.reserved[r.intent.Server] -= r.intent.Bytes - bytes
+	r.intent.Bytes = bytes
+	o.dataChanged = true
+}
+
 // raiseReservation raises a replica's reserved memory to what its engine reports.
 func (o *Owner) raiseReservation(r *replica, bytes uint64) {
 	if bytes <= r.intent.Bytes {
--- a/pkg/control/cell/view.go
+++ b/pkg/control/cell/view.go
@@ -32,7 +32,7 @@
 func (o *Owner) serverView(s *server) api.ServerView {
 	return api.ServerView{
 		ID: s.ID, Address: s.Address, Zone: s.Zone,
-		CapacityBytes: s.capacityBytes(), ReservedBytes: o.reserved[s.ID],
+		CapacityBytes: s.capacityBytes(), ReservedBytes: min(o.reserved[s.ID], s.capacityBytes()),
 		Leaving: s.leaving(), Reachable: s.reachable,
 	}
 }
