backend: a reset that the write of an upload took ends no answer in order

What callers saw: a server answered a long upload at once with a 200 without length, sent a part of its body and reset the connection while the upload was still being written.

Cause: two goroutines use the connection. The system reports a reset once, to whichever call comes first. When the write of the request got "connection reset by peer", the next read got a clean end, which is how an answer without length ends. The write's error was looked at only after that.

With a length, with chunks, or with a small request a break shows.

Change: pkg/orderly owns the errors of both directions. At the end of the data a write in progress is ended and its result taken: whatever took the report began before the end was read, so that nothing is guessed by time. A reset after an end in order is told apart by its error (EPIPE): the answer is whole, whether its upload is ever read or not.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/orderly"
 )
 
 // Dialer opens a connection to a server.
@@ -123,12 +125,13 @@
 // closes that arrive while no request is in progress.
 type conn struct {
 	net.Conn
-	pool     *pool
-	indirect bool // it leads through another node
-	inbound  *inbound
-	reader   *bufio.Reader // of inbound
-	idleAt   time.Time     // when the connection became idle
-	idleFor  time.Duration // idle time after which the server closes the connection; zero: unknown
+	pool       *pool
+	indirect   bool       // it leads through another node
+	endingConn EndingConn // nil: it does not tell that it is about to end
+	inbound    *inbound
+	reader     *bufio.Reader // of inbound
+	idleAt     time.Time     // when the connection became idle
+	idleFor    time.Duration // idle time after which the server closes the connection; zero: unknown
 	// suspended is the total time for which the machine had been suspended when the connection became idle.
 	// After a suspension the connection may be dead without notice, and it would be unknown whether a
 	// request sent on it was executed.
@@ -143,10 +146,7 @@
 }
 
 // ending reports whether the connection is about to end, so that no further request should be sent on it.
-func (c *conn) ending() bool {
-	e, tells := c.Conn.(EndingConn)
-	return tells && e.Ending()
-}
+func (c *conn) ending() bool { return c.endingConn != nil && c.endingConn.Ending() }
 
 // exchange is one request and its response on a connection.
 type exchange struct {
@@ -169,8 +169,10 @@
 
 func newConn(p *pool, nc net.Conn) *conn {
 	_, indirect := nc.(IndirectConn)
+	ending, _ := nc.(EndingConn)
+	nc = orderly.Wrap(nc)
 	in := &inbound{from: nc, headLeft: unlimited, onData: p.noteHeard}
-	c := &conn{Conn: nc, pool: p, indirect: indirect, inbound: in, reader: bufio.NewReaderSize(in, readBufferBytes),
+	c := &conn{Conn: nc, pool: p, indirect: indirect, endingConn: ending, inbound: in, reader: bufio.NewReaderSize(in, readBufferBytes),
 		breaksBefore: p.identity.breaks.Load()}
 	go c.read()
 	return c
--- a/pkg/relay/harness_test.go
+++ b/pkg/relay/harness_test.go
@@ -88,6 +88,22 @@
 		s.add(fmt.Sprintf("server-%d", i), answer)
 	}
 	directory.Replace(s.servers, 1)
+	table := newTable(r, 1<<20)
+	s.relay = &Relay{
+		Headers: testHeaders, Routes: func() *route.Table { return table }, Servers: directory,
+		Logger: hclog.NewNullLogger(), Loader: noLoader{},
+		Budget: BudgetConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
+	}
+	s.relay.BudgetStart = time.Now().Add(-s.relay.Budget.FillTime()) // as if the node had been running for long
+	s.front = httptest.NewUnstartedServer(s.relay)
+	s.front.Config.ConnContext, s.front.Config.DisableGeneralOptionsHandler = ConnContext, true
+	s.front.Start()
+	t.Cleanup(s.front.Close)
+	return s
+}
+
+// newTable returns a table of one route to the service "s" that accepts bodies of at most bodyBytes.
+func newTable(r route.Route, bodyBytes int64) *route.Table {
 	r.Name, r.Host, r.Prefix = "r", "site.example", "/p/"
 	r.Parts = []route.Part{{Service: "s", Weight: 1}}
 	if r.Timeout == 0 {
@@ -100,18 +116,7 @@
 	if r.Sticky {
 		service.Engine = &route.Engine{Models: map[string]*route.Model{"m": {Name: "m"}}}
 	}
-	table := route.NewTable(1, route.Limits{BodyBytes: 1 << 20}, []*route.Route{&r}, []*route.Service{service})
-	s.relay = &Relay{
-		Headers: testHeaders, Routes: func() *route.Table { return table }, Servers: directory,
-		Logger: hclog.NewNullLogger(), Loader: noLoader{},
-		Budget: BudgetConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
-	}
-	s.relay.BudgetStart = time.Now().Add(-s.relay.Budget.FillTime()) // as if the node had been running for long
-	s.front = httptest.NewUnstartedServer(s.relay)
-	s.front.Config.ConnContext, s.front.Config.DisableGeneralOptionsHandler = ConnContext, true
-	s.front.Start()
-	t.Cleanup(s.front.Close)
-	return s
+	return route.NewTable(1, route.Limits{BodyBytes: bodyBytes}, []*route.Route{&r}, []*route.Service{service})
 }
 
 // noLoader knows no model.
