peer: a broken stream is not closed with the alert of an end in order

Cause: the node between closed its encrypted connection to say that the stream broke. Closing that sends close_notify first, by which TLS ends a connection in order, and it arrives before the reset. Package tls also takes an end without that alert for one in order if it falls between two records.

No path by which nodes end so is known.

Change: what is no end in order closes the connection below TLS, which resets it; below TLS an end without the alert is an error.

--- a/pkg/peer/hello.go
+++ b/pkg/peer/hello.go
@@ -95,13 +95,32 @@
 	if config == nil {
 		return raw, nil, nil
 	}
-	encrypted := wrap(raw, config)
+	encrypted := wrap(transport{raw}, config)
 	if err := encrypted.HandshakeContext(ctx); err != nil {
 		return nil, nil, errors.Wrap(err, "peer: TLS handshake")
 	}
 	return encrypted, encrypted.ConnectionState().PeerCertificates, nil
 }
 
+// errNoAlert means that an encrypted connection ended without the alert that announces its end.
+var errNoAlert = errors.New("peer: encrypted connection ended without close_notify")
+
+// transport is a connection below TLS. Package tls accepts an end without close_notify between two records, so that a part of
+// an answer would look whole.
+type transport struct{ net.Conn }
+
+// NetConn returns the connection below.
+func (t transport) NetConn() net.Conn { return t.Conn }
+
+// Read implements net.Conn. It returns errNoAlert in place of io.EOF.
+func (t transport) Read(p []byte) (int, error) {
+	n, err := t.Conn.Read(p)
+	if err == io.EOF {
+		err = errNoAlert
+	}
+	return n, err
+}
+
 // clientTLS returns the TLS configuration for outgoing connections. Peers are
 // addressed by IP, so the name in the certificate is compared with the hello
 // instead. The certificate chain is verified here.
--- a/pkg/peer/stream.go
+++ b/pkg/peer/stream.go
@@ -148,7 +148,7 @@
 func (s *session) copyBoth(ctx context.Context, target net.Conn) {
 	s.prepareStream()
 	stop := context.AfterFunc(ctx, func() {
-		s.Conn.Close()
+		s.abort()
 		target.Close()
 	})
 	defer stop()
@@ -161,10 +161,19 @@
 	if _, err := io.Copy(s.Conn, target); err == nil {
 		s.endInOrder(peerClosed)
 	}
-	s.Conn.Close()
+	s.abort()
 	<-peerClosed
 }
 
+// abort closes the connection to the peer without the alert by which TLS ends a connection in order.
+func (s *session) abort() {
+	if tcp, ok := s.tcp(); ok {
+		tcp.Close()
+		return
+	}
+	s.Conn.Close()
+}
+
 // prepareStream sets the connection to the peer up for a stream. Errors show when it is used.
 func (s *session) prepareStream() {
 	_ = s.SetDeadline(time.Time{})
@@ -194,9 +203,14 @@
 // tcp returns the connection to the peer below TLS.
 func (c *connection) tcp() (*net.TCPConn, bool) {
 	conn := c.Conn
-	if encrypted, ok := conn.(interface{ NetConn() net.Conn }); ok {
-		conn = encrypted.NetConn()
+	for {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			return tcp, true
+		}
+		upper, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil, false
+		}
+		conn = upper.NetConn()
 	}
-	tcp, ok := conn.(*net.TCPConn)
-	return tcp, ok
 }
--- a/pkg/peer/stream_test.go
+++ b/pkg/peer/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"testing"
@@ -33,19 +34,33 @@
 
 // streamTo returns a stream through a new peer to a server, the server's end of it, and the peer.
 func streamTo(t *testing.T) (stream, served net.Conn, helper *Server) {
+	t.Helper()
+	return streamVia(t, nil, nil, nil)
+}
+
+// streamVia is streamTo for a peer and an opener with TLS, and connections that are changed below it; nil: without.
+func streamVia(t *testing.T, helperTLS, openerTLS *tls.Config, change func(net.Conn) net.Conn) (stream, served net.Conn, helper *Server) {
 	t.Helper()
 	target, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { target.Close() })
-	helper, err = Listen(Config{Self: api.NodeRef{ID: "helper"}, Address: "127.0.0.1:0"})
+	helper, err = Listen(Config{Self: api.NodeRef{ID: "helper"}, Address: "127.0.0.1:0", TLS: helperTLS})
 	if err != nil {
 		t.Fatal(err)
 	}
 	helper.Serve(streamer{newRecorder()})
 	t.Cleanup(func() { helper.Close() })
-	stream, answer, err := testOpener().Open(t.Context(), helper.Self().PeerAddress, testConnect{Address: target.Addr().String()})
+	opener := testOpener()
+	opener.Config.TLS = openerTLS
+	if dial := opener.Dial; change != nil {
+		opener.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			conn, err := dial(ctx, address)
+			return change(conn), err
+		}
+	}
+	stream, answer, err := opener.Open(t.Context(), helper.Self().PeerAddress, testConnect{Address: target.Addr().String()})
 	if err != nil || answer != (testAnswer{Text: "yes"}) {
 		t.Fatalf("%v, %v", answer, err)
 	}
