peer: a reset that the copy of an upload took ends no stream in order

Cause: in the node between, one copy writes the upload to the server and the other reads its answer. When the write got the reset, the read got a clean end, which was passed on as the end of the answer in order; what ended the copy of the upload was thrown away.

Change: the connection to the server is an orderly.Conn, so that the copy of the answer sees the break whoever took its report. The upload's copy no longer closes it when the server takes no more: a server that ended its answer in order and reads nothing has an answer on the way.

--- a/pkg/peer/stream.go
+++ b/pkg/peer/stream.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"martenwheel.dev/pkg/api"
+	"martenwheel.dev/pkg/orderly"
 )
 
 // StreamRequest is a message that asks a peer for a stream: if it agrees, the connection on which it was
@@ -147,6 +148,7 @@
 // part of it must not look whole.
 func (s *session) copyBoth(ctx context.Context, target net.Conn) {
 	s.prepareStream()
+	target = orderly.Wrap(target)
 	stop := context.AfterFunc(ctx, func() {
 		s.abort()
 		target.Close()
@@ -155,7 +157,7 @@
 	peerClosed := make(chan struct{})
 	go func() {
 		defer close(peerClosed)
-		_, _ = io.Copy(target, struct{ io.Reader }{s.reader}) // whatever ends it, the peer wants no more
+		_, _ = io.Copy(&upload{to: target}, struct{ io.Reader }{s.reader}) // whatever ends it, the peer wants no more
 		target.Close()
 	}()
 	if _, err := io.Copy(s.Conn, target); err == nil {
@@ -174,6 +176,21 @@
 	s.Conn.Close()
 }
 
+// upload passes on what the peer sends. Once the target takes no more, the rest is dropped: its answer may still be on the way.
+type upload struct {
+	to    net.Conn
+	ended bool
+}
+
+// Write implements io.Writer. It never fails.
+func (u *upload) Write(p []byte) (int, error) {
+	if !u.ended {
+		_, err := u.to.Write(p)
+		u.ended = err != nil // why it ended shows to whoever reads from the target
+	}
+	return len(p), nil
+}
+
 // prepareStream sets the connection to the peer up for a stream. Errors show when it is used.
 func (s *session) prepareStream() {
 	_ = s.SetDeadline(time.Time{})
