backend: a status line is read strictly, and a status is 100 to 599

What callers saw: an answer with status 000 is taken for an informational one, so that what follows its empty head came as the answer. Statuses of 600 and more, "HTTP/1.1 200", "HTTP/2.0 200" and control bytes in the reason were passed on as answers (MIXED).

Cause: net/http takes any three digits for a status, blanks before it and any version, and the read loop skips every status below 200.

Change: pkg/httphead checks heads byte by byte as they arrive, before a library sees them. What is no status line makes the answer malformed, as a head without a colon does: the request goes to another server if it may, or ends with 502.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -225,7 +225,9 @@
 func (c *conn) readHeader(x *exchange) (*http.Response, error) {
 	request := &http.Request{Method: x.message.Method}
 	for range maxForeignResponses {
-		c.inbound.limitHead()
+		if err := c.startHead(); err != nil {
+			return nil, err
+		}
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, err
@@ -252,6 +254,15 @@
 	return nil, errForeignResponses
 }
 
+// startHead begins to read a head.
+func (c *conn) startHead() error {
+	read, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.inbound.startHead(read)
+}
+
 // skip reads a body to its end.
 func skip(body io.Reader) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxForeignBytes+1))
--- a/pkg/backend/inbound.go
+++ b/pkg/backend/inbound.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/httphead"
 )
 
 const (
@@ -42,9 +44,11 @@
 	received atomic.Int64 // bytes since the current exchange began
 	headLeft int          // bytes that the current head may still take; unlimited: none is read
 	lines    int          // that the current head has brought
+	head     httphead.Checker
 }
 
-// Read implements io.Reader. It returns errHeadTooLong once a head has taken all that it may.
+// Read implements io.Reader. It returns errHeadTooLong once a head has taken all that it may, and an error of package httphead
+// in place of what makes it no head.
 func (in *inbound) Read(p []byte) (int, error) {
 	if in.headLeft == 0 || in.lines > maxHeadLines {
 		return 0, errHeadTooLong
@@ -61,12 +65,19 @@
 	if in.headLeft > 0 {
 		in.headLeft -= n
 		in.lines += bytes.Count(p[:n], lineEnd) // too many if the body begins here, but then the head is not read on
+		if headErr := in.head.Check(p[:n]); headErr != nil {
+			return 0, headErr
+		}
 	}
 	return n, err
 }
 
-// limitHead begins to count what the next head takes.
-func (in *inbound) limitHead() { in.headLeft = maxHeadBytes }
+// startHead begins to check the next head, of which a part may have been read already, and to count what it takes.
+func (in *inbound) startHead(read []byte) error {
+	in.headLeft = maxHeadBytes
+	in.head.Reset()
+	return in.head.Check(read)
+}
 
 // endHead ends the limit at the end of a head. It returns errHeadTooLong if the head has too many lines.
 func (in *inbound) endHead(h http.Header) error {
--- /dev/null
+++ b/pkg/relay/malformed_heads_test.go
@@ -0,0 +1,82 @@
+package relay
+
+import (
+	"net/http"
+	"testing"
+
+	"martenwheel.dev/pkg/route"
+)
+
+const (
+	headerLines = "X-Id: {id}\r\nX-Seal: s\r\n"
+	soundAnswer = "HTTP/1.1 200 OK\r\n" + headerLines + "Content-Length: 5\r\nConnection: close\r\n\r\nsound"
+)
+
+// badStatusLines are no status lines of HTTP/1.x with a status of 100 to 599.
+var badStatusLines = []string{
+	"HTTP/1.1 000 OK", "HTTP/1.1 000", "HTTP/1.1 0 OK", "HTTP/1.1 00 OK", "HTTP/1.1 001 OK", "HTTP/1.1 042 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK",
+	"HTTP/1.1 999 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 20x OK", "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK", "HTTP/1.1 OK",
+	"HTTP/1.1 200\tOK", "HTTP/1.1 200 O\x01K", "HTTP/2.0 200 OK", "HTTP/9.9 200 OK", "HTTP/1 200 OK", "http/1.1 200 OK", " HTTP/1.1 200 OK", "",
+}
+
+// Guards against an answer whose status is none, and that callers get, or behind which they get another one.
+func TestMIXEDAnswerWithABadStatusIsPassedOn(t *testing.T) {
+	for _, line := range badStatusLines {
+		for form, answer := range map[string]string{
+			"with a length":      headerLines + "Content-Length: 3\r\n\r\nbad",
+			"without length":     headerLines + "\r\nbad",
+			"before a sound one": headerLines + "\r\n" + soundAnswer,
+			"an empty head":      "\r\n" + soundAnswer,
+		} {
+			expectMalformed(t, line+", "+form, line+"\r\n"+answer)
+		}
+	}
+}
+
+// expectMalformed checks that callers of routes of all kinds get no answer that a server sent, and that it is sought elsewhere.
+func expectMalformed(t *testing.T, name, answer string) {
+	t.Helper()
+	for kind, r := range uploadRoutes {
+		t.Run(name+", "+kind, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, r, raw(answer))
+			if got := s.post("id", "x"); got.err == nil && got.status != http.StatusBadGateway {
+				t.Errorf("MIXED: the caller got %d %q", got.status, got.body)
+			}
+		})
+	}
+	t.Run(name+", another server", func(t *testing.T) {
+		t.Parallel()
+		s := newSite(t, route.Route{Kind: route.Safe, MaxAttempts: 2}, raw(answer), sealed(http.StatusOK, "good"))
+		s.preferFirst()
+		if got := s.post("id", "x"); got.err != nil || got.status != http.StatusOK || got.body != "good" {
+			t.Errorf("the caller got %d %q, %v", got.status, got.body, got.err)
+		}
+	})
+}
+
+// Guards against sound answers that a strict reading of their status lines refuses.
+func TestSoundStatusLinesAreRefused(t *testing.T) {
+	const body = headerLines + "Content-Length: 5\r\n\r\nsound"
+	for _, answer := range []string{
+		"HTTP/1.1 200 OK\r\n" + body, "HTTP/1.1 200 \r\n" + body, "HTTP/1.1 200\r\n" + body, "HTTP/1.0 200 OK\r\n" + body, "HTTP/1.1 200 Alright, \xe9t\xe9\tit is\r\n" + body,
+		"HTTP/1.1 200 OK\nX-Id: {id}\nX-Seal: s\nContent-Length: 5\n\nsound",
+		"HTTP/1.1 100 Continue\r\n\r\n" + soundAnswer, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 199\r\n\r\n" + soundAnswer,
+	} {
+		t.Run(answer, func(t *testing.T) {
+			t.Parallel()
+			expectSound(t, answer)
+		})
+	}
+}
+
+// expectSound checks that callers of routes of all kinds get an answer with the body "sound".
+func expectSound(t *testing.T, answer string) {
+	t.Helper()
+	for kind, r := range uploadRoutes {
+		s := newSite(t, r, raw(answer))
+		if got := s.post("id", "x"); got.err != nil || got.status != http.StatusOK || got.body != "sound" {
+			t.Errorf("%s: the caller got %d %q, %v", kind, got.status, got.body, got.err)
+		}
+	}
+}
