backend: the name of a field is a token, and a line is a field

What callers saw: an answer with a blank in the name of a field came as an answer, with that line passed on, or with a body that was not the server's: "Transfer-Encoding : chunked" gave the frames of the chunks as the body, "Content-Length : 3" all that came until the connection ended, "Content-Encoding : gzip" packed bytes without the word.

Cause: net/http accepts blanks in names and keeps such a field under a name of its own.

Change: pkg/httphead checks each line. Names are tokens, values have no control bytes, and a line that begins with a blank or tab is refused, which RFC 9112, section 5.2, lets a gateway do: joined or not, it changes what the lines around it say.

--- a/pkg/httphead/checker.go
+++ b/pkg/httphead/checker.go
@@ -14,6 +14,8 @@
 var (
 	errStatusLine = errors.New("httphead: malformed status line")
 	errStatus     = errors.New("httphead: status outside of 100 to 599")
+	errName       = errors.New("httphead: malformed name of a field")
+	errValue      = errors.New("httphead: control byte in the value of a field")
 	errLineLength = errors.New("httphead: line too long")
 )
 
@@ -67,9 +69,45 @@
 		c.ended, c.began = !c.interim, false
 		return nil
 	}
+	return checkField(line)
+}
+
+// checkField checks a line of a header. A line that begins with a blank or a tab is refused, though it may continue the one
+// before in the obsolete way: a gateway may refuse it (RFC 9112, section 5.2), and it looks like a field of its own.
+func checkField(line []byte) error {
+	name, value, found := bytes.Cut(line, []byte{':'})
+	switch {
+	case !found || !IsToken(name):
+		return errName
+	case !isText(value):
+		return errValue
+	}
 	return nil
 }
 
+// IsToken reports whether a text is a token, as the name of a field has to be.
+func IsToken(text []byte) bool {
+	for _, b := range text {
+		if !isTokenByte[b] {
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
+// isTokenByte tells which bytes a token consists of (RFC 9110, section 5.6.2).
+var isTokenByte = tokenBytes()
+
+func tokenBytes() (is [256]bool) {
+	for b := '0'; b <= 'z'; b++ {
+		is[b] = b <= '9' || 'A' <= b && b <= 'Z' || 'a' <= b
+	}
+	for _, b := range "!#$%&'*+-.^_`|~" {
+		is[b] = true
+	}
+	return is
+}
+
 // startHead checks a status line.
 func (c *Checker) startHead(line []byte) error {
 	const version, blank = "HTTP/1.", ' '
--- a/pkg/relay/malformed_heads_test.go
+++ b/pkg/relay/malformed_heads_test.go
@@ -80,3 +80,41 @@
 		}
 	}
 }
+
+// badHeaderLines are no fields, or continue the line before in the obsolete way, for which RFC 9112 lets a gateway refuse them.
+var badHeaderLines = []string{
+	"Foo Bar: x", "Foo : x", "Foo\t: x", "Foo\tBar: x", "Foo\x00: x", "Foo\x01Bar: x", "\x1fFoo: x", "Foo\x7f: x", "F\xe9: x", `"Foo": x`, "Foo(1): x",
+	": x", " : x", "Foo", " Foo: x", "\tFoo: x", " x", "X-Odd: a\x00b", "X-Odd: a\rb", "X-Odd: \x1b", "Content-Length : 3", "Content Length: 3", " Content-Length: 3",
+	"Content-Encoding : gzip", "Transfer-Encoding : chunked", "Transfer Encoding: chunked", "X-Id : other", "Connection : close",
+}
+
+// Guards against an answer with a line that is no field, which callers get with that line or without what it says of the body.
+func TestMIXEDAnswerWithABadFieldIsPassedOn(t *testing.T) {
+	const status, body, chunks = "HTTP/1.1 200 OK\r\n", "Content-Length: 3\r\n\r\nbad", "\r\n3\r\nbad\r\n0\r\n\r\n"
+	for _, line := range badHeaderLines {
+		for form, answer := range map[string]string{
+			"first":          status + line + "\r\n" + headerLines + body,
+			"last":           status + headerLines + line + "\r\n" + body,
+			"bare line end":  status + headerLines + line + "\n" + body,
+			"without length": status + headerLines + line + "\r\n\r\nbad",
+			"before chunks":  status + headerLines + line + chunks,
+			"before events":  status + headerLines + "Content-Type: text/event-stream\r\n" + line + "\r\n\r\n" + eventsText(1, 3),
+			"early":          "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + soundAnswer,
+		} {
+			expectMalformed(t, line+", "+form, answer)
+		}
+	}
+}
+
+// Guards against sound answers that a strict reading of their fields refuses.
+func TestSoundFieldsAreRefused(t *testing.T) {
+	for _, line := range []string{
+		"Foo:x", "Foo:", "Foo: ", "foo_bar!#$%&'*+-.^`|~1: x", "Foo: a\tb  c \t ", "Foo: \xe9t\xe9", "Foo: a: b : c", `Foo: "a b"; c=d`, "Foo-: x", "1: x",
+	} {
+		t.Run(line, func(t *testing.T) {
+			t.Parallel()
+			expectSound(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n"+headerLines+line+"\r\nContent-Length: 5\r\n\r\nsound")
+			expectSound(t, "HTTP/1.1 200 OK\r\n"+headerLines+line+"\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nsound\r\n0\r\n\r\n")
+		})
+	}
+}
