backend: HTTP/1.0 has no chunks

What callers saw: an answer of HTTP/1.0 with Transfer-Encoding came as a 200 whose body was the frames of the chunks, or as long as its length (MIXED).

Cause: net/http ignores that field in HTTP/1.0. Its framing is faulty then (RFC 9112, section 6.1).

Change: pkg/httphead refuses such a head.

--- a/pkg/httphead/checker.go
+++ b/pkg/httphead/checker.go
@@ -16,6 +16,7 @@
 	errStatus     = errors.New("httphead: status outside of 100 to 599")
 	errName       = errors.New("httphead: malformed name of a field")
 	errValue      = errors.New("httphead: control byte in the value of a field")
+	errEncoding   = errors.New("httphead: Transfer-Encoding in HTTP/1.0") // the framing is faulty, see RFC 9112, section 6.1
 	errLineLength = errors.New("httphead: line too long")
 )
 
@@ -31,11 +32,12 @@
 
 // Checker checks heads of answers as they arrive. Its zero value awaits one.
 type Checker struct {
-	line    []byte // what has arrived of the current line
-	began   bool   // the status line was read
-	interim bool   // the status is an informational one
-	ended   bool   // the head of a final answer was read
-	err     error  // why this is no head; nil: nothing shows that so far
+	line       []byte // what has arrived of the current line
+	began      bool   // the status line was read
+	interim    bool   // the status is an informational one
+	oldVersion bool   // HTTP/1.0
+	ended      bool   // the head of a final answer was read
+	err        error  // why this is no head; nil: nothing shows that so far
 }
 
 // Reset makes the checker await the head of an answer to a new request.
@@ -69,18 +71,20 @@
 		c.ended, c.began = !c.interim, false
 		return nil
 	}
-	return checkField(line)
+	return c.checkField(line)
 }
 
 // checkField checks a line of a header. A line that begins with a blank or a tab is refused, though it may continue the one
 // before in the obsolete way: a gateway may refuse it (RFC 9112, section 5.2), and it looks like a field of its own.
-func checkField(line []byte) error {
+func (c *Checker) checkField(line []byte) error {
 	name, value, found := bytes.Cut(line, []byte{':'})
 	switch {
 	case !found || !IsToken(name):
 		return errName
 	case !isText(value):
 		return errValue
+	case c.oldVersion && bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		return errEncoding
 	}
 	return nil
 }
@@ -126,7 +130,7 @@
 	if status < minStatus || status > maxStatus {
 		return errStatus
 	}
-	c.began, c.interim = true, status < minFinalStatus
+	c.began, c.interim, c.oldVersion = true, status < minFinalStatus, line[len(version)] == '0'
 	return nil
 }
 
--- a/pkg/relay/malformed_heads_test.go
+++ b/pkg/relay/malformed_heads_test.go
@@ -106,6 +106,12 @@
 	}
 }
 
+// Guards against the frames of chunks as a body: HTTP/1.0 has none, so that the framing is faulty (RFC 9112, section 6.1).
+func TestMIXEDChunksOfHTTP10ArePassedOn(t *testing.T) {
+	expectMalformed(t, "chunks", "HTTP/1.0 200 OK\r\n"+headerLines+"Transfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n")
+	expectMalformed(t, "with a length", "HTTP/1.0 200 OK\r\n"+headerLines+"transfer-encoding: chunked\r\nContent-Length: 3\r\n\r\nbad")
+}
+
 // Guards against sound answers that a strict reading of their fields refuses.
 func TestSoundFieldsAreRefused(t *testing.T) {
 	for _, line := range []string{
