gateway, engine: heads of answers are read strictly

What callers saw: behind the product's own gateway an answer "HTTP/1.1 000 OK" came as a 200, statuses like 099 and 600 as such, and a blank in the name of a field or a continued line as on the platform's nodes; an order that an engine answered so counted as done (MIXED).

Cause: fasthttp takes a status of 0 for 200, and blanks around names for nothing: "Content-Length : 3" counts as a length there, while net/http takes it for an unknown field. Control bytes were refused already.

Change: both check what they read with pkg/httphead before the library sees it. Its Conn serves clients that write a request as a whole before they read.

A reset under an upload can't make a part look whole in either: they read only once the request is written, and a write that fails ends the exchange; TestMIXEDResetUnderAnUploadLooksComplete of the gateway's client is kept.

--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -11,6 +11,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"martenwheel.dev/pkg/httphead"
 )
 
 // Bounds of the HTTP client.
@@ -87,7 +89,7 @@
 			if err != nil {
 				return nil, &dialError{cause: err}
 			}
-			return connection, nil
+			return httphead.NewConn(connection), nil
 		}
 	}
 	return c
--- a/pkg/gateway/internal/upstream/conn.go
+++ b/pkg/gateway/internal/upstream/conn.go
@@ -5,10 +5,12 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"martenwheel.dev/pkg/httphead"
 )
 
 // conn is a connection to an engine that records whether any byte of the current
-// request was sent, and that limits the time of each read.
+// request was sent, limits the time of each read, and checks the heads of answers.
 type conn struct {
 	net.Conn
 	stallTimeout time.Duration // timeout of each read when readDeadline is zero
@@ -16,6 +18,7 @@
 	deadline     time.Time     // read deadline currently set on the socket
 	written      int64         // bytes of the current request handed to the kernel
 	used         bool          // carried an earlier request
+	head         httphead.Checker
 }
 
 // begin prepares the connection for a new request.
@@ -23,6 +26,7 @@
 	c.written = 0
 	c.readDeadline = time.Time{}
 	c.used = true
+	c.head.Reset()
 }
 
 // sent reports whether any byte of the current request was handed to the kernel.
@@ -42,12 +46,17 @@
 	return n, err
 }
 
-// Read reads until readDeadline if that is set, else with the stall timeout.
+// Read reads until readDeadline if that is set, else with the stall timeout. It
+// fails in place of what makes a head none.
 func (c *conn) Read(p []byte) (int, error) {
 	if err := c.setDeadline(); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if headErr := c.head.Check(p[:n]); headErr != nil {
+		return 0, headErr
+	}
+	return n, err
 }
 
 // deadlineSlack limits how much too early a read may time out, to the stall
