backend: a head that has come ends the time limit of a failed write

What callers saw: none known. A whole answer without length broke at a reader that paused for 50 ms (a caller that reads slowly) if its server had ended it in order and read no more of the upload.

Cause: when the write of a request fails, the answer may take 50 ms more to begin. The limit was set on the connection and stayed there for the body.

Evidence: TestAnswerBreaksAsItsRequestIsNotRead, 15 of 20 answers of 32 kB ended with "i/o timeout" after 4,077 bytes.

Result: none of 50.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -378,6 +378,7 @@
 			if a.err != nil {
 				return nil, c.noAnswer(a.err)
 			}
+			_ = c.SetReadDeadline(time.Time{}) // which a failed write has set; the head has come
 			answer := newAnswer(ctx, c, x, a.response)
 			answer.written, answer.writing = written, writing
 			return answer, nil
