load tool: long uploads, and parts of streams that look whole

Cause: the load tool sent short bodies only, and took any stream that ended in order for a whole one.

Its own client reads heads strictly and takes no reset for an end.

--- a/cmd/martenwheel-lab/load.go
+++ b/cmd/martenwheel-lab/load.go
@@ -45,6 +45,8 @@
 	c.String(&o.PassingModel, "", "passing-model", "Model that is listed and retired during the run")
 	c.Float64(&o.PassingShare, "", "passing-share", "Share of the requests for that model, 0 to 1")
 	c.Float64(&o.LeaveShare, "", "leave-share", "Share of callers that leave their node after an event and take the stream up at another, 0 to 1")
+	c.Int(&o.UploadBytes, "", "upload-bytes", "Length of each body, so that servers may answer before they have read it")
+	c.Int(&o.Events, "", "events", "Events of a whole stream")
 	c.Int(&o.Unruly.StalledBodies, "", "stalled-bodies", "Callers beside the streams whose body stops a byte short of its length")
 	c.Int(&o.Unruly.SmallChunks, "", "small-chunks", "Callers whose body comes in chunks of a byte and does not end")
 	c.Int(&o.Unruly.HalfHeads, "", "half-heads", "Callers whose head does not end")
--- a/pkg/loadtest/loadtest.go
+++ b/pkg/loadtest/loadtest.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"martenwheel.dev/pkg/httphead"
 )
 
 // Options are the parameters of a run. All but those said to be optional are required.
@@ -50,6 +52,11 @@
 	// stream up at another node at once: its servers may still work on it, and the node may know less than the first.
 	LeaveShare float64 // 0 to 1
 
+	// UploadBytes is the length to which bodies are padded, so that servers may answer before they have read them; optional.
+	UploadBytes int
+	// Events is how many events a whole stream has, so that a part that looks whole shows; zero: unknown.
+	Events int
+
 	// SameField is what all events of a stream have in common if they come from one software version: a field of the
 	// JSON object in their data, or the data itself if it is "data"; optional.
 	SameField string
@@ -71,6 +78,7 @@
 	Disordered int `json:"disordered"`     // lost or repeated an event
 	Mixed      int `json:"two_version"`    // hold events of two software versions
 	Left       int `json:"left,omitempty"` // their caller closed the connection and took them up elsewhere
+	Short      int `json:"short"`          // looked whole with another number of events than Options.Events
 	Cut        int `json:"cut"`            // a connection ended without a whole answer or a refusal though the caller's time was not up
 	FirstMS    int `json:"first_ms"`       // mean time to the first event
 	PauseMS    int `json:"pause_ms"`       // longest time between two events of a stream
@@ -93,13 +101,16 @@
 
 // Violations returns the number of streams that no caller may get.
 func (r *Result) Violations() int {
-	n := r.Disordered + r.Mixed
+	n := r.Disordered + r.Mixed + r.Short
 	if r.cutsViolate {
 		n += r.Cut
 	}
 	return n
 }
 
+// maxUploadBytes limits the bodies.
+const maxUploadBytes = 64 << 20
+
 // check returns all faults of the options.
 func (o *Options) check() error {
 	wrong := o.Unruly.faults(o.Nodes)
@@ -113,6 +124,8 @@
 		"a share of such requests beyond 0 to 1":      o.PassingShare < 0 || o.PassingShare > 1,
 		"no header for streams that are taken up":     o.ResumesHeader == "" && o.Attempts > 1, "a negative number of attempts": o.Attempts < 0,
 		"a share of callers that leave beyond 0 to 1": o.LeaveShare < 0 || o.LeaveShare > 1,
+		"a negative number of events":                 o.Events < 0,
+		"a body of less than 0 or more than 64 MiB":   o.UploadBytes < 0 || o.UploadBytes > maxUploadBytes,
 		"no second node for callers that leave":       o.LeaveShare > 0 && len(o.Nodes) == 1,
 		"no second attempt for callers that leave":    o.LeaveShare > 0 && o.Attempts == 1,
 	})
@@ -134,7 +147,7 @@
 		return Result{}, err
 	}
 	if o.Client == nil {
-		o.Client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+		o.Client = &http.Client{Transport: httphead.NewTransport(&http.Transport{DisableKeepAlives: true, DisableCompression: true})}
 	}
 	ctx, cancel := context.WithTimeout(ctx, o.Duration+o.Deadline)
 	defer cancel()
@@ -177,7 +190,7 @@
 	t.sum.Sent++
 	for count, happened := range map[*int]bool{
 		&t.sum.Begun: o.events > 0, &t.sum.Whole: o.whole, &t.sum.Refused: o.events == 0 && o.refused, &t.sum.TakenUp: o.takenUp,
-		&t.sum.GoneOn: o.goneOn, &t.sum.Disordered: o.disordered, &t.sum.Mixed: len(o.same) > 1, &t.sum.Cut: o.cut, &t.sum.Left: o.left,
+		&t.sum.GoneOn: o.goneOn, &t.sum.Disordered: o.disordered, &t.sum.Mixed: len(o.same) > 1, &t.sum.Short: o.short, &t.sum.Cut: o.cut, &t.sum.Left: o.left,
 		&t.sum.SoundBegunAtFirst: !o.bad && o.atFirst, &t.sum.Bad: o.bad, &t.sum.BadRefused: o.bad && o.refused,
 		&t.sum.Passing: o.passing, &t.sum.PassingWhole: o.passing && o.whole, &t.sum.PassingRefused: o.passing && o.refused,
 	} {
--- a/pkg/loadtest/stream.go
+++ b/pkg/loadtest/stream.go
@@ -54,6 +54,7 @@
 	takenUp    bool
 	goneOn     bool
 	disordered bool
+	short      bool            // it looked whole with another number of events than Options.Events
 	same       map[string]bool // values of Options.SameField
 	first      time.Duration   // until the first event
 	left       bool            // the caller closed its connection and took the stream up elsewhere
@@ -84,6 +85,7 @@
 			time.Sleep(retryPause)
 		}
 	}
+	s.short = s.whole && s.options.Events > 0 && s.events != s.options.Events
 	return s.outcome
 }
 
@@ -105,7 +107,7 @@
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	s.node = s.nextNode()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.node+o.Path, strings.NewReader(o.Body+s.name))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.node+o.Path, s.body())
 	if err != nil {
 		return err
 	}
@@ -136,6 +138,15 @@
 	return s.readEvents(response.Body, id)
 }
 
+// body returns the body of an attempt.
+func (s *stream) body() io.Reader {
+	text := s.options.Body + s.name
+	if padding := s.options.UploadBytes - len(text); padding > 0 {
+		text += strings.Repeat(" ", padding)
+	}
+	return strings.NewReader(text)
+}
+
 // nextNode returns a random node; after the caller has left one, another.
 func (s *stream) nextNode() string {
 	nodes := s.options.Nodes
