emulator: engines that reset answers under their uploads

Cause: no schedule of faults had answers of which a part could look whole.

A node that takes it for whole is a violation (parts).

--- a/pkg/lab/checker.go
+++ b/pkg/lab/checker.go
@@ -97,8 +97,11 @@
 		return
 	}
 	req.answered = true
-	if final.kind == answerServed {
+	if final.kind == answerServed || final.kind == answerPart {
 		j.requests.Served++
+		if final.kind == answerPart {
+			j.violations.Parts++
+		}
 		if final.number != req.number {
 			j.requests.Mixed++
 		}
--- a/pkg/lab/engine.go
+++ b/pkg/lab/engine.go
@@ -43,6 +43,7 @@
 	unspoken     []func()      // ends of prompts that were read while the engine was silent
 	endlessUntil time.Duration // it answers without end until then
 	endlessRuns  int           // answers without end since it last served a request
+	brokenUntil  time.Duration // it breaks its answers until then
 	fullUntil    time.Duration // it resets new connections until then
 	gone         bool          // the machine was taken away
 	leavingAt    time.Duration // when it announced that it leaves; -1 if it stays
@@ -293,7 +294,7 @@
 	e.instance = fmt.Sprintf("%s/%d", e.id, e.incarnation)
 	e.alive, e.frozen, e.gone = true, false, false
 	e.leavingAt = -1
-	e.endlessUntil, e.endlessRuns, e.fullUntil = 0, 0, 0
+	e.endlessUntil, e.endlessRuns, e.brokenUntil, e.fullUntil = 0, 0, 0, 0
 	e.fence = 0
 	e.lastOrder = ""
 	if replaced {
--- a/pkg/lab/engine_requests.go
+++ b/pkg/lab/engine_requests.go
@@ -63,6 +63,10 @@
 		e.runEndlessly(r)
 		return
 	}
+	if e.breaksAnswers() {
+		e.breakAnswer(r)
+		return
+	}
 	if r.request.badPart != "" {
 		e.crashByPart(r)
 		return
--- a/pkg/lab/faults.go
+++ b/pkg/lab/faults.go
@@ -30,12 +30,13 @@
 	FaultsEndless       Faults = "endless"      // engines answer without end for a while
 	FaultsModelList     Faults = "model-list"   // models are retired, come back and change their sizes
 	FaultsLostAnswers   Faults = "lost-answers" // engines lose answers that they work on, and reset new connections
+	FaultsBroken        Faults = "broken"       // engines reset answers under their uploads
 	FaultsStoreRestored Faults = "store-copy"   // the table service is restored from a backup, which the platform guarantees not to do
 )
 
 // AllFaults returns the names of the schedules.
 func AllFaults() []Faults {
-	return []Faults{FaultsNone, FaultsKill, FaultsCut, FaultsFreeze, FaultsStoreDown, FaultsWeightsSlow, FaultsMixed, FaultsRelease, FaultsBadPart, FaultsSilent, FaultsEndless, FaultsModelList, FaultsLostAnswers, FaultsStoreRestored}
+	return []Faults{FaultsNone, FaultsKill, FaultsCut, FaultsFreeze, FaultsStoreDown, FaultsWeightsSlow, FaultsMixed, FaultsRelease, FaultsBadPart, FaultsSilent, FaultsEndless, FaultsModelList, FaultsLostAnswers, FaultsBroken, FaultsStoreRestored}
 }
 
 // Intervals, durations and rates of the faults.
@@ -65,6 +66,7 @@
 	endlessInterval        = 2 * time.Minute
 	modelListInterval      = 2 * time.Minute
 	lostAnswersInterval    = 2 * time.Minute
+	brokenInterval         = 2 * time.Minute
 	editInterval           = 10 * time.Minute
 	weightsSlowInterval    = 6 * time.Hour
 	weightsSlowDuration    = time.Hour
@@ -112,6 +114,9 @@
 	if includes(FaultsLostAnswers) {
 		sim.repeat(random, lostAnswersInterval, func() { sim.loseAnswers(random) })
 	}
+	if includes(FaultsBroken) {
+		sim.repeat(random, brokenInterval, func() { sim.breakAnswers(random) })
+	}
 	if includes(FaultsStoreRestored) {
 		sim.repeat(random, restoreInterval, sim.restoreStore)
 	}
@@ -126,9 +131,10 @@
 
 // apart reports whether a kind of faults is no part of mixed ones: a restored store, which the platform guarantees not to
 // happen, changes of the list of models, since requests for retired ones are refused and hide what else delays them, and
-// lost answers, whose streams have copies, which other kinds of faults do without.
+// lost answers, whose streams have copies, which other kinds of faults do without, and broken ones, so that mixed faults stay
+// comparable.
 func apart(kind Faults) bool {
-	return kind == FaultsStoreRestored || kind == FaultsModelList || kind == FaultsLostAnswers
+	return kind == FaultsStoreRestored || kind == FaultsModelList || kind == FaultsLostAnswers || kind == FaultsBroken
 }
 
 // countFault counts a fault that was injected.
--- a/pkg/lab/node.go
+++ b/pkg/lab/node.go
@@ -268,6 +268,7 @@
 		}
 		n.runs = slices.Delete(n.runs, i, i+1)
 		r.hold.Release()
+		kind := n.read(kind)
 		model := r.request.model.index
 		n.queue(model).inFlight--
 		n.recordEvidence(r, kind)
@@ -281,8 +282,8 @@
 	req := r.request
 	req.maybeRan = req.maybeRan || kind == answerUnknown
 	switch {
-	case kind == answerServed:
-		n.sim.answerCaller(req, answer{answerServed, r.outputOf})
+	case kind == answerServed || kind == answerPart:
+		n.sim.answerCaller(req, answer{kind, r.outputOf})
 	case kind == answerUnknown && req.model.unsafe:
 		n.sim.answerCaller(req, refusalOf(req, answerUnknown))
 	case n.sim.clock.elapsed >= req.deadline:
--- a/pkg/lab/request.go
+++ b/pkg/lab/request.go
@@ -35,6 +35,7 @@
 	answerServed  answerKind = iota + 1
 	answerNotRun             // refused; no engine ran it
 	answerUnknown            // refused; an engine may have run it
+	answerPart               // a part of an answer without length, reset under its upload
 )
 
 // answerGrace is how long after the deadline a caller waits for a final answer. A request without an
--- a/pkg/lab/result.go
+++ b/pkg/lab/result.go
@@ -76,11 +76,13 @@
 	Held int `json:"held,omitempty"`
 	// Twice counts streams that went on at an engine while another one worked on them.
 	Twice int `json:"twice,omitempty"`
+	// Parts counts parts of answers that callers got as whole ones.
+	Parts int `json:"parts,omitempty"`
 }
 
 // Sum returns the number of all violations.
 func (v Violations) Sum() int {
-	return v.Replicas + v.Memory + v.AtMostOnce + v.NotRun + v.Leaving + v.TreeReverts + v.Versions + v.BadParts + v.Held + v.Twice
+	return v.Replicas + v.Memory + v.AtMostOnce + v.NotRun + v.Leaving + v.TreeReverts + v.Versions + v.BadParts + v.Held + v.Twice + v.Parts
 }
 
 // Bounds are reference values that no policy is expected to beat; bounds.go explains them.
--- a/pkg/lab/simulation.go
+++ b/pkg/lab/simulation.go
@@ -38,6 +38,8 @@
 	endlessRuns       int  // answers without end
 	cameBack          int  // times that an engine served again after it had answered without end
 	keepsAnswers      bool // nodes hold what they read of answers without a bound
+	brokenAnswers     int  // parts of answers that were reset under their upload
+	trustsEnds        bool // nodes take such a part for a whole answer
 	lostAnswers       lostAnswers
 	trustsResets      bool // nodes take a run for over if the call that stops it is reset
 }
