backend: probes that are answered by no answer are played

Cause: what nodes read for themselves (probes, reports, orders, calls that stop runs) comes through the same reader as answers to callers. Change: rows with a status of 000 and a blank in a name in the test of probes. Result: they pass; the request is not sent.

--- a/pkg/backend/probe_test.go
+++ b/pkg/backend/probe_test.go
@@ -27,6 +27,8 @@
 		"another process":                        {[][]string{{good, good}}, other, false},
 		"closes after the probe, no other left":  {[][]string{{goodAndClose}}, nil, false},
 		"does not answer the probe":              {[][]string{{}}, nil, false},
+		"answers the probe without a status":     {[][]string{{"HTTP/1.1 000 OK\r\n\r\n" + good}}, nil, false},
+		"answers the probe with a bad field":     {[][]string{{strings.Replace(good, "\r\n", "\r\nFoo Bar: x\r\n", 1), good}}, nil, false},
 		"idle connection closes after its probe": {[][]string{{good, goodAndClose}, {good, good}}, nil, true},
 	} {
 		t.Run(name, func(t *testing.T) {
