--- a/pkg/relay/uploads_test.go
+++ b/pkg/relay/uploads_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -136,6 +138,55 @@
 	}
 }
 
+// Guards against a stream that ends where it was reset under its upload, though another server can go on with it.
+func TestORDERStreamResetUnderItsUploadIsNotContinued(t *testing.T) {
+	r := route.Route{Kind: route.Stream, Resumable: true, MaxAttempts: 2}
+	for _, part := range []string{"", eventsText(1, 3), eventsText(1, 3) + "id: 4\ndata: pie"} {
+		t.Run(fmt.Sprintf("%d bytes", len(part)), func(t *testing.T) {
+			t.Parallel()
+			s := newEarlySite(t, r, resetUnderUpload(unframedHeads["events"], part, 0), continueAfterUpload)
+			s.preferFirst()
+			if got := s.post("id", strings.Repeat("u", uploadBytes)); got.err != nil || got.body != eventsText(1, 8) {
+				t.Errorf("the caller got %d %q, %v", got.status, got.body, got.err)
+			}
+		})
+	}
+}
+
+// continueAfterUpload reads the upload and sends the events up to the eighth that the request lacks.
+func continueAfterUpload(conn *net.TCPConn, request *http.Request, upload io.Reader) {
+	last, _ := strconv.Atoi(request.Header.Get(testHeaders.LastEvent)) // zero if missing: from the first event
+	readFirst(unframedHeads["events"], eventsText(last+1, 8), (*net.TCPConn).Close)(conn, request, upload)
+}
+
+// Guards against a part of a hedge's answer that counts as whole, or ends the first run's, after a reset under the hedge's upload.
+func TestMIXEDHedgeIsResetUnderItsUpload(t *testing.T) {
+	r := route.Route{Kind: route.Safe, MaxAttempts: 2, Target: 100 * time.Millisecond, Timeout: 5 * time.Second}
+	for form, head := range unframedHeads {
+		t.Run(form, func(t *testing.T) {
+			t.Parallel()
+			var hedged atomic.Bool
+			late := func(conn *net.TCPConn, request *http.Request, upload io.Reader) {
+				time.Sleep(lateAfterHedge)
+				readFirst(unframedHeads["HTTP/1.1"], "late", (*net.TCPConn).Close)(conn, request, upload)
+			}
+			s := newEarlySite(t, r, late, func(conn *net.TCPConn, request *http.Request, upload io.Reader) {
+				hedged.Store(true)
+				resetUnderUpload(head, "part", 0)(conn, request, upload)
+			})
+			s.preferFirst()
+			request := s.request(t.Context(), http.MethodPost, "/p/x", "id", strings.Repeat("u", uploadBytes))
+			request.Header.Set(testHeaders.Deadline, "5000")
+			if got := s.do(request); got.err != nil || got.status != http.StatusOK || got.body != "late" {
+				t.Errorf("the caller got %d %q, %v", got.status, got.body, got.err)
+			}
+			if !hedged.Load() {
+				t.Error("no hedge is shown")
+			}
+		})
+	}
+}
+
 // readFirst reads the upload, answers and ends the connection.
 func readFirst(head, body string, end func(*net.TCPConn) error) earlyAnswerer {
 	return func(conn *net.TCPConn, request *http.Request, upload io.Reader) {
